Fix messages and module borders before parts are built side by side

Cause: parts are built in parallel, so the wire messages, the layers and the types at the borders have to stand first.

--- /dev/null
+++ b/idl/membership.thrift
@@ -0,0 +1,21 @@
+// Membership: who is there, heard from peers.
+namespace py trefoilpaddle.protocol.gen.membership
+
+enum MemberState { LIVE = 0, SUSPECT = 1, LEAVING = 2, DEAD = 3 }
+
+struct Member {
+  1: string process_id = ""
+  2: i64 incarnation = 0
+  3: string address = ""          // ip:port of the peer port
+  4: string role = ""
+  5: string failure_domain = ""
+  6: string service_name = ""
+  7: string target = ""
+  8: MemberState state = 0
+  9: i64 beat = 0                // rises while the process lives
+  10: i64 config_revision = 0
+  11: i64 hosts_revision = 0
+}
+
+struct Gossip { 1: string sender = ""  2: list<Member> members = []  3: i64 digest = 0 }
+struct GossipAnswer { 1: list<Member> members = []  2: i64 digest = 0 }
--- /dev/null
+++ b/src/trefoilpaddle/__init__.py
@@ -0,0 +1,1 @@
+"""Serve multi-stage model pipelines, driven by a published catalogue."""
--- /dev/null
+++ b/src/trefoilpaddle/cli/__init__.py
@@ -0,0 +1,1 @@
+"""The command line and its tools."""
--- /dev/null
+++ b/src/trefoilpaddle/coordination/__init__.py
@@ -0,0 +1,1 @@
+"""How processes act together: routing, retries, limits, membership."""
--- /dev/null
+++ b/src/trefoilpaddle/protocol/__init__.py
@@ -0,0 +1,1 @@
+"""Messages, their codec and the errors that pass between processes."""
--- /dev/null
+++ b/src/trefoilpaddle/protocol/const.py
@@ -0,0 +1,24 @@
+"""Bounds and version numbers that every process of the system shares."""
+
+from typing import Final
+
+PROTOCOL_VERSION: Final = 1
+"""Version of the frames; two processes talk only when theirs are equal."""
+
+MAX_FRAME_BYTES: Final = 2 * 1024 * 1024
+"""Largest frame accepted, header included; holds a configuration value."""
+
+CHUNK_BYTES: Final = 64 * 1024
+"""Largest piece of a body or an answer sent in one frame."""
+
+INLINE_BODY_BYTES: Final = 64 * 1024
+"""Bodies up to this size travel inside the start frame."""
+
+ATTEMPT_ID_BYTES: Final = 16
+"""Length of an attempt's random id."""
+
+SILENCE_S: Final = 2.0
+"""A peer not heard from for this long gets no new work."""
+
+HEARTBEAT_S: Final = 0.5
+"""Time between heartbeats on each connection."""
--- /dev/null
+++ b/src/trefoilpaddle/protocol/frames.py
@@ -0,0 +1,119 @@
+"""Length-prefixed frames: a kind, a call number and one thrift struct.
+
+A frame is ``length:u32 kind:u8 call:u32 body``, big-endian; the length counts
+everything behind itself. Call 0 is a message that expects no reply.
+"""
+
+import struct
+from collections.abc import Mapping
+from dataclasses import dataclass
+from typing import Any, Final
+
+from result import Err, Ok, Result
+from thrift.protocol.TCompactProtocol import TCompactProtocolAccelerated
+from thrift.transport.TTransport import TMemoryBuffer
+
+from .const import MAX_FRAME_BYTES
+from .gen.claims import ttypes as claims
+from .gen.config import ttypes as config
+from .gen.explain import ttypes as explain
+from .gen.limits import ttypes as limits
+from .gen.membership import ttypes as membership
+from .gen.stage import ttypes as stage
+
+HEADER: Final = struct.Struct(">IBI")
+LENGTH_BYTES: Final = 4
+REST_BYTES: Final = HEADER.size - LENGTH_BYTES
+
+Message = Any
+"""A generated thrift struct; which one, the frame's kind says."""
+
+KINDS: Final[Mapping[int, type]] = {
+    1: stage.Hello,
+    2: stage.Heartbeat,
+    10: stage.Start,
+    11: stage.BodyChunk,
+    12: stage.Queued,
+    13: stage.Ready,
+    14: stage.Go,
+    15: stage.Started,
+    16: stage.Chunk,
+    17: stage.End,
+    18: stage.Failure,
+    19: stage.Ack,
+    20: stage.Credit,
+    21: stage.Fetch,
+    22: stage.Cancel,
+    23: stage.Bar,
+    24: stage.BarAnswer,
+    40: config.ConfigPull,
+    41: config.ConfigDelta,
+    50: membership.Gossip,
+    51: membership.GossipAnswer,
+    60: claims.Claim,
+    61: claims.ClaimAnswer,
+    62: claims.Settle,
+    63: claims.SettleAnswer,
+    64: claims.ClaimMove,
+    70: limits.LeaseAsk,
+    71: limits.LeaseAnswer,
+    80: explain.ExplainAsk,
+    81: explain.ExplainAnswer,
+    82: explain.StatusAsk,
+    83: explain.StatusAnswer,
+}
+KIND_OF: Final[Mapping[type, int]] = {cls: kind for kind, cls in KINDS.items()}
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Frame:
+    """One message with its call number (0: expects no reply)."""
+
+    call: int
+    message: Message
+
+
+def encode(message: Message, *, call: int = 0) -> bytes:
+    """Return the frame of `message` as bytes.
+
+    Raises
+    ------
+    ValueError
+        If the frame would exceed ``MAX_FRAME_BYTES``; a fault of the caller,
+        who cuts bodies into chunks.
+    """
+    buffer = TMemoryBuffer()
+    message.write(TCompactProtocolAccelerated(buffer, fallback=False))
+    body: bytes = buffer.getvalue()
+    n_bytes = REST_BYTES + len(body)
+    if n_bytes + LENGTH_BYTES > MAX_FRAME_BYTES:
+        raise ValueError(f"{type(message).__name__} of {n_bytes} bytes is too large")
+    return HEADER.pack(n_bytes, KIND_OF[type(message)], call) + body
+
+
+def decode(rest: bytes) -> Result[Frame, str]:
+    """Return the frame whose bytes behind the length are `rest`.
+
+    Returns
+    -------
+    Result[Frame, str]
+        What is wrong with the bytes, when no known message can be read.
+    """
+    if len(rest) < REST_BYTES:
+        return Err(f"frame of {len(rest)} bytes is shorter than its header")
+    kind = rest[0]
+    cls = KINDS.get(kind)
+    if cls is None:
+        return Err(f"frame kind {kind} is not known in this version")
+    message = cls()
+    protocol = TCompactProtocolAccelerated(
+        TMemoryBuffer(rest[REST_BYTES:]),
+        string_length_limit=MAX_FRAME_BYTES,
+        container_length_limit=MAX_FRAME_BYTES,
+        fallback=False,
+    )
+    try:
+        message.read(protocol)
+    except Exception as error:  # the decoder raises many types on bad bytes
+        return Err(f"{cls.__name__} cannot be read: {error!r}")
+    return Ok(Frame(call=int.from_bytes(rest[1:REST_BYTES]), message=message))
--- /dev/null
+++ b/src/trefoilpaddle/roles/__init__.py
@@ -0,0 +1,1 @@
+"""The two processes of the system: gateway and sidecar."""
--- /dev/null
+++ b/src/trefoilpaddle/roles/process.py
@@ -0,0 +1,171 @@
+"""What a gateway and a sidecar have in common: identity, peers, signals."""
+
+import asyncio
+import contextlib
+import signal
+import time
+from collections.abc import AsyncIterator, Callable
+from dataclasses import dataclass
+
+from absl import logging
+
+from ..protocol.const import PROTOCOL_VERSION
+from ..protocol.frames import Message
+from ..protocol.gen.stage.ttypes import Heartbeat, Hello, Load
+from ..protocol.ids import new_incarnation
+from ..state.journal import Decision, Event, Journal
+from ..state.published import Published
+from ..state.settings import ProcessSettings
+from ..transport.connection import Address, Connection
+from ..transport.link import Link
+from ..transport.peers import Peers
+from ..transport.server import PeerServer
+
+LoadReader = Callable[[], Load]
+LinkListener = Callable[[Link, Message], None]
+ConnectionListener = Callable[[Connection, Message], None]
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Identity:
+    """Who a process is.
+
+    Parameters
+    ----------
+    process_id : str
+        Host and role; stable over restarts.
+    incarnation : int
+        Random, new at each start.
+    role : str
+        ``"gateway"`` or ``"sidecar"``.
+    failure_domain, region : str
+        Where it stands.
+    service, target : str
+        Of a sidecar.
+    """
+
+    process_id: str
+    incarnation: int
+    role: str
+    failure_domain: str
+    region: str
+    service: str = ""
+    target: str = ""
+
+
+def identity_of(
+    *, process: ProcessSettings, role: str, service: str = "", target: str = ""
+) -> Identity:
+    """Return the identity of a process that starts now with these settings."""
+    return Identity(
+        process_id=f"{process.host}-{role}",
+        incarnation=new_incarnation(),
+        role=role,
+        failure_domain=process.failure_domain,
+        region=process.region,
+        service=service,
+        target=target,
+    )
+
+
+class Process:
+    """Parts that both roles own; the role adds its own on top.
+
+    Parameters
+    ----------
+    identity : Identity
+        Who this process is.
+    listen : Address
+        Where it listens for peers.
+    journal : Journal
+        Takes its decisions.
+    """
+
+    __slots__ = (
+        "identity",
+        "journal",
+        "link_listeners",
+        "load_reader",
+        "message_listeners",
+        "peers",
+        "published",
+        "server",
+        "stopping",
+    )
+
+    def __init__(
+        self, *, identity: Identity, listen: Address, journal: Journal
+    ) -> None:
+        self.identity = identity
+        self.journal = journal
+        self.published = Published()
+        self.stopping = asyncio.Event()
+        self.load_reader: LoadReader = self._bare_load
+        self.link_listeners: list[LinkListener] = []
+        self.message_listeners: list[ConnectionListener] = []
+        self.peers = Peers(
+            own_hello=self.hello,
+            own_heartbeat=self.heartbeat,
+            on_message=self._on_link_message,
+        )
+        self.server = PeerServer(
+            address=listen,
+            own_hello=self.hello,
+            own_heartbeat=self.heartbeat,
+            on_message=self._on_peer_message,
+        )
+
+    def hello(self) -> Hello:
+        """Return what this process says of itself on a new connection."""
+        return Hello(
+            version=PROTOCOL_VERSION,
+            process_id=self.identity.process_id,
+            incarnation=self.identity.incarnation,
+            role=self.identity.role,
+            failure_domain=self.identity.failure_domain,
+            service_name=self.identity.service,
+            target=self.identity.target,
+            config_revision=self.published.catalogue.revision,
+            stamp_ns=time.monotonic_ns(),
+        )
+
+    def heartbeat(self) -> Heartbeat:
+        """Return the heartbeat to send now."""
+        return Heartbeat(load=self.load_reader())
+
+    def _bare_load(self) -> Load:
+        return Load(
+            stamp_ns=time.monotonic_ns(),
+            leaving=self.stopping.is_set(),
+            config_revision=self.published.catalogue.revision,
+        )
+
+    def _on_link_message(self, link: Link, message: Message) -> None:
+        for listener in self.link_listeners:
+            listener(link, message)
+
+    def _on_peer_message(self, connection: Connection, message: Message) -> None:
+        for listener in self.message_listeners:
+            listener(connection, message)
+
+    @contextlib.asynccontextmanager
+    async def running(self) -> AsyncIterator["Process"]:
+        """Listen for peers and signals while the context is open.
+
+        Raises
+        ------
+        OSError
+            If the peer port is held by another process.
+        """
+        loop = asyncio.get_running_loop()
+        for number in (signal.SIGTERM, signal.SIGINT):
+            loop.add_signal_handler(number, self.stopping.set)
+        async with self.server.listening(), self.peers.open():
+            self.journal.record(
+                Decision(event=Event.PROCESS_STARTED, peer=self.identity.process_id)
+            )
+            yield self
+        self.journal.record(
+            Decision(event=Event.PROCESS_STOPPED, peer=self.identity.process_id)
+        )
+        logging.flush()
--- /dev/null
+++ b/src/trefoilpaddle/state/__init__.py
@@ -0,0 +1,1 @@
+"""What one process knows and holds, in memory only."""
--- /dev/null
+++ b/src/trefoilpaddle/transport/__init__.py
@@ -0,0 +1,1 @@
+"""Connections: framed links between processes."""
--- /dev/null
+++ b/src/trefoilpaddle/transport/link.py
@@ -0,0 +1,222 @@
+"""A link to one peer: dials, says hello, reconnects, asks and is answered."""
+
+import asyncio
+import contextlib
+import itertools
+import random
+import ssl
+import time
+from collections.abc import AsyncIterator, Callable
+from typing import Final
+
+from absl import logging
+from result import Err, Ok, Result
+
+from ..protocol.const import HEARTBEAT_S, SILENCE_S
+from ..protocol.errors import PeerError
+from ..protocol.frames import Frame, Message
+from ..protocol.gen.stage.ttypes import Heartbeat, Hello
+from .connection import Address, Connection
+
+CONNECT_TIMEOUT_S: Final = 1.0
+BACKOFF_MIN_S: Final = 0.05
+BACKOFF_MAX_S: Final = 1.0
+DEAD_AFTER_S: Final = 3 * SILENCE_S
+MAX_CALL: Final = (1 << 32) - 1
+
+OnMessage = Callable[["Link", Message], None]
+
+
+class Link:
+    """The dialling side of a connection to `address`, kept open.
+
+    Parameters
+    ----------
+    address : Address
+        Where the peer listens.
+    own_hello : callable
+        Returns what this process says of itself now.
+    own_heartbeat : callable
+        Returns the heartbeat to send now.
+    on_message : callable
+        Takes each message that answers no question; must not block.
+    on_change : callable, optional
+        Called with the link after each connect and each loss.
+    tls : ssl.SSLContext, optional
+        Client side context; None speaks plain TCP.
+    """
+
+    __slots__ = (
+        "_calls",
+        "_numbers",
+        "_on_change",
+        "_on_message",
+        "_own_heartbeat",
+        "_own_hello",
+        "_task",
+        "_tls",
+        "address",
+        "connection",
+        "opened",
+    )
+
+    def __init__(
+        self,
+        *,
+        address: Address,
+        own_hello: Callable[[], Hello],
+        own_heartbeat: Callable[[], Heartbeat],
+        on_message: OnMessage,
+        on_change: "Callable[[Link], None] | None" = None,
+        tls: ssl.SSLContext | None = None,
+    ) -> None:
+        self.address = address
+        self._own_hello = own_hello
+        self._own_heartbeat = own_heartbeat
+        self._on_message = on_message
+        self._on_change = on_change
+        self._tls = tls
+        self._numbers = itertools.count(1)
+        self._calls: dict[int, asyncio.Future[Message]] = {}
+        self._task: asyncio.Task[None] | None = None
+        self.connection: Connection | None = None
+        self.opened = asyncio.Event()
+
+    @property
+    def peer(self) -> Hello | None:
+        """The peer's last hello on the present connection, if there is one."""
+        return self.connection.peer if self.connection else None
+
+    def is_heard(self) -> bool:
+        """Return True if the peer spoke within ``SILENCE_S``.
+
+        Guards against sending work to a peer that is paused or cut off while
+        its connection still looks open: TCP reports neither.
+        """
+        if self.connection is None:
+            return False
+        return time.monotonic() - self.connection.heard_s < SILENCE_S
+
+    def send(self, message: Message) -> bool:
+        """Send a message that expects no reply; return False if not connected."""
+        return self.connection is not None and self.connection.write(message)
+
+    async def ask(
+        self, message: Message, *, timeout_s: float
+    ) -> Result[Message, PeerError]:
+        """Send `message` and return its reply, or the step that failed."""
+        if self.connection is None:
+            with contextlib.suppress(TimeoutError):
+                async with asyncio.timeout(timeout_s):
+                    await self.opened.wait()
+        connection = self.connection
+        if connection is None:
+            return self._error("connect", "no connection", is_sent=False)
+        number = next(self._numbers) % MAX_CALL or next(self._numbers)
+        answer: asyncio.Future[Message] = asyncio.get_running_loop().create_future()
+        self._calls[number] = answer
+        try:
+            if not connection.write(message, call=number):
+                return self._error("send", "connection closed", is_sent=True)
+            async with asyncio.timeout(timeout_s):
+                return Ok(await answer)
+        except TimeoutError:
+            return self._error("wait", f"no reply in {timeout_s:g} s", is_sent=True)
+        except ConnectionError as error:
+            return self._error("wait", str(error), is_sent=True)
+        finally:
+            self._calls.pop(number, None)
+
+    def start(self) -> None:
+        """Begin dialling; the link then keeps itself open until `stop`."""
+        if self._task is None:
+            self._task = asyncio.create_task(self._run(), name=f"link {self.address}")
+
+    async def stop(self) -> None:
+        """Close the connection and end the link's task."""
+        if self._task is None:
+            return
+        self._task.cancel()
+        await asyncio.gather(self._task, return_exceptions=True)
+        self._task = None
+
+    async def _run(self) -> None:
+        backoff_s = BACKOFF_MIN_S
+        while True:
+            try:
+                async with self._open() as connection:
+                    if connection is not None:
+                        backoff_s = BACKOFF_MIN_S
+                        await self._serve(connection)
+            except Exception:
+                logging.exception("link to %s failed", self.address)
+            await asyncio.sleep(backoff_s * random.uniform(0.5, 1.5))
+            backoff_s = min(BACKOFF_MAX_S, 2 * backoff_s)
+
+    @contextlib.asynccontextmanager
+    async def _open(self) -> AsyncIterator[Connection | None]:
+        """Yield a connection with hellos exchanged, or None; close it after."""
+        try:
+            async with asyncio.timeout(CONNECT_TIMEOUT_S):
+                reader, writer = await asyncio.open_connection(
+                    self.address.ip, self.address.port, ssl=self._tls
+                )
+        except (OSError, TimeoutError):
+            yield None
+            return
+        connection = Connection(reader=reader, writer=writer, own=self._own_hello())
+        try:
+            match await connection.exchange_hello():
+                case Ok(_):
+                    self._set(connection)
+                    yield connection
+                case Err(error):
+                    logging.warning("%s: %s", error.peer, error.detail)
+                    yield None
+        finally:
+            self._set(None)
+            connection.abort()
+
+    def _set(self, connection: Connection | None) -> None:
+        was = self.connection
+        self.connection = connection
+        if connection is not None:
+            self.opened.set()
+        else:
+            self.opened.clear()
+            self._fail_calls()
+        if self._on_change is not None and was is not connection:
+            self._on_change(self)
+
+    def _fail_calls(self) -> None:
+        for answer in self._calls.values():
+            if not answer.done():
+                answer.set_exception(ConnectionError("connection lost"))
+
+    async def _serve(self, connection: Connection) -> None:
+        beats = asyncio.create_task(self._beat(connection))
+        try:
+            async for frame in connection.frames():
+                self._take(frame)
+        finally:
+            beats.cancel()
+
+    async def _beat(self, connection: Connection) -> None:
+        while connection.write(self._own_heartbeat()):
+            await asyncio.sleep(HEARTBEAT_S)
+            if time.monotonic() - connection.heard_s > DEAD_AFTER_S:
+                connection.abort()
+                return
+
+    def _take(self, frame: Frame) -> None:
+        if frame.call == 0:
+            self._on_message(self, frame.message)
+            return
+        answer = self._calls.get(frame.call)
+        if answer is not None and not answer.done():
+            answer.set_result(frame.message)
+
+    def _error(self, step: str, detail: str, *, is_sent: bool) -> Err[PeerError]:
+        return Err(
+            PeerError(step=step, peer=str(self.address), detail=detail, is_sent=is_sent)
+        )
--- /dev/null
+++ b/src/trefoilpaddle/transport/peers.py
@@ -0,0 +1,85 @@
+"""Links to many peers, opened on first use and closed together."""
+
+import contextlib
+import ssl
+from collections.abc import AsyncIterator, Callable
+
+from result import Result
+
+from ..protocol.errors import PeerError
+from ..protocol.frames import Message
+from ..protocol.gen.stage.ttypes import Heartbeat, Hello
+from .connection import Address
+from .link import Link, OnMessage
+
+
+class Peers:
+    """All links that this process dials, by address.
+
+    Parameters
+    ----------
+    own_hello, own_heartbeat, on_message, on_change, tls
+        As for `Link`, shared by all links.
+    """
+
+    __slots__ = (
+        "_on_change",
+        "_on_message",
+        "_own_heartbeat",
+        "_own_hello",
+        "_tls",
+        "links",
+    )
+
+    def __init__(
+        self,
+        *,
+        own_hello: Callable[[], Hello],
+        own_heartbeat: Callable[[], Heartbeat],
+        on_message: OnMessage,
+        on_change: Callable[[Link], None] | None = None,
+        tls: ssl.SSLContext | None = None,
+    ) -> None:
+        self._own_hello = own_hello
+        self._own_heartbeat = own_heartbeat
+        self._on_message = on_message
+        self._on_change = on_change
+        self._tls = tls
+        self.links: dict[Address, Link] = {}
+
+    def link(self, address: Address) -> Link:
+        """Return the link to `address`, started if it is new."""
+        link = self.links.get(address)
+        if link is None:
+            link = Link(
+                address=address,
+                own_hello=self._own_hello,
+                own_heartbeat=self._own_heartbeat,
+                on_message=self._on_message,
+                on_change=self._on_change,
+                tls=self._tls,
+            )
+            self.links[address] = link
+            link.start()
+        return link
+
+    async def ask(
+        self, address: Address, message: Message, *, timeout_s: float
+    ) -> Result[Message, PeerError]:
+        """Ask the peer at `address` and return its reply."""
+        return await self.link(address).ask(message, timeout_s=timeout_s)
+
+    async def forget(self, address: Address) -> None:
+        """Close the link to `address`, if there is one."""
+        link = self.links.pop(address, None)
+        if link is not None:
+            await link.stop()
+
+    @contextlib.asynccontextmanager
+    async def open(self) -> AsyncIterator["Peers"]:
+        """Close all links when the context ends."""
+        try:
+            yield self
+        finally:
+            for address in list(self.links):
+                await self.forget(address)
