Serve callers through the stages of a pipeline

Cause: nothing yet led from a caller's request to a stage's answer. Change: callers' HTTP (whole and SSE), governing entry by index, the walk of the stages under one deadline, stage calls over links with attempt ids, credit, acknowledgement, fetch after reconnect and bar, a retry budget per service, two choices on predicted completion, planned stop. Process gains change_listeners (links coming and going), which the attempts need. Limits and request keys are protocols with do-nothing defaults in coordination/admission.py. "Not run" to a caller means that no stage of the request was started at any target.

--- /dev/null
+++ b/src/trefoilpaddle/coordination/lifecycle.py
@@ -0,0 +1,190 @@
+"""One request from acceptance to its recorded end."""
+
+import time
+from typing import Protocol
+
+import orjson
+from result import Err, Ok, Result
+
+from ..protocol.errors import Failed, NotRun, StageError, Unknown
+from ..protocol.reasons import Reason
+from ..state.journal import Decision, Event, Figure, Journal
+from ..state.requests import Requests, RequestState
+from .admission import AlreadyAnswered, Claimer, Limiter, Permit
+from .request import Answer, Refusal, Request
+from .retries import Spent
+from .stage_work import Sink
+from .walk import Walker
+
+
+class RequestRunner(Protocol):
+    """Runs a checked request to its end."""
+
+    async def run(
+        self, request: Request, *, spent: Spent, sink: Sink | None
+    ) -> Result[Answer, Refusal]:
+        """Return the whole answer, or how the request ended."""
+        ...
+
+
+class Lifecycle:
+    """Admits a request, claims its key, walks it and records its end.
+
+    Parameters
+    ----------
+    walker : Walker
+        Runs the stages.
+    limiter : Limiter
+        Holds the entries' limits.
+    claimer : Claimer
+        Makes requests with one key run at most once.
+    requests : Requests
+        Remembers how requests ended.
+    journal : Journal
+        Takes the decisions.
+    """
+
+    __slots__ = ("_claimer", "_journal", "_limiter", "_requests", "_walker")
+
+    def __init__(
+        self,
+        *,
+        walker: Walker,
+        limiter: Limiter,
+        claimer: Claimer,
+        requests: Requests,
+        journal: Journal,
+    ) -> None:
+        self._walker = walker
+        self._limiter = limiter
+        self._claimer = claimer
+        self._requests = requests
+        self._journal = journal
+
+    async def run(
+        self, request: Request, *, spent: Spent, sink: Sink | None
+    ) -> Result[Answer, Refusal]:
+        """Return the whole answer, or how the request ended.
+
+        Cancelled when the caller has left; the end is recorded all the same.
+        """
+        self._requests.begin(
+            request_id=request.request_id,
+            account=request.account,
+            pipeline=request.pipeline_name,
+        )
+        begin_s = time.monotonic()
+        try:
+            outcome = await self._admit_and_run(request, spent=spent, sink=sink)
+        except BaseException:
+            self._end(request, RequestState.FAILED, Reason.CANCELLED)
+            raise
+        self._record_end(request, outcome, took_s=time.monotonic() - begin_s)
+        return outcome
+
+    async def _admit_and_run(
+        self, request: Request, *, spent: Spent, sink: Sink | None
+    ) -> Result[Answer, Refusal]:
+        early = self._walker.refusal(request)
+        if early is not None:
+            return Err(Refusal(error=early, stage=""))
+        match self._limiter.admit(
+            request.governing.name, request.governing.entry, request.n_tokens
+        ):
+            case Err(error):
+                return Err(Refusal(error=error, stage=""))
+            case Ok(permit):
+                return await self._run_permitted(request, permit, spent, sink)
+
+    async def _run_permitted(
+        self, request: Request, permit: Permit, spent: Spent, sink: Sink | None
+    ) -> Result[Answer, Refusal]:
+        try:
+            match await self._claimer.claim(request):
+                case Err(error):
+                    return Err(Refusal(error=error, stage="", is_retry_safe=False))
+                case Ok(AlreadyAnswered(result=result)):
+                    return Ok(Answer(output=orjson.loads(result), cost_s=0.0))
+            return await self._run_claimed(request, spent, sink)
+        finally:
+            permit.release()
+
+    async def _run_claimed(
+        self, request: Request, spent: Spent, sink: Sink | None
+    ) -> Result[Answer, Refusal]:
+        self._record(Event.REQUEST_ACCEPTED, request)
+        result = b""
+        try:
+            outcome = await self._walker.run(request, spent=spent, sink=sink)
+            match outcome:
+                case Ok(answer):
+                    result = orjson.dumps(answer.output)
+        finally:
+            self._claimer.settle(request, was_started=spent.has_started, result=result)
+        return outcome
+
+    def _record_end(
+        self, request: Request, outcome: Result[Answer, Refusal], *, took_s: float
+    ) -> None:
+        took = Figure(name="took_s", value=took_s)
+        slack = Figure(name="slack_s", value=request.deadline_s - time.monotonic())
+        match outcome:
+            case Ok(answer):
+                self._end(request, RequestState.ANSWERED, Reason.NONE)
+                cost = Figure(name="cost_s", value=answer.cost_s)
+                self._record(Event.REQUEST_ANSWERED, request, took, slack, cost)
+            case Err(refusal):
+                error = refusal.error
+                self._end(request, state_of(error), error.reason)
+                cost = Figure(name="cost_s", value=refusal.cost_s)
+                wait = Figure(name="retry_after_s", value=error.retry_after_s)
+                is_refused = isinstance(error, NotRun)
+                event = Event.REQUEST_REFUSED if is_refused else Event.REQUEST_FAILED
+                self._record(
+                    event,
+                    request,
+                    took,
+                    slack,
+                    cost,
+                    wait,
+                    error=error,
+                    stage=refusal.stage,
+                )
+
+    def _end(self, request: Request, state: RequestState, reason: Reason) -> None:
+        self._requests.end(request.request_id, state=state, reason=reason)
+
+    def _record(
+        self,
+        event: Event,
+        request: Request,
+        *figures: Figure,
+        error: StageError | None = None,
+        stage: str = "",
+    ) -> None:
+        governing = request.governing
+        self._journal.record(
+            Decision(
+                event=event,
+                request_id=request.request_id,
+                entry=governing.name,
+                owner=governing.entry.owner,
+                config_revision=governing.config_revision,
+                stage=stage,
+                peer=error.peer if error is not None else "",
+                reason=error.reason if error is not None else Reason.NONE,
+                detail=error.detail if error is not None else request.pipeline_name,
+                figures=figures,
+            )
+        )
+
+
+def state_of(error: StageError) -> RequestState:
+    """Return how a request with this error stands, in the callers' words."""
+    match error:
+        case NotRun():
+            return RequestState.REFUSED
+        case Failed():
+            return RequestState.FAILED
+        case Unknown():
+            return RequestState.UNKNOWN
--- /dev/null
+++ b/src/trefoilpaddle/coordination/stage_call.py
@@ -0,0 +1,444 @@
+"""One attempt of a stage at one sidecar, from start to acknowledged answer."""
+
+import asyncio
+import time
+from collections.abc import Callable
+from typing import Final
+
+from result import Err, Ok, Result
+
+from ..protocol.const import CHUNK_BYTES, INLINE_BODY_BYTES
+from ..protocol.errors import Failed, NotRun, StageError, Unknown, from_failure
+from ..protocol.gen.stage.ttypes import (
+    Ack,
+    Bar,
+    BarAnswer,
+    BarState,
+    BodyChunk,
+    Cancel,
+    Chunk,
+    Credit,
+    End,
+    Failure,
+    Fetch,
+    Go,
+    Queued,
+    Ready,
+    Start,
+    Started,
+)
+from ..protocol.reasons import Reason
+from ..state.journal import Decision, Event, Figure, Journal
+from .answer_buffer import AnswerBuffer
+from .attempts import Attempt, Attempts, Notice
+from .stage_work import Sink, StageAnswer, StageFault, StageWork
+from .target_view import TargetView
+
+WHOLE_CREDIT_BYTES: Final = 1024 * 1024
+STREAM_CREDIT_BYTES: Final = 64 * 1024
+BAR_WAIT_S: Final = 0.25
+RECONNECT_S: Final = 0.5
+NS: Final = 1_000_000_000
+
+OnReady = Callable[["StageCall"], bool]
+
+
+class StageCall:
+    """One attempt: sends it, follows its frames, and says what came of it.
+
+    Parameters
+    ----------
+    work : StageWork
+        What to do.
+    view : TargetView
+        Where to do it.
+    attempts : Attempts
+        Registry that hands over the frames.
+    journal : Journal
+        Takes the decisions.
+    sink : Sink, optional
+        Takes the answer as it comes; it is kept whole besides.
+    may_go : callable, optional
+        For late binding: asked when the sidecar has a place; False gives the
+        place back. Without it the work is committed when it is sent.
+    """
+
+    __slots__ = (
+        "_attempt",
+        "_attempts",
+        "_buffer",
+        "_has_arrived",
+        "_has_refetched",
+        "_journal",
+        "_may_go",
+        "_sink",
+        "is_sent",
+        "is_started",
+        "view",
+        "work",
+    )
+
+    def __init__(
+        self,
+        *,
+        work: StageWork,
+        view: TargetView,
+        attempts: Attempts,
+        journal: Journal,
+        sink: Sink | None = None,
+        may_go: OnReady | None = None,
+    ) -> None:
+        self.work = work
+        self.view = view
+        self.is_sent = False
+        self.is_started = False
+        self._attempts = attempts
+        self._journal = journal
+        self._sink = sink
+        self._may_go = may_go
+        self._buffer = AnswerBuffer()
+        self._has_arrived = False
+        self._has_refetched = False
+        self._attempt: Attempt | None = None
+
+    @property
+    def attempt_id(self) -> str:
+        """The attempt's id, hexadecimal; empty before it was sent."""
+        return self._attempt.attempt_id.hex() if self._attempt is not None else ""
+
+    async def run(self) -> Result[StageAnswer, StageFault]:
+        """Run the attempt and return its whole answer, or what is known of it.
+
+        Cancelling it cancels the work at the sidecar.
+        """
+        with self._attempts.open(self.view) as attempt:
+            self._attempt = attempt
+            self.view.sent(self.work.expected_s)
+            try:
+                return await self._run(attempt)
+            finally:
+                self._arrive()
+                self.view.ended()
+
+    async def _run(self, attempt: Attempt) -> Result[StageAnswer, StageFault]:
+        if not self._send(attempt):
+            # Frames of one connection arrive in order; the last was not taken,
+            # so the sidecar never holds a whole start frame and its body.
+            return self._err(
+                NotRun(
+                    reason=Reason.CONNECTION_LOST,
+                    step="send",
+                    peer=self.view.process_id,
+                    detail="The connection closed before the call was sent.",
+                )
+            )
+        self.is_sent = True
+        try:
+            async with asyncio.timeout_at(self._loop_deadline_s()):
+                return await self._follow(attempt)
+        except TimeoutError:
+            return self._err(await self._give_up(attempt))
+        except asyncio.CancelledError:
+            self.view.link.send(Cancel(attempt_id=attempt.attempt_id))
+            raise
+
+    def _loop_deadline_s(self) -> float:
+        left_s = self.work.deadline_s - time.monotonic()
+        return asyncio.get_running_loop().time() + left_s
+
+    def _send(self, attempt: Attempt) -> bool:
+        link = self.view.link
+        body = self.work.body
+        is_inline = len(body) <= INLINE_BODY_BYTES
+        if not link.send(self._start(attempt, body if is_inline else b"")):
+            return False
+        if is_inline:
+            return True
+        starts = range(0, len(body), CHUNK_BYTES)
+        return all(
+            link.send(
+                BodyChunk(
+                    attempt_id=attempt.attempt_id,
+                    seq=seq,
+                    data=body[start : start + CHUNK_BYTES],
+                )
+            )
+            for seq, start in enumerate(starts)
+        )
+
+    def _start(self, attempt: Attempt, body: bytes) -> Start:
+        work, view = self.work, self.view
+        stage, entry = work.stage, work.governing.entry
+        now_s = time.monotonic()
+        credit = WHOLE_CREDIT_BYTES if self._sink is None else STREAM_CREDIT_BYTES
+        attempt.n_granted_bytes = credit
+        return Start(
+            attempt_id=attempt.attempt_id,
+            request_id=work.request_id,
+            pipeline=work.pipeline,
+            stage=stage.name,
+            service_name=stage.service,
+            entry=work.governing.name,
+            owner=entry.owner,
+            class_of_work=entry.class_of_work,
+            config_revision=work.governing.config_revision,
+            weight=entry.weight,
+            brownout_order=entry.brownout_order,
+            stamp_ns=view.stamp_ns,
+            elapsed_ns=time.monotonic_ns() - view.stamp_at_ns,
+            budget_ns=int((work.deadline_s - now_s) * NS),
+            stage_budget_ns=int((work.stage_deadline_s - now_s) * NS),
+            idempotent=stage.idempotent,
+            predicted_s=work.expected_s,
+            max_tokens=stage.max_tokens,
+            path=stage.path,
+            streams=stage.streams,
+            prefix_hashes=list(work.prefix_hashes),
+            body_bytes=len(work.body),
+            body_checksum=work.body_checksum,
+            body=body,
+            credit_bytes=credit,
+            reserve=self._may_go is not None,
+            incarnation=attempt.incarnation,
+            model=stage.model,
+            attainment_weight=entry.attainment_weight,
+        )
+
+    async def _follow(self, attempt: Attempt) -> Result[StageAnswer, StageFault]:
+        while True:
+            mail = await attempt.next_mail()
+            if not isinstance(mail, Notice):
+                self._arrive()
+            verdict: Result[StageAnswer, StageFault] | None = None
+            match mail:
+                case Queued():
+                    pass
+                case Ready():
+                    verdict = self._on_ready(attempt)
+                case Started():
+                    self.is_started = True
+                case Chunk():
+                    verdict = await self._on_chunk(attempt, mail)
+                case End():
+                    verdict = self._on_end(attempt, mail)
+                case Failure():
+                    return self._err(await self._on_failure(attempt, mail))
+                case Notice.LINK_LOST:
+                    verdict = await self._reconnect(attempt)
+                case Notice.LINK_OPEN:
+                    pass
+                case Notice.LINK_SILENT:
+                    verdict = self._on_silence(attempt)
+                case Notice.OVERRUN:
+                    verdict = self._drop(attempt, "it sent more than it was granted")
+            if verdict is not None:
+                return verdict
+
+    def _arrive(self) -> None:
+        if not self._has_arrived:
+            self._has_arrived = True
+            self.view.arrived(self.work.expected_s)
+
+    def _on_ready(self, attempt: Attempt) -> Result[StageAnswer, StageFault] | None:
+        if self._may_go is None or self._may_go(self):
+            self.view.link.send(
+                Go(
+                    attempt_id=attempt.attempt_id,
+                    stamp_ns=self.view.stamp_ns,
+                    elapsed_ns=time.monotonic_ns() - self.view.stamp_at_ns,
+                )
+            )
+            return None
+        self.view.link.send(Cancel(attempt_id=attempt.attempt_id))
+        return self._err(
+            NotRun(
+                reason=Reason.CANCELLED,
+                step="reserve",
+                peer=self.view.process_id,
+                detail="Another target was ready first.",
+            )
+        )
+
+    async def _on_chunk(
+        self, attempt: Attempt, chunk: Chunk
+    ) -> Result[StageAnswer, StageFault] | None:
+        self.is_started = True
+        if self._buffer.is_repeated(chunk):
+            return None
+        if not self._buffer.is_next(chunk):
+            return self._drop(attempt, "a piece of the answer is missing")
+        if not self._buffer.has_room(chunk):
+            return self._drop(attempt, "the answer is larger than may be kept")
+        self._buffer.add(chunk)
+        if self._sink is not None:
+            await self._sink(chunk.data)
+        attempt.n_granted_bytes += len(chunk.data)
+        self.view.link.send(
+            Credit(attempt_id=attempt.attempt_id, n_bytes=len(chunk.data))
+        )
+        return None
+
+    def _on_end(
+        self, attempt: Attempt, end: End
+    ) -> Result[StageAnswer, StageFault] | None:
+        self.is_started = True
+        if not self._buffer.is_whole(end):
+            return self._on_torn(attempt)
+        self.view.link.send(Ack(attempt_id=attempt.attempt_id))
+        return Ok(
+            StageAnswer(
+                body=self._buffer.body(),
+                queued_s=end.queued_s,
+                service_s=end.service_s,
+                cost_s=end.cost_s,
+                n_tokens=end.n_tokens,
+                n_cached_tokens=end.n_cached_tokens,
+                peer=self.view.process_id,
+            )
+        )
+
+    def _on_torn(self, attempt: Attempt) -> Result[StageAnswer, StageFault] | None:
+        """Fetch a torn answer once more if nothing of it was passed on."""
+        if self._has_refetched or self._sink is not None:
+            return self._drop(attempt, "count, size or checksum do not match")
+        self._has_refetched = True
+        self._buffer.clear()
+        self._fetch(attempt)
+        return None
+
+    def _drop(self, attempt: Attempt, detail: str) -> Result[StageAnswer, StageFault]:
+        self.view.link.send(Cancel(attempt_id=attempt.attempt_id))
+        return self._err(
+            Failed(
+                reason=Reason.CORRUPT,
+                step="receive",
+                peer=self.view.process_id,
+                detail=f"The answer was dropped: {detail}.",
+            )
+        )
+
+    def _on_silence(self, attempt: Attempt) -> Result[StageAnswer, StageFault] | None:
+        """Give up on a silent sidecar only where the work may be repeated.
+
+        A paused or cut-off sidecar may have started it and may still answer;
+        work that must run at most once has nowhere else to go and waits.
+        """
+        if not self.work.stage.idempotent:
+            return None
+        self.view.link.send(Cancel(attempt_id=attempt.attempt_id))
+        return self._err(self._unknown(Reason.PEER_SILENT, "wait", "fell silent"))
+
+    async def _reconnect(
+        self, attempt: Attempt
+    ) -> Result[StageAnswer, StageFault] | None:
+        """Fetch the answer over a new connection to the same incarnation.
+
+        The sidecar holds a result until it is acknowledged, so a lost
+        connection loses nothing; a new incarnation holds nothing of the old.
+        """
+        link = self.view.link
+        patience_s = RECONNECT_S if self.work.stage.idempotent else None
+        try:
+            async with asyncio.timeout(patience_s):
+                while link.peer is None:
+                    await link.opened.wait()
+                    await asyncio.sleep(0)
+        except TimeoutError:
+            return self._err(
+                self._unknown(Reason.CONNECTION_LOST, "reconnect", "cannot be reached")
+            )
+        if link.peer.incarnation != attempt.incarnation:
+            return self._err(
+                self._unknown(Reason.WRONG_INCARNATION, "reconnect", "was restarted")
+            )
+        self._fetch(attempt)
+        return None
+
+    def _fetch(self, attempt: Attempt) -> None:
+        credit = WHOLE_CREDIT_BYTES if self._sink is None else STREAM_CREDIT_BYTES
+        attempt.n_granted_bytes = credit
+        self.view.link.send(
+            Fetch(
+                attempt_id=attempt.attempt_id,
+                from_seq=self._buffer.n_chunks,
+                credit_bytes=credit,
+            )
+        )
+        self._record(Event.RESULT_FETCHED, from_seq=self._buffer.n_chunks)
+
+    async def _on_failure(self, attempt: Attempt, failure: Failure) -> StageError:
+        error = from_failure(failure)
+        if not isinstance(error, Unknown):
+            return error
+        if error.reason is Reason.RESULT_GONE and not self.is_started:
+            # The start frame may have been lost with the connection.
+            return await self._bar(attempt, error)
+        return error
+
+    async def _give_up(self, attempt: Attempt) -> StageError:
+        """Settle an attempt whose deadline has passed."""
+        late = self._unknown(Reason.DEADLINE_PASSED, "wait", "did not answer in time")
+        if not self.is_started:
+            late_or_barred = await self._bar(attempt, late)
+            if isinstance(late_or_barred, NotRun):
+                return late_or_barred
+        if not self.work.stage.idempotent:
+            return late
+        self.view.link.send(Cancel(attempt_id=attempt.attempt_id))
+        if not self.is_started:
+            return late
+        return Failed(
+            reason=Reason.DEADLINE_PASSED,
+            step="wait",
+            peer=self.view.process_id,
+            detail="The call was still running at the deadline and was cancelled.",
+        )
+
+    async def _bar(self, attempt: Attempt, otherwise: StageError) -> StageError:
+        """Ask that the attempt never start; return `otherwise` if that fails.
+
+        Only the sidecar's word that it did not start the call and never will
+        makes "not run" true; no word at all leaves it unknown.
+        """
+        link = self.view.link
+        if not link.is_heard():
+            return otherwise
+        question = Bar(attempt_id=attempt.attempt_id)
+        match await link.ask(question, timeout_s=BAR_WAIT_S):
+            case Ok(BarAnswer(state=BarState.BARRED)):
+                self._record(Event.ATTEMPT_BARRED)
+                return NotRun(
+                    reason=otherwise.reason,
+                    step="bar",
+                    peer=self.view.process_id,
+                    detail="The sidecar had not started the call and never will.",
+                )
+            case Ok(BarAnswer(state=BarState.RUNNING | BarState.DONE)):
+                self.is_started = True
+        return otherwise
+
+    def _unknown(self, reason: Reason, step: str, what: str) -> Unknown:
+        peer = self.view.process_id
+        return Unknown(reason=reason, step=step, peer=peer, detail=f"{peer} {what}.")
+
+    def _err(self, error: StageError) -> Err[StageFault]:
+        has_passed_on = self._sink is not None and self._buffer.n_chunks > 0
+        return Err(StageFault(error=error, has_passed_on=has_passed_on))
+
+    def _record(self, event: Event, **figures: float) -> None:
+        work = self.work
+        self._journal.record(
+            Decision(
+                event=event,
+                request_id=work.request_id,
+                attempt_id=self.attempt_id,
+                entry=work.governing.name,
+                owner=work.governing.entry.owner,
+                config_revision=work.governing.config_revision,
+                stage=work.stage.name,
+                peer=self.view.process_id,
+                figures=tuple(
+                    Figure(name=name, value=value) for name, value in figures.items()
+                ),
+            )
+        )
--- /dev/null
+++ b/src/trefoilpaddle/coordination/target_view.py
@@ -0,0 +1,194 @@
+"""What a gateway knows of one target: its sidecar's load and its own calls."""
+
+import time
+from collections.abc import Callable, Iterator
+from typing import Final
+
+from ..protocol.gen.stage.ttypes import Load
+from ..state.hosts import Host
+from ..transport.connection import Address
+from ..transport.link import Link
+from ..transport.peers import Peers
+
+DEFAULT_SLOTS: Final = 4
+MAX_SLOWNESS: Final = 20.0
+LATENCY_STEP: Final = 0.1
+
+
+class TargetView:
+    """One target as its sidecar reported it, aged, with own calls added.
+
+    Parameters
+    ----------
+    host : Host
+        The sidecar beside the target.
+    address : Address
+        Where the sidecar listens.
+    link : Link
+        The connection to it.
+    """
+
+    __slots__ = (
+        "_counted_s",
+        "_uncounted_s",
+        "address",
+        "host",
+        "is_ejected",
+        "link",
+        "load",
+        "load_at_s",
+        "n_outstanding",
+        "n_ratios",
+        "n_uncounted",
+        "probe_at_s",
+        "ratio",
+        "stamp_at_ns",
+        "stamp_ns",
+        "was_heard",
+    )
+
+    def __init__(self, *, host: Host, address: Address, link: Link) -> None:
+        self.host = host
+        self.address = address
+        self.link = link
+        self.load: Load | None = None
+        self.load_at_s = 0.0
+        self.stamp_ns = 0
+        self.stamp_at_ns = 0
+        self.n_outstanding = 0
+        self.n_uncounted = 0
+        self._uncounted_s = 0.0
+        self._counted_s = 0.0
+        self.ratio = 1.0
+        self.n_ratios = 0
+        self.is_ejected = False
+        self.probe_at_s = 0.0
+        self.was_heard = False
+
+    @property
+    def process_id(self) -> str:
+        """Process id of the sidecar."""
+        return self.host.process_id
+
+    @property
+    def incarnation(self) -> int:
+        """Incarnation of the sidecar that is connected; 0 without one."""
+        peer = self.link.peer
+        return peer.incarnation if peer is not None else 0
+
+    def may_get_work(self) -> bool:
+        """Return True if the sidecar is heard, not leaving and its target up."""
+        if not self.link.is_heard():
+            return False
+        return self.load is None or not (self.load.leaving or not self.load.target_up)
+
+    def take_load(self, load: Load) -> None:
+        """Take in a report of the sidecar; it counts what had arrived before."""
+        self.load = load
+        self.load_at_s = time.monotonic()
+        self._counted_s = 0.0
+        self.take_stamp(load.stamp_ns)
+
+    def take_stamp(self, stamp_ns: int) -> None:
+        """Remember the newest stamp of the sidecar's clock and when it came."""
+        self.stamp_ns = stamp_ns
+        self.stamp_at_ns = time.monotonic_ns()
+
+    def sent(self, predicted_s: float) -> None:
+        """Count a call sent that no report can hold yet."""
+        self.n_outstanding += 1
+        self.n_uncounted += 1
+        self._uncounted_s += predicted_s
+
+    def arrived(self, predicted_s: float) -> None:
+        """Note that a call has reached the sidecar; the next report holds it."""
+        self.n_uncounted -= 1
+        self._uncounted_s = max(0.0, self._uncounted_s - predicted_s)
+        self._counted_s += predicted_s
+
+    def ended(self) -> None:
+        """Count a call as over."""
+        self.n_outstanding -= 1
+
+    def learn(self, *, measured_s: float, expected_s: float) -> None:
+        """Take in how much slower than expected a call was; for ejection."""
+        if expected_s <= 0.0:
+            return
+        ratio = min(MAX_SLOWNESS, measured_s / expected_s)
+        self.n_ratios += 1
+        step = max(LATENCY_STEP, 1.0 / self.n_ratios)
+        self.ratio += step * (ratio - self.ratio)
+
+    def predicted_wait_s(self, now_s: float) -> float:
+        """Return the predicted queueing time of a call sent now.
+
+        The reported queue is aged by what its slots have worked off since, and
+        own calls that the report cannot hold are added, so that a lagging
+        report does not draw every call to the same idle target.
+        """
+        load = self.load
+        own_s = self._uncounted_s + self._counted_s
+        if load is None:
+            return own_s / DEFAULT_SLOTS
+        n_slots = max(1, load.n_slots)
+        if load.n_queued == 0 and load.n_running + self.n_uncounted < n_slots:
+            return 0.0
+        work_s = load.queued_work_s + load.running_work_s + own_s
+        aged_s = work_s - n_slots * (now_s - self.load_at_s)
+        return max(0.0, aged_s) / n_slots
+
+    def slowness(self) -> float:
+        """Return how many times slower than predicted the target works, from 1."""
+        if self.load is None:
+            return 1.0
+        return min(MAX_SLOWNESS, max(1.0, self.load.slowness))
+
+    def predicted_s(self, *, expected_s: float, now_s: float) -> float:
+        """Return the predicted seconds until a call sent now is answered."""
+        return self.predicted_wait_s(now_s) + expected_s * self.slowness()
+
+
+class TargetViews:
+    """The views of all targets that this gateway has looked at.
+
+    Parameters
+    ----------
+    peers : Peers
+        Opens the links.
+    """
+
+    __slots__ = ("_by_address", "_by_id", "_on_new", "_peers")
+
+    def __init__(self, *, peers: Peers) -> None:
+        self._peers = peers
+        self._by_id: dict[str, TargetView] = {}
+        self._by_address: dict[Address, TargetView] = {}
+
+    def of(self, host: Host) -> TargetView | None:
+        """Return the view of `host`, linked on first use; None if unusable."""
+        view = self._by_id.get(host.process_id)
+        if view is not None and view.host.peer_address == host.peer_address:
+            return view
+        address = Address.parse(host.peer_address).unwrap_or(None)
+        if address is None:
+            return None
+        view = TargetView(host=host, address=address, link=self._peers.link(address))
+        self._by_id[host.process_id] = view
+        self._by_address[address] = view
+        return view
+
+    def by_link(self, link: Link) -> TargetView | None:
+        """Return the view whose link this is, or None."""
+        return self._by_address.get(link.address)
+
+    def __iter__(self) -> Iterator[TargetView]:
+        return iter(list(self._by_id.values()))
+
+    async def keep(self, is_wanted: Callable[[TargetView], bool]) -> None:
+        """Close and forget idle views that are not wanted any more."""
+        for view in self:
+            if view.n_outstanding or is_wanted(view):
+                continue
+            del self._by_id[view.process_id]
+            self._by_address.pop(view.address, None)
+            await self._peers.forget(view.address)
--- /dev/null
+++ b/src/trefoilpaddle/roles/callers.py
@@ -0,0 +1,289 @@
+"""Callers' HTTP: routes, whole and streamed answers, health and readiness."""
+
+import asyncio
+import time
+from collections.abc import Awaitable, Callable
+from typing import Any
+
+import orjson
+from aiohttp import web
+from result import Err, Ok, Result
+
+from ..coordination.lifecycle import RequestRunner
+from ..coordination.request import Answer, Refusal, Request
+from ..coordination.retries import Spent
+from ..protocol.errors import NotRun
+from ..protocol.reasons import Reason
+from ..state.journal import Decision, Event, Journal
+from ..state.requests import Requests
+from ..state.settings import CallerSettings
+from .caller_input import CallerInput
+from .error_body import JSON_TYPE, answer_headers, error_json, error_response
+from .event_stream import EventStream
+
+Handler = Callable[[web.Request], Awaitable[web.StreamResponse]]
+
+
+class Callers:
+    """Answers callers.
+
+    Parameters
+    ----------
+    settings : CallerSettings
+        The bounds.
+    caller_input : CallerInput
+        Reads and checks requests.
+    runner : RequestRunner
+        Runs them.
+    requests : Requests
+        What is known of past ones.
+    journal : Journal
+        Takes the decisions.
+    mint : callable
+        Returns a fresh request id.
+    is_ready : callable
+        Returns True while the balancer should send work here.
+    takes_work : callable
+        Returns True while new work is taken.
+    """
+
+    __slots__ = (
+        "_input",
+        "_is_ready",
+        "_journal",
+        "_mint",
+        "_requests",
+        "_runner",
+        "_settings",
+        "_takes_work",
+        "answering",
+        "running",
+    )
+
+    def __init__(
+        self,
+        *,
+        settings: CallerSettings,
+        caller_input: CallerInput,
+        runner: RequestRunner,
+        requests: Requests,
+        journal: Journal,
+        mint: Callable[[], str],
+        is_ready: Callable[[], bool],
+        takes_work: Callable[[], bool],
+    ) -> None:
+        self._settings = settings
+        self._input = caller_input
+        self._runner = runner
+        self._requests = requests
+        self._journal = journal
+        self._mint = mint
+        self._is_ready = is_ready
+        self._takes_work = takes_work
+        self.answering: set[asyncio.Task[Any]] = set()
+        self.running: set[asyncio.Task[Result[Answer, Refusal]]] = set()
+
+    def application(self) -> web.Application:
+        """Return the application with all routes and bounds."""
+        app = web.Application(
+            client_max_size=self._settings.max_body_bytes,
+            middlewares=[self._bound],
+        )
+        app.router.add_post("/v1/pipelines/{pipeline}", self._pipeline)
+        app.router.add_post("/v1/requests", self._mint_id)
+        app.router.add_get("/v1/requests/{request_id}", self._known)
+        app.router.add_get("/healthz", self._healthz)
+        app.router.add_get("/readyz", self._readyz)
+        return app
+
+    @web.middleware
+    async def _bound(
+        self, request: web.Request, handler: Handler
+    ) -> web.StreamResponse:
+        """Refuse what exceeds the header bounds, and word the router's errors."""
+        detail = self._header_fault(request)
+        if detail:
+            return _plain_error(431, Reason.TOO_LARGE, detail)
+        try:
+            return await handler(request)
+        except web.HTTPException as error:
+            return _plain_error(error.status, Reason.BAD_REQUEST, f"{error.reason}.")
+
+    def _header_fault(self, http: web.Request) -> str:
+        n_headers = len(http.raw_headers)
+        if n_headers > self._settings.max_headers:
+            return f"{n_headers} headers are more than {self._settings.max_headers}."
+        n_bytes = sum(len(name) + len(value) for name, value in http.raw_headers)
+        if n_bytes > self._settings.max_header_bytes:
+            most = self._settings.max_header_bytes
+            return f"{n_bytes} bytes of headers are more than {most}."
+        return ""
+
+    async def _pipeline(self, http: web.Request) -> web.StreamResponse:
+        if not self._takes_work():
+            return error_response(_stopping(), governing=None, request_id="")
+        handler = asyncio.current_task()
+        assert handler is not None
+        self.answering.add(handler)
+        handler.add_done_callback(self.answering.discard)
+        return await self._serve(http)
+
+    async def finish(self, *, timeout_s: float) -> int:
+        """Wait for what is held; return how many requests are still open then.
+
+        A request is held until its last stage has ended and its answer has been
+        handed to the caller's connection.
+        """
+        end_s = time.monotonic() + timeout_s
+        while (held := self.answering | self.running) and time.monotonic() < end_s:
+            await asyncio.wait(held, timeout=max(0.0, end_s - time.monotonic()))
+        return max(len(self.answering), len(self.running))
+
+    async def _serve(self, http: web.Request) -> web.StreamResponse:
+        match await self._input.read(http):
+            case Err(error):
+                refusal = Refusal(error=error, stage="")
+                self._record_unread(error)
+                return error_response(refusal, governing=None, request_id="")
+            case Ok(request):
+                if request.is_streamed:
+                    return await self._streamed(http, request)
+                return await self._whole(request)
+
+    async def _whole(self, request: Request) -> web.StreamResponse:
+        match await self._run(request, None):
+            case Err(refusal):
+                return _refused(request, refusal)
+            case Ok(answer):
+                return _answered(request, answer)
+
+    async def _streamed(
+        self, http: web.Request, request: Request
+    ) -> web.StreamResponse:
+        stream = EventStream(http=http, request=request)
+        outcome = await self._run(request, stream.token)
+        if not stream.is_open and isinstance(outcome, Err):
+            return _refused(request, outcome.err_value)
+        await stream.finish(outcome)
+        return stream.response
+
+    async def _run(
+        self, request: Request, sink: Callable[[bytes], Awaitable[None]] | None
+    ) -> Result[Answer, Refusal]:
+        """Run the request in a task of its own, so that it can outlive its caller.
+
+        aiohttp cancels the handler when the caller's connection is lost. What
+        must run at most once and may have started then goes on to its end, so
+        that a retry finds the result; anything else is cancelled downstream.
+        """
+        spent = Spent()
+        task = asyncio.create_task(self._runner.run(request, spent=spent, sink=sink))
+        self.running.add(task)
+        task.add_done_callback(self.running.discard)
+        try:
+            return await asyncio.shield(task)
+        except asyncio.CancelledError:
+            self._on_caller_left(request, spent, task)
+            raise
+
+    def _on_caller_left(
+        self,
+        request: Request,
+        spent: Spent,
+        task: asyncio.Task[Result[Answer, Refusal]],
+    ) -> None:
+        goes_on = spent.has_started_once_only
+        if not goes_on:
+            task.cancel()
+        governing = request.governing
+        self._journal.record(
+            Decision(
+                event=Event.CALLER_LEFT,
+                request_id=request.request_id,
+                entry=governing.name,
+                owner=governing.entry.owner,
+                config_revision=governing.config_revision,
+                reason=Reason.CANCELLED,
+                detail="goes on" if goes_on else "cancelled downstream",
+            )
+        )
+
+    def _record_unread(self, error: NotRun) -> None:
+        self._journal.record(
+            Decision(
+                event=Event.REQUEST_REFUSED, reason=error.reason, detail=error.detail
+            )
+        )
+
+    async def _mint_id(self, http: web.Request) -> web.StreamResponse:
+        match self._input.account(http):
+            case Err(error):
+                refusal = Refusal(error=error, stage="")
+                return error_response(refusal, governing=None, request_id="")
+        return _json({"request_id": self._mint()})
+
+    async def _known(self, http: web.Request) -> web.StreamResponse:
+        match self._input.account(http):
+            case Err(error):
+                refusal = Refusal(error=error, stage="")
+                return error_response(refusal, governing=None, request_id="")
+            case Ok(account):
+                pass
+        request_id = http.match_info["request_id"]
+        record = self._requests.get(request_id)
+        # Another account's request is answered like an unknown one, so that ids
+        # cannot be probed.
+        if record is None or record.account != account:
+            detail = "Nothing is known here of this request any more."
+            return _plain_error(404, Reason.RESULT_GONE, detail)
+        return _json(
+            {
+                "request_id": request_id,
+                "state": record.state.value,
+                "reason": record.reason.name.lower() if record.reason else "",
+                "pipeline": record.pipeline,
+            }
+        )
+
+    async def _healthz(self, http: web.Request) -> web.StreamResponse:
+        return web.Response(text="ok\n")
+
+    async def _readyz(self, http: web.Request) -> web.StreamResponse:
+        if self._is_ready():
+            return web.Response(text="ready\n")
+        return web.Response(status=503, text="not ready\n")
+
+
+def _answered(request: Request, answer: Answer) -> web.Response:
+    headers = answer_headers(governing=request.governing, request_id=request.request_id)
+    headers["X-Reason"] = "served"
+    return web.Response(
+        body=orjson.dumps(answer.output), content_type=JSON_TYPE, headers=headers
+    )
+
+
+def _refused(request: Request, refusal: Refusal) -> web.Response:
+    return error_response(
+        refusal, governing=request.governing, request_id=request.request_id
+    )
+
+
+def _stopping() -> Refusal:
+    error = NotRun(
+        reason=Reason.STOPPING,
+        step="admit",
+        peer="",
+        detail="This gateway takes no new work now; another one does.",
+        retry_after_s=1.0,
+    )
+    return Refusal(error=error, stage="")
+
+
+def _plain_error(status: int, reason: Reason, detail: str) -> web.Response:
+    error = NotRun(reason=reason, step="read", peer="", detail=detail)
+    body = error_json(Refusal(error=error, stage=""), governing=None, request_id="")
+    return web.Response(status=status, body=body, content_type=JSON_TYPE)
+
+
+def _json(value: dict[str, str]) -> web.Response:
+    return web.Response(body=orjson.dumps(value), content_type=JSON_TYPE)
--- /dev/null
+++ b/src/trefoilpaddle/roles/gateway.py
@@ -0,0 +1,227 @@
+"""The gateway: built from its parts, run until it is told to stop."""
+
+import asyncio
+import contextlib
+import secrets
+from collections.abc import AsyncIterator
+from typing import Final
+
+from absl import logging
+
+from ..coordination.admission import Claimer, FreeClaimer, FreeLimiter, Limiter
+from ..coordination.attempts import Attempts
+from ..coordination.directory import Directory, PublishedDirectory
+from ..coordination.lifecycle import Lifecycle
+from ..coordination.retries import StageRunner
+from ..coordination.routing import Router
+from ..coordination.target_view import TargetViews
+from ..coordination.walk import Walker
+from ..protocol.ids import RequestId
+from ..state.budget import RetryBudgets
+from ..state.estimate import Estimates
+from ..state.governing import GoverningIndex
+from ..state.journal import Decision, Event, Figure, Journal
+from ..state.requests import Requests
+from ..state.settings import GatewaySettings
+from ..transport.connection import Address
+from .caller_input import CallerInput
+from .caller_server import CallerServer
+from .callers import Callers
+from .process import Process, identity_of
+
+TICK_S: Final = 0.25
+SEED_BITS: Final = 32
+
+
+class Gateway:
+    """One gateway and its parts.
+
+    Parameters
+    ----------
+    settings : GatewaySettings
+        Checked settings.
+    directory, limiter, claimer : optional
+        Who can be given work, the limits, and the request keys; without them
+        the published list alone is asked and nothing is bound.
+    """
+
+    __slots__ = (
+        "_directory",
+        "_is_settling",
+        "_settings",
+        "_views",
+        "attempts",
+        "callers",
+        "process",
+        "server",
+    )
+
+    def __init__(
+        self,
+        *,
+        settings: GatewaySettings,
+        process: Process,
+        directory: Directory | None = None,
+        limiter: Limiter | None = None,
+        claimer: Claimer | None = None,
+    ) -> None:
+        self._settings = settings
+        self._is_settling = False
+        self.process = process
+        self._directory = directory or PublishedDirectory(published=process.published)
+        self._views = TargetViews(peers=process.peers)
+        self.attempts = Attempts(views=self._views, journal=process.journal)
+        process.link_listeners.append(self.attempts.on_message)
+        process.change_listeners.append(self.attempts.on_change)
+        process.published.subscribe(self._open_links)
+        self.callers = self._build_callers(
+            limiter or FreeLimiter(), claimer or FreeClaimer()
+        )
+        self.server = CallerServer(
+            settings=settings.callers, application=self.callers.application()
+        )
+
+    def _build_callers(self, limiter: Limiter, claimer: Claimer) -> Callers:
+        process, policy = self.process, self._settings.policy
+        retention = self._settings.retention
+        router = Router(
+            directory=self._directory,
+            views=self._views,
+            policy=policy,
+            seed=secrets.randbits(SEED_BITS),
+        )
+        runner = StageRunner(
+            router=router,
+            attempts=self.attempts,
+            budgets=RetryBudgets(is_limited=policy.retry_budget),
+            journal=process.journal,
+        )
+        walker = Walker(
+            published=process.published,
+            runner=runner,
+            router=router,
+            estimates=Estimates(),
+            policy=policy,
+            journal=process.journal,
+        )
+        requests = Requests(
+            n_records=retention.explain_records, keep_s=retention.explain_s
+        )
+        lifecycle = Lifecycle(
+            walker=walker,
+            limiter=limiter,
+            claimer=claimer,
+            requests=requests,
+            journal=process.journal,
+        )
+        caller_input = CallerInput(
+            settings=self._settings.callers,
+            published=process.published,
+            index=GoverningIndex(published=process.published),
+            mint=self._mint,
+        )
+        return Callers(
+            settings=self._settings.callers,
+            caller_input=caller_input,
+            runner=lifecycle,
+            requests=requests,
+            journal=process.journal,
+            mint=self._mint,
+            is_ready=self.is_ready,
+            takes_work=self.takes_work,
+        )
+
+    def is_ready(self) -> bool:
+        """Return True while the balancer should send new work here."""
+        has_catalogue = self.process.published.catalogue.revision > 0
+        return has_catalogue and not self.process.stopping.is_set()
+
+    def takes_work(self) -> bool:
+        """Return True while new work is taken; a little longer than ready.
+
+        The balancer notices that this gateway is not ready only at its next
+        look; work that it sends until then is served, not refused.
+        """
+        return not self.process.stopping.is_set() or self._is_settling
+
+    def _mint(self) -> str:
+        identity = self.process.identity
+        request_id = RequestId.mint(
+            process_id=identity.process_id, incarnation=identity.incarnation
+        )
+        return str(request_id)
+
+    def _open_links(self) -> None:
+        """Open links early, so that the first request finds them heard."""
+        for service in self.process.published.catalogue.services:
+            for host in self._directory.sidecars(service):
+                self._views.of(host)
+
+    @contextlib.asynccontextmanager
+    async def serving(self) -> AsyncIterator["Gateway"]:
+        """Serve callers while the context is open; its end drains first."""
+        ticks = asyncio.create_task(self._tick())
+        try:
+            async with self.server.listening():
+                yield self
+                await self._drain()
+        finally:
+            ticks.cancel()
+
+    async def _tick(self) -> None:
+        while True:
+            await asyncio.sleep(TICK_S)
+            self._open_links()
+            self.attempts.tell_silence()
+
+    async def _drain(self) -> None:
+        """Settle, finish what is held, and report how many were cut off."""
+        stop = self._settings.stop
+        self.process.stopping.set()
+        self._is_settling = True
+        self._record(Event.PROCESS_STOPPING, n_held=len(self.callers.running))
+        await asyncio.sleep(stop.settle_s)
+        self._is_settling = False
+        n_cut_off = await self.callers.finish(timeout_s=stop.drain_s)
+        self._record(Event.PROCESS_STOPPING, n_cut_off=n_cut_off)
+        if n_cut_off:
+            logging.error("%d requests were cut off by the stop", n_cut_off)
+
+    def _record(self, event: Event, **figures: float) -> None:
+        self.process.journal.record(
+            Decision(
+                event=event,
+                peer=self.process.identity.process_id,
+                figures=tuple(
+                    Figure(name=name, value=value) for name, value in figures.items()
+                ),
+            )
+        )
+
+
+def new_process(settings: GatewaySettings) -> Process:
+    """Return the common parts of a gateway with these settings.
+
+    Raises
+    ------
+    ValueError
+        If the address to listen on cannot be read; the settings' check
+        prevents it.
+    """
+    identity = identity_of(process=settings.process, role="gateway")
+    journal = Journal(
+        process_id=identity.process_id,
+        n_records=settings.retention.explain_records,
+        format=settings.log.format,
+    )
+    listen = Address.parse(settings.process.listen).unwrap_or_raise(ValueError)
+    return Process(identity=identity, listen=listen, journal=journal)
+
+
+async def run(settings: GatewaySettings) -> int:
+    """Run a gateway until it is told to stop; return its exit code."""
+    process = new_process(settings)
+    gateway = Gateway(settings=settings, process=process)
+    async with process.running(), gateway.serving():
+        await process.stopping.wait()
+    return 0
--- a/src/trefoilpaddle/roles/process.py
+++ b/src/trefoilpaddle/roles/process.py
@@ -24,6 +24,7 @@
 LoadReader = Callable[[], Load]
 LinkListener = Callable[[Link, Message], None]
 ConnectionListener = Callable[[Connection, Message], None]
+ChangeListener = Callable[[Link], None]
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -82,6 +83,7 @@
     """
 
     __slots__ = (
+        "change_listeners",
         "identity",
         "journal",
         "link_listeners",
@@ -103,10 +105,12 @@
         self.load_reader: LoadReader = self._bare_load
         self.link_listeners: list[LinkListener] = []
         self.message_listeners: list[ConnectionListener] = []
+        self.change_listeners: list[ChangeListener] = []
         self.peers = Peers(
             own_hello=self.hello,
             own_heartbeat=self.heartbeat,
             on_message=self._on_link_message,
+            on_change=self._on_link_change,
         )
         self.server = PeerServer(
             address=listen,
@@ -144,6 +148,10 @@
         for listener in self.link_listeners:
             listener(link, message)
 
+    def _on_link_change(self, link: Link) -> None:
+        for listener in self.change_listeners:
+            listener(link)
+
     def _on_peer_message(self, connection: Connection, message: Message) -> None:
         for listener in self.message_listeners:
             listener(connection, message)
--- /dev/null
+++ b/src/trefoilpaddle/state/estimate.py
@@ -0,0 +1,133 @@
+"""Predicted service time of a stage from the size of its work.
+
+A small online least-squares fit with forgetting, and on top of it a tracked
+quantile of the ratio between measured and fitted time. See Ljung, "System
+Identification" (1999), section 11.2, for the recursion.
+"""
+
+from dataclasses import dataclass
+from typing import Final
+
+FORGETTING: Final = 0.995
+FIRST_VARIANCE: Final = 100.0
+MAX_VARIANCE: Final = 1e4
+MIN_SAMPLES: Final = 8
+QUANTILE: Final = 0.9
+QUANTILE_STEP: Final = 0.02
+MIN_RATIO: Final = 0.25
+MAX_RATIO: Final = 8.0
+MIN_S: Final = 1e-4
+BYTES_SCALE: Final = 1e-4
+TOKENS_SCALE: Final = 1e-2
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class WorkSize:
+    """What the time of a stage call depends on.
+
+    Parameters
+    ----------
+    n_bytes : int
+        Size of the work's body.
+    n_tokens : int
+        Most tokens that may be generated; 0 where none are.
+    """
+
+    n_bytes: int
+    n_tokens: int = 0
+
+    def features(self) -> tuple[float, float, float]:
+        """Return the regressors: constant, scaled bytes, scaled tokens."""
+        return 1.0, self.n_bytes * BYTES_SCALE, self.n_tokens * TOKENS_SCALE
+
+
+class Estimate:
+    """Running estimate of one kind of stage call, in seconds."""
+
+    __slots__ = ("_covariance", "_ratio", "_weights", "n_samples")
+
+    def __init__(self) -> None:
+        self._weights = [0.0, 0.0, 0.0]
+        self._covariance = [
+            [FIRST_VARIANCE if row == column else 0.0 for column in range(3)]
+            for row in range(3)
+        ]
+        self._ratio = 1.0
+        self.n_samples = 0
+
+    @property
+    def is_warm(self) -> bool:
+        """Return True once enough calls were seen to refuse work by it."""
+        return self.n_samples >= MIN_SAMPLES
+
+    def expected_s(self, size: WorkSize) -> float:
+        """Return the fitted seconds of a call; 0 before the first sample."""
+        if not self.n_samples:
+            return 0.0
+        fitted = sum(
+            weight * feature
+            for weight, feature in zip(self._weights, size.features(), strict=True)
+        )
+        return max(MIN_S, fitted)
+
+    def high_s(self, size: WorkSize) -> float:
+        """Return the seconds that `QUANTILE` of such calls stay below."""
+        return self.expected_s(size) * max(1.0, self._ratio)
+
+    def learn(self, size: WorkSize, measured_s: float) -> None:
+        """Take one measured call into the fit and the quantile."""
+        if self.n_samples:
+            self._learn_ratio(measured_s / self.expected_s(size))
+        self._learn_weights(size.features(), measured_s)
+        self.n_samples += 1
+
+    def _learn_ratio(self, ratio: float) -> None:
+        above = QUANTILE if ratio > self._ratio else QUANTILE - 1.0
+        moved = self._ratio * (1.0 + QUANTILE_STEP * above)
+        self._ratio = min(MAX_RATIO, max(MIN_RATIO, moved))
+
+    def _learn_weights(
+        self, features: tuple[float, float, float], measured_s: float
+    ) -> None:
+        covariance = self._covariance
+        gains = [sum(row[i] * features[i] for i in range(3)) for row in covariance]
+        scale = FORGETTING + sum(features[i] * gains[i] for i in range(3))
+        fitted = sum(self._weights[i] * features[i] for i in range(3))
+        error = (measured_s - fitted) / scale
+        for i in range(3):
+            self._weights[i] += gains[i] * error
+        for i in range(3):
+            for j in range(3):
+                value = covariance[i][j] - gains[i] * gains[j] / scale
+                covariance[i][j] = value / FORGETTING
+        self._bound()
+
+    def _bound(self) -> None:
+        """Keep the covariance from winding up on work that never varies.
+
+        A pipeline whose stages always have the same size excites only one
+        direction; forgetting then grows the others without end and the first
+        odd size would throw the fit off.
+        """
+        if max(self._covariance[i][i] for i in range(3)) <= MAX_VARIANCE:
+            return
+        for i in range(3):
+            for j in range(3):
+                self._covariance[i][j] *= 0.5
+
+
+class Estimates:
+    """Estimates by service, path and model."""
+
+    __slots__ = ("_by_call",)
+
+    def __init__(self) -> None:
+        self._by_call: dict[tuple[str, str, str], Estimate] = {}
+
+    def of(self, *, service: str, path: str, model: str) -> Estimate:
+        """Return the estimate of one kind of call, made on first use."""
+        key = (service, path, model)
+        estimate = self._by_call.get(key)
+        if estimate is None:
+            estimate = self._by_call[key] = Estimate()
+        return estimate
