Feed catalogue and host list from the platform into each process

Cause: nothing put what operators publish in force. Still every process reads the service itself; elected readers follow. Published.set_catalogue now also takes another catalogue of the same revision (a last good value learnt from a peer); an older revision is still refused.

--- /dev/null
+++ b/src/trefoilpaddle/coordination/config_readers.py
@@ -0,0 +1,159 @@
+"""Reads the configuration service and the host list while this process reads."""
+
+import asyncio
+import random
+from typing import Final
+
+from result import Err, Ok
+
+from ..protocol.errors import PeerError
+from ..state.config_items import PublishedItem, Version
+from ..state.journal import Decision, Event, Journal
+from ..state.settings import PlatformSettings
+from ..transport.platform_http import PlatformClient, PublishedValue, ValuesPage
+from .config_state import ConfigState
+
+BACKOFF_MIN_S: Final = 0.1
+BACKOFF_MAX_S: Final = 2.0
+MAX_PAGES: Final = 1000
+"""Pages taken in one read; bounds a service that never comes to its end."""
+
+
+class Backoff:
+    """Growing waits with jitter, so that many readers do not retry in step."""
+
+    __slots__ = ("_wait_s",)
+
+    def __init__(self) -> None:
+        self._wait_s = BACKOFF_MIN_S
+
+    def reset(self) -> None:
+        """Begin again with the shortest wait."""
+        self._wait_s = BACKOFF_MIN_S
+
+    async def wait(self) -> None:
+        """Wait, longer each time up to ``BACKOFF_MAX_S``."""
+        await asyncio.sleep(self._wait_s * random.uniform(0.5, 1.5))
+        self._wait_s = min(BACKOFF_MAX_S, 2 * self._wait_s)
+
+
+class ConfigReader:
+    """Takes what the platform publishes into a `ConfigState`.
+
+    Parameters
+    ----------
+    client : PlatformClient
+        Calls the platform.
+    state : ConfigState
+        Takes what is read.
+    platform : PlatformSettings
+        How often to read.
+    journal : Journal
+        Told when the service is lost and when it is back.
+    """
+
+    __slots__ = ("_client", "_is_lost", "_journal", "_platform", "_state")
+
+    def __init__(
+        self,
+        *,
+        client: PlatformClient,
+        state: ConfigState,
+        platform: PlatformSettings,
+        journal: Journal,
+    ) -> None:
+        self._client = client
+        self._state = state
+        self._platform = platform
+        self._journal = journal
+        self._is_lost = False
+
+    async def watch_values(self) -> None:
+        """Take each change of a value until cancelled."""
+        backoff = Backoff()
+        while True:
+            if await self.read_values():
+                backoff.reset()
+            else:
+                await backoff.wait()
+
+    async def watch_hosts(self) -> None:
+        """Read the host list every ``poll_s`` until cancelled."""
+        while True:
+            await self.read_hosts()
+            await asyncio.sleep(self._platform.poll_s * random.uniform(0.8, 1.2))
+
+    async def read_values(self) -> bool:
+        """Wait for one change, or ``poll_s``; return False if it failed."""
+        known = self._state.items.revision
+        if known == 0:
+            answer = await self._client.values(after=0)
+        else:
+            answer = await self._client.watch(
+                after=known, timeout_s=self._platform.poll_s
+            )
+        match answer:
+            case Ok(page):
+                return await self._take_all(page)
+            case Err(error):
+                self._note_lost(error)
+                return False
+
+    async def read_hosts(self) -> bool:
+        """Read the host list once; return False if it failed."""
+        match await self._client.hosts():
+            case Ok(data):
+                self._state.take_hosts(data, source="platform")
+                return True
+            case Err(_):
+                return False
+
+    async def _take_all(self, page: ValuesPage) -> bool:
+        """Take a page and all that follow it as one change.
+
+        A page that was cut is no state that ever was: a key whose newest
+        version stands on a later page is missing from it. Nothing is put in
+        force before the last page has come.
+        """
+        items = [_item(value) for value in page.values]
+        for _ in range(MAX_PAGES):
+            if not page.is_cut or not page.values:
+                break
+            match await self._client.values(after=page.values[-1].revision):
+                case Ok(page):
+                    items += (_item(value) for value in page.values)
+                case Err(error):
+                    self._note_lost(error)
+                    return False
+        self._note_back()
+        self._state.take(items, revision=page.revision, source="platform")
+        return True
+
+    def _note_lost(self, error: PeerError) -> None:
+        if self._is_lost:
+            return
+        self._is_lost = True
+        self._journal.record(
+            Decision(
+                event=Event.CONFIG_SOURCE_LOST,
+                config_revision=self._state.items.revision,
+                peer=error.peer,
+                detail=f"{error.step}: {error.detail}",
+            )
+        )
+
+    def _note_back(self) -> None:
+        if not self._is_lost:
+            return
+        self._is_lost = False
+        self._journal.record(
+            Decision(
+                event=Event.CONFIG_SOURCE_BACK,
+                config_revision=self._state.items.revision,
+            )
+        )
+
+
+def _item(value: PublishedValue) -> PublishedItem:
+    version = Version(revision=value.revision, value=value.value)
+    return PublishedItem(key=value.key, version=version)
--- /dev/null
+++ b/src/trefoilpaddle/coordination/config_state.py
@@ -0,0 +1,170 @@
+"""Puts what was heard in force in this process, whoever it was heard from."""
+
+import asyncio
+import time
+from collections.abc import Callable, Iterable
+from typing import Final
+
+from absl import logging
+from result import Err, Ok
+
+from ..state.catalogue_build import CatalogueBuilder, HeldBack
+from ..state.config_items import ConfigItems, PublishedItem
+from ..state.hosts_read import read_hosts
+from ..state.journal import Decision, Event, Figure, Journal
+from ..state.published import Published
+
+MAX_NOTED_CHARS: Final = 300
+
+OnNews = Callable[[set[str]], None]
+
+
+class ConfigState:
+    """The versions known here and the catalogue that they put in force.
+
+    Parameters
+    ----------
+    published : Published
+        Takes the catalogue and the host list.
+    journal : Journal
+        Told of each change and each version held back.
+
+    Attributes
+    ----------
+    items : ConfigItems
+        The versions known.
+    held_back : tuple of HeldBack
+        Published versions that are not in force, and why.
+    hosts_json : bytes
+        The host list in force, as published.
+    known : asyncio.Event
+        Set once a catalogue is in force.
+    changed_s : float
+        Monotonic time of the last change.
+    """
+
+    __slots__ = (
+        "_builder",
+        "_journal",
+        "_listeners",
+        "_published",
+        "changed_s",
+        "held_back",
+        "hosts_json",
+        "items",
+        "known",
+    )
+
+    def __init__(self, *, published: Published, journal: Journal) -> None:
+        self._published = published
+        self._journal = journal
+        self._builder = CatalogueBuilder()
+        self._listeners: list[OnNews] = []
+        self.items = ConfigItems()
+        self.held_back: tuple[HeldBack, ...] = ()
+        self.hosts_json = b""
+        self.known = asyncio.Event()
+        self.changed_s = time.monotonic()
+
+    def subscribe(self, listener: OnNews) -> None:
+        """Call `listener` with the keys that were news after each change."""
+        self._listeners.append(listener)
+
+    def take(
+        self, items: Iterable[PublishedItem], *, revision: int, source: str
+    ) -> bool:
+        """Put `items` in force and return True if anything of them was news.
+
+        Parameters
+        ----------
+        items : iterable of PublishedItem
+            All that changed up to `revision`, as far as `source` knows.
+        revision : int
+            Where the source stands.
+        source : str
+            Whom it was heard from.
+        """
+        was_revision = self.items.revision
+        keys = self.items.join(items, revision=revision)
+        if not keys and self.items.revision == was_revision:
+            return False
+        was_held_back = self.held_back
+        selection = self._builder.put_in_force(self.items)
+        self.held_back = selection.held_back
+        if self._published.set_catalogue(selection.catalogue):
+            self._note_in_force(keys, source)
+        self._note_held_back(was_held_back, source)
+        self.changed_s = time.monotonic()
+        if self.items.revision > 0:
+            self.known.set()
+        for listener in self._listeners:
+            listener(keys)
+        return True
+
+    def take_hosts(self, data: bytes, *, source: str) -> bool:
+        """Put the host list `data` in force; return False if it is no news."""
+        if data == self.hosts_json:
+            return False
+        match read_hosts(data):
+            case Err(problem):
+                logging.warning("%s: %s", source, problem)
+                return False
+            case Ok(read):
+                if not self._published.set_hosts(read.hosts):
+                    return False
+        self.hosts_json = data
+        for problem in read.problems:
+            logging.warning("%s: %s", source, problem)
+        self._journal.record(
+            Decision(
+                event=Event.HOSTS_IN_FORCE,
+                config_revision=self.items.revision,
+                peer=source,
+                figures=(
+                    Figure(name="hosts_revision", value=read.hosts.revision),
+                    Figure(name="n_hosts", value=len(read.hosts.hosts)),
+                ),
+            )
+        )
+        for listener in self._listeners:
+            listener(set())
+        return True
+
+    def _note_in_force(self, keys: set[str], source: str) -> None:
+        self._journal.record(
+            Decision(
+                event=Event.CONFIG_IN_FORCE,
+                config_revision=self.items.revision,
+                peer=source,
+                detail=_shortened(", ".join(sorted(keys))),
+                figures=(
+                    Figure(name="revision", value=self.items.revision),
+                    Figure(name="n_changed", value=len(keys)),
+                ),
+            )
+        )
+
+    def _note_held_back(self, was: tuple[HeldBack, ...], source: str) -> None:
+        known = {(held.key, held.revision) for held in was}
+        for held in self.held_back:
+            if (held.key, held.revision) in known:
+                continue
+            self._journal.record(
+                Decision(
+                    event=Event.CONFIG_REJECTED,
+                    config_revision=held.revision,
+                    entry=held.key.removeprefix("entry/"),
+                    peer=source,
+                    detail=_shortened("; ".join(str(one) for one in held.problems)),
+                    figures=(
+                        Figure(name="revision", value=held.revision),
+                        Figure(name="stays_revision", value=held.stays),
+                    ),
+                )
+            )
+
+
+def _shortened(text: str) -> str:
+    if len(text) <= MAX_NOTED_CHARS:
+        return text
+    return text[: MAX_NOTED_CHARS - 1] + "…"
--- a/src/trefoilpaddle/state/published.py
+++ b/src/trefoilpaddle/state/published.py
@@ -23,12 +23,16 @@
         self._listeners.append(listener)
 
     def set_catalogue(self, catalogue: Catalogue) -> bool:
-        """Put `catalogue` in force; return False if it is not newer.
+        """Put `catalogue` in force; return False if it is older or the same.
 
         A restarted or stale configuration service can offer an older revision;
-        taking it would revert an accepted change.
+        taking it would revert an accepted change. A catalogue of the same
+        revision can differ where the last good value of a rejected change has
+        been learnt from a peer.
         """
-        if catalogue.revision <= self.catalogue.revision:
+        if catalogue.revision < self.catalogue.revision:
+            return False
+        if catalogue == self.catalogue:
             return False
         self.catalogue = catalogue
         self._tell()
--- /dev/null
+++ b/tests/test_config_build.py
@@ -0,0 +1,143 @@
+"""Verdicts on published versions: the same whatever the order they come in."""
+
+import orjson
+from hypothesis import given
+from hypothesis import strategies as st
+
+from trefoilpaddle.state.catalogue_build import CatalogueBuilder, build_catalogue
+from trefoilpaddle.state.config_items import ConfigItems, PublishedItem, Version
+
+SERVICE = {"kind": "pool"}
+PIPELINE = {"stages": [{"name": "find", "service": "search", "path": "/find"}]}
+ACCOUNT = {"token_sha256": "0" * 64}
+ENTRY = {
+    "owner": "bank-a",
+    "class_of_work": "drafts",
+    "pipelines": ["draft"],
+    "accounts": ["officer"],
+}
+
+
+def item(key: str, revision: int, value: object) -> PublishedItem:
+    data = None if value is None else orjson.dumps(value)
+    return PublishedItem(key=key, version=Version(revision=revision, value=data))
+
+
+WHOLE = [
+    item("service/search", 1, SERVICE),
+    item("pipeline/draft", 2, PIPELINE),
+    item("account/officer", 3, ACCOUNT),
+    item("entry/drafts", 4, ENTRY),
+]
+
+
+class TestBuildCatalogue:
+    def test_a_whole_catalogue_has_no_problems(self) -> None:
+        values = {one.key: one.version.value or b"" for one in WHOLE}
+        catalogue = build_catalogue(values).unwrap()
+        assert list(catalogue.entries) == ["drafts"]
+
+    def test_every_fault_is_told_with_its_key(self) -> None:
+        values = {
+            "service/search": b'{"kind": "pol"}',
+            "pipeline/draft": orjson.dumps(PIPELINE),
+            "shelf/x": b"{}",
+            "account/officer": b"{",
+        }
+        problems = build_catalogue(values).unwrap_err()
+        assert {problem.source for problem in problems} == set(values)
+
+    def test_a_newer_schema_is_refused_by_name(self) -> None:
+        values = {"service/search": orjson.dumps(SERVICE | {"schema": 2})}
+        (problem,) = build_catalogue(values).unwrap_err()
+        assert "schema 2" in problem.detail
+
+
+class TestHoldingBack:
+    def test_a_bad_change_is_rejected_whole_and_the_last_good_stays(self) -> None:
+        items, builder = ConfigItems(), CatalogueBuilder()
+        items.join(WHOLE, revision=4)
+        builder.put_in_force(items)
+        items.join([item("entry/drafts", 5, ENTRY | {"weight": -1})], revision=5)
+        selection = builder.put_in_force(items)
+        assert selection.catalogue.entries["drafts"].weight == 1.0
+        assert selection.catalogue.revision == 5
+        (held,) = selection.held_back
+        assert (held.key, held.revision, held.stays) == ("entry/drafts", 5, 4)
+        assert held.problems[0].key == "weight"
+
+    def test_deleting_what_is_in_use_is_held_back_until_it_is_not(self) -> None:
+        items, builder = ConfigItems(), CatalogueBuilder()
+        items.join(WHOLE, revision=4)
+        builder.put_in_force(items)
+        items.join([item("service/search", 5, None)], revision=5)
+        selection = builder.put_in_force(items)
+        assert "search" in selection.catalogue.services
+        assert "draft" in selection.catalogue.pipelines
+        assert selection.held_back[0].key == "service/search"
+        gone = [item("entry/drafts", 6, None), item("pipeline/draft", 7, None)]
+        items.join(gone, revision=7)
+        selection = builder.put_in_force(items)
+        assert not selection.held_back
+        assert not selection.catalogue.services
+
+    def test_a_late_joiner_takes_the_last_good_value_from_a_peer(self) -> None:
+        early, builder = ConfigItems(), CatalogueBuilder()
+        early.join(WHOLE, revision=4)
+        builder.put_in_force(early)
+        early.join([item("entry/drafts", 5, {"owner": "X"})], revision=5)
+        expected = builder.put_in_force(early)
+        late = ConfigItems()
+        late.join([*WHOLE[:3], item("entry/drafts", 5, {"owner": "X"})], revision=5)
+        assert not CatalogueBuilder().put_in_force(late).catalogue.entries
+        late.join(early.since(0), revision=early.revision)
+        assert CatalogueBuilder().put_in_force(late) == expected
+        assert late.digest == early.digest
+
+
+VALUES: dict[str, list[object]] = {
+    "service/search": [SERVICE, {"kind": "plain"}, {"kind": "?"}, None],
+    "pipeline/draft": [
+        PIPELINE,
+        {"stages": []},
+        {"stages": [{"name": "find", "service": "other", "path": "/find"}]},
+        None,
+    ],
+    "account/officer": [ACCOUNT, {}, None],
+    "entry/drafts": [ENTRY, ENTRY | {"weight": 2}, ENTRY | {"weight": 0}, None],
+}
+changes = st.lists(
+    st.sampled_from(sorted(VALUES)).flatmap(
+        lambda key: st.tuples(st.just(key), st.sampled_from(VALUES[key]))
+    ),
+    min_size=1,
+    max_size=14,
+)
+
+
+class TestOrder:
+    @given(changes=changes, data=st.data())
+    def test_processes_that_exchange_what_they_know_come_to_the_same(
+        self, changes: list[tuple[str, object]], data: st.DataObject
+    ) -> None:
+        published = [
+            item(key, number, value)
+            for number, (key, value) in enumerate(changes, start=1)
+        ]
+        processes = [(ConfigItems(), CatalogueBuilder()) for _ in range(3)]
+        for items, builder in processes:
+            at = 0
+            while at < len(published):
+                to = data.draw(st.integers(at + 1, len(published)))
+                last = {one.key: one for one in published[at:to]}
+                items.join(last.values(), revision=to)
+                builder.put_in_force(items)
+                at = to
+        for _ in range(2):
+            for items, builder in processes:
+                for other, _ in processes:
+                    items.join(other.since(0), revision=other.revision)
+                builder.put_in_force(items)
+        first, *rest = [builder.put_in_force(items) for items, builder in processes]
+        assert all(other == first for other in rest)
+        assert len({items.digest for items, _ in processes}) == 1
