Serve stage calls in the sidecar: queue, start, stream, hold, bar, drain

Cause: nothing stood between a gateway and its target. Change: the sidecar takes starts and bodies, checks length and checksum, queues first come first served, starts with a last check right before the bytes leave, streams within credit, holds answers until acknowledged, bars, cancels, and drains on SIGTERM. One port per target is its lock. roles/process gains close listeners and the number of calls cut off by a stop.

--- /dev/null
+++ b/src/trefoilpaddle/coordination/admission.py
@@ -0,0 +1,107 @@
+"""What a start message must satisfy before it is taken in."""
+
+from typing import Final
+
+from result import Err, Ok, Result
+
+from ..protocol.checksum import checksum
+from ..protocol.const import ATTEMPT_ID_BYTES
+from ..protocol.errors import NotRun, StageError, Unknown
+from ..protocol.gen.stage.ttypes import Start
+from ..protocol.reasons import Reason
+from ..state.spent_ids import Spent, SpentIds
+from ..transport.connection import Connection
+from .attempts import Attempt
+
+MAX_BODY_BYTES: Final = 16 * 1024 * 1024
+"""Largest body of one call."""
+
+
+def admit(
+    start: Start,
+    *,
+    connection: Connection,
+    incarnation: int,
+    spent: SpentIds,
+    now_ns: int,
+    peer: str,
+) -> Result[Attempt, StageError]:
+    """Return the attempt that `start` asks for, or why it is refused.
+
+    All times are of this process's own monotonic clock: the gateway returns a
+    stamp that it got from here and adds the spans that it measured, so no two
+    hosts' clocks are ever compared.
+
+    Parameters
+    ----------
+    start : Start
+        The message.
+    connection : Connection
+        Where it came from.
+    incarnation : int
+        This process's incarnation.
+    spent : SpentIds
+        Ids that must never start.
+    now_ns : int
+        Now.
+    peer : str
+        This process's id, for errors.
+    """
+    refuse = _Refusal(peer=peer)
+    if len(start.attempt_id) != ATTEMPT_ID_BYTES:
+        return refuse(Reason.BAD_REQUEST, "the attempt id has a wrong length")
+    # A message meant for a former incarnation carries a stamp of another clock,
+    # and that incarnation may have run the attempt already.
+    if start.incarnation != incarnation or not 0 < start.stamp_ns <= now_ns:
+        return refuse(Reason.WRONG_INCARNATION, "the stamp is not of this start")
+    if start.elapsed_ns < 0 or start.budget_ns < 0:
+        return refuse(Reason.BAD_REQUEST, "a span is negative")
+    sent_ns = start.stamp_ns + start.elapsed_ns
+    match spent.get(start.attempt_id):
+        case Spent.NEVER_STARTED:
+            return refuse(Reason.BARRED, "the attempt was barred or refused before")
+        case Spent.RAN:
+            return _gone("the attempt has run; its answer is no longer held", peer)
+    if spent.is_before_horizon(sent_ns):
+        return _gone("the message is older than what is remembered", peer)
+    if start.body_bytes > MAX_BODY_BYTES:
+        return refuse(Reason.TOO_LARGE, f"a body may have {MAX_BODY_BYTES} bytes")
+    deadline_ns = sent_ns + start.budget_ns
+    if now_ns >= deadline_ns:
+        return refuse(Reason.DEADLINE_PASSED, "it arrived after its start-by time")
+    stage_budget_ns = start.stage_budget_ns or start.budget_ns
+    return Ok(
+        Attempt(
+            start=start,
+            connection=connection,
+            received_ns=now_ns,
+            deadline_ns=deadline_ns,
+            finish_by_ns=sent_ns + min(stage_budget_ns, start.budget_ns),
+        )
+    )
+
+
+def is_body_sound(attempt: Attempt) -> bool:
+    """Return True if the body has the length and checksum that were announced."""
+    start = attempt.start
+    if len(attempt.body) != start.body_bytes:
+        return False
+    return checksum(bytes(attempt.body)) == start.body_checksum
+
+
+def _gone(detail: str, peer: str) -> Err[StageError]:
+    error = Unknown(reason=Reason.RESULT_GONE, step="admit", peer=peer, detail=detail)
+    return Err(error)
+
+
+class _Refusal:
+    """Builds the errors of one admission."""
+
+    __slots__ = ("_peer",)
+
+    def __init__(self, *, peer: str) -> None:
+        self._peer = peer
+
+    def __call__(self, reason: Reason, detail: str) -> Err[StageError]:
+        error = NotRun(reason=reason, step="admit", peer=self._peer, detail=detail)
+        return Err(error)
--- /dev/null
+++ b/src/trefoilpaddle/coordination/drain.py
@@ -0,0 +1,30 @@
+"""A sidecar's planned stop: refuse, finish, hand over, count what was cut off."""
+
+import asyncio
+import contextlib
+
+from .attempts import AttemptTable
+from .dispatcher import Dispatcher
+
+
+async def drain(*, table: AttemptTable, dispatcher: Dispatcher, drain_s: float) -> int:
+    """Wait until no attempt is open or held; return how many were cut off.
+
+    Work that still waits after `drain_s` is answered as not run, which cuts off
+    nobody: its gateway can send it elsewhere.
+
+    Parameters
+    ----------
+    table : AttemptTable
+        All attempts.
+    dispatcher : Dispatcher
+        Starts them; is told to refuse new ones.
+    drain_s : float
+        Longest wait.
+    """
+    dispatcher.is_leaving = True
+    with contextlib.suppress(TimeoutError):
+        async with asyncio.timeout(drain_s):
+            await table.wait_empty()
+    dispatcher.give_back_waiting()
+    return len(table)
--- /dev/null
+++ b/src/trefoilpaddle/coordination/engine_events.py
@@ -0,0 +1,70 @@
+"""The event stream of a model engine, read piece by piece."""
+
+from typing import Any, Final
+
+import orjson
+from result import Err, Ok, Result
+
+from .target_calls import CallEnd
+
+DATA_PREFIX: Final = b"data:"
+DONE: Final = b"[DONE]"
+MAX_LINE_BYTES: Final = 1024 * 1024
+
+
+class EngineEvents:
+    """Collects the text of tokens and the usage from server-sent events.
+
+    Parameters
+    ----------
+    n_tokens : int
+        Tokens received so far, over all connections of the attempt.
+    """
+
+    __slots__ = ("_buffer", "end", "is_done", "n_tokens")
+
+    def __init__(self) -> None:
+        self._buffer = b""
+        self.end: CallEnd | None = None
+        self.is_done = False
+        self.n_tokens = 0
+
+    def restart(self) -> None:
+        """Forget a line that a broken connection cut off."""
+        self._buffer = b""
+
+    def feed(self, data: bytes) -> Result[bytes, str]:
+        """Return the text that `data` completes, or what is wrong with it."""
+        lines = (self._buffer + data).split(b"\n")
+        self._buffer = lines.pop()
+        if len(self._buffer) > MAX_LINE_BYTES:
+            return Err(f"an event is longer than {MAX_LINE_BYTES} bytes")
+        texts: list[str] = []
+        for line in lines:
+            if not line.startswith(DATA_PREFIX):
+                continue
+            payload = line[len(DATA_PREFIX) :].strip()
+            if payload == DONE:
+                self.is_done = self.end is not None
+                break
+            try:
+                self._take(orjson.loads(payload), texts)
+            except (ValueError, TypeError, KeyError, IndexError) as error:
+                return Err(f"an event cannot be read: {type(error).__name__}")
+        return Ok("".join(texts).encode())
+
+    def _take(self, event: Any, texts: list[str]) -> None:
+        choice = event["choices"][0]
+        text = choice["text"]
+        if text:
+            texts.append(text)
+            self.n_tokens += 1
+        usage = event.get("usage")
+        if usage is not None:
+            cached = usage.get("prompt_tokens_details") or {}
+            self.end = CallEnd(
+                cost_s=float(usage.get("cost_s", 0.0)),
+                n_prompt_tokens=int(usage.get("prompt_tokens", 0)),
+                n_tokens=int(usage.get("completion_tokens", self.n_tokens)),
+                n_cached_tokens=int(cached.get("cached_tokens", 0)),
+            )
--- /dev/null
+++ b/src/trefoilpaddle/coordination/stage_journal.py
@@ -0,0 +1,79 @@
+"""Decisions about attempts at a sidecar, written to its journal."""
+
+from ..protocol.errors import Failed, StageError
+from ..protocol.gen.stage.ttypes import Start
+from ..protocol.reasons import Reason
+from ..state.journal import Decision, Event, Figure, Journal
+from .attempts import Attempt
+
+
+class StageJournal:
+    """Fills in what every decision about an attempt carries.
+
+    Parameters
+    ----------
+    journal : Journal
+        Where decisions go.
+    target : str
+        The target's name.
+    """
+
+    __slots__ = ("_journal", "_target")
+
+    def __init__(self, *, journal: Journal, target: str) -> None:
+        self._journal = journal
+        self._target = target
+
+    def note(self, event: Event, attempt: Attempt, **figures: float) -> None:
+        """Record a decision with the figures it was made on."""
+        self._record(event, attempt.start, figures=figures)
+
+    def error(self, event: Event, attempt: Attempt, error: StageError) -> None:
+        """Record how an attempt ended without an answer."""
+        self.refusal(event, attempt.start, error)
+
+    def refusal(self, event: Event, start: Start, error: StageError) -> None:
+        """Record why `start` got no answer."""
+        figures = {"retry_after_s": error.retry_after_s}
+        if isinstance(error, Failed):
+            figures["cost_s"] = error.cost_s
+        self._record(
+            event, start, reason=error.reason, detail=error.detail, figures=figures
+        )
+
+    def expired(self, attempt: Attempt) -> None:
+        """Record that a held answer was dropped before it was acknowledged."""
+        self._record(
+            Event.RESULT_EXPIRED,
+            attempt.start,
+            reason=Reason.RESULT_GONE,
+            detail="no gateway acknowledged the answer in time",
+            figures={"n_bytes": attempt.stream.answer.n_bytes},
+        )
+
+    def _record(
+        self,
+        event: Event,
+        start: Start,
+        *,
+        figures: dict[str, float],
+        reason: Reason = Reason.NONE,
+        detail: str = "",
+    ) -> None:
+        self._journal.record(
+            Decision(
+                event=event,
+                request_id=start.request_id,
+                attempt_id=start.attempt_id.hex(),
+                entry=start.entry,
+                owner=start.owner,
+                config_revision=start.config_revision,
+                stage=start.stage,
+                peer=self._target,
+                reason=reason,
+                detail=detail,
+                figures=tuple(
+                    Figure(name=name, value=value) for name, value in figures.items()
+                ),
+            )
+        )
--- /dev/null
+++ b/src/trefoilpaddle/coordination/target_calls.py
@@ -0,0 +1,195 @@
+"""Calls to the target, and what is known to have run when one breaks."""
+
+from collections.abc import Iterator, Mapping
+from dataclasses import dataclass
+from typing import Final, Protocol
+
+from aiohttp import ClientError, ClientResponse
+from result import Err, Ok, Result
+
+from ..protocol.const import CHUNK_BYTES
+from ..protocol.errors import Failed, NotRun, StageError, Unknown
+from ..protocol.reasons import Reason
+from ..transport.target_http import SendGuard, TargetHttp
+from .streams import Sink
+
+NOT_RUN_HEADER: Final = "X-Not-Run"
+COST_HEADER: Final = "X-Cost-S"
+DOWN_RETRY_S: Final = 1.0
+"""When to come back to a target that does not answer at all."""
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class TargetCall:
+    """One call to the target.
+
+    Parameters
+    ----------
+    attempt_id : bytes
+        The attempt.
+    request_id : str
+        The request it serves.
+    path : str
+        Path at the target.
+    body : bytes
+        JSON to send.
+    is_idempotent : bool
+        True if the call may be repeated.
+    deadline_ns : int
+        When the whole request is due, on this process's monotonic clock.
+    """
+
+    attempt_id: bytes
+    request_id: str
+    path: str
+    body: bytes
+    is_idempotent: bool
+    deadline_ns: int
+
+    def headers(self) -> dict[str, str]:
+        """Return the headers by which the target knows the call."""
+        return {
+            "X-Request-Id": self.request_id,
+            "X-Attempt-Id": self.attempt_id.hex(),
+        }
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class CallEnd:
+    """What a target reports of a call that it answered in full."""
+
+    cost_s: float = 0.0
+    n_prompt_tokens: int = 0
+    n_tokens: int = 0
+    n_cached_tokens: int = 0
+
+
+class TargetCaller(Protocol):
+    """Calls one kind of target."""
+
+    async def run(
+        self, call: TargetCall, *, sink: Sink, guard: SendGuard
+    ) -> Result[CallEnd, StageError]:
+        """Make `call`, put its answer into `sink` and say how it ended."""
+        ...
+
+    async def cancel(self, attempt_id: bytes) -> None:
+        """Ask the target to stop working on an attempt; errors are ignored."""
+        ...
+
+
+class PlainCaller:
+    """Calls pools and plain services: one post, one whole JSON answer.
+
+    Parameters
+    ----------
+    http : TargetHttp
+        Session to the target.
+    name : str
+        The target's name, for errors.
+    """
+
+    __slots__ = ("_http", "_name")
+
+    def __init__(self, *, http: TargetHttp, name: str) -> None:
+        self._http = http
+        self._name = name
+
+    async def run(
+        self, call: TargetCall, *, sink: Sink, guard: SendGuard
+    ) -> Result[CallEnd, StageError]:
+        """Make `call`, put its answer into `sink` and say how it ended."""
+        try:
+            async with self._http.guarded_post(
+                call.path, body=call.body, headers=call.headers(), guard=guard
+            ) as response:
+                if response.status != 200:
+                    return Err(await refusal(response, peer=self._name))
+                await _read_whole(response, sink)
+                return Ok(CallEnd(cost_s=cost_s(response.headers)))
+        except (ClientError, OSError) as error:
+            return Err(broken(error, guard=guard, peer=self._name))
+
+    async def cancel(self, attempt_id: bytes) -> None:
+        """Do nothing: closing the connection is all that such a target takes."""
+
+
+async def _read_whole(response: ClientResponse, sink: Sink) -> None:
+    size_bytes = response.content_length
+    if size_bytes is not None and size_bytes <= CHUNK_BYTES:
+        sink.append(await response.read())
+        return
+    async for data in response.content.iter_any():
+        for piece in pieces(data):
+            sink.append(piece)
+        await sink.wait_for_space()
+
+
+def pieces(data: bytes) -> Iterator[bytes]:
+    """Yield `data` in pieces that fit a chunk."""
+    for start in range(0, len(data), CHUNK_BYTES):
+        yield data[start : start + CHUNK_BYTES]
+
+
+def cost_s(headers: Mapping[str, str]) -> float:
+    """Return the target-seconds that the headers report; 0 without any."""
+    try:
+        return max(0.0, float(headers.get(COST_HEADER, "0")))
+    except ValueError:
+        return 0.0
+
+
+async def refusal(response: ClientResponse, *, peer: str) -> StageError:
+    """Return what an answer other than 200 says of the call."""
+    await response.read()
+    status = response.status
+    if status == 503 and response.headers.get(NOT_RUN_HEADER) == "1":
+        return NotRun(
+            reason=Reason.TARGET_DOWN,
+            step="call",
+            peer=peer,
+            detail="the target says that it did not start the call",
+            retry_after_s=_retry_after_s(response.headers),
+        )
+    reason = Reason.BAD_REQUEST if 400 <= status < 500 else Reason.TARGET_FAILED
+    return Failed(
+        reason=reason,
+        step="call",
+        peer=peer,
+        detail=f"the target answered {status}",
+        cost_s=cost_s(response.headers),
+    )
+
+
+def _retry_after_s(headers: Mapping[str, str]) -> float:
+    text = headers.get("Retry-After", "")
+    return float(text) if text.isdecimal() else DOWN_RETRY_S
+
+
+def broken(error: Exception, *, guard: SendGuard, peer: str) -> StageError:
+    """Return what is known of a call whose connection broke.
+
+    Once a byte has left, the target may have run the call whatever its kind,
+    so only "unknown" is true; before that, nothing can have run.
+    """
+    if guard.is_refused:
+        return NotRun(
+            reason=Reason.DEADLINE_PASSED,
+            step="start",
+            peer=peer,
+            detail="the start-by time passed before the call could be sent",
+        )
+    if not guard.is_sent:
+        return NotRun(
+            reason=Reason.TARGET_DOWN,
+            step="connect",
+            peer=peer,
+            detail=f"the target cannot be reached: {type(error).__name__}",
+            retry_after_s=DOWN_RETRY_S,
+        )
+    return Unknown(
+        reason=Reason.CONNECTION_LOST,
+        step="call",
+        peer=peer,
+        detail=f"the connection to the target broke: {type(error).__name__}",
+    )
--- a/src/trefoilpaddle/roles/process.py
+++ b/src/trefoilpaddle/roles/process.py
@@ -13,7 +13,7 @@
 from ..protocol.frames import Message
 from ..protocol.gen.stage.ttypes import Heartbeat, Hello, Load
 from ..protocol.ids import new_incarnation
-from ..state.journal import Decision, Event, Journal
+from ..state.journal import Decision, Event, Figure, Journal
 from ..state.published import Published
 from ..state.settings import ProcessSettings
 from ..transport.connection import Address, Connection
@@ -24,6 +24,7 @@
 LoadReader = Callable[[], Load]
 LinkListener = Callable[[Link, Message], None]
 ConnectionListener = Callable[[Connection, Message], None]
+CloseListener = Callable[[Connection], None]
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -82,11 +83,13 @@
     """
 
     __slots__ = (
+        "close_listeners",
         "identity",
         "journal",
         "link_listeners",
         "load_reader",
         "message_listeners",
+        "n_cut_off",
         "peers",
         "published",
         "server",
@@ -103,6 +106,8 @@
         self.load_reader: LoadReader = self._bare_load
         self.link_listeners: list[LinkListener] = []
         self.message_listeners: list[ConnectionListener] = []
+        self.close_listeners: list[CloseListener] = []
+        self.n_cut_off = 0
         self.peers = Peers(
             own_hello=self.hello,
             own_heartbeat=self.heartbeat,
@@ -113,6 +118,7 @@
             own_hello=self.hello,
             own_heartbeat=self.heartbeat,
             on_message=self._on_peer_message,
+            on_close=self._on_peer_close,
         )
 
     def hello(self) -> Hello:
@@ -148,6 +154,10 @@
         for listener in self.message_listeners:
             listener(connection, message)
 
+    def _on_peer_close(self, connection: Connection) -> None:
+        for listener in self.close_listeners:
+            listener(connection)
+
     @contextlib.asynccontextmanager
     async def running(self) -> AsyncIterator["Process"]:
         """Listen for peers and signals while the context is open.
@@ -166,6 +176,10 @@
             )
             yield self
         self.journal.record(
-            Decision(event=Event.PROCESS_STOPPED, peer=self.identity.process_id)
+            Decision(
+                event=Event.PROCESS_STOPPED,
+                peer=self.identity.process_id,
+                figures=(Figure(name="n_cut_off", value=self.n_cut_off),),
+            )
         )
         logging.flush()
--- /dev/null
+++ b/src/trefoilpaddle/roles/sidecar.py
@@ -0,0 +1,212 @@
+"""The sidecar: the only process that talks to its target."""
+
+import asyncio
+import contextlib
+import time
+from collections.abc import AsyncIterator
+from typing import Final
+from urllib.parse import urlsplit
+
+from absl import logging
+from result import Err, Ok
+
+from ..coordination.attempts import AttemptTable
+from ..coordination.dispatcher import NS_PER_S, Dispatcher
+from ..coordination.drain import drain
+from ..coordination.engine_calls import EngineCaller
+from ..coordination.stage_journal import StageJournal
+from ..coordination.stage_server import StageServer
+from ..coordination.target_calls import PlainCaller, TargetCaller
+from ..coordination.target_watch import TargetWatch
+from ..protocol.gen.stage.ttypes import Bar
+from ..state.catalogue import ServiceKind
+from ..state.concurrency import FixedSlots
+from ..state.held_results import HeldResults
+from ..state.journal import Decision, Event, Journal
+from ..state.settings import SidecarSettings
+from ..state.spent_ids import SpentIds
+from ..state.work_queue import FifoQueue
+from ..transport.connection import Address
+from ..transport.port_lock import PortLockError, held_port
+from ..transport.target_http import TargetHttp
+from .process import Process, identity_of
+
+HOUSEKEEPING_S: Final = 0.25
+LOCK_MARGIN_S: Final = 5.0
+"""How much longer than a predecessor's drain its port is waited for."""
+DEFAULT_SLOTS: Final = {
+    ServiceKind.ENGINE: 8,
+    ServiceKind.POOL: 4,
+    ServiceKind.PLAIN: 4,
+}
+"""Slots of a target while its service is not in the catalogue."""
+
+
+async def run(settings: SidecarSettings) -> int:
+    """Run a sidecar until it is told to stop; return its exit status."""
+    listen = _address(settings.process.listen)
+    lock = _lock_address(settings)
+    wait_s = settings.stop.drain_s + LOCK_MARGIN_S
+    try:
+        async with held_port(lock, wait_s=wait_s):
+            return await _run_locked(settings, listen)
+    except PortLockError as error:
+        logging.error("%s", error)
+        return 1
+
+
+async def _run_locked(settings: SidecarSettings, listen: Address) -> int:
+    identity = identity_of(
+        process=settings.process,
+        role="sidecar",
+        service=settings.target.service,
+        target=settings.target.name,
+    )
+    journal = Journal(
+        process_id=identity.process_id,
+        n_records=settings.retention.explain_records,
+        format=settings.log.format,
+    )
+    process = Process(identity=identity, listen=listen, journal=journal)
+    sidecar = Sidecar(settings=settings, process=process)
+    async with sidecar.open():
+        await process.stopping.wait()
+        process.n_cut_off = await sidecar.stop()
+    return 0
+
+
+class Sidecar:
+    """The parts of one sidecar, wired to its process.
+
+    Parameters
+    ----------
+    settings : SidecarSettings
+        As read from its file.
+    process : Process
+        Identity, peers and journal.
+    """
+
+    __slots__ = (
+        "_http",
+        "_journal",
+        "_process",
+        "_settings",
+        "dispatcher",
+        "server",
+        "table",
+    )
+
+    def __init__(self, *, settings: SidecarSettings, process: Process) -> None:
+        target = settings.target
+        self._settings = settings
+        self._process = process
+        self._http = TargetHttp(url=target.url)
+        journal = StageJournal(journal=process.journal, target=target.name)
+        self.table = AttemptTable(
+            held=HeldResults(
+                max_bytes=settings.retention.held_results_bytes,
+                keep_ns=int(settings.retention.held_results_s * NS_PER_S),
+                on_drop=self._on_drop,
+            ),
+            spent=SpentIds(),
+        )
+        self.dispatcher = Dispatcher(
+            name=target.name,
+            table=self.table,
+            queue=FifoQueue(),
+            slots=FixedSlots(n_slots=DEFAULT_SLOTS[target.kind]),
+            caller=self._caller(),
+            journal=journal,
+            policy=settings.policy,
+        )
+        self.server = StageServer(
+            name=target.name,
+            incarnation=process.identity.incarnation,
+            table=self.table,
+            dispatcher=self.dispatcher,
+            published=process.published,
+            journal=journal,
+        )
+        self._journal = journal
+
+    @contextlib.asynccontextmanager
+    async def open(self) -> AsyncIterator["Sidecar"]:
+        """Serve gateways while the context is open."""
+        process = self._process
+        process.load_reader = self.dispatcher.load
+        process.message_listeners.append(self.server.on_message)
+        process.close_listeners.append(self.server.on_close)
+        process.server.answer(Bar, self.server.answer_bar)
+        process.published.subscribe(self._on_published)
+        async with self._http.opened(), process.running():
+            tasks = [
+                asyncio.create_task(self._keep_house()),
+                asyncio.create_task(self._watch().run()),
+            ]
+            try:
+                yield self
+            finally:
+                for task in tasks:
+                    task.cancel()
+
+    async def stop(self) -> int:
+        """Leave: refuse new work, finish the rest; return how many were cut off."""
+        process = self._process
+        self.dispatcher.is_leaving = True
+        process.server.broadcast(process.heartbeat())
+        process.journal.record(
+            Decision(event=Event.PROCESS_STOPPING, peer=process.identity.process_id)
+        )
+        return await drain(
+            table=self.table,
+            dispatcher=self.dispatcher,
+            drain_s=self._settings.stop.drain_s,
+        )
+
+    def _caller(self) -> TargetCaller:
+        name = self._settings.target.name
+        match self._settings.target.kind:
+            case ServiceKind.ENGINE:
+                return EngineCaller(http=self._http, name=name)
+            case ServiceKind.POOL | ServiceKind.PLAIN:
+                return PlainCaller(http=self._http, name=name)
+
+    def _watch(self) -> TargetWatch:
+        target = self._settings.target
+        return TargetWatch(
+            http=self._http,
+            name=target.name,
+            period_s=target.load_period_s,
+            dispatcher=self.dispatcher,
+            journal=self._process.journal,
+        )
+
+    async def _keep_house(self) -> None:
+        while True:
+            await asyncio.sleep(HOUSEKEEPING_S)
+            self.table.held.expire(time.monotonic_ns())
+
+    def _on_drop(self, attempt_id: bytes) -> None:
+        attempt = self.table.forget_dropped(attempt_id)
+        if attempt is not None:
+            self._journal.expired(attempt)
+
+    def _on_published(self) -> None:
+        catalogue = self._process.published.catalogue
+        self.dispatcher.revision = catalogue.revision
+        service = catalogue.services.get(self._settings.target.service)
+        if service is not None:
+            self.dispatcher.set_service(service)
+
+
+def _address(text: str) -> Address:
+    match Address.parse(text):
+        case Ok(address):
+            return address
+        case Err(problem):
+            raise ValueError(problem)
+
+
+def _lock_address(settings: SidecarSettings) -> Address:
+    ip = urlsplit(settings.target.url).hostname or "127.0.0.1"
+    return Address(ip=ip, port=settings.target.lock_port)
--- /dev/null
+++ b/tests/test_sidecar_attempts.py
@@ -0,0 +1,223 @@
+"""A sidecar runs an attempt at most once and says truthfully what ran."""
+
+import pytest
+
+from tests.sidecar_rig import FakeTarget, running_sidecar, scene, settings_for, until
+from trefoilpaddle.protocol.gen.stage.ttypes import (
+    Ack,
+    Bar,
+    BarState,
+    BodyChunk,
+    Cancel,
+    Failure,
+    Outcome,
+)
+from trefoilpaddle.protocol.reasons import Reason
+from trefoilpaddle.state.catalogue import ServiceKind
+
+
+class TestWholeCall:
+    async def test_a_plain_call_is_answered_whole(self) -> None:
+        async with scene() as s:
+            target, rig, gateway = s.target, s.rig, s.gateway
+            target.headers = {"X-Cost-S": "0.25"}
+            attempt_id = gateway.start()
+            assert await gateway.whole_answer(attempt_id) == target.answer
+            gateway.connection.write(Ack(attempt_id=attempt_id))
+            await until(lambda: len(rig.sidecar.table) == 0)
+            assert target.runs == [attempt_id.hex()]
+
+    async def test_an_engine_streams_its_tokens(self) -> None:
+        async with scene(kind=ServiceKind.ENGINE) as s:
+            gateway = s.gateway
+            body = b'{"prompt": "a b", "max_tokens": 3}'
+            attempt_id = gateway.start(body)
+            answer = await gateway.whole_answer(attempt_id)
+            assert answer == b"0word 1word 2word "
+            end = gateway.messages[-1]
+            assert (end.n_tokens, end.n_prompt_tokens) == (3, 2)
+            assert (end.n_cached_tokens, end.cost_s) == (1, 0.5)
+
+    async def test_a_large_body_comes_in_chunks(self) -> None:
+        async with scene() as s:
+            target, gateway = s.target, s.gateway
+            body = b'"' + b"x" * 200_000 + b'"'
+            start = gateway.start_message(body)
+            start.body = b""
+            gateway.connection.write(start)
+            for seq, at in enumerate(range(0, len(body), 65536)):
+                piece = body[at : at + 65536]
+                gateway.connection.write(
+                    BodyChunk(attempt_id=start.attempt_id, seq=seq, data=piece)
+                )
+            assert await gateway.whole_answer(start.attempt_id) == target.answer
+
+    async def test_a_damaged_body_is_not_run(self) -> None:
+        """A byte of a caller's file is flipped on its way to the sidecar.
+
+        The caller would get an answer to another input than its own. The
+        checksum in the start message does not fit, so the call is refused.
+        """
+        async with scene() as s:
+            target, gateway = s.target, s.gateway
+            attempt_id = gateway.start(body_checksum=1)
+            failure = await gateway.failure(attempt_id)
+            assert failure.outcome == Outcome.NOT_RUN
+            assert failure.reason == Reason.CORRUPT
+            assert target.runs == []
+
+
+class TestAtMostOnce:
+    async def test_a_resent_start_runs_once(self) -> None:
+        """A gateway resends a start message after its connection broke.
+
+        The first copy runs already. The second finds the attempt and only takes
+        over its answer; after the acknowledgement a third copy is refused as
+        run, not started again.
+        """
+        async with scene() as s, s.rig.gateway() as two:
+            target, one = s.target, s.gateway
+            target.gate.clear()
+            start = one.start_message(idempotent=False)
+            one.connection.write(start)
+            await until(lambda: len(target.runs) == 1)
+            two.connection.write(start)
+            two.connection.write(start)
+            target.gate.set()
+            assert await two.whole_answer(start.attempt_id) == target.answer
+            two.connection.write(Ack(attempt_id=start.attempt_id))
+            two.connection.write(start)
+            failure = await two.failure(start.attempt_id)
+            assert failure.outcome == Outcome.UNKNOWN
+            assert failure.reason == Reason.RESULT_GONE
+            assert len(target.runs) == 1
+
+    async def test_a_start_that_arrives_after_the_bar_is_refused(self) -> None:
+        """A start message is stuck in a dead connection's buffers.
+
+        The gateway asks on a new connection, is told "barred" and tells its
+        caller "not run". Then the old message arrives after all.
+        """
+        async with scene() as s, s.rig.gateway() as new:
+            target, old = s.target, s.gateway
+            start = old.start_message(idempotent=False)
+            answer = await new.ask(Bar(attempt_id=start.attempt_id))
+            assert answer.state == BarState.BARRED
+            old.connection.write(start)
+            failure = await old.failure(start.attempt_id)
+            assert failure.outcome == Outcome.NOT_RUN
+            assert failure.reason == Reason.BARRED
+            assert target.runs == []
+
+    async def test_a_bar_says_what_runs_and_what_is_done(self) -> None:
+        async with scene() as s:
+            target, rig, gateway = s.target, s.rig, s.gateway
+            target.gate.clear()
+            attempt_id = gateway.start()
+            await until(lambda: len(target.runs) == 1)
+            bar = Bar(attempt_id=attempt_id)
+            assert (await gateway.ask(bar)).state == BarState.RUNNING
+            target.gate.set()
+            await gateway.whole_answer(attempt_id)
+            assert (await gateway.ask(bar)).state == BarState.DONE
+            gateway.connection.write(Ack(attempt_id=attempt_id))
+            await until(lambda: len(rig.sidecar.table) == 0)
+            assert (await gateway.ask(bar)).state == BarState.FORGOTTEN
+
+    async def test_a_start_for_another_incarnation_is_refused(self) -> None:
+        """A sidecar restarts; a start message meant for the former one arrives.
+
+        Its stamp is of another clock, so no start-by time can be computed.
+        """
+        async with scene() as s:
+            target, gateway = s.target, s.gateway
+            failure = await gateway.failure(gateway.start(incarnation=7))
+            assert failure.reason == Reason.WRONG_INCARNATION
+            failure = await gateway.failure(gateway.start(stamp_ns=0))
+            assert failure.reason == Reason.WRONG_INCARNATION
+            assert target.runs == []
+
+
+class TestTruth:
+    @pytest.mark.parametrize(
+        ("status", "headers", "outcome"),
+        [
+            (503, {"X-Not-Run": "1"}, Outcome.NOT_RUN),
+            (503, {}, Outcome.FAILED),
+            (500, {}, Outcome.FAILED),
+            (400, {}, Outcome.FAILED),
+        ],
+    )
+    async def test_an_error_status_says_what_ran(
+        self, status: int, headers: dict[str, str], outcome: int
+    ) -> None:
+        async with scene() as s:
+            target, gateway = s.target, s.gateway
+            target.status, target.headers = status, headers
+            failure = await gateway.failure(gateway.start())
+            assert failure.outcome == outcome
+
+    async def test_an_unreachable_target_ran_nothing(self) -> None:
+        async with FakeTarget().serving() as target:
+            port = target.port
+        async with (
+            running_sidecar(settings_for(target_port=port)) as rig,
+            rig.gateway() as gateway,
+        ):
+            failure = await gateway.failure(gateway.start(idempotent=False))
+            assert failure.outcome == Outcome.NOT_RUN
+            assert failure.reason == Reason.TARGET_DOWN
+
+    async def test_a_call_broken_after_it_was_sent_is_unknown(self) -> None:
+        """A target breaks the connection in the midst of a booking.
+
+        The booking may be made or not. "Failed" or "not run" would make the
+        caller book a second time.
+        """
+        async with scene() as s:
+            target, gateway = s.target, s.gateway
+            target.cut_after = 0
+            failure = await gateway.failure(gateway.start(idempotent=False))
+            assert failure.outcome == Outcome.UNKNOWN
+            assert len(target.runs) == 1
+
+
+class TestCancel:
+    async def test_idempotent_work_is_cancelled_at_the_engine(self) -> None:
+        async with scene(kind=ServiceKind.ENGINE) as s:
+            target, gateway = s.target, s.gateway
+            target.gate.clear()
+            attempt_id = gateway.start(b'{"prompt": "a"}')
+            await until(lambda: len(target.runs) == 1)
+            gateway.connection.write(Cancel(attempt_id=attempt_id))
+            failure = await gateway.failure(attempt_id)
+            assert failure.outcome == Outcome.FAILED
+            assert failure.reason == Reason.CANCELLED
+            await until(lambda: target.cancelled == [attempt_id.hex()])
+
+    async def test_work_that_may_not_be_repeated_runs_on(self) -> None:
+        async with scene() as s:
+            target, gateway = s.target, s.gateway
+            target.gate.clear()
+            attempt_id = gateway.start(idempotent=False)
+            await until(lambda: len(target.runs) == 1)
+            gateway.connection.write(Cancel(attempt_id=attempt_id))
+            await gateway.ask(Bar(attempt_id=attempt_id))
+            target.gate.set()
+            assert await gateway.whole_answer(attempt_id) == target.answer
+
+    async def test_waiting_work_is_dropped(self) -> None:
+        async with scene() as s:
+            target, gateway = s.target, s.gateway
+            target.gate.clear()
+            running = [gateway.start() for _ in range(4)]
+            waiting = gateway.start()
+            gateway.connection.write(Cancel(attempt_id=waiting))
+            failure = await gateway.failure(waiting)
+            assert failure.outcome == Outcome.NOT_RUN
+            assert failure.reason == Reason.CANCELLED
+            target.gate.set()
+            for attempt_id in running:
+                await gateway.whole_answer(attempt_id)
+            assert waiting.hex() not in target.runs
+            assert gateway.of(Failure, running[0]) == []
