--- a/src/trefoilpaddle/roles/process.py
+++ b/src/trefoilpaddle/roles/process.py
@@ -168,4 +168,5 @@
         self.journal.record(
             Decision(event=Event.PROCESS_STOPPED, peer=self.identity.process_id)
         )
+        self.journal.flush()
         logging.flush()
--- a/src/trefoilpaddle/state/journal.py
+++ b/src/trefoilpaddle/state/journal.py
@@ -1,5 +1,6 @@
 """Decisions of one process: one numbered log line and one bounded record each."""
 
+import asyncio
 import logging as python_logging
 import re
 import time
@@ -15,6 +16,8 @@
 from ..protocol.reasons import Reason
 from .settings import LogFormat
 
+WRITE_AFTER_S: Final = 0.05
+MAX_UNWRITTEN: Final = 64
 PLAIN: Final = re.compile(r"[\w.:/+-]+")
 TEXT_FIELDS: Final = (
     "request_id",
@@ -190,6 +193,13 @@
     wall_s: float
 
 
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Batch:
+    """Records whose lines are written together, one line each."""
+
+    records: tuple[Record, ...]
+
+
 class Journal:
     """Writes each decision to the log and keeps the last ones in memory.
 
@@ -215,6 +225,7 @@
         "_listeners",
         "_n_records",
         "_records",
+        "_unwritten",
         "process_id",
     )
 
@@ -231,6 +242,7 @@
         self._n_records = n_records
         self._records: deque[Record] = deque()
         self._by_request: dict[str, deque[Record]] = {}
+        self._unwritten: list[Record] = []
         self._listeners: list[Callable[[Decision], None]] = []
 
     def record(self, decision: Decision) -> None:
@@ -243,7 +255,8 @@
         self._records.append(record)
         if decision.request_id:
             self._by_request.setdefault(decision.request_id, deque()).append(record)
-        _log(decision)
+        self._unwritten.append(record)
+        self._write_soon()
         for listener in self._listeners:
             listener(decision)
 
@@ -260,6 +273,37 @@
         """Yield all that is kept, oldest first."""
         yield from self._records
 
+    def flush(self) -> None:
+        """Write the lines of all decisions that are not written yet."""
+        batch = Batch(records=tuple(self._unwritten))
+        self._unwritten.clear()
+        logger = logging.get_absl_logger()
+        if not batch.records or not logger.isEnabledFor(python_logging.INFO):
+            return
+        # The log record is made by hand: looking for the calling line, which
+        # no line of the log shows, would take longer than the rest.
+        logger.handle(
+            python_logging.LogRecord(
+                logger.name, python_logging.INFO, "", 0, batch, None, None
+            )
+        )
+
+    def _write_soon(self) -> None:
+        """Write what is waiting: at once when it is much, else within a moment.
+
+        One call of the log for each decision cost more than all else a
+        decision takes. A killed process loses the last moment's lines.
+        """
+        if len(self._unwritten) >= MAX_UNWRITTEN:
+            self.flush()
+            return
+        if len(self._unwritten) > 1:
+            return
+        try:
+            asyncio.get_running_loop().call_later(WRITE_AFTER_S, self.flush)
+        except RuntimeError:  # no loop: a tool or a test
+            self.flush()
+
     def _forget_old(self, now_s: float) -> None:
         records = self._records
         while records and now_s - records[0].monotonic_s > self._keep_s:
@@ -275,20 +319,6 @@
             del self._by_request[request_id]
 
 
-def _log(decision: Decision) -> None:
-    """Write the decision's line; formatted only if the level is logged."""
-    logger = logging.get_absl_logger()
-    if not logger.isEnabledFor(python_logging.INFO):
-        return
-    # The record is made by hand: looking for the calling line, which no line
-    # of the log shows, takes longer than all the rest.
-    logger.handle(
-        python_logging.LogRecord(
-            logger.name, python_logging.INFO, "", 0, decision, None, None
-        )
-    )
-
-
 def _word(value: str | int) -> str:
     """Return `value` as one word of a line; quoted where it is not plain."""
     text = str(value)
--- a/src/trefoilpaddle/state/logs.py
+++ b/src/trefoilpaddle/state/logs.py
@@ -1,13 +1,13 @@
 """Log lines on standard error: one for each event, key=value or JSON."""
 
-import datetime
 import logging as python_logging
+import time
 from typing import Any, Final, assert_never
 
 import orjson
 from absl import flags, logging
 
-from .journal import Decision
+from .journal import Batch, Record
 from .settings import LogFormat, LogSettings
 
 LEVELS: Final = {
@@ -34,34 +34,35 @@
         super().__init__()
         self._process_id = process_id
         self._format = format
+        self._second = -1
+        self._second_text = ""
 
     def format(self, record: python_logging.LogRecord) -> str:
-        """Return the line of `record`, without its line end."""
+        """Return the line of `record`, or one for each decision of its batch."""
+        if isinstance(record.msg, Batch):
+            return "\n".join(map(self._decision_line, record.msg.records))
+        return self._message_line(record)
+
+    def _decision_line(self, record: Record) -> str:
         match self._format:
             case LogFormat.KEY_VALUE:
-                return self._key_value(record)
+                return f"{self._head(record.wall_s, 'info')} {record.decision}"
             case LogFormat.JSON:
-                return self._json(record)
+                return self._json(record.wall_s, "info", record.decision.as_dict())
             case _:
                 assert_never(self._format)
 
-    def _key_value(self, record: python_logging.LogRecord) -> str:
-        head = f"time={_time(record)} level={_level(record)} process={self._process_id}"
-        if isinstance(record.msg, Decision):
-            return f"{head} {record.msg}"
-        return f"{head} message={_quoted(self._text(record))}"
-
-    def _json(self, record: python_logging.LogRecord) -> str:
-        line: dict[str, Any] = {
-            "time": _time(record),
-            "level": _level(record),
-            "process": self._process_id,
-        }
-        if isinstance(record.msg, Decision):
-            line |= record.msg.as_dict()
-        else:
-            line["message"] = self._text(record)
-        return orjson.dumps(line, default=str).decode()
+    def _message_line(self, record: python_logging.LogRecord) -> str:
+        level = LEVELS.get(record.levelname, "info")
+        text = self._text(record)
+        match self._format:
+            case LogFormat.KEY_VALUE:
+                quoted = orjson.dumps(text).decode()
+                return f"{self._head(record.created, level)} message={quoted}"
+            case LogFormat.JSON:
+                return self._json(record.created, level, {"message": text})
+            case _:
+                assert_never(self._format)
 
     def _text(self, record: python_logging.LogRecord) -> str:
         text = record.getMessage()
@@ -69,6 +70,25 @@
             text += "\n" + self.formatException(record.exc_info)
         return text
 
+    def _head(self, wall_s: float, level: str) -> str:
+        return f"time={self._time(wall_s)} level={level} process={self._process_id}"
+
+    def _json(self, wall_s: float, level: str, fields: dict[str, Any]) -> str:
+        head = {
+            "time": self._time(wall_s),
+            "level": level,
+            "process": self._process_id,
+        }
+        return orjson.dumps(head | fields).decode()
+
+    def _time(self, wall_s: float) -> str:
+        """Return the time `wall_s` in UTC, down to milliseconds."""
+        second = int(wall_s)
+        if second != self._second:  # many lines share a second
+            self._second = second
+            self._second_text = time.strftime("%Y-%m-%dT%H:%M:%S", time.gmtime(second))
+        return f"{self._second_text}.{int((wall_s - second) * 1000):03d}Z"
+
 
 def set_up(*, settings: LogSettings, process_id: str) -> None:
     """Send the log to standard error in the chosen format."""
@@ -79,17 +99,3 @@
     logging.set_stderrthreshold("debug")
     formatter = LineFormatter(process_id=process_id, format=settings.format)
     logging.get_absl_handler().setFormatter(formatter)
-
-
-def _time(record: python_logging.LogRecord) -> str:
-    moment = datetime.datetime.fromtimestamp(record.created, datetime.UTC)
-    return moment.isoformat(timespec="milliseconds").removesuffix("+00:00") + "Z"
-
-
-def _level(record: python_logging.LogRecord) -> str:
-    return LEVELS.get(record.levelname, "info")
-
-
-def _quoted(text: str) -> str:
-    """Return `text` as one word of one line, whatever it holds."""
-    return orjson.dumps(text).decode()
--- a/tools/measure_journal.py
+++ b/tools/measure_journal.py
@@ -3,6 +3,7 @@
 Run as ``python tools/measure_journal.py 2>/dev/null``; figures go to stdout.
 """
 
+import asyncio
 import time
 
 from trefoilpaddle.protocol.reasons import Reason
@@ -13,7 +14,7 @@
 N_DECISIONS = 50_000
 
 
-def measure(settings: LogSettings) -> float:
+async def measure(settings: LogSettings) -> float:
     """Return the microseconds that one decision takes."""
     logs.set_up(settings=settings, process_id="h1-gateway")
     journal = Journal(process_id="h1-gateway", n_records=20_000)
@@ -34,14 +35,15 @@
             ),
         )
         journal.record(decision)
+    journal.flush()
     return (time.perf_counter() - begin_s) / N_DECISIONS * 1e6
 
 
 def main() -> None:
     for format in LogFormat:
-        cost_us = measure(LogSettings(format=format))
+        cost_us = asyncio.run(measure(LogSettings(format=format)))
         print(f"{format}: {cost_us:.1f} us a decision")
-    cost_us = measure(LogSettings(verbosity="warning"))
+    cost_us = asyncio.run(measure(LogSettings(verbosity="warning")))
     print(f"not logged, only kept: {cost_us:.1f} us a decision")
 
 
