--- a/src/trefoilpaddle/roles/process.py
+++ b/src/trefoilpaddle/roles/process.py
@@ -182,4 +182,5 @@
                 figures=(Figure(name="n_cut_off", value=self.n_cut_off),),
             )
         )
+        self.journal.flush()
         logging.flush()
