--- a/src/trefoilpaddle/roles/process.py
+++ b/src/trefoilpaddle/roles/process.py
@@ -24,7 +24,11 @@
 LoadReader = Callable[[], Load]
 LinkListener = Callable[[Link, Message], None]
 ConnectionListener = Callable[[Connection, Message], None]
+<<<<<<< HEAD
 CloseListener = Callable[[Connection], None]
+=======
+ChangeListener = Callable[[Link], None]
+>>>>>>> gateway
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -83,7 +87,11 @@
     """
 
     __slots__ = (
+<<<<<<< HEAD
         "close_listeners",
+=======
+        "change_listeners",
+>>>>>>> gateway
         "identity",
         "journal",
         "link_listeners",
@@ -106,12 +114,17 @@
         self.load_reader: LoadReader = self._bare_load
         self.link_listeners: list[LinkListener] = []
         self.message_listeners: list[ConnectionListener] = []
+<<<<<<< HEAD
         self.close_listeners: list[CloseListener] = []
         self.n_cut_off = 0
+=======
+        self.change_listeners: list[ChangeListener] = []
+>>>>>>> gateway
         self.peers = Peers(
             own_hello=self.hello,
             own_heartbeat=self.heartbeat,
             on_message=self._on_link_message,
+            on_change=self._on_link_change,
         )
         self.server = PeerServer(
             address=listen,
@@ -150,6 +163,10 @@
         for listener in self.link_listeners:
             listener(link, message)
 
+    def _on_link_change(self, link: Link) -> None:
+        for listener in self.change_listeners:
+            listener(link)
+
     def _on_peer_message(self, connection: Connection, message: Message) -> None:
         for listener in self.message_listeners:
             listener(connection, message)
