Add trace format, open-loop player, audit and figures of replay

Cause: policies are to be measured by replay of recorded traces, baseline and product in one run. Change: typed traces as JSON lines, inputs made from the seed, a player that does the faults, an audit of targets' records against what callers were told, cost by stage with waste apart, the bound that capacity sets, stated outcomes. Figures: none yet; the path it will measure does not exist.

--- /dev/null
+++ b/src/trefoilpaddle/replay/__init__.py
@@ -0,0 +1,1 @@
+"""Replay of recorded traces: baseline against product, measured and audited."""
--- /dev/null
+++ b/src/trefoilpaddle/replay/audit.py
@@ -0,0 +1,110 @@
+"""Checks what must always hold: what callers were told against targets' records."""
+
+from collections import Counter, defaultdict
+from collections.abc import Collection, Iterator
+from dataclasses import dataclass
+
+from .results import Replayed, TargetRun, Verdict
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Violation:
+    """One case in which something that must always hold did not.
+
+    Parameters
+    ----------
+    rule : str
+        What must hold.
+    request_id : str
+        The request concerned.
+    detail : str
+        What was seen.
+    """
+
+    rule: str
+    request_id: str
+    detail: str
+
+
+def violations(
+    replayed: Replayed, *, n_requests: int, once_paths: Collection[str]
+) -> list[Violation]:
+    """Return every violation of the invariants in one play of a trace.
+
+    Parameters
+    ----------
+    replayed : Replayed
+        What callers were told and what targets ran.
+    n_requests : int
+        Requests in the trace.
+    once_paths : collection of str
+        Paths of stages that must run at most once for a request.
+    """
+    by_request: dict[str, list[TargetRun]] = defaultdict(list)
+    for run in replayed.runs:
+        by_request[run.request_id].append(run)
+    return [
+        *_lost(replayed, n_requests),
+        *_wrong(replayed),
+        *_false_not_run(replayed, by_request),
+        *_more_than_once(by_request, once_paths),
+        *_attempt_twice(replayed),
+    ]
+
+
+def _lost(replayed: Replayed, n_requests: int) -> Iterator[Violation]:
+    n_missing = n_requests - len(replayed.answers)
+    if n_missing:
+        yield Violation(
+            rule="each request ends for its caller",
+            request_id="",
+            detail=f"{n_missing} requests have no end",
+        )
+
+
+def _wrong(replayed: Replayed) -> Iterator[Violation]:
+    for answer in replayed.answers:
+        if answer.verdict is Verdict.WRONG:
+            yield Violation(
+                rule="an answer is the request's own, and whole",
+                request_id=answer.request_id,
+                detail=f"request {answer.index} got another text",
+            )
+
+
+def _false_not_run(
+    replayed: Replayed, by_request: dict[str, list[TargetRun]]
+) -> Iterator[Violation]:
+    for answer in replayed.answers:
+        runs = by_request.get(answer.request_id, [])
+        if answer.verdict is Verdict.NOT_RUN and answer.request_id and runs:
+            yield Violation(
+                rule="what is called not run did not run",
+                request_id=answer.request_id,
+                detail=f"ran {len(runs)} calls, the first at {runs[0].target}",
+            )
+
+
+def _more_than_once(
+    by_request: dict[str, list[TargetRun]], once_paths: Collection[str]
+) -> Iterator[Violation]:
+    for request_id, runs in by_request.items():
+        counts = Counter(run.path for run in runs if run.path in once_paths)
+        for path, count in counts.items():
+            if count > 1:
+                yield Violation(
+                    rule="a stage that is not idempotent runs at most once",
+                    request_id=request_id,
+                    detail=f"{path} ran {count} times",
+                )
+
+
+def _attempt_twice(replayed: Replayed) -> Iterator[Violation]:
+    counts = Counter(run.attempt_id for run in replayed.runs)
+    for attempt_id, count in counts.items():
+        if attempt_id and count > 1:
+            yield Violation(
+                rule="an attempt starts once",
+                request_id="",
+                detail=f"attempt {attempt_id} ran {count} times",
+            )
--- /dev/null
+++ b/src/trefoilpaddle/replay/capacity.py
@@ -0,0 +1,189 @@
+"""What the capacity of a deployment allows of a trace."""
+
+import math
+from collections.abc import Callable, Sequence
+from dataclasses import dataclass
+from typing import Final
+
+from .trace import (
+    CutDomain,
+    Fault,
+    FreezeTarget,
+    KillTarget,
+    Request,
+    SlowService,
+    StaleLoad,
+    Trace,
+)
+
+BUCKET_S: Final = 0.25
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class TargetPlace:
+    """Where a target stands and how much it does at once.
+
+    Parameters
+    ----------
+    name, service, failure_domain : str
+        Which target.
+    speed : float
+        Target-seconds of work that it does in a second.
+    """
+
+    name: str
+    service: str
+    failure_domain: str
+    speed: float
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class StageWork:
+    """What one stage of a request asks of a target.
+
+    Parameters
+    ----------
+    service : str
+        Whose targets can do it.
+    work_s : float
+        Target-seconds.
+    alone_s : float
+        Time that it takes at a target with nothing else to do.
+    """
+
+    service: str
+    work_s: float
+    alone_s: float
+
+
+WorkOf = Callable[[Request], list[StageWork]]
+
+
+def capacity_bound(
+    trace: Trace, *, places: Sequence[TargetPlace], work_of: WorkOf
+) -> list[bool]:
+    """Return for each request whether capacity allows it to be met in time.
+
+    Requests are taken in order of ease: the largest share that any of its
+    stages takes of its service's capacity. Each is allowed if the work of all
+    its stages still fits into what is left between its arrival and its
+    deadline, in buckets of ``BUCKET_S``; work may be split freely over targets
+    and buckets, and queueing and messages cost nothing, so no real scheduler
+    does all of it. Greedy by ease is no proof of a maximum: it is a yardstick.
+    """
+    n_buckets = _n_buckets(trace)
+    left = _supply(trace.head.faults, places, n_buckets)
+    speeds = _speeds(places)
+    work = [work_of(request) for request in trace.requests]
+    allowed = [False] * len(work)
+    for index in sorted(range(len(work)), key=lambda i: _size(work[i], speeds)):
+        request = trace.requests[index]
+        if _alone_s(request, work[index], trace.head.faults) > request.deadline_s:
+            continue
+        allowed[index] = _take(request, work[index], left)
+    return allowed
+
+
+def _speeds(places: Sequence[TargetPlace]) -> dict[str, float]:
+    speeds: dict[str, float] = {}
+    for place in places:
+        speeds[place.service] = speeds.get(place.service, 0.0) + place.speed
+    return speeds
+
+
+def offered_share(
+    requests: Sequence[Request],
+    *,
+    duration_s: float,
+    places: Sequence[TargetPlace],
+    work_of: WorkOf,
+) -> float:
+    """Return offered work over capacity, at the service where that is largest."""
+    speeds = _speeds(places)
+    offered = dict.fromkeys(speeds, 0.0)
+    for request in requests:
+        for stage in work_of(request):
+            offered[stage.service] += stage.work_s
+    return max(offered[name] / (speeds[name] * duration_s) for name in speeds)
+
+
+def _n_buckets(trace: Trace) -> int:
+    longest = max((request.deadline_s for request in trace.requests), default=0.0)
+    return math.ceil((trace.head.duration_s + longest) / BUCKET_S) + 1
+
+
+def _size(stages: list[StageWork], speeds: dict[str, float]) -> float:
+    return max(stage.work_s / speeds[stage.service] for stage in stages)
+
+
+def _alone_s(
+    request: Request, stages: list[StageWork], faults: Sequence[Fault]
+) -> float:
+    return sum(
+        stage.alone_s * _slowness(stage.service, request.at_s, faults)
+        for stage in stages
+    )
+
+
+def _slowness(service: str, at_s: float, faults: Sequence[Fault]) -> float:
+    factor = 1.0
+    for fault in faults:
+        if isinstance(fault, SlowService) and fault.service == service:
+            is_on = fault.at_s <= at_s < fault.at_s + fault.duration_s
+            factor *= fault.factor if is_on else 1.0
+    return factor
+
+
+def _supply(
+    faults: Sequence[Fault], places: Sequence[TargetPlace], n_buckets: int
+) -> dict[str, list[float]]:
+    supply = {place.service: [0.0] * n_buckets for place in places}
+    for place in places:
+        for bucket in range(n_buckets):
+            at_s = bucket * BUCKET_S
+            share = math.prod(_share(fault, place, at_s) for fault in faults)
+            supply[place.service][bucket] += place.speed * share * BUCKET_S
+    return supply
+
+
+def _share(fault: Fault, place: TargetPlace, at_s: float) -> float:
+    """Return the share of its speed that a fault leaves to a target."""
+    match fault:
+        case SlowService():
+            is_hit = fault.service == place.service
+            left = 1.0 / fault.factor
+        case KillTarget():
+            return 0.0 if fault.target == place.name and at_s >= fault.at_s else 1.0
+        case FreezeTarget():
+            is_hit = fault.target == place.name
+            left = 0.0
+        case CutDomain():
+            is_hit = fault.failure_domain == place.failure_domain
+            left = 0.0
+        case StaleLoad():
+            return 1.0
+    is_on = fault.at_s <= at_s < fault.at_s + fault.duration_s
+    return left if is_hit and is_on else 1.0
+
+
+def _take(
+    request: Request, stages: list[StageWork], left: dict[str, list[float]]
+) -> bool:
+    first = int(request.at_s / BUCKET_S)
+    last = int((request.at_s + request.deadline_s) / BUCKET_S)
+    taken: list[tuple[str, int, float]] = []
+    for stage in stages:
+        rest = stage.work_s
+        supply = left[stage.service]
+        for bucket in range(first, min(last, len(supply))):
+            part = min(rest, supply[bucket])
+            supply[bucket] -= part
+            taken.append((stage.service, bucket, part))
+            rest -= part
+            if rest <= 0.0:
+                break
+        if rest > 1e-9:
+            for service, bucket, part in taken:
+                left[service][bucket] += part
+            return False
+    return True
--- /dev/null
+++ b/src/trefoilpaddle/replay/figures.py
@@ -0,0 +1,292 @@
+"""The figures of one play of a trace."""
+
+from collections import Counter, defaultdict
+from collections.abc import Callable, Iterable, Mapping, Sequence
+from dataclasses import dataclass
+from typing import Final
+
+from hdrh.histogram import HdrHistogram
+
+from .results import Answer, Replayed, TargetRun, Verdict
+from .trace import Request, Trace
+
+_MICROSECONDS: Final = 1_000_000
+_LONGEST_S: Final = 600
+_DIGITS: Final = 3
+
+NameOf = Callable[[Request], str]
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Spread:
+    """Quantiles of a time, in seconds; NaN without any."""
+
+    n: int
+    p50_s: float
+    p95_s: float
+    p99_s: float
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class GroupFigures:
+    """What the requests of an owner, a class of work or a pipeline got.
+
+    Parameters
+    ----------
+    name : str
+        The group.
+    n_sent, n_in_time : int
+        Requests sent, and answered in full within their deadline.
+    attainment : float
+        The share of the latter.
+    cost_s : float
+        Target-seconds used for the group.
+    latency : Spread
+        Of the answers in time.
+    """
+
+    name: str
+    n_sent: int
+    n_in_time: int
+    attainment: float
+    cost_s: float
+    latency: Spread
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class StageFigures:
+    """What the targets of one service spent.
+
+    Parameters
+    ----------
+    service : str
+        The service.
+    n_runs : int
+        Calls that its targets ran.
+    cost_s : float
+        Target-seconds.
+    late_s, cancelled_s, failed_s, repeated_s : float
+        Of these, spent on requests not answered in time, on calls that were
+        cancelled, on calls that failed, and on second runs of a stage.
+    cost_per_met_s : float
+        Target-seconds for each request answered in time.
+    """
+
+    service: str
+    n_runs: int
+    cost_s: float
+    late_s: float
+    cancelled_s: float
+    failed_s: float
+    repeated_s: float
+    cost_per_met_s: float
+
+    @property
+    def wasted_s(self) -> float:
+        """Target-seconds that served no request answered in time."""
+        return self.late_s + self.cancelled_s + self.failed_s + self.repeated_s
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Figures:
+    """All figures of one play; the shares are of 1.
+
+    Parameters
+    ----------
+    label : str
+        The policy that was played.
+    n_sent : int
+        Requests sent.
+    verdicts : dict of str to int
+        How many got what.
+    attainment : float
+        Share answered in full within their deadline.
+    wasted_share : float
+        Cost that served no request answered in time, over all cost.
+    extra_calls_share : float
+        Runs beyond the first of a stage of a request, over first runs.
+    cost_per_met_s : float
+        Target-seconds of all stages for each request answered in time.
+    refusals : dict of str to int
+        Requests refused or failed, by reason and stage.
+    owners, classes : tuple of GroupFigures
+        By client account and by class of work.
+    stages : tuple of StageFigures
+        By service.
+    latency, first_token, between_tokens : Spread
+        Of the answers in time.
+    given_up_latency : Spread
+        How soon callers heard that they were given up.
+    late_start_p99_s : float
+        How late the player itself was; a large figure spoils the others.
+    """
+
+    label: str
+    n_sent: int
+    verdicts: dict[str, int]
+    attainment: float
+    wasted_share: float
+    extra_calls_share: float
+    cost_per_met_s: float
+    refusals: dict[str, int]
+    owners: tuple[GroupFigures, ...]
+    classes: tuple[GroupFigures, ...]
+    stages: tuple[StageFigures, ...]
+    latency: Spread
+    first_token: Spread
+    between_tokens: Spread
+    given_up_latency: Spread
+    n_lost_records: int
+    late_start_p99_s: float
+
+
+def spread_of(values_s: Iterable[float]) -> Spread:
+    """Return the quantiles of `values_s`; NaN values are left out."""
+    histogram = HdrHistogram(1, _LONGEST_S * _MICROSECONDS, _DIGITS)
+    for value_s in values_s:
+        if value_s == value_s:
+            histogram.record_value(max(1, int(value_s * _MICROSECONDS)))
+    n = histogram.get_total_count()
+    if not n:
+        nan = float("nan")
+        return Spread(n=0, p50_s=nan, p95_s=nan, p99_s=nan)
+    p50, p95, p99 = (
+        histogram.get_value_at_percentile(percent) / _MICROSECONDS
+        for percent in (50, 95, 99)
+    )
+    return Spread(n=n, p50_s=p50, p95_s=p95, p99_s=p99)
+
+
+def is_met(answer: Answer) -> bool:
+    """Return True if the request was answered in full within its deadline."""
+    return answer.verdict is Verdict.IN_TIME
+
+
+def attainment_of(answers: Sequence[Answer]) -> float:
+    """Return the share of `answers` that were met; NaN without any."""
+    if not answers:
+        return float("nan")
+    return sum(map(is_met, answers)) / len(answers)
+
+
+def figures_of(trace: Trace, replayed: Replayed) -> Figures:
+    """Return all figures of one play of `trace`."""
+    answers = replayed.answers
+    met = [answer for answer in answers if is_met(answer)]
+    given_up = {Verdict.NOT_RUN, Verdict.FAILED}
+    stages = _stages(replayed)
+    cost_s = sum(stage.cost_s for stage in stages)
+    cost_of = _cost_by_request(replayed.runs)
+    late_starts = spread_of(replayed.late_starts_s)
+    return Figures(
+        label=replayed.label,
+        n_sent=len(answers),
+        verdicts=dict(Counter(answer.verdict.value for answer in answers)),
+        attainment=attainment_of(answers),
+        wasted_share=_ratio(sum(stage.wasted_s for stage in stages), cost_s),
+        extra_calls_share=_extra_calls_share(replayed.runs),
+        cost_per_met_s=_ratio(cost_s, len(met)),
+        refusals=_refusals(answers),
+        owners=_groups(trace, answers, cost_of, lambda request: request.account),
+        classes=_groups(trace, answers, cost_of, lambda request: request.class_of_work),
+        stages=stages,
+        latency=spread_of(answer.latency_s for answer in met),
+        first_token=spread_of(answer.first_token_s for answer in met),
+        between_tokens=spread_of(gap for answer in met for gap in answer.gaps_s),
+        given_up_latency=spread_of(
+            answer.latency_s for answer in answers if answer.verdict in given_up
+        ),
+        n_lost_records=replayed.n_lost_records,
+        late_start_p99_s=late_starts.p99_s,
+    )
+
+
+def _ratio(part: float, whole: float) -> float:
+    return part / whole if whole else float("nan")
+
+
+def _refusals(answers: Sequence[Answer]) -> dict[str, int]:
+    counts = Counter(
+        " ".join(filter(None, (answer.verdict.value, answer.reason, answer.stage)))
+        for answer in answers
+        if answer.verdict not in {Verdict.IN_TIME, Verdict.LATE}
+    )
+    return dict(counts.most_common())
+
+
+def _cost_by_request(runs: Sequence[TargetRun]) -> Mapping[str, float]:
+    cost_of: dict[str, float] = defaultdict(float)
+    for run in runs:
+        cost_of[run.request_id] += run.cost_s
+    return cost_of
+
+
+def _groups(
+    trace: Trace,
+    answers: Sequence[Answer],
+    cost_of: Mapping[str, float],
+    name_of: NameOf,
+) -> tuple[GroupFigures, ...]:
+    grouped: dict[str, list[Answer]] = defaultdict(list)
+    for answer in answers:
+        grouped[name_of(trace.requests[answer.index])].append(answer)
+    return tuple(_group(name, grouped[name], cost_of) for name in sorted(grouped))
+
+
+def _group(
+    name: str, answers: Sequence[Answer], cost_of: Mapping[str, float]
+) -> GroupFigures:
+    met = [answer for answer in answers if is_met(answer)]
+    return GroupFigures(
+        name=name,
+        n_sent=len(answers),
+        n_in_time=len(met),
+        attainment=attainment_of(answers),
+        cost_s=sum(cost_of.get(answer.request_id, 0.0) for answer in answers),
+        latency=spread_of(answer.latency_s for answer in met),
+    )
+
+
+def _extra_calls_share(runs: Sequence[TargetRun]) -> float:
+    n_first = len({(run.request_id, run.service, run.path) for run in runs})
+    return _ratio(len(runs) - n_first, n_first)
+
+
+def _stages(replayed: Replayed) -> tuple[StageFigures, ...]:
+    met = {answer.request_id for answer in replayed.answers if is_met(answer)}
+    by_service: dict[str, list[TargetRun]] = defaultdict(list)
+    for run in replayed.runs:
+        by_service[run.service].append(run)
+    return tuple(
+        _stage(service, by_service[service], met) for service in sorted(by_service)
+    )
+
+
+def _stage(service: str, runs: Sequence[TargetRun], met: set[str]) -> StageFigures:
+    cost_s: dict[str, float] = defaultdict(float)
+    seen: set[tuple[str, str]] = set()
+    for run in runs:
+        cost_s[_use_of(run, met, seen)] += run.cost_s
+    total_s = sum(cost_s.values())
+    return StageFigures(
+        service=service,
+        n_runs=len(runs),
+        cost_s=total_s,
+        late_s=cost_s["late"],
+        cancelled_s=cost_s["cancelled"],
+        failed_s=cost_s["failed"],
+        repeated_s=cost_s["repeated"],
+        cost_per_met_s=_ratio(total_s, len(met)),
+    )
+
+
+def _use_of(run: TargetRun, met: set[str], seen: set[tuple[str, str]]) -> str:
+    if run.outcome in {"cancelled", "running"}:
+        return "cancelled"
+    if run.outcome != "done":
+        return "failed"
+    key = (run.request_id, run.path)
+    if key in seen:
+        return "repeated"
+    seen.add(key)
+    return "useful" if run.request_id in met else "late"
--- /dev/null
+++ b/src/trefoilpaddle/replay/inputs.py
@@ -0,0 +1,59 @@
+"""Inputs of requests, made from the trace's seed so that traces stay small."""
+
+import random
+from typing import Final
+
+import orjson
+
+from .trace import Head, InputKind, Request
+
+_WORDS: Final = {
+    InputKind.TENDER_FILE: (
+        "licitatie contractor beneficiar garantie suma termen lucrari autoritate "
+        "oferta participare valabilitate executare plata cerere conforme anexa"
+    ),
+    InputKind.CLAUSE_PAIR: (
+        "counter-guarantee clause demand issuer instructing party expiry amount "
+        "reduction governing law presentation undertaking irrevocable against"
+    ),
+    InputKind.BENEFICIARY_QUERY: (
+        "stare garantie expira prelungire plata cand beneficiar suma ramasa numar"
+    ),
+    InputKind.SQUAD_SHEET: (
+        "home away strip junior senior keeper sleeve crest number name medium "
+        "small large navy maroon training shorts socks"
+    ),
+    InputKind.BADGE_NOTE: (
+        "crest thread outline motto thistle lion gold navy stitch width left chest"
+    ),
+    InputKind.SHORT_QUERY: "delivery date sizes left crest proof order club total",
+    InputKind.STOCK_HOLD: "hold strip navy medium junior shorts",
+}
+
+
+def prefix_text(request: Request) -> str:
+    """Return the text that the request shares with others of its prefix."""
+    if not request.prefix:
+        return ""
+    source = random.Random(f"prefix:{request.prefix}")
+    return _text(source, request.kind, request.n_prefix_words)
+
+
+def input_text(head: Head, index: int, request: Request) -> str:
+    """Return the text of request number `index`; no two requests' are equal."""
+    source = random.Random(f"input:{head.seed}:{index}")
+    own = _text(source, request.kind, request.n_words)
+    marker = f"{head.name}-{head.seed}-{index}"
+    return " ".join(part for part in (prefix_text(request), marker, own) if part)
+
+
+def body_of(head: Head, index: int, request: Request) -> tuple[bytes, str]:
+    """Return the body of request number `index` and its content type."""
+    text = input_text(head, index, request)
+    if request.kind is InputKind.STOCK_HOLD:
+        return orjson.dumps({"hold": text}), "application/json"
+    return text.encode(), "text/plain"
+
+
+def _text(source: random.Random, kind: InputKind, n_words: int) -> str:
+    return " ".join(source.choices(_WORDS[kind].split(), k=n_words))
