--- /dev/null
+++ b/src/trefoilpaddle/replay/generate.py
@@ -0,0 +1,138 @@
+"""Makes traces from a seed: Poisson arrivals, heavy-tailed sizes, shared prefixes."""
+
+import math
+import random
+from collections.abc import Iterator, Sequence
+from dataclasses import dataclass
+from typing import Final
+
+from .capacity import TargetPlace, WorkOf, offered_share
+from .scenarios import Scenario, scenario_of
+from .trace import Head, Request, Trace
+from .workloads import Mix, Workload
+
+N_SAMPLES: Final = 4000
+"""Requests drawn to learn the mean work of one."""
+
+_AT_DECIMALS: Final = 4
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Site:
+    """What a trace is made for.
+
+    Parameters
+    ----------
+    workload : Workload
+        Who asks for what.
+    places : tuple of TargetPlace
+        The deployment's targets and their speed.
+    work_of : callable
+        Target-seconds of each stage of a request.
+    time_scale : float
+        Factor on real deadlines and faults; service times carry it already.
+    """
+
+    workload: Workload
+    places: tuple[TargetPlace, ...]
+    work_of: WorkOf
+    time_scale: float
+
+
+def generate(site: Site, *, scenario: str, seed: int) -> Trace:
+    """Return the trace of one scenario; the same seed makes the same trace.
+
+    The rate of requests is the scenario's share of what capacity serves: the
+    speed of the scarcest service, divided by the mean work that a request of
+    the workload asks of it, without any prefix hit.
+    """
+    plan = scenario_of(scenario, site.workload, site.time_scale)
+    base_rate = plan.offered_share / _work_of_one_a_second(site)
+    source = random.Random(f"{site.workload.deployment}:{scenario}:{seed}")
+    arrivals = sorted(_arrivals(site.workload, plan, base_rate, source))
+    requests = tuple(
+        _request(at_s, account, site, source) for at_s, account in arrivals
+    )
+    head = Head(
+        name=scenario,
+        origin=(
+            f"generated: Poisson arrivals at {base_rate:.1f} requests a second, "
+            f"which is {plan.offered_share:g} of the speed of the scarcest service "
+            "over the mean work of a request without prefix hits"
+        ),
+        seed=seed,
+        deployment=site.workload.deployment,
+        time_scale=site.time_scale,
+        duration_s=plan.duration_s,
+        offered_share=round(_offered(requests, plan, site), 3),
+        faults=plan.faults,
+        disturbed=plan.disturbed,
+        bursting_account=plan.bursting_account,
+        stated=plan.stated,
+    )
+    return Trace(head=head, requests=requests)
+
+
+def _offered(requests: Sequence[Request], plan: Scenario, site: Site) -> float:
+    return offered_share(
+        requests,
+        duration_s=plan.duration_s,
+        places=site.places,
+        work_of=site.work_of,
+    )
+
+
+def _work_of_one_a_second(site: Site) -> float:
+    """Return the share of capacity that one request a second takes."""
+    source = random.Random("mean work")
+    account = site.workload.accounts[0].account
+    sample = [_request(0.0, account, site, source) for _ in range(N_SAMPLES)]
+    return offered_share(
+        sample, duration_s=N_SAMPLES, places=site.places, work_of=site.work_of
+    )
+
+
+def _arrivals(
+    workload: Workload, plan: Scenario, base_rate: float, source: random.Random
+) -> Iterator[tuple[float, str]]:
+    for share in workload.accounts:
+        at_s = 0.0
+        while True:
+            rate = base_rate * share.share
+            if _is_bursting(plan, share.account, at_s):
+                rate *= plan.burst_factor
+            at_s += source.expovariate(rate)
+            if at_s >= plan.duration_s:
+                break
+            yield round(at_s, _AT_DECIMALS), share.account
+
+
+def _is_bursting(plan: Scenario, account: str, at_s: float) -> bool:
+    if account != plan.bursting_account or plan.disturbed is None:
+        return False
+    return plan.disturbed.has(at_s)
+
+
+def _request(at_s: float, account: str, site: Site, source: random.Random) -> Request:
+    mixes = site.workload.mixes
+    (mix,) = source.choices(mixes, weights=[mix.share for mix in mixes])
+    has_prefix = mix.n_prefix_words > 0
+    return Request(
+        at_s=at_s,
+        account=account,
+        class_of_work=mix.class_of_work,
+        pipeline=mix.pipeline,
+        deadline_s=round(mix.deadline_s * site.time_scale, 3),
+        priority=mix.priority,
+        kind=mix.kind,
+        n_words=_n_words(mix, source),
+        prefix=f"{account}:{mix.pipeline}" if has_prefix else "",
+        n_prefix_words=mix.n_prefix_words,
+        is_streamed=mix.is_streamed,
+        is_keyed=mix.is_keyed,
+    )
+
+
+def _n_words(mix: Mix, source: random.Random) -> int:
+    drawn = source.lognormvariate(math.log(mix.median_words), mix.sigma)
+    return max(1, min(mix.max_words, round(drawn)))
--- /dev/null
+++ b/src/trefoilpaddle/replay/rounds.py
@@ -0,0 +1,102 @@
+"""Plays one trace under the baseline and the product, one after the other."""
+
+from collections.abc import Callable
+from contextlib import AbstractAsyncContextManager
+from dataclasses import dataclass
+from typing import Final
+
+from ..state.settings import Choice, Order, PolicySettings
+from .audit import violations
+from .capacity import capacity_bound
+from .client import Judge
+from .figures import figures_of
+from .generate import Site
+from .outcomes import Played, Round
+from .plant import Plant
+from .player import OnAnswer, play
+from .trace import Measure, Trace
+
+BASELINE: Final = PolicySettings(
+    choice=Choice.ROUND_ROBIN,
+    order=Order.FIFO,
+    refuse_early=False,
+    split_deadline=False,
+    retry_budget=False,
+    hedge=False,
+    eject_slow=False,
+    prefix_affinity=False,
+    adapt_concurrency=False,
+    drop_expired=False,
+)
+"""Round robin, first come first served, no refusal, no budget."""
+
+OpenPlant = Callable[[PolicySettings], AbstractAsyncContextManager[Plant]]
+"""Starts fresh processes under a policy and ends them with the context."""
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Setup:
+    """What a round needs besides its trace.
+
+    Parameters
+    ----------
+    site : Site
+        The deployment's targets and what a request costs there.
+    open_plant : callable
+        Starts the processes to play against.
+    judge : callable
+        Tells a right answer from a wrong one.
+    once_paths : frozenset of str
+        Paths of stages that must run at most once.
+    on_answer : callable
+        Shows progress.
+    """
+
+    site: Site
+    open_plant: OpenPlant
+    judge: Judge
+    once_paths: frozenset[str]
+    on_answer: OnAnswer
+
+
+async def play_round(trace: Trace, *, product: PolicySettings, setup: Setup) -> Round:
+    """Play `trace` under the baseline, then the product; each on fresh processes.
+
+    Where the trace states an outcome against a fresh run, the product plays it
+    once more without its faults.
+    """
+    before = await _played(trace, "baseline", BASELINE, setup)
+    after = await _played(trace, "product", product, setup)
+    fresh = None
+    if any(stated.measure is Measure.OF_FRESH for stated in trace.head.stated):
+        fresh = await _played(trace.without_faults(), "fresh", product, setup)
+    return Round(
+        trace=trace,
+        baseline=before,
+        product=after,
+        fresh=fresh,
+        allowed=capacity_bound(
+            trace, places=setup.site.places, work_of=setup.site.work_of
+        ),
+    )
+
+
+async def _played(
+    trace: Trace, label: str, policy: PolicySettings, setup: Setup
+) -> Played:
+    async with setup.open_plant(policy) as plant:
+        replayed = await play(
+            trace,
+            plant=plant,
+            judge=setup.judge,
+            label=label,
+            on_answer=setup.on_answer,
+        )
+    found = violations(
+        replayed, n_requests=len(trace.requests), once_paths=setup.once_paths
+    )
+    return Played(
+        replayed=replayed,
+        figures=figures_of(trace, replayed),
+        violations=tuple(found),
+    )
--- /dev/null
+++ b/src/trefoilpaddle/replay/scenarios.py
@@ -0,0 +1,161 @@
+"""What goes wrong in each trace, and the outcomes stated for it."""
+
+from dataclasses import dataclass
+from typing import Final
+
+from .trace import (
+    CutDomain,
+    Fault,
+    FreezeTarget,
+    KillTarget,
+    Measure,
+    SlowService,
+    StaleLoad,
+    Stated,
+    Window,
+)
+from .workloads import Workload
+
+DURATION_S: Final = 18.0
+BEGIN_S: Final = 5.0
+"""When trouble begins; before it, a trace is calm."""
+
+CALM_SHARE: Final = 0.6
+BUSY_SHARE: Final = 0.8
+OVERLOAD_SHARE: Final = 1.5
+BURST_FACTOR: Final = 7.0
+SLOW_FACTOR: Final = 5.0
+
+PAUSE_S: Final = 10.0
+LAG_S: Final = 5.0
+TROUBLE_S: Final = 5.0
+"""How long the troubles last that have no real length of their own."""
+
+SCENARIOS: Final = (
+    "calm",
+    "burst",
+    "slow-stage",
+    "dead-paused",
+    "cut-domain",
+    "stale-load",
+    "overload",
+)
+
+_BUDGET = Stated(measure=Measure.EXTRA_CALLS_SHARE, at_most=0.1)
+_NO_WORSE = Stated(measure=Measure.ATTAINMENT_RATIO, at_least=1.0)
+_OF_REMAINING = Stated(measure=Measure.ATTAINMENT_OF_BOUND, at_least=0.95)
+_REPAIRED = Stated(measure=Measure.REPAIRED_OF_CALM, at_least=0.98)
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Scenario:
+    """What a trace of a name is made of; see `trefoilpaddle.replay.trace.Head`."""
+
+    offered_share: float
+    duration_s: float = DURATION_S
+    faults: tuple[Fault, ...] = ()
+    disturbed: Window | None = None
+    bursting_account: str = ""
+    burst_factor: float = 1.0
+    stated: tuple[Stated, ...]
+
+
+def scenario_of(name: str, workload: Workload, time_scale: float) -> Scenario:
+    """Return the scenario called `name` for a workload.
+
+    Raises
+    ------
+    ValueError
+        If no scenario has that name.
+    """
+    trouble = Window(begin_s=BEGIN_S, end_s=BEGIN_S + TROUBLE_S)
+    match name:
+        case "calm":
+            return Scenario(offered_share=CALM_SHARE, stated=_calm_stated())
+        case "burst":
+            return Scenario(
+                offered_share=CALM_SHARE,
+                disturbed=trouble,
+                bursting_account=workload.accounts[0].account,
+                burst_factor=BURST_FACTOR,
+                stated=(
+                    Stated(measure=Measure.WITHIN_SHARE_OF_CALM, at_least=0.98),
+                    _NO_WORSE,
+                    _BUDGET,
+                ),
+            )
+        case "slow-stage":
+            return _slow_stage(workload, trouble)
+        case "dead-paused":
+            return _dead_paused(workload, time_scale)
+        case "cut-domain":
+            return _cut_domain(workload, trouble)
+        case "stale-load":
+            return _stale_load(time_scale)
+        case "overload":
+            return Scenario(offered_share=OVERLOAD_SHARE, stated=_overload_stated())
+        case _:
+            raise ValueError(f"no scenario {name!r}; known: {', '.join(SCENARIOS)}")
+
+
+def _calm_stated() -> tuple[Stated, ...]:
+    return (
+        _NO_WORSE,
+        Stated(measure=Measure.COST_RATIO, at_most=0.9),
+        _BUDGET,
+    )
+
+
+def _overload_stated() -> tuple[Stated, ...]:
+    return (
+        Stated(measure=Measure.ATTAINMENT_RATIO, at_least=2.0),
+        Stated(measure=Measure.ATTAINMENT_OF_BOUND, at_least=0.9),
+        Stated(measure=Measure.WASTED_SHARE, at_most=0.05),
+        _BUDGET,
+    )
+
+
+def _slow_stage(workload: Workload, trouble: Window) -> Scenario:
+    slow = SlowService(
+        at_s=trouble.begin_s,
+        duration_s=TROUBLE_S,
+        service=workload.slowed_service,
+        factor=SLOW_FACTOR,
+    )
+    return _faulty((slow,), trouble)
+
+
+def _dead_paused(workload: Workload, time_scale: float) -> Scenario:
+    pause_s = PAUSE_S * time_scale
+    dead = KillTarget(at_s=BEGIN_S, target=workload.failing_target)
+    paused = FreezeTarget(
+        at_s=BEGIN_S, duration_s=pause_s, target=workload.paused_target
+    )
+    return _faulty((dead, paused), Window(begin_s=BEGIN_S, end_s=BEGIN_S + pause_s))
+
+
+def _cut_domain(workload: Workload, trouble: Window) -> Scenario:
+    cut = CutDomain(
+        at_s=trouble.begin_s, duration_s=TROUBLE_S, failure_domain=workload.cut_domain
+    )
+    return _faulty((cut,), trouble)
+
+
+def _faulty(faults: tuple[Fault, ...], window: Window) -> Scenario:
+    return Scenario(
+        offered_share=CALM_SHARE,
+        faults=faults,
+        disturbed=window,
+        stated=(_OF_REMAINING, _REPAIRED, _BUDGET),
+    )
+
+
+def _stale_load(time_scale: float) -> Scenario:
+    stale = StaleLoad(
+        at_s=0.0, duration_s=DURATION_S, lag_s=round(LAG_S * time_scale, 3)
+    )
+    return Scenario(
+        offered_share=BUSY_SHARE,
+        faults=(stale,),
+        stated=(Stated(measure=Measure.OF_FRESH, at_least=0.95), _BUDGET),
+    )
