--- a/src/trefoilpaddle/cli/main.py
+++ b/src/trefoilpaddle/cli/main.py
@@ -1,29 +1,28 @@
 """The command line: one class, a method for each command."""
 
 import sys
-from pathlib import Path
 
 import fire
-import uvloop
-from result import Err, Ok
 
-from ..roles import gateway as gateway_role
-from ..state.settings import lines_of, load_gateway
+from trefoilpaddle import __version__
 
-EXIT_BAD_SETTINGS = 2
+from . import serve
 
 
 class Commands:
     """trefoilpaddle serves multi-stage model pipelines, driven by a catalogue."""
 
-    def gateway(self, settings: str) -> None:
-        """Serve callers, with the settings in the TOML file at `settings`."""
-        match load_gateway(Path(settings)):
-            case Err(problems):
-                print(*lines_of(problems), sep="\n", file=sys.stderr)
-                sys.exit(EXIT_BAD_SETTINGS)
-            case Ok(checked):
-                sys.exit(uvloop.run(gateway_role.run(checked)))
+    def gateway(self, *, settings: str) -> None:
+        """Run the gateway whose settings are in the TOML file SETTINGS."""
+        sys.exit(serve.gateway(str(settings)))
+
+    def sidecar(self, *, settings: str) -> None:
+        """Run the sidecar whose settings are in the TOML file SETTINGS."""
+        sys.exit(serve.sidecar(str(settings)))
+
+    def version(self) -> None:
+        """Print the version."""
+        print(__version__)
 
 
 def main() -> None:
