Name the gateway's open attempts and request guards apart from the sidecar's

Cause: gateway and sidecar both had coordination/attempts.py and admission.py, and the merge of both left conflict markers in these and in roles/process.py. Change: the gateway's are open_attempts.py and request_guards.py; the sidecar's stay as they were; process.py keeps both sets of listeners. The gateway is fed by config_feed and reports n_cut_off through the process.

--- a/src/trefoilpaddle/coordination/lifecycle.py
+++ b/src/trefoilpaddle/coordination/lifecycle.py
@@ -10,8 +10,8 @@
 from ..protocol.reasons import Reason
 from ..state.journal import Decision, Event, Figure, Journal
 from ..state.requests import Requests, RequestState
-from .admission import AlreadyAnswered, Claimer, Limiter, Permit
 from .request import Answer, Refusal, Request
+from .request_guards import AlreadyAnswered, Claimer, Limiter, Permit
 from .retries import Spent
 from .stage_work import Sink
 from .walk import Walker
--- /dev/null
+++ b/src/trefoilpaddle/coordination/open_attempts.py
@@ -0,0 +1,176 @@
+"""Attempts in flight at this gateway, and the frames that belong to each."""
+
+import asyncio
+import contextlib
+from collections.abc import Iterator
+from enum import Enum, auto, unique
+from typing import Final
+
+from ..protocol.const import CHUNK_BYTES
+from ..protocol.frames import Message
+from ..protocol.gen.stage.ttypes import (
+    Chunk,
+    End,
+    Failure,
+    Heartbeat,
+    Queued,
+    Ready,
+    Started,
+)
+from ..protocol.ids import new_attempt_id
+from ..state.journal import Decision, Event, Figure, Journal
+from ..transport.link import Link
+from .target_view import TargetView, TargetViews
+
+MAX_UNREAD_MESSAGES: Final = 4096
+
+
+@unique
+class Notice(Enum):
+    """What can happen to an attempt besides a frame of its own."""
+
+    LINK_LOST = auto()
+    LINK_OPEN = auto()
+    LINK_SILENT = auto()
+    OVERRUN = auto()
+
+
+Mail = Queued | Ready | Started | Chunk | End | Failure | Notice
+
+
+class OpenAttempt:
+    """One attempt: its id, its target and the mail that has come for it.
+
+    Parameters
+    ----------
+    attempt_id : bytes
+        Random, never used again.
+    view : TargetView
+        The target that it was sent to.
+    """
+
+    __slots__ = ("_mail", "attempt_id", "incarnation", "n_granted_bytes", "view")
+
+    def __init__(self, *, attempt_id: bytes, view: TargetView) -> None:
+        self.attempt_id = attempt_id
+        self.view = view
+        self.incarnation = view.incarnation
+        self.n_granted_bytes = 0
+        self._mail: asyncio.Queue[Mail] = asyncio.Queue()
+
+    def post(self, mail: Mail) -> None:
+        """Put `mail` in; must not block.
+
+        A sidecar that sends more than it was granted would fill this process's
+        memory; past the grant and one chunk its frames are no longer kept.
+        """
+        if isinstance(mail, Chunk):
+            self.n_granted_bytes -= len(mail.data)
+            if self.n_granted_bytes < -CHUNK_BYTES:
+                mail = Notice.OVERRUN
+        if self._mail.qsize() < MAX_UNREAD_MESSAGES:
+            self._mail.put_nowait(mail)
+        elif self._mail.qsize() == MAX_UNREAD_MESSAGES:
+            self._mail.put_nowait(Notice.OVERRUN)
+
+    async def next_mail(self) -> Mail:
+        """Return the next mail, waiting for it."""
+        return await self._mail.get()
+
+
+class OpenAttempts:
+    """Hands each frame to the attempt whose id it carries, and to no other.
+
+    Parameters
+    ----------
+    views : TargetViews
+        Take in load reports.
+    journal : Journal
+        Told of dropped frames.
+    """
+
+    __slots__ = ("_by_id", "_journal", "_views", "n_dropped")
+
+    def __init__(self, *, views: TargetViews, journal: Journal) -> None:
+        self._views = views
+        self._journal = journal
+        self._by_id: dict[bytes, OpenAttempt] = {}
+        self.n_dropped = 0
+
+    def __len__(self) -> int:
+        return len(self._by_id)
+
+    @contextlib.contextmanager
+    def open(self, view: TargetView) -> Iterator[OpenAttempt]:
+        """Yield a fresh attempt at `view`; its frames are dropped afterwards."""
+        attempt = OpenAttempt(attempt_id=new_attempt_id(), view=view)
+        self._by_id[attempt.attempt_id] = attempt
+        try:
+            yield attempt
+        finally:
+            del self._by_id[attempt.attempt_id]
+
+    def on_message(self, link: Link, message: Message) -> None:
+        """Take a message of a sidecar that answers no question."""
+        match message:
+            case Queued() | Ready() | Started() | Chunk():
+                self._deliver(link, message)
+            case End() | Failure():
+                view = self._views.by_link(link)
+                if view is not None and message.load is not None:
+                    view.take_load(message.load)
+                self._deliver(link, message)
+            case Heartbeat():
+                view = self._views.by_link(link)
+                if view is not None and message.load is not None:
+                    view.take_load(message.load)
+
+    def on_change(self, link: Link) -> None:
+        """Tell the attempts of `link` that it was opened or lost."""
+        view = self._views.by_link(link)
+        if view is None:
+            return
+        notice = Notice.LINK_LOST
+        if link.peer is not None:
+            notice = Notice.LINK_OPEN
+            view.load = None
+            view.take_stamp(link.peer.stamp_ns)
+        self._tell(view, notice)
+
+    def tell_silence(self) -> None:
+        """Tell the attempts of each target that has just fallen silent."""
+        for view in self._views:
+            is_heard = view.link.is_heard()
+            if view.was_heard and not is_heard:
+                self._tell(view, Notice.LINK_SILENT)
+            view.was_heard = is_heard
+
+    def _tell(self, view: TargetView, notice: Notice) -> None:
+        for attempt in self._by_id.values():
+            if attempt.view is view:
+                attempt.post(notice)
+
+    def _deliver(
+        self, link: Link, message: Queued | Ready | Started | Chunk | End | Failure
+    ) -> None:
+        """Post a frame to its attempt; drop it when it belongs to none.
+
+        Late and crossed answers arrive here: the end of an attempt that was
+        given up, or a frame from a sidecar that the attempt was never sent to.
+        Delivered by anything but the id, it would reach another request.
+        """
+        attempt = self._by_id.get(message.attempt_id)
+        if attempt is not None and attempt.view.link is link:
+            attempt.post(message)
+            return
+        self.n_dropped += 1
+        if isinstance(message, End | Failure):
+            self._journal.record(
+                Decision(
+                    event=Event.FRAME_DROPPED,
+                    attempt_id=message.attempt_id.hex(),
+                    peer=str(link.address),
+                    detail=f"{type(message).__name__} of an attempt not in flight",
+                    figures=(Figure(name="n_dropped", value=self.n_dropped),),
+                )
+            )
--- a/src/trefoilpaddle/coordination/retries.py
+++ b/src/trefoilpaddle/coordination/retries.py
@@ -10,7 +10,7 @@
 from ..protocol.reasons import Reason
 from ..state.budget import RetryBudgets
 from ..state.journal import Decision, Event, Figure, Journal
-from .attempts import Attempts
+from .open_attempts import OpenAttempts
 from .routing import Chosen, Router
 from .stage_call import StageCall
 from .stage_work import Sink, StageAnswer, StageFault, StageWork
@@ -40,7 +40,7 @@
     Parameters
     ----------
     n_attempts : int
-        Attempts that left this gateway.
+        OpenAttempts that left this gateway.
     cost_s : float
         Target-seconds that targets reported.
     has_started : bool
@@ -69,7 +69,7 @@
     ----------
     router : Router
         Chooses targets.
-    attempts : Attempts
+    attempts : OpenAttempts
         Registry of attempts in flight.
     budgets : RetryBudgets
         What may be repeated.
@@ -83,7 +83,7 @@
         self,
         *,
         router: Router,
-        attempts: Attempts,
+        attempts: OpenAttempts,
         budgets: RetryBudgets,
         journal: Journal,
     ) -> None:
--- a/src/trefoilpaddle/coordination/stage_call.py
+++ b/src/trefoilpaddle/coordination/stage_call.py
@@ -30,7 +30,7 @@
 from ..protocol.reasons import Reason
 from ..state.journal import Decision, Event, Figure, Journal
 from .answer_buffer import AnswerBuffer
-from .attempts import Attempt, Attempts, Notice
+from .open_attempts import Notice, OpenAttempt, OpenAttempts
 from .stage_work import Sink, StageAnswer, StageFault, StageWork
 from .target_view import TargetView
 
@@ -52,7 +52,7 @@
         What to do.
     view : TargetView
         Where to do it.
-    attempts : Attempts
+    attempts : OpenAttempts
         Registry that hands over the frames.
     journal : Journal
         Takes the decisions.
@@ -83,7 +83,7 @@
         *,
         work: StageWork,
         view: TargetView,
-        attempts: Attempts,
+        attempts: OpenAttempts,
         journal: Journal,
         sink: Sink | None = None,
         may_go: OnReady | None = None,
@@ -99,7 +99,7 @@
         self._buffer = AnswerBuffer()
         self._has_arrived = False
         self._has_refetched = False
-        self._attempt: Attempt | None = None
+        self._attempt: OpenAttempt | None = None
 
     @property
     def attempt_id(self) -> str:
@@ -120,7 +120,7 @@
                 self._arrive()
                 self.view.ended()
 
-    async def _run(self, attempt: Attempt) -> Result[StageAnswer, StageFault]:
+    async def _run(self, attempt: OpenAttempt) -> Result[StageAnswer, StageFault]:
         if not self._send(attempt):
             # Frames of one connection arrive in order; the last was not taken,
             # so the sidecar never holds a whole start frame and its body.
@@ -146,7 +146,7 @@
         left_s = self.work.deadline_s - time.monotonic()
         return asyncio.get_running_loop().time() + left_s
 
-    def _send(self, attempt: Attempt) -> bool:
+    def _send(self, attempt: OpenAttempt) -> bool:
         link = self.view.link
         body = self.work.body
         is_inline = len(body) <= INLINE_BODY_BYTES
@@ -166,7 +166,7 @@
             for seq, start in enumerate(starts)
         )
 
-    def _start(self, attempt: Attempt, body: bytes) -> Start:
+    def _start(self, attempt: OpenAttempt, body: bytes) -> Start:
         work, view = self.work, self.view
         stage, entry = work.stage, work.governing.entry
         now_s = time.monotonic()
@@ -204,7 +204,7 @@
             attainment_weight=entry.attainment_weight,
         )
 
-    async def _follow(self, attempt: Attempt) -> Result[StageAnswer, StageFault]:
+    async def _follow(self, attempt: OpenAttempt) -> Result[StageAnswer, StageFault]:
         while True:
             mail = await attempt.next_mail()
             if not isinstance(mail, Notice):
@@ -239,7 +239,7 @@
             self._has_arrived = True
             self.view.arrived(self.work.expected_s)
 
-    def _on_ready(self, attempt: Attempt) -> Result[StageAnswer, StageFault] | None:
+    def _on_ready(self, attempt: OpenAttempt) -> Result[StageAnswer, StageFault] | None:
         if self._may_go is None or self._may_go(self):
             self.view.link.send(
                 Go(
@@ -260,7 +260,7 @@
         )
 
     async def _on_chunk(
-        self, attempt: Attempt, chunk: Chunk
+        self, attempt: OpenAttempt, chunk: Chunk
     ) -> Result[StageAnswer, StageFault] | None:
         self.is_started = True
         if self._buffer.is_repeated(chunk):
@@ -279,7 +279,7 @@
         return None
 
     def _on_end(
-        self, attempt: Attempt, end: End
+        self, attempt: OpenAttempt, end: End
     ) -> Result[StageAnswer, StageFault] | None:
         self.is_started = True
         if not self._buffer.is_whole(end):
@@ -297,7 +297,7 @@
             )
         )
 
-    def _on_torn(self, attempt: Attempt) -> Result[StageAnswer, StageFault] | None:
+    def _on_torn(self, attempt: OpenAttempt) -> Result[StageAnswer, StageFault] | None:
         """Fetch a torn answer once more if nothing of it was passed on."""
         if self._has_refetched or self._sink is not None:
             return self._drop(attempt, "count, size or checksum do not match")
@@ -306,7 +306,9 @@
         self._fetch(attempt)
         return None
 
-    def _drop(self, attempt: Attempt, detail: str) -> Result[StageAnswer, StageFault]:
+    def _drop(
+        self, attempt: OpenAttempt, detail: str
+    ) -> Result[StageAnswer, StageFault]:
         self.view.link.send(Cancel(attempt_id=attempt.attempt_id))
         return self._err(
             Failed(
@@ -317,7 +319,9 @@
             )
         )
 
-    def _on_silence(self, attempt: Attempt) -> Result[StageAnswer, StageFault] | None:
+    def _on_silence(
+        self, attempt: OpenAttempt
+    ) -> Result[StageAnswer, StageFault] | None:
         """Give up on a silent sidecar only where the work may be repeated.
 
         A paused or cut-off sidecar may have started it and may still answer;
@@ -329,7 +333,7 @@
         return self._err(self._unknown(Reason.PEER_SILENT, "wait", "fell silent"))
 
     async def _reconnect(
-        self, attempt: Attempt
+        self, attempt: OpenAttempt
     ) -> Result[StageAnswer, StageFault] | None:
         """Fetch the answer over a new connection to the same incarnation.
 
@@ -354,7 +358,7 @@
         self._fetch(attempt)
         return None
 
-    def _fetch(self, attempt: Attempt) -> None:
+    def _fetch(self, attempt: OpenAttempt) -> None:
         credit = WHOLE_CREDIT_BYTES if self._sink is None else STREAM_CREDIT_BYTES
         attempt.n_granted_bytes = credit
         self.view.link.send(
@@ -366,7 +370,7 @@
         )
         self._record(Event.RESULT_FETCHED, from_seq=self._buffer.n_chunks)
 
-    async def _on_failure(self, attempt: Attempt, failure: Failure) -> StageError:
+    async def _on_failure(self, attempt: OpenAttempt, failure: Failure) -> StageError:
         error = from_failure(failure)
         if not isinstance(error, Unknown):
             return error
@@ -375,7 +379,7 @@
             return await self._bar(attempt, error)
         return error
 
-    async def _give_up(self, attempt: Attempt) -> StageError:
+    async def _give_up(self, attempt: OpenAttempt) -> StageError:
         """Settle an attempt whose deadline has passed."""
         late = self._unknown(Reason.DEADLINE_PASSED, "wait", "did not answer in time")
         if not self.is_started:
@@ -394,7 +398,7 @@
             detail="The call was still running at the deadline and was cancelled.",
         )
 
-    async def _bar(self, attempt: Attempt, otherwise: StageError) -> StageError:
+    async def _bar(self, attempt: OpenAttempt, otherwise: StageError) -> StageError:
         """Ask that the attempt never start; return `otherwise` if that fails.
 
         Only the sidecar's word that it did not start the call and never will
--- a/src/trefoilpaddle/roles/gateway.py
+++ b/src/trefoilpaddle/roles/gateway.py
@@ -8,10 +8,11 @@
 
 from absl import logging
 
-from ..coordination.admission import Claimer, FreeClaimer, FreeLimiter, Limiter
-from ..coordination.attempts import Attempts
+from ..coordination.config_feed import config_feed
 from ..coordination.directory import Directory, PublishedDirectory
 from ..coordination.lifecycle import Lifecycle
+from ..coordination.open_attempts import OpenAttempts
+from ..coordination.request_guards import Claimer, FreeClaimer, FreeLimiter, Limiter
 from ..coordination.retries import StageRunner
 from ..coordination.routing import Router
 from ..coordination.target_view import TargetViews
@@ -70,7 +71,7 @@
         self.process = process
         self._directory = directory or PublishedDirectory(published=process.published)
         self._views = TargetViews(peers=process.peers)
-        self.attempts = Attempts(views=self._views, journal=process.journal)
+        self.attempts = OpenAttempts(views=self._views, journal=process.journal)
         process.link_listeners.append(self.attempts.on_message)
         process.change_listeners.append(self.attempts.on_change)
         process.published.subscribe(self._open_links)
@@ -183,7 +184,7 @@
         await asyncio.sleep(stop.settle_s)
         self._is_settling = False
         n_cut_off = await self.callers.finish(timeout_s=stop.drain_s)
-        self._record(Event.PROCESS_STOPPING, n_cut_off=n_cut_off)
+        self.process.n_cut_off = n_cut_off
         if n_cut_off:
             logging.error("%d requests were cut off by the stop", n_cut_off)
 
@@ -213,6 +214,7 @@
         process_id=identity.process_id,
         n_records=settings.retention.explain_records,
         format=settings.log.format,
+        keep_s=settings.retention.explain_s,
     )
     listen = Address.parse(settings.process.listen).unwrap_or_raise(ValueError)
     return Process(identity=identity, listen=listen, journal=journal)
@@ -222,6 +224,10 @@
     """Run a gateway until it is told to stop; return its exit code."""
     process = new_process(settings)
     gateway = Gateway(settings=settings, process=process)
-    async with process.running(), gateway.serving():
+    async with (
+        process.running(),
+        config_feed(process=process, platform=settings.platform, peers=settings.peers),
+        gateway.serving(),
+    ):
         await process.stopping.wait()
     return 0
--- a/src/trefoilpaddle/roles/process.py
+++ b/src/trefoilpaddle/roles/process.py
@@ -24,11 +24,8 @@
 LoadReader = Callable[[], Load]
 LinkListener = Callable[[Link, Message], None]
 ConnectionListener = Callable[[Connection, Message], None]
-<<<<<<< HEAD
 CloseListener = Callable[[Connection], None]
-=======
 ChangeListener = Callable[[Link], None]
->>>>>>> gateway
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -87,11 +84,8 @@
     """
 
     __slots__ = (
-<<<<<<< HEAD
-        "close_listeners",
-=======
         "change_listeners",
->>>>>>> gateway
+        "close_listeners",
         "identity",
         "journal",
         "link_listeners",
@@ -114,12 +108,9 @@
         self.load_reader: LoadReader = self._bare_load
         self.link_listeners: list[LinkListener] = []
         self.message_listeners: list[ConnectionListener] = []
-<<<<<<< HEAD
         self.close_listeners: list[CloseListener] = []
         self.n_cut_off = 0
-=======
         self.change_listeners: list[ChangeListener] = []
->>>>>>> gateway
         self.peers = Peers(
             own_hello=self.hello,
             own_heartbeat=self.heartbeat,
--- a/tests/gateway_bench.py
+++ b/tests/gateway_bench.py
@@ -8,7 +8,7 @@
 import aiohttp
 
 from tests.fake_sidecar import FakeSidecar
-from trefoilpaddle.coordination.admission import Claimer, Limiter
+from trefoilpaddle.coordination.request_guards import Claimer, Limiter
 from trefoilpaddle.protocol.gen.stage.ttypes import Load
 from trefoilpaddle.roles.gateway import Gateway, new_process
 from trefoilpaddle.state.catalogue import (
