Prove stage calls under failure: late, crossed, torn, lost, silent, leaving

Cause: what must hold under these failures had no test that causes them. Change: tests with scripted sidecars over real connections; a barred start may go elsewhere; failures are acknowledged too, so the sidecar need not hold them.

--- a/src/trefoilpaddle/coordination/retries.py
+++ b/src/trefoilpaddle/coordination/retries.py
@@ -19,6 +19,7 @@
 
 REPEATABLE_REFUSALS: Final = frozenset(
     {
+        Reason.BARRED,
         Reason.LEAVING,
         Reason.QUEUE_FULL,
         Reason.TARGET_DOWN,
--- a/src/trefoilpaddle/coordination/stage_call.py
+++ b/src/trefoilpaddle/coordination/stage_call.py
@@ -372,6 +372,7 @@
 
     async def _on_failure(self, attempt: OpenAttempt, failure: Failure) -> StageError:
         error = from_failure(failure)
+        self.view.link.send(Ack(attempt_id=attempt.attempt_id))
         if not isinstance(error, Unknown):
             return error
         if error.reason is Reason.RESULT_GONE and not self.is_started:
--- a/src/trefoilpaddle/roles/gateway.py
+++ b/src/trefoilpaddle/roles/gateway.py
@@ -165,7 +165,7 @@
         try:
             async with self.server.listening():
                 yield self
-                await self._drain()
+                await self.drain()
         finally:
             ticks.cancel()
 
@@ -175,7 +175,7 @@
             self._open_links()
             self.attempts.tell_silence()
 
-    async def _drain(self) -> None:
+    async def drain(self) -> None:
         """Settle, finish what is held, and report how many were cut off."""
         stop = self._settings.stop
         self.process.stopping.set()
--- a/tests/fake_sidecar.py
+++ b/tests/fake_sidecar.py
@@ -81,6 +81,7 @@
 
 
 Script = Callable[[Call], Awaitable[None]]
+OnFetch = Callable[[Call, Fetch], None]
 
 
 async def echo(call: Call) -> None:
@@ -103,6 +104,7 @@
         self.slots = 4
         self.queued_work_s = 0.0
         self.n_queued = 0
+        self.on_fetch: OnFetch = lambda call, fetch: None
         self._tasks: set[asyncio.Task[None]] = set()
         self.server = self._server(0)
 
@@ -193,9 +195,6 @@
             case Go():
                 pass
 
-    def on_fetch(self, call: Call, fetch: Fetch) -> None:
-        """Send nothing; a test that fetches replaces this."""
-
     def _run(self, call: Call) -> None:
         async def run() -> None:
             await self.script(call)
