--- /dev/null
+++ b/src/trefoilpaddle/coordination/status_gather.py
@@ -0,0 +1,66 @@
+"""Gathers the status of every listed process."""
+
+import asyncio
+from collections.abc import Iterable, Iterator
+from typing import Final
+
+from result import Err, Ok, Result
+
+from ..state.catalogue import Catalogue
+from ..state.hosts import Host, HostList, HostState
+from ..state.status import EntryStatus, FleetStatus, ProcessStatus
+from ..state.story import Absence
+from .asking import Asker
+
+MAX_ASKS_AT_ONCE: Final = 32
+
+
+async def gather_status(
+    *, asker: Asker, own: ProcessStatus, hosts: HostList, catalogue: Catalogue
+) -> FleetStatus:
+    """Return the status of all processes on `hosts` that answer."""
+    others = [host for host in hosts.hosts if host.process_id != own.process_id]
+    turn = asyncio.Semaphore(MAX_ASKS_AT_ONCE)
+
+    async def ask(host: Host) -> Result[ProcessStatus, Absence]:
+        async with turn:
+            return await asker.status(host)
+
+    processes = [own]
+    silent: list[Absence] = []
+    for answer in await asyncio.gather(*map(ask, others)):
+        match answer:
+            case Ok(status):
+                processes.append(status)
+            case Err(absence):
+                silent.append(absence)
+    return FleetStatus(
+        asked_of=own.process_id,
+        config_revision=own.config_revision,
+        hosts_revision=own.hosts_revision,
+        processes=tuple(sorted(processes, key=lambda status: status.process_id)),
+        silent=tuple(silent),
+        leaving=tuple(sorted(_leaving(processes, hosts))),
+        entries=tuple(_entries(catalogue)),
+    )
+
+
+def _leaving(processes: Iterable[ProcessStatus], hosts: HostList) -> set[str]:
+    listed = {h.process_id for h in hosts.hosts if h.state is HostState.LEAVING}
+    return listed | {status.process_id for status in processes if status.is_leaving}
+
+
+def _entries(catalogue: Catalogue) -> Iterator[EntryStatus]:
+    for name in sorted(catalogue.entries):
+        entry = catalogue.entries[name]
+        yield EntryStatus(
+            name=name,
+            owner=entry.owner,
+            class_of_work=entry.class_of_work,
+            revision=catalogue.entry_revisions.get(name, 0),
+            weight=entry.weight,
+            floor_share=entry.floor_share,
+            rate_per_s=entry.limits.rate_per_s,
+            n_concurrent=entry.limits.n_concurrent,
+            tokens_per_s=entry.limits.tokens_per_s,
+        )
--- /dev/null
+++ b/src/trefoilpaddle/state/metrics.py
@@ -0,0 +1,133 @@
+"""Metrics of one process, counted from its decisions."""
+
+from typing import Final
+
+from prometheus_client import CollectorRegistry, Counter, Gauge, Histogram
+
+from ..protocol.reasons import Reason
+from .journal import Decision, Event
+
+MAX_LABEL_VALUES: Final = 200
+"""Most owners, entries or stages told apart; the rest count as ``other``."""
+OTHER: Final = "other"
+
+SECONDS: Final = (0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1, 2.5, 5, 10, 30)
+
+OUTCOMES: Final = {
+    Event.REQUEST_ANSWERED: "answered",
+    Event.REQUEST_REFUSED: "refused",
+    Event.REQUEST_FAILED: "failed",
+    Event.CALLER_LEFT: "caller_left",
+}
+
+
+class BoundedNames:
+    """Lets through the first ``MAX_LABEL_VALUES`` names, the rest as one.
+
+    A metric costs memory for each value of a label for as long as the process
+    lives; names come from a catalogue that changes all day.
+    """
+
+    __slots__ = ("_known",)
+
+    def __init__(self) -> None:
+        self._known: set[str] = set()
+
+    def bound(self, name: str) -> str:
+        """Return `name`, or ``other`` when too many are known."""
+        if name in self._known:
+            return name
+        if len(self._known) >= MAX_LABEL_VALUES:
+            return OTHER
+        self._known.add(name)
+        return name
+
+
+class Metrics:
+    """The metrics that decisions feed; gauges are set by the role.
+
+    Attributes
+    ----------
+    registry : CollectorRegistry
+        Only of this process's metrics.
+    """
+
+    __slots__ = (
+        "_cost",
+        "_decisions",
+        "_entries",
+        "_owners",
+        "_queue",
+        "_requests",
+        "_service",
+        "_stages",
+        "registry",
+    )
+
+    def __init__(self) -> None:
+        self.registry = CollectorRegistry()
+        self._entries = BoundedNames()
+        self._owners = BoundedNames()
+        self._stages = BoundedNames()
+        self._decisions = Counter(
+            "trefoilpaddle_decisions",
+            "Decisions by event and reason.",
+            ["event", "reason"],
+            registry=self.registry,
+        )
+        self._requests = Counter(
+            "trefoilpaddle_requests",
+            "Requests that ended at this gateway.",
+            ["entry", "outcome"],
+            registry=self.registry,
+        )
+        self._cost = Counter(
+            "trefoilpaddle_target_cost_seconds",
+            "Target-seconds used at this sidecar's target.",
+            ["stage", "owner"],
+            registry=self.registry,
+        )
+        self._queue = Histogram(
+            "trefoilpaddle_queue_seconds",
+            "Time that a stage call waited before it started.",
+            ["stage"],
+            buckets=SECONDS,
+            registry=self.registry,
+        )
+        self._service = Histogram(
+            "trefoilpaddle_service_seconds",
+            "Time from the start of a stage call to its end at the target.",
+            ["stage"],
+            buckets=SECONDS,
+            registry=self.registry,
+        )
+
+    def gauge(self, name: str, help_text: str) -> Gauge:
+        """Return a new gauge ``trefoilpaddle_NAME`` of this process."""
+        return Gauge(f"trefoilpaddle_{name}", help_text, registry=self.registry)
+
+    def count(self, decision: Decision) -> None:
+        """Count one decision; subscribe this to a journal."""
+        reason = "" if decision.reason is Reason.NONE else decision.reason.name.lower()
+        self._decisions.labels(decision.event.name.lower(), reason).inc()
+        outcome = OUTCOMES.get(decision.event)
+        if outcome is not None:
+            self._requests.labels(self._entries.bound(decision.entry), outcome).inc()
+        elif decision.event is Event.STARTED:
+            self._observe(self._queue, decision, "queued_s")
+        elif decision.event is Event.FINISHED:
+            self._observe(self._service, decision, "service_s")
+            self._add_cost(decision)
+
+    def _observe(self, histogram: Histogram, decision: Decision, name: str) -> None:
+        stage = self._stages.bound(decision.stage)
+        for figure in decision.figures:
+            if figure.name == name:
+                histogram.labels(stage).observe(figure.value)
+
+    def _add_cost(self, decision: Decision) -> None:
+        stage = self._stages.bound(decision.stage)
+        owner = self._owners.bound(decision.owner)
+        for figure in decision.figures:
+            if figure.name == "cost_s":
+                self._cost.labels(stage, owner).inc(figure.value)
--- /dev/null
+++ b/src/trefoilpaddle/state/story.py
@@ -0,0 +1,132 @@
+"""A request's story: what each process that took part still knows of it."""
+
+from collections.abc import Iterable, Iterator
+from dataclasses import dataclass
+from typing import Final
+
+import orjson
+from pydantic import TypeAdapter, ValidationError
+from result import Err, Ok, Result
+
+from ..protocol.reasons import Reason
+from .journal import Figure, Record
+
+MAX_STEPS: Final = 1000
+"""Most steps of one story that one process tells; keeps it within a frame."""
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Step:
+    """One decision as it is told to another process or a person.
+
+    Parameters
+    ----------
+    process_id : str
+        Who decided.
+    age_s : float
+        How long ago, by that process's own monotonic clock; two processes'
+        steps are put in order by it, since their wall clocks may differ.
+    event : int
+        The event's number; may be unknown here in a mixed release.
+    name : str
+        The event's name.
+    reason : str
+        The reason's name; empty for none.
+
+    See Also
+    --------
+    trefoilpaddle.state.journal.Decision : meaning of the other fields.
+    """
+
+    process_id: str
+    age_s: float
+    event: int
+    name: str
+    request_id: str = ""
+    attempt_id: str = ""
+    entry: str = ""
+    owner: str = ""
+    config_revision: int = 0
+    stage: str = ""
+    peer: str = ""
+    reason: str = ""
+    detail: str = ""
+    figures: tuple[Figure, ...] = ()
+
+    def figure(self, name: str) -> float | None:
+        """Return the figure called `name`, or None."""
+        for figure in self.figures:
+            if figure.name == name:
+                return figure.value
+        return None
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Absence:
+    """A process that should know something and did not tell it.
+
+    Parameters
+    ----------
+    process_id : str
+        Who was asked.
+    detail : str
+        Why there is no answer, in one sentence.
+    """
+
+    process_id: str
+    detail: str
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Story:
+    """All steps that could be gathered about one request, oldest first."""
+
+    request_id: str
+    steps: tuple[Step, ...] = ()
+    absences: tuple[Absence, ...] = ()
+
+
+STEPS: Final = TypeAdapter(tuple[Step, ...])
+STORY: Final = TypeAdapter(Story)
+
+
+def tell(records: Iterable[Record], *, process_id: str, now_s: float) -> Iterator[Step]:
+    """Yield each record as a step, with its age at `now_s`."""
+    for record in records:
+        decision = record.decision
+        yield Step(
+            process_id=process_id,
+            age_s=round(now_s - record.monotonic_s, 6),
+            event=int(decision.event),
+            name=decision.event.name.lower(),
+            request_id=decision.request_id,
+            attempt_id=decision.attempt_id,
+            entry=decision.entry,
+            owner=decision.owner,
+            config_revision=decision.config_revision,
+            stage=decision.stage,
+            peer=decision.peer,
+            reason=""
+            if decision.reason is Reason.NONE
+            else decision.reason.name.lower(),
+            detail=decision.detail,
+            figures=decision.figures,
+        )
+
+
+def encode_steps(steps: Iterable[Step]) -> bytes:
+    """Return the last ``MAX_STEPS`` of `steps` as a JSON array."""
+    return orjson.dumps(list(steps)[-MAX_STEPS:])
+
+
+def decode_steps(data: bytes) -> Result[tuple[Step, ...], str]:
+    """Return the steps in `data`, or what is wrong with it."""
+    try:
+        return Ok(STEPS.validate_json(data))
+    except ValidationError as error:
+        return Err(f"told something that is not a story: {error.error_count()} faults")
+
+
+def in_order(steps: Iterable[Step]) -> tuple[Step, ...]:
+    """Return `steps` oldest first; equally old ones keep their order."""
+    return tuple(sorted(steps, key=lambda step: -step.age_s))
--- /dev/null
+++ b/src/trefoilpaddle/state/story_text.py
@@ -0,0 +1,140 @@
+"""A request's story in plain words."""
+
+from collections.abc import Iterator
+from typing import Final
+
+from .events import Event
+from .story import Step, Story
+
+SENTENCES: Final = {
+    Event.REQUEST_ACCEPTED: "accepted the request",
+    Event.REQUEST_REFUSED: "refused the request; it was not run",
+    Event.REQUEST_ANSWERED: "answered the request in full",
+    Event.REQUEST_FAILED: "ended the request without an answer",
+    Event.CALLER_LEFT: "saw the caller leave",
+    Event.REQUEST_JOINED: "joined a retry to the try that was running already",
+    Event.ROUTED: "sent stage {stage} to {peer}",
+    Event.RETRIED: "tried stage {stage} again at {peer}",
+    Event.HEDGED: "sent stage {stage} to {peer} as well",
+    Event.STAGE_DONE: "has the whole result of stage {stage} from {peer}",
+    Event.STAGE_FAILED: "got no result of stage {stage} from {peer}",
+    Event.RESULT_FETCHED: "fetched the result of stage {stage} again from {peer}",
+    Event.ATTEMPT_BARRED: "had {peer} promise never to start the attempt",
+    Event.FRAME_DROPPED: "dropped an answer that belongs to no open attempt",
+    Event.QUEUED: "queued stage {stage} for target {peer}",
+    Event.STARTED: "started stage {stage} at target {peer}",
+    Event.FINISHED: "finished stage {stage} at target {peer}",
+    Event.REFUSED: "refused stage {stage}; it was not run",
+    Event.DROPPED: "dropped stage {stage} before it started",
+    Event.CANCELLED: "cancelled stage {stage}",
+    Event.RESULT_RELEASED: "released the held result of stage {stage}",
+    Event.RESULT_EXPIRED: "dropped the held result of stage {stage}",
+    Event.CLAIM_GRANTED: "was given the request's key by its home {peer}",
+    Event.CLAIM_ANSWERED: "was told by the home {peer} what is known of the key",
+    Event.LIMIT_REFUSED: "refused the request by a limit of the entry",
+}
+"""What the telling process did; an event without a sentence shows its name."""
+
+FIGURE_WORDS: Final = {
+    "predicted_s": "predicted {:.3f} s",
+    "predicted_wait_s": "predicted wait {:.3f} s",
+    "queued_s": "waited {:.3f} s",
+    "service_s": "took {:.3f} s",
+    "cost_s": "cost {:.3f} target-seconds",
+    "retry_after_s": "come back after {:.1f} s",
+    "deadline_s": "deadline {:.3f} s",
+    "budget_s": "{:.3f} s left",
+    "slack_s": "slack {:.3f} s",
+    "n_ahead": "{:.0f} ahead",
+    "n_running": "{:.0f} running",
+    "n_bytes": "{:.0f} bytes",
+}
+
+
+def lines(story: Story) -> Iterator[str]:
+    """Yield the story line by line: what governed it, the steps, what lacks."""
+    yield f"Request {story.request_id}"
+    yield from _head(story)
+    if not story.steps:
+        yield "  Nothing is known of it: it is forgotten, or never was here."
+    began_s = story.steps[0].age_s if story.steps else 0.0
+    for step in story.steps:
+        yield _step_line(step, began_s)
+    for absence in story.absences:
+        yield f"  ! {absence.process_id}: {absence.detail}"
+
+
+def _head(story: Story) -> Iterator[str]:
+    governed = [step for step in story.steps if step.entry]
+    if governed:
+        first = governed[0]
+        yield (
+            f"  governed by entry {first.entry} of owner {first.owner or '?'}"
+            f" at revision {first.config_revision}"
+        )
+    outcome = _outcome(story)
+    if outcome:
+        yield f"  {outcome}"
+    n_attempts = len({step.attempt_id for step in story.steps if step.attempt_id})
+    if n_attempts:
+        queued_s = _sum(story, Event.STARTED, "queued_s")
+        cost_s = _sum(story, Event.FINISHED, "cost_s")
+        yield (
+            f"  {_counted(n_attempts, 'attempt')}, waited {queued_s:.3f} s,"
+            f" cost {cost_s:.3f} target-seconds"
+        )
+
+
+OUTCOMES: Final = {
+    Event.REQUEST_ANSWERED: "answered in full",
+    Event.REQUEST_REFUSED: "refused, not run",
+    Event.REQUEST_FAILED: "ended without an answer",
+    Event.CALLER_LEFT: "the caller left before the end",
+}
+
+
+def _outcome(story: Story) -> str:
+    for step in reversed(story.steps):
+        for event, words in OUTCOMES.items():
+            if step.event == event:
+                reason = f", because: {_plain(step.reason)}" if step.reason else ""
+                return f"{words}{reason}"
+    return ""
+
+
+def _step_line(step: Step, began_s: float) -> str:
+    words = [f"  {began_s - step.age_s:+8.3f} s  {step.process_id} {_sentence(step)}"]
+    if step.reason:
+        words.append(f"because: {_plain(step.reason)}")
+    if step.detail:
+        words.append(step.detail)
+    figures = ", ".join(_figures(step))
+    if figures:
+        words.append(f"({figures})")
+    return " - ".join(words[:-1]) + f" {words[-1]}" if figures else " - ".join(words)
+
+
+def _sentence(step: Step) -> str:
+    for event, sentence in SENTENCES.items():
+        if event == step.event:
+            return sentence.format(stage=step.stage or "?", peer=step.peer or "?")
+    return f"noted {_plain(step.name)} (event {step.event})"
+
+
+def _figures(step: Step) -> Iterator[str]:
+    for figure in step.figures:
+        words = FIGURE_WORDS.get(figure.name, f"{figure.name} {{:g}}")
+        yield words.format(figure.value)
+
+
+def _sum(story: Story, event: Event, name: str) -> float:
+    values = (step.figure(name) for step in story.steps if step.event == event)
+    return sum(value for value in values if value is not None)
+
+
+def _plain(name: str) -> str:
+    return name.replace("_", " ")
+
+
+def _counted(number: int, noun: str) -> str:
+    return f"{number} {noun}" if number == 1 else f"{number} {noun}s"
