--- a/src/trefoilpaddle/roles/process.py
+++ b/src/trefoilpaddle/roles/process.py
@@ -25,6 +25,7 @@
 LinkListener = Callable[[Link, Message], None]
 ConnectionListener = Callable[[Connection, Message], None]
 CloseListener = Callable[[Connection], None]
+ChangeListener = Callable[[Link], None]
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -83,6 +84,7 @@
     """
 
     __slots__ = (
+        "change_listeners",
         "close_listeners",
         "identity",
         "journal",
@@ -108,10 +110,12 @@
         self.message_listeners: list[ConnectionListener] = []
         self.close_listeners: list[CloseListener] = []
         self.n_cut_off = 0
+        self.change_listeners: list[ChangeListener] = []
         self.peers = Peers(
             own_hello=self.hello,
             own_heartbeat=self.heartbeat,
             on_message=self._on_link_message,
+            on_change=self._on_link_change,
         )
         self.server = PeerServer(
             address=listen,
@@ -150,6 +154,10 @@
         for listener in self.link_listeners:
             listener(link, message)
 
+    def _on_link_change(self, link: Link) -> None:
+        for listener in self.change_listeners:
+            listener(link)
+
     def _on_peer_message(self, connection: Connection, message: Message) -> None:
         for listener in self.message_listeners:
             listener(connection, message)
