--- a/idl/membership.thrift
+++ b/idl/membership.thrift
@@ -12,10 +12,28 @@
   6: string service_name = ""
   7: string target = ""
   8: MemberState state = 0
-  9: i64 beat = 0                // rises while the process lives
+  9: i64 beat = 0                // raised by the process itself to overrule what is said of it
   10: i64 config_revision = 0
   11: i64 hosts_revision = 0
+  12: string region = ""
 }
 
-struct Gossip { 1: string sender = ""  2: list<Member> members = []  3: i64 digest = 0 }
-struct GossipAnswer { 1: list<Member> members = []  2: i64 digest = 0 }
+struct DomainDigest {
+  1: string failure_domain = ""
+  2: i64 digest = 0
+}
+
+// Without a call number: news, passed on by who did not know it.
+// As a question: members and digests to compare.
+struct Gossip {
+  1: string sender = ""
+  2: list<Member> members = []
+  3: i64 digest = 0
+  4: list<DomainDigest> domains = []
+}
+
+struct GossipAnswer {
+  1: list<Member> members = []
+  2: i64 digest = 0
+  3: list<DomainDigest> domains = []
+}
--- a/src/trefoilpaddle/coordination/config_feed.py
+++ b/src/trefoilpaddle/coordination/config_feed.py
@@ -1,73 +1,189 @@
-"""Keeps the catalogue and the host list of one process up to date."""
+"""Keeps catalogue, host list and members of one process up to date."""
 
 import asyncio
 import contextlib
-from collections.abc import AsyncIterator
-from typing import Final, Protocol
+from collections.abc import AsyncIterator, Coroutine
+from typing import Any, Final
 
-from ..state.journal import Journal
-from ..state.published import Published
+from ..state.journal import Decision, Event, Figure
 from ..state.settings import PeerSettings, PlatformSettings
-from ..transport.platform_http import platform_client
+from ..transport.platform_http import PlatformClient, platform_client
+from .config_peers import ConfigPeers
 from .config_readers import ConfigReader
+from .config_start import FirstAsk
 from .config_state import ConfigState
+from .directory import LiveDirectory
+from .membership import Membership
+from .own_process import OwnProcess
+from .reader_turn import ReaderTurn
+from .wake import WakeWatch
+from .watch_peers import PeerWatch
 
-START_WAIT_S: Final = 5.0
+START_WAIT_S: Final = 10.0
 """Longest wait at the start for a first catalogue."""
 
 
-class FedProcess(Protocol):
-    """What the feed needs of a process."""
+class ConfigFeed:
+    """What keeps one process up to date; made by `config_feed`.
 
-    journal: Journal
-    published: Published
+    Attributes
+    ----------
+    state : ConfigState
+        Revision, held back changes, age of the last read.
+    membership : Membership
+        Who is there.
+    directory : LiveDirectory
+        Who can be given work and where a process is found.
+    wake : WakeWatch
+        Knows whether this process has just been paused.
+    client : PlatformClient
+        Counts the reads of the platform.
+    """
 
+    __slots__ = (
+        "_first_ask",
+        "_process",
+        "_watch",
+        "client",
+        "config_peers",
+        "directory",
+        "membership",
+        "reader",
+        "state",
+        "wake",
+    )
 
-class ConfigFeed:
-    """What keeps a process's catalogue and host list up to date."""
+    def __init__(
+        self,
+        *,
+        process: OwnProcess,
+        client: PlatformClient,
+        platform: PlatformSettings,
+        peers: PeerSettings,
+    ) -> None:
+        self._process = process
+        self.client = client
+        self.state = ConfigState(published=process.published, journal=process.journal)
+        self.membership = Membership(process=process, seeds=peers.seeds)
+        self.wake = WakeWatch(on_late=self._woke_late)
+        self.directory = LiveDirectory(
+            process=process, membership=self.membership, wake=self.wake
+        )
+        self.config_peers = ConfigPeers(
+            process=process, state=self.state, membership=self.membership
+        )
+        turn = ReaderTurn(
+            membership=self.membership,
+            state=self.state,
+            n_readers=platform.n_readers,
+            journal=process.journal,
+        )
+        self.reader = ConfigReader(
+            client=client,
+            state=self.state,
+            platform=platform,
+            journal=process.journal,
+            turn=turn,
+        )
+        self._watch = PeerWatch(
+            process=process,
+            membership=self.membership,
+            is_wanted=self.directory.is_wanted,
+        )
+        self._first_ask = FirstAsk(
+            process=process,
+            membership=self.membership,
+            state=self.state,
+            config_peers=self.config_peers,
+            reader=self.reader,
+        )
+
+    def is_known(self) -> bool:
+        """Return True while a catalogue is in force and peers have been asked.
 
-    __slots__ = ("state",)
+        While False take no work: at the start nothing is known yet, and a
+        process that was paused must ask before it goes on.
+        """
+        return self.state.known.is_set() and not self.wake.is_late()
 
-    def __init__(self, *, state: ConfigState) -> None:
-        self.state = state
+    async def start(self) -> None:
+        """Ask peers, then the platform."""
+        self.membership.rewire()
+        await self._first_ask.run()
 
-    def is_known(self) -> bool:
-        """Return True once a catalogue is in force; before, take no work."""
-        return self.state.known.is_set()
+    async def ask_again(self) -> None:
+        """Ask peers again after each pause, until cancelled."""
+        while True:
+            while self.state.has_asked:  # noqa: ASYNC110 (looked at by nobody else)
+                await asyncio.sleep(0.05)
+            await self._first_ask.run()
+
+    def tasks(self) -> list[Coroutine[Any, Any, None]]:
+        """Return what runs for as long as the process does."""
+        return [
+            self.wake.run(),
+            self._watch.run(),
+            self.membership.flood_news(),
+            self.membership.compare_rounds(),
+            self.membership.watch_stop(),
+            self.config_peers.compare_rounds(),
+            self.config_peers.catch_up(),
+            self.reader.watch_values(),
+            self.reader.watch_hosts(),
+            self.ask_again(),
+        ]
+
+    def _woke_late(self, gap_s: float) -> None:
+        """Drop what may be stale after a pause.
+
+        Sockets hold heartbeats from before and during the pause, which would
+        pass for fresh ones; only a new connection says who is there now.
+        """
+        self._process.journal.record(
+            Decision(
+                event=Event.WOKE_LATE,
+                config_revision=self.state.items.revision,
+                peer=self._process.identity.process_id,
+                figures=(Figure(name="gap_s", value=gap_s),),
+            )
+        )
+        self._watch.woke_late()
+        for link in self._process.peers.links.values():
+            link.drop()
+        self.state.set_asked(False)
 
 
 @contextlib.asynccontextmanager
 async def config_feed(
     *,
-    process: FedProcess,
+    process: OwnProcess,
     platform: PlatformSettings,
     peers: PeerSettings,
     start_wait_s: float = START_WAIT_S,
 ) -> AsyncIterator[ConfigFeed]:
-    """Keep `process` fed while the context is open.
+    """Keep `process` fed while the context is open; it must be running.
 
     Entering waits until a catalogue is in force, at most `start_wait_s`; after
     that the role must not say ready before ``is_known()``.
     """
-    state = ConfigState(published=process.published, journal=process.journal)
     async with (
         platform_client(
             config_url=platform.config_url, hosts_url=platform.hosts_url
         ) as client,
-        asyncio.TaskGroup() as tasks,
+        asyncio.TaskGroup() as group,
     ):
-        reader = ConfigReader(
-            client=client, state=state, platform=platform, journal=process.journal
+        feed = ConfigFeed(
+            process=process, client=client, platform=platform, peers=peers
         )
-        running = [
-            tasks.create_task(reader.watch_values(), name="config values"),
-            tasks.create_task(reader.watch_hosts(), name="host list"),
-        ]
         with contextlib.suppress(TimeoutError):
             async with asyncio.timeout(start_wait_s):
-                await state.known.wait()
+                await feed.start()
+        running = [group.create_task(task) for task in feed.tasks()]
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(start_wait_s):
+                await feed.state.known.wait()
         try:
-            yield ConfigFeed(state=state)
+            yield feed
         finally:
             for task in running:
                 task.cancel()
--- a/src/trefoilpaddle/coordination/config_readers.py
+++ b/src/trefoilpaddle/coordination/config_readers.py
@@ -12,6 +12,10 @@
 from ..state.settings import PlatformSettings
 from ..transport.platform_http import PlatformClient, PublishedValue, ValuesPage
 from .config_state import ConfigState
+from .reader_turn import ReaderTurn
+
+RECHECK_S: Final = 0.5
+"""Time between two looks at whether this process reads now."""
 
 BACKOFF_MIN_S: Final = 0.1
 BACKOFF_MAX_S: Final = 2.0
@@ -50,9 +54,11 @@
         How often to read.
     journal : Journal
         Told when the service is lost and when it is back.
+    turn : ReaderTurn
+        Says whether this process reads now.
     """
 
-    __slots__ = ("_client", "_is_lost", "_journal", "_platform", "_state")
+    __slots__ = ("_client", "_is_lost", "_journal", "_platform", "_state", "_turn")
 
     def __init__(
         self,
@@ -61,7 +67,9 @@
         state: ConfigState,
         platform: PlatformSettings,
         journal: Journal,
+        turn: ReaderTurn,
     ) -> None:
+        self._turn = turn
         self._client = client
         self._state = state
         self._platform = platform
@@ -69,18 +77,21 @@
         self._is_lost = False
 
     async def watch_values(self) -> None:
-        """Take each change of a value until cancelled."""
+        """Take each change of a value while this process reads."""
         backoff = Backoff()
         while True:
-            if await self.read_values():
+            if not self._turn.is_mine():
+                await asyncio.sleep(RECHECK_S * random.uniform(0.5, 1.5))
+            elif await self.read_values():
                 backoff.reset()
             else:
                 await backoff.wait()
 
     async def watch_hosts(self) -> None:
-        """Read the host list every ``poll_s`` until cancelled."""
+        """Read the host list every ``poll_s`` while this process reads."""
         while True:
-            await self.read_hosts()
+            if self._turn.is_mine():
+                await self.read_hosts()
             await asyncio.sleep(self._platform.poll_s * random.uniform(0.8, 1.2))
 
     async def read_values(self) -> bool:
@@ -126,6 +137,7 @@
                     self._note_lost(error)
                     return False
         self._note_back()
+        self._state.note_read(0.0)
         self._state.take(items, revision=page.revision, source="platform")
         return True
 
--- /dev/null
+++ b/src/trefoilpaddle/coordination/config_start.py
@@ -0,0 +1,100 @@
+"""What a process asks before it acts: peers first, the platform after."""
+
+import asyncio
+import random
+from typing import Final
+
+from result import Err, Ok
+
+from ..transport.connection import Address
+from .config_peers import ConfigPeers
+from .config_readers import ConfigReader
+from .config_state import ConfigState
+from .membership import Membership
+from .own_process import OwnProcess
+from .probe import probe_link
+
+N_ANSWERS: Final = 2
+"""Peers whose word is taken for the highest revision."""
+
+N_AT_ONCE: Final = 3
+N_TRIES: Final = 12
+"""Peers tried before this process goes by what the platform says alone."""
+
+
+class FirstAsk:
+    """Learns members and the highest revision from peers, then reads if it must.
+
+    A configuration service that is stale or down when a process starts, or
+    wakes late, offers less than the fleet already has in force. Peers know it.
+
+    Parameters
+    ----------
+    process : OwnProcess
+        The process that it runs in.
+    membership : Membership
+        Knows seeds, listed hosts and members.
+    state : ConfigState
+        What is known here.
+    config_peers : ConfigPeers
+        Fetches from a peer.
+    reader : ConfigReader
+        Reads the platform.
+    """
+
+    __slots__ = ("_config_peers", "_membership", "_process", "_reader", "_state")
+
+    def __init__(
+        self,
+        *,
+        process: OwnProcess,
+        membership: Membership,
+        state: ConfigState,
+        config_peers: ConfigPeers,
+        reader: ConfigReader,
+    ) -> None:
+        self._process = process
+        self._membership = membership
+        self._state = state
+        self._config_peers = config_peers
+        self._reader = reader
+
+    async def run(self) -> None:
+        """Ask until something is known; then say so to the state."""
+        if not self._process.published.hosts.hosts:
+            await self._reader.read_hosts()
+        n_answers = await self._ask_peers()
+        if n_answers == 0 or self._state.items.revision == 0:
+            await self._reader.read_values()
+        self._state.set_asked(True)
+
+    async def _ask_peers(self) -> int:
+        candidates = self._candidates()
+        n_answers = 0
+        while candidates and n_answers < N_ANSWERS:
+            wave, candidates = candidates[:N_AT_ONCE], candidates[N_AT_ONCE:]
+            answers = await asyncio.gather(*(self._ask(text) for text in wave))
+            n_answers += sum(answers)
+        return n_answers
+
+    def _candidates(self) -> list[str]:
+        """Return addresses to try, those that are surely there first."""
+        members = [
+            record.address
+            for record in self._membership.live()
+            if record.process_id != self._membership.own.process_id
+        ]
+        strangers = self._membership.strangers()
+        random.shuffle(members)
+        random.shuffle(strangers)
+        return (members + strangers)[:N_TRIES]
+
+    async def _ask(self, address_text: str) -> bool:
+        match Address.parse(address_text):
+            case Ok(address):
+                async with probe_link(self._process, address) as link:
+                    if not await self._membership.exchange(link):
+                        return False
+                    return await self._config_peers.pull(link)
+            case Err(_):
+                return False
--- a/src/trefoilpaddle/coordination/config_state.py
+++ b/src/trefoilpaddle/coordination/config_state.py
@@ -3,6 +3,7 @@
 import asyncio
 import time
 from collections.abc import Callable, Iterable
+from dataclasses import dataclass
 from typing import Final
 
 from absl import logging
@@ -16,7 +17,27 @@
 
 MAX_NOTED_CHARS: Final = 300
 
-OnNews = Callable[[set[str]], None]
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class News:
+    """A change that has come in force here.
+
+    Parameters
+    ----------
+    keys : frozenset of str
+        Keys of which something was news; empty if only the host list changed.
+    base_revision : int
+        Revision in force before.
+    source : str
+        Whom it was heard from.
+    """
+
+    keys: frozenset[str]
+    base_revision: int
+    source: str
+
+
+OnNews = Callable[[News], None]
 
 
 class ConfigState:
@@ -38,9 +59,10 @@
     hosts_json : bytes
         The host list in force, as published.
     known : asyncio.Event
-        Set once a catalogue is in force.
-    changed_s : float
-        Monotonic time of the last change.
+        Set while a catalogue is in force and peers have been asked for a newer.
+    read_s : float or None
+        Monotonic time of the last read of the service, by any process, that
+        this one knows of.
     """
 
     __slots__ = (
@@ -48,11 +70,12 @@
         "_journal",
         "_listeners",
         "_published",
-        "changed_s",
+        "has_asked",
         "held_back",
         "hosts_json",
         "items",
         "known",
+        "read_s",
     )
 
     def __init__(self, *, published: Published, journal: Journal) -> None:
@@ -63,13 +86,39 @@
         self.items = ConfigItems()
         self.held_back: tuple[HeldBack, ...] = ()
         self.hosts_json = b""
+        self.has_asked = False
         self.known = asyncio.Event()
-        self.changed_s = time.monotonic()
+        self.read_s: float | None = None
 
     def subscribe(self, listener: OnNews) -> None:
-        """Call `listener` with the keys that were news after each change."""
+        """Call `listener` after each change."""
         self._listeners.append(listener)
 
+    def set_asked(self, has_asked: bool) -> None:
+        """Note whether peers have been asked for the highest revision.
+
+        A process that starts or wakes late while the service is stale would
+        otherwise serve by a catalogue that the others have left behind.
+        """
+        self.has_asked = has_asked
+        self._set_known()
+
+    def _set_known(self) -> None:
+        if self.has_asked and self.items.revision > 0:
+            self.known.set()
+        else:
+            self.known.clear()
+
+    def note_read(self, age_s: float) -> None:
+        """Note that some process read the service `age_s` seconds ago."""
+        at_s = time.monotonic() - age_s
+        if self.read_s is None or at_s > self.read_s:
+            self.read_s = at_s
+
+    def read_age_s(self) -> float | None:
+        """Return how long ago any known process has read the service."""
+        return None if self.read_s is None else time.monotonic() - self.read_s
+
     def take(
         self, items: Iterable[PublishedItem], *, revision: int, source: str
     ) -> bool:
@@ -94,11 +143,8 @@
         if self._published.set_catalogue(selection.catalogue):
             self._note_in_force(keys, source)
         self._note_held_back(was_held_back, source)
-        self.changed_s = time.monotonic()
-        if self.items.revision > 0:
-            self.known.set()
-        for listener in self._listeners:
-            listener(keys)
+        self._set_known()
+        self._tell(frozenset(keys), was_revision, source)
         return True
 
     def take_hosts(self, data: bytes, *, source: str) -> bool:
@@ -126,10 +172,14 @@
                 ),
             )
         )
-        for listener in self._listeners:
-            listener(set())
+        self._tell(frozenset(), self.items.revision, source)
         return True
 
+    def _tell(self, keys: frozenset[str], base_revision: int, source: str) -> None:
+        news = News(keys=keys, base_revision=base_revision, source=source)
+        for listener in self._listeners:
+            listener(news)
+
     def _note_in_force(self, keys: set[str], source: str) -> None:
         self._journal.record(
             Decision(
--- a/src/trefoilpaddle/coordination/directory.py
+++ b/src/trefoilpaddle/coordination/directory.py
@@ -1,9 +1,19 @@
 """Who can be given work and where a process is found."""
 
+from collections.abc import Iterator
+from dataclasses import replace
 from typing import Protocol
 
-from ..state.hosts import Host
+from result import Ok
+
+from ..state.hosts import Host, HostState
+from ..state.members import MemberRecord, MemberState
 from ..state.published import Published
+from ..transport.connection import Address
+from .membership import Membership
+from .own_process import OwnProcess
+from .subset import subset
+from .wake import WakeWatch
 
 
 class Directory(Protocol):
@@ -36,3 +46,137 @@
             if host.process_id == process_id:
                 return host
         return None
+
+
+class LiveDirectory:
+    """Directory that joins the published list with what members say.
+
+    The list lags: it names hosts that are gone and lacks new ones. A sidecar
+    gets new work unless the list or the sidecar itself says that it is leaving,
+    or members say that it is dead or silent while this process does not hear it
+    either. Whoever is named may still be refused by its link: a peer that has
+    been silent for ``SILENCE_S`` gets nothing new.
+
+    Parameters
+    ----------
+    process : OwnProcess
+        The process that it runs in.
+    membership : Membership
+        What members say.
+    wake : WakeWatch
+        Asked first, so that a pause is dealt with before anything is chosen.
+    """
+
+    __slots__ = ("_chosen", "_current", "_membership", "_process", "_versions", "_wake")
+
+    def __init__(
+        self, *, process: OwnProcess, membership: Membership, wake: WakeWatch
+    ) -> None:
+        self._process = process
+        self._membership = membership
+        self._wake = wake
+        self._chosen: dict[str, list[Host]] = {}
+        self._current: set[str] = set()
+        self._versions = (-1, -1)
+
+    def sidecars(self, service: str) -> list[Host]:
+        """Return the sidecars of `service` that may be given new work."""
+        if self._wake.is_late():
+            self._wake.tick()
+        self._renew()
+        if service not in self._current:
+            self._chosen[service] = self._choose(service)
+            self._current.add(service)
+        return [host for host in self._chosen[service] if self._is_usable(host)]
+
+    def host(self, process_id: str) -> Host | None:
+        """Return where a process is found, or None if it is not known."""
+        record = self._membership.table.records.get(process_id)
+        listed = self._listed(process_id)
+        if record is None or record.state is MemberState.DEAD:
+            return listed
+        if listed is None:
+            return _host_of(record)
+        return replace(listed, peer_address=record.address)
+
+    def is_wanted(self, address: Address) -> bool:
+        """Return True if the link to `address` serves a chosen sidecar."""
+        text = str(address)
+        return any(
+            host.peer_address == text
+            for hosts in self._chosen.values()
+            for host in hosts
+        )
+
+    def _renew(self) -> None:
+        versions = (
+            self._membership.table.version,
+            self._process.published.hosts.revision,
+        )
+        if versions != self._versions:
+            self._versions = versions
+            self._current.clear()
+
+    def _choose(self, service: str) -> list[Host]:
+        gateways = [
+            host.process_id
+            for host in self._process.published.hosts.hosts
+            if host.role == "gateway"
+        ]
+        targets = list(self._candidates(service))
+        return subset(self._membership.own.process_id, gateways, targets)
+
+    def _candidates(self, service: str) -> Iterator[Host]:
+        """Yield the sidecars of `service`, listed ones first."""
+        records = self._membership.table.records
+        listed = self._process.published.hosts.hosts
+        for host in listed:
+            if host.role != "sidecar" or host.service != service:
+                continue
+            record = records.get(host.process_id)
+            if host.state is HostState.LIVE and not _is_gone(record):
+                yield replace(host, peer_address=record.address) if record else host
+        names = {host.process_id for host in listed}
+        for record in records.values():
+            if record.role != "sidecar" or record.service != service:
+                continue
+            if record.process_id not in names and not _is_gone(record):
+                yield _host_of(record)
+
+    def _is_usable(self, host: Host) -> bool:
+        record = self._membership.table.records.get(host.process_id)
+        if record is None or record.state is not MemberState.SUSPECT:
+            return True
+        match Address.parse(host.peer_address):
+            case Ok(address):
+                link = self._process.peers.links.get(address)
+                return link is not None and link.is_heard()
+            case _:
+                return False
+
+    def _listed(self, process_id: str) -> Host | None:
+        for host in self._process.published.hosts.hosts:
+            if host.process_id == process_id:
+                return host
+        return None
+
+
+def _is_gone(record: MemberRecord | None) -> bool:
+    if record is None:
+        return False
+    return record.state in {MemberState.LEAVING, MemberState.DEAD}
+
+
+def _host_of(record: MemberRecord) -> Host:
+    return Host(
+        name=record.process_id.removesuffix(f"-{record.role}"),
+        failure_domain=record.failure_domain,
+        region=record.region,
+        role="sidecar" if record.role == "sidecar" else "gateway",
+        peer_address=record.address,
+        service=record.service,
+        target=record.target,
+        state=HostState.LEAVING
+        if record.state is MemberState.LEAVING
+        else HostState.LIVE,
+    )
--- /dev/null
+++ b/src/trefoilpaddle/coordination/member_wire.py
@@ -0,0 +1,72 @@
+"""Member records as they pass between processes."""
+
+import re
+from collections.abc import Iterable, Iterator
+from typing import Final
+
+from ..protocol.gen.membership.ttypes import DomainDigest, Member
+from ..state.members import MemberRecord, MemberState, MemberTable
+
+NAME: Final = re.compile(r"[a-z0-9][a-z0-9._-]{0,79}")
+ADDRESS: Final = re.compile(r"[0-9a-f.:\[\]]+:\d{1,5}")
+STATES: Final = frozenset(int(state) for state in MemberState)
+ROLES: Final = frozenset({"gateway", "sidecar"})
+
+
+def to_wire(record: MemberRecord) -> Member:
+    """Return the message that carries `record`."""
+    return Member(
+        process_id=record.process_id,
+        incarnation=record.incarnation,
+        address=record.address,
+        role=record.role,
+        failure_domain=record.failure_domain,
+        region=record.region,
+        service_name=record.service,
+        target=record.target,
+        state=int(record.state),
+        beat=record.beat,
+    )
+
+
+def from_wire(members: Iterable[Member]) -> Iterator[MemberRecord]:
+    """Yield the record of each member, leaving out what cannot be one."""
+    for member in members:
+        if not _is_well_formed(member):
+            continue
+        yield MemberRecord(
+            process_id=member.process_id,
+            incarnation=member.incarnation,
+            address=member.address,
+            role=member.role,
+            failure_domain=member.failure_domain,
+            region=member.region,
+            service=member.service_name,
+            target=member.target,
+            state=MemberState(member.state),
+            beat=member.beat,
+        )
+
+
+def _is_well_formed(member: Member) -> bool:
+    return bool(
+        member.state in STATES
+        and member.role in ROLES
+        and NAME.fullmatch(member.process_id)
+        and NAME.fullmatch(member.failure_domain)
+        and NAME.fullmatch(member.region)
+        and ADDRESS.fullmatch(member.address)
+    )
+
+
+def digests_to_wire(table: MemberTable) -> list[DomainDigest]:
+    """Return the digest of each failure domain as messages."""
+    return [
+        DomainDigest(failure_domain=domain, digest=digest)
+        for domain, digest in table.digests.items()
+    ]
+
+
+def digests_from_wire(digests: Iterable[DomainDigest]) -> dict[str, int]:
+    """Return digests by failure domain."""
+    return {one.failure_domain: one.digest for one in digests}
--- /dev/null
+++ b/src/trefoilpaddle/coordination/membership.py
@@ -0,0 +1,324 @@
+"""Who is there: news flooded to a few peers, digests compared now and then."""
+
+import asyncio
+import random
+import time
+from collections.abc import Iterable
+from dataclasses import replace
+from typing import Final
+
+from result import Err, Ok, Result
+
+from ..protocol.errors import PeerError
+from ..protocol.frames import Message
+from ..protocol.gen.membership.ttypes import Gossip, GossipAnswer
+from ..protocol.gen.stage.ttypes import Hello
+from ..state.journal import Decision, Event
+from ..state.members import MemberRecord, MemberState, MemberTable
+from ..transport.connection import Address, Connection
+from ..transport.link import Link
+from .member_wire import digests_from_wire, digests_to_wire, from_wire, to_wire
+from .overlay import neighbours
+from .own_process import OwnProcess
+from .probe import probe_link
+
+ROUND_S: Final = 2.0
+"""Time between two comparisons of digests."""
+
+FLOOD_DELAY_S: Final = 0.05
+"""News of this long goes out together; a lost failure domain is one message."""
+
+ASK_TIMEOUT_S: Final = 1.0
+N_ROUNDS_PER_STRANGER: Final = 3
+N_MISMATCHES: Final = 2
+"""Rounds in which digests may differ, for news on its way, before a comparison."""
+
+EVENT_OF: Final = {
+    MemberState.LIVE: Event.MEMBER_JOINED,
+    MemberState.SUSPECT: Event.MEMBER_SUSPECTED,
+    MemberState.LEAVING: Event.MEMBER_LEAVING,
+    MemberState.DEAD: Event.MEMBER_DEAD,
+}
+
+
+class Membership:
+    """This process's view of the others.
+
+    Parameters
+    ----------
+    process : OwnProcess
+        The process that it runs in.
+    seeds : tuple of str
+        Addresses to try before any other is known.
+
+    Attributes
+    ----------
+    table : MemberTable
+        What is known; this process included.
+    children : list of MemberRecord
+        The members to which this process keeps links for news.
+    since_s : dict of str to float
+        Monotonic time of the last news of each process.
+    """
+
+    __slots__ = (
+        "_chosen",
+        "_has_news",
+        "_n_mismatches",
+        "_news",
+        "_present",
+        "_process",
+        "_seeds",
+        "_table_version",
+        "children",
+        "own",
+        "since_s",
+        "table",
+    )
+
+    def __init__(self, *, process: OwnProcess, seeds: tuple[str, ...]) -> None:
+        self._process = process
+        self._seeds = seeds
+        self._news: dict[str, MemberRecord] = {}
+        self._has_news = asyncio.Event()
+        self._n_mismatches = 0
+        self._table_version = -1
+        self._present: frozenset[str] = frozenset()
+        self._chosen: list[str] = []
+        self.table = MemberTable()
+        self.children: list[MemberRecord] = []
+        self.since_s: dict[str, float] = {}
+        self.own = self._first_record()
+        self._set_own(self.own)
+        process.server.answer(Gossip, self.answer)
+        process.message_listeners.append(self._on_peer_message)
+
+    def _first_record(self) -> MemberRecord:
+        identity = self._process.identity
+        return MemberRecord(
+            process_id=identity.process_id,
+            incarnation=identity.incarnation,
+            address=str(self._process.server.address),
+            role=identity.role,
+            failure_domain=identity.failure_domain,
+            region=identity.region,
+            service=identity.service,
+            target=identity.target,
+            state=MemberState.LIVE,
+            beat=1,
+        )
+
+    def hear(self, records: Iterable[MemberRecord]) -> None:
+        """Take in what a peer says and pass on what was news."""
+        for record in records:
+            if record.process_id == self.own.process_id:
+                self._hear_of_self(record)
+            elif self.table.join([record]):
+                self._note(record)
+
+    def say(self, process_id: str, state: MemberState) -> None:
+        """Say of another process what this one has found out itself."""
+        record = self.table.say(process_id, state)
+        if record is not None:
+            self._note(record)
+
+    def forget(self, process_id: str) -> None:
+        """Drop what is known of a process."""
+        self.table.forget(process_id)
+        self.since_s.pop(process_id, None)
+
+    def leave(self) -> None:
+        """Say that this process is leaving."""
+        self._set_own(
+            replace(self.own, state=MemberState.LEAVING, beat=self.own.beat + 1)
+        )
+
+    def live(self) -> list[MemberRecord]:
+        """Return the members that are neither silent nor leaving, self included."""
+        return [
+            record
+            for record in self.table.records.values()
+            if record.state is MemberState.LIVE
+        ]
+
+    def strangers(self) -> list[str]:
+        """Return addresses of listed hosts and seeds that are not live members.
+
+        They are where the other side of a healed partition is found, and whom
+        a process that knows nobody asks first.
+        """
+        known = {record.address for record in self.live()} | {self.own.address}
+        listed = [host.peer_address for host in self._process.published.hosts.hosts]
+        return sorted({*self._seeds, *listed} - known)
+
+    async def answer(self, question: Gossip, peer: Hello) -> GossipAnswer:
+        """Answer a peer that compares digests."""
+        differing = self.table.differing(digests_from_wire(question.domains))
+        self.hear(from_wire(question.members))
+        members: list[MemberRecord] = []
+        if question.domains:
+            members = self.table.in_domains(differing)
+        is_equal = question.digest == self.table.digest
+        return GossipAnswer(
+            members=[to_wire(record) for record in members],
+            digest=self.table.digest,
+            domains=[] if is_equal else digests_to_wire(self.table),
+        )
+
+    def rewire(self) -> bool:
+        """Choose the children anew if the members changed; True if it did."""
+        if self.table.version == self._table_version:
+            return False
+        self._table_version = self.table.version
+        present = {record.process_id: record for record in self.table.present()}
+        if present.keys() != self._present:
+            self._present = frozenset(present)
+            self._chosen = neighbours(self.own.process_id, present)
+        self.children = [present[process_id] for process_id in self._chosen]
+        return True
+
+    def child_links(self) -> list[Link]:
+        """Return the link to each child whose address can be read."""
+        links = []
+        for child in self.children:
+            match Address.parse(child.address):
+                case Ok(address):
+                    links.append(self._process.peers.link(address))
+                case Err(_):
+                    continue
+        return links
+
+    async def flood_news(self) -> None:
+        """Send news to the children as it comes, until cancelled."""
+        while True:
+            await self._has_news.wait()
+            await asyncio.sleep(FLOOD_DELAY_S)
+            self._has_news.clear()
+            members = [to_wire(record) for record in self._news.values()]
+            self._news = {}
+            message = Gossip(sender=self.own.process_id, members=members)
+            for link in self.child_links():
+                link.send(message)
+
+    async def compare_rounds(self) -> None:
+        """Compare digests with one child after the other until cancelled."""
+        number = 0
+        while True:
+            await asyncio.sleep(ROUND_S * random.uniform(0.75, 1.25))
+            number += 1
+            heard = [link for link in self.child_links() if link.is_heard()]
+            if heard:
+                await self._compare(heard[number % len(heard)])
+            if not heard or number % N_ROUNDS_PER_STRANGER == 0:
+                await self.meet_stranger()
+
+    async def meet_stranger(self) -> None:
+        """Exchange members with one listed process that is not a live member."""
+        strangers = self.strangers()
+        if strangers:
+            await self.meet(random.choice(strangers))
+
+    async def meet(self, address_text: str) -> bool:
+        """Exchange all members with the process at an address; True if it answered."""
+        match Address.parse(address_text):
+            case Ok(address):
+                async with probe_link(self._process, address) as link:
+                    return await self.exchange(link)
+            case Err(_):
+                return False
+
+    async def watch_stop(self) -> None:
+        """Say that this process is leaving once its planned stop has begun."""
+        await self._process.stopping.wait()
+        self.leave()
+
+    async def _compare(self, link: Link) -> None:
+        """Ask for a digest, and exchange members if it goes on differing."""
+        members = [to_wire(self.own), *self._suspects_among(link)]
+        question = Gossip(
+            sender=self.own.process_id, members=members, digest=self.table.digest
+        )
+        answer = await self._ask(link, question)
+        if answer.is_err():
+            return
+        self._n_mismatches += 1
+        if answer.unwrap().digest == self.table.digest:
+            self._n_mismatches = 0
+        if self._n_mismatches >= N_MISMATCHES:
+            self._n_mismatches = 0
+            await self.exchange(link, known=answer.unwrap())
+
+    def _suspects_among(self, link: Link) -> list[Message]:
+        """Return the record of the link's peer if it should overrule it."""
+        peer = link.peer
+        record = self.table.records.get(peer.process_id) if peer else None
+        if record is None or record.state is not MemberState.SUSPECT:
+            return []
+        return [to_wire(record)]
+
+    async def exchange(self, link: Link, known: GossipAnswer | None = None) -> bool:
+        """Exchange members with a peer; return True if it answered.
+
+        Parameters
+        ----------
+        link : Link
+            To the peer.
+        known : GossipAnswer, optional
+            Its digests; only members of failure domains that differ are sent.
+        """
+        differing = set(self.table.digests)
+        if known is not None:
+            differing = self.table.differing(digests_from_wire(known.domains))
+        members = self.table.in_domains(differing)
+        question = Gossip(
+            sender=self.own.process_id,
+            members=[to_wire(record) for record in members],
+            digest=self.table.digest,
+            domains=digests_to_wire(self.table),
+        )
+        match await self._ask(link, question):
+            case Ok(answer):
+                self.hear(from_wire(answer.members))
+                return True
+            case Err(_):
+                return False
+
+    async def _ask(
+        self, link: Link, question: Gossip
+    ) -> Result[GossipAnswer, PeerError]:
+        return await link.ask(question, timeout_s=ASK_TIMEOUT_S)
+
+    def _hear_of_self(self, record: MemberRecord) -> None:
+        """Overrule what is said of this process if it is not so.
+
+        After a restart or a pause the others may go on saying what was true of
+        an earlier start, or that this process is silent.
+        """
+        if record == self.own or not record.overrules(self.own):
+            return
+        self._set_own(replace(self.own, beat=record.beat + 1))
+
+    def _set_own(self, record: MemberRecord) -> None:
+        self.own = record
+        self.table.join([record])
+        self._spread(record)
+
+    def _note(self, record: MemberRecord) -> None:
+        self.since_s[record.process_id] = time.monotonic()
+        self._process.journal.record(
+            Decision(
+                event=EVENT_OF[record.state],
+                config_revision=self._process.published.catalogue.revision,
+                peer=record.process_id,
+                detail=f"{record.address} in {record.failure_domain}",
+            )
+        )
+        self._spread(record)
+
+    def _spread(self, record: MemberRecord) -> None:
+        self._news[record.process_id] = record
+        self._has_news.set()
+
+    def _on_peer_message(self, connection: Connection, message: Message) -> None:
+        if isinstance(message, Gossip):
+            self.hear(from_wire(message.members))
--- /dev/null
+++ b/src/trefoilpaddle/coordination/reader_turn.py
@@ -0,0 +1,111 @@
+"""Whether this process is one of the few that read the platform."""
+
+import random
+import time
+from typing import Final
+
+from ..state.journal import Decision, Event, Journal
+from ..state.rendezvous import highest
+from .config_state import ConfigState
+from .membership import Membership
+
+READER_KEY: Final = "config reader"
+
+STEP_IN_AFTER_S: Final = 30.0
+"""With no read known for this long, others than the readers try as well."""
+
+STEP_IN_EVERY_S: Final = 45.0
+"""Mean time between two such tries of one process."""
+
+
+class ReaderTurn:
+    """Chooses the readers of the own failure domain, as this process sees it.
+
+    Views differ for moments; the price is a few more reads, or for moments a
+    domain without a reader, which then hears from the others.
+
+    Parameters
+    ----------
+    membership : Membership
+        Who is alive.
+    state : ConfigState
+        Knows when the service was last read.
+    n_readers : int
+        Readers per failure domain.
+    journal : Journal
+        Told when this process becomes a reader or ceases to be one.
+    """
+
+    __slots__ = (
+        "_is_reader",
+        "_journal",
+        "_membership",
+        "_n_readers",
+        "_next_try_s",
+        "_state",
+        "_version",
+    )
+
+    def __init__(
+        self,
+        *,
+        membership: Membership,
+        state: ConfigState,
+        n_readers: int,
+        journal: Journal,
+    ) -> None:
+        self._membership = membership
+        self._state = state
+        self._n_readers = n_readers
+        self._journal = journal
+        self._is_reader = False
+        self._version = -1
+        self._next_try_s = time.monotonic() + _spread_s()
+
+    def is_mine(self) -> bool:
+        """Return True if this process should read now."""
+        if self._membership.table.version != self._version:
+            self._version = self._membership.table.version
+            self._choose()
+        return self._is_reader or self._steps_in()
+
+    def _choose(self) -> None:
+        own = self._membership.own
+        places = [
+            record.process_id
+            for record in self._membership.live()
+            if record.failure_domain == own.failure_domain
+        ]
+        readers = highest(READER_KEY, places, n=self._n_readers)
+        is_reader = own.process_id in readers
+        if is_reader == self._is_reader:
+            return
+        self._is_reader = is_reader
+        self._journal.record(
+            Decision(
+                event=Event.READER_CHANGED,
+                config_revision=self._state.items.revision,
+                peer=own.process_id,
+                detail="reads the platform" if is_reader else "hears from peers",
+            )
+        )
+
+    def _steps_in(self) -> bool:
+        """Return True now and then while nobody seems to be reading.
+
+        It shows when all readers are cut off from the service, while others
+        are not; the tries are so rare that a service which is down for all is
+        not called by the whole fleet at once.
+        """
+        age_s = self._state.read_age_s()
+        if age_s is not None and age_s < STEP_IN_AFTER_S:
+            return False
+        now_s = time.monotonic()
+        if now_s < self._next_try_s:
+            return False
+        self._next_try_s = now_s + _spread_s()
+        return True
+
+
+def _spread_s() -> float:
+    return STEP_IN_EVERY_S * random.uniform(0.5, 1.5)
--- /dev/null
+++ b/src/trefoilpaddle/coordination/wake.py
@@ -0,0 +1,57 @@
+"""Notices that this process was paused, before it acts on what it believed."""
+
+import asyncio
+import time
+from collections.abc import Callable
+from typing import Final
+
+from ..protocol.const import SILENCE_S
+
+TICK_S: Final = 0.2
+LATE_S: Final = SILENCE_S / 2
+"""A gap between ticks from which on this process counts as paused."""
+
+OnLate = Callable[[float], None]
+
+
+class WakeWatch:
+    """Ticks on the event loop and measures the gaps on the monotonic clock.
+
+    A paused process (a stopped one, a frozen virtual machine) finds after it
+    wakes old heartbeats in its sockets and takes them for fresh. It shows as a
+    gap between ticks. `is_late` compares the clock itself, so that a task which
+    runs before the next tick learns of the gap as well.
+
+    Parameters
+    ----------
+    on_late : callable
+        Called once with each gap in seconds; drops what may be stale.
+    clock : callable
+        Monotonic clock in seconds.
+    """
+
+    __slots__ = ("_clock", "_on_late", "_tick_s")
+
+    def __init__(
+        self, *, on_late: OnLate, clock: Callable[[], float] = time.monotonic
+    ) -> None:
+        self._on_late = on_late
+        self._clock = clock
+        self._tick_s = clock()
+
+    def is_late(self) -> bool:
+        """Return True while a pause has not been dealt with yet."""
+        return self._clock() - self._tick_s > LATE_S
+
+    def tick(self) -> None:
+        """Deal with a pause if there was one, then begin the next interval."""
+        gap_s = self._clock() - self._tick_s
+        if gap_s > LATE_S:
+            self._on_late(gap_s)
+        self._tick_s = self._clock()
+
+    async def run(self) -> None:
+        """Tick until cancelled."""
+        while True:
+            self.tick()
+            await asyncio.sleep(TICK_S)
--- /dev/null
+++ b/src/trefoilpaddle/coordination/watch_peers.py
@@ -0,0 +1,132 @@
+"""Watches over a few peers: quick to suspect, slow to forget."""
+
+import asyncio
+import time
+from collections.abc import Callable
+from typing import Final
+
+from result import Ok
+
+from ..protocol.const import SILENCE_S
+from ..state.members import MemberRecord, MemberState
+from ..transport.connection import Address
+from ..transport.link import Link
+from .membership import Membership
+from .own_process import OwnProcess
+
+TICK_S: Final = 0.25
+CONNECT_GRACE_S: Final = 1.0
+"""Time that a new link has to connect before its silence counts."""
+
+DEAD_AFTER_S: Final = 30.0
+LEFT_AFTER_S: Final = 120.0
+FORGET_AFTER_S: Final = 600.0
+IDLE_LINK_S: Final = 120.0
+SWEEP_S: Final = 5.0
+
+
+class PeerWatch:
+    """Keeps the links to the children open and says when one falls silent.
+
+    Parameters
+    ----------
+    process : OwnProcess
+        The process that it runs in.
+    membership : Membership
+        Told of silence; says who the children are.
+    is_wanted : callable
+        Returns True for an address to which the role wants a link kept.
+    """
+
+    __slots__ = ("_is_wanted", "_judge_from_s", "_membership", "_process", "_watched_s")
+
+    def __init__(
+        self,
+        *,
+        process: OwnProcess,
+        membership: Membership,
+        is_wanted: Callable[[Address], bool],
+    ) -> None:
+        self._process = process
+        self._membership = membership
+        self._is_wanted = is_wanted
+        self._watched_s: dict[str, float] = {}
+        self._judge_from_s = 0.0
+
+    def woke_late(self) -> None:
+        """Judge nobody's silence until it is really theirs.
+
+        To a process that was paused itself all others look silent.
+        """
+        self._judge_from_s = time.monotonic() + SILENCE_S + CONNECT_GRACE_S
+
+    async def run(self) -> None:
+        """Watch until cancelled."""
+        next_sweep_s = time.monotonic() + SWEEP_S
+        while True:
+            now_s = time.monotonic()
+            self._membership.rewire()
+            self._watch_children(now_s)
+            if now_s >= next_sweep_s:
+                next_sweep_s = now_s + SWEEP_S
+                self.age(now_s)
+                await self._close_idle_links(now_s)
+            await asyncio.sleep(TICK_S)
+
+    def _watch_children(self, now_s: float) -> None:
+        children = {child.process_id: child for child in self._membership.children}
+        self._watched_s = {
+            process_id: self._watched_s.get(process_id, now_s)
+            for process_id in children
+        }
+        if now_s < self._judge_from_s:
+            return
+        for process_id, child in children.items():
+            watched_s = now_s - self._watched_s[process_id]
+            if watched_s > SILENCE_S + CONNECT_GRACE_S:
+                self._judge(child)
+            else:
+                self._link(child)
+
+    def _judge(self, child: MemberRecord) -> None:
+        link = self._link(child)
+        if link is None or link.is_heard():
+            return
+        if child.state is MemberState.LIVE:
+            self._membership.say(child.process_id, MemberState.SUSPECT)
+
+    def _link(self, child: MemberRecord) -> Link | None:
+        match Address.parse(child.address):
+            case Ok(address):
+                return self._process.peers.link(address)
+            case _:
+                return None
+
+    def age(self, now_s: float) -> None:
+        """Take suspects for dead and forget the dead, each after a long while."""
+        for record in list(self._membership.table.records.values()):
+            if record.process_id == self._membership.own.process_id:
+                continue
+            age_s = now_s - self._membership.since_s.get(record.process_id, now_s)
+            match record.state:
+                case MemberState.SUSPECT if age_s > DEAD_AFTER_S:
+                    self._membership.say(record.process_id, MemberState.DEAD)
+                case MemberState.LEAVING if age_s > LEFT_AFTER_S:
+                    self._membership.say(record.process_id, MemberState.DEAD)
+                case MemberState.DEAD if age_s > FORGET_AFTER_S:
+                    self._membership.forget(record.process_id)
+                case _:
+                    continue
+
+    async def _close_idle_links(self, now_s: float) -> None:
+        """Close links that nobody has used for long.
+
+        Each open link costs heartbeats both ways, and one to a dead host
+        redials for ever; both would pile up as hosts come and go.
+        """
+        kept = {child.address for child in self._membership.children}
+        for address, link in list(self._process.peers.links.items()):
+            if str(address) in kept or self._is_wanted(address):
+                continue
+            if link.is_idle(IDLE_LINK_S):
+                await self._process.peers.forget(address)
--- a/src/trefoilpaddle/protocol/gen/config/ttypes.py
+++ b/src/trefoilpaddle/protocol/gen/config/ttypes.py
@@ -23,6 +23,7 @@
      - revision
      - value
      - deleted
+     - accepted
 
     """
 
@@ -31,14 +32,16 @@
         'revision',
         'value',
         'deleted',
+        'accepted',
     )
 
 
-    def __init__(self, key="", revision=0, value=b"", deleted=False,):
+    def __init__(self, key="", revision=0, value=b"", deleted=False, accepted=False,):
         self.key = key
         self.revision = revision
         self.value = value
         self.deleted = deleted
+        self.accepted = accepted
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -69,6 +72,11 @@
                     self.deleted = iprot.readBool()
                 else:
                     iprot.skip(ftype)
+            elif fid == 5:
+                if ftype == TType.BOOL:
+                    self.accepted = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -95,6 +103,10 @@
             oprot.writeFieldBegin('deleted', TType.BOOL, 4)
             oprot.writeBool(self.deleted)
             oprot.writeFieldEnd()
+        if self.accepted is not None:
+            oprot.writeFieldBegin('accepted', TType.BOOL, 5)
+            oprot.writeBool(self.accepted)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -125,18 +137,28 @@
     Attributes:
      - known_revision
      - known_hosts_revision
+     - after_revision
+     - shard_digests
 
     """
 
     __slots__ = (
         'known_revision',
         'known_hosts_revision',
+        'after_revision',
+        'shard_digests',
     )
 
 
-    def __init__(self, known_revision=0, known_hosts_revision=0,):
+    def __init__(self, known_revision=0, known_hosts_revision=0, after_revision=0, shard_digests=[
+    ],):
         self.known_revision = known_revision
         self.known_hosts_revision = known_hosts_revision
+        self.after_revision = after_revision
+        if shard_digests is self.thrift_spec[4][4]:
+            shard_digests = [
+            ]
+        self.shard_digests = shard_digests
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -157,6 +179,21 @@
                     self.known_hosts_revision = iprot.readI64()
                 else:
                     iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.I64:
+                    self.after_revision = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.LIST:
+                    self.shard_digests = []
+                    (_etype3, _size0) = iprot.readListBegin()
+                    for _i4 in range(_size0):
+                        _elem5 = iprot.readI64()
+                        self.shard_digests.append(_elem5)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -175,6 +212,17 @@
             oprot.writeFieldBegin('known_hosts_revision', TType.I64, 2)
             oprot.writeI64(self.known_hosts_revision)
             oprot.writeFieldEnd()
+        if self.after_revision is not None:
+            oprot.writeFieldBegin('after_revision', TType.I64, 3)
+            oprot.writeI64(self.after_revision)
+            oprot.writeFieldEnd()
+        if self.shard_digests is not None:
+            oprot.writeFieldBegin('shard_digests', TType.LIST, 4)
+            oprot.writeListBegin(TType.I64, len(self.shard_digests))
+            for iter6 in self.shard_digests:
+                oprot.writeI64(iter6)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -210,6 +258,8 @@
      - hosts_revision
      - hosts
      - digest
+     - more
+     - read_age_ms
 
     """
 
@@ -221,11 +271,13 @@
         'hosts_revision',
         'hosts',
         'digest',
+        'more',
+        'read_age_ms',
     )
 
 
     def __init__(self, revision=0, base_revision=0, full=False, items=[
-    ], hosts_revision=0, hosts=b"", digest=0,):
+    ], hosts_revision=0, hosts=b"", digest=0, more=False, read_age_ms=-1,):
         self.revision = revision
         self.base_revision = base_revision
         self.full = full
@@ -236,6 +288,8 @@
         self.hosts_revision = hosts_revision
         self.hosts = hosts
         self.digest = digest
+        self.more = more
+        self.read_age_ms = read_age_ms
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -264,11 +318,11 @@
             elif fid == 4:
                 if ftype == TType.LIST:
                     self.items = []
-                    (_etype3, _size0) = iprot.readListBegin()
-                    for _i4 in range(_size0):
-                        _elem5 = Item()
-                        _elem5.read(iprot)
-                        self.items.append(_elem5)
+                    (_etype10, _size7) = iprot.readListBegin()
+                    for _i11 in range(_size7):
+                        _elem12 = Item()
+                        _elem12.read(iprot)
+                        self.items.append(_elem12)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -287,6 +341,16 @@
                     self.digest = iprot.readI64()
                 else:
                     iprot.skip(ftype)
+            elif fid == 8:
+                if ftype == TType.BOOL:
+                    self.more = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 9:
+                if ftype == TType.I64:
+                    self.read_age_ms = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -312,8 +376,8 @@
         if self.items is not None:
             oprot.writeFieldBegin('items', TType.LIST, 4)
             oprot.writeListBegin(TType.STRUCT, len(self.items))
-            for iter6 in self.items:
-                iter6.write(oprot)
+            for iter13 in self.items:
+                iter13.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.hosts_revision is not None:
@@ -328,6 +392,14 @@
             oprot.writeFieldBegin('digest', TType.I64, 7)
             oprot.writeI64(self.digest)
             oprot.writeFieldEnd()
+        if self.more is not None:
+            oprot.writeFieldBegin('more', TType.BOOL, 8)
+            oprot.writeBool(self.more)
+            oprot.writeFieldEnd()
+        if self.read_age_ms is not None:
+            oprot.writeFieldBegin('read_age_ms', TType.I64, 9)
+            oprot.writeI64(self.read_age_ms)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -358,12 +430,16 @@
     (2, TType.I64, 'revision', None, 0, ),  # 2
     (3, TType.STRING, 'value', 'BINARY', b"", ),  # 3
     (4, TType.BOOL, 'deleted', None, False, ),  # 4
+    (5, TType.BOOL, 'accepted', None, False, ),  # 5
 )
 all_structs.append(ConfigPull)
 ConfigPull.thrift_spec = (
     None,  # 0
     (1, TType.I64, 'known_revision', None, 0, ),  # 1
     (2, TType.I64, 'known_hosts_revision', None, 0, ),  # 2
+    (3, TType.I64, 'after_revision', None, 0, ),  # 3
+    (4, TType.LIST, 'shard_digests', (TType.I64, None, False), [
+    ], ),  # 4
 )
 all_structs.append(ConfigDelta)
 ConfigDelta.thrift_spec = (
@@ -376,6 +452,8 @@
     (5, TType.I64, 'hosts_revision', None, 0, ),  # 5
     (6, TType.STRING, 'hosts', 'BINARY', b"", ),  # 6
     (7, TType.I64, 'digest', None, 0, ),  # 7
+    (8, TType.BOOL, 'more', None, False, ),  # 8
+    (9, TType.I64, 'read_age_ms', None, -1, ),  # 9
 )
 fix_spec(all_structs)
 del all_structs
--- a/src/trefoilpaddle/protocol/gen/membership/ttypes.py
+++ b/src/trefoilpaddle/protocol/gen/membership/ttypes.py
@@ -51,6 +51,7 @@
      - beat
      - config_revision
      - hosts_revision
+     - region
 
     """
 
@@ -66,10 +67,11 @@
         'beat',
         'config_revision',
         'hosts_revision',
+        'region',
     )
 
 
-    def __init__(self, process_id="", incarnation=0, address="", role="", failure_domain="", service_name="", target="", state=    0, beat=0, config_revision=0, hosts_revision=0,):
+    def __init__(self, process_id="", incarnation=0, address="", role="", failure_domain="", service_name="", target="", state=    0, beat=0, config_revision=0, hosts_revision=0, region="",):
         self.process_id = process_id
         self.incarnation = incarnation
         self.address = address
@@ -81,6 +83,7 @@
         self.beat = beat
         self.config_revision = config_revision
         self.hosts_revision = hosts_revision
+        self.region = region
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -146,6 +149,11 @@
                     self.hosts_revision = iprot.readI64()
                 else:
                     iprot.skip(ftype)
+            elif fid == 12:
+                if ftype == TType.STRING:
+                    self.region = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -200,6 +208,90 @@
             oprot.writeFieldBegin('hosts_revision', TType.I64, 11)
             oprot.writeI64(self.hosts_revision)
             oprot.writeFieldEnd()
+        if self.region is not None:
+            oprot.writeFieldBegin('region', TType.STRING, 12)
+            oprot.writeString(self.region.encode('utf-8') if sys.version_info[0] == 2 else self.region)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class DomainDigest(object):
+    """
+    Attributes:
+     - failure_domain
+     - digest
+
+    """
+
+    __slots__ = (
+        'failure_domain',
+        'digest',
+    )
+
+
+    def __init__(self, failure_domain="", digest=0,):
+        self.failure_domain = failure_domain
+        self.digest = digest
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.failure_domain = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.I64:
+                    self.digest = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('DomainDigest')
+        if self.failure_domain is not None:
+            oprot.writeFieldBegin('failure_domain', TType.STRING, 1)
+            oprot.writeString(self.failure_domain.encode('utf-8') if sys.version_info[0] == 2 else self.failure_domain)
+            oprot.writeFieldEnd()
+        if self.digest is not None:
+            oprot.writeFieldBegin('digest', TType.I64, 2)
+            oprot.writeI64(self.digest)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -231,6 +323,7 @@
      - sender
      - members
      - digest
+     - domains
 
     """
 
@@ -238,17 +331,23 @@
         'sender',
         'members',
         'digest',
+        'domains',
     )
 
 
     def __init__(self, sender="", members=[
-    ], digest=0,):
+    ], digest=0, domains=[
+    ],):
         self.sender = sender
         if members is self.thrift_spec[2][4]:
             members = [
             ]
         self.members = members
         self.digest = digest
+        if domains is self.thrift_spec[4][4]:
+            domains = [
+            ]
+        self.domains = domains
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -280,6 +379,17 @@
                     self.digest = iprot.readI64()
                 else:
                     iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.LIST:
+                    self.domains = []
+                    (_etype9, _size6) = iprot.readListBegin()
+                    for _i10 in range(_size6):
+                        _elem11 = DomainDigest()
+                        _elem11.read(iprot)
+                        self.domains.append(_elem11)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -297,14 +407,21 @@
         if self.members is not None:
             oprot.writeFieldBegin('members', TType.LIST, 2)
             oprot.writeListBegin(TType.STRUCT, len(self.members))
-            for iter6 in self.members:
-                iter6.write(oprot)
+            for iter12 in self.members:
+                iter12.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.digest is not None:
             oprot.writeFieldBegin('digest', TType.I64, 3)
             oprot.writeI64(self.digest)
             oprot.writeFieldEnd()
+        if self.domains is not None:
+            oprot.writeFieldBegin('domains', TType.LIST, 4)
+            oprot.writeListBegin(TType.STRUCT, len(self.domains))
+            for iter13 in self.domains:
+                iter13.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -335,22 +452,29 @@
     Attributes:
      - members
      - digest
+     - domains
 
     """
 
     __slots__ = (
         'members',
         'digest',
+        'domains',
     )
 
 
     def __init__(self, members=[
-    ], digest=0,):
+    ], digest=0, domains=[
+    ],):
         if members is self.thrift_spec[1][4]:
             members = [
             ]
         self.members = members
         self.digest = digest
+        if domains is self.thrift_spec[3][4]:
+            domains = [
+            ]
+        self.domains = domains
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -364,11 +488,11 @@
             if fid == 1:
                 if ftype == TType.LIST:
                     self.members = []
-                    (_etype10, _size7) = iprot.readListBegin()
-                    for _i11 in range(_size7):
-                        _elem12 = Member()
-                        _elem12.read(iprot)
-                        self.members.append(_elem12)
+                    (_etype17, _size14) = iprot.readListBegin()
+                    for _i18 in range(_size14):
+                        _elem19 = Member()
+                        _elem19.read(iprot)
+                        self.members.append(_elem19)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -377,6 +501,17 @@
                     self.digest = iprot.readI64()
                 else:
                     iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.LIST:
+                    self.domains = []
+                    (_etype23, _size20) = iprot.readListBegin()
+                    for _i24 in range(_size20):
+                        _elem25 = DomainDigest()
+                        _elem25.read(iprot)
+                        self.domains.append(_elem25)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -390,14 +525,21 @@
         if self.members is not None:
             oprot.writeFieldBegin('members', TType.LIST, 1)
             oprot.writeListBegin(TType.STRUCT, len(self.members))
-            for iter13 in self.members:
-                iter13.write(oprot)
+            for iter26 in self.members:
+                iter26.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.digest is not None:
             oprot.writeFieldBegin('digest', TType.I64, 2)
             oprot.writeI64(self.digest)
             oprot.writeFieldEnd()
+        if self.domains is not None:
+            oprot.writeFieldBegin('domains', TType.LIST, 3)
+            oprot.writeListBegin(TType.STRUCT, len(self.domains))
+            for iter27 in self.domains:
+                iter27.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -435,6 +577,13 @@
     (9, TType.I64, 'beat', None, 0, ),  # 9
     (10, TType.I64, 'config_revision', None, 0, ),  # 10
     (11, TType.I64, 'hosts_revision', None, 0, ),  # 11
+    (12, TType.STRING, 'region', 'UTF8', "", ),  # 12
+)
+all_structs.append(DomainDigest)
+DomainDigest.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'failure_domain', 'UTF8', "", ),  # 1
+    (2, TType.I64, 'digest', None, 0, ),  # 2
 )
 all_structs.append(Gossip)
 Gossip.thrift_spec = (
@@ -443,6 +592,8 @@
     (2, TType.LIST, 'members', (TType.STRUCT, [Member, None], False), [
     ], ),  # 2
     (3, TType.I64, 'digest', None, 0, ),  # 3
+    (4, TType.LIST, 'domains', (TType.STRUCT, [DomainDigest, None], False), [
+    ], ),  # 4
 )
 all_structs.append(GossipAnswer)
 GossipAnswer.thrift_spec = (
@@ -450,6 +601,8 @@
     (1, TType.LIST, 'members', (TType.STRUCT, [Member, None], False), [
     ], ),  # 1
     (2, TType.I64, 'digest', None, 0, ),  # 2
+    (3, TType.LIST, 'domains', (TType.STRUCT, [DomainDigest, None], False), [
+    ], ),  # 3
 )
 fix_spec(all_structs)
 del all_structs
--- a/src/trefoilpaddle/protocol/gen/membership/ttypes.pyi
+++ b/src/trefoilpaddle/protocol/gen/membership/ttypes.pyi
@@ -17,13 +17,20 @@
     beat: int
     config_revision: int
     hosts_revision: int
-    def __init__(self, *, process_id: str = ..., incarnation: int = ..., address: str = ..., role: str = ..., failure_domain: str = ..., service_name: str = ..., target: str = ..., state: int = ..., beat: int = ..., config_revision: int = ..., hosts_revision: int = ...) -> None: ...
+    region: str
+    def __init__(self, *, process_id: str = ..., incarnation: int = ..., address: str = ..., role: str = ..., failure_domain: str = ..., service_name: str = ..., target: str = ..., state: int = ..., beat: int = ..., config_revision: int = ..., hosts_revision: int = ..., region: str = ...) -> None: ...
+class DomainDigest:
+    failure_domain: str
+    digest: int
+    def __init__(self, *, failure_domain: str = ..., digest: int = ...) -> None: ...
 class Gossip:
     sender: str
     members: list[Member]
     digest: int
-    def __init__(self, *, sender: str = ..., members: list[Member] = ..., digest: int = ...) -> None: ...
+    domains: list[DomainDigest]
+    def __init__(self, *, sender: str = ..., members: list[Member] = ..., digest: int = ..., domains: list[DomainDigest] = ...) -> None: ...
 class GossipAnswer:
     members: list[Member]
     digest: int
-    def __init__(self, *, members: list[Member] = ..., digest: int = ...) -> None: ...
+    domains: list[DomainDigest]
+    def __init__(self, *, members: list[Member] = ..., digest: int = ..., domains: list[DomainDigest] = ...) -> None: ...
--- a/src/trefoilpaddle/state/config_items.py
+++ b/src/trefoilpaddle/state/config_items.py
@@ -6,11 +6,15 @@
 the same versions hold the same, in whatever order and grouping they heard.
 """
 
-from collections.abc import Iterable, Iterator
+from collections.abc import Iterable, Iterator, Sequence
 from dataclasses import dataclass, replace
+from typing import Final
 
 from ..protocol.checksum import checksum
 
+N_SHARDS: Final = 64
+"""Shards of keys whose digests are compared apart."""
+
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class Version:
@@ -70,16 +74,24 @@
     ----------
     revision : int
         Every change up to it is known.
-    digest : int
-        Equal in two processes that hold the same versions.
+    shard_digests : list of int
+        By shard of keys; equal where two processes hold the same versions.
     """
 
-    __slots__ = ("digest", "keys", "revision")
+    __slots__ = ("keys", "revision", "shard_digests")
 
     def __init__(self) -> None:
         self.keys: dict[str, KeyState] = {}
         self.revision = 0
-        self.digest = 0
+        self.shard_digests = [0] * N_SHARDS
+
+    @property
+    def digest(self) -> int:
+        """Equal in two processes that hold the same versions."""
+        total = 0
+        for digest in self.shard_digests:
+            total ^= digest
+        return total
 
     def join(self, items: Iterable[PublishedItem], *, revision: int) -> set[str]:
         """Take in `items` and return the keys of which something was news.
@@ -108,10 +120,25 @@
         A newest version that is held back comes with the accepted one below
         it, so that who starts late learns the last good value too.
         """
-        keys = [key for key, at in self.keys.items() if at.newest.revision > revision]
-        for key in sorted(keys, key=lambda key: self.keys[key].newest.revision):
+        for key in self._keys_since(revision):
             yield from self.versions(key)
 
+    def differing(
+        self, shard_digests: Sequence[int], *, revision: int = 0
+    ) -> Iterator[PublishedItem]:
+        """Yield the same, but only of shards whose digest is another here."""
+        differs = [
+            own != other
+            for own, other in zip(self.shard_digests, shard_digests, strict=True)
+        ]
+        for key in self._keys_since(revision):
+            if differs[_shard(key)]:
+                yield from self.versions(key)
+
+    def _keys_since(self, revision: int) -> list[str]:
+        keys = [key for key, at in self.keys.items() if at.newest.revision > revision]
+        return sorted(keys, key=lambda key: self.keys[key].newest.revision)
+
     def versions(self, key: str) -> Iterator[PublishedItem]:
         """Yield the one or two versions held of `key`, oldest first."""
         state = self.keys[key]
@@ -136,11 +163,16 @@
         return True
 
     def _set(self, key: str, state: KeyState) -> None:
+        shard = _shard(key)
         was = self.keys.get(key)
         if was is not None:
-            self.digest ^= _fingerprint(key, was)
+            self.shard_digests[shard] ^= _fingerprint(key, was)
         self.keys[key] = state
-        self.digest ^= _fingerprint(key, state)
+        self.shard_digests[shard] ^= _fingerprint(key, state)
+
+
+def _shard(key: str) -> int:
+    return checksum(key.encode()) % N_SHARDS
 
 
 def _newer(was: Version | None, offered: Version) -> Version:
--- a/src/trefoilpaddle/transport/link.py
+++ b/src/trefoilpaddle/transport/link.py
@@ -58,6 +58,7 @@
         "address",
         "connection",
         "opened",
+        "used_s",
     )
 
     def __init__(
@@ -81,6 +82,7 @@
         self._task: asyncio.Task[None] | None = None
         self.connection: Connection | None = None
         self.opened = asyncio.Event()
+        self.used_s = time.monotonic()
 
     @property
     def peer(self) -> Hello | None:
@@ -97,14 +99,25 @@
             return False
         return time.monotonic() - self.connection.heard_s < SILENCE_S
 
+    def is_idle(self, idle_s: float) -> bool:
+        """Return True if only heartbeats passed for `idle_s` seconds."""
+        return not self._calls and time.monotonic() - self.used_s > idle_s
+
+    def drop(self) -> None:
+        """Break the present connection; the link dials again at once."""
+        if self.connection is not None:
+            self.connection.abort()
+
     def send(self, message: Message) -> bool:
         """Send a message that expects no reply; return False if not connected."""
+        self.used_s = time.monotonic()
         return self.connection is not None and self.connection.write(message)
 
     async def ask(
         self, message: Message, *, timeout_s: float
     ) -> Result[Message, PeerError]:
         """Send `message` and return its reply, or the step that failed."""
+        self.used_s = time.monotonic()
         if self.connection is None:
             with contextlib.suppress(TimeoutError):
                 async with asyncio.timeout(timeout_s):
@@ -209,6 +222,8 @@
                 return
 
     def _take(self, frame: Frame) -> None:
+        if not isinstance(frame.message, Heartbeat):
+            self.used_s = time.monotonic()
         if frame.call == 0:
             self._on_message(self, frame.message)
             return
--- a/src/trefoilpaddle/transport/server.py
+++ b/src/trefoilpaddle/transport/server.py
@@ -28,7 +28,7 @@
     Parameters
     ----------
     address : Address
-        Where to listen.
+        Where to listen; with port 0 the kernel chooses one and `address` tells it.
     own_hello : callable
         Returns what this process says of itself now.
     own_heartbeat : callable
@@ -92,6 +92,9 @@
         self._server = await asyncio.start_server(
             self._accept, self.address.ip, self.address.port, ssl=self._tls
         )
+        if self.address.port == 0:
+            port = self._server.sockets[0].getsockname()[1]
+            self.address = Address(ip=self.address.ip, port=port)
         try:
             yield self
         finally:
--- /dev/null
+++ b/tests/test_config_peers.py
@@ -0,0 +1,106 @@
+"""Configuration between peers, with a service that fails."""
+
+import pytest
+
+from tests.fake_fleet import fake_fleet
+from tests.fake_platform import until
+from trefoilpaddle.state.journal import Event
+
+SERVICE = {"kind": "pool"}
+
+
+class TestSpread:
+    async def test_one_reads_and_all_have_it(
+        self, monkeypatch: pytest.MonkeyPatch
+    ) -> None:
+        async with fake_fleet(monkeypatch) as fleet:
+            fleet.platform.publish("service/a", SERVICE)
+            for number in range(6):
+                await fleet.start(f"h{number}")
+            await until(
+                lambda: (
+                    sum(p.feed.client.n_reads > 1 for p in fleet.peers.values()) == 1
+                )
+            )
+            fleet.platform.publish("service/b", SERVICE)
+            await until(
+                lambda: (
+                    fleet.is_settled()
+                    and min(p.revision for p in fleet.peers.values()) == 2
+                )
+            )
+            n_readers = [p for p in fleet.peers.values() if p.feed.client.n_reads > 1]
+            assert len(n_readers) <= 2
+
+    async def test_a_large_value_reaches_all(
+        self, monkeypatch: pytest.MonkeyPatch
+    ) -> None:
+        large = {
+            "owner": "o",
+            "class_of_work": "c",
+            "pipelines": [],
+            "accounts": [],
+            "deadline_s": 5,
+        }
+        stage = {
+            "name": "s",
+            "service": "a",
+            "path": "/p",
+            "prompt_prefix": "x" * 900_000,
+        }
+        async with fake_fleet(monkeypatch) as fleet:
+            fleet.platform.publish("service/a", SERVICE)
+            for number in range(4):
+                await fleet.start(f"h{number}")
+            for name in ("p1", "p2", "p3"):
+                fleet.platform.publish(f"pipeline/{name}", {"stages": [stage]})
+            fleet.platform.publish("entry/e", large)
+            await until(
+                lambda: (
+                    fleet.is_settled()
+                    and min(p.revision for p in fleet.peers.values()) == 5
+                )
+            )
+            late = await fleet.start("late")
+            assert set(late.process.published.catalogue.pipelines) == {"p1", "p2", "p3"}
+
+
+class TestServiceFaults:
+    async def test_restart_beside_a_stale_service_does_not_revert(
+        self, monkeypatch: pytest.MonkeyPatch
+    ) -> None:
+        # A change is in force everywhere; then the service is restored from an
+        # old copy and offers less. A process restarts and would, going by the
+        # service alone, serve by the old entry while all others use the new.
+        async with fake_fleet(monkeypatch) as fleet:
+            fleet.platform.publish("service/a", SERVICE)
+            fleet.platform.freeze()
+            stale = fleet.platform.frozen
+            fleet.platform.frozen = None
+            fleet.platform.publish("service/a", {"kind": "plain"})
+            await fleet.start("h0")
+            await fleet.start("h1")
+            fleet.platform.frozen = stale
+            await fleet.stop("h1-gateway")
+            again = await fleet.start("h1")
+            assert again.feed.is_known()
+            assert again.revision == 2
+            assert again.process.published.catalogue.services["a"].kind == "plain"
+
+    async def test_service_down_for_long_is_seen_and_survived(
+        self, monkeypatch: pytest.MonkeyPatch
+    ) -> None:
+        # The service goes down. Nothing that is in force is lost, a process
+        # that starts meanwhile takes its catalogue from a peer, and a change
+        # made when the service is back reaches all.
+        async with fake_fleet(monkeypatch) as fleet:
+            fleet.platform.publish("service/a", SERVICE)
+            first = await fleet.start("h0")
+            fleet.platform.is_down = True
+            await until(lambda: Event.CONFIG_SOURCE_LOST in first.events())
+            late = await fleet.start("h1")
+            assert late.feed.is_known()
+            assert late.revision == 1
+            fleet.platform.is_down = False
+            fleet.platform.publish("service/b", SERVICE)
+            await until(lambda: fleet.is_settled() and late.revision == 2)
