--- a/idl/claims.thrift
+++ b/idl/claims.thrift
@@ -1,7 +1,14 @@
-// Request keys: the home that serialises retries of one request.
+// Request keys: the places that serialise retries of one request.
 namespace py trefoilpaddle.protocol.gen.claims
 
-enum ClaimState { NEW = 0, IN_PROGRESS = 1, DONE = 2, NOT_MINE = 3, UNKNOWN = 4, MISMATCH = 5 }
+enum ClaimState {
+  NEW = 0           // granted; in a CopyAnswer: no record of the key
+  IN_PROGRESS = 1
+  DONE = 2
+  NOT_MINE = 3      // another place decides, or the asker's list is too new here
+  UNKNOWN = 4
+  MISMATCH = 5
+}
 
 struct Claim {
   1: string key = ""              // client account and its key, or a minted request id
@@ -12,6 +19,8 @@
   6: i64 home_incarnation = 0    // 0 when not known; else the only one meant
   7: i64 fingerprint = 0         // of pipeline and body; a key reused with others is refused
   8: bool idempotent = false
+  9: i64 budget_ms = 0           // time left for the request
+  10: i64 grant = 0              // drawn by the first place for each copy it asks for
 }
 
 struct ClaimAnswer {
@@ -19,13 +28,36 @@
   2: string request_id = ""       // of the first try
   3: string gateway = ""
   4: i64 hosts_revision = 0
-  5: binary result = ""           // the stored answer, when DONE
+  5: binary result = ""           // the stored answer, when DONE and has_result
   6: string detail = ""
+  7: bool has_result = false
+  8: i64 retry_after_ms = 0
 }
 
 // The gateway that holds a claim reports the end of its request.
-struct Settle { 1: string key = ""  2: string request_id = ""  3: bool run = false  4: binary result = "" }
+struct Settle {
+  1: string key = ""
+  2: string request_id = ""
+  3: bool run = false             // false: it was not run, the key is free again
+  4: binary result = ""
+  5: bool has_result = false
+  6: i64 grant = 0               // withdraws this copy alone; 0 in a gateway's settlement
+}
 struct SettleAnswer { 1: bool known = false }
 
-// A new home asks the former one before it says NEW.
-struct ClaimMove { 1: string key = ""  2: i64 hosts_revision = 0 }
+enum CopyKind {
+  COPY = 0   // home to second place: record the claim unless there is one
+  MOVE = 1   // home to a place of a former list: tell, and never grant it any more
+  PEEK = 2   // gateway to second place: only tell
+}
+
+struct ClaimCopy { 1: CopyKind kind = 0  2: Claim claim }
+
+// The two places of a key under one list.
+struct Places { 1: i64 hosts_revision = 0  2: list<string> process_ids = []  3: list<string> addresses = [] }
+
+struct CopyAnswer {
+  1: ClaimAnswer answer
+  2: bool complete = false        // has lived for a whole retry window
+  3: list<Places> former = []     // under other lists that this place knows
+}
--- /dev/null
+++ b/src/trefoilpaddle/coordination/claim_book.py
@@ -0,0 +1,214 @@
+"""What one process knows of request keys and of the lists that place them."""
+
+import time
+from collections.abc import Callable, Iterator
+from typing import Final
+
+from ..protocol.gen.claims.ttypes import Claim, ClaimAnswer, ClaimState, Places
+from ..state.claim_table import ClaimRecord, ClaimStage, ClaimTable
+from ..state.places import Place, PlaceHistory, PlaceList
+from ..state.published import Published
+
+FORMER_LISTS_S: Final = 300.0
+"""How long a replaced list is asked about; a partition of minutes fits in."""
+
+RETRY_S: Final = 1.0
+
+IncarnationOf = Callable[[str], int | None]
+
+
+def _no_incarnation(_process_id: str) -> None:
+    return None
+
+
+class ClaimBook:
+    """Claims known to this process, and how far it can vouch for others.
+
+    Parameters
+    ----------
+    process_id : str
+        This process.
+    published : Published
+        Host list and catalogue in force.
+    table : ClaimTable
+        The claims; its window is the retry window.
+    incarnation_of : callable
+        Returns the incarnation with which a process is connected now, or None.
+    clock : callable
+        Monotonic seconds.
+    """
+
+    __slots__ = (
+        "_born_s",
+        "_clock",
+        "_history",
+        "_incarnation_of",
+        "_longest_s",
+        "_published",
+        "process_id",
+        "table",
+    )
+
+    def __init__(
+        self,
+        *,
+        process_id: str,
+        published: Published,
+        table: ClaimTable,
+        incarnation_of: IncarnationOf = _no_incarnation,
+        clock: Callable[[], float] = time.monotonic,
+    ) -> None:
+        self.process_id = process_id
+        self.table = table
+        self._published = published
+        self._incarnation_of = incarnation_of
+        self._clock = clock
+        self._born_s = clock()
+        self._longest_s = 0.0
+        self._history = PlaceHistory(keep_s=FORMER_LISTS_S, clock=clock)
+        published.subscribe(self._on_published)
+        self._on_published()
+
+    def _on_published(self) -> None:
+        self._history.set_hosts(self._published.hosts)
+        entries = self._published.catalogue.entries.values()
+        self._longest_s = max([self._longest_s, *(e.deadline_s for e in entries)])
+
+    @property
+    def present(self) -> PlaceList:
+        """The list in force."""
+        return self._history.present
+
+    @property
+    def memory_s(self) -> float:
+        """Longest time for which any claim must be remembered."""
+        return self.table.window_s + self._longest_s
+
+    def incomplete_s(self) -> float:
+        """Return for how long this process may still lack an earlier claim.
+
+        A restarted process has forgotten the claims that it held. Until every
+        request granted before its start has ended and its retry window is
+        over, it cannot vouch that a key is new.
+        """
+        known_since_s = max(self._born_s, self._history.cut_s)
+        return max(0.0, known_since_s + self.memory_s - self._clock())
+
+    def is_complete(self) -> bool:
+        """Return True if no claim recorded here can have been forgotten."""
+        return self.incomplete_s() == 0.0
+
+    def other_pairs(self, key: str, *, revision: int) -> Iterator[tuple[Place, ...]]:
+        """Yield the distinct places of `key` under known lists but `revision`.
+
+        These are the lists replaced lately, and the present one where the asker
+        decides under a newer: others may still decide under either.
+        """
+        seen: set[tuple[str, ...]] = set()
+        for places in (self.present, *self._history.former()):
+            if places.revision == revision:
+                continue
+            pair = places.pair(key)
+            names = tuple(place.process_id for place in pair)
+            if names and names not in seen:
+                seen.add(names)
+                yield pair
+
+    def known(self, record: ClaimRecord, claim: Claim) -> ClaimAnswer:
+        """Return what `record` means for the try that `claim` describes."""
+        if record.stage is ClaimStage.MOVED:
+            return self.not_mine("this key has moved to another place")
+        if record.fingerprint != claim.fingerprint:
+            detail = "the key was used with another body or pipeline"
+            return answer_for(record, ClaimState.MISMATCH, detail=detail)
+        if record.stage is ClaimStage.DONE:
+            return answer_for(record, ClaimState.DONE)
+        if is_same_try(record, claim) and record.stage is ClaimStage.RUNNING:
+            return answer_for(record, ClaimState.NEW)
+        if not self._is_holder_gone(record):
+            return answer_for(record, ClaimState.IN_PROGRESS)
+        if not record.is_idempotent:
+            detail = f"{record.gateway} was lost while it ran the request"
+            return answer_for(record, ClaimState.UNKNOWN, detail=detail)
+        self._take_over(record, claim)
+        return answer_for(record, ClaimState.NEW)
+
+    def _is_holder_gone(self, record: ClaimRecord) -> bool:
+        if self._clock() > record.overdue_s:
+            return True
+        incarnation = self._incarnation_of(record.gateway)
+        return incarnation is not None and incarnation != record.gateway_incarnation
+
+    def _take_over(self, record: ClaimRecord, claim: Claim) -> None:
+        record.request_id = claim.request_id
+        record.gateway = claim.gateway
+        record.gateway_incarnation = claim.gateway_incarnation
+        record.overdue_s = self._clock() + claim.budget_ms / 1000
+
+    def note(self, claim: Claim, *, stage: ClaimStage) -> ClaimRecord | None:
+        """Record a claim on an unknown key; return None if the table is full."""
+        record = ClaimRecord(
+            key=claim.key,
+            request_id=claim.request_id,
+            gateway=claim.gateway,
+            gateway_incarnation=claim.gateway_incarnation,
+            fingerprint=claim.fingerprint,
+            is_idempotent=claim.idempotent,
+            grant=claim.grant,
+            stage=stage,
+        )
+        is_kept = self.table.add(record, budget_s=claim.budget_ms / 1000)
+        return record if is_kept else None
+
+    def not_mine(self, detail: str) -> ClaimAnswer:
+        """Return the answer of a process that does not decide about the key."""
+        return ClaimAnswer(
+            state=ClaimState.NOT_MINE,
+            hosts_revision=self.present.revision,
+            detail=detail,
+        )
+
+    def unsure(self, detail: str) -> ClaimAnswer:
+        """Return the answer when nobody can tell whether an earlier try ran."""
+        wait_s = max(RETRY_S, self.incomplete_s())
+        return ClaimAnswer(
+            state=ClaimState.UNKNOWN, detail=detail, retry_after_ms=int(1000 * wait_s)
+        )
+
+
+def answer_for(record: ClaimRecord, state: int, *, detail: str = "") -> ClaimAnswer:
+    """Return the answer `state` with what `record` holds."""
+    return ClaimAnswer(
+        state=state,
+        request_id=record.request_id,
+        gateway=record.gateway,
+        result=record.result or b"",
+        has_result=record.result is not None,
+        detail=detail,
+    )
+
+
+def is_same_try(record: ClaimRecord, claim: Claim) -> bool:
+    """Return True if `claim` comes from the very try that `record` holds."""
+    return (
+        record.request_id == claim.request_id
+        and record.gateway == claim.gateway
+        and record.gateway_incarnation == claim.gateway_incarnation
+    )
+
+
+def places_message(pair: tuple[Place, ...]) -> Places:
+    """Return `pair` as it travels."""
+    return Places(
+        process_ids=[place.process_id for place in pair],
+        addresses=[place.address for place in pair],
+    )
+
+
+def places_of(message: Places) -> tuple[Place, ...]:
+    """Return the pair that `message` carries; domains do not travel."""
+    named = zip(message.process_ids, message.addresses, strict=False)
+    return tuple(
+        Place(process_id=name, failure_domain="", address=address)
+        for name, address in named
+    )
--- /dev/null
+++ b/src/trefoilpaddle/coordination/minted.py
@@ -0,0 +1,110 @@
+"""Request ids that this gateway mints and serialises itself.
+
+The id names the gateway and its incarnation, so every other gateway sends a
+retry of it here. The table knows each id since it was minted; an id that is
+not in it was used and forgotten, or is no id of this incarnation.
+"""
+
+import time
+from collections.abc import Callable
+from typing import Final
+
+from ..protocol.gen.claims.ttypes import (
+    Claim,
+    ClaimAnswer,
+    Settle,
+    SettleAnswer,
+)
+from ..protocol.gen.stage.ttypes import Hello
+from ..protocol.ids import RequestId
+from ..state.claim_table import ClaimStage
+from ..transport.server import PeerServer
+from .claim_book import ClaimBook
+
+MINTED_S: Final = 300.0
+"""How long an unused id stays valid."""
+
+MAX_MINTED: Final = 100_000
+
+
+class MintedClaims:
+    """Mints ids and decides about them.
+
+    Parameters
+    ----------
+    book : ClaimBook
+        Claims known to this gateway.
+    process_id : str
+        This gateway.
+    incarnation : int
+        Its incarnation.
+    clock : callable
+        Monotonic seconds.
+    """
+
+    __slots__ = ("_book", "_clock", "_incarnation", "_process_id", "_unused")
+
+    def __init__(
+        self,
+        *,
+        book: ClaimBook,
+        process_id: str,
+        incarnation: int,
+        clock: Callable[[], float] = time.monotonic,
+    ) -> None:
+        self._book = book
+        self._process_id = process_id
+        self._incarnation = incarnation
+        self._clock = clock
+        self._unused: dict[str, float] = {}
+
+    def mount(self, server: PeerServer) -> None:
+        """Answer claims on minted ids and their settlements at `server`."""
+        server.answer(Claim, self.answer_claim)
+        server.answer(Settle, self.answer_settle)
+
+    def mint(self) -> RequestId:
+        """Return a fresh id; beyond ``MAX_MINTED`` the oldest unused one ends."""
+        self._drop_old()
+        minted = RequestId.mint(
+            process_id=self._process_id, incarnation=self._incarnation
+        )
+        self._unused[str(minted)] = self._clock() + MINTED_S
+        return minted
+
+    def _drop_old(self) -> None:
+        while self._unused:
+            oldest = next(iter(self._unused))
+            is_over = self._unused[oldest] < self._clock()
+            if not is_over and len(self._unused) < MAX_MINTED:
+                return
+            del self._unused[oldest]
+
+    async def answer_claim(self, claim: Claim, _peer: Hello) -> ClaimAnswer:
+        """Return whether the try that `claim` describes may run."""
+        if claim.home_incarnation != self._incarnation:
+            return self._book.unsure("the gateway that made this id has restarted")
+        record = self._book.table.get(claim.key)
+        if record is not None:
+            return self._book.known(record, claim)
+        self._drop_old()
+        if claim.key not in self._unused:
+            return self._book.unsure("this id was used before, or is too old")
+        record = self._book.note(claim, stage=ClaimStage.RUNNING)
+        if record is None:
+            return self._book.unsure("this gateway keeps no more ids")
+        del self._unused[claim.key]
+        return self._book.known(record, claim)
+
+    async def answer_settle(self, settle: Settle, _peer: Hello) -> SettleAnswer:
+        """Note the end of a request."""
+        record = self._book.table.get(settle.key)
+        if record is None or record.request_id != settle.request_id:
+            return SettleAnswer(known=False)
+        if settle.run:
+            result = settle.result if settle.has_result else None
+            self._book.table.finish(record, result=result)
+        elif record.stage is ClaimStage.RUNNING:
+            self._book.table.remove(settle.key)
+            self._unused[settle.key] = self._clock() + MINTED_S
+        return SettleAnswer(known=True)
--- a/src/trefoilpaddle/protocol/gen/claims/ttypes.py
+++ b/src/trefoilpaddle/protocol/gen/claims/ttypes.py
@@ -43,6 +43,24 @@
     }
 
 
+class CopyKind(object):
+    COPY = 0
+    MOVE = 1
+    PEEK = 2
+
+    _VALUES_TO_NAMES = {
+        0: "COPY",
+        1: "MOVE",
+        2: "PEEK",
+    }
+
+    _NAMES_TO_VALUES = {
+        "COPY": 0,
+        "MOVE": 1,
+        "PEEK": 2,
+    }
+
+
 class Claim(object):
     """
     Attributes:
@@ -54,6 +72,8 @@
      - home_incarnation
      - fingerprint
      - idempotent
+     - budget_ms
+     - grant
 
     """
 
@@ -66,10 +86,12 @@
         'home_incarnation',
         'fingerprint',
         'idempotent',
+        'budget_ms',
+        'grant',
     )
 
 
-    def __init__(self, key="", request_id="", gateway="", gateway_incarnation=0, hosts_revision=0, home_incarnation=0, fingerprint=0, idempotent=False,):
+    def __init__(self, key="", request_id="", gateway="", gateway_incarnation=0, hosts_revision=0, home_incarnation=0, fingerprint=0, idempotent=False, budget_ms=0, grant=0,):
         self.key = key
         self.request_id = request_id
         self.gateway = gateway
@@ -78,6 +100,8 @@
         self.home_incarnation = home_incarnation
         self.fingerprint = fingerprint
         self.idempotent = idempotent
+        self.budget_ms = budget_ms
+        self.grant = grant
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -128,6 +152,16 @@
                     self.idempotent = iprot.readBool()
                 else:
                     iprot.skip(ftype)
+            elif fid == 9:
+                if ftype == TType.I64:
+                    self.budget_ms = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 10:
+                if ftype == TType.I64:
+                    self.grant = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -170,6 +204,14 @@
             oprot.writeFieldBegin('idempotent', TType.BOOL, 8)
             oprot.writeBool(self.idempotent)
             oprot.writeFieldEnd()
+        if self.budget_ms is not None:
+            oprot.writeFieldBegin('budget_ms', TType.I64, 9)
+            oprot.writeI64(self.budget_ms)
+            oprot.writeFieldEnd()
+        if self.grant is not None:
+            oprot.writeFieldBegin('grant', TType.I64, 10)
+            oprot.writeI64(self.grant)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -204,6 +246,8 @@
      - hosts_revision
      - result
      - detail
+     - has_result
+     - retry_after_ms
 
     """
 
@@ -214,16 +258,20 @@
         'hosts_revision',
         'result',
         'detail',
+        'has_result',
+        'retry_after_ms',
     )
 
 
-    def __init__(self, state=    0, request_id="", gateway="", hosts_revision=0, result=b"", detail="",):
+    def __init__(self, state=    0, request_id="", gateway="", hosts_revision=0, result=b"", detail="", has_result=False, retry_after_ms=0,):
         self.state = state
         self.request_id = request_id
         self.gateway = gateway
         self.hosts_revision = hosts_revision
         self.result = result
         self.detail = detail
+        self.has_result = has_result
+        self.retry_after_ms = retry_after_ms
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -264,6 +312,16 @@
                     self.detail = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
                 else:
                     iprot.skip(ftype)
+            elif fid == 7:
+                if ftype == TType.BOOL:
+                    self.has_result = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 8:
+                if ftype == TType.I64:
+                    self.retry_after_ms = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -298,6 +356,14 @@
             oprot.writeFieldBegin('detail', TType.STRING, 6)
             oprot.writeString(self.detail.encode('utf-8') if sys.version_info[0] == 2 else self.detail)
             oprot.writeFieldEnd()
+        if self.has_result is not None:
+            oprot.writeFieldBegin('has_result', TType.BOOL, 7)
+            oprot.writeBool(self.has_result)
+            oprot.writeFieldEnd()
+        if self.retry_after_ms is not None:
+            oprot.writeFieldBegin('retry_after_ms', TType.I64, 8)
+            oprot.writeI64(self.retry_after_ms)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -330,6 +396,8 @@
      - request_id
      - run
      - result
+     - has_result
+     - grant
 
     """
 
@@ -338,14 +406,18 @@
         'request_id',
         'run',
         'result',
+        'has_result',
+        'grant',
     )
 
 
-    def __init__(self, key="", request_id="", run=False, result=b"",):
+    def __init__(self, key="", request_id="", run=False, result=b"", has_result=False, grant=0,):
         self.key = key
         self.request_id = request_id
         self.run = run
         self.result = result
+        self.has_result = has_result
+        self.grant = grant
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -376,6 +448,16 @@
                     self.result = iprot.readBinary()
                 else:
                     iprot.skip(ftype)
+            elif fid == 5:
+                if ftype == TType.BOOL:
+                    self.has_result = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 6:
+                if ftype == TType.I64:
+                    self.grant = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -402,6 +484,14 @@
             oprot.writeFieldBegin('result', TType.STRING, 4)
             oprot.writeBinary(self.result)
             oprot.writeFieldEnd()
+        if self.has_result is not None:
+            oprot.writeFieldBegin('has_result', TType.BOOL, 5)
+            oprot.writeBool(self.has_result)
+            oprot.writeFieldEnd()
+        if self.grant is not None:
+            oprot.writeFieldBegin('grant', TType.I64, 6)
+            oprot.writeI64(self.grant)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -495,23 +585,115 @@
         return not (self == other)
 
 
-class ClaimMove(object):
+class ClaimCopy(object):
+    """
+    Attributes:
+     - kind
+     - claim
+
+    """
+
+    __slots__ = (
+        'kind',
+        'claim',
+    )
+
+
+    def __init__(self, kind=    0, claim=None,):
+        self.kind = kind
+        self.claim = claim
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.I32:
+                    self.kind = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.STRUCT:
+                    self.claim = Claim()
+                    self.claim.read(iprot)
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('ClaimCopy')
+        if self.kind is not None:
+            oprot.writeFieldBegin('kind', TType.I32, 1)
+            oprot.writeI32(self.kind)
+            oprot.writeFieldEnd()
+        if self.claim is not None:
+            oprot.writeFieldBegin('claim', TType.STRUCT, 2)
+            self.claim.write(oprot)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class Places(object):
     """
     Attributes:
-     - key
      - hosts_revision
+     - process_ids
+     - addresses
 
     """
 
     __slots__ = (
-        'key',
         'hosts_revision',
+        'process_ids',
+        'addresses',
     )
 
 
-    def __init__(self, key="", hosts_revision=0,):
-        self.key = key
+    def __init__(self, hosts_revision=0, process_ids=[
+    ], addresses=[
+    ],):
         self.hosts_revision = hosts_revision
+        if process_ids is self.thrift_spec[2][4]:
+            process_ids = [
+            ]
+        self.process_ids = process_ids
+        if addresses is self.thrift_spec[3][4]:
+            addresses = [
+            ]
+        self.addresses = addresses
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -523,13 +705,28 @@
             if ftype == TType.STOP:
                 break
             if fid == 1:
-                if ftype == TType.STRING:
-                    self.key = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                if ftype == TType.I64:
+                    self.hosts_revision = iprot.readI64()
                 else:
                     iprot.skip(ftype)
             elif fid == 2:
-                if ftype == TType.I64:
-                    self.hosts_revision = iprot.readI64()
+                if ftype == TType.LIST:
+                    self.process_ids = []
+                    (_etype3, _size0) = iprot.readListBegin()
+                    for _i4 in range(_size0):
+                        _elem5 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.process_ids.append(_elem5)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.LIST:
+                    self.addresses = []
+                    (_etype9, _size6) = iprot.readListBegin()
+                    for _i10 in range(_size6):
+                        _elem11 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.addresses.append(_elem11)
+                    iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             else:
@@ -541,15 +738,131 @@
         if oprot._fast_encode is not None and self.thrift_spec is not None:
             oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
             return
-        oprot.writeStructBegin('ClaimMove')
-        if self.key is not None:
-            oprot.writeFieldBegin('key', TType.STRING, 1)
-            oprot.writeString(self.key.encode('utf-8') if sys.version_info[0] == 2 else self.key)
-            oprot.writeFieldEnd()
+        oprot.writeStructBegin('Places')
         if self.hosts_revision is not None:
-            oprot.writeFieldBegin('hosts_revision', TType.I64, 2)
+            oprot.writeFieldBegin('hosts_revision', TType.I64, 1)
             oprot.writeI64(self.hosts_revision)
             oprot.writeFieldEnd()
+        if self.process_ids is not None:
+            oprot.writeFieldBegin('process_ids', TType.LIST, 2)
+            oprot.writeListBegin(TType.STRING, len(self.process_ids))
+            for iter12 in self.process_ids:
+                oprot.writeString(iter12.encode('utf-8') if sys.version_info[0] == 2 else iter12)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.addresses is not None:
+            oprot.writeFieldBegin('addresses', TType.LIST, 3)
+            oprot.writeListBegin(TType.STRING, len(self.addresses))
+            for iter13 in self.addresses:
+                oprot.writeString(iter13.encode('utf-8') if sys.version_info[0] == 2 else iter13)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class CopyAnswer(object):
+    """
+    Attributes:
+     - answer
+     - complete
+     - former
+
+    """
+
+    __slots__ = (
+        'answer',
+        'complete',
+        'former',
+    )
+
+
+    def __init__(self, answer=None, complete=False, former=[
+    ],):
+        self.answer = answer
+        self.complete = complete
+        if former is self.thrift_spec[3][4]:
+            former = [
+            ]
+        self.former = former
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRUCT:
+                    self.answer = ClaimAnswer()
+                    self.answer.read(iprot)
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.BOOL:
+                    self.complete = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.LIST:
+                    self.former = []
+                    (_etype17, _size14) = iprot.readListBegin()
+                    for _i18 in range(_size14):
+                        _elem19 = Places()
+                        _elem19.read(iprot)
+                        self.former.append(_elem19)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('CopyAnswer')
+        if self.answer is not None:
+            oprot.writeFieldBegin('answer', TType.STRUCT, 1)
+            self.answer.write(oprot)
+            oprot.writeFieldEnd()
+        if self.complete is not None:
+            oprot.writeFieldBegin('complete', TType.BOOL, 2)
+            oprot.writeBool(self.complete)
+            oprot.writeFieldEnd()
+        if self.former is not None:
+            oprot.writeFieldBegin('former', TType.LIST, 3)
+            oprot.writeListBegin(TType.STRUCT, len(self.former))
+            for iter20 in self.former:
+                iter20.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -584,6 +897,8 @@
     (6, TType.I64, 'home_incarnation', None, 0, ),  # 6
     (7, TType.I64, 'fingerprint', None, 0, ),  # 7
     (8, TType.BOOL, 'idempotent', None, False, ),  # 8
+    (9, TType.I64, 'budget_ms', None, 0, ),  # 9
+    (10, TType.I64, 'grant', None, 0, ),  # 10
 )
 all_structs.append(ClaimAnswer)
 ClaimAnswer.thrift_spec = (
@@ -594,6 +909,8 @@
     (4, TType.I64, 'hosts_revision', None, 0, ),  # 4
     (5, TType.STRING, 'result', 'BINARY', b"", ),  # 5
     (6, TType.STRING, 'detail', 'UTF8', "", ),  # 6
+    (7, TType.BOOL, 'has_result', None, False, ),  # 7
+    (8, TType.I64, 'retry_after_ms', None, 0, ),  # 8
 )
 all_structs.append(Settle)
 Settle.thrift_spec = (
@@ -602,17 +919,36 @@
     (2, TType.STRING, 'request_id', 'UTF8', "", ),  # 2
     (3, TType.BOOL, 'run', None, False, ),  # 3
     (4, TType.STRING, 'result', 'BINARY', b"", ),  # 4
+    (5, TType.BOOL, 'has_result', None, False, ),  # 5
+    (6, TType.I64, 'grant', None, 0, ),  # 6
 )
 all_structs.append(SettleAnswer)
 SettleAnswer.thrift_spec = (
     None,  # 0
     (1, TType.BOOL, 'known', None, False, ),  # 1
 )
-all_structs.append(ClaimMove)
-ClaimMove.thrift_spec = (
+all_structs.append(ClaimCopy)
+ClaimCopy.thrift_spec = (
     None,  # 0
-    (1, TType.STRING, 'key', 'UTF8', "", ),  # 1
-    (2, TType.I64, 'hosts_revision', None, 0, ),  # 2
+    (1, TType.I32, 'kind', None,     0, ),  # 1
+    (2, TType.STRUCT, 'claim', [Claim, None], None, ),  # 2
+)
+all_structs.append(Places)
+Places.thrift_spec = (
+    None,  # 0
+    (1, TType.I64, 'hosts_revision', None, 0, ),  # 1
+    (2, TType.LIST, 'process_ids', (TType.STRING, 'UTF8', False), [
+    ], ),  # 2
+    (3, TType.LIST, 'addresses', (TType.STRING, 'UTF8', False), [
+    ], ),  # 3
+)
+all_structs.append(CopyAnswer)
+CopyAnswer.thrift_spec = (
+    None,  # 0
+    (1, TType.STRUCT, 'answer', [ClaimAnswer, None], None, ),  # 1
+    (2, TType.BOOL, 'complete', None, False, ),  # 2
+    (3, TType.LIST, 'former', (TType.STRUCT, [Places, None], False), [
+    ], ),  # 3
 )
 fix_spec(all_structs)
 del all_structs
--- a/src/trefoilpaddle/protocol/gen/claims/ttypes.pyi
+++ b/src/trefoilpaddle/protocol/gen/claims/ttypes.pyi
@@ -7,6 +7,12 @@
     MISMATCH: int
     _VALUES_TO_NAMES: dict[int, str]
     _NAMES_TO_VALUES: dict[str, int]
+class CopyKind:
+    COPY: int
+    MOVE: int
+    PEEK: int
+    _VALUES_TO_NAMES: dict[int, str]
+    _NAMES_TO_VALUES: dict[str, int]
 class Claim:
     key: str
     request_id: str
@@ -16,7 +22,9 @@
     home_incarnation: int
     fingerprint: int
     idempotent: bool
-    def __init__(self, *, key: str = ..., request_id: str = ..., gateway: str = ..., gateway_incarnation: int = ..., hosts_revision: int = ..., home_incarnation: int = ..., fingerprint: int = ..., idempotent: bool = ...) -> None: ...
+    budget_ms: int
+    grant: int
+    def __init__(self, *, key: str = ..., request_id: str = ..., gateway: str = ..., gateway_incarnation: int = ..., hosts_revision: int = ..., home_incarnation: int = ..., fingerprint: int = ..., idempotent: bool = ..., budget_ms: int = ..., grant: int = ...) -> None: ...
 class ClaimAnswer:
     state: int
     request_id: str
@@ -24,17 +32,31 @@
     hosts_revision: int
     result: bytes
     detail: str
-    def __init__(self, *, state: int = ..., request_id: str = ..., gateway: str = ..., hosts_revision: int = ..., result: bytes = ..., detail: str = ...) -> None: ...
+    has_result: bool
+    retry_after_ms: int
+    def __init__(self, *, state: int = ..., request_id: str = ..., gateway: str = ..., hosts_revision: int = ..., result: bytes = ..., detail: str = ..., has_result: bool = ..., retry_after_ms: int = ...) -> None: ...
 class Settle:
     key: str
     request_id: str
     run: bool
     result: bytes
-    def __init__(self, *, key: str = ..., request_id: str = ..., run: bool = ..., result: bytes = ...) -> None: ...
+    has_result: bool
+    grant: int
+    def __init__(self, *, key: str = ..., request_id: str = ..., run: bool = ..., result: bytes = ..., has_result: bool = ..., grant: int = ...) -> None: ...
 class SettleAnswer:
     known: bool
     def __init__(self, *, known: bool = ...) -> None: ...
-class ClaimMove:
-    key: str
+class ClaimCopy:
+    kind: int
+    claim: Claim | None
+    def __init__(self, *, kind: int = ..., claim: Claim | None = ...) -> None: ...
+class Places:
     hosts_revision: int
-    def __init__(self, *, key: str = ..., hosts_revision: int = ...) -> None: ...
+    process_ids: list[str]
+    addresses: list[str]
+    def __init__(self, *, hosts_revision: int = ..., process_ids: list[str] = ..., addresses: list[str] = ...) -> None: ...
+class CopyAnswer:
+    answer: ClaimAnswer | None
+    complete: bool
+    former: list[Places]
+    def __init__(self, *, answer: ClaimAnswer | None = ..., complete: bool = ..., former: list[Places] = ...) -> None: ...
--- /dev/null
+++ b/tests/claims_fleet.py
@@ -0,0 +1,269 @@
+"""A few claim homes and claimers joined by a fake network with injected clocks."""
+
+import asyncio
+import random
+from collections.abc import Callable, Coroutine
+from typing import Any
+
+from result import Err, Ok, Result
+
+from trefoilpaddle.coordination.claim_book import ClaimBook
+from trefoilpaddle.coordination.claim_home import ClaimHome
+from trefoilpaddle.coordination.claims import (
+    Claimer,
+    ClaimOutcome,
+    Granted,
+    Key,
+    account_key,
+)
+from trefoilpaddle.coordination.directory import PublishedDirectory
+from trefoilpaddle.coordination.minted import MintedClaims
+from trefoilpaddle.protocol.errors import PeerError
+from trefoilpaddle.protocol.frames import Message
+from trefoilpaddle.protocol.gen.claims.ttypes import (
+    Claim,
+    ClaimAnswer,
+    ClaimCopy,
+    CopyAnswer,
+    Settle,
+    SettleAnswer,
+)
+from trefoilpaddle.protocol.gen.stage.ttypes import Hello
+from trefoilpaddle.state.claim_table import ClaimTable
+from trefoilpaddle.state.hosts import Host, HostList
+from trefoilpaddle.state.journal import Journal
+from trefoilpaddle.state.places import place_list
+from trefoilpaddle.state.published import Published
+from trefoilpaddle.state.settings import LogFormat
+from trefoilpaddle.transport.connection import Address
+
+WINDOW_S = 30.0
+Answerer = Callable[[Message, Hello], Coroutine[Any, Any, Message]]
+
+
+class Clock:
+    def __init__(self) -> None:
+        self.now_s = 1000.0
+
+    def __call__(self) -> float:
+        return self.now_s
+
+    async def sleep(self, seconds: float) -> None:
+        self.now_s += seconds
+        await asyncio.sleep(0)
+
+
+def host(name: str, *, domain: str, role: str = "sidecar") -> Host:
+    number = int.from_bytes(name.encode()[:2])
+    return Host(
+        name=name,
+        failure_domain=domain,
+        role="gateway" if role == "gateway" else "sidecar",
+        peer_address=f"127.0.0.1:{number}",
+        service="" if role == "gateway" else "draft",
+        target="" if role == "gateway" else f"{name}-target",
+    )
+
+
+class Net:
+    """Delivers questions; a paused process takes them when it wakes."""
+
+    def __init__(self, seed: int = 0) -> None:
+        self.answerers: dict[str, Answerer] = {}
+        self.paused: set[str] = set()
+        self.cut: set[frozenset[str]] = set()
+        self.waiting: list[tuple[str, Message, Hello]] = []
+        self.lose_reply_share = 0.0
+        self._random = random.Random(seed)
+
+    async def carry(
+        self, sender: Hello, sender_address: str, address: str, message: Message
+    ) -> Result[Message, PeerError]:
+        for _ in range(self._random.randrange(4)):
+            await asyncio.sleep(0)
+        if frozenset({sender_address, address}) in self.cut:
+            return _lost(address)
+        if address in self.paused:
+            self.waiting.append((address, message, sender))
+            return _lost(address)
+        if address not in self.answerers:
+            return _lost(address)
+        reply = await self.answerers[address](message, sender)
+        for _ in range(self._random.randrange(4)):
+            await asyncio.sleep(0)
+        if self._random.random() < self.lose_reply_share:
+            return _lost(address)
+        return Ok(reply)
+
+    async def wake(self, address: str) -> None:
+        """Let the process go on with what arrived while it stood still."""
+        self.paused.discard(address)
+        late = [item for item in self.waiting if item[0] == address]
+        self.waiting = [item for item in self.waiting if item[0] != address]
+        for _, message, sender in late:
+            if address in self.answerers:
+                await self.answerers[address](message, sender)
+
+
+def _lost(address: str) -> Err[PeerError]:
+    return Err(PeerError(step="wait", peer=address, detail="no reply", is_sent=True))
+
+
+class Line:
+    """One process's way into the net."""
+
+    def __init__(self, net: Net, address: str, hello: Callable[[], Hello]) -> None:
+        self._net = net
+        self._address = address
+        self._hello = hello
+
+    async def ask(
+        self, address: Address, message: Message, *, timeout_s: float
+    ) -> Result[Message, PeerError]:
+        return await self._net.carry(
+            self._hello(), self._address, str(address), message
+        )
+
+
+class Member:
+    """A gateway or a sidecar of the fake fleet."""
+
+    def __init__(self, fleet: "Fleet", listed: Host, incarnation: int) -> None:
+        self.host = listed
+        self.incarnation = incarnation
+        self.published = Published()
+        self.table = ClaimTable(window_s=WINDOW_S, clock=fleet.clock)
+        line = Line(fleet.net, listed.peer_address, self.hello)
+        self.book = ClaimBook(
+            process_id=listed.process_id,
+            published=self.published,
+            table=self.table,
+            incarnation_of=fleet.incarnation_of,
+            clock=fleet.clock,
+        )
+        journal = Journal(
+            process_id=listed.process_id, n_records=100, format=LogFormat.KEY_VALUE
+        )
+        self.home = ClaimHome(book=self.book, asker=line, journal=journal)
+        self.minted = MintedClaims(
+            book=self.book,
+            process_id=listed.process_id,
+            incarnation=incarnation,
+            clock=fleet.clock,
+        )
+        self.claimer = Claimer(
+            hello=self.hello,
+            published=self.published,
+            directory=PublishedDirectory(published=self.published),
+            asker=line,
+            minted=self.minted,
+            clock=fleet.clock,
+            sleep=fleet.clock.sleep,
+        )
+        self.n_tries = 0
+
+    def hello(self) -> Hello:
+        return Hello(process_id=self.host.process_id, incarnation=self.incarnation)
+
+    async def answer(self, message: Message, sender: Hello) -> Message:
+        is_gateway = self.host.role == "gateway"
+        match message:
+            case Claim():
+                answerer = self.minted if is_gateway else self.home
+                answer: ClaimAnswer = await answerer.answer_claim(message, sender)
+                return answer
+            case ClaimCopy():
+                copied: CopyAnswer = await self.home.answer_copy(message, sender)
+                return copied
+            case Settle():
+                settler = self.minted if is_gateway else self.home
+                settled: SettleAnswer = await settler.answer_settle(message, sender)
+                return settled
+        raise AssertionError(message)
+
+    async def claim(
+        self,
+        key: Key | str,
+        *,
+        is_idempotent: bool = False,
+        fingerprint: int = 7,
+        wait_s: float = 0.0,
+        budget_s: float = 10.0,
+    ) -> ClaimOutcome:
+        self.n_tries += 1
+        return await self.claimer.claim(
+            key=account_key("bank-a", key) if isinstance(key, str) else key,
+            request_id=f"{self.host.name}.{self.incarnation:x}.{self.n_tries}",
+            fingerprint=fingerprint,
+            is_idempotent=is_idempotent,
+            budget_s=budget_s,
+            wait_s=wait_s,
+        )
+
+
+class Fleet:
+    """Gateways g1, g2 and sidecars in three failure domains."""
+
+    def __init__(self, *, n_sidecars: int = 5, seed: int = 0) -> None:
+        self.clock = Clock()
+        self.net = Net(seed)
+        self.revision = 1
+        self.hosts = [host(f"g{i}", domain=f"d{i}", role="gateway") for i in (1, 2)] + [
+            host(f"s{i}", domain=f"d{i % 3}") for i in range(n_sidecars)
+        ]
+        self.members: dict[str, Member] = {}
+        for listed in self.hosts:
+            self.start(listed)
+        self.age(10 * WINDOW_S)
+
+    def start(self, listed: Host) -> Member:
+        member = Member(self, listed, incarnation=len(self.net.answerers) + self.salt())
+        self.members[listed.name] = member
+        self.net.answerers[listed.peer_address] = member.answer
+        self.tell(listed.name)
+        return member
+
+    def salt(self) -> int:
+        self._n_started = getattr(self, "_n_started", 0) + 100
+        return self._n_started
+
+    def restart(self, name: str) -> Member:
+        return self.start(self.members[name].host)
+
+    def kill(self, name: str) -> None:
+        self.net.answerers.pop(self.members[name].host.peer_address, None)
+
+    def tell(self, *names: str) -> None:
+        """Let the named processes learn of the present list."""
+        for name in names:
+            hosts = HostList(revision=self.revision, hosts=tuple(self.hosts))
+            self.members[name].published.set_hosts(hosts)
+
+    def relist(self, hosts: list[Host]) -> None:
+        self.hosts = hosts
+        self.revision += 1
+
+    def age(self, seconds: float) -> None:
+        self.clock.now_s += seconds
+
+    def incarnation_of(self, process_id: str) -> int | None:
+        for member in self.members.values():
+            if member.host.process_id == process_id:
+                return member.incarnation
+        return None
+
+    def pair(self, key: str) -> tuple[str, ...]:
+        """Names of the places of a key of bank-a under the present list."""
+        hosts = HostList(revision=self.revision, hosts=tuple(self.hosts))
+        pair = place_list(hosts).pair(account_key("bank-a", key).text)
+        return tuple(place.process_id.removesuffix("-sidecar") for place in pair)
+
+    def without(self, *names: str) -> list[Host]:
+        return [listed for listed in self.hosts if listed.name not in names]
+
+    def address(self, name: str) -> str:
+        return self.members[name].host.peer_address
+
+
+def is_granted(outcome: ClaimOutcome) -> bool:
+    return isinstance(outcome, Granted)
--- /dev/null
+++ b/tests/test_claims.py
@@ -0,0 +1,411 @@
+"""Request keys: one try runs, whichever gateway a retry comes to."""
+
+import asyncio
+import itertools
+
+from hypothesis import given
+from hypothesis import strategies as st
+
+from tests.claims_fleet import WINDOW_S, Fleet, host
+from trefoilpaddle.coordination.claims import (
+    Answered,
+    Granted,
+    InProgress,
+    Key,
+    account_key,
+)
+from trefoilpaddle.protocol.errors import NotRun, Unknown
+from trefoilpaddle.protocol.reasons import Reason
+from trefoilpaddle.state.claim_table import (
+    MAX_RESULT_BYTES,
+    ClaimRecord,
+    ClaimTable,
+)
+
+
+async def granted(fleet: Fleet, name: str, key: Key | str) -> Granted:
+    outcome = await fleet.members[name].claim(key)
+    assert isinstance(outcome, Granted)
+    return outcome
+
+
+class TestRetryElsewhere:
+    async def test_while_the_first_try_works(self) -> None:
+        """A caller times out early and retries at the other gateway.
+
+        The first gateway still runs the request. The retry must neither run it
+        again nor be told that it did not run.
+        """
+        fleet = Fleet()
+        first = await granted(fleet, "g1", "k")
+        outcome = await fleet.members["g2"].claim("k")
+        assert outcome == InProgress(request_id=first.request_id, gateway="g1-gateway")
+
+    async def test_waits_for_the_first_try(self) -> None:
+        fleet = Fleet()
+        first = await granted(fleet, "g1", "k")
+        retry = asyncio.create_task(fleet.members["g2"].claim("k", wait_s=5.0))
+        await asyncio.sleep(0)
+        await fleet.members["g1"].claimer.settle(first, is_run=True, result=b"whole")
+        assert await retry == Answered(request_id=first.request_id, result=b"whole")
+
+    async def test_after_it_finished(self) -> None:
+        fleet = Fleet()
+        first = await granted(fleet, "g1", "k")
+        await fleet.members["g1"].claimer.settle(first, is_run=True, result=b"whole")
+        outcome = await fleet.members["g2"].claim("k")
+        assert outcome == Answered(request_id=first.request_id, result=b"whole")
+
+    async def test_answer_too_large_to_keep(self) -> None:
+        fleet = Fleet()
+        first = await granted(fleet, "g1", "k")
+        large = bytes(MAX_RESULT_BYTES + 1)
+        await fleet.members["g1"].claimer.settle(first, is_run=True, result=large)
+        outcome = await fleet.members["g2"].claim("k")
+        assert outcome == Answered(request_id=first.request_id, result=None)
+
+    async def test_not_run_frees_the_key(self) -> None:
+        fleet = Fleet()
+        first = await granted(fleet, "g1", "k")
+        await fleet.members["g1"].claimer.settle(first, is_run=False)
+        await granted(fleet, "g2", "k")
+
+    async def test_key_reused_with_another_body(self) -> None:
+        fleet = Fleet()
+        await granted(fleet, "g1", "k")
+        outcome = await fleet.members["g2"].claim("k", fingerprint=8)
+        assert isinstance(outcome, NotRun)
+        assert outcome.reason is Reason.KEY_REUSED
+
+    async def test_two_gateways_at_once(self) -> None:
+        for seed in range(20):
+            fleet = Fleet(seed=seed)
+            outcomes = await asyncio.gather(
+                fleet.members["g1"].claim("k"), fleet.members["g2"].claim("k")
+            )
+            assert sum(isinstance(o, Granted) for o in outcomes) <= 1
+
+
+class TestLostHome:
+    async def test_answer_survives_the_home(self) -> None:
+        """The host of the key's first place dies after the answer was given.
+
+        The caller did not get the answer and retries elsewhere. The second
+        place kept it, so the caller gets it although the home is gone.
+        """
+        fleet = Fleet()
+        first = await granted(fleet, "g1", "k")
+        await fleet.members["g1"].claimer.settle(first, is_run=True, result=b"whole")
+        fleet.kill(fleet.pair("k")[0])
+        outcome = await fleet.members["g2"].claim("k")
+        assert outcome == Answered(request_id=first.request_id, result=b"whole")
+
+    async def test_first_try_still_works(self) -> None:
+        fleet = Fleet()
+        first = await granted(fleet, "g1", "k")
+        fleet.kill(fleet.pair("k")[0])
+        outcome = await fleet.members["g2"].claim("k")
+        assert isinstance(outcome, InProgress)
+        assert outcome.request_id == first.request_id
+
+    async def test_both_places_gone(self) -> None:
+        fleet = Fleet()
+        await granted(fleet, "g1", "k")
+        for name in fleet.pair("k"):
+            fleet.kill(name)
+        outcome = await fleet.members["g2"].claim("k")
+        assert isinstance(outcome, Unknown)
+        assert outcome.retry_after_s > 0
+
+    async def test_paused_home_wakes_late(self) -> None:
+        """The home stands still with a claim in its socket, then wakes.
+
+        The first gateway gave up and told its caller that the outcome is
+        unknown. The woken home grants the key to nobody who still listens; a
+        retry must not find two holders.
+        """
+        fleet = Fleet()
+        home = fleet.address(fleet.pair("k")[0])
+        fleet.net.paused.add(home)
+        assert isinstance(await fleet.members["g1"].claim("k"), Unknown)
+        await fleet.net.wake(home)
+        fleet.age(60.0)
+        retries = [await fleet.members[name].claim("k") for name in ("g2", "g1")]
+        assert sum(isinstance(o, Granted) for o in retries) <= 1
+
+    async def test_restarted_home_asks_its_second(self) -> None:
+        """The home restarts with an empty memory while the request runs."""
+        fleet = Fleet()
+        first = await granted(fleet, "g1", "k")
+        fleet.restart(fleet.pair("k")[0])
+        outcome = await fleet.members["g2"].claim("k")
+        assert isinstance(outcome, InProgress)
+        assert outcome.request_id == first.request_id
+
+    async def test_both_restarted(self) -> None:
+        """Both places forgot the key; for a while no one can vouch for it."""
+        fleet = Fleet()
+        await granted(fleet, "g1", "k")
+        for name in fleet.pair("k"):
+            fleet.restart(name)
+        outcome = await fleet.members["g2"].claim("k")
+        assert isinstance(outcome, Unknown)
+        assert WINDOW_S - 1 <= outcome.retry_after_s <= WINDOW_S + 20
+
+    async def test_idempotent_request_runs_without_its_home(self) -> None:
+        fleet = Fleet()
+        fleet.kill(fleet.pair("k")[0])
+        outcome = await fleet.members["g1"].claim("k", is_idempotent=True)
+        assert isinstance(outcome, Granted)
+
+
+class TestLostHolder:
+    async def test_gateway_restarted(self) -> None:
+        """The gateway that ran the request is replaced before it answered."""
+        fleet = Fleet()
+        await granted(fleet, "g1", "k")
+        fleet.restart("g1")
+        outcome = await fleet.members["g2"].claim("k")
+        assert isinstance(outcome, Unknown)
+
+    async def test_gateway_never_reports(self) -> None:
+        fleet = Fleet()
+        await granted(fleet, "g1", "k")
+        fleet.age(11.0)
+        assert isinstance(await fleet.members["g2"].claim("k"), Unknown)
+
+    async def test_idempotent_request_is_run_again(self) -> None:
+        fleet = Fleet()
+        outcome = await fleet.members["g1"].claim("k", is_idempotent=True)
+        assert isinstance(outcome, Granted)
+        fleet.restart("g1")
+        again = await fleet.members["g2"].claim("k", is_idempotent=True)
+        assert isinstance(again, Granted)
+
+
+class TestListChange:
+    async def test_gateway_ahead_of_the_home(self) -> None:
+        """The home hears of a new list a moment later than the gateway."""
+        fleet = Fleet()
+        fleet.relist([*fleet.hosts, host("late", domain="d1", role="gateway")])
+        fleet.tell("g1")
+        outcome = await fleet.members["g1"].claim("k")
+        assert isinstance(outcome, Unknown)
+        fleet.tell("g1", "g2", *fleet.pair("k"))
+        await granted(fleet, "g2", "k")
+
+    async def test_two_gateways_with_different_lists(self) -> None:
+        """Two homes are believed at once: one gateway has the newer list.
+
+        The old home was dropped from the list while it still works. Whoever is
+        asked first, the other try must not run.
+        """
+        for order in (("g1", "g2"), ("g2", "g1")):
+            fleet = Fleet()
+            old = fleet.pair("k")[0]
+            fleet.relist(fleet.without(old))
+            fleet.tell("g2", *fleet.pair("k"))
+            outcomes = [await fleet.members[name].claim("k") for name in order]
+            assert sum(isinstance(o, Granted) for o in outcomes) <= 1
+
+    async def test_both_places_replaced(self) -> None:
+        """Both places of a key leave the list, the answer moves with a question."""
+        fleet = Fleet(n_sidecars=7)
+        first = await granted(fleet, "g1", "k")
+        await fleet.members["g1"].claimer.settle(first, is_run=True, result=b"whole")
+        fleet.relist(fleet.without(*fleet.pair("k")))
+        fleet.tell("g2", *fleet.pair("k"))
+        outcome = await fleet.members["g2"].claim("k")
+        assert outcome == Answered(request_id=first.request_id, result=b"whole")
+
+    async def test_both_places_replaced_and_unreachable(self) -> None:
+        fleet = Fleet(n_sidecars=7)
+        await granted(fleet, "g1", "k")
+        old = fleet.pair("k")
+        for name in old:
+            fleet.kill(name)
+        fleet.relist(fleet.without(*old))
+        fleet.tell("g2", *fleet.pair("k"))
+        assert isinstance(await fleet.members["g2"].claim("k"), Unknown)
+
+    async def test_second_place_still_holds_the_old_list(self) -> None:
+        """The old second place leaves the list; the home restarts with the new one.
+
+        The home has forgotten the grant. The new second place is old enough to
+        vouch, but still holds the former list as its present one and never had
+        the key: the place that has it must be asked.
+        """
+        fleet = Fleet()
+        await granted(fleet, "g1", "k")
+        home, old_second = fleet.pair("k")
+        fleet.relist(fleet.without(old_second))
+        fleet.restart(home)
+        assert not isinstance(await fleet.members["g1"].claim("k"), Granted)
+
+    async def test_former_places_grant_no_more(self) -> None:
+        """After the move, a gateway with the old list asks the old home."""
+        fleet = Fleet(n_sidecars=7)
+        fleet.relist(fleet.without(*fleet.pair("k")))
+        fleet.tell("g2", *fleet.pair("k"))
+        await granted(fleet, "g2", "k")
+        assert isinstance(await fleet.members["g1"].claim("k"), Unknown)
+
+
+class TestMintedId:
+    async def test_retry_at_another_gateway(self) -> None:
+        fleet = Fleet()
+        minted = fleet.members["g1"].minted.mint()
+        key = Key(text=str(minted), minted=minted)
+        first = await granted(fleet, "g1", key)
+        assert isinstance(await fleet.members["g2"].claim(key), InProgress)
+        await fleet.members["g1"].claimer.settle(first, is_run=True, result=b"w")
+        outcome = await fleet.members["g2"].claim(key)
+        assert outcome == Answered(request_id=first.request_id, result=b"w")
+
+    async def test_minting_gateway_restarted(self) -> None:
+        fleet = Fleet()
+        minted = fleet.members["g1"].minted.mint()
+        fleet.restart("g1")
+        key = Key(text=str(minted), minted=minted)
+        assert isinstance(await fleet.members["g2"].claim(key), Unknown)
+
+    async def test_never_again_after_it_is_forgotten(self) -> None:
+        fleet = Fleet()
+        minted = fleet.members["g1"].minted.mint()
+        key = Key(text=str(minted), minted=minted)
+        first = await granted(fleet, "g2", key)
+        await fleet.members["g2"].claimer.settle(first, is_run=True)
+        fleet.age(10 * WINDOW_S)
+        assert isinstance(await fleet.members["g1"].claim(key), Unknown)
+
+
+class TestTable:
+    def test_refuses_rather_than_forgets(self) -> None:
+        table = ClaimTable(window_s=30.0, max_claims=2, clock=lambda: 0.0)
+        added = [table.add(ClaimRecord(key=k), budget_s=1.0) for k in "abc"]
+        assert added == [True, True, False]
+        assert table.get("a") is not None
+
+    def test_full_home_grants_nothing(self) -> None:
+        async def claim() -> None:
+            fleet = Fleet()
+            home = fleet.members[fleet.pair("k")[0]]
+            home.table._max_claims = 0
+            assert isinstance(await fleet.members["g1"].claim("k"), Unknown)
+
+        asyncio.run(claim())
+
+
+STEP_NAMES = [
+    "claim",
+    "claim",
+    "claim",
+    "race",
+    "settle",
+    "pause",
+    "wake",
+    "cut",
+    "heal",
+    "restart",
+    "drop",
+    "add",
+    "tell",
+    "age",
+    "lossy",
+]
+
+STEPS = st.lists(
+    st.tuples(
+        st.sampled_from(STEP_NAMES),
+        st.integers(0, 9),
+    ),
+    min_size=5,
+    max_size=40,
+)
+
+
+class Schedule:
+    """Plays random steps and counts the grants of one non-idempotent key."""
+
+    def __init__(self, seed: int) -> None:
+        self.fleet = Fleet(n_sidecars=5, seed=seed)
+        self.grants: list[tuple[float, str, Granted]] = []
+        self.n_added = 0
+
+    def sidecars(self) -> list[str]:
+        return sorted(n for n in self.fleet.members if n[0] != "g")
+
+    def note(self, name: str, outcome: object) -> None:
+        if isinstance(outcome, Granted):
+            self.grants.append((self.fleet.clock(), name, outcome))
+
+    async def claim(self, name: str) -> None:
+        self.note(name, await self.fleet.members[name].claim("k"))
+
+    async def play(self, step: str, n: int) -> None:
+        fleet = self.fleet
+        sidecar = self.sidecars()[n % len(self.sidecars())]
+        gateway = ("g1", "g2")[n % 2]
+        match step:
+            case "claim":
+                await self.claim(gateway)
+            case "race":
+                await asyncio.gather(self.claim("g1"), self.claim("g2"))
+            case "settle" if self.grants:
+                _, name, outcome = self.grants[-1]
+                await fleet.members[name].claimer.settle(outcome, is_run=True)
+            case "pause":
+                fleet.net.paused.add(fleet.address(sidecar))
+            case "wake":
+                for address in sorted(fleet.net.paused):
+                    await fleet.net.wake(address)
+            case "cut":
+                pair = {fleet.address(sidecar), fleet.address(gateway)}
+                fleet.net.cut.add(frozenset(pair))
+            case "heal":
+                fleet.net.cut.clear()
+            case "restart":
+                fleet.net.paused.discard(fleet.address(sidecar))
+                fleet.restart(sidecar)
+            case "drop" if len(fleet.hosts) > 5:
+                fleet.relist(fleet.without(sidecar))
+            case "add" if self.n_added < 3:
+                self.n_added += 1
+                new = host(f"t{self.n_added}", domain=f"d{n % 3}")
+                fleet.relist([*fleet.hosts, new])
+                fleet.start(new)
+            case "tell":
+                names = sorted(fleet.members)
+                fleet.tell(*(name for i, name in enumerate(names) if i % 3 != n % 3))
+            case "age":
+                fleet.age(float(n))
+            case "lossy":
+                fleet.net.lose_reply_share = n / 30
+
+
+class TestSchedules:
+    @given(steps=STEPS, seed=st.integers(0, 1000))
+    def test_no_two_grants_of_a_key(
+        self, steps: list[tuple[str, int]], seed: int
+    ) -> None:
+        """Random claims, races, pauses, cuts, restarts and list changes.
+
+        Tries of one key within its retry window must never both run, whichever
+        gateways and lists they come by.
+        """
+
+        async def play() -> None:
+            schedule = Schedule(seed)
+            for step, n in steps:
+                await schedule.play(step, n)
+                await asyncio.sleep(0)
+            times = [at_s for at_s, _, _ in schedule.grants]
+            for earlier, later in itertools.pairwise(times):
+                assert later - earlier > WINDOW_S, schedule.grants
+
+        asyncio.run(play())
+
+
+class TestKey:
+    def test_accounts_do_not_share_keys(self) -> None:
+        assert account_key("a", "k") != account_key("b", "k")
