Prove membership under partitions, pauses, dead readers and restarts

Cause: the views of peers had no proof. Change: Link.drop counts as lost at once and its buffer is not read on. Conclusion: a woken process asks peers before it acts; a healed split converges.

--- a/src/trefoilpaddle/coordination/config_readers.py
+++ b/src/trefoilpaddle/coordination/config_readers.py
@@ -76,6 +76,10 @@
         self._journal = journal
         self._is_lost = False
 
+    def is_reading(self) -> bool:
+        """Return True if this process is one of the readers of its domain."""
+        return self._turn.is_reader()
+
     async def watch_values(self) -> None:
         """Take each change of a value while this process reads."""
         backoff = Backoff()
--- a/src/trefoilpaddle/coordination/reader_turn.py
+++ b/src/trefoilpaddle/coordination/reader_turn.py
@@ -62,12 +62,16 @@
         self._version = -1
         self._next_try_s = time.monotonic() + _spread_s()
 
-    def is_mine(self) -> bool:
-        """Return True if this process should read now."""
+    def is_reader(self) -> bool:
+        """Return True if this process is one of the readers of its domain."""
         if self._membership.table.version != self._version:
             self._version = self._membership.table.version
             self._choose()
-        return self._is_reader or self._steps_in()
+        return self._is_reader
+
+    def is_mine(self) -> bool:
+        """Return True if this process should read now."""
+        return self.is_reader() or self._steps_in()
 
     def _choose(self) -> None:
         own = self._membership.own
--- a/src/trefoilpaddle/transport/link.py
+++ b/src/trefoilpaddle/transport/link.py
@@ -104,9 +104,15 @@
         return not self._calls and time.monotonic() - self.used_s > idle_s
 
     def drop(self) -> None:
-        """Break the present connection; the link dials again at once."""
+        """Break the present connection; the link dials again at once.
+
+        What the peer sent on it and is not read yet is lost, and the link is
+        not heard until the peer has said hello anew: after a pause, frames in
+        the socket's buffer are old and would pass for fresh ones.
+        """
         if self.connection is not None:
             self.connection.abort()
+            self._set(None)
 
     def send(self, message: Message) -> bool:
         """Send a message that expects no reply; return False if not connected."""
@@ -210,6 +216,8 @@
         beats = asyncio.create_task(self._beat(connection))
         try:
             async for frame in connection.frames():
+                if self.connection is not connection:
+                    return
                 self._take(frame)
         finally:
             beats.cancel()
--- /dev/null
+++ b/tests/test_membership.py
@@ -0,0 +1,195 @@
+"""Members: joins, silence, partitions and pauses."""
+
+import time
+
+import pytest
+
+from tests.fake_fleet import FakeFleet, FakePeer, fake_fleet
+from tests.fake_platform import until
+from trefoilpaddle.state.journal import Event
+from trefoilpaddle.state.members import MemberRecord, MemberState, MemberTable
+
+SERVICE = {"kind": "pool"}
+
+
+def live(peer: FakePeer) -> set[str]:
+    return {record.process_id for record in peer.feed.membership.live()}
+
+
+def all_know_all(fleet: FakeFleet) -> bool:
+    return all(live(peer) == set(fleet.peers) for peer in fleet.peers.values())
+
+
+def listed(peer: FakePeer) -> dict[str, str]:
+    identity = peer.process.identity
+    return {
+        "name": identity.process_id.removesuffix("-gateway"),
+        "failure_domain": identity.failure_domain,
+        "region": identity.region,
+        "role": "gateway",
+        "peer_address": str(peer.process.server.address),
+    }
+
+
+class TestJoining:
+    async def test_a_process_that_the_list_lacks_is_known_to_all(
+        self, monkeypatch: pytest.MonkeyPatch
+    ) -> None:
+        async with fake_fleet(monkeypatch) as fleet:
+            fleet.platform.publish("service/a", SERVICE)
+            for number in range(7):
+                await fleet.start(f"h{number}", failure_domain=f"d{number % 2}")
+            await until(lambda: all_know_all(fleet))
+
+    async def test_a_list_that_names_a_dead_host_and_lacks_a_new_one(
+        self, monkeypatch: pytest.MonkeyPatch
+    ) -> None:
+        # h1 dies, h2 comes in its stead, and the list goes on naming h1 alone.
+        # Who knows only the list would send to h1 and never find h2.
+        async with fake_fleet(monkeypatch) as fleet:
+            fleet.platform.publish("service/a", SERVICE)
+            first = await fleet.start("h0")
+            second = await fleet.start("h1")
+            hosts = [listed(first), listed(second)]
+            fleet.platform.hosts = {"revision": 7, "hosts": hosts}
+            await until(lambda: first.process.published.hosts.revision == 7)
+            await fleet.stop("h1-gateway")
+            new = await fleet.start("h2")
+            await until(lambda: live(first) == {"h0-gateway", "h2-gateway"})
+            assert first.feed.directory.host("h2-gateway") is not None
+            await until(lambda: live(new) == live(first))
+
+
+class TestPartition:
+    async def test_changes_on_one_side_reach_the_other_after_the_split(
+        self, monkeypatch: pytest.MonkeyPatch
+    ) -> None:
+        # The fleet splits in two halves that both go on. The platform is
+        # reachable from one half only; operators change an entry meanwhile.
+        # After the split all have the change, and no revision ever fell.
+        async with fake_fleet(monkeypatch) as fleet:
+            fleet.platform.publish("service/a", SERVICE)
+            for number in range(3):
+                await fleet.start(f"a{number}", failure_domain="da")
+                await fleet.start(f"b{number}", failure_domain="db")
+            await until(lambda: all_know_all(fleet))
+            fleet.platform.hosts = {
+                "revision": 2,
+                "hosts": [listed(peer) for peer in fleet.peers.values()],
+            }
+            peers = list(fleet.peers.values())
+            await until(lambda: all(p.process.published.hosts.hosts for p in peers))
+            fleet.network.side_of = lambda name: name[0]
+            for peer in peers:
+                if peer.name.startswith("b"):
+                    monkeypatch.setattr(
+                        peer.feed.client, "_config_url", "http://127.0.0.1:1"
+                    )
+            side_a = [peer for peer in peers if peer.name.startswith("a")]
+            side_b = [peer for peer in peers if peer.name.startswith("b")]
+            lost = Event.CONFIG_SOURCE_LOST
+            await until(lambda: any(lost in peer.events() for peer in side_b))
+            fleet.platform.publish("service/a", {"kind": "plain"})
+            await until(lambda: min(peer.revision for peer in side_a) == 2)
+            await until(
+                lambda: all(not live(p) & {q.name for q in side_b} for p in side_a)
+            )
+            assert {peer.revision for peer in side_b} == {1}
+            fleet.network.heal()
+            await until(lambda: fleet.is_settled() and side_b[0].revision == 2)
+            await until(lambda: all_know_all(fleet))
+
+
+class TestReaders:
+    async def test_a_dead_reader_is_replaced(
+        self, monkeypatch: pytest.MonkeyPatch
+    ) -> None:
+        # The only reader of a domain is killed. A change published after that
+        # comes in force all the same, because another takes its place.
+        async with fake_fleet(monkeypatch) as fleet:
+            fleet.platform.publish("service/a", SERVICE)
+            for number in range(4):
+                await fleet.start(f"h{number}")
+            await until(lambda: all_know_all(fleet))
+            readers = [p for p in fleet.peers.values() if p.feed.reader.is_reading()]
+            assert len(readers) == 1
+            await fleet.stop(readers[0].name)
+            revision = fleet.platform.publish("service/b", SERVICE)
+            await until(lambda: fleet.is_settled())
+            await until(
+                lambda: {p.revision for p in fleet.peers.values()} == {revision}
+            )
+
+    async def test_a_burst_of_restarts_reads_the_service_little(
+        self, monkeypatch: pytest.MonkeyPatch
+    ) -> None:
+        # Every process is replaced, one right after the other. Each asks its
+        # peers; were each to read the service, its rate would be used up.
+        async with fake_fleet(monkeypatch) as fleet:
+            fleet.platform.publish("service/a", SERVICE)
+            for number in range(8):
+                await fleet.start(f"h{number}")
+            await until(lambda: all_know_all(fleet))
+            for number in range(8):
+                await fleet.stop(f"h{number}-gateway")
+                again = await fleet.start(f"h{number}", poll_s=60.0)
+                assert again.feed.is_known()
+            assert sum(peer.feed.client.n_reads for peer in fleet.peers.values()) <= 8
+
+
+class TestWaking:
+    async def test_a_woken_process_asks_before_it_acts(
+        self, monkeypatch: pytest.MonkeyPatch
+    ) -> None:
+        # A process is paused; meanwhile a change comes in force. When it wakes,
+        # its sockets hold old heartbeats and its catalogue is the old one. It
+        # would serve by them, unless it notices the gap and asks first.
+        async with fake_fleet(monkeypatch) as fleet:
+            fleet.platform.publish("service/a", SERVICE)
+            paused = await fleet.start("h0")
+            await fleet.start("h1")
+            await until(lambda: all_know_all(fleet))
+            await until(
+                lambda: any(
+                    link.is_heard() for link in paused.process.peers.links.values()
+                )
+            )
+            links = list(paused.process.peers.links.values())
+            monkeypatch.setattr(paused.feed.wake, "_tick_s", time.monotonic() - 10.0)
+            assert not paused.feed.is_known()
+            assert paused.feed.directory.sidecars("a") == []
+            assert not any(link.is_heard() for link in links)
+            assert not paused.feed.is_known()
+            await until(paused.feed.is_known)
+            assert Event.WOKE_LATE in paused.events()
+
+
+def record(beat: int, state: MemberState, *, incarnation: int = 1) -> MemberRecord:
+    return MemberRecord(
+        process_id="p-gateway",
+        incarnation=incarnation,
+        address="127.0.0.1:1",
+        role="gateway",
+        failure_domain="d1",
+        region="r1",
+        service="",
+        target="",
+        state=state,
+        beat=beat,
+    )
+
+
+class TestMemberTable:
+    def test_only_a_higher_beat_clears_a_suspicion(self) -> None:
+        table = MemberTable()
+        table.join([record(3, MemberState.SUSPECT)])
+        assert not table.join([record(3, MemberState.LIVE)])
+        assert table.join([record(4, MemberState.LIVE, incarnation=9)])
+
+    def test_the_dead_count_in_no_digest(self) -> None:
+        table = MemberTable()
+        table.join([record(1, MemberState.LIVE)])
+        table.join([record(1, MemberState.DEAD)])
+        assert table.digest == 0
+        table.forget("p-gateway")
+        assert table.digest == 0
--- /dev/null
+++ b/tests/test_membership_shape.py
@@ -0,0 +1,74 @@
+"""Shape of overlay and subsets: reach, balance, spread and few changes."""
+
+from collections import Counter
+
+from hypothesis import given
+from hypothesis import strategies as st
+
+from trefoilpaddle.coordination.overlay import FAN_OUT, neighbours
+from trefoilpaddle.coordination.subset import subset
+from trefoilpaddle.state.hosts import Host
+
+
+def sidecar(number: int, *, n_domains: int = 5) -> Host:
+    return Host(
+        name=f"t{number}",
+        failure_domain=f"d{number % n_domains}",
+        role="sidecar",
+        peer_address="127.0.0.1:1",
+        service="s",
+    )
+
+
+class TestOverlay:
+    @given(n=st.integers(1, 60))
+    def test_news_from_anyone_reaches_all(self, n: int) -> None:
+        names = [f"p{number}" for number in range(n)]
+        links = {name: neighbours(name, names) for name in names}
+        assert all(len(chosen) <= FAN_OUT for chosen in links.values())
+        reached = {names[0]}
+        front = list(reached)
+        while front:
+            front = [new for name in front for new in links[name] if new not in reached]
+            reached.update(front)
+        assert reached == set(names)
+
+    def test_one_member_more_changes_few_links(self) -> None:
+        names = [f"p{number}" for number in range(200)]
+        before = {name: set(neighbours(name, names)) for name in names}
+        after = {name: set(neighbours(name, [*names, "new"])) for name in names}
+        n_changed = sum(len(after[name] - before[name]) for name in names)
+        assert n_changed <= 4 * FAN_OUT
+
+
+class TestSubset:
+    def test_all_targets_at_todays_size(self) -> None:
+        targets = [sidecar(number) for number in range(9)]
+        assert subset("g1", ["g1", "g2"], targets) == targets
+
+    def test_every_target_is_in_as_many_subsets_give_or_take_one(self) -> None:
+        gateways = [f"g{number}" for number in range(400)]
+        targets = [sidecar(number) for number in range(91)]
+        used = Counter(
+            host.name
+            for gateway in gateways
+            for host in subset(gateway, gateways, targets, n=16)
+        )
+        assert max(used.values()) - min(used.values()) <= 2
+
+    def test_each_subset_is_spread_over_the_domains(self) -> None:
+        gateways = [f"g{number}" for number in range(40)]
+        targets = [sidecar(number) for number in range(91)]
+        for gateway in gateways:
+            chosen = subset(gateway, gateways, targets, n=16)
+            per_domain = Counter(host.failure_domain for host in chosen)
+            assert len(per_domain) == 5
+            assert max(per_domain.values()) <= 5
+
+    def test_one_target_less_changes_few_places(self) -> None:
+        gateways = [f"g{number}" for number in range(40)]
+        targets = [sidecar(number) for number in range(91)]
+        for gateway in gateways:
+            before = {h.name for h in subset(gateway, gateways, targets, n=16)}
+            after = {h.name for h in subset(gateway, gateways, targets[1:], n=16)}
+            assert len(after - before) <= 4
