Prove the sidecar's promises under failure; feed it the catalogue

Cause: the thin path had no test of lost connections, pauses, slow readers, broken engines, locks and stops, and took work without a catalogue.

--- a/src/trefoilpaddle/coordination/dispatcher.py
+++ b/src/trefoilpaddle/coordination/dispatcher.py
@@ -61,6 +61,7 @@
         "_running",
         "_slots",
         "_table",
+        "is_configured",
         "is_leaving",
         "is_target_up",
         "reported_age_ms",
@@ -88,6 +89,7 @@
         self._policy = policy
         self._running: dict[bytes, Attempt] = {}
         self._cancels: set[asyncio.Task[None]] = set()
+        self.is_configured = True
         self.is_leaving = False
         self.is_target_up = True
         self.reported_age_ms = -1
@@ -133,6 +135,16 @@
         attempt.stop_timer()
         attempt.timer = loop.call_later(max(0.0, wait_s), self._expire, attempt)
 
+    def refuses_all(self) -> Reason:
+        """Return why no new work is taken, or ``Reason.NONE``."""
+        if self.is_leaving:
+            return Reason.LEAVING
+        if not self.is_configured:
+            return Reason.NO_CONFIGURATION
+        if not self.is_target_up:
+            return Reason.TARGET_DOWN
+        return Reason.NONE
+
     def offer(self, attempt: Attempt, work: Work) -> None:
         """Take in an attempt whose body is whole: start it, queue it or refuse it."""
         attempt.work = work
@@ -183,6 +195,8 @@
         """Stop an attempt as far as it may be stopped."""
         if self.withdraw(attempt, Reason.CANCELLED):
             return
+        if attempt.phase is Phase.DONE and attempt.start.idempotent:
+            self._table.release(attempt.attempt_id)
         if attempt.phase is Phase.RUNNING and attempt.start.idempotent:
             attempt.forbidden = Reason.CANCELLED
             if attempt.task is not None:
--- a/src/trefoilpaddle/coordination/stage_server.py
+++ b/src/trefoilpaddle/coordination/stage_server.py
@@ -30,6 +30,7 @@
 from .attempts import Attempt, AttemptTable, Phase
 from .dispatcher import NS_PER_S, Dispatcher
 from .stage_journal import StageJournal
+from .target_calls import DOWN_RETRY_S
 
 MAX_WAITING_BODY_BYTES: Final = 64 * 1024 * 1024
 """Most bytes of bodies kept for work that has not ended."""
@@ -151,8 +152,12 @@
             self._dispatcher.expire_at_deadline(attempt)
 
     def _refusal_of_new(self, attempt: Attempt) -> NotRun | None:
-        if self._dispatcher.is_leaving:
-            return self._not_run(Reason.LEAVING, "the sidecar is leaving")
+        reason = self._dispatcher.refuses_all()
+        if reason is not Reason.NONE:
+            wait_s = DOWN_RETRY_S if reason is not Reason.LEAVING else 0.0
+            return self._not_run(
+                reason, "no new work is taken here now", retry_after_s=wait_s
+            )
         size_bytes = attempt.start.body_bytes
         if self._table.body_bytes + size_bytes > MAX_WAITING_BODY_BYTES:
             return self._not_run(
--- a/src/trefoilpaddle/roles/sidecar.py
+++ b/src/trefoilpaddle/roles/sidecar.py
@@ -11,6 +11,7 @@
 from result import Err, Ok
 
 from ..coordination.attempts import AttemptTable
+from ..coordination.config_feed import config_feed
 from ..coordination.dispatcher import NS_PER_S, Dispatcher
 from ..coordination.drain import drain
 from ..coordination.engine_calls import EngineCaller
@@ -66,10 +67,17 @@
         process_id=identity.process_id,
         n_records=settings.retention.explain_records,
         format=settings.log.format,
+        keep_s=settings.retention.explain_s,
     )
     process = Process(identity=identity, listen=listen, journal=journal)
     sidecar = Sidecar(settings=settings, process=process)
-    async with sidecar.open():
+    # Nothing is taken before a catalogue is in force: a process that starts
+    # while the configuration service is down knows no weights and no limits.
+    sidecar.dispatcher.is_configured = False
+    async with (
+        sidecar.open(),
+        config_feed(process=process, platform=settings.platform, peers=settings.peers),
+    ):
         await process.stopping.wait()
         process.n_cut_off = await sidecar.stop()
     return 0
@@ -194,6 +202,7 @@
     def _on_published(self) -> None:
         catalogue = self._process.published.catalogue
         self.dispatcher.revision = catalogue.revision
+        self.dispatcher.is_configured = catalogue.revision > 0
         service = catalogue.services.get(self._settings.target.service)
         if service is not None:
             self.dispatcher.set_service(service)
--- /dev/null
+++ b/tests/test_sidecar_failures.py
@@ -0,0 +1,294 @@
+"""A sidecar under failure: lost connections, pauses, slow readers, stops."""
+
+import asyncio
+import time
+from typing import Any
+
+import pytest
+
+from tests.sidecar_rig import (
+    CAP_S,
+    NS_PER_S,
+    PLENTY_BYTES,
+    FakeTarget,
+    free_port,
+    running_sidecar,
+    scene,
+    settings_for,
+    until,
+)
+from trefoilpaddle.coordination import streams
+from trefoilpaddle.protocol.gen.stage.ttypes import (
+    Ack,
+    Chunk,
+    Credit,
+    End,
+    Failure,
+    Fetch,
+    Heartbeat,
+    Outcome,
+)
+from trefoilpaddle.protocol.reasons import Reason
+from trefoilpaddle.state.catalogue import ServiceKind
+from trefoilpaddle.state.journal import Event
+from trefoilpaddle.state.settings import PolicySettings, RetentionSettings, StopSettings
+from trefoilpaddle.transport import server
+from trefoilpaddle.transport.connection import Address
+from trefoilpaddle.transport.port_lock import PortLockError, held_port
+
+ENGINE = ServiceKind.ENGINE
+PROMPT = b'{"prompt": "a b"}'
+
+
+class TestLostConnection:
+    async def test_a_stream_goes_on_over_a_new_connection(self) -> None:
+        """The connection breaks in the midst of a streamed answer.
+
+        The sidecar keeps reading from the engine. The gateway connects again,
+        names the first piece that it lacks and gets the rest: nothing is lost
+        or doubled, and the engine has run once.
+        """
+        async with scene(kind=ENGINE) as s, s.rig.gateway() as new:
+            s.target.gate.clear()
+            attempt_id = s.gateway.start(PROMPT, idempotent=False)
+            first = await s.gateway.first(Chunk, attempt_id)
+            s.gateway.connection.abort()
+            await until(lambda: len(s.rig.process.server.connections) == 1)
+            s.target.gate.set()
+            await until(lambda: s.rig.sidecar.table.n_open == 0)
+            new.messages.append(first)
+            new.connection.write(
+                Fetch(attempt_id=attempt_id, from_seq=1, credit_bytes=PLENTY_BYTES)
+            )
+            assert await new.whole_answer(attempt_id) == b"0word 1word 2word "
+            assert len(s.target.runs) == 1
+
+    async def test_an_answer_is_held_until_it_is_acknowledged(self) -> None:
+        """The connection breaks between the target's answer and the gateway."""
+        async with scene() as s, s.rig.gateway() as new:
+            attempt_id = s.gateway.start(credit_bytes=0)
+            await until(lambda: s.rig.sidecar.table.n_open == 0)
+            s.gateway.connection.abort()
+            for _ in range(2):
+                new.messages.clear()
+                new.connection.write(
+                    Fetch(attempt_id=attempt_id, credit_bytes=PLENTY_BYTES)
+                )
+                assert await new.whole_answer(attempt_id) == s.target.answer
+            new.connection.write(Ack(attempt_id=attempt_id))
+            new.connection.write(Fetch(attempt_id=attempt_id))
+            failure = await new.failure(attempt_id)
+            assert failure.outcome == Outcome.UNKNOWN
+            assert failure.reason == Reason.RESULT_GONE
+
+    async def test_a_held_answer_expires_and_is_logged(self) -> None:
+        retention = RetentionSettings(held_results_s=0.01)
+        async with scene(retention=retention) as s:
+            attempt_id = s.gateway.start()
+            await s.gateway.whole_answer(attempt_id)
+            await until(lambda: Event.RESULT_EXPIRED in s.rig.events)
+            s.gateway.connection.write(Fetch(attempt_id=attempt_id))
+            failure = await s.gateway.failure(attempt_id)
+            assert failure.reason == Reason.RESULT_GONE
+
+    async def test_a_fetch_of_what_never_came_bars_it(self) -> None:
+        """A start message is lost with its connection; the gateway asks for it.
+
+        "Not run" is true only if the message cannot be run when it comes late.
+        """
+        async with scene() as s:
+            start = s.gateway.start_message()
+            s.gateway.connection.write(Fetch(attempt_id=start.attempt_id))
+            failure = await s.gateway.failure(start.attempt_id)
+            assert failure.outcome == Outcome.NOT_RUN
+            s.gateway.connection.write(start)
+            await until(lambda: len(s.gateway.of(Failure, start.attempt_id)) == 2)
+            assert s.target.runs == []
+
+
+class TestPausedProcess:
+    async def test_no_call_leaves_after_its_start_by_time(
+        self, monkeypatch: pytest.MonkeyPatch
+    ) -> None:
+        """A sidecar is paused after it decided to call its target.
+
+        It wakes up when the gateway has long given up and sent the work to
+        another target. The clock is read once more right before the bytes
+        leave, so the call is not made.
+        """
+        async with scene() as s:
+            now_ns = time.monotonic_ns
+            attempt_id = s.gateway.start(idempotent=False)
+
+            async def sleep_through(self: Any, *args: Any, **kwargs: Any) -> Any:
+                monkeypatch.setattr(
+                    time, "monotonic_ns", lambda: now_ns() + 20 * NS_PER_S
+                )
+                return await run(self, *args, **kwargs)
+
+            run = type(s.rig.sidecar.dispatcher._caller).run
+            monkeypatch.setattr(
+                type(s.rig.sidecar.dispatcher._caller), "run", sleep_through
+            )
+            failure = await s.gateway.failure(attempt_id)
+            assert failure.outcome == Outcome.NOT_RUN
+            assert failure.reason == Reason.DEADLINE_PASSED
+            assert s.target.runs == []
+
+    async def test_a_start_whose_time_is_up_is_refused_at_once(self) -> None:
+        async with scene() as s:
+            failure = await s.gateway.failure(s.gateway.start(budget_ns=1))
+            assert failure.outcome == Outcome.NOT_RUN
+            assert failure.reason == Reason.DEADLINE_PASSED
+
+    async def test_waiting_work_is_answered_when_its_time_is_up(self) -> None:
+        async with scene(policy=PolicySettings(refuse_early=False)) as s:
+            s.target.gate.clear()
+            for _ in range(4):
+                s.gateway.start()
+            attempt_id = s.gateway.start(budget_ns=NS_PER_S // 20)
+            failure = await s.gateway.failure(attempt_id)
+            assert failure.outcome == Outcome.NOT_RUN
+            assert failure.reason == Reason.DEADLINE_PASSED
+            assert attempt_id.hex() not in s.target.runs
+
+
+class TestSlowReader:
+    async def test_it_holds_back_its_own_stream_alone(self) -> None:
+        """One caller reads slowly while another's answer is short.
+
+        Both share a connection. Without credit per attempt the long answer
+        would fill the connection, or the sidecar's memory.
+        """
+        async with scene(kind=ENGINE) as s:
+            s.target.n_tokens, s.target.token = 3000, "x" * 1000 + " "
+            slow = s.gateway.start(PROMPT, credit_bytes=1)
+            attempt = s.rig.sidecar.table.get
+            bound_bytes = streams.MAX_UNSENT_BYTES
+            await until(
+                lambda: (
+                    (found := attempt(slow)) is not None
+                    and found.stream.answer.n_bytes > bound_bytes
+                )
+            )
+            s.target.n_tokens = 3
+            quick = s.gateway.start(PROMPT)
+            await s.gateway.whole_answer(quick)
+            held = attempt(slow)
+            assert held is not None
+            # Each read from the target adds at most one buffer past the bound.
+            assert held.stream.answer.n_bytes < 3 * bound_bytes
+            assert len(s.gateway.of(Chunk, slow)) == 1
+            s.gateway.connection.write(Credit(attempt_id=slow, n_bytes=PLENTY_BYTES))
+            await s.gateway.whole_answer(slow)
+
+
+class TestBrokenEngine:
+    async def test_a_broken_stream_is_resumed(self) -> None:
+        """The engine's connection breaks after two tokens; the run goes on."""
+        async with scene(kind=ENGINE) as s:
+            s.target.n_tokens, s.target.cut_after = 5, 2
+            attempt_id = s.gateway.start(PROMPT, idempotent=False)
+            answer = await s.gateway.whole_answer(attempt_id)
+            assert answer == b"0word 1word 2word 3word 4word "
+            assert s.target.resumed_from == [2]
+            assert len(s.target.runs) == 1
+
+    @pytest.mark.parametrize(
+        ("idempotent", "outcome"), [(True, Outcome.FAILED), (False, Outcome.UNKNOWN)]
+    )
+    async def test_a_stream_that_the_engine_has_lost_is_an_error(
+        self, idempotent: bool, outcome: int
+    ) -> None:
+        async with scene(kind=ENGINE) as s:
+            s.target.cut_after, s.target.knows_attempts = 2, False
+            attempt_id = s.gateway.start(PROMPT, idempotent=idempotent)
+            failure = await s.gateway.failure(attempt_id)
+            assert failure.outcome == outcome
+            assert s.gateway.of(End, attempt_id) == []
+
+
+class TestTargetLock:
+    async def test_a_second_sidecar_does_not_begin(self) -> None:
+        """An old sidecar is paused and its successor is started.
+
+        Both would call one target. The port stays with the paused one, so the
+        successor waits and then says which port is held.
+        """
+        address = Address(ip="127.0.0.1", port=free_port())
+        async with held_port(address, wait_s=0.0):
+            with pytest.raises(PortLockError, match=str(address.port)):
+                async with held_port(address, wait_s=0.0):
+                    pass
+
+    async def test_a_successor_begins_when_the_first_ends(self) -> None:
+        address = Address(ip="127.0.0.1", port=free_port())
+
+        async def take() -> None:
+            async with held_port(address, wait_s=CAP_S):
+                pass
+
+        async with held_port(address, wait_s=0.0):
+            second = asyncio.create_task(take())
+            await asyncio.sleep(0)
+            assert not second.done()
+        await second
+
+
+class TestPlannedStop:
+    async def test_a_stop_cuts_off_nothing(
+        self, monkeypatch: pytest.MonkeyPatch
+    ) -> None:
+        """A host is replaced while calls run and wait.
+
+        Every connection hears that the sidecar leaves without waiting for the
+        next heartbeat, new work is refused as not run, and what was taken is
+        answered.
+        """
+        monkeypatch.setattr(server, "HEARTBEAT_S", 3600.0)
+        async with scene() as s:
+            s.target.gate.clear()
+            taken = [s.gateway.start(idempotent=False) for _ in range(6)]
+            await until(lambda: len(s.target.runs) == 4)
+            stop = asyncio.create_task(s.rig.sidecar.stop())
+            await until(
+                lambda: any(
+                    isinstance(message, Heartbeat)
+                    and message.load is not None
+                    and message.load.leaving
+                    for message in s.gateway.messages
+                )
+            )
+            failure = await s.gateway.failure(s.gateway.start())
+            assert failure.outcome == Outcome.NOT_RUN
+            assert failure.reason == Reason.LEAVING
+            s.target.gate.set()
+            for attempt_id in taken:
+                await s.gateway.whole_answer(attempt_id)
+                s.gateway.connection.write(Ack(attempt_id=attempt_id))
+            assert await stop == 0
+
+    async def test_what_is_cut_off_is_counted(self) -> None:
+        async with FakeTarget().serving() as target:
+            settings = settings_for(
+                target_port=target.port,
+                stop=StopSettings(drain_s=0.05),
+            )
+            target.gate.clear()
+            async with running_sidecar(settings) as rig, rig.gateway() as gateway:
+                gateway.start()
+                await until(lambda: len(target.runs) == 1)
+                assert await rig.sidecar.stop() == 1
+
+
+class TestTargetDown:
+    async def test_a_target_that_does_not_answer_gets_no_work(self) -> None:
+        async with FakeTarget().serving() as target:
+            port = target.port
+        settings = settings_for(target_port=port)
+        async with running_sidecar(settings) as rig, rig.gateway() as gateway:
+            await until(lambda: Event.TARGET_DOWN in rig.events)
+            failure = await gateway.failure(gateway.start())
+            assert failure.outcome == Outcome.NOT_RUN
+            assert failure.reason == Reason.TARGET_DOWN
+            assert failure.retry_after_s > 0
