--- /dev/null
+++ b/src/trefoilpaddle/coordination/attempt_run.py
@@ -0,0 +1,147 @@
+"""Runs one attempt at the target, from its reserved slot to its end."""
+
+import asyncio
+import time
+from typing import Final
+
+from absl import logging
+from result import Err, Result
+
+from ..protocol.const import NS_PER_S
+from ..protocol.errors import StageError
+from ..protocol.gen.stage.ttypes import Ready, Started
+from ..protocol.reasons import Reason
+from ..state.journal import Event
+from ..transport.target_http import SendGuard
+from .attempt_errors import stopped, unforeseen, withdrawn
+from .attempts import Attempt, Phase
+from .stage_journal import StageJournal
+from .streams import AnswerTooLargeError
+from .target_calls import CallEnd, TargetCall, TargetCaller
+
+READY_WAIT_S: Final = 0.03
+"""How long a reserved slot waits for the gateway's word."""
+MAX_OVERRUN_S: Final = 30.0
+"""How long a call that may not be repeated runs on past its deadline."""
+
+
+class AttemptRunner:
+    """Makes calls to the target.
+
+    Parameters
+    ----------
+    name : str
+        The target's name.
+    caller : TargetCaller
+        Calls the target.
+    journal : StageJournal
+        Takes the decisions.
+    drops_expired : bool
+        False lets work that may be repeated start after its deadline.
+    """
+
+    __slots__ = ("_caller", "_cancels", "_drops_expired", "_journal", "_name")
+
+    def __init__(
+        self,
+        *,
+        name: str,
+        caller: TargetCaller,
+        journal: StageJournal,
+        drops_expired: bool,
+    ) -> None:
+        self._name = name
+        self._caller = caller
+        self._journal = journal
+        self._drops_expired = drops_expired
+        self._cancels: set[asyncio.Task[None]] = set()
+
+    async def run(
+        self, attempt: Attempt, *, n_running: int
+    ) -> Result[CallEnd, StageError]:
+        """Run `attempt` in its slot and say how it ended.
+
+        Cancelling it stops the call; what is then returned is still true.
+        """
+        try:
+            if attempt.start.reserve and not await self._is_wanted(attempt):
+                return Err(self._not_wanted())
+            return await self._call(attempt, n_running=n_running)
+        except asyncio.CancelledError:
+            reason = attempt.forbidden or Reason.CANCELLED
+        except TimeoutError:
+            reason = Reason.DEADLINE_PASSED
+        except AnswerTooLargeError:
+            reason = Reason.TOO_LARGE
+        except Exception as error:
+            logging.exception("attempt %s failed", attempt.attempt_id.hex())
+            return Err(unforeseen(attempt, error, peer=self._name))
+        self._cancel_at_target(attempt)
+        return Err(stopped(attempt, reason, peer=self._name))
+
+    async def _is_wanted(self, attempt: Attempt) -> bool:
+        """Offer the slot and return True if the gateway takes it in time."""
+        attempt.go = asyncio.get_running_loop().create_future()
+        attempt.stream.tell(Ready(attempt_id=attempt.attempt_id))
+        try:
+            async with asyncio.timeout(READY_WAIT_S):
+                await attempt.go
+        except TimeoutError:
+            return False
+        return True
+
+    async def _call(
+        self, attempt: Attempt, *, n_running: int
+    ) -> Result[CallEnd, StageError]:
+        start = attempt.start
+        attempt.phase = Phase.RUNNING
+        guard = SendGuard(may_send=lambda: self._may_send(attempt))
+        attempt.guard = guard
+        attempt.started_ns = time.monotonic_ns()
+        attempt.stream.tell(
+            Started(attempt_id=attempt.attempt_id, queued_s=attempt.queued_s())
+        )
+        self._journal.note(
+            Event.STARTED,
+            attempt,
+            queued_s=attempt.queued_s(),
+            predicted_s=start.predicted_s,
+            n_running=n_running,
+        )
+        call = TargetCall(
+            attempt_id=attempt.attempt_id,
+            request_id=start.request_id,
+            path=start.path,
+            body=bytes(attempt.body),
+            is_idempotent=start.idempotent,
+            deadline_ns=attempt.deadline_ns,
+        )
+        async with asyncio.timeout(self._limit_s(attempt)):
+            return await self._caller.run(call, sink=attempt.stream, guard=guard)
+
+    def _limit_s(self, attempt: Attempt) -> float:
+        left_s = (attempt.deadline_ns - attempt.started_ns) / NS_PER_S
+        if not attempt.start.idempotent:
+            left_s += MAX_OVERRUN_S
+        return max(0.0, left_s)
+
+    def _may_send(self, attempt: Attempt) -> bool:
+        if attempt.forbidden:
+            return False
+        if attempt.start.idempotent and not self._drops_expired:
+            return True
+        return time.monotonic_ns() < attempt.deadline_ns
+
+    def _cancel_at_target(self, attempt: Attempt) -> None:
+        if not attempt.start.idempotent or not attempt.is_sent():
+            return
+        task = asyncio.create_task(self._caller.cancel(attempt.attempt_id))
+        self._cancels.add(task)
+        task.add_done_callback(self._cancels.discard)
+
+    def _not_wanted(self) -> StageError:
+        return withdrawn(
+            Reason.CANCELLED,
+            peer=self._name,
+            detail="the gateway did not take the slot in time",
+        )
--- a/src/trefoilpaddle/coordination/attempts.py
+++ b/src/trefoilpaddle/coordination/attempts.py
@@ -3,7 +3,7 @@
 import asyncio
 from enum import Enum, auto, unique
 
-from ..protocol.const import ATTEMPT_ID_BYTES
+from ..protocol.const import ATTEMPT_ID_BYTES, NS_PER_S
 from ..protocol.gen.stage.ttypes import BarState, End, Failure, Start
 from ..protocol.reasons import Reason
 from ..state.held_results import HeldResults
@@ -101,6 +101,10 @@
         """Return True when all of the body is here."""
         return len(self.body) >= self.start.body_bytes
 
+    def queued_s(self) -> float:
+        """Return the seconds from its arrival to its start."""
+        return (self.started_ns - self.received_ns) / NS_PER_S
+
     def is_sent(self) -> bool:
         """Return True once any of the call may have reached the target."""
         return self.guard is not None and self.guard.is_sent
--- a/src/trefoilpaddle/coordination/stage_journal.py
+++ b/src/trefoilpaddle/coordination/stage_journal.py
@@ -51,6 +51,19 @@
             figures={"n_bytes": attempt.stream.answer.n_bytes},
         )
 
+    def slots(self, *, n_before: int, n_slots: int) -> None:
+        """Record that another number of calls may run at once."""
+        self._journal.record(
+            Decision(
+                event=Event.CONCURRENCY_CHANGED,
+                peer=self._target,
+                figures=(
+                    Figure(name="n_before", value=n_before),
+                    Figure(name="n_slots", value=n_slots),
+                ),
+            )
+        )
+
     def _record(
         self,
         event: Event,
--- a/src/trefoilpaddle/coordination/stage_server.py
+++ b/src/trefoilpaddle/coordination/stage_server.py
@@ -6,6 +6,7 @@
 from absl import logging
 from result import Err, Ok
 
+from ..protocol.const import NS_PER_S
 from ..protocol.errors import NotRun, StageError, Unknown, to_failure
 from ..protocol.frames import Message
 from ..protocol.gen.stage.ttypes import (
@@ -28,7 +29,7 @@
 from ..transport.connection import Connection
 from .admission import admit, is_body_sound
 from .attempts import Attempt, AttemptTable, Phase
-from .dispatcher import NS_PER_S, Dispatcher
+from .dispatcher import Dispatcher
 from .stage_journal import StageJournal
 from .target_calls import DOWN_RETRY_S
 
--- a/src/trefoilpaddle/protocol/const.py
+++ b/src/trefoilpaddle/protocol/const.py
@@ -22,3 +22,6 @@
 
 HEARTBEAT_S: Final = 0.5
 """Time between heartbeats on each connection."""
+
+NS_PER_S: Final = 1_000_000_000
+"""Nanoseconds in a second."""
--- a/src/trefoilpaddle/roles/sidecar.py
+++ b/src/trefoilpaddle/roles/sidecar.py
@@ -12,21 +12,23 @@
 
 from ..coordination.attempts import AttemptTable
 from ..coordination.config_feed import config_feed
-from ..coordination.dispatcher import NS_PER_S, Dispatcher
+from ..coordination.dispatcher import Dispatcher
 from ..coordination.drain import drain
 from ..coordination.engine_calls import EngineCaller
 from ..coordination.stage_journal import StageJournal
 from ..coordination.stage_server import StageServer
 from ..coordination.target_calls import PlainCaller, TargetCaller
 from ..coordination.target_watch import TargetWatch
+from ..protocol.const import NS_PER_S
 from ..protocol.gen.stage.ttypes import Bar
 from ..state.catalogue import ServiceKind
 from ..state.concurrency import FixedSlots
+from ..state.fair_queue import FairQueue
 from ..state.held_results import HeldResults
 from ..state.journal import Decision, Event, Journal
-from ..state.settings import SidecarSettings
+from ..state.settings import Order, SidecarSettings
 from ..state.spent_ids import SpentIds
-from ..state.work_queue import FifoQueue
+from ..state.work_queue import FifoQueue, WorkQueue
 from ..transport.connection import Address
 from ..transport.port_lock import PortLockError, held_port
 from ..transport.target_http import TargetHttp
@@ -121,7 +123,7 @@
         self.dispatcher = Dispatcher(
             name=target.name,
             table=self.table,
-            queue=FifoQueue(),
+            queue=self._queue(),
             slots=FixedSlots(n_slots=DEFAULT_SLOTS[target.kind]),
             caller=self._caller(),
             journal=journal,
@@ -179,6 +181,13 @@
             case ServiceKind.POOL | ServiceKind.PLAIN:
                 return PlainCaller(http=self._http, name=name)
 
+    def _queue(self) -> WorkQueue:
+        match self._settings.policy.order:
+            case Order.FIFO:
+                return FifoQueue()
+            case Order.FAIR:
+                return FairQueue()
+
     def _watch(self) -> TargetWatch:
         target = self._settings.target
         return TargetWatch(
--- /dev/null
+++ b/src/trefoilpaddle/state/fair_queue.py
@@ -0,0 +1,271 @@
+"""Fair queueing by owner in predicted target-seconds, by slack inside a share.
+
+Between owners this is start-time fair queueing (Goyal, Vin and Cheng, 1996):
+each owner's tag advances by the work it is given over its share, the owner with
+the smallest tag is served next, and an owner that was idle starts at the
+present virtual time, so that it can neither save up nor be punished.
+"""
+
+from bisect import bisect_left, insort
+from collections import Counter
+from collections.abc import Iterable, Iterator
+from typing import Final
+
+from .work_queue import Ahead, Work
+
+MIN_CHARGE_S: Final = 0.001
+"""Charged for work of unknown size, until it is known what it used."""
+
+MAX_IDLE_FLOWS: Final = 1000
+"""Idle owners remembered for the tag that they have run up."""
+
+
+def _slack_key(work: Work) -> int:
+    return work.latest_start_ns
+
+
+class Flow:
+    """One owner at one target: what waits, and how far it has been served.
+
+    Parameters
+    ----------
+    owner : str
+        The owner.
+    tag_s : float
+        Virtual time at which it is served next.
+    """
+
+    __slots__ = (
+        "_floors",
+        "_n_of_entry",
+        "owner",
+        "tag_s",
+        "waiting",
+        "weight",
+        "work_s",
+    )
+
+    def __init__(self, *, owner: str, tag_s: float) -> None:
+        self.owner = owner
+        self.tag_s = tag_s
+        self.waiting: list[Work] = []
+        self.weight = 1.0
+        self.work_s = 0.0
+        self._floors: dict[str, float] = {}
+        self._n_of_entry: Counter[str] = Counter()
+
+    def floor_share(self) -> float:
+        """Return the share kept for its entries that have work."""
+        return sum(self._floors.values())
+
+    def take_floors(self, other: "Flow") -> None:
+        """Keep the floors that `other` keeps now."""
+        self._floors = dict(other._floors)
+
+    def push(self, work: Work) -> None:
+        """Add `work` in order of slack."""
+        insort(self.waiting, work, key=_slack_key)
+        self.weight = work.weight
+        self.work_s += work.predicted_s
+        self._n_of_entry[work.entry] += 1
+        self._floors[work.entry] = work.floor_share
+
+    def pop(self, now_ns: int) -> Work:
+        """Take out the smallest slack that can still be met, else any."""
+        at = bisect_left(self.waiting, now_ns, key=_slack_key)
+        work = self.waiting.pop(at if at < len(self.waiting) else 0)
+        self._take_off(work)
+        return work
+
+    def remove(self, work: Work) -> bool:
+        """Take out `work`; return False if it does not wait."""
+        at = bisect_left(self.waiting, work.latest_start_ns, key=_slack_key)
+        while at < len(self.waiting):
+            if self.waiting[at] is work:
+                del self.waiting[at]
+                self._take_off(work)
+                return True
+            if self.waiting[at].latest_start_ns != work.latest_start_ns:
+                return False
+            at += 1
+        return False
+
+    def before(self, work: Work) -> list[Work]:
+        """Return what goes before `work` inside this share."""
+        at = bisect_left(self.waiting, work.latest_start_ns, key=_slack_key)
+        return [other for other in self.waiting[:at] if other is not work]
+
+    def _take_off(self, work: Work) -> None:
+        self.work_s = self.work_s - work.predicted_s if self.waiting else 0.0
+        self._n_of_entry[work.entry] -= 1
+        if not self._n_of_entry[work.entry]:
+            del self._n_of_entry[work.entry]
+            del self._floors[work.entry]
+
+
+class FairQueue:
+    """Waiting work of all owners; see the module for the order."""
+
+    __slots__ = ("_flows", "_n_waiting", "_now_s", "work_s")
+
+    def __init__(self) -> None:
+        self._flows: dict[str, Flow] = {}
+        self._n_waiting = 0
+        self._now_s = 0.0
+        self.work_s = 0.0
+
+    def __len__(self) -> int:
+        return self._n_waiting
+
+    def __iter__(self) -> Iterator[Work]:
+        for flow in self._flows.values():
+            yield from flow.waiting
+
+    def push(self, work: Work) -> None:
+        """Add `work`."""
+        flow = self._flows.get(work.owner)
+        if flow is None:
+            self._forget_idle()
+            flow = Flow(owner=work.owner, tag_s=self._now_s)
+            self._flows[work.owner] = flow
+        if not flow.waiting:
+            flow.tag_s = max(flow.tag_s, self._now_s)
+        flow.push(work)
+        self._n_waiting += 1
+        self.work_s += work.predicted_s
+
+    def pop(self, *, now_ns: int) -> Work | None:
+        """Take out what starts next and charge its owner; None when empty."""
+        waiting = self._backlogged()
+        if not waiting:
+            return None
+        flow = min(waiting, key=lambda each: each.tag_s)
+        share = shares(waiting)[flow.owner]
+        self._now_s = max(self._now_s, flow.tag_s)
+        work = flow.pop(now_ns)
+        self._take_off(work)
+        work.charged_s = max(MIN_CHARGE_S, work.predicted_s)
+        work.charged_share = share
+        flow.tag_s += work.charged_s / share
+        return work
+
+    def remove(self, work: Work) -> bool:
+        """Take out `work`; return False if it does not wait."""
+        flow = self._flows.get(work.owner)
+        if flow is None or not flow.remove(work):
+            return False
+        self._take_off(work)
+        return True
+
+    def settle(self, work: Work, *, used_s: float) -> None:
+        """Replace what the owner was charged for `work` by what it has used."""
+        flow = self._flows.get(work.owner)
+        if flow is not None and work.charged_s > 0.0:
+            flow.tag_s += (used_s - work.charged_s) / work.charged_share
+        work.charged_s = 0.0
+
+    def ahead(self, work: Work) -> Ahead:
+        """Return what would start before `work`, which need not wait yet.
+
+        While the owner's own work before it is served, the others get their
+        shares too; besides, they first catch up with what the owner has been
+        served beyond its share. More than all that waits is never ahead.
+        """
+        flow = self._flows.get(work.owner)
+        before = flow.before(work) if flow is not None else []
+        share = self.share_of(work)
+        lead_s = max(0.0, flow.tag_s - self._now_s) if flow is not None else 0.0
+        own_s = sum(other.predicted_s for other in before)
+        others_s = self.work_s - (flow.work_s if flow is not None else 0.0)
+        ahead_s = own_s + min(others_s, lead_s + own_s / share - own_s)
+        return Ahead(n_ahead=len(before), work_s=ahead_s)
+
+    def share_of(self, work: Work) -> float:
+        """Return the share of the owner of `work` were it waiting."""
+        others = [flow for flow in self._backlogged() if flow.owner != work.owner]
+        own = Flow(owner=work.owner, tag_s=0.0)
+        present = self._flows.get(work.owner)
+        if present is not None:
+            own.take_floors(present)
+        own.push(work)
+        return shares([*others, own])[work.owner]
+
+    def displaceable(self, work: Work) -> list[Work]:
+        """Return waiting work that may give way to `work`, the first to go first.
+
+        Only owners that have more waiting than their share give way, so that a
+        burst pushes nobody else out; of their work, the lower brown-out order
+        goes first, then what is farthest over its share, then the latest. The
+        list ends before `work` itself would be the one to go.
+        """
+        over = self._over_share(work)
+        rows = [
+            (other.brownout_order, -over[other.owner], -other.latest_start_ns, other)
+            for other in (*self, work)
+            if over[other.owner] >= 0.0
+        ]
+        rows.sort(key=lambda row: row[:3])
+        order = [row[3] for row in rows]
+        return order[: order.index(work)] if work in order else order
+
+    def lower_orders(self, work: Work) -> list[Work]:
+        """Return the owner's work before `work` of a lower brown-out order."""
+        flow = self._flows.get(work.owner)
+        if flow is None:
+            return []
+        lower = [
+            other
+            for other in flow.before(work)
+            if other.brownout_order < work.brownout_order
+        ]
+        lower.sort(key=lambda other: (other.brownout_order, -other.latest_start_ns))
+        return lower
+
+    def _over_share(self, work: Work) -> dict[str, float]:
+        """Return by owner its part of the waiting work less its share."""
+        work_s = {flow.owner: flow.work_s for flow in self._backlogged()}
+        work_s[work.owner] = work_s.get(work.owner, 0.0) + work.predicted_s
+        total_s = sum(work_s.values()) or 1.0
+        own_share = self.share_of(work)
+        by_owner = shares(self._backlogged())
+        by_owner[work.owner] = own_share
+        scale = sum(by_owner.values())
+        return {
+            owner: owned_s / total_s - by_owner[owner] / scale + 1e-9
+            for owner, owned_s in work_s.items()
+        }
+
+    def _take_off(self, work: Work) -> None:
+        self._n_waiting -= 1
+        self.work_s = self.work_s - work.predicted_s if self._n_waiting else 0.0
+
+    def _backlogged(self) -> list[Flow]:
+        return [flow for flow in self._flows.values() if flow.waiting]
+
+    def _forget_idle(self) -> None:
+        if len(self._flows) < MAX_IDLE_FLOWS:
+            return
+        for owner, flow in list(self._flows.items()):
+            if not flow.waiting and flow.tag_s <= self._now_s:
+                del self._flows[owner]
+
+
+def shares(flows: Iterable[Flow]) -> dict[str, float]:
+    """Return each owner's share among `flows`; they sum to 1.
+
+    Each gets the floors of its entries, and what is left over is divided by
+    weight. Floors that together exceed the whole are scaled down.
+    """
+    flows = list(flows)
+    floors = {flow.owner: flow.floor_share() for flow in flows}
+    total_floor = sum(floors.values())
+    scale = 1.0 / total_floor if total_floor > 1.0 else 1.0
+    rest = max(0.0, 1.0 - total_floor * scale)
+    total_weight = sum(flow.weight for flow in flows)
+    # An owner without floor keeps a sliver when the floors take the whole.
+    return {
+        flow.owner: max(
+            1e-3, floors[flow.owner] * scale + rest * flow.weight / total_weight
+        )
+        for flow in flows
+    }
--- a/src/trefoilpaddle/state/work_queue.py
+++ b/src/trefoilpaddle/state/work_queue.py
@@ -31,6 +31,7 @@
         "attempt_id",
         "brownout_order",
         "charged_s",
+        "charged_share",
         "entry",
         "floor_share",
         "latest_start_ns",
@@ -60,6 +61,7 @@
         self.predicted_s = predicted_s
         self.latest_start_ns = latest_start_ns
         self.charged_s = 0.0
+        self.charged_share = 1.0
 
 
 class Ahead:
@@ -68,9 +70,9 @@
     Parameters
     ----------
     n_ahead : int
-        Pieces of waiting work.
+        Pieces of waiting work that go first inside its share.
     work_s : float
-        Target-seconds until it would start, over all slots.
+        Target-seconds of all waiting work that goes first.
     """
 
     __slots__ = ("n_ahead", "work_s")
@@ -112,6 +114,14 @@
         """Return what would start before `work`, which need not wait yet."""
         ...
 
+    def displaceable(self, work: Work) -> list[Work]:
+        """Return waiting work that may give way to `work`, the first to go first."""
+        ...
+
+    def lower_orders(self, work: Work) -> list[Work]:
+        """Return the owner's work before `work` of a lower brown-out order."""
+        ...
+
 
 class FifoQueue:
     """First come, first served: the baseline."""
@@ -155,6 +165,14 @@
         """Return all that waits."""
         return Ahead(n_ahead=len(self._waiting), work_s=self.work_s)
 
+    def displaceable(self, work: Work) -> list[Work]:
+        """Return nothing: all waiting work came first."""
+        return []
+
+    def lower_orders(self, work: Work) -> list[Work]:
+        """Return nothing: all waiting work came first."""
+        return []
+
     def _take_off(self, work: Work) -> None:
         self.work_s -= work.predicted_s
         if not self._waiting:
--- a/tests/test_sidecar_failures.py
+++ b/tests/test_sidecar_failures.py
@@ -18,6 +18,7 @@
     until,
 )
 from trefoilpaddle.coordination import streams
+from trefoilpaddle.coordination.target_calls import PlainCaller
 from trefoilpaddle.protocol.gen.stage.ttypes import (
     Ack,
     Chunk,
@@ -126,10 +127,8 @@
                 )
                 return await run(self, *args, **kwargs)
 
-            run = type(s.rig.sidecar.dispatcher._caller).run
-            monkeypatch.setattr(
-                type(s.rig.sidecar.dispatcher._caller), "run", sleep_through
-            )
+            run = PlainCaller.run
+            monkeypatch.setattr(PlainCaller, "run", sleep_through)
             failure = await s.gateway.failure(attempt_id)
             assert failure.outcome == Outcome.NOT_RUN
             assert failure.reason == Reason.DEADLINE_PASSED
