Test early refusal, brown-out, shares and reserved slots of the sidecar

Cause: the policies of the queue had unit tests only. Change: tests through a running sidecar; with refuse_early off nothing is refused for the length of the queue either, as the baseline wants. Conclusion: refusals carry when to come back, a reserved slot runs nothing before the gateway's word.

--- a/src/trefoilpaddle/coordination/queue_policy.py
+++ b/src/trefoilpaddle/coordination/queue_policy.py
@@ -84,12 +84,14 @@
     ahead = queue.ahead(work)
     waits_s = slots.wait_s(ahead.work_s)
     late_s = waits_s + work.predicted_s * slots.slowness - _budget_s(work, now_ns)
-    if refuses_early and waits_s > 0.0 and late_s > 0.0:
+    if not refuses_early or waits_s <= 0.0:
+        return Verdict(wait_s=waits_s, n_ahead=ahead.n_ahead)
+    if late_s > 0.0:
         return _make_room(
             work, queue=queue, slots=slots, ahead_s=ahead.work_s, late_s=late_s
         )
     excess_s = queue.work_s + work.predicted_s - max_queue_s
-    if waits_s > 0.0 and excess_s > 0.0:
+    if excess_s > 0.0:
         return _cut_queue(work, queue=queue, slots=slots, excess_s=excess_s)
     return Verdict(wait_s=waits_s, n_ahead=ahead.n_ahead)
 
--- /dev/null
+++ b/tests/test_sidecar_queue.py
@@ -0,0 +1,215 @@
+"""What a sidecar refuses, drops and reserves when its target is busy."""
+
+from typing import Any
+
+from tests.sidecar_rig import NS_PER_S, GatewaySide, Scene, scene, until
+from trefoilpaddle.coordination import attempt_run
+from trefoilpaddle.protocol.gen.stage.ttypes import (
+    Bar,
+    BarState,
+    Cancel,
+    Failure,
+    Go,
+    Outcome,
+    Queued,
+    Ready,
+)
+from trefoilpaddle.protocol.reasons import Reason
+from trefoilpaddle.state.catalogue import Catalogue, Entry, Service, ServiceKind
+from trefoilpaddle.state.journal import Event
+from trefoilpaddle.state.settings import Order, PolicySettings
+
+LONG_S = 100.0
+PLAIN_POLICY = PolicySettings(order=Order.FIFO, refuse_early=False)
+
+
+async def occupy(s: Scene, n_slots: int = 4, **fields: Any) -> list[bytes]:
+    """Fill all slots with calls that do not end by themselves."""
+    s.target.gate.clear()
+    running = [s.gateway.start(**fields) for _ in range(n_slots)]
+    await until(lambda: len(s.target.runs) == n_slots)
+    return running
+
+
+async def finish(gateway: GatewaySide, attempt_ids: list[bytes]) -> None:
+    for attempt_id in attempt_ids:
+        await gateway.whole_answer(attempt_id)
+
+
+class TestEarlyRefusal:
+    async def test_work_that_would_be_late_is_refused_with_a_time(self) -> None:
+        """A deadline is nearer than the queue is long.
+
+        Waiting would only make the caller lose its time; it is told at once
+        that nothing was run and after how many seconds to come back.
+        """
+        async with scene() as s:
+            running = await occupy(s, predicted_s=5.0)
+            failure = await s.gateway.failure(
+                s.gateway.start(predicted_s=1.0, budget_ns=2 * NS_PER_S)
+            )
+            assert failure.outcome == Outcome.NOT_RUN
+            assert failure.reason == Reason.PREDICTED_LATE
+            # Five seconds of waiting and one of work, with two in hand.
+            assert 3.0 < failure.retry_after_s <= 4.0
+            s.target.gate.set()
+            await finish(s.gateway, running)
+
+    async def test_the_budget_of_the_stage_counts(self) -> None:
+        """The later stages need most of what is left of the deadline."""
+        async with scene() as s:
+            await occupy(s, predicted_s=5.0)
+            late = s.gateway.start(predicted_s=1.0, stage_budget_ns=2 * NS_PER_S)
+            assert (await s.gateway.failure(late)).reason == Reason.PREDICTED_LATE
+
+    async def test_waiting_work_is_given_up_when_it_is_known_to_be_late(self) -> None:
+        """A call takes far longer than predicted and the queue stands still."""
+        async with scene() as s:
+            await occupy(s, predicted_s=0.01)
+            waiting = s.gateway.start(predicted_s=9.9)
+            await s.gateway.first(Queued, waiting)
+            failure = await s.gateway.failure(waiting)
+            assert failure.reason == Reason.PREDICTED_LATE
+            assert failure.retry_after_s > 0
+            bar = await s.gateway.ask(Bar(attempt_id=waiting))
+            assert bar.state == BarState.BARRED
+
+    async def test_the_baseline_refuses_nothing_early(self) -> None:
+        async with scene(policy=PLAIN_POLICY) as s:
+            running = await occupy(s, predicted_s=LONG_S)
+            waiting = s.gateway.start(predicted_s=LONG_S)
+            await s.gateway.first(Queued, waiting)
+            s.target.gate.set()
+            await finish(s.gateway, [*running, waiting])
+
+    async def test_an_idle_target_is_tried_whatever_was_measured(self) -> None:
+        """A slow spell makes every prediction late.
+
+        If all were refused for it, nothing would ever show that it is over.
+        """
+        async with scene() as s:
+            attempt_id = s.gateway.start(predicted_s=LONG_S)
+            await s.gateway.whole_answer(attempt_id)
+
+
+class TestShares:
+    async def test_a_small_account_is_served_before_the_rest_of_a_burst(self) -> None:
+        async with scene() as s:
+            running = await occupy(s, predicted_s=0.001, owner="large")
+            burst = [s.gateway.start(owner="large") for _ in range(8)]
+            small = s.gateway.start(owner="small")
+            await s.gateway.first(Queued, small)
+            s.target.gate.set()
+            await finish(s.gateway, [*running, *burst, small])
+            assert s.target.runs.index(small.hex()) <= 6
+
+    async def test_weight_and_floor_come_from_the_catalogue(self) -> None:
+        async with scene() as s:
+            entry = Entry(
+                owner="small",
+                class_of_work="c1",
+                pipelines=("p1",),
+                accounts=("a1",),
+                floor_share=0.5,
+            )
+            s.rig.process.published.set_catalogue(
+                Catalogue(revision=1, entries={"e1": entry})
+            )
+            running = await occupy(s, predicted_s=0.001, owner="large")
+            burst = [
+                s.gateway.start(owner="large", weight=100.0, predicted_s=0.1)
+                for _ in range(8)
+            ]
+            kept = [
+                s.gateway.start(owner="small", entry="e1", predicted_s=0.1)
+                for _ in range(4)
+            ]
+            await s.gateway.first(Queued, kept[-1])
+            s.target.gate.set()
+            await finish(s.gateway, [*running, *burst, *kept])
+            assert max(s.target.runs.index(each.hex()) for each in kept) < 15
+
+    async def test_a_full_queue_gives_way_by_brownout_order(self) -> None:
+        """The queue is full; a class of work goes first when some must go."""
+        async with scene() as s:
+            service = Service(kind=ServiceKind.PLAIN, n_slots=1, max_queue_s=10.0)
+            s.rig.process.published.set_catalogue(
+                Catalogue(revision=1, services={"s1": service})
+            )
+            await occupy(s, 1, predicted_s=0.01)
+            fields: dict[str, Any] = {"predicted_s": 6.0, "budget_ns": 60 * NS_PER_S}
+            low = s.gateway.start(brownout_order=1, **fields)
+            await s.gateway.first(Queued, low)
+            high = s.gateway.start(brownout_order=2, **fields)
+            failure = await s.gateway.failure(low)
+            assert failure.outcome == Outcome.NOT_RUN
+            assert failure.reason == Reason.BROWNOUT
+            assert failure.retry_after_s > 0
+            await s.gateway.first(Queued, high)
+            refused = s.gateway.start(brownout_order=1, **fields)
+            assert (await s.gateway.failure(refused)).reason == Reason.QUEUE_FULL
+
+
+class TestReserve:
+    async def test_nothing_runs_before_the_word(self) -> None:
+        async with scene() as s:
+            attempt_id = s.gateway.start(reserve=True)
+            await s.gateway.first(Ready, attempt_id)
+            assert s.target.runs == []
+            s.gateway.connection.write(Go(attempt_id=attempt_id))
+            await s.gateway.whole_answer(attempt_id)
+
+    async def test_a_slot_that_is_not_taken_is_given_up(self) -> None:
+        """Two targets were asked and the other one was ready first."""
+        async with scene() as s:
+            left = s.gateway.start(reserve=True)
+            await s.gateway.first(Ready, left)
+            s.gateway.connection.write(Cancel(attempt_id=left))
+            failure = await s.gateway.failure(left)
+            assert failure.outcome == Outcome.NOT_RUN
+            assert s.rig.sidecar.dispatcher.load().n_running == 0
+
+    async def test_a_word_that_comes_too_late_starts_nothing(self) -> None:
+        """The gateway is paused between the offer and its word.
+
+        The slot is given to other work after a short wait; the late word finds
+        no attempt, and the gateway has been told "not run".
+        """
+        async with scene() as s:
+            attempt_id = s.gateway.start(reserve=True)
+            failure = await s.gateway.failure(attempt_id)
+            assert failure.outcome == Outcome.NOT_RUN
+            s.gateway.connection.write(Go(attempt_id=attempt_id))
+            bar = await s.gateway.ask(Bar(attempt_id=attempt_id))
+            assert bar.state == BarState.BARRED
+            assert s.target.runs == []
+            assert attempt_run.READY_WAIT_S < 1.0
+
+    async def test_an_offer_can_be_barred(self) -> None:
+        async with scene() as s:
+            attempt_id = s.gateway.start(reserve=True)
+            await s.gateway.first(Ready, attempt_id)
+            bar = await s.gateway.ask(Bar(attempt_id=attempt_id))
+            assert bar.state == BarState.BARRED
+            s.gateway.connection.write(Go(attempt_id=attempt_id))
+            await s.gateway.first(Failure, attempt_id)
+            assert s.target.runs == []
+
+
+class TestJournal:
+    async def test_each_decision_is_recorded_with_its_figures(self) -> None:
+        async with scene() as s:
+            records = s.rig.process.journal
+            running = await occupy(s, predicted_s=0.01)
+            waiting = s.gateway.start(predicted_s=0.01, request_id="r-waiting")
+            await s.gateway.first(Queued, waiting)
+            s.target.gate.set()
+            await finish(s.gateway, [*running, waiting])
+            story = [record.decision for record in records.story("r-waiting")]
+            assert [decision.event for decision in story] == [
+                Event.QUEUED,
+                Event.STARTED,
+                Event.FINISHED,
+            ]
+            names = {figure.name for figure in story[0].figures}
+            assert names == {"n_ahead", "predicted_wait_s", "predicted_s", "budget_s"}
