--- /dev/null
+++ b/src/trefoilpaddle/cli/check.py
@@ -0,0 +1,72 @@
+"""``trefoilpaddle check``: faults before they are published or started."""
+
+import sys
+from pathlib import Path
+from typing import Final
+
+import orjson
+from pydantic import TypeAdapter, ValidationError
+from result import Err, Ok, Result
+
+from ..state.catalogue import Catalogue
+from ..state.catalogue_diff import Difference, differences
+from ..state.check_files import Checked, check_path
+from .operators_http import get
+
+EXIT_FAULTS: Final = 1
+EXIT_NO_ANSWER: Final = 2
+
+
+def check(path: str, *, against: str, as_json: bool) -> int:
+    """Print all that is wrong with `path`; return the exit code."""
+    checked = check_path(Path(path))
+    found: list[Difference] = []
+    if against and checked.catalogue is not None:
+        match _in_force(against):
+            case Err(problem):
+                print(problem, file=sys.stderr)
+                return EXIT_NO_ANSWER
+            case Ok(in_force):
+                found += differences(in_force=in_force, published=checked.catalogue)
+    if as_json:
+        print(_as_json(checked, found))
+    else:
+        _print(checked, found, is_compared=bool(against))
+    return EXIT_FAULTS if checked.problems else 0
+
+
+def _print(checked: Checked, found: list[Difference], *, is_compared: bool) -> None:
+    for problem in checked.problems:
+        print(f"fault: {problem}")
+    for warning in checked.warnings:
+        print(f"warning: {warning}")
+    for difference in found:
+        print(f"would {difference}")
+    if is_compared and not found and checked.catalogue is not None:
+        print("no difference to what is in force")
+    print(
+        f"{len(checked.sources)} files read, {len(checked.problems)} faults,"
+        f" {len(checked.warnings)} warnings"
+    )
+
+
+def _as_json(checked: Checked, found: list[Difference]) -> str:
+    return orjson.dumps(
+        {
+            "sources": checked.sources,
+            "faults": checked.problems,
+            "warnings": checked.warnings,
+            "differences": found,
+        }
+    ).decode()
+
+
+def _in_force(at: str) -> Result[Catalogue, str]:
+    match get(at, "/v1/catalogue"):
+        case Err(problem):
+            return Err(problem)
+        case Ok(reply):
+            try:
+                return Ok(TypeAdapter(Catalogue).validate_json(reply.body))
+            except ValidationError:
+                return Err(f"{at} answered something that is no catalogue")
--- /dev/null
+++ b/src/trefoilpaddle/cli/explain.py
@@ -0,0 +1,39 @@
+"""``trefoilpaddle explain``: why a request was served as it was."""
+
+import sys
+from typing import Final
+from urllib.parse import quote
+
+from pydantic import ValidationError
+from result import Err, Ok
+
+from ..state import story_text
+from ..state.story import STORY
+from .operators_http import get
+
+EXIT_UNKNOWN: Final = 1
+EXIT_NO_ANSWER: Final = 2
+
+
+def explain(request_id: str, *, at: str, as_json: bool) -> int:
+    """Print the story of a request; return the exit code."""
+    match get(at, f"/v1/explain/{quote(request_id, safe='')}"):
+        case Err(problem):
+            print(problem, file=sys.stderr)
+            return EXIT_NO_ANSWER
+        case Ok(reply):
+            return _show(reply.body, as_json=as_json)
+
+
+def _show(body: bytes, *, as_json: bool) -> int:
+    try:
+        story = STORY.validate_json(body)
+    except ValidationError:
+        print("the process answered something that is no story", file=sys.stderr)
+        return EXIT_NO_ANSWER
+    if as_json:
+        print(body.decode())
+    else:
+        for line in story_text.lines(story):
+            print(line)
+    return 0 if story.steps else EXIT_UNKNOWN
--- a/src/trefoilpaddle/cli/main.py
+++ b/src/trefoilpaddle/cli/main.py
@@ -1,12 +1,17 @@
 """The command line: one class, a method for each command."""
 
+import contextlib
 import sys
 
 import fire
 
 from trefoilpaddle import __version__
 
+from . import check as check_command
+from . import explain as explain_command
 from . import serve
+from . import status as status_command
+from .operators_http import DEFAULT_AT
 
 
 class Commands:
@@ -20,6 +25,41 @@
         """Run the sidecar whose settings are in the TOML file SETTINGS."""
         sys.exit(serve.sidecar(str(settings)))
 
+    def explain(
+        self,
+        request_id: str,
+        *,
+        at: str = DEFAULT_AT,
+        json: bool = False,
+    ) -> None:
+        """Tell why the request REQUEST_ID was served as it was.
+
+        AT is the URL of the operators' port of any process.
+        """
+        sys.exit(explain_command.explain(str(request_id), at=at, as_json=json))
+
+    def status(
+        self,
+        *,
+        at: str = DEFAULT_AT,
+        watch: bool = False,
+        json: bool = False,
+    ) -> None:
+        """Show hosts, targets, owners, stages, and the revision in force in each.
+
+        AT is the URL of the operators' port of any process.
+        """
+        with contextlib.suppress(KeyboardInterrupt):  # the way to end --watch
+            sys.exit(status_command.status(at=at, watch=watch, as_json=json))
+
+    def check(self, path: str, *, against: str = "", json: bool = False) -> None:
+        """Find every fault of a settings file, a catalogue file or a folder.
+
+        AGAINST is the URL of the operators' port of a running process; then
+        the difference to the catalogue in force is shown too.
+        """
+        sys.exit(check_command.check(str(path), against=against, as_json=json))
+
     def version(self) -> None:
         """Print the version."""
         print(__version__)
--- /dev/null
+++ b/src/trefoilpaddle/cli/operators_http.py
@@ -0,0 +1,39 @@
+"""Calls a process's operators' port from the command line."""
+
+import asyncio
+from dataclasses import dataclass
+from typing import Final
+
+import aiohttp
+from result import Err, Ok, Result
+
+TIMEOUT_S: Final = 15.0
+DEFAULT_AT: Final = "http://127.0.0.1:9464"
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Reply:
+    """What a process answered."""
+
+    status: int
+    body: bytes
+
+
+def get(at: str, path: str) -> Result[Reply, str]:
+    """Return the answer to ``GET path`` at the URL `at`, or what to do next."""
+    return asyncio.run(_get(at.rstrip("/") + path))
+
+
+async def _get(url: str) -> Result[Reply, str]:
+    timeout = aiohttp.ClientTimeout(total=TIMEOUT_S)
+    try:
+        async with (
+            aiohttp.ClientSession(timeout=timeout) as session,
+            session.get(url) as response,
+        ):
+            return Ok(Reply(status=response.status, body=await response.read()))
+    except (aiohttp.ClientError, TimeoutError, ValueError) as error:
+        return Err(
+            f"{url}: no answer ({error or type(error).__name__}); name with --at the"
+            " operators_listen address of a running process, as http://IP:PORT"
+        )
--- a/src/trefoilpaddle/roles/gateway.py
+++ b/src/trefoilpaddle/roles/gateway.py
@@ -28,6 +28,7 @@
 from .caller_input import CallerInput
 from .caller_server import CallerServer
 from .callers import Callers
+from .operators import operators
 from .process import Process, identity_of
 
 TICK_S: Final = 0.25
@@ -226,7 +227,15 @@
     gateway = Gateway(settings=settings, process=process)
     async with (
         process.running(),
-        config_feed(process=process, platform=settings.platform, peers=settings.peers),
+        config_feed(
+            process=process, platform=settings.platform, peers=settings.peers
+        ) as feed,
+        operators(
+            process=process,
+            listen=settings.process.operators_listen,
+            is_ready=gateway.is_ready,
+            held_back=lambda: feed.state.held_back,
+        ),
         gateway.serving(),
     ):
         await process.stopping.wait()
--- a/src/trefoilpaddle/roles/operators.py
+++ b/src/trefoilpaddle/roles/operators.py
@@ -191,9 +191,21 @@
                 lambda: len(tuple(self._held_back())),
             ),
             ("up_seconds", "Time since the start.", self._up_s),
-            ("running_calls", "Stage calls running.", lambda: process.load_reader().n_running),
-            ("queued_calls", "Stage calls waiting.", lambda: process.load_reader().n_queued),
-            ("slots", "Calls that the target bears.", lambda: process.load_reader().n_slots),
+            (
+                "running_calls",
+                "Stage calls running.",
+                lambda: process.load_reader().n_running,
+            ),
+            (
+                "queued_calls",
+                "Stage calls waiting.",
+                lambda: process.load_reader().n_queued,
+            ),
+            (
+                "slots",
+                "Calls that the target bears.",
+                lambda: process.load_reader().n_slots,
+            ),
             (
                 "target_up",
                 "1 while the target answers; sidecars only.",
--- a/src/trefoilpaddle/roles/sidecar.py
+++ b/src/trefoilpaddle/roles/sidecar.py
@@ -29,6 +29,7 @@
 from ..transport.connection import Address
 from ..transport.port_lock import PortLockError, held_port
 from ..transport.target_http import TargetHttp
+from .operators import operators
 from .process import Process, identity_of
 
 HOUSEKEEPING_S: Final = 0.25
@@ -66,10 +67,18 @@
         process_id=identity.process_id,
         n_records=settings.retention.explain_records,
         format=settings.log.format,
+        keep_s=settings.retention.explain_s,
     )
     process = Process(identity=identity, listen=listen, journal=journal)
     sidecar = Sidecar(settings=settings, process=process)
-    async with sidecar.open():
+    async with (
+        sidecar.open(),
+        operators(
+            process=process,
+            listen=settings.process.operators_listen,
+            is_ready=lambda: process.published.catalogue.revision > 0,
+        ),
+    ):
         await process.stopping.wait()
         process.n_cut_off = await sidecar.stop()
     return 0
