--- a/src/trefoilpaddle/coordination/asking.py
+++ b/src/trefoilpaddle/coordination/asking.py
@@ -1,6 +1,7 @@
 """Asks other processes what they know, without keeping links to them."""
 
 import contextlib
+import time
 from collections.abc import AsyncIterator
 from dataclasses import dataclass
 from typing import Final
@@ -28,10 +29,21 @@
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class Told:
-    """What one process told of a request, and which start of it told that."""
+    """What one process told of a request.
+
+    Parameters
+    ----------
+    steps : tuple of Step
+        Empty if it knows nothing.
+    incarnation : int
+        Which start of the process told it; 0 if that is not known.
+    heard_s : float
+        Middle of the asking, by this process's monotonic clock.
+    """
 
     steps: tuple[Step, ...]
     incarnation: int
+    heard_s: float
 
 
 class Asker:
@@ -54,12 +66,14 @@
         async with self._link(host) as link:
             if link is None:
                 return _absent(host, f"listed with a bad address {host.peer_address}")
+            began_s = time.monotonic()
             answer = await link.ask(
                 ExplainAsk(request_id=request_id), timeout_s=ASK_TIMEOUT_S
             )
+            heard_s = (began_s + time.monotonic()) / 2
             match answer:
                 case Ok(ExplainAnswer() as told):
-                    return _told(host, told, link.peer)
+                    return _told(host, told, link.peer, heard_s=heard_s)
                 case other:
                     return _absent(host, _why(other))
 
@@ -93,14 +107,14 @@
 
 
 def _told(
-    host: Host, answer: ExplainAnswer, peer: Hello | None
+    host: Host, answer: ExplainAnswer, peer: Hello | None, *, heard_s: float
 ) -> Result[Told, Absence]:
     incarnation = peer.incarnation if peer is not None else 0
     if not answer.known:
-        return Ok(Told(steps=(), incarnation=incarnation))
+        return Ok(Told(steps=(), incarnation=incarnation, heard_s=heard_s))
     match decode_steps(answer.records):
         case Ok(steps):
-            return Ok(Told(steps=steps, incarnation=incarnation))
+            return Ok(Told(steps=steps, incarnation=incarnation, heard_s=heard_s))
         case Err(detail):
             return _absent(host, detail)
 
--- a/src/trefoilpaddle/coordination/story_gather.py
+++ b/src/trefoilpaddle/coordination/story_gather.py
@@ -1,6 +1,7 @@
 """Gathers a request's story from every process that took part in it."""
 
 import asyncio
+import time
 from collections.abc import Iterable
 from typing import Final
 
@@ -8,7 +9,8 @@
 
 from ..protocol.ids import RequestId
 from ..state.hosts import Host, HostList
-from ..state.story import Absence, Step, Story, in_order
+from ..state.story import Absence, Step, Story
+from ..state.story_order import Heard, in_order
 from .asking import Asker, Told
 
 MAX_ASKED: Final = 64
@@ -28,8 +30,8 @@
         Asks other processes.
     hosts : HostList
         The list in force.
-    own_process_id : str
-        This process, whose steps are known without asking.
+    own_process_id, own_target : str
+        This process, whose steps are known without asking, and its target.
     own_incarnation : int
         Which start of it this is.
     """
@@ -38,10 +40,11 @@
         "_absences",
         "_asked",
         "_asker",
+        "_heards",
         "_hosts",
         "_own_incarnation",
         "_own_process_id",
-        "_steps",
+        "_own_target",
     )
 
     def __init__(
@@ -50,27 +53,34 @@
         asker: Asker,
         hosts: HostList,
         own_process_id: str,
+        own_target: str,
         own_incarnation: int,
     ) -> None:
         self._asker = asker
         self._hosts = hosts
         self._own_process_id = own_process_id
+        self._own_target = own_target
         self._own_incarnation = own_incarnation
-        self._steps: list[Step] = []
+        self._heards: list[Heard] = []
         self._absences: list[Absence] = []
         self._asked = {own_process_id}
 
     async def gather(self, request_id: str, own_steps: Iterable[Step]) -> Story:
         """Return the request's story, with what is missing from it."""
-        self._steps += own_steps
+        own = Heard(
+            names=_names(self._own_process_id, self._own_target),
+            steps=tuple(own_steps),
+            heard_s=time.monotonic(),
+        )
+        self._heards.append(own)
         await self._ask_home(request_id)
         while named := self._named():
             await self._ask_all(named, request_id)
-        if not self._steps:
+        if not any(heard.steps for heard in self._heards):
             await self._ask_all(self._not_asked(), request_id)
         return Story(
             request_id=request_id,
-            steps=in_order(self._steps),
+            steps=in_order(self._heards, now_s=time.monotonic()),
             absences=tuple(self._absences),
         )
 
@@ -108,14 +118,19 @@
         answer = await self._asker.steps(host, request_id)
         match answer:
             case Ok(told):
-                self._steps += told.steps
+                heard = Heard(
+                    names=_names(host.process_id, host.target),
+                    steps=told.steps,
+                    heard_s=told.heard_s,
+                )
+                self._heards.append(heard)
             case Err(absence):
                 self._absences.append(absence)
         return answer
 
     def _named(self) -> list[Host]:
         """Return who is named in the steps so far and was not asked yet."""
-        names = {step.peer for step in self._steps}
+        names = {step.peer for heard in self._heards for step in heard.steps}
         named = [
             host
             for host in self._hosts.hosts
@@ -144,3 +159,7 @@
 
     def _miss(self, process_id: str, detail: str) -> None:
         self._absences.append(Absence(process_id=process_id, detail=detail))
+
+
+def _names(process_id: str, target: str) -> frozenset[str]:
+    return frozenset({process_id, target} - {""})
--- a/src/trefoilpaddle/roles/operators.py
+++ b/src/trefoilpaddle/roles/operators.py
@@ -250,6 +250,7 @@
             asker=self._asker,
             hosts=self._process.published.hosts,
             own_process_id=self._process.identity.process_id,
+            own_target=self._process.identity.target,
             own_incarnation=self._process.identity.incarnation,
         )
         story = await gatherer.gather(request_id, self.own_steps(request_id))
--- a/src/trefoilpaddle/state/catalogue_diff.py
+++ b/src/trefoilpaddle/state/catalogue_diff.py
@@ -66,7 +66,7 @@
             ("pipeline", catalogue.pipelines),
             ("service", catalogue.services),
         )
-        for name, value in values.items()  # type: ignore[attr-defined]
+        for name, value in values.items()
     }
 
 
--- a/src/trefoilpaddle/state/catalogue_warnings.py
+++ b/src/trefoilpaddle/state/catalogue_warnings.py
@@ -11,6 +11,10 @@
     """Yield each limit or entry that cannot work as it is written."""
     for name in sorted(catalogue.entries):
         entry = catalogue.entries[name]
+        if not entry.accounts or not entry.pipelines:
+            yield _warning(
+                f"entry/{name}", "", "", "names no account or no pipeline", "both"
+            )
         yield from _limit_warnings(name, entry, catalogue)
         yield from _shadow_warnings(name, entry, catalogue)
     yield from _floor_warnings(catalogue)
@@ -52,7 +56,8 @@
             return
         other = catalogue.entries[earlier]
         if (
-            set(entry.accounts) <= set(other.accounts)
+            entry.accounts
+            and set(entry.accounts) <= set(other.accounts)
             and set(entry.pipelines) <= set(other.pipelines)
             and entry.class_of_work == other.class_of_work
         ):
--- a/src/trefoilpaddle/state/check_files.py
+++ b/src/trefoilpaddle/state/check_files.py
@@ -155,7 +155,8 @@
     match build_catalogue(values.json_by_key):
         case Ok(catalogue):
             checked.catalogue = catalogue
-            checked.warnings += catalogue_warnings(catalogue)
+            found = catalogue_warnings(catalogue)
+            checked.warnings += (_in_file(one, values) for one in found)
         case Err(problems):
             checked.problems += (_in_file(one, values) for one in problems)
 
--- a/src/trefoilpaddle/state/problems.py
+++ b/src/trefoilpaddle/state/problems.py
@@ -4,9 +4,12 @@
 import difflib
 from collections.abc import Iterator, Sequence
 from dataclasses import dataclass
+from typing import Final
 
 from pydantic import ValidationError
 
+Location = tuple[int | str, ...]
+
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class Problem:
@@ -39,24 +42,64 @@
         return f"{where}{value}: {self.detail}{accepted}"
 
 
-MAX_VALUE_CHARS = 60
+MAX_VALUE_CHARS: Final = 60
+DETAILS: Final = {
+    "missing": "is missing",
+    "unexpected_keyword_argument": "is no known key",
+    "extra_forbidden": "is no known key",
+    "string_pattern_mismatch": "does not have the form asked for",
+    "enum": "is not among the choices",
+    "literal_error": "is not among the choices",
+    "greater_than": "is out of bounds",
+    "greater_than_equal": "is out of bounds",
+    "less_than_equal": "is out of bounds",
+    "string_type": "is no text",
+    "int_type": "is no whole number",
+    "int_parsing": "is no whole number",
+    "int_from_float": "is no whole number",
+    "float_type": "is no number",
+    "float_parsing": "is no number",
+    "bool_type": "is neither true nor false",
+    "bool_parsing": "is neither true nor false",
+    "tuple_type": "is no list",
+    "too_short": "has too few items",
+    "too_long": "has too many items",
+    "dataclass_type": "is no table",
+}
+"""What is wrong, in our words: those of the library change with its version."""
+BOUNDS: Final = (("ge", "at least"), ("gt", "more than"), ("le", "at most"))
+SECRETS: Final = frozenset({"token", "token_sha256"})
+"""Keys of which no value is ever shown."""
 
 
 def problems_of(error: ValidationError, *, source: str, cls: type) -> Iterator[Problem]:
     """Yield each fault that pydantic found while reading a `cls`."""
-    for fault in error.errors(include_url=False):
+    faults = error.errors(include_url=False)
+    paths = [fault["loc"] for fault in faults]
+    for fault in faults:
+        if fault["type"] == "too_short" and _has_inner(fault["loc"], paths):
+            continue  # counts the faulty items as absent
         path = [part for part in fault["loc"] if part != "args"]
         key = ".".join(str(part) for part in path)
-        value = "" if fault["type"] == "missing" else _short(fault["input"])
+        is_shown = fault["type"] != "missing" and not _is_secret(key)
+        value = _short(fault["input"]) if is_shown else ""
         yield Problem(
             source=source,
             key=key,
             value=value,
-            detail=fault["msg"],
+            detail=DETAILS.get(fault["type"], fault["msg"]),
             accepted=_accepted(fault["type"], fault.get("ctx", {}), path, cls),
         )
 
 
+def _has_inner(outer: Location, paths: Sequence[Location]) -> bool:
+    return any(path[: len(outer)] == outer and path != outer for path in paths)
+
+
+def _is_secret(key: str) -> bool:
+    return key.rpartition(".")[2] in SECRETS
+
+
 def _short(value: object) -> str:
     text = repr(value)
     if len(text) <= MAX_VALUE_CHARS:
@@ -69,9 +112,16 @@
         known = list(_known_keys(cls, path[:-1]))
         near = difflib.get_close_matches(str(path[-1]), known, n=1)
         return near[0] if near else ", ".join(known)
-    if isinstance(context, dict) and "pattern" in context:
+    if not isinstance(context, dict):
+        return ""
+    if "accepted" in context:
+        return str(context["accepted"])
+    if "pattern" in context:
         return f"text that matches {context['pattern']}"
-    return ""
+    if "expected" in context:
+        return f"one of {context['expected']}"
+    bounds = [f"{words} {context[name]}" for name, words in BOUNDS if name in context]
+    return " and ".join(bounds)
 
 
 def _known_keys(cls: type, path: Sequence[object]) -> Iterator[str]:
--- /dev/null
+++ b/src/trefoilpaddle/state/setting_types.py
@@ -0,0 +1,54 @@
+"""Types of single settings, each saying what it accepts."""
+
+import ipaddress
+from typing import Annotated, Final
+from urllib.parse import urlsplit
+
+from pydantic import AfterValidator
+from pydantic_core import PydanticCustomError
+
+ADDRESS: Final = "IP:PORT with a port of 1 to 65535, such as 10.0.0.7:7400"
+URL: Final = "http://HOST:PORT or https://HOST:PORT without a path"
+
+
+def _address(text: str) -> str:
+    ip, _, port = text.rpartition(":")
+    try:
+        ipaddress.ip_address(ip.removeprefix("[").removesuffix("]"))
+        is_port = port.isdecimal() and 0 < int(port) < 65536
+    except ValueError:
+        is_port = False
+    if not is_port:
+        raise _refused("address", "is no address", ADDRESS)
+    return text
+
+
+def _url(text: str) -> str:
+    try:
+        parts = urlsplit(text)
+        is_url = parts.scheme in {"http", "https"} and bool(parts.hostname)
+        is_bare = not (parts.path or parts.query or parts.fragment)
+        _ = parts.port  # raises for a port out of bounds
+    except ValueError:
+        is_url = is_bare = False
+    if not (is_url and is_bare):
+        raise _refused("url", "is no URL of a service", URL)
+    return text
+
+
+def _url_or_empty(text: str) -> str:
+    return _url(text) if text else text
+
+
+def _refused(kind: str, detail: str, accepted: str) -> PydanticCustomError:
+    return PydanticCustomError(kind, detail, {"accepted": accepted})
+
+
+AddressText = Annotated[str, AfterValidator(_address)]
+"""``ip:port`` on which a process listens or is found."""
+
+Url = Annotated[str, AfterValidator(_url)]
+"""Where a service is found, without a path."""
+
+OptionalUrl = Annotated[str, AfterValidator(_url_or_empty)]
+"""As `Url`, or empty where there is no such service."""
--- a/src/trefoilpaddle/state/settings.py
+++ b/src/trefoilpaddle/state/settings.py
@@ -12,11 +12,7 @@
 
 from .catalogue import STRICT, Count, Name, Positive, ServiceKind
 from .problems import Problem, problems_of
-
-AddressText = Annotated[str, Field(pattern=r"^[0-9a-f.:\[\]]+:\d{1,5}$")]
-T = TypeVar("T")
-
-Url = Annotated[str, Field(pattern=r"^https?://[^/]+$")]
+from .setting_types import AddressText, OptionalUrl, Url
 
 
 @unique
@@ -91,7 +87,7 @@
 
     config_url: Url
     hosts_url: Url
-    weight_store_url: str = ""
+    weight_store_url: OptionalUrl = ""
     poll_s: Positive = 1.0
     n_readers: Count = 2
 
@@ -216,6 +212,9 @@
     stop: StopSettings = StopSettings()
 
 
+T = TypeVar("T", GatewaySettings, SidecarSettings)
+
+
 def load_gateway(path: Path) -> Result[GatewaySettings, list[Problem]]:
     """Return the gateway settings in the file at `path`, or all its faults."""
     match _read(path):
@@ -250,9 +249,64 @@
 
 def _check(cls: type[T], table: object, path: Path) -> Result[T, list[Problem]]:
     try:
-        return Ok(TypeAdapter(cls).validate_python(table))
+        settings = TypeAdapter(cls).validate_python(table)
     except ValidationError as error:
         return Err(list(problems_of(error, source=str(path), cls=cls)))
+    problems = list(_joint_problems(settings, str(path)))
+    return Err(problems) if problems else Ok(settings)
+
+
+def _joint_problems(
+    settings: GatewaySettings | SidecarSettings, source: str
+) -> Iterator[Problem]:
+    """Yield what is wrong with settings that are each right alone."""
+    yield from _same_addresses(settings, source)
+    yield from _tls_problems(settings.tls, source)
+
+
+def _same_addresses(
+    settings: GatewaySettings | SidecarSettings, source: str
+) -> Iterator[Problem]:
+    addresses = {
+        "process.listen": settings.process.listen,
+        "process.operators_listen": settings.process.operators_listen,
+    }
+    match settings:
+        case GatewaySettings():
+            addresses["callers.listen"] = settings.callers.listen
+        case SidecarSettings():
+            ip = settings.process.listen.rpartition(":")[0]
+            addresses["target.lock_port"] = f"{ip}:{settings.target.lock_port}"
+    first: dict[str, str] = {}
+    for key, address in addresses.items():
+        if address in first:
+            yield Problem(
+                source=source,
+                key=key,
+                value=address,
+                detail=f"is the same as {first[address]}",
+                accepted="a port of its own",
+            )
+        first.setdefault(address, key)
+
+
+def _tls_problems(tls: TlsSettings, source: str) -> Iterator[Problem]:
+    paths = {
+        "certificate_path": tls.certificate_path,
+        "key_path": tls.key_path,
+        "ca_path": tls.ca_path,
+    }
+    if not any(paths.values()):
+        return
+    for name, text in paths.items():
+        if not text or not Path(text).is_file():
+            yield Problem(
+                source=source,
+                key=f"tls.{name}",
+                value=text,
+                detail="is no file" if text else "is empty while others are set",
+                accepted="the path of a PEM file; all three empty speak plain TCP",
+            )
 
 
 def lines_of(problems: list[Problem]) -> Iterator[str]:
--- a/src/trefoilpaddle/state/story.py
+++ b/src/trefoilpaddle/state/story.py
@@ -96,7 +96,7 @@
         decision = record.decision
         yield Step(
             process_id=process_id,
-            age_s=round(now_s - record.monotonic_s, 6),
+            age_s=now_s - record.monotonic_s,
             event=int(decision.event),
             name=decision.event.name.lower(),
             request_id=decision.request_id,
@@ -125,8 +125,3 @@
         return Ok(STEPS.validate_json(data))
     except ValidationError as error:
         return Err(f"told something that is not a story: {error.error_count()} faults")
-
-
-def in_order(steps: Iterable[Step]) -> tuple[Step, ...]:
-    """Return `steps` oldest first; equally old ones keep their order."""
-    return tuple(sorted(steps, key=lambda step: -step.age_s))
--- /dev/null
+++ b/tests/test_cli_check.py
@@ -0,0 +1,75 @@
+"""``check``: what it finds in files, and the difference to what is in force."""
+
+from pathlib import Path
+
+import pytest
+from syrupy.assertion import SnapshotAssertion
+
+from trefoilpaddle.cli.check import EXIT_FAULTS, check
+from trefoilpaddle.state.catalogue_diff import differences
+from trefoilpaddle.state.check_files import check_path
+
+DATA = Path(__file__).parent / "data" / "check"
+
+
+class TestCheck:
+    def test_a_whole_folder_passes_with_warnings(
+        self, capsys: pytest.CaptureFixture[str], snapshot: SnapshotAssertion
+    ) -> None:
+        assert check(str(DATA / "whole"), against="", as_json=False) == 0
+        assert capsys.readouterr().out == snapshot
+
+    def test_every_fault_of_every_file_is_told(
+        self, capsys: pytest.CaptureFixture[str], snapshot: SnapshotAssertion
+    ) -> None:
+        path = str(DATA / "faulty")
+        assert check(path, against="", as_json=False) == EXIT_FAULTS
+        assert capsys.readouterr().out == snapshot
+
+    def test_a_file_that_cannot_be_read_is_a_fault(
+        self, capsys: pytest.CaptureFixture[str]
+    ) -> None:
+        path = str(DATA / "broken")
+        assert check(path, against="", as_json=False) == EXIT_FAULTS
+        assert "broken.toml: cannot be read" in capsys.readouterr().out
+
+    def test_a_path_that_is_not_there_is_a_fault(
+        self, capsys: pytest.CaptureFixture[str]
+    ) -> None:
+        assert check(str(DATA / "none"), against="", as_json=False) == EXIT_FAULTS
+        assert "does not exist" in capsys.readouterr().out
+
+    def test_no_answer_to_compare_with_is_told(
+        self, capsys: pytest.CaptureFixture[str]
+    ) -> None:
+        code = check(str(DATA / "whole"), against="http://127.0.0.1:1", as_json=False)
+        assert code == 2
+        assert "operators_listen" in capsys.readouterr().err
+
+
+class TestDifferences:
+    def test_each_changed_field_is_named_and_no_token_shown(self) -> None:
+        published = check_path(DATA / "whole").catalogue
+        assert published is not None
+        in_force = check_path(DATA / "whole").catalogue
+        assert in_force is not None
+        entry = in_force.entries["bank-a-drafts"]
+        in_force.entries["old"] = in_force.entries.pop("bank-a-more")
+        in_force.entries["bank-a-drafts"] = type(entry)(
+            owner=entry.owner,
+            class_of_work=entry.class_of_work,
+            pipelines=entry.pipelines,
+            accounts=entry.accounts,
+            limits=type(entry.limits)(rate_per_s=9.0, tokens_per_s=20.0),
+            floor_share=entry.floor_share,
+            deadline_s=entry.deadline_s,
+        )
+        account = in_force.accounts["bank-a"]
+        in_force.accounts["bank-a"] = type(account)(token_sha256="2" * 64)
+        found = differences(in_force=in_force, published=published)
+        assert [str(difference) for difference in found] == [
+            "change account/bank-a.token_sha256: … -> another",
+            "change entry/bank-a-drafts.limits.rate_per_s: 9.0 -> 0.5",
+            "add entry/bank-a-more",
+            "retire entry/old",
+        ]
