--- a/src/trefoilpaddle/state/setting_types.py
+++ b/src/trefoilpaddle/state/setting_types.py
@@ -7,7 +7,7 @@
 from pydantic import AfterValidator
 from pydantic_core import PydanticCustomError
 
-ADDRESS: Final = "IP:PORT with a port of 1 to 65535, such as 10.0.0.7:7400"
+ADDRESS: Final = "IP:PORT, such as 10.0.0.7:7400; port 0 takes a free one"
 URL: Final = "http://HOST:PORT or https://HOST:PORT without a path"
 
 
@@ -15,7 +15,7 @@
     ip, _, port = text.rpartition(":")
     try:
         ipaddress.ip_address(ip.removeprefix("[").removesuffix("]"))
-        is_port = port.isdecimal() and 0 < int(port) < 65536
+        is_port = port.isdecimal() and int(port) < 65536
     except ValueError:
         is_port = False
     if not is_port:
--- a/src/trefoilpaddle/state/settings.py
+++ b/src/trefoilpaddle/state/settings.py
@@ -279,7 +279,7 @@
             addresses["target.lock_port"] = f"{ip}:{settings.target.lock_port}"
     first: dict[str, str] = {}
     for key, address in addresses.items():
-        if address in first:
+        if address in first and not address.endswith(":0"):
             yield Problem(
                 source=source,
                 key=key,
--- a/src/trefoilpaddle/transport/connection.py
+++ b/src/trefoilpaddle/transport/connection.py
@@ -19,6 +19,7 @@
 READ_BYTES: Final = 128 * 1024
 HELLO_TIMEOUT_S: Final = 2.0
 MAX_UNSENT_BYTES: Final = 16 * 1024 * 1024
+MAX_PORT: Final = 65535
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -35,7 +36,7 @@
     def parse(cls, text: str) -> "Result[Address, str]":
         """Return the address that `text`, ``ip:port``, spells."""
         ip, _, port = text.rpartition(":")
-        if not ip or not port.isdecimal() or not 0 < int(port) < 65536:
+        if not ip or not port.isdecimal() or int(port) > MAX_PORT:
             return Err(f"{text!r} is not IP:PORT")
         return Ok(cls(ip=ip, port=int(port)))
 
