--- a/src/trefoilpaddle/roles/sidecar.py
+++ b/src/trefoilpaddle/roles/sidecar.py
@@ -32,6 +32,7 @@
 from ..transport.connection import Address
 from ..transport.port_lock import PortLockError, held_port
 from ..transport.target_http import TargetHttp
+from .operators import operators
 from .process import Process, identity_of
 
 HOUSEKEEPING_S: Final = 0.25
@@ -78,7 +79,15 @@
     sidecar.dispatcher.is_configured = False
     async with (
         sidecar.open(),
-        config_feed(process=process, platform=settings.platform, peers=settings.peers),
+        config_feed(
+            process=process, platform=settings.platform, peers=settings.peers
+        ) as feed,
+        operators(
+            process=process,
+            listen=settings.process.operators_listen,
+            is_ready=feed.is_known,
+            held_back=lambda: feed.state.held_back,
+        ),
     ):
         await process.stopping.wait()
         process.n_cut_off = await sidecar.stop()
