Choose targets by predicted completion, prefix, lateness and peers' latency

Cause: the thin path chose and refused by little more than two random targets. Change: two fits per stage (body, caller's input), refusal of what cannot be in time before each stage, prefix affinity bounded by what it saves, ejection of slow targets with a floor and probes, hedges within the retry budget, late binding on two reserved places; settings switch each off; the entry's weight of attainment sets hedging, patience for prefixes and caution in refusing. Conclusion: in place, unproved.

--- a/src/trefoilpaddle/coordination/lifecycle.py
+++ b/src/trefoilpaddle/coordination/lifecycle.py
@@ -10,9 +10,10 @@
 from ..protocol.reasons import Reason
 from ..state.journal import Decision, Event, Figure, Journal
 from ..state.requests import Requests, RequestState
+from .prediction import Predictor
 from .request import Answer, Refusal, Request
 from .request_guards import AlreadyAnswered, Claimer, Limiter, Permit
-from .retries import Spent
+from .spent import Spent
 from .stage_work import Sink
 from .walk import Walker
 
@@ -32,6 +33,8 @@
 
     Parameters
     ----------
+    predictor : Predictor
+        Refuses early what cannot be in time.
     walker : Walker
         Runs the stages.
     limiter : Limiter
@@ -44,17 +47,26 @@
         Takes the decisions.
     """
 
-    __slots__ = ("_claimer", "_journal", "_limiter", "_requests", "_walker")
+    __slots__ = (
+        "_claimer",
+        "_journal",
+        "_limiter",
+        "_predictor",
+        "_requests",
+        "_walker",
+    )
 
     def __init__(
         self,
         *,
+        predictor: Predictor,
         walker: Walker,
         limiter: Limiter,
         claimer: Claimer,
         requests: Requests,
         journal: Journal,
     ) -> None:
+        self._predictor = predictor
         self._walker = walker
         self._limiter = limiter
         self._claimer = claimer
@@ -85,7 +97,7 @@
     async def _admit_and_run(
         self, request: Request, *, spent: Spent, sink: Sink | None
     ) -> Result[Answer, Refusal]:
-        early = self._walker.refusal(request)
+        early = self._predictor.refusal(request)
         if early is not None:
             return Err(Refusal(error=early, stage=""))
         match self._limiter.admit(
--- /dev/null
+++ b/src/trefoilpaddle/coordination/prediction.py
@@ -0,0 +1,105 @@
+"""What the stages of a request will take, and whether that fits its deadline."""
+
+import time
+from typing import Final
+
+from ..protocol.errors import NotRun
+from ..protocol.reasons import Reason
+from ..state.catalogue import Stage
+from ..state.estimate import Estimate, Estimates, WorkSize
+from ..state.settings import PolicySettings
+from .request import Request
+from .routing import Router
+from .stage_work import StageAnswer, StageWork
+
+CAUTION: Final = 1.2
+"""Times the predicted need below which an entry that weighs only cost is given
+up; each point of attainment weight takes `CAUTION_STEP` off."""
+CAUTION_STEP: Final = 0.4
+MIN_RETRY_AFTER_S: Final = 0.05
+
+
+class Predictor:
+    """Predicts stages by two fits each, and refuses what cannot be in time.
+
+    The fit on the body's size serves the stage at hand. Bodies of later stages
+    are not known yet, so these have a fit on the size of the caller's input.
+
+    Parameters
+    ----------
+    estimates : Estimates
+        The fits.
+    router : Router
+        Predicts waits.
+    policy : PolicySettings
+        Whether early refusal is on.
+    """
+
+    __slots__ = ("_estimates", "_policy", "_router")
+
+    def __init__(
+        self, *, estimates: Estimates, router: Router, policy: PolicySettings
+    ) -> None:
+        self._estimates = estimates
+        self._router = router
+        self._policy = policy
+
+    def of_body(self, stage: Stage) -> Estimate:
+        """Return the fit of `stage` on the size of its body."""
+        return self._estimates.of(stage.service, stage.path, stage.model)
+
+    def later_s(self, request: Request, index: int) -> list[float]:
+        """Return the predicted seconds of each stage behind the one at `index`."""
+        return [
+            self._expected_s(request, later)
+            for later in range(index + 1, len(request.pipeline.stages))
+        ]
+
+    def learn(self, request: Request, work: StageWork, answer: StageAnswer) -> None:
+        """Take a whole answer into both fits."""
+        self.of_body(work.stage).learn(work.size, answer.service_s)
+        estimate = self._of_input(request, work.stage)
+        estimate.learn(_input_size(request, work.stage), answer.service_s)
+
+    def refusal(self, request: Request, *, index: int = 0) -> NotRun | None:
+        """Return why the stages from `index` on should not be begun, or None.
+
+        Guards the targets against work that will be late anyway: under
+        overload it would take the place of work that could still be in time.
+        Predictions without enough samples refuse nothing.
+        """
+        if not self._policy.refuse_early:
+            return None
+        left_s = request.deadline_s - time.monotonic()
+        wait_s, needed_s = 0.0, 0.0
+        slowest = request.pipeline.stages[index]
+        for later in range(index, len(request.pipeline.stages)):
+            stage = request.pipeline.stages[later]
+            stage_wait_s = self._router.least_wait_s(stage.service)
+            if stage_wait_s > wait_s:
+                wait_s, slowest = stage_wait_s, stage
+            needed_s += stage_wait_s + self._expected_s(request, later)
+        weight = request.governing.entry.attainment_weight
+        if needed_s * (CAUTION - CAUTION_STEP * weight) <= left_s:
+            return None
+        return NotRun(
+            reason=Reason.PREDICTED_LATE,
+            step="admit",
+            peer=slowest.service,
+            detail=f"Predicted to take {needed_s:.3g} s with {left_s:.3g} s left.",
+            retry_after_s=max(MIN_RETRY_AFTER_S, needed_s - left_s, wait_s / 2),
+        )
+
+    def _expected_s(self, request: Request, index: int) -> float:
+        stage = request.pipeline.stages[index]
+        estimate = self._of_input(request, stage)
+        if not estimate.is_warm:
+            return 0.0
+        return estimate.expected_s(_input_size(request, stage))
+
+    def _of_input(self, request: Request, stage: Stage) -> Estimate:
+        return self._estimates.of(request.pipeline_name, stage.name, stage.model)
+
+
+def _input_size(request: Request, stage: Stage) -> WorkSize:
+    return WorkSize(n_bytes=request.n_input_bytes, n_tokens=stage.max_tokens)
--- a/src/trefoilpaddle/coordination/retries.py
+++ b/src/trefoilpaddle/coordination/retries.py
@@ -6,20 +6,28 @@
 
 from result import Err, Ok, Result
 
-from ..protocol.errors import Failed, NotRun, StageError
+from ..protocol.errors import NotRun, StageError
 from ..protocol.reasons import Reason
-from ..state.budget import RetryBudgets
+from ..state.budget import RetryBudget, RetryBudgets
 from ..state.journal import Decision, Event, Figure, Journal
+from ..state.settings import Choice, PolicySettings
+from .calls import Call, CallParts, Outcome, hedged, late_bound
 from .open_attempts import OpenAttempts
 from .routing import Chosen, Router
-from .stage_call import StageCall
+from .spent import Spent
 from .stage_work import Sink, StageAnswer, StageFault, StageWork
 
 MAX_ATTEMPTS: Final = 4
+HEDGE_FACTOR: Final = 1.5
+"""Times the high estimate after which a call is slow enough to hedge."""
+HEDGE_MIN_S: Final = 0.02
+HEDGE_MIN_WEIGHT: Final = 0.5
+"""Weight of attainment from which on an entry's calls may be hedged."""
 
 REPEATABLE_REFUSALS: Final = frozenset(
     {
         Reason.BARRED,
+        Reason.CANCELLED,
         Reason.LEAVING,
         Reason.QUEUE_FULL,
         Reason.TARGET_DOWN,
@@ -34,29 +42,6 @@
 """Refusals that another target need not share."""
 
 
-@dataclass(slots=True, kw_only=True)
-class Spent:
-    """What a request has used up so far, over all its attempts.
-
-    Parameters
-    ----------
-    n_attempts : int
-        OpenAttempts that left this gateway.
-    cost_s : float
-        Target-seconds that targets reported.
-    has_started : bool
-        True once any stage may have been started at a target.
-    has_started_once_only : bool
-        True while a stage that must run at most once is, or may have been,
-        started; it turns false again only on a target's word that it was not.
-    """
-
-    n_attempts: int = 0
-    cost_s: float = 0.0
-    has_started: bool = False
-    has_started_once_only: bool = False
-
-
 @dataclass(slots=True, kw_only=True)
 class _Tried:
     targets: set[str] = field(default_factory=set)
@@ -74,11 +59,13 @@
         Registry of attempts in flight.
     budgets : RetryBudgets
         What may be repeated.
+    policy : PolicySettings
+        Which ways are on.
     journal : Journal
         Takes the decisions.
     """
 
-    __slots__ = ("_attempts", "_budgets", "_journal", "_router")
+    __slots__ = ("_attempts", "_budgets", "_journal", "_policy", "_router")
 
     def __init__(
         self,
@@ -86,11 +73,13 @@
         router: Router,
         attempts: OpenAttempts,
         budgets: RetryBudgets,
+        policy: PolicySettings,
         journal: Journal,
     ) -> None:
         self._router = router
         self._attempts = attempts
         self._budgets = budgets
+        self._policy = policy
         self._journal = journal
 
     async def run(
@@ -99,50 +88,80 @@
         """Return the whole answer of the stage, or what is known of it."""
         budget = self._budgets.of(work.stage.service, share=work.service.retry_share)
         budget.earn()
+        parts = CallParts(
+            attempts=self._attempts,
+            journal=self._journal,
+            router=self._router,
+            spent=spent,
+            sink=sink,
+        )
         tried = _Tried()
         while True:
             chosen = self._router.choose(work, tried=tried.targets)
             if chosen is None:
                 return Err(self._no_target(work, tried))
-            self._record_route(work, chosen, n_tried=len(tried.targets))
-            match await self._attempt(work, chosen, spent=spent, sink=sink):
+            self._record_route(Event.ROUTED, work, chosen, n_tried=len(tried.targets))
+            self._router.note_prefix(work, chosen.view)
+            tried.targets.add(chosen.view.process_id)
+            match await self._attempt(work, chosen, parts, budget, tried):
                 case Ok(answer):
                     return Ok(answer)
                 case Err(fault):
-                    tried.targets.add(chosen.view.process_id)
                     tried.last = fault
             if not self._may_repeat(work, fault, n_tried=len(tried.targets)):
                 return Err(fault.error)
             if not budget.spend():
                 return Err(fault.error)
-            self._record(Event.RETRIED, work, fault.error)
+            self._record_retry(work, fault.error)
 
     async def _attempt(
-        self, work: StageWork, chosen: Chosen, *, spent: Spent, sink: Sink | None
-    ) -> Result[StageAnswer, StageFault]:
-        call = StageCall(
-            work=work,
-            view=chosen.view,
-            attempts=self._attempts,
-            journal=self._journal,
-            sink=sink,
+        self,
+        work: StageWork,
+        chosen: Chosen,
+        parts: CallParts,
+        budget: RetryBudget,
+        tried: _Tried,
+    ) -> Outcome:
+        if self._is_late_bound(chosen, tried):
+            assert chosen.second is not None
+            return await late_bound(work, [chosen.view, chosen.second], parts)
+        call = Call(work=work, view=chosen.view, parts=parts)
+        if not self._may_hedge(work, parts):
+            return await call.run()
+        delay_s = chosen.wait_s + max(HEDGE_MIN_S, HEDGE_FACTOR * work.high_s)
+
+        def second() -> Call | None:
+            return self._hedge(work, parts, budget, tried)
+
+        return await hedged(call, delay_s=delay_s, second=second)
+
+    def _is_late_bound(self, chosen: Chosen, tried: _Tried) -> bool:
+        is_first = tried.last is None
+        is_chosen = self._policy.choice is Choice.LATE_BINDING
+        return is_chosen and is_first and chosen.second is not None
+
+    def _may_hedge(self, work: StageWork, parts: CallParts) -> bool:
+        weight = work.governing.entry.attainment_weight
+        return (
+            self._policy.hedge
+            and work.stage.idempotent
+            and parts.sink is None
+            and work.is_warm
+            and weight >= HEDGE_MIN_WEIGHT
         )
-        had_started, had_once_only = spent.has_started, spent.has_started_once_only
-        spent.n_attempts += 1
-        # Taken as started until a target says otherwise: whoever cancels this
-        # in between knows nothing better.
-        spent.has_started = True
-        spent.has_started_once_only = had_once_only or not work.stage.idempotent
-        outcome = await call.run()
-        match outcome:
-            case Ok(answer):
-                spent.cost_s += answer.cost_s
-            case Err(StageFault(error=NotRun())):
-                spent.has_started = had_started
-                spent.has_started_once_only = had_once_only
-            case Err(StageFault(error=Failed() as error)):
-                spent.cost_s += error.cost_s
-        return outcome
+
+    def _hedge(
+        self, work: StageWork, parts: CallParts, budget: RetryBudget, tried: _Tried
+    ) -> Call | None:
+        """Return a second attempt elsewhere, if it can still be in time."""
+        if time.monotonic() + work.expected_s >= work.deadline_s:
+            return None
+        chosen = self._router.choose(work, tried=tried.targets)
+        if chosen is None or not budget.spend():
+            return None
+        tried.targets.add(chosen.view.process_id)
+        self._record_route(Event.HEDGED, work, chosen, n_tried=len(tried.targets))
+        return Call(work=work, view=chosen.view, parts=parts)
 
     def _may_repeat(self, work: StageWork, fault: StageFault, *, n_tried: int) -> bool:
         """Return True if another attempt can neither double nor be too late."""
@@ -165,12 +184,14 @@
             retry_after_s=1.0,
         )
 
-    def _record_route(self, work: StageWork, chosen: Chosen, *, n_tried: int) -> None:
+    def _record_route(
+        self, event: Event, work: StageWork, chosen: Chosen, *, n_tried: int
+    ) -> None:
         second = chosen.second.process_id if chosen.second is not None else ""
         now_s = time.monotonic()
         self._journal.record(
             Decision(
-                event=Event.ROUTED,
+                event=event,
                 request_id=work.request_id,
                 entry=work.governing.name,
                 owner=work.governing.entry.owner,
@@ -184,15 +205,16 @@
                     Figure(name="slack_s", value=work.stage_deadline_s - now_s),
                     Figure(name="n_candidates", value=chosen.n_candidates),
                     Figure(name="second_s", value=chosen.second_s),
+                    Figure(name="prefix_share", value=chosen.prefix_share),
                     Figure(name="n_tried", value=n_tried),
                 ),
             )
         )
 
-    def _record(self, event: Event, work: StageWork, error: StageError) -> None:
+    def _record_retry(self, work: StageWork, error: StageError) -> None:
         self._journal.record(
             Decision(
-                event=event,
+                event=Event.RETRIED,
                 request_id=work.request_id,
                 entry=work.governing.name,
                 owner=work.governing.entry.owner,
--- a/src/trefoilpaddle/coordination/routing.py
+++ b/src/trefoilpaddle/coordination/routing.py
@@ -4,13 +4,20 @@
 import random
 import time
 from collections.abc import Set
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
+from typing import Final
 
+from ..state.prefix import PrefixRecord
 from ..state.settings import Choice, PolicySettings
 from .directory import Directory
+from .ejection import Ejector
 from .stage_work import StageWork
 from .target_view import TargetView, TargetViews
 
+PATIENCE: Final = 1.5
+"""Wait accepted for a cached prefix, in times of what it saves, less the
+entry's weight of attainment."""
+
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class Chosen:
@@ -28,6 +35,9 @@
         The next best that was looked at.
     second_s : float
         Its predicted time until the answer; 0 without one.
+    prefix_share : float
+        Share of the prompt's leading blocks that the target has likely cached,
+        where that decided; else 0.
     """
 
     view: TargetView
@@ -36,6 +46,7 @@
     n_candidates: int
     second: TargetView | None = None
     second_s: float = 0.0
+    prefix_share: float = 0.0
 
 
 class Router:
@@ -48,12 +59,24 @@
     views : TargetViews
         What is known of each.
     policy : PolicySettings
-        Which way to choose.
+        Which ways to choose are on.
+    prefixes : PrefixRecord
+        Where prompt prefixes went.
+    ejector : Ejector
+        Keeps slow targets out.
     seed : int
         Seed of the random choices.
     """
 
-    __slots__ = ("_directory", "_policy", "_random", "_turns", "_views")
+    __slots__ = (
+        "_directory",
+        "_ejector",
+        "_policy",
+        "_prefixes",
+        "_random",
+        "_turns",
+        "_views",
+    )
 
     def __init__(
         self,
@@ -61,47 +84,111 @@
         directory: Directory,
         views: TargetViews,
         policy: PolicySettings,
+        prefixes: PrefixRecord,
+        ejector: Ejector,
         seed: int,
     ) -> None:
         self._directory = directory
         self._views = views
         self._policy = policy
+        self._prefixes = prefixes
+        self._ejector = ejector
         self._random = random.Random(seed)
         self._turns: dict[str, itertools.count[int]] = {}
 
-    def candidates(self, service: str, *, tried: Set[str]) -> list[TargetView]:
+    def candidates(self, service: str) -> list[TargetView]:
         """Return the targets of `service` that may be given new work now."""
-        views = [
-            view
-            for host in self._directory.sidecars(service)
-            if (view := self._views.of(host)) is not None
-        ]
-        return [
-            view
-            for view in views
-            if view.process_id not in tried and view.may_get_work()
-        ]
+        views = (self._views.of(host) for host in self._directory.sidecars(service))
+        return [view for view in views if view is not None and view.may_get_work()]
 
     def choose(self, work: StageWork, *, tried: Set[str]) -> Chosen | None:
-        """Return the target for `work`, or None if none may be given it."""
-        candidates = self.candidates(work.stage.service, tried=tried)
+        """Return the target for `work`, or None if none may be given it.
+
+        Parameters
+        ----------
+        work : StageWork
+            What is to be done.
+        tried : set of str
+            Process ids that must not be chosen again.
+        """
+        candidates = [
+            view
+            for view in self.candidates(work.stage.service)
+            if view.process_id not in tried
+        ]
         if not candidates:
             return None
         if self._policy.choice is Choice.ROUND_ROBIN:
             return self._in_turn(work, candidates)
-        return self._of_two(work, candidates)
+        usable = self._ejector.usable(candidates, is_repeatable=work.stage.idempotent)
+        chosen = self._of_two(work, usable)
+        return self._with_prefix(work, usable, chosen) or chosen
+
+    def learn(self, work: StageWork, view: TargetView, *, measured_s: float) -> None:
+        """Take in how long a call took; a slow target may be ejected by it."""
+        if not work.is_warm:
+            return
+        view.learn(measured_s=measured_s, expected_s=work.expected_s)
+        self._ejector.judge(view, self.candidates(work.stage.service))
+
+    def note_prefix(self, work: StageWork, view: TargetView) -> None:
+        """Remember that the prompt of `work` is likely cached at `view` now."""
+        if work.prefix_hashes:
+            service = work.stage.service
+            self._prefixes.note(service, work.prefix_hashes, view.process_id)
+
+    def least_wait_s(self, service: str) -> float:
+        """Return the shortest predicted queueing time at any target now."""
+        now_s = time.monotonic()
+        waits = (view.predicted_wait_s(now_s) for view in self.candidates(service))
+        return min(waits, default=0.0)
 
     def _in_turn(self, work: StageWork, candidates: list[TargetView]) -> Chosen:
         turns = self._turns.setdefault(work.stage.service, itertools.count())
         ordered = sorted(candidates, key=lambda view: view.process_id)
         view = ordered[next(turns) % len(ordered)]
-        return self._chosen(work, [view], len(candidates))
+        return self._best(work, [view], len(candidates))
+
+    def _of_two(self, work: StageWork, usable: list[TargetView]) -> Chosen:
+        looked_at = self._random.sample(usable, min(2, len(usable)))
+        return self._best(work, looked_at, len(usable))
+
+    def _with_prefix(
+        self, work: StageWork, usable: list[TargetView], chosen: Chosen
+    ) -> Chosen | None:
+        """Return a target that likely holds the prompt's prefix, if it pays.
+
+        Bounded by load: the holder may make the call wait no longer than the
+        cached prefix is predicted to save. Without the bound all requests that
+        share a prefix would queue at one target while others idle.
+        """
+        if not (self._policy.prefix_affinity and work.prefix_hashes):
+            return None
+        shares = self._prefixes.shares(work.stage.service, work.prefix_hashes)
+        holders = [view for view in usable if view.process_id in shares]
+        if not holders:
+            return None
+        # Entries that weigh cost more may wait longer for a cheaper answer.
+        patience = PATIENCE - work.governing.entry.attainment_weight
+        now_s = time.monotonic()
 
-    def _of_two(self, work: StageWork, candidates: list[TargetView]) -> Chosen:
-        looked_at = self._random.sample(candidates, min(2, len(candidates)))
-        return self._chosen(work, looked_at, len(candidates))
+        def cost_s(view: TargetView) -> float:
+            saved_s = shares[view.process_id] * work.size_s * patience
+            expected_s = work.expected_s
+            return view.predicted_s(expected_s=expected_s, now_s=now_s) - saved_s
+
+        best = min(holders, key=cost_s)
+        if cost_s(best) > chosen.predicted_s:
+            return None
+        found = self._best(work, [best], chosen.n_candidates)
+        return replace(
+            found,
+            prefix_share=shares[best.process_id],
+            second=chosen.view if chosen.view is not best else chosen.second,
+            second_s=chosen.predicted_s,
+        )
 
-    def _chosen(
+    def _best(
         self, work: StageWork, looked_at: list[TargetView], n_candidates: int
     ) -> Chosen:
         now_s = time.monotonic()
@@ -124,10 +211,3 @@
             second=second,
             second_s=scored[1][0] if second is not None else 0.0,
         )
-
-    def least_wait_s(self, service: str) -> float:
-        """Return the shortest predicted queueing time at any target now."""
-        now_s = time.monotonic()
-        candidates = self.candidates(service, tried=frozenset())
-        waits = (view.predicted_wait_s(now_s) for view in candidates)
-        return min(waits, default=0.0)
--- /dev/null
+++ b/src/trefoilpaddle/coordination/spent.py
@@ -0,0 +1,52 @@
+"""What a request has used up so far, over all its attempts."""
+
+from .stage_work import StageWork
+
+
+class Spent:
+    """Attempts and cost of one request, kept up to date while they run.
+
+    An attempt counts as started from the moment that it may have left this
+    process until a target's word, or a failed send, says that it was not.
+    """
+
+    __slots__ = (
+        "_has_run",
+        "_has_run_once_only",
+        "_n_in_doubt",
+        "_n_once_only_in_doubt",
+        "cost_s",
+        "n_attempts",
+    )
+
+    def __init__(self) -> None:
+        self._has_run = False
+        self._has_run_once_only = False
+        self._n_in_doubt = 0
+        self._n_once_only_in_doubt = 0
+        self.cost_s = 0.0
+        self.n_attempts = 0
+
+    @property
+    def has_started(self) -> bool:
+        """Return True if any stage may have been started at a target."""
+        return self._has_run or self._n_in_doubt > 0
+
+    @property
+    def has_started_once_only(self) -> bool:
+        """Return True if a stage that must run at most once may have started."""
+        return self._has_run_once_only or self._n_once_only_in_doubt > 0
+
+    def begin(self, work: StageWork) -> None:
+        """Count an attempt that is about to be sent."""
+        self.n_attempts += 1
+        self._n_in_doubt += 1
+        self._n_once_only_in_doubt += not work.stage.idempotent
+
+    def end(self, work: StageWork, *, has_started: bool, cost_s: float = 0.0) -> None:
+        """Settle an attempt that was begun."""
+        self._n_in_doubt -= 1
+        self._n_once_only_in_doubt -= not work.stage.idempotent
+        self._has_run |= has_started
+        self._has_run_once_only |= has_started and not work.stage.idempotent
+        self.cost_s += cost_s
--- a/src/trefoilpaddle/coordination/stage_body.py
+++ b/src/trefoilpaddle/coordination/stage_body.py
@@ -29,14 +29,15 @@
     previous: Json = None
 
 
-def body_of(
-    *, stage: Stage, kind: ServiceKind, material: Material, priority: int
-) -> bytes:
-    """Return the body that the sidecar sends on to the target of `stage`."""
-    if kind is not ServiceKind.ENGINE:
-        return orjson.dumps(_taken(stage, material))
+def plain_body(stage: Stage, material: Material) -> bytes:
+    """Return the body of a call to a pool or a plain service."""
+    return orjson.dumps(_taken(stage, material))
+
+
+def engine_body(stage: Stage, prompt: str, *, priority: int) -> bytes:
+    """Return the body of a call to an engine."""
     call = {
-        "prompt": prompt_of(stage, material),
+        "prompt": prompt,
         "max_tokens": stage.max_tokens,
         "model": stage.model,
         "priority": priority,
--- a/src/trefoilpaddle/coordination/stage_call.py
+++ b/src/trefoilpaddle/coordination/stage_call.py
@@ -68,6 +68,7 @@
         "_attempts",
         "_buffer",
         "_has_arrived",
+        "_has_gone",
         "_has_refetched",
         "_journal",
         "_may_go",
@@ -98,6 +99,7 @@
         self._may_go = may_go
         self._buffer = AnswerBuffer()
         self._has_arrived = False
+        self._has_gone = False
         self._has_refetched = False
         self._attempt: OpenAttempt | None = None
 
@@ -106,6 +108,14 @@
         """The attempt's id, hexadecimal; empty before it was sent."""
         return self._attempt.attempt_id.hex() if self._attempt is not None else ""
 
+    @property
+    def may_have_started(self) -> bool:
+        """Return True unless it is certain that the target never started it.
+
+        A reserved place starts nothing before the word to go is sent.
+        """
+        return self.is_sent and (self._may_go is None or self._has_gone)
+
     async def run(self) -> Result[StageAnswer, StageFault]:
         """Run the attempt and return its whole answer, or what is known of it.
 
@@ -241,6 +251,7 @@
 
     def _on_ready(self, attempt: OpenAttempt) -> Result[StageAnswer, StageFault] | None:
         if self._may_go is None or self._may_go(self):
+            self._has_gone = True
             self.view.link.send(
                 Go(
                     attempt_id=attempt.attempt_id,
--- a/src/trefoilpaddle/coordination/stage_work.py
+++ b/src/trefoilpaddle/coordination/stage_work.py
@@ -31,6 +31,10 @@
         What the prediction was made from.
     expected_s, high_s : float
         Predicted service time, and the time that most calls stay below.
+    size_s : float
+        The part of `expected_s` that grows with the input.
+    is_warm : bool
+        True if the predictions stand on enough samples to act on.
     deadline_s : float
         End of the request on this process's monotonic clock.
     stage_deadline_s : float
@@ -51,6 +55,8 @@
     size: WorkSize
     expected_s: float
     high_s: float
+    size_s: float
+    is_warm: bool
     deadline_s: float
     stage_deadline_s: float
     prefix_hashes: tuple[int, ...] = ()
--- a/src/trefoilpaddle/coordination/target_view.py
+++ b/src/trefoilpaddle/coordination/target_view.py
@@ -13,6 +13,7 @@
 DEFAULT_SLOTS: Final = 4
 MAX_SLOWNESS: Final = 20.0
 LATENCY_STEP: Final = 0.1
+PROBE_STEP: Final = 0.7
 
 
 class TargetView:
@@ -41,6 +42,7 @@
         "n_ratios",
         "n_uncounted",
         "probe_at_s",
+        "probe_wait_s",
         "ratio",
         "stamp_at_ns",
         "stamp_ns",
@@ -63,6 +65,7 @@
         self.n_ratios = 0
         self.is_ejected = False
         self.probe_at_s = 0.0
+        self.probe_wait_s = 0.0
         self.was_heard = False
 
     @property
@@ -111,12 +114,17 @@
         self.n_outstanding -= 1
 
     def learn(self, *, measured_s: float, expected_s: float) -> None:
-        """Take in how much slower than expected a call was; for ejection."""
+        """Take in how much slower than expected a call was; for ejection.
+
+        The probe of an ejected target counts fully, since it gets so few.
+        """
         if expected_s <= 0.0:
             return
         ratio = min(MAX_SLOWNESS, measured_s / expected_s)
         self.n_ratios += 1
         step = max(LATENCY_STEP, 1.0 / self.n_ratios)
+        if self.is_ejected:
+            step = PROBE_STEP
         self.ratio += step * (ratio - self.ratio)
 
     def predicted_wait_s(self, now_s: float) -> float:
--- a/src/trefoilpaddle/coordination/walk.py
+++ b/src/trefoilpaddle/coordination/walk.py
@@ -8,16 +8,25 @@
 from ..protocol.checksum import checksum
 from ..protocol.errors import Failed, NotRun, StageError
 from ..protocol.reasons import Reason
-from ..state.catalogue import Pipeline, Service, Stage
+from ..state.catalogue import Service, ServiceKind, Stage
 from ..state.deadline_split import stage_budget_s
-from ..state.estimate import Estimates, WorkSize
+from ..state.estimate import WorkSize
 from ..state.journal import Decision, Event, Figure, Journal
+from ..state.prefix import prefix_hashes
 from ..state.published import Published
 from ..state.settings import PolicySettings
+from .prediction import Predictor
 from .request import Answer, Refusal, Request, whole_request_error
-from .retries import Spent, StageRunner
-from .routing import Router
-from .stage_body import Json, Material, body_of, output_of
+from .retries import StageRunner
+from .spent import Spent
+from .stage_body import (
+    Json,
+    Material,
+    engine_body,
+    output_of,
+    plain_body,
+    prompt_of,
+)
 from .stage_work import Sink, StageAnswer, StageWork
 
 
@@ -30,71 +39,31 @@
         Holds the services in force.
     runner : StageRunner
         Runs one stage.
-    router : Router
-        Predicts waits, for early refusal.
-    estimates : Estimates
-        Predict service times and learn from each answer.
+    predictor : Predictor
+        Predicts what stages take and learns from each answer.
     policy : PolicySettings
         Which policies are on.
     journal : Journal
         Takes the decisions.
     """
 
-    __slots__ = (
-        "_estimates",
-        "_journal",
-        "_policy",
-        "_published",
-        "_router",
-        "_runner",
-    )
+    __slots__ = ("_journal", "_policy", "_predictor", "_published", "_runner")
 
     def __init__(
         self,
         *,
         published: Published,
         runner: StageRunner,
-        router: Router,
-        estimates: Estimates,
+        predictor: Predictor,
         policy: PolicySettings,
         journal: Journal,
     ) -> None:
         self._published = published
         self._runner = runner
-        self._router = router
-        self._estimates = estimates
+        self._predictor = predictor
         self._policy = policy
         self._journal = journal
 
-    def refusal(self, request: Request) -> NotRun | None:
-        """Return why `request` should be refused before any cost, or None.
-
-        Only a prediction from enough samples refuses; the caller is told when
-        the queue is predicted to have drained far enough.
-        """
-        if not self._policy.refuse_early:
-            return None
-        left_s = request.deadline_s - time.monotonic()
-        needed_s = wait_s = 0.0
-        slowest = ""
-        for stage in request.pipeline.stages:
-            service = self._published.catalogue.services.get(stage.service)
-            if service is None:
-                return self._no_service(stage)
-            stage_wait_s = self._router.least_wait_s(stage.service)
-            needed_s += stage_wait_s + self._predicted_s(stage, request)
-            if stage_wait_s > wait_s or not slowest:
-                wait_s, slowest = stage_wait_s, stage.service
-        if needed_s <= left_s:
-            return None
-        return NotRun(
-            reason=Reason.PREDICTED_LATE,
-            step="admit",
-            peer=slowest,
-            detail=f"Predicted to take {needed_s:.3g} s with {left_s:.3g} s left.",
-            retry_after_s=max(needed_s - left_s, wait_s / 2),
-        )
-
     async def run(
         self, request: Request, *, spent: Spent, sink: Sink | None
     ) -> Result[Answer, Refusal]:
@@ -134,13 +103,18 @@
         service = self._published.catalogue.services.get(stage.service)
         if service is None:
             return Err(self._no_service(stage))
+        if index > 0:
+            late = self._predictor.refusal(request, index=index)
+            if late is not None:
+                return Err(late)
         work = self._work(request, index, service, material, is_streamed=bool(sink))
         match await self._runner.run(work, spent=spent, sink=sink):
             case Err(error):
                 self._record_failure(work, error)
                 return Err(error)
             case Ok(answer):
-                self._learn(work, answer)
+                self._predictor.learn(request, work, answer)
+                self._record_done(work, answer)
         match output_of(service.kind, answer):
             case Ok(output):
                 return Ok(output)
@@ -164,21 +138,14 @@
         is_streamed: bool,
     ) -> StageWork:
         stage = request.pipeline.stages[index]
-        body = body_of(
-            stage=stage,
-            kind=service.kind,
-            material=material,
-            priority=request.priority,
-        )
+        body, prefixes = self._body(request, stage, service, material)
         size = WorkSize(n_bytes=len(body), n_tokens=stage.max_tokens)
-        estimate = self._estimates.of(
-            service=stage.service, path=stage.path, model=stage.model
-        )
+        estimate = self._predictor.of_body(stage)
+        high_s = estimate.high_s(size)
         now_s = time.monotonic()
-        later = self._later_s(request.pipeline, index, len(body))
         budget_s = stage_budget_s(
             left_s=request.deadline_s - now_s,
-            predicted_s=[estimate.high_s(size), *later],
+            predicted_s=[high_s, *self._predictor.later_s(request, index)],
             is_split=self._policy.split_deadline,
         )
         return StageWork(
@@ -191,34 +158,27 @@
             body_checksum=checksum(body),
             size=size,
             expected_s=estimate.expected_s(size),
-            high_s=estimate.high_s(size),
+            high_s=high_s,
+            size_s=estimate.size_s(size),
+            is_warm=estimate.is_warm,
             deadline_s=request.deadline_s,
             stage_deadline_s=now_s + budget_s,
+            prefix_hashes=prefixes,
             is_streamed=is_streamed,
         )
 
-    def _later_s(self, pipeline: Pipeline, index: int, n_bytes: int) -> list[float]:
-        return [
-            self._estimates.of(
-                service=stage.service, path=stage.path, model=stage.model
-            ).expected_s(WorkSize(n_bytes=n_bytes, n_tokens=stage.max_tokens))
-            for stage in pipeline.stages[index + 1 :]
-        ]
-
-    def _predicted_s(self, stage: Stage, request: Request) -> float:
-        estimate = self._estimates.of(
-            service=stage.service, path=stage.path, model=stage.model
-        )
-        if not estimate.is_warm:
-            return 0.0
-        size = WorkSize(n_bytes=request.n_input_bytes, n_tokens=stage.max_tokens)
-        return estimate.expected_s(size)
-
-    def _learn(self, work: StageWork, answer: StageAnswer) -> None:
-        estimate = self._estimates.of(
-            service=work.stage.service, path=work.stage.path, model=work.stage.model
-        )
-        estimate.learn(work.size, answer.service_s)
+    def _body(
+        self, request: Request, stage: Stage, service: Service, material: Material
+    ) -> tuple[bytes, tuple[int, ...]]:
+        """Return the body of a stage call and the hashes of its prompt's prefixes."""
+        if service.kind is not ServiceKind.ENGINE:
+            return plain_body(stage, material), ()
+        prompt = prompt_of(stage, material)
+        body = engine_body(stage, prompt, priority=request.priority)
+        is_hashed = self._policy.prefix_affinity
+        return body, prefix_hashes(prompt) if is_hashed else ()
+
+    def _record_done(self, work: StageWork, answer: StageAnswer) -> None:
         self._journal.record(
             Decision(
                 event=Event.STAGE_DONE,
--- a/src/trefoilpaddle/roles/callers.py
+++ b/src/trefoilpaddle/roles/callers.py
@@ -11,7 +11,7 @@
 
 from ..coordination.lifecycle import RequestRunner
 from ..coordination.request import Answer, Refusal, Request
-from ..coordination.retries import Spent
+from ..coordination.spent import Spent
 from ..protocol.errors import NotRun
 from ..protocol.reasons import Reason
 from ..state.journal import Decision, Event, Journal
--- a/src/trefoilpaddle/roles/gateway.py
+++ b/src/trefoilpaddle/roles/gateway.py
@@ -10,8 +10,10 @@
 
 from ..coordination.config_feed import config_feed
 from ..coordination.directory import Directory, PublishedDirectory
+from ..coordination.ejection import Ejector
 from ..coordination.lifecycle import Lifecycle
 from ..coordination.open_attempts import OpenAttempts
+from ..coordination.prediction import Predictor
 from ..coordination.request_guards import Claimer, FreeClaimer, FreeLimiter, Limiter
 from ..coordination.retries import StageRunner
 from ..coordination.routing import Router
@@ -22,6 +24,7 @@
 from ..state.estimate import Estimates
 from ..state.governing import GoverningIndex
 from ..state.journal import Decision, Event, Figure, Journal
+from ..state.prefix import PrefixRecord
 from ..state.requests import Requests
 from ..state.settings import GatewaySettings
 from ..transport.connection import Address
@@ -89,19 +92,22 @@
             directory=self._directory,
             views=self._views,
             policy=policy,
+            prefixes=PrefixRecord(),
+            ejector=Ejector(journal=process.journal, is_on=policy.eject_slow),
             seed=secrets.randbits(SEED_BITS),
         )
         runner = StageRunner(
             router=router,
             attempts=self.attempts,
             budgets=RetryBudgets(is_limited=policy.retry_budget),
+            policy=policy,
             journal=process.journal,
         )
+        predictor = Predictor(estimates=Estimates(), router=router, policy=policy)
         walker = Walker(
             published=process.published,
             runner=runner,
-            router=router,
-            estimates=Estimates(),
+            predictor=predictor,
             policy=policy,
             journal=process.journal,
         )
@@ -109,6 +115,7 @@
             n_records=retention.explain_records, keep_s=retention.explain_s
         )
         lifecycle = Lifecycle(
+            predictor=predictor,
             walker=walker,
             limiter=limiter,
             claimer=claimer,
--- a/src/trefoilpaddle/state/estimate.py
+++ b/src/trefoilpaddle/state/estimate.py
@@ -70,6 +70,10 @@
         )
         return max(MIN_S, fitted)
 
+    def size_s(self, size: WorkSize) -> float:
+        """Return the part of the fitted seconds that grows with the input."""
+        return max(0.0, self._weights[1] * size.features()[1])
+
     def high_s(self, size: WorkSize) -> float:
         """Return the seconds that `QUANTILE` of such calls stay below."""
         return self.expected_s(size) * max(1.0, self._ratio)
@@ -117,17 +121,16 @@
 
 
 class Estimates:
-    """Estimates by service, path and model."""
+    """Estimates by kind of call, made on first use."""
 
-    __slots__ = ("_by_call",)
+    __slots__ = ("_by_kind",)
 
     def __init__(self) -> None:
-        self._by_call: dict[tuple[str, str, str], Estimate] = {}
+        self._by_kind: dict[tuple[str, ...], Estimate] = {}
 
-    def of(self, *, service: str, path: str, model: str) -> Estimate:
-        """Return the estimate of one kind of call, made on first use."""
-        key = (service, path, model)
-        estimate = self._by_call.get(key)
+    def of(self, *kind: str) -> Estimate:
+        """Return the estimate of one kind of call, named by its parts."""
+        estimate = self._by_kind.get(kind)
         if estimate is None:
-            estimate = self._by_call[key] = Estimate()
+            estimate = self._by_kind[kind] = Estimate()
         return estimate
--- /dev/null
+++ b/src/trefoilpaddle/state/prefix.py
@@ -0,0 +1,84 @@
+"""Where prompt prefixes went: chained hashes of blocks, with their age."""
+
+import time
+from collections import OrderedDict
+from typing import Final
+
+import xxhash
+
+BLOCK_WORDS: Final = 32
+MAX_BLOCKS: Final = 32
+MAX_PREFIXES: Final = 20_000
+MAX_HOLDERS: Final = 8
+KEEP_S: Final = 120.0
+_SIGN_BIT: Final = 1 << 63
+_RANGE: Final = 1 << 64
+
+
+def prefix_hashes(prompt: str) -> tuple[int, ...]:
+    """Return one hash for each leading block of `prompt`, each over all before.
+
+    Two prompts share the first n hashes exactly when they share the first n
+    blocks of words; a last block that is not full has no hash.
+    """
+    words = prompt.split(None, BLOCK_WORDS * MAX_BLOCKS)
+    n_blocks = min(MAX_BLOCKS, len(words) // BLOCK_WORDS)
+    state = xxhash.xxh3_64()
+    hashes = []
+    for block in range(n_blocks):
+        start = block * BLOCK_WORDS
+        state.update(" ".join(words[start : start + BLOCK_WORDS]).encode())
+        state.update(b"\0")
+        value = state.intdigest()
+        hashes.append(value - _RANGE if value >= _SIGN_BIT else value)
+    return tuple(hashes)
+
+
+class PrefixRecord:
+    """This gateway's own record of which target got which prefix, and when.
+
+    Engines tell what they cache late and with gaps; what was sent where is
+    known here at once. Both are hints: a prefix may have been evicted.
+
+    Parameters
+    ----------
+    n_prefixes : int
+        How many prefixes are remembered.
+    keep_s : float
+        Age at which a record counts no more.
+    """
+
+    __slots__ = ("_holders", "_keep_s", "_n_prefixes")
+
+    def __init__(
+        self, *, n_prefixes: int = MAX_PREFIXES, keep_s: float = KEEP_S
+    ) -> None:
+        self._n_prefixes = n_prefixes
+        self._keep_s = keep_s
+        self._holders: OrderedDict[tuple[str, int], dict[str, float]] = OrderedDict()
+
+    def note(self, service: str, hashes: tuple[int, ...], process_id: str) -> None:
+        """Remember that a prompt with these prefixes went to `process_id`."""
+        now_s = time.monotonic()
+        for value in hashes:
+            key = (service, value)
+            holders = self._holders.setdefault(key, {})
+            holders[process_id] = now_s
+            if len(holders) > MAX_HOLDERS:
+                del holders[min(holders, key=holders.__getitem__)]
+            self._holders.move_to_end(key)
+        while len(self._holders) > self._n_prefixes:
+            self._holders.popitem(last=False)
+
+    def shares(self, service: str, hashes: tuple[int, ...]) -> dict[str, float]:
+        """Return which share of the hashed blocks each target has seen lately."""
+        oldest_s = time.monotonic() - self._keep_s
+        shares: dict[str, float] = {}
+        for n_blocks in range(len(hashes), 0, -1):
+            holders = self._holders.get((service, hashes[n_blocks - 1]))
+            if holders is None:
+                continue
+            for process_id, at_s in holders.items():
+                if at_s >= oldest_s and process_id not in shares:
+                    shares[process_id] = n_blocks / len(hashes)
+        return shares
