--- a/tests/fake_sidecar.py
+++ b/tests/fake_sidecar.py
@@ -25,6 +25,7 @@
     Hello,
     Load,
     Queued,
+    Ready,
     Start,
     Started,
 )
@@ -43,6 +44,7 @@
     start: Start
     body: bytes = b""
     is_cancelled: asyncio.Event = field(default_factory=asyncio.Event)
+    is_go: asyncio.Event = field(default_factory=asyncio.Event)
     is_acked: asyncio.Event = field(default_factory=asyncio.Event)
     credit_bytes: int = 0
     fetches: list[int] = field(default_factory=list)
@@ -104,6 +106,8 @@
         self.slots = 4
         self.queued_work_s = 0.0
         self.n_queued = 0
+        self.is_free = asyncio.Event()
+        self.is_free.set()
         self.on_fetch: OnFetch = lambda call, fetch: None
         self._tasks: set[asyncio.Task[None]] = set()
         self.server = self._server(0)
@@ -193,10 +197,14 @@
                 known.fetches.append(message.from_seq)
                 self.on_fetch(known, message)
             case Go():
-                pass
+                known.is_go.set()
 
     def _run(self, call: Call) -> None:
         async def run() -> None:
+            if call.start.reserve:
+                await self.is_free.wait()
+                call.send(Ready(attempt_id=call.start.attempt_id))
+                await call.is_go.wait()
             await self.script(call)
 
         task = asyncio.get_running_loop().create_task(run())
--- /dev/null
+++ b/tests/test_gateway_policies.py
@@ -0,0 +1,108 @@
+"""Hedges, late binding and early refusal through a gateway."""
+
+import asyncio
+
+from tests.fake_sidecar import Call, FakeSidecar
+from tests.gateway_bench import Bench, bench, catalogue, plain_stage, until
+from trefoilpaddle.state.catalogue import Stage
+from trefoilpaddle.state.journal import Event
+from trefoilpaddle.state.settings import Choice, PolicySettings
+
+LATE = PolicySettings(choice=Choice.LATE_BINDING)
+WARM_UP = 10
+
+
+async def warm_up(b: Bench, n: int = WARM_UP) -> None:
+    for _ in range(n):
+        async with b.post(json={}) as answer:
+            assert answer.status == 200
+
+
+class TestHedges:
+    async def hedged(self, stage: Stage, **entry: object) -> tuple[Bench, FakeSidecar]:
+        """Send one call to a target that has just stopped answering."""
+        stuck: list[Call] = []
+
+        async def script(call: Call) -> None:
+            if is_stuck and not stuck:
+                stuck.append(call)
+                call.started()
+                return
+            call.answer(b"{}")
+
+        is_stuck = False
+        one = FakeSidecar(service="s", name="t1", script=script)
+        other = FakeSidecar(service="s", name="t2", script=script)
+        async with bench(one, other, published=catalogue(stage, **entry)) as b:
+            await warm_up(b)
+            is_stuck = True
+            async with b.post(json={}, X_Deadline_S="1") as answer:
+                self.status = answer.status
+            if answer.status == 200:
+                await until(stuck[0].is_cancelled.is_set)
+            return b, other
+
+    async def test_a_slow_idempotent_call_is_answered_by_a_second(self) -> None:
+        """A target stops in mid-call, its connection alive. Soon after the call
+        should have ended, another target is asked, and its answer counts.
+        """
+        b, _ = await self.hedged(plain_stage())
+        assert self.status == 200
+        assert Event.HEDGED in b.events()
+
+    async def test_a_call_to_run_once_is_never_hedged(self) -> None:
+        b, _ = await self.hedged(plain_stage(idempotent=False))
+        assert self.status == 504
+        assert Event.HEDGED not in b.events()
+
+    async def test_an_entry_that_weighs_cost_alone_is_not_hedged(self) -> None:
+        b, _ = await self.hedged(plain_stage(), attainment_weight=0.0)
+        assert Event.HEDGED not in b.events()
+
+
+class TestLateBinding:
+    async def test_the_first_place_that_is_free_gets_the_work(self) -> None:
+        """Both targets report the same old load; one is in truth busy. The work
+        runs once, at the one that has a place, also where it must run once.
+        """
+        busy = FakeSidecar(service="s", name="t1")
+        free = FakeSidecar(service="s", name="t2")
+        busy.is_free.clear()
+        published = catalogue(plain_stage(idempotent=False))
+        async with bench(busy, free, published=published, policy=LATE) as b:
+            await warm_up(b, 5)
+            assert len(free.runs) == 5
+            assert not busy.runs
+            assert len(busy.calls) == 5
+            await until(lambda: all(c.is_cancelled.is_set() for c in busy.calls))
+            busy.is_free.set()
+
+    async def test_two_free_places_run_the_work_once(self) -> None:
+        one = FakeSidecar(service="s", name="t1")
+        other = FakeSidecar(service="s", name="t2")
+        published = catalogue(plain_stage(idempotent=False))
+        async with bench(one, other, published=published, policy=LATE) as b:
+            await asyncio.gather(*[warm_up(b, 5) for _ in range(6)])
+            assert len(one.runs) + len(other.runs) == 30
+            assert len(set(one.runs + other.runs)) == 30
+
+
+class TestEarlyRefusal:
+    async def test_what_cannot_be_in_time_costs_nothing(self) -> None:
+        """The only target has a queue of many seconds. A request with a short
+        deadline is refused at once, "not run", and told when to come back.
+        """
+        s = FakeSidecar(service="s", name="t1")
+        async with bench(s, published=catalogue(plain_stage())) as b:
+            await warm_up(b)
+            s.slots, s.n_queued, s.queued_work_s = 1, 50, 8.0
+            view = next(iter(b.gateway._views))
+            await until(lambda: view.load is not None and view.load.n_queued == 50)
+            async with b.post(json={}, X_Deadline_S="2") as answer:
+                assert answer.status == 503
+                error = (await answer.json())["error"]
+                assert error["outcome"] == "not run"
+                assert error["reason"] == "predicted_late"
+                assert 1.0 < error["retry_after_s"] < 8.0
+                assert answer.headers["Retry-After"].isdigit()
+            assert len(s.calls) == WARM_UP
