Claim request keys before a request runs, and hand its end to retries

Cause: Idempotency-Key and minted ids were read but bound nothing. Change: keys are claimed at their places (claims.Claimer) before limits and stages, settled with the request's end; a retry gets the first try's answer or error, waits while that runs, and is told "in progress" (409) when its own time is over. Views follow links that others close and reopen.

--- /dev/null
+++ b/src/trefoilpaddle/coordination/key_claims.py
@@ -0,0 +1,160 @@
+"""Request keys of callers, claimed before a request runs and settled after."""
+
+import asyncio
+import time
+from typing import Final
+
+from result import Err, Ok, Result
+
+from ..protocol.errors import Failed, NotRun, StageError, Unknown
+from ..protocol.ids import RequestId
+from ..protocol.reasons import Reason
+from ..state.outcome_record import (
+    AnsweredRecord,
+    EndedRecord,
+    OutcomeRecord,
+    read_record,
+    record_bytes,
+)
+from .claims import Answered, Claimer, Granted, InProgress, Key, account_key
+from .request import Answer, Refusal, Request
+from .request_guards import EndedBefore, KeyState, RunsHere
+
+STEP: Final = "claim"
+RETRY_AFTER_S: Final = 1.0
+
+
+class KeyClaims:
+    """Key guard that asks the places of the keys; no key asks nobody.
+
+    Parameters
+    ----------
+    claimer : Claimer
+        Asks the places.
+    """
+
+    __slots__ = ("_claimer", "_granted", "_settling")
+
+    def __init__(self, *, claimer: Claimer) -> None:
+        self._claimer = claimer
+        self._granted: dict[str, Granted] = {}
+        self._settling: set[asyncio.Task[bool]] = set()
+
+    async def claim(self, request: Request) -> Result[KeyState, StageError]:
+        """Return whether the request may run, or how an earlier try ended.
+
+        While an earlier try runs this one waits for its end, since that answer
+        is the caller's; it is told "in progress" when its own time is over.
+        """
+        if not request.key:
+            return Ok(RunsHere())
+        left_s = request.deadline_s - time.monotonic()
+        outcome = await self._claimer.claim(
+            key=_key_of(request),
+            request_id=request.try_id,
+            fingerprint=request.fingerprint,
+            is_idempotent=all(stage.idempotent for stage in request.pipeline.stages),
+            budget_s=left_s,
+            wait_s=left_s,
+        )
+        match outcome:
+            case Granted():
+                self._granted[request.try_id] = outcome
+                return Ok(RunsHere())
+            case Answered():
+                return Ok(_ended(outcome))
+            case InProgress():
+                return Err(_in_progress(outcome))
+            case NotRun() | Unknown():
+                return Err(outcome)
+
+    def settle(
+        self, request: Request, outcome: Result[Answer, Refusal] | None, *, is_run: bool
+    ) -> None:
+        """Report the end of a claimed request, without waiting for the place."""
+        granted = self._granted.pop(request.try_id, None)
+        if granted is None:
+            return
+        record = _record_of(outcome)
+        result = record_bytes(record) if is_run and record is not None else None
+        settling = self._claimer.settle(granted, is_run=is_run, result=result)
+        task = asyncio.create_task(settling)
+        self._settling.add(task)
+        task.add_done_callback(self._settling.discard)
+
+    async def flush(self) -> None:
+        """Wait until all ends that were reported have arrived or failed to."""
+        if self._settling:
+            await asyncio.wait(self._settling)
+
+
+def _key_of(request: Request) -> Key:
+    if request.is_key_minted:
+        minted = RequestId.parse(request.key).unwrap()
+        return Key(text=request.key, minted=minted)
+    return account_key(request.account, request.key)
+
+
+def _in_progress(outcome: InProgress) -> Unknown:
+    return Unknown(
+        reason=Reason.IN_PROGRESS,
+        step=STEP,
+        peer=outcome.gateway,
+        detail=f"The earlier try {outcome.request_id} of this key still runs.",
+        retry_after_s=RETRY_AFTER_S,
+    )
+
+
+def _record_of(outcome: Result[Answer, Refusal] | None) -> OutcomeRecord | None:
+    match outcome:
+        case Ok(answer):
+            return AnsweredRecord(output=answer.output, cost_s=answer.cost_s)
+        case Err(Refusal(error=Failed() | Unknown() as error, stage=stage) as refusal):
+            return EndedRecord(
+                outcome="failed" if isinstance(error, Failed) else "unknown",
+                reason=error.reason,
+                step=error.step,
+                peer=error.peer,
+                detail=error.detail,
+                stage=stage,
+                cost_s=refusal.cost_s,
+            )
+        case _:
+            return None
+
+
+def _ended(answered: Answered) -> EndedBefore:
+    record = read_record(answered.result) if answered.result else Err("")
+    match record:
+        case Ok(AnsweredRecord() as kept):
+            outcome = Ok(Answer(output=kept.output, cost_s=kept.cost_s))
+            return EndedBefore(request_id=answered.request_id, outcome=outcome)
+        case Ok(EndedRecord() as kept):
+            refusal = Refusal(
+                error=_error_of(kept),
+                stage=kept.stage,
+                cost_s=kept.cost_s,
+                is_retry_safe=False,
+            )
+        case _:
+            refusal = Refusal(error=_not_kept(), stage="", is_retry_safe=False)
+    return EndedBefore(request_id=answered.request_id, outcome=Err(refusal))
+
+
+def _error_of(kept: EndedRecord) -> StageError:
+    if kept.outcome == "failed":
+        return Failed(
+            reason=kept.reason, step=kept.step, peer=kept.peer, detail=kept.detail
+        )
+    return Unknown(
+        reason=kept.reason, step=kept.step, peer=kept.peer, detail=kept.detail
+    )
+
+
+def _not_kept() -> Unknown:
+    return Unknown(
+        reason=Reason.RESULT_GONE,
+        step=STEP,
+        peer="",
+        detail="An earlier try of this key ran; how it ended is not kept.",
+    )
--- a/src/trefoilpaddle/coordination/lifecycle.py
+++ b/src/trefoilpaddle/coordination/lifecycle.py
@@ -3,7 +3,6 @@
 import time
 from typing import Protocol
 
-import orjson
 from result import Err, Ok, Result
 
 from ..protocol.errors import Failed, NotRun, StageError, Unknown
@@ -12,7 +11,7 @@
 from ..state.requests import Requests, RequestState
 from .prediction import Predictor
 from .request import Answer, Refusal, Request
-from .request_guards import AlreadyAnswered, Claimer, Limiter, Permit
+from .request_guards import EndedBefore, KeyGuard, Limiter
 from .spent import Spent
 from .stage_work import Sink
 from .walk import Walker
@@ -39,7 +38,7 @@
         Runs the stages.
     limiter : Limiter
         Holds the entries' limits.
-    claimer : Claimer
+    keys : KeyGuard
         Makes requests with one key run at most once.
     requests : Requests
         Remembers how requests ended.
@@ -48,8 +47,8 @@
     """
 
     __slots__ = (
-        "_claimer",
         "_journal",
+        "_keys",
         "_limiter",
         "_predictor",
         "_requests",
@@ -62,14 +61,14 @@
         predictor: Predictor,
         walker: Walker,
         limiter: Limiter,
-        claimer: Claimer,
+        keys: KeyGuard,
         requests: Requests,
         journal: Journal,
     ) -> None:
         self._predictor = predictor
         self._walker = walker
         self._limiter = limiter
-        self._claimer = claimer
+        self._keys = keys
         self._requests = requests
         self._journal = journal
 
@@ -80,17 +79,23 @@
 
         Cancelled when the caller has left; the end is recorded all the same.
         """
+        begin_s = time.monotonic()
+        match await self._keys.claim(request):
+            case Err(error):
+                refusal = Refusal(error=error, stage="", is_retry_safe=False)
+                return self._joined(request, Err(refusal), first_id="")
+            case Ok(EndedBefore(request_id=first_id, outcome=ended)):
+                return self._joined(request, ended, first_id=first_id)
         self._requests.begin(
             request_id=request.request_id,
             account=request.account,
             pipeline=request.pipeline_name,
         )
-        begin_s = time.monotonic()
+        outcome: Result[Answer, Refusal] | None = None
         try:
             outcome = await self._admit_and_run(request, spent=spent, sink=sink)
-        except BaseException:
-            self._end(request, RequestState.FAILED, Reason.CANCELLED)
-            raise
+        finally:
+            self._settle(request, outcome, spent)
         self._record_end(request, outcome, took_s=time.monotonic() - begin_s)
         return outcome
 
@@ -106,33 +111,41 @@
             case Err(error):
                 return Err(Refusal(error=error, stage=""))
             case Ok(permit):
-                return await self._run_permitted(request, permit, spent, sink)
-
-    async def _run_permitted(
-        self, request: Request, permit: Permit, spent: Spent, sink: Sink | None
-    ) -> Result[Answer, Refusal]:
+                pass
+        self._record(Event.REQUEST_ACCEPTED, request)
         try:
-            match await self._claimer.claim(request):
-                case Err(error):
-                    return Err(Refusal(error=error, stage="", is_retry_safe=False))
-                case Ok(AlreadyAnswered(result=result)):
-                    return Ok(Answer(output=orjson.loads(result), cost_s=0.0))
-            return await self._run_claimed(request, spent, sink)
+            return await self._walker.run(request, spent=spent, sink=sink)
         finally:
             permit.release()
 
-    async def _run_claimed(
-        self, request: Request, spent: Spent, sink: Sink | None
+    def _settle(
+        self, request: Request, outcome: Result[Answer, Refusal] | None, spent: Spent
+    ) -> None:
+        """Settle the key; without an end the caller has left."""
+        if outcome is None:
+            self._end(request, RequestState.FAILED, Reason.CANCELLED)
+        is_answered = outcome is not None and outcome.is_ok()
+        is_run = is_answered or spent.has_started_once_only
+        self._keys.settle(request, outcome, is_run=is_run)
+
+    def _joined(
+        self, request: Request, outcome: Result[Answer, Refusal], *, first_id: str
     ) -> Result[Answer, Refusal]:
-        self._record(Event.REQUEST_ACCEPTED, request)
-        result = b""
-        try:
-            outcome = await self._walker.run(request, spent=spent, sink=sink)
-            match outcome:
-                case Ok(answer):
-                    result = orjson.dumps(answer.output)
-        finally:
-            self._claimer.settle(request, was_started=spent.has_started, result=result)
+        """Record that an earlier try decided this one's end, and return it."""
+        error = outcome.err_value.error if isinstance(outcome, Err) else None
+        governing = request.governing
+        self._journal.record(
+            Decision(
+                event=Event.REQUEST_JOINED,
+                request_id=request.request_id,
+                entry=governing.name,
+                owner=governing.entry.owner,
+                config_revision=governing.config_revision,
+                reason=error.reason if error is not None else Reason.NONE,
+                peer=error.peer if error is not None else "",
+                detail=f"ended as the try {first_id}" if first_id else "",
+            )
+        )
         return outcome
 
     def _record_end(
--- a/src/trefoilpaddle/coordination/request.py
+++ b/src/trefoilpaddle/coordination/request.py
@@ -28,8 +28,12 @@
         Size of the body as received.
     fingerprint : int
         Checksum of pipeline and body.
+    try_id : str
+        This try of it; the same as `request_id` unless the caller named that.
     key : str
         Key under which retries of it run once; empty without one.
+    is_key_minted : bool
+        True if the key is an id from ``POST /v1/requests``.
     priority : int
         Orders requests of one owner among themselves; lower goes first.
     deadline_s : float
@@ -46,7 +50,9 @@
     input: Json
     n_input_bytes: int
     fingerprint: int
+    try_id: str
     key: str
+    is_key_minted: bool
     priority: int
     deadline_s: float
     is_streamed: bool
--- a/src/trefoilpaddle/coordination/request_guards.py
+++ b/src/trefoilpaddle/coordination/request_guards.py
@@ -1,4 +1,4 @@
-"""What binds a request before its first stage: limits and request keys."""
+"""What binds a request before its first stage: request keys and limits."""
 
 from dataclasses import dataclass
 from typing import Protocol
@@ -7,7 +7,7 @@
 
 from ..protocol.errors import NotRun, StageError
 from ..state.catalogue import Entry
-from .request import Request
+from .request import Answer, Refusal, Request
 
 
 class Permit(Protocol):
@@ -29,29 +29,55 @@
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
-class Granted:
-    """The request is new under its key; it runs here."""
+class RunsHere:
+    """The request is new under its key; it runs here and is settled after."""
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
-class AlreadyAnswered:
-    """The request was answered before; `result` is that answer."""
+class EndedBefore:
+    """An earlier try ended; the caller gets what that one got.
 
-    result: bytes
+    Parameters
+    ----------
+    request_id : str
+        The earlier try.
+    outcome : Result[Answer, Refusal]
+        How it ended.
+    """
 
+    request_id: str
+    outcome: Result[Answer, Refusal]
 
-Grant = Granted | AlreadyAnswered
 
+KeyState = RunsHere | EndedBefore
 
-class Claimer(Protocol):
+
+class KeyGuard(Protocol):
     """Makes requests with one key run at most once."""
 
-    async def claim(self, request: Request) -> Result[Grant, StageError]:
+    async def claim(self, request: Request) -> Result[KeyState, StageError]:
         """Return whether the request may run, or why it may not."""
         ...
 
-    def settle(self, request: Request, *, was_started: bool, result: bytes) -> None:
-        """Report the end of a granted request; `result` is empty without one."""
+    def settle(
+        self, request: Request, outcome: Result[Answer, Refusal] | None, *, is_run: bool
+    ) -> None:
+        """Report the end of a claimed request.
+
+        Parameters
+        ----------
+        request : Request
+            What was claimed.
+        outcome : Result[Answer, Refusal], optional
+            How it ended; None when its caller left before.
+        is_run : bool
+            False if a retry may run it without running anything twice that must
+            run once.
+        """
+        ...
+
+    async def flush(self) -> None:
+        """Wait until all ends that were reported have arrived."""
         ...
 
 
@@ -74,14 +100,19 @@
         return Ok(_FreePermit())
 
 
-class FreeClaimer:
-    """Claimer that takes every request as new."""
+class FreeKeys:
+    """Key guard that takes every request as new."""
 
     __slots__ = ()
 
-    async def claim(self, request: Request) -> Result[Grant, StageError]:
+    async def claim(self, request: Request) -> Result[KeyState, StageError]:
         """Return that the request is new."""
-        return Ok(Granted())
+        return Ok(RunsHere())
 
-    def settle(self, request: Request, *, was_started: bool, result: bytes) -> None:
+    def settle(
+        self, request: Request, outcome: Result[Answer, Refusal] | None, *, is_run: bool
+    ) -> None:
         """Keep nothing."""
+
+    async def flush(self) -> None:
+        """Return at once; nothing is ever under way."""
--- a/src/trefoilpaddle/coordination/stage_call.py
+++ b/src/trefoilpaddle/coordination/stage_call.py
@@ -232,7 +232,6 @@
                 case End():
                     verdict = self._on_end(attempt, mail)
                 case Failure():
-                    self.view.link.send(Ack(attempt_id=attempt.attempt_id))
                     return self._err(await self._on_failure(attempt, mail))
                 case Notice.LINK_LOST:
                     verdict = await self._reconnect(attempt)
--- a/src/trefoilpaddle/coordination/target_view.py
+++ b/src/trefoilpaddle/coordination/target_view.py
@@ -1,7 +1,7 @@
 """What a gateway knows of one target: its sidecar's load and its own calls."""
 
 import time
-from collections.abc import Callable, Iterator
+from collections.abc import Iterator, Set
 from typing import Final
 
 from ..protocol.gen.stage.ttypes import Load
@@ -175,7 +175,7 @@
     def of(self, host: Host) -> TargetView | None:
         """Return the view of `host`, linked on first use; None if unusable."""
         view = self._by_id.get(host.process_id)
-        if view is not None and view.host.peer_address == host.peer_address:
+        if view is not None and self._is_current(view, host):
             return view
         address = Address.parse(host.peer_address).unwrap_or(None)
         if address is None:
@@ -192,11 +192,19 @@
     def __iter__(self) -> Iterator[TargetView]:
         return iter(list(self._by_id.values()))
 
-    async def keep(self, is_wanted: Callable[[TargetView], bool]) -> None:
-        """Close and forget idle views that are not wanted any more."""
+    def keep(self, wanted: Set[str]) -> None:
+        """Forget idle views of processes that are not among `wanted`."""
         for view in self:
-            if view.n_outstanding or is_wanted(view):
+            if view.n_outstanding or view.process_id in wanted:
                 continue
             del self._by_id[view.process_id]
             self._by_address.pop(view.address, None)
-            await self._peers.forget(view.address)
+
+    def _is_current(self, view: TargetView, host: Host) -> bool:
+        """Return True if the view's link is the one that is open to `host`.
+
+        Whoever watches the links may have closed one and opened another since.
+        """
+        if view.host.peer_address != host.peer_address:
+            return False
+        return self._peers.links.get(view.address) is view.link
--- a/src/trefoilpaddle/roles/caller_input.py
+++ b/src/trefoilpaddle/roles/caller_input.py
@@ -156,14 +156,15 @@
             deadline_s = arrived_s + self._deadline_s(http, governing)
             priority = _priority(http)
             key = _key(http)
-            request_id = self._request_id(http)
+            named_id = _named_id(http)
             material = self._input(http, body)
         except ValueError as error:
             return _refuse(Reason.BAD_REQUEST, str(error))
         name = http.match_info["pipeline"]
+        try_id = self._mint()
         return Ok(
             Request(
-                request_id=request_id,
+                request_id=named_id or try_id,
                 account=account,
                 pipeline_name=name,
                 pipeline=self._published.catalogue.pipelines[name],
@@ -171,7 +172,9 @@
                 input=material,
                 n_input_bytes=len(body),
                 fingerprint=checksum(name.encode() + b"\0" + body),
-                key=key,
+                try_id=try_id,
+                key=key or named_id,
+                is_key_minted=bool(named_id) and not key,
                 priority=priority,
                 deadline_s=deadline_s,
                 is_streamed=SSE_TYPE in http.headers.get("Accept", ""),
@@ -191,14 +194,6 @@
             raise ValueError("X-Deadline-S must be a number of seconds above 0.")
         return min(wanted_s, most_s)
 
-    def _request_id(self, http: web.Request) -> str:
-        text = http.headers.get("X-Request-Id")
-        if text is None:
-            return self._mint()
-        if len(text) > MAX_ID_CHARS or RequestId.parse(text).is_err():
-            raise ValueError("X-Request-Id must be an id from POST /v1/requests.")
-        return text
-
     def _input(self, http: web.Request, body: bytes) -> Json:
         if http.content_type != "application/json":
             try:
@@ -249,10 +244,9 @@
 
 
 def _key(http: web.Request) -> str:
-    """Return the caller's key; a minted request id serves as one too."""
     key = http.headers.get("Idempotency-Key")
     if key is None:
-        return http.headers.get("X-Request-Id", "")
+        return ""
     is_printable = key.isascii() and key.isprintable()
     if not (is_printable and 1 <= len(key) <= MAX_KEY_CHARS):
         raise ValueError(
@@ -261,5 +255,12 @@
     return key
 
 
+def _named_id(http: web.Request) -> str:
+    text = http.headers.get("X-Request-Id", "")
+    if text and (len(text) > MAX_ID_CHARS or RequestId.parse(text).is_err()):
+        raise ValueError("X-Request-Id must be an id from POST /v1/requests.")
+    return text
+
+
 def _refuse(reason: Reason, detail: str) -> Err[NotRun]:
     return Err(NotRun(reason=reason, step=STEP, peer="", detail=detail))
--- a/src/trefoilpaddle/roles/gateway.py
+++ b/src/trefoilpaddle/roles/gateway.py
@@ -3,24 +3,30 @@
 import asyncio
 import contextlib
 import secrets
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Callable
+from dataclasses import dataclass
 from typing import Final
 
 from absl import logging
 
+from ..coordination.claim_book import ClaimBook
+from ..coordination.claims import Claimer
 from ..coordination.config_feed import config_feed
 from ..coordination.directory import Directory, PublishedDirectory
 from ..coordination.ejection import Ejector
+from ..coordination.key_claims import KeyClaims
 from ..coordination.lifecycle import Lifecycle
+from ..coordination.minted import MintedClaims
 from ..coordination.open_attempts import OpenAttempts
 from ..coordination.prediction import Predictor
-from ..coordination.request_guards import Claimer, FreeClaimer, FreeLimiter, Limiter
+from ..coordination.request_guards import FreeKeys, FreeLimiter, KeyGuard, Limiter
 from ..coordination.retries import StageRunner
 from ..coordination.routing import Router
 from ..coordination.target_view import TargetViews
 from ..coordination.walk import Walker
 from ..protocol.ids import RequestId
 from ..state.budget import RetryBudgets
+from ..state.claim_table import ClaimTable
 from ..state.estimate import Estimates
 from ..state.governing import GoverningIndex
 from ..state.journal import Decision, Event, Figure, Journal
@@ -37,6 +43,22 @@
 SEED_BITS: Final = 32
 
 
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Keys:
+    """Request keys as a gateway serves them.
+
+    Parameters
+    ----------
+    guard : KeyGuard
+        Claims keys before requests run.
+    mint : callable
+        Returns a fresh id that this gateway decides about.
+    """
+
+    guard: KeyGuard
+    mint: Callable[[], str]
+
+
 class Gateway:
     """One gateway and its parts.
 
@@ -44,14 +66,18 @@
     ----------
     settings : GatewaySettings
         Checked settings.
-    directory, limiter, claimer : optional
+    directory, limiter, keys : optional
         Who can be given work, the limits, and the request keys; without them
         the published list alone is asked and nothing is bound.
+    is_known : callable, optional
+        Returns True while what is published is known well enough to take work.
     """
 
     __slots__ = (
         "_directory",
+        "_is_known",
         "_is_settling",
+        "_keys",
         "_settings",
         "_views",
         "attempts",
@@ -67,7 +93,8 @@
         process: Process,
         directory: Directory | None = None,
         limiter: Limiter | None = None,
-        claimer: Claimer | None = None,
+        keys: Keys | None = None,
+        is_known: Callable[[], bool] | None = None,
     ) -> None:
         self._settings = settings
         self._is_settling = False
@@ -78,14 +105,14 @@
         process.link_listeners.append(self.attempts.on_message)
         process.change_listeners.append(self.attempts.on_change)
         process.published.subscribe(self._open_links)
-        self.callers = self._build_callers(
-            limiter or FreeLimiter(), claimer or FreeClaimer()
-        )
+        self._keys = keys or Keys(guard=FreeKeys(), mint=self._mint)
+        self._is_known = is_known or self._has_catalogue
+        self.callers = self._build_callers(limiter or FreeLimiter())
         self.server = CallerServer(
             settings=settings.callers, application=self.callers.application()
         )
 
-    def _build_callers(self, limiter: Limiter, claimer: Claimer) -> Callers:
+    def _build_callers(self, limiter: Limiter) -> Callers:
         process, policy = self.process, self._settings.policy
         retention = self._settings.retention
         router = Router(
@@ -118,7 +145,7 @@
             predictor=predictor,
             walker=walker,
             limiter=limiter,
-            claimer=claimer,
+            keys=self._keys.guard,
             requests=requests,
             journal=process.journal,
         )
@@ -134,15 +161,14 @@
             runner=lifecycle,
             requests=requests,
             journal=process.journal,
-            mint=self._mint,
+            mint=self._keys.mint,
             is_ready=self.is_ready,
             takes_work=self.takes_work,
         )
 
     def is_ready(self) -> bool:
         """Return True while the balancer should send new work here."""
-        has_catalogue = self.process.published.catalogue.revision > 0
-        return has_catalogue and not self.process.stopping.is_set()
+        return self._is_known() and not self.process.stopping.is_set()
 
     def takes_work(self) -> bool:
         """Return True while new work is taken; a little longer than ready.
@@ -150,8 +176,13 @@
         The balancer notices that this gateway is not ready only at its next
         look; work that it sends until then is served, not refused.
         """
+        if not self._is_known():
+            return False
         return not self.process.stopping.is_set() or self._is_settling
 
+    def _has_catalogue(self) -> bool:
+        return self.process.published.catalogue.revision > 0
+
     def _mint(self) -> str:
         identity = self.process.identity
         request_id = RequestId.mint(
@@ -161,9 +192,12 @@
 
     def _open_links(self) -> None:
         """Open links early, so that the first request finds them heard."""
+        wanted = set()
         for service in self.process.published.catalogue.services:
             for host in self._directory.sidecars(service):
+                wanted.add(host.process_id)
                 self._views.of(host)
+        self._views.keep(wanted)
 
     @contextlib.asynccontextmanager
     async def serving(self) -> AsyncIterator["Gateway"]:
@@ -191,6 +225,7 @@
         await asyncio.sleep(stop.settle_s)
         self._is_settling = False
         n_cut_off = await self.callers.finish(timeout_s=stop.drain_s)
+        await self._keys.guard.flush()
         self.process.n_cut_off = n_cut_off
         if n_cut_off:
             logging.error("%d requests were cut off by the stop", n_cut_off)
@@ -227,14 +262,48 @@
     return Process(identity=identity, listen=listen, journal=journal)
 
 
+def claimed_keys(
+    *, settings: GatewaySettings, process: Process, directory: Directory
+) -> Keys:
+    """Return request keys that are claimed at their places among the peers."""
+    identity = process.identity
+    book = ClaimBook(
+        process_id=identity.process_id,
+        published=process.published,
+        table=ClaimTable(window_s=settings.retention.retry_window_s),
+    )
+    minted = MintedClaims(
+        book=book, process_id=identity.process_id, incarnation=identity.incarnation
+    )
+    minted.mount(process.server)
+    claimer = Claimer(
+        hello=process.hello,
+        published=process.published,
+        directory=directory,
+        asker=process.peers,
+        minted=minted,
+    )
+    return Keys(guard=KeyClaims(claimer=claimer), mint=lambda: str(minted.mint()))
+
+
 async def run(settings: GatewaySettings) -> int:
     """Run a gateway until it is told to stop; return its exit code."""
     process = new_process(settings)
-    gateway = Gateway(settings=settings, process=process)
     async with (
         process.running(),
-        config_feed(process=process, platform=settings.platform, peers=settings.peers),
-        gateway.serving(),
+        config_feed(
+            process=process, platform=settings.platform, peers=settings.peers
+        ) as feed,
     ):
-        await process.stopping.wait()
+        gateway = Gateway(
+            settings=settings,
+            process=process,
+            directory=feed.directory,
+            keys=claimed_keys(
+                settings=settings, process=process, directory=feed.directory
+            ),
+            is_known=feed.is_known,
+        )
+        async with gateway.serving():
+            await process.stopping.wait()
     return 0
--- a/tests/gateway_bench.py
+++ b/tests/gateway_bench.py
@@ -8,9 +8,10 @@
 import aiohttp
 
 from tests.fake_sidecar import FakeSidecar
-from trefoilpaddle.coordination.request_guards import Claimer, Limiter
+from trefoilpaddle.coordination.directory import PublishedDirectory
+from trefoilpaddle.coordination.request_guards import Limiter
 from trefoilpaddle.protocol.gen.stage.ttypes import Load
-from trefoilpaddle.roles.gateway import Gateway, new_process
+from trefoilpaddle.roles.gateway import Gateway, claimed_keys, new_process
 from trefoilpaddle.state.catalogue import (
     Account,
     Catalogue,
@@ -145,7 +146,7 @@
     policy: PolicySettings | None = None,
     callers: dict[str, object] | None = None,
     limiter: Limiter | None = None,
-    claimer: Claimer | None = None,
+    has_keys: bool = False,
     client_kwargs: dict[str, object] | None = None,
     drain_s: float = 10.0,
 ) -> AsyncIterator[Bench]:
@@ -156,8 +157,13 @@
         checked = settings(policy=policy, callers=callers, drain_s=drain_s)
         process = new_process(checked)
         await stack.enter_async_context(process.peers.open())
+        directory = PublishedDirectory(published=process.published)
+        keys = claimed_keys(settings=checked, process=process, directory=directory)
         gateway = Gateway(
-            settings=checked, process=process, limiter=limiter, claimer=claimer
+            settings=checked,
+            process=process,
+            limiter=limiter,
+            keys=keys if has_keys else None,
         )
         await stack.enter_async_context(gateway.serving())
         process.published.set_hosts(
