Measure what control costs against the number of processes

Change: trefoilpaddle.replay.fleet_measure starts fleets of several sizes and prints cost per peer and change times; transport counts its traffic; the dialling side beats every 2 s (nobody judges it by that), the listening side half as often from 48 connections on.

--- a/src/trefoilpaddle/coordination/config_feed.py
+++ b/src/trefoilpaddle/coordination/config_feed.py
@@ -42,6 +42,7 @@
 
     __slots__ = (
         "_first_ask",
+        "_has_woken",
         "_process",
         "_watch",
         "client",
@@ -62,6 +63,7 @@
         peers: PeerSettings,
     ) -> None:
         self._process = process
+        self._has_woken = asyncio.Event()
         self.client = client
         self.state = ConfigState(published=process.published, journal=process.journal)
         self.membership = Membership(process=process, seeds=peers.seeds)
@@ -114,8 +116,8 @@
     async def ask_again(self) -> None:
         """Ask peers again after each pause, until cancelled."""
         while True:
-            while self.state.has_asked:  # noqa: ASYNC110 (looked at by nobody else)
-                await asyncio.sleep(0.05)
+            await self._has_woken.wait()
+            self._has_woken.clear()
             await self._first_ask.run()
 
     def tasks(self) -> list[Coroutine[Any, Any, None]]:
@@ -151,6 +153,7 @@
         for link in self._process.peers.links.values():
             link.drop()
         self.state.set_asked(False)
+        self._has_woken.set()
 
 
 @contextlib.asynccontextmanager
--- a/src/trefoilpaddle/protocol/const.py
+++ b/src/trefoilpaddle/protocol/const.py
@@ -21,7 +21,13 @@
 """A peer not heard from for this long gets no new work."""
 
 HEARTBEAT_S: Final = 0.5
-"""Time between heartbeats on each connection."""
+"""Time between heartbeats of the listening side, which say its load."""
+
+MANY_CONNECTIONS: Final = 48
+"""From so many connections on the listening side beats half as often."""
+
+DIALLER_HEARTBEAT_S: Final = 2.0
+"""Time between heartbeats of the dialling side, which say its revision only."""
 
 NS_PER_S: Final = 1_000_000_000
 """Nanoseconds in a second."""
--- /dev/null
+++ b/src/trefoilpaddle/replay/fleet_measure.py
@@ -0,0 +1,388 @@
+"""Measures what control costs against the number of processes.
+
+    python -m trefoilpaddle.replay.fleet_measure --sizes 10,20,40,80
+
+For each size it starts a fleet on loopback, several peers to one operating
+system process, lets it stand idle, then publishes changes one by one. Costs are
+per peer; change times are from publishing until each peer has it in force.
+"""
+
+import asyncio
+import contextlib
+import statistics
+import sys
+import time
+from collections.abc import AsyncIterator, Sequence
+from dataclasses import asdict, dataclass
+from typing import Any, Final
+
+import fire
+import orjson
+from result import Err, Ok, Result
+from rich.console import Console
+from rich.table import Table
+
+from .fleet_platform import FleetPlatform
+
+GATEWAY_SHARE: Final = 0.3
+N_DOMAINS: Final = 5
+N_SERVICES: Final = 10
+CHANGE_GAP_S: Final = 0.3
+SETTLE_S: Final = 8.0
+POLL_S: Final = 0.5
+LINE_LIMIT_BYTES: Final = 16 * 1024 * 1024
+ANSWER_TIMEOUT_S: Final = 120.0
+ACCOUNT: Final = {"token_sha256": "0" * 64}
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class RoleCost:
+    """What one peer of a role costs while nothing but control passes."""
+
+    role: str
+    n_peers: int
+    cpu_ms_per_s: float
+    sent_bytes_per_s: float
+    received_bytes_per_s: float
+    n_frames_per_s: float
+    n_links: float
+    memory_mb_per_worker: float
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class SizeFigures:
+    """What was measured at one number of peers."""
+
+    n_peers: int
+    n_keys: int
+    costs: list[RoleCost]
+    n_reads_per_s: float
+    n_host_reads_per_s: float
+    change_median_s: float
+    change_worst_s: float
+    start_s: float
+
+
+class WorkerProcess:
+    """A worker process and its standard streams."""
+
+    __slots__ = ("_process", "n_peers", "role")
+
+    def __init__(
+        self, *, process: asyncio.subprocess.Process, role: str, n_peers: int
+    ) -> None:
+        self._process = process
+        self.role = role
+        self.n_peers = n_peers
+
+    async def do(self, command: dict[str, Any]) -> dict[str, Any]:
+        """Send one command and return its answer.
+
+        Raises
+        ------
+        RuntimeError
+            If the worker has ended.
+        """
+        stdin, stdout = self._process.stdin, self._process.stdout
+        assert stdin is not None and stdout is not None
+        stdin.write(orjson.dumps(command) + b"\n")
+        async with asyncio.timeout(ANSWER_TIMEOUT_S):
+            line = await stdout.readline()
+        if not line:
+            raise RuntimeError("a worker of the fleet has ended; see its output above")
+        answer: dict[str, Any] = orjson.loads(line)
+        return answer
+
+    async def stop(self) -> None:
+        """End the worker by closing its input."""
+        assert self._process.stdin is not None
+        self._process.stdin.close()
+        try:
+            async with asyncio.timeout(5.0):
+                await self._process.wait()
+        except TimeoutError:
+            self._process.kill()
+            await self._process.wait()
+
+
+class Fleet:
+    """The workers of one size."""
+
+    __slots__ = ("platform", "start_s", "workers")
+
+    def __init__(self, *, platform: FleetPlatform) -> None:
+        self.platform = platform
+        self.workers: list[WorkerProcess] = []
+        self.start_s = 0.0
+
+    async def all_do(self, command: dict[str, Any]) -> list[dict[str, Any]]:
+        """Send one command to all workers at once."""
+        return list(
+            await asyncio.gather(*(worker.do(dict(command)) for worker in self.workers))
+        )
+
+
+def split(n_peers: int, per_worker: int) -> list[tuple[str, int]]:
+    """Return role and number of peers of each worker."""
+    n_gateways = max(1, round(n_peers * GATEWAY_SHARE))
+    plan: list[tuple[str, int]] = []
+    for role, n_of_role in (
+        ("gateway", n_gateways),
+        ("sidecar", n_peers - n_gateways),
+    ):
+        while n_of_role > 0:
+            n_here = min(per_worker, n_of_role)
+            plan.append((role, n_here))
+            n_of_role -= n_here
+    return plan
+
+
+@contextlib.asynccontextmanager
+async def running_fleet(
+    n_peers: int, *, per_worker: int, n_keys: int
+) -> AsyncIterator[Fleet]:
+    """Yield a fleet whose peers all have the catalogue in force."""
+    async with FleetPlatform().serving() as platform:
+        for number in range(N_SERVICES):
+            platform.publish(f"service/s{number}", {"kind": "pool"})
+        for number in range(n_keys - N_SERVICES):
+            platform.publish(f"account/a{number}", ACCOUNT)
+        fleet = Fleet(platform=platform)
+        try:
+            await _start(fleet, split(n_peers, per_worker))
+            yield fleet
+        finally:
+            await asyncio.gather(*(worker.stop() for worker in fleet.workers))
+
+
+async def _start(fleet: Fleet, plan: Sequence[tuple[str, int]]) -> None:
+    began_s = time.monotonic()
+    hosts: list[dict[str, Any]] = []
+    for role, n_peers in plan:
+        process = await asyncio.create_subprocess_exec(
+            sys.executable,
+            "-m",
+            "trefoilpaddle.replay.fleet_worker",
+            stdin=asyncio.subprocess.PIPE,
+            stdout=asyncio.subprocess.PIPE,
+            limit=LINE_LIMIT_BYTES,
+        )
+        worker = WorkerProcess(process=process, role=role, n_peers=n_peers)
+        fleet.workers.append(worker)
+        answer = await worker.do(
+            {
+                "do": "start",
+                "first": len(hosts),
+                "n_peers": n_peers,
+                "role": role,
+                "n_domains": N_DOMAINS,
+                "n_services": N_SERVICES,
+                "config_url": fleet.platform.url,
+                "seeds": [host["peer_address"] for host in hosts[:3]],
+            }
+        )
+        hosts += answer["hosts"]
+    fleet.platform.list_hosts(hosts)
+    await fleet.all_do({"do": "wait", "revision": fleet.platform.revision})
+    while await _n_known(fleet) < len(hosts):  # noqa: ASYNC110 (in other processes)
+        await asyncio.sleep(POLL_S)
+    fleet.start_s = time.monotonic() - began_s
+
+
+async def _n_known(fleet: Fleet) -> int:
+    """Return how many live members the peer knows that knows fewest."""
+    return min(int(one["n_known"]) for one in await fleet.all_do({"do": "figures"}))
+
+
+async def measure_size(
+    n_peers: int, *, per_worker: int, n_keys: int, idle_s: float, n_changes: int
+) -> SizeFigures:
+    """Return the figures of a fleet of `n_peers`."""
+    async with running_fleet(n_peers, per_worker=per_worker, n_keys=n_keys) as fleet:
+        await asyncio.sleep(SETTLE_S)
+        before = await fleet.all_do({"do": "figures"})
+        await asyncio.sleep(idle_s)
+        after = await fleet.all_do({"do": "figures"})
+        times_s: list[float] = []
+        for number in range(n_changes):
+            times_s += await _change(fleet, number)
+            await asyncio.sleep(CHANGE_GAP_S)
+    span_s = float(after[0]["monotonic_s"] - before[0]["monotonic_s"])
+
+    def rate(name: str) -> float:
+        totals = [
+            sum(float(one[name]) for one in figures) for figures in (before, after)
+        ]
+        return (totals[1] - totals[0]) / span_s
+
+    return SizeFigures(
+        n_peers=n_peers,
+        n_keys=n_keys,
+        costs=[
+            _cost(role, fleet.workers, before, after) for role in ("gateway", "sidecar")
+        ],
+        n_reads_per_s=rate("n_reads"),
+        n_host_reads_per_s=rate("n_host_reads"),
+        change_median_s=statistics.median(times_s),
+        change_worst_s=max(times_s),
+        start_s=fleet.start_s,
+    )
+
+
+async def _change(fleet: Fleet, number: int) -> list[float]:
+    """Publish one change and return how long each peer took to have it."""
+    value = ACCOUNT | {"token_sha256": f"{number + 1:064x}"}
+    waiting = asyncio.gather(
+        fleet.all_do({"do": "wait", "revision": fleet.platform.revision + 1})
+    )
+    await asyncio.sleep(CHANGE_GAP_S)
+    published_s = time.monotonic()
+    fleet.platform.publish("account/a0", value)
+    (answers,) = await waiting
+    return [at_s - published_s for answer in answers for at_s in answer["at_s"]]
+
+
+def _cost(
+    role: str,
+    workers: Sequence[WorkerProcess],
+    before: Sequence[dict[str, Any]],
+    after: Sequence[dict[str, Any]],
+) -> RoleCost:
+    chosen = [at for at, worker in enumerate(workers) if worker.role == role]
+    n_peers = sum(workers[at].n_peers for at in chosen)
+
+    def rate(name: str) -> float:
+        total = sum(
+            (after[at][name] - before[at][name])
+            / (after[at]["monotonic_s"] - before[at]["monotonic_s"])
+            for at in chosen
+        )
+        return float(total) / n_peers
+
+    return RoleCost(
+        role=role,
+        n_peers=n_peers,
+        cpu_ms_per_s=rate("cpu_s") * 1000,
+        sent_bytes_per_s=rate("sent_bytes"),
+        received_bytes_per_s=rate("received_bytes"),
+        n_frames_per_s=rate("n_frames_sent") + rate("n_frames_received"),
+        n_links=sum(after[at]["n_links"] for at in chosen) / n_peers,
+        memory_mb_per_worker=max(after[at]["memory_bytes"] for at in chosen) / 2**20,
+    )
+
+
+def table_of(figures: Sequence[SizeFigures]) -> Table:
+    """Return the figures as a table for a person."""
+    table = Table(title="Control, per peer, while idle; changes over the whole fleet")
+    for name in (
+        "peers",
+        "role",
+        "CPU ms/s",
+        "sent B/s",
+        "received B/s",
+        "frames/s",
+        "links dialled",
+        "config reads/s (all)",
+        "host list reads/s (all)",
+        "change median s",
+        "change worst s",
+        "all started s",
+    ):
+        table.add_column(name, justify="right")
+    for size in figures:
+        for cost in size.costs:
+            table.add_row(
+                str(size.n_peers),
+                cost.role,
+                f"{cost.cpu_ms_per_s:.2f}",
+                f"{cost.sent_bytes_per_s:.0f}",
+                f"{cost.received_bytes_per_s:.0f}",
+                f"{cost.n_frames_per_s:.1f}",
+                f"{cost.n_links:.1f}",
+                f"{size.n_reads_per_s:.1f}",
+                f"{size.n_host_reads_per_s:.1f}",
+                f"{size.change_median_s:.3f}",
+                f"{size.change_worst_s:.3f}",
+                f"{size.start_s:.1f}",
+            )
+    return table
+
+
+def numbers_of(sizes: str | int | Sequence[int]) -> list[int]:
+    """Return the numbers in an argument; fire makes one of any of three types."""
+    match sizes:
+        case int():
+            return [sizes]
+        case str():
+            return [int(size) for size in sizes.split(",")]
+        case _:
+            return [int(size) for size in sizes]
+
+
+def check(sizes: Sequence[int], per_worker: int) -> Result[None, str]:
+    """Return what is wrong with the arguments, if anything is."""
+    if not sizes or min(sizes) < 2:
+        return Err("--sizes takes numbers of peers of 2 or more, such as 10,20,40")
+    if per_worker < 1:
+        return Err("--per-worker must be 1 or more")
+    return Ok(None)
+
+
+def measure(
+    sizes: str | int | Sequence[int] = (10, 20, 40, 80),
+    *,
+    per_worker: int = 10,
+    n_keys: int = 400,
+    idle_s: float = 15.0,
+    n_changes: int = 10,
+    json: bool = False,
+) -> None:
+    """Print what control costs at each of `sizes` peers.
+
+    Parameters
+    ----------
+    sizes : comma-separated int
+        Numbers of peers, gateways and sidecars together.
+    per_worker : int
+        Peers in one operating system process.
+    n_keys : int
+        Keys of the catalogue.
+    idle_s : float
+        How long the idle fleet is measured.
+    n_changes : int
+        Changes published one by one.
+    json : bool
+        Print JSON lines in place of a table.
+    """
+    wanted = numbers_of(sizes)
+    match check(wanted, per_worker):
+        case Err(problem):
+            sys.exit(problem)
+    found: list[SizeFigures] = []
+    for size in wanted:
+        found.append(
+            asyncio.run(
+                measure_size(
+                    size,
+                    per_worker=per_worker,
+                    n_keys=n_keys,
+                    idle_s=idle_s,
+                    n_changes=n_changes,
+                )
+            )
+        )
+        print(f"{size} peers measured", file=sys.stderr)
+    if json:
+        for one in found:
+            print(orjson.dumps(asdict(one)).decode())
+        return
+    Console(width=200).print(table_of(found))
+
+
+def main() -> None:
+    """Measure with the arguments of the command line."""
+    fire.Fire(measure)
+
+
+if __name__ == "__main__":
+    main()
--- a/src/trefoilpaddle/transport/connection.py
+++ b/src/trefoilpaddle/transport/connection.py
@@ -15,6 +15,7 @@
 from ..protocol.frames import Frame, Message, encode
 from ..protocol.gen.stage.ttypes import Hello
 from ..protocol.reader import FrameReader
+from .traffic import TRAFFIC
 
 READ_BYTES: Final = 128 * 1024
 HELLO_TIMEOUT_S: Final = 2.0
@@ -82,7 +83,10 @@
         """
         if self._writer.is_closing():
             return False
-        self._writer.write(encode(message, call=call))
+        data = encode(message, call=call)
+        TRAFFIC.n_frames_sent += 1
+        TRAFFIC.sent_bytes += len(data)
+        self._writer.write(data)
         if self._writer.transport.get_write_buffer_size() > MAX_UNSENT_BYTES:
             self._writer.transport.abort()
             return False
@@ -124,6 +128,8 @@
         self.heard_s = time.monotonic()
         match self._frames.feed(data):
             case Ok(frames):
+                TRAFFIC.n_frames_received += len(frames)
+                TRAFFIC.received_bytes += len(data)
                 self.pending += frames
                 return True
             case Err(_):
--- a/src/trefoilpaddle/transport/link.py
+++ b/src/trefoilpaddle/transport/link.py
@@ -12,7 +12,7 @@
 from absl import logging
 from result import Err, Ok, Result
 
-from ..protocol.const import HEARTBEAT_S, SILENCE_S
+from ..protocol.const import DIALLER_HEARTBEAT_S, SILENCE_S
 from ..protocol.errors import PeerError
 from ..protocol.frames import Frame, Message
 from ..protocol.gen.stage.ttypes import Heartbeat, Hello
@@ -224,7 +224,7 @@
 
     async def _beat(self, connection: Connection) -> None:
         while connection.write(self._own_heartbeat()):
-            await asyncio.sleep(HEARTBEAT_S)
+            await asyncio.sleep(DIALLER_HEARTBEAT_S)
             if time.monotonic() - connection.heard_s > DEAD_AFTER_S:
                 connection.abort()
                 return
--- a/src/trefoilpaddle/transport/server.py
+++ b/src/trefoilpaddle/transport/server.py
@@ -9,7 +9,7 @@
 from absl import logging
 from result import Err, Ok
 
-from ..protocol.const import HEARTBEAT_S
+from ..protocol.const import HEARTBEAT_S, MANY_CONNECTIONS
 from ..protocol.frames import Frame, Message
 from ..protocol.gen.stage.ttypes import Heartbeat, Hello
 from .connection import Address, Connection
@@ -142,7 +142,13 @@
         is_open = True
         while is_open:
             is_open = connection.write(self._own_heartbeat())
-            await asyncio.sleep(HEARTBEAT_S)
+            await asyncio.sleep(self._heartbeat_s())
+
+    def _heartbeat_s(self) -> float:
+        """Return the time between heartbeats; two fit into a peer's silence."""
+        if len(self.connections) < MANY_CONNECTIONS:
+            return HEARTBEAT_S
+        return 2 * HEARTBEAT_S
 
     async def _take(
         self, connection: Connection, frame: Frame, asks: set[asyncio.Task[None]]
