Claim keys in the gateway's lifecycle and at every sidecar

Cause: keys were accepted by the gateways and bound nothing. Change: RequestKeys joins the lifecycle to the places; the key is claimed before the limits, else a retry over its entry's limit would be told "not run" while an earlier try runs. Only ids from POST /v1/requests can be claimed as ids; a failed try frees its key unless a stage that must run once may have started.

--- a/src/trefoilpaddle/coordination/claim_book.py
+++ b/src/trefoilpaddle/coordination/claim_book.py
@@ -13,6 +13,8 @@
 """How long a replaced list is asked about; a partition of minutes fits in."""
 
 RETRY_S: Final = 1.0
+TRY_MARK: Final = "~"
+"""Between a request id and what tells one try of the request from another."""
 
 IncarnationOf = Callable[[str], int | None]
 
@@ -197,6 +199,11 @@
     )
 
 
+def request_of(try_id: str) -> str:
+    """Return the request id in the id of a try."""
+    return try_id.partition(TRY_MARK)[0]
+
+
 def places_message(pair: tuple[Place, ...]) -> Places:
     """Return `pair` as it travels."""
     return Places(
--- a/src/trefoilpaddle/coordination/claim_home.py
+++ b/src/trefoilpaddle/coordination/claim_home.py
@@ -27,7 +27,7 @@
 from ..state.places import Place
 from ..transport.server import PeerServer
 from .asker import Asker, ask_at
-from .claim_book import ClaimBook, answer_for, places_of
+from .claim_book import ClaimBook, answer_for, places_of, request_of
 from .claim_copy import ClaimCopies
 
 COPY_TIMEOUT_S: Final = 0.4
@@ -74,7 +74,7 @@
         self._journal.record(
             Decision(
                 event=Event.CLAIM_GRANTED if is_granted else Event.CLAIM_ANSWERED,
-                request_id=claim.request_id,
+                request_id=request_of(claim.request_id),
                 peer=claim.gateway,
                 detail=" ".join(
                     [ClaimState._VALUES_TO_NAMES[answer.state], answer.detail]
--- a/src/trefoilpaddle/coordination/claims.py
+++ b/src/trefoilpaddle/coordination/claims.py
@@ -64,7 +64,7 @@
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
-class Granted:
+class KeyGranted:
     """This try runs the request; settle it when the request has ended.
 
     Parameters
@@ -98,7 +98,7 @@
     gateway: str
 
 
-ClaimOutcome = Granted | Answered | InProgress | NotRun | Unknown
+ClaimOutcome = KeyGranted | Answered | InProgress | NotRun | Unknown
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -200,6 +200,16 @@
             idempotent=is_idempotent,
             budget_ms=int(1000 * budget_s),
         )
+        try:
+            return await self._claim(key, claim, budget_s=budget_s, wait_s=wait_s)
+        except asyncio.CancelledError:
+            # The caller left; a place may have granted what nobody will run.
+            self._drop(key, claim, self._home(key))
+            raise
+
+    async def _claim(
+        self, key: Key, claim: Claim, *, budget_s: float, wait_s: float
+    ) -> ClaimOutcome:
         begin_s = self._clock()
         pause_s = POLL_MIN_S
         while True:
@@ -212,7 +222,7 @@
             if self._clock() - begin_s >= budget_s:
                 break
             pause_s = min(POLL_MAX_S, 2 * pause_s)
-        return await self._outcome(key, claim, home, answer)
+        return self._outcome(key, claim, home, answer)
 
     def _home(self, key: Key) -> _Home | None:
         if key.minted is not None:
@@ -274,7 +284,7 @@
             case _:
                 return None
 
-    async def _outcome(
+    def _outcome(
         self, key: Key, claim: Claim, home: _Home | None, answer: ClaimAnswer | None
     ) -> ClaimOutcome:
         state = ClaimState.UNKNOWN if answer is None else answer.state
@@ -296,7 +306,7 @@
                 )
         if claim.idempotent:
             # Running it twice does no harm; refusing it would.
-            return Granted(key=key, request_id=claim.request_id)
+            return KeyGranted(key=key, request_id=claim.request_id)
         self._drop(key, claim, home)
         return Unknown(
             reason=Reason.HOME_GONE,
@@ -306,9 +316,9 @@
             retry_after_s=max(1.0, answer.retry_after_ms / 1000),
         )
 
-    def _granted(self, key: Key, claim: Claim, home: _Home | None) -> Granted:
+    def _granted(self, key: Key, claim: Claim, home: _Home | None) -> KeyGranted:
         addresses = (home.address, home.second_address) if home else ()
-        return Granted(
+        return KeyGranted(
             key=key,
             request_id=claim.request_id,
             addresses=tuple(address for address in addresses if address),
@@ -322,13 +332,13 @@
         task.add_done_callback(self._drops.discard)
 
     async def settle(
-        self, granted: Granted, *, is_run: bool, result: bytes | None = None
+        self, granted: KeyGranted, *, is_run: bool, result: bytes | None = None
     ) -> bool:
         """Report the end of a claimed request; return True if a place noted it.
 
         Parameters
         ----------
-        granted : Granted
+        granted : KeyGranted
             What `claim` returned.
         is_run : bool
             False if nothing of the request was run, so that the key is free.
--- a/src/trefoilpaddle/coordination/lifecycle.py
+++ b/src/trefoilpaddle/coordination/lifecycle.py
@@ -84,6 +84,33 @@
 
     async def _admit_and_run(
         self, request: Request, *, spent: Spent, sink: Sink | None
+    ) -> Result[Answer, Refusal]:
+        # The key comes before the limits: a retry refused for its entry's limit
+        # would be told "not run" while an earlier try of it runs.
+        match await self._claimer.claim(request):
+            case Err(error):
+                return Err(Refusal(error=error, stage="", is_retry_safe=False))
+            case Ok(AlreadyAnswered(result=result)):
+                return Ok(Answer(output=orjson.loads(result), cost_s=0.0))
+        return await self._run_claimed(request, spent, sink)
+
+    async def _run_claimed(
+        self, request: Request, spent: Spent, sink: Sink | None
+    ) -> Result[Answer, Refusal]:
+        result = b""
+        try:
+            outcome = await self._run_bound(request, spent, sink)
+            match outcome:
+                case Ok(answer):
+                    result = orjson.dumps(answer.output)
+        finally:
+            self._claimer.settle(
+                request, was_started=spent.has_started_once_only, result=result
+            )
+        return outcome
+
+    async def _run_bound(
+        self, request: Request, spent: Spent, sink: Sink | None
     ) -> Result[Answer, Refusal]:
         early = self._walker.refusal(request)
         if early is not None:
@@ -98,30 +125,12 @@
 
     async def _run_permitted(
         self, request: Request, permit: Permit, spent: Spent, sink: Sink | None
-    ) -> Result[Answer, Refusal]:
-        try:
-            match await self._claimer.claim(request):
-                case Err(error):
-                    return Err(Refusal(error=error, stage="", is_retry_safe=False))
-                case Ok(AlreadyAnswered(result=result)):
-                    return Ok(Answer(output=orjson.loads(result), cost_s=0.0))
-            return await self._run_claimed(request, spent, sink)
-        finally:
-            permit.release()
-
-    async def _run_claimed(
-        self, request: Request, spent: Spent, sink: Sink | None
     ) -> Result[Answer, Refusal]:
         self._record(Event.REQUEST_ACCEPTED, request)
-        result = b""
         try:
-            outcome = await self._walker.run(request, spent=spent, sink=sink)
-            match outcome:
-                case Ok(answer):
-                    result = orjson.dumps(answer.output)
+            return await self._walker.run(request, spent=spent, sink=sink)
         finally:
-            self._claimer.settle(request, was_started=spent.has_started, result=result)
-        return outcome
+            permit.release()
 
     def _record_end(
         self, request: Request, outcome: Result[Answer, Refusal], *, took_s: float
--- a/src/trefoilpaddle/coordination/request_guards.py
+++ b/src/trefoilpaddle/coordination/request_guards.py
@@ -51,7 +51,11 @@
         ...
 
     def settle(self, request: Request, *, was_started: bool, result: bytes) -> None:
-        """Report the end of a granted request; `result` is empty without one."""
+        """Report the end of a granted request; `result` is empty without one.
+
+        `was_started` is True if a stage that must run at most once may have
+        been started.
+        """
         ...
 
 
--- a/src/trefoilpaddle/roles/gateway.py
+++ b/src/trefoilpaddle/roles/gateway.py
@@ -10,9 +10,10 @@
 
 from ..coordination.config_feed import config_feed
 from ..coordination.directory import Directory, PublishedDirectory
+from ..coordination.key_parts import GatewayKeys
 from ..coordination.lifecycle import Lifecycle
 from ..coordination.open_attempts import OpenAttempts
-from ..coordination.request_guards import Claimer, FreeClaimer, FreeLimiter, Limiter
+from ..coordination.request_guards import Claimer, FreeLimiter, Limiter
 from ..coordination.retries import StageRunner
 from ..coordination.routing import Router
 from ..coordination.target_view import TargetViews
@@ -43,12 +44,14 @@
         Checked settings.
     directory, limiter, claimer : optional
         Who can be given work, the limits, and the request keys; without them
-        the published list alone is asked and nothing is bound.
+        the published list alone is asked, limits bind nothing and keys are
+        claimed at their places.
     """
 
     __slots__ = (
         "_directory",
         "_is_settling",
+        "_keys",
         "_settings",
         "_views",
         "attempts",
@@ -75,8 +78,16 @@
         process.link_listeners.append(self.attempts.on_message)
         process.change_listeners.append(self.attempts.on_change)
         process.published.subscribe(self._open_links)
+        self._keys = GatewayKeys(
+            hello=process.hello(),
+            published=process.published,
+            directory=self._directory,
+            peers=process.peers,
+            server=process.server,
+            window_s=settings.retention.retry_window_s,
+        )
         self.callers = self._build_callers(
-            limiter or FreeLimiter(), claimer or FreeClaimer()
+            limiter or FreeLimiter(), claimer or self._keys.requests
         )
         self.server = CallerServer(
             settings=settings.callers, application=self.callers.application()
@@ -127,7 +138,7 @@
             runner=lifecycle,
             requests=requests,
             journal=process.journal,
-            mint=self._mint,
+            mint=lambda: str(self._keys.minted.mint()),
             is_ready=self.is_ready,
             takes_work=self.takes_work,
         )
@@ -184,6 +195,7 @@
         await asyncio.sleep(stop.settle_s)
         self._is_settling = False
         n_cut_off = await self.callers.finish(timeout_s=stop.drain_s)
+        await self._keys.requests.finish()
         self.process.n_cut_off = n_cut_off
         if n_cut_off:
             logging.error("%d requests were cut off by the stop", n_cut_off)
--- a/src/trefoilpaddle/roles/sidecar.py
+++ b/src/trefoilpaddle/roles/sidecar.py
@@ -14,6 +14,7 @@
 from ..coordination.dispatcher import NS_PER_S, Dispatcher
 from ..coordination.drain import drain
 from ..coordination.engine_calls import EngineCaller
+from ..coordination.key_parts import sidecar_keys
 from ..coordination.stage_journal import StageJournal
 from ..coordination.stage_server import StageServer
 from ..coordination.target_calls import PlainCaller, TargetCaller
@@ -137,6 +138,14 @@
         process.message_listeners.append(self.server.on_message)
         process.close_listeners.append(self.server.on_close)
         process.server.answer(Bar, self.server.answer_bar)
+        sidecar_keys(
+            process_id=process.identity.process_id,
+            published=process.published,
+            peers=process.peers,
+            server=process.server,
+            journal=process.journal,
+            window_s=self._settings.retention.retry_window_s,
+        )
         process.published.subscribe(self._on_published)
         async with self._http.opened(), process.running():
             tasks = [
--- a/tests/claims_fleet.py
+++ b/tests/claims_fleet.py
@@ -12,8 +12,8 @@
 from trefoilpaddle.coordination.claims import (
     Claimer,
     ClaimOutcome,
-    Granted,
     Key,
+    KeyGranted,
     account_key,
 )
 from trefoilpaddle.coordination.directory import PublishedDirectory
@@ -266,4 +266,4 @@
 
 
 def is_granted(outcome: ClaimOutcome) -> bool:
-    return isinstance(outcome, Granted)
+    return isinstance(outcome, KeyGranted)
--- a/tests/test_claims.py
+++ b/tests/test_claims.py
@@ -7,11 +7,12 @@
 from hypothesis import strategies as st
 
 from tests.claims_fleet import WINDOW_S, Fleet, host
+from trefoilpaddle.coordination.claim_book import FORMER_LISTS_S
 from trefoilpaddle.coordination.claims import (
     Answered,
-    Granted,
     InProgress,
     Key,
+    KeyGranted,
     account_key,
 )
 from trefoilpaddle.protocol.errors import NotRun, Unknown
@@ -23,9 +24,9 @@
 )
 
 
-async def granted(fleet: Fleet, name: str, key: Key | str) -> Granted:
+async def granted(fleet: Fleet, name: str, key: Key | str) -> KeyGranted:
     outcome = await fleet.members[name].claim(key)
-    assert isinstance(outcome, Granted)
+    assert isinstance(outcome, KeyGranted)
     return outcome
 
 
@@ -83,7 +84,7 @@
             outcomes = await asyncio.gather(
                 fleet.members["g1"].claim("k"), fleet.members["g2"].claim("k")
             )
-            assert sum(isinstance(o, Granted) for o in outcomes) <= 1
+            assert sum(isinstance(o, KeyGranted) for o in outcomes) <= 1
 
 
 class TestLostHome:
@@ -131,7 +132,7 @@
         await fleet.net.wake(home)
         fleet.age(60.0)
         retries = [await fleet.members[name].claim("k") for name in ("g2", "g1")]
-        assert sum(isinstance(o, Granted) for o in retries) <= 1
+        assert sum(isinstance(o, KeyGranted) for o in retries) <= 1
 
     async def test_restarted_home_asks_its_second(self) -> None:
         """The home restarts with an empty memory while the request runs."""
@@ -156,7 +157,7 @@
         fleet = Fleet()
         fleet.kill(fleet.pair("k")[0])
         outcome = await fleet.members["g1"].claim("k", is_idempotent=True)
-        assert isinstance(outcome, Granted)
+        assert isinstance(outcome, KeyGranted)
 
 
 class TestLostHolder:
@@ -177,10 +178,10 @@
     async def test_idempotent_request_is_run_again(self) -> None:
         fleet = Fleet()
         outcome = await fleet.members["g1"].claim("k", is_idempotent=True)
-        assert isinstance(outcome, Granted)
+        assert isinstance(outcome, KeyGranted)
         fleet.restart("g1")
         again = await fleet.members["g2"].claim("k", is_idempotent=True)
-        assert isinstance(again, Granted)
+        assert isinstance(again, KeyGranted)
 
 
 class TestListChange:
@@ -206,7 +207,7 @@
             fleet.relist(fleet.without(old))
             fleet.tell("g2", *fleet.pair("k"))
             outcomes = [await fleet.members[name].claim("k") for name in order]
-            assert sum(isinstance(o, Granted) for o in outcomes) <= 1
+            assert sum(isinstance(o, KeyGranted) for o in outcomes) <= 1
 
     async def test_both_places_replaced(self) -> None:
         """Both places of a key leave the list, the answer moves with a question."""
@@ -228,6 +229,20 @@
         fleet.tell("g2", *fleet.pair("k"))
         assert isinstance(await fleet.members["g2"].claim("k"), Unknown)
 
+    async def test_home_cut_off_from_the_platform_for_long(self) -> None:
+        """A home misses a list change for longer than former lists are asked.
+
+        The new places no longer ask it. Its second place has left the pair too,
+        but knows that; it must stop the old home from granting.
+        """
+        fleet = Fleet(n_sidecars=7)
+        home, old_second = fleet.pair("k")
+        fleet.relist(fleet.without(home, old_second))
+        fleet.tell("g2", old_second, *fleet.pair("k"))
+        fleet.age(10 * FORMER_LISTS_S)
+        await granted(fleet, "g2", "k")
+        assert isinstance(await fleet.members["g1"].claim("k"), Unknown)
+
     async def test_second_place_still_holds_the_old_list(self) -> None:
         """The old second place leaves the list; the home restarts with the new one.
 
@@ -240,7 +255,7 @@
         home, old_second = fleet.pair("k")
         fleet.relist(fleet.without(old_second))
         fleet.restart(home)
-        assert not isinstance(await fleet.members["g1"].claim("k"), Granted)
+        assert not isinstance(await fleet.members["g1"].claim("k"), KeyGranted)
 
     async def test_former_places_grant_no_more(self) -> None:
         """After the move, a gateway with the old list asks the old home."""
@@ -329,14 +344,14 @@
 
     def __init__(self, seed: int) -> None:
         self.fleet = Fleet(n_sidecars=5, seed=seed)
-        self.grants: list[tuple[float, str, Granted]] = []
+        self.grants: list[tuple[float, str, KeyGranted]] = []
         self.n_added = 0
 
     def sidecars(self) -> list[str]:
         return sorted(n for n in self.fleet.members if n[0] != "g")
 
     def note(self, name: str, outcome: object) -> None:
-        if isinstance(outcome, Granted):
+        if isinstance(outcome, KeyGranted):
             self.grants.append((self.fleet.clock(), name, outcome))
 
     async def claim(self, name: str) -> None:
