--- /dev/null
+++ b/src/trefoilpaddle/coordination/dispatcher.py
@@ -0,0 +1,380 @@
+"""The one place that starts work at the target: queue, slots, withdrawal."""
+
+import asyncio
+import time
+from typing import Final
+
+from absl import logging
+from result import Err, Ok, Result
+
+from ..protocol.const import NS_PER_S
+from ..protocol.errors import Failed, NotRun, StageError, Unknown
+from ..protocol.gen.stage.ttypes import Load, Queued
+from ..protocol.reasons import Reason
+from ..state.catalogue import Service
+from ..state.concurrency import SlotLimit
+from ..state.journal import Event
+from ..state.settings import PolicySettings
+from ..state.slowness import Slowness
+from ..state.work_queue import Work, WorkQueue
+from .attempt_ends import AttemptEnds, spent_s
+from .attempt_errors import withdrawn
+from .attempt_run import AttemptRunner
+from .attempts import Attempt, AttemptTable, Phase
+from .queue_policy import Slots, Verdict, judge
+from .stage_journal import StageJournal
+from .target_calls import CallEnd, TargetCaller
+
+LOST_GRACE_NS: Final = NS_PER_S
+"""How long waiting work outlives its connection."""
+MIN_LEFT_SHARE: Final = 0.1
+"""Part of its prediction that a call is taken to need still, however long it ran."""
+DEFAULT_MAX_QUEUE_S: Final = 30.0
+"""Longest queue while the service is not in the catalogue."""
+
+
+class Dispatcher:
+    """Queues attempts and starts them while slots are free.
+
+    Parameters
+    ----------
+    name : str
+        The target's name.
+    table : AttemptTable
+        All attempts.
+    queue : WorkQueue
+        Decides the order.
+    slots : SlotLimit
+        How many calls run at once.
+    caller : TargetCaller
+        Calls the target.
+    journal : StageJournal
+        Takes the decisions.
+    policy : PolicySettings
+        Which policies are on.
+    """
+
+    __slots__ = (
+        "_ends",
+        "_journal",
+        "_max_queue_s",
+        "_name",
+        "_policy",
+        "_queue",
+        "_runner",
+        "_running",
+        "_slots",
+        "_slowness",
+        "_table",
+        "is_configured",
+        "is_leaving",
+        "is_target_up",
+        "reported_age_ms",
+        "revision",
+    )
+
+    def __init__(
+        self,
+        *,
+        name: str,
+        table: AttemptTable,
+        queue: WorkQueue,
+        slots: SlotLimit,
+        caller: TargetCaller,
+        journal: StageJournal,
+        policy: PolicySettings,
+    ) -> None:
+        self._name = name
+        self._table = table
+        self._queue = queue
+        self._slots = slots
+        self._journal = journal
+        self._policy = policy
+        self._max_queue_s = DEFAULT_MAX_QUEUE_S
+        self._running: dict[bytes, Attempt] = {}
+        self._slowness = Slowness()
+        self._ends = AttemptEnds(table=table, journal=journal, read_load=self.load)
+        self._runner = AttemptRunner(
+            name=name,
+            caller=caller,
+            journal=journal,
+            drops_expired=policy.drop_expired,
+        )
+        self.is_configured = True
+        self.is_leaving = False
+        self.is_target_up = True
+        self.reported_age_ms = -1
+        self.revision = 0
+
+    def load(self) -> Load:
+        """Return what this sidecar says of itself now."""
+        now_ns = time.monotonic_ns()
+        return Load(
+            stamp_ns=now_ns,
+            n_running=len(self._running),
+            n_queued=len(self._queue),
+            n_slots=self._slots.n_slots,
+            queued_work_s=self._queue.work_s,
+            running_work_s=sum(self._left_s(now_ns)),
+            leaving=self.is_leaving,
+            config_revision=self.revision,
+            slowness=self._slowness.at(now_ns / NS_PER_S),
+            target_up=self.is_target_up,
+            reported_age_ms=self.reported_age_ms,
+        )
+
+    def set_service(self, service: Service) -> None:
+        """Take what the catalogue says of the target's service."""
+        self._max_queue_s = service.max_queue_s
+        self._slots.set_base(service.n_slots)
+        self.start_waiting()
+
+    def refuses_all(self) -> Reason:
+        """Return why no new work is taken, or ``Reason.NONE``."""
+        if self.is_leaving:
+            return Reason.LEAVING
+        if not self.is_configured:
+            return Reason.NO_CONFIGURATION
+        if not self.is_target_up:
+            return Reason.TARGET_DOWN
+        return Reason.NONE
+
+    def predicted_wait_s(self) -> float:
+        """Return the seconds until all that waits should have started."""
+        return self._slots_now(time.monotonic_ns()).wait_s(self._queue.work_s)
+
+    def expire_at_deadline(self, attempt: Attempt) -> None:
+        """Answer an attempt that has not started by its deadline at once."""
+        self._expire_at(attempt, attempt.deadline_ns)
+
+    def offer(self, attempt: Attempt, work: Work) -> None:
+        """Take in an attempt whose body is whole: start it, queue it or refuse it."""
+        now_ns = time.monotonic_ns()
+        attempt.work = work
+        attempt.phase = Phase.WAITING
+        attempt.stop_timer()
+        if self._has_free_slot():
+            # Through the queue all the same: its owner is charged for the slot.
+            self._queue.push(work)
+            self.start_waiting()
+            return
+        verdict = judge(
+            work,
+            queue=self._queue,
+            slots=self._slots_now(now_ns),
+            now_ns=now_ns,
+            max_queue_s=self._max_queue_s,
+            refuses_early=self._policy.refuse_early,
+        )
+        if verdict.reason:
+            self._refuse(attempt, verdict)
+            return
+        self._displace(verdict)
+        self._queue.push(work)
+        self._announce(attempt, verdict)
+        self._set_timer(attempt, work)
+        self.start_waiting()
+
+    def start_waiting(self) -> None:
+        """Start what waits while slots are free."""
+        while len(self._running) < self._slots.n_slots:
+            now_ns = time.monotonic_ns()
+            work = self._queue.pop(now_ns=now_ns)
+            if work is None:
+                return
+            attempt = self._table.get(work.attempt_id)
+            if attempt is None:
+                logging.error("queued attempt %s is unknown", work.attempt_id.hex())
+                continue
+            self._start(attempt, work, now_ns=now_ns)
+
+    def withdraw(
+        self, attempt: Attempt, reason: Reason, *, retry_after_s: float = 0.0
+    ) -> bool:
+        """Make sure that an attempt never starts; return False if it has.
+
+        After True nothing of it reaches the target, also when its call is being
+        prepared at this moment: its guard asks again right before the first
+        byte leaves.
+        """
+        match attempt.phase:
+            case Phase.DONE:
+                return False
+            case Phase.RUNNING if attempt.is_sent():
+                return False
+        attempt.forbidden = reason
+        if attempt.work is not None:
+            self._queue.remove(attempt.work)
+        self._free_slot(attempt)
+        error = withdrawn(
+            reason,
+            peer=self._name,
+            detail="it was taken out before it started",
+            retry_after_s=retry_after_s,
+        )
+        self._end_not_run(attempt, error)
+        return True
+
+    def cancel(self, attempt: Attempt) -> None:
+        """Stop an attempt as far as it may be stopped."""
+        if self.withdraw(attempt, Reason.CANCELLED) or not attempt.start.idempotent:
+            return
+        if attempt.phase is Phase.DONE:
+            self._table.release(attempt.attempt_id)
+        elif attempt.task is not None:
+            attempt.task.cancel()
+
+    def give_back_waiting(self) -> None:
+        """Answer all that waits as not run."""
+        for attempt in self._table.open_attempts():
+            if attempt.phase in (Phase.RECEIVING, Phase.WAITING):
+                self.withdraw(attempt, Reason.LEAVING)
+
+    def _has_free_slot(self) -> bool:
+        return not len(self._queue) and len(self._running) < self._slots.n_slots
+
+    def _slots_now(self, now_ns: int) -> Slots:
+        return Slots(
+            n_slots=self._slots.n_slots,
+            left_s=self._left_s(now_ns),
+            slowness=self._slowness.at(now_ns / NS_PER_S),
+        )
+
+    def _left_s(self, now_ns: int) -> list[float]:
+        """Return the predicted seconds that each running call still needs."""
+        left_s = []
+        for attempt in self._running.values():
+            predicted_s = attempt.start.predicted_s
+            ran_s = (now_ns - attempt.started_ns) / NS_PER_S
+            left_s.append(max(MIN_LEFT_SHARE * predicted_s, predicted_s - ran_s))
+        return left_s
+
+    def _refuse(self, attempt: Attempt, verdict: Verdict) -> None:
+        error = NotRun(
+            reason=verdict.reason,
+            step="queue",
+            peer=self._name,
+            detail=f"it would wait {verdict.wait_s:.3f} s here",
+            retry_after_s=verdict.retry_after_s,
+        )
+        self._end_not_run(attempt, error)
+
+    def _displace(self, verdict: Verdict) -> None:
+        for work in verdict.displaced:
+            other = self._table.get(work.attempt_id)
+            if other is not None:
+                self.withdraw(
+                    other,
+                    verdict.displaced_for,
+                    retry_after_s=self.predicted_wait_s(),
+                )
+
+    def _announce(self, attempt: Attempt, verdict: Verdict) -> None:
+        attempt.stream.tell(
+            Queued(
+                attempt_id=attempt.attempt_id,
+                predicted_wait_s=verdict.wait_s,
+                n_ahead=verdict.n_ahead,
+            )
+        )
+        self._journal.note(
+            Event.QUEUED,
+            attempt,
+            n_ahead=verdict.n_ahead,
+            predicted_wait_s=verdict.wait_s,
+            predicted_s=attempt.start.predicted_s,
+            budget_s=(attempt.finish_by_ns - attempt.received_ns) / NS_PER_S,
+        )
+
+    def _set_timer(self, attempt: Attempt, work: Work) -> None:
+        """Drop waiting work as soon as it is known to be late.
+
+        It is answered at that moment, not when its turn comes, so that its
+        caller can still go elsewhere.
+        """
+        if self._policy.drop_expired:
+            latest_ns = attempt.deadline_ns
+            if self._policy.refuse_early:
+                latest_ns = min(latest_ns, work.latest_start_ns)
+            self._expire_at(attempt, latest_ns)
+
+    def _expire_at(self, attempt: Attempt, at_ns: int) -> None:
+        wait_s = (at_ns - time.monotonic_ns()) / NS_PER_S
+        loop = asyncio.get_running_loop()
+        attempt.stop_timer()
+        attempt.timer = loop.call_later(max(0.0, wait_s), self._expire, attempt)
+
+    def _expire(self, attempt: Attempt) -> None:
+        if attempt.phase not in (Phase.RECEIVING, Phase.WAITING):
+            return
+        if time.monotonic_ns() >= attempt.deadline_ns:
+            self.withdraw(attempt, Reason.DEADLINE_PASSED)
+            return
+        wait_s = self.predicted_wait_s()
+        self.withdraw(attempt, Reason.PREDICTED_LATE, retry_after_s=wait_s)
+
+    def _start(self, attempt: Attempt, work: Work, *, now_ns: int) -> None:
+        attempt.stop_timer()
+        if self._is_abandoned(attempt, now_ns=now_ns):
+            self.withdraw(attempt, Reason.CONNECTION_LOST)
+            return
+        attempt.phase = Phase.RESERVED
+        attempt.started_ns = now_ns
+        self._running[attempt.attempt_id] = attempt
+        attempt.task = asyncio.create_task(self._run(attempt))
+
+    def _is_abandoned(self, attempt: Attempt, *, now_ns: int) -> bool:
+        if attempt.stream.connection is not None:
+            return False
+        return now_ns - attempt.detached_ns > LOST_GRACE_NS
+
+    async def _run(self, attempt: Attempt) -> None:
+        result = await self._runner.run(attempt, n_running=len(self._running))
+        if attempt.phase is Phase.DONE:
+            return
+        self._free_slot(attempt)
+        self._end(attempt, result)
+
+    def _free_slot(self, attempt: Attempt) -> None:
+        """Free the slot of an attempt that holds one, once."""
+        if self._running.pop(attempt.attempt_id, None) is None:
+            return
+        if attempt.task is not None and attempt.phase is not Phase.DONE:
+            asyncio.get_running_loop().call_soon(self.start_waiting)
+            if attempt.forbidden:
+                attempt.task.cancel()
+
+    def _end(self, attempt: Attempt, result: Result[CallEnd, StageError]) -> None:
+        match result:
+            case Ok(end):
+                service_s = spent_s(attempt)
+                self._learn(attempt, service_s=service_s, used_s=end.cost_s)
+                self._ends.answered(attempt, end, service_s=service_s)
+            case Err(NotRun() as error):
+                self._end_not_run(attempt, error)
+            case Err(Failed() | Unknown() as error):
+                self._settle(attempt, used_s=spent_s(attempt))
+                self._ends.failed(attempt, error)
+
+    def _end_not_run(self, attempt: Attempt, error: NotRun) -> None:
+        self._settle(attempt, used_s=0.0)
+        self._ends.not_run(attempt, error)
+
+    def _settle(self, attempt: Attempt, *, used_s: float) -> None:
+        if attempt.work is not None:
+            self._queue.settle(attempt.work, used_s=used_s)
+
+    def _learn(self, attempt: Attempt, *, service_s: float, used_s: float) -> None:
+        self._settle(attempt, used_s=used_s or service_s)
+        predicted_s = attempt.start.predicted_s
+        self._slowness.note(
+            service_s=service_s, predicted_s=predicted_s, now_s=time.monotonic()
+        )
+        n_before = self._slots.n_slots
+        self._slots.note(
+            service_s=service_s,
+            predicted_s=predicted_s,
+            n_running=len(self._running) + 1,
+        )
+        if self._slots.n_slots != n_before:
+            self._journal.slots(n_before=n_before, n_slots=self._slots.n_slots)
--- /dev/null
+++ b/src/trefoilpaddle/coordination/walk.py
@@ -0,0 +1,236 @@
+"""The walk of one request through its pipeline's stages under one deadline."""
+
+import time
+from dataclasses import replace
+
+from result import Err, Ok, Result
+
+from ..protocol.checksum import checksum
+from ..protocol.errors import Failed, NotRun, StageError
+from ..protocol.reasons import Reason
+from ..state.catalogue import Service, ServiceKind, Stage
+from ..state.deadline_split import stage_budget_s
+from ..state.estimate import WorkSize
+from ..state.journal import Decision, Event, Figure, Journal
+from ..state.prefix import prefix_hashes
+from ..state.published import Published
+from ..state.settings import PolicySettings
+from .prediction import Predictor
+from .request import Answer, Refusal, Request, whole_request_error
+from .retries import StageRunner
+from .spent import Spent
+from .stage_body import (
+    Json,
+    Material,
+    engine_body,
+    output_of,
+    plain_body,
+    prompt_of,
+)
+from .stage_work import Sink, StageAnswer, StageWork
+
+
+class Walker:
+    """Walks requests through their stages.
+
+    Parameters
+    ----------
+    published : Published
+        Holds the services in force.
+    runner : StageRunner
+        Runs one stage.
+    predictor : Predictor
+        Predicts what stages take and learns from each answer.
+    policy : PolicySettings
+        Which policies are on.
+    journal : Journal
+        Takes the decisions.
+    """
+
+    __slots__ = ("_journal", "_policy", "_predictor", "_published", "_runner")
+
+    def __init__(
+        self,
+        *,
+        published: Published,
+        runner: StageRunner,
+        predictor: Predictor,
+        policy: PolicySettings,
+        journal: Journal,
+    ) -> None:
+        self._published = published
+        self._runner = runner
+        self._predictor = predictor
+        self._policy = policy
+        self._journal = journal
+
+    async def run(
+        self, request: Request, *, spent: Spent, sink: Sink | None
+    ) -> Result[Answer, Refusal]:
+        """Run all stages and return the last one's output, or how it ended.
+
+        Parameters
+        ----------
+        request : Request
+            What to run.
+        spent : Spent
+            Kept up to date while it runs, also when it is cancelled.
+        sink : Sink, optional
+            Takes the last stage's answer as it comes, if that stage streams.
+        """
+        material = Material(input=request.input)
+        stages = request.pipeline.stages
+        output: Json = None
+        for index, stage in enumerate(stages):
+            is_last = index == len(stages) - 1
+            stage_sink = sink if is_last and stage.streams else None
+            match await self._stage(request, index, material, spent, stage_sink):
+                case Err(error):
+                    return Err(self._refusal(error, stage, spent))
+                case Ok(output):
+                    material = replace(material, previous=output)
+        return Ok(Answer(output=output, cost_s=spent.cost_s))
+
+    async def _stage(
+        self,
+        request: Request,
+        index: int,
+        material: Material,
+        spent: Spent,
+        sink: Sink | None,
+    ) -> Result[Json, StageError]:
+        stage = request.pipeline.stages[index]
+        service = self._published.catalogue.services.get(stage.service)
+        if service is None:
+            return Err(self._no_service(stage))
+        if index > 0:
+            late = self._predictor.refusal(request, index=index)
+            if late is not None:
+                return Err(late)
+        work = self._work(request, index, service, material, is_streamed=bool(sink))
+        match await self._runner.run(work, spent=spent, sink=sink):
+            case Err(error):
+                self._record_failure(work, error)
+                return Err(error)
+            case Ok(answer):
+                self._predictor.learn(request, work, answer)
+                self._record_done(work, answer)
+        match output_of(service.kind, answer):
+            case Ok(output):
+                return Ok(output)
+            case Err(problem):
+                error = Failed(
+                    reason=Reason.TARGET_FAILED,
+                    step="decode",
+                    peer=answer.peer,
+                    detail=problem,
+                )
+                self._record_failure(work, error)
+                return Err(error)
+
+    def _work(
+        self,
+        request: Request,
+        index: int,
+        service: Service,
+        material: Material,
+        *,
+        is_streamed: bool,
+    ) -> StageWork:
+        stage = request.pipeline.stages[index]
+        body, prefixes = self._body(request, stage, service, material)
+        size = WorkSize(n_bytes=len(body), n_tokens=stage.max_tokens)
+        estimate = self._predictor.of_body(stage)
+        high_s = estimate.high_s(size)
+        now_s = time.monotonic()
+        budget_s = stage_budget_s(
+            left_s=request.deadline_s - now_s,
+            predicted_s=[high_s, *self._predictor.later_s(request, index)],
+            is_split=self._policy.split_deadline,
+        )
+        return StageWork(
+            request_id=request.request_id,
+            pipeline=request.pipeline_name,
+            stage=stage,
+            service=service,
+            governing=request.governing,
+            body=body,
+            body_checksum=checksum(body),
+            size=size,
+            expected_s=estimate.expected_s(size),
+            high_s=high_s,
+            size_s=estimate.size_s(size),
+            is_warm=estimate.is_warm,
+            deadline_s=request.deadline_s,
+            stage_deadline_s=now_s + budget_s,
+            prefix_hashes=prefixes,
+            is_streamed=is_streamed,
+        )
+
+    def _body(
+        self, request: Request, stage: Stage, service: Service, material: Material
+    ) -> tuple[bytes, tuple[int, ...]]:
+        """Return the body of a stage call and the hashes of its prompt's prefixes."""
+        if service.kind is not ServiceKind.ENGINE:
+            return plain_body(stage, material), ()
+        prompt = prompt_of(stage, material)
+        body = engine_body(stage, prompt, priority=request.priority)
+        is_hashed = self._policy.prefix_affinity
+        return body, prefix_hashes(prompt) if is_hashed else ()
+
+    def _record_done(self, work: StageWork, answer: StageAnswer) -> None:
+        self._journal.record(
+            Decision(
+                event=Event.STAGE_DONE,
+                request_id=work.request_id,
+                entry=work.governing.name,
+                owner=work.governing.entry.owner,
+                config_revision=work.governing.config_revision,
+                stage=work.stage.name,
+                peer=answer.peer,
+                figures=(
+                    Figure(name="queued_s", value=answer.queued_s),
+                    Figure(name="service_s", value=answer.service_s),
+                    Figure(name="predicted_s", value=work.expected_s),
+                    Figure(name="cost_s", value=answer.cost_s),
+                    Figure(name="n_tokens", value=answer.n_tokens),
+                    Figure(name="n_cached_tokens", value=answer.n_cached_tokens),
+                    Figure(name="slack_s", value=work.deadline_s - time.monotonic()),
+                ),
+            )
+        )
+
+    def _record_failure(self, work: StageWork, error: StageError) -> None:
+        self._journal.record(
+            Decision(
+                event=Event.STAGE_FAILED,
+                request_id=work.request_id,
+                entry=work.governing.name,
+                owner=work.governing.entry.owner,
+                config_revision=work.governing.config_revision,
+                stage=work.stage.name,
+                peer=error.peer,
+                reason=error.reason,
+                detail=error.detail,
+                figures=(
+                    Figure(name="predicted_s", value=work.expected_s),
+                    Figure(name="slack_s", value=work.deadline_s - time.monotonic()),
+                ),
+            )
+        )
+
+    def _refusal(self, error: StageError, stage: Stage, spent: Spent) -> Refusal:
+        return Refusal(
+            error=whole_request_error(error, has_started=spent.has_started),
+            stage=stage.name,
+            cost_s=spent.cost_s,
+            is_retry_safe=not spent.has_started_once_only,
+        )
+
+    def _no_service(self, stage: Stage) -> NotRun:
+        return NotRun(
+            reason=Reason.NO_CONFIGURATION,
+            step="route",
+            peer=stage.service,
+            detail=f"No service {stage.service} is published; publish it first.",
+        )
--- /dev/null
+++ b/src/trefoilpaddle/roles/gateway.py
@@ -0,0 +1,318 @@
+"""The gateway: built from its parts, run until it is told to stop."""
+
+import asyncio
+import contextlib
+import secrets
+from collections.abc import AsyncIterator, Callable
+from dataclasses import dataclass
+from typing import Final
+
+from absl import logging
+
+from ..coordination.claim_book import ClaimBook
+from ..coordination.claims import Claimer
+from ..coordination.config_feed import config_feed
+from ..coordination.directory import Directory, PublishedDirectory
+from ..coordination.ejection import Ejector
+from ..coordination.key_claims import KeyClaims
+from ..coordination.lifecycle import Lifecycle
+from ..coordination.minted import MintedClaims
+from ..coordination.open_attempts import OpenAttempts
+from ..coordination.prediction import Predictor
+from ..coordination.request_guards import FreeKeys, FreeLimiter, KeyGuard, Limiter
+from ..coordination.retries import StageRunner
+from ..coordination.routing import Router
+from ..coordination.target_view import TargetViews
+from ..coordination.walk import Walker
+from ..protocol.ids import RequestId
+from ..state.budget import RetryBudgets
+from ..state.claim_table import ClaimTable
+from ..state.estimate import Estimates
+from ..state.governing import GoverningIndex
+from ..state.journal import Decision, Event, Figure, Journal
+from ..state.prefix import PrefixRecord
+from ..state.requests import Requests
+from ..state.settings import GatewaySettings
+from ..transport.connection import Address
+from .caller_input import CallerInput
+from .caller_server import CallerServer
+from .callers import Callers
+from .operators import operators
+from .process import Process, identity_of
+
+TICK_S: Final = 0.25
+SEED_BITS: Final = 32
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Keys:
+    """Request keys as a gateway serves them.
+
+    Parameters
+    ----------
+    guard : KeyGuard
+        Claims keys before requests run.
+    mint : callable
+        Returns a fresh id that this gateway decides about.
+    """
+
+    guard: KeyGuard
+    mint: Callable[[], str]
+
+
+class Gateway:
+    """One gateway and its parts.
+
+    Parameters
+    ----------
+    settings : GatewaySettings
+        Checked settings.
+    directory, limiter, keys : optional
+        Who can be given work, the limits, and the request keys; without them
+        the published list alone is asked and nothing is bound.
+    is_known : callable, optional
+        Returns True while what is published is known well enough to take work.
+    """
+
+    __slots__ = (
+        "_directory",
+        "_is_known",
+        "_is_settling",
+        "_keys",
+        "_settings",
+        "_views",
+        "attempts",
+        "callers",
+        "process",
+        "server",
+    )
+
+    def __init__(
+        self,
+        *,
+        settings: GatewaySettings,
+        process: Process,
+        directory: Directory | None = None,
+        limiter: Limiter | None = None,
+        keys: Keys | None = None,
+        is_known: Callable[[], bool] | None = None,
+    ) -> None:
+        self._settings = settings
+        self._is_settling = False
+        self.process = process
+        self._directory = directory or PublishedDirectory(published=process.published)
+        self._views = TargetViews(peers=process.peers)
+        self.attempts = OpenAttempts(views=self._views, journal=process.journal)
+        process.link_listeners.append(self.attempts.on_message)
+        process.change_listeners.append(self.attempts.on_change)
+        process.published.subscribe(self._open_links)
+        self._keys = keys or Keys(guard=FreeKeys(), mint=self._mint)
+        self._is_known = is_known or self._has_catalogue
+        self.callers = self._build_callers(limiter or FreeLimiter())
+        self.server = CallerServer(
+            settings=settings.callers, application=self.callers.application()
+        )
+
+    def _build_callers(self, limiter: Limiter) -> Callers:
+        process, policy = self.process, self._settings.policy
+        retention = self._settings.retention
+        router = Router(
+            directory=self._directory,
+            views=self._views,
+            policy=policy,
+            prefixes=PrefixRecord(),
+            ejector=Ejector(journal=process.journal, is_on=policy.eject_slow),
+            seed=secrets.randbits(SEED_BITS),
+        )
+        runner = StageRunner(
+            router=router,
+            attempts=self.attempts,
+            budgets=RetryBudgets(is_limited=policy.retry_budget),
+            policy=policy,
+            journal=process.journal,
+        )
+        predictor = Predictor(estimates=Estimates(), router=router, policy=policy)
+        walker = Walker(
+            published=process.published,
+            runner=runner,
+            predictor=predictor,
+            policy=policy,
+            journal=process.journal,
+        )
+        requests = Requests(
+            n_records=retention.explain_records, keep_s=retention.explain_s
+        )
+        lifecycle = Lifecycle(
+            predictor=predictor,
+            walker=walker,
+            limiter=limiter,
+            keys=self._keys.guard,
+            requests=requests,
+            journal=process.journal,
+        )
+        caller_input = CallerInput(
+            settings=self._settings.callers,
+            published=process.published,
+            index=GoverningIndex(published=process.published),
+            mint=self._mint,
+        )
+        return Callers(
+            settings=self._settings.callers,
+            caller_input=caller_input,
+            runner=lifecycle,
+            requests=requests,
+            journal=process.journal,
+            mint=self._keys.mint,
+            is_ready=self.is_ready,
+            takes_work=self.takes_work,
+        )
+
+    def is_ready(self) -> bool:
+        """Return True while the balancer should send new work here."""
+        return self._is_known() and not self.process.stopping.is_set()
+
+    def takes_work(self) -> bool:
+        """Return True while new work is taken; a little longer than ready.
+
+        The balancer notices that this gateway is not ready only at its next
+        look; work that it sends until then is served, not refused.
+        """
+        if not self._is_known():
+            return False
+        return not self.process.stopping.is_set() or self._is_settling
+
+    def _has_catalogue(self) -> bool:
+        return self.process.published.catalogue.revision > 0
+
+    def _mint(self) -> str:
+        identity = self.process.identity
+        request_id = RequestId.mint(
+            process_id=identity.process_id, incarnation=identity.incarnation
+        )
+        return str(request_id)
+
+    def _open_links(self) -> None:
+        """Open links early, so that the first request finds them heard."""
+        wanted = set()
+        for service in self.process.published.catalogue.services:
+            for host in self._directory.sidecars(service):
+                wanted.add(host.process_id)
+                self._views.of(host)
+        self._views.keep(wanted)
+
+    @contextlib.asynccontextmanager
+    async def serving(self) -> AsyncIterator["Gateway"]:
+        """Serve callers while the context is open; its end drains first."""
+        ticks = asyncio.create_task(self._tick())
+        try:
+            async with self.server.listening():
+                yield self
+                await self.drain()
+        finally:
+            ticks.cancel()
+
+    async def _tick(self) -> None:
+        while True:
+            await asyncio.sleep(TICK_S)
+            self._open_links()
+            self.attempts.tell_silence()
+
+    async def drain(self) -> None:
+        """Settle, finish what is held, and report how many were cut off."""
+        stop = self._settings.stop
+        self.process.stopping.set()
+        self._is_settling = True
+        self._record(Event.PROCESS_STOPPING, n_held=len(self.callers.running))
+        await asyncio.sleep(stop.settle_s)
+        self._is_settling = False
+        n_cut_off = await self.callers.finish(timeout_s=stop.drain_s)
+        await self._keys.guard.flush()
+        self.process.n_cut_off = n_cut_off
+        if n_cut_off:
+            logging.error("%d requests were cut off by the stop", n_cut_off)
+
+    def _record(self, event: Event, **figures: float) -> None:
+        self.process.journal.record(
+            Decision(
+                event=event,
+                peer=self.process.identity.process_id,
+                figures=tuple(
+                    Figure(name=name, value=value) for name, value in figures.items()
+                ),
+            )
+        )
+
+
+def new_process(settings: GatewaySettings) -> Process:
+    """Return the common parts of a gateway with these settings.
+
+    Raises
+    ------
+    ValueError
+        If the address to listen on cannot be read; the settings' check
+        prevents it.
+    """
+    identity = identity_of(process=settings.process, role="gateway")
+    journal = Journal(
+        process_id=identity.process_id,
+        n_records=settings.retention.explain_records,
+        format=settings.log.format,
+        keep_s=settings.retention.explain_s,
+    )
+    listen = Address.parse(settings.process.listen).unwrap_or_raise(ValueError)
+    return Process(identity=identity, listen=listen, journal=journal)
+
+
+def claimed_keys(
+    *, settings: GatewaySettings, process: Process, directory: Directory
+) -> Keys:
+    """Return request keys that are claimed at their places among the peers."""
+    identity = process.identity
+    book = ClaimBook(
+        process_id=identity.process_id,
+        published=process.published,
+        table=ClaimTable(window_s=settings.retention.retry_window_s),
+    )
+    minted = MintedClaims(
+        book=book, process_id=identity.process_id, incarnation=identity.incarnation
+    )
+    minted.mount(process.server)
+    claimer = Claimer(
+        hello=process.hello,
+        published=process.published,
+        directory=directory,
+        asker=process.peers,
+        minted=minted,
+    )
+    return Keys(guard=KeyClaims(claimer=claimer), mint=lambda: str(minted.mint()))
+
+
+async def run(settings: GatewaySettings) -> int:
+    """Run a gateway until it is told to stop; return its exit code."""
+    process = new_process(settings)
+    async with (
+        process.running(),
+        config_feed(
+            process=process, platform=settings.platform, peers=settings.peers
+        ) as feed,
+    ):
+        gateway = Gateway(
+            settings=settings,
+            process=process,
+            directory=feed.directory,
+            keys=claimed_keys(
+                settings=settings, process=process, directory=feed.directory
+            ),
+            is_known=feed.is_known,
+        )
+        async with (
+            operators(
+                process=process,
+                listen=settings.process.operators_listen,
+                is_ready=gateway.is_ready,
+                held_back=lambda: feed.state.held_back,
+            ),
+            gateway.serving(),
+        ):
+            await process.stopping.wait()
+    return 0
