Make links and the peer port hold up against failing and hostile peers

Change: one keep_alive for both sides that counts silence in own heartbeats; half-close that waits for the peer; guards around listeners and handlers; bounds on answers, names, unanswered greetings and list items (MAX_ITEMS in protocol/const.py). Port 0 asks the kernel; `address` then gives the port.

Under TLS a half-close is not possible; there a stop may still lose what was sent last.

--- a/src/trefoilpaddle/protocol/const.py
+++ b/src/trefoilpaddle/protocol/const.py
@@ -8,6 +8,9 @@
 MAX_FRAME_BYTES: Final = 2 * 1024 * 1024
 """Largest frame accepted, header included; holds a configuration value."""
 
+MAX_ITEMS: Final = 20_000
+"""Most items in one list of a frame; each costs far more memory than bytes."""
+
 CHUNK_BYTES: Final = 64 * 1024
 """Largest piece of a body or an answer sent in one frame."""
 
--- a/src/trefoilpaddle/protocol/frames.py
+++ b/src/trefoilpaddle/protocol/frames.py
@@ -13,7 +13,7 @@
 from thrift.protocol.TCompactProtocol import TCompactProtocolAccelerated
 from thrift.transport.TTransport import TMemoryBuffer
 
-from .const import MAX_FRAME_BYTES
+from .const import MAX_FRAME_BYTES, MAX_ITEMS
 from .gen.claims import ttypes as claims
 from .gen.config import ttypes as config
 from .gen.explain import ttypes as explain
@@ -109,7 +109,7 @@
     protocol = TCompactProtocolAccelerated(
         TMemoryBuffer(rest[REST_BYTES:]),
         string_length_limit=MAX_FRAME_BYTES,
-        container_length_limit=MAX_FRAME_BYTES,
+        container_length_limit=MAX_ITEMS,
         fallback=False,
     )
     try:
--- a/src/trefoilpaddle/transport/connection.py
+++ b/src/trefoilpaddle/transport/connection.py
@@ -2,22 +2,25 @@
 
 import asyncio
 import contextlib
-import ssl
 import time
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Callable
 from dataclasses import dataclass
 from typing import Final
 
+from absl import logging
 from result import Err, Ok, Result
 
-from ..protocol.const import PROTOCOL_VERSION
+from ..protocol.const import HEARTBEAT_S, PROTOCOL_VERSION, SILENCE_S
 from ..protocol.errors import PeerError
 from ..protocol.frames import Frame, Message, encode
-from ..protocol.gen.stage.ttypes import Hello
+from ..protocol.gen.stage.ttypes import Heartbeat, Hello
 from ..protocol.reader import FrameReader
 
 READ_BYTES: Final = 128 * 1024
 HELLO_TIMEOUT_S: Final = 2.0
+CLOSE_TIMEOUT_S: Final = 2.0
+DEAD_AFTER_S: Final = 3 * SILENCE_S
+MAX_NAME_CHARS: Final = 256
 MAX_UNSENT_BYTES: Final = 16 * 1024 * 1024
 
 
@@ -51,7 +54,19 @@
         What this process says of itself.
     """
 
-    __slots__ = ("_frames", "_reader", "_writer", "heard_s", "own", "peer", "pending")
+    __slots__ = (
+        "_ended",
+        "_frames",
+        "_is_closed",
+        "_is_finished",
+        "_is_reading",
+        "_reader",
+        "_writer",
+        "heard_s",
+        "own",
+        "peer",
+        "pending",
+    )
 
     def __init__(
         self,
@@ -63,6 +78,10 @@
         self._reader = reader
         self._writer = writer
         self._frames = FrameReader()
+        self._ended = asyncio.Event()
+        self._is_closed = False
+        self._is_finished = False
+        self._is_reading = False
         self.own = own
         self.peer = Hello()
         self.heard_s = time.monotonic()
@@ -73,25 +92,56 @@
         """Process id of the peer, or its address before it has said hello."""
         return self.peer.process_id or str(self._writer.get_extra_info("peername"))
 
+    def is_closing(self) -> bool:
+        """Return True if nothing more can be sent."""
+        return self._is_finished or self._writer.is_closing()
+
     def write(self, message: Message, *, call: int = 0) -> bool:
         """Queue `message` for sending; return False if the connection is closed.
 
         A peer that stops reading while control messages pile up is cut off
         rather than allowed to fill this process's memory.
         """
-        if self._writer.is_closing():
+        if self.is_closing():
             return False
         self._writer.write(encode(message, call=call))
         if self._writer.transport.get_write_buffer_size() > MAX_UNSENT_BYTES:
-            self._writer.transport.abort()
+            self.abort()
             return False
         return True
 
     async def drain(self) -> None:
         """Wait until the peer takes what was written; a closed one is no error."""
-        with contextlib.suppress(ConnectionError):
+        with contextlib.suppress(OSError):
             await self._writer.drain()
 
+    async def keep_alive(self, own_heartbeat: Callable[[], Heartbeat]) -> None:
+        """Send heartbeats until the connection closes or the peer is dead.
+
+        A peer whose host vanished sends no FIN and would keep its connection
+        open for ever. Silence is counted in own heartbeats, not on the clock:
+        after a pause of this process the peer's heartbeats still wait unread,
+        and the clock would blame the peer for the pause.
+        """
+        n_silent = 0
+        heard_s = self.heard_s
+        while not self.is_closing():
+            self._send_heartbeat(own_heartbeat)
+            await asyncio.sleep(HEARTBEAT_S)
+            n_silent = n_silent + 1 if self.heard_s == heard_s else 0
+            heard_s = self.heard_s
+            if n_silent * HEARTBEAT_S > DEAD_AFTER_S:
+                logging.warning("%s is silent; connection dropped", self.peer_name)
+                self.abort()
+
+    def _send_heartbeat(self, own_heartbeat: Callable[[], Heartbeat]) -> None:
+        # One heartbeat that cannot be made must not end all later ones: the
+        # peer would take this process for paused and send it no more work.
+        try:
+            self.write(own_heartbeat())
+        except Exception:
+            logging.exception("no heartbeat for %s", self.peer_name)
+
     async def exchange_hello(self) -> Result[Hello, PeerError]:
         """Send our hello and return the peer's, refusing another version."""
         self.write(self.own)
@@ -104,9 +154,20 @@
             return self._error("the first frame was not a hello")
         if frame.message.version != PROTOCOL_VERSION:
             return self._error(f"speaks version {frame.message.version}")
+        if not 0 < len(frame.message.process_id) <= MAX_NAME_CHARS:
+            return self._error("its process id is empty or too long")
+        if self._is_own(frame.message):
+            return self._error("is this process itself")
         self.peer = frame.message
         return Ok(self.peer)
 
+    def _is_own(self, hello: Hello) -> bool:
+        # Dialling a dead local port can make the kernel join the socket to
+        # itself. The link would look alive and hold the port against the
+        # restart of the process that listened there.
+        own = (self.own.process_id, self.own.incarnation)
+        return own == (hello.process_id, hello.incarnation)
+
     async def _first_frame(self) -> Frame | None:
         while not self.pending:
             if not await self._read_more():
@@ -116,7 +177,7 @@
     async def _read_more(self) -> bool:
         try:
             data = await self._reader.read(READ_BYTES)
-        except (ConnectionError, ssl.SSLError):
+        except OSError:
             return False
         if not data:
             return False
@@ -125,29 +186,56 @@
             case Ok(frames):
                 self.pending += frames
                 return True
-            case Err(_):
+            case Err(problem):
+                logging.warning("%s: %s", self.peer_name, problem)
                 self.abort()
                 return False
 
     async def frames(self) -> AsyncIterator[Frame]:
         """Yield frames until the peer closes, breaks or garbles the stream."""
-        while True:
-            for frame in self.pending:
-                yield frame
-            self.pending = []
-            if not await self._read_more():
-                return
+        self._is_reading = True
+        try:
+            while True:
+                for frame in self.pending:
+                    yield frame
+                self.pending = []
+                if not await self._read_more():
+                    return
+        finally:
+            self._is_reading = False
+            self._ended.set()
 
     def abort(self) -> None:
-        """Close at once, dropping what is unsent."""
-        self._writer.transport.abort()
+        """Close at once, dropping what is unsent; does nothing once closed."""
+        if not self._is_closed:
+            self._is_closed = True
+            self._writer.transport.abort()
 
     async def close(self) -> None:
-        """Send what is queued, then close."""
-        self._writer.close()
-        with contextlib.suppress(ConnectionError, ssl.SSLError, TimeoutError):
-            async with asyncio.timeout(HELLO_TIMEOUT_S):
-                await self._writer.wait_closed()
+        """Send what is queued, then close; a peer that never reads is dropped.
+
+        Closing a socket with unread bytes makes the kernel reset it, and the
+        peer then loses what was sent last. So only the sending side closes
+        first, and the rest when the peer has closed its side.
+        """
+        self._is_finished = True
+        try:
+            async with asyncio.timeout(CLOSE_TIMEOUT_S):
+                if self._writer.can_write_eof():
+                    self._writer.write_eof()
+                else:
+                    self._writer.close()
+                await self._peer_closes()
+        except OSError:  # a timeout too
+            pass
+        self.abort()
+
+    async def _peer_closes(self) -> None:
+        if self._is_reading:
+            await self._ended.wait()
+            return
+        while await self._read_more():
+            self.pending.clear()
 
     def _error(self, detail: str) -> Err[PeerError]:
         error = PeerError(
--- a/src/trefoilpaddle/transport/link.py
+++ b/src/trefoilpaddle/transport/link.py
@@ -12,7 +12,7 @@
 from absl import logging
 from result import Err, Ok, Result
 
-from ..protocol.const import HEARTBEAT_S, SILENCE_S
+from ..protocol.const import SILENCE_S
 from ..protocol.errors import PeerError
 from ..protocol.frames import Frame, Message
 from ..protocol.gen.stage.ttypes import Heartbeat, Hello
@@ -21,7 +21,6 @@
 CONNECT_TIMEOUT_S: Final = 1.0
 BACKOFF_MIN_S: Final = 0.05
 BACKOFF_MAX_S: Final = 1.0
-DEAD_AFTER_S: Final = 3 * SILENCE_S
 MAX_CALL: Final = (1 << 32) - 1
 
 OnMessage = Callable[["Link", Message], None]
@@ -48,6 +47,7 @@
 
     __slots__ = (
         "_calls",
+        "_is_stopping",
         "_numbers",
         "_on_change",
         "_on_message",
@@ -76,7 +76,8 @@
         self._on_message = on_message
         self._on_change = on_change
         self._tls = tls
-        self._numbers = itertools.count(1)
+        self._numbers = itertools.count()
+        self._is_stopping = False
         self._calls: dict[int, asyncio.Future[Message]] = {}
         self._task: asyncio.Task[None] | None = None
         self.connection: Connection | None = None
@@ -104,21 +105,21 @@
     async def ask(
         self, message: Message, *, timeout_s: float
     ) -> Result[Message, PeerError]:
-        """Send `message` and return its reply, or the step that failed."""
-        if self.connection is None:
-            with contextlib.suppress(TimeoutError):
-                async with asyncio.timeout(timeout_s):
-                    await self.opened.wait()
-        connection = self.connection
-        if connection is None:
+        """Send `message` and return its reply, or the step that failed.
+
+        Waiting for a connection counts towards `timeout_s`.
+        """
+        ends_s = asyncio.get_running_loop().time() + timeout_s
+        connection = await self._connected(ends_s)
+        if connection is None or connection.is_closing():
             return self._error("connect", "no connection", is_sent=False)
-        number = next(self._numbers) % MAX_CALL or next(self._numbers)
+        number = next(self._numbers) % MAX_CALL + 1
         answer: asyncio.Future[Message] = asyncio.get_running_loop().create_future()
         self._calls[number] = answer
         try:
             if not connection.write(message, call=number):
                 return self._error("send", "connection closed", is_sent=True)
-            async with asyncio.timeout(timeout_s):
+            async with asyncio.timeout_at(ends_s):
                 return Ok(await answer)
         except TimeoutError:
             return self._error("wait", f"no reply in {timeout_s:g} s", is_sent=True)
@@ -127,18 +128,27 @@
         finally:
             self._calls.pop(number, None)
 
+    async def _connected(self, ends_s: float) -> Connection | None:
+        if self.connection is None:
+            with contextlib.suppress(TimeoutError):
+                async with asyncio.timeout_at(ends_s):
+                    await self.opened.wait()
+        return self.connection
+
     def start(self) -> None:
         """Begin dialling; the link then keeps itself open until `stop`."""
         if self._task is None:
             self._task = asyncio.create_task(self._run(), name=f"link {self.address}")
 
     async def stop(self) -> None:
-        """Close the connection and end the link's task."""
+        """Send what is queued, close the connection and end the link's task."""
         if self._task is None:
             return
+        self._is_stopping = True
         self._task.cancel()
         await asyncio.gather(self._task, return_exceptions=True)
         self._task = None
+        self._is_stopping = False
 
     async def _run(self) -> None:
         backoff_s = BACKOFF_MIN_S
@@ -146,8 +156,9 @@
             try:
                 async with self._open() as connection:
                     if connection is not None:
-                        backoff_s = BACKOFF_MIN_S
+                        opened_s = time.monotonic()
                         await self._serve(connection)
+                        backoff_s = _backoff_after(connection, opened_s, backoff_s)
             except Exception:
                 logging.exception("link to %s failed", self.address)
             await asyncio.sleep(backoff_s * random.uniform(0.5, 1.5))
@@ -161,7 +172,11 @@
                 reader, writer = await asyncio.open_connection(
                     self.address.ip, self.address.port, ssl=self._tls
                 )
-        except (OSError, TimeoutError):
+        except ssl.SSLError as refusal:
+            logging.warning("%s: %s", self.address, refusal)
+            yield None
+            return
+        except OSError:
             yield None
             return
         connection = Connection(reader=reader, writer=writer, own=self._own_hello())
@@ -175,6 +190,8 @@
                     yield None
         finally:
             self._set(None)
+            if self._is_stopping:
+                await connection.close()
             connection.abort()
 
     def _set(self, connection: Connection | None) -> None:
@@ -186,7 +203,14 @@
             self.opened.clear()
             self._fail_calls()
         if self._on_change is not None and was is not connection:
-            self._on_change(self)
+            self._tell_change(self._on_change)
+
+    def _tell_change(self, on_change: "Callable[[Link], None]") -> None:
+        # A listener's fault must neither leak the connection nor stop the link.
+        try:
+            on_change(self)
+        except Exception:
+            logging.exception("a listener failed on a change of %s", self.address)
 
     def _fail_calls(self) -> None:
         for answer in self._calls.values():
@@ -194,29 +218,42 @@
                 answer.set_exception(ConnectionError("connection lost"))
 
     async def _serve(self, connection: Connection) -> None:
-        beats = asyncio.create_task(self._beat(connection))
+        beats = asyncio.create_task(connection.keep_alive(self._own_heartbeat))
         try:
             async for frame in connection.frames():
                 self._take(frame)
         finally:
             beats.cancel()
 
-    async def _beat(self, connection: Connection) -> None:
-        while connection.write(self._own_heartbeat()):
-            await asyncio.sleep(HEARTBEAT_S)
-            if time.monotonic() - connection.heard_s > DEAD_AFTER_S:
-                connection.abort()
-                return
-
     def _take(self, frame: Frame) -> None:
         if frame.call == 0:
-            self._on_message(self, frame.message)
+            self._deliver(frame.message)
             return
         answer = self._calls.get(frame.call)
         if answer is not None and not answer.done():
             answer.set_result(frame.message)
 
+    def _deliver(self, message: Message) -> None:
+        # A fault in handling one attempt's frame must not cut off the other
+        # attempts that share the connection.
+        try:
+            self._on_message(self, message)
+        except Exception:
+            logging.exception(
+                "%s from %s was not handled", type(message).__name__, self.address
+            )
+
     def _error(self, step: str, detail: str, *, is_sent: bool) -> Err[PeerError]:
         return Err(
             PeerError(step=step, peer=str(self.address), detail=detail, is_sent=is_sent)
         )
+
+
+def _backoff_after(connection: Connection, opened_s: float, backoff_s: float) -> float:
+    """Return the wait after a connection that was open since `opened_s`.
+
+    Only one that lasted starts the wait anew: a peer that says hello and
+    closes, again and again, would otherwise be dialled without any pause.
+    """
+    lasted_s = connection.heard_s - opened_s
+    return BACKOFF_MIN_S if lasted_s > BACKOFF_MAX_S else backoff_s
--- a/src/trefoilpaddle/transport/peers.py
+++ b/src/trefoilpaddle/transport/peers.py
@@ -1,5 +1,6 @@
 """Links to many peers, opened on first use and closed together."""
 
+import asyncio
 import contextlib
 import ssl
 from collections.abc import AsyncIterator, Callable
@@ -81,5 +82,5 @@
         try:
             yield self
         finally:
-            for address in list(self.links):
-                await self.forget(address)
+            addresses = list(self.links)
+            await asyncio.gather(*(self.forget(address) for address in addresses))
--- a/src/trefoilpaddle/transport/server.py
+++ b/src/trefoilpaddle/transport/server.py
@@ -9,13 +9,13 @@
 from absl import logging
 from result import Err, Ok
 
-from ..protocol.const import HEARTBEAT_S
 from ..protocol.frames import Frame, Message
 from ..protocol.gen.stage.ttypes import Heartbeat, Hello
-from .connection import Address, Connection
+from .connection import CLOSE_TIMEOUT_S, Address, Connection
 
 MAX_CONNECTIONS: Final = 2000
 MAX_OPEN_ASKS: Final = 256
+ANSWER_TIMEOUT_S: Final = 10.0
 
 Answerer = Callable[[Any, Hello], Awaitable[Message]]
 OnMessage = Callable[[Connection, Message], None]
@@ -43,12 +43,16 @@
 
     __slots__ = (
         "_answerers",
+        "_asks",
+        "_greeting",
+        "_is_closing",
         "_on_close",
         "_on_message",
         "_on_open",
         "_own_heartbeat",
         "_own_hello",
         "_server",
+        "_tasks",
         "_tls",
         "address",
         "connections",
@@ -74,6 +78,10 @@
         self._tls = tls
         self._answerers: dict[type, Answerer] = {}
         self._server: asyncio.Server | None = None
+        self._tasks: set[asyncio.Task[None]] = set()
+        self._asks: set[asyncio.Task[None]] = set()
+        self._greeting: set[Connection] = set()
+        self._is_closing = False
         self.connections: set[Connection] = set()
 
     def answer(self, question: type, answerer: Answerer) -> None:
@@ -84,20 +92,37 @@
     async def listening(self) -> AsyncIterator["PeerServer"]:
         """Listen while the context is open, then close all connections.
 
+        Open questions are answered before their connections close. With port
+        0 the kernel picks one, which `address` then gives.
+
         Raises
         ------
         OSError
             If the port is held by another process.
         """
+        self._is_closing = False
         self._server = await asyncio.start_server(
             self._accept, self.address.ip, self.address.port, ssl=self._tls
         )
+        port = self._server.sockets[0].getsockname()[1]
+        self.address = Address(ip=self.address.ip, port=port)
         try:
             yield self
         finally:
+            self._is_closing = True
             self._server.close()
-            for connection in list(self.connections):
-                await connection.close()
+            await self._close_connections()
+
+    async def _close_connections(self) -> None:
+        # A question dropped here would turn a known answer ("that attempt did
+        # not run") into "unknown" at the peer.
+        if self._asks:
+            await asyncio.wait(self._asks, timeout=CLOSE_TIMEOUT_S)
+        for connection in list(self._greeting):
+            connection.abort()
+        await asyncio.gather(*(each.close() for each in list(self.connections)))
+        if self._tasks:
+            await asyncio.wait(self._tasks, timeout=CLOSE_TIMEOUT_S)
 
     def broadcast(self, message: Message) -> None:
         """Send `message` to every connected peer."""
@@ -108,22 +133,42 @@
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
         connection = Connection(reader=reader, writer=writer, own=self._own_hello())
-        if len(self.connections) >= MAX_CONNECTIONS:
+        task = asyncio.current_task()
+        assert task is not None
+        self._tasks.add(task)
+        try:
+            if self._has_room():
+                await self._greet_and_serve(connection)
+            else:
+                logging.warning("%s refused: too many", connection.peer_name)
+        finally:
             connection.abort()
-            return
-        match await connection.exchange_hello():
+            self._tasks.discard(task)
+
+    def _has_room(self) -> bool:
+        # Connections that have not said hello count too: they hold a socket
+        # each, and anyone can open them.
+        n_open = len(self.connections) + len(self._greeting)
+        return n_open < MAX_CONNECTIONS and not self._is_closing
+
+    async def _greet_and_serve(self, connection: Connection) -> None:
+        self._greeting.add(connection)
+        try:
+            hello = await connection.exchange_hello()
+        finally:
+            self._greeting.discard(connection)
+        match hello:
             case Ok(_):
-                await self._serve(connection)
+                if not self._is_closing:
+                    await self._serve(connection)
             case Err(error):
                 logging.warning("%s: %s", error.peer, error.detail)
-        connection.abort()
 
     async def _serve(self, connection: Connection) -> None:
-        self.connections.add(connection)
-        if self._on_open is not None:
-            self._on_open(connection)
         asks: set[asyncio.Task[None]] = set()
-        beats = asyncio.create_task(self._beat(connection))
+        beats = asyncio.create_task(connection.keep_alive(self._own_heartbeat))
+        self.connections.add(connection)
+        self._tell(self._on_open, connection)
         try:
             async for frame in connection.frames():
                 await self._take(connection, frame, asks)
@@ -132,42 +177,63 @@
             for task in asks:
                 task.cancel()
             self.connections.discard(connection)
-            if self._on_close is not None:
-                self._on_close(connection)
+            self._tell(self._on_close, connection)
 
-    async def _beat(self, connection: Connection) -> None:
-        is_open = True
-        while is_open:
-            is_open = connection.write(self._own_heartbeat())
-            await asyncio.sleep(HEARTBEAT_S)
+    def _tell(self, listener: OnChange | None, connection: Connection) -> None:
+        # A listener's fault must not leak the connection.
+        if listener is None:
+            return
+        try:
+            listener(connection)
+        except Exception:
+            logging.exception("a listener failed on %s", connection.peer_name)
 
     async def _take(
         self, connection: Connection, frame: Frame, asks: set[asyncio.Task[None]]
     ) -> None:
         if frame.call == 0:
-            if self._on_message is not None:
-                self._on_message(connection, frame.message)
+            self._deliver(connection, frame.message)
             return
         # A peer that asks without waiting for replies would otherwise pile up
         # tasks here; past the bound its own connection waits, no other does.
         while len(asks) >= MAX_OPEN_ASKS:
             await asyncio.wait(asks, return_when=asyncio.FIRST_COMPLETED)
         task = asyncio.create_task(self._answer(connection, frame))
-        asks.add(task)
-        task.add_done_callback(asks.discard)
+        for open_asks in (asks, self._asks):
+            open_asks.add(task)
+            task.add_done_callback(open_asks.discard)
+
+    def _deliver(self, connection: Connection, message: Message) -> None:
+        # A fault in handling one attempt's frame must not cut off the other
+        # attempts that share the connection.
+        if self._on_message is None:
+            return
+        try:
+            self._on_message(connection, message)
+        except Exception:
+            logging.exception(
+                "%s from %s was not handled",
+                type(message).__name__,
+                connection.peer_name,
+            )
 
     async def _answer(self, connection: Connection, frame: Frame) -> None:
-        answerer = self._answerers.get(type(frame.message))
+        question = type(frame.message)
+        answerer = self._answerers.get(question)
         if answerer is None:
             logging.warning(
                 "%s asked %s, which this role does not answer",
                 connection.peer_name,
-                type(frame.message).__name__,
+                question.__name__,
             )
             return
+        # An answer that waits on a process that is gone must end: past
+        # MAX_OPEN_ASKS such answers the connection would never be read again.
         try:
-            reply = await answerer(frame.message, connection.peer)
+            async with asyncio.timeout(ANSWER_TIMEOUT_S):
+                reply = await answerer(frame.message, connection.peer)
+            connection.write(reply, call=frame.call)
         except Exception:
-            logging.exception("answering %s failed", connection.peer_name)
-            return
-        connection.write(reply, call=frame.call)
+            logging.exception(
+                "%s from %s was not answered", question.__name__, connection.peer_name
+            )
--- /dev/null
+++ b/tests/peer_helpers.py
@@ -0,0 +1,132 @@
+"""Small parts that the transport tests share: hellos, raw peers, waiting."""
+
+import asyncio
+import contextlib
+from collections.abc import AsyncIterator, Awaitable, Callable
+from typing import Any
+
+from result import Ok
+
+from trefoilpaddle.protocol.const import PROTOCOL_VERSION
+from trefoilpaddle.protocol.frames import Frame, Message, encode
+from trefoilpaddle.protocol.gen.stage.ttypes import Heartbeat, Hello, Load
+from trefoilpaddle.protocol.reader import FrameReader
+from trefoilpaddle.transport.connection import Address
+from trefoilpaddle.transport.link import Link
+from trefoilpaddle.transport.server import PeerServer
+
+WAIT_CAP_S = 20.0
+
+
+async def until(condition: Callable[[], bool], *, cap_s: float = WAIT_CAP_S) -> None:
+    """Return as soon as `condition` holds; fail if it never does."""
+    async with asyncio.timeout(cap_s):
+        while not condition():  # noqa: ASYNC110 - any condition
+            await asyncio.sleep(0.005)
+
+
+def hello_of(process_id: str, *, incarnation: int = 1) -> Callable[[], Hello]:
+    """Return what makes the hello of a test process."""
+    return lambda: Hello(
+        version=PROTOCOL_VERSION,
+        process_id=process_id,
+        incarnation=incarnation,
+        role="sidecar",
+    )
+
+
+def beat() -> Heartbeat:
+    """Return a heartbeat that says nothing in particular."""
+    return Heartbeat(load=Load(n_slots=1))
+
+
+def server_of(**options: Any) -> PeerServer:
+    """Return a server on a port that the kernel picks."""
+    options.setdefault("address", Address(ip="127.0.0.1", port=0))
+    options.setdefault("own_hello", hello_of("server", incarnation=10))
+    options.setdefault("own_heartbeat", beat)
+    return PeerServer(**options)
+
+
+@contextlib.asynccontextmanager
+async def link_to(address: Address, **options: Any) -> AsyncIterator[Link]:
+    """Yield a started link; stop it at the end."""
+    options.setdefault("own_hello", hello_of("client", incarnation=20))
+    options.setdefault("own_heartbeat", beat)
+    options.setdefault("on_message", lambda link, message: None)
+    link = Link(address=address, **options)
+    link.start()
+    try:
+        yield link
+    finally:
+        await link.stop()
+
+
+class RawPeer:
+    """A peer driven by hand: says only what the test makes it say."""
+
+    def __init__(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        self.reader = reader
+        self.writer = writer
+        self._frames = FrameReader()
+
+    def send(self, message: Message, *, call: int = 0) -> None:
+        self.writer.write(encode(message, call=call))
+
+    async def receive(self) -> list[Frame]:
+        """Return the next frames; none when the other side has closed."""
+        try:
+            data = await self.reader.read(1 << 16)
+        except OSError:
+            return []
+        match self._frames.feed(data):
+            case Ok(frames):
+                return frames
+            case error:
+                raise AssertionError(error)
+
+    async def ended(self) -> None:
+        """Return once the other side has closed the connection."""
+        async with asyncio.timeout(WAIT_CAP_S):
+            with contextlib.suppress(OSError):
+                while await self.reader.read(1 << 16):
+                    pass
+
+
+@contextlib.asynccontextmanager
+async def raw_peer(address: Address) -> AsyncIterator[RawPeer]:
+    """Yield a raw connection to `address`."""
+    reader, writer = await asyncio.open_connection(address.ip, address.port)
+    try:
+        yield RawPeer(reader, writer)
+    finally:
+        writer.transport.abort()
+
+
+@contextlib.asynccontextmanager
+async def raw_listener(
+    serve: Callable[[RawPeer], Awaitable[None]],
+) -> AsyncIterator[Address]:
+    """Yield the address at which `serve` handles each connection."""
+    tasks: set[asyncio.Task[None]] = set()
+
+    async def accept(r: asyncio.StreamReader, w: asyncio.StreamWriter) -> None:
+        task = asyncio.current_task()
+        assert task is not None
+        tasks.add(task)
+        try:
+            await serve(RawPeer(r, w))
+        finally:
+            w.transport.abort()
+
+    server = await asyncio.start_server(accept, "127.0.0.1", 0)
+    port = server.sockets[0].getsockname()[1]
+    try:
+        yield Address(ip="127.0.0.1", port=port)
+    finally:
+        server.close()
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
--- /dev/null
+++ b/tests/test_transport.py
@@ -0,0 +1,488 @@
+"""Transport between peers under failure: no call lost in silence, no leak."""
+
+import asyncio
+import time
+
+import pytest
+from result import Err, Ok
+
+from trefoilpaddle.protocol.errors import PeerError
+from trefoilpaddle.protocol.frames import Message, encode
+from trefoilpaddle.protocol.gen.claims.ttypes import Claim, ClaimAnswer
+from trefoilpaddle.protocol.gen.stage.ttypes import (
+    Bar,
+    BarAnswer,
+    Cancel,
+    Heartbeat,
+    Hello,
+)
+from trefoilpaddle.transport import connection as connection_module
+from trefoilpaddle.transport import link as link_module
+from trefoilpaddle.transport import server as server_module
+from trefoilpaddle.transport.connection import Address, Connection
+from trefoilpaddle.transport.link import Link
+
+from .peer_helpers import (
+    RawPeer,
+    beat,
+    hello_of,
+    link_to,
+    raw_listener,
+    raw_peer,
+    server_of,
+    until,
+)
+
+
+@pytest.fixture
+def fast(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Shorten heartbeats and what counts as dead, so that tests end soon."""
+    for module in (connection_module, link_module, server_module):
+        for name, value in (
+            ("HEARTBEAT_S", 0.02),
+            ("DEAD_AFTER_S", 0.2),
+            ("HELLO_TIMEOUT_S", 0.2),
+            ("CLOSE_TIMEOUT_S", 0.5),
+            ("SILENCE_S", 0.15),
+        ):
+            if hasattr(module, name):
+                monkeypatch.setattr(module, name, value)
+
+
+async def echo(question: Bar, peer: Hello) -> BarAnswer:
+    return BarAnswer(attempt_id=question.attempt_id)
+
+
+class TestAsk:
+    async def test_replies_that_cross_reach_their_own_askers(self) -> None:
+        # Two calls share a connection; the first is answered after the second.
+        # A caller would be handed the other's answer if order decided.
+        first_may_end = asyncio.Event()
+
+        async def answer(question: Bar, peer: Hello) -> BarAnswer:
+            if question.attempt_id == b"first":
+                await first_may_end.wait()
+            return BarAnswer(attempt_id=question.attempt_id)
+
+        server = server_of()
+        server.answer(Bar, answer)
+        async with server.listening(), link_to(server.address) as link:
+            first = asyncio.create_task(
+                link.ask(Bar(attempt_id=b"first"), timeout_s=10)
+            )
+            second = await link.ask(Bar(attempt_id=b"second"), timeout_s=10)
+            first_may_end.set()
+            assert second == Ok(BarAnswer(attempt_id=b"second"))
+            assert await first == Ok(BarAnswer(attempt_id=b"first"))
+
+    async def test_call_numbers_stay_within_the_frame_after_wrapping(self) -> None:
+        # A link open for weeks runs out of 32-bit call numbers; the number
+        # after the last one did not fit the frame and each further call raised.
+        server = server_of()
+        server.answer(Bar, echo)
+        async with server.listening(), link_to(server.address) as link:
+            await link.opened.wait()
+            link._numbers = iter(range(link_module.MAX_CALL - 1, 1 << 40))  # type: ignore[assignment]
+            for _ in range(4):
+                assert (await link.ask(Bar(attempt_id=b"a"), timeout_s=10)).is_ok()
+
+    async def test_waiting_for_a_connection_counts_towards_the_timeout(self) -> None:
+        # A caller with 1 s left asks a peer that comes up after 0.9 s and then
+        # says nothing: the call must end after 1 s, not after nearly 2 s.
+        opened_s = []
+
+        async def serve(peer: RawPeer) -> None:
+            await asyncio.sleep(0.4)
+            peer.send(hello_of("slow")())
+            opened_s.append(time.monotonic())
+            await asyncio.sleep(30)
+
+        async with raw_listener(serve) as address, link_to(address) as link:
+            began_s = time.monotonic()
+            answer = await link.ask(Bar(), timeout_s=0.8)
+            ended_s = time.monotonic()
+        assert opened_s
+        assert answer.is_err()
+        assert ended_s - began_s < opened_s[0] - began_s + 0.8
+
+    async def test_a_closed_connection_says_that_nothing_was_sent(self) -> None:
+        # The peer's connection is already closing when a call begins. Nothing
+        # has left this process, so the caller may be told "not run".
+        server = server_of()
+        async with server.listening(), link_to(server.address) as link:
+            await link.opened.wait()
+            assert link.connection is not None
+            link.connection.abort()
+            match await link.ask(Bar(), timeout_s=1):
+                case Err(PeerError() as error):
+                    assert not error.is_sent
+                case answer:
+                    raise AssertionError(answer)
+
+    async def test_a_lost_connection_ends_open_calls_at_once(self) -> None:
+        async def serve(peer: RawPeer) -> None:
+            peer.send(hello_of("cutter")())
+            seen: list[Message] = []
+            while not any(isinstance(m, Bar) for m in seen):
+                seen += [frame.message for frame in await peer.receive()]
+
+        async with raw_listener(serve) as address, link_to(address) as link:
+            match await link.ask(Bar(), timeout_s=60):
+                case Err(error):
+                    assert error.is_sent and error.step == "wait"
+                case answer:
+                    raise AssertionError(answer)
+            assert not link._calls
+
+    async def test_a_reply_that_is_too_large_is_logged_not_leaked(
+        self, caplog: pytest.LogCaptureFixture
+    ) -> None:
+        # An answerer returns more than a frame holds: writing raises. The
+        # exception must be seen in the log, and other calls go on.
+        async def too_large(question: Claim, peer: Hello) -> ClaimAnswer:
+            return ClaimAnswer(result=bytes(3 * 1024 * 1024))
+
+        server = server_of()
+        server.answer(Claim, too_large)
+        server.answer(Bar, echo)
+        async with server.listening(), link_to(server.address) as link:
+            assert (await link.ask(Claim(), timeout_s=0.2)).is_err()
+            assert (await link.ask(Bar(), timeout_s=10)).is_ok()
+        assert "too large" in caplog.text
+
+
+class TestLink:
+    async def test_a_handler_that_raises_costs_one_message_only(self) -> None:
+        # A fault in the handling of one attempt's frame must not cut off the
+        # other attempts that share the connection.
+        seen: list[Message] = []
+
+        def on_message(link: Link, message: Message) -> None:
+            if isinstance(message, Cancel):
+                seen.append(message)
+                if len(seen) == 1:
+                    raise RuntimeError("fault in a handler")
+
+        opened: list[Connection] = []
+        server = server_of(on_open=opened.append)
+        async with (
+            server.listening(),
+            link_to(server.address, on_message=on_message) as link,
+        ):
+            await link.opened.wait()
+            await until(lambda: bool(opened))
+            opened[0].write(Cancel(attempt_id=b"1"))
+            opened[0].write(Cancel(attempt_id=b"2"))
+            await until(lambda: len(seen) == 2)
+        assert len(opened) == 1
+
+    async def test_a_change_listener_that_raises_leaks_no_connection(self) -> None:
+        def on_change(link: Link) -> None:
+            raise RuntimeError("fault in a listener")
+
+        closed: list[Connection] = []
+        server = server_of(on_close=closed.append)
+        async with server.listening():
+            async with link_to(server.address, on_change=on_change) as link:
+                await until(lambda: link.connection is not None)
+            await until(lambda: not server.connections)
+        assert closed
+
+    async def test_a_flapping_peer_is_not_dialled_ever_faster(
+        self, monkeypatch: pytest.MonkeyPatch
+    ) -> None:
+        # A peer says hello and closes, again and again (its start-up check
+        # fails, say). Each hello reset the wait, so it was dialled 20 times a
+        # second by every process of the fleet.
+        monkeypatch.setattr(link_module, "BACKOFF_MIN_S", 0.001)
+        monkeypatch.setattr(link_module, "BACKOFF_MAX_S", 0.1)
+        n_dials = 0
+
+        async def serve(peer: RawPeer) -> None:
+            nonlocal n_dials
+            n_dials += 1
+            peer.send(hello_of("flapper")())
+            await peer.receive()
+
+        async with raw_listener(serve) as address, link_to(address):
+            await asyncio.sleep(0.5)
+            await until(lambda: n_dials > 2)
+        assert n_dials < 60
+
+    async def test_messages_queued_before_a_stop_arrive(self) -> None:
+        # A gateway stops as planned right after it queued its last messages
+        # (an acknowledgement, a settled claim): they must not be dropped.
+        seen: list[Message] = []
+        server = server_of(on_message=lambda connection, m: seen.append(m))
+        body = bytes(500_000)
+        async with server.listening():
+            async with link_to(server.address) as link:
+                await link.opened.wait()
+                for _ in range(8):
+                    assert link.send(Cancel(attempt_id=body))
+            await until(lambda: sum(isinstance(m, Cancel) for m in seen) == 8)
+
+    async def test_a_link_refuses_to_talk_to_itself(self) -> None:
+        # A sidecar dies on a port of the kernel's own range; its peer dials
+        # again and the kernel joins that socket to itself. The link would look
+        # alive and hold the port against the sidecar's restart.
+        async def serve(peer: RawPeer) -> None:
+            peer.send(hello_of("client", incarnation=20)())
+            await peer.ended()
+
+        async with raw_listener(serve) as address, link_to(address) as link:
+            answer = await link.ask(Bar(), timeout_s=0.3)
+            assert answer.is_err()
+            assert not link.is_heard()
+
+    async def test_a_restarted_peer_is_known_by_its_new_incarnation(self) -> None:
+        server = server_of(own_hello=hello_of("server", incarnation=1))
+        changes: list[int] = []
+
+        def on_change(link: Link) -> None:
+            changes.append(link.peer.incarnation if link.peer else 0)
+
+        async with server.listening():
+            address = server.address
+            async with link_to(address, on_change=on_change) as link:
+                await until(lambda: changes == [1])
+                assert link.connection is not None
+                link.connection.abort()
+                server._own_hello = hello_of("server", incarnation=2)
+                await until(lambda: changes == [1, 0, 2])
+
+    @pytest.mark.usefixtures("fast")
+    async def test_a_paused_peer_is_not_heard_and_then_dropped(self) -> None:
+        # A peer is stopped by its host (SIGSTOP): its connection stays open
+        # and takes bytes, but no heartbeat comes.
+        async def serve(peer: RawPeer) -> None:
+            peer.send(hello_of("paused")())
+            await peer.ended()
+
+        changes: list[bool] = []
+        async with (
+            raw_listener(serve) as address,
+            link_to(
+                address, on_change=lambda link: changes.append(link.connection is None)
+            ) as link,
+        ):
+            await link.opened.wait()
+            assert link.is_heard()
+            await until(lambda: not link.is_heard())
+            await until(lambda: True in changes)
+
+    @pytest.mark.usefixtures("fast")
+    async def test_own_pause_does_not_drop_a_live_peer(self) -> None:
+        # This process is paused past the time after which a silent peer counts
+        # as dead. On waking, the peer's heartbeats wait unread: dropping the
+        # connection would blame the peer for this process's own pause.
+        changes: list[bool] = []
+        server = server_of()
+        async with (
+            server.listening(),
+            link_to(
+                server.address,
+                on_change=lambda link: changes.append(link.connection is None),
+            ) as link,
+        ):
+            await link.opened.wait()
+            for _ in range(3):
+                time.sleep(0.4)  # noqa: ASYNC251 - the pause itself
+                await asyncio.sleep(0.1)
+            assert changes == [False]
+
+    async def test_a_heartbeat_that_raises_does_not_end_the_heartbeats(
+        self, monkeypatch: pytest.MonkeyPatch
+    ) -> None:
+        # Reading the load fails once. If that ended the heartbeats, the peer
+        # would see silence and send this process no work ever again.
+        monkeypatch.setattr(connection_module, "HEARTBEAT_S", 0.02, raising=False)
+        monkeypatch.setattr(link_module, "HEARTBEAT_S", 0.02, raising=False)
+        n_made = 0
+
+        def flaky() -> Heartbeat:
+            nonlocal n_made
+            n_made += 1
+            if n_made == 2:
+                raise RuntimeError("load cannot be read")
+            return beat()
+
+        server = server_of()
+        async with (
+            server.listening(),
+            link_to(server.address, own_heartbeat=flaky),
+        ):
+            await until(lambda: n_made > 4)
+
+
+class TestPeerServer:
+    @pytest.mark.usefixtures("fast")
+    async def test_a_peer_that_vanished_gives_its_place_back(self) -> None:
+        # A gateway's host loses power: no FIN comes. Its connection stayed
+        # open for ever, until all places were taken by dead gateways.
+        server = server_of()
+        async with server.listening(), raw_peer(server.address) as peer:
+            peer.send(hello_of("vanished")())
+            await until(lambda: len(server.connections) == 1)
+            await until(lambda: not server.connections)
+
+    @pytest.mark.usefixtures("fast")
+    async def test_connections_without_a_hello_count_towards_the_bound(
+        self, monkeypatch: pytest.MonkeyPatch
+    ) -> None:
+        monkeypatch.setattr(server_module, "MAX_CONNECTIONS", 2)
+        monkeypatch.setattr(connection_module, "HELLO_TIMEOUT_S", 30.0)
+        server = server_of()
+        async with (
+            server.listening(),
+            raw_peer(server.address),
+            raw_peer(server.address),
+            raw_peer(server.address) as third,
+        ):
+            await third.ended()
+
+    async def test_an_open_listener_that_raises_leaks_no_connection(self) -> None:
+        def on_open(connection: Connection) -> None:
+            raise RuntimeError("fault in a listener")
+
+        server = server_of(on_open=on_open)
+        async with server.listening(), raw_peer(server.address) as peer:
+            peer.send(hello_of("p")())
+            await until(lambda: len(server.connections) == 1)
+            peer.writer.close()
+            await until(lambda: not server.connections)
+
+    async def test_closing_answers_the_open_calls_first(self) -> None:
+        # A sidecar stops as planned while a gateway asks whether an attempt
+        # ran. Dropping the question would turn a known answer into "unknown".
+        begun = asyncio.Event()
+        may_end = asyncio.Event()
+
+        async def answer(question: Bar, peer: Hello) -> BarAnswer:
+            begun.set()
+            await may_end.wait()
+            return BarAnswer(attempt_id=question.attempt_id)
+
+        server = server_of()
+        server.answer(Bar, answer)
+        context = server.listening()
+        await context.__aenter__()
+        async with link_to(server.address) as link:
+            asked = asyncio.create_task(link.ask(Bar(attempt_id=b"x"), timeout_s=30))
+            await begun.wait()
+            closing = asyncio.create_task(context.__aexit__(None, None, None))
+            await asyncio.sleep(0)
+            may_end.set()
+            assert await asked == Ok(BarAnswer(attempt_id=b"x"))
+            await closing
+
+    @pytest.mark.usefixtures("fast")
+    async def test_closing_is_not_held_up_by_peers_that_never_read(self) -> None:
+        n_peers = 8
+        server = server_of()
+        context = server.listening()
+        await context.__aenter__()
+        peers = [raw_peer(server.address) for _ in range(n_peers)]
+        opened = [await peer.__aenter__() for peer in peers]
+        for i, peer in enumerate(opened):
+            peer.send(hello_of(f"p{i}")())
+        await until(lambda: len(server.connections) == n_peers)
+        server.broadcast(Cancel(attempt_id=bytes(2_000_000)))
+        server.broadcast(Cancel(attempt_id=bytes(2_000_000)))
+        server.broadcast(Cancel(attempt_id=bytes(2_000_000)))
+        async with asyncio.timeout(n_peers * connection_module.CLOSE_TIMEOUT_S):
+            await context.__aexit__(None, None, None)
+        assert not server.connections
+        for each in peers:
+            await each.__aexit__(None, None, None)
+
+    async def test_a_hello_that_comes_after_closing_is_not_served(self) -> None:
+        # A peer connects, the server closes, then the hello arrives: it would
+        # be served by a process that believes that it has stopped.
+        opened: list[Connection] = []
+        server = server_of(on_open=opened.append)
+        async with raw_listener(RawPeer.ended):
+            context = server.listening()
+            await context.__aenter__()
+            async with raw_peer(server.address) as peer:
+                await peer.receive()
+                await context.__aexit__(None, None, None)
+                peer.send(hello_of("late")())
+                await peer.ended()
+        assert not opened
+
+    async def test_an_answerer_that_hangs_gives_its_place_back(
+        self, monkeypatch: pytest.MonkeyPatch
+    ) -> None:
+        # Answers wait on a third process that is gone. Past the bound of open
+        # questions the connection is not read any more, heartbeats included:
+        # without an end to each answer it would stay so for ever.
+        monkeypatch.setattr(server_module, "MAX_OPEN_ASKS", 2)
+        monkeypatch.setattr(server_module, "ANSWER_TIMEOUT_S", 0.1, raising=False)
+
+        async def hang(question: Claim, peer: Hello) -> ClaimAnswer:
+            await asyncio.Event().wait()
+            return ClaimAnswer()
+
+        server = server_of()
+        server.answer(Claim, hang)
+        server.answer(Bar, echo)
+        async with server.listening(), link_to(server.address) as link:
+            hung = [
+                asyncio.create_task(link.ask(Claim(), timeout_s=30)) for _ in range(5)
+            ]
+            await until(lambda: len(link._calls) == len(hung))
+            assert (await link.ask(Bar(), timeout_s=15)).is_ok()
+            for task in hung:
+                task.cancel()
+
+    async def test_a_peer_that_never_reads_is_cut_off_within_bounds(
+        self, monkeypatch: pytest.MonkeyPatch
+    ) -> None:
+        monkeypatch.setattr(connection_module, "MAX_UNSENT_BYTES", 1_000_000)
+        opened: list[Connection] = []
+        server = server_of(on_open=opened.append)
+        async with server.listening(), raw_peer(server.address) as peer:
+            peer.send(hello_of("mute")())
+            await until(lambda: bool(opened))
+            n_written = 0
+            while opened[0].write(Cancel(attempt_id=bytes(1_000_000))):
+                n_written += 1
+                assert n_written < 30
+            await until(lambda: not server.connections)
+
+
+class TestHello:
+    @pytest.mark.parametrize("process_id", ["", "x" * 300])
+    async def test_a_peer_without_a_proper_name_is_refused(
+        self, process_id: str
+    ) -> None:
+        server = server_of()
+        async with server.listening(), raw_peer(server.address) as peer:
+            peer.send(hello_of(process_id)())
+            await peer.ended()
+            assert not server.connections
+
+    async def test_another_version_is_refused(self) -> None:
+        server = server_of()
+        async with server.listening(), raw_peer(server.address) as peer:
+            peer.send(Hello(version=99, process_id="p"))
+            await peer.ended()
+
+    @pytest.mark.usefixtures("fast")
+    async def test_a_hello_that_never_comes_is_not_awaited_for_ever(self) -> None:
+        server = server_of()
+        async with server.listening(), raw_peer(server.address) as peer:
+            peer.writer.write(encode(hello_of("p")())[:7])
+            await peer.ended()
+
+
+class TestAddress:
+    @pytest.mark.parametrize(
+        "text", ["", "1.2.3.4", "1.2.3.4:", ":80", "1.2.3.4:0", "1.2.3.4:99999"]
+    )
+    def test_bad_text_is_refused(self, text: str) -> None:
+        assert Address.parse(text).is_err()
+
+    def test_good_text_is_read(self) -> None:
+        assert Address.parse("1.2.3.4:80") == Ok(Address(ip="1.2.3.4", port=80))
