--- a/src/trefoilpaddle/transport/connection.py
+++ b/src/trefoilpaddle/transport/connection.py
@@ -22,6 +22,7 @@
 DEAD_AFTER_S: Final = 3 * SILENCE_S
 MAX_NAME_CHARS: Final = 256
 MAX_UNSENT_BYTES: Final = 16 * 1024 * 1024
+MAX_PORT: Final = 65535
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -38,7 +39,7 @@
     def parse(cls, text: str) -> "Result[Address, str]":
         """Return the address that `text`, ``ip:port``, spells."""
         ip, _, port = text.rpartition(":")
-        if not ip or not port.isdecimal() or not 0 < int(port) < 65536:
+        if not ip or not port.isdecimal() or int(port) > MAX_PORT:
             return Err(f"{text!r} is not IP:PORT")
         return Ok(cls(ip=ip, port=int(port)))
 
--- a/src/trefoilpaddle/transport/link.py
+++ b/src/trefoilpaddle/transport/link.py
@@ -58,6 +58,7 @@
         "address",
         "connection",
         "opened",
+        "used_s",
     )
 
     def __init__(
@@ -82,6 +83,7 @@
         self._task: asyncio.Task[None] | None = None
         self.connection: Connection | None = None
         self.opened = asyncio.Event()
+        self.used_s = time.monotonic()
 
     @property
     def peer(self) -> Hello | None:
@@ -98,8 +100,24 @@
             return False
         return time.monotonic() - self.connection.heard_s < SILENCE_S
 
+    def is_idle(self, idle_s: float) -> bool:
+        """Return True if only heartbeats passed for `idle_s` seconds."""
+        return not self._calls and time.monotonic() - self.used_s > idle_s
+
+    def drop(self) -> None:
+        """Break the present connection; the link dials again at once.
+
+        What the peer sent on it and is not read yet is lost, and the link is
+        not heard until the peer has said hello anew: after a pause, frames in
+        the socket's buffer are old and would pass for fresh ones.
+        """
+        if self.connection is not None:
+            self.connection.abort()
+            self._set(None)
+
     def send(self, message: Message) -> bool:
         """Send a message that expects no reply; return False if not connected."""
+        self.used_s = time.monotonic()
         return self.connection is not None and self.connection.write(message)
 
     async def ask(
@@ -109,6 +127,7 @@
 
         Waiting for a connection counts towards `timeout_s`.
         """
+        self.used_s = time.monotonic()
         ends_s = asyncio.get_running_loop().time() + timeout_s
         connection = await self._connected(ends_s)
         if connection is None or connection.is_closing():
@@ -221,11 +240,15 @@
         beats = asyncio.create_task(connection.keep_alive(self._own_heartbeat))
         try:
             async for frame in connection.frames():
+                if self.connection is not connection:
+                    return
                 self._take(frame)
         finally:
             beats.cancel()
 
     def _take(self, frame: Frame) -> None:
+        if not isinstance(frame.message, Heartbeat):
+            self.used_s = time.monotonic()
         if frame.call == 0:
             self._deliver(frame.message)
             return
--- a/src/trefoilpaddle/transport/server.py
+++ b/src/trefoilpaddle/transport/server.py
@@ -28,7 +28,7 @@
     Parameters
     ----------
     address : Address
-        Where to listen.
+        Where to listen; with port 0 the kernel chooses one and `address` tells it.
     own_hello : callable
         Returns what this process says of itself now.
     own_heartbeat : callable
@@ -92,8 +92,7 @@
     async def listening(self) -> AsyncIterator["PeerServer"]:
         """Listen while the context is open, then close all connections.
 
-        Open questions are answered before their connections close. With port
-        0 the kernel picks one, which `address` then gives.
+        Open questions are answered before their connections close.
 
         Raises
         ------
@@ -104,8 +103,9 @@
         self._server = await asyncio.start_server(
             self._accept, self.address.ip, self.address.port, ssl=self._tls
         )
-        port = self._server.sockets[0].getsockname()[1]
-        self.address = Address(ip=self.address.ip, port=port)
+        if self.address.port == 0:
+            port = self._server.sockets[0].getsockname()[1]
+            self.address = Address(ip=self.address.ip, port=port)
         try:
             yield self
         finally:
