--- a/tests/test_sidecar_failures.py
+++ b/tests/test_sidecar_failures.py
@@ -33,7 +33,7 @@
 from trefoilpaddle.state.catalogue import ServiceKind
 from trefoilpaddle.state.journal import Event
 from trefoilpaddle.state.settings import PolicySettings, RetentionSettings, StopSettings
-from trefoilpaddle.transport import server
+from trefoilpaddle.transport import connection
 from trefoilpaddle.transport.connection import Address
 from trefoilpaddle.transport.port_lock import PortLockError, held_port
 
@@ -244,7 +244,7 @@
         next heartbeat, new work is refused as not run, and what was taken is
         answered.
         """
-        monkeypatch.setattr(server, "HEARTBEAT_S", 3600.0)
+        monkeypatch.setattr(connection, "HEARTBEAT_S", 3600.0)
         async with scene() as s:
             s.target.gate.clear()
             taken = [s.gateway.start(idempotent=False) for _ in range(6)]
