--- a/src/trefoilpaddle/coordination/request.py
+++ b/src/trefoilpaddle/coordination/request.py
@@ -29,7 +29,7 @@
     fingerprint : int
         Checksum of pipeline and body.
     try_id : str
-        This try of it; the same as `request_id` unless the caller named that.
+        This try of it; a retry can carry the same `request_id`.
     key : str
         Key under which retries of it run once; empty without one.
     is_key_minted : bool
--- a/src/trefoilpaddle/protocol/const.py
+++ b/src/trefoilpaddle/protocol/const.py
@@ -8,6 +8,9 @@
 MAX_FRAME_BYTES: Final = 2 * 1024 * 1024
 """Largest frame accepted, header included; holds a configuration value."""
 
+MAX_ITEMS: Final = 20_000
+"""Most items in one list of a frame; each costs far more memory than bytes."""
+
 CHUNK_BYTES: Final = 64 * 1024
 """Largest piece of a body or an answer sent in one frame."""
 
@@ -21,13 +24,7 @@
 """A peer not heard from for this long gets no new work."""
 
 HEARTBEAT_S: Final = 0.5
-"""Time between heartbeats of the listening side, which say its load."""
-
-MANY_CONNECTIONS: Final = 48
-"""From so many connections on the listening side beats half as often."""
-
-DIALLER_HEARTBEAT_S: Final = 2.0
-"""Time between heartbeats of the dialling side, which say its revision only."""
+"""Shortest time between heartbeats on a connection."""
 
 NS_PER_S: Final = 1_000_000_000
 """Nanoseconds in a second."""
