--- a/src/trefoilpaddle/replay/fleet_measure.py
+++ b/src/trefoilpaddle/replay/fleet_measure.py
@@ -51,7 +51,14 @@
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class SizeFigures:
-    """What was measured at one number of peers."""
+    """What was measured at one number of peers.
+
+    Parameters
+    ----------
+    n_woke_late, n_suspected : int
+        Stalls that peers noticed of themselves and of each other; above 0 the
+        machine was too busy for the change times to be the fleet's own.
+    """
 
     n_peers: int
     n_keys: int
@@ -61,6 +68,8 @@
     change_median_s: float
     change_worst_s: float
     start_s: float
+    n_woke_late: int
+    n_suspected: int
 
 
 class WorkerProcess:
@@ -207,6 +216,7 @@
         for number in range(n_changes):
             times_s += await _change(fleet, number)
             await asyncio.sleep(CHANGE_GAP_S)
+        last = await fleet.all_do({"do": "figures"})
     span_s = float(after[0]["monotonic_s"] - before[0]["monotonic_s"])
 
     def rate(name: str) -> float:
@@ -226,6 +236,8 @@
         change_median_s=statistics.median(times_s),
         change_worst_s=max(times_s),
         start_s=fleet.start_s,
+        n_woke_late=sum(one["n_woke_late"] for one in last),
+        n_suspected=sum(one["n_suspected"] for one in last),
     )
 
 
@@ -287,6 +299,7 @@
         "change median s",
         "change worst s",
         "all started s",
+        "stalls",
     ):
         table.add_column(name, justify="right")
     for size in figures:
@@ -304,6 +317,7 @@
                 f"{size.change_median_s:.3f}",
                 f"{size.change_worst_s:.3f}",
                 f"{size.start_s:.1f}",
+                str(size.n_woke_late),
             )
     return table
 
--- a/src/trefoilpaddle/replay/fleet_worker.py
+++ b/src/trefoilpaddle/replay/fleet_worker.py
@@ -9,6 +9,7 @@
 import resource
 import sys
 import time
+from collections import Counter
 from dataclasses import asdict, dataclass
 from typing import Any, Final
 
@@ -19,7 +20,8 @@
 from ..coordination.config_feed import ConfigFeed, config_feed
 from ..protocol.ids import new_incarnation
 from ..roles.process import Identity, Process
-from ..state.journal import Journal
+from ..state.events import Event
+from ..state.journal import Decision, Journal
 from ..state.settings import LogFormat, PeerSettings, PlatformSettings
 from ..transport.connection import Address
 from ..transport.traffic import TRAFFIC
@@ -72,6 +74,7 @@
     def __init__(self, *, stack: contextlib.AsyncExitStack) -> None:
         self._stack = stack
         self._peers: list[Peer] = []
+        self._n_events: Counter[Event] = Counter()
 
     async def do(self, command: dict[str, Any]) -> dict[str, Any]:
         """Carry out one command and return its answer."""
@@ -109,6 +112,7 @@
         journal = Journal(
             process_id=identity.process_id, n_records=100, format=LogFormat.KEY_VALUE
         )
+        journal.subscribe(self._count)
         listen = Address(ip="127.0.0.1", port=0)
         process = Process(identity=identity, listen=listen, journal=journal)
         await self._stack.enter_async_context(process.server.listening())
@@ -125,6 +129,9 @@
         )
         return Peer(process=process, feed=feed)
 
+    def _count(self, decision: Decision) -> None:
+        self._n_events[decision.event] += 1
+
     async def _tick(self) -> None:
         """Keep links to the sidecars of each service, as a gateway does."""
         while True:
@@ -145,6 +152,8 @@
             "n_host_reads": sum(peer.feed.client.n_host_reads for peer in self._peers),
             "n_known": min(len(peer.feed.membership.live()) for peer in self._peers),
             "n_links": sum(len(peer.process.peers.links) for peer in self._peers),
+            "n_woke_late": self._n_events[Event.WOKE_LATE],
+            "n_suspected": self._n_events[Event.MEMBER_SUSPECTED],
             **asdict(TRAFFIC),
         }
 
--- a/src/trefoilpaddle/transport/connection.py
+++ b/src/trefoilpaddle/transport/connection.py
@@ -241,7 +241,9 @@
                 else:
                     self._writer.close()
                 await self._peer_closes()
-        except OSError:  # a timeout too
+        except (OSError, RuntimeError):
+            # OSError is a timeout too; the loop raises RuntimeError where the
+            # peer's reset closed the socket a moment before.
             pass
         self.abort()
 
