--- /dev/null
+++ b/src/trefoilpaddle/standins/generation.py
@@ -0,0 +1,97 @@
+"""One prompt being answered by an engine, and those who read the answer."""
+
+import asyncio
+import time
+
+from .outputs import engine_output, prefix_hashes
+from .record import Outcome, Run
+
+
+class Generation:
+    """Tokens of one prompt, as far as they are decoded.
+
+    Parameters
+    ----------
+    attempt_id : str
+        Id under which it is resumed and cancelled.
+    prompt : str
+        The prompt.
+    max_tokens : int
+        Most tokens to decode.
+    priority : int
+        The lower, the sooner.
+    run : Run
+        Its line in the record.
+    """
+
+    __slots__ = (
+        "_waiters",
+        "attempt_id",
+        "cost_s",
+        "hashes",
+        "n_cached_tokens",
+        "n_decoded",
+        "n_prefill_left",
+        "n_prompt_tokens",
+        "n_readers",
+        "priority",
+        "run",
+        "tokens",
+        "unread_since_s",
+    )
+
+    def __init__(
+        self, *, attempt_id: str, prompt: str, max_tokens: int, priority: int, run: Run
+    ) -> None:
+        self.attempt_id = attempt_id
+        self.priority = priority
+        self.run = run
+        self.tokens = engine_output(prompt, max_tokens)
+        self.hashes = prefix_hashes(prompt)
+        self.n_prompt_tokens = len(prompt.split())
+        self.n_cached_tokens = 0
+        self.n_prefill_left = self.n_prompt_tokens
+        self.n_decoded = 0
+        self.cost_s = 0.0
+        self.n_readers = 0
+        self.unread_since_s = time.monotonic()
+        self._waiters: list[asyncio.Future[None]] = []
+
+    @property
+    def has_ended(self) -> bool:
+        """Return True if nothing more will be decoded."""
+        return self.run.outcome is not Outcome.RUNNING
+
+    @property
+    def is_decoding(self) -> bool:
+        """Return True if the prompt is worked in and tokens are being made."""
+        return self.n_prefill_left == 0 and not self.has_ended
+
+    def end(self, outcome: Outcome) -> None:
+        """End it and tell its readers; the first end counts."""
+        if self.has_ended:
+            return
+        self.run.end(outcome)
+        self.wake()
+
+    def decode(self) -> None:
+        """Add one token; the last one ends it."""
+        self.n_decoded += 1
+        if self.n_decoded >= len(self.tokens):
+            self.end(Outcome.DONE)
+        else:
+            self.wake()
+
+    def wake(self) -> None:
+        """Let those who wait for more look again."""
+        waiters, self._waiters = self._waiters, []
+        for waiter in waiters:
+            if not waiter.done():
+                waiter.set_result(None)
+
+    async def wait_beyond(self, n_tokens: int) -> None:
+        """Return when more than `n_tokens` are decoded, or it has ended."""
+        while self.n_decoded <= n_tokens and not self.has_ended:
+            waiter: asyncio.Future[None] = asyncio.get_running_loop().create_future()
+            self._waiters.append(waiter)
+            await waiter
