--- a/src/trefoilpaddle/protocol/frames.py
+++ b/src/trefoilpaddle/protocol/frames.py
@@ -13,7 +13,7 @@
 from thrift.protocol.TCompactProtocol import TCompactProtocolAccelerated
 from thrift.transport.TTransport import TMemoryBuffer
 
-from .const import MAX_FRAME_BYTES
+from .const import MAX_FRAME_BYTES, MAX_ITEMS
 from .gen.claims import ttypes as claims
 from .gen.config import ttypes as config
 from .gen.explain import ttypes as explain
@@ -54,7 +54,8 @@
     61: claims.ClaimAnswer,
     62: claims.Settle,
     63: claims.SettleAnswer,
-    64: claims.ClaimMove,
+    64: claims.ClaimCopy,
+    65: claims.CopyAnswer,
     70: limits.LeaseAsk,
     71: limits.LeaseAnswer,
     80: explain.ExplainAsk,
@@ -109,7 +110,7 @@
     protocol = TCompactProtocolAccelerated(
         TMemoryBuffer(rest[REST_BYTES:]),
         string_length_limit=MAX_FRAME_BYTES,
-        container_length_limit=MAX_FRAME_BYTES,
+        container_length_limit=MAX_ITEMS,
         fallback=False,
     )
     try:
