--- a/src/trefoilpaddle/standins/batching.py
+++ b/src/trefoilpaddle/standins/batching.py
@@ -195,7 +195,7 @@
         total_s = model.step_base_s + sum(weights.values())
         for generation in self._running:
             part = (base_s + weights[id(generation)]) / total_s
-            generation.cost_s += step_s * part
+            generation.run.cost_s += step_s * part
 
     def _note_load(self) -> None:
         load = BatchLoad(n_running=len(self._running), n_waiting=len(self._waiting))
--- a/src/trefoilpaddle/standins/calls.py
+++ b/src/trefoilpaddle/standins/calls.py
@@ -148,8 +148,10 @@
                 await asyncio.sleep(cost_s)
                 await self.faults.wait_unpaused()
             except asyncio.CancelledError:
+                run.cost_s = time.monotonic() - run.begin_s
                 run.end(Outcome.CANCELLED)
                 raise
+            run.cost_s = cost_s
             if request.path in model.once_paths:
                 self.record.add_effect(request_id=run.request_id, path=run.path)
             run.end(Outcome.DONE)
--- a/src/trefoilpaddle/standins/engine.py
+++ b/src/trefoilpaddle/standins/engine.py
@@ -336,7 +336,7 @@
             "prompt_tokens": generation.n_prompt_tokens,
             "completion_tokens": generation.n_decoded,
             "prompt_tokens_details": {"cached_tokens": generation.n_cached_tokens},
-            "cost_s": round(generation.cost_s, 6),
+            "cost_s": round(generation.run.cost_s, 6),
         },
     }
 
--- a/src/trefoilpaddle/standins/generation.py
+++ b/src/trefoilpaddle/standins/generation.py
@@ -27,7 +27,6 @@
     __slots__ = (
         "_waiters",
         "attempt_id",
-        "cost_s",
         "hashes",
         "n_cached_tokens",
         "n_decoded",
@@ -52,7 +51,6 @@
         self.n_cached_tokens = 0
         self.n_prefill_left = self.n_prompt_tokens
         self.n_decoded = 0
-        self.cost_s = 0.0
         self.n_readers = 0
         self.unread_since_s = time.monotonic()
         self._waiters: list[asyncio.Future[None]] = []
--- a/src/trefoilpaddle/standins/outputs.py
+++ b/src/trefoilpaddle/standins/outputs.py
@@ -1,13 +1,12 @@
 """Answers as a pure function of the input, so that a crossed one is noticed."""
 
 import re
-from collections.abc import Sequence
 from typing import Final
 
 import orjson
 import xxhash
 
-N_BLOCK_WORDS: Final = 16
+N_BLOCK_WORDS: Final = 32
 """Words of one block of the prefix cache."""
 
 _MARK: Final = re.compile(r"mark:[0-9a-zA-Z-]{1,64}")
@@ -80,17 +79,15 @@
     """Return the chained signed hash of each whole block of `prompt`."""
     words = prompt.split()
     hashes: list[int] = []
-    chained = 0
+    state = xxhash.xxh3_64()
     for start in range(0, len(words) - N_BLOCK_WORDS + 1, N_BLOCK_WORDS):
-        chained = _block_hash(chained, words[start : start + N_BLOCK_WORDS])
-        hashes.append(chained - (1 << 64) if chained >> 63 else chained)
+        state.update(" ".join(words[start : start + N_BLOCK_WORDS]).encode())
+        state.update(b"\0")
+        value = state.intdigest()
+        hashes.append(value - (1 << 64) if value >> 63 else value)
     return hashes
 
 
-def _block_hash(previous: int, words: Sequence[str]) -> int:
-    return xxhash.xxh3_64_intdigest(" ".join(words).encode(), seed=previous)
-
-
 def _words(key: str, n_words: int) -> list[str]:
     seed = xxhash.xxh3_64_intdigest(key.encode())
     words: list[str] = []
--- a/src/trefoilpaddle/standins/record.py
+++ b/src/trefoilpaddle/standins/record.py
@@ -35,6 +35,8 @@
         Monotonic clock of the stand-in; `end_s` is 0 while it runs.
     outcome : Outcome
         How it ended.
+    cost_s : float
+        Target-seconds used so far.
     """
 
     request_id: str
@@ -44,6 +46,7 @@
     begin_s: float
     end_s: float = 0.0
     outcome: Outcome = Outcome.RUNNING
+    cost_s: float = 0.0
 
     def end(self, outcome: Outcome) -> None:
         """Note that the run ended now."""
