--- a/src/trefoilpaddle/roles/sidecar.py
+++ b/src/trefoilpaddle/roles/sidecar.py
@@ -15,6 +15,7 @@
 from ..coordination.dispatcher import Dispatcher
 from ..coordination.drain import drain
 from ..coordination.engine_calls import EngineCaller
+from ..coordination.key_parts import sidecar_keys
 from ..coordination.stage_journal import StageJournal
 from ..coordination.stage_server import StageServer
 from ..coordination.target_calls import PlainCaller, TargetCaller
@@ -32,6 +33,7 @@
 from ..transport.connection import Address
 from ..transport.port_lock import PortLockError, held_port
 from ..transport.target_http import TargetHttp
+from .operators import operators
 from .process import Process, identity_of
 
 HOUSEKEEPING_S: Final = 0.25
@@ -78,7 +80,15 @@
     sidecar.dispatcher.is_configured = False
     async with (
         sidecar.open(),
-        config_feed(process=process, platform=settings.platform, peers=settings.peers),
+        config_feed(
+            process=process, platform=settings.platform, peers=settings.peers
+        ) as feed,
+        operators(
+            process=process,
+            listen=settings.process.operators_listen,
+            is_ready=feed.is_known,
+            held_back=lambda: feed.state.held_back,
+        ),
     ):
         await process.stopping.wait()
         process.n_cut_off = await sidecar.stop()
@@ -147,6 +157,14 @@
         process.message_listeners.append(self.server.on_message)
         process.close_listeners.append(self.server.on_close)
         process.server.answer(Bar, self.server.answer_bar)
+        sidecar_keys(
+            process_id=process.identity.process_id,
+            published=process.published,
+            peers=process.peers,
+            server=process.server,
+            journal=process.journal,
+            window_s=self._settings.retention.retry_window_s,
+        )
         process.published.subscribe(self._on_published)
         async with self._http.opened(), process.running():
             tasks = [
--- a/src/trefoilpaddle/state/story_text.py
+++ b/src/trefoilpaddle/state/story_text.py
@@ -4,6 +4,7 @@
 from typing import Final
 
 from .events import Event
+from .reason_words import reason_words
 from .story import Step, Story
 
 SENTENCES: Final = {
@@ -14,7 +15,7 @@
     Event.CALLER_LEFT: "saw the caller leave",
     Event.REQUEST_JOINED: "joined a retry to the try that was running already",
     Event.ROUTED: "sent stage {stage} to {peer}",
-    Event.RETRIED: "tried stage {stage} again at {peer}",
+    Event.RETRIED: "tries stage {stage} again after {peer}",
     Event.HEDGED: "sent stage {stage} to {peer} as well",
     Event.STAGE_DONE: "has the whole result of stage {stage} from {peer}",
     Event.STAGE_FAILED: "got no result of stage {stage} from {peer}",
@@ -45,10 +46,16 @@
     "deadline_s": "deadline {:.3f} s",
     "budget_s": "{:.3f} s left",
     "slack_s": "slack {:.3f} s",
+    "wait_s": "expected wait {:.3f} s",
+    "took_s": "took {:.3f} s",
+    "n_candidates": "{:.0f} candidates",
+    "n_tokens": "{:.0f} tokens",
+    "n_cached_tokens": "{:.0f} tokens cached",
     "n_ahead": "{:.0f} ahead",
     "n_running": "{:.0f} running",
     "n_bytes": "{:.0f} bytes",
 }
+HIDDEN_AT_0: Final = frozenset({"n_cached_tokens", "n_tokens", "retry_after_s"})
 
 
 def lines(story: Story) -> Iterator[str]:
@@ -97,7 +104,7 @@
     for step in reversed(story.steps):
         for event, words in OUTCOMES.items():
             if step.event == event:
-                reason = f", because: {_plain(step.reason)}" if step.reason else ""
+                reason = f", because {reason_words(step.reason)}" if step.reason else ""
                 return f"{words}{reason}"
     return ""
 
@@ -105,7 +112,7 @@
 def _step_line(step: Step, began_s: float) -> str:
     words = [f"  {began_s - step.age_s:+8.3f} s  {step.process_id} {_sentence(step)}"]
     if step.reason:
-        words.append(f"because: {_plain(step.reason)}")
+        words.append(f"because {reason_words(step.reason)}")
     if step.detail:
         words.append(step.detail)
     figures = ", ".join(_figures(step))
@@ -123,6 +130,8 @@
 
 def _figures(step: Step) -> Iterator[str]:
     for figure in step.figures:
+        if figure.name in HIDDEN_AT_0 and figure.value == 0:
+            continue
         words = FIGURE_WORDS.get(figure.name, f"{figure.name} {{:g}}")
         yield words.format(figure.value)
 
