Take an engine's early end as a failure, give back what waits for a dead target

Cause: an engine's stream that ends with finish_reason error or cancelled passed for a whole answer; work queued for a target that stopped answering waited for two missed checks; X-Not-Run was believed with 503 only. Change: any finish but stop and length is a failure; a refused connection marks the target down at once and what waits is answered as not run; X-Not-Run counts with every status; the age of the target's own load report is read. Conclusion: the failure of a given-up stream is tested.

--- a/src/trefoilpaddle/coordination/dispatcher.py
+++ b/src/trefoilpaddle/coordination/dispatcher.py
@@ -23,7 +23,7 @@
 from .attempts import Attempt, AttemptTable, Phase
 from .queue_policy import Slots, Verdict, judge
 from .stage_journal import StageJournal
-from .target_calls import CallEnd, TargetCaller
+from .target_calls import CONNECT_STEP, DOWN_RETRY_S, CallEnd, TargetCaller
 
 LOST_GRACE_NS: Final = NS_PER_S
 """How long waiting work outlives its connection."""
@@ -70,6 +70,7 @@
         "is_leaving",
         "is_target_up",
         "reported_age_ms",
+        "reports_load",
         "revision",
     )
 
@@ -104,6 +105,7 @@
         self.is_leaving = False
         self.is_target_up = True
         self.reported_age_ms = -1
+        self.reports_load = False
         self.revision = 0
 
     def load(self) -> Load:
@@ -126,9 +128,19 @@
     def set_service(self, service: Service) -> None:
         """Take what the catalogue says of the target's service."""
         self._max_queue_s = service.max_queue_s
+        self.reports_load = service.reports_load
         self._slots.set_base(service.n_slots)
         self.start_waiting()
 
+    def set_target_up(self, *, is_up: bool) -> None:
+        """Take whether the target answers; what waits for a dead one goes back."""
+        if is_up == self.is_target_up:
+            return
+        self.is_target_up = is_up
+        self._journal.target(is_up=is_up)
+        if not is_up:
+            self.give_back_waiting(Reason.TARGET_DOWN, retry_after_s=DOWN_RETRY_S)
+
     def refuses_all(self) -> Reason:
         """Return why no new work is taken, or ``Reason.NONE``."""
         if self.is_leaving:
@@ -224,11 +236,11 @@
         elif attempt.task is not None:
             attempt.task.cancel()
 
-    def give_back_waiting(self) -> None:
+    def give_back_waiting(self, reason: Reason, *, retry_after_s: float = 0.0) -> None:
         """Answer all that waits as not run."""
         for attempt in self._table.open_attempts():
             if attempt.phase in (Phase.RECEIVING, Phase.WAITING):
-                self.withdraw(attempt, Reason.LEAVING)
+                self.withdraw(attempt, reason, retry_after_s=retry_after_s)
 
     def _has_free_slot(self) -> bool:
         return not len(self._queue) and len(self._running) < self._slots.n_slots
@@ -352,6 +364,8 @@
                 self._ends.answered(attempt, end, service_s=service_s)
             case Err(NotRun() as error):
                 self._end_not_run(attempt, error)
+                if error.step == CONNECT_STEP:
+                    self.set_target_up(is_up=False)
             case Err(Failed() | Unknown() as error):
                 self._settle(attempt, used_s=spent_s(attempt))
                 self._ends.failed(attempt, error)
--- a/src/trefoilpaddle/coordination/drain.py
+++ b/src/trefoilpaddle/coordination/drain.py
@@ -3,6 +3,7 @@
 import asyncio
 import contextlib
 
+from ..protocol.reasons import Reason
 from .attempts import AttemptTable
 from .dispatcher import Dispatcher
 
@@ -26,5 +27,5 @@
     with contextlib.suppress(TimeoutError):
         async with asyncio.timeout(drain_s):
             await table.wait_empty()
-    dispatcher.give_back_waiting()
+    dispatcher.give_back_waiting(Reason.LEAVING)
     return len(table)
--- a/src/trefoilpaddle/coordination/engine_events.py
+++ b/src/trefoilpaddle/coordination/engine_events.py
@@ -10,6 +10,8 @@
 DATA_PREFIX: Final = b"data:"
 DONE: Final = b"[DONE]"
 MAX_LINE_BYTES: Final = 1024 * 1024
+WHOLE_FINISHES: Final = (None, "stop", "length")
+"""Finish reasons of a stream that goes on or is whole."""
 
 
 class EngineEvents:
@@ -50,11 +52,15 @@
             try:
                 self._take(orjson.loads(payload), texts)
             except (ValueError, TypeError, KeyError, IndexError) as error:
-                return Err(f"an event cannot be read: {type(error).__name__}")
+                return Err(f"an event cannot be taken: {error}")
         return Ok("".join(texts).encode())
 
     def _take(self, event: Any, texts: list[str]) -> None:
         choice = event["choices"][0]
+        finish = choice.get("finish_reason")
+        if finish not in WHOLE_FINISHES:
+            # What came so far looks like an answer, but the engine gave it up.
+            raise ValueError(f"the engine ended the stream with {finish!r}")
         text = choice["text"]
         if text:
             texts.append(text)
--- a/src/trefoilpaddle/coordination/stage_journal.py
+++ b/src/trefoilpaddle/coordination/stage_journal.py
@@ -51,6 +51,11 @@
             figures={"n_bytes": attempt.stream.answer.n_bytes},
         )
 
+    def target(self, *, is_up: bool) -> None:
+        """Record that the target answers, or does not any more."""
+        event = Event.TARGET_UP if is_up else Event.TARGET_DOWN
+        self._journal.record(Decision(event=event, peer=self._target))
+
     def slots(self, *, n_before: int, n_slots: int) -> None:
         """Record that another number of calls may run at once."""
         self._journal.record(
--- a/src/trefoilpaddle/coordination/target_calls.py
+++ b/src/trefoilpaddle/coordination/target_calls.py
@@ -14,6 +14,8 @@
 from .streams import Sink
 
 NOT_RUN_HEADER: Final = "X-Not-Run"
+CONNECT_STEP: Final = "connect"
+"""Step of an error that shows that the target does not even accept calls."""
 COST_HEADER: Final = "X-Cost-S"
 DOWN_RETRY_S: Final = 1.0
 """When to come back to a target that does not answer at all."""
@@ -143,12 +145,13 @@
     """Return what an answer other than 200 says of the call."""
     await response.read()
     status = response.status
-    if status == 503 and response.headers.get(NOT_RUN_HEADER) == "1":
+    if response.headers.get(NOT_RUN_HEADER) == "1":
+        is_bad = status in (400, 413)
         return NotRun(
-            reason=Reason.TARGET_DOWN,
+            reason=Reason.BAD_REQUEST if is_bad else Reason.TARGET_DOWN,
             step="call",
             peer=peer,
-            detail="the target says that it did not start the call",
+            detail=f"the target answered {status} and did not start the call",
             retry_after_s=_retry_after_s(response.headers),
         )
     reason = Reason.BAD_REQUEST if 400 <= status < 500 else Reason.TARGET_FAILED
@@ -182,7 +185,7 @@
     if not guard.is_sent:
         return NotRun(
             reason=Reason.TARGET_DOWN,
-            step="connect",
+            step=CONNECT_STEP,
             peer=peer,
             detail=f"the target cannot be reached: {type(error).__name__}",
             retry_after_s=DOWN_RETRY_S,
--- a/src/trefoilpaddle/coordination/target_watch.py
+++ b/src/trefoilpaddle/coordination/target_watch.py
@@ -1,15 +1,17 @@
 """Watches whether the target answers, and how old its own load report is."""
 
 import asyncio
+import contextlib
 from typing import Final
 
+import orjson
 from aiohttp import ClientError
 
-from ..state.journal import Decision, Event, Journal
 from ..transport.target_http import TargetHttp
 from .dispatcher import Dispatcher
 
 HEALTH_PATH: Final = "/health"
+LOAD_PATH: Final = "/load"
 HEALTH_TIMEOUT_S: Final = 1.0
 N_MISSES: Final = 2
 """Checks missed in a row before a target counts as down."""
@@ -22,38 +24,32 @@
     ----------
     http : TargetHttp
         Session to the target.
-    name : str
-        The target's name.
     period_s : float
         Time between checks.
     dispatcher : Dispatcher
         Is told whether the target is up.
-    journal : Journal
-        Takes each change.
     """
 
-    __slots__ = ("_dispatcher", "_http", "_journal", "_n_misses", "_name", "_period_s")
+    __slots__ = ("_dispatcher", "_http", "_n_misses", "_period_s")
 
     def __init__(
         self,
         *,
         http: TargetHttp,
-        name: str,
         period_s: float,
         dispatcher: Dispatcher,
-        journal: Journal,
     ) -> None:
         self._http = http
-        self._name = name
         self._period_s = period_s
         self._dispatcher = dispatcher
-        self._journal = journal
         self._n_misses = 0
 
     async def run(self) -> None:
         """Check until cancelled."""
         while True:
             self._note(is_up=await self._is_up())
+            if self._dispatcher.reports_load:
+                await self._read_load()
             await asyncio.sleep(self._period_s)
 
     async def _is_up(self) -> bool:
@@ -67,9 +63,16 @@
 
     def _note(self, *, is_up: bool) -> None:
         self._n_misses = 0 if is_up else self._n_misses + 1
-        was_up = self._dispatcher.is_target_up
-        if is_up == was_up or (was_up and self._n_misses < N_MISSES):
-            return
-        self._dispatcher.is_target_up = is_up
-        event = Event.TARGET_UP if is_up else Event.TARGET_DOWN
-        self._journal.record(Decision(event=event, peer=self._name))
+        if is_up or self._n_misses >= N_MISSES:
+            self._dispatcher.set_target_up(is_up=is_up)
+
+    async def _read_load(self) -> None:
+        """Note the age of the target's own report; without one keep the last."""
+        with contextlib.suppress(
+            ClientError, OSError, TimeoutError, ValueError, TypeError, KeyError
+        ):
+            async with asyncio.timeout(HEALTH_TIMEOUT_S):
+                async with self._http.get(LOAD_PATH) as response:
+                    report = orjson.loads(await response.read())
+                    age_s = float(report["age_s"])
+                    self._dispatcher.reported_age_ms = int(1000 * age_s)
--- a/src/trefoilpaddle/roles/sidecar.py
+++ b/src/trefoilpaddle/roles/sidecar.py
@@ -210,10 +210,8 @@
         target = self._settings.target
         return TargetWatch(
             http=self._http,
-            name=target.name,
             period_s=target.load_period_s,
             dispatcher=self.dispatcher,
-            journal=self._process.journal,
         )
 
     async def _keep_house(self) -> None:
--- a/tests/sidecar_rig.py
+++ b/tests/sidecar_rig.py
@@ -78,6 +78,7 @@
         self.cut_after: int | None = None
         self.knows_attempts = True
         self.token = "word "
+        self.finish_reason = "stop"
 
     @contextlib.asynccontextmanager
     async def serving(self) -> AsyncIterator["FakeTarget"]:
@@ -144,7 +145,7 @@
         return response
 
     def _event(self, text: str, usage: dict[str, Any] | None) -> bytes:
-        finish = "stop" if usage else None
+        finish = self.finish_reason if usage else None
         event: dict[str, Any] = {
             "choices": [{"index": 0, "text": text, "finish_reason": finish}]
         }
--- a/tests/test_sidecar_attempts.py
+++ b/tests/test_sidecar_attempts.py
@@ -143,6 +143,7 @@
         ("status", "headers", "outcome"),
         [
             (503, {"X-Not-Run": "1"}, Outcome.NOT_RUN),
+            (404, {"X-Not-Run": "1"}, Outcome.NOT_RUN),
             (503, {}, Outcome.FAILED),
             (500, {}, Outcome.FAILED),
             (400, {}, Outcome.FAILED),
--- a/tests/test_sidecar_failures.py
+++ b/tests/test_sidecar_failures.py
@@ -206,6 +206,17 @@
             assert failure.outcome == outcome
             assert s.gateway.of(End, attempt_id) == []
 
+    async def test_a_stream_that_the_engine_gave_up_is_no_answer(self) -> None:
+        """An engine ends a stream early and says so in its last event.
+
+        The tokens so far would pass for a short answer.
+        """
+        async with scene(kind=ENGINE) as s:
+            s.target.finish_reason = "error"
+            failure = await s.gateway.failure(s.gateway.start(PROMPT))
+            assert failure.outcome == Outcome.FAILED
+            assert failure.reason == Reason.TARGET_FAILED
+
 
 class TestTargetLock:
     async def test_a_second_sidecar_does_not_begin(self) -> None:
@@ -281,6 +292,22 @@
 
 
 class TestTargetDown:
+    async def test_what_waits_for_a_dead_target_goes_back_at_once(self) -> None:
+        """A target dies while calls run and wait.
+
+        Those that wait can still be served elsewhere in time.
+        """
+        async with scene() as s:
+            s.target.gate.clear()
+            for _ in range(4):
+                s.gateway.start()
+            waiting = s.gateway.start()
+            await until(lambda: len(s.target.runs) == 4)
+            s.rig.sidecar.dispatcher.set_target_up(is_up=False)
+            failure = await s.gateway.failure(waiting)
+            assert failure.outcome == Outcome.NOT_RUN
+            assert failure.reason == Reason.TARGET_DOWN
+
     async def test_a_target_that_does_not_answer_gets_no_work(self) -> None:
         async with FakeTarget().serving() as target:
             port = target.port
