Adapt the number of calls at once to what the target's batching bears

Cause: the number in the catalogue is a guess; too few leave a batch half empty, too many wait inside the target, where no share and no deadline orders them. Change: trials of a quarter more and a quarter fewer, judged by work done a second (Little's law on service, prediction and mean concurrency); the running calls and what is measured of them have a module of their own. A move takes some hundred calls.

--- a/src/trefoilpaddle/coordination/dispatcher.py
+++ b/src/trefoilpaddle/coordination/dispatcher.py
@@ -15,20 +15,18 @@
 from ..state.concurrency import SlotLimit
 from ..state.journal import Event
 from ..state.settings import PolicySettings
-from ..state.slowness import Slowness
 from ..state.work_queue import Work, WorkQueue
 from .attempt_ends import AttemptEnds, spent_s
 from .attempt_errors import withdrawn
 from .attempt_run import AttemptRunner
 from .attempts import Attempt, AttemptTable, Phase
-from .queue_policy import Slots, Verdict, judge
+from .queue_policy import Verdict, judge
+from .running_calls import RunningCalls
 from .stage_journal import StageJournal
 from .target_calls import CONNECT_STEP, DOWN_RETRY_S, CallEnd, TargetCaller
 
 LOST_GRACE_NS: Final = NS_PER_S
 """How long waiting work outlives its connection."""
-MIN_LEFT_SHARE: Final = 0.1
-"""Part of its prediction that a call is taken to need still, however long it ran."""
 DEFAULT_MAX_QUEUE_S: Final = 30.0
 """Longest queue while the service is not in the catalogue."""
 
@@ -63,8 +61,6 @@
         "_queue",
         "_runner",
         "_running",
-        "_slots",
-        "_slowness",
         "_table",
         "is_configured",
         "is_leaving",
@@ -88,12 +84,10 @@
         self._name = name
         self._table = table
         self._queue = queue
-        self._slots = slots
         self._journal = journal
         self._policy = policy
         self._max_queue_s = DEFAULT_MAX_QUEUE_S
-        self._running: dict[bytes, Attempt] = {}
-        self._slowness = Slowness()
+        self._running = RunningCalls(limit=slots)
         self._ends = AttemptEnds(table=table, journal=journal, read_load=self.load)
         self._runner = AttemptRunner(
             name=name,
@@ -115,12 +109,12 @@
             stamp_ns=now_ns,
             n_running=len(self._running),
             n_queued=len(self._queue),
-            n_slots=self._slots.n_slots,
+            n_slots=self._running.limit.n_slots,
             queued_work_s=self._queue.work_s,
-            running_work_s=sum(self._left_s(now_ns)),
+            running_work_s=sum(self._running.left_s(now_ns)),
             leaving=self.is_leaving,
             config_revision=self.revision,
-            slowness=self._slowness.at(now_ns / NS_PER_S),
+            slowness=self._running.slowness(now_ns),
             target_up=self.is_target_up,
             reported_age_ms=self.reported_age_ms,
         )
@@ -129,7 +123,7 @@
         """Take what the catalogue says of the target's service."""
         self._max_queue_s = service.max_queue_s
         self.reports_load = service.reports_load
-        self._slots.set_base(service.n_slots)
+        self._running.limit.set_base(service.n_slots)
         self.start_waiting()
 
     def set_target_up(self, *, is_up: bool) -> None:
@@ -153,7 +147,8 @@
 
     def predicted_wait_s(self) -> float:
         """Return the seconds until all that waits should have started."""
-        return self._slots_now(time.monotonic_ns()).wait_s(self._queue.work_s)
+        slots = self._running.slots(time.monotonic_ns())
+        return slots.wait_s(self._queue.work_s)
 
     def expire_at_deadline(self, attempt: Attempt) -> None:
         """Answer an attempt that has not started by its deadline at once."""
@@ -165,7 +160,7 @@
         attempt.work = work
         attempt.phase = Phase.WAITING
         attempt.stop_timer()
-        if self._has_free_slot():
+        if self._running.has_free() and not len(self._queue):
             # Through the queue all the same: its owner is charged for the slot.
             self._queue.push(work)
             self.start_waiting()
@@ -173,7 +168,7 @@
         verdict = judge(
             work,
             queue=self._queue,
-            slots=self._slots_now(now_ns),
+            slots=self._running.slots(now_ns),
             now_ns=now_ns,
             max_queue_s=self._max_queue_s,
             refuses_early=self._policy.refuse_early,
@@ -189,7 +184,7 @@
 
     def start_waiting(self) -> None:
         """Start what waits while slots are free."""
-        while len(self._running) < self._slots.n_slots:
+        while self._running.has_free():
             now_ns = time.monotonic_ns()
             work = self._queue.pop(now_ns=now_ns)
             if work is None:
@@ -242,25 +237,6 @@
             if attempt.phase in (Phase.RECEIVING, Phase.WAITING):
                 self.withdraw(attempt, reason, retry_after_s=retry_after_s)
 
-    def _has_free_slot(self) -> bool:
-        return not len(self._queue) and len(self._running) < self._slots.n_slots
-
-    def _slots_now(self, now_ns: int) -> Slots:
-        return Slots(
-            n_slots=self._slots.n_slots,
-            left_s=self._left_s(now_ns),
-            slowness=self._slowness.at(now_ns / NS_PER_S),
-        )
-
-    def _left_s(self, now_ns: int) -> list[float]:
-        """Return the predicted seconds that each running call still needs."""
-        left_s = []
-        for attempt in self._running.values():
-            predicted_s = attempt.start.predicted_s
-            ran_s = (now_ns - attempt.started_ns) / NS_PER_S
-            left_s.append(max(MIN_LEFT_SHARE * predicted_s, predicted_s - ran_s))
-        return left_s
-
     def _refuse(self, attempt: Attempt, verdict: Verdict) -> None:
         error = NotRun(
             reason=verdict.reason,
@@ -332,7 +308,7 @@
             return
         attempt.phase = Phase.RESERVED
         attempt.started_ns = now_ns
-        self._running[attempt.attempt_id] = attempt
+        self._running.add(attempt, now_ns=now_ns)
         attempt.task = asyncio.create_task(self._run(attempt))
 
     def _is_abandoned(self, attempt: Attempt, *, now_ns: int) -> bool:
@@ -342,14 +318,12 @@
 
     async def _run(self, attempt: Attempt) -> None:
         result = await self._runner.run(attempt, n_running=len(self._running))
-        if attempt.phase is Phase.DONE:
-            return
-        self._free_slot(attempt)
-        self._end(attempt, result)
+        if attempt.phase is not Phase.DONE:
+            self._end(attempt, result)
 
     def _free_slot(self, attempt: Attempt) -> None:
         """Free the slot of an attempt that holds one, once."""
-        if self._running.pop(attempt.attempt_id, None) is None:
+        if not self._running.remove(attempt, now_ns=time.monotonic_ns()):
             return
         if attempt.task is not None and attempt.phase is not Phase.DONE:
             asyncio.get_running_loop().call_soon(self.start_waiting)
@@ -357,17 +331,20 @@
                 attempt.task.cancel()
 
     def _end(self, attempt: Attempt, result: Result[CallEnd, StageError]) -> None:
+        service_s = spent_s(attempt)
+        if isinstance(result, Ok):
+            self._learn(attempt)
+        self._free_slot(attempt)
         match result:
             case Ok(end):
-                service_s = spent_s(attempt)
-                self._learn(attempt, service_s=service_s, used_s=end.cost_s)
+                self._settle(attempt, used_s=end.cost_s or service_s)
                 self._ends.answered(attempt, end, service_s=service_s)
             case Err(NotRun() as error):
                 self._end_not_run(attempt, error)
                 if error.step == CONNECT_STEP:
                     self.set_target_up(is_up=False)
             case Err(Failed() | Unknown() as error):
-                self._settle(attempt, used_s=spent_s(attempt))
+                self._settle(attempt, used_s=service_s)
                 self._ends.failed(attempt, error)
 
     def _end_not_run(self, attempt: Attempt, error: NotRun) -> None:
@@ -378,17 +355,9 @@
         if attempt.work is not None:
             self._queue.settle(attempt.work, used_s=used_s)
 
-    def _learn(self, attempt: Attempt, *, service_s: float, used_s: float) -> None:
-        self._settle(attempt, used_s=used_s or service_s)
-        predicted_s = attempt.start.predicted_s
-        self._slowness.note(
-            service_s=service_s, predicted_s=predicted_s, now_s=time.monotonic()
-        )
-        n_before = self._slots.n_slots
-        self._slots.note(
-            service_s=service_s,
-            predicted_s=predicted_s,
-            n_running=len(self._running) + 1,
-        )
-        if self._slots.n_slots != n_before:
-            self._journal.slots(n_before=n_before, n_slots=self._slots.n_slots)
+    def _learn(self, attempt: Attempt) -> None:
+        limit = self._running.limit
+        n_before = limit.n_slots
+        self._running.learn(attempt, now_ns=time.monotonic_ns())
+        if limit.n_slots != n_before:
+            self._journal.slots(n_before=n_before, n_slots=limit.n_slots)
--- a/src/trefoilpaddle/roles/sidecar.py
+++ b/src/trefoilpaddle/roles/sidecar.py
@@ -23,7 +23,7 @@
 from ..protocol.const import NS_PER_S
 from ..protocol.gen.stage.ttypes import Bar
 from ..state.catalogue import ServiceKind
-from ..state.concurrency import FixedSlots
+from ..state.concurrency import AdaptiveSlots, FixedSlots, SlotLimit
 from ..state.fair_queue import FairQueue
 from ..state.held_results import HeldResults
 from ..state.journal import Decision, Event, Journal
@@ -134,7 +134,7 @@
             name=target.name,
             table=self.table,
             queue=self._queue(),
-            slots=FixedSlots(n_slots=DEFAULT_SLOTS[target.kind]),
+            slots=self._slots(),
             caller=self._caller(),
             journal=journal,
             policy=settings.policy,
@@ -206,6 +206,12 @@
             case Order.FAIR:
                 return FairQueue()
 
+    def _slots(self) -> SlotLimit:
+        n_slots = DEFAULT_SLOTS[self._settings.target.kind]
+        if self._settings.policy.adapt_concurrency:
+            return AdaptiveSlots(n_slots=n_slots)
+        return FixedSlots(n_slots=n_slots)
+
     def _watch(self) -> TargetWatch:
         target = self._settings.target
         return TargetWatch(
--- a/src/trefoilpaddle/state/concurrency.py
+++ b/src/trefoilpaddle/state/concurrency.py
@@ -1,6 +1,45 @@
 """How many calls the target is given at once."""
 
-from typing import Protocol
+from dataclasses import dataclass
+from typing import Final, Protocol
+
+N_SAMPLES: Final = 48
+"""Ended calls on which each side of a comparison rests."""
+
+UP_GAIN: Final = 0.5
+"""Share of the ideal gain in work done for which more slots are kept."""
+
+DOWN_GAIN: Final = 0.05
+"""Share of the ideal gain below which the uppermost slots are given up."""
+
+MAX_PATIENCE: Final = 8
+"""Most times that the next trial is put off after fruitless ones."""
+
+MAX_FACTOR: Final = 4
+"""Most slots, as a multiple of the number in the catalogue."""
+
+PROBE_MAX_S: Final = 10.0
+"""A trial that gets too few calls in this time is given up."""
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Sample:
+    """One ended call.
+
+    Parameters
+    ----------
+    service_s, predicted_s : float
+        Measured and predicted service time.
+    mean_running : float
+        Calls that ran at the target during it, itself included, on average.
+    now_s : float
+        When it ended, on a monotonic clock.
+    """
+
+    service_s: float
+    predicted_s: float
+    mean_running: float
+    now_s: float
 
 
 class SlotLimit(Protocol):
@@ -15,8 +54,8 @@
         """Take the number that the catalogue names."""
         ...
 
-    def note(self, *, service_s: float, predicted_s: float, n_running: int) -> bool:
-        """Learn from one ended call; return True if the limit changed."""
+    def note(self, sample: Sample) -> None:
+        """Learn from one ended call."""
         ...
 
 
@@ -32,6 +71,129 @@
         """Take the number that the catalogue names."""
         self.n_slots = n_slots
 
-    def note(self, *, service_s: float, predicted_s: float, n_running: int) -> bool:
+    def note(self, sample: Sample) -> None:
         """Learn nothing."""
-        return False
+
+
+class Side:
+    """Calls measured at one number of slots."""
+
+    __slots__ = ("_mean_running", "_predicted_s", "_service_s", "n_samples")
+
+    def __init__(self) -> None:
+        self._mean_running = 0.0
+        self._predicted_s = 0.0
+        self._service_s = 0.0
+        self.n_samples = 0
+
+    def add(self, sample: Sample) -> None:
+        """Count one call."""
+        self.n_samples += 1
+        self._mean_running += sample.mean_running
+        self._predicted_s += sample.predicted_s
+        self._service_s += sample.service_s
+
+    def rate(self) -> float:
+        """Return predicted seconds of work done a second, by Little's law."""
+        mean_running = self._mean_running / self.n_samples
+        return mean_running * self._predicted_s / self._service_s
+
+
+class AdaptiveSlots:
+    """Finds by trial how many calls the target's batching bears.
+
+    Work done a second is measured at the present number of slots and, in turn,
+    at a quarter more and a quarter fewer. More are kept while they do enough of
+    the work that they could; the uppermost are given up when they do none,
+    because calls then only wait inside the target, where no share and no
+    deadline orders them. Both sides of a comparison are measured one after the
+    other, so that a prediction which drifts cancels out.
+
+    Parameters
+    ----------
+    n_slots : int
+        Where to begin.
+    """
+
+    __slots__ = ("_base", "_kept", "_n", "_patience", "_probe", "_probe_since_s", "_up")
+
+    def __init__(self, *, n_slots: int) -> None:
+        self._base = n_slots
+        self._restart(n_slots)
+
+    @property
+    def n_slots(self) -> int:
+        """Calls that may run at once."""
+        return self._n if self._probe is None else self._probe_slots()
+
+    def set_base(self, n_slots: int) -> None:
+        """Begin anew where the catalogue says, if that has changed."""
+        if n_slots != self._base:
+            self._base = n_slots
+            self._restart(n_slots)
+
+    def note(self, sample: Sample) -> None:
+        """Learn from one ended call that ran while all slots were taken."""
+        if self._probe is not None:
+            self._note_probe(self._probe, sample)
+            return
+        if not self._fits(sample, self._n):
+            return
+        self._kept.add(sample)
+        if self._kept.n_samples >= N_SAMPLES * self._patience:
+            self._begin_probe(sample.now_s)
+
+    def _restart(self, n_slots: int) -> None:
+        self._n = n_slots
+        self._kept = Side()
+        self._probe: Side | None = None
+        self._probe_since_s = 0.0
+        self._patience = 1
+        self._up = True
+
+    def _step(self) -> int:
+        return max(1, self._n // 4)
+
+    def _probe_slots(self) -> int:
+        if self._up:
+            return min(self._n + self._step(), MAX_FACTOR * self._base)
+        return max(1, self._n - self._step())
+
+    def _fits(self, sample: Sample, n_slots: int) -> bool:
+        is_near = abs(sample.mean_running - n_slots) <= self._step() / 2
+        return is_near and sample.predicted_s > 0.0 and sample.service_s > 0.0
+
+    def _begin_probe(self, now_s: float) -> None:
+        if self._probe_slots() == self._n:
+            self._up = not self._up
+            self._kept = Side()
+            return
+        self._probe = Side()
+        self._probe_since_s = now_s
+
+    def _note_probe(self, probe: Side, sample: Sample) -> None:
+        if self._fits(sample, self._probe_slots()):
+            probe.add(sample)
+        if probe.n_samples >= N_SAMPLES:
+            self._conclude(probe)
+        elif sample.now_s - self._probe_since_s > PROBE_MAX_S:
+            self._end_probe(has_moved=False)
+
+    def _conclude(self, probe: Side) -> None:
+        tried = self._probe_slots()
+        few, many = (self._kept, probe) if self._up else (probe, self._kept)
+        n_few, n_many = sorted((self._n, tried))
+        gain = (many.rate() / few.rate() - 1.0) / (n_many / n_few - 1.0)
+        has_moved = gain >= UP_GAIN if self._up else gain < DOWN_GAIN
+        if has_moved:
+            self._n = tried
+        self._end_probe(has_moved=has_moved)
+
+    def _end_probe(self, *, has_moved: bool) -> None:
+        self._probe = None
+        self._kept = Side()
+        if has_moved:
+            self._patience = 1
+            return
+        self._up = not self._up
+        self._patience = min(MAX_PATIENCE, 2 * self._patience)
