--- a/tests/sidecar_rig.py
+++ b/tests/sidecar_rig.py
@@ -211,20 +211,25 @@
         self.process = Process(identity=identity, listen=self.address, journal=journal)
         self.sidecar = Sidecar(settings=settings, process=self.process)
 
-    @contextlib.asynccontextmanager
-    async def gateway(self) -> AsyncIterator["GatewaySide"]:
+    def gateway(self) -> contextlib.AbstractAsyncContextManager["GatewaySide"]:
         """Yield a new connection to the sidecar."""
-        reader, writer = await asyncio.open_connection("127.0.0.1", self.address.port)
-        hello = Hello(version=PROTOCOL_VERSION, process_id="g1-gateway", role="gateway")
-        connection = Connection(reader=reader, writer=writer, own=hello)
-        assert isinstance(await connection.exchange_hello(), Ok)
-        side = GatewaySide(connection)
-        task = asyncio.create_task(side.read())
-        try:
-            yield side
-        finally:
-            connection.abort()
-            task.cancel()
+        return connected(self.address)
+
+
+@contextlib.asynccontextmanager
+async def connected(address: Address) -> AsyncIterator["GatewaySide"]:
+    """Yield the gateway's side of a new connection to the sidecar there."""
+    reader, writer = await asyncio.open_connection(address.ip, address.port)
+    hello = Hello(version=PROTOCOL_VERSION, process_id="g1-gateway", role="gateway")
+    connection = Connection(reader=reader, writer=writer, own=hello)
+    assert isinstance(await connection.exchange_hello(), Ok)
+    side = GatewaySide(connection)
+    task = asyncio.create_task(side.read())
+    try:
+        yield side
+    finally:
+        connection.abort()
+        task.cancel()
 
 
 @contextlib.asynccontextmanager
