--- a/src/trefoilpaddle/protocol/const.py
+++ b/src/trefoilpaddle/protocol/const.py
@@ -24,7 +24,7 @@
 """A peer not heard from for this long gets no new work."""
 
 HEARTBEAT_S: Final = 0.5
-"""Time between heartbeats on each connection."""
+"""Shortest time between heartbeats on a connection."""
 
 NS_PER_S: Final = 1_000_000_000
 """Nanoseconds in a second."""
--- a/src/trefoilpaddle/transport/server.py
+++ b/src/trefoilpaddle/transport/server.py
@@ -14,6 +14,8 @@
 from .connection import CLOSE_TIMEOUT_S, Address, Connection
 
 MAX_CONNECTIONS: Final = 2000
+MANY_CONNECTIONS: Final = 48
+"""From so many connections on, heartbeats go out half as often."""
 MAX_OPEN_ASKS: Final = 256
 ANSWER_TIMEOUT_S: Final = 10.0
 
@@ -166,7 +168,9 @@
 
     async def _serve(self, connection: Connection) -> None:
         asks: set[asyncio.Task[None]] = set()
-        beats = asyncio.create_task(connection.keep_alive(self._own_heartbeat))
+        beats = asyncio.create_task(
+            connection.keep_alive(self._own_heartbeat, self._n_ticks)
+        )
         self.connections.add(connection)
         self._tell(self._on_open, connection)
         try:
@@ -179,6 +183,10 @@
             self.connections.discard(connection)
             self._tell(self._on_close, connection)
 
+    def _n_ticks(self) -> int:
+        """Return the ticks between heartbeats; two fit into a peer's silence."""
+        return 1 if len(self.connections) < MANY_CONNECTIONS else 2
+
     def _tell(self, listener: OnChange | None, connection: Connection) -> None:
         # A listener's fault must not leak the connection.
         if listener is None:
