Lease limits of entries from a home to each gateway

Cause: limits of the catalogue bound nothing. Change: a Limiter at each gateway admits from units and places in hand; the entry's bucket has one home by rendezvous, which lends only the shares of the gateways that rely on it. Not wired into the roles yet. admit becomes async: it waits only when the hand lacks what is needed.

--- a/src/trefoilpaddle/coordination/lifecycle.py
+++ b/src/trefoilpaddle/coordination/lifecycle.py
@@ -115,7 +115,7 @@
         early = self._walker.refusal(request)
         if early is not None:
             return Err(Refusal(error=early, stage=""))
-        match self._limiter.admit(
+        match await self._limiter.admit(
             request.governing.name, request.governing.entry, request.n_tokens
         ):
             case Err(error):
--- a/src/trefoilpaddle/coordination/request_guards.py
+++ b/src/trefoilpaddle/coordination/request_guards.py
@@ -13,18 +13,24 @@
 class Permit(Protocol):
     """Leave to run one request within its entry's limits."""
 
-    def release(self) -> None:
-        """Give the place back when the request has ended."""
+    def release(self, *, n_tokens: int | None = None) -> None:
+        """Give the place back when the request has ended.
+
+        `n_tokens` are the tokens that it used, None when not known.
+        """
         ...
 
 
 class Limiter(Protocol):
     """Holds the limits of the catalogue over all gateways together."""
 
-    def admit(
+    async def admit(
         self, entry_name: str, entry: Entry, n_tokens: int
     ) -> Result[Permit, NotRun]:
-        """Return leave to run, or which limit refuses and for how long."""
+        """Return leave to run, or which limit refuses and for how long.
+
+        Waits only when this gateway has none of the entry's budget in hand.
+        """
         ...
 
 
@@ -62,7 +68,7 @@
 class _FreePermit:
     __slots__ = ()
 
-    def release(self) -> None:
+    def release(self, *, n_tokens: int | None = None) -> None:
         """Give nothing back."""
 
 
@@ -71,7 +77,7 @@
 
     __slots__ = ()
 
-    def admit(
+    async def admit(
         self, entry_name: str, entry: Entry, n_tokens: int
     ) -> Result[Permit, NotRun]:
         """Return leave to run."""
--- a/src/trefoilpaddle/protocol/gen/limits/ttypes.py
+++ b/src/trefoilpaddle/protocol/gen/limits/ttypes.py
@@ -41,6 +41,9 @@
      - kind
      - want
      - used
+     - returned
+     - keep
+     - need
 
     """
 
@@ -49,14 +52,20 @@
         'kind',
         'want',
         'used',
+        'returned',
+        'keep',
+        'need',
     )
 
 
-    def __init__(self, entry="", kind=    0, want=float(0), used=float(0),):
+    def __init__(self, entry="", kind=    0, want=float(0), used=float(0), returned=float(0), keep=float(0), need=float(0),):
         self.entry = entry
         self.kind = kind
         self.want = want
         self.used = used
+        self.returned = returned
+        self.keep = keep
+        self.need = need
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -87,6 +96,21 @@
                     self.used = iprot.readDouble()
                 else:
                     iprot.skip(ftype)
+            elif fid == 5:
+                if ftype == TType.DOUBLE:
+                    self.returned = iprot.readDouble()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 6:
+                if ftype == TType.DOUBLE:
+                    self.keep = iprot.readDouble()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 7:
+                if ftype == TType.DOUBLE:
+                    self.need = iprot.readDouble()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -113,6 +137,18 @@
             oprot.writeFieldBegin('used', TType.DOUBLE, 4)
             oprot.writeDouble(self.used)
             oprot.writeFieldEnd()
+        if self.returned is not None:
+            oprot.writeFieldBegin('returned', TType.DOUBLE, 5)
+            oprot.writeDouble(self.returned)
+            oprot.writeFieldEnd()
+        if self.keep is not None:
+            oprot.writeFieldBegin('keep', TType.DOUBLE, 6)
+            oprot.writeDouble(self.keep)
+            oprot.writeFieldEnd()
+        if self.need is not None:
+            oprot.writeFieldBegin('need', TType.DOUBLE, 7)
+            oprot.writeDouble(self.need)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -146,6 +182,12 @@
      - config_revision
      - hosts_revision
      - wants
+     - home_incarnation
+     - stamp_ns
+     - elapsed_ns
+     - buckets
+     - releases
+     - leaving
 
     """
 
@@ -155,11 +197,19 @@
         'config_revision',
         'hosts_revision',
         'wants',
+        'home_incarnation',
+        'stamp_ns',
+        'elapsed_ns',
+        'buckets',
+        'releases',
+        'leaving',
     )
 
 
     def __init__(self, gateway="", incarnation=0, config_revision=0, hosts_revision=0, wants=[
-    ],):
+    ], home_incarnation=0, stamp_ns=0, elapsed_ns=0, buckets=[
+    ], releases=[
+    ], leaving=False,):
         self.gateway = gateway
         self.incarnation = incarnation
         self.config_revision = config_revision
@@ -168,6 +218,18 @@
             wants = [
             ]
         self.wants = wants
+        self.home_incarnation = home_incarnation
+        self.stamp_ns = stamp_ns
+        self.elapsed_ns = elapsed_ns
+        if buckets is self.thrift_spec[9][4]:
+            buckets = [
+            ]
+        self.buckets = buckets
+        if releases is self.thrift_spec[10][4]:
+            releases = [
+            ]
+        self.releases = releases
+        self.leaving = leaving
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -209,6 +271,46 @@
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
+            elif fid == 6:
+                if ftype == TType.I64:
+                    self.home_incarnation = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 7:
+                if ftype == TType.I64:
+                    self.stamp_ns = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 8:
+                if ftype == TType.I64:
+                    self.elapsed_ns = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 9:
+                if ftype == TType.LIST:
+                    self.buckets = []
+                    (_etype9, _size6) = iprot.readListBegin()
+                    for _i10 in range(_size6):
+                        _elem11 = iprot.readI32()
+                        self.buckets.append(_elem11)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 10:
+                if ftype == TType.LIST:
+                    self.releases = []
+                    (_etype15, _size12) = iprot.readListBegin()
+                    for _i16 in range(_size12):
+                        _elem17 = iprot.readI32()
+                        self.releases.append(_elem17)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 11:
+                if ftype == TType.BOOL:
+                    self.leaving = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -238,10 +340,40 @@
         if self.wants is not None:
             oprot.writeFieldBegin('wants', TType.LIST, 5)
             oprot.writeListBegin(TType.STRUCT, len(self.wants))
-            for iter6 in self.wants:
-                iter6.write(oprot)
+            for iter18 in self.wants:
+                iter18.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.home_incarnation is not None:
+            oprot.writeFieldBegin('home_incarnation', TType.I64, 6)
+            oprot.writeI64(self.home_incarnation)
+            oprot.writeFieldEnd()
+        if self.stamp_ns is not None:
+            oprot.writeFieldBegin('stamp_ns', TType.I64, 7)
+            oprot.writeI64(self.stamp_ns)
+            oprot.writeFieldEnd()
+        if self.elapsed_ns is not None:
+            oprot.writeFieldBegin('elapsed_ns', TType.I64, 8)
+            oprot.writeI64(self.elapsed_ns)
+            oprot.writeFieldEnd()
+        if self.buckets is not None:
+            oprot.writeFieldBegin('buckets', TType.LIST, 9)
+            oprot.writeListBegin(TType.I32, len(self.buckets))
+            for iter19 in self.buckets:
+                oprot.writeI32(iter19)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.releases is not None:
+            oprot.writeFieldBegin('releases', TType.LIST, 10)
+            oprot.writeListBegin(TType.I32, len(self.releases))
+            for iter20 in self.releases:
+                oprot.writeI32(iter20)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
+        if self.leaving is not None:
+            oprot.writeFieldBegin('leaving', TType.BOOL, 11)
+            oprot.writeBool(self.leaving)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -274,6 +406,8 @@
      - kind
      - granted
      - period_ms
+     - retry_after_ms
+     - contended
 
     """
 
@@ -282,14 +416,18 @@
         'kind',
         'granted',
         'period_ms',
+        'retry_after_ms',
+        'contended',
     )
 
 
-    def __init__(self, entry="", kind=    0, granted=float(0), period_ms=0,):
+    def __init__(self, entry="", kind=    0, granted=float(0), period_ms=0, retry_after_ms=0, contended=False,):
         self.entry = entry
         self.kind = kind
         self.granted = granted
         self.period_ms = period_ms
+        self.retry_after_ms = retry_after_ms
+        self.contended = contended
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -320,6 +458,16 @@
                     self.period_ms = iprot.readI64()
                 else:
                     iprot.skip(ftype)
+            elif fid == 5:
+                if ftype == TType.I64:
+                    self.retry_after_ms = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 6:
+                if ftype == TType.BOOL:
+                    self.contended = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -346,6 +494,14 @@
             oprot.writeFieldBegin('period_ms', TType.I64, 4)
             oprot.writeI64(self.period_ms)
             oprot.writeFieldEnd()
+        if self.retry_after_ms is not None:
+            oprot.writeFieldBegin('retry_after_ms', TType.I64, 5)
+            oprot.writeI64(self.retry_after_ms)
+            oprot.writeFieldEnd()
+        if self.contended is not None:
+            oprot.writeFieldBegin('contended', TType.BOOL, 6)
+            oprot.writeBool(self.contended)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -377,6 +533,10 @@
      - mine
      - grants
      - config_revision
+     - stamp_ns
+     - incarnation
+     - buckets
+     - released
 
     """
 
@@ -384,17 +544,33 @@
         'mine',
         'grants',
         'config_revision',
+        'stamp_ns',
+        'incarnation',
+        'buckets',
+        'released',
     )
 
 
     def __init__(self, mine=False, grants=[
-    ], config_revision=0,):
+    ], config_revision=0, stamp_ns=0, incarnation=0, buckets=[
+    ], released=[
+    ],):
         self.mine = mine
         if grants is self.thrift_spec[2][4]:
             grants = [
             ]
         self.grants = grants
         self.config_revision = config_revision
+        self.stamp_ns = stamp_ns
+        self.incarnation = incarnation
+        if buckets is self.thrift_spec[6][4]:
+            buckets = [
+            ]
+        self.buckets = buckets
+        if released is self.thrift_spec[7][4]:
+            released = [
+            ]
+        self.released = released
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -413,11 +589,11 @@
             elif fid == 2:
                 if ftype == TType.LIST:
                     self.grants = []
-                    (_etype10, _size7) = iprot.readListBegin()
-                    for _i11 in range(_size7):
-                        _elem12 = LeaseGrant()
-                        _elem12.read(iprot)
-                        self.grants.append(_elem12)
+                    (_etype24, _size21) = iprot.readListBegin()
+                    for _i25 in range(_size21):
+                        _elem26 = LeaseGrant()
+                        _elem26.read(iprot)
+                        self.grants.append(_elem26)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -426,6 +602,36 @@
                     self.config_revision = iprot.readI64()
                 else:
                     iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.I64:
+                    self.stamp_ns = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 5:
+                if ftype == TType.I64:
+                    self.incarnation = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 6:
+                if ftype == TType.LIST:
+                    self.buckets = []
+                    (_etype30, _size27) = iprot.readListBegin()
+                    for _i31 in range(_size27):
+                        _elem32 = iprot.readI32()
+                        self.buckets.append(_elem32)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 7:
+                if ftype == TType.LIST:
+                    self.released = []
+                    (_etype36, _size33) = iprot.readListBegin()
+                    for _i37 in range(_size33):
+                        _elem38 = iprot.readI32()
+                        self.released.append(_elem38)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -443,14 +649,36 @@
         if self.grants is not None:
             oprot.writeFieldBegin('grants', TType.LIST, 2)
             oprot.writeListBegin(TType.STRUCT, len(self.grants))
-            for iter13 in self.grants:
-                iter13.write(oprot)
+            for iter39 in self.grants:
+                iter39.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.config_revision is not None:
             oprot.writeFieldBegin('config_revision', TType.I64, 3)
             oprot.writeI64(self.config_revision)
             oprot.writeFieldEnd()
+        if self.stamp_ns is not None:
+            oprot.writeFieldBegin('stamp_ns', TType.I64, 4)
+            oprot.writeI64(self.stamp_ns)
+            oprot.writeFieldEnd()
+        if self.incarnation is not None:
+            oprot.writeFieldBegin('incarnation', TType.I64, 5)
+            oprot.writeI64(self.incarnation)
+            oprot.writeFieldEnd()
+        if self.buckets is not None:
+            oprot.writeFieldBegin('buckets', TType.LIST, 6)
+            oprot.writeListBegin(TType.I32, len(self.buckets))
+            for iter40 in self.buckets:
+                oprot.writeI32(iter40)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.released is not None:
+            oprot.writeFieldBegin('released', TType.LIST, 7)
+            oprot.writeListBegin(TType.I32, len(self.released))
+            for iter41 in self.released:
+                oprot.writeI32(iter41)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -481,6 +709,9 @@
     (2, TType.I32, 'kind', None,     0, ),  # 2
     (3, TType.DOUBLE, 'want', None, float(0), ),  # 3
     (4, TType.DOUBLE, 'used', None, float(0), ),  # 4
+    (5, TType.DOUBLE, 'returned', None, float(0), ),  # 5
+    (6, TType.DOUBLE, 'keep', None, float(0), ),  # 6
+    (7, TType.DOUBLE, 'need', None, float(0), ),  # 7
 )
 all_structs.append(LeaseAsk)
 LeaseAsk.thrift_spec = (
@@ -491,6 +722,14 @@
     (4, TType.I64, 'hosts_revision', None, 0, ),  # 4
     (5, TType.LIST, 'wants', (TType.STRUCT, [LeaseWant, None], False), [
     ], ),  # 5
+    (6, TType.I64, 'home_incarnation', None, 0, ),  # 6
+    (7, TType.I64, 'stamp_ns', None, 0, ),  # 7
+    (8, TType.I64, 'elapsed_ns', None, 0, ),  # 8
+    (9, TType.LIST, 'buckets', (TType.I32, None, False), [
+    ], ),  # 9
+    (10, TType.LIST, 'releases', (TType.I32, None, False), [
+    ], ),  # 10
+    (11, TType.BOOL, 'leaving', None, False, ),  # 11
 )
 all_structs.append(LeaseGrant)
 LeaseGrant.thrift_spec = (
@@ -499,6 +738,8 @@
     (2, TType.I32, 'kind', None,     0, ),  # 2
     (3, TType.DOUBLE, 'granted', None, float(0), ),  # 3
     (4, TType.I64, 'period_ms', None, 0, ),  # 4
+    (5, TType.I64, 'retry_after_ms', None, 0, ),  # 5
+    (6, TType.BOOL, 'contended', None, False, ),  # 6
 )
 all_structs.append(LeaseAnswer)
 LeaseAnswer.thrift_spec = (
@@ -507,6 +748,12 @@
     (2, TType.LIST, 'grants', (TType.STRUCT, [LeaseGrant, None], False), [
     ], ),  # 2
     (3, TType.I64, 'config_revision', None, 0, ),  # 3
+    (4, TType.I64, 'stamp_ns', None, 0, ),  # 4
+    (5, TType.I64, 'incarnation', None, 0, ),  # 5
+    (6, TType.LIST, 'buckets', (TType.I32, None, False), [
+    ], ),  # 6
+    (7, TType.LIST, 'released', (TType.I32, None, False), [
+    ], ),  # 7
 )
 fix_spec(all_structs)
 del all_structs
--- a/src/trefoilpaddle/protocol/gen/limits/ttypes.pyi
+++ b/src/trefoilpaddle/protocol/gen/limits/ttypes.pyi
@@ -9,22 +9,37 @@
     kind: int
     want: float
     used: float
-    def __init__(self, *, entry: str = ..., kind: int = ..., want: float = ..., used: float = ...) -> None: ...
+    returned: float
+    keep: float
+    need: float
+    def __init__(self, *, entry: str = ..., kind: int = ..., want: float = ..., used: float = ..., returned: float = ..., keep: float = ..., need: float = ...) -> None: ...
 class LeaseAsk:
     gateway: str
     incarnation: int
     config_revision: int
     hosts_revision: int
     wants: list[LeaseWant]
-    def __init__(self, *, gateway: str = ..., incarnation: int = ..., config_revision: int = ..., hosts_revision: int = ..., wants: list[LeaseWant] = ...) -> None: ...
+    home_incarnation: int
+    stamp_ns: int
+    elapsed_ns: int
+    buckets: list[int]
+    releases: list[int]
+    leaving: bool
+    def __init__(self, *, gateway: str = ..., incarnation: int = ..., config_revision: int = ..., hosts_revision: int = ..., wants: list[LeaseWant] = ..., home_incarnation: int = ..., stamp_ns: int = ..., elapsed_ns: int = ..., buckets: list[int] = ..., releases: list[int] = ..., leaving: bool = ...) -> None: ...
 class LeaseGrant:
     entry: str
     kind: int
     granted: float
     period_ms: int
-    def __init__(self, *, entry: str = ..., kind: int = ..., granted: float = ..., period_ms: int = ...) -> None: ...
+    retry_after_ms: int
+    contended: bool
+    def __init__(self, *, entry: str = ..., kind: int = ..., granted: float = ..., period_ms: int = ..., retry_after_ms: int = ..., contended: bool = ...) -> None: ...
 class LeaseAnswer:
     mine: bool
     grants: list[LeaseGrant]
     config_revision: int
-    def __init__(self, *, mine: bool = ..., grants: list[LeaseGrant] = ..., config_revision: int = ...) -> None: ...
+    stamp_ns: int
+    incarnation: int
+    buckets: list[int]
+    released: list[int]
+    def __init__(self, *, mine: bool = ..., grants: list[LeaseGrant] = ..., config_revision: int = ..., stamp_ns: int = ..., incarnation: int = ..., buckets: list[int] = ..., released: list[int] = ...) -> None: ...
--- /dev/null
+++ b/src/trefoilpaddle/state/lease_table.py
@@ -0,0 +1,211 @@
+"""What a home has lent of one limit: units of a rate, or places."""
+
+import math
+from dataclasses import dataclass
+from typing import Final
+
+from .lease_times import LEASE_S, MARGIN_S
+
+MIN_BURST_S: Final = 1.0
+"""Shortest burst over all gateways: units in their hands must last from one ask
+to the next."""
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Lent:
+    """Answer to one want.
+
+    Parameters
+    ----------
+    granted : float
+        Units, or places in all.
+    retry_after_s : float
+        When more may be had; 0 if all that was wanted is granted.
+    is_contended : bool
+        True if some gateway lately got less than it wanted.
+    """
+
+    granted: float
+    retry_after_s: float = 0.0
+    is_contended: bool = False
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Held:
+    """Units or places that one gateway may have, and until when."""
+
+    n_held: float
+    until_s: float
+
+
+class FlowPool:
+    """Units of one rate limit, refilled by the shares of the gateways heard.
+
+    The pool starts empty and refills only for gateways that rely on this home,
+    so two homes believed at once together refill no more than the limit. Units
+    leave it once; what a gateway does not give back counts as used.
+
+    Parameters
+    ----------
+    now_s : float
+        The home's monotonic clock.
+    """
+
+    __slots__ = ("_active", "_held", "_now_s", "level")
+
+    def __init__(self, *, now_s: float) -> None:
+        self.level = 0.0
+        self._now_s = now_s
+        self._held: dict[str, Held] = {}
+        self._active: dict[str, float] = {}
+
+    def note(self, gateway: str, *, keep: float, returned: float) -> None:
+        """Take what `gateway` gives back; it has `keep` units left in hand."""
+        self.level += returned
+        until_s = self._now_s + LEASE_S + MARGIN_S
+        self._held[gateway] = Held(n_held=keep, until_s=until_s)
+
+    def advance(
+        self, now_s: float, *, rate_per_s: float, burst_s: float, need: float
+    ) -> None:
+        """Refill up to `now_s` at `rate_per_s`, the shares of those heard.
+
+        With what the gateways hold, at most the burst or `need` units are kept.
+        """
+        self.level += rate_per_s * max(0.0, now_s - self._now_s)
+        self._now_s = now_s
+        _drop_over(self._active, now_s)
+        for name in [g for g, held in self._held.items() if held.until_s <= now_s]:
+            del self._held[name]
+        most = max(need, rate_per_s * max(MIN_BURST_S, burst_s))
+        n_held = sum(held.n_held for held in self._held.values())
+        self.level = max(0.0, min(self.level, most - n_held))
+
+    def lend(
+        self,
+        gateway: str,
+        *,
+        want: float,
+        need: float,
+        keep: float,
+        rate_per_s: float,
+    ) -> Lent:
+        """Lend `gateway` whole units.
+
+        Parameters
+        ----------
+        want, need : float
+            Further units wanted, and the least that helps a waiting request;
+            `need` is 0 when none waits.
+        keep : float
+            Units that it has in hand.
+        rate_per_s : float
+            At which the pool refills.
+        """
+        granted = 0.0
+        if want > 0.0:
+            self._active[gateway] = self._now_s + LEASE_S
+            part = max(need, self.level / len(self._active))
+            granted = float(math.floor(min(want, part, self.level)))
+        if granted < need:
+            granted = 0.0
+        self.level -= granted
+        until_s = self._now_s + LEASE_S + MARGIN_S
+        self._held[gateway] = Held(n_held=keep + granted, until_s=until_s)
+        if granted >= need:
+            return Lent(granted=granted)
+        wait_s = (need - self.level) / rate_per_s if rate_per_s > 0.0 else LEASE_S
+        return Lent(granted=0.0, retry_after_s=max(0.0, wait_s), is_contended=True)
+
+
+def _drop_over(until_s: dict[str, float], now_s: float) -> None:
+    for name in [name for name, end_s in until_s.items() if end_s <= now_s]:
+        del until_s[name]
+
+
+class SlotPool:
+    """Places of one concurrency limit.
+
+    Lends at most the shares of the gateways heard, together; the shares of all
+    others stay theirs, because they may be using them unheard.
+    """
+
+    __slots__ = ("_active", "_contended_s", "_held")
+
+    def __init__(self) -> None:
+        self._held: dict[str, Held] = {}
+        self._active: dict[str, float] = {}
+        self._contended_s = -math.inf
+
+    def lend(
+        self,
+        gateway: str,
+        *,
+        want: int,
+        keep: int,
+        now_s: float,
+        deadline_s: float,
+        shares: dict[str, int],
+        heard: frozenset[str],
+    ) -> Lent:
+        """Return how many places `gateway` may use in all from now on.
+
+        Parameters
+        ----------
+        want, keep : int
+            Places wanted, and places that it does not exceed until it has the
+            answer.
+        now_s, deadline_s : float
+            The home's clock, and the longest that a request may hold a place.
+        shares : dict of str to int
+            The shares of all gateways.
+        heard : frozenset of str
+            Those that rely on this home now, `gateway` among them.
+        """
+        self._note_activity(gateway, want, now_s)
+        free = self._free(gateway, now_s=now_s, shares=shares, heard=heard)
+        allowed = sum(shares.get(name, 0) for name in heard)
+        part = max(1, math.ceil(allowed / max(1, len(self._active))))
+        is_contended = self._contended_s > now_s
+        granted = max(0, min(want, free, part if is_contended else want))
+        if granted < want and granted < part:
+            self._contended_s = now_s + LEASE_S
+        until_s = now_s + LEASE_S + MARGIN_S + deadline_s
+        self._held[gateway] = Held(n_held=max(granted, keep), until_s=until_s)
+        return Lent(
+            granted=granted,
+            retry_after_s=MARGIN_S if granted < want else 0.0,
+            is_contended=self._contended_s > now_s,
+        )
+
+    def fits(
+        self, *, now_s: float, shares: dict[str, int], heard: frozenset[str]
+    ) -> bool:
+        """Return True if what is lent fits into the shares of those heard."""
+        return self._free("", now_s=now_s, shares=shares, heard=heard) >= 0
+
+    def _free(
+        self,
+        gateway: str,
+        *,
+        now_s: float,
+        shares: dict[str, int],
+        heard: frozenset[str],
+    ) -> int:
+        """Return places neither lent to others nor kept for the unheard."""
+        free = sum(shares.get(name, 0) for name in heard)
+        for name, held in list(self._held.items()):
+            if held.until_s <= now_s:
+                del self._held[name]
+            elif name in heard and name != gateway:
+                free -= int(held.n_held)
+            elif name not in heard:
+                free -= max(0, int(held.n_held) - shares.get(name, 0))
+        return free
+
+    def _note_activity(self, gateway: str, want: int, now_s: float) -> None:
+        if want > 0:
+            self._active[gateway] = now_s + LEASE_S
+        else:
+            self._active.pop(gateway, None)
+        _drop_over(self._active, now_s)
--- /dev/null
+++ b/tests/limits_fleet.py
@@ -0,0 +1,197 @@
+"""Limiters and homes joined by a fake network, each with a clock of its own."""
+
+import asyncio
+from dataclasses import dataclass
+
+from result import Err, Ok, Result
+
+from tests.claims_fleet import Clock, Line, Net, host
+from trefoilpaddle.coordination.lease_home import LeaseHome
+from trefoilpaddle.coordination.limits import Limiter
+from trefoilpaddle.coordination.request_guards import Permit
+from trefoilpaddle.protocol.errors import NotRun
+from trefoilpaddle.protocol.frames import Message
+from trefoilpaddle.protocol.gen.limits.ttypes import LeaseAsk
+from trefoilpaddle.protocol.gen.stage.ttypes import Hello
+from trefoilpaddle.state.catalogue import Catalogue, Entry, Limits
+from trefoilpaddle.state.gateway_shares import bucket_key, bucket_of
+from trefoilpaddle.state.hosts import Host, HostList
+from trefoilpaddle.state.journal import Journal
+from trefoilpaddle.state.places import place_list
+from trefoilpaddle.state.published import Published
+from trefoilpaddle.state.settings import LogFormat
+
+ENTRY = "bank-a.draft"
+DEADLINE_S = 5.0
+
+
+@dataclass
+class SkewedClock:
+    """A host's clock: same seconds, slightly fast or slow, from another zero."""
+
+    base: Clock
+    rate: float
+    zero_s: float
+
+    def __call__(self) -> float:
+        return self.zero_s + self.rate * self.base()
+
+
+def entry_of(limits: Limits) -> Entry:
+    return Entry(
+        owner="bank-a",
+        class_of_work="draft",
+        pipelines=("p",),
+        accounts=("a",),
+        limits=limits,
+        deadline_s=DEADLINE_S,
+    )
+
+
+@dataclass
+class Running:
+    """A request that was admitted and has not ended."""
+
+    gateway: str
+    permit: Permit
+    ends_s: float
+
+
+class LimitsFleet:
+    def __init__(
+        self, limits: Limits, *, n_gateways: int = 2, n_sidecars: int = 4, seed: int = 0
+    ) -> None:
+        self.clock = Clock()
+        self.net = Net(seed)
+        self.entry = entry_of(limits)
+        self.revision = 1
+        self.hosts = [
+            host(f"g{i}", domain=f"d{i}", role="gateway") for i in range(n_gateways)
+        ] + [host(f"s{i}", domain=f"d{i % 3}") for i in range(n_sidecars)]
+        self.published: dict[str, Published] = {}
+        self.limiters: dict[str, Limiter] = {}
+        self.running: list[Running] = []
+        self.admitted_s: list[float] = []
+        self._n_started = 0
+        for listed in self.hosts:
+            self.start(listed)
+
+    def start(self, listed: Host) -> None:
+        self._n_started += 1
+        skew = 1.0 + 0.02 * ((self._n_started % 3) - 1)
+        clock = SkewedClock(self.clock, skew, 500.0 * self._n_started)
+        published = Published()
+        self.published[listed.name] = published
+        journal = Journal(
+            process_id=listed.process_id, n_records=10, format=LogFormat.KEY_VALUE
+        )
+        incarnation = self._n_started
+        if listed.role == "gateway":
+            hello = Hello(process_id=listed.process_id, incarnation=incarnation)
+            self.limiters[listed.name] = Limiter(
+                gateway=listed.process_id,
+                incarnation=incarnation,
+                published=published,
+                asker=Line(self.net, listed.peer_address, lambda: hello),
+                journal=journal,
+                clock=clock,
+            )
+        else:
+            home = LeaseHome(
+                process_id=listed.process_id,
+                incarnation=incarnation,
+                published=published,
+                journal=journal,
+                clock=clock,
+            )
+
+            async def answer(message: Message, sender: Hello) -> Message:
+                assert isinstance(message, LeaseAsk)
+                return await home.answer(message, sender)
+
+            self.net.answerers[listed.peer_address] = answer
+        published.set_catalogue(Catalogue(revision=1, entries={ENTRY: self.entry}))
+        self.tell(listed.name)
+
+    def tell(self, *names: str) -> None:
+        for name in names:
+            hosts = HostList(revision=self.revision, hosts=tuple(self.hosts))
+            self.published[name].set_hosts(hosts)
+
+    def relist(self, hosts: list[Host]) -> None:
+        self.hosts = hosts
+        self.revision += 1
+
+    def without(self, *names: str) -> list[Host]:
+        return [listed for listed in self.hosts if listed.name not in names]
+
+    def host_of(self, name: str) -> Host:
+        return next(listed for listed in self.hosts if listed.name == name)
+
+    def home(self) -> str:
+        """Name of the entry's home under the present list."""
+        hosts = HostList(revision=self.revision, hosts=tuple(self.hosts))
+        pair = place_list(hosts).pair(bucket_key(bucket_of(ENTRY)))
+        return pair[0].process_id.removesuffix("-sidecar")
+
+    def address(self, name: str) -> str:
+        return f"127.0.0.1:{int.from_bytes(name.encode()[:2])}"
+
+    async def turn(self, *names: str) -> None:
+        """Let the named gateways, or all, ask each of their homes once."""
+        for name in names or sorted(self.limiters):
+            for contact in list(self.limiters[name].contacts.values()):
+                await contact.turn()
+
+    async def request(
+        self, name: str, *, lasts_s: float = DEADLINE_S, n_tokens: int = 0
+    ) -> Result[Permit, NotRun]:
+        """Ask for admission; the gateway asks its homes while it waits."""
+        limiter = self.limiters[name]
+        task = asyncio.create_task(limiter.admit(ENTRY, self.entry, n_tokens))
+        await asyncio.sleep(0)
+        while not task.done():
+            await self.turn(name)
+            await asyncio.sleep(0)
+        outcome = await task
+        match outcome:
+            case Ok(permit):
+                ends_s = self.clock() + lasts_s
+                self.running.append(Running(gateway=name, permit=permit, ends_s=ends_s))
+                self.admitted_s.append(self.clock())
+        return outcome
+
+    async def n_admitted(self, name: str, n: int, **how: float) -> int:
+        """Return how many of `n` requests at once are admitted."""
+        outcomes = [await self.request(name, **how) for _ in range(n)]  # type: ignore[arg-type]
+        return sum(isinstance(outcome, Ok) for outcome in outcomes)
+
+    def age(self, seconds: float) -> None:
+        """Let time pass; requests that reach their end give their place back."""
+        self.clock.now_s += seconds
+        for running in [r for r in self.running if r.ends_s <= self.clock()]:
+            self.end(running)
+
+    def end(self, running: Running) -> None:
+        self.running.remove(running)
+        running.permit.release()
+
+    async def live(self, seconds: float, *names: str, step_s: float = 0.5) -> None:
+        """Let time pass while the named gateways, or all, keep contact."""
+        left_s = seconds
+        while left_s > 1e-9:
+            self.age(min(step_s, left_s))
+            left_s -= step_s
+            await self.turn(*names)
+
+    def cut(self, gateway: str) -> None:
+        """Cut a gateway off from every sidecar."""
+        for name in self.published:
+            if name[0] != "g":
+                pair = {self.address(gateway), self.address(name)}
+                self.net.cut.add(frozenset(pair))
+
+
+def refusal(outcome: Result[Permit, NotRun]) -> NotRun:
+    assert isinstance(outcome, Err)
+    return outcome.err_value
