--- a/src/trefoilpaddle/roles/sidecar.py
+++ b/src/trefoilpaddle/roles/sidecar.py
@@ -11,7 +11,8 @@
 from result import Err, Ok
 
 from ..coordination.attempts import AttemptTable
-from ..coordination.dispatcher import NS_PER_S, Dispatcher
+from ..coordination.config_feed import config_feed
+from ..coordination.dispatcher import Dispatcher
 from ..coordination.drain import drain
 from ..coordination.engine_calls import EngineCaller
 from ..coordination.key_parts import sidecar_keys
@@ -19,17 +20,20 @@
 from ..coordination.stage_server import StageServer
 from ..coordination.target_calls import PlainCaller, TargetCaller
 from ..coordination.target_watch import TargetWatch
+from ..protocol.const import NS_PER_S
 from ..protocol.gen.stage.ttypes import Bar
 from ..state.catalogue import ServiceKind
 from ..state.concurrency import FixedSlots
+from ..state.fair_queue import FairQueue
 from ..state.held_results import HeldResults
 from ..state.journal import Decision, Event, Journal
-from ..state.settings import SidecarSettings
+from ..state.settings import Order, SidecarSettings
 from ..state.spent_ids import SpentIds
-from ..state.work_queue import FifoQueue
+from ..state.work_queue import FifoQueue, WorkQueue
 from ..transport.connection import Address
 from ..transport.port_lock import PortLockError, held_port
 from ..transport.target_http import TargetHttp
+from .operators import operators
 from .process import Process, identity_of
 
 HOUSEKEEPING_S: Final = 0.25
@@ -67,10 +71,25 @@
         process_id=identity.process_id,
         n_records=settings.retention.explain_records,
         format=settings.log.format,
+        keep_s=settings.retention.explain_s,
     )
     process = Process(identity=identity, listen=listen, journal=journal)
     sidecar = Sidecar(settings=settings, process=process)
-    async with sidecar.open():
+    # Nothing is taken before a catalogue is in force: a process that starts
+    # while the configuration service is down knows no weights and no limits.
+    sidecar.dispatcher.is_configured = False
+    async with (
+        sidecar.open(),
+        config_feed(
+            process=process, platform=settings.platform, peers=settings.peers
+        ) as feed,
+        operators(
+            process=process,
+            listen=settings.process.operators_listen,
+            is_ready=feed.is_known,
+            held_back=lambda: feed.state.held_back,
+        ),
+    ):
         await process.stopping.wait()
         process.n_cut_off = await sidecar.stop()
     return 0
@@ -114,7 +133,7 @@
         self.dispatcher = Dispatcher(
             name=target.name,
             table=self.table,
-            queue=FifoQueue(),
+            queue=self._queue(),
             slots=FixedSlots(n_slots=DEFAULT_SLOTS[target.kind]),
             caller=self._caller(),
             journal=journal,
@@ -180,6 +199,13 @@
             case ServiceKind.POOL | ServiceKind.PLAIN:
                 return PlainCaller(http=self._http, name=name)
 
+    def _queue(self) -> WorkQueue:
+        match self._settings.policy.order:
+            case Order.FIFO:
+                return FifoQueue()
+            case Order.FAIR:
+                return FairQueue()
+
     def _watch(self) -> TargetWatch:
         target = self._settings.target
         return TargetWatch(
@@ -203,6 +229,7 @@
     def _on_published(self) -> None:
         catalogue = self._process.published.catalogue
         self.dispatcher.revision = catalogue.revision
+        self.dispatcher.is_configured = catalogue.revision > 0
         service = catalogue.services.get(self._settings.target.service)
         if service is not None:
             self.dispatcher.set_service(service)
--- a/tests/test_claims_gateways.py
+++ b/tests/test_claims_gateways.py
@@ -13,8 +13,9 @@
 from tests.gateway_bench import catalogue, heard, plain_stage, settings, until
 from trefoilpaddle.coordination.claim_book import ClaimBook
 from trefoilpaddle.coordination.claim_home import ClaimHome
+from trefoilpaddle.coordination.directory import PublishedDirectory
 from trefoilpaddle.protocol.gen.stage.ttypes import Heartbeat
-from trefoilpaddle.roles.gateway import Gateway, new_process
+from trefoilpaddle.roles.gateway import Gateway, claimed_keys, new_process
 from trefoilpaddle.state.claim_table import ClaimTable
 from trefoilpaddle.state.hosts import Host, HostList
 from trefoilpaddle.state.journal import Journal
@@ -87,7 +88,9 @@
     checked = dataclasses.replace(base, process=own)
     process = new_process(checked)
     process.server.address = dataclasses.replace(process.server.address, port=0)
-    made = Gateway(settings=checked, process=process)
+    directory = PublishedDirectory(published=process.published)
+    keys = claimed_keys(settings=checked, process=process, directory=directory)
+    made = Gateway(settings=checked, process=process, directory=directory, keys=keys)
     async with process.server.listening(), process.peers.open(), made.serving():
         yield made
 
