--- a/src/trefoilpaddle/coordination/key_claims.py
+++ b/src/trefoilpaddle/coordination/key_claims.py
@@ -16,7 +16,8 @@
     read_record,
     record_bytes,
 )
-from .claims import Answered, Claimer, Granted, InProgress, Key, account_key
+from .claim_book import request_of
+from .claims import Answered, Claimer, InProgress, Key, KeyGranted, account_key
 from .request import Answer, Refusal, Request
 from .request_guards import EndedBefore, KeyState, RunsHere
 
@@ -37,7 +38,7 @@
 
     def __init__(self, *, claimer: Claimer) -> None:
         self._claimer = claimer
-        self._granted: dict[str, Granted] = {}
+        self._granted: dict[str, KeyGranted] = {}
         self._settling: set[asyncio.Task[bool]] = set()
 
     async def claim(self, request: Request) -> Result[KeyState, StageError]:
@@ -58,7 +59,7 @@
             wait_s=left_s,
         )
         match outcome:
-            case Granted():
+            case KeyGranted():
                 self._granted[request.try_id] = outcome
                 return Ok(RunsHere())
             case Answered():
@@ -100,7 +101,7 @@
         reason=Reason.IN_PROGRESS,
         step=STEP,
         peer=outcome.gateway,
-        detail=f"The earlier try {outcome.request_id} of this key still runs.",
+        detail=f"The earlier try of {request_of(outcome.request_id)} still runs.",
         retry_after_s=RETRY_AFTER_S,
     )
 
@@ -124,11 +125,14 @@
 
 
 def _ended(answered: Answered) -> EndedBefore:
+    first_id = request_of(answered.request_id)
     record = read_record(answered.result) if answered.result else Err("")
     match record:
         case Ok(AnsweredRecord() as kept):
             outcome = Ok(Answer(output=kept.output, cost_s=kept.cost_s))
-            return EndedBefore(request_id=answered.request_id, outcome=outcome)
+            return EndedBefore(
+                request_id=request_of(answered.request_id), outcome=outcome
+            )
         case Ok(EndedRecord() as kept):
             refusal = Refusal(
                 error=_error_of(kept),
@@ -138,7 +142,7 @@
             )
         case _:
             refusal = Refusal(error=_not_kept(), stage="", is_retry_safe=False)
-    return EndedBefore(request_id=answered.request_id, outcome=Err(refusal))
+    return EndedBefore(request_id=first_id, outcome=Err(refusal))
 
 
 def _error_of(kept: EndedRecord) -> StageError:
--- /dev/null
+++ b/src/trefoilpaddle/coordination/key_parts.py
@@ -0,0 +1,42 @@
+"""Builds what a sidecar needs for request keys, and what both roles share."""
+
+from ..state.claim_table import ClaimTable
+from ..state.journal import Journal
+from ..state.published import Published
+from ..transport.peers import Peers
+from ..transport.server import PeerServer
+from .claim_book import ClaimBook, IncarnationOf
+from .claim_home import ClaimHome
+
+
+def incarnations_at(server: PeerServer) -> IncarnationOf:
+    """Return what tells the incarnation last heard from a process at `server`."""
+
+    def incarnation_of(process_id: str) -> int | None:
+        heard = [c for c in server.connections if c.peer.process_id == process_id]
+        if not heard:
+            return None
+        return max(heard, key=lambda connection: connection.heard_s).peer.incarnation
+
+    return incarnation_of
+
+
+def sidecar_keys(
+    *,
+    process_id: str,
+    published: Published,
+    peers: Peers,
+    server: PeerServer,
+    journal: Journal,
+    window_s: float,
+) -> ClaimHome:
+    """Return a sidecar's part, answering at `server`."""
+    book = ClaimBook(
+        process_id=process_id,
+        published=published,
+        table=ClaimTable(window_s=window_s),
+        incarnation_of=incarnations_at(server),
+    )
+    home = ClaimHome(book=book, asker=peers, journal=journal)
+    home.mount(server)
+    return home
--- a/src/trefoilpaddle/roles/caller_input.py
+++ b/src/trefoilpaddle/roles/caller_input.py
@@ -11,6 +11,7 @@
 from aiohttp import web
 from result import Err, Ok, Result
 
+from ..coordination.claim_book import new_try_id
 from ..coordination.request import Request
 from ..coordination.stage_body import Json
 from ..protocol.checksum import checksum
@@ -161,10 +162,10 @@
         except ValueError as error:
             return _refuse(Reason.BAD_REQUEST, str(error))
         name = http.match_info["pipeline"]
-        try_id = self._mint()
+        request_id = named_id or self._mint()
         return Ok(
             Request(
-                request_id=named_id or try_id,
+                request_id=request_id,
                 account=account,
                 pipeline_name=name,
                 pipeline=self._published.catalogue.pipelines[name],
@@ -172,7 +173,7 @@
                 input=material,
                 n_input_bytes=len(body),
                 fingerprint=checksum(name.encode() + b"\0" + body),
-                try_id=try_id,
+                try_id=new_try_id(request_id),
                 key=key or named_id,
                 is_key_minted=bool(named_id) and not key,
                 priority=priority,
