Work out each request's expected answer without any process

Cause: a crossed, torn or doubled answer is seen only against what was expected. Change: the stages are folded over the stand-ins' pure outputs.

--- /dev/null
+++ b/src/trefoilpaddle/replay/expected.py
@@ -0,0 +1,121 @@
+"""What the stand-ins answer to a request, worked out without any process."""
+
+from collections.abc import Iterator
+from dataclasses import dataclass, replace
+
+import orjson
+
+from ..coordination.stage_body import Json, Material, plain_body, prompt_of
+from ..coordination.stage_body import text_checksum
+from ..standins.outputs import call_output, engine_output
+from ..state.catalogue import Catalogue, ServiceKind, Stage
+from .inputs import body_of
+from .results import Verdict
+from .trace import Request, Trace
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class ExpectedCall:
+    """One call to a target and its answer.
+
+    Parameters
+    ----------
+    stage : Stage
+        The stage that is called.
+    n_body_bytes : int
+        Size of a pool's or plain service's input; 0 for an engine.
+    prompt : str
+        An engine's prompt; empty for others.
+    n_tokens : int
+        Tokens that an engine answers with; 0 for others.
+    output : Json
+        The stage's output.
+    """
+
+    stage: Stage
+    n_body_bytes: int = 0
+    prompt: str = ""
+    n_tokens: int = 0
+    output: Json
+
+
+def expected_calls(catalogue: Catalogue, request: Request, body: bytes) -> Iterator[
+    ExpectedCall
+]:
+    """Yield the calls that `request` leads to, in order."""
+    material = Material(input=_input(body))
+    for stage in catalogue.pipelines[request.pipeline].stages:
+        call = _expected_call(catalogue, stage, material)
+        yield call
+        material = replace(material, previous=call.output)
+
+
+def _input(body: bytes) -> Json:
+    try:
+        return orjson.loads(body)
+    except orjson.JSONDecodeError:
+        return body.decode()
+
+
+def _expected_call(
+    catalogue: Catalogue, stage: Stage, material: Material
+) -> ExpectedCall:
+    if catalogue.services[stage.service].kind is not ServiceKind.ENGINE:
+        body = plain_body(stage, material)
+        output = call_output(stage.path, body)
+        return ExpectedCall(stage=stage, n_body_bytes=len(body), output=output)
+    prompt = prompt_of(stage, material)
+    tokens = engine_output(prompt, stage.max_tokens)
+    text = " ".join(tokens)
+    answer: Json = {
+        "text": text,
+        "n_tokens": len(tokens),
+        "text_checksum": text_checksum(text.encode()),
+    }
+    return ExpectedCall(
+        stage=stage, prompt=prompt, n_tokens=len(tokens), output=answer
+    )
+
+
+class TextJudge:
+    """Tells a request's own whole answer from any other text.
+
+    Parameters
+    ----------
+    catalogue : Catalogue
+        The pipelines in force.
+    trace : Trace
+        The requests.
+    """
+
+    __slots__ = ("_catalogue", "_trace")
+
+    def __init__(self, *, catalogue: Catalogue, trace: Trace) -> None:
+        self._catalogue = catalogue
+        self._trace = trace
+
+    def __call__(self, index: int, whole: bytes) -> Verdict:
+        """Return ``IN_TIME`` for the right text, else ``TORN`` or ``WRONG``.
+
+        A streamed answer is bare text, a whole one the JSON of the output.
+        """
+        request = self._trace.requests[index]
+        body, _ = body_of(self._trace.head, index, request)
+        *_, last = expected_calls(self._catalogue, request, body)
+        if _is_equal(whole, last.output):
+            return Verdict.IN_TIME
+        text = last.output.get("text") if isinstance(last.output, dict) else None
+        if isinstance(text, str) and text.encode().startswith(whole):
+            return Verdict.TORN
+        return Verdict.WRONG
+
+
+def _is_equal(whole: bytes, output: Json) -> bool:
+    if isinstance(output, dict) and whole.decode(errors="replace") == output.get(
+        "text"
+    ):
+        return True
+    try:
+        return bool(orjson.loads(whole) == output)
+    except orjson.JSONDecodeError:
+        return False
