--- /dev/null
+++ b/tests/harness.py
@@ -0,0 +1,690 @@
+"""Real gateways and sidecars in one event loop, with relays that fail on command.
+
+Between each gateway and each sidecar stands a relay that can delay, stall, cut
+or refuse. Targets keep their own record of what they ran, which the tests
+compare with what callers were told.
+"""
+
+import asyncio
+import contextlib
+import itertools
+from collections.abc import AsyncIterator, Callable, Iterable
+from contextvars import ContextVar
+from dataclasses import dataclass, field
+from typing import Any, Final
+
+import aiohttp
+import orjson
+from aiohttp import web
+
+from trefoilpaddle.coordination.claim_book import ClaimBook
+from trefoilpaddle.coordination.claim_home import ClaimHome
+from trefoilpaddle.coordination.claims import account_key
+from trefoilpaddle.coordination.directory import PublishedDirectory
+from trefoilpaddle.roles.gateway import Gateway, claimed_keys, new_process
+from trefoilpaddle.roles.process import Process, identity_of
+from trefoilpaddle.roles.sidecar import Sidecar
+from trefoilpaddle.state.catalogue import (
+    Catalogue,
+    Entry,
+    Pipeline,
+    Service,
+    ServiceKind,
+    Stage,
+    Takes,
+)
+from trefoilpaddle.state.claim_table import ClaimTable
+from trefoilpaddle.state.hosts import Host, HostList, HostState
+from trefoilpaddle.state.journal import Journal
+from trefoilpaddle.state.places import place_list
+from trefoilpaddle.state.settings import (
+    CallerSettings,
+    GatewaySettings,
+    LogFormat,
+    PlatformSettings,
+    ProcessSettings,
+    RetentionSettings,
+    SidecarSettings,
+    StopSettings,
+    TargetSettings,
+)
+from trefoilpaddle.transport.connection import Address
+
+CAP_S: Final = 20.0
+NO_PLATFORM: Final = PlatformSettings(
+    config_url="http://127.0.0.1:9", hosts_url="http://127.0.0.1:9"
+)
+FREE, ONCE, CHAIN = "free", "once", "chain"
+OWNER_OF_TASK: ContextVar[str] = ContextVar("owner_of_task", default="")
+
+
+async def until(is_true: Callable[[], bool], *, cap_s: float = CAP_S) -> None:
+    """Return as soon as the condition holds; fail after a generous cap."""
+    async with asyncio.timeout(cap_s):
+        while not is_true():  # noqa: ASYNC110 - any condition
+            await asyncio.sleep(0.003)
+
+
+class Relay:
+    """Carries connections to `upstream`, and breaks them as it is told.
+
+    Attributes
+    ----------
+    delay_s : float
+        Each piece arrives this much later.
+    is_stalled : bool
+        Nothing passes, nothing is closed: how a pause or a partition looks.
+    is_refusing : bool
+        New connections are closed at once.
+    n_damaged_at : int
+        Damage the byte at this place of the next larger piece; 0 for none.
+    """
+
+    def __init__(self) -> None:
+        self.upstream: Address | None = None
+        self.delay_s = 0.0
+        self.is_refusing = False
+        self.n_damaged_at = 0
+        self._flows = asyncio.Event()
+        self._flows.set()
+        self._writers: set[asyncio.StreamWriter] = set()
+        self._tasks: set[asyncio.Task[None]] = set()
+        self.address = Address(ip="127.0.0.1", port=0)
+
+    @property
+    def is_stalled(self) -> bool:
+        return not self._flows.is_set()
+
+    @is_stalled.setter
+    def is_stalled(self, is_stalled: bool) -> None:
+        if is_stalled:
+            self._flows.clear()
+        else:
+            self._flows.set()
+
+    def cut(self) -> None:
+        """Break all connections; what is on its way is lost."""
+        for writer in list(self._writers):
+            writer.transport.abort()
+
+    def heal(self) -> None:
+        self.delay_s = 0.0
+        self.is_refusing = False
+        self.is_stalled = False
+
+    @contextlib.asynccontextmanager
+    async def running(self) -> AsyncIterator["Relay"]:
+        server = await asyncio.start_server(self._accept, "127.0.0.1", 0)
+        port = server.sockets[0].getsockname()[1]
+        self.address = Address(ip="127.0.0.1", port=port)
+        try:
+            yield self
+        finally:
+            server.close()
+            self.cut()
+            for task in list(self._tasks):
+                task.cancel()
+
+    async def _accept(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        upstream = self.upstream
+        self._writers.add(writer)
+        try:
+            if self.is_refusing or upstream is None:
+                return
+            up_reader, up_writer = await asyncio.open_connection(
+                upstream.ip, upstream.port
+            )
+            self._writers.add(up_writer)
+            try:
+                await self._both(reader, up_writer, up_reader, writer)
+            finally:
+                self._writers.discard(up_writer)
+                up_writer.transport.abort()
+        except OSError:
+            pass
+        finally:
+            self._writers.discard(writer)
+            writer.transport.abort()
+
+    async def _both(
+        self,
+        reader: asyncio.StreamReader,
+        up_writer: asyncio.StreamWriter,
+        up_reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+    ) -> None:
+        ways = [
+            asyncio.create_task(self._carry(reader, up_writer)),
+            asyncio.create_task(self._carry(up_reader, writer)),
+        ]
+        self._tasks.update(ways)
+        await asyncio.wait(ways, return_when=asyncio.FIRST_COMPLETED)
+        for way in ways:
+            way.cancel()
+        self._tasks.difference_update(ways)
+
+    async def _carry(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        with contextlib.suppress(OSError):
+            while data := await reader.read(1 << 16):
+                if self.delay_s:
+                    await asyncio.sleep(self.delay_s)
+                await self._flows.wait()
+                writer.write(self._damaged(data))
+                await writer.drain()
+
+    def _damaged(self, data: bytes) -> bytes:
+        at = self.n_damaged_at
+        if not 0 < at < len(data):
+            return data
+        self.n_damaged_at = 0
+        return data[:at] + bytes([data[at] ^ 1]) + data[at + 1 :]
+
+
+@dataclass(slots=True, kw_only=True)
+class Run:
+    """One call that a target ran, in its own record."""
+
+    request_id: str
+    attempt_id: str
+    text: str
+    is_done: bool = False
+
+
+class Target:
+    """A target that says what it was given, and records each run of it."""
+
+    def __init__(self, name: str) -> None:
+        self.name = name
+        self.port = 0
+        self.runs: list[Run] = []
+        self.service_s = 0.0
+        self.gate = asyncio.Event()
+        self.gate.set()
+
+    @contextlib.asynccontextmanager
+    async def serving(self) -> AsyncIterator["Target"]:
+        app = web.Application(client_max_size=1 << 26)
+        app.router.add_get("/health", self._health)
+        app.router.add_post("/run", self._run)
+        runner = web.AppRunner(app, shutdown_timeout=0.1, access_log=None)
+        await runner.setup()
+        site = web.TCPSite(runner, "127.0.0.1", 0)
+        await site.start()
+        self.port = runner.addresses[0][1]
+        try:
+            yield self
+        finally:
+            self.gate.set()
+            await runner.cleanup()
+
+    async def _health(self, _request: web.Request) -> web.Response:
+        return web.Response()
+
+    async def _run(self, request: web.Request) -> web.Response:
+        given = orjson.loads(await request.read())
+        run = Run(
+            request_id=request.headers["X-Request-Id"],
+            attempt_id=request.headers["X-Attempt-Id"],
+            text=_text_of(given),
+        )
+        self.runs.append(run)
+        await self.gate.wait()
+        if self.service_s:
+            await asyncio.sleep(self.service_s)
+        run.is_done = True
+        return web.json_response({"echo": run.text}, headers={"X-Cost-S": "0.01"})
+
+
+def _text_of(given: Any) -> str:
+    previous = given.get("previous")
+    if isinstance(previous, dict):
+        return str(previous["echo"])
+    value = given["input"]
+    return str(value["text"]) if isinstance(value, dict) else str(value)
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Told:
+    """What a caller was told."""
+
+    text: str
+    status: int
+    body: Any
+    request_id: str
+
+    @property
+    def is_lost(self) -> bool:
+        """True if the connection broke before the caller was told anything."""
+        return self.status == 0
+
+    @property
+    def is_answered(self) -> bool:
+        return self.status == 200
+
+    @property
+    def echo(self) -> str:
+        return str(self.body["echo"])
+
+    @property
+    def outcome(self) -> str:
+        return str(self.body["error"]["outcome"])
+
+    @property
+    def reason(self) -> str:
+        return str(self.body["error"]["reason"])
+
+
+@dataclass(slots=True, kw_only=True)
+class SidecarSlot:
+    """The place beside one target: its sidecar of the moment, if it has one."""
+
+    name: str
+    service: str
+    target: Target
+    stack: contextlib.AsyncExitStack = field(default_factory=contextlib.AsyncExitStack)
+    sidecar: Sidecar | None = None
+    process: Process | None = None
+    n_starts: int = 0
+
+    @property
+    def owner(self) -> str:
+        return f"{self.name}#{self.n_starts}"
+
+
+@dataclass(slots=True, kw_only=True)
+class GatewaySlot:
+    """One gateway, and its relays to the sidecars by name."""
+
+    name: str
+    relays: dict[str, Relay]
+    stack: contextlib.AsyncExitStack = field(default_factory=contextlib.AsyncExitStack)
+    gateway: Gateway | None = None
+
+    @property
+    def url(self) -> str:
+        assert self.gateway is not None
+        return f"http://{self.gateway.server.address}"
+
+
+def stage(name: str, service: str, *, idempotent: bool) -> Stage:
+    return Stage(
+        name=name, service=service, path="/run", idempotent=idempotent, takes=Takes.BOTH
+    )
+
+
+def catalogue(*, deadline_s: float) -> Catalogue:
+    """Return three pipelines: repeatable, to run once, and one after the other."""
+    free = stage("read", "pool", idempotent=True)
+    once = stage("book", "plain", idempotent=False)
+    entry = Entry(
+        owner="club",
+        class_of_work="calls",
+        pipelines=(FREE, ONCE, CHAIN),
+        accounts=("club",),
+        deadline_s=deadline_s,
+    )
+    return Catalogue(
+        revision=1,
+        entries={"e": entry},
+        pipelines={
+            FREE: Pipeline(stages=(free,)),
+            ONCE: Pipeline(stages=(once,)),
+            CHAIN: Pipeline(stages=(free, once)),
+        },
+        services={
+            "pool": Service(kind=ServiceKind.POOL),
+            "plain": Service(kind=ServiceKind.PLAIN),
+        },
+    )
+
+
+class Fleet:
+    """Gateways, sidecars, targets and the relays between them."""
+
+    def __init__(self, *, n_gateways: int, n_per_service: int, deadline_s: float):
+        self.catalogue = catalogue(deadline_s=deadline_s)
+        self.hosts_revision = 1
+        self.leaving: set[str] = set()
+        self.slots = [
+            SidecarSlot(name=f"{s}{i}", service=s, target=Target(f"{s}{i}"))
+            for s in ("pool", "plain")
+            for i in range(n_per_service)
+        ]
+        self.gateways = [
+            GatewaySlot(name=f"g{i}", relays={s.name: Relay() for s in self.slots})
+            for i in range(n_gateways)
+        ]
+        self._client: aiohttp.ClientSession | None = None
+        self._numbers = itertools.count()
+
+    def slot(self, name: str) -> SidecarSlot:
+        return next(slot for slot in self.slots if slot.name == name)
+
+    def relays_to(self, name: str) -> list[Relay]:
+        return [gateway.relays[name] for gateway in self.gateways]
+
+    def all_relays(self) -> Iterable[Relay]:
+        return (relay for g in self.gateways for relay in g.relays.values())
+
+    def key_placed_at(self, service: str) -> str:
+        """Return a key whose places are all sidecars of `service`."""
+        hosts = self._list({slot.name: _address_of(slot) for slot in self.slots})
+        places = place_list(hosts)
+        for number in itertools.count():
+            key = f"key-{number}"
+            pair = places.pair(account_key("club", key).text)
+            if all(p.process_id.startswith(service) for p in pair):
+                return key
+        raise AssertionError
+
+    def places_of(self, key: str) -> list[SidecarSlot]:
+        """Return the slots that decide about `key`, the first place first."""
+        hosts = self._list({slot.name: _address_of(slot) for slot in self.slots})
+        pair = place_list(hosts).pair(account_key("club", key).text)
+        return [self.slot(p.process_id.removesuffix("-sidecar")) for p in pair]
+
+    def runs(self, service: str) -> list[Run]:
+        """Return all runs that the targets of `service` recorded."""
+        slots = [slot for slot in self.slots if slot.service == service]
+        return [run for slot in slots for run in slot.target.runs]
+
+    @contextlib.asynccontextmanager
+    async def running(self) -> AsyncIterator["Fleet"]:
+        _name_owners_of_tasks()
+        async with contextlib.AsyncExitStack() as stack:
+            for relay in self.all_relays():
+                await stack.enter_async_context(relay.running())
+            for slot in self.slots:
+                await stack.enter_async_context(slot.target.serving())
+                await self.start_sidecar(slot)
+                stack.push_async_callback(self._end_slot, slot)
+            for gateway in self.gateways:
+                await self.start_gateway(gateway)
+                stack.push_async_callback(self._end_gateway, gateway)
+            self.publish()
+            connector = aiohttp.TCPConnector(limit=0, force_close=True)
+            self._client = await stack.enter_async_context(
+                aiohttp.ClientSession(connector=connector)
+            )
+            await until(self.is_ready)
+            yield self
+            for relay in self.all_relays():
+                relay.heal()
+
+    def is_ready(self) -> bool:
+        return all(self.hears(g, s) for g in self.gateways for s in self.slots)
+
+    def hears(self, gateway: GatewaySlot, slot: SidecarSlot) -> bool:
+        """Return True if `gateway` would give work to the sidecar of `slot`."""
+        assert gateway.gateway is not None and slot.process is not None
+        incarnation = slot.process.identity.incarnation
+        return any(
+            view.process_id == f"{slot.name}-sidecar"
+            and view.incarnation == incarnation
+            and view.load is not None
+            and view.may_get_work()
+            for view in gateway.gateway._views
+        )
+
+    def publish(self) -> None:
+        """Give every process the catalogue and the list, by its own addresses."""
+        for gateway in self.gateways:
+            if gateway.gateway is not None:
+                ports = {name: r.address for name, r in gateway.relays.items()}
+                self._publish_to(gateway.gateway.process, ports)
+        ports = {slot.name: _address_of(slot) for slot in self.slots}
+        for slot in self.slots:
+            if slot.process is not None:
+                self._publish_to(slot.process, ports)
+
+    def _publish_to(self, process: Process, addresses: dict[str, Address]) -> None:
+        process.published.set_hosts(self._list(addresses))
+        process.published.set_catalogue(self.catalogue)
+
+    def _list(self, addresses: dict[str, Address]) -> HostList:
+        sidecars = [
+            Host(
+                name=slot.name,
+                failure_domain="fd1",
+                role="sidecar",
+                peer_address=str(addresses[slot.name]),
+                service=slot.service,
+                target=slot.target.name,
+                state=(
+                    HostState.LEAVING if slot.name in self.leaving else HostState.LIVE
+                ),
+            )
+            for slot in self.slots
+        ]
+        gateways = [
+            Host(
+                name=slot.name,
+                failure_domain="fd1",
+                role="gateway",
+                peer_address=str(slot.gateway.process.server.address),
+            )
+            for slot in self.gateways
+            if slot.gateway is not None
+        ]
+        return HostList(revision=self.hosts_revision, hosts=(*sidecars, *gateways))
+
+    async def start_sidecar(self, slot: SidecarSlot) -> None:
+        """Start a sidecar in `slot`: a new incarnation behind the same relays."""
+        slot.n_starts += 1
+        token = OWNER_OF_TASK.set(slot.owner)
+        try:
+            settings = _sidecar_settings(slot)
+            process = _sidecar_process(settings)
+            sidecar = Sidecar(settings=settings, process=process)
+            home = ClaimHome(
+                book=ClaimBook(
+                    process_id=process.identity.process_id,
+                    published=process.published,
+                    table=ClaimTable(window_s=settings.retention.retry_window_s),
+                ),
+                asker=process.peers,
+                journal=process.journal,
+            )
+            home.mount(process.server)
+            slot.stack = contextlib.AsyncExitStack()
+            await slot.stack.enter_async_context(sidecar.open())
+        finally:
+            OWNER_OF_TASK.reset(token)
+        slot.sidecar, slot.process = sidecar, process
+        for gateway in self.gateways:
+            gateway.relays[slot.name].upstream = process.server.address
+
+    async def start_gateway(self, slot: GatewaySlot) -> None:
+        settings = _gateway_settings(slot.name)
+        process = new_process(settings)
+        slot.stack = contextlib.AsyncExitStack()
+        token = OWNER_OF_TASK.set(slot.name)
+        try:
+            await slot.stack.enter_async_context(process.running())
+            directory = PublishedDirectory(published=process.published)
+            gateway = Gateway(
+                settings=settings,
+                process=process,
+                directory=directory,
+                keys=claimed_keys(
+                    settings=settings, process=process, directory=directory
+                ),
+            )
+            await slot.stack.enter_async_context(gateway.serving())
+        finally:
+            OWNER_OF_TASK.reset(token)
+        slot.gateway = gateway
+
+    def kill_sidecar(self, slot: SidecarSlot) -> None:
+        """End the sidecar as SIGKILL would: no frame and no call leaves it more."""
+        assert slot.sidecar is not None and slot.process is not None
+        for relay in self.relays_to(slot.name):
+            relay.upstream = None
+            relay.cut()
+        for connection in list(slot.process.server.connections):
+            connection.abort()
+        listener = slot.process.server._server
+        if listener is not None:
+            listener.close()
+        _cancel_tasks_of(slot.owner)
+        slot.sidecar = slot.process = None
+
+    def kill_gateway(self, slot: GatewaySlot) -> None:
+        """End the gateway as SIGKILL would: its callers lose their connections."""
+        assert slot.gateway is not None
+        for relay in slot.relays.values():
+            relay.is_refusing = True
+            relay.cut()
+        for link in slot.gateway.process.peers.links.values():
+            if link.connection is not None:
+                link.connection.abort()
+        _cancel_tasks_of(slot.name)
+        slot.gateway = None
+
+    async def stop_sidecar(self, slot: SidecarSlot) -> int:
+        """Stop the sidecar as planned; return how many calls it cut off."""
+        assert slot.sidecar is not None
+        n_cut_off = await slot.sidecar.stop()
+        await self._end_slot(slot)
+        return n_cut_off
+
+    async def _end_slot(self, slot: SidecarSlot) -> None:
+        if slot.process is not None:
+            slot.sidecar = slot.process = None
+            await slot.stack.aclose()
+
+    async def _end_gateway(self, slot: GatewaySlot) -> None:
+        if slot.gateway is not None:
+            await slot.stack.aclose()
+            slot.gateway = None
+
+    async def stop_gateway(self, slot: GatewaySlot) -> int:
+        """Stop the gateway as planned; return how many requests it cut off."""
+        assert slot.gateway is not None
+        process = slot.gateway.process
+        await self._end_gateway(slot)
+        return process.n_cut_off
+
+    async def call(
+        self,
+        pipeline: str,
+        text: str = "",
+        *,
+        gateway: int = 0,
+        key: str = "",
+        deadline_s: float = 0.0,
+    ) -> Told:
+        """Send one request as a caller would and return what it was told."""
+        assert self._client is not None
+        text = text or f"text {next(self._numbers)}"
+        headers = {"X-Client-Account": "club"}
+        if key:
+            headers["Idempotency-Key"] = key
+        if deadline_s:
+            headers["X-Deadline-S"] = str(deadline_s)
+        url = f"{self.gateways[gateway].url}/v1/pipelines/{pipeline}"
+        try:
+            async with self._client.post(
+                url, json={"text": text}, headers=headers
+            ) as response:
+                return Told(
+                    text=text,
+                    status=response.status,
+                    body=orjson.loads(await response.read()),
+                    request_id=response.headers.get("X-Request-Id", ""),
+                )
+        except aiohttp.ClientError:
+            return Told(text=text, status=0, body=None, request_id="")
+
+
+@contextlib.asynccontextmanager
+async def fleet(
+    *, n_gateways: int = 1, n_per_service: int = 1, deadline_s: float = 10.0
+) -> AsyncIterator[Fleet]:
+    """Run a fleet until the context ends."""
+    made = Fleet(
+        n_gateways=n_gateways, n_per_service=n_per_service, deadline_s=deadline_s
+    )
+    async with made.running():
+        yield made
+
+
+class _OwnedTask(asyncio.Task[Any]):
+    """Task that remembers which sidecar started it, however indirectly."""
+
+    def __init__(self, *args: Any, **kwargs: Any) -> None:
+        super().__init__(*args, **kwargs)
+        self.owner = OWNER_OF_TASK.get()
+
+
+def _cancel_tasks_of(owner: str) -> None:
+    for task in asyncio.all_tasks():
+        if getattr(task, "owner", "") == owner:
+            task.cancel()
+
+
+def _name_owners_of_tasks() -> None:
+    def make(
+        loop: asyncio.AbstractEventLoop, coro: Any, **kwargs: Any
+    ) -> asyncio.Task[Any]:
+        return _OwnedTask(coro, loop=loop, **kwargs)
+
+    asyncio.get_running_loop().set_task_factory(make)
+
+
+def _address_of(slot: SidecarSlot) -> Address:
+    if slot.process is None:
+        return Address(ip="127.0.0.1", port=9)
+    return slot.process.server.address
+
+
+def _sidecar_settings(slot: SidecarSlot) -> SidecarSettings:
+    return SidecarSettings(
+        process=_process_settings(slot.name),
+        platform=NO_PLATFORM,
+        target=TargetSettings(
+            name=slot.target.name,
+            service=slot.service,
+            kind=ServiceKind.POOL if slot.service == "pool" else ServiceKind.PLAIN,
+            url=f"http://127.0.0.1:{slot.target.port}",
+            lock_port=9,
+        ),
+        retention=RetentionSettings(),
+        stop=StopSettings(drain_s=10.0, settle_s=0.05),
+    )
+
+
+def _sidecar_process(settings: SidecarSettings) -> Process:
+    identity = identity_of(
+        process=settings.process,
+        role="sidecar",
+        service=settings.target.service,
+        target=settings.target.name,
+    )
+    journal = Journal(
+        process_id=identity.process_id, n_records=2000, format=LogFormat.KEY_VALUE
+    )
+    listen = Address(ip="127.0.0.1", port=0)
+    return Process(identity=identity, listen=listen, journal=journal)
+
+
+def _gateway_settings(name: str) -> GatewaySettings:
+    return GatewaySettings(
+        process=_process_settings(name),
+        platform=NO_PLATFORM,
+        callers=CallerSettings(listen="127.0.0.1:0"),
+        stop=StopSettings(drain_s=10.0, settle_s=0.05),
+    )
+
+
+def _process_settings(name: str) -> ProcessSettings:
+    return ProcessSettings(
+        host=name,
+        failure_domain="fd1",
+        listen="127.0.0.1:0",
+        operators_listen="127.0.0.1:0",
+    )
--- a/tests/test_fuzz.py
+++ b/tests/test_fuzz.py
@@ -21,7 +21,7 @@
 from trefoilpaddle.transport.link import Link
 from trefoilpaddle.transport.server import PeerServer
 
-from .peer_helpers import hello_of, link_to, raw_peer, server_of
+from tests.peer_helpers import hello_of, link_to, raw_peer, server_of
 
 MEGABYTE = 1024 * 1024
 MAX_GROWTH_BYTES = 64 * MEGABYTE
--- /dev/null
+++ b/tests/test_path_retries.py
@@ -0,0 +1,120 @@
+"""A caller's retries at another gateway: the work runs at most once."""
+
+import asyncio
+
+from tests.harness import ONCE, Fleet, fleet, until
+
+
+def n_runs(f: Fleet) -> int:
+    return len(f.runs("plain"))
+
+
+def open_gates(f: Fleet) -> None:
+    for slot in f.slots:
+        slot.target.gate.set()
+
+
+def close_gates(f: Fleet) -> None:
+    for slot in f.slots:
+        slot.target.gate.clear()
+
+
+class TestRetryElsewhere:
+    async def test_while_the_first_try_works(self) -> None:
+        # An officer's browser gives up waiting and asks again; the balancer
+        # picks another gateway. Two guarantees against one limit must not come.
+        async with fleet(n_gateways=2, n_per_service=2) as f:
+            close_gates(f)
+            first = asyncio.create_task(f.call(ONCE, "bond", key="k"))
+            await until(lambda: n_runs(f) == 1)
+            second = asyncio.create_task(f.call(ONCE, "bond", gateway=1, key="k"))
+            await asyncio.sleep(0.3)
+            assert n_runs(f) == 1
+            open_gates(f)
+            assert (await first).echo == (await second).echo == "bond"
+            assert n_runs(f) == 1
+
+    async def test_after_it_finished(self) -> None:
+        async with fleet(n_gateways=2, n_per_service=2) as f:
+            assert (await f.call(ONCE, "bond", key="k")).echo == "bond"
+            again = await f.call(ONCE, "bond", gateway=1, key="k")
+            assert again.echo == "bond"
+            assert n_runs(f) == 1
+
+    async def test_at_both_gateways_at_once(self) -> None:
+        async with fleet(n_gateways=2, n_per_service=2) as f:
+            tries = [
+                f.call(ONCE, f"bond {n}", gateway=g, key=f"k{n}")
+                for n in range(10)
+                for g in (0, 1)
+            ]
+            told = await asyncio.gather(*tries)
+            texts = [run.text for run in f.runs("plain")]
+            assert len(texts) == len(set(texts)) == 10
+            for each in told:
+                assert each.is_answered or each.outcome == "unknown", each
+
+    async def test_with_another_body(self) -> None:
+        async with fleet(n_gateways=2, n_per_service=2) as f:
+            await f.call(ONCE, "bond", key="k")
+            other = await f.call(ONCE, "another", gateway=1, key="k")
+            assert other.status == 409 and other.reason == "key_reused"
+            assert n_runs(f) == 1
+
+    async def test_after_the_home_died(self) -> None:
+        # The process that holds the key dies; whoever stands in for it does
+        # not know the first try from its own memory alone.
+        async with fleet(n_gateways=2, n_per_service=2) as f:
+            key = f.key_placed_at("pool")
+            await f.call(ONCE, "bond", key=key)
+            f.kill_sidecar(f.places_of(key)[0])
+            again = await f.call(ONCE, "bond", gateway=1, key=key)
+            assert again.is_answered or again.outcome == "unknown", again
+            assert n_runs(f) == 1
+
+    async def test_after_the_home_was_restarted(self) -> None:
+        async with fleet(n_gateways=2, n_per_service=2) as f:
+            key = f.key_placed_at("pool")
+            await f.call(ONCE, "bond", key=key)
+            for slot in f.places_of(key):
+                f.kill_sidecar(slot)
+                await f.start_sidecar(slot)
+            f.hosts_revision += 1
+            f.publish()
+            await until(f.is_ready)
+            again = await f.call(ONCE, "bond", gateway=1, key=key, deadline_s=5.0)
+            assert again.is_answered or again.outcome != "failed", again
+            assert n_runs(f) == 1
+
+    async def test_while_the_home_is_paused(self) -> None:
+        # The home takes the first claim and is then cut off from the second
+        # gateway: no answer is not a "new".
+        async with fleet(n_gateways=2, n_per_service=2) as f:
+            key = f.key_placed_at("pool")
+            home = f.places_of(key)[0]
+            close_gates(f)
+            first = asyncio.create_task(f.call(ONCE, "bond", key=key))
+            await until(lambda: n_runs(f) == 1)
+            f.gateways[1].relays[home.name].is_stalled = True
+            second = await f.call(ONCE, "bond", gateway=1, key=key, deadline_s=3.0)
+            assert second.outcome == "unknown", second
+            open_gates(f)
+            assert (await first).echo == "bond"
+            assert n_runs(f) == 1
+
+    async def test_after_its_gateway_died(self) -> None:
+        # The gateway dies in the midst of a booking and the caller's
+        # connection with it. The retry must neither book again nor be told
+        # that nothing ran.
+        async with fleet(n_gateways=2, n_per_service=2) as f:
+            close_gates(f)
+            first = asyncio.create_task(f.call(ONCE, "bond", key="k"))
+            await until(lambda: n_runs(f) == 1)
+            f.kill_gateway(f.gateways[0])
+            first.cancel()
+            second = await f.call(ONCE, "bond", gateway=1, key="k", deadline_s=2.0)
+            assert second.outcome == "unknown", second
+            open_gates(f)
+            third = await f.call(ONCE, "bond", gateway=1, key="k", deadline_s=2.0)
+            assert third.is_answered or third.outcome == "unknown", third
+            assert n_runs(f) == 1
--- a/tests/test_transport.py
+++ b/tests/test_transport.py
@@ -22,7 +22,7 @@
 from trefoilpaddle.transport.connection import Address, Connection
 from trefoilpaddle.transport.link import Link
 
-from .peer_helpers import (
+from tests.peer_helpers import (
     RawPeer,
     beat,
     hello_of,
