--- a/src/trefoilpaddle/replay/fleet_measure.py
+++ b/src/trefoilpaddle/replay/fleet_measure.py
@@ -153,9 +153,9 @@
     """Yield a fleet whose peers all have the catalogue in force."""
     async with FleetPlatform().serving() as platform:
         for number in range(N_SERVICES):
-            platform.publish(f"service/s{number}", {"kind": "pool"})
+            platform.config.publish(f"service/s{number}", {"kind": "pool"})
         for number in range(n_keys - N_SERVICES):
-            platform.publish(f"account/a{number}", ACCOUNT)
+            platform.config.publish(f"account/a{number}", ACCOUNT)
         fleet = Fleet(platform=platform)
         try:
             await _start(fleet, split(n_peers, per_worker))
@@ -186,13 +186,16 @@
                 "role": role,
                 "n_domains": N_DOMAINS,
                 "n_services": N_SERVICES,
-                "config_url": fleet.platform.url,
+                "config_url": fleet.platform.config_url,
+                "hosts_url": fleet.platform.hosts_url,
                 "seeds": [host["peer_address"] for host in hosts[:3]],
             }
         )
         hosts += answer["hosts"]
-    fleet.platform.list_hosts(hosts)
-    await fleet.all_do({"do": "wait", "revision": fleet.platform.revision})
+    fleet.platform.hosts.publish(hosts)
+    await fleet.all_do(
+        {"do": "wait", "revision": fleet.platform.config.revisions.latest}
+    )
     while await _n_known(fleet) < len(hosts):  # noqa: ASYNC110 (in other processes)
         await asyncio.sleep(POLL_S)
     fleet.start_s = time.monotonic() - began_s
@@ -245,11 +248,13 @@
     """Publish one change and return how long each peer took to have it."""
     value = ACCOUNT | {"token_sha256": f"{number + 1:064x}"}
     waiting = asyncio.gather(
-        fleet.all_do({"do": "wait", "revision": fleet.platform.revision + 1})
+        fleet.all_do(
+            {"do": "wait", "revision": fleet.platform.config.revisions.latest + 1}
+        )
     )
     await asyncio.sleep(CHANGE_GAP_S)
     published_s = time.monotonic()
-    fleet.platform.publish("account/a0", value)
+    fleet.platform.config.publish("account/a0", value)
     (answers,) = await waiting
     return [at_s - published_s for answer in answers for at_s in answer["at_s"]]
 
--- a/src/trefoilpaddle/replay/fleet_worker.py
+++ b/src/trefoilpaddle/replay/fleet_worker.py
@@ -45,7 +45,7 @@
         ``"gateway"`` or ``"sidecar"``.
     n_domains, n_services : int
         Peers are spread over them evenly.
-    config_url : str
+    config_url, hosts_url : str
         The platform.
     seeds : list of str
         Addresses of peers that run already.
@@ -57,6 +57,7 @@
     n_domains: int
     n_services: int
     config_url: str
+    hosts_url: str
     seeds: list[str]
 
 
@@ -118,7 +119,7 @@
         await self._stack.enter_async_context(process.server.listening())
         await self._stack.enter_async_context(process.peers.open())
         platform = PlatformSettings(
-            config_url=start.config_url, hosts_url=start.config_url
+            config_url=start.config_url, hosts_url=start.hosts_url
         )
         feed = await self._stack.enter_async_context(
             config_feed(
