Add the demo; give a target's view the stamp of a hello already heard

Cause: the first call to each sidecar was refused with wrong_incarnation. The membership part opens the link first; the gateway's view is made later, hears of no hello and sends stamp 0. Ruled out: a restart of the sidecar (its incarnation was the one asked for). Change: Connection notes when the hello came; TargetViews.of takes its stamp (a few lines in transport/connection.py and coordination/target_view.py). standins demo sends the samples, tells why, drains; the at-most-once sample uses a minted id, because a key is answered unknown for the retry window after a start of the whole fleet.

--- a/src/trefoilpaddle/coordination/target_view.py
+++ b/src/trefoilpaddle/coordination/target_view.py
@@ -92,6 +92,18 @@
         self._counted_s = 0.0
         self.take_stamp(load.stamp_ns)
 
+    def take_hello(self) -> None:
+        """Take the stamp of a hello that came before this view was made.
+
+        Membership and configuration open links too. A view made on an open link
+        hears of no hello; its first call would carry no stamp, and the sidecar
+        would refuse it as meant for a former start.
+        """
+        connection = self.link.connection
+        if connection is not None:
+            self.stamp_ns = connection.peer.stamp_ns
+            self.stamp_at_ns = connection.hello_at_ns
+
     def take_stamp(self, stamp_ns: int) -> None:
         """Remember the newest stamp of the sidecar's clock and when it came."""
         self.stamp_ns = stamp_ns
@@ -181,6 +193,7 @@
         if address is None:
             return None
         view = TargetView(host=host, address=address, link=self._peers.link(address))
+        view.take_hello()
         self._by_id[host.process_id] = view
         self._by_address[address] = view
         return view
--- a/src/trefoilpaddle/standins/commands.py
+++ b/src/trefoilpaddle/standins/commands.py
@@ -1,6 +1,7 @@
-"""Commands that run one stand-in each, as a process of its own."""
+"""Commands that run one stand-in each, as a process of its own, and the demo."""
 
 import dataclasses
+import sys
 from collections.abc import Iterable
 from typing import Final
 
@@ -9,6 +10,7 @@
 from .batching import BatchModel
 from .calls import CallModel, CallService
 from .config import Config
+from .demo import demo
 from .engine import Engine, EngineModel
 from .hosts import Hosts
 from .web import StandIn, serve_process
@@ -113,3 +115,7 @@
             time_scale=time_scale,
         )
         _serve(stand_in, listen)
+
+    def demo(self, deployment: str = "garantia", serve: bool = False) -> None:
+        """Run examples/DEPLOYMENT, send its samples and drain; or leave it to serve."""
+        sys.exit(uvloop.run(demo(name=str(deployment), is_serving=bool(serve))))
--- a/src/trefoilpaddle/standins/description.py
+++ b/src/trefoilpaddle/standins/description.py
@@ -73,8 +73,9 @@
         File under ``examples/inputs``; JSON if it ends so, else text.
     is_streamed : bool
         Whether the answer is asked for as a stream.
-    idempotency_key : str
-        Sent with the request; empty for none.
+    has_minted_id : bool
+        Whether an id is asked for first and sent with the request, so that a
+        retry cannot run it twice.
     """
 
     title: str
@@ -83,7 +84,7 @@
     class_of_work: Name
     input: Annotated[str, Field(pattern=r"^[\w.-]+$")]
     is_streamed: bool = False
-    idempotency_key: str = ""
+    has_minted_id: bool = False
 
 
 @dataclass(slots=True, kw_only=True, config=_STRICT)
--- a/src/trefoilpaddle/transport/connection.py
+++ b/src/trefoilpaddle/transport/connection.py
@@ -64,6 +64,7 @@
         "_reader",
         "_writer",
         "heard_s",
+        "hello_at_ns",
         "own",
         "peer",
         "pending",
@@ -86,6 +87,7 @@
         self.own = own
         self.peer = Hello()
         self.heard_s = time.monotonic()
+        self.hello_at_ns = 0
         self.pending: list[Frame] = []
 
     @property
@@ -159,6 +161,7 @@
             return self._error("its process id is empty or too long")
         if self._is_own(frame.message):
             return self._error("is this process itself")
+        self.hello_at_ns = time.monotonic_ns()
         self.peer = frame.message
         return Ok(self.peer)
 
