Check parameters of the stand-ins' models; a broken batch loop is told

The description read n_cache_blocks as 120.0, a slice by it raised, and the batch loop ended unseen. Change: whole numbers stay whole; models are checked data classes; a loop that ends by an error is reported.

--- a/src/trefoilpaddle/standins/batching.py
+++ b/src/trefoilpaddle/standins/batching.py
@@ -9,6 +9,10 @@
 from dataclasses import dataclass
 from typing import Final
 
+from pydantic.dataclasses import dataclass as checked_dataclass
+
+from trefoilpaddle.state.catalogue import STRICT
+
 from .faults import Faults
 from .generation import Generation
 from .lagged import Lagged
@@ -20,7 +24,7 @@
 _MIN_SLEEP_S: Final = 0.001
 
 
-@dataclass(frozen=True, slots=True, kw_only=True)
+@checked_dataclass(slots=True, kw_only=True, config=STRICT)
 class BatchModel:
     """How long a step takes and how much fits in it.
 
@@ -112,6 +116,7 @@
     async def stepping(self) -> AsyncIterator[None]:
         """Run steps while the context is open."""
         task = asyncio.create_task(self._steps())
+        task.add_done_callback(_report)
         try:
             yield
         finally:
@@ -201,3 +206,9 @@
         load = BatchLoad(n_running=len(self._running), n_waiting=len(self._waiting))
         if load != self.load.latest:
             self.load.set(load)
+
+
+def _report(task: "asyncio.Task[None]") -> None:
+    """Tell of a loop that broke; its engine would look alive and never answer."""
+    if not task.cancelled() and (error := task.exception()) is not None:
+        raise error
--- a/src/trefoilpaddle/standins/calls.py
+++ b/src/trefoilpaddle/standins/calls.py
@@ -9,6 +9,9 @@
 from typing import Final
 
 from aiohttp import web
+from pydantic.dataclasses import dataclass as checked_dataclass
+
+from trefoilpaddle.state.catalogue import STRICT
 
 from .faults import Faults
 from .lagged import Lagged
@@ -20,7 +23,7 @@
 BYTES_PER_KB: Final = 1024
 
 
-@dataclass(frozen=True, slots=True, kw_only=True)
+@checked_dataclass(slots=True, kw_only=True, config=STRICT)
 class CallModel:
     """How a pool or plain service works.
 
--- a/src/trefoilpaddle/standins/engine.py
+++ b/src/trefoilpaddle/standins/engine.py
@@ -4,7 +4,6 @@
 import contextlib
 import time
 from collections.abc import AsyncIterator, Iterator
-from dataclasses import dataclass, field
 from typing import Annotated, Final
 
 import orjson
@@ -12,6 +11,8 @@
 from pydantic import ConfigDict, Field, TypeAdapter, ValidationError
 from pydantic.dataclasses import dataclass as checked_dataclass
 
+from trefoilpaddle.state.catalogue import STRICT
+
 from .batching import Batch, BatchModel
 from .faults import Faults
 from .generation import Generation
@@ -45,7 +46,7 @@
 _COMPLETION: Final = TypeAdapter(Completion)
 
 
-@dataclass(frozen=True, slots=True, kw_only=True)
+@checked_dataclass(slots=True, kw_only=True, config=STRICT)
 class EngineModel:
     """How an engine works.
 
@@ -75,7 +76,7 @@
         See `Pace`.
     """
 
-    batch: BatchModel = field(default_factory=BatchModel)
+    batch: BatchModel = BatchModel()
     models: tuple[str, ...] = ("base",)
     is_fenced: bool = True
     load_s: float = 1.0
