--- a/src/trefoilpaddle/coordination/claim_book.py
+++ b/src/trefoilpaddle/coordination/claim_book.py
@@ -1,5 +1,6 @@
 """What one process knows of request keys and of the lists that place them."""
 
+import secrets
 import time
 from collections.abc import Callable, Iterator
 from typing import Final
@@ -13,6 +14,9 @@
 """How long a replaced list is asked about; a partition of minutes fits in."""
 
 RETRY_S: Final = 1.0
+TRY_BYTES: Final = 6
+TRY_MARK: Final = "~"
+"""Between a request id and what tells one try of the request from another."""
 
 IncarnationOf = Callable[[str], int | None]
 
@@ -197,6 +201,16 @@
     )
 
 
+def new_try_id(request_id: str) -> str:
+    """Return an id of one try alone; a retry can carry the same request id."""
+    return f"{request_id}{TRY_MARK}{secrets.token_hex(TRY_BYTES)}"
+
+
+def request_of(try_id: str) -> str:
+    """Return the request id in the id of a try."""
+    return try_id.partition(TRY_MARK)[0]
+
+
 def places_message(pair: tuple[Place, ...]) -> Places:
     """Return `pair` as it travels."""
     return Places(
--- a/src/trefoilpaddle/protocol/frames.py
+++ b/src/trefoilpaddle/protocol/frames.py
@@ -13,7 +13,7 @@
 from thrift.protocol.TCompactProtocol import TCompactProtocolAccelerated
 from thrift.transport.TTransport import TMemoryBuffer
 
-from .const import MAX_FRAME_BYTES
+from .const import MAX_FRAME_BYTES, MAX_ITEMS
 from .gen.claims import ttypes as claims
 from .gen.config import ttypes as config
 from .gen.explain import ttypes as explain
@@ -69,7 +69,7 @@
 _CODEC: Final = TCompactProtocolAccelerated(
     TMemoryBuffer(),
     string_length_limit=MAX_FRAME_BYTES,
-    container_length_limit=MAX_FRAME_BYTES,
+    container_length_limit=MAX_ITEMS,
     fallback=False,
 )
 """Made once, since making one takes longer than a small struct's coding. It
--- a/src/trefoilpaddle/roles/gateway.py
+++ b/src/trefoilpaddle/roles/gateway.py
@@ -15,6 +15,7 @@
 from ..coordination.directory import Directory, PublishedDirectory
 from ..coordination.ejection import Ejector
 from ..coordination.key_claims import KeyClaims
+from ..coordination.key_parts import incarnations_at
 from ..coordination.lifecycle import Lifecycle
 from ..coordination.minted import MintedClaims
 from ..coordination.open_attempts import OpenAttempts
@@ -272,6 +273,7 @@
         process_id=identity.process_id,
         published=process.published,
         table=ClaimTable(window_s=settings.retention.retry_window_s),
+        incarnation_of=incarnations_at(process.server),
     )
     minted = MintedClaims(
         book=book, process_id=identity.process_id, incarnation=identity.incarnation
