--- a/src/trefoilpaddle/coordination/lifecycle.py
+++ b/src/trefoilpaddle/coordination/lifecycle.py
@@ -7,10 +7,11 @@
 
 from ..protocol.errors import Failed, NotRun, StageError, Unknown
 from ..protocol.reasons import Reason
-from ..state.journal import Decision, Event, Figure, Journal
+from ..state.journal import Event, Figure, Journal
 from ..state.requests import Requests, RequestState
 from .prediction import Predictor
 from .request import Answer, Refusal, Request
+from .request_decisions import request_decision
 from .request_guards import EndedBefore, KeyGuard, Limiter
 from .spent import Spent
 from .stage_work import Sink
@@ -112,7 +113,11 @@
                 return Err(Refusal(error=error, stage=""))
             case Ok(permit):
                 pass
-        self._record(Event.REQUEST_ACCEPTED, request)
+        self._journal.record(
+            request_decision(
+                Event.REQUEST_ACCEPTED, request, detail=request.pipeline_name
+            )
+        )
         try:
             return await self._walker.run(request, spent=spent, sink=sink)
         finally:
@@ -132,17 +137,11 @@
         self, request: Request, outcome: Result[Answer, Refusal], *, first_id: str
     ) -> Result[Answer, Refusal]:
         """Record that an earlier try decided this one's end, and return it."""
-        error = outcome.err_value.error if isinstance(outcome, Err) else None
-        governing = request.governing
         self._journal.record(
-            Decision(
-                event=Event.REQUEST_JOINED,
-                request_id=request.request_id,
-                entry=governing.name,
-                owner=governing.entry.owner,
-                config_revision=governing.config_revision,
-                reason=error.reason if error is not None else Reason.NONE,
-                peer=error.peer if error is not None else "",
+            request_decision(
+                Event.REQUEST_JOINED,
+                request,
+                error=outcome.err_value.error if isinstance(outcome, Err) else None,
                 detail=f"ended as the try {first_id}" if first_id else "",
             )
         )
@@ -157,52 +156,30 @@
             case Ok(answer):
                 self._end(request, RequestState.ANSWERED, Reason.NONE)
                 cost = Figure(name="cost_s", value=answer.cost_s)
-                self._record(Event.REQUEST_ANSWERED, request, took, slack, cost)
+                decision = request_decision(
+                    Event.REQUEST_ANSWERED,
+                    request,
+                    detail=request.pipeline_name,
+                    figures=(took, slack, cost),
+                )
             case Err(refusal):
                 error = refusal.error
                 self._end(request, state_of(error), error.reason)
                 cost = Figure(name="cost_s", value=refusal.cost_s)
                 wait = Figure(name="retry_after_s", value=error.retry_after_s)
                 is_refused = isinstance(error, NotRun)
-                event = Event.REQUEST_REFUSED if is_refused else Event.REQUEST_FAILED
-                self._record(
-                    event,
+                decision = request_decision(
+                    Event.REQUEST_REFUSED if is_refused else Event.REQUEST_FAILED,
                     request,
-                    took,
-                    slack,
-                    cost,
-                    wait,
-                    error=error,
                     stage=refusal.stage,
+                    error=error,
+                    figures=(took, slack, cost, wait),
                 )
+        self._journal.record(decision)
 
     def _end(self, request: Request, state: RequestState, reason: Reason) -> None:
         self._requests.end(request.request_id, state=state, reason=reason)
 
-    def _record(
-        self,
-        event: Event,
-        request: Request,
-        *figures: Figure,
-        error: StageError | None = None,
-        stage: str = "",
-    ) -> None:
-        governing = request.governing
-        self._journal.record(
-            Decision(
-                event=event,
-                request_id=request.request_id,
-                entry=governing.name,
-                owner=governing.entry.owner,
-                config_revision=governing.config_revision,
-                stage=stage,
-                peer=error.peer if error is not None else "",
-                reason=error.reason if error is not None else Reason.NONE,
-                detail=error.detail if error is not None else request.pipeline_name,
-                figures=figures,
-            )
-        )
-
 
 def state_of(error: StageError) -> RequestState:
     """Return how a request with this error stands, in the callers' words."""
--- a/src/trefoilpaddle/coordination/retries.py
+++ b/src/trefoilpaddle/coordination/retries.py
@@ -9,10 +9,11 @@
 from ..protocol.errors import NotRun, StageError
 from ..protocol.reasons import Reason
 from ..state.budget import RetryBudget, RetryBudgets
-from ..state.journal import Decision, Event, Figure, Journal
+from ..state.journal import Event, Figure, Journal
 from ..state.settings import Choice, PolicySettings
 from .calls import Call, CallParts, Outcome, hedged, late_bound
 from .open_attempts import OpenAttempts
+from .request_decisions import stage_decision
 from .routing import Chosen, Router
 from .spent import Spent
 from .stage_work import Sink, StageAnswer, StageFault, StageWork
@@ -112,7 +113,7 @@
                 return Err(fault.error)
             if not budget.spend():
                 return Err(fault.error)
-            self._record_retry(work, fault.error)
+            self._journal.record(stage_decision(Event.RETRIED, work, error=fault.error))
 
     async def _attempt(
         self,
@@ -188,40 +189,21 @@
         self, event: Event, work: StageWork, chosen: Chosen, *, n_tried: int
     ) -> None:
         second = chosen.second.process_id if chosen.second is not None else ""
-        now_s = time.monotonic()
+        figures = (
+            Figure(name="predicted_s", value=chosen.predicted_s),
+            Figure(name="wait_s", value=chosen.wait_s),
+            Figure(name="slack_s", value=work.stage_deadline_s - time.monotonic()),
+            Figure(name="n_candidates", value=chosen.n_candidates),
+            Figure(name="second_s", value=chosen.second_s),
+            Figure(name="prefix_share", value=chosen.prefix_share),
+            Figure(name="n_tried", value=n_tried),
+        )
         self._journal.record(
-            Decision(
-                event=event,
-                request_id=work.request_id,
-                entry=work.governing.name,
-                owner=work.governing.entry.owner,
-                config_revision=work.governing.config_revision,
-                stage=work.stage.name,
+            stage_decision(
+                event,
+                work,
                 peer=chosen.view.process_id,
                 detail=f"second choice {second}" if second else "",
-                figures=(
-                    Figure(name="predicted_s", value=chosen.predicted_s),
-                    Figure(name="wait_s", value=chosen.wait_s),
-                    Figure(name="slack_s", value=work.stage_deadline_s - now_s),
-                    Figure(name="n_candidates", value=chosen.n_candidates),
-                    Figure(name="second_s", value=chosen.second_s),
-                    Figure(name="prefix_share", value=chosen.prefix_share),
-                    Figure(name="n_tried", value=n_tried),
-                ),
-            )
-        )
-
-    def _record_retry(self, work: StageWork, error: StageError) -> None:
-        self._journal.record(
-            Decision(
-                event=Event.RETRIED,
-                request_id=work.request_id,
-                entry=work.governing.name,
-                owner=work.governing.entry.owner,
-                config_revision=work.governing.config_revision,
-                stage=work.stage.name,
-                peer=error.peer,
-                reason=error.reason,
-                detail=error.detail,
+                figures=figures,
             )
         )
--- a/src/trefoilpaddle/coordination/stage_call.py
+++ b/src/trefoilpaddle/coordination/stage_call.py
@@ -7,14 +7,12 @@
 
 from result import Err, Ok, Result
 
-from ..protocol.const import CHUNK_BYTES, INLINE_BODY_BYTES
 from ..protocol.errors import Failed, NotRun, StageError, Unknown, from_failure
 from ..protocol.gen.stage.ttypes import (
     Ack,
     Bar,
     BarAnswer,
     BarState,
-    BodyChunk,
     Cancel,
     Chunk,
     Credit,
@@ -24,14 +22,15 @@
     Go,
     Queued,
     Ready,
-    Start,
     Started,
 )
 from ..protocol.reasons import Reason
-from ..state.journal import Decision, Event, Figure, Journal
+from ..state.journal import Event, Figure, Journal
 from .answer_buffer import AnswerBuffer
 from .open_attempts import Notice, OpenAttempt, OpenAttempts
+from .request_decisions import stage_decision
 from .stage_work import Sink, StageAnswer, StageFault, StageWork
+from .start_message import start_messages
 from .target_view import TargetView
 
 WHOLE_CREDIT_BYTES: Final = 1024 * 1024
@@ -39,7 +38,6 @@
 CREDIT_PARTS: Final = 4
 BAR_WAIT_S: Final = 0.25
 RECONNECT_S: Final = 0.5
-NS: Final = 1_000_000_000
 
 OnReady = Callable[["StageCall"], bool]
 
@@ -162,61 +160,14 @@
         return asyncio.get_running_loop().time() + left_s
 
     def _send(self, attempt: OpenAttempt) -> bool:
-        link = self.view.link
-        body = self.work.body
-        is_inline = len(body) <= INLINE_BODY_BYTES
-        if not link.send(self._start(attempt, body if is_inline else b"")):
-            return False
-        if is_inline:
-            return True
-        starts = range(0, len(body), CHUNK_BYTES)
-        return all(
-            link.send(
-                BodyChunk(
-                    attempt_id=attempt.attempt_id,
-                    seq=seq,
-                    data=body[start : start + CHUNK_BYTES],
-                )
-            )
-            for seq, start in enumerate(starts)
-        )
-
-    def _start(self, attempt: OpenAttempt, body: bytes) -> Start:
-        work, view = self.work, self.view
-        stage, entry = work.stage, work.governing.entry
-        now_s = time.monotonic()
         attempt.n_granted_bytes = self._window_bytes
-        return Start(
-            attempt_id=attempt.attempt_id,
-            request_id=work.request_id,
-            pipeline=work.pipeline,
-            stage=stage.name,
-            service_name=stage.service,
-            entry=work.governing.name,
-            owner=entry.owner,
-            class_of_work=entry.class_of_work,
-            config_revision=work.governing.config_revision,
-            weight=entry.weight,
-            brownout_order=entry.brownout_order,
-            stamp_ns=view.stamp_ns,
-            elapsed_ns=time.monotonic_ns() - view.stamp_at_ns,
-            budget_ns=int((work.deadline_s - now_s) * NS),
-            stage_budget_ns=int((work.stage_deadline_s - now_s) * NS),
-            idempotent=stage.idempotent,
-            predicted_s=work.expected_s,
-            max_tokens=stage.max_tokens,
-            path=stage.path,
-            streams=stage.streams,
-            prefix_hashes=list(work.prefix_hashes),
-            body_bytes=len(work.body),
-            body_checksum=work.body_checksum,
-            body=body,
+        messages = start_messages(
+            self.work,
+            attempt,
             credit_bytes=self._window_bytes,
-            reserve=self._may_go is not None,
-            incarnation=attempt.incarnation,
-            model=stage.model,
-            attainment_weight=entry.attainment_weight,
+            is_reserved=self._may_go is not None,
         )
+        return all(self.view.link.send(message) for message in messages)
 
     async def _follow(self, attempt: OpenAttempt) -> Result[StageAnswer, StageFault]:
         while True:
@@ -393,7 +344,8 @@
                 credit_bytes=self._window_bytes,
             )
         )
-        self._record(Event.RESULT_FETCHED, from_seq=self._buffer.n_chunks)
+        from_seq = Figure(name="from_seq", value=self._buffer.n_chunks)
+        self._record(Event.RESULT_FETCHED, from_seq)
 
     async def _on_failure(self, attempt: OpenAttempt, failure: Failure) -> StageError:
         error = from_failure(failure)
@@ -455,20 +407,13 @@
         has_passed_on = self._sink is not None and self._buffer.n_chunks > 0
         return Err(StageFault(error=error, has_passed_on=has_passed_on))
 
-    def _record(self, event: Event, **figures: float) -> None:
-        work = self.work
+    def _record(self, event: Event, *figures: Figure) -> None:
         self._journal.record(
-            Decision(
-                event=event,
-                request_id=work.request_id,
+            stage_decision(
+                event,
+                self.work,
                 attempt_id=self.attempt_id,
-                entry=work.governing.name,
-                owner=work.governing.entry.owner,
-                config_revision=work.governing.config_revision,
-                stage=work.stage.name,
                 peer=self.view.process_id,
-                figures=tuple(
-                    Figure(name=name, value=value) for name, value in figures.items()
-                ),
+                figures=figures,
             )
         )
--- /dev/null
+++ b/src/trefoilpaddle/coordination/start_message.py
@@ -0,0 +1,80 @@
+"""The messages that send one stage call to a sidecar."""
+
+import time
+from collections.abc import Iterator
+from typing import Final
+
+from ..protocol.const import CHUNK_BYTES, INLINE_BODY_BYTES
+from ..protocol.frames import Message
+from ..protocol.gen.stage.ttypes import BodyChunk, Start
+from .open_attempts import OpenAttempt
+from .stage_work import StageWork
+
+NS: Final = 1_000_000_000
+
+
+def start_messages(
+    work: StageWork, attempt: OpenAttempt, *, credit_bytes: int, is_reserved: bool
+) -> Iterator[Message]:
+    """Yield the start message, then the body where it does not fit into that."""
+    is_inline = len(work.body) <= INLINE_BODY_BYTES
+    yield _start(
+        work,
+        attempt,
+        body=work.body if is_inline else b"",
+        credit_bytes=credit_bytes,
+        is_reserved=is_reserved,
+    )
+    if is_inline:
+        return
+    for seq, start in enumerate(range(0, len(work.body), CHUNK_BYTES)):
+        data = work.body[start : start + CHUNK_BYTES]
+        yield BodyChunk(attempt_id=attempt.attempt_id, seq=seq, data=data)
+
+
+def _start(
+    work: StageWork,
+    attempt: OpenAttempt,
+    *,
+    body: bytes,
+    credit_bytes: int,
+    is_reserved: bool,
+) -> Start:
+    """Return the start message.
+
+    It carries the sidecar's own stamp and the span since it came, so that the
+    sidecar reads its start-by time off its own clock alone.
+    """
+    stage, entry, view = work.stage, work.governing.entry, attempt.view
+    now_s = time.monotonic()
+    return Start(
+        attempt_id=attempt.attempt_id,
+        request_id=work.request_id,
+        pipeline=work.pipeline,
+        stage=stage.name,
+        service_name=stage.service,
+        entry=work.governing.name,
+        owner=entry.owner,
+        class_of_work=entry.class_of_work,
+        config_revision=work.governing.config_revision,
+        weight=entry.weight,
+        brownout_order=entry.brownout_order,
+        stamp_ns=view.stamp_ns,
+        elapsed_ns=time.monotonic_ns() - view.stamp_at_ns,
+        budget_ns=int((work.deadline_s - now_s) * NS),
+        stage_budget_ns=int((work.stage_deadline_s - now_s) * NS),
+        idempotent=stage.idempotent,
+        predicted_s=work.expected_s,
+        max_tokens=stage.max_tokens,
+        path=stage.path,
+        streams=stage.streams,
+        prefix_hashes=list(work.prefix_hashes),
+        body_bytes=len(work.body),
+        body_checksum=work.body_checksum,
+        body=body,
+        credit_bytes=credit_bytes,
+        reserve=is_reserved,
+        incarnation=attempt.incarnation,
+        model=stage.model,
+        attainment_weight=entry.attainment_weight,
+    )
--- a/src/trefoilpaddle/coordination/walk.py
+++ b/src/trefoilpaddle/coordination/walk.py
@@ -11,12 +11,13 @@
 from ..state.catalogue import Service, ServiceKind, Stage
 from ..state.deadline_split import stage_budget_s
 from ..state.estimate import WorkSize
-from ..state.journal import Decision, Event, Figure, Journal
+from ..state.journal import Event, Figure, Journal
 from ..state.prefix import prefix_hashes
 from ..state.published import Published
 from ..state.settings import PolicySettings
 from .prediction import Predictor
 from .request import Answer, Refusal, Request, whole_request_error
+from .request_decisions import stage_decision
 from .retries import StageRunner
 from .spent import Spent
 from .stage_body import (
@@ -179,44 +180,26 @@
         return body, prefix_hashes(prompt) if is_hashed else ()
 
     def _record_done(self, work: StageWork, answer: StageAnswer) -> None:
+        figures = (
+            Figure(name="queued_s", value=answer.queued_s),
+            Figure(name="service_s", value=answer.service_s),
+            Figure(name="predicted_s", value=work.expected_s),
+            Figure(name="cost_s", value=answer.cost_s),
+            Figure(name="n_tokens", value=answer.n_tokens),
+            Figure(name="n_cached_tokens", value=answer.n_cached_tokens),
+            Figure(name="slack_s", value=work.deadline_s - time.monotonic()),
+        )
         self._journal.record(
-            Decision(
-                event=Event.STAGE_DONE,
-                request_id=work.request_id,
-                entry=work.governing.name,
-                owner=work.governing.entry.owner,
-                config_revision=work.governing.config_revision,
-                stage=work.stage.name,
-                peer=answer.peer,
-                figures=(
-                    Figure(name="queued_s", value=answer.queued_s),
-                    Figure(name="service_s", value=answer.service_s),
-                    Figure(name="predicted_s", value=work.expected_s),
-                    Figure(name="cost_s", value=answer.cost_s),
-                    Figure(name="n_tokens", value=answer.n_tokens),
-                    Figure(name="n_cached_tokens", value=answer.n_cached_tokens),
-                    Figure(name="slack_s", value=work.deadline_s - time.monotonic()),
-                ),
-            )
+            stage_decision(Event.STAGE_DONE, work, peer=answer.peer, figures=figures)
         )
 
     def _record_failure(self, work: StageWork, error: StageError) -> None:
+        figures = (
+            Figure(name="predicted_s", value=work.expected_s),
+            Figure(name="slack_s", value=work.deadline_s - time.monotonic()),
+        )
         self._journal.record(
-            Decision(
-                event=Event.STAGE_FAILED,
-                request_id=work.request_id,
-                entry=work.governing.name,
-                owner=work.governing.entry.owner,
-                config_revision=work.governing.config_revision,
-                stage=work.stage.name,
-                peer=error.peer,
-                reason=error.reason,
-                detail=error.detail,
-                figures=(
-                    Figure(name="predicted_s", value=work.expected_s),
-                    Figure(name="slack_s", value=work.deadline_s - time.monotonic()),
-                ),
-            )
+            stage_decision(Event.STAGE_FAILED, work, error=error, figures=figures)
         )
 
     def _refusal(self, error: StageError, stage: Stage, spent: Spent) -> Refusal:
--- a/src/trefoilpaddle/roles/callers.py
+++ b/src/trefoilpaddle/roles/callers.py
@@ -11,6 +11,7 @@
 
 from ..coordination.lifecycle import RequestRunner
 from ..coordination.request import Answer, Refusal, Request
+from ..coordination.request_decisions import request_decision
 from ..coordination.spent import Spent
 from ..protocol.errors import NotRun
 from ..protocol.reasons import Reason
@@ -195,14 +196,10 @@
         goes_on = spent.has_started_once_only
         if not goes_on:
             task.cancel()
-        governing = request.governing
         self._journal.record(
-            Decision(
-                event=Event.CALLER_LEFT,
-                request_id=request.request_id,
-                entry=governing.name,
-                owner=governing.entry.owner,
-                config_revision=governing.config_revision,
+            request_decision(
+                Event.CALLER_LEFT,
+                request,
                 reason=Reason.CANCELLED,
                 detail="goes on" if goes_on else "cancelled downstream",
             )
