--- a/src/trefoilpaddle/coordination/calls.py
+++ b/src/trefoilpaddle/coordination/calls.py
@@ -101,6 +101,7 @@
         match outcome:
             case Ok(answer):
                 spent.end(self.work, has_started=True, cost_s=answer.cost_s)
+                spent.n_tokens += answer.n_tokens
                 self._parts.router.learn(
                     self.work, self.view, measured_s=answer.service_s
                 )
