--- a/src/trefoilpaddle/transport/connection.py
+++ b/src/trefoilpaddle/transport/connection.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import itertools
 import time
 from collections.abc import AsyncIterator, Callable
 from dataclasses import dataclass
@@ -15,6 +16,7 @@
 from ..protocol.frames import Frame, Message, encode
 from ..protocol.gen.stage.ttypes import Heartbeat, Hello
 from ..protocol.reader import FrameReader
+from .traffic import TRAFFIC
 
 READ_BYTES: Final = 128 * 1024
 HELLO_TIMEOUT_S: Final = 2.0
@@ -105,7 +107,10 @@
         """
         if self.is_closing():
             return False
-        self._writer.write(encode(message, call=call))
+        data = encode(message, call=call)
+        TRAFFIC.n_frames_sent += 1
+        TRAFFIC.sent_bytes += len(data)
+        self._writer.write(data)
         if self._writer.transport.get_write_buffer_size() > MAX_UNSENT_BYTES:
             self.abort()
             return False
@@ -116,9 +121,13 @@
         with contextlib.suppress(OSError):
             await self._writer.drain()
 
-    async def keep_alive(self, own_heartbeat: Callable[[], Heartbeat]) -> None:
+    async def keep_alive(
+        self, own_heartbeat: Callable[[], Heartbeat], n_ticks: Callable[[], int]
+    ) -> None:
         """Send heartbeats until the connection closes or the peer is dead.
 
+        One goes out every `n_ticks` times ``HEARTBEAT_S``.
+
         A peer whose host vanished sends no FIN and would keep its connection
         open for ever. Silence is counted in own heartbeats, not on the clock:
         after a pause of this process the peer's heartbeats still wait unread,
@@ -126,8 +135,11 @@
         """
         n_silent = 0
         heard_s = self.heard_s
-        while not self.is_closing():
-            self._send_heartbeat(own_heartbeat)
+        for tick in itertools.count():
+            if self.is_closing():
+                return
+            if tick % n_ticks() == 0:
+                self._send_heartbeat(own_heartbeat)
             await asyncio.sleep(HEARTBEAT_S)
             n_silent = n_silent + 1 if self.heard_s == heard_s else 0
             heard_s = self.heard_s
@@ -185,6 +197,8 @@
         self.heard_s = time.monotonic()
         match self._frames.feed(data):
             case Ok(frames):
+                TRAFFIC.n_frames_received += len(frames)
+                TRAFFIC.received_bytes += len(data)
                 self.pending += frames
                 return True
             case Err(problem):
