--- a/src/trefoilpaddle/transport/connection.py
+++ b/src/trefoilpaddle/transport/connection.py
@@ -205,7 +205,7 @@
                 self.pending += frames
                 return True
             case Err(problem):
-                logging.warning("%s: %s", self.peer_name, problem)
+                logging.warning("%s: stream closed: %s", self.peer_name, problem)
                 self.abort()
                 return False
 
