--- a/src/trefoilpaddle/cli/main.py
+++ b/src/trefoilpaddle/cli/main.py
@@ -60,11 +60,45 @@
         """
         sys.exit(check_command.check(str(path), against=against, as_json=json))
 
+    def replay(
+        self,
+        trace: str,
+        *,
+        policy: str = "",
+        json: bool = False,
+        plot: str = "",
+        seeds: int = 1,
+    ) -> None:
+        """Play the trace file TRACE under the plain baseline and the product.
+
+        POLICY changes the product, as in choice=late_binding,hedge=false.
+        PLOT names a picture to draw. SEEDS plays the scenario that many times,
+        from as many seeds. The exit code is 1 if a stated outcome is not
+        reached, or something that must always hold did not.
+        """
+        # Loaded here: only this command needs the stand-ins and histograms.
+        from .replay import replay as run
+
+        sys.exit(
+            run(
+                str(trace),
+                policy=_text(policy),
+                as_json=json,
+                plot=str(plot),
+                n_seeds=seeds,
+            )
+        )
+
     def version(self) -> None:
         """Print the version."""
         print(__version__)
 
 
+def _text(value: object) -> str:
+    """Return what was typed; fire reads ``a=b,c=d`` as a tuple."""
+    return ",".join(map(str, value)) if isinstance(value, tuple) else str(value)
+
+
 def main() -> None:
     """Run the command that the arguments name."""
     fire.Fire(Commands, name="trefoilpaddle")
--- a/src/trefoilpaddle/replay/client.py
+++ b/src/trefoilpaddle/replay/client.py
@@ -12,7 +12,7 @@
 
 from .inputs import body_of
 from .results import Answer, Verdict
-from .trace import Head, Request
+from .trace import Request
 
 Judge = Callable[[int, bytes], Verdict]
 """Tells whether an answer's whole text belongs to the request at an index."""
@@ -44,7 +44,6 @@
     *,
     session: aiohttp.ClientSession,
     gateway: str,
-    head: Head,
     index: int,
     request: Request,
     judge: Judge,
@@ -58,7 +57,7 @@
     begin = time.monotonic()
     try:
         async with asyncio.timeout(request.deadline_s * GRACE_FACTOR):
-            await _exchange(session, gateway, head, index, request, key, heard)
+            await _exchange(session, gateway, request, key, heard)
     except (aiohttp.ClientError, OSError, TimeoutError, ValueError):
         pass
     latency_s = time.monotonic() - begin
@@ -68,13 +67,11 @@
 async def _exchange(
     session: aiohttp.ClientSession,
     gateway: str,
-    head: Head,
-    index: int,
     request: Request,
     key: str,
     heard: _Heard,
 ) -> None:
-    body, content_type = body_of(head, index, request)
+    body, content_type = body_of(request)
     url = f"{gateway}/v1/pipelines/{request.pipeline}"
     headers = _headers(request, content_type, key)
     async with session.post(url, data=body, headers=headers) as response:
--- a/src/trefoilpaddle/replay/faults.py
+++ b/src/trefoilpaddle/replay/faults.py
@@ -34,7 +34,7 @@
             stale: dict[str, object] = {"kind": "stale", "lag_s": fault.lag_s}
             await _with_fault(fault.duration_s, stale, "", plant)
         case KillTarget():
-            plant.kill(fault.target)
+            await plant.kill(fault.target)
         case FreezeTarget():
             names = [fault.target, plant.sidecar_of(fault.target)]
             await _freeze(names, fault.duration_s, plant)
--- a/src/trefoilpaddle/replay/generate.py
+++ b/src/trefoilpaddle/replay/generate.py
@@ -11,10 +11,11 @@
 from .trace import Head, Request, Trace
 from .workloads import Mix, Workload
 
-N_SAMPLES: Final = 4000
+N_SAMPLES: Final = 1000
 """Requests drawn to learn the mean work of one."""
 
 _AT_DECIMALS: Final = 4
+_SEED_BITS: Final = 48
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -130,6 +131,7 @@
         n_prefix_words=mix.n_prefix_words,
         is_streamed=mix.is_streamed,
         is_keyed=mix.is_keyed,
+        input_seed=source.getrandbits(_SEED_BITS),
     )
 
 
--- a/src/trefoilpaddle/replay/inputs.py
+++ b/src/trefoilpaddle/replay/inputs.py
@@ -1,11 +1,11 @@
-"""Inputs of requests, made from the trace's seed so that traces stay small."""
+"""Inputs of requests, made from a seed in each line so that traces stay small."""
 
 import random
 from typing import Final
 
 import orjson
 
-from .trace import Head, InputKind, Request
+from .trace import InputKind, Request
 
 _WORDS: Final = {
     InputKind.TENDER_FILE: (
@@ -39,17 +39,17 @@
     return _text(source, request.kind, request.n_prefix_words)
 
 
-def input_text(head: Head, index: int, request: Request) -> str:
-    """Return the text of request number `index`; no two requests' are equal."""
-    source = random.Random(f"input:{head.seed}:{index}")
+def input_text(request: Request) -> str:
+    """Return the text of a request: shared prefix, its own mark, its own words."""
+    source = random.Random(f"input:{request.input_seed}")
     own = _text(source, request.kind, request.n_words)
-    marker = f"{head.name}-{head.seed}-{index}"
-    return " ".join(part for part in (prefix_text(request), marker, own) if part)
+    mark = f"mark:{request.input_seed:x}"
+    return " ".join(part for part in (prefix_text(request), mark, own) if part)
 
 
-def body_of(head: Head, index: int, request: Request) -> tuple[bytes, str]:
-    """Return the body of request number `index` and its content type."""
-    text = input_text(head, index, request)
+def body_of(request: Request) -> tuple[bytes, str]:
+    """Return the body of a request and its content type."""
+    text = input_text(request)
     if request.kind is InputKind.STOCK_HOLD:
         return orjson.dumps({"hold": text}), "application/json"
     return text.encode(), "text/plain"
--- /dev/null
+++ b/src/trefoilpaddle/replay/launched.py
@@ -0,0 +1,142 @@
+"""Processes that a replay starts by the launcher and plays against."""
+
+import asyncio
+import contextlib
+from collections.abc import AsyncIterator, Mapping
+from dataclasses import asdict
+from enum import Enum
+from typing import Any, Final
+
+import aiohttp
+
+from ..standins.launcher import deployment
+from ..standins.running import Running
+from ..standins.written_settings import Overrides, Table
+from ..state.settings import PolicySettings
+from .plant import Plant
+from .results import TargetRun
+from .rounds import OpenPlant
+from .site import Deployment
+
+SETTLE_S: Final = 5.0
+"""Longest wait for targets to end what they run, before records are read."""
+_LOOK_S: Final = 0.1
+_READ_S: Final = 5.0
+
+
+class LaunchedPlant:
+    """A running deployment as a replay sees it.
+
+    Parameters
+    ----------
+    running : Running
+        The deployment.
+    """
+
+    __slots__ = ("_dead", "_running", "_saved")
+
+    def __init__(self, *, running: Running) -> None:
+        self._running = running
+        self._dead: set[str] = set()
+        self._saved: dict[str, list[TargetRun]] = {}
+
+    @property
+    def gateways(self) -> tuple[str, ...]:
+        """Base URLs of the callers' ports."""
+        return self._running.gateways
+
+    def targets_of(self, service: str) -> list[str]:
+        """Return the names of a service's targets; all targets without a name."""
+        if service:
+            return self._running.targets_of(service)
+        return [place.name for place in self._running.layout.targets]
+
+    def processes_in(self, failure_domain: str) -> list[str]:
+        """Return the process ids of the system's processes in a domain."""
+        return self._running.processes_in(failure_domain)
+
+    def sidecar_of(self, target: str) -> str:
+        """Return the process id of the sidecar beside `target`."""
+        return self._running.sidecar_of(target)
+
+    async def set_fault(self, target: str, fault: dict[str, object]) -> None:
+        """Post `fault` to a target."""
+        await self._running.set_fault(target, fault)
+
+    async def kill(self, name: str) -> None:
+        """Kill a target or a process at once; a target's record is read first.
+
+        What a target starts between the reading and its death is not audited.
+        """
+        if name in self.targets_of(""):
+            self._dead.add(name)
+            self._saved[name] = await self._read(name)
+        self._running.kill(name)
+
+    def freeze(self, name: str) -> None:
+        """Stop a target or a process from running, with nothing told to it."""
+        self._running.freeze(name)
+
+    def thaw(self, name: str) -> None:
+        """Let what was frozen go on."""
+        self._running.thaw(name)
+
+    async def records(self) -> tuple[list[TargetRun], int]:
+        """Return what all targets ran, and how many could not be read."""
+        end_s = asyncio.get_running_loop().time() + SETTLE_S
+        while True:
+            read = await asyncio.gather(*map(self._try_read, self.targets_of("")))
+            runs = [run for part in read if part is not None for run in part]
+            n_lost = sum(part is None for part in read)
+            are_over = all(run.outcome != "running" for run in runs)
+            if are_over or asyncio.get_running_loop().time() > end_s:
+                return runs, n_lost
+            await asyncio.sleep(_LOOK_S)
+
+    async def _try_read(self, target: str) -> list[TargetRun] | None:
+        if target in self._dead:
+            return self._saved.get(target)
+        try:
+            return await self._read(target)
+        except (aiohttp.ClientError, OSError, TimeoutError):
+            return None
+
+    async def _read(self, target: str) -> list[TargetRun]:
+        service = self._running.layout.target(target).service.name
+        async with asyncio.timeout(_READ_S):
+            record = await self._running.record(target)
+        return [_run(service, target, row) for row in record["runs"]]
+
+
+def launch(site: Deployment, *, time_scale: float) -> OpenPlant:
+    """Return what starts the processes of `site` under a policy."""
+
+    @contextlib.asynccontextmanager
+    async def open_plant(policy: PolicySettings) -> AsyncIterator[Plant]:
+        overrides = Overrides(policy=_table(policy))
+        async with deployment(
+            site.description, site.values, overrides=overrides, time_scale=time_scale
+        ) as running:
+            yield LaunchedPlant(running=running)
+
+    return open_plant
+
+
+def _table(policy: PolicySettings) -> Table:
+    return {
+        name: value.value if isinstance(value, Enum) else value
+        for name, value in asdict(policy).items()
+    }
+
+
+def _run(service: str, target: str, row: Mapping[str, Any]) -> TargetRun:
+    return TargetRun(
+        service=service,
+        target=target,
+        request_id=row["request_id"],
+        attempt_id=row["attempt_id"],
+        path=row["path"],
+        input_digest=row["input_digest"],
+        outcome=row["outcome"],
+        cost_s=row["cost_s"],
+    )
--- a/src/trefoilpaddle/replay/plant.py
+++ b/src/trefoilpaddle/replay/plant.py
@@ -18,7 +18,7 @@
         ...
 
     def targets_of(self, service: str) -> list[str]:
-        """Return the names of a service's targets."""
+        """Return the names of a service's targets; all targets without a name."""
         ...
 
     def processes_in(self, failure_domain: str) -> list[str]:
@@ -33,7 +33,7 @@
         """Post `fault` to a target."""
         ...
 
-    def kill(self, name: str) -> None:
+    async def kill(self, name: str) -> None:
         """Kill a target or a process at once."""
         ...
 
--- a/src/trefoilpaddle/replay/player.py
+++ b/src/trefoilpaddle/replay/player.py
@@ -74,7 +74,6 @@
     answer = await ask(
         session=session,
         gateway=balancer.pick(),
-        head=trace.head,
         index=index,
         request=request,
         judge=judge,
--- a/src/trefoilpaddle/replay/rounds.py
+++ b/src/trefoilpaddle/replay/rounds.py
@@ -35,7 +35,7 @@
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
-class Setup:
+class RoundSetup:
     """What a round needs besides its trace.
 
     Parameters
@@ -59,7 +59,9 @@
     on_answer: OnAnswer
 
 
-async def play_round(trace: Trace, *, product: PolicySettings, setup: Setup) -> Round:
+async def play_round(
+    trace: Trace, *, product: PolicySettings, setup: RoundSetup
+) -> Round:
     """Play `trace` under the baseline, then the product; each on fresh processes.
 
     Where the trace states an outcome against a fresh run, the product plays it
@@ -68,7 +70,7 @@
     before = await _played(trace, "baseline", BASELINE, setup)
     after = await _played(trace, "product", product, setup)
     fresh = None
-    if any(stated.measure is Measure.OF_FRESH for stated in trace.head.stated):
+    if _needs_fresh(trace):
         fresh = await _played(trace.without_faults(), "fresh", product, setup)
     return Round(
         trace=trace,
@@ -82,7 +84,7 @@
 
 
 async def _played(
-    trace: Trace, label: str, policy: PolicySettings, setup: Setup
+    trace: Trace, label: str, policy: PolicySettings, setup: RoundSetup
 ) -> Played:
     async with setup.open_plant(policy) as plant:
         replayed = await play(
@@ -100,3 +102,12 @@
         figures=figures_of(trace, replayed),
         violations=tuple(found),
     )
+
+
+def n_plays(trace: Trace) -> int:
+    """Return how many times a round plays `trace`."""
+    return 3 if _needs_fresh(trace) else 2
+
+
+def _needs_fresh(trace: Trace) -> bool:
+    return any(stated.measure is Measure.OF_FRESH for stated in trace.head.stated)
--- /dev/null
+++ b/src/trefoilpaddle/replay/site.py
@@ -0,0 +1,162 @@
+"""The deployment that a trace is made for and played against."""
+
+import math
+from collections.abc import Iterator
+from dataclasses import dataclass
+from functools import lru_cache
+from pathlib import Path
+
+from ..standins.batching import BatchModel
+from ..standins.calls import BYTES_PER_KB, CallModel
+from ..standins.description import (
+    Description,
+    PublishedValues,
+    ServiceDescription,
+    load_catalogue,
+    load_description,
+)
+from ..state.catalogue import Catalogue, ServiceKind
+from ..state.check_files import check_path
+from .capacity import StageWork, TargetPlace
+from .expected import ExpectedCall, expected_calls
+from .trace import Request
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Deployment:
+    """A described deployment with its catalogue.
+
+    Parameters
+    ----------
+    description : Description
+        Its targets and how their stand-ins work.
+    values : dict of str to dict
+        What is published.
+    catalogue : Catalogue
+        The same, typed.
+    """
+
+    description: Description
+    values: PublishedValues
+    catalogue: Catalogue
+
+    @property
+    def once_paths(self) -> frozenset[str]:
+        """Paths of stages that must run at most once for a request."""
+        return frozenset(
+            stage.path
+            for pipeline in self.catalogue.pipelines.values()
+            for stage in pipeline.stages
+            if not stage.idempotent
+        )
+
+
+def load_deployment(folder: Path) -> Deployment:
+    """Return the deployment in `folder`.
+
+    Raises
+    ------
+    ValueError
+        If its catalogue has faults; the text names them.
+    OSError, tomllib.TOMLDecodeError, pydantic.ValidationError
+        If its description is missing or wrong.
+    """
+    checked = check_path(folder / "catalogue")
+    if checked.catalogue is None or checked.problems:
+        raise ValueError("; ".join(str(problem) for problem in checked.problems))
+    return Deployment(
+        description=load_description(folder),
+        values=load_catalogue(folder),
+        catalogue=checked.catalogue,
+    )
+
+
+def target_places(description: Description) -> Iterator[TargetPlace]:
+    """Yield each target with its speed.
+
+    An engine does one target-second a second, shared by its batch; a pool's or
+    plain service's target does as many as it has slots.
+    """
+    place = description.n_gateways
+    for service in description.services:
+        for name in service.targets():
+            yield TargetPlace(
+                name=name,
+                service=service.name,
+                failure_domain=description.domain(place),
+                speed=_speed(service),
+            )
+            place += 1
+
+
+class WorkModel:
+    """Target-seconds of a request's stages, by the stand-ins' own parameters.
+
+    An engine's step takes a base time and a time for each prompt that decodes.
+    At a full batch, the most work a second, each token so takes its own time
+    and its part of the base; prompt tokens are added, with no prefix cached.
+
+    Parameters
+    ----------
+    deployment : Deployment
+        Whose stand-ins.
+    time_scale : float
+        Factor on all service times.
+    """
+
+    __slots__ = ("_catalogue", "_services", "_time_scale", "_work_of")
+
+    def __init__(self, *, deployment: Deployment, time_scale: float) -> None:
+        self._catalogue = deployment.catalogue
+        services = deployment.description.services
+        self._services = {service.name: service for service in services}
+        self._time_scale = time_scale
+        self._work_of = lru_cache(maxsize=None)(self._worked_out)
+
+    def __call__(self, request: Request) -> list[StageWork]:
+        """Return the work of each stage of `request`."""
+        return self._work_of(request)
+
+    def _worked_out(self, request: Request) -> list[StageWork]:
+        calls = expected_calls(self._catalogue, request)
+        return [self._work(call) for call in calls]
+
+    def _work(self, call: ExpectedCall) -> StageWork:
+        service = self._services[call.stage.service]
+        if service.kind is ServiceKind.ENGINE:
+            work_s, alone_s = _engine_times(_batch_model(service), call)
+        else:
+            model = _call_model(service)
+            work_s = model.base_s + model.s_per_kb * call.n_body_bytes / BYTES_PER_KB
+            alone_s = work_s
+        return StageWork(
+            service=service.name,
+            work_s=work_s * self._time_scale,
+            alone_s=alone_s * self._time_scale,
+        )
+
+
+def _engine_times(model: BatchModel, call: ExpectedCall) -> tuple[float, float]:
+    n_prompt_tokens = len(call.prompt.split())
+    prefill_s = model.prefill_per_token_s * n_prompt_tokens
+    base_share_s = model.step_base_s / model.max_batch
+    work_s = prefill_s + call.n_tokens * (base_share_s + model.step_per_prompt_s)
+    n_steps = call.n_tokens + math.ceil(n_prompt_tokens / model.prefill_chunk)
+    alone_s = prefill_s + n_steps * model.step_base_s
+    return work_s, alone_s + call.n_tokens * model.step_per_prompt_s
+
+
+def _batch_model(service: ServiceDescription) -> BatchModel:
+    known = BatchModel.__slots__
+    changes = {key: value for key, value in service.stand_in.items() if key in known}
+    return BatchModel(**changes)  # type: ignore[arg-type]
+
+
+def _call_model(service: ServiceDescription) -> CallModel:
+    return CallModel(**service.stand_in)  # type: ignore[arg-type]
+
+
+def _speed(service: ServiceDescription) -> float:
+    if service.kind is ServiceKind.ENGINE:
+        return 1.0
+    return float(_call_model(service).n_slots)
--- /dev/null
+++ b/src/trefoilpaddle/replay/summary.py
@@ -0,0 +1,49 @@
+"""A round as plain values, for JSON."""
+
+from dataclasses import dataclass
+
+from .audit import Violation
+from .figures import Figures
+from .outcomes import Reached, Round, reached
+from .trace import Head
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Summary:
+    """What a round showed.
+
+    Parameters
+    ----------
+    head : Head
+        Head of the trace.
+    n_allowed : int
+        Requests that capacity allows.
+    baseline, product, fresh : Figures
+        Of each play.
+    violations : tuple of Violation
+        What must always hold and did not, in any play.
+    outcomes : tuple of Reached
+        Each stated outcome, with what was measured.
+    """
+
+    head: Head
+    n_allowed: int
+    baseline: Figures
+    product: Figures
+    fresh: Figures | None
+    violations: tuple[Violation, ...]
+    outcomes: tuple[Reached, ...]
+
+
+def summary_of(round_: Round) -> Summary:
+    """Return the summary of `round_`."""
+    fresh = round_.fresh
+    return Summary(
+        head=round_.trace.head,
+        n_allowed=sum(round_.allowed),
+        baseline=round_.baseline.figures,
+        product=round_.product.figures,
+        fresh=fresh.figures if fresh else None,
+        violations=round_.baseline.violations + round_.product.violations,
+        outcomes=reached(round_),
+    )
--- a/src/trefoilpaddle/replay/trace.py
+++ b/src/trefoilpaddle/replay/trace.py
@@ -157,7 +157,7 @@
     origin : str
         Where the requests come from, and how their rate was chosen.
     seed : int
-        Seed of the generator; inputs are made from it too.
+        Seed of the generator.
     deployment : str
         Deployment that the trace is played against.
     time_scale : float
@@ -216,6 +216,8 @@
         True if the answer is asked for as a stream.
     is_keyed : bool
         True if the caller sends an idempotency key.
+    input_seed : int
+        The input's text is made from it; unique in a trace.
     """
 
     at_s: Seconds
@@ -230,6 +232,7 @@
     n_prefix_words: Annotated[int, Field(ge=0)] = 0
     is_streamed: bool = False
     is_keyed: bool = False
+    input_seed: Annotated[int, Field(ge=0)]
 
 
 @dataclass(slots=True, kw_only=True, config=STRICT)
--- a/src/trefoilpaddle/replay/workloads.py
+++ b/src/trefoilpaddle/replay/workloads.py
@@ -216,4 +216,57 @@
     cut_domain="fd-2",
 )
 
-WORKLOADS: Final = {workload.deployment: workload for workload in (GARANTIA, BAIRD)}
+SMALL: Final = Workload(
+    deployment="small",
+    accounts=(
+        AccountShare(account="club-alpha", share=0.6),
+        AccountShare(account="club-beta", share=0.4),
+    ),
+    mixes=(
+        Mix(
+            pipeline="draft-order",
+            class_of_work="orders",
+            kind=InputKind.SQUAD_SHEET,
+            share=0.3,
+            median_words=120,
+            sigma=0.9,
+            max_words=1000,
+            n_prefix_words=60,
+            deadline_s=10.0,
+            is_streamed=True,
+        ),
+        Mix(
+            pipeline="answer-query",
+            class_of_work="queries",
+            kind=InputKind.SHORT_QUERY,
+            share=0.4,
+            median_words=10,
+            sigma=0.5,
+            max_words=50,
+            n_prefix_words=40,
+            deadline_s=5.0,
+            priority=3,
+        ),
+        Mix(
+            pipeline="stock-hold",
+            class_of_work="holds",
+            kind=InputKind.STOCK_HOLD,
+            share=0.3,
+            median_words=8,
+            sigma=0.3,
+            max_words=25,
+            n_prefix_words=0,
+            deadline_s=5.0,
+            priority=2,
+            is_keyed=True,
+        ),
+    ),
+    slowed_service="encode",
+    failing_target="draft-1",
+    paused_target="draft-2",
+    cut_domain="fd-1",
+)
+
+WORKLOADS: Final = {
+    workload.deployment: workload for workload in (GARANTIA, BAIRD, SMALL)
+}
