--- a/src/trefoilpaddle/replay/expected.py
+++ b/src/trefoilpaddle/replay/expected.py
@@ -44,10 +44,9 @@
     output: Json
 
 
-def expected_calls(
-    catalogue: Catalogue, request: Request, body: bytes
-) -> Iterator[ExpectedCall]:
+def expected_calls(catalogue: Catalogue, request: Request) -> Iterator[ExpectedCall]:
     """Yield the calls that `request` leads to, in order."""
+    body, _ = body_of(request)
     material = Material(input=_input(body))
     for stage in catalogue.pipelines[request.pipeline].stages:
         call = _expected_call(catalogue, stage, material)
@@ -103,8 +102,7 @@
         A streamed answer is bare text, a whole one the JSON of the output.
         """
         request = self._trace.requests[index]
-        body, _ = body_of(self._trace.head, index, request)
-        *_, last = expected_calls(self._catalogue, request, body)
+        *_, last = expected_calls(self._catalogue, request)
         if _is_equal(whole, last.output):
             return Verdict.IN_TIME
         text = last.output.get("text") if isinstance(last.output, dict) else None
