--- a/src/trefoilpaddle/coordination/spent.py
+++ b/src/trefoilpaddle/coordination/spent.py
@@ -17,6 +17,7 @@
         "_n_once_only_in_doubt",
         "cost_s",
         "n_attempts",
+        "n_tokens",
     )
 
     def __init__(self) -> None:
@@ -26,6 +27,7 @@
         self._n_once_only_in_doubt = 0
         self.cost_s = 0.0
         self.n_attempts = 0
+        self.n_tokens = 0
 
     @property
     def has_started(self) -> bool:
--- a/src/trefoilpaddle/coordination/stage_call.py
+++ b/src/trefoilpaddle/coordination/stage_call.py
@@ -7,14 +7,12 @@
 
 from result import Err, Ok, Result
 
-from ..protocol.const import CHUNK_BYTES, INLINE_BODY_BYTES
 from ..protocol.errors import Failed, NotRun, StageError, Unknown, from_failure
 from ..protocol.gen.stage.ttypes import (
     Ack,
     Bar,
     BarAnswer,
     BarState,
-    BodyChunk,
     Cancel,
     Chunk,
     Credit,
@@ -24,21 +22,22 @@
     Go,
     Queued,
     Ready,
-    Start,
     Started,
 )
 from ..protocol.reasons import Reason
-from ..state.journal import Decision, Event, Figure, Journal
+from ..state.journal import Event, Figure, Journal
 from .answer_buffer import AnswerBuffer
 from .open_attempts import Notice, OpenAttempt, OpenAttempts
+from .request_decisions import stage_decision
 from .stage_work import Sink, StageAnswer, StageFault, StageWork
+from .start_message import start_messages
 from .target_view import TargetView
 
 WHOLE_CREDIT_BYTES: Final = 1024 * 1024
 STREAM_CREDIT_BYTES: Final = 64 * 1024
+CREDIT_PARTS: Final = 4
 BAR_WAIT_S: Final = 0.25
 RECONNECT_S: Final = 0.5
-NS: Final = 1_000_000_000
 
 OnReady = Callable[["StageCall"], bool]
 
@@ -72,7 +71,9 @@
         "_has_refetched",
         "_journal",
         "_may_go",
+        "_n_ungranted_bytes",
         "_sink",
+        "_window_bytes",
         "is_sent",
         "is_started",
         "view",
@@ -101,6 +102,8 @@
         self._has_arrived = False
         self._has_gone = False
         self._has_refetched = False
+        self._window_bytes = WHOLE_CREDIT_BYTES if sink is None else STREAM_CREDIT_BYTES
+        self._n_ungranted_bytes = 0
         self._attempt: OpenAttempt | None = None
 
     @property
@@ -157,62 +160,14 @@
         return asyncio.get_running_loop().time() + left_s
 
     def _send(self, attempt: OpenAttempt) -> bool:
-        link = self.view.link
-        body = self.work.body
-        is_inline = len(body) <= INLINE_BODY_BYTES
-        if not link.send(self._start(attempt, body if is_inline else b"")):
-            return False
-        if is_inline:
-            return True
-        starts = range(0, len(body), CHUNK_BYTES)
-        return all(
-            link.send(
-                BodyChunk(
-                    attempt_id=attempt.attempt_id,
-                    seq=seq,
-                    data=body[start : start + CHUNK_BYTES],
-                )
-            )
-            for seq, start in enumerate(starts)
-        )
-
-    def _start(self, attempt: OpenAttempt, body: bytes) -> Start:
-        work, view = self.work, self.view
-        stage, entry = work.stage, work.governing.entry
-        now_s = time.monotonic()
-        credit = WHOLE_CREDIT_BYTES if self._sink is None else STREAM_CREDIT_BYTES
-        attempt.n_granted_bytes = credit
-        return Start(
-            attempt_id=attempt.attempt_id,
-            request_id=work.request_id,
-            pipeline=work.pipeline,
-            stage=stage.name,
-            service_name=stage.service,
-            entry=work.governing.name,
-            owner=entry.owner,
-            class_of_work=entry.class_of_work,
-            config_revision=work.governing.config_revision,
-            weight=entry.weight,
-            brownout_order=entry.brownout_order,
-            stamp_ns=view.stamp_ns,
-            elapsed_ns=time.monotonic_ns() - view.stamp_at_ns,
-            budget_ns=int((work.deadline_s - now_s) * NS),
-            stage_budget_ns=int((work.stage_deadline_s - now_s) * NS),
-            idempotent=stage.idempotent,
-            predicted_s=work.expected_s,
-            max_tokens=stage.max_tokens,
-            path=stage.path,
-            streams=stage.streams,
-            prefix_hashes=list(work.prefix_hashes),
-            body_bytes=len(work.body),
-            body_checksum=work.body_checksum,
-            body=body,
-            credit_bytes=credit,
-            reserve=self._may_go is not None,
-            incarnation=attempt.incarnation,
-            model=stage.model,
-            attainment_weight=entry.attainment_weight,
+        attempt.n_granted_bytes = self._window_bytes
+        messages = start_messages(
+            self.work,
+            attempt,
+            credit_bytes=self._window_bytes,
+            is_reserved=self._may_go is not None,
         )
+        return all(self.view.link.send(message) for message in messages)
 
     async def _follow(self, attempt: OpenAttempt) -> Result[StageAnswer, StageFault]:
         while True:
@@ -283,12 +238,22 @@
         self._buffer.add(chunk)
         if self._sink is not None:
             await self._sink(chunk.data)
-        attempt.n_granted_bytes += len(chunk.data)
-        self.view.link.send(
-            Credit(attempt_id=attempt.attempt_id, n_bytes=len(chunk.data))
-        )
+        self._give_credit(attempt, len(chunk.data))
         return None
 
+    def _give_credit(self, attempt: OpenAttempt, n_bytes: int) -> None:
+        """Grant what was taken, in pieces worth a frame of their own.
+
+        A quarter of the window is always out, so waiting for more before
+        granting holds back no answer; a small one needs no credit at all.
+        """
+        self._n_ungranted_bytes += n_bytes
+        if self._n_ungranted_bytes < self._window_bytes // CREDIT_PARTS:
+            return
+        n_bytes, self._n_ungranted_bytes = self._n_ungranted_bytes, 0
+        attempt.n_granted_bytes += n_bytes
+        self.view.link.send(Credit(attempt_id=attempt.attempt_id, n_bytes=n_bytes))
+
     def _on_end(
         self, attempt: OpenAttempt, end: End
     ) -> Result[StageAnswer, StageFault] | None:
@@ -370,16 +335,17 @@
         return None
 
     def _fetch(self, attempt: OpenAttempt) -> None:
-        credit = WHOLE_CREDIT_BYTES if self._sink is None else STREAM_CREDIT_BYTES
-        attempt.n_granted_bytes = credit
+        attempt.n_granted_bytes = self._window_bytes
+        self._n_ungranted_bytes = 0
         self.view.link.send(
             Fetch(
                 attempt_id=attempt.attempt_id,
                 from_seq=self._buffer.n_chunks,
-                credit_bytes=credit,
+                credit_bytes=self._window_bytes,
             )
         )
-        self._record(Event.RESULT_FETCHED, from_seq=self._buffer.n_chunks)
+        from_seq = Figure(name="from_seq", value=self._buffer.n_chunks)
+        self._record(Event.RESULT_FETCHED, from_seq)
 
     async def _on_failure(self, attempt: OpenAttempt, failure: Failure) -> StageError:
         error = from_failure(failure)
@@ -441,20 +407,13 @@
         has_passed_on = self._sink is not None and self._buffer.n_chunks > 0
         return Err(StageFault(error=error, has_passed_on=has_passed_on))
 
-    def _record(self, event: Event, **figures: float) -> None:
-        work = self.work
+    def _record(self, event: Event, *figures: Figure) -> None:
         self._journal.record(
-            Decision(
-                event=event,
-                request_id=work.request_id,
+            stage_decision(
+                event,
+                self.work,
                 attempt_id=self.attempt_id,
-                entry=work.governing.name,
-                owner=work.governing.entry.owner,
-                config_revision=work.governing.config_revision,
-                stage=work.stage.name,
                 peer=self.view.process_id,
-                figures=tuple(
-                    Figure(name=name, value=value) for name, value in figures.items()
-                ),
+                figures=figures,
             )
         )
--- a/src/trefoilpaddle/transport/connection.py
+++ b/src/trefoilpaddle/transport/connection.py
@@ -68,6 +68,7 @@
         "_unsent_bytes",
         "_writer",
         "heard_s",
+        "hello_at_ns",
         "own",
         "peer",
         "pending",
@@ -92,6 +93,7 @@
         self.own = own
         self.peer = Hello()
         self.heard_s = time.monotonic()
+        self.hello_at_ns = 0
         self.pending: list[Frame] = []
 
     @property
@@ -189,6 +191,7 @@
             return self._error("its process id is empty or too long")
         if self._is_own(frame.message):
             return self._error("is this process itself")
+        self.hello_at_ns = time.monotonic_ns()
         self.peer = frame.message
         return Ok(self.peer)
 
@@ -220,7 +223,7 @@
                 self.pending += frames
                 return True
             case Err(problem):
-                logging.warning("%s: %s", self.peer_name, problem)
+                logging.warning("%s: stream closed: %s", self.peer_name, problem)
                 self.abort()
                 return False
 
@@ -260,7 +263,9 @@
                 else:
                     self._writer.close()
                 await self._peer_closes()
-        except OSError:  # a timeout too
+        except (OSError, RuntimeError):
+            # OSError is a timeout too; the loop raises RuntimeError where the
+            # peer's reset closed the socket a moment before.
             pass
         self.abort()
 
