Keep whole numbers whole in a stand-in's parameters

Cause: every engine of examples/garantia and examples/baird stopped after its first step; the description read n_cache_blocks = 120 as 120.0, and a slice by it raised in the batch loop. examples/small names no such parameter and worked. Change: the parameter's type takes whole numbers too. Conclusion: the cause was in the stand-in's description, not in the path.

--- a/src/trefoilpaddle/standins/description.py
+++ b/src/trefoilpaddle/standins/description.py
@@ -52,7 +52,7 @@
     kind: ServiceKind
     n_targets: Count
     fencing: Fencing = Fencing.CHECKED
-    stand_in: dict[str, float | bool | str] = Field(default_factory=dict)
+    stand_in: dict[str, int | float | bool | str] = Field(default_factory=dict)
 
     def targets(self) -> list[str]:
         """Return the names of the targets."""
