Let replayed processes vouch for idempotency keys before a trace begins

Cause: keyed requests were answered unknown (home_gone) for the retry window plus the longest deadline after a cold start of all processes. Change: entries' deadlines are scaled as the trace's are, the retry window is one second, and the player waits both out.

--- a/src/trefoilpaddle/replay/launched.py
+++ b/src/trefoilpaddle/replay/launched.py
@@ -9,6 +9,7 @@
 
 import aiohttp
 
+from ..standins.description import PublishedValues
 from ..standins.launcher import deployment
 from ..standins.running import Running
 from ..standins.written_settings import Overrides, Table
@@ -20,6 +21,8 @@
 
 SETTLE_S: Final = 5.0
 """Longest wait for targets to end what they run, before records are read."""
+RETRY_WINDOW_S: Final = 1.0
+"""How long a key's outcome is remembered; no caller of a replay retries."""
 _LOOK_S: Final = 0.1
 _READ_S: Final = 5.0
 
@@ -109,19 +112,39 @@
 
 
 def launch(site: Deployment, *, time_scale: float) -> OpenPlant:
-    """Return what starts the processes of `site` under a policy."""
+    """Return what starts the processes of `site` under a policy.
+
+    Entries' deadlines are scaled as the trace's are. Idempotency keys are
+    served only once every process could vouch that it has forgotten no claim,
+    so the processes are left alone for that long before the trace begins.
+    """
+    values = _scaled(site.values, time_scale)
+    longest_s = max(entry.deadline_s for entry in site.catalogue.entries.values())
+    vouch_s = RETRY_WINDOW_S + longest_s * time_scale
 
     @contextlib.asynccontextmanager
     async def open_plant(policy: PolicySettings) -> AsyncIterator[Plant]:
-        overrides = Overrides(policy=_table(policy))
+        overrides = Overrides(
+            policy=_table(policy), retention={"retry_window_s": RETRY_WINDOW_S}
+        )
         async with deployment(
-            site.description, site.values, overrides=overrides, time_scale=time_scale
+            site.description, values, overrides=overrides, time_scale=time_scale
         ) as running:
+            await asyncio.sleep(vouch_s)
             yield LaunchedPlant(running=running)
 
     return open_plant
 
 
+def _scaled(values: PublishedValues, time_scale: float) -> PublishedValues:
+    scaled = dict(values)
+    for key, value in values.items():
+        deadline_s = value.get("deadline_s")
+        if key.startswith("entry/") and isinstance(deadline_s, float):
+            scaled[key] = {**value, "deadline_s": deadline_s * time_scale}
+    return scaled
+
+
 def _table(policy: PolicySettings) -> Table:
     return {
         name: value.value if isinstance(value, Enum) else value
