--- a/tests/test_standins_engine.py
+++ b/tests/test_standins_engine.py
@@ -10,7 +10,7 @@
 import pytest
 import pytest_asyncio
 
-from tests.standins_support import until
+from tests.peer_helpers import until
 from trefoilpaddle.standins.batching import BatchModel
 from trefoilpaddle.standins.engine import Engine, EngineModel
 from trefoilpaddle.standins.faults import Fault, FaultKind
@@ -249,7 +249,7 @@
         async with serving(engine.application()) as url:
             client = Client(session, url)
             call = asyncio.ensure_future(client.complete("a", prompt="x"))
-            await until(lambda: engine.record.runs)
+            await until(lambda: bool(engine.record.runs))
             call.cancel()
             await until(lambda: engine.record.runs[0].outcome is Outcome.CANCELLED)
             async with session.get(f"{url}/v1/resume/a") as got:
@@ -260,7 +260,7 @@
         async with serving(engine.application()) as url:
             client = Client(session, url)
             call = asyncio.ensure_future(client.complete("a", prompt="x"))
-            await until(lambda: engine.record.runs)
+            await until(lambda: bool(engine.record.runs))
             assert await client.post("/v1/cancel/a") == (200, {"cancelled": True})
             assert (await call).finish_reason == "cancelled"
             assert (await client.post("/v1/cancel/b"))[0] == 404
@@ -306,7 +306,7 @@
             load = asyncio.ensure_future(
                 client.post("/v1/orders", fence=1, order="load_model", name="m2")
             )
-            await until(lambda: engine.record.orders)
+            await until(lambda: bool(engine.record.orders))
             await client.post("/v1/orders", fence=2, order="unload_model", name="m2")
             assert await load == (409, {"fence": 2})
         assert "m2" not in engine.orders.models
--- a/tests/test_standins_launcher.py
+++ b/tests/test_standins_launcher.py
@@ -7,7 +7,7 @@
 import psutil
 import pytest
 
-from tests.standins_support import until
+from tests.peer_helpers import until
 from trefoilpaddle.standins.description import (
     EXAMPLES,
     load_catalogue,
--- a/tests/test_standins_platform.py
+++ b/tests/test_standins_platform.py
@@ -6,7 +6,7 @@
 import aiohttp
 import pytest_asyncio
 
-from tests.standins_support import until
+from tests.peer_helpers import until
 from trefoilpaddle.standins.config import Config
 from trefoilpaddle.standins.faults import Fault, FaultKind
 from trefoilpaddle.standins.hosts import Hosts
@@ -66,7 +66,7 @@
             watch = asyncio.ensure_future(
                 session.get(f"{url}/v1/watch?after=0&timeout_s=30")
             )
-            await until(lambda: config.reads.n_watches)
+            await until(lambda: config.reads.n_watches > 0)
             config.publish("entry/a", {"x": 1})
             body = await (await watch).json()
             assert body["items"][0]["value"] == {"x": 1}
@@ -102,7 +102,7 @@
         config = Config()
         async with serving(config.application()) as url:
             watch = asyncio.ensure_future(session.get(f"{url}/v1/watch?after=0"))
-            await until(lambda: config.reads.n_watches)
+            await until(lambda: config.reads.n_watches > 0)
             config.faults.set(Fault(kind=FaultKind.DOWN))
             assert (await watch).status == 503
             async with session.get(f"{url}/v1/values") as got:
@@ -144,7 +144,7 @@
         weights = Weights(size_bytes=10_000, bytes_per_s=1_000.0, max_readings=1)
         async with serving(weights.application()) as url:
             first = asyncio.ensure_future(session.get(f"{url}/v1/weights/base"))
-            await until(lambda: weights.record.runs)
+            await until(lambda: bool(weights.record.runs))
             async with session.get(f"{url}/v1/weights/base") as got:
                 assert got.status == 429
                 assert got.headers["Retry-After"] == "10"
--- a/tests/test_standins_targets.py
+++ b/tests/test_standins_targets.py
@@ -8,7 +8,7 @@
 import pytest
 import pytest_asyncio
 
-from tests.standins_support import until
+from tests.peer_helpers import until
 from trefoilpaddle.standins.calls import CallModel, CallService
 from trefoilpaddle.standins.outputs import call_output
 from trefoilpaddle.standins.web import serving
@@ -63,7 +63,7 @@
         service = CallService(model=model)
         async with serving(service.application()) as url:
             first = asyncio.ensure_future(session.post(f"{url}/x", data=b"{}"))
-            await until(lambda: service.record.runs)
+            await until(lambda: bool(service.record.runs))
             async with session.post(f"{url}/x", data=b"{}") as got:
                 assert got.status == 503
                 assert got.headers["X-Not-Run"] == "1"
@@ -79,7 +79,7 @@
             call = asyncio.ensure_future(
                 session.post(f"{url}/hold", data=b"{}", headers=ids(7))
             )
-            await until(lambda: service.record.runs)
+            await until(lambda: bool(service.record.runs))
             call.cancel()
             await until(lambda: service.record.runs[0].outcome != "running")
         assert service.record.effects == {("r7", "/hold"): 1}
@@ -90,7 +90,7 @@
         service = CallService(model=CallModel(base_s=30.0))
         async with serving(service.application()) as url:
             call = asyncio.ensure_future(session.post(f"{url}/x", data=b"{}"))
-            await until(lambda: service.record.runs)
+            await until(lambda: bool(service.record.runs))
             call.cancel()
             await until(lambda: service.record.runs[0].outcome != "running")
         assert service.record.runs[0].outcome == "cancelled"
@@ -146,7 +146,7 @@
         service = CallService(model=CallModel(base_s=30.0, load_lag_s=20.0))
         async with serving(service.application()) as url:
             call = asyncio.ensure_future(session.post(f"{url}/x", data=b"{}"))
-            await until(lambda: service.record.runs)
+            await until(lambda: bool(service.record.runs))
             async with session.get(f"{url}/load") as got:
                 load = await got.json()
             call.cancel()
--- /dev/null
+++ b/tests/test_target_view.py
@@ -0,0 +1,55 @@
+"""What a gateway knows of a target when it first looks at it."""
+
+import asyncio
+import contextlib
+from collections.abc import AsyncIterator
+
+from tests.peer_helpers import beat, hello_of, server_of, until
+from trefoilpaddle.coordination.target_view import TargetViews
+from trefoilpaddle.protocol.gen.stage.ttypes import Hello
+from trefoilpaddle.state.hosts import Host
+from trefoilpaddle.transport.peers import Peers
+
+STAMP_NS = 12_345
+
+
+def hello() -> Hello:
+    said = hello_of("t1-sidecar", incarnation=10)()
+    said.stamp_ns = STAMP_NS
+    return said
+
+
+@contextlib.asynccontextmanager
+async def own_peers() -> AsyncIterator[Peers]:
+    peers = Peers(
+        own_hello=hello_of("g1-gateway", incarnation=20),
+        own_heartbeat=beat,
+        on_message=lambda link, message: None,
+    )
+    async with peers.open():
+        yield peers
+
+
+class TestFirstLook:
+    async def test_takes_the_stamp_of_a_hello_heard_before(self) -> None:
+        """A first call to each target was refused as meant for a former start.
+
+        Membership opens the link to a sidecar and its hello arrives; later the
+        gateway looks at the target for the first time. Nobody told the new view
+        of the hello, so its call carried no stamp of the sidecar's clock.
+        """
+        async with server_of(own_hello=hello).listening() as server, own_peers() as own:
+            link = own.link(server.address)
+            await until(lambda: link.connection is not None)
+            before_ns = link.connection.hello_at_ns if link.connection else 0
+            host = Host(
+                name="t1",
+                failure_domain="fd-1",
+                role="sidecar",
+                peer_address=str(server.address),
+            )
+            view = TargetViews(peers=own).of(host)
+            await asyncio.sleep(0)
+        assert view is not None
+        assert view.stamp_ns == STAMP_NS
+        assert view.stamp_at_ns == before_ns > 0
