--- a/src/trefoilpaddle/coordination/retries.py
+++ b/src/trefoilpaddle/coordination/retries.py
@@ -129,12 +129,11 @@
         call = Call(work=work, view=chosen.view, parts=parts)
         if not self._may_hedge(work, parts):
             return await call.run()
-        delay_s = chosen.wait_s + max(HEDGE_MIN_S, HEDGE_FACTOR * work.high_s)
 
         def second() -> Call | None:
             return self._hedge(work, parts, budget, tried)
 
-        return await hedged(call, delay_s=delay_s, second=second)
+        return await hedged(call, delay_s=_hedge_delay_s(work, chosen), second=second)
 
     def _is_late_bound(self, chosen: Chosen, tried: _Tried) -> bool:
         is_first = tried.last is None
@@ -207,3 +206,14 @@
                 figures=figures,
             )
         )
+
+
+def _hedge_delay_s(work: StageWork, chosen: Chosen) -> float:
+    """Return how long to wait for an answer before a second attempt.
+
+    As late as a second attempt can still be in time, since each costs a target's
+    work; but never before the first is slower than such calls usually are.
+    """
+    usual_s = max(HEDGE_MIN_S, HEDGE_FACTOR * work.high_s)
+    left_s = work.stage_deadline_s - time.monotonic()
+    return max(chosen.wait_s + usual_s, left_s - usual_s)
--- a/src/trefoilpaddle/coordination/start_message.py
+++ b/src/trefoilpaddle/coordination/start_message.py
@@ -61,8 +61,9 @@
         brownout_order=entry.brownout_order,
         stamp_ns=view.stamp_ns,
         elapsed_ns=time.monotonic_ns() - view.stamp_at_ns,
-        budget_ns=int((work.deadline_s - now_s) * NS),
-        stage_budget_ns=int((work.stage_deadline_s - now_s) * NS),
+        budget_ns=max(0, int((work.deadline_s - now_s) * NS)),
+        # A repeated call may find its stage's share used up, but not the whole.
+        stage_budget_ns=max(0, int((work.stage_deadline_s - now_s) * NS)),
         idempotent=stage.idempotent,
         predicted_s=work.expected_s,
         max_tokens=stage.max_tokens,
