--- a/tests/harness.py
+++ b/tests/harness.py
@@ -358,6 +358,7 @@
             for i in range(n_gateways)
         ]
         self._client: aiohttp.ClientSession | None = None
+        self._dead: list[contextlib.AsyncExitStack] = []
         self._numbers = itertools.count()
 
     def slot(self, name: str) -> SidecarSlot:
@@ -413,6 +414,8 @@
             yield self
             for relay in self.all_relays():
                 relay.heal()
+            for dead in self._dead:
+                await dead.aclose()
 
     def is_ready(self) -> bool:
         return all(self.hears(g, s) for g in self.gateways for s in self.slots)
@@ -528,6 +531,7 @@
         if listener is not None:
             listener.close()
         _cancel_tasks_of(slot.owner)
+        self._dead.append(slot.stack)
         slot.sidecar = slot.process = None
 
     def kill_gateway(self, slot: GatewaySlot) -> None:
@@ -540,6 +544,7 @@
             if link.connection is not None:
                 link.connection.abort()
         _cancel_tasks_of(slot.name)
+        self._dead.append(slot.stack)
         slot.gateway = None
 
     async def stop_sidecar(self, slot: SidecarSlot) -> int:
@@ -577,6 +582,8 @@
     ) -> Told:
         """Send one request as a caller would and return what it was told."""
         assert self._client is not None
+        if self.gateways[gateway].gateway is None:
+            return Told(text=text, status=0, body=None, request_id="")
         text = text or f"text {next(self._numbers)}"
         headers = {"X-Client-Account": "club"}
         if key:
