--- a/src/trefoilpaddle/standins/description.py
+++ b/src/trefoilpaddle/standins/description.py
@@ -52,7 +52,7 @@
     kind: ServiceKind
     n_targets: Count
     fencing: Fencing = Fencing.CHECKED
-    stand_in: dict[str, float | bool | str] = Field(default_factory=dict)
+    stand_in: dict[str, int | float | bool | str] = Field(default_factory=dict)
 
     def targets(self) -> list[str]:
         """Return the names of the targets."""
@@ -73,8 +73,9 @@
         File under ``examples/inputs``; JSON if it ends so, else text.
     is_streamed : bool
         Whether the answer is asked for as a stream.
-    idempotency_key : str
-        Sent with the request; empty for none.
+    has_minted_id : bool
+        Whether an id is asked for first and sent with the request, so that a
+        retry cannot run it twice.
     """
 
     title: str
@@ -83,7 +84,7 @@
     class_of_work: Name
     input: Annotated[str, Field(pattern=r"^[\w.-]+$")]
     is_streamed: bool = False
-    idempotency_key: str = ""
+    has_minted_id: bool = False
 
 
 @dataclass(slots=True, kw_only=True, config=_STRICT)
