Predict an owner's wait by its share, not by everybody's queue

Cause: trial at 1.7 times capacity: requests were admitted that were predicted late (caution below 1 where attainment weighs); and the whole queue was taken as everyone's wait, so one owner's burst would have had the others refused although the fair queue would serve them next. Change: load reports name who has work waiting (OwnerLoad; a few lines in the sidecar's queue and dispatcher); the gateway predicts by owner, weight and floor, with its own calls counted by owner and the target's slowness; refusal expects the second best target; caution is 1.0 to 1.3.

--- a/idl/stage.thrift
+++ b/idl/stage.thrift
@@ -6,6 +6,13 @@
 
 enum BarState { BARRED = 0, RUNNING = 1, DONE = 2, FORGOTTEN = 3 }
 
+// What one owner has waiting at a target, for owners with much of it.
+struct OwnerLoad {
+  1: string owner = ""
+  2: double queued_work_s = 0
+  3: double weight = 0
+}
+
 // What a sidecar says of itself; piggy-backed on answers and on each heartbeat.
 struct Load {
   1: i64 stamp_ns = 0            // the sidecar's monotonic clock when it wrote this
@@ -19,6 +26,7 @@
   9: double slowness = 0         // measured over predicted service time, 1.0 = as predicted
   10: bool target_up = false
   11: i64 reported_age_ms = 0    // age of the target's own load report, -1 without one
+  12: list<OwnerLoad> owners = []  // who has work waiting; empty under first come, first served
 }
 
 // First frame in each direction on each connection.
--- a/src/trefoilpaddle/coordination/dispatcher.py
+++ b/src/trefoilpaddle/coordination/dispatcher.py
@@ -9,7 +9,7 @@
 
 from ..protocol.const import NS_PER_S
 from ..protocol.errors import Failed, NotRun, StageError, Unknown
-from ..protocol.gen.stage.ttypes import Load, Queued
+from ..protocol.gen.stage.ttypes import Load, OwnerLoad, Queued
 from ..protocol.reasons import Reason
 from ..state.catalogue import Service
 from ..state.concurrency import SlotLimit
@@ -29,6 +29,8 @@
 """How long waiting work outlives its connection."""
 DEFAULT_MAX_QUEUE_S: Final = 30.0
 """Longest queue while the service is not in the catalogue."""
+MAX_OWNER_LOADS: Final = 8
+"""Owners named in a load report, those with the most waiting work."""
 
 
 class Dispatcher:
@@ -117,6 +119,7 @@
             slowness=self._running.slowness(now_ns),
             target_up=self.is_target_up,
             reported_age_ms=self.reported_age_ms,
+            owners=_owner_loads(self._queue),
         )
 
     def set_service(self, service: Service) -> None:
@@ -361,3 +364,12 @@
         self._running.learn(attempt, now_ns=time.monotonic_ns())
         if limit.n_slots != n_before:
             self._journal.slots(n_before=n_before, n_slots=limit.n_slots)
+
+
+def _owner_loads(queue: WorkQueue) -> list[OwnerLoad]:
+    """Return who has most work waiting; gateways predict an owner's wait by it."""
+    loads = sorted(queue.by_owner(), key=lambda load: load.work_s, reverse=True)
+    return [
+        OwnerLoad(owner=load.owner, queued_work_s=load.work_s, weight=load.weight)
+        for load in loads[:MAX_OWNER_LOADS]
+    ]
--- /dev/null
+++ b/src/trefoilpaddle/coordination/own_calls.py
@@ -0,0 +1,44 @@
+"""Calls of this gateway at one target that its load reports may not hold yet."""
+
+
+class OwnCalls:
+    """Predicted work that was sent, by owner, until a report holds it.
+
+    A call counts from its sending. Frames of one connection arrive in order, so
+    the first report after a frame about the call holds it and takes it off.
+    """
+
+    __slots__ = ("_counted_s", "_uncounted_s", "n_uncounted")
+
+    def __init__(self) -> None:
+        self.n_uncounted = 0
+        self._uncounted_s: dict[str, float] = {}
+        self._counted_s: dict[str, float] = {}
+
+    def sent(self, owner: str, predicted_s: float) -> None:
+        """Count a call that no report can hold yet."""
+        self.n_uncounted += 1
+        known_s = self._uncounted_s.get(owner, 0.0)
+        self._uncounted_s[owner] = known_s + predicted_s
+
+    def arrived(self, owner: str, predicted_s: float) -> None:
+        """Note that a call has reached the sidecar; the next report holds it."""
+        self.n_uncounted -= 1
+        if self.n_uncounted:
+            left_s = self._uncounted_s[owner] - predicted_s
+            self._uncounted_s[owner] = max(0.0, left_s)
+        else:
+            self._uncounted_s.clear()
+        self._counted_s[owner] = self._counted_s.get(owner, 0.0) + predicted_s
+
+    def reported(self) -> None:
+        """Take off what had arrived before a report was written."""
+        self._counted_s.clear()
+
+    def of(self, owner: str) -> float:
+        """Return the work of one owner, in seconds."""
+        return self._uncounted_s.get(owner, 0.0) + self._counted_s.get(owner, 0.0)
+
+    def total_s(self) -> float:
+        """Return the work of all owners, in seconds."""
+        return sum(self._uncounted_s.values()) + sum(self._counted_s.values())
--- /dev/null
+++ b/src/trefoilpaddle/coordination/predicted_wait.py
@@ -0,0 +1,64 @@
+"""How long a call sent now would wait at a target, by its last load report."""
+
+from typing import Final
+
+from ..protocol.gen.stage.ttypes import Load
+from ..state.catalogue import Entry
+from .own_calls import OwnCalls
+
+MAX_SLOWNESS: Final = 20.0
+
+
+def predicted_wait_s(load: Load, own: OwnCalls, entry: Entry, *, age_s: float) -> float:
+    """Return the predicted queueing time of a call of `entry`, in seconds.
+
+    The report is aged by what the target's slots have worked off since, and own
+    calls that it cannot hold are added, so that a lagging report does not draw
+    every call to the same idle target.
+
+    Parameters
+    ----------
+    load : Load
+        The last report.
+    own : OwnCalls
+        What this gateway has sent that the report does not hold.
+    entry : Entry
+        Whose call it would be.
+    age_s : float
+        Seconds since the report came.
+    """
+    n_slots = max(1, load.n_slots)
+    if load.n_queued == 0 and load.n_running + own.n_uncounted < n_slots:
+        return 0.0
+    ahead_s = _ahead_s(load, own, entry)
+    wait_s = (load.running_work_s + ahead_s) * slowness(load) / n_slots
+    return max(0.0, wait_s - age_s)
+
+
+def slowness(load: Load) -> float:
+    """Return how many times slower than predicted the target works, from 1."""
+    return min(MAX_SLOWNESS, max(1.0, load.slowness))
+
+
+def _ahead_s(load: Load, own: OwnCalls, entry: Entry) -> float:
+    """Return the waiting work that would go before a call of `entry`.
+
+    Where owners get shares, an owner waits for its own work, and for the others
+    only as far as their shares go meanwhile. Without this a burst of one owner
+    would have the requests of all others refused as late, although the target
+    would serve them at once.
+    """
+    queued_s = load.queued_work_s + own.total_s()
+    if not load.owners:
+        return queued_s
+    own_s = own.of(entry.owner)
+    others_weight = 0.0
+    for other in load.owners:
+        if other.owner == entry.owner:
+            own_s += other.queued_work_s
+        else:
+            others_weight += other.weight
+    share = entry.weight / (entry.weight + others_weight)
+    share = max(entry.floor_share, share)
+    others_s = max(0.0, queued_s - own_s)
+    return own_s + min(others_s, own_s / share - own_s)
--- a/src/trefoilpaddle/coordination/prediction.py
+++ b/src/trefoilpaddle/coordination/prediction.py
@@ -12,10 +12,10 @@
 from .routing import Router
 from .stage_work import StageAnswer, StageWork
 
-CAUTION: Final = 1.2
-"""Times the predicted need below which an entry that weighs only cost is given
-up; each point of attainment weight takes `CAUTION_STEP` off."""
-CAUTION_STEP: Final = 0.4
+CAUTION: Final = 1.3
+"""Times the predicted need that must fit into the time left where only cost
+counts; where only attainment counts, `CAUTION_STEP` less."""
+CAUTION_STEP: Final = 0.3
 MIN_RETRY_AFTER_S: Final = 0.05
 
 
@@ -70,6 +70,7 @@
         """
         if not self._policy.refuse_early:
             return None
+        entry = request.governing.entry
         left_s = request.deadline_s - time.monotonic()
         wait_s, needed_s = 0.0, 0.0
         slowest = request.pipeline.stages[index]
@@ -80,12 +81,12 @@
             # before anything is spent it is still the best guess.
             if index > 0 and later > index:
                 continue
-            stage_wait_s = self._router.least_wait_s(stage.service)
+            stage_wait_s = self._router.likely_wait_s(stage.service, entry)
             needed_s += stage_wait_s
             if stage_wait_s > wait_s:
                 wait_s, slowest = stage_wait_s, stage
-        weight = request.governing.entry.attainment_weight
-        if needed_s * (CAUTION - CAUTION_STEP * weight) <= left_s:
+        caution = CAUTION - CAUTION_STEP * entry.attainment_weight
+        if needed_s * caution <= left_s:
             return None
         return NotRun(
             reason=Reason.PREDICTED_LATE,
--- a/src/trefoilpaddle/coordination/routing.py
+++ b/src/trefoilpaddle/coordination/routing.py
@@ -7,6 +7,7 @@
 from dataclasses import dataclass, replace
 from typing import Final
 
+from ..state.catalogue import Entry
 from ..state.prefix import PrefixRecord
 from ..state.settings import Choice, PolicySettings
 from .directory import Directory
@@ -138,11 +139,15 @@
             service = work.stage.service
             self._prefixes.note(service, work.prefix_hashes, view.process_id)
 
-    def least_wait_s(self, service: str) -> float:
-        """Return the shortest predicted queueing time at any target now."""
+    def likely_wait_s(self, service: str, entry: Entry) -> float:
+        """Return the queueing time that a call of `entry` is likely to meet now.
+
+        That of the second best target: a choice between two does not always
+        see the best one.
+        """
         now_s = time.monotonic()
-        waits = (view.predicted_wait_s(now_s) for view in self.candidates(service))
-        return min(waits, default=0.0)
+        waits = sorted(view.wait_s(entry, now_s) for view in self.candidates(service))
+        return waits[min(1, len(waits) - 1)] if waits else 0.0
 
     def _in_turn(self, work: StageWork, candidates: list[TargetView]) -> Chosen:
         turns = self._turns.setdefault(work.stage.service, itertools.count())
@@ -175,8 +180,7 @@
 
         def cost_s(view: TargetView) -> float:
             saved_s = shares[view.process_id] * work.size_s * patience
-            expected_s = work.expected_s
-            return view.predicted_s(expected_s=expected_s, now_s=now_s) - saved_s
+            return view.predicted_s(work, now_s) - saved_s
 
         best = min(holders, key=cost_s)
         if cost_s(best) > chosen.predicted_s:
@@ -195,7 +199,7 @@
         now_s = time.monotonic()
         scored = sorted(
             (
-                view.predicted_s(expected_s=work.expected_s, now_s=now_s),
+                view.predicted_s(work, now_s),
                 view.n_outstanding,
                 index,
             )
@@ -206,7 +210,7 @@
         second = looked_at[scored[1][2]] if len(scored) > 1 else None
         return Chosen(
             view=view,
-            wait_s=view.predicted_wait_s(now_s),
+            wait_s=view.wait_s(work.governing.entry, now_s),
             predicted_s=best_s,
             n_candidates=n_candidates,
             second=second,
--- a/src/trefoilpaddle/coordination/stage_call.py
+++ b/src/trefoilpaddle/coordination/stage_call.py
@@ -126,7 +126,7 @@
         """
         with self._attempts.open(self.view) as attempt:
             self._attempt = attempt
-            self.view.sent(self.work.expected_s)
+            self.view.sent(self.work)
             try:
                 return await self._run(attempt)
             finally:
@@ -202,7 +202,7 @@
     def _arrive(self) -> None:
         if not self._has_arrived:
             self._has_arrived = True
-            self.view.arrived(self.work.expected_s)
+            self.view.arrived(self.work)
 
     def _on_ready(self, attempt: OpenAttempt) -> Result[StageAnswer, StageFault] | None:
         if self._may_go is None or self._may_go(self):
--- a/src/trefoilpaddle/coordination/target_view.py
+++ b/src/trefoilpaddle/coordination/target_view.py
@@ -5,13 +5,16 @@
 from typing import Final
 
 from ..protocol.gen.stage.ttypes import Load
+from ..state.catalogue import Entry
 from ..state.hosts import Host
 from ..transport.connection import Address
 from ..transport.link import Link
 from ..transport.peers import Peers
+from .own_calls import OwnCalls
+from .predicted_wait import MAX_SLOWNESS, predicted_wait_s, slowness
+from .stage_work import StageWork
 
 DEFAULT_SLOTS: Final = 4
-MAX_SLOWNESS: Final = 20.0
 LATENCY_STEP: Final = 0.1
 PROBE_STEP: Final = 0.7
 
@@ -30,8 +33,6 @@
     """
 
     __slots__ = (
-        "_counted_s",
-        "_uncounted_s",
         "address",
         "host",
         "is_ejected",
@@ -40,7 +41,7 @@
         "load_at_s",
         "n_outstanding",
         "n_ratios",
-        "n_uncounted",
+        "own",
         "probe_at_s",
         "probe_wait_s",
         "ratio",
@@ -58,9 +59,7 @@
         self.stamp_ns = 0
         self.stamp_at_ns = 0
         self.n_outstanding = 0
-        self.n_uncounted = 0
-        self._uncounted_s = 0.0
-        self._counted_s = 0.0
+        self.own = OwnCalls()
         self.ratio = 1.0
         self.n_ratios = 0
         self.is_ejected = False
@@ -89,7 +88,7 @@
         """Take in a report of the sidecar; it counts what had arrived before."""
         self.load = load
         self.load_at_s = time.monotonic()
-        self._counted_s = 0.0
+        self.own.reported()
         self.take_stamp(load.stamp_ns)
 
     def take_hello(self) -> None:
@@ -109,17 +108,14 @@
         self.stamp_ns = stamp_ns
         self.stamp_at_ns = time.monotonic_ns()
 
-    def sent(self, predicted_s: float) -> None:
+    def sent(self, work: StageWork) -> None:
         """Count a call sent that no report can hold yet."""
         self.n_outstanding += 1
-        self.n_uncounted += 1
-        self._uncounted_s += predicted_s
+        self.own.sent(work.governing.entry.owner, work.expected_s)
 
-    def arrived(self, predicted_s: float) -> None:
+    def arrived(self, work: StageWork) -> None:
         """Note that a call has reached the sidecar; the next report holds it."""
-        self.n_uncounted -= 1
-        self._uncounted_s = max(0.0, self._uncounted_s - predicted_s)
-        self._counted_s += predicted_s
+        self.own.arrived(work.governing.entry.owner, work.expected_s)
 
     def ended(self) -> None:
         """Count a call as over."""
@@ -139,33 +135,18 @@
             step = PROBE_STEP
         self.ratio += step * (ratio - self.ratio)
 
-    def predicted_wait_s(self, now_s: float) -> float:
-        """Return the predicted queueing time of a call sent now.
-
-        The reported queue is aged by what its slots have worked off since, and
-        own calls that the report cannot hold are added, so that a lagging
-        report does not draw every call to the same idle target.
-        """
-        load = self.load
-        own_s = self._uncounted_s + self._counted_s
-        if load is None:
-            return own_s / DEFAULT_SLOTS
-        n_slots = max(1, load.n_slots)
-        if load.n_queued == 0 and load.n_running + self.n_uncounted < n_slots:
-            return 0.0
-        work_s = load.queued_work_s + load.running_work_s + own_s
-        aged_s = work_s - n_slots * (now_s - self.load_at_s)
-        return max(0.0, aged_s) / n_slots
-
-    def slowness(self) -> float:
-        """Return how many times slower than predicted the target works, from 1."""
+    def wait_s(self, entry: Entry, now_s: float) -> float:
+        """Return the predicted queueing time of a call of `entry` sent now."""
         if self.load is None:
-            return 1.0
-        return min(MAX_SLOWNESS, max(1.0, self.load.slowness))
-
-    def predicted_s(self, *, expected_s: float, now_s: float) -> float:
-        """Return the predicted seconds until a call sent now is answered."""
-        return self.predicted_wait_s(now_s) + expected_s * self.slowness()
+            return self.own.total_s() / DEFAULT_SLOTS
+        return predicted_wait_s(
+            self.load, self.own, entry, age_s=now_s - self.load_at_s
+        )
+
+    def predicted_s(self, work: StageWork, now_s: float) -> float:
+        """Return the predicted seconds until `work`, sent now, is answered."""
+        slow = slowness(self.load) if self.load is not None else 1.0
+        return self.wait_s(work.governing.entry, now_s) + work.expected_s * slow
 
 
 class TargetViews:
--- a/src/trefoilpaddle/protocol/gen/stage/ttypes.py
+++ b/src/trefoilpaddle/protocol/gen/stage/ttypes.py
@@ -58,6 +58,98 @@
     }
 
 
+class OwnerLoad(object):
+    """
+    Attributes:
+     - owner
+     - queued_work_s
+     - weight
+
+    """
+
+    __slots__ = (
+        'owner',
+        'queued_work_s',
+        'weight',
+    )
+
+
+    def __init__(self, owner="", queued_work_s=float(0), weight=float(0),):
+        self.owner = owner
+        self.queued_work_s = queued_work_s
+        self.weight = weight
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.owner = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.DOUBLE:
+                    self.queued_work_s = iprot.readDouble()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.DOUBLE:
+                    self.weight = iprot.readDouble()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('OwnerLoad')
+        if self.owner is not None:
+            oprot.writeFieldBegin('owner', TType.STRING, 1)
+            oprot.writeString(self.owner.encode('utf-8') if sys.version_info[0] == 2 else self.owner)
+            oprot.writeFieldEnd()
+        if self.queued_work_s is not None:
+            oprot.writeFieldBegin('queued_work_s', TType.DOUBLE, 2)
+            oprot.writeDouble(self.queued_work_s)
+            oprot.writeFieldEnd()
+        if self.weight is not None:
+            oprot.writeFieldBegin('weight', TType.DOUBLE, 3)
+            oprot.writeDouble(self.weight)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
 class Load(object):
     """
     Attributes:
@@ -72,6 +164,7 @@
      - slowness
      - target_up
      - reported_age_ms
+     - owners
 
     """
 
@@ -87,10 +180,12 @@
         'slowness',
         'target_up',
         'reported_age_ms',
+        'owners',
     )
 
 
-    def __init__(self, stamp_ns=0, n_running=0, n_queued=0, n_slots=0, queued_work_s=float(0), running_work_s=float(0), leaving=False, config_revision=0, slowness=float(0), target_up=False, reported_age_ms=0,):
+    def __init__(self, stamp_ns=0, n_running=0, n_queued=0, n_slots=0, queued_work_s=float(0), running_work_s=float(0), leaving=False, config_revision=0, slowness=float(0), target_up=False, reported_age_ms=0, owners=[
+    ],):
         self.stamp_ns = stamp_ns
         self.n_running = n_running
         self.n_queued = n_queued
@@ -102,6 +197,10 @@
         self.slowness = slowness
         self.target_up = target_up
         self.reported_age_ms = reported_age_ms
+        if owners is self.thrift_spec[12][4]:
+            owners = [
+            ]
+        self.owners = owners
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -167,6 +266,17 @@
                     self.reported_age_ms = iprot.readI64()
                 else:
                     iprot.skip(ftype)
+            elif fid == 12:
+                if ftype == TType.LIST:
+                    self.owners = []
+                    (_etype3, _size0) = iprot.readListBegin()
+                    for _i4 in range(_size0):
+                        _elem5 = OwnerLoad()
+                        _elem5.read(iprot)
+                        self.owners.append(_elem5)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -221,6 +331,13 @@
             oprot.writeFieldBegin('reported_age_ms', TType.I64, 11)
             oprot.writeI64(self.reported_age_ms)
             oprot.writeFieldEnd()
+        if self.owners is not None:
+            oprot.writeFieldBegin('owners', TType.LIST, 12)
+            oprot.writeListBegin(TType.STRUCT, len(self.owners))
+            for iter6 in self.owners:
+                iter6.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -694,10 +811,10 @@
             elif fid == 21:
                 if ftype == TType.LIST:
                     self.prefix_hashes = []
-                    (_etype3, _size0) = iprot.readListBegin()
-                    for _i4 in range(_size0):
-                        _elem5 = iprot.readI64()
-                        self.prefix_hashes.append(_elem5)
+                    (_etype10, _size7) = iprot.readListBegin()
+                    for _i11 in range(_size7):
+                        _elem12 = iprot.readI64()
+                        self.prefix_hashes.append(_elem12)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -834,8 +951,8 @@
         if self.prefix_hashes is not None:
             oprot.writeFieldBegin('prefix_hashes', TType.LIST, 21)
             oprot.writeListBegin(TType.I64, len(self.prefix_hashes))
-            for iter6 in self.prefix_hashes:
-                oprot.writeI64(iter6)
+            for iter13 in self.prefix_hashes:
+                oprot.writeI64(iter13)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.body_bytes is not None:
@@ -2219,6 +2336,13 @@
 
     def __ne__(self, other):
         return not (self == other)
+all_structs.append(OwnerLoad)
+OwnerLoad.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'owner', 'UTF8', "", ),  # 1
+    (2, TType.DOUBLE, 'queued_work_s', None, float(0), ),  # 2
+    (3, TType.DOUBLE, 'weight', None, float(0), ),  # 3
+)
 all_structs.append(Load)
 Load.thrift_spec = (
     None,  # 0
@@ -2233,6 +2357,8 @@
     (9, TType.DOUBLE, 'slowness', None, float(0), ),  # 9
     (10, TType.BOOL, 'target_up', None, False, ),  # 10
     (11, TType.I64, 'reported_age_ms', None, 0, ),  # 11
+    (12, TType.LIST, 'owners', (TType.STRUCT, [OwnerLoad, None], False), [
+    ], ),  # 12
 )
 all_structs.append(Hello)
 Hello.thrift_spec = (
--- a/src/trefoilpaddle/protocol/gen/stage/ttypes.pyi
+++ b/src/trefoilpaddle/protocol/gen/stage/ttypes.pyi
@@ -12,6 +12,11 @@
     FORGOTTEN: int
     _VALUES_TO_NAMES: dict[int, str]
     _NAMES_TO_VALUES: dict[str, int]
+class OwnerLoad:
+    owner: str
+    queued_work_s: float
+    weight: float
+    def __init__(self, *, owner: str = ..., queued_work_s: float = ..., weight: float = ...) -> None: ...
 class Load:
     stamp_ns: int
     n_running: int
@@ -24,7 +29,8 @@
     slowness: float
     target_up: bool
     reported_age_ms: int
-    def __init__(self, *, stamp_ns: int = ..., n_running: int = ..., n_queued: int = ..., n_slots: int = ..., queued_work_s: float = ..., running_work_s: float = ..., leaving: bool = ..., config_revision: int = ..., slowness: float = ..., target_up: bool = ..., reported_age_ms: int = ...) -> None: ...
+    owners: list[OwnerLoad]
+    def __init__(self, *, stamp_ns: int = ..., n_running: int = ..., n_queued: int = ..., n_slots: int = ..., queued_work_s: float = ..., running_work_s: float = ..., leaving: bool = ..., config_revision: int = ..., slowness: float = ..., target_up: bool = ..., reported_age_ms: int = ..., owners: list[OwnerLoad] = ...) -> None: ...
 class Hello:
     version: int
     process_id: str
--- a/src/trefoilpaddle/state/fair_queue.py
+++ b/src/trefoilpaddle/state/fair_queue.py
@@ -11,7 +11,7 @@
 from collections.abc import Iterable, Iterator
 from typing import Final
 
-from .work_queue import Ahead, Work
+from .work_queue import Ahead, OwnerWork, Work
 
 MIN_CHARGE_S: Final = 0.001
 """Charged for work of unknown size, until it is known what it used."""
@@ -192,6 +192,13 @@
         own.push(work)
         return shares([*others, own])[work.owner]
 
+    def by_owner(self) -> list[OwnerWork]:
+        """Return what each owner has waiting."""
+        return [
+            OwnerWork(owner=flow.owner, work_s=flow.work_s, weight=flow.weight)
+            for flow in self._backlogged()
+        ]
+
     def displaceable(self, work: Work) -> list[Work]:
         """Return waiting work that may give way to `work`, the first to go first.
 
--- a/src/trefoilpaddle/state/work_queue.py
+++ b/src/trefoilpaddle/state/work_queue.py
@@ -82,6 +82,27 @@
         self.work_s = work_s
 
 
+class OwnerWork:
+    """What one owner has waiting.
+
+    Parameters
+    ----------
+    owner : str
+        The owner.
+    work_s : float
+        Its predicted target-seconds.
+    weight : float
+        Its weight.
+    """
+
+    __slots__ = ("owner", "weight", "work_s")
+
+    def __init__(self, *, owner: str, work_s: float, weight: float) -> None:
+        self.owner = owner
+        self.work_s = work_s
+        self.weight = weight
+
+
 class WorkQueue(Protocol):
     """Decides which waiting work starts next."""
 
@@ -114,6 +135,10 @@
         """Return what would start before `work`, which need not wait yet."""
         ...
 
+    def by_owner(self) -> list[OwnerWork]:
+        """Return what each owner has waiting, where owners get shares."""
+        ...
+
     def displaceable(self, work: Work) -> list[Work]:
         """Return waiting work that may give way to `work`, the first to go first."""
         ...
@@ -165,6 +190,10 @@
         """Return all that waits."""
         return Ahead(n_ahead=len(self._waiting), work_s=self.work_s)
 
+    def by_owner(self) -> list[OwnerWork]:
+        """Return nothing: owners get no shares here."""
+        return []
+
     def displaceable(self, work: Work) -> list[Work]:
         """Return nothing: all waiting work came first."""
         return []
--- a/tests/test_routing.py
+++ b/tests/test_routing.py
@@ -2,6 +2,7 @@
 
 import random
 import time
+from dataclasses import replace
 from typing import cast
 
 from hypothesis import given
@@ -12,7 +13,7 @@
 from trefoilpaddle.coordination.routing import Router
 from trefoilpaddle.coordination.stage_work import StageWork
 from trefoilpaddle.coordination.target_view import TargetView, TargetViews
-from trefoilpaddle.protocol.gen.stage.ttypes import Load
+from trefoilpaddle.protocol.gen.stage.ttypes import Load, OwnerLoad
 from trefoilpaddle.state.catalogue import Entry, Service, ServiceKind, Stage
 from trefoilpaddle.state.estimate import WorkSize
 from trefoilpaddle.state.governing import Governing
@@ -24,6 +25,7 @@
 from trefoilpaddle.transport.link import Link
 
 SERVICE = "s"
+ENTRY = Entry(owner="bank", class_of_work="draft", pipelines=("p",), accounts=("club",))
 
 
 class FakeLink:
@@ -100,13 +102,7 @@
     prefixes: tuple[int, ...] = (),
     attainment_weight: float = 0.5,
 ) -> StageWork:
-    entry = Entry(
-        owner="bank",
-        class_of_work="draft",
-        pipelines=("p",),
-        accounts=("club",),
-        attainment_weight=attainment_weight,
-    )
+    entry = replace(ENTRY, attainment_weight=attainment_weight)
     return StageWork(
         request_id="r",
         pipeline="p",
@@ -179,7 +175,7 @@
         for _ in range(40):
             chosen = fleet.router.choose(work(), tried=set())
             assert chosen is not None
-            chosen.view.sent(0.1)
+            chosen.view.sent(work())
         assert max(view.n_outstanding for view in fleet.views) <= 20
         assert min(view.n_outstanding for view in fleet.views) >= 4
 
@@ -188,9 +184,25 @@
         fleet.report(0, n_queued=5, queued_work_s=10.0)
         view = fleet.views[0]
         at_s = view.load_at_s
-        assert view.predicted_wait_s(at_s) == 10.0
-        assert view.predicted_wait_s(at_s + 4.0) == 6.0
-        assert view.predicted_wait_s(at_s + 40.0) == 0.0
+        assert view.wait_s(ENTRY, at_s) == 10.0
+        assert view.wait_s(ENTRY, at_s + 4.0) == 6.0
+        assert view.wait_s(ENTRY, at_s + 40.0) == 0.0
+
+    def test_a_burst_of_one_owner_is_no_wait_for_another(self) -> None:
+        """One owner has many seconds of work waiting at a fair target. Another,
+        which has none, is served next there; its calls must not be taken for
+        late and refused. The first owner itself does wait for its own work.
+        """
+        fleet = Fleet(n_targets=1)
+        fleet.report(0, n_queued=50, queued_work_s=20.0, running_work_s=0.2)
+        view = fleet.views[0]
+        assert view.load is not None
+        crowd = OwnerLoad(owner="crowd", queued_work_s=20.0, weight=1.0)
+        view.load.owners = [crowd]
+        assert view.wait_s(ENTRY, view.load_at_s) == 0.2
+        assert view.wait_s(replace(ENTRY, owner="crowd"), view.load_at_s) == 20.2
+        view.own.sent("bank", 1.0)
+        assert view.wait_s(ENTRY, view.load_at_s) == 2.2
 
     @given(steps=st.lists(st.sampled_from("sart"), max_size=40))
     def test_own_calls_are_counted_once_beside_the_reports(
@@ -204,21 +216,21 @@
         n_sent = n_arrived = n_over = 0
         for step in steps:
             if step == "s":
-                view.sent(1.0)
+                view.sent(work(expected_s=1.0))
                 n_sent += 1
             elif step == "a" and n_arrived < n_sent:
-                view.arrived(1.0)
+                view.arrived(work(expected_s=1.0))
                 n_arrived += 1
             elif step == "r":
                 fleet.report(0, n_queued=1)
             elif step == "t" and n_over < n_arrived:
                 view.ended()
                 n_over += 1
-            assert view.predicted_wait_s(view.load_at_s) >= 0.0
+            assert view.wait_s(ENTRY, view.load_at_s) >= 0.0
         for _ in range(n_sent - n_arrived):
-            view.arrived(1.0)
+            view.arrived(work(expected_s=1.0))
         fleet.report(0, n_queued=1)
-        assert view.predicted_wait_s(view.load_at_s) == 0.0
+        assert view.wait_s(ENTRY, view.load_at_s) == 0.0
 
 
 class TestPrefixAffinity:
