Count work on its way to later stages; look at all targets when two are late

Change: ComingWork counts an owner's work until it arrives; a pair of targets that is late falls back to the best of all; no hedge where work waits; a lost place is repeated without spending budget.

--- a/src/trefoilpaddle/coordination/prediction.py
+++ b/src/trefoilpaddle/coordination/prediction.py
@@ -1,13 +1,16 @@
 """What the stages of a request will take, and whether that fits its deadline."""
 
+import contextlib
 import time
+from collections.abc import Iterator
 from typing import Final
 
 from ..protocol.errors import NotRun
 from ..protocol.reasons import Reason
-from ..state.catalogue import Stage
+from ..state.catalogue import Entry, Stage
 from ..state.estimate import Estimate, Estimates, WorkSize
 from ..state.settings import PolicySettings
+from .coming_work import Arrivals, ComingWork
 from .request import Request
 from .routing import Router
 from .stage_work import StageAnswer, StageWork
@@ -35,7 +38,7 @@
         Whether early refusal is on.
     """
 
-    __slots__ = ("_estimates", "_policy", "_router")
+    __slots__ = ("_coming", "_estimates", "_policy", "_router")
 
     def __init__(
         self, *, estimates: Estimates, router: Router, policy: PolicySettings
@@ -43,6 +46,7 @@
         self._estimates = estimates
         self._router = router
         self._policy = policy
+        self._coming = ComingWork()
 
     def of_body(self, stage: Stage) -> Estimate:
         """Return the fit of `stage` on the size of its body."""
@@ -81,7 +85,9 @@
             # before anything is spent it is still the best guess.
             if index > 0 and later > index:
                 continue
-            stage_wait_s = self._router.likely_wait_s(stage.service, entry)
+            stage_wait_s = self._router.least_wait_s(stage.service, entry)
+            if later > index:
+                stage_wait_s += self._coming_wait_s(stage.service, entry)
             needed_s += stage_wait_s
             if stage_wait_s > wait_s:
                 wait_s, slowest = stage_wait_s, stage
@@ -96,6 +102,20 @@
             retry_after_s=max(MIN_RETRY_AFTER_S, needed_s - left_s, wait_s / 2),
         )
 
+    @contextlib.contextmanager
+    def under_way(self, request: Request) -> Iterator[Arrivals]:
+        """Count the work that `request` brings to its stages until it is there."""
+        stages = request.pipeline.stages
+        work_s = [self._expected_s(request, index) for index in range(len(stages))]
+        services = [stage.service for stage in stages]
+        owner = request.governing.entry.owner
+        with self._coming.under_way(owner, services, work_s) as arrivals:
+            yield arrivals
+
+    def _coming_wait_s(self, service: str, entry: Entry) -> float:
+        n_slots = self._router.n_slots(service)
+        return self._coming.of(service, entry.owner) / max(1, n_slots)
+
     def _expected_s(self, request: Request, index: int) -> float:
         stage = request.pipeline.stages[index]
         estimate = self._of_input(request, stage)
--- a/src/trefoilpaddle/coordination/retries.py
+++ b/src/trefoilpaddle/coordination/retries.py
@@ -111,7 +111,7 @@
                     tried.last = fault
             if not self._may_repeat(work, fault, n_tried=len(tried.targets)):
                 return Err(fault.error)
-            if not budget.spend():
+            if not _is_place_lost(fault) and not budget.spend():
                 return Err(fault.error)
             self._journal.record(stage_decision(Event.RETRIED, work, error=fault.error))
 
@@ -157,7 +157,8 @@
         if time.monotonic() + work.expected_s >= work.deadline_s:
             return None
         chosen = self._router.choose(work, tried=tried.targets)
-        if chosen is None or not budget.spend():
+        # Where work waits, a second attempt takes the place of somebody's first.
+        if chosen is None or chosen.wait_s > 0.0 or not budget.spend():
             return None
         tried.targets.add(chosen.view.process_id)
         self._record_route(Event.HEDGED, work, chosen, n_tried=len(tried.targets))
@@ -217,3 +218,9 @@
     usual_s = max(HEDGE_MIN_S, HEDGE_FACTOR * work.high_s)
     left_s = work.stage_deadline_s - time.monotonic()
     return max(chosen.wait_s + usual_s, left_s - usual_s)
+
+
+def _is_place_lost(fault: StageFault) -> bool:
+    """Return True if a reserved place was given up; no target has worked then."""
+    error = fault.error
+    return isinstance(error, NotRun) and error.reason is Reason.CANCELLED
--- a/src/trefoilpaddle/coordination/routing.py
+++ b/src/trefoilpaddle/coordination/routing.py
@@ -13,7 +13,7 @@
 from .directory import Directory
 from .ejection import Ejector
 from .stage_work import StageWork
-from .target_view import TargetView, TargetViews
+from .target_view import DEFAULT_SLOTS, TargetView, TargetViews
 
 PATIENCE: Final = 1.5
 """Wait accepted for a cached prefix, in times of what it saves, less the
@@ -139,15 +139,18 @@
             service = work.stage.service
             self._prefixes.note(service, work.prefix_hashes, view.process_id)
 
-    def likely_wait_s(self, service: str, entry: Entry) -> float:
-        """Return the queueing time that a call of `entry` is likely to meet now.
-
-        That of the second best target: a choice between two does not always
-        see the best one.
-        """
+    def least_wait_s(self, service: str, entry: Entry) -> float:
+        """Return the shortest predicted queueing time of a call of `entry` now."""
         now_s = time.monotonic()
-        waits = sorted(view.wait_s(entry, now_s) for view in self.candidates(service))
-        return waits[min(1, len(waits) - 1)] if waits else 0.0
+        waits = (view.wait_s(entry, now_s) for view in self.candidates(service))
+        return min(waits, default=0.0)
+
+    def n_slots(self, service: str) -> int:
+        """Return the slots of all targets of `service` that may get work."""
+        return sum(
+            view.load.n_slots if view.load is not None else DEFAULT_SLOTS
+            for view in self.candidates(service)
+        )
 
     def _in_turn(self, work: StageWork, candidates: list[TargetView]) -> Chosen:
         turns = self._turns.setdefault(work.stage.service, itertools.count())
@@ -156,8 +159,18 @@
         return self._best(work, [view], len(candidates))
 
     def _of_two(self, work: StageWork, usable: list[TargetView]) -> Chosen:
+        """Return the better of two at random, or the best if neither is in time.
+
+        Two are enough to keep queues even, and few enough that gateways with
+        the same stale reports do not all run to the same target. When the two
+        are late the rest is worth a look: one in time may be among them.
+        """
         looked_at = self._random.sample(usable, min(2, len(usable)))
-        return self._best(work, looked_at, len(usable))
+        chosen = self._best(work, looked_at, len(usable))
+        is_late = chosen.predicted_s > work.stage_deadline_s - time.monotonic()
+        if is_late and len(usable) > len(looked_at):
+            return self._best(work, usable, len(usable))
+        return chosen
 
     def _with_prefix(
         self, work: StageWork, usable: list[TargetView], chosen: Chosen
--- a/src/trefoilpaddle/coordination/walk.py
+++ b/src/trefoilpaddle/coordination/walk.py
@@ -82,14 +82,16 @@
         material = Material(input=request.input)
         stages = request.pipeline.stages
         output: Json = None
-        for index, stage in enumerate(stages):
-            is_last = index == len(stages) - 1
-            stage_sink = sink if is_last and stage.streams else None
-            match await self._stage(request, index, material, spent, stage_sink):
-                case Err(error):
-                    return Err(self._refusal(error, stage, spent))
-                case Ok(output):
-                    material = replace(material, previous=output)
+        with self._predictor.under_way(request) as arrivals:
+            for index, stage in enumerate(stages):
+                is_last = index == len(stages) - 1
+                stage_sink = sink if is_last and stage.streams else None
+                arrivals.next()
+                match await self._stage(request, index, material, spent, stage_sink):
+                    case Err(error):
+                        return Err(self._refusal(error, stage, spent))
+                    case Ok(output):
+                        material = replace(material, previous=output)
         return Ok(Answer(output=output, cost_s=spent.cost_s))
 
     async def _stage(
