--- a/src/trefoilpaddle/coordination/config_wire.py
+++ b/src/trefoilpaddle/coordination/config_wire.py
@@ -6,12 +6,16 @@
 
 from result import Err, Ok, Result
 
+from ..protocol.const import MAX_ITEMS
 from ..protocol.gen.config.ttypes import Item
 from ..state.config_items import PublishedItem, Version
 
 PAGE_BYTES: Final = 512 * 1024
 """Values in one message, but for the last; even of a megabyte it fits a frame."""
 
+PAGE_ITEMS: Final = MAX_ITEMS // 2
+"""Items in one message; a key can add two beyond it."""
+
 MAX_HOSTS_BYTES: Final = 16 * 1024 * 1024
 """Bound on an unpacked host list."""
 
