--- a/src/trefoilpaddle/roles/gateway.py
+++ b/src/trefoilpaddle/roles/gateway.py
@@ -9,6 +9,7 @@
 
 from absl import logging
 
+from ..coordination import limits
 from ..coordination.claim_book import ClaimBook
 from ..coordination.claims import Claimer
 from ..coordination.config_feed import config_feed
@@ -298,10 +299,18 @@
             process=process, platform=settings.platform, peers=settings.peers
         ) as feed,
     ):
+        limiter = limits.Limiter(
+            gateway=process.identity.process_id,
+            incarnation=process.identity.incarnation,
+            published=process.published,
+            asker=process.peers,
+            journal=process.journal,
+        )
         gateway = Gateway(
             settings=settings,
             process=process,
             directory=feed.directory,
+            limiter=limiter,
             keys=claimed_keys(
                 settings=settings, process=process, directory=feed.directory
             ),
@@ -314,7 +323,9 @@
                 is_ready=gateway.is_ready,
                 held_back=lambda: feed.state.held_back,
             ),
+            limiter.running(),
             gateway.serving(),
         ):
             await process.stopping.wait()
+        await limiter.leave()
     return 0
