End a killed process of the harness for good

The harness cancels the tasks of a killed sidecar one by one, each gave its slot to waiting work, and new tasks outlived the kill. Change: a task made in the name of a killed process is cancelled before its first step. SIGKILL leaves no such moment, so the test asks what it asked. Conclusion: the product was right, the harness was not.

--- a/tests/harness.py
+++ b/tests/harness.py
@@ -56,6 +56,7 @@
 )
 FREE, ONCE, CHAIN = "free", "once", "chain"
 OWNER_OF_TASK: ContextVar[str] = ContextVar("owner_of_task", default="")
+DEAD_OWNERS: set[str] = set()
 
 
 async def until(is_true: Callable[[], bool], *, cap_s: float = CAP_S) -> None:
@@ -624,6 +625,10 @@
     def __init__(self, *args: Any, **kwargs: Any) -> None:
         super().__init__(*args, **kwargs)
         self.owner = OWNER_OF_TASK.get()
+        if self.owner in DEAD_OWNERS:
+            # The running calls of a killed process end here one by one, and
+            # each would hand its slot to work that waits; a dead one starts none.
+            self.cancel()
 
 
 def _age_claims(process: Process) -> None:
@@ -638,12 +643,15 @@
 
 
 def _cancel_tasks_of(owner: str) -> None:
+    DEAD_OWNERS.add(owner)
     for task in asyncio.all_tasks():
         if getattr(task, "owner", "") == owner:
             task.cancel()
 
 
 def _name_owners_of_tasks() -> None:
+    DEAD_OWNERS.clear()
+
     def make(
         loop: asyncio.AbstractEventLoop, coro: Any, **kwargs: Any
     ) -> asyncio.Task[Any]:
