Spread calls over holders of a prefix and over batches that are filling

Change: holders are shuffled, and a target's predicted time grows by up to two fifths as its slots fill, which bounds affinity before a queue forms.

--- a/src/trefoilpaddle/coordination/routing.py
+++ b/src/trefoilpaddle/coordination/routing.py
@@ -195,6 +195,8 @@
             saved_s = shares[view.process_id] * work.size_s * patience
             return view.predicted_s(work, now_s) - saved_s
 
+        # Shuffled, or equal ones would all go to the first of the list.
+        self._random.shuffle(holders)
         best = min(holders, key=cost_s)
         if cost_s(best) > chosen.predicted_s:
             return None
--- a/src/trefoilpaddle/coordination/target_view.py
+++ b/src/trefoilpaddle/coordination/target_view.py
@@ -15,6 +15,9 @@
 from .stage_work import StageWork
 
 DEFAULT_SLOTS: Final = 4
+CROWDING: Final = 0.4
+"""How much longer a call takes, in part of its time, where all slots are taken;
+a batching engine makes slower steps then. Also tells idle targets apart."""
 LATENCY_STEP: Final = 0.1
 PROBE_STEP: Final = 0.7
 
@@ -146,7 +149,15 @@
     def predicted_s(self, work: StageWork, now_s: float) -> float:
         """Return the predicted seconds until `work`, sent now, is answered."""
         slow = slowness(self.load) if self.load is not None else 1.0
-        return self.wait_s(work.governing.entry, now_s) + work.expected_s * slow
+        service_s = work.expected_s * slow * (1.0 + CROWDING * self.crowd())
+        return self.wait_s(work.governing.entry, now_s) + service_s
+
+    def crowd(self) -> float:
+        """Return which part of the target's slots is taken, own calls included."""
+        if self.load is None:
+            return min(1.0, self.n_outstanding / DEFAULT_SLOTS)
+        n_taken = self.load.n_running + self.own.n_uncounted
+        return min(1.0, n_taken / max(1, self.load.n_slots))
 
 
 class TargetViews:
