Let calls that are overdue speak against their target before they end

Change: a running call counts once it is three times over its prediction, and a call that far off counts more; a target goes out at 2.5 times its peers.

--- a/src/trefoilpaddle/coordination/ejection.py
+++ b/src/trefoilpaddle/coordination/ejection.py
@@ -10,7 +10,7 @@
 
 MIN_SAMPLES: Final = 5
 SUSPECT_RATIO: Final = 1.5
-EJECT_RATIO: Final = 3.0
+EJECT_RATIO: Final = 2.5
 READMIT_RATIO: Final = 1.5
 MIN_IN: Final = 2
 MAX_OUT_SHARE: Final = 1 / 3
--- a/src/trefoilpaddle/coordination/open_attempts.py
+++ b/src/trefoilpaddle/coordination/open_attempts.py
@@ -2,7 +2,9 @@
 
 import asyncio
 import contextlib
+import time
 from collections.abc import Iterator
+from dataclasses import dataclass
 from enum import Enum, auto, unique
 from typing import Final
 
@@ -20,9 +22,12 @@
 from ..protocol.ids import new_attempt_id
 from ..state.journal import Decision, Event, Figure, Journal
 from ..transport.link import Link
+from .stage_work import StageWork
 from .target_view import TargetView, TargetViews
 
 MAX_UNREAD_MESSAGES: Final = 4096
+OVERDUE_RATIO: Final = 3.0
+"""Times the predicted service time after which a running call is overdue."""
 
 
 @unique
@@ -45,15 +50,29 @@
     ----------
     attempt_id : bytes
         Random, never used again.
+    work : StageWork
+        What it asks for.
     view : TargetView
         The target that it was sent to.
     """
 
-    __slots__ = ("_mail", "attempt_id", "incarnation", "n_granted_bytes", "view")
-
-    def __init__(self, *, attempt_id: bytes, view: TargetView) -> None:
+    __slots__ = (
+        "_mail",
+        "attempt_id",
+        "incarnation",
+        "is_overdue",
+        "n_granted_bytes",
+        "started_s",
+        "view",
+        "work",
+    )
+
+    def __init__(self, *, attempt_id: bytes, work: StageWork, view: TargetView) -> None:
         self.attempt_id = attempt_id
+        self.work = work
         self.view = view
+        self.started_s = 0.0
+        self.is_overdue = False
         self.incarnation = view.incarnation
         self.n_granted_bytes = 0
         self._mail: asyncio.Queue[Mail] = asyncio.Queue()
@@ -64,7 +83,9 @@
         A sidecar that sends more than it was granted would fill this process's
         memory; past the grant and one chunk its frames are no longer kept.
         """
-        if isinstance(mail, Chunk):
+        if isinstance(mail, Started):
+            self.started_s = time.monotonic()
+        elif isinstance(mail, Chunk):
             self.n_granted_bytes -= len(mail.data)
             if self.n_granted_bytes < -CHUNK_BYTES:
                 mail = Notice.OVERRUN
@@ -78,6 +99,15 @@
         return await self._mail.get()
 
 
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Overdue:
+    """A call that runs much longer than predicted, and for how long already."""
+
+    work: StageWork
+    view: TargetView
+    age_s: float
+
+
 class OpenAttempts:
     """Hands each frame to the attempt whose id it carries, and to no other.
 
@@ -101,9 +131,9 @@
         return len(self._by_id)
 
     @contextlib.contextmanager
-    def open(self, view: TargetView) -> Iterator[OpenAttempt]:
+    def open(self, work: StageWork, view: TargetView) -> Iterator[OpenAttempt]:
         """Yield a fresh attempt at `view`; its frames are dropped afterwards."""
-        attempt = OpenAttempt(attempt_id=new_attempt_id(), view=view)
+        attempt = OpenAttempt(attempt_id=new_attempt_id(), work=work, view=view)
         self._by_id[attempt.attempt_id] = attempt
         try:
             yield attempt
@@ -137,6 +167,21 @@
             view.take_stamp(link.peer.stamp_ns)
         self._tell(view, notice)
 
+    def newly_overdue(self) -> Iterator[Overdue]:
+        """Yield each attempt that has just become much slower than predicted.
+
+        A target that has slowed down or stopped shows in the calls that it ends
+        only once they end, which is too late for those sent to it meanwhile.
+        """
+        now_s = time.monotonic()
+        for attempt in self._by_id.values():
+            if attempt.is_overdue or not attempt.started_s or not attempt.work.is_warm:
+                continue
+            age_s = now_s - attempt.started_s
+            if age_s > OVERDUE_RATIO * attempt.work.expected_s:
+                attempt.is_overdue = True
+                yield Overdue(work=attempt.work, view=attempt.view, age_s=age_s)
+
     def tell_silence(self) -> None:
         """Tell the attempts of each target that has just fallen silent."""
         for view in self._views:
--- a/src/trefoilpaddle/coordination/stage_call.py
+++ b/src/trefoilpaddle/coordination/stage_call.py
@@ -124,7 +124,7 @@
 
         Cancelling it cancels the work at the sidecar.
         """
-        with self._attempts.open(self.view) as attempt:
+        with self._attempts.open(self.work, self.view) as attempt:
             self._attempt = attempt
             self.view.sent(self.work)
             try:
--- a/src/trefoilpaddle/coordination/target_view.py
+++ b/src/trefoilpaddle/coordination/target_view.py
@@ -19,6 +19,8 @@
 """How much longer a call takes, in part of its time, where all slots are taken;
 a batching engine makes slower steps then. Also tells idle targets apart."""
 LATENCY_STEP: Final = 0.1
+SLOW_STEP: Final = 0.3
+SLOW_RATIO: Final = 3.0
 PROBE_STEP: Final = 0.7
 
 
@@ -127,13 +129,15 @@
     def learn(self, *, measured_s: float, expected_s: float) -> None:
         """Take in how much slower than expected a call was; for ejection.
 
-        The probe of an ejected target counts fully, since it gets so few.
+        A call that is far too slow counts more, since few more are to be sent
+        there; so does the probe of an ejected target, since it gets so few.
         """
         if expected_s <= 0.0:
             return
         ratio = min(MAX_SLOWNESS, measured_s / expected_s)
         self.n_ratios += 1
-        step = max(LATENCY_STEP, 1.0 / self.n_ratios)
+        usual_step = SLOW_STEP if ratio >= SLOW_RATIO else LATENCY_STEP
+        step = max(usual_step, 1.0 / self.n_ratios)
         if self.is_ejected:
             step = PROBE_STEP
         self.ratio += step * (ratio - self.ratio)
--- a/src/trefoilpaddle/roles/gateway.py
+++ b/src/trefoilpaddle/roles/gateway.py
@@ -81,6 +81,7 @@
         "_is_known",
         "_is_settling",
         "_keys",
+        "_router",
         "_settings",
         "_views",
         "attempts",
@@ -118,7 +119,7 @@
     def _build_callers(self, limiter: Limiter) -> Callers:
         process, policy = self.process, self._settings.policy
         retention = self._settings.retention
-        router = Router(
+        self._router = Router(
             directory=self._directory,
             views=self._views,
             policy=policy,
@@ -127,13 +128,13 @@
             seed=secrets.randbits(SEED_BITS),
         )
         runner = StageRunner(
-            router=router,
+            router=self._router,
             attempts=self.attempts,
             budgets=RetryBudgets(is_limited=policy.retry_budget),
             policy=policy,
             journal=process.journal,
         )
-        predictor = Predictor(estimates=Estimates(), router=router, policy=policy)
+        predictor = Predictor(estimates=Estimates(), router=self._router, policy=policy)
         walker = Walker(
             published=process.published,
             runner=runner,
@@ -218,6 +219,8 @@
             await asyncio.sleep(TICK_S)
             self._open_links()
             self.attempts.tell_silence()
+            for call in self.attempts.newly_overdue():
+                self._router.learn(call.work, call.view, measured_s=call.age_s)
 
     async def drain(self) -> None:
         """Settle, finish what is held, and report how many were cut off."""
--- a/tests/test_gateway_policies.py
+++ b/tests/test_gateway_policies.py
@@ -106,3 +106,30 @@
                 assert 1.0 < error["retry_after_s"] < 8.0
                 assert answer.headers["Retry-After"].isdigit()
             assert len(s.calls) == WARM_UP
+
+
+class TestOverdueCalls:
+    async def test_a_target_that_stops_is_ejected_before_its_calls_end(self) -> None:
+        """One of four targets stops answering, its connection alive. The calls
+        that it holds speak against it as soon as they are overdue, so that few
+        more are sent there.
+        """
+        stuck = FakeSidecar(service="s", name="t0")
+
+        async def stop(call: Call) -> None:
+            call.started()
+
+        others = [FakeSidecar(service="s", name=f"t{n}") for n in (1, 2, 3)]
+        published = catalogue(plain_stage(), attainment_weight=0.0)
+        async with bench(stuck, *others, published=published) as b:
+            await warm_up(b, 40)
+            stuck.script = stop
+            n_before = len(stuck.calls)
+            asking = [asyncio.create_task(warm_up(b, 1)) for _ in range(30)]
+            views = list(b.gateway._views)
+            await until(lambda: any(view.is_ejected for view in views))
+            assert Event.TARGET_EJECTED in b.events()
+            assert len(stuck.calls) > n_before
+            for task in asking:
+                task.cancel()
+            await asyncio.gather(*asking, return_exceptions=True)
