--- a/src/trefoilpaddle/standins/demo.py
+++ b/src/trefoilpaddle/standins/demo.py
@@ -169,11 +169,59 @@
 
 
 async def _drain(console: Console, running: Running, n_faulty: int) -> int:
-    """Stop every process of the system; return the demo's exit code."""
-    console.rule("Planned stop of every process")
-    n_cut_off = await running.drain()
+    """Stop the whole system while it answers; return the demo's exit code."""
+    console.rule("Planned stop of every process, while requests are being answered")
+    streamed = [each for each in running.description.samples if each.is_streamed]
+    async with aiohttp.ClientSession() as session:
+        open_calls = [
+            _OpenCall(session=session, gateway=gateway, sample=sample)
+            for gateway in running.gateways
+            for sample in streamed
+        ]
+        await asyncio.gather(*(each.has_begun.wait() for each in open_calls))
+        n_cut_off = await running.drain()
+        faults = [fault for each in open_calls if (fault := await each.fault())]
     n_processes = len(running.system_processes())
-    console.print(f"{n_processes} processes stopped; cut off: {n_cut_off}")
+    n_whole = len(open_calls) - len(faults)
+    console.print(
+        f"{n_processes} processes stopped; cut off: {n_cut_off};"
+        f" {n_whole} of {len(open_calls)} open answers came whole"
+    )
+    for fault in faults:
+        console.print(Text(fault, "red"))
     if n_faulty:
         console.print(Text(f"{n_faulty} answers were not whole", "red"))
-    return 1 if n_faulty or n_cut_off else 0
+    return 1 if n_faulty or n_cut_off or faults else 0
+
+
+class _OpenCall:
+    """A sample that is being answered.
+
+    Parameters
+    ----------
+    session : aiohttp.ClientSession
+        Sends it.
+    gateway : str
+        Base URL of the gateway.
+    sample : Sample
+        What is sent; streamed.
+    """
+
+    __slots__ = ("_task", "has_begun")
+
+    def __init__(
+        self, *, session: aiohttp.ClientSession, gateway: str, sample: Sample
+    ) -> None:
+        self.has_begun = asyncio.Event()
+        call = call_sample(
+            session, gateway, sample, on_text=lambda text: self.has_begun.set()
+        )
+        self._task = asyncio.create_task(call)
+        self._task.add_done_callback(lambda task: self.has_begun.set())
+
+    async def fault(self) -> str:
+        """Return why the answer is not whole, empty if it is, once it has ended."""
+        try:
+            return (await self._task).fault
+        except (aiohttp.ClientError, OSError, TimeoutError) as error:
+            return f"no answer: {error!r}"
--- a/src/trefoilpaddle/standins/engine.py
+++ b/src/trefoilpaddle/standins/engine.py
@@ -3,7 +3,7 @@
 import asyncio
 import contextlib
 import time
-from collections.abc import AsyncIterator, Iterator
+from collections.abc import AsyncIterator
 from typing import Annotated, Final
 
 import orjson
@@ -14,6 +14,7 @@
 from trefoilpaddle.state.catalogue import STRICT
 
 from .batching import Batch, BatchModel
+from .engine_stream import answer_whole, stream
 from .faults import Faults
 from .generation import Generation
 from .orders import Orders
@@ -21,14 +22,8 @@
 from .pace import Pace
 from .prefix_cache import PrefixCache
 from .record import Outcome, Record
-from .web import cut_off, faulty_application, json_answer, not_run
-
-_HEADERS: Final = {"Content-Type": "text/event-stream", "Cache-Control": "no-cache"}
-_FINISH_REASONS: Final = {
-    Outcome.DONE: "stop",
-    Outcome.CANCELLED: "cancelled",
-    Outcome.FAILED: "error",
-}
+from .web import faulty_application, json_answer, not_run
+
 _SWEEP_S: Final = 0.5
 
 
@@ -191,9 +186,14 @@
             return json_answer({"detail": "fault: fail"}, status=500)
         self.batch.add(generation)
         if not completion.stream:
-            return await self._answer_whole(generation)
-        has_cut = self.faults.has_cut()
-        return await self._stream(request, generation, n_sent=0, has_cut=has_cut)
+            return await answer_whole(generation)
+        return await stream(
+            request,
+            generation,
+            faults=self.faults,
+            n_sent=0,
+            has_cut=self.faults.has_cut(),
+        )
 
     def _begin(self, request: web.Request, completion: Completion) -> Generation:
         attempt_id = request.headers.get("X-Attempt-Id", "")
@@ -214,48 +214,17 @@
             self._generations[attempt_id] = generation
         return generation
 
-    async def _answer_whole(self, generation: Generation) -> web.Response:
-        with _reader(generation):
-            while not generation.has_ended:
-                await generation.wait_beyond(generation.n_decoded)
-        if generation.run.outcome is Outcome.FAILED:
-            return json_answer({"detail": "failed"}, status=500)
-        text = " ".join(generation.tokens[: generation.n_decoded])
-        return json_answer(_last_event(generation) | {"text": text})
-
-    async def _stream(
-        self,
-        request: web.Request,
-        generation: Generation,
-        *,
-        n_sent: int,
-        has_cut: bool,
-    ) -> web.StreamResponse:
-        response = web.StreamResponse(headers=_HEADERS)
-        cut_at = len(generation.tokens) // 2 if has_cut else None
-        with _reader(generation):
-            await response.prepare(request)
-            while n_sent < generation.n_decoded or not generation.has_ended:
-                await generation.wait_beyond(n_sent)
-                await self.faults.wait_unpaused()
-                n_ready = generation.n_decoded
-                if n_ready > n_sent:
-                    await response.write(_token_events(generation, n_sent, n_ready))
-                n_sent = n_ready
-                if cut_at is not None and n_sent >= cut_at:
-                    cut_off(request)
-                    return response
-            last = orjson.dumps(_last_event(generation))
-            await response.write(b"data: " + last + b"\n\ndata: [DONE]\n\n")
-            await response.write_eof()
-        return response
-
     async def _get_resume(self, request: web.Request) -> web.StreamResponse:
         generation = self._generations.get(request.match_info["attempt_id"])
         if generation is None:
             return json_answer({"detail": "attempt is not known"}, status=404)
-        n_sent = _number(request, "from_token")
-        return await self._stream(request, generation, n_sent=n_sent, has_cut=False)
+        return await stream(
+            request,
+            generation,
+            faults=self.faults,
+            n_sent=_number(request, "from_token"),
+            has_cut=False,
+        )
 
     async def _post_cancel(self, request: web.Request) -> web.Response:
         generation = self._generations.get(request.match_info["attempt_id"])
@@ -310,38 +279,6 @@
         )
 
 
-@contextlib.contextmanager
-def _reader(generation: Generation) -> Iterator[None]:
-    generation.n_readers += 1
-    try:
-        yield
-    finally:
-        generation.n_readers -= 1
-        generation.unread_since_s = time.monotonic()
-
-
-def _token_events(generation: Generation, begin: int, end: int) -> bytes:
-    events = []
-    for i in range(begin, end):
-        text = generation.tokens[i] if i == 0 else " " + generation.tokens[i]
-        choice = {"index": 0, "text": text, "finish_reason": None}
-        events.append(b"data: " + orjson.dumps({"choices": [choice]}) + b"\n\n")
-    return b"".join(events)
-
-
-def _last_event(generation: Generation) -> dict[str, object]:
-    reason = _FINISH_REASONS[generation.run.outcome]
-    return {
-        "choices": [{"index": 0, "text": "", "finish_reason": reason}],
-        "usage": {
-            "prompt_tokens": generation.n_prompt_tokens,
-            "completion_tokens": generation.n_decoded,
-            "prompt_tokens_details": {"cached_tokens": generation.n_cached_tokens},
-            "cost_s": round(generation.run.cost_s, 6),
-        },
-    }
-
-
 def _number(request: web.Request, name: str) -> int:
     text = request.query.get(name, "0")
     return int(text) if text.isdigit() else 0
--- /dev/null
+++ b/src/trefoilpaddle/standins/engine_stream.py
@@ -0,0 +1,105 @@
+"""An engine's answers: server-sent events of tokens, or one whole body."""
+
+import contextlib
+import time
+from collections.abc import Iterator
+from typing import Final
+
+import orjson
+from aiohttp import web
+
+from .faults import Faults
+from .generation import Generation
+from .record import Outcome
+from .web import cut_off, json_answer
+
+_HEADERS: Final = {"Content-Type": "text/event-stream", "Cache-Control": "no-cache"}
+_FINISH_REASONS: Final = {
+    Outcome.DONE: "stop",
+    Outcome.CANCELLED: "cancelled",
+    Outcome.FAILED: "error",
+}
+
+
+async def answer_whole(generation: Generation) -> web.Response:
+    """Return the answer once the last token is decoded."""
+    with _reader(generation):
+        while not generation.has_ended:
+            await generation.wait_beyond(generation.n_decoded)
+    text = " ".join(generation.tokens[: generation.n_decoded])
+    return json_answer(_last_event(generation) | {"text": text})
+
+
+async def stream(
+    request: web.Request,
+    generation: Generation,
+    *,
+    faults: Faults,
+    n_sent: int,
+    has_cut: bool,
+) -> web.StreamResponse:
+    """Send the tokens after the first `n_sent` as they are decoded.
+
+    Parameters
+    ----------
+    request : web.Request
+        Who reads.
+    generation : Generation
+        What is read.
+    faults : Faults
+        May pause it.
+    n_sent : int
+        Tokens that the reader has already.
+    has_cut : bool
+        True breaks the connection halfway; the generation goes on.
+    """
+    response = web.StreamResponse(headers=_HEADERS)
+    cut_at = len(generation.tokens) // 2 if has_cut else None
+    with _reader(generation):
+        await response.prepare(request)
+        while n_sent < generation.n_decoded or not generation.has_ended:
+            await generation.wait_beyond(n_sent)
+            await faults.wait_unpaused()
+            n_ready = generation.n_decoded
+            if n_ready > n_sent:
+                await response.write(_token_events(generation, n_sent, n_ready))
+            n_sent = n_ready
+            if cut_at is not None and n_sent >= cut_at:
+                cut_off(request)
+                return response
+        last = orjson.dumps(_last_event(generation))
+        await response.write(b"data: " + last + b"\n\ndata: [DONE]\n\n")
+        await response.write_eof()
+    return response
+
+
+@contextlib.contextmanager
+def _reader(generation: Generation) -> Iterator[None]:
+    generation.n_readers += 1
+    try:
+        yield
+    finally:
+        generation.n_readers -= 1
+        generation.unread_since_s = time.monotonic()
+
+
+def _token_events(generation: Generation, begin: int, end: int) -> bytes:
+    events = []
+    for i in range(begin, end):
+        text = generation.tokens[i] if i == 0 else " " + generation.tokens[i]
+        choice = {"index": 0, "text": text, "finish_reason": None}
+        events.append(b"data: " + orjson.dumps({"choices": [choice]}) + b"\n\n")
+    return b"".join(events)
+
+
+def _last_event(generation: Generation) -> dict[str, object]:
+    reason = _FINISH_REASONS[generation.run.outcome]
+    return {
+        "choices": [{"index": 0, "text": "", "finish_reason": reason}],
+        "usage": {
+            "prompt_tokens": generation.n_prompt_tokens,
+            "completion_tokens": generation.n_decoded,
+            "prompt_tokens_details": {"cached_tokens": generation.n_cached_tokens},
+            "cost_s": round(generation.run.cost_s, 6),
+        },
+    }
--- a/tests/test_demo.py
+++ b/tests/test_demo.py
@@ -25,5 +25,6 @@
         assert done.returncode == 0, done.stdout + done.stderr
         assert len(re.findall(r"^whole after", done.stdout, re.MULTILINE)) == 4
         assert "NOT WHOLE" not in done.stdout
-        assert "processes stopped; cut off: 0" in done.stdout
+        stopped = "processes stopped; cut off: 0; 2 of 2 open answers came whole"
+        assert stopped in " ".join(done.stdout.split())
         assert done.stdout.count("governed by entry") == 4
