Let a restarted platform stand-in come back with what was published

Cause: a killed and restarted configuration service came back empty, at an older revision, which is a fault of its own and not what a restart means. Change: Running.start publishes again what was published, in order.

--- a/src/trefoilpaddle/standins/running.py
+++ b/src/trefoilpaddle/standins/running.py
@@ -5,6 +5,7 @@
 import re
 import signal
 from collections.abc import Iterator, Mapping
+from dataclasses import dataclass
 from pathlib import Path
 from typing import Any, Final
 
@@ -24,6 +25,14 @@
     """A process of the deployment did not come up or ended too early."""
 
 
+@dataclass(frozen=True, slots=True, kw_only=True)
+class _Published:
+    """One change of a catalogue value; None deleted it."""
+
+    key: str
+    value: dict[str, object] | None
+
+
 class Running:
     """A running deployment.
 
@@ -45,7 +54,9 @@
     """
 
     __slots__ = (
+        "_host_lists",
         "_leaving",
+        "_published",
         "_session",
         "children",
         "description",
@@ -68,6 +79,8 @@
         self.folder = folder
         self._session = session
         self._leaving: frozenset[str] = frozenset()
+        self._published: list[_Published] = []
+        self._host_lists: list[list[object]] = []
 
     @property
     def gateways(self) -> tuple[str, ...]:
@@ -143,11 +156,22 @@
         return await child.wait(timeout_s=STOP_S)
 
     async def start(self, name: str) -> None:
-        """Start a process that has ended; return when it answers."""
+        """Start a process that has ended; return when it answers.
+
+        The platform's services come back with what was published and with the
+        revisions that it had; so would those with a disk.
+        """
         child = self.children[name]
         await child.wait(timeout_s=STOP_S)
         child.start()
         await self.wait_ready([name])
+        match name:
+            case "config":
+                for change in self._published:
+                    await self._put(change)
+            case "hosts":
+                for hosts in self._host_lists:
+                    await self._put_hosts(hosts)
 
     async def drain(self) -> int:
         """Stop all gateways, then all sidecars; return how many were cut off.
@@ -190,14 +214,10 @@
 
     async def publish(self, key: str, value: Mapping[str, object] | None) -> int:
         """Publish a catalogue value, or delete it; return the revision."""
-        url = f"{self.config_url}/admin/values/{key}"
-        if value is None:
-            request = self._session.delete(url)
-        else:
-            request = self._session.put(url, json=dict(value))
-        async with request as answer:
-            answer.raise_for_status()
-            return int((await answer.json())["revision"])
+        change = _Published(key=key, value=None if value is None else dict(value))
+        revision = await self._put(change)
+        self._published.append(change)
+        return revision
 
     async def publish_hosts(self, *, leaving: frozenset[str] | None = None) -> None:
         """Publish the host list, with the named processes as leaving from now on."""
@@ -206,6 +226,20 @@
         hosts = self.layout.published_hosts(
             leaving=self._leaving, region=self.description.region
         )
+        await self._put_hosts(hosts)
+        self._host_lists.append(hosts)
+
+    async def _put(self, change: "_Published") -> int:
+        url = f"{self.config_url}/admin/values/{change.key}"
+        if change.value is None:
+            request = self._session.delete(url)
+        else:
+            request = self._session.put(url, json=change.value)
+        async with request as answer:
+            answer.raise_for_status()
+            return int((await answer.json())["revision"])
+
+    async def _put_hosts(self, hosts: list[object]) -> None:
         url = f"{self.hosts_url}/admin/hosts"
         async with self._session.put(url, json={"hosts": hosts}) as answer:
             answer.raise_for_status()
--- a/tests/test_standins_launcher.py
+++ b/tests/test_standins_launcher.py
@@ -86,6 +86,13 @@
             assert (await running.record("encode-1"))["runs"] == []
             published = await running.publish("account/new", {"token_sha256": ""})
             assert await running.publish("account/new", None) == published + 1
+            values = f"{running.config_url}/v1/values"
+            async with aiohttp.request("GET", values) as got:
+                before = await got.json()
+            running.kill("config")
+            await running.start("config")
+            async with aiohttp.request("GET", values) as got:
+                assert await got.json() == before
             pids = [each.pid for each in running.children.values()]
         assert not [pid for pid in pids if psutil.pid_exists(pid)]
 
