--- a/tests/test_standins_engine.py
+++ b/tests/test_standins_engine.py
@@ -266,6 +266,53 @@
             assert (await client.post("/v1/cancel/b"))[0] == 404
 
 
+class TestFaults:
+    async def test_pause_stops_tokens_until_healed(
+        self, session: aiohttp.ClientSession
+    ) -> None:
+        engine = Engine(model=EngineModel(batch=FAST))
+        async with serving(engine.application()) as url:
+            client = Client(session, url)
+            call = asyncio.ensure_future(
+                client.complete("a", prompt="x", max_tokens=2000)
+            )
+            await until(lambda: bool(engine.record.runs))
+            engine.faults.set(Fault(kind=FaultKind.PAUSE))
+            generation = engine._generations["a"]
+            n_decoded = generation.n_decoded
+            await asyncio.sleep(0.05)
+            assert generation.n_decoded <= n_decoded + 1
+            assert not call.done()
+            engine.faults.set(Fault(kind=FaultKind.HEAL))
+            assert (await call).is_done
+
+    async def test_slow_multiplies_the_cost(
+        self, session: aiohttp.ClientSession
+    ) -> None:
+        engine = Engine(model=EngineModel(batch=FAST))
+        async with serving(engine.application()) as url:
+            client = Client(session, url)
+            fresh = await client.complete("a", prompt="x", max_tokens=1)
+            engine.faults.set(Fault(kind=FaultKind.SLOW, factor=7.0))
+            slow = await client.complete("b", prompt="x", max_tokens=1)
+        assert slow.usage["cost_s"] == pytest.approx(7 * fresh.usage["cost_s"])
+
+    async def test_fail_runs_nothing_further(
+        self, session: aiohttp.ClientSession
+    ) -> None:
+        engine = Engine(model=EngineModel(batch=FAST))
+        engine.faults.set(Fault(kind=FaultKind.FAIL))
+        async with serving(engine.application()) as url:
+            status, _ = await Client(session, url).post("/v1/completions", prompt="x")
+        assert status == 500
+        assert [run.outcome for run in engine.record.runs] == [Outcome.FAILED]
+
+    async def test_fault_ends_after_its_duration(self) -> None:
+        engine = Engine(model=EngineModel(batch=FAST))
+        engine.faults.set(Fault(kind=FaultKind.DOWN, duration_s=0.01))
+        await until(lambda: not engine.faults.is_down)
+
+
 class TestOrders:
     @pytest.mark.parametrize(("is_fenced", "status"), [(True, 409), (False, 200)])
     async def test_old_fence(
