--- a/tests/test_cli_check.py
+++ b/tests/test_cli_check.py
@@ -10,6 +10,7 @@
 from trefoilpaddle.state.check_files import check_path
 
 DATA = Path(__file__).parent / "data" / "check"
+EXAMPLES = Path(__file__).resolve().parent.parent / "examples"
 
 
 class TestCheck:
@@ -73,3 +74,11 @@
             "add entry/bank-a-more",
             "retire entry/old",
         ]
+
+
+class TestExamples:
+    @pytest.mark.parametrize("name", ["baird", "garantia", "small"])
+    def test_check_accepts_each_example(self, name: str) -> None:
+        checked = check_path(EXAMPLES / name)
+        assert not checked.problems
+        assert checked.catalogue is not None
