--- a/src/trefoilpaddle/standins/demo.py
+++ b/src/trefoilpaddle/standins/demo.py
@@ -1,6 +1,7 @@
 """Runs a deployment, sends it real inputs, tells why each was served, drains."""
 
 import asyncio
+import os
 import shlex
 import signal
 import time
@@ -156,9 +157,9 @@
 
 def _curl_lines(gateway: str, sample: Sample) -> Iterator[str]:
     """Yield what to type to send `sample` by hand."""
-    path = EXAMPLES / "inputs" / sample.input
+    path = os.path.relpath(EXAMPLES / "inputs" / sample.input)
     headers = [f"-H{name}: {value}" for name, value in headers_of(sample).items()]
-    call = ["curl", "-i", *(["-N"] if sample.is_streamed else []), *headers]
+    call = ["curl", "-si", *(["-N"] if sample.is_streamed else []), *headers]
     call += ["--data-binary", f"@{path}", f"{gateway}/v1/pipelines/{sample.pipeline}"]
     if not sample.has_minted_id:
         yield shlex.join(call)
