Bound all answers in memory together, open ones too

Cause: answers still being streamed were bounded one by one, up to 32 MB each, so that a few of them could pass the memory of the host; a lost write left no time at which its connection was lost; a budget that had run out in the gateway was called malformed. Change: open and held answers share one bound, finished ones make room; the stream notes when it lost its connection; a negative budget is a passed deadline.

--- a/src/trefoilpaddle/coordination/admission.py
+++ b/src/trefoilpaddle/coordination/admission.py
@@ -9,9 +9,9 @@
 from ..protocol.errors import NotRun, StageError, Unknown
 from ..protocol.gen.stage.ttypes import Start
 from ..protocol.reasons import Reason
-from ..state.spent_ids import Spent, SpentIds
+from ..state.spent_ids import Spent
 from ..transport.connection import Connection
-from .attempts import Attempt
+from .attempts import Attempt, AttemptTable
 
 MAX_BODY_BYTES: Final = 16 * 1024 * 1024
 """Largest body of one call."""
@@ -22,7 +22,7 @@
     *,
     connection: Connection,
     incarnation: int,
-    spent: SpentIds,
+    table: AttemptTable,
     now_ns: int,
     peer: str,
 ) -> Result[Attempt, StageError]:
@@ -40,8 +40,8 @@
         Where it came from.
     incarnation : int
         This process's incarnation.
-    spent : SpentIds
-        Ids that must never start.
+    table : AttemptTable
+        Knows the ids that must never start.
     now_ns : int
         Now.
     peer : str
@@ -54,15 +54,15 @@
     # and that incarnation may have run the attempt already.
     if start.incarnation != incarnation or not 0 < start.stamp_ns <= now_ns:
         return refuse(Reason.WRONG_INCARNATION, "the stamp is not of this start")
-    if start.elapsed_ns < 0 or start.budget_ns < 0:
-        return refuse(Reason.BAD_REQUEST, "a span is negative")
+    if start.elapsed_ns < 0:
+        return refuse(Reason.BAD_REQUEST, "the elapsed span is negative")
     sent_ns = start.stamp_ns + start.elapsed_ns
-    match spent.get(start.attempt_id):
+    match table.spent.get(start.attempt_id):
         case Spent.NEVER_STARTED:
             return refuse(Reason.BARRED, "the attempt was barred or refused before")
         case Spent.RAN:
             return _gone("the attempt has run; its answer is no longer held", peer)
-    if spent.is_before_horizon(sent_ns):
+    if table.spent.is_before_horizon(sent_ns):
         return _gone("the message is older than what is remembered", peer)
     if start.body_bytes > MAX_BODY_BYTES:
         return refuse(Reason.TOO_LARGE, f"a body may have {MAX_BODY_BYTES} bytes")
@@ -77,6 +77,7 @@
             received_ns=now_ns,
             deadline_ns=deadline_ns,
             finish_by_ns=sent_ns + min(stage_budget_ns, start.budget_ns),
+            grow=table.held.grow,
         )
     )
 
--- a/src/trefoilpaddle/coordination/attempts.py
+++ b/src/trefoilpaddle/coordination/attempts.py
@@ -11,7 +11,7 @@
 from ..state.work_queue import Work
 from ..transport.connection import Connection
 from ..transport.target_http import SendGuard
-from .streams import AnswerStream
+from .streams import AnswerStream, Grow
 
 
 @unique
@@ -40,13 +40,14 @@
         When the whole request is due; no start after it.
     finish_by_ns : int
         When this stage should be done, so that the later ones still fit.
+    grow : callable
+        Counts the bytes of its answer.
     """
 
     __slots__ = (
         "_body_bytes",
         "body",
         "deadline_ns",
-        "detached_ns",
         "finish_by_ns",
         "forbidden",
         "go",
@@ -70,6 +71,7 @@
         received_ns: int,
         deadline_ns: int,
         finish_by_ns: int,
+        grow: Grow,
     ) -> None:
         self.start = start
         self.body: bytes = start.body
@@ -83,11 +85,11 @@
             attempt_id=start.attempt_id,
             connection=connection,
             credit_bytes=start.credit_bytes,
+            grow=grow,
         )
         self.phase = Phase.RECEIVING
         self.forbidden = Reason.NONE
         self.started_ns = 0
-        self.detached_ns = 0
         self.guard: SendGuard | None = None
         self.go: asyncio.Future[None] | None = None
         self.task: asyncio.Task[None] | None = None
@@ -186,6 +188,7 @@
     ) -> None:
         """End an attempt that did not start and never will."""
         self._end(attempt)
+        self.held.shrink(attempt.stream.answer.n_bytes)
         self._pop(attempt.attempt_id)
         self.spent.add(attempt.attempt_id, Spent.NEVER_STARTED, now_ns=now_ns)
         if failure is not None:
--- a/src/trefoilpaddle/coordination/dispatcher.py
+++ b/src/trefoilpaddle/coordination/dispatcher.py
@@ -314,7 +314,7 @@
     def _is_abandoned(self, attempt: Attempt, *, now_ns: int) -> bool:
         if attempt.stream.connection is not None:
             return False
-        return now_ns - attempt.detached_ns > LOST_GRACE_NS
+        return now_ns - attempt.stream.detached_ns > LOST_GRACE_NS
 
     async def _run(self, attempt: Attempt) -> None:
         result = await self._runner.run(attempt, n_running=len(self._running))
--- a/src/trefoilpaddle/coordination/stage_server.py
+++ b/src/trefoilpaddle/coordination/stage_server.py
@@ -104,9 +104,7 @@
 
     def on_close(self, connection: Connection) -> None:
         """Hold what a lost connection leaves behind."""
-        now_ns = time.monotonic_ns()
         for attempt in self._table.of_connection(connection):
-            attempt.detached_ns = now_ns
             if attempt.phase is Phase.RECEIVING:
                 self._dispatcher.withdraw(attempt, Reason.CONNECTION_LOST)
             attempt.stream.detach()
@@ -125,7 +123,7 @@
             start,
             connection=connection,
             incarnation=self._incarnation,
-            spent=self._table.spent,
+            table=self._table,
             now_ns=now_ns,
             peer=self._name,
         )
--- a/src/trefoilpaddle/coordination/streams.py
+++ b/src/trefoilpaddle/coordination/streams.py
@@ -1,6 +1,8 @@
 """One attempt's answer on its way to a gateway: held, resumed, held back."""
 
 import asyncio
+import time
+from collections.abc import Callable
 from typing import Final, Protocol
 
 from ..protocol.gen.stage.ttypes import Chunk, End, Failure
@@ -10,12 +12,14 @@
 MAX_UNSENT_BYTES: Final = 256 * 1024
 """Reading from the target pauses while more than this waits to be sent."""
 
-MAX_ANSWER_BYTES: Final = 32 * 1024 * 1024
-"""Largest answer that is held."""
+MAX_ANSWER_BYTES: Final = 16 * 1024 * 1024
+"""Largest answer; a gateway takes no larger one."""
+
+Grow = Callable[[int], bool]
 
 
 class AnswerTooLargeError(Exception):
-    """The target's answer exceeds ``MAX_ANSWER_BYTES``."""
+    """The answer, or all answers together, exceed what is kept in memory."""
 
 
 class Sink(Protocol):
@@ -45,24 +49,35 @@
         Where to send; None holds everything.
     credit_bytes : int
         How many bytes may be sent before more credit comes.
+    grow : callable
+        Counts bytes of answers in memory; returns False when there is no room.
     """
 
     __slots__ = (
         "_attempt_id",
         "_connection",
         "_credit_bytes",
+        "_grow",
         "_has_space",
         "_is_outcome_sent",
         "_next_seq",
         "_unsent_bytes",
         "answer",
+        "detached_ns",
         "outcome",
     )
 
     def __init__(
-        self, *, attempt_id: bytes, connection: Connection | None, credit_bytes: int
+        self,
+        *,
+        attempt_id: bytes,
+        connection: Connection | None,
+        credit_bytes: int,
+        grow: Grow,
     ) -> None:
         self._attempt_id = attempt_id
+        self._grow = grow
+        self.detached_ns = 0
         self._connection = connection
         self._credit_bytes = credit_bytes
         self._has_space = asyncio.Event()
@@ -84,10 +99,12 @@
         Raises
         ------
         AnswerTooLargeError
-            If the answer grows beyond what is held.
+            If there is no room for the chunk.
         """
         if self.answer.n_bytes + len(data) > MAX_ANSWER_BYTES:
             raise AnswerTooLargeError
+        if not self._grow(len(data)):
+            raise AnswerTooLargeError
         self.answer.append(data)
         self._unsent_bytes += len(data)
         self._send()
@@ -121,6 +138,8 @@
 
     def detach(self) -> None:
         """Hold the rest of the answer: its connection is lost."""
+        if self._connection is not None:
+            self.detached_ns = time.monotonic_ns()
         self._connection = None
         self._has_space.set()
 
--- a/src/trefoilpaddle/state/held_results.py
+++ b/src/trefoilpaddle/state/held_results.py
@@ -1,4 +1,4 @@
-"""Answers kept in memory until the gateway has acknowledged them."""
+"""Answers kept in memory until the gateway has acknowledged them, bounded."""
 
 from collections import OrderedDict
 from collections.abc import Callable, Iterator
@@ -30,26 +30,34 @@
 
 
 class HeldResults:
-    """Bounds the finished answers that wait to be acknowledged.
+    """Bounds all answers in memory; finished ones wait to be acknowledged.
 
     Parameters
     ----------
     max_bytes : int
-        Most bytes of finished answers held; the oldest goes first.
+        Most bytes of all answers; of the finished ones the oldest goes first.
     keep_ns : int
         How long one is held.
     on_drop : callable
         Called with the id of each attempt whose answer is dropped unasked.
     """
 
-    __slots__ = ("_held", "_keep_ns", "_max_bytes", "_on_drop", "n_bytes")
+    __slots__ = (
+        "_held",
+        "_keep_ns",
+        "_max_bytes",
+        "_on_drop",
+        "held_bytes",
+        "open_bytes",
+    )
 
     def __init__(self, *, max_bytes: int, keep_ns: int, on_drop: OnDrop) -> None:
         self._max_bytes = max_bytes
         self._keep_ns = keep_ns
         self._on_drop = on_drop
         self._held: OrderedDict[bytes, tuple[int, int]] = OrderedDict()
-        self.n_bytes = 0
+        self.held_bytes = 0
+        self.open_bytes = 0
 
     def __len__(self) -> int:
         return len(self._held)
@@ -57,19 +65,35 @@
     def __iter__(self) -> Iterator[bytes]:
         return iter(self._held)
 
+    def grow(self, n_bytes: int) -> bool:
+        """Count bytes of an answer that is still open.
+
+        Finished answers are dropped to make room; return False if there is
+        none left to drop, and the bytes may not be kept.
+        """
+        while self._held and self._is_over(n_bytes):
+            self._drop(next(iter(self._held)))
+        if self._is_over(n_bytes):
+            return False
+        self.open_bytes += n_bytes
+        return True
+
+    def shrink(self, n_bytes: int) -> None:
+        """Count off bytes of an answer that was open."""
+        self.open_bytes -= n_bytes
+
     def hold(self, attempt_id: bytes, *, n_bytes: int, now_ns: int) -> None:
-        """Hold a finished answer; older ones are dropped to make room."""
+        """Hold an answer, so far counted as open, that is now finished."""
+        self.shrink(n_bytes)
         self._held[attempt_id] = (n_bytes, now_ns + self._keep_ns)
-        self.n_bytes += n_bytes
-        while self.n_bytes > self._max_bytes and len(self._held) > 1:
-            self._drop(next(iter(self._held)))
+        self.held_bytes += n_bytes
 
     def release(self, attempt_id: bytes) -> bool:
         """Forget an acknowledged answer; return False if it is not held."""
         held = self._held.pop(attempt_id, None)
         if held is None:
             return False
-        self.n_bytes -= held[0]
+        self.held_bytes -= held[0]
         return True
 
     def expire(self, now_ns: int) -> None:
@@ -80,6 +104,9 @@
                 return
             self._drop(attempt_id)
 
+    def _is_over(self, n_bytes: int) -> bool:
+        return self.held_bytes + self.open_bytes + n_bytes > self._max_bytes
+
     def _drop(self, attempt_id: bytes) -> None:
         self.release(attempt_id)
         self._on_drop(attempt_id)
--- a/tests/test_sidecar_failures.py
+++ b/tests/test_sidecar_failures.py
@@ -17,7 +17,7 @@
     settings_for,
     until,
 )
-from trefoilpaddle.coordination import streams
+from trefoilpaddle.coordination import dispatcher, streams
 from trefoilpaddle.coordination.target_calls import PlainCaller
 from trefoilpaddle.protocol.gen.stage.ttypes import (
     Ack,
@@ -28,6 +28,7 @@
     Fetch,
     Heartbeat,
     Outcome,
+    Queued,
 )
 from trefoilpaddle.protocol.reasons import Reason
 from trefoilpaddle.state.catalogue import ServiceKind
@@ -106,6 +107,30 @@
             await until(lambda: len(s.gateway.of(Failure, start.attempt_id)) == 2)
             assert s.target.runs == []
 
+    async def test_waiting_work_of_a_lost_gateway_is_not_started(
+        self, monkeypatch: pytest.MonkeyPatch
+    ) -> None:
+        """A gateway dies while its calls wait.
+
+        Nobody is left to pass their answers on; running them would only cost.
+        A gateway that was merely cut off is told that they were not run.
+        """
+        monkeypatch.setattr(dispatcher, "LOST_GRACE_NS", 0)
+        async with scene() as s, s.rig.gateway() as new:
+            s.target.gate.clear()
+            for _ in range(4):
+                new.start()
+            await until(lambda: len(s.target.runs) == 4)
+            lost = s.gateway.start()
+            await s.gateway.first(Queued, lost)
+            s.gateway.connection.abort()
+            await until(lambda: len(s.rig.process.server.connections) == 1)
+            s.target.gate.set()
+            await until(lambda: s.rig.sidecar.table.n_open == 0)
+            assert len(s.target.runs) == 4
+            new.connection.write(Fetch(attempt_id=lost))
+            assert (await new.failure(lost)).outcome == Outcome.NOT_RUN
+
 
 class TestPausedProcess:
     async def test_no_call_leaves_after_its_start_by_time(
@@ -136,9 +161,10 @@
 
     async def test_a_start_whose_time_is_up_is_refused_at_once(self) -> None:
         async with scene() as s:
-            failure = await s.gateway.failure(s.gateway.start(budget_ns=1))
-            assert failure.outcome == Outcome.NOT_RUN
-            assert failure.reason == Reason.DEADLINE_PASSED
+            for budget_ns in (1, 0, -1):
+                failure = await s.gateway.failure(s.gateway.start(budget_ns=budget_ns))
+                assert failure.outcome == Outcome.NOT_RUN
+                assert failure.reason == Reason.DEADLINE_PASSED
 
     async def test_waiting_work_is_answered_when_its_time_is_up(self) -> None:
         async with scene(policy=PolicySettings(refuse_early=False)) as s:
