Split intake and drop timers from the dispatcher

Change: modules for what refuses all work and for the timers; work whose timer is due is dropped when its turn comes.

--- a/src/trefoilpaddle/coordination/dispatcher.py
+++ b/src/trefoilpaddle/coordination/dispatcher.py
@@ -20,6 +20,8 @@
 from .attempt_errors import withdrawn
 from .attempt_run import AttemptRunner
 from .attempts import Attempt, AttemptTable, Phase
+from .drop_timers import DropTimers
+from .intake import Intake
 from .queue_policy import Verdict, judge
 from .running_calls import RunningCalls
 from .stage_journal import StageJournal
@@ -27,6 +29,8 @@
 
 LOST_GRACE_NS: Final = NS_PER_S
 """How long waiting work outlives its connection."""
+TIMER_MARGIN_NS: Final = 2_000_000
+"""More than a timer of the event loop comes early."""
 DEFAULT_MAX_QUEUE_S: Final = 30.0
 """Longest queue while the service is not in the catalogue."""
 
@@ -62,12 +66,8 @@
         "_runner",
         "_running",
         "_table",
-        "is_configured",
-        "is_leaving",
-        "is_target_up",
-        "reported_age_ms",
-        "reports_load",
-        "revision",
+        "_timers",
+        "intake",
     )
 
     def __init__(
@@ -88,6 +88,7 @@
         self._policy = policy
         self._max_queue_s = DEFAULT_MAX_QUEUE_S
         self._running = RunningCalls(limit=slots)
+        self._timers = DropTimers(on_due=self._drop_late)
         self._ends = AttemptEnds(table=table, journal=journal, read_load=self.load)
         self._runner = AttemptRunner(
             name=name,
@@ -95,16 +96,12 @@
             journal=journal,
             drops_expired=policy.drop_expired,
         )
-        self.is_configured = True
-        self.is_leaving = False
-        self.is_target_up = True
-        self.reported_age_ms = -1
-        self.reports_load = False
-        self.revision = 0
+        self.intake = Intake()
 
     def load(self) -> Load:
         """Return what this sidecar says of itself now."""
         now_ns = time.monotonic_ns()
+        intake = self.intake
         return Load(
             stamp_ns=now_ns,
             n_running=len(self._running),
@@ -112,39 +109,29 @@
             n_slots=self._running.limit.n_slots,
             queued_work_s=self._queue.work_s,
             running_work_s=sum(self._running.left_s(now_ns)),
-            leaving=self.is_leaving,
-            config_revision=self.revision,
+            leaving=intake.is_leaving,
+            config_revision=intake.revision,
             slowness=self._running.slowness(now_ns),
-            target_up=self.is_target_up,
-            reported_age_ms=self.reported_age_ms,
+            target_up=intake.is_target_up,
+            reported_age_ms=intake.reported_age_ms,
         )
 
     def set_service(self, service: Service) -> None:
         """Take what the catalogue says of the target's service."""
         self._max_queue_s = service.max_queue_s
-        self.reports_load = service.reports_load
+        self.intake.reports_load = service.reports_load
         self._running.limit.set_base(service.n_slots)
         self.start_waiting()
 
     def set_target_up(self, *, is_up: bool) -> None:
         """Take whether the target answers; what waits for a dead one goes back."""
-        if is_up == self.is_target_up:
+        if is_up == self.intake.is_target_up:
             return
-        self.is_target_up = is_up
+        self.intake.is_target_up = is_up
         self._journal.target(is_up=is_up)
         if not is_up:
             self.give_back_waiting(Reason.TARGET_DOWN, retry_after_s=DOWN_RETRY_S)
 
-    def refuses_all(self) -> Reason:
-        """Return why no new work is taken, or ``Reason.NONE``."""
-        if self.is_leaving:
-            return Reason.LEAVING
-        if not self.is_configured:
-            return Reason.NO_CONFIGURATION
-        if not self.is_target_up:
-            return Reason.TARGET_DOWN
-        return Reason.NONE
-
     def predicted_wait_s(self) -> float:
         """Return the seconds until all that waits should have started."""
         slots = self._running.slots(time.monotonic_ns())
@@ -152,7 +139,7 @@
 
     def expire_at_deadline(self, attempt: Attempt) -> None:
         """Answer an attempt that has not started by its deadline at once."""
-        self._expire_at(attempt, attempt.deadline_ns)
+        self._timers.arm(attempt, at_ns=attempt.deadline_ns)
 
     def offer(self, attempt: Attempt, work: Work) -> None:
         """Take in an attempt whose body is whole: start it, queue it or refuse it."""
@@ -193,7 +180,7 @@
             if attempt is None:
                 logging.error("queued attempt %s is unknown", work.attempt_id.hex())
                 continue
-            self._start(attempt, work, now_ns=now_ns)
+            self._start(attempt, now_ns=now_ns)
 
     def withdraw(
         self, attempt: Attempt, reason: Reason, *, retry_after_s: float = 0.0
@@ -284,24 +271,19 @@
             latest_ns = attempt.deadline_ns
             if self._policy.refuse_early:
                 latest_ns = min(latest_ns, work.latest_start_ns)
-            self._expire_at(attempt, latest_ns)
-
-    def _expire_at(self, attempt: Attempt, at_ns: int) -> None:
-        wait_s = (at_ns - time.monotonic_ns()) / NS_PER_S
-        loop = asyncio.get_running_loop()
-        attempt.stop_timer()
-        attempt.timer = loop.call_later(max(0.0, wait_s), self._expire, attempt)
+            self._timers.arm(attempt, at_ns=latest_ns)
 
-    def _expire(self, attempt: Attempt) -> None:
-        if attempt.phase not in (Phase.RECEIVING, Phase.WAITING):
-            return
-        if time.monotonic_ns() >= attempt.deadline_ns:
+    def _drop_late(self, attempt: Attempt) -> None:
+        if time.monotonic_ns() >= attempt.deadline_ns - TIMER_MARGIN_NS:
             self.withdraw(attempt, Reason.DEADLINE_PASSED)
             return
         wait_s = self.predicted_wait_s()
         self.withdraw(attempt, Reason.PREDICTED_LATE, retry_after_s=wait_s)
 
-    def _start(self, attempt: Attempt, work: Work, *, now_ns: int) -> None:
+    def _start(self, attempt: Attempt, *, now_ns: int) -> None:
+        if self._timers.is_due(attempt):
+            self._drop_late(attempt)
+            return
         attempt.stop_timer()
         if self._is_abandoned(attempt, now_ns=now_ns):
             self.withdraw(attempt, Reason.CONNECTION_LOST)
--- a/src/trefoilpaddle/coordination/drain.py
+++ b/src/trefoilpaddle/coordination/drain.py
@@ -23,7 +23,7 @@
     drain_s : float
         Longest wait.
     """
-    dispatcher.is_leaving = True
+    dispatcher.intake.is_leaving = True
     with contextlib.suppress(TimeoutError):
         async with asyncio.timeout(drain_s):
             await table.wait_empty()
--- /dev/null
+++ b/src/trefoilpaddle/coordination/drop_timers.py
@@ -0,0 +1,46 @@
+"""Timers that drop an attempt which has not started by some moment."""
+
+import asyncio
+import time
+from collections.abc import Callable
+
+from ..protocol.const import NS_PER_S
+from .attempts import Attempt, Phase
+
+OnDue = Callable[[Attempt], None]
+
+
+class DropTimers:
+    """Tells of each attempt that still waits when its moment comes.
+
+    Parameters
+    ----------
+    on_due : callable
+        Takes the attempt.
+    """
+
+    __slots__ = ("_on_due",)
+
+    def __init__(self, *, on_due: OnDue) -> None:
+        self._on_due = on_due
+
+    def arm(self, attempt: Attempt, *, at_ns: int) -> None:
+        """Set the moment, on this process's monotonic clock."""
+        attempt.stop_timer()
+        wait_s = max(0.0, (at_ns - time.monotonic_ns()) / NS_PER_S)
+        loop = asyncio.get_running_loop()
+        attempt.timer = loop.call_later(wait_s, self._fire, attempt)
+
+    def is_due(self, attempt: Attempt) -> bool:
+        """Return True if the moment has passed, though the timer has not run.
+
+        After a pause of the process, or a long turn of its event loop, what
+        has arrived is handled before the timers that are due.
+        """
+        if attempt.timer is None:
+            return False
+        return attempt.timer.when() <= asyncio.get_running_loop().time()
+
+    def _fire(self, attempt: Attempt) -> None:
+        if attempt.phase in (Phase.RECEIVING, Phase.WAITING):
+            self._on_due(attempt)
--- a/src/trefoilpaddle/coordination/stage_server.py
+++ b/src/trefoilpaddle/coordination/stage_server.py
@@ -151,7 +151,7 @@
             self._dispatcher.expire_at_deadline(attempt)
 
     def _refusal_of_new(self, attempt: Attempt) -> NotRun | None:
-        reason = self._dispatcher.refuses_all()
+        reason = self._dispatcher.intake.refusal()
         if reason is not Reason.NONE:
             wait_s = DOWN_RETRY_S if reason is not Reason.LEAVING else 0.0
             return self._not_run(
--- a/src/trefoilpaddle/coordination/target_watch.py
+++ b/src/trefoilpaddle/coordination/target_watch.py
@@ -48,7 +48,7 @@
         """Check until cancelled."""
         while True:
             self._note(is_up=await self._is_up())
-            if self._dispatcher.reports_load:
+            if self._dispatcher.intake.reports_load:
                 await self._read_load()
             await asyncio.sleep(self._period_s)
 
@@ -75,4 +75,4 @@
                 async with self._http.get(LOAD_PATH) as response:
                     report = orjson.loads(await response.read())
                     age_s = float(report["age_s"])
-                    self._dispatcher.reported_age_ms = int(1000 * age_s)
+                    self._dispatcher.intake.reported_age_ms = int(1000 * age_s)
--- a/src/trefoilpaddle/roles/sidecar.py
+++ b/src/trefoilpaddle/roles/sidecar.py
@@ -77,7 +77,7 @@
     sidecar = Sidecar(settings=settings, process=process)
     # Nothing is taken before a catalogue is in force: a process that starts
     # while the configuration service is down knows no weights and no limits.
-    sidecar.dispatcher.is_configured = False
+    sidecar.dispatcher.intake.is_configured = False
     async with (
         sidecar.open(),
         config_feed(
@@ -180,7 +180,7 @@
     async def stop(self) -> int:
         """Leave: refuse new work, finish the rest; return how many were cut off."""
         process = self._process
-        self.dispatcher.is_leaving = True
+        self.dispatcher.intake.is_leaving = True
         process.server.broadcast(process.heartbeat())
         process.journal.record(
             Decision(event=Event.PROCESS_STOPPING, peer=process.identity.process_id)
@@ -232,8 +232,9 @@
 
     def _on_published(self) -> None:
         catalogue = self._process.published.catalogue
-        self.dispatcher.revision = catalogue.revision
-        self.dispatcher.is_configured = catalogue.revision > 0
+        intake = self.dispatcher.intake
+        intake.revision = catalogue.revision
+        intake.is_configured = catalogue.revision > 0
         service = catalogue.services.get(self._settings.target.service)
         if service is not None:
             self.dispatcher.set_service(service)
--- a/tools/measure_sidecar.py
+++ b/tools/measure_sidecar.py
@@ -45,6 +45,8 @@
 NS_PER_S: Final = 1_000_000_000
 WAIT_S: Final = 10.0
 N_AT_ONCE: Final = 32
+N_MORE: Final = 4
+"""Further rounds in which only memory is watched."""
 
 
 class Tool:
@@ -151,7 +153,10 @@
         alone_s = [await gateway.call() for _ in range(1000)]
         process = psutil.Process(sidecar_pid)
         used_s, rate = await _rate(gateway, process, n_calls)
-        rss_mb = process.memory_info().rss / 2**20
+        resident_mb = [_resident_mb(process)]
+        for _ in range(N_MORE):
+            await _rate(gateway, process, n_calls)
+            resident_mb.append(_resident_mb(process))
     finally:
         reading.cancel()
     print(f"direct, one at a time:   median {_ms(direct_s)} ms")
@@ -159,7 +164,13 @@
     print(f"{n_calls} calls, {N_AT_ONCE} at once: {rate:.0f} calls/s")
     print(f"processor time of the sidecar: {1e6 * used_s / n_calls:.0f} us a call")
     print(f"calls a second per core: {n_calls / used_s:.0f}")
-    print(f"resident memory afterwards: {rss_mb:.0f} MB")
+    shown = ", ".join(f"{each:.0f}" for each in resident_mb)
+    print(f"resident memory after each {n_calls} calls: {shown} MB")
+
+
+def _resident_mb(process: psutil.Process) -> float:
+    resident_bytes: int = process.memory_info().rss
+    return resident_bytes / 2**20
 
 
 def _ms(samples_s: list[float]) -> str:
