Let the longest work give way when not all of a share can be in time

Change: the rule of Moore: of the work that goes before a call that would be late, the longest of the owner's of the same or a lower brown-out order is answered as not run; lower orders still go first. Long calls of an owner suffer first under overload; a higher brown-out order protects them.

--- a/src/trefoilpaddle/coordination/dispatcher.py
+++ b/src/trefoilpaddle/coordination/dispatcher.py
@@ -183,7 +183,12 @@
             self._start(attempt, now_ns=now_ns)
 
     def withdraw(
-        self, attempt: Attempt, reason: Reason, *, retry_after_s: float = 0.0
+        self,
+        attempt: Attempt,
+        reason: Reason,
+        *,
+        detail: str = "it was taken out before it started",
+        retry_after_s: float = 0.0,
     ) -> bool:
         """Make sure that an attempt never starts; return False if it has.
 
@@ -201,10 +206,7 @@
             self._queue.remove(attempt.work)
         self._free_slot(attempt)
         error = withdrawn(
-            reason,
-            peer=self._name,
-            detail="it was taken out before it started",
-            retry_after_s=retry_after_s,
+            reason, peer=self._name, detail=detail, retry_after_s=retry_after_s
         )
         self._end_not_run(attempt, error)
         return True
@@ -241,6 +243,7 @@
                 self.withdraw(
                     other,
                     verdict.displaced_for,
+                    detail="it gave way, since not all that waits can be in time",
                     retry_after_s=self.predicted_wait_s(),
                 )
 
--- a/src/trefoilpaddle/coordination/queue_policy.py
+++ b/src/trefoilpaddle/coordination/queue_policy.py
@@ -77,9 +77,12 @@
     """Return what is done with `work`, before anything was spent on it.
 
     Work that is predicted to miss its time is refused at once with the time
-    after which it would be taken, unless enough work of the same owner and a
-    lower brown-out order can give way. Work that would make the queue too long
-    displaces what is over its share, or is refused.
+    after which it would be taken, unless work of the same owner can give way:
+    enough of a lower brown-out order, or else the longest that goes before it.
+    The latter is the rule of Moore (1968), which leaves the fewest late: with
+    one refused in either case, the longest frees the most time for the rest.
+    Work that would make the queue too long displaces what is over its share, or
+    is refused.
     """
     ahead = queue.ahead(work)
     waits_s = slots.wait_s(ahead.work_s)
@@ -103,18 +106,29 @@
 def _make_room(
     work: Work, *, queue: WorkQueue, slots: Slots, ahead_s: float, late_s: float
 ) -> Verdict:
-    displaced: list[Work] = []
     was_s = slots.wait_s(ahead_s)
+    may_wait_s = was_s - late_s
+    displaced: list[Work] = []
+    left_s = ahead_s
     for other in queue.lower_orders(work):
         displaced.append(other)
-        ahead_s = max(0.0, ahead_s - other.predicted_s)
-        waits_s = slots.wait_s(ahead_s)
-        if late_s - (was_s - waits_s) <= 0.0:
+        left_s = max(0.0, left_s - other.predicted_s)
+        waits_s = slots.wait_s(left_s)
+        if waits_s <= may_wait_s:
             return Verdict(
                 wait_s=waits_s,
                 displaced=tuple(displaced),
                 displaced_for=Reason.BROWNOUT,
             )
+    longest = queue.longest_before(work)
+    if longest is not None:
+        waits_s = slots.wait_s(max(0.0, ahead_s - longest.predicted_s))
+        if waits_s <= may_wait_s:
+            return Verdict(
+                wait_s=waits_s,
+                displaced=(longest,),
+                displaced_for=Reason.PREDICTED_LATE,
+            )
     return Verdict(
         reason=Reason.PREDICTED_LATE,
         wait_s=was_s,
--- a/src/trefoilpaddle/state/fair_queue.py
+++ b/src/trefoilpaddle/state/fair_queue.py
@@ -220,9 +220,25 @@
             for other in flow.before(work)
             if other.brownout_order < work.brownout_order
         ]
-        lower.sort(key=lambda other: (other.brownout_order, -other.latest_start_ns))
+        lower.sort(key=lambda other: (other.brownout_order, -other.predicted_s))
         return lower
 
+    def longest_before(self, work: Work) -> Work | None:
+        """Return the longest of the owner's work before `work`, if it is longer.
+
+        Only work of the same or a lower brown-out order counts.
+        """
+        flow = self._flows.get(work.owner)
+        if flow is None:
+            return None
+        longer = [
+            other
+            for other in flow.before(work)
+            if other.brownout_order <= work.brownout_order
+            and other.predicted_s > work.predicted_s
+        ]
+        return max(longer, key=lambda other: other.predicted_s, default=None)
+
     def _over_share(self, work: Work) -> dict[str, float]:
         """Return by owner its part of the waiting work less its share."""
         work_s = {flow.owner: flow.work_s for flow in self._backlogged()}
--- a/src/trefoilpaddle/state/work_queue.py
+++ b/src/trefoilpaddle/state/work_queue.py
@@ -122,6 +122,13 @@
         """Return the owner's work before `work` of a lower brown-out order."""
         ...
 
+    def longest_before(self, work: Work) -> Work | None:
+        """Return the longest of the owner's work before `work`, if it is longer.
+
+        Only work of the same or a lower brown-out order counts.
+        """
+        ...
+
 
 class FifoQueue:
     """First come, first served: the baseline."""
@@ -173,6 +180,10 @@
         """Return nothing: all waiting work came first."""
         return []
 
+    def longest_before(self, work: Work) -> Work | None:
+        """Return nothing: all waiting work came first."""
+        return None
+
     def _take_off(self, work: Work) -> None:
         self.work_s -= work.predicted_s
         if not self._waiting:
