--- a/src/trefoilpaddle/state/check_files.py
+++ b/src/trefoilpaddle/state/check_files.py
@@ -33,6 +33,8 @@
     ----------
     sources : list of str
         Files that were read as settings or catalogue.
+    skipped : list of str
+        Files that are neither.
     problems : list of Problem
         Faults; nothing with a fault is accepted.
     warnings : list of Problem
@@ -42,6 +44,7 @@
     """
 
     sources: list[str] = field(default_factory=list)
+    skipped: list[str] = field(default_factory=list)
     problems: list[Problem] = field(default_factory=list)
     warnings: list[Problem] = field(default_factory=list)
     catalogue: Catalogue | None = None
@@ -90,11 +93,20 @@
         case Ok(table) if "process" in table:
             checked.sources.append(source)
             _check_settings(file, source, table, checked)
+        case Ok(table) if not _is_catalogue(file, table):
+            checked.skipped.append(source)
         case Ok(table):
             checked.sources.append(source)
             _collect(file, source, table, checked, values)
 
 
+def _is_catalogue(file: Path, table: dict[str, Any]) -> bool:
+    """Return True if anything in `table` is meant as a catalogue value."""
+    if file.suffix == ".toml":
+        return bool(KINDS.keys() & table.keys())
+    return file.parent.name in KINDS or any("/" in key for key in table)
+
+
 def _read(file: Path, source: str) -> Result[dict[str, Any], Problem]:
     try:
         data = file.read_bytes()
