--- a/src/trefoilpaddle/coordination/membership.py
+++ b/src/trefoilpaddle/coordination/membership.py
@@ -313,8 +313,24 @@
                 detail=f"{record.address} in {record.failure_domain}",
             )
         )
+        if record.state is MemberState.LIVE:
+            self._hurry_link(record)
         self._spread(record)
 
+    def _hurry_link(self, record: MemberRecord) -> None:
+        """Have a waiting link dial a process that has just come back.
+
+        Its link may wait up to a second before the next try; when one target
+        after the other is replaced, the next would leave before that.
+        """
+        match Address.parse(record.address):
+            case Ok(address):
+                link = self._process.peers.links.get(address)
+                if link is not None and link.connection is None:
+                    link.hurry()
+            case Err(_):
+                return
+
     def _spread(self, record: MemberRecord) -> None:
         self._news[record.process_id] = record
         self._has_news.set()
--- a/src/trefoilpaddle/transport/link.py
+++ b/src/trefoilpaddle/transport/link.py
@@ -50,6 +50,7 @@
 
     __slots__ = (
         "_calls",
+        "_hurried",
         "_is_stopping",
         "_numbers",
         "_on_change",
@@ -86,6 +87,7 @@
         self._task: asyncio.Task[None] | None = None
         self.connection: Connection | None = None
         self.opened = asyncio.Event()
+        self._hurried = asyncio.Event()
         self.used_s = time.monotonic()
 
     @property
@@ -107,6 +109,10 @@
         """Return True if only heartbeats passed for `idle_s` seconds."""
         return not self._calls and time.monotonic() - self.used_s > idle_s
 
+    def hurry(self) -> None:
+        """Dial now instead of waiting; others say that the peer is there."""
+        self._hurried.set()
+
     def drop(self) -> None:
         """Break the present connection; the link dials again at once.
 
@@ -183,9 +189,15 @@
                         backoff_s = _backoff_after(connection, opened_s, backoff_s)
             except Exception:
                 logging.exception("link to %s failed", self.address)
-            await asyncio.sleep(backoff_s * random.uniform(0.5, 1.5))
+            await self._wait(backoff_s * random.uniform(0.5, 1.5))
             backoff_s = min(BACKOFF_MAX_S, 2 * backoff_s)
 
+    async def _wait(self, wait_s: float) -> None:
+        self._hurried.clear()
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(wait_s):
+                await self._hurried.wait()
+
     @contextlib.asynccontextmanager
     async def _open(self) -> AsyncIterator[Connection | None]:
         """Yield a connection with hellos exchanged, or None; close it after."""
