Say ready at a sidecar only once the gateways have linked to it

Cause: a rolling replacement stops the next sidecar when this one says ready; gateways could still be dialling, and requests under way found no target. Ruled out: backoff alone (dialling at once left 3 of 3 runs red on a busy machine).

--- a/src/trefoilpaddle/coordination/config_feed.py
+++ b/src/trefoilpaddle/coordination/config_feed.py
@@ -15,6 +15,7 @@
 from .directory import LiveDirectory
 from .membership import Membership
 from .own_process import OwnProcess
+from .reach import Reach
 from .reader_turn import ReaderTurn
 from .wake import WakeWatch
 from .watch_peers import PeerWatch
@@ -38,6 +39,8 @@
         Knows whether this process has just been paused.
     client : PlatformClient
         Counts the reads of the platform.
+    reach : Reach
+        Of a sidecar: whether the gateways have found it.
     """
 
     __slots__ = (
@@ -49,6 +52,7 @@
         "config_peers",
         "directory",
         "membership",
+        "reach",
         "reader",
         "state",
         "wake",
@@ -67,6 +71,7 @@
         self.client = client
         self.state = ConfigState(published=process.published, journal=process.journal)
         self.membership = Membership(process=process, seeds=peers.seeds)
+        self.reach = Reach(process=process, membership=self.membership)
         self.wake = WakeWatch(on_late=self._woke_late)
         self.directory = LiveDirectory(
             process=process, membership=self.membership, wake=self.wake
--- a/src/trefoilpaddle/roles/sidecar.py
+++ b/src/trefoilpaddle/roles/sidecar.py
@@ -86,7 +86,7 @@
         operators(
             process=process,
             listen=settings.process.operators_listen,
-            is_ready=feed.is_known,
+            is_ready=lambda: feed.is_known() and feed.reach.is_reached(),
             held_back=lambda: feed.state.held_back,
         ),
     ):
