Prove operators' races and a paused reader

Cause: no test had two operators or a reader that goes on late. Change: tests with their stories; no fault found. Conclusion: the later change is in force everywhere; a retired key that is named stays until nothing names it.

--- /dev/null
+++ b/tests/test_config_operators.py
@@ -0,0 +1,94 @@
+"""Operators who race each other, a split fleet and a paused reader."""
+
+import pytest
+
+from tests.fake_fleet import FakePeer, fake_fleet
+from tests.fake_platform import until
+from trefoilpaddle.state.journal import Event
+
+SERVICE = {"kind": "pool"}
+PIPELINE = {"stages": [{"name": "s", "service": "a", "path": "/s"}]}
+ENTRY = {
+    "owner": "o",
+    "class_of_work": "c",
+    "pipelines": ["p"],
+    "accounts": [],
+}
+
+
+def weight(peer: FakePeer) -> float:
+    return peer.process.published.catalogue.entries["e"].weight
+
+
+class TestRaces:
+    async def test_of_two_changes_of_one_entry_the_later_is_in_force(
+        self, monkeypatch: pytest.MonkeyPatch
+    ) -> None:
+        # Two operators change one entry at the same time. The service puts one
+        # after the other; every process must end with the same one.
+        async with fake_fleet(monkeypatch) as fleet:
+            fleet.platform.publish("service/a", SERVICE)
+            fleet.platform.publish("pipeline/p", PIPELINE)
+            for number in range(4):
+                await fleet.start(f"h{number}", failure_domain=f"d{number % 2}")
+            for number in range(1, 9):
+                fleet.platform.publish("entry/e", ENTRY | {"weight": number})
+            peers = list(fleet.peers.values())
+            await until(lambda: {peer.revision for peer in peers} == {10})
+            assert {weight(peer) for peer in peers} == {8.0}
+
+    async def test_one_retires_what_another_begins_to_use(
+        self, monkeypatch: pytest.MonkeyPatch
+    ) -> None:
+        # One operator retires a pipeline while another publishes an entry that
+        # names it. Whichever came later is held back whole, everywhere, and
+        # says why; it comes in force by itself once it can.
+        async with fake_fleet(monkeypatch) as fleet:
+            fleet.platform.publish("service/a", SERVICE)
+            fleet.platform.publish("pipeline/p", PIPELINE)
+            for number in range(4):
+                await fleet.start(f"h{number}")
+            fleet.platform.publish("entry/e", ENTRY)
+            fleet.platform.publish("pipeline/p", None)
+            peers = list(fleet.peers.values())
+            await until(lambda: {peer.revision for peer in peers} == {4})
+            for peer in peers:
+                assert "p" in peer.process.published.catalogue.pipelines
+                (held,) = peer.feed.state.held_back
+                assert held.key == "pipeline/p"
+                assert "entry/e" in held.problems[0].detail
+            fleet.platform.publish("entry/e", None)
+            await until(lambda: {peer.revision for peer in peers} == {5})
+            for peer in peers:
+                assert not peer.process.published.catalogue.pipelines
+                assert not peer.feed.state.held_back
+
+
+class TestPausedReader:
+    async def test_another_reads_and_the_paused_one_reverts_nothing(
+        self, monkeypatch: pytest.MonkeyPatch
+    ) -> None:
+        # The only reader of the domain is paused while its connections stay
+        # open. A change must come in force all the same; when the reader goes
+        # on it has an older revision, and nobody may take that over.
+        async with fake_fleet(monkeypatch) as fleet:
+            fleet.platform.publish("service/a", SERVICE)
+            for number in range(4):
+                await fleet.start(f"h{number}")
+            peers = list(fleet.peers.values())
+            await until(
+                lambda: all(len(peer.feed.membership.live()) == 4 for peer in peers)
+            )
+            (paused,) = [peer for peer in peers if peer.feed.reader.is_reading()]
+            others = [peer for peer in peers if peer is not paused]
+            client = paused.feed.client
+            url = client._config_url
+            monkeypatch.setattr(client, "_config_url", "http://127.0.0.1:1")
+            await until(lambda: Event.CONFIG_SOURCE_LOST in paused.events())
+            fleet.network.side_of = lambda name: name == paused.name
+            fleet.platform.publish("service/b", SERVICE)
+            await until(lambda: {peer.revision for peer in others} == {2})
+            assert paused.revision == 1
+            monkeypatch.setattr(client, "_config_url", url)
+            fleet.network.heal()
+            await until(lambda: {peer.revision for peer in peers} == {2})
