Put one change in force without looking at the whole catalogue

Change: with nothing held back, a sound change is checked against what it names and what names it, by a reverse index; anything else takes the whole way. The random schedules now compare the outcome with a whole build after each step. Reading of one value moved to state/catalogue_read.py. While something is held back each change takes the whole way.

--- a/src/trefoilpaddle/coordination/config_state.py
+++ b/src/trefoilpaddle/coordination/config_state.py
@@ -138,7 +138,7 @@
         if not keys and self.items.revision == was_revision:
             return False
         was_held_back = self.held_back
-        selection = self._builder.put_in_force(self.items)
+        selection = self._builder.put_in_force(self.items, keys)
         self.held_back = selection.held_back
         if self._published.set_catalogue(selection.catalogue):
             self._note_in_force(keys, source)
--- a/src/trefoilpaddle/state/catalogue_build.py
+++ b/src/trefoilpaddle/state/catalogue_build.py
@@ -5,36 +5,16 @@
 what does not exist, is held back whole; the accepted one below it stays.
 """
 
-from collections.abc import Iterator, Mapping
+from collections.abc import Collection, Iterator, Mapping
 from dataclasses import dataclass
-from typing import Final
+from typing import Any, Final
 
-import orjson
-from pydantic import TypeAdapter, ValidationError
 from result import Err, Ok, Result
 
-from .catalogue import (
-    KINDS,
-    Account,
-    Catalogue,
-    CatalogueValue,
-    Entry,
-    Pipeline,
-    Service,
-)
+from .catalogue import Catalogue, CatalogueValue
+from .catalogue_read import names_of, read_value
 from .config_items import ConfigItems, KeyState, PublishedItem, Version
-from .problems import Problem, problems_of
-
-CATALOGUE_SCHEMA: Final = 1
-"""Highest schema of published values that this release understands."""
-
-SCHEMA_KEY: Final = "schema"
-"""Field of a value that names the schema it needs; 1 without it."""
-
-ADAPTERS: Final = {kind: TypeAdapter(cls) for kind, cls in KINDS.items()}
-
-Verdict = Result[CatalogueValue | None, list[Problem]]
-"""The typed value, None for a deletion, or what is wrong with it."""
+from .problems import Problem
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -69,10 +49,26 @@
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class _Choice:
-    """The version chosen for one key; `value` is None where it does not exist."""
+    """The version chosen for one key.
+
+    Parameters
+    ----------
+    revision : int
+        Revision of the version; 0 if none can be in force.
+    value : CatalogueValue or None
+        None where the key does not exist.
+    names : tuple of str
+        Keys that the value cannot do without.
+    """
 
     revision: int
     value: CatalogueValue | None
+    names: tuple[str, ...] = ()
+
+
+ABSENT: Final = _Choice(revision=0, value=None)
+
+_Read = Result[_Choice, list[Problem]]
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -83,81 +79,40 @@
     named: str
 
 
-def read_value(key: str, version: Version) -> Verdict:
-    """Return the typed value of one version; depends on key and value alone."""
-    kind, _, name = key.partition("/")
-    if kind not in KINDS or not name:
-        return _bad(key, "not a catalogue key", "KIND/NAME, KIND: " + ", ".join(KINDS))
-    if version.value is None:
-        return Ok(None)
-    try:
-        table = orjson.loads(version.value)
-    except orjson.JSONDecodeError as error:
-        return _bad(key, f"not JSON: {error}", "a JSON object")
-    if not isinstance(table, dict):
-        return _bad(key, "not a JSON object", "a JSON object")
-    return _check(key, kind, table)
-
-
-def _check(key: str, kind: str, table: dict[str, object]) -> Verdict:
-    schema = table.pop(SCHEMA_KEY, 1)
-    if not isinstance(schema, int) or not 1 <= schema <= CATALOGUE_SCHEMA:
-        detail = f"needs schema {schema!r}; this release knows {CATALOGUE_SCHEMA}"
-        return _bad(key, detail, "a value of a known schema, or a newer release")
-    try:
-        value: CatalogueValue = ADAPTERS[kind].validate_python(table)
-    except ValidationError as error:
-        return Err(list(problems_of(error, source=key, cls=KINDS[kind])))
-    problems = list(_own_problems(key, value))
-    return Err(problems) if problems else Ok(value)
-
-
-def _own_problems(key: str, value: CatalogueValue) -> Iterator[Problem]:
-    if not isinstance(value, Pipeline):
-        return
-    names = [stage.name for stage in value.stages]
-    for name in sorted({name for name in names if names.count(name) > 1}):
-        yield Problem(
-            source=key,
-            key="stages",
-            value=name,
-            detail="two stages have this name",
-            accepted="a name of its own for each stage",
-        )
-
-
-def _bad(key: str, detail: str, accepted: str) -> Verdict:
-    problem = Problem(source=key, key="", value="", detail=detail, accepted=accepted)
-    return Err([problem])
-
-
-def names_of(value: CatalogueValue | None) -> Iterator[str]:
-    """Yield the keys that `value` names and cannot do without."""
-    match value:
-        case Entry():
-            yield from (f"pipeline/{name}" for name in value.pipelines)
-            yield from (f"account/{name}" for name in value.accounts)
-        case Pipeline():
-            yield from (f"service/{stage.service}" for stage in value.stages)
-        case _:
-            return
-
-
 class CatalogueBuilder:
     """Chooses the version in force of each key; remembers what it has read."""
 
-    __slots__ = ("_read",)
+    __slots__ = ("_choices", "_holders", "_last", "_read")
 
     def __init__(self) -> None:
-        self._read: dict[tuple[str, int], Verdict] = {}
-
-    def put_in_force(self, items: ConfigItems) -> Selection:
+        self._read: dict[tuple[str, int], _Read] = {}
+        self._choices: dict[str, _Choice] = {}
+        self._holders: dict[str, set[str]] = {}
+        self._last: Selection | None = None
+
+    def put_in_force(
+        self, items: ConfigItems, changed: Collection[str] | None = None
+    ) -> Selection:
         """Return the catalogue that `items` put in force and mark it accepted.
 
         Each key begins with its newest version. While some value names a key
         that does not exist, the newer of the two changes falls back: the
         deletion of what is named, or else the value that names it.
+
+        Parameters
+        ----------
+        items : ConfigItems
+            All versions known.
+        changed : collection of str, optional
+            Keys that changed since the last call; all if None. The outcome is
+            the same, only sooner where nothing is held back.
         """
+        selection = self._put_few(items, changed) if changed is not None else None
+        self._last = selection or self._put_all(items)
+        self._forget(items)
+        return self._last
+
+    def _put_all(self, items: ConfigItems) -> Selection:
         choices = {key: self._first(key, at) for key, at in items.keys.items()}
         reasons: dict[str, Problem] = {}
         while blamed := _blamed(choices, items):
@@ -168,21 +123,78 @@
         for key, choice in choices.items():
             if choice.revision == items.keys[key].newest.revision:
                 items.accept(key)
-        self._forget(items)
+        self._choices = choices
+        self._holders = {}
+        for key, choice in choices.items():
+            self._hold(key, choice)
         return Selection(
             catalogue=_catalogue(choices, revision=items.revision), held_back=held_back
         )
 
+    def _put_few(
+        self, items: ConfigItems, changed: Collection[str]
+    ) -> Selection | None:
+        """Return the selection after a few changes, or None if all must be seen.
+
+        With nothing held back before, and every changed key's newest version
+        sound and consistent, each key's newest version is in force.
+        """
+        if self._last is None or self._last.held_back:
+            return None
+        new: dict[str, _Choice] = {}
+        for key in changed:
+            match self._verdict(key, items.keys[key].newest):
+                case Ok(choice):
+                    new[key] = choice
+                case Err(_):
+                    return None
+        if any(self._is_amiss(key, choice, new) for key, choice in new.items()):
+            return None
+        for key, choice in new.items():
+            self._release(key)
+            self._choices[key] = choice
+            self._hold(key, choice)
+            items.accept(key)
+        last = self._last.catalogue
+        return Selection(
+            catalogue=_catalogue(new, revision=items.revision, last=last),
+            held_back=(),
+        )
+
+    def _is_amiss(self, key: str, choice: _Choice, new: Mapping[str, _Choice]) -> bool:
+        """Return True if a changed key names, or leaves named, what is not there."""
+
+        def current(other: str) -> _Choice:
+            return new.get(other) or self._choices.get(other) or ABSENT
+
+        if any(current(name).value is None for name in choice.names):
+            return True
+        if choice.value is not None:
+            return False
+        holders = self._holders.get(key, set())
+        return any(key in current(holder).names for holder in holders)
+
+    def _hold(self, key: str, choice: _Choice) -> None:
+        for name in choice.names:
+            self._holders.setdefault(name, set()).add(key)
+
+    def _release(self, key: str) -> None:
+        for name in self._choices.get(key, ABSENT).names:
+            self._holders.get(name, set()).discard(key)
+
     def _held_back(
         self,
         choices: Mapping[str, _Choice],
         reasons: Mapping[str, Problem],
         items: ConfigItems,
     ) -> Iterator[HeldBack]:
-        for key in sorted(choices):
+        behind = [
+            key
+            for key, choice in choices.items()
+            if choice.revision != items.keys[key].newest.revision
+        ]
+        for key in sorted(behind):
             newest = items.keys[key].newest
-            if choices[key].revision == newest.revision:
-                continue
             match self._verdict(key, newest):
                 case Err(found):
                     problems = found
@@ -195,42 +207,47 @@
                 problems=tuple(problems),
             )
 
-    def _verdict(self, key: str, version: Version) -> Verdict:
+    def _verdict(self, key: str, version: Version) -> _Read:
         at = (key, version.revision)
-        if at not in self._read:
-            self._read[at] = read_value(key, version)
-        return self._read[at]
+        read = self._read.get(at)
+        if read is None:
+            read = read_value(key, version).map(
+                lambda value: _Choice(
+                    revision=version.revision,
+                    value=value,
+                    names=tuple(names_of(value)),
+                )
+            )
+            self._read[at] = read
+        return read
 
     def _first(self, key: str, at: KeyState) -> _Choice:
         match self._verdict(key, at.newest):
-            case Ok(value):
-                return _Choice(revision=at.newest.revision, value=value)
+            case Ok(choice):
+                return choice
             case Err(_):
                 return self._accepted(key, at)
 
     def _accepted(self, key: str, at: KeyState) -> _Choice:
-        if at.accepted is None or at.accepted == at.newest:
-            return _Choice(revision=0, value=None)
-        match self._verdict(key, at.accepted):
-            case Ok(value):
-                return _Choice(revision=at.accepted.revision, value=value)
-            case Err(_):
-                return _Choice(revision=0, value=None)
+        if at.accepted is None or at.accepted.revision == at.newest.revision:
+            return ABSENT
+        return self._verdict(key, at.accepted).unwrap_or(ABSENT)
 
     def _below(self, key: str, at: KeyState, choice: _Choice) -> _Choice:
         if choice.revision == at.newest.revision:
             return self._accepted(key, at)
-        return _Choice(revision=0, value=None)
+        return ABSENT
 
     def _forget(self, items: ConfigItems) -> None:
+        if len(self._read) <= 2 * len(items.keys):
+            return
         held = {
             (key, version.revision)
             for key, at in items.keys.items()
             for version in (at.newest, at.accepted)
             if version is not None
         }
-        if len(self._read) > 2 * len(held):
-            self._read = {at: self._read[at] for at in held & self._read.keys()}
+        self._read = {at: read for at, read in self._read.items() if at in held}
 
 
 def _blamed(choices: Mapping[str, _Choice], items: ConfigItems) -> dict[str, Problem]:
@@ -241,7 +258,7 @@
     """
     deletions: dict[str, Problem] = {}
     holders: dict[str, Problem] = {}
-    for dangling in _danglings(choices):
+    for dangling in sorted(_danglings(choices), key=lambda one: one.holder):
         if _is_deletion_to_blame(dangling, choices, items):
             deletions[dangling.named] = Problem(
                 source=dangling.named,
@@ -273,34 +290,40 @@
 
 def _danglings(choices: Mapping[str, _Choice]) -> Iterator[_Dangling]:
     for holder, choice in choices.items():
-        for named in names_of(choice.value):
+        for named in choice.names:
             if named not in choices or choices[named].value is None:
                 yield _Dangling(holder=holder, named=named)
 
 
-def _catalogue(choices: Mapping[str, _Choice], *, revision: int) -> Catalogue:
-    entries: dict[str, Entry] = {}
-    pipelines: dict[str, Pipeline] = {}
-    services: dict[str, Service] = {}
-    accounts: dict[str, Account] = {}
+def _catalogue(
+    choices: Mapping[str, _Choice], *, revision: int, last: Catalogue | None = None
+) -> Catalogue:
+    """Return `last`, or an empty catalogue, with `choices` put in, at `revision`."""
+    last = last or Catalogue()
+    tables: dict[str, dict[str, Any]] = {
+        "entry": dict(last.entries),
+        "pipeline": dict(last.pipelines),
+        "service": dict(last.services),
+        "account": dict(last.accounts),
+    }
+    entry_revisions = dict(last.entry_revisions)
     for key, choice in choices.items():
-        name = key.partition("/")[2]
-        match choice.value:
-            case Entry():
-                entries[name] = choice.value
-            case Pipeline():
-                pipelines[name] = choice.value
-            case Service():
-                services[name] = choice.value
-            case Account():
-                accounts[name] = choice.value
+        kind, _, name = key.partition("/")
+        if choice.value is not None:
+            tables[kind][name] = choice.value
+        elif kind in tables:
+            tables[kind].pop(name, None)
+        if kind == "entry":
+            entry_revisions[name] = choice.revision
     return Catalogue(
         revision=revision,
-        entries=entries,
-        pipelines=pipelines,
-        services=services,
-        accounts=accounts,
-        entry_revisions={name: choices[f"entry/{name}"].revision for name in entries},
+        entries=tables["entry"],
+        pipelines=tables["pipeline"],
+        services=tables["service"],
+        accounts=tables["account"],
+        entry_revisions={
+            name: at for name, at in entry_revisions.items() if name in tables["entry"]
+        },
     )
 
 
--- a/tests/test_config_schedules.py
+++ b/tests/test_config_schedules.py
@@ -1,6 +1,7 @@
 """Random schedules of changes, deliveries, losses and restarts."""
 
 import asyncio
+import copy
 from dataclasses import dataclass, field
 from types import SimpleNamespace
 from typing import Any, cast
@@ -18,6 +19,7 @@
 from trefoilpaddle.protocol.frames import Message
 from trefoilpaddle.protocol.gen.config.ttypes import ConfigDelta
 from trefoilpaddle.protocol.gen.stage.ttypes import Hello
+from trefoilpaddle.state.catalogue_build import CatalogueBuilder
 from trefoilpaddle.state.config_items import PublishedItem, Version
 from trefoilpaddle.state.journal import Journal
 from trefoilpaddle.state.published import Published
@@ -169,6 +171,9 @@
             assert node.published.catalogue.revision >= revision
         for node in nodes:
             assert newest_of(node) == service.newest_at(node.state.items.revision)
+            whole = CatalogueBuilder().put_in_force(copy.deepcopy(node.state.items))
+            assert whole.catalogue == node.published.catalogue
+            assert whole.held_back == node.state.held_back
         if kind == "restart":
             asked = nodes[args[1]].published.catalogue.revision
             assert nodes[args[0]].published.catalogue.revision >= asked
