Fetch an announced change once, and tell when the service is behind

Cause: four parents announce one large change, and each announcement led to a fetch; a service restored from an old copy was taken for a healthy one. Change: an announcement is looked at again before it is fetched; a service that offers less than is in force is noted as lost, with what to do. Conclusion: operators see a stale service before they publish into it.

--- a/src/trefoilpaddle/coordination/config_peers.py
+++ b/src/trefoilpaddle/coordination/config_peers.py
@@ -4,6 +4,7 @@
 import contextlib
 import random
 from collections.abc import AsyncIterator, Iterator
+from dataclasses import dataclass
 from itertools import groupby
 from typing import Final
 
@@ -42,6 +43,15 @@
 MAX_PAGES: Final = 1000
 
 
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Ahead:
+    """A process that knows something newer, and how new."""
+
+    process_id: str
+    revision: int
+    hosts_revision: int
+
+
 class ConfigPeers:
     """Passes on what is news here and fetches what is known elsewhere.
 
@@ -70,7 +80,7 @@
         self._process = process
         self._state = state
         self._membership = membership
-        self._ahead = ""
+        self._ahead: Ahead | None = None
         self._is_ahead = asyncio.Event()
         self._pulling = asyncio.Lock()
         process.server.answer(ConfigPull, self.answer)
@@ -142,7 +152,11 @@
         while True:
             await self._is_ahead.wait()
             self._is_ahead.clear()
-            async with self._link_to(self._ahead) as link:
+            ahead = self._ahead
+            # Several peers announce one change; the first fetch takes it.
+            if ahead is None or not self._is_behind(ahead):
+                continue
+            async with self._link_to(ahead.process_id) as link:
                 if link is not None:
                     await self.pull(link)
 
@@ -236,23 +250,32 @@
             state.note_read(delta.read_age_ms / 1000)
         if delta.items and delta.base_revision <= state.items.revision:
             state.take(from_wire(delta.items), revision=delta.revision, source=source)
-        is_behind = delta.revision > state.items.revision
-        if is_behind or delta.hosts_revision > self._process.published.hosts.revision:
-            self._fetch_from(source)
-
-    def _hear_revision(self, revision: int, source: str) -> None:
-        if revision > self._state.items.revision:
-            asyncio.get_running_loop().call_later(
-                CATCH_UP_S, self._fetch_if_behind, revision, source
+        self._fetch_from(
+            Ahead(
+                process_id=source,
+                revision=delta.revision,
+                hosts_revision=delta.hosts_revision,
             )
+        )
 
-    def _fetch_if_behind(self, revision: int, source: str) -> None:
-        if revision > self._state.items.revision:
-            self._fetch_from(source)
-
-    def _fetch_from(self, source: str) -> None:
-        self._ahead = source
-        self._is_ahead.set()
+    def _hear_revision(self, revision: int, source: str) -> None:
+        if revision <= self._state.items.revision:
+            return
+        ahead = Ahead(process_id=source, revision=revision, hosts_revision=0)
+        loop = asyncio.get_running_loop()
+        loop.call_later(CATCH_UP_S, self._fetch_from, ahead)
+
+    def _fetch_from(self, ahead: Ahead) -> None:
+        if self._is_behind(ahead):
+            self._ahead = ahead
+            self._is_ahead.set()
+
+    def _is_behind(self, ahead: Ahead) -> bool:
+        hosts_revision = self._process.published.hosts.revision
+        return (
+            ahead.revision > self._state.items.revision
+            or ahead.hosts_revision > hosts_revision
+        )
 
 
 def _first_page(items: Iterator[PublishedItem]) -> tuple[list[PublishedItem], bool]:
--- a/src/trefoilpaddle/coordination/config_readers.py
+++ b/src/trefoilpaddle/coordination/config_readers.py
@@ -140,11 +140,31 @@
                 case Err(error):
                     self._note_lost(error)
                     return False
+        known = self._state.items.revision
+        self._state.take(items, revision=page.revision, source="platform")
+        if page.revision < known:
+            self._note_stale(page.revision, known)
+            return True
         self._note_back()
         self._state.note_read(0.0)
-        self._state.take(items, revision=page.revision, source="platform")
         return True
 
+    def _note_stale(self, offered: int, known: int) -> None:
+        """Tell that the service is behind what is in force.
+
+        It does not count as read, so that other processes try as well; changes
+        published at revisions that were used before are not seen by anyone.
+        """
+        self._note_lost(
+            PeerError(
+                step="answer",
+                peer="platform",
+                detail=f"offers revision {offered}, but {known} is in force; "
+                "bring the service up to date before publishing",
+                is_sent=True,
+            )
+        )
+
     def _note_lost(self, error: PeerError) -> None:
         if self._is_lost:
             return
--- a/tests/test_config_peers.py
+++ b/tests/test_config_peers.py
@@ -83,6 +83,9 @@
             assert again.feed.is_known()
             assert again.revision == 2
             assert again.process.published.catalogue.services["a"].kind == "plain"
+            peers = list(fleet.peers.values())
+            lost = Event.CONFIG_SOURCE_LOST
+            await until(lambda: any(lost in peer.events() for peer in peers))
 
     async def test_service_down_for_long_is_seen_and_survived(
         self, monkeypatch: pytest.MonkeyPatch
