--- a/src/trefoilpaddle/coordination/entry_hands.py
+++ b/src/trefoilpaddle/coordination/entry_hands.py
@@ -16,6 +16,12 @@
 
 STEP: Final = "limit"
 MIN_RETRY_S: Final = 0.2
+RECENT_S: Final = 10.0
+"""An entry used within this time is expected to be used again."""
+
+PLENTY: Final = 4
+"""A share that serves so many requests at once can spare one in advance."""
+
 IDLE_S: Final = 30.0
 """After this long without a request, an entry's hands are dropped."""
 
@@ -55,7 +61,9 @@
     """
 
     __slots__ = (
+        "_alone",
         "_gateway",
+        "_n_tokens",
         "_rate",
         "_shares",
         "_slots",
@@ -80,6 +88,8 @@
         self.entry = entry
         self.bucket = bucket_of(name)
         self._gateway = gateway
+        self._alone = frozenset({gateway})
+        self._n_tokens = 0.0
         self._used_s = now_s
         self._shares = shares
         self._rate = FlowHand(now_s=now_s)
@@ -96,6 +106,7 @@
         """
         limits, now_s = self.entry.limits, moment.now_s
         self._used_s = now_s
+        self._n_tokens = float(n_tokens)
         lacking = list(self._lacking(moment, float(n_tokens)))
         if lacking:
             return Err(lacking[0])
@@ -145,6 +156,20 @@
             )
         )
 
+    def is_low(self) -> bool:
+        """Return True if budget should be asked for before a request waits."""
+        return self._rate.is_low() or self._tokens.is_low()
+
+    def is_short(self) -> bool:
+        """Return True if a request waits for budget, or places are to be freed."""
+        return (
+            self._slots.is_missed()
+            or self._slots.is_contended
+            or self._rate.is_missed()
+            or self._tokens.is_missed()
+            or self.is_low()
+        )
+
     def is_wanted_elsewhere(self) -> bool:
         """Return True if another gateway waits for places that are free here."""
         return self._slots.is_contended
@@ -154,18 +179,37 @@
         limits = self.entry.limits
         told: list[LeaseWant] = []
         if limits.rate_per_s is not None:
-            want = self._rate.report(now_s, period_s=period_s)
+            n_spare = self._n_spare(now_s, limits.rate_per_s, 1.0)
+            want = self._rate.report(now_s, period_s=period_s, n_spare=n_spare)
             told.append(self._wire(LimitKind.REQUEST_RATE, want))
         if limits.n_concurrent is not None:
+            share = self._slot_share()
             want = self._slots.report(
-                now_s, share=self._slot_share(), limit=limits.n_concurrent
+                now_s,
+                share=share,
+                limit=limits.n_concurrent,
+                n_spare=int(self._is_recent(now_s) and share >= PLENTY),
             )
             told.append(self._wire(LimitKind.CONCURRENCY, want))
         if limits.tokens_per_s is not None:
-            want = self._tokens.report(now_s, period_s=period_s)
+            n_spare = self._n_spare(now_s, limits.tokens_per_s, self._n_tokens)
+            want = self._tokens.report(now_s, period_s=period_s, n_spare=n_spare)
             told.append(self._wire(LimitKind.TOKEN_RATE, want))
         return told
 
+    def _n_spare(self, now_s: float, limit: float, n_each: float) -> float:
+        """Return units for one more request, where the limit leaves plenty.
+
+        Without them, the next request of an entry that is used now and then
+        waits for an answer of the home. Of a scarce limit none is kept back.
+        """
+        share = limit * self._shares.fraction(self._alone)
+        is_plenty = share * self.entry.limits.burst_s >= PLENTY * n_each
+        return n_each if is_plenty and self._is_recent(now_s) else 0.0
+
+    def _is_recent(self, now_s: float) -> bool:
+        return now_s < self._used_s + RECENT_S
+
     def grant(self, grant: LeaseGrant, *, sent_s: float, now_s: float) -> None:
         """Take what the ask sent at `sent_s` brought."""
         wait_s = grant.retry_after_ms / 1000
@@ -203,7 +247,7 @@
     ) -> None:
         hand.use_share(
             moment.now_s,
-            rate_per_s=self._shares.flow_share(self._gateway, limit),
+            rate_per_s=limit * self._shares.fraction(self._alone),
             from_s=moment.share_from_s,
             burst_s=self.entry.limits.burst_s,
             need=need,
--- a/src/trefoilpaddle/coordination/lease_contact.py
+++ b/src/trefoilpaddle/coordination/lease_contact.py
@@ -17,7 +17,10 @@
 PERIOD_S: Final = 0.6
 """Time between asks when no request waits; several fit into one lease."""
 
-MIN_PERIOD_S: Final = 0.05
+IDLE_PERIOD_S: Final = 1.5
+"""The same while no entry of the home is in use; shorter than a lease."""
+
+MIN_PERIOD_S: Final = 0.01
 """Least time between two asks to one home, however many requests wait."""
 
 
@@ -62,6 +65,7 @@
         "_incarnation",
         "_kick",
         "_ledger",
+        "_period_s",
         "_round",
         "_stamp_ns",
         "_stamped_s",
@@ -86,6 +90,7 @@
         self._stamp_ns = 0
         self._stamped_s = 0.0
         self._kick = asyncio.Event()
+        self._period_s = PERIOD_S
         self._round = 0
         self._turning = False
         self._turned = asyncio.Condition()
@@ -113,7 +118,7 @@
             await self.turn()
             await asyncio.sleep(MIN_PERIOD_S if self.is_heard else ASK_TIMEOUT_S)
             with contextlib.suppress(TimeoutError):
-                async with asyncio.timeout(PERIOD_S - MIN_PERIOD_S):
+                async with asyncio.timeout(self._period_s):
                     await self._kick.wait()
 
     async def turn(self) -> None:
@@ -137,6 +142,7 @@
     async def _ask(self) -> None:
         sent_s = self._clock()
         ask = self._ledger.next_ask(self.home, self._incarnation, sent_s)
+        self._period_s = PERIOD_S if ask.wants else IDLE_PERIOD_S
         ask.home_incarnation = self._incarnation
         ask.stamp_ns = self._stamp_ns
         ask.elapsed_ns = int((sent_s - self._stamped_s) * NS_PER_S)
--- a/src/trefoilpaddle/coordination/lease_home.py
+++ b/src/trefoilpaddle/coordination/lease_home.py
@@ -57,6 +57,7 @@
     __slots__ = (
         "_clock",
         "_flows",
+        "_fractions",
         "_heard",
         "_incarnation",
         "_journal",
@@ -86,6 +87,7 @@
         self._mine: frozenset[int] = frozenset()
         self._heard: dict[int, dict[str, float]] = {}
         self._left: dict[int, dict[str, int]] = {}
+        self._fractions: dict[int, float] = {}
         self._flows: dict[PoolKey, FlowPool] = {}
         self._slots: dict[PoolKey, SlotPool] = {}
         published.subscribe(self._on_published)
@@ -147,6 +149,7 @@
     def _grants(
         self, ask: LeaseAsk, now_s: float, accepted: frozenset[int]
     ) -> Iterator[LeaseGrant]:
+        self._fractions.clear()
         wants = [want for want in ask.wants if bucket_of(want.entry) in accepted]
         for want in wants:
             pool = self._flows.get(PoolKey(entry=want.entry, kind=want.kind))
@@ -173,6 +176,7 @@
         if ask.gateway not in self._heard_in(bucket, now_s):
             self._advance_bucket(bucket, now_s)
         self._heard.setdefault(bucket, {})[ask.gateway] = now_s + LEASE_S
+        self._fractions.pop(bucket, None)
 
     def _advance_bucket(self, bucket: int, now_s: float) -> None:
         """Refill for the time in which a gateway, heard now, kept its own share."""
@@ -207,8 +211,13 @@
         return frozenset(heard) | frozenset(self._left.get(bucket, {}))
 
     def _flow_rate(self, entry: str, limit: float, now_s: float) -> float:
-        heard = self._heard_in(bucket_of(entry), now_s)
-        return sum(self.shares.flow_share(name, limit) for name in heard)
+        """Return the shares of a rate limit that refill here now, together."""
+        bucket = bucket_of(entry)
+        fraction = self._fractions.get(bucket)
+        if fraction is None:
+            fraction = self.shares.fraction(self._heard_in(bucket, now_s))
+            self._fractions[bucket] = fraction
+        return limit * fraction
 
     def _advance(self, want: LeaseWant, now_s: float) -> None:
         """Refill a pool for the time up to now, before the asker counts as heard."""
--- a/src/trefoilpaddle/coordination/lifecycle.py
+++ b/src/trefoilpaddle/coordination/lifecycle.py
@@ -113,10 +113,13 @@
             case Ok(permit):
                 pass
         self._record(Event.REQUEST_ACCEPTED, request)
+        n_tokens: int | None = None
         try:
-            return await self._walker.run(request, spent=spent, sink=sink)
+            outcome = await self._walker.run(request, spent=spent, sink=sink)
+            n_tokens = _n_tokens_used(request, outcome)
+            return outcome
         finally:
-            permit.release()
+            permit.release(n_tokens=n_tokens)
 
     def _settle(
         self, request: Request, outcome: Result[Answer, Refusal] | None, spent: Spent
@@ -204,6 +207,20 @@
         )
 
 
+def _n_tokens_used(request: Request, outcome: Result[Answer, Refusal]) -> int | None:
+    """Return the tokens generated for a request, None when not known.
+
+    Only the last stage's are in the answer; where an earlier one generates too,
+    the most that was asked for counts.
+    """
+    n_before = sum(stage.max_tokens for stage in request.pipeline.stages[:-1])
+    match outcome:
+        case Ok(Answer(output={"n_tokens": int(n_last)})):
+            return min(request.n_tokens, n_before + n_last)
+        case _:
+            return None
+
+
 def state_of(error: StageError) -> RequestState:
     """Return how a request with this error stands, in the callers' words."""
     match error:
--- a/src/trefoilpaddle/coordination/limits.py
+++ b/src/trefoilpaddle/coordination/limits.py
@@ -2,8 +2,9 @@
 
 import asyncio
 import contextlib
+import math
 import time
-from collections.abc import AsyncIterator, Callable
+from collections.abc import AsyncIterator, Callable, Mapping
 from dataclasses import dataclass
 from typing import Final
 
@@ -103,6 +104,7 @@
         "_clock",
         "_gateway",
         "_hands",
+        "_holds_s",
         "_homes",
         "_incarnation",
         "_journal",
@@ -110,6 +112,7 @@
         "_reliances",
         "_start_s",
         "_tasks",
+        "_told_s",
         "contacts",
         "is_leaving",
         "shares",
@@ -134,7 +137,9 @@
         self._start_s = clock()
         self._hands: dict[str, EntryHands] = {}
         self._homes: dict[int, Place] = {}
+        self._holds_s: dict[int, float] = {}
         self._reliances: dict[int, Reliance] = {}
+        self._told_s: dict[str, float] = {}
         self._tasks: dict[str, asyncio.Task[None]] | None = None
         self.contacts: dict[str, HomeContact] = {}
         self.shares = GatewayShares(clock=clock)
@@ -170,6 +175,8 @@
                 return Err(error)
             case Ok(n_taken):
                 kick = self._kicker(hands.bucket)
+                if hands.is_low() and not hands.is_refused(self._clock()):
+                    kick()
                 return Ok(_HeldPermit(hands=hands, n_tokens=n_taken, kick=kick))
 
     def _hands_of(self, name: str, entry: Entry) -> EntryHands:
@@ -230,6 +237,7 @@
         bound = {bucket_of(n) for n, e in entries.items() if e.limits != UNBOUND}
         pairs = {b: places.pair(bucket_key(b)) for b in range(N_BUCKETS) if b in bound}
         self._homes = {bucket: pair[0] for bucket, pair in pairs.items() if pair}
+        self._holds_s = _holds_s(entries)
         for name in [name for name in self._hands if name not in entries]:
             del self._hands[name]
         self._open_contacts()
@@ -267,7 +275,7 @@
 
     @contextlib.asynccontextmanager
     async def running(self) -> AsyncIterator["Limiter"]:
-        """Keep contact with the homes while the context is open."""
+        """Keep contact with the homes while the context is open, then leave."""
         self._tasks = {}
         self._open_contacts()
         try:
@@ -277,11 +285,13 @@
             for task in tasks.values():
                 task.cancel()
             await asyncio.gather(*tasks.values(), return_exceptions=True)
+            await self.leave()
 
     async def leave(self) -> None:
-        """Tell every home that this gateway uses its shares no more."""
+        """Tell every home in touch that this gateway uses its shares no more."""
         self.is_leaving = True
-        await asyncio.gather(*(contact.turn() for contact in self.contacts.values()))
+        heard = [contact for contact in self.contacts.values() if contact.is_heard]
+        await asyncio.gather(*(contact.turn() for contact in heard))
 
     # What contacts ask
 
@@ -294,7 +304,11 @@
                 home=home.process_id, incarnation=incarnation, sent_s=now_s
             )
         relied = frozenset(buckets)
-        hands = [hands for hands in self._hands.values() if hands.bucket in relied]
+        hands = [h for h in self._hands.values() if h.bucket in relied]
+        if now_s < self._told_s.get(home.process_id, -math.inf) + PERIOD_S:
+            hands = [h for h in hands if h.is_short()]
+        else:
+            self._told_s[home.process_id] = now_s
         wants = [h.wants(now_s, period_s=PERIOD_S) for h in hands]
         for idle in [h.name for h in hands if h.is_idle(now_s)]:
             del self._hands[idle]
@@ -325,12 +339,7 @@
         return now_s >= reliance.sent_s + self._hold_s(bucket)
 
     def _hold_s(self, bucket: int) -> float:
-        deadlines = [
-            entry.deadline_s
-            for name, entry in self._published.catalogue.entries.items()
-            if entry.limits.n_concurrent is not None and bucket_of(name) == bucket
-        ]
-        return slot_hold_s(max(deadlines)) if deadlines else HOLD_S
+        return self._holds_s.get(bucket, HOLD_S)
 
     def _releases(self, home: Place, here: frozenset[int]) -> list[int]:
         return [
@@ -350,7 +359,8 @@
             hands = self._hands.get(grant.entry)
             if hands is not None:
                 hands.grant(grant, sent_s=sent_s, now_s=now_s)
-        self._open_contacts()
+        if self.contacts.keys() - {place.process_id for place in self._homes.values()}:
+            self._open_contacts()
 
     def lose(self, home: Place) -> None:
         """Note that `home` answers no more."""
@@ -361,3 +371,17 @@
                 detail="own shares are used until it answers again",
             )
         )
+
+
+def _holds_s(entries: Mapping[str, Entry]) -> dict[int, float]:
+    """Return for each bucket how long a home may count on a share of it.
+
+    Longer than ``HOLD_S`` where an entry binds concurrency.
+    """
+    holds_s: dict[int, float] = {}
+    for name, entry in entries.items():
+        if entry.limits.n_concurrent is not None:
+            bucket = bucket_of(name)
+            hold_s = slot_hold_s(entry.deadline_s)
+            holds_s[bucket] = max(hold_s, holds_s.get(bucket, HOLD_S))
+    return holds_s
--- a/src/trefoilpaddle/coordination/request.py
+++ b/src/trefoilpaddle/coordination/request.py
@@ -27,7 +27,7 @@
     n_input_bytes : int
         Size of the body as received.
     fingerprint : int
-        Checksum of pipeline and body.
+        Checksum of client account, pipeline and body.
     try_id : str
         This try of it; a retry can carry the same `request_id`.
     key : str
--- a/src/trefoilpaddle/roles/caller_input.py
+++ b/src/trefoilpaddle/roles/caller_input.py
@@ -172,7 +172,7 @@
                 governing=governing,
                 input=material,
                 n_input_bytes=len(body),
-                fingerprint=checksum(name.encode() + b"\0" + body),
+                fingerprint=checksum(f"{account}\0{name}\0".encode() + body),
                 try_id=new_try_id(request_id),
                 key=key or named_id,
                 is_key_minted=bool(named_id) and not key,
--- a/src/trefoilpaddle/roles/gateway.py
+++ b/src/trefoilpaddle/roles/gateway.py
@@ -17,6 +17,7 @@
 from ..coordination.key_claims import KeyClaims
 from ..coordination.key_parts import incarnations_at
 from ..coordination.lifecycle import Lifecycle
+from ..coordination.limits import Limiter as LeasedLimiter
 from ..coordination.minted import MintedClaims
 from ..coordination.open_attempts import OpenAttempts
 from ..coordination.prediction import Predictor
@@ -298,16 +299,25 @@
             process=process, platform=settings.platform, peers=settings.peers
         ) as feed,
     ):
+        limiter = LeasedLimiter(
+            gateway=process.identity.process_id,
+            incarnation=process.identity.incarnation,
+            published=process.published,
+            asker=process.peers,
+            journal=process.journal,
+        )
         gateway = Gateway(
             settings=settings,
             process=process,
             directory=feed.directory,
+            limiter=limiter,
             keys=claimed_keys(
                 settings=settings, process=process, directory=feed.directory
             ),
             is_known=feed.is_known,
         )
         async with (
+            limiter.running(),
             operators(
                 process=process,
                 listen=settings.process.operators_listen,
--- a/src/trefoilpaddle/roles/sidecar.py
+++ b/src/trefoilpaddle/roles/sidecar.py
@@ -16,6 +16,7 @@
 from ..coordination.drain import drain
 from ..coordination.engine_calls import EngineCaller
 from ..coordination.key_parts import sidecar_keys
+from ..coordination.lease_home import LeaseHome
 from ..coordination.stage_journal import StageJournal
 from ..coordination.stage_server import StageServer
 from ..coordination.target_calls import PlainCaller, TargetCaller
@@ -165,6 +166,12 @@
             journal=process.journal,
             window_s=self._settings.retention.retry_window_s,
         )
+        LeaseHome(
+            process_id=process.identity.process_id,
+            incarnation=process.identity.incarnation,
+            published=process.published,
+            journal=process.journal,
+        ).mount(process.server)
         process.published.subscribe(self._on_published)
         async with self._http.opened(), process.running():
             tasks = [
--- a/src/trefoilpaddle/state/gateway_shares.py
+++ b/src/trefoilpaddle/state/gateway_shares.py
@@ -7,7 +7,7 @@
 from ..protocol.checksum import checksum, place_score
 from .hosts import HostList
 
-N_BUCKETS: Final = 32
+N_BUCKETS: Final = 16
 """Entries are dealt into so many buckets; each bucket has one home, so that a
 gateway talks to few homes however many entries there are."""
 
@@ -70,10 +70,10 @@
             self._slot_shares.clear()
         return self._listed | self._gone.keys() if self._gone else self._listed
 
-    def flow_share(self, gateway: str, limit: float) -> float:
-        """Return the share of a rate limit, in its units a second."""
+    def fraction(self, gateways: frozenset[str]) -> float:
+        """Return the part of any rate limit that is the share of `gateways`."""
         names = self.gateways()
-        return limit / len(names) if gateway in names else 0.0
+        return len(names & gateways) / len(names) if names else 0.0
 
     def slot_shares(self, entry: str, limit: int) -> dict[str, int]:
         """Return every gateway's share of a concurrency limit, whole places.
--- a/src/trefoilpaddle/state/lease_hand.py
+++ b/src/trefoilpaddle/state/lease_hand.py
@@ -8,6 +8,8 @@
 from .token_bucket import TokenBucket
 
 HEADROOM_PERIODS: Final = 1.5
+LOW_SHARE: Final = 0.4
+"""Part of the units last wanted below which more are asked for in advance."""
 RATE_HALF_LIFE_S: Final = 2.0
 
 
@@ -31,6 +33,7 @@
 
     __slots__ = (
         "_bucket",
+        "_low",
         "_missed",
         "_need",
         "_rate_per_s",
@@ -43,6 +46,7 @@
 
     def __init__(self, *, now_s: float) -> None:
         self._units = 0.0
+        self._low = 0.0
         self._until_s = now_s
         self._used = 0.0
         self._missed = 0.0
@@ -86,15 +90,24 @@
         self._bucket.level -= n_units - leased
         self._used += leased
 
+    def is_missed(self) -> bool:
+        """Return True if a request lacked units since the last report."""
+        return self._missed > 0.0
+
+    def is_low(self) -> bool:
+        """Return True if a request may soon find too few units."""
+        return self._units < self._low
+
     def give_back(self, n_units: float) -> None:
         """Return units taken and not used after all."""
         self._units += n_units
         self._used -= n_units
 
-    def report(self, now_s: float, *, period_s: float) -> Want:
+    def report(self, now_s: float, *, period_s: float, n_spare: float) -> Want:
         """Return what to tell the home, and count it as told.
 
-        Units beyond the next period's expected use are given back.
+        Units beyond the next period's expected use, or `n_spare` if that is
+        more, are given back.
         """
         passed_s = max(1e-3, now_s - self._reported_s)
         weight = min(1.0, passed_s / RATE_HALF_LIFE_S)
@@ -103,7 +116,8 @@
         if now_s >= self._until_s:
             self._units = 0.0
         headroom = HEADROOM_PERIODS * period_s * self._rate_per_s
-        target = math.ceil(self._missed) + math.floor(headroom)
+        target = math.ceil(self._missed) + max(n_spare, math.floor(headroom))
+        self._low = LOW_SHARE * target
         returned = max(0.0, self._units - target)
         self._units -= returned
         want = Want(
@@ -186,14 +200,24 @@
         self.n_used += 1
         self._peak = max(self._peak, self.n_used)
 
+    def is_missed(self) -> bool:
+        """Return True if a request lacked a place since the last report."""
+        return self._pending > 0
+
     def release(self) -> None:
         """Free one place."""
         self.n_used -= 1
 
-    def report(self, now_s: float, *, share: int, limit: int) -> Want:
-        """Return what to tell the home; places beyond it are given up at once."""
-        headroom = 0 if self.is_contended else self._peak - self.n_used
-        want = min(limit, self.n_used + self._pending + max(0, headroom))
+    def report(self, now_s: float, *, share: int, limit: int, n_spare: int) -> Want:
+        """Return what to tell the home; places beyond it are given up at once.
+
+        `n_spare` free places are kept for the next request, unless another
+        gateway waits for them.
+        """
+        headroom = max(n_spare, self._peak - self.n_used)
+        if self.is_contended:
+            headroom = 0
+        want = min(limit, self.n_used + self._pending + headroom)
         usable = self._granted if now_s < self._until_s else min(self._granted, share)
         keep = max(self.n_used, min(usable, want))
         self._granted = keep
