--- a/src/trefoilpaddle/coordination/config_peers.py
+++ b/src/trefoilpaddle/coordination/config_peers.py
@@ -20,6 +20,7 @@
 from .config_state import ConfigState, News
 from .config_wire import (
     PAGE_BYTES,
+    PAGE_ITEMS,
     from_wire,
     n_bytes,
     pack_hosts,
@@ -263,7 +264,7 @@
     page: list[PublishedItem] = []
     size_bytes = 0
     for _, group in groupby(items, key=lambda item: item.key):
-        if size_bytes >= PAGE_BYTES:
+        if size_bytes >= PAGE_BYTES or len(page) >= PAGE_ITEMS:
             return page, True
         versions = list(group)
         page += versions
--- a/src/trefoilpaddle/coordination/limits.py
+++ b/src/trefoilpaddle/coordination/limits.py
@@ -275,7 +275,7 @@
 
     @contextlib.asynccontextmanager
     async def running(self) -> AsyncIterator["Limiter"]:
-        """Keep contact with the homes while the context is open, then leave."""
+        """Keep contact with the homes while the context is open."""
         self._tasks = {}
         self._open_contacts()
         try:
@@ -285,7 +285,6 @@
             for task in tasks.values():
                 task.cancel()
             await asyncio.gather(*tasks.values(), return_exceptions=True)
-            await self.leave()
 
     async def leave(self) -> None:
         """Tell every home in touch that this gateway uses its shares no more."""
--- a/src/trefoilpaddle/coordination/prediction.py
+++ b/src/trefoilpaddle/coordination/prediction.py
@@ -75,10 +75,15 @@
         slowest = request.pipeline.stages[index]
         for later in range(index, len(request.pipeline.stages)):
             stage = request.pipeline.stages[later]
+            needed_s += self._expected_s(request, later)
+            # What waits at later stages now says little by the time they come;
+            # before anything is spent it is still the best guess.
+            if index > 0 and later > index:
+                continue
             stage_wait_s = self._router.least_wait_s(stage.service)
+            needed_s += stage_wait_s
             if stage_wait_s > wait_s:
                 wait_s, slowest = stage_wait_s, stage
-            needed_s += stage_wait_s + self._expected_s(request, later)
         weight = request.governing.entry.attainment_weight
         if needed_s * (CAUTION - CAUTION_STEP * weight) <= left_s:
             return None
--- a/src/trefoilpaddle/coordination/retries.py
+++ b/src/trefoilpaddle/coordination/retries.py
@@ -9,10 +9,11 @@
 from ..protocol.errors import NotRun, StageError
 from ..protocol.reasons import Reason
 from ..state.budget import RetryBudget, RetryBudgets
-from ..state.journal import Decision, Event, Figure, Journal
+from ..state.journal import Event, Figure, Journal
 from ..state.settings import Choice, PolicySettings
 from .calls import Call, CallParts, Outcome, hedged, late_bound
 from .open_attempts import OpenAttempts
+from .request_decisions import stage_decision
 from .routing import Chosen, Router
 from .spent import Spent
 from .stage_work import Sink, StageAnswer, StageFault, StageWork
@@ -112,7 +113,7 @@
                 return Err(fault.error)
             if not budget.spend():
                 return Err(fault.error)
-            self._record_retry(work, fault.error)
+            self._journal.record(stage_decision(Event.RETRIED, work, error=fault.error))
 
     async def _attempt(
         self,
@@ -128,12 +129,11 @@
         call = Call(work=work, view=chosen.view, parts=parts)
         if not self._may_hedge(work, parts):
             return await call.run()
-        delay_s = chosen.wait_s + max(HEDGE_MIN_S, HEDGE_FACTOR * work.high_s)
 
         def second() -> Call | None:
             return self._hedge(work, parts, budget, tried)
 
-        return await hedged(call, delay_s=delay_s, second=second)
+        return await hedged(call, delay_s=_hedge_delay_s(work, chosen), second=second)
 
     def _is_late_bound(self, chosen: Chosen, tried: _Tried) -> bool:
         is_first = tried.last is None
@@ -188,40 +188,32 @@
         self, event: Event, work: StageWork, chosen: Chosen, *, n_tried: int
     ) -> None:
         second = chosen.second.process_id if chosen.second is not None else ""
-        now_s = time.monotonic()
+        figures = (
+            Figure(name="predicted_s", value=chosen.predicted_s),
+            Figure(name="wait_s", value=chosen.wait_s),
+            Figure(name="slack_s", value=work.stage_deadline_s - time.monotonic()),
+            Figure(name="n_candidates", value=chosen.n_candidates),
+            Figure(name="second_s", value=chosen.second_s),
+            Figure(name="prefix_share", value=chosen.prefix_share),
+            Figure(name="n_tried", value=n_tried),
+        )
         self._journal.record(
-            Decision(
-                event=event,
-                request_id=work.request_id,
-                entry=work.governing.name,
-                owner=work.governing.entry.owner,
-                config_revision=work.governing.config_revision,
-                stage=work.stage.name,
+            stage_decision(
+                event,
+                work,
                 peer=chosen.view.process_id,
                 detail=f"second choice {second}" if second else "",
-                figures=(
-                    Figure(name="predicted_s", value=chosen.predicted_s),
-                    Figure(name="wait_s", value=chosen.wait_s),
-                    Figure(name="slack_s", value=work.stage_deadline_s - now_s),
-                    Figure(name="n_candidates", value=chosen.n_candidates),
-                    Figure(name="second_s", value=chosen.second_s),
-                    Figure(name="prefix_share", value=chosen.prefix_share),
-                    Figure(name="n_tried", value=n_tried),
-                ),
+                figures=figures,
             )
         )
 
-    def _record_retry(self, work: StageWork, error: StageError) -> None:
-        self._journal.record(
-            Decision(
-                event=Event.RETRIED,
-                request_id=work.request_id,
-                entry=work.governing.name,
-                owner=work.governing.entry.owner,
-                config_revision=work.governing.config_revision,
-                stage=work.stage.name,
-                peer=error.peer,
-                reason=error.reason,
-                detail=error.detail,
-            )
-        )
+
+def _hedge_delay_s(work: StageWork, chosen: Chosen) -> float:
+    """Return how long to wait for an answer before a second attempt.
+
+    As late as a second attempt can still be in time, since each costs a target's
+    work; but never before the first is slower than such calls usually are.
+    """
+    usual_s = max(HEDGE_MIN_S, HEDGE_FACTOR * work.high_s)
+    left_s = work.stage_deadline_s - time.monotonic()
+    return max(chosen.wait_s + usual_s, left_s - usual_s)
--- a/src/trefoilpaddle/roles/gateway.py
+++ b/src/trefoilpaddle/roles/gateway.py
@@ -9,6 +9,7 @@
 
 from absl import logging
 
+from ..coordination import limits
 from ..coordination.claim_book import ClaimBook
 from ..coordination.claims import Claimer
 from ..coordination.config_feed import config_feed
@@ -17,7 +18,6 @@
 from ..coordination.key_claims import KeyClaims
 from ..coordination.key_parts import incarnations_at
 from ..coordination.lifecycle import Lifecycle
-from ..coordination.limits import Limiter as LeasedLimiter
 from ..coordination.minted import MintedClaims
 from ..coordination.open_attempts import OpenAttempts
 from ..coordination.prediction import Predictor
@@ -299,7 +299,7 @@
             process=process, platform=settings.platform, peers=settings.peers
         ) as feed,
     ):
-        limiter = LeasedLimiter(
+        limiter = limits.Limiter(
             gateway=process.identity.process_id,
             incarnation=process.identity.incarnation,
             published=process.published,
@@ -317,14 +317,15 @@
             is_known=feed.is_known,
         )
         async with (
-            limiter.running(),
             operators(
                 process=process,
                 listen=settings.process.operators_listen,
                 is_ready=gateway.is_ready,
                 held_back=lambda: feed.state.held_back,
             ),
+            limiter.running(),
             gateway.serving(),
         ):
             await process.stopping.wait()
+        await limiter.leave()
     return 0
--- a/src/trefoilpaddle/transport/connection.py
+++ b/src/trefoilpaddle/transport/connection.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import itertools
 import time
 from collections.abc import AsyncIterator, Callable
 from dataclasses import dataclass
@@ -15,6 +16,7 @@
 from ..protocol.frames import Frame, Message, encode
 from ..protocol.gen.stage.ttypes import Heartbeat, Hello
 from ..protocol.reader import FrameReader
+from .traffic import TRAFFIC
 
 READ_BYTES: Final = 128 * 1024
 HELLO_TIMEOUT_S: Final = 2.0
@@ -62,8 +64,11 @@
         "_is_finished",
         "_is_reading",
         "_reader",
+        "_unsent",
+        "_unsent_bytes",
         "_writer",
         "heard_s",
+        "hello_at_ns",
         "own",
         "peer",
         "pending",
@@ -79,6 +84,8 @@
         self._reader = reader
         self._writer = writer
         self._frames = FrameReader()
+        self._unsent: list[bytes] = []
+        self._unsent_bytes = 0
         self._ended = asyncio.Event()
         self._is_closed = False
         self._is_finished = False
@@ -86,6 +93,7 @@
         self.own = own
         self.peer = Hello()
         self.heard_s = time.monotonic()
+        self.hello_at_ns = 0
         self.pending: list[Frame] = []
 
     @property
@@ -100,25 +108,46 @@
     def write(self, message: Message, *, call: int = 0) -> bool:
         """Queue `message` for sending; return False if the connection is closed.
 
-        A peer that stops reading while control messages pile up is cut off
-        rather than allowed to fill this process's memory.
+        All that is written in one turn of the event loop leaves in one call of
+        the kernel, which costs more than a small frame. A peer that stops
+        reading while control messages pile up is cut off rather than allowed to
+        fill this process's memory.
         """
         if self.is_closing():
             return False
-        self._writer.write(encode(message, call=call))
-        if self._writer.transport.get_write_buffer_size() > MAX_UNSENT_BYTES:
+        data = encode(message, call=call)
+        TRAFFIC.n_frames_sent += 1
+        TRAFFIC.sent_bytes += len(data)
+        if not self._unsent:
+            asyncio.get_running_loop().call_soon(self._flush)
+        self._unsent.append(data)
+        self._unsent_bytes += len(data)
+        queued_bytes = self._writer.transport.get_write_buffer_size()
+        if queued_bytes + self._unsent_bytes > MAX_UNSENT_BYTES:
             self.abort()
             return False
         return True
 
+    def _flush(self) -> None:
+        data = b"".join(self._unsent)
+        self._unsent.clear()
+        self._unsent_bytes = 0
+        if data and not self._writer.is_closing():
+            self._writer.write(data)
+
     async def drain(self) -> None:
         """Wait until the peer takes what was written; a closed one is no error."""
+        self._flush()
         with contextlib.suppress(OSError):
             await self._writer.drain()
 
-    async def keep_alive(self, own_heartbeat: Callable[[], Heartbeat]) -> None:
+    async def keep_alive(
+        self, own_heartbeat: Callable[[], Heartbeat], n_ticks: Callable[[], int]
+    ) -> None:
         """Send heartbeats until the connection closes or the peer is dead.
 
+        One goes out every `n_ticks` times ``HEARTBEAT_S``.
+
         A peer whose host vanished sends no FIN and would keep its connection
         open for ever. Silence is counted in own heartbeats, not on the clock:
         after a pause of this process the peer's heartbeats still wait unread,
@@ -126,8 +155,11 @@
         """
         n_silent = 0
         heard_s = self.heard_s
-        while not self.is_closing():
-            self._send_heartbeat(own_heartbeat)
+        for tick in itertools.count():
+            if self.is_closing():
+                return
+            if tick % n_ticks() == 0:
+                self._send_heartbeat(own_heartbeat)
             await asyncio.sleep(HEARTBEAT_S)
             n_silent = n_silent + 1 if self.heard_s == heard_s else 0
             heard_s = self.heard_s
@@ -159,6 +191,7 @@
             return self._error("its process id is empty or too long")
         if self._is_own(frame.message):
             return self._error("is this process itself")
+        self.hello_at_ns = time.monotonic_ns()
         self.peer = frame.message
         return Ok(self.peer)
 
@@ -185,10 +218,12 @@
         self.heard_s = time.monotonic()
         match self._frames.feed(data):
             case Ok(frames):
+                TRAFFIC.n_frames_received += len(frames)
+                TRAFFIC.received_bytes += len(data)
                 self.pending += frames
                 return True
             case Err(problem):
-                logging.warning("%s: %s", self.peer_name, problem)
+                logging.warning("%s: stream closed: %s", self.peer_name, problem)
                 self.abort()
                 return False
 
@@ -219,6 +254,7 @@
         peer then loses what was sent last. So only the sending side closes
         first, and the rest when the peer has closed its side.
         """
+        self._flush()
         self._is_finished = True
         try:
             async with asyncio.timeout(CLOSE_TIMEOUT_S):
@@ -227,7 +263,9 @@
                 else:
                     self._writer.close()
                 await self._peer_closes()
-        except OSError:  # a timeout too
+        except (OSError, RuntimeError):
+            # OSError is a timeout too; the loop raises RuntimeError where the
+            # peer's reset closed the socket a moment before.
             pass
         self.abort()
 
