--- a/src/trefoilpaddle/cli/check.py
+++ b/src/trefoilpaddle/cli/check.py
@@ -44,6 +44,8 @@
         print(f"would {difference}")
     if is_compared and not found and checked.catalogue is not None:
         print("no difference to what is in force")
+    for source in checked.skipped:
+        print(f"skipped: {source}: neither settings nor catalogue")
     print(
         f"{len(checked.sources)} files read, {len(checked.problems)} faults,"
         f" {len(checked.warnings)} warnings"
@@ -54,6 +56,7 @@
     return orjson.dumps(
         {
             "sources": checked.sources,
+            "skipped": checked.skipped,
             "faults": checked.problems,
             "warnings": checked.warnings,
             "differences": found,
--- a/src/trefoilpaddle/cli/main.py
+++ b/src/trefoilpaddle/cli/main.py
@@ -87,8 +87,10 @@
         from as many seeds. The exit code is 1 if a stated outcome is not
         reached, or something that must always hold did not.
         """
-        # Loaded here: only this command needs the stand-ins and histograms.
-        from .replay import replay as run
+        try:
+            from .replay import replay as run
+        except ModuleNotFoundError as error:  # left out of the binary
+            sys.exit(f"replay needs {error.name}; run it from a checkout")
 
         sys.exit(
             run(
