--- /dev/null
+++ b/src/trefoilpaddle/coordination/orders.py
@@ -0,0 +1,297 @@
+"""Orders to the one target, sent by its own sidecar alone and fenced."""
+
+import asyncio
+import secrets
+import time
+from collections.abc import Callable
+from dataclasses import dataclass
+from enum import StrEnum, unique
+from typing import Final
+
+import orjson
+from aiohttp import ClientError, ClientResponse
+from result import Err, Ok, Result
+
+from ..protocol.reasons import Reason
+from ..state.journal import Decision, Event, Figure, Journal
+from ..state.settings import Fencing
+from ..transport.target_http import SendGuard, SendRefusedError, TargetHttp
+
+PATH: Final = "/v1/orders"
+ORDER_TIMEOUT_S: Final = 120.0
+"""Longest that loading a model may take."""
+
+MAX_AGE_S: Final = 2.0
+"""An order decided longer ago than this is not sent."""
+
+FENCE_STEP_BITS: Final = 32
+"""A sidecar takes a fencing number this far, at random, above the highest."""
+
+NO_MODEL: Final = "trefoilpaddle.none"
+"""A model that is never loaded; unloading it tells the highest fencing number."""
+
+HTTP_OK: Final = 200
+HTTP_CONFLICT: Final = 409
+BUSY_STATUSES: Final = (429, 503)
+
+
+@unique
+class OrderKind(StrEnum):
+    """What a target is told to do."""
+
+    LOAD_MODEL = "load_model"
+    UNLOAD_MODEL = "unload_model"
+    LOAD_ADAPTER = "load_adapter"
+    SET_ROLE = "set_role"
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Order:
+    """One order.
+
+    Parameters
+    ----------
+    kind : OrderKind
+        What to do.
+    name, version : str
+        Of the model or adapter, or the role.
+    """
+
+    kind: OrderKind
+    name: str
+    version: str = ""
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class NotSent:
+    """Nothing left this process: no lock, superseded, or decided too long ago."""
+
+    detail: str
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Superseded:
+    """A newer sidecar has given orders; this one never will again."""
+
+    highest: int
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Busy:
+    """The target or the weight store asks to come back later."""
+
+    retry_after_s: float
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class OrderFailed:
+    """The order failed, or its outcome is not known; repeating it is harmless."""
+
+    detail: str
+
+
+OrderError = NotSent | Superseded | Busy | OrderFailed
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class _Reply:
+    status: int
+    highest: int
+    retry_after_s: float
+
+
+class TargetOrders:
+    """Sends orders to a target, one at a time.
+
+    Parameters
+    ----------
+    http : TargetHttp
+        Reaches the target.
+    target : str
+        Its name.
+    fencing : Fencing
+        Whether the target refuses orders with an old fencing number.
+    has_lock : callable
+        Returns True while this process holds the target's port lock.
+    journal : Journal
+        Takes each order sent or refused.
+    clock : callable
+        Monotonic seconds.
+    """
+
+    __slots__ = (
+        "_clock",
+        "_fencing",
+        "_has_lock",
+        "_http",
+        "_journal",
+        "_one_at_a_time",
+        "_target",
+        "fence",
+        "is_superseded",
+    )
+
+    def __init__(
+        self,
+        *,
+        http: TargetHttp,
+        target: str,
+        fencing: Fencing,
+        has_lock: Callable[[], bool],
+        journal: Journal,
+        clock: Callable[[], float] = time.monotonic,
+    ) -> None:
+        self._http = http
+        self._target = target
+        self._fencing = fencing
+        self._has_lock = has_lock
+        self._journal = journal
+        self._clock = clock
+        self._one_at_a_time = asyncio.Lock()
+        self.fence = 0
+        self.is_superseded = False
+
+    async def send(
+        self, order: Order, *, decided_s: float | None = None
+    ) -> Result[None, OrderError]:
+        """Give `order` to the target and wait until it has obeyed.
+
+        Parameters
+        ----------
+        order : Order
+            What to do.
+        decided_s : float, optional
+            When it was decided, on `clock`; now if left out.
+        """
+        begin_s = self._clock() if decided_s is None else decided_s
+        async with self._one_at_a_time:
+            outcome = await self._send(order, begin_s)
+        self._record(order, outcome)
+        return outcome
+
+    async def _send(self, order: Order, begin_s: float) -> Result[None, OrderError]:
+        if self.fence == 0 and self._fencing is Fencing.CHECKED:
+            match await self._take_fence(begin_s):
+                case Err(error):
+                    return Err(error)
+        return await self._post_fenced(order, begin_s)
+
+    async def _take_fence(self, begin_s: float) -> Result[None, OrderError]:
+        """Take a fencing number above every earlier one, known to the target.
+
+        The number must rise over restarts, and nothing here lasts: the target
+        alone remembers. A harmless order with number 0 brings the highest in
+        its refusal; another with the number taken makes it the highest, so that
+        orders of a former sidecar, still on their way, come too late. The step
+        is random: two sidecars that ask at the same time take different ones.
+        """
+        probe = Order(kind=OrderKind.UNLOAD_MODEL, name=NO_MODEL)
+        match await self._post(probe, fence=0, begin_s=begin_s):
+            case Err(error):
+                return Err(error)
+            case Ok(reply):
+                step = 1 + secrets.randbits(FENCE_STEP_BITS)
+                self.fence = reply.highest + step
+        taken = await self._post_fenced(probe, begin_s)
+        if taken.is_err() and not self.is_superseded:
+            self.fence = 0
+        return taken
+
+    async def _post_fenced(
+        self, order: Order, begin_s: float
+    ) -> Result[None, OrderError]:
+        match await self._post(order, fence=self.fence, begin_s=begin_s):
+            case Err(error):
+                return Err(error)
+            case Ok(_Reply(status=status) as reply):
+                return self._judge(status, reply)
+
+    def _judge(self, status: int, reply: _Reply) -> Result[None, OrderError]:
+        if status == HTTP_OK:
+            return Ok(None)
+        if status == HTTP_CONFLICT:
+            # Never take a higher number now: only a sidecar that started later
+            # can have raised it, and a paused one that wakes must yield.
+            self.is_superseded = True
+            return Err(Superseded(highest=reply.highest))
+        if status in BUSY_STATUSES:
+            return Err(Busy(retry_after_s=reply.retry_after_s))
+        return Err(OrderFailed(detail=f"the target answered {status}"))
+
+    async def _post(
+        self, order: Order, *, fence: int, begin_s: float
+    ) -> Result[_Reply, OrderError]:
+        body = {
+            "fence": fence,
+            "order": order.kind.value,
+            "name": order.name,
+            "version": order.version,
+        }
+        guard = SendGuard(may_send=lambda: not self._obstacle(begin_s))
+        try:
+            async with (
+                asyncio.timeout(ORDER_TIMEOUT_S),
+                self._http.guarded_post(
+                    PATH, body=orjson.dumps(body), headers={}, guard=guard
+                ) as response,
+            ):
+                return Ok(await _reply_of(response))
+        except SendRefusedError:
+            return Err(NotSent(detail=self._obstacle(begin_s)))
+        except (ClientError, OSError, TimeoutError) as error:
+            if guard.is_refused:
+                return Err(NotSent(detail=self._obstacle(begin_s)))
+            return Err(OrderFailed(detail=repr(error)))
+
+    def _obstacle(self, begin_s: float) -> str:
+        """Return why no order may leave now, empty if it may.
+
+        Read right before the bytes leave, so that a pause between decision and
+        sending does not put an old belief into effect.
+        """
+        if not self._has_lock():
+            return "this process does not hold the target's lock"
+        if self.is_superseded:
+            return "a newer sidecar gives this target its orders"
+        if self._clock() - begin_s > MAX_AGE_S:
+            return "it was decided too long ago"
+        return ""
+
+    def _record(self, order: Order, outcome: Result[None, OrderError]) -> None:
+        event, reason, detail = Event.ORDER_SENT, Reason.NONE, ""
+        match outcome:
+            case Err(error):
+                event, reason = Event.ORDER_REFUSED, _reason_of(error)
+                detail = f": {error}"
+        self._journal.record(
+            Decision(
+                event=event,
+                peer=self._target,
+                reason=reason,
+                detail=f"{order.kind.value} {order.name} {order.version}{detail}",
+                figures=(Figure(name="fence", value=self.fence),),
+            )
+        )
+
+
+async def _reply_of(response: ClientResponse) -> _Reply:
+    highest = 0
+    if response.status == HTTP_CONFLICT:
+        body = orjson.loads(await response.read())
+        highest = int(body.get("fence", 0))
+    retry_after = response.headers.get("Retry-After", "1")
+    return _Reply(
+        status=response.status,
+        highest=highest,
+        retry_after_s=float(retry_after) if retry_after.isdigit() else 1.0,
+    )
+
+
+def _reason_of(error: OrderError) -> Reason:
+    match error:
+        case Superseded() | NotSent():
+            return Reason.WRONG_INCARNATION
+        case Busy():
+            return Reason.QUEUE_FULL
+        case OrderFailed():
+            return Reason.TARGET_FAILED
--- a/src/trefoilpaddle/protocol/frames.py
+++ b/src/trefoilpaddle/protocol/frames.py
@@ -19,6 +19,7 @@
 from .gen.explain import ttypes as explain
 from .gen.limits import ttypes as limits
 from .gen.membership import ttypes as membership
+from .gen.placement import ttypes as placement
 from .gen.stage import ttypes as stage
 
 HEADER: Final = struct.Struct(">IBI")
@@ -58,6 +59,7 @@
     65: claims.CopyAnswer,
     70: limits.LeaseAsk,
     71: limits.LeaseAnswer,
+    75: placement.Holdings,
     80: explain.ExplainAsk,
     81: explain.ExplainAnswer,
     82: explain.StatusAsk,
