Count shared prefixes as cached in capacity; let the baseline run without deadlines

Change: the work of a request is its least (shared prefixes cached); baseline requests name no deadline and entries allow twice the scaled one.

--- a/src/trefoilpaddle/replay/client.py
+++ b/src/trefoilpaddle/replay/client.py
@@ -48,16 +48,18 @@
     request: Request,
     judge: Judge,
     key: str,
+    names_deadline: bool,
 ) -> Answer:
     """Send request number `index` to `gateway` and return what came of it.
 
     Never raises for what a gateway does; a lost connection is a verdict.
     """
     heard = _Heard()
+    headers = _headers(request, key, names_deadline=names_deadline)
     begin = time.monotonic()
     try:
         async with asyncio.timeout(request.deadline_s * GRACE_FACTOR):
-            await _exchange(session, gateway, request, key, heard)
+            await _exchange(session, gateway, request, headers, heard)
     except (aiohttp.ClientError, OSError, TimeoutError, ValueError):
         pass
     latency_s = time.monotonic() - begin
@@ -68,12 +70,12 @@
     session: aiohttp.ClientSession,
     gateway: str,
     request: Request,
-    key: str,
+    headers: dict[str, str],
     heard: _Heard,
 ) -> None:
     body, content_type = body_of(request)
+    headers = {**headers, "Content-Type": content_type}
     url = f"{gateway}/v1/pipelines/{request.pipeline}"
-    headers = _headers(request, content_type, key)
     async with session.post(url, data=body, headers=headers) as response:
         heard.status = response.status
         heard.request_id = response.headers.get("X-Request-Id", "")
@@ -86,14 +88,14 @@
             heard.error = _error_of(orjson.loads(heard.body))
 
 
-def _headers(request: Request, content_type: str, key: str) -> dict[str, str]:
+def _headers(request: Request, key: str, *, names_deadline: bool) -> dict[str, str]:
     headers = {
-        "Content-Type": content_type,
         "X-Client-Account": request.account,
         "X-Class-Of-Work": request.class_of_work,
-        "X-Deadline-S": f"{request.deadline_s:g}",
         "X-Priority": str(request.priority),
     }
+    if names_deadline:
+        headers["X-Deadline-S"] = f"{request.deadline_s:g}"
     if request.is_streamed:
         headers["Accept"] = "text/event-stream"
     if request.is_keyed:
--- a/src/trefoilpaddle/replay/generate.py
+++ b/src/trefoilpaddle/replay/generate.py
@@ -45,7 +45,7 @@
 
     The rate of requests is the scenario's share of what capacity serves: the
     speed of the scarcest service, divided by the mean work that a request of
-    the workload asks of it, without any prefix hit.
+    the workload asks of it, with every shared prefix cached.
     """
     plan = scenario_of(scenario, site.workload, site.time_scale)
     base_rate = plan.offered_share / _work_of_one_a_second(site)
@@ -59,7 +59,7 @@
         origin=(
             f"generated: Poisson arrivals at {base_rate:.1f} requests a second, "
             f"which is {plan.offered_share:g} of the speed of the scarcest service "
-            "over the mean work of a request without prefix hits"
+            "over the mean work of a request with shared prefixes cached"
         ),
         seed=seed,
         deployment=site.workload.deployment,
--- a/src/trefoilpaddle/replay/launched.py
+++ b/src/trefoilpaddle/replay/launched.py
@@ -118,12 +118,15 @@
     served only once every process could vouch that it has forgotten no claim,
     so the processes are left alone for that long before the trace begins.
     """
-    values = _scaled(site.values, time_scale)
     longest_s = max(entry.deadline_s for entry in site.catalogue.entries.values())
-    vouch_s = RETRY_WINDOW_S + longest_s * time_scale
 
     @contextlib.asynccontextmanager
-    async def open_plant(policy: PolicySettings) -> AsyncIterator[Plant]:
+    async def open_plant(
+        policy: PolicySettings, deadline_factor: float
+    ) -> AsyncIterator[Plant]:
+        factor = time_scale * deadline_factor
+        values = _scaled(site.values, factor)
+        vouch_s = RETRY_WINDOW_S + longest_s * factor
         overrides = Overrides(
             policy=_table(policy), retention={"retry_window_s": RETRY_WINDOW_S}
         )
@@ -136,12 +139,12 @@
     return open_plant
 
 
-def _scaled(values: PublishedValues, time_scale: float) -> PublishedValues:
+def _scaled(values: PublishedValues, factor: float) -> PublishedValues:
     scaled = dict(values)
     for key, value in values.items():
         deadline_s = value.get("deadline_s")
         if key.startswith("entry/") and isinstance(deadline_s, float):
-            scaled[key] = {**value, "deadline_s": deadline_s * time_scale}
+            scaled[key] = {**value, "deadline_s": deadline_s * factor}
     return scaled
 
 
--- a/src/trefoilpaddle/replay/player.py
+++ b/src/trefoilpaddle/replay/player.py
@@ -22,7 +22,13 @@
 
 
 async def play(
-    trace: Trace, *, plant: Plant, judge: Judge, label: str, on_answer: OnAnswer
+    trace: Trace,
+    *,
+    plant: Plant,
+    judge: Judge,
+    label: str,
+    on_answer: OnAnswer,
+    names_deadline: bool = True,
 ) -> Replayed:
     """Send all requests of `trace` at their times and collect what came of them.
 
@@ -38,46 +44,79 @@
         Names the run; idempotency keys carry it, so that runs don't mix.
     on_answer : callable
         Called with each answer; shows progress.
+    names_deadline : bool
+        False sends requests without their deadline.
     """
-    replayed = Replayed(label=label)
     connector = aiohttp.TCPConnector(limit=MAX_CONNECTIONS)
     async with aiohttp.ClientSession(connector=connector) as session:
-        balancer = Balancer(gateways=plant.gateways)
-        async with balancer.checking(session):
-            begin = asyncio.get_running_loop().time() + LEAD_S
-            async with asyncio.TaskGroup() as group:
-                group.create_task(drive_faults(trace.head.faults, plant, begin))
-                for index in range(len(trace.requests)):
-                    call = _one(trace, index, session, balancer, judge, begin, replayed)
-                    group.create_task(call).add_done_callback(
-                        lambda task: on_answer(task.result())
-                    )
+        player = _Player(
+            trace=trace,
+            session=session,
+            balancer=Balancer(gateways=plant.gateways),
+            judge=judge,
+            label=label,
+            names_deadline=names_deadline,
+        )
+        await player.run(plant, on_answer)
+    replayed = player.replayed
     replayed.runs, replayed.n_lost_records = await plant.records()
     replayed.answers.sort(key=lambda answer: answer.index)
     return replayed
 
 
-async def _one(
-    trace: Trace,
-    index: int,
-    session: aiohttp.ClientSession,
-    balancer: Balancer,
-    judge: Judge,
-    begin: float,
-    replayed: Replayed,
-) -> Answer:
-    loop = asyncio.get_running_loop()
-    request = trace.requests[index]
-    due = begin + request.at_s
-    await asyncio.sleep(max(0.0, due - loop.time()))
-    replayed.late_starts_s.append(max(0.0, loop.time() - due))
-    answer = await ask(
-        session=session,
-        gateway=balancer.pick(),
-        index=index,
-        request=request,
-        judge=judge,
-        key=f"{replayed.label}-{trace.head.name}-{trace.head.seed}-{index}",
+class _Player:
+    """Sends the requests of one trace."""
+
+    __slots__ = (
+        "_balancer",
+        "_judge",
+        "_names_deadline",
+        "_session",
+        "_trace",
+        "replayed",
     )
-    replayed.answers.append(answer)
-    return answer
+
+    def __init__(
+        self,
+        *,
+        trace: Trace,
+        session: aiohttp.ClientSession,
+        balancer: Balancer,
+        judge: Judge,
+        label: str,
+        names_deadline: bool,
+    ) -> None:
+        self._trace = trace
+        self._session = session
+        self._balancer = balancer
+        self._judge = judge
+        self._names_deadline = names_deadline
+        self.replayed = Replayed(label=label)
+
+    async def run(self, plant: Plant, on_answer: OnAnswer) -> None:
+        """Play the whole trace, faults included."""
+        async with self._balancer.checking(self._session):
+            begin = asyncio.get_running_loop().time() + LEAD_S
+            async with asyncio.TaskGroup() as group:
+                group.create_task(drive_faults(self._trace.head.faults, plant, begin))
+                for index in range(len(self._trace.requests)):
+                    group.create_task(self._send(index, begin, on_answer))
+
+    async def _send(self, index: int, begin: float, on_answer: OnAnswer) -> None:
+        loop = asyncio.get_running_loop()
+        request = self._trace.requests[index]
+        head = self._trace.head
+        due = begin + request.at_s
+        await asyncio.sleep(max(0.0, due - loop.time()))
+        self.replayed.late_starts_s.append(max(0.0, loop.time() - due))
+        answer = await ask(
+            session=self._session,
+            gateway=self._balancer.pick(),
+            index=index,
+            request=request,
+            judge=self._judge,
+            key=f"{self.replayed.label}-{head.name}-{head.seed}-{index}",
+            names_deadline=self._names_deadline,
+        )
+        self.replayed.answers.append(answer)
+        on_answer(answer)
--- a/src/trefoilpaddle/replay/rounds.py
+++ b/src/trefoilpaddle/replay/rounds.py
@@ -8,7 +8,7 @@
 from ..state.settings import Choice, Order, PolicySettings
 from .audit import violations
 from .capacity import capacity_bound
-from .client import Judge
+from .client import GRACE_FACTOR, Judge
 from .figures import figures_of
 from .generate import Site
 from .outcomes import Played, Round
@@ -28,10 +28,16 @@
     adapt_concurrency=False,
     drop_expired=False,
 )
-"""Round robin, first come first served, no refusal, no budget."""
+"""Round robin, first come first served, no refusal, no budget.
 
-OpenPlant = Callable[[PolicySettings], AbstractAsyncContextManager[Plant]]
-"""Starts fresh processes under a policy and ends them with the context."""
+Requests are sent without a deadline: nothing is dropped, cancelled or put off
+because it is late. It is given up when its caller leaves, after
+`trefoilpaddle.replay.client.GRACE_FACTOR` deadlines.
+"""
+
+OpenPlant = Callable[[PolicySettings, float], AbstractAsyncContextManager[Plant]]
+"""Starts fresh processes under a policy, with the entries' deadlines multiplied
+by a factor, and ends them with the context."""
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -67,7 +73,7 @@
     Where the trace states an outcome against a fresh run, the product plays it
     once more without its faults.
     """
-    before = await _played(trace, "baseline", BASELINE, setup)
+    before = await _played(trace, "baseline", BASELINE, setup, names_deadline=False)
     after = await _played(trace, "product", product, setup)
     fresh = None
     if _needs_fresh(trace):
@@ -84,15 +90,22 @@
 
 
 async def _played(
-    trace: Trace, label: str, policy: PolicySettings, setup: RoundSetup
+    trace: Trace,
+    label: str,
+    policy: PolicySettings,
+    setup: RoundSetup,
+    *,
+    names_deadline: bool = True,
 ) -> Played:
-    async with setup.open_plant(policy) as plant:
+    deadline_factor = 1.0 if names_deadline else GRACE_FACTOR
+    async with setup.open_plant(policy, deadline_factor) as plant:
         replayed = await play(
             trace,
             plant=plant,
             judge=setup.judge,
             label=label,
             on_answer=setup.on_answer,
+            names_deadline=names_deadline,
         )
     found = violations(
         replayed, n_requests=len(trace.requests), once_paths=setup.once_paths
--- a/src/trefoilpaddle/replay/site.py
+++ b/src/trefoilpaddle/replay/site.py
@@ -15,6 +15,7 @@
     load_catalogue,
     load_description,
 )
+from ..standins.outputs import N_BLOCK_WORDS
 from ..state.catalogue import Catalogue, ServiceKind
 from ..state.check_files import check_path
 from .capacity import StageWork, TargetPlace
@@ -94,7 +95,9 @@
 
     An engine's step takes a base time and a time for each prompt that decodes.
     At a full batch, the most work a second, each token so takes its own time
-    and its part of the base; prompt tokens are added, with no prefix cached.
+    and its part of the base. Prompt tokens are added, but for those that are
+    shared with others (the stage's prompt prefix and the request's own): they
+    count as cached, so this is the least work that a request can be.
 
     Parameters
     ----------
@@ -119,12 +122,13 @@
 
     def _worked_out(self, request: Request) -> list[StageWork]:
         calls = expected_calls(self._catalogue, request)
-        return [self._work(call) for call in calls]
+        return [self._work(call, request) for call in calls]
 
-    def _work(self, call: ExpectedCall) -> StageWork:
+    def _work(self, call: ExpectedCall, request: Request) -> StageWork:
         service = self._services[call.stage.service]
         if service.kind is ServiceKind.ENGINE:
-            work_s, alone_s = _engine_times(_batch_model(service), call)
+            n_shared = _n_shared_tokens(call, request)
+            work_s, alone_s = _engine_times(_batch_model(service), call, n_shared)
         else:
             model = _call_model(service)
             work_s = model.base_s + model.s_per_kb * call.n_body_bytes / BYTES_PER_KB
@@ -136,8 +140,15 @@
         )
 
 
-def _engine_times(model: BatchModel, call: ExpectedCall) -> tuple[float, float]:
-    n_prompt_tokens = len(call.prompt.split())
+def _n_shared_tokens(call: ExpectedCall, request: Request) -> int:
+    n_shared = len(call.stage.prompt_prefix.split()) + request.n_prefix_words
+    return n_shared // N_BLOCK_WORDS * N_BLOCK_WORDS
+
+
+def _engine_times(
+    model: BatchModel, call: ExpectedCall, n_shared: int
+) -> tuple[float, float]:
+    n_prompt_tokens = len(call.prompt.split()) - n_shared
     prefill_s = model.prefill_per_token_s * n_prompt_tokens
     base_share_s = model.step_base_s / model.max_batch
     work_s = prefill_s + call.n_tokens * (base_share_s + model.step_per_prompt_s)
