Spare look-ups and empty objects in each decision

Cause: a profile of 8,000 calls (cProfile, gateway and sidecar) is flat; of our own code the record of decisions is the largest part (2.7 of 22 s in the gateway): a labelled counter was looked up for each decision, and setdefault built an empty Use, Counter or deque that was thrown away. Change: counters by event and reason are kept; defaultdict in place of setdefault.

--- a/src/trefoilpaddle/state/journal.py
+++ b/src/trefoilpaddle/state/journal.py
@@ -4,7 +4,7 @@
 import logging as python_logging
 import re
 import time
-from collections import deque
+from collections import defaultdict, deque
 from collections.abc import Callable, Iterator
 from dataclasses import dataclass
 from typing import Any, Final
@@ -175,7 +175,7 @@
         self._keep_s = keep_s
         self._n_records = n_records
         self._records: deque[Record] = deque()
-        self._by_request: dict[str, deque[Record]] = {}
+        self._by_request: defaultdict[str, deque[Record]] = defaultdict(deque)
         self._unwritten: list[Record] = []
         self._listeners: list[Callable[[Decision], None]] = []
 
@@ -188,7 +188,7 @@
         record = Record(decision=decision, monotonic_s=now_s, wall_s=time.time())
         self._records.append(record)
         if decision.request_id:
-            self._by_request.setdefault(decision.request_id, deque()).append(record)
+            self._by_request[decision.request_id].append(record)
         self._unwritten.append(record)
         self._write_soon()
         for listener in self._listeners:
--- a/src/trefoilpaddle/state/metrics.py
+++ b/src/trefoilpaddle/state/metrics.py
@@ -54,6 +54,7 @@
 
     __slots__ = (
         "_cost",
+        "_decision_counters",
         "_decisions",
         "_entries",
         "_owners",
@@ -66,6 +67,7 @@
 
     def __init__(self) -> None:
         self.registry = CollectorRegistry()
+        self._decision_counters: dict[tuple[Event, Reason], Counter] = {}
         self._entries = BoundedNames()
         self._owners = BoundedNames()
         self._stages = BoundedNames()
@@ -108,8 +110,7 @@
 
     def count(self, decision: Decision) -> None:
         """Count one decision; subscribe this to a journal."""
-        reason = "" if decision.reason is Reason.NONE else decision.reason.name.lower()
-        self._decisions.labels(decision.event.name.lower(), reason).inc()
+        self._counter(decision).inc()
         outcome = OUTCOMES.get(decision.event)
         if outcome is not None:
             self._requests.labels(self._entries.bound(decision.entry), outcome).inc()
@@ -119,6 +120,18 @@
             self._observe(self._service, decision, "service_s")
             self._add_cost(decision)
 
+    def _counter(self, decision: Decision) -> Counter:
+        # Looking up a labelled counter costs more than counting; there are as
+        # many as pairs of event and reason.
+        key = (decision.event, decision.reason)
+        counter = self._decision_counters.get(key)
+        if counter is None:
+            is_bare = decision.reason is Reason.NONE
+            reason = "" if is_bare else decision.reason.name.lower()
+            counter = self._decisions.labels(decision.event.name.lower(), reason)
+            self._decision_counters[key] = counter
+        return counter
+
     def _observe(self, histogram: Histogram, decision: Decision, name: str) -> None:
         stage = self._stages.bound(decision.stage)
         for figure in decision.figures:
--- a/src/trefoilpaddle/state/tally.py
+++ b/src/trefoilpaddle/state/tally.py
@@ -1,8 +1,8 @@
 """Who used what in the last minute, counted from the decisions."""
 
 import time
-from collections import Counter, deque
-from collections.abc import Callable
+from collections import Counter, defaultdict, deque
+from collections.abc import Callable, Mapping
 from dataclasses import dataclass, field
 from typing import Final
 
@@ -68,8 +68,8 @@
 @dataclass(slots=True, kw_only=True)
 class _Bucket:
     begin_s: float
-    owners: dict[str, Use] = field(default_factory=dict)
-    stages: dict[str, Use] = field(default_factory=dict)
+    owners: defaultdict[str, Use] = field(default_factory=lambda: defaultdict(Use))
+    stages: defaultdict[str, Use] = field(default_factory=lambda: defaultdict(Use))
 
 
 class Tally:
@@ -91,9 +91,9 @@
             return
         bucket = self._now()
         if decision.owner:
-            bucket.owners.setdefault(decision.owner, Use()).count(decision)
+            bucket.owners[decision.owner].count(decision)
         if decision.stage:
-            bucket.stages.setdefault(decision.stage, Use()).count(decision)
+            bucket.stages[decision.stage].count(decision)
 
     def by_owner(self) -> dict[str, Use]:
         """Return the use of each owner."""
@@ -114,7 +114,7 @@
         while self._buckets and now_s - self._buckets[0].begin_s > N_BUCKETS * BUCKET_S:
             self._buckets.popleft()
 
-    def _sum(self, part: Callable[[_Bucket], dict[str, Use]]) -> dict[str, Use]:
+    def _sum(self, part: Callable[[_Bucket], Mapping[str, Use]]) -> dict[str, Use]:
         self._forget_old(self._clock())
         total: dict[str, Use] = {}
         for bucket in self._buckets:
