Call a sidecar ready once the gateways can reach it

Cause: test_every_process_is_replaced_under_load_and_none_is_cut_off: a sidecar that was replaced said ready before any gateway had dialled it again; its operator stopped the next one and callers were told 'not run, no target'. Ruled out: a gateway that holds a request back until a target appears, since a refusal must come at once.

--- a/src/trefoilpaddle/roles/sidecar.py
+++ b/src/trefoilpaddle/roles/sidecar.py
@@ -16,6 +16,7 @@
 from ..coordination.drain import drain
 from ..coordination.engine_calls import EngineCaller
 from ..coordination.key_parts import sidecar_keys
+from ..coordination.reach import Reach
 from ..coordination.stage_journal import StageJournal
 from ..coordination.stage_server import StageServer
 from ..coordination.target_calls import PlainCaller, TargetCaller
@@ -78,6 +79,7 @@
     # Nothing is taken before a catalogue is in force: a process that starts
     # while the configuration service is down knows no weights and no limits.
     sidecar.dispatcher.is_configured = False
+    reach = Reach(server=process.server, published=process.published)
     async with (
         sidecar.open(),
         config_feed(
@@ -86,7 +88,7 @@
         operators(
             process=process,
             listen=settings.process.operators_listen,
-            is_ready=feed.is_known,
+            is_ready=lambda: feed.is_known() and reach.is_given(),
             held_back=lambda: feed.state.held_back,
         ),
     ):
