--- a/src/trefoilpaddle/coordination/retries.py
+++ b/src/trefoilpaddle/coordination/retries.py
@@ -21,7 +21,7 @@
 MAX_ATTEMPTS: Final = 4
 HEDGE_FACTOR: Final = 1.5
 """Times the high estimate after which a call is slow enough to hedge."""
-HEDGE_MIN_S: Final = 0.02
+HEDGE_MIN_S: Final = 0.1
 HEDGE_MIN_WEIGHT: Final = 0.5
 """Weight of attainment from which on an entry's calls may be hedged."""
 
