Follow a late call that must run once, so that a retry gets its answer

Cause: at the deadline the caller of a call that must run once was told "unknown" and the answer that came after that was thrown away; its retry could only be told "unknown" again. Change: the caller is still answered at once; with a key the call is followed on for 15 s and its end settles the key. No further stage begins after a deadline. A fault of the gateway itself is answered as an error body (500, unknown). Conclusion: a retry after the deadline gets the whole answer.

--- a/src/trefoilpaddle/coordination/key_claims.py
+++ b/src/trefoilpaddle/coordination/key_claims.py
@@ -20,6 +20,7 @@
 from .claims import Answered, Claimer, InProgress, Key, KeyGranted, account_key
 from .request import Answer, Refusal, Request
 from .request_guards import EndedBefore, KeyState, RunsHere
+from .stage_call import FOLLOW_LATE_S
 
 STEP: Final = "claim"
 RETRY_AFTER_S: Final = 1.0
@@ -50,12 +51,15 @@
         if not request.key:
             return Ok(RunsHere())
         left_s = request.deadline_s - time.monotonic()
+        is_idempotent = all(stage.idempotent for stage in request.pipeline.stages)
         outcome = await self._claimer.claim(
             key=_key_of(request),
             request_id=request.try_id,
             fingerprint=request.fingerprint,
-            is_idempotent=all(stage.idempotent for stage in request.pipeline.stages),
-            budget_s=left_s,
+            is_idempotent=is_idempotent,
+            # The place counts a claim as lost when its budget is over; a call
+            # that must run once is followed on beyond its deadline.
+            budget_s=left_s if is_idempotent else left_s + FOLLOW_LATE_S,
             wait_s=left_s,
         )
         match outcome:
--- a/src/trefoilpaddle/coordination/spent.py
+++ b/src/trefoilpaddle/coordination/spent.py
@@ -1,5 +1,8 @@
 """What a request has used up so far, over all its attempts."""
 
+import asyncio
+
+from .request import Refusal
 from .stage_work import StageWork
 
 
@@ -8,6 +11,11 @@
 
     An attempt counts as started from the moment that it may have left this
     process until a target's word, or a failed send, says that it was not.
+
+    Attributes
+    ----------
+    given_up : asyncio.Future of Refusal
+        Set when the caller is to be answered although the request goes on.
     """
 
     __slots__ = (
@@ -16,6 +24,7 @@
         "_n_in_doubt",
         "_n_once_only_in_doubt",
         "cost_s",
+        "given_up",
         "n_attempts",
         "n_tokens",
     )
@@ -26,6 +35,8 @@
         self._n_in_doubt = 0
         self._n_once_only_in_doubt = 0
         self.cost_s = 0.0
+        loop = asyncio.get_running_loop()
+        self.given_up: asyncio.Future[Refusal] = loop.create_future()
         self.n_attempts = 0
         self.n_tokens = 0
 
@@ -39,6 +50,11 @@
         """Return True if a stage that must run at most once may have started."""
         return self._has_run_once_only or self._n_once_only_in_doubt > 0
 
+    def give_up(self, refusal: Refusal) -> None:
+        """Have the caller answered now; the request goes on for a retry of it."""
+        if not self.given_up.done():
+            self.given_up.set_result(refusal)
+
     def begin(self, work: StageWork) -> None:
         """Count an attempt that is about to be sent."""
         self.n_attempts += 1
--- a/src/trefoilpaddle/coordination/stage_call.py
+++ b/src/trefoilpaddle/coordination/stage_call.py
@@ -37,6 +37,7 @@
 STREAM_CREDIT_BYTES: Final = 64 * 1024
 CREDIT_PARTS: Final = 4
 BAR_WAIT_S: Final = 0.25
+FOLLOW_LATE_S: Final = 15.0
 RECONNECT_S: Final = 0.5
 
 OnReady = Callable[["StageCall"], bool]
@@ -150,11 +151,30 @@
             async with asyncio.timeout_at(self._loop_deadline_s()):
                 return await self._follow(attempt)
         except TimeoutError:
-            return self._err(await self._give_up(attempt))
+            late = await self._give_up(attempt)
         except asyncio.CancelledError:
             self.view.link.send(Cancel(attempt_id=attempt.attempt_id))
             raise
 
+        if isinstance(late, Unknown) and self.work.on_late is not None:
+            self.work.on_late(late)
+            return await self._follow_late(attempt, late)
+        return self._err(late)
+
+    async def _follow_late(
+        self, attempt: OpenAttempt, late: Unknown
+    ) -> Result[StageAnswer, StageFault]:
+        """Wait on for an answer whose caller has been told "unknown".
+
+        The work runs to its end at the target anyway. Its answer is what a
+        retry of the request must get, since it may not be run again.
+        """
+        try:
+            async with asyncio.timeout(FOLLOW_LATE_S):
+                return await self._follow(attempt)
+        except TimeoutError:
+            return self._err(late)
+
     def _loop_deadline_s(self) -> float:
         left_s = self.work.deadline_s - time.monotonic()
         return asyncio.get_running_loop().time() + left_s
--- a/src/trefoilpaddle/coordination/stage_work.py
+++ b/src/trefoilpaddle/coordination/stage_work.py
@@ -43,6 +43,9 @@
         Chained hashes of the prompt's leading blocks.
     is_streamed : bool
         True if the answer is passed on as it comes.
+    on_late : callable, optional
+        Told at the deadline that it is unknown whether the work ran; the call is
+        then followed on, so that a retry of the request can be given its end.
     """
 
     request_id: str
@@ -61,6 +64,7 @@
     stage_deadline_s: float
     prefix_hashes: tuple[int, ...] = ()
     is_streamed: bool = False
+    on_late: Callable[[StageError], None] | None = None
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
--- a/src/trefoilpaddle/coordination/walk.py
+++ b/src/trefoilpaddle/coordination/walk.py
@@ -1,6 +1,7 @@
 """The walk of one request through its pipeline's stages under one deadline."""
 
 import time
+from collections.abc import Callable
 from dataclasses import replace
 
 from result import Err, Ok, Result
@@ -107,10 +108,14 @@
         if service is None:
             return Err(self._no_service(stage))
         if index > 0:
-            late = self._predictor.refusal(request, index=index)
+            late = _past_deadline(request) or self._predictor.refusal(
+                request, index=index
+            )
             if late is not None:
                 return Err(late)
         work = self._work(request, index, service, material, is_streamed=bool(sink))
+        if request.key and not stage.idempotent:
+            work = replace(work, on_late=self._giver_up(stage, spent))
         match await self._runner.run(work, spent=spent, sink=sink):
             case Err(error):
                 self._record_failure(work, error)
@@ -204,6 +209,12 @@
             stage_decision(Event.STAGE_FAILED, work, error=error, figures=figures)
         )
 
+    def _giver_up(self, stage: Stage, spent: Spent) -> Callable[[StageError], None]:
+        def give_up(error: StageError) -> None:
+            spent.give_up(self._refusal(error, stage, spent))
+
+        return give_up
+
     def _refusal(self, error: StageError, stage: Stage, spent: Spent) -> Refusal:
         return Refusal(
             error=whole_request_error(error, has_started=spent.has_started),
@@ -219,3 +230,15 @@
             peer=stage.service,
             detail=f"No service {stage.service} is published; publish it first.",
         )
+
+
+def _past_deadline(request: Request) -> NotRun | None:
+    """Return why no further stage is begun once the deadline has passed."""
+    if time.monotonic() < request.deadline_s:
+        return None
+    return NotRun(
+        reason=Reason.DEADLINE_PASSED,
+        step="route",
+        peer="",
+        detail="The deadline passed before this stage.",
+    )
--- a/src/trefoilpaddle/roles/callers.py
+++ b/src/trefoilpaddle/roles/callers.py
@@ -6,14 +6,15 @@
 from typing import Any
 
 import orjson
+from absl import logging
 from aiohttp import web
 from result import Err, Ok, Result
 
-from ..coordination.lifecycle import RequestRunner
+from ..coordination.lifecycle import RequestRunner, state_of
 from ..coordination.request import Answer, Refusal, Request
 from ..coordination.request_decisions import request_decision
 from ..coordination.spent import Spent
-from ..protocol.errors import NotRun
+from ..protocol.errors import NotRun, Unknown
 from ..protocol.reasons import Reason
 from ..state.journal import Decision, Event, Journal
 from ..state.requests import Requests
@@ -109,6 +110,9 @@
             return await handler(request)
         except web.HTTPException as error:
             return _plain_error(error.status, Reason.BAD_REQUEST, f"{error.reason}.")
+        except Exception:
+            logging.exception("answering %s failed", request.path)
+            return _internal_error()
 
     def _header_fault(self, http: web.Request) -> str:
         n_headers = len(http.raw_headers)
@@ -182,10 +186,29 @@
         self.running.add(task)
         task.add_done_callback(self.running.discard)
         try:
-            return await asyncio.shield(task)
+            ends: set[asyncio.Future[Any]] = {task, spent.given_up}
+            await asyncio.wait(ends, return_when=asyncio.FIRST_COMPLETED)
         except asyncio.CancelledError:
             self._on_caller_left(request, spent, task)
             raise
+        if task.done():
+            return task.result()
+        return Err(self._given_up(request, spent.given_up.result()))
+
+    def _given_up(self, request: Request, refusal: Refusal) -> Refusal:
+        """Record that the caller is answered while its request still runs."""
+        state = state_of(refusal.error)
+        reason = refusal.error.reason
+        self._requests.end(request.request_id, state=state, reason=reason)
+        self._journal.record(
+            request_decision(
+                Event.REQUEST_FAILED,
+                request,
+                stage=refusal.stage,
+                error=refusal.error,
+            )
+        )
+        return refusal
 
     def _on_caller_left(
         self,
@@ -282,5 +305,15 @@
     return web.Response(status=status, body=body, content_type=JSON_TYPE)
 
 
+def _internal_error() -> web.Response:
+    """Return the answer to a request that met a fault of this gateway's own."""
+    error = Unknown(
+        reason=Reason.INTERNAL, step="serve", peer="", detail="A fault of the gateway."
+    )
+    refusal = Refusal(error=error, stage="", is_retry_safe=False)
+    body = error_json(refusal, governing=None, request_id="")
+    return web.Response(status=500, body=body, content_type=JSON_TYPE)
+
+
 def _json(value: dict[str, str]) -> web.Response:
     return web.Response(body=orjson.dumps(value), content_type=JSON_TYPE)
--- a/src/trefoilpaddle/roles/event_stream.py
+++ b/src/trefoilpaddle/roles/event_stream.py
@@ -64,6 +64,8 @@
             # Too slow to be told: cut, so that it cannot look finished.
             if self._http.transport is not None:
                 self._http.transport.abort()
+        # The request may go on for a retry of it; this stream has had its end.
+        self._is_gone = True
 
     async def _finish(self, outcome: Result[Answer, Refusal]) -> None:
         match outcome:
--- a/tests/test_gateway_keys.py
+++ b/tests/test_gateway_keys.py
@@ -86,6 +86,32 @@
             assert (await first).status == 504
             assert len(s.runs) == 1
 
+    async def test_a_retry_gets_the_answer_that_came_after_the_deadline(self) -> None:
+        """A call that must run once is still at its target when the deadline
+        passes. The caller is told "unknown" at once. The call ends after that,
+        and the caller asks again: it gets the answer, and nothing runs twice.
+        """
+        release = asyncio.Event()
+
+        async def script(call: Call) -> None:
+            call.started()
+            await release.wait()
+            call.chunk(0, b'"issued"')
+            call.end(b'"issued"')
+
+        s = FakeSidecar(service="s", name="t1", script=script)
+        async with bench(s, published=catalogue(ONCE), has_keys=True) as b:
+            request_id = await minted(b)
+            async with b.post(
+                json={}, X_Request_Id=request_id, X_Deadline_S="0.3"
+            ) as answer:
+                assert answer.status == 504
+                assert (await answer.json())["error"]["outcome"] == "unknown"
+            release.set()
+            async with b.post(json={}, X_Request_Id=request_id) as answer:
+                assert await answer.json() == "issued"
+            assert len(s.runs) == 1
+
     async def test_a_retry_of_what_failed_is_told_that_it_failed(self) -> None:
         s = FakeSidecar(
             service="s",
