Allow for scatter and slowness in the latest start of waiting work

Cause: work was started up to the moment at which half of it would still be in time, without regard to how slow the target is; the more predictions scatter, the more target-seconds went into answers that came too late. Change: the latest start allows for the slowness of late and for a tracked quantile (0.85) of measured over predicted time; late is what waits beyond it.

--- a/src/trefoilpaddle/coordination/dispatcher.py
+++ b/src/trefoilpaddle/coordination/dispatcher.py
@@ -141,6 +141,11 @@
         """Answer an attempt that has not started by its deadline at once."""
         self._timers.arm(attempt, at_ns=attempt.deadline_ns)
 
+    def latest_start_ns(self, attempt: Attempt) -> int:
+        """Return the last moment at which `attempt` may start to be in time."""
+        now_ns = time.monotonic_ns()
+        return self._running.latest_start_ns(attempt, now_ns=now_ns)
+
     def offer(self, attempt: Attempt, work: Work) -> None:
         """Take in an attempt whose body is whole: start it, queue it or refuse it."""
         now_ns = time.monotonic_ns()
--- a/src/trefoilpaddle/coordination/queue_policy.py
+++ b/src/trefoilpaddle/coordination/queue_policy.py
@@ -86,12 +86,16 @@
     """
     ahead = queue.ahead(work)
     waits_s = slots.wait_s(ahead.work_s)
-    late_s = waits_s + work.predicted_s * slots.slowness - _budget_s(work, now_ns)
+    may_wait_s = (work.latest_start_ns - now_ns) / NS_PER_S
     if not refuses_early or waits_s <= 0.0:
         return Verdict(wait_s=waits_s, n_ahead=ahead.n_ahead)
-    if late_s > 0.0:
+    if waits_s > may_wait_s:
         return _make_room(
-            work, queue=queue, slots=slots, ahead_s=ahead.work_s, late_s=late_s
+            work,
+            queue=queue,
+            slots=slots,
+            ahead_s=ahead.work_s,
+            may_wait_s=may_wait_s,
         )
     excess_s = queue.work_s + work.predicted_s - max_queue_s
     if excess_s > 0.0:
@@ -99,15 +103,15 @@
     return Verdict(wait_s=waits_s, n_ahead=ahead.n_ahead)
 
 
-def _budget_s(work: Work, now_ns: int) -> float:
-    return (work.latest_start_ns - now_ns) / NS_PER_S + work.predicted_s
-
-
 def _make_room(
-    work: Work, *, queue: WorkQueue, slots: Slots, ahead_s: float, late_s: float
+    work: Work,
+    *,
+    queue: WorkQueue,
+    slots: Slots,
+    ahead_s: float,
+    may_wait_s: float,
 ) -> Verdict:
     was_s = slots.wait_s(ahead_s)
-    may_wait_s = was_s - late_s
     displaced: list[Work] = []
     left_s = ahead_s
     for other in queue.lower_orders(work):
@@ -132,7 +136,7 @@
     return Verdict(
         reason=Reason.PREDICTED_LATE,
         wait_s=was_s,
-        retry_after_s=max(MIN_RETRY_S, late_s),
+        retry_after_s=max(MIN_RETRY_S, was_s - may_wait_s),
     )
 
 
--- a/src/trefoilpaddle/coordination/stage_server.py
+++ b/src/trefoilpaddle/coordination/stage_server.py
@@ -6,7 +6,6 @@
 from absl import logging
 from result import Err, Ok
 
-from ..protocol.const import NS_PER_S
 from ..protocol.errors import NotRun, StageError, Unknown, to_failure
 from ..protocol.frames import Message
 from ..protocol.gen.stage.ttypes import (
@@ -195,7 +194,7 @@
             floor_share=entry.floor_share if entry else 0.0,
             brownout_order=start.brownout_order,
             predicted_s=predicted_s,
-            latest_start_ns=attempt.finish_by_ns - int(predicted_s * NS_PER_S),
+            latest_start_ns=self._dispatcher.latest_start_ns(attempt),
         )
 
     def _on_credit(self, message: Credit) -> None:
--- a/src/trefoilpaddle/state/slowness.py
+++ b/src/trefoilpaddle/state/slowness.py
@@ -1,4 +1,4 @@
-"""How much slower than predicted the target is of late."""
+"""How much slower than predicted the target is of late, and how surely."""
 
 import math
 from typing import Final
@@ -8,6 +8,10 @@
 FADE_S: Final = 2.0
 MIN: Final = 0.5
 MAX: Final = 20.0
+QUANTILE: Final = 0.85
+QUANTILE_STEP: Final = 0.05
+FIRST_SPREAD: Final = 1.25
+MAX_SPREAD: Final = 2.0
 
 
 class Slowness:
@@ -18,10 +22,11 @@
     tried again.
     """
 
-    __slots__ = ("_ratio", "_when_s")
+    __slots__ = ("_ratio", "_spread", "_when_s")
 
     def __init__(self) -> None:
         self._ratio = 1.0
+        self._spread = FIRST_SPREAD
         self._when_s = 0.0
 
     def at(self, now_s: float) -> float:
@@ -29,10 +34,21 @@
         age_s = max(0.0, now_s - self._when_s - GRACE_S)
         return 1.0 + (self._ratio - 1.0) * math.exp(-age_s / FADE_S)
 
+    def high_at(self, now_s: float) -> float:
+        """Return the ratio that ``QUANTILE`` of the calls stay below."""
+        return max(1.0, self.at(now_s) * self._spread)
+
     def note(self, *, service_s: float, predicted_s: float, now_s: float) -> None:
         """Take in one ended call; one without prediction says nothing."""
         if predicted_s <= 0.0:
             return
         ratio = min(MAX, max(MIN, service_s / predicted_s))
+        self._note_spread(ratio / self.at(now_s))
         self._ratio = self.at(now_s) + STEP * (ratio - self.at(now_s))
         self._when_s = now_s
+
+    def _note_spread(self, relative: float) -> None:
+        """Move the tracked quantile of the ratio over its mean."""
+        above = QUANTILE if relative > self._spread else QUANTILE - 1.0
+        moved = self._spread * (1.0 + QUANTILE_STEP * above)
+        self._spread = min(MAX_SPREAD, max(1.0, moved))
--- a/tests/queue_bench.py
+++ b/tests/queue_bench.py
@@ -10,6 +10,7 @@
 
 from trefoilpaddle.coordination.queue_policy import Slots, judge
 from trefoilpaddle.protocol.reasons import Reason
+from trefoilpaddle.state.slowness import Slowness
 from trefoilpaddle.state.work_queue import FifoQueue, Work, WorkQueue
 
 NS_PER_S = 1_000_000_000
@@ -81,6 +82,7 @@
         self._due_s: dict[bytes, float] = {}
         self._tally_of: dict[bytes, Tally] = {}
         self._waiting: set[bytes] = set()
+        self._slowness = Slowness()
 
     @property
     def wasted_share(self) -> float:
@@ -130,9 +132,7 @@
                 floor_share=0.0,
                 brownout_order=source.brownout_order,
                 predicted_s=predicted_s,
-                latest_start_ns=int(
-                    (at_s + source.deadline_s - predicted_s) * NS_PER_S
-                ),
+                latest_start_ns=0,
             )
             self._service_s[work.attempt_id] = service_s
             self._due_s[work.attempt_id] = at_s + source.deadline_s
@@ -146,6 +146,9 @@
     def _on_arrival(self, work: Work, now_s: float) -> None:
         tally = self._tally_of[work.attempt_id]
         tally.n_sent += 1
+        need_s = work.predicted_s * self._slowness.high_at(now_s)
+        latest_s = self._due_s[work.attempt_id] - need_s
+        work.latest_start_ns = int(latest_s * NS_PER_S)
         if len(self._running) >= self._n_slots or len(self.queue):
             verdict = judge(
                 work,
@@ -182,6 +185,10 @@
         self.queue.settle(work, used_s=used_s)
         tally = self._tally_of[work.attempt_id]
         tally.used_s += used_s
+        if used_s >= self._service_s[work.attempt_id]:
+            self._slowness.note(
+                service_s=used_s, predicted_s=work.predicted_s, now_s=now_s
+            )
         if now_s <= self._due_s[work.attempt_id]:
             tally.n_met += 1
             tally.met_s += used_s
@@ -206,7 +213,8 @@
             max(0.1 * work.predicted_s, work.predicted_s - (now_s - begin_s))
             for begin_s, work in self._running.values()
         ]
-        return Slots(n_slots=self._n_slots, left_s=left_s, slowness=1.0)
+        slowness = self._slowness.at(now_s)
+        return Slots(n_slots=self._n_slots, left_s=left_s, slowness=slowness)
 
 
 def most_that_fit(
--- a/tests/test_concurrency.py
+++ b/tests/test_concurrency.py
@@ -97,6 +97,16 @@
             slowness.note(service_s=0.5, predicted_s=0.1, now_s=0.1 * i)
         assert slowness.at(10.0) == pytest.approx(5.0, rel=0.01)
 
+    def test_it_tells_how_far_calls_scatter(self) -> None:
+        noise = random.Random(1)
+        slowness = Slowness()
+        for i in range(3000):
+            service_s = 0.1 * noise.lognormvariate(0.0, 0.4)
+            slowness.note(service_s=service_s, predicted_s=0.1, now_s=0.1 * i)
+        high = slowness.high_at(300.0)
+        n_below = sum(noise.lognormvariate(0.0, 0.4) <= high for _ in range(3000))
+        assert 0.75 <= n_below / 3000 <= 0.95
+
     def test_it_fades_when_nothing_is_measured(self) -> None:
         """A slow spell ends while all work is refused because of it.
 
