--- a/src/trefoilpaddle/coordination/dispatcher.py
+++ b/src/trefoilpaddle/coordination/dispatcher.py
@@ -9,7 +9,7 @@
 
 from ..protocol.const import NS_PER_S
 from ..protocol.errors import Failed, NotRun, StageError, Unknown
-from ..protocol.gen.stage.ttypes import Load, Queued
+from ..protocol.gen.stage.ttypes import Load, OwnerLoad, Queued
 from ..protocol.reasons import Reason
 from ..state.catalogue import Service
 from ..state.concurrency import SlotLimit
@@ -33,6 +33,8 @@
 """More than a timer of the event loop comes early."""
 DEFAULT_MAX_QUEUE_S: Final = 30.0
 """Longest queue while the service is not in the catalogue."""
+MAX_OWNER_LOADS: Final = 8
+"""Owners named in a load report, those with the most waiting work."""
 
 
 class Dispatcher:
@@ -114,6 +116,7 @@
             slowness=self._running.slowness(now_ns),
             target_up=intake.is_target_up,
             reported_age_ms=intake.reported_age_ms,
+            owners=_owner_loads(self._queue),
         )
 
     def set_service(self, service: Service) -> None:
@@ -351,3 +354,12 @@
         self._running.learn(attempt, now_ns=time.monotonic_ns())
         if limit.n_slots != n_before:
             self._journal.slots(n_before=n_before, n_slots=limit.n_slots)
+
+
+def _owner_loads(queue: WorkQueue) -> list[OwnerLoad]:
+    """Return who has most work waiting; gateways predict an owner's wait by it."""
+    loads = sorted(queue.by_owner(), key=lambda load: load.work_s, reverse=True)
+    return [
+        OwnerLoad(owner=load.owner, queued_work_s=load.work_s, weight=load.weight)
+        for load in loads[:MAX_OWNER_LOADS]
+    ]
