--- a/tests/queue_bench.py
+++ b/tests/queue_bench.py
@@ -37,6 +37,8 @@
         When its calls begin.
     label : str
         Under which they are tallied; the owner if empty.
+    scatter : float
+        Sigma of the logarithm of predicted over true service time.
     """
 
     owner: str
@@ -46,6 +48,7 @@
     brownout_order: int = 0
     from_s: float = 0.0
     label: str = ""
+    scatter: float = 0.15
 
 
 @dataclass(slots=True, kw_only=True)
@@ -123,7 +126,7 @@
         at_s = source.from_s
         while (at_s := at_s + self._random.expovariate(rate_per_s)) < span_s:
             service_s = source.mean_s * self._random.lognormvariate(-0.32, 0.8)
-            predicted_s = service_s * self._random.lognormvariate(0.0, 0.15)
+            predicted_s = service_s * self._random.lognormvariate(0.0, source.scatter)
             work = Work(
                 attempt_id=self._n_events.to_bytes(16),
                 owner=source.owner,
