--- a/src/trefoilpaddle/coordination/config_start.py
+++ b/src/trefoilpaddle/coordination/config_start.py
@@ -17,7 +17,7 @@
 N_ANSWERS: Final = 2
 """Peers whose word is taken for the highest revision."""
 
-N_AT_ONCE: Final = 3
+N_AT_ONCE: Final = 6
 N_TRIES: Final = 12
 """Peers tried before this process goes by what the platform says alone."""
 
--- a/src/trefoilpaddle/coordination/wake.py
+++ b/src/trefoilpaddle/coordination/wake.py
@@ -5,11 +5,15 @@
 from collections.abc import Callable
 from typing import Final
 
-from ..protocol.const import SILENCE_S
+from ..protocol.const import HEARTBEAT_S, SILENCE_S
 
 TICK_S: Final = 0.2
-LATE_S: Final = SILENCE_S / 2
-"""A gap between ticks from which on this process counts as paused."""
+LATE_S: Final = SILENCE_S - HEARTBEAT_S
+"""A gap between ticks from which on this process counts as paused.
+
+What lies unread in a socket is then at most this old and one heartbeat older,
+within the silence that takes a peer out of use.
+"""
 
 OnLate = Callable[[float], None]
 
