Test an entry retired under load

Cause: no test took an entry away while its requests ran. Change: the test, with real processes; no fault found. Conclusion: accepted requests are answered, later ones refused as not run.

--- a/tests/test_leaving.py
+++ b/tests/test_leaving.py
@@ -186,6 +186,31 @@
         assert len(holds) == callers.n_answered
 
 
+class TestRetiring:
+    async def test_an_entry_retired_under_load_cuts_off_nothing(self) -> None:
+        # An operator retires an entry while its requests run. Those that were
+        # accepted are answered; from then on each is refused as not run.
+        async with (
+            deployment(DESCRIPTION, CATALOGUE, overrides=QUICK) as running,
+            aiohttp.ClientSession() as session,
+        ):
+            callers = Callers(running=running, session=session)
+
+            async def call_until_refused(number: int) -> str:
+                url = running.gateways[number % 2]
+                while (outcome := await callers._once(url, "sheet")) == "answered":
+                    callers.n_answered += 1
+                return outcome
+
+            calls = asyncio.gather(*(call_until_refused(i) for i in range(N_CLIENTS)))
+            await until_answered(callers, 20)
+            await running.publish("entry/holds", None)
+            async with asyncio.timeout(CAP_S):
+                assert set(await calls) == {"not run"}
+            runs = [await runs_of(running, f"stock-{i}", "/hold") for i in (1, 2)]
+            assert sum(map(len, runs)) == callers.n_answered
+
+
 class TestLeaving:
     async def test_a_target_that_the_list_calls_leaving_gets_nothing_new(self) -> None:
         # The platform takes a host away and says so in its list alone. Its
