Let each engine's sidecar place its models

Cause: placement and orders were not wired. Change: a sidecar of an engine reads what is loaded, exchanges holdings and gives orders while it holds the lock; it stops giving them when it leaves.

--- a/src/trefoilpaddle/coordination/placement.py
+++ b/src/trefoilpaddle/coordination/placement.py
@@ -9,13 +9,15 @@
 
 from result import Err, Ok
 
+from ..protocol.frames import Message
 from ..protocol.gen.placement.ttypes import Holdings, ModelUse
-from ..protocol.gen.stage.ttypes import Hello
+from ..protocol.gen.stage.ttypes import Hello, Start
 from ..state.hosts import Host
 from ..state.journal import Decision, Event, Figure, Journal
 from ..state.model_plan import MODELS_PER_TARGET, Holder, Steadied, may_unload, planned
 from ..state.published import Published
 from ..state.rendezvous import highest
+from ..transport.connection import Connection
 from ..transport.server import PeerServer
 from .asker import Asker, ask_at
 from .orders import Busy, Order, OrderKind, TargetOrders
@@ -115,6 +117,11 @@
         """Count target-seconds asked of this target for `model`."""
         self._demand[model] = self._demand.get(model, 0.0) + work_s
 
+    def on_message(self, _connection: Connection, message: Message) -> None:
+        """Count the work that a gateway asks for."""
+        if isinstance(message, Start) and message.model:
+            self.note_work(message.model, message.predicted_s)
+
     async def run(self) -> None:
         """Exchange and decide, round after round, until cancelled."""
         while True:
--- a/src/trefoilpaddle/roles/sidecar.py
+++ b/src/trefoilpaddle/roles/sidecar.py
@@ -17,9 +17,12 @@
 from ..coordination.engine_calls import EngineCaller
 from ..coordination.key_parts import sidecar_keys
 from ..coordination.lease_home import LeaseHome
+from ..coordination.orders import TargetOrders
+from ..coordination.placement import Placement
 from ..coordination.stage_journal import StageJournal
 from ..coordination.stage_server import StageServer
 from ..coordination.target_calls import PlainCaller, TargetCaller
+from ..coordination.target_models import read_loaded
 from ..coordination.target_watch import TargetWatch
 from ..protocol.const import NS_PER_S
 from ..protocol.gen.stage.ttypes import Bar
@@ -178,6 +181,8 @@
                 asyncio.create_task(self._keep_house()),
                 asyncio.create_task(self._watch().run()),
             ]
+            if self._settings.target.kind is ServiceKind.ENGINE:
+                tasks.append(asyncio.create_task(self._place()))
             try:
                 yield self
             finally:
@@ -232,6 +237,31 @@
             await asyncio.sleep(HOUSEKEEPING_S)
             self.table.held.expire(time.monotonic_ns())
 
+    async def _place(self) -> None:
+        """Keep the models that the catalogue wants on the target."""
+        process, target = self._process, self._settings.target
+        orders = TargetOrders(
+            http=self._http,
+            target=target.name,
+            fencing=target.fencing,
+            # The lock is held for as long as this role runs.
+            has_lock=lambda: not self.dispatcher.is_leaving,
+            journal=process.journal,
+        )
+        placement = Placement(
+            process_id=process.identity.process_id,
+            service=target.service,
+            published=process.published,
+            asker=process.peers,
+            orders=orders,
+            journal=process.journal,
+            loaded=await read_loaded(self._http),
+            seed=process.identity.incarnation,
+        )
+        placement.mount(process.server)
+        process.message_listeners.append(placement.on_message)
+        await placement.run()
+
     def _on_drop(self, attempt_id: bytes) -> None:
         attempt = self.table.forget_dropped(attempt_id)
         if attempt is not None:
