--- a/src/trefoilpaddle/roles/sidecar.py
+++ b/src/trefoilpaddle/roles/sidecar.py
@@ -245,7 +245,7 @@
             target=target.name,
             fencing=target.fencing,
             # The lock is held for as long as this role runs.
-            has_lock=lambda: not self.dispatcher.is_leaving,
+            has_lock=lambda: not self.dispatcher.intake.is_leaving,
             journal=process.journal,
         )
         placement = Placement(
--- /dev/null
+++ b/tests/test_cache_rule.py
@@ -0,0 +1,46 @@
+"""The two rules for what a limited cache keeps."""
+
+from collections.abc import Iterator
+
+from hypothesis import given
+from hypothesis import strategies as st
+
+from trefoilpaddle.replay.cache_rule import (
+    LeastRecentlyUsed,
+    SavingMinusLoss,
+    Use,
+    adapter_uses,
+    saved_share,
+)
+
+
+def uses(items: str) -> Iterator[Use]:
+    for number, item in enumerate(items):
+        yield Use(at_s=float(number), item=item, size=1.0, cost=1.0)
+
+
+class TestRules:
+    def test_last_used_is_pushed_out_by_words_used_once(self) -> None:
+        rule = LeastRecentlyUsed(room=2.0)
+        assert saved_share(uses("aabcadeafgahia"), rule) == 1 / 14
+
+    def test_what_is_asked_for_again_stays(self) -> None:
+        rule = SavingMinusLoss(room=2.0, half_life_s=20.0)
+        assert saved_share(uses("aabcadeafgahia"), rule) == 5 / 14
+
+    def test_what_is_asked_for_no_more_goes(self) -> None:
+        rule = SavingMinusLoss(room=1.0, half_life_s=2.0)
+        hits = [rule.use(use) for use in uses("aaaa" + "b" * 12)]
+        assert not any(hits[4:6])
+        assert hits[-1]
+
+    @given(st.text(alphabet="abcdefgh", max_size=60), st.integers(1, 5))
+    def test_room_is_kept(self, items: str, room: int) -> None:
+        rule = SavingMinusLoss(room=float(room), half_life_s=5.0)
+        for use in uses(items):
+            rule.use(use)
+            assert len(rule._kept) <= room
+
+    def test_seeded_uses_are_the_same_each_time(self) -> None:
+        first = [next(adapter_uses(1)) for _ in range(3)]
+        assert first == [next(adapter_uses(1)) for _ in range(3)]
