Sharpen the path's proofs where a broken guard went unseen

Cause: three guards broken on a scratch copy did not fail any test: a bar that does not ask (said 'not run' of a running call), an unknown call repeated elsewhere, and silence that is not noticed. Change: a relay can delay the way back alone; tests for the late word 'started', for work in hand of a sidecar that is back at once, and a silent sidecar must stop getting work while its connection still looks open. Schedules bounce sidecars and delay the way back.

--- a/tests/harness.py
+++ b/tests/harness.py
@@ -71,8 +71,8 @@
 
     Attributes
     ----------
-    delay_s : float
-        Each piece arrives this much later.
+    delay_s, delay_back_s : float
+        Each piece arrives this much later; the second counts on the way back.
     is_stalled : bool
         Nothing passes, nothing is closed: how a pause or a partition looks.
     is_refusing : bool
@@ -84,6 +84,7 @@
     def __init__(self) -> None:
         self.upstream: Address | None = None
         self.delay_s = 0.0
+        self.delay_back_s = 0.0
         self.is_refusing = False
         self.n_damaged_at = 0
         self._flows = asyncio.Event()
@@ -110,6 +111,7 @@
 
     def heal(self) -> None:
         self.delay_s = 0.0
+        self.delay_back_s = 0.0
         self.is_refusing = False
         self.is_stalled = False
 
@@ -157,8 +159,8 @@
         writer: asyncio.StreamWriter,
     ) -> None:
         ways = [
-            asyncio.create_task(self._carry(reader, up_writer)),
-            asyncio.create_task(self._carry(up_reader, writer)),
+            asyncio.create_task(self._carry(reader, up_writer, is_back=False)),
+            asyncio.create_task(self._carry(up_reader, writer, is_back=True)),
         ]
         self._tasks.update(ways)
         await asyncio.wait(ways, return_when=asyncio.FIRST_COMPLETED)
@@ -167,12 +169,17 @@
         self._tasks.difference_update(ways)
 
     async def _carry(
-        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+        self,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+        *,
+        is_back: bool,
     ) -> None:
         with contextlib.suppress(OSError):
             while data := await reader.read(1 << 16):
-                if self.delay_s:
-                    await asyncio.sleep(self.delay_s)
+                delay_s = self.delay_s + (self.delay_back_s if is_back else 0.0)
+                if delay_s:
+                    await asyncio.sleep(delay_s)
                 await self._flows.wait()
                 writer.write(self._damaged(data))
                 await writer.drain()
@@ -440,6 +447,14 @@
         views = gateway.gateway._views
         return [view.host.name for view in views if view.n_outstanding]
 
+    def is_linked(self, gateway: GatewaySlot, slot: SidecarSlot) -> bool:
+        """Return True if the connection from `gateway` to `slot` looks open."""
+        assert gateway.gateway is not None
+        return any(
+            view.host.name == slot.name and view.link.connection is not None
+            for view in gateway.gateway._views
+        )
+
     def publish(self) -> None:
         """Give every process the catalogue and the list, by its own addresses."""
         for gateway in self.gateways:
--- a/tests/test_path_calls.py
+++ b/tests/test_path_calls.py
@@ -121,6 +121,17 @@
                 assert not f.runs("plain")
             assert len(f.runs("plain")) <= 1
 
+    async def test_the_word_that_it_started_comes_late(self) -> None:
+        # The target books, but the way back is slow: at the deadline the
+        # gateway has not heard that the call was started. "Not run" would be
+        # a lie; the sidecar has to be asked.
+        async with fleet() as f:
+            f.slot("plain0").target.gate.clear()
+            f.gateways[0].relays["plain0"].delay_back_s = 0.8
+            told = await f.call(ONCE, deadline_s=0.5)
+            assert len(f.runs("plain")) == 1
+            assert told.outcome == "unknown"
+
 
 class TestTornAnswer:
     async def test_a_damaged_answer_is_fetched_again(self) -> None:
@@ -161,6 +172,21 @@
             assert_whole(after)
             assert len(slot.target.runs) == 5
 
+    async def test_work_that_may_run_once_is_not_sent_elsewhere(self) -> None:
+        # A sidecar dies with bookings in hand and is back at once. Another
+        # target could take them, but the first may have booked them.
+        async with fleet(n_per_service=2) as f:
+            for slot in f.slots:
+                slot.target.gate.clear()
+            calls = [asyncio.create_task(f.call(ONCE)) for _ in range(4)]
+            await until(lambda: running(f, "plain", 4))
+            for name in ("plain0", "plain1"):
+                f.kill_sidecar(f.slot(name))
+                await f.start_sidecar(f.slot(name))
+            told = await asyncio.gather(*calls)
+            assert {each.outcome for each in told} == {"unknown"}
+            assert len(f.runs("plain")) == 4
+
     async def test_repeatable_work_is_answered_elsewhere(self) -> None:
         async with fleet(n_per_service=2) as f:
             for slot in f.slots:
@@ -200,6 +226,7 @@
         async with fleet(n_per_service=2) as f:
             f.gateways[0].relays["pool0"].is_stalled = True
             await until(lambda: not f.hears(f.gateways[0], f.slot("pool0")))
+            assert f.is_linked(f.gateways[0], f.slot("pool0"))
             for _ in range(6):
                 assert_whole(await f.call(FREE))
             assert not f.slot("pool0").target.runs
--- a/tests/test_path_schedules.py
+++ b/tests/test_path_schedules.py
@@ -55,7 +55,8 @@
 
 FAULTS = [
     *("delay", "stall", "cut", "refuse", "damage", "heal", "heal"),
-    *("kill", "restart", "slow", "gate", "open", "open"),
+    *("kill", "restart", "bounce", "bounce", "slow", "gate", "gate", "open"),
+    *("delay back", "cut"),
 ]
 CALLS = st.builds(
     Call,
@@ -129,6 +130,11 @@
             slot.target.gate.clear()
         case "open":
             slot.target.gate.set()
+        case "delay back":
+            relay.delay_back_s = 0.3
+        case "bounce" if slot.sidecar is not None:
+            f.kill_sidecar(slot)
+            await restart(f, fault.name)
         case "kill" if slot.sidecar is not None:
             f.kill_sidecar(slot)
         case "restart" if slot.sidecar is None:
