--- a/src/trefoilpaddle/roles/sidecar.py
+++ b/src/trefoilpaddle/roles/sidecar.py
@@ -16,6 +16,7 @@
 from ..coordination.drain import drain
 from ..coordination.engine_calls import EngineCaller
 from ..coordination.key_parts import sidecar_keys
+from ..coordination.lease_home import LeaseHome
 from ..coordination.stage_journal import StageJournal
 from ..coordination.stage_server import StageServer
 from ..coordination.target_calls import PlainCaller, TargetCaller
@@ -77,7 +78,7 @@
     sidecar = Sidecar(settings=settings, process=process)
     # Nothing is taken before a catalogue is in force: a process that starts
     # while the configuration service is down knows no weights and no limits.
-    sidecar.dispatcher.is_configured = False
+    sidecar.dispatcher.intake.is_configured = False
     async with (
         sidecar.open(),
         config_feed(
@@ -86,7 +87,7 @@
         operators(
             process=process,
             listen=settings.process.operators_listen,
-            is_ready=feed.is_known,
+            is_ready=lambda: feed.is_known() and feed.reach.is_reached(),
             held_back=lambda: feed.state.held_back,
         ),
     ):
@@ -165,6 +166,12 @@
             journal=process.journal,
             window_s=self._settings.retention.retry_window_s,
         )
+        LeaseHome(
+            process_id=process.identity.process_id,
+            incarnation=process.identity.incarnation,
+            published=process.published,
+            journal=process.journal,
+        ).mount(process.server)
         process.published.subscribe(self._on_published)
         async with self._http.opened(), process.running():
             tasks = [
@@ -180,7 +187,7 @@
     async def stop(self) -> int:
         """Leave: refuse new work, finish the rest; return how many were cut off."""
         process = self._process
-        self.dispatcher.is_leaving = True
+        self.dispatcher.intake.is_leaving = True
         process.server.broadcast(process.heartbeat())
         process.journal.record(
             Decision(event=Event.PROCESS_STOPPING, peer=process.identity.process_id)
@@ -232,8 +239,9 @@
 
     def _on_published(self) -> None:
         catalogue = self._process.published.catalogue
-        self.dispatcher.revision = catalogue.revision
-        self.dispatcher.is_configured = catalogue.revision > 0
+        intake = self.dispatcher.intake
+        intake.revision = catalogue.revision
+        intake.is_configured = catalogue.revision > 0
         service = catalogue.services.get(self._settings.target.service)
         if service is not None:
             self.dispatcher.set_service(service)
