--- a/src/trefoilpaddle/coordination/target_view.py
+++ b/src/trefoilpaddle/coordination/target_view.py
@@ -151,7 +151,11 @@
         )
 
     def predicted_s(self, work: StageWork, now_s: float) -> float:
-        """Return the predicted seconds until `work`, sent now, is answered."""
+        """Return the predicted seconds until `work`, sent now, is answered.
+
+        Work that is batched slows what it is batched with, so a target with
+        free slots is not as good as an idle one.
+        """
         slow = slowness(self.load) if self.load is not None else 1.0
         service_s = work.expected_s * slow * (1.0 + CROWDING * self.crowd())
         return self.wait_s(work.governing.entry, now_s) + service_s
