--- a/src/trefoilpaddle/coordination/stage_call.py
+++ b/src/trefoilpaddle/coordination/stage_call.py
@@ -15,7 +15,6 @@
     BarState,
     Cancel,
     Chunk,
-    Credit,
     End,
     Failure,
     Fetch,
@@ -26,16 +25,13 @@
 )
 from ..protocol.reasons import Reason
 from ..state.journal import Event, Figure, Journal
-from .answer_buffer import AnswerBuffer
+from .answer_receiver import AnswerReceiver
 from .open_attempts import Notice, OpenAttempt, OpenAttempts
 from .request_decisions import stage_decision
 from .stage_work import Sink, StageAnswer, StageFault, StageWork
 from .start_message import start_messages
 from .target_view import TargetView
 
-WHOLE_CREDIT_BYTES: Final = 1024 * 1024
-STREAM_CREDIT_BYTES: Final = 64 * 1024
-CREDIT_PARTS: Final = 4
 BAR_WAIT_S: Final = 0.25
 FOLLOW_LATE_S: Final = 15.0
 RECONNECT_S: Final = 0.5
@@ -64,17 +60,14 @@
     """
 
     __slots__ = (
+        "_answer",
         "_attempt",
         "_attempts",
-        "_buffer",
         "_has_arrived",
         "_has_gone",
         "_has_refetched",
         "_journal",
         "_may_go",
-        "_n_ungranted_bytes",
-        "_sink",
-        "_window_bytes",
         "is_sent",
         "is_started",
         "view",
@@ -97,14 +90,11 @@
         self.is_started = False
         self._attempts = attempts
         self._journal = journal
-        self._sink = sink
         self._may_go = may_go
-        self._buffer = AnswerBuffer()
+        self._answer = AnswerReceiver(sink=sink)
         self._has_arrived = False
         self._has_gone = False
         self._has_refetched = False
-        self._window_bytes = WHOLE_CREDIT_BYTES if sink is None else STREAM_CREDIT_BYTES
-        self._n_ungranted_bytes = 0
         self._attempt: OpenAttempt | None = None
 
     @property
@@ -180,11 +170,11 @@
         return asyncio.get_running_loop().time() + left_s
 
     def _send(self, attempt: OpenAttempt) -> bool:
-        attempt.n_granted_bytes = self._window_bytes
+        self._answer.renew_window(attempt)
         messages = start_messages(
             self.work,
             attempt,
-            credit_bytes=self._window_bytes,
+            credit_bytes=self._answer.window_bytes,
             is_reserved=self._may_go is not None,
         )
         return all(self.view.link.send(message) for message in messages)
@@ -249,41 +239,19 @@
         self, attempt: OpenAttempt, chunk: Chunk
     ) -> Result[StageAnswer, StageFault] | None:
         self.is_started = True
-        if self._buffer.is_repeated(chunk):
-            return None
-        if not self._buffer.is_next(chunk):
-            return self._drop(attempt, "a piece of the answer is missing")
-        if not self._buffer.has_room(chunk):
-            return self._drop(attempt, "the answer is larger than may be kept")
-        self._buffer.add(chunk)
-        if self._sink is not None:
-            await self._sink(chunk.data)
-        self._give_credit(attempt, len(chunk.data))
-        return None
-
-    def _give_credit(self, attempt: OpenAttempt, n_bytes: int) -> None:
-        """Grant what was taken, in pieces worth a frame of their own.
-
-        A quarter of the window is always out, so waiting for more before
-        granting holds back no answer; a small one needs no credit at all.
-        """
-        self._n_ungranted_bytes += n_bytes
-        if self._n_ungranted_bytes < self._window_bytes // CREDIT_PARTS:
-            return
-        n_bytes, self._n_ungranted_bytes = self._n_ungranted_bytes, 0
-        attempt.n_granted_bytes += n_bytes
-        self.view.link.send(Credit(attempt_id=attempt.attempt_id, n_bytes=n_bytes))
+        fault = await self._answer.take(chunk, attempt)
+        return self._drop(attempt, fault) if fault else None
 
     def _on_end(
         self, attempt: OpenAttempt, end: End
     ) -> Result[StageAnswer, StageFault] | None:
         self.is_started = True
-        if not self._buffer.is_whole(end):
+        if not self._answer.is_whole(end):
             return self._on_torn(attempt)
         self.view.link.send(Ack(attempt_id=attempt.attempt_id))
         return Ok(
             StageAnswer(
-                body=self._buffer.body(),
+                body=self._answer.body(),
                 queued_s=end.queued_s,
                 service_s=end.service_s,
                 cost_s=end.cost_s,
@@ -295,10 +263,9 @@
 
     def _on_torn(self, attempt: OpenAttempt) -> Result[StageAnswer, StageFault] | None:
         """Fetch a torn answer once more if nothing of it was passed on."""
-        if self._has_refetched or self._sink is not None:
+        if self._has_refetched or not self._answer.may_begin_again():
             return self._drop(attempt, "count, size or checksum do not match")
         self._has_refetched = True
-        self._buffer.clear()
         self._fetch(attempt)
         return None
 
@@ -355,16 +322,15 @@
         return None
 
     def _fetch(self, attempt: OpenAttempt) -> None:
-        attempt.n_granted_bytes = self._window_bytes
-        self._n_ungranted_bytes = 0
+        self._answer.renew_window(attempt)
         self.view.link.send(
             Fetch(
                 attempt_id=attempt.attempt_id,
-                from_seq=self._buffer.n_chunks,
-                credit_bytes=self._window_bytes,
+                from_seq=self._answer.n_chunks,
+                credit_bytes=self._answer.window_bytes,
             )
         )
-        from_seq = Figure(name="from_seq", value=self._buffer.n_chunks)
+        from_seq = Figure(name="from_seq", value=self._answer.n_chunks)
         self._record(Event.RESULT_FETCHED, from_seq)
 
     async def _on_failure(self, attempt: OpenAttempt, failure: Failure) -> StageError:
@@ -424,7 +390,7 @@
         return Unknown(reason=reason, step=step, peer=peer, detail=f"{peer} {what}.")
 
     def _err(self, error: StageError) -> Err[StageFault]:
-        has_passed_on = self._sink is not None and self._buffer.n_chunks > 0
+        has_passed_on = self._answer.has_passed_on
         return Err(StageFault(error=error, has_passed_on=has_passed_on))
 
     def _record(self, event: Event, *figures: Figure) -> None:
