Look targets up in the directory every 10 ms, not several times a call

Cause: one stage call asked the directory for its service's sidecars three to four times, each a pass over up to 16 hosts. Change: the router keeps the views for 10 ms; whether each may get work is still asked every time.

--- a/src/trefoilpaddle/coordination/routing.py
+++ b/src/trefoilpaddle/coordination/routing.py
@@ -15,6 +15,8 @@
 from .stage_work import StageWork
 from .target_view import DEFAULT_SLOTS, TargetView, TargetViews
 
+LOOK_S: Final = 0.01
+"""How long a look into the directory serves."""
 PATIENCE: Final = 1.5
 """Wait accepted for a cached prefix, in times of what it saves, less the
 entry's weight of attainment."""
@@ -50,6 +52,12 @@
     prefix_share: float = 0.0
 
 
+@dataclass(frozen=True, slots=True, kw_only=True)
+class _Look:
+    views: list[TargetView]
+    at_s: float
+
+
 class Router:
     """Chooses targets among those that may be given work.
 
@@ -72,6 +80,7 @@
     __slots__ = (
         "_directory",
         "_ejector",
+        "_looks",
         "_policy",
         "_prefixes",
         "_random",
@@ -96,11 +105,25 @@
         self._ejector = ejector
         self._random = random.Random(seed)
         self._turns: dict[str, itertools.count[int]] = {}
+        self._looks: dict[str, _Look] = {}
 
     def candidates(self, service: str) -> list[TargetView]:
         """Return the targets of `service` that may be given new work now."""
-        views = (self._views.of(host) for host in self._directory.sidecars(service))
-        return [view for view in views if view is not None and view.may_get_work()]
+        return [view for view in self._views_of(service) if view.may_get_work()]
+
+    def _views_of(self, service: str) -> list[TargetView]:
+        """Return the views of the directory's targets, looked up now and then.
+
+        Each stage call asks several times. A process that was paused finds its
+        last look too old, so the directory's own guard against that holds.
+        """
+        now_s = time.monotonic()
+        look = self._looks.get(service)
+        if look is None or now_s - look.at_s > LOOK_S:
+            found = [self._views.of(host) for host in self._directory.sidecars(service)]
+            views = [view for view in found if view is not None]
+            look = self._looks[service] = _Look(views=views, at_s=now_s)
+        return look.views
 
     def choose(self, work: StageWork, *, tried: Set[str]) -> Chosen | None:
         """Return the target for `work`, or None if none may be given it.
