--- a/tests/gateway_bench.py
+++ b/tests/gateway_bench.py
@@ -114,7 +114,7 @@
         return list(self.gateway.process.journal.story(request_id))
 
     def events(self) -> list[Event]:
-        return [r.decision.event for r in self.gateway.process.journal._records]
+        return [r.decision.event for r in self.gateway.process.journal.recent()]
 
 
 def settings(
--- a/tests/test_orders.py
+++ b/tests/test_orders.py
@@ -180,7 +180,7 @@
                 error = outcome.unwrap_err()
                 assert isinstance(error, Busy)
                 assert error.retry_after_s >= 1.0
-                events = [r.decision.event for r in s.journal._records]
+                events = [r.decision.event for r in s.journal.recent()]
                 assert events == [Event.ORDER_REFUSED]
 
 
