Allow for scatter by how much waits, so that calm loses nothing

Change: what is allowed for scatter grows from the optimistic to the cautious side as the queue grows to one call per slot.

--- a/src/trefoilpaddle/coordination/dispatcher.py
+++ b/src/trefoilpaddle/coordination/dispatcher.py
@@ -146,8 +146,9 @@
 
     def latest_start_ns(self, attempt: Attempt) -> int:
         """Return the last moment at which `attempt` may start to be in time."""
-        now_ns = time.monotonic_ns()
-        return self._running.latest_start_ns(attempt, now_ns=now_ns)
+        return self._running.latest_start_ns(
+            attempt, n_waiting=len(self._queue), now_ns=time.monotonic_ns()
+        )
 
     def offer(self, attempt: Attempt, work: Work) -> None:
         """Take in an attempt whose body is whole: start it, queue it or refuse it."""
--- a/src/trefoilpaddle/coordination/running_calls.py
+++ b/src/trefoilpaddle/coordination/running_calls.py
@@ -70,15 +70,17 @@
         """Return how much slower than predicted the target is of late."""
         return self._slowness.at(now_ns / NS_PER_S)
 
-    def latest_start_ns(self, attempt: Attempt, *, now_ns: int) -> int:
+    def latest_start_ns(self, attempt: Attempt, *, n_waiting: int, now_ns: int) -> int:
         """Return the last moment at which `attempt` may start to be in time.
 
         It allows for how slow the target is and how far its calls scatter: of
-        the work started at that moment most is still in time, so that little
-        is spent on answers which come too late.
+        the work started at that moment while as many wait as there are slots,
+        most is still in time, so that little is spent on answers which come
+        too late.
         """
-        high = self._slowness.high_at(now_ns / NS_PER_S)
-        need_s = max(0.0, attempt.start.predicted_s) * high
+        pressure = min(1.0, n_waiting / self.limit.n_slots)
+        allowed = self._slowness.allowed_at(now_ns / NS_PER_S, pressure=pressure)
+        need_s = max(0.0, attempt.start.predicted_s) * allowed
         return attempt.finish_by_ns - int(need_s * NS_PER_S)
 
     def left_s(self, now_ns: int) -> list[float]:
--- a/src/trefoilpaddle/state/slowness.py
+++ b/src/trefoilpaddle/state/slowness.py
@@ -34,9 +34,20 @@
         age_s = max(0.0, now_s - self._when_s - GRACE_S)
         return 1.0 + (self._ratio - 1.0) * math.exp(-age_s / FADE_S)
 
-    def high_at(self, now_s: float) -> float:
-        """Return the ratio that ``QUANTILE`` of the calls stay below."""
-        return max(1.0, self.at(now_s) * self._spread)
+    def allowed_at(self, now_s: float, *, pressure: float) -> float:
+        """Return the ratio to allow for when work must be in time.
+
+        Parameters
+        ----------
+        now_s : float
+            Seconds on a monotonic clock.
+        pressure : float
+            From 0, nothing else waits, to 1, much does. Under pressure it is
+            the ratio that ``QUANTILE`` of the calls stay below, since the time
+            of a call that is late after all is missing to others; without it,
+            the ratio that few calls stay below, since nobody else is hurt.
+        """
+        return self.at(now_s) * math.pow(self._spread, 2.0 * pressure - 1.0)
 
     def note(self, *, service_s: float, predicted_s: float, now_s: float) -> None:
         """Take in one ended call; one without prediction says nothing."""
