Let a restarted sidecar promise nothing for the former one

Cause: a bar or a fetch names an attempt alone. A sidecar that was killed in the midst of a booking and started anew knows nothing of it and answered barred; where the gateway's link reopened just before the deadline, it told its caller not run. Ruled out: comparing the connection's incarnation in the gateway only, since the link may be replaced between the look and the question. Conclusion: the promise is bound to the process that can keep it.

--- a/idl/stage.thrift
+++ b/idl/stage.thrift
@@ -111,7 +111,13 @@
 
 struct Ack { 1: binary attempt_id = "" }
 struct Credit { 1: binary attempt_id = ""  2: i64 n_bytes = 0 }
-struct Fetch { 1: binary attempt_id = ""  2: i32 from_seq = 0  3: i64 credit_bytes = 0 }
+// incarnation: of the sidecar that was sent the start; 0 when it is not known.
+struct Fetch {
+  1: binary attempt_id = ""
+  2: i32 from_seq = 0
+  3: i64 credit_bytes = 0
+  4: i64 incarnation = 0
+}
 struct Cancel { 1: binary attempt_id = "" }
-struct Bar { 1: binary attempt_id = "" }
+struct Bar { 1: binary attempt_id = ""  2: i64 incarnation = 0 }
 struct BarAnswer { 1: binary attempt_id = ""  2: BarState state = 0 }
--- a/src/trefoilpaddle/coordination/stage_call.py
+++ b/src/trefoilpaddle/coordination/stage_call.py
@@ -342,6 +342,7 @@
                 attempt_id=attempt.attempt_id,
                 from_seq=self._buffer.n_chunks,
                 credit_bytes=self._window_bytes,
+                incarnation=attempt.incarnation,
             )
         )
         from_seq = Figure(name="from_seq", value=self._buffer.n_chunks)
@@ -385,7 +386,8 @@
         link = self.view.link
         if not link.is_heard():
             return otherwise
-        question = Bar(attempt_id=attempt.attempt_id)
+        # A sidecar that was restarted meanwhile must not answer for the former.
+        question = Bar(attempt_id=attempt.attempt_id, incarnation=attempt.incarnation)
         match await link.ask(question, timeout_s=BAR_WAIT_S):
             case Ok(BarAnswer(state=BarState.BARRED)):
                 self._record(Event.ATTEMPT_BARRED)
--- a/src/trefoilpaddle/coordination/stage_server.py
+++ b/src/trefoilpaddle/coordination/stage_server.py
@@ -99,7 +99,7 @@
             case Go():
                 self._on_go(message)
             case Bar():
-                connection.write(self._bar(message.attempt_id))
+                connection.write(self._bar(message))
 
     def on_close(self, connection: Connection) -> None:
         """Hold what a lost connection leaves behind."""
@@ -110,7 +110,7 @@
 
     async def answer_bar(self, message: Bar, _peer: Hello) -> BarAnswer:
         """Answer "did you start it? then never do"."""
-        return self._bar(message.attempt_id)
+        return self._bar(message)
 
     def _on_start(self, connection: Connection, start: Start) -> None:
         known = self._table.get(start.attempt_id)
@@ -213,18 +213,25 @@
             return
         connection.write(
             to_failure(
-                self._gone(message.attempt_id),
+                self._gone(message),
                 attempt_id=message.attempt_id,
                 load=self._dispatcher.load(),
             )
         )
 
-    def _gone(self, attempt_id: bytes) -> StageError:
+    def _gone(self, message: Fetch) -> StageError:
         """Return what is true of an attempt that is neither open nor held.
 
         One that never came is barred by this, like by `Bar`.
         """
-        state = self._table.bar_unknown(attempt_id, now_ns=time.monotonic_ns())
+        if self._is_of_another(message.incarnation):
+            return Unknown(
+                reason=Reason.WRONG_INCARNATION,
+                step="fetch",
+                peer=self._name,
+                detail="the sidecar was restarted and knows nothing of the attempt",
+            )
+        state = self._table.bar_unknown(message.attempt_id, now_ns=time.monotonic_ns())
         if state == BarState.BARRED:
             return self._not_run(Reason.BARRED, "it did not start here and never will")
         return Unknown(
@@ -248,9 +255,19 @@
             return
         attempt.go.set_result(None)
 
-    def _bar(self, attempt_id: bytes) -> BarAnswer:
+    def _is_of_another(self, incarnation: int) -> bool:
+        """Return True if a question is about a former start of this sidecar.
+
+        Whatever that one ran is not known here, so nothing may be promised.
+        """
+        return incarnation not in (0, self._incarnation)
+
+    def _bar(self, message: Bar) -> BarAnswer:
+        attempt_id = message.attempt_id
         attempt = self._table.get(attempt_id)
-        if attempt is None:
+        if self._is_of_another(message.incarnation):
+            state = BarState.FORGOTTEN
+        elif attempt is None:
             state = self._table.bar_unknown(attempt_id, now_ns=time.monotonic_ns())
         elif self._dispatcher.withdraw(attempt, Reason.BARRED):
             state = BarState.BARRED
--- a/src/trefoilpaddle/protocol/gen/stage/ttypes.py
+++ b/src/trefoilpaddle/protocol/gen/stage/ttypes.py
@@ -2036,6 +2036,7 @@
      - attempt_id
      - from_seq
      - credit_bytes
+     - incarnation
 
     """
 
@@ -2043,13 +2044,15 @@
         'attempt_id',
         'from_seq',
         'credit_bytes',
+        'incarnation',
     )
 
 
-    def __init__(self, attempt_id=b"", from_seq=0, credit_bytes=0,):
+    def __init__(self, attempt_id=b"", from_seq=0, credit_bytes=0, incarnation=0,):
         self.attempt_id = attempt_id
         self.from_seq = from_seq
         self.credit_bytes = credit_bytes
+        self.incarnation = incarnation
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -2075,6 +2078,11 @@
                     self.credit_bytes = iprot.readI64()
                 else:
                     iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.I64:
+                    self.incarnation = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -2097,6 +2105,10 @@
             oprot.writeFieldBegin('credit_bytes', TType.I64, 3)
             oprot.writeI64(self.credit_bytes)
             oprot.writeFieldEnd()
+        if self.incarnation is not None:
+            oprot.writeFieldBegin('incarnation', TType.I64, 4)
+            oprot.writeI64(self.incarnation)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -2194,16 +2206,19 @@
     """
     Attributes:
      - attempt_id
+     - incarnation
 
     """
 
     __slots__ = (
         'attempt_id',
+        'incarnation',
     )
 
 
-    def __init__(self, attempt_id=b"",):
+    def __init__(self, attempt_id=b"", incarnation=0,):
         self.attempt_id = attempt_id
+        self.incarnation = incarnation
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -2219,6 +2234,11 @@
                     self.attempt_id = iprot.readBinary()
                 else:
                     iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.I64:
+                    self.incarnation = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -2233,6 +2253,10 @@
             oprot.writeFieldBegin('attempt_id', TType.STRING, 1)
             oprot.writeBinary(self.attempt_id)
             oprot.writeFieldEnd()
+        if self.incarnation is not None:
+            oprot.writeFieldBegin('incarnation', TType.I64, 2)
+            oprot.writeI64(self.incarnation)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -2496,6 +2520,7 @@
     (1, TType.STRING, 'attempt_id', 'BINARY', b"", ),  # 1
     (2, TType.I32, 'from_seq', None, 0, ),  # 2
     (3, TType.I64, 'credit_bytes', None, 0, ),  # 3
+    (4, TType.I64, 'incarnation', None, 0, ),  # 4
 )
 all_structs.append(Cancel)
 Cancel.thrift_spec = (
@@ -2506,6 +2531,7 @@
 Bar.thrift_spec = (
     None,  # 0
     (1, TType.STRING, 'attempt_id', 'BINARY', b"", ),  # 1
+    (2, TType.I64, 'incarnation', None, 0, ),  # 2
 )
 all_structs.append(BarAnswer)
 BarAnswer.thrift_spec = (
--- a/src/trefoilpaddle/protocol/gen/stage/ttypes.pyi
+++ b/src/trefoilpaddle/protocol/gen/stage/ttypes.pyi
@@ -138,13 +138,15 @@
     attempt_id: bytes
     from_seq: int
     credit_bytes: int
-    def __init__(self, *, attempt_id: bytes = ..., from_seq: int = ..., credit_bytes: int = ...) -> None: ...
+    incarnation: int
+    def __init__(self, *, attempt_id: bytes = ..., from_seq: int = ..., credit_bytes: int = ..., incarnation: int = ...) -> None: ...
 class Cancel:
     attempt_id: bytes
     def __init__(self, *, attempt_id: bytes = ...) -> None: ...
 class Bar:
     attempt_id: bytes
-    def __init__(self, *, attempt_id: bytes = ...) -> None: ...
+    incarnation: int
+    def __init__(self, *, attempt_id: bytes = ..., incarnation: int = ...) -> None: ...
 class BarAnswer:
     attempt_id: bytes
     state: int
--- a/tests/test_sidecar_attempts.py
+++ b/tests/test_sidecar_attempts.py
@@ -10,6 +10,7 @@
     BodyChunk,
     Cancel,
     Failure,
+    Fetch,
     Outcome,
 )
 from trefoilpaddle.protocol.reasons import Reason
@@ -137,6 +138,28 @@
             assert failure.reason == Reason.WRONG_INCARNATION
             assert target.runs == []
 
+    async def test_a_restarted_sidecar_promises_nothing_for_the_former(self) -> None:
+        """A sidecar is killed in the midst of a booking and started anew.
+
+        The gateway's question reaches the new one just before the deadline. It
+        knows nothing of the booking; "it never ran" would be a guess, and the
+        caller would book again.
+        """
+        async with scene() as s:
+            start = s.gateway.start_message(idempotent=False)
+            other = s.gateway.connection.peer.incarnation + 1
+            bar = Bar(attempt_id=start.attempt_id, incarnation=other)
+            assert (await s.gateway.ask(bar)).state == BarState.FORGOTTEN
+            s.gateway.connection.write(
+                Fetch(attempt_id=start.attempt_id, incarnation=other)
+            )
+            failure = await s.gateway.failure(start.attempt_id)
+            assert failure.outcome == Outcome.UNKNOWN
+            assert failure.reason == Reason.WRONG_INCARNATION
+            own = s.gateway.connection.peer.incarnation
+            bar = Bar(attempt_id=start.attempt_id, incarnation=own)
+            assert (await s.gateway.ask(bar)).state == BarState.BARRED
+
 
 class TestTruth:
     @pytest.mark.parametrize(
