Hand shared request keys to a place that has started anew

Cause: two places of a key replaced one after the other within a retry window left nobody to vouch: new keys were answered unknown, answers were lost. Change: a started sidecar asks its partners for the claims both decide and for the lists they knew; it then vouches for the pair. Without the lists handed over, a test fails.

--- a/idl/claims.thrift
+++ b/idl/claims.thrift
@@ -60,4 +60,35 @@
   1: ClaimAnswer answer
   2: bool complete = false        // has lived for a whole retry window
   3: list<Places> former = []     // under other lists that this place knows
+  4: list<string> learned_from = [] // places whose common claims with it this one holds
+}
+
+// A place that has started asks another for the claims on keys that both decide.
+struct ClaimSync { 1: string after_key = "" }
+
+struct KnownClaim {
+  1: Claim claim
+  2: bool done = false
+  3: binary result = ""
+  4: bool has_result = false
+  5: i64 overdue_in_ms = 0
+  6: i64 expires_in_ms = 0
+  7: bool moved = false
+}
+
+// All places of one list that the sender knows, and how long ago it was replaced.
+struct KnownList {
+  1: i64 hosts_revision = 0
+  2: list<string> process_ids = []
+  3: list<string> addresses = []
+  4: list<string> failure_domains = []
+  5: i64 replaced_ago_ms = 0
+}
+
+// One page, in order of key.
+struct SyncAnswer {
+  1: list<KnownClaim> claims = []
+  2: bool more = false
+  3: bool complete = false        // the sender can vouch for the keys of both
+  4: list<KnownList> lists = []   // with the first page
 }
--- a/src/trefoilpaddle/coordination/claim_book.py
+++ b/src/trefoilpaddle/coordination/claim_book.py
@@ -45,10 +45,11 @@
     __slots__ = (
         "_born_s",
         "_clock",
-        "_history",
         "_incarnation_of",
         "_longest_s",
         "_published",
+        "history",
+        "learned_from",
         "process_id",
         "table",
     )
@@ -64,24 +65,29 @@
     ) -> None:
         self.process_id = process_id
         self.table = table
+        self.learned_from: set[str] = set()
         self._published = published
         self._incarnation_of = incarnation_of
         self._clock = clock
         self._born_s = clock()
         self._longest_s = 0.0
-        self._history = PlaceHistory(keep_s=FORMER_LISTS_S, clock=clock)
+        self.history = PlaceHistory(keep_s=FORMER_LISTS_S, clock=clock)
         published.subscribe(self._on_published)
         self._on_published()
 
+    def now_s(self) -> float:
+        """Return this process's monotonic clock."""
+        return self._clock()
+
     def _on_published(self) -> None:
-        self._history.set_hosts(self._published.hosts)
+        self.history.set_hosts(self._published.hosts)
         entries = self._published.catalogue.entries.values()
         self._longest_s = max([self._longest_s, *(e.deadline_s for e in entries)])
 
     @property
     def present(self) -> PlaceList:
         """The list in force."""
-        return self._history.present
+        return self.history.present
 
     @property
     def memory_s(self) -> float:
@@ -95,13 +101,21 @@
         request granted before its start has ended and its retry window is
         over, it cannot vouch that a key is new.
         """
-        known_since_s = max(self._born_s, self._history.cut_s)
+        known_since_s = max(self._born_s, self.history.cut_s)
         return max(0.0, known_since_s + self.memory_s - self._clock())
 
     def is_complete(self) -> bool:
         """Return True if no claim recorded here can have been forgotten."""
         return self.incomplete_s() == 0.0
 
+    def vouches_with(self, partner: str) -> bool:
+        """Return True if no claim on keys decided with `partner` can be missing.
+
+        Either nothing can have been forgotten here, or `partner` has handed over
+        all that it knew: each such claim was recorded at both places.
+        """
+        return self.is_complete() or partner in self.learned_from
+
     def other_pairs(self, key: str, *, revision: int) -> Iterator[tuple[Place, ...]]:
         """Yield the distinct places of `key` under known lists but `revision`.
 
@@ -109,7 +123,7 @@
         decides under a newer: others may still decide under either.
         """
         seen: set[tuple[str, ...]] = set()
-        for places in (self.present, *self._history.former()):
+        for places in (self.present, *self.history.former()):
             if places.revision == revision:
                 continue
             pair = places.pair(key)
--- a/src/trefoilpaddle/coordination/claim_copy.py
+++ b/src/trefoilpaddle/coordination/claim_copy.py
@@ -34,6 +34,7 @@
         return CopyAnswer(
             answer=answer,
             complete=self._book.is_complete(),
+            learned_from=self._learned_from(claim),
             former=[
                 places_message(pair)
                 for pair in self._book.other_pairs(
@@ -42,6 +43,12 @@
             ],
         )
 
+    def _learned_from(self, claim: Claim) -> list[str]:
+        """Return the partners in this key that have handed over what they knew."""
+        pairs = self._book.other_pairs(claim.key, revision=0)
+        partners = {place.process_id for pair in pairs for place in pair}
+        return sorted(partners & self._book.learned_from)
+
     def _copy(self, claim: Claim) -> ClaimAnswer:
         if self._is_stale(claim):
             return self._book.not_mine("the asking place has an older host list")
--- a/src/trefoilpaddle/coordination/claim_home.py
+++ b/src/trefoilpaddle/coordination/claim_home.py
@@ -29,6 +29,7 @@
 from .asker import Asker, ask_at
 from .claim_book import ClaimBook, answer_for, places_of, request_of
 from .claim_copy import ClaimCopies
+from .vouchers import Vouchers
 
 COPY_TIMEOUT_S: Final = 0.4
 """Wait for another place; shorter than the gateway's wait for this one."""
@@ -121,11 +122,10 @@
         """Return what speaks against granting, or None.
 
         One place of each pair, present and former, must vouch that it never
-        recorded the key: it has lived long enough and holds no record.
+        recorded the key: it holds no record, and cannot lack one.
         """
-        vouchers: set[str] = set()
-        if self._book.is_complete():
-            vouchers.add(self._book.process_id)
+        vouchers = Vouchers()
+        vouchers.add_own(self._book)
         revision = claim.hosts_revision
         former = list(self._book.other_pairs(claim.key, revision=revision))
         for second in pair[1:]:
@@ -136,17 +136,16 @@
             if copied.answer.state != ClaimState.NEW:
                 return copied.answer
             former += [places_of(places) for places in copied.former]
-            if copied.complete:
-                vouchers.add(second.process_id)
-        if not vouchers:
+            vouchers.add(second, copied)
+        if not vouchers.has_for(pair):
             return self._book.unsure("the places of this key have started lately")
         return await self._former_objection(claim, former, vouchers)
 
     async def _former_objection(
-        self, claim: Claim, former: list[Pair], vouchers: set[str]
+        self, claim: Claim, former: list[Pair], vouchers: Vouchers
     ) -> ClaimAnswer | None:
         for pair in former:
-            if any(place.process_id in vouchers for place in pair):
+            if vouchers.has_for(pair):
                 continue
             answer = await self._pair_objection(claim, pair, vouchers)
             if answer is not None:
@@ -154,7 +153,7 @@
         return None
 
     async def _pair_objection(
-        self, claim: Claim, pair: Pair, vouchers: set[str]
+        self, claim: Claim, pair: Pair, vouchers: Vouchers
     ) -> ClaimAnswer | None:
         """Return what a former pair objects, or None once one of it vouches."""
         for place in pair:
@@ -165,8 +164,8 @@
                 continue
             if moved.answer.state != ClaimState.NEW:
                 return moved.answer
-            if moved.complete:
-                vouchers.add(place.process_id)
+            vouchers.add(place, moved)
+            if vouchers.has_for(pair):
                 return None
         return self._book.unsure("no earlier place of this key could vouch for it")
 
--- a/src/trefoilpaddle/coordination/key_parts.py
+++ b/src/trefoilpaddle/coordination/key_parts.py
@@ -7,6 +7,7 @@
 from ..transport.server import PeerServer
 from .claim_book import ClaimBook, IncarnationOf
 from .claim_home import ClaimHome
+from .claim_sync import ClaimSyncs
 
 
 def incarnations_at(server: PeerServer) -> IncarnationOf:
@@ -29,14 +30,15 @@
     server: PeerServer,
     journal: Journal,
     window_s: float,
-) -> ClaimHome:
-    """Return a sidecar's part, answering at `server`."""
+) -> ClaimSyncs:
+    """Answer for request keys at `server`; return what must run after a start."""
     book = ClaimBook(
         process_id=process_id,
         published=published,
         table=ClaimTable(window_s=window_s),
         incarnation_of=incarnations_at(server),
     )
-    home = ClaimHome(book=book, asker=peers, journal=journal)
-    home.mount(server)
-    return home
+    ClaimHome(book=book, asker=peers, journal=journal).mount(server)
+    syncs = ClaimSyncs(book=book, asker=peers)
+    syncs.mount(server)
+    return syncs
--- a/src/trefoilpaddle/protocol/frames.py
+++ b/src/trefoilpaddle/protocol/frames.py
@@ -57,6 +57,8 @@
     63: claims.SettleAnswer,
     64: claims.ClaimCopy,
     65: claims.CopyAnswer,
+    66: claims.ClaimSync,
+    67: claims.SyncAnswer,
     70: limits.LeaseAsk,
     71: limits.LeaseAnswer,
     75: placement.Holdings,
--- a/src/trefoilpaddle/protocol/gen/claims/ttypes.py
+++ b/src/trefoilpaddle/protocol/gen/claims/ttypes.py
@@ -788,6 +788,7 @@
      - answer
      - complete
      - former
+     - learned_from
 
     """
 
@@ -795,10 +796,12 @@
         'answer',
         'complete',
         'former',
+        'learned_from',
     )
 
 
     def __init__(self, answer=None, complete=False, former=[
+    ], learned_from=[
     ],):
         self.answer = answer
         self.complete = complete
@@ -806,6 +809,10 @@
             former = [
             ]
         self.former = former
+        if learned_from is self.thrift_spec[4][4]:
+            learned_from = [
+            ]
+        self.learned_from = learned_from
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -838,6 +845,16 @@
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.LIST:
+                    self.learned_from = []
+                    (_etype23, _size20) = iprot.readListBegin()
+                    for _i24 in range(_size20):
+                        _elem25 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.learned_from.append(_elem25)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -859,8 +876,506 @@
         if self.former is not None:
             oprot.writeFieldBegin('former', TType.LIST, 3)
             oprot.writeListBegin(TType.STRUCT, len(self.former))
-            for iter20 in self.former:
-                iter20.write(oprot)
+            for iter26 in self.former:
+                iter26.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.learned_from is not None:
+            oprot.writeFieldBegin('learned_from', TType.LIST, 4)
+            oprot.writeListBegin(TType.STRING, len(self.learned_from))
+            for iter27 in self.learned_from:
+                oprot.writeString(iter27.encode('utf-8') if sys.version_info[0] == 2 else iter27)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class ClaimSync(object):
+    """
+    Attributes:
+     - after_key
+
+    """
+
+    __slots__ = (
+        'after_key',
+    )
+
+
+    def __init__(self, after_key="",):
+        self.after_key = after_key
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.after_key = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('ClaimSync')
+        if self.after_key is not None:
+            oprot.writeFieldBegin('after_key', TType.STRING, 1)
+            oprot.writeString(self.after_key.encode('utf-8') if sys.version_info[0] == 2 else self.after_key)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class KnownClaim(object):
+    """
+    Attributes:
+     - claim
+     - done
+     - result
+     - has_result
+     - overdue_in_ms
+     - expires_in_ms
+     - moved
+
+    """
+
+    __slots__ = (
+        'claim',
+        'done',
+        'result',
+        'has_result',
+        'overdue_in_ms',
+        'expires_in_ms',
+        'moved',
+    )
+
+
+    def __init__(self, claim=None, done=False, result=b"", has_result=False, overdue_in_ms=0, expires_in_ms=0, moved=False,):
+        self.claim = claim
+        self.done = done
+        self.result = result
+        self.has_result = has_result
+        self.overdue_in_ms = overdue_in_ms
+        self.expires_in_ms = expires_in_ms
+        self.moved = moved
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRUCT:
+                    self.claim = Claim()
+                    self.claim.read(iprot)
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.BOOL:
+                    self.done = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.STRING:
+                    self.result = iprot.readBinary()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.BOOL:
+                    self.has_result = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 5:
+                if ftype == TType.I64:
+                    self.overdue_in_ms = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 6:
+                if ftype == TType.I64:
+                    self.expires_in_ms = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 7:
+                if ftype == TType.BOOL:
+                    self.moved = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('KnownClaim')
+        if self.claim is not None:
+            oprot.writeFieldBegin('claim', TType.STRUCT, 1)
+            self.claim.write(oprot)
+            oprot.writeFieldEnd()
+        if self.done is not None:
+            oprot.writeFieldBegin('done', TType.BOOL, 2)
+            oprot.writeBool(self.done)
+            oprot.writeFieldEnd()
+        if self.result is not None:
+            oprot.writeFieldBegin('result', TType.STRING, 3)
+            oprot.writeBinary(self.result)
+            oprot.writeFieldEnd()
+        if self.has_result is not None:
+            oprot.writeFieldBegin('has_result', TType.BOOL, 4)
+            oprot.writeBool(self.has_result)
+            oprot.writeFieldEnd()
+        if self.overdue_in_ms is not None:
+            oprot.writeFieldBegin('overdue_in_ms', TType.I64, 5)
+            oprot.writeI64(self.overdue_in_ms)
+            oprot.writeFieldEnd()
+        if self.expires_in_ms is not None:
+            oprot.writeFieldBegin('expires_in_ms', TType.I64, 6)
+            oprot.writeI64(self.expires_in_ms)
+            oprot.writeFieldEnd()
+        if self.moved is not None:
+            oprot.writeFieldBegin('moved', TType.BOOL, 7)
+            oprot.writeBool(self.moved)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class KnownList(object):
+    """
+    Attributes:
+     - hosts_revision
+     - process_ids
+     - addresses
+     - failure_domains
+     - replaced_ago_ms
+
+    """
+
+    __slots__ = (
+        'hosts_revision',
+        'process_ids',
+        'addresses',
+        'failure_domains',
+        'replaced_ago_ms',
+    )
+
+
+    def __init__(self, hosts_revision=0, process_ids=[
+    ], addresses=[
+    ], failure_domains=[
+    ], replaced_ago_ms=0,):
+        self.hosts_revision = hosts_revision
+        if process_ids is self.thrift_spec[2][4]:
+            process_ids = [
+            ]
+        self.process_ids = process_ids
+        if addresses is self.thrift_spec[3][4]:
+            addresses = [
+            ]
+        self.addresses = addresses
+        if failure_domains is self.thrift_spec[4][4]:
+            failure_domains = [
+            ]
+        self.failure_domains = failure_domains
+        self.replaced_ago_ms = replaced_ago_ms
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.I64:
+                    self.hosts_revision = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.LIST:
+                    self.process_ids = []
+                    (_etype31, _size28) = iprot.readListBegin()
+                    for _i32 in range(_size28):
+                        _elem33 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.process_ids.append(_elem33)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.LIST:
+                    self.addresses = []
+                    (_etype37, _size34) = iprot.readListBegin()
+                    for _i38 in range(_size34):
+                        _elem39 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.addresses.append(_elem39)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.LIST:
+                    self.failure_domains = []
+                    (_etype43, _size40) = iprot.readListBegin()
+                    for _i44 in range(_size40):
+                        _elem45 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.failure_domains.append(_elem45)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 5:
+                if ftype == TType.I64:
+                    self.replaced_ago_ms = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('KnownList')
+        if self.hosts_revision is not None:
+            oprot.writeFieldBegin('hosts_revision', TType.I64, 1)
+            oprot.writeI64(self.hosts_revision)
+            oprot.writeFieldEnd()
+        if self.process_ids is not None:
+            oprot.writeFieldBegin('process_ids', TType.LIST, 2)
+            oprot.writeListBegin(TType.STRING, len(self.process_ids))
+            for iter46 in self.process_ids:
+                oprot.writeString(iter46.encode('utf-8') if sys.version_info[0] == 2 else iter46)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.addresses is not None:
+            oprot.writeFieldBegin('addresses', TType.LIST, 3)
+            oprot.writeListBegin(TType.STRING, len(self.addresses))
+            for iter47 in self.addresses:
+                oprot.writeString(iter47.encode('utf-8') if sys.version_info[0] == 2 else iter47)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.failure_domains is not None:
+            oprot.writeFieldBegin('failure_domains', TType.LIST, 4)
+            oprot.writeListBegin(TType.STRING, len(self.failure_domains))
+            for iter48 in self.failure_domains:
+                oprot.writeString(iter48.encode('utf-8') if sys.version_info[0] == 2 else iter48)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.replaced_ago_ms is not None:
+            oprot.writeFieldBegin('replaced_ago_ms', TType.I64, 5)
+            oprot.writeI64(self.replaced_ago_ms)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class SyncAnswer(object):
+    """
+    Attributes:
+     - claims
+     - more
+     - complete
+     - lists
+
+    """
+
+    __slots__ = (
+        'claims',
+        'more',
+        'complete',
+        'lists',
+    )
+
+
+    def __init__(self, claims=[
+    ], more=False, complete=False, lists=[
+    ],):
+        if claims is self.thrift_spec[1][4]:
+            claims = [
+            ]
+        self.claims = claims
+        self.more = more
+        self.complete = complete
+        if lists is self.thrift_spec[4][4]:
+            lists = [
+            ]
+        self.lists = lists
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.LIST:
+                    self.claims = []
+                    (_etype52, _size49) = iprot.readListBegin()
+                    for _i53 in range(_size49):
+                        _elem54 = KnownClaim()
+                        _elem54.read(iprot)
+                        self.claims.append(_elem54)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.BOOL:
+                    self.more = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.BOOL:
+                    self.complete = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.LIST:
+                    self.lists = []
+                    (_etype58, _size55) = iprot.readListBegin()
+                    for _i59 in range(_size55):
+                        _elem60 = KnownList()
+                        _elem60.read(iprot)
+                        self.lists.append(_elem60)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('SyncAnswer')
+        if self.claims is not None:
+            oprot.writeFieldBegin('claims', TType.LIST, 1)
+            oprot.writeListBegin(TType.STRUCT, len(self.claims))
+            for iter61 in self.claims:
+                iter61.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.more is not None:
+            oprot.writeFieldBegin('more', TType.BOOL, 2)
+            oprot.writeBool(self.more)
+            oprot.writeFieldEnd()
+        if self.complete is not None:
+            oprot.writeFieldBegin('complete', TType.BOOL, 3)
+            oprot.writeBool(self.complete)
+            oprot.writeFieldEnd()
+        if self.lists is not None:
+            oprot.writeFieldBegin('lists', TType.LIST, 4)
+            oprot.writeListBegin(TType.STRUCT, len(self.lists))
+            for iter62 in self.lists:
+                iter62.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -949,6 +1464,46 @@
     (2, TType.BOOL, 'complete', None, False, ),  # 2
     (3, TType.LIST, 'former', (TType.STRUCT, [Places, None], False), [
     ], ),  # 3
+    (4, TType.LIST, 'learned_from', (TType.STRING, 'UTF8', False), [
+    ], ),  # 4
+)
+all_structs.append(ClaimSync)
+ClaimSync.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'after_key', 'UTF8', "", ),  # 1
+)
+all_structs.append(KnownClaim)
+KnownClaim.thrift_spec = (
+    None,  # 0
+    (1, TType.STRUCT, 'claim', [Claim, None], None, ),  # 1
+    (2, TType.BOOL, 'done', None, False, ),  # 2
+    (3, TType.STRING, 'result', 'BINARY', b"", ),  # 3
+    (4, TType.BOOL, 'has_result', None, False, ),  # 4
+    (5, TType.I64, 'overdue_in_ms', None, 0, ),  # 5
+    (6, TType.I64, 'expires_in_ms', None, 0, ),  # 6
+    (7, TType.BOOL, 'moved', None, False, ),  # 7
+)
+all_structs.append(KnownList)
+KnownList.thrift_spec = (
+    None,  # 0
+    (1, TType.I64, 'hosts_revision', None, 0, ),  # 1
+    (2, TType.LIST, 'process_ids', (TType.STRING, 'UTF8', False), [
+    ], ),  # 2
+    (3, TType.LIST, 'addresses', (TType.STRING, 'UTF8', False), [
+    ], ),  # 3
+    (4, TType.LIST, 'failure_domains', (TType.STRING, 'UTF8', False), [
+    ], ),  # 4
+    (5, TType.I64, 'replaced_ago_ms', None, 0, ),  # 5
+)
+all_structs.append(SyncAnswer)
+SyncAnswer.thrift_spec = (
+    None,  # 0
+    (1, TType.LIST, 'claims', (TType.STRUCT, [KnownClaim, None], False), [
+    ], ),  # 1
+    (2, TType.BOOL, 'more', None, False, ),  # 2
+    (3, TType.BOOL, 'complete', None, False, ),  # 3
+    (4, TType.LIST, 'lists', (TType.STRUCT, [KnownList, None], False), [
+    ], ),  # 4
 )
 fix_spec(all_structs)
 del all_structs
--- a/src/trefoilpaddle/protocol/gen/claims/ttypes.pyi
+++ b/src/trefoilpaddle/protocol/gen/claims/ttypes.pyi
@@ -59,4 +59,30 @@
     answer: ClaimAnswer | None
     complete: bool
     former: list[Places]
-    def __init__(self, *, answer: ClaimAnswer | None = ..., complete: bool = ..., former: list[Places] = ...) -> None: ...
+    learned_from: list[str]
+    def __init__(self, *, answer: ClaimAnswer | None = ..., complete: bool = ..., former: list[Places] = ..., learned_from: list[str] = ...) -> None: ...
+class ClaimSync:
+    after_key: str
+    def __init__(self, *, after_key: str = ...) -> None: ...
+class KnownClaim:
+    claim: Claim | None
+    done: bool
+    result: bytes
+    has_result: bool
+    overdue_in_ms: int
+    expires_in_ms: int
+    moved: bool
+    def __init__(self, *, claim: Claim | None = ..., done: bool = ..., result: bytes = ..., has_result: bool = ..., overdue_in_ms: int = ..., expires_in_ms: int = ..., moved: bool = ...) -> None: ...
+class KnownList:
+    hosts_revision: int
+    process_ids: list[str]
+    addresses: list[str]
+    failure_domains: list[str]
+    replaced_ago_ms: int
+    def __init__(self, *, hosts_revision: int = ..., process_ids: list[str] = ..., addresses: list[str] = ..., failure_domains: list[str] = ..., replaced_ago_ms: int = ...) -> None: ...
+class SyncAnswer:
+    claims: list[KnownClaim]
+    more: bool
+    complete: bool
+    lists: list[KnownList]
+    def __init__(self, *, claims: list[KnownClaim] = ..., more: bool = ..., complete: bool = ..., lists: list[KnownList] = ...) -> None: ...
--- a/src/trefoilpaddle/roles/sidecar.py
+++ b/src/trefoilpaddle/roles/sidecar.py
@@ -161,7 +161,7 @@
         process.message_listeners.append(self.server.on_message)
         process.close_listeners.append(self.server.on_close)
         process.server.answer(Bar, self.server.answer_bar)
-        sidecar_keys(
+        key_syncs = sidecar_keys(
             process_id=process.identity.process_id,
             published=process.published,
             peers=process.peers,
@@ -180,6 +180,7 @@
             tasks = [
                 asyncio.create_task(self._keep_house()),
                 asyncio.create_task(self._watch().run()),
+                asyncio.create_task(key_syncs.run()),
             ]
             if self._settings.target.kind is ServiceKind.ENGINE:
                 tasks.append(asyncio.create_task(self._place()))
--- a/src/trefoilpaddle/state/claim_table.py
+++ b/src/trefoilpaddle/state/claim_table.py
@@ -132,6 +132,24 @@
         self._expire_at(record, record.overdue_s + self.window_s)
         return True
 
+    def after(self, key: str) -> list[ClaimRecord]:
+        """Return the records of keys beyond `key`, in order of key."""
+        self._expire()
+        return [self._records[name] for name in sorted(self._records) if name > key]
+
+    def copy_in(
+        self, record: ClaimRecord, *, overdue_in_s: float, expires_in_s: float
+    ) -> bool:
+        """Keep a record that another place holds; return False if full."""
+        result, record.result = record.result, None
+        if not self.add(record, budget_s=overdue_in_s):
+            return False
+        if result is not None and self._has_room(result):
+            record.result = result
+            self._results_bytes += len(result)
+        self._expire_at(record, self._clock() + expires_in_s)
+        return True
+
     def keep_until(self, record: ClaimRecord, *, for_s: float) -> None:
         """Forget `record` after `for_s` seconds from now."""
         self._expire_at(record, self._clock() + for_s)
--- a/src/trefoilpaddle/state/places.py
+++ b/src/trefoilpaddle/state/places.py
@@ -114,12 +114,32 @@
         if not replaced.places or set(replaced.places) == set(self.present.places):
             return
         self._former.append((self._clock(), replaced))
+        self._cut()
+
+    def learn(self, places: PlaceList, *, replaced_ago_s: float) -> None:
+        """Take a list that another process held, as one replaced here too."""
+        if places.revision == self.present.revision:
+            return
+        if any(known.revision == places.revision for _, known in self._former):
+            return
+        self._former.append((self._clock() - replaced_ago_s, places))
+        self._former = deque(sorted(self._former, key=lambda item: item[0]))
+        self._cut()
+
+    def _cut(self) -> None:
         # A burst of list changes must not fill memory. Forgetting a list makes
         # this process one that does not know the past, which it then says.
         if len(self._former) > N_FORMER_LISTS:
             self._former.popleft()
             self.cut_s = self._clock()
 
+    def dated(self) -> list[tuple[float, PlaceList]]:
+        """Return the present and former lists and how long ago each was replaced."""
+        now_s = self._clock()
+        self.former()
+        former = [(now_s - at_s, places) for at_s, places in self._former]
+        return [(0.0, self.present), *former]
+
     def former(self) -> list[PlaceList]:
         """Return the replaced lists that may still be in use, newest first."""
         oldest_s = self._clock() - self._keep_s
--- a/tests/claims_fleet.py
+++ b/tests/claims_fleet.py
@@ -9,6 +9,7 @@
 
 from trefoilpaddle.coordination.claim_book import ClaimBook
 from trefoilpaddle.coordination.claim_home import ClaimHome
+from trefoilpaddle.coordination.claim_sync import ClaimSyncs
 from trefoilpaddle.coordination.claims import (
     Claimer,
     ClaimOutcome,
@@ -24,6 +25,7 @@
     Claim,
     ClaimAnswer,
     ClaimCopy,
+    ClaimSync,
     CopyAnswer,
     Settle,
     SettleAnswer,
@@ -145,6 +147,7 @@
             process_id=listed.process_id, n_records=100, format=LogFormat.KEY_VALUE
         )
         self.home = ClaimHome(book=self.book, asker=line, journal=journal)
+        self.syncs = ClaimSyncs(book=self.book, asker=line)
         self.minted = MintedClaims(
             book=self.book,
             process_id=listed.process_id,
@@ -175,6 +178,8 @@
             case ClaimCopy():
                 copied: CopyAnswer = await self.home.answer_copy(message, sender)
                 return copied
+            case ClaimSync():
+                return await self.syncs.answer(message, sender)
             case Settle():
                 settler = self.minted if is_gateway else self.home
                 settled: SettleAnswer = await settler.answer_settle(message, sender)
--- a/tests/test_claims.py
+++ b/tests/test_claims.py
@@ -153,6 +153,35 @@
         assert isinstance(outcome, Unknown)
         assert WINDOW_S - 1 <= outcome.retry_after_s <= WINDOW_S + 20
 
+    async def test_one_host_after_the_other_is_replaced(self) -> None:
+        """Both places restart within a retry window, one after the other.
+
+        Each asks its partners for the claims that they share. The answer is
+        still there for a retry, and new keys are served at once.
+        """
+        fleet = Fleet()
+        first = await granted(fleet, "g1", "k")
+        await fleet.members["g1"].claimer.settle(first, is_run=True, result=b"whole")
+        for name in sorted(fleet.members):
+            if name[0] == "s":
+                await fleet.restart(name).syncs.learn()
+        outcome = await fleet.members["g2"].claim("k")
+        assert outcome == Answered(request_id=first.request_id, result=b"whole")
+        for number in range(20):
+            await granted(fleet, "g1", f"new {number}")
+
+    async def test_lists_are_handed_over_too(self) -> None:
+        """The old places of a key leave the list; then both new ones restart."""
+        fleet = Fleet(n_sidecars=7)
+        first = await granted(fleet, "g1", "k")
+        fleet.relist(fleet.without(*fleet.pair("k")))
+        fleet.tell(*fleet.members)
+        for name in fleet.pair("k"):
+            await fleet.restart(name).syncs.learn()
+        outcome = await fleet.members["g2"].claim("k")
+        assert isinstance(outcome, InProgress)
+        assert outcome.request_id == first.request_id
+
     async def test_idempotent_request_runs_without_its_home(self) -> None:
         fleet = Fleet()
         fleet.kill(fleet.pair("k")[0])
@@ -381,7 +410,9 @@
                 fleet.net.cut.clear()
             case "restart":
                 fleet.net.paused.discard(fleet.address(sidecar))
-                fleet.restart(sidecar)
+                syncs = fleet.restart(sidecar).syncs
+                if n % 3:
+                    await syncs.learn()
             case "drop" if len(fleet.hosts) > 5:
                 fleet.relist(fleet.without(sidecar))
             case "add" if self.n_added < 3:
--- a/tests/test_orders.py
+++ b/tests/test_orders.py
@@ -7,6 +7,8 @@
 
 import pytest
 from aiohttp.test_utils import TestServer
+from hypothesis import given, settings
+from hypothesis import strategies as st
 from result import Ok
 
 from trefoilpaddle.coordination.orders import (
@@ -136,6 +138,27 @@
             assert len({sidecar.fence for sidecar in sidecars}) == 4
 
 
+class TestSchedules:
+    @given(st.lists(st.integers(0, 3), max_size=12))
+    @settings(max_examples=30)
+    def test_no_order_of_an_earlier_sidecar_after_a_later_one(
+        self, senders: list[int]
+    ) -> None:
+        """Four sidecars, each started when its first order is due, send at will."""
+
+        async def play() -> None:
+            async with site() as s:
+                sidecars: dict[int, TargetOrders] = {}
+                effects: list[int] = []
+                for sender in senders:
+                    orders = sidecars.setdefault(sender, s.sidecar())
+                    if (await orders.send(LOAD)).is_ok():
+                        effects.append(list(sidecars).index(sender))
+                assert effects == sorted(effects)
+
+        asyncio.run(play())
+
+
 class TestLock:
     @pytest.mark.parametrize("is_fenced", [True, False])
     async def test_without_the_lock_nothing_is_sent(self, is_fenced: bool) -> None:
