Refuse by brown-out order and slack before anything is spent; count batching in routing

Short deadlines were refused at admission although the least slack goes first at the target. Calls were packed on the holder of a prefix as if its batch cost them nothing. Change: admission asks headroom of lower brown-out orders, counts only the part of a queue that goes first, and never less than half; a target's predicted time grows with its occupancy as far as the entry weighs attainment.

--- a/src/trefoilpaddle/coordination/prediction.py
+++ b/src/trefoilpaddle/coordination/prediction.py
@@ -20,6 +20,13 @@
 counts; where only attainment counts, `CAUTION_STEP` less."""
 CAUTION_STEP: Final = 0.3
 MIN_RETRY_AFTER_S: Final = 0.05
+HEADROOM: Final = 1.0
+"""Part of the predicted need by which the lowest brown-out order is refused
+before the highest."""
+MIN_AHEAD_SHARE: Final = 0.5
+"""Least part of what waits that is taken to go first: it may be as urgent."""
+LEFT_STEP: Final = 0.02
+"""Weight of one request in the usual time left."""
 
 
 class Predictor:
@@ -38,7 +45,14 @@
         Whether early refusal is on.
     """
 
-    __slots__ = ("_coming", "_estimates", "_policy", "_router")
+    __slots__ = (
+        "_coming",
+        "_estimates",
+        "_highest_order",
+        "_policy",
+        "_router",
+        "_usual_left_s",
+    )
 
     def __init__(
         self, *, estimates: Estimates, router: Router, policy: PolicySettings
@@ -47,6 +61,8 @@
         self._router = router
         self._policy = policy
         self._coming = ComingWork()
+        self._highest_order = 0
+        self._usual_left_s = 0.0
 
     def of_body(self, stage: Stage) -> Estimate:
         """Return the fit of `stage` on the size of its body."""
@@ -76,6 +92,7 @@
             return None
         entry = request.governing.entry
         left_s = request.deadline_s - time.monotonic()
+        ahead_share = self._ahead_share(left_s, is_new=index == 0)
         wait_s, needed_s = 0.0, 0.0
         slowest = request.pipeline.stages[index]
         for later in range(index, len(request.pipeline.stages)):
@@ -88,11 +105,12 @@
             stage_wait_s = self._router.least_wait_s(stage.service, entry)
             if later > index:
                 stage_wait_s += self._coming_wait_s(stage.service, entry)
+            stage_wait_s *= ahead_share
             needed_s += stage_wait_s
             if stage_wait_s > wait_s:
                 wait_s, slowest = stage_wait_s, stage
         caution = CAUTION - CAUTION_STEP * entry.attainment_weight
-        if needed_s * caution <= left_s:
+        if needed_s * caution * self._headroom(entry, index) <= left_s:
             return None
         return NotRun(
             reason=Reason.PREDICTED_LATE,
@@ -102,6 +120,31 @@
             retry_after_s=max(MIN_RETRY_AFTER_S, needed_s - left_s, wait_s / 2),
         )
 
+    def _ahead_share(self, left_s: float, *, is_new: bool) -> float:
+        """Return the part of what waits that goes before a request.
+
+        Inside an owner's share the least slack goes first, so a request with
+        less time left than is usual passes much of what waits.
+        """
+        if is_new:
+            step = LEFT_STEP if self._usual_left_s else 1.0
+            self._usual_left_s += step * (left_s - self._usual_left_s)
+        if self._usual_left_s <= 0.0:
+            return 1.0
+        return min(1.0, max(MIN_AHEAD_SHARE, left_s / self._usual_left_s))
+
+    def _headroom(self, entry: Entry, index: int) -> float:
+        """Return how much more than the need must fit, before anything is spent.
+
+        Lower brown-out orders are refused earlier, so that they are not pushed
+        out at a later stage after the first ones were paid for.
+        """
+        self._highest_order = max(self._highest_order, entry.brownout_order)
+        if index > 0 or self._highest_order <= 0:
+            return 1.0
+        rank = max(0, entry.brownout_order) / self._highest_order
+        return 1.0 + HEADROOM * (1.0 - rank)
+
     @contextlib.contextmanager
     def under_way(self, request: Request) -> Iterator[Arrivals]:
         """Count the work that `request` brings to its stages until it is there."""
--- a/src/trefoilpaddle/coordination/target_view.py
+++ b/src/trefoilpaddle/coordination/target_view.py
@@ -160,11 +160,13 @@
         """Return the predicted seconds until `work`, sent now, is answered.
 
         Work that is batched slows what it is batched with, so a target with
-        free slots is not as good as an idle one.
+        free slots is not as good as an idle one; but shared batches are cheap,
+        so this counts as far as the entry weighs attainment.
         """
+        entry = work.governing.entry
         slow = slowness(self.load) if self.load is not None else 1.0
-        drag = 1.0 + FULL_DRAG * self.occupancy()
-        wait_s = self.wait_s(work.governing.entry, now_s)
+        drag = 1.0 + FULL_DRAG * entry.attainment_weight * self.occupancy()
+        wait_s = self.wait_s(entry, now_s)
         return wait_s + work.expected_s * slow * drag
 
 
