--- a/idl/stage.thrift
+++ b/idl/stage.thrift
@@ -6,6 +6,13 @@
 
 enum BarState { BARRED = 0, RUNNING = 1, DONE = 2, FORGOTTEN = 3 }
 
+// What one owner has waiting at a target, for owners with much of it.
+struct OwnerLoad {
+  1: string owner = ""
+  2: double queued_work_s = 0
+  3: double weight = 0
+}
+
 // What a sidecar says of itself; piggy-backed on answers and on each heartbeat.
 struct Load {
   1: i64 stamp_ns = 0            // the sidecar's monotonic clock when it wrote this
@@ -19,6 +26,7 @@
   9: double slowness = 0         // measured over predicted service time, 1.0 = as predicted
   10: bool target_up = false
   11: i64 reported_age_ms = 0    // age of the target's own load report, -1 without one
+  12: list<OwnerLoad> owners = []  // who has work waiting; empty under first come, first served
 }
 
 // First frame in each direction on each connection.
@@ -103,7 +111,13 @@
 
 struct Ack { 1: binary attempt_id = "" }
 struct Credit { 1: binary attempt_id = ""  2: i64 n_bytes = 0 }
-struct Fetch { 1: binary attempt_id = ""  2: i32 from_seq = 0  3: i64 credit_bytes = 0 }
+// incarnation: of the sidecar that was sent the start; 0 when it is not known.
+struct Fetch {
+  1: binary attempt_id = ""
+  2: i32 from_seq = 0
+  3: i64 credit_bytes = 0
+  4: i64 incarnation = 0
+}
 struct Cancel { 1: binary attempt_id = "" }
-struct Bar { 1: binary attempt_id = "" }
+struct Bar { 1: binary attempt_id = ""  2: i64 incarnation = 0 }
 struct BarAnswer { 1: binary attempt_id = ""  2: BarState state = 0 }
--- a/src/trefoilpaddle/coordination/config_feed.py
+++ b/src/trefoilpaddle/coordination/config_feed.py
@@ -15,6 +15,7 @@
 from .directory import LiveDirectory
 from .membership import Membership
 from .own_process import OwnProcess
+from .reach import GatewayLinks, Reach, SidecarLinks
 from .reader_turn import ReaderTurn
 from .wake import WakeWatch
 from .watch_peers import PeerWatch
@@ -44,6 +45,7 @@
         "_first_ask",
         "_has_woken",
         "_process",
+        "_reach",
         "_watch",
         "client",
         "config_peers",
@@ -71,6 +73,12 @@
         self.directory = LiveDirectory(
             process=process, membership=self.membership, wake=self.wake
         )
+        links = (
+            SidecarLinks(process=process, membership=self.membership)
+            if process.identity.service
+            else GatewayLinks(process=process, directory=self.directory)
+        )
+        self._reach = Reach(has_links=links.has_links)
         self.config_peers = ConfigPeers(
             process=process, state=self.state, membership=self.membership
         )
@@ -108,6 +116,14 @@
         """
         return self.state.known.is_set() and not self.wake.is_late()
 
+    def is_ready(self) -> bool:
+        """Return True while new work may be sent here.
+
+        That is while `is_known`, and once the links to the other role have
+        been there, or are waited for no longer.
+        """
+        return self.is_known() and self._reach.is_reached()
+
     async def start(self) -> None:
         """Ask peers, then the platform."""
         self.membership.rewire()
--- a/src/trefoilpaddle/coordination/prediction.py
+++ b/src/trefoilpaddle/coordination/prediction.py
@@ -1,22 +1,32 @@
 """What the stages of a request will take, and whether that fits its deadline."""
 
+import contextlib
 import time
+from collections.abc import Iterator
 from typing import Final
 
 from ..protocol.errors import NotRun
 from ..protocol.reasons import Reason
-from ..state.catalogue import Stage
+from ..state.catalogue import Entry, Stage
 from ..state.estimate import Estimate, Estimates, WorkSize
 from ..state.settings import PolicySettings
+from .coming_work import Arrivals, ComingWork
 from .request import Request
 from .routing import Router
 from .stage_work import StageAnswer, StageWork
 
-CAUTION: Final = 1.2
-"""Times the predicted need below which an entry that weighs only cost is given
-up; each point of attainment weight takes `CAUTION_STEP` off."""
-CAUTION_STEP: Final = 0.4
+CAUTION: Final = 1.3
+"""Times the predicted need that must fit into the time left where only cost
+counts; where only attainment counts, `CAUTION_STEP` less."""
+CAUTION_STEP: Final = 0.3
 MIN_RETRY_AFTER_S: Final = 0.05
+HEADROOM: Final = 1.0
+"""Part of the predicted need by which the lowest brown-out order is refused
+before the highest."""
+MIN_AHEAD_SHARE: Final = 0.5
+"""Least part of what waits that is taken to go first: it may be as urgent."""
+LEFT_STEP: Final = 0.02
+"""Weight of one request in the usual time left."""
 
 
 class Predictor:
@@ -35,7 +45,14 @@
         Whether early refusal is on.
     """
 
-    __slots__ = ("_estimates", "_policy", "_router")
+    __slots__ = (
+        "_coming",
+        "_estimates",
+        "_highest_order",
+        "_policy",
+        "_router",
+        "_usual_left_s",
+    )
 
     def __init__(
         self, *, estimates: Estimates, router: Router, policy: PolicySettings
@@ -43,6 +60,9 @@
         self._estimates = estimates
         self._router = router
         self._policy = policy
+        self._coming = ComingWork()
+        self._highest_order = 0
+        self._usual_left_s = 0.0
 
     def of_body(self, stage: Stage) -> Estimate:
         """Return the fit of `stage` on the size of its body."""
@@ -70,7 +90,9 @@
         """
         if not self._policy.refuse_early:
             return None
+        entry = request.governing.entry
         left_s = request.deadline_s - time.monotonic()
+        ahead_share = self._ahead_share(left_s, is_new=index == 0)
         wait_s, needed_s = 0.0, 0.0
         slowest = request.pipeline.stages[index]
         for later in range(index, len(request.pipeline.stages)):
@@ -80,12 +102,15 @@
             # before anything is spent it is still the best guess.
             if index > 0 and later > index:
                 continue
-            stage_wait_s = self._router.least_wait_s(stage.service)
+            stage_wait_s = self._router.least_wait_s(stage.service, entry)
+            if later > index:
+                stage_wait_s += self._coming_wait_s(stage.service, entry)
+            stage_wait_s *= ahead_share
             needed_s += stage_wait_s
             if stage_wait_s > wait_s:
                 wait_s, slowest = stage_wait_s, stage
-        weight = request.governing.entry.attainment_weight
-        if needed_s * (CAUTION - CAUTION_STEP * weight) <= left_s:
+        caution = CAUTION - CAUTION_STEP * entry.attainment_weight
+        if needed_s * caution * self._headroom(entry, index) <= left_s:
             return None
         return NotRun(
             reason=Reason.PREDICTED_LATE,
@@ -95,6 +120,45 @@
             retry_after_s=max(MIN_RETRY_AFTER_S, needed_s - left_s, wait_s / 2),
         )
 
+    def _ahead_share(self, left_s: float, *, is_new: bool) -> float:
+        """Return the part of what waits that goes before a request.
+
+        Inside an owner's share the least slack goes first, so a request with
+        less time left than is usual passes much of what waits.
+        """
+        if is_new:
+            step = LEFT_STEP if self._usual_left_s else 1.0
+            self._usual_left_s += step * (left_s - self._usual_left_s)
+        if self._usual_left_s <= 0.0:
+            return 1.0
+        return min(1.0, max(MIN_AHEAD_SHARE, left_s / self._usual_left_s))
+
+    def _headroom(self, entry: Entry, index: int) -> float:
+        """Return how much more than the need must fit, before anything is spent.
+
+        Lower brown-out orders are refused earlier, so that they are not pushed
+        out at a later stage after the first ones were paid for.
+        """
+        self._highest_order = max(self._highest_order, entry.brownout_order)
+        if index > 0 or self._highest_order <= 0:
+            return 1.0
+        rank = max(0, entry.brownout_order) / self._highest_order
+        return 1.0 + HEADROOM * (1.0 - rank)
+
+    @contextlib.contextmanager
+    def under_way(self, request: Request) -> Iterator[Arrivals]:
+        """Count the work that `request` brings to its stages until it is there."""
+        stages = request.pipeline.stages
+        work_s = [self._expected_s(request, index) for index in range(len(stages))]
+        services = [stage.service for stage in stages]
+        owner = request.governing.entry.owner
+        with self._coming.under_way(owner, services, work_s) as arrivals:
+            yield arrivals
+
+    def _coming_wait_s(self, service: str, entry: Entry) -> float:
+        n_slots = self._router.n_slots(service)
+        return self._coming.of(service, entry.owner) / max(1, n_slots)
+
     def _expected_s(self, request: Request, index: int) -> float:
         stage = request.pipeline.stages[index]
         estimate = self._of_input(request, stage)
--- a/src/trefoilpaddle/coordination/stage_server.py
+++ b/src/trefoilpaddle/coordination/stage_server.py
@@ -6,7 +6,6 @@
 from absl import logging
 from result import Err, Ok
 
-from ..protocol.const import NS_PER_S
 from ..protocol.errors import NotRun, StageError, Unknown, to_failure
 from ..protocol.frames import Message
 from ..protocol.gen.stage.ttypes import (
@@ -100,20 +99,18 @@
             case Go():
                 self._on_go(message)
             case Bar():
-                connection.write(self._bar(message.attempt_id))
+                connection.write(self._bar(message))
 
     def on_close(self, connection: Connection) -> None:
         """Hold what a lost connection leaves behind."""
-        now_ns = time.monotonic_ns()
         for attempt in self._table.of_connection(connection):
-            attempt.detached_ns = now_ns
             if attempt.phase is Phase.RECEIVING:
                 self._dispatcher.withdraw(attempt, Reason.CONNECTION_LOST)
             attempt.stream.detach()
 
     async def answer_bar(self, message: Bar, _peer: Hello) -> BarAnswer:
         """Answer "did you start it? then never do"."""
-        return self._bar(message.attempt_id)
+        return self._bar(message)
 
     def _on_start(self, connection: Connection, start: Start) -> None:
         known = self._table.get(start.attempt_id)
@@ -125,7 +122,7 @@
             start,
             connection=connection,
             incarnation=self._incarnation,
-            spent=self._table.spent,
+            table=self._table,
             now_ns=now_ns,
             peer=self._name,
         )
@@ -153,7 +150,7 @@
             self._dispatcher.expire_at_deadline(attempt)
 
     def _refusal_of_new(self, attempt: Attempt) -> NotRun | None:
-        reason = self._dispatcher.refuses_all()
+        reason = self._dispatcher.intake.refusal()
         if reason is not Reason.NONE:
             wait_s = DOWN_RETRY_S if reason is not Reason.LEAVING else 0.0
             return self._not_run(
@@ -197,7 +194,7 @@
             floor_share=entry.floor_share if entry else 0.0,
             brownout_order=start.brownout_order,
             predicted_s=predicted_s,
-            latest_start_ns=attempt.finish_by_ns - int(predicted_s * NS_PER_S),
+            latest_start_ns=self._dispatcher.latest_start_ns(attempt),
         )
 
     def _on_credit(self, message: Credit) -> None:
@@ -216,18 +213,25 @@
             return
         connection.write(
             to_failure(
-                self._gone(message.attempt_id),
+                self._gone(message),
                 attempt_id=message.attempt_id,
                 load=self._dispatcher.load(),
             )
         )
 
-    def _gone(self, attempt_id: bytes) -> StageError:
+    def _gone(self, message: Fetch) -> StageError:
         """Return what is true of an attempt that is neither open nor held.
 
         One that never came is barred by this, like by `Bar`.
         """
-        state = self._table.bar_unknown(attempt_id, now_ns=time.monotonic_ns())
+        if self._is_of_another(message.incarnation):
+            return Unknown(
+                reason=Reason.WRONG_INCARNATION,
+                step="fetch",
+                peer=self._name,
+                detail="the sidecar was restarted and knows nothing of the attempt",
+            )
+        state = self._table.bar_unknown(message.attempt_id, now_ns=time.monotonic_ns())
         if state == BarState.BARRED:
             return self._not_run(Reason.BARRED, "it did not start here and never will")
         return Unknown(
@@ -251,9 +255,19 @@
             return
         attempt.go.set_result(None)
 
-    def _bar(self, attempt_id: bytes) -> BarAnswer:
+    def _is_of_another(self, incarnation: int) -> bool:
+        """Return True if a question is about a former start of this sidecar.
+
+        Whatever that one ran is not known here, so nothing may be promised.
+        """
+        return incarnation not in (0, self._incarnation)
+
+    def _bar(self, message: Bar) -> BarAnswer:
+        attempt_id = message.attempt_id
         attempt = self._table.get(attempt_id)
-        if attempt is None:
+        if self._is_of_another(message.incarnation):
+            state = BarState.FORGOTTEN
+        elif attempt is None:
             state = self._table.bar_unknown(attempt_id, now_ns=time.monotonic_ns())
         elif self._dispatcher.withdraw(attempt, Reason.BARRED):
             state = BarState.BARRED
--- a/src/trefoilpaddle/replay/launched.py
+++ b/src/trefoilpaddle/replay/launched.py
@@ -84,6 +84,12 @@
         """Let what was frozen go on."""
         self._running.thaw(name)
 
+    async def forget(self) -> None:
+        """Clear what the targets recorded so far."""
+        async with aiohttp.ClientSession() as session:
+            for target in self.targets_of(""):
+                await session.delete(f"{self._running.target_url(target)}/record")
+
     async def records(self) -> tuple[list[TargetRun], int]:
         """Return what all targets ran, and how many could not be read."""
         end_s = asyncio.get_running_loop().time() + SETTLE_S
@@ -118,12 +124,15 @@
     served only once every process could vouch that it has forgotten no claim,
     so the processes are left alone for that long before the trace begins.
     """
-    values = _scaled(site.values, time_scale)
     longest_s = max(entry.deadline_s for entry in site.catalogue.entries.values())
-    vouch_s = RETRY_WINDOW_S + longest_s * time_scale
 
     @contextlib.asynccontextmanager
-    async def open_plant(policy: PolicySettings) -> AsyncIterator[Plant]:
+    async def open_plant(
+        policy: PolicySettings, deadline_factor: float
+    ) -> AsyncIterator[Plant]:
+        factor = time_scale * deadline_factor
+        values = _scaled(site.values, factor)
+        vouch_s = RETRY_WINDOW_S + longest_s * factor
         overrides = Overrides(
             policy=_table(policy), retention={"retry_window_s": RETRY_WINDOW_S}
         )
@@ -136,12 +145,12 @@
     return open_plant
 
 
-def _scaled(values: PublishedValues, time_scale: float) -> PublishedValues:
+def _scaled(values: PublishedValues, factor: float) -> PublishedValues:
     scaled = dict(values)
     for key, value in values.items():
         deadline_s = value.get("deadline_s")
         if key.startswith("entry/") and isinstance(deadline_s, float):
-            scaled[key] = {**value, "deadline_s": deadline_s * time_scale}
+            scaled[key] = {**value, "deadline_s": deadline_s * factor}
     return scaled
 
 
--- a/src/trefoilpaddle/roles/sidecar.py
+++ b/src/trefoilpaddle/roles/sidecar.py
@@ -16,10 +16,13 @@
 from ..coordination.drain import drain
 from ..coordination.engine_calls import EngineCaller
 from ..coordination.key_parts import sidecar_keys
-from ..coordination.reach import Reach
+from ..coordination.lease_home import LeaseHome
+from ..coordination.orders import TargetOrders
+from ..coordination.placement import Placement
 from ..coordination.stage_journal import StageJournal
 from ..coordination.stage_server import StageServer
 from ..coordination.target_calls import PlainCaller, TargetCaller
+from ..coordination.target_models import read_loaded
 from ..coordination.target_watch import TargetWatch
 from ..protocol.const import NS_PER_S
 from ..protocol.gen.stage.ttypes import Bar
@@ -78,8 +81,7 @@
     sidecar = Sidecar(settings=settings, process=process)
     # Nothing is taken before a catalogue is in force: a process that starts
     # while the configuration service is down knows no weights and no limits.
-    sidecar.dispatcher.is_configured = False
-    reach = Reach(server=process.server, published=process.published)
+    sidecar.dispatcher.intake.is_configured = False
     async with (
         sidecar.open(),
         config_feed(
@@ -88,7 +90,7 @@
         operators(
             process=process,
             listen=settings.process.operators_listen,
-            is_ready=lambda: feed.is_known() and reach.is_given(),
+            is_ready=feed.is_ready,
             held_back=lambda: feed.state.held_back,
         ),
     ):
@@ -159,7 +161,7 @@
         process.message_listeners.append(self.server.on_message)
         process.close_listeners.append(self.server.on_close)
         process.server.answer(Bar, self.server.answer_bar)
-        sidecar_keys(
+        key_syncs = sidecar_keys(
             process_id=process.identity.process_id,
             published=process.published,
             peers=process.peers,
@@ -167,12 +169,21 @@
             journal=process.journal,
             window_s=self._settings.retention.retry_window_s,
         )
+        LeaseHome(
+            process_id=process.identity.process_id,
+            incarnation=process.identity.incarnation,
+            published=process.published,
+            journal=process.journal,
+        ).mount(process.server)
         process.published.subscribe(self._on_published)
         async with self._http.opened(), process.running():
             tasks = [
                 asyncio.create_task(self._keep_house()),
                 asyncio.create_task(self._watch().run()),
+                asyncio.create_task(key_syncs.run()),
             ]
+            if self._settings.target.kind is ServiceKind.ENGINE:
+                tasks.append(asyncio.create_task(self._place()))
             try:
                 yield self
             finally:
@@ -182,7 +193,7 @@
     async def stop(self) -> int:
         """Leave: refuse new work, finish the rest; return how many were cut off."""
         process = self._process
-        self.dispatcher.is_leaving = True
+        self.dispatcher.intake.is_leaving = True
         process.server.broadcast(process.heartbeat())
         process.journal.record(
             Decision(event=Event.PROCESS_STOPPING, peer=process.identity.process_id)
@@ -227,6 +238,31 @@
             await asyncio.sleep(HOUSEKEEPING_S)
             self.table.held.expire(time.monotonic_ns())
 
+    async def _place(self) -> None:
+        """Keep the models that the catalogue wants on the target."""
+        process, target = self._process, self._settings.target
+        orders = TargetOrders(
+            http=self._http,
+            target=target.name,
+            fencing=target.fencing,
+            # The lock is held for as long as this role runs.
+            has_lock=lambda: not self.dispatcher.intake.is_leaving,
+            journal=process.journal,
+        )
+        placement = Placement(
+            process_id=process.identity.process_id,
+            service=target.service,
+            published=process.published,
+            asker=process.peers,
+            orders=orders,
+            journal=process.journal,
+            loaded=await read_loaded(self._http),
+            seed=process.identity.incarnation,
+        )
+        placement.mount(process.server)
+        process.message_listeners.append(placement.on_message)
+        await placement.run()
+
     def _on_drop(self, attempt_id: bytes) -> None:
         attempt = self.table.forget_dropped(attempt_id)
         if attempt is not None:
@@ -234,8 +270,9 @@
 
     def _on_published(self) -> None:
         catalogue = self._process.published.catalogue
-        self.dispatcher.revision = catalogue.revision
-        self.dispatcher.is_configured = catalogue.revision > 0
+        intake = self.dispatcher.intake
+        intake.revision = catalogue.revision
+        intake.is_configured = catalogue.revision > 0
         service = catalogue.services.get(self._settings.target.service)
         if service is not None:
             self.dispatcher.set_service(service)
