Open target responses without a generator of our own

Cause: an async generator stood around each HTTP context for nothing. Change: guarded_post and get return the library's context. Conclusion: simpler.

--- a/src/trefoilpaddle/transport/target_http.py
+++ b/src/trefoilpaddle/transport/target_http.py
@@ -103,11 +103,10 @@
         finally:
             self._session = None
 
-    @contextlib.asynccontextmanager
-    async def guarded_post(
+    def guarded_post(
         self, path: str, *, body: bytes, headers: Mapping[str, str], guard: SendGuard
-    ) -> AsyncIterator[ClientResponse]:
-        """Post `body` if `guard` still allows it and yield the response.
+    ) -> contextlib.AbstractAsyncContextManager[ClientResponse]:
+        """Post `body` if `guard` still allows it; the context is the response.
 
         The client library repeats no POST, and redirects are not followed, so
         the call reaches the target at most once.
@@ -118,26 +117,23 @@
             If the call broke; ``guard.is_sent`` tells whether any of it left.
         """
         payload = GuardedBody(body, guard=guard)
-        async with self._open_session().post(
+        return self._open_session().post(
             self._url + path, data=payload, headers=headers, allow_redirects=False
-        ) as response:
-            yield response
+        )
 
-    @contextlib.asynccontextmanager
-    async def get(
+    def get(
         self, path: str, *, headers: Mapping[str, str] | None = None
-    ) -> AsyncIterator[ClientResponse]:
-        """Get `path` and yield the response.
+    ) -> contextlib.AbstractAsyncContextManager[ClientResponse]:
+        """Get `path`; the context is the response.
 
         Raises
         ------
         aiohttp.ClientError, OSError
             If the call broke.
         """
-        async with self._open_session().get(
+        return self._open_session().get(
             self._url + path, headers=headers, allow_redirects=False
-        ) as response:
-            yield response
+        )
 
     async def post(self, path: str) -> int:
         """Post nothing to `path` and return the status.
