--- a/src/trefoilpaddle/state/estimate.py
+++ b/src/trefoilpaddle/state/estimate.py
@@ -11,6 +11,7 @@
 FORGETTING: Final = 0.995
 FIRST_VARIANCE: Final = 100.0
 MAX_VARIANCE: Final = 1e4
+MAX_KINDS: Final = 2000
 MIN_SAMPLES: Final = 8
 QUANTILE: Final = 0.9
 QUANTILE_STEP: Final = 0.02
@@ -123,7 +124,7 @@
 
 
 class Estimates:
-    """Estimates by kind of call, made on first use."""
+    """Estimates by kind of call, made on first use; the oldest go first."""
 
     __slots__ = ("_by_kind",)
 
@@ -134,5 +135,7 @@
         """Return the estimate of one kind of call, named by its parts."""
         estimate = self._by_kind.get(kind)
         if estimate is None:
+            if len(self._by_kind) >= MAX_KINDS:
+                del self._by_kind[next(iter(self._by_kind))]
             estimate = self._by_kind[kind] = Estimate()
         return estimate
