--- a/src/trefoilpaddle/coordination/routing.py
+++ b/src/trefoilpaddle/coordination/routing.py
@@ -7,12 +7,13 @@
 from dataclasses import dataclass, replace
 from typing import Final
 
+from ..state.catalogue import Entry
 from ..state.prefix import PrefixRecord
 from ..state.settings import Choice, PolicySettings
 from .directory import Directory
 from .ejection import Ejector
 from .stage_work import StageWork
-from .target_view import TargetView, TargetViews
+from .target_view import DEFAULT_SLOTS, TargetView, TargetViews
 
 PATIENCE: Final = 1.5
 """Wait accepted for a cached prefix, in times of what it saves, less the
@@ -138,12 +139,19 @@
             service = work.stage.service
             self._prefixes.note(service, work.prefix_hashes, view.process_id)
 
-    def least_wait_s(self, service: str) -> float:
-        """Return the shortest predicted queueing time at any target now."""
+    def least_wait_s(self, service: str, entry: Entry) -> float:
+        """Return the shortest predicted queueing time of a call of `entry` now."""
         now_s = time.monotonic()
-        waits = (view.predicted_wait_s(now_s) for view in self.candidates(service))
+        waits = (view.wait_s(entry, now_s) for view in self.candidates(service))
         return min(waits, default=0.0)
 
+    def n_slots(self, service: str) -> int:
+        """Return the slots of all targets of `service` that may get work."""
+        return sum(
+            view.load.n_slots if view.load is not None else DEFAULT_SLOTS
+            for view in self.candidates(service)
+        )
+
     def _in_turn(self, work: StageWork, candidates: list[TargetView]) -> Chosen:
         turns = self._turns.setdefault(work.stage.service, itertools.count())
         ordered = sorted(candidates, key=lambda view: view.process_id)
@@ -151,8 +159,18 @@
         return self._best(work, [view], len(candidates))
 
     def _of_two(self, work: StageWork, usable: list[TargetView]) -> Chosen:
+        """Return the better of two at random, or the best if neither is in time.
+
+        Two are enough to keep queues even, and few enough that gateways with
+        the same stale reports do not all run to the same target. When the two
+        are late the rest is worth a look: one in time may be among them.
+        """
         looked_at = self._random.sample(usable, min(2, len(usable)))
-        return self._best(work, looked_at, len(usable))
+        chosen = self._best(work, looked_at, len(usable))
+        is_late = chosen.predicted_s > work.stage_deadline_s - time.monotonic()
+        if is_late and len(usable) > len(looked_at):
+            return self._best(work, usable, len(usable))
+        return chosen
 
     def _with_prefix(
         self, work: StageWork, usable: list[TargetView], chosen: Chosen
@@ -175,8 +193,7 @@
 
         def cost_s(view: TargetView) -> float:
             saved_s = shares[view.process_id] * work.size_s * patience
-            expected_s = work.expected_s
-            return view.predicted_s(expected_s=expected_s, now_s=now_s) - saved_s
+            return view.predicted_s(work, now_s) - saved_s
 
         best = min(holders, key=cost_s)
         if cost_s(best) > chosen.predicted_s:
@@ -195,7 +212,7 @@
         now_s = time.monotonic()
         scored = sorted(
             (
-                view.predicted_s(expected_s=work.expected_s, now_s=now_s),
+                view.predicted_s(work, now_s),
                 view.n_outstanding,
                 index,
             )
@@ -206,7 +223,7 @@
         second = looked_at[scored[1][2]] if len(scored) > 1 else None
         return Chosen(
             view=view,
-            wait_s=view.predicted_wait_s(now_s),
+            wait_s=view.wait_s(work.governing.entry, now_s),
             predicted_s=best_s,
             n_candidates=n_candidates,
             second=second,
--- a/src/trefoilpaddle/roles/operators.py
+++ b/src/trefoilpaddle/roles/operators.py
@@ -87,8 +87,8 @@
         self._tally = Tally()
         self.metrics = Metrics()
         self._set_gauges()
-        process.journal.subscribe(self._tally.count)
-        process.journal.subscribe(self.metrics.count)
+        process.journal.subscribe_later(self._tally.count)
+        process.journal.subscribe_later(self.metrics.count)
         process.server.answer(ExplainAsk, self._answer_explain)
         process.server.answer(StatusAsk, self._answer_status)
 
