--- a/Makefile
+++ b/Makefile
@@ -8,7 +8,7 @@
 demo: $(VENV)/.installed
 	$(BIN)/python -m trefoilpaddle.standins demo $(ARGS)
 
-# KNOWN-RED.txt names the tests that may fail; see docs/contributing/tests.md.
+# KNOWN-RED.txt names the tests that may fail; see docs/contributing/changes.md.
 test: lint
 	$(BIN)/python -m pytest -p tools.known_red $(ARGS)
 
--- a/src/trefoilpaddle/state/story_text.py
+++ b/src/trefoilpaddle/state/story_text.py
@@ -48,14 +48,26 @@
     "slack_s": "slack {:.3f} s",
     "wait_s": "expected wait {:.3f} s",
     "took_s": "took {:.3f} s",
-    "n_candidates": "{:.0f} candidates",
+    "second_s": "second choice predicted {:.3f} s",
+    "prefix_share": "{:.0%} of the prompt likely cached",
+    "n_tried": "{:.0f} tried before",
+    "n_candidates": "{:.0f} to choose from",
     "n_tokens": "{:.0f} tokens",
     "n_cached_tokens": "{:.0f} tokens cached",
     "n_ahead": "{:.0f} ahead",
     "n_running": "{:.0f} running",
     "n_bytes": "{:.0f} bytes",
 }
-HIDDEN_AT_0: Final = frozenset({"n_cached_tokens", "n_tokens", "retry_after_s"})
+HIDDEN_AT_0: Final = frozenset(
+    {
+        "n_cached_tokens",
+        "n_tokens",
+        "n_tried",
+        "prefix_share",
+        "retry_after_s",
+        "second_s",
+    }
+)
 
 
 def lines(story: Story) -> Iterator[str]:
