--- a/src/trefoilpaddle/coordination/target_view.py
+++ b/src/trefoilpaddle/coordination/target_view.py
@@ -15,7 +15,12 @@
 from .stage_work import StageWork
 
 DEFAULT_SLOTS: Final = 4
+CROWDING: Final = 0.4
+"""How much longer a call takes, in part of its time, where all slots are taken;
+a batching engine makes slower steps then. Also tells idle targets apart."""
 LATENCY_STEP: Final = 0.1
+SLOW_STEP: Final = 0.3
+SLOW_RATIO: Final = 3.0
 PROBE_STEP: Final = 0.7
 
 
@@ -124,13 +129,15 @@
     def learn(self, *, measured_s: float, expected_s: float) -> None:
         """Take in how much slower than expected a call was; for ejection.
 
-        The probe of an ejected target counts fully, since it gets so few.
+        A call that is far too slow counts more, since few more are to be sent
+        there; so does the probe of an ejected target, since it gets so few.
         """
         if expected_s <= 0.0:
             return
         ratio = min(MAX_SLOWNESS, measured_s / expected_s)
         self.n_ratios += 1
-        step = max(LATENCY_STEP, 1.0 / self.n_ratios)
+        usual_step = SLOW_STEP if ratio >= SLOW_RATIO else LATENCY_STEP
+        step = max(usual_step, 1.0 / self.n_ratios)
         if self.is_ejected:
             step = PROBE_STEP
         self.ratio += step * (ratio - self.ratio)
@@ -144,9 +151,21 @@
         )
 
     def predicted_s(self, work: StageWork, now_s: float) -> float:
-        """Return the predicted seconds until `work`, sent now, is answered."""
+        """Return the predicted seconds until `work`, sent now, is answered.
+
+        Work that is batched slows what it is batched with, so a target with
+        free slots is not as good as an idle one.
+        """
         slow = slowness(self.load) if self.load is not None else 1.0
-        return self.wait_s(work.governing.entry, now_s) + work.expected_s * slow
+        service_s = work.expected_s * slow * (1.0 + CROWDING * self.crowd())
+        return self.wait_s(work.governing.entry, now_s) + service_s
+
+    def crowd(self) -> float:
+        """Return which part of the target's slots is taken, own calls included."""
+        if self.load is None:
+            return min(1.0, self.n_outstanding / DEFAULT_SLOTS)
+        n_taken = self.load.n_running + self.own.n_uncounted
+        return min(1.0, n_taken / max(1, self.load.n_slots))
 
 
 class TargetViews:
--- a/src/trefoilpaddle/roles/sidecar.py
+++ b/src/trefoilpaddle/roles/sidecar.py
@@ -17,9 +17,12 @@
 from ..coordination.engine_calls import EngineCaller
 from ..coordination.key_parts import sidecar_keys
 from ..coordination.lease_home import LeaseHome
+from ..coordination.orders import TargetOrders
+from ..coordination.placement import Placement
 from ..coordination.stage_journal import StageJournal
 from ..coordination.stage_server import StageServer
 from ..coordination.target_calls import PlainCaller, TargetCaller
+from ..coordination.target_models import read_loaded
 from ..coordination.target_watch import TargetWatch
 from ..protocol.const import NS_PER_S
 from ..protocol.gen.stage.ttypes import Bar
@@ -87,7 +90,7 @@
         operators(
             process=process,
             listen=settings.process.operators_listen,
-            is_ready=lambda: feed.is_known() and feed.reach.is_reached(),
+            is_ready=feed.is_ready,
             held_back=lambda: feed.state.held_back,
         ),
     ):
@@ -158,7 +161,7 @@
         process.message_listeners.append(self.server.on_message)
         process.close_listeners.append(self.server.on_close)
         process.server.answer(Bar, self.server.answer_bar)
-        sidecar_keys(
+        key_syncs = sidecar_keys(
             process_id=process.identity.process_id,
             published=process.published,
             peers=process.peers,
@@ -177,7 +180,10 @@
             tasks = [
                 asyncio.create_task(self._keep_house()),
                 asyncio.create_task(self._watch().run()),
+                asyncio.create_task(key_syncs.run()),
             ]
+            if self._settings.target.kind is ServiceKind.ENGINE:
+                tasks.append(asyncio.create_task(self._place()))
             try:
                 yield self
             finally:
@@ -232,6 +238,31 @@
             await asyncio.sleep(HOUSEKEEPING_S)
             self.table.held.expire(time.monotonic_ns())
 
+    async def _place(self) -> None:
+        """Keep the models that the catalogue wants on the target."""
+        process, target = self._process, self._settings.target
+        orders = TargetOrders(
+            http=self._http,
+            target=target.name,
+            fencing=target.fencing,
+            # The lock is held for as long as this role runs.
+            has_lock=lambda: not self.dispatcher.intake.is_leaving,
+            journal=process.journal,
+        )
+        placement = Placement(
+            process_id=process.identity.process_id,
+            service=target.service,
+            published=process.published,
+            asker=process.peers,
+            orders=orders,
+            journal=process.journal,
+            loaded=await read_loaded(self._http),
+            seed=process.identity.incarnation,
+        )
+        placement.mount(process.server)
+        process.message_listeners.append(placement.on_message)
+        await placement.run()
+
     def _on_drop(self, attempt_id: bytes) -> None:
         attempt = self.table.forget_dropped(attempt_id)
         if attempt is not None:
