--- a/src/trefoilpaddle/cli/serve.py
+++ b/src/trefoilpaddle/cli/serve.py
@@ -11,13 +11,8 @@
 
 from ..state import logs
 from ..state.problems import Problem
-from ..state.settings import (
-    GatewaySettings,
-    SidecarSettings,
-    lines_of,
-    load_gateway,
-    load_sidecar,
-)
+from ..state.settings import GatewaySettings, SidecarSettings
+from ..state.settings_read import lines_of, load_gateway, load_sidecar
 
 COLLECT_AFTER: Final = (20_000, 50, 100)
 EXIT_FAILED: Final = 1
--- a/src/trefoilpaddle/state/check_files.py
+++ b/src/trefoilpaddle/state/check_files.py
@@ -19,7 +19,7 @@
 from .catalogue_build import build_catalogue
 from .catalogue_warnings import catalogue_warnings
 from .problems import Problem
-from .settings import load_gateway, load_sidecar
+from .settings_read import load_gateway, load_sidecar
 from .settings_warnings import settings_warnings
 
 SUFFIXES: Final = {".json", ".toml"}
--- a/tests/test_settings.py
+++ b/tests/test_settings.py
@@ -6,7 +6,7 @@
 from syrupy.assertion import SnapshotAssertion
 
 from trefoilpaddle.cli import serve
-from trefoilpaddle.state.settings import lines_of, load_gateway, load_sidecar
+from trefoilpaddle.state.settings_read import lines_of, load_gateway, load_sidecar
 
 DATA = Path(__file__).parent / "data" / "settings"
 
--- a/tests/test_standins_launcher.py
+++ b/tests/test_standins_launcher.py
@@ -22,7 +22,7 @@
     sidecar_settings,
 )
 from trefoilpaddle.state.check_files import check_path
-from trefoilpaddle.state.settings import load_gateway, load_sidecar
+from trefoilpaddle.state.settings_read import load_gateway, load_sidecar
 
 DEPLOYMENTS = ["baird", "garantia", "small"]
 
