Wake once for all heartbeats of a process

Cause: each connection's heartbeat timer woke the process by itself. Change: transport/aligned.py; heartbeats and the two watches sleep to a common beat with a phase of its own per process.

--- a/src/trefoilpaddle/coordination/wake.py
+++ b/src/trefoilpaddle/coordination/wake.py
@@ -1,13 +1,13 @@
 """Notices that this process was paused, before it acts on what it believed."""
 
-import asyncio
 import time
 from collections.abc import Callable
 from typing import Final
 
 from ..protocol.const import HEARTBEAT_S, SILENCE_S
+from ..transport.aligned import aligned_sleep
 
-TICK_S: Final = 0.2
+TICK_S: Final = 0.25
 LATE_S: Final = SILENCE_S - HEARTBEAT_S
 """A gap between ticks from which on this process counts as paused.
 
@@ -58,4 +58,4 @@
         """Tick until cancelled."""
         while True:
             self.tick()
-            await asyncio.sleep(TICK_S)
+            await aligned_sleep(TICK_S)
--- a/src/trefoilpaddle/coordination/watch_peers.py
+++ b/src/trefoilpaddle/coordination/watch_peers.py
@@ -1,6 +1,5 @@
 """Watches over a few peers: quick to suspect, slow to forget."""
 
-import asyncio
 import time
 from collections.abc import Callable
 from typing import Final
@@ -9,6 +8,7 @@
 
 from ..protocol.const import SILENCE_S
 from ..state.members import MemberRecord, MemberState
+from ..transport.aligned import aligned_sleep
 from ..transport.connection import Address
 from ..transport.link import Link
 from .membership import Membership
@@ -71,7 +71,7 @@
                 next_sweep_s = now_s + SWEEP_S
                 self.age(now_s)
                 await self._close_idle_links(now_s)
-            await asyncio.sleep(TICK_S)
+            await aligned_sleep(TICK_S)
 
     def _watch_children(self, now_s: float) -> None:
         children = {child.process_id: child for child in self._membership.children}
--- a/src/trefoilpaddle/transport/connection.py
+++ b/src/trefoilpaddle/transport/connection.py
@@ -16,6 +16,7 @@
 from ..protocol.frames import Frame, Message, encode
 from ..protocol.gen.stage.ttypes import Heartbeat, Hello
 from ..protocol.reader import FrameReader
+from .aligned import aligned_sleep
 from .traffic import TRAFFIC
 
 READ_BYTES: Final = 128 * 1024
@@ -160,7 +161,7 @@
                 return
             if tick % n_ticks() == 0:
                 self._send_heartbeat(own_heartbeat)
-            await asyncio.sleep(HEARTBEAT_S)
+            await aligned_sleep(HEARTBEAT_S)
             n_silent = n_silent + 1 if self.heard_s == heard_s else 0
             heard_s = self.heard_s
             if n_silent * HEARTBEAT_S > DEAD_AFTER_S:
