--- a/src/trefoilpaddle/coordination/stage_call.py
+++ b/src/trefoilpaddle/coordination/stage_call.py
@@ -15,7 +15,6 @@
     BarState,
     Cancel,
     Chunk,
-    Credit,
     End,
     Failure,
     Fetch,
@@ -26,17 +25,15 @@
 )
 from ..protocol.reasons import Reason
 from ..state.journal import Event, Figure, Journal
-from .answer_buffer import AnswerBuffer
+from .answer_receiver import AnswerReceiver
 from .open_attempts import Notice, OpenAttempt, OpenAttempts
 from .request_decisions import stage_decision
 from .stage_work import Sink, StageAnswer, StageFault, StageWork
 from .start_message import start_messages
 from .target_view import TargetView
 
-WHOLE_CREDIT_BYTES: Final = 1024 * 1024
-STREAM_CREDIT_BYTES: Final = 64 * 1024
-CREDIT_PARTS: Final = 4
 BAR_WAIT_S: Final = 0.25
+FOLLOW_LATE_S: Final = 15.0
 RECONNECT_S: Final = 0.5
 
 OnReady = Callable[["StageCall"], bool]
@@ -63,17 +60,14 @@
     """
 
     __slots__ = (
+        "_answer",
         "_attempt",
         "_attempts",
-        "_buffer",
         "_has_arrived",
         "_has_gone",
         "_has_refetched",
         "_journal",
         "_may_go",
-        "_n_ungranted_bytes",
-        "_sink",
-        "_window_bytes",
         "is_sent",
         "is_started",
         "view",
@@ -96,14 +90,11 @@
         self.is_started = False
         self._attempts = attempts
         self._journal = journal
-        self._sink = sink
         self._may_go = may_go
-        self._buffer = AnswerBuffer()
+        self._answer = AnswerReceiver(sink=sink)
         self._has_arrived = False
         self._has_gone = False
         self._has_refetched = False
-        self._window_bytes = WHOLE_CREDIT_BYTES if sink is None else STREAM_CREDIT_BYTES
-        self._n_ungranted_bytes = 0
         self._attempt: OpenAttempt | None = None
 
     @property
@@ -119,6 +110,11 @@
         """
         return self.is_sent and (self._may_go is None or self._has_gone)
 
+    def supersede(self) -> None:
+        """End the attempt because another one beside it has the answer."""
+        if self._attempt is not None:
+            self._attempt.post(Notice.SUPERSEDED)
+
     async def run(self) -> Result[StageAnswer, StageFault]:
         """Run the attempt and return its whole answer, or what is known of it.
 
@@ -150,21 +146,40 @@
             async with asyncio.timeout_at(self._loop_deadline_s()):
                 return await self._follow(attempt)
         except TimeoutError:
-            return self._err(await self._give_up(attempt))
+            late = await self._give_up(attempt)
         except asyncio.CancelledError:
             self.view.link.send(Cancel(attempt_id=attempt.attempt_id))
             raise
 
+        if isinstance(late, Unknown) and self.work.on_late is not None:
+            self.work.on_late(late)
+            return await self._follow_late(attempt, late)
+        return self._err(late)
+
+    async def _follow_late(
+        self, attempt: OpenAttempt, late: Unknown
+    ) -> Result[StageAnswer, StageFault]:
+        """Wait on for an answer whose caller has been told "unknown".
+
+        The work runs to its end at the target anyway. Its answer is what a
+        retry of the request must get, since it may not be run again.
+        """
+        try:
+            async with asyncio.timeout(FOLLOW_LATE_S):
+                return await self._follow(attempt)
+        except TimeoutError:
+            return self._err(late)
+
     def _loop_deadline_s(self) -> float:
         left_s = self.work.deadline_s - time.monotonic()
         return asyncio.get_running_loop().time() + left_s
 
     def _send(self, attempt: OpenAttempt) -> bool:
-        attempt.n_granted_bytes = self._window_bytes
+        self._answer.renew_window(attempt)
         messages = start_messages(
             self.work,
             attempt,
-            credit_bytes=self._window_bytes,
+            credit_bytes=self._answer.window_bytes,
             is_reserved=self._may_go is not None,
         )
         return all(self.view.link.send(message) for message in messages)
@@ -196,6 +211,8 @@
                     verdict = self._on_silence(attempt)
                 case Notice.OVERRUN:
                     verdict = self._drop(attempt, "it sent more than it was granted")
+                case Notice.SUPERSEDED:
+                    verdict = self._on_superseded(attempt)
             if verdict is not None:
                 return verdict
 
@@ -229,41 +246,19 @@
         self, attempt: OpenAttempt, chunk: Chunk
     ) -> Result[StageAnswer, StageFault] | None:
         self.is_started = True
-        if self._buffer.is_repeated(chunk):
-            return None
-        if not self._buffer.is_next(chunk):
-            return self._drop(attempt, "a piece of the answer is missing")
-        if not self._buffer.has_room(chunk):
-            return self._drop(attempt, "the answer is larger than may be kept")
-        self._buffer.add(chunk)
-        if self._sink is not None:
-            await self._sink(chunk.data)
-        self._give_credit(attempt, len(chunk.data))
-        return None
-
-    def _give_credit(self, attempt: OpenAttempt, n_bytes: int) -> None:
-        """Grant what was taken, in pieces worth a frame of their own.
-
-        A quarter of the window is always out, so waiting for more before
-        granting holds back no answer; a small one needs no credit at all.
-        """
-        self._n_ungranted_bytes += n_bytes
-        if self._n_ungranted_bytes < self._window_bytes // CREDIT_PARTS:
-            return
-        n_bytes, self._n_ungranted_bytes = self._n_ungranted_bytes, 0
-        attempt.n_granted_bytes += n_bytes
-        self.view.link.send(Credit(attempt_id=attempt.attempt_id, n_bytes=n_bytes))
+        fault = await self._answer.take(chunk, attempt)
+        return self._drop(attempt, fault) if fault else None
 
     def _on_end(
         self, attempt: OpenAttempt, end: End
     ) -> Result[StageAnswer, StageFault] | None:
         self.is_started = True
-        if not self._buffer.is_whole(end):
+        if not self._answer.is_whole(end):
             return self._on_torn(attempt)
         self.view.link.send(Ack(attempt_id=attempt.attempt_id))
         return Ok(
             StageAnswer(
-                body=self._buffer.body(),
+                body=self._answer.body(),
                 queued_s=end.queued_s,
                 service_s=end.service_s,
                 cost_s=end.cost_s,
@@ -275,10 +270,9 @@
 
     def _on_torn(self, attempt: OpenAttempt) -> Result[StageAnswer, StageFault] | None:
         """Fetch a torn answer once more if nothing of it was passed on."""
-        if self._has_refetched or self._sink is not None:
+        if self._has_refetched or not self._answer.may_begin_again():
             return self._drop(attempt, "count, size or checksum do not match")
         self._has_refetched = True
-        self._buffer.clear()
         self._fetch(attempt)
         return None
 
@@ -295,6 +289,17 @@
             )
         )
 
+    def _on_superseded(self, attempt: OpenAttempt) -> Err[StageFault]:
+        self.view.link.send(Cancel(attempt_id=attempt.attempt_id))
+        return self._err(
+            Failed(
+                reason=Reason.CANCELLED,
+                step="hedge",
+                peer=self.view.process_id,
+                detail="Another attempt had the answer first.",
+            )
+        )
+
     def _on_silence(
         self, attempt: OpenAttempt
     ) -> Result[StageAnswer, StageFault] | None:
@@ -335,17 +340,16 @@
         return None
 
     def _fetch(self, attempt: OpenAttempt) -> None:
-        attempt.n_granted_bytes = self._window_bytes
-        self._n_ungranted_bytes = 0
+        self._answer.renew_window(attempt)
         self.view.link.send(
             Fetch(
                 attempt_id=attempt.attempt_id,
-                from_seq=self._buffer.n_chunks,
-                credit_bytes=self._window_bytes,
+                from_seq=self._answer.n_chunks,
+                credit_bytes=self._answer.window_bytes,
                 incarnation=attempt.incarnation,
             )
         )
-        from_seq = Figure(name="from_seq", value=self._buffer.n_chunks)
+        from_seq = Figure(name="from_seq", value=self._answer.n_chunks)
         self._record(Event.RESULT_FETCHED, from_seq)
 
     async def _on_failure(self, attempt: OpenAttempt, failure: Failure) -> StageError:
@@ -406,7 +410,7 @@
         return Unknown(reason=reason, step=step, peer=peer, detail=f"{peer} {what}.")
 
     def _err(self, error: StageError) -> Err[StageFault]:
-        has_passed_on = self._sink is not None and self._buffer.n_chunks > 0
+        has_passed_on = self._answer.has_passed_on
         return Err(StageFault(error=error, has_passed_on=has_passed_on))
 
     def _record(self, event: Event, *figures: Figure) -> None:
