--- a/src/trefoilpaddle/coordination/claims.py
+++ b/src/trefoilpaddle/coordination/claims.py
@@ -27,6 +27,7 @@
 from ..state.places import place_list
 from ..state.published import Published
 from .asker import Asker, ask_at
+from .claim_outcomes import Answered, ClaimOutcome, InProgress, Key, KeyGranted
 from .directory import Directory
 from .minted import MintedClaims
 
@@ -42,65 +43,6 @@
 STEP: Final = "claim"
 
 
-@dataclass(frozen=True, slots=True, kw_only=True)
-class Key:
-    """A request key as a caller gave it.
-
-    Parameters
-    ----------
-    text : str
-        Client account and its own key, or the minted id.
-    minted : RequestId, optional
-        Set where the key is an id from ``POST /v1/requests``.
-    """
-
-    text: str
-    minted: RequestId | None = None
-
-
-def account_key(account: str, key: str) -> Key:
-    """Return the key that `account` gave as ``Idempotency-Key``."""
-    return Key(text=f"{account}/{key}")
-
-
-@dataclass(frozen=True, slots=True, kw_only=True)
-class KeyGranted:
-    """This try runs the request; settle it when the request has ended.
-
-    Parameters
-    ----------
-    key : Key
-        What was claimed.
-    request_id : str
-        The try.
-    addresses : tuple of str
-        Peers that know the claim; empty where it is known to nobody, or here.
-    """
-
-    key: Key
-    request_id: str
-    addresses: tuple[str, ...] = ()
-
-
-@dataclass(frozen=True, slots=True, kw_only=True)
-class Answered:
-    """An earlier try was answered; its answer is `result`, None when too large."""
-
-    request_id: str
-    result: bytes | None
-
-
-@dataclass(frozen=True, slots=True, kw_only=True)
-class InProgress:
-    """An earlier try still runs, at `gateway`."""
-
-    request_id: str
-    gateway: str
-
-
-ClaimOutcome = KeyGranted | Answered | InProgress | NotRun | Unknown
-
-
 @dataclass(frozen=True, slots=True, kw_only=True)
 class _Home:
     """Where a key is decided now; no address means in this process."""
--- a/src/trefoilpaddle/coordination/key_claims.py
+++ b/src/trefoilpaddle/coordination/key_claims.py
@@ -17,7 +17,8 @@
     record_bytes,
 )
 from .claim_book import request_of
-from .claims import Answered, Claimer, InProgress, Key, KeyGranted, account_key
+from .claim_outcomes import Answered, InProgress, Key, KeyGranted, account_key
+from .claims import Claimer
 from .request import Answer, Refusal, Request
 from .request_guards import EndedBefore, KeyState, RunsHere
 from .stage_call import FOLLOW_LATE_S
--- a/src/trefoilpaddle/coordination/limits.py
+++ b/src/trefoilpaddle/coordination/limits.py
@@ -21,7 +21,8 @@
 from .asker import Asker
 from .entry_hands import EntryHands, Moment
 from .lease_contact import PERIOD_S, HomeContact
-from .request_guards import Permit
+from .permits import HeldPermit
+from .request_guards import FREE, Permit
 
 ASK_WAIT_S: Final = 0.25
 """Longest wait of a request for budget that is not in hand."""
@@ -49,37 +50,6 @@
     sent_s: float
 
 
-class _FreePermit:
-    __slots__ = ()
-
-    def release(self, *, n_tokens: int | None = None) -> None:
-        """Give nothing back."""
-
-
-FREE: Final = _FreePermit()
-
-
-class _HeldPermit:
-    __slots__ = ("_hands", "_kick", "_n_tokens")
-
-    def __init__(
-        self, *, hands: EntryHands, n_tokens: int, kick: Callable[[], None]
-    ) -> None:
-        self._hands: EntryHands | None = hands
-        self._n_tokens = n_tokens
-        self._kick = kick
-
-    def release(self, *, n_tokens: int | None = None) -> None:
-        """Give back the place, and the tokens taken beyond `n_tokens`."""
-        if self._hands is None:
-            return
-        n_used = self._n_tokens if n_tokens is None else n_tokens
-        self._hands.release(n_unused_tokens=self._n_tokens - n_used)
-        if self._hands.is_wanted_elsewhere():
-            self._kick()
-        self._hands = None
-
-
 class Limiter:
     """Admits requests of one gateway within the limits of their entries.
 
@@ -177,7 +147,7 @@
                 kick = self._kicker(hands.bucket)
                 if hands.is_low() and not hands.is_refused(self._clock()):
                     kick()
-                return Ok(_HeldPermit(hands=hands, n_tokens=n_taken, kick=kick))
+                return Ok(HeldPermit(hands=hands, n_tokens=n_taken, kick=kick))
 
     def _hands_of(self, name: str, entry: Entry) -> EntryHands:
         hands = self._hands.get(name)
--- a/src/trefoilpaddle/coordination/request_guards.py
+++ b/src/trefoilpaddle/coordination/request_guards.py
@@ -1,7 +1,7 @@
 """What binds a request before its first stage: request keys and limits."""
 
 from dataclasses import dataclass
-from typing import Protocol
+from typing import Final, Protocol
 
 from result import Ok, Result
 
@@ -94,6 +94,10 @@
         """Give nothing back."""
 
 
+FREE: Final = _FreePermit()
+"""The permit of whatever nothing binds."""
+
+
 class FreeLimiter:
     """Limiter that binds nothing."""
 
@@ -103,7 +107,7 @@
         self, entry_name: str, entry: Entry, n_tokens: int
     ) -> Result[Permit, NotRun]:
         """Return leave to run."""
-        return Ok(_FreePermit())
+        return Ok(FREE)
 
 
 class FreeKeys:
--- a/tests/claims_fleet.py
+++ b/tests/claims_fleet.py
@@ -9,14 +9,14 @@
 
 from trefoilpaddle.coordination.claim_book import ClaimBook
 from trefoilpaddle.coordination.claim_home import ClaimHome
-from trefoilpaddle.coordination.claim_sync import ClaimSyncs
-from trefoilpaddle.coordination.claims import (
-    Claimer,
+from trefoilpaddle.coordination.claim_outcomes import (
     ClaimOutcome,
     Key,
     KeyGranted,
     account_key,
 )
+from trefoilpaddle.coordination.claim_sync import ClaimSyncs
+from trefoilpaddle.coordination.claims import Claimer
 from trefoilpaddle.coordination.directory import PublishedDirectory
 from trefoilpaddle.coordination.minted import MintedClaims
 from trefoilpaddle.protocol.errors import PeerError
--- a/tests/harness.py
+++ b/tests/harness.py
@@ -17,7 +17,7 @@
 import orjson
 from aiohttp import web
 
-from trefoilpaddle.coordination.claims import account_key
+from trefoilpaddle.coordination.claim_outcomes import account_key
 from trefoilpaddle.coordination.directory import PublishedDirectory
 from trefoilpaddle.protocol.gen.claims.ttypes import Claim
 from trefoilpaddle.roles.gateway import Gateway, claimed_keys, new_process
--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -3,16 +3,26 @@
 import asyncio
 from dataclasses import dataclass, field
 
+import pytest
+from aiohttp.test_utils import TestServer
 from hypothesis import given
 from hypothesis import strategies as st
 from result import Err, Ok, Result
 
 from tests.claims_fleet import Clock, Line, Net, host
-from trefoilpaddle.coordination.orders import Busy, Order, OrderError, OrderKind
+from trefoilpaddle.coordination.orders import (
+    Busy,
+    Order,
+    OrderError,
+    OrderKind,
+    TargetOrders,
+)
 from trefoilpaddle.coordination.placement import Placement
+from trefoilpaddle.coordination.target_models import read_loaded
 from trefoilpaddle.protocol.frames import Message
 from trefoilpaddle.protocol.gen.placement.ttypes import Holdings
 from trefoilpaddle.protocol.gen.stage.ttypes import Hello
+from trefoilpaddle.standins.engine import Engine, EngineModel
 from trefoilpaddle.state.catalogue import Catalogue, Service, ServiceKind
 from trefoilpaddle.state.hosts import HostList
 from trefoilpaddle.state.journal import Journal
@@ -25,7 +35,8 @@
     wanted_copies,
 )
 from trefoilpaddle.state.published import Published
-from trefoilpaddle.state.settings import LogFormat
+from trefoilpaddle.state.settings import Fencing, LogFormat
+from trefoilpaddle.transport.target_http import TargetHttp
 
 SIDECARS = [f"s{i}-sidecar" for i in range(6)]
 MODELS = tuple(f"m{i}" for i in range(9))
@@ -200,6 +211,32 @@
         await fleet.rounds(10)
         assert [order.kind for order in orders.given] == [OrderKind.LOAD_MODEL]
 
+    async def test_missing_model_comes_to_a_real_engine(
+        self, monkeypatch: pytest.MonkeyPatch
+    ) -> None:
+        monkeypatch.setattr("trefoilpaddle.coordination.placement.ROUND_S", 0.01)
+        engine = Engine(model=EngineModel(models=("base",), load_s=0.0))
+        fleet = Fleet(("base", "m0"), n_sidecars=1)
+        placement = fleet.placements["s0"]
+        async with TestServer(engine.application()) as server:
+            http = TargetHttp(url=f"http://127.0.0.1:{server.port}")
+            async with http.opened():
+                placement.loaded = await read_loaded(http)
+                assert placement.loaded == {"base"}
+                placement._orders = TargetOrders(
+                    http=http,
+                    target="t",
+                    fencing=Fencing.CHECKED,
+                    has_lock=lambda: True,
+                    journal=placement._journal,
+                )
+                running = asyncio.create_task(placement.run())
+                async with asyncio.timeout(20.0):
+                    while "m0" not in placement.loaded:  # noqa: ASYNC110
+                        await asyncio.sleep(0.01)
+                running.cancel()
+                assert await read_loaded(http) == {"base", "m0"}
+
     async def test_no_models_listed_means_no_orders(self) -> None:
         fleet = Fleet(())
         fleet.placements["s0"].loaded = frozenset({"base"})
