--- a/src/trefoilpaddle/replay/rounds.py
+++ b/src/trefoilpaddle/replay/rounds.py
@@ -73,11 +73,11 @@
     Where the trace states an outcome against a fresh run, the product plays it
     once more without its faults.
     """
-    before = await _played(trace, "baseline", BASELINE, setup, names_deadline=False)
-    after = await _played(trace, "product", product, setup)
+    before = await play_under(trace, "baseline", BASELINE, setup, names_deadline=False)
+    after = await play_under(trace, "product", product, setup)
     fresh = None
     if _needs_fresh(trace):
-        fresh = await _played(trace.without_faults(), "fresh", product, setup)
+        fresh = await play_under(trace.without_faults(), "fresh", product, setup)
     return Round(
         trace=trace,
         baseline=before,
@@ -89,7 +89,7 @@
     )
 
 
-async def _played(
+async def play_under(
     trace: Trace,
     label: str,
     policy: PolicySettings,
@@ -97,6 +97,21 @@
     *,
     names_deadline: bool = True,
 ) -> Played:
+    """Play `trace` once under `policy` on fresh processes, and audit it.
+
+    Parameters
+    ----------
+    trace : Trace
+        What to play.
+    label : str
+        Names the play.
+    policy : PolicySettings
+        Of every gateway and sidecar.
+    setup : RoundSetup
+        The rest.
+    names_deadline : bool
+        False plays it without deadlines, as the baseline.
+    """
     deadline_factor = 1.0 if names_deadline else GRACE_FACTOR
     async with setup.open_plant(policy, deadline_factor) as plant:
         replayed = await play(
