--- a/tests/harness.py
+++ b/tests/harness.py
@@ -667,7 +667,7 @@
     """
     home = process.server._answerers[Claim].__self__  # type: ignore[attr-defined]
     home._book._born_s -= LONG_S
-    home._book._history.cut_s -= LONG_S
+    home._book.history.cut_s -= LONG_S
 
 
 def _cancel_tasks_of(owner: str) -> None:
