--- a/src/trefoilpaddle/replay/path_cost.py
+++ b/src/trefoilpaddle/replay/path_cost.py
@@ -186,10 +186,20 @@
     for part in range(N_SAMPLES):
         await _repeat(path.call, n_calls=n_calls // N_SAMPLES, n_callers=n_callers)
         usages.append(path.usage())
-        print(f"{part + 1}/{N_SAMPLES} of the load", file=sys.stderr)
+        _print_progress(part + 1, usages[-1])
     return usages
 
 
+def _print_progress(part: int, usage: Usage) -> None:
+    gateway_mb = usage.gateway_bytes / MEGABYTE
+    sidecar_mb = usage.sidecar_bytes / MEGABYTE
+    print(
+        f"{part}/{N_SAMPLES} of the load: "
+        f"gateway {gateway_mb:.1f} MB, sidecar {sidecar_mb:.1f} MB",
+        file=sys.stderr,
+    )
+
+
 def _growth_mb(usages: list[Usage]) -> tuple[float, float]:
     """Return growth of both processes over the second half of the load.
 
