--- a/tests/harness.py
+++ b/tests/harness.py
@@ -9,54 +9,38 @@
 import contextlib
 import itertools
 from collections.abc import AsyncIterator, Callable, Iterable
-from contextvars import ContextVar
 from dataclasses import dataclass, field
 from typing import Any, Final
 
 import aiohttp
 import orjson
-from aiohttp import web
 
+from tests.harness_relay import Relay
+from tests.harness_settings import (
+    CHAIN,
+    FREE,
+    ONCE,
+    catalogue,
+    gateway_settings,
+    sidecar_process,
+    sidecar_settings,
+)
+from tests.harness_target import Run, Target
+from tests.harness_tasks import OWNER_OF_TASK, cancel_tasks_of, name_owners_of_tasks
 from trefoilpaddle.coordination.claims import account_key
 from trefoilpaddle.coordination.directory import PublishedDirectory
 from trefoilpaddle.protocol.gen.claims.ttypes import Claim
 from trefoilpaddle.roles.gateway import Gateway, claimed_keys, new_process
-from trefoilpaddle.roles.process import Process, identity_of
+from trefoilpaddle.roles.process import Process
 from trefoilpaddle.roles.sidecar import Sidecar
-from trefoilpaddle.state.catalogue import (
-    Catalogue,
-    Entry,
-    Pipeline,
-    Service,
-    ServiceKind,
-    Stage,
-    Takes,
-)
 from trefoilpaddle.state.hosts import Host, HostList, HostState
-from trefoilpaddle.state.journal import Journal
 from trefoilpaddle.state.places import place_list
-from trefoilpaddle.state.settings import (
-    CallerSettings,
-    GatewaySettings,
-    LogFormat,
-    PlatformSettings,
-    PolicySettings,
-    ProcessSettings,
-    RetentionSettings,
-    SidecarSettings,
-    StopSettings,
-    TargetSettings,
-)
 from trefoilpaddle.transport.connection import Address
 
+__all__ = ["CHAIN", "FREE", "ONCE", "Fleet", "Told", "fleet", "until"]
+
 CAP_S: Final = 20.0
 LONG_S: Final = 3600.0
-NO_PLATFORM: Final = PlatformSettings(
-    config_url="http://127.0.0.1:9", hosts_url="http://127.0.0.1:9"
-)
-FREE, ONCE, CHAIN = "free", "once", "chain"
-OWNER_OF_TASK: ContextVar[str] = ContextVar("owner_of_task", default="")
-DEAD_OWNERS: set[str] = set()
 
 
 async def until(is_true: Callable[[], bool], *, cap_s: float = CAP_S) -> None:
@@ -66,208 +50,6 @@
             await asyncio.sleep(0.003)
 
 
-class Relay:
-    """Carries connections to `upstream`, and breaks them as it is told.
-
-    Attributes
-    ----------
-    delay_s, delay_back_s : float
-        Each piece arrives this much later; the second counts on the way back.
-    is_stalled : bool
-        Nothing passes, nothing is closed: how a pause or a partition looks.
-    is_refusing : bool
-        New connections are closed at once.
-    n_damaged_at : int
-        Damage the byte at this place of the next larger piece; 0 for none.
-    """
-
-    def __init__(self) -> None:
-        self.upstream: Address | None = None
-        self.delay_s = 0.0
-        self.delay_back_s = 0.0
-        self.is_refusing = False
-        self.n_damaged_at = 0
-        self._flows = asyncio.Event()
-        self._flows.set()
-        self._writers: set[asyncio.StreamWriter] = set()
-        self._gateway_side: set[asyncio.StreamWriter] = set()
-        self._lingers = False
-        self._tasks: set[asyncio.Task[None]] = set()
-        self.address = Address(ip="127.0.0.1", port=0)
-
-    @property
-    def is_stalled(self) -> bool:
-        return not self._flows.is_set()
-
-    @is_stalled.setter
-    def is_stalled(self, is_stalled: bool) -> None:
-        if is_stalled:
-            self._flows.clear()
-        else:
-            self._flows.set()
-
-    def cut(self) -> None:
-        """Break all connections; what is on its way is lost."""
-        for writer in list(self._writers):
-            writer.transport.abort()
-
-    def cut_before(self) -> None:
-        """Break the gateways' side; what is on its way still arrives, late."""
-        self._lingers = True
-        for writer in list(self._gateway_side):
-            writer.transport.abort()
-
-    def heal(self) -> None:
-        self._lingers = False
-        self.delay_s = 0.0
-        self.delay_back_s = 0.0
-        self.is_refusing = False
-        self.is_stalled = False
-
-    @contextlib.asynccontextmanager
-    async def running(self) -> AsyncIterator["Relay"]:
-        server = await asyncio.start_server(self._accept, "127.0.0.1", 0)
-        port = server.sockets[0].getsockname()[1]
-        self.address = Address(ip="127.0.0.1", port=port)
-        try:
-            yield self
-        finally:
-            server.close()
-            self.cut()
-            for task in list(self._tasks):
-                task.cancel()
-
-    async def _accept(
-        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
-    ) -> None:
-        upstream = self.upstream
-        self._writers.add(writer)
-        self._gateway_side.add(writer)
-        try:
-            if self.is_refusing or upstream is None:
-                return
-            up_reader, up_writer = await asyncio.open_connection(
-                upstream.ip, upstream.port
-            )
-            self._writers.add(up_writer)
-            try:
-                await self._both(reader, up_writer, up_reader, writer)
-            finally:
-                self._writers.discard(up_writer)
-                up_writer.transport.abort()
-        except OSError:
-            pass
-        finally:
-            self._writers.discard(writer)
-            self._gateway_side.discard(writer)
-            writer.transport.abort()
-
-    async def _both(
-        self,
-        reader: asyncio.StreamReader,
-        up_writer: asyncio.StreamWriter,
-        up_reader: asyncio.StreamReader,
-        writer: asyncio.StreamWriter,
-    ) -> None:
-        ways = [
-            asyncio.create_task(self._carry(reader, up_writer, is_back=False)),
-            asyncio.create_task(self._carry(up_reader, writer, is_back=True)),
-        ]
-        self._tasks.update(ways)
-        await asyncio.wait(ways, return_when=asyncio.FIRST_COMPLETED)
-        if self._lingers:
-            await asyncio.wait(ways[:1])
-        for way in ways:
-            way.cancel()
-        self._tasks.difference_update(ways)
-
-    async def _carry(
-        self,
-        reader: asyncio.StreamReader,
-        writer: asyncio.StreamWriter,
-        *,
-        is_back: bool,
-    ) -> None:
-        with contextlib.suppress(OSError):
-            while data := await reader.read(1 << 16):
-                delay_s = self.delay_s + (self.delay_back_s if is_back else 0.0)
-                if delay_s:
-                    await asyncio.sleep(delay_s)
-                await self._flows.wait()
-                writer.write(self._damaged(data))
-                await writer.drain()
-
-    def _damaged(self, data: bytes) -> bytes:
-        at = self.n_damaged_at
-        if not 0 < at < len(data):
-            return data
-        self.n_damaged_at = 0
-        return data[:at] + bytes([data[at] ^ 1]) + data[at + 1 :]
-
-
-@dataclass(slots=True, kw_only=True)
-class Run:
-    """One call that a target ran, in its own record."""
-
-    request_id: str
-    attempt_id: str
-    text: str
-    is_done: bool = False
-
-
-class Target:
-    """A target that says what it was given, and records each run of it."""
-
-    def __init__(self, name: str) -> None:
-        self.name = name
-        self.port = 0
-        self.runs: list[Run] = []
-        self.service_s = 0.0
-        self.gate = asyncio.Event()
-        self.gate.set()
-
-    @contextlib.asynccontextmanager
-    async def serving(self) -> AsyncIterator["Target"]:
-        app = web.Application(client_max_size=1 << 26)
-        app.router.add_get("/health", self._health)
-        app.router.add_post("/run", self._run)
-        runner = web.AppRunner(app, shutdown_timeout=0.1, access_log=None)
-        await runner.setup()
-        site = web.TCPSite(runner, "127.0.0.1", 0)
-        await site.start()
-        self.port = runner.addresses[0][1]
-        try:
-            yield self
-        finally:
-            self.gate.set()
-            await runner.cleanup()
-
-    async def _health(self, _request: web.Request) -> web.Response:
-        return web.Response()
-
-    async def _run(self, request: web.Request) -> web.Response:
-        given = orjson.loads(await request.read())
-        run = Run(
-            request_id=request.headers["X-Request-Id"],
-            attempt_id=request.headers["X-Attempt-Id"],
-            text=_text_of(given),
-        )
-        self.runs.append(run)
-        await self.gate.wait()
-        if self.service_s:
-            await asyncio.sleep(self.service_s)
-        run.is_done = True
-        return web.json_response({"echo": run.text}, headers={"X-Cost-S": "0.01"})
-
-
-def _text_of(given: Any) -> str:
-    previous = given.get("previous")
-    if isinstance(previous, dict):
-        return str(previous["echo"])
-    value = given["input"]
-    return str(value["text"]) if isinstance(value, dict) else str(value)
-
-
 @dataclass(frozen=True, slots=True, kw_only=True)
 class Told:
     """What a caller was told."""
@@ -331,38 +113,6 @@
         return f"http://{self.gateway.server.address}"
 
 
-def stage(name: str, service: str, *, idempotent: bool) -> Stage:
-    return Stage(
-        name=name, service=service, path="/run", idempotent=idempotent, takes=Takes.BOTH
-    )
-
-
-def catalogue(*, deadline_s: float) -> Catalogue:
-    """Return three pipelines: repeatable, to run once, and one after the other."""
-    free = stage("read", "pool", idempotent=True)
-    once = stage("book", "plain", idempotent=False)
-    entry = Entry(
-        owner="club",
-        class_of_work="calls",
-        pipelines=(FREE, ONCE, CHAIN),
-        accounts=("club",),
-        deadline_s=deadline_s,
-    )
-    return Catalogue(
-        revision=1,
-        entries={"e": entry},
-        pipelines={
-            FREE: Pipeline(stages=(free,)),
-            ONCE: Pipeline(stages=(once,)),
-            CHAIN: Pipeline(stages=(free, once)),
-        },
-        services={
-            "pool": Service(kind=ServiceKind.POOL),
-            "plain": Service(kind=ServiceKind.PLAIN),
-        },
-    )
-
-
 class Fleet:
     """Gateways, sidecars, targets and the relays between them."""
 
@@ -416,7 +166,7 @@
 
     @contextlib.asynccontextmanager
     async def running(self) -> AsyncIterator["Fleet"]:
-        _name_owners_of_tasks()
+        name_owners_of_tasks()
         async with contextlib.AsyncExitStack() as stack:
             for relay in self.all_relays():
                 await stack.enter_async_context(relay.running())
@@ -515,8 +265,10 @@
         slot.n_starts += 1
         token = OWNER_OF_TASK.set(slot.owner)
         try:
-            settings = _sidecar_settings(slot)
-            process = _sidecar_process(settings)
+            settings = sidecar_settings(
+                name=slot.name, service=slot.service, target=slot.target
+            )
+            process = sidecar_process(settings)
             sidecar = Sidecar(settings=settings, process=process)
             slot.stack = contextlib.AsyncExitStack()
             await slot.stack.enter_async_context(sidecar.open())
@@ -529,7 +281,7 @@
             gateway.relays[slot.name].upstream = process.server.address
 
     async def start_gateway(self, slot: GatewaySlot) -> None:
-        settings = _gateway_settings(slot.name)
+        settings = gateway_settings(slot.name)
         process = new_process(settings)
         slot.stack = contextlib.AsyncExitStack()
         token = OWNER_OF_TASK.set(slot.name)
@@ -560,7 +312,7 @@
         listener = slot.process.server._server
         if listener is not None:
             listener.close()
-        _cancel_tasks_of(slot.owner)
+        cancel_tasks_of(slot.owner)
         self._dead.append(slot.stack)
         slot.sidecar = slot.process = None
 
@@ -573,7 +325,7 @@
         for link in slot.gateway.process.peers.links.values():
             if link.connection is not None:
                 link.connection.abort()
-        _cancel_tasks_of(slot.name)
+        cancel_tasks_of(slot.name)
         self._dead.append(slot.stack)
         slot.gateway = None
 
@@ -647,18 +399,6 @@
         yield made
 
 
-class _OwnedTask(asyncio.Task[Any]):
-    """Task that remembers which sidecar started it, however indirectly."""
-
-    def __init__(self, *args: Any, **kwargs: Any) -> None:
-        super().__init__(*args, **kwargs)
-        self.owner = OWNER_OF_TASK.get()
-        if self.owner in DEAD_OWNERS:
-            # The running calls of a killed process end here one by one, and
-            # each would hand its slot to work that waits; a dead one starts none.
-            self.cancel()
-
-
 def _age_claims(process: Process) -> None:
     """Make a sidecar old enough to vouch that it has not seen a request key.
 
@@ -670,75 +410,7 @@
     home._book.history.cut_s -= LONG_S
 
 
-def _cancel_tasks_of(owner: str) -> None:
-    DEAD_OWNERS.add(owner)
-    for task in asyncio.all_tasks():
-        if getattr(task, "owner", "") == owner:
-            task.cancel()
-
-
-def _name_owners_of_tasks() -> None:
-    DEAD_OWNERS.clear()
-
-    def make(
-        loop: asyncio.AbstractEventLoop, coro: Any, **kwargs: Any
-    ) -> asyncio.Task[Any]:
-        return _OwnedTask(coro, loop=loop, **kwargs)
-
-    asyncio.get_running_loop().set_task_factory(make)
-
-
 def _address_of(slot: SidecarSlot) -> Address:
     if slot.process is None:
         return Address(ip="127.0.0.1", port=9)
     return slot.process.server.address
-
-
-def _sidecar_settings(slot: SidecarSlot) -> SidecarSettings:
-    return SidecarSettings(
-        process=_process_settings(slot.name),
-        platform=NO_PLATFORM,
-        target=TargetSettings(
-            name=slot.target.name,
-            service=slot.service,
-            kind=ServiceKind.POOL if slot.service == "pool" else ServiceKind.PLAIN,
-            url=f"http://127.0.0.1:{slot.target.port}",
-            lock_port=9,
-        ),
-        # The tests count on the four slots that a service begins with.
-        policy=PolicySettings(adapt_concurrency=False),
-        retention=RetentionSettings(),
-        stop=StopSettings(drain_s=10.0, settle_s=0.05),
-    )
-
-
-def _sidecar_process(settings: SidecarSettings) -> Process:
-    identity = identity_of(
-        process=settings.process,
-        role="sidecar",
-        service=settings.target.service,
-        target=settings.target.name,
-    )
-    journal = Journal(
-        process_id=identity.process_id, n_records=2000, format=LogFormat.KEY_VALUE
-    )
-    listen = Address(ip="127.0.0.1", port=0)
-    return Process(identity=identity, listen=listen, journal=journal)
-
-
-def _gateway_settings(name: str) -> GatewaySettings:
-    return GatewaySettings(
-        process=_process_settings(name),
-        platform=NO_PLATFORM,
-        callers=CallerSettings(listen="127.0.0.1:0"),
-        stop=StopSettings(drain_s=10.0, settle_s=0.05),
-    )
-
-
-def _process_settings(name: str) -> ProcessSettings:
-    return ProcessSettings(
-        host=name,
-        failure_domain="fd1",
-        listen="127.0.0.1:0",
-        operators_listen="127.0.0.1:0",
-    )
