Count calls that arrived but are in no report yet in a target's crowd

Cause: a call left the gateway's own count as soon as the sidecar had it, while the report of how many run came up to half a second later. In between a target looked emptier than it was and drew further calls, most of all the holder of a prefix, which is chosen from up to eight targets. Change: calls count until a report that can hold them.

--- a/src/trefoilpaddle/coordination/own_calls.py
+++ b/src/trefoilpaddle/coordination/own_calls.py
@@ -8,13 +8,19 @@
     the first report after a frame about the call holds it and takes it off.
     """
 
-    __slots__ = ("_counted_s", "_uncounted_s", "n_uncounted")
+    __slots__ = ("_counted_s", "_n_counted", "_uncounted_s", "n_uncounted")
 
     def __init__(self) -> None:
         self.n_uncounted = 0
+        self._n_counted = 0
         self._uncounted_s: dict[str, float] = {}
         self._counted_s: dict[str, float] = {}
 
+    @property
+    def n_unreported(self) -> int:
+        """Calls that the last report does not hold, arrived or not."""
+        return self.n_uncounted + self._n_counted
+
     def sent(self, owner: str, predicted_s: float) -> None:
         """Count a call that no report can hold yet."""
         self.n_uncounted += 1
@@ -24,6 +30,7 @@
     def arrived(self, owner: str, predicted_s: float) -> None:
         """Note that a call has reached the sidecar; the next report holds it."""
         self.n_uncounted -= 1
+        self._n_counted += 1
         if self.n_uncounted:
             left_s = self._uncounted_s[owner] - predicted_s
             self._uncounted_s[owner] = max(0.0, left_s)
@@ -34,6 +41,7 @@
     def reported(self) -> None:
         """Take off what had arrived before a report was written."""
         self._counted_s.clear()
+        self._n_counted = 0
 
     def of(self, owner: str) -> float:
         """Return the work of one owner, in seconds."""
