Count own calls that have arrived until a report holds them

Found: a call that had arrived counted as work but no more as a taken slot, so a target that had been given calls since its last report looked idle for up to half a second. Change: calls count from sending until a report that holds them.

--- a/src/trefoilpaddle/coordination/own_calls.py
+++ b/src/trefoilpaddle/coordination/own_calls.py
@@ -8,23 +8,25 @@
     the first report after a frame about the call holds it and takes it off.
     """
 
-    __slots__ = ("_counted_s", "_uncounted_s", "n_uncounted")
+    __slots__ = ("_counted_s", "_n_counted", "_n_uncounted", "_uncounted_s")
 
     def __init__(self) -> None:
-        self.n_uncounted = 0
+        self._n_uncounted = 0
+        self._n_counted = 0
         self._uncounted_s: dict[str, float] = {}
         self._counted_s: dict[str, float] = {}
 
     def sent(self, owner: str, predicted_s: float) -> None:
         """Count a call that no report can hold yet."""
-        self.n_uncounted += 1
+        self._n_uncounted += 1
         known_s = self._uncounted_s.get(owner, 0.0)
         self._uncounted_s[owner] = known_s + predicted_s
 
     def arrived(self, owner: str, predicted_s: float) -> None:
         """Note that a call has reached the sidecar; the next report holds it."""
-        self.n_uncounted -= 1
-        if self.n_uncounted:
+        self._n_counted += 1
+        self._n_uncounted -= 1
+        if self._n_uncounted:
             left_s = self._uncounted_s[owner] - predicted_s
             self._uncounted_s[owner] = max(0.0, left_s)
         else:
@@ -34,6 +36,11 @@
     def reported(self) -> None:
         """Take off what had arrived before a report was written."""
         self._counted_s.clear()
+        self._n_counted = 0
+
+    def n_calls(self) -> int:
+        """Return how many calls no report holds yet, arrived ones included."""
+        return self._n_uncounted + self._n_counted
 
     def of(self, owner: str) -> float:
         """Return the work of one owner, in seconds."""
--- a/src/trefoilpaddle/coordination/predicted_wait.py
+++ b/src/trefoilpaddle/coordination/predicted_wait.py
@@ -28,7 +28,7 @@
         Seconds since the report came.
     """
     n_slots = max(1, load.n_slots)
-    if load.n_queued == 0 and load.n_running + own.n_uncounted < n_slots:
+    if load.n_queued == 0 and load.n_running + own.n_calls() < n_slots:
         return 0.0
     ahead_s = _ahead_s(load, own, entry)
     wait_s = (load.running_work_s + ahead_s) * slowness(load) / n_slots
--- a/src/trefoilpaddle/coordination/target_view.py
+++ b/src/trefoilpaddle/coordination/target_view.py
@@ -164,7 +164,7 @@
         """Return which part of the target's slots is taken, own calls included."""
         if self.load is None:
             return min(1.0, self.n_outstanding / DEFAULT_SLOTS)
-        n_taken = self.load.n_running + self.own.n_uncounted
+        n_taken = self.load.n_running + self.own.n_calls()
         return min(1.0, n_taken / max(1, self.load.n_slots))
 
 
--- a/tests/test_routing.py
+++ b/tests/test_routing.py
@@ -204,6 +204,21 @@
         view.own.sent("bank", 1.0)
         assert view.wait_s(ENTRY, view.load_at_s) == 2.2
 
+    def test_calls_that_have_arrived_count_until_a_report_holds_them(self) -> None:
+        """The last report says idle. Calls are sent, and arrive, before the next
+        one comes. The target must not look idle meanwhile, or more follow.
+        """
+        fleet = Fleet(n_targets=1)
+        fleet.report(0, n_slots=2)
+        view = fleet.views[0]
+        for _ in range(3):
+            view.sent(work())
+            view.arrived(work())
+        assert view.crowd() == 1.0
+        assert view.wait_s(ENTRY, view.load_at_s) > 0.0
+        fleet.report(0, n_slots=2)
+        assert view.crowd() == 0.0
+
     @given(steps=st.lists(st.sampled_from("sart"), max_size=40))
     def test_own_calls_are_counted_once_beside_the_reports(
         self, steps: list[str]
