--- a/src/trefoilpaddle/replay/fleet_measure.py
+++ b/src/trefoilpaddle/replay/fleet_measure.py
@@ -8,11 +8,10 @@
 """
 
 import asyncio
-import contextlib
 import statistics
 import sys
 import time
-from collections.abc import AsyncIterator, Sequence
+from collections.abc import Sequence
 from dataclasses import asdict, dataclass
 from typing import Any, Final
 
@@ -22,17 +21,10 @@
 from rich.console import Console
 from rich.table import Table
 
-from .fleet_platform import FleetPlatform
+from .fleet_run import ACCOUNT, Fleet, WorkerProcess, running_fleet
 
-GATEWAY_SHARE: Final = 0.3
-N_DOMAINS: Final = 5
-N_SERVICES: Final = 10
 CHANGE_GAP_S: Final = 0.3
 SETTLE_S: Final = 8.0
-POLL_S: Final = 0.5
-LINE_LIMIT_BYTES: Final = 16 * 1024 * 1024
-ANSWER_TIMEOUT_S: Final = 120.0
-ACCOUNT: Final = {"token_sha256": "0" * 64}
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -72,140 +64,6 @@
     n_suspected: int
 
 
-class WorkerProcess:
-    """A worker process and its standard streams."""
-
-    __slots__ = ("_process", "n_peers", "role")
-
-    def __init__(
-        self, *, process: asyncio.subprocess.Process, role: str, n_peers: int
-    ) -> None:
-        self._process = process
-        self.role = role
-        self.n_peers = n_peers
-
-    async def do(self, command: dict[str, Any]) -> dict[str, Any]:
-        """Send one command and return its answer.
-
-        Raises
-        ------
-        RuntimeError
-            If the worker has ended.
-        """
-        stdin, stdout = self._process.stdin, self._process.stdout
-        assert stdin is not None and stdout is not None
-        stdin.write(orjson.dumps(command) + b"\n")
-        async with asyncio.timeout(ANSWER_TIMEOUT_S):
-            line = await stdout.readline()
-        if not line:
-            raise RuntimeError("a worker of the fleet has ended; see its output above")
-        answer: dict[str, Any] = orjson.loads(line)
-        return answer
-
-    async def stop(self) -> None:
-        """End the worker by closing its input."""
-        assert self._process.stdin is not None
-        self._process.stdin.close()
-        try:
-            async with asyncio.timeout(5.0):
-                await self._process.wait()
-        except TimeoutError:
-            self._process.kill()
-            await self._process.wait()
-
-
-class Fleet:
-    """The workers of one size."""
-
-    __slots__ = ("platform", "start_s", "workers")
-
-    def __init__(self, *, platform: FleetPlatform) -> None:
-        self.platform = platform
-        self.workers: list[WorkerProcess] = []
-        self.start_s = 0.0
-
-    async def all_do(self, command: dict[str, Any]) -> list[dict[str, Any]]:
-        """Send one command to all workers at once."""
-        return list(
-            await asyncio.gather(*(worker.do(dict(command)) for worker in self.workers))
-        )
-
-
-def split(n_peers: int, per_worker: int) -> list[tuple[str, int]]:
-    """Return role and number of peers of each worker."""
-    n_gateways = max(1, round(n_peers * GATEWAY_SHARE))
-    plan: list[tuple[str, int]] = []
-    for role, n_of_role in (
-        ("gateway", n_gateways),
-        ("sidecar", n_peers - n_gateways),
-    ):
-        while n_of_role > 0:
-            n_here = min(per_worker, n_of_role)
-            plan.append((role, n_here))
-            n_of_role -= n_here
-    return plan
-
-
-@contextlib.asynccontextmanager
-async def running_fleet(
-    n_peers: int, *, per_worker: int, n_keys: int
-) -> AsyncIterator[Fleet]:
-    """Yield a fleet whose peers all have the catalogue in force."""
-    async with FleetPlatform().serving() as platform:
-        for number in range(N_SERVICES):
-            platform.config.publish(f"service/s{number}", {"kind": "pool"})
-        for number in range(n_keys - N_SERVICES):
-            platform.config.publish(f"account/a{number}", ACCOUNT)
-        fleet = Fleet(platform=platform)
-        try:
-            await _start(fleet, split(n_peers, per_worker))
-            yield fleet
-        finally:
-            await asyncio.gather(*(worker.stop() for worker in fleet.workers))
-
-
-async def _start(fleet: Fleet, plan: Sequence[tuple[str, int]]) -> None:
-    began_s = time.monotonic()
-    hosts: list[dict[str, Any]] = []
-    for role, n_peers in plan:
-        process = await asyncio.create_subprocess_exec(
-            sys.executable,
-            "-m",
-            "trefoilpaddle.replay.fleet_worker",
-            stdin=asyncio.subprocess.PIPE,
-            stdout=asyncio.subprocess.PIPE,
-            limit=LINE_LIMIT_BYTES,
-        )
-        worker = WorkerProcess(process=process, role=role, n_peers=n_peers)
-        fleet.workers.append(worker)
-        answer = await worker.do(
-            {
-                "do": "start",
-                "first": len(hosts),
-                "n_peers": n_peers,
-                "role": role,
-                "n_domains": N_DOMAINS,
-                "n_services": N_SERVICES,
-                "config_url": fleet.platform.config_url,
-                "hosts_url": fleet.platform.hosts_url,
-                "seeds": [host["peer_address"] for host in hosts[:3]],
-            }
-        )
-        hosts += answer["hosts"]
-    fleet.platform.hosts.publish(hosts)
-    await fleet.all_do(
-        {"do": "wait", "revision": fleet.platform.config.revisions.latest}
-    )
-    while await _n_known(fleet) < len(hosts):  # noqa: ASYNC110 (in other processes)
-        await asyncio.sleep(POLL_S)
-    fleet.start_s = time.monotonic() - began_s
-
-
-async def _n_known(fleet: Fleet) -> int:
-    """Return how many live members the peer knows that knows fewest."""
-    return min(int(one["n_known"]) for one in await fleet.all_do({"do": "figures"}))
-
-
 async def measure_size(
     n_peers: int, *, per_worker: int, n_keys: int, idle_s: float, n_changes: int
 ) -> SizeFigures:
