Make two tests of membership prove what they say

Cause: with its guard broken the test of a dead reader passed, since a former reader's last watch brought the change; nothing proved that sides which have forgotten each other meet by the list. Change: the first waits until that watch has ended; a test for the second.

--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -99,6 +99,23 @@
             await until(lambda: fleet.is_settled() and side_b[0].revision == 2)
             await until(lambda: all_know_all(fleet))
 
+    async def test_sides_that_have_forgotten_each_other_meet_by_the_list(
+        self, monkeypatch: pytest.MonkeyPatch
+    ) -> None:
+        # A split lasted so long that each side holds the other for dead. When
+        # it ends nobody has a link across; only the list still names them.
+        async with fake_fleet(monkeypatch) as fleet:
+            fleet.platform.publish("service/a", SERVICE)
+            for side in ("a", "b"):
+                first = await fleet.start(f"{side}0", seeds=())
+                seeds = (str(first.process.server.address),)
+                await fleet.start(f"{side}1", seeds=seeds)
+            peers = list(fleet.peers.values())
+            await until(lambda: {len(live(peer)) for peer in peers} == {2})
+            hosts = [listed(peer) for peer in peers]
+            fleet.platform.hosts = {"revision": 2, "hosts": hosts}
+            await until(lambda: all_know_all(fleet))
+
 
 class TestReaders:
     async def test_a_dead_reader_is_replaced(
@@ -113,6 +130,9 @@
             await until(lambda: all_know_all(fleet))
             readers = [p for p in fleet.peers.values() if p.feed.reader.is_reading()]
             assert len(readers) == 1
+            # Who read before may still wait in its last watch; let that end.
+            n_reads = readers[0].feed.client.n_reads
+            await until(lambda: readers[0].feed.client.n_reads > n_reads + 4)
             await fleet.stop(readers[0].name)
             revision = fleet.platform.publish("service/b", SERVICE)
             await until(lambda: fleet.is_settled())
