--- a/src/trefoilpaddle/coordination/asking.py
+++ b/src/trefoilpaddle/coordination/asking.py
@@ -24,7 +24,7 @@
 from ..transport.link import Link
 from ..transport.peers import Peers
 
-ASK_TIMEOUT_S: Final = 1.0
+ASK_TIMEOUT_S: Final = 3.0
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
--- a/src/trefoilpaddle/state/journal.py
+++ b/src/trefoilpaddle/state/journal.py
@@ -154,7 +154,7 @@
     """Writes each decision to the log and keeps the last ones in memory.
 
     A decision is put aside at once and worked off with others a moment later:
-    found by request, told to the listeners, written to the log. Doing that at
+    found by request, counted, written to the log. Doing that at
     each decision cost the path several times as much. Readers see all that was
     decided; a killed process loses the last moment's lines.
 
@@ -176,6 +176,7 @@
     __slots__ = (
         "_by_request",
         "_keep_s",
+        "_later_listeners",
         "_listeners",
         "_n_records",
         "_new",
@@ -198,22 +199,29 @@
         self._by_request: dict[str, list[Record]] = {}
         self._new: list[Record] = []
         self._listeners: list[Callable[[Decision], None]] = []
+        self._later_listeners: list[Callable[[Decision], None]] = []
 
     def record(self, decision: Decision) -> None:
-        """Keep `decision`, log it and tell the listeners, within ``WORK_AFTER_S``."""
+        """Tell the listeners of `decision`; keep and log it within a moment."""
         new = self._new
         new.append(
             Record(decision=decision, monotonic_s=time.monotonic(), wall_s=time.time())
         )
+        for listener in self._listeners:
+            listener(decision)
         if len(new) == 1:
             self._flush_later()
         elif len(new) >= MAX_NEW:
             self.flush()
 
     def subscribe(self, listener: Callable[[Decision], None]) -> None:
-        """Call `listener` with each decision from now on; metrics do."""
+        """Call `listener` with each decision from now on, at once."""
         self._listeners.append(listener)
 
+    def subscribe_later(self, listener: Callable[[Decision], None]) -> None:
+        """Call `listener` with each decision when it is worked off; counters do."""
+        self._later_listeners.append(listener)
+
     def story(self, request_id: str) -> Iterator[Record]:
         """Yield what is still kept about one request, oldest first."""
         self.flush()
@@ -234,7 +242,7 @@
         self._forget_old(batch.records[-1].monotonic_s)
         for record in batch.records:
             self._keep(record)
-        for listener in self._listeners:
+        for listener in self._later_listeners:
             for record in batch.records:
                 listener(record.decision)
         _write(batch)
--- a/tests/test_journal.py
+++ b/tests/test_journal.py
@@ -101,6 +101,16 @@
         journal.record(ROUTED)
         assert heard == [ROUTED, ROUTED]
 
+    async def test_counters_hear_each_decision_once_it_is_worked_off(self) -> None:
+        journal = journal_of(10)
+        heard: list[Decision] = []
+        journal.subscribe_later(heard.append)
+        journal.record(ROUTED)
+        journal.record(ROUTED)
+        assert not heard
+        assert len(list(journal.story(ROUTED.request_id))) == 2
+        assert heard == [ROUTED, ROUTED]
+
 
 class TestLineFormatter:
     def test_a_decision_is_one_line_of_words(self) -> None:
