Tell a woken gateway from a stopping one

Change: why_closed names the reason; no_configuration says that it is not sure yet what is in force. Conclusion: the refusal itself stays, as it must: a woken process may hold a view that is no longer true.

--- a/src/trefoilpaddle/roles/callers.py
+++ b/src/trefoilpaddle/roles/callers.py
@@ -45,8 +45,8 @@
         Returns a fresh request id.
     is_ready : callable
         Returns True while the balancer should send work here.
-    takes_work : callable
-        Returns True while new work is taken.
+    why_closed : callable
+        Returns why no new work is taken now, or None while it is.
     """
 
     __slots__ = (
@@ -57,7 +57,7 @@
         "_requests",
         "_runner",
         "_settings",
-        "_takes_work",
+        "_why_closed",
         "answering",
         "running",
     )
@@ -72,7 +72,7 @@
         journal: Journal,
         mint: Callable[[], str],
         is_ready: Callable[[], bool],
-        takes_work: Callable[[], bool],
+        why_closed: Callable[[], NotRun | None],
     ) -> None:
         self._settings = settings
         self._input = caller_input
@@ -81,7 +81,7 @@
         self._journal = journal
         self._mint = mint
         self._is_ready = is_ready
-        self._takes_work = takes_work
+        self._why_closed = why_closed
         self.answering: set[asyncio.Task[Any]] = set()
         self.running: set[asyncio.Task[Result[Answer, Refusal]]] = set()
 
@@ -125,8 +125,10 @@
         return ""
 
     async def _pipeline(self, http: web.Request) -> web.StreamResponse:
-        if not self._takes_work():
-            return error_response(_stopping(), governing=None, request_id="")
+        closed = self._why_closed()
+        if closed is not None:
+            refusal = Refusal(error=closed, stage="")
+            return error_response(refusal, governing=None, request_id="")
         handler = asyncio.current_task()
         assert handler is not None
         self.answering.add(handler)
@@ -288,17 +290,6 @@
     )
 
 
-def _stopping() -> Refusal:
-    error = NotRun(
-        reason=Reason.STOPPING,
-        step="admit",
-        peer="",
-        detail="This gateway takes no new work now; another one does.",
-        retry_after_s=1.0,
-    )
-    return Refusal(error=error, stage="")
-
-
 def _plain_error(status: int, reason: Reason, detail: str) -> web.Response:
     error = NotRun(reason=reason, step="read", peer="", detail=detail)
     body = error_json(Refusal(error=error, stage=""), governing=None, request_id="")
--- a/src/trefoilpaddle/roles/gateway.py
+++ b/src/trefoilpaddle/roles/gateway.py
@@ -26,7 +26,9 @@
 from ..coordination.routing import Router
 from ..coordination.target_view import TargetViews
 from ..coordination.walk import Walker
+from ..protocol.errors import NotRun
 from ..protocol.ids import RequestId
+from ..protocol.reasons import Reason
 from ..state.budget import RetryBudgets
 from ..state.claim_table import ClaimTable
 from ..state.estimate import Estimates
@@ -43,6 +45,8 @@
 from .process import Process, identity_of
 
 TICK_S: Final = 0.25
+CLOSED_S: Final = 1.0
+"""When to come back to a gateway that takes no new work."""
 SEED_BITS: Final = 32
 
 
@@ -167,22 +171,29 @@
             journal=process.journal,
             mint=self._keys.mint,
             is_ready=self.is_ready,
-            takes_work=self.takes_work,
+            why_closed=self.why_closed,
         )
 
     def is_ready(self) -> bool:
         """Return True while the balancer should send new work here."""
         return self._is_known() and not self.process.stopping.is_set()
 
-    def takes_work(self) -> bool:
-        """Return True while new work is taken; a little longer than ready.
+    def why_closed(self) -> NotRun | None:
+        """Return why no new work is taken now, or None while it is.
 
-        The balancer notices that this gateway is not ready only at its next
-        look; work that it sends until then is served, not refused.
+        A stopping gateway takes work a little longer than it is ready: the
+        balancer notices only at its next look, and what it sends until then is
+        served, not refused. One that woke from a pause asks its peers first.
         """
+        if self.process.stopping.is_set() and not self._is_settling:
+            return _closed(Reason.STOPPING, "This gateway stops; another takes work.")
         if not self._is_known():
-            return False
-        return not self.process.stopping.is_set() or self._is_settling
+            return _closed(
+                Reason.NO_CONFIGURATION,
+                "This gateway started or woke from a pause just now and asks its "
+                "peers what is in force; another one takes work.",
+            )
+        return None
 
     def _has_catalogue(self) -> bool:
         return self.process.published.catalogue.revision > 0
@@ -248,6 +259,12 @@
         )
 
 
+def _closed(reason: Reason, detail: str) -> NotRun:
+    return NotRun(
+        reason=reason, step="admit", peer="", detail=detail, retry_after_s=CLOSED_S
+    )
+
+
 def new_process(settings: GatewaySettings) -> Process:
     """Return the common parts of a gateway with these settings.
 
--- a/src/trefoilpaddle/state/reason_words.py
+++ b/src/trefoilpaddle/state/reason_words.py
@@ -19,7 +19,7 @@
     Reason.LIMIT_CONCURRENCY: "the entry has as many requests open as it may",
     Reason.LIMIT_TOKENS: "the entry's tokens are used up",
     Reason.NO_TARGET: "no target of the service takes work",
-    Reason.NO_CONFIGURATION: "no catalogue is in force yet",
+    Reason.NO_CONFIGURATION: "it is not sure yet what is in force",
     Reason.TOO_LARGE: "the body is too large",
     Reason.UNAUTHORISED: "the caller is not who it says",
     Reason.NO_ENTRY: "no entry governs it",
--- a/tests/test_gateway_failures.py
+++ b/tests/test_gateway_failures.py
@@ -529,3 +529,22 @@
             await stopping
             assert await (await asking).json() == "in full"
             assert b.gateway.process.n_cut_off == 0
+
+
+class TestWokenGateway:
+    async def test_it_says_that_it_asks_its_peers(self) -> None:
+        """A gateway is paused and wakes while the balancer still sends to it.
+        Callers were told that it stops, which sent operators looking for a stop
+        that never was; it only asks its peers what is in force.
+        """
+        async with bench(sidecar(), published=catalogue(plain_stage())) as b:
+            b.gateway._is_known = lambda: False
+            async with b.post(json={}) as refused:
+                error = (await refused.json())["error"]
+            assert refused.status == 503
+            assert error["outcome"] == "not run"
+            assert error["reason"] == "no_configuration"
+            assert error["retry_after_s"] > 0
+            b.gateway._is_known = lambda: True
+            async with b.post(json={}) as served:
+                assert served.status == 200
