Wait on conditions in one place in the tests

Cause: five test modules each had an until() of their own. Change: tests/waiting.py has it; the others import it.

--- a/tests/process_rig.py
+++ b/tests/process_rig.py
@@ -12,8 +12,9 @@
 import aiohttp
 import psutil
 
-from tests.fake_platform import FakePlatform, until
+from tests.fake_platform import FakePlatform
 from tests.sidecar_rig import FakeTarget, free_port
+from tests.waiting import until
 
 IP = "127.0.0.1"
 CAP_S = 60.0
--- a/tests/test_callers_bounds.py
+++ b/tests/test_callers_bounds.py
@@ -9,7 +9,8 @@
 from hypothesis import strategies as st
 
 from tests.fake_sidecar import Call, FakeSidecar
-from tests.gateway_bench import bench, catalogue, engine_stage, plain_stage, until
+from tests.gateway_bench import bench, catalogue, engine_stage, plain_stage
+from tests.waiting import until
 from trefoilpaddle.protocol.const import CHUNK_BYTES
 from trefoilpaddle.roles.caller_input import depth_exceeds
 
--- a/tests/test_claims_gateways.py
+++ b/tests/test_claims_gateways.py
@@ -10,7 +10,8 @@
 import aiohttp
 
 from tests.fake_sidecar import Call, FakeSidecar
-from tests.gateway_bench import catalogue, heard, plain_stage, settings, until
+from tests.gateway_bench import catalogue, heard, plain_stage, settings
+from tests.waiting import until
 from trefoilpaddle.coordination.claim_book import ClaimBook
 from trefoilpaddle.coordination.claim_home import ClaimHome
 from trefoilpaddle.coordination.directory import PublishedDirectory
--- a/tests/test_config_operators.py
+++ b/tests/test_config_operators.py
@@ -3,7 +3,7 @@
 import pytest
 
 from tests.fake_fleet import FakePeer, fake_fleet
-from tests.fake_platform import until
+from tests.waiting import until
 from trefoilpaddle.state.journal import Event
 
 SERVICE = {"kind": "pool"}
--- a/tests/test_explain_record.py
+++ b/tests/test_explain_record.py
@@ -6,8 +6,9 @@
 from hypothesis import HealthCheck, Phase, given, settings
 from hypothesis import strategies as st
 
-from tests.harness import CHAIN, FREE, ONCE, Fleet, Told, fleet, until
+from tests.harness import CHAIN, FREE, ONCE, Fleet, Told, fleet
 from tests.harness_target import Run
+from tests.waiting import until
 from trefoilpaddle.coordination.asking import Asker
 from trefoilpaddle.coordination.story_gather import StoryGatherer
 from trefoilpaddle.roles.operators import OperatorsView
--- a/tests/test_gateway_policies.py
+++ b/tests/test_gateway_policies.py
@@ -3,7 +3,8 @@
 import asyncio
 
 from tests.fake_sidecar import Call, FakeSidecar
-from tests.gateway_bench import Bench, bench, catalogue, plain_stage, until
+from tests.gateway_bench import Bench, bench, catalogue, plain_stage
+from tests.waiting import until
 from trefoilpaddle.state.catalogue import Stage
 from trefoilpaddle.state.journal import Event
 from trefoilpaddle.state.settings import Choice, PolicySettings
--- a/tests/test_leaving.py
+++ b/tests/test_leaving.py
@@ -9,7 +9,7 @@
 
 import aiohttp
 
-from tests.fake_platform import until
+from tests.waiting import until
 from trefoilpaddle.standins.description import Description, PublishedValues
 from trefoilpaddle.standins.description import ServiceDescription as Targets
 from trefoilpaddle.standins.launcher import deployment
--- a/tests/test_limits_gateways.py
+++ b/tests/test_limits_gateways.py
@@ -9,7 +9,8 @@
 import aiohttp
 
 from tests.fake_sidecar import Call, FakeSidecar
-from tests.gateway_bench import catalogue, heard, plain_stage, settings, until
+from tests.gateway_bench import catalogue, heard, plain_stage, settings
+from tests.waiting import until
 from trefoilpaddle.coordination.lease_home import LeaseHome
 from trefoilpaddle.coordination.limits import Limiter
 from trefoilpaddle.roles.gateway import Gateway, new_process
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -5,7 +5,7 @@
 import pytest
 
 from tests.fake_fleet import FakeFleet, FakePeer, fake_fleet
-from tests.fake_platform import until
+from tests.waiting import until
 from trefoilpaddle.state.journal import Event
 from trefoilpaddle.state.members import MemberRecord, MemberState, MemberTable
 
--- a/tests/test_path_calls.py
+++ b/tests/test_path_calls.py
@@ -2,7 +2,8 @@
 
 import asyncio
 
-from tests.harness import CHAIN, FREE, ONCE, Fleet, Told, fleet, until
+from tests.harness import CHAIN, FREE, ONCE, Fleet, Told, fleet
+from tests.waiting import until
 
 
 def running(f: Fleet, service: str, n_runs: int) -> bool:
--- a/tests/test_path_retries.py
+++ b/tests/test_path_retries.py
@@ -2,7 +2,8 @@
 
 import asyncio
 
-from tests.harness import ONCE, Fleet, fleet, until
+from tests.harness import ONCE, Fleet, fleet
+from tests.waiting import until
 
 
 def n_runs(f: Fleet) -> int:
--- a/tests/test_path_schedules.py
+++ b/tests/test_path_schedules.py
@@ -9,7 +9,8 @@
 from hypothesis import HealthCheck, Phase, given, settings
 from hypothesis import strategies as st
 
-from tests.harness import CHAIN, FREE, ONCE, Fleet, Told, fleet, until
+from tests.harness import CHAIN, FREE, ONCE, Fleet, Told, fleet
+from tests.waiting import until
 
 N_GATEWAYS = 2
 N_PER_SERVICE = 2
--- a/tests/test_sidecar_attempts.py
+++ b/tests/test_sidecar_attempts.py
@@ -2,7 +2,8 @@
 
 import pytest
 
-from tests.sidecar_rig import FakeTarget, running_sidecar, scene, settings_for, until
+from tests.sidecar_rig import FakeTarget, running_sidecar, scene, settings_for
+from tests.waiting import until
 from trefoilpaddle.protocol.gen.stage.ttypes import (
     Ack,
     Bar,
--- a/tests/test_sidecar_queue.py
+++ b/tests/test_sidecar_queue.py
@@ -2,7 +2,8 @@
 
 from typing import Any
 
-from tests.sidecar_rig import NS_PER_S, GatewaySide, Scene, scene, until
+from tests.sidecar_rig import NS_PER_S, GatewaySide, Scene, scene
+from tests.waiting import until
 from trefoilpaddle.coordination import attempt_run
 from trefoilpaddle.protocol.gen.stage.ttypes import (
     Bar,
--- a/tests/test_standins_engine.py
+++ b/tests/test_standins_engine.py
@@ -10,7 +10,7 @@
 import pytest
 import pytest_asyncio
 
-from tests.peer_helpers import until
+from tests.waiting import until
 from trefoilpaddle.standins.batching import BatchModel
 from trefoilpaddle.standins.engine import Engine, EngineModel
 from trefoilpaddle.standins.faults import Fault, FaultKind
--- a/tests/test_standins_launcher.py
+++ b/tests/test_standins_launcher.py
@@ -7,7 +7,7 @@
 import psutil
 import pytest
 
-from tests.peer_helpers import until
+from tests.waiting import until
 from trefoilpaddle.standins.description import (
     EXAMPLES,
     load_catalogue,
--- a/tests/test_standins_platform.py
+++ b/tests/test_standins_platform.py
@@ -6,7 +6,7 @@
 import aiohttp
 import pytest_asyncio
 
-from tests.peer_helpers import until
+from tests.waiting import until
 from trefoilpaddle.standins.config import Config
 from trefoilpaddle.standins.faults import Fault, FaultKind
 from trefoilpaddle.standins.hosts import Hosts
--- a/tests/test_standins_targets.py
+++ b/tests/test_standins_targets.py
@@ -8,7 +8,7 @@
 import pytest
 import pytest_asyncio
 
-from tests.peer_helpers import until
+from tests.waiting import until
 from trefoilpaddle.standins.calls import CallModel, CallService
 from trefoilpaddle.standins.outputs import call_output
 from trefoilpaddle.standins.web import serving
