Say not ready while nothing is in force

Cause: a gateway whose first catalogue was rejected as a whole had read it, so it said ready at revision 0 and told callers 403, no entry governs them. Change: ready and taking work both need a catalogue in force; callers are told no_configuration, not run, and when to come back. Conclusion: a fault in publishing no longer looks like one of the caller.

--- a/src/trefoilpaddle/roles/gateway.py
+++ b/src/trefoilpaddle/roles/gateway.py
@@ -176,7 +176,7 @@
 
     def is_ready(self) -> bool:
         """Return True while the balancer should send new work here."""
-        return self._is_known() and not self.process.stopping.is_set()
+        return self._knows() and not self.process.stopping.is_set()
 
     def why_closed(self) -> NotRun | None:
         """Return why no new work is taken now, or None while it is.
@@ -187,14 +187,23 @@
         """
         if self.process.stopping.is_set() and not self._is_settling:
             return _closed(Reason.STOPPING, "This gateway stops; another takes work.")
-        if not self._is_known():
+        if not self._knows():
             return _closed(
                 Reason.NO_CONFIGURATION,
-                "This gateway started or woke from a pause just now and asks its "
+                "This gateway has no catalogue yet, or woke from a pause and asks its "
                 "peers what is in force; another one takes work.",
             )
         return None
 
+    def _knows(self) -> bool:
+        """Return True while a catalogue is in force and surely the present one.
+
+        Guards against a first publication that was rejected as a whole: it has
+        been read, so it is known, but nothing is in force, and every caller
+        would be told that no entry governs it.
+        """
+        return self._is_known() and self._has_catalogue()
+
     def _has_catalogue(self) -> bool:
         return self.process.published.catalogue.revision > 0
 
--- a/tests/test_gateway_failures.py
+++ b/tests/test_gateway_failures.py
@@ -19,6 +19,7 @@
     Started,
 )
 from trefoilpaddle.protocol.reasons import Reason
+from trefoilpaddle.state.catalogue import Catalogue
 from trefoilpaddle.state.journal import Event
 from trefoilpaddle.state.settings import PolicySettings
 from trefoilpaddle.transport.link import Link
@@ -542,3 +543,19 @@
             b.gateway._is_known = lambda: True
             async with b.post(json={}) as served:
                 assert served.status == 200
+
+
+class TestRejectedCatalogue:
+    async def test_a_gateway_with_nothing_in_force_is_not_ready(self) -> None:
+        """The first catalogue is published with a fault and rejected as a whole.
+        The gateway had read it, said ready, and told callers that no entry
+        governs them (403), which looks like a matter of their account.
+        """
+        async with bench(published=Catalogue()) as b:
+            b.gateway._is_known = lambda: True
+            async with b.client.get(f"{b.url}/readyz") as ready:
+                assert ready.status == 503
+            async with b.post(json={}) as refused:
+                assert refused.status == 503
+                error = (await refused.json())["error"]
+            assert error["reason"] == "no_configuration"
