Answer copies of claims by the method that the tests use

Cause: the port answered them past ClaimHome.answer_copy, which only tests called. Change: the port uses it, as it does for claims and settlements. Conclusion: what is tested is what runs.

--- a/src/trefoilpaddle/coordination/claim_home.py
+++ b/src/trefoilpaddle/coordination/claim_home.py
@@ -61,7 +61,7 @@
     def mount(self, server: PeerServer) -> None:
         """Answer claims, copies and settlements that arrive at `server`."""
         server.answer(Claim, self.answer_claim)
-        server.answer(ClaimCopy, self._copies.answer)
+        server.answer(ClaimCopy, self.answer_copy)
         server.answer(Settle, self.answer_settle)
 
     async def answer_copy(self, copy: ClaimCopy, peer: Hello) -> CopyAnswer:
