--- /dev/null
+++ b/src/trefoilpaddle/coordination/chain/__init__.py
@@ -0,0 +1,1 @@
+"""Decisions of gateways that call targets themselves, with no sidecars."""
--- /dev/null
+++ b/src/trefoilpaddle/coordination/chain/attempts.py
@@ -0,0 +1,370 @@
+"""Sends one request to workers until one has answered it, or it must end."""
+
+import asyncio
+import time
+from collections.abc import AsyncIterator, Callable, Mapping
+from dataclasses import dataclass
+from typing import Final
+
+from result import Err, Ok
+
+from ...protocol.reasons import Reason
+from ...state.chain.repeat_budget import RepeatBudget
+from ...state.chain.requests import Answered, CallerRequest, Failed, Outcome, Refused
+from ...state.chain.routes import Account, PlainService, Repeat, Route, Service
+from ...state.chain.target_answers import AnswerHead, CallFault, StreamEvent
+from ...state.chain.workers import Worker, WorkerTable
+from ...state.journal import Decision, Event, Figure, Journal
+from .caller_sink import CallerSink
+from .target_calls import OpenAnswer, StreamBrokenError, TargetCall, TargetCalls
+from .worker_choice import WorkerChoice
+
+MAX_UNSENT: Final = 4
+"""Most workers that are tried without anything being sent, or being run."""
+
+GAP_S: Final = 1.5
+"""A stream with no event for this long is taken as dead.
+
+Five times the longest pause for which an answer is still on time; callers
+themselves give up after two seconds.
+"""
+
+FIRST_EVENT_S: Final = 3.0
+"""A stream that has not begun after this long is taken as dead.
+
+An engine that is merely full begins sooner: what it can queue is read in less.
+"""
+
+PATIENCE_RATIO: Final = 2.5
+"""Target latencies after which an idempotent call is tried at another worker."""
+
+MAX_URGENCY: Final = 9
+"""Least urgent rank that a model worker knows."""
+
+REASON_OF: Final = {
+    CallFault.UNREACHABLE: Reason.TARGET_DOWN,
+    CallFault.FULL: Reason.QUEUE_FULL,
+    CallFault.MOVED: Reason.TARGET_DOWN,
+    CallFault.INPUTS_GONE: Reason.RESULT_GONE,
+    CallFault.BROKEN: Reason.CONNECTION_LOST,
+    CallFault.SILENT: Reason.TARGET_TIMEOUT,
+}
+
+FULL_RETRY_S: Final = 0.5
+"""When to come back after all workers were full; two calls of a stage."""
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Job:
+    """A request with all that governs it.
+
+    Parameters
+    ----------
+    request : CallerRequest
+        What the caller sent.
+    route : Route
+        How it is handled.
+    account : Account
+        Whose it is.
+    service : str
+        Where it runs.
+    services : mapping of str to Service
+        What was in force when it came.
+    deadline_s : float
+        Monotonic time of its last answer.
+    """
+
+    request: CallerRequest
+    route: Route
+    account: Account
+    service: str
+    services: Mapping[str, Service]
+    deadline_s: float
+
+    @property
+    def may_repeat(self) -> bool:
+        """True if it may run again after it has, or may have, run."""
+        return self.route.repeat is Repeat.IDEMPOTENT or self.route.is_resumable
+
+    @property
+    def priority(self) -> int:
+        """Its rank, 0 first; the account's goes before the route's."""
+        if self.account.priority is not None:
+            return self.account.priority
+        return self.route.priority
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class WorkerFailed:
+    """A worker answered whole, with a status that is no success."""
+
+    head: AnswerHead
+    body: bytes
+
+
+Sent = Answered | WorkerFailed | CallFault
+
+
+class Attempts:
+    """The attempts of one request.
+
+    Parameters
+    ----------
+    job : Job
+        The request.
+    inputs : tuple of str
+        Handles of the results that it takes.
+    on_read : callable
+        Called once a worker has read its inputs.
+    workers, choice, calls, budget, journal, n_gateways
+        As for the request path.
+    """
+
+    __slots__ = (
+        "_budget",
+        "_calls",
+        "_choice",
+        "_inputs",
+        "_is_begun",
+        "_job",
+        "_journal",
+        "_last_event",
+        "_may_have_run",
+        "_n_gateways",
+        "_n_sent",
+        "_n_unsent",
+        "_on_read",
+        "_tried",
+        "_workers",
+    )
+
+    def __init__(
+        self,
+        *,
+        job: Job,
+        inputs: tuple[str, ...],
+        on_read: Callable[[], None],
+        workers: WorkerTable,
+        choice: WorkerChoice,
+        calls: TargetCalls,
+        budget: RepeatBudget,
+        journal: Journal,
+        n_gateways: Callable[[], int],
+    ) -> None:
+        self._job = job
+        self._inputs = inputs
+        self._on_read = on_read
+        self._workers = workers
+        self._choice = choice
+        self._calls = calls
+        self._budget = budget
+        self._journal = journal
+        self._n_gateways = n_gateways
+        self._tried: set[str] = set()
+        self._n_sent = 0
+        self._n_unsent = 0
+        self._may_have_run = False
+        self._is_begun = False
+        self._last_event = job.request.after_event
+
+    async def run(self, sink: CallerSink) -> Outcome:
+        """Send the request until it has an answer or must end."""
+        while True:
+            worker = self._choose()
+            if worker is None:
+                return self._end(Reason.NO_TARGET)
+            self._note(Event.ROUTED, worker)
+            match await self._send(worker, sink):
+                case Answered() as answered:
+                    return answered
+                case WorkerFailed() as failed:
+                    if not self._may_go_on(Reason.TARGET_FAILED, worker):
+                        return await self._pass_on(failed, sink)
+                case CallFault() as fault:
+                    self._learn(fault, worker)
+                    if not self._may_go_on(REASON_OF[fault], worker):
+                        return self._end(REASON_OF[fault])
+
+    def _choose(self) -> Worker | None:
+        job = self._job
+        service = job.services.get(job.service) or PlainService(name=job.service)
+        return self._choice.choose(
+            service, job.request.prompt, without=frozenset(self._tried)
+        )
+
+    def _learn(self, fault: CallFault, worker: Worker) -> None:
+        """Take what a fault says of the worker and of the request."""
+        self._tried.add(worker.worker_id)
+        if fault.has_not_run:
+            self._n_unsent += 1
+        else:
+            self._may_have_run = True
+        if fault is not CallFault.FULL and fault is not CallFault.INPUTS_GONE:
+            self._workers.suspect(worker.worker_id)
+
+    def _may_go_on(self, reason: Reason, worker: Worker) -> bool:
+        """Return True if the request may go to another worker, and count it."""
+        job = self._job
+        self._tried.add(worker.worker_id)
+        if reason is Reason.TARGET_FAILED:
+            self._may_have_run = True
+        if reason is Reason.RESULT_GONE:
+            return False
+        if self._may_have_run and not job.may_repeat:
+            return False
+        if self._is_begun and not job.route.is_resumable:
+            return False
+        if self._n_sent >= job.route.max_attempts or self._n_unsent >= MAX_UNSENT:
+            return False
+        now_s = time.monotonic()
+        if now_s >= job.deadline_s:
+            return False
+        if self._n_sent and not self._budget.spend(
+            now_s, n_gateways=self._n_gateways()
+        ):
+            return False
+        self._note(Event.RETRIED, worker, reason)
+        return True
+
+    def _end(self, reason: Reason) -> Outcome:
+        """Return the end of a request that no worker has answered."""
+        if self._may_have_run or self._is_begun:
+            return Failed(reason=reason, is_begun=self._is_begun)
+        return Refused(reason=reason, retry_after_s=FULL_RETRY_S)
+
+    async def _pass_on(self, failed: WorkerFailed, sink: CallerSink) -> Outcome:
+        """Give the caller a worker's failure as it is, if nothing went before."""
+        if self._is_begun:
+            return Failed(reason=Reason.TARGET_FAILED, is_begun=True)
+        await sink.whole(failed.head, failed.body)
+        return Answered()
+
+    async def _send(self, worker: Worker, sink: CallerSink) -> Sent:
+        """Send the request to one worker; return what came of it."""
+        job = self._job
+        call = TargetCall(
+            request=job.request,
+            account=job.account.name,
+            ends_s=job.deadline_s,
+            inputs=self._inputs,
+            after_event=self._last_event,
+            urgency=min(MAX_URGENCY, job.priority) if job.route.is_stream else None,
+        )
+        patience_s = self._patience_s()
+        with self._choice.open(worker, job.request.prompt):
+            try:
+                async with (
+                    asyncio.timeout(patience_s) as patience,
+                    self._calls.exchange(worker, call) as opened,
+                ):
+                    match opened:
+                        case Err(fault):
+                            if fault is not CallFault.UNREACHABLE:
+                                self._n_sent += 1
+                            return fault
+                        case Ok(answer):
+                            self._n_sent += 1
+                            return await self._take(worker, answer, sink, patience)
+            except TimeoutError:
+                self._n_sent += 1
+                return CallFault.SILENT
+
+    async def _take(
+        self,
+        worker: Worker,
+        answer: OpenAnswer,
+        sink: CallerSink,
+        patience: asyncio.Timeout,
+    ) -> Sent:
+        if answer.head.is_success and self._job.route.is_stream:
+            return await self._take_stream(worker, answer, sink, patience)
+        match await answer.read():
+            case Err(fault):
+                return fault
+            case Ok(body):
+                self._workers.trust(worker.worker_id)
+                if not answer.head.is_success:
+                    return WorkerFailed(head=answer.head, body=body)
+                await sink.whole(answer.head, body)
+                return Answered()
+
+    async def _take_stream(
+        self,
+        worker: Worker,
+        answer: OpenAnswer,
+        sink: CallerSink,
+        patience: asyncio.Timeout,
+    ) -> Sent:
+        """Pass events on as they come; each one renews the patience."""
+        loop = asyncio.get_running_loop()
+        try:
+            async for event in in_order(answer.events(), self._last_event):
+                if not self._is_begun:
+                    self._is_begun = True
+                    self._first_event(worker)
+                    await sink.begin(answer.head)
+                self._last_event = event.number
+                await sink.event(event)
+                left_s = self._job.deadline_s - time.monotonic()
+                patience.reschedule(loop.time() + min(GAP_S, left_s))
+        except StreamBrokenError:
+            return CallFault.BROKEN
+        if not self._is_begun:
+            return CallFault.BROKEN
+        await sink.end()
+        return Answered()
+
+    def _first_event(self, worker: Worker) -> None:
+        self._workers.trust(worker.worker_id)
+        self._choice.note_read(worker, self._job.request.prompt)
+        self._on_read()
+
+    def _patience_s(self) -> float:
+        """Return how long a worker may take before another is tried."""
+        job = self._job
+        left_s = max(0.0, job.deadline_s - time.monotonic())
+        is_last = self._n_sent + 1 >= job.route.max_attempts
+        if not job.may_repeat or is_last:
+            return left_s
+        if job.route.is_stream:
+            return min(left_s, FIRST_EVENT_S)
+        return min(left_s, PATIENCE_RATIO * job.route.target_latency_s)
+
+    def _note(self, event: Event, worker: Worker, reason: Reason = Reason.NONE) -> None:
+        job = self._job
+        self._journal.record(
+            Decision(
+                event=event,
+                request_id=job.request.request_id,
+                entry=job.route.name,
+                owner=job.account.name,
+                stage=job.service,
+                peer=worker.worker_id,
+                reason=reason,
+                figures=(
+                    Figure(name="n_tried", value=self._n_sent),
+                    Figure(
+                        name="n_running", value=self._choice.n_open(worker.worker_id)
+                    ),
+                    Figure(name="budget_s", value=job.deadline_s - time.monotonic()),
+                ),
+            )
+        )
+
+
+async def in_order(
+    events: AsyncIterator[StreamEvent], last: int | None
+) -> AsyncIterator[StreamEvent]:
+    """Yield events that follow on `last` one by one; None lets any one be first.
+
+    Raises
+    ------
+    StreamBrokenError
+        If a number is missing or comes twice; a caller must not get a stream
+        with a hole, or with parts of two runs that do not join.
+    """
+    async for event in events:
+        if last is not None and event.number != last + 1:
+            raise StreamBrokenError(f"event {event.number} after {last}")
+        last = event.number
+        yield event
--- /dev/null
+++ b/src/trefoilpaddle/coordination/chain/fleet.py
@@ -0,0 +1,92 @@
+"""The other gateways: who is there, and what runs to know it."""
+
+import asyncio
+import contextlib
+from collections.abc import AsyncIterator
+from typing import Final
+
+from ...state.members import MemberRecord
+from ...transport.connection import Address
+from ..membership import Membership
+from ..own_process import OwnProcess
+from ..watch_peers import PeerWatch
+
+MEET_S: Final = 0.3
+"""Time between tries to meet a seed while no other gateway is known."""
+
+LEAST_GATEWAYS: Final = 4
+"""Budgets are split among so many gateways at least.
+
+A gateway that has just started, or that is cut off, sees itself alone; it must
+not take the whole of what all share.
+"""
+
+
+class Fleet:
+    """The gateways that this one knows.
+
+    Parameters
+    ----------
+    process : OwnProcess
+        The process that it runs in.
+    seeds : tuple of str
+        Addresses of gateways to ask first; may be stale.
+    """
+
+    __slots__ = ("_most", "_own_id", "_watch", "membership")
+
+    def __init__(self, *, process: OwnProcess, seeds: tuple[str, ...]) -> None:
+        self._own_id = process.identity.process_id
+        self.membership = Membership(process=process, seeds=seeds)
+        self._watch = PeerWatch(
+            process=process, membership=self.membership, is_wanted=_never
+        )
+        self._most = LEAST_GATEWAYS
+
+    def live(self) -> list[MemberRecord]:
+        """Return the live gateways, this one included."""
+        return self.membership.live()
+
+    def n_sharing(self) -> int:
+        """Return among how many gateways shared budgets are split.
+
+        The most that were ever seen: one that is believed dead may only be cut
+        off, and goes on spending its part.
+        """
+        self._most = max(self._most, len(self.membership.table.records))
+        return self._most
+
+    @contextlib.asynccontextmanager
+    async def running(self) -> AsyncIterator[None]:
+        """Keep the view fresh while the context is open."""
+        async with asyncio.TaskGroup() as group:
+            tasks = [
+                group.create_task(work)
+                for work in (
+                    self._watch.run(),
+                    self.membership.flood_news(),
+                    self.membership.compare_rounds(),
+                    self.membership.watch_stop(),
+                    self._meet_first(),
+                )
+            ]
+            try:
+                yield
+            finally:
+                for task in tasks:
+                    task.cancel()
+
+    async def _meet_first(self) -> None:
+        """Meet seeds until another gateway is known.
+
+        All gateways may start at the same moment, and a seed may be one that
+        listens a little later.
+        """
+        while len(self.membership.live()) < 2:
+            for address in self.membership.strangers():
+                await self.membership.meet(address)
+            await asyncio.sleep(MEET_S)
+
+
+def _never(address: Address) -> bool:
+    return False
--- /dev/null
+++ b/src/trefoilpaddle/coordination/chain/published_store.py
@@ -0,0 +1,70 @@
+"""What a gateway asks of the client that reads the platform's store."""
+
+from dataclasses import dataclass
+from enum import Enum, unique
+from typing import Protocol
+
+from result import Result
+
+from ...state.chain.routes import RouteTable
+from ...state.chain.workers import Worker
+
+
+@unique
+class StoreFault(Enum):
+    """Why the store gave no answer that can be used."""
+
+    HISTORY_LOST = "history_lost"
+    """It no longer has the changes since the revision that was asked for."""
+    REFUSED = "refused"
+    """It answered, but does not serve this gateway now."""
+    SILENT = "silent"
+    """It did not answer in time, or cannot be reached."""
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class PublishedTable:
+    """A route table with the bytes that it was read from.
+
+    Parameters
+    ----------
+    table : RouteTable
+        Decoded.
+    data : bytes
+        As published; what gateways pass on to one another.
+    """
+
+    table: RouteTable
+    data: bytes
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class StoreChanges:
+    """What the store holds, or what has changed in it.
+
+    Parameters
+    ----------
+    revision : int
+        The store's revision that this leads up to.
+    table : PublishedTable or None
+        The newest route table, if it is among the changes.
+    workers : tuple of Worker
+        Workers as they are listed now.
+    removed : tuple of str
+        Ids of workers that are listed no more.
+    """
+
+    revision: int
+    table: PublishedTable | None = None
+    workers: tuple[Worker, ...] = ()
+    removed: tuple[str, ...] = ()
+
+
+class PublishedStore(Protocol):
+    """Reads the store; knows its protocol and decides nothing."""
+
+    async def snapshot(self) -> Result[StoreChanges, StoreFault]:
+        """Return all that the store holds now."""
+
+    async def changes(self, after: int) -> Result[StoreChanges, StoreFault]:
+        """Return what has changed since a revision, at once."""
--- /dev/null
+++ b/src/trefoilpaddle/coordination/chain/request_path.py
@@ -0,0 +1,251 @@
+"""Serves one request: who governs it, its stages, its worker, its one answer."""
+
+import random
+import time
+from collections.abc import Callable
+from typing import Final
+
+from result import Err, Ok
+
+from ...protocol.reasons import Reason
+from ...state.chain.repeat_budget import RepeatBudgets
+from ...state.chain.requests import Answered, CallerRequest, Failed, Outcome, Refused
+from ...state.chain.routes import Account, Route, RouteTable
+from ...state.chain.workers import WorkerTable
+from ...state.journal import Decision, Event, Figure, Journal
+from .admission import Forecast, forecast, retry_after_s
+from .attempts import Attempts, Job
+from .caller_sink import CallerSink
+from .piece_homes import PieceHomes
+from .stage_walk import StageWalk
+from .target_calls import TargetCalls
+from .worker_choice import WorkerChoice
+
+NO_ACCOUNT: Final = Account(name="")
+"""Stands for the caller of a public route."""
+
+UNKNOWN_RETRY_S: Final = 0.5
+"""When to come back to a gateway that knows nothing yet; it learns in a second."""
+
+
+class RequestPath:
+    """Serves requests by what is published and by what workers there are.
+
+    Parameters
+    ----------
+    workers : WorkerTable
+        Who may get work.
+    homes : PieceHomes
+        Make the pieces of stages.
+    choice : WorkerChoice
+        Chooses workers for requests.
+    calls : TargetCalls
+        Speaks to workers.
+    budgets : RepeatBudgets
+        Bound what is sent again.
+    journal : Journal
+        Takes decisions.
+    n_gateways : callable
+        Returns how many gateways share the budgets.
+
+    Attributes
+    ----------
+    table : RouteTable
+        What is in force.
+    """
+
+    __slots__ = (
+        "_budgets",
+        "_calls",
+        "_choice",
+        "_homes",
+        "_journal",
+        "_n_gateways",
+        "_workers",
+        "table",
+    )
+
+    def __init__(
+        self,
+        *,
+        workers: WorkerTable,
+        homes: PieceHomes,
+        choice: WorkerChoice,
+        calls: TargetCalls,
+        budgets: RepeatBudgets,
+        journal: Journal,
+        n_gateways: Callable[[], int],
+    ) -> None:
+        self._workers = workers
+        self._homes = homes
+        self._choice = choice
+        self._calls = calls
+        self._budgets = budgets
+        self._journal = journal
+        self._n_gateways = n_gateways
+        self.table = RouteTable()
+
+    def put_in_force(self, table: RouteTable) -> None:
+        """Serve by `table` from now on; requests under way keep theirs."""
+        self.table = table
+        self._homes.table = table
+
+    async def serve(self, request: CallerRequest, sink: CallerSink) -> Outcome:
+        """Serve `request`; return how it ended.
+
+        What is returned besides `Answered` has not been written to the sink.
+        """
+        table = self.table
+        route = table.match(request.host, request.path)
+        outcome = await self._serve(request, table, route, sink)
+        self._note_end(request, table, route, outcome)
+        return outcome
+
+    async def _serve(
+        self,
+        request: CallerRequest,
+        table: RouteTable,
+        route: Route | None,
+        sink: CallerSink,
+    ) -> Outcome:
+        if not table.version:
+            return Refused(
+                reason=Reason.NO_CONFIGURATION, retry_after_s=UNKNOWN_RETRY_S
+            )
+        if route is None:
+            return Refused(reason=Reason.NO_ENTRY)
+        account = self._account(table, route, request)
+        if account is None:
+            return Refused(reason=Reason.UNAUTHORISED)
+        deadline_s = min(request.deadline_s, request.came_s + route.timeout_s)
+        if deadline_s <= time.monotonic():
+            return Refused(reason=Reason.DEADLINE_PASSED)
+        refusal = self._refusal(request, route)
+        if refusal is not None:
+            return refusal
+        job = Job(
+            request=request,
+            route=route,
+            account=account,
+            service=_pick_service(route),
+            services=table.services,
+            deadline_s=deadline_s,
+        )
+        return await self._run(job, sink)
+
+    async def _run(self, job: Job, sink: CallerSink) -> Outcome:
+        now_s = time.monotonic()
+        self._budgets.of(job.service).earn(now_s)
+        for stage in {stage.service for stage in job.route.stages}:
+            self._budgets.of(stage).earn(now_s)
+        walk = StageWalk(
+            request=job.request,
+            route=job.route,
+            homes=self._homes,
+            budgets=self._budgets,
+            n_gateways=self._n_gateways(),
+            due_s=job.request.came_s + job.route.target_latency_s,
+            deadline_s=job.deadline_s,
+        )
+        try:
+            match await walk.run():
+                case Err(reason):
+                    return Refused(reason=reason)
+                case Ok(inputs):
+                    attempts = Attempts(
+                        job=job,
+                        inputs=inputs.handles,
+                        on_read=walk.free_all,
+                        workers=self._workers,
+                        choice=self._choice,
+                        calls=self._calls,
+                        budget=self._budgets.of(job.service),
+                        journal=self._journal,
+                        n_gateways=self._n_gateways,
+                    )
+                    return await attempts.run(sink)
+        finally:
+            walk.free_all()
+
+    def _account(
+        self, table: RouteTable, route: Route, request: CallerRequest
+    ) -> Account | None:
+        """Return whose request it is; None if its key is not valid."""
+        if not table.has_accounts:
+            return NO_ACCOUNT
+        account = table.account_of_key.get(request.key)
+        if account is None and route.is_public:
+            return NO_ACCOUNT
+        return account
+
+    def _refusal(self, request: CallerRequest, route: Route) -> Refused | None:
+        """Return a refusal if the request cannot be on time, else None."""
+        if not route.stages:
+            return None
+        expected = forecast(request, route, self._homes)
+        if not expected.has_workers:
+            return Refused(reason=Reason.NO_TARGET, retry_after_s=UNKNOWN_RETRY_S)
+        left_s = request.came_s + route.target_latency_s - time.monotonic()
+        self._note_forecast(request, route, expected, left_s)
+        if expected.finish_s <= left_s:
+            return None
+        return Refused(
+            reason=Reason.PREDICTED_LATE,
+            retry_after_s=retry_after_s(expected.finish_s, left_s),
+        )
+
+    def _note_forecast(
+        self, request: CallerRequest, route: Route, expected: Forecast, left_s: float
+    ) -> None:
+        self._journal.record(
+            Decision(
+                event=Event.REQUEST_ACCEPTED
+                if expected.finish_s <= left_s
+                else Event.QUEUED,
+                request_id=request.request_id,
+                entry=route.name,
+                config_revision=self.table.version,
+                figures=(
+                    Figure(name="predicted_s", value=expected.finish_s),
+                    Figure(name="budget_s", value=left_s),
+                ),
+            )
+        )
+
+    def _note_end(
+        self,
+        request: CallerRequest,
+        table: RouteTable,
+        route: Route | None,
+        outcome: Outcome,
+    ) -> None:
+        reason = Reason.NONE
+        figures = [Figure(name="took_s", value=time.monotonic() - request.came_s)]
+        match outcome:
+            case Answered():
+                event = Event.REQUEST_ANSWERED
+            case Refused():
+                event, reason = Event.REQUEST_REFUSED, outcome.reason
+                figures.append(
+                    Figure(name="retry_after_s", value=outcome.retry_after_s)
+                )
+            case Failed():
+                event, reason = Event.REQUEST_FAILED, outcome.reason
+        self._journal.record(
+            Decision(
+                event=event,
+                request_id=request.request_id,
+                entry="" if route is None else route.name,
+                config_revision=table.version,
+                reason=reason,
+                figures=tuple(figures),
+            )
+        )
+
+
+def _pick_service(route: Route) -> str:
+    """Return the service that runs the request, drawn by the published weights."""
+    if len(route.splits) == 1:
+        return route.splits[0].service
+    weights = [split.weight for split in route.splits]
+    return random.choices(route.splits, weights=weights)[0].service
--- /dev/null
+++ b/src/trefoilpaddle/coordination/chain/store_feed.py
@@ -0,0 +1,240 @@
+"""Keeps a gateway's view of routes and workers in step with the store."""
+
+import asyncio
+import time
+from collections.abc import Awaitable, Callable
+from typing import Final
+
+from result import Err, Ok
+
+from ...protocol.gen.chain.ttypes import StoreState
+from ...protocol.reasons import Reason
+from ...state.chain.workers import WorkerTable
+from ...state.journal import Decision, Event, Figure, Journal
+from .published_store import PublishedStore, PublishedTable, StoreChanges, StoreFault
+from .store_relay import StoreRelay, changes_of
+
+POLL_S: Final = 0.6
+"""Time between two reads.
+
+A change must be in force, and a leaving worker out of use, within two seconds;
+this leaves room for one read that is lost. Workers' heartbeats change the store
+many times a second, so a read that waits for a change would return at once.
+"""
+
+RETRY_S: Final = 0.3
+"""Time to the next read after one that failed; half of the usual."""
+
+LAPSE_S: Final = 2.5
+"""How long an entry that lapsed while the store was away may take to come back.
+
+Workers write again within about two seconds of the store's return.
+"""
+
+
+class StoreFeed:
+    """Reads the store and puts in force what it says.
+
+    Parameters
+    ----------
+    store : PublishedStore
+        Reads the store.
+    workers : WorkerTable
+        Kept as the store lists them.
+    on_table : callable
+        Called with each route table that is newer than the last.
+    journal : Journal
+        Takes what changes this gateway's view.
+    relay : StoreRelay
+        Asked while the store does not answer.
+    ask_peers : callable
+        Returns what live peers know of the store.
+    decode : callable
+        Returns the table that a peer's bytes hold, or None.
+
+    Attributes
+    ----------
+    revision : int
+        Revision of the store up to which its changes are known.
+    is_away : bool
+        True while the store does not answer.
+    """
+
+    __slots__ = (
+        "_ask_peers",
+        "_away_until_s",
+        "_decode",
+        "_journal",
+        "_lapsed",
+        "_on_table",
+        "_read_s",
+        "_relay",
+        "_store",
+        "_version",
+        "_workers",
+        "is_away",
+        "revision",
+    )
+
+    def __init__(
+        self,
+        *,
+        store: PublishedStore,
+        workers: WorkerTable,
+        on_table: Callable[[PublishedTable], None],
+        journal: Journal,
+        relay: StoreRelay,
+        ask_peers: Callable[[], Awaitable[list[StoreState]]],
+        decode: Callable[[bytes], PublishedTable | None],
+    ) -> None:
+        self._relay = relay
+        self._ask_peers = ask_peers
+        self._decode = decode
+        self._store = store
+        self._workers = workers
+        self._on_table = on_table
+        self._journal = journal
+        self._version = 0
+        self._lapsed: dict[str, float] = {}
+        self._away_until_s = 0.0
+        self._read_s = time.monotonic()
+        self.revision = 0
+        self.is_away = False
+
+    @property
+    def is_known(self) -> bool:
+        """True once a route table is in force."""
+        return self._version > 0
+
+    async def run(self) -> None:
+        """Read until cancelled."""
+        while True:
+            is_read = await self.read_once()
+            if not is_read:
+                await self.read_peers()
+            await asyncio.sleep(POLL_S if is_read else RETRY_S)
+
+    async def read_once(self) -> bool:
+        """Read once; return True if the store answered."""
+        if not self.revision:
+            answer = await self._store.snapshot()
+        else:
+            answer = await self._store.changes(self.revision)
+        match answer:
+            case Ok(changes):
+                self._note_back()
+                self._take(changes, is_whole=not self.revision)
+                self._read_s = time.monotonic()
+                return True
+            case Err(StoreFault.HISTORY_LOST):
+                self.revision = 0
+                return await self.read_once()
+            case Err(fault):
+                self._note_away(fault)
+                return False
+
+    async def read_peers(self) -> None:
+        """Take from peers what they know and this gateway does not."""
+        for state in await self._ask_peers():
+            if state.data:
+                published = self._decode(state.data)
+                if published is not None:
+                    self.take_table(published)
+            if state.workers and state.revision > self.revision:
+                self._take(changes_of(state), is_whole=True)
+
+    def take_table(self, published: PublishedTable) -> bool:
+        """Put a route table in force unless it is older; True if it was newer."""
+        table = published.table
+        # A read that was answered late, or a peer that lags, may bring an older
+        # version; taking it would bring back routes and keys that are gone.
+        if table.version <= self._version:
+            return False
+        self._version = table.version
+        self._relay.published = published
+        self._journal.record(
+            Decision(event=Event.CONFIG_IN_FORCE, config_revision=table.version)
+        )
+        self._on_table(published)
+        return True
+
+    def _take(self, changes: StoreChanges, *, is_whole: bool) -> None:
+        if changes.table is not None:
+            self.take_table(changes.table)
+        for worker in changes.workers:
+            self._lapsed.pop(worker.worker_id, None)
+            if self._workers.put(worker):
+                self._note_worker(
+                    Event.TARGET_UP, worker.worker_id, is_leaving=worker.is_leaving
+                )
+        removed = set(changes.removed)
+        if is_whole:
+            listed = {worker.worker_id for worker in changes.workers}
+            removed |= set(self._workers.ids()) - listed
+        now_s = time.monotonic()
+        for worker_id in removed:
+            if self._workers.get(worker_id) is not None:
+                self._lapsed.setdefault(worker_id, self._gone_s(now_s))
+        self._drop_lapsed(now_s)
+        self.revision = max(self.revision, changes.revision)
+        self._relay.revision = self.revision
+
+    def _gone_s(self, now_s: float) -> float:
+        """Return when a worker that is no longer listed is taken as gone.
+
+        At once, but for the seconds after the store was away: entries run out
+        meanwhile although their workers live, and come back when these write
+        again. Dropping them all would leave no worker at all for as long.
+        """
+        return max(now_s, self._away_until_s + LAPSE_S)
+
+    def _drop_lapsed(self, now_s: float) -> None:
+        for worker_id, gone_s in list(self._lapsed.items()):
+            if gone_s <= now_s:
+                del self._lapsed[worker_id]
+                self._workers.remove(worker_id)
+                self._note_worker(Event.TARGET_DOWN, worker_id, is_leaving=True)
+
+    def _note_back(self) -> None:
+        if not self.is_away:
+            return
+        self._set_away(False)
+        self._away_until_s = time.monotonic()
+        self._note_source(Event.CONFIG_SOURCE_BACK, "")
+
+    def _note_away(self, fault: StoreFault) -> None:
+        if self.is_away:
+            return
+        self._set_away(True)
+        self._note_source(Event.CONFIG_SOURCE_LOST, fault.value)
+
+    def _set_away(self, is_away: bool) -> None:
+        self.is_away = is_away
+        self._relay.is_away = is_away
+
+    def _note_source(self, event: Event, detail: str) -> None:
+        age_s = time.monotonic() - self._read_s
+        self._journal.record(
+            Decision(
+                event=event,
+                config_revision=self._version,
+                detail=detail,
+                figures=(
+                    Figure(name="store_revision", value=self.revision),
+                    Figure(name="age_s", value=age_s),
+                ),
+            )
+        )
+
+    def _note_worker(self, event: Event, worker_id: str, *, is_leaving: bool) -> None:
+        worker = self._workers.get(worker_id)
+        self._journal.record(
+            Decision(
+                event=event,
+                config_revision=self._version,
+                peer=worker_id,
+                stage="" if worker is None else worker.service,
+                reason=Reason.LEAVING if is_leaving else Reason.NONE,
+                figures=(Figure(name="store_revision", value=self.revision),),
+            )
+        )
--- a/src/trefoilpaddle/protocol/frames.py
+++ b/src/trefoilpaddle/protocol/frames.py
@@ -14,6 +14,7 @@
 from thrift.transport.TTransport import TMemoryBuffer
 
 from .const import MAX_FRAME_BYTES, MAX_ITEMS
+from .gen.chain import ttypes as chain
 from .gen.claims import ttypes as claims
 from .gen.config import ttypes as config
 from .gen.explain import ttypes as explain
@@ -66,6 +67,12 @@
     81: explain.ExplainAnswer,
     82: explain.StatusAsk,
     83: explain.StatusAnswer,
+    90: chain.MakePieces,
+    91: chain.PiecesMade,
+    92: chain.DropPieces,
+    93: chain.FreeResults,
+    94: chain.StorePull,
+    95: chain.StoreState,
 }
 KIND_OF: Final[Mapping[type, int]] = {cls: kind for kind, cls in KINDS.items()}
 
--- /dev/null
+++ b/src/trefoilpaddle/state/chain/__init__.py
@@ -0,0 +1,1 @@
+"""State of gateways that call targets themselves: routes, workers, queues."""
--- /dev/null
+++ b/src/trefoilpaddle/state/chain/piece_work.py
@@ -0,0 +1,97 @@
+"""One piece of a stage's work, and how its making ended."""
+
+import asyncio
+from dataclasses import dataclass, field
+from enum import Enum, unique
+
+
+@unique
+class PieceFault(Enum):
+    """Why a piece was not made."""
+
+    LATE = "late"
+    """Its request's time was over before the worker came to it."""
+    INPUT_GONE = "input_gone"
+    """A result that it needs is no longer kept."""
+    NO_ROOM = "no_room"
+    """The worker has no memory left for its result."""
+    FAILED = "failed"
+    """The worker tried and failed."""
+    FULL = "full"
+    """The worker took no call; nothing of it was run."""
+    LOST = "lost"
+    """The call had no answer; it may have run."""
+    NO_WORKER = "no_worker"
+    """No worker of the service takes work."""
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class PieceMade:
+    """A piece whose result waits at its maker.
+
+    Parameters
+    ----------
+    handle : str
+        Names the result and where it lies.
+    worker_id : str
+        Its maker.
+    """
+
+    handle: str
+    worker_id: str
+
+
+PieceEnd = PieceMade | PieceFault
+
+
+@dataclass(slots=True, kw_only=True, eq=False)
+class PieceWork:
+    """One piece that waits for its turn in a call.
+
+    Parameters
+    ----------
+    request_id : str
+        Request that it belongs to.
+    route : str
+        Name of the request's route; times are learnt by it.
+    stage, piece : int
+        Numbers of the stage and of the piece in it.
+    key : str
+        What the piece is made from, for a stage without inputs.
+    inputs : tuple of str
+        Handles of all results that it takes, for a stage with inputs.
+    has_inputs : bool
+        True if the stage takes inputs, even if there are none.
+    result_bytes : float
+        Expected size of its result.
+    due_s : float
+        Monotonic time by which it should be done for the request to be on time.
+    deadline_s : float
+        Monotonic time after which nobody waits for it.
+    end : asyncio.Future of PieceEnd
+        Set when it is made or given up.
+    """
+
+    request_id: str
+    route: str
+    stage: int
+    piece: int
+    key: str = ""
+    inputs: tuple[str, ...] = ()
+    has_inputs: bool = False
+    result_bytes: float = 0.0
+    due_s: float
+    deadline_s: float
+    end: "asyncio.Future[PieceEnd]" = field(
+        default_factory=lambda: asyncio.get_running_loop().create_future()
+    )
+
+    def settle(self, end: PieceEnd) -> None:
+        """Tell the waiting request how it ended, if it still waits."""
+        if not self.end.done():
+            self.end.set_result(end)
+
+    @property
+    def is_open(self) -> bool:
+        """True while somebody waits for it."""
+        return not self.end.done()
