--- a/idl/chain.thrift
+++ b/idl/chain.thrift
@@ -2,44 +2,37 @@
 // what the platform has published for those that its store turns away.
 namespace py trefoilpaddle.protocol.gen.chain
 
-struct Piece {
-  1: string request_id = ""
-  2: string route = ""
-  3: i32 stage = 0
-  4: i32 piece = 0
-  5: string key = ""
-  6: list<string> inputs = []
-  7: bool has_inputs = false
-  8: double result_bytes = 0
-  9: i64 due_in_ms = 0           // from the sending, by nobody's clock
-  10: i64 deadline_in_ms = 0
-}
-
-// Asks the home of a worker to have pieces made.
-struct MakePieces {
-  1: string worker_id = ""
-  2: list<Piece> pieces = []
-}
-
-struct PieceEnd {
-  1: string handle = ""          // empty if it was not made
-  2: string fault = ""
-}
-
-struct PiecesMade {
-  1: list<PieceEnd> ends = []
-  2: double wait_s = 0           // until one more piece would be made
-}
-
-// Without an answer: nobody waits for these any more.
-struct DropPieces {
-  1: string request_id = ""
-  2: string worker_id = ""
+struct ChainStage {
+  1: string service_name = ""
+  2: list<i32> after = []
+  3: double result_bytes = 0
+  4: i32 n_pieces = 0
+}
+
+// Asks the keeper of a failure domain to make all stages of a request.
+struct RunChain {
+  1: string failure_domain = ""
+  2: string request_id = ""
+  3: string route = ""
+  4: list<ChainStage> stages = []
+  5: string piece_key = ""
+  6: i64 due_in_ms = 0           // from the sending, by nobody's clock
+  7: i64 deadline_in_ms = 0
+  8: bool must_be_on_time = true
+}
+
+struct ChainAnswer {
+  1: bool is_made = false
+  2: list<string> handles = []
+  3: i32 reason = 0              // a reason of reasons.py, unless made
+  4: bool is_begun = false
+  5: double finish_s = 0
 }
 
-struct FreeResults {
-  1: string worker_id = ""
-  2: list<string> handles = []
+// Without an answer: the request has read its results, or does not want them.
+struct FreeChain {
+  1: string failure_domain = ""
+  2: string request_id = ""
 }
 
 struct ListedWorker {
--- a/src/trefoilpaddle/coordination/chain/admission.py
+++ b/src/trefoilpaddle/coordination/chain/admission.py
@@ -1,69 +1,79 @@
-"""Whether a request can be on time, told at the door before anything is paid for."""
+"""Whether a chain of stages can be on time, told before anything is paid for."""
 
-from dataclasses import dataclass
+from collections import Counter
 from typing import Final
 
-from ...state.chain.requests import CallerRequest
-from ...state.chain.routes import Route
+from ...state.chain.chain_work import ChainWork
 from .piece_homes import PieceHomes
 
-ENGINE_S: Final = 0.25
-"""Time from the last stage to the first event: prompt, queue and first step.
-
-A prompt of 10,000 tokens is read in 0.15 to 0.25 s at the published 40 to 70
-tokens a millisecond.
-"""
-
 MIN_RETRY_AFTER_S: Final = 0.2
 """Shortest time after which a refused caller is asked back: about one call."""
 
 
-@dataclass(frozen=True, slots=True, kw_only=True)
-class Forecast:
-    """When a request would have its first event.
+class Promises:
+    """Pieces of chains that were let in and have not come to their queue yet.
 
-    Parameters
+    Attributes
     ----------
-    finish_s : float
-        Seconds from now.
-    has_workers : bool
-        False if a stage has no worker at all.
+    pieces : Counter of str
+        How many, by service.
     """
 
-    finish_s: float
-    has_workers: bool
+    __slots__ = ("pieces",)
+
+    def __init__(self) -> None:
+        self.pieces: Counter[str] = Counter()
+
+    def add(self, service: str, n_pieces: int) -> None:
+        """Count pieces that will come."""
+        self.pieces[service] += n_pieces
+
+    def keep(self, service: str, n_pieces: int) -> None:
+        """Count pieces as come, or as not coming any more."""
+        self.pieces[service] -= n_pieces
+
 
+def forecast_s(work: ChainWork, homes: PieceHomes, promises: Promises) -> float | None:
+    """Return the expected seconds until all stages are done.
 
-def forecast(request: CallerRequest, route: Route, homes: PieceHomes) -> Forecast:
-    """Return when the stages and the model would be done, as queues stand now.
+    None if a stage has no worker.
 
     Parameters
     ----------
-    request : CallerRequest
-        Says how many pieces each stage has.
-    route : Route
-        Says which stages follow which.
+    work : ChainWork
+        The stages.
     homes : PieceHomes
-        Knows the queues.
+        What waits at the workers, and how fast they are.
+    promises : Promises
+        What will come to them.
     """
     done_s: list[float] = []
-    for number, plan in enumerate(route.stages):
-        n_pieces = request.n_pieces[number] if number < len(request.n_pieces) else 1
+    for number, plan in enumerate(work.stages):
         begin_s = max((done_s[before] for before in plan.after), default=0.0)
+        n_pieces = work.n_pieces[number]
         if not n_pieces:
             done_s.append(begin_s)
             continue
-        wait_s = homes.wait_s(plan.service, n_pieces)
+        wait_s = homes.wait_s(
+            plan.service,
+            n_pieces,
+            n_promised=promises.pieces[plan.service],
+            in_s=begin_s,
+        )
         if wait_s is None:
-            return Forecast(finish_s=0.0, has_workers=False)
-        call_s = homes.call_s(plan.service, n_pieces)
-        # A later stage's queue is shorter by what is done until then, but the
-        # running call may be the whole of it.
-        done_s.append(begin_s + max(call_s, wait_s - begin_s))
-    stages_s = max(done_s, default=0.0)
-    return Forecast(finish_s=stages_s + ENGINE_S, has_workers=True)
-
-
-def retry_after_s(finish_s: float, target_s: float) -> float:
-    """Return when a refused request would be on time if it came anew."""
-    return max(MIN_RETRY_AFTER_S, finish_s - target_s)
+            return None
+        done_s.append(begin_s + wait_s)
+    return max(done_s, default=0.0)
+
+
+def retry_after_s(finish_s: float, left_s: float) -> float:
+    """Return when a refused request would be on time if it came anew.
+
+    Parameters
+    ----------
+    finish_s : float
+        Seconds in which its stages would have been done.
+    left_s : float
+        Seconds that they had.
+    """
+    return max(MIN_RETRY_AFTER_S, finish_s - left_s)
--- a/src/trefoilpaddle/coordination/chain/attempts.py
+++ b/src/trefoilpaddle/coordination/chain/attempts.py
@@ -116,7 +116,7 @@
         Handles of the results that it takes.
     on_read : callable
         Called once a worker has read its inputs.
-    workers, choice, calls, budget, journal, n_gateways
+    workers, choice, calls, budget, journal
         As for the request path.
     """
 
@@ -130,7 +130,6 @@
         "_journal",
         "_last_event",
         "_may_have_run",
-        "_n_gateways",
         "_n_sent",
         "_n_unsent",
         "_on_read",
@@ -149,7 +148,6 @@
         calls: TargetCalls,
         budget: RepeatBudget,
         journal: Journal,
-        n_gateways: Callable[[], int],
     ) -> None:
         self._job = job
         self._inputs = inputs
@@ -159,7 +157,6 @@
         self._calls = calls
         self._budget = budget
         self._journal = journal
-        self._n_gateways = n_gateways
         self._tried: set[str] = set()
         self._n_sent = 0
         self._n_unsent = 0
@@ -219,9 +216,7 @@
         now_s = time.monotonic()
         if now_s >= job.deadline_s:
             return False
-        if self._n_sent and not self._budget.spend(
-            now_s, n_gateways=self._n_gateways()
-        ):
+        if self._n_sent and not self._budget.spend(now_s):
             return False
         self._note(Event.RETRIED, worker, reason)
         return True
--- /dev/null
+++ b/src/trefoilpaddle/coordination/chain/keepers.py
@@ -0,0 +1,91 @@
+"""The failure domains' stages that this gateway keeps, for itself and for others."""
+
+import asyncio
+from collections.abc import Callable
+
+from ...protocol.frames import Message
+from ...protocol.gen.chain.ttypes import ChainAnswer, FreeChain, RunChain
+from ...protocol.gen.stage.ttypes import Hello
+from ...protocol.reasons import Reason
+from ...state.chain.chain_work import ChainEnd, ChainFailed, ChainWork
+from ...state.chain.routes import RouteTable
+from ...transport.connection import Connection
+from ..own_process import OwnProcess
+from .chain_wire import end_to_wire, work_from_wire
+from .stage_keeper import StageKeeper
+
+MakeKeeper = Callable[[str], StageKeeper]
+
+
+class Keepers:
+    """Keeps the stages of failure domains, each from its first chain on.
+
+    A gateway that sends a chain here takes this one for the keeper. It is served
+    even where this gateway sees it otherwise: after a change of members the two
+    agree within moments, and a worker that is called from two sides meanwhile
+    only has smaller calls.
+
+    Parameters
+    ----------
+    process : OwnProcess
+        Listens for peers.
+    make : callable
+        Returns a new keeper of a failure domain.
+    """
+
+    __slots__ = ("_by_domain", "_make", "_running")
+
+    def __init__(self, *, process: OwnProcess, make: MakeKeeper) -> None:
+        self._make = make
+        self._by_domain: dict[str, StageKeeper] = {}
+        self._running: dict[str, asyncio.Task[ChainEnd]] = {}
+        process.server.answer(RunChain, self._answer)
+        process.message_listeners.append(self._on_message)
+
+    def put_in_force(self, table: RouteTable) -> None:
+        """Take workers for what `table` says of them."""
+        for keeper in self._by_domain.values():
+            keeper.homes.table = table
+
+    def of(self, failure_domain: str) -> StageKeeper:
+        """Return the keeper of a failure domain's stages."""
+        keeper = self._by_domain.get(failure_domain)
+        if keeper is None:
+            keeper = self._by_domain[failure_domain] = self._make(failure_domain)
+        return keeper
+
+    async def run(self, failure_domain: str, work: ChainWork) -> ChainEnd:
+        """Run a chain here until it ends or is freed."""
+        task = asyncio.create_task(self.of(failure_domain).run(work))
+        self._running[work.request_id] = task
+        try:
+            return await task
+        except asyncio.CancelledError:
+            if not task.cancelled() or _is_cancelling():
+                task.cancel()
+                raise
+            return ChainFailed(reason=Reason.CANCELLED, is_begun=True)
+        finally:
+            if self._running.get(work.request_id) is task:
+                del self._running[work.request_id]
+
+    def free(self, failure_domain: str, request_id: str) -> None:
+        """Free what a chain has made, and end it if it still runs."""
+        task = self._running.get(request_id)
+        if task is not None:
+            task.cancel()
+        self.of(failure_domain).free(request_id)
+
+    async def _answer(self, question: RunChain, peer: Hello) -> ChainAnswer:
+        work = work_from_wire(question)
+        return end_to_wire(await self.run(question.failure_domain, work))
+
+    def _on_message(self, connection: Connection, message: Message) -> None:
+        if isinstance(message, FreeChain):
+            self.free(message.failure_domain, message.request_id)
+
+
+def _is_cancelling() -> bool:
+    """Return True if the running task itself was cancelled."""
+    task = asyncio.current_task()
+    return task is not None and task.cancelling() > 0
--- a/src/trefoilpaddle/coordination/chain/piece_home.py
+++ b/src/trefoilpaddle/coordination/chain/piece_home.py
@@ -9,6 +9,7 @@
 
 import asyncio
 import time
+from collections import Counter
 from collections.abc import Coroutine, Sequence
 from typing import Any, Final
 
@@ -32,8 +33,8 @@
 FULL_PAUSE_S: Final = 0.02
 """Wait before a worker that was full is called again; a tenth of a call."""
 
-FREE_DELAY_S: Final = 0.05
-"""Results that are read are freed together after this; a quarter of a call."""
+LOOK_S: Final = 0.1
+"""Time after which a queue that waits for room is looked at; half a call."""
 
 
 class PieceHome:
@@ -57,7 +58,9 @@
         "_busy_until_s",
         "_calls",
         "_free_handles",
+        "_is_freeing",
         "_journal",
+        "_looking",
         "_n_calls",
         "_tasks",
         "_workers",
@@ -81,8 +84,10 @@
         self._journal = journal
         self._tasks: set[asyncio.Task[None]] = set()
         self._n_calls = 0
+        self._looking: asyncio.TimerHandle | None = None
         self._busy_until_s = 0.0
         self._free_handles: list[str] = []
+        self._is_freeing = False
 
     def submit(self, works: Sequence[PieceWork]) -> None:
         """Queue pieces; a call goes out at once if the worker is free."""
@@ -91,8 +96,15 @@
 
     def wait_s(self, n_pieces: int) -> float:
         """Return the expected seconds until that many more pieces are made."""
-        busy_s = max(0.0, self._busy_until_s - time.monotonic())
-        return self.queue.wait_s(len(self.queue), n_pieces, busy_s)
+        return self.queue.wait_s(self.n_on_time(), n_pieces, self.busy_s())
+
+    def n_on_time(self) -> int:
+        """Return how many waiting pieces can still be on time."""
+        return self.queue.n_on_time(time.monotonic())
+
+    def busy_s(self) -> float:
+        """Return what is left of the call that the worker makes now."""
+        return max(0.0, self._busy_until_s - time.monotonic())
 
     def close(self) -> None:
         """Give up what waits; the worker gets no more calls."""
@@ -100,10 +112,10 @@
             work.settle(PieceFault.NO_WORKER)
 
     def free(self, handle: str) -> None:
-        """Free a result at the worker, together with others, in a moment."""
-        self.queue.free(handle)
+        """Free a result at the worker, together with others that come meanwhile."""
         self._free_handles.append(handle)
-        if len(self._free_handles) == 1:
+        if not self._is_freeing:
+            self._is_freeing = True
             self._spawn(self._send_free())
 
     def _pump(self) -> None:
@@ -114,11 +126,26 @@
             now_s = time.monotonic()
             batch = self.queue.take_batch(now_s)
             if not batch:
+                self._look_again()
                 return
             self._n_calls += 1
             self._busy_until_s = now_s + self.queue.times.call_s(len(batch))
             self._spawn(self._call(batch, now_s))
 
+    def _look_again(self) -> None:
+        """Look again in a while if pieces wait for room.
+
+        Room comes back when results are freed, which calls for the next pieces
+        by itself, or when they run out, which nobody tells.
+        """
+        if len(self.queue) and self._looking is None:
+            loop = asyncio.get_running_loop()
+            self._looking = loop.call_later(LOOK_S, self._look)
+
+    def _look(self) -> None:
+        self._looking = None
+        self._pump()
+
     def _spawn(self, work: Coroutine[Any, Any, None]) -> None:
         task = asyncio.create_task(work)
         self._tasks.add(task)
@@ -145,16 +172,26 @@
     ) -> None:
         now_s = time.monotonic()
         self._workers.trust(self.worker.worker_id)
-        self.queue.times.learn(len(batch), now_s - began_s)
-        n_made = 0
+        n_made = sum(1 for end in ends if isinstance(end, PieceMade))
+        # A call of which nothing is made ends at once and says nothing of times.
+        if n_made:
+            if len(self.queue):
+                self.queue.times.learn_busy(len(batch), now_s)
+            self.queue.times.learn(len(batch), now_s - began_s, now_s)
         for work, end in zip(batch, ends, strict=True):
             if isinstance(end, PieceMade):
-                n_made += 1
                 self.queue.keep(end.handle, work.result_bytes, now_s)
                 if not work.is_open:
                     self.free(end.handle)
-            work.settle(end)
-        self._note(Event.FINISHED, Reason.NONE, len(batch), n_made, now_s - began_s)
+            if end is PieceFault.NO_ROOM:
+                # Nothing was worked on. It stays here, where room is seen to
+                # come back, and does not go round by its request.
+                self.queue.add([work])
+            else:
+                work.settle(end)
+        self.queue.learn_room(has_room=PieceFault.NO_ROOM not in ends)
+        faults = Counter(end.value for end in ends if isinstance(end, PieceFault))
+        self._note(Reason.NONE, len(batch), n_made, now_s - began_s, faults)
 
     def _fail(self, batch: list[PieceWork], fault: CallFault, began_s: float) -> None:
         took_s = time.monotonic() - began_s
@@ -167,18 +204,27 @@
         for work in self.queue.drain():
             work.settle(PieceFault.FULL)
         reason = Reason.TARGET_DOWN if fault.has_not_run else Reason.CONNECTION_LOST
-        self._note(Event.FINISHED, reason, len(batch), 0, took_s)
+        self._note(reason, len(batch), 0, took_s, Counter())
 
     def _note(
-        self, event: Event, reason: Reason, n_pieces: int, n_made: int, took_s: float
+        self,
+        reason: Reason,
+        n_pieces: int,
+        n_made: int,
+        took_s: float,
+        faults: Counter[str],
     ) -> None:
+        now_s = time.monotonic()
         self._journal.record(
             Decision(
-                event=event,
+                event=Event.FINISHED,
                 stage=self.worker.service,
                 peer=self.worker.worker_id,
                 reason=reason,
+                detail=" ".join(f"{fault}={n}" for fault, n in faults.items()),
                 figures=(
+                    Figure(name="kept_bytes", value=self.queue.kept_bytes(now_s)),
+                    Figure(name="n_on_time", value=self.queue.n_on_time(now_s)),
                     Figure(name="n_pieces", value=n_pieces),
                     Figure(name="n_made", value=n_made),
                     Figure(name="n_ahead", value=len(self.queue)),
@@ -189,8 +235,18 @@
         )
 
     async def _send_free(self) -> None:
-        await asyncio.sleep(FREE_DELAY_S)
-        handles, self._free_handles = self._free_handles, []
-        if self._workers.get(self.worker.worker_id) is not None:
-            await self._calls.free_results(self.worker, handles)
-
+        """Free results until none is left to free.
+
+        A result counts as kept until the worker has answered: a call that takes
+        its room before would find it still taken.
+        """
+        while self._free_handles:
+            handles, self._free_handles = self._free_handles, []
+            if self._workers.get(self.worker.worker_id) is None:
+                continue
+            if await self._calls.free_results(self.worker, handles):
+                for handle in handles:
+                    self.queue.free(handle)
+                if len(self.queue):
+                    self._pump()
+        self._is_freeing = False
--- a/src/trefoilpaddle/coordination/chain/piece_homes.py
+++ b/src/trefoilpaddle/coordination/chain/piece_homes.py
@@ -1,112 +1,94 @@
-"""Where each worker's home is, and the choice of a worker for pieces."""
+"""The queues of all stage workers that one keeper looks after."""
 
-from collections.abc import Callable, Sequence
-from typing import Final
-
-from absl import logging
-from result import Err, Ok
+from collections.abc import Sequence
 
 from ...state.chain.piece_work import PieceFault, PieceWork
 from ...state.chain.routes import PieceService, RouteTable
 from ...state.chain.workers import Worker, WorkerTable
 from ...state.journal import Journal
-from ...state.members import MemberRecord
-from ...state.rendezvous import highest
-from ...transport.connection import Address
-from ...transport.peers import Peers
 from .piece_home import PieceHome
-from .remote_home import RemoteHome
 from .target_calls import TargetCalls
 
-FAR_S: Final = 0.15
-"""Wait that is borne to stay in one's own failure domain.
-
-Results that cross failure domains are paid for and read more slowly; about half
-a call of waiting weighs the same.
-"""
-
-
-Home = PieceHome | RemoteHome
-
 
 class PieceHomes:
-    """Makes pieces at the worker that will be done first, through its home.
+    """Makes pieces at the workers of one failure domain.
 
-    Each worker has one home among the live gateways of its failure domain,
-    chosen by rendezvous, so all agree without asking one another. While two
-    gateways see different members, a worker may have two homes; its calls are
-    smaller then, and nothing else goes wrong, as a piece may be made twice.
+    Where a service has no worker there, those of other domains are used: their
+    own keepers call them as well, so calls are smaller, but chains go on.
 
     Parameters
     ----------
-    own_id : str
-        This gateway's process id.
     failure_domain : str
-        Where this gateway stands.
-    live : callable
-        Returns the live gateways, this one included.
-    peers : Peers
-        Links to the others.
+        Whose workers they are.
     calls : TargetCalls
         Speaks to the workers.
     workers : WorkerTable
         Who may get work.
     journal : Journal
         Takes decisions.
+
+    Attributes
+    ----------
+    table : RouteTable
+        What is in force; says what a worker bears.
     """
 
-    __slots__ = (
-        "_calls",
-        "_failure_domain",
-        "_homes",
-        "_journal",
-        "_live",
-        "_own_id",
-        "_peers",
-        "_remote",
-        "_workers",
-        "table",
-    )
+    __slots__ = ("_calls", "_failure_domain", "_homes", "_journal", "_workers", "table")
 
     def __init__(
         self,
         *,
-        own_id: str,
         failure_domain: str,
-        live: Callable[[], list[MemberRecord]],
-        peers: Peers,
         calls: TargetCalls,
         workers: WorkerTable,
         journal: Journal,
+        table: RouteTable,
     ) -> None:
-        self._own_id = own_id
         self._failure_domain = failure_domain
-        self._live = live
-        self._peers = peers
         self._calls = calls
         self._workers = workers
         self._journal = journal
         self._homes: dict[str, PieceHome] = {}
-        self._remote: dict[str, tuple[Address, RemoteHome]] = {}
-        self.table = RouteTable()
+        self.table = table
         workers.leave_listeners.append(self._on_leave)
 
     def choose(
         self, service: str, n_pieces: int, *, without: frozenset[str] = frozenset()
     ) -> Worker | None:
         """Return the worker that would have the pieces soonest, or None."""
-        workers = self._workers.usable(service, without=without)
-        if not workers:
+        homes = self._usable(service, without)
+        if not homes:
             return None
-        return min(workers, key=lambda worker: self._cost_s(worker, n_pieces))
-
-    def wait_s(self, service: str, n_pieces: int) -> float | None:
-        """Return the expected seconds until pieces are made; None if nowhere."""
-        worker = self.choose(service, n_pieces)
-        if worker is None:
+        return min(homes, key=lambda home: home.wait_s(n_pieces)).worker
+
+    def wait_s(
+        self, service: str, n_pieces: int, *, n_promised: int, in_s: float
+    ) -> float | None:
+        """Return the expected seconds from then until pieces are made.
+
+        None if the service has no worker.
+
+        Parameters
+        ----------
+        service : str
+            What makes them.
+        n_pieces : int
+            How many.
+        n_promised : int
+            Pieces that will come before them and are not queued yet.
+        in_s : float
+            When they will be queued; what is made until then is off the queue.
+        """
+        homes = self._usable(service, frozenset())
+        if not homes:
             return None
-        home = self._home(worker)
-        return None if home is None else home.wait_s(n_pieces)
+        n_ahead = n_promised + sum(home.n_on_time() for home in homes)
+        pace_per_s = sum(home.queue.times.busy_per_s for home in homes)
+        ahead_s = max(0.0, n_ahead / pace_per_s - in_s)
+        own_s = min(home.queue.times.call_s(n_pieces) for home in homes)
+        # The call that runs when they come is half over on the average.
+        turn_s = own_s / 2 if in_s else min(home.busy_s() for home in homes)
+        return max(ahead_s, turn_s) + own_s
 
     def call_s(self, service: str, n_pieces: int) -> float:
         """Return the published seconds of a call of pieces; 0 if unknown."""
@@ -126,80 +108,17 @@
 
     def free(self, worker_id: str, handle: str) -> None:
         """Free a result that all who need it have read."""
-        worker = self._workers.get(worker_id)
-        home = None if worker is None else self._home(worker)
-        if home is not None:
-            home.free(handle)
-
-    def submit_here(self, worker_id: str, works: Sequence[PieceWork]) -> None:
-        """Have pieces made at a worker, with this gateway as its home."""
-        worker = self._workers.get(worker_id)
-        home = None if worker is None else self._own_home(worker)
-        if home is None:
-            for work in works:
-                work.settle(PieceFault.NO_WORKER)
-            return
-        home.submit(works)
-
-    def wait_here_s(self, worker_id: str, n_pieces: int) -> float:
-        """Return the expected wait at a worker's home here; 0 if there is none."""
-        home = self._homes.get(worker_id)
-        return 0.0 if home is None else home.wait_s(n_pieces)
-
-    def free_here(self, worker_id: str, handle: str) -> None:
-        """Free a result at a worker, with this gateway as its home."""
         home = self._homes.get(worker_id)
         if home is not None:
             home.free(handle)
 
-    def _cost_s(self, worker: Worker, n_pieces: int) -> float:
-        home = self._home(worker)
-        wait_s = 0.0 if home is None else home.wait_s(n_pieces)
-        is_far = worker.failure_domain != self._failure_domain
-        return wait_s + (FAR_S if is_far else 0.0)
-
-    def _home(self, worker: Worker) -> Home | None:
-        address = self._home_address(worker)
-        if address is None:
-            return self._own_home(worker)
-        known = self._remote.get(worker.worker_id)
-        if known is not None and known[0] == address:
-            return known[1]
-        service = self.table.services.get(worker.service)
-        if not isinstance(service, PieceService):
-            return None
-        home = RemoteHome(
-            worker_id=worker.worker_id,
-            service=service,
-            link=self._peers.link(address),
-        )
-        self._remote[worker.worker_id] = (address, home)
-        return home
-
-    def _home_address(self, worker: Worker) -> Address | None:
-        """Return where the worker's home is, or None if it is this gateway.
+    def _usable(self, service: str, without: frozenset[str]) -> list[PieceHome]:
+        workers = self._workers.usable(service, without=without)
+        near = [w for w in workers if w.failure_domain == self._failure_domain]
+        homes = (self._home(worker) for worker in near or workers)
+        return [home for home in homes if home is not None]
 
-        A home that is silent is passed over at once: waiting until the members
-        have agreed on its end would hold up every request that needs it.
-        """
-        near = [
-            member
-            for member in self._live()
-            if member.failure_domain == worker.failure_domain
-        ]
-        members = {member.process_id: member for member in near or self._live()}
-        for process_id in highest(worker.worker_id, members, n=len(members)):
-            if process_id == self._own_id:
-                return None
-            match Address.parse(members[process_id].address):
-                case Ok(address):
-                    if self._peers.link(address).is_heard():
-                        return address
-                case Err(problem):
-                    logging.warning("address of %s: %s", process_id, problem)
-        return None
-
-    def _own_home(self, worker: Worker) -> PieceHome | None:
+    def _home(self, worker: Worker) -> PieceHome | None:
         home = self._homes.get(worker.worker_id)
         if home is not None:
             return home
@@ -217,7 +136,6 @@
         return home
 
     def _on_leave(self, worker: Worker) -> None:
-        self._remote.pop(worker.worker_id, None)
         home = self._homes.get(worker.worker_id)
         if home is None:
             return
--- a/src/trefoilpaddle/coordination/chain/request_path.py
+++ b/src/trefoilpaddle/coordination/chain/request_path.py
@@ -2,22 +2,20 @@
 
 import random
 import time
-from collections.abc import Callable
 from typing import Final
 
-from result import Err, Ok
-
 from ...protocol.reasons import Reason
+from ...state.chain.chain_work import ChainFailed, ChainMade, ChainWork
+from ...state.chain.engine_times import EngineTimes
 from ...state.chain.repeat_budget import RepeatBudgets
 from ...state.chain.requests import Answered, CallerRequest, Failed, Outcome, Refused
 from ...state.chain.routes import Account, Route, RouteTable
 from ...state.chain.workers import WorkerTable
 from ...state.journal import Decision, Event, Figure, Journal
-from .admission import Forecast, forecast, retry_after_s
+from .admission import retry_after_s
 from .attempts import Attempts, Job
 from .caller_sink import CallerSink
-from .piece_homes import PieceHomes
-from .stage_walk import StageWalk
+from .stage_door import StageDoor
 from .target_calls import TargetCalls
 from .worker_choice import WorkerChoice
 
@@ -35,8 +33,8 @@
     ----------
     workers : WorkerTable
         Who may get work.
-    homes : PieceHomes
-        Make the pieces of stages.
+    door : StageDoor
+        Has the stages made.
     choice : WorkerChoice
         Chooses workers for requests.
     calls : TargetCalls
@@ -45,8 +43,6 @@
         Bound what is sent again.
     journal : Journal
         Takes decisions.
-    n_gateways : callable
-        Returns how many gateways share the budgets.
 
     Attributes
     ----------
@@ -58,9 +54,9 @@
         "_budgets",
         "_calls",
         "_choice",
-        "_homes",
+        "_door",
+        "_engine_times",
         "_journal",
-        "_n_gateways",
         "_workers",
         "table",
     )
@@ -69,26 +65,24 @@
         self,
         *,
         workers: WorkerTable,
-        homes: PieceHomes,
+        door: StageDoor,
         choice: WorkerChoice,
         calls: TargetCalls,
         budgets: RepeatBudgets,
         journal: Journal,
-        n_gateways: Callable[[], int],
     ) -> None:
         self._workers = workers
-        self._homes = homes
+        self._door = door
+        self._engine_times = EngineTimes()
         self._choice = choice
         self._calls = calls
         self._budgets = budgets
         self._journal = journal
-        self._n_gateways = n_gateways
         self.table = RouteTable()
 
     def put_in_force(self, table: RouteTable) -> None:
         """Serve by `table` from now on; requests under way keep theirs."""
         self.table = table
-        self._homes.table = table
 
     async def serve(self, request: CallerRequest, sink: CallerSink) -> Outcome:
         """Serve `request`; return how it ended.
@@ -120,9 +114,6 @@
         deadline_s = min(request.deadline_s, request.came_s + route.timeout_s)
         if deadline_s <= time.monotonic():
             return Refused(reason=Reason.DEADLINE_PASSED)
-        refusal = self._refusal(request, route)
-        if refusal is not None:
-            return refusal
         job = Job(
             request=request,
             route=route,
@@ -138,34 +129,43 @@
         self._budgets.of(job.service).earn(now_s)
         for stage in {stage.service for stage in job.route.stages}:
             self._budgets.of(stage).earn(now_s)
-        walk = StageWalk(
-            request=job.request,
-            route=job.route,
-            homes=self._homes,
-            budgets=self._budgets,
-            n_gateways=self._n_gateways(),
-            due_s=job.request.came_s + job.route.target_latency_s,
+        engine_s = self._engine_times.expected_s(job.route.name)
+        work = ChainWork(
+            request_id=job.request.request_id,
+            route=job.route.name,
+            stages=job.route.stages,
+            n_pieces=_pieces(job.request, job.route),
+            piece_key=job.request.piece_key,
+            due_s=job.request.came_s + job.route.target_latency_s - engine_s,
             deadline_s=job.deadline_s,
         )
-        try:
-            match await walk.run():
-                case Err(reason):
-                    return Refused(reason=reason)
-                case Ok(inputs):
+        async with self._door.chain(work) as chain:
+            match await chain.run():
+                case ChainFailed() as failed:
+                    left_s = work.due_s - time.monotonic()
+                    return Refused(
+                        reason=failed.reason,
+                        retry_after_s=retry_after_s(failed.finish_s, left_s),
+                    )
+                case ChainMade(handles=handles):
+                    began_s = time.monotonic()
+
+                    def on_read() -> None:
+                        took_s = time.monotonic() - began_s
+                        self._engine_times.learn(job.route.name, took_s)
+                        chain.free()
+
                     attempts = Attempts(
                         job=job,
-                        inputs=inputs.handles,
-                        on_read=walk.free_all,
+                        inputs=handles,
+                        on_read=on_read,
                         workers=self._workers,
                         choice=self._choice,
                         calls=self._calls,
                         budget=self._budgets.of(job.service),
                         journal=self._journal,
-                        n_gateways=self._n_gateways,
                     )
                     return await attempts.run(sink)
-        finally:
-            walk.free_all()
 
     def _account(
         self, table: RouteTable, route: Route, request: CallerRequest
@@ -178,40 +178,6 @@
             return NO_ACCOUNT
         return account
 
-    def _refusal(self, request: CallerRequest, route: Route) -> Refused | None:
-        """Return a refusal if the request cannot be on time, else None."""
-        if not route.stages:
-            return None
-        expected = forecast(request, route, self._homes)
-        if not expected.has_workers:
-            return Refused(reason=Reason.NO_TARGET, retry_after_s=UNKNOWN_RETRY_S)
-        left_s = request.came_s + route.target_latency_s - time.monotonic()
-        self._note_forecast(request, route, expected, left_s)
-        if expected.finish_s <= left_s:
-            return None
-        return Refused(
-            reason=Reason.PREDICTED_LATE,
-            retry_after_s=retry_after_s(expected.finish_s, left_s),
-        )
-
-    def _note_forecast(
-        self, request: CallerRequest, route: Route, expected: Forecast, left_s: float
-    ) -> None:
-        self._journal.record(
-            Decision(
-                event=Event.REQUEST_ACCEPTED
-                if expected.finish_s <= left_s
-                else Event.QUEUED,
-                request_id=request.request_id,
-                entry=route.name,
-                config_revision=self.table.version,
-                figures=(
-                    Figure(name="predicted_s", value=expected.finish_s),
-                    Figure(name="budget_s", value=left_s),
-                ),
-            )
-        )
-
     def _note_end(
         self,
         request: CallerRequest,
@@ -243,6 +209,12 @@
         )
 
 
+def _pieces(request: CallerRequest, route: Route) -> tuple[int, ...]:
+    """Return how many pieces each stage has; one where the caller tells none."""
+    given = request.n_pieces[: len(route.stages)]
+    return given + (1,) * (len(route.stages) - len(given))
+
+
 def _pick_service(route: Route) -> str:
     """Return the service that runs the request, drawn by the published weights."""
     if len(route.splits) == 1:
--- /dev/null
+++ b/src/trefoilpaddle/coordination/chain/stage_door.py
@@ -0,0 +1,237 @@
+"""Brings a request's chain of stages to the keeper that will do it on time."""
+
+import time
+from collections.abc import AsyncIterator, Callable
+from contextlib import asynccontextmanager
+from dataclasses import dataclass, replace
+from typing import Final
+
+from absl import logging
+from result import Err, Ok
+
+from ...protocol.gen.chain.ttypes import ChainAnswer, FreeChain
+from ...protocol.reasons import Reason
+from ...state.chain.chain_work import ChainEnd, ChainFailed, ChainMade, ChainWork
+from ...state.chain.workers import WorkerTable
+from ...state.members import MemberRecord
+from ...state.rendezvous import highest
+from ...transport.connection import Address
+from ...transport.link import Link
+from ...transport.peers import Peers
+from .chain_wire import end_from_wire, work_to_wire
+from .keepers import Keepers
+
+ASK_SLACK_S: Final = 0.1
+"""Added to a chain's deadline; the keeper itself gives up at it."""
+
+N_DOMAINS_TRIED: Final = 2
+"""Failure domains asked for one chain; a second one where the nearest is full."""
+
+REFUSAL_AGE_S: Final = 0.25
+"""How long a domain's refusal speaks for the next chain; about one call."""
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Place:
+    """Where a chain can go.
+
+    Parameters
+    ----------
+    failure_domain : str
+        Whose stage workers make it.
+    link : Link or None
+        To its keeper; None if this gateway keeps it.
+    """
+
+    failure_domain: str
+    link: Link | None
+
+
+class StageDoor:
+    """Finds a keeper for each chain and follows it there.
+
+    Parameters
+    ----------
+    own_id, failure_domain : str
+        This gateway and where it stands.
+    live : callable
+        Returns the live gateways, this one included.
+    peers : Peers
+        Links to the others.
+    keepers : Keepers
+        What this gateway keeps itself.
+    workers : WorkerTable
+        Says in which failure domains there are stage workers.
+    """
+
+    __slots__ = (
+        "_failure_domain",
+        "_keepers",
+        "_live",
+        "_own_id",
+        "_peers",
+        "_refused",
+        "_workers",
+    )
+
+    def __init__(
+        self,
+        *,
+        own_id: str,
+        failure_domain: str,
+        live: Callable[[], list[MemberRecord]],
+        peers: Peers,
+        keepers: Keepers,
+        workers: WorkerTable,
+    ) -> None:
+        self._own_id = own_id
+        self._failure_domain = failure_domain
+        self._live = live
+        self._peers = peers
+        self._keepers = keepers
+        self._workers = workers
+        self._refused: dict[str, tuple[float, float]] = {}
+
+    @asynccontextmanager
+    async def chain(self, work: ChainWork) -> AsyncIterator["RunningChain"]:
+        """Yield a chain to run; what it made is freed when the context ends."""
+        running = RunningChain(door=self, work=work)
+        try:
+            yield running
+        finally:
+            running.free()
+
+    async def run(self, work: ChainWork, place: Place) -> ChainEnd:
+        """Run a chain at one place."""
+        if place.link is None:
+            return await self._keepers.run(place.failure_domain, work)
+        question = work_to_wire(work, place.failure_domain)
+        timeout_s = work.deadline_s - time.monotonic() + ASK_SLACK_S
+        match await place.link.ask(question, timeout_s=max(ASK_SLACK_S, timeout_s)):
+            case Ok(ChainAnswer() as answer):
+                return end_from_wire(answer)
+            case Err(error):
+                logging.info("keeper %s: %s", error.peer, error.detail)
+                return ChainFailed(reason=Reason.PEER_SILENT, is_begun=error.is_sent)
+            case _:
+                return ChainFailed(reason=Reason.INTERNAL, is_begun=True)
+
+    def free(self, place: Place, request_id: str) -> None:
+        """Free what a chain has made, and end it if it still runs."""
+        if place.link is None:
+            self._keepers.free(place.failure_domain, request_id)
+            return
+        place.link.send(
+            FreeChain(failure_domain=place.failure_domain, request_id=request_id)
+        )
+
+    def places(self, services: set[str]) -> list[Place]:
+        """Return where a chain should be tried, best first.
+
+        The own failure domain comes first, as results that cross are paid for.
+        One that has just refused a chain comes last, whoever asked.
+        """
+        now_s = time.monotonic()
+        domains = self._domains(services)
+        near = self._failure_domain
+
+        def rank(domain: str) -> tuple[bool, float, bool, int]:
+            at_s, finish_s = self._refused.get(domain, (0.0, 0.0))
+            has_refused = now_s - at_s < REFUSAL_AGE_S
+            draw = hash((self._own_id, domain))
+            return has_refused, finish_s * has_refused, domain != near, draw
+
+        ranked = sorted(domains, key=rank)
+        return [self._place(domain) for domain in ranked[:N_DOMAINS_TRIED]]
+
+    def note_refusal(self, place: Place, finish_s: float) -> None:
+        """Remember that a failure domain was full."""
+        self._refused[place.failure_domain] = (time.monotonic(), finish_s)
+
+    def _domains(self, services: set[str]) -> set[str]:
+        """Return the failure domains with a worker of every service.
+
+        Where none has all, every one with a worker of any will do: the keeper
+        then uses workers of other domains.
+        """
+        of_service = [
+            {worker.failure_domain for worker in self._workers.usable(service)}
+            for service in services
+        ]
+        if not of_service:
+            return set()
+        return set.intersection(*of_service) or set.union(*of_service)
+
+    def _place(self, failure_domain: str) -> Place:
+        """Return the place of a failure domain's keeper.
+
+        All gateways agree on it by rendezvous among those of the domain. One
+        that is silent is passed over at once: waiting until the members agree
+        on its end would hold up every chain.
+        """
+        live = self._live()
+        near = [m for m in live if m.failure_domain == failure_domain]
+        members = {member.process_id: member for member in near or live}
+        for process_id in highest(failure_domain, members, n=len(members)):
+            if process_id == self._own_id:
+                break
+            match Address.parse(members[process_id].address):
+                case Ok(address):
+                    link = self._peers.link(address)
+                    if link.is_heard():
+                        return Place(failure_domain=failure_domain, link=link)
+                case Err(problem):
+                    logging.warning("address of %s: %s", process_id, problem)
+        return Place(failure_domain=failure_domain, link=None)
+
+
+class RunningChain:
+    """One request's chain, from its first place to the freeing of its results.
+
+    Parameters
+    ----------
+    door : StageDoor
+        Runs it.
+    work : ChainWork
+        The chain.
+    """
+
+    __slots__ = ("_door", "_place", "_work")
+
+    def __init__(self, *, door: StageDoor, work: ChainWork) -> None:
+        self._door = door
+        self._work = work
+        self._place: Place | None = None
+
+    async def run(self) -> ChainEnd:
+        """Run it where it can be on time; return its last end."""
+        work = self._work
+        services = {
+            plan.service
+            for plan, n_pieces in zip(work.stages, work.n_pieces, strict=True)
+            if n_pieces
+        }
+        if not services:
+            return ChainMade(handles=())
+        end: ChainEnd = ChainFailed(reason=Reason.NO_TARGET, is_begun=False)
+        for place in self._door.places(services):
+            self._place = place
+            end = await self._door.run(work, place)
+            match end:
+                case ChainFailed(is_begun=False):
+                    self._door.note_refusal(place, end.finish_s)
+                    self._place = None
+                case ChainFailed(reason=Reason.PEER_SILENT):
+                    # The keeper is gone. Its pieces may be made again; one more
+                    # place is tried, late if need be.
+                    self.free()
+                    work = replace(work, must_be_on_time=False)
+                case _:
+                    return end
+        return end
+
+    def free(self) -> None:
+        """Free what the chain has made; further calls do nothing."""
+        if self._place is not None:
+            place, self._place = self._place, None
+            self._door.free(place, self._work.request_id)
--- a/src/trefoilpaddle/coordination/chain/target_calls.py
+++ b/src/trefoilpaddle/coordination/chain/target_calls.py
@@ -72,5 +72,5 @@
     ) -> Result[list[PieceEnd], CallFault]:
         """Have pieces made in one call; return one end for each, in order."""
 
-    async def free_results(self, worker: Worker, handles: Sequence[str]) -> None:
-        """Tell a worker that nobody will read these results any more."""
+    async def free_results(self, worker: Worker, handles: Sequence[str]) -> bool:
+        """Tell a worker that nobody will read these; True if it has freed them."""
--- a/src/trefoilpaddle/protocol/frames.py
+++ b/src/trefoilpaddle/protocol/frames.py
@@ -67,10 +67,9 @@
     81: explain.ExplainAnswer,
     82: explain.StatusAsk,
     83: explain.StatusAnswer,
-    90: chain.MakePieces,
-    91: chain.PiecesMade,
-    92: chain.DropPieces,
-    93: chain.FreeResults,
+    90: chain.RunChain,
+    91: chain.ChainAnswer,
+    92: chain.FreeChain,
     94: chain.StorePull,
     95: chain.StoreState,
 }
--- a/src/trefoilpaddle/protocol/gen/chain/ttypes.py
+++ b/src/trefoilpaddle/protocol/gen/chain/ttypes.py
@@ -16,51 +16,33 @@
 all_structs = []
 
 
-class Piece(object):
+class ChainStage(object):
     """
     Attributes:
-     - request_id
-     - route
-     - stage
-     - piece
-     - key
-     - inputs
-     - has_inputs
+     - service_name
+     - after
      - result_bytes
-     - due_in_ms
-     - deadline_in_ms
+     - n_pieces
 
     """
 
     __slots__ = (
-        'request_id',
-        'route',
-        'stage',
-        'piece',
-        'key',
-        'inputs',
-        'has_inputs',
+        'service_name',
+        'after',
         'result_bytes',
-        'due_in_ms',
-        'deadline_in_ms',
+        'n_pieces',
     )
 
 
-    def __init__(self, request_id="", route="", stage=0, piece=0, key="", inputs=[
-    ], has_inputs=False, result_bytes=float(0), due_in_ms=0, deadline_in_ms=0,):
-        self.request_id = request_id
-        self.route = route
-        self.stage = stage
-        self.piece = piece
-        self.key = key
-        if inputs is self.thrift_spec[6][4]:
-            inputs = [
+    def __init__(self, service_name="", after=[
+    ], result_bytes=float(0), n_pieces=0,):
+        self.service_name = service_name
+        if after is self.thrift_spec[2][4]:
+            after = [
             ]
-        self.inputs = inputs
-        self.has_inputs = has_inputs
+        self.after = after
         self.result_bytes = result_bytes
-        self.due_in_ms = due_in_ms
-        self.deadline_in_ms = deadline_in_ms
+        self.n_pieces = n_pieces
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -73,57 +55,27 @@
                 break
             if fid == 1:
                 if ftype == TType.STRING:
-                    self.request_id = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                    self.service_name = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
                 else:
                     iprot.skip(ftype)
             elif fid == 2:
-                if ftype == TType.STRING:
-                    self.route = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                else:
-                    iprot.skip(ftype)
-            elif fid == 3:
-                if ftype == TType.I32:
-                    self.stage = iprot.readI32()
-                else:
-                    iprot.skip(ftype)
-            elif fid == 4:
-                if ftype == TType.I32:
-                    self.piece = iprot.readI32()
-                else:
-                    iprot.skip(ftype)
-            elif fid == 5:
-                if ftype == TType.STRING:
-                    self.key = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                else:
-                    iprot.skip(ftype)
-            elif fid == 6:
                 if ftype == TType.LIST:
-                    self.inputs = []
+                    self.after = []
                     (_etype3, _size0) = iprot.readListBegin()
                     for _i4 in range(_size0):
-                        _elem5 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        self.inputs.append(_elem5)
+                        _elem5 = iprot.readI32()
+                        self.after.append(_elem5)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
-            elif fid == 7:
-                if ftype == TType.BOOL:
-                    self.has_inputs = iprot.readBool()
-                else:
-                    iprot.skip(ftype)
-            elif fid == 8:
+            elif fid == 3:
                 if ftype == TType.DOUBLE:
                     self.result_bytes = iprot.readDouble()
                 else:
                     iprot.skip(ftype)
-            elif fid == 9:
-                if ftype == TType.I64:
-                    self.due_in_ms = iprot.readI64()
-                else:
-                    iprot.skip(ftype)
-            elif fid == 10:
-                if ftype == TType.I64:
-                    self.deadline_in_ms = iprot.readI64()
+            elif fid == 4:
+                if ftype == TType.I32:
+                    self.n_pieces = iprot.readI32()
                 else:
                     iprot.skip(ftype)
             else:
@@ -135,49 +87,25 @@
         if oprot._fast_encode is not None and self.thrift_spec is not None:
             oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
             return
-        oprot.writeStructBegin('Piece')
-        if self.request_id is not None:
-            oprot.writeFieldBegin('request_id', TType.STRING, 1)
-            oprot.writeString(self.request_id.encode('utf-8') if sys.version_info[0] == 2 else self.request_id)
-            oprot.writeFieldEnd()
-        if self.route is not None:
-            oprot.writeFieldBegin('route', TType.STRING, 2)
-            oprot.writeString(self.route.encode('utf-8') if sys.version_info[0] == 2 else self.route)
-            oprot.writeFieldEnd()
-        if self.stage is not None:
-            oprot.writeFieldBegin('stage', TType.I32, 3)
-            oprot.writeI32(self.stage)
-            oprot.writeFieldEnd()
-        if self.piece is not None:
-            oprot.writeFieldBegin('piece', TType.I32, 4)
-            oprot.writeI32(self.piece)
-            oprot.writeFieldEnd()
-        if self.key is not None:
-            oprot.writeFieldBegin('key', TType.STRING, 5)
-            oprot.writeString(self.key.encode('utf-8') if sys.version_info[0] == 2 else self.key)
+        oprot.writeStructBegin('ChainStage')
+        if self.service_name is not None:
+            oprot.writeFieldBegin('service_name', TType.STRING, 1)
+            oprot.writeString(self.service_name.encode('utf-8') if sys.version_info[0] == 2 else self.service_name)
             oprot.writeFieldEnd()
-        if self.inputs is not None:
-            oprot.writeFieldBegin('inputs', TType.LIST, 6)
-            oprot.writeListBegin(TType.STRING, len(self.inputs))
-            for iter6 in self.inputs:
-                oprot.writeString(iter6.encode('utf-8') if sys.version_info[0] == 2 else iter6)
+        if self.after is not None:
+            oprot.writeFieldBegin('after', TType.LIST, 2)
+            oprot.writeListBegin(TType.I32, len(self.after))
+            for iter6 in self.after:
+                oprot.writeI32(iter6)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
-        if self.has_inputs is not None:
-            oprot.writeFieldBegin('has_inputs', TType.BOOL, 7)
-            oprot.writeBool(self.has_inputs)
-            oprot.writeFieldEnd()
         if self.result_bytes is not None:
-            oprot.writeFieldBegin('result_bytes', TType.DOUBLE, 8)
+            oprot.writeFieldBegin('result_bytes', TType.DOUBLE, 3)
             oprot.writeDouble(self.result_bytes)
             oprot.writeFieldEnd()
-        if self.due_in_ms is not None:
-            oprot.writeFieldBegin('due_in_ms', TType.I64, 9)
-            oprot.writeI64(self.due_in_ms)
-            oprot.writeFieldEnd()
-        if self.deadline_in_ms is not None:
-            oprot.writeFieldBegin('deadline_in_ms', TType.I64, 10)
-            oprot.writeI64(self.deadline_in_ms)
+        if self.n_pieces is not None:
+            oprot.writeFieldBegin('n_pieces', TType.I32, 4)
+            oprot.writeI32(self.n_pieces)
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
@@ -204,27 +132,45 @@
         return not (self == other)
 
 
-class MakePieces(object):
+class RunChain(object):
     """
     Attributes:
-     - worker_id
-     - pieces
+     - failure_domain
+     - request_id
+     - route
+     - stages
+     - piece_key
+     - due_in_ms
+     - deadline_in_ms
+     - must_be_on_time
 
     """
 
     __slots__ = (
-        'worker_id',
-        'pieces',
+        'failure_domain',
+        'request_id',
+        'route',
+        'stages',
+        'piece_key',
+        'due_in_ms',
+        'deadline_in_ms',
+        'must_be_on_time',
     )
 
 
-    def __init__(self, worker_id="", pieces=[
-    ],):
-        self.worker_id = worker_id
-        if pieces is self.thrift_spec[2][4]:
-            pieces = [
+    def __init__(self, failure_domain="", request_id="", route="", stages=[
+    ], piece_key="", due_in_ms=0, deadline_in_ms=0, must_be_on_time=True,):
+        self.failure_domain = failure_domain
+        self.request_id = request_id
+        self.route = route
+        if stages is self.thrift_spec[4][4]:
+            stages = [
             ]
-        self.pieces = pieces
+        self.stages = stages
+        self.piece_key = piece_key
+        self.due_in_ms = due_in_ms
+        self.deadline_in_ms = deadline_in_ms
+        self.must_be_on_time = must_be_on_time
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -237,101 +183,48 @@
                 break
             if fid == 1:
                 if ftype == TType.STRING:
-                    self.worker_id = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                    self.failure_domain = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
                 else:
                     iprot.skip(ftype)
             elif fid == 2:
+                if ftype == TType.STRING:
+                    self.request_id = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.STRING:
+                    self.route = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 4:
                 if ftype == TType.LIST:
-                    self.pieces = []
+                    self.stages = []
                     (_etype10, _size7) = iprot.readListBegin()
                     for _i11 in range(_size7):
-                        _elem12 = Piece()
+                        _elem12 = ChainStage()
                         _elem12.read(iprot)
-                        self.pieces.append(_elem12)
+                        self.stages.append(_elem12)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
-            else:
-                iprot.skip(ftype)
-            iprot.readFieldEnd()
-        iprot.readStructEnd()
-
-    def write(self, oprot):
-        if oprot._fast_encode is not None and self.thrift_spec is not None:
-            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
-            return
-        oprot.writeStructBegin('MakePieces')
-        if self.worker_id is not None:
-            oprot.writeFieldBegin('worker_id', TType.STRING, 1)
-            oprot.writeString(self.worker_id.encode('utf-8') if sys.version_info[0] == 2 else self.worker_id)
-            oprot.writeFieldEnd()
-        if self.pieces is not None:
-            oprot.writeFieldBegin('pieces', TType.LIST, 2)
-            oprot.writeListBegin(TType.STRUCT, len(self.pieces))
-            for iter13 in self.pieces:
-                iter13.write(oprot)
-            oprot.writeListEnd()
-            oprot.writeFieldEnd()
-        oprot.writeFieldStop()
-        oprot.writeStructEnd()
-
-    def validate(self):
-        return
-
-    def __repr__(self):
-        L = ['%s=%r' % (key, getattr(self, key))
-             for key in self.__slots__]
-        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
-
-    def __eq__(self, other):
-        if not isinstance(other, self.__class__):
-            return False
-        for attr in self.__slots__:
-            my_val = getattr(self, attr)
-            other_val = getattr(other, attr)
-            if my_val != other_val:
-                return False
-        return True
-
-    def __ne__(self, other):
-        return not (self == other)
-
-
-class PieceEnd(object):
-    """
-    Attributes:
-     - handle
-     - fault
-
-    """
-
-    __slots__ = (
-        'handle',
-        'fault',
-    )
-
-
-    def __init__(self, handle="", fault="",):
-        self.handle = handle
-        self.fault = fault
-
-    def read(self, iprot):
-        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
-            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
-            return
-        iprot.readStructBegin()
-        while True:
-            (fname, ftype, fid) = iprot.readFieldBegin()
-            if ftype == TType.STOP:
-                break
-            if fid == 1:
+            elif fid == 5:
                 if ftype == TType.STRING:
-                    self.handle = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                    self.piece_key = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
                 else:
                     iprot.skip(ftype)
-            elif fid == 2:
-                if ftype == TType.STRING:
-                    self.fault = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+            elif fid == 6:
+                if ftype == TType.I64:
+                    self.due_in_ms = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 7:
+                if ftype == TType.I64:
+                    self.deadline_in_ms = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 8:
+                if ftype == TType.BOOL:
+                    self.must_be_on_time = iprot.readBool()
                 else:
                     iprot.skip(ftype)
             else:
@@ -343,14 +236,41 @@
         if oprot._fast_encode is not None and self.thrift_spec is not None:
             oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
             return
-        oprot.writeStructBegin('PieceEnd')
-        if self.handle is not None:
-            oprot.writeFieldBegin('handle', TType.STRING, 1)
-            oprot.writeString(self.handle.encode('utf-8') if sys.version_info[0] == 2 else self.handle)
+        oprot.writeStructBegin('RunChain')
+        if self.failure_domain is not None:
+            oprot.writeFieldBegin('failure_domain', TType.STRING, 1)
+            oprot.writeString(self.failure_domain.encode('utf-8') if sys.version_info[0] == 2 else self.failure_domain)
             oprot.writeFieldEnd()
-        if self.fault is not None:
-            oprot.writeFieldBegin('fault', TType.STRING, 2)
-            oprot.writeString(self.fault.encode('utf-8') if sys.version_info[0] == 2 else self.fault)
+        if self.request_id is not None:
+            oprot.writeFieldBegin('request_id', TType.STRING, 2)
+            oprot.writeString(self.request_id.encode('utf-8') if sys.version_info[0] == 2 else self.request_id)
+            oprot.writeFieldEnd()
+        if self.route is not None:
+            oprot.writeFieldBegin('route', TType.STRING, 3)
+            oprot.writeString(self.route.encode('utf-8') if sys.version_info[0] == 2 else self.route)
+            oprot.writeFieldEnd()
+        if self.stages is not None:
+            oprot.writeFieldBegin('stages', TType.LIST, 4)
+            oprot.writeListBegin(TType.STRUCT, len(self.stages))
+            for iter13 in self.stages:
+                iter13.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.piece_key is not None:
+            oprot.writeFieldBegin('piece_key', TType.STRING, 5)
+            oprot.writeString(self.piece_key.encode('utf-8') if sys.version_info[0] == 2 else self.piece_key)
+            oprot.writeFieldEnd()
+        if self.due_in_ms is not None:
+            oprot.writeFieldBegin('due_in_ms', TType.I64, 6)
+            oprot.writeI64(self.due_in_ms)
+            oprot.writeFieldEnd()
+        if self.deadline_in_ms is not None:
+            oprot.writeFieldBegin('deadline_in_ms', TType.I64, 7)
+            oprot.writeI64(self.deadline_in_ms)
+            oprot.writeFieldEnd()
+        if self.must_be_on_time is not None:
+            oprot.writeFieldBegin('must_be_on_time', TType.BOOL, 8)
+            oprot.writeBool(self.must_be_on_time)
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
@@ -377,27 +297,36 @@
         return not (self == other)
 
 
-class PiecesMade(object):
+class ChainAnswer(object):
     """
     Attributes:
-     - ends
-     - wait_s
+     - is_made
+     - handles
+     - reason
+     - is_begun
+     - finish_s
 
     """
 
     __slots__ = (
-        'ends',
-        'wait_s',
+        'is_made',
+        'handles',
+        'reason',
+        'is_begun',
+        'finish_s',
     )
 
 
-    def __init__(self, ends=[
-    ], wait_s=float(0),):
-        if ends is self.thrift_spec[1][4]:
-            ends = [
+    def __init__(self, is_made=False, handles=[
+    ], reason=0, is_begun=False, finish_s=float(0),):
+        self.is_made = is_made
+        if handles is self.thrift_spec[2][4]:
+            handles = [
             ]
-        self.ends = ends
-        self.wait_s = wait_s
+        self.handles = handles
+        self.reason = reason
+        self.is_begun = is_begun
+        self.finish_s = finish_s
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -409,19 +338,33 @@
             if ftype == TType.STOP:
                 break
             if fid == 1:
+                if ftype == TType.BOOL:
+                    self.is_made = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
                 if ftype == TType.LIST:
-                    self.ends = []
+                    self.handles = []
                     (_etype17, _size14) = iprot.readListBegin()
                     for _i18 in range(_size14):
-                        _elem19 = PieceEnd()
-                        _elem19.read(iprot)
-                        self.ends.append(_elem19)
+                        _elem19 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.handles.append(_elem19)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
-            elif fid == 2:
+            elif fid == 3:
+                if ftype == TType.I32:
+                    self.reason = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.BOOL:
+                    self.is_begun = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 5:
                 if ftype == TType.DOUBLE:
-                    self.wait_s = iprot.readDouble()
+                    self.finish_s = iprot.readDouble()
                 else:
                     iprot.skip(ftype)
             else:
@@ -433,17 +376,29 @@
         if oprot._fast_encode is not None and self.thrift_spec is not None:
             oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
             return
-        oprot.writeStructBegin('PiecesMade')
-        if self.ends is not None:
-            oprot.writeFieldBegin('ends', TType.LIST, 1)
-            oprot.writeListBegin(TType.STRUCT, len(self.ends))
-            for iter20 in self.ends:
-                iter20.write(oprot)
+        oprot.writeStructBegin('ChainAnswer')
+        if self.is_made is not None:
+            oprot.writeFieldBegin('is_made', TType.BOOL, 1)
+            oprot.writeBool(self.is_made)
+            oprot.writeFieldEnd()
+        if self.handles is not None:
+            oprot.writeFieldBegin('handles', TType.LIST, 2)
+            oprot.writeListBegin(TType.STRING, len(self.handles))
+            for iter20 in self.handles:
+                oprot.writeString(iter20.encode('utf-8') if sys.version_info[0] == 2 else iter20)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
-        if self.wait_s is not None:
-            oprot.writeFieldBegin('wait_s', TType.DOUBLE, 2)
-            oprot.writeDouble(self.wait_s)
+        if self.reason is not None:
+            oprot.writeFieldBegin('reason', TType.I32, 3)
+            oprot.writeI32(self.reason)
+            oprot.writeFieldEnd()
+        if self.is_begun is not None:
+            oprot.writeFieldBegin('is_begun', TType.BOOL, 4)
+            oprot.writeBool(self.is_begun)
+            oprot.writeFieldEnd()
+        if self.finish_s is not None:
+            oprot.writeFieldBegin('finish_s', TType.DOUBLE, 5)
+            oprot.writeDouble(self.finish_s)
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
@@ -470,23 +425,23 @@
         return not (self == other)
 
 
-class DropPieces(object):
+class FreeChain(object):
     """
     Attributes:
+     - failure_domain
      - request_id
-     - worker_id
 
     """
 
     __slots__ = (
+        'failure_domain',
         'request_id',
-        'worker_id',
     )
 
 
-    def __init__(self, request_id="", worker_id="",):
+    def __init__(self, failure_domain="", request_id="",):
+        self.failure_domain = failure_domain
         self.request_id = request_id
-        self.worker_id = worker_id
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -499,12 +454,12 @@
                 break
             if fid == 1:
                 if ftype == TType.STRING:
-                    self.request_id = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                    self.failure_domain = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
                 else:
                     iprot.skip(ftype)
             elif fid == 2:
                 if ftype == TType.STRING:
-                    self.worker_id = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                    self.request_id = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
                 else:
                     iprot.skip(ftype)
             else:
@@ -516,107 +471,15 @@
         if oprot._fast_encode is not None and self.thrift_spec is not None:
             oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
             return
-        oprot.writeStructBegin('DropPieces')
+        oprot.writeStructBegin('FreeChain')
+        if self.failure_domain is not None:
+            oprot.writeFieldBegin('failure_domain', TType.STRING, 1)
+            oprot.writeString(self.failure_domain.encode('utf-8') if sys.version_info[0] == 2 else self.failure_domain)
+            oprot.writeFieldEnd()
         if self.request_id is not None:
-            oprot.writeFieldBegin('request_id', TType.STRING, 1)
+            oprot.writeFieldBegin('request_id', TType.STRING, 2)
             oprot.writeString(self.request_id.encode('utf-8') if sys.version_info[0] == 2 else self.request_id)
             oprot.writeFieldEnd()
-        if self.worker_id is not None:
-            oprot.writeFieldBegin('worker_id', TType.STRING, 2)
-            oprot.writeString(self.worker_id.encode('utf-8') if sys.version_info[0] == 2 else self.worker_id)
-            oprot.writeFieldEnd()
-        oprot.writeFieldStop()
-        oprot.writeStructEnd()
-
-    def validate(self):
-        return
-
-    def __repr__(self):
-        L = ['%s=%r' % (key, getattr(self, key))
-             for key in self.__slots__]
-        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
-
-    def __eq__(self, other):
-        if not isinstance(other, self.__class__):
-            return False
-        for attr in self.__slots__:
-            my_val = getattr(self, attr)
-            other_val = getattr(other, attr)
-            if my_val != other_val:
-                return False
-        return True
-
-    def __ne__(self, other):
-        return not (self == other)
-
-
-class FreeResults(object):
-    """
-    Attributes:
-     - worker_id
-     - handles
-
-    """
-
-    __slots__ = (
-        'worker_id',
-        'handles',
-    )
-
-
-    def __init__(self, worker_id="", handles=[
-    ],):
-        self.worker_id = worker_id
-        if handles is self.thrift_spec[2][4]:
-            handles = [
-            ]
-        self.handles = handles
-
-    def read(self, iprot):
-        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
-            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
-            return
-        iprot.readStructBegin()
-        while True:
-            (fname, ftype, fid) = iprot.readFieldBegin()
-            if ftype == TType.STOP:
-                break
-            if fid == 1:
-                if ftype == TType.STRING:
-                    self.worker_id = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                else:
-                    iprot.skip(ftype)
-            elif fid == 2:
-                if ftype == TType.LIST:
-                    self.handles = []
-                    (_etype24, _size21) = iprot.readListBegin()
-                    for _i25 in range(_size21):
-                        _elem26 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        self.handles.append(_elem26)
-                    iprot.readListEnd()
-                else:
-                    iprot.skip(ftype)
-            else:
-                iprot.skip(ftype)
-            iprot.readFieldEnd()
-        iprot.readStructEnd()
-
-    def write(self, oprot):
-        if oprot._fast_encode is not None and self.thrift_spec is not None:
-            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
-            return
-        oprot.writeStructBegin('FreeResults')
-        if self.worker_id is not None:
-            oprot.writeFieldBegin('worker_id', TType.STRING, 1)
-            oprot.writeString(self.worker_id.encode('utf-8') if sys.version_info[0] == 2 else self.worker_id)
-            oprot.writeFieldEnd()
-        if self.handles is not None:
-            oprot.writeFieldBegin('handles', TType.LIST, 2)
-            oprot.writeListBegin(TType.STRING, len(self.handles))
-            for iter27 in self.handles:
-                oprot.writeString(iter27.encode('utf-8') if sys.version_info[0] == 2 else iter27)
-            oprot.writeListEnd()
-            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -896,11 +759,11 @@
             elif fid == 4:
                 if ftype == TType.LIST:
                     self.workers = []
-                    (_etype31, _size28) = iprot.readListBegin()
-                    for _i32 in range(_size28):
-                        _elem33 = ListedWorker()
-                        _elem33.read(iprot)
-                        self.workers.append(_elem33)
+                    (_etype24, _size21) = iprot.readListBegin()
+                    for _i25 in range(_size21):
+                        _elem26 = ListedWorker()
+                        _elem26.read(iprot)
+                        self.workers.append(_elem26)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -934,8 +797,8 @@
         if self.workers is not None:
             oprot.writeFieldBegin('workers', TType.LIST, 4)
             oprot.writeListBegin(TType.STRUCT, len(self.workers))
-            for iter34 in self.workers:
-                iter34.write(oprot)
+            for iter27 in self.workers:
+                iter27.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.is_away is not None:
@@ -965,53 +828,43 @@
 
     def __ne__(self, other):
         return not (self == other)
-all_structs.append(Piece)
-Piece.thrift_spec = (
-    None,  # 0
-    (1, TType.STRING, 'request_id', 'UTF8', "", ),  # 1
-    (2, TType.STRING, 'route', 'UTF8', "", ),  # 2
-    (3, TType.I32, 'stage', None, 0, ),  # 3
-    (4, TType.I32, 'piece', None, 0, ),  # 4
-    (5, TType.STRING, 'key', 'UTF8', "", ),  # 5
-    (6, TType.LIST, 'inputs', (TType.STRING, 'UTF8', False), [
-    ], ),  # 6
-    (7, TType.BOOL, 'has_inputs', None, False, ),  # 7
-    (8, TType.DOUBLE, 'result_bytes', None, float(0), ),  # 8
-    (9, TType.I64, 'due_in_ms', None, 0, ),  # 9
-    (10, TType.I64, 'deadline_in_ms', None, 0, ),  # 10
-)
-all_structs.append(MakePieces)
-MakePieces.thrift_spec = (
+all_structs.append(ChainStage)
+ChainStage.thrift_spec = (
     None,  # 0
-    (1, TType.STRING, 'worker_id', 'UTF8', "", ),  # 1
-    (2, TType.LIST, 'pieces', (TType.STRUCT, [Piece, None], False), [
+    (1, TType.STRING, 'service_name', 'UTF8', "", ),  # 1
+    (2, TType.LIST, 'after', (TType.I32, None, False), [
     ], ),  # 2
+    (3, TType.DOUBLE, 'result_bytes', None, float(0), ),  # 3
+    (4, TType.I32, 'n_pieces', None, 0, ),  # 4
 )
-all_structs.append(PieceEnd)
-PieceEnd.thrift_spec = (
-    None,  # 0
-    (1, TType.STRING, 'handle', 'UTF8', "", ),  # 1
-    (2, TType.STRING, 'fault', 'UTF8', "", ),  # 2
-)
-all_structs.append(PiecesMade)
-PiecesMade.thrift_spec = (
-    None,  # 0
-    (1, TType.LIST, 'ends', (TType.STRUCT, [PieceEnd, None], False), [
-    ], ),  # 1
-    (2, TType.DOUBLE, 'wait_s', None, float(0), ),  # 2
-)
-all_structs.append(DropPieces)
-DropPieces.thrift_spec = (
+all_structs.append(RunChain)
+RunChain.thrift_spec = (
     None,  # 0
-    (1, TType.STRING, 'request_id', 'UTF8', "", ),  # 1
-    (2, TType.STRING, 'worker_id', 'UTF8', "", ),  # 2
+    (1, TType.STRING, 'failure_domain', 'UTF8', "", ),  # 1
+    (2, TType.STRING, 'request_id', 'UTF8', "", ),  # 2
+    (3, TType.STRING, 'route', 'UTF8', "", ),  # 3
+    (4, TType.LIST, 'stages', (TType.STRUCT, [ChainStage, None], False), [
+    ], ),  # 4
+    (5, TType.STRING, 'piece_key', 'UTF8', "", ),  # 5
+    (6, TType.I64, 'due_in_ms', None, 0, ),  # 6
+    (7, TType.I64, 'deadline_in_ms', None, 0, ),  # 7
+    (8, TType.BOOL, 'must_be_on_time', None, True, ),  # 8
 )
-all_structs.append(FreeResults)
-FreeResults.thrift_spec = (
+all_structs.append(ChainAnswer)
+ChainAnswer.thrift_spec = (
     None,  # 0
-    (1, TType.STRING, 'worker_id', 'UTF8', "", ),  # 1
+    (1, TType.BOOL, 'is_made', None, False, ),  # 1
     (2, TType.LIST, 'handles', (TType.STRING, 'UTF8', False), [
     ], ),  # 2
+    (3, TType.I32, 'reason', None, 0, ),  # 3
+    (4, TType.BOOL, 'is_begun', None, False, ),  # 4
+    (5, TType.DOUBLE, 'finish_s', None, float(0), ),  # 5
+)
+all_structs.append(FreeChain)
+FreeChain.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'failure_domain', 'UTF8', "", ),  # 1
+    (2, TType.STRING, 'request_id', 'UTF8', "", ),  # 2
 )
 all_structs.append(ListedWorker)
 ListedWorker.thrift_spec = (
--- a/src/trefoilpaddle/protocol/gen/chain/ttypes.pyi
+++ b/src/trefoilpaddle/protocol/gen/chain/ttypes.pyi
@@ -1,35 +1,30 @@
-class Piece:
+class ChainStage:
+    service_name: str
+    after: list[int]
+    result_bytes: float
+    n_pieces: int
+    def __init__(self, *, service_name: str = ..., after: list[int] = ..., result_bytes: float = ..., n_pieces: int = ...) -> None: ...
+class RunChain:
+    failure_domain: str
     request_id: str
     route: str
-    stage: int
-    piece: int
-    key: str
-    inputs: list[str]
-    has_inputs: bool
-    result_bytes: float
+    stages: list[ChainStage]
+    piece_key: str
     due_in_ms: int
     deadline_in_ms: int
-    def __init__(self, *, request_id: str = ..., route: str = ..., stage: int = ..., piece: int = ..., key: str = ..., inputs: list[str] = ..., has_inputs: bool = ..., result_bytes: float = ..., due_in_ms: int = ..., deadline_in_ms: int = ...) -> None: ...
-class MakePieces:
-    worker_id: str
-    pieces: list[Piece]
-    def __init__(self, *, worker_id: str = ..., pieces: list[Piece] = ...) -> None: ...
-class PieceEnd:
-    handle: str
-    fault: str
-    def __init__(self, *, handle: str = ..., fault: str = ...) -> None: ...
-class PiecesMade:
-    ends: list[PieceEnd]
-    wait_s: float
-    def __init__(self, *, ends: list[PieceEnd] = ..., wait_s: float = ...) -> None: ...
-class DropPieces:
-    request_id: str
-    worker_id: str
-    def __init__(self, *, request_id: str = ..., worker_id: str = ...) -> None: ...
-class FreeResults:
-    worker_id: str
+    must_be_on_time: bool
+    def __init__(self, *, failure_domain: str = ..., request_id: str = ..., route: str = ..., stages: list[ChainStage] = ..., piece_key: str = ..., due_in_ms: int = ..., deadline_in_ms: int = ..., must_be_on_time: bool = ...) -> None: ...
+class ChainAnswer:
+    is_made: bool
     handles: list[str]
-    def __init__(self, *, worker_id: str = ..., handles: list[str] = ...) -> None: ...
+    reason: int
+    is_begun: bool
+    finish_s: float
+    def __init__(self, *, is_made: bool = ..., handles: list[str] = ..., reason: int = ..., is_begun: bool = ..., finish_s: float = ...) -> None: ...
+class FreeChain:
+    failure_domain: str
+    request_id: str
+    def __init__(self, *, failure_domain: str = ..., request_id: str = ...) -> None: ...
 class ListedWorker:
     worker_id: str
     service_name: str
--- /dev/null
+++ b/src/trefoilpaddle/state/chain/chain_work.py
@@ -0,0 +1,83 @@
+"""The stages of one request as its keeper gets them, and how they ended."""
+
+from dataclasses import dataclass
+
+from ...protocol.reasons import Reason
+from .routes import StagePlan
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class ChainWork:
+    """All stages of one request.
+
+    Parameters
+    ----------
+    request_id : str
+        The request.
+    route : str
+        Name of its route, for the log.
+    stages : tuple of StagePlan
+        Numbered by their place.
+    n_pieces : tuple of int
+        Pieces of each stage.
+    piece_key : str
+        What stages without inputs are made from.
+    due_s : float
+        Monotonic time by which all should be done.
+    deadline_s : float
+        Monotonic time after which nobody waits.
+    must_be_on_time : bool
+        Refuse it if it cannot be done by `due_s`.
+    """
+
+    request_id: str
+    route: str
+    stages: tuple[StagePlan, ...]
+    n_pieces: tuple[int, ...]
+    piece_key: str
+    due_s: float
+    deadline_s: float
+    must_be_on_time: bool = True
+
+    def last_stages(self) -> tuple[int, ...]:
+        """Return the stages whose results the request itself takes."""
+        followed = {number for stage in self.stages for number in stage.after}
+        return tuple(n for n in range(len(self.stages)) if n not in followed)
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class ChainMade:
+    """All stages are done.
+
+    Parameters
+    ----------
+    handles : tuple of str
+        Results that the request takes, by stage and piece.
+    finish_s : float
+        Seconds in which another such chain would be done.
+    """
+
+    handles: tuple[str, ...]
+    finish_s: float = 0.0
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class ChainFailed:
+    """The stages were not done.
+
+    Parameters
+    ----------
+    reason : Reason
+        Why.
+    is_begun : bool
+        False if it was refused before any piece was queued.
+    finish_s : float
+        Seconds in which it would have been done, where that is known.
+    """
+
+    reason: Reason
+    is_begun: bool
+    finish_s: float = 0.0
+
+
+ChainEnd = ChainMade | ChainFailed
--- a/src/trefoilpaddle/state/chain/piece_queue.py
+++ b/src/trefoilpaddle/state/chain/piece_queue.py
@@ -18,6 +18,18 @@
 MAX_RATIO: Final = 8.0
 """Learnt slowness of a worker is cut here; beyond, it is as good as away."""
 
+MIN_PACE_PER_S: Final = 0.5
+"""Slowest pace that is believed: one piece in two seconds, ten calls' time."""
+
+ROOM_DOWN: Final = 0.9
+"""Change of the believed room when a result found none."""
+
+ROOM_UP: Final = 1.01
+"""Change of it when all did; ten calls make up for one fault."""
+
+MIN_ROOM_SHARE: Final = 0.4
+"""Least part of the published room that is believed."""
+
 MIN_CALL_S: Final = 1e-3
 """Shortest time that a call is taken to have, so that ratios stay finite."""
 
@@ -32,13 +44,18 @@
     ----------
     ratio : float
         Measured over published time.
+    busy_per_s : float
+        Pieces made a second while others waited, whatever it was that bound:
+        the worker's speed, the size of its calls or its memory for results.
     """
 
-    __slots__ = ("_service", "ratio")
+    __slots__ = ("_ended_s", "_service", "busy_per_s", "ratio")
 
     def __init__(self, *, service: PieceService) -> None:
         self._service = service
+        self._ended_s = 0.0
         self.ratio = 1.0
+        self.busy_per_s = service.batch / self.published_s(service.batch)
 
     def published_s(self, n_pieces: int) -> float:
         """Return the published seconds of a call with `n_pieces`."""
@@ -48,10 +65,28 @@
         """Return the expected seconds of a call with `n_pieces`."""
         return self.published_s(n_pieces) * self.ratio
 
-    def learn(self, n_pieces: int, took_s: float) -> None:
-        """Take one call into the ratio."""
+    def learn(self, n_pieces: int, took_s: float, now_s: float) -> None:
+        """Take one call into what is learnt.
+
+        Parameters
+        ----------
+        n_pieces : int
+            Pieces that it carried.
+        took_s : float
+            How long it took.
+        now_s : float
+            When it ended.
+        """
         ratio = took_s / max(MIN_CALL_S, self.published_s(n_pieces))
         self.ratio += TIME_SMOOTHING * (min(MAX_RATIO, ratio) - self.ratio)
+        self._ended_s = now_s
+
+    def learn_busy(self, n_pieces: int, now_s: float) -> None:
+        """Take the pace of a call that ends now and had others waiting behind."""
+        if self._ended_s:
+            since_s = max(MIN_CALL_S, now_s - self._ended_s)
+            pace_per_s = n_pieces / since_s
+            self.busy_per_s += TIME_SMOOTHING * (pace_per_s - self.busy_per_s)
 
 
 class PieceQueue:
@@ -63,13 +98,14 @@
         What one call and one worker hold.
     """
 
-    __slots__ = ("_kept_bytes", "_waiting", "service", "times")
+    __slots__ = ("_kept_bytes", "_room_share", "_waiting", "service", "times")
 
     def __init__(self, *, service: PieceService) -> None:
         self.service = service
         self.times = PieceTimes(service=service)
         self._waiting: list[PieceWork] = []
         self._kept_bytes: dict[str, tuple[float, float]] = {}
+        self._room_share = 1.0
 
     def __len__(self) -> int:
         return len(self._waiting)
@@ -105,13 +141,16 @@
         wanted.sort(key=lambda work: _order(work, now_s + call_s))
         batch: list[PieceWork] = []
         left: list[PieceWork] = []
-        room_bytes = self.service.room_bytes - self.kept_bytes(now_s)
+        room_bytes = self._room_share * self.service.room_bytes
+        room_bytes -= self.kept_bytes(now_s)
         for work in wanted:
-            # Results wait at their maker until they are read. A call whose
-            # results find no room fails for them after its full time; a piece
-            # left here costs nothing. The first always goes, so that a wrong
-            # size in the configuration cannot stop the queue.
-            has_room = work.result_bytes <= room_bytes or not (batch or left)
+            # Results wait at their maker until they are read. A piece whose
+            # result finds no room there fails at once and would come again and
+            # again, taking calls from others; left here it costs nothing. With
+            # nothing kept the first always goes, so that a wrong size in the
+            # configuration cannot stop the queue.
+            is_alone = not (batch or self._kept_bytes)
+            has_room = work.result_bytes <= room_bytes or is_alone
             if len(batch) < self.service.batch and has_room:
                 batch.append(work)
                 room_bytes -= work.result_bytes
@@ -120,6 +159,17 @@
         self._waiting = left
         return batch
 
+    def learn_room(self, *, has_room: bool) -> None:
+        """Take in whether the last call found room for all of its results.
+
+        Published sizes are approximate; where results are larger, room is
+        counted that is not there.
+        """
+        if has_room:
+            self._room_share = min(1.0, self._room_share * ROOM_UP)
+        else:
+            self._room_share = max(MIN_ROOM_SHARE, self._room_share * ROOM_DOWN)
+
     def keep(self, handle: str, result_bytes: float, now_s: float) -> None:
         """Count a result that waits at the worker from now on."""
         self._kept_bytes[handle] = (result_bytes, now_s + self.service.keep_s)
@@ -139,6 +189,11 @@
             del self._kept_bytes[handle]
         return sum(n_bytes for n_bytes, _ in self._kept_bytes.values())
 
+    def n_on_time(self, now_s: float) -> int:
+        """Return how many waiting pieces can still be on time; they go first."""
+        done_s = now_s + self.times.call_s(1)
+        return sum(1 for w in self._waiting if w.is_open and w.due_s >= done_s)
+
     def wait_s(self, n_ahead: int, n_own: int, busy_s: float) -> float:
         """Return the expected seconds until `n_own` new pieces are made.
 
@@ -154,7 +209,10 @@
         batch = self.service.batch
         n_full = (n_ahead + n_own - 1) // batch
         last = n_ahead + n_own - n_full * batch
-        return busy_s + n_full * self.times.call_s(batch) + self.times.call_s(last)
+        last_s = self.times.call_s(last)
+        by_calls_s = busy_s + n_full * self.times.call_s(batch)
+        by_pace_s = n_ahead / max(MIN_PACE_PER_S, self.times.busy_per_s)
+        return max(by_calls_s, by_pace_s) + last_s
 
 
 def _order(work: PieceWork, done_s: float) -> tuple[bool, float]:
--- a/src/trefoilpaddle/state/chain/repeat_budget.py
+++ b/src/trefoilpaddle/state/chain/repeat_budget.py
@@ -1,6 +1,7 @@
 """Budget of repeats over a sliding window, split among gateways."""
 
 from collections import deque
+from collections.abc import Callable
 from typing import Final
 
 SAFETY: Final = 0.8
@@ -26,11 +27,28 @@
         Repeats of all gateways in a window beyond the ratio.
     window_s : float
         Length of the window.
+    n_gateways : callable
+        Returns among how many gateways the slack is divided.
     """
 
-    __slots__ = ("_ratio", "_repeats_s", "_requests_s", "_slack", "_window_s")
-
-    def __init__(self, *, ratio: float, slack: float, window_s: float) -> None:
+    __slots__ = (
+        "_n_gateways",
+        "_ratio",
+        "_repeats_s",
+        "_requests_s",
+        "_slack",
+        "_window_s",
+    )
+
+    def __init__(
+        self,
+        *,
+        ratio: float,
+        slack: float,
+        window_s: float,
+        n_gateways: Callable[[], int],
+    ) -> None:
+        self._n_gateways = n_gateways
         self._ratio = ratio
         self._slack = slack
         self._window_s = window_s
@@ -42,11 +60,11 @@
         self._requests_s.append(now_s)
         self._forget(self._requests_s, now_s)
 
-    def spend(self, now_s: float, *, n_gateways: int) -> bool:
+    def spend(self, now_s: float) -> bool:
         """Take one repeat; return False if none is left."""
         self._forget(self._requests_s, now_s)
         self._forget(self._repeats_s, now_s)
-        share = self._slack / max(1, n_gateways)
+        share = self._slack / max(1, self._n_gateways())
         allowed = SAFETY * (self._ratio * len(self._requests_s) + share)
         if len(self._repeats_s) + 1 > allowed:
             return False
@@ -63,13 +81,21 @@
 
     Parameters
     ----------
-    ratio, slack, window_s
+    ratio, slack, window_s, n_gateways
         Of each, as for `RepeatBudget`.
     """
 
-    __slots__ = ("_by_service", "_ratio", "_slack", "_window_s")
-
-    def __init__(self, *, ratio: float, slack: float, window_s: float) -> None:
+    __slots__ = ("_by_service", "_n_gateways", "_ratio", "_slack", "_window_s")
+
+    def __init__(
+        self,
+        *,
+        ratio: float,
+        slack: float,
+        window_s: float,
+        n_gateways: Callable[[], int],
+    ) -> None:
+        self._n_gateways = n_gateways
         self._ratio = ratio
         self._slack = slack
         self._window_s = window_s
@@ -80,7 +106,10 @@
         budget = self._by_service.get(service)
         if budget is None:
             budget = RepeatBudget(
-                ratio=self._ratio, slack=self._slack, window_s=self._window_s
+                ratio=self._ratio,
+                slack=self._slack,
+                window_s=self._window_s,
+                n_gateways=self._n_gateways,
             )
             self._by_service[service] = budget
         return budget
