Test the gateways that call workers themselves, and the adapter's processes

Module tests of queues, budgets, attempts, keepers and the store's view; the real process against a stand-in store and workers of the platform.

--- /dev/null
+++ b/src/trefoilpaddle/standins/platform/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-ins for the users' platform: its store and its workers."""
--- /dev/null
+++ b/src/trefoilpaddle/standins/platform/store.py
@@ -0,0 +1,113 @@
+"""The platform's store: items with revisions, ranges, watches, lost history."""
+
+import base64
+from typing import Any, Final
+
+import orjson
+from aiohttp import web
+
+from ..faults import Faults
+from ..record import Record
+from ..web import faulty_application, json_answer
+
+TABLE_KEY: Final = "op/config"
+HISTORY: Final = 1000
+"""Events kept for watches that lag."""
+
+
+class PlatformStore:
+    """Holds what operators and workers publish; a test writes it directly.
+
+    Attributes
+    ----------
+    faults : Faults
+        Set over HTTP or by the test.
+    is_refusing : bool
+        True turns readers away.
+    n_reads : int
+        Calls answered.
+    """
+
+    __slots__ = (
+        "_events",
+        "_forgotten",
+        "_items",
+        "faults",
+        "is_refusing",
+        "n_reads",
+        "record",
+        "revision",
+    )
+
+    def __init__(self) -> None:
+        self.faults = Faults()
+        self.record = Record()
+        self.revision = 0
+        self.n_reads = 0
+        self.is_refusing = False
+        self._items: dict[str, dict[str, Any]] = {}
+        self._events: list[dict[str, Any]] = []
+        self._forgotten = 0
+
+    def put(self, key: str, value: object) -> int:
+        """Write an item; return its revision."""
+        self.revision += 1
+        item = {
+            "key": key,
+            "value": base64.b64encode(orjson.dumps(value)).decode(),
+            "revision": self.revision,
+            "created": self.revision,
+            "lease": 0,
+        }
+        self._items[key] = item
+        self._events.append(item)
+        del self._events[:-HISTORY]
+        return self.revision
+
+    def remove(self, key: str) -> None:
+        """Remove an item."""
+        if self._items.pop(key, None) is not None:
+            self.revision += 1
+            event = {"key": key, "revision": self.revision, "removed": True}
+            self._events.append(event)
+
+    def forget_history(self) -> None:
+        """Lose all that watches could still ask for."""
+        self._forgotten = self.revision
+        self._events.clear()
+
+    def application(self) -> web.Application:
+        """Return the application that answers for the store."""
+        app = faulty_application(faults=self.faults, record=self.record)
+        app.router.add_get("/trefoilpaddle/kv-range", self._range)
+        app.router.add_get("/trefoilpaddle/kv-watch", self._watch)
+        return app
+
+    async def _range(self, request: web.Request) -> web.Response:
+        self.n_reads += 1
+        if self.is_refusing:
+            return json_answer({}, status=503)
+        prefix, after = request.query["prefix"], request.query.get("after", "")
+        keys = sorted(k for k in self._items if k.startswith(prefix) and k > after)
+        return json_answer(
+            {
+                "items": [self._items[key] for key in keys],
+                "has_more": False,
+                "store_revision": self.revision,
+            }
+        )
+
+    async def _watch(self, request: web.Request) -> web.Response:
+        self.n_reads += 1
+        if self.is_refusing:
+            return json_answer({}, status=503)
+        after = int(request.query["after"])
+        if after < self._forgotten:
+            return json_answer({}, status=410)
+        prefix = request.query["prefix"]
+        events = [
+            event
+            for event in self._events
+            if event["revision"] > after and event["key"].startswith(prefix)
+        ]
+        return json_answer({"events": events, "store_revision": self.revision})
--- /dev/null
+++ b/src/trefoilpaddle/standins/platform/worker.py
@@ -0,0 +1,133 @@
+"""A worker of the platform: plain requests, streams, or pieces of stages."""
+
+import asyncio
+import itertools
+from typing import Any, Final
+
+import orjson
+from aiohttp import web
+
+from ..faults import Faults
+from ..record import Record
+from ..web import cut_off, faulty_application, json_answer
+
+SEAL: Final = "Trefoilpaddle-Server-Seal"
+ATTEMPT: Final = "Trefoilpaddle-Attempt-Id"
+EXPECTED: Final = "Trefoilpaddle-Expected-Instance"
+NOT_RUN: Final = "Trefoilpaddle-Not-Executed"
+INPUTS: Final = "Trefoilpaddle-Inputs"
+
+
+class PlatformWorker:
+    """One worker; records what it ran.
+
+    Parameters
+    ----------
+    worker_id : str
+        Its id in the store.
+    n_events : int
+        Events of each stream; 0 answers whole.
+    work_s : float
+        Time of a request, of an event, or of a call of pieces.
+
+    Attributes
+    ----------
+    break_off : bool
+        Breaks connections instead of answering, after it has run the request.
+    ran : list of str
+        Ids of the requests that it ran, one for each time.
+    headers : list of dict
+        Headers of those requests.
+    pieces : list of tuple
+        Request, stage, piece and inputs of each piece that it made.
+    """
+
+    __slots__ = (
+        "_numbers",
+        "address",
+        "break_off",
+        "faults",
+        "freed",
+        "headers",
+        "n_calls",
+        "n_events",
+        "pieces",
+        "ran",
+        "record",
+        "work_s",
+        "worker_id",
+    )
+
+    def __init__(
+        self, *, worker_id: str, n_events: int = 0, work_s: float = 0.005
+    ) -> None:
+        self.worker_id = worker_id
+        self.n_events = n_events
+        self.work_s = work_s
+        self.address = ""
+        self.break_off = False
+        self.faults = Faults()
+        self.record = Record()
+        self.ran: list[str] = []
+        self.headers: list[dict[str, str]] = []
+        self.pieces: list[tuple[str, int, int, tuple[str, ...]]] = []
+        self.freed: list[str] = []
+        self.n_calls = 0
+        self._numbers = itertools.count()
+
+    def application(self) -> web.Application:
+        """Return the application that answers for the worker."""
+        app = faulty_application(faults=self.faults, record=self.record)
+        app.router.add_post("/trefoilpaddle/stage-run", self._make)
+        app.router.add_post("/trefoilpaddle/stage-free", self._free)
+        app.router.add_route("*", "/{path:.*}", self._run)
+        return app
+
+    def _is_another(self, request: web.Request) -> bool:
+        expected = request.headers.get(EXPECTED)
+        return expected is not None and expected != self.worker_id
+
+    async def _run(self, request: web.Request) -> web.StreamResponse:
+        if self._is_another(request):
+            return json_answer({}, status=421)
+        request_id = request.headers[ATTEMPT]
+        await request.read()
+        self.ran.append(request_id)
+        self.headers.append(dict(request.headers))
+        headers = {ATTEMPT: request_id, SEAL: f"{self.worker_id}.{request_id}"}
+        if not self.n_events:
+            await asyncio.sleep(self.work_s)
+            if self.break_off:
+                cut_off(request)
+            return web.Response(body=request_id.encode(), headers=headers)
+        headers["Content-Type"] = "text/event-stream"
+        answer = web.StreamResponse(headers=headers)
+        await answer.prepare(request)
+        first = int(request.headers.get("Last-Event-Id", "0")) + 1
+        for number in range(first, self.n_events + 1):
+            await asyncio.sleep(self.work_s)
+            if self.break_off:
+                cut_off(request)
+                return answer
+            await answer.write(f"id: {number}\ndata: {request_id}\n\n".encode())
+        await answer.write_eof()
+        return answer
+
+    async def _make(self, request: web.Request) -> web.Response:
+        if self._is_another(request):
+            return json_answer({}, status=421)
+        items: list[dict[str, Any]] = orjson.loads(await request.read())["items"]
+        self.n_calls += 1
+        await asyncio.sleep(self.work_s)
+        made = []
+        for item in items:
+            inputs = tuple(item.get("inputs", ()))
+            self.pieces.append(
+                (item["identifier"], item["stage"], item["piece"], inputs)
+            )
+            made.append({"handle": f"{self.address}/{next(self._numbers)}"})
+        return json_answer({"items": made})
+
+    async def _free(self, request: web.Request) -> web.Response:
+        self.freed += orjson.loads(await request.read())["handles"]
+        return json_answer({})
--- /dev/null
+++ b/tests/chain/fakes.py
@@ -0,0 +1,226 @@
+"""Workers, calls and a caller that a test scripts."""
+
+import asyncio
+from collections.abc import AsyncIterator, Callable, Sequence
+from contextlib import asynccontextmanager
+from dataclasses import dataclass, field
+
+from result import Err, Ok, Result
+
+from trefoilpaddle.coordination.chain.piece_homes import PieceHomes
+from trefoilpaddle.coordination.chain.stage_keeper import StageKeeper
+from trefoilpaddle.coordination.chain.target_calls import (
+    OpenAnswer,
+    StreamBrokenError,
+    TargetCall,
+)
+from trefoilpaddle.roles.process import Identity, Process
+from trefoilpaddle.state.chain.piece_work import PieceEnd, PieceMade, PieceWork
+from trefoilpaddle.state.chain.repeat_budget import RepeatBudgets
+from trefoilpaddle.state.chain.requests import CallerRequest
+from trefoilpaddle.state.chain.routes import (
+    PieceService,
+    PlainService,
+    Repeat,
+    Route,
+    RouteTable,
+    Split,
+    table_by_host,
+)
+from trefoilpaddle.state.chain.target_answers import AnswerHead, CallFault, StreamEvent
+from trefoilpaddle.state.chain.workers import Worker, WorkerTable
+from trefoilpaddle.state.journal import Journal
+from trefoilpaddle.transport.connection import Address
+
+OK_HEAD = AnswerHead(status=200, headers=())
+
+
+def worker(
+    worker_id: str, service: str = "plain", *, domain: str = "here", **fields: bool
+) -> Worker:
+    return Worker(
+        worker_id=worker_id,
+        service=service,
+        address=f"{worker_id}:1",
+        failure_domain=domain,
+        **fields,
+    )
+
+
+def piece_service(name: str, **fields: float) -> PieceService:
+    known = {
+        "n_slots": 1,
+        "batch": 4,
+        "call_s": 0.02,
+        "piece_s": 0.001,
+        "room_bytes": 1e6,
+        "keep_s": 4.0,
+    }
+    return PieceService(name=name, **(known | fields))  # type: ignore[arg-type]
+
+
+def route(**fields: object) -> Route:
+    known: dict[str, object] = {
+        "name": "r",
+        "host": "h",
+        "prefix": "/",
+        "splits": (Split(service="plain", weight=1.0),),
+        "repeat": Repeat.NON_IDEMPOTENT,
+        "timeout_s": 2.0,
+        "target_latency_s": 0.5,
+    }
+    return Route(**(known | fields))  # type: ignore[arg-type]
+
+
+def table(*routes: Route, services: Sequence[PieceService] = ()) -> RouteTable:
+    known = {"plain": PlainService(name="plain")}
+    return RouteTable(
+        version=1,
+        by_host=table_by_host(list(routes)),
+        services=known | {service.name: service for service in services},
+    )
+
+
+def request(**fields: object) -> CallerRequest:
+    now_s = asyncio.get_running_loop().time()
+    known: dict[str, object] = {
+        "request_id": "a1",
+        "method": "POST",
+        "target": "/x",
+        "host": "h",
+        "path": "/x",
+        "headers": (),
+        "body": b"",
+        "came_s": now_s,
+        "deadline_s": now_s + 2.0,
+    }
+    return CallerRequest(**(known | fields))  # type: ignore[arg-type]
+
+
+def budgets(*, slack: float = 100.0, ratio: float = 1.0) -> RepeatBudgets:
+    return RepeatBudgets(
+        ratio=ratio, slack=slack, window_s=10.0, n_gateways=lambda: 1
+    )
+
+
+@dataclass
+class FakeAnswer:
+    """An answer of a worker: a body, or events that may break off."""
+
+    head: AnswerHead = OK_HEAD
+    body: bytes = b"body"
+    n_events: int = 0
+    first: int = 1
+    breaks: bool = False
+    fault: CallFault | None = None
+
+    async def read(self) -> Result[bytes, CallFault]:
+        return Ok(self.body) if self.fault is None else Err(self.fault)
+
+    async def events(self) -> AsyncIterator[StreamEvent]:
+        for number in range(self.first, self.first + self.n_events):
+            await asyncio.sleep(0)
+            yield StreamEvent(number=number, data=f"id: {number}\n\n".encode())
+        if self.breaks:
+            raise StreamBrokenError("cut")
+
+
+Script = FakeAnswer | CallFault
+
+
+@dataclass
+class FakeCalls:
+    """Answers calls by what a test wrote for them."""
+
+    scripts: list[Script] = field(default_factory=list)
+    sent: list[tuple[str, TargetCall]] = field(default_factory=list)
+    batches: list[list[PieceWork]] = field(default_factory=list)
+    freed: list[str] = field(default_factory=list)
+    make: Callable[[Worker, Sequence[PieceWork]], list[PieceEnd] | CallFault] | None = (
+        None
+    )
+    call_s: float = 0.01
+    free_gate: asyncio.Event | None = None
+
+    @asynccontextmanager
+    async def exchange(
+        self, worker: Worker, call: TargetCall
+    ) -> AsyncIterator[Result[OpenAnswer, CallFault]]:
+        self.sent.append((worker.worker_id, call))
+        script = self.scripts.pop(0)
+        if isinstance(script, CallFault):
+            yield Err(script)
+        else:
+            yield Ok(script)
+
+    async def make_pieces(
+        self, worker: Worker, works: Sequence[PieceWork], *, timeout_s: float
+    ) -> Result[list[PieceEnd], CallFault]:
+        self.batches.append(list(works))
+        await asyncio.sleep(self.call_s)
+        if self.make is None:
+            return Ok([made(worker, work) for work in works])
+        ends = self.make(worker, works)
+        return Err(ends) if isinstance(ends, CallFault) else Ok(ends)
+
+    async def free_results(self, worker: Worker, handles: Sequence[str]) -> bool:
+        if self.free_gate is not None:
+            await self.free_gate.wait()
+        self.freed += handles
+        return True
+
+
+def made(worker: Worker, work: PieceWork) -> PieceMade:
+    handle = f"{worker.worker_id}/{work.request_id}.{work.stage}.{work.piece}"
+    return PieceMade(handle=handle, worker_id=worker.worker_id)
+
+
+@dataclass
+class FakeSink:
+    """What a caller saw."""
+
+    seen: list[str] = field(default_factory=list)
+
+    async def whole(self, head: AnswerHead, body: bytes) -> None:
+        self.seen.append(f"{head.status} {body.decode()}")
+
+    async def begin(self, head: AnswerHead) -> None:
+        self.seen.append("begin")
+
+    async def event(self, event: StreamEvent) -> None:
+        self.seen.append(str(event.number))
+
+    async def end(self) -> None:
+        self.seen.append("end")
+
+
+def journal() -> Journal:
+    return Journal(process_id="test", n_records=1000)
+
+
+def keeper(
+    calls: FakeCalls, workers: WorkerTable, routes: RouteTable, notes: Journal
+) -> StageKeeper:
+    homes = PieceHomes(
+        failure_domain="here",
+        calls=calls,
+        workers=workers,
+        journal=notes,
+        table=routes,
+    )
+    return StageKeeper(homes=homes, budgets=budgets(), journal=notes)
+
+
+def process(name: str, domain: str = "here") -> Process:
+    """Return a gateway's process that is not running yet."""
+    return Process(
+        identity=Identity(
+            process_id=name,
+            incarnation=1,
+            role="gateway",
+            failure_domain=domain,
+            region="",
+        ),
+        listen=Address(ip="127.0.0.1", port=0),
+        journal=journal(),
+    )
--- /dev/null
+++ b/tests/chain/test_attempts.py
@@ -0,0 +1,157 @@
+"""When a request may be sent once more, and what its caller is told."""
+
+import pytest
+
+from trefoilpaddle.coordination.chain.attempts import Attempts, Job
+from trefoilpaddle.coordination.chain.worker_choice import WorkerChoice
+from trefoilpaddle.protocol.reasons import Reason
+from trefoilpaddle.state.chain.requests import Answered, Failed, Refused
+from trefoilpaddle.state.chain.routes import Account, Repeat, Route
+from trefoilpaddle.state.chain.target_answers import AnswerHead, CallFault
+from trefoilpaddle.state.chain.workers import WorkerTable
+
+from .fakes import (
+    FakeAnswer,
+    FakeCalls,
+    FakeSink,
+    budgets,
+    journal,
+    request,
+    route,
+    worker,
+)
+
+
+def attempts(
+    calls: FakeCalls, way: Route, *, n_workers: int = 3, slack: float = 100.0
+) -> Attempts:
+    workers = WorkerTable()
+    for number in range(n_workers):
+        workers.put(worker(f"w{number}"))
+    job = Job(
+        request=request(),
+        route=way,
+        account=Account(name="acme"),
+        service="plain",
+        services={},
+        deadline_s=request().deadline_s,
+    )
+    return Attempts(
+        job=job,
+        inputs=(),
+        on_read=lambda: None,
+        workers=workers,
+        choice=WorkerChoice(failure_domain="here", workers=workers),
+        calls=calls,
+        budget=budgets(slack=slack, ratio=0.0).of("plain"),
+        journal=journal(),
+    )
+
+
+IDEMPOTENT = route(repeat=Repeat.IDEMPOTENT, max_attempts=2)
+ONCE = route(max_attempts=3)
+STREAM = route(is_stream=True, is_resumable=True, max_attempts=2)
+STREAM_ONCE = route(is_stream=True, max_attempts=2)
+FAILED_HEAD = AnswerHead(status=500, headers=())
+
+
+class TestAtMostOnce:
+    @pytest.mark.parametrize("fault", [CallFault.BROKEN, CallFault.SILENT])
+    async def test_one_that_may_have_run_is_not_sent_again(self, fault):
+        # A worker runs a reservation and its answer is lost. The caller must
+        # neither get a second reservation nor hear that there was none.
+        calls = FakeCalls(scripts=[fault])
+        outcome = await attempts(calls, ONCE).run(FakeSink())
+        assert isinstance(outcome, Failed)
+        assert len(calls.sent) == 1
+
+    @pytest.mark.parametrize(
+        "fault", [CallFault.FULL, CallFault.MOVED, CallFault.UNREACHABLE]
+    )
+    async def test_one_that_has_not_run_goes_to_another_worker(self, fault):
+        calls = FakeCalls(scripts=[fault, FakeAnswer()])
+        sink = FakeSink()
+        assert isinstance(await attempts(calls, ONCE).run(sink), Answered)
+        assert sink.seen == ["200 body"]
+        first, second = (worker_id for worker_id, _ in calls.sent)
+        assert first != second
+
+    async def test_refused_everywhere_it_has_truly_not_run(self):
+        calls = FakeCalls(scripts=[CallFault.FULL] * 3)
+        outcome = await attempts(calls, ONCE).run(FakeSink())
+        assert isinstance(outcome, Refused)
+        assert outcome.retry_after_s > 0
+
+    async def test_refused_after_one_that_may_have_run_is_no_refusal(self):
+        calls = FakeCalls(scripts=[CallFault.BROKEN, CallFault.FULL])
+        outcome = await attempts(calls, IDEMPOTENT).run(FakeSink())
+        assert isinstance(outcome, Failed)
+
+    async def test_a_workers_failure_is_passed_on_as_it_is(self):
+        calls = FakeCalls(scripts=[FakeAnswer(head=FAILED_HEAD, body=b"no")])
+        sink = FakeSink()
+        assert isinstance(await attempts(calls, ONCE).run(sink), Answered)
+        assert sink.seen == ["500 no"]
+
+
+class TestRepeats:
+    async def test_an_idempotent_one_is_tried_again_after_a_failure(self):
+        calls = FakeCalls(scripts=[FakeAnswer(head=FAILED_HEAD), FakeAnswer()])
+        sink = FakeSink()
+        await attempts(calls, IDEMPOTENT).run(sink)
+        assert sink.seen == ["200 body"]
+
+    async def test_never_at_more_workers_than_the_route_allows(self):
+        calls = FakeCalls(scripts=[CallFault.BROKEN] * 5)
+        await attempts(calls, IDEMPOTENT, n_workers=5).run(FakeSink())
+        assert len(calls.sent) == 2
+
+    async def test_never_beyond_the_budget(self):
+        calls = FakeCalls(scripts=[CallFault.BROKEN] * 5)
+        await attempts(calls, IDEMPOTENT, slack=0.0).run(FakeSink())
+        assert len(calls.sent) == 1
+
+
+class TestStreams:
+    async def test_events_pass_in_order_to_the_end(self):
+        calls = FakeCalls(scripts=[FakeAnswer(n_events=3)])
+        sink = FakeSink()
+        await attempts(calls, STREAM).run(sink)
+        assert sink.seen == ["begin", "1", "2", "3", "end"]
+
+    async def test_a_broken_one_goes_on_where_it_broke(self):
+        # An engine dies in the middle of an answer. The caller sees one stream
+        # with no hole and nothing twice.
+        calls = FakeCalls(
+            scripts=[
+                FakeAnswer(n_events=2, breaks=True),
+                FakeAnswer(n_events=2, first=3),
+            ]
+        )
+        sink = FakeSink()
+        await attempts(calls, STREAM).run(sink)
+        assert sink.seen == ["begin", "1", "2", "3", "4", "end"]
+        assert calls.sent[1][1].after_event == 2
+
+    async def test_a_hole_is_never_passed_on(self):
+        calls = FakeCalls(scripts=[FakeAnswer(n_events=1), FakeAnswer()])
+        calls.scripts = [
+            FakeAnswer(n_events=2, breaks=True),
+            FakeAnswer(n_events=2, first=4),
+        ]
+        sink = FakeSink()
+        outcome = await attempts(calls, STREAM).run(sink)
+        assert outcome == Failed(reason=Reason.CONNECTION_LOST, is_begun=True)
+        assert sink.seen == ["begin", "1", "2"]
+
+    async def test_one_that_may_not_be_resumed_is_cut_off(self):
+        calls = FakeCalls(scripts=[FakeAnswer(n_events=2, breaks=True)])
+        sink = FakeSink()
+        outcome = await attempts(calls, STREAM_ONCE).run(sink)
+        assert isinstance(outcome, Failed) and outcome.is_begun
+        assert "end" not in sink.seen
+
+    async def test_one_that_ends_without_any_event_is_no_answer(self):
+        calls = FakeCalls(scripts=[FakeAnswer(n_events=0)] * 2)
+        outcome = await attempts(calls, STREAM).run(FakeSink())
+        assert isinstance(outcome, Failed)
--- /dev/null
+++ b/tests/chain/test_stage_keeper.py
@@ -0,0 +1,174 @@
+"""Chains of stages: let in or refused, walked in order, and freed."""
+
+import asyncio
+import time
+
+from trefoilpaddle.protocol.reasons import Reason
+from trefoilpaddle.state.chain.chain_work import ChainFailed, ChainMade, ChainWork
+from trefoilpaddle.state.chain.piece_work import PieceFault
+from trefoilpaddle.state.chain.routes import StagePlan
+from trefoilpaddle.state.chain.target_answers import CallFault
+from trefoilpaddle.state.chain.workers import WorkerTable
+
+from ..waiting import until
+from .fakes import FakeCalls, journal, keeper, made, piece_service, table, worker
+
+DIAMOND = (
+    StagePlan(service="s", after=(), result_bytes=1000.0),
+    StagePlan(service="s", after=(), result_bytes=10.0),
+    StagePlan(service="t", after=(1,), result_bytes=10.0),
+)
+"""The request takes stage 0 and stage 2; stage 2 takes stage 1."""
+
+
+def work(name: str = "a", *, due_in_s: float = 5.0, **fields) -> ChainWork:
+    now_s = time.monotonic()
+    known = {
+        "request_id": name,
+        "route": "r",
+        "stages": DIAMOND,
+        "n_pieces": (2, 1, 3),
+        "piece_key": "k",
+        "due_s": now_s + due_in_s,
+        "deadline_s": now_s + 9.0,
+    }
+    return ChainWork(**(known | fields))
+
+
+class Rig:
+    """A keeper over one worker of each of two services."""
+
+    def __init__(self, calls: FakeCalls, **fields: float) -> None:
+        self.calls = calls
+        self.workers = WorkerTable()
+        self.workers.put(worker("s1", "s"))
+        self.workers.put(worker("t1", "t"))
+        services = [piece_service("s", **fields), piece_service("t", **fields)]
+        self.notes = journal()
+        self.keeper = keeper(calls, self.workers, table(services=services), self.notes)
+
+
+class TestWalk:
+    async def test_stages_take_the_results_of_those_before(self):
+        calls = FakeCalls()
+        end = await Rig(calls).keeper.run(work())
+        assert isinstance(end, ChainMade)
+        assert end.handles == (
+            "s1/a.0.0",
+            "s1/a.0.1",
+            "t1/a.2.0",
+            "t1/a.2.1",
+            "t1/a.2.2",
+        )
+        last = [piece for batch in calls.batches for piece in batch if piece.stage == 2]
+        assert {piece.inputs for piece in last} == {("s1/a.1.0",)}
+        assert {piece.key for piece in last} == {""}
+
+    async def test_a_stage_without_pieces_is_left_out(self):
+        end = await Rig(FakeCalls()).keeper.run(work(n_pieces=(0, 1, 1)))
+        assert isinstance(end, ChainMade)
+        assert end.handles == ("t1/a.2.0",)
+
+    async def test_pieces_of_several_requests_ride_together(self):
+        # A call of a stage worker takes 200 ms whatever it carries. With one
+        # request a call, a calm day needs more workers than there are.
+        calls = FakeCalls()
+        rig = Rig(calls, batch=20)
+        ends = await asyncio.gather(*(rig.keeper.run(work(n)) for n in "abcdef"))
+        assert all(isinstance(end, ChainMade) for end in ends)
+        assert len(calls.batches) <= 6
+
+    async def test_results_that_were_read_are_freed(self):
+        calls = FakeCalls()
+        rig = Rig(calls)
+        await rig.keeper.run(work())
+        await until(lambda: "s1/a.1.0" in calls.freed)
+        assert "s1/a.0.0" not in calls.freed
+        rig.keeper.free("a")
+        await until(lambda: len(calls.freed) == 6)
+
+    async def test_a_failed_stage_frees_what_the_others_made(self):
+        def fail(at, works):
+            if at.worker_id == "t1":
+                return [PieceFault.INPUT_GONE] * len(works)
+            return [made(at, each) for each in works]
+
+        calls = FakeCalls(make=fail)
+        end = await Rig(calls).keeper.run(work())
+        assert end == ChainFailed(reason=Reason.RESULT_GONE, is_begun=True)
+        await until(lambda: len(calls.freed) == 3)
+
+    async def test_a_silent_worker_is_left_for_another(self):
+        # A worker falls silent under a call. What waits behind it must not
+        # wait for its end.
+        def answer(at, works):
+            if at.worker_id == "s1":
+                return CallFault.SILENT
+            return [made(at, each) for each in works]
+
+        rig = Rig(FakeCalls(make=answer))
+        rig.workers.put(worker("s2", "s"))
+        end = await rig.keeper.run(work())
+        assert isinstance(end, ChainMade)
+        assert end.handles[0].startswith("s2/")
+
+    async def test_a_piece_without_room_stays_and_is_made_when_there_is(self):
+        tries = []
+
+        def answer(at, works):
+            tries.append(len(works))
+            if at.worker_id == "s1" and len(tries) == 1:
+                return [PieceFault.NO_ROOM] * len(works)
+            return [made(at, each) for each in works]
+
+        end = await Rig(FakeCalls(make=answer)).keeper.run(work())
+        assert isinstance(end, ChainMade)
+
+
+class TestLetIn:
+    async def test_a_chain_that_would_be_late_is_refused_before_any_piece(self):
+        calls = FakeCalls()
+        end = await Rig(calls).keeper.run(work(due_in_s=0.01))
+        assert isinstance(end, ChainFailed)
+        assert end.reason is Reason.PREDICTED_LATE and not end.is_begun
+        assert end.finish_s > 0.01
+        assert calls.batches == []
+
+    async def test_what_is_promised_counts(self):
+        # Two hundred chains come in one moment. Queues are empty, but each
+        # chain that is let in fills them; letting all in makes all late.
+        calls = FakeCalls(call_s=0.02)
+        rig = Rig(calls)
+        many = [work(f"r{n}", due_in_s=0.4) for n in range(200)]
+        ends = await asyncio.gather(*(rig.keeper.run(each) for each in many))
+        n_made = sum(isinstance(end, ChainMade) for end in ends)
+        assert 5 < n_made < 100
+
+    async def test_without_a_worker_it_says_so(self):
+        rig = Rig(FakeCalls())
+        rig.workers.remove("t1")
+        end = await rig.keeper.run(work())
+        assert end == ChainFailed(reason=Reason.NO_TARGET, is_begun=False)
+
+
+class TestLeaving:
+    async def test_a_worker_that_leaves_gets_no_more_calls(self):
+        calls = FakeCalls(call_s=0.05)
+        rig = Rig(calls, batch=1)
+        running = asyncio.create_task(rig.keeper.run(work(n_pieces=(4, 0, 0))))
+        await until(lambda: calls.batches)
+        rig.workers.put(worker("s1", "s", is_leaving=True))
+        end = await running
+        assert end == ChainFailed(reason=Reason.NO_TARGET, is_begun=True)
+        assert len(calls.batches) == 1
+
+    async def test_a_caller_that_left_takes_no_calls(self):
+        calls = FakeCalls(call_s=0.05)
+        rig = Rig(calls, batch=1)
+        running = asyncio.create_task(rig.keeper.run(work(n_pieces=(4, 0, 0))))
+        await until(lambda: calls.batches)
+        running.cancel()
+        await asyncio.gather(running, return_exceptions=True)
+        await asyncio.sleep(0.12)
+        assert len(calls.batches) == 1
+        await until(lambda: len(calls.freed) == 1)
--- /dev/null
+++ b/tests/chain/test_store_feed.py
@@ -0,0 +1,158 @@
+"""A gateway's view of the store: versions, workers, loss and return."""
+
+from collections.abc import Awaitable, Callable
+
+from result import Err, Ok, Result
+
+from trefoilpaddle.coordination.chain import store_feed
+from trefoilpaddle.coordination.chain.published_store import (
+    PublishedTable,
+    StoreChanges,
+    StoreFault,
+)
+from trefoilpaddle.coordination.chain.store_feed import StoreFeed
+from trefoilpaddle.coordination.chain.store_relay import StoreRelay
+from trefoilpaddle.protocol.gen.chain.ttypes import ListedWorker, StoreState
+from trefoilpaddle.state.chain.routes import RouteTable
+from trefoilpaddle.state.chain.workers import WorkerTable
+
+
+from .fakes import journal, process, worker
+
+Answer = Result[StoreChanges, StoreFault]
+
+
+def published(version: int) -> PublishedTable:
+    return PublishedTable(table=RouteTable(version=version), data=str(version).encode())
+
+
+class FakeStore:
+    """Answers each read with the next of `answers`."""
+
+    def __init__(self, *answers: Answer) -> None:
+        self.answers = list(answers)
+        self.asked: list[int] = []
+
+    async def snapshot(self) -> Answer:
+        self.asked.append(0)
+        return self.answers.pop(0)
+
+    async def changes(self, after: int) -> Answer:
+        self.asked.append(after)
+        return self.answers.pop(0)
+
+
+class Rig:
+    """A feed over a scripted store and scripted peers."""
+
+    def __init__(self, *answers: Answer, states: tuple[StoreState, ...] = ()) -> None:
+        self.store = FakeStore(*answers)
+        self.workers = WorkerTable()
+        self.tables: list[int] = []
+        self.states = list(states)
+        self.feed = StoreFeed(
+            store=self.store,
+            workers=self.workers,
+            on_table=lambda table: self.tables.append(table.table.version),
+            journal=journal(),
+            relay=StoreRelay(process=process("g"), workers=self.workers),
+            ask_peers=self._ask(),
+            decode=lambda data: published(int(data)),
+        )
+
+    def _ask(self) -> Callable[[], Awaitable[list[StoreState]]]:
+        async def ask() -> list[StoreState]:
+            return self.states
+
+        return ask
+
+    async def read(self, n: int = 1) -> None:
+        for _ in range(n):
+            await self.feed.read_once()
+
+
+def changes(revision: int, *ids: str, **fields) -> Answer:
+    workers = tuple(worker(worker_id) for worker_id in ids)
+    return Ok(StoreChanges(revision=revision, workers=workers, **fields))
+
+
+class TestVersions:
+    async def test_an_older_table_is_never_taken(self):
+        # A read answered late brings the version before a key was revoked.
+        rig = Rig(
+            changes(1, table=published(5)),
+            changes(2, table=published(4)),
+            changes(3, table=published(7)),
+        )
+        await rig.read(3)
+        assert rig.tables == [5, 7]
+
+    async def test_lost_history_is_listed_anew(self):
+        rig = Rig(
+            changes(1, "a", "b"), Err(StoreFault.HISTORY_LOST), changes(9, "b", "c")
+        )
+        await rig.read(2)
+        assert rig.store.asked == [0, 1, 0]
+        assert sorted(rig.workers.ids()) == ["b", "c"]
+
+
+class TestWorkers:
+    async def test_one_that_is_removed_is_gone_at_once(self):
+        rig = Rig(changes(1, "a"), changes(2, removed=("a",)))
+        await rig.read(2)
+        assert rig.workers.ids() == []
+
+    async def test_entries_that_lapsed_while_the_store_was_away_may_come_back(
+        self, monkeypatch
+    ):
+        # The store is down for five seconds. When it is back all entries have
+        # run out; the workers live and write again within two seconds. Taken
+        # at its word, the store would leave no worker at all until then.
+        monkeypatch.setattr(store_feed, "LAPSE_S", 0.05)
+        rig = Rig(
+            changes(1, "a", "b"),
+            Err(StoreFault.SILENT),
+            changes(2, removed=("a", "b")),
+            changes(3, "a"),
+            changes(4),
+        )
+        await rig.read(3)
+        assert sorted(rig.workers.ids()) == ["a", "b"]
+        await rig.read(1)
+        await store_feed.asyncio.sleep(0.06)
+        await rig.read(1)
+        assert rig.workers.ids() == ["a"]
+
+
+class TestPeers:
+    async def test_a_gateway_that_is_turned_away_learns_from_peers(self):
+        # The store serves the other gateways and refuses this one. A key is
+        # revoked and a worker leaves: both must be known here as well.
+        state = StoreState(
+            revision=8,
+            version=6,
+            data=b"6",
+            workers=[ListedWorker(worker_id="b", service_name="plain")],
+        )
+        rig = Rig(
+            changes(1, "a", table=published(5)),
+            Err(StoreFault.REFUSED),
+            states=(state,),
+        )
+        await rig.read(2)
+        await rig.feed.read_peers()
+        assert rig.tables == [5, 6]
+        assert rig.feed.is_away
+
+    async def test_what_a_peer_knows_less_of_is_not_taken(self):
+        state = StoreState(revision=1, version=4, data=b"4", workers=[])
+        rig = Rig(changes(7, "a", table=published(5)), states=(state,))
+        await rig.read(1)
+        await rig.feed.read_peers()
+        assert rig.tables == [5]
+        assert rig.workers.ids() == ["a"]
+
+    async def test_nothing_known_is_not_ready(self):
+        rig = Rig(Err(StoreFault.SILENT))
+        await rig.read(1)
+        assert not rig.feed.is_known
--- /dev/null
+++ b/tests/platform_adapter/test_gateway_process.py
@@ -0,0 +1,205 @@
+"""The real gateway process on the stand-in platform."""
+
+import asyncio
+import signal
+
+import aiohttp
+
+from trefoilpaddle.standins.platform.site import (
+    ACCOUNT,
+    configuration,
+    small_site,
+)
+from trefoilpaddle.standins.platform.store import TABLE_KEY
+
+from ..waiting import until
+from .rig import DRAFT, event_numbers, gateways, headers
+
+
+class TestServing:
+    async def test_all_kinds_of_requests_are_served(self, tmp_path):
+        async with (
+            small_site() as site,
+            gateways(site, tmp_path, "a") as (gateway,),
+            aiohttp.ClientSession() as client,
+        ):
+            await until(lambda: "retrieve1" in gateway.log())
+            async with client.post(
+                f"{gateway.url}/hold/1", data=b"{}", headers=headers("h1")
+            ) as answer:
+                assert (answer.status, await answer.read()) == (200, b"h1")
+                assert "Trefoilpaddle-Server-Seal" in answer.headers
+            async with client.post(
+                f"{gateway.url}/draft/1", data=b"{}", headers=headers("d1") | DRAFT
+            ) as answer:
+                assert event_numbers(await answer.read()) == [1, 2, 3, 4, 5]
+            ran = [w for w in site.workers.values() if "d1" in w.ran]
+            assert len(ran) == 1
+            sent = ran[0].headers[0]
+            assert sent["Trefoilpaddle-Tenant"] == ACCOUNT
+            assert "Trefoilpaddle-Credential" not in sent
+            assert len(sent["Trefoilpaddle-Inputs"].split(",")) == 3
+            assert len(site.workers["encode1"].pieces) == 2
+            await until(lambda: len(site.workers["encode1"].freed) == 2)
+            await until(lambda: len(site.workers["retrieve1"].freed) == 3)
+
+    async def test_what_is_not_published_is_refused(self, tmp_path):
+        async with (
+            small_site() as site,
+            gateways(site, tmp_path, "a") as (gateway,),
+            aiohttp.ClientSession() as client,
+        ):
+            for path, key, status in (
+                ("/none/1", "a-key", 404),
+                ("/hold/1", "another", 401),
+            ):
+                sent = headers("x", Trefoilpaddle_Credential=key)
+                async with client.post(gateway.url + path, headers=sent) as answer:
+                    assert answer.status == status
+
+
+class TestConfiguration:
+    async def test_a_revoked_key_is_refused_soon(self, tmp_path):
+        async with (
+            small_site() as site,
+            gateways(site, tmp_path, "a") as (gateway,),
+            aiohttp.ClientSession() as client,
+        ):
+            tenants = [{"name": ACCOUNT, "api_keys": ["new"]}]
+            site.store.put(TABLE_KEY, configuration(2, tenants=tenants))
+
+            async def status() -> int:
+                sent = headers("x")
+                async with client.get(f"{gateway.url}/price/1", headers=sent) as got:
+                    return got.status
+
+            async with asyncio.timeout(2.0):
+                while await status() != 401:  # noqa: ASYNC110
+                    await asyncio.sleep(0.05)
+
+    async def test_one_that_is_turned_away_hears_it_from_its_peer(self, tmp_path):
+        # The store refuses one gateway and serves the other. A key is revoked:
+        # the refused gateway must not go on taking it.
+        async with (
+            small_site() as site,
+            gateways(site, tmp_path, "a", "a") as (first, second),
+            aiohttp.ClientSession() as client,
+        ):
+            await until(lambda: "member_joined" in second.log())
+            site.store.is_refusing = True
+            await until(lambda: "config_source_lost" in first.log())
+            await until(lambda: "config_source_lost" in second.log())
+            second.signal(signal.SIGSTOP)
+            site.store.is_refusing = False
+            tenants = [{"name": ACCOUNT, "api_keys": ["new"]}]
+            site.store.put(TABLE_KEY, configuration(2, tenants=tenants))
+            await until(lambda: "config_in_force config_revision=2" in first.log())
+            site.store.is_refusing = True
+            second.signal(signal.SIGCONT)
+            await until(lambda: "config_in_force config_revision=2" in second.log())
+            sent = headers("x")
+            async with client.get(f"{second.url}/price/1", headers=sent) as answer:
+                assert answer.status == 401
+
+
+class TestStopping:
+    async def test_a_planned_stop_cuts_no_stream(self, tmp_path):
+        # A gateway is told to stop while a stream runs. The caller gets all of
+        # it, and the connection says that it closes.
+        async with (
+            small_site() as site,
+            gateways(site, tmp_path, "a") as (gateway,),
+            aiohttp.ClientSession() as client,
+        ):
+            await until(lambda: "retrieve1" in gateway.log())
+            for worker in site.workers.values():
+                worker.work_s = 0.1
+            sent = headers("d1") | DRAFT
+            async with client.post(f"{gateway.url}/draft/1", headers=sent) as answer:
+                await answer.content.readany()
+                gateway.signal(signal.SIGTERM)
+                rest = await answer.read()
+                assert event_numbers(rest)[-1] == 5
+            assert await gateway.ended() == 0
+            assert "n_cut_off=0" in gateway.log()
+
+    async def test_it_is_not_ready_but_serves_open_connections(self, tmp_path):
+        async with (
+            small_site() as site,
+            gateways(site, tmp_path, "a") as (gateway,),
+            aiohttp.ClientSession() as client,
+        ):
+            await until(lambda: "stock2" in gateway.log())
+            sent = headers("p1")
+            async with client.get(f"{gateway.url}/price/1", headers=sent) as answer:
+                assert answer.status == 200
+            gateway.signal(signal.SIGTERM)
+            while await gateway.is_ready(client):
+                await asyncio.sleep(0.01)
+            sent = headers("p2")
+            async with client.get(f"{gateway.url}/price/1", headers=sent) as answer:
+                assert answer.status == 200
+                assert answer.headers["Connection"] == "close"
+
+    async def test_a_hangup_ends_nothing(self, tmp_path):
+        async with (
+            small_site() as site,
+            gateways(site, tmp_path, "a") as (gateway,),
+            aiohttp.ClientSession() as client,
+        ):
+            gateway.signal(signal.SIGHUP)
+            await asyncio.sleep(0.2)
+            assert await gateway.is_ready(client)
+
+
+class TestFaults:
+    async def test_a_stream_goes_on_at_another_engine(self, tmp_path):
+        async with (
+            small_site() as site,
+            gateways(site, tmp_path, "a") as (gateway,),
+            aiohttp.ClientSession() as client,
+        ):
+            await until(lambda: "retrieve1" in gateway.log())
+            for worker_id in ("model1", "model2"):
+                site.workers[worker_id].work_s = 0.05
+            sent = headers("d1") | DRAFT
+            async with client.post(f"{gateway.url}/draft/1", headers=sent) as answer:
+                body = await answer.content.readany()
+                used = next(w for w in site.workers.values() if "d1" in w.ran)
+                used.break_off = True
+                body += await answer.read()
+            assert event_numbers(body) == [1, 2, 3, 4, 5]
+
+    async def test_a_reservation_whose_answer_is_lost_runs_once(self, tmp_path):
+        # The worker runs the reservation and its answer is lost. The caller is
+        # told that it may have run, and no other worker gets it.
+        async with (
+            small_site() as site,
+            gateways(site, tmp_path, "a") as (gateway,),
+            aiohttp.ClientSession() as client,
+        ):
+            await until(lambda: "stock2" in gateway.log())
+            for worker_id in ("stock1", "stock2"):
+                site.workers[worker_id].break_off = True
+            sent = headers("h1")
+            async with client.post(f"{gateway.url}/hold/1", headers=sent) as answer:
+                assert answer.status == 502
+            n_ran = sum(w.ran.count("h1") for w in site.workers.values())
+            assert n_ran == 1
+
+    async def test_an_address_that_another_worker_has_is_not_used(self, tmp_path):
+        # A worker is gone, its address is given to another, and the list is
+        # late. The other must not run the request.
+        async with (
+            small_site() as site,
+            gateways(site, tmp_path, "a") as (gateway,),
+            aiohttp.ClientSession() as client,
+        ):
+            await until(lambda: "stock2" in gateway.log())
+            for worker_id in ("stock1", "stock2"):
+                site.workers[worker_id].worker_id += "-new"
+            sent = headers("h1")
+            async with client.post(f"{gateway.url}/hold/1", headers=sent) as answer:
+                assert answer.status == 503
+                assert "Retry-After" in answer.headers
+            assert not any(w.ran for w in site.workers.values())
