Write logs to standard output without blocking, serve metrics

A slow reader of standard error stopped a process at its next line. LogFormat stands apart from the pydantic settings.

--- a/src/trefoilpaddle/cli/serve.py
+++ b/src/trefoilpaddle/cli/serve.py
@@ -47,7 +47,11 @@
             return EXIT_BAD_INPUT
         case Ok(settings):
             process_id = f"{settings.process.host}-{role_name}"
-            logs.set_up(settings=settings.log, process_id=process_id)
+            logs.set_up(
+                format=settings.log.format,
+                verbosity=settings.log.verbosity,
+                process_id=process_id,
+            )
             _calm_collector()
             try:
                 return uvloop.run(_role(settings))
--- a/src/trefoilpaddle/state/journal.py
+++ b/src/trefoilpaddle/state/journal.py
@@ -14,7 +14,7 @@
 
 from ..protocol.reasons import Reason
 from .events import Event as Event
-from .settings import LogFormat
+from .log_format import LogFormat
 
 WORK_AFTER_S: Final = 0.05
 MAX_NEW: Final = 64
--- a/src/trefoilpaddle/state/logs.py
+++ b/src/trefoilpaddle/state/logs.py
@@ -1,4 +1,4 @@
-"""Log lines on standard error: one for each event, key=value or JSON."""
+"""Log lines on standard output: one for each event, key=value or JSON."""
 
 import logging as python_logging
 import time
@@ -8,7 +8,11 @@
 from absl import flags, logging
 
 from .journal import Batch, Record
-from .settings import LogFormat, LogSettings
+from .log_format import LogFormat
+from .log_stream import LogStream
+
+STDOUT_FD: Final = 1
+"""Standard output, written around Python's own buffer, which may block."""
 
 LEVELS: Final = {
     "DEBUG": "debug",
@@ -90,12 +94,23 @@
         return f"{self._second_text}.{int((wall_s - second) * 1000):03d}Z"
 
 
-def set_up(*, settings: LogSettings, process_id: str) -> None:
-    """Send the log to standard error in the chosen format."""
+def set_up(*, format: LogFormat, verbosity: str, process_id: str) -> None:
+    """Send the log to standard output in the chosen format.
+
+    Parameters
+    ----------
+    format : LogFormat
+        How lines are written.
+    verbosity : str
+        Least level that is written.
+    process_id : str
+        Written on each line.
+    """
     # absl warns on each line before its flags are parsed; fire parses ours.
     flags.FLAGS.mark_as_parsed()
     logging.use_absl_handler()
-    logging.set_verbosity(settings.verbosity)
-    logging.set_stderrthreshold("debug")
-    formatter = LineFormatter(process_id=process_id, format=settings.format)
-    logging.get_absl_handler().setFormatter(formatter)
+    logging.set_verbosity(verbosity)
+    logging.set_stderrthreshold("fatal")
+    handler = logging.get_absl_handler()
+    handler.python_handler.stream = LogStream(fd=STDOUT_FD)
+    handler.setFormatter(LineFormatter(process_id=process_id, format=format))
--- a/src/trefoilpaddle/state/metrics.py
+++ b/src/trefoilpaddle/state/metrics.py
@@ -59,6 +59,7 @@
         "_decision_children",
         "_decisions",
         "_entries",
+        "_latency",
         "_owners",
         "_queue",
         "_requests",
@@ -91,6 +92,13 @@
             ["stage", "owner"],
             registry=self.registry,
         )
+        self._latency = Histogram(
+            "trefoilpaddle_request_seconds",
+            "Time from a request's first byte to the end of its answer.",
+            ["entry", "outcome"],
+            buckets=SECONDS,
+            registry=self.registry,
+        )
         self._queue = Histogram(
             "trefoilpaddle_queue_seconds",
             "Time that a stage call waited before it started.",
@@ -116,7 +124,11 @@
         self._decision_child(event, int(decision.reason)).inc()
         outcome = OUTCOMES.get(event)
         if outcome is not None:
-            self._requests.labels(self._entries.bound(decision.entry), outcome).inc()
+            entry = self._entries.bound(decision.entry)
+            self._requests.labels(entry, outcome).inc()
+            for figure in decision.figures:
+                if figure.name == "took_s":
+                    self._latency.labels(entry, outcome).observe(figure.value)
         elif event == STARTED:
             self._observe(self._queue, decision, "queued_s")
         elif event == FINISHED:
--- a/src/trefoilpaddle/state/settings.py
+++ b/src/trefoilpaddle/state/settings.py
@@ -7,6 +7,7 @@
 from pydantic.dataclasses import dataclass
 
 from .catalogue import STRICT, Count, Name, Positive, ServiceKind
+from .log_format import LogFormat as LogFormat
 from .setting_types import AddressText, OptionalUrl, Url
 
 
@@ -35,14 +36,6 @@
     IGNORED = "ignored"
 
 
-@unique
-class LogFormat(StrEnum):
-    """How an event is written to the log."""
-
-    KEY_VALUE = "key_value"
-    JSON = "json"
-
-
 @dataclass(slots=True, kw_only=True, config=STRICT)
 class ProcessSettings:
     """Who this process is.
--- a/tests/chain/fakes.py
+++ b/tests/chain/fakes.py
@@ -98,9 +98,7 @@
 
 
 def budgets(*, slack: float = 100.0, ratio: float = 1.0) -> RepeatBudgets:
-    return RepeatBudgets(
-        ratio=ratio, slack=slack, window_s=10.0, n_gateways=lambda: 1
-    )
+    return RepeatBudgets(ratio=ratio, slack=slack, window_s=10.0, n_gateways=lambda: 1)
 
 
 @dataclass
--- a/tests/chain/test_attempts.py
+++ b/tests/chain/test_attempts.py
@@ -57,7 +57,9 @@
 
 class TestAtMostOnce:
     @pytest.mark.parametrize("fault", [CallFault.BROKEN, CallFault.SILENT])
-    async def test_one_that_may_have_run_is_not_sent_again(self, fault):
+    async def test_one_that_may_have_run_is_not_sent_again(
+        self, fault: CallFault
+    ) -> None:
         # A worker runs a reservation and its answer is lost. The caller must
         # neither get a second reservation nor hear that there was none.
         calls = FakeCalls(scripts=[fault])
@@ -68,7 +70,9 @@
     @pytest.mark.parametrize(
         "fault", [CallFault.FULL, CallFault.MOVED, CallFault.UNREACHABLE]
     )
-    async def test_one_that_has_not_run_goes_to_another_worker(self, fault):
+    async def test_one_that_has_not_run_goes_to_another_worker(
+        self, fault: CallFault
+    ) -> None:
         calls = FakeCalls(scripts=[fault, FakeAnswer()])
         sink = FakeSink()
         assert isinstance(await attempts(calls, ONCE).run(sink), Answered)
@@ -76,18 +80,18 @@
         first, second = (worker_id for worker_id, _ in calls.sent)
         assert first != second
 
-    async def test_refused_everywhere_it_has_truly_not_run(self):
+    async def test_refused_everywhere_it_has_truly_not_run(self) -> None:
         calls = FakeCalls(scripts=[CallFault.FULL] * 3)
         outcome = await attempts(calls, ONCE).run(FakeSink())
         assert isinstance(outcome, Refused)
         assert outcome.retry_after_s > 0
 
-    async def test_refused_after_one_that_may_have_run_is_no_refusal(self):
+    async def test_refused_after_one_that_may_have_run_is_no_refusal(self) -> None:
         calls = FakeCalls(scripts=[CallFault.BROKEN, CallFault.FULL])
         outcome = await attempts(calls, IDEMPOTENT).run(FakeSink())
         assert isinstance(outcome, Failed)
 
-    async def test_a_workers_failure_is_passed_on_as_it_is(self):
+    async def test_a_workers_failure_is_passed_on_as_it_is(self) -> None:
         calls = FakeCalls(scripts=[FakeAnswer(head=FAILED_HEAD, body=b"no")])
         sink = FakeSink()
         assert isinstance(await attempts(calls, ONCE).run(sink), Answered)
@@ -95,31 +99,31 @@
 
 
 class TestRepeats:
-    async def test_an_idempotent_one_is_tried_again_after_a_failure(self):
+    async def test_an_idempotent_one_is_tried_again_after_a_failure(self) -> None:
         calls = FakeCalls(scripts=[FakeAnswer(head=FAILED_HEAD), FakeAnswer()])
         sink = FakeSink()
         await attempts(calls, IDEMPOTENT).run(sink)
         assert sink.seen == ["200 body"]
 
-    async def test_never_at_more_workers_than_the_route_allows(self):
+    async def test_never_at_more_workers_than_the_route_allows(self) -> None:
         calls = FakeCalls(scripts=[CallFault.BROKEN] * 5)
         await attempts(calls, IDEMPOTENT, n_workers=5).run(FakeSink())
         assert len(calls.sent) == 2
 
-    async def test_never_beyond_the_budget(self):
+    async def test_never_beyond_the_budget(self) -> None:
         calls = FakeCalls(scripts=[CallFault.BROKEN] * 5)
         await attempts(calls, IDEMPOTENT, slack=0.0).run(FakeSink())
         assert len(calls.sent) == 1
 
 
 class TestStreams:
-    async def test_events_pass_in_order_to_the_end(self):
+    async def test_events_pass_in_order_to_the_end(self) -> None:
         calls = FakeCalls(scripts=[FakeAnswer(n_events=3)])
         sink = FakeSink()
         await attempts(calls, STREAM).run(sink)
         assert sink.seen == ["begin", "1", "2", "3", "end"]
 
-    async def test_a_broken_one_goes_on_where_it_broke(self):
+    async def test_a_broken_one_goes_on_where_it_broke(self) -> None:
         # An engine dies in the middle of an answer. The caller sees one stream
         # with no hole and nothing twice.
         calls = FakeCalls(
@@ -133,7 +137,7 @@
         assert sink.seen == ["begin", "1", "2", "3", "4", "end"]
         assert calls.sent[1][1].after_event == 2
 
-    async def test_a_hole_is_never_passed_on(self):
+    async def test_a_hole_is_never_passed_on(self) -> None:
         calls = FakeCalls(scripts=[FakeAnswer(n_events=1), FakeAnswer()])
         calls.scripts = [
             FakeAnswer(n_events=2, breaks=True),
@@ -144,14 +148,14 @@
         assert outcome == Failed(reason=Reason.CONNECTION_LOST, is_begun=True)
         assert sink.seen == ["begin", "1", "2"]
 
-    async def test_one_that_may_not_be_resumed_is_cut_off(self):
+    async def test_one_that_may_not_be_resumed_is_cut_off(self) -> None:
         calls = FakeCalls(scripts=[FakeAnswer(n_events=2, breaks=True)])
         sink = FakeSink()
         outcome = await attempts(calls, STREAM_ONCE).run(sink)
         assert isinstance(outcome, Failed) and outcome.is_begun
         assert "end" not in sink.seen
 
-    async def test_one_that_ends_without_any_event_is_no_answer(self):
+    async def test_one_that_ends_without_any_event_is_no_answer(self) -> None:
         calls = FakeCalls(scripts=[FakeAnswer(n_events=0)] * 2)
         outcome = await attempts(calls, STREAM).run(FakeSink())
         assert isinstance(outcome, Failed)
--- a/tests/chain/test_repeat_budget.py
+++ b/tests/chain/test_repeat_budget.py
@@ -14,17 +14,17 @@
 
 
 class TestRepeatBudget:
-    def test_shares_of_the_slack_add_up(self):
+    def test_shares_of_the_slack_add_up(self) -> None:
         gateways = [budget(n_gateways=4) for _ in range(4)]
         assert sum(spent(each, 100, 0.0) for each in gateways) <= 40
 
-    def test_requests_earn_repeats(self):
+    def test_requests_earn_repeats(self) -> None:
         alone = budget(slack=0.0)
         for _ in range(100):
             alone.earn(0.0)
         assert spent(alone, 100, 0.0) == 16
 
-    def test_what_left_the_window_counts_no_more(self):
+    def test_what_left_the_window_counts_no_more(self) -> None:
         alone = budget(n_gateways=1)
         first = spent(alone, 100, 0.0)
         assert spent(alone, 100, 5.0) == 0
--- a/tests/chain/test_stage_keeper.py
+++ b/tests/chain/test_stage_keeper.py
@@ -2,13 +2,14 @@
 
 import asyncio
 import time
+from collections.abc import Sequence
 
 from trefoilpaddle.protocol.reasons import Reason
 from trefoilpaddle.state.chain.chain_work import ChainFailed, ChainMade, ChainWork
-from trefoilpaddle.state.chain.piece_work import PieceFault
+from trefoilpaddle.state.chain.piece_work import PieceEnd, PieceFault, PieceWork
 from trefoilpaddle.state.chain.routes import StagePlan
 from trefoilpaddle.state.chain.target_answers import CallFault
-from trefoilpaddle.state.chain.workers import WorkerTable
+from trefoilpaddle.state.chain.workers import Worker, WorkerTable
 
 from ..waiting import until
 from .fakes import FakeCalls, journal, keeper, made, piece_service, table, worker
@@ -21,18 +22,22 @@
 """The request takes stage 0 and stage 2; stage 2 takes stage 1."""
 
 
-def work(name: str = "a", *, due_in_s: float = 5.0, **fields) -> ChainWork:
+def work(
+    name: str = "a",
+    *,
+    due_in_s: float = 5.0,
+    n_pieces: tuple[int, ...] = (2, 1, 3),
+) -> ChainWork:
     now_s = time.monotonic()
-    known = {
-        "request_id": name,
-        "route": "r",
-        "stages": DIAMOND,
-        "n_pieces": (2, 1, 3),
-        "piece_key": "k",
-        "due_s": now_s + due_in_s,
-        "deadline_s": now_s + 9.0,
-    }
-    return ChainWork(**(known | fields))
+    return ChainWork(
+        request_id=name,
+        route="r",
+        stages=DIAMOND,
+        n_pieces=n_pieces,
+        piece_key="k",
+        due_s=now_s + due_in_s,
+        deadline_s=now_s + 9.0,
+    )
 
 
 class Rig:
@@ -49,7 +54,7 @@
 
 
 class TestWalk:
-    async def test_stages_take_the_results_of_those_before(self):
+    async def test_stages_take_the_results_of_those_before(self) -> None:
         calls = FakeCalls()
         end = await Rig(calls).keeper.run(work())
         assert isinstance(end, ChainMade)
@@ -64,12 +69,12 @@
         assert {piece.inputs for piece in last} == {("s1/a.1.0",)}
         assert {piece.key for piece in last} == {""}
 
-    async def test_a_stage_without_pieces_is_left_out(self):
+    async def test_a_stage_without_pieces_is_left_out(self) -> None:
         end = await Rig(FakeCalls()).keeper.run(work(n_pieces=(0, 1, 1)))
         assert isinstance(end, ChainMade)
         assert end.handles == ("t1/a.2.0",)
 
-    async def test_pieces_of_several_requests_ride_together(self):
+    async def test_pieces_of_several_requests_ride_together(self) -> None:
         # A call of a stage worker takes 200 ms whatever it carries. With one
         # request a call, a calm day needs more workers than there are.
         calls = FakeCalls()
@@ -78,7 +83,7 @@
         assert all(isinstance(end, ChainMade) for end in ends)
         assert len(calls.batches) <= 6
 
-    async def test_results_that_were_read_are_freed(self):
+    async def test_results_that_were_read_are_freed(self) -> None:
         calls = FakeCalls()
         rig = Rig(calls)
         await rig.keeper.run(work())
@@ -87,8 +92,8 @@
         rig.keeper.free("a")
         await until(lambda: len(calls.freed) == 6)
 
-    async def test_a_failed_stage_frees_what_the_others_made(self):
-        def fail(at, works):
+    async def test_a_failed_stage_frees_what_the_others_made(self) -> None:
+        def fail(at: Worker, works: Sequence[PieceWork]) -> list[PieceEnd]:
             if at.worker_id == "t1":
                 return [PieceFault.INPUT_GONE] * len(works)
             return [made(at, each) for each in works]
@@ -98,10 +103,12 @@
         assert end == ChainFailed(reason=Reason.RESULT_GONE, is_begun=True)
         await until(lambda: len(calls.freed) == 3)
 
-    async def test_a_silent_worker_is_left_for_another(self):
+    async def test_a_silent_worker_is_left_for_another(self) -> None:
         # A worker falls silent under a call. What waits behind it must not
         # wait for its end.
-        def answer(at, works):
+        def answer(
+            at: Worker, works: Sequence[PieceWork]
+        ) -> list[PieceEnd] | CallFault:
             if at.worker_id == "s1":
                 return CallFault.SILENT
             return [made(at, each) for each in works]
@@ -112,10 +119,10 @@
         assert isinstance(end, ChainMade)
         assert end.handles[0].startswith("s2/")
 
-    async def test_a_piece_without_room_stays_and_is_made_when_there_is(self):
-        tries = []
+    async def test_a_piece_without_room_stays_and_is_made_when_there_is(self) -> None:
+        tries: list[int] = []
 
-        def answer(at, works):
+        def answer(at: Worker, works: Sequence[PieceWork]) -> list[PieceEnd]:
             tries.append(len(works))
             if at.worker_id == "s1" and len(tries) == 1:
                 return [PieceFault.NO_ROOM] * len(works)
@@ -126,7 +133,7 @@
 
 
 class TestLetIn:
-    async def test_a_chain_that_would_be_late_is_refused_before_any_piece(self):
+    async def test_a_chain_that_would_be_late_is_refused_before_any_piece(self) -> None:
         calls = FakeCalls()
         end = await Rig(calls).keeper.run(work(due_in_s=0.01))
         assert isinstance(end, ChainFailed)
@@ -134,7 +141,7 @@
         assert end.finish_s > 0.01
         assert calls.batches == []
 
-    async def test_what_is_promised_counts(self):
+    async def test_what_is_promised_counts(self) -> None:
         # Two hundred chains come in one moment. Queues are empty, but each
         # chain that is let in fills them; letting all in makes all late.
         calls = FakeCalls(call_s=0.02)
@@ -144,7 +151,7 @@
         n_made = sum(isinstance(end, ChainMade) for end in ends)
         assert 5 < n_made < 100
 
-    async def test_without_a_worker_it_says_so(self):
+    async def test_without_a_worker_it_says_so(self) -> None:
         rig = Rig(FakeCalls())
         rig.workers.remove("t1")
         end = await rig.keeper.run(work())
@@ -152,7 +159,7 @@
 
 
 class TestLeaving:
-    async def test_a_worker_that_leaves_gets_no_more_calls(self):
+    async def test_a_worker_that_leaves_gets_no_more_calls(self) -> None:
         calls = FakeCalls(call_s=0.05)
         rig = Rig(calls, batch=1)
         running = asyncio.create_task(rig.keeper.run(work(n_pieces=(4, 0, 0))))
@@ -162,7 +169,7 @@
         assert end == ChainFailed(reason=Reason.NO_TARGET, is_begun=True)
         assert len(calls.batches) == 1
 
-    async def test_a_caller_that_left_takes_no_calls(self):
+    async def test_a_caller_that_left_takes_no_calls(self) -> None:
         calls = FakeCalls(call_s=0.05)
         rig = Rig(calls, batch=1)
         running = asyncio.create_task(rig.keeper.run(work(n_pieces=(4, 0, 0))))
--- a/tests/chain/test_store_feed.py
+++ b/tests/chain/test_store_feed.py
@@ -1,7 +1,9 @@
 """A gateway's view of the store: versions, workers, loss and return."""
 
+import asyncio
 from collections.abc import Awaitable, Callable
 
+import pytest
 from result import Err, Ok, Result
 
 from trefoilpaddle.coordination.chain import store_feed
@@ -16,7 +18,6 @@
 from trefoilpaddle.state.chain.routes import RouteTable
 from trefoilpaddle.state.chain.workers import WorkerTable
 
-
 from .fakes import journal, process, worker
 
 Answer = Result[StoreChanges, StoreFault]
@@ -71,13 +72,20 @@
             await self.feed.read_once()
 
 
-def changes(revision: int, *ids: str, **fields) -> Answer:
+def changes(
+    revision: int,
+    *ids: str,
+    table: PublishedTable | None = None,
+    removed: tuple[str, ...] = (),
+) -> Answer:
     workers = tuple(worker(worker_id) for worker_id in ids)
-    return Ok(StoreChanges(revision=revision, workers=workers, **fields))
+    return Ok(
+        StoreChanges(revision=revision, workers=workers, table=table, removed=removed)
+    )
 
 
 class TestVersions:
-    async def test_an_older_table_is_never_taken(self):
+    async def test_an_older_table_is_never_taken(self) -> None:
         # A read answered late brings the version before a key was revoked.
         rig = Rig(
             changes(1, table=published(5)),
@@ -87,7 +95,7 @@
         await rig.read(3)
         assert rig.tables == [5, 7]
 
-    async def test_lost_history_is_listed_anew(self):
+    async def test_lost_history_is_listed_anew(self) -> None:
         rig = Rig(
             changes(1, "a", "b"), Err(StoreFault.HISTORY_LOST), changes(9, "b", "c")
         )
@@ -97,14 +105,14 @@
 
 
 class TestWorkers:
-    async def test_one_that_is_removed_is_gone_at_once(self):
+    async def test_one_that_is_removed_is_gone_at_once(self) -> None:
         rig = Rig(changes(1, "a"), changes(2, removed=("a",)))
         await rig.read(2)
         assert rig.workers.ids() == []
 
     async def test_entries_that_lapsed_while_the_store_was_away_may_come_back(
-        self, monkeypatch
-    ):
+        self, monkeypatch: pytest.MonkeyPatch
+    ) -> None:
         # The store is down for five seconds. When it is back all entries have
         # run out; the workers live and write again within two seconds. Taken
         # at its word, the store would leave no worker at all until then.
@@ -119,13 +127,13 @@
         await rig.read(3)
         assert sorted(rig.workers.ids()) == ["a", "b"]
         await rig.read(1)
-        await store_feed.asyncio.sleep(0.06)
+        await asyncio.sleep(0.06)
         await rig.read(1)
         assert rig.workers.ids() == ["a"]
 
 
 class TestPeers:
-    async def test_a_gateway_that_is_turned_away_learns_from_peers(self):
+    async def test_a_gateway_that_is_turned_away_learns_from_peers(self) -> None:
         # The store serves the other gateways and refuses this one. A key is
         # revoked and a worker leaves: both must be known here as well.
         state = StoreState(
@@ -144,7 +152,7 @@
         assert rig.tables == [5, 6]
         assert rig.feed.is_away
 
-    async def test_what_a_peer_knows_less_of_is_not_taken(self):
+    async def test_what_a_peer_knows_less_of_is_not_taken(self) -> None:
         state = StoreState(revision=1, version=4, data=b"4", workers=[])
         rig = Rig(changes(7, "a", table=published(5)), states=(state,))
         await rig.read(1)
@@ -152,7 +160,7 @@
         assert rig.tables == [5]
         assert rig.workers.ids() == ["a"]
 
-    async def test_nothing_known_is_not_ready(self):
+    async def test_nothing_known_is_not_ready(self) -> None:
         rig = Rig(Err(StoreFault.SILENT))
         await rig.read(1)
         assert not rig.feed.is_known
--- a/tests/platform_adapter/rig.py
+++ b/tests/platform_adapter/rig.py
@@ -52,7 +52,11 @@
         self.process = subprocess.Popen(
             [sys.executable, "platform"],
             cwd=ROOT,
-            env=os.environ | {"TREFOILPADDLE_NODE_FILE": str(path)},
+            env=os.environ
+            | {
+                "TREFOILPADDLE_NODE_FILE": str(path),
+                "TREFOILPADDLE_METRICS": f"{self.ports[3]}/metrics",
+            },
             stdout=log.open("wb"),
             stderr=subprocess.STDOUT,
         )
@@ -64,9 +68,7 @@
     async def ended(self) -> int:
         assert self.process is not None
         async with asyncio.timeout(CAP_S):
-            while (code := self.process.poll()) is None:
-                await asyncio.sleep(0.01)
-        return code
+            return await asyncio.to_thread(self.process.wait)
 
     def log(self) -> str:
         return "".join(path.read_text() for path in self.logs)
@@ -81,7 +83,7 @@
 
     async def wait_ready(self, client: aiohttp.ClientSession) -> None:
         async with asyncio.timeout(CAP_S):
-            while not await self.is_ready(client):
+            while not await self.is_ready(client):  # noqa: ASYNC110
                 await asyncio.sleep(0.02)
 
 
--- a/tests/platform_adapter/test_gateway_process.py
+++ b/tests/platform_adapter/test_gateway_process.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import signal
+from pathlib import Path
 
 import aiohttp
 
@@ -17,7 +18,7 @@
 
 
 class TestServing:
-    async def test_all_kinds_of_requests_are_served(self, tmp_path):
+    async def test_all_kinds_of_requests_are_served(self, tmp_path: Path) -> None:
         async with (
             small_site() as site,
             gateways(site, tmp_path, "a") as (gateway,),
@@ -43,7 +44,7 @@
             await until(lambda: len(site.workers["encode1"].freed) == 2)
             await until(lambda: len(site.workers["retrieve1"].freed) == 3)
 
-    async def test_what_is_not_published_is_refused(self, tmp_path):
+    async def test_what_is_not_published_is_refused(self, tmp_path: Path) -> None:
         async with (
             small_site() as site,
             gateways(site, tmp_path, "a") as (gateway,),
@@ -59,7 +60,7 @@
 
 
 class TestConfiguration:
-    async def test_a_revoked_key_is_refused_soon(self, tmp_path):
+    async def test_a_revoked_key_is_refused_soon(self, tmp_path: Path) -> None:
         async with (
             small_site() as site,
             gateways(site, tmp_path, "a") as (gateway,),
@@ -77,7 +78,9 @@
                 while await status() != 401:  # noqa: ASYNC110
                     await asyncio.sleep(0.05)
 
-    async def test_one_that_is_turned_away_hears_it_from_its_peer(self, tmp_path):
+    async def test_one_that_is_turned_away_hears_it_from_its_peer(
+        self, tmp_path: Path
+    ) -> None:
         # The store refuses one gateway and serves the other. A key is revoked:
         # the refused gateway must not go on taking it.
         async with (
@@ -103,7 +106,7 @@
 
 
 class TestStopping:
-    async def test_a_planned_stop_cuts_no_stream(self, tmp_path):
+    async def test_a_planned_stop_cuts_no_stream(self, tmp_path: Path) -> None:
         # A gateway is told to stop while a stream runs. The caller gets all of
         # it, and the connection says that it closes.
         async with (
@@ -123,7 +126,9 @@
             assert await gateway.ended() == 0
             assert "n_cut_off=0" in gateway.log()
 
-    async def test_it_is_not_ready_but_serves_open_connections(self, tmp_path):
+    async def test_it_is_not_ready_but_serves_open_connections(
+        self, tmp_path: Path
+    ) -> None:
         async with (
             small_site() as site,
             gateways(site, tmp_path, "a") as (gateway,),
@@ -134,14 +139,14 @@
             async with client.get(f"{gateway.url}/price/1", headers=sent) as answer:
                 assert answer.status == 200
             gateway.signal(signal.SIGTERM)
-            while await gateway.is_ready(client):
+            while await gateway.is_ready(client):  # noqa: ASYNC110
                 await asyncio.sleep(0.01)
             sent = headers("p2")
             async with client.get(f"{gateway.url}/price/1", headers=sent) as answer:
                 assert answer.status == 200
                 assert answer.headers["Connection"] == "close"
 
-    async def test_a_hangup_ends_nothing(self, tmp_path):
+    async def test_a_hangup_ends_nothing(self, tmp_path: Path) -> None:
         async with (
             small_site() as site,
             gateways(site, tmp_path, "a") as (gateway,),
@@ -153,7 +158,7 @@
 
 
 class TestFaults:
-    async def test_a_stream_goes_on_at_another_engine(self, tmp_path):
+    async def test_a_stream_goes_on_at_another_engine(self, tmp_path: Path) -> None:
         async with (
             small_site() as site,
             gateways(site, tmp_path, "a") as (gateway,),
@@ -170,7 +175,9 @@
                 body += await answer.read()
             assert event_numbers(body) == [1, 2, 3, 4, 5]
 
-    async def test_a_reservation_whose_answer_is_lost_runs_once(self, tmp_path):
+    async def test_a_reservation_whose_answer_is_lost_runs_once(
+        self, tmp_path: Path
+    ) -> None:
         # The worker runs the reservation and its answer is lost. The caller is
         # told that it may have run, and no other worker gets it.
         async with (
@@ -187,7 +194,9 @@
             n_ran = sum(w.ran.count("h1") for w in site.workers.values())
             assert n_ran == 1
 
-    async def test_an_address_that_another_worker_has_is_not_used(self, tmp_path):
+    async def test_an_address_that_another_worker_has_is_not_used(
+        self, tmp_path: Path
+    ) -> None:
         # A worker is gone, its address is given to another, and the list is
         # late. The other must not run the request.
         async with (
--- a/tools/measure_journal.py
+++ b/tools/measure_journal.py
@@ -1,9 +1,10 @@
 """Print what one decision costs: record, index, line and write to /dev/null.
 
-Run as ``python tools/measure_journal.py 2>/dev/null``; figures go to stdout.
+Run as ``python tools/measure_journal.py >/dev/null``; figures go to stderr.
 """
 
 import asyncio
+import sys
 import time
 
 from trefoilpaddle.protocol.reasons import Reason
@@ -16,7 +17,9 @@
 
 async def measure(settings: LogSettings) -> float:
     """Return the microseconds that one decision takes."""
-    logs.set_up(settings=settings, process_id="h1-gateway")
+    logs.set_up(
+        format=settings.format, verbosity=settings.verbosity, process_id="h1-gateway"
+    )
     journal = Journal(process_id="h1-gateway", n_records=20_000)
     begin_s = time.perf_counter()
     for number in range(N_DECISIONS):
@@ -42,9 +45,9 @@
 def main() -> None:
     for format in LogFormat:
         cost_us = asyncio.run(measure(LogSettings(format=format)))
-        print(f"{format}: {cost_us:.1f} us a decision")
+        print(f"{format}: {cost_us:.1f} us a decision", file=sys.stderr)
     cost_us = asyncio.run(measure(LogSettings(verbosity="warning")))
-    print(f"not logged, only kept: {cost_us:.1f} us a decision")
+    print(f"not logged, only kept: {cost_us:.1f} us a decision", file=sys.stderr)
 
 
 if __name__ == "__main__":
