Refuse what could not be answered before a planned stop's kill

Ruled out: the store, the worker (it had answered). Streams are refused 2.8 s after the order, whole requests 2 s before the kill, told as not run. Tests: parsing and framing, fuzzed; a raw worker's bytes; decoding.

--- a/src/trefoilpaddle/coordination/chain/request_path.py
+++ b/src/trefoilpaddle/coordination/chain/request_path.py
@@ -15,6 +15,7 @@
 from .admission import retry_after_s
 from .attempts import Attempts, Job
 from .caller_sink import CallerSink
+from .planned_stop import PlannedStop
 from .stage_door import StageDoor
 from .target_calls import TargetCalls
 from .worker_choice import WorkerChoice
@@ -43,6 +44,8 @@
         Bound what is sent again.
     journal : Journal
         Takes decisions.
+    stop : PlannedStop
+        Says what is still taken.
 
     Attributes
     ----------
@@ -57,6 +60,7 @@
         "_door",
         "_engine_times",
         "_journal",
+        "_stop",
         "_workers",
         "table",
     )
@@ -70,6 +74,7 @@
         calls: TargetCalls,
         budgets: RepeatBudgets,
         journal: Journal,
+        stop: PlannedStop,
     ) -> None:
         self._workers = workers
         self._door = door
@@ -78,6 +83,7 @@
         self._calls = calls
         self._budgets = budgets
         self._journal = journal
+        self._stop = stop
         self.table = RouteTable()
 
     def put_in_force(self, table: RouteTable) -> None:
@@ -108,6 +114,8 @@
             )
         if route is None:
             return Refused(reason=Reason.NO_ENTRY)
+        if not self._stop.takes(route):
+            return Refused(reason=Reason.STOPPING)
         account = self._account(table, route, request)
         if account is None:
             return Refused(reason=Reason.UNAUTHORISED)
--- a/src/trefoilpaddle/roles/process.py
+++ b/src/trefoilpaddle/roles/process.py
@@ -92,6 +92,7 @@
         "load_reader",
         "message_listeners",
         "n_cut_off",
+        "order_stop",
         "peers",
         "published",
         "server",
@@ -105,6 +106,7 @@
         self.journal = journal
         self.published = Published()
         self.stopping = asyncio.Event()
+        self.order_stop: Callable[[], None] = self.stopping.set
         self.load_reader: LoadReader = self._bare_load
         self.link_listeners: list[LinkListener] = []
         self.message_listeners: list[ConnectionListener] = []
@@ -177,7 +179,7 @@
         """
         loop = asyncio.get_running_loop()
         for number in (signal.SIGTERM, signal.SIGINT):
-            loop.add_signal_handler(number, self.stopping.set)
+            loop.add_signal_handler(number, self.order_stop)
         async with self.server.listening(), self.peers.open():
             self.journal.record(
                 Decision(event=Event.PROCESS_STARTED, peer=self.identity.process_id)
--- /dev/null
+++ b/tests/chain/test_planned_stop.py
@@ -0,0 +1,40 @@
+"""What is still taken after the order to stop."""
+
+import pytest
+
+from trefoilpaddle.coordination.chain import planned_stop
+from trefoilpaddle.coordination.chain.planned_stop import PlannedStop
+
+from .fakes import route
+
+PLAIN = route()
+STREAM = route(is_stream=True)
+
+
+class Clock:
+    def __init__(self) -> None:
+        self.now_s = 100.0
+
+    def monotonic(self) -> float:
+        return self.now_s
+
+
+class TestPlannedStop:
+    def test_what_would_be_cut_is_refused(
+        self, monkeypatch: pytest.MonkeyPatch
+    ) -> None:
+        # Seven seconds after the order a caller sends a stream on a connection
+        # it had open. The process ends within it, and the caller is left with
+        # a closed connection and no answer.
+        clock = Clock()
+        monkeypatch.setattr(planned_stop, "time", clock)
+        stop = PlannedStop(grace_s=8.0)
+        assert stop.takes(STREAM)
+        stop.order()
+        assert stop.takes(STREAM) and stop.takes(PLAIN)
+        clock.now_s += 3.0
+        assert not stop.takes(STREAM) and stop.takes(PLAIN)
+        clock.now_s += 3.5
+        assert not stop.takes(PLAIN)
+        stop.order()
+        assert stop.left_s() == pytest.approx(1.5)
--- /dev/null
+++ b/tests/platform_adapter/test_callers.py
@@ -0,0 +1,254 @@
+"""What callers may send, and that nothing is smuggled in it."""
+
+import asyncio
+import contextlib
+from collections.abc import AsyncIterator
+from dataclasses import dataclass, field
+
+import pytest
+from adapter.callers import CallerServer, decode_prompt
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from tests.sidecar_rig import free_port
+from trefoilpaddle.coordination.chain.caller_sink import CallerSink
+from trefoilpaddle.protocol.reasons import Reason
+from trefoilpaddle.state.chain.requests import (
+    Answered,
+    CallerRequest,
+    Failed,
+    Outcome,
+    PromptPart,
+    Refused,
+)
+from trefoilpaddle.state.chain.routes import CallerLimits
+from trefoilpaddle.state.chain.target_answers import AnswerHead, StreamEvent
+
+HEAD = AnswerHead(status=200, headers=((b"X-Seen", b"1"),))
+GET = b"GET /p/1 HTTP/1.1\r\nHost: h\r\nTrefoilpaddle-Attempt-Id: a\r\n"
+
+
+@dataclass
+class Served:
+    """What came through to the product, and what it answers."""
+
+    requests: list[CallerRequest] = field(default_factory=list)
+    outcome: Outcome = field(default_factory=Answered)
+    n_events: int = 0
+    left: asyncio.Event = field(default_factory=asyncio.Event)
+    hangs: bool = False
+
+    async def __call__(self, request: CallerRequest, sink: CallerSink) -> Outcome:
+        self.requests.append(request)
+        if self.hangs:
+            try:
+                await asyncio.sleep(30)
+            except asyncio.CancelledError:
+                self.left.set()
+                raise
+        for number in range(1, self.n_events + 1):
+            if number == 1:
+                await sink.begin(HEAD)
+            await sink.event(StreamEvent(number=number, data=b"id: %d\n\n" % number))
+        if isinstance(self.outcome, Answered):
+            if self.n_events:
+                await sink.end()
+            else:
+                await sink.whole(HEAD, b"whole")
+        return self.outcome
+
+
+@contextlib.asynccontextmanager
+async def serving(served: Served, *, stopping: bool = False) -> AsyncIterator[int]:
+    server = CallerServer(
+        serve=served,
+        limits=lambda: CallerLimits(max_body_bytes=100),
+        is_stopping=lambda: stopping,
+    )
+    port = free_port()
+    async with server.listening(f"127.0.0.1:{port}"):
+        yield port
+
+
+async def exchange(port: int, data: bytes) -> bytes:
+    """Send bytes, then return all that comes within a moment of silence."""
+    reader, writer = await asyncio.open_connection("127.0.0.1", port)
+    writer.write(data)
+    got = b""
+    with contextlib.suppress(TimeoutError, ConnectionError):
+        while True:
+            async with asyncio.timeout(0.15):
+                more = await reader.read(65536)
+            if not more:
+                break
+            got += more
+    writer.close()
+    return got
+
+
+async def ask(served: Served, data: bytes, *, stopping: bool = False) -> bytes:
+    async with serving(served, stopping=stopping) as port:
+        return await exchange(port, data)
+
+
+def status(answer: bytes) -> int:
+    return int(answer.split(b" ", 2)[1])
+
+
+class TestRequests:
+    async def test_what_a_caller_sends_is_decoded(self) -> None:
+        served = Served()
+        sent = (
+            GET + b"Trefoilpaddle-Deadline-Milliseconds: 1500\r\n"
+            b"Trefoilpaddle-Credential: key\r\nTrefoilpaddle-Pieces: 2,0,7\r\n"
+            b"Trefoilpaddle-Token-Counts: 100,20\r\n"
+            b"Trefoilpaddle-Prompt-Prefix: ab:60,cd:40\r\nLast-Event-Id: 3\r\n\r\n"
+        )
+        assert status(await ask(served, sent)) == 200
+        (request,) = served.requests
+        assert (request.request_id, request.key) == ("a", "key")
+        assert request.n_pieces == (2, 0, 7)
+        assert request.after_event == 3
+        assert request.prompt is not None
+        assert request.prompt.parts[0] == PromptPart(part_id="ab", n_tokens=60)
+        assert 1.4 < request.deadline_s - request.came_s <= 1.5
+
+    async def test_what_is_the_systems_to_set_is_not_passed_on(self) -> None:
+        # A caller names another account, reserves memory at an engine, or hands
+        # over its key: none of it may reach a worker.
+        served = Served()
+        names = (
+            b"Trefoilpaddle-Credential",
+            b"Trefoilpaddle-Tenant",
+            b"Trefoilpaddle-Hold",
+            b"Trefoilpaddle-Pin-Milliseconds",
+            b"Trefoilpaddle-Cache-Backup",
+            b"Kv-From",
+            b"Trefoilpaddle-Expected-Instance",
+            b"X-Named",
+        )
+        sent = GET + b"".join(name + b": x\r\n" for name in names)
+        await ask(served, sent + b"Connection: x-named\r\nX-Kept: 1\r\n\r\n")
+        kept = {name.lower() for name, _ in served.requests[0].headers}
+        assert kept == {b"trefoilpaddle-attempt-id", b"x-kept"}
+
+    @pytest.mark.parametrize(
+        "counts", ["1", "x,y", "1,2,3"], ids=["one", "words", "three"]
+    )
+    def test_counts_that_cannot_be_read_are_refused(self, counts: str) -> None:
+        with pytest.raises(ValueError):
+            decode_prompt(counts, "ab:1")
+
+
+class TestFraming:
+    @pytest.mark.parametrize(
+        "more",
+        [
+            b"Content-Length: 5\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
+            b"Content-Length: 5\r\nContent-Length: 6\r\n\r\nhello!",
+            b"Transfer-Encoding: xchunked\r\n\r\n0\r\n\r\n",
+            b"Transfer-Encoding: chunked, identity\r\n\r\n0\r\n\r\n",
+            b"Content-Length: +5\r\n\r\nhello",
+            b"Content-Length: 5 \x0b\r\n\r\nhello",
+            b"Host: other\r\n\r\n",
+            b"Bad Name: x\r\n\r\n",
+            b" folded: x\r\n\r\n",
+        ],
+    )
+    async def test_what_can_be_read_in_two_ways_is_refused(self, more: bytes) -> None:
+        # Two readers that disagree where a body ends let its rest pass for a
+        # request of its own, which no caller sent.
+        served = Served()
+        assert status(await ask(served, GET + more)) == 400
+        assert served.requests == []
+
+    async def test_a_request_inside_a_body_stays_a_body(self) -> None:
+        served = Served()
+        inner = GET + b"\r\n"
+        length = b"Content-Length: %d\r\n\r\n" % len(inner)
+        await ask(served, GET + length + inner)
+        (request,) = served.requests
+        assert request.body == inner
+
+    async def test_a_chunked_body_is_read_whole(self) -> None:
+        served = Served()
+        body = b"Transfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n2\r\nde\r\n0\r\n\r\n"
+        await ask(served, GET + body)
+        assert served.requests[0].body == b"abcde"
+
+    async def test_a_body_that_is_too_large_is_refused(self) -> None:
+        body = b"Content-Length: 101\r\n\r\n" + b"x" * 101
+        assert status(await ask(Served(), GET + body)) == 413
+
+    @settings(max_examples=60, deadline=None, derandomize=True)
+    @given(noise=st.binary(min_size=1, max_size=60), at=st.integers(0, 80))
+    def test_noise_never_becomes_a_second_request(self, noise: bytes, at: int) -> None:
+        async def run() -> None:
+            served = Served()
+            whole = GET + b"Content-Length: 3\r\n\r\nabc"
+            await ask(served, whole[:at] + noise + whole[at:])
+            assert len(served.requests) <= 1 + noise.count(b"HTTP/1")
+
+        asyncio.run(run())
+
+
+class TestAnswers:
+    async def test_a_refusal_says_when_to_come_back(self) -> None:
+        refused = Refused(reason=Reason.PREDICTED_LATE, retry_after_s=0.75)
+        answer = await ask(Served(outcome=refused), GET + b"\r\n")
+        assert status(answer) == 503
+        assert b"Retry-After: 0.750" in answer
+
+    @pytest.mark.parametrize(
+        ("outcome", "expected"),
+        [
+            (Refused(reason=Reason.NO_ENTRY), 404),
+            (Refused(reason=Reason.UNAUTHORISED), 401),
+            (Refused(reason=Reason.NO_CONFIGURATION), 503),
+            (Failed(reason=Reason.CONNECTION_LOST), 502),
+            (Failed(reason=Reason.TARGET_TIMEOUT), 504),
+        ],
+    )
+    async def test_ends_have_their_status(
+        self, outcome: Outcome, expected: int
+    ) -> None:
+        assert status(await ask(Served(outcome=outcome), GET + b"\r\n")) == expected
+
+    async def test_a_stream_ends_as_complete(self) -> None:
+        answer = await ask(Served(n_events=2), GET + b"\r\n")
+        assert answer.endswith(b"0\r\n\r\n")
+
+    async def test_a_broken_stream_does_not_look_complete(self) -> None:
+        failed = Failed(reason=Reason.CONNECTION_LOST, is_begun=True)
+        answer = await ask(Served(n_events=2, outcome=failed), GET + b"\r\n")
+        assert b"id: 2" in answer
+        assert not answer.endswith(b"0\r\n\r\n")
+
+    async def test_a_stopping_gateway_closes_after_its_answer(self) -> None:
+        answer = await ask(Served(), GET + b"\r\n", stopping=True)
+        assert b"connection: close" in answer.lower()
+
+    async def test_a_kept_connection_serves_one_request_after_another(self) -> None:
+        served = Served()
+        answer = await ask(served, (GET + b"\r\n") * 3)
+        assert answer.count(b"HTTP/1.1 200") == 3
+
+    async def test_a_caller_that_leaves_ends_its_request(self) -> None:
+        served = Served(hangs=True)
+        async with serving(served) as port:
+            _, writer = await asyncio.open_connection("127.0.0.1", port)
+            writer.write(GET + b"\r\n")
+            while not served.requests:  # noqa: ASYNC110
+                await asyncio.sleep(0.01)
+            writer.close()
+            async with asyncio.timeout(1.0):
+                await served.left.wait()
+
+    async def test_a_fault_inside_never_says_that_it_has_not_run(self) -> None:
+        class Faulty(Served):
+            async def __call__(
+                self, request: CallerRequest, sink: CallerSink
+            ) -> Outcome:
+                raise RuntimeError("a fault")
+
+        assert status(await ask(Faulty(), GET + b"\r\n")) == 502
--- /dev/null
+++ b/tests/platform_adapter/test_decoding.py
@@ -0,0 +1,122 @@
+"""The platform's settings, configuration and requirements, decoded and in step."""
+
+import re
+import tomllib
+from pathlib import Path
+
+import orjson
+from adapter import names
+from adapter.configuration import decode_table
+from adapter.node_settings import decode, load
+from adapter.store import decode_published
+
+from trefoilpaddle.standins.platform.site import configuration, settings
+from trefoilpaddle.state.chain.routes import (
+    EngineService,
+    PieceService,
+    PlainService,
+    Repeat,
+)
+
+ROOT = Path(__file__).resolve().parents[2]
+
+
+def table(**fields: object) -> bytes:
+    return orjson.dumps(configuration(3, **fields))
+
+
+class TestConfiguration:
+    def test_routes_are_found_by_host_and_longest_prefix(self) -> None:
+        routes = [
+            configuration(1)["routes"][0] | {"name": name, "prefix": prefix}
+            for name, prefix in (("short", "/a/"), ("long", "/a/b/"))
+        ]
+        decoded = decode_table(table(routes=routes))
+        host = routes[0]["host"]
+        found = [decoded.match(host, path) for path in ("/a/b/c", "/a/x", "/b/", "/a")]
+        assert [route and route.name for route in found] == [
+            "long",
+            "short",
+            None,
+            None,
+        ]
+        assert decoded.match("other", "/a/x") is None
+
+    def test_kinds_say_how_often_and_whether_it_streams(self) -> None:
+        decoded = decode_table(table())
+        by_name = {r.name: r for routes in decoded.by_host.values() for r in routes}
+        assert by_name["price"].repeat is Repeat.IDEMPOTENT
+        assert by_name["hold"].repeat is Repeat.NON_IDEMPOTENT
+        draft = by_name["draft"]
+        assert draft.is_stream and draft.is_resumable
+        assert draft.repeat is Repeat.NON_IDEMPOTENT
+        assert draft.last_stages() == (1,)
+
+    def test_services_are_told_apart(self) -> None:
+        services = decode_table(table()).services
+        assert isinstance(services["stock"], PlainService)
+        assert isinstance(services["model"], EngineService)
+        encode = services["encode"]
+        assert isinstance(encode, PieceService)
+        assert (encode.call_s, encode.room_bytes) == (0.02, 10e6)
+
+    def test_no_accounts_is_not_an_empty_list_of_them(self) -> None:
+        # With an empty list every key has been revoked: nobody may pass.
+        assert decode_table(table(tenants=[])).has_accounts
+        bare = configuration(3)
+        del bare["tenants"]
+        assert not decode_table(orjson.dumps(bare)).has_accounts
+
+    def test_what_cannot_be_read_changes_nothing(self) -> None:
+        assert decode_published(b"{}") is None
+        assert decode_published(b"nonsense") is None
+
+
+class TestSettings:
+    def test_a_machine_is_told_where_it_stands(self) -> None:
+        fields = settings(
+            host="g1", domain="a", ports=[1, 2, 3, 4], store="s:5", seeds=["x:3"]
+        )
+        decoded = decode(fields, "9464/metrics")
+        assert (decoded.host, decoded.failure_domain) == ("g1", "a")
+        assert decoded.callers_address == "127.0.0.1:1"
+        assert decoded.peers_address == "127.0.0.1:3"
+        assert (decoded.metrics_address, decoded.metrics_path) == (
+            "127.0.0.1:9464",
+            "/metrics",
+        )
+
+    def test_a_faulty_file_is_told(self, tmp_path: Path) -> None:
+        path = tmp_path / "s.json"
+        assert load(path).is_err()
+        path.write_text("{")
+        assert load(path).is_err()
+        path.write_text("{}")
+        assert load(path).unwrap_err().endswith("'listen_addresses'")
+
+
+class TestDeploy:
+    def test_requirements_are_those_of_the_project(self) -> None:
+        project = tomllib.loads((ROOT / "pyproject.toml").read_text())["project"]
+        lines = (ROOT / "requirements.txt").read_text().split()
+        assert sorted(lines) == sorted(project["dependencies"])
+
+    def test_names_on_the_wire_stay_in_the_adapter(self) -> None:
+        wire = re.compile("Trefoilpaddle-[A-Z]|kv-watch|stage-run")
+        found = [
+            path
+            for path in (ROOT / "src" / "trefoilpaddle").rglob("*.py")
+            if "standins" not in path.parts and wire.search(path.read_text())
+        ]
+        assert found == []
+
+    def test_headers_of_one_connection_go_no_further(self) -> None:
+        kept = names.end_to_end(
+            (
+                (b"Connection", b"close, X-One"),
+                (b"x-one", b"1"),
+                (b"Transfer-Encoding", b"chunked"),
+                (b"X-Two", b"2"),
+            )
+        )
+        assert kept == [(b"X-Two", b"2")]
--- /dev/null
+++ b/tests/platform_adapter/test_worker_client.py
@@ -0,0 +1,262 @@
+"""What a worker's bytes are taken for; a raw worker writes them as it likes."""
+
+import asyncio
+import contextlib
+import socket
+import struct
+import time
+from collections.abc import AsyncIterator
+
+import aiohttp
+import pytest
+from adapter.gateway import one_call_session
+from adapter.worker_client import WorkerClient, decode_event, request_headers
+from result import Err, Ok, Result
+
+from tests.chain.fakes import request
+from tests.chain.fakes import worker as listed_worker
+from trefoilpaddle.coordination.chain.target_calls import (
+    OpenAnswer,
+    StreamBrokenError,
+    TargetCall,
+)
+from trefoilpaddle.state.chain.piece_work import PieceFault, PieceMade, PieceWork
+from trefoilpaddle.state.chain.target_answers import CallFault
+from trefoilpaddle.state.chain.workers import Worker
+
+HEAD = (
+    b"HTTP/1.1 %s\r\nTrefoilpaddle-Attempt-Id: %s\r\n"
+    b"Trefoilpaddle-Server-Seal: s\r\n%s\r\n"
+)
+
+
+def head(*, status: bytes = b"200 OK", seen: bytes = b"a1", more: bytes = b"") -> bytes:
+    return HEAD % (status, seen, more)
+
+
+WHOLE = head(more=b"Content-Length: 4\r\n") + b"body"
+UNFRAMED = head(more=b"Connection: close\r\n")
+CHUNKED = head(more=b"Transfer-Encoding: chunked\r\n")
+
+
+class RawWorker:
+    """Reads a request, writes `answer`, then closes or resets."""
+
+    def __init__(self, answer: bytes, *, resets: bool = False) -> None:
+        self.answer = answer
+        self.resets = resets
+        self.seen: list[bytes] = []
+
+    async def serve(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        with contextlib.suppress(ConnectionError, asyncio.IncompleteReadError):
+            self.seen.append(await reader.readuntil(b"\r\n\r\n"))
+            writer.write(self.answer)
+            await writer.drain()
+            if self.resets:
+                await asyncio.sleep(0.05)
+                linger = struct.pack("ii", 1, 0)
+                raw = writer.get_extra_info("socket")
+                raw.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+        writer.close()
+
+
+@contextlib.asynccontextmanager
+async def calling(
+    answer: bytes, *, resets: bool = False
+) -> AsyncIterator[tuple[WorkerClient, Worker, RawWorker]]:
+    raw = RawWorker(answer, resets=resets)
+    server = await asyncio.start_server(raw.serve, "127.0.0.1", 0)
+    port = server.sockets[0].getsockname()[1]
+    at = Worker(
+        worker_id="w1",
+        service="plain",
+        address=f"127.0.0.1:{port}",
+        failure_domain="here",
+    )
+    async with one_call_session() as session:
+        yield WorkerClient(session=session), at, raw
+    server.close()
+
+
+def call() -> TargetCall:
+    return TargetCall(request=request(), account="acme", ends_s=time.monotonic() + 5)
+
+
+async def body_of(answer: bytes, *, resets: bool = False) -> Result[bytes, CallFault]:
+    async with (
+        calling(answer, resets=resets) as (client, at, _),
+        client.exchange(at, call()) as opened,
+    ):
+        match opened:
+            case Ok(got):
+                return await got.read()
+            case Err(fault):
+                return Err(fault)
+
+
+async def events_of(answer: bytes, *, resets: bool = False) -> list[int]:
+    async with (
+        calling(answer, resets=resets) as (client, at, _),
+        client.exchange(at, call()) as opened,
+    ):
+        got: OpenAnswer = opened.unwrap()
+        return [event.number async for event in got.events()]
+
+
+def chunk(data: bytes) -> bytes:
+    return b"%x\r\n%s\r\n" % (len(data), data)
+
+
+class TestWholeAnswers:
+    async def test_a_whole_answer_is_passed_on(self) -> None:
+        assert await body_of(WHOLE) == Ok(b"body")
+
+    async def test_bytes_behind_it_belong_to_nobody(self) -> None:
+        assert await body_of(WHOLE + WHOLE) == Ok(b"body")
+
+    async def test_one_without_a_length_ends_with_its_connection(self) -> None:
+        assert await body_of(UNFRAMED + b"body") == Ok(b"body")
+
+    async def test_one_without_a_length_that_is_reset_is_not_whole(self) -> None:
+        # The worker dies in the middle of an answer that has no length. Half
+        # of it must not reach the caller as if it were all.
+        assert await body_of(UNFRAMED + b"bo", resets=True) == Err(CallFault.BROKEN)
+
+    async def test_a_short_one_is_broken(self) -> None:
+        short = head(more=b"Content-Length: 9\r\n") + b"body"
+        assert await body_of(short) == Err(CallFault.BROKEN)
+
+    async def test_an_unfinished_chunked_one_is_broken(self) -> None:
+        assert await body_of(CHUNKED + chunk(b"bo")) == Err(CallFault.BROKEN)
+
+    async def test_an_answer_to_another_request_is_broken(self) -> None:
+        other = head(seen=b"zz", more=b"Content-Length: 4\r\n") + b"body"
+        assert await body_of(other) == Err(CallFault.BROKEN)
+
+    async def test_one_that_is_not_signed_is_broken(self) -> None:
+        plain = WHOLE.replace(b"Trefoilpaddle-Server-Seal: s\r\n", b"")
+        assert await body_of(plain) == Err(CallFault.BROKEN)
+
+    async def test_one_in_another_coding_is_broken(self) -> None:
+        coded = head(more=b"Content-Encoding: gzip\r\nContent-Length: 4\r\n") + b"body"
+        assert await body_of(coded) == Err(CallFault.BROKEN)
+
+    @pytest.mark.parametrize("data", [b"", b"\0\1\2\3", b"HTTP/9 what\r\n\r\n"])
+    async def test_what_is_no_answer_is_broken(self, data: bytes) -> None:
+        assert await body_of(data) == Err(CallFault.BROKEN)
+
+
+class TestNotRun:
+    @pytest.mark.parametrize(
+        ("status", "fault"),
+        [
+            (b"503 Full", CallFault.FULL),
+            (b"429 Many", CallFault.FULL),
+            (b"409 Gone", CallFault.INPUTS_GONE),
+            (b"421 Other", CallFault.MOVED),
+        ],
+    )
+    async def test_only_these_say_so(self, status: bytes, fault: CallFault) -> None:
+        more = b"Trefoilpaddle-Not-Executed: 1\r\nContent-Length: 0\r\n"
+        assert await body_of(head(status=status, more=more)) == Err(fault)
+
+    async def test_a_503_that_does_not_say_so_may_have_run(self) -> None:
+        bare = b"HTTP/1.1 503 X\r\nContent-Length: 0\r\n\r\n"
+        assert await body_of(bare) == Err(CallFault.BROKEN)
+
+    async def test_no_listener_means_nothing_was_sent(self) -> None:
+        at = listed_worker("w1")
+        gone = Worker(
+            worker_id="w1",
+            service="plain",
+            address="127.0.0.1:1",
+            failure_domain=at.failure_domain,
+        )
+        async with (
+            one_call_session() as session,
+            WorkerClient(session=session).exchange(gone, call()) as opened,
+        ):
+            assert opened == Err(CallFault.UNREACHABLE)
+
+
+class TestStreams:
+    async def test_events_come_whole_however_they_are_cut(self) -> None:
+        data = b"id: 1\ndata: x\n\nid: 2\ndata: y\n\n"
+        pieces = b"".join(chunk(data[at : at + 3]) for at in range(0, len(data), 3))
+        assert await events_of(CHUNKED + pieces + b"0\r\n\r\n") == [1, 2]
+
+    async def test_an_end_within_an_event_is_broken(self) -> None:
+        data = chunk(b"id: 1\ndata: x\n\nid: 2\nda") + b"0\r\n\r\n"
+        with pytest.raises(StreamBrokenError):
+            await events_of(CHUNKED + data)
+
+    async def test_a_cut_between_events_is_broken(self) -> None:
+        with pytest.raises(StreamBrokenError):
+            await events_of(CHUNKED + chunk(b"id: 1\n\n"))
+
+    async def test_a_reset_without_framing_is_broken(self) -> None:
+        with pytest.raises(StreamBrokenError):
+            await events_of(UNFRAMED + b"id: 1\n\n", resets=True)
+
+    def test_an_event_without_a_number_is_broken(self) -> None:
+        with pytest.raises(StreamBrokenError):
+            decode_event(b"data: x\n\n")
+
+
+class TestSent:
+    async def test_the_worker_and_the_account_are_named(self) -> None:
+        sent = dict(request_headers(listed_worker("w7"), call()))
+        assert sent["Trefoilpaddle-Expected-Instance"] == "w7"
+        assert sent["Trefoilpaddle-Tenant"] == "acme"
+        assert 4000 < int(sent["Trefoilpaddle-Deadline-Milliseconds"]) <= 5000
+
+    async def test_the_target_goes_out_as_it_came(self) -> None:
+        odd = "/a%2Fb/../c?x=%20&&"
+        sent = TargetCall(
+            request=request(target=odd), account="", ends_s=time.monotonic() + 5
+        )
+        async with (
+            calling(WHOLE) as (client, at, raw),
+            client.exchange(at, sent) as opened,
+        ):
+            assert opened.is_ok()
+            assert raw.seen[0].split(b" ")[1] == odd.encode()
+
+
+class TestPieces:
+    async def make(self, body: bytes) -> object:
+        answer = b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s" % (len(body), body)
+        works = [
+            PieceWork(
+                request_id="a1",
+                route="r",
+                stage=0,
+                piece=number,
+                due_s=0.0,
+                deadline_s=time.monotonic() + 1,
+            )
+            for number in range(2)
+        ]
+        async with calling(answer) as (client, at, _):
+            return await client.make_pieces(at, works, timeout_s=1.0)
+
+    async def test_each_piece_has_its_own_end(self) -> None:
+        ends = await self.make(b'{"items":[{"handle":"h/1"},{"reason":"room"}]}')
+        made = PieceMade(handle="h/1", worker_id="w1")
+        assert ends == Ok([made, PieceFault.NO_ROOM])
+
+    @pytest.mark.parametrize(
+        "body", [b"{}", b"nonsense", b'{"items":[{"handle":"h"}]}']
+    )
+    async def test_an_answer_that_does_not_fit_is_none(self, body: bytes) -> None:
+        assert await self.make(body) == Err(CallFault.BROKEN)
+
+
+def test_a_session_is_made_in_a_loop() -> None:
+    async def make() -> bool:
+        async with one_call_session() as session:
+            return isinstance(session, aiohttp.ClientSession)
+
+    assert asyncio.run(make())
