Let pieces that come together share one call, and keep a stage whole

And a stage's pieces were split over two calls, holding room for nothing. Ruled out: times of calls (as published), engines (0.2 s).

--- a/src/trefoilpaddle/coordination/chain/piece_home.py
+++ b/src/trefoilpaddle/coordination/chain/piece_home.py
@@ -33,6 +33,9 @@
 FULL_PAUSE_S: Final = 0.02
 """Wait before a worker that was full is called again; a tenth of a call."""
 
+GATHER_S: Final = 0.002
+"""Time in which pieces that come together join one call; a hundredth of a call."""
+
 LOOK_S: Final = 0.1
 """Time after which a queue that waits for room is looked at; half a call."""
 
@@ -58,6 +61,7 @@
         "_busy_until_s",
         "_calls",
         "_free_handles",
+        "_gathering",
         "_is_freeing",
         "_journal",
         "_looking",
@@ -88,10 +92,22 @@
         self._busy_until_s = 0.0
         self._free_handles: list[str] = []
         self._is_freeing = False
+        self._gathering: asyncio.TimerHandle | None = None
 
     def submit(self, works: Sequence[PieceWork]) -> None:
-        """Queue pieces; a call goes out at once if the worker is free."""
+        """Queue pieces; a call goes out in a moment if the worker is free.
+
+        One call's end sets off many requests' next stages, one after another
+        within one turn of the loop. Called at the first, the worker would make
+        that one's pieces alone, and the others would wait for a whole call.
+        """
         self.queue.add(works)
+        if self._gathering is None:
+            loop = asyncio.get_running_loop()
+            self._gathering = loop.call_later(GATHER_S, self._gathered)
+
+    def _gathered(self) -> None:
+        self._gathering = None
         self._pump()
 
     def wait_s(self, n_pieces: int) -> float:
--- a/src/trefoilpaddle/state/chain/piece_queue.py
+++ b/src/trefoilpaddle/state/chain/piece_queue.py
@@ -143,19 +143,28 @@
         left: list[PieceWork] = []
         room_bytes = self._room_share * self.service.room_bytes
         room_bytes -= self.kept_bytes(now_s)
-        for work in wanted:
+        for group in _by_stage(wanted):
             # Results wait at their maker until they are read. A piece whose
             # result finds no room there fails at once and would come again and
             # again, taking calls from others; left here it costs nothing. With
             # nothing kept the first always goes, so that a wrong size in the
             # configuration cannot stop the queue.
-            is_alone = not (batch or self._kept_bytes)
-            has_room = work.result_bytes <= room_bytes or is_alone
-            if len(batch) < self.service.batch and has_room:
-                batch.append(work)
+            n_free = self.service.batch - len(batch)
+            is_first = not batch
+            taken = 0
+            for work in group:
+                is_alone = not (batch or taken or self._kept_bytes)
+                if taken == n_free or not (work.result_bytes <= room_bytes or is_alone):
+                    break
+                taken += 1
                 room_bytes -= work.result_bytes
-            else:
-                left.append(work)
+            # A stage is of use only when all of its pieces are there. A part
+            # that rides ahead takes room from others and speeds nothing up.
+            if taken < len(group) and not is_first:
+                room_bytes += sum(work.result_bytes for work in group[:taken])
+                taken = 0
+            batch += group[:taken]
+            left += group[taken:]
         self._waiting = left
         return batch
 
@@ -215,6 +224,14 @@
         return max(by_calls_s, by_pace_s) + last_s
 
 
+def _by_stage(works: list[PieceWork]) -> list[list[PieceWork]]:
+    """Return the pieces in groups of one request's stage, in their order."""
+    groups: dict[tuple[str, int], list[PieceWork]] = {}
+    for work in works:
+        groups.setdefault((work.request_id, work.stage), []).append(work)
+    return list(groups.values())
+
+
 def _order(work: PieceWork, done_s: float) -> tuple[bool, float]:
     is_late = work.due_s < done_s
     return is_late, work.deadline_s if is_late else work.due_s
--- a/tests/chain/test_stage_keeper.py
+++ b/tests/chain/test_stage_keeper.py
@@ -83,6 +83,25 @@
         assert all(isinstance(end, ChainMade) for end in ends)
         assert len(calls.batches) <= 6
 
+    async def test_next_stages_that_one_call_sets_off_ride_together(self) -> None:
+        # One call ends the first stage of four requests at the same moment.
+        # Their second stages are queued one after another; a worker called at
+        # the first made that one alone, and the rest waited for a whole call.
+        calls = FakeCalls()
+        rig = Rig(calls, batch=20)
+        chains = [work(name, n_pieces=(0, 1, 2)) for name in "abcd"]
+        await asyncio.gather(*(rig.keeper.run(each) for each in chains))
+        assert [len(batch) for batch in calls.batches] == [4, 8]
+
+    async def test_a_stage_is_not_split_between_two_calls(self) -> None:
+        # Nothing is gained by a part that is made ahead: its results only take
+        # up memory until the rest is there.
+        calls = FakeCalls()
+        rig = Rig(calls, batch=5)
+        chains = [work(name, n_pieces=(3, 0, 0)) for name in "ab"]
+        await asyncio.gather(*(rig.keeper.run(each) for each in chains))
+        assert [len(batch) for batch in calls.batches] == [3, 3]
+
     async def test_results_that_were_read_are_freed(self) -> None:
         calls = FakeCalls()
         rig = Rig(calls)
