--- a/src/trefoilpaddle/standins/platform/site.py
+++ b/src/trefoilpaddle/standins/platform/site.py
@@ -14,6 +14,7 @@
 ACCOUNT: Final = "acme"
 N_EVENTS: Final = 5
 CALL_S: Final = 0.02
+GRACE_S: Final = 4.5
 
 STAGES: Final = [
     {"service": "encode", "after": [], "bytes": 1000},
@@ -105,7 +106,7 @@
         "internal_port_range": [metrics, metrics + 3],
         "seeds": seeds,
         "bounds": {
-            "grace_s": 4,
+            "grace_s": GRACE_S,
             "retry_budget_ratio": 0.2,
             "budget_slack": 50,
             "budget_window_s": 10,
--- a/tests/platform_adapter/test_gateway_process.py
+++ b/tests/platform_adapter/test_gateway_process.py
@@ -8,6 +8,8 @@
 
 from trefoilpaddle.standins.platform.site import (
     ACCOUNT,
+    GRACE_S,
+    IP,
     configuration,
     small_site,
 )
@@ -146,6 +148,29 @@
                 assert answer.status == 200
                 assert answer.headers["Connection"] == "close"
 
+    async def test_a_half_sent_request_does_not_hold_it_up(
+        self, tmp_path: Path
+    ) -> None:
+        # All requests are answered and the process goes, but a caller has sent
+        # half of one. Waiting for its end, the process lives until it is killed
+        # and takes requests on open connections that it never answers.
+        async with (
+            small_site() as site,
+            gateways(site, tmp_path, "a") as (gateway,),
+            aiohttp.ClientSession() as client,
+        ):
+            url = f"{gateway.url}/price/1"
+            async with client.get(url, headers=headers("p1")) as answer:
+                await answer.read()
+            _, writer = await asyncio.open_connection(IP, gateway.ports[0])
+            body = b"POST /hold/1 HTTP/1.1\r\nHost: h\r\nContent-Length: 9\r\n\r\nhalf"
+            writer.write(body)
+            await asyncio.sleep(0.1)
+            gateway.signal(signal.SIGTERM)
+            async with asyncio.timeout(GRACE_S):
+                assert await gateway.ended() == 0
+            writer.close()
+
     async def test_a_hangup_ends_nothing(self, tmp_path: Path) -> None:
         async with (
             small_site() as site,
