--- a/src/trefoilpaddle/coordination/chain/attempts.py
+++ b/src/trefoilpaddle/coordination/chain/attempts.py
@@ -17,7 +17,7 @@
 from ...state.journal import Decision, Event, Figure, Journal
 from .caller_sink import CallerSink
 from .target_calls import OpenAnswer, StreamBrokenError, TargetCall, TargetCalls
-from .worker_choice import WorkerChoice
+from .worker_choice import Need, OpenRequest, WorkerChoice
 
 MAX_UNSENT: Final = 4
 """Most workers that are tried without anything being sent, or being run."""
@@ -114,6 +114,8 @@
         The request.
     inputs : tuple of str
         Handles of the results that it takes.
+    need : Need
+        What it asks of a worker.
     on_read : callable
         Called once a worker has read its inputs.
     workers, choice, calls, budget, journal
@@ -132,6 +134,7 @@
         "_may_have_run",
         "_n_sent",
         "_n_unsent",
+        "_need",
         "_on_read",
         "_tried",
         "_workers",
@@ -142,6 +145,7 @@
         *,
         job: Job,
         inputs: tuple[str, ...],
+        need: Need,
         on_read: Callable[[], None],
         workers: WorkerTable,
         choice: WorkerChoice,
@@ -151,6 +155,7 @@
     ) -> None:
         self._job = job
         self._inputs = inputs
+        self._need = need
         self._on_read = on_read
         self._workers = workers
         self._choice = choice
@@ -185,9 +190,7 @@
     def _choose(self) -> Worker | None:
         job = self._job
         service = job.services.get(job.service) or PlainService(name=job.service)
-        return self._choice.choose(
-            service, job.request.prompt, without=frozenset(self._tried)
-        )
+        return self._choice.choose(service, self._need, without=frozenset(self._tried))
 
     def _learn(self, fault: CallFault, worker: Worker) -> None:
         """Take what a fault says of the worker and of the request."""
@@ -246,7 +249,7 @@
             urgency=min(MAX_URGENCY, job.priority) if job.route.is_stream else None,
         )
         patience_s = self._patience_s()
-        with self._choice.open(worker, job.request.prompt):
+        with self._choice.open(worker, self._need) as at_worker:
             try:
                 async with (
                     asyncio.timeout(patience_s) as patience,
@@ -259,7 +262,9 @@
                             return fault
                         case Ok(answer):
                             self._n_sent += 1
-                            return await self._take(worker, answer, sink, patience)
+                            return await self._take(
+                                worker, at_worker, answer, sink, patience
+                            )
             except TimeoutError:
                 self._n_sent += 1
                 return CallFault.SILENT
@@ -267,12 +272,13 @@
     async def _take(
         self,
         worker: Worker,
+        at_worker: OpenRequest,
         answer: OpenAnswer,
         sink: CallerSink,
         patience: asyncio.Timeout,
     ) -> Sent:
         if answer.head.is_success and self._job.route.is_stream:
-            return await self._take_stream(worker, answer, sink, patience)
+            return await self._take_stream(worker, at_worker, answer, sink, patience)
         match await answer.read():
             case Err(fault):
                 return fault
@@ -286,6 +292,7 @@
     async def _take_stream(
         self,
         worker: Worker,
+        at_worker: OpenRequest,
         answer: OpenAnswer,
         sink: CallerSink,
         patience: asyncio.Timeout,
@@ -293,10 +300,15 @@
         """Pass events on as they come; each one renews the patience."""
         loop = asyncio.get_running_loop()
         try:
+            is_first = True
             async for event in in_order(answer.events(), self._last_event):
+                if is_first:
+                    is_first = False
+                    self._workers.trust(worker.worker_id)
+                    at_worker.read()
+                    self._on_read()
                 if not self._is_begun:
                     self._is_begun = True
-                    self._first_event(worker)
                     await sink.begin(answer.head)
                 self._last_event = event.number
                 await sink.event(event)
@@ -309,11 +321,6 @@
         await sink.end()
         return Answered()
 
-    def _first_event(self, worker: Worker) -> None:
-        self._workers.trust(worker.worker_id)
-        self._choice.note_read(worker, self._job.request.prompt)
-        self._on_read()
-
     def _patience_s(self) -> float:
         """Return how long a worker may take before another is tried."""
         job = self._job
--- a/src/trefoilpaddle/coordination/chain/request_path.py
+++ b/src/trefoilpaddle/coordination/chain/request_path.py
@@ -18,7 +18,7 @@
 from .planned_stop import PlannedStop
 from .stage_door import StageDoor
 from .target_calls import TargetCalls
-from .worker_choice import WorkerChoice
+from .worker_choice import Need, WorkerChoice
 
 NO_ACCOUNT: Final = Account(name="")
 """Stands for the caller of a public route."""
@@ -166,6 +166,11 @@
                     attempts = Attempts(
                         job=job,
                         inputs=handles,
+                        need=Need(
+                            prompt=job.request.prompt,
+                            input_bytes=work.input_bytes(),
+                            input_domain=chain.failure_domain,
+                        ),
                         on_read=on_read,
                         workers=self._workers,
                         choice=self._choice,
--- a/src/trefoilpaddle/coordination/chain/stage_door.py
+++ b/src/trefoilpaddle/coordination/chain/stage_door.py
@@ -203,6 +203,11 @@
         self._work = work
         self._place: Place | None = None
 
+    @property
+    def failure_domain(self) -> str:
+        """Where its results lie; empty before it has run."""
+        return "" if self._place is None else self._place.failure_domain
+
     async def run(self) -> ChainEnd:
         """Run it where it can be on time; return its last end."""
         work = self._work
--- a/src/trefoilpaddle/coordination/chain/worker_choice.py
+++ b/src/trefoilpaddle/coordination/chain/worker_choice.py
@@ -1,47 +1,56 @@
 """Which worker runs a request: by what it has open, and by prompts it has read."""
 
-import time
-from collections import OrderedDict
-from collections.abc import Iterator
+from collections import Counter
+from collections.abc import Iterator, Mapping
 from contextlib import contextmanager
+from dataclasses import dataclass
 from typing import Final
 
+from ...state.chain.prompt_record import PromptRecord
 from ...state.chain.requests import Prompt
-from ...state.chain.routes import EngineService, PlainService, Service
+from ...state.chain.routes import EngineService, Service
 from ...state.chain.workers import Worker, WorkerTable
 from ...state.rendezvous import highest
 
-MAX_PREFIXES: Final = 20_000
-"""Prefixes remembered; about 4 MB, and an hour of distinct sessions at 5 a second."""
+READ_TOKENS_PER_S: Final = 50_000.0
+"""Prompt tokens that an engine reads in a second; published are 42,800 to 69,800.
 
-PREFIX_KEEP_S: Final = 60.0
-"""Age after which a prefix is taken as evicted; engines turn over faster under load."""
-
-FAR_TOKENS: Final = 500.0
-"""Prompt tokens worth reading again to stay in one's own failure domain."""
+Only the ratio to the other costs matters, and they are far apart.
+"""
 
-TOKENS_OPEN: Final = 0.5
-"""Weight of a token that is open at an engine against one that must be read.
+UNSEEN: Final = 2.0
+"""Weight of the tokens that this gateway has waiting at an engine.
 
-Open prompts delay a new one only while they are still being read; half of them
-are past that on the average.
+Others have some there as well, which it does not see.
 """
 
-OUTPUT_WEIGHT: Final = 10.0
-"""A generated token takes an engine as long as this many read ones."""
+FAR_S_PER_BYTE: Final = 6.5e-9
+"""Seconds of reading that a byte of inputs from another failure domain weighs.
+
+Operators pay for 1.5 MB that cross as much as for 500 tokens read again.
+"""
 
 FAR_PLACES: Final = 1.0
 """Open requests at a plain worker that weigh as much as leaving the domain."""
 
 
-class OpenLoad:
-    """What this gateway has open at one worker."""
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Need:
+    """What a request asks of a worker.
 
-    __slots__ = ("n_open", "tokens_open")
+    Parameters
+    ----------
+    prompt : Prompt or None
+        Of a request for a model worker.
+    input_bytes : float
+        Expected size of the results that it takes.
+    input_domain : str
+        Failure domain where they lie; empty without any.
+    """
 
-    def __init__(self) -> None:
-        self.n_open = 0
-        self.tokens_open = 0.0
+    prompt: Prompt | None = None
+    input_bytes: float = 0.0
+    input_domain: str = ""
 
 
 class WorkerChoice:
@@ -55,16 +64,18 @@
         Who may get work.
     """
 
-    __slots__ = ("_failure_domain", "_holders", "_loads", "_workers")
+    __slots__ = ("_failure_domain", "_n_open", "_record", "_unread", "_workers")
 
     def __init__(self, *, failure_domain: str, workers: WorkerTable) -> None:
         self._failure_domain = failure_domain
         self._workers = workers
-        self._loads: dict[str, OpenLoad] = {}
-        self._holders: OrderedDict[str, dict[str, float]] = OrderedDict()
+        self._n_open: Counter[str] = Counter()
+        self._unread: Counter[str] = Counter()
+        self._record = PromptRecord()
+        workers.leave_listeners.append(self._on_leave)
 
     def choose(
-        self, service: Service, prompt: Prompt | None, *, without: frozenset[str]
+        self, service: Service, need: Need, *, without: frozenset[str]
     ) -> Worker | None:
         """Return the worker that should have the request next, or None.
 
@@ -72,102 +83,118 @@
         ----------
         service : Service
             What the request runs on.
-        prompt : Prompt or None
-            Of a request for a model worker.
+        need : Need
+            What it asks.
         without : frozenset of str
             Workers that were tried already.
         """
         workers = self._workers.usable(service.name, without=without)
         if not workers:
             return None
-        if isinstance(service, EngineService) and prompt is not None:
-            return self._choose_engine(workers, prompt)
+        if isinstance(service, EngineService) and need.prompt is not None:
+            costs = self._engine_costs_s(workers, need.prompt, need)
+            return min(workers, key=lambda worker: costs[worker.worker_id])
         return min(workers, key=self._plain_cost)
 
     @contextmanager
-    def open(self, worker: Worker, prompt: Prompt | None) -> Iterator[None]:
+    def open(self, worker: Worker, need: Need) -> Iterator["OpenRequest"]:
         """Count a request as open at a worker while the context lasts."""
-        load = self._loads.setdefault(worker.worker_id, OpenLoad())
-        tokens = _weight(prompt)
-        load.n_open += 1
-        load.tokens_open += tokens
+        worker_id = worker.worker_id
+        self._n_open[worker_id] += 1
+        request = OpenRequest(choice=self, worker_id=worker_id, prompt=need.prompt)
         try:
-            yield
+            yield request
         finally:
-            load.n_open -= 1
-            load.tokens_open -= tokens
-            if not load.n_open:
-                self._loads.pop(worker.worker_id, None)
-
-    def note_read(self, worker: Worker, prompt: Prompt | None) -> None:
-        """Remember that a worker has read a prompt."""
-        if prompt is None:
-            return
-        now_s = time.monotonic()
-        for prefix, _ in _prefixes(prompt):
-            self._holders.setdefault(prefix, {})[worker.worker_id] = now_s
-            self._holders.move_to_end(prefix)
-        while len(self._holders) > MAX_PREFIXES:
-            self._holders.popitem(last=False)
+            request.end()
+            self._n_open[worker_id] -= 1
+            if not self._n_open[worker_id]:
+                del self._n_open[worker_id]
 
     def n_open(self, worker_id: str) -> int:
         """Return how many requests this gateway has open at a worker."""
-        load = self._loads.get(worker_id)
-        return 0 if load is None else load.n_open
+        return self._n_open[worker_id]
 
-    def _choose_engine(self, workers: list[Worker], prompt: Prompt) -> Worker:
-        """Return the engine with least to read and to do before it begins.
+    def unread_tokens(self, worker_id: str, prompt: Prompt) -> int:
+        """Return the tokens of a prompt that an engine has still to read."""
+        return prompt.n_tokens - self._record.held_tokens(worker_id, prompt)
+
+    def wait_reading(self, worker_id: str, n_tokens: int) -> None:
+        """Count tokens as waiting to be read; negative once they are."""
+        self._unread[worker_id] += n_tokens
+        if not self._unread[worker_id]:
+            del self._unread[worker_id]
+
+    def note_read(self, worker_id: str, prompt: Prompt) -> None:
+        """Remember that an engine has read a prompt."""
+        self._record.note(worker_id, prompt)
+
+    def _engine_costs_s(
+        self, workers: list[Worker], prompt: Prompt, need: Need
+    ) -> Mapping[str, float]:
+        """Return what each engine costs, as seconds before the first event.
 
         All gateways hash a session to the same engine, so that its prompt is
-        read once in the fleet although they do not tell one another; the hash
-        breaks ties of the cost and stands in where nothing is recorded.
+        read once in the fleet although they do not tell one another. The hash
+        counts as if the engine had read what is shared.
         """
         session = prompt.parts[-2].part_id if len(prompt.parts) > 1 else ""
         home = highest(session, [w.worker_id for w in workers], n=1)[0]
-        shared = sum(part.n_tokens for part in prompt.parts[:-1])
-        now_s = time.monotonic()
-
-        def cost(worker: Worker) -> float:
-            held = self._held_tokens(worker.worker_id, prompt, now_s)
-            if worker.worker_id == home:
-                held = max(held, shared)
-            load = self._loads.get(worker.worker_id)
-            tokens = 0.0 if load is None else load.tokens_open
-            far = worker.failure_domain != self._failure_domain
-            return TOKENS_OPEN * tokens - held + (FAR_TOKENS if far else 0.0)
-
-        return min(workers, key=cost)
-
-    def _held_tokens(self, worker_id: str, prompt: Prompt, now_s: float) -> int:
-        held = 0
-        for prefix, n_tokens in _prefixes(prompt):
-            at_s = self._holders.get(prefix, {}).get(worker_id)
-            if at_s is None or now_s - at_s > PREFIX_KEEP_S:
-                break
-            held = n_tokens
-        return held
+        own = sum(part.n_tokens for part in prompt.parts[-1:])
+        costs = {}
+        for worker in workers:
+            worker_id = worker.worker_id
+            unread = self.unread_tokens(worker_id, prompt)
+            if worker_id == home:
+                unread = min(unread, own)
+            waiting = unread + UNSEEN * self._unread[worker_id]
+            costs[worker_id] = waiting / READ_TOKENS_PER_S
+            if worker.failure_domain != (need.input_domain or self._failure_domain):
+                costs[worker_id] += FAR_S_PER_BYTE * need.input_bytes
+        return costs
 
     def _plain_cost(self, worker: Worker) -> float:
         is_far = worker.failure_domain != self._failure_domain
         return self.n_open(worker.worker_id) + (FAR_PLACES if is_far else 0.0)
 
-
-def service_of(name: str, services: dict[str, Service]) -> Service:
-    """Return what is published of a service; a plain one if nothing is."""
-    return services.get(name) or PlainService(name=name)
+    def _on_leave(self, worker: Worker) -> None:
+        if self._workers.get(worker.worker_id) is None:
+            self._record.forget(worker.worker_id)
 
 
-def _weight(prompt: Prompt | None) -> float:
-    if prompt is None:
-        return 0.0
-    return prompt.n_tokens + OUTPUT_WEIGHT * prompt.n_output_tokens
+class OpenRequest:
+    """A request that is open at a worker; its prompt waits until it is read.
 
+    Parameters
+    ----------
+    choice : WorkerChoice
+        Counts it.
+    worker_id : str
+        The worker.
+    prompt : Prompt or None
+        What it has to read.
+    """
 
-def _prefixes(prompt: Prompt) -> Iterator[tuple[str, int]]:
-    """Yield each leading run of shared parts as a name and its tokens."""
-    name = ""
-    n_tokens = 0
-    for part in prompt.parts[:-1]:
-        name = f"{name}/{part.part_id}"
-        n_tokens += part.n_tokens
-        yield name, n_tokens
+    __slots__ = ("_choice", "_n_unread", "_prompt", "_worker_id")
+
+    def __init__(
+        self, *, choice: WorkerChoice, worker_id: str, prompt: Prompt | None
+    ) -> None:
+        self._choice = choice
+        self._worker_id = worker_id
+        self._prompt = prompt
+        self._n_unread = 0
+        if prompt is not None:
+            self._n_unread = choice.unread_tokens(worker_id, prompt)
+            choice.wait_reading(worker_id, self._n_unread)
+
+    def read(self) -> None:
+        """Count its prompt as read: the first event has come."""
+        if self._prompt is not None:
+            self._choice.note_read(self._worker_id, self._prompt)
+        self.end()
+
+    def end(self) -> None:
+        """Count its prompt as waiting no more; further calls do nothing."""
+        if self._n_unread:
+            self._choice.wait_reading(self._worker_id, -self._n_unread)
+            self._n_unread = 0
--- a/src/trefoilpaddle/state/chain/chain_work.py
+++ b/src/trefoilpaddle/state/chain/chain_work.py
@@ -44,6 +44,13 @@
         followed = {number for stage in self.stages for number in stage.after}
         return tuple(n for n in range(len(self.stages)) if n not in followed)
 
+    def input_bytes(self) -> float:
+        """Return the expected size of the results that the request takes."""
+        return sum(
+            self.n_pieces[number] * self.stages[number].result_bytes
+            for number in self.last_stages()
+        )
+
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class ChainMade:
--- a/tests/chain/test_attempts.py
+++ b/tests/chain/test_attempts.py
@@ -3,7 +3,7 @@
 import pytest
 
 from trefoilpaddle.coordination.chain.attempts import Attempts, Job
-from trefoilpaddle.coordination.chain.worker_choice import WorkerChoice
+from trefoilpaddle.coordination.chain.worker_choice import Need, WorkerChoice
 from trefoilpaddle.protocol.reasons import Reason
 from trefoilpaddle.state.chain.requests import Answered, Failed, Refused
 from trefoilpaddle.state.chain.routes import Account, Repeat, Route
@@ -39,6 +39,7 @@
     return Attempts(
         job=job,
         inputs=(),
+        need=Need(),
         on_read=lambda: None,
         workers=workers,
         choice=WorkerChoice(failure_domain="here", workers=workers),
