Hold a call back for pieces that are about to come

Cause: a stage worker was called just before the end of the call that sets off most of its work, and that work waited 0.3 s for its turn.

--- a/src/trefoilpaddle/coordination/chain/piece_home.py
+++ b/src/trefoilpaddle/coordination/chain/piece_home.py
@@ -10,7 +10,8 @@
 import asyncio
 import time
 from collections import Counter
-from collections.abc import Coroutine, Sequence
+from collections.abc import Callable, Coroutine, Sequence
+from dataclasses import dataclass
 from typing import Any, Final
 
 from result import Err, Ok
@@ -36,10 +37,32 @@
 GATHER_S: Final = 0.002
 """Time in which pieces that come together join one call; a hundredth of a call."""
 
+MIN_HOLD_S: Final = 0.001
+"""A call that should have ended by now is late; nobody knows by how much."""
+
+MAX_HOLD_S: Final = 0.15
+"""Longest wait for pieces that are coming; three quarters of a call's fixed time."""
+
 LOOK_S: Final = 0.1
 """Time after which a queue that waits for room is looked at; half a call."""
 
 
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Coming:
+    """Pieces that a running call sets off at its end.
+
+    Parameters
+    ----------
+    n_pieces : int
+        How many.
+    in_s : float
+        Seconds until then, as expected.
+    """
+
+    n_pieces: int = 0
+    in_s: float = 0.0
+
+
 class PieceHome:
     """Queues the pieces for one worker and sends its calls.
 
@@ -55,17 +78,22 @@
         Told when it falls silent.
     journal : Journal
         Takes one decision for each call.
+    coming : callable
+        Returns which pieces are about to come.
     """
 
     __slots__ = (
         "_busy_until_s",
         "_calls",
+        "_coming",
         "_free_handles",
         "_gathering",
+        "_held_until_s",
         "_is_freeing",
         "_journal",
         "_looking",
         "_n_calls",
+        "_running",
         "_tasks",
         "_workers",
         "queue",
@@ -80,7 +108,11 @@
         calls: TargetCalls,
         workers: WorkerTable,
         journal: Journal,
+        coming: Callable[[], Coming],
     ) -> None:
+        self._coming = coming
+        self._held_until_s = 0.0
+        self._running: list[PieceWork] = []
         self.worker = worker
         self.queue = PieceQueue(service=service)
         self._calls = calls
@@ -134,20 +166,58 @@
             self._is_freeing = True
             self._spawn(self._send_free())
 
+    def sets_off(self, service: str) -> Coming:
+        """Return the pieces of `service` that the running call's end sets off."""
+        stages = {
+            (work.request_id, work.stage): following.n_pieces
+            for work in self._running
+            for following in work.leads_to
+            if following.service == service and work.is_open
+        }
+        return Coming(n_pieces=sum(stages.values()), in_s=self.busy_s())
+
     def _pump(self) -> None:
         while self._n_calls < self.queue.service.n_slots:
             if not self._workers.is_usable(self.worker.worker_id):
                 self.close()
                 return
             now_s = time.monotonic()
+            if self._holds(now_s):
+                return
             batch = self.queue.take_batch(now_s)
             if not batch:
                 self._look_again()
                 return
             self._n_calls += 1
+            self._held_until_s = 0.0
+            self._running = batch
             self._busy_until_s = now_s + self.queue.times.call_s(len(batch))
             self._spawn(self._call(batch, now_s))
 
+    def _holds(self, now_s: float) -> bool:
+        """Return True if the next call should wait for pieces that are coming.
+
+        A call that leaves just before the pieces of others come makes all of
+        those wait for its end. The keeper knows when they come, so it waits
+        where the pieces that are here lose less than those win.
+        """
+        if now_s < self._held_until_s:
+            return False
+        n_here = len(self.queue)
+        coming = self._coming()
+        call_s = self.queue.times.call_s(n_here)
+        is_worth_it = (
+            0 < n_here < self.queue.service.batch
+            and MIN_HOLD_S < coming.in_s < MAX_HOLD_S
+            and n_here * coming.in_s < coming.n_pieces * (call_s - coming.in_s)
+        )
+        if is_worth_it:
+            # One wait a call: the pieces may never come, or others may follow.
+            self._held_until_s = now_s + MAX_HOLD_S
+            loop = asyncio.get_running_loop()
+            loop.call_later(coming.in_s + GATHER_S, self._pump)
+        return is_worth_it
+
     def _look_again(self) -> None:
         """Look again in a while if pieces wait for room.
 
@@ -181,6 +251,7 @@
             case Err(fault):
                 self._fail(batch, fault, began_s)
         self._n_calls -= 1
+        self._running = []
         self._pump()
 
     def _take(
--- a/src/trefoilpaddle/coordination/chain/piece_homes.py
+++ b/src/trefoilpaddle/coordination/chain/piece_homes.py
@@ -6,7 +6,7 @@
 from ...state.chain.routes import PieceService, RouteTable
 from ...state.chain.workers import Worker, WorkerTable
 from ...state.journal import Journal
-from .piece_home import PieceHome
+from .piece_home import Coming, PieceHome
 from .target_calls import TargetCalls
 
 
@@ -131,10 +131,17 @@
             calls=self._calls,
             workers=self._workers,
             journal=self._journal,
+            coming=lambda: self._coming(worker.service),
         )
         self._homes[worker.worker_id] = home
         return home
 
+    def _coming(self, service: str) -> Coming:
+        """Return the next pieces that a call which runs now sets off."""
+        running = (home.sets_off(service) for home in self._homes.values())
+        soon = [coming for coming in running if coming.n_pieces]
+        return min(soon, key=lambda coming: coming.in_s, default=Coming())
+
     def _on_leave(self, worker: Worker) -> None:
         home = self._homes.get(worker.worker_id)
         if home is None:
