Hold a call back for room that is about to be freed

Cause: with its memory nearly full a stage worker was called for four pieces, 0.1 s before the call downstream ended that freed room for eight more.

--- a/src/trefoilpaddle/coordination/chain/piece_home.py
+++ b/src/trefoilpaddle/coordination/chain/piece_home.py
@@ -10,9 +10,9 @@
 import asyncio
 import time
 from collections import Counter
-from collections.abc import Callable, Coroutine, Sequence
+from collections.abc import Coroutine, Sequence
 from dataclasses import dataclass
-from typing import Any, Final
+from typing import Any, Final, Protocol
 
 from result import Err, Ok
 
@@ -40,6 +40,9 @@
 MIN_HOLD_S: Final = 0.001
 """A call that should have ended by now is late; nobody knows by how much."""
 
+HOLD_SLACK_S: Final = 0.005
+"""Added to a wait: an end is followed by a message, and by one that frees."""
+
 MAX_HOLD_S: Final = 0.15
 """Longest wait for pieces that are coming; three quarters of a call's fixed time."""
 
@@ -49,12 +52,12 @@
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class Coming:
-    """Pieces that a running call sets off at its end.
+    """What the end of a running call brings.
 
     Parameters
     ----------
     n_pieces : int
-        How many.
+        Pieces that it sets off, or that its freed room lets in.
     in_s : float
         Seconds until then, as expected.
     """
@@ -63,6 +66,16 @@
     in_s: float = 0.0
 
 
+class Ahead(Protocol):
+    """What the running calls of all homes of a keeper lead to."""
+
+    def coming(self, service: str) -> Coming:
+        """Return the next pieces of `service` that a running call sets off."""
+
+    def freed(self, home: "PieceHome") -> Coming:
+        """Return the next room at `home` that a running call frees."""
+
+
 class PieceHome:
     """Queues the pieces for one worker and sends its calls.
 
@@ -78,14 +91,14 @@
         Told when it falls silent.
     journal : Journal
         Takes one decision for each call.
-    coming : callable
-        Returns which pieces are about to come.
+    ahead : Ahead
+        Says what is about to happen at the other homes.
     """
 
     __slots__ = (
+        "_ahead",
         "_busy_until_s",
         "_calls",
-        "_coming",
         "_free_handles",
         "_gathering",
         "_held_until_s",
@@ -108,9 +121,9 @@
         calls: TargetCalls,
         workers: WorkerTable,
         journal: Journal,
-        coming: Callable[[], Coming],
+        ahead: Ahead,
     ) -> None:
-        self._coming = coming
+        self._ahead = ahead
         self._held_until_s = 0.0
         self._running: list[PieceWork] = []
         self.worker = worker
@@ -194,29 +207,46 @@
             self._busy_until_s = now_s + self.queue.times.call_s(len(batch))
             self._spawn(self._call(batch, now_s))
 
+    def will_free(self, home: "PieceHome") -> Coming:
+        """Return how much of `home`'s room the running call's end frees.
+
+        Told as pieces of the size that waits there.
+        """
+        handles = {handle for work in self._running for handle in work.inputs}
+        n_bytes = sum(home.queue.kept_size(handle) for handle in handles)
+        n_pieces = int(n_bytes / max(1.0, home.queue.mean_bytes()))
+        return Coming(n_pieces=n_pieces, in_s=self.busy_s())
+
     def _holds(self, now_s: float) -> bool:
-        """Return True if the next call should wait for pieces that are coming.
+        """Return True if the next call should wait for what is coming.
 
-        A call that leaves just before the pieces of others come makes all of
-        those wait for its end. The keeper knows when they come, so it waits
-        where the pieces that are here lose less than those win.
+        A call that leaves just before the pieces of others come, or just before
+        there is room for those that wait, makes all of them wait for its end.
+        The keeper knows when that will be, so it waits where the pieces that
+        could leave now lose less than the others win.
         """
         if now_s < self._held_until_s:
             return False
-        n_here = len(self.queue)
-        coming = self._coming()
-        call_s = self.queue.times.call_s(n_here)
-        is_worth_it = (
-            0 < n_here < self.queue.service.batch
-            and MIN_HOLD_S < coming.in_s < MAX_HOLD_S
-            and n_here * coming.in_s < coming.n_pieces * (call_s - coming.in_s)
-        )
-        if is_worth_it:
-            # One wait a call: the pieces may never come, or others may follow.
-            self._held_until_s = now_s + MAX_HOLD_S
-            loop = asyncio.get_running_loop()
-            loop.call_later(coming.in_s + GATHER_S, self._pump)
-        return is_worth_it
+        n_now = len(self.queue.plan_batch(now_s))
+        n_free = self.queue.service.batch - n_now
+        n_blocked = self.queue.n_on_time(now_s) - n_now
+        call_s = self.queue.times.call_s(n_now)
+        for coming, n_most in (
+            (self._ahead.coming(self.worker.service), n_free),
+            (self._ahead.freed(self), min(n_free, n_blocked)),
+        ):
+            n_more = min(coming.n_pieces, n_most)
+            if (
+                n_now
+                and MIN_HOLD_S < coming.in_s < MAX_HOLD_S
+                and n_now * coming.in_s < n_more * (call_s - coming.in_s)
+            ):
+                # One wait a call: what was expected may never come.
+                self._held_until_s = now_s + MAX_HOLD_S
+                loop = asyncio.get_running_loop()
+                loop.call_later(coming.in_s + HOLD_SLACK_S, self._pump)
+                return True
+        return False
 
     def _look_again(self) -> None:
         """Look again in a while if pieces wait for room.
--- a/src/trefoilpaddle/coordination/chain/piece_homes.py
+++ b/src/trefoilpaddle/coordination/chain/piece_homes.py
@@ -1,6 +1,6 @@
 """The queues of all stage workers that one keeper looks after."""
 
-from collections.abc import Sequence
+from collections.abc import Iterable, Sequence
 
 from ...state.chain.piece_work import PieceFault, PieceWork
 from ...state.chain.routes import PieceService, RouteTable
@@ -97,6 +97,14 @@
             return 0.0
         return plan.call_s + min(n_pieces, plan.batch) * plan.piece_s
 
+    def coming(self, service: str) -> Coming:
+        """Return the next pieces of `service` that a running call sets off."""
+        return _soonest(home.sets_off(service) for home in self._homes.values())
+
+    def freed(self, home: PieceHome) -> Coming:
+        """Return the next room at `home` that a running call frees."""
+        return _soonest(other.will_free(home) for other in self._homes.values())
+
     def submit(self, worker: Worker, works: Sequence[PieceWork]) -> None:
         """Have pieces made at a worker."""
         home = self._home(worker)
@@ -131,17 +139,11 @@
             calls=self._calls,
             workers=self._workers,
             journal=self._journal,
-            coming=lambda: self._coming(worker.service),
+            ahead=self,
         )
         self._homes[worker.worker_id] = home
         return home
 
-    def _coming(self, service: str) -> Coming:
-        """Return the next pieces that a call which runs now sets off."""
-        running = (home.sets_off(service) for home in self._homes.values())
-        soon = [coming for coming in running if coming.n_pieces]
-        return min(soon, key=lambda coming: coming.in_s, default=Coming())
-
     def _on_leave(self, worker: Worker) -> None:
         home = self._homes.get(worker.worker_id)
         if home is None:
@@ -149,3 +151,9 @@
         home.close()
         if self._workers.get(worker.worker_id) is None:
             del self._homes[worker.worker_id]
+
+
+def _soonest(comings: Iterable[Coming]) -> Coming:
+    """Return the first to come of those that bring anything."""
+    some = [coming for coming in comings if coming.n_pieces]
+    return min(some, key=lambda coming: coming.in_s, default=Coming())
--- a/src/trefoilpaddle/state/chain/piece_queue.py
+++ b/src/trefoilpaddle/state/chain/piece_queue.py
@@ -121,7 +121,14 @@
         return waiting
 
     def take_batch(self, now_s: float) -> list[PieceWork]:
-        """Return the pieces of the next call, most urgent first.
+        """Return the pieces of the next call and take them off the queue."""
+        batch = self.plan_batch(now_s)
+        taken = set(map(id, batch))
+        self._waiting = [work for work in self._waiting if id(work) not in taken]
+        return batch
+
+    def plan_batch(self, now_s: float) -> list[PieceWork]:
+        """Return the pieces that the next call would carry, most urgent first.
 
         Those that can still be on time go first, by the time at which they
         should be done; those already late follow by deadline, so that they fill
@@ -129,45 +136,50 @@
         piece that nobody waits for any more is dropped, one that cannot be
         done before its deadline is told so at once.
         """
-        call_s = self.times.call_s(1)
-        wanted = []
-        for work in self._waiting:
-            if not work.is_open:
-                continue
-            if work.deadline_s < now_s + call_s:
-                work.settle(PieceFault.LATE)
-                continue
-            wanted.append(work)
-        wanted.sort(key=lambda work: _order(work, now_s + call_s))
+        self._drop_hopeless(now_s)
+        done_s = now_s + self.times.call_s(1)
+        wanted = sorted(self._waiting, key=lambda work: _order(work, done_s))
         batch: list[PieceWork] = []
-        left: list[PieceWork] = []
         room_bytes = self._room_share * self.service.room_bytes
         room_bytes -= self.kept_bytes(now_s)
         for group in _by_stage(wanted):
-            # Results wait at their maker until they are read. A piece whose
-            # result finds no room there fails at once and would come again and
-            # again, taking calls from others; left here it costs nothing. With
-            # nothing kept the first always goes, so that a wrong size in the
-            # configuration cannot stop the queue.
-            n_free = self.service.batch - len(batch)
-            is_first = not batch
-            taken = 0
-            for work in group:
-                is_alone = not (batch or taken or self._kept_bytes)
-                if taken == n_free or not (work.result_bytes <= room_bytes or is_alone):
-                    break
-                taken += 1
-                room_bytes -= work.result_bytes
+            part = self._fitting(group, room_bytes, self.service.batch - len(batch))
             # A stage is of use only when all of its pieces are there. A part
             # that rides ahead takes room from others and speeds nothing up.
-            if taken < len(group) and not is_first:
-                room_bytes += sum(work.result_bytes for work in group[:taken])
-                taken = 0
-            batch += group[:taken]
-            left += group[taken:]
-        self._waiting = left
+            if len(part) == len(group) or not batch:
+                batch += part
+                room_bytes -= sum(work.result_bytes for work in part)
+        if not batch and wanted and not self._kept_bytes:
+            # With nothing kept the first always goes, so that a wrong size in
+            # the configuration cannot stop the queue.
+            return wanted[:1]
         return batch
 
+    def _drop_hopeless(self, now_s: float) -> None:
+        call_s = self.times.call_s(1)
+        waiting = [work for work in self._waiting if work.is_open]
+        self._waiting = [w for w in waiting if w.deadline_s >= now_s + call_s]
+        for work in waiting:
+            if work.deadline_s < now_s + call_s:
+                work.settle(PieceFault.LATE)
+
+    def _fitting(
+        self, group: list[PieceWork], room_bytes: float, n_free: int
+    ) -> list[PieceWork]:
+        """Return the first pieces of a stage for which there are places and room.
+
+        Results wait at their maker until they are read. A piece whose result
+        finds no room there fails at once and would come again and again, taking
+        calls from others; left here it costs nothing.
+        """
+        part: list[PieceWork] = []
+        for work in group[:n_free]:
+            if work.result_bytes > room_bytes:
+                break
+            part.append(work)
+            room_bytes -= work.result_bytes
+        return part
+
     def learn_room(self, *, has_room: bool) -> None:
         """Take in whether the last call found room for all of its results.
 
@@ -183,6 +195,10 @@
         """Count a result that waits at the worker from now on."""
         self._kept_bytes[handle] = (result_bytes, now_s + self.service.keep_s)
 
+    def kept_size(self, handle: str) -> float:
+        """Return the bytes of a result that waits at the worker; 0 if none does."""
+        return self._kept_bytes.get(handle, (0.0, 0.0))[0]
+
     def free(self, handle: str) -> None:
         """Count a result as gone from the worker."""
         self._kept_bytes.pop(handle, None)
@@ -198,6 +214,13 @@
             del self._kept_bytes[handle]
         return sum(n_bytes for n_bytes, _ in self._kept_bytes.values())
 
+    def mean_bytes(self) -> float:
+        """Return the mean size of the results of what waits; 0 if nothing does."""
+        if not self._waiting:
+            return 0.0
+        total = sum(work.result_bytes for work in self._waiting)
+        return total / len(self._waiting)
+
     def n_on_time(self, now_s: float) -> int:
         """Return how many waiting pieces can still be on time; they go first."""
         done_s = now_s + self.times.call_s(1)
