--- a/src/trefoilpaddle/state/log_stream.py
+++ b/src/trefoilpaddle/state/log_stream.py
@@ -63,6 +63,10 @@
                 return
             del self._unsent[:n_written]
 
+    def close(self) -> None:
+        """Write what the reader still takes; the descriptor stays open."""
+        self.flush()
+
     def _takes(self, n_lines: int) -> bool:
         now_s = time.monotonic()
         refill = (now_s - self._refilled_s) * MAX_LINES_PER_S
