Let less urgent chains leave time to more urgent ones; know who comes back

A chain may now use up 1.0, 0.8 or 0.5 of its time to wait by its priority. A chain that was refused is known by its key when it is back: it keeps its first due time, and where that is past it takes no place from one that can be on time. Retry- After follows how long the load has lasted.

--- a/idl/chain.thrift
+++ b/idl/chain.thrift
@@ -19,6 +19,7 @@
   6: i64 due_in_ms = 0           // from the sending, by nobody's clock
   7: i64 deadline_in_ms = 0
   8: bool must_be_on_time = true
+  9: i32 priority = 0            // 0 is the most urgent
 }
 
 struct ChainAnswer {
@@ -27,6 +28,7 @@
   3: i32 reason = 0              // a reason of reasons.py, unless made
   4: bool is_begun = false
   5: double finish_s = 0
+  6: double retry_after_s = 0
 }
 
 // Without an answer: the request has read its results, or does not want them.
--- a/src/trefoilpaddle/coordination/chain/admission.py
+++ b/src/trefoilpaddle/coordination/chain/admission.py
@@ -6,8 +6,17 @@
 from ...state.chain.chain_work import ChainWork
 from .piece_homes import PieceHomes
 
-MIN_RETRY_AFTER_S: Final = 0.2
-"""Shortest time after which a refused caller is asked back: about one call."""
+SHARE_BY_PRIORITY: Final = (1.0, 0.8, 0.5)
+"""Part of its time to wait that a chain may use up, by its priority.
+
+When too much comes, what is less urgent is refused while there is still time for
+what is more urgent. The last share holds for all later priorities. With 0.5 a
+chain is refused once it would wait for half of what its target allows, which
+leaves the other half, about one call, to those before it.
+"""
+
+TURN_SHARE: Final = 0.5
+"""Part of a call that a stage waits for its turn where nothing else waits."""
 
 
 class Promises:
@@ -24,6 +33,10 @@
     def __init__(self) -> None:
         self.pieces: Counter[str] = Counter()
 
+    def n_pieces(self) -> int:
+        """Return how many there are of all services."""
+        return self.pieces.total()
+
     def add(self, service: str, n_pieces: int) -> None:
         """Count pieces that will come."""
         self.pieces[service] += n_pieces
@@ -66,14 +79,30 @@
     return max(done_s, default=0.0)
 
 
-def retry_after_s(finish_s: float, left_s: float) -> float:
-    """Return when a refused request would be on time if it came anew.
+def least_s(work: ChainWork, homes: PieceHomes) -> float:
+    """Return the seconds that all stages take where nothing else waits."""
+    done_s: list[float] = []
+    for number, plan in enumerate(work.stages):
+        begin_s = max((done_s[before] for before in plan.after), default=0.0)
+        n_pieces = work.n_pieces[number]
+        call_s = homes.call_s(plan.service, n_pieces) if n_pieces else 0.0
+        turn_s = TURN_SHARE * call_s if plan.after else 0.0
+        done_s.append(begin_s + turn_s + call_s)
+    return max(done_s, default=0.0)
+
+
+def allowed_s(work: ChainWork, left_s: float, unhindered_s: float) -> float:
+    """Return the forecast up to which a chain is let in.
 
     Parameters
     ----------
-    finish_s : float
-        Seconds in which its stages would have been done.
+    work : ChainWork
+        Says how urgent it is.
     left_s : float
-        Seconds that they had.
+        Seconds until it should be done.
+    unhindered_s : float
+        Seconds that it takes where nothing else waits.
     """
-    return max(MIN_RETRY_AFTER_S, finish_s - left_s)
+    rank = min(work.priority, len(SHARE_BY_PRIORITY) - 1)
+    may_wait_s = max(0.0, left_s - unhindered_s)
+    return left_s - (1.0 - SHARE_BY_PRIORITY[rank]) * may_wait_s
--- a/src/trefoilpaddle/coordination/chain/chain_wire.py
+++ b/src/trefoilpaddle/coordination/chain/chain_wire.py
@@ -31,6 +31,7 @@
         due_in_ms=int((work.due_s - now_s) * MS_PER_S),
         deadline_in_ms=int((work.deadline_s - now_s) * MS_PER_S),
         must_be_on_time=work.must_be_on_time,
+        priority=work.priority,
     )
 
 
@@ -53,6 +54,7 @@
         due_s=now_s + question.due_in_ms / MS_PER_S,
         deadline_s=now_s + question.deadline_in_ms / MS_PER_S,
         must_be_on_time=question.must_be_on_time,
+        priority=question.priority,
     )
 
 
@@ -65,7 +67,10 @@
             )
         case ChainFailed():
             return wire.ChainAnswer(
-                reason=int(end.reason), is_begun=end.is_begun, finish_s=end.finish_s
+                reason=int(end.reason),
+                is_begun=end.is_begun,
+                finish_s=end.finish_s,
+                retry_after_s=end.retry_after_s,
             )
 
 
@@ -77,4 +82,5 @@
         reason=Reason(answer.reason),
         is_begun=answer.is_begun,
         finish_s=answer.finish_s,
+        retry_after_s=answer.retry_after_s,
     )
--- a/src/trefoilpaddle/coordination/chain/request_path.py
+++ b/src/trefoilpaddle/coordination/chain/request_path.py
@@ -12,7 +12,6 @@
 from ...state.chain.routes import Account, Route, RouteTable
 from ...state.chain.workers import WorkerTable
 from ...state.journal import Decision, Event, Figure, Journal
-from .admission import retry_after_s
 from .attempts import Attempts, Job
 from .caller_sink import CallerSink
 from .planned_stop import PlannedStop
@@ -146,14 +145,14 @@
             piece_key=job.request.piece_key,
             due_s=job.request.came_s + job.route.target_latency_s - engine_s,
             deadline_s=job.deadline_s,
+            priority=job.priority,
         )
         async with self._door.chain(work) as chain:
             match await chain.run():
                 case ChainFailed() as failed:
-                    left_s = work.due_s - time.monotonic()
                     return Refused(
                         reason=failed.reason,
-                        retry_after_s=retry_after_s(failed.finish_s, left_s),
+                        retry_after_s=failed.retry_after_s or UNKNOWN_RETRY_S,
                     )
                 case ChainMade(handles=handles):
                     began_s = time.monotonic()
--- a/src/trefoilpaddle/coordination/chain/stage_keeper.py
+++ b/src/trefoilpaddle/coordination/chain/stage_keeper.py
@@ -12,9 +12,10 @@
 
 from ...protocol.reasons import Reason
 from ...state.chain.chain_work import ChainEnd, ChainFailed, ChainWork
+from ...state.chain.refused_chains import RefusedChains
 from ...state.chain.repeat_budget import RepeatBudgets
 from ...state.journal import Decision, Event, Figure, Journal
-from .admission import Promises, forecast_s
+from .admission import Promises, allowed_s, forecast_s, least_s
 from .piece_homes import PieceHomes
 from .stage_walk import StageWalk
 
@@ -22,6 +23,13 @@
 """A chain that nobody has freed by then is forgotten; its results ran out long ago."""
 
 
+LATE_SHARE: Final = 0.3
+"""Part of its time to wait up to which a chain that is late is let in.
+
+Less than the least urgent chain on time may use up, so that it yields to all.
+"""
+
+
 class StageKeeper:
     """Lets chains in and walks them through their stages.
 
@@ -35,7 +43,7 @@
         Takes decisions.
     """
 
-    __slots__ = ("_budgets", "_journal", "_promises", "_walks", "homes")
+    __slots__ = ("_budgets", "_journal", "_promises", "_refused", "_walks", "homes")
 
     def __init__(
         self, *, homes: PieceHomes, budgets: RepeatBudgets, journal: Journal
@@ -43,6 +51,7 @@
         self._budgets = budgets
         self._journal = journal
         self._promises = Promises()
+        self._refused = RefusedChains()
         self._walks: dict[str, StageWalk] = {}
         self.homes = homes
 
@@ -51,15 +60,20 @@
 
         Its results are kept until `free`.
         """
+        now_s = time.monotonic()
+        first_due_s = self._refused.first_due_s(work.piece_key, now_s)
         finish_s = forecast_s(work, self.homes, self._promises)
-        left_s = work.due_s - time.monotonic()
-        is_on_time = finish_s is not None and finish_s <= left_s
-        self._note(work, finish_s, left_s)
+        limit_s = self._limit_s(work, first_due_s, now_s)
+        self._note(work, finish_s, limit_s, is_back=first_due_s is not None)
         if finish_s is None:
             return ChainFailed(reason=Reason.NO_TARGET, is_begun=False)
-        if work.must_be_on_time and not is_on_time:
+        if work.must_be_on_time and finish_s > limit_s:
+            self._refused.note(work.piece_key, work.due_s, now_s)
             return ChainFailed(
-                reason=Reason.PREDICTED_LATE, is_begun=False, finish_s=finish_s
+                reason=Reason.PREDICTED_LATE,
+                is_begun=False,
+                finish_s=finish_s,
+                retry_after_s=self._refused.retry_after_s(now_s),
             )
         walk = StageWalk(
             work=work,
@@ -87,10 +101,27 @@
         if walk is not None:
             walk.free_all()
 
-    def _note(self, work: ChainWork, finish_s: float | None, left_s: float) -> None:
-        promised = self._promises.pieces
+    def _limit_s(
+        self, work: ChainWork, first_due_s: float | None, now_s: float
+    ) -> float:
+        """Return the forecast up to which a chain is let in now.
+
+        One that was refused before was due earlier than it says. If it cannot
+        be done by then, it is late whatever is done: it is let in where little
+        waits, and takes no place from one that can be on time.
+        """
+        unhindered_s = least_s(work, self.homes)
+        limit_s = allowed_s(work, work.due_s - now_s, unhindered_s)
+        if first_due_s is None:
+            return limit_s
+        spare_s = LATE_SHARE * max(0.0, work.due_s - now_s - unhindered_s)
+        return max(first_due_s - now_s, unhindered_s + spare_s)
+
+    def _note(
+        self, work: ChainWork, finish_s: float | None, limit_s: float, *, is_back: bool
+    ) -> None:
         is_let_in = finish_s is not None and (
-            finish_s <= left_s or not work.must_be_on_time
+            finish_s <= limit_s or not work.must_be_on_time
         )
         self._journal.record(
             Decision(
@@ -98,10 +129,11 @@
                 request_id=work.request_id,
                 entry=work.route,
                 reason=Reason.NONE if is_let_in else Reason.PREDICTED_LATE,
+                detail="came back" if is_back else "",
                 figures=(
                     Figure(name="predicted_s", value=finish_s or 0.0),
-                    Figure(name="budget_s", value=left_s),
-                    Figure(name="n_promised", value=promised.total()),
+                    Figure(name="budget_s", value=limit_s),
+                    Figure(name="n_promised", value=self._promises.n_pieces()),
                 ),
             )
         )
--- a/src/trefoilpaddle/protocol/gen/chain/ttypes.py
+++ b/src/trefoilpaddle/protocol/gen/chain/ttypes.py
@@ -143,6 +143,7 @@
      - due_in_ms
      - deadline_in_ms
      - must_be_on_time
+     - priority
 
     """
 
@@ -155,11 +156,12 @@
         'due_in_ms',
         'deadline_in_ms',
         'must_be_on_time',
+        'priority',
     )
 
 
     def __init__(self, failure_domain="", request_id="", route="", stages=[
-    ], piece_key="", due_in_ms=0, deadline_in_ms=0, must_be_on_time=True,):
+    ], piece_key="", due_in_ms=0, deadline_in_ms=0, must_be_on_time=True, priority=0,):
         self.failure_domain = failure_domain
         self.request_id = request_id
         self.route = route
@@ -171,6 +173,7 @@
         self.due_in_ms = due_in_ms
         self.deadline_in_ms = deadline_in_ms
         self.must_be_on_time = must_be_on_time
+        self.priority = priority
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -227,6 +230,11 @@
                     self.must_be_on_time = iprot.readBool()
                 else:
                     iprot.skip(ftype)
+            elif fid == 9:
+                if ftype == TType.I32:
+                    self.priority = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -272,6 +280,10 @@
             oprot.writeFieldBegin('must_be_on_time', TType.BOOL, 8)
             oprot.writeBool(self.must_be_on_time)
             oprot.writeFieldEnd()
+        if self.priority is not None:
+            oprot.writeFieldBegin('priority', TType.I32, 9)
+            oprot.writeI32(self.priority)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -305,6 +317,7 @@
      - reason
      - is_begun
      - finish_s
+     - retry_after_s
 
     """
 
@@ -314,11 +327,12 @@
         'reason',
         'is_begun',
         'finish_s',
+        'retry_after_s',
     )
 
 
     def __init__(self, is_made=False, handles=[
-    ], reason=0, is_begun=False, finish_s=float(0),):
+    ], reason=0, is_begun=False, finish_s=float(0), retry_after_s=float(0),):
         self.is_made = is_made
         if handles is self.thrift_spec[2][4]:
             handles = [
@@ -327,6 +341,7 @@
         self.reason = reason
         self.is_begun = is_begun
         self.finish_s = finish_s
+        self.retry_after_s = retry_after_s
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -367,6 +382,11 @@
                     self.finish_s = iprot.readDouble()
                 else:
                     iprot.skip(ftype)
+            elif fid == 6:
+                if ftype == TType.DOUBLE:
+                    self.retry_after_s = iprot.readDouble()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -400,6 +420,10 @@
             oprot.writeFieldBegin('finish_s', TType.DOUBLE, 5)
             oprot.writeDouble(self.finish_s)
             oprot.writeFieldEnd()
+        if self.retry_after_s is not None:
+            oprot.writeFieldBegin('retry_after_s', TType.DOUBLE, 6)
+            oprot.writeDouble(self.retry_after_s)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -849,6 +873,7 @@
     (6, TType.I64, 'due_in_ms', None, 0, ),  # 6
     (7, TType.I64, 'deadline_in_ms', None, 0, ),  # 7
     (8, TType.BOOL, 'must_be_on_time', None, True, ),  # 8
+    (9, TType.I32, 'priority', None, 0, ),  # 9
 )
 all_structs.append(ChainAnswer)
 ChainAnswer.thrift_spec = (
@@ -859,6 +884,7 @@
     (3, TType.I32, 'reason', None, 0, ),  # 3
     (4, TType.BOOL, 'is_begun', None, False, ),  # 4
     (5, TType.DOUBLE, 'finish_s', None, float(0), ),  # 5
+    (6, TType.DOUBLE, 'retry_after_s', None, float(0), ),  # 6
 )
 all_structs.append(FreeChain)
 FreeChain.thrift_spec = (
--- a/src/trefoilpaddle/protocol/gen/chain/ttypes.pyi
+++ b/src/trefoilpaddle/protocol/gen/chain/ttypes.pyi
@@ -13,14 +13,16 @@
     due_in_ms: int
     deadline_in_ms: int
     must_be_on_time: bool
-    def __init__(self, *, failure_domain: str = ..., request_id: str = ..., route: str = ..., stages: list[ChainStage] = ..., piece_key: str = ..., due_in_ms: int = ..., deadline_in_ms: int = ..., must_be_on_time: bool = ...) -> None: ...
+    priority: int
+    def __init__(self, *, failure_domain: str = ..., request_id: str = ..., route: str = ..., stages: list[ChainStage] = ..., piece_key: str = ..., due_in_ms: int = ..., deadline_in_ms: int = ..., must_be_on_time: bool = ..., priority: int = ...) -> None: ...
 class ChainAnswer:
     is_made: bool
     handles: list[str]
     reason: int
     is_begun: bool
     finish_s: float
-    def __init__(self, *, is_made: bool = ..., handles: list[str] = ..., reason: int = ..., is_begun: bool = ..., finish_s: float = ...) -> None: ...
+    retry_after_s: float
+    def __init__(self, *, is_made: bool = ..., handles: list[str] = ..., reason: int = ..., is_begun: bool = ..., finish_s: float = ..., retry_after_s: float = ...) -> None: ...
 class FreeChain:
     failure_domain: str
     request_id: str
--- a/src/trefoilpaddle/state/chain/chain_work.py
+++ b/src/trefoilpaddle/state/chain/chain_work.py
@@ -26,6 +26,8 @@
         Monotonic time by which all should be done.
     deadline_s : float
         Monotonic time after which nobody waits.
+    priority : int
+        0 is the most urgent.
     must_be_on_time : bool
         Refuse it if it cannot be done by `due_s`.
     """
@@ -37,6 +39,7 @@
     piece_key: str
     due_s: float
     deadline_s: float
+    priority: int = 0
     must_be_on_time: bool = True
 
     def last_stages(self) -> tuple[int, ...]:
@@ -80,11 +83,14 @@
         False if it was refused before any piece was queued.
     finish_s : float
         Seconds in which it would have been done, where that is known.
+    retry_after_s : float
+        When its caller should come back; 0 where that is not known.
     """
 
     reason: Reason
     is_begun: bool
     finish_s: float = 0.0
+    retry_after_s: float = 0.0
 
 
 ChainEnd = ChainMade | ChainFailed
--- a/tests/chain/test_stage_keeper.py
+++ b/tests/chain/test_stage_keeper.py
@@ -27,6 +27,7 @@
     *,
     due_in_s: float = 5.0,
     n_pieces: tuple[int, ...] = (2, 1, 3),
+    priority: int = 0,
 ) -> ChainWork:
     now_s = time.monotonic()
     return ChainWork(
@@ -34,9 +35,10 @@
         route="r",
         stages=DIAMOND,
         n_pieces=n_pieces,
-        piece_key="k",
+        piece_key=f"k{name}",
         due_s=now_s + due_in_s,
         deadline_s=now_s + 9.0,
+        priority=priority,
     )
 
 
@@ -170,6 +172,24 @@
         n_made = sum(isinstance(end, ChainMade) for end in ends)
         assert 5 < n_made < 100
 
+    async def test_what_is_less_urgent_is_refused_first(self) -> None:
+        # Half of the chains of a burst are answers to chats, half are checks
+        # that go before them. Let in as they come, both are refused alike.
+        rig = Rig(FakeCalls(call_s=0.02))
+        many = [work(f"r{n}", due_in_s=0.4, priority=2 * (n % 2)) for n in range(200)]
+        ends = await asyncio.gather(*(rig.keeper.run(each) for each in many))
+        let_in = [
+            each.priority
+            for each, end in zip(many, ends, strict=True)
+            if isinstance(end, ChainMade)
+        ]
+        assert let_in.count(0) > 1.5 * let_in.count(2) > 0
+
+    async def test_without_load_the_least_urgent_is_let_in(self) -> None:
+        rig = Rig(FakeCalls())
+        end = await rig.keeper.run(work(due_in_s=0.3, priority=2))
+        assert isinstance(end, ChainMade)
+
     async def test_without_a_worker_it_says_so(self) -> None:
         rig = Rig(FakeCalls())
         rig.workers.remove("t1")
