Keep the stage workers of a small region as one cell

Change: one keeper for all stage workers of a region with 24 or fewer; a stage is made where its inputs lie, since each piece reads all of them; the first stages near the engine that will probably read them; a chain that is forecast 0.15 s late is let in.

--- a/idl/chain.thrift
+++ b/idl/chain.thrift
@@ -9,9 +9,9 @@
   4: i32 n_pieces = 0
 }
 
-// Asks the keeper of a failure domain to make all stages of a request.
+// Asks the keeper of a cell to make all stages of a request.
 struct RunChain {
-  1: string failure_domain = ""
+  1: string cell = ""
   2: string request_id = ""
   3: string route = ""
   4: list<ChainStage> stages = []
@@ -20,6 +20,8 @@
   7: i64 deadline_in_ms = 0
   8: bool must_be_on_time = true
   9: i32 priority = 0            // 0 is the most urgent
+  10: list<string> failure_domains = []  // of the cell
+  11: string near = ""           // failure domain of the gateway that asks
 }
 
 struct ChainAnswer {
@@ -29,11 +31,12 @@
   4: bool is_begun = false
   5: double finish_s = 0
   6: double retry_after_s = 0
+  7: string failure_domain = ""  // where most of the results lie
 }
 
 // Without an answer: the request has read its results, or does not want them.
 struct FreeChain {
-  1: string failure_domain = ""
+  1: string cell = ""
   2: string request_id = ""
 }
 
--- a/src/trefoilpaddle/coordination/chain/attempts.py
+++ b/src/trefoilpaddle/coordination/chain/attempts.py
@@ -86,6 +86,10 @@
         """True if it may run again after it has, or may have, run."""
         return self.route.repeat is Repeat.IDEMPOTENT or self.route.is_resumable
 
+    def worker_service(self) -> Service:
+        """Return what is published of its service; a plain one if nothing is."""
+        return self.services.get(self.service) or PlainService(name=self.service)
+
     @property
     def priority(self) -> int:
         """Its rank, 0 first; the account's goes before the route's."""
--- a/src/trefoilpaddle/coordination/chain/chain_wire.py
+++ b/src/trefoilpaddle/coordination/chain/chain_wire.py
@@ -5,17 +5,19 @@
 
 from ...protocol.gen.chain import ttypes as wire
 from ...protocol.reasons import Reason
+from ...state.chain.cells import Cell
 from ...state.chain.chain_work import ChainEnd, ChainFailed, ChainMade, ChainWork
 from ...state.chain.routes import StagePlan
 
 MS_PER_S: Final = 1000.0
 
 
-def work_to_wire(work: ChainWork, failure_domain: str) -> wire.RunChain:
+def work_to_wire(work: ChainWork, cell: Cell) -> wire.RunChain:
     """Return a chain as it is sent; times become durations from now."""
     now_s = time.monotonic()
     return wire.RunChain(
-        failure_domain=failure_domain,
+        cell=cell.name,
+        failure_domains=sorted(cell.failure_domains),
         request_id=work.request_id,
         route=work.route,
         stages=[
@@ -32,6 +34,7 @@
         deadline_in_ms=int((work.deadline_s - now_s) * MS_PER_S),
         must_be_on_time=work.must_be_on_time,
         priority=work.priority,
+        near=work.near,
     )
 
 
@@ -55,15 +58,23 @@
         deadline_s=now_s + question.deadline_in_ms / MS_PER_S,
         must_be_on_time=question.must_be_on_time,
         priority=question.priority,
+        near=question.near,
     )
 
 
+def cell_from_wire(question: wire.RunChain) -> Cell:
+    """Return the cell whose keeper is asked."""
+    return Cell(name=question.cell, failure_domains=frozenset(question.failure_domains))
+
+
 def end_to_wire(end: ChainEnd) -> wire.ChainAnswer:
     """Return an end as it is sent."""
     match end:
         case ChainMade():
             return wire.ChainAnswer(
-                is_made=True, handles=list(end.handles), finish_s=end.finish_s
+                is_made=True,
+                handles=list(end.handles),
+                failure_domain=end.failure_domain,
             )
         case ChainFailed():
             return wire.ChainAnswer(
@@ -77,7 +88,9 @@
 def end_from_wire(answer: wire.ChainAnswer) -> ChainEnd:
     """Return the end that was sent."""
     if answer.is_made:
-        return ChainMade(handles=tuple(answer.handles), finish_s=answer.finish_s)
+        return ChainMade(
+            handles=tuple(answer.handles), failure_domain=answer.failure_domain
+        )
     return ChainFailed(
         reason=Reason(answer.reason),
         is_begun=answer.is_begun,
--- a/src/trefoilpaddle/coordination/chain/keepers.py
+++ b/src/trefoilpaddle/coordination/chain/keepers.py
@@ -1,4 +1,4 @@
-"""The failure domains' stages that this gateway keeps, for itself and for others."""
+"""The cells that this gateway keeps, for itself and for others."""
 
 import asyncio
 from collections.abc import Callable
@@ -7,18 +7,19 @@
 from ...protocol.gen.chain.ttypes import ChainAnswer, FreeChain, RunChain
 from ...protocol.gen.stage.ttypes import Hello
 from ...protocol.reasons import Reason
+from ...state.chain.cells import Cell
 from ...state.chain.chain_work import ChainEnd, ChainFailed, ChainWork
 from ...state.chain.routes import RouteTable
 from ...transport.connection import Connection
 from ..own_process import OwnProcess
-from .chain_wire import end_to_wire, work_from_wire
+from .chain_wire import cell_from_wire, end_to_wire, work_from_wire
 from .stage_keeper import StageKeeper
 
-MakeKeeper = Callable[[str], StageKeeper]
+MakeKeeper = Callable[[frozenset[str]], StageKeeper]
 
 
 class Keepers:
-    """Keeps the stages of failure domains, each from its first chain on.
+    """Keeps the stages of cells, each from its first chain on.
 
     A gateway that sends a chain here takes this one for the keeper. It is served
     even where this gateway sees it otherwise: after a change of members the two
@@ -30,33 +31,35 @@
     process : OwnProcess
         Listens for peers.
     make : callable
-        Returns a new keeper of a failure domain.
+        Returns a new keeper of the stage workers in some failure domains.
     """
 
-    __slots__ = ("_by_domain", "_make", "_running")
+    __slots__ = ("_by_cell", "_make", "_running")
 
     def __init__(self, *, process: OwnProcess, make: MakeKeeper) -> None:
         self._make = make
-        self._by_domain: dict[str, StageKeeper] = {}
+        self._by_cell: dict[str, StageKeeper] = {}
         self._running: dict[str, asyncio.Task[ChainEnd]] = {}
         process.server.answer(RunChain, self._answer)
         process.message_listeners.append(self._on_message)
 
     def put_in_force(self, table: RouteTable) -> None:
         """Take workers for what `table` says of them."""
-        for keeper in self._by_domain.values():
+        for keeper in self._by_cell.values():
             keeper.homes.table = table
 
-    def of(self, failure_domain: str) -> StageKeeper:
-        """Return the keeper of a failure domain's stages."""
-        keeper = self._by_domain.get(failure_domain)
+    def of(self, cell: Cell) -> StageKeeper:
+        """Return the keeper of a cell's stages."""
+        keeper = self._by_cell.get(cell.name)
         if keeper is None:
-            keeper = self._by_domain[failure_domain] = self._make(failure_domain)
+            keeper = self._make(cell.failure_domains)
+            self._by_cell[cell.name] = keeper
+        keeper.homes.failure_domains = cell.failure_domains
         return keeper
 
-    async def run(self, failure_domain: str, work: ChainWork) -> ChainEnd:
+    async def run(self, cell: Cell, work: ChainWork) -> ChainEnd:
         """Run a chain here until it ends or is freed."""
-        task = asyncio.create_task(self.of(failure_domain).run(work))
+        task = asyncio.create_task(self.of(cell).run(work))
         self._running[work.request_id] = task
         try:
             return await task
@@ -69,20 +72,22 @@
             if self._running.get(work.request_id) is task:
                 del self._running[work.request_id]
 
-    def free(self, failure_domain: str, request_id: str) -> None:
+    def free(self, cell: str, request_id: str) -> None:
         """Free what a chain has made, and end it if it still runs."""
         task = self._running.get(request_id)
         if task is not None:
             task.cancel()
-        self.of(failure_domain).free(request_id)
+        keeper = self._by_cell.get(cell)
+        if keeper is not None:
+            keeper.free(request_id)
 
     async def _answer(self, question: RunChain, peer: Hello) -> ChainAnswer:
         work = work_from_wire(question)
-        return end_to_wire(await self.run(question.failure_domain, work))
+        return end_to_wire(await self.run(cell_from_wire(question), work))
 
     def _on_message(self, connection: Connection, message: Message) -> None:
         if isinstance(message, FreeChain):
-            self.free(message.failure_domain, message.request_id)
+            self.free(message.cell, message.request_id)
 
 
 def _is_cancelling() -> bool:
--- a/src/trefoilpaddle/coordination/chain/piece_homes.py
+++ b/src/trefoilpaddle/coordination/chain/piece_homes.py
@@ -1,6 +1,7 @@
 """The queues of all stage workers that one keeper looks after."""
 
 from collections.abc import Iterable, Sequence
+from typing import Final
 
 from ...state.chain.piece_work import PieceFault, PieceWork
 from ...state.chain.routes import PieceService, RouteTable
@@ -9,17 +10,26 @@
 from .piece_home import Coming, PieceHome
 from .target_calls import TargetCalls
 
+FAR_S: Final = 0.05
+"""Wait that is borne to stay near; the calls before and behind stay in step."""
+
+FAR_S_PER_BYTE: Final = 9e-8
+"""The same for each byte of results, which are paid for where they cross.
+
+A large result of 1.5 MB weighs half a call.
+"""
+
 
 class PieceHomes:
-    """Makes pieces at the workers of one failure domain.
+    """Makes pieces at the workers of one cell.
 
-    Where a service has no worker there, those of other domains are used: their
+    Where a service has no worker there, those of other cells are used: their
     own keepers call them as well, so calls are smaller, but chains go on.
 
     Parameters
     ----------
-    failure_domain : str
-        Whose workers they are.
+    failure_domains : frozenset of str
+        Where the cell's workers stand.
     calls : TargetCalls
         Speaks to the workers.
     workers : WorkerTable
@@ -33,18 +43,25 @@
         What is in force; says what a worker bears.
     """
 
-    __slots__ = ("_calls", "_failure_domain", "_homes", "_journal", "_workers", "table")
+    __slots__ = (
+        "_calls",
+        "_homes",
+        "_journal",
+        "_workers",
+        "failure_domains",
+        "table",
+    )
 
     def __init__(
         self,
         *,
-        failure_domain: str,
+        failure_domains: frozenset[str],
         calls: TargetCalls,
         workers: WorkerTable,
         journal: Journal,
         table: RouteTable,
     ) -> None:
-        self._failure_domain = failure_domain
+        self.failure_domains = failure_domains
         self._calls = calls
         self._workers = workers
         self._journal = journal
@@ -53,13 +70,40 @@
         workers.leave_listeners.append(self._on_leave)
 
     def choose(
-        self, service: str, n_pieces: int, *, without: frozenset[str] = frozenset()
+        self,
+        service: str,
+        n_pieces: int,
+        *,
+        near: str = "",
+        n_bytes: float = 0.0,
+        without: frozenset[str] = frozenset(),
     ) -> Worker | None:
-        """Return the worker that would have the pieces soonest, or None."""
+        """Return the worker that would have the pieces soonest, or None.
+
+        Parameters
+        ----------
+        service : str
+            What makes them.
+        n_pieces : int
+            How many.
+        near : str
+            Failure domain that goes first where the waits are alike.
+        n_bytes : float
+            Size of the results, which cross if they are made elsewhere.
+        without : frozenset of str
+            Workers that are passed over.
+        """
         homes = self._usable(service, without)
         if not homes:
             return None
-        return min(homes, key=lambda home: home.wait_s(n_pieces)).worker
+
+        far_s = FAR_S + FAR_S_PER_BYTE * n_bytes
+
+        def cost_s(home: PieceHome) -> float:
+            is_far = home.worker.failure_domain != near
+            return home.wait_s(n_pieces) + (far_s if is_far else 0.0)
+
+        return min(homes, key=cost_s).worker
 
     def wait_s(
         self, service: str, n_pieces: int, *, n_promised: int, in_s: float
@@ -114,6 +158,11 @@
             return
         home.submit(works)
 
+    def failure_domain_of(self, worker_id: str) -> str:
+        """Return where a worker of this cell stands; empty if it is gone."""
+        home = self._homes.get(worker_id)
+        return "" if home is None else home.worker.failure_domain
+
     def free(self, worker_id: str, handle: str) -> None:
         """Free a result that all who need it have read."""
         home = self._homes.get(worker_id)
@@ -122,7 +171,7 @@
 
     def _usable(self, service: str, without: frozenset[str]) -> list[PieceHome]:
         workers = self._workers.usable(service, without=without)
-        near = [w for w in workers if w.failure_domain == self._failure_domain]
+        near = [w for w in workers if w.failure_domain in self.failure_domains]
         homes = (self._home(worker) for worker in near or workers)
         return [home for home in homes if home is not None]
 
--- a/src/trefoilpaddle/coordination/chain/request_path.py
+++ b/src/trefoilpaddle/coordination/chain/request_path.py
@@ -22,6 +22,9 @@
 NO_ACCOUNT: Final = Account(name="")
 """Stands for the caller of a public route."""
 
+NOBODY: Final[frozenset[str]] = frozenset()
+"""No worker is passed over."""
+
 UNKNOWN_RETRY_S: Final = 0.5
 """When to come back to a gateway that knows nothing yet; it learns in a second."""
 
@@ -31,6 +34,8 @@
 
     Parameters
     ----------
+    failure_domain : str
+        Where this gateway stands.
     workers : WorkerTable
         Who may get work.
     door : StageDoor
@@ -58,6 +63,7 @@
         "_choice",
         "_door",
         "_engine_times",
+        "_failure_domain",
         "_journal",
         "_stop",
         "_workers",
@@ -67,6 +73,7 @@
     def __init__(
         self,
         *,
+        failure_domain: str,
         workers: WorkerTable,
         door: StageDoor,
         choice: WorkerChoice,
@@ -75,6 +82,7 @@
         journal: Journal,
         stop: PlannedStop,
     ) -> None:
+        self._failure_domain = failure_domain
         self._workers = workers
         self._door = door
         self._engine_times = EngineTimes()
@@ -145,6 +153,7 @@
             piece_key=job.request.piece_key,
             due_s=job.request.came_s + job.route.target_latency_s - engine_s,
             deadline_s=job.deadline_s,
+            near=self._near(job),
             priority=job.priority,
         )
         async with self._door.chain(work) as chain:
@@ -154,7 +163,7 @@
                         reason=failed.reason,
                         retry_after_s=failed.retry_after_s or UNKNOWN_RETRY_S,
                     )
-                case ChainMade(handles=handles):
+                case ChainMade(handles=handles, failure_domain=domain):
                     began_s = time.monotonic()
 
                     def on_read() -> None:
@@ -168,7 +177,7 @@
                         need=Need(
                             prompt=job.request.prompt,
                             input_bytes=work.input_bytes(),
-                            input_domain=chain.failure_domain,
+                            input_domain=domain,
                         ),
                         on_read=on_read,
                         workers=self._workers,
@@ -179,6 +188,17 @@
                     )
                     return await attempts.run(sink)
 
+    def _near(self, job: Job) -> str:
+        """Return the failure domain in which a request's stages should be made.
+
+        It is that of the engine which the request will most probably run on:
+        what its stages make is read there, and sessions are spread over the
+        engines more evenly than callers are over the failure domains.
+        """
+        need = Need(prompt=job.request.prompt)
+        worker = self._choice.choose(job.worker_service(), need, without=NOBODY)
+        return self._failure_domain if worker is None else worker.failure_domain
+
     def _account(
         self, table: RouteTable, route: Route, request: CallerRequest
     ) -> Account | None:
--- a/src/trefoilpaddle/coordination/chain/stage_door.py
+++ b/src/trefoilpaddle/coordination/chain/stage_door.py
@@ -1,7 +1,8 @@
 """Brings a request's chain of stages to the keeper that will do it on time."""
 
+import random
 import time
-from collections.abc import AsyncIterator, Callable
+from collections.abc import AsyncIterator, Callable, Mapping
 from contextlib import asynccontextmanager
 from dataclasses import dataclass, replace
 from typing import Final
@@ -11,6 +12,7 @@
 
 from ...protocol.gen.chain.ttypes import ChainAnswer, FreeChain
 from ...protocol.reasons import Reason
+from ...state.chain.cells import Cell, cells_of
 from ...state.chain.chain_work import ChainEnd, ChainFailed, ChainMade, ChainWork
 from ...state.chain.workers import WorkerTable
 from ...state.members import MemberRecord
@@ -24,11 +26,11 @@
 ASK_SLACK_S: Final = 0.1
 """Added to a chain's deadline; the keeper itself gives up at it."""
 
-N_DOMAINS_TRIED: Final = 2
-"""Failure domains asked for one chain; a second one where the nearest is full."""
+N_CELLS_TRIED: Final = 2
+"""Cells asked for one chain; a second one where the nearest is full."""
 
 REFUSAL_AGE_S: Final = 0.25
-"""How long a domain's refusal speaks for the next chain; about one call."""
+"""How long a cell's refusal speaks for the next chain; about one call."""
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -37,13 +39,13 @@
 
     Parameters
     ----------
-    failure_domain : str
+    cell : Cell
         Whose stage workers make it.
     link : Link or None
         To its keeper; None if this gateway keeps it.
     """
 
-    failure_domain: str
+    cell: Cell
     link: Link | None
 
 
@@ -52,8 +54,8 @@
 
     Parameters
     ----------
-    own_id, failure_domain : str
-        This gateway and where it stands.
+    own_id : str
+        This gateway.
     live : callable
         Returns the live gateways, this one included.
     peers : Peers
@@ -61,16 +63,18 @@
     keepers : Keepers
         What this gateway keeps itself.
     workers : WorkerTable
-        Says in which failure domains there are stage workers.
+        Says where there are stage workers.
+    region_of : mapping of str to str
+        Region of each failure domain.
     """
 
     __slots__ = (
-        "_failure_domain",
         "_keepers",
         "_live",
         "_own_id",
         "_peers",
         "_refused",
+        "_region_of",
         "_workers",
     )
 
@@ -78,14 +82,14 @@
         self,
         *,
         own_id: str,
-        failure_domain: str,
         live: Callable[[], list[MemberRecord]],
         peers: Peers,
         keepers: Keepers,
         workers: WorkerTable,
+        region_of: Mapping[str, str],
     ) -> None:
+        self._region_of = region_of
         self._own_id = own_id
-        self._failure_domain = failure_domain
         self._live = live
         self._peers = peers
         self._keepers = keepers
@@ -104,8 +108,8 @@
     async def run(self, work: ChainWork, place: Place) -> ChainEnd:
         """Run a chain at one place."""
         if place.link is None:
-            return await self._keepers.run(place.failure_domain, work)
-        question = work_to_wire(work, place.failure_domain)
+            return await self._keepers.run(place.cell, work)
+        question = work_to_wire(work, place.cell)
         timeout_s = work.deadline_s - time.monotonic() + ASK_SLACK_S
         match await place.link.ask(question, timeout_s=max(ASK_SLACK_S, timeout_s)):
             case Ok(ChainAnswer() as answer):
@@ -119,70 +123,71 @@
     def free(self, place: Place, request_id: str) -> None:
         """Free what a chain has made, and end it if it still runs."""
         if place.link is None:
-            self._keepers.free(place.failure_domain, request_id)
+            self._keepers.free(place.cell.name, request_id)
             return
-        place.link.send(
-            FreeChain(failure_domain=place.failure_domain, request_id=request_id)
-        )
+        place.link.send(FreeChain(cell=place.cell.name, request_id=request_id))
 
-    def places(self, services: set[str]) -> list[Place]:
+    def places(self, services: set[str], near: str) -> list[Place]:
         """Return where a chain should be tried, best first.
 
-        The own failure domain comes first, as results that cross are paid for.
-        One that has just refused a chain comes last, whoever asked.
+        The cell of `near` comes first, as results that cross failure domains
+        are paid for. One that has just refused a chain comes last.
         """
         now_s = time.monotonic()
-        domains = self._domains(services)
-        near = self._failure_domain
 
-        def rank(domain: str) -> tuple[bool, float, bool, int]:
-            at_s, finish_s = self._refused.get(domain, (0.0, 0.0))
+        def rank(cell: Cell) -> tuple[bool, float, bool, float]:
+            at_s, finish_s = self._refused.get(cell.name, (0.0, 0.0))
             has_refused = now_s - at_s < REFUSAL_AGE_S
-            draw = hash((self._own_id, domain))
-            return has_refused, finish_s * has_refused, domain != near, draw
+            is_far = near not in cell.failure_domains
+            return has_refused, finish_s * has_refused, is_far, random.random()
 
-        ranked = sorted(domains, key=rank)
-        return [self._place(domain) for domain in ranked[:N_DOMAINS_TRIED]]
+        ranked = sorted(self._cells(services), key=rank)
+        return [self._place(cell) for cell in ranked[:N_CELLS_TRIED]]
 
     def note_refusal(self, place: Place, finish_s: float) -> None:
-        """Remember that a failure domain was full."""
-        self._refused[place.failure_domain] = (time.monotonic(), finish_s)
+        """Remember that a cell was full."""
+        self._refused[place.cell.name] = (time.monotonic(), finish_s)
 
-    def _domains(self, services: set[str]) -> set[str]:
-        """Return the failure domains with a worker of every service.
+    def _cells(self, services: set[str]) -> list[Cell]:
+        """Return the cells with a worker of every service.
 
-        Where none has all, every one with a worker of any will do: the keeper
-        then uses workers of other domains.
+        Where none has all, every one with a worker of any will do: its keeper
+        then uses workers of other cells.
         """
-        of_service = [
-            {worker.failure_domain for worker in self._workers.usable(service)}
-            for service in services
+        of_service = [self._workers.usable(service) for service in services]
+        listed = [worker for workers in of_service for worker in workers]
+        cells = cells_of(listed, self._region_of)
+        whole = [
+            cell
+            for cell in cells
+            if all(
+                any(w.failure_domain in cell.failure_domains for w in workers)
+                for workers in of_service
+            )
         ]
-        if not of_service:
-            return set()
-        return set.intersection(*of_service) or set.union(*of_service)
+        return whole or cells
 
-    def _place(self, failure_domain: str) -> Place:
-        """Return the place of a failure domain's keeper.
+    def _place(self, cell: Cell) -> Place:
+        """Return the place of a cell's keeper.
 
-        All gateways agree on it by rendezvous among those of the domain. One
-        that is silent is passed over at once: waiting until the members agree
-        on its end would hold up every chain.
+        All gateways agree on it by rendezvous among those of the cell. One that
+        is silent is passed over at once: waiting until the members agree on its
+        end would hold up every chain.
         """
         live = self._live()
-        near = [m for m in live if m.failure_domain == failure_domain]
+        near = [m for m in live if m.failure_domain in cell.failure_domains]
         members = {member.process_id: member for member in near or live}
-        for process_id in highest(failure_domain, members, n=len(members)):
+        for process_id in highest(cell.name, members, n=len(members)):
             if process_id == self._own_id:
                 break
             match Address.parse(members[process_id].address):
                 case Ok(address):
                     link = self._peers.link(address)
                     if link.is_heard():
-                        return Place(failure_domain=failure_domain, link=link)
+                        return Place(cell=cell, link=link)
                 case Err(problem):
                     logging.warning("address of %s: %s", process_id, problem)
-        return Place(failure_domain=failure_domain, link=None)
+        return Place(cell=cell, link=None)
 
 
 class RunningChain:
@@ -203,11 +208,6 @@
         self._work = work
         self._place: Place | None = None
 
-    @property
-    def failure_domain(self) -> str:
-        """Where its results lie; empty before it has run."""
-        return "" if self._place is None else self._place.failure_domain
-
     async def run(self) -> ChainEnd:
         """Run it where it can be on time; return its last end."""
         work = self._work
@@ -219,7 +219,7 @@
         if not services:
             return ChainMade(handles=())
         end: ChainEnd = ChainFailed(reason=Reason.NO_TARGET, is_begun=False)
-        for place in self._door.places(services):
+        for place in self._door.places(services, work.near):
             self._place = place
             end = await self._door.run(work, place)
             match end:
--- a/src/trefoilpaddle/coordination/chain/stage_keeper.py
+++ b/src/trefoilpaddle/coordination/chain/stage_keeper.py
@@ -30,6 +30,14 @@
 """
 
 
+A_LITTLE_LATE_S: Final = 0.15
+"""How much later than due a chain may be forecast and still be let in.
+
+Forecasts err by more, about one call. A chain that turns out late goes behind
+all that are on time, so it costs them little, and its caller has an answer.
+"""
+
+
 class StageKeeper:
     """Lets chains in and walks them through their stages.
 
@@ -113,7 +121,7 @@
         unhindered_s = least_s(work, self.homes)
         limit_s = allowed_s(work, work.due_s - now_s, unhindered_s)
         if first_due_s is None:
-            return limit_s
+            return limit_s + A_LITTLE_LATE_S
         spare_s = LATE_SHARE * max(0.0, work.due_s - now_s - unhindered_s)
         return max(first_due_s - now_s, unhindered_s + spare_s)
 
--- a/src/trefoilpaddle/coordination/chain/stage_walk.py
+++ b/src/trefoilpaddle/coordination/chain/stage_walk.py
@@ -1,13 +1,16 @@
 """Walks a request through the stages that must be done before it runs."""
 
 import asyncio
+import functools
 import time
+from collections import Counter
 from typing import Final
 
 from ...protocol.reasons import Reason
 from ...state.chain.chain_work import ChainEnd, ChainFailed, ChainMade, ChainWork
 from ...state.chain.piece_work import NextPieces, PieceFault, PieceMade, PieceWork
 from ...state.chain.repeat_budget import RepeatBudgets
+from ...state.chain.workers import Worker
 from ...state.journal import Decision, Event, Figure, Journal
 from .admission import Promises
 from .piece_homes import PieceHomes
@@ -111,12 +114,16 @@
         return self._result()
 
     def _result(self) -> ChainMade:
+        n_bytes: Counter[str] = Counter()
+        handles: list[str] = []
+        for number in self._work.last_stages():
+            for made in self._made.get(number, ()):
+                handles.append(made.handle)
+                domain = self._homes.failure_domain_of(made.worker_id)
+                n_bytes[domain] += int(self._work.stages[number].result_bytes)
+        most = n_bytes.most_common(1)
         return ChainMade(
-            handles=tuple(
-                made.handle
-                for number in self._work.last_stages()
-                for made in self._made.get(number, ())
-            )
+            handles=tuple(handles), failure_domain=most[0][0] if most else ""
         )
 
     def _keep_promise(self, number: int) -> None:
@@ -182,10 +189,7 @@
         avoided: frozenset[str] = frozenset()
         n_tries = 0
         while missing:
-            worker = self._homes.choose(plan.service, len(missing), without=avoided)
-            if worker is None:
-                avoided = frozenset()
-                worker = self._homes.choose(plan.service, len(missing))
+            worker = self._choose(number, len(missing), avoided)
             if worker is None:
                 return Reason.NO_TARGET
             works = [self._piece(number, piece, inputs) for piece in missing]
@@ -220,6 +224,35 @@
             avoided = frozenset({worker.worker_id})
         return None
 
+    def _choose(
+        self, number: int, n_pieces: int, avoided: frozenset[str]
+    ) -> Worker | None:
+        """Return the next worker; one that is avoided only if there is no other."""
+        plan = self._work.stages[number]
+        near, n_bytes = self._reads(number, n_pieces)
+        choose = functools.partial(
+            self._homes.choose, plan.service, n_pieces, near=near, n_bytes=n_bytes
+        )
+        return choose(without=avoided) or choose()
+
+    def _reads(self, number: int, n_pieces: int) -> tuple[str, float]:
+        """Return where a stage should be made, and the bytes that cross if not.
+
+        Each piece reads all inputs, so a stage with inputs belongs where they
+        lie. One without belongs where its results are read.
+        """
+        plan = self._work.stages[number]
+        if not plan.after:
+            return self._work.near, n_pieces * plan.result_bytes
+        n_bytes: Counter[str] = Counter()
+        for before in plan.after:
+            size = int(self._work.stages[before].result_bytes)
+            for made in self._made.get(before, ()):
+                n_bytes[self._homes.failure_domain_of(made.worker_id)] += size
+        if not n_bytes:
+            return self._work.near, 0.0
+        return n_bytes.most_common(1)[0][0], n_pieces * float(n_bytes.total())
+
     def _may_try_again(
         self, service: str, faults: set[PieceFault], n_tries: int
     ) -> Reason | None:
--- a/src/trefoilpaddle/protocol/gen/chain/ttypes.py
+++ b/src/trefoilpaddle/protocol/gen/chain/ttypes.py
@@ -135,7 +135,7 @@
 class RunChain(object):
     """
     Attributes:
-     - failure_domain
+     - cell
      - request_id
      - route
      - stages
@@ -144,11 +144,13 @@
      - deadline_in_ms
      - must_be_on_time
      - priority
+     - failure_domains
+     - near
 
     """
 
     __slots__ = (
-        'failure_domain',
+        'cell',
         'request_id',
         'route',
         'stages',
@@ -157,12 +159,15 @@
         'deadline_in_ms',
         'must_be_on_time',
         'priority',
+        'failure_domains',
+        'near',
     )
 
 
-    def __init__(self, failure_domain="", request_id="", route="", stages=[
-    ], piece_key="", due_in_ms=0, deadline_in_ms=0, must_be_on_time=True, priority=0,):
-        self.failure_domain = failure_domain
+    def __init__(self, cell="", request_id="", route="", stages=[
+    ], piece_key="", due_in_ms=0, deadline_in_ms=0, must_be_on_time=True, priority=0, failure_domains=[
+    ], near="",):
+        self.cell = cell
         self.request_id = request_id
         self.route = route
         if stages is self.thrift_spec[4][4]:
@@ -174,6 +179,11 @@
         self.deadline_in_ms = deadline_in_ms
         self.must_be_on_time = must_be_on_time
         self.priority = priority
+        if failure_domains is self.thrift_spec[10][4]:
+            failure_domains = [
+            ]
+        self.failure_domains = failure_domains
+        self.near = near
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -186,7 +196,7 @@
                 break
             if fid == 1:
                 if ftype == TType.STRING:
-                    self.failure_domain = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                    self.cell = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
                 else:
                     iprot.skip(ftype)
             elif fid == 2:
@@ -235,6 +245,21 @@
                     self.priority = iprot.readI32()
                 else:
                     iprot.skip(ftype)
+            elif fid == 10:
+                if ftype == TType.LIST:
+                    self.failure_domains = []
+                    (_etype16, _size13) = iprot.readListBegin()
+                    for _i17 in range(_size13):
+                        _elem18 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.failure_domains.append(_elem18)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 11:
+                if ftype == TType.STRING:
+                    self.near = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -245,9 +270,9 @@
             oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
             return
         oprot.writeStructBegin('RunChain')
-        if self.failure_domain is not None:
-            oprot.writeFieldBegin('failure_domain', TType.STRING, 1)
-            oprot.writeString(self.failure_domain.encode('utf-8') if sys.version_info[0] == 2 else self.failure_domain)
+        if self.cell is not None:
+            oprot.writeFieldBegin('cell', TType.STRING, 1)
+            oprot.writeString(self.cell.encode('utf-8') if sys.version_info[0] == 2 else self.cell)
             oprot.writeFieldEnd()
         if self.request_id is not None:
             oprot.writeFieldBegin('request_id', TType.STRING, 2)
@@ -260,8 +285,8 @@
         if self.stages is not None:
             oprot.writeFieldBegin('stages', TType.LIST, 4)
             oprot.writeListBegin(TType.STRUCT, len(self.stages))
-            for iter13 in self.stages:
-                iter13.write(oprot)
+            for iter19 in self.stages:
+                iter19.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.piece_key is not None:
@@ -284,6 +309,17 @@
             oprot.writeFieldBegin('priority', TType.I32, 9)
             oprot.writeI32(self.priority)
             oprot.writeFieldEnd()
+        if self.failure_domains is not None:
+            oprot.writeFieldBegin('failure_domains', TType.LIST, 10)
+            oprot.writeListBegin(TType.STRING, len(self.failure_domains))
+            for iter20 in self.failure_domains:
+                oprot.writeString(iter20.encode('utf-8') if sys.version_info[0] == 2 else iter20)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.near is not None:
+            oprot.writeFieldBegin('near', TType.STRING, 11)
+            oprot.writeString(self.near.encode('utf-8') if sys.version_info[0] == 2 else self.near)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -318,6 +354,7 @@
      - is_begun
      - finish_s
      - retry_after_s
+     - failure_domain
 
     """
 
@@ -328,11 +365,12 @@
         'is_begun',
         'finish_s',
         'retry_after_s',
+        'failure_domain',
     )
 
 
     def __init__(self, is_made=False, handles=[
-    ], reason=0, is_begun=False, finish_s=float(0), retry_after_s=float(0),):
+    ], reason=0, is_begun=False, finish_s=float(0), retry_after_s=float(0), failure_domain="",):
         self.is_made = is_made
         if handles is self.thrift_spec[2][4]:
             handles = [
@@ -342,6 +380,7 @@
         self.is_begun = is_begun
         self.finish_s = finish_s
         self.retry_after_s = retry_after_s
+        self.failure_domain = failure_domain
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -360,10 +399,10 @@
             elif fid == 2:
                 if ftype == TType.LIST:
                     self.handles = []
-                    (_etype17, _size14) = iprot.readListBegin()
-                    for _i18 in range(_size14):
-                        _elem19 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        self.handles.append(_elem19)
+                    (_etype24, _size21) = iprot.readListBegin()
+                    for _i25 in range(_size21):
+                        _elem26 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.handles.append(_elem26)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -387,6 +426,11 @@
                     self.retry_after_s = iprot.readDouble()
                 else:
                     iprot.skip(ftype)
+            elif fid == 7:
+                if ftype == TType.STRING:
+                    self.failure_domain = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -404,8 +448,8 @@
         if self.handles is not None:
             oprot.writeFieldBegin('handles', TType.LIST, 2)
             oprot.writeListBegin(TType.STRING, len(self.handles))
-            for iter20 in self.handles:
-                oprot.writeString(iter20.encode('utf-8') if sys.version_info[0] == 2 else iter20)
+            for iter27 in self.handles:
+                oprot.writeString(iter27.encode('utf-8') if sys.version_info[0] == 2 else iter27)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.reason is not None:
@@ -424,6 +468,10 @@
             oprot.writeFieldBegin('retry_after_s', TType.DOUBLE, 6)
             oprot.writeDouble(self.retry_after_s)
             oprot.writeFieldEnd()
+        if self.failure_domain is not None:
+            oprot.writeFieldBegin('failure_domain', TType.STRING, 7)
+            oprot.writeString(self.failure_domain.encode('utf-8') if sys.version_info[0] == 2 else self.failure_domain)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -452,19 +500,19 @@
 class FreeChain(object):
     """
     Attributes:
-     - failure_domain
+     - cell
      - request_id
 
     """
 
     __slots__ = (
-        'failure_domain',
+        'cell',
         'request_id',
     )
 
 
-    def __init__(self, failure_domain="", request_id="",):
-        self.failure_domain = failure_domain
+    def __init__(self, cell="", request_id="",):
+        self.cell = cell
         self.request_id = request_id
 
     def read(self, iprot):
@@ -478,7 +526,7 @@
                 break
             if fid == 1:
                 if ftype == TType.STRING:
-                    self.failure_domain = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                    self.cell = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
                 else:
                     iprot.skip(ftype)
             elif fid == 2:
@@ -496,9 +544,9 @@
             oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
             return
         oprot.writeStructBegin('FreeChain')
-        if self.failure_domain is not None:
-            oprot.writeFieldBegin('failure_domain', TType.STRING, 1)
-            oprot.writeString(self.failure_domain.encode('utf-8') if sys.version_info[0] == 2 else self.failure_domain)
+        if self.cell is not None:
+            oprot.writeFieldBegin('cell', TType.STRING, 1)
+            oprot.writeString(self.cell.encode('utf-8') if sys.version_info[0] == 2 else self.cell)
             oprot.writeFieldEnd()
         if self.request_id is not None:
             oprot.writeFieldBegin('request_id', TType.STRING, 2)
@@ -783,11 +831,11 @@
             elif fid == 4:
                 if ftype == TType.LIST:
                     self.workers = []
-                    (_etype24, _size21) = iprot.readListBegin()
-                    for _i25 in range(_size21):
-                        _elem26 = ListedWorker()
-                        _elem26.read(iprot)
-                        self.workers.append(_elem26)
+                    (_etype31, _size28) = iprot.readListBegin()
+                    for _i32 in range(_size28):
+                        _elem33 = ListedWorker()
+                        _elem33.read(iprot)
+                        self.workers.append(_elem33)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -821,8 +869,8 @@
         if self.workers is not None:
             oprot.writeFieldBegin('workers', TType.LIST, 4)
             oprot.writeListBegin(TType.STRUCT, len(self.workers))
-            for iter27 in self.workers:
-                iter27.write(oprot)
+            for iter34 in self.workers:
+                iter34.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.is_away is not None:
@@ -864,7 +912,7 @@
 all_structs.append(RunChain)
 RunChain.thrift_spec = (
     None,  # 0
-    (1, TType.STRING, 'failure_domain', 'UTF8', "", ),  # 1
+    (1, TType.STRING, 'cell', 'UTF8', "", ),  # 1
     (2, TType.STRING, 'request_id', 'UTF8', "", ),  # 2
     (3, TType.STRING, 'route', 'UTF8', "", ),  # 3
     (4, TType.LIST, 'stages', (TType.STRUCT, [ChainStage, None], False), [
@@ -874,6 +922,9 @@
     (7, TType.I64, 'deadline_in_ms', None, 0, ),  # 7
     (8, TType.BOOL, 'must_be_on_time', None, True, ),  # 8
     (9, TType.I32, 'priority', None, 0, ),  # 9
+    (10, TType.LIST, 'failure_domains', (TType.STRING, 'UTF8', False), [
+    ], ),  # 10
+    (11, TType.STRING, 'near', 'UTF8', "", ),  # 11
 )
 all_structs.append(ChainAnswer)
 ChainAnswer.thrift_spec = (
@@ -885,11 +936,12 @@
     (4, TType.BOOL, 'is_begun', None, False, ),  # 4
     (5, TType.DOUBLE, 'finish_s', None, float(0), ),  # 5
     (6, TType.DOUBLE, 'retry_after_s', None, float(0), ),  # 6
+    (7, TType.STRING, 'failure_domain', 'UTF8', "", ),  # 7
 )
 all_structs.append(FreeChain)
 FreeChain.thrift_spec = (
     None,  # 0
-    (1, TType.STRING, 'failure_domain', 'UTF8', "", ),  # 1
+    (1, TType.STRING, 'cell', 'UTF8', "", ),  # 1
     (2, TType.STRING, 'request_id', 'UTF8', "", ),  # 2
 )
 all_structs.append(ListedWorker)
--- a/src/trefoilpaddle/protocol/gen/chain/ttypes.pyi
+++ b/src/trefoilpaddle/protocol/gen/chain/ttypes.pyi
@@ -5,7 +5,7 @@
     n_pieces: int
     def __init__(self, *, service_name: str = ..., after: list[int] = ..., result_bytes: float = ..., n_pieces: int = ...) -> None: ...
 class RunChain:
-    failure_domain: str
+    cell: str
     request_id: str
     route: str
     stages: list[ChainStage]
@@ -14,7 +14,9 @@
     deadline_in_ms: int
     must_be_on_time: bool
     priority: int
-    def __init__(self, *, failure_domain: str = ..., request_id: str = ..., route: str = ..., stages: list[ChainStage] = ..., piece_key: str = ..., due_in_ms: int = ..., deadline_in_ms: int = ..., must_be_on_time: bool = ..., priority: int = ...) -> None: ...
+    failure_domains: list[str]
+    near: str
+    def __init__(self, *, cell: str = ..., request_id: str = ..., route: str = ..., stages: list[ChainStage] = ..., piece_key: str = ..., due_in_ms: int = ..., deadline_in_ms: int = ..., must_be_on_time: bool = ..., priority: int = ..., failure_domains: list[str] = ..., near: str = ...) -> None: ...
 class ChainAnswer:
     is_made: bool
     handles: list[str]
@@ -22,11 +24,12 @@
     is_begun: bool
     finish_s: float
     retry_after_s: float
-    def __init__(self, *, is_made: bool = ..., handles: list[str] = ..., reason: int = ..., is_begun: bool = ..., finish_s: float = ..., retry_after_s: float = ...) -> None: ...
-class FreeChain:
     failure_domain: str
+    def __init__(self, *, is_made: bool = ..., handles: list[str] = ..., reason: int = ..., is_begun: bool = ..., finish_s: float = ..., retry_after_s: float = ..., failure_domain: str = ...) -> None: ...
+class FreeChain:
+    cell: str
     request_id: str
-    def __init__(self, *, failure_domain: str = ..., request_id: str = ...) -> None: ...
+    def __init__(self, *, cell: str = ..., request_id: str = ...) -> None: ...
 class ListedWorker:
     worker_id: str
     service_name: str
--- a/src/trefoilpaddle/state/chain/chain_work.py
+++ b/src/trefoilpaddle/state/chain/chain_work.py
@@ -26,6 +26,8 @@
         Monotonic time by which all should be done.
     deadline_s : float
         Monotonic time after which nobody waits.
+    near : str
+        Failure domain of its gateway, whose workers go first.
     priority : int
         0 is the most urgent.
     must_be_on_time : bool
@@ -39,6 +41,7 @@
     piece_key: str
     due_s: float
     deadline_s: float
+    near: str = ""
     priority: int = 0
     must_be_on_time: bool = True
 
@@ -63,12 +66,12 @@
     ----------
     handles : tuple of str
         Results that the request takes, by stage and piece.
-    finish_s : float
-        Seconds in which another such chain would be done.
+    failure_domain : str
+        Where most of the results lie.
     """
 
     handles: tuple[str, ...]
-    finish_s: float = 0.0
+    failure_domain: str = ""
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
