--- a/Makefile
+++ b/Makefile
@@ -3,11 +3,14 @@
 VENV ?= .venv
 BIN = $(VENV)/bin
 
-.PHONY: demo test lint binary docs clean
+.PHONY: demo demo-platform test lint binary docs clean
 
 demo: $(VENV)/.installed
 	$(BIN)/python -m trefoilpaddle.standins demo $(ARGS)
 
+demo-platform: $(VENV)/.installed
+	$(BIN)/python -m trefoilpaddle.standins demo_platform
+
 # KNOWN-RED.txt names the tests that may fail; see docs/contributing/changes.md.
 test: lint
 	$(BIN)/python -m pytest -p tools.known_red $(ARGS)
--- a/src/trefoilpaddle/coordination/chain/piece_home.py
+++ b/src/trefoilpaddle/coordination/chain/piece_home.py
@@ -321,7 +321,7 @@
         for work in self.queue.drain():
             work.settle(PieceFault.FULL)
         reason = Reason.TARGET_DOWN if fault.has_not_run else Reason.CONNECTION_LOST
-        self._note(reason, len(batch), 0, took_s, Counter())
+        self._note(reason, len(batch), 0, took_s, Counter({fault.value: len(batch)}))
 
     def _note(
         self,
--- a/src/trefoilpaddle/coordination/chain/stage_walk.py
+++ b/src/trefoilpaddle/coordination/chain/stage_walk.py
@@ -167,6 +167,7 @@
                 request_id=self._work.request_id,
                 entry=self._work.route,
                 stage=f"{number}:{self._work.stages[number].service}",
+                peer=self._maker_of(number),
                 reason=fault or Reason.NONE,
                 figures=(
                     Figure(name="n_pieces", value=self._work.n_pieces[number]),
@@ -178,6 +179,26 @@
             )
         )
 
+    def _note_retry(
+        self, number: int, worker: Worker, faults: set[PieceFault], n_missing: int
+    ) -> None:
+        self._journal.record(
+            Decision(
+                event=Event.RETRIED,
+                request_id=self._work.request_id,
+                entry=self._work.route,
+                stage=f"{number}:{self._work.stages[number].service}",
+                peer=worker.worker_id,
+                reason=REASON_OF[next(iter(faults))],
+                figures=(Figure(name="n_pieces", value=n_missing),),
+            )
+        )
+
+    def _maker_of(self, number: int) -> str:
+        """Return the worker that made a stage's last piece; empty if none did."""
+        made = self._made.get(number)
+        return made[-1].worker_id if made else ""
+
     async def _make(self, number: int) -> Reason | None:
         """Make all pieces of a stage; return why one could not be made."""
         plan = self._work.stages[number]
@@ -221,6 +242,7 @@
             reason = self._may_try_again(plan.service, faults, n_tries)
             if reason is not None:
                 return reason
+            self._note_retry(number, worker, faults, len(missing))
             avoided = frozenset({worker.worker_id})
         return None
 
--- a/src/trefoilpaddle/standins/commands.py
+++ b/src/trefoilpaddle/standins/commands.py
@@ -13,6 +13,7 @@
 from .demo import demo
 from .engine import Engine, EngineModel
 from .hosts import Hosts
+from .platform.demo import demo_platform
 from .web import StandIn, serve_process
 from .weights import Weights
 
@@ -119,3 +120,7 @@
     def demo(self, deployment: str = "garantia", serve: bool = False) -> None:
         """Run examples/DEPLOYMENT, send its samples and drain; or leave it to serve."""
         sys.exit(uvloop.run(demo(name=str(deployment), is_serving=bool(serve))))
+
+    def demo_platform(self) -> None:
+        """Run two gateways on the stand-in platform, with a kill and a stop."""
+        sys.exit(uvloop.run(demo_platform()))
--- /dev/null
+++ b/src/trefoilpaddle/standins/platform/demo.py
@@ -0,0 +1,92 @@
+"""Plays the path on the platform: two gateways, a site, a kill and a planned stop."""
+
+import asyncio
+import signal
+import tempfile
+from pathlib import Path
+from typing import Final
+
+import aiohttp
+from rich.console import Console
+
+from .gateway_process import DRAFT, GatewayProcess, event_numbers, gateways, headers
+from .site import N_EVENTS, Site, small_site
+
+N_REQUESTS: Final = 40
+"""Requests of each round; enough that stages of several share calls."""
+
+LOOK_S: Final = 0.05
+OK_STATUS: Final = 200
+
+
+async def demo_platform() -> int:
+    """Run the demo; return 0 if every answer was whole."""
+    console = Console(highlight=False)
+    with tempfile.TemporaryDirectory() as folder:
+        async with (
+            small_site() as site,
+            gateways(site, Path(folder), "a", "a") as (first, second),
+            aiohttp.ClientSession() as client,
+        ):
+            await _wait_for_workers(site, (first, second))
+            console.print(f"2 gateways and {len(site.workers)} workers are ready")
+            n_faulty = await _round(console, site, client, first, "calm")
+            second.signal(signal.SIGKILL)
+            await second.ended()
+            n_faulty += await _round(console, site, client, first, "one killed")
+            second.start()
+            await second.wait_ready(client)
+            await _wait_for_workers(site, (second,))
+            first.signal(signal.SIGTERM)
+            n_faulty += await _round(console, site, client, second, "one stops")
+            code = await first.ended()
+            console.print(f"the stopped one ended with code {code}")
+    return 1 if n_faulty or code else 0
+
+
+async def _round(
+    console: Console,
+    site: Site,
+    client: aiohttp.ClientSession,
+    gateway: GatewayProcess,
+    name: str,
+) -> int:
+    """Send a round of streams; return how many were not whole."""
+    stages = [site.workers[worker_id] for worker_id in ("encode1", "retrieve1")]
+    n_before = sum(worker.n_calls for worker in stages)
+    whole = await asyncio.gather(
+        *(_stream(client, gateway, f"{name}-{number}") for number in range(N_REQUESTS))
+    )
+    n_calls = sum(worker.n_calls for worker in stages) - n_before
+    console.print(
+        f"{name}: {sum(whole)} of {N_REQUESTS} streams whole; their "
+        f"{2 * N_REQUESTS} stages took {n_calls} calls"
+    )
+    return N_REQUESTS - sum(whole)
+
+
+async def _stream(
+    client: aiohttp.ClientSession, gateway: GatewayProcess, request_id: str
+) -> bool:
+    """Return True if a stream came whole; one that is refused comes back once."""
+    for attempt in ("", "-again"):
+        sent = headers(request_id + attempt) | DRAFT
+        async with client.post(f"{gateway.url}/draft/1", headers=sent) as answer:
+            body = await answer.read()
+            if answer.status == OK_STATUS:
+                return event_numbers(body) == list(range(1, N_EVENTS + 1))
+            await asyncio.sleep(float(answer.headers.get("Retry-After", "0")))
+    return False
+
+
+async def _wait_for_workers(site: Site, started: tuple[GatewayProcess, ...]) -> None:
+    """Wait until each gateway has seen all workers."""
+    for gateway in started:
+        while not _has_seen(gateway, site):  # noqa: ASYNC110 - its log tells of it
+            await asyncio.sleep(LOOK_S)
+
+
+def _has_seen(gateway: GatewayProcess, site: Site) -> bool:
+    """Return True if a gateway's log names all workers."""
+    log = gateway.log()
+    return all(worker_id in log for worker_id in site.workers)
--- /dev/null
+++ b/src/trefoilpaddle/standins/platform/gateway_process.py
@@ -0,0 +1,201 @@
+"""Gateways of the platform as processes of their own, beside a stand-in site."""
+
+import asyncio
+import contextlib
+import os
+import signal
+import socket
+import subprocess
+import sys
+from collections.abc import AsyncIterator
+from pathlib import Path
+from typing import Final
+
+import aiohttp
+import orjson
+
+from .site import HOST, IP, KEY, Site, settings
+
+ROOT: Final = Path(__file__).resolve().parents[4]
+"""Of the repository, where the platform starts its programs."""
+
+CAP_S: Final = 30.0
+"""Longest wait for a process to be ready, or to end."""
+
+LOOK_S: Final = 0.02
+N_PORTS: Final = 4
+OK_STATUS: Final = 200
+
+
+class GatewayProcess:
+    """One gateway.
+
+    Parameters
+    ----------
+    host, domain : str
+        Its machine and where that stands.
+    folder : Path
+        Takes its settings file and its log.
+    store : str
+        Address of the store.
+    seeds : list of str
+        Peers that it asks first.
+    """
+
+    __slots__ = ("_seeds", "_store", "domain", "folder", "host", "logs", "ports", "run")
+
+    def __init__(
+        self, *, host: str, domain: str, folder: Path, store: str, seeds: list[str]
+    ) -> None:
+        self.host = host
+        self.domain = domain
+        self.folder = folder
+        self._store = store
+        self._seeds = seeds
+        self.ports = [free_port() for _ in range(N_PORTS)]
+        self.logs: list[Path] = []
+        self.run: subprocess.Popen[bytes] | None = None
+
+    @property
+    def url(self) -> str:
+        """Where it listens for callers."""
+        return f"http://{IP}:{self.ports[0]}"
+
+    @property
+    def peers_address(self) -> str:
+        """Where it listens for other gateways."""
+        return f"{IP}:{self.ports[2]}"
+
+    def start(self) -> None:
+        """Start it, with a log of its own for each start."""
+        path = self.folder / f"{self.host}.json"
+        fields = settings(
+            host=self.host,
+            domain=self.domain,
+            ports=self.ports,
+            store=self._store,
+            seeds=self._seeds,
+        )
+        path.write_bytes(orjson.dumps(fields))
+        self.logs.append(self.folder / f"{self.host}-{len(self.logs)}.log")
+        own = {
+            "TREFOILPADDLE_NODE_FILE": str(path),
+            "TREFOILPADDLE_METRICS": f"{self.ports[3]}/metrics",
+        }
+        with self.logs[-1].open("wb") as log:
+            self.run = subprocess.Popen(
+                [sys.executable, "platform"],
+                cwd=ROOT,
+                env=os.environ | own,
+                stdout=log,
+                stderr=subprocess.STDOUT,
+            )
+
+    def signal(self, number: signal.Signals) -> None:
+        """Send it a signal."""
+        if self.run is not None:
+            self.run.send_signal(number)
+
+    async def ended(self) -> int:
+        """Return its exit code once it has ended.
+
+        Raises
+        ------
+        TimeoutError
+            If it still runs after ``CAP_S``.
+        """
+        run = self.run
+        if run is None:
+            return 0
+        async with asyncio.timeout(CAP_S):
+            while run.poll() is None:  # noqa: ASYNC110 - no event tells of it
+                await asyncio.sleep(LOOK_S)
+        return run.returncode
+
+    def kill(self) -> None:
+        """Kill it if it still runs."""
+        if self.run is not None and self.run.poll() is None:
+            self.run.kill()
+            self.run.wait()
+
+    def log(self) -> str:
+        """Return all that it has written."""
+        return "".join(path.read_text() for path in self.logs)
+
+    async def is_ready(self, client: aiohttp.ClientSession) -> bool:
+        """Return True if it says that it takes requests."""
+        url = f"http://{IP}:{self.ports[1]}/trefoilpaddle/readiness"
+        try:
+            async with client.get(url) as answer:
+                return answer.status == OK_STATUS
+        except aiohttp.ClientError:
+            return False
+
+    async def wait_ready(self, client: aiohttp.ClientSession) -> None:
+        """Wait until it says that it takes requests."""
+        async with asyncio.timeout(CAP_S):
+            while not await self.is_ready(client):  # noqa: ASYNC110
+                await asyncio.sleep(LOOK_S)
+
+
+@contextlib.asynccontextmanager
+async def gateways(
+    site: Site, folder: Path, *domains: str
+) -> AsyncIterator[list[GatewayProcess]]:
+    """Start one gateway in each of `domains`; yield when all are ready."""
+    made: list[GatewayProcess] = []
+    for number, domain in enumerate(domains):
+        made.append(
+            GatewayProcess(
+                host=f"g{number}",
+                domain=domain,
+                folder=folder,
+                store=site.store_address,
+                seeds=[each.peers_address for each in made],
+            )
+        )
+    async with aiohttp.ClientSession() as client:
+        try:
+            for gateway in made:
+                gateway.start()
+            for gateway in made:
+                await gateway.wait_ready(client)
+            yield made
+        finally:
+            for gateway in made:
+                gateway.kill()
+
+
+def free_port() -> int:
+    """Return a port that nobody listens on now."""
+    with socket.socket() as probe:
+        probe.bind((IP, 0))
+        port: int = probe.getsockname()[1]
+        return port
+
+
+def headers(request_id: str, **more: str) -> dict[str, str]:
+    """Return the headers of a caller's request."""
+    known = {
+        "Host": HOST,
+        "Trefoilpaddle-Attempt-Id": request_id,
+        "Trefoilpaddle-Deadline-Milliseconds": "5000",
+        "Trefoilpaddle-Credential": KEY,
+    }
+    return known | {name.replace("_", "-"): value for name, value in more.items()}
+
+
+DRAFT: Final = {
+    "Trefoilpaddle-Model": "m",
+    "Trefoilpaddle-Token-Counts": "100,20",
+    "Trefoilpaddle-Prompt-Prefix": "a1:60,b2:30,c3:10",
+    "Trefoilpaddle-Pieces": "2,3",
+    "Trefoilpaddle-Piece-Key": "k1",
+}
+"""Headers of a request for the route with stages."""
+
+
+def event_numbers(body: bytes) -> list[int]:
+    """Return the numbers of the events in a stream's bytes."""
+    lines = body.decode().splitlines()
+    return [int(line.removeprefix("id: ")) for line in lines if line[:3] == "id:"]
--- a/tests/platform_adapter/test_gateway_process.py
+++ b/tests/platform_adapter/test_gateway_process.py
@@ -6,6 +6,12 @@
 
 import aiohttp
 
+from trefoilpaddle.standins.platform.gateway_process import (
+    DRAFT,
+    event_numbers,
+    gateways,
+    headers,
+)
 from trefoilpaddle.standins.platform.site import (
     ACCOUNT,
     GRACE_S,
@@ -16,7 +22,6 @@
 from trefoilpaddle.standins.platform.store import TABLE_KEY
 
 from ..waiting import until
-from .rig import DRAFT, event_numbers, gateways, headers
 
 
 class TestServing:
