Make results that are gone again, within the budget

Change: a request's inputs are made once more where they are gone, and a chain is run once more where a result or its keeper is gone.

--- a/src/trefoilpaddle/coordination/chain/attempts.py
+++ b/src/trefoilpaddle/coordination/chain/attempts.py
@@ -2,9 +2,9 @@
 
 import asyncio
 import time
-from collections.abc import AsyncIterator, Callable, Mapping
+from collections.abc import AsyncIterator, Mapping
 from dataclasses import dataclass
-from typing import Final
+from typing import Final, Protocol
 
 from result import Err, Ok
 
@@ -111,6 +111,19 @@
     body: bytes
 
 
+class Inputs(Protocol):
+    """The results of a request's stages, made again where they are gone."""
+
+    async def get(self) -> tuple[str, ...] | None:
+        """Return the handles of all, or None if they cannot be made again."""
+
+    def read(self) -> None:
+        """Free them: a worker has read all of them."""
+
+    def lose(self) -> None:
+        """Take them for gone: a worker did not find one of them."""
+
+
 Sent = Answered | WorkerFailed | CallFault
 
 
@@ -121,12 +134,10 @@
     ----------
     job : Job
         The request.
-    inputs : tuple of str
-        Handles of the results that it takes.
+    inputs : Inputs
+        The results that it takes.
     need : Need
         What it asks of a worker.
-    on_read : callable
-        Called once a worker has read its inputs.
     workers, choice, calls, budget, journal
         As for the request path.
     """
@@ -145,7 +156,6 @@
         "_n_sent",
         "_n_unsent",
         "_need",
-        "_on_read",
         "_tried",
         "_workers",
     )
@@ -154,9 +164,8 @@
         self,
         *,
         job: Job,
-        inputs: tuple[str, ...],
+        inputs: Inputs,
         need: Need,
-        on_read: Callable[[], None],
         workers: WorkerTable,
         choice: WorkerChoice,
         calls: TargetCalls,
@@ -166,7 +175,6 @@
         self._job = job
         self._inputs = inputs
         self._need = need
-        self._on_read = on_read
         self._workers = workers
         self._choice = choice
         self._calls = calls
@@ -190,8 +198,11 @@
             worker = self._choose()
             if worker is None:
                 return self._end(Reason.NO_TARGET)
+            handles = await self._inputs.get()
+            if handles is None:
+                return self._end(Reason.RESULT_GONE)
             self._note(Event.ROUTED, worker)
-            match await self._send(worker, sink):
+            match await self._send(worker, handles, sink):
                 case Answered() as answered:
                     return answered
                 case WorkerFailed() as failed:
@@ -210,6 +221,8 @@
     def _learn(self, fault: CallFault, worker: Worker) -> None:
         """Take what a fault says of the worker and of the request."""
         self._tried.add(worker.worker_id)
+        if fault is CallFault.INPUTS_GONE:
+            self._inputs.lose()
         if fault.has_not_run:
             self._n_unsent += 1
         else:
@@ -223,7 +236,7 @@
         self._tried.add(worker.worker_id)
         if reason is Reason.TARGET_FAILED:
             self._may_have_run = True
-        if reason is Reason.RESULT_GONE or self._is_left:
+        if self._is_left:
             return False
         if self._may_have_run and not job.may_repeat:
             return False
@@ -252,14 +265,16 @@
         await sink.whole(failed.head, failed.body)
         return Answered()
 
-    async def _send(self, worker: Worker, sink: CallerSink) -> Sent:
+    async def _send(
+        self, worker: Worker, handles: tuple[str, ...], sink: CallerSink
+    ) -> Sent:
         """Send the request to one worker; return what came of it."""
         job = self._job
         call = TargetCall(
             request=job.request,
             account=job.account.name,
             ends_s=job.deadline_s,
-            inputs=self._inputs,
+            inputs=handles,
             after_event=self._last_event,
             urgency=min(MAX_URGENCY, job.priority) if job.route.is_stream else None,
         )
@@ -321,7 +336,7 @@
                     is_first = False
                     self._workers.trust(worker.worker_id)
                     at_worker.read()
-                    self._on_read()
+                    self._inputs.read()
                 if not self._is_begun:
                     self._is_begun = True
                     await sink.begin(answer.head)
--- a/src/trefoilpaddle/coordination/chain/request_path.py
+++ b/src/trefoilpaddle/coordination/chain/request_path.py
@@ -1,6 +1,7 @@
 """Serves one request: who governs it, its stages, its worker, its one answer."""
 
 import asyncio
+import functools
 import random
 import time
 from typing import Final
@@ -17,6 +18,7 @@
 from ...state.journal import Decision, Event, Figure, Journal
 from .attempts import Attempts, Job
 from .caller_sink import CallerSink
+from .chain_inputs import ChainInputs
 from .planned_stop import PlannedStop
 from .stage_door import StageDoor
 from .target_calls import TargetCalls
@@ -172,23 +174,22 @@
                         reason=failed.reason,
                         retry_after_s=failed.retry_after_s or UNKNOWN_RETRY_S,
                     )
-                case ChainMade(handles=handles, failure_domain=domain):
-                    began_s = time.monotonic()
-
-                    def on_read() -> None:
-                        took_s = time.monotonic() - began_s
-                        self._engine_times.learn(job.route.name, took_s)
-                        chain.free()
-
+                case ChainMade(failure_domain=domain) as made:
+                    inputs = ChainInputs(
+                        chain=chain,
+                        made=made,
+                        on_first_read=functools.partial(
+                            self._engine_times.learn, job.route.name
+                        ),
+                    )
                     attempts = Attempts(
                         job=job,
-                        inputs=handles,
+                        inputs=inputs,
                         need=Need(
                             prompt=job.request.prompt,
                             input_bytes=work.input_bytes(),
                             input_domain=domain,
                         ),
-                        on_read=on_read,
                         workers=self._workers,
                         choice=self._choice,
                         calls=self._calls,
--- a/src/trefoilpaddle/coordination/chain/stage_door.py
+++ b/src/trefoilpaddle/coordination/chain/stage_door.py
@@ -14,6 +14,7 @@
 from ...protocol.reasons import Reason
 from ...state.chain.cells import Cell, cells_of
 from ...state.chain.chain_work import ChainEnd, ChainFailed, ChainMade, ChainWork
+from ...state.chain.repeat_budget import RepeatBudgets
 from ...state.chain.workers import WorkerTable
 from ...state.members import MemberRecord
 from ...transport.connection import Address
@@ -32,6 +33,10 @@
 """How long a cell's refusal speaks for the next chain; about one call."""
 
 
+RUN_AGAIN: Final = frozenset({Reason.PEER_SILENT, Reason.RESULT_GONE})
+"""Ends of a chain after which it is run once more, within the budget."""
+
+
 @dataclass(frozen=True, slots=True, kw_only=True)
 class Place:
     """Where a chain can go.
@@ -65,9 +70,12 @@
         Says where there are stage workers.
     region_of : mapping of str to str
         Region of each failure domain.
+    budgets : RepeatBudgets
+        Asked before a chain is run once more.
     """
 
     __slots__ = (
+        "_budgets",
         "_keepers",
         "_live",
         "_own_id",
@@ -86,7 +94,9 @@
         keepers: Keepers,
         workers: WorkerTable,
         region_of: Mapping[str, str],
+        budgets: RepeatBudgets,
     ) -> None:
+        self._budgets = budgets
         self._region_of = region_of
         self._own_id = own_id
         self._live = live
@@ -143,6 +153,11 @@
         ranked = sorted(self._cells(services), key=rank)
         return [self._place(cell) for cell in ranked[:N_CELLS_TRIED]]
 
+    def may_repeat(self, services: set[str]) -> bool:
+        """Take a repeat of each service; return False if one has none left."""
+        now_s = time.monotonic()
+        return all(self._budgets.of(service).spend(now_s) for service in services)
+
     def note_refusal(self, place: Place, finish_s: float) -> None:
         """Remember that a cell was full."""
         self._refused[place.cell.name] = (time.monotonic(), finish_s)
@@ -201,38 +216,49 @@
         The chain.
     """
 
-    __slots__ = ("_door", "_place", "_work")
+    __slots__ = ("_door", "_has_run", "_place", "_work")
 
     def __init__(self, *, door: StageDoor, work: ChainWork) -> None:
         self._door = door
         self._work = work
+        self._has_run = False
         self._place: Place | None = None
 
     async def run(self) -> ChainEnd:
-        """Run it where it can be on time; return its last end."""
+        """Run it where it can be on time; return its last end.
+
+        Run once more, it is done whether it will be on time or not: what was
+        paid for it would be lost.
+        """
         work = self._work
-        services = {
-            plan.service
-            for plan, n_pieces in zip(work.stages, work.n_pieces, strict=True)
-            if n_pieces
-        }
+        if self._has_run:
+            self.free()
+            if not self._door.may_repeat(_services(work)):
+                return ChainFailed(reason=Reason.RETRY_BUDGET, is_begun=False)
+            work = replace(work, must_be_on_time=False)
+        self._has_run = True
+        end = await self._try_places(work)
+        if isinstance(end, ChainFailed) and end.reason in RUN_AGAIN:
+            # What its keeper, or the maker of a result, took with it can be
+            # made again.
+            self.free()
+            if self._door.may_repeat(_services(work)):
+                end = await self._try_places(replace(work, must_be_on_time=False))
+        return end
+
+    async def _try_places(self, work: ChainWork) -> ChainEnd:
+        """Run it at the first place that takes it; return its last end."""
+        services = _services(work)
         if not services:
             return ChainMade(handles=())
         end: ChainEnd = ChainFailed(reason=Reason.NO_TARGET, is_begun=False)
         for place in self._door.places(services, work.near):
             self._place = place
             end = await self._door.run(work, place)
-            match end:
-                case ChainFailed(is_begun=False):
-                    self._door.note_refusal(place, end.finish_s)
-                    self._place = None
-                case ChainFailed(reason=Reason.PEER_SILENT):
-                    # The keeper is gone. Its pieces may be made again; one more
-                    # place is tried, late if need be.
-                    self.free()
-                    work = replace(work, must_be_on_time=False)
-                case _:
-                    return end
+            if not isinstance(end, ChainFailed) or end.is_begun:
+                return end
+            self._door.note_refusal(place, end.finish_s)
+            self._place = None
         return end
 
     def free(self) -> None:
@@ -240,3 +266,12 @@
         if self._place is not None:
             place, self._place = self._place, None
             self._door.free(place, self._work.request_id)
+
+
+def _services(work: ChainWork) -> set[str]:
+    """Return the services that have a piece to make."""
+    return {
+        plan.service
+        for plan, n_pieces in zip(work.stages, work.n_pieces, strict=True)
+        if n_pieces
+    }
--- a/tests/chain/test_attempts.py
+++ b/tests/chain/test_attempts.py
@@ -22,8 +22,37 @@
 )
 
 
+class FakeInputs:
+    """Results that can be made again `n_left` times."""
+
+    def __init__(self, *, n_left: int = 1) -> None:
+        self.n_left = n_left
+        self.version = 1
+        self.is_there = True
+
+    async def get(self) -> tuple[str, ...] | None:
+        if not self.is_there:
+            if not self.n_left:
+                return None
+            self.n_left -= 1
+            self.version += 1
+            self.is_there = True
+        return (f"made-{self.version}",)
+
+    def read(self) -> None:
+        self.is_there = False
+
+    def lose(self) -> None:
+        self.is_there = False
+
+
 def attempts(
-    calls: FakeCalls, way: Route, *, n_workers: int = 3, slack: float = 100.0
+    calls: FakeCalls,
+    way: Route,
+    *,
+    n_workers: int = 3,
+    slack: float = 100.0,
+    inputs: FakeInputs | None = None,
 ) -> Attempts:
     workers = WorkerTable()
     for number in range(n_workers):
@@ -38,9 +67,8 @@
     )
     return Attempts(
         job=job,
-        inputs=(),
+        inputs=inputs or FakeInputs(),
         need=Need(),
-        on_read=lambda: None,
         workers=workers,
         choice=WorkerChoice(failure_domain="here", workers=workers),
         calls=calls,
@@ -160,3 +188,34 @@
         calls = FakeCalls(scripts=[FakeAnswer(n_events=0)] * 2)
         outcome = await attempts(calls, STREAM).run(FakeSink())
         assert isinstance(outcome, Failed)
+
+
+class TestInputs:
+    async def test_results_that_are_gone_are_made_again(self) -> None:
+        # The maker of a result crashes before the engine has read it. The
+        # request has not run; its stages are run once more.
+        calls = FakeCalls(scripts=[CallFault.INPUTS_GONE, FakeAnswer(n_events=2)])
+        sink = FakeSink()
+        await attempts(calls, STREAM).run(sink)
+        assert sink.seen == ["begin", "1", "2", "end"]
+        assert [call.inputs for _, call in calls.sent] == [("made-1",), ("made-2",)]
+
+    async def test_a_stream_that_goes_on_gets_them_anew(self) -> None:
+        # An engine dies in the middle of a stream. Its results were freed at
+        # the first event; the next engine refuses a request without them.
+        calls = FakeCalls(
+            scripts=[
+                FakeAnswer(n_events=2, breaks=True),
+                FakeAnswer(n_events=1, first=3),
+            ]
+        )
+        sink = FakeSink()
+        await attempts(calls, STREAM).run(sink)
+        assert sink.seen == ["begin", "1", "2", "3", "end"]
+        assert calls.sent[1][1].inputs == ("made-2",)
+
+    async def test_gone_for_good_it_has_truly_not_run(self) -> None:
+        calls = FakeCalls(scripts=[CallFault.INPUTS_GONE])
+        inputs = FakeInputs(n_left=0)
+        outcome = await attempts(calls, STREAM, inputs=inputs).run(FakeSink())
+        assert outcome == Refused(reason=Reason.RESULT_GONE, retry_after_s=0.5)
--- a/tests/chain/test_request_path.py
+++ b/tests/chain/test_request_path.py
@@ -74,6 +74,7 @@
                 keepers=keepers,
                 workers=workers,
                 region_of={},
+                budgets=budgets(),
             ),
             choice=WorkerChoice(failure_domain="here", workers=workers),
             calls=calls,
--- a/tests/chain/test_stage_door.py
+++ b/tests/chain/test_stage_door.py
@@ -1,14 +1,30 @@
 """Which gateway keeps a cell, as the members come and go."""
 
+from collections.abc import Sequence
+
 from trefoilpaddle.coordination.chain.keepers import Keepers
 from trefoilpaddle.coordination.chain.stage_door import StageDoor
 from trefoilpaddle.protocol.ids import incarnation_by_age
+from trefoilpaddle.protocol.reasons import Reason
+from trefoilpaddle.state.chain.chain_work import ChainEnd, ChainFailed, ChainMade
+from trefoilpaddle.state.chain.piece_work import PieceEnd, PieceFault, PieceWork
 from trefoilpaddle.state.chain.routes import RouteTable
-from trefoilpaddle.state.chain.workers import WorkerTable
+from trefoilpaddle.state.chain.workers import Worker, WorkerTable
 from trefoilpaddle.state.members import MemberRecord, MemberState
 from trefoilpaddle.transport.connection import Address
 
-from .fakes import FakeCalls, journal, keeper, process, worker
+from .fakes import (
+    FakeCalls,
+    budgets,
+    journal,
+    keeper,
+    made,
+    piece_service,
+    process,
+    table,
+    worker,
+)
+from .test_stage_keeper import work
 
 
 def member(name: str, incarnation: int, domain: str = "here") -> MemberRecord:
@@ -60,6 +76,7 @@
         ),
         workers=workers,
         region_of={},
+        budgets=budgets(),
     )
 
 
@@ -68,6 +85,53 @@
     return place.link is None
 
 
+class TestRunAgain:
+    async def run(
+        self, faults: list[PieceFault], *, slack: float = 100.0
+    ) -> tuple[ChainEnd, FakeCalls]:
+        def make(at: Worker, works: Sequence[PieceWork]) -> list[PieceEnd]:
+            if at.service == "t" and faults:
+                return [faults.pop()] * len(works)
+            return [made(at, each) for each in works]
+
+        calls = FakeCalls(make=make)
+        workers = WorkerTable()
+        for name in "st":
+            workers.put(worker(f"{name}1", name))
+        routes = table(services=[piece_service("s"), piece_service("t")])
+        own = process("a")
+        at = StageDoor(
+            own_id="a",
+            live=lambda: [member("a", 1)],
+            peers=own.peers,
+            keepers=Keepers(
+                process=own, make=lambda _: keeper(calls, workers, routes, journal())
+            ),
+            workers=workers,
+            region_of={},
+            budgets=budgets(slack=slack),
+        )
+        async with at.chain(work()) as chain:
+            end = await chain.run()
+        return end, calls
+
+    async def test_a_chain_whose_inputs_are_gone_is_run_once_more(self) -> None:
+        # The maker of a result crashes while the next stage waits for its turn.
+        # All before it would be paid for and lost.
+        end, calls = await self.run([PieceFault.INPUT_GONE])
+        assert isinstance(end, ChainMade)
+        n_first = sum(p.stage == 1 for batch in calls.batches for p in batch)
+        assert n_first == 2
+
+    async def test_once_and_no_more(self) -> None:
+        end, _ = await self.run([PieceFault.INPUT_GONE] * 5)
+        assert end == ChainFailed(reason=Reason.RESULT_GONE, is_begun=True)
+
+    async def test_not_beyond_the_budget(self) -> None:
+        end, _ = await self.run([PieceFault.INPUT_GONE], slack=0.0)
+        assert end == ChainFailed(reason=Reason.RESULT_GONE, is_begun=True)
+
+
 class TestKeeper:
     def test_the_oldest_gateway_keeps_the_cell(self) -> None:
         members = [member("a", 30), member("b", 10), member("c", 20)]
