Run the chains of a silent keeper again elsewhere

Change: a keeper not heard for 1.6 s is passed over and its chains are run once more. Ruled out: the workers, the store. The test failed first by waiting for its deadline.

--- a/src/trefoilpaddle/coordination/chain/stage_door.py
+++ b/src/trefoilpaddle/coordination/chain/stage_door.py
@@ -1,11 +1,12 @@
 """Brings a request's chain of stages to the keeper that will do it on time."""
 
+import asyncio
 import random
 import time
 from collections.abc import AsyncIterator, Callable, Mapping
 from contextlib import asynccontextmanager
 from dataclasses import dataclass, replace
-from typing import Final
+from typing import Any, Final
 
 from absl import logging
 from result import Err, Ok
@@ -26,6 +27,16 @@
 ASK_SLACK_S: Final = 0.1
 """Added to a chain's deadline; the keeper itself gives up at it."""
 
+KEEPER_SILENT_S: Final = 1.6
+"""A keeper that was not heard for this long is passed over, its chains run again.
+
+Heartbeats come every 0.5 s, every second from one with many connections; a lost
+packet is sent again within 0.4 s. A chain takes about as long as this.
+"""
+
+LOOK_S: Final = 0.25
+"""Time between looks whether a keeper is heard; half a heartbeat."""
+
 N_CELLS_TRIED: Final = 2
 """Cells asked for one chain; a second one where the nearest is full."""
 
@@ -120,7 +131,15 @@
             return await self._keepers.run(place.cell, work)
         question = work_to_wire(work, place.cell)
         timeout_s = work.deadline_s - time.monotonic() + ASK_SLACK_S
-        match await place.link.ask(question, timeout_s=max(ASK_SLACK_S, timeout_s)):
+        asking = asyncio.create_task(
+            place.link.ask(question, timeout_s=max(ASK_SLACK_S, timeout_s))
+        )
+        try:
+            if not await _answers(asking, place.link):
+                return ChainFailed(reason=Reason.PEER_SILENT, is_begun=True)
+        finally:
+            asking.cancel()
+        match asking.result():
             case Ok(ChainAnswer() as answer):
                 return end_from_wire(answer)
             case Err(error):
@@ -198,7 +217,7 @@
             match Address.parse(member.address):
                 case Ok(address):
                     link = self._peers.link(address)
-                    if link.is_heard():
+                    if _is_live(link):
                         return Place(cell=cell, link=link)
                 case Err(problem):
                     logging.warning("address of %s: %s", member.process_id, problem)
@@ -268,6 +287,27 @@
             self._door.free(place, self._work.request_id)
 
 
+async def _answers(asking: "asyncio.Task[Any]", link: Link) -> bool:
+    """Return True once a question has its answer; False if its peer falls silent.
+
+    A keeper that is paused, or whose machine is cut off, answers nothing and
+    closes nothing. Its chains would wait for it until their deadlines.
+    """
+    while not asking.done():
+        if not _is_live(link):
+            return False
+        await asyncio.wait({asking}, timeout=LOOK_S)
+    return True
+
+
+def _is_live(link: Link) -> bool:
+    """Return True if a gateway has said something lately."""
+    connection = link.connection
+    if connection is None:
+        return False
+    return time.monotonic() - connection.heard_s < KEEPER_SILENT_S
+
+
 def _services(work: ChainWork) -> set[str]:
     """Return the services that have a piece to make."""
     return {
--- a/tests/chain/test_stage_door.py
+++ b/tests/chain/test_stage_door.py
@@ -1,7 +1,12 @@
 """Which gateway keeps a cell, as the members come and go."""
 
+import asyncio
+import time
 from collections.abc import Sequence
 
+import pytest
+
+from trefoilpaddle.coordination.chain import stage_door
 from trefoilpaddle.coordination.chain.keepers import Keepers
 from trefoilpaddle.coordination.chain.stage_door import StageDoor
 from trefoilpaddle.protocol.ids import incarnation_by_age
@@ -42,24 +47,38 @@
     )
 
 
+class FakeConnection:
+    """A connection whose peer spoke at `heard_s`."""
+
+    def __init__(self, heard_s: float) -> None:
+        self.heard_s = heard_s
+
+
 class FakeLink:
-    """A link to a gateway that is heard, or not."""
+    """A link to a gateway that was heard just now, or not at all."""
 
     def __init__(self, *, heard: bool) -> None:
-        self.heard = heard
+        now_s = time.monotonic()
+        self.connection = FakeConnection(now_s) if heard else None
+        self.n_asked = 0
+
+    async def ask(self, question: object, *, timeout_s: float) -> object:
+        self.n_asked += 1
+        await asyncio.sleep(timeout_s)
+        raise AssertionError("nobody waits that long")
 
-    def is_heard(self) -> bool:
-        return self.heard
+    def send(self, message: object) -> bool:
+        return True
 
 
 class FakePeers:
     """Links to gateways that are all heard, or none."""
 
     def __init__(self, *, heard: bool) -> None:
-        self._link = FakeLink(heard=heard)
+        self.only = FakeLink(heard=heard)
 
     def link(self, address: Address) -> FakeLink:
-        return self._link
+        return self.only
 
 
 def door(own_id: str, members: list[MemberRecord], *, heard: bool = True) -> StageDoor:
@@ -132,6 +151,38 @@
         assert end == ChainFailed(reason=Reason.RESULT_GONE, is_begun=True)
 
 
+class TestPausedKeeper:
+    async def test_its_chains_are_run_again_elsewhere(
+        self, monkeypatch: pytest.MonkeyPatch
+    ) -> None:
+        # The keeper's machine freezes. Its connections stay open and say
+        # nothing; the chains that it had let in waited for their deadlines.
+        monkeypatch.setattr(stage_door, "KEEPER_SILENT_S", 0.3)
+        monkeypatch.setattr(stage_door, "LOOK_S", 0.05)
+        calls = FakeCalls()
+        workers = WorkerTable()
+        for name in "st":
+            workers.put(worker(f"{name}1", name))
+        routes = table(services=[piece_service("s"), piece_service("t")])
+        own = process("b")
+        peers = FakePeers(heard=True)
+        at = StageDoor(
+            own_id="b",
+            live=lambda: [member("a", 1), member("b", 2)],
+            peers=peers,  # type: ignore[arg-type]
+            keepers=Keepers(
+                process=own, make=lambda _: keeper(calls, workers, routes, journal())
+            ),
+            workers=workers,
+            region_of={},
+            budgets=budgets(),
+        )
+        async with asyncio.timeout(2.0), at.chain(work()) as chain:
+            end = await chain.run()
+        assert peers.only.n_asked == 1
+        assert isinstance(end, ChainMade)
+
+
 class TestKeeper:
     def test_the_oldest_gateway_keeps_the_cell(self) -> None:
         members = [member("a", 30), member("b", 10), member("c", 20)]
