Keep reading and calling after an answer that nobody foresaw

Cause, found in reading: one entry of the store that cannot be decoded ended a gateway's reading for good, and one answer of a stage worker that is no list of objects left that worker marked as busy for good.

--- a/src/trefoilpaddle/coordination/chain/piece_home.py
+++ b/src/trefoilpaddle/coordination/chain/piece_home.py
@@ -14,6 +14,7 @@
 from dataclasses import dataclass
 from typing import Any, Final, Protocol
 
+from absl import logging
 from result import Err, Ok
 
 from ...protocol.reasons import Reason
@@ -270,16 +271,23 @@
     async def _call(self, batch: list[PieceWork], began_s: float) -> None:
         expected_s = self.queue.times.call_s(len(batch))
         timeout_s = HANG_RATIO * expected_s + HANG_SLACK_S
-        match await self._calls.make_pieces(self.worker, batch, timeout_s=timeout_s):
-            case Ok(ends):
-                self._take(batch, ends, began_s)
-            case Err(CallFault.FULL):
-                # Somebody else calls this worker as well: another gateway that
-                # takes itself for the home. Nothing was run.
-                self.queue.add(batch)
-                await asyncio.sleep(FULL_PAUSE_S)
-            case Err(fault):
-                self._fail(batch, fault, began_s)
+        try:
+            match await self._calls.make_pieces(
+                self.worker, batch, timeout_s=timeout_s
+            ):
+                case Ok(ends):
+                    self._take(batch, ends, began_s)
+                case Err(CallFault.FULL):
+                    # Somebody else calls this worker as well: another gateway
+                    # that takes itself for its keeper. Nothing was run.
+                    self.queue.add(batch)
+                    await asyncio.sleep(FULL_PAUSE_S)
+                case Err(fault):
+                    self._fail(batch, fault, began_s)
+        except Exception:
+            # A fault here would leave the worker marked as busy for good.
+            logging.exception("a call of pieces at %s", self.worker.worker_id)
+            self._fail(batch, CallFault.BROKEN, began_s)
         self._n_calls -= 1
         self._running = []
         self._pump()
--- a/src/trefoilpaddle/coordination/chain/store_feed.py
+++ b/src/trefoilpaddle/coordination/chain/store_feed.py
@@ -5,6 +5,7 @@
 from collections.abc import Awaitable, Callable
 from typing import Final
 
+from absl import logging
 from result import Err, Ok
 
 from ...protocol.gen.chain.ttypes import StoreState
@@ -109,11 +110,23 @@
     async def run(self) -> None:
         """Read until cancelled."""
         while True:
-            is_read = await self.read_once()
-            if not is_read:
-                await self.read_peers()
+            is_read = await self._read_any()
             await asyncio.sleep(POLL_S if is_read else RETRY_S)
 
+    async def _read_any(self) -> bool:
+        """Read the store, or peers if it does not answer; True if it did.
+
+        One answer that cannot be taken must not end all reading: the gateway
+        would go on with what it knew then, and nothing would show it.
+        """
+        try:
+            if await self.read_once():
+                return True
+            await self.read_peers()
+        except Exception:
+            logging.exception("what was published could not be taken in")
+        return False
+
     async def read_once(self) -> bool:
         """Read once; return True if the store answered."""
         if not self.revision:
--- a/src/trefoilpaddle/state/events.py
+++ b/src/trefoilpaddle/state/events.py
@@ -118,3 +118,5 @@
     """A peer's connection was refused."""
     KEYS_RELOADED = 304
     """Keys and certificates were read again."""
+    SETTINGS_RELOADED = 305
+    """The settings file was read again; with a detail if it is faulty."""
--- a/tests/chain/test_stage_keeper.py
+++ b/tests/chain/test_stage_keeper.py
@@ -142,6 +142,18 @@
         assert isinstance(end, ChainMade)
         assert end.handles[0].startswith("s2/")
 
+    async def test_a_fault_of_a_call_does_not_stop_the_worker(self) -> None:
+        # A worker answers a call with what nobody foresaw. It must not count as
+        # busy for good.
+        def answer(at: Worker, works: Sequence[PieceWork]) -> list[PieceEnd]:
+            if len(calls.batches) == 1:
+                raise ValueError("unforeseen")
+            return [made(at, each) for each in works]
+
+        calls = FakeCalls(make=answer)
+        end = await Rig(calls).keeper.run(work())
+        assert isinstance(end, ChainMade)
+
     async def test_a_piece_without_room_stays_and_is_made_when_there_is(self) -> None:
         tries: list[int] = []
 
--- a/tests/chain/test_store_feed.py
+++ b/tests/chain/test_store_feed.py
@@ -18,6 +18,7 @@
 from trefoilpaddle.state.chain.routes import RouteTable
 from trefoilpaddle.state.chain.workers import WorkerTable
 
+from ..waiting import until
 from .fakes import journal, process, worker
 
 Answer = Result[StoreChanges, StoreFault]
@@ -104,6 +105,28 @@
         assert sorted(rig.workers.ids()) == ["b", "c"]
 
 
+class TestReading:
+    async def test_one_answer_that_cannot_be_taken_does_not_end_it(
+        self, monkeypatch: pytest.MonkeyPatch
+    ) -> None:
+        # The store answers once with what nobody foresaw. A reader that ends
+        # there leaves its gateway with old routes and keys for good.
+        monkeypatch.setattr(store_feed, "POLL_S", 0.01)
+        monkeypatch.setattr(store_feed, "RETRY_S", 0.01)
+        rig = Rig(changes(1, "a"))
+
+        async def fail(after: int) -> Answer:
+            if len(rig.store.asked) < 3:
+                rig.store.asked.append(after)
+                raise ValueError("unforeseen")
+            return changes(7, "b")
+
+        monkeypatch.setattr(rig.store, "changes", fail)
+        reading = asyncio.create_task(rig.feed.run())
+        await until(lambda: "b" in rig.workers.ids())
+        reading.cancel()
+
+
 class TestWorkers:
     async def test_one_that_is_removed_is_gone_at_once(self) -> None:
         rig = Rig(changes(1, "a"), changes(2, removed=("a",)))
--- a/tests/platform_adapter/test_gateway_process.py
+++ b/tests/platform_adapter/test_gateway_process.py
@@ -183,7 +183,7 @@
             aiohttp.ClientSession() as client,
         ):
             gateway.signal(signal.SIGHUP)
-            await asyncio.sleep(0.2)
+            await until(lambda: "settings_reloaded" in gateway.log())
             assert await gateway.is_ready(client)
 
 
