--- a/src/trefoilpaddle/coordination/chain/stage_keeper.py
+++ b/src/trefoilpaddle/coordination/chain/stage_keeper.py
@@ -1,9 +1,9 @@
-"""The gateway that plans all stages of a failure domain.
+"""The keeper of a cell: lets chains of stages in and has them made.
 
 Whether a chain can be on time depends on every queue that it passes and on what
-others were promised there. One keeper a failure domain knows both exactly, so it
-alone lets chains in, and calls the domain's stage workers. Gateways that each
-planned for themselves would promise the same places twice.
+others were promised there. One keeper a cell knows both exactly, so it alone
+lets chains in, and calls the cell's stage workers. Gateways that each planned
+for themselves would promise the same places twice.
 """
 
 import asyncio
@@ -22,14 +22,12 @@
 KEEP_WALKS_S: Final = 30.0
 """A chain that nobody has freed by then is forgotten; its results ran out long ago."""
 
-
 LATE_SHARE: Final = 0.3
 """Part of its time to wait up to which a chain that is late is let in.
 
 Less than the least urgent chain on time may use up, so that it yields to all.
 """
 
-
 A_LITTLE_LATE_S: Final = 0.15
 """How much later than due a chain may be forecast and still be let in.
 
@@ -44,7 +42,7 @@
     Parameters
     ----------
     homes : PieceHomes
-        Queues of the domain's stage workers.
+        Queues of the cell's stage workers.
     budgets : RepeatBudgets
         Asked before a piece is made again.
     journal : Journal
