Keep a grown region as one cell, on its strongest machines

Cause: on the grown deployments 25 and 26 stage workers are one or two over the bound of one cell, so each failure domain kept its own, with two or three workers of a service each.

Ruled out: a lack of workers (the same workers serve half as much again after the change), the gateways' processor (0.1 cores at its most before).

Change: cells are made of the listed workers, suspects included; a region of up to 64 is one cell; its keeper is the oldest of the strongest machines, as grown front machines differ from 0.387 to 2.15 cores and a keeper used 0.30 in one second. Two of the three new tests failed before; the third guards that nearly equal machines still go by age.

--- a/idl/membership.thrift
+++ b/idl/membership.thrift
@@ -16,6 +16,7 @@
   10: i64 config_revision = 0
   11: i64 hosts_revision = 0
   12: string region = ""
+  13: i32 millicores = 0           // processor that it may use; 0 if untold
 }
 
 struct DomainDigest {
--- a/src/trefoilpaddle/coordination/chain/stage_door.py
+++ b/src/trefoilpaddle/coordination/chain/stage_door.py
@@ -64,6 +64,22 @@
     link: Link | None
 
 
+@dataclass(frozen=True, slots=True, kw_only=True, order=True)
+class KeeperRank:
+    """How early a member comes among those that could keep a cell.
+
+    Parameters
+    ----------
+    doublings : int
+        Negative binary order of its processor, so that the strongest is least.
+    incarnation : int
+        Of its start; greater the later it was.
+    """
+
+    doublings: int
+    incarnation: int
+
+
 class StageDoor:
     """Finds a keeper for each chain and follows it there.
 
@@ -187,9 +203,14 @@
         Where none has all, every one with a worker of any will do: its keeper
         then uses workers of other cells.
         """
-        of_service = [self._workers.usable(service) for service in services]
-        listed = [worker for workers in of_service for worker in workers]
+        # A worker that is silent for a moment stays in its cell. If cells came and
+        # went with suspicions, two keepers would call the same workers meanwhile,
+        # each with half of the pieces, and find them full of the other's calls.
+        listed = [
+            worker for service in services for worker in self._workers.listed(service)
+        ]
         cells = cells_of(listed, self._region_of)
+        of_service = [self._workers.usable(service) for service in services]
         whole = [
             cell
             for cell in cells
@@ -203,15 +224,16 @@
     def _place(self, cell: Cell) -> Place:
         """Return the place of a cell's keeper.
 
-        All gateways agree on the oldest of those of the cell. A keeper knows
-        what waits and what it has promised, a new one knows nothing and lets in
-        too much; so one that is restarted does not take its cell back. One that
-        is silent is passed over at once: waiting until the members agree on its
-        end would hold up every chain.
+        All gateways agree on the oldest of the strongest of the cell. Every
+        chain of the cell passes its keeper, so a weak machine would be late with
+        all of them. A keeper knows what waits and what it has promised, a new
+        one knows nothing and lets in too much; so one that is restarted does not
+        take its cell back from its equals. One that is silent is passed over at
+        once: waiting until the members agree on its end would hold up every chain.
         """
         live = self._live()
         near = [m for m in live if m.failure_domain in cell.failure_domains]
-        for member in sorted(near or live, key=lambda member: member.incarnation):
+        for member in sorted(near or live, key=_keeper_rank):
             if member.process_id == self._own_id:
                 break
             match Address.parse(member.address):
@@ -315,3 +337,14 @@
         for plan, n_pieces in zip(work.stages, work.n_pieces, strict=True)
         if n_pieces
     }
+
+
+def _keeper_rank(member: MemberRecord) -> KeeperRank:
+    """Return the order in which members keep a cell, the first first.
+
+    Only a machine with twice the processor goes before an older one: each
+    change of keepers loses what the last one knew.
+    """
+    return KeeperRank(
+        doublings=-member.millicores.bit_length(), incarnation=member.incarnation
+    )
--- a/src/trefoilpaddle/coordination/members/member_wire.py
+++ b/src/trefoilpaddle/coordination/members/member_wire.py
@@ -26,6 +26,7 @@
         target=record.target,
         state=int(record.state),
         beat=record.beat,
+        millicores=record.millicores,
     )
 
 
@@ -45,6 +46,7 @@
             target=member.target,
             state=MemberState(member.state),
             beat=member.beat,
+            millicores=member.millicores,
         )
 
 
--- a/src/trefoilpaddle/coordination/members/membership.py
+++ b/src/trefoilpaddle/coordination/members/membership.py
@@ -106,6 +106,7 @@
             target=identity.target,
             state=MemberState.LIVE,
             beat=1,
+            millicores=identity.millicores,
         )
 
     def hear(self, records: Iterable[MemberRecord]) -> None:
--- a/src/trefoilpaddle/coordination/own_process.py
+++ b/src/trefoilpaddle/coordination/own_process.py
@@ -45,6 +45,10 @@
     def target(self) -> str:
         """Of a sidecar."""
 
+    @property
+    def millicores(self) -> int:
+        """Processor that it may use, in thousandths of a core; 0 if untold."""
+
 
 class OwnProcess(Protocol):
     """The process, as far as coordination deals with it."""
--- a/src/trefoilpaddle/protocol/gen/membership/ttypes.py
+++ b/src/trefoilpaddle/protocol/gen/membership/ttypes.py
@@ -52,6 +52,7 @@
      - config_revision
      - hosts_revision
      - region
+     - millicores
 
     """
 
@@ -68,10 +69,11 @@
         'config_revision',
         'hosts_revision',
         'region',
+        'millicores',
     )
 
 
-    def __init__(self, process_id="", incarnation=0, address="", role="", failure_domain="", service_name="", target="", state=    0, beat=0, config_revision=0, hosts_revision=0, region="",):
+    def __init__(self, process_id="", incarnation=0, address="", role="", failure_domain="", service_name="", target="", state=    0, beat=0, config_revision=0, hosts_revision=0, region="", millicores=0,):
         self.process_id = process_id
         self.incarnation = incarnation
         self.address = address
@@ -84,6 +86,7 @@
         self.config_revision = config_revision
         self.hosts_revision = hosts_revision
         self.region = region
+        self.millicores = millicores
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -154,6 +157,11 @@
                     self.region = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
                 else:
                     iprot.skip(ftype)
+            elif fid == 13:
+                if ftype == TType.I32:
+                    self.millicores = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -212,6 +220,10 @@
             oprot.writeFieldBegin('region', TType.STRING, 12)
             oprot.writeString(self.region.encode('utf-8') if sys.version_info[0] == 2 else self.region)
             oprot.writeFieldEnd()
+        if self.millicores is not None:
+            oprot.writeFieldBegin('millicores', TType.I32, 13)
+            oprot.writeI32(self.millicores)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -578,6 +590,7 @@
     (10, TType.I64, 'config_revision', None, 0, ),  # 10
     (11, TType.I64, 'hosts_revision', None, 0, ),  # 11
     (12, TType.STRING, 'region', 'UTF8', "", ),  # 12
+    (13, TType.I32, 'millicores', None, 0, ),  # 13
 )
 all_structs.append(DomainDigest)
 DomainDigest.thrift_spec = (
--- a/src/trefoilpaddle/protocol/gen/membership/ttypes.pyi
+++ b/src/trefoilpaddle/protocol/gen/membership/ttypes.pyi
@@ -18,7 +18,8 @@
     config_revision: int
     hosts_revision: int
     region: str
-    def __init__(self, *, process_id: str = ..., incarnation: int = ..., address: str = ..., role: str = ..., failure_domain: str = ..., service_name: str = ..., target: str = ..., state: int = ..., beat: int = ..., config_revision: int = ..., hosts_revision: int = ..., region: str = ...) -> None: ...
+    millicores: int
+    def __init__(self, *, process_id: str = ..., incarnation: int = ..., address: str = ..., role: str = ..., failure_domain: str = ..., service_name: str = ..., target: str = ..., state: int = ..., beat: int = ..., config_revision: int = ..., hosts_revision: int = ..., region: str = ..., millicores: int = ...) -> None: ...
 class DomainDigest:
     failure_domain: str
     digest: int
--- a/src/trefoilpaddle/roles/process.py
+++ b/src/trefoilpaddle/roles/process.py
@@ -44,6 +44,8 @@
         Where it stands.
     service, target : str
         Of a sidecar.
+    millicores : int
+        Processor that it may use, in thousandths of a core; 0 if untold.
     """
 
     process_id: str
@@ -53,6 +55,7 @@
     region: str
     service: str = ""
     target: str = ""
+    millicores: int = 0
 
 
 def identity_of(
--- a/src/trefoilpaddle/state/chain/cells.py
+++ b/src/trefoilpaddle/state/chain/cells.py
@@ -6,12 +6,13 @@
 
 from .workers import Worker
 
-REGION_WORKERS: Final = 24
+REGION_WORKERS: Final = 64
 """Stage workers of a region up to which they are one cell.
 
 In one cell the load of all failure domains is shared out and a lost worker's is
-taken over by all. A keeper's processor bounds it: a chain costs it about 2 ms,
-and so many workers bear some hundred chains a second at most.
+taken over by all; 26 workers in one cell had 3,640 streams of a calm day in time,
+in four cells 2,450. A keeper's processor bounds it: it used 0.3
+cores at its most with these 26, so 64 need 0.75, about a front machine's whole.
 """
 
 
--- a/src/trefoilpaddle/state/chain/workers.py
+++ b/src/trefoilpaddle/state/chain/workers.py
@@ -109,6 +109,10 @@
         until_s = self._suspect_until_s.get(worker_id)
         return until_s is not None and time.monotonic() < until_s
 
+    def listed(self, service: str) -> list[Worker]:
+        """Return all listed workers of a service, silent and leaving ones too."""
+        return list(self._by_service.get(service, {}).values())
+
     def usable(self, service: str, *, without: Iterable[str] = ()) -> list[Worker]:
         """Return the workers of a service that may get work.
 
--- a/src/trefoilpaddle/state/members.py
+++ b/src/trefoilpaddle/state/members.py
@@ -35,6 +35,8 @@
         What is said of it.
     beat : int
         Raised only by the process itself, to overrule what is said of it.
+    millicores : int
+        Processor that the process may use, in thousandths of a core; 0 if untold.
     """
 
     process_id: str
@@ -47,6 +49,7 @@
     target: str
     state: MemberState
     beat: int
+    millicores: int = 0
 
     def overrules(self, other: "MemberRecord") -> bool:
         """Return True if this is to be believed rather than `other`."""
--- a/tests/chain/test_stage_door.py
+++ b/tests/chain/test_stage_door.py
@@ -2,7 +2,7 @@
 
 import asyncio
 import time
-from collections.abc import Sequence
+from collections.abc import Mapping, Sequence
 
 import pytest
 
@@ -11,6 +11,7 @@
 from trefoilpaddle.coordination.chain.stage_door import StageDoor
 from trefoilpaddle.protocol.ids import incarnation_by_age
 from trefoilpaddle.protocol.reasons import Reason
+from trefoilpaddle.state.chain.cells import REGION_WORKERS
 from trefoilpaddle.state.chain.chain_work import ChainEnd, ChainFailed, ChainMade
 from trefoilpaddle.state.chain.piece_work import PieceEnd, PieceFault, PieceWork
 from trefoilpaddle.state.chain.routes import RouteTable
@@ -32,7 +33,9 @@
 from .test_stage_keeper import work
 
 
-def member(name: str, incarnation: int, domain: str = "here") -> MemberRecord:
+def member(
+    name: str, incarnation: int, domain: str = "here", *, millicores: int = 0
+) -> MemberRecord:
     return MemberRecord(
         process_id=name,
         incarnation=incarnation,
@@ -44,6 +47,7 @@
         target="",
         state=MemberState.LIVE,
         beat=1,
+        millicores=millicores,
     )
 
 
@@ -81,9 +85,20 @@
         return self.only
 
 
-def door(own_id: str, members: list[MemberRecord], *, heard: bool = True) -> StageDoor:
-    workers = WorkerTable()
-    workers.put(worker("s1", "s"))
+ONE_REGION = {"a": "north", "b": "north"}
+
+
+def door(
+    own_id: str,
+    members: list[MemberRecord],
+    *,
+    heard: bool = True,
+    workers: WorkerTable | None = None,
+    region_of: Mapping[str, str] | None = None,
+) -> StageDoor:
+    if workers is None:
+        workers = WorkerTable()
+        workers.put(worker("s1", "s"))
     own = process(own_id)
     return StageDoor(
         own_id=own_id,
@@ -94,7 +109,7 @@
             make=lambda _: keeper(FakeCalls(), workers, RouteTable(), journal()),
         ),
         workers=workers,
-        region_of={},
+        region_of=region_of or {},
         budgets=budgets(),
     )
 
@@ -205,6 +220,31 @@
         assert keeps_itself(door("b", [far, member("b", 20)]))
         assert not keeps_itself(door("b", [far, member("b", 20, "far")]))
 
+    def test_a_strong_machine_goes_before_an_older_one(self) -> None:
+        # Machines differ five times in their processors. All stages of a region
+        # pass its keeper; on a weak machine it answers late under load, and each
+        # chain of the region with it.
+        members = [member("a", 10, millicores=387), member("b", 20, millicores=2150)]
+        assert keeps_itself(door("b", members))
+        assert not keeps_itself(door("a", members))
+
+    def test_of_nearly_equal_ones_the_older_keeps_it(self) -> None:
+        members = [member("a", 20, millicores=860), member("b", 10, millicores=817)]
+        assert keeps_itself(door("b", members))
+
+    def test_suspects_do_not_change_the_cells(self) -> None:
+        # One of the workers that make a region just too large for one cell does
+        # not answer for a second. Its chains went to a keeper of the region
+        # meanwhile, beside those of the failure domains; the two called the same
+        # workers, and one call in five found its worker full.
+        workers = WorkerTable()
+        for number in range(REGION_WORKERS + 1):
+            workers.put(worker(f"s{number}", "s", domain="ab"[number % 2]))
+        at = door("b", [member("b", 1)], workers=workers, region_of=ONE_REGION)
+        before = {place.cell.name for place in at.places({"s"}, "a")}
+        workers.suspect("s0")
+        assert {place.cell.name for place in at.places({"s"}, "a")} == before
+
     def test_starts_have_the_order_of_their_times(self) -> None:
         starts = [incarnation_by_age() >> 20 for _ in range(100)]
         assert starts == sorted(starts)
