End unknown reasons as internal; give chains their own time to be answered

A keeper of a newer release that refuses for a reason unknown here raised in the gateway that had asked, and the caller got a cut connection; a chain that takes over 10 s (a deadline of 20 s is published) was ended by the transport without a word, and its gateway waited for the deadline. Also drops a slot that nothing read.

--- a/src/trefoilpaddle/coordination/chain/chain_wire.py
+++ b/src/trefoilpaddle/coordination/chain/chain_wire.py
@@ -4,7 +4,7 @@
 from typing import Final
 
 from ...protocol.gen.chain import ttypes as wire
-from ...protocol.reasons import Reason
+from ...protocol.reasons import reason_from_wire
 from ...state.chain.cells import Cell
 from ...state.chain.chain_work import ChainEnd, ChainFailed, ChainMade, ChainWork
 from ...state.chain.routes import StagePlan
@@ -92,7 +92,7 @@
             handles=tuple(answer.handles), failure_domain=answer.failure_domain
         )
     return ChainFailed(
-        reason=Reason(answer.reason),
+        reason=reason_from_wire(answer.reason),
         is_begun=answer.is_begun,
         finish_s=answer.finish_s,
         retry_after_s=answer.retry_after_s,
--- a/src/trefoilpaddle/coordination/chain/fleet.py
+++ b/src/trefoilpaddle/coordination/chain/fleet.py
@@ -33,10 +33,9 @@
         Addresses of gateways to ask first; may be stale.
     """
 
-    __slots__ = ("_most", "_own_id", "_watch", "membership")
+    __slots__ = ("_most", "_watch", "membership")
 
     def __init__(self, *, process: OwnProcess, seeds: tuple[str, ...]) -> None:
-        self._own_id = process.identity.process_id
         self.membership = Membership(process=process, seeds=seeds)
         self._watch = PeerWatch(
             process=process, membership=self.membership, is_wanted=_never
--- a/src/trefoilpaddle/coordination/chain/keepers.py
+++ b/src/trefoilpaddle/coordination/chain/keepers.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from collections.abc import Callable
+from typing import Final
 
 from ...protocol.frames import Message
 from ...protocol.gen.chain.ttypes import ChainAnswer, FreeChain, RunChain
@@ -15,6 +16,12 @@
 from .chain_wire import cell_from_wire, end_to_wire, work_from_wire
 from .stage_keeper import StageKeeper
 
+CHAIN_ANSWER_S: Final = 60.0
+"""Longest time that a chain may take; its own deadline ends it before.
+
+Three times the longest deadline that callers are known to set.
+"""
+
 MakeKeeper = Callable[[frozenset[str]], StageKeeper]
 
 
@@ -40,7 +47,7 @@
         self._make = make
         self._by_cell: dict[str, StageKeeper] = {}
         self._running: dict[str, asyncio.Task[ChainEnd]] = {}
-        process.server.answer(RunChain, self._answer)
+        process.server.answer(RunChain, self._answer, timeout_s=CHAIN_ANSWER_S)
         process.message_listeners.append(self._on_message)
 
     def put_in_force(self, table: RouteTable) -> None:
--- a/src/trefoilpaddle/protocol/errors.py
+++ b/src/trefoilpaddle/protocol/errors.py
@@ -3,7 +3,7 @@
 from dataclasses import dataclass
 
 from .gen.stage.ttypes import Failure, Load, Outcome
-from .reasons import Reason
+from .reasons import Reason, reason_from_wire
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -126,7 +126,7 @@
 
 def from_failure(failure: Failure) -> StageError:
     """Return the typed error in `failure`; an unheard-of outcome is unknown."""
-    reason = _reason(failure.reason)
+    reason = reason_from_wire(failure.reason)
     step, peer, detail = failure.step, failure.peer, failure.detail
     wait_s = failure.retry_after_s
     match failure.outcome:
@@ -147,10 +147,3 @@
             return Unknown(
                 reason=reason, step=step, peer=peer, detail=detail, retry_after_s=wait_s
             )
-
-
-def _reason(number: int) -> Reason:
-    try:
-        return Reason(number)
-    except ValueError:
-        return Reason.INTERNAL
--- a/src/trefoilpaddle/protocol/reasons.py
+++ b/src/trefoilpaddle/protocol/reasons.py
@@ -40,3 +40,15 @@
     STOPPING = 30
     UNKNOWN_PIPELINE = 31
     INTERNAL = 32
+
+
+def reason_from_wire(number: int) -> Reason:
+    """Return the reason that a peer sent.
+
+    One that runs a newer release may send a reason that this one does not know.
+    The request has ended all the same, so it reads as ``INTERNAL``.
+    """
+    try:
+        return Reason(number)
+    except ValueError:
+        return Reason.INTERNAL
--- a/src/trefoilpaddle/transport/server.py
+++ b/src/trefoilpaddle/transport/server.py
@@ -18,6 +18,7 @@
 """From so many connections on, heartbeats go out half as often."""
 MAX_OPEN_ASKS: Final = 256
 ANSWER_TIMEOUT_S: Final = 10.0
+"""Longest time that an answer may take, unless its question says otherwise."""
 
 Answerer = Callable[[Any, Hello], Awaitable[Message]]
 OnMessage = Callable[[Connection, Message], None]
@@ -55,6 +56,7 @@
         "_own_hello",
         "_server",
         "_tasks",
+        "_timeouts_s",
         "_tls",
         "address",
         "connections",
@@ -79,6 +81,7 @@
         self._on_close = on_close
         self._tls = tls
         self._answerers: dict[type, Answerer] = {}
+        self._timeouts_s: dict[type, float] = {}
         self._server: asyncio.Server | None = None
         self._tasks: set[asyncio.Task[None]] = set()
         self._asks: set[asyncio.Task[None]] = set()
@@ -86,9 +89,23 @@
         self._is_closing = False
         self.connections: set[Connection] = set()
 
-    def answer(self, question: type, answerer: Answerer) -> None:
-        """Answer messages of type `question` with what `answerer` returns."""
+    def answer(
+        self, question: type, answerer: Answerer, *, timeout_s: float | None = None
+    ) -> None:
+        """Answer messages of type `question` with what `answerer` returns.
+
+        Parameters
+        ----------
+        question : type
+            Message that expects a reply.
+        answerer : callable
+            Returns the reply.
+        timeout_s : float, optional
+            Longest time that it may take; `ANSWER_TIMEOUT_S` if not given.
+        """
         self._answerers[question] = answerer
+        if timeout_s is not None:
+            self._timeouts_s[question] = timeout_s
 
     @contextlib.asynccontextmanager
     async def listening(self) -> AsyncIterator["PeerServer"]:
@@ -238,7 +255,8 @@
         # An answer that waits on a process that is gone must end: past
         # MAX_OPEN_ASKS such answers the connection would never be read again.
         try:
-            async with asyncio.timeout(ANSWER_TIMEOUT_S):
+            timeout_s = self._timeouts_s.get(question, ANSWER_TIMEOUT_S)
+            async with asyncio.timeout(timeout_s):
                 reply = await answerer(frame.message, connection.peer)
             connection.write(reply, call=frame.call)
         except Exception:
--- a/tests/test_transport.py
+++ b/tests/test_transport.py
@@ -435,6 +435,23 @@
             for task in hung:
                 task.cancel()
 
+    async def test_a_question_may_be_given_more_time_than_others(
+        self, monkeypatch: pytest.MonkeyPatch
+    ) -> None:
+        # The stages of a request with a deadline of 20 s take 11 s under load.
+        # Their keeper ended them after 10 s without a word, and the gateway that
+        # had asked waited for the deadline.
+        monkeypatch.setattr(server_module, "ANSWER_TIMEOUT_S", 0.05)
+
+        async def slow(question: Bar, peer: Hello) -> BarAnswer:
+            await asyncio.sleep(0.2)
+            return BarAnswer()
+
+        server = server_of()
+        server.answer(Bar, slow, timeout_s=5.0)
+        async with server.listening(), link_to(server.address) as link:
+            assert (await link.ask(Bar(), timeout_s=5.0)).is_ok()
+
     async def test_a_peer_that_never_reads_is_cut_off_within_bounds(
         self, monkeypatch: pytest.MonkeyPatch
     ) -> None:
