Soak real gateways under faults from outside; count a silent stream once

Ruled out: the budget of repeats (no line of it in the log, and its share was free), a lack of engines (the other was in use at the same moment).

Change: one sending counts once. A stream that can go on nowhere else is waited for until its deadline: its callers bear over two seconds, and an engine that puts it back for want of memory goes on with it. Both tests failed before.

The soak runs three gateways as processes; their ways to the store and to the workers lead through relays that delay, silence, cut, or cut one way; gateways are paused, killed, stopped and hung up, in series and overlapping; the store refuses, forgets, and publishes. From what callers and workers saw it checks: run once, nothing crossed, whole or not complete, refusals true, an answer in time, keys in force, nothing to leaving workers, no process that ends by itself, service again after the last fault. Not covered: the ways between gateways (only pauses and kills silence them) and clocks.

--- a/src/trefoilpaddle/coordination/chain/attempts.py
+++ b/src/trefoilpaddle/coordination/chain/attempts.py
@@ -279,6 +279,7 @@
             urgency=min(MAX_URGENCY, job.priority) if job.route.is_stream else None,
         )
         patience_s = self._patience_s()
+        n_before = self._n_sent
         with self._choice.open(worker, self._need) as at_worker:
             try:
                 async with (
@@ -296,7 +297,8 @@
                                 worker, at_worker, answer, sink, patience
                             )
             except TimeoutError:
-                self._n_sent += 1
+                # One that fell silent within its answer was counted already.
+                self._n_sent = n_before + 1
                 return CallFault.SILENT
 
     async def _take(
@@ -342,8 +344,7 @@
                     await sink.begin(answer.head)
                 self._last_event = event.number
                 await sink.event(event)
-                left_s = self._job.deadline_s - time.monotonic()
-                patience.reschedule(loop.time() + min(GAP_S, left_s))
+                patience.reschedule(loop.time() + self._gap_s())
         except StreamBrokenError:
             return CallFault.BROKEN
         if not self._is_begun:
@@ -362,6 +363,18 @@
             return min(left_s, FIRST_EVENT_S)
         return min(left_s, PATIENCE_RATIO * job.route.target_latency_s)
 
+    def _gap_s(self) -> float:
+        """Return how long a stream that has begun may pause.
+
+        One that can go on nowhere else is waited for: broken off it is lost for
+        sure, and an engine that put it back for want of memory goes on with it.
+        """
+        left_s = max(0.0, self._job.deadline_s - time.monotonic())
+        is_last = self._n_sent >= self._job.route.max_attempts
+        if is_last or not self._job.route.is_resumable:
+            return left_s
+        return min(left_s, GAP_S)
+
     def _note(self, event: Event, worker: Worker, reason: Reason = Reason.NONE) -> None:
         job = self._job
         self._journal.record(
--- a/src/trefoilpaddle/standins/platform/worker.py
+++ b/src/trefoilpaddle/standins/platform/worker.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import itertools
+import time
 from typing import Any, Final
 
 import orjson
@@ -36,6 +37,8 @@
         Breaks connections instead of answering, after it has run the request.
     ran : list of str
         Ids of the requests that it ran, one for each time.
+    ran_s : list of float
+        Monotonic times at which they came.
     headers : list of dict
         Headers of those requests.
     pieces : list of tuple
@@ -53,6 +56,7 @@
         "n_events",
         "pieces",
         "ran",
+        "ran_s",
         "record",
         "work_s",
         "worker_id",
@@ -69,6 +73,7 @@
         self.faults = Faults()
         self.record = Record()
         self.ran: list[str] = []
+        self.ran_s: list[float] = []
         self.headers: list[dict[str, str]] = []
         self.pieces: list[tuple[str, int, int, tuple[str, ...]]] = []
         self.freed: list[str] = []
@@ -93,6 +98,7 @@
         request_id = request.headers[ATTEMPT]
         await request.read()
         self.ran.append(request_id)
+        self.ran_s.append(time.monotonic())
         self.headers.append(dict(request.headers))
         headers = {ATTEMPT: request_id, SEAL: f"{self.worker_id}.{request_id}"}
         if not self.n_events:
--- a/tests/chain/fakes.py
+++ b/tests/chain/fakes.py
@@ -110,6 +110,7 @@
     n_events: int = 0
     first: int = 1
     breaks: bool = False
+    hangs_s: float = 0.0
     fault: CallFault | None = None
 
     async def read(self) -> Result[bytes, CallFault]:
@@ -119,6 +120,7 @@
         for number in range(self.first, self.first + self.n_events):
             await asyncio.sleep(0)
             yield StreamEvent(number=number, data=f"id: {number}\n\n".encode())
+        await asyncio.sleep(self.hangs_s)
         if self.breaks:
             raise StreamBrokenError("cut")
 
--- a/tests/chain/test_attempts.py
+++ b/tests/chain/test_attempts.py
@@ -2,6 +2,7 @@
 
 import pytest
 
+from trefoilpaddle.coordination.chain import attempts as attempts_module
 from trefoilpaddle.coordination.chain.attempts import Attempts, Job
 from trefoilpaddle.coordination.chain.worker_choice import Need, WorkerChoice
 from trefoilpaddle.protocol.reasons import Reason
@@ -219,3 +220,29 @@
         inputs = FakeInputs(n_left=0)
         outcome = await attempts(calls, STREAM, inputs=inputs).run(FakeSink())
         assert outcome == Refused(reason=Reason.RESULT_GONE, retry_after_s=0.5)
+
+
+class TestSilentStreams:
+    async def test_one_that_falls_silent_goes_on_elsewhere(
+        self, monkeypatch: pytest.MonkeyPatch
+    ) -> None:
+        # An engine's connection goes silent after two events. The gateway
+        # counted the one sending twice, as sent and as timed out, took its two
+        # attempts for used up, and cut a stream that could go on.
+        monkeypatch.setattr(attempts_module, "GAP_S", 0.05)
+        silent = FakeAnswer(n_events=2, hangs_s=5.0)
+        calls = FakeCalls(scripts=[silent, FakeAnswer(n_events=2, first=3)])
+        sink = FakeSink()
+        assert isinstance(await attempts(calls, STREAM).run(sink), Answered)
+        assert sink.seen == ["begin", "1", "2", "3", "4", "end"]
+
+    async def test_one_that_can_go_nowhere_else_is_waited_for(
+        self, monkeypatch: pytest.MonkeyPatch
+    ) -> None:
+        # An engine under pressure puts a stream back for two seconds. Cut then,
+        # it is lost; waited for, it is only late.
+        monkeypatch.setattr(attempts_module, "GAP_S", 0.05)
+        calls = FakeCalls(scripts=[FakeAnswer(n_events=2, hangs_s=0.3)])
+        sink = FakeSink()
+        assert isinstance(await attempts(calls, STREAM_ONCE).run(sink), Answered)
+        assert sink.seen == ["begin", "1", "2", "end"]
--- /dev/null
+++ b/tests/soak/__init__.py
@@ -0,0 +1,1 @@
+"""Randomised soak: real gateways under faults from outside, promises checked."""
--- /dev/null
+++ b/tests/soak/soak_actions.py
@@ -0,0 +1,175 @@
+"""What a soak does to the system, drawn from a seed."""
+
+import random
+from collections.abc import Callable
+from dataclasses import dataclass
+
+SERVICES = ("stock", "model", "encode", "retrieve")
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class PauseGateway:
+    """SIGSTOP, and SIGCONT after a while."""
+
+    number: int
+    for_s: float
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class KillGateway:
+    """SIGKILL, and a new start after a while."""
+
+    number: int
+    for_s: float
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class StopGateway:
+    """SIGTERM, and a new start once it has ended."""
+
+    number: int
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class HangUpGateway:
+    """SIGHUP."""
+
+    number: int
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class DisturbWorker:
+    """Delay, silence or cut the connections to one worker of a service.
+
+    Parameters
+    ----------
+    delay_s, delay_back_s : float
+        Added on the way there and back; the latter alone is a cut one way.
+    is_silent : bool
+        Nothing passes, nothing is closed.
+    is_cut : bool
+        All connections are reset, and new ones refused.
+    """
+
+    service: str
+    for_s: float
+    delay_s: float = 0.0
+    delay_back_s: float = 0.0
+    is_silent: bool = False
+    is_cut: bool = False
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class BreakAnswers:
+    """One worker of a service runs requests and resets their connections."""
+
+    service: str
+    for_s: float
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class ReplaceWorker:
+    """A new worker of a service is listed and an old one drained, or just gone."""
+
+    service: str
+    says_so: bool
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class DisturbStore:
+    """One gateway's way to the store is silent, or cut; every way if it is None."""
+
+    number: int | None
+    for_s: float
+    is_silent: bool
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class RefuseReads:
+    """The store answers every gateway that it does not serve it."""
+
+    for_s: float
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class ForgetHistory:
+    """The store loses the changes that readers have not asked for yet."""
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class PublishTable:
+    """A new version: one key is revoked, another is valid."""
+
+
+Action = (
+    PauseGateway
+    | KillGateway
+    | StopGateway
+    | HangUpGateway
+    | DisturbWorker
+    | BreakAnswers
+    | ReplaceWorker
+    | DisturbStore
+    | RefuseReads
+    | ForgetHistory
+    | PublishTable
+)
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Step:
+    """An action and when it begins, in seconds from the start."""
+
+    at_s: float
+    action: Action
+
+
+def schedule(seed: int, *, length_s: float, n_gateways: int) -> list[Step]:
+    """Return what a seed stands for; single actions, and series that overlap."""
+    rng = random.Random(seed)
+    makers: list[Callable[[], Action]] = [
+        lambda: PauseGateway(number=rng.randrange(n_gateways), for_s=rng.uniform(1, 4)),
+        lambda: KillGateway(
+            number=rng.randrange(n_gateways), for_s=rng.uniform(0.1, 2)
+        ),
+        lambda: StopGateway(number=rng.randrange(n_gateways)),
+        lambda: HangUpGateway(number=rng.randrange(n_gateways)),
+        lambda: _disturb_worker(rng),
+        lambda: _disturb_worker(rng),
+        lambda: BreakAnswers(service=rng.choice(SERVICES), for_s=rng.uniform(0.3, 2)),
+        lambda: ReplaceWorker(service=rng.choice(SERVICES), says_so=rng.random() < 0.5),
+        lambda: DisturbStore(
+            number=rng.choice([None, *range(n_gateways)]),
+            for_s=rng.uniform(0.5, 4),
+            is_silent=rng.random() < 0.5,
+        ),
+        lambda: RefuseReads(for_s=rng.uniform(0.5, 4)),
+        ForgetHistory,
+        PublishTable,
+        PublishTable,
+    ]
+    steps: list[Step] = []
+    at_s = 0.5
+    while at_s < length_s:
+        maker = rng.choice(makers)
+        n_times = rng.choice((1, 1, 1, 2, 3))
+        for number in range(n_times):
+            steps.append(Step(at_s=at_s + number * rng.uniform(0, 0.5), action=maker()))
+        at_s += rng.expovariate(1.0) + 0.1
+    return sorted(steps, key=lambda step: step.at_s)
+
+
+def _disturb_worker(rng: random.Random) -> DisturbWorker:
+    service = rng.choice(SERVICES)
+    for_s = rng.uniform(0.3, 3)
+    match rng.randrange(4):
+        case 0:
+            return DisturbWorker(
+                service=service, for_s=for_s, delay_s=rng.uniform(0.05, 1)
+            )
+        case 1:
+            return DisturbWorker(service=service, for_s=for_s, delay_back_s=for_s)
+        case 2:
+            return DisturbWorker(service=service, for_s=for_s, is_silent=True)
+        case _:
+            return DisturbWorker(service=service, for_s=for_s, is_cut=True)
--- /dev/null
+++ b/tests/soak/soak_checks.py
@@ -0,0 +1,220 @@
+"""The promises that every soak must keep, from what callers and workers saw."""
+
+from collections import Counter
+from collections.abc import Iterator
+
+from trefoilpaddle.standins.platform.site import ACCOUNT, GRACE_S, N_EVENTS
+
+from .soak_actions import (
+    BreakAnswers,
+    DisturbStore,
+    DisturbWorker,
+    ForgetHistory,
+    KillGateway,
+    PauseGateway,
+    RefuseReads,
+    ReplaceWorker,
+    StopGateway,
+)
+from .soak_callers import DEADLINE_S, WHOLE, Callers, Seen, events_of
+from .soak_run import Mark, Record
+
+NOT_RUN = frozenset({408, 421, 429, 503})
+OK = 200
+UNAUTHORISED = 401
+SLACK_S = 0.5
+IN_FORCE_S = 2.0
+"""Within this a published change must be in force."""
+
+CALM_S = 3.0
+"""Bounds in time hold where nothing was disturbed for so long."""
+
+DRAIN_S = 2.0
+STOP_MARGIN_S = 1.0
+"""Before the kill, what a worker still works on is broken off."""
+
+SETTLED_S = 4.0
+"""After the last fault all must be served again."""
+
+LEAST_SERVED = 0.75
+
+
+def broken(record: Record, callers: Callers) -> list[str]:
+    """Return what was broken, one line each."""
+    checks = (_runs, _answers, _refusals, _ends, _keys, _leaving, _recovery)
+    return record.problems + [
+        line for check in checks for line in check(record, callers)
+    ]
+
+
+def _runs(record: Record, callers: Callers) -> Iterator[str]:
+    """Workers run what callers sent, for the right account, and holds once."""
+    kinds = {seen.request_id: seen.kind for seen in callers.seen}
+    runs: Counter[str] = Counter()
+    for worker in record.workers:
+        runs.update(worker.ran)
+        for request_id, sent in zip(worker.ran, worker.headers, strict=True):
+            if request_id not in kinds:
+                yield f"{request_id} ran, and no caller sent it"
+            if sent.get("Trefoilpaddle-Tenant") != ACCOUNT:
+                yield f"{request_id} ran for another account"
+            if "Trefoilpaddle-Credential" in sent:
+                yield f"{request_id} was passed on with its key"
+        yield from _pieces(worker.pieces, kinds)
+    for request_id, n_runs in runs.items():
+        if kinds.get(request_id) == "hold" and n_runs > 1:
+            yield f"{request_id} may run once and ran {n_runs} times"
+
+
+def _pieces(
+    pieces: list[tuple[str, int, int, tuple[str, ...]]], kinds: dict[str, str]
+) -> Iterator[str]:
+    n_inputs = {0: 0, 1: 2}
+    for request_id, stage, piece, inputs in pieces:
+        if kinds.get(request_id) != "draft":
+            yield f"piece {stage}.{piece} of {request_id}, which has none"
+        if len(set(inputs)) != n_inputs.get(stage):
+            yield f"piece {stage}.{piece} of {request_id} was given {inputs}"
+
+
+def _answers(record: Record, callers: Callers) -> Iterator[str]:
+    """Successes are a worker's whole answer to that request."""
+    names = {worker.worker_id for worker in record.workers}
+    for seen in callers.seen:
+        if seen.status != OK or not seen.is_whole:
+            continue
+        worker_id, _, request_id = seen.seal.rpartition(".")
+        if worker_id not in names or request_id != seen.request_id:
+            yield f"{seen.request_id} was answered with the seal {seen.seal!r}"
+        if seen.kind in WHOLE and seen.body != seen.request_id.encode():
+            yield f"{seen.request_id} was answered with {seen.body!r}"
+        if seen.kind == "draft" and not _is_own_stream(seen):
+            yield f"{seen.request_id} got the stream {seen.body!r}"
+
+
+def _is_own_stream(seen: Seen) -> bool:
+    data = {line for line in seen.body.split(b"\n") if line.startswith(b"data:")}
+    expected = list(range(1, N_EVENTS + 1))
+    return events_of(seen) == expected and data == {
+        b"data: " + seen.request_id.encode()
+    }
+
+
+def _refusals(record: Record, callers: Callers) -> Iterator[str]:
+    """What is said not to have run has not."""
+    ran = {request_id for worker in record.workers for request_id in worker.ran}
+    for seen in callers.seen:
+        if seen.status in NOT_RUN and seen.request_id in ran:
+            yield f"{seen.request_id} ({seen.kind}) was answered {seen.status} and ran"
+
+
+def _ends(record: Record, callers: Callers) -> Iterator[str]:
+    """Everything that a gateway passed on is answered, in time."""
+    passed_on = {r for worker in record.workers for r in worker.ran}
+    for seen in callers.seen:
+        if not seen.ended_s or seen.is_whole or _is_excused(record, seen):
+            continue
+        if events_of(seen) and _is_model_disturbed(record, seen):
+            continue
+        if seen.error == "TimeoutError":
+            yield f"{seen.request_id} ({seen.kind}) had no answer in time"
+        elif seen.request_id in passed_on:
+            yield f"{seen.request_id} ({seen.kind}) ended with {seen.error}"
+    for seen in callers.seen:
+        took_s = seen.ended_s - seen.sent_s
+        if took_s > DEADLINE_S + SLACK_S and not _is_excused(record, seen):
+            yield f"{seen.request_id} ({seen.kind}) was answered after {took_s:.2f} s"
+
+
+def _is_model_disturbed(record: Record, seen: Seen) -> bool:
+    """Return True if a stream may have had to end for want of an engine."""
+    return any(
+        _overlaps(mark, seen.sent_s, seen.ended_s)
+        for mark in record.marks
+        if isinstance(mark.action, DisturbWorker | BreakAnswers | ReplaceWorker)
+        and mark.action.service == "model"
+    )
+
+
+def _is_excused(record: Record, seen: Seen) -> bool:
+    """Return True if its gateway was killed, paused or at its end meanwhile."""
+    for mark in record.marks:
+        if mark.host != seen.gateway:
+            continue
+        match mark.action:
+            case KillGateway() | PauseGateway():
+                if _overlaps(mark, seen.sent_s, seen.ended_s):
+                    return True
+            case StopGateway():
+                last_s = mark.began_s + GRACE_S - STOP_MARGIN_S
+                if seen.sent_s <= mark.ended_s and seen.ended_s >= last_s:
+                    return True
+            case _:
+                continue
+    return False
+
+
+def _keys(record: Record, callers: Callers) -> Iterator[str]:
+    """A revoked key is refused everywhere within two seconds, a new one taken."""
+    for seen in callers.seen:
+        at_s = record.revoked_s.get(seen.key)
+        is_old = at_s is not None and seen.sent_s > at_s + IN_FORCE_S
+        is_taken = is_old and seen.status not in {UNAUTHORISED, 0, 503}
+        if is_taken and _is_calm(record, seen.sent_s - CALM_S, seen.sent_s):
+            yield f"{seen.request_id}: {seen.key} was taken after its end"
+    began_s = {
+        f"key{number + 2}": s for number, s in enumerate(record.revoked_s.values())
+    }
+    for seen in callers.seen:
+        from_s = began_s.get(seen.key, 0.0) + IN_FORCE_S
+        until_s = record.revoked_s.get(seen.key, seen.sent_s + 1)
+        is_refused = seen.status == UNAUTHORISED and from_s < seen.sent_s < until_s
+        if is_refused and _is_calm(record, seen.sent_s - CALM_S, seen.sent_s):
+            yield f"{seen.request_id}: {seen.key} was refused though it is valid"
+
+
+def _leaving(record: Record, callers: Callers) -> Iterator[str]:
+    """A worker that is leaving gets nothing more two seconds later."""
+    for worker in record.workers:
+        left_s = record.left_s.get(worker.worker_id)
+        if left_s is None:
+            continue
+        for request_id, at_s in zip(worker.ran, worker.ran_s, strict=True):
+            is_late = at_s > left_s + DRAIN_S + SLACK_S
+            if is_late and _is_calm(record, left_s - CALM_S, at_s):
+                yield f"{request_id} reached {worker.worker_id} after it had left"
+
+
+def _recovery(record: Record, callers: Callers) -> Iterator[str]:
+    """Once nothing is disturbed any more, callers are served."""
+    late = [
+        seen
+        for seen in callers.seen
+        if seen.sent_s > record.healed_s + SETTLED_S
+        and seen.ended_s
+        and seen.key not in record.revoked_s
+    ]
+    n_served = sum(1 for seen in late if seen.status == OK and seen.is_whole)
+    if n_served < LEAST_SERVED * len(late) or not late:
+        yield f"after the faults {n_served} of {len(late)} requests were served"
+
+
+def _is_calm(record: Record, from_s: float, until_s: float) -> bool:
+    """Return True if neither store nor gateways were disturbed then."""
+    disturbing = (
+        DisturbStore,
+        RefuseReads,
+        ForgetHistory,
+        KillGateway,
+        PauseGateway,
+        StopGateway,
+        DisturbWorker,
+    )
+    return not any(
+        isinstance(mark.action, disturbing) and _overlaps(mark, from_s, until_s)
+        for mark in record.marks
+    )
+
+
+def _overlaps(mark: Mark, from_s: float, until_s: float) -> bool:
+    return mark.began_s <= until_s and mark.ended_s + SLACK_S >= from_s
--- /dev/null
+++ b/tests/soak/soak_run.py
@@ -0,0 +1,346 @@
+"""Runs one soak: a site, its gateways, callers, and faults from outside."""
+
+import asyncio
+import contextlib
+import random
+import signal
+import time
+from collections.abc import AsyncIterator
+from dataclasses import dataclass, field
+from pathlib import Path
+from typing import assert_never
+
+import aiohttp
+
+from tests.harness_relay import Relay
+from trefoilpaddle.standins.platform.gateway_process import GatewayProcess
+from trefoilpaddle.standins.platform.site import ACCOUNT, N_EVENTS, Site, configuration
+from trefoilpaddle.standins.platform.store import TABLE_KEY
+from trefoilpaddle.standins.platform.worker import PlatformWorker
+from trefoilpaddle.standins.web import serving
+from trefoilpaddle.transport.connection import Address
+
+from .soak_actions import (
+    SERVICES,
+    Action,
+    BreakAnswers,
+    DisturbStore,
+    DisturbWorker,
+    ForgetHistory,
+    HangUpGateway,
+    KillGateway,
+    PauseGateway,
+    PublishTable,
+    RefuseReads,
+    ReplaceWorker,
+    StopGateway,
+    schedule,
+)
+from .soak_callers import Callers
+
+DOMAINS = ("a", "a", "b")
+N_CALLERS = 6
+HEAL_S = 6.0
+"""Time after the faults in which all must be served again."""
+
+LINGER_S = 3.0
+"""A replaced worker serves on for so long after its entry said so."""
+
+PROBE_S = 0.25
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Mark:
+    """Something that was done, from when to when.
+
+    Parameters
+    ----------
+    host : int or None
+        The gateway that it was done to; None for all.
+    """
+
+    action: Action
+    host: int | None
+    began_s: float
+    ended_s: float
+
+
+@dataclass(slots=True, kw_only=True)
+class Record:
+    """What checks need of a run."""
+
+    workers: list[PlatformWorker]
+    marks: list[Mark] = field(default_factory=list)
+    revoked_s: dict[str, float] = field(default_factory=dict)
+    left_s: dict[str, float] = field(default_factory=dict)
+    healed_s: float = 0.0
+    problems: list[str] = field(default_factory=list)
+
+
+class SoakSite:
+    """A stand-in site whose store and workers are reached through relays."""
+
+    def __init__(self, *, stack: contextlib.AsyncExitStack) -> None:
+        self._stack = stack
+        self._n_workers = 0
+        self._version = 1
+        self.site = Site(stack=stack)
+        self.by_service: dict[str, list[str]] = {name: [] for name in SERVICES}
+        self.relays: dict[str, Relay] = {}
+        self.store_relays: list[Relay] = []
+        self.record = Record(workers=[])
+
+    @property
+    def key(self) -> str:
+        """The key that the newest table holds."""
+        return f"key{self._version}"
+
+    def publish(self) -> None:
+        """Publish a table in which another key is valid."""
+        old = self.key
+        self._version += 1
+        tenants = [{"name": ACCOUNT, "api_keys": [self.key]}]
+        table = configuration(self._version, tenants=tenants)
+        self.site.store.put(TABLE_KEY, table)
+        self.record.revoked_s[old] = time.monotonic()
+
+    async def relay_to(self, address: str) -> Relay:
+        """Return a new relay to an address."""
+        relay = await self._stack.enter_async_context(Relay().running())
+        relay.upstream = Address.parse(address).unwrap()
+        return relay
+
+    async def add_worker(self, service: str) -> str:
+        """Start a worker, behind a relay, and list it."""
+        self._n_workers += 1
+        worker_id = f"{service}{self._n_workers}"
+        n_events = N_EVENTS if service == "model" else 0
+        worker = PlatformWorker(worker_id=worker_id, n_events=n_events)
+        url = await self._stack.enter_async_context(serving(worker.application()))
+        relay = await self.relay_to(url.removeprefix("http://"))
+        worker.address = str(relay.address)
+        self.site.workers[worker_id] = worker
+        self.record.workers.append(worker)
+        self.relays[worker_id] = relay
+        self.by_service[service].append(worker_id)
+        domain = "ab"[self._n_workers % 2]
+        self.site.list_worker(worker_id, service, domain=domain)
+        return worker_id
+
+    async def replace_worker(self, service: str, *, says_so: bool) -> None:
+        """List a new worker and take the oldest of its service away."""
+        await self.add_worker(service)
+        old = self.by_service[service].pop(0)
+        if says_so:
+            self.site.list_worker(old, service, state="draining")
+        else:
+            self.site.store.remove(f"servers/{old}")
+        self.record.left_s[old] = time.monotonic()
+        await asyncio.sleep(LINGER_S)
+        self.site.store.remove(f"servers/{old}")
+        self.relays[old].is_refusing = True
+        self.relays[old].cut()
+
+
+@contextlib.asynccontextmanager
+async def soak_site() -> AsyncIterator[SoakSite]:
+    """Serve a store and two workers of each service, all behind relays."""
+    async with contextlib.AsyncExitStack() as stack:
+        made = SoakSite(stack=stack)
+        url = await stack.enter_async_context(serving(made.site.store.application()))
+        made.site.store_address = url.removeprefix("http://")
+        tenants = [{"name": ACCOUNT, "api_keys": [made.key]}]
+        made.site.store.put(TABLE_KEY, configuration(1, tenants=tenants))
+        for service in SERVICES:
+            for _ in range(2):
+                await made.add_worker(service)
+        yield made
+
+
+class Soak:
+    """One run: the gateways, and what is done to them and around them."""
+
+    def __init__(self, *, site: SoakSite, gateways: list[GatewayProcess]) -> None:
+        self._site = site
+        self._gateways = gateways
+        self._locks = [asyncio.Lock() for _ in gateways]
+        self._is_over = False
+
+    async def act(self, action: Action) -> None:
+        """Do one thing, and note from when to when it was in force."""
+        began_s = time.monotonic()
+        host = await self._do(action)
+        self._site.record.marks.append(
+            Mark(action=action, host=host, began_s=began_s, ended_s=time.monotonic())
+        )
+
+    async def _do(self, action: Action) -> int | None:
+        site = self._site
+        match action:
+            case PauseGateway(number=number, for_s=for_s):
+                async with self._locks[number]:
+                    self._gateways[number].signal(signal.SIGSTOP)
+                    await asyncio.sleep(for_s)
+                    self._gateways[number].signal(signal.SIGCONT)
+                return number
+            case KillGateway(number=number, for_s=for_s):
+                async with self._locks[number]:
+                    self._gateways[number].kill()
+                    await asyncio.sleep(for_s)
+                    self._gateways[number].start()
+                return number
+            case StopGateway(number=number):
+                async with self._locks[number]:
+                    # Until it listens for signals, the order ends it at once.
+                    is_early = number not in self.started()
+                    self._gateways[number].signal(signal.SIGTERM)
+                    code = await self._gateways[number].ended()
+                    if code and not (is_early and code == -signal.SIGTERM):
+                        site.record.problems.append(f"g{number} stopped with {code}")
+                    self._gateways[number].start()
+                return number
+            case HangUpGateway(number=number):
+                # A process that has just been started has no handler yet.
+                if number in self.started():
+                    self._gateways[number].signal(signal.SIGHUP)
+                return number
+            case DisturbWorker(service=service, for_s=for_s):
+                relay = site.relays[site.by_service[service][0]]
+                relay.delay_s = action.delay_s
+                relay.delay_back_s = action.delay_back_s
+                relay.is_stalled = action.is_silent
+                relay.is_refusing = action.is_cut
+                if action.is_cut:
+                    relay.cut()
+                await asyncio.sleep(for_s)
+                relay.heal()
+                return None
+            case BreakAnswers(service=service, for_s=for_s):
+                worker = site.site.workers[site.by_service[service][-1]]
+                worker.break_off = True
+                await asyncio.sleep(for_s)
+                worker.break_off = False
+                return None
+            case ReplaceWorker(service=service, says_so=says_so):
+                await site.replace_worker(service, says_so=says_so)
+                return None
+            case DisturbStore(number=number, for_s=for_s, is_silent=is_silent):
+                chosen = site.store_relays
+                for relay in chosen if number is None else [chosen[number]]:
+                    relay.is_stalled = is_silent
+                    relay.is_refusing = not is_silent
+                    if not is_silent:
+                        relay.cut()
+                await asyncio.sleep(for_s)
+                for relay in chosen:
+                    relay.heal()
+                return number
+            case RefuseReads(for_s=for_s):
+                site.site.store.is_refusing = True
+                await asyncio.sleep(for_s)
+                site.site.store.is_refusing = False
+                return None
+            case ForgetHistory():
+                site.site.store.forget_history()
+                return None
+            case PublishTable():
+                site.publish()
+                return None
+            case _:
+                assert_never(action)
+
+    def started(self) -> set[int]:
+        """Return the gateways whose last start has logged that it runs."""
+        return {
+            number
+            for number, gateway in enumerate(self._gateways)
+            if "process_started" in gateway.logs[-1].read_text()
+        }
+
+    async def watch(self) -> None:
+        """Note a gateway that ends though nobody has ended it."""
+        while not self._is_over:
+            for number, gateway in enumerate(self._gateways):
+                run, is_free = gateway.run, not self._locks[number].locked()
+                if is_free and run is not None and run.poll() is not None:
+                    self._site.record.problems.append(
+                        f"g{number} ended by itself with {run.returncode}"
+                    )
+                    self._is_over = True
+            await asyncio.sleep(0.1)
+
+
+async def run_soak(
+    seed: int, folder: Path, *, length_s: float
+) -> tuple[Record, Callers]:
+    """Run a seed; return what was done and what the callers saw."""
+    async with soak_site() as site, contextlib.AsyncExitStack() as stack:
+        gateways: list[GatewayProcess] = []
+        for number, domain in enumerate(DOMAINS):
+            relay = await site.relay_to(site.site.store_address)
+            site.store_relays.append(relay)
+            gateways.append(
+                GatewayProcess(
+                    host=f"g{number}",
+                    domain=domain,
+                    folder=folder,
+                    store=str(relay.address),
+                    seeds=[each.peers_address for each in gateways],
+                )
+            )
+        for gateway in gateways:
+            stack.callback(gateway.kill)
+            gateway.start()
+        async with aiohttp.ClientSession() as client:
+            for gateway in gateways:
+                await gateway.wait_ready(client)
+        callers = Callers(
+            gateways=gateways, key=lambda: site.key, rng=random.Random(seed)
+        )
+        soak = Soak(site=site, gateways=gateways)
+        background = [
+            asyncio.create_task(work)
+            for work in (
+                callers.balance(),
+                soak.watch(),
+                probe_revoked(site, callers),
+                *(callers.call_on() for _ in range(N_CALLERS)),
+            )
+        ]
+        steps = schedule(seed, length_s=length_s, n_gateways=len(gateways))
+        await asyncio.gather(*(_later(soak, step.at_s, step.action) for step in steps))
+        site.record.healed_s = time.monotonic()
+        await asyncio.sleep(HEAL_S)
+        for task in background:
+            task.cancel()
+        ends = await asyncio.gather(*background, return_exceptions=True)
+        site.record.problems += [
+            f"the soak itself: {end!r}" for end in ends if isinstance(end, Exception)
+        ]
+        site.record.problems += _logged_errors(gateways)
+        return site.record, callers
+
+
+async def _later(soak: Soak, at_s: float, action: Action) -> None:
+    await asyncio.sleep(at_s)
+    await soak.act(action)
+
+
+async def probe_revoked(site: SoakSite, callers: Callers) -> None:
+    """Call with keys that were revoked, at every gateway in turn."""
+    async with aiohttp.ClientSession() as client:
+        while True:
+            for key in list(site.record.revoked_s)[-2:]:
+                for number in sorted(callers.ready):
+                    await callers.call(client, number, key=key)
+            await asyncio.sleep(PROBE_S)
+
+
+def _logged_errors(gateways: list[GatewayProcess]) -> list[str]:
+    """Return the errors in the gateways' own logs, one for each kind."""
+    found: dict[str, str] = {}
+    for gateway in gateways:
+        for line in gateway.log().splitlines():
+            if "Traceback" in line or "level=error" in line:
+                found.setdefault(line[-60:], f"{gateway.host} logged: {line[:200]}")
+    return list(found.values())
