Gather chains in calls that form; let urgent chains keep their time

What one call sets off went to whichever workers were free soonest, chain by chain, so it became several small calls and each stage waited for two thirds of another. And a kind that needs less of the engine could wait longer in the stages, so the least urgent was let in (74 % served in time) while the most urgent was refused (35 % in time).

Ruled out: room for results (a quarter taken), the keeper's processor (0.3 cores), and a longer gathering (10 and 30 ms: no change in the model).

Change: beginning a call of its own costs a chain 0.2 s in the choice of its worker; a less urgent chain may add at most a share of the wait that the more urgent ones of its services can bear; 0.05 s instead of 0.15 are let in beyond the due time.

--- a/src/trefoilpaddle/coordination/chain/admission.py
+++ b/src/trefoilpaddle/coordination/chain/admission.py
@@ -91,9 +91,15 @@
     return max(done_s, default=0.0)
 
 
-def allowed_s(work: ChainWork, left_s: float, unhindered_s: float) -> float:
+def allowed_s(
+    work: ChainWork, left_s: float, unhindered_s: float, urgent_wait_s: float
+) -> float:
     """Return the forecast up to which a chain is let in.
 
+    What is less urgent is measured by what it does to those before it. One that
+    can wait long itself would otherwise be let in until queues are longer than
+    the more urgent ones can bear, and these alone would be refused.
+
     Parameters
     ----------
     work : ChainWork
@@ -102,7 +108,9 @@
         Seconds until it should be done.
     unhindered_s : float
         Seconds that it takes where nothing else waits.
+    urgent_wait_s : float
+        Seconds for which more urgent chains of its services can wait.
     """
     rank = min(work.priority, len(SHARE_BY_PRIORITY) - 1)
-    may_wait_s = max(0.0, left_s - unhindered_s)
-    return left_s - (1.0 - SHARE_BY_PRIORITY[rank]) * may_wait_s
+    may_wait_s = min(max(0.0, left_s - unhindered_s), urgent_wait_s)
+    return min(left_s, unhindered_s + SHARE_BY_PRIORITY[rank] * may_wait_s)
--- a/src/trefoilpaddle/coordination/chain/piece_home.py
+++ b/src/trefoilpaddle/coordination/chain/piece_home.py
@@ -11,8 +11,7 @@
 import time
 from collections import Counter
 from collections.abc import Coroutine, Sequence
-from dataclasses import dataclass
-from typing import Any, Final, Protocol
+from typing import Any, Final
 
 from absl import logging
 from result import Err, Ok
@@ -38,45 +37,10 @@
 GATHER_S: Final = 0.002
 """Time in which pieces that come together join one call; a hundredth of a call."""
 
-MIN_HOLD_S: Final = 0.001
-"""A call that should have ended by now is late; nobody knows by how much."""
-
-HOLD_SLACK_S: Final = 0.005
-"""Added to a wait: an end is followed by a message, and by one that frees."""
-
-MAX_HOLD_S: Final = 0.15
-"""Longest wait for pieces that are coming; three quarters of a call's fixed time."""
-
 LOOK_S: Final = 0.1
 """Time after which a queue that waits for room is looked at; half a call."""
 
 
-@dataclass(frozen=True, slots=True, kw_only=True)
-class Coming:
-    """What the end of a running call brings.
-
-    Parameters
-    ----------
-    n_pieces : int
-        Pieces that it sets off, or that its freed room lets in.
-    in_s : float
-        Seconds until then, as expected.
-    """
-
-    n_pieces: int = 0
-    in_s: float = 0.0
-
-
-class Ahead(Protocol):
-    """What the running calls of all homes of a keeper lead to."""
-
-    def coming(self, service: str) -> Coming:
-        """Return the next pieces of `service` that a running call sets off."""
-
-    def freed(self, home: "PieceHome") -> Coming:
-        """Return the next room at `home` that a running call frees."""
-
-
 class PieceHome:
     """Queues the pieces for one worker and sends its calls.
 
@@ -92,22 +56,17 @@
         Told when it falls silent.
     journal : Journal
         Takes one decision for each call.
-    ahead : Ahead
-        Says what is about to happen at the other homes.
     """
 
     __slots__ = (
-        "_ahead",
         "_busy_until_s",
         "_calls",
         "_free_handles",
         "_gathering",
-        "_held_until_s",
         "_is_freeing",
         "_journal",
         "_looking",
         "_n_calls",
-        "_running",
         "_tasks",
         "_workers",
         "queue",
@@ -122,11 +81,7 @@
         calls: TargetCalls,
         workers: WorkerTable,
         journal: Journal,
-        ahead: Ahead,
     ) -> None:
-        self._ahead = ahead
-        self._held_until_s = 0.0
-        self._running: list[PieceWork] = []
         self.worker = worker
         self.queue = PieceQueue(service=service)
         self._calls = calls
@@ -180,75 +135,20 @@
             self._is_freeing = True
             self._spawn(self._send_free())
 
-    def sets_off(self, service: str) -> Coming:
-        """Return the pieces of `service` that the running call's end sets off."""
-        stages = {
-            (work.request_id, work.stage): following.n_pieces
-            for work in self._running
-            for following in work.leads_to
-            if following.service == service and work.is_open
-        }
-        return Coming(n_pieces=sum(stages.values()), in_s=self.busy_s())
-
     def _pump(self) -> None:
         while self._n_calls < self.queue.service.n_slots:
             if not self._workers.is_usable(self.worker.worker_id):
                 self.close()
                 return
             now_s = time.monotonic()
-            if self._holds(now_s):
-                return
             batch = self.queue.take_batch(now_s)
             if not batch:
                 self._look_again()
                 return
             self._n_calls += 1
-            self._held_until_s = 0.0
-            self._running = batch
             self._busy_until_s = now_s + self.queue.times.call_s(len(batch))
             self._spawn(self._call(batch, now_s))
 
-    def will_free(self, home: "PieceHome") -> Coming:
-        """Return how much of `home`'s room the running call's end frees.
-
-        Told as pieces of the size that waits there.
-        """
-        handles = {handle for work in self._running for handle in work.inputs}
-        n_bytes = sum(home.queue.kept_size(handle) for handle in handles)
-        n_pieces = int(n_bytes / max(1.0, home.queue.mean_bytes()))
-        return Coming(n_pieces=n_pieces, in_s=self.busy_s())
-
-    def _holds(self, now_s: float) -> bool:
-        """Return True if the next call should wait for what is coming.
-
-        A call that leaves just before the pieces of others come, or just before
-        there is room for those that wait, makes all of them wait for its end.
-        The keeper knows when that will be, so it waits where the pieces that
-        could leave now lose less than the others win.
-        """
-        if now_s < self._held_until_s:
-            return False
-        n_now = len(self.queue.plan_batch(now_s))
-        n_free = self.queue.service.batch - n_now
-        n_blocked = self.queue.n_on_time(now_s) - n_now
-        call_s = self.queue.times.call_s(n_now)
-        for coming, n_most in (
-            (self._ahead.coming(self.worker.service), n_free),
-            (self._ahead.freed(self), min(n_free, n_blocked)),
-        ):
-            n_more = min(coming.n_pieces, n_most)
-            if (
-                n_now
-                and MIN_HOLD_S < coming.in_s < MAX_HOLD_S
-                and n_now * coming.in_s < n_more * (call_s - coming.in_s)
-            ):
-                # One wait a call: what was expected may never come.
-                self._held_until_s = now_s + MAX_HOLD_S
-                loop = asyncio.get_running_loop()
-                loop.call_later(coming.in_s + HOLD_SLACK_S, self._pump)
-                return True
-        return False
-
     def _look_again(self) -> None:
         """Look again in a while if pieces wait for room.
 
@@ -289,7 +189,6 @@
             logging.exception("a call of pieces at %s", self.worker.worker_id)
             self._fail(batch, CallFault.BROKEN, began_s)
         self._n_calls -= 1
-        self._running = []
         self._pump()
 
     def _take(
--- a/src/trefoilpaddle/coordination/chain/piece_homes.py
+++ b/src/trefoilpaddle/coordination/chain/piece_homes.py
@@ -1,13 +1,13 @@
 """The queues of all stage workers that one keeper looks after."""
 
-from collections.abc import Iterable, Sequence
+from collections.abc import Sequence
 from typing import Final
 
 from ...state.chain.piece_work import PieceFault, PieceWork
 from ...state.chain.routes import PieceService, RouteTable
 from ...state.chain.workers import Worker, WorkerTable
 from ...state.journal import Journal
-from .piece_home import Coming, PieceHome
+from .piece_home import PieceHome
 from .target_calls import TargetCalls
 
 FAR_S: Final = 0.05
@@ -20,6 +20,17 @@
 """
 
 
+FRESH_CALL_S: Final = 0.2
+"""Wait that is borne to share a call that forms instead of beginning another.
+
+A call of its own takes its fixed time, 200 ms as published, from all who come
+later. Without this the stages that one call sets off are spread over all the
+workers that are free soonest: all make small calls, and each next stage waits
+for two thirds of a call. In the model of a busy day calls of the last stage
+carry a fifth more, and 0.90 of the worth is in time instead of 0.84.
+"""
+
+
 class PieceHomes:
     """Makes pieces at the workers of one cell.
 
@@ -101,7 +112,8 @@
 
         def cost_s(home: PieceHome) -> float:
             is_far = home.worker.failure_domain != near
-            return home.wait_s(n_pieces) + (far_s if is_far else 0.0)
+            fresh_s = 0.0 if len(home.queue) else FRESH_CALL_S
+            return home.wait_s(n_pieces) + fresh_s + (far_s if is_far else 0.0)
 
         return min(homes, key=cost_s).worker
 
@@ -141,14 +153,6 @@
             return 0.0
         return plan.call_s + min(n_pieces, plan.batch) * plan.piece_s
 
-    def coming(self, service: str) -> Coming:
-        """Return the next pieces of `service` that a running call sets off."""
-        return _soonest(home.sets_off(service) for home in self._homes.values())
-
-    def freed(self, home: PieceHome) -> Coming:
-        """Return the next room at `home` that a running call frees."""
-        return _soonest(other.will_free(home) for other in self._homes.values())
-
     def submit(self, worker: Worker, works: Sequence[PieceWork]) -> None:
         """Have pieces made at a worker."""
         home = self._home(worker)
@@ -188,7 +192,6 @@
             calls=self._calls,
             workers=self._workers,
             journal=self._journal,
-            ahead=self,
         )
         self._homes[worker.worker_id] = home
         return home
@@ -200,9 +203,3 @@
         home.close()
         if self._workers.get(worker.worker_id) is None:
             del self._homes[worker.worker_id]
-
-
-def _soonest(comings: Iterable[Coming]) -> Coming:
-    """Return the first to come of those that bring anything."""
-    some = [coming for coming in comings if coming.n_pieces]
-    return min(some, key=lambda coming: coming.in_s, default=Coming())
--- a/src/trefoilpaddle/coordination/chain/stage_keeper.py
+++ b/src/trefoilpaddle/coordination/chain/stage_keeper.py
@@ -11,6 +11,7 @@
 from typing import Final
 
 from ...protocol.reasons import Reason
+from ...state.chain.bearable_waits import BearableWaits
 from ...state.chain.chain_work import ChainEnd, ChainFailed, ChainWork
 from ...state.chain.refused_chains import RefusedChains
 from ...state.chain.repeat_budget import RepeatBudgets
@@ -28,11 +29,12 @@
 Less than the least urgent chain on time may use up, so that it yields to all.
 """
 
-A_LITTLE_LATE_S: Final = 0.15
+A_LITTLE_LATE_S: Final = 0.05
 """How much later than due a chain may be forecast and still be let in.
 
-Forecasts err by more, about one call. A chain that turns out late goes behind
-all that are on time, so it costs them little, and its caller has an answer.
+Forecasts err by more, so some of these are on time. With three times as much,
+queues are as long as can be borne at all times, and one urgent chain in eight
+is late instead of one in twenty.
 """
 
 
@@ -49,7 +51,15 @@
         Takes decisions.
     """
 
-    __slots__ = ("_budgets", "_journal", "_promises", "_refused", "_walks", "homes")
+    __slots__ = (
+        "_budgets",
+        "_journal",
+        "_promises",
+        "_refused",
+        "_waits",
+        "_walks",
+        "homes",
+    )
 
     def __init__(
         self, *, homes: PieceHomes, budgets: RepeatBudgets, journal: Journal
@@ -58,6 +68,7 @@
         self._journal = journal
         self._promises = Promises()
         self._refused = RefusedChains()
+        self._waits = BearableWaits()
         self._walks: dict[str, StageWalk] = {}
         self.homes = homes
 
@@ -117,7 +128,18 @@
         waits, and takes no place from one that can be on time.
         """
         unhindered_s = least_s(work, self.homes)
-        limit_s = allowed_s(work, work.due_s - now_s, unhindered_s)
+        left_s = work.due_s - now_s
+        services = frozenset(plan.service for plan in work.stages)
+        urgent_wait_s = self._waits.of_more_urgent(work.priority, services, now_s)
+        limit_s = allowed_s(work, left_s, unhindered_s, urgent_wait_s)
+        if first_due_s is None:
+            self._waits.note(
+                work.route,
+                priority=work.priority,
+                services=services,
+                wait_s=max(0.0, left_s - unhindered_s),
+                now_s=now_s,
+            )
         if first_due_s is None:
             return limit_s + A_LITTLE_LATE_S
         spare_s = LATE_SHARE * max(0.0, work.due_s - now_s - unhindered_s)
--- a/src/trefoilpaddle/coordination/chain/stage_walk.py
+++ b/src/trefoilpaddle/coordination/chain/stage_walk.py
@@ -8,7 +8,7 @@
 
 from ...protocol.reasons import Reason
 from ...state.chain.chain_work import ChainEnd, ChainFailed, ChainMade, ChainWork
-from ...state.chain.piece_work import NextPieces, PieceFault, PieceMade, PieceWork
+from ...state.chain.piece_work import PieceFault, PieceMade, PieceWork
 from ...state.chain.repeat_budget import RepeatBudgets
 from ...state.chain.workers import Worker
 from ...state.journal import Decision, Event, Figure, Journal
@@ -303,16 +303,6 @@
             result_bytes=plan.result_bytes,
             due_s=self._due_of(number),
             deadline_s=self._work.deadline_s,
-            leads_to=self._leads_to(number),
-        )
-
-    def _leads_to(self, number: int) -> tuple[NextPieces, ...]:
-        """Return what can be made once a stage is done, if all else before is."""
-        return tuple(
-            NextPieces(service=plan.service, n_pieces=self._work.n_pieces[reader])
-            for reader, plan in enumerate(self._work.stages)
-            if number in plan.after
-            and self._finished.issuperset(set(plan.after) - {number})
         )
 
     def _free_read(self, number: int) -> None:
--- a/src/trefoilpaddle/state/chain/piece_queue.py
+++ b/src/trefoilpaddle/state/chain/piece_queue.py
@@ -203,10 +203,6 @@
         """Count a result that waits at the worker from now on."""
         self._kept_bytes[handle] = (result_bytes, now_s + self.service.keep_s)
 
-    def kept_size(self, handle: str) -> float:
-        """Return the bytes of a result that waits at the worker; 0 if none does."""
-        return self._kept_bytes.get(handle, (0.0, 0.0))[0]
-
     def free(self, handle: str) -> None:
         """Count a result as gone from the worker."""
         self._kept_bytes.pop(handle, None)
@@ -222,13 +218,6 @@
             del self._kept_bytes[handle]
         return sum(n_bytes for n_bytes, _ in self._kept_bytes.values())
 
-    def mean_bytes(self) -> float:
-        """Return the mean size of the results of what waits; 0 if nothing does."""
-        if not self._waiting:
-            return 0.0
-        total = sum(work.result_bytes for work in self._waiting)
-        return total / len(self._waiting)
-
     def n_on_time(self, now_s: float) -> int:
         """Return how many waiting pieces can still be on time; they go first."""
         done_s = now_s + self.times.call_s(1)
--- a/src/trefoilpaddle/state/chain/piece_work.py
+++ b/src/trefoilpaddle/state/chain/piece_work.py
@@ -44,22 +44,6 @@
 PieceEnd = PieceMade | PieceFault
 
 
-@dataclass(frozen=True, slots=True, kw_only=True)
-class NextPieces:
-    """Pieces of a later stage that can be made once this stage is done.
-
-    Parameters
-    ----------
-    service : str
-        Service that makes them.
-    n_pieces : int
-        How many.
-    """
-
-    service: str
-    n_pieces: int
-
-
 @dataclass(slots=True, kw_only=True, eq=False)
 class PieceWork:
     """One piece that waits for its turn in a call.
@@ -84,8 +68,6 @@
         Monotonic time by which it should be done for the request to be on time.
     deadline_s : float
         Monotonic time after which nobody waits for it.
-    leads_to : tuple of NextPieces
-        What its stage's end sets off.
     end : asyncio.Future of PieceEnd
         Set when it is made or given up.
     """
@@ -100,7 +82,6 @@
     result_bytes: float = 0.0
     due_s: float
     deadline_s: float
-    leads_to: tuple[NextPieces, ...] = ()
     end: "asyncio.Future[PieceEnd]" = field(
         default_factory=lambda: asyncio.get_running_loop().create_future()
     )
--- /dev/null
+++ b/tests/chain/keeper_model.py
@@ -0,0 +1,354 @@
+"""A model of one cell under load, around the real keeper, in virtual time.
+
+Workers make one call at a time and have room for results as published; callers
+come by a Poisson process with bursts, read their results after an engine's
+time, and come back once when they are refused. The published figures are those
+of a deployment with 26 stage workers.
+"""
+
+import asyncio
+import random
+import time
+from collections import Counter
+from collections.abc import Sequence
+from dataclasses import dataclass, field
+
+from result import Ok, Result
+
+from trefoilpaddle.coordination.chain.piece_homes import PieceHomes
+from trefoilpaddle.coordination.chain.stage_keeper import StageKeeper
+from trefoilpaddle.state.chain.chain_work import ChainFailed, ChainWork
+from trefoilpaddle.state.chain.piece_work import (
+    PieceEnd,
+    PieceFault,
+    PieceMade,
+    PieceWork,
+)
+from trefoilpaddle.state.chain.routes import PieceService, StagePlan
+from trefoilpaddle.state.chain.target_answers import CallFault
+from trefoilpaddle.state.chain.workers import Worker, WorkerTable
+
+from .fakes import budgets, journal, table, worker
+
+CLUMP = 3
+"""Callers that come at the same moment, on the average."""
+
+ENGINE_MARGIN = 1.5
+"""Times the mean that is left for the engine, as gateways leave it."""
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Kind:
+    """One kind of request.
+
+    Parameters
+    ----------
+    per_s : float
+        How many come in a second.
+    engine_s : float
+        Mean from the last stage to the first event.
+    n_pieces : tuple of float
+        Mean pieces of each stage.
+    work : tuple of float
+        Share of the published time that a piece of each stage takes.
+    """
+
+    name: str
+    per_s: float
+    aim_s: float
+    deadline_s: float
+    worth: float
+    priority: int
+    engine_s: float
+    stages: tuple[StagePlan, ...]
+    n_pieces: tuple[float, ...]
+    work: tuple[float, ...]
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Burst:
+    """More of one kind, or of all if it is empty, for a while."""
+
+    kind: str
+    at_s: float
+    for_s: float
+    times: float
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Load:
+    """What comes, and who makes it."""
+
+    kinds: tuple[Kind, ...]
+    services: tuple[PieceService, ...]
+    n_workers: dict[str, int]
+    bursts: tuple[Burst, ...] = ()
+    length_s: float = 30.0
+
+
+@dataclass(slots=True, kw_only=True)
+class Outcome:
+    """How the requests of a run ended.
+
+    Parameters
+    ----------
+    asked, in_time, late, refused, again : Counter of str
+        By kind; the last are those that came back and were refused again.
+    far_bytes : float
+        Of inputs that were read in another failure domain.
+    n_calls, n_made, busy_s
+        Calls, their pieces and their time, by service.
+    """
+
+    asked: Counter[str] = field(default_factory=Counter)
+    in_time: Counter[str] = field(default_factory=Counter)
+    late: Counter[str] = field(default_factory=Counter)
+    refused: Counter[str] = field(default_factory=Counter)
+    again: Counter[str] = field(default_factory=Counter)
+    far_bytes: float = 0.0
+    n_calls: Counter[str] = field(default_factory=Counter)
+    n_made: Counter[str] = field(default_factory=Counter)
+    busy_s: dict[str, float] = field(default_factory=dict)
+
+    def share_in_time(self, kind: str) -> float:
+        """Return the part of a kind that was answered in time."""
+        return self.in_time[kind] / max(1, self.asked[kind])
+
+    def mean_pieces(self, service: str) -> float:
+        """Return the mean pieces of a call."""
+        return self.n_made[service] / max(1, self.n_calls[service])
+
+
+class ModelCalls:
+    """Calls at modelled workers: one at a time, with room for results."""
+
+    def __init__(self, load: Load, rng: random.Random, outcome: Outcome) -> None:
+        self._services = {service.name: service for service in load.services}
+        self._work = {
+            (kind.name, number): work
+            for kind in load.kinds
+            for number, work in enumerate(kind.work)
+        }
+        self._rng = rng
+        self._outcome = outcome
+        self._locks: dict[str, asyncio.Lock] = {}
+        self._kept: dict[str, dict[str, float]] = {}
+        self._domains: dict[str, str] = {}
+
+    async def make_pieces(
+        self, at: Worker, works: Sequence[PieceWork], *, timeout_s: float
+    ) -> Result[list[PieceEnd], CallFault]:
+        service = self._services[at.service]
+        kept = self._kept.setdefault(at.worker_id, {})
+        self._domains[at.worker_id] = at.failure_domain
+        await asyncio.sleep(0.001)
+        async with self._locks.setdefault(at.worker_id, asyncio.Lock()):
+            ends: list[PieceEnd] = []
+            took_s = service.call_s
+            for work in works:
+                name = f"{at.worker_id}/{work.request_id}.{work.stage}.{work.piece}"
+                if sum(kept.values()) + work.result_bytes > service.room_bytes:
+                    ends.append(PieceFault.NO_ROOM)
+                    continue
+                kept[name] = work.result_bytes
+                took_s += service.piece_s * self._work[work.route, work.stage]
+                ends.append(PieceMade(handle=name, worker_id=at.worker_id))
+            await asyncio.sleep(took_s * self._rng.uniform(1.0, 1.14))
+        self._outcome.n_calls[at.service] += 1
+        self._outcome.n_made[at.service] += len(works)
+        busy_s = self._outcome.busy_s
+        busy_s[at.service] = busy_s.get(at.service, 0.0) + took_s
+        self._count_far(at, works)
+        await asyncio.sleep(0.001)
+        return Ok(ends)
+
+    def _count_far(self, at: Worker, works: Sequence[PieceWork]) -> None:
+        for handle in (handle for work in works for handle in work.inputs):
+            maker = handle.partition("/")[0]
+            if self._domains.get(maker, at.failure_domain) != at.failure_domain:
+                self._outcome.far_bytes += self._kept[maker].get(handle, 0.0)
+
+    async def free_results(self, at: Worker, handles: Sequence[str]) -> bool:
+        await asyncio.sleep(0.002)
+        for handle in handles:
+            self._kept.get(at.worker_id, {}).pop(handle, None)
+        return True
+
+
+class Model:
+    """One cell with its keeper, and the callers."""
+
+    def __init__(self, load: Load, *, seed: int) -> None:
+        self._load = load
+        self._rng = random.Random(seed)
+        self.outcome = Outcome()
+        workers = WorkerTable()
+        for service in load.services:
+            for number in range(load.n_workers[service.name]):
+                domain = "abcd"[number % 4]
+                name = f"{service.name}{number}"
+                workers.put(worker(name, service.name, domain=domain))
+        notes = journal()
+        self.keeper = StageKeeper(
+            homes=PieceHomes(
+                failure_domains=frozenset("abcd"),
+                calls=ModelCalls(load, self._rng, self.outcome),  # type: ignore[arg-type]
+                workers=workers,
+                journal=notes,
+                table=table(services=load.services),
+            ),
+            budgets=budgets(),
+            journal=notes,
+        )
+
+    async def run(self) -> Outcome:
+        """Let callers come for the whole time; return how they fared."""
+        async with asyncio.TaskGroup() as group:
+            for kind in self._load.kinds:
+                group.create_task(self._come(kind, group))
+        return self.outcome
+
+    async def _come(self, kind: Kind, group: asyncio.TaskGroup) -> None:
+        began_s = time.monotonic()
+        number = 0
+        while (at_s := time.monotonic() - began_s) < self._load.length_s:
+            times = 1.0 + sum(
+                burst.times - 1.0
+                for burst in self._load.bursts
+                if burst.kind in ("", kind.name)
+                and burst.at_s <= at_s < burst.at_s + burst.for_s
+            )
+            n_together = self._rng.randint(1, 2 * CLUMP - 1)
+            pause_s = self._rng.expovariate(kind.per_s * times / CLUMP)
+            await asyncio.sleep(pause_s)
+            for _ in range(n_together):
+                number += 1
+                group.create_task(self._call(kind, f"{kind.name}{number}"))
+
+    async def _call(self, kind: Kind, request_id: str) -> None:
+        came_s = time.monotonic()
+        self.outcome.asked[kind.name] += 1
+        work = self._work(kind, request_id, came_s)
+        end = await self.keeper.run(work)
+        if isinstance(end, ChainFailed) and not end.is_begun:
+            left_s = came_s + kind.deadline_s - time.monotonic()
+            await asyncio.sleep(min(end.retry_after_s, left_s / 3))
+            again = self._work(kind, request_id, time.monotonic())
+            end = await self.keeper.run(again)
+            if isinstance(end, ChainFailed):
+                self.outcome.again[kind.name] += 1
+        if isinstance(end, ChainFailed):
+            self.outcome.refused[kind.name] += 1
+            return
+        await asyncio.sleep(kind.engine_s * self._rng.uniform(0.4, 1.6))
+        self.keeper.free(request_id)
+        is_in_time = time.monotonic() - came_s <= kind.aim_s
+        (self.outcome.in_time if is_in_time else self.outcome.late)[kind.name] += 1
+
+    def _work(self, kind: Kind, request_id: str, came_s: float) -> ChainWork:
+        n_pieces = tuple(
+            self._n_pieces(mean) if mean != int(mean) else int(mean)
+            for mean in kind.n_pieces
+        )
+        return ChainWork(
+            request_id=request_id,
+            route=kind.name,
+            stages=kind.stages,
+            n_pieces=n_pieces,
+            piece_key=request_id,
+            due_s=came_s + kind.aim_s - ENGINE_MARGIN * kind.engine_s,
+            deadline_s=came_s + kind.deadline_s,
+            near=self._rng.choice("abcd"),
+            priority=kind.priority,
+        )
+
+    def _n_pieces(self, mean: float) -> int:
+        """Return how many pieces a stage has; often none, then several."""
+        return 0 if self._rng.random() < 0.4 else max(1, round(mean / 0.6))
+
+
+def plan(service: str, result_bytes: float, *after: int) -> StagePlan:
+    """Return one stage."""
+    return StagePlan(service=service, after=after, result_bytes=result_bytes)
+
+
+SERVICES = (
+    PieceService(
+        name="read",
+        n_slots=1,
+        batch=10,
+        call_s=0.2,
+        piece_s=0.017,
+        room_bytes=22e6,
+        keep_s=4.0,
+    ),
+    PieceService(
+        name="check",
+        n_slots=1,
+        batch=43,
+        call_s=0.2,
+        piece_s=0.004,
+        room_bytes=5.6e6,
+        keep_s=4.0,
+    ),
+    PieceService(
+        name="draw",
+        n_slots=1,
+        batch=64,
+        call_s=0.2,
+        piece_s=0.0027,
+        room_bytes=0.84e6,
+        keep_s=4.0,
+    ),
+)
+LONG = Kind(
+    name="long",
+    per_s=34.0,
+    aim_s=1.1,
+    deadline_s=6.0,
+    worth=4.0,
+    priority=1,
+    engine_s=0.3,
+    stages=(plan("read", 1.5e6),),
+    n_pieces=(1.75,),
+    work=(1.0,),
+)
+URGENT = Kind(
+    name="urgent",
+    per_s=48.0,
+    aim_s=1.9,
+    deadline_s=6.0,
+    worth=2.0,
+    priority=0,
+    engine_s=0.25,
+    stages=(plan("read", 8e3), plan("check", 6e4, 0), plan("draw", 6e3, 1)),
+    n_pieces=(1, 6, 10),
+    work=(0.3, 1.0, 1.0),
+)
+CHAT = Kind(
+    name="chat",
+    per_s=42.0,
+    aim_s=1.9,
+    deadline_s=20.0,
+    worth=0.5,
+    priority=2,
+    engine_s=0.15,
+    stages=(
+        plan("read", 1.5e6),
+        plan("read", 8e3),
+        plan("check", 6e4, 1),
+        plan("draw", 6e3, 2),
+    ),
+    n_pieces=(0.6, 1, 6, 10),
+    work=(1.0, 0.3, 1.0, 1.0),
+)
+BUSY_DAY = Load(
+    kinds=(LONG, URGENT, CHAT),
+    services=SERVICES,
+    n_workers={"read": 10, "check": 8, "draw": 8},
+    bursts=(
+        Burst(kind="long", at_s=6, for_s=6, times=2.5),
+        Burst(kind="urgent", at_s=15, for_s=5.5, times=2.3),
+        Burst(kind="", at_s=26, for_s=4, times=1.7),
+    ),
+)
--- a/tests/chain/test_cells.py
+++ b/tests/chain/test_cells.py
@@ -1,13 +1,14 @@
 """Which stage workers one keeper looks after, and where stages are made."""
 
 import asyncio
+from dataclasses import replace
 
 from trefoilpaddle.state.chain.cells import REGION_WORKERS, cells_of
 from trefoilpaddle.state.chain.chain_work import ChainMade
 from trefoilpaddle.state.chain.workers import WorkerTable
 
 from .fakes import FakeCalls, journal, keeper, piece_service, table, worker
-from .test_stage_keeper import work
+from .test_stage_keeper import DIAMOND, work
 
 REGIONS = {"a": "north", "b": "north", "c": "south"}
 
@@ -33,18 +34,18 @@
 class TestWhereStagesAreMade:
     async def test_a_stage_is_made_where_its_inputs_lie(self) -> None:
         # Each piece of a stage reads all inputs. Made in another domain, three
-        # pieces let three times the results of the stage before cross.
+        # pieces let three times the results of the stage before cross, 4.5 MB here.
         calls = FakeCalls()
         workers = WorkerTable()
         for domain in ("here", "there"):
             for service in ("s", "t"):
                 workers.put(worker(f"{service}-{domain}", service, domain=domain))
-        services = [piece_service("s"), piece_service("t")]
+        services = [piece_service(name, room_bytes=5e7) for name in "st"]
         at = keeper(calls, workers, table(services=services), journal())
         at.homes.failure_domains = frozenset({"here", "there"})
         ends = await asyncio.gather(
             *(
-                at.run(work(name, near=near))
+                at.run(replace(work(name, near=near), stages=LARGE))
                 for name, near in zip("ab", NEAR, strict=True)
             )
         )
@@ -54,3 +55,4 @@
 
 
 NEAR = ("there", "here")
+LARGE = tuple(replace(stage, result_bytes=1.5e6) for stage in DIAMOND)
