Log a chain that waits as queued, and how it ended

Cause: a chain that waits for the load to pass was logged as refused when it began to wait, and its end was not logged at all. On-call engineers would look for a refusal that never was. Now one line when it begins to wait (queued) and one when it is let in or refused, with how long it waited.

--- a/src/trefoilpaddle/coordination/chain/late_room.py
+++ b/src/trefoilpaddle/coordination/chain/late_room.py
@@ -67,13 +67,14 @@
         self._waiting: list[Waiting] = []
         self._looking: asyncio.Task[None] | None = None
 
+    def takes(self, work: ChainWork) -> bool:
+        """Return True if a chain may wait: it has long, and not too many do."""
+        has_long = _wait_s(work) >= LEAST_WAIT_S
+        return has_long and len(self._waiting) < MAX_WAITING
+
     async def wait(self, work: ChainWork) -> bool:
         """Wait until there is room; return False if there was none in time."""
-        now_s = time.monotonic()
-        wait_s = WAIT_SHARE * (work.deadline_s - now_s)
-        if wait_s < LEAST_WAIT_S or len(self._waiting) >= MAX_WAITING:
-            return False
-        waiting = Waiting(work=work, until_s=now_s + wait_s)
+        waiting = Waiting(work=work, until_s=time.monotonic() + _wait_s(work))
         self._waiting.append(waiting)
         self._waiting.sort(key=lambda each: (each.work.priority, each.until_s))
         if self._looking is None or self._looking.done():
@@ -101,3 +102,8 @@
         self._waiting.remove(waiting)
         if not waiting.let_in.done():
             waiting.let_in.set_result(is_let_in)
+
+
+def _wait_s(work: ChainWork) -> float:
+    """Return how long a chain may wait from now."""
+    return WAIT_SHARE * (work.deadline_s - time.monotonic())
--- a/src/trefoilpaddle/coordination/chain/stage_keeper.py
+++ b/src/trefoilpaddle/coordination/chain/stage_keeper.py
@@ -88,24 +88,40 @@
         was refused before and has long left waits for the load to pass. Results
         are kept until `free`.
         """
+        refusal = await self._refusal(work)
+        return await self._walk(work) if refusal is None else refusal
+
+    async def _refusal(self, work: ChainWork) -> ChainFailed | None:
+        """Return why a chain is not begun; None, at once or in time, if it is."""
         now_s = time.monotonic()
         first_due_s = self._refused.first_due_s(work.piece_key, now_s)
         finish_s = forecast_s(work, self.homes, self._promises)
         limit_s = self._limit_s(work, first_due_s, now_s)
-        self._note(work, finish_s, limit_s, is_back=first_due_s is not None)
+        detail = "" if first_due_s is None else "came back"
         if finish_s is None:
+            self._note(Event.REFUSED, Reason.NO_TARGET, work, 0.0, limit_s, detail)
             return ChainFailed(reason=Reason.NO_TARGET, is_begun=False)
         is_late = work.must_be_on_time and finish_s > limit_s
-        if is_late and first_due_s is not None:
+        if is_late and first_due_s is not None and self._late_room.takes(work):
+            self._note(Event.QUEUED, Reason.NONE, work, finish_s, limit_s, detail)
             is_late = not await self._late_room.wait(work)
-        if is_late:
-            self._refused.note(work.piece_key, work.due_s, now_s)
-            return ChainFailed(
-                reason=Reason.PREDICTED_LATE,
-                is_begun=False,
-                finish_s=finish_s,
-                retry_after_s=self._refused.retry_after_s(now_s),
-            )
+            detail = f"waited {time.monotonic() - now_s:.1f} s"
+        if not is_late:
+            event = Event.REQUEST_ACCEPTED
+            self._note(event, Reason.NONE, work, finish_s, limit_s, detail)
+            return None
+        now_s = time.monotonic()
+        self._refused.note(work.piece_key, work.due_s, now_s)
+        reason = Reason.PREDICTED_LATE
+        self._note(Event.REFUSED, reason, work, finish_s, limit_s, detail)
+        return ChainFailed(
+            reason=reason,
+            is_begun=False,
+            finish_s=finish_s,
+            retry_after_s=self._refused.retry_after_s(now_s),
+        )
+
+    async def _walk(self, work: ChainWork) -> ChainEnd:
         walk = StageWalk(
             work=work,
             homes=self.homes,
@@ -169,20 +185,23 @@
         return max(first_due_s - now_s, unhindered_s + spare_s)
 
     def _note(
-        self, work: ChainWork, finish_s: float | None, limit_s: float, *, is_back: bool
+        self,
+        event: Event,
+        reason: Reason,
+        work: ChainWork,
+        finish_s: float,
+        limit_s: float,
+        detail: str,
     ) -> None:
-        is_let_in = finish_s is not None and (
-            finish_s <= limit_s or not work.must_be_on_time
-        )
         self._journal.record(
             Decision(
-                event=Event.REQUEST_ACCEPTED if is_let_in else Event.REFUSED,
+                event=event,
                 request_id=work.request_id,
                 entry=work.route,
-                reason=Reason.NONE if is_let_in else Reason.PREDICTED_LATE,
-                detail="came back" if is_back else "",
+                reason=reason,
+                detail=detail,
                 figures=(
-                    Figure(name="predicted_s", value=finish_s or 0.0),
+                    Figure(name="predicted_s", value=finish_s),
                     Figure(name="budget_s", value=limit_s),
                     Figure(name="n_promised", value=self._promises.n_pieces()),
                 ),
--- a/src/trefoilpaddle/state/events.py
+++ b/src/trefoilpaddle/state/events.py
@@ -39,7 +39,7 @@
     """A frame of an attempt that is not open here was dropped."""
     # Attempts at a sidecar
     QUEUED = 140
-    """A stage call waits for a free slot of the target."""
+    """A stage call waits for a free slot, or a late chain for the load to pass."""
     STARTED = 141
     """A stage call was sent to the target."""
     FINISHED = 142
