Go on looking for room for late chains after a fault

Cause: the task that looks for room ended with any exception, and all who waited had no answer until their gateways gave up. The test failed by its time-out before.

--- a/src/trefoilpaddle/coordination/chain/late_room.py
+++ b/src/trefoilpaddle/coordination/chain/late_room.py
@@ -6,6 +6,8 @@
 from dataclasses import dataclass, field
 from typing import Final
 
+from absl import logging
+
 from ...state.chain.chain_work import ChainWork
 
 LOOK_S: Final = 0.05
@@ -89,14 +91,21 @@
         """Let chains in, the most urgent first, until none waits."""
         while self._waiting:
             await asyncio.sleep(LOOK_S)
+            try:
+                await self._let_in()
+            except Exception:
+                # A fault here would leave all who wait without an answer.
+                logging.exception("a look whether late chains have room")
             now_s = time.monotonic()
             for waiting in [each for each in self._waiting if each.until_s <= now_s]:
                 self._settle(waiting, is_let_in=False)
-            while self._waiting and self._has_room(self._waiting[0].work):
-                self._settle(self._waiting[0], is_let_in=True)
-                # It must count among what is promised before the next is judged.
-                await asyncio.sleep(0)
-                await asyncio.sleep(0)
+
+    async def _let_in(self) -> None:
+        while self._waiting and self._has_room(self._waiting[0].work):
+            self._settle(self._waiting[0], is_let_in=True)
+            # It must count among what is promised before the next is judged.
+            await asyncio.sleep(0)
+            await asyncio.sleep(0)
 
     def _settle(self, waiting: Waiting, *, is_let_in: bool) -> None:
         self._waiting.remove(waiting)
--- a/tests/chain/test_busy_cell.py
+++ b/tests/chain/test_busy_cell.py
@@ -134,6 +134,20 @@
         await asyncio.gather(waiting, return_exceptions=True)
         assert await room.wait(late("b")) is True
 
+    async def test_a_fault_of_a_look_leaves_nobody_waiting_for_ever(
+        self, monkeypatch: pytest.MonkeyPatch
+    ) -> None:
+        # A stage's service is taken out of the configuration while chains wait.
+        # The look that met it ended, and nobody looked again.
+        monkeypatch.setattr(late_room, "LEAST_WAIT_S", 0.2)
+
+        def fail(_: ChainWork) -> bool:
+            raise KeyError("unforeseen")
+
+        room = LateRoom(has_room=fail)
+        async with asyncio.timeout(2.0):
+            assert not await room.wait(late("a", deadline_in_s=0.5))
+
     def test_who_has_long_is_answered_late_rather_than_never(
         self, monkeypatch: pytest.MonkeyPatch
     ) -> None:
