--- a/tests/peer_helpers.py
+++ b/tests/peer_helpers.py
@@ -9,7 +9,13 @@
 
 from trefoilpaddle.protocol.const import PROTOCOL_VERSION
 from trefoilpaddle.protocol.frames import Frame, Message, encode
-from trefoilpaddle.protocol.gen.stage.ttypes import Heartbeat, Hello, Load
+from trefoilpaddle.protocol.gen.stage.ttypes import (
+    Bar,
+    BarAnswer,
+    Heartbeat,
+    Hello,
+    Load,
+)
 from trefoilpaddle.protocol.reader import FrameReader
 from trefoilpaddle.transport.connection import Address
 from trefoilpaddle.transport.link import Link
@@ -123,3 +129,8 @@
         for task in tasks:
             task.cancel()
         await asyncio.gather(*tasks, return_exceptions=True)
+
+
+async def echo(question: Bar, peer: Hello) -> BarAnswer:
+    """Answer a question with the id that it holds."""
+    return BarAnswer(attempt_id=question.attempt_id)
--- /dev/null
+++ b/tests/test_peer_server.py
@@ -0,0 +1,218 @@
+"""The listening side of peers under failure: bounds, greetings, closing."""
+
+import asyncio
+
+import pytest
+from result import Ok
+
+from tests.peer_helpers import (
+    RawPeer,
+    echo,
+    hello_of,
+    link_to,
+    raw_listener,
+    raw_peer,
+    server_of,
+)
+from tests.waiting import until
+from trefoilpaddle.protocol.frames import encode
+from trefoilpaddle.protocol.gen.claims.ttypes import Claim, ClaimAnswer
+from trefoilpaddle.protocol.gen.stage.ttypes import (
+    Bar,
+    BarAnswer,
+    Cancel,
+    Hello,
+)
+from trefoilpaddle.transport import connection as connection_module
+from trefoilpaddle.transport import server as server_module
+from trefoilpaddle.transport.connection import Address, Connection
+
+
+class TestPeerServer:
+    @pytest.mark.usefixtures("fast")
+    async def test_a_peer_that_vanished_gives_its_place_back(self) -> None:
+        # A gateway's host loses power: no FIN comes. Its connection stayed
+        # open for ever, until all places were taken by dead gateways.
+        server = server_of()
+        async with server.listening(), raw_peer(server.address) as peer:
+            peer.send(hello_of("vanished")())
+            await until(lambda: len(server.connections) == 1)
+            await until(lambda: not server.connections)
+
+    @pytest.mark.usefixtures("fast")
+    async def test_connections_without_a_hello_count_towards_the_bound(
+        self, monkeypatch: pytest.MonkeyPatch
+    ) -> None:
+        monkeypatch.setattr(server_module, "MAX_CONNECTIONS", 2)
+        monkeypatch.setattr(connection_module, "HELLO_TIMEOUT_S", 30.0)
+        server = server_of()
+        async with (
+            server.listening(),
+            raw_peer(server.address),
+            raw_peer(server.address),
+            raw_peer(server.address) as third,
+        ):
+            await third.ended()
+
+    async def test_an_open_listener_that_raises_leaks_no_connection(self) -> None:
+        def on_open(connection: Connection) -> None:
+            raise RuntimeError("fault in a listener")
+
+        server = server_of(on_open=on_open)
+        async with server.listening(), raw_peer(server.address) as peer:
+            peer.send(hello_of("p")())
+            await until(lambda: len(server.connections) == 1)
+            peer.writer.close()
+            await until(lambda: not server.connections)
+
+    async def test_closing_answers_the_open_calls_first(self) -> None:
+        # A sidecar stops as planned while a gateway asks whether an attempt
+        # ran. Dropping the question would turn a known answer into "unknown".
+        begun = asyncio.Event()
+        may_end = asyncio.Event()
+
+        async def answer(question: Bar, peer: Hello) -> BarAnswer:
+            begun.set()
+            await may_end.wait()
+            return BarAnswer(attempt_id=question.attempt_id)
+
+        server = server_of()
+        server.answer(Bar, answer)
+        context = server.listening()
+        await context.__aenter__()
+        async with link_to(server.address) as link:
+            asked = asyncio.create_task(link.ask(Bar(attempt_id=b"x"), timeout_s=30))
+            await begun.wait()
+            closing = asyncio.create_task(context.__aexit__(None, None, None))
+            await asyncio.sleep(0)
+            may_end.set()
+            assert await asked == Ok(BarAnswer(attempt_id=b"x"))
+            await closing
+
+    @pytest.mark.usefixtures("fast")
+    async def test_closing_is_not_held_up_by_peers_that_never_read(self) -> None:
+        n_peers = 8
+        server = server_of()
+        context = server.listening()
+        await context.__aenter__()
+        peers = [raw_peer(server.address) for _ in range(n_peers)]
+        opened = [await peer.__aenter__() for peer in peers]
+        for i, peer in enumerate(opened):
+            peer.send(hello_of(f"p{i}")())
+        await until(lambda: len(server.connections) == n_peers)
+        server.broadcast(Cancel(attempt_id=bytes(2_000_000)))
+        server.broadcast(Cancel(attempt_id=bytes(2_000_000)))
+        server.broadcast(Cancel(attempt_id=bytes(2_000_000)))
+        async with asyncio.timeout(n_peers * connection_module.CLOSE_TIMEOUT_S):
+            await context.__aexit__(None, None, None)
+        assert not server.connections
+        for each in peers:
+            await each.__aexit__(None, None, None)
+
+    async def test_a_hello_that_comes_after_closing_is_not_served(self) -> None:
+        # A peer connects, the server closes, then the hello arrives: it would
+        # be served by a process that believes that it has stopped.
+        opened: list[Connection] = []
+        server = server_of(on_open=opened.append)
+        async with raw_listener(RawPeer.ended):
+            context = server.listening()
+            await context.__aenter__()
+            async with raw_peer(server.address) as peer:
+                await peer.receive()
+                await context.__aexit__(None, None, None)
+                peer.send(hello_of("late")())
+                await peer.ended()
+        assert not opened
+
+    async def test_an_answerer_that_hangs_gives_its_place_back(
+        self, monkeypatch: pytest.MonkeyPatch
+    ) -> None:
+        # Answers wait on a third process that is gone. Past the bound of open
+        # questions the connection is not read any more, heartbeats included:
+        # without an end to each answer it would stay so for ever.
+        monkeypatch.setattr(server_module, "MAX_OPEN_ASKS", 2)
+        monkeypatch.setattr(server_module, "ANSWER_TIMEOUT_S", 0.1, raising=False)
+
+        async def hang(question: Claim, peer: Hello) -> ClaimAnswer:
+            await asyncio.Event().wait()
+            return ClaimAnswer()
+
+        server = server_of()
+        server.answer(Claim, hang)
+        server.answer(Bar, echo)
+        async with server.listening(), link_to(server.address) as link:
+            hung = [
+                asyncio.create_task(link.ask(Claim(), timeout_s=30)) for _ in range(5)
+            ]
+            await until(lambda: len(link._calls) == len(hung))
+            assert (await link.ask(Bar(), timeout_s=15)).is_ok()
+            for task in hung:
+                task.cancel()
+
+    async def test_a_question_may_be_given_more_time_than_others(
+        self, monkeypatch: pytest.MonkeyPatch
+    ) -> None:
+        # The stages of a request with a deadline of 20 s take 11 s under load.
+        # Their keeper ended them after 10 s without a word, and the gateway that
+        # had asked waited for the deadline.
+        monkeypatch.setattr(server_module, "ANSWER_TIMEOUT_S", 0.05)
+
+        async def slow(question: Bar, peer: Hello) -> BarAnswer:
+            await asyncio.sleep(0.2)
+            return BarAnswer()
+
+        server = server_of()
+        server.answer(Bar, slow, timeout_s=5.0)
+        async with server.listening(), link_to(server.address) as link:
+            assert (await link.ask(Bar(), timeout_s=5.0)).is_ok()
+
+    async def test_a_peer_that_never_reads_is_cut_off_within_bounds(
+        self, monkeypatch: pytest.MonkeyPatch
+    ) -> None:
+        monkeypatch.setattr(connection_module, "MAX_UNSENT_BYTES", 1_000_000)
+        opened: list[Connection] = []
+        server = server_of(on_open=opened.append)
+        async with server.listening(), raw_peer(server.address) as peer:
+            peer.send(hello_of("mute")())
+            await until(lambda: bool(opened))
+            n_written = 0
+            while opened[0].write(Cancel(attempt_id=bytes(1_000_000))):
+                n_written += 1
+                assert n_written < 30
+            await until(lambda: not server.connections)
+
+
+class TestHello:
+    @pytest.mark.parametrize("process_id", ["", "x" * 300])
+    async def test_a_peer_without_a_proper_name_is_refused(
+        self, process_id: str
+    ) -> None:
+        server = server_of()
+        async with server.listening(), raw_peer(server.address) as peer:
+            peer.send(hello_of(process_id)())
+            await peer.ended()
+            assert not server.connections
+
+    async def test_another_version_is_refused(self) -> None:
+        server = server_of()
+        async with server.listening(), raw_peer(server.address) as peer:
+            peer.send(Hello(version=99, process_id="p"))
+            await peer.ended()
+
+    @pytest.mark.usefixtures("fast")
+    async def test_a_hello_that_never_comes_is_not_awaited_for_ever(self) -> None:
+        server = server_of()
+        async with server.listening(), raw_peer(server.address) as peer:
+            peer.writer.write(encode(hello_of("p")())[:7])
+            await peer.ended()
+
+
+class TestAddress:
+    @pytest.mark.parametrize(
+        "text", ["", "1.2.3.4", "1.2.3.4:", ":80", "1.2.3.4:99999"]
+    )
+    def test_bad_text_is_refused(self, text: str) -> None:
+        assert Address.parse(text).is_err()
+
+    def test_good_text_is_read(self) -> None:
+        assert Address.parse("1.2.3.4:80") == Ok(Address(ip="1.2.3.4", port=80))
