Give processes ports that no outgoing connection can take

The same may have ended any test that starts processes beside load.

Nothing that the platform runs is changed.

--- a/src/trefoilpaddle/standins/platform/gateway_process.py
+++ b/src/trefoilpaddle/standins/platform/gateway_process.py
@@ -4,7 +4,6 @@
 import contextlib
 import os
 import signal
-import socket
 import subprocess
 import sys
 from collections.abc import AsyncIterator
@@ -14,6 +13,7 @@
 import aiohttp
 import orjson
 
+from ..ports import free_port
 from .site import HOST, IP, KEY, Site, settings
 
 ROOT: Final = Path(__file__).resolve().parents[4]
@@ -166,14 +166,6 @@
                 gateway.kill()
 
 
-def free_port() -> int:
-    """Return a port that nobody listens on now."""
-    with socket.socket() as probe:
-        probe.bind((IP, 0))
-        port: int = probe.getsockname()[1]
-        return port
-
-
 def headers(request_id: str, **more: str) -> dict[str, str]:
     """Return the headers of a caller's request."""
     known = {
--- a/tests/operators_rig.py
+++ b/tests/operators_rig.py
@@ -7,10 +7,10 @@
 import aiohttp
 import orjson
 
-from tests.sidecar_rig import free_port
 from trefoilpaddle.protocol.ids import RequestId, new_incarnation
 from trefoilpaddle.roles.operators import OperatorsView, operators
 from trefoilpaddle.roles.process import Identity, Process
+from trefoilpaddle.standins.ports import free_port
 from trefoilpaddle.state.catalogue import Catalogue
 from trefoilpaddle.state.hosts import Host, HostList
 from trefoilpaddle.state.journal import Journal
--- a/tests/platform_adapter/test_callers.py
+++ b/tests/platform_adapter/test_callers.py
@@ -10,9 +10,9 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from tests.sidecar_rig import free_port
 from trefoilpaddle.coordination.chain.caller_sink import CallerSink
 from trefoilpaddle.protocol.reasons import Reason
+from trefoilpaddle.standins.ports import free_port
 from trefoilpaddle.state.chain.requests import (
     Answered,
     CallerRequest,
--- a/tests/process_rig.py
+++ b/tests/process_rig.py
@@ -13,8 +13,9 @@
 import psutil
 
 from tests.fake_platform import FakePlatform
-from tests.sidecar_rig import FakeTarget, free_port
+from tests.sidecar_rig import FakeTarget
 from tests.waiting import until
+from trefoilpaddle.standins.ports import free_port
 
 IP = "127.0.0.1"
 CAP_S = 60.0
--- a/tests/sidecar_rig.py
+++ b/tests/sidecar_rig.py
@@ -3,7 +3,6 @@
 import asyncio
 import contextlib
 import itertools
-import socket
 import time
 from collections.abc import AsyncIterator
 from dataclasses import dataclass
@@ -27,6 +26,7 @@
 from trefoilpaddle.protocol.ids import new_attempt_id
 from trefoilpaddle.roles.process import Process, identity_of
 from trefoilpaddle.roles.sidecar import Sidecar
+from trefoilpaddle.standins.ports import free_port
 from trefoilpaddle.state.catalogue import ServiceKind
 from trefoilpaddle.state.journal import Event, Journal
 from trefoilpaddle.state.settings import (
@@ -46,13 +46,6 @@
 PLENTY_BYTES = 1 << 30
 
 
-def free_port() -> int:
-    with socket.socket() as probe:
-        probe.bind(("127.0.0.1", 0))
-        port: int = probe.getsockname()[1]
-        return port
-
-
 class FakeTarget:
     """Plain service and engine in one; what a test sets decides what it does."""
 
--- a/tests/test_orders.py
+++ b/tests/test_orders.py
@@ -2,7 +2,6 @@
 
 import asyncio
 import contextlib
-import socket
 from collections.abc import AsyncIterator
 
 import pytest
@@ -22,6 +21,7 @@
     TargetOrders,
 )
 from trefoilpaddle.standins.engine import Engine, EngineModel
+from trefoilpaddle.standins.ports import free_port
 from trefoilpaddle.standins.weights import Weights
 from trefoilpaddle.state.journal import Event, Journal
 from trefoilpaddle.state.settings import Fencing, LogFormat
@@ -205,11 +205,3 @@
                 assert error.retry_after_s >= 1.0
                 events = [r.decision.event for r in s.journal.recent()]
                 assert events == [Event.ORDER_REFUSED]
-
-
-def free_port() -> int:
-
-    with socket.socket() as probe:
-        probe.bind(("127.0.0.1", 0))
-        port: int = probe.getsockname()[1]
-        return port
--- a/tests/test_sidecar_failures.py
+++ b/tests/test_sidecar_failures.py
@@ -11,7 +11,6 @@
     NS_PER_S,
     PLENTY_BYTES,
     FakeTarget,
-    free_port,
     running_sidecar,
     scene,
     settings_for,
@@ -32,6 +31,7 @@
     Queued,
 )
 from trefoilpaddle.protocol.reasons import Reason
+from trefoilpaddle.standins.ports import free_port
 from trefoilpaddle.state.catalogue import ServiceKind
 from trefoilpaddle.state.journal import Event
 from trefoilpaddle.state.settings import PolicySettings, RetentionSettings, StopSettings
--- a/tests/test_sidecar_process.py
+++ b/tests/test_sidecar_process.py
@@ -10,10 +10,11 @@
 from pathlib import Path
 
 from tests.fake_platform import FakePlatform
-from tests.sidecar_rig import NS_PER_S, FakeTarget, GatewaySide, connected, free_port
+from tests.sidecar_rig import NS_PER_S, FakeTarget, GatewaySide, connected
 from tests.waiting import until
 from trefoilpaddle.protocol.gen.stage.ttypes import Ack, Heartbeat, Outcome
 from trefoilpaddle.protocol.reasons import Reason
+from trefoilpaddle.standins.ports import free_port
 from trefoilpaddle.transport.connection import Address
 
 CAP_S = 30.0
