Tell a request that the process cuts off from one whose caller left

Cause: both were logged as caller_left, so the log could not say whether a connection without an answer was the caller's doing, nor what the request had waited for; the hypotheses of the incident could not be told apart.

A whole answer counts as begun before it is written. No decision changes.

Proof: tests/chain/test_request_path.py TestWhatIsCutOff failed before (the event was caller_left).

--- a/src/trefoilpaddle/coordination/chain/attempts.py
+++ b/src/trefoilpaddle/coordination/chain/attempts.py
@@ -9,8 +9,9 @@
 from result import Err, Ok
 
 from ...protocol.reasons import Reason
+from ...state.chain.delivery import Delivery
 from ...state.chain.repeat_budget import RepeatBudget
-from ...state.chain.requests import Answered, CallerRequest, Failed, Outcome, Refused
+from ...state.chain.requests import Answered, CallerRequest, Failed, Outcome
 from ...state.chain.routes import Account, PlainService, Repeat, Route, Service
 from ...state.chain.target_answers import AnswerHead, CallFault, StreamEvent
 from ...state.chain.workers import Worker, WorkerTable
@@ -140,19 +141,20 @@
         What it asks of a worker.
     workers, choice, calls, budget, journal
         As for the request path.
+    delivery : Delivery
+        Told how far the request has come.
     """
 
     __slots__ = (
         "_budget",
         "_calls",
         "_choice",
+        "_delivery",
         "_inputs",
-        "_is_begun",
         "_is_left",
         "_job",
         "_journal",
         "_last_event",
-        "_may_have_run",
         "_n_sent",
         "_n_unsent",
         "_need",
@@ -171,8 +173,10 @@
         calls: TargetCalls,
         budget: RepeatBudget,
         journal: Journal,
+        delivery: Delivery,
     ) -> None:
         self._job = job
+        self._delivery = delivery
         self._inputs = inputs
         self._need = need
         self._workers = workers
@@ -183,8 +187,6 @@
         self._tried: set[str] = set()
         self._n_sent = 0
         self._n_unsent = 0
-        self._may_have_run = False
-        self._is_begun = False
         self._is_left = False
         self._last_event = job.request.after_event
 
@@ -226,7 +228,7 @@
         if fault.has_not_run:
             self._n_unsent += 1
         else:
-            self._may_have_run = True
+            self._delivery.may_have_run = True
         if fault is not CallFault.FULL and fault is not CallFault.INPUTS_GONE:
             self._workers.suspect(worker)
 
@@ -235,12 +237,12 @@
         job = self._job
         self._tried.add(worker.worker_id)
         if reason is Reason.TARGET_FAILED:
-            self._may_have_run = True
+            self._delivery.may_have_run = True
         if self._is_left:
             return False
-        if self._may_have_run and not job.may_repeat:
+        if self._delivery.may_have_run and not job.may_repeat:
             return False
-        if self._is_begun and not job.route.is_resumable:
+        if self._delivery.is_begun and not job.route.is_resumable:
             return False
         if self._n_sent >= job.route.max_attempts or self._n_unsent >= MAX_UNSENT:
             return False
@@ -254,14 +256,13 @@
 
     def _end(self, reason: Reason) -> Outcome:
         """Return the end of a request that no worker has answered."""
-        if self._may_have_run or self._is_begun:
-            return Failed(reason=reason, is_begun=self._is_begun)
-        return Refused(reason=reason, retry_after_s=FULL_RETRY_S)
+        return self._delivery.end(reason, retry_after_s=FULL_RETRY_S)
 
     async def _pass_on(self, failed: WorkerFailed, sink: CallerSink) -> Outcome:
         """Give the caller a worker's failure as it is, if nothing went before."""
-        if self._is_begun:
+        if self._delivery.is_begun:
             return Failed(reason=Reason.TARGET_FAILED, is_begun=True)
+        self._delivery.is_begun = True
         await sink.whole(failed.head, failed.body)
         return Answered()
 
@@ -280,7 +281,10 @@
         )
         patience_s = self._patience_s()
         n_before = self._n_sent
-        with self._choice.open(worker, self._need) as at_worker:
+        with (
+            self._choice.open(worker, self._need) as at_worker,
+            self._delivery.at_worker(),
+        ):
             try:
                 async with (
                     asyncio.timeout(patience_s) as patience,
@@ -318,6 +322,7 @@
                 self._workers.trust(worker)
                 if not answer.head.is_success:
                     return WorkerFailed(head=answer.head, body=body)
+                self._delivery.is_begun = True
                 await sink.whole(answer.head, body)
                 return Answered()
 
@@ -339,15 +344,15 @@
                     self._workers.trust(worker)
                     at_worker.read()
                     self._inputs.read()
-                if not self._is_begun:
-                    self._is_begun = True
+                if not self._delivery.is_begun:
+                    self._delivery.is_begun = True
                     await sink.begin(answer.head)
                 self._last_event = event.number
                 await sink.event(event)
                 patience.reschedule(loop.time() + self._gap_s())
         except StreamBrokenError:
             return CallFault.BROKEN
-        if not self._is_begun:
+        if not self._delivery.is_begun:
             return CallFault.BROKEN
         await sink.end()
         return Answered()
--- a/src/trefoilpaddle/coordination/chain/planned_stop.py
+++ b/src/trefoilpaddle/coordination/chain/planned_stop.py
@@ -31,14 +31,20 @@
     ----------
     grace_s : float
         Time from the order to the kill.
+
+    Attributes
+    ----------
+    is_closing : bool
+        True once callers' connections are closed: who is not answered is cut.
     """
 
-    __slots__ = ("_grace_s", "_ordered", "_ordered_s")
+    __slots__ = ("_grace_s", "_ordered", "_ordered_s", "is_closing")
 
     def __init__(self, *, grace_s: float) -> None:
         self._grace_s = grace_s
         self._ordered = asyncio.Event()
         self._ordered_s = 0.0
+        self.is_closing = False
 
     @property
     def event(self) -> asyncio.Event:
--- a/src/trefoilpaddle/coordination/chain/request_path.py
+++ b/src/trefoilpaddle/coordination/chain/request_path.py
@@ -10,6 +10,7 @@
 
 from ...protocol.reasons import Reason
 from ...state.chain.chain_work import ChainFailed, ChainMade, ChainMoved, ChainWork
+from ...state.chain.delivery import Delivery
 from ...state.chain.engine_times import EngineTimes
 from ...state.chain.repeat_budget import RepeatBudgets
 from ...state.chain.requests import Answered, CallerRequest, Failed, Outcome, Refused
@@ -111,10 +112,11 @@
         """
         table = self.table
         route = table.match(request.host, request.path)
+        delivery = Delivery()
         try:
-            outcome = await self._serve(request, table, route, sink)
+            outcome = await self._serve(request, table, route, delivery, sink)
         except asyncio.CancelledError:
-            self._note_end(request, table, route, None)
+            self._note_cut(request, table, route, delivery)
             raise
         self._note_end(request, table, route, outcome)
         return outcome
@@ -124,6 +126,7 @@
         request: CallerRequest,
         table: RouteTable,
         route: Route | None,
+        delivery: Delivery,
         sink: CallerSink,
     ) -> Outcome:
         if not table.version:
@@ -148,9 +151,9 @@
             services=table.services,
             deadline_s=deadline_s,
         )
-        return await self._run(job, sink)
+        return await self._run(job, delivery, sink)
 
-    async def _run(self, job: Job, sink: CallerSink) -> Outcome:
+    async def _run(self, job: Job, delivery: Delivery, sink: CallerSink) -> Outcome:
         now_s = time.monotonic()
         self._budgets.of(job.service).earn(now_s)
         for stage in {stage.service for stage in job.route.stages}:
@@ -199,6 +202,7 @@
                         calls=self._calls,
                         budget=self._budgets.of(job.service),
                         journal=self._journal,
+                        delivery=delivery,
                     )
                     if job.must_finish:
                         return await self._finish(attempts, sink)
@@ -252,23 +256,61 @@
         request: CallerRequest,
         table: RouteTable,
         route: Route | None,
-        outcome: Outcome | None,
+        outcome: Outcome,
     ) -> None:
-        """Log how a request ended; None if its caller left before."""
-        reason = Reason.NONE
-        figures = [Figure(name="took_s", value=time.monotonic() - request.came_s)]
+        """Log how a request ended."""
         match outcome:
             case Answered():
-                event = Event.REQUEST_ANSWERED
+                self._note(Event.REQUEST_ANSWERED, request, table, route)
             case Refused():
-                event, reason = Event.REQUEST_REFUSED, outcome.reason
-                figures.append(
-                    Figure(name="retry_after_s", value=outcome.retry_after_s)
+                retry_after = Figure(name="retry_after_s", value=outcome.retry_after_s)
+                self._note(
+                    Event.REQUEST_REFUSED,
+                    request,
+                    table,
+                    route,
+                    reason=outcome.reason,
+                    figures=(retry_after,),
                 )
             case Failed():
-                event, reason = Event.REQUEST_FAILED, outcome.reason
-            case None:
-                event = Event.CALLER_LEFT
+                self._note(
+                    Event.REQUEST_FAILED, request, table, route, reason=outcome.reason
+                )
+
+    def _note_cut(
+        self,
+        request: CallerRequest,
+        table: RouteTable,
+        route: Route | None,
+        delivery: Delivery,
+    ) -> None:
+        """Log that nobody takes the answer: the caller left, or this process goes."""
+        if not self._stop.is_closing:
+            self._note(Event.CALLER_LEFT, request, table, route)
+            return
+        left = Figure(name="budget_s", value=self._stop.left_s())
+        self._note(
+            Event.REQUEST_CUT,
+            request,
+            table,
+            route,
+            reason=Reason.STOPPING,
+            detail=f"waited for {delivery.waits_for()}",
+            figures=(left,),
+        )
+
+    def _note(
+        self,
+        event: Event,
+        request: CallerRequest,
+        table: RouteTable,
+        route: Route | None,
+        *,
+        reason: Reason = Reason.NONE,
+        detail: str = "",
+        figures: tuple[Figure, ...] = (),
+    ) -> None:
+        took = Figure(name="took_s", value=time.monotonic() - request.came_s)
         self._journal.record(
             Decision(
                 event=event,
@@ -276,7 +318,8 @@
                 entry="" if route is None else route.name,
                 config_revision=table.version,
                 reason=reason,
-                figures=tuple(figures),
+                detail=detail,
+                figures=(took, *figures),
             )
         )
 
--- a/src/trefoilpaddle/state/events.py
+++ b/src/trefoilpaddle/state/events.py
@@ -20,6 +20,8 @@
     """The caller closed its connection before the answer was whole."""
     REQUEST_JOINED = 105
     """A retry was joined to the try that was running already."""
+    REQUEST_CUT = 106
+    """The process went before the answer; tells what the request waited for."""
     # Stage calls at a gateway
     ROUTED = 120
     """A target was chosen for a stage call."""
--- a/src/trefoilpaddle/state/metrics.py
+++ b/src/trefoilpaddle/state/metrics.py
@@ -18,6 +18,7 @@
     int(Event.REQUEST_REFUSED): "refused",
     int(Event.REQUEST_FAILED): "failed",
     int(Event.CALLER_LEFT): "caller_left",
+    int(Event.REQUEST_CUT): "cut",
 }
 STARTED: Final = int(Event.STARTED)
 FINISHED: Final = int(Event.FINISHED)
--- a/src/trefoilpaddle/state/timeline_text.py
+++ b/src/trefoilpaddle/state/timeline_text.py
@@ -14,6 +14,7 @@
     Event.REQUEST_FAILED: "ended the request without an answer",
     Event.CALLER_LEFT: "saw the caller leave",
     Event.REQUEST_JOINED: "joined a retry to the try that was running already",
+    Event.REQUEST_CUT: "went before the request was answered",
     Event.ROUTED: "sent stage {stage} to {peer}",
     Event.RETRIED: "tries stage {stage} again after {peer}",
     Event.HEDGED: "sent stage {stage} to {peer} as well",
@@ -109,6 +110,7 @@
     Event.REQUEST_REFUSED: "refused, not run",
     Event.REQUEST_FAILED: "ended without an answer",
     Event.CALLER_LEFT: "the caller left before the end",
+    Event.REQUEST_CUT: "cut off by the end of its process",
 }
 
 
--- a/tests/chain/test_attempts.py
+++ b/tests/chain/test_attempts.py
@@ -6,6 +6,7 @@
 from trefoilpaddle.coordination.chain.attempts import Attempts, Job
 from trefoilpaddle.coordination.chain.worker_choice import Need, WorkerChoice
 from trefoilpaddle.protocol.reasons import Reason
+from trefoilpaddle.state.chain.delivery import Delivery
 from trefoilpaddle.state.chain.requests import Answered, Failed, Refused
 from trefoilpaddle.state.chain.routes import Account, Repeat, Route
 from trefoilpaddle.state.chain.target_answers import AnswerHead, CallFault
@@ -75,6 +76,7 @@
         calls=calls,
         budget=budgets(slack=slack, ratio=0.0).of("plain"),
         journal=journal(),
+        delivery=Delivery(),
     )
 
 
--- a/tests/chain/test_request_path.py
+++ b/tests/chain/test_request_path.py
@@ -57,6 +57,7 @@
 
     def __init__(self, calls: FakeCalls, *routes: Route) -> None:
         self.notes = journal()
+        self.stop = PlannedStop(grace_s=8.0)
         workers = WorkerTable()
         for number in range(2):
             workers.put(worker(f"w{number}"))
@@ -83,7 +84,7 @@
             calls=calls,
             budgets=budgets(),
             journal=self.notes,
-            stop=PlannedStop(grace_s=8.0),
+            stop=self.stop,
         )
         if routes:
             self.path.put_in_force(table(*routes))
@@ -144,3 +145,17 @@
         await self.leave(rig, calls)
         await asyncio.sleep(0.1)
         assert calls.n_finished == 0
+
+
+class TestWhatIsCutOff:
+    async def test_the_log_tells_it_from_a_caller_that_left(self) -> None:
+        # A gateway that stops closed the connections of requests that had no answer
+        # yet. Its log said of each that the caller had left.
+        rig = Rig(SlowCalls(), route())
+        rig.stop.order()
+        rig.stop.is_closing = True
+        serving = asyncio.create_task(rig.serve())
+        await asyncio.sleep(0)
+        serving.cancel()
+        await asyncio.gather(serving, return_exceptions=True)
+        assert rig.events()[-1] is Event.REQUEST_CUT
