Answer every request before a stopping gateway is gone

Root cause, of the class 'a wait that does not know of the end of its process': a planned stop had a time at which connections are closed, 0.9 s before the kill; a request had only its own deadline. Whatever it waited for then (admission, a stage's queue, a scheduler elsewhere, another attempt), it was cut: 7.1 s after the order plus the handlers' 0.1 s twice, the 7.305 s of both reported requests. In the same class: a request that was read between the last look for open ones and the close was cut 0.2 s later.

Change: each request has an AnswerBound, which ends its wait at its deadline, and after the order 2 s before the kill where no worker has it, 0.9 s before the kill where one has; Delivery tells whether 'not run' is true. Stages are asked for only until then, so that one that cannot be made in time is refused at once. A closing server reads nothing more and waits for what it has read.

--- a/src/trefoilpaddle/coordination/chain/attempts.py
+++ b/src/trefoilpaddle/coordination/chain/attempts.py
@@ -262,7 +262,7 @@
         """Give the caller a worker's failure as it is, if nothing went before."""
         if self._delivery.is_begun:
             return Failed(reason=Reason.TARGET_FAILED, is_begun=True)
-        self._delivery.is_begun = True
+        self._delivery.begin()
         await sink.whole(failed.head, failed.body)
         return Answered()
 
@@ -322,7 +322,7 @@
                 self._workers.trust(worker)
                 if not answer.head.is_success:
                     return WorkerFailed(head=answer.head, body=body)
-                self._delivery.is_begun = True
+                self._delivery.begin()
                 await sink.whole(answer.head, body)
                 return Answered()
 
@@ -345,7 +345,7 @@
                     at_worker.read()
                     self._inputs.read()
                 if not self._delivery.is_begun:
-                    self._delivery.is_begun = True
+                    self._delivery.begin()
                     await sink.begin(answer.head)
                 self._last_event = event.number
                 await sink.event(event)
--- a/src/trefoilpaddle/coordination/chain/planned_stop.py
+++ b/src/trefoilpaddle/coordination/chain/planned_stop.py
@@ -1,10 +1,16 @@
-"""What a gateway still takes after the order to stop."""
+"""What a gateway still takes after the order to stop, and what it still waits for."""
 
 import asyncio
+import contextlib
+import math
 import time
+from collections.abc import AsyncIterator
 from typing import Final
 
+from ...protocol.reasons import Reason
+from ...state.chain.delivery import Delivery
 from ...state.chain.routes import Route
+from .answer_bound import AnswerBound
 
 TAKE_STREAMS_S: Final = 2.8
 """Streams are taken so long after the order.
@@ -14,11 +20,22 @@
 """
 
 ANSWER_S: Final = 2.0
-"""Left for the answers of whole requests that were taken last.
+"""Left before the kill for the answers of what was sent to a worker last.
 
-Longer than the deadlines of plain requests, of which it is the longest.
+Longer than the time in which most plain requests are answered. A stream that
+begins later would mostly be broken off within.
 """
 
+WRITE_S: Final = 0.9
+"""Left before the kill to write the last answers and to close.
+
+An answer takes a hundredth of it; the rest is for a process that is kept from
+running, on a weak machine, by the other ends of that moment.
+"""
+
+CLOSE_S: Final = 0.3
+"""Left before the kill to close connections, and to end."""
+
 
 class PlannedStop:
     """The order to stop, and the time that is left after it.
@@ -38,12 +55,13 @@
         True once callers' connections are closed: who is not answered is cut.
     """
 
-    __slots__ = ("_grace_s", "_ordered", "_ordered_s", "is_closing")
+    __slots__ = ("_bounds", "_grace_s", "_ordered", "_ordered_s", "is_closing")
 
     def __init__(self, *, grace_s: float) -> None:
         self._grace_s = grace_s
         self._ordered = asyncio.Event()
-        self._ordered_s = 0.0
+        self._ordered_s = math.inf
+        self._bounds: set[AnswerBound] = set()
         self.is_closing = False
 
     @property
@@ -58,18 +76,66 @@
 
     def order(self) -> None:
         """Begin the stop; a second order changes nothing."""
-        if not self._ordered.is_set():
-            self._ordered_s = time.monotonic()
-            self._ordered.set()
+        if self._ordered.is_set():
+            return
+        self._ordered_s = time.monotonic()
+        self._ordered.set()
+        for bound in self._bounds:
+            bound.renew()
+
+    @property
+    def since_s(self) -> float:
+        """Seconds since the order; negative without bound before it."""
+        return time.monotonic() - self._ordered_s
+
+    @property
+    def send_until_s(self) -> float:
+        """Monotonic time until which requests are sent to workers."""
+        return self._ordered_s + self._grace_s - ANSWER_S
+
+    @property
+    def answer_until_s(self) -> float:
+        """Monotonic time at which every request gets its final answer."""
+        return self._ordered_s + self._grace_s - WRITE_S
 
     def left_s(self) -> float:
-        """Return the seconds until the kill."""
-        return self._ordered_s + self._grace_s - time.monotonic()
+        """Return the seconds until the kill; all of them before the order."""
+        return self._grace_s - max(0.0, self.since_s)
+
+    def closes_in_s(self) -> float:
+        """Return how long answers may still go out."""
+        return max(0.0, self.left_s() - CLOSE_S)
 
     def takes(self, route: Route) -> bool:
         """Return True if a request of `route` can still be answered whole."""
-        if not self.is_ordered:
-            return True
-        if route.is_stream:
-            return time.monotonic() - self._ordered_s < TAKE_STREAMS_S
-        return self.left_s() > ANSWER_S
+        if time.monotonic() >= self.send_until_s:
+            return False
+        return not route.is_stream or self.since_s < TAKE_STREAMS_S
+
+    @contextlib.asynccontextmanager
+    async def bounding(
+        self, delivery: Delivery, deadline_s: float
+    ) -> AsyncIterator[None]:
+        """End what runs in the context while its request can still be answered.
+
+        Raises
+        ------
+        AnswerDueError
+            When the request must be answered now.
+        """
+        bound = AnswerBound(
+            delivery=delivery, ends_s=lambda: self._ends_s(delivery, deadline_s)
+        )
+        self._bounds.add(bound)
+        try:
+            async with bound.open():
+                yield
+        finally:
+            self._bounds.remove(bound)
+
+    def _ends_s(self, delivery: Delivery, deadline_s: float) -> tuple[float, Reason]:
+        """Return when a request must be answered, and why then."""
+        stop_s = self.answer_until_s if delivery.is_out else self.send_until_s
+        if stop_s < deadline_s:
+            return stop_s, Reason.STOPPING
+        return deadline_s, Reason.DEADLINE_PASSED
--- a/src/trefoilpaddle/coordination/chain/request_path.py
+++ b/src/trefoilpaddle/coordination/chain/request_path.py
@@ -17,6 +17,7 @@
 from ...state.chain.routes import Account, Route, RouteTable
 from ...state.chain.workers import WorkerTable
 from ...state.journal import Decision, Event, Figure, Journal
+from .answer_bound import AnswerDueError
 from .attempts import Attempts, Job
 from .caller_sink import CallerSink
 from .chain_inputs import ChainInputs
@@ -31,6 +32,15 @@
 NOBODY: Final[frozenset[str]] = frozenset()
 """No worker is passed over."""
 
+ELSEWHERE_S: Final = 0.0
+"""When to come back to a gateway that stops; the caller reaches another at once."""
+
+LAST_S: Final = 0.1
+"""Time after its deadline at which a request is answered whatever it waits for.
+
+Each wait ends by itself at the deadline, and says why; this is for one that does not.
+"""
+
 UNKNOWN_RETRY_S: Final = 0.5
 """When to come back to a gateway that knows nothing yet; it learns in a second."""
 
@@ -136,7 +146,7 @@
         if route is None:
             return Refused(reason=Reason.NO_ENTRY)
         if not self._stop.takes(route):
-            return Refused(reason=Reason.STOPPING)
+            return Refused(reason=Reason.STOPPING, retry_after_s=ELSEWHERE_S)
         account = self._account(table, route, request)
         if account is None:
             return Refused(reason=Reason.UNAUTHORISED)
@@ -151,7 +161,11 @@
             services=table.services,
             deadline_s=deadline_s,
         )
-        return await self._run(job, delivery, sink)
+        try:
+            async with self._stop.bounding(delivery, deadline_s + LAST_S):
+                return await self._run(job, delivery, sink)
+        except AnswerDueError as due:
+            return delivery.end(due.reason, retry_after_s=ELSEWHERE_S)
 
     async def _run(self, job: Job, delivery: Delivery, sink: CallerSink) -> Outcome:
         now_s = time.monotonic()
@@ -166,7 +180,8 @@
             n_pieces=_pieces(job.request, job.route),
             piece_key=job.request.piece_key,
             due_s=job.request.came_s + job.route.target_latency_s - engine_s,
-            deadline_s=job.deadline_s,
+            # One that would be made too late to be sent is refused now.
+            deadline_s=min(job.deadline_s, self._stop.send_until_s),
             near=self._near(job),
             priority=job.priority,
         )
--- a/src/trefoilpaddle/state/chain/delivery.py
+++ b/src/trefoilpaddle/state/chain/delivery.py
@@ -14,27 +14,29 @@
 class Delivery:
     """How far one request has come on its way to a worker and back.
 
-    Parameters
-    ----------
-    on_change : callable
-        Called whenever `is_out` may have changed.
-
     Attributes
     ----------
+    on_change : callable
+        Called when the request goes to a worker, comes back, or its answer begins.
     may_have_run : bool
         A worker may have begun to work on it in an attempt that has ended.
     is_begun : bool
         A part of its answer is with the caller already.
     """
 
-    __slots__ = ("_is_at_worker", "_on_change", "is_begun", "may_have_run")
+    __slots__ = ("_is_at_worker", "is_begun", "may_have_run", "on_change")
 
-    def __init__(self, *, on_change: Callable[[], None] = _nothing) -> None:
-        self._on_change = on_change
+    def __init__(self) -> None:
+        self.on_change: Callable[[], None] = _nothing
         self._is_at_worker = False
         self.may_have_run = False
         self.is_begun = False
 
+    def begin(self) -> None:
+        """Count the answer as begun, before its first byte is written."""
+        self.is_begun = True
+        self.on_change()
+
     @contextlib.contextmanager
     def at_worker(self) -> Iterator[None]:
         """Count the request as sent to a worker while the context is open.
@@ -42,7 +44,7 @@
         If the wait for the worker is broken off, nobody knows what it has done.
         """
         self._is_at_worker = True
-        self._on_change()
+        self.on_change()
         try:
             yield
         except BaseException:
@@ -50,7 +52,7 @@
             raise
         finally:
             self._is_at_worker = False
-            self._on_change()
+            self.on_change()
 
     @property
     def is_out(self) -> bool:
--- /dev/null
+++ b/tests/chain/test_answer_bound.py
@@ -0,0 +1,139 @@
+"""Every request is answered before a stopping gateway is gone."""
+
+import asyncio
+import time
+from collections.abc import Awaitable, Callable
+
+import pytest
+
+from trefoilpaddle.coordination.chain.answer_bound import AnswerDueError
+from trefoilpaddle.coordination.chain.planned_stop import PlannedStop
+from trefoilpaddle.protocol.reasons import Reason
+from trefoilpaddle.state.chain.delivery import Delivery
+from trefoilpaddle.state.chain.requests import Failed, Outcome, Refused
+
+from .virtual_time import run_virtual
+
+GRACE_S = 8.0
+LONG_S = 20.0
+
+Wait = Callable[[Delivery], Awaitable[None]]
+
+
+async def for_stages(delivery: Delivery) -> None:
+    await asyncio.sleep(LONG_S)
+
+
+async def for_another_attempt(delivery: Delivery) -> None:
+    with delivery.at_worker():
+        await asyncio.sleep(0.1)
+    delivery.may_have_run = True
+    await asyncio.sleep(LONG_S)
+
+
+async def for_a_worker(delivery: Delivery) -> None:
+    with delivery.at_worker():
+        await asyncio.sleep(LONG_S)
+
+
+async def for_the_rest(delivery: Delivery) -> None:
+    with delivery.at_worker():
+        delivery.begin()
+        await asyncio.sleep(LONG_S)
+
+
+async def for_a_worker_that_fails_late(delivery: Delivery) -> None:
+    with delivery.at_worker():
+        await asyncio.sleep(8.5)
+    delivery.may_have_run = True
+    await asyncio.sleep(LONG_S)
+
+
+async def end_of(wait: Wait, stop: PlannedStop, deadline_s: float) -> Outcome:
+    delivery = Delivery()
+    try:
+        async with stop.bounding(delivery, deadline_s):
+            await wait(delivery)
+    except AnswerDueError as due:
+        return delivery.end(due.reason, retry_after_s=0.0)
+    raise AssertionError("it went on to its own end")
+
+
+def played(
+    patch: pytest.MonkeyPatch, wait: Wait, *, order_s: float, deadline_s: float = LONG_S
+) -> tuple[float, Outcome]:
+    """Return after how long a request ended, and how; the order comes meanwhile."""
+
+    async def run() -> tuple[float, Outcome]:
+        stop = PlannedStop(grace_s=GRACE_S)
+        began_s = time.monotonic()
+        asyncio.get_running_loop().call_later(order_s, stop.order)
+        end = await end_of(wait, stop, began_s + deadline_s)
+        return round(time.monotonic() - began_s, 3), end
+
+    with patch.context() as time_patch:
+        return run_virtual(time_patch, run())
+
+
+NOT_RUN = Refused(reason=Reason.STOPPING, retry_after_s=0.0)
+MAY_HAVE_RUN = Failed(reason=Reason.STOPPING)
+
+
+class TestPlannedStop:
+    @pytest.mark.parametrize(
+        ("wait", "after_s", "end"),
+        [
+            (for_stages, 6.0, NOT_RUN),
+            (for_another_attempt, 6.0, MAY_HAVE_RUN),
+            (for_a_worker, 7.1, MAY_HAVE_RUN),
+            (for_the_rest, 7.1, Failed(reason=Reason.STOPPING, is_begun=True)),
+            (for_a_worker_that_fails_late, 6.5, MAY_HAVE_RUN),
+        ],
+    )
+    def test_whatever_a_request_waits_for_it_is_answered(
+        self, monkeypatch: pytest.MonkeyPatch, wait: Wait, after_s: float, end: Outcome
+    ) -> None:
+        # A request has a deadline of twenty seconds. Two seconds on its gateway is
+        # told to stop, with eight to the kill. It was left to whatever it waited
+        # for, and its connection closed at the end without an answer.
+        took_s, outcome = played(monkeypatch, wait, order_s=2.0)
+        assert (took_s, outcome) == (2.0 + after_s, end)
+
+    def test_one_that_comes_during_the_stop_has_the_same_end(
+        self, monkeypatch: pytest.MonkeyPatch
+    ) -> None:
+        assert played(monkeypatch, for_stages, order_s=0.0) == (6.0, NOT_RUN)
+
+
+class TestDeadline:
+    @pytest.mark.parametrize("order_s", [0.0, 100.0])
+    def test_no_wait_outlives_it(
+        self, monkeypatch: pytest.MonkeyPatch, order_s: float
+    ) -> None:
+        # What a request waits for has forgotten to end at the request's deadline.
+        took_s, outcome = played(
+            monkeypatch, for_stages, order_s=order_s, deadline_s=3.0
+        )
+        assert took_s == 3.0
+        assert outcome == Refused(reason=Reason.DEADLINE_PASSED, retry_after_s=0.0)
+
+
+class TestFinishing:
+    def test_what_outlives_its_caller_changes_nothing_more(
+        self, monkeypatch: pytest.MonkeyPatch
+    ) -> None:
+        # A caller leaves while a worker has what may not run twice. The worker's
+        # answer, taken in after the request had ended, ended in an error.
+        async def run() -> None:
+            stop = PlannedStop(grace_s=GRACE_S)
+            delivery = Delivery()
+            deadline_s = time.monotonic() + LONG_S
+            async with stop.bounding(delivery, deadline_s):
+                working = asyncio.create_task(for_another_attempt(delivery))
+                await asyncio.sleep(0.05)
+            await asyncio.sleep(0.1)
+            stop.order()
+            assert not working.done()
+
+        with monkeypatch.context() as time_patch:
+            run_virtual(time_patch, run())
--- a/tests/platform_adapter/test_callers.py
+++ b/tests/platform_adapter/test_callers.py
@@ -11,6 +11,7 @@
 from hypothesis import strategies as st
 
 from trefoilpaddle.coordination.chain.caller_sink import CallerSink
+from trefoilpaddle.coordination.chain.planned_stop import PlannedStop
 from trefoilpaddle.protocol.reasons import Reason
 from trefoilpaddle.standins.ports import free_port
 from trefoilpaddle.state.chain.requests import (
@@ -64,10 +65,13 @@
 
 @contextlib.asynccontextmanager
 async def serving(served: Served, *, stopping: bool = False) -> AsyncIterator[int]:
+    stop = PlannedStop(grace_s=8.0)
+    if stopping:
+        stop.order()
     server = CallerServer(
         serve=served,
         limits=lambda: CallerLimits(max_body_bytes=100),
-        is_stopping=lambda: stopping,
+        stop=stop,
     )
     port = free_port()
     async with server.listening(f"127.0.0.1:{port}"):
