--- a/tests/platform_adapter/test_callers.py
+++ b/tests/platform_adapter/test_callers.py
@@ -7,6 +7,7 @@
 
 import pytest
 from adapter.callers import CallerServer, decode_prompt
+from aiohttp import web_protocol
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
@@ -41,10 +42,12 @@
     left: asyncio.Event = field(default_factory=asyncio.Event)
     hangs: bool = False
     works_s: float = 0.0
+    n_ended: int = 0
 
     async def __call__(self, request: CallerRequest, sink: CallerSink) -> Outcome:
         self.requests.append(request)
         await asyncio.sleep(self.works_s)
+        self.n_ended += 1
         if self.hangs:
             try:
                 await asyncio.sleep(30)
@@ -289,3 +292,48 @@
         assert b"retry-after" in answer.lower()
         assert not served.requests
         writer.close()
+
+    async def test_what_is_read_in_the_turn_of_its_close_is_answered(
+        self, monkeypatch: pytest.MonkeyPatch
+    ) -> None:
+        # As above, but the request is read in the very turn of the loop in which the
+        # gateway sees that all is answered. It was counted two turns later, after the
+        # last look, passed on to a worker and cut.
+        came = asyncio.Event()
+        read = web_protocol.RequestHandler.data_received
+
+        def data_received(connection: web_protocol.RequestHandler, data: bytes) -> None:
+            read(connection, data)
+            came.set()
+
+        monkeypatch.setattr(web_protocol.RequestHandler, "data_received", data_received)
+        served = Served(works_s=0.4)
+        async with serving(served) as port:
+            reader, writer = await asyncio.open_connection("127.0.0.1", port)
+            writer.write(GET + b"\r\n")
+            await came.wait()
+        assert status(await reader.read()) in (200, 503)
+        assert len(served.requests) == served.n_ended
+        writer.close()
+
+    async def test_who_sends_while_it_waits_for_the_last_is_told_at_once(self) -> None:
+        # One request is still at its worker when a gateway closes. Another caller
+        # sends on a connection that it had open: its request was read and thrown
+        # away, and its connection closed only when the first had its answer.
+        served = Served(works_s=1.0)
+        async with serving(served) as port:
+            idle_reader, idle_writer = await asyncio.open_connection("127.0.0.1", port)
+            reader, writer = await asyncio.open_connection("127.0.0.1", port)
+            writer.write(GET + b"\r\n")
+            await until(lambda: served.requests)
+            later = asyncio.get_running_loop().call_later(
+                0.2, idle_writer.write, GET + b"\r\n"
+            )
+        assert status(await reader.read()) == 200
+        answer = await idle_reader.read()
+        assert status(answer) == 503
+        assert b"retry-after" in answer.lower()
+        assert len(served.requests) == 1
+        later.cancel()
+        writer.close()
+        idle_writer.close()
