--- a/src/trefoilpaddle/coordination/chain/attempts.py
+++ b/src/trefoilpaddle/coordination/chain/attempts.py
@@ -203,6 +203,9 @@
             handles = await self._inputs.get()
             if handles is None:
                 return self._end(Reason.RESULT_GONE)
+            if self._is_left:
+                # Its caller left, or was told that it has not run, meanwhile.
+                return self._end(Reason.CANCELLED)
             self._note(Event.ROUTED, worker)
             match await self._send(worker, handles, sink):
                 case Answered() as answered:
--- a/src/trefoilpaddle/coordination/chain/cell_schedulers.py
+++ b/src/trefoilpaddle/coordination/chain/cell_schedulers.py
@@ -114,7 +114,7 @@
         task = asyncio.create_task(self.of(cell).run(work))
         self._running[work.request_id] = task
         try:
-            return await task
+            end = await task
         except asyncio.CancelledError:
             if not task.cancelled() or _is_cancelling():
                 task.cancel()
@@ -123,6 +123,11 @@
         finally:
             if self._running.get(work.request_id) is task:
                 del self._running[work.request_id]
+        if _is_cancelling():
+            # A chain that fails in the moment in which it is cancelled ends with its
+            # fault. Its request must end all the same, not run the chain again.
+            raise asyncio.CancelledError
+        return end
 
     def free(self, cell: str, request_id: str) -> None:
         """Free what a chain has made, and end it if it still runs."""
--- a/src/trefoilpaddle/coordination/chain/request_path.py
+++ b/src/trefoilpaddle/coordination/chain/request_path.py
@@ -165,7 +165,9 @@
             async with self._stop.bounding(delivery, deadline_s + LAST_S):
                 return await self._run(job, delivery, sink)
         except AnswerDueError as due:
-            return delivery.end(due.reason, retry_after_s=ELSEWHERE_S)
+            is_stop = due.reason is Reason.STOPPING
+            retry_after_s = ELSEWHERE_S if is_stop else UNKNOWN_RETRY_S
+            return delivery.end(due.reason, retry_after_s=retry_after_s)
 
     async def _run(self, job: Job, delivery: Delivery, sink: CallerSink) -> Outcome:
         now_s = time.monotonic()
--- a/tests/chain/test_attempts.py
+++ b/tests/chain/test_attempts.py
@@ -87,6 +87,22 @@
 FAILED_HEAD = AnswerHead(status=500, headers=())
 
 
+class TestLeaving:
+    async def test_what_was_told_not_run_is_not_sent_later(self) -> None:
+        # The inputs of a request that may not run twice are made again when its
+        # caller is told, at a planned stop, that it has not run. They came, and the
+        # request was sent to a worker after all.
+        class SlowInputs(FakeInputs):
+            async def get(self) -> tuple[str, ...] | None:
+                running.leave()
+                return await super().get()
+
+        calls = FakeCalls(scripts=[FakeAnswer()])
+        running = attempts(calls, ONCE, inputs=SlowInputs())
+        assert isinstance(await running.run(FakeSink()), Refused)
+        assert calls.sent == []
+
+
 class TestAtMostOnce:
     @pytest.mark.parametrize("fault", [CallFault.BROKEN, CallFault.SILENT])
     async def test_one_that_may_have_run_is_not_sent_again(
--- a/tests/chain/test_cell_handover.py
+++ b/tests/chain/test_cell_handover.py
@@ -10,8 +10,14 @@
 from trefoilpaddle.coordination.chain.cell_schedulers import CellSchedulers
 from trefoilpaddle.coordination.chain.chain_router import ChainRouter
 from trefoilpaddle.coordination.chain.scheduler_links import SchedulerLinks
+from trefoilpaddle.protocol.reasons import Reason
 from trefoilpaddle.state.chain.cells import Cell, cells_of
-from trefoilpaddle.state.chain.chain_work import ChainMade
+from trefoilpaddle.state.chain.chain_work import (
+    ChainEnd,
+    ChainFailed,
+    ChainMade,
+    ChainWork,
+)
 from trefoilpaddle.state.chain.workers import WorkerTable
 from trefoilpaddle.transport.connection import Address
 
@@ -137,3 +143,35 @@
 
         with monkeypatch.context() as time_patch:
             assert run_virtual(time_patch, run())
+
+
+class TestCancelling:
+    async def test_a_chain_that_fails_then_ends_its_request(self) -> None:
+        # A request must be answered at a planned stop in the moment in which a stage
+        # of its chain fails. The chain ended with the fault, the cancellation was
+        # gone, and the request went on with nothing left to bound it.
+        class Failing:
+            began_s = 0.0
+            successor = ""
+            dispatch = SimpleNamespace(failure_domains=frozenset())
+
+            def is_over(self) -> bool:
+                return False
+
+            async def run(self, work: ChainWork) -> ChainEnd:
+                try:
+                    await asyncio.sleep(LONG_S)
+                except asyncio.CancelledError:
+                    return ChainFailed(reason=Reason.RESULT_GONE, is_begun=True)
+                raise AssertionError
+
+        schedulers = CellSchedulers(
+            process=process("own"),
+            make=lambda _: Failing(),  # type: ignore[arg-type, return-value]
+        )
+        cell = Cell(name="c", failure_domains=frozenset())
+        running = asyncio.create_task(schedulers.run(cell, work()))
+        await asyncio.sleep(0.01)
+        running.cancel()
+        with pytest.raises(asyncio.CancelledError):
+            await running
