Answer what is open when the drain of the product's own gateway ends

Now each such request gets its final answer, 'not run' where no stage can have started, 'unknown' otherwise; what must run at most once and may have started is not cancelled.

--- a/src/trefoilpaddle/roles/callers.py
+++ b/src/trefoilpaddle/roles/callers.py
@@ -3,7 +3,7 @@
 import asyncio
 import time
 from collections.abc import Awaitable, Callable
-from typing import Any
+from typing import Any, Final
 
 import orjson
 from absl import logging
@@ -23,6 +23,14 @@
 from .error_body import JSON_TYPE, answer_headers, error_json, error_response
 from .event_stream import EventStream
 
+LAST_ANSWERS_S: Final = 0.5
+"""Longest wait for the answers of requests that the end of a stop gives up.
+
+Writing one takes a hundredth of it.
+"""
+
+STOPPED_DETAIL: Final = "The gateway stopped before the request had its answer."
+
 Handler = Callable[[web.Request], Awaitable[web.StreamResponse]]
 
 
@@ -57,6 +65,7 @@
         "_requests",
         "_runner",
         "_settings",
+        "_spent",
         "_why_closed",
         "answering",
         "running",
@@ -82,6 +91,7 @@
         self._mint = mint
         self._is_ready = is_ready
         self._why_closed = why_closed
+        self._spent: dict[asyncio.Task[Result[Answer, Refusal]], Spent] = {}
         self.answering: set[asyncio.Task[Any]] = set()
         self.running: set[asyncio.Task[Result[Answer, Refusal]]] = set()
 
@@ -139,12 +149,42 @@
         """Wait for what is held; return how many requests are still open then.
 
         A request is held until its last stage has ended and its answer has been
-        handed to the caller's connection.
+        handed to the caller's connection. Those still open get their final answer:
+        their callers would see a closed connection, and not know what it means.
         """
+        await self._wait_for_held(timeout_s)
+        n_open = max(len(self.answering), len(self.running))
+        for task, spent in list(self._spent.items()):
+            self._end_open(task, spent)
+        await self._wait_for_held(LAST_ANSWERS_S)
+        return n_open
+
+    async def _wait_for_held(self, timeout_s: float) -> None:
         end_s = time.monotonic() + timeout_s
         while (held := self.answering | self.running) and time.monotonic() < end_s:
             await asyncio.wait(held, timeout=max(0.0, end_s - time.monotonic()))
-        return max(len(self.answering), len(self.running))
+
+    def _end_open(
+        self, task: "asyncio.Task[Result[Answer, Refusal]]", spent: Spent
+    ) -> None:
+        """Have a request answered that is still open when the stop's time is over."""
+        error: NotRun | Unknown = NotRun(
+            reason=Reason.STOPPING, step="stop", peer="", detail=STOPPED_DETAIL
+        )
+        if spent.has_started:
+            error = Unknown(
+                reason=Reason.STOPPING, step="stop", peer="", detail=STOPPED_DETAIL
+            )
+        spent.give_up(
+            Refusal(
+                error=error,
+                stage="",
+                cost_s=spent.cost_s,
+                is_retry_safe=not spent.has_started_once_only,
+            )
+        )
+        if not spent.has_started_once_only:
+            task.cancel()
 
     async def _serve(self, http: web.Request) -> web.StreamResponse:
         match await self._input.read(http):
@@ -186,17 +226,22 @@
         spent = Spent()
         task = asyncio.create_task(self._runner.run(request, spent=spent, sink=sink))
         self.running.add(task)
-        task.add_done_callback(self.running.discard)
+        self._spent[task] = spent
+        task.add_done_callback(self._forget)
         try:
             ends: set[asyncio.Future[Any]] = {task, spent.given_up}
             await asyncio.wait(ends, return_when=asyncio.FIRST_COMPLETED)
         except asyncio.CancelledError:
             self._on_caller_left(request, spent, task)
             raise
-        if task.done():
+        if task.done() and not task.cancelled():
             return task.result()
         return Err(self._given_up(request, spent.given_up.result()))
 
+    def _forget(self, task: "asyncio.Task[Result[Answer, Refusal]]") -> None:
+        self.running.discard(task)
+        del self._spent[task]
+
     def _given_up(self, request: Request, refusal: Refusal) -> Refusal:
         """Record that the caller is answered while its request still runs."""
         state = state_of(refusal.error)
--- a/src/trefoilpaddle/state/settings.py
+++ b/src/trefoilpaddle/state/settings.py
@@ -277,8 +277,8 @@
     Parameters
     ----------
     drain_s : float
-        Longest wait for held work; what is still open then is cut off and
-        counted.
+        Longest wait for held work; what is still open then is told so, as not
+        run where that is certain, and counted as cut off.
     settle_s : float
         Time between saying not ready and refusing new work; longer than the
         balancer takes to notice.
