Do not begin to schedule a cell again in a gateway that stops

Cause: three seconds after a handover a scheduler counts as over, and the next chain began a new one, also in a gateway that stops; nobody hands that one over, and its chains end with the process. Found by reading; the test failed before (the chain was made here) and passes now.

--- a/src/trefoilpaddle/coordination/chain/cell_schedulers.py
+++ b/src/trefoilpaddle/coordination/chain/cell_schedulers.py
@@ -94,7 +94,10 @@
     def of(self, cell: Cell) -> ChainScheduler:
         """Return the scheduler of a cell's stages."""
         scheduler = self._by_cell.get(cell.name)
-        if scheduler is None or scheduler.is_over():
+        # One that stops does not begin anew what it has handed over: chains would
+        # go with it, and the workers be called from two sides.
+        may_begin_anew = not self._is_stopping()
+        if scheduler is None or (scheduler.is_over() and may_begin_anew):
             scheduler = self._begin(cell, "from its first chain")
         scheduler.dispatch.failure_domains = cell.failure_domains
         self._cells[cell.name] = cell
--- a/tests/chain/test_cell_handover.py
+++ b/tests/chain/test_cell_handover.py
@@ -16,6 +16,7 @@
     ChainEnd,
     ChainFailed,
     ChainMade,
+    ChainMoved,
     ChainWork,
 )
 from trefoilpaddle.state.chain.workers import WorkerTable
@@ -74,8 +75,9 @@
         routes = table(services=[piece_service("s"), piece_service("t")])
         region_of = dict.fromkeys(domains, "north")
         self.cells = cells_of(workers.all(), region_of)
+        self.own = process("own")
         self.schedulers = CellSchedulers(
-            process=process("own"),
+            process=self.own,
             make=lambda _: scheduler(FakeCalls(), workers, routes, journal()),
         )
         for cell in self.cells:
@@ -144,6 +146,25 @@
         with monkeypatch.context() as time_patch:
             assert run_virtual(time_patch, run())
 
+    def test_what_comes_late_goes_to_the_successor(
+        self, monkeypatch: pytest.MonkeyPatch
+    ) -> None:
+        # A gateway that stops has handed its cell over; four seconds later another
+        # still sends it a chain. It began to schedule the cell again, beside its
+        # successor, and took that chain with it when it went.
+        async def run() -> ChainEnd:
+            rig = Rig()
+            cell = rig.cells[0]
+            rig.own.stopping.set()
+            rig.schedulers.of(cell).hand_over("next")
+            await asyncio.sleep(4.0)
+            return await rig.schedulers.run(cell, work())
+
+        with monkeypatch.context() as time_patch:
+            end = run_virtual(time_patch, run())
+        assert isinstance(end, ChainMoved)
+        assert end.successor == "next"
+
 
 class TestCancelling:
     async def test_a_chain_that_fails_then_ends_its_request(self) -> None:
