--- a/tests/platform_adapter/test_callers.py
+++ b/tests/platform_adapter/test_callers.py
@@ -6,7 +6,8 @@
 from dataclasses import dataclass, field
 
 import pytest
-from adapter.callers import CallerServer, decode_prompt
+from adapter.caller_requests import decode_prompt
+from adapter.callers import CallerServer
 from aiohttp import web_protocol
 from hypothesis import given, settings
 from hypothesis import strategies as st
