Measure what a scheduler costs a chain by the size of its cell

The sizes hold the largest cell of a region (63) and about a failure domain's (183).

Ruled out: the model as the cause of the growth; in a profile of the row of 183 workers (trial, 2 s) 72 in 100 of the time are ServiceDispatch._dispatch.

--- a/tests/chain/__main__.py
+++ b/tests/chain/__main__.py
@@ -1,12 +1,15 @@
-"""Play the model of a cell: ``python -m tests.chain --load tight --seeds 8``.
+"""Play the model of a cell: ``python -m tests.chain play --load tight --seeds 8``.
 
 ``--without NAME`` takes one mechanism out and prints the difference, in pairs of a
-seed.
+seed. ``python -m tests.chain cost`` measures what a scheduler costs a chain by the
+size of its cell.
 """
 
 import logging
 import statistics
-from collections.abc import Callable
+import time
+from collections.abc import Callable, Sequence
+from dataclasses import replace
 from typing import Final
 
 import fire
@@ -17,6 +20,7 @@
     overdue_queue,
     worker_caller,
 )
+from trefoilpaddle.replay.fleet_measure import numbers_of
 from trefoilpaddle.state.chain.bearable_waits import BearableWaits
 
 from .cell_loads import BUSY_DAY, TIGHT_DAY, Load
@@ -62,7 +66,7 @@
         return run_virtual(patch, run())
 
 
-def main(load: str = "tight", seeds: int = 5, without: str = "") -> None:
+def print_plays(load: str = "tight", seeds: int = 5, without: str = "") -> None:
     """Print how each seed went, and the means."""
     logging.disable(logging.CRITICAL)
     chosen = LOADS[load]
@@ -86,5 +90,52 @@
         print(f"{without}: {statistics.mean(gains):+.4f}, error {error:.4f}")
 
 
+def grown(load: Load, n_per_service: int) -> Load:
+    """Return a load without bursts for cells of so many workers of each service.
+
+    As many requests come for each worker of the first service as before.
+    """
+    ratio = n_per_service / load.n_workers[load.services[0].name]
+    return replace(
+        load,
+        kinds=tuple(replace(kind, per_s=kind.per_s * ratio) for kind in load.kinds),
+        n_workers=dict.fromkeys(load.n_workers, n_per_service),
+        bursts=(),
+    )
+
+
+def print_cost(
+    per_service: str | int | Sequence[int] = (1, 8, 21, 32, 61, 100),
+    length_s: float = 4.0,
+) -> None:
+    """Print the processor time of a chain, the model's own part included.
+
+    The slope is what each worker more than in the row before adds to it.
+
+    Parameters
+    ----------
+    per_service : comma-separated int
+        Workers of each of the three services; callers grow with them.
+    length_s : float
+        How long callers come.
+    """
+    logging.disable(logging.CRITICAL)
+    print("stage workers  chains  chains/s  ms a chain  slope, ms a worker")
+    before: tuple[int, float] | None = None
+    for n_per_service in numbers_of(per_service):
+        load = replace(grown(TIGHT_DAY, n_per_service), length_s=length_s)
+        n_workers = sum(load.n_workers.values())
+        began_s = time.process_time()
+        n_chains = play(load, seed=1).asked.total()
+        chain_ms = 1000 * (time.process_time() - began_s) / n_chains
+        line = f"{n_workers:13} {n_chains:7} {n_chains / length_s:9.0f}"
+        line += f" {chain_ms:11.2f}"
+        if before is not None:
+            slope_ms = (chain_ms - before[1]) / (n_workers - before[0])
+            line += f" {slope_ms:19.3f}"
+        print(line, flush=True)
+        before = (n_workers, chain_ms)
+
+
 if __name__ == "__main__":
-    fire.Fire(main)
+    fire.Fire({"play": print_plays, "cost": print_cost})
