--- a/tests/gateway_bench.py
+++ b/tests/gateway_bench.py
@@ -175,3 +175,10 @@
         if view.process_id == f"{sidecar.name}-sidecar":
             return isinstance(view.load, Load) and view.may_get_work()
     return False
+
+
+async def error_of(b: Bench, **headers: str) -> dict[str, object]:
+    async with b.post(json={}, **headers) as answer:
+        body = await answer.json()
+        error: dict[str, object] = body["error"]
+        return error
--- /dev/null
+++ b/tests/test_gateway_answers.py
@@ -0,0 +1,256 @@
+"""Answers of stage calls: each reaches its caller alone, and none torn looks whole."""
+
+import asyncio
+
+import pytest
+
+from tests.fake_sidecar import Call
+from tests.gateway_bench import bench, catalogue, engine_stage, error_of, plain_stage
+from tests.sidecar_scripts import sidecar
+from tests.test_gateway_path import sse
+from tests.waiting import until
+from trefoilpaddle.protocol.checksum import checksum
+from trefoilpaddle.protocol.gen.stage.ttypes import Chunk, End, Fetch
+from trefoilpaddle.state.journal import Event
+
+# Each piece is large enough that the gateway grants new credit once it has it.
+PIECE_BYTES = 300_000
+PIECES = (
+    b'{"a": "'.rjust(PIECE_BYTES),
+    b"w" * PIECE_BYTES,
+    b'"}'.rjust(PIECE_BYTES, b"h"),
+)
+WHOLE = {"a": "w" * PIECE_BYTES + "h" * (PIECE_BYTES - 2)}
+
+
+class TestLateAndCrossedAnswers:
+    async def test_an_answer_of_a_given_up_attempt_reaches_nobody(self) -> None:
+        """A request runs into its deadline; the next one is sent to the same
+        target. Only then does the target answer the first, on the connection
+        that both share. The second caller must get its own answer alone.
+        """
+        first: list[Call] = []
+
+        async def script(call: Call) -> None:
+            if not first:
+                first.append(call)
+                call.started()
+                return
+            first[0].chunk(0, b'{"whose": "first"}')
+            first[0].end(b'{"whose": "first"}')
+            call.answer(b'{"whose": "second"}')
+
+        async with bench(sidecar(script), published=catalogue(plain_stage())) as b:
+            error = await error_of(b, X_Deadline_S="0.2")
+            assert error["outcome"] == "failed"
+            async with b.post(json={}) as answer:
+                assert await answer.json() == {"whose": "second"}
+            assert Event.FRAME_DROPPED in b.events()
+
+    async def test_two_answers_that_cross_reach_their_own_callers(self) -> None:
+        """Two requests wait at one target, which answers the later one first,
+        its pieces mixed with those of the earlier one.
+        """
+        calls: list[Call] = []
+
+        async def script(call: Call) -> None:
+            calls.append(call)
+            call.started()
+            if len(calls) < 2:
+                return
+            for seq in range(2):
+                for other in reversed(calls):
+                    other.chunk(seq, (b"[" if seq == 0 else other.body + b"]"))
+            for other in reversed(calls):
+                other.end(b"[", other.body + b"]")
+
+        async with bench(sidecar(script), published=catalogue(plain_stage())) as b:
+
+            async def ask(n: int) -> object:
+                async with b.post(json={"n": n}) as answer:
+                    return await answer.json()
+
+            answers = list(await asyncio.gather(ask(1), ask(2)))
+            assert answers == [[{"input": {"n": 1}}], [{"input": {"n": 2}}]]
+
+    async def test_a_frame_from_another_sidecar_is_dropped(self) -> None:
+        """One sidecar, mistaken or mended, answers an attempt that was sent to
+        another one. The caller must get what its own target says.
+        """
+        other = sidecar(service="x", name="t2")
+
+        async def script(call: Call) -> None:
+            call.started()
+            for connection in other.server.connections:
+                data = b'"wrong"'
+                attempt_id = call.start.attempt_id
+                connection.write(Chunk(attempt_id=attempt_id, seq=0, data=data))
+                connection.write(
+                    End(
+                        attempt_id=attempt_id,
+                        n_chunks=1,
+                        n_bytes=len(data),
+                        checksum=checksum(data),
+                        load=other.load(),
+                    )
+                )
+            dropped = b.gateway.attempts
+            await until(lambda: dropped.n_dropped == 2)
+            call.chunk(0, b'"right"')
+            call.end(b'"right"')
+
+        published = catalogue(plain_stage(), plain_stage("x"))
+        published.pipelines["p"] = type(published.pipelines["p"])(
+            stages=published.pipelines["p"].stages[:1]
+        )
+        async with (
+            bench(sidecar(script), other, published=published) as b,
+            b.post(json={}) as answer,
+        ):
+            assert await answer.json() == "right"
+
+
+class TestLostConnection:
+    @pytest.mark.parametrize("n_before", [0, 1, 3])
+    async def test_the_answer_is_fetched_from_the_same_incarnation(
+        self, n_before: int
+    ) -> None:
+        """The connection breaks while a call that must run once is at its
+        target, in mid-answer or right before its end frame. The caller sees
+        nothing of it: the gateway comes back and asks for the rest.
+        """
+
+        async def script(call: Call) -> None:
+            call.started()
+            for seq in range(n_before):
+                call.chunk(seq, PIECES[seq])
+            first_credit = call.start.credit_bytes
+            taken = n_before * PIECE_BYTES
+            await until(lambda: call.credit_bytes == first_credit + taken)
+            s.cut()
+
+        def on_fetch(call: Call, fetch: Fetch) -> None:
+            for seq in range(fetch.from_seq, len(PIECES)):
+                call.chunk(seq, PIECES[seq])
+            call.end(*PIECES)
+
+        s = sidecar(script)
+        s.on_fetch = on_fetch
+        published = catalogue(plain_stage(idempotent=False))
+        async with bench(s, published=published) as b, b.post(json={}) as answer:
+            assert answer.status == 200
+            assert await answer.json() == WHOLE
+            assert len(s.runs) == 1
+            assert Event.RESULT_FETCHED in b.events()
+            await s.calls[0].is_acked.wait()
+
+    async def test_a_restarted_sidecar_leaves_a_call_to_run_once_unknown(self) -> None:
+        """The sidecar dies while a call that must run once may be at its target.
+        Its successor knows nothing of it. The caller is told "unknown", and no
+        other target is tried.
+        """
+
+        async def script(call: Call) -> None:
+            call.started()
+            restarts.append(asyncio.create_task(s.restart()))
+
+        restarts: list[asyncio.Task[None]] = []
+        s, other = sidecar(script), sidecar(name="t2")
+        other.queued_work_s, other.n_queued = 100.0, 9
+        published = catalogue(plain_stage(idempotent=False))
+        async with bench(s, other, published=published) as b:
+            error = await error_of(b)
+            assert error["outcome"] == "unknown"
+            assert error["reason"] == "wrong_incarnation"
+            assert error["retry_safe"] is False
+            assert not other.calls
+
+    async def test_an_idempotent_call_is_repeated_elsewhere(self) -> None:
+        """The same, but the call may be repeated: another target answers."""
+
+        async def script(call: Call) -> None:
+            call.started()
+            restarts.append(asyncio.create_task(s.restart()))
+
+        restarts: list[asyncio.Task[None]] = []
+        s, other = sidecar(script), sidecar(name="t2")
+        other.queued_work_s, other.n_queued = 100.0, 9
+        async with (
+            bench(s, other, published=catalogue(plain_stage())) as b,
+            b.post(json={}) as answer,
+        ):
+            assert answer.status == 200
+            assert len(other.calls) == 1
+            assert Event.RETRIED in b.events()
+
+
+class TestTornAnswers:
+    async def test_a_torn_answer_is_fetched_once_more(self) -> None:
+        """An answer comes with a checksum that does not match; the sidecar still
+        holds the right one. The caller gets that one.
+        """
+
+        async def script(call: Call) -> None:
+            call.started()
+            call.chunk(0, PIECES[0])
+            call.end(PIECES[0], bad_checksum=True)
+
+        def on_fetch(call: Call, fetch: Fetch) -> None:
+            assert fetch.from_seq == 0
+            for seq, piece in enumerate(PIECES):
+                call.chunk(seq, piece)
+            call.end(*PIECES)
+
+        s = sidecar(script)
+        s.on_fetch = on_fetch
+        published = catalogue(plain_stage(idempotent=False))
+        async with bench(s, published=published) as b, b.post(json={}) as answer:
+            assert await answer.json() == WHOLE
+
+    @pytest.mark.parametrize("fault", ["count", "checksum", "gap"])
+    async def test_a_torn_answer_never_looks_whole(self, fault: str) -> None:
+        """The answer stays torn: a piece is missing, or the sum is wrong. The
+        caller gets an error, never the part that came.
+        """
+
+        def torn(call: Call, _fetch: object = None) -> None:
+            call.chunk(0, b"[1]")
+            if fault == "gap":
+                call.chunk(2, b" ")
+            call.end(
+                *([b"[1]"] if fault != "count" else [b"[1]", b" "]),
+                bad_checksum=fault == "checksum",
+            )
+
+        async def script(call: Call) -> None:
+            call.started()
+            torn(call)
+
+        s = sidecar(script)
+        s.on_fetch = torn
+        published = catalogue(plain_stage(idempotent=False))
+        async with bench(s, published=published) as b, b.post(json={}) as answer:
+            assert answer.status == 502
+            error = (await answer.json())["error"]
+            assert (error["outcome"], error["reason"]) == ("failed", "corrupt")
+
+    async def test_a_torn_stream_ends_with_an_error_event(self) -> None:
+        """Tokens have reached the caller when the end frame shows that some
+        were lost. The stream ends with ``error``, so it cannot look finished,
+        and no other target is asked to write the text again.
+        """
+
+        async def script(call: Call) -> None:
+            call.started()
+            call.chunk(0, b"half")
+            call.end(b"half", b"lost")
+
+        s, other = sidecar(script, service="gen"), sidecar(service="gen", name="t2")
+        other.queued_work_s, other.n_queued = 100.0, 9
+        async with (
+            bench(s, other, published=catalogue(engine_stage())) as b,
+            b.post(data="x", Accept="text/event-stream") as answer,
+        ):
+            names = [name for name, _ in sse(await answer.text())]
+            assert names == ["token", "error"]
+            assert not other.calls
--- a/tests/test_gateway_keys.py
+++ b/tests/test_gateway_keys.py
@@ -4,7 +4,7 @@
 
 from tests.fake_sidecar import Call, FakeSidecar, echo
 from tests.gateway_bench import Bench, bench, catalogue, engine_stage, plain_stage
-from tests.test_gateway_failures import refuse
+from tests.sidecar_scripts import refuse
 from tests.test_gateway_path import sse, three_tokens
 from tests.waiting import until
 from trefoilpaddle.protocol.gen.stage.ttypes import Outcome
