Let the soak see requests that a planned stop cuts

Cause of the miss, on the code before the mend: - Nothing queued: six callers, workers of 5 ms, deadlines of 3 s. At the end of a stop all were answered, so the stop ended at once and had nobody to cut. - What was cut would not have counted: all that ended in the last second of a stop was excused, and of requests without an answer only those that a worker had run were looked at. - Callers went to ready gateways; none kept a connection idle until the end. A GET that is cut on a kept connection is sent again by aiohttp itself (it does so for idempotent methods), so no caller saw it. - A stop had no kill: the soak waited up to 30 s for the process. Two stops met by chance only.

Change: `--stops` plays planned stops alone (in turn, two at once, each before the former is back, hang-ups within) under load, beside callers with 20 s and connections that lie idle until the end. `cut_at_stops` counts what was sent whole 0.2 s before the close and has no answer, in all soaks. Every soak kills at the end of the grace and reports it; grace is 6 s, so that its last sixth holds the second in which answers are written.

--- a/src/trefoilpaddle/standins/platform/gateway_process.py
+++ b/src/trefoilpaddle/standins/platform/gateway_process.py
@@ -14,7 +14,7 @@
 import orjson
 
 from ..ports import free_port
-from .site import HOST, IP, KEY, Site, settings
+from .site import GRACE_S, HOST, IP, KEY, Site, settings
 
 ROOT: Final = Path(__file__).resolve().parents[4]
 """Of the repository, where the platform starts its programs."""
@@ -40,18 +40,38 @@
         Address of the store.
     seeds : list of str
         Peers that it asks first.
+    grace_s : float
+        Time from the order to stop to the kill.
     """
 
-    __slots__ = ("_seeds", "_store", "domain", "folder", "host", "logs", "ports", "run")
+    __slots__ = (
+        "_grace_s",
+        "_seeds",
+        "_store",
+        "domain",
+        "folder",
+        "host",
+        "logs",
+        "ports",
+        "run",
+    )
 
     def __init__(
-        self, *, host: str, domain: str, folder: Path, store: str, seeds: list[str]
+        self,
+        *,
+        host: str,
+        domain: str,
+        folder: Path,
+        store: str,
+        seeds: list[str],
+        grace_s: float = GRACE_S,
     ) -> None:
         self.host = host
         self.domain = domain
         self.folder = folder
         self._store = store
         self._seeds = seeds
+        self._grace_s = grace_s
         self.ports = [free_port() for _ in range(N_PORTS)]
         self.logs: list[Path] = []
         self.run: subprocess.Popen[bytes] | None = None
@@ -75,6 +95,7 @@
             ports=self.ports,
             store=self._store,
             seeds=self._seeds,
+            grace_s=self._grace_s,
         )
         path.write_bytes(orjson.dumps(fields))
         self.logs.append(self.folder / f"{self.host}-{len(self.logs)}.log")
--- a/src/trefoilpaddle/standins/platform/site.py
+++ b/src/trefoilpaddle/standins/platform/site.py
@@ -83,7 +83,13 @@
 
 
 def settings(
-    *, host: str, domain: str, ports: list[int], store: str, seeds: list[str]
+    *,
+    host: str,
+    domain: str,
+    ports: list[int],
+    store: str,
+    seeds: list[str],
+    grace_s: float = GRACE_S,
 ) -> dict[str, Any]:
     """Return the settings file of one gateway.
 
@@ -91,6 +97,8 @@
     ----------
     ports : list of int
         For callers, readiness, peers and metrics.
+    grace_s : float
+        Time from the order to stop to the kill.
     """
     callers, ready, peers, metrics = ports
     return {
@@ -106,7 +114,7 @@
         "internal_port_range": [metrics, metrics + 3],
         "seeds": seeds,
         "bounds": {
-            "grace_s": GRACE_S,
+            "grace_s": grace_s,
             "retry_budget_ratio": 0.2,
             "budget_slack": 50,
             "budget_window_s": 10,
--- a/tests/soak/__main__.py
+++ b/tests/soak/__main__.py
@@ -18,11 +18,13 @@
 """Takes the logs of the seeds that failed."""
 
 
-def one(seed: int, length_s: float = LENGTH_S) -> int:
-    """Run one seed; print what was broken."""
-    folder = KEEP / str(seed)
+def one(seed: int, length_s: float = LENGTH_S, stops: bool = False) -> int:
+    """Run one seed, of all faults or of planned stops; print what was broken."""
+    folder = KEEP / f"{'stops-' if stops else ''}{seed}"
     folder.mkdir(parents=True, exist_ok=True)
-    record, callers = asyncio.run(run_soak(seed, folder, length_s=length_s))
+    record, callers = asyncio.run(
+        run_soak(seed, folder, length_s=length_s, is_stops=stops)
+    )
     lines = broken(record, callers)
     print(f"seed {seed}: {len(callers.seen)} requests, {len(record.marks)} faults")
     start_s = min(seen.sent_s for seen in callers.seen)
@@ -35,12 +37,15 @@
     return len(lines)
 
 
-def many(seeds: int = 50, jobs: int = 3, first: int | None = None) -> int:
+def many(
+    seeds: int = 50, jobs: int = 3, first: int | None = None, stops: bool = False
+) -> int:
     """Run seeds, fresh ones unless `first` is given; return how many failed."""
     start = secrets.randbelow(10**9) if first is None else first
 
     def run(seed: int) -> int:
         command = [sys.executable, "-m", "tests.soak", "one", str(seed)]
+        command += [f"--stops={stops}"]
         ended = subprocess.run(command, capture_output=True, text=True, check=False)
         print(ended.stdout, ended.stderr[-2000:], sep="", end="", flush=True)
         return int(ended.returncode != 0 or "BROKEN" in ended.stdout)
--- a/tests/soak/soak_callers.py
+++ b/tests/soak/soak_callers.py
@@ -1,11 +1,13 @@
 """Callers of a soak: they keep connections, and note all that they see."""
 
 import asyncio
+import contextlib
 import itertools
 import random
 import time
-from collections.abc import Callable
+from collections.abc import AsyncIterator, Callable
 from dataclasses import dataclass, field
+from typing import Any
 
 import aiohttp
 
@@ -19,10 +21,14 @@
 DEADLINE_S = 3.0
 """Set by every caller; the stand-in workers answer within 0.1 s when calm."""
 
-CAP_S = DEADLINE_S + 1.0
+CAP_S = 1.0
+"""Beyond its deadline a caller waits so long."""
+
 PAUSE_S = 0.03
 KINDS = ("hold", "price", "draft")
 WHOLE = frozenset({"hold", "price"})
+PIECES = {"draft": (2, 3), "patient": (8, 1)}
+"""Pieces of each stage, by the kinds that have stages; these are streams."""
 
 
 @dataclass(slots=True, kw_only=True)
@@ -31,6 +37,10 @@
 
     Parameters
     ----------
+    deadline_s : float
+        Time that its caller gave it.
+    whole_s : float
+        When the last byte was sent; 0 if it was not sent whole.
     status : int
         Of the answer; 0 without one.
     is_whole : bool
@@ -44,6 +54,8 @@
     key: str
     gateway: int
     sent_s: float
+    deadline_s: float = DEADLINE_S
+    whole_s: float = 0.0
     ended_s: float = 0.0
     status: int = 0
     seal: str = ""
@@ -90,8 +102,7 @@
         """Call again and again, on one connection for as long as it lasts."""
         while True:
             number = self.rng.choice(sorted(self.ready) or range(len(self.gateways)))
-            connector = aiohttp.TCPConnector(limit=1)
-            async with aiohttp.ClientSession(connector=connector) as client:
+            async with one_connection() as client:
                 for _ in range(self.rng.randrange(5, 60)):
                     seen = await self.call(client, number)
                     if not seen.is_whole:
@@ -100,27 +111,39 @@
             await asyncio.sleep(PAUSE_S)
 
     async def call(
-        self, client: aiohttp.ClientSession, number: int, key: str = ""
+        self,
+        client: aiohttp.ClientSession,
+        number: int,
+        *,
+        key: str = "",
+        kind: str = "",
+        deadline_s: float = DEADLINE_S,
     ) -> Seen:
         """Send one request and note what comes of it."""
-        kind = self.rng.choice(KINDS)
+        kind = kind or self.rng.choice(KINDS)
         seen = Seen(
             request_id=f"q{next(self._numbers)}",
             kind=kind,
             key=key or self.key(),
             gateway=number,
             sent_s=time.monotonic(),
+            deadline_s=deadline_s,
         )
         self.seen.append(seen)
         sent = headers(seen.request_id, Trefoilpaddle_Credential=seen.key)
-        sent["Trefoilpaddle-Deadline-Milliseconds"] = str(int(DEADLINE_S * 1000))
-        if kind == "draft":
-            sent |= DRAFT | {"Trefoilpaddle-Piece-Key": f"k-{seen.request_id}"}
+        sent["Trefoilpaddle-Deadline-Milliseconds"] = str(int(deadline_s * 1000))
+        if kind in PIECES:
+            sent |= DRAFT | {
+                "Trefoilpaddle-Piece-Key": f"k-{seen.request_id}",
+                "Trefoilpaddle-Pieces": ",".join(map(str, PIECES[kind])),
+            }
         url = f"{self.gateways[number].url}/{kind}/1"
         method = "GET" if kind == "price" else "POST"
         try:
-            async with asyncio.timeout(CAP_S):
-                async with client.request(method, url, headers=sent) as answer:
+            async with asyncio.timeout(deadline_s + CAP_S):
+                async with client.request(
+                    method, url, headers=sent, trace_request_ctx=seen
+                ) as answer:
                     seen.status = answer.status
                     seen.seal = answer.headers.get("Trefoilpaddle-Server-Seal", "")
                     async for part in answer.content.iter_any():
@@ -134,4 +157,22 @@
 
 def events_of(seen: Seen) -> list[int]:
     """Return the numbers of the events that a caller got."""
-    return event_numbers(seen.body) if seen.kind == "draft" else []
+    return event_numbers(seen.body) if seen.kind in PIECES else []
+
+
+@contextlib.asynccontextmanager
+async def one_connection() -> AsyncIterator[aiohttp.ClientSession]:
+    """Yield a client that has one connection, and notes when a request is sent.
+
+    No request has a body: with its headers it is sent whole.
+    """
+
+    async def note(_: object, context: Any, __: object) -> None:
+        context.trace_request_ctx.whole_s = time.monotonic()
+
+    trace = aiohttp.TraceConfig()
+    trace.on_request_headers_sent.append(note)
+    async with aiohttp.ClientSession(
+        connector=aiohttp.TCPConnector(limit=1), trace_configs=[trace]
+    ) as client:
+        yield client
--- a/tests/soak/soak_checks.py
+++ b/tests/soak/soak_checks.py
@@ -3,7 +3,7 @@
 from collections import Counter
 from collections.abc import Iterator
 
-from trefoilpaddle.standins.platform.site import ACCOUNT, GRACE_S, N_EVENTS
+from trefoilpaddle.standins.platform.site import ACCOUNT, N_EVENTS
 
 from .soak_actions import (
     BreakAnswers,
@@ -17,8 +17,9 @@
     RestartWorker,
     StopGateway,
 )
-from .soak_callers import DEADLINE_S, WHOLE, Callers, Seen, events_of
-from .soak_run import Mark, Record
+from .soak_callers import PIECES, WHOLE, Callers, Seen, events_of
+from .soak_record import GRACE_S, Mark, Record
+from .soak_stop_checks import cut_at_stops
 
 NOT_RUN = frozenset({408, 421, 429, 503})
 OK = 200
@@ -44,7 +45,16 @@
 
 def broken(record: Record, callers: Callers) -> list[str]:
     """Return what was broken, one line each."""
-    checks = (_runs, _answers, _refusals, _ends, _keys, _leaving, _recovery)
+    checks = (
+        _runs,
+        _answers,
+        _refusals,
+        _ends,
+        cut_at_stops,
+        _keys,
+        _leaving,
+        _recovery,
+    )
     return record.problems + [
         line for check in checks for line in check(record, callers)
     ]
@@ -72,11 +82,11 @@
 def _pieces(
     pieces: list[tuple[str, int, int, tuple[str, ...]]], kinds: dict[str, str]
 ) -> Iterator[str]:
-    n_inputs = {0: 0, 1: 2}
     for request_id, stage, piece, inputs in pieces:
-        if kinds.get(request_id) != "draft":
+        n_pieces = PIECES.get(kinds.get(request_id, ""))
+        if n_pieces is None:
             yield f"piece {stage}.{piece} of {request_id}, which has none"
-        if len(set(inputs)) != n_inputs.get(stage):
+        elif len(set(inputs)) != {0: 0, 1: n_pieces[0]}.get(stage):
             yield f"piece {stage}.{piece} of {request_id} was given {inputs}"
 
 
@@ -91,7 +101,7 @@
             yield f"{seen.request_id} was answered with the seal {seen.seal!r}"
         if seen.kind in WHOLE and seen.body != seen.request_id.encode():
             yield f"{seen.request_id} was answered with {seen.body!r}"
-        if seen.kind == "draft" and not _is_own_stream(seen):
+        if seen.kind in PIECES and not _is_own_stream(seen):
             yield f"{seen.request_id} got the stream {seen.body!r}"
 
 
@@ -125,7 +135,7 @@
             yield f"{seen.request_id} ({seen.kind}) ended with {seen.error}"
     for seen in callers.seen:
         took_s = seen.ended_s - seen.sent_s
-        if took_s > DEADLINE_S + SLACK_S and not _is_excused(record, seen):
+        if took_s > seen.deadline_s + SLACK_S and not _is_excused(record, seen):
             yield f"{seen.request_id} ({seen.kind}) was answered after {took_s:.2f} s"
 
 
--- a/tests/soak/soak_run.py
+++ b/tests/soak/soak_run.py
@@ -6,7 +6,6 @@
 import signal
 import time
 from collections.abc import AsyncIterator
-from dataclasses import dataclass, field
 from pathlib import Path
 from typing import assert_never
 
@@ -14,7 +13,7 @@
 
 from tests.harness_relay import Relay
 from trefoilpaddle.standins.platform.gateway_process import GatewayProcess
-from trefoilpaddle.standins.platform.site import ACCOUNT, N_EVENTS, Site, configuration
+from trefoilpaddle.standins.platform.site import N_EVENTS, Site
 from trefoilpaddle.standins.platform.store import TABLE_KEY
 from trefoilpaddle.standins.platform.worker import PlatformWorker
 from trefoilpaddle.standins.web import serving
@@ -38,7 +37,10 @@
     WriteEntry,
     schedule,
 )
-from .soak_callers import Callers
+from .soak_callers import Callers, one_connection
+from .soak_patient import PatientCallers, table
+from .soak_record import GRACE_S, Mark, Record, StopOrder
+from .soak_stops import stop_schedule
 
 DOMAINS = ("a", "a", "b")
 N_CALLERS = 6
@@ -50,6 +52,14 @@
 
 PROBE_S = 0.25
 
+LOADED_WORK_S = {"stock": 0.3, "encode": 0.4, "model": 0.1}
+"""Time of a call under load; pieces of forty requests queue for eight seconds.
+
+A plain request takes longer than a handler has once its connection is closed.
+"""
+
+CALM_WORK_S = 0.005
+
 BORN_S = 0.2
 """A worker that crashed is back after so long."""
 
@@ -57,34 +67,6 @@
 """A worker writes its entry again after so long."""
 
 
-@dataclass(frozen=True, slots=True, kw_only=True)
-class Mark:
-    """Something that was done, from when to when.
-
-    Parameters
-    ----------
-    host : int or None
-        The gateway that it was done to; None for all.
-    """
-
-    action: Action
-    host: int | None
-    began_s: float
-    ended_s: float
-
-
-@dataclass(slots=True, kw_only=True)
-class Record:
-    """What checks need of a run."""
-
-    workers: list[PlatformWorker]
-    marks: list[Mark] = field(default_factory=list)
-    revoked_s: dict[str, float] = field(default_factory=dict)
-    left_s: dict[str, float] = field(default_factory=dict)
-    healed_s: float = 0.0
-    problems: list[str] = field(default_factory=list)
-
-
 class SoakSite:
     """A stand-in site whose store and workers are reached through relays."""
 
@@ -108,9 +90,7 @@
         """Publish a table in which another key is valid."""
         old = self.key
         self._version += 1
-        tenants = [{"name": ACCOUNT, "api_keys": [self.key]}]
-        table = configuration(self._version, tenants=tenants)
-        self.site.store.put(TABLE_KEY, table)
+        self.site.store.put(TABLE_KEY, table(self._version, self.key))
         self.record.revoked_s[old] = time.monotonic()
 
     async def relay_to(self, address: str) -> Relay:
@@ -136,6 +116,17 @@
         self.list_again(worker_id, service)
         return worker_id
 
+    def load(self) -> None:
+        """Let calls take so long that requests wait for their stages for seconds."""
+        for service, work_s in LOADED_WORK_S.items():
+            for worker_id in self.by_service[service]:
+                self.site.workers[worker_id].work_s = work_s
+
+    def unload(self) -> None:
+        """Let calls be as short as at first."""
+        for worker in self.site.workers.values():
+            worker.work_s = CALM_WORK_S
+
     def list_again(self, worker_id: str, service: str) -> None:
         """Write a worker's entry, as it does with each heartbeat."""
         domain = self.domains[worker_id]
@@ -182,8 +173,7 @@
         made = SoakSite(stack=stack)
         url = await stack.enter_async_context(serving(made.site.store.application()))
         made.site.store_address = url.removeprefix("http://")
-        tenants = [{"name": ACCOUNT, "api_keys": [made.key]}]
-        made.site.store.put(TABLE_KEY, configuration(1, tenants=tenants))
+        made.site.store.put(TABLE_KEY, table(1, made.key))
         for service in SERVICES:
             for _ in range(2):
                 await made.add_worker(service)
@@ -224,12 +214,7 @@
                 return number
             case StopGateway(number=number):
                 async with self._locks[number]:
-                    # Until it listens for signals, the order ends it at once.
-                    is_early = number not in self.started()
-                    self._gateways[number].signal(signal.SIGTERM)
-                    code = await self._gateways[number].ended()
-                    if code and not (is_early and code == -signal.SIGTERM):
-                        site.record.problems.append(f"g{number} stopped with {code}")
+                    await self._stop(number)
                     self._gateways[number].start()
                 return number
             case HangUpGateway(number=number):
@@ -288,6 +273,26 @@
             case _:
                 assert_never(action)
 
+    async def _stop(self, number: int) -> None:
+        """Order a gateway to stop, and kill it at the end of its grace."""
+        gateway, record = self._gateways[number], self._site.record
+        # Until it listens for signals, the order ends it at once.
+        is_early = number not in self.started()
+        ordered_s = time.monotonic()
+        gateway.signal(signal.SIGTERM)
+        try:
+            async with asyncio.timeout(GRACE_S):
+                code = await gateway.ended()
+        except TimeoutError:
+            gateway.kill()
+            record.problems.append(f"g{number} was not gone within its grace")
+        else:
+            if code and not (is_early and code == -signal.SIGTERM):
+                record.problems.append(f"g{number} stopped with {code}")
+        record.orders.append(
+            StopOrder(host=number, ordered_s=ordered_s, ended_s=time.monotonic())
+        )
+
     def started(self) -> set[int]:
         """Return the gateways whose last start has logged that it runs."""
         return {
@@ -310,9 +315,20 @@
 
 
 async def run_soak(
-    seed: int, folder: Path, *, length_s: float, with_entries: bool = True
+    seed: int,
+    folder: Path,
+    *,
+    length_s: float,
+    with_entries: bool = True,
+    is_stops: bool = False,
 ) -> tuple[Record, Callers]:
-    """Run a seed; return what was done and what the callers saw."""
+    """Run a seed; return what was done and what the callers saw.
+
+    Parameters
+    ----------
+    is_stops : bool
+        Planned stops alone, under load and beside patient callers; else all faults.
+    """
     async with soak_site() as site, contextlib.AsyncExitStack() as stack:
         gateways: list[GatewayProcess] = []
         for number, domain in enumerate(DOMAINS):
@@ -325,6 +341,7 @@
                     folder=folder,
                     store=str(relay.address),
                     seeds=[each.peers_address for each in gateways],
+                    grace_s=GRACE_S,
                 )
             )
         for gateway in gateways:
@@ -346,13 +363,23 @@
                 *(callers.call_on() for _ in range(N_CALLERS)),
             )
         ]
-        steps = schedule(
-            seed,
-            length_s=length_s,
-            n_gateways=len(gateways),
-            with_entries=with_entries,
-        )
+        patient: list[asyncio.Task[None]] = []
+        if is_stops:
+            steps = stop_schedule(seed, length_s=length_s, n_gateways=len(gateways))
+            site.load()
+            patient = PatientCallers(callers=callers, rng=random.Random(seed)).begin()
+        else:
+            steps = schedule(
+                seed,
+                length_s=length_s,
+                n_gateways=len(gateways),
+                with_entries=with_entries,
+            )
         await asyncio.gather(*(_later(soak, step.at_s, step.action) for step in steps))
+        site.unload()
+        for task in patient:
+            task.cancel()
+        background += patient
         site.record.healed_s = time.monotonic()
         await asyncio.sleep(HEAL_S)
         for task in background:
@@ -372,7 +399,7 @@
 
 async def probe_revoked(site: SoakSite, callers: Callers) -> None:
     """Call with keys that were revoked, at every gateway in turn."""
-    async with aiohttp.ClientSession() as client:
+    async with one_connection() as client:
         while True:
             for key in list(site.record.revoked_s)[-2:]:
                 for number in sorted(callers.ready):
