List a stop that is held up by a paused gateway as known red

Trace: g0 stops while g1 is paused; its callers are answered, then leaving Process.running takes the 2 s of Connection.close for the links that it opened and again for those that it took, as a paused peer closes neither. Measured with two and three gateways: 3.16 s from order to end without a pause, 7.13 s with a peer paused at the order, 7.12 s and 7.14 s with one paused 2.9 s and 2.0 s after it. Ruled out: load (the same 4 s each time on three idle gateways) and callers (none was open). No caller loses an answer, as their connections are closed before; the process is killed instead of ending with 0, and its last log line is lost.

Not mended here: the bound for closing links belongs to what a stop has left, 0.3 s at the least, and goes through Peers, Link and PeerServer.

--- a/tests/platform_adapter/test_gateway_process.py
+++ b/tests/platform_adapter/test_gateway_process.py
@@ -249,6 +249,21 @@
                 assert await gateway.ended() == 0
             writer.close()
 
+    async def test_nor_does_a_paused_gateway(self, tmp_path: Path) -> None:
+        # A gateway is told to stop while another one is paused. All its callers are
+        # answered, but it waits for the paused one to close the links between them,
+        # first those it opened, then those it took, two seconds for each: it is
+        # killed at the end of its grace. The cause: these waits do not know of it.
+        async with (
+            small_site() as site,
+            gateways(site, tmp_path, "a", "a") as (gateway, paused),
+        ):
+            await until(lambda: "retrieve1" in gateway.log())
+            paused.signal(signal.SIGSTOP)
+            gateway.signal(signal.SIGTERM)
+            async with asyncio.timeout(GRACE_S):
+                assert await gateway.ended() == 0
+
     async def test_a_hangup_ends_nothing(self, tmp_path: Path) -> None:
         async with (
             small_site() as site,
