Name to the others each worker that is back since the last read

Cause: a reader named only what was news to itself. An entry that ran out and was written again between two of its reads was none. Who had heard of its end from the other reader took these news, was led past the change that brings the worker back, and dropped it, at once or 2.5 s after the store's return, until lists that differ were made anew.

The client now tells what was gone or withdrawn meanwhile; a whole list names all its workers. A heartbeat alone is still no news.

--- a/src/trefoilpaddle/coordination/chain/store_feed.py
+++ b/src/trefoilpaddle/coordination/chain/store_feed.py
@@ -284,10 +284,11 @@
         return True
 
     def _take(self, changes: StoreChanges, *, is_whole: bool) -> StoreChanges:
-        """Take changes in; return those of workers that were news here."""
+        """Take changes in; return those of workers that others may not know."""
         if changes.table is not None:
             self.take_table(changes.table)
         noticed: list[Worker] = []
+        returned = set(changes.returned)
         for worker in changes.workers:
             self._unreadable.pop(worker.worker_id, None)
             was_lapsed = self._lapsed.pop(worker.worker_id, None) is not None
@@ -296,7 +297,12 @@
                 self._note_worker(
                     Event.TARGET_UP, worker.worker_id, is_leaving=worker.is_leaving
                 )
-            if is_news or was_lapsed:
+            # An entry that was gone and is back between two reads is no news here.
+            # Others heard from another reader that it was gone, and what is told
+            # leads them past its return: named by nobody, the worker was dropped
+            # there. A whole list does not tell what was gone, so it names all.
+            is_back = is_whole or worker.worker_id in returned
+            if is_news or was_lapsed or is_back:
                 noticed.append(worker)
         removed = set(changes.removed)
         if is_whole:
--- a/tests/chain/test_store_agreement.py
+++ b/tests/chain/test_store_agreement.py
@@ -88,12 +88,15 @@
         """Return the changes after a revision as the platform's client does."""
         if after < self.forgotten:
             return Err(StoreFault.HISTORY_LOST)
-        last = {i: entry for revision, i, entry in self.events if revision > after}
+        events = [event for event in self.events if event[0] > after]
+        last = {i: entry for _, i, entry in events}
+        gone = {i for _, i, entry in events if entry is None}
         return Ok(
             StoreChanges(
                 revision=self.revision,
                 workers=tuple(entry for entry in last.values() if entry is not None),
                 removed=tuple(i for i, entry in last.items() if entry is None),
+                returned=tuple(i for i in gone if last[i] is not None),
             )
         )
 
