Let two tests of answers that are older than the news fail

A read is on its way while the other reader's news lead this gateway further. Its answer drops a worker that is back, or lists one that is gone.

--- a/tests/chain/test_store_agreement.py
+++ b/tests/chain/test_store_agreement.py
@@ -348,3 +348,36 @@
             made.by_name["b"].read()
             made.deliver("b", "d")
             assert made.known()["d"] == sorted(IDS)
+
+
+class TestLateAnswers:
+    async def test_a_worker_that_is_back_is_not_dropped(self) -> None:
+        # A read is answered late: it says that an entry ran out. Meanwhile the
+        # other reader's news have led this gateway to where it is back. The
+        # worker was dropped here until lists that differ were made anew.
+        with fleet() as made:
+            made.store.lapse("w1")
+            made.by_name["a"].begin()
+            made.store.write("w1")
+            made.by_name["b"].read()
+            made.deliver("b", "a")
+            made.by_name["a"].go_on()
+            assert made.known()["a"] == sorted(IDS)
+            made.deliver_all()
+            assert made.known() == dict.fromkeys(NAMES, sorted(IDS))
+
+    async def test_a_worker_that_is_gone_is_not_listed(self) -> None:
+        # The other way about: the late answer says that a worker is there, which
+        # the news have taken away since. It got work without being listed.
+        with fleet() as made:
+            made.store.lapse("w1")
+            for name in NAMES:
+                made.by_name[name].read()
+            made.deliver_all()
+            made.store.write("w1")
+            made.by_name["a"].begin()
+            made.store.lapse("w1")
+            made.by_name["b"].read()
+            made.deliver("b", "a")
+            made.by_name["a"].go_on()
+            assert made.known()["a"] == ["w2", "w3"]
