Take no workers from an answer that is older than the news

Cause: an answer was put in force whatever had come since it was asked for. While it was on its way the other reader's news led this gateway further; the answer then dropped a worker that was back, or listed one that was gone, until lists that differ were made anew. Its revision was not taken back, so no later read would have told.

The table of a late answer is still taken if it is newer: news do not hold one.

--- a/src/trefoilpaddle/coordination/chain/store_feed.py
+++ b/src/trefoilpaddle/coordination/chain/store_feed.py
@@ -188,6 +188,14 @@
                 return await self.read_once()
             case Ok(changes):
                 self._note_back()
+                if changes.revision < self.revision:
+                    # News that came meanwhile led further. What is older than they
+                    # are would drop workers that are back, and list some that are
+                    # gone; all of it is in what led here. A table is not: news do
+                    # not hold one, and an older one is never put in force.
+                    changes = StoreChanges(
+                        revision=changes.revision, table=changes.table
+                    )
                 base_revision = self._relay.revision
                 noticed = self._take(changes, is_whole=not asked_revision)
                 self._read_s = time.monotonic()
