Let a test of news that cannot be used fail

They tell that the store was away, and that is turned away with them: the gateway reads by itself and drops at once what ran out meanwhile.

--- a/tests/chain/test_store_agreement.py
+++ b/tests/chain/test_store_agreement.py
@@ -381,3 +381,24 @@
             made.deliver("b", "a")
             made.by_name["a"].go_on()
             assert made.known()["a"] == ["w2", "w3"]
+
+
+class TestRefusedNews:
+    async def test_they_tell_that_the_store_was_away(self) -> None:
+        # The store is away for the readers, too shortly for the others to notice,
+        # and entries run out. News are lost, so the next cannot be used; and with
+        # them went the time of the store's return. Read by the gateway itself, the
+        # entries counted as gone at once, 2 s before they were back.
+        with fleet() as made:
+            made.store.away_from.add("a")
+            made.by_name["a"].read()
+            made.store.away_from.clear()
+            made.store.lapse("w2")
+            made.by_name["a"].read()
+            _lose(made, "a", "d")
+            made.store.lapse("w1")
+            made.by_name["a"].read()
+            made.deliver("a", "d")
+            assert made.by_name["d"].readers.must_read()
+            made.by_name["d"].read()
+            assert made.known()["d"] == sorted(IDS)
