Take the time of the store's return also from news that cannot be used

Cause: news whose base this gateway has not reached were turned away whole, and with them what they say of the store's return. The gateway then read by itself, found entries that had run out while the store was away, and dropped their workers at once instead of giving them 2.5 s.

--- a/src/trefoilpaddle/coordination/chain/store_feed.py
+++ b/src/trefoilpaddle/coordination/chain/store_feed.py
@@ -225,6 +225,12 @@
         next ones: the revision from which they lead on tells it, and the digest
         of all workers tells what even that hides.
         """
+        # Also of news that cannot be used. The gateway then reads by itself, and
+        # finds entries that ran out meanwhile: not knowing that the store was
+        # away, it dropped their workers at once, though they live.
+        if news.back_ms > NOT_AWAY_MS:
+            back_s = time.monotonic() - news.back_ms / MS_PER_S
+            self._away_until_s = max(self._away_until_s, back_s)
         if not self.revision or news.base_revision > self.revision:
             return False
         # News name a newer table and do not hold it. Taken for known up to their
@@ -232,9 +238,6 @@
         if news.version > self._version:
             return False
         self._note_back()
-        if news.back_ms > NOT_AWAY_MS:
-            back_s = time.monotonic() - news.back_ms / MS_PER_S
-            self._away_until_s = max(self._away_until_s, back_s)
         if news.revision > self.revision:
             workers = tuple(listed_from_wire(worker) for worker in news.workers)
             changes = StoreChanges(
