Tell the digest of what the store lists, without what may come back

Cause: after the store was away each gateway keeps the workers whose entries ran out, until 2.5 s after the return as it knows it. The digest that readers tell counted them, so lists that were the same differed from those of gateways that were not cut off, or knew of another return. Four news later, 1.2 s, they asked for the whole list, and turned all news away until they had it: as long as they were cut off.

Before: TestLapsedEntries fails (its gateway is deaf, revision 0); after: it passes.

--- a/src/trefoilpaddle/coordination/chain/store_feed.py
+++ b/src/trefoilpaddle/coordination/chain/store_feed.py
@@ -254,7 +254,7 @@
         return self._has_all_of(news)
 
     def _has_all_of(self, news: StoreNews) -> bool:
-        if news.revision < self.revision or news.digest == self._workers.digest:
+        if news.revision < self.revision or news.digest == self._listed_digest():
             self._n_differing = 0
             return True
         self._n_differing += 1
@@ -264,6 +264,21 @@
         self.revision = 0
         return False
 
+    def _listed_digest(self) -> int:
+        """Return the digest of the workers that the store lists.
+
+        Without those whose entries ran out and may come back. Each gateway knows
+        of another time of the store's return and keeps them until another, so
+        with them lists differed that were the same: 1.2 s after the return nearly
+        all gateways listed the store anew, and took no news until they had it.
+        """
+        digest = self._workers.digest
+        for worker_id in self._lapsed:
+            worker = self._workers.get(worker_id)
+            if worker is not None:
+                digest ^= worker.fingerprint()
+        return digest
+
     def _news(self, base_revision: int, noticed: StoreChanges) -> StoreNews:
         """Return what to tell the others after a read."""
         away_s = time.monotonic() - self._away_until_s
@@ -275,7 +290,7 @@
             workers=[listed_to_wire(worker) for worker in noticed.workers],
             removed=list(noticed.removed),
             withdrawn=[entry.worker_id for entry in noticed.unreadable],
-            digest=self._workers.digest,
+            digest=self._listed_digest(),
             back_ms=int(away_s * MS_PER_S) if was_away else NOT_AWAY_MS,
         )
 
