Count the pace of reads from when they are asked for

Cause: readers waited 0.6 s after each answer, so with an answer that took over 0.2 s, of a slow store or on a busy machine, they told the others less often than every 0.8 s, and each of these read by itself as well. The gap between two news is now 0.6 s and what two answers differ by; a reader reads no more often than every 0.6 s.

--- a/src/trefoilpaddle/coordination/chain/store_feed.py
+++ b/src/trefoilpaddle/coordination/chain/store_feed.py
@@ -29,7 +29,7 @@
 )
 
 POLL_S: Final = 0.6
-"""Time between two reads.
+"""Time from one read to the next, counted from when they are asked for.
 
 A change must be in force, and a leaving worker out of use, within two seconds;
 this leaves room for one read that is lost. Workers' heartbeats change the store
@@ -153,9 +153,13 @@
         """Read until cancelled."""
         while True:
             if not self.revision or self._readers.must_read():
+                began_s = time.monotonic()
                 is_read = await self._read_any()
                 self._readers.note_read()
-                await asyncio.sleep(POLL_S if is_read else RETRY_S)
+                # Counted from the answer, a store that takes 0.2 s made readers
+                # tell the others later than those wait, and all read it.
+                rest_s = max(0.0, began_s + POLL_S - time.monotonic())
+                await asyncio.sleep(rest_s if is_read else RETRY_S)
             else:
                 self._drop_lapsed(time.monotonic())
                 await self._readers.wait()
