Hold the loss of all workers after the store was away by a test

The whole course as it was seen: a reader was cut off, an entry runs out, lists seem to differ for 2.5 s, the list is asked for while a read is on its way.

--- a/tests/chain/test_store_agreement.py
+++ b/tests/chain/test_store_agreement.py
@@ -441,3 +441,28 @@
             made.now_s += LAPSE_S
             last.feed._drop_lapsed(made.now_s)
             assert all(known == ["w2", "w3"] for known in made.known().values())
+
+    async def test_a_list_asked_for_in_these_seconds_loses_no_worker(self) -> None:
+        # As above, but the one that was cut off reads for the others. Its list
+        # differs from the other reader's for 2.5 s. It asks for all of it while a
+        # read is on its way; that answer, one worker that is back, was taken for the
+        # list. It told the others that all the rest are gone, and as all agreed,
+        # and no entry changed any more, none came back until all restarted.
+        with fleet() as made:
+            first, other = made.by_name["a"], made.by_name["b"]
+            made.store.away_from.add("b")
+            other.read()
+            first.read()
+            made.deliver_all()
+            made.store.away_from.clear()
+            made.store.lapse("w1")
+            for left in reversed(range(store_feed.MAX_DIFFERING)):
+                made.now_s += store_feed.POLL_S / 2
+                first.read()
+                if not left:
+                    made.store.write("w1")
+                    other.begin()
+                made.deliver_all()
+            other.go_on()
+            made.settle()
+            assert made.known() == dict.fromkeys(NAMES, sorted(IDS))
