Say why the store is read beside the readers or listed whole; test both

Ten reads of at most eight in two seconds, once, were not traced: no log says why a read is made. It now does: store_listed (207) with why the whole list is asked for, store_read_beside (208) with what was missing and since when the gateway was not told.

That two read for all where news are in time is held without a machine's haste by TestReads: no read beside, no list anew, for readers in step or in turn, with slow answers and entries that run out and come back.

Ruled out in that test, by its stand-in store: its revision does not move within the two seconds, so no list differs and no news lead on from later. Suspected, not shown: news that were late.

--- a/src/trefoilpaddle/coordination/chain/store_feed.py
+++ b/src/trefoilpaddle/coordination/chain/store_feed.py
@@ -20,7 +20,7 @@
     StoreFault,
     UnreadableEntry,
 )
-from .store_readers import StoreReaders
+from .store_readers import Missing, StoreReaders
 from .store_relay import (
     StoreRelay,
     changes_of,
@@ -58,6 +58,11 @@
 """
 
 
+FIRST_LIST: Final = "nothing is known yet"
+LOST_LIST: Final = "the store lost its history"
+DIFFERING_LIST: Final = "lists differ"
+"""Why the whole store is asked for."""
+
 MAX_UNREADABLE: Final = 256
 """Unreadable entries that are remembered, so that each is logged once.
 
@@ -101,6 +106,7 @@
         "_decode",
         "_journal",
         "_lapsed",
+        "_list_reason",
         "_n_differing",
         "_on_table",
         "_read_s",
@@ -138,6 +144,7 @@
         self._journal = journal
         self._version = 0
         self._lapsed: dict[str, float] = {}
+        self._list_reason = FIRST_LIST
         self._unreadable: OrderedDict[str, str] = OrderedDict()
         self._away_until_s = 0.0
         self._read_s = time.monotonic()
@@ -182,6 +189,7 @@
         """Read once; return True if the store answered."""
         asked_revision = self.revision
         if not asked_revision:
+            self._note_list()
             answer = await self._store.snapshot()
         else:
             answer = await self._store.changes(asked_revision)
@@ -207,6 +215,7 @@
                 return True
             case Err(StoreFault.HISTORY_LOST):
                 self.revision = 0
+                self._list_reason = LOST_LIST
                 return await self.read_once()
             case Err(fault):
                 self._note_away(fault)
@@ -222,8 +231,8 @@
             if state.workers and state.revision > self.revision:
                 self._take(changes_of(state), is_whole=True)
 
-    def take_news(self, news: StoreNews) -> bool:
-        """Take what a reader has read; return True if nothing is missing since.
+    def take_news(self, news: StoreNews) -> Missing | None:
+        """Take what a reader has read; return what is missing since, or None.
 
         What came between two news, or was lost with a connection, is not in the
         next ones: the revision from which they lead on tells it, and the digest
@@ -235,12 +244,14 @@
         if news.back_ms > NOT_AWAY_MS:
             back_s = time.monotonic() - news.back_ms / MS_PER_S
             self._away_until_s = max(self._away_until_s, back_s)
-        if not self.revision or news.base_revision > self.revision:
-            return False
+        if not self.revision:
+            return Missing.LIST
+        if news.base_revision > self.revision:
+            return Missing.CHANGES
         # News name a newer table and do not hold it. Taken for known up to their
         # revision, this gateway would ask for what came after it, and miss it.
         if news.version > self._version:
-            return False
+            return Missing.TABLE
         self._note_back()
         if news.revision > self.revision:
             workers = tuple(listed_from_wire(worker) for worker in news.workers)
@@ -255,18 +266,19 @@
             )
             self._take(changes, is_whole=False)
         self._read_s = time.monotonic()
-        return self._has_all_of(news)
+        return self._missing_of(news)
 
-    def _has_all_of(self, news: StoreNews) -> bool:
+    def _missing_of(self, news: StoreNews) -> Missing | None:
         if news.revision < self.revision or news.digest == self._listed_digest():
             self._n_differing = 0
-            return True
+            return None
         self._n_differing += 1
         if self._n_differing < MAX_DIFFERING:
-            return True
+            return None
         self._n_differing = 0
         self.revision = 0
-        return False
+        self._list_reason = DIFFERING_LIST
+        return Missing.LIST
 
     def _listed_digest(self) -> int:
         """Return the digest of the workers that the store lists.
@@ -411,6 +423,15 @@
         self.is_away = is_away
         self._relay.is_away = is_away
 
+    def _note_list(self) -> None:
+        self._journal.record(
+            Decision(
+                event=Event.STORE_LISTED,
+                config_revision=self._version,
+                detail=self._list_reason,
+            )
+        )
+
     def _note_source(self, event: Event, detail: str) -> None:
         age_s = time.monotonic() - self._read_s
         self._journal.record(
--- a/src/trefoilpaddle/coordination/chain/store_readers.py
+++ b/src/trefoilpaddle/coordination/chain/store_readers.py
@@ -8,13 +8,14 @@
 import asyncio
 import time
 from collections.abc import Callable
+from enum import Enum, unique
 from typing import Final
 
 from result import Err, Ok
 
 from ...protocol.frames import Message
 from ...protocol.gen.chain.ttypes import StoreNews
-from ...state.journal import Decision, Event
+from ...state.journal import Decision, Event, Figure
 from ...state.members import MemberRecord
 from ...transport.connection import Address, Connection
 from ..own_process import OwnProcess
@@ -41,6 +42,19 @@
 """Time between looks of a gateway that is told; half of the time between reads."""
 
 
+@unique
+class Missing(Enum):
+    """What news do not give, so that the store is read at once."""
+
+    LIST = "it needs the whole list"
+    CHANGES = "news lead on from later"
+    TABLE = "news name a newer table"
+
+
+NOT_TOLD: Final = "it was not told"
+"""Why a gateway reads beside the readers without news that lack something."""
+
+
 class StoreReaders:
     """Says whether this gateway must read the store now.
 
@@ -54,10 +68,18 @@
     Attributes
     ----------
     on_news : callable or None
-        Takes what a reader has read; returns True if nothing is missing since.
+        Takes what a reader has read; returns what is missing since, or None.
     """
 
-    __slots__ = ("_is_behind", "_live", "_process", "_told_s", "_was_reader", "on_news")
+    __slots__ = (
+        "_is_behind",
+        "_live",
+        "_missing",
+        "_process",
+        "_told_s",
+        "_was_reader",
+        "on_news",
+    )
 
     def __init__(
         self, *, process: OwnProcess, live: Callable[[], list[MemberRecord]]
@@ -66,8 +88,9 @@
         self._live = live
         self._told_s = -TOLD_S
         self._is_behind = asyncio.Event()
+        self._missing: Missing | None = None
         self._was_reader = False
-        self.on_news: Callable[[StoreNews], bool] | None = None
+        self.on_news: Callable[[StoreNews], Missing | None] | None = None
         process.message_listeners.append(self._on_message)
 
     def must_read(self) -> bool:
@@ -76,9 +99,13 @@
         if is_reader is not self._was_reader:
             self._was_reader = is_reader
             self._note(is_reader=is_reader)
-        if is_reader or self._is_behind.is_set():
+        if is_reader:
             return True
-        return time.monotonic() - self._told_s >= TOLD_S
+        told_age_s = time.monotonic() - self._told_s
+        is_due = self._is_behind.is_set() or told_age_s >= TOLD_S
+        if is_due:
+            self._note_beside(told_age_s)
+        return is_due
 
     async def wait(self) -> None:
         """Wait until it is time to look again whether to read."""
@@ -91,6 +118,7 @@
     def note_read(self) -> None:
         """Count what was missing as asked for, of the store or of peers."""
         self._is_behind.clear()
+        self._missing = None
 
     def tell(self, news: StoreNews) -> None:
         """Tell the others of the group what was read, if this is a reader."""
@@ -110,9 +138,11 @@
     def _on_message(self, connection: Connection, message: Message) -> None:
         if not isinstance(message, StoreNews) or self.on_news is None:
             return
-        if self.on_news(message):
+        missing = self.on_news(message)
+        if missing is None:
             self._told_s = time.monotonic()
         else:
+            self._missing = missing
             self._is_behind.set()
 
     def _is_reader(self) -> bool:
@@ -127,6 +157,16 @@
             return in_region
         return [m for m in in_region if m.failure_domain == own.failure_domain]
 
+    def _note_beside(self, told_age_s: float) -> None:
+        self._process.journal.record(
+            Decision(
+                event=Event.STORE_READ_BESIDE,
+                peer=self._process.identity.process_id,
+                detail=NOT_TOLD if self._missing is None else self._missing.value,
+                figures=(Figure(name="told_age_s", value=told_age_s),),
+            )
+        )
+
     def _note(self, *, is_reader: bool) -> None:
         self._process.journal.record(
             Decision(
--- a/src/trefoilpaddle/state/events.py
+++ b/src/trefoilpaddle/state/events.py
@@ -84,6 +84,10 @@
     """A newer host list is in force in this process."""
     ENTRY_UNREADABLE = 206
     """An entry of the store cannot be read; it names no worker to use."""
+    STORE_LISTED = 207
+    """The whole store is asked for, and not what has changed in it."""
+    STORE_READ_BESIDE = 208
+    """This gateway reads the store although others read it for all."""
     # Membership
     MEMBER_JOINED = 220
     """A process was heard from for the first time, or again."""
--- a/tests/chain/test_store_agreement.py
+++ b/tests/chain/test_store_agreement.py
@@ -244,6 +244,9 @@
         yield made
 
 
+TICK_S: Final = 0.05
+"""Time that passes between looks; a part of all times here."""
+
 Step = Callable[[Fleet], None]
 
 
@@ -466,3 +469,38 @@
             other.go_on()
             made.settle()
             assert made.known() == dict.fromkeys(NAMES, sorted(IDS))
+
+
+class TestReads:
+    @pytest.mark.parametrize("answer_s", [0.0, 0.25])
+    @pytest.mark.parametrize("phase_s", [0.0, 0.1, 0.3])
+    async def test_two_read_for_all(self, answer_s: float, phase_s: float) -> None:
+        # Each read is paid for. With news that are in time nobody reads beside the
+        # two, whether they read at the same moment or in turn, and however long the
+        # store takes; also while entries run out and come back.
+        with fleet() as made:
+            readers = {"a": made.now_s, "b": made.now_s + phase_s}
+            answers: dict[str, float] = {}
+            n_lists = {name: each.n_lists for name, each in made.by_name.items()}
+            for tick in range(100):
+                made.now_s += TICK_S
+                if tick % 7 == 0:
+                    made.store.lapse(IDS[tick % len(IDS)])
+                if tick % 11 == 0:
+                    made.store.write(IDS[tick % len(IDS)])
+                for name, due_s in list(answers.items()):
+                    if due_s <= made.now_s:
+                        made.by_name[name].read()
+                        made.deliver_all()
+                        del answers[name]
+                for name, due_s in list(readers.items()):
+                    if due_s <= made.now_s:
+                        made.by_name[name].begin()
+                        readers[name] += store_feed.POLL_S
+                        answers[name] = made.now_s + answer_s
+                for name in ("c", "d"):
+                    made.by_name[name].feed._drop_lapsed(made.now_s)
+                    assert not made.by_name[name].readers.must_read()
+            assert {
+                name: each.n_lists for name, each in made.by_name.items()
+            } == n_lists
