Keep what is known of a stage worker apart from the calls to it

Change: moves alone. What is learnt is KnownWorker in state/chain/known_worker.py, without tasks or a clock; WorkerCaller has it as `known`. Statements are as before, with two exceptions of order or form: the end of waiting and the proof of a first call are noted before the pieces are settled (settling sets futures, whose waiters run later), and "not before it is free" is "nothing left of its call".

Ruled out: a change of decisions.

Tests name the new place, no assertion is changed.

--- a/src/trefoilpaddle/coordination/chain/cell_dispatch.py
+++ b/src/trefoilpaddle/coordination/chain/cell_dispatch.py
@@ -125,11 +125,11 @@
             return None
         now_s = time.monotonic()
         n_ahead = n_reserved + self._dispatch(service).n_on_time(now_s)
-        pace_per_s = sum(caller.times.busy_per_s for caller in callers)
+        pace_per_s = sum(caller.known.times.busy_per_s for caller in callers)
         ahead_s = max(0.0, n_ahead / max(MIN_PACE_PER_S, pace_per_s) - in_s)
-        own_s = min(caller.call_s(n_pieces, now_s) for caller in callers)
+        own_s = min(caller.known.call_s(n_pieces, now_s) for caller in callers)
         # The call that runs when they come is half over on the average.
-        turn_s = own_s / 2 if in_s else min(c.busy_s(now_s) for c in callers)
+        turn_s = own_s / 2 if in_s else min(c.known.busy_s(now_s) for c in callers)
         return max(ahead_s, turn_s) + own_s
 
     def call_s(self, service: str, n_pieces: int) -> float:
@@ -150,7 +150,9 @@
         self._is_stopped = True
         now_s = time.monotonic()
         return CellHandover(
-            workers=tuple(caller.hand_over(now_s) for caller in self._callers.values())
+            workers=tuple(
+                caller.known.hand_over(now_s) for caller in self._callers.values()
+            )
         )
 
     def resume(self) -> None:
@@ -168,19 +170,19 @@
     def take_over(self, handover: CellHandover) -> None:
         """Go on from what the scheduler before knew of the workers."""
         now_s = time.monotonic()
-        for known in handover.workers:
-            worker = self._workers.get(known.worker_id)
-            if worker is None or worker.born_ms != known.born_ms:
+        for taken in handover.workers:
+            worker = self._workers.get(taken.worker_id)
+            if worker is None or worker.born_ms != taken.born_ms:
                 continue
             caller = self._caller(worker)
             if caller is not None:
-                caller.take_over(known, now_s)
+                caller.known.take_over(taken, now_s)
 
     def adopt(self, made: PieceMade, n_bytes: float) -> None:
         """Count a result of a chain that came from the scheduler before."""
         caller = self._caller_of(made)
         if caller is not None:
-            caller.memory.keep(made.handle, n_bytes, time.monotonic())
+            caller.known.memory.keep(made.handle, n_bytes, time.monotonic())
 
     def note_freed(self, worker_id: str, born_ms: int, handles: Sequence[str]) -> None:
         """Count results as gone that the scheduler before has freed."""
@@ -188,7 +190,7 @@
         if caller is None or caller.worker.born_ms != born_ms:
             return
         for handle in handles:
-            caller.memory.free(handle)
+            caller.known.memory.free(handle)
         self._dispatch(caller.worker.service).wake()
 
     def failure_domain_of(self, worker_id: str) -> str:
--- a/src/trefoilpaddle/coordination/chain/service_dispatch.py
+++ b/src/trefoilpaddle/coordination/chain/service_dispatch.py
@@ -116,7 +116,9 @@
             free.remove(caller)
             n_passed = _n_passed(caller, callers, now_s)
             free_in_s = _free_in_s(callers, now_s)
-            offer = caller.offer(now_s, n_passed=n_passed, near_free_in_s=free_in_s)
+            offer = caller.known.offer(
+                now_s, n_passed=n_passed, near_free_in_s=free_in_s
+            )
             batch = self.queue.take_batch(offer)
             if batch:
                 caller.start(batch, n_waiting=len(self.queue))
@@ -135,7 +137,7 @@
         def cost_s(caller: WorkerCaller) -> float:
             is_far = first is not None and first.near != caller.worker.failure_domain
             far_s = first.far_s if first is not None and is_far else 0.0
-            return caller.call_s(1, now_s) + far_s
+            return caller.known.call_s(1, now_s) + far_s
 
         return min(free, key=cost_s)
 
@@ -164,9 +166,11 @@
     others = [other for other in callers if other is not caller]
     if not others:
         return 0
-    own_s = caller.call_s(1, now_s)
-    soonest_s = min(other.busy_s(now_s) + other.call_s(1, now_s) for other in others)
-    pace_per_s = sum(other.times.busy_per_s for other in others)
+    own_s = caller.known.call_s(1, now_s)
+    soonest_s = min(
+        other.known.busy_s(now_s) + other.known.call_s(1, now_s) for other in others
+    )
+    pace_per_s = sum(other.known.times.busy_per_s for other in others)
     return int(max(0.0, own_s - soonest_s) * pace_per_s)
 
 
@@ -175,10 +179,10 @@
     free_in_s: dict[str, float] = {}
     for caller in callers:
         domain = caller.worker.failure_domain
-        busy_s = caller.busy_s(now_s)
+        busy_s = caller.known.busy_s(now_s)
         free_in_s[domain] = min(busy_s, free_in_s.get(domain, busy_s))
     return free_in_s
 
 
 def _soonest_s(callers: list[WorkerCaller], n_pieces: int, now_s: float) -> float:
-    return min(caller.call_s(n_pieces, now_s) for caller in callers)
+    return min(caller.known.call_s(n_pieces, now_s) for caller in callers)
--- a/tests/chain/__main__.py
+++ b/tests/chain/__main__.py
@@ -21,6 +21,7 @@
     worker_caller,
 )
 from trefoilpaddle.replay.fleet_measure import numbers_of
+from trefoilpaddle.state.chain import known_worker
 from trefoilpaddle.state.chain.bearable_waits import BearableWaits
 
 from .cell_loads import BUSY_DAY, TIGHT_DAY, Load
@@ -43,7 +44,7 @@
     "urgent_shares": lambda patch: patch.setattr(
         BearableWaits, "of_more_urgent", lambda *_: float("inf")
     ),
-    "small_first_call": lambda patch: patch.setattr(worker_caller, "FIRST_SHARE", 1.0),
+    "small_first_call": lambda patch: patch.setattr(known_worker, "FIRST_SHARE", 1.0),
 }
 
 
--- a/tests/chain/test_fleet_restarts.py
+++ b/tests/chain/test_fleet_restarts.py
@@ -141,7 +141,7 @@
             return
 
         def is_free(self: WorkerCaller, now_s: float) -> bool:
-            return not self._n_calls
+            return not self.known._n_calls
 
         monkeypatch.setattr(WorkerCaller, "is_free", is_free)
         monkeypatch.setattr(
--- a/tests/chain/test_worker_caller.py
+++ b/tests/chain/test_worker_caller.py
@@ -51,7 +51,7 @@
             on_return=self.returned.extend,
         )
         if is_known:
-            self.caller.take_over(KNOWN, time.monotonic())
+            self.caller.known.take_over(KNOWN, time.monotonic())
 
     async def call(self, *works: PieceWork) -> None:
         self.caller.start(list(works), n_waiting=0)
@@ -157,12 +157,12 @@
         # had idled before counted as its turn: after some of these its pace was
         # next to none, and chains were refused while workers stood idle.
         rig = Rig(FakeCalls(call_s=0.02))
-        before_per_s = rig.caller.times.busy_per_s
+        before_per_s = rig.caller.known.times.busy_per_s
         for _ in range(6):
             await rig.call(due("a"), due("b"), due("c"), due("d"))
             await asyncio.sleep(0.3)
             rig.caller.block(time.monotonic())
-        assert rig.caller.times.busy_per_s > 0.5 * before_per_s
+        assert rig.caller.known.times.busy_per_s > 0.5 * before_per_s
 
 
 class TestAsking:
@@ -176,10 +176,10 @@
         rig = Rig(FakeCalls(said=said), is_known=False, call_s=0.2)
         now_s = time.monotonic()
         assert not rig.caller.is_free(now_s)
-        await until(lambda: rig.caller.memory.used_bytes(now_s) > 0)
-        assert rig.caller.memory.free_bytes(now_s) == pytest.approx(2e5)
+        await until(lambda: rig.caller.known.memory.used_bytes(now_s) > 0)
+        assert rig.caller.known.memory.free_bytes(now_s) == pytest.approx(2e5)
         assert not rig.caller.is_free(now_s)
-        assert 0.1 < rig.caller.busy_s(now_s) < 0.4
+        assert 0.1 < rig.caller.known.busy_s(now_s) < 0.4
 
     async def test_one_that_does_not_answer_is_called_all_the_same(self) -> None:
         rig = Rig(FakeCalls(said=None), is_known=False)
@@ -206,7 +206,7 @@
         now_s = time.monotonic()
         assert not rig.caller.is_free(now_s)
         await until(lambda: calls.n_reports == 1)
-        offer = rig.caller.offer(now_s, n_passed=0, near_free_in_s={})
+        offer = rig.caller.known.offer(now_s, n_passed=0, near_free_in_s={})
         assert offer.free_bytes < 1e5
 
 
