Keep which target got which prefix in one place

Cause: PrefixRecord (gateways' own interface) and PromptRecord (the users' platform) each kept prefixes with their last targets, bounded by number and by age; the logic was the same but for a bound on the targets of one prefix.

Change: PrefixHolders in state/prefix_holders.py keeps them for both; what a prefix is and what counts as held stays with each. PromptRecord gets a bound of 1,000 engines, more than the 910 workers aimed at.

Looked at and left apart: RetryBudget and RepeatBudget (credit against a sliding window that gateways share), Router and WorkerChoice (predicted times against what this gateway has open).

--- a/src/trefoilpaddle/state/chain/prompt_record.py
+++ b/src/trefoilpaddle/state/chain/prompt_record.py
@@ -1,15 +1,18 @@
 """Which engine has read which parts of prompts, as far as this gateway knows."""
 
 import time
-from collections import OrderedDict
 from collections.abc import Iterator
 from typing import Final
 
+from ..prefix_holders import PrefixHolders
 from .requests import Prompt
 
 MAX_PREFIXES: Final = 20_000
 """Prefixes remembered; about 4 MB, and an hour of distinct sessions at 5 a second."""
 
+MAX_HOLDERS: Final = 1_000
+"""Engines remembered for each prefix; more than a fleet of 910 workers has at all."""
+
 PREFIX_KEEP_S: Final = 60.0
 """Age after which a prefix is taken as evicted; engines turn over faster under load."""
 
@@ -20,29 +23,25 @@
     __slots__ = ("_holders",)
 
     def __init__(self) -> None:
-        self._holders: OrderedDict[str, dict[str, float]] = OrderedDict()
+        self._holders: PrefixHolders[str] = PrefixHolders(
+            n_prefixes=MAX_PREFIXES, n_holders=MAX_HOLDERS, keep_s=PREFIX_KEEP_S
+        )
 
     def note(self, worker_id: str, prompt: Prompt) -> None:
         """Remember that an engine has read a prompt."""
-        now_s = time.monotonic()
-        for prefix, _ in _prefixes(prompt):
-            self._holders.setdefault(prefix, {})[worker_id] = now_s
-            self._holders.move_to_end(prefix)
-        while len(self._holders) > MAX_PREFIXES:
-            self._holders.popitem(last=False)
+        prefixes = (prefix for prefix, _ in _prefixes(prompt))
+        self._holders.note(prefixes, worker_id, time.monotonic())
 
     def forget(self, worker_id: str) -> None:
         """Forget an engine that has ended; its successor has read nothing."""
-        for holders in self._holders.values():
-            holders.pop(worker_id, None)
+        self._holders.forget(worker_id)
 
     def held_tokens(self, worker_id: str, prompt: Prompt) -> int:
         """Return how many leading tokens an engine need not read again."""
-        oldest_s = time.monotonic() - PREFIX_KEEP_S
+        now_s = time.monotonic()
         held = 0
         for prefix, n_tokens in _prefixes(prompt):
-            at_s = self._holders.get(prefix, {}).get(worker_id)
-            if at_s is None or at_s < oldest_s:
+            if not self._holders.has(prefix, worker_id, now_s):
                 break
             held = n_tokens
         return held
--- a/src/trefoilpaddle/state/prefix.py
+++ b/src/trefoilpaddle/state/prefix.py
@@ -1,11 +1,12 @@
 """Where prompt prefixes went: chained hashes of blocks, with their age."""
 
 import time
-from collections import OrderedDict
 from typing import Final
 
 import xxhash
 
+from .prefix_holders import PrefixHolders
+
 BLOCK_WORDS: Final = 32
 MAX_BLOCKS: Final = 32
 MAX_PREFIXES: Final = 20_000
@@ -48,37 +49,25 @@
         Age at which a record counts no more.
     """
 
-    __slots__ = ("_holders", "_keep_s", "_n_prefixes")
+    __slots__ = ("_holders",)
 
     def __init__(
         self, *, n_prefixes: int = MAX_PREFIXES, keep_s: float = KEEP_S
     ) -> None:
-        self._n_prefixes = n_prefixes
-        self._keep_s = keep_s
-        self._holders: OrderedDict[tuple[str, int], dict[str, float]] = OrderedDict()
+        self._holders: PrefixHolders[tuple[str, int]] = PrefixHolders(
+            n_prefixes=n_prefixes, n_holders=MAX_HOLDERS, keep_s=keep_s
+        )
 
     def note(self, service: str, hashes: tuple[int, ...], process_id: str) -> None:
         """Remember that a prompt with these prefixes went to `process_id`."""
-        now_s = time.monotonic()
-        for value in hashes:
-            key = (service, value)
-            holders = self._holders.setdefault(key, {})
-            holders[process_id] = now_s
-            if len(holders) > MAX_HOLDERS:
-                del holders[min(holders, key=holders.__getitem__)]
-            self._holders.move_to_end(key)
-        while len(self._holders) > self._n_prefixes:
-            self._holders.popitem(last=False)
+        prefixes = ((service, value) for value in hashes)
+        self._holders.note(prefixes, process_id, time.monotonic())
 
     def shares(self, service: str, hashes: tuple[int, ...]) -> dict[str, float]:
         """Return which share of the hashed blocks each target has seen lately."""
-        oldest_s = time.monotonic() - self._keep_s
+        now_s = time.monotonic()
         shares: dict[str, float] = {}
         for n_blocks in range(len(hashes), 0, -1):
-            holders = self._holders.get((service, hashes[n_blocks - 1]))
-            if holders is None:
-                continue
-            for process_id, at_s in holders.items():
-                if at_s >= oldest_s and process_id not in shares:
-                    shares[process_id] = n_blocks / len(hashes)
+            for process_id in self._holders.of((service, hashes[n_blocks - 1]), now_s):
+                shares.setdefault(process_id, n_blocks / len(hashes))
         return shares
