Close links to peers in the time that a stop has left

Cause: a stopping gateway waited 2 s for a paused peer to close the links that it had opened, and 2 s more for those it had taken; it was killed at the end of its grace.

--- a/src/trefoilpaddle/roles/process.py
+++ b/src/trefoilpaddle/roles/process.py
@@ -16,7 +16,7 @@
 from ..state.journal import Decision, Event, Figure, Journal
 from ..state.published import Published
 from ..state.settings import ProcessSettings
-from ..transport.connection import Address, Connection
+from ..transport.connection import CLOSE_TIMEOUT_S, Address, Connection
 from ..transport.link import Link
 from ..transport.peers import Peers
 from ..transport.server import PeerServer
@@ -84,11 +84,17 @@
         Where it listens for peers.
     journal : Journal
         Takes its decisions.
+
+    Attributes
+    ----------
+    closing_s : callable
+        Returns how long each step of closing links to peers may take.
     """
 
     __slots__ = (
         "change_listeners",
         "close_listeners",
+        "closing_s",
         "identity",
         "journal",
         "link_listeners",
@@ -115,12 +121,14 @@
         self.message_listeners: list[ConnectionListener] = []
         self.close_listeners: list[CloseListener] = []
         self.n_cut_off = 0
+        self.closing_s: Callable[[], float] = lambda: CLOSE_TIMEOUT_S
         self.change_listeners: list[ChangeListener] = []
         self.peers = Peers(
             own_hello=self.hello,
             own_heartbeat=self.heartbeat,
             on_message=self._on_link_message,
             on_change=self._on_link_change,
+            closing_s=lambda: self.closing_s(),
         )
         self.server = PeerServer(
             address=listen,
@@ -128,6 +136,7 @@
             own_heartbeat=self.heartbeat,
             on_message=self._on_peer_message,
             on_close=self._on_peer_close,
+            closing_s=lambda: self.closing_s(),
         )
 
     def hello(self) -> Hello:
--- a/src/trefoilpaddle/transport/connection.py
+++ b/src/trefoilpaddle/transport/connection.py
@@ -248,7 +248,7 @@
             self._is_closed = True
             self._writer.transport.abort()
 
-    async def close(self) -> None:
+    async def close(self, *, timeout_s: float = CLOSE_TIMEOUT_S) -> None:
         """Send what is queued, then close; a peer that never reads is dropped.
 
         Closing a socket with unread bytes makes the kernel reset it, and the
@@ -258,7 +258,7 @@
         self._flush()
         self._is_finished = True
         try:
-            async with asyncio.timeout(CLOSE_TIMEOUT_S):
+            async with asyncio.timeout(timeout_s):
                 if self._writer.can_write_eof():
                     self._writer.write_eof()
                 else:
--- a/src/trefoilpaddle/transport/link.py
+++ b/src/trefoilpaddle/transport/link.py
@@ -16,7 +16,7 @@
 from ..protocol.errors import PeerError
 from ..protocol.frames import Frame, Message
 from ..protocol.gen.stage.ttypes import Heartbeat, Hello
-from .connection import Address, Connection
+from .connection import CLOSE_TIMEOUT_S, Address, Connection
 
 CONNECT_TIMEOUT_S: Final = 1.0
 BACKOFF_MIN_S: Final = 0.05
@@ -46,10 +46,13 @@
         Called with the link after each connect and each loss.
     tls : ssl.SSLContext, optional
         Client side context; None speaks plain TCP.
+    closing_s : callable, optional
+        Returns how long the close may take, when it is begun.
     """
 
     __slots__ = (
         "_calls",
+        "_closing_s",
         "_hurried",
         "_is_stopping",
         "_numbers",
@@ -74,7 +77,9 @@
         on_message: OnMessage,
         on_change: "Callable[[Link], None] | None" = None,
         tls: ssl.SSLContext | None = None,
+        closing_s: Callable[[], float] = lambda: CLOSE_TIMEOUT_S,
     ) -> None:
+        self._closing_s = closing_s
         self.address = address
         self._own_hello = own_hello
         self._own_heartbeat = own_heartbeat
@@ -225,7 +230,7 @@
         finally:
             self._set(None)
             if self._is_stopping:
-                await connection.close()
+                await connection.close(timeout_s=self._closing_s())
             connection.abort()
 
     def _set(self, connection: Connection | None) -> None:
--- a/src/trefoilpaddle/transport/peers.py
+++ b/src/trefoilpaddle/transport/peers.py
@@ -10,7 +10,7 @@
 from ..protocol.errors import PeerError
 from ..protocol.frames import Message
 from ..protocol.gen.stage.ttypes import Heartbeat, Hello
-from .connection import Address
+from .connection import CLOSE_TIMEOUT_S, Address
 from .link import Link, OnMessage
 
 
@@ -19,11 +19,12 @@
 
     Parameters
     ----------
-    own_hello, own_heartbeat, on_message, on_change, tls
+    own_hello, own_heartbeat, on_message, on_change, tls, closing_s
         As for `Link`, shared by all links.
     """
 
     __slots__ = (
+        "_closing_s",
         "_on_change",
         "_on_message",
         "_own_heartbeat",
@@ -40,7 +41,9 @@
         on_message: OnMessage,
         on_change: Callable[[Link], None] | None = None,
         tls: ssl.SSLContext | None = None,
+        closing_s: Callable[[], float] = lambda: CLOSE_TIMEOUT_S,
     ) -> None:
+        self._closing_s = closing_s
         self._own_hello = own_hello
         self._own_heartbeat = own_heartbeat
         self._on_message = on_message
@@ -59,6 +62,7 @@
                 on_message=self._on_message,
                 on_change=self._on_change,
                 tls=self._tls,
+                closing_s=self._closing_s,
             )
             self.links[address] = link
             link.start()
--- a/src/trefoilpaddle/transport/server.py
+++ b/src/trefoilpaddle/transport/server.py
@@ -42,11 +42,14 @@
         Called with each connection as it comes and goes.
     tls : ssl.SSLContext, optional
         Server side context; None speaks plain TCP.
+    closing_s : callable, optional
+        Returns how long each step of the close may take, when it is begun.
     """
 
     __slots__ = (
         "_answerers",
         "_asks",
+        "_closing_s",
         "_greeting",
         "_is_closing",
         "_on_close",
@@ -72,8 +75,10 @@
         on_open: OnChange | None = None,
         on_close: OnChange | None = None,
         tls: ssl.SSLContext | None = None,
+        closing_s: Callable[[], float] = lambda: CLOSE_TIMEOUT_S,
     ) -> None:
         self.address = address
+        self._closing_s = closing_s
         self._own_hello = own_hello
         self._own_heartbeat = own_heartbeat
         self._on_message = on_message
@@ -136,12 +141,15 @@
         # A question dropped here would turn a known answer ("that attempt did
         # not run") into "unknown" at the peer.
         if self._asks:
-            await asyncio.wait(self._asks, timeout=CLOSE_TIMEOUT_S)
+            await asyncio.wait(self._asks, timeout=self._closing_s())
         for connection in list(self._greeting):
             connection.abort()
-        await asyncio.gather(*(each.close() for each in list(self.connections)))
+        timeout_s = self._closing_s()
+        await asyncio.gather(
+            *(each.close(timeout_s=timeout_s) for each in list(self.connections))
+        )
         if self._tasks:
-            await asyncio.wait(self._tasks, timeout=CLOSE_TIMEOUT_S)
+            await asyncio.wait(self._tasks, timeout=self._closing_s())
 
     def broadcast(self, message: Message) -> None:
         """Send `message` to every connected peer."""
