--- a/src/trefoilpaddle/coordination/chain/store_feed.py
+++ b/src/trefoilpaddle/coordination/chain/store_feed.py
@@ -20,7 +20,7 @@
     StoreFault,
     UnreadableEntry,
 )
-from .store_readers import StoreReaders
+from .store_readers import Missing, StoreReaders
 from .store_relay import (
     StoreRelay,
     changes_of,
@@ -29,7 +29,7 @@
 )
 
 POLL_S: Final = 0.6
-"""Time between two reads.
+"""Time from one read to the next, counted from when they are asked for.
 
 A change must be in force, and a leaving worker out of use, within two seconds;
 this leaves room for one read that is lost. Workers' heartbeats change the store
@@ -58,6 +58,11 @@
 """
 
 
+FIRST_LIST: Final = "nothing is known yet"
+LOST_LIST: Final = "the store lost its history"
+DIFFERING_LIST: Final = "lists differ"
+"""Why the whole store is asked for."""
+
 MAX_UNREADABLE: Final = 256
 """Unreadable entries that are remembered, so that each is logged once.
 
@@ -101,6 +106,7 @@
         "_decode",
         "_journal",
         "_lapsed",
+        "_list_reason",
         "_n_differing",
         "_on_table",
         "_read_s",
@@ -138,6 +144,7 @@
         self._journal = journal
         self._version = 0
         self._lapsed: dict[str, float] = {}
+        self._list_reason = FIRST_LIST
         self._unreadable: OrderedDict[str, str] = OrderedDict()
         self._away_until_s = 0.0
         self._read_s = time.monotonic()
@@ -153,9 +160,13 @@
         """Read until cancelled."""
         while True:
             if not self.revision or self._readers.must_read():
+                began_s = time.monotonic()
                 is_read = await self._read_any()
                 self._readers.note_read()
-                await asyncio.sleep(POLL_S if is_read else RETRY_S)
+                # Counted from the answer, a store that takes 0.2 s made readers
+                # tell the others later than those wait, and all read it.
+                rest_s = max(0.0, began_s + POLL_S - time.monotonic())
+                await asyncio.sleep(rest_s if is_read else RETRY_S)
             else:
                 self._drop_lapsed(time.monotonic())
                 await self._readers.wait()
@@ -178,6 +189,7 @@
         """Read once; return True if the store answered."""
         asked_revision = self.revision
         if not asked_revision:
+            self._note_list()
             answer = await self._store.snapshot()
         else:
             answer = await self._store.changes(asked_revision)
@@ -188,6 +200,14 @@
                 return await self.read_once()
             case Ok(changes):
                 self._note_back()
+                if changes.revision < self.revision:
+                    # News that came meanwhile led further. What is older than they
+                    # are would drop workers that are back, and list some that are
+                    # gone; all of it is in what led here. A table is not: news do
+                    # not hold one, and an older one is never put in force.
+                    changes = StoreChanges(
+                        revision=changes.revision, table=changes.table
+                    )
                 base_revision = self._relay.revision
                 noticed = self._take(changes, is_whole=not asked_revision)
                 self._read_s = time.monotonic()
@@ -195,6 +215,7 @@
                 return True
             case Err(StoreFault.HISTORY_LOST):
                 self.revision = 0
+                self._list_reason = LOST_LIST
                 return await self.read_once()
             case Err(fault):
                 self._note_away(fault)
@@ -210,23 +231,28 @@
             if state.workers and state.revision > self.revision:
                 self._take(changes_of(state), is_whole=True)
 
-    def take_news(self, news: StoreNews) -> bool:
-        """Take what a reader has read; return True if nothing is missing since.
+    def take_news(self, news: StoreNews) -> Missing | None:
+        """Take what a reader has read; return what is missing since, or None.
 
         What came between two news, or was lost with a connection, is not in the
         next ones: the revision from which they lead on tells it, and the digest
         of all workers tells what even that hides.
         """
-        if not self.revision or news.base_revision > self.revision:
-            return False
+        # Also of news that cannot be used. The gateway then reads by itself, and
+        # finds entries that ran out meanwhile: not knowing that the store was
+        # away, it dropped their workers at once, though they live.
+        if news.back_ms > NOT_AWAY_MS:
+            back_s = time.monotonic() - news.back_ms / MS_PER_S
+            self._away_until_s = max(self._away_until_s, back_s)
+        if not self.revision:
+            return Missing.LIST
+        if news.base_revision > self.revision:
+            return Missing.CHANGES
         # News name a newer table and do not hold it. Taken for known up to their
         # revision, this gateway would ask for what came after it, and miss it.
         if news.version > self._version:
-            return False
+            return Missing.TABLE
         self._note_back()
-        if news.back_ms > NOT_AWAY_MS:
-            back_s = time.monotonic() - news.back_ms / MS_PER_S
-            self._away_until_s = max(self._away_until_s, back_s)
         if news.revision > self.revision:
             workers = tuple(listed_from_wire(worker) for worker in news.workers)
             changes = StoreChanges(
@@ -240,18 +266,34 @@
             )
             self._take(changes, is_whole=False)
         self._read_s = time.monotonic()
-        return self._has_all_of(news)
+        return self._missing_of(news)
 
-    def _has_all_of(self, news: StoreNews) -> bool:
-        if news.revision < self.revision or news.digest == self._workers.digest:
+    def _missing_of(self, news: StoreNews) -> Missing | None:
+        if news.revision < self.revision or news.digest == self._listed_digest():
             self._n_differing = 0
-            return True
+            return None
         self._n_differing += 1
         if self._n_differing < MAX_DIFFERING:
-            return True
+            return None
         self._n_differing = 0
         self.revision = 0
-        return False
+        self._list_reason = DIFFERING_LIST
+        return Missing.LIST
+
+    def _listed_digest(self) -> int:
+        """Return the digest of the workers that the store lists.
+
+        Without those whose entries ran out and may come back. Each gateway knows
+        of another time of the store's return and keeps them until another, so
+        with them lists differed that were the same: 1.2 s after the return nearly
+        all gateways listed the store anew, and took no news until they had it.
+        """
+        digest = self._workers.digest
+        for worker_id in self._lapsed:
+            worker = self._workers.get(worker_id)
+            if worker is not None:
+                digest ^= worker.fingerprint()
+        return digest
 
     def _news(self, base_revision: int, noticed: StoreChanges) -> StoreNews:
         """Return what to tell the others after a read."""
@@ -264,7 +306,7 @@
             workers=[listed_to_wire(worker) for worker in noticed.workers],
             removed=list(noticed.removed),
             withdrawn=[entry.worker_id for entry in noticed.unreadable],
-            digest=self._workers.digest,
+            digest=self._listed_digest(),
             back_ms=int(away_s * MS_PER_S) if was_away else NOT_AWAY_MS,
         )
 
@@ -284,10 +326,11 @@
         return True
 
     def _take(self, changes: StoreChanges, *, is_whole: bool) -> StoreChanges:
-        """Take changes in; return those of workers that were news here."""
+        """Take changes in; return those of workers that others may not know."""
         if changes.table is not None:
             self.take_table(changes.table)
         noticed: list[Worker] = []
+        returned = set(changes.returned)
         for worker in changes.workers:
             self._unreadable.pop(worker.worker_id, None)
             was_lapsed = self._lapsed.pop(worker.worker_id, None) is not None
@@ -296,7 +339,12 @@
                 self._note_worker(
                     Event.TARGET_UP, worker.worker_id, is_leaving=worker.is_leaving
                 )
-            if is_news or was_lapsed:
+            # An entry that was gone and is back between two reads is no news here.
+            # Others heard from another reader that it was gone, and what is told
+            # leads them past its return: named by nobody, the worker was dropped
+            # there. A whole list does not tell what was gone, so it names all.
+            is_back = is_whole or worker.worker_id in returned
+            if is_news or was_lapsed or is_back:
                 noticed.append(worker)
         removed = set(changes.removed)
         if is_whole:
@@ -375,6 +423,15 @@
         self.is_away = is_away
         self._relay.is_away = is_away
 
+    def _note_list(self) -> None:
+        self._journal.record(
+            Decision(
+                event=Event.STORE_LISTED,
+                config_revision=self._version,
+                detail=self._list_reason,
+            )
+        )
+
     def _note_source(self, event: Event, detail: str) -> None:
         age_s = time.monotonic() - self._read_s
         self._journal.record(
