--- a/src/trefoilpaddle/coordination/members/membership.py
+++ b/src/trefoilpaddle/coordination/members/membership.py
@@ -224,10 +224,24 @@
         match Address.parse(address_text):
             case Ok(address):
                 async with probe_link(self._process, address) as link:
-                    return await self.exchange(link)
+                    return await self._is_open(link) and await self.exchange(link)
             case Err(_):
                 return False
 
+    async def _is_open(self, link: Link) -> bool:
+        """Wait until a link is open; False if that takes too long.
+
+        What is said on it is put together only then. A process that listens a
+        little later than others was told what was known before these answered: it
+        knew one member for seconds, and took on duties that others had.
+        """
+        try:
+            async with asyncio.timeout(ASK_TIMEOUT_S):
+                await link.opened.wait()
+        except TimeoutError:
+            return False
+        return True
+
     async def watch_stop(self) -> None:
         """Say that this process is leaving once its planned stop has begun."""
         await self._process.stopping.wait()
--- a/tests/platform_adapter/test_gateway_process.py
+++ b/tests/platform_adapter/test_gateway_process.py
@@ -6,7 +6,6 @@
 
 import aiohttp
 
-from trefoilpaddle.coordination.chain.store_readers import NOT_TOLD, TOLD_S
 from trefoilpaddle.standins.platform.gateway_process import (
     DRAFT,
     event_numbers,
@@ -119,9 +118,7 @@
 
     async def test_two_gateways_read_the_store_for_all(self, tmp_path: Path) -> None:
         # Each of four gateways reads every 0.6 s: 13 reads in 2 s, all paid for.
-        # Two read at most four times each. On a busy machine news can be late; who
-        # was not told for 0.8 s reads beside them, says so, and is told again before
-        # what it knows is older than the two seconds in which a change must hold.
+        # Two read at most four times each.
         async with (
             small_site() as site,
             gateways(site, tmp_path, "a", "a", "b", "b") as every,
@@ -136,14 +133,7 @@
             n_reads = site.store.n_reads - n_before
             await asyncio.sleep(LOG_S)
             logs = [each.log()[n:] for each, n in zip(every, starts, strict=True)]
-            lines = "".join(logs).splitlines()
-            beside = [line for line in lines if "name=store_read_beside " in line]
-            assert n_reads <= 8 + len(beside)
-            assert n_reads < 13
-            assert not [line for line in lines if "name=store_listed " in line]
-            for line in beside:
-                assert f'detail="{NOT_TOLD}"' in line
-                assert TOLD_S <= float(line.rpartition("told_age_s=")[2]) < 2.0
+            assert n_reads <= 8, "".join(logs)
             tenants = [{"name": ACCOUNT, "api_keys": ["new"]}]
             site.store.put(TABLE_KEY, configuration(2, tenants=tenants))
             async with asyncio.timeout(2.0):
