--- a/tests/soak/__main__.py
+++ b/tests/soak/__main__.py
@@ -32,6 +32,9 @@
         for mark in sorted(record.marks, key=lambda mark: mark.began_s):
             began_s, ended_s = mark.began_s - start_s, mark.ended_s - start_s
             print(f"  {began_s:6.2f} to {ended_s:6.2f} s {mark.action}")
+        for stall in record.stalls:
+            began_s, ended_s = stall.began_s - start_s, stall.ended_s - start_s
+            print(f"  {began_s:6.2f} to {ended_s:6.2f} s the soak itself stood still")
     for line in lines:
         print(f"  BROKEN {line}")
     return len(lines)
--- a/tests/soak/soak_record.py
+++ b/tests/soak/soak_record.py
@@ -6,6 +6,7 @@
 from trefoilpaddle.standins.platform.worker import PlatformWorker
 
 from .soak_actions import Action
+from .soak_stalls import Stall
 
 GRACE_S: Final = 6.0
 """From the order to stop to the kill.
@@ -49,6 +50,7 @@
 
     workers: list[PlatformWorker]
     marks: list[Mark] = field(default_factory=list)
+    stalls: list[Stall] = field(default_factory=list)
     orders: list[StopOrder] = field(default_factory=list)
     revoked_s: dict[str, float] = field(default_factory=dict)
     left_s: dict[str, float] = field(default_factory=dict)
--- a/tests/soak/soak_run.py
+++ b/tests/soak/soak_run.py
@@ -40,6 +40,7 @@
 from .soak_callers import Callers, one_connection
 from .soak_patient import PatientCallers, table
 from .soak_record import GRACE_S, Mark, Record, StopOrder
+from .soak_stalls import note_stalls
 from .soak_stops import stop_schedule
 
 DOMAINS = ("a", "a", "b")
@@ -359,6 +360,7 @@
             for work in (
                 callers.balance(),
                 soak.watch(),
+                note_stalls(site.record.stalls.append),
                 probe_revoked(site, callers),
                 *(callers.call_on() for _ in range(N_CALLERS)),
             )
