Give back the chains of a cell that nobody took when its gateway ends

Change: once all callers are answered, what nobody took is sent no more, and its chains go back with what is made of them.

Proof: the test plays a chain that is begun and one that comes late; both are given back and no call follows.

--- a/src/trefoilpaddle/coordination/chain/cell_schedulers.py
+++ b/src/trefoilpaddle/coordination/chain/cell_schedulers.py
@@ -54,6 +54,9 @@
 About a call, which the workers make then; a message's way takes a hundredth.
 """
 
+NOBODY: Final = "nobody"
+"""Stands for the successor where there is none; no process has this name."""
+
 MakeScheduler = Callable[[frozenset[str]], ChainScheduler]
 
 
@@ -180,6 +183,18 @@
         self._note(cell, successor, "handed over", len(handover.workers))
         return True
 
+    def give_up(self) -> None:
+        """Send nothing more for cells that nobody took over: this process ends.
+
+        Their chains go back to the gateways that sent them. Scheduled on, they
+        would go with this process, and calls of workers fail as sessions close.
+        """
+        for name, scheduler in self._by_cell.items():
+            if not scheduler.successor:
+                scheduler.dispatch.stop()
+                scheduler.hand_over(NOBODY)
+                self._note(self._cells[name], "", "given up", 0)
+
     def _begin(self, cell: Cell, detail: str) -> ChainScheduler:
         former = self._by_cell.get(cell.name)
         if former is not None:
--- a/src/trefoilpaddle/coordination/chain/chain_router.py
+++ b/src/trefoilpaddle/coordination/chain/chain_router.py
@@ -226,6 +226,10 @@
             await asyncio.gather(*(self._hand_over_now(cell) for cell in cells))
             await asyncio.sleep(HANDOVER_RETRY_S)
 
+    def give_up_all(self) -> None:
+        """Schedule no cell any more: this gateway's requests are answered."""
+        self._schedulers.give_up()
+
     async def _hand_over_now(self, cell: Cell) -> None:
         """Hand a cell over, once the link to its next scheduler is connected."""
         try:
--- a/tests/chain/test_cell_handover.py
+++ b/tests/chain/test_cell_handover.py
@@ -64,8 +64,9 @@
 class Rig:
     """A gateway that schedules the cells of a large region, and its successor."""
 
-    def __init__(self) -> None:
+    def __init__(self, *, call_s: float = 0.01) -> None:
         self.successor = SilentLink()
+        self.calls = FakeCalls(call_s=call_s)
         domains = [f"d{number}" for number in range(N_DOMAINS)]
         workers = WorkerTable()
         for number in range(N_WORKERS):
@@ -78,7 +79,7 @@
         self.own = process("own")
         self.schedulers = CellSchedulers(
             process=self.own,
-            make=lambda _: scheduler(FakeCalls(), workers, routes, journal()),
+            make=lambda _: scheduler(self.calls, workers, routes, journal()),
         )
         for cell in self.cells:
             self.schedulers.of(cell)
@@ -165,6 +166,29 @@
         assert isinstance(end, ChainMoved)
         assert end.successor == "next"
 
+    def test_what_nobody_took_goes_back_when_the_process_ends(
+        self, monkeypatch: pytest.MonkeyPatch
+    ) -> None:
+        # Nobody takes the cell of a gateway that stops. It went on scheduling while
+        # its sessions closed: its log said that it asked workers in vain, and the
+        # chains of others ended with it, what was made of them lost.
+        async def run() -> tuple[ChainEnd, ChainEnd]:
+            rig = Rig(call_s=0.5)
+            cell = rig.cells[0]
+            begun = asyncio.create_task(rig.schedulers.run(cell, work("a")))
+            await asyncio.sleep(0.1)
+            rig.own.stopping.set()
+            rig.router.give_up_all()
+            n_batches = len(rig.calls.batches)
+            ends = await begun, await rig.schedulers.run(cell, work("b"))
+            assert len(rig.calls.batches) == n_batches
+            return ends
+
+        with monkeypatch.context() as time_patch:
+            begun, late = run_virtual(time_patch, run())
+        assert isinstance(begun, ChainMoved) and begun.made
+        assert isinstance(late, ChainMoved)
+
 
 class TestCancelling:
     async def test_a_chain_that_fails_then_ends_its_request(self) -> None:
