--- a/src/trefoilpaddle/coordination/chain/planned_stop.py
+++ b/src/trefoilpaddle/coordination/chain/planned_stop.py
@@ -29,8 +29,8 @@
 WRITE_S: Final = 0.9
 """Left before the kill to write the last answers and to close.
 
-An answer takes a hundredth of it; the rest is for a process that is kept from
-running, on a weak machine, by the other ends of that moment.
+An answer takes a hundredth of it; the rest is for a weak machine on which many
+requests end at the same moment.
 """
 
 CLOSE_S: Final = 0.3
