Let two tests of what crosses the close of a sidecar fail

Hypothesis: the sidecar's drain ends at once when it holds nothing, and it closes. What gateways sent before they heard of the stop arrives while the sidecar has closed its sending side and only waits for theirs. It reads and refuses it, but the refusal is written to a connection that takes nothing more. The gateway sees the connection end and, as the work may not run twice, waits for the same start of the sidecar until the deadline.

--- a/tests/peer_helpers.py
+++ b/tests/peer_helpers.py
@@ -94,6 +94,16 @@
                     pass
 
 
+async def answer_to(peer: RawPeer, *, call: int) -> Message | None:
+    """Return the answer to a question; None if the other side closes before it."""
+    async with asyncio.timeout(WAIT_CAP_S):
+        while frames := await peer.receive():
+            for frame in frames:
+                if frame.call == call:
+                    return frame.message
+    return None
+
+
 @contextlib.asynccontextmanager
 async def raw_peer(address: Address) -> AsyncIterator[RawPeer]:
     """Yield a raw connection to `address`."""
--- a/tests/test_path_calls.py
+++ b/tests/test_path_calls.py
@@ -282,6 +282,23 @@
                 assert_whole(each)
             assert len(f.runs("plain")) == len(told)
 
+    async def test_work_that_crosses_the_close_of_a_sidecar_goes_elsewhere(
+        self,
+    ) -> None:
+        # A sidecar with nothing to do is told to stop, and is done at once. Calls
+        # that must run once are on their way to it: the gateways have not heard of
+        # the stop. Callers waited until their deadlines and were told "unknown",
+        # though nothing had run: the sidecar's refusals were not sent any more.
+        async with fleet(n_per_service=2, deadline_s=3.0) as f:
+            relay = f.gateways[0].relays["plain0"]
+            relay.delay_s = 0.1
+            calls = [asyncio.create_task(f.call(ONCE)) for _ in range(8)]
+            await until(lambda: "plain0" in f.busy(f.gateways[0]))
+            assert await f.stop_sidecar(f.slot("plain0")) == 0
+            for each in await asyncio.gather(*calls):
+                assert_whole(each)
+            assert len(f.runs("plain")) == len(calls)
+
     async def test_a_planned_stop_of_a_gateway_under_load_cuts_off_none(self) -> None:
         async with fleet(n_gateways=2) as f:
             target = f.slot("plain0").target
--- a/tests/test_peer_server.py
+++ b/tests/test_peer_server.py
@@ -7,6 +7,7 @@
 
 from tests.peer_helpers import (
     RawPeer,
+    answer_to,
     echo,
     hello_of,
     link_to,
@@ -89,6 +90,24 @@
             assert await asked == Ok(BarAnswer(attempt_id=b"x"))
             await closing
 
+    async def test_closing_answers_what_crosses_it(self) -> None:
+        # A sidecar stops as planned and closes. A gateway that has not heard of it
+        # yet has just sent something; it arrives while the sidecar only waits for
+        # the other side to close. It was read, answered into a connection that took
+        # nothing more, and the gateway's caller waited until its deadline.
+        server = server_of()
+        server.answer(Bar, echo)
+        context = server.listening()
+        await context.__aenter__()
+        async with raw_peer(server.address) as peer:
+            peer.send(hello_of("gateway")())
+            await until(lambda: len(server.connections) == 1)
+            closing = asyncio.create_task(context.__aexit__(None, None, None))
+            await asyncio.sleep(0.05)
+            peer.send(Bar(attempt_id=b"x"), call=1)
+            assert await answer_to(peer, call=1) == BarAnswer(attempt_id=b"x")
+        await closing
+
     @pytest.mark.usefixtures("fast")
     async def test_closing_is_not_held_up_by_peers_that_never_read(
         self, monkeypatch: pytest.MonkeyPatch
