Answer what peers have sent before a connection is closed

Cause: who closes a connection on its listening side shut its sending side first and then read until the peer closed. What came meanwhile was handled, its answers were written to nothing. A sidecar that is stopped with nothing to do closes within a millisecond of telling gateways that it leaves, so calls on their way were refused without a word, and those that must run once waited for their deadline: 504, unknown. Connections whose hello was not read yet were dropped with what came behind.

Change: a listening side that closes says `Closing` and goes on answering until the peer has said it back as its last frame, and all questions are answered; only then does it close as before. The dialling side takes nothing more once it has said it, so what it would send goes elsewhere at once, as "not sent". Both steps are bounded by the time that the stop has left, as the one was. A peer that does not answer, or of an older version, costs this bound once more.

--- a/idl/stage.thrift
+++ b/idl/stage.thrift
@@ -44,6 +44,10 @@
 
 struct Heartbeat { 1: Load load }
 
+// Said first by the listening side that is about to close: it still answers what is on
+// its way. Said back by the other side as the last that it sends.
+struct Closing {}
+
 struct Start {
   1: binary attempt_id = ""       // 16 bytes
   2: string request_id = ""
--- a/src/trefoilpaddle/protocol/frames.py
+++ b/src/trefoilpaddle/protocol/frames.py
@@ -33,6 +33,7 @@
 KINDS: Final[Mapping[int, type]] = {
     1: stage.Hello,
     2: stage.Heartbeat,
+    3: stage.Closing,
     10: stage.Start,
     11: stage.BodyChunk,
     12: stage.Queued,
--- a/src/trefoilpaddle/protocol/gen/stage/ttypes.py
+++ b/src/trefoilpaddle/protocol/gen/stage/ttypes.py
@@ -596,6 +596,56 @@
         return not (self == other)
 
 
+class Closing(object):
+
+    __slots__ = (
+    )
+
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('Closing')
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
 class Start(object):
     """
     Attributes:
@@ -2402,6 +2452,9 @@
     None,  # 0
     (1, TType.STRUCT, 'load', [Load, None], None, ),  # 1
 )
+all_structs.append(Closing)
+Closing.thrift_spec = (
+)
 all_structs.append(Start)
 Start.thrift_spec = (
     None,  # 0
--- a/src/trefoilpaddle/protocol/gen/stage/ttypes.pyi
+++ b/src/trefoilpaddle/protocol/gen/stage/ttypes.pyi
@@ -45,6 +45,8 @@
 class Heartbeat:
     load: Load | None
     def __init__(self, *, load: Load | None = ...) -> None: ...
+class Closing:
+    def __init__(self, ) -> None: ...
 class Start:
     attempt_id: bytes
     request_id: str
--- a/src/trefoilpaddle/transport/connection.py
+++ b/src/trefoilpaddle/transport/connection.py
@@ -14,7 +14,7 @@
 from ..protocol.const import HEARTBEAT_S, PROTOCOL_VERSION, SILENCE_S
 from ..protocol.errors import PeerError
 from ..protocol.frames import Frame, Message, encode
-from ..protocol.gen.stage.ttypes import Heartbeat, Hello
+from ..protocol.gen.stage.ttypes import Closing, Heartbeat, Hello
 from ..protocol.reader import FrameReader
 from .aligned import aligned_sleep
 from .traffic import TRAFFIC
@@ -56,9 +56,16 @@
         The open streams.
     own : Hello
         What this process says of itself.
+
+    Attributes
+    ----------
+    read_all : asyncio.Event
+        Set once nothing more can come from the peer that wants an answer: it has
+        said so after `ask_last`, or the connection has ended.
     """
 
     __slots__ = (
+        "_asks_last",
         "_ended",
         "_frames",
         "_is_closed",
@@ -73,6 +80,7 @@
         "own",
         "peer",
         "pending",
+        "read_all",
     )
 
     def __init__(
@@ -87,6 +95,7 @@
         self._frames = FrameReader()
         self._unsent: list[bytes] = []
         self._unsent_bytes = 0
+        self._asks_last = False
         self._ended = asyncio.Event()
         self._is_closed = False
         self._is_finished = False
@@ -96,6 +105,7 @@
         self.heard_s = time.monotonic()
         self.hello_at_ns = 0
         self.pending: list[Frame] = []
+        self.read_all = asyncio.Event()
 
     @property
     def peer_name(self) -> str:
@@ -234,18 +244,40 @@
         try:
             while True:
                 for frame in self.pending:
-                    yield frame
+                    if isinstance(frame.message, Closing):
+                        self._on_closing()
+                    else:
+                        yield frame
                 self.pending = []
                 if not await self._read_more():
                     return
         finally:
             self._is_reading = False
             self._ended.set()
+            self.read_all.set()
+
+    def ask_last(self) -> None:
+        """Ask the peer to send nothing more, once it has sent what it must.
+
+        What it sent before it heard of the close is still on its way. A process
+        that only closed its sending side read that too, but its answers went
+        nowhere: the peer saw the connection end and could not tell what had run.
+        """
+        self._asks_last = True
+        self.write(Closing())
+
+    def _on_closing(self) -> None:
+        if self._asks_last:
+            self.read_all.set()
+            return
+        self.write(Closing())
+        self._is_finished = True
 
     def abort(self) -> None:
         """Close at once, dropping what is unsent; does nothing once closed."""
         if not self._is_closed:
             self._is_closed = True
+            self.read_all.set()
             self._writer.transport.abort()
 
     async def close(self, *, timeout_s: float = CLOSE_TIMEOUT_S) -> None:
--- a/src/trefoilpaddle/transport/server.py
+++ b/src/trefoilpaddle/transport/server.py
@@ -52,6 +52,7 @@
         "_closing_s",
         "_greeting",
         "_is_closing",
+        "_is_over",
         "_on_close",
         "_on_message",
         "_on_open",
@@ -92,6 +93,7 @@
         self._asks: set[asyncio.Task[None]] = set()
         self._greeting: set[Connection] = set()
         self._is_closing = False
+        self._is_over = False
         self.connections: set[Connection] = set()
 
     def answer(
@@ -116,7 +118,8 @@
     async def listening(self) -> AsyncIterator["PeerServer"]:
         """Listen while the context is open, then close all connections.
 
-        Open questions are answered before their connections close.
+        Open questions are answered before their connections close, and so is what
+        peers sent before they heard of the close.
 
         Raises
         ------
@@ -124,6 +127,7 @@
             If the port is held by another process.
         """
         self._is_closing = False
+        self._is_over = False
         self._server = await asyncio.start_server(
             self._accept, self.address.ip, self.address.port, ssl=self._tls
         )
@@ -138,10 +142,10 @@
             await self._close_connections()
 
     async def _close_connections(self) -> None:
-        # A question dropped here would turn a known answer ("that attempt did
-        # not run") into "unknown" at the peer.
-        if self._asks:
-            await asyncio.wait(self._asks, timeout=self._closing_s())
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(self._closing_s()):
+                await self._answer_last()
+        self._is_over = True
         for connection in list(self._greeting):
             connection.abort()
         timeout_s = self._closing_s()
@@ -151,6 +155,20 @@
         if self._tasks:
             await asyncio.wait(self._tasks, timeout=self._closing_s())
 
+    async def _answer_last(self) -> None:
+        """Return once all that peers have sent is answered.
+
+        What is dropped here would turn a known answer ("that attempt did not run")
+        into "unknown" at the peer, whose caller then waits for its deadline. A peer
+        that has just had this side's hello may have sent something behind its own.
+        """
+        for connection in self.connections:
+            connection.ask_last()
+        connections = (*self.connections, *self._greeting)
+        await asyncio.gather(*(each.read_all.wait() for each in connections))
+        if self._asks:
+            await asyncio.wait(self._asks)
+
     def broadcast(self, message: Message) -> None:
         """Send `message` to every connected peer."""
         for connection in list(self.connections):
@@ -186,7 +204,7 @@
             self._greeting.discard(connection)
         match hello:
             case Ok(_):
-                if not self._is_closing:
+                if not self._is_over:
                     await self._serve(connection)
             case Err(error):
                 logging.warning("%s: %s", error.peer, error.detail)
@@ -197,6 +215,8 @@
             connection.keep_alive(self._own_heartbeat, self._n_ticks)
         )
         self.connections.add(connection)
+        if self._is_closing:
+            connection.ask_last()
         self._tell(self._on_open, connection)
         try:
             async for frame in connection.frames():
--- a/tests/test_peer_server.py
+++ b/tests/test_peer_server.py
@@ -3,7 +3,7 @@
 import asyncio
 
 import pytest
-from result import Ok
+from result import Err, Ok
 
 from tests.peer_helpers import (
     RawPeer,
@@ -108,6 +108,53 @@
             assert await answer_to(peer, call=1) == BarAnswer(attempt_id=b"x")
         await closing
 
+    async def test_closing_answers_what_comes_with_a_hello(self) -> None:
+        # A gateway has just connected to a sidecar that stops. It has the sidecar's
+        # hello and sends its own with its first question behind; the sidecar dropped
+        # connections whose hello it had not read yet.
+        server = server_of()
+        server.answer(Bar, echo)
+        context = server.listening()
+        await context.__aenter__()
+        async with raw_peer(server.address) as peer:
+            assert await peer.receive()
+            closing = asyncio.create_task(context.__aexit__(None, None, None))
+            await asyncio.sleep(0.05)
+            peer.send(hello_of("gateway")())
+            peer.send(Bar(attempt_id=b"x"), call=1)
+            assert await answer_to(peer, call=1) == BarAnswer(attempt_id=b"x")
+        await closing
+
+    async def test_a_closed_link_takes_nothing_and_says_so(self) -> None:
+        # A sidecar closes while a gateway's answer from it is on its way. What the
+        # gateway would send now must go elsewhere at once: it is not sent.
+        may_end = asyncio.Event()
+
+        async def answer(question: Bar, peer: Hello) -> BarAnswer:
+            await may_end.wait()
+            return BarAnswer(attempt_id=question.attempt_id)
+
+        server = server_of()
+        server.answer(Bar, answer)
+        context = server.listening()
+        await context.__aenter__()
+        async with link_to(server.address) as link:
+            asked = asyncio.create_task(link.ask(Bar(attempt_id=b"x"), timeout_s=30))
+            await until(lambda: bool(server._asks))
+            closing = asyncio.create_task(context.__aexit__(None, None, None))
+            await until(
+                lambda: link.connection is not None and link.connection.is_closing()
+            )
+            assert not link.send(Cancel())
+            match await link.ask(Bar(attempt_id=b"y"), timeout_s=30):
+                case Err(error):
+                    assert not error.is_sent
+                case answered:
+                    raise AssertionError(answered)
+            may_end.set()
+            assert await asked == Ok(BarAnswer(attempt_id=b"x"))
+            await closing
+
     @pytest.mark.usefixtures("fast")
     async def test_closing_is_not_held_up_by_peers_that_never_read(
         self, monkeypatch: pytest.MonkeyPatch
