Split the store feed and the test of its agreement by what they do

The list (worker_listing), the lines (store_notes) and the wire form of workers (store_wire) are modules of their own; the feed asks and takes in. The model of a store with four gateways (tests/chain/store_fleet.py) and the property over any schedule (test_store_schedules.py) left test_store_agreement.py.

--- a/src/trefoilpaddle/coordination/chain/store_feed.py
+++ b/src/trefoilpaddle/coordination/chain/store_feed.py
@@ -1,32 +1,28 @@
-"""Keeps a gateway's view of routes and workers in step with the store."""
+"""Reads the store for a gateway, and puts in force what it or a reader says."""
 
 import asyncio
 import time
-from collections import OrderedDict
-from collections.abc import Awaitable, Callable, Iterable
+from collections.abc import Awaitable, Callable
+from dataclasses import replace
 from typing import Final
 
 from absl import logging
 from result import Err, Ok
 
 from ...protocol.gen.chain.ttypes import StoreNews, StoreState
-from ...protocol.reasons import Reason
-from ...state.chain.workers import Worker, WorkerTable
-from ...state.journal import Decision, Event, Figure, Journal
+from ...state.chain.workers import WorkerTable
+from ...state.journal import Event, Journal
 from .published_store import (
     PublishedStore,
     PublishedTable,
     StoreChanges,
     StoreFault,
-    UnreadableEntry,
 )
+from .store_notes import StoreNotes
 from .store_readers import Missing, StoreReaders
-from .store_relay import (
-    StoreRelay,
-    changes_of,
-    listed_from_wire,
-    listed_to_wire,
-)
+from .store_relay import StoreRelay
+from .store_wire import changes_of_news, changes_of_state, listed_to_wire
+from .worker_listing import MS_PER_S, NOT_AWAY_MS, WorkerListing
 
 POLL_S: Final = 0.6
 """Time from one read to the next, counted from when they are asked for.
@@ -45,11 +41,6 @@
 Workers write again within about two seconds of the store's return.
 """
 
-MS_PER_S: Final = 1000.0
-
-NOT_AWAY_MS: Final = -1
-"""Told of a store that was not away lately."""
-
 MAX_DIFFERING: Final = 4
 """News in a row after which workers that differ are listed anew.
 
@@ -57,18 +48,11 @@
 by the reader; two readers tell 3.3 times a second.
 """
 
-
 FIRST_LIST: Final = "nothing is known yet"
 LOST_LIST: Final = "the store lost its history"
 DIFFERING_LIST: Final = "lists differ"
 """Why the whole store is asked for."""
 
-MAX_UNREADABLE: Final = 256
-"""Unreadable entries that are remembered, so that each is logged once.
-
-Whoever writes them may write them again with every heartbeat.
-"""
-
 
 class StoreFeed:
     """Reads the store and puts in force what it says.
@@ -94,30 +78,23 @@
 
     Attributes
     ----------
-    revision : int
-        Revision of the store up to which its changes are known.
     is_away : bool
         True while the store does not answer.
     """
 
     __slots__ = (
         "_ask_peers",
-        "_away_until_s",
         "_decode",
-        "_journal",
-        "_lapsed",
         "_list_reason",
+        "_listing",
         "_n_differing",
+        "_notes",
         "_on_table",
         "_read_s",
         "_readers",
         "_relay",
         "_store",
-        "_unreadable",
-        "_version",
-        "_workers",
         "is_away",
-        "revision",
     )
 
     def __init__(
@@ -139,22 +116,24 @@
         self._ask_peers = ask_peers
         self._decode = decode
         self._store = store
-        self._workers = workers
         self._on_table = on_table
-        self._journal = journal
-        self._version = 0
-        self._lapsed: dict[str, float] = {}
+        self._notes = StoreNotes(journal=journal)
+        self._listing = WorkerListing(
+            workers=workers, notes=self._notes, lapse_s=LAPSE_S
+        )
         self._list_reason = FIRST_LIST
-        self._unreadable: OrderedDict[str, str] = OrderedDict()
-        self._away_until_s = 0.0
         self._read_s = time.monotonic()
-        self.revision = 0
         self.is_away = False
 
+    @property
+    def revision(self) -> int:
+        """Revision of the store up to which its changes are known."""
+        return self._notes.revision
+
     @property
     def is_known(self) -> bool:
         """True once a route table is in force."""
-        return self._version > 0
+        return self._notes.version > 0
 
     async def run(self) -> None:
         """Read until cancelled."""
@@ -189,7 +168,7 @@
         """Read once; return True if the store answered."""
         asked_revision = self.revision
         if not asked_revision:
-            self._note_list()
+            self._notes.listed(self._list_reason)
             answer = await self._store.snapshot()
         else:
             answer = await self._store.changes(asked_revision)
@@ -214,8 +193,7 @@
                 self._readers.tell(self._news(base_revision, noticed))
                 return True
             case Err(StoreFault.HISTORY_LOST):
-                self.revision = 0
-                self._list_reason = LOST_LIST
+                self._need_list(LOST_LIST)
                 return await self.read_once()
             case Err(fault):
                 self._note_away(fault)
@@ -229,7 +207,7 @@
                 if published is not None:
                     self.take_table(published)
             if state.workers and state.revision > self.revision:
-                self._take(changes_of(state), is_whole=True)
+                self._take(changes_of_state(state), is_whole=True)
 
     def take_news(self, news: StoreNews) -> Missing | None:
         """Take what a reader has read; return what is missing since, or None.
@@ -242,72 +220,47 @@
         # finds entries that ran out meanwhile: not knowing that the store was
         # away, it dropped their workers at once, though they live.
         if news.back_ms > NOT_AWAY_MS:
-            back_s = time.monotonic() - news.back_ms / MS_PER_S
-            self._away_until_s = max(self._away_until_s, back_s)
+            self._listing.note_back(time.monotonic() - news.back_ms / MS_PER_S)
         if not self.revision:
             return Missing.LIST
         if news.base_revision > self.revision:
             return Missing.CHANGES
         # News name a newer table and do not hold it. Taken for known up to their
         # revision, this gateway would ask for what came after it, and miss it.
-        if news.version > self._version:
+        if news.version > self._notes.version:
             return Missing.TABLE
         self._note_back()
         if news.revision > self.revision:
-            workers = tuple(listed_from_wire(worker) for worker in news.workers)
-            changes = StoreChanges(
-                revision=news.revision,
-                workers=workers,
-                removed=tuple(news.removed),
-                unreadable=tuple(
-                    UnreadableEntry(worker_id=worker_id, problem="a reader says so")
-                    for worker_id in news.withdrawn
-                ),
-            )
-            self._take(changes, is_whole=False)
+            self._take(changes_of_news(news), is_whole=False)
         self._read_s = time.monotonic()
         return self._missing_of(news)
 
     def _missing_of(self, news: StoreNews) -> Missing | None:
-        if news.revision < self.revision or news.digest == self._listed_digest():
+        if news.revision < self.revision or news.digest == self._listing.digest:
             self._n_differing = 0
             return None
         self._n_differing += 1
         if self._n_differing < MAX_DIFFERING:
             return None
         self._n_differing = 0
-        self.revision = 0
-        self._list_reason = DIFFERING_LIST
+        self._need_list(DIFFERING_LIST)
         return Missing.LIST
 
-    def _listed_digest(self) -> int:
-        """Return the digest of the workers that the store lists.
-
-        Without those whose entries ran out and may come back. Each gateway knows
-        of another time of the store's return and keeps them until another, so
-        with them lists differed that were the same: 1.2 s after the return nearly
-        all gateways listed the store anew, and took no news until they had it.
-        """
-        digest = self._workers.digest
-        for worker_id in self._lapsed:
-            worker = self._workers.get(worker_id)
-            if worker is not None:
-                digest ^= worker.fingerprint()
-        return digest
+    def _need_list(self, reason: str) -> None:
+        self._notes.revision = 0
+        self._list_reason = reason
 
     def _news(self, base_revision: int, noticed: StoreChanges) -> StoreNews:
         """Return what to tell the others after a read."""
-        away_s = time.monotonic() - self._away_until_s
-        was_away = self._away_until_s > 0.0 and away_s < LAPSE_S
         return StoreNews(
             base_revision=base_revision,
             revision=noticed.revision,
-            version=self._version,
+            version=self._notes.version,
             workers=[listed_to_wire(worker) for worker in noticed.workers],
             removed=list(noticed.removed),
             withdrawn=[entry.worker_id for entry in noticed.unreadable],
-            digest=self._listed_digest(),
-            back_ms=int(away_s * MS_PER_S) if was_away else NOT_AWAY_MS,
+            digest=self._listing.digest,
+            back_ms=self._listing.back_ms(time.monotonic()),
         )
 
     def take_table(self, published: PublishedTable) -> bool:
@@ -315,13 +268,11 @@
         table = published.table
         # A read that was answered late, or a peer that lags, may bring an older
         # version; taking it would bring back routes and keys that are gone.
-        if table.version <= self._version:
+        if table.version <= self._notes.version:
             return False
-        self._version = table.version
+        self._notes.version = table.version
         self._relay.published = published
-        self._journal.record(
-            Decision(event=Event.CONFIG_IN_FORCE, config_revision=table.version)
-        )
+        self._notes.table_in_force()
         self._on_table(published)
         return True
 
@@ -329,88 +280,20 @@
         """Take changes in; return those of workers that others may not know."""
         if changes.table is not None:
             self.take_table(changes.table)
-        noticed: list[Worker] = []
-        returned = set(changes.returned)
-        for worker in changes.workers:
-            self._unreadable.pop(worker.worker_id, None)
-            was_lapsed = self._lapsed.pop(worker.worker_id, None) is not None
-            is_news = self._workers.put(worker)
-            if is_news:
-                self._note_worker(
-                    Event.TARGET_UP, worker.worker_id, is_leaving=worker.is_leaving
-                )
-            # An entry that was gone and is back between two reads is no news here.
-            # Others heard from another reader that it was gone, and what is told
-            # leads them past its return: named by nobody, the worker was dropped
-            # there. A whole list does not tell what was gone, so it names all.
-            is_back = is_whole or worker.worker_id in returned
-            if is_news or was_lapsed or is_back:
-                noticed.append(worker)
-        removed = set(changes.removed)
-        if is_whole:
-            listed = {worker.worker_id for worker in changes.workers}
-            removed |= set(self._workers.ids()) - listed
         now_s = time.monotonic()
-        self._withdraw(changes.unreadable)
-        for worker_id in removed:
-            if self._workers.get(worker_id) is not None:
-                self._lapsed.setdefault(worker_id, self._gone_s(now_s))
-        self._drop_lapsed(now_s)
-        self.revision = max(self.revision, changes.revision)
+        noticed = self._listing.take(changes, is_whole=is_whole, now_s=now_s)
+        self._notes.revision = max(self.revision, changes.revision)
         self._relay.revision = self.revision
-        return StoreChanges(
-            revision=self.revision,
-            workers=tuple(noticed),
-            removed=tuple(removed),
-            unreadable=changes.unreadable,
-        )
-
-    def _withdraw(self, entries: Iterable[UnreadableEntry]) -> None:
-        """Take away the workers whose entries cannot be read any more.
-
-        Another writer may have written them. What they said before cannot be
-        relied on, and the worker that it named may be gone.
-        """
-        for entry in entries:
-            if entry.worker_id and self._workers.get(entry.worker_id) is not None:
-                self._lapsed.pop(entry.worker_id, None)
-                self._workers.remove(entry.worker_id)
-            if self._unreadable.get(entry.worker_id) == entry.problem:
-                continue
-            self._unreadable[entry.worker_id] = entry.problem
-            while len(self._unreadable) > MAX_UNREADABLE:
-                self._unreadable.popitem(last=False)
-            self._journal.record(
-                Decision(
-                    event=Event.ENTRY_UNREADABLE,
-                    config_revision=self._version,
-                    peer=entry.worker_id,
-                    detail=entry.problem,
-                    figures=(Figure(name="store_revision", value=self.revision),),
-                )
-            )
-
-    def _gone_s(self, now_s: float) -> float:
-        """Return when a worker that is no longer listed is taken as gone.
-
-        At once, but for the seconds after the store was away: entries run out
-        meanwhile although their workers live, and come back when these write
-        again. Dropping them all would leave no worker at all for as long.
-        """
-        return max(now_s, self._away_until_s + LAPSE_S)
+        return replace(noticed, revision=self.revision)
 
     def _drop_lapsed(self, now_s: float) -> None:
-        for worker_id, gone_s in list(self._lapsed.items()):
-            if gone_s <= now_s:
-                del self._lapsed[worker_id]
-                self._workers.remove(worker_id)
-                self._note_worker(Event.TARGET_DOWN, worker_id, is_leaving=True)
+        self._listing.drop_lapsed(now_s)
 
     def _note_back(self) -> None:
         if not self.is_away:
             return
         self._set_away(False)
-        self._away_until_s = time.monotonic()
+        self._listing.note_back(time.monotonic())
         self._note_source(Event.CONFIG_SOURCE_BACK, "")
 
     def _note_away(self, fault: StoreFault) -> None:
@@ -423,38 +306,6 @@
         self.is_away = is_away
         self._relay.is_away = is_away
 
-    def _note_list(self) -> None:
-        self._journal.record(
-            Decision(
-                event=Event.STORE_LISTED,
-                config_revision=self._version,
-                detail=self._list_reason,
-            )
-        )
-
     def _note_source(self, event: Event, detail: str) -> None:
         age_s = time.monotonic() - self._read_s
-        self._journal.record(
-            Decision(
-                event=event,
-                config_revision=self._version,
-                detail=detail,
-                figures=(
-                    Figure(name="store_revision", value=self.revision),
-                    Figure(name="age_s", value=age_s),
-                ),
-            )
-        )
-
-    def _note_worker(self, event: Event, worker_id: str, *, is_leaving: bool) -> None:
-        worker = self._workers.get(worker_id)
-        self._journal.record(
-            Decision(
-                event=event,
-                config_revision=self._version,
-                peer=worker_id,
-                stage="" if worker is None else worker.service,
-                reason=Reason.LEAVING if is_leaving else Reason.NONE,
-                figures=(Figure(name="store_revision", value=self.revision),),
-            )
-        )
+        self._notes.source(event, detail, age_s=age_s)
--- a/src/trefoilpaddle/coordination/chain/store_relay.py
+++ b/src/trefoilpaddle/coordination/chain/store_relay.py
@@ -10,14 +10,15 @@
 
 from result import Err, Ok
 
-from ...protocol.gen.chain.ttypes import ListedWorker, StorePull, StoreState
+from ...protocol.gen.chain.ttypes import StorePull, StoreState
 from ...protocol.gen.stage.ttypes import Hello
-from ...state.chain.workers import Worker, WorkerTable
+from ...state.chain.workers import WorkerTable
 from ...state.members import MemberRecord
 from ...transport.connection import Address
 from ...transport.link import Link
 from ..own_process import OwnProcess
-from .published_store import PublishedTable, StoreChanges
+from .published_store import PublishedTable
+from .store_wire import listed_to_wire
 
 ASK_TIMEOUT_S: Final = 0.3
 """Longest wait for a peer; many times a message's way within a region."""
@@ -90,35 +91,3 @@
                 return state
             case _:
                 return None
-
-
-def changes_of(state: StoreState) -> StoreChanges:
-    """Return the workers that a peer lists, without its table."""
-    return StoreChanges(
-        revision=state.revision,
-        workers=tuple(listed_from_wire(worker) for worker in state.workers),
-    )
-
-
-def listed_to_wire(worker: Worker) -> ListedWorker:
-    """Return a listed worker as it is sent."""
-    return ListedWorker(
-        worker_id=worker.worker_id,
-        service_name=worker.service,
-        address=worker.address,
-        failure_domain=worker.failure_domain,
-        is_leaving=worker.is_leaving,
-        born_ms=worker.born_ms,
-    )
-
-
-def listed_from_wire(worker: ListedWorker) -> Worker:
-    """Return the worker that was sent."""
-    return Worker(
-        worker_id=worker.worker_id,
-        service=worker.service_name,
-        address=worker.address,
-        failure_domain=worker.failure_domain,
-        is_leaving=worker.is_leaving,
-        born_ms=worker.born_ms,
-    )
--- /dev/null
+++ b/src/trefoilpaddle/coordination/chain/worker_listing.py
@@ -0,0 +1,160 @@
+"""Keeps the table of workers as the store lists them, entry by entry."""
+
+from collections import OrderedDict
+from collections.abc import Iterable
+from typing import Final
+
+from ...state.chain.workers import Worker, WorkerTable
+from ...state.journal import Event
+from .published_store import StoreChanges, UnreadableEntry
+from .store_notes import StoreNotes
+
+MS_PER_S: Final = 1000.0
+
+NOT_AWAY_MS: Final = -1
+"""Told of a store that was not away lately."""
+
+MAX_UNREADABLE: Final = 256
+"""Unreadable entries that are remembered, so that each is logged once.
+
+Whoever writes them may write them again with every heartbeat.
+"""
+
+
+class WorkerListing:
+    """Takes in what is listed, and gives entries that ran out time to come back.
+
+    Parameters
+    ----------
+    workers : WorkerTable
+        Kept as the store lists them.
+    notes : StoreNotes
+        Takes what changes.
+    lapse_s : float
+        How long an entry that ran out while the store was away may take.
+    """
+
+    __slots__ = (
+        "_back_s",
+        "_lapse_s",
+        "_lapsed",
+        "_notes",
+        "_unreadable",
+        "_workers",
+    )
+
+    def __init__(
+        self, *, workers: WorkerTable, notes: StoreNotes, lapse_s: float
+    ) -> None:
+        self._workers = workers
+        self._notes = notes
+        self._lapse_s = lapse_s
+        self._lapsed: dict[str, float] = {}
+        self._unreadable: OrderedDict[str, str] = OrderedDict()
+        self._back_s = 0.0
+
+    @property
+    def digest(self) -> int:
+        """Digest of the workers that the store lists.
+
+        Without those whose entries ran out and may come back. Each gateway knows
+        of another time of the store's return and keeps them until another, so
+        with them lists differed that were the same: 1.2 s after the return nearly
+        all gateways listed the store anew, and took no news until they had it.
+        """
+        digest = self._workers.digest
+        for worker_id in self._lapsed:
+            worker = self._workers.get(worker_id)
+            if worker is not None:
+                digest ^= worker.fingerprint()
+        return digest
+
+    def note_back(self, back_s: float) -> None:
+        """Note that the store came back at a moment of the monotonic clock."""
+        self._back_s = max(self._back_s, back_s)
+
+    def back_ms(self, now_s: float) -> int:
+        """Return how long ago the store came back; -1 if it was not away."""
+        back_for_s = now_s - self._back_s
+        was_away = self._back_s > 0.0 and back_for_s < self._lapse_s
+        return int(back_for_s * MS_PER_S) if was_away else NOT_AWAY_MS
+
+    def take(
+        self, changes: StoreChanges, *, is_whole: bool, now_s: float
+    ) -> StoreChanges:
+        """Take changes in; return those that others may not know."""
+        noticed = self._put(changes, is_whole=is_whole)
+        removed = set(changes.removed)
+        if is_whole:
+            listed = {worker.worker_id for worker in changes.workers}
+            removed |= set(self._workers.ids()) - listed
+        self._withdraw(changes.unreadable)
+        for worker_id in removed:
+            if self._workers.get(worker_id) is not None:
+                self._lapsed.setdefault(worker_id, self._gone_s(now_s))
+        self.drop_lapsed(now_s)
+        return StoreChanges(
+            revision=changes.revision,
+            workers=noticed,
+            removed=tuple(removed),
+            unreadable=changes.unreadable,
+        )
+
+    def drop_lapsed(self, now_s: float) -> None:
+        """Drop the workers whose entries had the time to come back."""
+        for worker_id, gone_s in list(self._lapsed.items()):
+            if gone_s <= now_s:
+                del self._lapsed[worker_id]
+                self._workers.remove(worker_id)
+                self._note(Event.TARGET_DOWN, worker_id, is_leaving=True)
+
+    def _put(self, changes: StoreChanges, *, is_whole: bool) -> tuple[Worker, ...]:
+        """List workers; return those that others may not know as they are."""
+        noticed: list[Worker] = []
+        returned = set(changes.returned)
+        for worker in changes.workers:
+            self._unreadable.pop(worker.worker_id, None)
+            was_lapsed = self._lapsed.pop(worker.worker_id, None) is not None
+            is_news = self._workers.put(worker)
+            if is_news:
+                self._note(
+                    Event.TARGET_UP, worker.worker_id, is_leaving=worker.is_leaving
+                )
+            # An entry that was gone and is back between two reads is no news here.
+            # Others heard from another reader that it was gone, and what is told
+            # leads them past its return: named by nobody, the worker was dropped
+            # there. A whole list does not tell what was gone, so it names all.
+            is_back = is_whole or worker.worker_id in returned
+            if is_news or was_lapsed or is_back:
+                noticed.append(worker)
+        return tuple(noticed)
+
+    def _withdraw(self, entries: Iterable[UnreadableEntry]) -> None:
+        """Take away the workers whose entries cannot be read any more.
+
+        Another writer may have written them. What they said before cannot be
+        relied on, and the worker that it named may be gone.
+        """
+        for entry in entries:
+            if entry.worker_id and self._workers.get(entry.worker_id) is not None:
+                self._lapsed.pop(entry.worker_id, None)
+                self._workers.remove(entry.worker_id)
+            if self._unreadable.get(entry.worker_id) == entry.problem:
+                continue
+            self._unreadable[entry.worker_id] = entry.problem
+            while len(self._unreadable) > MAX_UNREADABLE:
+                self._unreadable.popitem(last=False)
+            self._notes.unreadable(entry)
+
+    def _gone_s(self, now_s: float) -> float:
+        """Return when a worker that is no longer listed is taken as gone.
+
+        At once, but for the seconds after the store was away: entries run out
+        meanwhile although their workers live, and come back when these write
+        again. Dropping them all would leave no worker at all for as long.
+        """
+        return max(now_s, self._back_s + self._lapse_s)
+
+    def _note(self, event: Event, worker_id: str, *, is_leaving: bool) -> None:
+        known = self._workers.get(worker_id)
+        self._notes.worker(event, worker_id, known, is_leaving=is_leaving)
--- /dev/null
+++ b/tests/chain/store_fleet.py
@@ -0,0 +1,247 @@
+"""A store and gateways that tell one another of it, one step after the other."""
+
+from collections import deque
+from collections.abc import Coroutine, Generator, Iterator
+from contextlib import contextmanager
+from dataclasses import replace
+from types import SimpleNamespace
+from typing import Any, Final
+
+import pytest
+from result import Err, Ok
+
+from trefoilpaddle.coordination.chain import store_feed, store_readers
+from trefoilpaddle.coordination.chain.published_store import StoreChanges, StoreFault
+from trefoilpaddle.coordination.chain.store_feed import StoreFeed
+from trefoilpaddle.coordination.chain.store_readers import StoreReaders
+from trefoilpaddle.coordination.chain.store_relay import StoreRelay
+from trefoilpaddle.protocol.gen.chain.ttypes import StoreNews, StoreState
+from trefoilpaddle.state.chain.workers import Worker, WorkerTable
+from trefoilpaddle.state.members import MemberRecord
+from trefoilpaddle.transport.connection import Address
+
+from .fakes import journal, process, worker
+from .test_chain_router import member
+from .test_store_feed import Answer, published
+
+IDS: Final = ("w1", "w2", "w3")
+NAMES: Final = ("a", "b", "c", "d")
+"""Gateways in the order in which they read for the others."""
+
+PORTS: Final = {name: number for number, name in enumerate(NAMES, 1)}
+GROUP: Final = [
+    replace(member(name, number), address=f"127.0.0.1:{number}")
+    for name, number in PORTS.items()
+]
+N_ROUNDS: Final = 16
+"""Rounds of reading after the last fault; twice what lists made anew take."""
+
+
+class Held:
+    """Waits until the one who drives the read goes on with it."""
+
+    def __await__(self) -> Generator[None, None, None]:
+        yield
+
+
+class Store:
+    """Entries and events; an answer tells of the moment at which it was asked."""
+
+    def __init__(self) -> None:
+        self.revision = 1
+        self.entries = {worker_id: worker(worker_id) for worker_id in IDS}
+        self.events: list[tuple[int, str, Worker | None]] = []
+        self.forgotten = 0
+        self.away_from: set[str] = set()
+
+    def write(self, worker_id: str) -> None:
+        """Write an entry; a worker that only says that it lives changes nothing."""
+        if worker_id not in self.entries:
+            self.entries[worker_id] = worker(worker_id)
+            self._note(worker_id)
+
+    def lapse(self, worker_id: str) -> None:
+        """Remove an entry that ran out."""
+        if self.entries.pop(worker_id, None) is not None:
+            self._note(worker_id)
+
+    def forget(self) -> None:
+        """Lose the history."""
+        self.forgotten = self.revision
+        self.events.clear()
+
+    def _note(self, worker_id: str) -> None:
+        self.revision += 1
+        self.events.append((self.revision, worker_id, self.entries.get(worker_id)))
+
+    def listed(self) -> StoreChanges:
+        """Return all entries."""
+        return StoreChanges(
+            revision=self.revision,
+            table=published(1),
+            workers=tuple(self.entries.values()),
+        )
+
+    def since(self, after: int) -> Answer:
+        """Return the changes after a revision as the platform's client does."""
+        if after < self.forgotten:
+            return Err(StoreFault.HISTORY_LOST)
+        events = [event for event in self.events if event[0] > after]
+        last = {i: entry for _, i, entry in events}
+        gone = {i for _, i, entry in events if entry is None}
+        return Ok(
+            StoreChanges(
+                revision=self.revision,
+                workers=tuple(entry for entry in last.values() if entry is not None),
+                removed=tuple(i for i, entry in last.items() if entry is None),
+                returned=tuple(i for i in gone if last[i] is not None),
+            )
+        )
+
+
+class Gateway:
+    """One gateway's feed; it reads when it is told to, in two steps."""
+
+    def __init__(self, name: str, fleet: "Fleet") -> None:
+        own = process(name)
+        own.peers = SimpleNamespace(link=self._link)  # type: ignore[assignment]
+        self.name = name
+        self.fleet = fleet
+        self.members: list[MemberRecord] = list(GROUP)
+        self.workers = WorkerTable()
+        self.n_lists = 0
+        self.reading: Coroutine[Any, Any, bool] | None = None
+        self.readers = StoreReaders(process=own, live=lambda: self.members)
+        self.feed = StoreFeed(
+            store=self,
+            workers=self.workers,
+            on_table=lambda _: None,
+            journal=journal(),
+            relay=StoreRelay(process=own, workers=self.workers),
+            readers=self.readers,
+            ask_peers=self._ask,
+            decode=lambda data: published(int(data)),
+        )
+
+    async def _ask(self) -> list[StoreState]:
+        return []
+
+    def _link(self, address: Address) -> SimpleNamespace:
+        other = NAMES[address.port - 1]
+        way = self.fleet.ways[self.name, other]
+        return SimpleNamespace(send=way.append)
+
+    async def snapshot(self) -> Answer:
+        """Return all entries as they are when asked."""
+        self.n_lists += 1
+        answer: Answer = Ok(self.fleet.store.listed())
+        await Held()
+        return self._unless_away(answer)
+
+    async def changes(self, after: int) -> Answer:
+        """Return the changes as they are when asked."""
+        answer = self.fleet.store.since(after)
+        await Held()
+        return self._unless_away(answer)
+
+    def _unless_away(self, answer: Answer) -> Answer:
+        if self.name in self.fleet.store.away_from:
+            return Err(StoreFault.SILENT)
+        return answer
+
+    def begin(self) -> None:
+        """Ask the store, unless an answer is on its way."""
+        if self.reading is None:
+            self.reading = self.feed._read_any()
+            self.reading.send(None)
+
+    def go_on(self) -> None:
+        """Let the answer come."""
+        if self.reading is None:
+            return
+        try:
+            self.reading.send(None)
+        except StopIteration:
+            self.reading = None
+            self.readers.note_read()
+
+    def read(self) -> None:
+        """Read to the end."""
+        self.begin()
+        while self.reading is not None:
+            self.go_on()
+
+
+class Fleet:
+    """A store and four gateways; nothing happens but what a test says."""
+
+    def __init__(self) -> None:
+        self.now_s = 1000.0
+        self.store = Store()
+        self.ways: dict[tuple[str, str], deque[StoreNews]] = {
+            (one, other): deque() for one in NAMES for other in NAMES if one != other
+        }
+        self.by_name = {name: Gateway(name, self) for name in NAMES}
+
+    def monotonic(self) -> float:
+        """Return the time of all gateways."""
+        return self.now_s
+
+    def start(self) -> None:
+        """Let all read once, and hear of it."""
+        for gateway in self.by_name.values():
+            gateway.read()
+        self.deliver_all()
+
+    def deliver(self, one: str, other: str) -> None:
+        """Let the oldest news on a way arrive."""
+        if self.ways[one, other]:
+            news = self.ways[one, other].popleft()
+            self.by_name[other].readers._on_message(None, news)  # type: ignore[arg-type]
+
+    def deliver_all(self) -> None:
+        """Let all news arrive, oldest first on each way."""
+        for one, other in self.ways:
+            while self.ways[one, other]:
+                self.deliver(one, other)
+
+    def lose(self, one: str, other: str) -> None:
+        """Lose all news on a way."""
+        if one != other:
+            self.ways[one, other].clear()
+
+    def settle(self) -> None:
+        """Mend all, then let time pass and gateways read as their turns say."""
+        self.store.away_from.clear()
+        for worker_id in IDS:
+            self.store.write(worker_id)
+        for gateway in self.by_name.values():
+            gateway.members = list(GROUP)
+            while gateway.reading is not None:
+                gateway.go_on()
+        for _ in range(N_ROUNDS):
+            self.deliver_all()
+            self.now_s += store_feed.POLL_S
+            for gateway in self.by_name.values():
+                gateway.feed._drop_lapsed(self.now_s)
+                if not gateway.feed.revision or gateway.readers.must_read():
+                    gateway.read()
+            self.deliver_all()
+
+    def known(self) -> dict[str, list[str]]:
+        """Return the workers that each gateway has."""
+        return {
+            name: sorted(gateway.workers.ids())
+            for name, gateway in self.by_name.items()
+        }
+
+
+@contextmanager
+def fleet() -> Iterator[Fleet]:
+    """Yield gateways that have all read the store, on a clock of their own."""
+    made = Fleet()
+    with pytest.MonkeyPatch.context() as patch:
+        for module in (store_feed, store_readers):
+            patch.setattr(module, "time", made)
+        made.start()
+        yield made
