Tell with the news what a newer table adds to the one before

Cause: news named a newer table and did not hold it, so all gateways read the store for it at once, and one that is cut off asked the store in vain for up to seconds and took no other news meanwhile.

A reader that has read a newer table now tells it as its difference from the one before (table_change.py; bytes, cut where objects end). A table is taken also from news that cannot be used for workers. One that cannot be decoded here, though its checksum is right, is not asked for again with all news. Older gateways pass over the new field (tested) and read the store; from older readers there is none, and newer gateways read it too.

Ruled out: the whole table in the news.

--- a/idl/chain.thrift
+++ b/idl/chain.thrift
@@ -110,15 +110,30 @@
   5: bool is_away = false        // the answering side cannot read the store
 }
 
+// Bytes of a table: some of the one before, then some that are new.
+struct TablePiece {
+  1: i32 from_byte = 0
+  2: i32 n_bytes = 0
+  3: binary added = ""
+}
+
+// What makes the newest table out of the one before it.
+struct TableChange {
+  1: i64 base_version = 0
+  2: i64 checksum = 0            // of the newest table's bytes
+  3: list<TablePiece> pieces = []
+}
+
 // Without an answer: what a gateway that reads the store for others has just
 // read. Sent after each read, also if nothing has changed.
 struct StoreNews {
   1: i64 base_revision = 0       // what has changed since is in here
   2: i64 revision = 0
-  3: i64 version = 0             // of the newest table; who lacks it reads it
+  3: i64 version = 0             // of the newest table
   4: list<ListedWorker> workers = []
   5: list<string> removed = []
   6: i64 digest = 0              // over all listed workers
   7: i32 back_ms = -1            // since the store came back; -1 if it was not away
   8: list<string> withdrawn = [] // ids whose entries cannot be read any more
+  9: optional TableChange table  // set if just read; who cannot use it reads the store
 }
--- a/src/trefoilpaddle/coordination/chain/store_feed.py
+++ b/src/trefoilpaddle/coordination/chain/store_feed.py
@@ -9,7 +9,7 @@
 from absl import logging
 from result import Err, Ok
 
-from ...protocol.gen.chain.ttypes import StoreNews, StoreState
+from ...protocol.gen.chain.ttypes import StoreNews, StoreState, TableChange
 from ...state.chain.workers import WorkerTable
 from ...state.journal import Event, Journal
 from .published_store import (
@@ -22,6 +22,7 @@
 from .store_readers import Missing, StoreReaders
 from .store_relay import StoreRelay
 from .store_wire import changes_of_news, changes_of_state, listed_to_wire
+from .table_change import change_between, changed_data
 from .worker_listing import MS_PER_S, NOT_AWAY_MS, WorkerListing
 
 POLL_S: Final = 0.6
@@ -94,6 +95,7 @@
         "_readers",
         "_relay",
         "_store",
+        "_unreadable_version",
         "is_away",
     )
 
@@ -122,6 +124,7 @@
             workers=workers, notes=self._notes, lapse_s=LAPSE_S
         )
         self._list_reason = FIRST_LIST
+        self._unreadable_version = 0
         self._read_s = time.monotonic()
         self.is_away = False
 
@@ -188,9 +191,12 @@
                         revision=changes.revision, table=changes.table
                     )
                 base_revision = self._relay.revision
+                base_table = self._relay.published
                 noticed = self._take(changes, is_whole=not asked_revision)
                 self._read_s = time.monotonic()
-                self._readers.tell(self._news(base_revision, noticed))
+                news = self._news(base_revision, noticed)
+                news.table = self._table_change(base_table)
+                self._readers.tell(news)
                 return True
             case Err(StoreFault.HISTORY_LOST):
                 self._need_list(LOST_LIST)
@@ -221,13 +227,16 @@
         # away, it dropped their workers at once, though they live.
         if news.back_ms > NOT_AWAY_MS:
             self._listing.note_back(time.monotonic() - news.back_ms / MS_PER_S)
+        # A table does not rest on what is known of workers. Left aside with news
+        # that cannot be used, it came to a gateway that is cut off seconds later.
+        has_table = self._take_told_table(news)
         if not self.revision:
             return Missing.LIST
         if news.base_revision > self.revision:
             return Missing.CHANGES
-        # News name a newer table and do not hold it. Taken for known up to their
-        # revision, this gateway would ask for what came after it, and miss it.
-        if news.version > self._notes.version:
+        # Taken for known up to the revision of these news, this gateway would ask
+        # the store for what came after it, and never get the table.
+        if not has_table:
             return Missing.TABLE
         self._note_back()
         if news.revision > self.revision:
@@ -235,6 +244,31 @@
         self._read_s = time.monotonic()
         return self._missing_of(news)
 
+    def _take_told_table(self, news: StoreNews) -> bool:
+        """Put the table of news in force; return False if it is still missing."""
+        if news.version <= max(self._notes.version, self._unreadable_version):
+            return True
+        base = self._relay.published
+        if news.table is None or base is None:
+            return False
+        data = changed_data(base, news.table)
+        if data is None:
+            return False
+        published = self._decode(data)
+        if published is not None:
+            return self.take_table(published)
+        # These are the published bytes, and the store has no others. Asked for
+        # with all news that name them, it would be read three times a second.
+        self._unreadable_version = news.version
+        return True
+
+    def _table_change(self, base: PublishedTable | None) -> TableChange | None:
+        """Return what makes the newest table out of `base`, if it is newer."""
+        newest = self._relay.published
+        if base is None or newest is None or newest is base:
+            return None
+        return change_between(base, newest)
+
     def _missing_of(self, news: StoreNews) -> Missing | None:
         if news.revision < self.revision or news.digest == self._listing.digest:
             self._n_differing = 0
--- a/src/trefoilpaddle/protocol/gen/chain/ttypes.py
+++ b/src/trefoilpaddle/protocol/gen/chain/ttypes.py
@@ -1626,6 +1626,203 @@
         return not (self == other)
 
 
+class TablePiece(object):
+    """
+    Attributes:
+     - from_byte
+     - n_bytes
+     - added
+
+    """
+
+    __slots__ = (
+        'from_byte',
+        'n_bytes',
+        'added',
+    )
+
+
+    def __init__(self, from_byte=0, n_bytes=0, added=b"",):
+        self.from_byte = from_byte
+        self.n_bytes = n_bytes
+        self.added = added
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.I32:
+                    self.from_byte = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.I32:
+                    self.n_bytes = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.STRING:
+                    self.added = iprot.readBinary()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('TablePiece')
+        if self.from_byte is not None:
+            oprot.writeFieldBegin('from_byte', TType.I32, 1)
+            oprot.writeI32(self.from_byte)
+            oprot.writeFieldEnd()
+        if self.n_bytes is not None:
+            oprot.writeFieldBegin('n_bytes', TType.I32, 2)
+            oprot.writeI32(self.n_bytes)
+            oprot.writeFieldEnd()
+        if self.added is not None:
+            oprot.writeFieldBegin('added', TType.STRING, 3)
+            oprot.writeBinary(self.added)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class TableChange(object):
+    """
+    Attributes:
+     - base_version
+     - checksum
+     - pieces
+
+    """
+
+    __slots__ = (
+        'base_version',
+        'checksum',
+        'pieces',
+    )
+
+
+    def __init__(self, base_version=0, checksum=0, pieces=[
+    ],):
+        self.base_version = base_version
+        self.checksum = checksum
+        if pieces is self.thrift_spec[3][4]:
+            pieces = [
+            ]
+        self.pieces = pieces
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.I64:
+                    self.base_version = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.I64:
+                    self.checksum = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.LIST:
+                    self.pieces = []
+                    (_etype80, _size77) = iprot.readListBegin()
+                    for _i81 in range(_size77):
+                        _elem82 = TablePiece()
+                        _elem82.read(iprot)
+                        self.pieces.append(_elem82)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('TableChange')
+        if self.base_version is not None:
+            oprot.writeFieldBegin('base_version', TType.I64, 1)
+            oprot.writeI64(self.base_version)
+            oprot.writeFieldEnd()
+        if self.checksum is not None:
+            oprot.writeFieldBegin('checksum', TType.I64, 2)
+            oprot.writeI64(self.checksum)
+            oprot.writeFieldEnd()
+        if self.pieces is not None:
+            oprot.writeFieldBegin('pieces', TType.LIST, 3)
+            oprot.writeListBegin(TType.STRUCT, len(self.pieces))
+            for iter83 in self.pieces:
+                iter83.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
 class StoreNews(object):
     """
     Attributes:
@@ -1637,6 +1834,7 @@
      - digest
      - back_ms
      - withdrawn
+     - table
 
     """
 
@@ -1649,13 +1847,14 @@
         'digest',
         'back_ms',
         'withdrawn',
+        'table',
     )
 
 
     def __init__(self, base_revision=0, revision=0, version=0, workers=[
     ], removed=[
     ], digest=0, back_ms=-1, withdrawn=[
-    ],):
+    ], table=None,):
         self.base_revision = base_revision
         self.revision = revision
         self.version = version
@@ -1673,6 +1872,7 @@
             withdrawn = [
             ]
         self.withdrawn = withdrawn
+        self.table = table
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -1701,21 +1901,21 @@
             elif fid == 4:
                 if ftype == TType.LIST:
                     self.workers = []
-                    (_etype80, _size77) = iprot.readListBegin()
-                    for _i81 in range(_size77):
-                        _elem82 = ListedWorker()
-                        _elem82.read(iprot)
-                        self.workers.append(_elem82)
+                    (_etype87, _size84) = iprot.readListBegin()
+                    for _i88 in range(_size84):
+                        _elem89 = ListedWorker()
+                        _elem89.read(iprot)
+                        self.workers.append(_elem89)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 5:
                 if ftype == TType.LIST:
                     self.removed = []
-                    (_etype86, _size83) = iprot.readListBegin()
-                    for _i87 in range(_size83):
-                        _elem88 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        self.removed.append(_elem88)
+                    (_etype93, _size90) = iprot.readListBegin()
+                    for _i94 in range(_size90):
+                        _elem95 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.removed.append(_elem95)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -1732,13 +1932,19 @@
             elif fid == 8:
                 if ftype == TType.LIST:
                     self.withdrawn = []
-                    (_etype92, _size89) = iprot.readListBegin()
-                    for _i93 in range(_size89):
-                        _elem94 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        self.withdrawn.append(_elem94)
+                    (_etype99, _size96) = iprot.readListBegin()
+                    for _i100 in range(_size96):
+                        _elem101 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.withdrawn.append(_elem101)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
+            elif fid == 9:
+                if ftype == TType.STRUCT:
+                    self.table = TableChange()
+                    self.table.read(iprot)
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -1764,15 +1970,15 @@
         if self.workers is not None:
             oprot.writeFieldBegin('workers', TType.LIST, 4)
             oprot.writeListBegin(TType.STRUCT, len(self.workers))
-            for iter95 in self.workers:
-                iter95.write(oprot)
+            for iter102 in self.workers:
+                iter102.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.removed is not None:
             oprot.writeFieldBegin('removed', TType.LIST, 5)
             oprot.writeListBegin(TType.STRING, len(self.removed))
-            for iter96 in self.removed:
-                oprot.writeString(iter96.encode('utf-8') if sys.version_info[0] == 2 else iter96)
+            for iter103 in self.removed:
+                oprot.writeString(iter103.encode('utf-8') if sys.version_info[0] == 2 else iter103)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.digest is not None:
@@ -1786,10 +1992,14 @@
         if self.withdrawn is not None:
             oprot.writeFieldBegin('withdrawn', TType.LIST, 8)
             oprot.writeListBegin(TType.STRING, len(self.withdrawn))
-            for iter97 in self.withdrawn:
-                oprot.writeString(iter97.encode('utf-8') if sys.version_info[0] == 2 else iter97)
+            for iter104 in self.withdrawn:
+                oprot.writeString(iter104.encode('utf-8') if sys.version_info[0] == 2 else iter104)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
+        if self.table is not None:
+            oprot.writeFieldBegin('table', TType.STRUCT, 9)
+            self.table.write(oprot)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -1938,6 +2148,21 @@
     ], ),  # 4
     (5, TType.BOOL, 'is_away', None, False, ),  # 5
 )
+all_structs.append(TablePiece)
+TablePiece.thrift_spec = (
+    None,  # 0
+    (1, TType.I32, 'from_byte', None, 0, ),  # 1
+    (2, TType.I32, 'n_bytes', None, 0, ),  # 2
+    (3, TType.STRING, 'added', 'BINARY', b"", ),  # 3
+)
+all_structs.append(TableChange)
+TableChange.thrift_spec = (
+    None,  # 0
+    (1, TType.I64, 'base_version', None, 0, ),  # 1
+    (2, TType.I64, 'checksum', None, 0, ),  # 2
+    (3, TType.LIST, 'pieces', (TType.STRUCT, [TablePiece, None], False), [
+    ], ),  # 3
+)
 all_structs.append(StoreNews)
 StoreNews.thrift_spec = (
     None,  # 0
@@ -1952,6 +2177,7 @@
     (7, TType.I32, 'back_ms', None, -1, ),  # 7
     (8, TType.LIST, 'withdrawn', (TType.STRING, 'UTF8', False), [
     ], ),  # 8
+    (9, TType.STRUCT, 'table', [TableChange, None], None, ),  # 9
 )
 fix_spec(all_structs)
 del all_structs
--- a/src/trefoilpaddle/protocol/gen/chain/ttypes.pyi
+++ b/src/trefoilpaddle/protocol/gen/chain/ttypes.pyi
@@ -86,6 +86,16 @@
     workers: list[ListedWorker]
     is_away: bool
     def __init__(self, *, revision: int = ..., version: int = ..., data: bytes = ..., workers: list[ListedWorker] = ..., is_away: bool = ...) -> None: ...
+class TablePiece:
+    from_byte: int
+    n_bytes: int
+    added: bytes
+    def __init__(self, *, from_byte: int = ..., n_bytes: int = ..., added: bytes = ...) -> None: ...
+class TableChange:
+    base_version: int
+    checksum: int
+    pieces: list[TablePiece]
+    def __init__(self, *, base_version: int = ..., checksum: int = ..., pieces: list[TablePiece] = ...) -> None: ...
 class StoreNews:
     base_revision: int
     revision: int
@@ -95,4 +105,5 @@
     digest: int
     back_ms: int
     withdrawn: list[str]
-    def __init__(self, *, base_revision: int = ..., revision: int = ..., version: int = ..., workers: list[ListedWorker] = ..., removed: list[str] = ..., digest: int = ..., back_ms: int = ..., withdrawn: list[str] = ...) -> None: ...
+    table: TableChange | None
+    def __init__(self, *, base_revision: int = ..., revision: int = ..., version: int = ..., workers: list[ListedWorker] = ..., removed: list[str] = ..., digest: int = ..., back_ms: int = ..., withdrawn: list[str] = ..., table: TableChange | None = ...) -> None: ...
--- a/tests/chain/test_store_readers.py
+++ b/tests/chain/test_store_readers.py
@@ -6,9 +6,12 @@
 
 import pytest
 from result import Err, Ok
+from thrift.protocol.TCompactProtocol import TCompactProtocolAccelerated
+from thrift.transport.TTransport import TMemoryBuffer
 
 from trefoilpaddle.coordination.chain import store_feed, store_readers
 from trefoilpaddle.coordination.chain.published_store import (
+    PublishedTable,
     StoreChanges,
     StoreFault,
     UnreadableEntry,
@@ -16,8 +19,10 @@
 from trefoilpaddle.coordination.chain.store_feed import StoreFeed
 from trefoilpaddle.coordination.chain.store_readers import N_READERS, StoreReaders
 from trefoilpaddle.coordination.chain.store_relay import StoreRelay
-from trefoilpaddle.protocol.frames import Message
+from trefoilpaddle.coordination.chain.table_change import change_between
+from trefoilpaddle.protocol.frames import HEADER, Message, encode
 from trefoilpaddle.protocol.gen.chain.ttypes import ListedWorker, StoreNews, StoreState
+from trefoilpaddle.state.chain.routes import RouteTable
 from trefoilpaddle.state.chain.workers import WorkerTable
 from trefoilpaddle.state.members import MemberRecord
 from trefoilpaddle.transport.connection import Address
@@ -98,6 +103,10 @@
     return StoreNews(base_revision=base, revision=revision, **(known | fields))  # type: ignore[arg-type]
 
 
+def _compact(data: bytes) -> TCompactProtocolAccelerated:
+    return TCompactProtocolAccelerated(TMemoryBuffer(data), fallback=False)
+
+
 GROUP = [member(name, number) for number, name in enumerate("abcd")]
 FIRST = changes(1, "w1", "w2", table=published(5))
 
@@ -207,6 +216,72 @@
         assert rig.tables == [5, 6]
         assert rig.store.asked == [0, 1]
 
+    async def test_a_newer_table_that_is_told_is_in_force_at_once(self) -> None:
+        rig = await follower()
+        change = change_between(published(5), published(6))
+        rig.hear(news(rig, 1, 2, version=6, table=change))
+        assert rig.tables == [5, 6]
+        assert not rig.readers.must_read()
+
+    async def test_a_change_of_another_table_sends_it_to_the_store(self) -> None:
+        # News of a version before were lost, with the connection on which they
+        # were. What these add is added to a table that is not here.
+        rig = await follower(changes(2, table=published(7)))
+        change = change_between(published(6), published(7))
+        rig.hear(news(rig, 1, 2, version=7, table=change))
+        assert rig.tables == [5]
+        assert rig.readers.must_read()
+        await rig.feed.read_once()
+        assert rig.tables == [5, 7]
+
+    async def test_a_table_is_taken_from_news_that_cannot_be_used(self) -> None:
+        # News of workers were lost, and the store turns this gateway away. A key
+        # is revoked with the next news.
+        rig = await follower()
+        change = change_between(published(5), published(6))
+        rig.hear(news(rig, 3, 4, version=6, table=change))
+        assert rig.tables == [5, 6]
+        assert rig.readers.must_read()
+
+    async def test_a_table_that_cannot_be_decoded_keeps_nothing_else_away(
+        self,
+    ) -> None:
+        # In a rolling restart the readers know a kind of route that this gateway
+        # does not. It read the store for it with all news, and took none of them.
+        rig = await follower()
+        unknown = PublishedTable(table=RouteTable(version=6), data=b"unknown")
+        change = change_between(published(5), unknown)
+        rig.feed._decode = lambda _: None
+        for revision in (2, 3):
+            told = news(rig, revision - 1, revision, version=6, table=change)
+            told.removed = ["w1"]
+            told.digest = 0
+            rig.hear(told)
+            change = None
+        assert rig.workers.ids() == ["w2"]
+        assert rig.tables == [5]
+        assert not rig.readers.must_read()
+
+    async def test_a_reader_tells_what_a_newer_table_adds(self) -> None:
+        rig = Rig("a", GROUP, FIRST, changes(2, table=published(6)), changes(3))
+        for _ in range(3):
+            await rig.feed.read_once()
+        told = [each.table for each in rig.peers.sent[:: len(GROUP) - 1]]
+        assert told == [None, change_between(published(5), published(6)), None]
+
+    async def test_older_gateways_can_read_it(self) -> None:
+        # In a rolling restart readers and the others are of two versions. One that
+        # does not know the newest field passes over it, and reads the store.
+        class OlderNews(StoreNews):
+            thrift_spec = StoreNews.thrift_spec[:9]  # type: ignore[attr-defined]
+
+        change = change_between(published(5), published(6))
+        told = StoreNews(base_revision=1, revision=2, version=6, table=change)
+        heard = OlderNews()
+        heard.read(_compact(encode(told)[HEADER.size :]))  # type: ignore[attr-defined]
+        assert (heard.base_revision, heard.revision, heard.version) == (1, 2, 6)
+        assert heard.table is None
+
     async def test_workers_that_go_on_differing_are_listed_anew(
         self, monkeypatch: pytest.MonkeyPatch
     ) -> None:
