Show what peers miss to tell a gateway that is cut off from the store

A gateway that is cut off and needs the whole list asks the store for up to three seconds before it asks peers, and takes no news meanwhile; asked at the revision that it has, peers do not send the list at all. Peers tell of workers whose entries ran out, and may come back, as of listed ones.

--- a/src/trefoilpaddle/coordination/chain/store_relay.py
+++ b/src/trefoilpaddle/coordination/chain/store_relay.py
@@ -83,10 +83,13 @@
                     continue
         return states
 
-    async def _ask(self, link: Link) -> StoreState | None:
+    def question(self) -> StorePull:
+        """Return what peers are asked, with how far this gateway's view has got."""
         version = 0 if self.published is None else self.published.table.version
-        question = StorePull(revision=self.revision, version=version)
-        match await link.ask(question, timeout_s=ASK_TIMEOUT_S):
+        return StorePull(revision=self.revision, version=version)
+
+    async def _ask(self, link: Link) -> StoreState | None:
+        match await link.ask(self.question(), timeout_s=ASK_TIMEOUT_S):
             case Ok(StoreState() as state):
                 return state
             case _:
--- a/tests/chain/store_fleet.py
+++ b/tests/chain/store_fleet.py
@@ -16,6 +16,7 @@
 from trefoilpaddle.coordination.chain.store_readers import StoreReaders
 from trefoilpaddle.coordination.chain.store_relay import StoreRelay
 from trefoilpaddle.protocol.gen.chain.ttypes import StoreNews, StoreState
+from trefoilpaddle.protocol.gen.stage.ttypes import Hello
 from trefoilpaddle.state.chain.workers import Worker, WorkerTable
 from trefoilpaddle.state.members import MemberRecord
 from trefoilpaddle.transport.connection import Address
@@ -112,19 +113,22 @@
         self.n_lists = 0
         self.reading: Coroutine[Any, Any, bool] | None = None
         self.readers = StoreReaders(process=own, live=lambda: self.members)
+        self.relay = StoreRelay(process=own, workers=self.workers)
         self.feed = StoreFeed(
             store=self,
             workers=self.workers,
             on_table=lambda _: None,
             journal=journal(),
-            relay=StoreRelay(process=own, workers=self.workers),
+            relay=self.relay,
             readers=self.readers,
             ask_peers=self._ask,
             decode=lambda data: published(int(data)),
         )
 
     async def _ask(self) -> list[StoreState]:
-        return []
+        others = [g for g in self.fleet.by_name.values() if g is not self]
+        question = self.relay.question()
+        return [await other.relay.answer(question, Hello()) for other in others]
 
     def _link(self, address: Address) -> SimpleNamespace:
         other = NAMES[address.port - 1]
--- a/tests/chain/store_network.py
+++ b/tests/chain/store_network.py
@@ -167,7 +167,7 @@
         self.is_dark = False
         self.sent_bytes = 0
         self.version = 0
-        self._timeout_s = FIRST_TIMEOUT_S
+        self.timeout_s = FIRST_TIMEOUT_S
         self.workers = WorkerTable()
         self.notes = journal()
         self.relay = StoreRelay(process=own, workers=self.workers)
@@ -198,11 +198,11 @@
     async def _read(self, answer: StoreChanges) -> Answer:
         self.network.n_reads[self.name] += 1
         if self.is_cut_off:
-            await asyncio.sleep(self._timeout_s)
-            self._timeout_s = min(LAST_TIMEOUT_S, 2 * self._timeout_s)
+            await asyncio.sleep(self.timeout_s)
+            self.timeout_s = min(LAST_TIMEOUT_S, 2 * self.timeout_s)
             return Err(StoreFault.SILENT)
         await asyncio.sleep(READ_S)
-        self._timeout_s = FIRST_TIMEOUT_S
+        self.timeout_s = FIRST_TIMEOUT_S
         return Ok(answer)
 
     def _link(self, address: Address) -> Link:
--- a/tests/chain/test_store_agreement.py
+++ b/tests/chain/test_store_agreement.py
@@ -189,3 +189,27 @@
             assert {
                 name: each.n_lists for name, each in made.by_name.items()
             } == n_lists
+
+
+class TestAskedPeers:
+    async def test_a_worker_that_may_come_back_is_not_taken_as_listed(self) -> None:
+        # The store is away, and an entry runs out. It is back for one gateway,
+        # which gives that entry its seconds to come back. Another, still cut off,
+        # asks the first, and was told of the worker as of all others: it kept it
+        # for good, until some news showed that their lists differ.
+        with fleet() as made:
+            first, last = made.by_name["a"], made.by_name["d"]
+            made.store.away_from.update(NAMES)
+            first.read()
+            made.store.lapse("w1")
+            made.store.away_from.remove("a")
+            first.read()
+            for one, other in made.ways:
+                made.lose(one, other)
+            last.read()
+            assert made.known()["d"] == sorted(IDS)
+            made.now_s += LAPSE_S
+            for gateway in (first, last):
+                gateway.feed._drop_lapsed(made.now_s)
+            assert made.known()["a"] == ["w2", "w3"]
+            assert made.known()["d"] == ["w2", "w3"]
--- a/tests/chain/test_store_spread.py
+++ b/tests/chain/test_store_spread.py
@@ -1,6 +1,7 @@
 """What is published reaches every gateway in time, and few read the store for it."""
 
 import asyncio
+from typing import Final
 
 import pytest
 
@@ -8,12 +9,18 @@
 from trefoilpaddle.coordination.chain.store_readers import N_READERS
 
 from .fakes import worker
-from .store_network import STEP_S, Network
+from .store_network import LAST_TIMEOUT_S, STEP_S, Network
 from .virtual_time import run_virtual
 
-SPREAD_S = POLL_S + 0.1
+SPREAD_S: Final = POLL_S + 0.1
 """One turn of a reader, its read and what it tells."""
 
+ASKED_S: Final = SPREAD_S + 0.4
+"""The same for a gateway that has to ask peers first."""
+
+CONFIGURATION_S: Final = 2.0
+"""Within which a change must be in force, whoever is turned away."""
+
 
 class TestNewTable:
     def test_nobody_but_the_readers_reads_it(
@@ -62,3 +69,46 @@
                 assert not reads[gateway.name]
 
         run_virtual(monkeypatch, play())
+
+    def test_a_whole_list_is_asked_of_peers(
+        self, monkeypatch: pytest.MonkeyPatch
+    ) -> None:
+        # A gateway that is cut off has another list of workers than the readers.
+        # It asks the store for all of it, gives that three seconds, and takes no
+        # news before it has it: a worker that leaves meanwhile gets requests there.
+        async def play() -> None:
+            network = Network(22)
+            await network.start()
+            last = network.gateways[-1]
+            last.is_cut_off = True
+            last.timeout_s = LAST_TIMEOUT_S
+            last.workers.remove("w000")
+            n_reads = network.n_reads[last.name]
+            while network.n_reads[last.name] == n_reads:  # noqa: ASYNC110
+                await asyncio.sleep(STEP_S)
+            network.store.write(worker("w003", is_leaving=True))
+            await asyncio.sleep(ASKED_S)
+            assert last.workers.is_usable("w000")
+            assert not last.workers.is_usable("w003")
+
+        run_virtual(monkeypatch, play())
+
+    def test_all_is_in_force_in_time_with_both_readers_cut_off(
+        self, monkeypatch: pytest.MonkeyPatch
+    ) -> None:
+        # The store turns a third of the gateways away, the two that read for all
+        # among them. The others read by themselves, as nobody tells them. Those
+        # turned away ask two peers, which may be turned away as well, and ask them
+        # again only after the store did not answer for one to three seconds.
+        async def play() -> None:
+            network = Network(22)
+            await network.start()
+            for gateway in network.gateways[:8]:
+                gateway.is_cut_off = True
+            await asyncio.sleep(5.0)
+            for version in range(2, 12):
+                network.store.publish(version)
+                times_s = await network.time_to(version=version)
+                assert max(times_s.values()) <= CONFIGURATION_S
+
+        run_virtual(monkeypatch, play())
