Ask peers while the store's answer is late, and take their lists for what they are

Cause: a gateway that cannot reach the store gave it 0.7 to 3 s, and asked peers only then. If it needed the whole list it took no news for as long, and peers, asked at the revision that it had, did not send the list. Peers told of workers whose entries had run out as of listed ones; who took them kept them for good.

A read that has no answer after 0.3 s now goes on beside questions to two peers, side by side and again each 0.3 s (late_answer.py). Who needs the list takes one of its own revision from them, never one from before it; the store's list, if it comes after a newer one, is passed over. Peers say which workers may come back and when the store was back (two fields that older gateways pass over).

--- a/idl/chain.thrift
+++ b/idl/chain.thrift
@@ -108,6 +108,8 @@
   3: binary data = ""            // empty unless newer than what was asked with
   4: list<ListedWorker> workers = []
   5: bool is_away = false        // the answering side cannot read the store
+  6: list<string> lapsed = []    // ids of workers whose entries ran out and may come back
+  7: i32 back_ms = -1            // since the store came back; -1 if it was not away
 }
 
 // Bytes of a table: some of the one before, then some that are new.
--- a/src/trefoilpaddle/coordination/chain/store_feed.py
+++ b/src/trefoilpaddle/coordination/chain/store_feed.py
@@ -12,6 +12,7 @@
 from ...protocol.gen.chain.ttypes import StoreNews, StoreState, TableChange
 from ...state.chain.workers import WorkerTable
 from ...state.journal import Event, Journal
+from .late_answer import meanwhile
 from .published_store import (
     PublishedStore,
     PublishedTable,
@@ -36,6 +37,12 @@
 RETRY_S: Final = 0.3
 """Time to the next read after one that failed; half of the usual."""
 
+PATIENCE_S: Final = 0.3
+"""How long a read may take before peers are asked, and again each so long.
+
+Sixty times a usual answer; a store that is slow takes 0.2 s.
+"""
+
 LAPSE_S: Final = 2.5
 """How long an entry that lapsed while the store was away may take to come back.
 
@@ -123,6 +130,7 @@
         self._listing = WorkerListing(
             workers=workers, notes=self._notes, lapse_s=LAPSE_S
         )
+        relay.listing = self._listing
         self._list_reason = FIRST_LIST
         self._unreadable_version = 0
         self._read_s = time.monotonic()
@@ -143,7 +151,9 @@
         while True:
             if not self.revision or self._readers.must_read():
                 began_s = time.monotonic()
-                is_read = await self._read_any()
+                is_read = await meanwhile(
+                    self._read_any(), self._ask_meanwhile, every_s=PATIENCE_S
+                )
                 self._readers.note_read()
                 # Counted from the answer, a store that takes 0.2 s made readers
                 # tell the others later than those wait, and all read it.
@@ -167,6 +177,17 @@
             logging.exception("what was published could not be taken in")
         return False
 
+    async def _ask_meanwhile(self) -> None:
+        """Ask peers while the store does not answer.
+
+        It is given seconds, as it may only be slow. A gateway that is cut off went
+        on with what it knew for as long, and took no news if it needed a list.
+        """
+        try:
+            await self.read_peers()
+        except Exception:
+            logging.exception("what peers know could not be taken in")
+
     async def read_once(self) -> bool:
         """Read once; return True if the store answered."""
         asked_revision = self.revision
@@ -182,17 +203,20 @@
                 return await self.read_once()
             case Ok(changes):
                 self._note_back()
-                if changes.revision < self.revision:
-                    # News that came meanwhile led further. What is older than they
+                is_late = changes.revision < self.revision
+                if is_late:
+                    # News or peers led further meanwhile. What is older than they
                     # are would drop workers that are back, and list some that are
-                    # gone; all of it is in what led here. A table is not: news do
-                    # not hold one, and an older one is never put in force.
+                    # gone; all of it is in what led here. A table may not be: news
+                    # of it may be lost. An older one is never put in force.
                     changes = StoreChanges(
                         revision=changes.revision, table=changes.table
                     )
                 base_revision = self._relay.revision
                 base_table = self._relay.published
-                noticed = self._take(changes, is_whole=not asked_revision)
+                noticed = self._take(
+                    changes, is_whole=not asked_revision and not is_late
+                )
                 self._read_s = time.monotonic()
                 news = self._news(base_revision, noticed)
                 news.table = self._table_change(base_table)
@@ -208,12 +232,16 @@
     async def read_peers(self) -> None:
         """Take from peers what they know and this gateway does not."""
         for state in await self._ask_peers():
-            if state.data:
-                published = self._decode(state.data)
-                if published is not None:
-                    self.take_table(published)
-            if state.workers and state.revision > self.revision:
-                self._take(changes_of_state(state), is_whole=True)
+            self._take_state(state)
+
+    def _take_state(self, state: StoreState) -> None:
+        if state.data:
+            published = self._decode(state.data)
+            if published is not None:
+                self.take_table(published)
+        if state.workers and state.revision > self.revision:
+            self._note_return(state.back_ms)
+            self._take(changes_of_state(state), is_whole=True)
 
     def take_news(self, news: StoreNews) -> Missing | None:
         """Take what a reader has read; return what is missing since, or None.
@@ -225,8 +253,7 @@
         # Also of news that cannot be used. The gateway then reads by itself, and
         # finds entries that ran out meanwhile: not knowing that the store was
         # away, it dropped their workers at once, though they live.
-        if news.back_ms > NOT_AWAY_MS:
-            self._listing.note_back(time.monotonic() - news.back_ms / MS_PER_S)
+        self._note_return(news.back_ms)
         # A table does not rest on what is known of workers. Left aside with news
         # that cannot be used, it came to a gateway that is cut off seconds later.
         has_table = self._take_told_table(news)
@@ -282,6 +309,7 @@
 
     def _need_list(self, reason: str) -> None:
         self._notes.revision = 0
+        self._relay.needs_list = True
         self._list_reason = reason
 
     def _news(self, base_revision: int, noticed: StoreChanges) -> StoreNews:
@@ -318,11 +346,17 @@
         noticed = self._listing.take(changes, is_whole=is_whole, now_s=now_s)
         self._notes.revision = max(self.revision, changes.revision)
         self._relay.revision = self.revision
+        self._relay.needs_list = False
         return replace(noticed, revision=self.revision)
 
     def _drop_lapsed(self, now_s: float) -> None:
         self._listing.drop_lapsed(now_s)
 
+    def _note_return(self, back_ms: int) -> None:
+        """Note when the store came back, as another gateway says."""
+        if back_ms > NOT_AWAY_MS:
+            self._listing.note_back(time.monotonic() - back_ms / MS_PER_S)
+
     def _note_back(self) -> None:
         if not self.is_away:
             return
--- a/src/trefoilpaddle/coordination/chain/store_relay.py
+++ b/src/trefoilpaddle/coordination/chain/store_relay.py
@@ -5,7 +5,9 @@
 gone for as long as that lasts.
 """
 
+import asyncio
 import random
+import time
 from typing import Final
 
 from result import Err, Ok
@@ -15,10 +17,10 @@
 from ...state.chain.workers import WorkerTable
 from ...state.members import MemberRecord
 from ...transport.connection import Address
-from ...transport.link import Link
 from ..own_process import OwnProcess
 from .published_store import PublishedTable
 from .store_wire import listed_to_wire
+from .worker_listing import WorkerListing
 
 ASK_TIMEOUT_S: Final = 0.3
 """Longest wait for a peer; many times a message's way within a region."""
@@ -35,10 +37,14 @@
     process : OwnProcess
         Listens for peers and keeps links to them.
     workers : WorkerTable
-        As the store lists them.
+        As the store lists them, with those that may come back.
 
     Attributes
     ----------
+    listing : WorkerListing or None
+        Says which of them may come back; set by who keeps it.
+    needs_list : bool
+        True while this gateway's list cannot be relied on.
     published : PublishedTable or None
         The newest table known here.
     revision : int
@@ -47,11 +53,21 @@
         True while this gateway cannot read the store itself.
     """
 
-    __slots__ = ("_process", "_workers", "is_away", "published", "revision")
+    __slots__ = (
+        "_process",
+        "_workers",
+        "is_away",
+        "listing",
+        "needs_list",
+        "published",
+        "revision",
+    )
 
     def __init__(self, *, process: OwnProcess, workers: WorkerTable) -> None:
         self._process = process
         self._workers = workers
+        self.listing: WorkerListing | None = None
+        self.needs_list = False
         self.published: PublishedTable | None = None
         self.revision = 0
         self.is_away = False
@@ -65,30 +81,40 @@
             state.version = published.table.version
             if state.version > question.version:
                 state.data = published.data
-        if self.revision > question.revision:
-            state.workers = [listed_to_wire(worker) for worker in self._workers.all()]
+        if self.revision > question.revision and not self.needs_list:
+            self._add_workers(state)
         return state
 
+    def _add_workers(self, state: StoreState) -> None:
+        state.workers = [listed_to_wire(worker) for worker in self._workers.all()]
+        if self.listing is not None:
+            state.lapsed = self.listing.lapsed_ids()
+            state.back_ms = self.listing.back_ms(time.monotonic())
+
     async def ask(self, members: list[MemberRecord], own_id: str) -> list[StoreState]:
         """Return what some live peers know."""
         others = [member for member in members if member.process_id != own_id]
-        states = []
-        for member in random.sample(others, min(N_ASKED, len(others))):
-            match Address.parse(member.address):
-                case Ok(address):
-                    state = await self._ask(self._process.peers.link(address))
-                    if state is not None:
-                        states.append(state)
-                case Err(_):
-                    continue
-        return states
+        asked = random.sample(others, min(N_ASKED, len(others)))
+        # Side by side: one that does not answer must not put off the other.
+        answers = await asyncio.gather(*(self._ask(member) for member in asked))
+        return [answer for answer in answers if answer is not None]
 
     def question(self) -> StorePull:
-        """Return what peers are asked, with how far this gateway's view has got."""
-        version = 0 if self.published is None else self.published.table.version
-        return StorePull(revision=self.revision, version=version)
+        """Return what peers are asked, with how far this gateway's view has got.
 
-    async def _ask(self, link: Link) -> StoreState | None:
+        Who needs the whole list takes one of its own revision, but none before
+        it: the store is asked next for what came after the furthest known.
+        """
+        version = 0 if self.published is None else self.published.table.version
+        revision = self.revision - 1 if self.needs_list else self.revision
+        return StorePull(revision=revision, version=version)
+
+    async def _ask(self, member: MemberRecord) -> StoreState | None:
+        match Address.parse(member.address):
+            case Ok(address):
+                link = self._process.peers.link(address)
+            case Err(_):
+                return None
         match await link.ask(self.question(), timeout_s=ASK_TIMEOUT_S):
             case Ok(StoreState() as state):
                 return state
--- a/src/trefoilpaddle/coordination/chain/store_wire.py
+++ b/src/trefoilpaddle/coordination/chain/store_wire.py
@@ -6,10 +6,19 @@
 
 
 def changes_of_state(state: StoreState) -> StoreChanges:
-    """Return the workers that a peer lists, without its table."""
+    """Return the workers that a peer lists, without its table.
+
+    Those whose entries ran out are left out: who has them gives them the time to
+    come back, as the peer does. Taken as listed, they were kept for good.
+    """
+    lapsed = set(state.lapsed)
     return StoreChanges(
         revision=state.revision,
-        workers=tuple(listed_from_wire(worker) for worker in state.workers),
+        workers=tuple(
+            listed_from_wire(worker)
+            for worker in state.workers
+            if worker.worker_id not in lapsed
+        ),
     )
 
 
--- a/src/trefoilpaddle/coordination/chain/worker_listing.py
+++ b/src/trefoilpaddle/coordination/chain/worker_listing.py
@@ -69,6 +69,10 @@
                 digest ^= worker.fingerprint()
         return digest
 
+    def lapsed_ids(self) -> list[str]:
+        """Return the ids of workers whose entries ran out and may come back."""
+        return list(self._lapsed)
+
     def note_back(self, back_s: float) -> None:
         """Note that the store came back at a moment of the monotonic clock."""
         self._back_s = max(self._back_s, back_s)
--- a/src/trefoilpaddle/protocol/gen/chain/ttypes.py
+++ b/src/trefoilpaddle/protocol/gen/chain/ttypes.py
@@ -1505,6 +1505,8 @@
      - data
      - workers
      - is_away
+     - lapsed
+     - back_ms
 
     """
 
@@ -1514,11 +1516,14 @@
         'data',
         'workers',
         'is_away',
+        'lapsed',
+        'back_ms',
     )
 
 
     def __init__(self, revision=0, version=0, data=b"", workers=[
-    ], is_away=False,):
+    ], is_away=False, lapsed=[
+    ], back_ms=-1,):
         self.revision = revision
         self.version = version
         self.data = data
@@ -1527,6 +1532,11 @@
             ]
         self.workers = workers
         self.is_away = is_away
+        if lapsed is self.thrift_spec[6][4]:
+            lapsed = [
+            ]
+        self.lapsed = lapsed
+        self.back_ms = back_ms
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -1568,6 +1578,21 @@
                     self.is_away = iprot.readBool()
                 else:
                     iprot.skip(ftype)
+            elif fid == 6:
+                if ftype == TType.LIST:
+                    self.lapsed = []
+                    (_etype79, _size76) = iprot.readListBegin()
+                    for _i80 in range(_size76):
+                        _elem81 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.lapsed.append(_elem81)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 7:
+                if ftype == TType.I32:
+                    self.back_ms = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -1593,14 +1618,25 @@
         if self.workers is not None:
             oprot.writeFieldBegin('workers', TType.LIST, 4)
             oprot.writeListBegin(TType.STRUCT, len(self.workers))
-            for iter76 in self.workers:
-                iter76.write(oprot)
+            for iter82 in self.workers:
+                iter82.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.is_away is not None:
             oprot.writeFieldBegin('is_away', TType.BOOL, 5)
             oprot.writeBool(self.is_away)
             oprot.writeFieldEnd()
+        if self.lapsed is not None:
+            oprot.writeFieldBegin('lapsed', TType.LIST, 6)
+            oprot.writeListBegin(TType.STRING, len(self.lapsed))
+            for iter83 in self.lapsed:
+                oprot.writeString(iter83.encode('utf-8') if sys.version_info[0] == 2 else iter83)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.back_ms is not None:
+            oprot.writeFieldBegin('back_ms', TType.I32, 7)
+            oprot.writeI32(self.back_ms)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -1765,11 +1801,11 @@
             elif fid == 3:
                 if ftype == TType.LIST:
                     self.pieces = []
-                    (_etype80, _size77) = iprot.readListBegin()
-                    for _i81 in range(_size77):
-                        _elem82 = TablePiece()
-                        _elem82.read(iprot)
-                        self.pieces.append(_elem82)
+                    (_etype87, _size84) = iprot.readListBegin()
+                    for _i88 in range(_size84):
+                        _elem89 = TablePiece()
+                        _elem89.read(iprot)
+                        self.pieces.append(_elem89)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -1794,8 +1830,8 @@
         if self.pieces is not None:
             oprot.writeFieldBegin('pieces', TType.LIST, 3)
             oprot.writeListBegin(TType.STRUCT, len(self.pieces))
-            for iter83 in self.pieces:
-                iter83.write(oprot)
+            for iter90 in self.pieces:
+                iter90.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -1901,21 +1937,21 @@
             elif fid == 4:
                 if ftype == TType.LIST:
                     self.workers = []
-                    (_etype87, _size84) = iprot.readListBegin()
-                    for _i88 in range(_size84):
-                        _elem89 = ListedWorker()
-                        _elem89.read(iprot)
-                        self.workers.append(_elem89)
+                    (_etype94, _size91) = iprot.readListBegin()
+                    for _i95 in range(_size91):
+                        _elem96 = ListedWorker()
+                        _elem96.read(iprot)
+                        self.workers.append(_elem96)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 5:
                 if ftype == TType.LIST:
                     self.removed = []
-                    (_etype93, _size90) = iprot.readListBegin()
-                    for _i94 in range(_size90):
-                        _elem95 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        self.removed.append(_elem95)
+                    (_etype100, _size97) = iprot.readListBegin()
+                    for _i101 in range(_size97):
+                        _elem102 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.removed.append(_elem102)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -1932,10 +1968,10 @@
             elif fid == 8:
                 if ftype == TType.LIST:
                     self.withdrawn = []
-                    (_etype99, _size96) = iprot.readListBegin()
-                    for _i100 in range(_size96):
-                        _elem101 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        self.withdrawn.append(_elem101)
+                    (_etype106, _size103) = iprot.readListBegin()
+                    for _i107 in range(_size103):
+                        _elem108 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.withdrawn.append(_elem108)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -1970,15 +2006,15 @@
         if self.workers is not None:
             oprot.writeFieldBegin('workers', TType.LIST, 4)
             oprot.writeListBegin(TType.STRUCT, len(self.workers))
-            for iter102 in self.workers:
-                iter102.write(oprot)
+            for iter109 in self.workers:
+                iter109.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.removed is not None:
             oprot.writeFieldBegin('removed', TType.LIST, 5)
             oprot.writeListBegin(TType.STRING, len(self.removed))
-            for iter103 in self.removed:
-                oprot.writeString(iter103.encode('utf-8') if sys.version_info[0] == 2 else iter103)
+            for iter110 in self.removed:
+                oprot.writeString(iter110.encode('utf-8') if sys.version_info[0] == 2 else iter110)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.digest is not None:
@@ -1992,8 +2028,8 @@
         if self.withdrawn is not None:
             oprot.writeFieldBegin('withdrawn', TType.LIST, 8)
             oprot.writeListBegin(TType.STRING, len(self.withdrawn))
-            for iter104 in self.withdrawn:
-                oprot.writeString(iter104.encode('utf-8') if sys.version_info[0] == 2 else iter104)
+            for iter111 in self.withdrawn:
+                oprot.writeString(iter111.encode('utf-8') if sys.version_info[0] == 2 else iter111)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.table is not None:
@@ -2147,6 +2183,9 @@
     (4, TType.LIST, 'workers', (TType.STRUCT, [ListedWorker, None], False), [
     ], ),  # 4
     (5, TType.BOOL, 'is_away', None, False, ),  # 5
+    (6, TType.LIST, 'lapsed', (TType.STRING, 'UTF8', False), [
+    ], ),  # 6
+    (7, TType.I32, 'back_ms', None, -1, ),  # 7
 )
 all_structs.append(TablePiece)
 TablePiece.thrift_spec = (
--- a/src/trefoilpaddle/protocol/gen/chain/ttypes.pyi
+++ b/src/trefoilpaddle/protocol/gen/chain/ttypes.pyi
@@ -85,7 +85,9 @@
     data: bytes
     workers: list[ListedWorker]
     is_away: bool
-    def __init__(self, *, revision: int = ..., version: int = ..., data: bytes = ..., workers: list[ListedWorker] = ..., is_away: bool = ...) -> None: ...
+    lapsed: list[str]
+    back_ms: int
+    def __init__(self, *, revision: int = ..., version: int = ..., data: bytes = ..., workers: list[ListedWorker] = ..., is_away: bool = ..., lapsed: list[str] = ..., back_ms: int = ...) -> None: ...
 class TablePiece:
     from_byte: int
     n_bytes: int
--- a/tests/chain/store_fleet.py
+++ b/tests/chain/store_fleet.py
@@ -10,7 +10,7 @@
 import pytest
 from result import Err, Ok
 
-from trefoilpaddle.coordination.chain import store_feed, store_readers
+from trefoilpaddle.coordination.chain import store_feed, store_readers, store_relay
 from trefoilpaddle.coordination.chain.published_store import StoreChanges, StoreFault
 from trefoilpaddle.coordination.chain.store_feed import StoreFeed
 from trefoilpaddle.coordination.chain.store_readers import StoreReaders
@@ -50,11 +50,19 @@
 
     def __init__(self) -> None:
         self.revision = 1
+        self.version = 1
+        self.table_revision = 1
         self.entries = {worker_id: worker(worker_id) for worker_id in IDS}
         self.events: list[tuple[int, str, Worker | None]] = []
         self.forgotten = 0
         self.away_from: set[str] = set()
 
+    def publish(self) -> None:
+        """Publish the next configuration."""
+        self.version += 1
+        self.revision += 1
+        self.table_revision = self.revision
+
     def write(self, worker_id: str) -> None:
         """Write an entry; a worker that only says that it lives changes nothing."""
         if worker_id not in self.entries:
@@ -79,7 +87,7 @@
         """Return all entries."""
         return StoreChanges(
             revision=self.revision,
-            table=published(1),
+            table=published(self.version),
             workers=tuple(self.entries.values()),
         )
 
@@ -93,6 +101,7 @@
         return Ok(
             StoreChanges(
                 revision=self.revision,
+                table=published(self.version) if self.table_revision > after else None,
                 workers=tuple(entry for entry in last.values() if entry is not None),
                 removed=tuple(i for i, entry in last.items() if entry is None),
                 returned=tuple(i for i in gone if last[i] is not None),
@@ -169,6 +178,12 @@
             self.reading = None
             self.readers.note_read()
 
+    def ask_peers(self) -> None:
+        """Ask the others, as it does while the store's answer is late."""
+        asking = self.feed.read_peers()
+        with pytest.raises(StopIteration):
+            asking.send(None)
+
     def read(self) -> None:
         """Read to the end."""
         self.begin()
@@ -232,6 +247,13 @@
                     gateway.read()
             self.deliver_all()
 
+    def versions(self) -> dict[str, int]:
+        """Return the version in force at each gateway."""
+        return {
+            name: 0 if g.relay.published is None else g.relay.published.table.version
+            for name, g in self.by_name.items()
+        }
+
     def known(self) -> dict[str, list[str]]:
         """Return the workers that each gateway has."""
         return {
@@ -245,7 +267,7 @@
     """Yield gateways that have all read the store, on a clock of their own."""
     made = Fleet()
     with pytest.MonkeyPatch.context() as patch:
-        for module in (store_feed, store_readers):
+        for module in (store_feed, store_readers, store_relay):
             patch.setattr(module, "time", made)
         made.start()
         yield made
--- a/tests/chain/test_store_agreement.py
+++ b/tests/chain/test_store_agreement.py
@@ -213,3 +213,42 @@
                 gateway.feed._drop_lapsed(made.now_s)
             assert made.known()["a"] == ["w2", "w3"]
             assert made.known()["d"] == ["w2", "w3"]
+
+    async def test_a_whole_list_that_comes_after_theirs_drops_nobody(self) -> None:
+        # The store has lost its history and answers slowly. A gateway asks for the
+        # whole list, and peers meanwhile, who know of later changes. The store's
+        # list comes last and is passed over; taken for an empty one, it would drop
+        # every worker.
+        with fleet() as made:
+            first, last = made.by_name["a"], made.by_name["d"]
+            made.store.lapse("w1")
+            made.store.write("w1")
+            made.store.forget()
+            last.begin()
+            last.go_on()
+            assert last.n_lists == 2
+            made.store.lapse("w3")
+            first.read()
+            last.ask_peers()
+            assert made.known()["d"] == ["w1", "w2"]
+            last.go_on()
+            assert made.known()["d"] == ["w1", "w2"]
+            made.settle()
+            assert made.known() == dict.fromkeys(NAMES, sorted(IDS))
+
+    async def test_their_list_must_not_be_from_before_what_is_known(self) -> None:
+        # Lists differ, and a gateway that is cut off needs the whole list. A peer
+        # has not read for a while: in its list a worker is there that is gone, and
+        # what the store tells next leads on from after its end.
+        with fleet() as made:
+            last = made.by_name["d"]
+            made.store.lapse("w1")
+            last.read()
+            last.feed._need_list(store_feed.DIFFERING_LIST)
+            last.ask_peers()
+            assert made.known()["d"] == ["w2", "w3"]
+            assert last.feed.revision == 0
+            made.by_name["a"].read()
+            last.ask_peers()
+            assert made.known()["d"] == ["w2", "w3"]
+            assert last.feed.revision == made.store.revision
--- a/tests/chain/test_store_schedules.py
+++ b/tests/chain/test_store_schedules.py
@@ -57,6 +57,8 @@
     names.map(lambda n: step("begin", lambda made, n: made.by_name[n].begin(), n)),
     names.map(lambda n: step("go_on", lambda made, n: made.by_name[n].go_on(), n)),
     names.map(lambda n: step("read", lambda made, n: made.by_name[n].read(), n)),
+    names.map(lambda n: step("ask", lambda made, n: made.by_name[n].ask_peers(), n)),
+    st.just(step("publish", lambda made: made.store.publish())),
     st.tuples(names, names).map(lambda way: step("deliver", _deliver, *way)),
     st.tuples(names, names).map(lambda way: step("lose", Fleet.lose, *way)),
     st.tuples(names, names).map(lambda two: step("hide", _hide, *two)),
@@ -86,3 +88,4 @@
                 do(made)
             made.settle()
             assert made.known() == dict.fromkeys(NAMES, sorted(IDS))
+            assert made.versions() == dict.fromkeys(NAMES, made.store.version)
