Send peers no list that they have

Cause: a peer was asked with a revision alone, which workers' heartbeats move all the time. The question now holds the digest of the asking gateway's workers; a peer with the same sends its own digest and revision, and the asking one goes on from there. Older gateways pass over the fields and send or take the whole list.

--- a/idl/chain.thrift
+++ b/idl/chain.thrift
@@ -100,16 +100,18 @@
 struct StorePull {
   1: i64 revision = 0
   2: i64 version = 0
+  3: i64 digest = 0              // over all listed workers; 0 if they are to be sent
 }
 
 struct StoreState {
   1: i64 revision = 0
   2: i64 version = 0
   3: binary data = ""            // empty unless newer than what was asked with
-  4: list<ListedWorker> workers = []
+  4: list<ListedWorker> workers = []  // empty if the digests are the same
   5: bool is_away = false        // the answering side cannot read the store
   6: list<string> lapsed = []    // ids of workers whose entries ran out and may come back
   7: i32 back_ms = -1            // since the store came back; -1 if it was not away
+  8: i64 digest = 0              // over all listed workers
 }
 
 // Bytes of a table: some of the one before, then some that are new.
--- a/src/trefoilpaddle/coordination/chain/store_feed.py
+++ b/src/trefoilpaddle/coordination/chain/store_feed.py
@@ -239,9 +239,14 @@
             published = self._decode(state.data)
             if published is not None:
                 self.take_table(published)
-        if state.workers and state.revision > self.revision:
+        if state.revision <= self.revision:
+            return
+        if state.workers:
             self._note_return(state.back_ms)
             self._take(changes_of_state(state), is_whole=True)
+        elif self.revision and state.digest == self._listing.digest != 0:
+            # The peer lists the same workers, and knows what came until then.
+            self._take(StoreChanges(revision=state.revision), is_whole=False)
 
     def take_news(self, news: StoreNews) -> Missing | None:
         """Take what a reader has read; return what is missing since, or None.
--- a/src/trefoilpaddle/coordination/chain/store_relay.py
+++ b/src/trefoilpaddle/coordination/chain/store_relay.py
@@ -75,16 +75,28 @@
 
     async def answer(self, question: StorePull, peer: Hello) -> StoreState:
         """Answer a peer with what is newer than what it knows."""
-        state = StoreState(revision=self.revision, is_away=self.is_away)
+        state = StoreState(
+            revision=self.revision, is_away=self.is_away, digest=self._digest()
+        )
         published = self.published
         if published is not None:
             state.version = published.table.version
             if state.version > question.version:
                 state.data = published.data
-        if self.revision > question.revision and not self.needs_list:
+        # Heartbeats move the revision all the time. With it alone asked for, a list
+        # that the peer had went out with each answer: 60 KB at 910 workers.
+        is_known = state.digest != 0 and state.digest == question.digest
+        is_newer = self.revision > question.revision
+        if is_newer and not is_known and not self.needs_list:
             self._add_workers(state)
         return state
 
+    def _digest(self) -> int:
+        """Return the digest of the list; 0 if there is none to go by."""
+        if self.listing is None or self.needs_list:
+            return 0
+        return self.listing.digest
+
     def _add_workers(self, state: StoreState) -> None:
         state.workers = [listed_to_wire(worker) for worker in self._workers.all()]
         if self.listing is not None:
@@ -107,7 +119,7 @@
         """
         version = 0 if self.published is None else self.published.table.version
         revision = self.revision - 1 if self.needs_list else self.revision
-        return StorePull(revision=revision, version=version)
+        return StorePull(revision=revision, version=version, digest=self._digest())
 
     async def _ask(self, member: MemberRecord) -> StoreState | None:
         match Address.parse(member.address):
--- a/src/trefoilpaddle/protocol/gen/chain/ttypes.py
+++ b/src/trefoilpaddle/protocol/gen/chain/ttypes.py
@@ -1422,18 +1422,21 @@
     Attributes:
      - revision
      - version
+     - digest
 
     """
 
     __slots__ = (
         'revision',
         'version',
+        'digest',
     )
 
 
-    def __init__(self, revision=0, version=0,):
+    def __init__(self, revision=0, version=0, digest=0,):
         self.revision = revision
         self.version = version
+        self.digest = digest
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -1454,6 +1457,11 @@
                     self.version = iprot.readI64()
                 else:
                     iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.I64:
+                    self.digest = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -1472,6 +1480,10 @@
             oprot.writeFieldBegin('version', TType.I64, 2)
             oprot.writeI64(self.version)
             oprot.writeFieldEnd()
+        if self.digest is not None:
+            oprot.writeFieldBegin('digest', TType.I64, 3)
+            oprot.writeI64(self.digest)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -1507,6 +1519,7 @@
      - is_away
      - lapsed
      - back_ms
+     - digest
 
     """
 
@@ -1518,12 +1531,13 @@
         'is_away',
         'lapsed',
         'back_ms',
+        'digest',
     )
 
 
     def __init__(self, revision=0, version=0, data=b"", workers=[
     ], is_away=False, lapsed=[
-    ], back_ms=-1,):
+    ], back_ms=-1, digest=0,):
         self.revision = revision
         self.version = version
         self.data = data
@@ -1537,6 +1551,7 @@
             ]
         self.lapsed = lapsed
         self.back_ms = back_ms
+        self.digest = digest
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -1593,6 +1608,11 @@
                     self.back_ms = iprot.readI32()
                 else:
                     iprot.skip(ftype)
+            elif fid == 8:
+                if ftype == TType.I64:
+                    self.digest = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -1637,6 +1657,10 @@
             oprot.writeFieldBegin('back_ms', TType.I32, 7)
             oprot.writeI32(self.back_ms)
             oprot.writeFieldEnd()
+        if self.digest is not None:
+            oprot.writeFieldBegin('digest', TType.I64, 8)
+            oprot.writeI64(self.digest)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -2173,6 +2197,7 @@
     None,  # 0
     (1, TType.I64, 'revision', None, 0, ),  # 1
     (2, TType.I64, 'version', None, 0, ),  # 2
+    (3, TType.I64, 'digest', None, 0, ),  # 3
 )
 all_structs.append(StoreState)
 StoreState.thrift_spec = (
@@ -2186,6 +2211,7 @@
     (6, TType.LIST, 'lapsed', (TType.STRING, 'UTF8', False), [
     ], ),  # 6
     (7, TType.I32, 'back_ms', None, -1, ),  # 7
+    (8, TType.I64, 'digest', None, 0, ),  # 8
 )
 all_structs.append(TablePiece)
 TablePiece.thrift_spec = (
--- a/src/trefoilpaddle/protocol/gen/chain/ttypes.pyi
+++ b/src/trefoilpaddle/protocol/gen/chain/ttypes.pyi
@@ -78,7 +78,8 @@
 class StorePull:
     revision: int
     version: int
-    def __init__(self, *, revision: int = ..., version: int = ...) -> None: ...
+    digest: int
+    def __init__(self, *, revision: int = ..., version: int = ..., digest: int = ...) -> None: ...
 class StoreState:
     revision: int
     version: int
@@ -87,7 +88,8 @@
     is_away: bool
     lapsed: list[str]
     back_ms: int
-    def __init__(self, *, revision: int = ..., version: int = ..., data: bytes = ..., workers: list[ListedWorker] = ..., is_away: bool = ..., lapsed: list[str] = ..., back_ms: int = ...) -> None: ...
+    digest: int
+    def __init__(self, *, revision: int = ..., version: int = ..., data: bytes = ..., workers: list[ListedWorker] = ..., is_away: bool = ..., lapsed: list[str] = ..., back_ms: int = ..., digest: int = ...) -> None: ...
 class TablePiece:
     from_byte: int
     n_bytes: int
