--- a/src/trefoilpaddle/coordination/chain/store_feed.py
+++ b/src/trefoilpaddle/coordination/chain/store_feed.py
@@ -7,9 +7,9 @@
 from typing import Final
 
 from absl import logging
-from result import Err, Ok
+from result import Err, Ok, Result
 
-from ...protocol.gen.chain.ttypes import StoreNews, StoreState, TableChange
+from ...protocol.gen.chain.ttypes import StoreNews, StoreState
 from ...state.chain.workers import WorkerTable
 from ...state.journal import Event, Journal
 from .late_answer import meanwhile
@@ -23,7 +23,7 @@
 from .store_readers import Missing, StoreReaders
 from .store_relay import StoreRelay
 from .store_wire import changes_of_news, changes_of_state, listed_to_wire
-from .table_change import change_between, changed_data
+from .table_in_force import TableInForce
 from .worker_listing import MS_PER_S, NOT_AWAY_MS, WorkerListing
 
 POLL_S: Final = 0.6
@@ -92,17 +92,15 @@
 
     __slots__ = (
         "_ask_peers",
-        "_decode",
         "_list_reason",
         "_listing",
         "_n_differing",
         "_notes",
-        "_on_table",
         "_read_s",
         "_readers",
         "_relay",
         "_store",
-        "_unreadable_version",
+        "_table",
         "is_away",
     )
 
@@ -123,16 +121,16 @@
         readers.on_news = self.take_news
         self._n_differing = 0
         self._ask_peers = ask_peers
-        self._decode = decode
         self._store = store
-        self._on_table = on_table
         self._notes = StoreNotes(journal=journal)
+        self._table = TableInForce(
+            on_table=on_table, decode=decode, relay=relay, notes=self._notes
+        )
         self._listing = WorkerListing(
             workers=workers, notes=self._notes, lapse_s=LAPSE_S
         )
         relay.listing = self._listing
         self._list_reason = FIRST_LIST
-        self._unreadable_version = 0
         self._read_s = time.monotonic()
         self.is_away = False
 
@@ -191,36 +189,14 @@
     async def read_once(self) -> bool:
         """Read once; return True if the store answered."""
         asked_revision = self.revision
-        if not asked_revision:
-            self._notes.listed(self._list_reason)
-            answer = await self._store.snapshot()
-        else:
-            answer = await self._store.changes(asked_revision)
-        match answer:
+        match await self._answer(asked_revision):
             case Ok(_) if asked_revision and not self.revision:
                 # News that came meanwhile ask for the whole list. These changes
                 # are not that: taken for it, all other workers would be gone.
                 return await self.read_once()
             case Ok(changes):
                 self._note_back()
-                is_late = changes.revision < self.revision
-                if is_late:
-                    # News or peers led further meanwhile. What is older than they
-                    # are would drop workers that are back, and list some that are
-                    # gone; all of it is in what led here. A table may not be: news
-                    # of it may be lost. An older one is never put in force.
-                    changes = StoreChanges(
-                        revision=changes.revision, table=changes.table
-                    )
-                base_revision = self._relay.revision
-                base_table = self._relay.published
-                noticed = self._take(
-                    changes, is_whole=not asked_revision and not is_late
-                )
-                self._read_s = time.monotonic()
-                news = self._news(base_revision, noticed)
-                news.table = self._table_change(base_table)
-                self._readers.tell(news)
+                self._take_answer(changes, is_whole=not asked_revision)
                 return True
             case Err(StoreFault.HISTORY_LOST):
                 self._need_list(LOST_LIST)
@@ -229,6 +205,30 @@
                 self._note_away(fault)
                 return False
 
+    async def _answer(self, after: int) -> Result[StoreChanges, StoreFault]:
+        """Return what the store says of all that came after a revision."""
+        if after:
+            return await self._store.changes(after)
+        self._notes.listed(self._list_reason)
+        return await self._store.snapshot()
+
+    def _take_answer(self, changes: StoreChanges, *, is_whole: bool) -> None:
+        """Take in what the store has answered, and tell the others."""
+        if changes.revision < self.revision:
+            # News or peers led further meanwhile. What is older than they are would
+            # drop workers that are back, and list some that are gone; all of it is
+            # in what led here. A table may not be: news of it may be lost. An older
+            # one is never put in force.
+            changes = StoreChanges(revision=changes.revision, table=changes.table)
+            is_whole = False
+        base_revision = self._relay.revision
+        base_table = self._relay.published
+        noticed = self._take(changes, is_whole=is_whole)
+        self._read_s = time.monotonic()
+        news = self._news(base_revision, noticed)
+        news.table = self._table.change_since(base_table)
+        self._readers.tell(news)
+
     async def read_peers(self) -> None:
         """Take from peers what they know and this gateway does not."""
         for state in await self._ask_peers():
@@ -236,9 +236,7 @@
 
     def _take_state(self, state: StoreState) -> None:
         if state.data:
-            published = self._decode(state.data)
-            if published is not None:
-                self.take_table(published)
+            self._table.take_data(state.data)
         if state.revision <= self.revision:
             return
         if state.workers:
@@ -261,7 +259,7 @@
         self._note_return(news.back_ms)
         # A table does not rest on what is known of workers. Left aside with news
         # that cannot be used, it came to a gateway that is cut off seconds later.
-        has_table = self._take_told_table(news)
+        has_table = self._table.take_news(news)
         if not self.revision:
             return Missing.LIST
         if news.base_revision > self.revision:
@@ -276,31 +274,6 @@
         self._read_s = time.monotonic()
         return self._missing_of(news)
 
-    def _take_told_table(self, news: StoreNews) -> bool:
-        """Put the table of news in force; return False if it is still missing."""
-        if news.version <= max(self._notes.version, self._unreadable_version):
-            return True
-        base = self._relay.published
-        if news.table is None or base is None:
-            return False
-        data = changed_data(base, news.table)
-        if data is None:
-            return False
-        published = self._decode(data)
-        if published is not None:
-            return self.take_table(published)
-        # These are the published bytes, and the store has no others. Asked for
-        # with all news that name them, it would be read three times a second.
-        self._unreadable_version = news.version
-        return True
-
-    def _table_change(self, base: PublishedTable | None) -> TableChange | None:
-        """Return what makes the newest table out of `base`, if it is newer."""
-        newest = self._relay.published
-        if base is None or newest is None or newest is base:
-            return None
-        return change_between(base, newest)
-
     def _missing_of(self, news: StoreNews) -> Missing | None:
         if news.revision < self.revision or news.digest == self._listing.digest:
             self._n_differing = 0
@@ -330,23 +303,9 @@
             back_ms=self._listing.back_ms(time.monotonic()),
         )
 
-    def take_table(self, published: PublishedTable) -> bool:
-        """Put a route table in force unless it is older; True if it was newer."""
-        table = published.table
-        # A read that was answered late, or a peer that lags, may bring an older
-        # version; taking it would bring back routes and keys that are gone.
-        if table.version <= self._notes.version:
-            return False
-        self._notes.version = table.version
-        self._relay.published = published
-        self._notes.table_in_force()
-        self._on_table(published)
-        return True
-
     def _take(self, changes: StoreChanges, *, is_whole: bool) -> StoreChanges:
         """Take changes in; return those of workers that others may not know."""
-        if changes.table is not None:
-            self.take_table(changes.table)
+        self._table.take(changes.table)
         now_s = time.monotonic()
         noticed = self._listing.take(changes, is_whole=is_whole, now_s=now_s)
         self._notes.revision = max(self.revision, changes.revision)
--- /dev/null
+++ b/src/trefoilpaddle/coordination/chain/table_in_force.py
@@ -0,0 +1,82 @@
+"""The route table in force at a gateway, and how a newer one comes to it."""
+
+from collections.abc import Callable
+
+from ...protocol.gen.chain.ttypes import StoreNews, TableChange
+from .published_store import PublishedTable
+from .store_notes import StoreNotes
+from .store_relay import StoreRelay
+from .table_change import change_between, changed_data
+
+
+class TableInForce:
+    """Puts each newer table in force, read, sent whole or told as a change.
+
+    Parameters
+    ----------
+    on_table : callable
+        Called with each route table that is newer than the last.
+    decode : callable
+        Returns the table that a peer's bytes hold, or None.
+    relay : StoreRelay
+        Keeps the newest table for peers.
+    notes : StoreNotes
+        Keeps its version.
+    """
+
+    __slots__ = ("_decode", "_notes", "_on_table", "_relay", "_unreadable_version")
+
+    def __init__(
+        self,
+        *,
+        on_table: Callable[[PublishedTable], None],
+        decode: Callable[[bytes], PublishedTable | None],
+        relay: StoreRelay,
+        notes: StoreNotes,
+    ) -> None:
+        self._on_table = on_table
+        self._decode = decode
+        self._relay = relay
+        self._notes = notes
+        self._unreadable_version = 0
+
+    def take(self, published: PublishedTable | None) -> bool:
+        """Put a table in force unless it is older; True if it was newer."""
+        # A read that was answered late, or a peer that lags, may bring an older
+        # version; taking it would bring back routes and keys that are gone.
+        if published is None or published.table.version <= self._notes.version:
+            return False
+        self._notes.version = published.table.version
+        self._relay.published = published
+        self._notes.table_in_force()
+        self._on_table(published)
+        return True
+
+    def take_data(self, data: bytes) -> None:
+        """Put a table in force that a peer has sent whole."""
+        self.take(self._decode(data))
+
+    def take_news(self, news: StoreNews) -> bool:
+        """Put the table of news in force; return False if it is still missing."""
+        if news.version <= max(self._notes.version, self._unreadable_version):
+            return True
+        base = self._relay.published
+        if news.table is None or base is None:
+            return False
+        data = changed_data(base, news.table)
+        if data is None:
+            return False
+        published = self._decode(data)
+        if published is not None:
+            return self.take(published)
+        # These are the published bytes, and the store has no others. Asked for
+        # with all news that name them, it would be read three times a second.
+        self._unreadable_version = news.version
+        return True
+
+    def change_since(self, base: PublishedTable | None) -> TableChange | None:
+        """Return what makes the newest table out of `base`, if it is newer."""
+        newest = self._relay.published
+        if base is None or newest is None or newest is base:
+            return None
+        return change_between(base, newest)
--- a/tests/chain/test_store_readers.py
+++ b/tests/chain/test_store_readers.py
@@ -251,7 +251,7 @@
         rig = await follower()
         unknown = PublishedTable(table=RouteTable(version=6), data=b"unknown")
         change = change_between(published(5), unknown)
-        rig.feed._decode = lambda _: None
+        rig.feed._table._decode = lambda _: None
         for revision in (2, 3):
             told = news(rig, revision - 1, revision, version=6, table=change)
             told.removed = ["w1"]
