--- a/tests/platform_adapter/test_gateway_process.py
+++ b/tests/platform_adapter/test_gateway_process.py
@@ -2,12 +2,15 @@
 
 import asyncio
 import signal
+from functools import partial
 from pathlib import Path
 
 import aiohttp
 
+from trefoilpaddle.coordination.chain.store_readers import Missing
 from trefoilpaddle.standins.platform.gateway_process import (
     DRAFT,
+    GatewayProcess,
     event_numbers,
     gateways,
     headers,
@@ -71,6 +74,10 @@
                     assert answer.status == status
 
 
+def _is_in_force(gateway: GatewayProcess, version: int) -> bool:
+    return f"config_revision={version}" in gateway.log()
+
+
 class TestConfiguration:
     async def test_a_revoked_key_is_refused_soon(self, tmp_path: Path) -> None:
         async with (
@@ -143,6 +150,23 @@
             async with client.get(f"{last.url}/price/1", headers=sent) as answer:
                 assert answer.status == 401
 
+    async def test_a_change_comes_with_the_news(self, tmp_path: Path) -> None:
+        # An operator publishes three versions. With each of them, every gateway
+        # read the store once more, at the same moment, to get what it was told of.
+        async with (
+            small_site() as site,
+            gateways(site, tmp_path, "a", "a", "b", "b") as every,
+        ):
+            last = every[-1]
+            await until(lambda: last.log().count("member_joined") == 3)
+            await asyncio.sleep(1.0)
+            for version in (2, 3, 4):
+                site.store.put(TABLE_KEY, configuration(version))
+                for gateway in every:
+                    await until(partial(_is_in_force, gateway, version))
+            logs = "".join(gateway.log() for gateway in every)
+            assert Missing.TABLE.value not in logs
+
 
 class TestStopping:
     async def test_a_planned_stop_cuts_no_stream(self, tmp_path: Path) -> None:
