Give the errors of an attempt at its gateway a module of their own

The sidecar's side has one already (attempt_errors). StageCall builds none itself any more. No change of behaviour; wording, reasons and steps as before.

--- a/src/trefoilpaddle/coordination/requests/stage_call.py
+++ b/src/trefoilpaddle/coordination/requests/stage_call.py
@@ -7,7 +7,7 @@
 
 from result import Err, Ok, Result
 
-from ...protocol.errors import Failed, NotRun, StageError, Unknown, from_failure
+from ...protocol.errors import NotRun, StageError, Unknown, from_failure
 from ...protocol.gen.stage.ttypes import (
     Ack,
     Bar,
@@ -26,6 +26,7 @@
 from ...protocol.reasons import Reason
 from ...state.journal import Event, Figure, Journal
 from ..targets.stage_work import Sink, StageAnswer, StageFault, StageWork
+from . import call_errors
 from .answer_receiver import AnswerReceiver
 from .open_attempts import Notice, OpenAttempt, OpenAttempts
 from .request_decisions import stage_decision
@@ -131,16 +132,7 @@
 
     async def _run(self, attempt: OpenAttempt) -> Result[StageAnswer, StageFault]:
         if not self._send(attempt):
-            # Frames of one connection arrive in order; the last was not taken,
-            # so the sidecar never holds a whole start frame and its body.
-            return self._err(
-                NotRun(
-                    reason=Reason.CONNECTION_LOST,
-                    step="send",
-                    peer=self.view.process_id,
-                    detail="The connection closed before the call was sent.",
-                )
-            )
+            return self._err(call_errors.not_sent(peer=self.view.process_id))
         self.is_sent = True
         try:
             async with asyncio.timeout_at(self._loop_deadline_s()):
@@ -233,14 +225,7 @@
             )
             return None
         self.view.link.send(Cancel(attempt_id=attempt.attempt_id))
-        return self._err(
-            NotRun(
-                reason=Reason.CANCELLED,
-                step="reserve",
-                peer=self.view.process_id,
-                detail="Another target was ready first.",
-            )
-        )
+        return self._err(call_errors.place_given_back(peer=self.view.process_id))
 
     async def _on_chunk(
         self, attempt: OpenAttempt, chunk: Chunk
@@ -277,28 +262,15 @@
         return None
 
     def _drop(
-        self, attempt: OpenAttempt, detail: str
+        self, attempt: OpenAttempt, fault: str
     ) -> Result[StageAnswer, StageFault]:
         self.view.link.send(Cancel(attempt_id=attempt.attempt_id))
-        return self._err(
-            Failed(
-                reason=Reason.CORRUPT,
-                step="receive",
-                peer=self.view.process_id,
-                detail=f"The answer was dropped: {detail}.",
-            )
-        )
+        error = call_errors.answer_dropped(fault, peer=self.view.process_id)
+        return self._err(error)
 
     def _on_superseded(self, attempt: OpenAttempt) -> Err[StageFault]:
         self.view.link.send(Cancel(attempt_id=attempt.attempt_id))
-        return self._err(
-            Failed(
-                reason=Reason.CANCELLED,
-                step="hedge",
-                peer=self.view.process_id,
-                detail="Another attempt had the answer first.",
-            )
-        )
+        return self._err(call_errors.superseded(peer=self.view.process_id))
 
     def _on_silence(
         self, attempt: OpenAttempt
@@ -374,12 +346,7 @@
         self.view.link.send(Cancel(attempt_id=attempt.attempt_id))
         if not self.is_started:
             return late
-        return Failed(
-            reason=Reason.DEADLINE_PASSED,
-            step="wait",
-            peer=self.view.process_id,
-            detail="The call was still running at the deadline and was cancelled.",
-        )
+        return call_errors.cancelled_at_deadline(peer=self.view.process_id)
 
     async def _bar(self, attempt: OpenAttempt, otherwise: StageError) -> StageError:
         """Ask that the attempt never start; return `otherwise` if that fails.
@@ -395,19 +362,14 @@
         match await link.ask(question, timeout_s=BAR_WAIT_S):
             case Ok(BarAnswer(state=BarState.BARRED)):
                 self._record(Event.ATTEMPT_BARRED)
-                return NotRun(
-                    reason=otherwise.reason,
-                    step="bar",
-                    peer=self.view.process_id,
-                    detail="The sidecar had not started the call and never will.",
-                )
+                return call_errors.barred(otherwise.reason, peer=self.view.process_id)
             case Ok(BarAnswer(state=BarState.RUNNING | BarState.DONE)):
                 self.is_started = True
         return otherwise
 
     def _unknown(self, reason: Reason, step: str, what: str) -> Unknown:
         peer = self.view.process_id
-        return Unknown(reason=reason, step=step, peer=peer, detail=f"{peer} {what}.")
+        return call_errors.unknown(reason, step=step, peer=peer, what=what)
 
     def _err(self, error: StageError) -> Err[StageFault]:
         has_passed_on = self._answer.has_passed_on
