Move the settling of an attempt without an answer out of StageCall

give_up and bar stand in settling.py as functions of the open attempt, which now also holds whether its target has started it. attempt_decision is one of the decisions in request_decisions. StageCall.attempt_id had no reader left and is gone. No change of behaviour.

--- a/src/trefoilpaddle/coordination/requests/open_attempts.py
+++ b/src/trefoilpaddle/coordination/requests/open_attempts.py
@@ -55,6 +55,11 @@
         What it asks for.
     view : TargetView
         The target that it was sent to.
+
+    Attributes
+    ----------
+    is_started : bool
+        True once its target is known to have started it.
     """
 
     __slots__ = (
@@ -62,6 +67,7 @@
         "attempt_id",
         "incarnation",
         "is_overdue",
+        "is_started",
         "n_granted_bytes",
         "started_s",
         "view",
@@ -74,6 +80,7 @@
         self.view = view
         self.started_s = 0.0
         self.is_overdue = False
+        self.is_started = False
         self.incarnation = view.incarnation
         self.n_granted_bytes = 0
         self._mail: asyncio.Queue[Mail] = asyncio.Queue()
--- a/src/trefoilpaddle/coordination/requests/request_decisions.py
+++ b/src/trefoilpaddle/coordination/requests/request_decisions.py
@@ -5,6 +5,7 @@
 from ...state.governing import Governing
 from ...state.journal import Decision, Event, Figure
 from ..targets.stage_work import StageWork
+from .open_attempts import OpenAttempt
 from .request import Request
 
 
@@ -55,6 +56,17 @@
     )
 
 
+def attempt_decision(event: Event, attempt: OpenAttempt, *figures: Figure) -> Decision:
+    """Return a decision about an attempt in flight."""
+    return stage_decision(
+        event,
+        attempt.work,
+        attempt_id=attempt.attempt_id.hex(),
+        peer=attempt.view.process_id,
+        figures=figures,
+    )
+
+
 def _decision(
     event: Event,
     governing: Governing,
--- a/src/trefoilpaddle/coordination/requests/stage_call.py
+++ b/src/trefoilpaddle/coordination/requests/stage_call.py
@@ -7,12 +7,9 @@
 
 from result import Err, Ok, Result
 
-from ...protocol.errors import NotRun, StageError, Unknown, from_failure
+from ...protocol.errors import StageError, Unknown, from_failure
 from ...protocol.gen.stage.ttypes import (
     Ack,
-    Bar,
-    BarAnswer,
-    BarState,
     Cancel,
     Chunk,
     End,
@@ -29,11 +26,11 @@
 from . import call_errors
 from .answer_receiver import AnswerReceiver
 from .open_attempts import Notice, OpenAttempt, OpenAttempts
-from .request_decisions import stage_decision
+from .request_decisions import attempt_decision
+from .settling import bar, give_up
 from .start_message import start_messages
 from .target_view import TargetView
 
-BAR_WAIT_S: Final = 0.25
 FOLLOW_LATE_S: Final = 15.0
 RECONNECT_S: Final = 0.5
 
@@ -70,7 +67,6 @@
         "_journal",
         "_may_go",
         "is_sent",
-        "is_started",
         "view",
         "work",
     )
@@ -88,7 +84,6 @@
         self.work = work
         self.view = view
         self.is_sent = False
-        self.is_started = False
         self._attempts = attempts
         self._journal = journal
         self._may_go = may_go
@@ -98,11 +93,6 @@
         self._has_refetched = False
         self._attempt: OpenAttempt | None = None
 
-    @property
-    def attempt_id(self) -> str:
-        """The attempt's id, hexadecimal; empty before it was sent."""
-        return self._attempt.attempt_id.hex() if self._attempt is not None else ""
-
     @property
     def may_have_started(self) -> bool:
         """Return True unless it is certain that the target never started it.
@@ -138,7 +128,7 @@
             async with asyncio.timeout_at(self._loop_deadline_s()):
                 return await self._follow(attempt)
         except TimeoutError:
-            late = await self._give_up(attempt)
+            late = await give_up(attempt, self._journal)
         except asyncio.CancelledError:
             self.view.link.send(Cancel(attempt_id=attempt.attempt_id))
             raise
@@ -188,7 +178,7 @@
                 case Ready():
                     verdict = self._on_ready(attempt)
                 case Started():
-                    self.is_started = True
+                    attempt.is_started = True
                 case Chunk():
                     verdict = await self._on_chunk(attempt, mail)
                 case End():
@@ -230,14 +220,14 @@
     async def _on_chunk(
         self, attempt: OpenAttempt, chunk: Chunk
     ) -> Result[StageAnswer, StageFault] | None:
-        self.is_started = True
+        attempt.is_started = True
         fault = await self._answer.take(chunk, attempt)
         return self._drop(attempt, fault) if fault else None
 
     def _on_end(
         self, attempt: OpenAttempt, end: End
     ) -> Result[StageAnswer, StageFault] | None:
-        self.is_started = True
+        attempt.is_started = True
         if not self._answer.is_whole(end):
             return self._on_torn(attempt)
         self.view.link.send(Ack(attempt_id=attempt.attempt_id))
@@ -322,51 +312,18 @@
             )
         )
         from_seq = Figure(name="from_seq", value=self._answer.n_chunks)
-        self._record(Event.RESULT_FETCHED, from_seq)
+        self._journal.record(attempt_decision(Event.RESULT_FETCHED, attempt, from_seq))
 
     async def _on_failure(self, attempt: OpenAttempt, failure: Failure) -> StageError:
         error = from_failure(failure)
         self.view.link.send(Ack(attempt_id=attempt.attempt_id))
         if not isinstance(error, Unknown):
             return error
-        if error.reason is Reason.RESULT_GONE and not self.is_started:
+        if error.reason is Reason.RESULT_GONE and not attempt.is_started:
             # The start frame may have been lost with the connection.
-            return await self._bar(attempt, error)
+            return await bar(attempt, self._journal, otherwise=error)
         return error
 
-    async def _give_up(self, attempt: OpenAttempt) -> StageError:
-        """Settle an attempt whose deadline has passed."""
-        late = self._unknown(Reason.DEADLINE_PASSED, "wait", "did not answer in time")
-        if not self.is_started:
-            late_or_barred = await self._bar(attempt, late)
-            if isinstance(late_or_barred, NotRun):
-                return late_or_barred
-        if not self.work.stage.idempotent:
-            return late
-        self.view.link.send(Cancel(attempt_id=attempt.attempt_id))
-        if not self.is_started:
-            return late
-        return call_errors.cancelled_at_deadline(peer=self.view.process_id)
-
-    async def _bar(self, attempt: OpenAttempt, otherwise: StageError) -> StageError:
-        """Ask that the attempt never start; return `otherwise` if that fails.
-
-        Only the sidecar's word that it did not start the call and never will
-        makes "not run" true; no word at all leaves it unknown.
-        """
-        link = self.view.link
-        if not link.is_heard():
-            return otherwise
-        # A sidecar that was restarted meanwhile must not answer for the former.
-        question = Bar(attempt_id=attempt.attempt_id, incarnation=attempt.incarnation)
-        match await link.ask(question, timeout_s=BAR_WAIT_S):
-            case Ok(BarAnswer(state=BarState.BARRED)):
-                self._record(Event.ATTEMPT_BARRED)
-                return call_errors.barred(otherwise.reason, peer=self.view.process_id)
-            case Ok(BarAnswer(state=BarState.RUNNING | BarState.DONE)):
-                self.is_started = True
-        return otherwise
-
     def _unknown(self, reason: Reason, step: str, what: str) -> Unknown:
         peer = self.view.process_id
         return call_errors.unknown(reason, step=step, peer=peer, what=what)
@@ -374,14 +331,3 @@
     def _err(self, error: StageError) -> Err[StageFault]:
         has_passed_on = self._answer.has_passed_on
         return Err(StageFault(error=error, has_passed_on=has_passed_on))
-
-    def _record(self, event: Event, *figures: Figure) -> None:
-        self._journal.record(
-            stage_decision(
-                event,
-                self.work,
-                attempt_id=self.attempt_id,
-                peer=self.view.process_id,
-                figures=figures,
-            )
-        )
