--- a/src/trefoilpaddle/coordination/requests/stage_call.py
+++ b/src/trefoilpaddle/coordination/requests/stage_call.py
@@ -14,25 +14,23 @@
     Chunk,
     End,
     Failure,
-    Fetch,
     Go,
     Queued,
     Ready,
     Started,
 )
 from ...protocol.reasons import Reason
-from ...state.journal import Event, Figure, Journal
+from ...state.journal import Journal
 from ..targets.stage_work import Sink, StageAnswer, StageFault, StageWork
 from . import call_errors
 from .answer_receiver import AnswerReceiver
 from .open_attempts import Notice, OpenAttempt, OpenAttempts
-from .request_decisions import attempt_decision
+from .result_fetch import fetch, reconnect
 from .settling import bar, give_up
 from .start_message import start_messages
 from .target_view import TargetView
 
 FOLLOW_LATE_S: Final = 15.0
-RECONNECT_S: Final = 0.5
 
 OnReady = Callable[["StageCall"], bool]
 
@@ -186,7 +184,7 @@
                 case Failure():
                     return self._err(await self._on_failure(attempt, mail))
                 case Notice.LINK_LOST:
-                    verdict = await self._reconnect(attempt)
+                    verdict = await self._on_lost(attempt)
                 case Notice.LINK_OPEN:
                     pass
                 case Notice.LINK_SILENT:
@@ -248,7 +246,7 @@
         if self._has_refetched or not self._answer.may_begin_again():
             return self._drop(attempt, "count, size or checksum do not match")
         self._has_refetched = True
-        self._fetch(attempt)
+        fetch(attempt, self._answer, self._journal)
         return None
 
     def _drop(
@@ -273,47 +271,23 @@
         if not self.work.stage.idempotent:
             return None
         self.view.link.send(Cancel(attempt_id=attempt.attempt_id))
-        return self._err(self._unknown(Reason.PEER_SILENT, "wait", "fell silent"))
+        error = call_errors.unknown(
+            Reason.PEER_SILENT,
+            step="wait",
+            peer=self.view.process_id,
+            what="fell silent",
+        )
+        return self._err(error)
 
-    async def _reconnect(
+    async def _on_lost(
         self, attempt: OpenAttempt
     ) -> Result[StageAnswer, StageFault] | None:
-        """Fetch the answer over a new connection to the same incarnation.
-
-        The sidecar holds a result until it is acknowledged, so a lost
-        connection loses nothing; a new incarnation holds nothing of the old.
-        """
-        link = self.view.link
-        patience_s = RECONNECT_S if self.work.stage.idempotent else None
-        try:
-            async with asyncio.timeout(patience_s):
-                while link.peer is None:
-                    await link.opened.wait()
-                    await asyncio.sleep(0)
-        except TimeoutError:
-            return self._err(
-                self._unknown(Reason.CONNECTION_LOST, "reconnect", "cannot be reached")
-            )
-        if link.peer.incarnation != attempt.incarnation:
-            return self._err(
-                self._unknown(Reason.WRONG_INCARNATION, "reconnect", "was restarted")
-            )
-        self._fetch(attempt)
+        """Fetch the answer over a new connection to the same incarnation."""
+        if (error := await reconnect(attempt)) is not None:
+            return self._err(error)
+        fetch(attempt, self._answer, self._journal)
         return None
 
-    def _fetch(self, attempt: OpenAttempt) -> None:
-        self._answer.renew_window(attempt)
-        self.view.link.send(
-            Fetch(
-                attempt_id=attempt.attempt_id,
-                from_seq=self._answer.n_chunks,
-                credit_bytes=self._answer.window_bytes,
-                incarnation=attempt.incarnation,
-            )
-        )
-        from_seq = Figure(name="from_seq", value=self._answer.n_chunks)
-        self._journal.record(attempt_decision(Event.RESULT_FETCHED, attempt, from_seq))
-
     async def _on_failure(self, attempt: OpenAttempt, failure: Failure) -> StageError:
         error = from_failure(failure)
         self.view.link.send(Ack(attempt_id=attempt.attempt_id))
@@ -324,10 +298,6 @@
             return await bar(attempt, self._journal, otherwise=error)
         return error
 
-    def _unknown(self, reason: Reason, step: str, what: str) -> Unknown:
-        peer = self.view.process_id
-        return call_errors.unknown(reason, step=step, peer=peer, what=what)
-
     def _err(self, error: StageError) -> Err[StageFault]:
         has_passed_on = self._answer.has_passed_on
         return Err(StageFault(error=error, has_passed_on=has_passed_on))
