Give a request's Job a module of its own

Attempts.choose wrote out once more what Job.worker_service returns; it asks that now. The test's import follows the class. No change of behaviour.

--- a/src/trefoilpaddle/coordination/chain/attempts.py
+++ b/src/trefoilpaddle/coordination/chain/attempts.py
@@ -2,7 +2,7 @@
 
 import asyncio
 import time
-from collections.abc import AsyncIterator, Mapping
+from collections.abc import AsyncIterator
 from dataclasses import dataclass
 from typing import Final, Protocol
 
@@ -11,12 +11,12 @@
 from ...protocol.reasons import Reason
 from ...state.chain.delivery import Delivery
 from ...state.chain.repeat_budget import RepeatBudget
-from ...state.chain.requests import Answered, CallerRequest, Failed, Outcome
-from ...state.chain.routes import Account, PlainService, Repeat, Route, Service
+from ...state.chain.requests import Answered, Failed, Outcome
 from ...state.chain.target_answers import AnswerHead, CallFault, StreamEvent
 from ...state.chain.workers import Worker, WorkerTable
 from ...state.journal import Decision, Event, Figure, Journal
 from .caller_sink import CallerSink
+from .job import Job
 from .target_calls import OpenAnswer, StreamBrokenError, TargetCall, TargetCalls
 from .worker_choice import Need, OpenRequest, WorkerChoice
 
@@ -55,55 +55,6 @@
 """When to come back after all workers were full; two calls of a stage."""
 
 
-@dataclass(frozen=True, slots=True, kw_only=True)
-class Job:
-    """A request with all that governs it.
-
-    Parameters
-    ----------
-    request : CallerRequest
-        What the caller sent.
-    route : Route
-        How it is handled.
-    account : Account
-        Whose it is.
-    service : str
-        Where it runs.
-    services : mapping of str to Service
-        What was in force when it came.
-    deadline_s : float
-        Monotonic time of its last answer.
-    """
-
-    request: CallerRequest
-    route: Route
-    account: Account
-    service: str
-    services: Mapping[str, Service]
-    deadline_s: float
-
-    @property
-    def may_repeat(self) -> bool:
-        """True if it may run again after it has, or may have, run."""
-        return self.route.repeat is Repeat.IDEMPOTENT or self.route.is_resumable
-
-    def worker_service(self) -> Service:
-        """Return what is published of its service; a plain one if nothing is."""
-        return self.services.get(self.service) or PlainService(name=self.service)
-
-    @property
-    def must_finish(self) -> bool:
-        """True if a worker is to finish it even if its caller leaves."""
-        return not self.may_repeat and not self.route.is_stream
-
-    @property
-    def priority(self) -> int:
-        """Its rank, 0 first; the account's goes before the route's."""
-        if self.account.priority is not None:
-            return self.account.priority
-        return self.route.priority
-
-
 @dataclass(frozen=True, slots=True, kw_only=True)
 class WorkerFailed:
     """A worker answered whole, with a status that is no success."""
@@ -219,9 +170,9 @@
                         return self._end(REASON_OF[fault])
 
     def _choose(self) -> Worker | None:
-        job = self._job
-        service = job.services.get(job.service) or PlainService(name=job.service)
-        return self._choice.choose(service, self._need, without=frozenset(self._tried))
+        return self._choice.choose(
+            self._job.worker_service(), self._need, without=frozenset(self._tried)
+        )
 
     def _learn(self, fault: CallFault, worker: Worker) -> None:
         """Take what a fault says of the worker and of the request."""
--- a/src/trefoilpaddle/coordination/chain/request_path.py
+++ b/src/trefoilpaddle/coordination/chain/request_path.py
@@ -18,10 +18,11 @@
 from ...state.chain.workers import WorkerTable
 from ...state.journal import Decision, Event, Figure, Journal
 from .answer_bound import AnswerDueError
-from .attempts import Attempts, Job
+from .attempts import Attempts
 from .caller_sink import CallerSink
 from .chain_inputs import ChainInputs
 from .chain_router import ChainRouter
+from .job import Job
 from .planned_stop import PlannedStop
 from .target_calls import TargetCalls
 from .worker_choice import Need, WorkerChoice
--- a/tests/chain/test_attempts.py
+++ b/tests/chain/test_attempts.py
@@ -3,7 +3,8 @@
 import pytest
 
 from trefoilpaddle.coordination.chain import attempts as attempts_module
-from trefoilpaddle.coordination.chain.attempts import Attempts, Job
+from trefoilpaddle.coordination.chain.attempts import Attempts
+from trefoilpaddle.coordination.chain.job import Job
 from trefoilpaddle.coordination.chain.worker_choice import Need, WorkerChoice
 from trefoilpaddle.protocol.reasons import Reason
 from trefoilpaddle.state.chain.delivery import Delivery
