Give the patience with a worker a module of its own

The limits on a silent worker stand in patience.py with the two functions that read them. The two tests that shorten GAP_S set it there now; what they assert is as before. No change of behaviour.

--- a/src/trefoilpaddle/coordination/chain/attempts.py
+++ b/src/trefoilpaddle/coordination/chain/attempts.py
@@ -17,28 +17,13 @@
 from ...state.journal import Decision, Event, Figure, Journal
 from .caller_sink import CallerSink
 from .job import Job
+from .patience import gap_s, patience_s
 from .target_calls import OpenAnswer, StreamBrokenError, TargetCall, TargetCalls
 from .worker_choice import Need, OpenRequest, WorkerChoice
 
 MAX_UNSENT: Final = 4
 """Most workers that are tried without anything being sent, or being run."""
 
-GAP_S: Final = 1.5
-"""A stream with no event for this long is taken as dead.
-
-Five times the longest pause for which an answer is still on time; callers
-themselves give up after two seconds.
-"""
-
-FIRST_EVENT_S: Final = 3.0
-"""A stream that has not begun after this long is taken as dead.
-
-An engine that is merely full begins sooner: what it can queue is read in less.
-"""
-
-PATIENCE_RATIO: Final = 2.5
-"""Target latencies after which an idempotent call is tried at another worker."""
-
 MAX_URGENCY: Final = 9
 """Least urgent rank that a model worker knows."""
 
@@ -233,7 +218,6 @@
             after_event=self._last_event,
             urgency=min(MAX_URGENCY, job.priority) if job.route.is_stream else None,
         )
-        patience_s = self._patience_s()
         n_before = self._n_sent
         with (
             self._choice.open(worker, self._need) as at_worker,
@@ -241,7 +225,7 @@
         ):
             try:
                 async with (
-                    asyncio.timeout(patience_s) as patience,
+                    asyncio.timeout(patience_s(job, n_sent=self._n_sent)) as patience,
                     self._calls.exchange(worker, call) as opened,
                 ):
                     match opened:
@@ -303,7 +287,7 @@
                     await sink.begin(answer.head)
                 self._last_event = event.number
                 await sink.event(event)
-                patience.reschedule(loop.time() + self._gap_s())
+                patience.reschedule(loop.time() + gap_s(self._job, n_sent=self._n_sent))
         except StreamBrokenError:
             return CallFault.BROKEN
         if not self._delivery.is_begun:
@@ -311,29 +295,6 @@
         await sink.end()
         return Answered()
 
-    def _patience_s(self) -> float:
-        """Return how long a worker may take before another is tried."""
-        job = self._job
-        left_s = max(0.0, job.deadline_s - time.monotonic())
-        is_last = self._n_sent + 1 >= job.route.max_attempts
-        if not job.may_repeat or is_last:
-            return left_s
-        if job.route.is_stream:
-            return min(left_s, FIRST_EVENT_S)
-        return min(left_s, PATIENCE_RATIO * job.route.target_latency_s)
-
-    def _gap_s(self) -> float:
-        """Return how long a stream that has begun may pause.
-
-        One that can go on nowhere else is waited for: broken off it is lost for
-        sure, and an engine that put it back for want of memory goes on with it.
-        """
-        left_s = max(0.0, self._job.deadline_s - time.monotonic())
-        is_last = self._n_sent >= self._job.route.max_attempts
-        if is_last or not self._job.route.is_resumable:
-            return left_s
-        return min(left_s, GAP_S)
-
     def _note(self, event: Event, worker: Worker, reason: Reason = Reason.NONE) -> None:
         job = self._job
         self._journal.record(
--- a/tests/chain/test_attempts.py
+++ b/tests/chain/test_attempts.py
@@ -2,7 +2,7 @@
 
 import pytest
 
-from trefoilpaddle.coordination.chain import attempts as attempts_module
+from trefoilpaddle.coordination.chain import patience as patience_module
 from trefoilpaddle.coordination.chain.attempts import Attempts
 from trefoilpaddle.coordination.chain.job import Job
 from trefoilpaddle.coordination.chain.worker_choice import Need, WorkerChoice
@@ -248,7 +248,7 @@
         # An engine's connection goes silent after two events. The gateway
         # counted the one sending twice, as sent and as timed out, took its two
         # attempts for used up, and cut a stream that could go on.
-        monkeypatch.setattr(attempts_module, "GAP_S", 0.05)
+        monkeypatch.setattr(patience_module, "GAP_S", 0.05)
         silent = FakeAnswer(n_events=2, hangs_s=5.0)
         calls = FakeCalls(scripts=[silent, FakeAnswer(n_events=2, first=3)])
         sink = FakeSink()
@@ -260,7 +260,7 @@
     ) -> None:
         # An engine under pressure puts a stream back for two seconds. Cut then,
         # it is lost; waited for, it is only late.
-        monkeypatch.setattr(attempts_module, "GAP_S", 0.05)
+        monkeypatch.setattr(patience_module, "GAP_S", 0.05)
         calls = FakeCalls(scripts=[FakeAnswer(n_events=2, hangs_s=0.3)])
         sink = FakeSink()
         assert isinstance(await attempts(calls, STREAM_ONCE).run(sink), Answered)
