--- a/src/trefoilpaddle/coordination/chain/attempts.py
+++ b/src/trefoilpaddle/coordination/chain/attempts.py
@@ -1,32 +1,24 @@
 """Sends one request to workers until one has answered it, or it must end."""
 
-import asyncio
 import time
-from collections.abc import AsyncIterator
-from dataclasses import dataclass
-from typing import Final, Protocol
-
-from result import Err, Ok
+from typing import Final
 
 from ...protocol.reasons import Reason
 from ...state.chain.delivery import Delivery
 from ...state.chain.repeat_budget import RepeatBudget
 from ...state.chain.requests import Answered, Failed, Outcome
-from ...state.chain.target_answers import AnswerHead, CallFault, StreamEvent
+from ...state.chain.target_answers import CallFault
 from ...state.chain.workers import Worker, WorkerTable
 from ...state.journal import Decision, Event, Figure, Journal
 from .caller_sink import CallerSink
 from .job import Job
-from .patience import gap_s, patience_s
-from .target_calls import OpenAnswer, StreamBrokenError, TargetCall, TargetCalls
-from .worker_choice import Need, OpenRequest, WorkerChoice
+from .target_calls import TargetCalls
+from .worker_choice import Need, WorkerChoice
+from .worker_exchange import Inputs, WorkerExchange, WorkerFailed
 
 MAX_UNSENT: Final = 4
 """Most workers that are tried without anything being sent, or being run."""
 
-MAX_URGENCY: Final = 9
-"""Least urgent rank that a model worker knows."""
-
 REASON_OF: Final = {
     CallFault.UNREACHABLE: Reason.TARGET_DOWN,
     CallFault.FULL: Reason.QUEUE_FULL,
@@ -40,30 +32,6 @@
 """When to come back after all workers were full; two calls of a stage."""
 
 
-@dataclass(frozen=True, slots=True, kw_only=True)
-class WorkerFailed:
-    """A worker answered whole, with a status that is no success."""
-
-    head: AnswerHead
-    body: bytes
-
-
-class Inputs(Protocol):
-    """The results of a request's stages, made again where they are gone."""
-
-    async def get(self) -> tuple[str, ...] | None:
-        """Return the handles of all, or None if they cannot be made again."""
-
-    def read(self) -> None:
-        """Free them: a worker has read all of them."""
-
-    def lose(self) -> None:
-        """Take them for gone: a worker did not find one of them."""
-
-
-Sent = Answered | WorkerFailed | CallFault
-
-
 class Attempts:
     """The attempts of one request.
 
@@ -83,15 +51,13 @@
 
     __slots__ = (
         "_budget",
-        "_calls",
         "_choice",
         "_delivery",
+        "_exchange",
         "_inputs",
         "_is_left",
         "_job",
         "_journal",
-        "_last_event",
-        "_n_sent",
         "_n_unsent",
         "_need",
         "_tried",
@@ -117,14 +83,20 @@
         self._need = need
         self._workers = workers
         self._choice = choice
-        self._calls = calls
+        self._exchange = WorkerExchange(
+            job=job,
+            inputs=inputs,
+            need=need,
+            workers=workers,
+            choice=choice,
+            calls=calls,
+            delivery=delivery,
+        )
         self._budget = budget
         self._journal = journal
         self._tried: set[str] = set()
-        self._n_sent = 0
         self._n_unsent = 0
         self._is_left = False
-        self._last_event = job.request.after_event
 
     def leave(self) -> None:
         """Send it to no other worker: its caller has left."""
@@ -143,7 +115,7 @@
                 # Its caller left, or was told that it has not run, meanwhile.
                 return self._end(Reason.CANCELLED)
             self._note(Event.ROUTED, worker)
-            match await self._send(worker, handles, sink):
+            match await self._exchange.send(worker, handles, sink):
                 case Answered() as answered:
                     return answered
                 case WorkerFailed() as failed:
@@ -183,12 +155,13 @@
             return False
         if self._delivery.is_begun and not job.route.is_resumable:
             return False
-        if self._n_sent >= job.route.max_attempts or self._n_unsent >= MAX_UNSENT:
+        n_sent = self._exchange.n_sent
+        if n_sent >= job.route.max_attempts or self._n_unsent >= MAX_UNSENT:
             return False
         now_s = time.monotonic()
         if now_s >= job.deadline_s:
             return False
-        if self._n_sent and not self._budget.spend(now_s):
+        if n_sent and not self._budget.spend(now_s):
             return False
         self._note(Event.RETRIED, worker, reason)
         return True
@@ -205,96 +178,6 @@
         await sink.whole(failed.head, failed.body)
         return Answered()
 
-    async def _send(
-        self, worker: Worker, handles: tuple[str, ...], sink: CallerSink
-    ) -> Sent:
-        """Send the request to one worker; return what came of it."""
-        job = self._job
-        call = TargetCall(
-            request=job.request,
-            account=job.account.name,
-            ends_s=job.deadline_s,
-            inputs=handles,
-            after_event=self._last_event,
-            urgency=min(MAX_URGENCY, job.priority) if job.route.is_stream else None,
-        )
-        n_before = self._n_sent
-        with (
-            self._choice.open(worker, self._need) as at_worker,
-            self._delivery.at_worker(),
-        ):
-            try:
-                async with (
-                    asyncio.timeout(patience_s(job, n_sent=self._n_sent)) as patience,
-                    self._calls.exchange(worker, call) as opened,
-                ):
-                    match opened:
-                        case Err(fault):
-                            if fault is not CallFault.UNREACHABLE:
-                                self._n_sent += 1
-                            return fault
-                        case Ok(answer):
-                            self._n_sent += 1
-                            return await self._take(
-                                worker, at_worker, answer, sink, patience
-                            )
-            except TimeoutError:
-                # One that fell silent within its answer was counted already.
-                self._n_sent = n_before + 1
-                return CallFault.SILENT
-
-    async def _take(
-        self,
-        worker: Worker,
-        at_worker: OpenRequest,
-        answer: OpenAnswer,
-        sink: CallerSink,
-        patience: asyncio.Timeout,
-    ) -> Sent:
-        if answer.head.is_success and self._job.route.is_stream:
-            return await self._take_stream(worker, at_worker, answer, sink, patience)
-        match await answer.read():
-            case Err(fault):
-                return fault
-            case Ok(body):
-                self._workers.trust(worker)
-                if not answer.head.is_success:
-                    return WorkerFailed(head=answer.head, body=body)
-                self._delivery.begin()
-                await sink.whole(answer.head, body)
-                return Answered()
-
-    async def _take_stream(
-        self,
-        worker: Worker,
-        at_worker: OpenRequest,
-        answer: OpenAnswer,
-        sink: CallerSink,
-        patience: asyncio.Timeout,
-    ) -> Sent:
-        """Pass events on as they come; each one renews the patience."""
-        loop = asyncio.get_running_loop()
-        try:
-            is_first = True
-            async for event in in_order(answer.events(), self._last_event):
-                if is_first:
-                    is_first = False
-                    self._workers.trust(worker)
-                    at_worker.read()
-                    self._inputs.read()
-                if not self._delivery.is_begun:
-                    self._delivery.begin()
-                    await sink.begin(answer.head)
-                self._last_event = event.number
-                await sink.event(event)
-                patience.reschedule(loop.time() + gap_s(self._job, n_sent=self._n_sent))
-        except StreamBrokenError:
-            return CallFault.BROKEN
-        if not self._delivery.is_begun:
-            return CallFault.BROKEN
-        await sink.end()
-        return Answered()
-
     def _note(self, event: Event, worker: Worker, reason: Reason = Reason.NONE) -> None:
         job = self._job
         self._journal.record(
@@ -307,7 +190,7 @@
                 peer=worker.worker_id,
                 reason=reason,
                 figures=(
-                    Figure(name="n_tried", value=self._n_sent),
+                    Figure(name="n_tried", value=self._exchange.n_sent),
                     Figure(
                         name="n_running", value=self._choice.n_open(worker.worker_id)
                     ),
@@ -315,21 +198,3 @@
                 ),
             )
         )
-
-
-async def in_order(
-    events: AsyncIterator[StreamEvent], last: int | None
-) -> AsyncIterator[StreamEvent]:
-    """Yield events that follow on `last` one by one; None lets any one be first.
-
-    Raises
-    ------
-    StreamBrokenError
-        If a number is missing or comes twice; a caller must not get a stream
-        with a hole, or with parts of two runs that do not join.
-    """
-    async for event in events:
-        if last is not None and event.number != last + 1:
-            raise StreamBrokenError(f"event {event.number} after {last}")
-        last = event.number
-        yield event
