Give the sessions of a gateway a module of their own

The session to workers, the one to the store and their sockets stood at the end of the wiring. The test's import follows. No change of behaviour.

--- a/tests/platform_adapter/test_worker_client.py
+++ b/tests/platform_adapter/test_worker_client.py
@@ -9,7 +9,7 @@
 
 import aiohttp
 import pytest
-from adapter.gateway import one_call_session
+from adapter.sessions import one_call_session
 from adapter.worker_client import WorkerClient, decode_event, request_headers
 from result import Err, Ok, Result
 
