--- a/src/trefoilpaddle/coordination/requests/stage_call.py
+++ b/src/trefoilpaddle/coordination/requests/stage_call.py
@@ -7,34 +7,30 @@
 
 from result import Err, Ok, Result
 
-from ...protocol.errors import Failed, NotRun, StageError, Unknown, from_failure
+from ...protocol.errors import StageError, Unknown, from_failure
 from ...protocol.gen.stage.ttypes import (
     Ack,
-    Bar,
-    BarAnswer,
-    BarState,
     Cancel,
     Chunk,
     End,
     Failure,
-    Fetch,
     Go,
     Queued,
     Ready,
     Started,
 )
 from ...protocol.reasons import Reason
-from ...state.journal import Event, Figure, Journal
+from ...state.journal import Journal
 from ..targets.stage_work import Sink, StageAnswer, StageFault, StageWork
+from . import call_errors
 from .answer_receiver import AnswerReceiver
 from .open_attempts import Notice, OpenAttempt, OpenAttempts
-from .request_decisions import stage_decision
+from .result_fetch import fetch, reconnect
+from .settling import bar, give_up
 from .start_message import start_messages
 from .target_view import TargetView
 
-BAR_WAIT_S: Final = 0.25
 FOLLOW_LATE_S: Final = 15.0
-RECONNECT_S: Final = 0.5
 
 OnReady = Callable[["StageCall"], bool]
 
@@ -69,7 +65,6 @@
         "_journal",
         "_may_go",
         "is_sent",
-        "is_started",
         "view",
         "work",
     )
@@ -87,7 +82,6 @@
         self.work = work
         self.view = view
         self.is_sent = False
-        self.is_started = False
         self._attempts = attempts
         self._journal = journal
         self._may_go = may_go
@@ -97,11 +91,6 @@
         self._has_refetched = False
         self._attempt: OpenAttempt | None = None
 
-    @property
-    def attempt_id(self) -> str:
-        """The attempt's id, hexadecimal; empty before it was sent."""
-        return self._attempt.attempt_id.hex() if self._attempt is not None else ""
-
     @property
     def may_have_started(self) -> bool:
         """Return True unless it is certain that the target never started it.
@@ -131,22 +120,13 @@
 
     async def _run(self, attempt: OpenAttempt) -> Result[StageAnswer, StageFault]:
         if not self._send(attempt):
-            # Frames of one connection arrive in order; the last was not taken,
-            # so the sidecar never holds a whole start frame and its body.
-            return self._err(
-                NotRun(
-                    reason=Reason.CONNECTION_LOST,
-                    step="send",
-                    peer=self.view.process_id,
-                    detail="The connection closed before the call was sent.",
-                )
-            )
+            return self._err(call_errors.not_sent(peer=self.view.process_id))
         self.is_sent = True
         try:
             async with asyncio.timeout_at(self._loop_deadline_s()):
                 return await self._follow(attempt)
         except TimeoutError:
-            late = await self._give_up(attempt)
+            late = await give_up(attempt, self._journal)
         except asyncio.CancelledError:
             self.view.link.send(Cancel(attempt_id=attempt.attempt_id))
             raise
@@ -196,7 +176,7 @@
                 case Ready():
                     verdict = self._on_ready(attempt)
                 case Started():
-                    self.is_started = True
+                    attempt.is_started = True
                 case Chunk():
                     verdict = await self._on_chunk(attempt, mail)
                 case End():
@@ -204,7 +184,7 @@
                 case Failure():
                     return self._err(await self._on_failure(attempt, mail))
                 case Notice.LINK_LOST:
-                    verdict = await self._reconnect(attempt)
+                    verdict = await self._on_lost(attempt)
                 case Notice.LINK_OPEN:
                     pass
                 case Notice.LINK_SILENT:
@@ -233,26 +213,19 @@
             )
             return None
         self.view.link.send(Cancel(attempt_id=attempt.attempt_id))
-        return self._err(
-            NotRun(
-                reason=Reason.CANCELLED,
-                step="reserve",
-                peer=self.view.process_id,
-                detail="Another target was ready first.",
-            )
-        )
+        return self._err(call_errors.place_given_back(peer=self.view.process_id))
 
     async def _on_chunk(
         self, attempt: OpenAttempt, chunk: Chunk
     ) -> Result[StageAnswer, StageFault] | None:
-        self.is_started = True
+        attempt.is_started = True
         fault = await self._answer.take(chunk, attempt)
         return self._drop(attempt, fault) if fault else None
 
     def _on_end(
         self, attempt: OpenAttempt, end: End
     ) -> Result[StageAnswer, StageFault] | None:
-        self.is_started = True
+        attempt.is_started = True
         if not self._answer.is_whole(end):
             return self._on_torn(attempt)
         self.view.link.send(Ack(attempt_id=attempt.attempt_id))
@@ -273,32 +246,19 @@
         if self._has_refetched or not self._answer.may_begin_again():
             return self._drop(attempt, "count, size or checksum do not match")
         self._has_refetched = True
-        self._fetch(attempt)
+        fetch(attempt, self._answer, self._journal)
         return None
 
     def _drop(
-        self, attempt: OpenAttempt, detail: str
+        self, attempt: OpenAttempt, fault: str
     ) -> Result[StageAnswer, StageFault]:
         self.view.link.send(Cancel(attempt_id=attempt.attempt_id))
-        return self._err(
-            Failed(
-                reason=Reason.CORRUPT,
-                step="receive",
-                peer=self.view.process_id,
-                detail=f"The answer was dropped: {detail}.",
-            )
-        )
+        error = call_errors.answer_dropped(fault, peer=self.view.process_id)
+        return self._err(error)
 
     def _on_superseded(self, attempt: OpenAttempt) -> Err[StageFault]:
         self.view.link.send(Cancel(attempt_id=attempt.attempt_id))
-        return self._err(
-            Failed(
-                reason=Reason.CANCELLED,
-                step="hedge",
-                peer=self.view.process_id,
-                detail="Another attempt had the answer first.",
-            )
-        )
+        return self._err(call_errors.superseded(peer=self.view.process_id))
 
     def _on_silence(
         self, attempt: OpenAttempt
@@ -311,115 +271,33 @@
         if not self.work.stage.idempotent:
             return None
         self.view.link.send(Cancel(attempt_id=attempt.attempt_id))
-        return self._err(self._unknown(Reason.PEER_SILENT, "wait", "fell silent"))
+        error = call_errors.unknown(
+            Reason.PEER_SILENT,
+            step="wait",
+            peer=self.view.process_id,
+            what="fell silent",
+        )
+        return self._err(error)
 
-    async def _reconnect(
+    async def _on_lost(
         self, attempt: OpenAttempt
     ) -> Result[StageAnswer, StageFault] | None:
-        """Fetch the answer over a new connection to the same incarnation.
-
-        The sidecar holds a result until it is acknowledged, so a lost
-        connection loses nothing; a new incarnation holds nothing of the old.
-        """
-        link = self.view.link
-        patience_s = RECONNECT_S if self.work.stage.idempotent else None
-        try:
-            async with asyncio.timeout(patience_s):
-                while link.peer is None:
-                    await link.opened.wait()
-                    await asyncio.sleep(0)
-        except TimeoutError:
-            return self._err(
-                self._unknown(Reason.CONNECTION_LOST, "reconnect", "cannot be reached")
-            )
-        if link.peer.incarnation != attempt.incarnation:
-            return self._err(
-                self._unknown(Reason.WRONG_INCARNATION, "reconnect", "was restarted")
-            )
-        self._fetch(attempt)
+        """Fetch the answer over a new connection to the same incarnation."""
+        if (error := await reconnect(attempt)) is not None:
+            return self._err(error)
+        fetch(attempt, self._answer, self._journal)
         return None
 
-    def _fetch(self, attempt: OpenAttempt) -> None:
-        self._answer.renew_window(attempt)
-        self.view.link.send(
-            Fetch(
-                attempt_id=attempt.attempt_id,
-                from_seq=self._answer.n_chunks,
-                credit_bytes=self._answer.window_bytes,
-                incarnation=attempt.incarnation,
-            )
-        )
-        from_seq = Figure(name="from_seq", value=self._answer.n_chunks)
-        self._record(Event.RESULT_FETCHED, from_seq)
-
     async def _on_failure(self, attempt: OpenAttempt, failure: Failure) -> StageError:
         error = from_failure(failure)
         self.view.link.send(Ack(attempt_id=attempt.attempt_id))
         if not isinstance(error, Unknown):
             return error
-        if error.reason is Reason.RESULT_GONE and not self.is_started:
+        if error.reason is Reason.RESULT_GONE and not attempt.is_started:
             # The start frame may have been lost with the connection.
-            return await self._bar(attempt, error)
+            return await bar(attempt, self._journal, otherwise=error)
         return error
 
-    async def _give_up(self, attempt: OpenAttempt) -> StageError:
-        """Settle an attempt whose deadline has passed."""
-        late = self._unknown(Reason.DEADLINE_PASSED, "wait", "did not answer in time")
-        if not self.is_started:
-            late_or_barred = await self._bar(attempt, late)
-            if isinstance(late_or_barred, NotRun):
-                return late_or_barred
-        if not self.work.stage.idempotent:
-            return late
-        self.view.link.send(Cancel(attempt_id=attempt.attempt_id))
-        if not self.is_started:
-            return late
-        return Failed(
-            reason=Reason.DEADLINE_PASSED,
-            step="wait",
-            peer=self.view.process_id,
-            detail="The call was still running at the deadline and was cancelled.",
-        )
-
-    async def _bar(self, attempt: OpenAttempt, otherwise: StageError) -> StageError:
-        """Ask that the attempt never start; return `otherwise` if that fails.
-
-        Only the sidecar's word that it did not start the call and never will
-        makes "not run" true; no word at all leaves it unknown.
-        """
-        link = self.view.link
-        if not link.is_heard():
-            return otherwise
-        # A sidecar that was restarted meanwhile must not answer for the former.
-        question = Bar(attempt_id=attempt.attempt_id, incarnation=attempt.incarnation)
-        match await link.ask(question, timeout_s=BAR_WAIT_S):
-            case Ok(BarAnswer(state=BarState.BARRED)):
-                self._record(Event.ATTEMPT_BARRED)
-                return NotRun(
-                    reason=otherwise.reason,
-                    step="bar",
-                    peer=self.view.process_id,
-                    detail="The sidecar had not started the call and never will.",
-                )
-            case Ok(BarAnswer(state=BarState.RUNNING | BarState.DONE)):
-                self.is_started = True
-        return otherwise
-
-    def _unknown(self, reason: Reason, step: str, what: str) -> Unknown:
-        peer = self.view.process_id
-        return Unknown(reason=reason, step=step, peer=peer, detail=f"{peer} {what}.")
-
     def _err(self, error: StageError) -> Err[StageFault]:
         has_passed_on = self._answer.has_passed_on
         return Err(StageFault(error=error, has_passed_on=has_passed_on))
-
-    def _record(self, event: Event, *figures: Figure) -> None:
-        self._journal.record(
-            stage_decision(
-                event,
-                self.work,
-                attempt_id=self.attempt_id,
-                peer=self.view.process_id,
-                figures=figures,
-            )
-        )
