--- a/src/trefoilpaddle/coordination/chain/store_feed.py
+++ b/src/trefoilpaddle/coordination/chain/store_feed.py
@@ -40,7 +40,7 @@
 PATIENCE_S: Final = 0.3
 """How long a read may take before peers are asked, and again each so long.
 
-Sixty times a usual answer; a store that is slow takes 0.2 s.
+Many times the usual few milliseconds, and half of the time between two reads.
 """
 
 LAPSE_S: Final = 2.5
