--- a/tests/platform_adapter/test_worker_client.py
+++ b/tests/platform_adapter/test_worker_client.py
@@ -10,7 +10,8 @@
 import aiohttp
 import pytest
 from adapter.sessions import one_call_session
-from adapter.worker_client import WorkerClient, decode_event, request_headers
+from adapter.worker_answers import decode_event
+from adapter.worker_client import WorkerClient, request_headers
 from result import Err, Ok, Result
 
 from tests.chain.fakes import request
