--- a/src/trefoilpaddle/coordination/claims/claim_book.py
+++ b/src/trefoilpaddle/coordination/claims/claim_book.py
@@ -165,16 +165,7 @@
 
     def note(self, claim: Claim, *, stage: ClaimStage) -> ClaimRecord | None:
         """Record a claim on an unknown key; return None if the table is full."""
-        record = ClaimRecord(
-            key=claim.key,
-            request_id=claim.request_id,
-            gateway=claim.gateway,
-            gateway_incarnation=claim.gateway_incarnation,
-            fingerprint=claim.fingerprint,
-            is_idempotent=claim.idempotent,
-            grant=claim.grant,
-            stage=stage,
-        )
+        record = record_of(claim, stage=stage)
         is_kept = self.table.add(record, budget_s=claim.budget_ms / 1000)
         return record if is_kept else None
 
@@ -194,6 +185,23 @@
         )
 
 
+def record_of(
+    claim: Claim, *, stage: ClaimStage, result: bytes | None = None
+) -> ClaimRecord:
+    """Return the record of a claim that a message carries."""
+    return ClaimRecord(
+        key=claim.key,
+        request_id=claim.request_id,
+        gateway=claim.gateway,
+        gateway_incarnation=claim.gateway_incarnation,
+        fingerprint=claim.fingerprint,
+        is_idempotent=claim.idempotent,
+        grant=claim.grant,
+        stage=stage,
+        result=result,
+    )
+
+
 def answer_for(record: ClaimRecord, state: int, *, detail: str = "") -> ClaimAnswer:
     """Return the answer `state` with what `record` holds."""
     return ClaimAnswer(
--- a/src/trefoilpaddle/coordination/claims/claim_sync.py
+++ b/src/trefoilpaddle/coordination/claims/claim_sync.py
@@ -22,7 +22,7 @@
 from ...state.places import Place, PlaceList
 from ...transport.server import PeerServer
 from ..requests.asker import Asker, ask_at
-from .claim_book import ClaimBook
+from .claim_book import ClaimBook, record_of
 
 MAX_PAGE_BYTES: Final = 512 * 1024
 MAX_LISTS_BYTES: Final = 1024 * 1024
@@ -106,7 +106,11 @@
             if claim is None or self._book.table.get(claim.key) is not None:
                 continue
             is_kept = self._book.table.copy_in(
-                _record_of(known, claim),
+                record_of(
+                    claim,
+                    stage=_stage_of(known),
+                    result=known.result if known.has_result else None,
+                ),
                 overdue_in_s=known.overdue_in_ms / MS_PER_S,
                 expires_in_s=known.expires_in_ms / MS_PER_S,
             )
@@ -160,20 +164,6 @@
     )
 
 
-def _record_of(known: KnownClaim, claim: Claim) -> ClaimRecord:
-    return ClaimRecord(
-        key=claim.key,
-        request_id=claim.request_id,
-        gateway=claim.gateway,
-        gateway_incarnation=claim.gateway_incarnation,
-        fingerprint=claim.fingerprint,
-        is_idempotent=claim.idempotent,
-        grant=claim.grant,
-        stage=_stage_of(known),
-        result=known.result if known.has_result else None,
-    )
-
-
 def _stage_of(known: KnownClaim) -> ClaimStage:
     if known.moved:
         return ClaimStage.MOVED
