--- a/src/trefoilpaddle/state/chain/workers.py
+++ b/src/trefoilpaddle/state/chain/workers.py
@@ -169,11 +169,6 @@
         if worker.is_same_start(self._by_id.get(worker.worker_id)):
             self._suspect_until_s.pop(worker.worker_id, None)
 
-    def is_usable(self, worker_id: str) -> bool:
-        """Return True if a worker is listed and not leaving."""
-        worker = self._by_id.get(worker_id)
-        return worker is not None and not worker.is_leaving
-
     def is_suspect(self, worker_id: str) -> bool:
         """Return True while a worker is passed over."""
         until_s = self._suspect_until_s.get(worker_id)
