--- a/src/trefoilpaddle/coordination/chain/chain_wire.py
+++ b/src/trefoilpaddle/coordination/chain/chain_wire.py
@@ -1,8 +1,8 @@
 """Chains and their ends as gateways send them to one another."""
 
 import time
-from typing import Final
 
+from ...protocol.const import MS_PER_S
 from ...protocol.gen.chain import ttypes as wire
 from ...protocol.reasons import reason_from_wire
 from ...state.chain.cell_handover import CellHandover, HeldResult, WorkerHandover
@@ -18,8 +18,6 @@
 from ...state.chain.piece_work import PieceMade
 from ...state.chain.routes import StagePlan
 
-MS_PER_S: Final = 1000.0
-
 
 def work_to_wire(work: ChainWork, cell: Cell) -> wire.RunChain:
     """Return a chain as it is sent; times become durations from now."""
--- a/src/trefoilpaddle/coordination/claims/claim_sync.py
+++ b/src/trefoilpaddle/coordination/claims/claim_sync.py
@@ -10,6 +10,7 @@
 
 from result import Ok
 
+from ...protocol.const import MS_PER_S
 from ...protocol.gen.claims.ttypes import (
     Claim,
     ClaimSync,
@@ -38,7 +39,6 @@
 MAX_PAGES: Final = 1000
 SYNC_TIMEOUT_S: Final = 1.0
 RETRY_S: Final = 0.5
-MS_PER_S: Final = 1000
 
 
 class ClaimSyncs:
--- a/src/trefoilpaddle/coordination/limits/lease_contact.py
+++ b/src/trefoilpaddle/coordination/limits/lease_contact.py
@@ -8,11 +8,11 @@
 
 from result import Ok
 
+from ...protocol.const import NS_PER_S
 from ...protocol.gen.limits.ttypes import LeaseAnswer, LeaseAsk
 from ...state.places import Place
 from ..requests.asker import Asker, ask_at
 
-NS_PER_S: Final = 1_000_000_000
 ASK_TIMEOUT_S: Final = 0.4
 PERIOD_S: Final = 0.6
 """Time between asks when no request waits; several fit into one lease."""
--- a/src/trefoilpaddle/coordination/limits/lease_home.py
+++ b/src/trefoilpaddle/coordination/limits/lease_home.py
@@ -9,6 +9,7 @@
 from collections.abc import Callable, Iterator, Mapping
 from dataclasses import dataclass
 
+from ...protocol.const import NS_PER_S
 from ...protocol.gen.limits.ttypes import (
     LeaseAnswer,
     LeaseAsk,
@@ -26,8 +27,6 @@
 from ...state.published import Published
 from ...transport.server import PeerServer
 
-NS_PER_S = 1_000_000_000
-
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class PoolKey:
--- a/src/trefoilpaddle/coordination/requests/start_message.py
+++ b/src/trefoilpaddle/coordination/requests/start_message.py
@@ -2,16 +2,13 @@
 
 import time
 from collections.abc import Iterator
-from typing import Final
 
-from ...protocol.const import CHUNK_BYTES, INLINE_BODY_BYTES
+from ...protocol.const import CHUNK_BYTES, INLINE_BODY_BYTES, NS_PER_S
 from ...protocol.frames import Message
 from ...protocol.gen.stage.ttypes import BodyChunk, Start
 from ..targets.stage_work import StageWork
 from .open_attempts import OpenAttempt
 
-NS: Final = 1_000_000_000
-
 
 def start_messages(
     work: StageWork, attempt: OpenAttempt, *, credit_bytes: int, is_reserved: bool
@@ -61,9 +58,9 @@
         brownout_order=entry.brownout_order,
         stamp_ns=view.stamp_ns,
         elapsed_ns=time.monotonic_ns() - view.stamp_at_ns,
-        budget_ns=max(0, int((work.deadline_s - now_s) * NS)),
+        budget_ns=max(0, int((work.deadline_s - now_s) * NS_PER_S)),
         # A repeated call may find its stage's share used up, but not the whole.
-        stage_budget_ns=max(0, int((work.stage_deadline_s - now_s) * NS)),
+        stage_budget_ns=max(0, int((work.stage_deadline_s - now_s) * NS_PER_S)),
         idempotent=stage.idempotent,
         predicted_s=work.expected_s,
         max_tokens=stage.max_tokens,
--- a/src/trefoilpaddle/protocol/const.py
+++ b/src/trefoilpaddle/protocol/const.py
@@ -28,3 +28,6 @@
 
 NS_PER_S: Final = 1_000_000_000
 """Nanoseconds in a second."""
+
+MS_PER_S: Final = 1000
+"""Milliseconds in a second."""
--- a/src/trefoilpaddle/replay/fleet_steps.py
+++ b/src/trefoilpaddle/replay/fleet_steps.py
@@ -21,6 +21,7 @@
 from ..coordination.members.member_wire import to_wire
 from ..coordination.members.overlay import neighbours
 from ..coordination.members.subset import subset
+from ..protocol.const import MS_PER_S
 from ..protocol.frames import encode
 from ..protocol.gen.membership.ttypes import Gossip
 from ..state.catalogue_build import CatalogueBuilder
@@ -33,7 +34,6 @@
 N_DOMAINS: Final = 5
 N_SERVICES: Final = 10
 GATEWAY_SHARE: Final = 0.3
-MS_PER_S: Final = 1000.0
 KIB: Final = 1024
 
 
