--- a/src/trefoilpaddle/coordination/chain/chain_router.py
+++ b/src/trefoilpaddle/coordination/chain/chain_router.py
@@ -251,7 +251,7 @@
 async def _answers(asking: "asyncio.Task[Any]", link: Link) -> bool:
     """Return True once a question has its answer; False if its peer falls silent.
 
-    A scheduler that is paused, or whose machine is cut off, answers nothing and
+    A scheduler that is paused, or whose host is cut off, answers nothing and
     closes nothing. Its chains would wait for it until their deadlines.
     """
     while not asking.done():
--- a/src/trefoilpaddle/coordination/chain/duty_rank.py
+++ b/src/trefoilpaddle/coordination/chain/duty_rank.py
@@ -24,7 +24,7 @@
 def duty_rank(member: MemberRecord) -> DutyRank:
     """Return the order in which members take a duty, the first first.
 
-    Only a machine with twice the processor goes before an older one: each
+    Only a host with twice the processor goes before an older one: each
     change loses what the one before knew.
     """
     return DutyRank(
--- a/src/trefoilpaddle/coordination/chain/planned_stop.py
+++ b/src/trefoilpaddle/coordination/chain/planned_stop.py
@@ -29,7 +29,7 @@
 WRITE_S: Final = 0.9
 """Left before the kill to write the last answers and to close.
 
-An answer takes a hundredth of it; the rest is for a weak machine on which many
+An answer takes a hundredth of it; the rest is for a weak host on which many
 requests end at the same moment.
 """
 
--- a/src/trefoilpaddle/coordination/chain/running_chain.py
+++ b/src/trefoilpaddle/coordination/chain/running_chain.py
@@ -19,7 +19,7 @@
 MAX_MOVES: Final = 4
 """Times that a chain follows its cell to another gateway.
 
-As many as machines that are stopped one after the other within its time.
+As many as hosts that are stopped one after the other within its time.
 """
 
 RUN_AGAIN: Final = frozenset({Reason.PEER_SILENT, Reason.RESULT_GONE})
--- a/src/trefoilpaddle/coordination/chain/scheduler_links.py
+++ b/src/trefoilpaddle/coordination/chain/scheduler_links.py
@@ -77,7 +77,7 @@
         """Return the place of a cell's scheduler.
 
         All gateways agree on the oldest of the strongest of the cell. Every
-        chain of the cell passes its scheduler, so a weak machine would be late
+        chain of the cell passes its scheduler, so a weak host would be late
         with all of them. A scheduler knows what waits and what it has reserved, a
         new one knows nothing and admits too much; so one that is restarted does
         not take its cell back from its equals. One that is silent is passed over
--- a/src/trefoilpaddle/state/chain/cells.py
+++ b/src/trefoilpaddle/state/chain/cells.py
@@ -12,7 +12,7 @@
 In one cell the load of all failure domains is shared out and a lost worker's is
 taken over by all; 26 workers in one cell had 3,640 streams of a calm day in time,
 in four cells 2,450. A scheduler's processor bounds it: it used 0.3
-cores at its most with these 26, so 64 need 0.75, about a front machine's whole.
+cores at its most with these 26, so 64 need 0.75, about the whole of an entry host's.
 """
 
 
