--- a/src/trefoilpaddle/coordination/requests/answer_buffer.py
+++ b/src/trefoilpaddle/coordination/requests/answer_buffer.py
@@ -1,12 +1,9 @@
 """Collects the chunks of one answer and tells whether it is whole."""
 
-from typing import Final
-
 from ...protocol.checksum import RunningChecksum
+from ...protocol.const import MAX_ANSWER_BYTES
 from ...protocol.gen.stage.ttypes import Chunk, End
 
-MAX_ANSWER_BYTES: Final = 16 * 1024 * 1024
-
 
 class AnswerBuffer:
     """Chunks in order, each counted once.
--- a/src/trefoilpaddle/coordination/requests/streams.py
+++ b/src/trefoilpaddle/coordination/requests/streams.py
@@ -5,6 +5,7 @@
 from collections.abc import Callable
 from typing import Final, Protocol
 
+from ...protocol.const import MAX_ANSWER_BYTES
 from ...protocol.gen.stage.ttypes import Chunk, End, Failure
 from ...state.held_results import Answer
 from ...transport.connection import Connection
@@ -12,9 +13,6 @@
 MAX_UNSENT_BYTES: Final = 256 * 1024
 """Reading from the target pauses while more than this waits to be sent."""
 
-MAX_ANSWER_BYTES: Final = 16 * 1024 * 1024
-"""Largest answer; a gateway takes no larger one."""
-
 Grow = Callable[[int], bool]
 
 
--- a/src/trefoilpaddle/protocol/const.py
+++ b/src/trefoilpaddle/protocol/const.py
@@ -14,6 +14,9 @@
 CHUNK_BYTES: Final = 64 * 1024
 """Largest piece of a body or an answer sent in one frame."""
 
+MAX_ANSWER_BYTES: Final = 16 * 1024 * 1024
+"""Largest answer of a stage; a sidecar holds and a gateway takes no larger one."""
+
 INLINE_BODY_BYTES: Final = 64 * 1024
 """Bodies up to this size travel inside the start frame."""
 
