--- a/src/trefoilpaddle/coordination/claims/claim_book.py
+++ b/src/trefoilpaddle/coordination/claims/claim_book.py
@@ -14,7 +14,11 @@
 """How long a replaced list is asked about; a partition of minutes fits in."""
 
 RETRY_S: Final = 1.0
+"""Shortest wait that a caller is told where nobody is sure."""
+
 TRY_BYTES: Final = 6
+"""Random bytes in the id of a try."""
+
 TRY_MARK: Final = "~"
 """Between a request id and what tells one try of the request from another."""
 
--- a/src/trefoilpaddle/coordination/claims/claim_sync.py
+++ b/src/trefoilpaddle/coordination/claims/claim_sync.py
@@ -26,6 +26,11 @@
 from .claim_book import ClaimBook, record_of
 
 MAX_PAGE_BYTES: Final = 512 * 1024
+"""Size at which a page ends; the claim that exceeds it is still sent.
+
+With the largest result it stays below ``MAX_FRAME_BYTES``.
+"""
+
 MAX_LISTS_BYTES: Final = 1024 * 1024
 """A place whose lists are larger, many changes in a large fleet, hands over none;
 the other one then waits until it is old enough to vouch."""
@@ -37,8 +42,13 @@
 """Taken as the size of a claim besides its result."""
 
 MAX_PAGES: Final = 1000
+"""Pages taken from one place; bounds one that never comes to its end."""
+
 SYNC_TIMEOUT_S: Final = 1.0
+"""Longest wait for one page."""
+
 RETRY_S: Final = 0.5
+"""Pause before the places that have not handed over are asked again."""
 
 
 class ClaimSyncs:
--- a/src/trefoilpaddle/coordination/claims/claims.py
+++ b/src/trefoilpaddle/coordination/claims/claims.py
@@ -35,8 +35,14 @@
 """Wait for the first place, which itself may wait for three others."""
 
 PEEK_TIMEOUT_S: Final = 0.5
+"""Longest wait for the second place, asked where the first is silent."""
+
 POLL_MIN_S: Final = 0.05
+"""First pause before a place is asked again; doubled each time."""
+
 POLL_MAX_S: Final = 0.5
+"""Longest pause before a place is asked again."""
+
 NOT_MINE_S: Final = 3.0
 """How long gateway and place may differ about the list; it is read each second."""
 
--- a/src/trefoilpaddle/coordination/claims/key_claims.py
+++ b/src/trefoilpaddle/coordination/claims/key_claims.py
@@ -24,7 +24,9 @@
 from .claims import Claimer
 
 STEP: Final = "claim"
+
 RETRY_AFTER_S: Final = 1.0
+"""Wait that a caller is told while its earlier try still runs."""
 
 
 class KeyClaims:
--- a/src/trefoilpaddle/coordination/claims/minted.py
+++ b/src/trefoilpaddle/coordination/claims/minted.py
@@ -25,6 +25,7 @@
 """How long an unused id stays valid."""
 
 MAX_MINTED: Final = 100_000
+"""Unused ids remembered; beyond it the oldest one ends."""
 
 
 class MintedClaims:
--- a/src/trefoilpaddle/coordination/configuration/config_peers.py
+++ b/src/trefoilpaddle/coordination/configuration/config_peers.py
@@ -36,11 +36,16 @@
 """Larger differences are announced only, so each process fetches them once."""
 
 PULL_TIMEOUT_S: Final = 2.0
+"""Longest wait for one page of a peer."""
+
 ROUND_S: Final = 2.0
+"""Time between two questions to neighbours about what they know."""
+
 CATCH_UP_S: Final = 0.2
 """Wait after hearing of a newer revision, for a flood that is on its way."""
 
 MAX_PAGES: Final = 1000
+"""Pages taken from one peer; bounds one that never comes to its end."""
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
--- a/src/trefoilpaddle/coordination/configuration/config_readers.py
+++ b/src/trefoilpaddle/coordination/configuration/config_readers.py
@@ -18,7 +18,11 @@
 """Time between two looks at whether this process reads now."""
 
 BACKOFF_MIN_S: Final = 0.1
+"""First wait after a read that failed."""
+
 BACKOFF_MAX_S: Final = 2.0
+"""Longest wait after reads that failed."""
+
 MAX_PAGES: Final = 1000
 """Pages taken in one read; bounds a service that never comes to its end."""
 
--- a/src/trefoilpaddle/coordination/configuration/config_state.py
+++ b/src/trefoilpaddle/coordination/configuration/config_state.py
@@ -16,6 +16,7 @@
 from ...state.published import Published
 
 MAX_NOTED_CHARS: Final = 300
+"""Longest text of problems in a decision; more is cut off."""
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
--- a/src/trefoilpaddle/coordination/explaining/status_gather.py
+++ b/src/trefoilpaddle/coordination/explaining/status_gather.py
@@ -13,6 +13,7 @@
 from ..requests.asking import Asker
 
 MAX_ASKS_AT_ONCE: Final = 32
+"""Processes that are asked at the same time."""
 
 
 async def gather_status(
--- a/src/trefoilpaddle/coordination/limits/entry_allowances.py
+++ b/src/trefoilpaddle/coordination/limits/entry_allowances.py
@@ -15,7 +15,10 @@
 from ...state.lease_allowance import RateAllowance, SlotAllowance, Want
 
 STEP: Final = "limit"
+
 MIN_RETRY_S: Final = 0.2
+"""Shortest wait that a refused caller is told."""
+
 RECENT_S: Final = 10.0
 """An entry used within this time is expected to be used again."""
 
--- a/src/trefoilpaddle/coordination/limits/lease_contact.py
+++ b/src/trefoilpaddle/coordination/limits/lease_contact.py
@@ -14,6 +14,8 @@
 from ..requests.asker import Asker, ask_at
 
 ASK_TIMEOUT_S: Final = 0.4
+"""Longest wait for the home, and the pause after it was not heard."""
+
 PERIOD_S: Final = 0.6
 """Time between asks when no request waits; several fit into one lease."""
 
--- a/src/trefoilpaddle/coordination/members/membership.py
+++ b/src/trefoilpaddle/coordination/members/membership.py
@@ -29,7 +29,11 @@
 """News of this long goes out together; a lost failure domain is one message."""
 
 ASK_TIMEOUT_S: Final = 1.0
+"""Longest wait for a link to open, and for an answer on it."""
+
 N_ROUNDS_PER_STRANGER: Final = 3
+"""Rounds between two meetings with a listed process that is no live member."""
+
 N_MISMATCHES: Final = 2
 """Rounds in which digests may differ, for news on its way, before a comparison."""
 
--- a/src/trefoilpaddle/coordination/members/wake.py
+++ b/src/trefoilpaddle/coordination/members/wake.py
@@ -8,6 +8,8 @@
 from ...transport.aligned import aligned_sleep
 
 TICK_S: Final = 0.25
+"""Time between two looks at the clock."""
+
 LATE_S: Final = SILENCE_S - HEARTBEAT_S
 """A gap between ticks from which on this process counts as paused.
 
--- a/src/trefoilpaddle/coordination/members/watch_peers.py
+++ b/src/trefoilpaddle/coordination/members/watch_peers.py
@@ -15,14 +15,25 @@
 from .membership import Membership
 
 TICK_S: Final = 0.25
+"""Time between two looks at the watched links."""
+
 CONNECT_GRACE_S: Final = 1.0
 """Time that a new link has to connect before its silence counts."""
 
 DEAD_AFTER_S: Final = 30.0
+"""Age at which a member that is still suspected is said to be dead."""
+
 LEFT_AFTER_S: Final = 120.0
+"""Age at which a member that said it leaves is said to be dead."""
+
 FORGET_AFTER_S: Final = 600.0
+"""Age at which a dead member is forgotten."""
+
 IDLE_LINK_S: Final = 120.0
+"""Time without use after which a link is closed."""
+
 SWEEP_S: Final = 5.0
+"""Time between two sweeps of old members and idle links."""
 
 
 class PeerWatch:
--- a/src/trefoilpaddle/coordination/placing/placement.py
+++ b/src/trefoilpaddle/coordination/placing/placement.py
@@ -23,6 +23,8 @@
 from .orders import Busy, Order, OrderKind, TargetOrders
 
 ROUND_S: Final = 2.0
+"""Time between two exchanges with peers of the service."""
+
 FRESH_S: Final = 3 * ROUND_S
 """A report older than this tells nothing of what a target holds."""
 
@@ -30,8 +32,13 @@
 """Peers of the service asked in one round, at most."""
 
 ASK_TIMEOUT_S: Final = 0.5
+"""Longest wait for what a peer holds."""
+
 DEMAND_HALF_LIFE_S: Final = 20.0
+"""Time in which demand of the past loses half its weight."""
+
 MAX_BACKOFF_S: Final = 60.0
+"""Longest wait after an order that found its store busy."""
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
--- a/src/trefoilpaddle/coordination/placing/target_models.py
+++ b/src/trefoilpaddle/coordination/placing/target_models.py
@@ -9,7 +9,9 @@
 from ...transport.target_http import TargetHttp
 
 PATH: Final = "/v1/models"
+
 TIMEOUT_S: Final = 2.0
+"""Longest wait for a target's list of models."""
 
 
 async def read_loaded(http: TargetHttp) -> frozenset[str]:
--- a/src/trefoilpaddle/coordination/requests/answer_receiver.py
+++ b/src/trefoilpaddle/coordination/requests/answer_receiver.py
@@ -8,8 +8,13 @@
 from .open_attempts import OpenAttempt
 
 WHOLE_CREDIT_BYTES: Final = 1024 * 1024
+"""Window of an answer that is only kept; sixteen chunks."""
+
 STREAM_CREDIT_BYTES: Final = 64 * 1024
+"""Window of an answer that is passed on; most that lies here for a slow caller."""
+
 CREDIT_PARTS: Final = 4
+"""Parts of a window; a grant is sent once one of them was taken."""
 
 
 class AnswerReceiver:
--- a/src/trefoilpaddle/coordination/requests/asking.py
+++ b/src/trefoilpaddle/coordination/requests/asking.py
@@ -25,6 +25,7 @@
 from ...transport.peers import Peers
 
 ASK_TIMEOUT_S: Final = 3.0
+"""Longest wait for one process; longer than ``SILENCE_S``, so a silent one shows."""
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
--- a/src/trefoilpaddle/coordination/requests/ejection.py
+++ b/src/trefoilpaddle/coordination/requests/ejection.py
@@ -9,13 +9,28 @@
 from .target_view import TargetView
 
 MIN_SAMPLES: Final = 5
+"""Calls measured before a target is judged, or counts as a peer of others."""
+
 SUSPECT_RATIO: Final = 1.5
+"""Times the prediction from which on a target is compared with its peers."""
+
 EJECT_RATIO: Final = 2.5
+"""Times its peers' median from which on a target is ejected."""
+
 READMIT_RATIO: Final = 1.5
+"""Times its peers' median up to which a probed target is taken back."""
+
 MIN_IN: Final = 2
+"""Targets of a service that always stay in."""
+
 MAX_OUT_SHARE: Final = 1 / 3
+"""Largest part of a service's targets that may be out."""
+
 PROBE_S: Final = 1.0
+"""Wait before the first probe of an ejected target; doubled after a slow one."""
+
 MAX_PROBE_S: Final = 8.0
+"""Longest wait between two probes."""
 
 
 class Ejector:
--- a/src/trefoilpaddle/coordination/requests/open_attempts.py
+++ b/src/trefoilpaddle/coordination/requests/open_attempts.py
@@ -26,6 +26,8 @@
 from .target_view import TargetView, TargetViews
 
 MAX_UNREAD_MESSAGES: Final = 4096
+"""Most frames kept unread for one attempt; credit bounds only their bytes."""
+
 OVERDUE_RATIO: Final = 3.0
 """Times the predicted service time after which a running call is overdue."""
 
--- a/src/trefoilpaddle/coordination/requests/prediction.py
+++ b/src/trefoilpaddle/coordination/requests/prediction.py
@@ -19,7 +19,10 @@
 """Times the predicted need that must fit into the time left where only cost
 counts; where only attainment counts, `CAUTION_STEP` less."""
 CAUTION_STEP: Final = 0.3
+
 MIN_RETRY_AFTER_S: Final = 0.05
+"""Shortest wait that a refused caller is told."""
+
 HEADROOM: Final = 1.0
 """Part of the predicted need by which the lowest brown-out order is refused
 before the highest."""
--- a/src/trefoilpaddle/coordination/requests/retries.py
+++ b/src/trefoilpaddle/coordination/requests/retries.py
@@ -19,9 +19,14 @@
 from .routing import Chosen, Router
 
 MAX_ATTEMPTS: Final = 4
+"""Targets tried, hedges included, after which a stage is not repeated."""
+
 HEDGE_FACTOR: Final = 1.5
 """Times the high estimate after which a call is slow enough to hedge."""
+
 HEDGE_MIN_S: Final = 0.1
+"""Least time that a call has before it counts as slow."""
+
 HEDGE_MIN_WEIGHT: Final = 0.5
 """Weight of attainment from which on an entry's calls may be hedged."""
 
--- a/src/trefoilpaddle/coordination/requests/settling.py
+++ b/src/trefoilpaddle/coordination/requests/settling.py
@@ -13,6 +13,7 @@
 from .request_decisions import attempt_decision
 
 BAR_WAIT_S: Final = 0.25
+"""Longest wait for the sidecar's word; past a deadline the caller waits for it too."""
 
 
 async def give_up(attempt: OpenAttempt, journal: Journal) -> StageError:
--- a/src/trefoilpaddle/coordination/requests/stage_call.py
+++ b/src/trefoilpaddle/coordination/requests/stage_call.py
@@ -31,6 +31,10 @@
 from .target_view import TargetView
 
 FOLLOW_LATE_S: Final = 15.0
+"""How long an answer that is too late for its caller is waited for.
+
+The target runs the work to its end anyway; the request's key stays claimed as long.
+"""
 
 OnReady = Callable[["StageCall"], bool]
 
--- a/src/trefoilpaddle/coordination/requests/target_view.py
+++ b/src/trefoilpaddle/coordination/requests/target_view.py
@@ -15,13 +15,23 @@
 from .predicted_wait import MAX_SLOWNESS, predicted_wait_s, slowness
 
 DEFAULT_SLOTS: Final = 4
+"""Slots assumed of a target that has not reported yet."""
+
 CROWDING: Final = 0.4
 """How much longer a call takes, in part of its time, where all slots are taken;
 a batching engine makes slower steps then. Also tells idle targets apart."""
+
 LATENCY_STEP: Final = 0.1
+"""Weight of one call in how much slower than predicted a target is."""
+
 SLOW_STEP: Final = 0.3
+"""The same of a call that was far too slow."""
+
 SLOW_RATIO: Final = 3.0
+"""Times the prediction from which on a call counts as far too slow."""
+
 PROBE_STEP: Final = 0.7
+"""The same weight of a probe of an ejected target, which gets few calls."""
 
 
 class TargetView:
--- a/src/trefoilpaddle/coordination/targets/engine_events.py
+++ b/src/trefoilpaddle/coordination/targets/engine_events.py
@@ -9,7 +9,10 @@
 
 DATA_PREFIX: Final = b"data:"
 DONE: Final = b"[DONE]"
+
 MAX_LINE_BYTES: Final = 1024 * 1024
+"""Longest line of an event that is put together in memory."""
+
 WHOLE_FINISHES: Final = (None, "stop", "length")
 """Finish reasons of a stream that goes on or is whole."""
 
--- a/src/trefoilpaddle/coordination/targets/queue_policy.py
+++ b/src/trefoilpaddle/coordination/targets/queue_policy.py
@@ -10,6 +10,7 @@
 from ...state.work_queue import Work, WorkQueue
 
 MIN_RETRY_S: Final = 0.05
+"""Shortest wait that a refused call is told."""
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
--- a/src/trefoilpaddle/coordination/targets/target_watch.py
+++ b/src/trefoilpaddle/coordination/targets/target_watch.py
@@ -12,7 +12,10 @@
 
 HEALTH_PATH: Final = "/health"
 LOAD_PATH: Final = "/load"
+
 HEALTH_TIMEOUT_S: Final = 1.0
+"""Longest wait for the answer to one check."""
+
 N_MISSES: Final = 2
 """Checks missed in a row before a target counts as down."""
 
--- a/src/trefoilpaddle/state/budget.py
+++ b/src/trefoilpaddle/state/budget.py
@@ -3,7 +3,10 @@
 from typing import Final
 
 FIRST_CREDIT: Final = 5.0
+"""Repeats that a service has before its calls have earned any."""
+
 MAX_CREDIT: Final = 20.0
+"""Most repeats that a service can save up."""
 
 
 class RetryBudget:
--- a/src/trefoilpaddle/state/claim_table.py
+++ b/src/trefoilpaddle/state/claim_table.py
@@ -8,8 +8,13 @@
 from typing import Final
 
 MAX_CLAIMS: Final = 100_000
+"""Claims kept; a full table refuses new ones rather than forget any."""
+
 MAX_RESULTS_BYTES: Final = 32 * 1024 * 1024
+"""Memory of all stored answers together."""
+
 MAX_RESULT_BYTES: Final = 256 * 1024
+"""Largest answer that is stored; a retry of a larger one learns only that it ran."""
 
 
 @unique
--- a/src/trefoilpaddle/state/deadline_split.py
+++ b/src/trefoilpaddle/state/deadline_split.py
@@ -4,6 +4,7 @@
 from typing import Final
 
 MIN_SHARE: Final = 0.05
+"""Least part of the time left that a stage gets where all stages fit into it."""
 
 
 def stage_budget_s(
--- a/src/trefoilpaddle/state/journal.py
+++ b/src/trefoilpaddle/state/journal.py
@@ -17,7 +17,11 @@
 from .log_format import LogFormat
 
 WORK_AFTER_S: Final = 0.05
+"""Longest time until new decisions are worked off."""
+
 MAX_NEW: Final = 64
+"""New decisions after which they are worked off at once."""
+
 EVENT_WORDS: Final = {
     int(event): f"event={int(event)} name={event.name.lower()}" for event in Event
 }
--- a/src/trefoilpaddle/state/lease_allowance.py
+++ b/src/trefoilpaddle/state/lease_allowance.py
@@ -10,7 +10,9 @@
 HEADROOM_PERIODS: Final = 1.5
 LOW_SHARE: Final = 0.4
 """Part of the units last wanted below which more are asked for in advance."""
+
 RATE_HALF_LIFE_S: Final = 2.0
+"""Time over which the rate of use is averaged."""
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
--- a/src/trefoilpaddle/state/prefix.py
+++ b/src/trefoilpaddle/state/prefix.py
@@ -8,10 +8,20 @@
 from .prefix_holders import PrefixHolders
 
 BLOCK_WORDS: Final = 32
+"""Words of a block."""
+
 MAX_BLOCKS: Final = 32
+"""Leading blocks of a prompt that are hashed."""
+
 MAX_PREFIXES: Final = 20_000
+"""Prefixes remembered."""
+
 MAX_HOLDERS: Final = 8
+"""Targets remembered for each prefix."""
+
 KEEP_S: Final = 120.0
+"""Age after which a prefix is taken as evicted."""
+
 _SIGN_BIT: Final = 1 << 63
 _RANGE: Final = 1 << 64
 
--- a/src/trefoilpaddle/state/slowness.py
+++ b/src/trefoilpaddle/state/slowness.py
@@ -4,8 +4,14 @@
 from typing import Final
 
 STEP: Final = 0.1
+"""Weight of one call in the ratio."""
+
 GRACE_S: Final = 2.0
+"""Age up to which the last measurement counts in full."""
+
 FADE_S: Final = 2.0
+"""Time in which an older one fades to a third."""
+
 MIN: Final = 0.5
 MAX: Final = 20.0
 QUANTILE: Final = 0.85
--- a/src/trefoilpaddle/state/tally.py
+++ b/src/trefoilpaddle/state/tally.py
@@ -10,7 +10,10 @@
 from .journal import Decision, Event
 
 BUCKET_S: Final = 5.0
+"""Time that is counted together."""
+
 N_BUCKETS: Final = 12
+"""Buckets kept."""
 
 
 @dataclass(slots=True, kw_only=True)
