Bound slowness by one constant

A sidecar bounds the ratio it reports by MAX, a gateway the one it believes by MAX_SLOWNESS, both 20; MIN and MAX said nothing where they stood. No change of behaviour.

--- a/src/trefoilpaddle/coordination/requests/predicted_wait.py
+++ b/src/trefoilpaddle/coordination/requests/predicted_wait.py
@@ -1,13 +1,10 @@
 """How long a call sent now would wait at a target, by its last load report."""
 
-from typing import Final
-
 from ...protocol.gen.stage.ttypes import Load
 from ...state.catalogue import Entry
+from ...state.slowness import MAX_SLOWNESS
 from .own_calls import OwnCalls
 
-MAX_SLOWNESS: Final = 20.0
-
 
 def predicted_wait_s(load: Load, own: OwnCalls, entry: Entry, *, age_s: float) -> float:
     """Return the predicted queueing time of a call of `entry`, in seconds.
--- a/src/trefoilpaddle/coordination/requests/target_view.py
+++ b/src/trefoilpaddle/coordination/requests/target_view.py
@@ -7,12 +7,13 @@
 from ...protocol.gen.stage.ttypes import Load
 from ...state.catalogue import Entry
 from ...state.hosts import Host
+from ...state.slowness import MAX_SLOWNESS
 from ...transport.connection import Address
 from ...transport.link import Link
 from ...transport.peers import Peers
 from ..targets.stage_work import StageWork
 from .own_calls import OwnCalls
-from .predicted_wait import MAX_SLOWNESS, predicted_wait_s, slowness
+from .predicted_wait import predicted_wait_s, slowness
 
 DEFAULT_SLOTS: Final = 4
 """Slots assumed of a target that has not reported yet."""
--- a/src/trefoilpaddle/state/slowness.py
+++ b/src/trefoilpaddle/state/slowness.py
@@ -12,8 +12,12 @@
 FADE_S: Final = 2.0
 """Time in which an older one fades to a third."""
 
-MIN: Final = 0.5
-MAX: Final = 20.0
+MIN_SLOWNESS: Final = 0.5
+"""Least ratio that one call counts with."""
+
+MAX_SLOWNESS: Final = 20.0
+"""Largest ratio that is believed, of one call and of a report."""
+
 QUANTILE: Final = 0.85
 QUANTILE_STEP: Final = 0.05
 FIRST_SPREAD: Final = 1.25
@@ -59,7 +63,7 @@
         """Take in one ended call; one without prediction says nothing."""
         if predicted_s <= 0.0:
             return
-        ratio = min(MAX, max(MIN, service_s / predicted_s))
+        ratio = min(MAX_SLOWNESS, max(MIN_SLOWNESS, service_s / predicted_s))
         self._note_spread(ratio / self.at(now_s))
         self._ratio = self.at(now_s) + STEP * (ratio - self.at(now_s))
         self._when_s = now_s
