--- a/src/trefoilpaddle/coordination/chain/request_path.py
+++ b/src/trefoilpaddle/coordination/chain/request_path.py
@@ -13,10 +13,10 @@
 from ...state.chain.delivery import Delivery
 from ...state.chain.engine_times import EngineTimes
 from ...state.chain.repeat_budget import RepeatBudgets
-from ...state.chain.requests import Answered, CallerRequest, Failed, Outcome, Refused
+from ...state.chain.requests import CallerRequest, Outcome, Refused
 from ...state.chain.routes import Account, Route, RouteTable
 from ...state.chain.workers import WorkerTable
-from ...state.journal import Decision, Event, Figure, Journal
+from ...state.journal import Journal
 from .answer_bound import AnswerDueError
 from .attempts import Attempts
 from .caller_sink import CallerSink
@@ -24,6 +24,7 @@
 from .chain_router import ChainRouter
 from .job import Job
 from .planned_stop import PlannedStop
+from .request_notes import RequestNotes
 from .target_calls import TargetCalls
 from .worker_choice import Need, WorkerChoice
 
@@ -124,12 +125,15 @@
         table = self.table
         route = table.match(request.host, request.path)
         delivery = Delivery()
+        notes = RequestNotes(
+            journal=self._journal, request=request, table=table, route=route
+        )
         try:
             outcome = await self._serve(request, table, route, delivery, sink)
         except asyncio.CancelledError:
-            self._note_cut(request, table, route, delivery)
+            notes.cut(delivery, self._stop)
             raise
-        self._note_end(request, table, route, outcome)
+        notes.end(outcome)
         return outcome
 
     async def _serve(
@@ -269,78 +273,6 @@
             return NO_ACCOUNT
         return account
 
-    def _note_end(
-        self,
-        request: CallerRequest,
-        table: RouteTable,
-        route: Route | None,
-        outcome: Outcome,
-    ) -> None:
-        """Log how a request ended."""
-        match outcome:
-            case Answered():
-                self._note(Event.REQUEST_ANSWERED, request, table, route)
-            case Refused():
-                retry_after = Figure(name="retry_after_s", value=outcome.retry_after_s)
-                self._note(
-                    Event.REQUEST_REFUSED,
-                    request,
-                    table,
-                    route,
-                    reason=outcome.reason,
-                    figures=(retry_after,),
-                )
-            case Failed():
-                self._note(
-                    Event.REQUEST_FAILED, request, table, route, reason=outcome.reason
-                )
-
-    def _note_cut(
-        self,
-        request: CallerRequest,
-        table: RouteTable,
-        route: Route | None,
-        delivery: Delivery,
-    ) -> None:
-        """Log that nobody takes the answer: the caller left, or this process goes."""
-        if not self._stop.is_closing:
-            self._note(Event.CALLER_LEFT, request, table, route)
-            return
-        left = Figure(name="budget_s", value=self._stop.left_s())
-        self._note(
-            Event.REQUEST_CUT,
-            request,
-            table,
-            route,
-            reason=Reason.STOPPING,
-            detail=f"waited for {delivery.waits_for()}",
-            figures=(left,),
-        )
-
-    def _note(
-        self,
-        event: Event,
-        request: CallerRequest,
-        table: RouteTable,
-        route: Route | None,
-        *,
-        reason: Reason = Reason.NONE,
-        detail: str = "",
-        figures: tuple[Figure, ...] = (),
-    ) -> None:
-        took = Figure(name="took_s", value=time.monotonic() - request.came_s)
-        self._journal.record(
-            Decision(
-                event=event,
-                request_id=request.request_id,
-                entry="" if route is None else route.name,
-                config_revision=table.version,
-                reason=reason,
-                detail=detail,
-                figures=(took, *figures),
-            )
-        )
-
 
 def _pieces(request: CallerRequest, route: Route) -> tuple[int, ...]:
     """Return how many pieces each stage has; one where the caller tells none."""
