--- a/src/trefoilpaddle/coordination/limits/lease_contact.py
+++ b/src/trefoilpaddle/coordination/limits/lease_contact.py
@@ -8,12 +8,14 @@
 
 from result import Ok
 
+from ...protocol.const import NS_PER_S
 from ...protocol.gen.limits.ttypes import LeaseAnswer, LeaseAsk
 from ...state.places import Place
 from ..requests.asker import Asker, ask_at
 
-NS_PER_S: Final = 1_000_000_000
 ASK_TIMEOUT_S: Final = 0.4
+"""Longest wait for the home, and the pause after it was not heard."""
+
 PERIOD_S: Final = 0.6
 """Time between asks when no request waits; several fit into one lease."""
 
