--- a/src/trefoilpaddle/coordination/chain/store_feed.py
+++ b/src/trefoilpaddle/coordination/chain/store_feed.py
@@ -9,6 +9,7 @@
 from absl import logging
 from result import Err, Ok, Result
 
+from ...protocol.const import MS_PER_S
 from ...protocol.gen.chain.ttypes import StoreNews, StoreState
 from ...state.chain.workers import WorkerTable
 from ...state.journal import Event, Journal
@@ -24,7 +25,7 @@
 from .store_relay import StoreRelay
 from .store_wire import changes_of_news, changes_of_state, listed_to_wire
 from .table_in_force import TableInForce
-from .worker_listing import MS_PER_S, NOT_AWAY_MS, WorkerListing
+from .worker_listing import NOT_AWAY_MS, WorkerListing
 
 POLL_S: Final = 0.6
 """Time from one read to the next, counted from when they are asked for.
--- a/src/trefoilpaddle/coordination/chain/worker_listing.py
+++ b/src/trefoilpaddle/coordination/chain/worker_listing.py
@@ -4,13 +4,12 @@
 from collections.abc import Iterable
 from typing import Final
 
+from ...protocol.const import MS_PER_S
 from ...state.chain.workers import Worker, WorkerTable
 from ...state.journal import Event
 from .published_store import StoreChanges, UnreadableEntry
 from .store_notes import StoreNotes
 
-MS_PER_S: Final = 1000.0
-
 NOT_AWAY_MS: Final = -1
 """Told of a store that was not away lately."""
 
