Let two tests of answers at the end of a gateway fail

Found by a review that had read the code only. Suspicions: a close counts a request as answered once its answer is written, which is not yet sent; and an answer during a stop closes its connection whatever else was read on it.

--- a/tests/platform_adapter/test_callers.py
+++ b/tests/platform_adapter/test_callers.py
@@ -2,10 +2,12 @@
 
 import asyncio
 import contextlib
+import socket
 from collections.abc import AsyncIterator
 from dataclasses import dataclass, field
 
 import pytest
+from adapter.caller_answers import AnswerWriter
 from adapter.caller_requests import decode_prompt
 from adapter.callers import CallerServer
 from aiohttp import web_protocol
@@ -338,3 +340,68 @@
         later.cancel()
         writer.close()
         idle_writer.close()
+
+    async def test_a_caller_that_reads_slowly_gets_its_answer_whole(self) -> None:
+        # The last answer of a gateway that stops goes to a caller that reads slowly,
+        # or far away. Its last part, up to 64 KB, was still in the process when all
+        # counted as answered; the process ended a moment later, and the caller had
+        # half of an answer that its worker had made whole.
+        size = 60_000
+
+        class Large(Served):
+            transport: asyncio.Transport
+
+            async def __call__(
+                self, request: CallerRequest, sink: CallerSink
+            ) -> Outcome:
+                assert isinstance(sink, AnswerWriter)
+                transport = sink._request.transport
+                assert isinstance(transport, asyncio.Transport)
+                self.transport = transport
+                accepted = transport.get_extra_info("socket")
+                accepted.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 4096)
+                await sink.whole(HEAD, b"x" * size)
+                self.n_ended += 1
+                return Answered()
+
+        served = Large()
+        loop = asyncio.get_running_loop()
+        caller = socket.socket()
+        caller.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
+        caller.setblocking(False)
+
+        async def read_late() -> bytes:
+            await asyncio.sleep(0.3)
+            got = b""
+            with contextlib.suppress(ConnectionError):
+                while more := await loop.sock_recv(caller, 1 << 16):
+                    got += more
+            return got
+
+        with caller:
+            async with serving(served) as port:
+                await loop.sock_connect(caller, ("127.0.0.1", port))
+                await loop.sock_sendall(caller, GET + b"\r\n")
+                await until(lambda: served.n_ended)
+                reading = asyncio.create_task(read_late())
+            # What the end of the process does to what it has not sent.
+            served.transport.abort()
+            assert (await reading).count(b"x") >= size
+
+    async def test_what_was_sent_behind_a_request_is_answered_too(self) -> None:
+        # A caller sends two requests, one behind the other, and the gateway is told
+        # to stop while the first is at its worker. The first answer closed the
+        # connection, and the second, read long before, ended without a word.
+        stop = PlannedStop(grace_s=8.0)
+        served = Served(works_s=0.2)
+        server = CallerServer(serve=served, limits=CallerLimits, stop=stop)
+        port = free_port()
+        async with server.listening(f"127.0.0.1:{port}"):
+            reader, writer = await asyncio.open_connection("127.0.0.1", port)
+            writer.write(GET + b"\r\n" + GET + b"\r\n")
+            await until(lambda: served.requests)
+            stop.order()
+            answers = await reader.read()
+        assert answers.count(b"HTTP/1.1 200") == 2
+        assert answers.lower().count(b"connection: close") == 1
+        writer.close()
