--- a/tests/platform_adapter/test_callers.py
+++ b/tests/platform_adapter/test_callers.py
@@ -356,7 +356,7 @@
             ) -> Outcome:
                 assert isinstance(sink, AnswerWriter)
                 transport = sink._request.transport
-                assert isinstance(transport, asyncio.Transport)
+                assert transport is not None
                 self.transport = transport
                 accepted = transport.get_extra_info("socket")
                 accepted.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 4096)
