Answer what is half read, and send what is written, when a drain ends

Cause: the end of the product's own gateway gave a last answer only to requests that had been read whole, and did not wait until what it had written had left the process (as on the platform's path).

Change: what is half read when the drain's time is over is refused as not run; and the server waits up to a second, before it closes connections, until no answer waits in the process.

Before: two tests of tests/test_gateway_stop.py failed each time; after, they pass, as do test_callers_bounds.py, test_gateway_answers.py and test_gateway_path.py.

--- a/src/trefoilpaddle/roles/caller_server.py
+++ b/src/trefoilpaddle/roles/caller_server.py
@@ -3,6 +3,7 @@
 import asyncio
 import contextlib
 import ssl
+import time
 from collections.abc import AsyncIterator
 from typing import Final
 
@@ -12,6 +13,16 @@
 from ..transport.connection import Address
 
 KEEPALIVE_S: Final = 75.0
+
+SEND_LAST_S: Final = 1.0
+"""Longest wait at the close until callers' systems have taken the last answers.
+
+What may wait in this process of each is 64 KB: a second's worth of a slow line.
+"""
+
+SEND_LOOK_S: Final = 0.005
+"""Time between two looks; the way of a packet within a region."""
+
 FULL: Final = (
     b"HTTP/1.1 503 Service Unavailable\r\nRetry-After: 1\r\n"
     b"Content-Length: 0\r\nConnection: close\r\n\r\n"
@@ -97,4 +108,23 @@
             yield self
         finally:
             server.close()
+            await _send_last(http)
             await runner.cleanup()
+
+
+async def _send_last(http: web.Server) -> None:
+    """Return once no answer waits in this process to be sent, within bounds.
+
+    An answer counts as given when it was written; the end of the process would
+    drop what the caller's system has not taken, and leave it half of an answer.
+    """
+    ends_s = time.monotonic() + SEND_LAST_S
+    while time.monotonic() < ends_s:
+        if not any(map(_has_unsent, http.connections)):
+            return
+        await asyncio.sleep(SEND_LOOK_S)
+
+
+def _has_unsent(connection: web.RequestHandler) -> bool:
+    transport = connection.transport
+    return transport is not None and transport.get_write_buffer_size() > 0
--- a/src/trefoilpaddle/roles/callers.py
+++ b/src/trefoilpaddle/roles/callers.py
@@ -62,6 +62,7 @@
         "_is_ready",
         "_journal",
         "_mint",
+        "_reads",
         "_requests",
         "_runner",
         "_settings",
@@ -91,6 +92,7 @@
         self._mint = mint
         self._is_ready = is_ready
         self._why_closed = why_closed
+        self._reads: set[asyncio.Timeout] = set()
         self._spent: dict[asyncio.Task[Result[Answer, Refusal]], Spent] = {}
         self.answering: set[asyncio.Task[Any]] = set()
         self.running: set[asyncio.Task[Result[Answer, Refusal]]] = set()
@@ -151,9 +153,12 @@
         A request is held until its last stage has ended and its answer has been
         handed to the caller's connection. Those still open get their final answer:
         their callers would see a closed connection, and not know what it means.
+        So do those that are half read.
         """
         await self._wait_for_held(timeout_s)
         n_open = max(len(self.answering), len(self.running))
+        for reading in self._reads:
+            reading.reschedule(asyncio.get_running_loop().time())
         for task, spent in list(self._spent.items()):
             self._end_open(task, spent)
         await self._wait_for_held(LAST_ANSWERS_S)
@@ -187,7 +192,7 @@
             task.cancel()
 
     async def _serve(self, http: web.Request) -> web.StreamResponse:
-        match await self._input.read(http):
+        match await self._read(http):
             case Err(error):
                 refusal = Refusal(error=error, stage="")
                 self._record_unread(error)
@@ -197,6 +202,22 @@
                     return await self._streamed(http, request)
                 return await self._whole(request)
 
+    async def _read(self, http: web.Request) -> Result[Request, NotRun]:
+        """Return the checked request, or why it is refused, at a stop's end too."""
+        reading = asyncio.timeout(None)
+        self._reads.add(reading)
+        try:
+            async with reading:
+                return await self._input.read(http)
+        except TimeoutError:
+            return Err(
+                NotRun(
+                    reason=Reason.STOPPING, step="read", peer="", detail=STOPPED_DETAIL
+                )
+            )
+        finally:
+            self._reads.remove(reading)
+
     async def _whole(self, request: Request) -> web.StreamResponse:
         match await self._run(request, None):
             case Err(refusal):
