Keep the pipeline under which a request was accepted while its body comes

Cause: a caller's request was checked against the catalogue before its body was read, and its pipeline looked up in the catalogue after. A publication between the two that takes the pipeline away ended it as a fault: 500, "unknown", not to be sent again. Nothing had run.

--- a/src/trefoilpaddle/roles/caller_input.py
+++ b/src/trefoilpaddle/roles/caller_input.py
@@ -18,6 +18,7 @@
 from ..protocol.errors import NotRun
 from ..protocol.ids import RequestId
 from ..protocol.reasons import Reason
+from ..state.catalogue import Pipeline
 from ..state.governing import Governing, GoverningIndex
 from ..state.published import Published
 from ..state.settings import CallerSettings
@@ -75,12 +76,15 @@
                 return Err(error)
             case Ok(governing):
                 pass
+        # Read before the body comes: a publication may take the pipeline away
+        # meanwhile, and the request goes on by what it was accepted under.
+        pipeline = self._published.catalogue.pipelines[http.match_info["pipeline"]]
         match await self._body(http):
             case Err(error):
                 return Err(error)
             case Ok(body):
                 pass
-        return self._request(http, account, governing, body, arrived_s)
+        return self._request(http, account, governing, pipeline, body, arrived_s)
 
     def account(self, http: web.Request) -> Result[str, NotRun]:
         """Return the client account that the caller proves or names."""
@@ -152,6 +156,7 @@
         http: web.Request,
         account: str,
         governing: Governing,
+        pipeline: Pipeline,
         body: bytes,
         arrived_s: float,
     ) -> Result[Request, NotRun]:
@@ -170,7 +175,7 @@
                 request_id=request_id,
                 account=account,
                 pipeline_name=name,
-                pipeline=self._published.catalogue.pipelines[name],
+                pipeline=pipeline,
                 governing=governing,
                 input=material,
                 n_input_bytes=len(body),
