Let two tests of peers that have said that they close fail

Found by a review of the last step of closing connections. Since a dialling side takes nothing more once its peer has said `Closing`, its heartbeats end too, and with them the look whether the peer lives; and the gateway goes by whether a peer is heard, which one that closes still is.

Shown by both tests, which fail each time: a peer that says `Closing` and is gone without the end of its connection (its host lost power, or was cut off for good) is not dialled again, whatever starts at its address later; and of 30 requests beside a sidecar that closes without a drain before, the first is sent to it, cannot be, and is repeated elsewhere out of the budget. All 30 are answered.

--- a/tests/test_gateway_failures.py
+++ b/tests/test_gateway_failures.py
@@ -89,6 +89,22 @@
                     assert answer.status == 200
             assert not leaving.calls
 
+    async def test_one_whose_connection_closes_is_not_tried(self) -> None:
+        """A sidecar closes without a drain before, as one does that ends by a fault;
+        it still answers, and its heartbeats come. Requests that could not be sent to it
+        each took a repeat from the service's budget.
+        """
+        closing, other = sidecar(), sidecar(name="t2")
+        async with bench(closing, other, published=catalogue(plain_stage())) as b:
+            for connection in closing.server.connections:
+                connection.ask_last()
+                await connection.read_all.wait()
+            for _ in range(30):
+                async with b.post(json={}) as answer:
+                    assert answer.status == 200
+            assert Event.RETRIED not in b.events()
+            assert not closing.calls
+
     async def test_what_it_refuses_as_not_run_goes_elsewhere(self) -> None:
         """Work reaches a sidecar just as it begins to leave. It was not run, so
         even a call that must run once may go to the other target.
--- a/tests/test_transport.py
+++ b/tests/test_transport.py
@@ -23,6 +23,7 @@
     Bar,
     BarAnswer,
     Cancel,
+    Closing,
     Heartbeat,
     Hello,
 )
@@ -250,6 +251,23 @@
             await until(lambda: not link.is_heard())
             await until(lambda: True in changes)
 
+    @pytest.mark.usefixtures("fast")
+    async def test_a_peer_that_vanishes_as_it_closes_is_dialled_again(self) -> None:
+        # A sidecar says that it closes, and its host loses power before the end of
+        # its connection is sent. The link had nothing more to say, looked no longer
+        # whether its peer lived, and never dialled the sidecar that came after it.
+        n_dialled = 0
+
+        async def serve(peer: RawPeer) -> None:
+            nonlocal n_dialled
+            n_dialled += 1
+            peer.send(hello_of("sidecar", incarnation=n_dialled)())
+            peer.send(Closing())
+            await peer.ended()
+
+        async with raw_listener(serve) as address, link_to(address):
+            await until(lambda: n_dialled > 1, cap_s=5.0)
+
     @pytest.mark.usefixtures("fast")
     async def test_own_pause_does_not_drop_a_live_peer(self) -> None:
         # This process is paused past the time after which a silent peer counts
