Watch a peer that closes until it has, and give it no new work

Cause: heartbeats, and with them the look whether a peer lives, ended once the connection took nothing more. That was right while only this side's own close, which is bounded, could do that; now the peer's `Closing` does it too. And work is sent to whoever is heard, which a closing peer is.

Change: the look ends only with the connection itself. `Link.takes` says whether what is sent now goes out; views of targets ask it. A call under way still goes by whether the peer is heard.

The tests' stand-in for a link in test_routing.py says the new word as the old one.

--- a/src/trefoilpaddle/coordination/requests/target_view.py
+++ b/src/trefoilpaddle/coordination/requests/target_view.py
@@ -85,7 +85,7 @@
 
     def may_get_work(self) -> bool:
         """Return True if the sidecar is heard, not leaving and its target up."""
-        if not self.link.is_heard():
+        if not self.link.takes():
             return False
         return self.load is None or not (self.load.leaving or not self.load.target_up)
 
--- a/src/trefoilpaddle/transport/connection.py
+++ b/src/trefoilpaddle/transport/connection.py
@@ -162,12 +162,13 @@
         A peer whose host vanished sends no FIN and would keep its connection
         open for ever. Silence is counted in own heartbeats, not on the clock:
         after a pause of this process the peer's heartbeats still wait unread,
-        and the clock would blame the peer for the pause.
+        and the clock would blame the peer for the pause. One that has said that it
+        closes is judged like any other: it may vanish before it does.
         """
         n_silent = 0
         heard_s = self.heard_s
         for tick in itertools.count():
-            if self.is_closing():
+            if self._writer.is_closing():
                 return
             if tick % n_ticks() == 0:
                 self._send_heartbeat(own_heartbeat)
--- a/src/trefoilpaddle/transport/link.py
+++ b/src/trefoilpaddle/transport/link.py
@@ -110,6 +110,14 @@
             return False
         return time.monotonic() - self.connection.heard_s < SILENCE_S
 
+    def takes(self) -> bool:
+        """Return True if what is sent now goes out, to a peer that is heard.
+
+        A peer that closes is heard until it has answered all; nothing new is sent.
+        """
+        connection = self.connection
+        return self.is_heard() and not (connection and connection.is_closing())
+
     def is_idle(self, idle_s: float) -> bool:
         """Return True if only heartbeats passed for `idle_s` seconds."""
         return not self._calls and time.monotonic() - self.used_s > idle_s
--- a/tests/test_routing.py
+++ b/tests/test_routing.py
@@ -38,6 +38,9 @@
     def is_heard(self) -> bool:
         return self.is_up
 
+    def takes(self) -> bool:
+        return self.is_up
+
 
 class Fleet:
     """Targets of one service, as views and as a directory of them."""
