Let three tests of signals and short times at a planned stop fail

Found by a review that had read the code only, then run on the real processes.

Shown by the three tests, which fail each time: a hangup ends a gateway and a sidecar of the product at once (exit code -1) with the call that they hold, and its caller sees the connection end; a second SIGTERM in the last milliseconds of the stop of a platform's gateway kills it (-15), as a hangup there once did, its callers all answered by then; and a gateway with 2 s until the kill ends only after 3.04 s, so it would be killed with its connections open.

--- a/tests/platform_adapter/test_gateway_process.py
+++ b/tests/platform_adapter/test_gateway_process.py
@@ -298,6 +298,35 @@
                 await asyncio.sleep(0.0005)
             assert ending.result() == 0
 
+    async def test_nor_does_a_second_order_there(self, tmp_path: Path) -> None:
+        # Whoever stops a gateway gives the order again while it stops. It came after
+        # its handler was gone with the loop, and the stop ended with a failure.
+        async with (
+            small_site() as site,
+            gateways(site, tmp_path, "a") as (gateway,),
+        ):
+            await until(lambda: "retrieve1" in gateway.log())
+            gateway.signal(signal.SIGTERM)
+            ending = asyncio.create_task(gateway.ended())
+            while not ending.done():
+                gateway.signal(signal.SIGTERM)
+                await asyncio.sleep(0.0005)
+            assert ending.result() == 0
+
+    async def test_a_short_time_to_the_kill_is_kept_too(self, tmp_path: Path) -> None:
+        # A deployment kills 2 s after the order to stop. A gateway listened for new
+        # connections until 3 s after it, whatever its time, and was killed with all
+        # of them open.
+        grace_s = 2.0
+        async with small_site() as site, gateways(site, tmp_path, "a") as (gateway,):
+            gateway.kill()
+            gateway._grace_s = grace_s
+            gateway.start()
+            await until(lambda: "retrieve1" in gateway.logs[-1].read_text())
+            gateway.signal(signal.SIGTERM)
+            async with asyncio.timeout(grace_s):
+                assert await gateway.ended() == 0
+
 
 class TestFaults:
     async def test_a_stream_goes_on_at_another_engine(self, tmp_path: Path) -> None:
--- a/tests/process_rig.py
+++ b/tests/process_rig.py
@@ -137,9 +137,9 @@
         """Wait until a call has reached the target."""
         await until(lambda: self.target.runs)
 
-    def stop(self) -> None:
+    def stop(self, order: signal.Signals = signal.SIGTERM) -> None:
         for started in (self.gateway, self.sidecar):
-            started.popen.send_signal(signal.SIGTERM)
+            started.popen.send_signal(order)
 
 
 def _start(program: Sequence[str], role: str, folder: Path, text: str) -> Started:
--- a/tests/test_cli_processes.py
+++ b/tests/test_cli_processes.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import os
+import signal
 import sys
 from pathlib import Path
 
@@ -33,11 +34,27 @@
             for started in (both.gateway, both.sidecar):
                 assert "n_cut_off=0" in started.log.read_text()
 
-    async def _stop_under_load(self, both: Pair) -> None:
+    async def test_nor_does_a_hangup_cut_it_off(
+        self, tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+    ) -> None:
+        """The terminal in which both were started closes, or a script that knows
+        other servers asks them to read their settings again, while a price call
+        runs. Both processes ended at that moment, with all that they held.
+        """
+        monkeypatch.setitem(os.environ, "PYTHONPATH", str(SRC))
+        async with pair(PROGRAM, tmp_path) as both:
+            await both.until_serving()
+            await self._stop_under_load(both, signal.SIGHUP)
+            assert await both.gateway.ended() == 0
+            assert await both.sidecar.ended() == 0
+
+    async def _stop_under_load(
+        self, both: Pair, order: signal.Signals = signal.SIGTERM
+    ) -> None:
         both.target.gate.clear()
         asked = asyncio.create_task(both.price())
         await both.held_at_target()
-        both.stop()
+        both.stop(order)
         await both.until_not_ready()
         assert both.gateway.n_children() == both.sidecar.n_children() == 0
         both.target.gate.set()
