--- a/src/trefoilpaddle/roles/process.py
+++ b/src/trefoilpaddle/roles/process.py
@@ -6,6 +6,7 @@
 import time
 from collections.abc import AsyncIterator, Callable
 from dataclasses import dataclass
+from typing import Final
 
 from absl import logging
 
@@ -21,6 +22,16 @@
 from ..transport.peers import Peers
 from ..transport.server import PeerServer
 
+STOP_SIGNALS: Final[tuple[signal.Signals, ...]] = (
+    signal.SIGTERM,
+    signal.SIGINT,
+    signal.SIGHUP,
+)
+"""Signals that a process takes as the order to stop.
+
+A hangup without a handler would end it at once, and cut off all that it holds.
+"""
+
 LoadReader = Callable[[], Load]
 LinkListener = Callable[[Link, Message], None]
 ConnectionListener = Callable[[Connection, Message], None]
@@ -89,6 +100,8 @@
     ----------
     closing_s : callable
         Returns how long each step of closing links to peers may take.
+    stop_signals : tuple of signal.Signals
+        Those that the event loop takes as the order to stop.
     """
 
     __slots__ = (
@@ -105,6 +118,7 @@
         "peers",
         "published",
         "server",
+        "stop_signals",
         "stopping",
     )
 
@@ -115,6 +129,7 @@
         self.journal = journal
         self.published = Published()
         self.stopping = asyncio.Event()
+        self.stop_signals = STOP_SIGNALS
         self.order_stop: Callable[[], None] = self.stopping.set
         self.load_reader: LoadReader = self._bare_load
         self.link_listeners: list[LinkListener] = []
@@ -190,7 +205,10 @@
             If the peer port is held by another process.
         """
         loop = asyncio.get_running_loop()
-        for number in (signal.SIGTERM, signal.SIGINT):
+        for number in self.stop_signals:
+            # Under nohup a hangup stays ignored.
+            if signal.getsignal(number) is signal.SIG_IGN and number == signal.SIGHUP:
+                continue
             loop.add_signal_handler(number, self.order_stop)
         async with self.server.listening(), self.peers.open():
             self.journal.record(
