Let a test of a sidecar whose predecessor closes slowly fail

Found when the time that paused peers hold up a close was measured: 6.01 s for a process with one paused peer that it has dialled and one that has dialled it (each of three steps waits its 2 s), 1.2 s with the platform's 0.4 s a step. Saying `Closing` first has added one such step. A successor waits 5 s beyond its predecessor's drain for the target's port, then ends with exit code 1.

Shown by the test, which fails each time (PortLockError after 5 s of the 6). It needs a drain that takes all of its time besides; with a shorter one the successor's wait is longer by the rest.

--- a/tests/test_sidecar_failures.py
+++ b/tests/test_sidecar_failures.py
@@ -1,11 +1,13 @@
 """A sidecar under failure: lost connections, pauses, slow readers, stops."""
 
 import asyncio
+import contextlib
 import time
 from typing import Any
 
 import pytest
 
+from tests.peer_helpers import RawPeer, hello_of, raw_listener, raw_peer
 from tests.sidecar_rig import (
     CAP_S,
     NS_PER_S,
@@ -31,9 +33,11 @@
     Queued,
 )
 from trefoilpaddle.protocol.reasons import Reason
+from trefoilpaddle.roles.process import Identity, Process
+from trefoilpaddle.roles.sidecar import LOCK_MARGIN_S
 from trefoilpaddle.standins.ports import free_port
 from trefoilpaddle.state.catalogue import ServiceKind
-from trefoilpaddle.state.journal import Event
+from trefoilpaddle.state.journal import Event, Journal
 from trefoilpaddle.state.settings import PolicySettings, RetentionSettings, StopSettings
 from trefoilpaddle.transport import connection
 from trefoilpaddle.transport.connection import Address
@@ -271,6 +275,44 @@
             assert not second.done()
         await second
 
+    async def test_a_successor_waits_for_a_close_that_peers_hold_up(self) -> None:
+        """A sidecar is replaced while a gateway is paused. Each step of its close
+        waits for that gateway, together longer than its successor waited for the
+        port: the successor ended, and the target had no sidecar.
+        """
+        address = Address(ip="127.0.0.1", port=free_port())
+        process = Process(
+            identity=Identity(
+                process_id="t1-sidecar",
+                incarnation=2,
+                role="sidecar",
+                failure_domain="fd1",
+                region="r1",
+            ),
+            listen=Address(ip="127.0.0.1", port=0),
+            journal=Journal(process_id="t1-sidecar", n_records=10),
+        )
+        resumed = asyncio.Event()
+
+        async def paused(peer: RawPeer) -> None:
+            peer.send(hello_of("gateway")())
+            await resumed.wait()
+
+        async def take() -> None:
+            async with held_port(address, wait_s=LOCK_MARGIN_S):
+                pass
+
+        async with raw_listener(paused) as gateway, contextlib.AsyncExitStack() as far:
+            async with held_port(address, wait_s=0.0), process.running():
+                link = process.peers.link(gateway)
+                await link.opened.wait()
+                peer = await far.enter_async_context(raw_peer(process.server.address))
+                peer.send(hello_of("gateway")())
+                await until(lambda: process.server.connections)
+                successor = asyncio.create_task(take())
+            await successor
+            resumed.set()
+
 
 class TestPlannedStop:
     async def test_a_stop_cuts_off_nothing(
