Have a sidecar wait for its port as long as its predecessor may close

Cause: the wait was the drain and 5 s; the close after a drain takes three steps of up to 2 s each where peers are paused.

Before: the test failed each time. After: tests/test_sidecar_failures.py, test_sidecar_process.py and test_orders.py passed.

--- a/src/trefoilpaddle/roles/sidecar.py
+++ b/src/trefoilpaddle/roles/sidecar.py
@@ -34,15 +34,18 @@
 from ..state.settings import Order, SidecarSettings
 from ..state.spent_ids import SpentIds
 from ..state.work_queue import FifoQueue, WorkQueue
-from ..transport.connection import Address
+from ..transport.connection import CLOSE_TIMEOUT_S, Address
 from ..transport.port_lock import PortLockError, held_port
 from ..transport.target_http import TargetHttp
 from .operators import operators
 from .process import Process, identity_of
 
 HOUSEKEEPING_S: Final = 0.25
-LOCK_MARGIN_S: Final = 5.0
-"""How much longer than a predecessor's drain its port is waited for."""
+LOCK_MARGIN_S: Final = 4 * CLOSE_TIMEOUT_S
+"""How much longer than a predecessor's drain its port is waited for.
+
+Where peers are paused, each of three steps of its close takes ``CLOSE_TIMEOUT_S``.
+"""
 DEFAULT_SLOTS: Final = {
     ServiceKind.ENGINE: 8,
     ServiceKind.POOL: 4,
