Let a test of a chain that crosses the end of a gateway fail

Found by reading: cells that are given up as the process ends are not begun anew; one that it has not scheduled before is. Since connections answer what crosses their close, such a chain is taken.

Shown by the test, which fails each time: its workers are called.

--- a/tests/chain/test_cell_handover.py
+++ b/tests/chain/test_cell_handover.py
@@ -189,6 +189,24 @@
         assert isinstance(begun, ChainMoved) and begun.made
         assert isinstance(late, ChainMoved)
 
+    def test_a_chain_that_crosses_the_end_goes_back_at_once(
+        self, monkeypatch: pytest.MonkeyPatch
+    ) -> None:
+        # A gateway sends a chain to one whose process ends, of a cell which that one
+        # has not scheduled before. A scheduler was begun for it, whose calls end with
+        # the process; the chain would be made again, out of the budget.
+        async def run() -> ChainEnd:
+            rig = Rig()
+            rig.own.stopping.set()
+            rig.router.give_up_all()
+            new = Cell(name="new", failure_domains=rig.cells[0].failure_domains)
+            end = await rig.schedulers.run(new, work())
+            assert not rig.calls.batches
+            return end
+
+        with monkeypatch.context() as time_patch:
+            assert isinstance(run_virtual(time_patch, run()), ChainMoved)
+
 
 class TestCancelling:
     async def test_a_chain_that_fails_then_ends_its_request(self) -> None:
