--- a/src/trefoilpaddle/coordination/chain/cell_schedulers.py
+++ b/src/trefoilpaddle/coordination/chain/cell_schedulers.py
@@ -19,7 +19,7 @@
 from ...protocol.gen.stage.ttypes import Hello
 from ...protocol.reasons import Reason
 from ...state.chain.cells import Cell
-from ...state.chain.chain_work import ChainEnd, ChainFailed, ChainWork
+from ...state.chain.chain_work import ChainEnd, ChainFailed, ChainMoved, ChainWork
 from ...state.chain.routes import RouteTable
 from ...state.chain.workers import Worker
 from ...state.journal import Decision, Event, Figure, Journal
@@ -76,11 +76,20 @@
         Returns a new scheduler of the stage workers in some failure domains.
     """
 
-    __slots__ = ("_by_cell", "_cells", "_is_stopping", "_journal", "_make", "_running")
+    __slots__ = (
+        "_by_cell",
+        "_cells",
+        "_has_given_up",
+        "_is_stopping",
+        "_journal",
+        "_make",
+        "_running",
+    )
 
     def __init__(self, *, process: OwnProcess, make: MakeScheduler) -> None:
         self._make = make
         self._is_stopping = process.stopping.is_set
+        self._has_given_up = False
         self._journal: Journal = process.journal
         self._by_cell: dict[str, ChainScheduler] = {}
         self._cells: dict[str, Cell] = {}
@@ -117,6 +126,8 @@
 
     async def run(self, cell: Cell, work: ChainWork) -> ChainEnd:
         """Run a chain here until it ends or is freed."""
+        if self._has_given_up and cell.name not in self._by_cell:
+            return ChainMoved(successor=NOBODY, made=work.made)
         task = asyncio.create_task(self.of(cell).run(work))
         self._running[work.request_id] = task
         try:
@@ -189,6 +200,7 @@
         Their chains go back to the gateways that sent them. Scheduled on, they
         would go with this process, and calls of workers fail as sessions close.
         """
+        self._has_given_up = True
         for name, scheduler in self._by_cell.items():
             if not scheduler.successor:
                 scheduler.dispatch.stop()
