Let two tests of a peer that answers something else fail

Found by reading which tasks end a process with all that it holds: the loops of members and of configuration run in one group, and both take the answer to their questions unlooked at. All other questions look at the kind of their answer.

Shown by both tests, which fail each time (AttributeError; in the first one the group of the gateway's tasks ends, and with it the gateway). No peer that answers so is known.

--- a/tests/test_config_schedules.py
+++ b/tests/test_config_schedules.py
@@ -18,7 +18,7 @@
 from trefoilpaddle.protocol.errors import PeerError
 from trefoilpaddle.protocol.frames import Message
 from trefoilpaddle.protocol.gen.config.ttypes import ConfigDelta
-from trefoilpaddle.protocol.gen.stage.ttypes import Hello
+from trefoilpaddle.protocol.gen.stage.ttypes import BarAnswer, Hello
 from trefoilpaddle.state.catalogue_build import CatalogueBuilder
 from trefoilpaddle.state.config_items import PublishedItem, Version
 from trefoilpaddle.state.journal import Journal
@@ -201,3 +201,14 @@
         # processes restart. A user would see two gateways serve by different
         # entries for ever, or a change undone.
         asyncio.run(run(schedule))
+
+
+class TestFaultyPeer:
+    async def test_a_foreign_answer_is_none(self) -> None:
+        # As of members (tests/test_membership.py): a question for configuration is
+        # answered by something else. The fault ended the process that had asked.
+        async def ask(message: Any, *, timeout_s: float) -> Result[Message, PeerError]:
+            return Ok(BarAnswer())
+
+        link = SimpleNamespace(peer=HELLO, address="p", ask=ask)
+        assert not await new_node().peers.pull(cast(Link, link))
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -12,12 +12,17 @@
 from tests.chain.fakes import process
 from tests.chain.test_chain_router import member
 from tests.fake_fleet import FakeFleet, FakePeer, fake_fleet
+from tests.peer_helpers import server_of
 from tests.waiting import until
+from trefoilpaddle.coordination.chain.fleet import Fleet
 from trefoilpaddle.coordination.members import membership
 from trefoilpaddle.coordination.members.membership import Membership
 from trefoilpaddle.protocol.gen.membership.ttypes import Gossip, GossipAnswer
-from trefoilpaddle.state.journal import Event
+from trefoilpaddle.protocol.gen.stage.ttypes import BarAnswer, Hello
+from trefoilpaddle.roles.process import Identity, Process
+from trefoilpaddle.state.journal import Event, Journal
 from trefoilpaddle.state.members import MemberRecord, MemberState, MemberTable
+from trefoilpaddle.transport.connection import Address
 
 SERVICE = {"kind": "pool"}
 
@@ -238,6 +243,38 @@
     )
 
 
+class TestFaultyPeer:
+    async def test_a_foreign_answer_ends_nothing(self) -> None:
+        # A peer answers a comparison of members by something else, as one of a later
+        # or faulty release may. The fault ended the task that compares, with it the
+        # gateway, and cut off all requests that it held.
+        asked = asyncio.Event()
+
+        async def answer(question: Gossip, peer: Hello) -> BarAnswer:
+            asked.set()
+            return BarAnswer()
+
+        server = server_of()
+        server.answer(Gossip, answer)
+        own = Process(
+            identity=Identity(
+                process_id="own",
+                incarnation=3,
+                role="gateway",
+                failure_domain="a",
+                region="r",
+            ),
+            listen=Address(ip="127.0.0.1", port=0),
+            journal=Journal(process_id="own", n_records=10),
+        )
+        async with server.listening(), own.server.listening(), own.peers.open():
+            fleet = Fleet(process=own, seeds=(str(server.address),))
+            async with fleet.running():
+                await asked.wait()
+                asked.clear()
+                await asked.wait()
+
+
 class TestMemberTable:
     def test_only_a_higher_beat_clears_a_suspicion(self) -> None:
         table = MemberTable()
