--- a/src/trefoilpaddle/coordination/configuration/config_peers.py
+++ b/src/trefoilpaddle/coordination/configuration/config_peers.py
@@ -206,7 +206,14 @@
     async def _ask(
         self, link: Link, question: ConfigPull
     ) -> Result[ConfigDelta, PeerError]:
-        return await link.ask(question, timeout_s=PULL_TIMEOUT_S)
+        # A fault here would end the loop that asks, and with it the process.
+        match await link.ask(question, timeout_s=PULL_TIMEOUT_S):
+            case Ok(ConfigDelta() as answer):
+                return Ok(answer)
+            case Ok(foreign):
+                return Err(PeerError.of_foreign(foreign, peer=str(link.address)))
+            case Err(error):
+                return Err(error)
 
     def _take(self, items: list[PublishedItem], delta: ConfigDelta, link: Link) -> None:
         source = link.peer.process_id if link.peer else str(link.address)
--- a/src/trefoilpaddle/coordination/members/membership.py
+++ b/src/trefoilpaddle/coordination/members/membership.py
@@ -301,7 +301,14 @@
     async def _ask(
         self, link: Link, question: Gossip
     ) -> Result[GossipAnswer, PeerError]:
-        return await link.ask(question, timeout_s=ASK_TIMEOUT_S)
+        # A fault here would end the loop that asks, and with it the process.
+        match await link.ask(question, timeout_s=ASK_TIMEOUT_S):
+            case Ok(GossipAnswer() as answer):
+                return Ok(answer)
+            case Ok(foreign):
+                return Err(PeerError.of_foreign(foreign, peer=str(link.address)))
+            case Err(error):
+                return Err(error)
 
     def _hear_of_self(self, record: MemberRecord) -> None:
         """Overrule what is said of this process if it is not so.
--- a/src/trefoilpaddle/protocol/errors.py
+++ b/src/trefoilpaddle/protocol/errors.py
@@ -88,6 +88,12 @@
     detail: str
     is_sent: bool
 
+    @classmethod
+    def of_foreign(cls, answer: object, *, peer: str) -> "PeerError":
+        """Return what is wrong with an answer that is none to its question."""
+        detail = f"answered by {type(answer).__name__}"
+        return cls(step="decode", peer=peer, detail=detail, is_sent=True)
+
 
 def outcome_name(error: StageError) -> str:
     """Return ``"not run"``, ``"failed"`` or ``"unknown"``."""
