--- a/src/trefoilpaddle/coordination/chain/store_relay.py
+++ b/src/trefoilpaddle/coordination/chain/store_relay.py
@@ -5,19 +5,22 @@
 gone for as long as that lasts.
 """
 
+import asyncio
 import random
+import time
 from typing import Final
 
 from result import Err, Ok
 
-from ...protocol.gen.chain.ttypes import ListedWorker, StorePull, StoreState
+from ...protocol.gen.chain.ttypes import StorePull, StoreState
 from ...protocol.gen.stage.ttypes import Hello
-from ...state.chain.workers import Worker, WorkerTable
+from ...state.chain.workers import WorkerTable
 from ...state.members import MemberRecord
 from ...transport.connection import Address
-from ...transport.link import Link
 from ..own_process import OwnProcess
-from .published_store import PublishedTable, StoreChanges
+from .published_store import PublishedTable
+from .store_wire import listed_to_wire
+from .worker_listing import WorkerListing
 
 ASK_TIMEOUT_S: Final = 0.3
 """Longest wait for a peer; many times a message's way within a region."""
@@ -34,10 +37,14 @@
     process : OwnProcess
         Listens for peers and keeps links to them.
     workers : WorkerTable
-        As the store lists them.
+        As the store lists them, with those that may come back.
 
     Attributes
     ----------
+    listing : WorkerListing or None
+        Says which of them may come back; set by who keeps it.
+    needs_list : bool
+        True while this gateway's list cannot be relied on.
     published : PublishedTable or None
         The newest table known here.
     revision : int
@@ -46,11 +53,21 @@
         True while this gateway cannot read the store itself.
     """
 
-    __slots__ = ("_process", "_workers", "is_away", "published", "revision")
+    __slots__ = (
+        "_process",
+        "_workers",
+        "is_away",
+        "listing",
+        "needs_list",
+        "published",
+        "revision",
+    )
 
     def __init__(self, *, process: OwnProcess, workers: WorkerTable) -> None:
         self._process = process
         self._workers = workers
+        self.listing: WorkerListing | None = None
+        self.needs_list = False
         self.published: PublishedTable | None = None
         self.revision = 0
         self.is_away = False
@@ -58,67 +75,60 @@
 
     async def answer(self, question: StorePull, peer: Hello) -> StoreState:
         """Answer a peer with what is newer than what it knows."""
-        state = StoreState(revision=self.revision, is_away=self.is_away)
+        state = StoreState(
+            revision=self.revision, is_away=self.is_away, digest=self._digest()
+        )
         published = self.published
         if published is not None:
             state.version = published.table.version
             if state.version > question.version:
                 state.data = published.data
-        if self.revision > question.revision:
-            state.workers = [listed_to_wire(worker) for worker in self._workers.all()]
+        # Heartbeats move the revision all the time. With it alone asked for, a list
+        # that the peer had went out with each answer: 60 KB at 910 workers.
+        is_known = state.digest != 0 and state.digest == question.digest
+        is_newer = self.revision > question.revision
+        if is_newer and not is_known and not self.needs_list:
+            self._add_workers(state)
         return state
 
+    def _digest(self) -> int:
+        """Return the digest of the list; 0 if there is none to go by."""
+        if self.listing is None or self.needs_list:
+            return 0
+        return self.listing.digest
+
+    def _add_workers(self, state: StoreState) -> None:
+        state.workers = [listed_to_wire(worker) for worker in self._workers.all()]
+        if self.listing is not None:
+            state.lapsed = self.listing.lapsed_ids()
+            state.back_ms = self.listing.back_ms(time.monotonic())
+
     async def ask(self, members: list[MemberRecord], own_id: str) -> list[StoreState]:
         """Return what some live peers know."""
         others = [member for member in members if member.process_id != own_id]
-        states = []
-        for member in random.sample(others, min(N_ASKED, len(others))):
-            match Address.parse(member.address):
-                case Ok(address):
-                    state = await self._ask(self._process.peers.link(address))
-                    if state is not None:
-                        states.append(state)
-                case Err(_):
-                    continue
-        return states
-
-    async def _ask(self, link: Link) -> StoreState | None:
+        asked = random.sample(others, min(N_ASKED, len(others)))
+        # Side by side: one that does not answer must not put off the other.
+        answers = await asyncio.gather(*(self._ask(member) for member in asked))
+        return [answer for answer in answers if answer is not None]
+
+    def question(self) -> StorePull:
+        """Return what peers are asked, with how far this gateway's view has got.
+
+        Who needs the whole list takes one of its own revision, but none before
+        it: the store is asked next for what came after the furthest known.
+        """
         version = 0 if self.published is None else self.published.table.version
-        question = StorePull(revision=self.revision, version=version)
-        match await link.ask(question, timeout_s=ASK_TIMEOUT_S):
+        revision = self.revision - 1 if self.needs_list else self.revision
+        return StorePull(revision=revision, version=version, digest=self._digest())
+
+    async def _ask(self, member: MemberRecord) -> StoreState | None:
+        match Address.parse(member.address):
+            case Ok(address):
+                link = self._process.peers.link(address)
+            case Err(_):
+                return None
+        match await link.ask(self.question(), timeout_s=ASK_TIMEOUT_S):
             case Ok(StoreState() as state):
                 return state
             case _:
                 return None
-
-
-def changes_of(state: StoreState) -> StoreChanges:
-    """Return the workers that a peer lists, without its table."""
-    return StoreChanges(
-        revision=state.revision,
-        workers=tuple(listed_from_wire(worker) for worker in state.workers),
-    )
-
-
-def listed_to_wire(worker: Worker) -> ListedWorker:
-    """Return a listed worker as it is sent."""
-    return ListedWorker(
-        worker_id=worker.worker_id,
-        service_name=worker.service,
-        address=worker.address,
-        failure_domain=worker.failure_domain,
-        is_leaving=worker.is_leaving,
-        born_ms=worker.born_ms,
-    )
-
-
-def listed_from_wire(worker: ListedWorker) -> Worker:
-    """Return the worker that was sent."""
-    return Worker(
-        worker_id=worker.worker_id,
-        service=worker.service_name,
-        address=worker.address,
-        failure_domain=worker.failure_domain,
-        is_leaving=worker.is_leaving,
-        born_ms=worker.born_ms,
-    )
--- a/src/trefoilpaddle/protocol/gen/chain/ttypes.py
+++ b/src/trefoilpaddle/protocol/gen/chain/ttypes.py
@@ -1422,18 +1422,21 @@
     Attributes:
      - revision
      - version
+     - digest
 
     """
 
     __slots__ = (
         'revision',
         'version',
+        'digest',
     )
 
 
-    def __init__(self, revision=0, version=0,):
+    def __init__(self, revision=0, version=0, digest=0,):
         self.revision = revision
         self.version = version
+        self.digest = digest
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -1454,6 +1457,11 @@
                     self.version = iprot.readI64()
                 else:
                     iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.I64:
+                    self.digest = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -1472,6 +1480,10 @@
             oprot.writeFieldBegin('version', TType.I64, 2)
             oprot.writeI64(self.version)
             oprot.writeFieldEnd()
+        if self.digest is not None:
+            oprot.writeFieldBegin('digest', TType.I64, 3)
+            oprot.writeI64(self.digest)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -1505,6 +1517,9 @@
      - data
      - workers
      - is_away
+     - lapsed
+     - back_ms
+     - digest
 
     """
 
@@ -1514,11 +1529,15 @@
         'data',
         'workers',
         'is_away',
+        'lapsed',
+        'back_ms',
+        'digest',
     )
 
 
     def __init__(self, revision=0, version=0, data=b"", workers=[
-    ], is_away=False,):
+    ], is_away=False, lapsed=[
+    ], back_ms=-1, digest=0,):
         self.revision = revision
         self.version = version
         self.data = data
@@ -1527,6 +1546,12 @@
             ]
         self.workers = workers
         self.is_away = is_away
+        if lapsed is self.thrift_spec[6][4]:
+            lapsed = [
+            ]
+        self.lapsed = lapsed
+        self.back_ms = back_ms
+        self.digest = digest
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -1568,6 +1593,26 @@
                     self.is_away = iprot.readBool()
                 else:
                     iprot.skip(ftype)
+            elif fid == 6:
+                if ftype == TType.LIST:
+                    self.lapsed = []
+                    (_etype79, _size76) = iprot.readListBegin()
+                    for _i80 in range(_size76):
+                        _elem81 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.lapsed.append(_elem81)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 7:
+                if ftype == TType.I32:
+                    self.back_ms = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 8:
+                if ftype == TType.I64:
+                    self.digest = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -1593,14 +1638,226 @@
         if self.workers is not None:
             oprot.writeFieldBegin('workers', TType.LIST, 4)
             oprot.writeListBegin(TType.STRUCT, len(self.workers))
-            for iter76 in self.workers:
-                iter76.write(oprot)
+            for iter82 in self.workers:
+                iter82.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.is_away is not None:
             oprot.writeFieldBegin('is_away', TType.BOOL, 5)
             oprot.writeBool(self.is_away)
             oprot.writeFieldEnd()
+        if self.lapsed is not None:
+            oprot.writeFieldBegin('lapsed', TType.LIST, 6)
+            oprot.writeListBegin(TType.STRING, len(self.lapsed))
+            for iter83 in self.lapsed:
+                oprot.writeString(iter83.encode('utf-8') if sys.version_info[0] == 2 else iter83)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.back_ms is not None:
+            oprot.writeFieldBegin('back_ms', TType.I32, 7)
+            oprot.writeI32(self.back_ms)
+            oprot.writeFieldEnd()
+        if self.digest is not None:
+            oprot.writeFieldBegin('digest', TType.I64, 8)
+            oprot.writeI64(self.digest)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class TablePiece(object):
+    """
+    Attributes:
+     - from_byte
+     - n_bytes
+     - added
+
+    """
+
+    __slots__ = (
+        'from_byte',
+        'n_bytes',
+        'added',
+    )
+
+
+    def __init__(self, from_byte=0, n_bytes=0, added=b"",):
+        self.from_byte = from_byte
+        self.n_bytes = n_bytes
+        self.added = added
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.I32:
+                    self.from_byte = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.I32:
+                    self.n_bytes = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.STRING:
+                    self.added = iprot.readBinary()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('TablePiece')
+        if self.from_byte is not None:
+            oprot.writeFieldBegin('from_byte', TType.I32, 1)
+            oprot.writeI32(self.from_byte)
+            oprot.writeFieldEnd()
+        if self.n_bytes is not None:
+            oprot.writeFieldBegin('n_bytes', TType.I32, 2)
+            oprot.writeI32(self.n_bytes)
+            oprot.writeFieldEnd()
+        if self.added is not None:
+            oprot.writeFieldBegin('added', TType.STRING, 3)
+            oprot.writeBinary(self.added)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class TableChange(object):
+    """
+    Attributes:
+     - base_version
+     - checksum
+     - pieces
+
+    """
+
+    __slots__ = (
+        'base_version',
+        'checksum',
+        'pieces',
+    )
+
+
+    def __init__(self, base_version=0, checksum=0, pieces=[
+    ],):
+        self.base_version = base_version
+        self.checksum = checksum
+        if pieces is self.thrift_spec[3][4]:
+            pieces = [
+            ]
+        self.pieces = pieces
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.I64:
+                    self.base_version = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.I64:
+                    self.checksum = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.LIST:
+                    self.pieces = []
+                    (_etype87, _size84) = iprot.readListBegin()
+                    for _i88 in range(_size84):
+                        _elem89 = TablePiece()
+                        _elem89.read(iprot)
+                        self.pieces.append(_elem89)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('TableChange')
+        if self.base_version is not None:
+            oprot.writeFieldBegin('base_version', TType.I64, 1)
+            oprot.writeI64(self.base_version)
+            oprot.writeFieldEnd()
+        if self.checksum is not None:
+            oprot.writeFieldBegin('checksum', TType.I64, 2)
+            oprot.writeI64(self.checksum)
+            oprot.writeFieldEnd()
+        if self.pieces is not None:
+            oprot.writeFieldBegin('pieces', TType.LIST, 3)
+            oprot.writeListBegin(TType.STRUCT, len(self.pieces))
+            for iter90 in self.pieces:
+                iter90.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -1637,6 +1894,7 @@
      - digest
      - back_ms
      - withdrawn
+     - table
 
     """
 
@@ -1649,13 +1907,14 @@
         'digest',
         'back_ms',
         'withdrawn',
+        'table',
     )
 
 
     def __init__(self, base_revision=0, revision=0, version=0, workers=[
     ], removed=[
     ], digest=0, back_ms=-1, withdrawn=[
-    ],):
+    ], table=None,):
         self.base_revision = base_revision
         self.revision = revision
         self.version = version
@@ -1673,6 +1932,7 @@
             withdrawn = [
             ]
         self.withdrawn = withdrawn
+        self.table = table
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -1701,21 +1961,21 @@
             elif fid == 4:
                 if ftype == TType.LIST:
                     self.workers = []
-                    (_etype80, _size77) = iprot.readListBegin()
-                    for _i81 in range(_size77):
-                        _elem82 = ListedWorker()
-                        _elem82.read(iprot)
-                        self.workers.append(_elem82)
+                    (_etype94, _size91) = iprot.readListBegin()
+                    for _i95 in range(_size91):
+                        _elem96 = ListedWorker()
+                        _elem96.read(iprot)
+                        self.workers.append(_elem96)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 5:
                 if ftype == TType.LIST:
                     self.removed = []
-                    (_etype86, _size83) = iprot.readListBegin()
-                    for _i87 in range(_size83):
-                        _elem88 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        self.removed.append(_elem88)
+                    (_etype100, _size97) = iprot.readListBegin()
+                    for _i101 in range(_size97):
+                        _elem102 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.removed.append(_elem102)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -1732,13 +1992,19 @@
             elif fid == 8:
                 if ftype == TType.LIST:
                     self.withdrawn = []
-                    (_etype92, _size89) = iprot.readListBegin()
-                    for _i93 in range(_size89):
-                        _elem94 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        self.withdrawn.append(_elem94)
+                    (_etype106, _size103) = iprot.readListBegin()
+                    for _i107 in range(_size103):
+                        _elem108 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.withdrawn.append(_elem108)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
+            elif fid == 9:
+                if ftype == TType.STRUCT:
+                    self.table = TableChange()
+                    self.table.read(iprot)
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -1764,15 +2030,15 @@
         if self.workers is not None:
             oprot.writeFieldBegin('workers', TType.LIST, 4)
             oprot.writeListBegin(TType.STRUCT, len(self.workers))
-            for iter95 in self.workers:
-                iter95.write(oprot)
+            for iter109 in self.workers:
+                iter109.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.removed is not None:
             oprot.writeFieldBegin('removed', TType.LIST, 5)
             oprot.writeListBegin(TType.STRING, len(self.removed))
-            for iter96 in self.removed:
-                oprot.writeString(iter96.encode('utf-8') if sys.version_info[0] == 2 else iter96)
+            for iter110 in self.removed:
+                oprot.writeString(iter110.encode('utf-8') if sys.version_info[0] == 2 else iter110)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.digest is not None:
@@ -1786,10 +2052,14 @@
         if self.withdrawn is not None:
             oprot.writeFieldBegin('withdrawn', TType.LIST, 8)
             oprot.writeListBegin(TType.STRING, len(self.withdrawn))
-            for iter97 in self.withdrawn:
-                oprot.writeString(iter97.encode('utf-8') if sys.version_info[0] == 2 else iter97)
+            for iter111 in self.withdrawn:
+                oprot.writeString(iter111.encode('utf-8') if sys.version_info[0] == 2 else iter111)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
+        if self.table is not None:
+            oprot.writeFieldBegin('table', TType.STRUCT, 9)
+            self.table.write(oprot)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -1927,6 +2197,7 @@
     None,  # 0
     (1, TType.I64, 'revision', None, 0, ),  # 1
     (2, TType.I64, 'version', None, 0, ),  # 2
+    (3, TType.I64, 'digest', None, 0, ),  # 3
 )
 all_structs.append(StoreState)
 StoreState.thrift_spec = (
@@ -1937,6 +2208,25 @@
     (4, TType.LIST, 'workers', (TType.STRUCT, [ListedWorker, None], False), [
     ], ),  # 4
     (5, TType.BOOL, 'is_away', None, False, ),  # 5
+    (6, TType.LIST, 'lapsed', (TType.STRING, 'UTF8', False), [
+    ], ),  # 6
+    (7, TType.I32, 'back_ms', None, -1, ),  # 7
+    (8, TType.I64, 'digest', None, 0, ),  # 8
+)
+all_structs.append(TablePiece)
+TablePiece.thrift_spec = (
+    None,  # 0
+    (1, TType.I32, 'from_byte', None, 0, ),  # 1
+    (2, TType.I32, 'n_bytes', None, 0, ),  # 2
+    (3, TType.STRING, 'added', 'BINARY', b"", ),  # 3
+)
+all_structs.append(TableChange)
+TableChange.thrift_spec = (
+    None,  # 0
+    (1, TType.I64, 'base_version', None, 0, ),  # 1
+    (2, TType.I64, 'checksum', None, 0, ),  # 2
+    (3, TType.LIST, 'pieces', (TType.STRUCT, [TablePiece, None], False), [
+    ], ),  # 3
 )
 all_structs.append(StoreNews)
 StoreNews.thrift_spec = (
@@ -1952,6 +2242,7 @@
     (7, TType.I32, 'back_ms', None, -1, ),  # 7
     (8, TType.LIST, 'withdrawn', (TType.STRING, 'UTF8', False), [
     ], ),  # 8
+    (9, TType.STRUCT, 'table', [TableChange, None], None, ),  # 9
 )
 fix_spec(all_structs)
 del all_structs
