--- a/tests/platform_adapter/test_gateway_process.py
+++ b/tests/platform_adapter/test_gateway_process.py
@@ -5,9 +5,11 @@
 from pathlib import Path
 
 import aiohttp
+import pytest
 
 from trefoilpaddle.standins.platform.gateway_process import (
     DRAFT,
+    GatewayProcess,
     event_numbers,
     gateways,
     headers,
@@ -71,6 +73,30 @@
                     assert answer.status == status
 
 
+class TestNotStarting:
+    async def test_one_whose_port_is_taken_is_told_at_once(
+        self, tmp_path: Path
+    ) -> None:
+        # A soak waited for half a minute for a gateway that had ended at its start,
+        # and then said only that time was over, neither who had ended nor why.
+        async with (
+            small_site() as site,
+            gateways(site, tmp_path, "a") as (gateway,),
+            aiohttp.ClientSession() as client,
+        ):
+            other = GatewayProcess(
+                host="other",
+                domain="a",
+                folder=tmp_path,
+                store=site.store_address,
+                seeds=[],
+            )
+            other.ports[3] = gateway.ports[3]
+            other.start()
+            with pytest.raises(ChildProcessError, match=r"other ended.* in use"):
+                await other.wait_ready(client)
+
+
 class TestConfiguration:
     async def test_a_revoked_key_is_refused_soon(self, tmp_path: Path) -> None:
         async with (
--- a/tests/soak/__main__.py
+++ b/tests/soak/__main__.py
@@ -50,6 +50,8 @@
         command = [sys.executable, "-m", "tests.soak", "one", str(seed)]
         command += [f"--stops={stops}"]
         ended = subprocess.run(command, capture_output=True, text=True, check=False)
+        if ended.returncode:
+            print(f"seed {seed} ended with {ended.returncode}")
         print(ended.stdout, ended.stderr[-2000:], sep="", end="", flush=True)
         return int(ended.returncode != 0 or "BROKEN" in ended.stdout)
 
