--- a/tests/test_gateway_failures.py
+++ b/tests/test_gateway_failures.py
@@ -10,6 +10,7 @@
 from tests.waiting import until
 from trefoilpaddle.protocol.gen.stage.ttypes import BarState, Outcome, Started
 from trefoilpaddle.protocol.reasons import Reason
+from trefoilpaddle.state.budget import FIRST_CREDIT
 from trefoilpaddle.state.journal import Event
 from trefoilpaddle.state.settings import PolicySettings
 from trefoilpaddle.transport.link import Link
@@ -104,6 +105,26 @@
             assert len(leaving.calls) == len(other.runs) == 1
             assert not leaving.runs
 
+    async def test_however_much_it_refuses_so_all_of_it_goes_elsewhere(self) -> None:
+        """Under load more calls cross the stop of a sidecar than the service may
+        repeat. Callers whose calls came last were refused, although the other
+        target had taken them and nobody had worked on them yet.
+        """
+        leaving, other = sidecar(refuse(Reason.LEAVING)), sidecar(name="t2")
+        other.queued_work_s, other.n_queued = 100.0, 9
+        published = catalogue(plain_stage(idempotent=False))
+        async with bench(leaving, other, published=published) as b:
+
+            async def status() -> int:
+                async with b.post(json={}) as answer:
+                    return answer.status
+
+            told = await asyncio.gather(*(status() for _ in range(40)))
+            assert told == [200] * 40
+            assert len(leaving.calls) > 2 * FIRST_CREDIT
+            assert len(other.runs) == 40
+            assert not leaving.runs
+
 
 class TestOutcomes:
     async def test_a_call_to_run_once_that_failed_is_not_repeated(self) -> None:
