--- a/tests/test_gateway_failures.py
+++ b/tests/test_gateway_failures.py
@@ -4,8 +4,8 @@
 
 import pytest
 
-from tests.fake_sidecar import Call
-from tests.gateway_bench import bench, catalogue, error_of, plain_stage
+from tests.fake_sidecar import Call, echo
+from tests.gateway_bench import bench, catalogue, error_of, heard, plain_stage
 from tests.sidecar_scripts import never, refuse, sidecar
 from tests.waiting import until
 from trefoilpaddle.protocol.gen.stage.ttypes import BarState, Outcome, Started
@@ -117,7 +117,7 @@
 
             async def status() -> int:
                 async with b.post(json={}) as answer:
-                    return answer.status
+                    return int(answer.status)
 
             told = await asyncio.gather(*(status() for _ in range(40)))
             assert told == [200] * 40
@@ -125,6 +125,33 @@
             assert len(other.runs) == 40
             assert not leaving.runs
 
+    async def test_a_target_that_has_come_back_is_asked_again(self) -> None:
+        """Two sidecars are replaced, one after the other. A call comes to the first
+        as it leaves and to the second as it leaves, when the first is back. It was
+        refused: the first was remembered as tried, though not this start of it.
+        """
+        first, second = sidecar(name="t1"), sidecar(name="t2")
+        second.queued_work_s, second.n_queued = 100.0, 9
+        published = catalogue(plain_stage(idempotent=False))
+
+        async def leave_first(call: Call) -> None:
+            first.leaving = True
+            await refuse(Reason.LEAVING)(call)
+
+        async def leave_second(call: Call) -> None:
+            await first.restart()
+            first.leaving, first.script = False, echo
+            second.leaving = True
+            await until(lambda: heard(b.gateway, first))
+            await refuse(Reason.LEAVING)(call)
+
+        first.script, second.script = leave_first, leave_second
+        async with bench(first, second, published=published) as b:
+            async with b.post(json={}) as answer:
+                assert answer.status == 200
+            assert (len(first.runs), len(second.runs)) == (1, 0)
+            assert (len(first.calls), len(second.calls)) == (2, 1)
+
 
 class TestOutcomes:
     async def test_a_call_to_run_once_that_failed_is_not_repeated(self) -> None:
