Count nothing against the repeat budget that a leaving sidecar gives back

Cause: a refusal "leaving" was repeated elsewhere out of the service's budget for repeated calls, of which there are five at first, 20 at most, and a tenth of the calls. A sidecar that stops under load refuses all that crosses its stop and gives back all that waits at its end; what came after the budget was used up was refused, a chain whose first stage had run was told "failed".

Weighed: the budget keeps a service that fails from being given more work by its failing. A place that is given back was no work for its target, a sidecar leaves once, and a call has four attempts at most. Ruled out: a larger budget, which any load can use up.

--- a/src/trefoilpaddle/coordination/requests/retries.py
+++ b/src/trefoilpaddle/coordination/requests/retries.py
@@ -43,6 +43,10 @@
 """Refusals that another target need not share."""
 
 
+GIVEN_BACK: Final = frozenset({Reason.CANCELLED, Reason.LEAVING})
+"""Refusals that say nothing of a target's load: a place, or a whole sidecar, goes."""
+
+
 @dataclass(slots=True, kw_only=True)
 class _Tried:
     targets: set[str] = field(default_factory=set)
@@ -111,7 +115,7 @@
                     tried.last = fault
             if not self._may_repeat(work, fault, n_tried=len(tried.targets)):
                 return Err(fault.error)
-            if not _is_place_lost(fault) and not budget.spend():
+            if not _is_given_back(fault) and not budget.spend():
                 return Err(fault.error)
             self._journal.record(stage_decision(Event.RETRIED, work, error=fault.error))
 
@@ -220,7 +224,14 @@
     return max(chosen.wait_s + usual_s, left_s - usual_s)
 
 
-def _is_place_lost(fault: StageFault) -> bool:
-    """Return True if a reserved place was given up; no target has worked then."""
+def _is_given_back(fault: StageFault) -> bool:
+    """Return True if a place was given up; no target has worked then.
+
+    Guards against callers who are refused beside free targets: a sidecar that stops
+    gives back all that crosses its stop and all that still waits at its end, many
+    times what a service may repeat at once. The budget keeps a service that fails
+    from being given more work by its failing; a sidecar leaves once, and is not
+    given the call again.
+    """
     error = fault.error
-    return isinstance(error, NotRun) and error.reason is Reason.CANCELLED
+    return isinstance(error, NotRun) and error.reason in GIVEN_BACK
