Ask a sidecar again that has come back since it refused as leaving

Cause: targets that a call has tried were remembered by process id, which a restarted sidecar keeps. Where sidecars are replaced one after the other and the way is slow, a call may meet all of a service as they leave; it was refused although the first were back.

Change: a target that refused as leaving is no longer remembered once the gateway knows that it leaves. It is not chosen then, and once it may be chosen it is another start. Attempts are counted apart, four at most as before.

Ruled out: keeping process id and incarnation of each tried target: a view of a sidecar that is back under another address has neither of its former start.

--- a/src/trefoilpaddle/coordination/requests/retries.py
+++ b/src/trefoilpaddle/coordination/requests/retries.py
@@ -17,6 +17,7 @@
 from .open_attempts import OpenAttempts
 from .request_decisions import stage_decision
 from .routing import Chosen, Router
+from .target_view import TargetView
 
 MAX_ATTEMPTS: Final = 4
 HEDGE_FACTOR: Final = 1.5
@@ -42,7 +43,6 @@
 )
 """Refusals that another target need not share."""
 
-
 GIVEN_BACK: Final = frozenset({Reason.CANCELLED, Reason.LEAVING})
 """Refusals that say nothing of a target's load: a place, or a whole sidecar, goes."""
 
@@ -50,8 +50,27 @@
 @dataclass(slots=True, kw_only=True)
 class _Tried:
     targets: set[str] = field(default_factory=set)
+    n_attempts: int = 0
     last: StageFault | None = None
 
+    def begin(self, view: TargetView) -> None:
+        self.targets.add(view.process_id)
+        self.n_attempts += 1
+
+    def take(self, fault: StageFault, view: TargetView) -> None:
+        """Take the fault of an attempt; a target that leaves may come back.
+
+        Guards against a call whose way is slow while one sidecar after the other is
+        replaced: each that it reaches is about to leave, those that have come
+        back were tried under the same name, and it is refused beside free targets.
+        While the gateway knows that a sidecar leaves it is not chosen; once it may
+        be chosen again it is another start, which has not been tried.
+        """
+        self.last = fault
+        is_leaving = fault.error.reason is Reason.LEAVING
+        if is_leaving and not view.may_get_work():
+            self.targets.discard(view.process_id)
+
 
 class StageRunner:
     """Runs stages by one or more attempts; nothing else in the system retries.
@@ -105,15 +124,15 @@
             chosen = self._router.choose(work, tried=tried.targets)
             if chosen is None:
                 return Err(self._no_target(work, tried))
-            self._record_route(Event.ROUTED, work, chosen, n_tried=len(tried.targets))
+            self._record_route(Event.ROUTED, work, chosen, n_tried=tried.n_attempts)
             self._router.note_prefix(work, chosen.view)
-            tried.targets.add(chosen.view.process_id)
+            tried.begin(chosen.view)
             match await self._attempt(work, chosen, parts, budget, tried):
                 case Ok(answer):
                     return Ok(answer)
                 case Err(fault):
-                    tried.last = fault
-            if not self._may_repeat(work, fault, n_tried=len(tried.targets)):
+                    tried.take(fault, chosen.view)
+            if not self._may_repeat(work, fault, n_tried=tried.n_attempts):
                 return Err(fault.error)
             if not _is_given_back(fault) and not budget.spend():
                 return Err(fault.error)
@@ -164,8 +183,8 @@
         # Where work waits, a second attempt takes the place of somebody's first.
         if chosen is None or chosen.wait_s > 0.0 or not budget.spend():
             return None
-        tried.targets.add(chosen.view.process_id)
-        self._record_route(Event.HEDGED, work, chosen, n_tried=len(tried.targets))
+        tried.begin(chosen.view)
+        self._record_route(Event.HEDGED, work, chosen, n_tried=tried.n_attempts)
         return Call(work=work, view=chosen.view, parts=parts)
 
     def _may_repeat(self, work: StageWork, fault: StageFault, *, n_tried: int) -> bool:
