--- a/tests/test_path_calls.py
+++ b/tests/test_path_calls.py
@@ -2,7 +2,7 @@
 
 import asyncio
 
-from tests.harness import CHAIN, FREE, ONCE, Fleet, Told, fleet
+from tests.harness import CHAIN, FREE, ONCE, Fleet, SidecarSlot, Told, fleet
 from tests.waiting import until
 
 
@@ -10,6 +10,11 @@
     return len(f.runs(service)) >= n_runs
 
 
+def n_waiting(slot: SidecarSlot) -> int:
+    assert slot.sidecar is not None
+    return slot.sidecar.dispatcher.load().n_queued
+
+
 def assert_whole(told: Told) -> None:
     assert told.is_answered, told
     assert told.echo == told.text
@@ -299,6 +304,70 @@
                 assert_whole(each)
             assert len(f.runs("plain")) == len(calls)
 
+    async def test_what_waits_there_goes_where_a_place_is_free(self) -> None:
+        # Two targets are replaced one after the other. While the first was away the
+        # second got all calls, and its own take far longer than they should. It is
+        # told to stop with calls waiting; the first is back and idle. Callers were
+        # refused at their deadlines: a sidecar gives back what waits at its end.
+        async with fleet(n_gateways=2, n_per_service=2) as f:
+            first, second = f.slot("plain0"), f.slot("plain1")
+            await f.stop_sidecar(first)
+            second.target.gate.clear()
+            stuck = [asyncio.create_task(f.call(ONCE, gateway=i % 2)) for i in range(4)]
+            await until(lambda: running(f, "plain", 4))
+            waiting = [
+                asyncio.create_task(f.call(ONCE, gateway=i % 2, deadline_s=3.0))
+                for i in range(8)
+            ]
+            await until(lambda: n_waiting(second) == 8)
+            await f.start_sidecar(first)
+            f.hosts_revision += 1
+            f.publish()
+            await until(lambda: all(f.hears(g, first) for g in f.gateways))
+            stop = asyncio.create_task(f.stop_sidecar(second))
+            for each in await asyncio.gather(*waiting):
+                assert_whole(each)
+            assert not stop.done()
+            second.target.gate.set()
+            for each in await asyncio.gather(*stuck):
+                assert_whole(each)
+            assert await stop == 0
+            assert len(f.runs("plain")) == 12
+
+    async def test_what_waits_at_the_only_target_is_served_there(self) -> None:
+        # The only target of a service is replaced with calls waiting. Given back at
+        # once, they would be refused, though there is time to serve them.
+        async with fleet(n_gateways=2) as f:
+            only = f.slot("plain0")
+            only.target.service_s = 0.2
+            calls = [
+                asyncio.create_task(f.call(ONCE, gateway=i % 2)) for i in range(12)
+            ]
+            await until(lambda: n_waiting(only) == 8)
+            assert await f.stop_sidecar(only) == 0
+            for each in await asyncio.gather(*calls):
+                assert_whole(each)
+
+    async def test_nothing_is_begun_that_its_end_would_cut_off(self) -> None:
+        # A stop has time for one call after the other that runs, not for two. The
+        # second was begun all the same and cut off: its caller waited until its
+        # deadline and was told "unknown", where "not run" would have been true.
+        async with fleet(n_gateways=2, drain_s=1.0) as f:
+            only = f.slot("plain0")
+            only.target.service_s = 0.4
+            for _ in range(3):
+                await asyncio.gather(*(f.call(ONCE) for _ in range(4)))
+            calls = [
+                asyncio.create_task(f.call(ONCE, gateway=i % 2)) for i in range(16)
+            ]
+            await until(lambda: n_waiting(only) == 12)
+            assert await f.stop_sidecar(only) == 0
+            told = await asyncio.gather(*calls)
+            assert {each.outcome for each in told if not each.is_answered} == {
+                "not run"
+            }
+            assert sum(each.is_answered for each in told) >= 4
+
     async def test_a_planned_stop_of_a_gateway_under_load_cuts_off_none(self) -> None:
         async with fleet(n_gateways=2) as f:
             target = f.slot("plain0").target
