Let what waits at a leaving sidecar go where a place is free, and begin nothing to cut off

Cause: a sidecar that stops kept all that waited until the end of its drain. It knows of no other target; gateways, which do, did nothing. And it began calls until the very end, which were then cut off: nobody knew what they had done, and once-only ones were followed until their deadlines.

Change: a gateway that hears that a sidecar leaves calls back what waits there, by the word that bars an attempt, for as many places as are free elsewhere, at each of its ticks. A call that has started stays. While it leaves, a sidecar begins only what is predicted to end in time, and gives the rest back at that moment.

--- a/src/trefoilpaddle/coordination/requests/drain.py
+++ b/src/trefoilpaddle/coordination/requests/drain.py
@@ -11,8 +11,10 @@
 async def drain(*, table: AttemptTable, dispatcher: Dispatcher, drain_s: float) -> int:
     """Wait until no attempt is open or held; return how many were cut off.
 
-    Work that still waits after `drain_s` is answered as not run, which cuts off
-    nobody: its gateway can send it elsewhere.
+    Work that waits is begun as long as it can end within `drain_s`, and else answered
+    as not run, which cuts off nobody: its gateway can send it elsewhere. It is not
+    given back at once, as this may be the only target of its service; gateways
+    call back what another one has a place for.
 
     Parameters
     ----------
@@ -23,7 +25,7 @@
     drain_s : float
         Longest wait.
     """
-    dispatcher.intake.is_leaving = True
+    dispatcher.leave(within_s=drain_s)
     with contextlib.suppress(TimeoutError):
         async with asyncio.timeout(drain_s):
             await table.wait_empty()
--- a/src/trefoilpaddle/coordination/requests/open_attempts.py
+++ b/src/trefoilpaddle/coordination/requests/open_attempts.py
@@ -3,7 +3,7 @@
 import asyncio
 import contextlib
 import time
-from collections.abc import Iterator
+from collections.abc import Callable, Iterator
 from dataclasses import dataclass
 from enum import Enum, auto, unique
 from typing import Final
@@ -39,6 +39,7 @@
     LINK_SILENT = auto()
     OVERRUN = auto()
     SUPERSEDED = auto()
+    CALLED_BACK = auto()
 
 
 Mail = Queued | Ready | Started | Chunk | End | Failure | Notice
@@ -61,6 +62,7 @@
         "_mail",
         "attempt_id",
         "incarnation",
+        "is_called_back",
         "is_overdue",
         "n_granted_bytes",
         "started_s",
@@ -74,6 +76,7 @@
         self.view = view
         self.started_s = 0.0
         self.is_overdue = False
+        self.is_called_back = False
         self.incarnation = view.incarnation
         self.n_granted_bytes = 0
         self._mail: asyncio.Queue[Mail] = asyncio.Queue()
@@ -95,6 +98,12 @@
         elif self._mail.qsize() == MAX_UNREAD_MESSAGES:
             self._mail.put_nowait(Notice.OVERRUN)
 
+    def waits_at_leaving(self) -> bool:
+        """Return True if it may not have started at a sidecar that says it leaves."""
+        load = self.view.load
+        is_leaving = load is not None and load.leaving
+        return is_leaving and not self.started_s and not self.is_called_back
+
     async def next_mail(self) -> Mail:
         """Return the next mail, waiting for it."""
         return await self._mail.get()
@@ -183,6 +192,29 @@
                 attempt.is_overdue = True
                 yield Overdue(work=attempt.work, view=attempt.view, age_s=age_s)
 
+    def call_back(self, n_free: Callable[[str], int]) -> None:
+        """Call back what waits at leaving sidecars, while others have places free.
+
+        Guards against callers who wait, up to the end of a sidecar's stop or their
+        own deadline, beside a target that is idle. The sidecar knows of no other and
+        may be the only one, so it keeps what waits; what starts there before the word
+        comes runs there. No more is called back at a time than there are places;
+        what is most urgent goes first.
+
+        Parameters
+        ----------
+        n_free : callable
+            Returns how many calls of a service would start at once elsewhere.
+        """
+        waiting = [a for a in self._by_id.values() if a.waits_at_leaving()]
+        waiting.sort(key=lambda attempt: attempt.work.stage_deadline_s)
+        left = {s: n_free(s) for s in {a.work.stage.service for a in waiting}}
+        for attempt in waiting:
+            if left[attempt.work.stage.service] > 0:
+                left[attempt.work.stage.service] -= 1
+                attempt.is_called_back = True
+                attempt.post(Notice.CALLED_BACK)
+
     def tell_silence(self) -> None:
         """Tell the attempts of each target that has just fallen silent."""
         for view in self._views:
--- a/src/trefoilpaddle/coordination/requests/routing.py
+++ b/src/trefoilpaddle/coordination/requests/routing.py
@@ -175,6 +175,10 @@
             for view in self.candidates(service)
         )
 
+    def n_free(self, service: str) -> int:
+        """Return how many calls of `service` would start at once, sent now."""
+        return sum(view.n_free() for view in self.candidates(service))
+
     def _in_turn(self, work: StageWork, candidates: list[TargetView]) -> Chosen:
         turns = self._turns.setdefault(work.stage.service, itertools.count())
         ordered = sorted(candidates, key=lambda view: view.process_id)
--- a/src/trefoilpaddle/coordination/requests/stage_call.py
+++ b/src/trefoilpaddle/coordination/requests/stage_call.py
@@ -211,6 +211,8 @@
                     verdict = self._on_silence(attempt)
                 case Notice.OVERRUN:
                     verdict = self._drop(attempt, "it sent more than it was granted")
+                case Notice.CALLED_BACK:
+                    self._call_back(attempt)
                 case Notice.SUPERSEDED:
                     verdict = self._on_superseded(attempt)
             if verdict is not None:
@@ -300,6 +302,17 @@
             )
         )
 
+    def _call_back(self, attempt: OpenAttempt) -> None:
+        """Ask for work that still waits at a sidecar that leaves.
+
+        If it has not started there it never will, and comes as a refusal; else
+        nothing changes.
+        """
+        if not self.is_started:
+            self.view.link.send(
+                Bar(attempt_id=attempt.attempt_id, incarnation=attempt.incarnation)
+            )
+
     def _on_silence(
         self, attempt: OpenAttempt
     ) -> Result[StageAnswer, StageFault] | None:
--- a/src/trefoilpaddle/coordination/requests/target_view.py
+++ b/src/trefoilpaddle/coordination/requests/target_view.py
@@ -160,6 +160,13 @@
         service_s = work.expected_s * slow * (1.0 + CROWDING * self.crowd())
         return self.wait_s(work.governing.entry, now_s) + service_s
 
+    def n_free(self) -> int:
+        """Return how many calls would start at once; none where work waits."""
+        if self.load is None or self.load.n_queued:
+            return 0
+        n_taken = self.load.n_running + self.own.n_calls()
+        return max(0, self.load.n_slots - n_taken)
+
     def crowd(self) -> float:
         """Return which part of the target's slots is taken, own calls included."""
         if self.load is None:
--- a/src/trefoilpaddle/coordination/targets/dispatcher.py
+++ b/src/trefoilpaddle/coordination/targets/dispatcher.py
@@ -31,6 +31,7 @@
 """How long waiting work outlives its connection."""
 TIMER_MARGIN_NS: Final = 2_000_000
 """More than a timer of the event loop comes early."""
+NEVER_NS: Final = (1 << 63) - 1
 DEFAULT_MAX_QUEUE_S: Final = 30.0
 """Longest queue while the service is not in the catalogue."""
 MAX_OWNER_LOADS: Final = 8
@@ -61,6 +62,7 @@
     __slots__ = (
         "_ends",
         "_journal",
+        "_last_ns",
         "_max_queue_s",
         "_name",
         "_policy",
@@ -89,6 +91,7 @@
         self._journal = journal
         self._policy = policy
         self._max_queue_s = DEFAULT_MAX_QUEUE_S
+        self._last_ns = NEVER_NS
         self._running = RunningCalls(limit=slots)
         self._timers = DropTimers(on_due=self._drop_late)
         self._ends = AttemptEnds(table=table, journal=journal, read_load=self.load)
@@ -135,6 +138,19 @@
         if not is_up:
             self.give_back_waiting(Reason.TARGET_DOWN, retry_after_s=DOWN_RETRY_S)
 
+    def leave(self, *, within_s: float) -> None:
+        """Refuse new work, and begin only what can end within that time.
+
+        Guards against calls that are begun shortly before the process ends and cut
+        off then: nobody knows what they did, and who may not repeat them waits for
+        them until the deadline, though "not run" was still true.
+        """
+        self.intake.is_leaving = True
+        self._last_ns = time.monotonic_ns() + int(within_s * NS_PER_S)
+        for attempt in self._table.open_attempts():
+            if attempt.phase is Phase.WAITING and attempt.work is not None:
+                self._set_timer(attempt, attempt.work)
+
     def predicted_wait_s(self) -> float:
         """Return the seconds until all that waits should have started."""
         slots = self._running.slots(time.monotonic_ns())
@@ -279,21 +295,35 @@
         It is answered at that moment, not when its turn comes, so that its
         caller can still go elsewhere.
         """
+        latest_ns = self._last_start_ns(attempt)
         if self._policy.drop_expired:
-            latest_ns = attempt.deadline_ns
+            latest_ns = min(latest_ns, attempt.deadline_ns)
             if self._policy.refuse_early:
                 latest_ns = min(latest_ns, work.latest_start_ns)
+        if latest_ns < NEVER_NS:
             self._timers.arm(attempt, at_ns=latest_ns)
 
+    def _last_start_ns(self, attempt: Attempt) -> int:
+        """Return the last moment at which it could start and end before this ends."""
+        if self._last_ns == NEVER_NS:
+            return NEVER_NS
+        slowness = self._running.slowness(time.monotonic_ns())
+        need_s = max(0.0, attempt.start.predicted_s) * slowness
+        return self._last_ns - int(need_s * NS_PER_S)
+
     def _drop_late(self, attempt: Attempt) -> None:
-        if time.monotonic_ns() >= attempt.deadline_ns - TIMER_MARGIN_NS:
+        now_ns = time.monotonic_ns()
+        if now_ns >= attempt.deadline_ns - TIMER_MARGIN_NS:
             self.withdraw(attempt, Reason.DEADLINE_PASSED)
             return
+        if now_ns >= self._last_start_ns(attempt) - TIMER_MARGIN_NS:
+            self.withdraw(attempt, Reason.LEAVING)
+            return
         wait_s = self.predicted_wait_s()
         self.withdraw(attempt, Reason.PREDICTED_LATE, retry_after_s=wait_s)
 
     def _start(self, attempt: Attempt, *, now_ns: int) -> None:
-        if self._timers.is_due(attempt):
+        if self._timers.is_due(attempt) or now_ns > self._last_start_ns(attempt):
             self._drop_late(attempt)
             return
         attempt.stop_timer()
--- a/src/trefoilpaddle/coordination/targets/stage_server.py
+++ b/src/trefoilpaddle/coordination/targets/stage_server.py
@@ -269,7 +269,7 @@
             state = BarState.FORGOTTEN
         elif attempt is None:
             state = self._table.bar_unknown(attempt_id, now_ns=time.monotonic_ns())
-        elif self._dispatcher.withdraw(attempt, Reason.BARRED):
+        elif self._dispatcher.withdraw(attempt, self._reason_to_bar()):
             state = BarState.BARRED
         elif attempt.phase is Phase.DONE:
             state = BarState.DONE
@@ -277,6 +277,11 @@
             state = BarState.RUNNING
         return BarAnswer(attempt_id=attempt_id, state=state)
 
+    def _reason_to_bar(self) -> Reason:
+        """Return why a gateway takes work back: this leaves, or the gateway's own."""
+        is_leaving = self._dispatcher.intake.is_leaving
+        return Reason.LEAVING if is_leaving else Reason.BARRED
+
     def _refuse(self, connection: Connection, start: Start, error: StageError) -> None:
         self._table.spend_refused(start.attempt_id, now_ns=time.monotonic_ns())
         self._journal.refusal(Event.REFUSED, start, error)
--- a/src/trefoilpaddle/roles/gateway.py
+++ b/src/trefoilpaddle/roles/gateway.py
@@ -244,6 +244,7 @@
             await asyncio.sleep(TICK_S)
             self._open_links()
             self.attempts.tell_silence()
+            self.attempts.call_back(self._router.n_free)
             for call in self.attempts.newly_overdue():
                 self._router.learn(call.work, call.view, measured_s=call.age_s)
 
--- a/tests/test_path_calls.py
+++ b/tests/test_path_calls.py
@@ -355,8 +355,8 @@
         async with fleet(n_gateways=2, drain_s=1.0) as f:
             only = f.slot("plain0")
             only.target.service_s = 0.4
-            for _ in range(3):
-                await asyncio.gather(*(f.call(ONCE) for _ in range(4)))
+            for gateway in (0, 0, 1, 1):
+                await asyncio.gather(*(f.call(ONCE, gateway=gateway) for _ in range(4)))
             calls = [
                 asyncio.create_task(f.call(ONCE, gateway=i % 2)) for i in range(16)
             ]
