--- a/src/trefoilpaddle/coordination/claims/claim_sync.py
+++ b/src/trefoilpaddle/coordination/claims/claim_sync.py
@@ -10,6 +10,7 @@
 
 from result import Ok
 
+from ...protocol.const import MS_PER_S
 from ...protocol.gen.claims.ttypes import (
     Claim,
     ClaimSync,
@@ -22,9 +23,14 @@
 from ...state.places import Place, PlaceList
 from ...transport.server import PeerServer
 from ..requests.asker import Asker, ask_at
-from .claim_book import ClaimBook
+from .claim_book import ClaimBook, record_of
 
 MAX_PAGE_BYTES: Final = 512 * 1024
+"""Size at which a page ends; the claim that exceeds it is still sent.
+
+With the largest result it stays below ``MAX_FRAME_BYTES``.
+"""
+
 MAX_LISTS_BYTES: Final = 1024 * 1024
 """A place whose lists are larger, many changes in a large fleet, hands over none;
 the other one then waits until it is old enough to vouch."""
@@ -36,9 +42,13 @@
 """Taken as the size of a claim besides its result."""
 
 MAX_PAGES: Final = 1000
+"""Pages taken from one place; bounds one that never comes to its end."""
+
 SYNC_TIMEOUT_S: Final = 1.0
+"""Longest wait for one page."""
+
 RETRY_S: Final = 0.5
-MS_PER_S: Final = 1000
+"""Pause before the places that have not handed over are asked again."""
 
 
 class ClaimSyncs:
@@ -106,7 +116,11 @@
             if claim is None or self._book.table.get(claim.key) is not None:
                 continue
             is_kept = self._book.table.copy_in(
-                _record_of(known, claim),
+                record_of(
+                    claim,
+                    stage=_stage_of(known),
+                    result=known.result if known.has_result else None,
+                ),
                 overdue_in_s=known.overdue_in_ms / MS_PER_S,
                 expires_in_s=known.expires_in_ms / MS_PER_S,
             )
@@ -160,20 +174,6 @@
     )
 
 
-def _record_of(known: KnownClaim, claim: Claim) -> ClaimRecord:
-    return ClaimRecord(
-        key=claim.key,
-        request_id=claim.request_id,
-        gateway=claim.gateway,
-        gateway_incarnation=claim.gateway_incarnation,
-        fingerprint=claim.fingerprint,
-        is_idempotent=claim.idempotent,
-        grant=claim.grant,
-        stage=_stage_of(known),
-        result=known.result if known.has_result else None,
-    )
-
-
 def _stage_of(known: KnownClaim) -> ClaimStage:
     if known.moved:
         return ClaimStage.MOVED
