--- a/src/trefoilpaddle/coordination/requests/settling.py
+++ b/src/trefoilpaddle/coordination/requests/settling.py
@@ -37,6 +37,17 @@
     return call_errors.cancelled_at_deadline(peer=view.process_id)
 
 
+def call_back(attempt: OpenAttempt) -> None:
+    """Ask for work that still waits at a sidecar that leaves.
+
+    If it has not started there it never will, and comes as a refusal; else nothing
+    changes.
+    """
+    if not attempt.is_started:
+        question = Bar(attempt_id=attempt.attempt_id, incarnation=attempt.incarnation)
+        attempt.view.link.send(question)
+
+
 async def bar(
     attempt: OpenAttempt, journal: Journal, *, otherwise: StageError
 ) -> StageError:
--- a/src/trefoilpaddle/coordination/requests/stage_call.py
+++ b/src/trefoilpaddle/coordination/requests/stage_call.py
@@ -26,7 +26,7 @@
 from .answer_receiver import AnswerReceiver
 from .open_attempts import Notice, OpenAttempt, OpenAttempts
 from .result_fetch import fetch, reconnect
-from .settling import bar, give_up
+from .settling import bar, call_back, give_up
 from .start_message import start_messages
 from .target_view import TargetView
 
@@ -195,6 +195,8 @@
                     verdict = self._on_silence(attempt)
                 case Notice.OVERRUN:
                     verdict = self._drop(attempt, "it sent more than it was granted")
+                case Notice.CALLED_BACK:
+                    call_back(attempt)
                 case Notice.SUPERSEDED:
                     verdict = self._on_superseded(attempt)
             if verdict is not None:
--- a/tests/platform_adapter/test_gateway_process.py
+++ b/tests/platform_adapter/test_gateway_process.py
@@ -6,6 +6,7 @@
 from pathlib import Path
 
 import aiohttp
+import pytest
 
 from trefoilpaddle.coordination.chain.store_readers import Missing
 from trefoilpaddle.standins.platform.gateway_process import (
@@ -74,6 +75,30 @@
                     assert answer.status == status
 
 
+class TestNotStarting:
+    async def test_one_whose_port_is_taken_is_told_at_once(
+        self, tmp_path: Path
+    ) -> None:
+        # A soak waited for half a minute for a gateway that had ended at its start,
+        # and then said only that time was over, neither who had ended nor why.
+        async with (
+            small_site() as site,
+            gateways(site, tmp_path, "a") as (gateway,),
+            aiohttp.ClientSession() as client,
+        ):
+            other = GatewayProcess(
+                host="other",
+                domain="a",
+                folder=tmp_path,
+                store=site.store_address,
+                seeds=[],
+            )
+            other.ports[3] = gateway.ports[3]
+            other.start()
+            with pytest.raises(ChildProcessError, match=r"other ended.* in use"):
+                await other.wait_ready(client)
+
+
 def _is_in_force(gateway: GatewayProcess, version: int) -> bool:
     return f"config_revision={version}" in gateway.log()
 
