--- a/tests/stop_schedules.py
+++ b/tests/stop_schedules.py
@@ -14,6 +14,7 @@
 import fire
 
 from tests.harness import CHAIN, FREE, ONCE, Fleet, GatewaySlot, SidecarSlot, fleet
+from tests.soak.soak_stalls import Stall, note_stalls
 from tests.waiting import until
 
 N_GATEWAYS: Final = 3
@@ -97,7 +98,11 @@
                 self.problems.append(f"{text} was cut")
                 return
             if (told.outcome, told.reason) != ("not run", STOPPING):
-                self.problems.append(f"{text} ended {told.outcome}: {told.reason}")
+                error = told.body["error"]
+                self.problems.append(
+                    f"{text} ended {told.outcome}: {told.reason},"
+                    f" {error['step']} at {error['peer']}: {error['detail']}"
+                )
                 return
 
     async def stop_gateway(self, slot: GatewaySlot, down_s: float) -> None:
@@ -167,7 +172,11 @@
         for relay in f.all_relays():
             relay.delay_s, relay.delay_back_s = rng.choices(DELAYS_S, k=2)
         played = Play(f=f, rng=rng, ready={slot.name for slot in f.gateways})
-        balance = asyncio.create_task(played.balance())
+        stalls: list[Stall] = []
+        background = [
+            asyncio.create_task(played.balance()),
+            asyncio.create_task(note_stalls(stalls.append)),
+        ]
         callers = [
             asyncio.create_task(played.call_on(number)) for number in range(N_CALLERS)
         ]
@@ -183,8 +192,15 @@
         await asyncio.gather(*stops)
         played.is_over = True
         await asyncio.gather(*callers)
-        balance.cancel()
+        for task in background:
+            task.cancel()
         played.check_runs()
+        if played.problems:
+            # It excuses nothing, but tells a fault from a machine that was too busy.
+            played.problems[:0] = [
+                f"the play itself stood still for {stall.ended_s - stall.began_s:.2f} s"
+                for stall in stalls
+            ]
         return len(played.sent), played.problems
 
 
