--- a/tests/stop_schedules.py
+++ b/tests/stop_schedules.py
@@ -14,6 +14,7 @@
 import fire
 
 from tests.harness import CHAIN, FREE, ONCE, Fleet, GatewaySlot, SidecarSlot, fleet
+from tests.soak.soak_stalls import Stall, note_stalls
 from tests.waiting import until
 
 N_GATEWAYS: Final = 3
@@ -48,12 +49,15 @@
         Names of sidecars from their order to stop until all hear them again.
     ready : set of str
         Names of gateways that the balancer knows, less those ordered to stop.
+    draining : set of str
+        Names of these; their open calls still need targets for later stages.
     """
 
     f: Fleet
     rng: random.Random
     ordered: set[str] = field(default_factory=set)
     ready: set[str] = field(default_factory=set)
+    draining: set[str] = field(default_factory=set)
     seen_ready: list[int] = field(default_factory=list)
     sent: dict[str, str] = field(default_factory=dict)
     problems: list[str] = field(default_factory=list)
@@ -97,14 +101,21 @@
                 self.problems.append(f"{text} was cut")
                 return
             if (told.outcome, told.reason) != ("not run", STOPPING):
-                self.problems.append(f"{text} ended {told.outcome}: {told.reason}")
+                error = told.body["error"]
+                self.problems.append(
+                    f"{text} ended {told.outcome}: {told.reason},"
+                    f" {error['step']} at {error['peer']}: {error['detail']}"
+                )
                 return
 
     async def stop_gateway(self, slot: GatewaySlot, down_s: float) -> None:
         """Stop a gateway as planned and start it again."""
         await until(lambda: slot.name in self.ready and len(self.ready) > 1)
         self.ready.remove(slot.name)
-        if n_cut_off := await self.f.stop_gateway(slot):
+        self.draining.add(slot.name)
+        n_cut_off = await self.f.stop_gateway(slot)
+        self.draining.remove(slot.name)
+        if n_cut_off:
             self.problems.append(f"{slot.name} cut off {n_cut_off}")
         await asyncio.sleep(down_s)
         await self.f.start_gateway(slot)
@@ -131,10 +142,11 @@
         self.f.publish()
 
     def _may_stop(self, slot: SidecarSlot) -> bool:
-        """Return True if each ready gateway hears another sidecar of its service."""
+        """Return True if each gateway with calls hears another one of its service."""
+        serving = [g for g in self.f.gateways if g.name in self.ready | self.draining]
         return all(
             any(other is not slot for other in self._heard(gateway, slot.service))
-            for gateway in self._gateways()
+            for gateway in serving
         )
 
     def _gateways(self) -> list[GatewaySlot]:
@@ -167,7 +179,11 @@
         for relay in f.all_relays():
             relay.delay_s, relay.delay_back_s = rng.choices(DELAYS_S, k=2)
         played = Play(f=f, rng=rng, ready={slot.name for slot in f.gateways})
-        balance = asyncio.create_task(played.balance())
+        stalls: list[Stall] = []
+        background = [
+            asyncio.create_task(played.balance()),
+            asyncio.create_task(note_stalls(stalls.append)),
+        ]
         callers = [
             asyncio.create_task(played.call_on(number)) for number in range(N_CALLERS)
         ]
@@ -183,8 +199,15 @@
         await asyncio.gather(*stops)
         played.is_over = True
         await asyncio.gather(*callers)
-        balance.cancel()
+        for task in background:
+            task.cancel()
         played.check_runs()
+        if played.problems:
+            # It excuses nothing, but tells a fault from a machine that was too busy.
+            played.problems[:0] = [
+                f"the play itself stood still for {stall.ended_s - stall.began_s:.2f} s"
+                for stall in stalls
+            ]
         return len(played.sent), played.problems
 
 
