Count as kept by others only what was not free at the turn of a call

Cause: a call takes memory for its results at its turn. Where the last piece of a full call found none, because results are a little larger than published, the memory that was free at the call's end counted as kept by others, so also what had been freed while the call was made. The worker then offered a third of its memory and one more result each half second, for four seconds.

Without such sizes nothing changes.

--- a/src/trefoilpaddle/coordination/chain/worker_caller.py
+++ b/src/trefoilpaddle/coordination/chain/worker_caller.py
@@ -187,6 +187,7 @@
         # and its worker has fetched nothing.
         loop = asyncio.get_running_loop()
         fetching = loop.call_later(FETCH_S, _tell_fetched, batch)
+        kept_bytes = self.known.memory.own_bytes(began_s)
         self.known.memory.send(n_bytes)
         try:
             try:
@@ -198,7 +199,13 @@
                 fetching.cancel()
             match answer:
                 case Ok(ends):
-                    self._take(batch, ends, began_s, n_waiting=n_waiting)
+                    self._take(
+                        batch,
+                        ends,
+                        began_s,
+                        n_waiting=n_waiting,
+                        kept_bytes=kept_bytes,
+                    )
                 case Err(CallFault.FULL):
                     self._put_back(batch, expected_s)
                 case Err(fault):
@@ -219,14 +226,17 @@
         began_s: float,
         *,
         n_waiting: int,
+        kept_bytes: float,
     ) -> None:
         now_s = time.monotonic()
         self._workers.trust(self.worker)
         n_made = sum(1 for end in ends if isinstance(end, PieceMade))
         self.known.learn_call(n_made, n_waiting=n_waiting, began_s=began_s, now_s=now_s)
         without_memory = []
+        made_bytes = 0.0
         for work, end in zip(batch, ends, strict=True):
             if isinstance(end, PieceMade):
+                made_bytes += work.result_bytes
                 self.known.memory.keep(end.handle, work.result_bytes, now_s)
                 if not work.is_open:
                     self.free(end.handle)
@@ -238,7 +248,7 @@
             # Nothing was worked on. Sent again at once, these pieces were turned
             # away again, 790 calls in a second.
             least_bytes = min(work.result_bytes for work in without_memory)
-            self.known.learn_full(least_bytes, now_s)
+            self.known.learn_full(least_bytes, now_s, own_bytes=kept_bytes + made_bytes)
             self._on_return(without_memory)
         faults = Counter(end.value for end in ends if isinstance(end, PieceFault))
         self._notes.call(
--- a/src/trefoilpaddle/state/chain/known_worker.py
+++ b/src/trefoilpaddle/state/chain/known_worker.py
@@ -158,9 +158,19 @@
         self._waiting_since_s = None
         self._is_proven = self._is_proven or n_made > 0
 
-    def learn_full(self, least_bytes: float, now_s: float) -> None:
-        """Learn that it has not so much memory left; it is asked for the rest."""
-        self.memory.learn_full(least_bytes, now_s)
+    def learn_full(self, least_bytes: float, now_s: float, *, own_bytes: float) -> None:
+        """Learn that it had not so much memory left; it is asked for the rest.
+
+        Parameters
+        ----------
+        least_bytes : float
+            Expected size of the smallest result that found none.
+        now_s : float
+            Monotonic time.
+        own_bytes : float
+            What this scheduler's results took there then.
+        """
+        self.memory.learn_full(least_bytes, now_s, own_bytes=own_bytes)
         self.is_current = False
 
     def learn_report(self, report: WorkerReport, now_s: float) -> None:
--- a/src/trefoilpaddle/state/chain/result_memory.py
+++ b/src/trefoilpaddle/state/chain/result_memory.py
@@ -111,7 +111,7 @@
 
     def learn_report(self, least_bytes: float, most_bytes: float, now_s: float) -> None:
         """Take in between which bounds the worker reports its free memory."""
-        others_bytes = self.service.memory_bytes - self._own_bytes(now_s)
+        others_bytes = self.service.memory_bytes - self.own_bytes(now_s)
         known_bytes = self._foreign.bytes_at(now_s)
         n_bytes = min(known_bytes, max(0.0, others_bytes - least_bytes))
         n_bytes = max(n_bytes, others_bytes - most_bytes, 0.0)
@@ -126,9 +126,26 @@
             freed_per_s=self._foreign.freed_per_s,
         )
 
-    def learn_full(self, result_bytes: float, now_s: float) -> None:
-        """Take in that a result of that size found no memory."""
-        free_bytes = self.service.memory_bytes - self._own_bytes(now_s)
+    def learn_full(
+        self, result_bytes: float, now_s: float, *, own_bytes: float
+    ) -> None:
+        """Take in that a result of that size found no memory.
+
+        What is free by now says nothing: a call takes its memory at its turn, and
+        half of what was kept then may be freed before it ends. Counted as kept by
+        others, that left a worker a third of its memory for four seconds each time
+        that the last result of a full call was a little larger than published.
+
+        Parameters
+        ----------
+        result_bytes : float
+            Expected size of the result.
+        now_s : float
+            Monotonic time.
+        own_bytes : float
+            What this scheduler's results took when it found none.
+        """
+        free_bytes = self.service.memory_bytes - own_bytes
         self._foreign = ForeignResults(
             n_bytes=max(0.0, free_bytes - FIT_SHARE * result_bytes),
             at_s=now_s,
@@ -142,7 +159,7 @@
 
     def used_bytes(self, now_s: float) -> float:
         """Return the bytes of all results that wait at the worker."""
-        return self._own_bytes(now_s) + self._foreign.bytes_at(now_s)
+        return self.own_bytes(now_s) + self._foreign.bytes_at(now_s)
 
     def free_bytes(self, now_s: float) -> float:
         """Return the bytes that are left for new results."""
@@ -163,7 +180,8 @@
                 n_bytes=each.n_bytes, until_s=now_s + each.left_s
             )
 
-    def _own_bytes(self, now_s: float) -> float:
+    def own_bytes(self, now_s: float) -> float:
+        """Return the bytes of this scheduler's results, those of calls included."""
         self._drop_over(now_s)
         return self._sent_bytes + sum(kept.n_bytes for kept in self._kept.values())
 
--- a/tests/chain/cell_loads.py
+++ b/tests/chain/cell_loads.py
@@ -45,13 +45,20 @@
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class Load:
-    """What comes, and who makes it."""
+    """What comes, and who makes it.
+
+    Parameters
+    ----------
+    size_spread : float
+        Share by which results are smaller or larger than published, at most.
+    """
 
     kinds: tuple[Kind, ...]
     services: tuple[PieceService, ...]
     n_workers: dict[str, int]
     bursts: tuple[Burst, ...] = ()
     length_s: float = 30.0
+    size_spread: float = 0.0
 
 
 def plan(service: str, result_bytes: float, *after: int) -> StagePlan:
--- a/tests/chain/cell_model.py
+++ b/tests/chain/cell_model.py
@@ -113,6 +113,8 @@
             for number, work in enumerate(kind.work)
         }
         self._rng = rng
+        self._size_spread = load.size_spread
+        self._sizes: dict[tuple[str, int], float] = {}
         self._outcome = outcome
         self._locks: dict[str, asyncio.Lock] = {}
         self._kept: dict[str, dict[str, float]] = {}
@@ -143,10 +145,11 @@
             took_s = service.call_s
             for work in works:
                 name = f"{at.worker_id}/{work.request_id}.{work.stage}.{work.piece}"
-                if sum(kept.values()) + work.result_bytes > service.memory_bytes:
+                n_bytes = self._size(work)
+                if sum(kept.values()) + n_bytes > service.memory_bytes:
                     ends.append(PieceFault.NO_MEMORY)
                     continue
-                kept[name] = work.result_bytes
+                kept[name] = n_bytes
                 self._until_s[name] = time.monotonic() + service.keep_s + took_s
                 took_s += service.piece_s * self._work[work.route, work.stage]
                 ends.append(PieceMade(handle=name, worker_id=at.worker_id))
@@ -168,6 +171,16 @@
         )
         return Ok(ends)
 
+    def _size(self, work: PieceWork) -> float:
+        """Return the size of a result, which differs from the published one."""
+        if not self._size_spread:
+            return work.result_bytes
+        spread = self._size_spread
+        of_stage = (work.request_id, work.stage)
+        if of_stage not in self._sizes:
+            self._sizes[of_stage] = self._rng.uniform(1.0 - spread, 1.0 + spread)
+        return work.result_bytes * self._sizes[of_stage]
+
     def _drop_over(self, kept: dict[str, float]) -> None:
         """Forget results that have run out."""
         now_s = time.monotonic()
--- a/tests/chain/test_worker_caller.py
+++ b/tests/chain/test_worker_caller.py
@@ -136,14 +136,20 @@
 
     def test_a_result_that_found_none_leaves_place_for_smaller_ones(self) -> None:
         memory = self.memory()
-        memory.learn_full(4, NOW_S)
+        memory.learn_full(4, NOW_S, own_bytes=0)
         assert 3 < memory.free_bytes(NOW_S) < 4
 
     def test_and_for_one_more_of_its_size_after_a_while(self) -> None:
         memory = self.memory()
-        memory.learn_full(2, NOW_S)
+        memory.learn_full(2, NOW_S, own_bytes=0)
         assert 3.5 < memory.free_bytes(NOW_S + TRY_S) < 4
 
+    def test_only_what_its_own_results_left_then_is_taken_for_others(self) -> None:
+        memory = self.memory()
+        memory.keep("a", 3, NOW_S)
+        memory.learn_full(2, NOW_S, own_bytes=9)
+        assert memory.free_bytes(NOW_S) == 7
+
     def test_what_the_scheduler_before_had_made_counts(self) -> None:
         memory = self.memory()
         memory.adopt([HeldResult(handle="a", n_bytes=4, left_s=1.0)], NOW_S)
@@ -210,6 +216,25 @@
         assert offer.free_bytes < 1e5
 
 
+class TestFreedMeanwhile:
+    async def test_memory_that_is_freed_during_a_call_stays_free(self) -> None:
+        # A worker's results are a little larger than published, and the last piece
+        # of a full call finds no memory. All that was freed while the call was
+        # made counted as kept by others, so the worker got a third of its calls'
+        # pieces for four seconds, and callers in a burst were refused.
+        def all_but_last(at: Worker, works: Sequence[PieceWork]) -> list[PieceEnd]:
+            rig.caller.known.memory.free("before")
+            return [*(made(at, w) for w in works[:-1]), PieceFault.NO_MEMORY]
+
+        rig = Rig(FakeCalls(make=all_but_last), memory_bytes=10e5)
+        now_s = time.monotonic()
+        rig.caller.known.memory.keep("before", 6e5, now_s)
+        await rig.call(*(due(name, result_bytes=1e5) for name in "abcd"))
+        assert [work.request_id for work in rig.returned] == ["d"]
+        offer = rig.caller.known.offer(now_s, n_passed=0, near_free_in_s={})
+        assert offer.free_bytes > 6e5
+
+
 class TestNewStart:
     async def test_what_was_under_way_is_given_up_at_once(self) -> None:
         # The worker crashes and is back under its id before its calls are given
