--- a/tests/test_compare_plays.py
+++ b/tests/test_compare_plays.py
@@ -4,7 +4,7 @@
 
 import orjson
 
-from tools.compare_plays import pairs, plays, table
+from tools.compare_plays import pairs, plays, spread_table, table
 
 
 def entry(folder: Path, name: str, why: str, *days: tuple[str, int, float]) -> None:
@@ -37,3 +37,11 @@
 
     def test_without_any_there_is_only_a_head(self) -> None:
         assert len(table([])) == 1
+
+
+class TestSpread:
+    def test_each_day_and_all_together(self, tmp_path: Path) -> None:
+        entry(tmp_path, "1", "set", ("d", 1, 0.1), ("d", 2, 0.3), ("e", 1, 0.5))
+        lines = spread_table(list(plays(tmp_path, "s", "set")))
+        assert lines[1].split() == ["d", "2", "0.200", "0.141", "0.100", "0.300"]
+        assert [line.split()[0] for line in lines[1:]] == ["d", "e", "all"]
--- a/tools/compare_plays.py
+++ b/tools/compare_plays.py
@@ -2,6 +2,7 @@
 
 ``python -m tools.compare_plays SITE BEFORE AFTER``: plays whose reason begins with
 BEFORE against those whose reason begins with AFTER, in pairs of a day and a seed.
+Without AFTER, the mean of one set and how far its plays lie from one another.
 """
 
 import statistics
@@ -96,9 +97,30 @@
     return [*lines, line("all", chosen)] if chosen else lines
 
 
-def main(site: str, before: str, after: str, journal: str = str(JOURNAL)) -> None:
-    """Print how two sets of plays differ."""
+def spread_table(chosen: list[Play]) -> list[str]:
+    """Return the mean and the spread of each day's plays, and of all together."""
+    by_day: dict[str, list[float]] = defaultdict(list)
+    for play in chosen:
+        by_day[play.day].append(play.worth)
+        by_day["all"].append(play.worth)
+    days = sorted(by_day, key=lambda day: (day == "all", day))
+    lines = ["day            n    mean  spread   least    most"]
+    for day in days:
+        worths = by_day[day]
+        spread = statistics.stdev(worths) if len(worths) > 1 else 0.0
+        lines.append(
+            f"{day:12} {len(worths):3} {statistics.mean(worths):7.3f}"
+            f" {spread:7.3f} {min(worths):7.3f} {max(worths):7.3f}"
+        )
+    return lines
+
+
+def main(site: str, before: str, after: str = "", journal: str = str(JOURNAL)) -> None:
+    """Print how two sets of plays differ, or how one set is spread."""
     folder = Path(journal)
+    if not after:
+        print("\n".join(spread_table(list(plays(folder, site, before)))))
+        return
     found = pairs(plays(folder, site, before), plays(folder, site, after))
     print("\n".join(table(found)))
 
