--- a/src/trefoilpaddle/coordination/configuration/config_peers.py
+++ b/src/trefoilpaddle/coordination/configuration/config_peers.py
@@ -36,11 +36,16 @@
 """Larger differences are announced only, so each process fetches them once."""
 
 PULL_TIMEOUT_S: Final = 2.0
+"""Longest wait for one page of a peer."""
+
 ROUND_S: Final = 2.0
+"""Time between two questions to neighbours about what they know."""
+
 CATCH_UP_S: Final = 0.2
 """Wait after hearing of a newer revision, for a flood that is on its way."""
 
 MAX_PAGES: Final = 1000
+"""Pages taken from one peer; bounds one that never comes to its end."""
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -206,7 +211,14 @@
     async def _ask(
         self, link: Link, question: ConfigPull
     ) -> Result[ConfigDelta, PeerError]:
-        return await link.ask(question, timeout_s=PULL_TIMEOUT_S)
+        # A fault here would end the loop that asks, and with it the process.
+        match await link.ask(question, timeout_s=PULL_TIMEOUT_S):
+            case Ok(ConfigDelta() as answer):
+                return Ok(answer)
+            case Ok(foreign):
+                return Err(PeerError.of_foreign(foreign, peer=str(link.address)))
+            case Err(error):
+                return Err(error)
 
     def _take(self, items: list[PublishedItem], delta: ConfigDelta, link: Link) -> None:
         source = link.peer.process_id if link.peer else str(link.address)
--- a/src/trefoilpaddle/coordination/members/membership.py
+++ b/src/trefoilpaddle/coordination/members/membership.py
@@ -29,7 +29,11 @@
 """News of this long goes out together; a lost failure domain is one message."""
 
 ASK_TIMEOUT_S: Final = 1.0
+"""Longest wait for a link to open, and for an answer on it."""
+
 N_ROUNDS_PER_STRANGER: Final = 3
+"""Rounds between two meetings with a listed process that is no live member."""
+
 N_MISMATCHES: Final = 2
 """Rounds in which digests may differ, for news on its way, before a comparison."""
 
@@ -301,7 +305,14 @@
     async def _ask(
         self, link: Link, question: Gossip
     ) -> Result[GossipAnswer, PeerError]:
-        return await link.ask(question, timeout_s=ASK_TIMEOUT_S)
+        # A fault here would end the loop that asks, and with it the process.
+        match await link.ask(question, timeout_s=ASK_TIMEOUT_S):
+            case Ok(GossipAnswer() as answer):
+                return Ok(answer)
+            case Ok(foreign):
+                return Err(PeerError.of_foreign(foreign, peer=str(link.address)))
+            case Err(error):
+                return Err(error)
 
     def _hear_of_self(self, record: MemberRecord) -> None:
         """Overrule what is said of this process if it is not so.
--- a/src/trefoilpaddle/coordination/requests/target_view.py
+++ b/src/trefoilpaddle/coordination/requests/target_view.py
@@ -7,21 +7,32 @@
 from ...protocol.gen.stage.ttypes import Load
 from ...state.catalogue import Entry
 from ...state.hosts import Host
+from ...state.slowness import MAX_SLOWNESS
 from ...transport.connection import Address
 from ...transport.link import Link
 from ...transport.peers import Peers
 from ..targets.stage_work import StageWork
 from .own_calls import OwnCalls
-from .predicted_wait import MAX_SLOWNESS, predicted_wait_s, slowness
+from .predicted_wait import predicted_wait_s, slowness
 
 DEFAULT_SLOTS: Final = 4
+"""Slots assumed of a target that has not reported yet."""
+
 CROWDING: Final = 0.4
 """How much longer a call takes, in part of its time, where all slots are taken;
 a batching engine makes slower steps then. Also tells idle targets apart."""
+
 LATENCY_STEP: Final = 0.1
+"""Weight of one call in how much slower than predicted a target is."""
+
 SLOW_STEP: Final = 0.3
+"""The same of a call that was far too slow."""
+
 SLOW_RATIO: Final = 3.0
+"""Times the prediction from which on a call counts as far too slow."""
+
 PROBE_STEP: Final = 0.7
+"""The same weight of a probe of an ejected target, which gets few calls."""
 
 
 class TargetView:
@@ -85,7 +96,7 @@
 
     def may_get_work(self) -> bool:
         """Return True if the sidecar is heard, not leaving and its target up."""
-        if not self.link.is_heard():
+        if not self.link.takes():
             return False
         return self.load is None or not (self.load.leaving or not self.load.target_up)
 
@@ -160,6 +171,13 @@
         service_s = work.expected_s * slow * (1.0 + CROWDING * self.crowd())
         return self.wait_s(work.governing.entry, now_s) + service_s
 
+    def n_free(self) -> int:
+        """Return how many calls would start at once; none where work waits."""
+        if self.load is None or self.load.n_queued:
+            return 0
+        n_taken = self.load.n_running + self.own.n_calls()
+        return max(0, self.load.n_slots - n_taken)
+
     def crowd(self) -> float:
         """Return which part of the target's slots is taken, own calls included."""
         if self.load is None:
--- /dev/null
+++ b/tests/chain/test_store_spread.py
@@ -0,0 +1,153 @@
+"""What is published reaches every gateway in time, and few read the store for it."""
+
+import asyncio
+from typing import Final
+
+import pytest
+
+from trefoilpaddle.coordination.chain.store_feed import POLL_S
+from trefoilpaddle.coordination.chain.store_readers import N_READERS
+
+from .fakes import worker
+from .store_network import LAST_TIMEOUT_S, STEP_S, Gateway, Network
+from .virtual_time import run_virtual
+
+SPREAD_S: Final = POLL_S + 0.1
+"""One turn of a reader, its read and what it tells."""
+
+ASKED_S: Final = SPREAD_S + 0.4
+"""The same for a gateway that has to ask peers first."""
+
+BEAT_S: Final = 0.1
+"""Between moves of the revision by heartbeats."""
+
+CONTROL_BYTES_PER_S: Final = 17_000
+"""What control may cost each gateway; see the head of docs/DESIGN.md."""
+
+CONFIGURATION_S: Final = 2.0
+"""Within which a change must be in force, whoever is turned away."""
+
+
+def is_usable(gateway: Gateway, worker_id: str) -> bool:
+    """Return True if a gateway would give work to a worker."""
+    usable = gateway.workers.usable(worker("any").service)
+    return any(known.worker_id == worker_id for known in usable)
+
+
+class TestNewTable:
+    def test_nobody_but_the_readers_reads_it(
+        self, monkeypatch: pytest.MonkeyPatch
+    ) -> None:
+        # An operator changes one time-out. All 22 gateways read the store at the
+        # same moment, and each of these reads is paid for: what readers tell the
+        # others named the new table and did not hold it.
+        async def play() -> None:
+            network = Network(22)
+            await network.start()
+            with network.reads() as reads:
+                network.store.publish(2)
+                times_s = await network.time_to(version=2)
+                await asyncio.sleep(POLL_S)
+            assert max(times_s.values()) <= SPREAD_S
+            assert set(reads) == {g.name for g in network.gateways[:N_READERS]}
+
+        run_virtual(monkeypatch, play())
+
+
+class TestCutOff:
+    def test_a_change_is_in_force_there_as_soon_as_elsewhere(
+        self, monkeypatch: pytest.MonkeyPatch
+    ) -> None:
+        # A third of the gateways cannot reach the store; the readers can. An
+        # operator revokes a key, and a worker leaves. Those cut off hear that
+        # there is a newer table, ask the store for it in vain for a second or
+        # three, and take no other news meanwhile: the worker gets requests there
+        # long after it is gone, and the key is let in.
+        async def play() -> None:
+            network = Network(22)
+            await network.start()
+            cut_off = network.gateways[-8:]
+            for gateway in cut_off:
+                gateway.is_cut_off = True
+            with network.reads() as reads:
+                for version in (2, 3):
+                    network.store.publish(version)
+                    network.store.write(worker(f"w{version:03}", is_leaving=True))
+                    times_s = await network.time_to(version=version)
+                    assert max(times_s.values()) <= SPREAD_S
+                await asyncio.sleep(STEP_S)
+            for gateway in cut_off:
+                assert not is_usable(gateway, "w003")
+                assert not reads[gateway.name]
+
+        run_virtual(monkeypatch, play())
+
+    def test_a_whole_list_is_asked_of_peers(
+        self, monkeypatch: pytest.MonkeyPatch
+    ) -> None:
+        # A gateway that is cut off has another list of workers than the readers.
+        # It asks the store for all of it, gives that three seconds, and takes no
+        # news before it has it: a worker that leaves meanwhile gets requests there.
+        async def play() -> None:
+            network = Network(22)
+            await network.start()
+            last = network.gateways[-1]
+            last.is_cut_off = True
+            last.timeout_s = LAST_TIMEOUT_S
+            last.workers.remove("w000")
+            n_reads = network.n_reads[last.name]
+            while network.n_reads[last.name] == n_reads:  # noqa: ASYNC110
+                await asyncio.sleep(STEP_S)
+            network.store.write(worker("w003", is_leaving=True))
+            await asyncio.sleep(ASKED_S)
+            assert is_usable(last, "w000")
+            assert not is_usable(last, "w003")
+
+        run_virtual(monkeypatch, play())
+
+    def test_all_is_in_force_in_time_with_both_readers_cut_off(
+        self, monkeypatch: pytest.MonkeyPatch
+    ) -> None:
+        # The store turns a third of the gateways away, the two that read for all
+        # among them. The others read by themselves, as nobody tells them. Those
+        # turned away ask two peers, which may be turned away as well, and ask them
+        # again only after the store did not answer for one to three seconds.
+        async def play() -> None:
+            network = Network(22)
+            await network.start()
+            for gateway in network.gateways[:8]:
+                gateway.is_cut_off = True
+            await asyncio.sleep(5.0)
+            for version in range(2, 12):
+                network.store.publish(version)
+                times_s = await network.time_to(version=version)
+                assert max(times_s.values()) <= CONFIGURATION_S
+
+        run_virtual(monkeypatch, play())
+
+    def test_peers_that_are_asked_stay_within_what_control_may_cost(
+        self, monkeypatch: pytest.MonkeyPatch
+    ) -> None:
+        # As above, with 910 workers. Their heartbeats move the store's revision
+        # all the time, so peers sent the whole list with every answer: some 30 KB
+        # that the asking gateway knew, three times a second.
+        async def play() -> None:
+            network = Network(22, n_workers=910)
+            await network.start()
+            for gateway in network.gateways[:8]:
+                gateway.is_cut_off = True
+            before = None
+            for tick in range(100):
+                network.store.beat()
+                await asyncio.sleep(BEAT_S)
+                if tick == 50:
+                    before = [gateway.sent_bytes for gateway in network.gateways]
+            assert before is not None
+            after = [gateway.sent_bytes for gateway in network.gateways]
+            sent = [now - then for now, then in zip(after, before, strict=True)]
+            assert max(sent) / (49 * BEAT_S) <= CONTROL_BYTES_PER_S
+            listed = network.gateways[-1].workers.digest
+            assert {gateway.workers.digest for gateway in network.gateways} == {listed}
+            assert network.gateways[0].feed.revision >= network.store.revision - 20
+
+        run_virtual(monkeypatch, play())
--- a/tests/platform_adapter/test_gateway_process.py
+++ b/tests/platform_adapter/test_gateway_process.py
@@ -2,12 +2,16 @@
 
 import asyncio
 import signal
+from functools import partial
 from pathlib import Path
 
 import aiohttp
+import pytest
 
+from trefoilpaddle.coordination.chain.store_readers import Missing
 from trefoilpaddle.standins.platform.gateway_process import (
     DRAFT,
+    GatewayProcess,
     event_numbers,
     gateways,
     headers,
@@ -71,6 +75,34 @@
                     assert answer.status == status
 
 
+class TestNotStarting:
+    async def test_one_whose_port_is_taken_is_told_at_once(
+        self, tmp_path: Path
+    ) -> None:
+        # A soak waited for half a minute for a gateway that had ended at its start,
+        # and then said only that time was over, neither who had ended nor why.
+        async with (
+            small_site() as site,
+            gateways(site, tmp_path, "a") as (gateway,),
+            aiohttp.ClientSession() as client,
+        ):
+            other = GatewayProcess(
+                host="other",
+                domain="a",
+                folder=tmp_path,
+                store=site.store_address,
+                seeds=[],
+            )
+            other.ports[3] = gateway.ports[3]
+            other.start()
+            with pytest.raises(ChildProcessError, match=r"other ended.* in use"):
+                await other.wait_ready(client)
+
+
+def _is_in_force(gateway: GatewayProcess, version: int) -> bool:
+    return f"config_revision={version}" in gateway.log()
+
+
 class TestConfiguration:
     async def test_a_revoked_key_is_refused_soon(self, tmp_path: Path) -> None:
         async with (
@@ -143,6 +175,23 @@
             async with client.get(f"{last.url}/price/1", headers=sent) as answer:
                 assert answer.status == 401
 
+    async def test_a_change_comes_with_the_news(self, tmp_path: Path) -> None:
+        # An operator publishes three versions. With each of them, every gateway
+        # read the store once more, at the same moment, to get what it was told of.
+        async with (
+            small_site() as site,
+            gateways(site, tmp_path, "a", "a", "b", "b") as every,
+        ):
+            last = every[-1]
+            await until(lambda: last.log().count("member_joined") == 3)
+            await asyncio.sleep(1.0)
+            for version in (2, 3, 4):
+                site.store.put(TABLE_KEY, configuration(version))
+                for gateway in every:
+                    await until(partial(_is_in_force, gateway, version))
+            logs = "".join(gateway.log() for gateway in every)
+            assert Missing.TABLE.value not in logs
+
 
 class TestStopping:
     async def test_a_planned_stop_cuts_no_stream(self, tmp_path: Path) -> None:
@@ -298,6 +347,35 @@
                 await asyncio.sleep(0.0005)
             assert ending.result() == 0
 
+    async def test_nor_does_a_second_order_there(self, tmp_path: Path) -> None:
+        # Whoever stops a gateway gives the order again while it stops. It came after
+        # its handler was gone with the loop, and the stop ended with a failure.
+        async with (
+            small_site() as site,
+            gateways(site, tmp_path, "a") as (gateway,),
+        ):
+            await until(lambda: "retrieve1" in gateway.log())
+            gateway.signal(signal.SIGTERM)
+            ending = asyncio.create_task(gateway.ended())
+            while not ending.done():
+                gateway.signal(signal.SIGTERM)
+                await asyncio.sleep(0.0005)
+            assert ending.result() == 0
+
+    async def test_a_short_time_to_the_kill_is_kept_too(self, tmp_path: Path) -> None:
+        # A deployment kills 2 s after the order to stop. A gateway listened for new
+        # connections until 3 s after it, whatever its time, and was killed with all
+        # of them open.
+        grace_s = 2.0
+        async with small_site() as site, gateways(site, tmp_path, "a") as (gateway,):
+            gateway.kill()
+            gateway._grace_s = grace_s
+            gateway.start()
+            await until(lambda: "retrieve1" in gateway.logs[-1].read_text())
+            gateway.signal(signal.SIGTERM)
+            async with asyncio.timeout(grace_s):
+                assert await gateway.ended() == 0
+
 
 class TestFaults:
     async def test_a_stream_goes_on_at_another_engine(self, tmp_path: Path) -> None:
--- a/tests/test_gateway_failures.py
+++ b/tests/test_gateway_failures.py
@@ -4,12 +4,13 @@
 
 import pytest
 
-from tests.fake_sidecar import Call
-from tests.gateway_bench import bench, catalogue, error_of, plain_stage
+from tests.fake_sidecar import Call, echo
+from tests.gateway_bench import bench, catalogue, error_of, heard, plain_stage
 from tests.sidecar_scripts import never, refuse, sidecar
 from tests.waiting import until
 from trefoilpaddle.protocol.gen.stage.ttypes import BarState, Outcome, Started
 from trefoilpaddle.protocol.reasons import Reason
+from trefoilpaddle.state.budget import FIRST_CREDIT
 from trefoilpaddle.state.journal import Event
 from trefoilpaddle.state.settings import PolicySettings
 from trefoilpaddle.transport.link import Link
@@ -89,6 +90,22 @@
                     assert answer.status == 200
             assert not leaving.calls
 
+    async def test_one_whose_connection_closes_is_not_tried(self) -> None:
+        """A sidecar closes without a drain before, as one does that ends by a fault;
+        it still answers, and its heartbeats come. Requests that could not be sent to it
+        each took a repeat from the service's budget.
+        """
+        closing, other = sidecar(), sidecar(name="t2")
+        async with bench(closing, other, published=catalogue(plain_stage())) as b:
+            for connection in closing.server.connections:
+                connection.ask_last()
+                await connection.read_all.wait()
+            for _ in range(30):
+                async with b.post(json={}) as answer:
+                    assert answer.status == 200
+            assert Event.RETRIED not in b.events()
+            assert not closing.calls
+
     async def test_what_it_refuses_as_not_run_goes_elsewhere(self) -> None:
         """Work reaches a sidecar just as it begins to leave. It was not run, so
         even a call that must run once may go to the other target.
@@ -104,6 +121,53 @@
             assert len(leaving.calls) == len(other.runs) == 1
             assert not leaving.runs
 
+    async def test_however_much_it_refuses_so_all_of_it_goes_elsewhere(self) -> None:
+        """Under load more calls cross the stop of a sidecar than the service may
+        repeat. Callers whose calls came last were refused, although the other
+        target had taken them and nobody had worked on them yet.
+        """
+        leaving, other = sidecar(refuse(Reason.LEAVING)), sidecar(name="t2")
+        other.queued_work_s, other.n_queued = 100.0, 9
+        published = catalogue(plain_stage(idempotent=False))
+        async with bench(leaving, other, published=published) as b:
+
+            async def status() -> int:
+                async with b.post(json={}) as answer:
+                    return int(answer.status)
+
+            told = await asyncio.gather(*(status() for _ in range(40)))
+            assert told == [200] * 40
+            assert len(leaving.calls) > 2 * FIRST_CREDIT
+            assert len(other.runs) == 40
+            assert not leaving.runs
+
+    async def test_a_target_that_has_come_back_is_asked_again(self) -> None:
+        """Two sidecars are replaced, one after the other. A call comes to the first
+        as it leaves and to the second as it leaves, when the first is back. It was
+        refused: the first was remembered as tried, though not this start of it.
+        """
+        first, second = sidecar(name="t1"), sidecar(name="t2")
+        second.queued_work_s, second.n_queued = 100.0, 9
+        published = catalogue(plain_stage(idempotent=False))
+
+        async def leave_first(call: Call) -> None:
+            first.leaving = True
+            await refuse(Reason.LEAVING)(call)
+
+        async def leave_second(call: Call) -> None:
+            await first.restart()
+            first.leaving, first.script = False, echo
+            second.leaving = True
+            await until(lambda: heard(b.gateway, first))
+            await refuse(Reason.LEAVING)(call)
+
+        first.script, second.script = leave_first, leave_second
+        async with bench(first, second, published=published) as b:
+            async with b.post(json={}) as answer:
+                assert answer.status == 200
+            assert (len(first.runs), len(second.runs)) == (1, 0)
+            assert (len(first.calls), len(second.calls)) == (2, 1)
+
 
 class TestOutcomes:
     async def test_a_call_to_run_once_that_failed_is_not_repeated(self) -> None:
