--- a/tests/chain/cell_loads.py
+++ b/tests/chain/cell_loads.py
@@ -1,6 +1,6 @@
 """Loads of a modelled cell: what comes, who makes it, and the bursts."""
 
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 
 from trefoilpaddle.state.chain.routes import PieceService, StagePlan
 
@@ -45,13 +45,20 @@
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class Load:
-    """What comes, and who makes it."""
+    """What comes, and who makes it.
+
+    Parameters
+    ----------
+    size_spread : float
+        Share by which results are smaller or larger than published, at most.
+    """
 
     kinds: tuple[Kind, ...]
     services: tuple[PieceService, ...]
     n_workers: dict[str, int]
     bursts: tuple[Burst, ...] = ()
     length_s: float = 30.0
+    size_spread: float = 0.0
 
 
 def plan(service: str, result_bytes: float, *after: int) -> StagePlan:
@@ -220,3 +227,9 @@
     ),
     length_s=34.0,
 )
+UNEVEN_DAY = replace(
+    TIGHT_DAY,
+    kinds=tuple(replace(kind, per_s=1.5 * kind.per_s) for kind in TIGHT_DAY.kinds),
+    size_spread=0.4,
+)
+"""More comes than can be done, and results are larger or smaller than published."""
