--- a/tests/harness.py
+++ b/tests/harness.py
@@ -9,8 +9,7 @@
 import contextlib
 import itertools
 from collections.abc import AsyncIterator, Iterable
-from dataclasses import dataclass, field
-from typing import Any, Final
+from typing import Final
 
 import aiohttp
 import orjson
@@ -26,6 +25,7 @@
     sidecar_process,
     sidecar_settings,
 )
+from tests.harness_slots import NOBODY_THERE, GatewaySlot, SidecarSlot, Told
 from tests.harness_target import Run, Target
 from tests.harness_tasks import OWNER_OF_TASK, cancel_tasks_of, name_owners_of_tasks
 from tests.waiting import until
@@ -52,76 +52,6 @@
 ]
 
 LONG_S: Final = 3600.0
-NOBODY_THERE: Final = "nobody there"
-
-
-@dataclass(frozen=True, slots=True, kw_only=True)
-class Told:
-    """What a caller was told."""
-
-    text: str
-    status: int
-    body: Any
-    request_id: str
-
-    @property
-    def is_lost(self) -> bool:
-        """True if the connection broke before the caller was told anything."""
-        return self.status == 0
-
-    @property
-    def is_unsent(self) -> bool:
-        """True if nobody was there to connect to."""
-        return self.is_lost and self.body == NOBODY_THERE
-
-    @property
-    def is_answered(self) -> bool:
-        return self.status == 200
-
-    @property
-    def echo(self) -> str:
-        return str(self.body["echo"])
-
-    @property
-    def outcome(self) -> str:
-        return str(self.body["error"]["outcome"])
-
-    @property
-    def reason(self) -> str:
-        return str(self.body["error"]["reason"])
-
-
-@dataclass(slots=True, kw_only=True)
-class SidecarSlot:
-    """The place beside one target: its sidecar of the moment, if it has one."""
-
-    name: str
-    service: str
-    target: Target
-    stack: contextlib.AsyncExitStack = field(default_factory=contextlib.AsyncExitStack)
-    sidecar: Sidecar | None = None
-    process: Process | None = None
-    n_starts: int = 0
-
-    @property
-    def owner(self) -> str:
-        return f"{self.name}#{self.n_starts}"
-
-
-@dataclass(slots=True, kw_only=True)
-class GatewaySlot:
-    """One gateway, and its relays to the sidecars by name."""
-
-    name: str
-    relays: dict[str, Relay]
-    stack: contextlib.AsyncExitStack = field(default_factory=contextlib.AsyncExitStack)
-    gateway: Gateway | None = None
-    asking: set[asyncio.Task[Told]] = field(default_factory=set)
-
-    @property
-    def url(self) -> str:
-        assert self.gateway is not None
-        return f"http://{self.gateway.server.address}"
 
 
 class Fleet:
--- /dev/null
+++ b/tests/harness_slots.py
@@ -0,0 +1,84 @@
+"""What a fleet of the harness is made of, and what its callers are told."""
+
+import asyncio
+import contextlib
+from dataclasses import dataclass, field
+from typing import Any, Final
+
+from tests.harness_relay import Relay
+from tests.harness_target import Target
+from trefoilpaddle.roles.gateway import Gateway
+from trefoilpaddle.roles.process import Process
+from trefoilpaddle.roles.sidecar import Sidecar
+
+NOBODY_THERE: Final = "nobody there"
+"""Stands for the answer where nobody was there to connect to."""
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Told:
+    """What a caller was told."""
+
+    text: str
+    status: int
+    body: Any
+    request_id: str
+
+    @property
+    def is_lost(self) -> bool:
+        """True if the connection broke before the caller was told anything."""
+        return self.status == 0
+
+    @property
+    def is_unsent(self) -> bool:
+        """True if nobody was there to connect to."""
+        return self.is_lost and self.body == NOBODY_THERE
+
+    @property
+    def is_answered(self) -> bool:
+        return self.status == 200
+
+    @property
+    def echo(self) -> str:
+        return str(self.body["echo"])
+
+    @property
+    def outcome(self) -> str:
+        return str(self.body["error"]["outcome"])
+
+    @property
+    def reason(self) -> str:
+        return str(self.body["error"]["reason"])
+
+
+@dataclass(slots=True, kw_only=True)
+class SidecarSlot:
+    """The place beside one target: its sidecar of the moment, if it has one."""
+
+    name: str
+    service: str
+    target: Target
+    stack: contextlib.AsyncExitStack = field(default_factory=contextlib.AsyncExitStack)
+    sidecar: Sidecar | None = None
+    process: Process | None = None
+    n_starts: int = 0
+
+    @property
+    def owner(self) -> str:
+        return f"{self.name}#{self.n_starts}"
+
+
+@dataclass(slots=True, kw_only=True)
+class GatewaySlot:
+    """One gateway, and its relays to the sidecars by name."""
+
+    name: str
+    relays: dict[str, Relay]
+    stack: contextlib.AsyncExitStack = field(default_factory=contextlib.AsyncExitStack)
+    gateway: Gateway | None = None
+    asking: set[asyncio.Task[Told]] = field(default_factory=set)
+
+    @property
+    def url(self) -> str:
+        assert self.gateway is not None
+        return f"http://{self.gateway.server.address}"
