--- a/src/trefoilpaddle/coordination/requests/retries.py
+++ b/src/trefoilpaddle/coordination/requests/retries.py
@@ -17,6 +17,7 @@
 from .open_attempts import OpenAttempts
 from .request_decisions import stage_decision
 from .routing import Chosen, Router
+from .target_view import TargetView
 
 MAX_ATTEMPTS: Final = 4
 """Targets tried, hedges included, after which a stage is not repeated."""
@@ -47,12 +48,34 @@
 )
 """Refusals that another target need not share."""
 
+GIVEN_BACK: Final = frozenset({Reason.CANCELLED, Reason.LEAVING})
+"""Refusals that say nothing of a target's load: a place, or a whole sidecar, goes."""
+
 
 @dataclass(slots=True, kw_only=True)
 class _Tried:
     targets: set[str] = field(default_factory=set)
+    n_attempts: int = 0
     last: StageFault | None = None
 
+    def begin(self, view: TargetView) -> None:
+        self.targets.add(view.process_id)
+        self.n_attempts += 1
+
+    def take(self, fault: StageFault, view: TargetView) -> None:
+        """Take the fault of an attempt; a target that leaves may come back.
+
+        Guards against a call whose way is slow while one sidecar after the other is
+        replaced: each that it reaches is about to leave, those that have come
+        back were tried under the same name, and it is refused beside free targets.
+        While the gateway knows that a sidecar leaves it is not chosen; once it may
+        be chosen again it is another start, which has not been tried.
+        """
+        self.last = fault
+        is_leaving = fault.error.reason is Reason.LEAVING
+        if is_leaving and not view.may_get_work():
+            self.targets.discard(view.process_id)
+
 
 class StageRunner:
     """Runs stages by one or more attempts; nothing else in the system retries.
@@ -106,17 +129,17 @@
             chosen = self._router.choose(work, tried=tried.targets)
             if chosen is None:
                 return Err(self._no_target(work, tried))
-            self._record_route(Event.ROUTED, work, chosen, n_tried=len(tried.targets))
+            self._record_route(Event.ROUTED, work, chosen, n_tried=tried.n_attempts)
             self._router.note_prefix(work, chosen.view)
-            tried.targets.add(chosen.view.process_id)
+            tried.begin(chosen.view)
             match await self._attempt(work, chosen, parts, budget, tried):
                 case Ok(answer):
                     return Ok(answer)
                 case Err(fault):
-                    tried.last = fault
-            if not self._may_repeat(work, fault, n_tried=len(tried.targets)):
+                    tried.take(fault, chosen.view)
+            if not self._may_repeat(work, fault, n_tried=tried.n_attempts):
                 return Err(fault.error)
-            if not _is_place_lost(fault) and not budget.spend():
+            if not _is_given_back(fault) and not budget.spend():
                 return Err(fault.error)
             self._journal.record(stage_decision(Event.RETRIED, work, error=fault.error))
 
@@ -165,8 +188,8 @@
         # Where work waits, a second attempt takes the place of somebody's first.
         if chosen is None or chosen.wait_s > 0.0 or not budget.spend():
             return None
-        tried.targets.add(chosen.view.process_id)
-        self._record_route(Event.HEDGED, work, chosen, n_tried=len(tried.targets))
+        tried.begin(chosen.view)
+        self._record_route(Event.HEDGED, work, chosen, n_tried=tried.n_attempts)
         return Call(work=work, view=chosen.view, parts=parts)
 
     def _may_repeat(self, work: StageWork, fault: StageFault, *, n_tried: int) -> bool:
@@ -225,7 +248,14 @@
     return max(chosen.wait_s + usual_s, left_s - usual_s)
 
 
-def _is_place_lost(fault: StageFault) -> bool:
-    """Return True if a reserved place was given up; no target has worked then."""
+def _is_given_back(fault: StageFault) -> bool:
+    """Return True if a place was given up; no target has worked then.
+
+    Guards against callers who are refused beside free targets: a sidecar that stops
+    gives back all that crosses its stop and all that still waits at its end, many
+    times what a service may repeat at once. The budget keeps a service that fails
+    from being given more work by its failing; a sidecar leaves once, and is not
+    given the call again.
+    """
     error = fault.error
-    return isinstance(error, NotRun) and error.reason is Reason.CANCELLED
+    return isinstance(error, NotRun) and error.reason in GIVEN_BACK
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -1,6 +1,7 @@
 """Members: joins, silence, partitions and pauses."""
 
 import asyncio
+import contextlib
 import time
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
@@ -12,12 +13,17 @@
 from tests.chain.fakes import process
 from tests.chain.test_chain_router import member
 from tests.fake_fleet import FakeFleet, FakePeer, fake_fleet
+from tests.peer_helpers import server_of
 from tests.waiting import until
+from trefoilpaddle.coordination.chain.fleet import Fleet
 from trefoilpaddle.coordination.members import membership
 from trefoilpaddle.coordination.members.membership import Membership
 from trefoilpaddle.protocol.gen.membership.ttypes import Gossip, GossipAnswer
-from trefoilpaddle.state.journal import Event
+from trefoilpaddle.protocol.gen.stage.ttypes import BarAnswer, Hello
+from trefoilpaddle.roles.process import Identity, Process
+from trefoilpaddle.state.journal import Event, Journal
 from trefoilpaddle.state.members import MemberRecord, MemberState, MemberTable
+from trefoilpaddle.transport.connection import Address
 
 SERVICE = {"kind": "pool"}
 
@@ -238,6 +244,71 @@
     )
 
 
+def gateway(name: str) -> Process:
+    """Return a process that has members and nothing else."""
+    return Process(
+        identity=Identity(
+            process_id=name,
+            incarnation=3,
+            role="gateway",
+            failure_domain="a",
+            region="r",
+        ),
+        listen=Address(ip="127.0.0.1", port=0),
+        journal=Journal(process_id=name, n_records=10),
+    )
+
+
+class TestStart:
+    async def test_two_groups_that_one_joins_know_one_another_at_once(
+        self, monkeypatch: pytest.MonkeyPatch
+    ) -> None:
+        # Two gateways know each other; a third has started and knows nobody, as they
+        # gave it up before it listened. A fourth asks all three at a time. It told
+        # them of one another as news, on links that were not open yet, and these were
+        # lost: until digests had differed twice, seconds later, both groups read the
+        # store, and scheduled the same stage workers.
+        monkeypatch.setattr(membership, "ROUND_S", 3600.0)
+        async with contextlib.AsyncExitStack() as stack:
+            processes = [gateway(name) for name in "wxyz"]
+            for each in processes:
+                await stack.enter_async_context(each.server.listening())
+                await stack.enter_async_context(each.peers.open())
+            w, x, y, _ = (str(each.server.address) for each in processes)
+            seeds_of = [(), (), (x,), (w, x, y)]
+            fleets = [
+                Fleet(process=each, seeds=seeds)
+                for each, seeds in zip(processes, seeds_of, strict=True)
+            ]
+            for fleet in fleets[:3]:
+                await stack.enter_async_context(fleet.running())
+            await until(lambda: len(fleets[1].live()) == 2)
+            await stack.enter_async_context(fleets[3].running())
+            await until(lambda: all(len(fleet.live()) == 4 for fleet in fleets))
+
+
+class TestFaultyPeer:
+    async def test_a_foreign_answer_ends_nothing(self) -> None:
+        # A peer answers a comparison of members by something else, as one of a later
+        # or faulty release may. The fault ended the task that compares, with it the
+        # gateway, and cut off all requests that it held.
+        asked = asyncio.Event()
+
+        async def answer(question: Gossip, peer: Hello) -> BarAnswer:
+            asked.set()
+            return BarAnswer()
+
+        server = server_of()
+        server.answer(Gossip, answer)
+        own = gateway("own")
+        async with server.listening(), own.server.listening(), own.peers.open():
+            fleet = Fleet(process=own, seeds=(str(server.address),))
+            async with fleet.running():
+                await asked.wait()
+                asked.clear()
+                await asked.wait()
+
+
 class TestMemberTable:
     def test_only_a_higher_beat_clears_a_suspicion(self) -> None:
         table = MemberTable()
