Let a test of a process that stands still as it closes fail

The log of its gateway shows nothing between 04:40:22.007 and 22.154, when three things that wait for the loop come at once; connections were closed in that same turn.

Cause: what has come is given 5 ms to be read before the last look. A process that stands still for just these goes on with the look, and closes over what the system holds for it unread.

--- a/tests/platform_adapter/test_callers.py
+++ b/tests/platform_adapter/test_callers.py
@@ -3,13 +3,14 @@
 import asyncio
 import contextlib
 import socket
+import time
 from collections.abc import AsyncIterator
 from dataclasses import dataclass, field
 
 import pytest
 from adapter.caller_answers import AnswerWriter
 from adapter.caller_requests import decode_prompt
-from adapter.callers import CallerServer
+from adapter.callers import CLOSE_LOOK_S, CallerServer
 from aiohttp import web_protocol
 from hypothesis import given, settings
 from hypothesis import strategies as st
@@ -319,6 +320,25 @@
         assert len(served.requests) == served.n_ended
         writer.close()
 
+    async def test_what_came_while_the_process_stood_still_is_answered(self) -> None:
+        # All is answered, and a gateway that stops gives a last request the time to
+        # be read. Its process stands still for just that time, as on a host with too
+        # little processor; a request that comes meanwhile is not read before the last
+        # look, and its connection is closed without a word.
+        with socket.socket() as caller:
+
+            def stand_still() -> None:
+                caller.sendall(GET + b"\r\n")
+                time.sleep(4 * CLOSE_LOOK_S)
+
+            async with serving(Served()) as port:
+                caller.setblocking(False)
+                loop = asyncio.get_running_loop()
+                await loop.sock_connect(caller, ("127.0.0.1", port))
+                await asyncio.sleep(0.05)
+                loop.call_later(CLOSE_LOOK_S / 5, stand_still)
+            assert status(await loop.sock_recv(caller, 1 << 16)) in (200, 503)
+
     async def test_who_sends_while_it_waits_for_the_last_is_told_at_once(self) -> None:
         # One request is still at its worker when a gateway closes. Another caller
         # sends on a connection that it had open: its request was read and thrown
