Cut cells by what their schedulers bear

Change: a region is cut into as many cells of whole failure domains as its strongest gateway's processor asks for, each with all services. Faults found on the way: cells were cut by the services of each request, so requests of different stages could go to two schedulers of the same workers; links were kept by all workers, engines included, so to the first two of each failure domain; a scheduler to which no chain came any more kept its former domains. 56 stage workers and a quarter more of them crossed the bound of 64, which made six cells of one. Gateways are ranked once a change of members, not twice a request.

--- a/src/trefoilpaddle/coordination/chain/cell_schedulers.py
+++ b/src/trefoilpaddle/coordination/chain/cell_schedulers.py
@@ -2,7 +2,7 @@
 
 import asyncio
 import time
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 from typing import Final
 
 from result import Ok
@@ -124,6 +124,18 @@
             if not scheduler.successor and scheduler.began_s <= began_s
         ]
 
+    def cut(self, cells: Sequence[Cell]) -> None:
+        """Go on with the cells that are scheduled here as they are cut now.
+
+        A gateway to which no chain comes any more learns of a change no other way,
+        and would go on calling workers of what is another's cell by now.
+        """
+        for cell in cells:
+            scheduler = self._by_cell.get(cell.name)
+            if scheduler is not None:
+                scheduler.dispatch.failure_domains = cell.failure_domains
+                self._cells[cell.name] = cell
+
     async def run(self, cell: Cell, work: ChainWork) -> ChainEnd:
         """Run a chain here until it ends or is freed."""
         if self._has_given_up and cell.name not in self._by_cell:
--- a/src/trefoilpaddle/coordination/chain/chain_router.py
+++ b/src/trefoilpaddle/coordination/chain/chain_router.py
@@ -3,8 +3,16 @@
 import asyncio
 import random
 import time
-from collections.abc import AsyncIterator, Callable, Mapping
+from collections.abc import (
+    AsyncIterator,
+    Callable,
+    Hashable,
+    Iterable,
+    Mapping,
+    Sequence,
+)
 from contextlib import asynccontextmanager
+from dataclasses import dataclass
 from typing import Any, Final
 
 from absl import logging
@@ -12,13 +20,14 @@
 
 from ...protocol.gen.chain.ttypes import ChainAnswer, FreeChain
 from ...protocol.reasons import Reason
-from ...state.chain.cells import Cell, cells_of
+from ...state.chain.cells import Cell, cells_of, workers_borne
 from ...state.chain.chain_work import (
     ChainEnd,
     ChainFailed,
     ChainWork,
 )
 from ...state.chain.repeat_budget import RepeatBudgets
+from ...state.chain.routes import PieceService, RouteTable
 from ...state.chain.workers import WorkerTable
 from ...transport.link import Link
 from .cell_schedulers import SETTLED_S, CellSchedulers
@@ -55,6 +64,22 @@
 """Pause between two tries; many times a message's way."""
 
 
+@dataclass(frozen=True, slots=True, kw_only=True)
+class CellsCut:
+    """The cells, and what they were cut by.
+
+    Parameters
+    ----------
+    seen : hashable
+        Differs whenever the cells may.
+    cells : sequence of Cell
+        All of them.
+    """
+
+    seen: Hashable
+    cells: Sequence[Cell]
+
+
 class ChainRouter:
     """Finds a scheduler for each chain and follows it there.
 
@@ -76,10 +101,12 @@
 
     __slots__ = (
         "_budgets",
+        "_cells_cut",
         "_is_settled",
         "_refused",
         "_region_of",
         "_schedulers",
+        "_stage_services",
         "_workers",
         "links",
     )
@@ -101,6 +128,16 @@
         self._schedulers = schedulers
         self._workers = workers
         self._refused: dict[str, tuple[float, float]] = {}
+        self._stage_services: frozenset[str] = frozenset()
+        self._cells_cut: CellsCut | None = None
+
+    def put_in_force(self, table: RouteTable) -> None:
+        """Take for stage workers those that `table` has make pieces."""
+        self._stage_services = frozenset(
+            name
+            for name, service in table.services.items()
+            if isinstance(service, PieceService)
+        )
 
     @asynccontextmanager
     async def chain(self, work: ChainWork) -> AsyncIterator["RunningChain"]:
@@ -175,19 +212,13 @@
         """Remember that a cell was full."""
         self._refused[place.cell.name] = (time.monotonic(), finish_s)
 
-    def _cells(self, services: set[str]) -> list[Cell]:
+    def _cells(self, services: set[str]) -> Sequence[Cell]:
         """Return the cells with a worker of every service.
 
         Where none has all, every one with a worker of any will do: its scheduler
         then uses workers of other cells.
         """
-        # A worker that is silent for a moment stays in its cell. If cells came and
-        # went with suspicions, two schedulers would call the same workers meanwhile,
-        # each with half of the pieces, and find them full of the other's calls.
-        listed = [
-            worker for service in services for worker in self._workers.listed(service)
-        ]
-        cells = cells_of(listed, self._region_of)
+        cells = self._cut(services)
         of_service = [self._workers.usable(service) for service in services]
         whole = [
             cell
@@ -199,12 +230,35 @@
         ]
         return whole or cells
 
+    def _cut(self, services: Iterable[str] = ()) -> Sequence[Cell]:
+        """Return all cells, cut anew only when what they are cut by has changed.
+
+        Workers of all stages count, whichever `services` a request passes, and those
+        that are silent. If cells came and went with requests or with suspicions, two
+        schedulers would call the same workers meanwhile, each with half of the
+        pieces, and find them full of the other's calls.
+        """
+        of_services = self._stage_services.union(services)
+        version = (self._workers.version, self.links.version_of_live())
+        seen = (version, of_services)
+        if self._cells_cut is None or self._cells_cut.seen != seen:
+            listed = [w for name in of_services for w in self._workers.listed(name)]
+            cells = cells_of(listed, self._region_of, self._n_borne)
+            self._cells_cut = CellsCut(seen=seen, cells=cells)
+        return self._cells_cut.cells
+
+    def _n_borne(self, region: str) -> int:
+        """Return how many stage workers the strongest gateway of a region bears."""
+        return workers_borne(self.links.most_millicores(region))
+
     async def watch(self) -> None:
         """Keep links to schedulers, and hand cells over, until cancelled."""
         while True:
             await asyncio.sleep(WATCH_S)
             try:
-                self.links.keep(cells_of(self._workers.all(), self._region_of))
+                cells = self._cut()
+                self.links.keep(cells)
+                self._schedulers.cut(cells)
                 for cell in self._schedulers.active(for_s=SETTLED_S):
                     await self._hand_over(cell)
             except Exception:
--- a/src/trefoilpaddle/coordination/chain/scheduler_links.py
+++ b/src/trefoilpaddle/coordination/chain/scheduler_links.py
@@ -3,8 +3,8 @@
 import asyncio
 import contextlib
 import time
-from collections.abc import Callable, Iterable
-from dataclasses import dataclass
+from collections.abc import Callable, Iterable, Sequence
+from dataclasses import dataclass, field
 from typing import Final
 
 from absl import logging
@@ -50,6 +50,24 @@
     link: Link | None
 
 
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Rankings:
+    """In which order gateways may schedule cells, found once for each change.
+
+    Sorted for each chain, some hundred members were most of what it cost a gateway.
+
+    Parameters
+    ----------
+    live : sequence of MemberRecord
+        The live gateways.
+    by_domains : dict of frozenset to list of MemberRecord
+        Those that may schedule a cell, by its failure domains.
+    """
+
+    live: Sequence[MemberRecord]
+    by_domains: dict[frozenset[str], list[MemberRecord]] = field(default_factory=dict)
+
+
 class SchedulerLinks:
     """Ranks the gateways that may schedule a cell, and keeps links to them.
 
@@ -63,15 +81,17 @@
         Links to the others.
     """
 
-    __slots__ = ("_dialled_s", "_live", "_own_id", "_peers")
+    __slots__ = ("_dialled_s", "_live", "_n_changes", "_own_id", "_peers", "_rankings")
 
     def __init__(
-        self, *, own_id: str, live: Callable[[], list[MemberRecord]], peers: Peers
+        self, *, own_id: str, live: Callable[[], Sequence[MemberRecord]], peers: Peers
     ) -> None:
         self._own_id = own_id
         self._live = live
         self._peers = peers
         self._dialled_s: dict[tuple[str, int], float] = {}
+        self._rankings = Rankings(live=())
+        self._n_changes = 0
 
     def place(self, cell: Cell) -> Place:
         """Return the place of a cell's scheduler.
@@ -94,9 +114,32 @@
 
     def _ranked(self, cell: Cell) -> list[MemberRecord]:
         """Return the gateways that may schedule a cell, the first first."""
+        rankings = self._known()
+        ranked = rankings.by_domains.get(cell.failure_domains)
+        if ranked is None:
+            live = rankings.live
+            near = [m for m in live if m.failure_domain in cell.failure_domains]
+            ranked = sorted(near or live, key=duty_rank)
+            rankings.by_domains[cell.failure_domains] = ranked
+        return ranked
+
+    def _known(self) -> "Rankings":
+        """Return what was ranked since the live gateways have changed last."""
         live = self._live()
-        near = [m for m in live if m.failure_domain in cell.failure_domains]
-        return sorted(near or live, key=duty_rank)
+        if live is not self._rankings.live:
+            self._rankings = Rankings(live=live)
+            self._n_changes += 1
+        return self._rankings
+
+    def version_of_live(self) -> int:
+        """Return a number that rises whenever other gateways are live."""
+        self._known()
+        return self._n_changes
+
+    def most_millicores(self, region: str) -> int:
+        """Return the processor of a region's strongest gateway; 0 if untold."""
+        live = self._known().live
+        return max((m.millicores for m in live if m.region == region), default=0)
 
     def _link(self, member: MemberRecord) -> Link | None:
         match Address.parse(member.address):
--- a/src/trefoilpaddle/state/chain/cells.py
+++ b/src/trefoilpaddle/state/chain/cells.py
@@ -1,18 +1,23 @@
 """Cells: groups of stage workers that one scheduler looks after."""
 
-from collections.abc import Iterable, Mapping
+from collections import Counter
+from collections.abc import Callable, Iterable, Mapping, Sequence
 from dataclasses import dataclass
 from typing import Final
 
 from .workers import Worker
 
-REGION_WORKERS: Final = 64
-"""Stage workers of a region up to which they are one cell.
+MOST_WORKERS: Final = 64
+"""Stage workers of a cell about which its scheduler is one process with one core.
 
-In one cell the load of all failure domains is shared out and a lost worker's is
-taken over by all; 26 workers in one cell had 3,640 streams of a calm day in time,
-in four cells 2,450. A scheduler's processor bounds it: it used 0.3
-cores at its most with these 26, so 64 need 0.75, about the whole of an entry host's.
+In one cell the load of all failure domains is shared out, and a lost worker's is
+taken over by all, so cells are as large as their schedulers bear.
+"""
+
+WORKERS_PER_CORE: Final = 50
+"""Stage workers that a scheduler bears for each core that it may use.
+
+Half of its share is then left in bursts for the requests of its own callers.
 """
 
 
@@ -23,7 +28,7 @@
     Parameters
     ----------
     name : str
-        Its region, or its failure domain where the region has many workers.
+        Its region, with a number where the region has more than one.
     failure_domains : frozenset of str
         Where its workers stand.
     """
@@ -32,30 +37,68 @@
     failure_domains: frozenset[str]
 
 
-def cells_of(workers: Iterable[Worker], region_of: Mapping[str, str]) -> list[Cell]:
-    """Return the cells that stage workers make up.
+def workers_borne(millicores: int) -> int:
+    """Return how many stage workers a scheduler with so much processor bears.
+
+    Parameters
+    ----------
+    millicores : int
+        What its process may use, in thousandths of a core; 0 if untold.
+    """
+    if not millicores:
+        return MOST_WORKERS
+    return min(MOST_WORKERS, max(1, millicores * WORKERS_PER_CORE // 1000))
+
+
+def cells_of(
+    workers: Iterable[Worker],
+    region_of: Mapping[str, str],
+    n_borne: Callable[[str], int] = lambda _: MOST_WORKERS,
+) -> list[Cell]:
+    """Return the cells that stage workers make up, the same for the same workers.
+
+    A region is cut into as many cells of whole failure domains as its schedulers
+    need. Where hosts are weak, one scheduler for all fell behind while the others
+    idled: requests waited for it, were refused, and lost their order.
 
     Parameters
     ----------
     workers : iterable of Worker
-        All stage workers.
+        All stage workers; silent ones too, so that a moment's silence cuts nothing
+        anew.
     region_of : mapping of str to str
         Region of each failure domain; one that is missing is its own region.
+    n_borne : callable
+        Returns how many workers a scheduler of a region bears.
     """
-    domains: dict[str, set[str]] = {}
-    n_workers: dict[str, int] = {}
+    by_region: dict[str, dict[str, Counter[str]]] = {}
     for worker in workers:
         domain = worker.failure_domain
-        region = region_of.get(domain, domain)
-        domains.setdefault(region, set()).add(domain)
-        n_workers[region] = n_workers.get(region, 0) + 1
-    cells = []
-    for region, in_region in domains.items():
-        if n_workers[region] <= REGION_WORKERS:
-            cells.append(Cell(name=region, failure_domains=frozenset(in_region)))
-            continue
-        cells += [
-            Cell(name=domain, failure_domains=frozenset({domain}))
-            for domain in sorted(in_region)
-        ]
-    return cells
+        domains = by_region.setdefault(region_of.get(domain, domain), {})
+        domains.setdefault(domain, Counter())[worker.service] += 1
+    return [
+        Cell(name=f"{region}/{number}" if number else region, failure_domains=part)
+        for region, domains in by_region.items()
+        for number, part in enumerate(_parts(domains, n_borne(region)))
+    ]
+
+
+def _parts(
+    domains: Mapping[str, Counter[str]], n_borne: int
+) -> Sequence[frozenset[str]]:
+    """Return a region's failure domains, one part for each of its cells.
+
+    Each part has every service of the region: a chain passes one cell, and one
+    without some service would let the rest of its workers idle.
+    """
+    n_workers = sum(services.total() for services in domains.values())
+    services = set().union(*domains.values())
+    ordered = sorted(domains)
+    # To the nearest number: a worker that comes or goes seldom cuts cells anew.
+    n_cells = min(len(ordered), max(1, round(n_workers / n_borne)))
+    while n_cells > 1:
+        parts = [frozenset(ordered[first::n_cells]) for first in range(n_cells)]
+        if all(set().union(*(domains[d] for d in part)) == services for part in parts):
+            return parts
+        n_cells -= 1
+    return [frozenset(ordered)]
