Make nothing for callers of streams that have left

Cause: callers leave a stream after two seconds, four targets or eight pauses without an event, also before its first. Change: a stream's stages are due before its caller leaves; who cannot be served by then whatever is done is refused at once; late chains wait up to five seconds and keep twice their work's time.

--- a/src/trefoilpaddle/coordination/chain/chain_scheduler.py
+++ b/src/trefoilpaddle/coordination/chain/chain_scheduler.py
@@ -100,7 +100,10 @@
         self._reservations = Reservations()
         self._refused = RefusedChains()
         self._waits = BearableWaits()
-        self._overdue = OverdueQueue(has_capacity=self._has_capacity_for_late)
+        self._overdue = OverdueQueue(
+            has_capacity=self._has_capacity_for_late,
+            least_s=lambda work: least_s(work, self.dispatch),
+        )
         self._executions: dict[str, ChainExecution] = {}
         self._handed_s = 0.0
         self.dispatch = dispatch
@@ -149,6 +152,11 @@
         if finish_s is None:
             self._note(Event.REFUSED, Reason.NO_TARGET, work, 0.0, limit_s, detail)
             return ChainFailed(reason=Reason.NO_TARGET, is_begun=False)
+        if least_s(work, self.dispatch) > work.deadline_s - now_s:
+            # Nothing that is done for it can be of use any more.
+            reason = Reason.PREDICTED_LATE
+            self._note(Event.REFUSED, reason, work, finish_s, limit_s, "too late")
+            return ChainFailed(reason=reason, is_begun=False, finish_s=finish_s)
         is_late = work.must_be_on_time and finish_s > limit_s
         if is_late and first_due_s is not None and self._overdue.takes(work):
             self._note(Event.QUEUED, Reason.NONE, work, finish_s, limit_s, detail)
--- a/src/trefoilpaddle/coordination/chain/job.py
+++ b/src/trefoilpaddle/coordination/chain/job.py
@@ -34,6 +34,15 @@
     services: Mapping[str, Service]
     deadline_s: float
 
+    @property
+    def begins_by_s(self) -> float:
+        """Monotonic time after which its caller takes no answer that then begins.
+
+        Callers of streams leave long before their deadlines if no event comes. What
+        was made for one that is gone then took the places of others.
+        """
+        return min(self.deadline_s, self.request.came_s + self.route.event_patience_s)
+
     @property
     def may_repeat(self) -> bool:
         """True if it may run again after it has, or may have, run."""
--- a/src/trefoilpaddle/coordination/chain/overdue_queue.py
+++ b/src/trefoilpaddle/coordination/chain/overdue_queue.py
@@ -14,7 +14,7 @@
 """Time between looks whether there is capacity; a quarter of a call."""
 
 WAIT_SHARE: Final = 0.4
-"""Part of the time to its deadline that a chain waits; the rest is for its work."""
+"""Part of the time to its deadline that a chain waits."""
 
 LEAST_WAIT_S: Final = 4.0
 """Who cannot wait for so long does not wait at all.
@@ -23,6 +23,15 @@
 before it does, and then the caller has waited for nothing.
 """
 
+USUAL_WAIT_S: Final = 5.0
+"""Who can wait for so long does, also where it is more than that part."""
+
+WORK_RATIO: Final = 2.0
+"""Times that its stages take where nothing waits, left for them after the wait.
+
+What was let in late is made behind all that can be on time.
+"""
+
 MAX_WAITING: Final = 200
 """Chains that wait at most; two seconds of what a large cell serves."""
 
@@ -60,23 +69,31 @@
     ----------
     has_capacity : callable
         Returns True if a chain can be begun now at nobody's cost.
+    least_s : callable
+        Returns the seconds that a chain takes where nothing else waits.
     """
 
-    __slots__ = ("_has_capacity", "_looking", "_waiting")
+    __slots__ = ("_has_capacity", "_least_s", "_looking", "_waiting")
 
-    def __init__(self, *, has_capacity: Callable[[ChainWork], bool]) -> None:
+    def __init__(
+        self,
+        *,
+        has_capacity: Callable[[ChainWork], bool],
+        least_s: Callable[[ChainWork], float],
+    ) -> None:
         self._has_capacity = has_capacity
+        self._least_s = least_s
         self._waiting: list[Waiting] = []
         self._looking: asyncio.Task[None] | None = None
 
     def takes(self, work: ChainWork) -> bool:
         """Return True if a chain may wait: it has long, and not too many do."""
-        has_long = _wait_s(work) >= LEAST_WAIT_S
+        has_long = self._wait_s(work) >= LEAST_WAIT_S
         return has_long and len(self._waiting) < MAX_WAITING
 
     async def wait(self, work: ChainWork) -> bool:
         """Wait until there is capacity; return False if there was none in time."""
-        waiting = Waiting(work=work, until_s=time.monotonic() + _wait_s(work))
+        waiting = Waiting(work=work, until_s=time.monotonic() + self._wait_s(work))
         self._waiting.append(waiting)
         self._waiting.sort(key=lambda each: (each.work.priority, each.until_s))
         if self._looking is None or self._looking.done():
@@ -117,7 +134,8 @@
         if not waiting.let_in.done():
             waiting.let_in.set_result(is_let_in)
 
-
-def _wait_s(work: ChainWork) -> float:
-    """Return how long a chain may wait from now."""
-    return WAIT_SHARE * (work.deadline_s - time.monotonic())
+    def _wait_s(self, work: ChainWork) -> float:
+        """Return how long a chain may wait from now, and still be made in time."""
+        left_s = work.deadline_s - time.monotonic()
+        most_s = left_s - WORK_RATIO * self._least_s(work)
+        return min(most_s, max(WAIT_SHARE * left_s, USUAL_WAIT_S))
--- a/src/trefoilpaddle/coordination/chain/request_path.py
+++ b/src/trefoilpaddle/coordination/chain/request_path.py
@@ -187,8 +187,9 @@
             n_pieces=_pieces(job.request, job.route),
             piece_key=job.request.piece_key,
             due_s=job.request.came_s + job.route.target_latency_s - engine_s,
-            # One that would be made too late to be sent is refused now.
-            deadline_s=min(job.deadline_s, self._stop.send_until_s),
+            # One that would be made too late to be sent, or for a caller to wait for
+            # its first event, is refused now.
+            deadline_s=min(self._made_by_s(job, engine_s), self._stop.send_until_s),
             near=self._near(job),
             priority=job.priority,
         )
@@ -230,6 +231,11 @@
                         return await self._finish(attempts, sink)
                     return await attempts.run(sink)
 
+    @staticmethod
+    def _made_by_s(job: Job, engine_s: float) -> float:
+        """Return until when a request's stages must be made to be of any use."""
+        return min(job.deadline_s, job.begins_by_s - engine_s)
+
     async def _finish(self, attempts: Attempts, sink: CallerSink) -> Outcome:
         """Let a worker finish what may not run twice, if its caller leaves.
 
--- a/src/trefoilpaddle/state/chain/routes.py
+++ b/src/trefoilpaddle/state/chain/routes.py
@@ -65,6 +65,9 @@
     target_latency_s : float
         Time from the caller's sending within which the answer, or the first
         event of it, is worth its full value.
+    event_patience_s : float
+        Time after which callers of a stream have left if no event came; they wait as
+        long for the first. Endless for other answers.
     priority : int
         0 is the most urgent.
     stages : tuple of StagePlan
@@ -83,6 +86,7 @@
     max_attempts: int = 1
     timeout_s: float
     target_latency_s: float
+    event_patience_s: float = float("inf")
     priority: int = 0
     stages: tuple[StagePlan, ...] = ()
     is_public: bool = False
--- a/tests/chain/test_chain_scheduler.py
+++ b/tests/chain/test_chain_scheduler.py
@@ -3,6 +3,9 @@
 import asyncio
 import time
 from collections.abc import Sequence
+from dataclasses import replace
+
+import pytest
 
 from trefoilpaddle.protocol.reasons import Reason
 from trefoilpaddle.state.chain.chain_work import ChainFailed, ChainMade, ChainWork
@@ -208,6 +211,21 @@
         ]
         assert let_in.count(0) > 1.5 * let_in.count(2) > 0
 
+    @pytest.mark.parametrize("must_be_on_time", [True, False])
+    async def test_what_cannot_be_made_in_time_at_all_is_refused_at_once(
+        self, *, must_be_on_time: bool
+    ) -> None:
+        # Its caller will have left before the last stage is made, whatever is done.
+        # Let in, it took places of others until its pieces were dropped one by one.
+        calls = FakeCalls()
+        hopeless = replace(
+            work(), deadline_s=time.monotonic() + 0.02, must_be_on_time=must_be_on_time
+        )
+        end = await Rig(calls).scheduler.run(hopeless)
+        assert isinstance(end, ChainFailed)
+        assert end.reason is Reason.PREDICTED_LATE and not end.is_begun
+        assert calls.batches == []
+
     async def test_without_load_the_least_urgent_is_let_in(self) -> None:
         rig = Rig(FakeCalls())
         end = await rig.scheduler.run(work(due_in_s=0.3, priority=2))
--- a/tests/platform_adapter/test_decoding.py
+++ b/tests/platform_adapter/test_decoding.py
@@ -52,6 +52,24 @@
         assert draft.repeat is Repeat.NON_IDEMPOTENT
         assert draft.last_stages() == (1,)
 
+    def test_callers_wait_for_an_event_by_the_longest_of_three(self) -> None:
+        first = configuration(1)["routes"][0]
+        times = [(300, 100), (900, 100), (300, 500)]
+        routes = [
+            first
+            | {
+                "name": f"r{number}",
+                "kind": "streaming",
+                "target_latency_ms": target_ms,
+                "gap_target_ms": gap_ms,
+            }
+            for number, (target_ms, gap_ms) in enumerate(times)
+        ]
+        routes.append(first | {"name": "whole", "kind": "idempotent"})
+        by_host = decode_table(table(routes=routes)).by_host
+        waits_s = {r.name: r.event_patience_s for rs in by_host.values() for r in rs}
+        assert waits_s == {"r0": 2.0, "r1": 3.6, "r2": 4.0, "whole": float("inf")}
+
     def test_services_are_told_apart(self) -> None:
         services = decode_table(table()).services
         assert isinstance(services["stock"], PlainService)
