--- a/src/trefoilpaddle/coordination/chain/fleet.py
+++ b/src/trefoilpaddle/coordination/chain/fleet.py
@@ -11,6 +11,7 @@
 from ..members.membership import Membership
 from ..members.watch_peers import PeerWatch
 from ..own_process import OwnProcess
+from .duty_rank import duty_rank
 
 MEET_S: Final = 0.1
 """Time between tries to meet a seed while no other gateway is known.
@@ -23,7 +24,7 @@
 """Longest wait for a seed at a time; many times a message's way in a region."""
 
 SETTLE_S: Final = 0.2
-"""Time without news of others after which all that are there are known.
+"""Time for which those that go first must be known, so that none goes before them.
 
 News go over two steps of 0.05 s each.
 """
@@ -61,16 +62,26 @@
         self._began_s = time.monotonic()
 
     def is_settled(self) -> bool:
-        """Return True once this gateway knows those that are there.
+        """Return True once this gateway knows who takes duties first.
 
         Before, it may be one of many that have started at the same moment, and
-        take itself for the only one.
+        take itself for the only one. Only news of those that go first count: weak
+        hosts start later, one after the other, and all requests that the strong
+        ones had taken waited until the last of them was known.
         """
         now_s = time.monotonic()
         if now_s - self._began_s > SETTLE_AT_MOST_S:
             return True
-        news_s = max(self.membership.since_s.values(), default=now_s)
-        return now_s - news_s > SETTLE_S
+        live = self.live()
+        first: dict[str, MemberRecord] = {}
+        for member in sorted(live, key=duty_rank):
+            first.setdefault(member.failure_domain, member)
+        news_s = max(self._known_s(member) for member in first.values())
+        return len(live) > 1 and now_s - news_s > SETTLE_S
+
+    def _known_s(self, member: MemberRecord) -> float:
+        """Return since when a gateway is known as it is; this one from its start."""
+        return self.membership.since_s.get(member.process_id, self._began_s)
 
     def live(self) -> Sequence[MemberRecord]:
         """Return the live gateways, this one included."""
