Give cells a module, and take out what stands twice and tells of tuning

The router kept the map of cells beside the way to a scheduler; the map is a module of its own. Running chains import the router and not each other. Whether a caller's connection holds a part of an answer is told by one function for both servers.

--- a/src/trefoilpaddle/coordination/chain/chain_router.py
+++ b/src/trefoilpaddle/coordination/chain/chain_router.py
@@ -4,15 +4,9 @@
 import random
 import time
 from collections.abc import (
-    AsyncIterator,
     Callable,
-    Hashable,
-    Iterable,
     Mapping,
-    Sequence,
 )
-from contextlib import asynccontextmanager
-from dataclasses import dataclass
 from typing import Any, Final
 
 from absl import logging
@@ -20,19 +14,19 @@
 
 from ...protocol.gen.chain.ttypes import ChainAnswer, FreeChain
 from ...protocol.reasons import Reason
-from ...state.chain.cells import Cell, cells_of, workers_borne
+from ...state.chain.cells import Cell
 from ...state.chain.chain_work import (
     ChainEnd,
     ChainFailed,
     ChainWork,
 )
 from ...state.chain.repeat_budget import RepeatBudgets
-from ...state.chain.routes import PieceService, RouteTable
+from ...state.chain.routes import RouteTable
 from ...state.chain.workers import WorkerTable
 from ...transport.link import Link
+from .cell_map import CellMap
 from .cell_schedulers import SETTLED_S, CellSchedulers
 from .chain_wire import end_from_wire, work_to_wire
-from .running_chain import RunningChain
 from .scheduler_links import Place, SchedulerLinks, is_live
 
 ASK_SLACK_S: Final = 0.1
@@ -64,22 +58,6 @@
 """Pause between two tries; many times a message's way."""
 
 
-@dataclass(frozen=True, slots=True, kw_only=True)
-class CellsCut:
-    """The cells, and what they were cut by.
-
-    Parameters
-    ----------
-    seen : hashable
-        Differs whenever the cells may.
-    cells : sequence of Cell
-        All of them.
-    """
-
-    seen: Hashable
-    cells: Sequence[Cell]
-
-
 class ChainRouter:
     """Finds a scheduler for each chain and follows it there.
 
@@ -101,13 +79,10 @@
 
     __slots__ = (
         "_budgets",
-        "_cells_cut",
+        "_cells",
         "_is_settled",
         "_refused",
-        "_region_of",
         "_schedulers",
-        "_stage_services",
-        "_workers",
         "links",
     )
 
@@ -123,30 +98,14 @@
     ) -> None:
         self._budgets = budgets
         self._is_settled = is_settled
-        self._region_of = region_of
         self.links = links
         self._schedulers = schedulers
-        self._workers = workers
+        self._cells = CellMap(workers=workers, region_of=region_of, links=links)
         self._refused: dict[str, tuple[float, float]] = {}
-        self._stage_services: frozenset[str] = frozenset()
-        self._cells_cut: CellsCut | None = None
 
     def put_in_force(self, table: RouteTable) -> None:
         """Take for stage workers those that `table` has make pieces."""
-        self._stage_services = frozenset(
-            name
-            for name, service in table.services.items()
-            if isinstance(service, PieceService)
-        )
-
-    @asynccontextmanager
-    async def chain(self, work: ChainWork) -> AsyncIterator["RunningChain"]:
-        """Yield a chain to run; what it made is freed when the context ends."""
-        running = RunningChain(router=self, work=work)
-        try:
-            yield running
-        finally:
-            running.free()
+        self._cells.put_in_force(table)
 
     async def run(self, work: ChainWork, place: Place) -> ChainEnd:
         """Run a chain at one place."""
@@ -192,14 +151,14 @@
             is_far = near not in cell.failure_domains
             return has_refused, finish_s * has_refused, is_far, random.random()
 
-        ranked = sorted(self._cells(services), key=rank)
+        ranked = sorted(self._cells.of(services), key=rank)
         return [self.links.place(cell) for cell in ranked[:N_CELLS_TRIED]]
 
     async def connected_places(self, services: set[str], near: str) -> list[Place]:
         """Return the same, once new links to schedulers are connected."""
         while not self._is_settled():  # noqa: ASYNC110
             await asyncio.sleep(SETTLE_LOOK_S)
-        for cell in self._cells(services):
+        for cell in self._cells.of(services):
             await self.links.connect(cell)
         return self.places(services, near)
 
@@ -212,51 +171,12 @@
         """Remember that a cell was full."""
         self._refused[place.cell.name] = (time.monotonic(), finish_s)
 
-    def _cells(self, services: set[str]) -> Sequence[Cell]:
-        """Return the cells with a worker of every service.
-
-        Where none has all, every one with a worker of any will do: its scheduler
-        then uses workers of other cells.
-        """
-        cells = self._cut(services)
-        of_service = [self._workers.usable(service) for service in services]
-        whole = [
-            cell
-            for cell in cells
-            if all(
-                any(w.failure_domain in cell.failure_domains for w in workers)
-                for workers in of_service
-            )
-        ]
-        return whole or cells
-
-    def _cut(self, services: Iterable[str] = ()) -> Sequence[Cell]:
-        """Return all cells, cut anew only when what they are cut by has changed.
-
-        Workers of all stages count, whichever `services` a request passes, and those
-        that are silent. If cells came and went with requests or with suspicions, two
-        schedulers would call the same workers meanwhile, each with half of the
-        pieces, and find them full of the other's calls.
-        """
-        of_services = self._stage_services.union(services)
-        version = (self._workers.version, self.links.version_of_live())
-        seen = (version, of_services)
-        if self._cells_cut is None or self._cells_cut.seen != seen:
-            listed = [w for name in of_services for w in self._workers.listed(name)]
-            cells = cells_of(listed, self._region_of, self._n_borne)
-            self._cells_cut = CellsCut(seen=seen, cells=cells)
-        return self._cells_cut.cells
-
-    def _n_borne(self, region: str) -> int:
-        """Return how many stage workers the strongest gateway of a region bears."""
-        return workers_borne(self.links.most_millicores(region))
-
     async def watch(self) -> None:
         """Keep links to schedulers, and hand cells over, until cancelled."""
         while True:
             await asyncio.sleep(WATCH_S)
             try:
-                cells = self._cut()
+                cells = self._cells.all()
                 self.links.keep(cells)
                 self._schedulers.cut(cells)
                 for cell in self._schedulers.active(for_s=SETTLED_S):
--- a/src/trefoilpaddle/coordination/chain/dispatch_look.py
+++ b/src/trefoilpaddle/coordination/chain/dispatch_look.py
@@ -13,8 +13,7 @@
 
     Within a dispatch only a call that it sends changes a worker's times. Looked at
     again for each offer, all workers for each free one, they were most of what a
-    chain cost a scheduler: with 183 stage workers 10.5 ms of processor time and 4.5
-    without, with 300 36 ms and 7.3 (`python -m tests.chain cost`, one run of each).
+    chain costs a scheduler of a large cell.
 
     Parameters
     ----------
--- a/src/trefoilpaddle/coordination/chain/overdue_queue.py
+++ b/src/trefoilpaddle/coordination/chain/overdue_queue.py
@@ -62,8 +62,7 @@
 
     A caller that was refused comes back once, within a third of its time; if the
     load still lasts it would be refused for good, though its deadline may be
-    seconds later than the load's end. In the model of a busy day 4 instead of
-    11 requests in 100 have no answer, and as many as before are in time.
+    seconds later than the load's end.
 
     Parameters
     ----------
--- a/src/trefoilpaddle/coordination/chain/request_path.py
+++ b/src/trefoilpaddle/coordination/chain/request_path.py
@@ -25,6 +25,7 @@
 from .job import Job
 from .planned_stop import PlannedStop
 from .request_notes import RequestNotes
+from .running_chain import running_chain
 from .target_calls import TargetCalls
 from .worker_choice import Need, WorkerChoice
 
@@ -193,7 +194,7 @@
             near=self._near(job),
             priority=job.priority,
         )
-        async with self._router.chain(work) as chain:
+        async with running_chain(self._router, work) as chain:
             match await chain.run():
                 case ChainMoved():
                     return Refused(
--- a/src/trefoilpaddle/coordination/chain/running_chain.py
+++ b/src/trefoilpaddle/coordination/chain/running_chain.py
@@ -1,7 +1,9 @@
 """One request's chain, wherever it is run."""
 
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
 from dataclasses import replace
-from typing import TYPE_CHECKING, Final
+from typing import Final
 
 from ...protocol.reasons import Reason
 from ...state.chain.chain_work import (
@@ -11,11 +13,9 @@
     ChainMoved,
     ChainWork,
 )
+from .chain_router import ChainRouter
 from .scheduler_links import Place
 
-if TYPE_CHECKING:
-    from .chain_router import ChainRouter
-
 MAX_MOVES: Final = 4
 """Times that a chain follows its cell to another gateway.
 
@@ -26,6 +26,18 @@
 """Ends of a chain after which it is run once more, within the budget."""
 
 
+@asynccontextmanager
+async def running_chain(
+    router: ChainRouter, work: ChainWork
+) -> AsyncIterator["RunningChain"]:
+    """Yield a chain to run; what it made is freed when the context ends."""
+    running = RunningChain(router=router, work=work)
+    try:
+        yield running
+    finally:
+        running.free()
+
+
 class RunningChain:
     """One request's chain, from its first place to the freeing of its results.
 
@@ -39,7 +51,7 @@
 
     __slots__ = ("_has_run", "_place", "_router", "_work")
 
-    def __init__(self, *, router: "ChainRouter", work: ChainWork) -> None:
+    def __init__(self, *, router: ChainRouter, work: ChainWork) -> None:
         self._router = router
         self._work = work
         self._has_run = False
--- a/src/trefoilpaddle/roles/caller_server.py
+++ b/src/trefoilpaddle/roles/caller_server.py
@@ -11,6 +11,7 @@
 
 from ..state.settings import CallerSettings
 from ..transport.connection import Address
+from ..transport.unsent import has_unsent
 
 KEEPALIVE_S: Final = 75.0
 
@@ -120,11 +121,6 @@
     """
     ends_s = time.monotonic() + SEND_LAST_S
     while time.monotonic() < ends_s:
-        if not any(map(_has_unsent, http.connections)):
+        if not any(map(has_unsent, http.connections)):
             return
         await asyncio.sleep(SEND_LOOK_S)
-
-
-def _has_unsent(connection: web.RequestHandler) -> bool:
-    transport = connection.transport
-    return transport is not None and transport.get_write_buffer_size() > 0
--- a/src/trefoilpaddle/state/chain/piece_times.py
+++ b/src/trefoilpaddle/state/chain/piece_times.py
@@ -12,10 +12,10 @@
 """Learnt slowness of a worker is cut here; beyond, it is as good as away."""
 
 FIRST_PACE_SHARE: Final = 0.65
-"""Part of the pace with full calls that is believed until it was measured.
+"""Part of the pace with full calls that is believed until calls have shown it.
 
-Calls are rarely full, and memory for results binds: 0.6 to 0.7 was measured in
-bursts. With all of it a new scheduler admits half as much again as can be done.
+Calls are rarely full, and memory for results binds. With all of it a new scheduler
+admits half as much again as can be done.
 """
 
 MIN_PACE_PER_S: Final = 0.5
--- a/tests/chain/fleet_model.py
+++ b/tests/chain/fleet_model.py
@@ -18,6 +18,7 @@
 from trefoilpaddle.coordination.chain.cell_schedulers import CellSchedulers
 from trefoilpaddle.coordination.chain.chain_router import ChainRouter
 from trefoilpaddle.coordination.chain.chain_scheduler import ChainScheduler
+from trefoilpaddle.coordination.chain.running_chain import running_chain
 from trefoilpaddle.coordination.chain.scheduler_links import SchedulerLinks
 from trefoilpaddle.protocol.errors import PeerError
 from trefoilpaddle.protocol.frames import Message
@@ -309,7 +310,7 @@
             await asyncio.sleep(0.1)
             return Chain(end=ChainFailed(reason=Reason.PEER_SILENT, is_begun=False))
         gateway = self._rng.choice(up)
-        opened = gateway.router.chain(work)
+        opened = running_chain(gateway.router, work)
         running = await opened.__aenter__()
 
         async def free() -> None:
--- a/tests/chain/test_chain_router.py
+++ b/tests/chain/test_chain_router.py
@@ -9,6 +9,7 @@
 from trefoilpaddle.coordination.chain import chain_router, scheduler_links
 from trefoilpaddle.coordination.chain.cell_schedulers import CellSchedulers
 from trefoilpaddle.coordination.chain.chain_router import ChainRouter
+from trefoilpaddle.coordination.chain.running_chain import running_chain
 from trefoilpaddle.coordination.chain.scheduler_links import SchedulerLinks
 from trefoilpaddle.protocol.ids import incarnation_by_age
 from trefoilpaddle.protocol.reasons import Reason
@@ -150,7 +151,7 @@
             region_of={},
             budgets=budgets(slack=slack),
         )
-        async with at.chain(work()) as chain:
+        async with running_chain(at, work()) as chain:
             end = await chain.run()
         return end, calls
 
@@ -216,7 +217,7 @@
             region_of={},
             budgets=budgets(),
         )
-        async with asyncio.timeout(2.0), at.chain(work()) as chain:
+        async with asyncio.timeout(2.0), running_chain(at, work()) as chain:
             end = await chain.run()
         assert peers.only.n_asked == 1
         assert isinstance(end, ChainMade)
