--- a/src/trefoilpaddle/coordination/chain/chain_scheduler.py
+++ b/src/trefoilpaddle/coordination/chain/chain_scheduler.py
@@ -52,9 +52,8 @@
 A_LITTLE_LATE_S: Final = 0.05
 """How much later than due a chain may be forecast and still be let in.
 
-Forecasts err by more, so some of these are on time. With three times as much,
-queues are as long as can be borne at all times, and one urgent chain in eight
-is late instead of one in twenty.
+Forecasts err by more, so some of these are on time. With much more, queues are as
+long as can be borne at all times, and many urgent chains are late.
 """
 
 
--- a/src/trefoilpaddle/coordination/chain/table_change.py
+++ b/src/trefoilpaddle/coordination/chain/table_change.py
@@ -17,7 +17,7 @@
 MAX_CHANGE_BYTES: Final = 16 * 1024
 """Longest change that is told, counted as its new bytes and `PIECE_BYTES` a piece.
 
-A reader tells up to 63 others: 1 MB, 0.8 s of a link of 10 Mbit/s. A longer one is
+A reader tells up to 95 others: 1.5 MB, 1.2 s of a link of 10 Mbit/s. A longer one is
 not told, and each gateway reads the table from the store, which serves so many.
 """
 
--- a/src/trefoilpaddle/coordination/chain/worker_caller.py
+++ b/src/trefoilpaddle/coordination/chain/worker_caller.py
@@ -270,8 +270,8 @@
             else:
                 work.settle(end)
         if without_memory:
-            # Nothing was worked on. Sent again at once, these pieces were turned
-            # away again, 790 calls in a second.
+            # Nothing was worked on. Sent again at once, these pieces are turned
+            # away again, call after call.
             least_bytes = min(work.result_bytes for work in without_memory)
             self.known.learn_full(least_bytes, now_s, own_bytes=kept_bytes + made_bytes)
             self._on_return(without_memory)
