Go on with a chain that is nearly made, and bear a fleet of nobody

Found by reading the change. A chain that moved with its cell was judged by what all of its stages take, also those that are made, and could be refused as too late with one piece left. A gateway that was told to stop within a second of its start, and knew nobody, met an empty list when it asked who goes first. Both tests fail before.

--- a/src/trefoilpaddle/coordination/chain/chain_router.py
+++ b/src/trefoilpaddle/coordination/chain/chain_router.py
@@ -3,10 +3,7 @@
 import asyncio
 import random
 import time
-from collections.abc import (
-    Callable,
-    Mapping,
-)
+from collections.abc import Callable, Mapping
 from typing import Any, Final
 
 from absl import logging
--- a/src/trefoilpaddle/coordination/chain/chain_scheduler.py
+++ b/src/trefoilpaddle/coordination/chain/chain_scheduler.py
@@ -151,8 +151,7 @@
         if finish_s is None:
             self._note(Event.REFUSED, Reason.NO_TARGET, work, 0.0, limit_s, detail)
             return ChainFailed(reason=Reason.NO_TARGET, is_begun=False)
-        if least_s(work, self.dispatch) > work.deadline_s - now_s:
-            # Nothing that is done for it can be of use any more.
+        if self._is_hopeless(work, now_s):
             reason = Reason.PREDICTED_LATE
             self._note(Event.REFUSED, reason, work, finish_s, limit_s, "too late")
             return ChainFailed(reason=reason, is_begun=False, finish_s=finish_s)
@@ -178,6 +177,14 @@
             retry_after_s=self._refused.retry_after_s(now_s),
         )
 
+    def _is_hopeless(self, work: ChainWork, now_s: float) -> bool:
+        """Return True if nothing that is done for a chain can be of use any more.
+
+        Not of one of which the scheduler before has made a part.
+        """
+        left_s = work.deadline_s - now_s
+        return not work.made and least_s(work, self.dispatch) > left_s
+
     async def _execute(self, work: ChainWork) -> ChainEnd:
         execution = ChainExecution(
             work=work,
--- a/src/trefoilpaddle/coordination/chain/fleet.py
+++ b/src/trefoilpaddle/coordination/chain/fleet.py
@@ -76,7 +76,7 @@
         first: dict[str, MemberRecord] = {}
         for member in sorted(live, key=duty_rank):
             first.setdefault(member.failure_domain, member)
-        news_s = max(self._known_s(member) for member in first.values())
+        news_s = max(map(self._known_s, first.values()), default=now_s)
         return len(live) > 1 and now_s - news_s > SETTLE_S
 
     def _known_s(self, member: MemberRecord) -> float:
--- a/src/trefoilpaddle/state/chain/cells.py
+++ b/src/trefoilpaddle/state/chain/cells.py
@@ -8,7 +8,7 @@
 from .workers import Worker
 
 MOST_WORKERS: Final = 64
-"""Stage workers of a cell about which its scheduler is one process with one core.
+"""About as many stage workers are one cell at most, however strong its scheduler is.
 
 In one cell the load of all failure domains is shared out, and a lost worker's is
 taken over by all, so cells are as large as their schedulers bear.
--- a/tests/chain/test_chain_scheduler.py
+++ b/tests/chain/test_chain_scheduler.py
@@ -8,8 +8,18 @@
 import pytest
 
 from trefoilpaddle.protocol.reasons import Reason
-from trefoilpaddle.state.chain.chain_work import ChainFailed, ChainMade, ChainWork
-from trefoilpaddle.state.chain.piece_work import PieceEnd, PieceFault, PieceWork
+from trefoilpaddle.state.chain.chain_work import (
+    ChainFailed,
+    ChainMade,
+    ChainWork,
+    StagePiece,
+)
+from trefoilpaddle.state.chain.piece_work import (
+    PieceEnd,
+    PieceFault,
+    PieceMade,
+    PieceWork,
+)
 from trefoilpaddle.state.chain.routes import StagePlan
 from trefoilpaddle.state.chain.target_answers import CallFault
 from trefoilpaddle.state.chain.workers import Worker, WorkerTable
@@ -226,6 +236,27 @@
         assert end.reason is Reason.PREDICTED_LATE and not end.is_begun
         assert calls.batches == []
 
+    async def test_what_is_nearly_made_goes_on_after_a_handover(self) -> None:
+        # A cell changes hands while a chain's last piece is to be made. Judged by what
+        # all of its stages take, it was refused though its caller could still wait.
+        rig = Rig(FakeCalls(call_s=0.001), call_s=2.0)
+        made_pieces = tuple(
+            StagePiece(
+                stage=stage,
+                piece=piece,
+                made=PieceMade(handle=f"h{stage}.{piece}", worker_id="s1"),
+            )
+            for stage, n_pieces in enumerate((2, 1))
+            for piece in range(n_pieces)
+        )
+        moved = replace(
+            work("b"),
+            made=made_pieces,
+            must_be_on_time=False,
+            deadline_s=time.monotonic() + 3.0,
+        )
+        assert isinstance(await rig.scheduler.run(moved), ChainMade)
+
     async def test_without_load_the_least_urgent_is_let_in(self) -> None:
         rig = Rig(FakeCalls())
         end = await rig.scheduler.run(work(due_in_s=0.3, priority=2))
--- a/tests/chain/test_fleet_settled.py
+++ b/tests/chain/test_fleet_settled.py
@@ -48,6 +48,13 @@
         rig.now_s += STEP_S
         assert rig.fleet.is_settled()
 
+    async def test_one_that_is_leaving_alone_knows_nobody(
+        self, monkeypatch: pytest.MonkeyPatch
+    ) -> None:
+        rig = Rig(monkeypatch)
+        rig.fleet.membership.leave()
+        assert not rig.fleet.is_settled()
+
     # All hosts are back after a loss of power: the strong ones in half a second, the
     # weak ones one after the other for a second more. As each was news, requests that
     # strong hosts had taken stood still for three quarters of a second.
