--- a/tests/chain/test_busy_cell.py
+++ b/tests/chain/test_busy_cell.py
@@ -188,8 +188,8 @@
     def test_who_has_long_is_answered_late_rather_than_never(
         self, monkeypatch: pytest.MonkeyPatch
     ) -> None:
-        # Chats have twenty seconds, a burst lasts six. Refused twice within it,
-        # two in five had no answer at all.
+        # Callers of chats wait for over seven seconds, a burst lasts six. Refused twice
+        # within it, two in five had no answer at all.
         # Over seeds, as the refused of one differ from the next by four times.
         chosen = [played(monkeypatch, seed=seed) for seed in SEEDS[:3]]
         monkeypatch.setattr(overdue_queue, "MAX_WAITING", 0)
