Tell in the log which attempts are one request, and which workers ended

After the incident nobody could tell from the logs whether the attempts under which workers ended were the same request, nor an end of a worker from an end of a connection: both were 'connection_lost'.

Runs without an answer wait for evidence that their worker is gone: its address refuses connections (one look a worker and 0.2 s, only after an answer broke), a new start is listed, its entry runs out. Resets, cut links and planned leaves are no evidence. No decision changes.

A connection that is refused is a fault of its own now. The test of a worker without a listener asked for the general fault; it asks for this one, and that nothing was sent.

--- a/src/trefoilpaddle/coordination/chain/attempts.py
+++ b/src/trefoilpaddle/coordination/chain/attempts.py
@@ -11,6 +11,7 @@
 from ...state.chain.workers import Worker, WorkerTable
 from ...state.journal import Decision, Event, Figure, Journal
 from .caller_sink import CallerSink
+from .crash_guard import CrashGuard
 from .job import Job
 from .target_calls import TargetCalls
 from .worker_choice import Need, WorkerChoice
@@ -21,6 +22,7 @@
 
 REASON_OF: Final = {
     CallFault.UNREACHABLE: Reason.TARGET_DOWN,
+    CallFault.REFUSED: Reason.TARGET_DOWN,
     CallFault.FULL: Reason.QUEUE_FULL,
     CallFault.MOVED: Reason.TARGET_DOWN,
     CallFault.INPUTS_GONE: Reason.RESULT_GONE,
@@ -47,6 +49,8 @@
         As for the request path.
     delivery : Delivery
         Told how far the request has come.
+    guard : CrashGuard
+        Watches its runs.
     """
 
     __slots__ = (
@@ -76,6 +80,7 @@
         budget: RepeatBudget,
         journal: Journal,
         delivery: Delivery,
+        guard: CrashGuard,
     ) -> None:
         self._job = job
         self._delivery = delivery
@@ -91,6 +96,7 @@
             choice=choice,
             calls=calls,
             delivery=delivery,
+            guard=guard,
         )
         self._budget = budget
         self._journal = journal
@@ -188,6 +194,7 @@
                 owner=job.account.name,
                 stage=job.service,
                 peer=worker.worker_id,
+                detail=job.fingerprint,
                 reason=reason,
                 figures=(
                     Figure(name="n_tried", value=self._exchange.n_sent),
--- a/src/trefoilpaddle/coordination/chain/job.py
+++ b/src/trefoilpaddle/coordination/chain/job.py
@@ -25,6 +25,8 @@
         What was in force when it came.
     deadline_s : float
         Monotonic time of its last answer.
+    fingerprint : str
+        The same for all attempts of the request.
     """
 
     request: CallerRequest
@@ -33,6 +35,7 @@
     service: str
     services: Mapping[str, Service]
     deadline_s: float
+    fingerprint: str
 
     @property
     def begins_by_s(self) -> float:
--- a/src/trefoilpaddle/coordination/chain/request_path.py
+++ b/src/trefoilpaddle/coordination/chain/request_path.py
@@ -12,6 +12,7 @@
 from ...state.chain.chain_work import ChainFailed, ChainMade, ChainMoved, ChainWork
 from ...state.chain.delivery import Delivery
 from ...state.chain.engine_times import EngineTimes
+from ...state.chain.fingerprint import fingerprint_of
 from ...state.chain.repeat_budget import RepeatBudgets
 from ...state.chain.requests import CallerRequest, Outcome, Refused
 from ...state.chain.routes import Account, Route, RouteTable
@@ -22,6 +23,7 @@
 from .caller_sink import CallerSink
 from .chain_inputs import ChainInputs
 from .chain_router import ChainRouter
+from .crash_guard import CrashGuard
 from .job import Job
 from .planned_stop import PlannedStop
 from .request_notes import RequestNotes
@@ -69,6 +71,8 @@
         Takes decisions.
     stop : PlannedStop
         Says what is still taken.
+    guard : CrashGuard
+        Watches runs at workers.
 
     Attributes
     ----------
@@ -83,6 +87,7 @@
         "_engine_times",
         "_failure_domain",
         "_finishing",
+        "_guard",
         "_journal",
         "_router",
         "_stop",
@@ -101,7 +106,9 @@
         budgets: RepeatBudgets,
         journal: Journal,
         stop: PlannedStop,
+        guard: CrashGuard,
     ) -> None:
+        self._guard = guard
         self._failure_domain = failure_domain
         self._workers = workers
         self._router = router
@@ -166,6 +173,7 @@
             service=_pick_service(route),
             services=table.services,
             deadline_s=deadline_s,
+            fingerprint=fingerprint_of(request, account.name),
         )
         try:
             async with self._stop.bounding(delivery, deadline_s + LAST_S):
@@ -227,6 +235,7 @@
                         budget=self._budgets.of(job.service),
                         journal=self._journal,
                         delivery=delivery,
+                        guard=self._guard,
                     )
                     if job.must_finish:
                         return await self._finish(attempts, sink)
--- /dev/null
+++ b/src/trefoilpaddle/coordination/chain/worker_ends.py
@@ -0,0 +1,212 @@
+"""Finds out which workers have ended while requests ran there.
+
+A connection also breaks when it is reset or garbled, and a worker is silent when the
+way to it is cut. Only a process that is gone may have been ended by what ran there.
+"""
+
+import asyncio
+import time
+from collections import deque
+from collections.abc import Callable, Sequence
+from enum import Enum, unique
+from typing import Final
+
+from absl import logging
+
+from ...protocol.reasons import Reason
+from ...state.chain.worker_runs import OpenEndedRun, RunEnd
+from ...state.chain.workers import Worker, WorkerTable
+from ...state.journal import Decision, Event, Figure, Journal
+from .target_calls import TargetCalls
+
+PENDING_S: Final = 8.0
+"""How long a run without an answer waits for word of its worker's end.
+
+An entry lapses after three heartbeats of silence.
+"""
+
+ENDED_S: Final = 1.0
+"""How long a known end explains further broken runs; a new start takes longer."""
+
+LOOK_GAP_S: Final = 0.2
+"""Least time between two looks at one worker whose answers break."""
+
+N_NAMED: Final = 8
+"""Requests that one log line names."""
+
+MAX_PENDING: Final = 4096
+"""Runs that wait for word of their workers, the oldest forgotten first."""
+
+
+@unique
+class Evidence(Enum):
+    """What says that a worker's process has ended."""
+
+    REFUSES = "its address refuses connections"
+    RESTARTED = "a new start of it is listed"
+    LAPSED = "its entry has run out"
+    TOLD = "a peer says so"
+
+
+EXPLAINS: Final = {
+    RunEnd.BROKEN: frozenset(Evidence),
+    RunEnd.LEFT: frozenset(Evidence),
+    # A worker that is cut off falls silent, and its entry runs out as well.
+    RunEnd.SILENT: frozenset(Evidence) - {Evidence.LAPSED},
+}
+"""Which evidence turns a run without an answer into one that its worker ended under."""
+
+EndListener = Callable[[Worker, Sequence[OpenEndedRun]], None]
+
+
+class WorkerEnds:
+    """Matches runs without an answer with evidence that their workers ended.
+
+    Parameters
+    ----------
+    workers : WorkerTable
+        Tells of new starts and of entries that run out.
+    calls : TargetCalls
+        Looks whether anything listens at a worker's address.
+    journal : Journal
+        Takes one decision for each end.
+    on_ended : callable
+        Called with a worker and the runs that it ended under.
+    """
+
+    __slots__ = (
+        "_calls",
+        "_ended_s",
+        "_journal",
+        "_looked_s",
+        "_looks",
+        "_on_ended",
+        "_pending",
+        "_workers",
+    )
+
+    def __init__(
+        self,
+        *,
+        workers: WorkerTable,
+        calls: TargetCalls,
+        journal: Journal,
+        on_ended: EndListener,
+    ) -> None:
+        self._workers = workers
+        self._calls = calls
+        self._journal = journal
+        self._on_ended = on_ended
+        self._pending: deque[OpenEndedRun] = deque(maxlen=MAX_PENDING)
+        self._ended_s: dict[tuple[str, int], tuple[float, Evidence]] = {}
+        self._looks: dict[str, asyncio.Task[None]] = {}
+        self._looked_s: dict[str, float] = {}
+        workers.end_listeners.append(self._on_restart)
+        workers.leave_listeners.append(self._on_leave)
+
+    def note(self, run: OpenEndedRun) -> None:
+        """Take a run without an answer; begin to look whether its worker is gone."""
+        self._forget_old(run.ended_s)
+        worker = run.worker
+        listed = self._workers.get(worker.worker_id)
+        if listed is None or listed.is_leaving or listed.born_ms < worker.born_ms:
+            # A worker that leaves ends by itself, some without a word before.
+            return
+        self._pending.append(run)
+        if listed.born_ms > worker.born_ms:
+            self.confirm(worker, Evidence.RESTARTED)
+            return
+        known = self._ended_s.get(_key(worker))
+        if known is not None:
+            self.confirm(worker, known[1])
+        elif run.end is RunEnd.BROKEN:
+            self._look(worker)
+
+    def confirm(self, worker: Worker, evidence: Evidence) -> None:
+        """Take evidence that a worker's process has ended."""
+        now_s = time.monotonic()
+        self._forget_old(now_s)
+        known = self._ended_s.get(_key(worker))
+        if known is None or evidence is Evidence.REFUSES:
+            self._ended_s[_key(worker)] = (now_s, evidence)
+        found = [
+            run
+            for run in self._pending
+            if _key(run.worker) == _key(worker) and evidence in EXPLAINS[run.end]
+        ]
+        if not found:
+            return
+        taken = set(map(id, found))
+        self._pending = deque(
+            (run for run in self._pending if id(run) not in taken), maxlen=MAX_PENDING
+        )
+        self._note(worker, evidence, found)
+        self._on_ended(worker, found)
+
+    async def settled(self, worker: Worker) -> None:
+        """Wait until the look at a worker whose answer broke is over."""
+        look = self._looks.get(worker.worker_id)
+        if look is not None:
+            await asyncio.wait({look})
+
+    def _look(self, worker: Worker) -> None:
+        now_s = time.monotonic()
+        is_recent = now_s - self._looked_s.get(worker.worker_id, 0.0) < LOOK_GAP_S
+        if worker.worker_id in self._looks or is_recent:
+            return
+        self._looked_s[worker.worker_id] = now_s
+        self._looks[worker.worker_id] = asyncio.create_task(self._send_look(worker))
+
+    async def _send_look(self, worker: Worker) -> None:
+        try:
+            if await self._calls.refuses(worker):
+                self.confirm(worker, Evidence.REFUSES)
+        except Exception:
+            # Nobody waits for this task's exception.
+            logging.exception("a look whether %s is gone", worker.worker_id)
+        finally:
+            del self._looks[worker.worker_id]
+
+    def _on_restart(self, worker: Worker) -> None:
+        self.confirm(worker, Evidence.RESTARTED)
+
+    def _on_leave(self, worker: Worker) -> None:
+        if worker.is_leaving:
+            kept = (run for run in self._pending if _key(run.worker) != _key(worker))
+            self._pending = deque(kept, maxlen=MAX_PENDING)
+        elif self._workers.get(worker.worker_id) is None:
+            self.confirm(worker, Evidence.LAPSED)
+
+    def _forget_old(self, now_s: float) -> None:
+        while self._pending and now_s - self._pending[0].ended_s > PENDING_S:
+            self._pending.popleft()
+        self._looked_s = {
+            worker_id: looked_s
+            for worker_id, looked_s in self._looked_s.items()
+            if now_s - looked_s < LOOK_GAP_S
+        }
+        self._ended_s = {
+            key: known
+            for key, known in self._ended_s.items()
+            if now_s - known[0] < ENDED_S
+        }
+
+    def _note(
+        self, worker: Worker, evidence: Evidence, runs: Sequence[OpenEndedRun]
+    ) -> None:
+        requests = sorted({run.fingerprint for run in runs})
+        self._journal.record(
+            Decision(
+                event=Event.TARGET_ENDED,
+                stage=worker.service,
+                peer=worker.worker_id,
+                reason=Reason.CONNECTION_LOST,
+                detail=f"{evidence.value}; requests {' '.join(requests[:N_NAMED])}",
+                figures=(Figure(name="n_running", value=len(requests)),),
+            )
+        )
+
+
+def _key(worker: Worker) -> tuple[str, int]:
+    """Return what tells the starts of workers apart."""
+    return worker.worker_id, worker.born_ms
--- a/src/trefoilpaddle/coordination/chain/worker_exchange.py
+++ b/src/trefoilpaddle/coordination/chain/worker_exchange.py
@@ -10,8 +10,10 @@
 from ...state.chain.delivery import Delivery
 from ...state.chain.requests import Answered
 from ...state.chain.target_answers import AnswerHead, CallFault, StreamEvent
+from ...state.chain.worker_runs import RunEnd, end_of_fault
 from ...state.chain.workers import Worker, WorkerTable
 from .caller_sink import CallerSink
+from .crash_guard import CrashGuard
 from .job import Job
 from .patience import gap_s, patience_s
 from .target_calls import OpenAnswer, StreamBrokenError, TargetCall, TargetCalls
@@ -60,6 +62,8 @@
         As for the request path.
     delivery : Delivery
         Told how far the request has come.
+    guard : CrashGuard
+        Watches its runs.
 
     Attributes
     ----------
@@ -71,6 +75,7 @@
         "_calls",
         "_choice",
         "_delivery",
+        "_guard",
         "_inputs",
         "_job",
         "_last_event",
@@ -89,8 +94,10 @@
         choice: WorkerChoice,
         calls: TargetCalls,
         delivery: Delivery,
+        guard: CrashGuard,
     ) -> None:
         self._job = job
+        self._guard = guard
         self._inputs = inputs
         self._need = need
         self._workers = workers
@@ -113,6 +120,17 @@
             after_event=self._last_event,
             urgency=min(MAX_URGENCY, job.priority) if job.route.is_stream else None,
         )
+        with self._guard.running(worker, job.fingerprint) as run:
+            sent = await self._exchange(worker, call, sink)
+            run.end = (
+                end_of_fault(sent) if isinstance(sent, CallFault) else RunEnd.ANSWERED
+            )
+            return sent
+
+    async def _exchange(
+        self, worker: Worker, call: TargetCall, sink: CallerSink
+    ) -> Sent:
+        job = self._job
         n_before = self.n_sent
         with (
             self._choice.open(worker, self._need) as at_worker,
@@ -125,7 +143,7 @@
                 ):
                     match opened:
                         case Err(fault):
-                            if fault is not CallFault.UNREACHABLE:
+                            if fault.was_sent:
                                 self.n_sent += 1
                             return fault
                         case Ok(answer):
--- /dev/null
+++ b/src/trefoilpaddle/state/chain/fingerprint.py
@@ -0,0 +1,40 @@
+"""Which attempts of callers are the same request, whatever their ids."""
+
+from hashlib import blake2b
+from typing import Final
+
+from .requests import CallerRequest
+
+ACCOUNT_BYTES: Final = 4
+"""Part of a fingerprint that all requests of one client account share."""
+
+REQUEST_BYTES: Final = 12
+"""Part that tells the requests of an account apart."""
+
+
+def fingerprint_of(request: CallerRequest, account: str) -> str:
+    """Return what is the same for all attempts of a request, as hexadecimal text.
+
+    Method, host, path with query, client account and body count; attempt ids and
+    other headers do not.
+
+    Parameters
+    ----------
+    request : CallerRequest
+        One attempt.
+    account : str
+        Client account that it belongs to; empty without one.
+    """
+    known = blake2b(digest_size=REQUEST_BYTES)
+    for text in (account, request.method, request.host, request.target):
+        data = text.encode(errors="surrogateescape")
+        known.update(len(data).to_bytes(4))
+        known.update(data)
+    known.update(request.body_digest)
+    owner = blake2b(account.encode(), digest_size=ACCOUNT_BYTES)
+    return owner.hexdigest() + known.hexdigest()
+
+
+def account_part(fingerprint: str) -> str:
+    """Return the part of a fingerprint that stands for its client account."""
+    return fingerprint[: 2 * ACCOUNT_BYTES]
--- a/src/trefoilpaddle/state/chain/requests.py
+++ b/src/trefoilpaddle/state/chain/requests.py
@@ -51,6 +51,8 @@
         What is passed on to the worker.
     body : bytes
         Whole.
+    body_digest : bytes
+        Hash of the body.
     came_s : float
         Monotonic time at which its first byte was read.
     deadline_s : float
@@ -74,6 +76,7 @@
     path: str
     headers: tuple[Header, ...]
     body: bytes
+    body_digest: bytes
     came_s: float
     deadline_s: float
     key: str = ""
--- a/src/trefoilpaddle/state/chain/target_answers.py
+++ b/src/trefoilpaddle/state/chain/target_answers.py
@@ -12,6 +12,8 @@
 
     UNREACHABLE = "unreachable"
     """No connection; nothing was sent."""
+    REFUSED = "refused"
+    """Nothing listens at the worker's address: its process is gone."""
     FULL = "full"
     """The worker said that it did not run the request."""
     MOVED = "moved"
@@ -28,10 +30,15 @@
         """True if it is certain that the worker did not run the request."""
         return self in NOT_RUN
 
+    @property
+    def was_sent(self) -> bool:
+        """True if the worker may have read any of the request."""
+        return self not in NO_CONNECTION
+
+
+NO_CONNECTION = frozenset({CallFault.UNREACHABLE, CallFault.REFUSED})
 
-NOT_RUN = frozenset(
-    {CallFault.UNREACHABLE, CallFault.FULL, CallFault.MOVED, CallFault.INPUTS_GONE}
-)
+NOT_RUN = NO_CONNECTION | {CallFault.FULL, CallFault.MOVED, CallFault.INPUTS_GONE}
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
--- /dev/null
+++ b/src/trefoilpaddle/state/chain/worker_runs.py
@@ -0,0 +1,61 @@
+"""Runs of requests at workers, and how each of them ended."""
+
+from dataclasses import dataclass
+from enum import Enum, unique
+
+from .target_answers import CallFault
+from .workers import Worker
+
+
+@unique
+class RunEnd(Enum):
+    """How the run of a request at a worker ended, as its gateway saw it."""
+
+    ANSWERED = "answered"
+    """The worker answered whole, with a success or a failure of its own."""
+    NOT_RUN = "not_run"
+    """The worker did not run it."""
+    REFUSED = "refused"
+    """Nothing listened at the worker's address."""
+    BROKEN = "broken"
+    """The connection ended within the answer."""
+    SILENT = "silent"
+    """The worker fell silent."""
+    LEFT = "left"
+    """The caller left; what became of the run was not seen."""
+
+
+def end_of_fault(fault: CallFault) -> RunEnd:
+    """Return how a run ended that a call's fault ended."""
+    match fault:
+        case CallFault.REFUSED:
+            return RunEnd.REFUSED
+        case CallFault.BROKEN:
+            return RunEnd.BROKEN
+        case CallFault.SILENT:
+            return RunEnd.SILENT
+        case _:
+            return RunEnd.NOT_RUN
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class OpenEndedRun:
+    """A run that has no answer; its worker may have ended under it.
+
+    Parameters
+    ----------
+    worker : Worker
+        Where it ran.
+    fingerprint : str
+        The request.
+    began_s, ended_s : float
+        Monotonic times of its sending and its end.
+    end : RunEnd
+        How it ended.
+    """
+
+    worker: Worker
+    fingerprint: str
+    began_s: float
+    ended_s: float
+    end: RunEnd
--- a/src/trefoilpaddle/state/events.py
+++ b/src/trefoilpaddle/state/events.py
@@ -69,6 +69,8 @@
     """The number of calls that the target bears was learnt anew."""
     TARGET_ASKED = 165
     """A stage worker was asked what it does and keeps, before it is called."""
+    TARGET_ENDED = 166
+    """A target's process ended while requests ran there; tells how that is known."""
     # Configuration
     CONFIG_IN_FORCE = 200
     """A newer catalogue is in force in this process."""
--- a/tests/chain/cell_model.py
+++ b/tests/chain/cell_model.py
@@ -218,6 +218,9 @@
             most_free_bytes=(free_mb + 1.0) * 1e6,
         )
 
+    async def refuses(self, at: Worker) -> bool:
+        return False
+
     async def free_results(self, at: Worker, handles: Sequence[str]) -> bool:
         await asyncio.sleep(0.002)
         for handle in handles:
--- a/tests/chain/fakes.py
+++ b/tests/chain/fakes.py
@@ -9,6 +9,7 @@
 
 from trefoilpaddle.coordination.chain.cell_dispatch import CellDispatch
 from trefoilpaddle.coordination.chain.chain_scheduler import ChainScheduler
+from trefoilpaddle.coordination.chain.crash_guard import CrashGuard
 from trefoilpaddle.coordination.chain.target_calls import (
     OpenAnswer,
     StreamBrokenError,
@@ -96,6 +97,7 @@
         "path": "/x",
         "headers": (),
         "body": b"",
+        "body_digest": b"",
         "came_s": now_s,
         "deadline_s": now_s + 2.0,
     }
@@ -149,6 +151,8 @@
     free_gate: asyncio.Event | None = None
     said: WorkerReport | None = None
     n_reports: int = 0
+    refusing: set[str] = field(default_factory=set)
+    n_looks: int = 0
 
     @asynccontextmanager
     async def exchange(
@@ -184,6 +188,11 @@
         await asyncio.sleep(0)
         return self.said
 
+    async def refuses(self, worker: Worker) -> bool:
+        self.n_looks += 1
+        await asyncio.sleep(0)
+        return worker.worker_id in self.refusing
+
     async def free_results(self, worker: Worker, handles: Sequence[str]) -> bool:
         if self.free_gate is not None:
             await self.free_gate.wait()
@@ -232,6 +241,10 @@
     return ChainScheduler(dispatch=dispatch, budgets=budgets(), journal=notes)
 
 
+def crash_guard(calls: FakeCalls, workers: WorkerTable) -> CrashGuard:
+    return CrashGuard(workers=workers, calls=calls, journal=journal())
+
+
 def process(name: str, domain: str = "here") -> Process:
     """Return a gateway's process that is not running yet."""
     return Process(
--- a/tests/chain/fleet_model.py
+++ b/tests/chain/fleet_model.py
@@ -164,6 +164,9 @@
             )
         )
 
+    async def refuses(self, at: Worker) -> bool:
+        return False
+
     async def free_results(self, at: Worker, handles: list[str]) -> bool:
         return self._own.is_up and await self._calls.free_results(at, handles)
 
--- a/tests/chain/test_attempts.py
+++ b/tests/chain/test_attempts.py
@@ -18,6 +18,7 @@
     FakeCalls,
     FakeSink,
     budgets,
+    crash_guard,
     journal,
     request,
     route,
@@ -67,6 +68,7 @@
         service="plain",
         services={},
         deadline_s=request().deadline_s,
+        fingerprint="f1",
     )
     return Attempts(
         job=job,
@@ -78,6 +80,7 @@
         budget=budgets(slack=slack, ratio=0.0).of("plain"),
         journal=journal(),
         delivery=Delivery(),
+        guard=crash_guard(calls, workers),
     )
 
 
--- a/tests/chain/test_request_path.py
+++ b/tests/chain/test_request_path.py
@@ -36,6 +36,7 @@
     FakeCalls,
     FakeSink,
     budgets,
+    crash_guard,
     journal,
     process,
     request,
@@ -94,6 +95,7 @@
             budgets=budgets(),
             journal=self.notes,
             stop=self.stop,
+            guard=crash_guard(calls, workers),
         )
         if routes:
             self.path.put_in_force(table(*routes))
--- a/tests/platform_adapter/test_worker_client.py
+++ b/tests/platform_adapter/test_worker_client.py
@@ -185,7 +185,8 @@
             worker_client() as client,
             client.exchange(gone, call()) as opened,
         ):
-            assert opened == Err(CallFault.UNREACHABLE)
+            assert opened == Err(CallFault.REFUSED)
+            assert not CallFault.REFUSED.was_sent
 
 
 class TestStreams:
