--- /dev/null
+++ b/src/trefoilpaddle/standins/platform/crashing.py
@@ -0,0 +1,110 @@
+"""Workers that a request can end, with all that runs there, and that come back."""
+
+import asyncio
+import contextlib
+import time
+from collections.abc import AsyncIterator, Callable
+from typing import Final
+
+from aiohttp import web
+
+from .worker import PlatformWorker
+
+CRASH_AFTER_S: Final = 0.1
+"""Time from the beginning of such a request to the worker's end."""
+
+DOWN_S: Final = 1.5
+"""Time from a worker's end to its next start, at the same address."""
+
+
+class CrashingServer:
+    """Serves a worker that some requests end.
+
+    Parameters
+    ----------
+    worker : PlatformWorker
+        Ended by requests whose body, or one of whose pieces' keys, holds its marker.
+    ip : str
+        Where it listens.
+    on_start : callable
+        Called at each new start, to list it.
+
+    Attributes
+    ----------
+    crashed_s : list of float
+        Monotonic times of its ends.
+    """
+
+    __slots__ = (
+        "_ip",
+        "_is_up",
+        "_on_start",
+        "_port",
+        "_runner",
+        "_site",
+        "_tasks",
+        "crashed_s",
+        "worker",
+    )
+
+    def __init__(
+        self, *, worker: PlatformWorker, ip: str, on_start: Callable[[], None]
+    ) -> None:
+        self.worker = worker
+        self._ip = ip
+        self._on_start = on_start
+        self._port = 0
+        self._is_up = False
+        self._site: web.TCPSite | None = None
+        self._tasks: set[asyncio.Task[None]] = set()
+        self.crashed_s: list[float] = []
+        worker.on_marked = self._crash_soon
+        self._runner = web.AppRunner(
+            worker.application(),
+            handler_cancellation=True,
+            access_log=None,
+            shutdown_timeout=0.5,
+        )
+
+    @contextlib.asynccontextmanager
+    async def serving(self) -> AsyncIterator[None]:
+        """Serve it while the context is open, through its crashes."""
+        await self._runner.setup()
+        try:
+            await self._listen()
+            self.worker.address = f"{self._ip}:{self._port}"
+            yield
+        finally:
+            for task in self._tasks:
+                task.cancel()
+            await self._runner.cleanup()
+
+    def crash(self) -> None:
+        """End it now, whatever it does; it comes back by itself."""
+        if self._is_up:
+            self._is_up = False
+            task = asyncio.create_task(self._go_down())
+            self._tasks.add(task)
+            task.add_done_callback(self._tasks.discard)
+
+    def _crash_soon(self) -> None:
+        asyncio.get_running_loop().call_later(CRASH_AFTER_S, self.crash)
+
+    async def _go_down(self) -> None:
+        self.crashed_s.append(time.monotonic())
+        if self._site is not None:
+            await self._site.stop()
+        if self._runner.server is not None:
+            for connection in list(self._runner.server.connections):
+                if connection.transport is not None:
+                    connection.transport.abort()
+        await asyncio.sleep(DOWN_S)
+        self.worker.start_again()
+        await self._listen()
+        self._on_start()
+
+    async def _listen(self) -> None:
+        self._site = web.TCPSite(self._runner, self._ip, self._port, reuse_address=True)
+        await self._site.start()
+        self._port = self._runner.addresses[0][1]
+        self._is_up = True
--- a/src/trefoilpaddle/standins/platform/site.py
+++ b/src/trefoilpaddle/standins/platform/site.py
@@ -5,6 +5,7 @@
 from typing import Any, Final
 
 from ..web import serving
+from .crashing import CrashingServer
 from .store import TABLE_KEY, PlatformStore
 from .worker import PlatformWorker
 
@@ -168,6 +169,20 @@
         self.workers[worker_id] = worker
         self.list_worker(worker_id, service, domain=domain)
 
+    async def add_crashing(
+        self, worker_id: str, service: str, *, marker: bytes, **fields: Any
+    ) -> CrashingServer:
+        """Start and list a worker that requests with a marker end."""
+        worker = PlatformWorker(worker_id=worker_id, **fields)
+        worker.marker = marker
+        self.workers[worker_id] = worker
+        server = CrashingServer(
+            worker=worker, ip=IP, on_start=lambda: self.list_worker(worker_id, service)
+        )
+        await self._stack.enter_async_context(server.serving())
+        self.list_worker(worker_id, service)
+        return server
+
     def list_worker(
         self,
         worker_id: str,
--- a/src/trefoilpaddle/standins/platform/worker.py
+++ b/src/trefoilpaddle/standins/platform/worker.py
@@ -3,6 +3,7 @@
 import asyncio
 import itertools
 import time
+from collections.abc import Callable
 from typing import Any, Final
 
 import orjson
@@ -25,6 +26,10 @@
 """Size of a result, as the stand-in site publishes for its first stage."""
 
 
+def _nothing() -> None:
+    pass
+
+
 class PlatformWorker:
     """One worker; records what it ran.
 
@@ -51,6 +56,12 @@
         Monotonic times at which they came.
     headers : list of dict
         Headers of those requests.
+    marker : bytes
+        Requests whose body, and pieces whose key, holds it are marked; empty for none.
+    marked_s : list of float
+        Monotonic times at which marked requests or pieces began to run.
+    on_marked : callable
+        Called at each of them.
     pieces : list of tuple
         Request, stage, piece and inputs of each piece that it made.
     """
@@ -64,9 +75,12 @@
         "freed",
         "headers",
         "held",
+        "marked_s",
+        "marker",
         "n_busy",
         "n_calls",
         "n_events",
+        "on_marked",
         "pieces",
         "ran",
         "ran_s",
@@ -85,6 +99,9 @@
         self.born_ms = int(time.time() * 1000)
         self.held: set[str] = set()
         self.break_off = False
+        self.marker = b""
+        self.marked_s: list[float] = []
+        self.on_marked: Callable[[], None] = _nothing
         self.faults = Faults()
         self.record = Record()
         self.ran: list[str] = []
@@ -114,14 +131,22 @@
         expected = request.headers.get(EXPECTED)
         return expected is not None and expected != self.worker_id
 
+    async def _crash_if_marked(self, body: bytes) -> None:
+        """Begin to end with a marked request, which gets no answer."""
+        if self.marker and self.marker in body:
+            self.marked_s.append(time.monotonic())
+            self.on_marked()
+            await asyncio.Event().wait()
+
     async def _run(self, request: web.Request) -> web.StreamResponse:
         if self._is_another(request):
             return json_answer({}, status=421)
         request_id = request.headers[ATTEMPT]
-        await request.read()
+        body = await request.read()
         self.ran.append(request_id)
         self.ran_s.append(time.monotonic())
         self.headers.append(dict(request.headers))
+        await self._crash_if_marked(body)
         headers = {ATTEMPT: request_id, SEAL: f"{self.worker_id}.{request_id}"}
         if not self.n_events:
             await asyncio.sleep(self.work_s)
@@ -144,7 +169,9 @@
     async def _make(self, request: web.Request) -> web.Response:
         if self._is_another(request):
             return json_answer({}, status=421)
-        items: list[dict[str, Any]] = orjson.loads(await request.read())["items"]
+        body = await request.read()
+        await self._crash_if_marked(body)
+        items: list[dict[str, Any]] = orjson.loads(body)["items"]
         self.n_calls += 1
         self.n_busy += 1
         await asyncio.sleep(self.work_s)
