Send no request on that has crashed three workers, at any gateway

Callers saw a small service go: a request that ends each worker that runs it came again under new ids, at any gateway, and took with each worker all that ran there.

Cause: what gateways know of a request ended with one client attempt. Budgets and limits on attempts bound repeats of one id at one gateway; the promise is about the request and the fleet. Class: a bound kept by each part, where the sum is what counts.

Now each gateway watches runs without an answer; where their worker's process is gone (refuses connections, has a new start, its entry lapsed, a peer says so), the crash is noted for each request that ran there, and flooded to all gateways over the links that members keep. Runs that overlap count once, so a loss of all workers is one crash of what ran everywhere. A request that ends well anywhere is cleared at all. After two crashes it runs once at a time, where the fewest run, and others go elsewhere; after three it is answered 400, which callers do not repeat, run or not. Links that open get all that is remembered; records are bounded, for each account too.

Ruled out: the gateways' own repeats (each was within its limits); workers that end by themselves (a test lets them: nobody is blocked).

--- a/idl/chain.thrift
+++ b/idl/chain.thrift
@@ -141,3 +141,28 @@
   8: list<string> withdrawn = [] // ids whose entries cannot be read any more
   9: optional TableChange table  // set if just read; who cannot use it reads the store
 }
+
+struct WorkerCrash {
+  1: string worker_id = ""
+  2: i64 born_ms = 0             // start of the worker
+  3: i64 began_ms = 0            // since a request began to run there
+  4: i64 ended_ms = 0            // since the worker ended
+}
+
+struct CrashedWorkers {
+  1: string fingerprint = ""     // of the request that ran there
+  2: list<WorkerCrash> crashes = []
+}
+
+struct SuspectRun {
+  1: string fingerprint = ""
+  2: string worker_id = ""
+  3: i64 for_ms = 0              // it is kept apart for so long; 0 once it has ended
+}
+
+// Without an answer: which requests workers have ended under.
+struct CrashNews {
+  1: list<CrashedWorkers> crashed = []
+  2: list<string> cleared = []   // requests that have ended well since
+  3: list<SuspectRun> runs = []
+}
--- a/src/trefoilpaddle/coordination/chain/attempts.py
+++ b/src/trefoilpaddle/coordination/chain/attempts.py
@@ -1,6 +1,7 @@
 """Sends one request to workers until one has answered it, or it must end."""
 
 import time
+from dataclasses import replace
 from typing import Final
 
 from ...protocol.reasons import Reason
@@ -58,6 +59,7 @@
         "_choice",
         "_delivery",
         "_exchange",
+        "_guard",
         "_inputs",
         "_is_left",
         "_job",
@@ -98,6 +100,7 @@
             delivery=delivery,
             guard=guard,
         )
+        self._guard = guard
         self._budget = budget
         self._journal = journal
         self._tried: set[str] = set()
@@ -111,6 +114,11 @@
     async def run(self, sink: CallerSink) -> Outcome:
         """Send the request until it has an answer or must end."""
         while True:
+            refusal = self._guard.refusal(self._job.fingerprint)
+            if refusal is not None:
+                return self._delivery.end(
+                    refusal.reason, retry_after_s=refusal.retry_after_s
+                )
             worker = self._choose()
             if worker is None:
                 return self._end(Reason.NO_TARGET)
@@ -129,13 +137,25 @@
                         return await self._pass_on(failed, sink)
                 case CallFault() as fault:
                     self._learn(fault, worker)
+                    if self._job.may_repeat:
+                        await self._guard.settled(worker)
                     if not self._may_go_on(REASON_OF[fault], worker):
                         return self._end(REASON_OF[fault])
 
     def _choose(self) -> Worker | None:
-        return self._choice.choose(
-            self._job.worker_service(), self._need, without=frozenset(self._tried)
-        )
+        """Return the next worker; one where a suspect runs only without another."""
+        service = self._job.worker_service()
+        tried = frozenset(self._tried)
+        need = self._need
+        if self._guard.is_suspect(self._job.fingerprint):
+            # Not where its prompt is known, but where it has the fewest beside it.
+            need = replace(need, prompt=None)
+        apart = self._guard.workers_apart()
+        if apart:
+            worker = self._choice.choose(service, need, without=tried | apart)
+            if worker is not None:
+                return worker
+        return self._choice.choose(service, need, without=tried)
 
     def _learn(self, fault: CallFault, worker: Worker) -> None:
         """Take what a fault says of the worker and of the request."""
--- a/src/trefoilpaddle/coordination/chain/crash_guard.py
+++ b/src/trefoilpaddle/coordination/chain/crash_guard.py
@@ -1,15 +1,30 @@
-"""Watches runs of requests at workers, for those that end their workers."""
+"""Keeps requests that crash their workers from being sent to more of them."""
 
 import time
 from collections.abc import Iterator, Sequence
 from contextlib import contextmanager
+from typing import Final
 
+from ...protocol.reasons import Reason
+from ...state.chain.apart_runs import APART_S, ApartRuns
+from ...state.chain.crash_book import Crash, CrashBook, Standing
+from ...state.chain.requests import Refused
 from ...state.chain.worker_runs import OpenEndedRun, RunEnd
 from ...state.chain.workers import Worker, WorkerTable
-from ...state.journal import Journal
+from ...state.journal import Decision, Event, Figure, Journal
+from .crash_relay import ApartRun, CrashRelay
 from .target_calls import TargetCalls
 from .worker_ends import Evidence, WorkerEnds
 
+APART_RETRY_S: Final = 1.0
+"""When to come back with a request that runs apart; most runs are over by then."""
+
+NOTED: Final = {
+    Standing.SUSPECT: Event.REQUEST_SUSPECTED,
+    Standing.BLOCKED: Event.REQUEST_BLOCKED,
+}
+"""Events of requests whose standing has become worse."""
+
 
 class WatchedRun:
     """A run of one request at one worker.
@@ -27,7 +42,7 @@
 
 
 class CrashGuard:
-    """Watches runs, and tells which workers have ended under them.
+    """Knows which requests workers have ended under, here and at other gateways.
 
     Parameters
     ----------
@@ -37,33 +52,89 @@
         Speaks to workers.
     journal : Journal
         Takes decisions.
+    book : CrashBook
+        What is remembered.
+    relay : CrashRelay
+        Tells other gateways, and hears them.
     """
 
-    __slots__ = ("_ends",)
+    __slots__ = ("_apart", "_book", "_ends", "_journal", "_relay", "_workers")
 
     def __init__(
-        self, *, workers: WorkerTable, calls: TargetCalls, journal: Journal
+        self,
+        *,
+        workers: WorkerTable,
+        calls: TargetCalls,
+        journal: Journal,
+        book: CrashBook,
+        relay: CrashRelay,
     ) -> None:
+        self._workers = workers
+        self._journal = journal
+        self._book = book
+        self._relay = relay
+        self._apart = ApartRuns()
         self._ends = WorkerEnds(
-            workers=workers, calls=calls, journal=journal, on_ended=_ignore
+            workers=workers, calls=calls, journal=journal, on_ended=self._on_ended
         )
+        relay.on_crash = self.hear_crash
+        relay.on_clear = self.clear
+        relay.on_run = self.hear_run
+
+    def refusal(self, fingerprint: str) -> Refused | None:
+        """Return why a request may not be sent to a worker now, or None."""
+        match self._book.standing(fingerprint):
+            case Standing.BLOCKED:
+                return Refused(reason=Reason.CRASHES_WORKERS)
+            case Standing.SUSPECT if self._apart.worker_of(fingerprint):
+                return Refused(reason=Reason.RUNS_APART, retry_after_s=APART_RETRY_S)
+            case _:
+                return None
+
+    def is_suspect(self, fingerprint: str) -> bool:
+        """Return True if a request is to run apart from others."""
+        return self._book.standing(fingerprint) is Standing.SUSPECT
+
+    def workers_apart(self) -> frozenset[str]:
+        """Return the workers at which suspects run; others go elsewhere."""
+        return self._apart.workers()
 
     @contextmanager
     def running(self, worker: Worker, fingerprint: str) -> Iterator[WatchedRun]:
         """Watch a run while the context is open; its user says how it ended."""
         run = WatchedRun()
         began_s = time.monotonic()
+        is_apart = self.is_suspect(fingerprint)
+        if is_apart:
+            self._tell_apart(fingerprint, worker.worker_id, for_s=APART_S)
         try:
             yield run
         finally:
+            if is_apart:
+                self._tell_apart(fingerprint, worker.worker_id, for_s=0.0)
             self._end(worker, fingerprint, began_s, run.end)
 
+    async def settled(self, worker: Worker) -> None:
+        """Wait until it is known whether a worker whose answer broke is gone."""
+        await self._ends.settled(worker)
+
+    def clear(self, fingerprint: str) -> None:
+        """Count a request as one that crashes no workers."""
+        is_known = bool(self._book.crashes(fingerprint))
+        if self._book.clear(fingerprint):
+            self._relay.tell_clear(fingerprint)
+        if is_known:
+            self._note(Event.REQUEST_CLEARED, fingerprint)
+
     def _end(
         self, worker: Worker, fingerprint: str, began_s: float, end: RunEnd
     ) -> None:
         match end:
-            case RunEnd.ANSWERED | RunEnd.NOT_RUN:
+            case RunEnd.NOT_RUN:
                 return
+            case RunEnd.ANSWERED:
+                if self._book.standing(fingerprint) is not Standing.CLEAR:
+                    self.clear(fingerprint)
             case RunEnd.REFUSED:
                 self._ends.confirm(worker, Evidence.REFUSES)
             case RunEnd.BROKEN | RunEnd.SILENT | RunEnd.LEFT:
@@ -77,6 +148,58 @@
                     )
                 )
 
-
-def _ignore(worker: Worker, runs: Sequence[OpenEndedRun]) -> None:
-    pass
+    def _on_ended(self, worker: Worker, runs: Sequence[OpenEndedRun]) -> None:
+        for run in runs:
+            crash = Crash(
+                worker_id=worker.worker_id,
+                born_ms=worker.born_ms,
+                began_s=run.began_s,
+                ended_s=run.ended_s,
+            )
+            self._take(run.fingerprint, crash)
+
+    def hear_crash(self, fingerprint: str, crash: Crash) -> None:
+        """Take in what a peer has seen, and what ran at that worker from here."""
+        if self._book.is_cleared(fingerprint, crash):
+            # Its peer was out of touch when the request was cleared.
+            self._relay.tell_clear(fingerprint)
+            return
+        self._take(fingerprint, crash)
+        worker = self._workers.get(crash.worker_id)
+        if worker is not None and worker.born_ms == crash.born_ms:
+            self._ends.confirm(worker, Evidence.TOLD)
+
+    def _take(self, fingerprint: str, crash: Crash) -> None:
+        before = self._book.standing(fingerprint)
+        if not self._book.note(fingerprint, crash):
+            return
+        self._relay.tell_crash(fingerprint)
+        standing = self._book.standing(fingerprint)
+        if standing is not before and standing in NOTED:
+            self._note(NOTED[standing], fingerprint)
+
+    def hear_run(self, run: ApartRun) -> bool:
+        """Take in where a peer runs a suspect; return True if it was news."""
+        if run.for_s:
+            return self._apart.begin(run.fingerprint, run.worker_id, for_s=run.for_s)
+        return self._apart.end(run.fingerprint, run.worker_id)
+
+    def _tell_apart(self, fingerprint: str, worker_id: str, *, for_s: float) -> None:
+        run = ApartRun(fingerprint=fingerprint, worker_id=worker_id, for_s=for_s)
+        if self.hear_run(run):
+            self._relay.tell_run(run)
+
+    def _note(self, event: Event, fingerprint: str) -> None:
+        now_s = time.monotonic()
+        crashes = self._book.crashes(fingerprint)
+        ended = " ".join(
+            f"{crash.worker_id} {now_s - crash.ended_s:.1f} s ago" for crash in crashes
+        )
+        self._journal.record(
+            Decision(
+                event=event,
+                reason=Reason.CRASHES_WORKERS,
+                detail=f"{fingerprint}: {ended}".removesuffix(": "),
+                figures=(Figure(name="n_crashes", value=len(crashes)),),
+            )
+        )
--- a/src/trefoilpaddle/coordination/chain/request_path.py
+++ b/src/trefoilpaddle/coordination/chain/request_path.py
@@ -175,6 +175,9 @@
             deadline_s=deadline_s,
             fingerprint=fingerprint_of(request, account.name),
         )
+        refusal = self._guard.refusal(job.fingerprint)
+        if refusal is not None:
+            return refusal
         try:
             async with self._stop.bounding(delivery, deadline_s + LAST_S):
                 return await self._run(job, delivery, sink)
--- a/src/trefoilpaddle/coordination/chain/worker_ends.py
+++ b/src/trefoilpaddle/coordination/chain/worker_ends.py
@@ -56,6 +56,9 @@
 }
 """Which evidence turns a run without an answer into one that its worker ended under."""
 
+Start = tuple[str, int]
+"""Id of a worker, and when it began; the same id may begin again."""
+
 EndListener = Callable[[Worker, Sequence[OpenEndedRun]], None]
 
 
@@ -98,9 +101,9 @@
         self._journal = journal
         self._on_ended = on_ended
         self._pending: deque[OpenEndedRun] = deque(maxlen=MAX_PENDING)
-        self._ended_s: dict[tuple[str, int], tuple[float, Evidence]] = {}
-        self._looks: dict[str, asyncio.Task[None]] = {}
-        self._looked_s: dict[str, float] = {}
+        self._ended_s: dict[Start, tuple[float, Evidence]] = {}
+        self._looks: dict[Start, asyncio.Task[None]] = {}
+        self._looked_s: dict[Start, float] = {}
         workers.end_listeners.append(self._on_restart)
         workers.leave_listeners.append(self._on_leave)
 
@@ -116,7 +119,7 @@
         if listed.born_ms > worker.born_ms:
             self.confirm(worker, Evidence.RESTARTED)
             return
-        known = self._ended_s.get(_key(worker))
+        known = self._ended_s.get(_start(worker))
         if known is not None:
             self.confirm(worker, known[1])
         elif run.end is RunEnd.BROKEN:
@@ -126,13 +129,13 @@
         """Take evidence that a worker's process has ended."""
         now_s = time.monotonic()
         self._forget_old(now_s)
-        known = self._ended_s.get(_key(worker))
+        known = self._ended_s.get(_start(worker))
         if known is None or evidence is Evidence.REFUSES:
-            self._ended_s[_key(worker)] = (now_s, evidence)
+            self._ended_s[_start(worker)] = (now_s, evidence)
         found = [
             run
             for run in self._pending
-            if _key(run.worker) == _key(worker) and evidence in EXPLAINS[run.end]
+            if _start(run.worker) == _start(worker) and evidence in EXPLAINS[run.end]
         ]
         if not found:
             return
@@ -145,17 +148,18 @@
 
     async def settled(self, worker: Worker) -> None:
         """Wait until the look at a worker whose answer broke is over."""
-        look = self._looks.get(worker.worker_id)
+        look = self._looks.get(_start(worker))
         if look is not None:
             await asyncio.wait({look})
 
     def _look(self, worker: Worker) -> None:
         now_s = time.monotonic()
-        is_recent = now_s - self._looked_s.get(worker.worker_id, 0.0) < LOOK_GAP_S
-        if worker.worker_id in self._looks or is_recent:
+        start = _start(worker)
+        is_recent = now_s - self._looked_s.get(start, 0.0) < LOOK_GAP_S
+        if start in self._looks or is_recent:
             return
-        self._looked_s[worker.worker_id] = now_s
-        self._looks[worker.worker_id] = asyncio.create_task(self._send_look(worker))
+        self._looked_s[start] = now_s
+        self._looks[start] = asyncio.create_task(self._send_look(worker))
 
     async def _send_look(self, worker: Worker) -> None:
         try:
@@ -165,14 +169,16 @@
             # Nobody waits for this task's exception.
             logging.exception("a look whether %s is gone", worker.worker_id)
         finally:
-            del self._looks[worker.worker_id]
+            del self._looks[_start(worker)]
 
     def _on_restart(self, worker: Worker) -> None:
         self.confirm(worker, Evidence.RESTARTED)
 
     def _on_leave(self, worker: Worker) -> None:
         if worker.is_leaving:
-            kept = (run for run in self._pending if _key(run.worker) != _key(worker))
+            kept = (
+                run for run in self._pending if _start(run.worker) != _start(worker)
+            )
             self._pending = deque(kept, maxlen=MAX_PENDING)
         elif self._workers.get(worker.worker_id) is None:
             self.confirm(worker, Evidence.LAPSED)
@@ -181,13 +187,13 @@
         while self._pending and now_s - self._pending[0].ended_s > PENDING_S:
             self._pending.popleft()
         self._looked_s = {
-            worker_id: looked_s
-            for worker_id, looked_s in self._looked_s.items()
+            start: looked_s
+            for start, looked_s in self._looked_s.items()
             if now_s - looked_s < LOOK_GAP_S
         }
         self._ended_s = {
-            key: known
-            for key, known in self._ended_s.items()
+            start: known
+            for start, known in self._ended_s.items()
             if now_s - known[0] < ENDED_S
         }
 
@@ -207,6 +213,6 @@
         )
 
 
-def _key(worker: Worker) -> tuple[str, int]:
+def _start(worker: Worker) -> Start:
     """Return what tells the starts of workers apart."""
     return worker.worker_id, worker.born_ms
--- a/src/trefoilpaddle/protocol/frames.py
+++ b/src/trefoilpaddle/protocol/frames.py
@@ -77,6 +77,7 @@
     96: chain.StoreNews,
     97: chain.TakeCell,
     98: chain.CellTaken,
+    99: chain.CrashNews,
 }
 KIND_OF: Final[Mapping[type, int]] = {cls: kind for kind, cls in KINDS.items()}
 
--- a/src/trefoilpaddle/protocol/gen/chain/ttypes.py
+++ b/src/trefoilpaddle/protocol/gen/chain/ttypes.py
@@ -2083,6 +2083,425 @@
 
     def __ne__(self, other):
         return not (self == other)
+
+
+class WorkerCrash(object):
+    """
+    Attributes:
+     - worker_id
+     - born_ms
+     - began_ms
+     - ended_ms
+
+    """
+
+    __slots__ = (
+        'worker_id',
+        'born_ms',
+        'began_ms',
+        'ended_ms',
+    )
+
+
+    def __init__(self, worker_id="", born_ms=0, began_ms=0, ended_ms=0,):
+        self.worker_id = worker_id
+        self.born_ms = born_ms
+        self.began_ms = began_ms
+        self.ended_ms = ended_ms
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.worker_id = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.I64:
+                    self.born_ms = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.I64:
+                    self.began_ms = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.I64:
+                    self.ended_ms = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('WorkerCrash')
+        if self.worker_id is not None:
+            oprot.writeFieldBegin('worker_id', TType.STRING, 1)
+            oprot.writeString(self.worker_id.encode('utf-8') if sys.version_info[0] == 2 else self.worker_id)
+            oprot.writeFieldEnd()
+        if self.born_ms is not None:
+            oprot.writeFieldBegin('born_ms', TType.I64, 2)
+            oprot.writeI64(self.born_ms)
+            oprot.writeFieldEnd()
+        if self.began_ms is not None:
+            oprot.writeFieldBegin('began_ms', TType.I64, 3)
+            oprot.writeI64(self.began_ms)
+            oprot.writeFieldEnd()
+        if self.ended_ms is not None:
+            oprot.writeFieldBegin('ended_ms', TType.I64, 4)
+            oprot.writeI64(self.ended_ms)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class CrashedWorkers(object):
+    """
+    Attributes:
+     - fingerprint
+     - crashes
+
+    """
+
+    __slots__ = (
+        'fingerprint',
+        'crashes',
+    )
+
+
+    def __init__(self, fingerprint="", crashes=[
+    ],):
+        self.fingerprint = fingerprint
+        if crashes is self.thrift_spec[2][4]:
+            crashes = [
+            ]
+        self.crashes = crashes
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.fingerprint = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.LIST:
+                    self.crashes = []
+                    (_etype115, _size112) = iprot.readListBegin()
+                    for _i116 in range(_size112):
+                        _elem117 = WorkerCrash()
+                        _elem117.read(iprot)
+                        self.crashes.append(_elem117)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('CrashedWorkers')
+        if self.fingerprint is not None:
+            oprot.writeFieldBegin('fingerprint', TType.STRING, 1)
+            oprot.writeString(self.fingerprint.encode('utf-8') if sys.version_info[0] == 2 else self.fingerprint)
+            oprot.writeFieldEnd()
+        if self.crashes is not None:
+            oprot.writeFieldBegin('crashes', TType.LIST, 2)
+            oprot.writeListBegin(TType.STRUCT, len(self.crashes))
+            for iter118 in self.crashes:
+                iter118.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class SuspectRun(object):
+    """
+    Attributes:
+     - fingerprint
+     - worker_id
+     - for_ms
+
+    """
+
+    __slots__ = (
+        'fingerprint',
+        'worker_id',
+        'for_ms',
+    )
+
+
+    def __init__(self, fingerprint="", worker_id="", for_ms=0,):
+        self.fingerprint = fingerprint
+        self.worker_id = worker_id
+        self.for_ms = for_ms
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.fingerprint = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.STRING:
+                    self.worker_id = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.I64:
+                    self.for_ms = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('SuspectRun')
+        if self.fingerprint is not None:
+            oprot.writeFieldBegin('fingerprint', TType.STRING, 1)
+            oprot.writeString(self.fingerprint.encode('utf-8') if sys.version_info[0] == 2 else self.fingerprint)
+            oprot.writeFieldEnd()
+        if self.worker_id is not None:
+            oprot.writeFieldBegin('worker_id', TType.STRING, 2)
+            oprot.writeString(self.worker_id.encode('utf-8') if sys.version_info[0] == 2 else self.worker_id)
+            oprot.writeFieldEnd()
+        if self.for_ms is not None:
+            oprot.writeFieldBegin('for_ms', TType.I64, 3)
+            oprot.writeI64(self.for_ms)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class CrashNews(object):
+    """
+    Attributes:
+     - crashed
+     - cleared
+     - runs
+
+    """
+
+    __slots__ = (
+        'crashed',
+        'cleared',
+        'runs',
+    )
+
+
+    def __init__(self, crashed=[
+    ], cleared=[
+    ], runs=[
+    ],):
+        if crashed is self.thrift_spec[1][4]:
+            crashed = [
+            ]
+        self.crashed = crashed
+        if cleared is self.thrift_spec[2][4]:
+            cleared = [
+            ]
+        self.cleared = cleared
+        if runs is self.thrift_spec[3][4]:
+            runs = [
+            ]
+        self.runs = runs
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.LIST:
+                    self.crashed = []
+                    (_etype122, _size119) = iprot.readListBegin()
+                    for _i123 in range(_size119):
+                        _elem124 = CrashedWorkers()
+                        _elem124.read(iprot)
+                        self.crashed.append(_elem124)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.LIST:
+                    self.cleared = []
+                    (_etype128, _size125) = iprot.readListBegin()
+                    for _i129 in range(_size125):
+                        _elem130 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.cleared.append(_elem130)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.LIST:
+                    self.runs = []
+                    (_etype134, _size131) = iprot.readListBegin()
+                    for _i135 in range(_size131):
+                        _elem136 = SuspectRun()
+                        _elem136.read(iprot)
+                        self.runs.append(_elem136)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('CrashNews')
+        if self.crashed is not None:
+            oprot.writeFieldBegin('crashed', TType.LIST, 1)
+            oprot.writeListBegin(TType.STRUCT, len(self.crashed))
+            for iter137 in self.crashed:
+                iter137.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.cleared is not None:
+            oprot.writeFieldBegin('cleared', TType.LIST, 2)
+            oprot.writeListBegin(TType.STRING, len(self.cleared))
+            for iter138 in self.cleared:
+                oprot.writeString(iter138.encode('utf-8') if sys.version_info[0] == 2 else iter138)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.runs is not None:
+            oprot.writeFieldBegin('runs', TType.LIST, 3)
+            oprot.writeListBegin(TType.STRUCT, len(self.runs))
+            for iter139 in self.runs:
+                iter139.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
 all_structs.append(ChainStage)
 ChainStage.thrift_spec = (
     None,  # 0
@@ -2244,5 +2663,37 @@
     ], ),  # 8
     (9, TType.STRUCT, 'table', [TableChange, None], None, ),  # 9
 )
+all_structs.append(WorkerCrash)
+WorkerCrash.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'worker_id', 'UTF8', "", ),  # 1
+    (2, TType.I64, 'born_ms', None, 0, ),  # 2
+    (3, TType.I64, 'began_ms', None, 0, ),  # 3
+    (4, TType.I64, 'ended_ms', None, 0, ),  # 4
+)
+all_structs.append(CrashedWorkers)
+CrashedWorkers.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'fingerprint', 'UTF8', "", ),  # 1
+    (2, TType.LIST, 'crashes', (TType.STRUCT, [WorkerCrash, None], False), [
+    ], ),  # 2
+)
+all_structs.append(SuspectRun)
+SuspectRun.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'fingerprint', 'UTF8', "", ),  # 1
+    (2, TType.STRING, 'worker_id', 'UTF8', "", ),  # 2
+    (3, TType.I64, 'for_ms', None, 0, ),  # 3
+)
+all_structs.append(CrashNews)
+CrashNews.thrift_spec = (
+    None,  # 0
+    (1, TType.LIST, 'crashed', (TType.STRUCT, [CrashedWorkers, None], False), [
+    ], ),  # 1
+    (2, TType.LIST, 'cleared', (TType.STRING, 'UTF8', False), [
+    ], ),  # 2
+    (3, TType.LIST, 'runs', (TType.STRUCT, [SuspectRun, None], False), [
+    ], ),  # 3
+)
 fix_spec(all_structs)
 del all_structs
--- a/src/trefoilpaddle/protocol/gen/chain/ttypes.pyi
+++ b/src/trefoilpaddle/protocol/gen/chain/ttypes.pyi
@@ -111,3 +111,23 @@
     withdrawn: list[str]
     table: TableChange | None
     def __init__(self, *, base_revision: int = ..., revision: int = ..., version: int = ..., workers: list[ListedWorker] = ..., removed: list[str] = ..., digest: int = ..., back_ms: int = ..., withdrawn: list[str] = ..., table: TableChange | None = ...) -> None: ...
+class WorkerCrash:
+    worker_id: str
+    born_ms: int
+    began_ms: int
+    ended_ms: int
+    def __init__(self, *, worker_id: str = ..., born_ms: int = ..., began_ms: int = ..., ended_ms: int = ...) -> None: ...
+class CrashedWorkers:
+    fingerprint: str
+    crashes: list[WorkerCrash]
+    def __init__(self, *, fingerprint: str = ..., crashes: list[WorkerCrash] = ...) -> None: ...
+class SuspectRun:
+    fingerprint: str
+    worker_id: str
+    for_ms: int
+    def __init__(self, *, fingerprint: str = ..., worker_id: str = ..., for_ms: int = ...) -> None: ...
+class CrashNews:
+    crashed: list[CrashedWorkers]
+    cleared: list[str]
+    runs: list[SuspectRun]
+    def __init__(self, *, crashed: list[CrashedWorkers] = ..., cleared: list[str] = ..., runs: list[SuspectRun] = ...) -> None: ...
--- a/src/trefoilpaddle/protocol/reasons.py
+++ b/src/trefoilpaddle/protocol/reasons.py
@@ -40,6 +40,8 @@
     STOPPING = 30
     UNKNOWN_PIPELINE = 31
     INTERNAL = 32
+    CRASHES_WORKERS = 33
+    RUNS_APART = 34
 
 
 def reason_from_wire(number: int) -> Reason:
--- a/src/trefoilpaddle/state/chain/fingerprint.py
+++ b/src/trefoilpaddle/state/chain/fingerprint.py
@@ -1,5 +1,6 @@
 """Which attempts of callers are the same request, whatever their ids."""
 
+import re
 from hashlib import blake2b
 from typing import Final
 
@@ -11,6 +12,8 @@
 REQUEST_BYTES: Final = 12
 """Part that tells the requests of an account apart."""
 
+FORM: Final = re.compile(f"[0-9a-f]{{{2 * (ACCOUNT_BYTES + REQUEST_BYTES)}}}")
+
 
 def fingerprint_of(request: CallerRequest, account: str) -> str:
     """Return what is the same for all attempts of a request, as hexadecimal text.
@@ -38,3 +41,8 @@
 def account_part(fingerprint: str) -> str:
     """Return the part of a fingerprint that stands for its client account."""
     return fingerprint[: 2 * ACCOUNT_BYTES]
+
+
+def is_fingerprint(text: str) -> bool:
+    """Return True if `text`, which a peer sent, can be a fingerprint."""
+    return FORM.fullmatch(text) is not None
--- a/src/trefoilpaddle/state/events.py
+++ b/src/trefoilpaddle/state/events.py
@@ -22,6 +22,12 @@
     """A retry was joined to the try that was running already."""
     REQUEST_CUT = 106
     """The process went before the answer; tells what the request waited for."""
+    REQUEST_SUSPECTED = 107
+    """Two workers have ended under a request; it runs once at a time, apart."""
+    REQUEST_BLOCKED = 108
+    """A request is sent to no worker; names those that have ended under it."""
+    REQUEST_CLEARED = 109
+    """A request that workers had ended under has ended well, or was let again."""
     # Stage calls at a gateway
     ROUTED = 120
     """A target was chosen for a stage call."""
--- a/src/trefoilpaddle/state/reason_words.py
+++ b/src/trefoilpaddle/state/reason_words.py
@@ -36,6 +36,8 @@
     Reason.SHARE_EXCEEDED: "the owner has used more than its share",
     Reason.STOPPING: "the process is stopping",
     Reason.UNKNOWN_PIPELINE: "there is no such pipeline",
+    Reason.CRASHES_WORKERS: "each worker that ran it has crashed",
+    Reason.RUNS_APART: "it may crash workers, and runs at one of them already",
     Reason.INTERNAL: "of a fault in trefoilpaddle itself; see the log",
 }
 
--- /dev/null
+++ b/tests/chain/crash_fleet.py
@@ -0,0 +1,126 @@
+"""Gateways that tell one another of crashes, over links that can be cut."""
+
+import asyncio
+import contextlib
+from collections.abc import AsyncIterator
+from dataclasses import replace
+from types import SimpleNamespace
+from typing import Any
+
+from trefoilpaddle.coordination.chain.crash_guard import CrashGuard
+from trefoilpaddle.coordination.chain.crash_relay import CrashRelay
+from trefoilpaddle.protocol.frames import Message, decode, encode
+from trefoilpaddle.state.chain.crash_book import CrashBook, Standing
+from trefoilpaddle.state.chain.worker_runs import RunEnd
+from trefoilpaddle.state.chain.workers import WorkerTable
+from trefoilpaddle.transport.connection import Address
+
+from .fakes import FakeCalls, journal, process, worker
+
+N_WORKERS = 9
+LENGTH_BYTES = 4
+
+
+class Gateway:
+    """What one gateway knows of crashes."""
+
+    def __init__(self, number: int, calls: FakeCalls) -> None:
+        self.process = process(f"g{number}")
+        self.address = Address(ip="127.0.0.1", port=1 + number)
+        self.links: list[Any] = []
+        self.workers = WorkerTable()
+        for each in range(N_WORKERS):
+            self.workers.put(replace(worker(f"w{each}"), born_ms=1))
+        self.book = CrashBook()
+        self.notes = journal()
+        self.relay = CrashRelay(
+            process=self.process, links=lambda: self.links, book=self.book
+        )
+        self.guard = CrashGuard(
+            workers=self.workers,
+            calls=calls,
+            journal=self.notes,
+            book=self.book,
+            relay=self.relay,
+        )
+
+    def hear(self, data: bytes) -> None:
+        message = decode(data[LENGTH_BYTES:]).unwrap().message
+        for listener in self.process.message_listeners:
+            listener(None, message)  # type: ignore[arg-type]
+
+
+class FakeLink:
+    """A way from one gateway to another."""
+
+    def __init__(self, fleet: "CrashFleet", to: Gateway) -> None:
+        self._fleet = fleet
+        self._to = to
+        self.address = to.address
+        self.connection: object | None = SimpleNamespace()
+
+    def send(self, message: Message) -> bool:
+        if self.connection is None:
+            return False
+        data = encode(message)
+        self._fleet.n_messages += 1
+        asyncio.get_running_loop().call_soon(self._to.hear, data)
+        return True
+
+
+class CrashFleet:
+    """Gateways in a ring with one link across.
+
+    Attributes
+    ----------
+    n_messages : int
+        Sent so far between gateways.
+    """
+
+    def __init__(self, n_gateways: int) -> None:
+        self.calls = FakeCalls()
+        self.n_messages = 0
+        self.every = [Gateway(number, self.calls) for number in range(n_gateways)]
+        for number, gateway in enumerate(self.every):
+            for step in (1, n_gateways // 2):
+                to = self.every[(number + step) % n_gateways]
+                gateway.links.append(FakeLink(self, to))
+
+    async def run_at(
+        self, number: int, worker_id: str, fingerprint: str, end: RunEnd
+    ) -> None:
+        """Run a request at a worker; one that ends broken ends the worker."""
+        gateway = self.every[number]
+        at = gateway.workers.get(worker_id)
+        assert at is not None
+        with gateway.guard.running(at, fingerprint) as run:
+            await asyncio.sleep(0.002)
+            run.end = end
+            if end is RunEnd.BROKEN:
+                self.calls.refusing.add(worker_id)
+        await gateway.guard.settled(at)
+
+    def start_again(self, worker_id: str) -> None:
+        """List a new start of a worker at all gateways."""
+        self.calls.refusing.discard(worker_id)
+        for gateway in self.every:
+            known = gateway.workers.get(worker_id)
+            assert known is not None
+            gateway.workers.put(replace(known, born_ms=known.born_ms + 1))
+
+    def standings(self, fingerprint: str) -> set[Standing]:
+        """Return what the gateways hold of a request."""
+        return {gateway.book.standing(fingerprint) for gateway in self.every}
+
+
+@contextlib.asynccontextmanager
+async def crash_fleet(n_gateways: int = 8) -> AsyncIterator[CrashFleet]:
+    """Let gateways tell one another while the context is open."""
+    fleet = CrashFleet(n_gateways)
+    running = [asyncio.create_task(each.relay.run()) for each in fleet.every]
+    try:
+        yield fleet
+    finally:
+        for task in running:
+            task.cancel()
+        await asyncio.gather(*running, return_exceptions=True)
--- a/tests/chain/fakes.py
+++ b/tests/chain/fakes.py
@@ -10,12 +10,14 @@
 from trefoilpaddle.coordination.chain.cell_dispatch import CellDispatch
 from trefoilpaddle.coordination.chain.chain_scheduler import ChainScheduler
 from trefoilpaddle.coordination.chain.crash_guard import CrashGuard
+from trefoilpaddle.coordination.chain.crash_relay import CrashRelay
 from trefoilpaddle.coordination.chain.target_calls import (
     OpenAnswer,
     StreamBrokenError,
     TargetCall,
 )
 from trefoilpaddle.roles.process import Identity, Process
+from trefoilpaddle.state.chain.crash_book import CrashBook
 from trefoilpaddle.state.chain.piece_work import PieceEnd, PieceMade, PieceWork
 from trefoilpaddle.state.chain.repeat_budget import RepeatBudgets
 from trefoilpaddle.state.chain.requests import CallerRequest
@@ -242,7 +244,14 @@
 
 
 def crash_guard(calls: FakeCalls, workers: WorkerTable) -> CrashGuard:
-    return CrashGuard(workers=workers, calls=calls, journal=journal())
+    book = CrashBook()
+    return CrashGuard(
+        workers=workers,
+        calls=calls,
+        journal=journal(),
+        book=book,
+        relay=CrashRelay(process=process("g"), links=list, book=book),
+    )
 
 
 def process(name: str, domain: str = "here") -> Process:
--- a/tests/chain/test_attempts.py
+++ b/tests/chain/test_attempts.py
@@ -1,12 +1,17 @@
 """When a request may be sent once more, and what its caller is told."""
 
+import time
+from collections.abc import Sequence
+
 import pytest
 
 from trefoilpaddle.coordination.chain import patience as patience_module
 from trefoilpaddle.coordination.chain.attempts import Attempts
+from trefoilpaddle.coordination.chain.crash_relay import ApartRun
 from trefoilpaddle.coordination.chain.job import Job
 from trefoilpaddle.coordination.chain.worker_choice import Need, WorkerChoice
 from trefoilpaddle.protocol.reasons import Reason
+from trefoilpaddle.state.chain.crash_book import Crash
 from trefoilpaddle.state.chain.delivery import Delivery
 from trefoilpaddle.state.chain.requests import Answered, Failed, Refused
 from trefoilpaddle.state.chain.routes import Account, Repeat, Route
@@ -25,6 +30,8 @@
     worker,
 )
 
+FINGERPRINT = "f" * 32
+
 
 class FakeInputs:
     """Results that can be made again `n_left` times."""
@@ -57,10 +64,25 @@
     n_workers: int = 3,
     slack: float = 100.0,
     inputs: FakeInputs | None = None,
+    n_crashes: int = 0,
+    apart: Sequence[str] = (),
 ) -> Attempts:
     workers = WorkerTable()
     for number in range(n_workers):
         workers.put(worker(f"w{number}"))
+    guard = crash_guard(calls, workers)
+    now_s = time.monotonic()
+    for number in range(n_crashes):
+        crash = Crash(
+            worker_id=f"x{number}",
+            born_ms=1,
+            began_s=now_s - 10 + number,
+            ended_s=now_s - 9.5 + number,
+        )
+        guard.hear_crash(FINGERPRINT, crash)
+    for worker_id in apart:
+        run = ApartRun(fingerprint=worker_id * 16, worker_id=worker_id, for_s=1.0)
+        guard.hear_run(run)
     job = Job(
         request=request(),
         route=way,
@@ -68,7 +90,7 @@
         service="plain",
         services={},
         deadline_s=request().deadline_s,
-        fingerprint="f1",
+        fingerprint=FINGERPRINT,
     )
     return Attempts(
         job=job,
@@ -80,7 +102,7 @@
         budget=budgets(slack=slack, ratio=0.0).of("plain"),
         journal=journal(),
         delivery=Delivery(),
-        guard=crash_guard(calls, workers),
+        guard=guard,
     )
 
 
@@ -268,3 +290,34 @@
         sink = FakeSink()
         assert isinstance(await attempts(calls, STREAM_ONCE).run(sink), Answered)
         assert sink.seen == ["begin", "1", "2", "end"]
+
+
+class TestCrashingRequests:
+    async def test_one_that_crashes_its_third_worker_is_not_sent_on(self) -> None:
+        # Its route would send it on at once, before anybody has told of the crash.
+        calls = FakeCalls(scripts=[CallFault.BROKEN, FakeAnswer()])
+        calls.refusing |= {"w0", "w1", "w2"}
+        outcome = await attempts(calls, IDEMPOTENT, n_crashes=2).run(FakeSink())
+        assert outcome == Failed(reason=Reason.CRASHES_WORKERS)
+        assert len(calls.sent) == 1
+
+    async def test_one_that_is_blocked_has_truly_not_run(self) -> None:
+        calls = FakeCalls()
+        running = attempts(calls, IDEMPOTENT, n_crashes=3)
+        assert await running.run(FakeSink()) == Refused(reason=Reason.CRASHES_WORKERS)
+        assert calls.sent == []
+
+    async def test_a_broken_answer_of_a_live_worker_is_sent_on(self) -> None:
+        calls = FakeCalls(scripts=[CallFault.BROKEN, FakeAnswer()])
+        outcome = await attempts(calls, IDEMPOTENT, n_crashes=2).run(FakeSink())
+        assert isinstance(outcome, Answered)
+
+    async def test_others_go_where_no_suspect_runs(self) -> None:
+        calls = FakeCalls(scripts=[FakeAnswer()])
+        await attempts(calls, ONCE, apart=("w0", "w1")).run(FakeSink())
+        assert calls.sent[0][0] == "w2"
+
+    async def test_with_no_other_worker_they_go_there_all_the_same(self) -> None:
+        calls = FakeCalls(scripts=[FakeAnswer()])
+        running = attempts(calls, ONCE, n_workers=1, apart=("w0",))
+        assert isinstance(await running.run(FakeSink()), Answered)
--- /dev/null
+++ b/tests/chain/test_crash_book.py
@@ -0,0 +1,125 @@
+"""What is remembered of crashes, for how long, and how much of it."""
+
+import time
+from typing import Final
+
+import pytest
+
+from trefoilpaddle.state.chain import crash_book
+from trefoilpaddle.state.chain.crash_book import Crash, CrashBook, Standing
+
+ACCOUNT: Final = "0" * 8
+OTHER: Final = "1" * 8
+
+
+def name(number: int, account: str = ACCOUNT) -> str:
+    return f"{account}{number:024x}"
+
+
+def crash(worker_id: str, *, began: float, ended: float, born_ms: int = 1) -> Crash:
+    """Return a crash between two times, in seconds before now."""
+    now_s = time.monotonic()
+    return Crash(
+        worker_id=worker_id,
+        born_ms=born_ms,
+        began_s=now_s - began,
+        ended_s=now_s - ended,
+    )
+
+
+def noted(n_crashes: int, *, ago: float = 0.0) -> CrashBook:
+    """Return a book in which one request has crashed some workers in turn."""
+    book = CrashBook()
+    for number in range(n_crashes):
+        ended = ago + n_crashes - number
+        book.note(name(0), crash(f"w{number}", began=ended + 0.5, ended=ended))
+    return book
+
+
+class TestStanding:
+    @pytest.mark.parametrize(
+        ("n_crashes", "standing"),
+        [
+            (0, Standing.CLEAR),
+            (1, Standing.WATCHED),
+            (2, Standing.SUSPECT),
+            (3, Standing.BLOCKED),
+        ],
+    )
+    def test_it_gets_worse_with_each_crash(
+        self, n_crashes: int, standing: Standing
+    ) -> None:
+        assert noted(n_crashes).standing(name(0)) is standing
+
+    def test_one_that_ended_well_is_cleared(self) -> None:
+        book = noted(3)
+        assert book.clear(name(0))
+        assert book.standing(name(0)) is Standing.CLEAR
+
+    def test_news_from_before_do_not_undo_the_clearing(self) -> None:
+        book = noted(2)
+        book.clear(name(0))
+        assert not book.note(name(0), crash("w9", began=0.2, ended=0.1))
+        assert book.standing(name(0)) is Standing.CLEAR
+
+
+class TestOneCrash:
+    def test_workers_that_lose_their_power_together_count_once(self) -> None:
+        # A hundred runs of one popular request end when all workers do.
+        book = CrashBook()
+        for number in range(100):
+            began = 1.0 + number / 100
+            book.note(name(0), crash(f"w{number}", began=began, ended=0.5))
+        assert book.standing(name(0)) is Standing.WATCHED
+
+    def test_one_end_told_by_several_ways_counts_once(self) -> None:
+        # A gateway that was paused passes on an end as if it were some seconds later.
+        book = CrashBook()
+        for began, ended in ((4.0, 3.9), (2.0, 1.9), (1.0, 0.9)):
+            book.note(name(0), crash("w0", began=began, ended=ended, born_ms=0))
+        assert book.standing(name(0)) is Standing.WATCHED
+
+    def test_a_worker_that_is_back_under_its_id_counts_again(self) -> None:
+        book = CrashBook()
+        for born_ms, ended in ((1, 6.0), (2, 4.0), (3, 2.0)):
+            ends = crash("w0", began=ended + 0.1, ended=ended, born_ms=born_ms)
+            assert book.note(name(0), ends)
+        assert book.standing(name(0)) is Standing.BLOCKED
+
+
+class TestTime:
+    def test_one_that_was_unlucky_is_tried_again_alone(self) -> None:
+        hour_s = 3600.0
+        assert noted(3, ago=hour_s).standing(name(0)) is Standing.SUSPECT
+        assert noted(4, ago=hour_s / 2).standing(name(0)) is Standing.BLOCKED
+
+    def test_two_tries_at_most_follow_a_block(self) -> None:
+        # Later than its third crash a request may reach three workers, in all.
+        assert noted(5, ago=crash_book.REMEMBER_S / 2).standing(name(0)) is (
+            Standing.BLOCKED
+        )
+
+    def test_what_was_long_ago_is_forgotten(self) -> None:
+        assert noted(3, ago=crash_book.REMEMBER_S).standing(name(0)) is Standing.CLEAR
+
+
+class TestBounds:
+    def test_made_up_bodies_do_not_push_out_what_is_suspect(self) -> None:
+        book = noted(2)
+        for number in range(1, 2 * crash_book.MAX_OF_ACCOUNT):
+            book.note(name(number), crash("w0", began=1.0, ended=0.5))
+        assert len(book) == crash_book.MAX_OF_ACCOUNT
+        assert book.standing(name(0)) is Standing.SUSPECT
+
+    def test_made_up_bodies_take_no_place_of_another_account(self) -> None:
+        book = CrashBook()
+        book.note(name(0, OTHER), crash("w0", began=1.0, ended=0.5))
+        for number in range(crash_book.MAX_REQUESTS + 1):
+            account = f"{2 + number % 12:08x}"
+            book.note(name(number, account), crash("w0", began=1.0, ended=0.5))
+        assert len(book) <= crash_book.MAX_REQUESTS
+        assert book.standing(name(0, OTHER)) is Standing.WATCHED
+
+    def test_one_request_keeps_few_crashes(self) -> None:
+        book = noted(3 * crash_book.MAX_CRASHES)
+        assert len(book.crashes(name(0))) == crash_book.MAX_CRASHES
--- a/tests/platform_adapter/test_callers.py
+++ b/tests/platform_adapter/test_callers.py
@@ -191,6 +191,16 @@
         await ask(served, GET + body)
         assert served.requests[0].body == b"abcde"
 
+    async def test_however_it_is_sent_a_body_has_one_digest(self) -> None:
+        # A request that crashes workers is known again by the hash of its body.
+        served = Served()
+        chunks = b"Transfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n2\r\nde\r\n0\r\n\r\n"
+        await ask(served, GET + chunks)
+        await ask(served, GET + b"Content-Length: 5\r\n\r\nabcde")
+        await ask(served, GET + b"Content-Length: 5\r\n\r\nabcdf")
+        first, second, third = (request.body_digest for request in served.requests)
+        assert first == second != third
+
     async def test_a_body_that_is_too_large_is_refused(self) -> None:
         body = b"Content-Length: 101\r\n\r\n" + b"x" * 101
         assert status(await ask(Served(), GET + body)) == 413
@@ -229,6 +239,21 @@
     ) -> None:
         assert status(await ask(Served(outcome=outcome), GET + b"\r\n")) == expected
 
+    @pytest.mark.parametrize(
+        "outcome",
+        [
+            Refused(reason=Reason.CRASHES_WORKERS),
+            Failed(reason=Reason.CRASHES_WORKERS),
+        ],
+    )
+    async def test_one_that_crashes_workers_is_not_invited_back(
+        self, outcome: Outcome
+    ) -> None:
+        # Callers come back after a 502 or a 503, and each time end a worker.
+        answer = await ask(Served(outcome=outcome), GET + b"\r\n")
+        assert status(answer) == 400
+        assert b"Retry-After" not in answer
+
     async def test_a_stream_ends_as_complete(self) -> None:
         answer = await ask(Served(n_events=2), GET + b"\r\n")
         assert answer.endswith(b"0\r\n\r\n")
--- a/tests/platform_adapter/test_crashing_requests.py
+++ b/tests/platform_adapter/test_crashing_requests.py
@@ -1,17 +1,31 @@
 """Requests that crash each worker that runs them, before real gateways."""
 
+import asyncio
+import itertools
 from pathlib import Path
 
+import aiohttp
 import pytest
 
-from .crash_rig import crash_rig
+from trefoilpaddle.standins.platform.gateway_process import GatewayProcess
+
+from ..waiting import until
+from .crash_rig import MARKER, crash_rig
 
 PLAY_S = 8.0
 MAX_LATE = 3
 
+MIN_SERVED = 0.95
+"""Share of others' requests that are answered; three crashes cut a few of them."""
+
+
+def is_blocked(gateway: GatewayProcess) -> bool:
+    """Return True if the present start of a gateway has said so."""
+    return "request_blocked" in gateway.logs[-1].read_text()
+
 
 class TestCrashingRequest:
-    @pytest.mark.parametrize("route", ["price", "draft"])
+    @pytest.mark.parametrize("route", ["price", "hold", "draft"])
     async def test_it_is_not_sent_on_once_it_has_crashed_three_workers(
         self, tmp_path: Path, route: str
     ) -> None:
@@ -21,3 +35,42 @@
             seen = await rig.play(route, for_s=PLAY_S)
         assert len(seen.crashed_s) >= 3
         assert seen.n_late() <= MAX_LATE, seen
+        assert seen.statuses[200] >= MIN_SERVED * seen.statuses.total(), seen
+
+    async def test_gateways_that_start_know_it(self, tmp_path: Path) -> None:
+        # The gateways that saw the crashes are killed; others have heard of them.
+        async with crash_rig(tmp_path) as rig:
+            first, second, third, _ = rig.every
+            for gateway in (first, second, third):
+                await rig.send("/hold/1", MARKER, gateway=gateway)
+            await until(lambda: all(map(is_blocked, rig.every)))
+            async with aiohttp.ClientSession() as client:
+                for gateway in (first, second, third):
+                    gateway.kill()
+                    gateway.start()
+                    await gateway.wait_ready(client)
+                    await until(lambda: is_blocked(gateway))  # noqa: B023
+            for gateway in rig.every:
+                assert await rig.send("/hold/1", MARKER, gateway=gateway) == 400
+            assert sum(len(server.crashed_s) for server in rig.servers) == 3
+
+
+class TestOthers:
+    async def test_workers_that_crash_by_themselves_block_nobody(
+        self, tmp_path: Path
+    ) -> None:
+        # Workers end by turns; four callers send one body all the time.
+        async with crash_rig(tmp_path) as rig:
+            stock = [s for s in rig.servers if s.worker.worker_id.startswith("stock")]
+
+            async def crash_by_turns() -> None:
+                for server in itertools.cycle(stock):
+                    await asyncio.sleep(0.6)
+                    server.crash()
+
+            crashing = asyncio.create_task(crash_by_turns())
+            seen = await rig.play("price", for_s=PLAY_S, crash_gap_s=PLAY_S)
+            crashing.cancel()
+        assert sum(len(server.crashed_s) for server in stock) > 10
+        assert not seen.statuses[400], seen
+        assert seen.statuses[200] >= MIN_SERVED * seen.statuses.total(), seen
