Find out which request's pieces crash stage workers, in calls of many

Callers saw a stage go: a call carries pieces of many requests, all of them fail with its worker, are sent again together and crash the next one.

Cause: the same as for whole requests, a bound by attempt, and that what failed together was sent together. Each request's pieces at a service have a fingerprint of their own (one that crashes engines may pass its stages well). After a crash at most eight of those that were in it share a call, after two each goes alone and at one worker at a time, after three its pieces are given up and its caller is told so at once.

--- a/idl/chain.thrift
+++ b/idl/chain.thrift
@@ -32,6 +32,7 @@
   10: list<string> failure_domains = []  // of the cell
   11: string near = ""           // failure domain of the gateway that asks
   12: list<MadePiece> made = []  // what the scheduler before has made of it
+  13: string fingerprint = ""    // the same for all attempts of the request
 }
 
 struct ChainAnswer {
--- a/src/trefoilpaddle/coordination/chain/cell_dispatch.py
+++ b/src/trefoilpaddle/coordination/chain/cell_dispatch.py
@@ -11,6 +11,7 @@
 from ...state.chain.routes import PieceService, RouteTable
 from ...state.chain.workers import Worker, WorkerTable
 from ...state.journal import Journal
+from .crash_guard import CrashGuard
 from .service_dispatch import ServiceDispatch
 from .target_calls import TargetCalls
 from .worker_caller import WorkerCaller
@@ -81,6 +82,8 @@
         Who may get work.
     journal : Journal
         Takes decisions.
+    guard : CrashGuard
+        Knows which requests crash workers.
 
     Attributes
     ----------
@@ -94,6 +97,7 @@
         "_by_service",
         "_callers",
         "_calls",
+        "_guard",
         "_is_moved",
         "_is_stopped",
         "_journal",
@@ -112,7 +116,9 @@
         workers: WorkerTable,
         journal: Journal,
         table: RouteTable,
+        guard: CrashGuard,
     ) -> None:
+        self._guard = guard
         self.failure_domains = failure_domains
         self._calls = calls
         self._workers = workers
@@ -253,7 +259,9 @@
     def _dispatch(self, service: str) -> ServiceDispatch:
         dispatch = self._by_service.get(service)
         if dispatch is None:
-            dispatch = ServiceDispatch(callers=lambda: self._callers_of(service))
+            dispatch = ServiceDispatch(
+                callers=lambda: self._callers_of(service), guard=self._guard
+            )
             if self._is_stopped:
                 dispatch.stop()
             if self._is_moved:
@@ -294,6 +302,7 @@
             on_free=dispatch.wake,
             on_freed=self._note_own_freed,
             on_return=dispatch.submit,
+            guard=self._guard,
         )
         self._callers[worker.worker_id] = caller
         return caller
--- a/src/trefoilpaddle/coordination/chain/chain_execution.py
+++ b/src/trefoilpaddle/coordination/chain/chain_execution.py
@@ -14,6 +14,7 @@
     ChainMoved,
     ChainWork,
 )
+from ...state.chain.fingerprint import stage_fingerprint
 from ...state.chain.piece_work import PieceFault, PieceMade, PieceWork
 from ...state.chain.repeat_budget import RepeatBudgets
 from ...state.journal import Decision, Event, Figure, Journal
@@ -31,6 +32,7 @@
     PieceFault.FULL: Reason.QUEUE_FULL,
     PieceFault.LOST: Reason.CONNECTION_LOST,
     PieceFault.NO_WORKER: Reason.NO_TARGET,
+    PieceFault.CRASHES_WORKERS: Reason.CRASHES_WORKERS,
     PieceFault.MOVED: Reason.STOPPING,
 }
 
@@ -284,10 +286,12 @@
         plan = self._work.stages[number]
         inputs = self._progress.inputs(number)
         near, n_bytes = self._reads(number, len(missing))
+        own = stage_fingerprint(self._work.fingerprint, plan.service)
         return [
             PieceWork(
                 request_id=self._work.request_id,
                 route=self._work.route,
+                fingerprint=own,
                 stage=number,
                 piece=piece,
                 key="" if plan.after else self._work.piece_key,
@@ -329,6 +333,8 @@
             return Reason.STOPPING
         fault = next(iter(faults))
         now_s = time.monotonic()
+        if PieceFault.CRASHES_WORKERS in faults:
+            return Reason.CRASHES_WORKERS
         if PieceFault.LATE in faults or now_s >= self._work.deadline_s:
             return Reason.DEADLINE_PASSED
         if PieceFault.INPUT_GONE in faults:
--- a/src/trefoilpaddle/coordination/chain/chain_wire.py
+++ b/src/trefoilpaddle/coordination/chain/chain_wire.py
@@ -42,6 +42,7 @@
         must_be_on_time=work.must_be_on_time,
         priority=work.priority,
         near=work.near,
+        fingerprint=work.fingerprint,
         made=_made_to_wire(work.made),
     )
 
@@ -67,6 +68,7 @@
         must_be_on_time=question.must_be_on_time,
         priority=question.priority,
         near=question.near,
+        fingerprint=question.fingerprint,
         made=_made_from_wire(question.made),
     )
 
--- a/src/trefoilpaddle/coordination/chain/crash_guard.py
+++ b/src/trefoilpaddle/coordination/chain/crash_guard.py
@@ -1,13 +1,14 @@
 """Keeps requests that crash their workers from being sent to more of them."""
 
 import time
-from collections.abc import Iterator, Sequence
-from contextlib import contextmanager
+from collections.abc import Iterable, Iterator, Sequence
+from contextlib import ExitStack, contextmanager
 from typing import Final
 
 from ...protocol.reasons import Reason
 from ...state.chain.apart_runs import APART_S, ApartRuns
 from ...state.chain.crash_book import Crash, CrashBook, Standing
+from ...state.chain.piece_work import PieceWork
 from ...state.chain.requests import Refused
 from ...state.chain.worker_runs import OpenEndedRun, RunEnd
 from ...state.chain.workers import Worker, WorkerTable
@@ -91,6 +92,26 @@
             case _:
                 return None
 
+    def refusal_of_any(self, fingerprints: Iterable[str]) -> Refused | None:
+        """Return why the first of several may not be sent now, or None."""
+        if self.is_quiet:
+            return None
+        refusals = map(self.refusal, fingerprints)
+        return next((each for each in refusals if each is not None), None)
+
+    @property
+    def is_quiet(self) -> bool:
+        """True while no request is known to have crashed a worker."""
+        return not len(self._book)
+
+    def standing(self, fingerprint: str) -> Standing:
+        """Return what may be done with a request now."""
+        return self._book.standing(fingerprint)
+
+    def runs_apart(self, fingerprint: str) -> bool:
+        """Return True while a suspect runs at some worker."""
+        return bool(self._apart.worker_of(fingerprint))
+
     def is_suspect(self, fingerprint: str) -> bool:
         """Return True if a request is to run apart from others."""
         return self._book.standing(fingerprint) is Standing.SUSPECT
@@ -101,8 +122,14 @@
 
     @contextmanager
     def running(self, worker: Worker, fingerprint: str) -> Iterator[WatchedRun]:
-        """Watch a run while the context is open; its user says how it ended."""
+        """Watch a run while the context is open; its user says how it ended.
+
+        A run without a fingerprint is not watched.
+        """
         run = WatchedRun()
+        if not fingerprint:
+            yield run
+            return
         began_s = time.monotonic()
         is_apart = self.is_suspect(fingerprint)
         if is_apart:
@@ -114,6 +141,23 @@
                 self._tell_apart(fingerprint, worker.worker_id, for_s=0.0)
             self._end(worker, fingerprint, began_s, run.end)
 
+    @contextmanager
+    def running_call(
+        self, worker: Worker, works: Sequence[PieceWork]
+    ) -> Iterator[WatchedRun]:
+        """Watch a call of pieces: a run of each request that it carries any of."""
+        call = WatchedRun()
+        with ExitStack() as stack:
+            runs = [
+                stack.enter_context(self.running(worker, fingerprint))
+                for fingerprint in {work.fingerprint for work in works}
+            ]
+            try:
+                yield call
+            finally:
+                for run in runs:
+                    run.end = call.end
+
     async def settled(self, worker: Worker) -> None:
         """Wait until it is known whether a worker whose answer broke is gone."""
         await self._ends.settled(worker)
--- a/src/trefoilpaddle/coordination/chain/job.py
+++ b/src/trefoilpaddle/coordination/chain/job.py
@@ -1,8 +1,9 @@
 """A request on its way to a worker, with all that governs it."""
 
-from collections.abc import Mapping
+from collections.abc import Iterator, Mapping
 from dataclasses import dataclass
 
+from ...state.chain.fingerprint import stage_fingerprint
 from ...state.chain.requests import CallerRequest
 from ...state.chain.routes import Account, PlainService, Repeat, Route, Service
 
@@ -60,6 +61,12 @@
         """True if a worker is to finish it even if its caller leaves."""
         return not self.may_repeat and not self.route.is_stream
 
+    def fingerprints(self) -> Iterator[str]:
+        """Yield what stands for the request at each service that it passes."""
+        yield self.fingerprint
+        for service in {stage.service for stage in self.route.stages}:
+            yield stage_fingerprint(self.fingerprint, service)
+
     @property
     def priority(self) -> int:
         """Its rank, 0 first; the account's goes before the route's."""
--- a/src/trefoilpaddle/coordination/chain/request_path.py
+++ b/src/trefoilpaddle/coordination/chain/request_path.py
@@ -175,7 +175,7 @@
             deadline_s=deadline_s,
             fingerprint=fingerprint_of(request, account.name),
         )
-        refusal = self._guard.refusal(job.fingerprint)
+        refusal = self._guard.refusal_of_any(job.fingerprints())
         if refusal is not None:
             return refusal
         try:
@@ -204,6 +204,7 @@
             deadline_s=min(self._made_by_s(job, engine_s), self._stop.send_until_s),
             near=self._near(job),
             priority=job.priority,
+            fingerprint=job.fingerprint,
         )
         async with running_chain(self._router, work) as chain:
             match await chain.run():
--- a/src/trefoilpaddle/coordination/chain/service_dispatch.py
+++ b/src/trefoilpaddle/coordination/chain/service_dispatch.py
@@ -5,8 +5,10 @@
 from collections.abc import Callable, Sequence
 from typing import Final
 
-from ...state.chain.piece_queue import PieceQueue
+from ...state.chain.call_sharing import CallSharing
+from ...state.chain.piece_queue import MayShare, PieceQueue
 from ...state.chain.piece_work import PieceFault, PieceWork
+from .crash_guard import CrashGuard
 from .dispatch_look import DispatchLook
 from .worker_caller import WorkerCaller
 
@@ -28,12 +30,25 @@
     ----------
     callers : callable
         Returns the callers of the workers that may get work now.
+    guard : CrashGuard
+        Knows which requests crash workers.
     """
 
-    __slots__ = ("_callers", "_is_moved", "_is_stopped", "_looking", "_timer", "queue")
-
-    def __init__(self, *, callers: Callable[[], Sequence[WorkerCaller]]) -> None:
+    __slots__ = (
+        "_callers",
+        "_guard",
+        "_is_moved",
+        "_is_stopped",
+        "_looking",
+        "_timer",
+        "queue",
+    )
+
+    def __init__(
+        self, *, callers: Callable[[], Sequence[WorkerCaller]], guard: CrashGuard
+    ) -> None:
         self._callers = callers
+        self._guard = guard
         self._is_stopped = False
         self._is_moved = False
         self._timer: asyncio.TimerHandle | None = None
@@ -112,6 +127,8 @@
         """Send what waits to the workers that are free, one after another."""
         look = DispatchLook(callers=callers, free=free, now_s=now_s)
         self.queue.drop_hopeless(now_s + look.soonest_s())
+        if not self._guard.is_quiet:
+            self.queue.drop_blocked(self._guard.standing)
         self.queue.allow_avoided({caller.worker.worker_id for caller in callers})
         first: PieceWork | None = None
         is_late = False
@@ -127,7 +144,7 @@
             offer = caller.known.offer(
                 now_s, n_passed=n_passed, near_free_in_s=look.free_in_s
             )
-            batch = self.queue.take_batch(offer)
+            batch = self.queue.take_batch(offer, self._may_share())
             if batch:
                 caller.start(batch, n_waiting=len(self.queue))
                 look.note_started(caller)
@@ -135,6 +152,14 @@
             elif not n_passed:
                 caller.block(now_s)
 
+    def _may_share(self) -> MayShare | None:
+        """Return what keeps suspects apart in a call; None if there are none."""
+        if self._guard.is_quiet:
+            return None
+        return CallSharing(
+            standing=self._guard.standing, runs_apart=self._guard.runs_apart
+        ).may_share
+
     def _look_again(self) -> None:
         if len(self.queue) and self._looking is None:
             loop = asyncio.get_running_loop()
--- a/src/trefoilpaddle/coordination/chain/worker_caller.py
+++ b/src/trefoilpaddle/coordination/chain/worker_caller.py
@@ -14,9 +14,11 @@
 from ...state.chain.piece_work import PieceEnd, PieceFault, PieceMade, PieceWork
 from ...state.chain.routes import PieceService
 from ...state.chain.target_answers import CallFault, WorkerReport
+from ...state.chain.worker_runs import RunEnd, end_of_fault
 from ...state.chain.workers import Worker, WorkerTable
 from ...state.journal import Journal
 from .call_notes import CallNote, CallNotes
+from .crash_guard import CrashGuard
 from .result_freeing import ResultFreeing
 from .target_calls import TargetCalls
 
@@ -62,6 +64,8 @@
         Called with results that the worker has freed.
     on_return : callable
         Takes pieces that it has not begun, to be made elsewhere or later.
+    guard : CrashGuard
+        Watches the runs of pieces.
 
     Attributes
     ----------
@@ -73,6 +77,7 @@
         "_asked_s",
         "_calls",
         "_freeing",
+        "_guard",
         "_in_flight",
         "_is_asking",
         "_is_ended",
@@ -98,7 +103,9 @@
         on_free: Callable[[], None],
         on_freed: Callable[[Worker, list[str]], None],
         on_return: Callable[[list[PieceWork]], None],
+        guard: CrashGuard,
     ) -> None:
+        self._guard = guard
         self.worker = worker
         self.known = KnownWorker(worker=worker, service=service)
         self._calls = calls
@@ -215,9 +222,16 @@
         self.known.memory.send(n_bytes)
         try:
             try:
-                answer = await self._calls.make_pieces(
-                    self.worker, batch, timeout_s=timeout_s, on_sent=note_sent
-                )
+                with self._guard.running_call(self.worker, batch) as run:
+                    answer = await self._calls.make_pieces(
+                        self.worker, batch, timeout_s=timeout_s, on_sent=note_sent
+                    )
+                    run.end = (
+                        end_of_fault(answer.err_value)
+                        if isinstance(answer, Err)
+                        else RunEnd.ANSWERED
+                    )
+                await self._guard.settled(self.worker)
             finally:
                 self.known.memory.end_call(n_bytes)
                 for timer in fetching:
--- a/src/trefoilpaddle/protocol/gen/chain/ttypes.py
+++ b/src/trefoilpaddle/protocol/gen/chain/ttypes.py
@@ -263,6 +263,7 @@
      - failure_domains
      - near
      - made
+     - fingerprint
 
     """
 
@@ -279,13 +280,14 @@
         'failure_domains',
         'near',
         'made',
+        'fingerprint',
     )
 
 
     def __init__(self, cell="", request_id="", route="", stages=[
     ], piece_key="", due_in_ms=0, deadline_in_ms=0, must_be_on_time=True, priority=0, failure_domains=[
     ], near="", made=[
-    ],):
+    ], fingerprint="",):
         self.cell = cell
         self.request_id = request_id
         self.route = route
@@ -307,6 +309,7 @@
             made = [
             ]
         self.made = made
+        self.fingerprint = fingerprint
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -394,6 +397,11 @@
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
+            elif fid == 13:
+                if ftype == TType.STRING:
+                    self.fingerprint = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -461,6 +469,10 @@
                 iter27.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
+        if self.fingerprint is not None:
+            oprot.writeFieldBegin('fingerprint', TType.STRING, 13)
+            oprot.writeString(self.fingerprint.encode('utf-8') if sys.version_info[0] == 2 else self.fingerprint)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -2538,6 +2550,7 @@
     (11, TType.STRING, 'near', 'UTF8', "", ),  # 11
     (12, TType.LIST, 'made', (TType.STRUCT, [MadePiece, None], False), [
     ], ),  # 12
+    (13, TType.STRING, 'fingerprint', 'UTF8', "", ),  # 13
 )
 all_structs.append(ChainAnswer)
 ChainAnswer.thrift_spec = (
--- a/src/trefoilpaddle/protocol/gen/chain/ttypes.pyi
+++ b/src/trefoilpaddle/protocol/gen/chain/ttypes.pyi
@@ -24,7 +24,8 @@
     failure_domains: list[str]
     near: str
     made: list[MadePiece]
-    def __init__(self, *, cell: str = ..., request_id: str = ..., route: str = ..., stages: list[ChainStage] = ..., piece_key: str = ..., due_in_ms: int = ..., deadline_in_ms: int = ..., must_be_on_time: bool = ..., priority: int = ..., failure_domains: list[str] = ..., near: str = ..., made: list[MadePiece] = ...) -> None: ...
+    fingerprint: str
+    def __init__(self, *, cell: str = ..., request_id: str = ..., route: str = ..., stages: list[ChainStage] = ..., piece_key: str = ..., due_in_ms: int = ..., deadline_in_ms: int = ..., must_be_on_time: bool = ..., priority: int = ..., failure_domains: list[str] = ..., near: str = ..., made: list[MadePiece] = ..., fingerprint: str = ...) -> None: ...
 class ChainAnswer:
     is_made: bool
     handles: list[str]
--- /dev/null
+++ b/src/trefoilpaddle/state/chain/call_sharing.py
@@ -0,0 +1,62 @@
+"""Which pieces may share a call when some requests may crash its worker."""
+
+from collections.abc import Callable
+from typing import Final
+
+from .crash_book import Standing
+from .piece_work import PieceWork
+
+MAX_WATCHED: Final = 8
+"""Requests with one crash that share a call.
+
+A call that crashes its worker leaves so many suspects, which then go alone: three
+crashes tell one of sixty-four.
+"""
+
+
+class CallSharing:
+    """Chooses the pieces of one call, which come most urgent first.
+
+    Parameters
+    ----------
+    standing : callable
+        Returns what may be done with a request.
+    runs_apart : callable
+        Returns True while a suspect runs at some worker.
+    """
+
+    __slots__ = ("_alone", "_n_taken", "_runs_apart", "_standing", "_watched")
+
+    def __init__(
+        self,
+        *,
+        standing: Callable[[str], Standing],
+        runs_apart: Callable[[str], bool],
+    ) -> None:
+        self._standing = standing
+        self._runs_apart = runs_apart
+        self._alone = ""
+        self._n_taken = 0
+        self._watched: set[str] = set()
+
+    def may_share(self, work: PieceWork) -> bool:
+        """Return True if a piece may join those that were taken before it."""
+        fingerprint = work.fingerprint
+        if self._alone:
+            return fingerprint == self._alone
+        match self._standing(fingerprint):
+            case Standing.SUSPECT:
+                if self._n_taken or self._runs_apart(fingerprint):
+                    return False
+                self._alone = fingerprint
+            case Standing.WATCHED:
+                self._watched.add(fingerprint)
+                if len(self._watched) > MAX_WATCHED:
+                    self._watched.remove(fingerprint)
+                    return False
+            case Standing.BLOCKED:
+                return False
+            case Standing.CLEAR:
+                pass
+        self._n_taken += 1
+        return True
--- a/src/trefoilpaddle/state/chain/chain_work.py
+++ b/src/trefoilpaddle/state/chain/chain_work.py
@@ -48,6 +48,8 @@
         Failure domain of its gateway, whose workers go first.
     priority : int
         0 is the most urgent.
+    fingerprint : str
+        The same for all attempts of the request.
     must_be_on_time : bool
         Refuse it if it cannot be done by `due_s`.
     made : tuple of StagePiece
@@ -63,6 +65,7 @@
     deadline_s: float
     near: str = ""
     priority: int = 0
+    fingerprint: str = ""
     must_be_on_time: bool = True
     made: tuple[StagePiece, ...] = ()
 
--- a/src/trefoilpaddle/state/chain/fingerprint.py
+++ b/src/trefoilpaddle/state/chain/fingerprint.py
@@ -38,6 +38,18 @@
     return owner.hexdigest() + known.hexdigest()
 
 
+def stage_fingerprint(fingerprint: str, service: str) -> str:
+    """Return what stands for a request's pieces at a service of its stages.
+
+    A request that crashes those that run it may pass its stages well. Empty where
+    the request's is: a gateway of an earlier release sends none.
+    """
+    if not fingerprint:
+        return ""
+    own = blake2b(f"{fingerprint}\0{service}".encode(), digest_size=REQUEST_BYTES)
+    return account_part(fingerprint) + own.hexdigest()
+
+
 def account_part(fingerprint: str) -> str:
     """Return the part of a fingerprint that stands for its client account."""
     return fingerprint[: 2 * ACCOUNT_BYTES]
--- a/src/trefoilpaddle/state/chain/piece_queue.py
+++ b/src/trefoilpaddle/state/chain/piece_queue.py
@@ -7,11 +7,14 @@
 under heavy load calls are full. No timer has to be right.
 """
 
-from collections.abc import Iterable, Mapping
+from collections.abc import Callable, Iterable, Mapping
 from dataclasses import dataclass, field
 
+from .crash_book import Standing
 from .piece_work import PieceFault, PieceWork
 
+MayShare = Callable[[PieceWork], bool]
+
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class CallOffer:
@@ -107,14 +110,33 @@
         """Return the most urgent piece, or None."""
         return min(self._waiting, key=lambda w: _order(w, "", done_s), default=None)
 
-    def take_batch(self, offer: CallOffer) -> list[PieceWork]:
-        """Return the pieces of a worker's next call and take them off the queue."""
-        batch = self.plan_batch(offer)
+    def drop_blocked(self, standing: Callable[[str], Standing]) -> None:
+        """Give up the pieces of requests that are sent to no worker."""
+        for work in self._waiting:
+            if standing(work.fingerprint) is Standing.BLOCKED:
+                work.settle(PieceFault.CRASHES_WORKERS)
+        self._waiting = [work for work in self._waiting if work.is_open]
+
+    def take_batch(
+        self, offer: CallOffer, may_share: MayShare | None = None
+    ) -> list[PieceWork]:
+        """Return the pieces of a worker's next call and take them off the queue.
+
+        Parameters
+        ----------
+        offer : CallOffer
+            What the worker offers.
+        may_share : callable, optional
+            Asked for one piece after the other whether it may join those before it.
+        """
+        batch = self.plan_batch(offer, may_share)
         taken = set(map(id, batch))
         self._waiting = [work for work in self._waiting if id(work) not in taken]
         return batch
 
-    def plan_batch(self, offer: CallOffer) -> list[PieceWork]:
+    def plan_batch(
+        self, offer: CallOffer, may_share: MayShare | None = None
+    ) -> list[PieceWork]:
         """Return the pieces that a call would carry, most urgent first.
 
         Those that can still be on time go first, by the time at which they
@@ -124,6 +146,8 @@
         wanted = [work for work in self._waiting if offer.may_take(work)]
         wanted.sort(key=lambda w: _order(w, offer.failure_domain, offer.done_s))
         wanted = wanted[offer.n_passed :]
+        if may_share is not None:
+            wanted = list(filter(may_share, wanted))
         batch: list[PieceWork] = []
         free_bytes = offer.free_bytes
         for group in _by_stage(wanted):
--- a/src/trefoilpaddle/state/chain/piece_work.py
+++ b/src/trefoilpaddle/state/chain/piece_work.py
@@ -24,6 +24,8 @@
     """The call had no answer; it may have run."""
     NO_WORKER = "no_worker"
     """No worker of the service takes work."""
+    CRASHES_WORKERS = "crashes_workers"
+    """Each worker that was sent pieces of its request has crashed."""
     MOVED = "moved"
     """Another gateway schedules the cell now; it was not sent."""
 
@@ -60,6 +62,8 @@
         Request that it belongs to.
     route : str
         Name of the request's route; times are learnt by it.
+    fingerprint : str
+        Stands for the request's pieces at this service.
     stage, piece : int
         Numbers of the stage and of the piece in it.
     key : str
@@ -94,6 +98,7 @@
     route: str
     stage: int
     piece: int
+    fingerprint: str = ""
     key: str = ""
     inputs: tuple[str, ...] = ()
     has_inputs: bool = False
--- a/tests/chain/cell_model.py
+++ b/tests/chain/cell_model.py
@@ -28,7 +28,7 @@
 from trefoilpaddle.state.chain.workers import Worker, WorkerTable
 
 from .cell_loads import Kind, Load
-from .fakes import budgets, journal, table, worker
+from .fakes import budgets, crash_guard, journal, table, worker
 
 CLUMP = 3
 """Callers that come at the same moment, on the average."""
@@ -363,6 +363,7 @@
         calls=calls,  # type: ignore[arg-type]
         workers=workers,
         journal=notes,
+        guard=crash_guard(calls, workers),  # type: ignore[arg-type]
         table=table(services=load.services),
     )
     return ChainScheduler(dispatch=dispatch, budgets=budgets(), journal=notes)
--- a/tests/chain/fakes.py
+++ b/tests/chain/fakes.py
@@ -15,6 +15,7 @@
     OpenAnswer,
     StreamBrokenError,
     TargetCall,
+    TargetCalls,
 )
 from trefoilpaddle.roles.process import Identity, Process
 from trefoilpaddle.state.chain.crash_book import CrashBook
@@ -239,11 +240,12 @@
         workers=workers,
         journal=notes,
         table=routes,
+        guard=crash_guard(calls, workers),
     )
     return ChainScheduler(dispatch=dispatch, budgets=budgets(), journal=notes)
 
 
-def crash_guard(calls: FakeCalls, workers: WorkerTable) -> CrashGuard:
+def crash_guard(calls: TargetCalls, workers: WorkerTable) -> CrashGuard:
     book = CrashBook()
     return CrashGuard(
         workers=workers,
--- a/tests/chain/fleet_model.py
+++ b/tests/chain/fleet_model.py
@@ -33,7 +33,7 @@
 
 from .cell_loads import Load
 from .cell_model import Chain, Model, ModelCalls
-from .fakes import budgets, journal, table
+from .fakes import budgets, crash_guard, journal, table
 from .test_chain_router import member
 
 WAY_S = 0.001
@@ -189,12 +189,14 @@
         shared = budgets()
 
         def make(failure_domains: frozenset[str]) -> ChainScheduler:
+            calls = GatewayCalls(self, fleet.calls)
             dispatch = CellDispatch(
                 failure_domains=failure_domains,
-                calls=GatewayCalls(self, fleet.calls),  # type: ignore[arg-type]
+                calls=calls,  # type: ignore[arg-type]
                 workers=workers,
                 journal=self.process.journal,
                 table=table(services=load.services),
+                guard=crash_guard(calls, workers),  # type: ignore[arg-type]
             )
             return ChainScheduler(
                 dispatch=dispatch, budgets=shared, journal=self.process.journal
--- a/tests/chain/test_service_dispatch.py
+++ b/tests/chain/test_service_dispatch.py
@@ -14,7 +14,7 @@
 from trefoilpaddle.state.chain.workers import WorkerTable
 
 from ..waiting import until
-from .fakes import FakeCalls, journal, piece_service, worker
+from .fakes import FakeCalls, crash_guard, journal, piece_service, worker
 from .test_piece_queue import piece
 
 BATCH = 4
@@ -44,6 +44,7 @@
             on_free=lambda: None,
             on_freed=lambda *_: None,
             on_return=lambda _: None,
+            guard=crash_guard(calls, workers),
         )
         caller.known.is_current = True
         callers.append(caller)
@@ -81,7 +82,9 @@
         callers = callers_of(n_workers, calls)
         others = frozenset(caller.worker.worker_id for caller in callers[1:])
         avoided = others if is_in_vain else frozenset()
-        dispatch = ServiceDispatch(callers=lambda: callers)
+        dispatch = ServiceDispatch(
+            callers=lambda: callers, guard=crash_guard(calls, WorkerTable())
+        )
         dispatch.queue.add(
             due(f"p{number}", avoided=avoided) for number in range(n_workers)
         )
--- a/tests/chain/test_worker_caller.py
+++ b/tests/chain/test_worker_caller.py
@@ -17,7 +17,7 @@
 from trefoilpaddle.state.chain.workers import Worker, WorkerTable
 
 from ..waiting import until
-from .fakes import FakeCalls, journal, made, piece_service, worker
+from .fakes import FakeCalls, crash_guard, journal, made, piece_service, worker
 from .test_piece_queue import piece
 
 NOW_S = 1000.0
@@ -49,6 +49,7 @@
             on_free=lambda: None,
             on_freed=lambda _, handles: self.freed.extend(handles),
             on_return=self.returned.extend,
+            guard=crash_guard(calls, self.workers),
         )
         if is_known:
             self.caller.known.take_over(KNOWN, time.monotonic())
--- a/tests/platform_adapter/crash_rig.py
+++ b/tests/platform_adapter/crash_rig.py
@@ -85,7 +85,9 @@
         every: list[GatewayProcess],
         servers: list[CrashingServer],
         client: aiohttp.ClientSession,
+        crashes_stages: bool = False,
     ) -> None:
+        self._crashes_stages = crashes_stages
         self.site = site
         self.every = every
         self.servers = servers
@@ -95,11 +97,17 @@
         self._numbers = itertools.count()
 
     async def send(
-        self, path: str, body: bytes, *, gateway: GatewayProcess | None = None
+        self,
+        path: str,
+        body: bytes,
+        *,
+        gateway: GatewayProcess | None = None,
+        piece_key: str = "k1",
     ) -> int:
         """Send a request to a gateway; return its status, or 0 if it was cut."""
         at = gateway or self._rng.choice(self.every)
         sent = headers(f"a{next(self._numbers)}") | DRAFT
+        sent["Trefoilpaddle-Piece-Key"] = piece_key
         try:
             async with self._client.post(
                 f"{at.url}{path}", data=body, headers=sent
@@ -126,7 +134,13 @@
         return self.seen
 
     async def _send_crashing(self, route: str) -> None:
-        self.seen.crashing.append(await self.send(f"/{route}/1", MARKER))
+        if self._crashes_stages:
+            status = await self.send(
+                f"/{route}/1", b"staged", piece_key=MARKER.decode()
+            )
+        else:
+            status = await self.send(f"/{route}/1", MARKER)
+        self.seen.crashing.append(status)
 
     async def _call_beside(self, route: str, number: int, ends_s: float) -> None:
         for attempt in itertools.count():
@@ -139,8 +153,13 @@
 
 
 @contextlib.asynccontextmanager
-async def crash_rig(folder: Path, *, n_gateways: int = 4) -> AsyncIterator[CrashRig]:
-    """Start the gateways and the site."""
+async def crash_rig(
+    folder: Path, *, n_gateways: int = 4, crashes_stages: bool = False
+) -> AsyncIterator[CrashRig]:
+    """Start the gateways and the site.
+
+    With `crashes_stages` pieces of the request crash the workers of its first stage.
+    """
     async with contextlib.AsyncExitStack() as stack:
         site = Site(stack=stack)
         url = await stack.enter_async_context(serving(site.store.application()))
@@ -154,12 +173,12 @@
                 ("encode", {"work_s": CALL_S}),
                 ("retrieve", {"work_s": CALL_S}),
             ):
-                is_stage = service in ("encode", "retrieve")
+                is_marked = (service in ("stock", "model")) is not crashes_stages
                 servers.append(
                     await site.add_crashing(
                         f"{service}{number}",
                         service,
-                        marker=b"" if is_stage else MARKER,
+                        marker=MARKER if is_marked else b"",
                         **fields,
                     )
                 )
@@ -168,4 +187,10 @@
             gateways(site, folder, *domains) as every,
             aiohttp.ClientSession() as client,
         ):
-            yield CrashRig(site=site, every=every, servers=servers, client=client)
+            yield CrashRig(
+                site=site,
+                every=every,
+                servers=servers,
+                client=client,
+                crashes_stages=crashes_stages,
+            )
--- a/tests/platform_adapter/test_crashing_requests.py
+++ b/tests/platform_adapter/test_crashing_requests.py
@@ -37,6 +37,17 @@
         assert seen.n_late() <= MAX_LATE, seen
         assert seen.statuses[200] >= MIN_SERVED * seen.statuses.total(), seen
 
+    async def test_one_whose_pieces_crash_stage_workers_is_not_sent_on(
+        self, tmp_path: Path
+    ) -> None:
+        # Calls carry pieces of many requests: all of them fail together, are sent
+        # again together, and crash the next worker.
+        async with crash_rig(tmp_path, crashes_stages=True) as rig:
+            seen = await rig.play("draft", for_s=PLAY_S)
+        assert len(seen.crashed_s) >= 3
+        assert seen.n_late() <= MAX_LATE, seen
+        assert seen.statuses[200] >= MIN_SERVED * seen.statuses.total(), seen
+
     async def test_gateways_that_start_know_it(self, tmp_path: Path) -> None:
         # The gateways that saw the crashes are killed; others have heard of them.
         async with crash_rig(tmp_path) as rig:
