Let operators list the requests that crash workers, and let one run again

A blocked request stayed blocked for its ten minutes or more, whatever was mended meanwhile; only a restart of all gateways at once forgot it. The address of the metrics answers GET and DELETE of /blocked-requests; a lifted block is cleared at all gateways, by the same message as one whose request has ended well.

--- a/src/trefoilpaddle/coordination/chain/crash_guard.py
+++ b/src/trefoilpaddle/coordination/chain/crash_guard.py
@@ -162,6 +162,18 @@
         """Wait until it is known whether a worker whose answer broke is gone."""
         await self._ends.settled(worker)
 
+    def known(self) -> Iterator[tuple[str, tuple[Crash, ...]]]:
+        """Yield each request that workers have ended under, with their ends."""
+        for fingerprint in self._book.fingerprints():
+            yield fingerprint, self._book.crashes(fingerprint)
+
+    def lift(self, fingerprint: str) -> bool:
+        """Let a request run again at all gateways; False if nothing is known of it."""
+        is_known = bool(self._book.crashes(fingerprint))
+        if is_known:
+            self.clear(fingerprint)
+        return is_known
+
     def clear(self, fingerprint: str) -> None:
         """Count a request as one that crashes no workers."""
         is_known = bool(self._book.crashes(fingerprint))
--- a/src/trefoilpaddle/standins/platform/gateway_process.py
+++ b/src/trefoilpaddle/standins/platform/gateway_process.py
@@ -86,6 +86,11 @@
         """Where it listens for other gateways."""
         return f"{IP}:{self.ports[2]}"
 
+    @property
+    def operators_url(self) -> str:
+        """Where it answers operators."""
+        return f"http://{IP}:{self.ports[3]}"
+
     def start(self) -> None:
         """Start it, with a log of its own for each start."""
         path = self.folder / f"{self.host}.json"
--- a/tests/platform_adapter/test_crashing_requests.py
+++ b/tests/platform_adapter/test_crashing_requests.py
@@ -65,6 +65,24 @@
                 assert await rig.send("/hold/1", MARKER, gateway=gateway) == 400
             assert sum(len(server.crashed_s) for server in rig.servers) == 3
 
+    async def test_an_operator_lets_it_run_again(self, tmp_path: Path) -> None:
+        async with crash_rig(tmp_path) as rig, aiohttp.ClientSession() as client:
+            for gateway in rig.every[:3]:
+                await rig.send("/hold/1", MARKER, gateway=gateway)
+            await until(lambda: all(map(is_blocked, rig.every)))
+            first, second = (gateway.operators_url for gateway in rig.every[:2])
+            async with client.get(f"{first}/blocked-requests") as answer:
+                ((fingerprint, known),) = (await answer.json()).items()
+            assert known["standing"] == "blocked"
+            assert len(known["crashes"]) == 3
+            path = f"/blocked-requests?fingerprint={fingerprint}"
+            async with client.delete(first + path) as answer:
+                assert answer.status == 204
+            await until(lambda: all("request_cleared" in g.log() for g in rig.every))
+            async with client.delete(second + path) as answer:
+                assert answer.status == 404
+            assert await rig.send("/hold/1", b"other", gateway=rig.every[3]) == 200
+
 
 class TestOthers:
     async def test_workers_that_crash_by_themselves_block_nobody(
