Tell nothing of runs when many workers end at one moment

A failure domain that loses its power ends hundreds of workers; what ran there was noted at every gateway and flooded on all links, up to the bounds of the book. More than sixteen ends within a second are a loss, not the work of a request, and what ran there is not to blame.

--- a/src/trefoilpaddle/coordination/chain/crash_guard.py
+++ b/src/trefoilpaddle/coordination/chain/crash_guard.py
@@ -8,6 +8,7 @@
 from ...protocol.reasons import Reason
 from ...state.chain.apart_runs import APART_S, ApartRuns
 from ...state.chain.crash_book import Crash, CrashBook, Standing
+from ...state.chain.end_rate import EndRate
 from ...state.chain.piece_work import PieceWork
 from ...state.chain.requests import Refused
 from ...state.chain.worker_runs import OpenEndedRun, RunEnd
@@ -59,7 +60,7 @@
         Tells other gateways, and hears them.
     """
 
-    __slots__ = ("_apart", "_book", "_ends", "_journal", "_relay", "_workers")
+    __slots__ = ("_apart", "_book", "_ends", "_journal", "_rate", "_relay", "_workers")
 
     def __init__(
         self,
@@ -75,6 +76,7 @@
         self._book = book
         self._relay = relay
         self._apart = ApartRuns()
+        self._rate = EndRate()
         self._ends = WorkerEnds(
             workers=workers, calls=calls, journal=journal, on_ended=self._on_ended
         )
@@ -226,6 +228,8 @@
             self._ends.confirm(worker, Evidence.TOLD)
 
     def _take(self, fingerprint: str, crash: Crash) -> None:
+        if not self._rate.takes(crash.worker_id, crash.ended_s):
+            return
         before = self._book.standing(fingerprint)
         if not self._book.note(fingerprint, crash):
             return
