Take a run that has ended apart for ended, whichever way its news come

Cause: news of runs are flooded without a name of their own. A peer passes the beginning on after the end has come by another way; that looked like news, and was passed on in turn. Runs have a random id now, and one that has ended does not begin again.

--- a/idl/chain.thrift
+++ b/idl/chain.thrift
@@ -159,6 +159,7 @@
   1: string fingerprint = ""
   2: string worker_id = ""
   3: i64 for_ms = 0              // it is kept apart for so long; 0 once it has ended
+  4: i64 run_id = 0              // random
 }
 
 // Without an answer: which requests workers have ended under.
--- a/src/trefoilpaddle/coordination/chain/crash_guard.py
+++ b/src/trefoilpaddle/coordination/chain/crash_guard.py
@@ -1,12 +1,14 @@
 """Keeps requests that crash their workers from being sent to more of them."""
 
+import random
 import time
 from collections.abc import Iterable, Iterator, Sequence
 from contextlib import ExitStack, contextmanager
+from dataclasses import replace
 from typing import Final
 
 from ...protocol.reasons import Reason
-from ...state.chain.apart_runs import APART_S, ApartRuns
+from ...state.chain.apart_runs import ApartRun, ApartRuns
 from ...state.chain.crash_book import Crash, CrashBook, Standing
 from ...state.chain.end_rate import EndRate
 from ...state.chain.piece_work import PieceWork
@@ -14,13 +16,15 @@
 from ...state.chain.worker_runs import OpenEndedRun, RunEnd
 from ...state.chain.workers import Worker, WorkerTable
 from ...state.journal import Decision, Event, Figure, Journal
-from .crash_relay import ApartRun, CrashRelay
+from .crash_relay import CrashRelay
 from .target_calls import TargetCalls
 from .worker_ends import Evidence, WorkerEnds
 
 APART_RETRY_S: Final = 1.0
 """When to come back with a request that runs apart; most runs are over by then."""
 
+RUN_ID_BITS: Final = 62
+
 NOTED: Final = {
     Standing.SUSPECT: Event.REQUEST_SUSPECTED,
     Standing.BLOCKED: Event.REQUEST_BLOCKED,
@@ -89,7 +93,7 @@
         match self._book.standing(fingerprint):
             case Standing.BLOCKED:
                 return Refused(reason=Reason.CRASHES_WORKERS)
-            case Standing.SUSPECT if self._apart.worker_of(fingerprint):
+            case Standing.SUSPECT if self._apart.is_open(fingerprint):
                 return Refused(reason=Reason.RUNS_APART, retry_after_s=APART_RETRY_S)
             case _:
                 return None
@@ -112,7 +116,7 @@
 
     def runs_apart(self, fingerprint: str) -> bool:
         """Return True while a suspect runs at some worker."""
-        return bool(self._apart.worker_of(fingerprint))
+        return self._apart.is_open(fingerprint)
 
     def is_suspect(self, fingerprint: str) -> bool:
         """Return True if a request is to run apart from others."""
@@ -133,14 +137,19 @@
             yield run
             return
         began_s = time.monotonic()
-        is_apart = self.is_suspect(fingerprint)
-        if is_apart:
-            self._tell_apart(fingerprint, worker.worker_id, for_s=APART_S)
+        apart: ApartRun | None = None
+        if self.is_suspect(fingerprint):
+            apart = ApartRun(
+                run_id=random.getrandbits(RUN_ID_BITS),
+                fingerprint=fingerprint,
+                worker_id=worker.worker_id,
+            )
+            self._tell_apart(apart)
         try:
             yield run
         finally:
-            if is_apart:
-                self._tell_apart(fingerprint, worker.worker_id, for_s=0.0)
+            if apart is not None:
+                self._tell_apart(replace(apart, for_s=0.0))
             self._end(worker, fingerprint, began_s, run.end)
 
     @contextmanager
@@ -240,14 +249,11 @@
 
     def hear_run(self, run: ApartRun) -> bool:
         """Take in where a peer runs a suspect; return True if it was news."""
-        if run.for_s:
-            return self._apart.begin(run.fingerprint, run.worker_id, for_s=run.for_s)
-        return self._apart.end(run.fingerprint, run.worker_id)
-
-    def _tell_apart(self, fingerprint: str, worker_id: str, *, for_s: float) -> None:
-        run = ApartRun(fingerprint=fingerprint, worker_id=worker_id, for_s=for_s)
-        if self.hear_run(run):
-            self._relay.tell_run(run)
+        return self._apart.hear(run)
+
+    def _tell_apart(self, run: ApartRun) -> None:
+        self._apart.hear(run)
+        self._relay.tell_run(run)
 
     def _note(self, event: Event, fingerprint: str) -> None:
         now_s = time.monotonic()
--- a/src/trefoilpaddle/coordination/chain/crash_relay.py
+++ b/src/trefoilpaddle/coordination/chain/crash_relay.py
@@ -3,7 +3,6 @@
 import asyncio
 import time
 from collections.abc import Callable, Iterable, Sequence
-from dataclasses import dataclass
 from typing import Final
 
 from absl import logging
@@ -16,6 +15,7 @@
     SuspectRun,
     WorkerCrash,
 )
+from ...state.chain.apart_runs import ApartRun
 from ...state.chain.crash_book import Crash, CrashBook
 from ...state.chain.fingerprint import is_fingerprint
 from ...transport.connection import Address, Connection
@@ -29,25 +29,6 @@
 """Time between looks whether a link to another gateway has opened."""
 
 
-@dataclass(frozen=True, slots=True, kw_only=True)
-class ApartRun:
-    """A run of a request that may crash its worker.
-
-    Parameters
-    ----------
-    fingerprint : str
-        The request.
-    worker_id : str
-        Where it runs.
-    for_s : float
-        It is kept apart for so long; 0 once it has ended.
-    """
-
-    fingerprint: str
-    worker_id: str
-    for_s: float
-
-
 class CrashRelay:
     """Floods news of crashes over the links that members keep for theirs.
 
@@ -92,7 +73,7 @@
         self._book = book
         self._crashed: dict[str, None] = {}
         self._cleared: dict[str, None] = {}
-        self._runs: dict[str, ApartRun] = {}
+        self._runs: dict[int, ApartRun] = {}
         self._is_due = asyncio.Event()
         self.on_crash: Callable[[str, Crash], None] = _ignore_crash
         self.on_clear: Callable[[str], None] = _ignore
@@ -111,7 +92,7 @@
 
     def tell_run(self, run: ApartRun) -> None:
         """Pass on that a run is kept apart, or has ended."""
-        self._runs[run.fingerprint] = run
+        self._runs[run.run_id] = run
         self._is_due.set()
 
     async def run(self) -> None:
@@ -214,6 +195,7 @@
 
 def _run_to_wire(run: ApartRun) -> SuspectRun:
     return SuspectRun(
+        run_id=run.run_id,
         fingerprint=run.fingerprint,
         worker_id=run.worker_id,
         for_ms=int(run.for_s * MS_PER_S),
@@ -222,6 +204,7 @@
 
 def _run_from_wire(run: SuspectRun) -> ApartRun:
     return ApartRun(
+        run_id=run.run_id,
         fingerprint=run.fingerprint,
         worker_id=run.worker_id,
         for_s=max(0, run.for_ms) / MS_PER_S,
--- a/src/trefoilpaddle/protocol/gen/chain/ttypes.py
+++ b/src/trefoilpaddle/protocol/gen/chain/ttypes.py
@@ -2300,6 +2300,7 @@
      - fingerprint
      - worker_id
      - for_ms
+     - run_id
 
     """
 
@@ -2307,13 +2308,15 @@
         'fingerprint',
         'worker_id',
         'for_ms',
+        'run_id',
     )
 
 
-    def __init__(self, fingerprint="", worker_id="", for_ms=0,):
+    def __init__(self, fingerprint="", worker_id="", for_ms=0, run_id=0,):
         self.fingerprint = fingerprint
         self.worker_id = worker_id
         self.for_ms = for_ms
+        self.run_id = run_id
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -2339,6 +2342,11 @@
                     self.for_ms = iprot.readI64()
                 else:
                     iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.I64:
+                    self.run_id = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -2361,6 +2369,10 @@
             oprot.writeFieldBegin('for_ms', TType.I64, 3)
             oprot.writeI64(self.for_ms)
             oprot.writeFieldEnd()
+        if self.run_id is not None:
+            oprot.writeFieldBegin('run_id', TType.I64, 4)
+            oprot.writeI64(self.run_id)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -2697,6 +2709,7 @@
     (1, TType.STRING, 'fingerprint', 'UTF8', "", ),  # 1
     (2, TType.STRING, 'worker_id', 'UTF8', "", ),  # 2
     (3, TType.I64, 'for_ms', None, 0, ),  # 3
+    (4, TType.I64, 'run_id', None, 0, ),  # 4
 )
 all_structs.append(CrashNews)
 CrashNews.thrift_spec = (
--- a/src/trefoilpaddle/protocol/gen/chain/ttypes.pyi
+++ b/src/trefoilpaddle/protocol/gen/chain/ttypes.pyi
@@ -126,7 +126,8 @@
     fingerprint: str
     worker_id: str
     for_ms: int
-    def __init__(self, *, fingerprint: str = ..., worker_id: str = ..., for_ms: int = ...) -> None: ...
+    run_id: int
+    def __init__(self, *, fingerprint: str = ..., worker_id: str = ..., for_ms: int = ..., run_id: int = ...) -> None: ...
 class CrashNews:
     crashed: list[CrashedWorkers]
     cleared: list[str]
--- a/src/trefoilpaddle/state/chain/apart_runs.py
+++ b/src/trefoilpaddle/state/chain/apart_runs.py
@@ -1,45 +1,76 @@
 """Runs of requests that may crash their workers, kept apart from one another."""
 
 import time
+from collections import OrderedDict
+from dataclasses import dataclass
 from typing import Final
 
 APART_S: Final = 3.0
 """How long such a run is kept apart; one that crashes its worker does so before."""
 
+MAX_ENDED: Final = 1024
+"""Ended runs that are remembered: news of their beginning may come later."""
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class ApartRun:
+    """A run of a request that may crash its worker.
+
+    Parameters
+    ----------
+    run_id : int
+        Random; tells the runs of a request apart.
+    fingerprint : str
+        The request.
+    worker_id : str
+        Where it runs.
+    for_s : float
+        It is kept apart for so long; 0 once it has ended.
+    """
+
+    run_id: int
+    fingerprint: str
+    worker_id: str
+    for_s: float = APART_S
+
 
 class ApartRuns:
     """Where suspect requests run now, at any gateway."""
 
-    __slots__ = ("_runs",)
+    __slots__ = ("_ended", "_open")
 
     def __init__(self) -> None:
-        self._runs: dict[str, tuple[str, float]] = {}
-
-    def begin(
-        self, fingerprint: str, worker_id: str, *, for_s: float = APART_S
-    ) -> bool:
-        """Count a run as open; return True if that was news."""
-        is_news = self.worker_of(fingerprint) != worker_id
-        self._runs[fingerprint] = (worker_id, time.monotonic() + min(for_s, APART_S))
-        return is_news
-
-    def end(self, fingerprint: str, worker_id: str) -> bool:
-        """Count a run as over; return True if that was news."""
-        if self._runs.get(fingerprint, ("",))[0] != worker_id:
+        self._open: dict[int, tuple[ApartRun, float]] = {}
+        self._ended: OrderedDict[int, None] = OrderedDict()
+
+    def hear(self, run: ApartRun) -> bool:
+        """Take in that a run has begun or ended; return True if it was news."""
+        if run.run_id in self._ended:
             return False
-        del self._runs[fingerprint]
+        if run.for_s:
+            if run.run_id in self._open:
+                return False
+            until_s = time.monotonic() + min(run.for_s, APART_S)
+            self._open[run.run_id] = (run, until_s)
+            return True
+        self._open.pop(run.run_id, None)
+        self._ended[run.run_id] = None
+        while len(self._ended) > MAX_ENDED:
+            self._ended.popitem(last=False)
         return True
 
-    def worker_of(self, fingerprint: str) -> str:
-        """Return the worker at which a request runs; empty if it runs nowhere."""
-        worker_id, until_s = self._runs.get(fingerprint, ("", 0.0))
-        if worker_id and time.monotonic() >= until_s:
-            del self._runs[fingerprint]
-            return ""
-        return worker_id
+    def is_open(self, fingerprint: str) -> bool:
+        """Return True while a request runs somewhere."""
+        return any(run.fingerprint == fingerprint for run in self._runs())
 
     def workers(self) -> frozenset[str]:
         """Return all workers at which such requests run."""
-        if not self._runs:
+        if not self._open:
             return frozenset()
-        return frozenset(filter(None, map(self.worker_of, list(self._runs))))
+        return frozenset(run.worker_id for run in self._runs())
+
+    def _runs(self) -> list[ApartRun]:
+        now_s = time.monotonic()
+        for run_id in [r for r, (_, until_s) in self._open.items() if now_s >= until_s]:
+            del self._open[run_id]
+        return [run for run, _ in self._open.values()]
--- a/tests/chain/test_attempts.py
+++ b/tests/chain/test_attempts.py
@@ -7,10 +7,10 @@
 
 from trefoilpaddle.coordination.chain import patience as patience_module
 from trefoilpaddle.coordination.chain.attempts import Attempts
-from trefoilpaddle.coordination.chain.crash_relay import ApartRun
 from trefoilpaddle.coordination.chain.job import Job
 from trefoilpaddle.coordination.chain.worker_choice import Need, WorkerChoice
 from trefoilpaddle.protocol.reasons import Reason
+from trefoilpaddle.state.chain.apart_runs import ApartRun
 from trefoilpaddle.state.chain.crash_book import Crash
 from trefoilpaddle.state.chain.delivery import Delivery
 from trefoilpaddle.state.chain.requests import Answered, Failed, Refused
@@ -80,8 +80,8 @@
             ended_s=now_s - 9.5 + number,
         )
         guard.hear_crash(FINGERPRINT, crash)
-    for worker_id in apart:
-        run = ApartRun(fingerprint=worker_id * 16, worker_id=worker_id, for_s=1.0)
+    for run_id, worker_id in enumerate(apart):
+        run = ApartRun(run_id=run_id, fingerprint="0" * 32, worker_id=worker_id)
         guard.hear_run(run)
     job = Job(
         request=request(),
