Count crashes by what was known as a run began, not by times

A popular request was blocked after one loss of all workers (the test of it failed beside other work: standings suspect and blocked where one crash was right).

Cause: crashes counted as one if the runs overlapped in time, with times worked out from ages in messages. Runs of some milliseconds do not overlap once news of them come later than they lasted: on a busy host, or from one that was paused. Then nothing ran that could have cleared it.

A run now carries how many crashes of its request were known as it began; its crash is the next one. All runs that began with the same knowledge are one crash, however late the news.

--- a/idl/chain.thrift
+++ b/idl/chain.thrift
@@ -146,8 +146,8 @@
 struct WorkerCrash {
   1: string worker_id = ""
   2: i64 born_ms = 0             // start of the worker
-  3: i64 began_ms = 0            // since a request began to run there
-  4: i64 ended_ms = 0            // since the worker ended
+  3: i64 ended_ms = 0            // since the worker ended
+  4: i32 level = 1               // one more than the crashes known as the run began
 }
 
 struct CrashedWorkers {
--- a/src/trefoilpaddle/coordination/chain/crash_guard.py
+++ b/src/trefoilpaddle/coordination/chain/crash_guard.py
@@ -136,7 +136,7 @@
         if not fingerprint:
             yield run
             return
-        began_s = time.monotonic()
+        level = self._book.level(fingerprint)
         apart: ApartRun | None = None
         if self.is_suspect(fingerprint):
             apart = ApartRun(
@@ -150,7 +150,7 @@
         finally:
             if apart is not None:
                 self._tell_apart(replace(apart, for_s=0.0))
-            self._end(worker, fingerprint, began_s, run.end)
+            self._end(worker, fingerprint, level, run.end)
 
     @contextmanager
     def running_call(
@@ -193,9 +193,7 @@
         if is_known:
             self._note(Event.REQUEST_CLEARED, fingerprint)
 
-    def _end(
-        self, worker: Worker, fingerprint: str, began_s: float, end: RunEnd
-    ) -> None:
+    def _end(self, worker: Worker, fingerprint: str, level: int, end: RunEnd) -> None:
         match end:
             case RunEnd.NOT_RUN:
                 return
@@ -209,7 +207,7 @@
                     OpenEndedRun(
                         worker=worker,
                         fingerprint=fingerprint,
-                        began_s=began_s,
+                        level=level,
                         ended_s=time.monotonic(),
                         end=end,
                     )
@@ -220,7 +218,7 @@
             crash = Crash(
                 worker_id=worker.worker_id,
                 born_ms=worker.born_ms,
-                began_s=run.began_s,
+                level=run.level + 1,
                 ended_s=run.ended_s,
             )
             self._take(run.fingerprint, crash)
--- a/src/trefoilpaddle/coordination/chain/crash_relay.py
+++ b/src/trefoilpaddle/coordination/chain/crash_relay.py
@@ -158,7 +158,7 @@
                     WorkerCrash(
                         worker_id=crash.worker_id,
                         born_ms=crash.born_ms,
-                        began_ms=int((now_s - crash.began_s) * MS_PER_S),
+                        level=crash.level,
                         ended_ms=int((now_s - crash.ended_s) * MS_PER_S),
                     )
                     for crash in self._book.crashes(fingerprint)
@@ -184,12 +184,11 @@
 
 
 def _crash_from_wire(crash: WorkerCrash, now_s: float) -> Crash:
-    ended_ms = max(0, crash.ended_ms)
     return Crash(
         worker_id=crash.worker_id,
         born_ms=crash.born_ms,
-        began_s=now_s - max(ended_ms, crash.began_ms) / MS_PER_S,
-        ended_s=now_s - ended_ms / MS_PER_S,
+        level=max(1, crash.level),
+        ended_s=now_s - max(0, crash.ended_ms) / MS_PER_S,
     )
 
 
--- a/src/trefoilpaddle/protocol/gen/chain/ttypes.py
+++ b/src/trefoilpaddle/protocol/gen/chain/ttypes.py
@@ -2102,24 +2102,24 @@
     Attributes:
      - worker_id
      - born_ms
-     - began_ms
      - ended_ms
+     - level
 
     """
 
     __slots__ = (
         'worker_id',
         'born_ms',
-        'began_ms',
         'ended_ms',
+        'level',
     )
 
 
-    def __init__(self, worker_id="", born_ms=0, began_ms=0, ended_ms=0,):
+    def __init__(self, worker_id="", born_ms=0, ended_ms=0, level=1,):
         self.worker_id = worker_id
         self.born_ms = born_ms
-        self.began_ms = began_ms
         self.ended_ms = ended_ms
+        self.level = level
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -2142,12 +2142,12 @@
                     iprot.skip(ftype)
             elif fid == 3:
                 if ftype == TType.I64:
-                    self.began_ms = iprot.readI64()
+                    self.ended_ms = iprot.readI64()
                 else:
                     iprot.skip(ftype)
             elif fid == 4:
-                if ftype == TType.I64:
-                    self.ended_ms = iprot.readI64()
+                if ftype == TType.I32:
+                    self.level = iprot.readI32()
                 else:
                     iprot.skip(ftype)
             else:
@@ -2168,14 +2168,14 @@
             oprot.writeFieldBegin('born_ms', TType.I64, 2)
             oprot.writeI64(self.born_ms)
             oprot.writeFieldEnd()
-        if self.began_ms is not None:
-            oprot.writeFieldBegin('began_ms', TType.I64, 3)
-            oprot.writeI64(self.began_ms)
-            oprot.writeFieldEnd()
         if self.ended_ms is not None:
-            oprot.writeFieldBegin('ended_ms', TType.I64, 4)
+            oprot.writeFieldBegin('ended_ms', TType.I64, 3)
             oprot.writeI64(self.ended_ms)
             oprot.writeFieldEnd()
+        if self.level is not None:
+            oprot.writeFieldBegin('level', TType.I32, 4)
+            oprot.writeI32(self.level)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -2693,8 +2693,8 @@
     None,  # 0
     (1, TType.STRING, 'worker_id', 'UTF8', "", ),  # 1
     (2, TType.I64, 'born_ms', None, 0, ),  # 2
-    (3, TType.I64, 'began_ms', None, 0, ),  # 3
-    (4, TType.I64, 'ended_ms', None, 0, ),  # 4
+    (3, TType.I64, 'ended_ms', None, 0, ),  # 3
+    (4, TType.I32, 'level', None, 1, ),  # 4
 )
 all_structs.append(CrashedWorkers)
 CrashedWorkers.thrift_spec = (
--- a/src/trefoilpaddle/protocol/gen/chain/ttypes.pyi
+++ b/src/trefoilpaddle/protocol/gen/chain/ttypes.pyi
@@ -115,9 +115,9 @@
 class WorkerCrash:
     worker_id: str
     born_ms: int
-    began_ms: int
     ended_ms: int
-    def __init__(self, *, worker_id: str = ..., born_ms: int = ..., began_ms: int = ..., ended_ms: int = ...) -> None: ...
+    level: int
+    def __init__(self, *, worker_id: str = ..., born_ms: int = ..., ended_ms: int = ..., level: int = ...) -> None: ...
 class CrashedWorkers:
     fingerprint: str
     crashes: list[WorkerCrash]
--- a/src/trefoilpaddle/state/chain/crash_book.py
+++ b/src/trefoilpaddle/state/chain/crash_book.py
@@ -20,20 +20,14 @@
 REMEMBER_S: Final = 86400.0
 """How long a crash is remembered."""
 
-SAME_S: Final = 10.0
-"""Ends of one worker that tells no starts are one within this time.
-
-News of one end come by several ways, and late to a process that was paused.
-"""
-
 MAX_REQUESTS: Final = 2048
 """Requests that are remembered, those with the fewest crashes forgotten first."""
 
 MAX_OF_ACCOUNT: Final = 256
 """The same of one client account: twice what runs at the largest worker."""
 
-MAX_CRASHES: Final = 8
-"""Crashes of one request that are remembered; more change nothing."""
+MAX_LEVEL: Final = 8
+"""Crashes of one request that are counted; more change nothing."""
 
 MAX_CLEARED: Final = 2048
 """Requests whose clearing is remembered, so that late news do not undo it."""
@@ -63,45 +57,33 @@
         The worker.
     born_ms : int
         Its start; 0 where it tells none.
-    began_s, ended_s : float
-        Monotonic times between which the request ran there.
+    level : int
+        One more than the crashes that its gateway knew as the run began. All that
+        began with the same knowledge count as one: workers that lose their power
+        together end many runs of a popular request, and news of it come late.
+    ended_s : float
+        Monotonic time of the end.
     """
 
     worker_id: str
     born_ms: int
-    began_s: float
+    level: int
     ended_s: float
 
-    def is_same(self, other: "Crash") -> bool:
-        """Return True if both tell of one end of one worker."""
-        if self.worker_id != other.worker_id or self.born_ms != other.born_ms:
-            return False
-        return bool(self.born_ms) or abs(self.ended_s - other.ended_s) < SAME_S
-
-    def overlaps(self, other: "Crash") -> bool:
-        """Return True if the request ran at both workers at one time."""
-        return self.began_s < other.ended_s and other.began_s < self.ended_s
-
 
 @dataclass(slots=True, kw_only=True)
 class CrashRecord:
-    """The crashes of one request, one after another."""
+    """The crashes of one request, the first that was heard of each level."""
 
-    crashes: list[Crash] = field(default_factory=list)
+    crashes: dict[int, Crash] = field(default_factory=dict)
 
-    def takes(self, crash: Crash) -> bool:
-        """Return True if a crash counts beside those that are known.
-
-        Workers that end while the request runs at several of them may have lost
-        their power together: all of these count as one.
-        """
-        return not any(
-            crash.is_same(known) or crash.overlaps(known) for known in self.crashes
-        )
+    def level(self) -> int:
+        """Return how many crashes there were, one after another."""
+        return max(self.crashes, default=0)
 
     def last_s(self) -> float:
         """Return the time of the last crash."""
-        return max(crash.ended_s for crash in self.crashes)
+        return max(crash.ended_s for crash in self.crashes.values())
 
 
 class CrashBook:
@@ -123,11 +105,9 @@
 
     def note(self, fingerprint: str, crash: Crash) -> bool:
         """Take in a crash; return True if it was news."""
-        cleared_s = self._cleared_s.get(fingerprint)
-        if cleared_s is not None and crash.ended_s <= cleared_s:
-            return False
         now_s = time.monotonic()
-        if now_s - crash.ended_s > REMEMBER_S:
+        is_old = now_s - crash.ended_s > REMEMBER_S
+        if is_old or crash.level > MAX_LEVEL or self.is_cleared(fingerprint, crash):
             return False
         record = self._records.get(fingerprint)
         if record is None:
@@ -135,9 +115,9 @@
                 return False
             record = self._records[fingerprint] = CrashRecord()
             self._of_account[account_part(fingerprint)] += 1
-        if len(record.crashes) >= MAX_CRASHES or not record.takes(crash):
+        if crash.level in record.crashes:
             return False
-        record.crashes.append(crash)
+        record.crashes[crash.level] = crash
         return True
 
     def clear(self, fingerprint: str) -> bool:
@@ -161,19 +141,24 @@
         if record is None:
             return Standing.CLEAR
         age_s = time.monotonic() - record.last_s()
-        n_crashes = len(record.crashes)
+        level = record.level()
         if age_s > REMEMBER_S:
             self._forget(fingerprint)
             return Standing.CLEAR
-        if n_crashes >= BLOCK_AFTER:
-            is_over = age_s > BLOCK_S.get(n_crashes, REMEMBER_S)
+        if level >= BLOCK_AFTER:
+            is_over = age_s > BLOCK_S.get(level, REMEMBER_S)
             return Standing.SUSPECT if is_over else Standing.BLOCKED
-        return Standing.SUSPECT if n_crashes == BLOCK_AFTER - 1 else Standing.WATCHED
+        return Standing.SUSPECT if level == BLOCK_AFTER - 1 else Standing.WATCHED
+
+    def level(self, fingerprint: str) -> int:
+        """Return how many crashes of a request there were, one after another."""
+        record = self._records.get(fingerprint)
+        return 0 if record is None else record.level()
 
     def crashes(self, fingerprint: str) -> tuple[Crash, ...]:
         """Return the crashes of a request."""
         record = self._records.get(fingerprint)
-        return () if record is None else tuple(record.crashes)
+        return () if record is None else tuple(record.crashes.values())
 
     def fingerprints(self) -> list[str]:
         """Return all requests that are remembered."""
@@ -203,7 +188,7 @@
         """
         least = min(
             (
-                (len(record.crashes), record.last_s(), fingerprint)
+                (record.level(), record.last_s(), fingerprint)
                 for fingerprint, record in self._records.items()
                 if account_part(fingerprint) == account
             ),
--- a/src/trefoilpaddle/state/chain/worker_runs.py
+++ b/src/trefoilpaddle/state/chain/worker_runs.py
@@ -48,14 +48,16 @@
         Where it ran.
     fingerprint : str
         The request.
-    began_s, ended_s : float
-        Monotonic times of its sending and its end.
+    level : int
+        Crashes of the request that were known as it began.
+    ended_s : float
+        Monotonic time of its end.
     end : RunEnd
         How it ended.
     """
 
     worker: Worker
     fingerprint: str
-    began_s: float
+    level: int
     ended_s: float
     end: RunEnd
