--- a/src/trefoilpaddle/coordination/chain/worker_ends.py
+++ b/src/trefoilpaddle/coordination/chain/worker_ends.py
@@ -44,6 +44,7 @@
 
     REFUSES = "its address refuses connections"
     RESTARTED = "a new start of it is listed"
+    REPLACED = "another worker has its address"
     LAPSED = "its entry has run out"
     TOLD = "a peer says so"
 
@@ -106,6 +107,7 @@
         self._looked_s: dict[Start, float] = {}
         workers.end_listeners.append(self._on_restart)
         workers.leave_listeners.append(self._on_leave)
+        workers.new_listeners.append(self._on_new)
 
     def note(self, run: OpenEndedRun) -> None:
         """Take a run without an answer; begin to look whether its worker is gone."""
@@ -174,6 +176,17 @@
     def _on_restart(self, worker: Worker) -> None:
         self.confirm(worker, Evidence.RESTARTED)
 
+    def _on_new(self, worker: Worker) -> None:
+        """Take a worker at the address of another for the end of that one."""
+        ended = {
+            _start(run.worker): run.worker
+            for run in self._pending
+            if run.worker.address == worker.address
+            and run.worker.worker_id != worker.worker_id
+        }
+        for before in ended.values():
+            self.confirm(before, Evidence.REPLACED)
+
     def _on_leave(self, worker: Worker) -> None:
         if worker.is_leaving:
             kept = (
--- a/src/trefoilpaddle/state/chain/workers.py
+++ b/src/trefoilpaddle/state/chain/workers.py
@@ -98,6 +98,8 @@
     end_listeners : list of callable
         Called with each worker that has started again since: what it held and
         what it was doing are gone. Its leave listeners are called after.
+    new_listeners : list of callable
+        Called with each worker that was not listed before.
     """
 
     __slots__ = (
@@ -109,6 +111,7 @@
         "digest",
         "end_listeners",
         "leave_listeners",
+        "new_listeners",
         "version",
     )
 
@@ -122,6 +125,7 @@
         self.version = 0
         self.leave_listeners: list[Callable[[Worker], None]] = []
         self.end_listeners: list[Callable[[Worker], None]] = []
+        self.new_listeners: list[Callable[[Worker], None]] = []
 
     def __len__(self) -> int:
         return len(self._by_id)
@@ -148,6 +152,9 @@
         self._by_id[worker.worker_id] = worker
         self._by_service.setdefault(worker.service, {})[worker.worker_id] = worker
         self._note_change()
+        if known is None:
+            for listener in self.new_listeners:
+                listener(worker)
         if worker.is_leaving:
             self._tell_leaving(worker)
         return True
--- a/tests/chain/test_worker_ends.py
+++ b/tests/chain/test_worker_ends.py
@@ -84,6 +84,16 @@
         rig.run(RunEnd.BROKEN)
         assert rig.found == ["f1"]
 
+    @pytest.mark.parametrize("end", [RunEnd.BROKEN, RunEnd.SILENT, RunEnd.LEFT])
+    async def test_another_worker_at_its_address_tells_of_the_end(
+        self, end: RunEnd
+    ) -> None:
+        # A worker that goes dark answers nothing, and comes back under a new id.
+        rig = Rig()
+        rig.run(end)
+        rig.workers.put(replace(FIRST, worker_id="w2", born_ms=2000))
+        assert rig.found == ["f1"]
+
     async def test_an_entry_that_runs_out_tells_of_the_end(self) -> None:
         rig = Rig()
         rig.run(RunEnd.BROKEN)
--- a/tests/soak/soak_checks.py
+++ b/tests/soak/soak_checks.py
@@ -42,6 +42,9 @@
 
 LEAST_SERVED = 0.75
 
+BLOCKED = 400
+"""Answer to a request that is taken for one that crashes its workers."""
+
 
 def broken(record: Record, callers: Callers) -> list[str]:
     """Return what was broken, one line each."""
@@ -49,6 +52,7 @@
         _runs,
         _answers,
         _refusals,
+        _blocked,
         _ends,
         cut_at_stops,
         _keys,
@@ -121,6 +125,13 @@
             yield f"{seen.request_id} ({seen.kind}) was answered {seen.status} and ran"
 
 
+def _blocked(record: Record, callers: Callers) -> Iterator[str]:
+    """Nobody is blamed: all send what harms nobody, and each kind one request."""
+    for seen in callers.seen:
+        if seen.status == BLOCKED:
+            yield f"{seen.request_id} ({seen.kind}) was answered {seen.status}"
+
+
 def _ends(record: Record, callers: Callers) -> Iterator[str]:
     """Everything that a gateway passed on is answered, in time."""
     passed_on = {r for worker in record.workers for r in worker.ran}
