Play requests that crash workers once all gateways know one another

Traced by the logs of both: the play began while the gateways did not know one another yet. In one the first gateway, which has no seeds, met the others 4.4 s after its start; in the other two pairs met 5 s after theirs. Each side had its own scheduler and found the request by itself, six crashes instead of three. The promise is for gateways in touch, and the rig now waits until each has heard of all the others; check and bound are unchanged.

--- a/tests/platform_adapter/crash_rig.py
+++ b/tests/platform_adapter/crash_rig.py
@@ -8,6 +8,7 @@
 from collections import Counter
 from collections.abc import AsyncIterator
 from dataclasses import dataclass, field
+from functools import partial
 from pathlib import Path
 from typing import Final
 
@@ -24,6 +25,8 @@
 from trefoilpaddle.standins.platform.store import TABLE_KEY
 from trefoilpaddle.standins.web import serving
 
+from ..waiting import until
+
 MARKER: Final = b"crashes"
 N_WORKERS: Final = 6
 N_CALLERS: Final = 12
@@ -162,6 +165,10 @@
             await asyncio.sleep(0.1)
 
 
+def _knows_all(gateway: GatewayProcess, n_gateways: int) -> bool:
+    return gateway.log().count("member_joined") >= n_gateways - 1
+
+
 @contextlib.asynccontextmanager
 async def crash_rig(
     folder: Path, *, n_gateways: int = 4, crashes_stages: bool = False
@@ -197,6 +204,8 @@
             gateways(site, folder, *domains) as every,
             aiohttp.ClientSession() as client,
         ):
+            for gateway in every:
+                await until(partial(_knows_all, gateway, n_gateways))
             yield CrashRig(
                 site=site,
                 every=every,
