Blame nobody for workers that leave without a word, nor for ends of hours ago

Found by reading. A worker that takes its entry away and leaves, without a word before, had its runs of the last eight seconds counted as crashes if their caller had left or their connection had been reset; and what a link that opens brings, of hours ago, was taken for the end of the worker that has the id now.

An entry that runs out tells of an end only where an answer broke and the look at the worker's address was not answered; one that listens has outlived its broken answers. A peer's word counts for runs of the last eight seconds only. The tests of a caller that left, and of the old end, fail on the code before.

--- a/src/trefoilpaddle/coordination/chain/crash_guard.py
+++ b/src/trefoilpaddle/coordination/chain/crash_guard.py
@@ -19,7 +19,7 @@
 from .crash_relay import CrashRelay
 from .target_calls import TargetCalls
 from .watched_runs import WatchedCall, WatchedRun
-from .worker_ends import Evidence, WorkerEnds
+from .worker_ends import PENDING_S, Evidence, WorkerEnds
 
 APART_RETRY_S: Final = 1.0
 """When to come back with a request that runs apart; most runs are over by then."""
@@ -214,7 +214,8 @@
             return
         self._take(fingerprint, crash)
         worker = self._workers.get(crash.worker_id)
-        if worker is not None and worker.born_ms == crash.born_ms:
+        is_recent = time.monotonic() - crash.ended_s < PENDING_S
+        if worker is not None and worker.born_ms == crash.born_ms and is_recent:
             self._ends.confirm(worker, Evidence.TOLD)
 
     def _take(self, fingerprint: str, crash: Crash) -> None:
--- a/src/trefoilpaddle/coordination/chain/target_calls.py
+++ b/src/trefoilpaddle/coordination/chain/target_calls.py
@@ -88,8 +88,8 @@
     async def report(self, worker: Worker, *, timeout_s: float) -> WorkerReport | None:
         """Return what a stage worker says it does and keeps; None without an answer."""
 
-    async def refuses(self, worker: Worker) -> bool:
-        """Return True if nothing listens at a worker's address any more."""
+    async def is_listening(self, worker: Worker) -> bool | None:
+        """Return whether anything listens at a worker's address; None if unknown."""
 
     async def free_results(self, worker: Worker, handles: Sequence[str]) -> bool:
         """Tell a worker that nobody will read these; True if it has freed them."""
--- a/src/trefoilpaddle/coordination/chain/worker_ends.py
+++ b/src/trefoilpaddle/coordination/chain/worker_ends.py
@@ -8,6 +8,7 @@
 import time
 from collections import deque
 from collections.abc import Callable, Sequence
+from dataclasses import replace
 from enum import Enum, unique
 from typing import Final
 
@@ -49,10 +50,10 @@
     TOLD = "a peer says so"
 
 
+# Entries also run out of workers that are cut off, or leave without a word before.
 EXPLAINS: Final = {
     RunEnd.BROKEN: frozenset(Evidence),
-    RunEnd.LEFT: frozenset(Evidence),
-    # A worker that is cut off falls silent, and its entry runs out as well.
+    RunEnd.LEFT: frozenset(Evidence) - {Evidence.LAPSED},
     RunEnd.SILENT: frozenset(Evidence) - {Evidence.LAPSED},
 }
 """Which evidence turns a run without an answer into one that its worker ended under."""
@@ -165,14 +166,29 @@
 
     async def _send_look(self, worker: Worker) -> None:
         try:
-            if await self._calls.refuses(worker):
-                self.confirm(worker, Evidence.REFUSES)
+            match await self._calls.is_listening(worker):
+                case False:
+                    self.confirm(worker, Evidence.REFUSES)
+                case True:
+                    self._note_alive(worker)
         except Exception:
             # Nobody waits for this task's exception.
             logging.exception("a look whether %s is gone", worker.worker_id)
         finally:
             del self._looks[_start(worker)]
 
+    def _note_alive(self, worker: Worker) -> None:
+        """Take a worker that listens for one that has outlived its broken answers."""
+        self._pending = deque(
+            (
+                replace(run, end=RunEnd.SILENT)
+                if _start(run.worker) == _start(worker) and run.end is RunEnd.BROKEN
+                else run
+                for run in self._pending
+            ),
+            maxlen=MAX_PENDING,
+        )
+
     def _on_restart(self, worker: Worker) -> None:
         self.confirm(worker, Evidence.RESTARTED)
 
--- a/tests/chain/test_crash_guard.py
+++ b/tests/chain/test_crash_guard.py
@@ -1,6 +1,7 @@
 """Which requests are kept from workers, by which gateways, and who is spared."""
 
 import asyncio
+import time
 from dataclasses import replace
 from types import SimpleNamespace
 
@@ -8,7 +9,7 @@
 from result import Ok
 
 from trefoilpaddle.protocol.reasons import Reason
-from trefoilpaddle.state.chain.crash_book import Standing
+from trefoilpaddle.state.chain.crash_book import Crash, Standing
 from trefoilpaddle.state.chain.end_rate import MAX_ENDED
 from trefoilpaddle.state.chain.piece_work import PieceEnd, PieceFault, PieceMade
 from trefoilpaddle.state.chain.worker_runs import RunEnd
@@ -239,6 +240,21 @@
         assert GUILTY in line.detail
 
 
+class TestOldNews:
+    async def test_an_end_of_hours_ago_blames_nobody_at_its_worker_now(self) -> None:
+        # A worker that tells no starts is back under its id; a link that opens brings
+        # what is remembered of it.
+        async with crash_fleet() as fleet:
+            gateway = fleet.every[0]
+            await fleet.run_at(0, "w0", INNOCENT, RunEnd.SILENT)
+            hours_ago_s = time.monotonic() - 7200.0
+            gateway.guard.hear_crash(
+                GUILTY, Crash(worker_id="w0", born_ms=1, level=1, ended_s=hours_ago_s)
+            )
+            assert gateway.book.standing(GUILTY) is Standing.WATCHED
+            assert gateway.book.standing(INNOCENT) is Standing.CLEAR
+
+
 class TestRestartedWorker:
     async def test_a_start_that_peers_know_first_blames_nobody_there(self) -> None:
         # A peer's word on the start before says nothing of runs at the present one.
--- a/tests/chain/test_worker_ends.py
+++ b/tests/chain/test_worker_ends.py
@@ -95,7 +95,9 @@
         assert rig.found == ["f1"]
 
     async def test_an_entry_that_runs_out_tells_of_the_end(self) -> None:
+        # Its host is gone: an answer broke, and nothing says whether it listens.
         rig = Rig()
+        rig.calls.is_dark = True
         rig.run(RunEnd.BROKEN)
         await rig.settle()
         rig.workers.remove("w1")
@@ -150,6 +152,15 @@
         await rig.settle()
         assert rig.found == []
 
+    @pytest.mark.parametrize("end", [RunEnd.BROKEN, RunEnd.LEFT])
+    async def test_one_that_leaves_soon_after_blames_nobody(self, end: RunEnd) -> None:
+        # It has reset a connection, or a caller left, and takes its entry away then.
+        rig = Rig()
+        rig.run(end)
+        await rig.settle()
+        rig.workers.remove("w1")
+        assert rig.found == []
+
     async def test_an_answer_that_is_told_twice_is_looked_at_once(self) -> None:
         # A worker spoils many answers: each look is a connection to it.
         rig = Rig()
