--- /dev/null
+++ b/tests/platform_adapter/caller_rig.py
@@ -0,0 +1,92 @@
+"""The server that callers speak to, and what comes of bytes that are sent to it."""
+
+import asyncio
+import contextlib
+from collections.abc import AsyncIterator
+from dataclasses import dataclass, field
+
+from adapter.callers import CallerServer
+
+from trefoilpaddle.coordination.chain.caller_sink import CallerSink
+from trefoilpaddle.coordination.chain.planned_stop import PlannedStop
+from trefoilpaddle.standins.ports import free_port
+from trefoilpaddle.state.chain.requests import Answered, CallerRequest, Outcome
+from trefoilpaddle.state.chain.routes import CallerLimits
+from trefoilpaddle.state.chain.target_answers import AnswerHead, StreamEvent
+
+HEAD = AnswerHead(status=200, headers=((b"X-Seen", b"1"),))
+GET = b"GET /p/1 HTTP/1.1\r\nHost: h\r\nTrefoilpaddle-Attempt-Id: a\r\n"
+
+
+@dataclass
+class Served:
+    """What came through to the product, and what it answers."""
+
+    requests: list[CallerRequest] = field(default_factory=list)
+    outcome: Outcome = field(default_factory=Answered)
+    n_events: int = 0
+    left: asyncio.Event = field(default_factory=asyncio.Event)
+    hangs: bool = False
+    works_s: float = 0.0
+    n_ended: int = 0
+
+    async def __call__(self, request: CallerRequest, sink: CallerSink) -> Outcome:
+        self.requests.append(request)
+        await asyncio.sleep(self.works_s)
+        self.n_ended += 1
+        if self.hangs:
+            try:
+                await asyncio.sleep(30)
+            except asyncio.CancelledError:
+                self.left.set()
+                raise
+        for number in range(1, self.n_events + 1):
+            if number == 1:
+                await sink.begin(HEAD)
+            await sink.event(StreamEvent(number=number, data=b"id: %d\n\n" % number))
+        if isinstance(self.outcome, Answered):
+            if self.n_events:
+                await sink.end()
+            else:
+                await sink.whole(HEAD, b"whole")
+        return self.outcome
+
+
+@contextlib.asynccontextmanager
+async def serving(served: Served, *, stopping: bool = False) -> AsyncIterator[int]:
+    stop = PlannedStop(grace_s=8.0)
+    if stopping:
+        stop.order()
+    server = CallerServer(
+        serve=served,
+        limits=lambda: CallerLimits(max_body_bytes=100),
+        stop=stop,
+    )
+    port = free_port()
+    async with server.listening(f"127.0.0.1:{port}"):
+        yield port
+
+
+async def exchange(port: int, data: bytes) -> bytes:
+    """Send bytes, then return all that comes within a moment of silence."""
+    reader, writer = await asyncio.open_connection("127.0.0.1", port)
+    writer.write(data)
+    got = b""
+    with contextlib.suppress(TimeoutError, ConnectionError):
+        while True:
+            async with asyncio.timeout(0.15):
+                more = await reader.read(65536)
+            if not more:
+                break
+            got += more
+    writer.close()
+    return got
+
+
+async def ask(served: Served, data: bytes, *, stopping: bool = False) -> bytes:
+    async with serving(served, stopping=stopping) as port:
+        return await exchange(port, data)
+
+
+def status(answer: bytes) -> int:
+    return int(answer.split(b" ", 2)[1])
