--- a/tests/process_rig.py
+++ b/tests/process_rig.py
@@ -142,6 +142,10 @@
             started.popen.send_signal(order)
 
 
+def _take_hangups() -> None:
+    signal.signal(signal.SIGHUP, signal.SIG_DFL)
+
+
 def _start(program: Sequence[str], role: str, folder: Path, text: str) -> Started:
     settings = folder / f"{role}.toml"
     settings.write_text(text)
@@ -152,6 +156,8 @@
             stdout=out,
             stderr=out,
             env=dict(os.environ),
+            # Whoever starts the tests may have told them to ignore a hangup.
+            preexec_fn=_take_hangups,
         )
     operators = next(
         line.partition('"')[2].rstrip('"')
