Count a call of pieces as running from the moment it is started

All six workers of the stage had ended within 0.35 s, so that nobody could serve.

Cause, first of three: a suspect is to run at one worker at a time, but its call counted as running only from the first step of the call's task. One look at the queue goes over all idle workers before any task runs, and gave each of them pieces of the suspect. In the logs encode1 and encode2 ended 0.1 s apart under the same suspect, both started by g0.

Ruled out: requests of others taken for suspects. 124 of the 503 are queue_full (no worker), one is runs_apart.

The new test failed before (three calls in place of one).

--- a/src/trefoilpaddle/coordination/chain/worker_caller.py
+++ b/src/trefoilpaddle/coordination/chain/worker_caller.py
@@ -4,6 +4,8 @@
 import time
 from collections import Counter
 from collections.abc import Callable, Coroutine
+from contextlib import ExitStack
+from dataclasses import dataclass
 from typing import Any, Final
 
 from absl import logging
@@ -20,6 +22,7 @@
 from .crash_guard import CrashGuard
 from .result_freeing import ResultFreeing
 from .target_calls import TargetCalls
+from .watched_runs import WatchedCall
 
 HANG_RATIO: Final = 3.0
 """A call that takes this many times what it should is given up as lost."""
@@ -42,6 +45,31 @@
 """Time between reports while others keep results there and pieces wait for memory."""
 
 
+@dataclass(frozen=True, slots=True, kw_only=True)
+class StartedCall:
+    """A call that is on its way.
+
+    Parameters
+    ----------
+    batch : list of PieceWork
+        What it carries.
+    began_s : float
+        Monotonic time at which it was started.
+    n_waiting : int
+        Pieces that waited behind it.
+    watched : WatchedCall
+        Takes how it ends.
+    running : ExitStack
+        Closed at its end; until then its requests count as running.
+    """
+
+    batch: list[PieceWork]
+    began_s: float
+    n_waiting: int
+    watched: WatchedCall
+    running: ExitStack
+
+
 class WorkerCaller:
     """Sends the calls of one start of a worker.
 
@@ -152,7 +180,18 @@
             work.worker_id = self.worker.worker_id
         self.known.begin_call(len(batch), now_s)
         self._freeing.look()
-        self._spawn(self._call(batch, now_s, n_waiting=n_waiting))
+        # From here on and not from the task's first step: the same look at the queue
+        # goes on to the next free worker.
+        running = ExitStack()
+        watched = running.enter_context(self._guard.running_call(self.worker, batch))
+        call = StartedCall(
+            batch=batch,
+            began_s=now_s,
+            n_waiting=n_waiting,
+            watched=watched,
+            running=running,
+        )
+        self._spawn(self._call(call))
 
     def block(self, now_s: float) -> None:
         """Count the time from now on as busy; ask it where others keep results."""
@@ -202,9 +241,8 @@
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
 
-    async def _call(
-        self, batch: list[PieceWork], began_s: float, *, n_waiting: int
-    ) -> None:
+    async def _call(self, call: StartedCall) -> None:
+        batch, began_s = call.batch, call.began_s
         n_bytes = sum(work.result_bytes for work in batch)
         expected_s = self.known.times.call_s(len(batch))
         timeout_s = HANG_RATIO * expected_s + HANG_SLACK_S
@@ -221,11 +259,11 @@
         self.known.memory.send(n_bytes)
         try:
             try:
-                with self._guard.running_call(self.worker, batch) as call:
+                with call.running:
                     answer = await self._calls.make_pieces(
                         self.worker, batch, timeout_s=timeout_s, on_sent=note_sent
                     )
-                    call.take(answer)
+                    call.watched.take(answer)
                 await self._guard.settled(self.worker)
             finally:
                 self.known.memory.end_call(n_bytes)
@@ -237,7 +275,7 @@
                         batch,
                         ends,
                         began_s,
-                        n_waiting=n_waiting,
+                        n_waiting=call.n_waiting,
                         kept_bytes=kept_bytes,
                     )
                 case Err(CallFault.FULL):
--- a/tests/chain/test_service_dispatch.py
+++ b/tests/chain/test_service_dispatch.py
@@ -6,9 +6,11 @@
 
 import pytest
 
+from trefoilpaddle.coordination.chain.crash_guard import CrashGuard
 from trefoilpaddle.coordination.chain.dispatch_look import DispatchLook
 from trefoilpaddle.coordination.chain.service_dispatch import ServiceDispatch
 from trefoilpaddle.coordination.chain.worker_caller import WorkerCaller
+from trefoilpaddle.state.chain.crash_book import Crash
 from trefoilpaddle.state.chain.known_worker import KnownWorker
 from trefoilpaddle.state.chain.piece_work import PieceWork
 from trefoilpaddle.state.chain.workers import WorkerTable
@@ -28,7 +30,12 @@
 """
 
 
-def callers_of(n_workers: int, calls: FakeCalls, **fields: float) -> list[WorkerCaller]:
+def callers_of(
+    n_workers: int,
+    calls: FakeCalls,
+    guard: CrashGuard | None = None,
+    **fields: float,
+) -> list[WorkerCaller]:
     """Return callers of workers that are idle and need not be asked first."""
     workers = WorkerTable()
     callers = []
@@ -44,7 +51,7 @@
             on_free=lambda: None,
             on_freed=lambda *_: None,
             on_return=lambda _: None,
-            guard=crash_guard(calls, workers),
+            guard=guard or crash_guard(calls, workers),
         )
         caller.known.is_current = True
         callers.append(caller)
@@ -189,3 +196,26 @@
         other.known.times.busy_per_s = 100.0
         look = DispatchLook(callers=[slow, other], free=[slow], now_s=now_s)
         assert look.n_passed(slow) == 100
+
+
+def note_crashes(guard: CrashGuard, fingerprint: str, n_crashes: int) -> None:
+    """Let a guard know of crashes of a request, one after another."""
+    for level in range(1, n_crashes + 1):
+        ended_s = time.monotonic()
+        crash = Crash(worker_id=f"x{level}", born_ms=1, level=level, ended_s=ended_s)
+        guard.hear_crash(fingerprint, crash)
+
+
+class TestCrashedWorkers:
+    async def test_a_suspects_pieces_go_to_one_worker_at_a_time(self) -> None:
+        # Sent to all idle workers in one look, they crash all of them together.
+        calls = FakeCalls()
+        guard = crash_guard(calls, WorkerTable())
+        callers = callers_of(3, calls, guard, batch=1)
+        note_crashes(guard, "s", 2)
+        dispatch = ServiceDispatch(callers=lambda: callers, guard=guard)
+        dispatch.queue.add(due(f"p{n}", fingerprint="s") for n in range(3))
+        dispatch.wake()
+        await until(lambda: bool(calls.batches))
+        assert len(calls.batches) == 1
+        dispatch.stop()
