Keep a suspect apart until it is known whether its worker is gone

Cause, second of three: a run counted as over when its answer broke, some milliseconds before the look at its worker was over. Meanwhile the request's standing was still that before the crash and nothing of it ran, so that another of its pieces, or another attempt, could be sent to one worker more.

--- a/src/trefoilpaddle/coordination/chain/crash_guard.py
+++ b/src/trefoilpaddle/coordination/chain/crash_guard.py
@@ -5,6 +5,7 @@
 from collections.abc import Iterable, Iterator, Sequence
 from contextlib import ExitStack, contextmanager
 from dataclasses import replace
+from functools import partial
 from typing import Final
 
 from ...protocol.reasons import Reason
@@ -134,9 +135,10 @@
         try:
             yield run
         finally:
-            if apart is not None:
-                self._tell_apart(replace(apart, for_s=0.0))
             self._end(worker, fingerprint, level, run.end)
+            if apart is not None:
+                over = replace(apart, for_s=0.0)
+                self._ends.call_settled(worker, partial(self._tell_apart, over))
 
     @contextmanager
     def running_call(
--- a/src/trefoilpaddle/coordination/chain/worker_ends.py
+++ b/src/trefoilpaddle/coordination/chain/worker_ends.py
@@ -155,6 +155,14 @@
         if look is not None:
             await asyncio.wait({look})
 
+    def call_settled(self, worker: Worker, callback: Callable[[], None]) -> None:
+        """Call back once the look at a worker is over; at once if there is none."""
+        look = self._looks.get(_start(worker))
+        if look is None:
+            callback()
+        else:
+            look.add_done_callback(lambda _: callback())
+
     def _look(self, worker: Worker) -> None:
         now_s = time.monotonic()
         start = _start(worker)
--- a/tests/chain/test_crash_guard.py
+++ b/tests/chain/test_crash_guard.py
@@ -127,6 +127,22 @@
             await until(lambda: not fleet.every[5].guard.workers_apart())
             assert fleet.every[5].guard.refusal(GUILTY) is None
 
+    async def test_a_suspect_whose_answer_broke_waits_for_the_look_at_its_worker(
+        self,
+    ) -> None:
+        # Sent on before it is known that the worker is gone, it crashes one more.
+        async with crash_fleet() as fleet:
+            for number in range(2):
+                await fleet.run_at(0, f"w{number}", GUILTY, RunEnd.BROKEN)
+            guard = fleet.every[0].guard
+            at = fleet.every[0].workers.get("w5")
+            assert at is not None
+            with guard.running(at, GUILTY) as run:
+                run.end = RunEnd.BROKEN
+            assert guard.runs_apart(GUILTY)
+            await guard.settled(at)
+            await until(lambda: not guard.runs_apart(GUILTY))
+
 
 class TestCalls:
     @pytest.mark.parametrize(
