Send the pieces of a request that crashed a worker to one worker at a time

All that began with the same knowledge count as one crash, so the count stood still while one worker after another ended: in the logs encode4 and encode0 at the first crash, encode5 and encode3 at the second, encode1 and encode2 at the third. Now a request that is watched waits, like a suspect, while a call from here carries pieces of it. One good end clears it, so that others lose a call's time at most.

Ruled out: raising the count with each worker. A popular request runs at all of them at all times, and a loss of power would block it.

--- a/src/trefoilpaddle/coordination/chain/crash_guard.py
+++ b/src/trefoilpaddle/coordination/chain/crash_guard.py
@@ -2,6 +2,7 @@
 
 import random
 import time
+from collections import Counter
 from collections.abc import Iterable, Iterator, Sequence
 from contextlib import ExitStack, contextmanager
 from dataclasses import replace
@@ -51,7 +52,16 @@
         Tells other gateways, and hears them.
     """
 
-    __slots__ = ("_apart", "_book", "_ends", "_journal", "_rate", "_relay", "_workers")
+    __slots__ = (
+        "_apart",
+        "_book",
+        "_ends",
+        "_journal",
+        "_n_open",
+        "_rate",
+        "_relay",
+        "_workers",
+    )
 
     def __init__(
         self,
@@ -67,6 +77,7 @@
         self._book = book
         self._relay = relay
         self._apart = ApartRuns()
+        self._n_open: Counter[str] = Counter()
         self._rate = EndRate()
         self._ends = WorkerEnds(
             workers=workers, calls=calls, journal=journal, on_ended=self._on_ended
@@ -101,9 +112,9 @@
         """Return what may be done with a request now."""
         return self._book.standing(fingerprint)
 
-    def runs_apart(self, fingerprint: str) -> bool:
-        """Return True while a suspect runs at some worker."""
-        return self._apart.is_open(fingerprint)
+    def is_running(self, fingerprint: str) -> bool:
+        """Return True while a request runs from here, or as a suspect from anywhere."""
+        return fingerprint in self._n_open or self._apart.is_open(fingerprint)
 
     def is_suspect(self, fingerprint: str) -> bool:
         """Return True if a request is to run apart from others."""
@@ -124,6 +135,7 @@
             yield run
             return
         level = self._book.level(fingerprint)
+        self._n_open[fingerprint] += 1
         apart: ApartRun | None = None
         if self.is_suspect(fingerprint):
             apart = ApartRun(
@@ -136,9 +148,10 @@
             yield run
         finally:
             self._end(worker, fingerprint, level, run.end)
-            if apart is not None:
-                over = replace(apart, for_s=0.0)
-                self._ends.call_settled(worker, partial(self._tell_apart, over))
+            # Only once it is known whether the worker is gone is the next run judged
+            # by this one.
+            close = partial(self._close, fingerprint, apart)
+            self._ends.call_settled(worker, close)
 
     @contextmanager
     def running_call(
@@ -178,6 +191,13 @@
         if is_known:
             self._note(Event.REQUEST_CLEARED, fingerprint)
 
+    def _close(self, fingerprint: str, apart: ApartRun | None) -> None:
+        self._n_open[fingerprint] -= 1
+        if not self._n_open[fingerprint]:
+            del self._n_open[fingerprint]
+        if apart is not None:
+            self._tell_apart(replace(apart, for_s=0.0))
+
     def _end(self, worker: Worker, fingerprint: str, level: int, end: RunEnd) -> None:
         match end:
             case RunEnd.NOT_RUN:
--- a/src/trefoilpaddle/coordination/chain/service_dispatch.py
+++ b/src/trefoilpaddle/coordination/chain/service_dispatch.py
@@ -157,7 +157,7 @@
         if self._guard.is_quiet:
             return None
         return CallSharing(
-            standing=self._guard.standing, runs_apart=self._guard.runs_apart
+            standing=self._guard.standing, is_running=self._guard.is_running
         ).may_share
 
     def _look_again(self) -> None:
--- a/src/trefoilpaddle/state/chain/call_sharing.py
+++ b/src/trefoilpaddle/state/chain/call_sharing.py
@@ -21,20 +21,21 @@
     ----------
     standing : callable
         Returns what may be done with a request.
-    runs_apart : callable
-        Returns True while a suspect runs at some worker.
+    is_running : callable
+        Returns True while a request runs at some worker. One that has crashed a
+        worker waits until then: its pieces would crash as many as they reach.
     """
 
-    __slots__ = ("_alone", "_n_taken", "_runs_apart", "_standing", "_watched")
+    __slots__ = ("_alone", "_is_running", "_n_taken", "_standing", "_watched")
 
     def __init__(
         self,
         *,
         standing: Callable[[str], Standing],
-        runs_apart: Callable[[str], bool],
+        is_running: Callable[[str], bool],
     ) -> None:
         self._standing = standing
-        self._runs_apart = runs_apart
+        self._is_running = is_running
         self._alone = ""
         self._n_taken = 0
         self._watched: set[str] = set()
@@ -46,10 +47,12 @@
             return fingerprint == self._alone
         match self._standing(fingerprint):
             case Standing.SUSPECT:
-                if self._n_taken or self._runs_apart(fingerprint):
+                if self._n_taken or self._is_running(fingerprint):
                     return False
                 self._alone = fingerprint
             case Standing.WATCHED:
+                if self._is_running(fingerprint):
+                    return False
                 self._watched.add(fingerprint)
                 if len(self._watched) > MAX_WATCHED:
                     self._watched.remove(fingerprint)
--- a/tests/chain/test_call_sharing.py
+++ b/tests/chain/test_call_sharing.py
@@ -11,7 +11,7 @@
     """Return which of some requests' pieces, most urgent first, share a call."""
     sharing = CallSharing(
         standing=lambda name: standings.get(name, Standing.CLEAR),
-        runs_apart=lambda name: name == running,
+        is_running=lambda name: name == running,
     )
     works: list[PieceWork] = [
         piece(name, due_s=1.0, fingerprint=name) for name in names
@@ -32,6 +32,9 @@
     async def test_a_suspect_that_runs_waits(self) -> None:
         assert shared({"s": Standing.SUSPECT}, "s", "a", running="s") == ["a"]
 
+    async def test_one_that_has_crashed_a_worker_waits_while_it_runs(self) -> None:
+        assert shared({"w": Standing.WATCHED}, "w", "a", running="w") == ["a"]
+
     async def test_few_of_those_that_were_in_one_crash_share_the_next_call(
         self,
     ) -> None:
--- a/tests/chain/test_crash_guard.py
+++ b/tests/chain/test_crash_guard.py
@@ -139,9 +139,9 @@
             assert at is not None
             with guard.running(at, GUILTY) as run:
                 run.end = RunEnd.BROKEN
-            assert guard.runs_apart(GUILTY)
+            assert guard.is_running(GUILTY)
             await guard.settled(at)
-            await until(lambda: not guard.runs_apart(GUILTY))
+            await until(lambda: not guard.is_running(GUILTY))
 
 
 class TestCalls:
--- a/tests/chain/test_service_dispatch.py
+++ b/tests/chain/test_service_dispatch.py
@@ -207,15 +207,31 @@
 
 
 class TestCrashedWorkers:
-    async def test_a_suspects_pieces_go_to_one_worker_at_a_time(self) -> None:
+    @pytest.mark.parametrize("n_crashes", [1, 2])
+    async def test_pieces_of_what_has_crashed_one_go_to_one_worker_at_a_time(
+        self, n_crashes: int
+    ) -> None:
         # Sent to all idle workers in one look, they crash all of them together.
         calls = FakeCalls()
         guard = crash_guard(calls, WorkerTable())
         callers = callers_of(3, calls, guard, batch=1)
-        note_crashes(guard, "s", 2)
+        note_crashes(guard, "s", n_crashes)
         dispatch = ServiceDispatch(callers=lambda: callers, guard=guard)
         dispatch.queue.add(due(f"p{n}", fingerprint="s") for n in range(3))
         dispatch.wake()
         await until(lambda: bool(calls.batches))
         assert len(calls.batches) == 1
         dispatch.stop()
+
+    async def test_it_is_sent_everywhere_again_once_it_has_ended_well(self) -> None:
+        # Kept apart for longer, a popular request would wait call after call.
+        calls = FakeCalls()
+        guard = crash_guard(calls, WorkerTable())
+        callers = callers_of(3, calls, guard, batch=1)
+        note_crashes(guard, "s", 1)
+        dispatch = ServiceDispatch(callers=lambda: callers, guard=guard)
+        dispatch.queue.add(due(f"p{n}", fingerprint="s") for n in range(3))
+        dispatch.wake()
+        await until(lambda: guard.is_quiet)
+        dispatch.wake()
+        await until(lambda: len(calls.batches) == 3)
