Move what reads the store to a folder of its own

What is published and how gateways read it and agree on it is `coordination/published` now, with its tests in `tests/published`; `chain` keeps requests and stages. The order in which members take duties is used by both and goes to `coordination/members`.

Moves and imports only; no line of logic differs. Linters, mypy, the import contracts and tests/published pass.

--- a/src/trefoilpaddle/coordination/chain/fleet.py
+++ b/src/trefoilpaddle/coordination/chain/fleet.py
@@ -8,10 +8,10 @@
 
 from ...state.members import MemberRecord
 from ...transport.connection import Address
+from ..members.duty_rank import duty_rank
 from ..members.membership import Membership
 from ..members.watch_peers import PeerWatch
 from ..own_process import OwnProcess
-from .duty_rank import duty_rank
 
 MEET_S: Final = 0.1
 """Time between tries to meet a seed while no other gateway is known.
--- a/src/trefoilpaddle/coordination/chain/scheduler_links.py
+++ b/src/trefoilpaddle/coordination/chain/scheduler_links.py
@@ -15,7 +15,7 @@
 from ...transport.connection import Address
 from ...transport.link import Link
 from ...transport.peers import Peers
-from .duty_rank import duty_rank
+from ..members.duty_rank import duty_rank
 
 SCHEDULER_SILENT_S: Final = 1.6
 """A scheduler that was not heard for this long is passed over, its chains run again.
--- a/src/trefoilpaddle/coordination/chain/store_readers.py
+++ b/src/trefoilpaddle/coordination/published/store_readers.py
@@ -18,8 +18,8 @@
 from ...state.journal import Decision, Event, Figure
 from ...state.members import MemberRecord
 from ...transport.connection import Address, Connection
+from ..members.duty_rank import duty_rank
 from ..own_process import OwnProcess
-from .duty_rank import duty_rank
 
 N_READERS: Final = 2
 """Gateways of a group that read. With one, all would read whenever it restarts."""
--- a/tests/chain/__main__.py
+++ b/tests/chain/__main__.py
@@ -26,10 +26,10 @@
 from trefoilpaddle.state.chain import known_worker
 from trefoilpaddle.state.chain.bearable_waits import BearableWaits
 
+from ..published.store_costs import print_costs
 from .cell_loads import BUSY_DAY, TIGHT_DAY, UNEVEN_DAY, Load
 from .cell_model import Model, Outcome
 from .crash_costs import print_crash_costs
-from .store_costs import print_costs
 from .virtual_time import run_virtual
 
 LOADS: Final = {"busy": BUSY_DAY, "tight": TIGHT_DAY, "uneven": UNEVEN_DAY}
--- a/tests/platform_adapter/test_entries.py
+++ b/tests/platform_adapter/test_entries.py
@@ -12,7 +12,7 @@
 from hypothesis import strategies as st
 from result import Ok
 
-from trefoilpaddle.coordination.chain.published_store import (
+from trefoilpaddle.coordination.published.published_store import (
     StoreChanges,
     UnreadableEntry,
 )
--- a/tests/platform_adapter/test_gateway_process.py
+++ b/tests/platform_adapter/test_gateway_process.py
@@ -8,7 +8,7 @@
 import aiohttp
 import pytest
 
-from trefoilpaddle.coordination.chain.store_readers import Missing
+from trefoilpaddle.coordination.published.store_readers import Missing
 from trefoilpaddle.standins.platform.gateway_process import (
     DRAFT,
     GatewayProcess,
--- a/tests/chain/store_costs.py
+++ b/tests/published/store_costs.py
@@ -8,8 +8,8 @@
 
 import pytest
 
+from ..chain.virtual_time import run_virtual
 from .store_network import Network, table_bytes
-from .virtual_time import run_virtual
 
 N_CHANGES: Final = 20
 APART_S: Final = 7.07
--- a/tests/chain/store_fleet.py
+++ b/tests/published/store_fleet.py
@@ -10,19 +10,22 @@
 import pytest
 from result import Err, Ok
 
-from trefoilpaddle.coordination.chain import store_feed, store_readers, store_relay
-from trefoilpaddle.coordination.chain.published_store import StoreChanges, StoreFault
-from trefoilpaddle.coordination.chain.store_feed import StoreFeed
-from trefoilpaddle.coordination.chain.store_readers import StoreReaders
-from trefoilpaddle.coordination.chain.store_relay import StoreRelay
+from trefoilpaddle.coordination.published import store_feed, store_readers, store_relay
+from trefoilpaddle.coordination.published.published_store import (
+    StoreChanges,
+    StoreFault,
+)
+from trefoilpaddle.coordination.published.store_feed import StoreFeed
+from trefoilpaddle.coordination.published.store_readers import StoreReaders
+from trefoilpaddle.coordination.published.store_relay import StoreRelay
 from trefoilpaddle.protocol.gen.chain.ttypes import StoreNews, StoreState
 from trefoilpaddle.protocol.gen.stage.ttypes import Hello
 from trefoilpaddle.state.chain.workers import Worker, WorkerTable
 from trefoilpaddle.state.members import MemberRecord
 from trefoilpaddle.transport.connection import Address
 
-from .fakes import journal, process, worker
-from .test_chain_router import member
+from ..chain.fakes import journal, process, worker
+from ..chain.test_chain_router import member
 from .test_store_feed import Answer, published
 
 IDS: Final = ("w1", "w2", "w3")
--- a/tests/chain/store_network.py
+++ b/tests/published/store_network.py
@@ -12,14 +12,14 @@
 import orjson
 from result import Err, Ok, Result
 
-from trefoilpaddle.coordination.chain.published_store import (
+from trefoilpaddle.coordination.published.published_store import (
     PublishedTable,
     StoreChanges,
     StoreFault,
 )
-from trefoilpaddle.coordination.chain.store_feed import StoreFeed
-from trefoilpaddle.coordination.chain.store_readers import StoreReaders
-from trefoilpaddle.coordination.chain.store_relay import StoreRelay
+from trefoilpaddle.coordination.published.store_feed import StoreFeed
+from trefoilpaddle.coordination.published.store_readers import StoreReaders
+from trefoilpaddle.coordination.published.store_relay import StoreRelay
 from trefoilpaddle.protocol.frames import Message, encode
 from trefoilpaddle.protocol.gen.chain.ttypes import StorePull, StoreState
 from trefoilpaddle.protocol.gen.stage.ttypes import Hello
@@ -28,8 +28,8 @@
 from trefoilpaddle.state.chain.workers import Worker, WorkerTable
 from trefoilpaddle.transport.connection import Address
 
-from .fakes import journal, process, worker
-from .test_chain_router import member
+from ..chain.fakes import journal, process, worker
+from ..chain.test_chain_router import member
 from .test_store_feed import Answer
 
 WAY_S: Final = 0.001
--- a/tests/chain/test_store_agreement.py
+++ b/tests/published/test_store_agreement.py
@@ -4,8 +4,8 @@
 
 import pytest
 
-from trefoilpaddle.coordination.chain import store_feed
-from trefoilpaddle.coordination.chain.store_feed import LAPSE_S
+from trefoilpaddle.coordination.published import store_feed
+from trefoilpaddle.coordination.published.store_feed import LAPSE_S
 
 from .store_fleet import IDS, NAMES, fleet
 
--- a/tests/chain/test_store_feed.py
+++ b/tests/published/test_store_feed.py
@@ -8,23 +8,23 @@
 import pytest
 from result import Err, Ok, Result
 
-from trefoilpaddle.coordination.chain import store_feed
-from trefoilpaddle.coordination.chain.published_store import (
+from trefoilpaddle.coordination.published import store_feed
+from trefoilpaddle.coordination.published.published_store import (
     PublishedTable,
     StoreChanges,
     StoreFault,
     UnreadableEntry,
 )
-from trefoilpaddle.coordination.chain.store_feed import StoreFeed
-from trefoilpaddle.coordination.chain.store_readers import StoreReaders
-from trefoilpaddle.coordination.chain.store_relay import StoreRelay
+from trefoilpaddle.coordination.published.store_feed import StoreFeed
+from trefoilpaddle.coordination.published.store_readers import StoreReaders
+from trefoilpaddle.coordination.published.store_relay import StoreRelay
 from trefoilpaddle.protocol.gen.chain.ttypes import ListedWorker, StoreState
 from trefoilpaddle.state.chain.routes import RouteTable
 from trefoilpaddle.state.chain.workers import WorkerTable
 from trefoilpaddle.state.journal import Event
 
+from ..chain.fakes import journal, process, worker
 from ..waiting import until
-from .fakes import journal, process, worker
 
 Answer = Result[StoreChanges, StoreFault]
 
--- a/tests/chain/test_store_readers.py
+++ b/tests/published/test_store_readers.py
@@ -9,21 +9,21 @@
 from thrift.protocol.TCompactProtocol import TCompactProtocolAccelerated
 from thrift.transport.TTransport import TMemoryBuffer
 
-from trefoilpaddle.coordination.chain import store_feed, store_readers
-from trefoilpaddle.coordination.chain.published_store import (
+from trefoilpaddle.coordination.published import store_feed, store_readers
+from trefoilpaddle.coordination.published.published_store import (
     PublishedTable,
     StoreChanges,
     StoreFault,
     UnreadableEntry,
 )
-from trefoilpaddle.coordination.chain.store_feed import POLL_S, StoreFeed
-from trefoilpaddle.coordination.chain.store_readers import (
+from trefoilpaddle.coordination.published.store_feed import POLL_S, StoreFeed
+from trefoilpaddle.coordination.published.store_readers import (
     N_READERS,
     REGION_GATEWAYS,
     StoreReaders,
 )
-from trefoilpaddle.coordination.chain.store_relay import StoreRelay
-from trefoilpaddle.coordination.chain.table_change import change_between
+from trefoilpaddle.coordination.published.store_relay import StoreRelay
+from trefoilpaddle.coordination.published.table_change import change_between
 from trefoilpaddle.protocol.frames import HEADER, Message, encode
 from trefoilpaddle.protocol.gen.chain.ttypes import ListedWorker, StoreNews, StoreState
 from trefoilpaddle.state.chain.routes import RouteTable
@@ -31,8 +31,8 @@
 from trefoilpaddle.state.members import MemberRecord
 from trefoilpaddle.transport.connection import Address
 
-from .fakes import journal, process
-from .test_chain_router import member
+from ..chain.fakes import journal, process
+from ..chain.test_chain_router import member
 from .test_store_feed import Answer, FakeStore, changes, published
 
 
--- a/tests/chain/test_store_schedules.py
+++ b/tests/published/test_store_schedules.py
@@ -7,8 +7,8 @@
 from hypothesis import HealthCheck, given, settings
 from hypothesis import strategies as st
 
-from trefoilpaddle.coordination.chain import store_feed
-from trefoilpaddle.coordination.chain.store_feed import LAPSE_S
+from trefoilpaddle.coordination.published import store_feed
+from trefoilpaddle.coordination.published.store_feed import LAPSE_S
 
 from .store_fleet import GROUP, IDS, NAMES, Fleet, fleet
 
--- a/tests/chain/test_store_spread.py
+++ b/tests/published/test_store_spread.py
@@ -5,12 +5,12 @@
 
 import pytest
 
-from trefoilpaddle.coordination.chain.store_feed import POLL_S
-from trefoilpaddle.coordination.chain.store_readers import N_READERS
+from trefoilpaddle.coordination.published.store_feed import POLL_S
+from trefoilpaddle.coordination.published.store_readers import N_READERS
 
-from .fakes import worker
+from ..chain.fakes import worker
+from ..chain.virtual_time import run_virtual
 from .store_network import LAST_TIMEOUT_S, STEP_S, Gateway, Network
-from .virtual_time import run_virtual
 
 SPREAD_S: Final = POLL_S + 0.1
 """One turn of a reader, its read and what it tells."""
--- a/tests/chain/test_table_change.py
+++ b/tests/published/test_table_change.py
@@ -4,9 +4,9 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from trefoilpaddle.coordination.chain import table_change
-from trefoilpaddle.coordination.chain.published_store import PublishedTable
-from trefoilpaddle.coordination.chain.table_change import (
+from trefoilpaddle.coordination.published import table_change
+from trefoilpaddle.coordination.published.published_store import PublishedTable
+from trefoilpaddle.coordination.published.table_change import (
     MAX_CHANGE_BYTES,
     PIECE_BYTES,
     change_between,
