Hold what is known against a copy also if a late refusal comes in between

Cause: a watch of the era before was on its way while news told of the next era. Its refusal (the store does not have that revision) then marked the list that was needed as one after lost history, so that the first list of the era was taken at its word. A refusal counts now only for the position that was asked with.

The test failed before.

--- a/src/trefoilpaddle/coordination/published/store_feed.py
+++ b/src/trefoilpaddle/coordination/published/store_feed.py
@@ -215,7 +215,11 @@
                 self._note_back()
                 return await self._take_answer(changes, asked, reason)
             case Err(StoreFault.HISTORY_LOST):
-                self._need_list(LOST_LIST)
+                if self.position == asked:
+                    self._need_list(LOST_LIST)
+                if self.position.is_known or self._leaves_list_to_others():
+                    # Others have told what came since, or of a later era.
+                    return self.position.is_known
                 return await self.read_once()
             case Err(fault):
                 self._note_away(fault)
--- a/tests/published/test_store_returns.py
+++ b/tests/published/test_store_returns.py
@@ -125,6 +125,27 @@
         made.pass_time(LAPSE_S)
         assert all_know(made, "w1", "w3")
 
+    async def test_lost_history_of_the_era_before_is_nothing_of_this_one(
+        self, made: Fleet
+    ) -> None:
+        # News of the next era come while a watch of the last is refused: what leaves
+        # or is gone must be held against the list that follows.
+        slow = made.by_name["b"]
+        copy = made.store.copy()
+        made.store.lapse("w1")
+        made.turn()
+        made.store.return_from(copy)
+        slow.begin()
+        slow.workers.put(worker("w7"))
+        made.by_name["a"].read()
+        made.deliver("a", "b")
+        assert slow.feed.position == StorePosition(era=1)
+        made.now_s += store_feed.POLL_S
+        while slow.reading is not None:
+            slow.go_on()
+        assert slow.feed.position == made.by_name["a"].feed.position
+        assert "w1" not in slow.workers.ids()
+
 
 class TestPeers:
     async def test_one_that_is_cut_off_goes_on_from_news(self, made: Fleet) -> None:
