Run gateways through returns of the store, and drop in time who is gone

Seeded runs in virtual time: returns in series, gateways cut off, slow answers, stops and starts, workers that come, leave and vanish, entries that run out. What is written must be known at every gateway 3 s later, no older table be in force again, and nobody used again who has left.

--- a/src/trefoilpaddle/coordination/published/store_feed.py
+++ b/src/trefoilpaddle/coordination/published/store_feed.py
@@ -59,6 +59,9 @@
 Workers write again within about two seconds of the store's return.
 """
 
+DROP_LOOK_S: Final = 0.2
+"""Time between looks whether that time is over; a part of what is left of 3 s."""
+
 MAX_DIFFERING: Final = 4
 """News in a row after which workers that differ are listed anew.
 
@@ -175,11 +178,18 @@
                 # Counted from the answer, a store that takes 0.2 s made readers
                 # tell the others later than those wait, and all read it.
                 rest_s = max(0.0, began_s + POLL_S - time.monotonic())
-                await asyncio.sleep(rest_s if is_read else RETRY_S)
+                await self._pause(rest_s if is_read else RETRY_S)
             else:
                 self._drop_lapsed(time.monotonic())
                 await self._readers.wait()
 
+    async def _pause(self, for_s: float) -> None:
+        """Sleep, and drop meanwhile the workers whose time to come back is over."""
+        ends_s = time.monotonic() + for_s
+        while (left_s := ends_s - time.monotonic()) > 0.0:
+            await asyncio.sleep(min(left_s, DROP_LOOK_S))
+            self._drop_lapsed(time.monotonic())
+
     async def _read_any(self) -> bool:
         """Read the store, or peers if it does not answer; True if one of them did.
 
--- /dev/null
+++ b/tests/published/__main__.py
@@ -0,0 +1,36 @@
+"""Play returns of the store: ``python -m tests.published --seeds 200 --gateways 4``."""
+
+import fire
+import pytest
+
+from ..chain.virtual_time import run_virtual
+from .return_runs import ReturnRun
+from .test_return_runs import LENGTH_S
+
+
+def play(*, seeds: int = 200, gateways: int = 4, first: int = 0) -> None:
+    """Play seeds and print what was not known in time.
+
+    Parameters
+    ----------
+    seeds : int
+        How many.
+    gateways : int
+        In one group.
+    first : int
+        The first seed.
+    """
+    n_failed = n_returns = 0
+    for seed in range(first, first + seeds):
+        with pytest.MonkeyPatch.context() as patch:
+            run = ReturnRun(seed, n_gateways=gateways, length_s=LENGTH_S)
+            problems = run_virtual(patch, run.run())
+        n_returns += run.n_returns
+        n_failed += bool(problems)
+        for problem in problems[:3]:
+            print(f"seed {seed}: {problem}", flush=True)
+    print(f"{seeds} seeds, {n_failed} failed, {n_returns} returns")
+
+
+if __name__ == "__main__":
+    fire.Fire(play)
--- a/tests/published/store_network.py
+++ b/tests/published/store_network.py
@@ -213,7 +213,9 @@
         self.name = name
         self.network = network
         self.is_cut_off = False
+        self.n_cuts = 0
         self.is_dark = False
+        self.read_s = READ_S
         self.sent_bytes = 0
         self.version = 0
         self.timeout_s = FIRST_TIMEOUT_S
@@ -234,6 +236,8 @@
 
     def hear(self, message: Message) -> None:
         """Take what another gateway tells."""
+        if self.is_dark:
+            return
         self.readers._on_message(None, message)  # type: ignore[arg-type]
 
     async def snapshot(self) -> Answer:
@@ -247,11 +251,11 @@
 
     async def _read(self, answer: Answer) -> Answer:
         self.network.n_reads[self.name] += 1
-        if self.is_cut_off:
+        if self.is_cut_off or self.n_cuts:
             await asyncio.sleep(self.timeout_s)
             self.timeout_s = min(LAST_TIMEOUT_S, 2 * self.timeout_s)
             return Err(StoreFault.SILENT)
-        await asyncio.sleep(READ_S)
+        await asyncio.sleep(self.read_s)
         self.timeout_s = FIRST_TIMEOUT_S
         return answer
 
@@ -280,6 +284,7 @@
         self.store = Store(n_workers, **size)
         self.n_reads: Counter[str] = Counter()
         self.n_lists: Counter[str] = Counter()
+        self.n_starts = 0
         names = _names("g", n_gateways)
         self.members = [
             replace(member(name, port), address=f"127.0.0.1:{port}")
@@ -287,15 +292,44 @@
         ]
         self.gateways = [Gateway(name, self) for name in names]
         self.by_port = dict(enumerate(self.gateways, 1))
-        self._tasks: list[asyncio.Task[None]] = []
+        self.read_s = READ_S
+        self._tasks: dict[str, asyncio.Task[None]] = {}
 
     async def start(self) -> None:
         """Start the gateways one after the other; wait until only some read."""
         for gateway in self.gateways:
-            self._tasks.append(asyncio.create_task(gateway.feed.run()))
+            self._run(gateway)
             await asyncio.sleep(STEP_S)
         await asyncio.sleep(2.0)
 
+    def _run(self, gateway: Gateway) -> None:
+        self._tasks[gateway.name] = asyncio.create_task(gateway.feed.run())
+
+    def stop(self, number: int) -> None:
+        """Kill a gateway; the others do not know yet."""
+        gateway = self.gateways[number]
+        gateway.is_dark = True
+        self._tasks.pop(gateway.name).cancel()
+
+    def forget(self, number: int) -> None:
+        """Let the others count a gateway as gone."""
+        name = self.gateways[number].name
+        self.members = [m for m in self.members if m.process_id != name]
+
+    def start_again(self, number: int) -> None:
+        """Start a gateway that knows nothing; it comes last among the others."""
+        self.n_starts += 1
+        self.forget(number)
+        name = self.gateways[number].name
+        gateway = Gateway(name, self)
+        gateway.n_cuts = self.gateways[number].n_cuts
+        self.gateways[number] = gateway
+        self.by_port[number + 1] = gateway
+        record = member(name, len(self.gateways) + self.n_starts)
+        address = f"127.0.0.1:{number + 1}"
+        self.members = [*self.members, replace(record, address=address)]
+        self._run(gateway)
+
     async def time_to(self, *, version: int) -> dict[str, float]:
         """Return for each gateway after how long a table is in force there."""
         loop = asyncio.get_running_loop()
