Have one gateway list the store after a return, whatever the fleet's size

What operators would see: in the model, 1.5 s away and then back from a copy, 66 of 68 gateways and 298 of 300 listed the whole store, each read paid for.

Cause: while the store is away nobody is told, so each gateway reads by itself, and all find the next era at once. Those that do not read waited 0.6 s for a reader whose own question hung for longer, and then listed all together; and a store that does not have the revision asked for was taken for one that lost its history, as the refusal did not carry its era.

Now the adapter reads the era from such a refusal too, the gateways that do not read take turns within 0.6 s after the readers', and whoever has the first list of an era tells the others what differs. A turn that comes due is not slept over.

--- a/src/trefoilpaddle/coordination/published/published_store.py
+++ b/src/trefoilpaddle/coordination/published/published_store.py
@@ -93,5 +93,6 @@
         """Return what has changed since a position, at once.
 
         An answer from another era than that of `after` holds what has changed in
-        that one since the same revision, which leads on from nothing that is known.
+        that one since the same revision, or nothing if it has no such revision; it
+        leads on from nothing that is known.
         """
--- a/src/trefoilpaddle/coordination/published/store_feed.py
+++ b/src/trefoilpaddle/coordination/published/store_feed.py
@@ -178,7 +178,8 @@
                 # Counted from the answer, a store that takes 0.2 s made readers
                 # tell the others later than those wait, and all read it.
                 rest_s = max(0.0, began_s + POLL_S - time.monotonic())
-                await self._pause(rest_s if is_read else RETRY_S)
+                retry_s = min(RETRY_S, self._own_turn_s() or RETRY_S)
+                await self._pause(rest_s if is_read else retry_s)
             else:
                 self._drop_lapsed(time.monotonic())
                 await self._readers.wait()
@@ -423,9 +424,14 @@
 
     def _leaves_list_to_others(self) -> bool:
         """Return True while the first list of an era is left to other gateways."""
+        return self._own_turn_s() > 0.0
+
+    def _own_turn_s(self) -> float:
+        """Return how long the first list of an era is still left to others."""
         if self.position.is_known or self._list_reason is not RETURN_LIST:
-            return False
-        return time.monotonic() - self._left_s < self._readers.list_delay_s()
+            return 0.0
+        left_s = self._left_s + self._readers.list_delay_s() - time.monotonic()
+        return max(0.0, left_s)
 
     def _list_scope(self) -> Scope:
         """Return what a whole list is that is taken now."""
--- a/src/trefoilpaddle/coordination/published/store_readers.py
+++ b/src/trefoilpaddle/coordination/published/store_readers.py
@@ -42,6 +42,13 @@
 """Time between looks of a gateway that is told; half of the time between reads."""
 
 
+LIST_TURNS_S: Final = 0.6
+"""Time over which those that do not read take turns to list the store after a return.
+
+With what the readers have before them it leaves room for a read within 3 s.
+"""
+
+
 @unique
 class Missing(Enum):
     """What news do not give, so that the store is read at once."""
@@ -111,13 +118,17 @@
     def list_delay_s(self) -> float:
         """Return how long to leave the first list of an era to other gateways.
 
-        A store that comes back is found by all at once. The first reader lists it and
-        tells the others what differs; each other one lists it only if nobody has.
+        A store that comes back is found by all at once. The first in the order of
+        readers lists it and tells the others what differs; each other one lists it
+        only if none before it has.
         """
         own_id = self._process.identity.process_id
-        reading = [member.process_id for member in _readers(self._group())]
-        n_before = reading.index(own_id) if own_id in reading else N_READERS
-        return n_before * LOOK_S
+        ranked = [each.process_id for each in sorted(self._group(), key=duty_rank)]
+        n_before = ranked.index(own_id) if own_id in ranked else len(ranked)
+        if n_before < N_READERS:
+            return n_before * LOOK_S
+        turn = (n_before - N_READERS) / len(ranked)
+        return N_READERS * LOOK_S + turn * LIST_TURNS_S
 
     async def wait(self) -> None:
         """Wait until it is time to look again whether to read."""
@@ -139,10 +150,14 @@
             self._told_s = time.monotonic()
 
     def tell(self, news: StoreNews) -> None:
-        """Tell the others of the group what was read, if this is a reader."""
+        """Tell the others of the group what was read, if this is a reader.
+
+        The first list of an era is told by whoever has it.
+        """
         own_id = self._process.identity.process_id
         group = self._group()
-        if own_id not in {member.process_id for member in _readers(group)}:
+        is_reader = own_id in {member.process_id for member in _readers(group)}
+        if not is_reader and news.base is None:
             return
         for member in group:
             if member.process_id == own_id:
--- a/tests/published/store_fleet.py
+++ b/tests/published/store_fleet.py
@@ -153,6 +153,8 @@
     def since(self, after: StorePosition) -> Answer:
         """Return the changes after a revision as the platform's client does."""
         if not self.forgotten <= after.revision <= self.revision:
+            if after.era != self.era:
+                return Ok(StoreChanges(position=StorePosition(era=self.era)))
             return Err(StoreFault.HISTORY_LOST)
         events = [event for event in self.events if event[0] > after.revision]
         last = {i: entry for _, i, entry in events}
--- a/tests/published/test_store_spread.py
+++ b/tests/published/test_store_spread.py
@@ -24,6 +24,9 @@
 CONTROL_BYTES_PER_S: Final = 17_000
 """What control may cost each gateway; see the head of docs/DESIGN.md."""
 
+KNOWN_S: Final = 3.0
+"""Within which what is written after a return of the store must be known."""
+
 CONFIGURATION_S: Final = 2.0
 """Within which a change must be in force, whoever is turned away."""
 
@@ -154,3 +157,33 @@
             )
 
         run_virtual(monkeypatch, play())
+
+
+class TestReturn:
+    @pytest.mark.parametrize("n_gateways", [4, 68, 300])
+    @pytest.mark.parametrize("away_s", [0.0, 1.5])
+    def test_few_list_the_store_for_all(
+        self, monkeypatch: pytest.MonkeyPatch, n_gateways: int, away_s: float
+    ) -> None:
+        # The store comes back from a copy, and all find it at once: while it was away
+        # nobody was told, so each read by itself.
+        async def play() -> None:
+            network = Network(n_gateways, n_workers=60)
+            await network.start()
+            copy = network.store.copy()
+            for number in range(8):
+                network.store.write(worker(f"new{number}"))
+            await asyncio.sleep(2 * POLL_S)
+            for gateway in network.gateways:
+                gateway.is_cut_off = away_s > 0.0
+            await asyncio.sleep(away_s)
+            for gateway in network.gateways:
+                gateway.is_cut_off = False
+            network.store.return_from(copy)
+            network.store.write(worker("last"))
+            n_lists = network.n_lists.total()
+            await asyncio.sleep(KNOWN_S)
+            assert all(is_usable(gateway, "last") for gateway in network.gateways)
+            assert network.n_lists.total() - n_lists <= N_READERS
+
+        run_virtual(monkeypatch, play())
