Let a reader ask anew while its question to the store hangs

Cause: a question that was lost while the store was away hangs until its time-out, which grows to three seconds so that a slow store is borne. Those of both readers hung at once, and all others wait for their news.

A store answered so counts as having been away, since the first question is still unanswered.

The new test failed before with the store away for 3.4 s.

--- a/src/trefoilpaddle/coordination/published/store_feed.py
+++ b/src/trefoilpaddle/coordination/published/store_feed.py
@@ -1,6 +1,7 @@
 """Reads the store for a gateway, and puts in force what it or a reader says."""
 
 import asyncio
+import contextlib
 import time
 from collections.abc import Awaitable, Callable
 from dataclasses import replace
@@ -107,6 +108,8 @@
     __slots__ = (
         "_ask_peers",
         "_asked_s",
+        "_began_s",
+        "_is_overdue",
         "_left",
         "_left_s",
         "_list_reason",
@@ -152,6 +155,8 @@
         self._left = StorePosition()
         self._left_s = 0.0
         self._asked_s = 0.0
+        self._began_s = 0.0
+        self._is_overdue = False
         self._told_s = 0.0
         self._read_s = time.monotonic()
         self.is_away = False
@@ -170,7 +175,8 @@
         """Read until cancelled."""
         while True:
             if not self.position.is_known or self._readers.must_read():
-                began_s = time.monotonic()
+                began_s = self._began_s = time.monotonic()
+                self._is_overdue = False
                 is_read = await meanwhile(
                     self._read_any(), self._ask_meanwhile, every_s=PATIENCE_S
                 )
@@ -218,14 +224,27 @@
         """
         try:
             await self.read_peers()
+            if time.monotonic() - self._began_s >= POLL_S and self._readers.is_reader():
+                await self._read_again()
         except Exception:
             logging.exception("what peers know could not be taken in")
 
+    async def _read_again(self) -> None:
+        """Ask the store anew, at the usual pace, beside a question that hangs.
+
+        One that was lost while the store was away hangs for seconds after its return,
+        and with the readers' questions all others wait for what is written then.
+        """
+        self._is_overdue = True
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(PATIENCE_S):
+                await self.read_once()
+
     async def read_once(self) -> bool:
         """Read once; return True if the store answered with what can be used."""
         asked = self.position
         reason = self._list_reason
-        if not self.is_away:
+        if not (self.is_away or self._is_overdue):
             self._asked_s = time.monotonic()
         match await self._answer(asked):
             case Ok(changes):
@@ -483,7 +502,8 @@
         alone. Taken for away, the store made all others keep workers that had gone
         for 2.5 s, as a reader tells them when it came back.
         """
-        if self.is_away and self._told_s <= self._asked_s:
+        was_away = self.is_away or self._is_overdue
+        if was_away and self._told_s <= self._asked_s:
             self._listing.note_back(time.monotonic())
         self._note_back()
 
--- a/src/trefoilpaddle/coordination/published/store_readers.py
+++ b/src/trefoilpaddle/coordination/published/store_readers.py
@@ -103,7 +103,7 @@
 
     def must_read(self) -> bool:
         """Return True if this gateway is to read the store itself now."""
-        is_reader = self._is_reader()
+        is_reader = self.is_reader()
         if is_reader is not self._was_reader:
             self._was_reader = is_reader
             self._note(is_reader=is_reader)
@@ -154,12 +154,10 @@
 
         The first list of an era is told by whoever has it.
         """
-        own_id = self._process.identity.process_id
-        group = self._group()
-        is_reader = own_id in {member.process_id for member in _readers(group)}
-        if not is_reader and news.base is None:
+        if not self.is_reader() and news.base is None:
             return
-        for member in group:
+        own_id = self._process.identity.process_id
+        for member in self._group():
             if member.process_id == own_id:
                 continue
             match Address.parse(member.address):
@@ -182,7 +180,8 @@
                 self._missing = missing
                 self._is_behind.set()
 
-    def _is_reader(self) -> bool:
+    def is_reader(self) -> bool:
+        """Return True if this gateway reads for the others of its group."""
         own_id = self._process.identity.process_id
         return own_id in {member.process_id for member in _readers(self._group())}
 
--- a/tests/published/test_store_spread.py
+++ b/tests/published/test_store_spread.py
@@ -5,7 +5,7 @@
 
 import pytest
 
-from trefoilpaddle.coordination.published.store_feed import POLL_S
+from trefoilpaddle.coordination.published.store_feed import PATIENCE_S, POLL_S
 from trefoilpaddle.coordination.published.store_readers import N_READERS
 
 from ..chain.fakes import worker
@@ -160,6 +160,27 @@
 
 
 class TestReturn:
+    @pytest.mark.parametrize("away_s", [1.9, 2.9, 3.4])
+    def test_no_question_that_was_lost_puts_off_what_is_written_then(
+        self, monkeypatch: pytest.MonkeyPatch, away_s: float
+    ) -> None:
+        # Questions asked while the store is away hang for up to three seconds, and
+        # those of both readers at the same time.
+        async def play() -> None:
+            network = Network(22)
+            await network.start()
+            for gateway in network.gateways:
+                gateway.is_cut_off = True
+            await asyncio.sleep(away_s)
+            for gateway in network.gateways:
+                gateway.is_cut_off = False
+            network.store.return_from(network.store.copy())
+            network.store.write(worker("last"))
+            await asyncio.sleep(POLL_S + 2 * PATIENCE_S + SPREAD_S)
+            assert all(is_usable(gateway, "last") for gateway in network.gateways)
+
+        run_virtual(monkeypatch, play())
+
     @pytest.mark.parametrize("n_gateways", [4, 68, 300])
     @pytest.mark.parametrize("away_s", [0.0, 1.5])
     def test_few_list_the_store_for_all(
