Go by a doubted entry that stands, and split view and feed of the store

What callers would see: a worker that was known as gone before a return of the store, and lives, got no request any more at some gateways, for good.

Cause: an entry of the copy that contradicts own knowledge is left aside until it is written again, which only a reader sees. A reader that started since the return has nothing against the entry and does not name it when it is written; and what peers list being the same led others past that write. Found by hypothesis: lapse, read, copy, return, publish, in that order.

The store removes an entry after three heartbeats of silence. One that stands five seconds after the return has been written since, so it is gone by from then on, as soon as the store or a reader has told that it stands.

In the schedules workers write twice in the end, as they do all the time: the first list after a return cannot tell what was written before it from what the copy had. In the runs entries run out although the sum of two floats is a hair under three seconds.

--- a/src/trefoilpaddle/coordination/published/doubted_entries.py
+++ b/src/trefoilpaddle/coordination/published/doubted_entries.py
@@ -2,9 +2,17 @@
 
 from collections.abc import Iterable, Mapping
 from dataclasses import replace
+from typing import Final
 
 from ...state.chain.workers import Worker, WorkerTable
 
+DOUBT_S: Final = 5.0
+"""How long an entry is doubted that stays listed.
+
+The store removes it after three heartbeats of silence: whoever stands there longer has
+written since, though this gateway may have been told of nothing.
+"""
+
 
 class DoubtedEntries:
     """Entries that a copy holds although later knowledge says otherwise.
@@ -18,11 +26,12 @@
         What is known.
     """
 
-    __slots__ = ("_by_id", "_workers")
+    __slots__ = ("_by_id", "_until_s", "_workers")
 
     def __init__(self, *, workers: WorkerTable) -> None:
         self._workers = workers
         self._by_id: dict[str, Worker] = {}
+        self._until_s = 0.0
 
     def __contains__(self, worker_id: str) -> bool:
         return worker_id in self._by_id
@@ -31,8 +40,9 @@
         """Return these entries, as the store lists them."""
         return list(self._by_id.values())
 
-    def judge(self, listed: Iterable[Worker]) -> None:
+    def judge(self, listed: Iterable[Worker], now_s: float) -> None:
         """Find them in the first list of an era; those of an earlier one go."""
+        self._until_s = now_s + DOUBT_S
         by_id = {worker.worker_id: worker for worker in listed}
         taken = {
             known.address: known.worker_id
@@ -54,10 +64,12 @@
             if by_id.get(worker_id) == worker
         }
 
-    def adopt(self, worker: Worker) -> bool:
+    def adopt(self, worker: Worker, now_s: float) -> bool:
         """Doubt an entry as a peer does; False if it is known otherwise here."""
         if self._workers.get(worker.worker_id) != worker:
             return False
+        if not self._by_id:
+            self._until_s = now_s + DOUBT_S
         self._by_id[worker.worker_id] = worker
         return True
 
@@ -65,6 +77,13 @@
         """Go by an entry again: it was written or removed; True if it was doubted."""
         return self._by_id.pop(worker_id, None) is not None
 
+    def outlasting(self, now_s: float) -> list[Worker]:
+        """Return and forget those that were doubted long enough."""
+        if now_s < self._until_s:
+            return []
+        outlasting, self._by_id = self.all(), {}
+        return outlasting
+
     def _is_outdated(self, worker: Worker, taken: Mapping[str, str]) -> bool:
         known = self._workers.get(worker.worker_id)
         if known is None:
--- a/src/trefoilpaddle/coordination/published/worker_listing.py
+++ b/src/trefoilpaddle/coordination/published/worker_listing.py
@@ -9,7 +9,7 @@
 from ...protocol.const import MS_PER_S
 from ...state.chain.workers import Worker, WorkerTable
 from ...state.journal import Event
-from .doubted_entries import DoubtedEntries
+from .doubted_entries import DOUBT_S, DoubtedEntries
 from .published_store import StoreChanges, UnreadableEntry
 from .store_notes import StoreNotes
 
@@ -105,10 +105,10 @@
         """Return the entries that are not gone by, as the store lists them."""
         return self._doubted.all()
 
-    def adopt_doubts(self, workers: Iterable[Worker]) -> None:
+    def adopt_doubts(self, workers: Iterable[Worker], now_s: float) -> None:
         """Take no work to the workers whose entries a peer doubts."""
         for worker in workers:
-            if self._doubted.adopt(worker):
+            if self._doubted.adopt(worker, now_s):
                 self._lapsed.pop(worker.worker_id, None)
                 self._drop(worker.worker_id)
 
@@ -157,11 +157,18 @@
         Entries that another writer had overwritten as the copy was made count as
         missing: their workers have the time to write again.
         """
-        self._doubted.judge(changes.workers)
+        self._doubted.judge(changes.workers, now_s)
         gone_s = self._gone_s(now_s)
         self._lapsed = dict.fromkeys(self._lapsed, gone_s)
         return replace(changes, unreadable=())
 
+    def list_outlasting(self, now_s: float) -> None:
+        """Go by entries that stand in spite of doubt, as the store has just told."""
+        if now_s >= self._back_s + DOUBT_S:
+            for worker in self._doubted.outlasting(now_s):
+                self._lapsed.pop(worker.worker_id, None)
+                self._list(worker)
+
     def drop_lapsed(self, now_s: float) -> None:
         """Drop the workers whose entries had the time to come back."""
         for worker_id, gone_s in list(self._lapsed.items()):
@@ -184,11 +191,7 @@
             self._doubted.believe(worker.worker_id)
             self._unreadable.pop(worker.worker_id, None)
             was_lapsed = self._lapsed.pop(worker.worker_id, None) is not None
-            is_news = self._workers.put(worker)
-            if is_news:
-                self._note(
-                    Event.TARGET_UP, worker.worker_id, is_leaving=worker.is_leaving
-                )
+            is_news = self._list(worker)
             # An entry that was gone and is back between two reads is no news here.
             # Others heard from another reader that it was gone, and what is told
             # leads them past its return: named by nobody, the worker was dropped
@@ -198,6 +201,13 @@
                 noticed.append(worker)
         return tuple(noticed)
 
+    def _list(self, worker: Worker) -> bool:
+        """List a worker; return True if it was news."""
+        is_news = self._workers.put(worker)
+        if is_news:
+            self._note(Event.TARGET_UP, worker.worker_id, is_leaving=worker.is_leaving)
+        return is_news
+
     def _withdraw(self, entries: Iterable[UnreadableEntry]) -> None:
         """Take away the workers whose entries cannot be read any more.
 
--- a/tests/published/return_runs.py
+++ b/tests/published/return_runs.py
@@ -231,7 +231,8 @@
         if self._rng.random() < LAPSE_SHARE and self._living:
             store.remove(self._rng.choice(list(self._living)))
         await asyncio.sleep(EXPIRY_S)
-        if not self._is_away and self._now_s() - self._returned_s >= EXPIRY_S:
+        since_s = self._now_s() - self._returned_s
+        if not self._is_away and since_s > EXPIRY_S - LOOK_S:
             for worker_id in set(store.workers) - set(self._living):
                 store.remove(worker_id)
 
--- a/tests/published/store_fleet.py
+++ b/tests/published/store_fleet.py
@@ -10,7 +10,12 @@
 import pytest
 from result import Err, Ok
 
-from trefoilpaddle.coordination.published import store_feed, store_readers, store_relay
+from trefoilpaddle.coordination.published import (
+    store_feed,
+    store_readers,
+    store_relay,
+    store_view,
+)
 from trefoilpaddle.coordination.published.published_store import (
     StoreChanges,
     StoreFault,
@@ -302,29 +307,35 @@
     def settle(self) -> None:
         """Mend all, then let time pass and gateways read as their turns say.
 
-        After a return the operator and the workers write again.
+        After a return the operator writes again, and the workers twice: the first
+        list may not tell what they wrote before it from what the copy had.
         """
         self.store.away_from.clear()
         if self.store.version != self.store.newest_version:
             self.store.publish_again()
-        for worker_id in IDS:
-            if self.store.era:
-                self.store.put(worker(worker_id))
-            else:
-                self.store.write(worker_id)
+        self._write_all()
         for gateway in self.by_name.values():
             gateway.members = list(GROUP)
             while gateway.reading is not None:
                 gateway.go_on()
-        for _ in range(N_ROUNDS):
+        for number in range(N_ROUNDS):
+            if number == 1 and self.store.era:
+                self._write_all()
             self.deliver_all()
             self.now_s += store_feed.POLL_S
             for gateway in self.by_name.values():
-                gateway.feed._drop_lapsed(self.now_s)
+                gateway.feed.view.listing.drop_lapsed(self.now_s)
                 if not gateway.feed.position.is_known or gateway.readers.must_read():
                     gateway.read()
             self.deliver_all()
 
+    def _write_all(self) -> None:
+        for worker_id in IDS:
+            if self.store.era:
+                self.store.put(worker(worker_id))
+            else:
+                self.store.write(worker_id)
+
     def turn(self) -> None:
         """Let both readers read, and all hear of it."""
         self.now_s += store_feed.POLL_S
@@ -345,7 +356,7 @@
         """Let time pass in which nobody reads."""
         self.now_s += for_s
         for gateway in self.by_name.values():
-            gateway.feed._drop_lapsed(self.now_s)
+            gateway.feed.view.listing.drop_lapsed(self.now_s)
 
     def versions(self) -> dict[str, int]:
         """Return the version in force at each gateway."""
@@ -367,7 +378,7 @@
     """Yield gateways that have all read the store, on a clock of their own."""
     made = Fleet()
     with pytest.MonkeyPatch.context() as patch:
-        for module in (store_feed, store_readers, store_relay):
+        for module in (store_feed, store_readers, store_relay, store_view):
             patch.setattr(module, "time", made)
         made.start()
         yield made
--- a/tests/published/test_store_agreement.py
+++ b/tests/published/test_store_agreement.py
@@ -4,8 +4,8 @@
 
 import pytest
 
-from trefoilpaddle.coordination.published import store_feed
-from trefoilpaddle.coordination.published.store_feed import LAPSE_S
+from trefoilpaddle.coordination.published import store_feed, store_view
+from trefoilpaddle.coordination.published.store_view import LAPSE_S, ListReason
 
 from .store_fleet import IDS, NAMES, fleet
 
@@ -34,7 +34,7 @@
             made.deliver_all()
             made.now_s += LAPSE_S + store_feed.POLL_S
             for gateway in made.by_name.values():
-                gateway.feed._drop_lapsed(made.now_s)
+                gateway.feed.view.listing.drop_lapsed(made.now_s)
             assert made.known() == dict.fromkeys(NAMES, sorted(IDS))
 
     async def test_it_is_named_after_a_whole_list(self) -> None:
@@ -144,7 +144,7 @@
             made.deliver_all()
             n_lists = last.n_lists
             made.store.lapse("w1")
-            for _ in range(store_feed.MAX_DIFFERING):
+            for _ in range(store_view.MAX_DIFFERING):
                 for name in ("a", "b"):
                     made.now_s += store_feed.POLL_S / 2
                     made.by_name[name].read()
@@ -152,7 +152,7 @@
             assert last.feed.position.revision == made.store.revision
             assert last.n_lists == n_lists
             made.now_s += LAPSE_S
-            last.feed._drop_lapsed(made.now_s)
+            last.feed.view.listing.drop_lapsed(made.now_s)
             assert all(known == ["w2", "w3"] for known in made.known().values())
 
     async def test_a_list_asked_for_in_these_seconds_loses_no_worker(self) -> None:
@@ -172,7 +172,7 @@
             first.read()
             made.deliver_all()
             made.store.lapse("w1")
-            for left in reversed(range(store_feed.MAX_DIFFERING)):
+            for left in reversed(range(store_view.MAX_DIFFERING)):
                 made.now_s += store_feed.POLL_S / 2
                 first.read()
                 if not left:
@@ -212,7 +212,7 @@
                         readers[name] += store_feed.POLL_S
                         answers[name] = made.now_s + answer_s
                 for name in ("c", "d"):
-                    made.by_name[name].feed._drop_lapsed(made.now_s)
+                    made.by_name[name].feed.view.listing.drop_lapsed(made.now_s)
                     assert not made.by_name[name].readers.must_read()
             assert {
                 name: each.n_lists for name, each in made.by_name.items()
@@ -238,7 +238,7 @@
             assert made.known()["d"] == sorted(IDS)
             made.now_s += LAPSE_S
             for gateway in (first, last):
-                gateway.feed._drop_lapsed(made.now_s)
+                gateway.feed.view.listing.drop_lapsed(made.now_s)
             assert made.known()["a"] == ["w2", "w3"]
             assert made.known()["d"] == ["w2", "w3"]
 
@@ -272,7 +272,7 @@
             last = made.by_name["d"]
             made.store.lapse("w1")
             last.read()
-            last.feed._need_list(store_feed.DIFFERING_LIST)
+            last.feed.view.need_list(ListReason.DIFFERING)
             last.ask_peers()
             assert made.known()["d"] == ["w2", "w3"]
             assert last.feed.position.revision == 0
--- a/tests/published/test_store_feed.py
+++ b/tests/published/test_store_feed.py
@@ -8,7 +8,7 @@
 import pytest
 from result import Err, Ok, Result
 
-from trefoilpaddle.coordination.published import store_feed
+from trefoilpaddle.coordination.published import store_feed, store_view
 from trefoilpaddle.coordination.published.published_store import (
     PublishedTable,
     StoreChanges,
@@ -187,7 +187,7 @@
         # The store is down for five seconds. When it is back all entries have
         # run out; the workers live and write again within two seconds. Taken
         # at its word, the store would leave no worker at all until then.
-        monkeypatch.setattr(store_feed, "LAPSE_S", 0.05)
+        monkeypatch.setattr(store_view, "LAPSE_S", 0.05)
         rig = Rig(
             changes(1, "a", "b"),
             Err(StoreFault.SILENT),
--- a/tests/published/test_store_readers.py
+++ b/tests/published/test_store_readers.py
@@ -9,7 +9,7 @@
 from thrift.protocol.TCompactProtocol import TCompactProtocolAccelerated
 from thrift.transport.TTransport import TMemoryBuffer
 
-from trefoilpaddle.coordination.published import store_feed, store_readers
+from trefoilpaddle.coordination.published import store_feed, store_readers, store_view
 from trefoilpaddle.coordination.published.published_store import (
     PublishedTable,
     StoreChanges,
@@ -289,7 +289,7 @@
         rig = await follower()
         unknown = PublishedTable(table=RouteTable(version=6), data=b"unknown")
         change = change_between(published(5), unknown)
-        rig.feed._table._decode = lambda _: None
+        rig.feed.view.table._decode = lambda _: None
         for revision in (2, 3):
             told = news(rig, revision - 1, revision, version=6, table=change)
             told.removed = ["w1"]
@@ -348,7 +348,7 @@
         ask = rig.store.changes
 
         async def interrupted(after: StorePosition) -> Answer:
-            for revision in range(2, 2 + store_feed.MAX_DIFFERING):
+            for revision in range(2, 2 + store_view.MAX_DIFFERING):
                 rig.hear(news(rig, revision - 1, revision, digest=1))
             return await ask(after)
 
@@ -364,12 +364,12 @@
         # The store was away for a moment, too short for this gateway to notice,
         # and entries ran out. Dropped at once, the workers are missing until
         # they write again.
-        monkeypatch.setattr(store_feed, "LAPSE_S", 0.05)
+        monkeypatch.setattr(store_view, "LAPSE_S", 0.05)
         rig = await follower()
         rig.hear(news(rig, 1, 2, removed=["w1"], back_ms=0))
         assert "w1" in rig.workers.ids()
         await asyncio.sleep(0.06)
-        rig.feed._drop_lapsed(time.monotonic())
+        rig.feed.view.listing.drop_lapsed(time.monotonic())
         assert "w1" not in rig.workers.ids()
 
     async def test_nothing_is_taken_before_the_first_list(self) -> None:
--- a/tests/published/test_store_returns.py
+++ b/tests/published/test_store_returns.py
@@ -7,15 +7,16 @@
 import pytest
 
 from trefoilpaddle.coordination.published import store_feed
-from trefoilpaddle.coordination.published.store_feed import LAPSE_S
+from trefoilpaddle.coordination.published.doubted_entries import DOUBT_S
 from trefoilpaddle.coordination.published.store_position import StorePosition
 from trefoilpaddle.coordination.published.store_readers import Missing
+from trefoilpaddle.coordination.published.store_view import LAPSE_S
 from trefoilpaddle.protocol.gen.chain.ttypes import StoreNews
 from trefoilpaddle.state.chain.workers import Worker
 from trefoilpaddle.state.journal import Event
 
 from ..chain.fakes import worker
-from .store_fleet import IDS, NAMES, Fleet, fleet
+from .store_fleet import GROUP, IDS, NAMES, Fleet, fleet
 
 NEW: Final = worker("w9")
 
@@ -303,6 +304,26 @@
         made.turn()
         assert entries(made, "w1") == {worker("w1")}
 
+    async def test_one_that_nobody_says_wrote_again_is_used_once_its_entry_stands(
+        self, made: Fleet
+    ) -> None:
+        # Both readers have started since the return and know nothing against it.
+        copy = made.store.copy()
+        made.store.lapse("w1")
+        made.turn()
+        made.store.return_from(copy)
+        made.turn()
+        for name in ("a", "b"):
+            made.start_again(name)
+            made.by_name[name].members = []
+            made.by_name[name].read()
+            made.by_name[name].members = list(GROUP)
+        made.store.put(worker("w1"))
+        made.turn()
+        made.pass_time(DOUBT_S)
+        made.turn()
+        assert all_know(made, *IDS)
+
     async def test_one_that_began_to_leave_since_the_return_is_not_used(
         self, made: Fleet
     ) -> None:
--- a/tests/published/test_store_schedules.py
+++ b/tests/published/test_store_schedules.py
@@ -7,8 +7,8 @@
 from hypothesis import HealthCheck, given, settings
 from hypothesis import strategies as st
 
-from trefoilpaddle.coordination.published import store_feed
-from trefoilpaddle.coordination.published.store_feed import LAPSE_S
+from trefoilpaddle.coordination.published import store_feed, store_view
+from trefoilpaddle.coordination.published.store_view import LAPSE_S
 
 from .store_fleet import GROUP, IDS, NAMES, Fleet, fleet
 
@@ -35,7 +35,7 @@
 def _pass(made: Fleet, for_s: float) -> None:
     made.now_s += for_s
     for gateway in made.by_name.values():
-        gateway.feed._drop_lapsed(made.now_s)
+        gateway.feed.view.listing.drop_lapsed(made.now_s)
 
 
 def _deliver(made: Fleet, one: str, other: str) -> None:
@@ -97,7 +97,7 @@
         # difference is enough here for a list anew, so that short schedules have
         # lists that are asked for while answers and news are on their way.
         with fleet() as made, pytest.MonkeyPatch.context() as patch:
-            patch.setattr(store_feed, "MAX_DIFFERING", n_differing)
+            patch.setattr(store_view, "MAX_DIFFERING", n_differing)
             for do in steps:
                 do(made)
             made.settle()
@@ -114,7 +114,7 @@
         # The store comes back from copies, again and again: revisions are given out
         # again, and answers and news of one era arrive in the next.
         with fleet() as made, pytest.MonkeyPatch.context() as patch:
-            patch.setattr(store_feed, "MAX_DIFFERING", n_differing)
+            patch.setattr(store_view, "MAX_DIFFERING", n_differing)
             for do in steps:
                 do(made)
                 assert min(made.versions().values()) >= made.least_version()
