Ask peers whether the store answers them before it counts as away

Cause: both readers were cut off from the store at once, so no reader told them that it was there, and they took it for away; what they said when they were back made all keep for 2.5 s what had gone. Gateways that are not told read by themselves. Peers, which a gateway asks while its own question hangs, say now how long ago the store answered them.

The new test failed before.

--- a/idl/chain.thrift
+++ b/idl/chain.thrift
@@ -116,6 +116,7 @@
   8: i64 digest = 0              // over all listed workers
   9: i64 era = 0                 // of the revision
   10: list<ListedWorker> doubted = []  // as the store lists them; the answering side goes by what it knew
+  11: i32 answered_ms = -1       // since the store answered this side itself; -1 if it never did
 }
 
 // Bytes of a table: some of the one before, then some that are new.
--- a/src/trefoilpaddle/coordination/published/store_feed.py
+++ b/src/trefoilpaddle/coordination/published/store_feed.py
@@ -9,6 +9,7 @@
 from absl import logging
 from result import Err, Ok, Result
 
+from ...protocol.const import MS_PER_S
 from ...protocol.gen.chain.ttypes import StoreNews, StoreState
 from ...state.chain.workers import WorkerTable
 from ...state.journal import Event, Journal
@@ -270,6 +271,9 @@
         """Take from peers what they know and this gateway does not."""
         for state in await self._ask_peers():
             self.view.take_state(state)
+            if state.answered_ms >= 0:
+                answered_s = time.monotonic() - state.answered_ms / MS_PER_S
+                self._told_s = max(self._told_s, answered_s)
 
     def take_news(self, news: StoreNews) -> Missing | None:
         """Take what a reader has read; return what is missing since, or None."""
@@ -297,6 +301,7 @@
         alone. Taken for away, the store made all others keep workers that had gone
         for 2.5 s, as a reader tells them when it came back.
         """
+        self._relay.answered_s = time.monotonic()
         if was_away and self._told_s <= self._asked_s:
             self.view.listing.note_back(time.monotonic())
         self._note_back()
--- a/src/trefoilpaddle/coordination/published/store_relay.py
+++ b/src/trefoilpaddle/coordination/published/store_relay.py
@@ -13,6 +13,7 @@
 
 from result import Err, Ok
 
+from ...protocol.const import MS_PER_S
 from ...protocol.gen.chain.ttypes import StorePull, StoreState
 from ...protocol.gen.stage.ttypes import Hello
 from ...state.chain.workers import WorkerTable
@@ -27,6 +28,9 @@
 ASK_TIMEOUT_S: Final = 0.3
 """Longest wait for a peer; many times a message's way within a region."""
 
+MAX_ANSWERED_MS: Final = 3_600_000
+"""Longest time told since the store's last answer; it fits the field."""
+
 N_ASKED: Final = 2
 """Peers asked at a time; one of them may be turned away as well."""
 
@@ -43,6 +47,8 @@
 
     Attributes
     ----------
+    answered_s : float or None
+        Monotonic time at which the store answered this gateway last.
     listing : WorkerListing or None
         Says which of them may come back; set by who keeps it.
     needs_list : bool
@@ -58,6 +64,7 @@
     __slots__ = (
         "_process",
         "_workers",
+        "answered_s",
         "is_away",
         "listing",
         "needs_list",
@@ -68,6 +75,7 @@
     def __init__(self, *, process: OwnProcess, workers: WorkerTable) -> None:
         self._process = process
         self._workers = workers
+        self.answered_s: float | None = None
         self.listing: WorkerListing | None = None
         self.needs_list = False
         self.published: PublishedTable | None = None
@@ -83,6 +91,9 @@
             is_away=self.is_away,
             digest=self._digest() if self.position.is_known else 0,
         )
+        if self.answered_s is not None:
+            age_s = time.monotonic() - self.answered_s
+            state.answered_ms = min(int(age_s * MS_PER_S), MAX_ANSWERED_MS)
         published = self.published
         if published is not None:
             state.version = published.table.version
--- a/src/trefoilpaddle/protocol/gen/chain/ttypes.py
+++ b/src/trefoilpaddle/protocol/gen/chain/ttypes.py
@@ -1546,6 +1546,7 @@
      - digest
      - era
      - doubted
+     - answered_ms
 
     """
 
@@ -1560,13 +1561,14 @@
         'digest',
         'era',
         'doubted',
+        'answered_ms',
     )
 
 
     def __init__(self, revision=0, version=0, data=b"", workers=[
     ], is_away=False, lapsed=[
     ], back_ms=-1, digest=0, era=0, doubted=[
-    ],):
+    ], answered_ms=-1,):
         self.revision = revision
         self.version = version
         self.data = data
@@ -1586,6 +1588,7 @@
             doubted = [
             ]
         self.doubted = doubted
+        self.answered_ms = answered_ms
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -1663,6 +1666,11 @@
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
+            elif fid == 11:
+                if ftype == TType.I32:
+                    self.answered_ms = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -1722,6 +1730,10 @@
                 iter90.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
+        if self.answered_ms is not None:
+            oprot.writeFieldBegin('answered_ms', TType.I32, 11)
+            oprot.writeI32(self.answered_ms)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -2831,6 +2843,7 @@
     (9, TType.I64, 'era', None, 0, ),  # 9
     (10, TType.LIST, 'doubted', (TType.STRUCT, [ListedWorker, None], False), [
     ], ),  # 10
+    (11, TType.I32, 'answered_ms', None, -1, ),  # 11
 )
 all_structs.append(TablePiece)
 TablePiece.thrift_spec = (
--- a/src/trefoilpaddle/protocol/gen/chain/ttypes.pyi
+++ b/src/trefoilpaddle/protocol/gen/chain/ttypes.pyi
@@ -93,7 +93,8 @@
     digest: int
     era: int
     doubted: list[ListedWorker]
-    def __init__(self, *, revision: int = ..., version: int = ..., data: bytes = ..., workers: list[ListedWorker] = ..., is_away: bool = ..., lapsed: list[str] = ..., back_ms: int = ..., digest: int = ..., era: int = ..., doubted: list[ListedWorker] = ...) -> None: ...
+    answered_ms: int
+    def __init__(self, *, revision: int = ..., version: int = ..., data: bytes = ..., workers: list[ListedWorker] = ..., is_away: bool = ..., lapsed: list[str] = ..., back_ms: int = ..., digest: int = ..., era: int = ..., doubted: list[ListedWorker] = ..., answered_ms: int = ...) -> None: ...
 class TablePiece:
     from_byte: int
     n_bytes: int
--- a/tests/published/test_store_agreement.py
+++ b/tests/published/test_store_agreement.py
@@ -127,6 +127,26 @@
             assert all(known == ["w2", "w3"] for known in made.known().values())
 
 
+    async def test_nor_do_both_readers_where_the_store_answers_others(self) -> None:
+        # Nobody tells them of it then; those that are not told read by themselves.
+        with fleet() as made:
+            cut_off = [made.by_name[name] for name in NAMES[:2]]
+            made.store.away_from.update(NAMES[:2])
+            made.now_s += store_feed.POLL_S
+            for gateway in cut_off:
+                gateway.begin()
+            made.now_s += store_feed.POLL_S
+            made.by_name["c"].read()
+            for gateway in cut_off:
+                gateway.ask_peers()
+                gateway.go_on()
+            made.store.away_from.clear()
+            made.store.lapse("w1")
+            cut_off[0].read()
+            made.deliver_all()
+            assert all(known == ["w2", "w3"] for known in made.known().values())
+
+
 class TestLapsedEntries:
     async def test_who_waits_for_their_return_lists_nothing_anew(self) -> None:
         # One gateway was cut off from the store, the readers were not. An entry
