Let the soak's store come back from copies

The soak had no store that loses what it acknowledged.

Two promises are checked that hold whatever the store does: a gateway that has refused a revoked key takes it no more, and one that knew in calm that a worker had left sends it nothing.

--- a/src/trefoilpaddle/standins/platform/store.py
+++ b/src/trefoilpaddle/standins/platform/store.py
@@ -96,6 +96,10 @@
             event = {"key": key, "revision": self.revision, "removed": True}
             self._events.append(event)
 
+    def written_keys(self) -> list[str]:
+        """Return the keys of all items."""
+        return list(self._items)
+
     def forget_history(self) -> None:
         """Lose all that watches could still ask for."""
         self._forgotten = self.revision
--- a/tests/published/test_store_agreement.py
+++ b/tests/published/test_store_agreement.py
@@ -126,7 +126,6 @@
             made.deliver_all()
             assert all(known == ["w2", "w3"] for known in made.known().values())
 
-
     async def test_nor_do_both_readers_where_the_store_answers_others(self) -> None:
         # Nobody tells them of it then; those that are not told read by themselves.
         with fleet() as made:
--- a/tests/soak/soak_actions.py
+++ b/tests/soak/soak_actions.py
@@ -96,6 +96,20 @@
     """The store loses the changes that readers have not asked for yet."""
 
 
+@dataclass(frozen=True, slots=True, kw_only=True)
+class ReturnStore:
+    """The store is away for every gateway, and comes back from a copy.
+
+    Parameters
+    ----------
+    age_s : float
+        How old the copy is as the store goes away.
+    """
+
+    for_s: float
+    age_s: float
+
+
 @dataclass(frozen=True, slots=True, kw_only=True)
 class PublishTable:
     """A new version: one key is revoked, another is valid."""
@@ -134,6 +148,7 @@
     | DisturbStore
     | RefuseReads
     | ForgetHistory
+    | ReturnStore
     | PublishTable
     | RestartWorker
     | WriteEntry
@@ -158,19 +173,39 @@
 
 
 def schedule(
-    seed: int, *, length_s: float, n_gateways: int, with_entries: bool = True
+    seed: int,
+    *,
+    length_s: float,
+    n_gateways: int,
+    with_entries: bool = True,
+    with_returns: bool = True,
 ) -> list[Step]:
     """Return what a seed stands for; single actions, and series that overlap.
 
-    Restarts of workers under their ids and entries of other writers are drawn
-    apart, so that what else a seed stands for is what it always did.
+    Restarts of workers under their ids and entries of other writers are drawn apart,
+    and so are returns of the store from copies: what else a seed stands for is what
+    it always did.
     """
     steps = _base_schedule(seed, length_s=length_s, n_gateways=n_gateways)
     if with_entries:
         steps += _entry_schedule(seed, length_s=length_s)
+    if with_returns:
+        steps += _return_schedule(seed, length_s=length_s)
     return sorted(steps, key=lambda step: step.at_s)
 
 
+def _return_schedule(seed: int, *, length_s: float) -> list[Step]:
+    """Return single returns, and some that follow one another closely."""
+    rng = random.Random(f"returns {seed}")
+    steps: list[Step] = []
+    at_s = rng.uniform(2.0, 5.0)
+    while at_s < length_s:
+        action = ReturnStore(for_s=rng.uniform(0.05, 2.0), age_s=rng.uniform(0.5, 6.0))
+        steps.append(Step(at_s=at_s, action=action))
+        at_s += rng.choice((0.5, 2.5, 6.0)) + rng.expovariate(0.5)
+    return steps
+
+
 def _entry_schedule(seed: int, *, length_s: float) -> list[Step]:
     rng = random.Random(f"entries {seed}")
     steps: list[Step] = []
--- a/tests/soak/soak_checks.py
+++ b/tests/soak/soak_checks.py
@@ -15,6 +15,7 @@
     RefuseReads,
     ReplaceWorker,
     RestartWorker,
+    ReturnStore,
     StopGateway,
 )
 from .soak_callers import PIECES, WHOLE, Callers, Seen, events_of, is_overdue
@@ -57,6 +58,8 @@
         cut_at_stops,
         _keys,
         _leaving,
+        _keys_for_good,
+        _left_for_good,
         _recovery,
     )
     return record.problems + [
@@ -211,6 +214,49 @@
                 yield f"{request_id} reached {worker.worker_id} after it had left"
 
 
+def _keys_for_good(record: Record, callers: Callers) -> Iterator[str]:
+    """A gateway that has refused a revoked key takes it no more, whatever comes."""
+    refused_s: dict[tuple[int, str], float] = {}
+    for seen in sorted(callers.seen, key=lambda seen: seen.sent_s):
+        if seen.sent_s < record.revoked_s.get(seen.key, seen.sent_s + 1):
+            continue
+        known_s = refused_s.get((seen.gateway, seen.key))
+        if seen.status == UNAUTHORISED:
+            refused_s.setdefault((seen.gateway, seen.key), seen.ended_s)
+        elif known_s is not None and seen.status not in {0, 503}:
+            has_started = _was_ended(record, seen.gateway, known_s, seen.ended_s)
+            if seen.sent_s > known_s and not has_started:
+                yield f"{seen.request_id}: {seen.key} was taken again"
+
+
+def _left_for_good(record: Record, callers: Callers) -> Iterator[str]:
+    """A worker that left while all was calm gets nothing from who knew it then."""
+    gateways = {seen.request_id: seen.gateway for seen in callers.seen}
+    for worker in record.workers:
+        left_s = record.left_s.get(worker.worker_id)
+        if left_s is None:
+            continue
+        known_s = left_s + DRAIN_S + SLACK_S
+        if not _is_calm(record, left_s - CALM_S, known_s):
+            continue
+        for request_id, at_s in zip(worker.ran, worker.ran_s, strict=True):
+            gateway = gateways.get(request_id)
+            if at_s <= known_s or gateway is None:
+                continue
+            if not _was_ended(record, gateway, left_s, at_s):
+                yield f"{request_id} reached {worker.worker_id}, gone at {gateway}"
+
+
+def _was_ended(record: Record, gateway: int, from_s: float, until_s: float) -> bool:
+    """Return True if a gateway was killed or stopped then."""
+    return any(
+        isinstance(mark.action, KillGateway | StopGateway)
+        and mark.host == gateway
+        and _overlaps(mark, from_s, until_s)
+        for mark in record.marks
+    )
+
+
 def _recovery(record: Record, callers: Callers) -> Iterator[str]:
     """Once nothing is disturbed any more, callers are served."""
     late = [
@@ -231,6 +277,7 @@
         DisturbStore,
         RefuseReads,
         ForgetHistory,
+        ReturnStore,
         KillGateway,
         PauseGateway,
         StopGateway,
--- a/tests/soak/soak_run.py
+++ b/tests/soak/soak_run.py
@@ -13,7 +13,7 @@
 
 from tests.harness_relay import Relay
 from trefoilpaddle.standins.platform.gateway_process import GatewayProcess
-from trefoilpaddle.standins.platform.site import N_EVENTS, Site
+from trefoilpaddle.standins.platform.site import N_EVENTS, Site, entry
 from trefoilpaddle.standins.platform.store import TABLE_KEY
 from trefoilpaddle.standins.platform.worker import PlatformWorker
 from trefoilpaddle.standins.web import serving
@@ -33,6 +33,7 @@
     RefuseReads,
     ReplaceWorker,
     RestartWorker,
+    ReturnStore,
     StopGateway,
     WriteEntry,
     schedule,
@@ -40,6 +41,7 @@
 from .soak_callers import Callers, one_connection
 from .soak_patient import PatientCallers, table
 from .soak_record import GRACE_S, Mark, Record, StopOrder
+from .soak_returns import StoreReturns
 from .soak_stalls import note_stalls
 from .soak_stops import stop_schedule
 
@@ -76,6 +78,7 @@
         self._n_workers = 0
         self._version = 1
         self.site = Site(stack=stack)
+        self.returns = StoreReturns(site=self.site, rng=random.Random(0))
         self.by_service: dict[str, list[str]] = {name: [] for name in SERVICES}
         self.domains: dict[str, str] = {}
         self.relays: dict[str, Relay] = {}
@@ -91,7 +94,7 @@
         """Publish a table in which another key is valid."""
         old = self.key
         self._version += 1
-        self.site.store.put(TABLE_KEY, table(self._version, self.key))
+        self.returns.write(TABLE_KEY, table(self._version, self.key))
         self.record.revoked_s[old] = time.monotonic()
 
     async def relay_to(self, address: str) -> Relay:
@@ -130,8 +133,18 @@
 
     def list_again(self, worker_id: str, service: str) -> None:
         """Write a worker's entry, as it does with each heartbeat."""
-        domain = self.domains[worker_id]
-        self.site.list_worker(worker_id, service, domain=domain)
+        self._say(worker_id, service, state="ready")
+
+    def _say(self, worker_id: str, service: str, *, state: str) -> None:
+        worker = self.site.workers[worker_id]
+        said = entry(
+            service,
+            worker.address,
+            zone=self.domains[worker_id],
+            state=state,
+            born=worker.born_ms,
+        )
+        self.returns.write(f"servers/{worker_id}", said)
 
     async def restart_worker(self, service: str) -> None:
         """Crash the newest worker of a service and start it under the same id."""
@@ -157,12 +170,12 @@
         await self.add_worker(service)
         old = self.by_service[service].pop(0)
         if says_so:
-            self.site.list_worker(old, service, state="draining")
+            self._say(old, service, state="draining")
         else:
-            self.site.store.remove(f"servers/{old}")
+            self.returns.remove(f"servers/{old}")
         self.record.left_s[old] = time.monotonic()
         await asyncio.sleep(LINGER_S)
-        self.site.store.remove(f"servers/{old}")
+        self.returns.remove(f"servers/{old}")
         self.relays[old].is_refusing = True
         self.relays[old].cut()
 
@@ -174,7 +187,7 @@
         made = SoakSite(stack=stack)
         url = await stack.enter_async_context(serving(made.site.store.application()))
         made.site.store_address = url.removeprefix("http://")
-        made.site.store.put(TABLE_KEY, table(1, made.key))
+        made.returns.write(TABLE_KEY, table(1, made.key))
         for service in SERVICES:
             for _ in range(2):
                 await made.add_worker(service)
@@ -262,6 +275,12 @@
             case ForgetHistory():
                 site.site.store.forget_history()
                 return None
+            case ReturnStore(for_s=for_s, age_s=age_s):
+                site.site.store.is_refusing = True
+                await asyncio.sleep(for_s)
+                site.returns.come_back(age_s)
+                site.site.store.is_refusing = False
+                return None
             case PublishTable():
                 site.publish()
                 return None
@@ -322,6 +341,7 @@
     *,
     length_s: float,
     with_entries: bool = True,
+    with_returns: bool = True,
     is_stops: bool = False,
 ) -> tuple[Record, Callers]:
     """Run a seed; return what was done and what the callers saw.
@@ -331,7 +351,11 @@
     is_stops : bool
         Planned stops alone, under load and beside patient callers; else all faults.
     """
-    async with soak_site() as site, contextlib.AsyncExitStack() as stack:
+    async with (
+        soak_site() as site,
+        site.returns.copying(),
+        contextlib.AsyncExitStack() as stack,
+    ):
         gateways: list[GatewayProcess] = []
         for number, domain in enumerate(DOMAINS):
             relay = await site.relay_to(site.site.store_address)
@@ -377,6 +401,7 @@
                 length_s=length_s,
                 n_gateways=len(gateways),
                 with_entries=with_entries,
+                with_returns=with_returns,
             )
         await asyncio.gather(*(_later(soak, step.at_s, step.action) for step in steps))
         site.unload()
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -28,6 +28,7 @@
     length_s: float
     why: str
     with_entries: bool = False
+    with_returns: bool = False
     is_stops: bool = False
 
 
@@ -62,13 +63,20 @@
         why="a gateway that stops waits for links to a paused one beyond its grace",
         with_entries=True,
     ),
+    Case(
+        seed=2,
+        length_s=12.0,
+        why="the store comes back from copies, again and again",
+        with_entries=True,
+        with_returns=True,
+    ),
 )
 
 
 def name(case: Case) -> str:
     """Return what names a case in the tests' output."""
     kind = "stops-" if case.is_stops else "entries-" if case.with_entries else ""
-    return f"{kind}{case.seed}"
+    return f"{'returns-' if case.with_returns else ''}{kind}{case.seed}"
 
 
 class TestSoak:
@@ -79,6 +87,7 @@
             tmp_path,
             length_s=case.length_s,
             with_entries=case.with_entries,
+            with_returns=case.with_returns,
             is_stops=case.is_stops,
         )
         assert broken(record, callers) == []
