Ask again beside a hanging question for changes only

What an operator would see: at a start of all gateways beside a slow store, readers would list the whole store again each 0.6 s while their first list is on its way, each list paid for. Found by reading: such a list is large, and slow for that reason alone. Only questions for changes are asked again.

The two schedules of the fleet share how they are played, so that no older table may be in force again in either.

--- a/src/trefoilpaddle/coordination/published/store_feed.py
+++ b/src/trefoilpaddle/coordination/published/store_feed.py
@@ -183,7 +183,8 @@
         """
         try:
             await self.read_peers()
-            if time.monotonic() - self._began_s >= POLL_S and self._readers.is_reader():
+            is_late = time.monotonic() - self._began_s >= POLL_S
+            if is_late and self.position.is_known and self._readers.is_reader():
                 await self._read_again()
         except Exception:
             logging.exception("what peers know could not be taken in")
--- a/tests/published/test_store_schedules.py
+++ b/tests/published/test_store_schedules.py
@@ -83,10 +83,25 @@
 )
 
 
+def play(steps: list[Step], n_differing: int) -> None:
+    """Let things happen, and look that no older table is ever in force again."""
+    with fleet() as made, pytest.MonkeyPatch.context() as patch:
+        patch.setattr(store_view, "MAX_DIFFERING", n_differing)
+        for do in steps:
+            do(made)
+            assert min(made.versions().values()) >= made.least_version()
+        made.settle()
+        assert made.known() == dict.fromkeys(NAMES, sorted(IDS))
+        assert made.versions() == dict.fromkeys(NAMES, made.store.version)
+
+
+MANY: Final = settings(
+    max_examples=300, deadline=None, suppress_health_check=[HealthCheck.too_slow]
+)
+
+
 class TestAnySchedule:
-    @settings(
-        max_examples=300, deadline=None, suppress_health_check=[HealthCheck.too_slow]
-    )
+    @MANY
     @given(steps=st.lists(STEPS, max_size=40), n_differing=st.sampled_from((1, 4)))
     def test_all_end_with_what_the_store_lists(
         self, steps: list[Step], n_differing: int
@@ -96,28 +111,13 @@
         # may take a worker away for good: its entry does not change any more. One
         # difference is enough here for a list anew, so that short schedules have
         # lists that are asked for while answers and news are on their way.
-        with fleet() as made, pytest.MonkeyPatch.context() as patch:
-            patch.setattr(store_view, "MAX_DIFFERING", n_differing)
-            for do in steps:
-                do(made)
-            made.settle()
-            assert made.known() == dict.fromkeys(NAMES, sorted(IDS))
-            assert made.versions() == dict.fromkeys(NAMES, made.store.version)
-
-    @settings(
-        max_examples=300, deadline=None, suppress_health_check=[HealthCheck.too_slow]
-    )
+        play(steps, n_differing)
+
+    @MANY
     @given(steps=st.lists(RETURNS, max_size=40), n_differing=st.sampled_from((1, 4)))
     def test_all_end_with_what_is_written_after_returns(
         self, steps: list[Step], n_differing: int
     ) -> None:
         # The store comes back from copies, again and again: revisions are given out
         # again, and answers and news of one era arrive in the next.
-        with fleet() as made, pytest.MonkeyPatch.context() as patch:
-            patch.setattr(store_view, "MAX_DIFFERING", n_differing)
-            for do in steps:
-                do(made)
-                assert min(made.versions().values()) >= made.least_version()
-            made.settle()
-            assert made.known() == dict.fromkeys(NAMES, sorted(IDS))
-            assert made.versions() == dict.fromkeys(NAMES, made.store.version)
+        play(steps, n_differing)
