Ask peers after the first list of the store, not before it is taken

Cause: they were asked while the gateway knew nothing yet. Doubts come with readers' news, which are heard for them also where nothing else has changed.

--- a/src/trefoilpaddle/coordination/published/store_feed.py
+++ b/src/trefoilpaddle/coordination/published/store_feed.py
@@ -166,11 +166,12 @@
             if self._leaves_list_to_others():
                 await self.read_peers()
                 return self.position.is_known
-            if await self.read_once():
-                if self.view.table.is_behind:
-                    await self.read_peers()
-                return True
-            await self.read_peers()
+            is_first = not self.is_known
+            is_read = await self.read_once()
+            if not is_read or is_first or self.view.table.is_behind:
+                # A store that came back from a copy may have an older table than they.
+                await self.read_peers()
+            return is_read
         except Exception:
             logging.exception("what was published could not be taken in")
         return False
@@ -232,12 +233,7 @@
         if after.is_known:
             return await self._store.changes(after)
         self.view.notes.listed(self.view.list_reason.value)
-        listed = await self._store.snapshot()
-        if self.view.list_reason is ListReason.FIRST and listed.is_ok():
-            # The store may have come back from a copy that has an older table, and
-            # entries of workers that are gone.
-            await self.read_peers()
-        return listed
+        return await self._store.snapshot()
 
     async def _take_answer(
         self, changes: StoreChanges, asked: StorePosition, reason: ListReason
--- a/src/trefoilpaddle/coordination/published/store_view.py
+++ b/src/trefoilpaddle/coordination/published/store_view.py
@@ -227,6 +227,8 @@
             return Missing.TABLE
         if position > self.position:
             self._take_told(news)
+        if position >= self.position:
+            self.listing.adopt_doubts(doubted_of(news), time.monotonic())
         self.listing.list_outlasting(time.monotonic())
         return self._missing_of(news)
 
@@ -252,10 +254,7 @@
             self._take(changes_of_news(news), Scope.CHANGES)
         elif not self.position.is_known:
             self._take(list_of_news(news, self.listing.listed()), self.list_scope)
-        else:
-            # Told for those who know nothing of the era yet.
-            return
-        self.listing.adopt_doubts(doubted_of(news), time.monotonic())
+        # Else it is told for those who know nothing of the era yet.
 
     def _missing_of(self, news: StoreNews) -> Missing | None:
         is_older = position_of(news) < self.position
