--- a/tests/platform_adapter/test_store_client.py
+++ b/tests/platform_adapter/test_store_client.py
@@ -74,6 +74,17 @@
             decode_era(era)
 
 
+class TestLists:
+    async def test_one_that_is_refused_for_lost_history_is_not_an_empty_one(
+        self, monkeypatch: pytest.MonkeyPatch
+    ) -> None:
+        async def get(_: object, path: str, query: dict[str, str]) -> Ok[Page]:
+            return Ok(Page(items=[], position=StorePosition(era=1), is_lost=True))
+
+        monkeypatch.setattr(StoreClient, "_get", get)
+        assert await _unopened().snapshot() == Err(StoreFault.REFUSED)
+
+
 class TestPagesOfTwoEras:
     async def test_the_list_is_begun_again(
         self, monkeypatch: pytest.MonkeyPatch
