--- a/src/trefoilpaddle/coordination/published/store_notes.py
+++ b/src/trefoilpaddle/coordination/published/store_notes.py
@@ -71,13 +71,18 @@
         )
 
     def returned(
-        self, left: StorePosition, *, n_kept: int, doubted: Sequence[str], for_s: float
+        self,
+        earlier: StorePosition,
+        *,
+        n_kept: int,
+        doubted: Sequence[str],
+        for_s: float,
     ) -> None:
         """Note that the store came back from a copy, and what is held against it.
 
         Parameters
         ----------
-        left : StorePosition
+        earlier : StorePosition
             Up to which its changes were known before.
         n_kept : int
             Workers that the copy does not list.
@@ -89,7 +94,7 @@
         named = ", ".join(doubted[:N_NAMED]) or "none"
         self._note(
             Event.STORE_RETURNED,
-            detail=f"{left} to {self.position}; entries not gone by: {named}",
+            detail=f"{earlier} to {self.position}; entries not gone by: {named}",
             figures=(
                 Figure(name="n_kept", value=n_kept),
                 Figure(name="kept_s", value=for_s),
--- a/src/trefoilpaddle/coordination/published/store_view.py
+++ b/src/trefoilpaddle/coordination/published/store_view.py
@@ -82,7 +82,7 @@
     """
 
     __slots__ = (
-        "_left",
+        "_earlier",
         "_n_differing",
         "_relay",
         "list_reason",
@@ -102,7 +102,7 @@
         relay: StoreRelay,
     ) -> None:
         self._relay = relay
-        self._left = StorePosition()
+        self._earlier = StorePosition()
         self._n_differing = 0
         self.notes = StoreNotes(journal=journal)
         self.table = TableInForce(
@@ -140,7 +140,7 @@
         if era <= self.position.era:
             return
         if self._relay.position.is_known:
-            self._left = self._relay.position
+            self._earlier = self._relay.position
             self.list_reason = ListReason.RETURN
         if self.list_reason is ListReason.RETURN:
             self.voided_s = time.monotonic()
@@ -161,7 +161,7 @@
         base_table = self._relay.published
         if scope is Scope.FIRST_LIST:
             digest = 0 if self._relay.needs_list else self.listing.digest
-            news.base = EarlierList(era=self._left.era, digest=digest)
+            news.base = EarlierList(era=self._earlier.era, digest=digest)
             listed = self.listing.listed()
             self._take(changes, scope)
             noticed = differing(listed, self.listing.listed())
@@ -287,7 +287,7 @@
         self._relay.needs_list = False
         if is_return:
             self.notes.returned(
-                self._left,
+                self._earlier,
                 n_kept=len(self.listing.lapsed_ids()),
                 doubted=[worker.worker_id for worker in self.listing.doubted()],
                 for_s=LAPSE_S,
