--- a/tests/published/test_store_returns.py
+++ b/tests/published/test_store_returns.py
@@ -161,6 +161,27 @@
         assert cut_off.workers.get("w9") == NEW
         assert cut_off.feed.position == made.by_name["a"].feed.position
 
+    async def test_readers_that_are_cut_off_meanwhile_hear_of_it(
+        self, made: Fleet
+    ) -> None:
+        # Nobody is told, so the others read by themselves, and list it in turn.
+        made.store.away_from.update(NAMES[:2])
+        copy = made.store.copy()
+        made.store.lapse("w1")
+        made.by_name["c"].read()
+        made.by_name["d"].read()
+        made.store.return_from(copy)
+        made.store.put(NEW)
+        for _ in range(3):
+            made.now_s += store_feed.POLL_S
+            made.by_name["c"].read()
+            made.deliver_all()
+        for gateway in made.by_name.values():
+            gateway.ask_peers()
+        assert {g.workers.get("w9") for g in made.by_name.values()} == {NEW}
+        assert {g.feed.position.era for g in made.by_name.values()} == {1}
+        assert "w1" not in made.by_name["d"].workers.ids()
+
     async def test_one_that_missed_the_news_asks_its_peers(self, made: Fleet) -> None:
         late = made.by_name["d"]
         made.store.away_from.add("d")
