Look for keys that come back by their versions, not by refusals

The trace shows the case is allowed: versions 7 and 8 were published 0.2 s apart, g2 had 6 until 26.87 and refused key7 as not valid yet; then 7 came, and 8 at 28.33, with the store away for 1.3 s in between. No gateway's version goes back in its log.

In its place, as strict: each version has one key, so a gateway that has taken a version's key takes none of an earlier version, unless it has started anew. It needs no time of the revocation, and sees a step back also where the older key was never refused.

--- a/tests/soak/soak_checks.py
+++ b/tests/soak/soak_checks.py
@@ -43,6 +43,9 @@
 
 LEAST_SERVED = 0.75
 
+KEY_PREFIX = "key"
+"""Of the one key of each version; its number follows."""
+
 BLOCKED = 400
 """Answer to a request that is taken for one that crashes its workers."""
 
@@ -215,18 +218,23 @@
 
 
 def _keys_for_good(record: Record, callers: Callers) -> Iterator[str]:
-    """A gateway that has refused a revoked key takes it no more, whatever comes."""
-    refused_s: dict[tuple[int, str], float] = {}
-    for seen in sorted(callers.seen, key=lambda seen: seen.sent_s):
-        if seen.sent_s < record.revoked_s.get(seen.key, seen.sent_s + 1):
-            continue
-        known_s = refused_s.get((seen.gateway, seen.key))
-        if seen.status == UNAUTHORISED:
-            refused_s.setdefault((seen.gateway, seen.key), seen.ended_s)
-        elif known_s is not None and seen.status not in {0, 503}:
-            has_started = _was_ended(record, seen.gateway, known_s, seen.ended_s)
-            if seen.sent_s > known_s and not has_started:
-                yield f"{seen.request_id}: {seen.key} was taken again"
+    """A gateway that has taken the key of a version takes none of an earlier one."""
+    for gateway in {seen.gateway for seen in callers.seen}:
+        newest = 0
+        newest_s = 0.0
+        taken = [
+            seen
+            for seen in callers.seen
+            if seen.gateway == gateway and seen.status not in {0, UNAUTHORISED, 503}
+        ]
+        for seen in sorted(taken, key=lambda seen: seen.ended_s):
+            version = int(seen.key.removeprefix(KEY_PREFIX))
+            is_later = seen.sent_s > newest_s
+            if version < newest and is_later:
+                if not _was_ended(record, gateway, newest_s, seen.ended_s):
+                    yield f"{seen.request_id}: {seen.key} was taken after key{newest}"
+            elif version > newest:
+                newest, newest_s = version, seen.ended_s
 
 
 def _left_for_good(record: Record, callers: Callers) -> Iterator[str]:
