Leave calls that a run's end broke off out of the check of keys

A stream that the end of the run broke off has a status and no time of its end; sorted by that time it came first. Such calls say nothing of order and are left out, as in the other checks.

--- a/tests/soak/soak_checks.py
+++ b/tests/soak/soak_checks.py
@@ -225,7 +225,9 @@
         taken = [
             seen
             for seen in callers.seen
-            if seen.gateway == gateway and seen.status not in {0, UNAUTHORISED, 503}
+            if seen.gateway == gateway
+            and seen.ended_s
+            and seen.status not in {0, UNAUTHORISED, 503}
         ]
         for seen in sorted(taken, key=lambda seen: seen.ended_s):
             version = int(seen.key.removeprefix(KEY_PREFIX))
--- a/tests/soak/test_key_checks.py
+++ b/tests/soak/test_key_checks.py
@@ -45,6 +45,11 @@
         calls = (call(6, 1.0, 200), call(7, 2.0, 401), call(7, 3.0, 200))
         assert found(*calls, call(8, 4.0, 200)) == []
 
+    def test_a_call_that_the_end_of_the_run_broke_off_says_nothing(self) -> None:
+        broken_off = call(7, 9.0, 200)
+        broken_off.ended_s = 0.0
+        assert found(broken_off, call(6, 1.0, 200)) == []
+
     def test_a_new_start_knows_nothing(self) -> None:
         calls = (call(7, 1.0, 200), call(6, 5.0, 200))
         assert found(*calls, killed_s=3.0) == []
