Take stories of failures out of comments on how the store is read

What a reader met: comments in `coordination/published` and the adapter's store told what had once gone wrong, partly with figures, in files that were moved or rewritten lately. They say the reason now, where one is needed; the stories stand in the commits that mended the faults.

Comments and docstrings only; linters and mypy pass.

--- a/src/trefoilpaddle/coordination/published/store_feed.py
+++ b/src/trefoilpaddle/coordination/published/store_feed.py
@@ -140,8 +140,8 @@
                     self._read_any(), self._ask_meanwhile, every_s=PATIENCE_S
                 )
                 self._readers.note_read(is_answered=is_read)
-                # Counted from the answer, a store that takes 0.2 s made readers
-                # tell the others later than those wait, and all read it.
+                # Counted from the question, so that readers tell the others in time
+                # also while the store is slow.
                 rest_s = max(0.0, began_s + POLL_S - time.monotonic())
                 retry_s = min(RETRY_S, self._own_turn_s() or RETRY_S)
                 await self._pause(rest_s if is_read else retry_s)
@@ -179,8 +179,7 @@
     async def _ask_meanwhile(self) -> None:
         """Ask peers while the store does not answer.
 
-        It is given seconds, as it may only be slow. A gateway that is cut off went
-        on with what it knew for as long, and took no news if it needed a list.
+        It is given seconds, as it may only be slow.
         """
         try:
             await self.read_peers()
@@ -193,8 +192,8 @@
     async def _read_again(self) -> None:
         """Ask the store anew, at the usual pace, beside a question that hangs.
 
-        One that was lost while the store was away hangs for seconds after its return,
-        and with the readers' questions all others wait for what is written then.
+        One that was lost while the store was away hangs on after its return, and all
+        other gateways wait for what the readers hear.
         """
         with contextlib.suppress(TimeoutError):
             async with asyncio.timeout(PATIENCE_S):
@@ -294,9 +293,8 @@
     def _note_answered(self, *, was_away: bool) -> None:
         """Note that the store answers again, and that it was away until now.
 
-        Unless it answered others since this gateway asked in vain: that was cut off
-        alone. Taken for away, the store made all others keep workers that had gone
-        for 2.5 s, as a reader tells them when it came back.
+        Unless it answered others since this gateway asked in vain: this one was cut
+        off alone, and no entry has run out for it.
         """
         self._relay.answered_s = time.monotonic()
         if was_away and self._told_s <= self._asked_s:
--- a/src/trefoilpaddle/coordination/published/store_readers.py
+++ b/src/trefoilpaddle/coordination/published/store_readers.py
@@ -141,8 +141,7 @@
     def note_read(self, *, is_answered: bool) -> None:
         """Count what was missing as asked for, of the store or of peers.
 
-        What the store has answered is as new as what a reader tells. Not counted as
-        told, each gateway that started paid for a second read before any told it.
+        What the store has answered is as new as what a reader tells.
         """
         self._is_behind.clear()
         self._missing = None
--- a/src/trefoilpaddle/coordination/published/store_relay.py
+++ b/src/trefoilpaddle/coordination/published/store_relay.py
@@ -99,8 +99,7 @@
             state.version = published.table.version
             if state.version > question.version:
                 state.data = published.data
-        # Heartbeats move the revision all the time. With it alone asked for, a list
-        # that the peer had went out with each answer: 60 KB at 910 workers.
+        # Heartbeats move the revision all the time, also while no list changes.
         is_known = state.digest != 0 and state.digest == question.digest
         is_newer = self.position > position_of(question)
         has_list = self.position.is_known and not self.needs_list
--- a/src/trefoilpaddle/coordination/published/store_view.py
+++ b/src/trefoilpaddle/coordination/published/store_view.py
@@ -207,12 +207,10 @@
         next ones: the position from which they lead on tells it, and the digest
         of all workers tells what even that hides.
         """
-        # Also of news that cannot be used. The gateway then reads by itself, and
-        # finds entries that ran out meanwhile: not knowing that the store was
-        # away, it dropped their workers at once, though they live.
+        # Also of news that cannot be used: the gateway then reads by itself, and finds
+        # entries that ran out because the store was away.
         self._note_return(news.back_ms)
-        # A table does not rest on what is known of workers. Left aside with news
-        # that cannot be used, it came to a gateway that is cut off seconds later.
+        # A table does not rest on what is known of workers.
         has_table = self.table.take_news(news)
         position = position_of(news)
         self.enter_era(position.era)
--- a/src/trefoilpaddle/coordination/published/store_wire.py
+++ b/src/trefoilpaddle/coordination/published/store_wire.py
@@ -17,7 +17,7 @@
     """Return the workers that the store lists as a peer knows it, without a table.
 
     Those whose entries ran out are left out: who has them gives them the time to
-    come back, as the peer does. Taken as listed, they were kept for good.
+    come back, as the peer does.
     """
     listed = {worker.worker_id: worker for worker in state.workers}
     for worker_id in state.lapsed:
--- a/src/trefoilpaddle/coordination/published/worker_listing.py
+++ b/src/trefoilpaddle/coordination/published/worker_listing.py
@@ -70,10 +70,8 @@
     def digest(self) -> int:
         """Digest of the workers that the store lists.
 
-        Without those whose entries ran out and may come back. Each gateway knows
-        of another time of the store's return and keeps them until another, so
-        with them lists differed that were the same: 1.2 s after the return nearly
-        all gateways listed the store anew, and took no news until they had it.
+        Without those whose entries ran out and may come back: each gateway keeps them
+        until another time. With doubted entries as the store lists them.
         """
         digest = self._workers.digest
         for worker_id in self._lapsed:
@@ -192,10 +190,9 @@
             self._unreadable.pop(worker.worker_id, None)
             was_lapsed = self._lapsed.pop(worker.worker_id, None) is not None
             is_news = self._list(worker)
-            # An entry that was gone and is back between two reads is no news here.
-            # Others heard from another reader that it was gone, and what is told
-            # leads them past its return: named by nobody, the worker was dropped
-            # there. A whole list does not tell what was gone, so it names all.
+            # An entry that was gone and is back between two reads is no news here, but
+            # others may have heard from another reader that it was gone. A whole list
+            # does not tell what was gone, so it names all.
             is_back = scope is not Scope.CHANGES or worker.worker_id in returned
             if is_news or was_lapsed or was_doubted or is_back:
                 noticed.append(worker)
