--- a/idl/chain.thrift
+++ b/idl/chain.thrift
@@ -115,7 +115,7 @@
   7: i32 back_ms = -1            // since the store came back; -1 if it was not away
   8: i64 digest = 0              // over all listed workers
   9: i64 era = 0                 // of the revision
-  10: list<ListedWorker> doubted = []  // as the store lists them; the answering side goes by what it knew
+  10: list<ListedWorker> doubted = []  // as the store lists them; the answering side ignores them
   11: i32 answered_ms = -1       // since the store answered this side itself; -1 if it never did
 }
 
@@ -153,7 +153,7 @@
   9: optional TableChange table  // set if just read; who cannot use it reads the store
   10: i64 era = 0                // of the revision
   11: optional EarlierList base  // set in place of the base revision by the first list of an era
-  12: optional list<ListedWorker> doubted  // as the store lists them; the reader goes by what it knew
+  12: optional list<ListedWorker> doubted  // as the store lists them; the reader ignores them
 }
 
 struct WorkerCrash {
--- a/src/trefoilpaddle/coordination/published/doubted_entries.py
+++ b/src/trefoilpaddle/coordination/published/doubted_entries.py
@@ -1,6 +1,6 @@
 """Entries of a store that came back from a copy, against what was known before."""
 
-from collections.abc import Iterable, Mapping
+from collections.abc import Collection, Iterable
 from dataclasses import replace
 from typing import Final
 
@@ -45,7 +45,7 @@
         self._until_s = now_s + DOUBT_S
         by_id = {worker.worker_id: worker for worker in listed}
         taken = {
-            known.address: known.worker_id
+            known.address
             for known in self._workers.all()
             if known.worker_id not in by_id
         }
@@ -74,7 +74,7 @@
         return True
 
     def believe(self, worker_id: str) -> bool:
-        """Go by an entry again: it was written or removed; True if it was doubted."""
+        """End a doubt: the entry was written or removed; True if there was one."""
         return self._by_id.pop(worker_id, None) is not None
 
     def outlasting(self, now_s: float) -> list[Worker]:
@@ -84,7 +84,7 @@
         outlasting, self._by_id = self.all(), {}
         return outlasting
 
-    def _is_outdated(self, worker: Worker, taken: Mapping[str, str]) -> bool:
+    def _is_outdated(self, worker: Worker, taken: Collection[str]) -> bool:
         known = self._workers.get(worker.worker_id)
         if known is None:
             # An address is given to another worker only when its first one is gone.
--- a/src/trefoilpaddle/coordination/published/store_notes.py
+++ b/src/trefoilpaddle/coordination/published/store_notes.py
@@ -87,14 +87,16 @@
         n_kept : int
             Workers that the copy does not list.
         doubted : sequence of str
-            Workers whose entries in the copy are not gone by until they write again.
+            Workers whose entries in the copy are ignored until they write again.
         for_s : float
             How long the former stay in use, unless they are listed again.
         """
         named = ", ".join(doubted[:N_NAMED]) or "none"
         self._note(
             Event.STORE_RETURNED,
-            detail=f"{earlier} to {self.position}; entries not gone by: {named}",
+            detail=(
+                f"{earlier} to {self.position}; ignored until written again: {named}"
+            ),
             figures=(
                 Figure(name="n_kept", value=n_kept),
                 Figure(name="kept_s", value=for_s),
--- a/src/trefoilpaddle/coordination/published/store_wire.py
+++ b/src/trefoilpaddle/coordination/published/store_wire.py
@@ -40,7 +40,7 @@
 
 
 def doubted_of(message: StoreNews | StoreState) -> tuple[Worker, ...]:
-    """Return the entries that a peer does not go by."""
+    """Return the entries that a peer ignores."""
     return tuple(map(listed_from_wire, message.doubted or ()))
 
 
--- a/src/trefoilpaddle/coordination/published/worker_listing.py
+++ b/src/trefoilpaddle/coordination/published/worker_listing.py
@@ -100,7 +100,7 @@
         return list(self._lapsed)
 
     def doubted(self) -> list[Worker]:
-        """Return the entries that are not gone by, as the store lists them."""
+        """Return the entries that are ignored, as the store lists them."""
         return self._doubted.all()
 
     def adopt_doubts(self, workers: Iterable[Worker], now_s: float) -> None:
@@ -161,7 +161,7 @@
         return replace(changes, unreadable=())
 
     def list_outlasting(self, now_s: float) -> None:
-        """Go by entries that stand in spite of doubt, as the store has just told."""
+        """List the workers whose entries stand in spite of doubt."""
         if now_s >= self._back_s + DOUBT_S:
             for worker in self._doubted.outlasting(now_s):
                 self._lapsed.pop(worker.worker_id, None)
--- a/tests/published/return_runs.py
+++ b/tests/published/return_runs.py
@@ -44,7 +44,7 @@
     written_s : float
         When, or when the store came back since, whichever is later.
     is_known : callable
-        Returns True if a gateway goes by it.
+        Returns True if a gateway knows it.
     worker_id : str
         If it is that this worker is gone; nobody writes that again.
     unaware : set of str
--- a/tests/published/test_store_returns.py
+++ b/tests/published/test_store_returns.py
@@ -426,6 +426,6 @@
                 for record in gateway.notes.recent()
                 if record.decision.event is Event.STORE_RETURNED
             ]
-            assert line.detail == "0/3 to 1/1; entries not gone by: w1"
+            assert line.detail == "0/3 to 1/1; ignored until written again: w1"
             figures = {figure.name: figure.value for figure in line.figures}
             assert figures == {"n_kept": 1, "kept_s": LAPSE_S, "n_doubted": 1}
