Tell an exited worker whose address reads a request before it closes

Cause: the check whether a worker has exited opened two connections and waited for them to be closed. An address that accepts, reads a request and then closes kept both open, so it passed as a running worker and the crash was known only from the worker's next start.

Change: the check asks for the published health path on a new connection. Two closes without a byte of a response mean that no worker runs there; any response, and a late one, means that it does. The stand-in's crashing workers get such an address, with a test on all three kinds of route.

Ruled out: the model in virtual time cannot show it, as it takes the result of the check as given.

--- a/src/trefoilpaddle/standins/platform/crashing.py
+++ b/src/trefoilpaddle/standins/platform/crashing.py
@@ -16,6 +16,9 @@
 RESTART_DELAY_S: Final = 1.5
 """Time from the crash of a worker to its restart at the same address."""
 
+MAX_READ_BYTES: Final = 65536
+"""Bytes that are read for an exited worker before its connection is closed."""
+
 
 class CrashingServer:
     """Serves a worker that crashes when it runs a marked request.
@@ -29,6 +32,9 @@
         Address to listen on.
     on_start : callable
         Called after each restart, to list the worker again.
+    accepts_when_down : bool
+        True if what stands before the exited worker accepts connections and closes
+        each once a request has been read; False if its address refuses them.
 
     Attributes
     ----------
@@ -37,6 +43,7 @@
     """
 
     __slots__ = (
+        "_accepts_when_down",
         "_ip",
         "_is_up",
         "_on_start",
@@ -49,9 +56,15 @@
     )
 
     def __init__(
-        self, *, worker: PlatformWorker, ip: str, on_start: Callable[[], None]
+        self,
+        *,
+        worker: PlatformWorker,
+        ip: str,
+        on_start: Callable[[], None],
+        accepts_when_down: bool = False,
     ) -> None:
         self.worker = worker
+        self._accepts_when_down = accepts_when_down
         self._ip = ip
         self._on_start = on_start
         self._port = 0
@@ -99,7 +112,13 @@
             for connection in list(self._runner.server.connections):
                 if connection.transport is not None:
                     connection.transport.abort()
-        await asyncio.sleep(RESTART_DELAY_S)
+        if self._accepts_when_down:
+            async with await asyncio.start_server(
+                _read_and_close, self._ip, self._port, reuse_address=True
+            ):
+                await asyncio.sleep(RESTART_DELAY_S)
+        else:
+            await asyncio.sleep(RESTART_DELAY_S)
         self.worker.restart()
         await self._listen()
         self._on_start()
@@ -109,3 +128,13 @@
         await self._site.start()
         self._port = self._runner.addresses[0][1]
         self._is_up = True
+
+
+async def _read_and_close(
+    reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+) -> None:
+    """Close a connection once a request has been read there."""
+    try:
+        await reader.read(MAX_READ_BYTES)
+    finally:
+        writer.close()
--- a/src/trefoilpaddle/standins/platform/site.py
+++ b/src/trefoilpaddle/standins/platform/site.py
@@ -170,14 +170,23 @@
         self.list_worker(worker_id, service, domain=domain)
 
     async def add_crashing_worker(
-        self, worker_id: str, service: str, *, marker: bytes, **fields: Any
+        self,
+        worker_id: str,
+        service: str,
+        *,
+        marker: bytes,
+        accepts_when_down: bool = False,
+        **fields: Any,
     ) -> CrashingServer:
         """Start and list a worker that requests with `marker` crash."""
         worker = PlatformWorker(worker_id=worker_id, **fields)
         worker.marker = marker
         self.workers[worker_id] = worker
         server = CrashingServer(
-            worker=worker, ip=IP, on_start=lambda: self.list_worker(worker_id, service)
+            worker=worker,
+            ip=IP,
+            on_start=lambda: self.list_worker(worker_id, service),
+            accepts_when_down=accepts_when_down,
         )
         await self._stack.enter_async_context(server.serving())
         self.list_worker(worker_id, service)
--- a/src/trefoilpaddle/state/chain/routes.py
+++ b/src/trefoilpaddle/state/chain/routes.py
@@ -3,6 +3,10 @@
 from collections.abc import Mapping
 from dataclasses import dataclass, field
 from enum import Enum, unique
+from typing import Final
+
+DEFAULT_HEALTH_PATH: Final = "/health"
+"""Path at which workers report their health, unless their service names another."""
 
 
 @unique
@@ -99,9 +103,16 @@
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class PlainService:
-    """A service whose workers answer single requests, without batching."""
+    """A service whose workers answer single requests, without batching.
+
+    Parameters
+    ----------
+    health_path : str
+        Path at which its workers report their health.
+    """
 
     name: str
+    health_path: str = DEFAULT_HEALTH_PATH
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -114,11 +125,14 @@
         Requests that one worker runs at the same time.
     cache_tokens : int
         Capacity of one worker for prompts and generated output, in tokens.
+    health_path : str
+        Path at which its workers report their health.
     """
 
     name: str
     n_slots: int
     cache_tokens: int
+    health_path: str = DEFAULT_HEALTH_PATH
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -137,6 +151,8 @@
         Memory of one worker for results that are not read yet.
     retention_s : float
         Time after its call for which a result is kept unless it is freed earlier.
+    health_path : str
+        Path at which its workers report their health.
     """
 
     name: str
@@ -146,6 +162,7 @@
     piece_s: float
     memory_bytes: float
     retention_s: float
+    health_path: str = DEFAULT_HEALTH_PATH
 
 
 Service = PlainService | EngineService | PieceService
@@ -203,6 +220,11 @@
                 return route
         return None
 
+    def health_path(self, service: str) -> str:
+        """Return the path at which workers of a service report their health."""
+        known = self.services.get(service)
+        return DEFAULT_HEALTH_PATH if known is None else known.health_path
+
 
 def table_by_host(routes: list[Route]) -> dict[str, tuple[Route, ...]]:
     """Return the routes by host, those with the longest prefix first."""
--- a/tests/platform_adapter/crash_harness.py
+++ b/tests/platform_adapter/crash_harness.py
@@ -170,11 +170,16 @@
 
 @contextlib.asynccontextmanager
 async def crash_harness(
-    folder: Path, *, n_gateways: int = 4, crashes_stages: bool = False
+    folder: Path,
+    *,
+    n_gateways: int = 4,
+    crashes_stages: bool = False,
+    accepts_when_down: bool = False,
 ) -> AsyncIterator[CrashHarness]:
     """Start the gateways and the site.
 
     With `crashes_stages` pieces of the request crash the workers of its first stage.
+    With `accepts_when_down` the addresses of crashed workers still accept connections.
     """
     async with contextlib.AsyncExitStack() as stack:
         site = Site(stack=stack)
@@ -195,6 +200,7 @@
                         f"{service}{number}",
                         service,
                         marker=MARKER if is_marked else b"",
+                        accepts_when_down=accepts_when_down,
                         **fields,
                     )
                 )
--- a/tests/platform_adapter/test_crashing_requests.py
+++ b/tests/platform_adapter/test_crashing_requests.py
@@ -49,6 +49,20 @@
             observed
         )
 
+    # Guards against exits that are hidden by what stands before the worker and reads a
+    # request before it closes the connection.
+    @pytest.mark.parametrize("route", ["price", "hold", "draft"])
+    async def test_crashes_are_known_behind_an_address_that_reads(
+        self, tmp_path: Path, route: str
+    ) -> None:
+        async with crash_harness(tmp_path, accepts_when_down=True) as harness:
+            observed = await harness.run(route, for_s=RUN_S)
+        assert len(observed.crashed_s) >= 3
+        assert observed.n_late_starts() <= MAX_LATE_STARTS, observed
+        assert observed.statuses[200] >= MIN_SERVED * observed.statuses.total(), (
+            observed
+        )
+
     async def test_a_request_whose_pieces_crash_workers_is_not_sent_again(
         self, tmp_path: Path
     ) -> None:
--- a/tests/platform_adapter/test_worker_client.py
+++ b/tests/platform_adapter/test_worker_client.py
@@ -66,7 +66,11 @@
 @contextlib.asynccontextmanager
 async def worker_client() -> AsyncIterator[WorkerClient]:
     async with single_use_session() as session, pooled_session() as keepalive_session:
-        yield WorkerClient(session=session, keepalive_session=keepalive_session)
+        yield WorkerClient(
+            session=session,
+            keepalive_session=keepalive_session,
+            health_path_of=lambda _: "/health",
+        )
 
 
 @contextlib.asynccontextmanager
@@ -339,7 +343,9 @@
 
 
 class TestListening:
-    async def is_listening(self, *, n_cut: int, resets: bool = False) -> bool | None:
+    async def is_listening(
+        self, *, n_cut: int, resets: bool = False, reads: bool = False
+    ) -> bool | None:
         """Check a worker that cuts the first connections and keeps the others."""
         n_connections = 0
 
@@ -348,6 +354,8 @@
         ) -> None:
             nonlocal n_connections
             n_connections += 1
+            if reads:
+                await reader.readuntil(b"\r\n\r\n")
             if n_connections > n_cut:
                 await reader.read()
             elif resets:
@@ -374,9 +382,23 @@
         # Guards against crashes that a listener in front of the worker hides.
         assert await self.is_listening(n_cut=9, resets=resets) is False
 
-    async def test_one_cut_connection_is_no_exit(self) -> None:
+    @pytest.mark.parametrize("resets", [False, True], ids=["closes", "resets"])
+    async def test_an_address_that_cuts_after_reading_has_no_worker(
+        self, resets: bool
+    ) -> None:
+        # Guards against crashes that a proxy in front of the worker hides.
+        assert await self.is_listening(n_cut=9, resets=resets, reads=True) is False
+
+    @pytest.mark.parametrize("reads", [False, True])
+    async def test_one_cut_connection_is_no_exit(self, reads: bool) -> None:
         # Guards against a reset that is taken for an exit.
-        assert await self.is_listening(n_cut=1) is True
+        assert await self.is_listening(n_cut=1, reads=reads) is True
+
+    async def test_a_worker_that_reports_ill_health_listens(self) -> None:
+        # Guards against a worker that is taken for exited because it is unhealthy.
+        answer = b"HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n"
+        async with calling(answer) as (client, at, _):
+            assert await client.is_listening(at) is True
 
     async def test_a_worker_that_keeps_connections_listens(self) -> None:
         assert await self.is_listening(n_cut=0) is True
