Compare lists of workers with their failure domains

Cause: Worker.fingerprint() left the failure domain out, so a change of it alone that a gateway missed was never noticed.

Change: ListDigest holds the digest of earlier builds and one that includes the failure domains. Messages carry the latter in a new optional field, and it is compared only if both gateways have sent it.

Ruled out: widening the digest in place. Gateways of two builds would list the store again after every fourth update for as long as an update lasts.

--- a/idl/chain.thrift
+++ b/idl/chain.thrift
@@ -103,6 +103,7 @@
   2: i64 version = 0
   3: i64 digest = 0              // over all listed workers; 0 if they are to be sent
   4: i64 era = 0                 // of the revision
+  5: optional i64 domain_digest  // with failure domains; unset by earlier builds
 }
 
 struct StoreState {
@@ -117,6 +118,7 @@
   9: i64 era = 0                 // of the revision
   10: list<ListedWorker> doubted = []  // as the store lists them; the answering side ignores them
   11: i32 answered_ms = -1       // since the store answered this side itself; -1 if it never did
+  12: optional i64 domain_digest // with failure domains; unset by earlier builds
 }
 
 // Bytes of a table: some of the one before, then some that are new.
@@ -137,6 +139,7 @@
 struct EarlierList {
   1: i64 era = 0
   2: i64 digest = 0              // over all workers listed; 0 if that list was not relied on
+  3: optional i64 domain_digest  // with failure domains; unset by earlier builds
 }
 
 // Without an answer: what a gateway that reads the store for others has just
@@ -154,6 +157,7 @@
   10: i64 era = 0                // of the revision
   11: optional EarlierList base  // set in place of the base revision by the first list of an era
   12: optional list<ListedWorker> doubted  // as the store lists them; the reader ignores them
+  13: optional i64 domain_digest // with failure domains; unset by earlier builds
 }
 
 struct WorkerCrash {
--- a/src/trefoilpaddle/coordination/published/store_relay.py
+++ b/src/trefoilpaddle/coordination/published/store_relay.py
@@ -16,13 +16,14 @@
 from ...protocol.const import MS_PER_S
 from ...protocol.gen.chain.ttypes import StorePull, StoreState
 from ...protocol.gen.stage.ttypes import Hello
+from ...state.chain.list_digest import ListDigest
 from ...state.chain.workers import WorkerTable
 from ...state.members import MemberRecord
 from ...transport.connection import Address
 from ..own_process import OwnProcess
 from .published_store import PublishedTable
 from .store_position import StorePosition
-from .store_wire import listed_to_wire, position_of
+from .store_wire import digest_of, listed_to_wire, position_of
 from .worker_listing import WorkerListing
 
 QUERY_TIMEOUT_S: Final = 0.3
@@ -89,8 +90,9 @@
             era=self.position.era,
             revision=self.position.revision,
             is_away=self.is_unavailable,
-            digest=self._digest() if self.position.is_known else 0,
         )
+        digest = self._digest() if self.position.is_known else ListDigest()
+        state.digest, state.domain_digest = digest.entries, digest.domains
         if self.answered_s is not None:
             age_s = time.monotonic() - self.answered_s
             state.answered_ms = min(int(age_s * MS_PER_S), MAX_ANSWERED_MS)
@@ -100,17 +102,17 @@
             if state.version > request.version:
                 state.data = published.data
         # Heartbeats advance the revision all the time, even if no list changes.
-        is_known = state.digest != 0 and state.digest == request.digest
+        is_known = digest.is_known and digest.matches(digest_of(request))
         is_newer = self.position > position_of(request)
         has_list = self.position.is_known and not self.needs_list
         if is_newer and not is_known and has_list:
             self._add_workers(state)
         return state
 
-    def _digest(self) -> int:
-        """Return the digest of the list; 0 if there is no reliable list."""
+    def _digest(self) -> ListDigest:
+        """Return the digest of the list, also if there is no reliable list."""
         if self.listing is None or self.needs_list:
-            return 0
+            return ListDigest()
         return self.listing.digest
 
     def _add_workers(self, state: StoreState) -> None:
@@ -139,11 +141,13 @@
         """
         version = 0 if self.published is None else self.published.table.version
         revision = self.position.revision
+        digest = self._digest()
         return StorePull(
             era=self.position.era,
             revision=revision - 1 if self.needs_list else revision,
             version=version,
-            digest=self._digest(),
+            digest=digest.entries,
+            domain_digest=digest.domains,
         )
 
     async def _query(self, member: MemberRecord) -> StoreState | None:
--- a/src/trefoilpaddle/coordination/published/store_view.py
+++ b/src/trefoilpaddle/coordination/published/store_view.py
@@ -8,6 +8,7 @@
 
 from ...protocol.const import MS_PER_S
 from ...protocol.gen.chain.ttypes import EarlierList, StoreNews, StoreState
+from ...state.chain.list_digest import ListDigest
 from ...state.chain.workers import WorkerTable
 from ...state.journal import Journal
 from .active_table import ActiveTable
@@ -20,6 +21,7 @@
     changes_from_state,
     changes_from_update,
     difference,
+    digest_of,
     list_from_update,
     listed_to_wire,
     position_of,
@@ -169,8 +171,12 @@
         update = StoreNews(base_revision=self._relay.position.revision)
         base_table = self._relay.published
         if scope is Scope.FIRST_LIST:
-            digest = 0 if self._relay.needs_list else self.listing.digest
-            update.base = EarlierList(era=self._earlier.era, digest=digest)
+            digest = ListDigest() if self._relay.needs_list else self.listing.digest
+            update.base = EarlierList(
+                era=self._earlier.era,
+                digest=digest.entries,
+                domain_digest=digest.domains,
+            )
             listed = self.listing.listed()
             self._apply(changes, scope)
             changed = difference(listed, self.listing.listed())
@@ -190,7 +196,8 @@
         update.withdrawn = withdrawn or None
         unconfirmed = [listed_to_wire(worker) for worker in self.listing.unconfirmed()]
         update.doubted = unconfirmed or None
-        update.digest = self.listing.digest
+        digest = self.listing.digest
+        update.digest, update.domain_digest = digest.entries, digest.domains
         update.back_ms = self.listing.recovery_age_ms(time.monotonic())
 
     def apply_state(self, state: StoreState) -> None:
@@ -249,15 +256,15 @@
     def _can_complete_list(self, update: StoreNews) -> bool:
         """Return True if an update turns the list known here into the needed one."""
         digest = self.listing.digest
-        if not digest or not self._has_usable_list():
+        if not digest.is_known or not self._has_usable_list():
             return False
-        return digest == update.digest or (
-            update.base is not None and digest == update.base.digest
+        return digest.matches(digest_of(update)) or (
+            update.base is not None and digest.matches(digest_of(update.base))
         )
 
     def _apply_continuing(self, update: StoreNews) -> None:
         """Apply an update that continues from what is known here."""
-        if update.base is None or update.digest == self.listing.digest:
+        if update.base is None or self.listing.digest.matches(digest_of(update)):
             self._apply(changes_from_update(update), Scope.CHANGES)
         elif not self.position.is_known:
             self._apply(
@@ -268,7 +275,7 @@
     def _gap_after(self, update: StoreNews) -> UpdateGap | None:
         """Return LIST if the lists have differed for several updates in a row."""
         is_older = position_of(update) < self.position
-        if is_older or update.digest == self.listing.digest:
+        if is_older or self.listing.digest.matches(digest_of(update)):
             self._n_differing = 0
             return None
         self._n_differing += 1
@@ -285,7 +292,9 @@
 
     def _lists_the_same(self, state: StoreState) -> bool:
         """Return True if a peer lists the same workers."""
-        return self._has_usable_list() and state.digest == self.listing.digest != 0
+        digest = self.listing.digest
+        is_same = digest.is_known and digest.matches(digest_of(state))
+        return self._has_usable_list() and is_same
 
     def _apply(self, changes: StoreChanges, scope: Scope) -> StoreChanges:
         """Apply changes; return the worker changes that other gateways may not know."""
--- a/src/trefoilpaddle/coordination/published/store_wire.py
+++ b/src/trefoilpaddle/coordination/published/store_wire.py
@@ -2,7 +2,14 @@
 
 from collections.abc import Mapping
 
-from ...protocol.gen.chain.ttypes import ListedWorker, StoreNews, StorePull, StoreState
+from ...protocol.gen.chain.ttypes import (
+    EarlierList,
+    ListedWorker,
+    StoreNews,
+    StorePull,
+    StoreState,
+)
+from ...state.chain.list_digest import ListDigest
 from ...state.chain.workers import Worker
 from .published_store import StoreChanges, UnreadableEntry
 from .store_position import StorePosition
@@ -13,6 +20,11 @@
     return StorePosition(era=message.era, revision=message.revision)
 
 
+def digest_of(message: StoreNews | StorePull | StoreState | EarlierList) -> ListDigest:
+    """Return the digest of a peer's list."""
+    return ListDigest(entries=message.digest, domains=message.domain_digest)
+
+
 def changes_from_state(state: StoreState) -> StoreChanges:
     """Return the workers that the store lists according to a peer, without a table.
 
--- a/src/trefoilpaddle/coordination/published/worker_listing.py
+++ b/src/trefoilpaddle/coordination/published/worker_listing.py
@@ -7,6 +7,7 @@
 from typing import Final
 
 from ...protocol.const import MS_PER_S
+from ...state.chain.list_digest import ListDigest
 from ...state.chain.workers import Worker, WorkerTable
 from ...state.journal import Event
 from .published_store import StoreChanges, UnreadableEntry
@@ -75,7 +76,7 @@
         self._recovered_s = 0.0
 
     @property
-    def digest(self) -> int:
+    def digest(self) -> ListDigest:
         """Digest of the workers that the store lists.
 
         Expired entries in their grace period are left out, because that period ends
@@ -84,16 +85,16 @@
         """
         digest = self._workers.digest
         for worker_id in self._expired:
-            digest ^= self._fingerprint(worker_id)
+            digest ^= self._digest_of(worker_id)
         for worker in self._unconfirmed.all():
             if worker.worker_id not in self._expired:
-                digest ^= self._fingerprint(worker.worker_id)
-            digest ^= worker.fingerprint()
+                digest ^= self._digest_of(worker.worker_id)
+            digest ^= worker.digest()
         return digest
 
-    def _fingerprint(self, worker_id: str) -> int:
+    def _digest_of(self, worker_id: str) -> ListDigest:
         worker = self._workers.get(worker_id)
-        return 0 if worker is None else worker.fingerprint()
+        return ListDigest() if worker is None else worker.digest()
 
     def listed(self) -> dict[str, Worker]:
         """Return the workers by id as the store lists them."""
--- a/src/trefoilpaddle/protocol/gen/chain/ttypes.py
+++ b/src/trefoilpaddle/protocol/gen/chain/ttypes.py
@@ -1436,6 +1436,7 @@
      - version
      - digest
      - era
+     - domain_digest
 
     """
 
@@ -1444,14 +1445,16 @@
         'version',
         'digest',
         'era',
+        'domain_digest',
     )
 
 
-    def __init__(self, revision=0, version=0, digest=0, era=0,):
+    def __init__(self, revision=0, version=0, digest=0, era=0, domain_digest=None,):
         self.revision = revision
         self.version = version
         self.digest = digest
         self.era = era
+        self.domain_digest = domain_digest
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -1482,6 +1485,11 @@
                     self.era = iprot.readI64()
                 else:
                     iprot.skip(ftype)
+            elif fid == 5:
+                if ftype == TType.I64:
+                    self.domain_digest = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -1508,6 +1516,10 @@
             oprot.writeFieldBegin('era', TType.I64, 4)
             oprot.writeI64(self.era)
             oprot.writeFieldEnd()
+        if self.domain_digest is not None:
+            oprot.writeFieldBegin('domain_digest', TType.I64, 5)
+            oprot.writeI64(self.domain_digest)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -1547,6 +1559,7 @@
      - era
      - doubted
      - answered_ms
+     - domain_digest
 
     """
 
@@ -1562,13 +1575,14 @@
         'era',
         'doubted',
         'answered_ms',
+        'domain_digest',
     )
 
 
     def __init__(self, revision=0, version=0, data=b"", workers=[
     ], is_away=False, lapsed=[
     ], back_ms=-1, digest=0, era=0, doubted=[
-    ], answered_ms=-1,):
+    ], answered_ms=-1, domain_digest=None,):
         self.revision = revision
         self.version = version
         self.data = data
@@ -1589,6 +1603,7 @@
             ]
         self.doubted = doubted
         self.answered_ms = answered_ms
+        self.domain_digest = domain_digest
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -1671,6 +1686,11 @@
                     self.answered_ms = iprot.readI32()
                 else:
                     iprot.skip(ftype)
+            elif fid == 12:
+                if ftype == TType.I64:
+                    self.domain_digest = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -1734,6 +1754,10 @@
             oprot.writeFieldBegin('answered_ms', TType.I32, 11)
             oprot.writeI32(self.answered_ms)
             oprot.writeFieldEnd()
+        if self.domain_digest is not None:
+            oprot.writeFieldBegin('domain_digest', TType.I64, 12)
+            oprot.writeI64(self.domain_digest)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -1961,18 +1985,21 @@
     Attributes:
      - era
      - digest
+     - domain_digest
 
     """
 
     __slots__ = (
         'era',
         'digest',
+        'domain_digest',
     )
 
 
-    def __init__(self, era=0, digest=0,):
+    def __init__(self, era=0, digest=0, domain_digest=None,):
         self.era = era
         self.digest = digest
+        self.domain_digest = domain_digest
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -1993,6 +2020,11 @@
                     self.digest = iprot.readI64()
                 else:
                     iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.I64:
+                    self.domain_digest = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -2011,6 +2043,10 @@
             oprot.writeFieldBegin('digest', TType.I64, 2)
             oprot.writeI64(self.digest)
             oprot.writeFieldEnd()
+        if self.domain_digest is not None:
+            oprot.writeFieldBegin('domain_digest', TType.I64, 3)
+            oprot.writeI64(self.domain_digest)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -2051,6 +2087,7 @@
      - era
      - base
      - doubted
+     - domain_digest
 
     """
 
@@ -2067,12 +2104,13 @@
         'era',
         'base',
         'doubted',
+        'domain_digest',
     )
 
 
     def __init__(self, base_revision=0, revision=0, version=0, workers=[
     ], removed=[
-    ], digest=0, back_ms=-1, withdrawn=None, table=None, era=0, base=None, doubted=None,):
+    ], digest=0, back_ms=-1, withdrawn=None, table=None, era=0, base=None, doubted=None, domain_digest=None,):
         self.base_revision = base_revision
         self.revision = revision
         self.version = version
@@ -2091,6 +2129,7 @@
         self.era = era
         self.base = base
         self.doubted = doubted
+        self.domain_digest = domain_digest
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -2185,6 +2224,11 @@
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
+            elif fid == 13:
+                if ftype == TType.I64:
+                    self.domain_digest = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -2255,6 +2299,10 @@
                 iter125.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
+        if self.domain_digest is not None:
+            oprot.writeFieldBegin('domain_digest', TType.I64, 13)
+            oprot.writeI64(self.domain_digest)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -2826,6 +2874,7 @@
     (2, TType.I64, 'version', None, 0, ),  # 2
     (3, TType.I64, 'digest', None, 0, ),  # 3
     (4, TType.I64, 'era', None, 0, ),  # 4
+    (5, TType.I64, 'domain_digest', None, None, ),  # 5
 )
 all_structs.append(StoreState)
 StoreState.thrift_spec = (
@@ -2844,6 +2893,7 @@
     (10, TType.LIST, 'doubted', (TType.STRUCT, [ListedWorker, None], False), [
     ], ),  # 10
     (11, TType.I32, 'answered_ms', None, -1, ),  # 11
+    (12, TType.I64, 'domain_digest', None, None, ),  # 12
 )
 all_structs.append(TablePiece)
 TablePiece.thrift_spec = (
@@ -2865,6 +2915,7 @@
     None,  # 0
     (1, TType.I64, 'era', None, 0, ),  # 1
     (2, TType.I64, 'digest', None, 0, ),  # 2
+    (3, TType.I64, 'domain_digest', None, None, ),  # 3
 )
 all_structs.append(StoreNews)
 StoreNews.thrift_spec = (
@@ -2883,6 +2934,7 @@
     (10, TType.I64, 'era', None, 0, ),  # 10
     (11, TType.STRUCT, 'base', [EarlierList, None], None, ),  # 11
     (12, TType.LIST, 'doubted', (TType.STRUCT, [ListedWorker, None], False), None, ),  # 12
+    (13, TType.I64, 'domain_digest', None, None, ),  # 13
 )
 all_structs.append(WorkerCrash)
 WorkerCrash.thrift_spec = (
--- a/src/trefoilpaddle/protocol/gen/chain/ttypes.pyi
+++ b/src/trefoilpaddle/protocol/gen/chain/ttypes.pyi
@@ -81,7 +81,8 @@
     version: int
     digest: int
     era: int
-    def __init__(self, *, revision: int = ..., version: int = ..., digest: int = ..., era: int = ...) -> None: ...
+    domain_digest: int | None
+    def __init__(self, *, revision: int = ..., version: int = ..., digest: int = ..., era: int = ..., domain_digest: int | None = ...) -> None: ...
 class StoreState:
     revision: int
     version: int
@@ -94,7 +95,8 @@
     era: int
     doubted: list[ListedWorker]
     answered_ms: int
-    def __init__(self, *, revision: int = ..., version: int = ..., data: bytes = ..., workers: list[ListedWorker] = ..., is_away: bool = ..., lapsed: list[str] = ..., back_ms: int = ..., digest: int = ..., era: int = ..., doubted: list[ListedWorker] = ..., answered_ms: int = ...) -> None: ...
+    domain_digest: int | None
+    def __init__(self, *, revision: int = ..., version: int = ..., data: bytes = ..., workers: list[ListedWorker] = ..., is_away: bool = ..., lapsed: list[str] = ..., back_ms: int = ..., digest: int = ..., era: int = ..., doubted: list[ListedWorker] = ..., answered_ms: int = ..., domain_digest: int | None = ...) -> None: ...
 class TablePiece:
     from_byte: int
     n_bytes: int
@@ -108,7 +110,8 @@
 class EarlierList:
     era: int
     digest: int
-    def __init__(self, *, era: int = ..., digest: int = ...) -> None: ...
+    domain_digest: int | None
+    def __init__(self, *, era: int = ..., digest: int = ..., domain_digest: int | None = ...) -> None: ...
 class StoreNews:
     base_revision: int
     revision: int
@@ -122,7 +125,8 @@
     era: int
     base: EarlierList | None
     doubted: list[ListedWorker] | None
-    def __init__(self, *, base_revision: int = ..., revision: int = ..., version: int = ..., workers: list[ListedWorker] = ..., removed: list[str] = ..., digest: int = ..., back_ms: int = ..., withdrawn: list[str] | None = ..., table: TableChange | None = ..., era: int = ..., base: EarlierList | None = ..., doubted: list[ListedWorker] | None = ...) -> None: ...
+    domain_digest: int | None
+    def __init__(self, *, base_revision: int = ..., revision: int = ..., version: int = ..., workers: list[ListedWorker] = ..., removed: list[str] = ..., digest: int = ..., back_ms: int = ..., withdrawn: list[str] | None = ..., table: TableChange | None = ..., era: int = ..., base: EarlierList | None = ..., doubted: list[ListedWorker] | None = ..., domain_digest: int | None = ...) -> None: ...
 class WorkerCrash:
     worker_id: str
     born_ms: int
--- a/src/trefoilpaddle/state/chain/workers.py
+++ b/src/trefoilpaddle/state/chain/workers.py
@@ -7,6 +7,7 @@
 from typing import Final
 
 from ...protocol.checksum import checksum
+from .list_digest import ListDigest
 
 SUSPECT_S: Final = 1.5
 """Time for which a worker that refused a connection or did not respond is not used.
@@ -56,10 +57,10 @@
             and self.born_ms == other.born_ms
         )
 
-    def fingerprint(self) -> int:
-        """Return a checksum of id, service, address, leaving state and start time.
+    def digest(self) -> ListDigest:
+        """Return the digest of a list that contains only this worker.
 
-        Tables of workers are compared by it.
+        Its entry consists of id, service, address, leaving state and start time.
         """
         fields = (
             self.worker_id,
@@ -68,7 +69,11 @@
             str(self.is_leaving),
             str(self.born_ms),
         )
-        return checksum("\0".join(fields).encode())
+        entry = "\0".join(fields)
+        return ListDigest(
+            entries=checksum(entry.encode()),
+            domains=checksum(f"{entry}\0{self.failure_domain}".encode()),
+        )
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -92,7 +97,7 @@
 
     Attributes
     ----------
-    digest : int
+    digest : ListDigest
         Digest of all listed workers; equal for equal tables.
     version : int
         Rises with each change of the listed workers.
@@ -124,7 +129,7 @@
         self._suspect_until_s: dict[str, float] = {}
         self._usable: dict[str, UsableWorkers] = {}
         self._removed_born_ms: OrderedDict[str, int] = OrderedDict()
-        self.digest = 0
+        self.digest = ListDigest()
         self.version = 0
         self.leave_listeners: list[Callable[[Worker], None]] = []
         self.restart_listeners: list[Callable[[Worker], None]] = []
@@ -147,10 +152,10 @@
             self.remove(worker.worker_id)
             known = None
         if known is not None:
-            self.digest ^= known.fingerprint()
+            self.digest ^= known.digest()
             if known.service != worker.service:
                 del self._by_service[known.service][worker.worker_id]
-        self.digest ^= worker.fingerprint()
+        self.digest ^= worker.digest()
         self._by_id[worker.worker_id] = worker
         self._by_service.setdefault(worker.service, {})[worker.worker_id] = worker
         self._record_change()
@@ -166,7 +171,7 @@
         worker = self._by_id.pop(worker_id, None)
         if worker is None:
             return None
-        self.digest ^= worker.fingerprint()
+        self.digest ^= worker.digest()
         del self._by_service[worker.service][worker_id]
         self._suspect_until_s.pop(worker_id, None)
         self._removed_born_ms[worker_id] = worker.born_ms
--- a/tests/published/test_store_readers.py
+++ b/tests/published/test_store_readers.py
@@ -104,7 +104,12 @@
 
 def update(harness: Harness, base: int, revision: int, **fields: object) -> StoreNews:
     """Return an update that matches the state of `harness`, except for `fields`."""
-    known: dict[str, object] = {"version": 5, "digest": harness.workers.digest}
+    digest = harness.workers.digest
+    known: dict[str, object] = {
+        "version": 5,
+        "digest": digest.entries,
+        "domain_digest": digest.domains,
+    }
     return StoreNews(base_revision=base, revision=revision, **(known | fields))  # type: ignore[arg-type]
 
 
@@ -301,7 +306,7 @@
                 harness, revision - 1, revision, version=6, table=change
             )
             sent_update.removed = ["w1"]
-            sent_update.digest = 0
+            sent_update.digest = sent_update.domain_digest = 0
             harness.receive(sent_update)
             change = None
         assert harness.workers.ids() == ["w2"]
@@ -340,12 +345,33 @@
         harness.receive(update(harness, 1, 2, removed=["w2"]))
         reading = asyncio.create_task(harness.feed.run())
         for revision in range(3, 8):
-            harness.receive(update(harness, revision - 1, revision, digest=full))
+            harness.receive(
+                update(
+                    harness,
+                    revision - 1,
+                    revision,
+                    digest=full.entries,
+                    domain_digest=full.domains,
+                )
+            )
         async with asyncio.timeout(1.0):
             while len(harness.workers) < 2:  # noqa: ASYNC110
                 await asyncio.sleep(0.01)
         reading.cancel()
 
+    # Guards against a change of a failure domain that is lost unnoticed, and against
+    # gateways of two builds that list the store again and again.
+    @pytest.mark.parametrize(("domain_digest", "reads"), [(1, True), (None, False)])
+    async def test_lists_are_compared_with_failure_domains_if_the_reader_knows_them(
+        self, domain_digest: int | None, reads: bool
+    ) -> None:
+        harness = await follower()
+        for revision in range(2, 2 + store_view.MAX_DIGEST_MISMATCHES):
+            harness.receive(
+                update(harness, revision - 1, revision, domain_digest=domain_digest)
+            )
+        assert harness.readers.must_read() is reads
+
     async def test_a_list_requested_during_a_read_of_changes_is_read_completely(
         self,
     ) -> None:
--- a/tools/generate.py
+++ b/tools/generate.py
@@ -50,9 +50,9 @@
 
 
 def field_type(spec: Any) -> str:
-    """Return the type of a field; a list without a default may be None."""
+    """Return the type of a field; one without a default may be None."""
     annotation = type_name(spec[1], spec[3])
-    is_unset = spec[1] == TType.LIST and spec[4] is None
+    is_unset = spec[1] != TType.STRUCT and spec[4] is None
     return f"{annotation} | None" if is_unset else annotation
 
 
