Send nothing to the workers of an evacuated failure domain

Cause: the adapter did not read op/evacuate/ZONE, so requests went on to workers of a failure domain that operators had ordered to empty.

Change: Evacuations keeps the evacuated failure domains with the position of the store up to which they are known. There are few, so every update of a reader and every answer of a peer contains all of them: whoever has missed messages needs only the next one. WorkerTable is the one place that is asked by whatever sends: usable() leaves their workers out, and may_receive() is asked again after any wait. Waiting pieces go to other workers, results there are read but not freed, and running requests end by themselves. Without any other worker a request is refused at once with the reason evacuated.

An order that a store returned from a copy has lost stands until it is written again or removed. Updates of an earlier build, which name no orders, are not relied on.

Ruled out: a field of the route table, whose versions only rise, and listing the workers as leaving, which nobody takes back.

--- a/idl/chain.thrift
+++ b/idl/chain.thrift
@@ -119,6 +119,7 @@
   10: list<ListedWorker> doubted = []  // as the store lists them; the answering side ignores them
   11: i32 answered_ms = -1       // since the store answered this side itself; -1 if it never did
   12: optional i64 domain_digest // with failure domains; unset by earlier builds
+  13: optional list<string> evacuated  // all failure domains that get no work; unset by earlier builds
 }
 
 // Bytes of a table: some of the one before, then some that are new.
@@ -158,6 +159,7 @@
   11: optional EarlierList base  // set in place of the base revision by the first list of an era
   12: optional list<ListedWorker> doubted  // as the store lists them; the reader ignores them
   13: optional i64 domain_digest // with failure domains; unset by earlier builds
+  14: optional list<string> evacuated  // all failure domains that get no work; unset by earlier builds
 }
 
 struct WorkerCrash {
--- a/src/trefoilpaddle/coordination/chain/attempts.py
+++ b/src/trefoilpaddle/coordination/chain/attempts.py
@@ -9,7 +9,7 @@
 from ...state.chain.repeat_budget import RepeatBudget
 from ...state.chain.requests import Answered, Failed, Outcome
 from ...state.chain.target_answers import CallFault
-from ...state.chain.workers import Worker, WorkerTable
+from ...state.chain.workers import EVACUATED_RETRY_S, Worker, WorkerTable
 from ...state.journal import Decision, Event, Figure, Journal
 from .caller_sink import CallerSink
 from .crash_guard import CrashGuard
@@ -121,7 +121,7 @@
                 )
             worker = self._choose()
             if worker is None:
-                return self._outcome_of(Reason.NO_TARGET)
+                return self._outcome_without_worker()
             handles = await self._inputs.get()
             if handles is None:
                 return self._outcome_of(Reason.RESULT_GONE)
@@ -135,7 +135,8 @@
                 if not self._may_retry(reason, worker):
                     return self._outcome_of(reason)
                 continue
-            if self._guard.refusal(self._job.fingerprint) is not None:
+            is_refused = self._guard.refusal(self._job.fingerprint) is not None
+            if is_refused or not self._workers.may_receive(worker):
                 continue
             self._record(Event.ROUTED, worker)
             match await self._exchange.send(worker, handles, sink):
@@ -212,6 +213,14 @@
         """Return the outcome of a request that no worker has answered."""
         return self._delivery.failure_outcome(reason, retry_after_s=UNANSWERED_RETRY_S)
 
+    def _outcome_without_worker(self) -> Outcome:
+        """Return the outcome of a request for which there is no further worker."""
+        if not self._tried and self._workers.is_evacuated(self._job.service):
+            return self._delivery.failure_outcome(
+                Reason.EVACUATED, retry_after_s=EVACUATED_RETRY_S
+            )
+        return self._outcome_of(Reason.NO_TARGET)
+
     async def _pass_failure_on(self, failed: WorkerFailed, sink: CallerSink) -> Outcome:
         """Pass a worker's failure on unchanged, unless an answer has begun."""
         if self._delivery.is_begun:
--- a/src/trefoilpaddle/coordination/chain/cell_dispatch.py
+++ b/src/trefoilpaddle/coordination/chain/cell_dispatch.py
@@ -158,6 +158,10 @@
         """Return True if a worker of the service may get work."""
         return bool(self._usable_callers(service))
 
+    def is_evacuated(self, service: str) -> bool:
+        """Return True if orders to evacuate alone exclude the service's workers."""
+        return self._workers.is_evacuated(service)
+
     def wait_s(
         self, service: str, n_pieces: int, *, n_reserved: int, queued_in_s: float
     ) -> float | None:
--- a/src/trefoilpaddle/coordination/chain/chain_scheduler.py
+++ b/src/trefoilpaddle/coordination/chain/chain_scheduler.py
@@ -22,6 +22,7 @@
 from ...state.chain.refused_chains import RefusedChains
 from ...state.chain.repeat_budget import RepeatBudgets
 from ...state.chain.tolerable_waits import TolerableWaits
+from ...state.chain.workers import EVACUATED_RETRY_S
 from ...state.journal import Decision, Event, Figure, Journal
 from .admission import Reservations, admission_limit_s, forecast_s, unloaded_duration_s
 from .cell_dispatch import CellDispatch
@@ -161,8 +162,7 @@
         limit_s = self._limit_s(work, first_due_s, now_s)
         detail = "" if first_due_s is None else "came back"
         if finish_s is None:
-            self._record(Event.REFUSED, Reason.NO_TARGET, work, 0.0, limit_s, detail)
-            return ChainFailed(reason=Reason.NO_TARGET, is_begun=False)
+            return self._refuse_without_worker(work, limit_s, detail)
         if self._is_unservable(work, now_s):
             reason = Reason.PREDICTED_LATE
             self._record(Event.REFUSED, reason, work, finish_s, limit_s, "too late")
@@ -189,6 +189,21 @@
             retry_after_s=self._refused.retry_after_s(now_s),
         )
 
+    def _refuse_without_worker(
+        self, work: ChainWork, limit_s: float, detail: str
+    ) -> ChainFailed:
+        """Refuse a chain that has a stage without a worker."""
+        is_evacuated = any(
+            self.dispatch.is_evacuated(plan.service) for plan in work.stages
+        )
+        reason = Reason.EVACUATED if is_evacuated else Reason.NO_TARGET
+        self._record(Event.REFUSED, reason, work, 0.0, limit_s, detail)
+        return ChainFailed(
+            reason=reason,
+            is_begun=False,
+            retry_after_s=EVACUATED_RETRY_S if is_evacuated else 0.0,
+        )
+
     def _is_unservable(self, work: ChainWork, now_s: float) -> bool:
         """Return True if a chain cannot meet its deadline even without a backlog.
 
--- a/src/trefoilpaddle/coordination/chain/result_freeing.py
+++ b/src/trefoilpaddle/coordination/chain/result_freeing.py
@@ -92,7 +92,8 @@
     async def _send(self) -> None:
         while self._handles:
             handles, self._handles = self._handles, []
-            if self._workers.get(self._worker.worker_id) is None:
+            listed = self._workers.get(self._worker.worker_id)
+            if listed is None or listed.failure_domain in self._workers.evacuated:
                 continue
             if await self._calls.free_results(self._worker, handles):
                 self._on_freed(handles)
--- a/src/trefoilpaddle/coordination/chain/worker_exits.py
+++ b/src/trefoilpaddle/coordination/chain/worker_exits.py
@@ -130,7 +130,7 @@
         known = self._exits.get(_start(worker))
         if known is not None:
             self.confirm(worker, known[1])
-        elif run.outcome is RunOutcome.BROKEN:
+        elif run.outcome is RunOutcome.BROKEN and self._workers.may_receive(listed):
             self._check(worker)
 
     def record_response(self, worker: Worker) -> None:
--- a/src/trefoilpaddle/coordination/published/published_store.py
+++ b/src/trefoilpaddle/coordination/published/published_store.py
@@ -74,6 +74,10 @@
         before, that worker is withdrawn.
     relisted : tuple of str
         Ids of those of `workers` that were not listed for some time in between.
+    evacuated : frozenset of str
+        Failure domains that operators have ordered to evacuate.
+    returned : frozenset of str
+        Failure domains whose order was removed.
     """
 
     position: StorePosition
@@ -82,6 +86,8 @@
     removed: tuple[str, ...] = ()
     unreadable: tuple[UnreadableEntry, ...] = ()
     relisted: tuple[str, ...] = ()
+    evacuated: frozenset[str] = frozenset()
+    returned: frozenset[str] = frozenset()
 
 
 class PublishedStore(Protocol):
--- a/src/trefoilpaddle/coordination/published/store_journal.py
+++ b/src/trefoilpaddle/coordination/published/store_journal.py
@@ -69,6 +69,22 @@
             figures=self._at_position(),
         )
 
+    def record_evacuation(self, domain: str, *, is_ordered: bool, age_s: float) -> None:
+        """Record that an order to evacuate a failure domain is in force, or has ended.
+
+        Parameters
+        ----------
+        domain : str
+            The failure domain.
+        is_ordered : bool
+            True if the order is in force; False if it was removed.
+        age_s : float
+            Seconds since the orders were last known; the change is not older.
+        """
+        event = Event.DOMAIN_EVACUATED if is_ordered else Event.DOMAIN_RETURNED
+        age = Figure(name="age_s", value=age_s)
+        self._record(event, detail=domain, figures=(*self._at_position(), age))
+
     def record_worker_change(
         self, event: Event, worker_id: str, known: Worker | None, *, is_leaving: bool
     ) -> None:
--- a/src/trefoilpaddle/coordination/published/store_relay.py
+++ b/src/trefoilpaddle/coordination/published/store_relay.py
@@ -21,6 +21,7 @@
 from ...state.members import MemberRecord
 from ...transport.connection import Address
 from ..own_process import OwnProcess
+from .evacuations import Evacuations
 from .published_store import PublishedTable
 from .store_position import StorePosition
 from .store_wire import digest_of, listed_to_wire, position_of
@@ -50,6 +51,8 @@
     ----------
     answered_s : float or None
         Monotonic time of the store's last response to this gateway.
+    evacuations : Evacuations or None
+        Knows which failure domains get no work; set by its owner.
     listing : WorkerListing or None
         Knows which workers are in their grace period; set by its owner.
     needs_list : bool
@@ -66,6 +69,7 @@
         "_process",
         "_workers",
         "answered_s",
+        "evacuations",
         "is_unavailable",
         "listing",
         "needs_list",
@@ -77,6 +81,7 @@
         self._process = process
         self._workers = workers
         self.answered_s: float | None = None
+        self.evacuations: Evacuations | None = None
         self.listing: WorkerListing | None = None
         self.needs_list = False
         self.published: PublishedTable | None = None
@@ -93,6 +98,8 @@
         )
         digest = self._digest() if self.position.is_known else ListDigest()
         state.digest, state.domain_digest = digest.entries, digest.domains
+        if self.evacuations is not None:
+            state.evacuated = sorted(self.evacuations.domains)
         if self.answered_s is not None:
             age_s = time.monotonic() - self.answered_s
             state.answered_ms = min(int(age_s * MS_PER_S), MAX_ANSWERED_MS)
--- a/src/trefoilpaddle/coordination/published/store_view.py
+++ b/src/trefoilpaddle/coordination/published/store_view.py
@@ -12,6 +12,7 @@
 from ...state.chain.workers import WorkerTable
 from ...state.journal import Journal
 from .active_table import ActiveTable
+from .evacuations import Evacuations
 from .published_store import PublishedTable, StoreChanges
 from .store_journal import StoreJournal
 from .store_position import StorePosition
@@ -51,6 +52,7 @@
     CHANGES_LOST = "the store lost its history"
     DIGEST_MISMATCH = "lists differ"
     RECOVERY = "the store came back from a copy"
+    EVACUATIONS_UNKNOWN = "a peer does not know which failure domains get no work"
 
 
 class StoreView:
@@ -71,6 +73,8 @@
 
     Attributes
     ----------
+    evacuations : Evacuations
+        The failure domains that get no work.
     listing : WorkerListing
         The workers and the state of their entries.
     list_reason : ListReason
@@ -88,6 +92,7 @@
         "_n_differing",
         "_relay",
         "era_entered_s",
+        "evacuations",
         "list_reason",
         "listing",
         "store_journal",
@@ -118,9 +123,13 @@
             store_journal=self.store_journal,
             recovery_grace_s=RECOVERY_GRACE_S,
         )
+        self.evacuations = Evacuations(
+            workers=workers, store_journal=self.store_journal
+        )
         self.list_reason = ListReason.FIRST
         self.era_entered_s = 0.0
         relay.listing = self.listing
+        relay.evacuations = self.evacuations
 
     @property
     def position(self) -> StorePosition:
@@ -160,6 +169,10 @@
 
     def apply_read(self, changes: StoreChanges, scope: Scope) -> StoreNews:
         """Apply the result of a read; return the update to send to other gateways."""
+        if scope is Scope.CHANGES:
+            self.evacuations.apply_changes(changes)
+        else:
+            self.evacuations.apply_list(changes)
         if changes.position < self.position:
             # Updates or peers have advanced the view since the read began. Applying
             # an older result would remove workers that are listed again and list
@@ -198,6 +211,7 @@
         update.doubted = unconfirmed or None
         digest = self.listing.digest
         update.digest, update.domain_digest = digest.entries, digest.domains
+        update.evacuated = sorted(self.evacuations.domains)
         update.back_ms = self.listing.recovery_age_ms(time.monotonic())
 
     def apply_state(self, state: StoreState) -> None:
@@ -206,6 +220,8 @@
             self.table.apply_data(state.data)
         position = position_of(state)
         self.enter_era(position.era)
+        if state.evacuated is not None and position.is_known:
+            self.evacuations.apply_all(state.evacuated, position)
         if position <= self.position:
             return
         if state.workers:
@@ -215,6 +231,9 @@
         elif self._lists_the_same(state) and position >= self._relay.position:
             # The list is the same, so the changes up to the peer's position are known.
             self._apply(StoreChanges(position=position), Scope.CHANGES)
+        if state.evacuated is None and self.position == position:
+            # The peer's build does not know of orders that the store may hold.
+            self.request_list(ListReason.EVACUATIONS_UNKNOWN)
 
     def apply_update(self, update: StoreNews) -> UpdateGap | None:
         """Apply a reader's update; return what is still missing, or None.
@@ -232,6 +251,11 @@
         self.enter_era(position.era)
         if position.era < self.position.era:
             return UpdateGap.STALE
+        if update.evacuated is not None:
+            self.evacuations.apply_all(update.evacuated, position)
+        elif position > self.position:
+            # The reader's build does not know of orders that the store may hold.
+            return UpdateGap.CHANGES
         missing = self._gap_before(update)
         if missing is not None:
             return missing
--- a/src/trefoilpaddle/protocol/gen/chain/ttypes.py
+++ b/src/trefoilpaddle/protocol/gen/chain/ttypes.py
@@ -1560,6 +1560,7 @@
      - doubted
      - answered_ms
      - domain_digest
+     - evacuated
 
     """
 
@@ -1576,13 +1577,14 @@
         'doubted',
         'answered_ms',
         'domain_digest',
+        'evacuated',
     )
 
 
     def __init__(self, revision=0, version=0, data=b"", workers=[
     ], is_away=False, lapsed=[
     ], back_ms=-1, digest=0, era=0, doubted=[
-    ], answered_ms=-1, domain_digest=None,):
+    ], answered_ms=-1, domain_digest=None, evacuated=None,):
         self.revision = revision
         self.version = version
         self.data = data
@@ -1604,6 +1606,7 @@
         self.doubted = doubted
         self.answered_ms = answered_ms
         self.domain_digest = domain_digest
+        self.evacuated = evacuated
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -1691,6 +1694,16 @@
                     self.domain_digest = iprot.readI64()
                 else:
                     iprot.skip(ftype)
+            elif fid == 13:
+                if ftype == TType.LIST:
+                    self.evacuated = []
+                    (_etype91, _size88) = iprot.readListBegin()
+                    for _i92 in range(_size88):
+                        _elem93 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.evacuated.append(_elem93)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -1716,8 +1729,8 @@
         if self.workers is not None:
             oprot.writeFieldBegin('workers', TType.LIST, 4)
             oprot.writeListBegin(TType.STRUCT, len(self.workers))
-            for iter88 in self.workers:
-                iter88.write(oprot)
+            for iter94 in self.workers:
+                iter94.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.is_away is not None:
@@ -1727,8 +1740,8 @@
         if self.lapsed is not None:
             oprot.writeFieldBegin('lapsed', TType.LIST, 6)
             oprot.writeListBegin(TType.STRING, len(self.lapsed))
-            for iter89 in self.lapsed:
-                oprot.writeString(iter89.encode('utf-8') if sys.version_info[0] == 2 else iter89)
+            for iter95 in self.lapsed:
+                oprot.writeString(iter95.encode('utf-8') if sys.version_info[0] == 2 else iter95)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.back_ms is not None:
@@ -1746,8 +1759,8 @@
         if self.doubted is not None:
             oprot.writeFieldBegin('doubted', TType.LIST, 10)
             oprot.writeListBegin(TType.STRUCT, len(self.doubted))
-            for iter90 in self.doubted:
-                iter90.write(oprot)
+            for iter96 in self.doubted:
+                iter96.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.answered_ms is not None:
@@ -1758,6 +1771,13 @@
             oprot.writeFieldBegin('domain_digest', TType.I64, 12)
             oprot.writeI64(self.domain_digest)
             oprot.writeFieldEnd()
+        if self.evacuated is not None:
+            oprot.writeFieldBegin('evacuated', TType.LIST, 13)
+            oprot.writeListBegin(TType.STRING, len(self.evacuated))
+            for iter97 in self.evacuated:
+                oprot.writeString(iter97.encode('utf-8') if sys.version_info[0] == 2 else iter97)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -1922,11 +1942,11 @@
             elif fid == 3:
                 if ftype == TType.LIST:
                     self.pieces = []
-                    (_etype94, _size91) = iprot.readListBegin()
-                    for _i95 in range(_size91):
-                        _elem96 = TablePiece()
-                        _elem96.read(iprot)
-                        self.pieces.append(_elem96)
+                    (_etype101, _size98) = iprot.readListBegin()
+                    for _i102 in range(_size98):
+                        _elem103 = TablePiece()
+                        _elem103.read(iprot)
+                        self.pieces.append(_elem103)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -1951,8 +1971,8 @@
         if self.pieces is not None:
             oprot.writeFieldBegin('pieces', TType.LIST, 3)
             oprot.writeListBegin(TType.STRUCT, len(self.pieces))
-            for iter97 in self.pieces:
-                iter97.write(oprot)
+            for iter104 in self.pieces:
+                iter104.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -2088,6 +2108,7 @@
      - base
      - doubted
      - domain_digest
+     - evacuated
 
     """
 
@@ -2105,12 +2126,13 @@
         'base',
         'doubted',
         'domain_digest',
+        'evacuated',
     )
 
 
     def __init__(self, base_revision=0, revision=0, version=0, workers=[
     ], removed=[
-    ], digest=0, back_ms=-1, withdrawn=None, table=None, era=0, base=None, doubted=None, domain_digest=None,):
+    ], digest=0, back_ms=-1, withdrawn=None, table=None, era=0, base=None, doubted=None, domain_digest=None, evacuated=None,):
         self.base_revision = base_revision
         self.revision = revision
         self.version = version
@@ -2130,6 +2152,7 @@
         self.base = base
         self.doubted = doubted
         self.domain_digest = domain_digest
+        self.evacuated = evacuated
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -2158,21 +2181,21 @@
             elif fid == 4:
                 if ftype == TType.LIST:
                     self.workers = []
-                    (_etype101, _size98) = iprot.readListBegin()
-                    for _i102 in range(_size98):
-                        _elem103 = ListedWorker()
-                        _elem103.read(iprot)
-                        self.workers.append(_elem103)
+                    (_etype108, _size105) = iprot.readListBegin()
+                    for _i109 in range(_size105):
+                        _elem110 = ListedWorker()
+                        _elem110.read(iprot)
+                        self.workers.append(_elem110)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 5:
                 if ftype == TType.LIST:
                     self.removed = []
-                    (_etype107, _size104) = iprot.readListBegin()
-                    for _i108 in range(_size104):
-                        _elem109 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        self.removed.append(_elem109)
+                    (_etype114, _size111) = iprot.readListBegin()
+                    for _i115 in range(_size111):
+                        _elem116 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.removed.append(_elem116)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -2189,10 +2212,10 @@
             elif fid == 8:
                 if ftype == TType.LIST:
                     self.withdrawn = []
-                    (_etype113, _size110) = iprot.readListBegin()
-                    for _i114 in range(_size110):
-                        _elem115 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        self.withdrawn.append(_elem115)
+                    (_etype120, _size117) = iprot.readListBegin()
+                    for _i121 in range(_size117):
+                        _elem122 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.withdrawn.append(_elem122)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -2216,11 +2239,11 @@
             elif fid == 12:
                 if ftype == TType.LIST:
                     self.doubted = []
-                    (_etype119, _size116) = iprot.readListBegin()
-                    for _i120 in range(_size116):
-                        _elem121 = ListedWorker()
-                        _elem121.read(iprot)
-                        self.doubted.append(_elem121)
+                    (_etype126, _size123) = iprot.readListBegin()
+                    for _i127 in range(_size123):
+                        _elem128 = ListedWorker()
+                        _elem128.read(iprot)
+                        self.doubted.append(_elem128)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -2229,6 +2252,16 @@
                     self.domain_digest = iprot.readI64()
                 else:
                     iprot.skip(ftype)
+            elif fid == 14:
+                if ftype == TType.LIST:
+                    self.evacuated = []
+                    (_etype132, _size129) = iprot.readListBegin()
+                    for _i133 in range(_size129):
+                        _elem134 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.evacuated.append(_elem134)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -2254,15 +2287,15 @@
         if self.workers is not None:
             oprot.writeFieldBegin('workers', TType.LIST, 4)
             oprot.writeListBegin(TType.STRUCT, len(self.workers))
-            for iter122 in self.workers:
-                iter122.write(oprot)
+            for iter135 in self.workers:
+                iter135.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.removed is not None:
             oprot.writeFieldBegin('removed', TType.LIST, 5)
             oprot.writeListBegin(TType.STRING, len(self.removed))
-            for iter123 in self.removed:
-                oprot.writeString(iter123.encode('utf-8') if sys.version_info[0] == 2 else iter123)
+            for iter136 in self.removed:
+                oprot.writeString(iter136.encode('utf-8') if sys.version_info[0] == 2 else iter136)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.digest is not None:
@@ -2276,8 +2309,8 @@
         if self.withdrawn is not None:
             oprot.writeFieldBegin('withdrawn', TType.LIST, 8)
             oprot.writeListBegin(TType.STRING, len(self.withdrawn))
-            for iter124 in self.withdrawn:
-                oprot.writeString(iter124.encode('utf-8') if sys.version_info[0] == 2 else iter124)
+            for iter137 in self.withdrawn:
+                oprot.writeString(iter137.encode('utf-8') if sys.version_info[0] == 2 else iter137)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.table is not None:
@@ -2295,14 +2328,21 @@
         if self.doubted is not None:
             oprot.writeFieldBegin('doubted', TType.LIST, 12)
             oprot.writeListBegin(TType.STRUCT, len(self.doubted))
-            for iter125 in self.doubted:
-                iter125.write(oprot)
+            for iter138 in self.doubted:
+                iter138.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.domain_digest is not None:
             oprot.writeFieldBegin('domain_digest', TType.I64, 13)
             oprot.writeI64(self.domain_digest)
             oprot.writeFieldEnd()
+        if self.evacuated is not None:
+            oprot.writeFieldBegin('evacuated', TType.LIST, 14)
+            oprot.writeListBegin(TType.STRING, len(self.evacuated))
+            for iter139 in self.evacuated:
+                oprot.writeString(iter139.encode('utf-8') if sys.version_info[0] == 2 else iter139)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -2471,11 +2511,11 @@
             elif fid == 2:
                 if ftype == TType.LIST:
                     self.crashes = []
-                    (_etype129, _size126) = iprot.readListBegin()
-                    for _i130 in range(_size126):
-                        _elem131 = WorkerCrash()
-                        _elem131.read(iprot)
-                        self.crashes.append(_elem131)
+                    (_etype143, _size140) = iprot.readListBegin()
+                    for _i144 in range(_size140):
+                        _elem145 = WorkerCrash()
+                        _elem145.read(iprot)
+                        self.crashes.append(_elem145)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -2496,8 +2536,8 @@
         if self.crashes is not None:
             oprot.writeFieldBegin('crashes', TType.LIST, 2)
             oprot.writeListBegin(TType.STRUCT, len(self.crashes))
-            for iter132 in self.crashes:
-                iter132.write(oprot)
+            for iter146 in self.crashes:
+                iter146.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -2674,32 +2714,32 @@
             if fid == 1:
                 if ftype == TType.LIST:
                     self.crashed = []
-                    (_etype136, _size133) = iprot.readListBegin()
-                    for _i137 in range(_size133):
-                        _elem138 = CrashedWorkers()
-                        _elem138.read(iprot)
-                        self.crashed.append(_elem138)
+                    (_etype150, _size147) = iprot.readListBegin()
+                    for _i151 in range(_size147):
+                        _elem152 = CrashedWorkers()
+                        _elem152.read(iprot)
+                        self.crashed.append(_elem152)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 2:
                 if ftype == TType.LIST:
                     self.cleared = []
-                    (_etype142, _size139) = iprot.readListBegin()
-                    for _i143 in range(_size139):
-                        _elem144 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        self.cleared.append(_elem144)
+                    (_etype156, _size153) = iprot.readListBegin()
+                    for _i157 in range(_size153):
+                        _elem158 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.cleared.append(_elem158)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 3:
                 if ftype == TType.LIST:
                     self.runs = []
-                    (_etype148, _size145) = iprot.readListBegin()
-                    for _i149 in range(_size145):
-                        _elem150 = SuspectRun()
-                        _elem150.read(iprot)
-                        self.runs.append(_elem150)
+                    (_etype162, _size159) = iprot.readListBegin()
+                    for _i163 in range(_size159):
+                        _elem164 = SuspectRun()
+                        _elem164.read(iprot)
+                        self.runs.append(_elem164)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -2716,22 +2756,22 @@
         if self.crashed is not None:
             oprot.writeFieldBegin('crashed', TType.LIST, 1)
             oprot.writeListBegin(TType.STRUCT, len(self.crashed))
-            for iter151 in self.crashed:
-                iter151.write(oprot)
+            for iter165 in self.crashed:
+                iter165.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.cleared is not None:
             oprot.writeFieldBegin('cleared', TType.LIST, 2)
             oprot.writeListBegin(TType.STRING, len(self.cleared))
-            for iter152 in self.cleared:
-                oprot.writeString(iter152.encode('utf-8') if sys.version_info[0] == 2 else iter152)
+            for iter166 in self.cleared:
+                oprot.writeString(iter166.encode('utf-8') if sys.version_info[0] == 2 else iter166)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.runs is not None:
             oprot.writeFieldBegin('runs', TType.LIST, 3)
             oprot.writeListBegin(TType.STRUCT, len(self.runs))
-            for iter153 in self.runs:
-                iter153.write(oprot)
+            for iter167 in self.runs:
+                iter167.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -2894,6 +2934,7 @@
     ], ),  # 10
     (11, TType.I32, 'answered_ms', None, -1, ),  # 11
     (12, TType.I64, 'domain_digest', None, None, ),  # 12
+    (13, TType.LIST, 'evacuated', (TType.STRING, 'UTF8', False), None, ),  # 13
 )
 all_structs.append(TablePiece)
 TablePiece.thrift_spec = (
@@ -2935,6 +2976,7 @@
     (11, TType.STRUCT, 'base', [EarlierList, None], None, ),  # 11
     (12, TType.LIST, 'doubted', (TType.STRUCT, [ListedWorker, None], False), None, ),  # 12
     (13, TType.I64, 'domain_digest', None, None, ),  # 13
+    (14, TType.LIST, 'evacuated', (TType.STRING, 'UTF8', False), None, ),  # 14
 )
 all_structs.append(WorkerCrash)
 WorkerCrash.thrift_spec = (
--- a/src/trefoilpaddle/protocol/gen/chain/ttypes.pyi
+++ b/src/trefoilpaddle/protocol/gen/chain/ttypes.pyi
@@ -96,7 +96,8 @@
     doubted: list[ListedWorker]
     answered_ms: int
     domain_digest: int | None
-    def __init__(self, *, revision: int = ..., version: int = ..., data: bytes = ..., workers: list[ListedWorker] = ..., is_away: bool = ..., lapsed: list[str] = ..., back_ms: int = ..., digest: int = ..., era: int = ..., doubted: list[ListedWorker] = ..., answered_ms: int = ..., domain_digest: int | None = ...) -> None: ...
+    evacuated: list[str] | None
+    def __init__(self, *, revision: int = ..., version: int = ..., data: bytes = ..., workers: list[ListedWorker] = ..., is_away: bool = ..., lapsed: list[str] = ..., back_ms: int = ..., digest: int = ..., era: int = ..., doubted: list[ListedWorker] = ..., answered_ms: int = ..., domain_digest: int | None = ..., evacuated: list[str] | None = ...) -> None: ...
 class TablePiece:
     from_byte: int
     n_bytes: int
@@ -126,7 +127,8 @@
     base: EarlierList | None
     doubted: list[ListedWorker] | None
     domain_digest: int | None
-    def __init__(self, *, base_revision: int = ..., revision: int = ..., version: int = ..., workers: list[ListedWorker] = ..., removed: list[str] = ..., digest: int = ..., back_ms: int = ..., withdrawn: list[str] | None = ..., table: TableChange | None = ..., era: int = ..., base: EarlierList | None = ..., doubted: list[ListedWorker] | None = ..., domain_digest: int | None = ...) -> None: ...
+    evacuated: list[str] | None
+    def __init__(self, *, base_revision: int = ..., revision: int = ..., version: int = ..., workers: list[ListedWorker] = ..., removed: list[str] = ..., digest: int = ..., back_ms: int = ..., withdrawn: list[str] | None = ..., table: TableChange | None = ..., era: int = ..., base: EarlierList | None = ..., doubted: list[ListedWorker] | None = ..., domain_digest: int | None = ..., evacuated: list[str] | None = ...) -> None: ...
 class WorkerCrash:
     worker_id: str
     born_ms: int
--- a/src/trefoilpaddle/protocol/reasons.py
+++ b/src/trefoilpaddle/protocol/reasons.py
@@ -42,6 +42,7 @@
     INTERNAL = 32
     CRASHES_WORKERS = 33
     RUNS_APART = 34
+    EVACUATED = 35
 
 
 def reason_from_wire(number: int) -> Reason:
--- a/src/trefoilpaddle/state/chain/workers.py
+++ b/src/trefoilpaddle/state/chain/workers.py
@@ -17,6 +17,12 @@
 """
 
 
+EVACUATED_RETRY_S: Final = 1.0
+"""Retry-After in seconds while orders to evacuate exclude all workers of a service.
+
+The end of such an order is in force at all gateways within this time.
+"""
+
 MAX_REMOVED: Final = 4096
 """Removed workers whose start is remembered; enough for weeks of replacements."""
 
@@ -99,8 +105,11 @@
     ----------
     digest : ListDigest
         Digest of all listed workers; equal for equal tables.
+    evacuated : frozenset of str
+        Failure domains whose workers must receive nothing, by order of operators. What
+        runs there already completes.
     version : int
-        Rises with each change of the listed workers.
+        Rises with each change of the listed workers, and of those that are excluded.
     leave_listeners : list of callable
         Called with each worker that may receive no more work.
     restart_listeners : list of callable
@@ -117,6 +126,7 @@
         "_suspect_until_s",
         "_usable",
         "digest",
+        "evacuated",
         "leave_listeners",
         "new_listeners",
         "restart_listeners",
@@ -130,6 +140,7 @@
         self._usable: dict[str, UsableWorkers] = {}
         self._removed_born_ms: OrderedDict[str, int] = OrderedDict()
         self.digest = ListDigest()
+        self.evacuated: frozenset[str] = frozenset()
         self.version = 0
         self.leave_listeners: list[Callable[[Worker], None]] = []
         self.restart_listeners: list[Callable[[Worker], None]] = []
@@ -201,6 +212,31 @@
         """Return all listed workers."""
         return list(self._by_id.values())
 
+    def evacuate(self, failure_domains: frozenset[str]) -> None:
+        """Exclude the workers of these failure domains and use those of all others."""
+        ordered = failure_domains - self.evacuated
+        self.evacuated = failure_domains
+        self._record_change()
+        for worker in self.all():
+            if worker.failure_domain in ordered:
+                self._notify_leaving(worker)
+
+    def may_receive(self, worker: Worker) -> bool:
+        """Return True if a worker is listed, does not leave and is not excluded.
+
+        Whoever has chosen a worker and waited since asks this before sending.
+        """
+        listed = self._by_id.get(worker.worker_id)
+        return listed is not None and self._is_admitted(listed)
+
+    def is_evacuated(self, service: str) -> bool:
+        """Return True if orders to evacuate alone exclude all workers of a service."""
+        staying = [w for w in self.listed(service) if not w.is_leaving]
+        return bool(staying) and not any(map(self._is_admitted, staying))
+
+    def _is_admitted(self, listed: Worker) -> bool:
+        return not listed.is_leaving and listed.failure_domain not in self.evacuated
+
     def mark_suspect(self, worker: Worker, for_s: float = SUSPECT_S) -> None:
         """Do not use a worker that did not answer, for a limited time.
 
@@ -258,7 +294,7 @@
         listed = [
             worker
             for worker in self._by_service.get(service, {}).values()
-            if not worker.is_leaving and worker.worker_id not in excluded
+            if self._is_admitted(worker) and worker.worker_id not in excluded
         ]
         trusted = [w for w in listed if not self.is_suspect(w.worker_id)]
         return trusted or listed
--- a/src/trefoilpaddle/state/events.py
+++ b/src/trefoilpaddle/state/events.py
@@ -98,6 +98,10 @@
     """This gateway reads the store itself although other gateways read it for all."""
     STORE_RETURNED = 209
     """The store was restored from a backup; states what is ignored, and how long."""
+    DOMAIN_EVACUATED = 210
+    """Operators have ordered that a failure domain gets no work; names it."""
+    DOMAIN_RETURNED = 211
+    """The order to evacuate a failure domain has ended; it gets work again."""
     # Membership
     MEMBER_JOINED = 220
     """A process became live for the first time, or again."""
--- a/src/trefoilpaddle/state/reason_words.py
+++ b/src/trefoilpaddle/state/reason_words.py
@@ -38,6 +38,7 @@
     Reason.UNKNOWN_PIPELINE: "there is no such pipeline",
     Reason.CRASHES_WORKERS: "each worker that ran it has crashed",
     Reason.RUNS_APART: "it may crash workers, and runs at one of them already",
+    Reason.EVACUATED: "operators have evacuated all targets of the service",
     Reason.INTERNAL: "of a fault in trefoilpaddle itself; see the log",
 }
 
--- a/tests/platform_adapter/test_entries.py
+++ b/tests/platform_adapter/test_entries.py
@@ -6,6 +6,7 @@
 
 import orjson
 import pytest
+from adapter import names
 from adapter.entries import EntryReader, RemovedEntry, TableEntry
 from adapter.store import Page, StoreClient, decode_page
 from hypothesis import example, given
@@ -138,6 +139,38 @@
         assert read(gone, item("w"), gone).relisted == ()
         assert read(gone, item("w"), bad).relisted == ()
 
+    # Guards against orders that are missed, or are in force after their end.
+    @pytest.mark.parametrize(
+        ("removals", "evacuated", "returned"),
+        [
+            ((False,), frozenset("a"), frozenset()),
+            ((False, True), frozenset(), frozenset("a")),
+            ((True, False), frozenset("a"), frozenset()),
+            ((), frozenset(), frozenset()),
+        ],
+    )
+    def test_the_last_event_of_an_evacuation_counts(
+        self,
+        removals: tuple[bool, ...],
+        evacuated: frozenset[str],
+        returned: frozenset[str],
+    ) -> None:
+        events = [
+            {"key": "op/evacuate/a", "revision": 9, "removed": True}
+            if is_removal
+            else {"key": "op/evacuate/a", "revision": 9, "value": encoded({})}
+            for is_removal in removals
+        ]
+        changes = read(item("w"), *events)
+        assert (changes.evacuated, changes.returned) == (evacuated, returned)
+
+    def test_an_order_for_an_unknown_failure_domain_is_reported(self) -> None:
+        changes = read({"key": "op/evacuate/z", "value": encoded({})})
+        assert not changes.evacuated
+        assert changes.unreadable == (
+            UnreadableEntry(worker_id="", problem="evacuation of an unknown zone: z"),
+        )
+
     def test_an_undecodable_table_does_not_affect_workers(self) -> None:
         for value in (None, 4, "*", encoded([1]), encoded({"version": 4, "routes": 1})):
             changes = read({"key": TABLE_KEY, "value": value}, item("a"))
@@ -161,7 +194,7 @@
         )
 
         async def get(_: object, path: str, query: dict[str, str]) -> Ok[Page]:
-            if query["prefix"] == TABLE_KEY:
+            if query["prefix"] == names.OPERATORS_PREFIX:
                 return Ok(
                     Page(
                         items=[],
--- a/tests/platform_adapter/test_gateway_process.py
+++ b/tests/platform_adapter/test_gateway_process.py
@@ -27,7 +27,7 @@
 )
 from trefoilpaddle.standins.platform.store import TABLE_KEY
 
-from ..waiting import until
+from ..waiting import CAP_S, until
 
 LOG_DELAY_S = 0.2
 """Time after which decisions are in the log; lines are written within 50 ms."""
@@ -122,6 +122,31 @@
                 while await status() != 401:  # noqa: ASYNC110
                     await asyncio.sleep(0.05)
 
+    # Guards against requests that are sent to a failure domain operators have emptied.
+    async def test_workers_of_an_evacuated_failure_domain_get_nothing(
+        self, tmp_path: Path
+    ) -> None:
+        async with (
+            small_site() as site,
+            gateways(site, tmp_path, "a") as (gateway,),
+            aiohttp.ClientSession() as client,
+        ):
+
+            async def answer() -> tuple[int, str]:
+                sent = headers("x")
+                async with client.get(f"{gateway.url}/price/1", headers=sent) as got:
+                    return got.status, await got.text()
+
+            for change, last in (
+                (lambda: site.store.put("op/evacuate/a", {}), (503, "evacuated")),
+                (lambda: site.store.remove("op/evacuate/a"), (200, "x")),
+            ):
+                change()
+                async with asyncio.timeout(CAP_S):
+                    while await answer() != last:  # noqa: ASYNC110
+                        await asyncio.sleep(0.05)
+            assert "domain_evacuated" in gateway.log()
+
     async def test_a_gateway_refused_by_the_store_learns_from_its_peer(
         self, tmp_path: Path
     ) -> None:
--- a/tests/platform_adapter/test_store_client.py
+++ b/tests/platform_adapter/test_store_client.py
@@ -5,6 +5,7 @@
 
 import aiohttp
 import pytest
+from adapter import names
 from adapter.store import MAX_LIST_ATTEMPTS, Page, StoreClient, decode_era
 from result import Err, Ok
 
@@ -98,7 +99,9 @@
         async def get(_: object, path: str, query: dict[str, str]) -> Ok[Page]:
             era = eras[len(requested)]
             requested.append(query.get("after", ""))
-            is_first = "after" not in query and query["prefix"] != TABLE_KEY
+            is_first = (
+                "after" not in query and query["prefix"] != names.OPERATORS_PREFIX
+            )
             name = "w1" if is_first else "w2"
             return Ok(
                 Page(
--- a/tests/published/store_network.py
+++ b/tests/published/store_network.py
@@ -83,6 +83,7 @@
     table: PublishedTable | None
     table_revision: int
     events: list[tuple[int, str, Worker | None]]
+    evacuated: frozenset[str] = frozenset()
 
 
 class Store:
@@ -96,6 +97,9 @@
         self.table = decoded(table_bytes(1, **size))
         self.table_revision = 1
         self.events: list[tuple[int, str, Worker | None]] = []
+        self.evacuated: frozenset[str] = frozenset()
+        self.orders: list[tuple[int, str, bool]] = []
+        self.forgotten_revision = 0
 
     @property
     def position(self) -> StorePosition:
@@ -110,6 +114,7 @@
             table=self.table,
             table_revision=self.table_revision,
             events=list(self.events),
+            evacuated=self.evacuated,
         )
 
     def restore_from(self, backup: Backup) -> None:
@@ -120,6 +125,26 @@
         self.table = backup.table
         self.table_revision = backup.table_revision
         self.events = list(backup.events)
+        self.evacuated = backup.evacuated
+        self.orders.clear()
+
+    def forget_history(self) -> None:
+        """Forget all changes, so that they cannot be read any more."""
+        self.forgotten_revision = self.revision
+
+    def evacuate(self, domain: str) -> None:
+        """Write an order to evacuate a failure domain."""
+        self.evacuated |= {domain}
+        self._record_order(domain, is_ordered=True)
+
+    def end_evacuation(self, domain: str) -> None:
+        """Remove the order to evacuate a failure domain."""
+        self.evacuated -= {domain}
+        self._record_order(domain, is_ordered=False)
+
+    def _record_order(self, domain: str, *, is_ordered: bool) -> None:
+        self.revision += 1
+        self.orders.append((self.revision, domain, is_ordered))
 
     def publish(self, version: int) -> None:
         """Publish the next configuration."""
@@ -151,6 +176,7 @@
             position=self.position,
             table=self.table,
             workers=tuple(self.workers.values()),
+            evacuated=self.evacuated,
         )
 
     def since(self, after: StorePosition) -> Answer:
@@ -159,6 +185,13 @@
             if after.era != self.era:
                 return Ok(StoreChanges(position=StorePosition(era=self.era)))
             return Err(StoreFault.HISTORY_LOST)
+        if after.revision < self.forgotten_revision:
+            return Err(StoreFault.HISTORY_LOST)
+        last_order = {
+            domain: is_ordered
+            for revision, domain, is_ordered in self.orders
+            if revision > after.revision
+        }
         events = [event for event in self.events if event[0] > after.revision]
         last = {i: entry for _, i, entry in events}
         removed_ids = {i for _, i, entry in events if entry is None}
@@ -170,6 +203,10 @@
                 workers=tuple(entry for entry in last.values() if entry is not None),
                 removed=tuple(i for i, entry in last.items() if entry is None),
                 relisted=tuple(i for i in removed_ids if last[i] is not None),
+                evacuated=frozenset(d for d, ordered in last_order.items() if ordered),
+                returned=frozenset(
+                    d for d, ordered in last_order.items() if not ordered
+                ),
             )
         )
 
--- a/tests/published/test_store_feed.py
+++ b/tests/published/test_store_feed.py
@@ -257,7 +257,7 @@
         assert harness.feed.is_unavailable
 
     async def test_the_state_of_a_peer_that_lags_is_not_applied(self) -> None:
-        state = StoreState(revision=1, version=4, data=b"4", workers=[])
+        state = StoreState(revision=1, version=4, data=b"4", workers=[], evacuated=[])
         harness = Harness(changes(7, "a", table=published(5)))
         await harness.read(1)
         harness.states.append(state)
--- a/tests/published/test_store_readers.py
+++ b/tests/published/test_store_readers.py
@@ -109,6 +109,7 @@
         "version": 5,
         "digest": digest.entries,
         "domain_digest": digest.domains,
+        "evacuated": [],
     }
     return StoreNews(base_revision=base, revision=revision, **(known | fields))  # type: ignore[arg-type]
 
