Divide what cold workers bear among the gateways

That no cold worker got more than it bears was due to the spread of the load, and with few workers left it would not have held.

Change: a gateway sends a cold worker no more than its quota. The quotas follow from the ids of all gateways on record, dead ones included, and add up to three quarters of the published rate, so that two halves of a fleet which a cut has divided stay within the allowed overrun. With more gateways than requests, rendezvous hashing says which of them send one each. No message is needed. A worker counts as cold if its entry says so, for the published time after an evacuation of its failure domain, and after it has not answered. What cannot go there goes elsewhere, or is refused at once with the time at which the quota is free again.

Leases were not built: they need a home that a cut can take away.

--- a/idl/chain.thrift
+++ b/idl/chain.thrift
@@ -95,6 +95,7 @@
   4: string failure_domain = ""
   5: bool is_leaving = false
   6: i64 born_ms = 0             // Unix time of its start; later starts replace it
+  7: i64 cold_ms = 0             // it stays cold for so long; 0 if it does not report to be
 }
 
 // Asks a peer for what it knows of the store.
--- a/src/trefoilpaddle/coordination/chain/attempts.py
+++ b/src/trefoilpaddle/coordination/chain/attempts.py
@@ -12,6 +12,7 @@
 from ...state.chain.workers import EVACUATED_RETRY_S, Worker, WorkerTable
 from ...state.journal import Decision, Event, Figure, Journal
 from .caller_sink import CallerSink
+from .cold_starts import ColdStarts
 from .crash_guard import CrashGuard
 from .job import Job
 from .target_calls import TargetCalls
@@ -52,11 +53,14 @@
         Records how far the request has come.
     guard : CrashGuard
         Watches the runs of the request at workers.
+    cold_starts : ColdStarts
+        Limits what is sent to workers that have just started.
     """
 
     __slots__ = (
         "_budget",
         "_choice",
+        "_cold_starts",
         "_delivery",
         "_exchange",
         "_guard",
@@ -83,7 +87,9 @@
         journal: Journal,
         delivery: Delivery,
         guard: CrashGuard,
+        cold_starts: ColdStarts,
     ) -> None:
+        self._cold_starts = cold_starts
         self._job = job
         self._delivery = delivery
         self._inputs = inputs
@@ -138,6 +144,8 @@
             is_refused = self._guard.refusal(self._job.fingerprint) is not None
             if is_refused or not self._workers.may_receive(worker):
                 continue
+            if not self._cold_starts.take(worker):
+                continue
             self._record(Event.ROUTED, worker)
             match await self._exchange.send(worker, handles, sink):
                 case Answered() as answered:
@@ -158,7 +166,7 @@
         A worker at which a suspect request runs is used only if there is no other.
         """
         service = self._job.worker_service()
-        tried = frozenset(self._tried)
+        tried = self._cold_starts.exhausted(service.name) | self._tried
         need = self._need
         if self._guard.is_suspect(self._job.fingerprint):
             # A suspect goes to the worker with the fewest open requests, even if
@@ -219,6 +227,11 @@
             return self._delivery.failure_outcome(
                 Reason.EVACUATED, retry_after_s=EVACUATED_RETRY_S
             )
+        if self._cold_starts.exhausted(self._job.service):
+            return self._delivery.failure_outcome(
+                Reason.COLD_TARGETS,
+                retry_after_s=self._cold_starts.retry_after_s(self._job.service),
+            )
         return self._outcome_of(Reason.NO_TARGET)
 
     async def _pass_failure_on(self, failed: WorkerFailed, sink: CallerSink) -> Outcome:
--- a/src/trefoilpaddle/coordination/chain/fleet.py
+++ b/src/trefoilpaddle/coordination/chain/fleet.py
@@ -3,7 +3,7 @@
 import asyncio
 import contextlib
 import time
-from collections.abc import AsyncIterator, Sequence
+from collections.abc import AsyncIterator, Collection, Sequence
 from typing import Final
 
 from ...state.members import MemberRecord
@@ -92,6 +92,10 @@
         """Return the live gateways, this one included."""
         return self.membership.live()
 
+    def known_ids(self) -> Collection[str]:
+        """Return the ids of all gateways on record, also of those believed dead."""
+        return self.membership.table.records.keys()
+
     def n_sharing(self) -> int:
         """Return the number of gateways among which shared budgets are split.
 
--- a/src/trefoilpaddle/coordination/chain/request_path.py
+++ b/src/trefoilpaddle/coordination/chain/request_path.py
@@ -23,6 +23,7 @@
 from .caller_sink import CallerSink
 from .chain_inputs import ChainInputs
 from .chain_router import ChainRouter
+from .cold_starts import ColdStarts
 from .crash_guard import CrashGuard
 from .job import Job
 from .planned_stop import PlannedStop
@@ -77,6 +78,8 @@
         Decides which requests are still accepted.
     guard : CrashGuard
         Watches runs at workers.
+    cold_starts : ColdStarts
+        Limits what is sent to workers that have just started.
 
     Attributes
     ----------
@@ -88,6 +91,7 @@
         "_budgets",
         "_calls",
         "_choice",
+        "_cold_starts",
         "_engine_times",
         "_failure_domain",
         "_finishing",
@@ -111,7 +115,9 @@
         journal: Journal,
         stop: PlannedStop,
         guard: CrashGuard,
+        cold_starts: ColdStarts,
     ) -> None:
+        self._cold_starts = cold_starts
         self._guard = guard
         self._failure_domain = failure_domain
         self._workers = workers
@@ -247,6 +253,7 @@
                         journal=self._journal,
                         delivery=delivery,
                         guard=self._guard,
+                        cold_starts=self._cold_starts,
                     )
                     if job.must_finish:
                         return await self._finish(attempts, sink)
--- a/src/trefoilpaddle/coordination/published/store_journal.py
+++ b/src/trefoilpaddle/coordination/published/store_journal.py
@@ -1,5 +1,6 @@
 """Journal records about a gateway's view of the store."""
 
+import time
 from collections.abc import Sequence
 from typing import Final
 
@@ -94,7 +95,7 @@
             peer=worker_id,
             stage="" if known is None else known.service,
             reason=Reason.LEAVING if is_leaving else Reason.NONE,
-            figures=self._at_position(),
+            figures=(*self._at_position(), *_cold_figures(known)),
         )
 
     def record_recovery(
@@ -158,3 +159,9 @@
                 figures=figures,
             )
         )
+
+
+def _cold_figures(worker: Worker | None) -> tuple[Figure, ...]:
+    """Return how long a worker stays cold, in seconds; nothing if it is warm."""
+    left_s = 0.0 if worker is None else worker.cold_until_s - time.monotonic()
+    return (Figure(name="cold_s", value=left_s),) if left_s > 0.0 else ()
--- a/src/trefoilpaddle/coordination/published/store_wire.py
+++ b/src/trefoilpaddle/coordination/published/store_wire.py
@@ -1,7 +1,9 @@
 """Conversion of listed workers to and from the messages between gateways."""
 
+import time
 from collections.abc import Mapping
 
+from ...protocol.const import MS_PER_S
 from ...protocol.gen.chain.ttypes import (
     EarlierList,
     ListedWorker,
@@ -97,9 +99,15 @@
         failure_domain=worker.failure_domain,
         is_leaving=worker.is_leaving,
         born_ms=worker.born_ms,
+        cold_ms=_cold_ms(worker),
     )
 
 
+def _cold_ms(worker: Worker) -> int:
+    left_s = worker.cold_until_s - time.monotonic()
+    return max(0, int(left_s * MS_PER_S))
+
+
 def listed_from_wire(worker: ListedWorker) -> Worker:
     """Convert a message to a listed worker."""
     return Worker(
@@ -109,4 +117,7 @@
         failure_domain=worker.failure_domain,
         is_leaving=worker.is_leaving,
         born_ms=worker.born_ms,
+        cold_until_s=(
+            time.monotonic() + worker.cold_ms / MS_PER_S if worker.cold_ms else 0.0
+        ),
     )
--- a/src/trefoilpaddle/protocol/gen/chain/ttypes.py
+++ b/src/trefoilpaddle/protocol/gen/chain/ttypes.py
@@ -1310,6 +1310,7 @@
      - failure_domain
      - is_leaving
      - born_ms
+     - cold_ms
 
     """
 
@@ -1320,16 +1321,18 @@
         'failure_domain',
         'is_leaving',
         'born_ms',
+        'cold_ms',
     )
 
 
-    def __init__(self, worker_id="", service_name="", address="", failure_domain="", is_leaving=False, born_ms=0,):
+    def __init__(self, worker_id="", service_name="", address="", failure_domain="", is_leaving=False, born_ms=0, cold_ms=0,):
         self.worker_id = worker_id
         self.service_name = service_name
         self.address = address
         self.failure_domain = failure_domain
         self.is_leaving = is_leaving
         self.born_ms = born_ms
+        self.cold_ms = cold_ms
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -1370,6 +1373,11 @@
                     self.born_ms = iprot.readI64()
                 else:
                     iprot.skip(ftype)
+            elif fid == 7:
+                if ftype == TType.I64:
+                    self.cold_ms = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -1404,6 +1412,10 @@
             oprot.writeFieldBegin('born_ms', TType.I64, 6)
             oprot.writeI64(self.born_ms)
             oprot.writeFieldEnd()
+        if self.cold_ms is not None:
+            oprot.writeFieldBegin('cold_ms', TType.I64, 7)
+            oprot.writeI64(self.cold_ms)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -2906,6 +2918,7 @@
     (4, TType.STRING, 'failure_domain', 'UTF8', "", ),  # 4
     (5, TType.BOOL, 'is_leaving', None, False, ),  # 5
     (6, TType.I64, 'born_ms', None, 0, ),  # 6
+    (7, TType.I64, 'cold_ms', None, 0, ),  # 7
 )
 all_structs.append(StorePull)
 StorePull.thrift_spec = (
--- a/src/trefoilpaddle/protocol/gen/chain/ttypes.pyi
+++ b/src/trefoilpaddle/protocol/gen/chain/ttypes.pyi
@@ -75,7 +75,8 @@
     failure_domain: str
     is_leaving: bool
     born_ms: int
-    def __init__(self, *, worker_id: str = ..., service_name: str = ..., address: str = ..., failure_domain: str = ..., is_leaving: bool = ..., born_ms: int = ...) -> None: ...
+    cold_ms: int
+    def __init__(self, *, worker_id: str = ..., service_name: str = ..., address: str = ..., failure_domain: str = ..., is_leaving: bool = ..., born_ms: int = ..., cold_ms: int = ...) -> None: ...
 class StorePull:
     revision: int
     version: int
--- a/src/trefoilpaddle/protocol/reasons.py
+++ b/src/trefoilpaddle/protocol/reasons.py
@@ -43,6 +43,7 @@
     CRASHES_WORKERS = 33
     RUNS_APART = 34
     EVACUATED = 35
+    COLD_TARGETS = 36
 
 
 def reason_from_wire(number: int) -> Reason:
--- a/src/trefoilpaddle/state/chain/routes.py
+++ b/src/trefoilpaddle/state/chain/routes.py
@@ -5,6 +5,8 @@
 from enum import Enum, unique
 from typing import Final
 
+from .cold_quota import ColdStart
+
 DEFAULT_HEALTH_PATH: Final = "/health"
 """Path at which workers report their health, unless their service names another."""
 
@@ -109,10 +111,13 @@
     ----------
     health_path : str
         Path at which its workers report their health.
+    cold_start : ColdStart or None
+        What its workers bear after their start; None if they bear everything.
     """
 
     name: str
     health_path: str = DEFAULT_HEALTH_PATH
+    cold_start: ColdStart | None = None
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -127,12 +132,15 @@
         Capacity of one worker for prompts and generated output, in tokens.
     health_path : str
         Path at which its workers report their health.
+    cold_start : ColdStart or None
+        What its workers bear after their start; None if they bear everything.
     """
 
     name: str
     n_slots: int
     cache_tokens: int
     health_path: str = DEFAULT_HEALTH_PATH
+    cold_start: ColdStart | None = None
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -153,6 +161,8 @@
         Time after its call for which a result is kept unless it is freed earlier.
     health_path : str
         Path at which its workers report their health.
+    cold_start : ColdStart or None
+        What its workers bear after their start; None if they bear everything.
     """
 
     name: str
@@ -163,6 +173,7 @@
     memory_bytes: float
     retention_s: float
     health_path: str = DEFAULT_HEALTH_PATH
+    cold_start: ColdStart | None = None
 
 
 Service = PlainService | EngineService | PieceService
--- a/src/trefoilpaddle/state/chain/workers.py
+++ b/src/trefoilpaddle/state/chain/workers.py
@@ -3,7 +3,7 @@
 import time
 from collections import OrderedDict
 from collections.abc import Callable, Collection, Sequence
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from typing import Final
 
 from ...protocol.checksum import checksum
@@ -23,6 +23,12 @@
 The end of such an order is in force at all gateways within this time.
 """
 
+COLD_TOLERANCE_S: Final = 1.0
+"""Seconds by which estimates of the end of one cold start differ.
+
+An entry is read up to a read of the store and its delay after it was written.
+"""
+
 MAX_REMOVED: Final = 4096
 """Removed workers whose start is remembered; enough for weeks of replacements."""
 
@@ -46,6 +52,9 @@
     born_ms : int
         Unix time of the start in milliseconds; 0 if the worker reports none. A later
         start under the same id has no state of the earlier one.
+    cold_until_s : float
+        Monotonic time until which the worker reports to be cold; 0 if it does not. Each
+        entry states it anew, so it does not distinguish workers.
     """
 
     worker_id: str
@@ -54,6 +63,7 @@
     failure_domain: str
     is_leaving: bool = False
     born_ms: int = 0
+    cold_until_s: float = field(default=0.0, compare=False)
 
     def is_same_start(self, other: "Worker | None") -> bool:
         """Return True if `other` is the same start of the same worker."""
@@ -123,6 +133,7 @@
         "_by_id",
         "_by_service",
         "_removed_born_ms",
+        "_returned_s",
         "_suspect_until_s",
         "_usable",
         "digest",
@@ -141,6 +152,7 @@
         self._removed_born_ms: OrderedDict[str, int] = OrderedDict()
         self.digest = ListDigest()
         self.evacuated: frozenset[str] = frozenset()
+        self._returned_s: dict[str, float] = {}
         self.version = 0
         self.leave_listeners: list[Callable[[Worker], None]] = []
         self.restart_listeners: list[Callable[[Worker], None]] = []
@@ -155,7 +167,9 @@
         Entries of an earlier start, from a lagging peer or a late read, are ignored.
         """
         known = self._by_id.get(worker.worker_id)
-        if known == worker or worker.born_ms < self._newest_born_ms(worker.worker_id):
+        if known == worker:
+            return self._learn_cold(known, worker)
+        if worker.born_ms < self._newest_born_ms(worker.worker_id):
             return False
         if known is not None and worker.born_ms > known.born_ms:
             for listener in self.restart_listeners:
@@ -177,6 +191,15 @@
             self._notify_leaving(worker)
         return True
 
+    def _learn_cold(self, known: Worker, worker: Worker) -> bool:
+        """Learn until when a worker is cold; return True if it is cold again."""
+        if worker.cold_until_s <= known.cold_until_s + COLD_TOLERANCE_S:
+            return False
+        self._by_id[worker.worker_id] = worker
+        self._by_service[worker.service][worker.worker_id] = worker
+        self._usable.pop(worker.service, None)
+        return True
+
     def remove(self, worker_id: str) -> Worker | None:
         """Remove a worker; return it if it was listed."""
         worker = self._by_id.pop(worker_id, None)
@@ -215,6 +238,9 @@
     def evacuate(self, failure_domains: frozenset[str]) -> None:
         """Exclude the workers of these failure domains and use those of all others."""
         ordered = failure_domains - self.evacuated
+        now_s = time.monotonic()
+        for domain in self.evacuated - failure_domains:
+            self._returned_s[domain] = now_s
         self.evacuated = failure_domains
         self._record_change()
         for worker in self.all():
@@ -229,6 +255,41 @@
         listed = self._by_id.get(worker.worker_id)
         return listed is not None and self._is_admitted(listed)
 
+    def cold(self, service: str, duration_s: float, now_s: float) -> list[Worker]:
+        """Return the listed workers of a service that are or may be cold.
+
+        Parameters
+        ----------
+        service : str
+            Name of the service.
+        duration_s : float
+            Seconds for which its workers are cold after their start.
+        now_s : float
+            Monotonic time.
+        """
+        return [
+            worker
+            for worker in self._by_service.get(service, {}).values()
+            if self._is_cold(worker, duration_s, now_s)
+        ]
+
+    def is_cold(self, worker: Worker, duration_s: float, now_s: float) -> bool:
+        """Return True if a worker is or may be cold; see `cold`."""
+        listed = self._by_id.get(worker.worker_id)
+        return listed is not None and self._is_cold(listed, duration_s, now_s)
+
+    def _is_cold(self, listed: Worker, duration_s: float, now_s: float) -> bool:
+        """Return True if a worker reports to be cold, or may have started unnoticed.
+
+        The workers of a failure domain may have become cold during its evacuation, and
+        a worker that has not answered may have been restarted.
+        """
+        doubted_s = max(
+            self._returned_s.get(listed.failure_domain, -duration_s),
+            self._suspect_until_s.get(listed.worker_id, -duration_s),
+        )
+        return now_s < max(listed.cold_until_s, doubted_s + duration_s)
+
     def is_evacuated(self, service: str) -> bool:
         """Return True if orders to evacuate alone exclude all workers of a service."""
         staying = [w for w in self.listed(service) if not w.is_leaving]
--- a/src/trefoilpaddle/state/reason_words.py
+++ b/src/trefoilpaddle/state/reason_words.py
@@ -39,6 +39,7 @@
     Reason.CRASHES_WORKERS: "each worker that ran it has crashed",
     Reason.RUNS_APART: "it may crash workers, and runs at one of them already",
     Reason.EVACUATED: "operators have evacuated all targets of the service",
+    Reason.COLD_TARGETS: "the targets have just started and bear no more for now",
     Reason.INTERNAL: "of a fault in trefoilpaddle itself; see the log",
 }
 
--- a/tests/chain/__main__.py
+++ b/tests/chain/__main__.py
@@ -29,6 +29,7 @@
 from ..published.store_costs import print_costs
 from .cell_loads import BUSY_DAY, TIGHT_DAY, UNEVEN_DAY, Load
 from .cell_model import Model, Outcome
+from .cold_fleet import print_plays as print_cold_plays
 from .crash_costs import print_crash_costs
 from .crash_plays import print_plays
 from .virtual_time import run_virtual
@@ -155,5 +156,6 @@
             "store": print_costs,
             "crash": print_crash_costs,
             "crashes": print_plays,
+            "cold": print_cold_plays,
         }
     )
--- a/tests/chain/fakes.py
+++ b/tests/chain/fakes.py
@@ -4,11 +4,13 @@
 from collections.abc import AsyncIterator, Callable, Sequence
 from contextlib import asynccontextmanager
 from dataclasses import dataclass, field
+from typing import Any
 
 from result import Err, Ok, Result
 
 from trefoilpaddle.coordination.chain.cell_dispatch import CellDispatch
 from trefoilpaddle.coordination.chain.chain_scheduler import ChainScheduler
+from trefoilpaddle.coordination.chain.cold_starts import ColdStarts
 from trefoilpaddle.coordination.chain.crash_guard import CrashGuard
 from trefoilpaddle.coordination.chain.crash_relay import CrashRelay
 from trefoilpaddle.coordination.chain.target_calls import (
@@ -45,7 +47,7 @@
 
 
 def worker(
-    worker_id: str, service: str = "plain", *, domain: str = "here", **fields: bool
+    worker_id: str, service: str = "plain", *, domain: str = "here", **fields: Any
 ) -> Worker:
     return Worker(
         worker_id=worker_id,
@@ -267,6 +269,15 @@
     )
 
 
+def cold_starts(workers: WorkerTable) -> ColdStarts:
+    return ColdStarts(
+        workers=workers,
+        own_id="g",
+        gateway_ids=lambda: ("g",),
+        is_settled=lambda: True,
+    )
+
+
 def process(name: str, domain: str = "here") -> Process:
     """Return the process of a gateway that is not running yet."""
     return Process(
--- a/tests/chain/test_attempts.py
+++ b/tests/chain/test_attempts.py
@@ -23,6 +23,7 @@
     FakeCalls,
     FakeSink,
     budgets,
+    cold_starts,
     crash_guard,
     journal,
     request,
@@ -103,6 +104,7 @@
         journal=journal(),
         delivery=Delivery(),
         guard=guard,
+        cold_starts=cold_starts(workers),
     )
 
 
--- a/tests/chain/test_request_path.py
+++ b/tests/chain/test_request_path.py
@@ -39,6 +39,7 @@
     FakeCalls,
     FakeSink,
     budgets,
+    cold_starts,
     crash_guard,
     journal,
     process,
@@ -99,6 +100,7 @@
             journal=self.notes,
             stop=self.stop,
             guard=crash_guard(calls, workers),
+            cold_starts=cold_starts(workers),
         )
         if routes:
             self.path.activate(table(*routes))
