Let late chains wait for spare capacity instead of refusing them

Cause: a chain that would be late was refused, and one that had come back waited only if it had four seconds for it beyond twice its stages. Callers with a deadline of six seconds never have. On the shifted work nearly all refusals are of that kind, at the crests of a wave that last for seconds.

Change: a late chain waits at its first try too, from one second of time on. While spare capacity is not known, because workers keep results of former schedulers or a result has found no memory, only those who have come back wait, and only if they can outwait these results.

Three tests of refusals state a deadline that leaves no time to wait, which they relied on before. Their assertions are unchanged.

--- a/src/trefoilpaddle/coordination/chain/cell_dispatch.py
+++ b/src/trefoilpaddle/coordination/chain/cell_dispatch.py
@@ -201,6 +201,22 @@
             return 0.0
         return plan.call_s + min(n_pieces, plan.batch) * plan.piece_s
 
+    def has_unknown_results(self, service: str) -> bool:
+        """Return True while workers of a service keep results unknown here.
+
+        That is so after a result found no memory at a worker.
+        """
+        now_s = time.monotonic()
+        return any(
+            caller.known.memory.has_external_results(now_s)
+            for caller in self._usable_callers(service)
+        )
+
+    def retention_s(self, service: str) -> float:
+        """Return the published time for which results are kept; 0 if unknown."""
+        plan = self.table.services.get(service)
+        return plan.retention_s if isinstance(plan, PieceService) else 0.0
+
     def submit(self, service: str, works: Sequence[PieceWork]) -> None:
         """Queue pieces for the workers of a service."""
         self._dispatch(service).submit(works)
--- a/src/trefoilpaddle/coordination/chain/chain_scheduler.py
+++ b/src/trefoilpaddle/coordination/chain/chain_scheduler.py
@@ -123,9 +123,9 @@
     async def run(self, work: ChainWork) -> ChainOutcome:
         """Run all stages of `work`, or refuse it before any stage is begun.
 
-        A chain that would be late is refused at once the first time. A chain that
-        was refused before and still has a long time to its deadline waits for spare
-        capacity. Results are kept until `free` is called.
+        A chain that would be late waits for spare capacity if its caller has the time
+        for it, and is refused at once otherwise. Results are kept until `free` is
+        called.
         """
         if self.successor:
             return ChainMoved(
@@ -168,7 +168,8 @@
             self._record(Event.REFUSED, reason, work, finish_s, limit_s, "too late")
             return ChainFailed(reason=reason, is_begun=False, finish_s=finish_s)
         is_late = work.must_be_on_time and finish_s > limit_s
-        if is_late and first_due_s is not None and self._overdue.may_wait(work):
+        is_back = first_due_s is not None
+        if is_late and self._may_wait(work, now_s, is_back=is_back):
             self._record(Event.QUEUED, Reason.NONE, work, finish_s, limit_s, detail)
             is_late = not await self._overdue.wait(work)
             if self.successor:
@@ -189,6 +190,29 @@
             retry_after_s=self._refused.retry_after_s(now_s),
         )
 
+    def _capacity_unknown_s(self, work: ChainWork, now_s: float) -> float:
+        """Return the seconds for which spare capacity for a chain is not known.
+
+        Results that are not known here take up memory of the workers until they expire:
+        those of former schedulers, and those because of which a result found no memory.
+        """
+        services = {plan.service for plan in work.stages}
+        retention_s = max(map(self.dispatch.retention_s, services), default=0.0)
+        if any(map(self.dispatch.has_unknown_results, services)):
+            return retention_s
+        return max(0.0, self.began_s + retention_s - now_s)
+
+    def _may_wait(self, work: ChainWork, now_s: float, *, is_back: bool) -> bool:
+        """Return True if a late chain may wait for spare capacity.
+
+        While that is not known, waiting mostly ends with a refusal. Then only callers
+        who have come back wait, as they may not come once more.
+        """
+        unknown_s = self._capacity_unknown_s(work, now_s)
+        return (is_back or not unknown_s) and self._overdue.may_wait(
+            work, at_least_s=unknown_s
+        )
+
     def _refuse_without_worker(
         self, work: ChainWork, limit_s: float, detail: str
     ) -> ChainFailed:
--- a/src/trefoilpaddle/coordination/chain/overdue_queue.py
+++ b/src/trefoilpaddle/coordination/chain/overdue_queue.py
@@ -16,11 +16,11 @@
 WAIT_SHARE: Final = 0.4
 """Share of the time to its deadline that a chain waits."""
 
-MIN_WAIT_S: Final = 4.0
+MIN_WAIT_S: Final = 1.0
 """A chain that cannot wait for this many seconds does not wait at all.
 
-A sudden overload often lasts for some seconds. Shorter waits mostly end before the
-overload does, and the caller is refused after having waited.
+That is the time of some calls, after which a short excess of arrivals is over. Shorter
+waits mostly end before it, and the caller is refused after having waited.
 """
 
 DEFAULT_WAIT_S: Final = 5.0
@@ -60,9 +60,9 @@
 class OverdueQueue:
     """Admits overdue chains when they take no capacity from chains on time.
 
-    A caller that was refused retries once, within a third of its time. If the
-    overload still lasts, it would be refused for good, although its deadline may be
-    seconds after the end of the overload.
+    A caller that is refused retries once, within a third of its time. If the overload
+    still lasts, it would be refused for good, although its deadline may be seconds
+    after the end of the overload.
 
     Parameters
     ----------
@@ -85,9 +85,17 @@
         self._waiting: list[WaitingChain] = []
         self._admission_task: asyncio.Task[None] | None = None
 
-    def may_wait(self, work: ChainWork) -> bool:
-        """Return True if a chain can wait long enough and the queue is not full."""
-        has_time = self._wait_s(work) >= MIN_WAIT_S
+    def may_wait(self, work: ChainWork, *, at_least_s: float = 0.0) -> bool:
+        """Return True if a chain can wait long enough and the queue is not full.
+
+        Parameters
+        ----------
+        work : ChainWork
+            The chain.
+        at_least_s : float
+            Seconds that it must be able to wait, if these are more than usual.
+        """
+        has_time = self._wait_s(work) >= max(MIN_WAIT_S, at_least_s)
         return has_time and len(self._waiting) < MAX_WAITING
 
     async def wait(self, work: ChainWork) -> bool:
--- a/tests/chain/cell_loads.py
+++ b/tests/chain/cell_loads.py
@@ -246,3 +246,35 @@
     size_spread=0.4,
 )
 """More requests than can be served, and results of sizes other than published."""
+WAVE_S = 11.0
+"""Period of a load that swings around what the workers can serve."""
+
+WAVE_SERVICES = (
+    SERVICES[0],
+    replace(SERVICES[1], batch=38, piece_s=0.00453, memory_bytes=5.1e6),
+    replace(SERVICES[2], batch=56, piece_s=0.0031, memory_bytes=0.75e6),
+)
+WAVE_DAY = Load(
+    kinds=(
+        replace(LONG, per_s=19.6, n_pieces=(1.75,)),
+        replace(URGENT, per_s=48.4),
+        replace(CHAT, per_s=24.2),
+    ),
+    services=WAVE_SERVICES,
+    n_workers={"read": 9, "check": 8, "draw": 9},
+    bursts=tuple(
+        Burst(
+            kind="",
+            at_s=at_s,
+            duration_s=WAVE_S / 2,
+            factor=1.27 if number % 2 == 0 else 0.73,
+        )
+        for number, at_s in enumerate(WAVE_S / 2 * each for each in range(6))
+    )
+    + tuple(
+        Burst(kind="urgent", at_s=at_s, duration_s=3.0, factor=2.0)
+        for at_s in (1.0, 12.0, 23.0)
+    ),
+    length_s=33.0,
+)
+"""Bursts at the crests of a wave, each of which is over before its callers leave."""
--- a/tests/chain/test_chain_scheduler.py
+++ b/tests/chain/test_chain_scheduler.py
@@ -7,6 +7,7 @@
 
 import pytest
 
+from trefoilpaddle.coordination.chain.overdue_queue import OverdueQueue
 from trefoilpaddle.protocol.reasons import Reason
 from trefoilpaddle.state.chain.chain_work import (
     ChainCompleted,
@@ -50,6 +51,7 @@
     n_pieces: tuple[int, ...] = (2, 1, 3),
     priority: int = 0,
     preferred_domain: str = "",
+    deadline_in_s: float = 9.0,
 ) -> ChainWork:
     now_s = time.monotonic()
     return ChainWork(
@@ -59,12 +61,16 @@
         n_pieces=n_pieces,
         piece_key=f"k{name}",
         due_s=now_s + due_in_s,
-        deadline_s=now_s + 9.0,
+        deadline_s=now_s + deadline_in_s,
         priority=priority,
         preferred_domain=preferred_domain,
     )
 
 
+NO_TIME_TO_WAIT_S = 1.0
+"""Time to the deadline of a chain that does not wait for spare capacity."""
+
+
 class Rig:
     """A scheduler over one worker of each of two services."""
 
@@ -79,6 +85,12 @@
             calls, self.workers, table(services=services), self.notes
         )
 
+    def grant_spare_capacity(self) -> None:
+        """Let late chains begin at once whenever they may wait at all."""
+        self.scheduler._overdue = OverdueQueue(
+            has_capacity=lambda _: True, unloaded_s=lambda _: 0.0
+        )
+
     async def warm(self) -> None:
         """Call each worker once, as the first call to a worker carries few pieces."""
         await self.scheduler.run(work("first", n_pieces=(1, 1, 1)))
@@ -200,18 +212,39 @@
 class TestAdmission:
     async def test_a_chain_predicted_late_is_refused_before_any_piece(self) -> None:
         calls = FakeCalls()
-        end = await Rig(calls).scheduler.run(work(due_in_s=-1.0))
+        late = work(due_in_s=-1.0, deadline_in_s=NO_TIME_TO_WAIT_S)
+        end = await Rig(calls).scheduler.run(late)
         assert isinstance(end, ChainFailed)
         assert end.reason is Reason.PREDICTED_LATE and not end.is_begun
         assert end.finish_s > 0.01 and end.retry_after_s > 0
         assert calls.batches == []
 
+    # Guards against callers who are refused although they have time to be served late.
+    async def test_a_late_chain_waits_for_spare_capacity_at_its_first_try(self) -> None:
+        rig = Rig(FakeCalls(), retention_s=0.0)
+        rig.grant_spare_capacity()
+        end = await rig.scheduler.run(work(due_in_s=-1.0))
+        assert isinstance(end, ChainCompleted)
+
+    # Guards against calls that find the memory of workers taken by results which a new
+    # scheduler does not know.
+    async def test_it_does_not_wait_for_capacity_that_is_not_known_yet(self) -> None:
+        rig = Rig(FakeCalls(), retention_s=4.0)
+        rig.grant_spare_capacity()
+        late = work(due_in_s=-1.0, deadline_in_s=4.5)
+        assert isinstance(await rig.scheduler.run(late), ChainFailed)
+        rig.scheduler.began_s -= 10.0
+        assert isinstance(await rig.scheduler.run(late), ChainCompleted)
+
     async def test_admitted_chains_count_in_the_forecast(self) -> None:
         # 200 chains arrive at the same moment. Queues are empty, but each admitted
         # chain fills them; admitting all of them would make all late.
         calls = FakeCalls(call_s=0.02)
         rig = Rig(calls)
-        many = [work(f"r{n}", due_in_s=0.4) for n in range(200)]
+        many = [
+            work(f"r{n}", due_in_s=0.4, deadline_in_s=NO_TIME_TO_WAIT_S)
+            for n in range(200)
+        ]
         ends = await asyncio.gather(*(rig.scheduler.run(each) for each in many))
         n_made = sum(isinstance(end, ChainCompleted) for end in ends)
         assert 5 < n_made < 100
@@ -220,7 +253,15 @@
         # Half of the chains of a burst are answers to chats, half are more urgent
         # checks. If they are admitted in order of arrival, both are refused alike.
         rig = Rig(FakeCalls(call_s=0.02))
-        many = [work(f"r{n}", due_in_s=0.4, priority=2 * (n % 2)) for n in range(200)]
+        many = [
+            work(
+                f"r{n}",
+                due_in_s=0.4,
+                priority=2 * (n % 2),
+                deadline_in_s=NO_TIME_TO_WAIT_S,
+            )
+            for n in range(200)
+        ]
         ends = await asyncio.gather(*(rig.scheduler.run(each) for each in many))
         admitted = [
             each.priority
