--- a/src/trefoilpaddle/coordination/published/active_table.py
+++ b/src/trefoilpaddle/coordination/published/active_table.py
@@ -1,6 +1,7 @@
 """The active route table of a gateway, and how newer versions replace it."""
 
 from collections.abc import Callable
+from enum import Enum, unique
 
 from ...protocol.gen.chain.ttypes import StoreNews, TableChange
 from .published_store import PublishedTable
@@ -9,6 +10,15 @@
 from .table_change import change_between, changed_data
 
 
+@unique
+class TableSource(Enum):
+    """Where a gateway got its route table from."""
+
+    STORE = "read from the store"
+    PEER = "sent by a peer"
+    READER = "difference sent by a reader"
+
+
 class ActiveTable:
     """Activates each newer table: read from the store, or received from a peer.
 
@@ -60,7 +70,11 @@
             self._store_journal.version, self._unreadable_version
         )
 
-    def apply_if_newer(self, published: PublishedTable | None) -> bool:
+    def apply_if_newer(
+        self,
+        published: PublishedTable | None,
+        source: TableSource = TableSource.STORE,
+    ) -> bool:
         """Activate a table if it is newer than the active one; return whether it is."""
         # A late response of the store, or a peer that lags behind, may contain an
         # older version. Applying it would restore routes and keys that were removed.
@@ -68,13 +82,15 @@
             return False
         self._store_journal.version = published.table.version
         self._relay.published = published
-        self._store_journal.record_active_table()
+        self._store_journal.record_active_table(
+            source=source.value, n_bytes=len(published.data)
+        )
         self._on_table(published)
         return True
 
     def apply_data(self, data: bytes) -> None:
         """Activate a table that a peer has sent in full, if it is newer."""
-        self.apply_if_newer(self._decode(data))
+        self.apply_if_newer(self._decode(data), TableSource.PEER)
 
     def apply_update(self, update: StoreNews) -> bool:
         """Activate the table of an update; return False if it is still missing."""
@@ -89,7 +105,7 @@
             return False
         published = self._decode(data)
         if published is not None:
-            return self.apply_if_newer(published)
+            return self.apply_if_newer(published, TableSource.READER)
         # These are the published bytes, and the store has no others. If they were
         # requested after each update that names this version, the store would be read
         # three times a second.
--- a/src/trefoilpaddle/coordination/published/store_journal.py
+++ b/src/trefoilpaddle/coordination/published/store_journal.py
@@ -38,9 +38,18 @@
         self.version = 0
         self.position = StorePosition()
 
-    def record_active_table(self) -> None:
-        """Record that another route table is active."""
-        self._record(Event.CONFIG_IN_FORCE)
+    def record_active_table(self, *, source: str, n_bytes: int) -> None:
+        """Record that another route table is active.
+
+        Parameters
+        ----------
+        source : str
+            Where the table came from.
+        n_bytes : int
+            Size of the published table.
+        """
+        size = Figure(name="table_bytes", value=n_bytes)
+        self._record(Event.CONFIG_IN_FORCE, detail=source, figures=(size,))
 
     def record_list_request(self, reason: str) -> None:
         """Record that the complete list is requested from the store."""
