Reproduce large tables that gateways on weak links never get

Real feeds, relays and store clients in virtual time, over links with a rate. With eight of twelve gateways on links of 5 Mbit/s, a configuration of 1,800 routes is not active there after 3 s, and after a start of all gateways a table of a megabyte is not known 60 s later: 37.6 MB arrive at each of the eight in that time, with 1.1 MB to read (the strong ones received 1.2 MB). Reads are given up with 230 to 425 kB received.

This is the first hypothesis: time-outs that bound a whole transfer, and copies that peers send and nobody uses.

--- /dev/null
+++ b/tests/platform_adapter/test_large_tables.py
@@ -0,0 +1,57 @@
+"""Large configurations reach gateways on weak links, and after a loss of all gateways."""
+
+import asyncio
+from typing import Final
+
+import pytest
+
+from ..chain.virtual_time import run_virtual
+from .weak_link_network import Hosts, Network
+
+CONFIGURATION_S: Final = 3.0
+"""Time within which a change must be active everywhere."""
+
+RETURN_S: Final = 3.0
+"""Time within which gateways must know the table and the workers after all started."""
+
+HOSTS: Final = Hosts(n_strong=4, n_weak=8)
+N_ROUTES: Final = 400
+N_MORE: Final = 1400
+N_MOST: Final = 4400
+"""Routes of the largest configuration that the store takes, of a megabyte."""
+
+
+class TestWeakLinks:
+    def test_versions_in_a_row_are_active_in_time(
+        self, monkeypatch: pytest.MonkeyPatch
+    ) -> None:
+        # Guards against reads that are given up while the table arrives, and against
+        # copies of it that nobody uses and that fill the link.
+        async def scenario() -> None:
+            network = Network(HOSTS, n_routes=N_ROUTES)
+            network.start()
+            assert not await network.incomplete_gateways(within_s=RETURN_S)
+            await asyncio.sleep(2.0)
+            n_routes = N_ROUTES
+            for _ in range(2):
+                n_routes += N_MORE
+                network.publish(n_routes)
+                await asyncio.sleep(1.2)
+                version = network.publish(n_routes)
+                assert not await network.late_gateways(
+                    version, within_s=CONFIGURATION_S
+                )
+                await asyncio.sleep(5.0)
+
+        run_virtual(monkeypatch, scenario())
+
+    def test_all_gateways_are_ready_soon_after_they_start_together(
+        self, monkeypatch: pytest.MonkeyPatch
+    ) -> None:
+        # Guards against the same after a loss of all gateways: none has the table.
+        async def scenario() -> None:
+            network = Network(HOSTS, n_routes=N_MOST)
+            network.start()
+            assert not await network.incomplete_gateways(within_s=RETURN_S)
+
+        run_virtual(monkeypatch, scenario())
