Reproduce gateways that start beside a slow store and never get its list

The list has two pages at least. A page that arrives sets the time-out back to 0.7 s, the next page times out, and the list is begun anew.

--- a/tests/platform_adapter/test_large_tables.py
+++ b/tests/platform_adapter/test_large_tables.py
@@ -1,4 +1,4 @@
-"""Large configurations reach gateways on weak links, and after a loss of all gateways."""
+"""Gateways on weak links, or beside a slow store, get the configuration in time."""
 
 import asyncio
 from typing import Final
@@ -14,6 +14,9 @@
 RETURN_S: Final = 3.0
 """Time within which gateways must know the table and the workers after all started."""
 
+RECOVERY_S: Final = 15.0
+"""Time within which requests must be served after all gateways have started again."""
+
 HOSTS: Final = Hosts(n_strong=4, n_weak=8)
 N_ROUTES: Final = 400
 N_MORE: Final = 1400
@@ -55,3 +58,18 @@
             assert not await network.incomplete_gateways(within_s=RETURN_S)
 
         run_virtual(monkeypatch, scenario())
+
+
+class TestSlowStore:
+    @pytest.mark.parametrize("delay_s", [0.9, 2.25])
+    def test_all_gateways_are_ready_after_they_start_together(
+        self, delay_s: float, monkeypatch: pytest.MonkeyPatch
+    ) -> None:
+        # Guards against a list of several pages that is given up at each page again:
+        # no gateway ever had a table while the store was slow.
+        async def scenario() -> None:
+            network = Network(HOSTS, n_routes=N_ROUTES, store_delay_s=delay_s)
+            network.start()
+            assert not await network.incomplete_gateways(within_s=RECOVERY_S)
+
+        run_virtual(monkeypatch, scenario())
