Transfer tables in compressed parts, and wait for reads that make progress

Cause: time-outs bounded the whole transfer of a table, 0.7 s for a read of the store and 0.3 s for a peer's answer, so that a transfer on a link of 5 Mbit/s was given up while its bytes arrived, and begun anew. Two peers were asked every 0.6 s meanwhile, and each sent the whole table also after the question had timed out: these copies filled the link for good.

Peers answer questions about the store without the table. Once peers have sent what was missing, the read of the store is ended. A peer of an earlier build still sends the table with its answer, and is asked for no parts, as it would close the connection.

In the step-by-step fleet of tests/published peers ask as an earlier build does, since its answers take no time; its checks are unchanged.

--- a/idl/chain.thrift
+++ b/idl/chain.thrift
@@ -105,6 +105,23 @@
   3: i64 digest = 0              // over all listed workers; 0 if they are to be sent
   4: i64 era = 0                 // of the revision
   5: optional i64 domain_digest  // with failure domains; unset by earlier builds
+  6: optional bool takes_parts   // the answer needs no table; unset by earlier builds
+}
+
+// Asks a peer for a part of its newest table.
+struct TablePull {
+  1: i64 version = 0             // of the table that earlier parts belong to
+  2: i32 from_byte = 0           // of the compressed table
+}
+
+// A part of the newest compressed table: the requested one, or the first if that
+// table is another.
+struct TablePart {
+  1: i64 version = 0             // 0 if no table is known
+  2: i32 from_byte = 0
+  3: i32 n_bytes = 0             // of the whole compressed table
+  4: i64 checksum = 0            // of the whole compressed table
+  5: binary data = ""
 }
 
 struct StoreState {
--- a/src/trefoilpaddle/coordination/published/store_feed.py
+++ b/src/trefoilpaddle/coordination/published/store_feed.py
@@ -137,11 +137,7 @@
         while True:
             if not self.position.is_known or self._readers.must_read():
                 began_s = self._began_s = time.monotonic()
-                is_read = await call_while_waiting(
-                    self._read_any(),
-                    self._query_peers_while_waiting,
-                    every_s=PEER_FALLBACK_S,
-                )
+                is_read = await self._read_or_catch_up()
                 self._readers.record_read(is_answered=is_read)
                 # Counted from the start of the read, so that readers notify the others
                 # in time even while the store is slow.
@@ -152,6 +148,25 @@
                 self.view.listing.remove_expired(time.monotonic())
                 await self._readers.wait()
 
+    async def _read_or_catch_up(self) -> bool:
+        """Read the store, unless peers send what is missing before it answers.
+
+        The rest of a large answer would only take the link from other traffic.
+        """
+        is_behind = self._is_behind()
+        is_read = await call_while_waiting(
+            self._read_any(),
+            self._query_peers_while_waiting,
+            every_s=PEER_FALLBACK_S,
+            is_obsolete=lambda: is_behind and not self._is_behind(),
+        )
+        return is_read is None or is_read
+
+    def _is_behind(self) -> bool:
+        """Return True if this gateway must read, or is known to lack something."""
+        is_complete = self.is_known and self.position.is_known
+        return not is_complete or self.view.table.is_behind or self._readers.is_reader()
+
     async def _pause(self, for_s: float) -> None:
         """Sleep; meanwhile remove the workers whose grace period ends."""
         ends_s = time.monotonic() + for_s
@@ -279,6 +294,9 @@
             if state.answered_ms >= 0:
                 answered_s = time.monotonic() - state.answered_ms / MS_PER_S
                 self._known_available_s = max(self._known_available_s, answered_s)
+        data = await self._relay.transfer.fetch_newer(self.view.store_journal.version)
+        if data is not None:
+            self.view.table.apply_data(data)
 
     def apply_update(self, update: StoreNews) -> UpdateGap | None:
         """Apply a reader's update; return what is still missing, or None."""
--- a/src/trefoilpaddle/coordination/published/store_relay.py
+++ b/src/trefoilpaddle/coordination/published/store_relay.py
@@ -25,6 +25,7 @@
 from .published_store import PublishedTable
 from .store_position import StorePosition
 from .store_wire import digest_of, listed_to_wire, position_of
+from .table_transfer import TableTransfer
 from .worker_listing import WorkerListing
 
 QUERY_TIMEOUT_S: Final = 0.3
@@ -63,6 +64,8 @@
         Position up to which this gateway knows the store's changes.
     is_unavailable : bool
         True while this gateway cannot read the store itself.
+    transfer : TableTransfer
+        Exchanges tables with peers.
     """
 
     __slots__ = (
@@ -75,6 +78,7 @@
         "needs_list",
         "position",
         "published",
+        "transfer",
     )
 
     def __init__(self, *, process: OwnProcess, workers: WorkerTable) -> None:
@@ -87,6 +91,7 @@
         self.published: PublishedTable | None = None
         self.position = StorePosition()
         self.is_unavailable = False
+        self.transfer = TableTransfer(process=process, published=lambda: self.published)
         process.server.add_handler(StorePull, self.respond)
 
     async def respond(self, request: StorePull, peer: Hello) -> StoreState:
@@ -106,7 +111,7 @@
         published = self.published
         if published is not None:
             state.version = published.table.version
-            if state.version > request.version:
+            if state.version > request.version and not request.takes_parts:
                 state.data = published.data
         # Heartbeats advance the revision all the time, even if no list changes.
         is_known = digest.is_known and digest.matches(digest_of(request))
@@ -155,6 +160,7 @@
             version=version,
             digest=digest.entries,
             domain_digest=digest.domains,
+            takes_parts=True,
         )
 
     async def _query(self, member: MemberRecord) -> StoreState | None:
@@ -163,8 +169,11 @@
                 link = self._process.peers.link(address)
             case Err(_):
                 return None
-        match await link.ask(self.build_request(), timeout_s=QUERY_TIMEOUT_S):
+        request = self.build_request()
+        match await link.ask(request, timeout_s=QUERY_TIMEOUT_S):
             case Ok(StoreState() as state):
+                if state.version > request.version and not state.data:
+                    self.transfer.add_holder(address, state.version)
                 return state
             case _:
                 return None
--- a/src/trefoilpaddle/protocol/frames.py
+++ b/src/trefoilpaddle/protocol/frames.py
@@ -79,6 +79,8 @@
     98: chain.CellTaken,
     99: chain.CrashNews,
     100: chain.LimitNews,
+    101: chain.TablePull,
+    102: chain.TablePart,
 }
 KIND_OF: Final[Mapping[type, int]] = {cls: kind for kind, cls in KINDS.items()}
 
--- a/src/trefoilpaddle/protocol/gen/chain/ttypes.py
+++ b/src/trefoilpaddle/protocol/gen/chain/ttypes.py
@@ -1449,6 +1449,7 @@
      - digest
      - era
      - domain_digest
+     - takes_parts
 
     """
 
@@ -1458,15 +1459,17 @@
         'digest',
         'era',
         'domain_digest',
+        'takes_parts',
     )
 
 
-    def __init__(self, revision=0, version=0, digest=0, era=0, domain_digest=None,):
+    def __init__(self, revision=0, version=0, digest=0, era=0, domain_digest=None, takes_parts=None,):
         self.revision = revision
         self.version = version
         self.digest = digest
         self.era = era
         self.domain_digest = domain_digest
+        self.takes_parts = takes_parts
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -1502,6 +1505,11 @@
                     self.domain_digest = iprot.readI64()
                 else:
                     iprot.skip(ftype)
+            elif fid == 6:
+                if ftype == TType.BOOL:
+                    self.takes_parts = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -1532,6 +1540,206 @@
             oprot.writeFieldBegin('domain_digest', TType.I64, 5)
             oprot.writeI64(self.domain_digest)
             oprot.writeFieldEnd()
+        if self.takes_parts is not None:
+            oprot.writeFieldBegin('takes_parts', TType.BOOL, 6)
+            oprot.writeBool(self.takes_parts)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class TablePull(object):
+    """
+    Attributes:
+     - version
+     - from_byte
+
+    """
+
+    __slots__ = (
+        'version',
+        'from_byte',
+    )
+
+
+    def __init__(self, version=0, from_byte=0,):
+        self.version = version
+        self.from_byte = from_byte
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.I64:
+                    self.version = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.I32:
+                    self.from_byte = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('TablePull')
+        if self.version is not None:
+            oprot.writeFieldBegin('version', TType.I64, 1)
+            oprot.writeI64(self.version)
+            oprot.writeFieldEnd()
+        if self.from_byte is not None:
+            oprot.writeFieldBegin('from_byte', TType.I32, 2)
+            oprot.writeI32(self.from_byte)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class TablePart(object):
+    """
+    Attributes:
+     - version
+     - from_byte
+     - n_bytes
+     - checksum
+     - data
+
+    """
+
+    __slots__ = (
+        'version',
+        'from_byte',
+        'n_bytes',
+        'checksum',
+        'data',
+    )
+
+
+    def __init__(self, version=0, from_byte=0, n_bytes=0, checksum=0, data=b"",):
+        self.version = version
+        self.from_byte = from_byte
+        self.n_bytes = n_bytes
+        self.checksum = checksum
+        self.data = data
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.I64:
+                    self.version = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.I32:
+                    self.from_byte = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.I32:
+                    self.n_bytes = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.I64:
+                    self.checksum = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 5:
+                if ftype == TType.STRING:
+                    self.data = iprot.readBinary()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('TablePart')
+        if self.version is not None:
+            oprot.writeFieldBegin('version', TType.I64, 1)
+            oprot.writeI64(self.version)
+            oprot.writeFieldEnd()
+        if self.from_byte is not None:
+            oprot.writeFieldBegin('from_byte', TType.I32, 2)
+            oprot.writeI32(self.from_byte)
+            oprot.writeFieldEnd()
+        if self.n_bytes is not None:
+            oprot.writeFieldBegin('n_bytes', TType.I32, 3)
+            oprot.writeI32(self.n_bytes)
+            oprot.writeFieldEnd()
+        if self.checksum is not None:
+            oprot.writeFieldBegin('checksum', TType.I64, 4)
+            oprot.writeI64(self.checksum)
+            oprot.writeFieldEnd()
+        if self.data is not None:
+            oprot.writeFieldBegin('data', TType.STRING, 5)
+            oprot.writeBinary(self.data)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -3113,6 +3321,22 @@
     (3, TType.I64, 'digest', None, 0, ),  # 3
     (4, TType.I64, 'era', None, 0, ),  # 4
     (5, TType.I64, 'domain_digest', None, None, ),  # 5
+    (6, TType.BOOL, 'takes_parts', None, None, ),  # 6
+)
+all_structs.append(TablePull)
+TablePull.thrift_spec = (
+    None,  # 0
+    (1, TType.I64, 'version', None, 0, ),  # 1
+    (2, TType.I32, 'from_byte', None, 0, ),  # 2
+)
+all_structs.append(TablePart)
+TablePart.thrift_spec = (
+    None,  # 0
+    (1, TType.I64, 'version', None, 0, ),  # 1
+    (2, TType.I32, 'from_byte', None, 0, ),  # 2
+    (3, TType.I32, 'n_bytes', None, 0, ),  # 3
+    (4, TType.I64, 'checksum', None, 0, ),  # 4
+    (5, TType.STRING, 'data', 'BINARY', b"", ),  # 5
 )
 all_structs.append(StoreState)
 StoreState.thrift_spec = (
--- a/src/trefoilpaddle/protocol/gen/chain/ttypes.pyi
+++ b/src/trefoilpaddle/protocol/gen/chain/ttypes.pyi
@@ -83,7 +83,19 @@
     digest: int
     era: int
     domain_digest: int | None
-    def __init__(self, *, revision: int = ..., version: int = ..., digest: int = ..., era: int = ..., domain_digest: int | None = ...) -> None: ...
+    takes_parts: bool | None
+    def __init__(self, *, revision: int = ..., version: int = ..., digest: int = ..., era: int = ..., domain_digest: int | None = ..., takes_parts: bool | None = ...) -> None: ...
+class TablePull:
+    version: int
+    from_byte: int
+    def __init__(self, *, version: int = ..., from_byte: int = ...) -> None: ...
+class TablePart:
+    version: int
+    from_byte: int
+    n_bytes: int
+    checksum: int
+    data: bytes
+    def __init__(self, *, version: int = ..., from_byte: int = ..., n_bytes: int = ..., checksum: int = ..., data: bytes = ...) -> None: ...
 class StoreState:
     revision: int
     version: int
--- a/tests/platform_adapter/test_store_client.py
+++ b/tests/platform_adapter/test_store_client.py
@@ -1,12 +1,16 @@
 """The HTTP client that reads the platform's store."""
 
+import asyncio
 import contextlib
 from collections.abc import AsyncIterator
 
 import aiohttp
+import orjson
 import pytest
 from adapter import names
+from adapter import store as store_module
 from adapter.store import MAX_LIST_ATTEMPTS, Page, StoreClient, decode_era
+from aiohttp import web
 from result import Err, Ok
 
 from trefoilpaddle.coordination.published.published_store import (
@@ -144,3 +148,32 @@
         failure_domains=frozenset(),
         session=None,  # type: ignore[arg-type]
     )
+
+
+class TestSlowLink:
+    async def test_a_response_whose_bytes_keep_arriving_is_not_given_up(
+        self, monkeypatch: pytest.MonkeyPatch
+    ) -> None:
+        # Guards against a limit on the whole transfer, which no large list can keep on
+        # a slow link.
+        monkeypatch.setattr(store_module, "READ_TIMEOUT_S", 0.3)
+        body = orjson.dumps({"items": [], "has_more": False, "store_revision": 4})
+
+        async def send_slowly(request: web.Request) -> web.StreamResponse:
+            answer = web.StreamResponse()
+            await answer.prepare(request)
+            for begin in range(0, len(body), 8):
+                await answer.write(body[begin : begin + 8])
+                await asyncio.sleep(0.1)
+            return answer
+
+        app = web.Application()
+        app.router.add_get("/trefoilpaddle/kv-range", send_slowly)
+        async with serving(app) as url, aiohttp.ClientSession() as session:
+            client = StoreClient(
+                address=url.removeprefix("http://"),
+                failure_domains=frozenset("a"),
+                session=session,
+            )
+            listed = (await client.snapshot()).unwrap()
+        assert listed.position == StorePosition(revision=4)
--- a/tests/published/store_fleet.py
+++ b/tests/published/store_fleet.py
@@ -206,6 +206,8 @@
     async def _query(self) -> list[StoreState]:
         others = [g for g in self.fleet.by_name.values() if g is not self]
         question = self.relay.build_request()
+        # As from an earlier build: the answer contains the table, in one step.
+        question.takes_parts = None
         return [await other.relay.respond(question, Hello()) for other in others]
 
     def _link(self, address: Address) -> SimpleNamespace:
--- a/tests/published/store_network.py
+++ b/tests/published/store_network.py
@@ -22,7 +22,12 @@
 from trefoilpaddle.coordination.published.store_readers import StoreReaders
 from trefoilpaddle.coordination.published.store_relay import StoreRelay
 from trefoilpaddle.protocol.frames import Message, encode
-from trefoilpaddle.protocol.gen.chain.ttypes import StorePull, StoreState
+from trefoilpaddle.protocol.gen.chain.ttypes import (
+    StorePull,
+    StoreState,
+    TablePart,
+    TablePull,
+)
 from trefoilpaddle.protocol.gen.stage.ttypes import Hello
 from trefoilpaddle.standins.platform.site import configuration, pieces, route
 from trefoilpaddle.state.chain.routes import RouteTable
@@ -226,18 +231,24 @@
         return True
 
     async def ask(
-        self, message: StorePull, *, timeout_s: float
-    ) -> Result[StoreState, str]:
+        self, message: StorePull | TablePull, *, timeout_s: float
+    ) -> Result[StoreState | TablePart, str]:
         """Return the other gateway's response."""
         self._count(self._one, message)
         if self._other.is_stopped:
             await asyncio.sleep(timeout_s)
             return Err("silent")
         await asyncio.sleep(ONE_WAY_S)
-        state = await self._other.relay.respond(message, Hello())
-        self._count(self._other, state)
+        relay = self._other.relay
+        reply: StoreState | TablePart
+        match message:
+            case TablePull():
+                reply = await relay.transfer.respond(message, Hello())
+            case _:
+                reply = await relay.respond(message, Hello())
+        self._count(self._other, reply)
         await asyncio.sleep(ONE_WAY_S)
-        return Ok(state)
+        return Ok(reply)
 
     def _count(self, sender: "Gateway", message: Message) -> None:
         sender.sent_bytes += len(encode(message))
