Know the software version of each worker, and log where streams go on

The version in a worker's entry was checked to be text and dropped. It is part of what gateways tell one another of a worker, with a digest of its own, as gateways of earlier builds do not compare it; an entry that such a gateway passes on keeps the version that is known. target_up names the version, and stream_resumed both versions of a stream that goes on at another worker, after a break or at a caller's next try. No choice depends on it yet. Stand-in workers have a version, and can break streams off.

--- a/idl/chain.thrift
+++ b/idl/chain.thrift
@@ -96,6 +96,7 @@
   5: bool is_leaving = false
   6: i64 born_ms = 0             // Unix time of its start; later starts replace it
   7: i64 cold_ms = 0             // it stays cold for so long; 0 if it does not report to be
+  8: string software_version = ""  // unset by earlier builds
 }
 
 // Asks a peer for what it knows of the store.
@@ -106,6 +107,7 @@
   4: i64 era = 0                 // of the revision
   5: optional i64 domain_digest  // with failure domains; unset by earlier builds
   6: optional bool takes_parts   // the answer needs no table; unset by earlier builds
+  7: optional i64 version_digest  // with software versions; unset by earlier builds
 }
 
 // Asks a peer for a part of its newest table.
@@ -138,6 +140,7 @@
   11: i32 answered_ms = -1       // since the store answered this side itself; -1 if it never did
   12: optional i64 domain_digest // with failure domains; unset by earlier builds
   13: optional list<string> evacuated  // all failure domains that get no work; unset by earlier builds
+  14: optional i64 version_digest  // with software versions; unset by earlier builds
 }
 
 // Bytes of a table: some of the one before, then some that are new.
@@ -159,6 +162,7 @@
   1: i64 era = 0
   2: i64 digest = 0              // over all workers listed; 0 if that list was not relied on
   3: optional i64 domain_digest  // with failure domains; unset by earlier builds
+  4: optional i64 version_digest  // with software versions; unset by earlier builds
 }
 
 // Without an answer: what a gateway that reads the store for others has just
@@ -178,6 +182,7 @@
   12: optional list<ListedWorker> doubted  // as the store lists them; the reader ignores them
   13: optional i64 domain_digest // with failure domains; unset by earlier builds
   14: optional list<string> evacuated  // all failure domains that get no work; unset by earlier builds
+  15: optional i64 version_digest  // with software versions; unset by earlier builds
 }
 
 struct WorkerCrash {
--- a/src/trefoilpaddle/coordination/chain/attempts.py
+++ b/src/trefoilpaddle/coordination/chain/attempts.py
@@ -151,6 +151,7 @@
             if not self._send_limits.take(worker):
                 continue
             self._record(Event.ROUTED, worker)
+            self._record_resumption(worker)
             match await self._exchange.send(worker, handles, sink):
                 case Answered() as answered:
                     return answered
@@ -250,6 +251,25 @@
         await sink.whole(failed.head, failed.body)
         return Answered()
 
+    def _record_resumption(self, worker: Worker) -> None:
+        """Record that a stream that has begun goes on at a worker."""
+        begun_at = self._exchange.begun_at
+        request = self._job.request
+        if begun_at is None and request.after_event is None:
+            return
+        begun = "unknown" if begun_at is None else begun_at.software_version
+        self._journal.record(
+            Decision(
+                event=Event.STREAM_RESUMED,
+                request_id=request.request_id,
+                entry=self._job.route.name,
+                owner=self._job.account.name,
+                stage=self._job.service,
+                peer=worker.worker_id,
+                detail=f"began at {begun}, goes on at {worker.software_version}",
+            )
+        )
+
     def _record(
         self, event: Event, worker: Worker, reason: Reason = Reason.NONE
     ) -> None:
--- a/src/trefoilpaddle/coordination/chain/worker_exchange.py
+++ b/src/trefoilpaddle/coordination/chain/worker_exchange.py
@@ -75,6 +75,8 @@
 
     Attributes
     ----------
+    begun_at : Worker or None
+        The worker that sent the first event of the stream; None before.
     n_sent : int
         Number of workers that may have read a part of the request.
     """
@@ -89,6 +91,7 @@
         "_last_event",
         "_need",
         "_workers",
+        "begun_at",
         "n_sent",
     )
 
@@ -113,6 +116,7 @@
         self._calls = calls
         self._delivery = delivery
         self._last_event = job.request.after_event
+        self.begun_at: Worker | None = None
         self.n_sent = 0
 
     async def send(
@@ -211,6 +215,7 @@
                     self._inputs.mark_read()
                 if not self._delivery.is_begun:
                     self._delivery.begin_answer()
+                    self.begun_at = worker
                     await sink.begin(answer.head)
                 self._last_event = event.number
                 await sink.event(event)
--- a/src/trefoilpaddle/coordination/published/store_journal.py
+++ b/src/trefoilpaddle/coordination/published/store_journal.py
@@ -104,6 +104,7 @@
             peer=worker_id,
             stage="" if known is None else known.service,
             reason=Reason.LEAVING if is_leaving else Reason.NONE,
+            detail="" if known is None else known.software_version,
             figures=(*self._at_position(), *_cold_figures(known)),
         )
 
--- a/src/trefoilpaddle/coordination/published/store_relay.py
+++ b/src/trefoilpaddle/coordination/published/store_relay.py
@@ -103,6 +103,7 @@
         )
         digest = self._digest() if self.position.is_known else ListDigest()
         state.digest, state.domain_digest = digest.entries, digest.domains
+        state.version_digest = digest.versions
         if self.evacuations is not None:
             state.evacuated = sorted(self.evacuations.domains)
         if self.answered_s is not None:
@@ -160,6 +161,7 @@
             version=version,
             digest=digest.entries,
             domain_digest=digest.domains,
+            version_digest=digest.versions,
             takes_parts=True,
         )
 
--- a/src/trefoilpaddle/coordination/published/store_view.py
+++ b/src/trefoilpaddle/coordination/published/store_view.py
@@ -189,6 +189,7 @@
                 era=self._earlier.era,
                 digest=digest.entries,
                 domain_digest=digest.domains,
+                version_digest=digest.versions,
             )
             listed = self.listing.listed()
             self._apply(changes, scope)
@@ -211,6 +212,7 @@
         update.doubted = unconfirmed or None
         digest = self.listing.digest
         update.digest, update.domain_digest = digest.entries, digest.domains
+        update.version_digest = digest.versions
         update.evacuated = sorted(self.evacuations.domains)
         update.back_ms = self.listing.recovery_age_ms(time.monotonic())
 
--- a/src/trefoilpaddle/coordination/published/store_wire.py
+++ b/src/trefoilpaddle/coordination/published/store_wire.py
@@ -24,7 +24,11 @@
 
 def digest_of(message: StoreNews | StorePull | StoreState | EarlierList) -> ListDigest:
     """Return the digest of a peer's list."""
-    return ListDigest(entries=message.digest, domains=message.domain_digest)
+    return ListDigest(
+        entries=message.digest,
+        domains=message.domain_digest,
+        versions=message.version_digest,
+    )
 
 
 def changes_from_state(state: StoreState) -> StoreChanges:
@@ -100,6 +104,7 @@
         is_leaving=worker.is_leaving,
         born_ms=worker.born_ms,
         cold_ms=_cold_ms(worker),
+        software_version=worker.software_version,
     )
 
 
@@ -120,4 +125,5 @@
         cold_until_s=(
             time.monotonic() + worker.cold_ms / MS_PER_S if worker.cold_ms else 0.0
         ),
+        software_version=worker.software_version,
     )
--- a/src/trefoilpaddle/protocol/gen/chain/ttypes.py
+++ b/src/trefoilpaddle/protocol/gen/chain/ttypes.py
@@ -1311,6 +1311,7 @@
      - is_leaving
      - born_ms
      - cold_ms
+     - software_version
 
     """
 
@@ -1322,10 +1323,11 @@
         'is_leaving',
         'born_ms',
         'cold_ms',
+        'software_version',
     )
 
 
-    def __init__(self, worker_id="", service_name="", address="", failure_domain="", is_leaving=False, born_ms=0, cold_ms=0,):
+    def __init__(self, worker_id="", service_name="", address="", failure_domain="", is_leaving=False, born_ms=0, cold_ms=0, software_version="",):
         self.worker_id = worker_id
         self.service_name = service_name
         self.address = address
@@ -1333,6 +1335,7 @@
         self.is_leaving = is_leaving
         self.born_ms = born_ms
         self.cold_ms = cold_ms
+        self.software_version = software_version
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -1378,6 +1381,11 @@
                     self.cold_ms = iprot.readI64()
                 else:
                     iprot.skip(ftype)
+            elif fid == 8:
+                if ftype == TType.STRING:
+                    self.software_version = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -1416,6 +1424,10 @@
             oprot.writeFieldBegin('cold_ms', TType.I64, 7)
             oprot.writeI64(self.cold_ms)
             oprot.writeFieldEnd()
+        if self.software_version is not None:
+            oprot.writeFieldBegin('software_version', TType.STRING, 8)
+            oprot.writeString(self.software_version.encode('utf-8') if sys.version_info[0] == 2 else self.software_version)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -1450,6 +1462,7 @@
      - era
      - domain_digest
      - takes_parts
+     - version_digest
 
     """
 
@@ -1460,16 +1473,18 @@
         'era',
         'domain_digest',
         'takes_parts',
+        'version_digest',
     )
 
 
-    def __init__(self, revision=0, version=0, digest=0, era=0, domain_digest=None, takes_parts=None,):
+    def __init__(self, revision=0, version=0, digest=0, era=0, domain_digest=None, takes_parts=None, version_digest=None,):
         self.revision = revision
         self.version = version
         self.digest = digest
         self.era = era
         self.domain_digest = domain_digest
         self.takes_parts = takes_parts
+        self.version_digest = version_digest
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -1510,6 +1525,11 @@
                     self.takes_parts = iprot.readBool()
                 else:
                     iprot.skip(ftype)
+            elif fid == 7:
+                if ftype == TType.I64:
+                    self.version_digest = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -1544,6 +1564,10 @@
             oprot.writeFieldBegin('takes_parts', TType.BOOL, 6)
             oprot.writeBool(self.takes_parts)
             oprot.writeFieldEnd()
+        if self.version_digest is not None:
+            oprot.writeFieldBegin('version_digest', TType.I64, 7)
+            oprot.writeI64(self.version_digest)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -1781,6 +1805,7 @@
      - answered_ms
      - domain_digest
      - evacuated
+     - version_digest
 
     """
 
@@ -1798,13 +1823,14 @@
         'answered_ms',
         'domain_digest',
         'evacuated',
+        'version_digest',
     )
 
 
     def __init__(self, revision=0, version=0, data=b"", workers=[
     ], is_away=False, lapsed=[
     ], back_ms=-1, digest=0, era=0, doubted=[
-    ], answered_ms=-1, domain_digest=None, evacuated=None,):
+    ], answered_ms=-1, domain_digest=None, evacuated=None, version_digest=None,):
         self.revision = revision
         self.version = version
         self.data = data
@@ -1827,6 +1853,7 @@
         self.answered_ms = answered_ms
         self.domain_digest = domain_digest
         self.evacuated = evacuated
+        self.version_digest = version_digest
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -1924,6 +1951,11 @@
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
+            elif fid == 14:
+                if ftype == TType.I64:
+                    self.version_digest = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -1998,6 +2030,10 @@
                 oprot.writeString(iter97.encode('utf-8') if sys.version_info[0] == 2 else iter97)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
+        if self.version_digest is not None:
+            oprot.writeFieldBegin('version_digest', TType.I64, 14)
+            oprot.writeI64(self.version_digest)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -2226,6 +2262,7 @@
      - era
      - digest
      - domain_digest
+     - version_digest
 
     """
 
@@ -2233,13 +2270,15 @@
         'era',
         'digest',
         'domain_digest',
+        'version_digest',
     )
 
 
-    def __init__(self, era=0, digest=0, domain_digest=None,):
+    def __init__(self, era=0, digest=0, domain_digest=None, version_digest=None,):
         self.era = era
         self.digest = digest
         self.domain_digest = domain_digest
+        self.version_digest = version_digest
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -2265,6 +2304,11 @@
                     self.domain_digest = iprot.readI64()
                 else:
                     iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.I64:
+                    self.version_digest = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -2287,6 +2331,10 @@
             oprot.writeFieldBegin('domain_digest', TType.I64, 3)
             oprot.writeI64(self.domain_digest)
             oprot.writeFieldEnd()
+        if self.version_digest is not None:
+            oprot.writeFieldBegin('version_digest', TType.I64, 4)
+            oprot.writeI64(self.version_digest)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -2329,6 +2377,7 @@
      - doubted
      - domain_digest
      - evacuated
+     - version_digest
 
     """
 
@@ -2347,12 +2396,13 @@
         'doubted',
         'domain_digest',
         'evacuated',
+        'version_digest',
     )
 
 
     def __init__(self, base_revision=0, revision=0, version=0, workers=[
     ], removed=[
-    ], digest=0, back_ms=-1, withdrawn=None, table=None, era=0, base=None, doubted=None, domain_digest=None, evacuated=None,):
+    ], digest=0, back_ms=-1, withdrawn=None, table=None, era=0, base=None, doubted=None, domain_digest=None, evacuated=None, version_digest=None,):
         self.base_revision = base_revision
         self.revision = revision
         self.version = version
@@ -2373,6 +2423,7 @@
         self.doubted = doubted
         self.domain_digest = domain_digest
         self.evacuated = evacuated
+        self.version_digest = version_digest
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -2482,6 +2533,11 @@
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
+            elif fid == 15:
+                if ftype == TType.I64:
+                    self.version_digest = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -2563,6 +2619,10 @@
                 oprot.writeString(iter139.encode('utf-8') if sys.version_info[0] == 2 else iter139)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
+        if self.version_digest is not None:
+            oprot.writeFieldBegin('version_digest', TType.I64, 15)
+            oprot.writeI64(self.version_digest)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -3312,6 +3372,7 @@
     (5, TType.BOOL, 'is_leaving', None, False, ),  # 5
     (6, TType.I64, 'born_ms', None, 0, ),  # 6
     (7, TType.I64, 'cold_ms', None, 0, ),  # 7
+    (8, TType.STRING, 'software_version', 'UTF8', "", ),  # 8
 )
 all_structs.append(StorePull)
 StorePull.thrift_spec = (
@@ -3322,6 +3383,7 @@
     (4, TType.I64, 'era', None, 0, ),  # 4
     (5, TType.I64, 'domain_digest', None, None, ),  # 5
     (6, TType.BOOL, 'takes_parts', None, None, ),  # 6
+    (7, TType.I64, 'version_digest', None, None, ),  # 7
 )
 all_structs.append(TablePull)
 TablePull.thrift_spec = (
@@ -3357,6 +3419,7 @@
     (11, TType.I32, 'answered_ms', None, -1, ),  # 11
     (12, TType.I64, 'domain_digest', None, None, ),  # 12
     (13, TType.LIST, 'evacuated', (TType.STRING, 'UTF8', False), None, ),  # 13
+    (14, TType.I64, 'version_digest', None, None, ),  # 14
 )
 all_structs.append(TablePiece)
 TablePiece.thrift_spec = (
@@ -3379,6 +3442,7 @@
     (1, TType.I64, 'era', None, 0, ),  # 1
     (2, TType.I64, 'digest', None, 0, ),  # 2
     (3, TType.I64, 'domain_digest', None, None, ),  # 3
+    (4, TType.I64, 'version_digest', None, None, ),  # 4
 )
 all_structs.append(StoreNews)
 StoreNews.thrift_spec = (
@@ -3399,6 +3463,7 @@
     (12, TType.LIST, 'doubted', (TType.STRUCT, [ListedWorker, None], False), None, ),  # 12
     (13, TType.I64, 'domain_digest', None, None, ),  # 13
     (14, TType.LIST, 'evacuated', (TType.STRING, 'UTF8', False), None, ),  # 14
+    (15, TType.I64, 'version_digest', None, None, ),  # 15
 )
 all_structs.append(WorkerCrash)
 WorkerCrash.thrift_spec = (
--- a/src/trefoilpaddle/protocol/gen/chain/ttypes.pyi
+++ b/src/trefoilpaddle/protocol/gen/chain/ttypes.pyi
@@ -76,7 +76,8 @@
     is_leaving: bool
     born_ms: int
     cold_ms: int
-    def __init__(self, *, worker_id: str = ..., service_name: str = ..., address: str = ..., failure_domain: str = ..., is_leaving: bool = ..., born_ms: int = ..., cold_ms: int = ...) -> None: ...
+    software_version: str
+    def __init__(self, *, worker_id: str = ..., service_name: str = ..., address: str = ..., failure_domain: str = ..., is_leaving: bool = ..., born_ms: int = ..., cold_ms: int = ..., software_version: str = ...) -> None: ...
 class StorePull:
     revision: int
     version: int
@@ -84,7 +85,8 @@
     era: int
     domain_digest: int | None
     takes_parts: bool | None
-    def __init__(self, *, revision: int = ..., version: int = ..., digest: int = ..., era: int = ..., domain_digest: int | None = ..., takes_parts: bool | None = ...) -> None: ...
+    version_digest: int | None
+    def __init__(self, *, revision: int = ..., version: int = ..., digest: int = ..., era: int = ..., domain_digest: int | None = ..., takes_parts: bool | None = ..., version_digest: int | None = ...) -> None: ...
 class TablePull:
     version: int
     from_byte: int
@@ -110,7 +112,8 @@
     answered_ms: int
     domain_digest: int | None
     evacuated: list[str] | None
-    def __init__(self, *, revision: int = ..., version: int = ..., data: bytes = ..., workers: list[ListedWorker] = ..., is_away: bool = ..., lapsed: list[str] = ..., back_ms: int = ..., digest: int = ..., era: int = ..., doubted: list[ListedWorker] = ..., answered_ms: int = ..., domain_digest: int | None = ..., evacuated: list[str] | None = ...) -> None: ...
+    version_digest: int | None
+    def __init__(self, *, revision: int = ..., version: int = ..., data: bytes = ..., workers: list[ListedWorker] = ..., is_away: bool = ..., lapsed: list[str] = ..., back_ms: int = ..., digest: int = ..., era: int = ..., doubted: list[ListedWorker] = ..., answered_ms: int = ..., domain_digest: int | None = ..., evacuated: list[str] | None = ..., version_digest: int | None = ...) -> None: ...
 class TablePiece:
     from_byte: int
     n_bytes: int
@@ -125,7 +128,8 @@
     era: int
     digest: int
     domain_digest: int | None
-    def __init__(self, *, era: int = ..., digest: int = ..., domain_digest: int | None = ...) -> None: ...
+    version_digest: int | None
+    def __init__(self, *, era: int = ..., digest: int = ..., domain_digest: int | None = ..., version_digest: int | None = ...) -> None: ...
 class StoreNews:
     base_revision: int
     revision: int
@@ -141,7 +145,8 @@
     doubted: list[ListedWorker] | None
     domain_digest: int | None
     evacuated: list[str] | None
-    def __init__(self, *, base_revision: int = ..., revision: int = ..., version: int = ..., workers: list[ListedWorker] = ..., removed: list[str] = ..., digest: int = ..., back_ms: int = ..., withdrawn: list[str] | None = ..., table: TableChange | None = ..., era: int = ..., base: EarlierList | None = ..., doubted: list[ListedWorker] | None = ..., domain_digest: int | None = ..., evacuated: list[str] | None = ...) -> None: ...
+    version_digest: int | None
+    def __init__(self, *, base_revision: int = ..., revision: int = ..., version: int = ..., workers: list[ListedWorker] = ..., removed: list[str] = ..., digest: int = ..., back_ms: int = ..., withdrawn: list[str] | None = ..., table: TableChange | None = ..., era: int = ..., base: EarlierList | None = ..., doubted: list[ListedWorker] | None = ..., domain_digest: int | None = ..., evacuated: list[str] | None = ..., version_digest: int | None = ...) -> None: ...
 class WorkerCrash:
     worker_id: str
     born_ms: int
--- a/src/trefoilpaddle/standins/platform/site.py
+++ b/src/trefoilpaddle/standins/platform/site.py
@@ -210,6 +210,7 @@
                 zone=domain,
                 state=state,
                 born=self.workers[worker_id].born_ms,
+                version=self.workers[worker_id].software_version,
             ),
         )
 
--- a/src/trefoilpaddle/standins/platform/worker.py
+++ b/src/trefoilpaddle/standins/platform/worker.py
@@ -41,6 +41,8 @@
         Number of events in each stream; 0 sends complete answers instead.
     work_s : float
         Time for a request, an event, or a call of pieces.
+    software_version : str
+        Version of its software, as listed in the store.
 
     Attributes
     ----------
@@ -48,6 +50,8 @@
         Unix time of the current start, in milliseconds.
     held : set of str
         Handles of the results that the worker holds.
+    breaks_after : int
+        Number of events after which a stream that began here is broken off; 0 never.
     interrupts_answers : bool
         True aborts the connection of each request after running it, or at the
         first event of a stream.
@@ -82,6 +86,7 @@
         "_handle_numbers",
         "address",
         "born_ms",
+        "breaks_after",
         "faults",
         "freed",
         "headers",
@@ -98,6 +103,7 @@
         "ran_s",
         "record",
         "rests_s",
+        "software_version",
         "stated",
         "turned_away",
         "turned_away_s",
@@ -107,11 +113,18 @@
     )
 
     def __init__(
-        self, *, worker_id: str, n_events: int = 0, work_s: float = 0.005
+        self,
+        *,
+        worker_id: str,
+        n_events: int = 0,
+        work_s: float = 0.005,
+        software_version: str = "v1",
     ) -> None:
         self.worker_id = worker_id
         self.n_events = n_events
         self.work_s = work_s
+        self.software_version = software_version
+        self.breaks_after = 0
         self.address = ""
         self.born_ms = int(time.time() * 1000)
         self.held: set[str] = set()
@@ -195,7 +208,8 @@
         first = int(request.headers.get("Last-Event-Id", "0")) + 1
         for event_id in range(first, self.n_events + 1):
             await asyncio.sleep(self.work_s)
-            if self.interrupts_answers:
+            is_broken = first == 1 and 0 < self.breaks_after < event_id
+            if self.interrupts_answers or is_broken:
                 abort_connection(request)
                 return answer
             await answer.write(f"id: {event_id}\ndata: {request_id}\n\n".encode())
--- a/src/trefoilpaddle/state/chain/workers.py
+++ b/src/trefoilpaddle/state/chain/workers.py
@@ -58,6 +58,8 @@
     cold_until_s : float
         Monotonic time until which the worker reports to be cold; 0 if it does not. Each
         entry states it anew, so it does not distinguish workers.
+    software_version : str
+        Version of its software. What two versions write does not fit together.
     """
 
     worker_id: str
@@ -67,6 +69,7 @@
     is_leaving: bool = False
     born_ms: int = 0
     cold_until_s: float = field(default=0.0, compare=False)
+    software_version: str = ""
 
     def is_same_start(self, other: "Worker | None") -> bool:
         """Return True if `other` is the same start of the same worker."""
@@ -92,6 +95,7 @@
         return ListDigest(
             entries=checksum(entry.encode()),
             domains=checksum(f"{entry}\0{self.failure_domain}".encode()),
+            versions=checksum(f"{entry}\0{self.software_version}".encode()),
         )
 
 
@@ -174,6 +178,13 @@
         Entries of an earlier start, from a lagging peer or a late read, are ignored.
         """
         known = self._by_id.get(worker.worker_id)
+        if (
+            known is not None
+            and not worker.software_version
+            and (worker.is_same_start(known))
+        ):
+            # A gateway of an earlier build has passed the entry on without it.
+            worker = replace(worker, software_version=known.software_version)
         if known == worker:
             return self._learn_cold(known, worker)
         if worker.born_ms < self._newest_born_ms(worker.worker_id):
--- a/src/trefoilpaddle/state/events.py
+++ b/src/trefoilpaddle/state/events.py
@@ -45,6 +45,8 @@
     """A sidecar promised never to start an attempt."""
     FRAME_DROPPED = 127
     """A frame of an attempt that is not open in this process was dropped."""
+    STREAM_RESUMED = 128
+    """A stream goes on at another target; states both software versions."""
     # Attempts at a sidecar
     QUEUED = 140
     """A stage call waits for a free slot, or a late chain waits for spare capacity."""
--- a/src/trefoilpaddle/state/timeline_text.py
+++ b/src/trefoilpaddle/state/timeline_text.py
@@ -23,6 +23,7 @@
     Event.RESULT_FETCHED: "fetched the result of stage {stage} again from {peer}",
     Event.ATTEMPT_BARRED: "had {peer} promise never to start the attempt",
     Event.FRAME_DROPPED: "dropped an answer that belongs to no open attempt",
+    Event.STREAM_RESUMED: "goes on with the stream at {peer}",
     Event.QUEUED: "queued stage {stage} for target {peer}",
     Event.STARTED: "started stage {stage} at target {peer}",
     Event.FINISHED: "finished stage {stage} at target {peer}",
--- a/tests/chain/test_worker_starts.py
+++ b/tests/chain/test_worker_starts.py
@@ -89,6 +89,26 @@
         assert workers.listed("other") == []
 
 
+class TestSoftwareVersions:
+    def test_an_entry_passed_on_without_its_version_keeps_the_known_one(self) -> None:
+        # A reader of an earlier build passes entries on without versions.
+        known = replace(FIRST, software_version="v2")
+        workers = table(known)
+        workers.put(replace(FIRST, is_leaving=True))
+        assert workers.get("w") == replace(known, is_leaving=True)
+
+    def test_a_later_start_may_have_another_version(self) -> None:
+        workers = table(replace(FIRST, software_version="v2"))
+        workers.put(replace(LATER, software_version="v3"))
+        assert workers.listed("model") == [replace(LATER, software_version="v3")]
+
+    def test_lists_that_differ_in_a_version_have_different_digests(self) -> None:
+        one = table(replace(FIRST, software_version="v1")).digest
+        other = table(replace(FIRST, software_version="v2")).digest
+        assert not one.matches(other)
+        assert one.matches(replace(other, versions=None))
+
+
 class TestEngines:
     def test_prompts_read_by_the_earlier_start_are_forgotten(self) -> None:
         workers = table(FIRST)
--- a/tests/platform_adapter/needs_harness.py
+++ b/tests/platform_adapter/needs_harness.py
@@ -166,7 +166,8 @@
     return most
 
 
-def _knows_all(gateway: GatewayProcess, n_gateways: int) -> bool:
+def knows_all(gateway: GatewayProcess, n_gateways: int) -> bool:
+    """Return True if a gateway has joined with all others."""
     return gateway.log().count("member_joined") >= n_gateways - 1
 
 
@@ -193,7 +194,7 @@
             aiohttp.ClientSession() as client,
         ):
             for gateway in all_gateways:
-                await until(partial(_knows_all, gateway, n_gateways))
+                await until(partial(knows_all, gateway, n_gateways))
             # Until then gateways send nothing to workers that have named a limit.
             await asyncio.sleep(SETTLE_AT_MOST_S)
             yield NeedsHarness(
--- a/tests/platform_adapter/test_entries.py
+++ b/tests/platform_adapter/test_entries.py
@@ -69,6 +69,7 @@
             service="encode",
             address="10.0.0.1:80",
             failure_domain="a",
+            software_version="v1",
             is_leaving=True,
             born_ms=7,
         )
