Go on with a broken stream only at the software version that began it

Callers got streams with events of two software versions in one answer, whose parts do not fit together, wherever workers of several versions served.

Cause: a stream that breaks goes on at the worker that costs least, and no choice knew a version. Change: once a worker has sent the first event of a stream, only workers of its version are chosen. If none is left, the stream ends at once, incomplete, with the reason version_gone; its caller may take it up. Before the first event any version may run it.

--- a/src/trefoilpaddle/coordination/chain/attempts.py
+++ b/src/trefoilpaddle/coordination/chain/attempts.py
@@ -173,6 +173,10 @@
         service = self._job.worker_service()
         tried = self._send_limits.exhausted(service.name) | self._tried
         need = self._need
+        begun_at = self._exchange.begun_at
+        if begun_at is not None:
+            # What two software versions write does not fit together.
+            need = replace(need, software_version=begun_at.software_version)
         if self._guard.is_suspect(self._job.fingerprint):
             # A suspect goes to the worker with the fewest open requests, even if
             # another one has its prompt in the cache.
@@ -233,6 +237,11 @@
 
     def _outcome_without_worker(self) -> Outcome:
         """Return the outcome of a request for which there is no further worker."""
+        begun_at = self._exchange.begun_at
+        if begun_at is not None and not self._workers.has_version(
+            self._job.service, begun_at.software_version
+        ):
+            return self._outcome_of(Reason.VERSION_GONE)
         if not self._tried and self._workers.is_evacuated(self._job.service):
             return self._delivery.failure_outcome(
                 Reason.EVACUATED, retry_after_s=EVACUATED_RETRY_S
--- a/src/trefoilpaddle/coordination/chain/worker_choice.py
+++ b/src/trefoilpaddle/coordination/chain/worker_choice.py
@@ -46,11 +46,14 @@
         Expected size in bytes of the results that the request takes as inputs.
     input_domain : str
         Failure domain where the inputs are stored; empty without any.
+    software_version : str or None
+        Software version of the worker that began the stream; None if any may run it.
     """
 
     prompt: Prompt | None = None
     input_bytes: float = 0.0
     input_domain: str = ""
+    software_version: str | None = None
 
 
 class OpenCounts:
@@ -108,6 +111,8 @@
         without : frozenset of str
             Excluded workers.
         """
+        if need.software_version is not None:
+            without |= self._workers.other_versions(service.name, need.software_version)
         workers = self._workers.usable(service.name, excluded=without)
         if not workers:
             return None
--- a/src/trefoilpaddle/protocol/reasons.py
+++ b/src/trefoilpaddle/protocol/reasons.py
@@ -46,6 +46,7 @@
     COLD_TARGETS = 36
     LIMITED_TARGETS = 37
     RESTING_TARGETS = 38
+    VERSION_GONE = 39
 
 
 def reason_from_wire(number: int) -> Reason:
--- a/src/trefoilpaddle/state/chain/workers.py
+++ b/src/trefoilpaddle/state/chain/workers.py
@@ -409,6 +409,21 @@
         """Return all listed workers of a service, also suspect and leaving ones."""
         return list(self._by_service.get(service, {}).values())
 
+    def other_versions(self, service: str, software_version: str) -> frozenset[str]:
+        """Return the ids of listed workers that run another software version."""
+        return frozenset(
+            worker.worker_id
+            for worker in self._by_service.get(service, {}).values()
+            if worker.software_version != software_version
+        )
+
+    def has_version(self, service: str, software_version: str) -> bool:
+        """Return True if a listed worker that stays runs a software version."""
+        return any(
+            worker.software_version == software_version and not self.is_leaving(worker)
+            for worker in self._by_service.get(service, {}).values()
+        )
+
     def usable(
         self, service: str, *, excluded: Collection[str] = ()
     ) -> Sequence[Worker]:
--- a/src/trefoilpaddle/state/reason_words.py
+++ b/src/trefoilpaddle/state/reason_words.py
@@ -42,6 +42,7 @@
     Reason.COLD_TARGETS: "the targets have just started and bear no more for now",
     Reason.LIMITED_TARGETS: "the targets take no more than they have had for now",
     Reason.RESTING_TARGETS: "the targets have turned requests away and rest for now",
+    Reason.VERSION_GONE: "no target of the version that began the stream is left",
     Reason.INTERNAL: "of a fault in trefoilpaddle itself; see the log",
 }
 
