Send a peer no frames that its build cannot read

A process closes a connection on a frame of a kind that it does not know, and with it the calls of others on that connection. While a fleet is updated, the new requests for tables would have done that at each gateway not updated yet, had they not been sent to those alone that state support in their answers. Hellos state the newest kind now; what a peer cannot read is not sent, and the sender is told so. The test fails without the change: the frame is sent.

--- a/idl/stage.thrift
+++ b/idl/stage.thrift
@@ -40,6 +40,7 @@
   7: string target = ""
   8: i64 config_revision = 0
   9: i64 stamp_ns = 0
+  10: i32 newest_kind = 0        // of the frames that it reads; unset by earlier builds
 }
 
 struct Heartbeat { 1: Load load }
--- a/src/trefoilpaddle/protocol/frames.py
+++ b/src/trefoilpaddle/protocol/frames.py
@@ -82,6 +82,12 @@
     101: chain.TablePull,
     102: chain.TablePart,
 }
+NEWEST_KIND: Final = max(KINDS)
+"""Newest kind of frame that this build reads; hellos state it."""
+
+NEWEST_UNSTATED_KIND: Final = 100
+"""Newest kind that builds read whose hellos do not state theirs."""
+
 KIND_OF: Final[Mapping[type, int]] = {cls: kind for kind, cls in KINDS.items()}
 
 # Created once: creating a protocol takes as long as writing a small struct with it.
@@ -122,6 +128,15 @@
     return HEADER.pack(n_bytes, KIND_OF[type(message)], call) + body
 
 
+def is_read_by(peer: stage.Hello, message: Message) -> bool:
+    """Return True if the build of a peer can read a message.
+
+    It would close the connection on a kind of frame that it does not know.
+    """
+    newest = max(peer.newest_kind, NEWEST_UNSTATED_KIND)
+    return KIND_OF[type(message)] <= newest
+
+
 def decode(rest: bytes) -> Result[Frame, str]:
     """Return the frame whose bytes after the length are `rest`.
 
--- a/src/trefoilpaddle/protocol/gen/stage/ttypes.py
+++ b/src/trefoilpaddle/protocol/gen/stage/ttypes.py
@@ -375,6 +375,7 @@
      - target
      - config_revision
      - stamp_ns
+     - newest_kind
 
     """
 
@@ -388,10 +389,11 @@
         'target',
         'config_revision',
         'stamp_ns',
+        'newest_kind',
     )
 
 
-    def __init__(self, version=0, process_id="", incarnation=0, role="", failure_domain="", service_name="", target="", config_revision=0, stamp_ns=0,):
+    def __init__(self, version=0, process_id="", incarnation=0, role="", failure_domain="", service_name="", target="", config_revision=0, stamp_ns=0, newest_kind=0,):
         self.version = version
         self.process_id = process_id
         self.incarnation = incarnation
@@ -401,6 +403,7 @@
         self.target = target
         self.config_revision = config_revision
         self.stamp_ns = stamp_ns
+        self.newest_kind = newest_kind
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -456,6 +459,11 @@
                     self.stamp_ns = iprot.readI64()
                 else:
                     iprot.skip(ftype)
+            elif fid == 10:
+                if ftype == TType.I32:
+                    self.newest_kind = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -502,6 +510,10 @@
             oprot.writeFieldBegin('stamp_ns', TType.I64, 9)
             oprot.writeI64(self.stamp_ns)
             oprot.writeFieldEnd()
+        if self.newest_kind is not None:
+            oprot.writeFieldBegin('newest_kind', TType.I32, 10)
+            oprot.writeI32(self.newest_kind)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -2446,6 +2458,7 @@
     (7, TType.STRING, 'target', 'UTF8', "", ),  # 7
     (8, TType.I64, 'config_revision', None, 0, ),  # 8
     (9, TType.I64, 'stamp_ns', None, 0, ),  # 9
+    (10, TType.I32, 'newest_kind', None, 0, ),  # 10
 )
 all_structs.append(Heartbeat)
 Heartbeat.thrift_spec = (
--- a/src/trefoilpaddle/protocol/gen/stage/ttypes.pyi
+++ b/src/trefoilpaddle/protocol/gen/stage/ttypes.pyi
@@ -41,7 +41,8 @@
     target: str
     config_revision: int
     stamp_ns: int
-    def __init__(self, *, version: int = ..., process_id: str = ..., incarnation: int = ..., role: str = ..., failure_domain: str = ..., service_name: str = ..., target: str = ..., config_revision: int = ..., stamp_ns: int = ...) -> None: ...
+    newest_kind: int
+    def __init__(self, *, version: int = ..., process_id: str = ..., incarnation: int = ..., role: str = ..., failure_domain: str = ..., service_name: str = ..., target: str = ..., config_revision: int = ..., stamp_ns: int = ..., newest_kind: int = ...) -> None: ...
 class Heartbeat:
     load: Load | None
     def __init__(self, *, load: Load | None = ...) -> None: ...
--- a/src/trefoilpaddle/roles/process.py
+++ b/src/trefoilpaddle/roles/process.py
@@ -11,7 +11,7 @@
 from absl import logging
 
 from ..protocol.const import PROTOCOL_VERSION
-from ..protocol.frames import Message
+from ..protocol.frames import NEWEST_KIND, Message
 from ..protocol.gen.stage.ttypes import Heartbeat, Hello, Load
 from ..protocol.ids import new_incarnation
 from ..state.journal import Decision, Event, Figure, Journal
@@ -174,6 +174,7 @@
             target=self.identity.target,
             config_revision=self.published.catalogue_revision,
             stamp_ns=time.monotonic_ns(),
+            newest_kind=NEWEST_KIND,
         )
 
     def heartbeat(self) -> Heartbeat:
--- a/src/trefoilpaddle/transport/connection.py
+++ b/src/trefoilpaddle/transport/connection.py
@@ -13,7 +13,7 @@
 
 from ..protocol.const import HEARTBEAT_S, PROTOCOL_VERSION, UNRESPONSIVE_AFTER_S
 from ..protocol.errors import PeerError
-from ..protocol.frames import Frame, Message, encode
+from ..protocol.frames import Frame, Message, encode, is_read_by
 from ..protocol.gen.stage.ttypes import Closing, Heartbeat, Hello
 from ..protocol.reader import FrameReader
 from .aligned import aligned_sleep
@@ -122,7 +122,9 @@
         return self._is_send_closed or self._writer.is_closing()
 
     def write(self, message: Message, *, call: int = 0) -> bool:
-        """Queue `message` for sending; return False if the connection is closed.
+        """Queue `message` for sending; return False if it cannot be sent.
+
+        That is if the connection is closed, or the peer's build cannot read it.
 
         Everything written in one iteration of the event loop is sent with one
         system call, which costs more than a small frame. A peer that stops
@@ -130,7 +132,7 @@
         ``MAX_UNSENT_BYTES`` are unsent, so that it cannot exhaust the memory of
         this process.
         """
-        if self.is_closing():
+        if self.is_closing() or not is_read_by(self.peer, message):
             return False
         data = encode(message, call=call)
         TRAFFIC.n_frames_sent += 1
--- a/tests/test_transport.py
+++ b/tests/test_transport.py
@@ -7,6 +7,7 @@
 from result import Err, Ok
 
 from tests.peer_helpers import (
+    WAIT_CAP_S,
     RawPeer,
     echo,
     heartbeat,
@@ -17,7 +18,8 @@
 )
 from tests.waiting import until
 from trefoilpaddle.protocol.errors import PeerError
-from trefoilpaddle.protocol.frames import Message
+from trefoilpaddle.protocol.frames import NEWEST_KIND, Message
+from trefoilpaddle.protocol.gen.chain.ttypes import TablePull
 from trefoilpaddle.protocol.gen.claims.ttypes import Claim, ClaimAnswer
 from trefoilpaddle.protocol.gen.stage.ttypes import (
     Bar,
@@ -156,6 +158,24 @@
             await until(lambda: len(seen) == 2)
         assert len(opened) == 1
 
+    async def test_a_peer_of_an_earlier_build_gets_no_frames_it_cannot_read(
+        self,
+    ) -> None:
+        # Guards against connections that such a peer closes, and the calls on them.
+        opened: list[Connection] = []
+        seen: list[Message] = []
+        server = server_of(
+            on_open=opened.append, on_message=lambda _, message: seen.append(message)
+        )
+        async with server.listening(), link_to(server.address) as link:
+            await link.opened.wait()
+            assert not link.send(TablePull())
+            assert (await link.ask(TablePull(), timeout_s=WAIT_CAP_S)).is_err()
+            assert link.connection is not None
+            link.connection.peer.newest_kind = NEWEST_KIND
+            assert link.send(TablePull())
+            await until(lambda: bool(seen))
+
     async def test_a_change_listener_that_raises_leaks_no_connection(self) -> None:
         def on_change(link: Link) -> None:
             raise RuntimeError("error in a listener")
