Go on with a stream that is taken up at the software version that began it

Callers that took a broken stream up at another gateway got events of another software version than those they had, which do not fit together.

Cause: what began a stream was known nowhere. Resumes, in which a caller names the attempt that brought the first event, was read by nobody.

Change: the gateway that begins a stream which may be taken up remembers the version by a hash of the attempt's id, and tells two more gateways before the first event is passed on, without waiting for them. They are chosen by the hash among two to four strong gateways of each failure domain, in different ones. A gateway at which the stream is taken up asks them, and more of them than were told, as members come and go. If nobody knows, the stream goes on only where one version alone has served for twice the route's timeout, at a gateway that has known the workers for so long; otherwise it is refused at once with origin_unknown, and with version_gone if no worker of its version is left.

Ruled out: to work the version out of the id, as the shares of versions change during a release and gateways learn of that at different times, and to carry it in the answer, as callers send back nothing but ids that the system does not make.

--- a/idl/chain.thrift
+++ b/idl/chain.thrift
@@ -222,3 +222,26 @@
 struct LimitNews {
   1: list<NamedLimit> limits = []
 }
+
+// Which software version began a stream.
+struct StreamOrigin {
+  1: binary key = ""             // hash of the id of the attempt that brought its first event
+  2: string software_version = ""
+}
+
+// Without an answer: streams that have begun, for gateways at which callers take them up.
+struct StreamsBegun {
+  1: list<StreamOrigin> origins = []
+}
+
+// Asks which software version began a stream.
+struct FindOrigin {
+  1: binary key = ""
+  2: string service_name = ""
+  3: i64 life_ms = 0             // the stream is not older
+}
+
+struct OriginFound {
+  1: bool is_known = false
+  2: string software_version = ""
+}
--- a/src/trefoilpaddle/coordination/chain/attempts.py
+++ b/src/trefoilpaddle/coordination/chain/attempts.py
@@ -1,6 +1,7 @@
 """Sends one request to workers until one answers or no attempt is left."""
 
 import time
+from collections.abc import Callable
 from dataclasses import replace
 from typing import Final
 
@@ -40,6 +41,10 @@
 """Retry-After in seconds once no worker has answered; two calls of a stage."""
 
 
+def _ignore(worker: Worker) -> None:
+    pass
+
+
 class Attempts:
     """The attempts of one request.
 
@@ -59,6 +64,8 @@
         Watches the runs of the request at workers.
     send_limits : SendLimits
         Limits what is sent to workers that bear few requests.
+    on_begin : callable
+        Called with the worker that sends the first event of a stream.
     """
 
     __slots__ = (
@@ -92,6 +99,7 @@
         delivery: Delivery,
         guard: CrashGuard,
         send_limits: SendLimits,
+        on_begin: Callable[[Worker], None] = _ignore,
     ) -> None:
         self._send_limits = send_limits
         self._job = job
@@ -109,6 +117,7 @@
             calls=calls,
             delivery=delivery,
             guard=guard,
+            on_begin=on_begin,
         )
         self._guard = guard
         self._budget = budget
@@ -172,11 +181,8 @@
         """
         service = self._job.worker_service()
         tried = self._send_limits.exhausted(service.name) | self._tried
-        need = self._need
-        begun_at = self._exchange.begun_at
-        if begun_at is not None:
-            # What two software versions write does not fit together.
-            need = replace(need, software_version=begun_at.software_version)
+        # What two software versions write does not fit together.
+        need = replace(self._need, software_version=self._software_version())
         if self._guard.is_suspect(self._job.fingerprint):
             # A suspect goes to the worker with the fewest open requests, even if
             # another one has its prompt in the cache.
@@ -188,6 +194,13 @@
                 return worker
         return self._choice.choose(service, need, without=tried)
 
+    def _software_version(self) -> str | None:
+        """Return the version that began the stream; None before its first event."""
+        begun_at = self._exchange.begun_at
+        if begun_at is None:
+            return self._need.software_version
+        return begun_at.software_version
+
     def _record_fault(self, fault: CallFault, worker: Worker) -> None:
         """Record what a fault implies about the worker and the request."""
         self._tried.add(worker.worker_id)
@@ -237,9 +250,9 @@
 
     def _outcome_without_worker(self) -> Outcome:
         """Return the outcome of a request for which there is no further worker."""
-        begun_at = self._exchange.begun_at
-        if begun_at is not None and not self._workers.has_version(
-            self._job.service, begun_at.software_version
+        version = self._software_version()
+        if version is not None and not self._workers.has_version(
+            self._job.service, version
         ):
             return self._outcome_of(Reason.VERSION_GONE)
         if not self._tried and self._workers.is_evacuated(self._job.service):
@@ -262,11 +275,10 @@
 
     def _record_resumption(self, worker: Worker) -> None:
         """Record that a stream that has begun goes on at a worker."""
-        begun_at = self._exchange.begun_at
-        request = self._job.request
-        if begun_at is None and request.after_event is None:
+        begun = self._software_version()
+        if begun is None:
             return
-        begun = "unknown" if begun_at is None else begun_at.software_version
+        request = self._job.request
         self._journal.record(
             Decision(
                 event=Event.STREAM_RESUMED,
--- a/src/trefoilpaddle/coordination/chain/request_path.py
+++ b/src/trefoilpaddle/coordination/chain/request_path.py
@@ -16,7 +16,7 @@
 from ...state.chain.repeat_budget import RepeatBudgets
 from ...state.chain.requests import CallerRequest, Outcome, Refused
 from ...state.chain.routes import Account, Route, RouteTable
-from ...state.chain.workers import WorkerTable
+from ...state.chain.workers import Worker, WorkerTable
 from ...state.journal import Journal
 from .answer_deadline import AnswerDueError
 from .attempts import Attempts
@@ -29,6 +29,7 @@
 from .request_log import RequestLog
 from .running_chain import running_chain
 from .send_limits import SendLimits
+from .stream_origins import KnownOrigin, StreamOrigins, UnknownOrigin
 from .target_calls import TargetCalls
 from .worker_choice import Need, WorkerChoice
 
@@ -55,6 +56,16 @@
 """
 
 
+STREAM_LIFE_TIMEOUTS: Final = 2.0
+"""Longest life of a stream over all of its caller's tries, in timeouts of its route."""
+
+VERSION_GONE_RETRY_S: Final = 1.0
+"""Retry-After in seconds if no worker runs the version that began a stream.
+
+A worker that has crashed is back within seconds.
+"""
+
+
 class RequestPath:
     """Serves requests by the active route table and the listed workers.
 
@@ -80,6 +91,8 @@
         Watches runs at workers.
     send_limits : SendLimits
         Limits what is sent to workers that bear few requests.
+    origins : StreamOrigins
+        Knows which software versions began streams.
 
     Attributes
     ----------
@@ -96,6 +109,7 @@
         "_finishing",
         "_guard",
         "_journal",
+        "_origins",
         "_router",
         "_send_limits",
         "_stop",
@@ -116,7 +130,9 @@
         stop: PlannedStop,
         guard: CrashGuard,
         send_limits: SendLimits,
+        origins: StreamOrigins,
     ) -> None:
+        self._origins = origins
         self._send_limits = send_limits
         self._guard = guard
         self._failure_domain = failure_domain
@@ -199,6 +215,54 @@
             return delivery.failure_outcome(due.reason, retry_after_s=retry_after_s)
 
     async def _run(self, job: Job, delivery: Delivery, sink: CallerSink) -> Outcome:
+        match await self._find_origin(job):
+            case Refused() as refused:
+                return refused
+            case software_version:
+                return await self._run_at(job, software_version, delivery, sink)
+
+    async def _find_origin(self, job: Job) -> str | Refused | None:
+        """Return the version at which a stream must go on.
+
+        None if the request takes no stream up. A stream is not sent to a version that
+        may not have begun it, and not held back until one serves again.
+        """
+        request = job.request
+        if request.after_event is None or not job.route.is_resumable:
+            return None
+        match await self._origins.find(
+            request.resumes,
+            job.service,
+            life_s=STREAM_LIFE_TIMEOUTS * job.route.timeout_s,
+        ):
+            case UnknownOrigin(is_final=is_final):
+                return Refused(
+                    reason=Reason.ORIGIN_UNKNOWN,
+                    retry_after_s=0.0 if is_final else DEFAULT_RETRY_S,
+                )
+            case KnownOrigin(software_version=version):
+                if self._workers.has_version(job.service, version):
+                    return version
+                return Refused(
+                    reason=Reason.VERSION_GONE, retry_after_s=VERSION_GONE_RETRY_S
+                )
+
+    def _record_origin(self, job: Job, worker: Worker) -> None:
+        """Remember which version began a stream that may be taken up."""
+        request = job.request
+        is_new = request.after_event is None
+        attempt_id = request.request_id if is_new else request.resumes
+        if job.route.is_resumable and attempt_id:
+            self._origins.record(attempt_id, worker.software_version)
+
+    async def _run_at(
+        self,
+        job: Job,
+        software_version: str | None,
+        delivery: Delivery,
+        sink: CallerSink,
+    ) -> Outcome:
+        """Run the stages and the request; a stream that goes on, at its version."""
         now_s = time.monotonic()
         self._budgets.for_service(job.service).earn(now_s)
         for stage in {stage.service for stage in job.route.stages}:
@@ -245,6 +309,7 @@
                             prompt=job.request.prompt,
                             input_bytes=work.input_bytes(),
                             input_domain=domain,
+                            software_version=software_version,
                         ),
                         workers=self._workers,
                         choice=self._choice,
@@ -254,6 +319,7 @@
                         delivery=delivery,
                         guard=self._guard,
                         send_limits=self._send_limits,
+                        on_begin=functools.partial(self._record_origin, job),
                     )
                     if job.must_finish:
                         return await self._finish(attempts, sink)
--- /dev/null
+++ b/src/trefoilpaddle/coordination/chain/stream_origins.py
@@ -0,0 +1,288 @@
+"""Tells other gateways which software version began a stream, and asks them.
+
+A caller may take a stream up at any gateway, and the one that began it may be gone.
+Two more gateways remember each stream that may be taken up, chosen by its key among a
+few of each failure domain. A stream whose version nobody knows is not guessed at.
+"""
+
+import asyncio
+import contextlib
+from collections.abc import Callable, Mapping, Sequence
+from dataclasses import dataclass, field
+from typing import Final
+
+from result import Ok
+
+from ...protocol.const import MS_PER_S
+from ...protocol.frames import Message
+from ...protocol.gen.chain.ttypes import (
+    FindOrigin,
+    OriginFound,
+    StreamOrigin,
+    StreamsBegun,
+)
+from ...protocol.gen.stage.ttypes import Hello
+from ...state.chain.served_versions import ServedVersions
+from ...state.chain.stream_versions import StreamVersions, stream_key
+from ...state.chain.workers import WorkerTable
+from ...state.members import MemberRecord
+from ...state.rendezvous import highest
+from ...transport.connection import Address, Connection
+from ..members.duty_rank import duty_rank
+from ..own_process import OwnProcess
+
+BATCH_WINDOW_S: Final = 0.005
+"""Time for which streams that begin are collected before a gateway is told of them."""
+
+CONNECT_TIMEOUT_S: Final = 1.0
+"""Longest wait for a link to a gateway that is told of a stream."""
+
+FIND_TIMEOUT_S: Final = 0.3
+"""Longest wait for a gateway that is asked; many times a message's latency."""
+
+N_KEEPERS: Final = 2
+"""Gateways that remember a stream besides the one that began it."""
+
+N_DOMAINS_ASKED: Final = 3
+N_ASKED_PER_DOMAIN: Final = 2
+"""Gateways that are asked: more than remember, as members come and go meanwhile."""
+
+MIN_POOL_PER_DOMAIN: Final = 2
+MAX_POOL_PER_DOMAIN: Final = 4
+GATEWAYS_PER_POOL_MEMBER: Final = 20
+"""How many gateways of a failure domain share the streams of all.
+
+Each gateway keeps a link to each of them. Two bear the streams of a small fleet; with
+80 gateways in each of five domains, four of each get 210 streams a second.
+"""
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class KnownOrigin:
+    """The software version that began a stream."""
+
+    software_version: str
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class UnknownOrigin:
+    """No gateway that was asked knows the version.
+
+    Parameters
+    ----------
+    is_final : bool
+        True if all have answered, so that asking again is useless.
+    """
+
+    is_final: bool
+
+
+Origin = KnownOrigin | UnknownOrigin
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Pools:
+    """The gateways that streams are distributed over, for one set of live members.
+
+    Parameters
+    ----------
+    live : sequence of MemberRecord
+        The live gateways.
+    ids : sequence of sequence of str
+        Ids of those that remember streams, by failure domain.
+    by_id : mapping of str to MemberRecord
+        The live gateways by id.
+    """
+
+    live: Sequence[MemberRecord]
+    ids: Sequence[Sequence[str]] = ()
+    by_id: Mapping[str, MemberRecord] = field(default_factory=dict)
+
+
+class StreamOrigins:
+    """Remembers and finds the software versions of streams.
+
+    Parameters
+    ----------
+    process : OwnProcess
+        Listens for peers and holds connections to them.
+    live : callable
+        Returns the live gateways, this one included.
+    workers : WorkerTable
+        The listed workers.
+    n_keepers : int
+        Gateways that remember a stream besides this one.
+    """
+
+    __slots__ = (
+        "_live",
+        "_n_keepers",
+        "_pending",
+        "_pools",
+        "_process",
+        "_served",
+        "_tasks",
+        "versions",
+    )
+
+    def __init__(
+        self,
+        *,
+        process: OwnProcess,
+        live: Callable[[], Sequence[MemberRecord]],
+        workers: WorkerTable,
+        n_keepers: int = N_KEEPERS,
+    ) -> None:
+        self._process = process
+        self._live = live
+        self._n_keepers = n_keepers
+        self._served = ServedVersions(workers=workers)
+        self._pending: dict[Address, list[StreamOrigin]] = {}
+        self._pools = Pools(live=())
+        self._tasks: set[asyncio.Task[None]] = set()
+        self.versions = StreamVersions()
+        process.message_listeners.append(self._on_message)
+        process.server.add_handler(FindOrigin, self.respond)
+
+    def record(self, attempt_id: str, software_version: str) -> None:
+        """Remember here, and tell others, which version began a stream."""
+        key = stream_key(attempt_id)
+        self.versions.put(key, software_version)
+        origin = StreamOrigin(key=key, software_version=software_version)
+        for address in self._keepers(key):
+            pending = self._pending.get(address)
+            if pending is not None:
+                pending.append(origin)
+                continue
+            self._pending[address] = [origin]
+            task = asyncio.create_task(self._tell(address))
+            self._tasks.add(task)
+            task.add_done_callback(self._tasks.discard)
+
+    async def find(self, attempt_id: str, service: str, *, life_s: float) -> Origin:
+        """Return which version began a stream.
+
+        Parameters
+        ----------
+        attempt_id : str
+            Id of the attempt that brought its first event; empty if it is not known.
+        service : str
+            Service of the stream.
+        life_s : float
+            Seconds before which the stream cannot have begun.
+        """
+        key = stream_key(attempt_id)
+        known = self._known(key, service, life_s)
+        if known is not None:
+            return KnownOrigin(software_version=known)
+        request = FindOrigin(
+            key=key, service_name=service, life_ms=int(life_s * MS_PER_S)
+        )
+        asked = [
+            asyncio.create_task(self._ask(address, request))
+            for address in self._asked(key)
+        ]
+        is_final = True
+        try:
+            for answer in asyncio.as_completed(asked):
+                found = await answer
+                if found is None:
+                    is_final = False
+                elif found.is_known:
+                    return KnownOrigin(software_version=found.software_version)
+        finally:
+            for task in asked:
+                task.cancel()
+        return UnknownOrigin(is_final=is_final)
+
+    async def respond(self, request: FindOrigin, peer: Hello) -> OriginFound:
+        """Return the version that began a stream, if it is known here."""
+        life_s = max(0, request.life_ms) / MS_PER_S
+        known = self._known(request.key, request.service_name, life_s)
+        return OriginFound(is_known=known is not None, software_version=known or "")
+
+    def _known(self, key: bytes, service: str, life_s: float) -> str | None:
+        """Return the version that began a stream, or the only one that can have."""
+        version = self.versions.get(key)
+        return (
+            self._served.sole_version(service, life_s) if version is None else version
+        )
+
+    async def _ask(self, address: Address, request: FindOrigin) -> OriginFound | None:
+        link = self._process.peers.link(address)
+        match await link.ask(request, timeout_s=FIND_TIMEOUT_S):
+            case Ok(OriginFound() as found):
+                return found
+            case _:
+                return None
+
+    async def _tell(self, address: Address) -> None:
+        """Send a gateway the streams that have been collected for it."""
+        await asyncio.sleep(BATCH_WINDOW_S)
+        link = self._process.peers.link(address)
+        if link.connection is None:
+            with contextlib.suppress(TimeoutError):
+                async with asyncio.timeout(CONNECT_TIMEOUT_S):
+                    await link.opened.wait()
+        link.send(StreamsBegun(origins=self._pending.pop(address)))
+
+    def _on_message(self, connection: Connection, message: Message) -> None:
+        if isinstance(message, StreamsBegun):
+            for origin in message.origins:
+                self.versions.put(origin.key, origin.software_version)
+
+    def _keepers(self, key: bytes) -> list[Address]:
+        """Return the gateways that remember a stream which begins here.
+
+        They are in different failure domains if there are enough.
+        """
+        chosen: list[MemberRecord] = []
+        for n_each in range(1, self._n_keepers + 1):
+            chosen = self._chosen(key, n_domains=self._n_keepers, n_each=n_each)
+            if len(chosen) >= self._n_keepers:
+                break
+        return _addresses(chosen[: self._n_keepers])
+
+    def _asked(self, key: bytes) -> list[Address]:
+        """Return the gateways that may remember a stream which began elsewhere."""
+        return _addresses(
+            self._chosen(key, n_domains=N_DOMAINS_ASKED, n_each=N_ASKED_PER_DOMAIN)
+        )
+
+    def _chosen(self, key: bytes, *, n_domains: int, n_each: int) -> list[MemberRecord]:
+        """Return the gateways that rank first for a key, except this one."""
+        name = key.hex()
+        ranked: dict[str, list[str]] = {}
+        for pool in self._current_pools():
+            ids = [each for each in pool if each != self._process.identity.process_id]
+            first = highest(name, ids, n=n_each)
+            if first:
+                ranked[first[0]] = first
+        heads = highest(name, ranked, n=n_domains)
+        by_id = self._pools.by_id
+        return [by_id[each] for head in heads for each in ranked[head]]
+
+    def _current_pools(self) -> Sequence[Sequence[str]]:
+        live = self._live()
+        if live is not self._pools.live:
+            self._pools = _pools(live)
+        return self._pools.ids
+
+
+def _pools(live: Sequence[MemberRecord]) -> Pools:
+    """Return the gateways of each failure domain that rank first for duties."""
+    by_domain: dict[str, list[MemberRecord]] = {}
+    for member in sorted(live, key=duty_rank):
+        by_domain.setdefault(member.failure_domain, []).append(member)
+    ids = []
+    for members in by_domain.values():
+        n = len(members) // GATEWAYS_PER_POOL_MEMBER
+        size = min(MAX_POOL_PER_DOMAIN, max(MIN_POOL_PER_DOMAIN, n))
+        ids.append([member.process_id for member in members[:size]])
+    by_id = {member.process_id: member for member in live}
+    return Pools(live=live, ids=ids, by_id=by_id)
+
+
+def _addresses(members: Sequence[MemberRecord]) -> list[Address]:
+    parsed = [Address.parse(member.address) for member in members]
+    return [address.ok_value for address in parsed if isinstance(address, Ok)]
--- a/src/trefoilpaddle/coordination/chain/worker_exchange.py
+++ b/src/trefoilpaddle/coordination/chain/worker_exchange.py
@@ -1,7 +1,7 @@
 """Sends a request to one worker and passes its answer on to the caller."""
 
 import asyncio
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Callable
 from dataclasses import dataclass
 from typing import Final, Protocol
 
@@ -72,6 +72,8 @@
         Records how far the request has come.
     guard : CrashGuard
         Watches the runs of the request at workers.
+    on_begin : callable
+        Called with the worker that sends the first event, before it is passed on.
 
     Attributes
     ----------
@@ -90,6 +92,7 @@
         "_job",
         "_last_event",
         "_need",
+        "_on_begin",
         "_workers",
         "begun_at",
         "n_sent",
@@ -106,7 +109,9 @@
         calls: TargetCalls,
         delivery: Delivery,
         guard: CrashGuard,
+        on_begin: Callable[[Worker], None],
     ) -> None:
+        self._on_begin = on_begin
         self._job = job
         self._guard = guard
         self._inputs = inputs
@@ -216,6 +221,7 @@
                 if not self._delivery.is_begun:
                     self._delivery.begin_answer()
                     self.begun_at = worker
+                    self._on_begin(worker)
                     await sink.begin(answer.head)
                 self._last_event = event.number
                 await sink.event(event)
--- a/src/trefoilpaddle/coordination/published/worker_listing.py
+++ b/src/trefoilpaddle/coordination/published/worker_listing.py
@@ -195,8 +195,10 @@
                 self._drop(worker_id)
 
     def _drop(self, worker_id: str) -> None:
-        self._workers.remove(worker_id)
-        self._record(Event.TARGET_DOWN, worker_id, is_leaving=True)
+        removed = self._workers.remove(worker_id)
+        self._store_journal.record_worker_change(
+            Event.TARGET_DOWN, worker_id, removed, is_leaving=True
+        )
 
     def _put(self, changes: StoreChanges, *, scope: Scope) -> tuple[Worker, ...]:
         """Add or update workers; return those that other gateways may not know."""
--- a/src/trefoilpaddle/protocol/frames.py
+++ b/src/trefoilpaddle/protocol/frames.py
@@ -81,6 +81,9 @@
     100: chain.LimitNews,
     101: chain.TablePull,
     102: chain.TablePart,
+    103: chain.StreamsBegun,
+    104: chain.FindOrigin,
+    105: chain.OriginFound,
 }
 NEWEST_KIND: Final = max(KINDS)
 """Newest kind of frame that this build reads; hellos state it."""
--- a/src/trefoilpaddle/protocol/gen/chain/ttypes.py
+++ b/src/trefoilpaddle/protocol/gen/chain/ttypes.py
@@ -3262,6 +3262,339 @@
 
     def __ne__(self, other):
         return not (self == other)
+
+
+class StreamOrigin(object):
+    """
+    Attributes:
+     - key
+     - software_version
+
+    """
+
+    __slots__ = (
+        'key',
+        'software_version',
+    )
+
+
+    def __init__(self, key=b"", software_version="",):
+        self.key = key
+        self.software_version = software_version
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.key = iprot.readBinary()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.STRING:
+                    self.software_version = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('StreamOrigin')
+        if self.key is not None:
+            oprot.writeFieldBegin('key', TType.STRING, 1)
+            oprot.writeBinary(self.key)
+            oprot.writeFieldEnd()
+        if self.software_version is not None:
+            oprot.writeFieldBegin('software_version', TType.STRING, 2)
+            oprot.writeString(self.software_version.encode('utf-8') if sys.version_info[0] == 2 else self.software_version)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class StreamsBegun(object):
+    """
+    Attributes:
+     - origins
+
+    """
+
+    __slots__ = (
+        'origins',
+    )
+
+
+    def __init__(self, origins=[
+    ],):
+        if origins is self.thrift_spec[1][4]:
+            origins = [
+            ]
+        self.origins = origins
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.LIST:
+                    self.origins = []
+                    (_etype178, _size175) = iprot.readListBegin()
+                    for _i179 in range(_size175):
+                        _elem180 = StreamOrigin()
+                        _elem180.read(iprot)
+                        self.origins.append(_elem180)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('StreamsBegun')
+        if self.origins is not None:
+            oprot.writeFieldBegin('origins', TType.LIST, 1)
+            oprot.writeListBegin(TType.STRUCT, len(self.origins))
+            for iter181 in self.origins:
+                iter181.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class FindOrigin(object):
+    """
+    Attributes:
+     - key
+     - service_name
+     - life_ms
+
+    """
+
+    __slots__ = (
+        'key',
+        'service_name',
+        'life_ms',
+    )
+
+
+    def __init__(self, key=b"", service_name="", life_ms=0,):
+        self.key = key
+        self.service_name = service_name
+        self.life_ms = life_ms
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.key = iprot.readBinary()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.STRING:
+                    self.service_name = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.I64:
+                    self.life_ms = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('FindOrigin')
+        if self.key is not None:
+            oprot.writeFieldBegin('key', TType.STRING, 1)
+            oprot.writeBinary(self.key)
+            oprot.writeFieldEnd()
+        if self.service_name is not None:
+            oprot.writeFieldBegin('service_name', TType.STRING, 2)
+            oprot.writeString(self.service_name.encode('utf-8') if sys.version_info[0] == 2 else self.service_name)
+            oprot.writeFieldEnd()
+        if self.life_ms is not None:
+            oprot.writeFieldBegin('life_ms', TType.I64, 3)
+            oprot.writeI64(self.life_ms)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class OriginFound(object):
+    """
+    Attributes:
+     - is_known
+     - software_version
+
+    """
+
+    __slots__ = (
+        'is_known',
+        'software_version',
+    )
+
+
+    def __init__(self, is_known=False, software_version="",):
+        self.is_known = is_known
+        self.software_version = software_version
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.BOOL:
+                    self.is_known = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.STRING:
+                    self.software_version = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('OriginFound')
+        if self.is_known is not None:
+            oprot.writeFieldBegin('is_known', TType.BOOL, 1)
+            oprot.writeBool(self.is_known)
+            oprot.writeFieldEnd()
+        if self.software_version is not None:
+            oprot.writeFieldBegin('software_version', TType.STRING, 2)
+            oprot.writeString(self.software_version.encode('utf-8') if sys.version_info[0] == 2 else self.software_version)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
 all_structs.append(ChainStage)
 ChainStage.thrift_spec = (
     None,  # 0
@@ -3512,5 +3845,30 @@
     (1, TType.LIST, 'limits', (TType.STRUCT, [NamedLimit, None], False), [
     ], ),  # 1
 )
+all_structs.append(StreamOrigin)
+StreamOrigin.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'key', 'BINARY', b"", ),  # 1
+    (2, TType.STRING, 'software_version', 'UTF8', "", ),  # 2
+)
+all_structs.append(StreamsBegun)
+StreamsBegun.thrift_spec = (
+    None,  # 0
+    (1, TType.LIST, 'origins', (TType.STRUCT, [StreamOrigin, None], False), [
+    ], ),  # 1
+)
+all_structs.append(FindOrigin)
+FindOrigin.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'key', 'BINARY', b"", ),  # 1
+    (2, TType.STRING, 'service_name', 'UTF8', "", ),  # 2
+    (3, TType.I64, 'life_ms', None, 0, ),  # 3
+)
+all_structs.append(OriginFound)
+OriginFound.thrift_spec = (
+    None,  # 0
+    (1, TType.BOOL, 'is_known', None, False, ),  # 1
+    (2, TType.STRING, 'software_version', 'UTF8', "", ),  # 2
+)
 fix_spec(all_structs)
 del all_structs
--- a/src/trefoilpaddle/protocol/gen/chain/ttypes.pyi
+++ b/src/trefoilpaddle/protocol/gen/chain/ttypes.pyi
@@ -177,3 +177,19 @@
 class LimitNews:
     limits: list[NamedLimit]
     def __init__(self, *, limits: list[NamedLimit] = ...) -> None: ...
+class StreamOrigin:
+    key: bytes
+    software_version: str
+    def __init__(self, *, key: bytes = ..., software_version: str = ...) -> None: ...
+class StreamsBegun:
+    origins: list[StreamOrigin]
+    def __init__(self, *, origins: list[StreamOrigin] = ...) -> None: ...
+class FindOrigin:
+    key: bytes
+    service_name: str
+    life_ms: int
+    def __init__(self, *, key: bytes = ..., service_name: str = ..., life_ms: int = ...) -> None: ...
+class OriginFound:
+    is_known: bool
+    software_version: str
+    def __init__(self, *, is_known: bool = ..., software_version: str = ...) -> None: ...
--- a/src/trefoilpaddle/protocol/reasons.py
+++ b/src/trefoilpaddle/protocol/reasons.py
@@ -47,6 +47,7 @@
     LIMITED_TARGETS = 37
     RESTING_TARGETS = 38
     VERSION_GONE = 39
+    ORIGIN_UNKNOWN = 40
 
 
 def reason_from_wire(number: int) -> Reason:
--- a/src/trefoilpaddle/state/chain/requests.py
+++ b/src/trefoilpaddle/state/chain/requests.py
@@ -67,6 +67,9 @@
         Input of the stages that take no results of other stages.
     after_event : int or None
         Number of the last event that the caller has already; None if it has none.
+    resumes : str
+        Id of the attempt that brought the first event of the stream that the caller
+        takes up; empty if it names none.
     """
 
     request_id: str
@@ -84,6 +87,7 @@
     n_pieces: tuple[int, ...] = ()
     piece_key: str = ""
     after_event: int | None = None
+    resumes: str = ""
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
--- a/src/trefoilpaddle/state/reason_words.py
+++ b/src/trefoilpaddle/state/reason_words.py
@@ -43,6 +43,7 @@
     Reason.LIMITED_TARGETS: "the targets take no more than they have had for now",
     Reason.RESTING_TARGETS: "the targets have turned requests away and rest for now",
     Reason.VERSION_GONE: "no target of the version that began the stream is left",
+    Reason.ORIGIN_UNKNOWN: "no gateway knows which version began the stream",
     Reason.INTERNAL: "of a fault in trefoilpaddle itself; see the log",
 }
 
--- a/tests/chain/__main__.py
+++ b/tests/chain/__main__.py
@@ -4,7 +4,8 @@
 ``python -m tests.chain cost`` measures the processor time of a scheduler per chain by
 the size of its cell. ``python -m tests.chain store`` prints the cost of a configuration
 change for gateways that read the store and for those that are notified of it, ``crash``
-the cost of a worker crash.
+the cost of a worker crash, and ``origins`` how many streams go on after gateways were
+killed, by how many others were told of them.
 """
 
 import logging
@@ -33,6 +34,7 @@
 from .crash_costs import print_crash_costs
 from .crash_plays import print_plays
 from .limited_fleet import print_plays as print_limit_plays
+from .origins_fleet import print_plays as print_origin_plays
 from .virtual_time import run_virtual
 
 LOADS: Final = {"busy": BUSY_DAY, "tight": TIGHT_DAY, "uneven": UNEVEN_DAY}
@@ -159,5 +161,6 @@
             "crashes": print_plays,
             "cold": print_cold_plays,
             "limits": print_limit_plays,
+            "origins": print_origin_plays,
         }
     )
--- a/tests/chain/test_request_path.py
+++ b/tests/chain/test_request_path.py
@@ -17,6 +17,7 @@
     SchedulerEndpoint,
     SchedulerLinks,
 )
+from trefoilpaddle.coordination.chain.stream_origins import StreamOrigins
 from trefoilpaddle.coordination.chain.target_calls import OpenAnswer, TargetCall
 from trefoilpaddle.coordination.chain.worker_choice import WorkerChoice
 from trefoilpaddle.protocol.reasons import Reason
@@ -101,6 +102,7 @@
             stop=self.stop,
             guard=crash_guard(calls, workers),
             send_limits=send_limits(workers),
+            origins=StreamOrigins(process=own, live=list, workers=workers),
         )
         if routes:
             self.path.activate(table(*routes))
--- /dev/null
+++ b/tests/chain/test_stream_origins.py
@@ -0,0 +1,188 @@
+"""Gateways find which software version began a stream, or say that nobody knows."""
+
+import asyncio
+from typing import Final
+
+import pytest
+
+from trefoilpaddle.coordination.chain.stream_origins import (
+    KnownOrigin,
+    UnknownOrigin,
+)
+from trefoilpaddle.protocol.gen.chain.ttypes import FindOrigin
+from trefoilpaddle.protocol.gen.stage.ttypes import Hello
+from trefoilpaddle.state.chain.served_versions import ServedVersions
+from trefoilpaddle.state.chain.stream_versions import (
+    MAX_STREAMS,
+    StreamVersions,
+    stream_key,
+)
+from trefoilpaddle.state.chain.workers import WorkerTable
+
+from .fakes import worker
+from .origins_fleet import LIFE_S, SERVICE, Fleet, play_kills
+from .virtual_time import run_virtual
+
+TOLD_S: Final = 0.1
+"""Longer than it takes until other gateways remember a stream."""
+
+
+class TestFind:
+    @pytest.mark.parametrize("n_gateways", [1, 2, 6, 24, 100])
+    def test_any_gateway_finds_the_version(
+        self, n_gateways: int, monkeypatch: pytest.MonkeyPatch
+    ) -> None:
+        async def scenario() -> None:
+            fleet = Fleet(n_gateways)
+            streams = [fleet.begin(g, g.number) for g in fleet.gateways]
+            await asyncio.sleep(TOLD_S)
+            for begun in streams:
+                assert await fleet.take_up(begun) == KnownOrigin(
+                    software_version=begun.software_version
+                )
+
+        run_virtual(monkeypatch, scenario())
+
+    @pytest.mark.parametrize("n_domains", [1, 2, 3])
+    def test_it_is_found_once_the_gateway_that_began_it_is_lost(
+        self, n_domains: int, monkeypatch: pytest.MonkeyPatch
+    ) -> None:
+        # Guards against streams that only the lost gateway could have gone on with.
+        async def scenario() -> None:
+            fleet = Fleet(6, n_domains=n_domains)
+            for number in range(6):
+                begun = fleet.begin(fleet.gateways[number], number)
+                await asyncio.sleep(TOLD_S)
+                await fleet.restart(number)
+                assert await fleet.take_up(begun) == KnownOrigin(
+                    software_version=begun.software_version
+                )
+
+        run_virtual(monkeypatch, scenario())
+
+    def test_it_is_found_once_a_failure_domain_is_lost(
+        self, monkeypatch: pytest.MonkeyPatch
+    ) -> None:
+        async def scenario() -> None:
+            fleet = Fleet(12)
+            lost = [g for g in fleet.gateways if g.number % fleet.n_domains == 0]
+            streams = [fleet.begin(g, g.number) for g in lost]
+            await asyncio.sleep(TOLD_S)
+            for gateway in lost:
+                gateway.is_away = True
+            for begun in streams:
+                assert isinstance(await fleet.take_up(begun), KnownOrigin)
+
+        run_virtual(monkeypatch, scenario())
+
+    def test_an_attempt_that_nobody_knows_is_not_guessed_at(
+        self, monkeypatch: pytest.MonkeyPatch
+    ) -> None:
+        async def scenario() -> None:
+            fleet = Fleet(6)
+            await asyncio.sleep(2 * LIFE_S)
+            for attempt_id in ("", "unknown", "x" * 100_000):
+                found = await fleet.gateways[0].origins.find(
+                    attempt_id, SERVICE, life_s=LIFE_S
+                )
+                assert found == UnknownOrigin(is_final=True)
+
+        run_virtual(monkeypatch, scenario())
+
+    def test_an_unreachable_gateway_may_know_it_later(
+        self, monkeypatch: pytest.MonkeyPatch
+    ) -> None:
+        async def scenario() -> None:
+            fleet = Fleet(6)
+            for gateway in fleet.gateways[1:]:
+                gateway.half = 1
+            begun = fleet.begin(fleet.gateways[3], 0)
+            await asyncio.sleep(TOLD_S)
+            here = fleet.gateways[0]
+            assert await fleet.take_up(begun, at=here) == UnknownOrigin(is_final=False)
+            here.half = 1
+            assert isinstance(await fleet.take_up(begun, at=here), KnownOrigin)
+
+        run_virtual(monkeypatch, scenario())
+
+
+class TestOneVersion:
+    def test_the_only_version_that_has_served_began_all_streams(
+        self, monkeypatch: pytest.MonkeyPatch
+    ) -> None:
+        # Guards against refusals where a single version has served all the time.
+        async def scenario() -> None:
+            fleet = Fleet(3, versions=["v1"])
+            await asyncio.sleep(LIFE_S)
+            await fleet.restart(0)
+            found = await fleet.gateways[0].origins.find(
+                "unknown", SERVICE, life_s=LIFE_S
+            )
+            assert found == KnownOrigin(software_version="v1")
+
+        run_virtual(monkeypatch, scenario())
+
+    def test_a_version_that_left_lately_may_have_begun_them(
+        self, monkeypatch: pytest.MonkeyPatch
+    ) -> None:
+        async def scenario() -> None:
+            workers = WorkerTable()
+            served = ServedVersions(workers=workers)
+            workers.put(worker("a", SERVICE, software_version="v1"))
+            workers.put(worker("b", SERVICE, software_version="v2"))
+            await asyncio.sleep(2 * LIFE_S)
+            workers.remove("a")
+            assert served.sole_version(SERVICE, LIFE_S) is None
+            await asyncio.sleep(LIFE_S)
+            assert served.sole_version(SERVICE, LIFE_S) == "v2"
+
+        run_virtual(monkeypatch, scenario())
+
+    def test_a_gateway_that_has_just_started_cannot_tell(
+        self, monkeypatch: pytest.MonkeyPatch
+    ) -> None:
+        async def scenario() -> None:
+            workers = WorkerTable()
+            served = ServedVersions(workers=workers)
+            assert served.sole_version(SERVICE, LIFE_S) is None
+            workers.put(worker("a", SERVICE, software_version="v1"))
+            await asyncio.sleep(LIFE_S / 2)
+            assert served.sole_version(SERVICE, LIFE_S) is None
+
+        run_virtual(monkeypatch, scenario())
+
+
+class TestKills:
+    @pytest.mark.parametrize("seed", range(3))
+    def test_most_streams_of_killed_gateways_go_on_at_their_version(
+        self, seed: int, monkeypatch: pytest.MonkeyPatch
+    ) -> None:
+        async def scenario() -> None:
+            fleet = Fleet(6, seed=seed)
+            played = await play_kills(fleet, rate_per_s=30, for_s=60)
+            assert not played.n_wrong
+            assert played.n_known >= played.n_unknown
+
+        run_virtual(monkeypatch, scenario())
+
+
+class TestMemory:
+    def test_the_oldest_streams_are_forgotten(self) -> None:
+        versions = StreamVersions()
+        for number in range(MAX_STREAMS + 10):
+            versions.put(stream_key(f"a{number}"), "v1")
+        assert len(versions) == MAX_STREAMS
+        assert versions.get(stream_key("a0")) is None
+        assert versions.get(stream_key(f"a{MAX_STREAMS}")) == "v1"
+
+    @pytest.mark.parametrize("key", [b"", b"short", b"x" * 1000])
+    def test_keys_of_another_length_are_not_remembered(self, key: bytes) -> None:
+        versions = StreamVersions()
+        versions.put(key, "v1")
+        assert not len(versions)
+
+    async def test_a_peer_that_asks_with_any_key_gets_an_answer(self) -> None:
+        origins = Fleet(1).gateways[0].origins
+        for key in (b"", b"x" * 1000):
+            request = FindOrigin(key=key, service_name="none", life_ms=-5)
+            assert not (await origins.respond(request, Hello())).is_known
--- a/tests/platform_adapter/test_stream_versions.py
+++ b/tests/platform_adapter/test_stream_versions.py
@@ -12,6 +12,7 @@
 from typing import Final
 
 import aiohttp
+import pytest
 
 from trefoilpaddle.coordination.chain.fleet import SETTLE_AT_MOST_S
 from trefoilpaddle.standins.platform.gateway_process import (
@@ -30,6 +31,9 @@
 VERSIONS: Final = ("v1", "v2")
 N_ENGINES: Final = 6
 N_EVENTS: Final = 6
+EVENT_S: Final = 0.05
+"""Time between two events of a stream."""
+
 N_TAKEN: Final = 3
 """Events that a caller or a worker sees of a stream before it breaks."""
 
@@ -60,6 +64,11 @@
     n_events: int
     is_complete: bool = False
 
+    @property
+    def is_broken(self) -> bool:
+        """True if it has begun and is not complete."""
+        return self.n_events > 0 and not self.is_complete
+
 
 class VersionHarness:
     """Callers of streams at gateways, beside engines of two versions."""
@@ -91,13 +100,17 @@
             if request_id in request_ids
         )
 
+    def n_begun(self) -> int:
+        """Return the number of streams that engines have begun to run."""
+        return sum(len(self.site.workers[engine].ran) for engine in self.engines)
+
     async def read(
         self,
         gateway: GatewayProcess,
         *,
         limit: int | None = None,
         goes_on: Stream | None = None,
-        resumes: str = "",
+        resumes: str | None = None,
     ) -> Stream:
         """Read a stream, or the rest of one; leave after `limit` events."""
         request_id = f"s{next(self._numbers)}"
@@ -105,7 +118,8 @@
         n_events = 0
         if goes_on is not None:
             n_events = goes_on.n_events
-            fields |= {"Last-Event-Id": str(n_events), "Resumes": resumes}
+            fields |= {"Last-Event-Id": str(n_events)}
+            fields |= {} if resumes is None else {"Resumes": resumes}
         status, is_complete = 0, False
         with contextlib.suppress(aiohttp.ClientError, TimeoutError):
             async with self._client.post(
@@ -155,7 +169,7 @@
                 f"model{number}",
                 "model",
                 n_events=N_EVENTS,
-                work_s=0.05,
+                work_s=EVENT_S,
                 software_version=VERSIONS[number % 2],
             )
         await site.add_worker("encode0", "encode", work_s=CALL_S)
@@ -218,3 +232,79 @@
         n_begun = sum(1 for begun, _ in pairs if begun.n_events)
         n_gone_on = sum(1 for _, rest in pairs if rest.is_complete)
         assert n_gone_on >= n_begun / 2
+
+    async def test_streams_of_a_killed_gateway_go_on_at_their_version(
+        self, tmp_path: Path
+    ) -> None:
+        # Guards against versions that only the gateway knew which is gone.
+        async with version_harness(tmp_path, n_gateways=4) as harness:
+            killed, *others = harness.all_gateways
+            reads = [
+                asyncio.create_task(harness.read(killed)) for _ in range(N_STREAMS)
+            ]
+            await until(lambda: harness.n_begun() >= N_STREAMS // 2)
+            await asyncio.sleep(EVENT_S)
+            killed.kill()
+            begun = [s for s in await asyncio.gather(*reads) if s.is_broken]
+            rests = await asyncio.gather(
+                *(
+                    harness.read(
+                        others[number % len(others)],
+                        goes_on=stream,
+                        resumes=stream.request_id,
+                    )
+                    for number, stream in enumerate(begun)
+                )
+            )
+            mixed = [
+                stream
+                for stream, rest in zip(begun, rests, strict=True)
+                if len(harness.versions_of(stream.request_id, rest.request_id)) > 1
+            ]
+        assert begun
+        assert len(mixed) <= MAX_MIXED
+        assert sum(rest.is_complete for rest in rests) >= len(begun) / 2
+
+    @pytest.mark.parametrize("resumes", [None, "", "nobody", "x" * 8000])
+    async def test_a_stream_of_an_unknown_attempt_is_refused_at_once(
+        self, resumes: str | None, tmp_path: Path
+    ) -> None:
+        # Guards against a guess at the version, and against a stream that is held.
+        async with version_harness(tmp_path, n_gateways=2) as harness:
+            gateway = harness.all_gateways[0]
+            begun = Stream(request_id="", status=200, n_events=N_TAKEN)
+            rest = await harness.read(gateway, goes_on=begun, resumes=resumes)
+            await until(lambda: "reason=origin_unknown" in gateway.log())
+            assert "Traceback" not in gateway.log()
+            assert not harness.versions_of(rest.request_id)
+        assert rest.status == 503
+
+    async def test_a_stream_whose_version_is_gone_is_refused_at_once(
+        self, tmp_path: Path
+    ) -> None:
+        async with version_harness(tmp_path, n_gateways=2, n_engines=2) as harness:
+            gateway = harness.all_gateways[0]
+            begun = await harness.read(gateway, limit=N_TAKEN)
+            (version,) = harness.versions_of(begun.request_id)
+            for engine in harness.engines:
+                if harness.site.workers[engine].software_version == version:
+                    harness.site.store.remove(f"servers/{engine}")
+            await until(lambda: "name=target_down" in gateway.log())
+            rest = await harness.read(gateway, goes_on=begun, resumes=begun.request_id)
+            await until(lambda: "reason=version_gone" in gateway.log())
+            assert not harness.versions_of(rest.request_id)
+        assert rest.status == 503
+
+    async def test_a_stream_that_brought_no_event_may_run_at_any_version(
+        self, tmp_path: Path
+    ) -> None:
+        async with version_harness(tmp_path, n_gateways=2) as harness:
+            for engine in harness.engines:
+                harness.site.workers[engine].interrupts_answers = True
+            gateway = harness.all_gateways[0]
+            first = await harness.read(gateway)
+            for engine in harness.engines:
+                harness.site.workers[engine].interrupts_answers = False
+            second = await harness.read(gateway)
+        assert not first.n_events
+        assert second.is_complete
