Take the first start of all for the beginning of all streams

A gateway that has started lately cannot tell whether another software version served before, and refused streams of unknown attempts. At the first start of the whole system, which the settings state, no stream can be older, so that the only version that has served since is no guess. A gateway that cannot be told of streams is logged, once a second at most.

--- a/src/trefoilpaddle/coordination/chain/stream_origins.py
+++ b/src/trefoilpaddle/coordination/chain/stream_origins.py
@@ -11,6 +11,7 @@
 from dataclasses import dataclass, field
 from typing import Final
 
+from absl import logging
 from result import Ok
 
 from ...protocol.const import MS_PER_S
@@ -37,6 +38,9 @@
 CONNECT_TIMEOUT_S: Final = 1.0
 """Longest wait for a link to a gateway that is told of a stream."""
 
+LOG_INTERVAL_S: Final = 1.0
+"""Shortest time between two lines about a gateway that cannot be told."""
+
 FIND_TIMEOUT_S: Final = 0.3
 """Longest wait for a gateway that is asked; many times a message's latency."""
 
@@ -110,6 +114,8 @@
         Returns the live gateways, this one included.
     workers : WorkerTable
         The listed workers.
+    is_first_start : bool
+        True if no stream can have begun before this process.
     n_keepers : int
         Gateways that remember a stream besides this one.
     """
@@ -131,12 +137,13 @@
         process: OwnProcess,
         live: Callable[[], Sequence[MemberRecord]],
         workers: WorkerTable,
+        is_first_start: bool = False,
         n_keepers: int = N_KEEPERS,
     ) -> None:
         self._process = process
         self._live = live
         self._n_keepers = n_keepers
-        self._served = ServedVersions(workers=workers)
+        self._served = ServedVersions(workers=workers, is_first_start=is_first_start)
         self._pending: dict[Address, list[StreamOrigin]] = {}
         self._pools = Pools(live=())
         self._tasks: set[asyncio.Task[None]] = set()
@@ -224,7 +231,15 @@
             with contextlib.suppress(TimeoutError):
                 async with asyncio.timeout(CONNECT_TIMEOUT_S):
                     await link.opened.wait()
-        link.send(StreamsBegun(origins=self._pending.pop(address)))
+        begun = StreamsBegun(origins=self._pending.pop(address))
+        if not link.send(begun):
+            logging.log_every_n_seconds(
+                logging.WARNING,
+                "%s could not be told of %d streams that have begun",
+                LOG_INTERVAL_S,
+                address,
+                len(begun.origins),
+            )
 
     def _on_message(self, connection: Connection, message: Message) -> None:
         if isinstance(message, StreamsBegun):
--- a/src/trefoilpaddle/state/chain/served_versions.py
+++ b/src/trefoilpaddle/state/chain/served_versions.py
@@ -12,12 +12,15 @@
     ----------
     workers : WorkerTable
         The listed workers.
+    is_first_start : bool
+        True if no stream can have begun before this process.
     """
 
-    __slots__ = ("_known_since_s", "_left_s", "_workers")
+    __slots__ = ("_is_first_start", "_known_since_s", "_left_s", "_workers")
 
-    def __init__(self, *, workers: WorkerTable) -> None:
+    def __init__(self, *, workers: WorkerTable, is_first_start: bool = False) -> None:
         self._workers = workers
+        self._is_first_start = is_first_start
         self._known_since_s: float | None = None
         self._left_s: dict[str, dict[str, float]] = {}
         workers.new_listeners.append(self._on_new)
@@ -29,7 +32,9 @@
         None also if this gateway has not known the workers for so long.
         """
         now_s = time.monotonic()
-        if self._known_since_s is None or now_s - self._known_since_s < life_s:
+        if self._known_since_s is None:
+            return None
+        if not self._is_first_start and now_s - self._known_since_s < life_s:
             return None
         versions = {w.software_version for w in self._workers.listed(service)}
         versions |= {
--- a/tests/chain/test_stream_origins.py
+++ b/tests/chain/test_stream_origins.py
@@ -138,6 +138,16 @@
 
         run_virtual(monkeypatch, scenario())
 
+    def test_at_the_first_start_of_all_no_stream_is_older(self) -> None:
+        workers = WorkerTable()
+        served = ServedVersions(workers=workers, is_first_start=True)
+        assert served.sole_version(SERVICE, LIFE_S) is None
+        workers.put(worker("a", SERVICE, software_version="v1"))
+        assert served.sole_version(SERVICE, LIFE_S) == "v1"
+        workers.put(worker("b", SERVICE, software_version="v2"))
+        workers.remove("a")
+        assert served.sole_version(SERVICE, LIFE_S) is None
+
     def test_a_gateway_that_has_just_started_cannot_tell(
         self, monkeypatch: pytest.MonkeyPatch
     ) -> None:
