Let soak callers take up streams, beside workers of two software versions

Workers of the soak alternate between two versions, engines break streams off after some events, and callers take a broken stream up at any ready gateway. No stream may hold events of two versions, over all of its tries.

The check of a stream's content compared whole lines; these name the version now, and the events of a resumption begin after those that the caller had.

--- a/src/trefoilpaddle/standins/platform/worker.py
+++ b/src/trefoilpaddle/standins/platform/worker.py
@@ -212,7 +212,8 @@
             if self.interrupts_answers or is_broken:
                 abort_connection(request)
                 return answer
-            await answer.write(f"id: {event_id}\ndata: {request_id}\n\n".encode())
+            data = f"{request_id} {self.software_version}"
+            await answer.write(f"id: {event_id}\ndata: {data}\n\n".encode())
         await answer.write_eof()
         return answer
 
--- a/tests/soak/soak_callers.py
+++ b/tests/soak/soak_callers.py
@@ -47,6 +47,10 @@
         True if the answer was received to its end.
     error : str
         Name of the exception that interrupted the request; empty for none.
+    resumes : str
+        Id of the request whose stream it takes up; empty for none.
+    after_event : int
+        Number of the last event of that stream.
     """
 
     request_id: str
@@ -62,6 +66,8 @@
     body: bytes = b""
     is_complete: bool = False
     error: str = ""
+    resumes: str = ""
+    after_event: int = 0
 
 
 @dataclass(slots=True, kw_only=True)
@@ -108,10 +114,27 @@
                 for _ in range(self.rng.randrange(5, 60)):
                     request = await self.call(client, gateway_index)
                     if not request.is_complete:
+                        await self._take_up(request)
                         break
                     await asyncio.sleep(MAX_PAUSE_S * self.rng.random())
             await asyncio.sleep(MAX_PAUSE_S)
 
+    async def _take_up(self, broken: ObservedRequest) -> None:
+        """Take a stream that has begun up at any ready gateway."""
+        numbers = events_of(broken)
+        if numbers:
+            gateway_index = self.rng.choice(
+                sorted(self.ready) or range(len(self.gateways))
+            )
+            async with one_connection() as client:
+                await self.call(
+                    client,
+                    gateway_index,
+                    kind=broken.kind,
+                    resumes=broken.resumes or broken.request_id,
+                    after_event=numbers[-1],
+                )
+
     async def call(
         self,
         client: aiohttp.ClientSession,
@@ -120,6 +143,8 @@
         key: str = "",
         kind: str = "",
         deadline_s: float = DEADLINE_S,
+        resumes: str = "",
+        after_event: int = 0,
     ) -> ObservedRequest:
         """Send one request and record its outcome."""
         kind = kind or self.rng.choice(KINDS)
@@ -130,6 +155,8 @@
             gateway=gateway_index,
             sent_s=time.monotonic(),
             deadline_s=deadline_s,
+            resumes=resumes,
+            after_event=after_event,
         )
         self.requests.append(request)
         sent = headers(request.request_id, Trefoilpaddle_Credential=request.key)
@@ -139,6 +166,8 @@
                 "Trefoilpaddle-Piece-Key": f"k-{request.request_id}",
                 "Trefoilpaddle-Pieces": ",".join(map(str, STAGE_PIECES[kind])),
             }
+        if resumes:
+            sent |= {"Resumes": resumes, "Last-Event-Id": str(after_event)}
         url = f"{self.gateways[gateway_index].url}/{kind}/1"
         method = "GET" if kind == "price" else "POST"
         try:
@@ -167,6 +196,12 @@
     return event_numbers(request.body) if request.kind in STAGE_PIECES else []
 
 
+def versions_of(request: ObservedRequest) -> set[bytes]:
+    """Return the software versions that sent events of a stream."""
+    whole_lines = request.body.split(b"\n")[:-1]
+    return {line.split()[-1] for line in whole_lines if line.startswith(b"data: ")}
+
+
 @contextlib.asynccontextmanager
 async def one_connection() -> AsyncIterator[aiohttp.ClientSession]:
     """Yield a client with one connection that records when a request was sent.
