Ask who knows a stream before inferring its version

A gateway that had not heard of a second software version took the only one it knew for the one that began any stream, and asked nobody. It asks those that remember streams first now, and infers the version only if all that are asked have answered and none knows of another. The test, written first, fails without the change: the stream goes on at a version that did not begin it.

--- a/idl/chain.thrift
+++ b/idl/chain.thrift
@@ -244,4 +244,5 @@
 struct OriginFound {
   1: bool is_known = false
   2: string software_version = ""
+  3: optional string sole_version  // the only one that has served during the stream's life
 }
--- a/src/trefoilpaddle/coordination/chain/stream_origins.py
+++ b/src/trefoilpaddle/coordination/chain/stream_origins.py
@@ -179,7 +179,7 @@
             Seconds before which the stream cannot have begun.
         """
         key = stream_key(attempt_id)
-        known = self._known(key, service, life_s)
+        known = self.versions.get(key)
         if known is not None:
             return KnownOrigin(software_version=known)
         request = FindOrigin(
@@ -189,6 +189,7 @@
             asyncio.create_task(self._ask(address, request))
             for address in self._asked(key)
         ]
+        sole_versions = {self._served.sole_version(service, life_s)}
         is_final = True
         try:
             for answer in asyncio.as_completed(asked):
@@ -197,22 +198,27 @@
                     is_final = False
                 elif found.is_known:
                     return KnownOrigin(software_version=found.software_version)
+                else:
+                    sole_versions.add(found.sole_version)
         finally:
             for task in asked:
                 task.cancel()
-        return UnknownOrigin(is_final=is_final)
+        # A gateway that did not answer may know another version, of which this one
+        # has not heard.
+        match sole_versions - {None}:
+            case versions if is_final and len(versions) == 1:
+                return KnownOrigin(software_version=str(versions.pop()))
+            case _:
+                return UnknownOrigin(is_final=is_final)
 
     async def respond(self, request: FindOrigin, peer: Hello) -> OriginFound:
         """Return the version that began a stream, if it is known here."""
         life_s = max(0, request.life_ms) / MS_PER_S
-        known = self._known(request.key, request.service_name, life_s)
-        return OriginFound(is_known=known is not None, software_version=known or "")
-
-    def _known(self, key: bytes, service: str, life_s: float) -> str | None:
-        """Return the version that began a stream, or the only one that can have."""
-        version = self.versions.get(key)
-        return (
-            self._served.sole_version(service, life_s) if version is None else version
+        known = self.versions.get(request.key)
+        return OriginFound(
+            is_known=known is not None,
+            software_version=known or "",
+            sole_version=self._served.sole_version(request.service_name, life_s),
         )
 
     async def _ask(self, address: Address, request: FindOrigin) -> OriginFound | None:
--- a/src/trefoilpaddle/protocol/gen/chain/ttypes.py
+++ b/src/trefoilpaddle/protocol/gen/chain/ttypes.py
@@ -3522,18 +3522,21 @@
     Attributes:
      - is_known
      - software_version
+     - sole_version
 
     """
 
     __slots__ = (
         'is_known',
         'software_version',
+        'sole_version',
     )
 
 
-    def __init__(self, is_known=False, software_version="",):
+    def __init__(self, is_known=False, software_version="", sole_version=None,):
         self.is_known = is_known
         self.software_version = software_version
+        self.sole_version = sole_version
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -3554,6 +3557,11 @@
                     self.software_version = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
                 else:
                     iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.STRING:
+                    self.sole_version = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -3572,6 +3580,10 @@
             oprot.writeFieldBegin('software_version', TType.STRING, 2)
             oprot.writeString(self.software_version.encode('utf-8') if sys.version_info[0] == 2 else self.software_version)
             oprot.writeFieldEnd()
+        if self.sole_version is not None:
+            oprot.writeFieldBegin('sole_version', TType.STRING, 3)
+            oprot.writeString(self.sole_version.encode('utf-8') if sys.version_info[0] == 2 else self.sole_version)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -3869,6 +3881,7 @@
     None,  # 0
     (1, TType.BOOL, 'is_known', None, False, ),  # 1
     (2, TType.STRING, 'software_version', 'UTF8', "", ),  # 2
+    (3, TType.STRING, 'sole_version', 'UTF8', None, ),  # 3
 )
 fix_spec(all_structs)
 del all_structs
--- a/src/trefoilpaddle/protocol/gen/chain/ttypes.pyi
+++ b/src/trefoilpaddle/protocol/gen/chain/ttypes.pyi
@@ -192,4 +192,5 @@
 class OriginFound:
     is_known: bool
     software_version: str
-    def __init__(self, *, is_known: bool = ..., software_version: str = ...) -> None: ...
+    sole_version: str | None
+    def __init__(self, *, is_known: bool = ..., software_version: str = ..., sole_version: str | None = ...) -> None: ...
--- a/tests/chain/test_stream_origins.py
+++ b/tests/chain/test_stream_origins.py
@@ -122,6 +122,25 @@
 
         run_virtual(monkeypatch, scenario())
 
+    def test_a_gateway_that_does_not_answer_may_know_another_one(
+        self, monkeypatch: pytest.MonkeyPatch
+    ) -> None:
+        # Guards against a guess at a gateway that has not heard of another version.
+        async def scenario() -> None:
+            fleet = Fleet(6)
+            here = fleet.gateways[0]
+            here.workers.remove("w1")
+            await asyncio.sleep(2 * LIFE_S)
+            begun = fleet.begin(fleet.gateways[1], 2)
+            await asyncio.sleep(TOLD_S)
+            assert await fleet.take_up(begun, at=here) == KnownOrigin(
+                software_version=begun.software_version
+            )
+            here.half = 1
+            assert await fleet.take_up(begun, at=here) == UnknownOrigin(is_final=False)
+
+        run_virtual(monkeypatch, scenario())
+
     def test_a_version_that_left_lately_may_have_begun_them(
         self, monkeypatch: pytest.MonkeyPatch
     ) -> None:
