--- a/src/trefoilpaddle/coordination/chain/stream_origins.py
+++ b/src/trefoilpaddle/coordination/chain/stream_origins.py
@@ -205,11 +205,10 @@
                 task.cancel()
         # A gateway that did not answer may know another version, of which this one
         # has not heard.
-        match sole_versions - {None}:
-            case versions if is_final and len(versions) == 1:
-                return KnownOrigin(software_version=str(versions.pop()))
-            case _:
-                return UnknownOrigin(is_final=is_final)
+        versions = [version for version in sole_versions if version is not None]
+        if is_final and len(versions) == 1:
+            return KnownOrigin(software_version=versions[0])
+        return UnknownOrigin(is_final=is_final)
 
     async def respond(self, request: FindOrigin, peer: Hello) -> OriginFound:
         """Return the version that began a stream, if it is known here."""
--- a/src/trefoilpaddle/coordination/published/store_feed.py
+++ b/src/trefoilpaddle/coordination/published/store_feed.py
@@ -153,19 +153,20 @@
 
         The rest of a large answer would only take the link from other traffic.
         """
-        is_behind = self._is_behind()
+        was_incomplete = not self._is_served_by_others()
         is_read = await call_while_waiting(
             self._read_any(),
             self._query_peers_while_waiting,
             every_s=PEER_FALLBACK_S,
-            is_obsolete=lambda: is_behind and not self._is_behind(),
+            is_obsolete=lambda: was_incomplete and self._is_served_by_others(),
         )
         return is_read is None or is_read
 
-    def _is_behind(self) -> bool:
-        """Return True if this gateway must read, or is known to lack something."""
+    def _is_served_by_others(self) -> bool:
+        """Return True if nothing is missing here and other gateways read the store."""
         is_complete = self.is_known and self.position.is_known
-        return not is_complete or self.view.table.is_behind or self._readers.is_reader()
+        is_behind = self.view.table.is_behind
+        return is_complete and not is_behind and not self._readers.is_reader()
 
     async def _pause(self, for_s: float) -> None:
         """Sleep; meanwhile remove the workers whose grace period ends."""
--- a/src/trefoilpaddle/coordination/published/table_transfer.py
+++ b/src/trefoilpaddle/coordination/published/table_transfer.py
@@ -166,10 +166,10 @@
                 elif len(self._incoming.data) == self._incoming.n_bytes:
                     incoming, self._incoming = self._incoming, Incoming()
                     data = _unpacked(incoming)
+                    if data is not None or incoming.senders == {holder}:
+                        del self._holders[holder]
                     if data is not None:
                         return data
-                    if incoming.senders == {holder}:
-                        del self._holders[holder]
             return None
 
     def _newest_holder(self, version: int) -> Address | None:
