--- a/src/trefoilpaddle/coordination/chain/request_path.py
+++ b/src/trefoilpaddle/coordination/chain/request_path.py
@@ -59,6 +59,12 @@
 STREAM_LIFE_TIMEOUTS: Final = 2.0
 """Longest life of a stream over all of its caller's tries, in timeouts of its route."""
 
+ORIGIN_RETRY_S: Final = 1.0
+"""Retry-After in seconds if no gateway knows the version that began a stream.
+
+A gateway that does may only be starting, or not be listed yet.
+"""
+
 VERSION_GONE_RETRY_S: Final = 1.0
 """Retry-After in seconds if no worker runs the version that began a stream.
 
@@ -238,7 +244,7 @@
             case UnknownOrigin(is_final=is_final):
                 return Refused(
                     reason=Reason.ORIGIN_UNKNOWN,
-                    retry_after_s=0.0 if is_final else DEFAULT_RETRY_S,
+                    retry_after_s=ORIGIN_RETRY_S if is_final else DEFAULT_RETRY_S,
                 )
             case KnownOrigin(software_version=version):
                 if self._workers.has_version(job.service, version):
--- a/src/trefoilpaddle/coordination/chain/stream_origins.py
+++ b/src/trefoilpaddle/coordination/chain/stream_origins.py
@@ -75,7 +75,7 @@
     Parameters
     ----------
     is_final : bool
-        True if all have answered, so that asking again is useless.
+        True if all that were asked have answered.
     """
 
     is_final: bool
--- a/tests/platform_adapter/test_stream_versions.py
+++ b/tests/platform_adapter/test_stream_versions.py
@@ -57,12 +57,15 @@
         Events that have arrived, all tries together.
     is_complete : bool
         True if the last answer ended as complete.
+    retry_after_s : float
+        Retry-After of the last answer in seconds; 0 if it has none.
     """
 
     request_id: str
     status: int
     n_events: int
     is_complete: bool = False
+    retry_after_s: float = 0.0
 
     @property
     def is_broken(self) -> bool:
@@ -120,12 +123,13 @@
             n_events = goes_on.n_events
             fields |= {"Last-Event-Id": str(n_events)}
             fields |= {} if resumes is None else {"Resumes": resumes}
-        status, is_complete = 0, False
+        status, is_complete, retry_after_s = 0, False, 0.0
         with contextlib.suppress(aiohttp.ClientError, TimeoutError):
             async with self._client.post(
                 f"{gateway.url}/draft/1", data=b"text", headers=fields
             ) as answer:
                 status = answer.status
+                retry_after_s = float(answer.headers.get("Retry-After", 0.0))
                 async for line in answer.content:
                     if status == 200 and line.startswith(b"id: "):
                         n_events += 1
@@ -141,6 +145,7 @@
             status=status,
             n_events=n_events,
             is_complete=is_complete,
+            retry_after_s=retry_after_s,
         )
 
     def random_gateway(self) -> GatewayProcess:
@@ -278,6 +283,7 @@
             assert "Traceback" not in gateway.log()
             assert not harness.versions_of(rest.request_id)
         assert rest.status == 503
+        assert rest.retry_after_s > 0
 
     async def test_a_stream_whose_version_is_gone_is_refused_at_once(
         self, tmp_path: Path
@@ -294,6 +300,7 @@
             await until(lambda: "reason=version_gone" in gateway.log())
             assert not harness.versions_of(rest.request_id)
         assert rest.status == 503
+        assert rest.retry_after_s > 0
 
     async def test_a_stream_that_brought_no_event_may_run_at_any_version(
         self, tmp_path: Path
