--- a/src/trefoilpaddle/coordination/chain/stream_origins.py
+++ b/src/trefoilpaddle/coordination/chain/stream_origins.py
@@ -1,8 +1,8 @@
-"""Tells other gateways which software version began a stream, and asks them.
+"""Replicates which software version began a stream, and looks it up.
 
-A caller may take a stream up at any gateway, and the one that began it may be gone.
-Two more gateways remember each stream that may be taken up, chosen by its key among a
-few of each failure domain. A stream whose version nobody knows is not guessed at.
+A caller may resume a stream at any gateway, and the one that began it may be gone. Two
+replicas store the origin of each stream that may be resumed, chosen by its key among a
+few gateways of each failure domain. The version of an unknown stream is not guessed.
 """
 
 import asyncio
@@ -33,23 +33,23 @@
 from ..own_process import OwnProcess
 
 BATCH_WINDOW_S: Final = 0.005
-"""Time for which streams that begin are collected before a gateway is told of them."""
+"""Time for which streams that begin are collected before they are replicated."""
 
 CONNECT_TIMEOUT_S: Final = 1.0
-"""Longest wait for a link to a gateway that is told of a stream."""
+"""Longest wait for a link to a replica."""
 
 LOG_INTERVAL_S: Final = 1.0
-"""Shortest time between two lines about a gateway that cannot be told."""
+"""Shortest time between two lines about replicas that cannot be reached."""
 
 FIND_TIMEOUT_S: Final = 0.3
-"""Longest wait for a gateway that is asked; many times a message's latency."""
+"""Longest wait for a queried gateway; many times a message's latency."""
 
-N_KEEPERS: Final = 2
-"""Gateways that remember a stream besides the one that began it."""
+N_REPLICAS: Final = 2
+"""Gateways that store the origin of a stream besides the one that began it."""
 
-N_DOMAINS_ASKED: Final = 3
-N_ASKED_PER_DOMAIN: Final = 2
-"""Gateways that are asked: more than remember, as members come and go meanwhile."""
+N_DOMAINS_QUERIED: Final = 3
+N_QUERIED_PER_DOMAIN: Final = 2
+"""Gateways that are queried: more than replicas, as members change meanwhile."""
 
 MIN_POOL_PER_DOMAIN: Final = 2
 MAX_POOL_PER_DOMAIN: Final = 4
@@ -70,12 +70,12 @@
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class UnknownOrigin:
-    """No gateway that was asked knows the version.
+    """No gateway that was queried knows the version.
 
     Parameters
     ----------
     is_final : bool
-        True if all that were asked have answered.
+        True if all that were queried have answered.
     """
 
     is_final: bool
@@ -104,7 +104,7 @@
 
 
 class StreamOrigins:
-    """Remembers and finds the software versions of streams.
+    """Stores and finds the software versions that began streams.
 
     Parameters
     ----------
@@ -116,13 +116,13 @@
         The listed workers.
     is_first_start : bool
         True if no stream can have begun before this process.
-    n_keepers : int
+    n_replicas : int
         Gateways that remember a stream besides this one.
     """
 
     __slots__ = (
         "_live",
-        "_n_keepers",
+        "_n_replicas",
         "_pending",
         "_pools",
         "_process",
@@ -138,11 +138,11 @@
         live: Callable[[], Sequence[MemberRecord]],
         workers: WorkerTable,
         is_first_start: bool = False,
-        n_keepers: int = N_KEEPERS,
+        n_replicas: int = N_REPLICAS,
     ) -> None:
         self._process = process
         self._live = live
-        self._n_keepers = n_keepers
+        self._n_replicas = n_replicas
         self._served = ServedVersions(workers=workers, is_first_start=is_first_start)
         self._pending: dict[Address, list[StreamOrigin]] = {}
         self._pools = Pools(live=())
@@ -152,17 +152,17 @@
         process.server.add_handler(FindOrigin, self.respond)
 
     def record(self, attempt_id: str, software_version: str) -> None:
-        """Remember here, and tell others, which version began a stream."""
+        """Store which version began a stream, here and at the replicas."""
         key = stream_key(attempt_id)
         self.versions.put(key, software_version)
         origin = StreamOrigin(key=key, software_version=software_version)
-        for address in self._keepers(key):
+        for address in self._replicas(key):
             pending = self._pending.get(address)
             if pending is not None:
                 pending.append(origin)
                 continue
             self._pending[address] = [origin]
-            task = asyncio.create_task(self._tell(address))
+            task = asyncio.create_task(self._replicate(address))
             self._tasks.add(task)
             task.add_done_callback(self._tasks.discard)
 
@@ -185,14 +185,14 @@
         request = FindOrigin(
             key=key, service_name=service, life_ms=int(life_s * MS_PER_S)
         )
-        asked = [
-            asyncio.create_task(self._ask(address, request))
-            for address in self._asked(key)
+        queries = [
+            asyncio.create_task(self._query(address, request))
+            for address in self._lookup_targets(key)
         ]
         sole_versions = {self._served.sole_version(service, life_s)}
         is_final = True
         try:
-            for answer in asyncio.as_completed(asked):
+            for answer in asyncio.as_completed(queries):
                 found = await answer
                 if found is None:
                     is_final = False
@@ -201,7 +201,7 @@
                 else:
                     sole_versions.add(found.sole_version)
         finally:
-            for task in asked:
+            for task in queries:
                 task.cancel()
         # A gateway that did not answer may know another version, of which this one
         # has not heard.
@@ -220,7 +220,7 @@
             sole_version=self._served.sole_version(request.service_name, life_s),
         )
 
-    async def _ask(self, address: Address, request: FindOrigin) -> OriginFound | None:
+    async def _query(self, address: Address, request: FindOrigin) -> OriginFound | None:
         link = self._process.peers.link(address)
         match await link.ask(request, timeout_s=FIND_TIMEOUT_S):
             case Ok(OriginFound() as found):
@@ -228,8 +228,8 @@
             case _:
                 return None
 
-    async def _tell(self, address: Address) -> None:
-        """Send a gateway the streams that have been collected for it."""
+    async def _replicate(self, address: Address) -> None:
+        """Send a replica the streams that have been collected for it."""
         await asyncio.sleep(BATCH_WINDOW_S)
         link = self._process.peers.link(address)
         if link.connection is None:
@@ -240,7 +240,7 @@
         if not link.send(begun):
             logging.log_every_n_seconds(
                 logging.WARNING,
-                "%s could not be told of %d streams that have begun",
+                "%s did not receive the origins of %d streams",
                 LOG_INTERVAL_S,
                 address,
                 len(begun.origins),
@@ -251,25 +251,31 @@
             for origin in message.origins:
                 self.versions.put(origin.key, origin.software_version)
 
-    def _keepers(self, key: bytes) -> list[Address]:
-        """Return the gateways that remember a stream which begins here.
+    def _replicas(self, key: bytes) -> list[Address]:
+        """Return the replicas of a stream that begins here.
 
         They are in different failure domains if there are enough.
         """
         chosen: list[MemberRecord] = []
-        for n_each in range(1, self._n_keepers + 1):
-            chosen = self._chosen(key, n_domains=self._n_keepers, n_each=n_each)
-            if len(chosen) >= self._n_keepers:
+        for n_each in range(1, self._n_replicas + 1):
+            chosen = self._highest_ranked(
+                key, n_domains=self._n_replicas, n_each=n_each
+            )
+            if len(chosen) >= self._n_replicas:
                 break
-        return _addresses(chosen[: self._n_keepers])
+        return _addresses(chosen[: self._n_replicas])
 
-    def _asked(self, key: bytes) -> list[Address]:
-        """Return the gateways that may remember a stream which began elsewhere."""
+    def _lookup_targets(self, key: bytes) -> list[Address]:
+        """Return the gateways that may know a stream which began elsewhere."""
         return _addresses(
-            self._chosen(key, n_domains=N_DOMAINS_ASKED, n_each=N_ASKED_PER_DOMAIN)
+            self._highest_ranked(
+                key, n_domains=N_DOMAINS_QUERIED, n_each=N_QUERIED_PER_DOMAIN
+            )
         )
 
-    def _chosen(self, key: bytes, *, n_domains: int, n_each: int) -> list[MemberRecord]:
+    def _highest_ranked(
+        self, key: bytes, *, n_domains: int, n_each: int
+    ) -> list[MemberRecord]:
         """Return the gateways that rank first for a key, except this one."""
         name = key.hex()
         ranked: dict[str, list[str]] = {}
--- a/tests/chain/__main__.py
+++ b/tests/chain/__main__.py
@@ -5,7 +5,7 @@
 the size of its cell. ``python -m tests.chain store`` prints the cost of a configuration
 change for gateways that read the store and for those that are notified of it, ``crash``
 the cost of a worker crash, and ``origins`` how many streams go on after gateways were
-killed, by how many others were told of them.
+killed, by the number of replicas that know them.
 """
 
 import logging
--- a/tests/chain/origins_fleet.py
+++ b/tests/chain/origins_fleet.py
@@ -1,7 +1,7 @@
-"""Gateways that tell one another which versions began streams, in virtual time.
+"""Gateways that replicate which versions began streams, in virtual time.
 
 ``python -m tests.chain origins`` prints how many streams can go on after gateways are
-lost, with and without gateways that remember the streams of others.
+lost, with and without replicas.
 """
 
 import asyncio
@@ -66,7 +66,7 @@
             process=own,
             live=lambda: fleet.members,
             workers=self.workers,
-            n_keepers=fleet.n_keepers,
+            n_replicas=fleet.n_replicas,
         )
         for listed in fleet.workers:
             self.workers.put(listed)
@@ -121,13 +121,13 @@
         n_gateways: int,
         *,
         n_domains: int = 3,
-        n_keepers: int = 2,
+        n_replicas: int = 2,
         versions: Sequence[str] = VERSIONS,
         seed: int = 1,
     ) -> None:
         self.rng = random.Random(seed)
         self.n_domains = n_domains
-        self.n_keepers = n_keepers
+        self.n_replicas = n_replicas
         self.versions = versions
         self.workers: list[Worker] = [
             worker(f"w{number}", SERVICE, software_version=version)
@@ -234,14 +234,14 @@
 
 
 def print_plays(*, seeds: int = 5) -> None:
-    """Print what became of broken streams, by the number of gateways that are told."""
-    print("gateways streams/s told known unknown wrong sent B/s received/s at most")
+    """Print what became of broken streams, by the number of replicas."""
+    print("gateways streams/s replicas known unknown wrong sent B/s received/s")
     for n_gateways, rate_per_s, n_domains in ((6, 30, 3), (24, 60, 4)):
-        for n_keepers in range(3):
+        for n_replicas in range(3):
             total: Counter[str] = Counter()
             for seed in range(seeds):
                 fleet = Fleet(
-                    n_gateways, n_domains=n_domains, n_keepers=n_keepers, seed=seed
+                    n_gateways, n_domains=n_domains, n_replicas=n_replicas, seed=seed
                 )
                 with pytest.MonkeyPatch.context() as patch:
                     played = run_virtual(
@@ -251,7 +251,7 @@
                 total["unknown"] += played.n_unknown
                 total["wrong"] += played.n_wrong
             print(
-                f"{n_gateways:8} {rate_per_s:9} {n_keepers:4} {total['known']:5}"
+                f"{n_gateways:8} {rate_per_s:9} {n_replicas:8} {total['known']:5}"
                 f" {total['unknown']:7} {total['wrong']:5}"
-                f" {played.sent_bytes_per_s:8.0f} {played.received_per_s:18.1f}"
+                f" {played.sent_bytes_per_s:8.0f} {played.received_per_s:10.1f}"
             )
