--- a/src/trefoilpaddle/coordination/chain/stream_origins.py
+++ b/src/trefoilpaddle/coordination/chain/stream_origins.py
@@ -56,8 +56,8 @@
 GATEWAYS_PER_POOL_MEMBER: Final = 20
 """How many gateways of a failure domain share the streams of all.
 
-Each gateway keeps a link to each of them. Two bear the streams of a small fleet; with
-80 gateways in each of five domains, four of each get 210 streams a second.
+Each gateway keeps a link to each of them, so there are few; more of them share the
+streams of a large fleet.
 """
 
 
