Compare whole data lines again in the soak's check of a stream

With versions in the data of events, the check compared the id alone, so that a line with something after it passed, which it did not before. Lines must be the id and one known version again, the same in all of them.

--- a/tests/soak/soak_checks.py
+++ b/tests/soak/soak_checks.py
@@ -29,7 +29,7 @@
     versions_of,
 )
 from .soak_needs import broken_needs
-from .soak_record import GRACE_S, ActionInterval, Record
+from .soak_record import GRACE_S, VERSIONS, ActionInterval, Record
 from .soak_stop_checks import interrupted_at_stops
 
 NOT_RUN = frozenset({408, 421, 429, 503})
@@ -134,10 +134,12 @@
 
 
 def _is_own_stream(request: ObservedRequest) -> bool:
-    lines = [x for x in request.body.split(b"\n") if x.startswith(b"data:")]
-    is_own = {line.split()[1] for line in lines} == {request.request_id.encode()}
+    data = {line for line in request.body.split(b"\n") if line.startswith(b"data:")}
+    of_versions = [
+        {f"data: {request.request_id} {version}".encode()} for version in VERSIONS
+    ]
     expected = list(range(request.after_event + 1, N_EVENTS + 1))
-    return events_of(request) == expected and is_own
+    return events_of(request) == expected and data in of_versions
 
 
 def _versions(record: Record, callers: Callers) -> Iterator[str]:
--- a/tests/soak/soak_record.py
+++ b/tests/soak/soak_record.py
@@ -8,6 +8,9 @@
 from .soak_actions import Action
 from .soak_stalls import Stall
 
+VERSIONS = ("v1", "v2")
+"""Software versions of workers, in turn."""
+
 GRACE_S: Final = 6.0
 """Time from the order to stop to the kill.
 
--- a/tests/soak/soak_run.py
+++ b/tests/soak/soak_run.py
@@ -44,7 +44,7 @@
 from .soak_callers import Callers, one_connection
 from .soak_long_deadlines import LongDeadlineCallers, table
 from .soak_needs import names_limit, needs_schedule, state_limit, turn_away
-from .soak_record import GRACE_S, ActionInterval, Record, StopOrder
+from .soak_record import GRACE_S, VERSIONS, ActionInterval, Record, StopOrder
 from .soak_restores import StoreRestores
 from .soak_stalls import record_stalls
 from .soak_stops import stop_schedule
@@ -59,8 +59,6 @@
 
 PROBE_PERIOD_S = 0.25
 
-VERSIONS = ("v1", "v2")
-"""Software versions of workers, in turn."""
 
 LOADED_WORK_S = {"stock": 0.3, "encode": 0.4, "model": 0.1}
 """Duration of a call under load; pieces of forty requests queue for eight seconds.
