--- a/tests/published/test_table_transfer.py
+++ b/tests/published/test_table_transfer.py
@@ -115,6 +115,15 @@
         assert await receiver(peer).fetch_newer(7) is None
         assert peer.n_parts == 0
 
+    async def test_a_peer_is_not_asked_again_for_a_table_that_it_has_sent(self) -> None:
+        # Guards against a table that cannot be decoded and is sent again and again.
+        peer = Peer(incompressible(7), intact)
+        transfer = receiver(peer)
+        assert await transfer.fetch_newer(3) is not None
+        n_parts = peer.n_parts
+        assert await transfer.fetch_newer(3) is None
+        assert peer.n_parts == n_parts
+
 
 class TestFaultyPeers:
     @pytest.mark.parametrize(
