Name the parts of prompts that ran at a worker that exited

A worker's exit was logged with the fingerprints of the requests that ran there. These cover the body, so they cannot show whether requests with different bodies have a part of their prompts in common, which the hypotheses on the reported crashes differ in.

`target_ended` now also names the shared parts of the prompts, up to eight, as hashes: a part's id may be derived from its text. The last part of a prompt is its own and is left out.

Tests: tests/chain/test_fingerprint.py, tests/chain/test_worker_ends.py.

--- a/src/trefoilpaddle/coordination/chain/crash_guard.py
+++ b/src/trefoilpaddle/coordination/chain/crash_guard.py
@@ -141,10 +141,13 @@
         return self._isolated_runs.workers()
 
     @contextmanager
-    def running(self, worker: Worker, fingerprint: str) -> Iterator[WatchedRun]:
+    def running(
+        self, worker: Worker, fingerprint: str, parts: tuple[str, ...] = ()
+    ) -> Iterator[WatchedRun]:
         """Watch a run while the context is open; the caller sets how it ended.
 
-        A run without a fingerprint is not watched.
+        A run without a fingerprint is not watched. `parts` are the fingerprints of the
+        shared parts of its prompt.
         """
         run = WatchedRun()
         if not fingerprint:
@@ -171,6 +174,7 @@
                 began_s=began_s,
                 ended_s=time.monotonic(),
                 outcome=run.end,
+                parts=parts,
             )
             self._record_end(ended)
             # The run counts as open until it is known whether the worker has exited,
--- a/src/trefoilpaddle/coordination/chain/job.py
+++ b/src/trefoilpaddle/coordination/chain/job.py
@@ -28,6 +28,8 @@
         Monotonic time by which the caller must have the answer.
     fingerprint : str
         Identifies the request; the same for all of its attempts.
+    parts : tuple of str
+        Fingerprints of the parts of its prompt that other requests may share.
     """
 
     request: CallerRequest
@@ -37,6 +39,7 @@
     services: Mapping[str, Service]
     deadline_s: float
     fingerprint: str
+    parts: tuple[str, ...] = ()
 
     @property
     def begins_by_s(self) -> float:
--- a/src/trefoilpaddle/coordination/chain/request_path.py
+++ b/src/trefoilpaddle/coordination/chain/request_path.py
@@ -12,7 +12,7 @@
 from ...state.chain.chain_work import ChainCompleted, ChainFailed, ChainMoved, ChainWork
 from ...state.chain.delivery import Delivery
 from ...state.chain.engine_times import EngineTimes
-from ...state.chain.fingerprint import fingerprint_of
+from ...state.chain.fingerprint import fingerprint_of, shared_parts
 from ...state.chain.repeat_budget import RepeatBudgets
 from ...state.chain.requests import CallerRequest, Outcome, Refused
 from ...state.chain.routes import Account, Route, RouteTable
@@ -206,6 +206,7 @@
             services=table.services,
             deadline_s=deadline_s,
             fingerprint=fingerprint_of(request, account.name),
+            parts=shared_parts(request.prompt),
         )
         refusal = self._guard.refusal_of_any(job.fingerprints())
         if refusal is not None:
--- a/src/trefoilpaddle/coordination/chain/worker_exchange.py
+++ b/src/trefoilpaddle/coordination/chain/worker_exchange.py
@@ -137,7 +137,7 @@
             after_event=self._last_event,
             urgency=min(MAX_URGENCY, job.priority) if job.route.is_stream else None,
         )
-        with self._guard.running(worker, job.fingerprint) as run:
+        with self._guard.running(worker, job.fingerprint, job.parts) as run:
             sent = await self._exchange(worker, call, sink)
             run.end = (
                 outcome_of_fault(sent)
--- a/src/trefoilpaddle/coordination/chain/worker_exits.py
+++ b/src/trefoilpaddle/coordination/chain/worker_exits.py
@@ -34,7 +34,7 @@
 """Minimum seconds between two checks of a worker whose responses break."""
 
 MAX_NAMED: Final = 8
-"""Maximum number of requests that one log line names."""
+"""Maximum number of requests, and of parts of prompts, that one log line names."""
 
 MAX_PENDING_RUNS: Final = 4096
 """Maximum number of runs kept for evidence; the oldest are dropped first."""
@@ -275,13 +275,17 @@
         self, worker: Worker, evidence: Evidence, runs: Sequence[EndedRun]
     ) -> None:
         requests = sorted({run.fingerprint for run in runs})
+        parts = sorted({part for run in runs for part in run.parts})
+        named = f"requests {' '.join(requests[:MAX_NAMED])}"
+        if parts:
+            named += f"; parts {' '.join(parts[:MAX_NAMED])}"
         self._journal.record(
             Decision(
                 event=Event.TARGET_ENDED,
                 stage=worker.service,
                 peer=worker.worker_id,
                 reason=Reason.CONNECTION_LOST,
-                detail=f"{evidence.value}; requests {' '.join(requests[:MAX_NAMED])}",
+                detail=f"{evidence.value}; {named}",
                 figures=(Figure(name="n_running", value=len(requests)),),
             )
         )
--- a/src/trefoilpaddle/state/chain/fingerprint.py
+++ b/src/trefoilpaddle/state/chain/fingerprint.py
@@ -4,7 +4,7 @@
 from hashlib import blake2b
 from typing import Final
 
-from .requests import CallerRequest
+from .requests import CallerRequest, Prompt
 
 ACCOUNT_BYTES: Final = 4
 """Bytes of a fingerprint that identify the client account."""
@@ -12,6 +12,12 @@
 REQUEST_BYTES: Final = 12
 """Bytes of a fingerprint that identify the request within the account."""
 
+MAX_PARTS: Final = 16
+"""Parts of one prompt that are watched, as a caller may state any number of them."""
+
+NO_ACCOUNT: Final = "0" * 2 * ACCOUNT_BYTES
+"""Account part of the fingerprints of prompt parts, which any account may send."""
+
 FINGERPRINT_PATTERN: Final = re.compile(
     f"[0-9a-f]{{{2 * (ACCOUNT_BYTES + REQUEST_BYTES)}}}"
 )
@@ -55,6 +61,29 @@
     return account_part(fingerprint) + stage_digest.hexdigest()
 
 
+def part_fingerprint(part_id: str) -> str:
+    """Return the fingerprint of a part of a prompt, in hexadecimal.
+
+    It is the same for all client accounts: a part that crashes workers does so whoever
+    sends it. Part ids are not logged, as callers may derive them from the text.
+    """
+    digest = blake2b(
+        part_id.encode(errors="surrogateescape"), digest_size=REQUEST_BYTES
+    )
+    return NO_ACCOUNT + digest.hexdigest()
+
+
+def shared_parts(prompt: Prompt | None) -> tuple[str, ...]:
+    """Return the fingerprints of the parts of a prompt but the last, which is its own.
+
+    Of a prompt with many parts the first `MAX_PARTS` are returned.
+    """
+    if prompt is None:
+        return ()
+    shared = prompt.parts[:-1][:MAX_PARTS]
+    return tuple(dict.fromkeys(part_fingerprint(part.part_id) for part in shared))
+
+
 def account_part(fingerprint: str) -> str:
     """Return the part of a fingerprint that identifies the client account."""
     return fingerprint[: 2 * ACCOUNT_BYTES]
--- a/src/trefoilpaddle/state/chain/worker_runs.py
+++ b/src/trefoilpaddle/state/chain/worker_runs.py
@@ -54,6 +54,8 @@
         Monotonic times at which the run began and ended.
     outcome : RunOutcome
         How the run ended.
+    parts : tuple of str
+        Fingerprints of the parts of its prompt that other requests may share.
     """
 
     worker: Worker
@@ -62,3 +64,4 @@
     began_s: float
     ended_s: float
     outcome: RunOutcome
+    parts: tuple[str, ...] = ()
--- a/tests/chain/test_fingerprint.py
+++ b/tests/chain/test_fingerprint.py
@@ -2,7 +2,14 @@
 
 import pytest
 
-from trefoilpaddle.state.chain.fingerprint import account_part, fingerprint_of
+from trefoilpaddle.state.chain.fingerprint import (
+    MAX_PARTS,
+    account_part,
+    fingerprint_of,
+    is_fingerprint,
+    shared_parts,
+)
+from trefoilpaddle.state.chain.requests import Prompt, PromptPart
 
 from .fakes import request
 
@@ -31,3 +38,27 @@
 
     async def test_a_path_that_is_not_valid_text_has_a_fingerprint(self) -> None:
         assert fingerprint_of(request(target="/\udcff"), "acme")
+
+
+def prompt(*part_ids: str) -> Prompt:
+    parts = tuple(PromptPart(part_id=part_id, n_tokens=1) for part_id in part_ids)
+    return Prompt(parts=parts, n_tokens=len(parts), n_output_tokens=1)
+
+
+class TestSharedParts:
+    def test_the_last_part_is_the_own_one_of_a_request(self) -> None:
+        first, second = prompt("a", "b", "c"), prompt("a", "b", "d")
+        assert shared_parts(first) == shared_parts(second)
+        assert len(shared_parts(first)) == 2
+        assert all(map(is_fingerprint, shared_parts(first)))
+
+    def test_a_prompt_without_shared_parts_has_none(self) -> None:
+        assert shared_parts(None) == shared_parts(prompt()) == shared_parts(prompt("a"))
+
+    def test_a_part_has_one_fingerprint_wherever_it_stands(self) -> None:
+        assert shared_parts(prompt("a", "b", "c"))[1:] == shared_parts(prompt("b", "c"))
+
+    def test_a_repeated_part_counts_once_and_their_number_is_bounded(self) -> None:
+        assert len(shared_parts(prompt("a", "a", "b"))) == 1
+        many = prompt(*(f"{number:x}" for number in range(3 * MAX_PARTS)))
+        assert len(shared_parts(many)) == MAX_PARTS
--- a/tests/chain/test_worker_ends.py
+++ b/tests/chain/test_worker_ends.py
@@ -40,7 +40,13 @@
     def _take(self, at: Worker, runs: Sequence[EndedRun]) -> None:
         self.found += [run.fingerprint for run in runs]
 
-    def run(self, end: RunOutcome, *, fingerprint: str = "f1") -> None:
+    def run(
+        self,
+        end: RunOutcome,
+        *,
+        fingerprint: str = "f1",
+        parts: tuple[str, ...] = (),
+    ) -> None:
         now_s = time.monotonic()
         self.ends.record(
             EndedRun(
@@ -50,6 +56,7 @@
                 began_s=now_s - RUN_S,
                 ended_s=now_s,
                 outcome=end,
+                parts=parts,
             )
         )
 
@@ -128,6 +135,14 @@
         assert record.decision.event is Event.TARGET_ENDED
         assert record.decision.detail == "a peer says so; requests f1"
 
+    async def test_the_log_names_the_prompt_parts_of_the_requests(self) -> None:
+        rig = Rig()
+        rig.run(RunOutcome.BROKEN, parts=("p2", "p1"))
+        rig.run(RunOutcome.BROKEN, fingerprint="f2", parts=("p2",))
+        rig.ends.confirm(FIRST, Evidence.REPORTED)
+        (record,) = rig.notes.recent()
+        assert record.decision.detail == "a peer says so; requests f1 f2; parts p1 p2"
+
 
 class TestNoCrashes:
     async def test_a_run_that_began_after_a_break_is_not_counted(self) -> None:
