Reproduce workers crashed by one part of a prompt

The stand-in worker marks requests by a part of their prompts, begins to write the answer, and crashes.

--- a/src/trefoilpaddle/standins/platform/crashing.py
+++ b/src/trefoilpaddle/standins/platform/crashing.py
@@ -11,7 +11,7 @@
 from .worker import PlatformWorker
 
 CRASH_DELAY_S: Final = 0.1
-"""Time from the start of a marked request to the crash of the worker."""
+"""Usual time from the start of a marked request to the crash of the worker."""
 
 RESTART_DELAY_S: Final = 1.5
 """Time from the crash of a worker to its restart at the same address."""
@@ -26,8 +26,7 @@
     Parameters
     ----------
     worker : PlatformWorker
-        Worker that crashes at requests whose body contains its marker, or whose
-        pieces have a key that contains it.
+        Worker that crashes at requests that it marks.
     ip : str
         Address to listen on.
     on_start : callable
@@ -35,6 +34,8 @@
     accepts_when_down : bool
         True if what stands before the exited worker accepts connections and closes
         each once a request has been read; False if its address refuses them.
+    crash_delay_s : float
+        Time from the start of a marked request to the crash of the worker.
 
     Attributes
     ----------
@@ -44,6 +45,7 @@
 
     __slots__ = (
         "_accepts_when_down",
+        "_crash_delay_s",
         "_ip",
         "_is_up",
         "_on_start",
@@ -62,8 +64,10 @@
         ip: str,
         on_start: Callable[[], None],
         accepts_when_down: bool = False,
+        crash_delay_s: float = CRASH_DELAY_S,
     ) -> None:
         self.worker = worker
+        self._crash_delay_s = crash_delay_s
         self._accepts_when_down = accepts_when_down
         self._ip = ip
         self._on_start = on_start
@@ -102,7 +106,7 @@
             task.add_done_callback(self._tasks.discard)
 
     def _schedule_crash(self) -> None:
-        asyncio.get_running_loop().call_later(CRASH_DELAY_S, self.crash)
+        asyncio.get_running_loop().call_later(self._crash_delay_s, self.crash)
 
     async def _crash_and_restart(self) -> None:
         self.crashed_s.append(time.monotonic())
--- a/src/trefoilpaddle/standins/platform/site.py
+++ b/src/trefoilpaddle/standins/platform/site.py
@@ -5,7 +5,7 @@
 from typing import Any, Final
 
 from ..web import serving
-from .crashing import CrashingServer
+from .crashing import CRASH_DELAY_S, CrashingServer
 from .store import TABLE_KEY, PlatformStore
 from .worker import PlatformWorker
 
@@ -174,19 +174,26 @@
         worker_id: str,
         service: str,
         *,
-        marker: bytes,
+        marker: bytes = b"",
+        marked_parts: frozenset[str] = frozenset(),
         accepts_when_down: bool = False,
+        crash_delay_s: float = CRASH_DELAY_S,
         **fields: Any,
     ) -> CrashingServer:
-        """Start and list a worker that requests with `marker` crash."""
+        """Start and list a worker that marked requests crash.
+
+        A request is marked by `marker` in its body, or by a part of its prompt.
+        """
         worker = PlatformWorker(worker_id=worker_id, **fields)
         worker.marker = marker
+        worker.marked_parts = marked_parts
         self.workers[worker_id] = worker
         server = CrashingServer(
             worker=worker,
             ip=IP,
             on_start=lambda: self.list_worker(worker_id, service),
             accepts_when_down=accepts_when_down,
+            crash_delay_s=crash_delay_s,
         )
         await self._stack.enter_async_context(server.serving())
         self.list_worker(worker_id, service)
--- a/src/trefoilpaddle/standins/platform/worker.py
+++ b/src/trefoilpaddle/standins/platform/worker.py
@@ -16,6 +16,7 @@
 SEAL: Final = "Trefoilpaddle-Server-Seal"
 ATTEMPT: Final = "Trefoilpaddle-Attempt-Id"
 EXPECTED: Final = "Trefoilpaddle-Expected-Instance"
+PROMPT_PARTS: Final = "Trefoilpaddle-Prompt-Prefix"
 NOT_RUN: Final = "Trefoilpaddle-Not-Executed"
 INPUTS: Final = "Trefoilpaddle-Inputs"
 
@@ -74,6 +75,9 @@
     marker : bytes
         Requests whose body contains the marker, and pieces whose key contains it,
         are marked; empty marks none.
+    marked_parts : frozenset of str
+        Requests with one of these parts in their prompts are marked; the worker begins
+        to write an answer and never ends it.
     marked_s : list of float
         Monotonic times at which marked requests or pieces started.
     on_marked : callable
@@ -92,6 +96,7 @@
         "headers",
         "held",
         "interrupts_answers",
+        "marked_parts",
         "marked_s",
         "marker",
         "n_busy",
@@ -135,6 +140,7 @@
         self.turned_away: list[str] = []
         self.turned_away_s: list[float] = []
         self.marker = b""
+        self.marked_parts: frozenset[str] = frozenset()
         self.marked_s: list[float] = []
         self.on_marked: Callable[[], None] = _do_nothing
         self.faults = Faults()
@@ -185,6 +191,23 @@
             self.on_marked()
             await asyncio.Event().wait()
 
+    def _has_marked_part(self, request: web.Request) -> bool:
+        parts = request.headers.get(PROMPT_PARTS, "").split(",")
+        return not self.marked_parts.isdisjoint(
+            part.strip().partition(":")[0] for part in parts
+        )
+
+    async def _begin_marked(
+        self, request: web.Request, headers: dict[str, str], begun: bytes
+    ) -> None:
+        """Begin to write the answer of a marked request, and never end it."""
+        self.marked_s.append(time.monotonic())
+        answer = web.StreamResponse(headers=headers)
+        await answer.prepare(request)
+        await answer.write(begun)
+        self.on_marked()
+        await asyncio.Event().wait()
+
     async def _run(self, request: web.Request) -> web.StreamResponse:
         if self._is_for_another_worker(request):
             return json_answer({}, status=421)
@@ -197,12 +220,17 @@
         self.headers.append(dict(request.headers))
         await self._crash_if_marked(body)
         headers = {ATTEMPT: request_id, SEAL: f"{self.worker_id}.{request_id}"}
+        is_marked = self._has_marked_part(request)
         if not self.n_events:
             await asyncio.sleep(self.work_s)
+            if is_marked:
+                await self._begin_marked(request, headers, request_id[:1].encode())
             if self.interrupts_answers:
                 abort_connection(request)
             return web.Response(body=request_id.encode(), headers=headers)
         headers["Content-Type"] = "text/event-stream"
+        if is_marked:
+            await self._begin_marked(request, headers, b"id: ")
         answer = web.StreamResponse(headers=headers)
         await answer.prepare(request)
         first = int(request.headers.get("Last-Event-Id", "0")) + 1
--- a/tests/platform_adapter/crash_harness.py
+++ b/tests/platform_adapter/crash_harness.py
@@ -6,11 +6,11 @@
 import random
 import time
 from collections import Counter
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Mapping
 from dataclasses import dataclass, field
 from functools import partial
 from pathlib import Path
-from typing import Final
+from typing import Any, Final
 
 import aiohttp
 
@@ -33,6 +33,14 @@
 N_SAME: Final = 4
 """Number of these callers that all send the same body."""
 
+FIELDS_OF: Final[Mapping[str, Mapping[str, Any]]] = {
+    "stock": {"work_s": 0.05},
+    "model": {"n_events": N_EVENTS, "work_s": 0.02},
+    "encode": {"work_s": CALL_S},
+    "retrieve": {"work_s": CALL_S},
+}
+"""Fields of the workers of each service."""
+
 CRASH_GAP_S: Final = 0.25
 """Time between two attempts of the request that crashes workers."""
 
@@ -164,7 +172,8 @@
             await asyncio.sleep(0.1)
 
 
-def _knows_all(gateway: GatewayProcess, n_gateways: int) -> bool:
+def knows_all(gateway: GatewayProcess, n_gateways: int) -> bool:
+    """Return True if a gateway has logged that all others are members."""
     return gateway.log().count("member_joined") >= n_gateways - 1
 
 
@@ -188,12 +197,7 @@
         site.store.put(TABLE_KEY, configuration(1))
         servers = []
         for number in range(N_WORKERS):
-            for service, fields in (
-                ("stock", {"work_s": 0.05}),
-                ("model", {"n_events": N_EVENTS, "work_s": 0.02}),
-                ("encode", {"work_s": CALL_S}),
-                ("retrieve", {"work_s": CALL_S}),
-            ):
+            for service, fields in FIELDS_OF.items():
                 is_marked = (service in ("stock", "model")) is not crashes_stages
                 servers.append(
                     await site.add_crashing_worker(
@@ -210,7 +214,7 @@
             aiohttp.ClientSession() as client,
         ):
             for gateway in all_gateways:
-                await until(partial(_knows_all, gateway, n_gateways))
+                await until(partial(knows_all, gateway, n_gateways))
             yield CrashHarness(
                 site=site,
                 all_gateways=all_gateways,
