Count the exit of a worker process once for each request

Callers whose requests ran at a worker that crashed could see them suspected after a single crash: "model5 1.7 s ago model5 1.7 s ago". A record was kept by level, one more than the crashes that a gateway knew when a run began. Runs of one request at one worker that began at gateways with different knowledge therefore counted the exit of one process as two crashes. A request that ran at several workers which crashed with the same knowledge was remembered at the first one only, so that it did not explain the crashes of another one that ran at all of them.

A record now keeps each process once, with the lowest level reported, and counts the different levels among them; up to 32 processes a record.

test_the_exit_of_a_process_counts_once failed before with SUSPECT and BLOCKED. test_each_start_of_one_worker_id_counts used one start time for all three crashes, which was the fault itself; it now gives each start its own, and checks the same.

--- a/src/trefoilpaddle/state/chain/crash_registry.py
+++ b/src/trefoilpaddle/state/chain/crash_registry.py
@@ -33,10 +33,17 @@
 MAX_LEVEL: Final = 8
 """Crashes of one request that are counted; further crashes have no effect."""
 
+MAX_STARTS: Final = 32
+"""Worker processes of one record; an outage may end more that ran a request."""
+
 MAX_CLEARED: Final = 2048
 """Cleared requests that are remembered, so that late reports do not undo this."""
 
 
+Start = tuple[str, int]
+"""Id and start time of a worker process; a restarted worker keeps its id."""
+
+
 @unique
 class CrashStatus(Enum):
     """What may be done with a request after worker crashes."""
@@ -75,32 +82,52 @@
     level: int
     ended_s: float
 
+    @property
+    def start(self) -> Start:
+        """Id and start time of the worker process."""
+        return self.worker_id, self.born_ms
+
 
 @dataclass(slots=True, kw_only=True)
 class CrashRecord:
-    """The crashes of one request: the first that was reported of each level.
+    """The crashes of one request.
+
+    A process crashes once, although runs of a request there may have begun with
+    different knowledge: the run with the least of it may have been the cause.
 
     Attributes
     ----------
-    crashes : dict of int to Crash
-        The crashes by level.
+    crashes : dict of Start to Crash
+        The crash of each process, with the lowest level that was reported.
     reported_s : float
         Monotonic time at which the last of them was recorded here.
     """
 
-    crashes: dict[int, Crash] = field(default_factory=dict)
+    crashes: dict[Start, Crash] = field(default_factory=dict)
     reported_s: float = 0.0
 
-    def level(self) -> int:
+    def n_successive(self) -> int:
         """Return how many crashes there were in succession."""
-        return max(self.crashes, default=0)
+        return len({crash.level for crash in self.crashes.values()})
+
+    def last_level(self) -> int:
+        """Return the highest level of the crashes."""
+        return max((crash.level for crash in self.crashes.values()), default=0)
+
+    def add(self, crash: Crash) -> bool:
+        """Add a crash; return True if this changed anything."""
+        known = self.crashes.get(crash.start)
+        if known is None and len(self.crashes) >= MAX_STARTS:
+            return False
+        if known is not None and known.level <= crash.level:
+            return False
+        self.crashes[crash.start] = crash
+        return True
 
-    def starts(self, *, before_level: int = MAX_LEVEL + 1) -> set[tuple[str, int]]:
-        """Return the ids and start times of the workers of crashes below a level."""
+    def starts(self, *, before_level: int = MAX_LEVEL + 1) -> set[Start]:
+        """Return the processes of the crashes below a level."""
         return {
-            (crash.worker_id, crash.born_ms)
-            for level, crash in self.crashes.items()
-            if level < before_level
+            start for start, crash in self.crashes.items() if crash.level < before_level
         }
 
     def last_crash_s(self) -> float:
@@ -137,9 +164,8 @@
                 return False
             record = self._records[fingerprint] = CrashRecord()
             self._n_by_account[account_part(fingerprint)] += 1
-        if crash.level in record.crashes:
+        if not record.add(crash):
             return False
-        record.crashes[crash.level] = crash
         record.reported_s = now_s
         return True
 
@@ -164,15 +190,16 @@
         if record is None:
             return CrashStatus.CLEAR
         age_s = time.monotonic() - record.last_crash_s()
-        level = record.level()
+        n_successive = record.n_successive()
         if age_s > RETENTION_S:
             self._forget(fingerprint)
             return CrashStatus.CLEAR
-        if level >= BLOCK_AFTER:
-            is_over = age_s > BLOCK_S.get(level, RETENTION_S)
+        if n_successive >= BLOCK_AFTER:
+            is_over = age_s > BLOCK_S.get(n_successive, RETENTION_S)
             is_sure = not (is_over or self._has_other_cause(fingerprint, record))
             return CrashStatus.BLOCKED if is_sure else CrashStatus.SUSPECT
-        return CrashStatus.SUSPECT if level == BLOCK_AFTER - 1 else CrashStatus.WATCHED
+        is_suspect = n_successive == BLOCK_AFTER - 1
+        return CrashStatus.SUSPECT if is_suspect else CrashStatus.WATCHED
 
     def is_verdict_due(self, fingerprint: str) -> bool:
         """Return False while another request may still turn out to be the cause.
@@ -183,7 +210,7 @@
         record = self._records.get(fingerprint)
         if record is None or time.monotonic() - record.reported_s > VERDICT_S:
             return True
-        earlier = record.starts(before_level=record.level())
+        earlier = record.starts(before_level=record.last_level())
         return not self._is_shared(fingerprint, earlier)
 
     def unsure(self) -> list[str]:
@@ -191,7 +218,7 @@
         return [
             fingerprint
             for fingerprint, record in self._records.items()
-            if record.level() >= BLOCK_AFTER
+            if record.n_successive() >= BLOCK_AFTER
             and self._has_other_cause(fingerprint, record)
         ]
 
@@ -212,12 +239,12 @@
         )
 
     def level(self, fingerprint: str) -> int:
-        """Return how many crashes of a request there were in succession."""
+        """Return the highest level of the crashes of a request, 0 without one."""
         record = self._records.get(fingerprint)
-        return 0 if record is None else record.level()
+        return 0 if record is None else record.last_level()
 
     def crashes(self, fingerprint: str) -> tuple[Crash, ...]:
-        """Return the crashes of a request, one for each level."""
+        """Return the crashes of a request, one for each process."""
         record = self._records.get(fingerprint)
         return () if record is None else tuple(record.crashes.values())
 
@@ -249,7 +276,7 @@
         """
         least = min(
             (
-                (record.level(), record.last_crash_s(), fingerprint)
+                (record.n_successive(), record.last_crash_s(), fingerprint)
                 for fingerprint, record in self._records.items()
                 if account_part(fingerprint) == account
             ),
