Block a part of a prompt that crashes workers

No two of these requests were alike.

Cause: what may be blamed for crashes was a whole request, known by a hash of its body, so each of these was a new request and each crash its first. The class of fault is an identity narrower than what has the effect: a cause was looked for among requests, but it may be anything that requests share.

Crashes are now kept by subject: the request, its pieces at a service, and each shared part of its prompt, in the same registry, relay and log, with these rules for parts. Blocked after three crashes in succession unless something outside the request explains them as well; isolated after three and blocked after five while workers also crash without it; a good end clears it, also of crashes that are reported later. An answer with a status from 500 is no good end, for requests too, as the worker may not have begun. The refusal names its subject in the log, and operators see and lift parts.

Why this works: a part that crashes each worker has no good end, while one that sound requests share is cleared by the next of them.

--- a/src/trefoilpaddle/coordination/chain/attempts.py
+++ b/src/trefoilpaddle/coordination/chain/attempts.py
@@ -8,7 +8,7 @@
 from ...protocol.reasons import Reason
 from ...state.chain.delivery import Delivery
 from ...state.chain.repeat_budget import RepeatBudget
-from ...state.chain.requests import Answered, Failed, Outcome
+from ...state.chain.requests import Answered, Failed, Outcome, Refused
 from ...state.chain.retry_times import spread_retry_s
 from ...state.chain.target_answers import CallFault
 from ...state.chain.workers import EVACUATED_RETRY_S, Worker, WorkerTable
@@ -133,10 +133,12 @@
     async def run(self, sink: CallerSink) -> Outcome:
         """Send the request to workers in turn and return its outcome."""
         while True:
-            refusal = self._guard.refusal(self._job.fingerprint)
+            refusal = self._refusal()
             if refusal is not None:
                 return self._delivery.failure_outcome(
-                    refusal.reason, retry_after_s=refusal.retry_after_s
+                    refusal.reason,
+                    retry_after_s=refusal.retry_after_s,
+                    detail=refusal.detail,
                 )
             worker = self._choose()
             if worker is None:
@@ -148,13 +150,15 @@
                 # The caller left, or was answered that the request has not run, while
                 # the inputs were computed.
                 return self._outcome_of(Reason.CANCELLED)
-            if not await self._guard.may_run_at(worker, (self._job.fingerprint,)):
+            if not await self._guard.may_run_at(
+                worker, (self._job.fingerprint,), self._job.parts
+            ):
                 reason = REASON_OF[CallFault.UNREACHABLE]
                 self._record_fault(CallFault.UNREACHABLE, worker)
                 if not self._may_retry(reason, worker):
                     return self._outcome_of(reason)
                 continue
-            is_refused = self._guard.refusal(self._job.fingerprint) is not None
+            is_refused = self._refusal() is not None
             if is_refused or not self._workers.may_receive(worker):
                 continue
             if not self._send_limits.take(worker):
@@ -174,6 +178,10 @@
                     if not self._may_retry(REASON_OF[fault], worker):
                         return self._outcome_of(REASON_OF[fault])
 
+    def _refusal(self) -> Refused | None:
+        """Return why the request must not be sent to a worker now, or None."""
+        return self._guard.refusal(self._job.fingerprint, self._job.parts)
+
     def _choose(self) -> Worker | None:
         """Return the next worker, or None if there is none.
 
@@ -183,7 +191,7 @@
         tried = self._send_limits.exhausted(service.name) | self._tried
         # What two software versions write does not fit together.
         need = replace(self._need, software_version=self._software_version())
-        if self._guard.is_suspect(self._job.fingerprint):
+        if self._guard.is_suspect(self._job.fingerprint, self._job.parts):
             # A suspect goes to the worker with the fewest open requests, even if
             # another one has its prompt in the cache.
             need = replace(need, prompt=None)
--- a/src/trefoilpaddle/coordination/chain/crash_guard.py
+++ b/src/trefoilpaddle/coordination/chain/crash_guard.py
@@ -10,8 +10,14 @@
 from typing import Final
 
 from ...protocol.reasons import Reason
-from ...state.chain.crash_registry import Crash, CrashRegistry, CrashStatus
+from ...state.chain.crash_registry import (
+    BLOCK_AFTER,
+    Crash,
+    CrashRegistry,
+    CrashStatus,
+)
 from ...state.chain.exit_rate import ExitRate
+from ...state.chain.fingerprint import is_part
 from ...state.chain.isolated_runs import IsolatedRun, IsolatedRuns
 from ...state.chain.piece_work import PieceWork
 from ...state.chain.requests import Refused
@@ -28,6 +34,9 @@
 
 RUN_ID_BITS: Final = 62
 
+MAX_NAMED: Final = 8
+"""Maximum number of crashes, and of other causes, that one log line names."""
+
 EVENT_OF_STATUS: Final = {
     CrashStatus.SUSPECT: Event.REQUEST_SUSPECTED,
     CrashStatus.BLOCKED: Event.REQUEST_BLOCKED,
@@ -88,23 +97,42 @@
         relay.on_clear = self.clear
         relay.on_run = self.receive_run
 
-    def refusal(self, fingerprint: str) -> Refused | None:
-        """Return why a request must not be sent to a worker now, or None."""
-        match self._registry.status(fingerprint):
-            case CrashStatus.BLOCKED if self._registry.is_verdict_due(fingerprint):
-                return Refused(reason=Reason.CRASHES_WORKERS)
+    def refusal(self, fingerprint: str, parts: tuple[str, ...] = ()) -> Refused | None:
+        """Return why a request must not be sent to a worker now, or None.
+
+        Parameters
+        ----------
+        fingerprint : str
+            Fingerprint of the request.
+        parts : tuple of str
+            Fingerprints of the shared parts of its prompt.
+        """
+        if self.has_no_crashes:
+            return None
+        within = frozenset((fingerprint, *parts))
+        refusals = (
+            self._refusal_of(subject, within) for subject in (*parts, fingerprint)
+        )
+        return next((each for each in refusals if each is not None), None)
+
+    def _refusal_of(self, subject: str, within: frozenset[str]) -> Refused | None:
+        match self._registry.status(subject, within=within):
             case CrashStatus.BLOCKED:
-                return Refused(reason=Reason.RUNS_APART, retry_after_s=ISOLATED_RETRY_S)
-            case CrashStatus.SUSPECT if self._isolated_runs.is_running(fingerprint):
-                return Refused(reason=Reason.RUNS_APART, retry_after_s=ISOLATED_RETRY_S)
+                if self._registry.is_verdict_due(subject, within=within):
+                    return Refused(reason=Reason.CRASHES_WORKERS, detail=subject)
+                return _runs_apart(subject)
+            case CrashStatus.SUSPECT if self._isolated_runs.is_running(subject):
+                return _runs_apart(subject)
             case _:
                 return None
 
-    def refusal_of_any(self, fingerprints: Iterable[str]) -> Refused | None:
-        """Return the first refusal of several fingerprints, or None."""
+    def refusal_of_any(
+        self, fingerprints: Iterable[str], parts: tuple[str, ...] = ()
+    ) -> Refused | None:
+        """Return the first refusal of a request's fingerprints, or None."""
         if self.has_no_crashes:
             return None
-        refusals = map(self.refusal, fingerprints)
+        refusals = (self.refusal(each, parts) for each in fingerprints)
         return next((each for each in refusals if each is not None), None)
 
     @property
@@ -122,17 +150,34 @@
             fingerprint
         )
 
-    def is_suspect(self, fingerprint: str) -> bool:
+    def is_suspect(self, fingerprint: str, parts: tuple[str, ...] = ()) -> bool:
         """Return True if a request must run isolated from other requests."""
-        return self._registry.status(fingerprint) is CrashStatus.SUSPECT
+        return bool(self._suspects(fingerprint, parts))
 
-    async def may_run_at(self, worker: Worker, fingerprints: Iterable[str]) -> bool:
+    def _suspects(self, fingerprint: str, parts: tuple[str, ...]) -> list[str]:
+        """Return which of a request and its parts must run isolated."""
+        if self.has_no_crashes:
+            return []
+        within = frozenset((fingerprint, *parts))
+        return [
+            subject
+            for subject in within
+            if self._registry.status(subject, within=within) is CrashStatus.SUSPECT
+        ]
+
+    async def may_run_at(
+        self, worker: Worker, fingerprints: Iterable[str], parts: tuple[str, ...] = ()
+    ) -> bool:
         """Return False if a worker may have exited before these requests reach it.
 
         Their runs would be taken for the cause of that exit. Only requests during which
-        a worker has crashed already are worth the check.
+        a worker has crashed already are worth the check, and only parts of prompts that
+        one more crash would block.
         """
-        if not any(map(self._registry.level, fingerprints)):
+        needs_check = any(map(self._registry.level, fingerprints)) or any(
+            self._registry.n_successive(part) == BLOCK_AFTER - 1 for part in parts
+        )
+        if not needs_check:
             return True
         return await self._calls.is_listening(worker) is True
 
@@ -153,28 +198,31 @@
         if not fingerprint:
             yield run
             return
-        level = self._registry.level(fingerprint)
+        levels = {
+            subject: self._registry.level(subject) for subject in (fingerprint, *parts)
+        }
         began_s = time.monotonic()
         self._n_open[fingerprint] += 1
-        isolated: IsolatedRun | None = None
-        if self.is_suspect(fingerprint):
-            isolated = IsolatedRun(
+        isolated = [
+            IsolatedRun(
                 run_id=random.getrandbits(RUN_ID_BITS),
-                fingerprint=fingerprint,
+                fingerprint=subject,
                 worker_id=worker.worker_id,
             )
-            self._announce_run(isolated)
+            for subject in self._suspects(fingerprint, parts)
+        ]
+        for each in isolated:
+            self._announce_run(each)
         try:
             yield run
         finally:
             ended = EndedRun(
                 worker=worker,
                 fingerprint=fingerprint,
-                level=level,
+                levels=levels,
                 began_s=began_s,
                 ended_s=time.monotonic(),
                 outcome=run.end,
-                parts=parts,
             )
             self._record_end(ended)
             # The run counts as open until it is known whether the worker has exited,
@@ -205,6 +253,10 @@
         for fingerprint in self._registry.fingerprints():
             yield fingerprint, self._registry.crashes(fingerprint)
 
+    def other_causes(self, fingerprint: str) -> list[str]:
+        """Return other subjects that ran at all workers that crashed under one."""
+        return self._registry.other_causes(fingerprint)
+
     def unblock(self, fingerprint: str) -> bool:
         """Clear a request at all gateways; return False if it is not on record."""
         is_known = bool(self._registry.crashes(fingerprint))
@@ -214,22 +266,26 @@
 
     def clear(self, fingerprint: str) -> None:
         """Record that a request does not crash workers, and announce it."""
-        is_known = bool(self._registry.crashes(fingerprint))
-        unsure = self._registry.unsure() if is_known else []
+        n_successive = self._registry.n_successive(fingerprint)
+        unsure = self._registry.unsure() if n_successive else []
         if self._registry.clear(fingerprint):
             self._relay.announce_clear(fingerprint)
-        if is_known:
+        if is_part(fingerprint):
+            # Popular parts have crashes on record, and are cleared, all the time.
+            if n_successive >= BLOCK_AFTER:
+                self._record(Event.PART_CLEARED, fingerprint)
+        elif n_successive:
             self._record(Event.REQUEST_CLEARED, fingerprint)
         for other in unsure:
             if self._registry.status(other) is CrashStatus.BLOCKED:
                 self._record(Event.REQUEST_BLOCKED, other)
 
-    def _close(self, fingerprint: str, isolated: IsolatedRun | None) -> None:
+    def _close(self, fingerprint: str, isolated: Sequence[IsolatedRun]) -> None:
         self._n_open[fingerprint] -= 1
         if not self._n_open[fingerprint]:
             del self._n_open[fingerprint]
-        if isolated is not None:
-            self._announce_run(replace(isolated, isolation_s=0.0))
+        for each in isolated:
+            self._announce_run(replace(each, isolation_s=0.0))
 
     def _record_end(self, run: EndedRun) -> None:
         match run.outcome:
@@ -237,8 +293,13 @@
                 return
             case RunOutcome.ANSWERED:
                 self._exits.record_response(run.worker)
-                if self._registry.status(run.fingerprint) is not CrashStatus.CLEAR:
-                    self.clear(run.fingerprint)
+                for subject in run.levels:
+                    if self._registry.status(subject) is not CrashStatus.CLEAR:
+                        self.clear(subject)
+                    elif is_part(subject):
+                        self._registry.record_answer(subject)
+            case RunOutcome.FAILED:
+                self._exits.record_response(run.worker)
             case RunOutcome.REFUSED:
                 self._exits.confirm(run.worker, Evidence.REFUSES)
             case RunOutcome.BROKEN | RunOutcome.SILENT | RunOutcome.LEFT:
@@ -246,13 +307,14 @@
 
     def _on_ended(self, worker: Worker, runs: Sequence[EndedRun]) -> None:
         for run in runs:
-            crash = Crash(
-                worker_id=worker.worker_id,
-                born_ms=worker.born_ms,
-                level=run.level + 1,
-                ended_s=run.ended_s,
-            )
-            self._record_crash(run.fingerprint, crash)
+            for subject, level in run.levels.items():
+                crash = Crash(
+                    worker_id=worker.worker_id,
+                    born_ms=worker.born_ms,
+                    level=level + 1,
+                    ended_s=run.ended_s,
+                )
+                self._record_crash(subject, crash)
 
     def receive_crash(self, fingerprint: str, crash: Crash) -> None:
         """Record a crash that a peer reports, also for runs of this gateway there."""
@@ -270,9 +332,15 @@
         if not self._rate.record_exit(crash.worker_id, crash.ended_s):
             return
         previous = self._registry.status(fingerprint)
+        n_before = self._registry.n_successive(fingerprint)
         if not self._registry.record(fingerprint, crash):
             return
         self._relay.announce_crash(fingerprint)
+        if is_part(fingerprint):
+            n_successive = self._registry.n_successive(fingerprint)
+            if n_successive > n_before and n_successive >= BLOCK_AFTER:
+                self._record(Event.PART_BLOCKED, fingerprint)
+            return
         status = self._registry.status(fingerprint)
         if status is not previous and status in EVENT_OF_STATUS:
             self._record(EVENT_OF_STATUS[status], fingerprint)
@@ -289,8 +357,14 @@
         now_s = time.monotonic()
         crashes = self._registry.crashes(fingerprint)
         ended = " ".join(
-            f"{crash.worker_id} {now_s - crash.ended_s:.1f} s ago" for crash in crashes
+            f"{crash.worker_id} {now_s - crash.ended_s:.1f} s ago"
+            for crash in crashes[:MAX_NAMED]
         )
+        if event is Event.PART_BLOCKED:
+            # Reports on other subjects at the last worker may still be on their way.
+            others = self._registry.other_causes(fingerprint, with_last=False)
+            if others:
+                ended += f"; also each time before: {' '.join(others[:MAX_NAMED])}"
         self._journal.record(
             Decision(
                 event=event,
@@ -299,3 +373,9 @@
                 figures=(Figure(name="n_crashes", value=len(crashes)),),
             )
         )
+
+
+def _runs_apart(subject: str) -> Refused:
+    return Refused(
+        reason=Reason.RUNS_APART, retry_after_s=ISOLATED_RETRY_S, detail=subject
+    )
--- a/src/trefoilpaddle/coordination/chain/request_log.py
+++ b/src/trefoilpaddle/coordination/chain/request_log.py
@@ -50,10 +50,15 @@
                 self._record(
                     Event.REQUEST_REFUSED,
                     reason=outcome.reason,
+                    detail=outcome.detail,
                     figures=(retry_after,),
                 )
             case Failed():
-                self._record(Event.REQUEST_FAILED, reason=outcome.reason)
+                self._record(
+                    Event.REQUEST_FAILED,
+                    reason=outcome.reason,
+                    detail=outcome.detail,
+                )
 
     def record_undelivered(self, delivery: Delivery, stop: PlannedStop) -> None:
         """Record that no answer was delivered.
--- a/src/trefoilpaddle/coordination/chain/request_path.py
+++ b/src/trefoilpaddle/coordination/chain/request_path.py
@@ -208,7 +208,7 @@
             fingerprint=fingerprint_of(request, account.name),
             parts=shared_parts(request.prompt),
         )
-        refusal = self._guard.refusal_of_any(job.fingerprints())
+        refusal = self._guard.refusal_of_any(job.fingerprints(), job.parts)
         if refusal is not None:
             return refusal
         try:
--- a/src/trefoilpaddle/coordination/chain/worker_exchange.py
+++ b/src/trefoilpaddle/coordination/chain/worker_exchange.py
@@ -139,11 +139,13 @@
         )
         with self._guard.running(worker, job.fingerprint, job.parts) as run:
             sent = await self._exchange(worker, call, sink)
-            run.end = (
-                outcome_of_fault(sent)
-                if isinstance(sent, CallFault)
-                else RunOutcome.ANSWERED
-            )
+            match sent:
+                case CallFault():
+                    run.end = outcome_of_fault(sent)
+                case WorkerFailed() if sent.head.is_worker_failure:
+                    run.end = RunOutcome.FAILED
+                case _:
+                    run.end = RunOutcome.ANSWERED
             return sent
 
     async def _exchange(
--- a/src/trefoilpaddle/coordination/chain/worker_exits.py
+++ b/src/trefoilpaddle/coordination/chain/worker_exits.py
@@ -275,7 +275,7 @@
         self, worker: Worker, evidence: Evidence, runs: Sequence[EndedRun]
     ) -> None:
         requests = sorted({run.fingerprint for run in runs})
-        parts = sorted({part for run in runs for part in run.parts})
+        parts = sorted({part for run in runs for part in run.parts()})
         named = f"requests {' '.join(requests[:MAX_NAMED])}"
         if parts:
             named += f"; parts {' '.join(parts[:MAX_NAMED])}"
--- a/src/trefoilpaddle/state/chain/crash_registry.py
+++ b/src/trefoilpaddle/state/chain/crash_registry.py
@@ -1,15 +1,34 @@
-"""Worker crashes by the request that ran there, and the restrictions that follow."""
+"""Worker crashes by what ran there, and the restrictions that follow.
+
+What may have crashed a worker is called a subject: a request, its pieces at a service
+of its stages, or a part of its prompt that other requests may share. Each has a
+fingerprint.
+"""
 
 import time
 from collections import Counter, OrderedDict
+from collections.abc import Iterator, Set
 from dataclasses import dataclass, field
 from enum import Enum, unique
 from typing import Final
 
-from .fingerprint import account_part
+from .fingerprint import PARTS_ACCOUNT, account_part, is_part
 
 BLOCK_AFTER: Final = 3
-"""Number of crashes after which a request is sent to no worker."""
+"""Number of crashes after which a subject is sent to no worker."""
+
+BLOCK_PART_AFTER: Final = 5
+"""The same for a part of a prompt while workers also crash without it.
+
+A part that is often sent runs at several of them by chance. After `BLOCK_AFTER` crashes
+it is isolated then.
+"""
+
+OTHER_EXITS_S: Final = 30.0
+"""Seconds within which exits of other workers count for this."""
+
+MAX_EXITS: Final = 64
+"""Exits of workers that are remembered for this."""
 
 BLOCK_S: Final = {3: 600.0, 4: 3600.0}
 """Seconds for which a request is blocked, by its number of crashes.
@@ -18,6 +37,9 @@
 more, isolated, so that a request that ran at crashing workers by chance is cleared.
 """
 
+BLOCK_PART_S: Final = {3: 600.0, 4: 3600.0, 5: 600.0, 6: 3600.0}
+"""The same for a part of a prompt."""
+
 VERDICT_S: Final = 1.0
 """Seconds within which other gateways report which requests ran at a crashed worker."""
 
@@ -30,6 +52,9 @@
 MAX_REQUESTS_PER_ACCOUNT: Final = 256
 """The same limit per client account: twice what runs at the largest worker."""
 
+MAX_PARTS: Final = 1024
+"""The same limit for parts of prompts, which belong to no account."""
+
 MAX_LEVEL: Final = 8
 """Crashes of one request that are counted; further crashes have no effect."""
 
@@ -37,7 +62,8 @@
 """Worker processes of one record; an outage may end more that ran a request."""
 
 MAX_CLEARED: Final = 2048
-"""Cleared requests that are remembered, so that late reports do not undo this."""
+"""Cleared or answered subjects that are remembered, so that late reports of crashes
+do not undo this."""
 
 
 Start = tuple[str, int]
@@ -136,15 +162,23 @@
 
 
 class CrashRegistry:
-    """Records crashes by request, bounded in count and time.
+    """Records crashes by subject, bounded in count and time.
 
-    A request that any worker answers is cleared of all its crashes: a request that
-    crashes every worker is never answered.
+    A subject that any worker answers is cleared of all its crashes: one that crashes
+    every worker is never answered.
     """
 
-    __slots__ = ("_cleared_s", "_n_by_account", "_records")
+    __slots__ = (
+        "_answered_s",
+        "_cleared_s",
+        "_exits_s",
+        "_n_by_account",
+        "_records",
+    )
 
     def __init__(self) -> None:
+        self._exits_s: OrderedDict[Start, float] = OrderedDict()
+        self._answered_s: OrderedDict[str, float] = OrderedDict()
         self._records: dict[str, CrashRecord] = {}
         self._n_by_account: Counter[str] = Counter()
         self._cleared_s: OrderedDict[str, float] = OrderedDict()
@@ -155,6 +189,9 @@
     def record(self, fingerprint: str, crash: Crash) -> bool:
         """Record a crash; return True if it was not known yet."""
         now_s = time.monotonic()
+        self._exits_s[crash.start] = crash.ended_s
+        while len(self._exits_s) > MAX_EXITS:
+            self._exits_s.popitem(last=False)
         is_old = now_s - crash.ended_s > RETENTION_S
         if is_old or crash.level > MAX_LEVEL or self.is_cleared(fingerprint, crash):
             return False
@@ -173,19 +210,37 @@
         """Forget the crashes of a request; return True if this changed anything."""
         is_change = fingerprint not in self._cleared_s or fingerprint in self._records
         self._forget(fingerprint)
-        self._cleared_s[fingerprint] = time.monotonic()
-        self._cleared_s.move_to_end(fingerprint)
-        while len(self._cleared_s) > MAX_CLEARED:
-            self._cleared_s.popitem(last=False)
+        _remember(self._cleared_s, fingerprint)
         return is_change
 
+    def record_answer(self, fingerprint: str) -> None:
+        """Remember that a subject without crashes on record was answered.
+
+        A crash that happened before may be reported later.
+        """
+        _remember(self._answered_s, fingerprint)
+
     def is_cleared(self, fingerprint: str, crash: Crash) -> bool:
-        """Return True if a request was cleared after a crash."""
-        cleared_s = self._cleared_s.get(fingerprint)
-        return cleared_s is not None and crash.ended_s <= cleared_s
+        """Return True if a subject was cleared or answered after a crash."""
+        return any(
+            fingerprint in known and crash.ended_s <= known[fingerprint]
+            for known in (self._cleared_s, self._answered_s)
+        )
 
-    def status(self, fingerprint: str) -> CrashStatus:
-        """Return what may be done with a request now, given its fingerprint."""
+    def status(
+        self, fingerprint: str, *, within: frozenset[str] = frozenset()
+    ) -> CrashStatus:
+        """Return what may be done with a subject now, given its fingerprint.
+
+        Parameters
+        ----------
+        fingerprint : str
+            Fingerprint of the subject.
+        within : frozenset of str
+            Fingerprints of all subjects of the request that is to be sent. Another one
+            that explains the crashes as well is none of these: whichever of them is the
+            cause, the request crashes its worker.
+        """
         record = self._records.get(fingerprint)
         if record is None:
             return CrashStatus.CLEAR
@@ -195,23 +250,48 @@
             self._forget(fingerprint)
             return CrashStatus.CLEAR
         if n_successive >= BLOCK_AFTER:
-            is_over = age_s > BLOCK_S.get(n_successive, RETENTION_S)
-            is_sure = not (is_over or self._has_other_cause(fingerprint, record))
+            blocks_s = BLOCK_PART_S if is_part(fingerprint) else BLOCK_S
+            is_over = age_s > blocks_s.get(n_successive, RETENTION_S)
+            has_other = self._has_other_cause(fingerprint, record, within)
+            if is_part(fingerprint) and has_other:
+                # Many sound requests may share the part, and the next good end of one
+                # of them clears it.
+                return CrashStatus.WATCHED
+            is_part_in_doubt = (
+                is_part(fingerprint)
+                and n_successive < BLOCK_PART_AFTER
+                and self._has_exits_without(record)
+            )
+            is_sure = not (is_over or has_other or is_part_in_doubt)
             return CrashStatus.BLOCKED if is_sure else CrashStatus.SUSPECT
-        is_suspect = n_successive == BLOCK_AFTER - 1
+        is_suspect = n_successive == BLOCK_AFTER - 1 and not is_part(fingerprint)
         return CrashStatus.SUSPECT if is_suspect else CrashStatus.WATCHED
 
-    def is_verdict_due(self, fingerprint: str) -> bool:
-        """Return False while another request may still turn out to be the cause.
+    def is_verdict_due(
+        self, fingerprint: str, *, within: frozenset[str] = frozenset()
+    ) -> bool:
+        """Return False while another subject may still turn out to be the cause.
 
-        That request ran at all workers that crashed before the last one. If it ran
-        there too, the gateway that sent it may not have reported this yet.
+        It ran at all workers that crashed before the last one. If it ran there too, the
+        gateway that sent it may not have reported this yet.
         """
         record = self._records.get(fingerprint)
         if record is None or time.monotonic() - record.reported_s > VERDICT_S:
             return True
         earlier = record.starts(before_level=record.last_level())
-        return not self._is_shared(fingerprint, earlier)
+        return next(self._sharing(earlier, {fingerprint} | within), None) is None
+
+    def other_causes(self, fingerprint: str, *, with_last: bool = True) -> list[str]:
+        """Return the other subjects that ran at all workers that crashed.
+
+        Without `with_last`, at all of them but those of the last crash.
+        """
+        record = self._records.get(fingerprint)
+        if record is None:
+            return []
+        before_level = record.last_level() + with_last
+        starts = record.starts(before_level=before_level)
+        return list(self._sharing(starts, {fingerprint}))
 
     def unsure(self) -> list[str]:
         """Return the requests that are not blocked only because of another one."""
@@ -219,30 +299,59 @@
             fingerprint
             for fingerprint, record in self._records.items()
             if record.n_successive() >= BLOCK_AFTER
-            and self._has_other_cause(fingerprint, record)
+            and self._has_other_cause(fingerprint, record, frozenset())
         ]
 
-    def _has_other_cause(self, fingerprint: str, record: CrashRecord) -> bool:
-        """Return True if another request ran at all workers that crashed.
+    def _has_other_cause(
+        self, fingerprint: str, record: CrashRecord, within: frozenset[str]
+    ) -> bool:
+        """Return True if other subjects explain all crashes of one.
 
-        A popular request may be at each of them by chance. Both run isolated until
-        one of them is answered, or has crashed a worker without the other.
+        Either another one ran at all of these workers, as a popular one may by chance:
+        neither is blocked until one of them is answered, or has crashed a worker
+        without the other. Or each of these workers ran another one that has crashed as
+        many, some of them without this one.
         """
-        return self._is_shared(fingerprint, record.starts())
-
-    def _is_shared(self, fingerprint: str, starts: set[tuple[str, int]]) -> bool:
-        """Return True if another request ran at all of these workers."""
+        unexplained = record.starts()
+        for known, other in self._records.items():
+            if known == fingerprint or known in within:
+                continue
+            starts = other.crashes.keys()
+            if starts >= record.crashes.keys():
+                return True
+            has_own = not starts <= record.crashes.keys()
+            if has_own and other.n_successive() >= BLOCK_AFTER:
+                unexplained -= starts
+        return not unexplained
+
+    def _has_exits_without(self, record: CrashRecord) -> bool:
+        """Return True if workers crashed lately that did not run a subject."""
+        since_s = record.last_crash_s() - OTHER_EXITS_S
         return any(
-            len(other.crashes) >= len(starts) and starts <= other.starts()
-            for known, other in self._records.items()
-            if known != fingerprint
+            ended_s > since_s and start not in record.crashes
+            for start, ended_s in self._exits_s.items()
         )
 
+    def _sharing(self, starts: set[Start], without: Set[str]) -> Iterator[str]:
+        """Yield the subjects that ran at all of these workers, but for some."""
+        for fingerprint, record in self._records.items():
+            if (
+                len(record.crashes) >= len(starts)
+                and fingerprint not in without
+                and starts <= record.crashes.keys()
+            ):
+                yield fingerprint
+
     def level(self, fingerprint: str) -> int:
         """Return the highest level of the crashes of a request, 0 without one."""
         record = self._records.get(fingerprint)
         return 0 if record is None else record.last_level()
 
+    def n_successive(self, fingerprint: str) -> int:
+        """Return how many crashes of a subject there were in succession."""
+        record = self._records.get(fingerprint)
+        return 0 if record is None else record.n_successive()
+
     def crashes(self, fingerprint: str) -> tuple[Crash, ...]:
         """Return the crashes of a request, one for each process."""
         record = self._records.get(fingerprint)
@@ -258,7 +367,8 @@
         Above the limit of a client account, only records of that account are evicted.
         """
         account = account_part(fingerprint)
-        if self._n_by_account[account] >= MAX_REQUESTS_PER_ACCOUNT:
+        limit = MAX_PARTS if account == PARTS_ACCOUNT else MAX_REQUESTS_PER_ACCOUNT
+        if self._n_by_account[account] >= limit:
             return self._evict_least_severe(account)
         if len(self._records) < MAX_REQUESTS:
             return True
@@ -294,5 +404,13 @@
                 del self._n_by_account[account]
 
 
+def _remember(times_s: OrderedDict[str, float], fingerprint: str) -> None:
+    """Note the present time for a subject, and forget the oldest above the limit."""
+    times_s[fingerprint] = time.monotonic()
+    times_s.move_to_end(fingerprint)
+    while len(times_s) > MAX_CLEARED:
+        times_s.popitem(last=False)
+
+
 def _is_expired(record: CrashRecord, now_s: float) -> bool:
     return now_s - record.last_crash_s() > RETENTION_S
--- a/src/trefoilpaddle/state/chain/delivery.py
+++ b/src/trefoilpaddle/state/chain/delivery.py
@@ -72,7 +72,7 @@
         return "its stages or a worker"
 
     def failure_outcome(
-        self, reason: Reason, *, retry_after_s: float
+        self, reason: Reason, *, retry_after_s: float, detail: str = ""
     ) -> Refused | Failed:
         """Return the outcome of a request that no worker has answered.
 
@@ -80,5 +80,5 @@
         can have begun to run it.
         """
         if self.is_in_progress or self.may_have_run:
-            return Failed(reason=reason, is_begun=self.is_begun)
-        return Refused(reason=reason, retry_after_s=retry_after_s)
+            return Failed(reason=reason, is_begun=self.is_begun, detail=detail)
+        return Refused(reason=reason, retry_after_s=retry_after_s, detail=detail)
--- a/src/trefoilpaddle/state/chain/fingerprint.py
+++ b/src/trefoilpaddle/state/chain/fingerprint.py
@@ -1,4 +1,7 @@
-"""Fingerprints, which identify a request across attempts with different ids."""
+"""Fingerprints, which identify what may crash workers across attempts of callers.
+
+That is a whole request, its pieces at a service, or a part of its prompt.
+"""
 
 import re
 from hashlib import blake2b
@@ -15,7 +18,7 @@
 MAX_PARTS: Final = 16
 """Parts of one prompt that are watched, as a caller may state any number of them."""
 
-NO_ACCOUNT: Final = "0" * 2 * ACCOUNT_BYTES
+PARTS_ACCOUNT: Final = b"part".hex()
 """Account part of the fingerprints of prompt parts, which any account may send."""
 
 FINGERPRINT_PATTERN: Final = re.compile(
@@ -70,7 +73,7 @@
     digest = blake2b(
         part_id.encode(errors="surrogateescape"), digest_size=REQUEST_BYTES
     )
-    return NO_ACCOUNT + digest.hexdigest()
+    return PARTS_ACCOUNT + digest.hexdigest()
 
 
 def shared_parts(prompt: Prompt | None) -> tuple[str, ...]:
@@ -89,6 +92,11 @@
     return fingerprint[: 2 * ACCOUNT_BYTES]
 
 
+def is_part(fingerprint: str) -> bool:
+    """Return True for the fingerprint of a part of a prompt."""
+    return account_part(fingerprint) == PARTS_ACCOUNT
+
+
 def is_fingerprint(text: str) -> bool:
     """Return True if a text from a peer has the form of a fingerprint."""
     return FINGERPRINT_PATTERN.fullmatch(text) is not None
--- a/src/trefoilpaddle/state/chain/requests.py
+++ b/src/trefoilpaddle/state/chain/requests.py
@@ -105,10 +105,13 @@
         Cause of the refusal.
     retry_after_s : float
         Seconds until there will probably be capacity; 0 if a retry is useless.
+    detail : str
+        What the refusal refers to, for the log.
     """
 
     reason: Reason
     retry_after_s: float = 0.0
+    detail: str = ""
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -121,10 +124,13 @@
         Cause of the failure.
     is_begun : bool
         True if a part of the answer was sent to the caller.
+    detail : str
+        What the failure refers to, for the log.
     """
 
     reason: Reason
     is_begun: bool = False
+    detail: str = ""
 
 
 Outcome = Answered | Refused | Failed
--- a/src/trefoilpaddle/state/chain/target_answers.py
+++ b/src/trefoilpaddle/state/chain/target_answers.py
@@ -53,6 +53,11 @@
         """True for status codes 200 to 299: the work was done."""
         return 200 <= self.status < 300
 
+    @property
+    def is_worker_failure(self) -> bool:
+        """True for status codes from 500: it may have failed before the work began."""
+        return self.status >= 500
+
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class StreamEvent:
--- a/src/trefoilpaddle/state/chain/worker_runs.py
+++ b/src/trefoilpaddle/state/chain/worker_runs.py
@@ -1,8 +1,10 @@
 """Runs of requests at workers, and their outcomes."""
 
+from collections.abc import Iterator, Mapping
 from dataclasses import dataclass
 from enum import Enum, unique
 
+from .fingerprint import is_part
 from .target_answers import CallFault
 from .workers import Worker
 
@@ -12,7 +14,9 @@
     """Outcome of the run of a request at a worker, as observed by the gateway."""
 
     ANSWERED = "answered"
-    """The worker answered completely, with a success or a failure of its own."""
+    """The worker answered completely."""
+    FAILED = "failed"
+    """The worker answered that it failed; it may have done so before the work began."""
     NOT_RUN = "not_run"
     """The worker did not run the request."""
     REFUSED = "refused"
@@ -48,20 +52,22 @@
         Worker that ran the request.
     fingerprint : str
         Fingerprint of the request.
-    level : int
-        Crashes of the request that were known when the run began.
+    levels : mapping of str to int
+        Level of the crashes that were known when the run began, by the fingerprint of
+        the request and of each part of its prompt that other requests may share.
     began_s, ended_s : float
         Monotonic times at which the run began and ended.
     outcome : RunOutcome
         How the run ended.
-    parts : tuple of str
-        Fingerprints of the parts of its prompt that other requests may share.
     """
 
     worker: Worker
     fingerprint: str
-    level: int
+    levels: Mapping[str, int]
     began_s: float
     ended_s: float
     outcome: RunOutcome
-    parts: tuple[str, ...] = ()
+
+    def parts(self) -> Iterator[str]:
+        """Yield the fingerprints of the shared parts of the prompt."""
+        return filter(is_part, self.levels)
--- a/src/trefoilpaddle/state/events.py
+++ b/src/trefoilpaddle/state/events.py
@@ -28,6 +28,10 @@
     """A request is not sent to any worker; names the workers that crashed under it."""
     REQUEST_CLEARED = 109
     """A request under which workers crashed has succeeded, or was allowed again."""
+    PART_BLOCKED = 110
+    """Requests with a part of a prompt are not sent; names the workers that crashed."""
+    PART_CLEARED = 111
+    """A request with a blocked part was answered, or the part was allowed again."""
     # Stage calls at a gateway
     ROUTED = 120
     """A target was chosen for a stage call."""
--- a/tests/chain/__main__.py
+++ b/tests/chain/__main__.py
@@ -35,6 +35,7 @@
 from .crash_plays import print_plays
 from .limited_fleet import print_plays as print_limit_plays
 from .origins_fleet import print_plays as print_origin_plays
+from .part_plays import print_parts
 from .virtual_time import run_virtual
 
 LOADS: Final = {"busy": BUSY_DAY, "tight": TIGHT_DAY, "uneven": UNEVEN_DAY}
@@ -159,6 +160,7 @@
             "store": print_costs,
             "crash": print_crash_costs,
             "crashes": print_plays,
+            "parts": print_parts,
             "cold": print_cold_plays,
             "limits": print_limit_plays,
             "origins": print_origin_plays,
--- a/tests/chain/crash_fleet.py
+++ b/tests/chain/crash_fleet.py
@@ -2,7 +2,7 @@
 
 import asyncio
 import contextlib
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Callable
 from dataclasses import replace
 from types import SimpleNamespace
 from typing import Any
@@ -24,14 +24,20 @@
 class Gateway:
     """One gateway, as far as it handles crashes."""
 
-    def __init__(self, number: int, calls: FakeCalls, n_workers: int) -> None:
+    def __init__(
+        self,
+        number: int,
+        calls: FakeCalls,
+        n_workers: int,
+        registry: Callable[[], CrashRegistry],
+    ) -> None:
         self.process = process(f"g{number}")
         self.address = Address(ip="127.0.0.1", port=1 + number)
         self.links: list[Any] = []
         self.workers = WorkerTable()
         for each in range(n_workers):
             self.workers.put(replace(worker(f"w{each}"), born_ms=1))
-        self.book = CrashRegistry()
+        self.book = registry()
         self.notes = journal()
         self.relay = CrashRelay(
             process=self.process, links=lambda: self.links, book=self.book
@@ -84,12 +90,18 @@
         Messages and bytes sent between gateways so far.
     """
 
-    def __init__(self, n_gateways: int, n_workers: int) -> None:
+    def __init__(
+        self,
+        n_gateways: int,
+        n_workers: int,
+        registry: Callable[[], CrashRegistry],
+    ) -> None:
         self.calls = FakeCalls()
         self.n_messages = 0
         self.n_bytes = 0
         self.every = [
-            Gateway(number, self.calls, n_workers) for number in range(n_gateways)
+            Gateway(number, self.calls, n_workers, registry)
+            for number in range(n_gateways)
         ]
         by_name = {
             gateway.process.identity.process_id: gateway for gateway in self.every
@@ -100,13 +112,18 @@
             ]
 
     async def run_at(
-        self, number: int, worker_id: str, fingerprint: str, end: RunOutcome
+        self,
+        number: int,
+        worker_id: str,
+        fingerprint: str,
+        end: RunOutcome,
+        parts: tuple[str, ...] = (),
     ) -> None:
         """Run a request at a worker; the outcome BROKEN crashes the worker."""
         gateway = self.every[number]
         at = gateway.workers.get(worker_id)
         assert at is not None
-        with gateway.guard.running(at, fingerprint) as run:
+        with gateway.guard.running(at, fingerprint, parts) as run:
             await asyncio.sleep(0.002)
             run.end = end
             if end is RunOutcome.BROKEN:
@@ -128,10 +145,13 @@
 
 @contextlib.asynccontextmanager
 async def crash_fleet(
-    n_gateways: int = 8, *, n_workers: int = 9
+    n_gateways: int = 8,
+    *,
+    n_workers: int = 9,
+    registry: Callable[[], CrashRegistry] = CrashRegistry,
 ) -> AsyncIterator[CrashFleet]:
     """Run gateways that notify one another while the context is open."""
-    fleet = CrashFleet(n_gateways, n_workers)
+    fleet = CrashFleet(n_gateways, n_workers, registry)
     running = [asyncio.create_task(each.relay.run()) for each in fleet.every]
     try:
         yield fleet
--- a/tests/chain/test_attempts.py
+++ b/tests/chain/test_attempts.py
@@ -299,13 +299,14 @@
         # By its route it would be retried at once, before the crash is reported.
         calls = FakeCalls(scripts=[CallFault.BROKEN, FakeAnswer()], is_crashing=True)
         outcome = await attempts(calls, IDEMPOTENT, n_crashes=2).run(FakeSink())
-        assert outcome == Failed(reason=Reason.CRASHES_WORKERS)
+        assert outcome == Failed(reason=Reason.CRASHES_WORKERS, detail=FINGERPRINT)
         assert len(calls.sent) == 1
 
     async def test_a_blocked_request_is_refused(self) -> None:
         calls = FakeCalls()
         running = attempts(calls, IDEMPOTENT, n_crashes=3)
-        assert await running.run(FakeSink()) == Refused(reason=Reason.CRASHES_WORKERS)
+        refused = Refused(reason=Reason.CRASHES_WORKERS, detail=FINGERPRINT)
+        assert await running.run(FakeSink()) == refused
         assert calls.sent == []
 
     async def test_a_truncated_answer_of_a_live_worker_is_retried(self) -> None:
--- a/tests/chain/test_crash_guard.py
+++ b/tests/chain/test_crash_guard.py
@@ -11,6 +11,7 @@
 from trefoilpaddle.protocol.reasons import Reason
 from trefoilpaddle.state.chain.crash_registry import Crash, CrashStatus
 from trefoilpaddle.state.chain.exit_rate import MAX_ATTRIBUTED_EXITS
+from trefoilpaddle.state.chain.fingerprint import part_fingerprint
 from trefoilpaddle.state.chain.piece_work import PieceFault, PieceOutcome, PieceResult
 from trefoilpaddle.state.chain.worker_runs import RunOutcome
 from trefoilpaddle.state.journal import Event
@@ -21,6 +22,7 @@
 
 GUILTY = "a" * 32
 INNOCENT = "b" * 32
+BAD_PART, OTHER_PART = map(part_fingerprint, ("bad", "other"))
 
 
 async def crash_three(fleet: CrashFleet) -> None:
@@ -113,6 +115,98 @@
         assert all(each == {CrashStatus.WATCHED} for each in statuses)
 
 
+class TestParts:
+    """A part of a prompt, in requests that are never the same."""
+
+    async def crash(
+        self, fleet: CrashFleet, number: int, parts: tuple[str, ...]
+    ) -> None:
+        """Let a new request crash a worker; wait until all gateways know of it."""
+        request = f"{number:032x}"
+        await fleet.run_at(number % 8, f"w{number}", request, RunOutcome.BROKEN, parts)
+        await until(lambda: all(request in g.book.fingerprints() for g in fleet.every))
+
+    def refusals(self, fleet: CrashFleet, *parts: str) -> set[Reason | None]:
+        """Return how the gateways refuse a new request with these parts."""
+        refusals = [each.guard.refusal("d" * 32, parts) for each in fleet.every]
+        return {None if each is None else each.reason for each in refusals}
+
+    async def test_all_gateways_refuse_it_after_three_crashes(self) -> None:
+        async with crash_fleet() as fleet:
+            for number in range(3):
+                await self.crash(
+                    fleet, number, (BAD_PART, f"{OTHER_PART[:-1]}{number}")
+                )
+            assert self.refusals(fleet, BAD_PART) == {Reason.CRASHES_WORKERS}
+            assert self.refusals(fleet, OTHER_PART) == {None}
+
+    # Guards against sound requests that are refused for a part that only ever came
+    # together with the bad one.
+    async def test_of_two_that_came_together_each_runs_alone(self) -> None:
+        async with crash_fleet() as fleet:
+            for number in range(3):
+                await self.crash(fleet, number, (OTHER_PART, BAD_PART))
+            both = self.refusals(fleet, OTHER_PART, BAD_PART)
+            assert both == {Reason.CRASHES_WORKERS}
+            assert self.refusals(fleet, OTHER_PART) == {None}
+            await self.crash(fleet, 3, (BAD_PART,))
+            refused = {Reason.CRASHES_WORKERS}
+            await until(lambda: self.refusals(fleet, BAD_PART) == refused)
+            assert self.refusals(fleet, OTHER_PART) == {None}
+
+    async def test_a_good_end_clears_a_part_at_all_gateways(self) -> None:
+        async with crash_fleet() as fleet:
+            for number in range(2):
+                await self.crash(fleet, number, (OTHER_PART,))
+            await fleet.run_at(5, "w8", "c" * 32, RunOutcome.ANSWERED, (OTHER_PART,))
+            await until(lambda: fleet.statuses(OTHER_PART) == {CrashStatus.CLEAR})
+            await self.crash(fleet, 2, (OTHER_PART,))
+            assert self.refusals(fleet, OTHER_PART) == {None}
+
+    # Guards against a bad part that is cleared by workers that fail before they begin.
+    @pytest.mark.parametrize(
+        "end", [RunOutcome.FAILED, RunOutcome.NOT_RUN, RunOutcome.LEFT]
+    )
+    async def test_no_other_end_clears_a_part(self, end: RunOutcome) -> None:
+        async with crash_fleet() as fleet:
+            for number in range(3):
+                await self.crash(fleet, number, (BAD_PART,))
+                await fleet.run_at(number, "w8", "c" * 32, end, (BAD_PART,))
+            assert self.refusals(fleet, BAD_PART) == {Reason.CRASHES_WORKERS}
+
+    async def test_a_crash_reported_after_a_good_end_is_cleared(self) -> None:
+        async with crash_fleet() as fleet:
+            guard = fleet.every[0].guard
+            before_s = time.monotonic()
+            await fleet.run_at(0, "w8", "c" * 32, RunOutcome.ANSWERED, (OTHER_PART,))
+            for level in range(1, 4):
+                crash = Crash(
+                    worker_id=f"w{level}", born_ms=1, level=level, ended_s=before_s
+                )
+                guard.receive_crash(OTHER_PART, crash)
+            assert fleet.every[0].book.status(OTHER_PART) is CrashStatus.CLEAR
+
+    async def test_an_operator_clears_a_part(self) -> None:
+        async with crash_fleet() as fleet:
+            for number in range(3):
+                await self.crash(fleet, number, (BAD_PART,))
+            assert fleet.every[3].guard.unblock(BAD_PART)
+            await until(lambda: self.refusals(fleet, BAD_PART) == {None})
+
+    async def test_one_log_line_names_the_crashes_and_other_causes(self) -> None:
+        async with crash_fleet() as fleet:
+            for number in range(3):
+                await self.crash(fleet, number, (OTHER_PART, BAD_PART))
+            lines = [
+                record.decision.detail
+                for record in fleet.every[-1].notes.recent()
+                if record.decision.event is Event.PART_BLOCKED
+            ]
+        assert len(lines) == 2
+        assert all(worker_id in lines[0] for worker_id in ("w0", "w1", "w2"))
+        assert all(part in line for line in lines for part in (OTHER_PART, BAD_PART))
+
+
 class TestIsolation:
     async def test_a_suspect_runs_once_at_a_time(self) -> None:
         async with crash_fleet() as fleet:
--- a/tests/chain/test_worker_ends.py
+++ b/tests/chain/test_worker_ends.py
@@ -9,6 +9,7 @@
 
 from trefoilpaddle.coordination.chain import worker_exits
 from trefoilpaddle.coordination.chain.worker_exits import Evidence, WorkerExits
+from trefoilpaddle.state.chain.fingerprint import PARTS_ACCOUNT
 from trefoilpaddle.state.chain.worker_runs import EndedRun, RunOutcome
 from trefoilpaddle.state.chain.workers import Worker, WorkerTable
 from trefoilpaddle.state.journal import Event
@@ -19,6 +20,7 @@
 
 
 RUN_S = 0.05
+PART_1, PART_2 = (f"{PARTS_ACCOUNT}{number}" for number in (1, 2))
 
 
 class Rig:
@@ -52,11 +54,10 @@
             EndedRun(
                 worker=FIRST,
                 fingerprint=fingerprint,
-                level=0,
+                levels=dict.fromkeys((fingerprint, *parts), 0),
                 began_s=now_s - RUN_S,
                 ended_s=now_s,
                 outcome=end,
-                parts=parts,
             )
         )
 
@@ -137,11 +138,13 @@
 
     async def test_the_log_names_the_prompt_parts_of_the_requests(self) -> None:
         rig = Rig()
-        rig.run(RunOutcome.BROKEN, parts=("p2", "p1"))
-        rig.run(RunOutcome.BROKEN, fingerprint="f2", parts=("p2",))
+        rig.run(RunOutcome.BROKEN, parts=(PART_2, PART_1))
+        rig.run(RunOutcome.BROKEN, fingerprint="f2", parts=(PART_2,))
         rig.ends.confirm(FIRST, Evidence.REPORTED)
         (record,) = rig.notes.recent()
-        assert record.decision.detail == "a peer says so; requests f1 f2; parts p1 p2"
+        assert record.decision.detail == (
+            f"a peer says so; requests f1 f2; parts {PART_1} {PART_2}"
+        )
 
 
 class TestNoCrashes:
