Answer a waiting request at once when a part of its prompt is blocked

A request that waited for its stages, for a worker or for another attempt when a part of its prompt, or the request itself, was blocked for crashing workers was held until that wait ended, up to its deadline, although nothing could be sent any more. The check for a block came only before each send.

The block now makes the answers of open requests due that no worker has, by the mechanism that a planned stop uses for the same purpose.

test_a_request_in_its_stages_is_answered_at_once failed before (its wait of 20 s went on).

--- a/src/trefoilpaddle/coordination/chain/crash_guard.py
+++ b/src/trefoilpaddle/coordination/chain/crash_guard.py
@@ -3,7 +3,7 @@
 import random
 import time
 from collections import Counter
-from collections.abc import Iterable, Iterator, Sequence
+from collections.abc import Callable, Iterable, Iterator, Sequence
 from contextlib import ExitStack, contextmanager
 from dataclasses import replace
 from functools import partial
@@ -59,6 +59,11 @@
         The crashes on record.
     relay : CrashRelay
         Exchanges crashes with other gateways.
+
+    Attributes
+    ----------
+    on_blocked : callable
+        Called when a request or a part of a prompt is blocked.
     """
 
     __slots__ = (
@@ -71,6 +76,7 @@
         "_registry",
         "_relay",
         "_workers",
+        "on_blocked",
     )
 
     def __init__(
@@ -93,6 +99,7 @@
         self._exits = WorkerExits(
             workers=workers, calls=calls, journal=journal, on_ended=self._on_ended
         )
+        self.on_blocked: Callable[[], None] = _do_nothing
         relay.on_crash = self.receive_crash
         relay.on_clear = self.clear
         relay.on_run = self.receive_run
@@ -115,6 +122,11 @@
         )
         return next((each for each in refusals if each is not None), None)
 
+    def is_blocked(self, fingerprint: str, parts: tuple[str, ...] = ()) -> bool:
+        """Return True if a request is refused for crashes, whenever it is sent."""
+        refusal = self.refusal(fingerprint, parts)
+        return refusal is not None and refusal.reason is Reason.CRASHES_WORKERS
+
     def _refusal_of(self, subject: str, within: frozenset[str]) -> Refused | None:
         match self._registry.status(subject, within=within):
             case CrashStatus.BLOCKED:
@@ -340,10 +352,13 @@
             n_successive = self._registry.n_successive(fingerprint)
             if n_successive > n_before and n_successive >= BLOCK_AFTER:
                 self._record(Event.PART_BLOCKED, fingerprint)
+                self.on_blocked()
             return
         status = self._registry.status(fingerprint)
         if status is not previous and status in EVENT_OF_STATUS:
             self._record(EVENT_OF_STATUS[status], fingerprint)
+            if status is CrashStatus.BLOCKED:
+                self.on_blocked()
 
     def receive_run(self, run: IsolatedRun) -> bool:
         """Record where a peer runs a suspect; return True if that was not known."""
@@ -375,6 +390,10 @@
         )
 
 
+def _do_nothing() -> None:
+    pass
+
+
 def _runs_apart(subject: str) -> Refused:
     return Refused(
         reason=Reason.RUNS_APART, retry_after_s=ISOLATED_RETRY_S, detail=subject
--- a/src/trefoilpaddle/coordination/chain/planned_stop.py
+++ b/src/trefoilpaddle/coordination/chain/planned_stop.py
@@ -4,7 +4,7 @@
 import contextlib
 import math
 import time
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Callable
 from typing import Final
 
 from ...protocol.reasons import Reason
@@ -37,6 +37,10 @@
 """Seconds before the kill that are left to close connections and to exit."""
 
 
+def _never() -> bool:
+    return False
+
+
 class PlannedStop:
     """The order to stop, and the time that is left after it.
 
@@ -82,6 +86,10 @@
             return
         self._ordered_s = time.monotonic()
         self._ordered.set()
+        self.refresh()
+
+    def refresh(self) -> None:
+        """Reschedule the answers of all open requests after a change."""
         for deadline in self._deadlines:
             deadline.refresh()
 
@@ -116,7 +124,11 @@
 
     @contextlib.asynccontextmanager
     async def answer_deadline(
-        self, delivery: Delivery, deadline_s: float
+        self,
+        delivery: Delivery,
+        deadline_s: float,
+        *,
+        is_blocked: Callable[[], bool] = _never,
     ) -> AsyncIterator[None]:
         """Cancel the body of the context while its request can still be answered.
 
@@ -126,6 +138,9 @@
             How far the request has come.
         deadline_s : float
             Monotonic time at which the answer is due in any case.
+        is_blocked : callable
+            Returns True if the request must not be sent to a worker any more; its
+            answer is due then, unless a worker has it.
 
         Raises
         ------
@@ -134,7 +149,7 @@
         """
         deadline = AnswerDeadline(
             delivery=delivery,
-            answer_by_s=lambda: self._answer_by_s(delivery, deadline_s),
+            answer_by_s=lambda: self._answer_by_s(delivery, deadline_s, is_blocked),
         )
         self._deadlines.add(deadline)
         try:
@@ -144,9 +159,11 @@
             self._deadlines.remove(deadline)
 
     def _answer_by_s(
-        self, delivery: Delivery, deadline_s: float
+        self, delivery: Delivery, deadline_s: float, is_blocked: Callable[[], bool]
     ) -> tuple[float, Reason]:
         """Return the monotonic time at which a request must be answered, and why."""
+        if not delivery.is_in_progress and is_blocked():
+            return 0.0, Reason.CRASHES_WORKERS
         stop_s = self.answer_until_s if delivery.is_in_progress else self.send_until_s
         if stop_s < deadline_s:
             return stop_s, Reason.STOPPING
--- a/src/trefoilpaddle/coordination/chain/request_path.py
+++ b/src/trefoilpaddle/coordination/chain/request_path.py
@@ -151,6 +151,7 @@
         self._budgets = budgets
         self._journal = journal
         self._stop = stop
+        guard.on_blocked = stop.refresh
         self.table = RouteTable()
 
     def activate(self, table: RouteTable) -> None:
@@ -213,10 +214,18 @@
             return refusal
         try:
             async with self._stop.answer_deadline(
-                delivery, deadline_s + ANSWER_GRACE_S
+                delivery,
+                deadline_s + ANSWER_GRACE_S,
+                is_blocked=lambda: self._guard.is_blocked(job.fingerprint, job.parts),
             ):
                 return await self._run(job, delivery, sink)
         except AnswerDueError as due:
+            if due.reason is Reason.CRASHES_WORKERS:
+                refusal = self._guard.refusal(job.fingerprint, job.parts)
+                detail = "" if refusal is None else refusal.detail
+                return delivery.failure_outcome(
+                    due.reason, retry_after_s=0.0, detail=detail
+                )
             is_stop = due.reason is Reason.STOPPING
             retry_after_s = STOPPING_RETRY_S if is_stop else DEFAULT_RETRY_S
             return delivery.failure_outcome(due.reason, retry_after_s=retry_after_s)
--- a/tests/chain/test_request_path.py
+++ b/tests/chain/test_request_path.py
@@ -22,7 +22,15 @@
 from trefoilpaddle.coordination.chain.worker_choice import WorkerChoice
 from trefoilpaddle.protocol.reasons import Reason
 from trefoilpaddle.state.chain.chain_work import ChainFailed, ChainWork
-from trefoilpaddle.state.chain.requests import Answered, Outcome, Refused
+from trefoilpaddle.state.chain.crash_registry import Crash
+from trefoilpaddle.state.chain.fingerprint import part_fingerprint
+from trefoilpaddle.state.chain.requests import (
+    Answered,
+    Outcome,
+    Prompt,
+    PromptPart,
+    Refused,
+)
 from trefoilpaddle.state.chain.routes import (
     Account,
     RepeatPolicy,
@@ -81,6 +89,7 @@
             process=own,
             make=lambda domains: scheduler(calls, workers, RouteTable(), self.notes),
         )
+        self.guard = crash_guard(calls, workers)
         self.path = RequestPath(
             failure_domain="here",
             workers=workers,
@@ -100,7 +109,7 @@
             budgets=budgets(),
             journal=self.notes,
             stop=self.stop,
-            guard=crash_guard(calls, workers),
+            guard=self.guard,
             send_limits=send_limits(workers),
             origins=StreamOrigins(process=own, live=list, workers=workers),
         )
@@ -139,6 +148,39 @@
         assert [work.deadline_s <= now_s + 7.0 for work in works] == [True]
 
 
+class TestBlockedPart:
+    # Guards against a request that is held back in its stages although it will be sent
+    # to no worker, as a part of its prompt was blocked meanwhile.
+    async def test_a_request_in_its_stages_is_answered_at_once(
+        self, monkeypatch: pytest.MonkeyPatch
+    ) -> None:
+        async def wait(
+            _: ChainRouter, work: ChainWork, place: SchedulerEndpoint
+        ) -> ChainFailed:
+            await asyncio.sleep(20.0)
+            raise AssertionError("the wait was not interrupted")
+
+        monkeypatch.setattr(ChainRouter, "run", wait)
+        stages = (StagePlan(service="s", after=(), result_bytes=1.0),)
+        rig = Rig(FakeCalls(), route(is_stream=True, timeout_s=20.0, stages=stages))
+        rig.workers.put(worker("s1", "s"))
+        parts = tuple(PromptPart(part_id=each, n_tokens=1) for each in ("bad", "own"))
+        prompt = Prompt(parts=parts, n_tokens=2, n_output_tokens=1)
+        now_s = time.monotonic()
+        waiting = asyncio.create_task(rig.serve(prompt=prompt, deadline_s=now_s + 20.0))
+        await asyncio.sleep(0.01)
+        bad = part_fingerprint("bad")
+        for level in (1, 2, 3):
+            assert not waiting.done()
+            crash = Crash(
+                worker_id=f"w{level}", born_ms=1, level=level, ended_s=time.monotonic()
+            )
+            rig.guard.receive_crash(bad, crash)
+        async with asyncio.timeout(1.0):
+            outcome = await waiting
+        assert outcome == Refused(reason=Reason.CRASHES_WORKERS, detail=bad)
+
+
 class TestWhoGoverns:
     async def test_nothing_is_denied_before_anything_is_known(self) -> None:
         outcome = await Rig(FakeCalls()).serve()
