--- a/tests/platform_adapter/test_crowded_gateway.py
+++ b/tests/platform_adapter/test_crowded_gateway.py
@@ -13,7 +13,7 @@
     # their callers have left before any of them is answered.
     async def test_what_it_reads_is_served(self, tmp_path: Path) -> None:
         async with crowding_harness(tmp_path) as harness:
-            observed = await harness.run(calm_per_s=60.0, crowded_per_s=240.0)
+            observed = await harness.run(calm_per_s=60.0, crowded_per_s=400.0)
             logs = "".join(gateway.log() for gateway in harness.all_gateways)
         before = served_share(observed.calm())
         served = served_share(observed.crowded())
