Close new connections unread while the event loop lags

When most new connections went to one gateway of a weak host, its callers got nothing: it read all that came, and worked on requests whose callers had left.

Nothing decided before a request was read whether it could be served.

During a planned stop nothing is closed, as before.

--- a/src/trefoilpaddle/state/events.py
+++ b/src/trefoilpaddle/state/events.py
@@ -158,3 +158,5 @@
     """Keys and certificates were reloaded."""
     SETTINGS_RELOADED = 305
     """The settings file was reloaded; with a detail if it is invalid."""
+    CONNECTIONS_CLOSED = 306
+    """New connections were closed unread, as the process lags; states how many."""
--- a/src/trefoilpaddle/transport/http_listener.py
+++ b/src/trefoilpaddle/transport/http_listener.py
@@ -18,6 +18,12 @@
 BACKLOG: Final = 1024
 """Connections that may wait to be accepted while the process is stalled."""
 
+MAX_ACCEPTED: Final = 128
+"""Connections that are accepted in one turn of the event loop."""
+
+ACCEPT_RETRY_S: Final = 0.5
+"""Seconds until connections are accepted again after that failed."""
+
 HANDSHAKE_S: Final = 0.05
 """Time in seconds for handshakes that have begun when the listener closes.
 
@@ -51,6 +57,10 @@
 )
 
 
+def _always() -> bool:
+    return True
+
+
 class HttpListener:
     """Accepts connections for an HTTP server until it is closed.
 
@@ -70,15 +80,19 @@
         Most open connections; more are answered with 503. By default, any number.
     tls : ssl.SSLContext, optional
         Server-side context; None for plain HTTP.
+    admits : callable, optional
+        Returns False if a new connection should be closed before anything is read from
+        it, so that its caller can try another process at once.
     """
 
     __slots__ = (
+        "_admits",
         "_http",
         "_lingering",
         "_max_connections",
+        "_opening",
         "_port",
         "_refusal",
-        "_server",
         "_socket",
         "_tls",
     )
@@ -90,7 +104,9 @@
         refusal: bytes,
         max_connections: int | None = None,
         tls: ssl.SSLContext | None = None,
+        admits: Callable[[], bool] = _always,
     ) -> None:
+        self._admits = admits
         self._http = http
         self._refusal = refusal
         self._max_connections = max_connections
@@ -98,7 +114,7 @@
         self._lingering = LingeringConnections()
         self._port = 0
         self._socket: socket.socket | None = None
-        self._server: asyncio.Server | None = None
+        self._opening: set[asyncio.Task[None]] = set()
 
     async def open(self, ip: str, port: int) -> int:
         """Listen at `ip` and `port`; return the port, which the kernel chooses for 0.
@@ -111,9 +127,7 @@
         family = socket.AF_INET6 if ":" in ip else socket.AF_INET
         self._socket = socket.create_server((ip, port), family=family, backlog=BACKLOG)
         self._socket.setblocking(False)
-        self._server = await asyncio.get_running_loop().create_server(
-            self._new_protocol, sock=self._socket, backlog=BACKLOG, ssl=self._tls
-        )
+        self._resume_accepting()
         self._port = self._socket.getsockname()[1]
         return self._port
 
@@ -147,6 +161,48 @@
         """Interrupt the requests that are still open."""
         await self._http.shutdown(SHUTDOWN_S)
 
+    def _resume_accepting(self) -> None:
+        if self._socket is not None:
+            asyncio.get_running_loop().add_reader(self._socket, self._accept_new)
+
+    def _accept_new(self) -> None:
+        """Accept the connections that wait, and close those that are not admitted.
+
+        The event loop's own server accepts one connection in each turn. In a process
+        that lags the others would wait unseen until their callers have left.
+        """
+        listening = self._socket
+        if listening is None:
+            return
+        try:
+            for _ in range(MAX_ACCEPTED):
+                connected, _ = listening.accept()
+                if self._admits():
+                    self._open_connection(connected)
+                else:
+                    connected.close()
+        except BlockingIOError:
+            pass
+        except OSError as error:
+            logging.warning("connections could not be accepted: %s", error)
+            loop = asyncio.get_running_loop()
+            loop.remove_reader(listening)
+            loop.call_later(ACCEPT_RETRY_S, self._resume_accepting)
+
+    def _open_connection(self, connected: socket.socket) -> None:
+        connected.setblocking(False)
+        opening = asyncio.create_task(self._connect(connected))
+        self._opening.add(opening)
+        opening.add_done_callback(self._opening.discard)
+
+    async def _connect(self, connected: socket.socket) -> None:
+        try:
+            await asyncio.get_running_loop().connect_accepted_socket(
+                self._new_protocol, connected, ssl=self._tls
+            )
+        except OSError as error:
+            logging.warning("a connection could not be opened: %s", error)
+
     def _new_protocol(self) -> asyncio.Protocol:
         max_connections = self._max_connections
         if max_connections is None or len(self._http.connections) < max_connections:
@@ -155,38 +211,30 @@
 
     async def _stop_accepting(self, until_s: float) -> None:
         """Close the listener once all connections that callers made are accepted."""
-        server, listening = self._server, self._socket
-        if server is None or listening is None:
+        listening = self._socket
+        if listening is None:
             return
-        self._server = self._socket = None
         if drop_new_connections(listening):
             left_s = until_s - time.monotonic()
             await asyncio.sleep(max(0.0, min(HANDSHAKE_S, left_s)))
+        self._socket = None
+        asyncio.get_running_loop().remove_reader(listening)
         # No iteration of the event loop may come between the last attempt to accept
         # and the close: what is accepted after it would be reset.
-        accepted = self._accept_waiting(listening)
-        server.close()
-        loop = asyncio.get_running_loop()
-        made = (
-            loop.connect_accepted_socket(self._new_protocol, each, ssl=self._tls)
-            for each in accepted
-        )
-        for result in await asyncio.gather(*made, return_exceptions=True):
-            if isinstance(result, BaseException):
-                logging.warning("a connection could not be accepted: %s", result)
-
-    def _accept_waiting(self, listening: socket.socket) -> list[socket.socket]:
-        accepted = []
+        self._accept_waiting(listening)
+        listening.close()
+        if self._opening:
+            await asyncio.wait(self._opening)
+
+    def _accept_waiting(self, listening: socket.socket) -> None:
         try:
             while True:
                 connected, _ = listening.accept()
-                connected.setblocking(False)
-                accepted.append(connected)
+                self._open_connection(connected)
         except BlockingIOError:
             pass
         except OSError as error:
             logging.warning("not all connections could be accepted: %s", error)
-        return accepted
 
     def _refuse_idle(self) -> int:
         """Refuse what may be under way on idle connections; return their number."""
--- a/tests/platform_adapter/caller_harness.py
+++ b/tests/platform_adapter/caller_harness.py
@@ -56,7 +56,9 @@
 
 
 @contextlib.asynccontextmanager
-async def serving(served: Served, *, stopping: bool = False) -> AsyncIterator[int]:
+async def serving(
+    served: Served, *, stopping: bool = False, admits: bool = True
+) -> AsyncIterator[int]:
     stop = PlannedStop(grace_s=8.0)
     if stopping:
         stop.order()
@@ -64,6 +66,7 @@
         serve=served,
         limits=lambda: CallerLimits(max_body_bytes=100),
         stop=stop,
+        admits=lambda: admits,
     )
     port = free_port()
     async with server.listening(f"127.0.0.1:{port}"):
--- a/tests/platform_adapter/test_callers.py
+++ b/tests/platform_adapter/test_callers.py
@@ -381,7 +381,9 @@
         # second request, read long before, ended without an answer.
         stop = PlannedStop(grace_s=8.0)
         served = Served(works_s=0.2)
-        server = CallerServer(serve=served, limits=CallerLimits, stop=stop)
+        server = CallerServer(
+            serve=served, limits=CallerLimits, stop=stop, admits=lambda: True
+        )
         port = free_port()
         async with server.listening(f"127.0.0.1:{port}"):
             reader, writer = await asyncio.open_connection("127.0.0.1", port)
@@ -392,3 +394,25 @@
         assert answers.count(b"HTTP/1.1 200") == 2
         assert answers.lower().count(b"connection: close") == 1
         writer.close()
+
+
+class TestAdmission:
+    # Guards against a lagging process that reads a request before it closes the
+    # connection, so that the caller cannot know that it has not run.
+    async def test_a_connection_that_is_not_admitted_is_closed_unread(self) -> None:
+        served = Served()
+        async with serving(served, admits=False) as port:
+            reader, writer = await asyncio.open_connection("127.0.0.1", port)
+            with contextlib.suppress(ConnectionError):
+                writer.write(GET + b"\r\n")
+                assert await reader.read() == b""
+            writer.close()
+        assert served.requests == []
+
+    async def test_a_stopping_gateway_refuses_with_an_answer(self) -> None:
+        served = Served(outcome=Refused(reason=Reason.STOPPING))
+        async with serving(served, admits=False, stopping=True) as port:
+            reader, writer = await asyncio.open_connection("127.0.0.1", port)
+            writer.write(GET + b"\r\n")
+            assert b" 503 " in await reader.readline()
+            writer.close()
