--- a/src/trefoilpaddle/standins/platform/worker.py
+++ b/src/trefoilpaddle/standins/platform/worker.py
@@ -31,6 +31,12 @@
     pass
 
 
+class UnframedResponse(web.StreamResponse):
+    """An answer with neither a length nor chunks, which ends with its connection."""
+
+    _length_check = False
+
+
 class PlatformWorker:
     """A worker that records what it ran.
 
@@ -53,6 +59,11 @@
         Handles of the results that the worker holds.
     breaks_after : int
         Number of events after which a stream that began here is broken off; 0 never.
+    ends_with_connection : bool
+        True answers with neither a length nor chunks and closes the connection.
+    breaks_inside_event : bool
+        True writes a part of the next event before a stream is broken off, and closes
+        the connection in order.
     interrupts_answers : bool
         True aborts the connection of each request after running it, or at the
         first event of a stream.
@@ -91,6 +102,8 @@
         "address",
         "born_ms",
         "breaks_after",
+        "breaks_inside_event",
+        "ends_with_connection",
         "faults",
         "freed",
         "headers",
@@ -133,6 +146,8 @@
         self.address = ""
         self.born_ms = int(time.time() * 1000)
         self.held: set[str] = set()
+        self.breaks_inside_event = False
+        self.ends_with_connection = False
         self.interrupts_answers = False
         self.stated: dict[str, str] = {}
         self.turns_away = False
@@ -208,6 +223,13 @@
         self.on_marked()
         await asyncio.Event().wait()
 
+    def _new_answer(self, headers: dict[str, str]) -> web.StreamResponse:
+        if not self.ends_with_connection:
+            return web.StreamResponse(headers=headers)
+        answer = UnframedResponse(headers=headers)
+        answer.force_close()
+        return answer
+
     async def _run(self, request: web.Request) -> web.StreamResponse:
         if self._is_for_another_worker(request):
             return json_answer({}, status=421)
@@ -227,16 +249,24 @@
                 await self._begin_marked(request, headers, request_id[:1].encode())
             if self.interrupts_answers:
                 abort_connection(request)
+            if self.ends_with_connection:
+                answer = self._new_answer(headers)
+                await answer.prepare(request)
+                await answer.write(request_id.encode())
+                return answer
             return web.Response(body=request_id.encode(), headers=headers)
         headers["Content-Type"] = "text/event-stream"
         if is_marked:
             await self._begin_marked(request, headers, b"id: ")
-        answer = web.StreamResponse(headers=headers)
+        answer = self._new_answer(headers)
         await answer.prepare(request)
         first = int(request.headers.get("Last-Event-Id", "0")) + 1
         for event_id in range(first, self.n_events + 1):
             await asyncio.sleep(self.work_s)
             is_broken = first == 1 and 0 < self.breaks_after < event_id
+            if is_broken and self.breaks_inside_event:
+                await answer.write(f"id: {event_id}\nda".encode())
+                return answer
             if self.interrupts_answers or is_broken:
                 abort_connection(request)
                 return answer
--- a/tests/platform_adapter/test_worker_client.py
+++ b/tests/platform_adapter/test_worker_client.py
@@ -39,6 +39,8 @@
 
 COMPLETE = head(more=b"Content-Length: 4\r\n") + b"body"
 UNFRAMED = head(more=b"Connection: close\r\n")
+UNANNOUNCED = head()
+OLD_VERSION = UNFRAMED.replace(b"HTTP/1.1", b"HTTP/1.0")
 CHUNKED = head(more=b"Transfer-Encoding: chunked\r\n")
 
 
@@ -231,6 +233,39 @@
             decode_event(b"data: x\n\n")
 
 
+@pytest.mark.parametrize(
+    "begun", [UNFRAMED, UNANNOUNCED, OLD_VERSION], ids=["closes", "plain", "1.0"]
+)
+class TestEndWithConnection:
+    """Answers with neither a length nor chunks."""
+
+    async def test_an_answer_is_forwarded_whole(self, begun: bytes) -> None:
+        body = b"x" * 200_000
+        assert await body_of(begun + body) == Ok(body)
+
+    async def test_an_answer_that_is_reset_is_broken(self, begun: bytes) -> None:
+        assert await body_of(begun + b"bo", resets=True) == Err(CallFault.BROKEN)
+
+    async def test_a_stream_that_ends_after_an_event_is_complete(
+        self, begun: bytes
+    ) -> None:
+        assert await events_of(begun + b"id: 1\n\nid: 2\ndata: x\n\n") == [1, 2]
+
+    # Guards against a stream that looks complete although its worker broke it off.
+    @pytest.mark.parametrize(
+        "last", [b"i", b"id: 2", b"id: 2\ndata:", b"id: 2\ndata: x\n"]
+    )
+    async def test_a_stream_that_ends_inside_an_event_is_broken(
+        self, begun: bytes, last: bytes
+    ) -> None:
+        with pytest.raises(StreamBrokenError):
+            await events_of(begun + b"id: 1\ndata: x\n\n" + last)
+
+    async def test_a_stream_that_is_reset_is_broken(self, begun: bytes) -> None:
+        with pytest.raises(StreamBrokenError):
+            await events_of(begun + b"id: 1\n\n", resets=True)
+
+
 class TestSent:
     async def test_headers_name_the_worker_and_the_account(self) -> None:
         sent = dict(request_headers(listed_worker("w7"), call()))
