Let a part of a prompt crash workers in the soak

No soak run had requests that crash workers, so it could not show what the incident did: prompts all had the same parts, and every 400 was a failure.

Model workers now crash under a part that requests of their own kind contain, one each 0.8 s, beside all other faults, and are listed again after 0.2 s. The checks ask that nothing else is ever blocked, as before, and that at most three such requests reach workers from 3 s after the faults and the fifth crash.

--- a/tests/soak/soak_callers.py
+++ b/tests/soak/soak_callers.py
@@ -27,7 +27,10 @@
 MAX_PAUSE_S = 0.03
 KINDS = ("hold", "price", "draft")
 PLAIN_KINDS = frozenset({"hold", "price"})
-STAGE_PIECES = {"draft": (2, 3), "patient": (8, 1)}
+HARMFUL = "harmful"
+"""Kind of the requests with a part in their prompts that crashes workers."""
+
+STAGE_PIECES = {"draft": (2, 3), "patient": (8, 1), HARMFUL: (2, 3)}
 """Number of pieces of each stage, by the request kinds with stages, all streams."""
 
 
@@ -145,6 +148,7 @@
         deadline_s: float = DEADLINE_S,
         resumes: str = "",
         after_event: int = 0,
+        prompt_part: str = "",
     ) -> ObservedRequest:
         """Send one request and record its outcome."""
         kind = kind or self.rng.choice(KINDS)
@@ -166,9 +170,13 @@
                 "Trefoilpaddle-Piece-Key": f"k-{request.request_id}",
                 "Trefoilpaddle-Pieces": ",".join(map(str, STAGE_PIECES[kind])),
             }
+        if prompt_part:
+            own = request.request_id.removeprefix("q")
+            sent["Trefoilpaddle-Prompt-Prefix"] = f"a1:60,{prompt_part}:30,{own}:10"
         if resumes:
             sent |= {"Resumes": resumes, "Last-Event-Id": str(after_event)}
-        url = f"{self.gateways[gateway_index].url}/{kind}/1"
+        path = "draft" if kind == HARMFUL else kind
+        url = f"{self.gateways[gateway_index].url}/{path}/1"
         method = "GET" if kind == "price" else "POST"
         try:
             async with asyncio.timeout(deadline_s + ANSWER_MARGIN_S):
--- a/tests/soak/soak_checks.py
+++ b/tests/soak/soak_checks.py
@@ -20,6 +20,7 @@
     StopGateway,
 )
 from .soak_callers import (
+    HARMFUL,
     PLAIN_KINDS,
     STAGE_PIECES,
     Callers,
@@ -29,6 +30,7 @@
     versions_of,
 )
 from .soak_needs import broken_needs
+from .soak_parts import late_bad
 from .soak_record import GRACE_S, VERSIONS, ActionInterval, Record
 from .soak_stop_checks import interrupted_at_stops
 
@@ -82,6 +84,7 @@
         _removed_workers,
         _recovery,
         broken_needs,
+        late_bad,
     )
     return record.problems + [
         line for check in checks for line in check(record, callers)
@@ -165,9 +168,9 @@
 
 
 def _blocked(record: Record, callers: Callers) -> Iterator[str]:
-    """Check that no request is blocked: no request of a soak crashes a worker."""
+    """Check that no request is blocked but for those that crash workers."""
     for request in callers.requests:
-        if request.status == BLOCKED:
+        if request.status == BLOCKED and request.kind != HARMFUL:
             yield (
                 f"{request.request_id} ({request.kind}) was answered {request.status}"
             )
@@ -329,6 +332,7 @@
         if request.sent_s > record.healed_s + RECOVERY_S
         and request.ended_s
         and request.key not in record.revoked_s
+        and request.kind != HARMFUL
     ]
     n_served = sum(
         1 for request in after_faults if request.status == OK and request.is_complete
--- a/tests/soak/soak_record.py
+++ b/tests/soak/soak_record.py
@@ -62,5 +62,6 @@
     revoked_s: dict[str, float] = field(default_factory=dict)
     left_s: dict[str, float] = field(default_factory=dict)
     left_by_word_s: dict[str, float] = field(default_factory=dict)
+    part_crashed_s: list[float] = field(default_factory=list)
     healed_s: float = 0.0
     problems: list[str] = field(default_factory=list)
--- a/tests/soak/soak_run.py
+++ b/tests/soak/soak_run.py
@@ -44,6 +44,7 @@
 from .soak_callers import Callers, one_connection
 from .soak_long_deadlines import LongDeadlineCallers, table
 from .soak_needs import names_limit, needs_schedule, state_limit, turn_away
+from .soak_parts import SERVICE, PartCrashes, send_bad
 from .soak_record import GRACE_S, VERSIONS, ActionInterval, Record, StopOrder
 from .soak_restores import StoreRestores
 from .soak_stalls import record_stalls
@@ -89,6 +90,7 @@
         self.relays: dict[str, Relay] = {}
         self.store_relays: list[Relay] = []
         self.record = Record(workers=[])
+        self.crashes = PartCrashes(record=self.record, restart=self.crash_by_part)
 
     @property
     def key(self) -> str:
@@ -123,6 +125,8 @@
         worker.address = str(relay.address)
         self.site.workers[worker_id] = worker
         self.record.workers.append(worker)
+        if service == SERVICE:
+            self.crashes.watch(worker)
         self.relays[worker_id] = relay
         self.by_service[service].append(worker_id)
         self.domains[worker_id] = "ab"[self._n_workers % 2]
@@ -158,11 +162,19 @@
 
     async def restart_worker(self, service: str) -> None:
         """Crash the newest worker of a service and start it under the same id."""
-        worker_id = self.by_service[service][-1]
+        await self._restart(self.by_service[service][-1], service)
+
+    async def crash_by_part(self, worker_id: str) -> None:
+        """Crash a model worker and start it under the same id."""
+        if worker_id in self.by_service[SERVICE]:
+            await self._restart(worker_id, SERVICE)
+
+    async def _restart(self, worker_id: str, service: str) -> None:
         self.site.workers[worker_id].restart()
         self.relays[worker_id].disconnect()
         await asyncio.sleep(RESTART_S)
-        self.write_listing(worker_id, service)
+        if worker_id in self.by_service[service]:
+            self.write_listing(worker_id, service)
 
     async def write_entry(self, action: WriteEntry) -> None:
         """Write a value that does not describe a usable worker."""
@@ -394,6 +406,7 @@
     with_entries: bool = True,
     with_restores: bool = True,
     with_needs: bool = True,
+    with_parts: bool = True,
     is_stops: bool = False,
 ) -> tuple[Record, Callers]:
     """Run a seed; return the record of the run and the callers with their requests.
@@ -402,6 +415,8 @@
     ----------
     with_needs : bool
         Workers also state limits, rest and leaving in their answers.
+    with_parts : bool
+        Requests with a part in their prompts that crashes workers are sent, too.
     is_stops : bool
         Planned stops only, under load and with callers that have long deadlines in
         addition; otherwise all faults.
@@ -409,6 +424,7 @@
     async with (
         soak_site() as site,
         site.restores.taking_backups(),
+        site.crashes.running(),
         contextlib.AsyncExitStack() as stack,
     ):
         gateways: list[GatewayProcess] = []
@@ -445,6 +461,9 @@
                 *(callers.call_repeatedly() for _ in range(N_CALLERS)),
             )
         ]
+        if with_parts and not is_stops:
+            bad = send_bad(callers, random.Random(seed))
+            background.append(asyncio.create_task(bad))
         long_deadline_tasks: list[asyncio.Task[None]] = []
         if is_stops:
             steps = stop_schedule(seed, length_s=length_s, n_gateways=len(gateways))
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -30,10 +30,17 @@
     with_entries: bool = False
     with_restores: bool = False
     with_needs: bool = False
+    with_parts: bool = False
     is_stops: bool = False
 
 
 CASES = (
+    Case(
+        seed=51,
+        length_s=8.0,
+        why="a part of a prompt crashes workers beside all other faults",
+        with_parts=True,
+    ),
     Case(
         seed=5,
         length_s=8.0,
@@ -104,6 +111,7 @@
             with_entries=case.with_entries,
             with_restores=case.with_restores,
             with_needs=case.with_needs,
+            with_parts=case.with_parts,
             is_stops=case.is_stops,
         )
         assert violations(record, callers) == []
