Wait for the reports on the crash that was recorded last

A sound stream that was repeated after a crash could be answered 400 for a moment: one of its parts had been at three crashes, all beside a bad one, and the report that the bad one ran at the third worker, too, was on its way. The wait for such reports left out the crash with the highest level, which was another one: the sound run had begun before anything was known. It now leaves out the crash that was recorded last.

A part in doubt, as workers crash without it, is now blocked once five workers have crashed under it, and not after five crashes in succession: the bound counts workers, and overlapping runs crash several with one level.

--- a/src/trefoilpaddle/state/chain/crash_registry.py
+++ b/src/trefoilpaddle/state/chain/crash_registry.py
@@ -18,10 +18,10 @@
 """Number of crashes after which a subject is sent to no worker."""
 
 BLOCK_PART_AFTER: Final = 5
-"""The same for a part of a prompt while workers also crash without it.
+"""Crashed workers after which a part is blocked while others crash without it.
 
 A part that is often sent runs at several of them by chance. After `BLOCK_AFTER` crashes
-it is isolated then.
+in succession it is isolated then.
 """
 
 OTHER_EXITS_S: Final = 30.0
@@ -125,11 +125,14 @@
     ----------
     crashes : dict of Start to Crash
         The crash of each process, with the lowest level that was reported.
+    last_start : Start
+        Process of the crash that was recorded last.
     reported_s : float
-        Monotonic time at which the last of them was recorded here.
+        Monotonic time at which that was.
     """
 
     crashes: dict[Start, Crash] = field(default_factory=dict)
+    last_start: Start = ("", 0)
     reported_s: float = 0.0
 
     def n_successive(self) -> int:
@@ -148,13 +151,12 @@
         if known is not None and known.level <= crash.level:
             return False
         self.crashes[crash.start] = crash
+        self.last_start = crash.start
         return True
 
-    def starts(self, *, before_level: int = MAX_LEVEL + 1) -> set[Start]:
-        """Return the processes of the crashes below a level."""
-        return {
-            start for start, crash in self.crashes.items() if crash.level < before_level
-        }
+    def starts_before_last(self) -> set[Start]:
+        """Return all processes but that of the crash that was recorded last."""
+        return set(self.crashes) - {self.last_start}
 
     def last_crash_s(self) -> float:
         """Return the monotonic time of the latest crash."""
@@ -259,7 +261,7 @@
                 return CrashStatus.WATCHED
             is_part_in_doubt = (
                 is_part(fingerprint)
-                and n_successive < BLOCK_PART_AFTER
+                and len(record.crashes) < BLOCK_PART_AFTER
                 and self._has_exits_without(record)
             )
             is_sure = not (is_over or has_other or is_part_in_doubt)
@@ -272,13 +274,13 @@
     ) -> bool:
         """Return False while another subject may still turn out to be the cause.
 
-        It ran at all workers that crashed before the last one. If it ran there too, the
-        gateway that sent it may not have reported this yet.
+        It ran at all workers whose crashes were recorded before the last one. If it ran
+        there too, the gateway that sent it may not have reported this yet.
         """
         record = self._records.get(fingerprint)
         if record is None or time.monotonic() - record.reported_s > VERDICT_S:
             return True
-        earlier = record.starts(before_level=record.last_level())
+        earlier = record.starts_before_last()
         return next(self._sharing(earlier, {fingerprint} | within), None) is None
 
     def other_causes(self, fingerprint: str, *, with_last: bool = True) -> list[str]:
@@ -289,8 +291,7 @@
         record = self._records.get(fingerprint)
         if record is None:
             return []
-        before_level = record.last_level() + with_last
-        starts = record.starts(before_level=before_level)
+        starts = set(record.crashes) if with_last else record.starts_before_last()
         return list(self._sharing(starts, {fingerprint}))
 
     def unsure(self) -> list[str]:
@@ -312,7 +313,7 @@
         without the other. Or each of these workers ran another one that has crashed as
         many, some of them without this one.
         """
-        unexplained = record.starts()
+        unexplained = set(record.crashes)
         for known, other in self._records.items():
             if known == fingerprint or known in within:
                 continue
--- a/tests/chain/test_part_plays.py
+++ b/tests/chain/test_part_plays.py
@@ -46,6 +46,14 @@
         assert not seen.n_blocked
 
 
+class TestVerdict:
+    # Guards against a sound part that is blocked while the report that the bad one ran
+    # at the last worker, too, is on its way.
+    @pytest.mark.parametrize("seed", [13, 15])
+    def test_a_part_is_not_blocked_before_all_reports_are_in(self, seed: int) -> None:
+        assert not play_seed(seed, LOADS["thin and long"]).n_blocked
+
+
 class TestSilentWorkers:
     # Guards against a part whose crashes are known late, as its workers fall silent.
     def test_it_reaches_few_workers_that_fall_silent(self) -> None:
