Log no part of a prompt as a blocked request

When a subject was cleared that had excused a part of a prompt, the part was logged once more as `request_blocked`, with its hash in place of a request's fingerprint. Only requests are logged then; a part was logged as `part_blocked` when it had its third crash.

test_no_part_is_logged_as_a_request failed before. Docstrings use "subject" where they mean more than requests.

--- a/src/trefoilpaddle/coordination/chain/crash_guard.py
+++ b/src/trefoilpaddle/coordination/chain/crash_guard.py
@@ -1,4 +1,8 @@
-"""Prevents requests that crash workers from being sent to further workers."""
+"""Prevents requests that crash workers from being sent to further workers.
+
+What may be to blame is called a subject: a request, its pieces at a service, or a part
+of its prompt.
+"""
 
 import random
 import time
@@ -149,7 +153,7 @@
 
     @property
     def has_no_crashes(self) -> bool:
-        """True if no request is on record as having crashed a worker."""
+        """True if nothing is on record as having crashed a worker."""
         return not len(self._registry)
 
     def status(self, fingerprint: str) -> CrashStatus:
@@ -264,8 +268,8 @@
         """Wait for the exit check of a worker whose response was interrupted."""
         await self._exits.wait_for_check(worker)
 
-    def crashes_by_request(self) -> Iterator[tuple[str, tuple[Crash, ...]]]:
-        """Yield the fingerprint of each recorded request with its crashes."""
+    def crashes_by_subject(self) -> Iterator[tuple[str, tuple[Crash, ...]]]:
+        """Yield the fingerprint of each recorded subject with its crashes."""
         for fingerprint in self._registry.fingerprints():
             yield fingerprint, self._registry.crashes(fingerprint)
 
@@ -274,14 +278,14 @@
         return self._registry.other_causes(fingerprint)
 
     def unblock(self, fingerprint: str) -> bool:
-        """Clear a request at all gateways; return False if it is not on record."""
+        """Clear a subject at all gateways; return False if it is not on record."""
         is_known = bool(self._registry.crashes(fingerprint))
         if is_known:
             self.clear(fingerprint)
         return is_known
 
     def clear(self, fingerprint: str) -> None:
-        """Record that a request does not crash workers, and announce it."""
+        """Record that a subject does not crash workers, and announce it."""
         n_successive = self._registry.n_successive(fingerprint)
         unsure = self._registry.unsure() if n_successive else []
         if self._registry.clear(fingerprint):
--- a/src/trefoilpaddle/state/chain/crash_registry.py
+++ b/src/trefoilpaddle/state/chain/crash_registry.py
@@ -59,7 +59,7 @@
 """Crashes of one request that are counted; further crashes have no effect."""
 
 MAX_STARTS: Final = 32
-"""Worker processes of one record; an outage may end more that ran a request."""
+"""Worker processes of one record; an outage may end more that ran a subject."""
 
 MAX_CLEARED: Final = 2048
 """Cleared or answered subjects that are remembered, so that late reports of crashes
@@ -72,21 +72,21 @@
 
 @unique
 class CrashStatus(Enum):
-    """What may be done with a request after worker crashes."""
+    """What may be done with a subject after worker crashes."""
 
     CLEAR = "clear"
     """No crash is known."""
     WATCHED = "watched"
-    """One worker has crashed while it ran the request."""
+    """Workers have crashed while they ran it, too few or for another reason."""
     SUSPECT = "suspect"
-    """The request has at most one run at a time, isolated from other requests."""
+    """It has at most one run at a time, isolated from other requests."""
     BLOCKED = "blocked"
-    """The request is sent to no worker."""
+    """It is sent to no worker."""
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class Crash:
-    """The crash of a worker while it ran a request.
+    """The crash of a worker while it ran a subject.
 
     Parameters
     ----------
@@ -97,7 +97,7 @@
     level : int
         One more than the number of crashes that the gateway knew when the run began.
         Crashes of runs that began with the same knowledge count as one: workers that
-        lose power together end many runs of a popular request, and the reports of
+        lose power together end many runs of a popular subject, and the reports of
         these crashes arrive late.
     ended_s : float
         Monotonic time of the crash.
@@ -116,9 +116,9 @@
 
 @dataclass(slots=True, kw_only=True)
 class CrashRecord:
-    """The crashes of one request.
+    """The crashes of one subject.
 
-    A process crashes once, although runs of a request there may have begun with
+    A process crashes once, although runs of a subject there may have begun with
     different knowledge: the run with the least of it may have been the cause.
 
     Attributes
@@ -209,7 +209,7 @@
         return True
 
     def clear(self, fingerprint: str) -> bool:
-        """Forget the crashes of a request; return True if this changed anything."""
+        """Forget the crashes of a subject; return True if this changed anything."""
         is_change = fingerprint not in self._cleared_s or fingerprint in self._records
         self._forget(fingerprint)
         _remember(self._cleared_s, fingerprint)
@@ -239,9 +239,8 @@
         fingerprint : str
             Fingerprint of the subject.
         within : frozenset of str
-            Fingerprints of all subjects of the request that is to be sent. Another one
-            that explains the crashes as well is none of these: whichever of them is the
-            cause, the request crashes its worker.
+            Fingerprints of all subjects of the request that is to be sent. These do not
+            excuse one another: whichever is the cause, the request crashes its worker.
         """
         record = self._records.get(fingerprint)
         if record is None:
@@ -295,11 +294,12 @@
         return list(self._sharing(starts, {fingerprint}))
 
     def unsure(self) -> list[str]:
-        """Return the requests that are not blocked only because of another one."""
+        """Return the requests that are not blocked only because of another subject."""
         return [
             fingerprint
             for fingerprint, record in self._records.items()
-            if record.n_successive() >= BLOCK_AFTER
+            if not is_part(fingerprint)
+            and record.n_successive() >= BLOCK_AFTER
             and self._has_other_cause(fingerprint, record, frozenset())
         ]
 
@@ -344,7 +344,7 @@
                 yield fingerprint
 
     def level(self, fingerprint: str) -> int:
-        """Return the highest level of the crashes of a request, 0 without one."""
+        """Return the highest level of the crashes of a subject, 0 without one."""
         record = self._records.get(fingerprint)
         return 0 if record is None else record.last_level()
 
@@ -354,12 +354,12 @@
         return 0 if record is None else record.n_successive()
 
     def crashes(self, fingerprint: str) -> tuple[Crash, ...]:
-        """Return the crashes of a request, one for each process."""
+        """Return the crashes of a subject, one for each process."""
         record = self._records.get(fingerprint)
         return () if record is None else tuple(record.crashes.values())
 
     def fingerprints(self) -> list[str]:
-        """Return the fingerprints of all requests that are remembered."""
+        """Return the fingerprints of all subjects that are remembered."""
         return list(self._records)
 
     def _ensure_capacity(self, fingerprint: str, now_s: float) -> bool:
--- a/tests/chain/test_crash_guard.py
+++ b/tests/chain/test_crash_guard.py
@@ -186,6 +186,22 @@
                 guard.receive_crash(OTHER_PART, crash)
             assert fleet.every[0].book.status(OTHER_PART) is CrashStatus.CLEAR
 
+    # Guards against a log that names a part of a prompt as a request.
+    async def test_no_part_is_logged_as_a_request(self) -> None:
+        async with crash_fleet() as fleet:
+            for number in range(3):
+                await self.crash(fleet, number, (OTHER_PART, BAD_PART))
+            await fleet.run_at(5, "w8", "c" * 32, RunOutcome.ANSWERED, (OTHER_PART,))
+            await until(lambda: fleet.statuses(OTHER_PART) == {CrashStatus.CLEAR})
+            assert fleet.statuses(BAD_PART) == {CrashStatus.BLOCKED}
+            events = [
+                record.decision.event
+                for gateway in fleet.every
+                for record in gateway.notes.recent()
+            ]
+        assert Event.PART_CLEARED in events
+        assert Event.REQUEST_BLOCKED not in events
+
     async def test_an_operator_clears_a_part(self) -> None:
         async with crash_fleet() as fleet:
             for number in range(3):
