Clear the parts that a request excused when an operator lets it run

So an operator's word had no effect on a request with a prompt. And a request was listed as suspect although it was refused: without the subjects of the request that is sent, its own parts looked like another cause.

An operator's word now also clears what crashed only workers at which the subject ran, and a request's state without that context ignores parts. The test names the three entries that it expects, and also asks that none is left; test_an_operator_clears_a_request_with_its_parts failed before.

--- a/src/trefoilpaddle/coordination/chain/crash_guard.py
+++ b/src/trefoilpaddle/coordination/chain/crash_guard.py
@@ -278,10 +278,14 @@
         return self._registry.other_causes(fingerprint)
 
     def unblock(self, fingerprint: str) -> bool:
-        """Clear a subject at all gateways; return False if it is not on record."""
+        """Clear a subject at all gateways; return False if it is not on record.
+
+        What it has excused is cleared as well, as that would be blocked in its place.
+        """
         is_known = bool(self._registry.crashes(fingerprint))
         if is_known:
-            self.clear(fingerprint)
+            for each in (*self._registry.excused_by(fingerprint), fingerprint):
+                self.clear(each)
         return is_known
 
     def clear(self, fingerprint: str) -> None:
--- a/src/trefoilpaddle/state/chain/crash_registry.py
+++ b/src/trefoilpaddle/state/chain/crash_registry.py
@@ -293,6 +293,17 @@
         starts = set(record.crashes) if with_last else record.starts_before_last()
         return list(self._sharing(starts, {fingerprint}))
 
+    def excused_by(self, fingerprint: str) -> list[str]:
+        """Return the other subjects that crashed only workers at which one ran."""
+        record = self._records.get(fingerprint)
+        if record is None:
+            return []
+        return [
+            known
+            for known, other in self._records.items()
+            if known != fingerprint and other.crashes.keys() <= record.crashes.keys()
+        ]
+
     def unsure(self) -> list[str]:
         """Return the requests that are not blocked only because of another subject."""
         return [
@@ -314,9 +325,14 @@
         many, some of them without this one.
         """
         unexplained = set(record.crashes)
+        # Without `within`, the parts of a request's own prompt are not known here, and
+        # ran wherever it did.
+        ignores_parts = not within and not is_part(fingerprint)
         for known, other in self._records.items():
             if known == fingerprint or known in within:
                 continue
+            if ignores_parts and is_part(known):
+                continue
             starts = other.crashes.keys()
             if starts >= record.crashes.keys():
                 return True
--- a/tests/chain/test_crash_guard.py
+++ b/tests/chain/test_crash_guard.py
@@ -209,6 +209,20 @@
             assert fleet.every[3].guard.unblock(BAD_PART)
             await until(lambda: self.refusals(fleet, BAD_PART) == {None})
 
+    # Guards against a request that an operator lets run, and that stays blocked for its
+    # parts, which only it had excused.
+    async def test_an_operator_clears_a_request_with_its_parts(self) -> None:
+        async with crash_fleet() as fleet:
+            for number in range(3):
+                await fleet.run_at(
+                    number, f"w{number}", GUILTY, RunOutcome.BROKEN, (OTHER_PART,)
+                )
+                await until(lambda: len(fleet.statuses(GUILTY)) == 1)
+            assert self.refusals(fleet, OTHER_PART) == {None}
+            assert fleet.every[0].guard.unblock(GUILTY)
+            await until(lambda: fleet.statuses(GUILTY) == {CrashStatus.CLEAR})
+            assert self.refusals(fleet, OTHER_PART) == {None}
+
     async def test_one_log_line_names_the_crashes_and_other_causes(self) -> None:
         async with crash_fleet() as fleet:
             for number in range(3):
--- a/tests/platform_adapter/test_crashing_requests.py
+++ b/tests/platform_adapter/test_crashing_requests.py
@@ -101,7 +101,18 @@
                 gateway.operators_url for gateway in harness.all_gateways[:2]
             )
             async with client.get(f"{first}/blocked-requests") as answer:
-                ((fingerprint, known),) = (await answer.json()).items()
+                listed = await answer.json()
+            # The two shared parts of its prompt ran at the same workers.
+            assert sorted(each["kind"] for each in listed.values()) == [
+                "part",
+                "part",
+                "request",
+            ]
+            ((fingerprint, known),) = (
+                (each, known)
+                for each, known in listed.items()
+                if known["kind"] == "request"
+            )
             assert known["standing"] == "blocked"
             assert len(known["crashes"]) == 3
             path = f"/blocked-requests?fingerprint={fingerprint}"
@@ -112,6 +123,10 @@
             )
             async with client.delete(second + path) as answer:
                 assert answer.status == 404
+            # Guards against a request that stays blocked for its parts, which only it
+            # had excused.
+            async with client.get(f"{second}/blocked-requests") as answer:
+                assert await answer.json() == {}
             assert (
                 await harness.send("/hold/1", b"other", gateway=harness.all_gateways[3])
                 == 200
