--- a/src/trefoilpaddle/state/timeline_text.py
+++ b/src/trefoilpaddle/state/timeline_text.py
@@ -35,6 +35,8 @@
     Event.REQUEST_SUSPECTED: "lets the request run once at a time, apart from others",
     Event.REQUEST_BLOCKED: "sends the request to no target any more",
     Event.REQUEST_CLEARED: "lets the request run like any other again",
+    Event.PART_BLOCKED: "sends no requests with that part of a prompt any more",
+    Event.PART_CLEARED: "lets requests with that part of a prompt run again",
     Event.CLAIM_GRANTED: "was given the request's key by its home {peer}",
     Event.CLAIM_ANSWERED: "was told by the home {peer} what is known of the key",
     Event.LIMIT_REFUSED: "refused the request by a limit of the entry",
