Log how many gateways were asked for the origin of a stream that is refused

Callers saw `origin_unknown` whether nobody was asked, nobody answered, or those that were asked did not know the stream; the log could not tell these apart.

--- a/src/trefoilpaddle/coordination/chain/request_path.py
+++ b/src/trefoilpaddle/coordination/chain/request_path.py
@@ -251,10 +251,11 @@
             job.service,
             life_s=STREAM_LIFE_TIMEOUTS * job.route.timeout_s,
         ):
-            case UnknownOrigin(is_final=is_final):
+            case UnknownOrigin(is_final=is_final, detail=detail):
                 return Refused(
                     reason=Reason.ORIGIN_UNKNOWN,
                     retry_after_s=ORIGIN_RETRY_S if is_final else DEFAULT_RETRY_S,
+                    detail=detail,
                 )
             case KnownOrigin(software_version=version):
                 if self._workers.has_version(job.service, version):
--- a/src/trefoilpaddle/coordination/chain/stream_origins.py
+++ b/src/trefoilpaddle/coordination/chain/stream_origins.py
@@ -76,9 +76,12 @@
     ----------
     is_final : bool
         True if all that were queried have answered.
+    detail : str
+        How many were queried, for the log.
     """
 
     is_final: bool
+    detail: str = field(default="", compare=False)
 
 
 Origin = KnownOrigin | UnknownOrigin
@@ -190,12 +193,12 @@
             for address in self._lookup_targets(key)
         ]
         sole_versions = {self._served.sole_version(service, life_s)}
-        is_final = True
+        n_silent = 0
         try:
             for answer in asyncio.as_completed(queries):
                 found = await answer
                 if found is None:
-                    is_final = False
+                    n_silent += 1
                 elif found.is_known:
                     return KnownOrigin(software_version=found.software_version)
                 else:
@@ -206,9 +209,15 @@
         # A gateway that did not answer may know another version, of which this one
         # has not heard.
         versions = [version for version in sole_versions if version is not None]
-        if is_final and len(versions) == 1:
+        if not n_silent and len(versions) == 1:
             return KnownOrigin(software_version=versions[0])
-        return UnknownOrigin(is_final=is_final)
+        return UnknownOrigin(
+            is_final=not n_silent,
+            detail=(
+                f"queried {len(queries)} of {len(self._live())} live gateways,"
+                f" {n_silent} silent"
+            ),
+        )
 
     async def respond(self, request: FindOrigin, peer: Hello) -> OriginFound:
         """Return the version that began a stream, if it is known here."""
