Reproduce streams that cannot be resumed after a rolling restart

Six gateway processes in three failure domains, two software versions, four streams of 7 s at each; the gateways are ordered to stop 0.7 s apart and start again 0.3 s after their exit.

--- a/tests/platform_adapter/test_stream_versions.py
+++ b/tests/platform_adapter/test_stream_versions.py
@@ -4,6 +4,7 @@
 import contextlib
 import itertools
 import random
+import signal
 from collections import Counter
 from collections.abc import AsyncIterator
 from dataclasses import dataclass
@@ -40,6 +41,19 @@
 N_BROKEN: Final = 10
 """Streams that break; no more than the budget of repeats allows."""
 
+LONG_EVENT_S: Final = 0.5
+N_LONG_EVENTS: Final = 14
+"""Events of a stream that outlives the planned stop of its gateway."""
+
+ORDERS_GAP_S: Final = 0.7
+"""Time between the orders to stop of two gateways.
+
+The first gateways start again before the last ones have exited.
+"""
+
+RESTART_S: Final = 0.3
+"""Time from the exit of a gateway until its next start."""
+
 N_STREAMS: Final = 40
 MAX_MIXED: Final = 2
 """Streams that may hold events of two versions."""
@@ -82,8 +96,10 @@
         site: Site,
         all_gateways: list[GatewayProcess],
         client: aiohttp.ClientSession,
+        deadline_s: float,
     ) -> None:
         self.site = site
+        self._deadline_ms = int(deadline_s * 1000)
         self.all_gateways = all_gateways
         self._client = client
         self._numbers = itertools.count()
@@ -118,6 +134,7 @@
         """Read a stream, or the rest of one; leave after `limit` events."""
         request_id = f"s{next(self._numbers)}"
         fields = headers(request_id) | DRAFT
+        fields["Trefoilpaddle-Deadline-Milliseconds"] = str(self._deadline_ms)
         n_events = 0
         if goes_on is not None:
             n_events = goes_on.n_events
@@ -151,6 +168,31 @@
     def random_gateway(self) -> GatewayProcess:
         return self._rng.choice(self.all_gateways)
 
+    async def ready_gateway(self) -> GatewayProcess:
+        """Return a random gateway that reports that it accepts requests."""
+        while True:
+            for gateway in self._rng.sample(self.all_gateways, len(self.all_gateways)):
+                if await gateway.is_ready(self._client):
+                    return gateway
+            await asyncio.sleep(0.05)
+
+    async def read_and_resume_when_broken(
+        self, gateway: GatewayProcess
+    ) -> tuple[Stream, Stream]:
+        """Read a stream; resume it once, at a gateway that is ready, if it breaks."""
+        begun = await self.read(gateway)
+        if not begun.is_broken:
+            return begun, begun
+        at = await self.ready_gateway()
+        return begun, await self.read(at, goes_on=begun, resumes=begun.request_id)
+
+    async def restart_in_turn(self) -> None:
+        """Order all gateways to stop, one after the other; start each one again."""
+        async with asyncio.TaskGroup() as group:
+            for gateway in self.all_gateways:
+                group.create_task(_restart(gateway))
+                await asyncio.sleep(ORDERS_GAP_S)
+
     async def read_and_take_up(self) -> tuple[Stream, Stream]:
         """Leave a stream in its middle, and take it up at a random gateway."""
         begun = await self.read(self.random_gateway(), limit=N_TAKEN)
@@ -160,34 +202,57 @@
         return begun, rest
 
 
+async def _restart(gateway: GatewayProcess) -> None:
+    gateway.signal(signal.SIGTERM)
+    assert await gateway.wait_exit() == 0
+    await asyncio.sleep(RESTART_S)
+    gateway.start()
+
+
 @contextlib.asynccontextmanager
 async def version_harness(
-    folder: Path, *, n_gateways: int, n_engines: int = N_ENGINES
+    folder: Path,
+    *,
+    n_gateways: int,
+    n_engines: int = N_ENGINES,
+    n_events: int = N_EVENTS,
+    event_s: float = EVENT_S,
+    domains: str = "ab",
+    timeout_s: float = 5.0,
 ) -> AsyncIterator[VersionHarness]:
     async with contextlib.AsyncExitStack() as stack:
         site = Site(stack=stack)
         url = await stack.enter_async_context(serving(site.store.application()))
         site.store_address = url.removeprefix("http://")
-        site.store.put(TABLE_KEY, configuration(1))
+        table = configuration(1)
+        for route in table["routes"]:
+            route["timeout_ms"] = int(timeout_s * 1000)
+        site.store.put(TABLE_KEY, table)
         for number in range(n_engines):
             await site.add_worker(
                 f"model{number}",
                 "model",
-                n_events=N_EVENTS,
-                work_s=EVENT_S,
+                n_events=n_events,
+                work_s=event_s,
                 software_version=VERSIONS[number % 2],
             )
         await site.add_worker("encode0", "encode", work_s=CALL_S)
         await site.add_worker("retrieve0", "retrieve", work_s=CALL_S)
-        domains = ("a", "b") * n_gateways
         async with (
-            gateways(site, folder, *domains[:n_gateways]) as all_gateways,
+            gateways(site, folder, *(domains * n_gateways)[:n_gateways]) as (
+                all_gateways
+            ),
             aiohttp.ClientSession() as client,
         ):
             for gateway in all_gateways:
                 await until(partial(knows_all, gateway, n_gateways))
             await asyncio.sleep(SETTLE_AT_MOST_S)
-            yield VersionHarness(site=site, all_gateways=all_gateways, client=client)
+            yield VersionHarness(
+                site=site,
+                all_gateways=all_gateways,
+                client=client,
+                deadline_s=timeout_s,
+            )
 
 
 class TestWithinOneAnswer:
@@ -270,6 +335,39 @@
         assert len(mixed) <= MAX_MIXED
         assert sum(rest.is_complete for rest in rests) >= len(begun) / 2
 
+    async def test_streams_go_on_after_all_gateways_were_stopped_in_turn(
+        self, tmp_path: Path
+    ) -> None:
+        # Guards against origins of streams that are lost in a rolling restart.
+        async with version_harness(
+            tmp_path,
+            n_gateways=6,
+            n_events=N_LONG_EVENTS,
+            event_s=LONG_EVENT_S,
+            domains="abc",
+            timeout_s=20.0,
+        ) as harness:
+            reads = [
+                asyncio.create_task(harness.read_and_resume_when_broken(gateway))
+                for gateway in harness.all_gateways * 4
+            ]
+            await until(lambda: harness.n_begun() == len(reads))
+            await asyncio.sleep(2 * LONG_EVENT_S)
+            await harness.restart_in_turn()
+            resumed = [
+                (begun, rest)
+                for begun, rest in await asyncio.gather(*reads)
+                if rest is not begun
+            ]
+            mixed = [
+                begun
+                for begun, rest in resumed
+                if len(harness.versions_of(begun.request_id, rest.request_id)) > 1
+            ]
+        assert len(resumed) >= len(reads) / 2
+        assert len(mixed) <= MAX_MIXED
+        assert sum(rest.is_complete for _, rest in resumed) >= len(resumed) / 2
+
     @pytest.mark.parametrize("resumes", [None, "", "nobody", "x" * 8000])
     async def test_a_stream_of_an_unknown_attempt_is_refused_at_once(
         self, resumes: str | None, tmp_path: Path
