Send origins of streams on to gateways that become their replicas

Callers that resumed a stream after all gateways had been stopped in turn were refused with `origin_unknown`, while new streams began. The origin of a stream was sent once, as it began, to two replicas. A planned stop of these, and of the gateway that began the stream, ended it, although each runs for seven more seconds and others start meanwhile.

Whoever stores an origin now sends it on when the gateways that store streams change: to those that are replicas of its key with the new members and were not with the old ones. One rule covers members that join, that announce a planned stop, that are lost, and that start again under their id. Origins carry the time for which a stream may still be resumed, so that they do not go round for ever; peers of an earlier build state none and skip the new field.

Not considered further: handing over in the planned stop only, as a lost replica leaves one copy, and a gateway that starts asking all others, 400 requests at each start.

--- a/idl/chain.thrift
+++ b/idl/chain.thrift
@@ -227,6 +227,7 @@
 struct StreamOrigin {
   1: binary key = ""             // hash of the id of the attempt that brought its first event
   2: string software_version = ""
+  3: i64 life_ms = 0             // time for which it may still be resumed; 0 if not stated
 }
 
 // Without an answer: streams that have begun, for gateways at which callers take them up.
--- a/src/trefoilpaddle/coordination/chain/request_path.py
+++ b/src/trefoilpaddle/coordination/chain/request_path.py
@@ -247,9 +247,7 @@
         if request.after_event is None or not job.route.is_resumable:
             return None
         match await self._origins.find(
-            request.resumes,
-            job.service,
-            life_s=STREAM_LIFE_TIMEOUTS * job.route.timeout_s,
+            request.resumes, job.service, life_s=_stream_life_s(job.route)
         ):
             case UnknownOrigin(is_final=is_final, detail=detail):
                 return Refused(
@@ -270,7 +268,9 @@
         is_new = request.after_event is None
         attempt_id = request.request_id if is_new else request.resumes
         if job.route.is_resumable and attempt_id:
-            self._origins.record(attempt_id, worker.software_version)
+            self._origins.record(
+                attempt_id, worker.software_version, life_s=_stream_life_s(job.route)
+            )
 
     async def _run_at(
         self,
@@ -398,6 +398,11 @@
     return given + (1,) * (len(route.stages) - len(given))
 
 
+def _stream_life_s(route: Route) -> float:
+    """Return the seconds after its beginning in which a stream may be resumed."""
+    return STREAM_LIFE_TIMEOUTS * route.timeout_s
+
+
 def _pick_service(route: Route) -> str:
     """Return a service for the request, drawn at random by the published weights."""
     if len(route.splits) == 1:
--- a/src/trefoilpaddle/coordination/chain/stream_origins.py
+++ b/src/trefoilpaddle/coordination/chain/stream_origins.py
@@ -1,13 +1,16 @@
 """Replicates which software version began a stream, and looks it up.
 
 A caller may resume a stream at any gateway, and the one that began it may be gone. Two
-replicas store the origin of each stream that may be resumed, chosen by its key among a
-few gateways of each failure domain. The version of an unknown stream is not guessed.
+replicas store the origin of each stream that may be resumed. Whoever stores one sends
+it to the gateways that become its replicas when members join, stop or are lost: a
+rolling restart stops all that stored it. The version of an unknown stream is not
+guessed.
 """
 
 import asyncio
 import contextlib
-from collections.abc import Callable, Mapping, Sequence
+import time
+from collections.abc import Iterable, Mapping
 from dataclasses import dataclass, field
 from typing import Final
 
@@ -24,13 +27,12 @@
 )
 from ...protocol.gen.stage.ttypes import Hello
 from ...state.chain.served_versions import ServedVersions
-from ...state.chain.stream_versions import StreamVersions, stream_key
+from ...state.chain.stream_versions import StreamVersion, StreamVersions, stream_key
 from ...state.chain.workers import WorkerTable
 from ...state.members import MemberRecord
-from ...state.rendezvous import highest
 from ...transport.connection import Address, Connection
-from ..members.duty_rank import duty_rank
 from ..own_process import OwnProcess
+from .origin_placement import OriginPlacement, Pools
 
 BATCH_WINDOW_S: Final = 0.005
 """Time for which streams that begin are collected before they are replicated."""
@@ -44,21 +46,17 @@
 FIND_TIMEOUT_S: Final = 0.3
 """Longest wait for a queried gateway; many times a message's latency."""
 
-N_REPLICAS: Final = 2
-"""Gateways that store the origin of a stream besides the one that began it."""
+MAX_PER_MESSAGE: Final = 500
+"""Origins in one message, about 25 kB."""
 
-N_DOMAINS_QUERIED: Final = 3
-N_QUERIED_PER_DOMAIN: Final = 2
-"""Gateways that are queried: more than replicas, as members change meanwhile."""
+UNSTATED_LIFE_S: Final = 60.0
+"""Life in seconds of a stream from a peer whose build does not state it."""
 
-MIN_POOL_PER_DOMAIN: Final = 2
-MAX_POOL_PER_DOMAIN: Final = 4
-GATEWAYS_PER_POOL_MEMBER: Final = 20
-"""How many gateways of a failure domain share the streams of all.
+CHECK_PERIOD_S: Final = 0.1
+"""Period in seconds of the check for a change of the gateways that store streams."""
 
-Each gateway keeps a link to each of them, so there are few; more of them share the
-streams of a large fleet.
-"""
+N_PER_TURN: Final = 20
+"""Streams that are distributed anew in one turn of the event loop; some 6 ms."""
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -87,25 +85,6 @@
 Origin = KnownOrigin | UnknownOrigin
 
 
-@dataclass(frozen=True, slots=True, kw_only=True)
-class Pools:
-    """The gateways that streams are distributed over, for one set of live members.
-
-    Parameters
-    ----------
-    live : sequence of MemberRecord
-        The live gateways.
-    ids : sequence of sequence of str
-        Ids of those that remember streams, by failure domain.
-    by_id : mapping of str to MemberRecord
-        The live gateways by id.
-    """
-
-    live: Sequence[MemberRecord]
-    ids: Sequence[Sequence[str]] = ()
-    by_id: Mapping[str, MemberRecord] = field(default_factory=dict)
-
-
 class StreamOrigins:
     """Stores and finds the software versions that began streams.
 
@@ -113,21 +92,17 @@
     ----------
     process : OwnProcess
         Listens for peers and holds connections to them.
-    live : callable
-        Returns the live gateways, this one included.
+    placement : OriginPlacement
+        Chooses the replicas and the gateways that are queried.
     workers : WorkerTable
         The listed workers.
     is_first_start : bool
         True if no stream can have begun before this process.
-    n_replicas : int
-        Gateways that remember a stream besides this one.
     """
 
     __slots__ = (
-        "_live",
-        "_n_replicas",
         "_pending",
-        "_pools",
+        "_placement",
         "_process",
         "_served",
         "_tasks",
@@ -138,36 +113,50 @@
         self,
         *,
         process: OwnProcess,
-        live: Callable[[], Sequence[MemberRecord]],
+        placement: OriginPlacement,
         workers: WorkerTable,
         is_first_start: bool = False,
-        n_replicas: int = N_REPLICAS,
     ) -> None:
         self._process = process
-        self._live = live
-        self._n_replicas = n_replicas
+        self._placement = placement
         self._served = ServedVersions(workers=workers, is_first_start=is_first_start)
-        self._pending: dict[Address, list[StreamOrigin]] = {}
-        self._pools = Pools(live=())
+        self._pending: dict[Address, dict[bytes, StreamVersion]] = {}
         self._tasks: set[asyncio.Task[None]] = set()
         self.versions = StreamVersions()
         process.message_listeners.append(self._on_message)
         process.server.add_handler(FindOrigin, self.respond)
 
-    def record(self, attempt_id: str, software_version: str) -> None:
-        """Store which version began a stream, here and at the replicas."""
-        key = stream_key(attempt_id)
-        self.versions.put(key, software_version)
-        origin = StreamOrigin(key=key, software_version=software_version)
-        for address in self._replicas(key):
-            pending = self._pending.get(address)
-            if pending is not None:
-                pending.append(origin)
+    async def run(self) -> None:
+        """Keep replicas of all streams as the gateways change, until cancelled."""
+        distributed = self._placement.pools()
+        while True:
+            await asyncio.sleep(CHECK_PERIOD_S)
+            pools = self._placement.pools()
+            if pools is distributed:
                 continue
-            self._pending[address] = [origin]
-            task = asyncio.create_task(self._replicate(address))
-            self._tasks.add(task)
-            task.add_done_callback(self._tasks.discard)
+            if pools.starts() != distributed.starts():
+                await self._distribute(distributed, pools)
+            distributed = pools
+
+    def record(self, attempt_id: str, software_version: str, *, life_s: float) -> None:
+        """Store which version began a stream, here and at the replicas.
+
+        Parameters
+        ----------
+        attempt_id : str
+            Id of the attempt that brought its first event.
+        software_version : str
+            The version.
+        life_s : float
+            Seconds for which the stream may be resumed.
+        """
+        key = stream_key(attempt_id)
+        self.versions.put(key, software_version, life_s=life_s)
+        begun = StreamVersion(
+            software_version=software_version, until_s=time.monotonic() + life_s
+        )
+        for replica in self._placement.replicas(key, self._placement.pools()):
+            self._send(replica, key, begun)
 
     async def find(self, attempt_id: str, service: str, *, life_s: float) -> Origin:
         """Return which version began a stream.
@@ -190,7 +179,7 @@
         )
         queries = [
             asyncio.create_task(self._query(address, request))
-            for address in self._lookup_targets(key)
+            for address in _addresses(self._placement.lookup_targets(key))
         ]
         sole_versions = {self._served.sole_version(service, life_s)}
         n_silent = 0
@@ -211,11 +200,11 @@
         versions = [version for version in sole_versions if version is not None]
         if not n_silent and len(versions) == 1:
             return KnownOrigin(software_version=versions[0])
+        n_live = len(self._placement.pools().members)
         return UnknownOrigin(
             is_final=not n_silent,
             detail=(
-                f"queried {len(queries)} of {len(self._live())} live gateways,"
-                f" {n_silent} silent"
+                f"queried {len(queries)} gateways, {n_silent} silent, {n_live} live"
             ),
         )
 
@@ -237,6 +226,40 @@
             case _:
                 return None
 
+    async def _distribute(self, before: Pools, after: Pools) -> None:
+        """Send the streams stored here to those that have become their replicas."""
+        n_sent = 0
+        for number, (key, begun) in enumerate(self.versions.unexpired(), start=1):
+            had = {
+                (replica.process_id, replica.incarnation)
+                for replica in self._placement.replicas(key, before)
+            }
+            for replica in self._placement.replicas(key, after):
+                if (replica.process_id, replica.incarnation) not in had:
+                    self._send(replica, key, begun)
+                    n_sent += 1
+            if number % N_PER_TURN == 0:
+                await asyncio.sleep(0)
+        if n_sent:
+            logging.log_every_n_seconds(
+                logging.INFO,
+                "the gateways that store streams have changed: %d origins are sent on",
+                LOG_INTERVAL_S,
+                n_sent,
+            )
+
+    def _send(self, replica: MemberRecord, key: bytes, begun: StreamVersion) -> None:
+        """Queue the origin of a stream for a replica."""
+        for address in _addresses([replica]):
+            pending = self._pending.get(address)
+            if pending is not None:
+                pending[key] = begun
+                continue
+            self._pending[address] = {key: begun}
+            task = asyncio.create_task(self._replicate(address))
+            self._tasks.add(task)
+            task.add_done_callback(self._tasks.discard)
+
     async def _replicate(self, address: Address) -> None:
         """Send a replica the streams that have been collected for it."""
         await asyncio.sleep(BATCH_WINDOW_S)
@@ -245,79 +268,38 @@
             with contextlib.suppress(TimeoutError):
                 async with asyncio.timeout(CONNECT_TIMEOUT_S):
                     await link.opened.wait()
-        begun = StreamsBegun(origins=self._pending.pop(address))
-        if not link.send(begun):
-            logging.log_every_n_seconds(
-                logging.WARNING,
-                "%s did not receive the origins of %d streams",
-                LOG_INTERVAL_S,
-                address,
-                len(begun.origins),
-            )
+        origins = _to_wire(self._pending.pop(address))
+        for first in range(0, len(origins), MAX_PER_MESSAGE):
+            begun = StreamsBegun(origins=origins[first : first + MAX_PER_MESSAGE])
+            if not link.send(begun):
+                logging.log_every_n_seconds(
+                    logging.WARNING,
+                    "%s did not receive the origins of %d streams",
+                    LOG_INTERVAL_S,
+                    address,
+                    len(origins) - first,
+                )
+                return
 
     def _on_message(self, connection: Connection, message: Message) -> None:
         if isinstance(message, StreamsBegun):
             for origin in message.origins:
-                self.versions.put(origin.key, origin.software_version)
+                life_s = max(0, origin.life_ms) / MS_PER_S or UNSTATED_LIFE_S
+                self.versions.put(origin.key, origin.software_version, life_s=life_s)
 
-    def _replicas(self, key: bytes) -> list[Address]:
-        """Return the replicas of a stream that begins here.
 
-        They are in different failure domains if there are enough.
-        """
-        chosen: list[MemberRecord] = []
-        for n_each in range(1, self._n_replicas + 1):
-            chosen = self._highest_ranked(
-                key, n_domains=self._n_replicas, n_each=n_each
-            )
-            if len(chosen) >= self._n_replicas:
-                break
-        return _addresses(chosen[: self._n_replicas])
-
-    def _lookup_targets(self, key: bytes) -> list[Address]:
-        """Return the gateways that may know a stream which began elsewhere."""
-        return _addresses(
-            self._highest_ranked(
-                key, n_domains=N_DOMAINS_QUERIED, n_each=N_QUERIED_PER_DOMAIN
-            )
+def _to_wire(begun: Mapping[bytes, StreamVersion]) -> list[StreamOrigin]:
+    now_s = time.monotonic()
+    return [
+        StreamOrigin(
+            key=key,
+            software_version=each.software_version,
+            life_ms=max(1, int((each.until_s - now_s) * MS_PER_S)),
         )
+        for key, each in begun.items()
+    ]
+
 
-    def _highest_ranked(
-        self, key: bytes, *, n_domains: int, n_each: int
-    ) -> list[MemberRecord]:
-        """Return the gateways that rank first for a key, except this one."""
-        name = key.hex()
-        ranked: dict[str, list[str]] = {}
-        for pool in self._current_pools():
-            ids = [each for each in pool if each != self._process.identity.process_id]
-            first = highest(name, ids, n=n_each)
-            if first:
-                ranked[first[0]] = first
-        heads = highest(name, ranked, n=n_domains)
-        by_id = self._pools.by_id
-        return [by_id[each] for head in heads for each in ranked[head]]
-
-    def _current_pools(self) -> Sequence[Sequence[str]]:
-        live = self._live()
-        if live is not self._pools.live:
-            self._pools = _pools(live)
-        return self._pools.ids
-
-
-def _pools(live: Sequence[MemberRecord]) -> Pools:
-    """Return the gateways of each failure domain that rank first for duties."""
-    by_domain: dict[str, list[MemberRecord]] = {}
-    for member in sorted(live, key=duty_rank):
-        by_domain.setdefault(member.failure_domain, []).append(member)
-    ids = []
-    for members in by_domain.values():
-        n = len(members) // GATEWAYS_PER_POOL_MEMBER
-        size = min(MAX_POOL_PER_DOMAIN, max(MIN_POOL_PER_DOMAIN, n))
-        ids.append([member.process_id for member in members[:size]])
-    by_id = {member.process_id: member for member in live}
-    return Pools(live=live, ids=ids, by_id=by_id)
-
-
-def _addresses(members: Sequence[MemberRecord]) -> list[Address]:
+def _addresses(members: Iterable[MemberRecord]) -> list[Address]:
     parsed = [Address.parse(member.address) for member in members]
     return [address.ok_value for address in parsed if isinstance(address, Ok)]
--- a/src/trefoilpaddle/protocol/gen/chain/ttypes.py
+++ b/src/trefoilpaddle/protocol/gen/chain/ttypes.py
@@ -3269,18 +3269,21 @@
     Attributes:
      - key
      - software_version
+     - life_ms
 
     """
 
     __slots__ = (
         'key',
         'software_version',
+        'life_ms',
     )
 
 
-    def __init__(self, key=b"", software_version="",):
+    def __init__(self, key=b"", software_version="", life_ms=0,):
         self.key = key
         self.software_version = software_version
+        self.life_ms = life_ms
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -3301,6 +3304,11 @@
                     self.software_version = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
                 else:
                     iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.I64:
+                    self.life_ms = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -3319,6 +3327,10 @@
             oprot.writeFieldBegin('software_version', TType.STRING, 2)
             oprot.writeString(self.software_version.encode('utf-8') if sys.version_info[0] == 2 else self.software_version)
             oprot.writeFieldEnd()
+        if self.life_ms is not None:
+            oprot.writeFieldBegin('life_ms', TType.I64, 3)
+            oprot.writeI64(self.life_ms)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -3862,6 +3874,7 @@
     None,  # 0
     (1, TType.STRING, 'key', 'BINARY', b"", ),  # 1
     (2, TType.STRING, 'software_version', 'UTF8', "", ),  # 2
+    (3, TType.I64, 'life_ms', None, 0, ),  # 3
 )
 all_structs.append(StreamsBegun)
 StreamsBegun.thrift_spec = (
--- a/src/trefoilpaddle/protocol/gen/chain/ttypes.pyi
+++ b/src/trefoilpaddle/protocol/gen/chain/ttypes.pyi
@@ -180,7 +180,8 @@
 class StreamOrigin:
     key: bytes
     software_version: str
-    def __init__(self, *, key: bytes = ..., software_version: str = ...) -> None: ...
+    life_ms: int
+    def __init__(self, *, key: bytes = ..., software_version: str = ..., life_ms: int = ...) -> None: ...
 class StreamsBegun:
     origins: list[StreamOrigin]
     def __init__(self, *, origins: list[StreamOrigin] = ...) -> None: ...
--- a/tests/chain/__main__.py
+++ b/tests/chain/__main__.py
@@ -5,7 +5,8 @@
 the size of its cell. ``python -m tests.chain store`` prints the cost of a configuration
 change for gateways that read the store and for those that are notified of it, ``crash``
 the cost of a worker crash, and ``origins`` how many streams go on after gateways were
-killed, by the number of replicas that know them.
+killed, by the number of replicas that know them. ``rolling`` prints the same for
+gateways that are stopped in turn.
 """
 
 import logging
@@ -35,6 +36,7 @@
 from .crash_plays import print_plays
 from .limited_fleet import print_plays as print_limit_plays
 from .origins_fleet import print_plays as print_origin_plays
+from .origins_fleet import print_rolling_stops
 from .part_plays import print_parts
 from .virtual_time import run_virtual
 
@@ -164,5 +166,6 @@
             "cold": print_cold_plays,
             "limits": print_limit_plays,
             "origins": print_origin_plays,
+            "rolling": print_rolling_stops,
         }
     )
--- a/tests/chain/origins_fleet.py
+++ b/tests/chain/origins_fleet.py
@@ -1,10 +1,12 @@
 """Gateways that replicate which versions began streams, in virtual time.
 
 ``python -m tests.chain origins`` prints how many streams can go on after gateways are
-lost, with and without replicas.
+lost, with and without replicas. ``python -m tests.chain rolling`` prints it for
+gateways that are stopped in turn, by what is done to keep the replicas.
 """
 
 import asyncio
+import math
 import random
 from collections import Counter
 from collections.abc import Sequence
@@ -15,6 +17,7 @@
 import pytest
 from result import Err, Ok, Result
 
+from trefoilpaddle.coordination.chain.origin_placement import OriginPlacement
 from trefoilpaddle.coordination.chain.stream_origins import (
     KnownOrigin,
     Origin,
@@ -36,7 +39,12 @@
 LIFE_S: Final = 30.0
 VERSIONS: Final = ("v1", "v2")
 RESTART_S: Final = 0.8
-"""Time until a killed gateway serves again; the others still list it meanwhile."""
+"""Time until a gateway serves again; a killed one is still listed meanwhile."""
+
+ACCEPT_S: Final = 2.8
+INTERRUPT_S: Final = 7.1
+EXIT_S: Final = 7.3
+"""Seconds after its order to stop for which a gateway accepts streams and runs."""
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -64,12 +72,29 @@
         self.workers = WorkerTable()
         self.origins = StreamOrigins(
             process=own,
-            live=lambda: fleet.members,
+            placement=OriginPlacement(
+                own_id=own.identity.process_id,
+                live=lambda: fleet.members,
+                n_replicas=fleet.n_replicas,
+            ),
             workers=self.workers,
-            n_replicas=fleet.n_replicas,
         )
         for listed in fleet.workers:
             self.workers.put(listed)
+        self.ordered_s = math.inf
+        self.distributing: asyncio.Task[None] | None = None
+        if fleet.ways.distributes:
+            self.distributing = asyncio.create_task(self.origins.run())
+
+    def is_interrupting(self) -> bool:
+        """Return True once the planned stop interrupts the open streams."""
+        return asyncio.get_running_loop().time() >= self.ordered_s + INTERRUPT_S
+
+    def leave(self) -> None:
+        """End this start of the gateway."""
+        self.is_away = True
+        if self.distributing is not None:
+            self.distributing.cancel()
 
     def _link(self, address: Address) -> "Link":
         return Link(self, address.port - 1)
@@ -113,6 +138,19 @@
         return Ok(found)
 
 
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Ways:
+    """What gateways do to keep the origins of streams.
+
+    Parameters
+    ----------
+    distributes : bool
+        Whether stored origins are sent to new replicas as members change.
+    """
+
+    distributes: bool = True
+
+
 class Fleet:
     """Gateways of several failure domains beside engines of two versions."""
 
@@ -124,7 +162,11 @@
         n_replicas: int = 2,
         versions: Sequence[str] = VERSIONS,
         seed: int = 1,
+        ways: Ways = Ways(distributes=False),
     ) -> None:
+        self.ways = ways
+        self.stopping: list[MemberRecord] = []
+        self.sent_bytes_before = 0
         self.rng = random.Random(seed)
         self.n_domains = n_domains
         self.n_replicas = n_replicas
@@ -154,7 +196,7 @@
             software_version=version,
             at_s=asyncio.get_running_loop().time(),
         )
-        at.origins.record(begun.attempt_id, version)
+        at.origins.record(begun.attempt_id, version, life_s=LIFE_S)
         return begun
 
     async def take_up(self, begun: Begun, *, at: Gateway | None = None) -> Origin:
@@ -164,13 +206,32 @@
 
     async def restart(self, number: int) -> None:
         """Kill a gateway; it is back with nothing in its memory."""
-        self.gateways[number].is_away = True
+        self.gateways[number].leave()
         await asyncio.sleep(RESTART_S)
+        self._start(number, self._record_of(number))
+
+    async def stop_and_start(self, number: int) -> None:
+        """Order a gateway to stop, and start it again after its exit."""
+        stopped = self._record_of(number)
+        self.gateways[number].ordered_s = asyncio.get_running_loop().time()
+        self.members = [each for each in self.members if each is not stopped]
+        self.stopping.append(stopped)
+        await asyncio.sleep(EXIT_S)
+        self.gateways[number].leave()
+        await asyncio.sleep(RESTART_S)
+        self.stopping.remove(stopped)
+        self._start(number, stopped)
+
+    def _record_of(self, number: int) -> MemberRecord:
+        process_id = self.gateways[number].process.identity.process_id
+        return next(each for each in self.members if each.process_id == process_id)
+
+    def _start(self, number: int, previous: MemberRecord) -> None:
         self._n_starts += 1
-        self.members = [
-            replace(each, incarnation=self._n_starts) if n == number else each
-            for n, each in enumerate(self.members)
-        ]
+        started = replace(previous, incarnation=self._n_starts)
+        others = [e for e in self.members if e.process_id != previous.process_id]
+        self.members = [*others, started]
+        self.sent_bytes_before += self.gateways[number].sent_bytes
         self.gateways[number] = Gateway(number, self)
 
 
@@ -184,6 +245,22 @@
     sent_bytes_per_s: float = 0.0
     received_per_s: float = 0.0
 
+    def add(self, begun: Begun, found: Origin) -> None:
+        """Count a stream that was taken up."""
+        match found:
+            case KnownOrigin(software_version=version):
+                self.n_known += 1
+                self.n_wrong += version != begun.software_version
+            case _:
+                self.n_unknown += 1
+
+    def count(self, fleet: Fleet, *, for_s: float) -> None:
+        """Set the mean and the highest rates of messages."""
+        gateways = fleet.gateways
+        sent_bytes = sum(g.sent_bytes for g in gateways) + fleet.sent_bytes_before
+        self.sent_bytes_per_s = sent_bytes / (len(gateways) * for_s)
+        self.received_per_s = max(g.n_received for g in gateways) / for_s
+
 
 async def play_kills(fleet: Fleet, *, rate_per_s: float, for_s: float) -> Played:
     """Kill two gateways every four seconds; take up the streams that they served.
@@ -194,16 +271,10 @@
     loop = asyncio.get_running_loop()
     began_s = loop.time()
     open_at: dict[int, list[Begun]] = {n: [] for n in range(len(fleet.gateways))}
-    counts: Counter[str] = Counter()
 
     async def take_up(begun: Begun) -> None:
         await asyncio.sleep(fleet.rng.uniform(0.01, 0.5))
-        match await fleet.take_up(begun):
-            case KnownOrigin(software_version=version):
-                counts["known"] += 1
-                counts["wrong"] += version != begun.software_version
-            case _:
-                counts["unknown"] += 1
+        played.add(begun, await fleet.take_up(begun))
 
     async with asyncio.TaskGroup() as group:
         number = 0
@@ -223,16 +294,88 @@
                         group.create_task(take_up(begun))
                 open_at[killed].clear()
                 group.create_task(fleet.restart(killed))
-    played.n_known, played.n_unknown = counts["known"], counts["unknown"]
-    played.n_wrong = counts["wrong"]
+    played.count(fleet, for_s=for_s)
+    return played
+
+
+async def play_rolling_stops(
+    fleet: Fleet, *, rate_per_s: float, stream_s: float, gap_s: float
+) -> Played:
+    """Order all gateways to stop in turn; take up the streams that this interrupts."""
+    loop = asyncio.get_running_loop()
+    played = Played()
     n_gateways = len(fleet.gateways)
-    played.sent_bytes_per_s = sum(g.sent_bytes for g in fleet.gateways) / (
-        n_gateways * for_s
-    )
-    played.received_per_s = max(g.n_received for g in fleet.gateways) / for_s
+    ends_s = loop.time() + stream_s + n_gateways * gap_s + EXIT_S
+
+    async def read_stream(number: int) -> None:
+        accepting = [
+            g
+            for g in fleet.gateways
+            if not g.is_away and loop.time() < g.ordered_s + ACCEPT_S
+        ]
+        if not accepting:
+            return
+        at = fleet.rng.choice(accepting)
+        begun = fleet.begin(at, number)
+        while not at.is_interrupting():
+            if loop.time() > begun.at_s + stream_s:
+                return
+            await asyncio.sleep(0.05)
+        await asyncio.sleep(fleet.rng.uniform(0.01, 0.5))
+        while not fleet.members:  # noqa: ASYNC110 - no event signals it
+            await asyncio.sleep(0.05)
+        live = {member.process_id for member in fleet.members}
+        serving = [g for g in fleet.gateways if g.process.identity.process_id in live]
+        played.add(begun, await fleet.take_up(begun, at=fleet.rng.choice(serving)))
+
+    async def stop_all() -> None:
+        await asyncio.sleep(stream_s)
+        async with asyncio.TaskGroup() as stops:
+            for number in range(n_gateways):
+                stops.create_task(fleet.stop_and_start(number))
+                await asyncio.sleep(gap_s)
+
+    async with asyncio.TaskGroup() as group:
+        group.create_task(stop_all())
+        number = 0
+        while loop.time() < ends_s:
+            await asyncio.sleep(fleet.rng.expovariate(rate_per_s))
+            group.create_task(read_stream(number))
+            number += 1
+    played.count(fleet, for_s=loop.time())
     return played
 
 
+def print_rolling_stops(*, seeds: int = 3) -> None:
+    """Print what became of interrupted streams, by what keeps their origins."""
+    print("gateways gap s distributes known unknown wrong sent B/s")
+    for n_gateways, gap_s in ((4, 1.0), (12, 0.25), (12, 1.2), (23, 0.25), (23, 1.3)):
+        for distributes in (False, True):
+            total: Counter[str] = Counter()
+            for seed in range(seeds):
+                ways = Ways(distributes=distributes)
+                with pytest.MonkeyPatch.context() as patch:
+                    played = run_virtual(
+                        patch,
+                        _play_rolling_stops(n_gateways, gap_s, seed=seed, ways=ways),
+                    )
+                total["known"] += played.n_known
+                total["unknown"] += played.n_unknown
+                total["wrong"] += played.n_wrong
+            print(
+                f"{n_gateways:8} {gap_s:5} {distributes!s:11}"
+                f" {total['known']:5} {total['unknown']:7} {total['wrong']:5}"
+                f" {played.sent_bytes_per_s:8.0f}"
+            )
+
+
+async def _play_rolling_stops(
+    n_gateways: int, gap_s: float, *, seed: int, ways: Ways
+) -> Played:
+    fleet = Fleet(n_gateways, n_domains=4, seed=seed, ways=ways)
+    return await play_rolling_stops(fleet, rate_per_s=20, stream_s=10, gap_s=gap_s)
+
+
 def print_plays(*, seeds: int = 5) -> None:
     """Print what became of broken streams, by the number of replicas."""
     print("gateways streams/s replicas known unknown wrong sent B/s received/s")
--- a/tests/chain/test_request_path.py
+++ b/tests/chain/test_request_path.py
@@ -11,6 +11,7 @@
 
 from trefoilpaddle.coordination.chain.cell_schedulers import CellSchedulers
 from trefoilpaddle.coordination.chain.chain_router import ChainRouter
+from trefoilpaddle.coordination.chain.origin_placement import OriginPlacement
 from trefoilpaddle.coordination.chain.planned_stop import PlannedStop
 from trefoilpaddle.coordination.chain.request_path import RequestPath
 from trefoilpaddle.coordination.chain.scheduler_links import (
@@ -111,7 +112,11 @@
             stop=self.stop,
             guard=self.guard,
             send_limits=send_limits(workers),
-            origins=StreamOrigins(process=own, live=list, workers=workers),
+            origins=StreamOrigins(
+                process=own,
+                placement=OriginPlacement(own_id="g", live=list),
+                workers=workers,
+            ),
         )
         if routes:
             self.path.activate(table(*routes))
--- a/tests/chain/test_stream_origins.py
+++ b/tests/chain/test_stream_origins.py
@@ -6,6 +6,7 @@
 import pytest
 
 from trefoilpaddle.coordination.chain.stream_origins import (
+    CHECK_PERIOD_S,
     KnownOrigin,
     UnknownOrigin,
 )
@@ -20,7 +21,14 @@
 from trefoilpaddle.state.chain.workers import WorkerTable
 
 from .fakes import worker
-from .origins_fleet import LIFE_S, SERVICE, Fleet, play_kills
+from .origins_fleet import (
+    LIFE_S,
+    SERVICE,
+    Fleet,
+    Ways,
+    play_kills,
+    play_rolling_stops,
+)
 from .virtual_time import run_virtual
 
 TOLD_S: Final = 0.1
@@ -195,11 +203,60 @@
         run_virtual(monkeypatch, scenario())
 
 
+class TestRollingStops:
+    @pytest.mark.parametrize("gap_s", [0.25, 1.2])
+    def test_streams_go_on_after_all_gateways_were_stopped(
+        self, gap_s: float, monkeypatch: pytest.MonkeyPatch
+    ) -> None:
+        # Guards against origins that end with the last gateway that stored them.
+        async def scenario() -> None:
+            fleet = Fleet(12, n_domains=4, ways=Ways(distributes=True))
+            played = await play_rolling_stops(
+                fleet, rate_per_s=20, stream_s=10, gap_s=gap_s
+            )
+            assert not played.n_wrong
+            assert played.n_known >= 9 * played.n_unknown
+
+        run_virtual(monkeypatch, scenario())
+
+    def test_a_new_replica_gets_what_the_others_store(
+        self, monkeypatch: pytest.MonkeyPatch
+    ) -> None:
+        async def scenario() -> None:
+            fleet = Fleet(2, n_domains=2, ways=Ways(distributes=True))
+            begun = fleet.begin(fleet.gateways[0], 0)
+            await asyncio.sleep(TOLD_S)
+            for number in (1, 0):
+                await fleet.restart(number)
+                await asyncio.sleep(2 * CHECK_PERIOD_S)
+            assert await fleet.take_up(begun) == KnownOrigin(
+                software_version=begun.software_version
+            )
+
+        run_virtual(monkeypatch, scenario())
+
+    def test_streams_that_are_not_resumed_any_more_are_not_sent_on(
+        self, monkeypatch: pytest.MonkeyPatch
+    ) -> None:
+        # Guards against origins that members send one another for ever.
+        async def scenario() -> None:
+            fleet = Fleet(2, n_domains=2, ways=Ways(distributes=True))
+            fleet.begin(fleet.gateways[0], 0)
+            await asyncio.sleep(TOLD_S)
+            await fleet.restart(1)
+            await asyncio.sleep(LIFE_S)
+            await fleet.restart(0)
+            await asyncio.sleep(2 * CHECK_PERIOD_S)
+            assert not len(fleet.gateways[0].origins.versions)
+
+        run_virtual(monkeypatch, scenario())
+
+
 class TestMemory:
     def test_the_oldest_streams_are_forgotten(self) -> None:
         versions = StreamVersions()
         for number in range(MAX_STREAMS + 10):
-            versions.put(stream_key(f"a{number}"), "v1")
+            versions.put(stream_key(f"a{number}"), "v1", life_s=LIFE_S)
         assert len(versions) == MAX_STREAMS
         assert versions.get(stream_key("a0")) is None
         assert versions.get(stream_key(f"a{MAX_STREAMS}")) == "v1"
@@ -207,7 +264,7 @@
     @pytest.mark.parametrize("key", [b"", b"short", b"x" * 1000])
     def test_keys_of_another_length_are_not_remembered(self, key: bytes) -> None:
         versions = StreamVersions()
-        versions.put(key, "v1")
+        versions.put(key, "v1", life_s=LIFE_S)
         assert not len(versions)
 
     async def test_a_peer_that_asks_with_any_key_gets_an_answer(self) -> None:
