Ask gateways that have been ordered to stop for the origin of a stream

A gateway that is ordered to stop leaves the list of live members at once and runs for up to seven more seconds. Only live members were asked, so a stream was refused with `origin_unknown` while all that knew it still ran. The gateways that ranked first with those that stop, during the grace period after their announcement, are asked as well.

The new test, in which three of four gateways are stopped, fails before. Nothing changes while no gateway stops.

--- a/src/trefoilpaddle/coordination/chain/fleet.py
+++ b/src/trefoilpaddle/coordination/chain/fleet.py
@@ -6,7 +6,7 @@
 from collections.abc import AsyncIterator, Collection, Sequence
 from typing import Final
 
-from ...state.members import MemberRecord
+from ...state.members import MemberRecord, MemberState
 from ...transport.connection import Address
 from ..members.duty_rank import duty_rank
 from ..members.membership import Membership
@@ -92,6 +92,22 @@
         """Return the live gateways, this one included."""
         return self.membership.live()
 
+    def stopping(self, *, grace_s: float) -> Sequence[MemberRecord]:
+        """Return the gateways that announced a planned stop and may still run.
+
+        Parameters
+        ----------
+        grace_s : float
+            Seconds from the order to stop to the kill.
+        """
+        now_s = time.monotonic()
+        return [
+            record
+            for record in self.membership.table.records.values()
+            if record.state is MemberState.LEAVING
+            and now_s - self._known_s(record) < grace_s
+        ]
+
     def known_ids(self) -> Collection[str]:
         """Return the ids of all gateways on record, also of those believed dead."""
         return self.membership.table.records.keys()
--- a/src/trefoilpaddle/coordination/chain/origin_placement.py
+++ b/src/trefoilpaddle/coordination/chain/origin_placement.py
@@ -65,21 +65,25 @@
         Id of this process, which is never chosen.
     live : callable
         Returns the live gateways, this one included; the same object until one changes.
+    stopping : callable
+        Returns the gateways that have been ordered to stop and may still respond.
     n_replicas : int
         Gateways that store a stream besides this one.
     """
 
-    __slots__ = ("_live", "_n_replicas", "_own_id", "_pools")
+    __slots__ = ("_live", "_n_replicas", "_own_id", "_pools", "_stopping")
 
     def __init__(
         self,
         *,
         own_id: str,
         live: Members,
+        stopping: Members,
         n_replicas: int = N_REPLICAS,
     ) -> None:
         self._own_id = own_id
         self._live = live
+        self._stopping = stopping
         self._n_replicas = n_replicas
         self._pools = Pools()
 
@@ -105,12 +109,23 @@
         return chosen[: self._n_replicas]
 
     def lookup_targets(self, key: bytes) -> list[MemberRecord]:
-        """Return the gateways that may know a stream which began elsewhere."""
+        """Return the gateways that may know a stream which began elsewhere.
+
+        One that has been ordered to stop still knows what it stored, and others may
+        not have it yet.
+        """
+        live = self.pools()
+        targets = self._queried(key, live)
+        stopping = self._stopping()
+        if stopping:
+            chosen = {target.process_id for target in targets}
+            before = self._queried(key, pools_of((*live.members, *stopping)))
+            targets += [each for each in before if each.process_id not in chosen]
+        return targets
+
+    def _queried(self, key: bytes, pools: Pools) -> list[MemberRecord]:
         return self._highest_ranked(
-            key,
-            self.pools(),
-            n_domains=N_DOMAINS_QUERIED,
-            n_each=N_QUERIED_PER_DOMAIN,
+            key, pools, n_domains=N_DOMAINS_QUERIED, n_each=N_QUERIED_PER_DOMAIN
         )
 
     def _highest_ranked(
--- a/tests/chain/origins_fleet.py
+++ b/tests/chain/origins_fleet.py
@@ -6,6 +6,7 @@
 """
 
 import asyncio
+import itertools
 import math
 import random
 from collections import Counter
@@ -75,6 +76,7 @@
             placement=OriginPlacement(
                 own_id=own.identity.process_id,
                 live=lambda: fleet.members,
+                stopping=lambda: fleet.stopping if fleet.ways.queries_stopping else (),
                 n_replicas=fleet.n_replicas,
             ),
             workers=self.workers,
@@ -146,9 +148,12 @@
     ----------
     distributes : bool
         Whether stored origins are sent to new replicas as members change.
+    queries_stopping : bool
+        Whether gateways that have been ordered to stop are queried.
     """
 
     distributes: bool = True
+    queries_stopping: bool = True
 
 
 class Fleet:
@@ -348,12 +353,12 @@
 
 def print_rolling_stops(*, seeds: int = 3) -> None:
     """Print what became of interrupted streams, by what keeps their origins."""
-    print("gateways gap s distributes known unknown wrong sent B/s")
+    print("gateways gap s distributes queries_stopping known unknown wrong sent B/s")
     for n_gateways, gap_s in ((4, 1.0), (12, 0.25), (12, 1.2), (23, 0.25), (23, 1.3)):
-        for distributes in (False, True):
+        for distributes, queries_stopping in itertools.product((False, True), repeat=2):
             total: Counter[str] = Counter()
             for seed in range(seeds):
-                ways = Ways(distributes=distributes)
+                ways = Ways(distributes=distributes, queries_stopping=queries_stopping)
                 with pytest.MonkeyPatch.context() as patch:
                     played = run_virtual(
                         patch,
@@ -363,7 +368,7 @@
                 total["unknown"] += played.n_unknown
                 total["wrong"] += played.n_wrong
             print(
-                f"{n_gateways:8} {gap_s:5} {distributes!s:11}"
+                f"{n_gateways:8} {gap_s:5} {distributes!s:11} {queries_stopping!s:16}"
                 f" {total['known']:5} {total['unknown']:7} {total['wrong']:5}"
                 f" {played.sent_bytes_per_s:8.0f}"
             )
--- a/tests/chain/test_request_path.py
+++ b/tests/chain/test_request_path.py
@@ -114,7 +114,7 @@
             send_limits=send_limits(workers),
             origins=StreamOrigins(
                 process=own,
-                placement=OriginPlacement(own_id="g", live=list),
+                placement=OriginPlacement(own_id="g", live=list, stopping=list),
                 workers=workers,
             ),
         )
--- a/tests/chain/test_stream_origins.py
+++ b/tests/chain/test_stream_origins.py
@@ -219,6 +219,24 @@
 
         run_virtual(monkeypatch, scenario())
 
+    def test_a_gateway_that_has_been_ordered_to_stop_is_queried(
+        self, monkeypatch: pytest.MonkeyPatch
+    ) -> None:
+        # Guards against refusals while the gateways that know the stream still run.
+        async def scenario() -> None:
+            fleet = Fleet(4, n_domains=2, ways=Ways(distributes=False))
+            begun = fleet.begin(fleet.gateways[0], 0)
+            await asyncio.sleep(TOLD_S)
+            await fleet.restart(3)
+            for number in range(3):
+                asyncio.get_running_loop().create_task(fleet.stop_and_start(number))
+            await asyncio.sleep(TOLD_S)
+            assert await fleet.take_up(begun, at=fleet.gateways[3]) == KnownOrigin(
+                software_version=begun.software_version
+            )
+
+        run_virtual(monkeypatch, scenario())
+
     def test_a_new_replica_gets_what_the_others_store(
         self, monkeypatch: pytest.MonkeyPatch
     ) -> None:
