Wait until another gateway is known before a resumed stream is refused

A gateway that has just started is ready about 10 ms later and knows its first peer after some 150 ms. A stream that was resumed at it meanwhile was refused with "queried 0 gateways, 1 live", as if all had been asked. While all others are stopping, this is the only gateway that is ready, so callers come to it first.

The look-up now waits until another gateway is on record, one that stops included, for at most 0.8 s after the start: the time after which a gateway relies on its view in any case. The wait is inside the answer deadline of the request, which a planned stop bounds.

--- a/src/trefoilpaddle/coordination/chain/fleet.py
+++ b/src/trefoilpaddle/coordination/chain/fleet.py
@@ -32,6 +32,9 @@
 SETTLE_AT_MOST_S: Final = 0.8
 """Seconds after its start from which a gateway relies on its view in any case."""
 
+KNOWN_POLL_S: Final = 0.02
+"""Period in seconds of the check whether another gateway is known after the start."""
+
 MIN_SHARING_GATEWAYS: Final = 4
 """Minimum number of gateways among which shared budgets are split.
 
@@ -84,6 +87,18 @@
         changed_s = max(map(self._known_s, highest_ranked.values()), default=now_s)
         return len(live) > 1 and now_s - changed_s > SETTLE_S
 
+    async def wait_known(self) -> None:
+        """Wait until another gateway is on record, for a bounded time after the start.
+
+        Those that have been ordered to stop count, as they know what others have done.
+        """
+        while not self._is_another_known():  # noqa: ASYNC110 - no event signals it
+            await asyncio.sleep(KNOWN_POLL_S)
+
+    def _is_another_known(self) -> bool:
+        is_late = time.monotonic() - self._began_s > SETTLE_AT_MOST_S
+        return is_late or len(self.membership.table.records) > 1
+
     def _known_s(self, member: MemberRecord) -> float:
         """Return since when a gateway is known unchanged; for this one, its start."""
         return self.membership.last_change_s.get(member.process_id, self._began_s)
--- a/src/trefoilpaddle/coordination/chain/stream_origins.py
+++ b/src/trefoilpaddle/coordination/chain/stream_origins.py
@@ -10,7 +10,7 @@
 import asyncio
 import contextlib
 import time
-from collections.abc import Iterable, Mapping
+from collections.abc import Awaitable, Callable, Iterable, Mapping
 from dataclasses import dataclass, field
 from typing import Final
 
@@ -96,6 +96,8 @@
         Chooses the replicas and the gateways that are queried.
     workers : WorkerTable
         The listed workers.
+    wait_known : callable
+        Waits until another gateway is known, for a bounded time after the start.
     is_first_start : bool
         True if no stream can have begun before this process.
     """
@@ -106,6 +108,7 @@
         "_process",
         "_served",
         "_tasks",
+        "_wait_known",
         "versions",
     )
 
@@ -115,10 +118,12 @@
         process: OwnProcess,
         placement: OriginPlacement,
         workers: WorkerTable,
+        wait_known: Callable[[], Awaitable[None]],
         is_first_start: bool = False,
     ) -> None:
         self._process = process
         self._placement = placement
+        self._wait_known = wait_known
         self._served = ServedVersions(workers=workers, is_first_start=is_first_start)
         self._pending: dict[Address, dict[bytes, StreamVersion]] = {}
         self._tasks: set[asyncio.Task[None]] = set()
@@ -174,6 +179,7 @@
         known = self.versions.get(key)
         if known is not None:
             return KnownOrigin(software_version=known)
+        await self._wait_known()
         request = FindOrigin(
             key=key, service_name=service, life_ms=int(life_s * MS_PER_S)
         )
--- a/tests/chain/fakes.py
+++ b/tests/chain/fakes.py
@@ -47,6 +47,10 @@
 OK_HEAD = AnswerHead(status=200, headers=())
 
 
+async def no_wait() -> None:
+    """Return at once."""
+
+
 def worker(
     worker_id: str, service: str = "plain", *, domain: str = "here", **fields: Any
 ) -> Worker:
--- a/tests/chain/origins_fleet.py
+++ b/tests/chain/origins_fleet.py
@@ -80,6 +80,7 @@
                 n_replicas=fleet.n_replicas,
             ),
             workers=self.workers,
+            wait_known=fleet.wait_known,
         )
         for listed in fleet.workers:
             self.workers.put(listed)
@@ -172,6 +173,7 @@
         self.ways = ways
         self.stopping: list[MemberRecord] = []
         self.sent_bytes_before = 0
+        self.are_members_known = True
         self.rng = random.Random(seed)
         self.n_domains = n_domains
         self.n_replicas = n_replicas
@@ -190,6 +192,11 @@
         ]
         self.gateways = [Gateway(number, self) for number in range(n_gateways)]
 
+    async def wait_known(self) -> None:
+        """Wait until members are known; a gateway that starts may know none yet."""
+        while not self.are_members_known:  # noqa: ASYNC110 - no event signals it
+            await asyncio.sleep(ONE_WAY_S)
+
     def domain_of(self, number: int) -> str:
         return f"d{number % self.n_domains}"
 
--- a/tests/chain/test_fleet_settled.py
+++ b/tests/chain/test_fleet_settled.py
@@ -1,15 +1,22 @@
 """When a gateway that has just started knows which gateways schedule the cells."""
 
+import asyncio
+import time
+from dataclasses import replace
+
 import pytest
 
 from trefoilpaddle.coordination.chain.fleet import (
+    KNOWN_POLL_S,
     SETTLE_AT_MOST_S,
     SETTLE_S,
     Fleet,
 )
+from trefoilpaddle.state.members import MemberState
 
 from .fakes import process
 from .test_chain_router import member
+from .virtual_time import run_virtual
 
 STEP_S = 0.05
 STRONG = 2150
@@ -78,3 +85,32 @@
         assert not rig.fleet.is_settled()
         rig.now_s += SETTLE_S
         assert rig.fleet.is_settled()
+
+
+class TestKnown:
+    def test_it_is_known_once_one_other_gateway_is_on_record(
+        self, monkeypatch: pytest.MonkeyPatch
+    ) -> None:
+        async def scenario() -> None:
+            fleet = Fleet(process=process("own"), seeds=())
+            waiting = asyncio.create_task(fleet.wait_known())
+            await asyncio.sleep(2 * KNOWN_POLL_S)
+            assert not waiting.done()
+            stopping = replace(member("other", 1), state=MemberState.LEAVING)
+            fleet.membership.table.merge([stopping])
+            await asyncio.sleep(2 * KNOWN_POLL_S)
+            assert waiting.done()
+
+        run_virtual(monkeypatch, scenario())
+
+    def test_a_gateway_without_peers_waits_for_the_limit(
+        self, monkeypatch: pytest.MonkeyPatch
+    ) -> None:
+        # Guards against streams that a lone gateway holds until their deadline.
+        async def scenario() -> None:
+            fleet = Fleet(process=process("own"), seeds=())
+            began_s = time.monotonic()
+            await fleet.wait_known()
+            assert time.monotonic() - began_s < SETTLE_AT_MOST_S + 2 * KNOWN_POLL_S
+
+        run_virtual(monkeypatch, scenario())
--- a/tests/chain/test_request_path.py
+++ b/tests/chain/test_request_path.py
@@ -51,6 +51,7 @@
     budgets,
     crash_guard,
     journal,
+    no_wait,
     process,
     request,
     route,
@@ -116,6 +117,7 @@
                 process=own,
                 placement=OriginPlacement(own_id="g", live=list, stopping=list),
                 workers=workers,
+                wait_known=no_wait,
             ),
         )
         if routes:
--- a/tests/chain/test_stream_origins.py
+++ b/tests/chain/test_stream_origins.py
@@ -237,6 +237,25 @@
 
         run_virtual(monkeypatch, scenario())
 
+    def test_a_gateway_that_starts_does_not_refuse_before_it_knows_others(
+        self, monkeypatch: pytest.MonkeyPatch
+    ) -> None:
+        # Guards against "unknown" from a gateway that has asked nobody.
+        async def scenario() -> None:
+            fleet = Fleet(3)
+            begun = fleet.begin(fleet.gateways[0], 0)
+            await asyncio.sleep(TOLD_S)
+            members, fleet.members = fleet.members, []
+            fleet.are_members_known = False
+            finding = asyncio.create_task(fleet.take_up(begun, at=fleet.gateways[2]))
+            fleet.gateways[2].origins.versions = StreamVersions()
+            await asyncio.sleep(TOLD_S)
+            assert not finding.done()
+            fleet.members, fleet.are_members_known = members, True
+            assert await finding == KnownOrigin(software_version=begun.software_version)
+
+        run_virtual(monkeypatch, scenario())
+
     def test_a_new_replica_gets_what_the_others_store(
         self, monkeypatch: pytest.MonkeyPatch
     ) -> None:
