State when a gateway serves again if all are stopping

A gateway that stops refused with Retry-After 0, as a retry reaches another one. While all gateways are ordered to stop within seconds this is untrue: callers spent their one retry at once, at the next gateway that stops. The refusal now states 0 only while another gateway is live, otherwise the time until the one that was ordered first has used its grace period and started again.

A test of two gateway processes got 0 before; one in virtual time covers the time stated.

--- a/src/trefoilpaddle/coordination/chain/fleet.py
+++ b/src/trefoilpaddle/coordination/chain/fleet.py
@@ -35,6 +35,12 @@
 KNOWN_POLL_S: Final = 0.02
 """Period in seconds of the check whether another gateway is known after the start."""
 
+RESTART_S: Final = 1.0
+"""Seconds from the exit of a gateway until its next start serves."""
+
+MIN_RETURN_S: Final = 0.25
+"""Shortest time in seconds stated until a gateway serves while none is live."""
+
 MIN_SHARING_GATEWAYS: Final = 4
 """Minimum number of gateways among which shared budgets are split.
 
@@ -123,6 +129,24 @@
             and now_s - self._known_s(record) < grace_s
         ]
 
+    def serves_elsewhere_in_s(self, *, grace_s: float) -> float:
+        """Return the seconds until another gateway probably serves; 0 if one is live.
+
+        While all are stopping, that is the time until the one that was ordered first
+        has exited and started again.
+
+        Parameters
+        ----------
+        grace_s : float
+            Seconds from the order to stop to the kill.
+        """
+        if any(member is not self.membership.own for member in self.live()):
+            return 0.0
+        now_s = time.monotonic()
+        stopping = self.stopping(grace_s=grace_s)
+        first_ordered_s = min(map(self._known_s, stopping), default=now_s)
+        return max(MIN_RETURN_S, first_ordered_s + grace_s + RESTART_S - now_s)
+
     def known_ids(self) -> Collection[str]:
         """Return the ids of all gateways on record, also of those believed dead."""
         return self.membership.table.records.keys()
--- a/src/trefoilpaddle/coordination/chain/planned_stop.py
+++ b/src/trefoilpaddle/coordination/chain/planned_stop.py
@@ -41,6 +41,10 @@
     return False
 
 
+def _at_once() -> float:
+    return 0.0
+
+
 class PlannedStop:
     """The order to stop, and the time that is left after it.
 
@@ -59,9 +63,19 @@
     is_closing : bool
         True once callers' connections are closed; requests without an answer are
         interrupted then.
+    serves_elsewhere_in_s : callable
+        Returns the seconds until another gateway probably serves; the Retry-After of
+        what is refused.
     """
 
-    __slots__ = ("_deadlines", "_grace_s", "_ordered", "_ordered_s", "is_closing")
+    __slots__ = (
+        "_deadlines",
+        "_grace_s",
+        "_ordered",
+        "_ordered_s",
+        "is_closing",
+        "serves_elsewhere_in_s",
+    )
 
     def __init__(self, *, grace_s: float) -> None:
         self._grace_s = grace_s
@@ -69,6 +83,7 @@
         self._ordered_s = math.inf
         self._deadlines: set[AnswerDeadline] = set()
         self.is_closing = False
+        self.serves_elsewhere_in_s: Callable[[], float] = _at_once
 
     @property
     def event(self) -> asyncio.Event:
--- a/src/trefoilpaddle/coordination/chain/request_path.py
+++ b/src/trefoilpaddle/coordination/chain/request_path.py
@@ -39,9 +39,6 @@
 NO_WORKERS: Final[frozenset[str]] = frozenset()
 """Empty set of excluded workers."""
 
-STOPPING_RETRY_S: Final = 0.0
-"""Retry-After in seconds of a stopping gateway; a retry reaches another one."""
-
 ANSWER_GRACE_S: Final = 0.1
 """Seconds after its deadline at which a request is answered in any case.
 
@@ -192,7 +189,10 @@
         if route is None:
             return Refused(reason=Reason.NO_ENTRY)
         if not self._stop.accepts(route):
-            return Refused(reason=Reason.STOPPING, retry_after_s=STOPPING_RETRY_S)
+            return Refused(
+                reason=Reason.STOPPING,
+                retry_after_s=self._stop.serves_elsewhere_in_s(),
+            )
         account = self._account(table, route, request)
         if account is None:
             return Refused(reason=Reason.UNAUTHORISED)
@@ -226,8 +226,9 @@
                 return delivery.failure_outcome(
                     due.reason, retry_after_s=0.0, detail=detail
                 )
-            is_stop = due.reason is Reason.STOPPING
-            retry_after_s = STOPPING_RETRY_S if is_stop else DEFAULT_RETRY_S
+            retry_after_s = DEFAULT_RETRY_S
+            if due.reason is Reason.STOPPING:
+                retry_after_s = self._stop.serves_elsewhere_in_s()
             return delivery.failure_outcome(due.reason, retry_after_s=retry_after_s)
 
     async def _run(self, job: Job, delivery: Delivery, sink: CallerSink) -> Outcome:
--- a/src/trefoilpaddle/transport/http_listener.py
+++ b/src/trefoilpaddle/transport/http_listener.py
@@ -83,6 +83,11 @@
     admits : callable, optional
         Returns False if a new connection should be closed before anything is read from
         it, so that its caller can try another process at once.
+
+    Attributes
+    ----------
+    refusal : bytes
+        As given; may change until the close.
     """
 
     __slots__ = (
@@ -92,9 +97,9 @@
         "_max_connections",
         "_opening",
         "_port",
-        "_refusal",
         "_socket",
         "_tls",
+        "refusal",
     )
 
     def __init__(
@@ -108,7 +113,7 @@
     ) -> None:
         self._admits = admits
         self._http = http
-        self._refusal = refusal
+        self.refusal = refusal
         self._max_connections = max_connections
         self._tls = tls
         self._lingering = LingeringConnections()
@@ -244,7 +249,7 @@
             if isinstance(each, _HttpConnection) and each.is_idle
         ]
         for connection in idle:
-            connection.finish(self._refusal)
+            connection.finish(self.refusal)
         return len(idle)
 
 
--- a/tests/chain/test_fleet_settled.py
+++ b/tests/chain/test_fleet_settled.py
@@ -8,6 +8,8 @@
 
 from trefoilpaddle.coordination.chain.fleet import (
     KNOWN_POLL_S,
+    MIN_RETURN_S,
+    RESTART_S,
     SETTLE_AT_MOST_S,
     SETTLE_S,
     Fleet,
@@ -18,6 +20,7 @@
 from .test_chain_router import member
 from .virtual_time import run_virtual
 
+GRACE_S = 8.0
 STEP_S = 0.05
 STRONG = 2150
 WEAK = 387
@@ -114,3 +117,35 @@
             assert time.monotonic() - began_s < SETTLE_AT_MOST_S + 2 * KNOWN_POLL_S
 
         run_virtual(monkeypatch, scenario())
+
+
+class TestServesElsewhere:
+    def test_it_is_at_once_while_another_gateway_is_live(
+        self, monkeypatch: pytest.MonkeyPatch
+    ) -> None:
+        async def scenario() -> None:
+            fleet = Fleet(process=process("own"), seeds=())
+            fleet.membership.apply_records([member("other", 1)])
+            fleet.membership.announce_leaving()
+            assert fleet.serves_elsewhere_in_s(grace_s=GRACE_S) == 0.0
+
+        run_virtual(monkeypatch, scenario())
+
+    def test_while_all_are_stopping_it_is_the_return_of_the_first(
+        self, monkeypatch: pytest.MonkeyPatch
+    ) -> None:
+        # Guards against callers that spend their retries while nobody serves.
+        async def scenario() -> None:
+            fleet = Fleet(process=process("own"), seeds=())
+            other = replace(member("other", 1), state=MemberState.LEAVING)
+            fleet.membership.apply_records([member("other", 1)])
+            fleet.membership.apply_records([other])
+            await asyncio.sleep(3.0)
+            fleet.membership.announce_leaving()
+            assert fleet.serves_elsewhere_in_s(grace_s=GRACE_S) == pytest.approx(
+                GRACE_S + RESTART_S - 3.0
+            )
+            await asyncio.sleep(GRACE_S)
+            assert fleet.serves_elsewhere_in_s(grace_s=GRACE_S) >= MIN_RETURN_S
+
+        run_virtual(monkeypatch, scenario())
--- a/tests/platform_adapter/test_gateway_process.py
+++ b/tests/platform_adapter/test_gateway_process.py
@@ -8,6 +8,7 @@
 import aiohttp
 import pytest
 
+from trefoilpaddle.coordination.chain.planned_stop import ACCEPT_STREAMS_S
 from trefoilpaddle.coordination.published.store_readers import UpdateGap
 from trefoilpaddle.standins.platform.gateway_process import (
     DRAFT,
@@ -29,6 +30,9 @@
 
 from ..waiting import CAP_S, until
 
+SHORTLY_S = 0.05
+"""Time in seconds after a bound by which it is reached for certain."""
+
 LOG_DELAY_S = 0.2
 """Time after which decisions are in the log; lines are written within 50 ms."""
 
@@ -293,6 +297,25 @@
             ran = {each for worker in site.workers.values() for each in worker.ran}
             assert not refused & ran
 
+    async def test_a_refusal_states_when_another_gateway_serves(
+        self, tmp_path: Path
+    ) -> None:
+        # Guards against "retry at once" from the last of all gateways that stop.
+        async with (
+            small_site() as site,
+            gateways(site, tmp_path, "a", "b") as (one, other),
+            aiohttp.ClientSession() as client,
+        ):
+            await until(lambda: "peer=g1" in one.log() and "peer=g0" in other.log())
+
+            one.signal(signal.SIGTERM)
+            other.signal(signal.SIGTERM)
+            await asyncio.sleep(ACCEPT_STREAMS_S + SHORTLY_S)
+            sent = headers("d1") | DRAFT
+            async with client.post(f"{one.url}/draft/1", headers=sent) as answer:
+                assert answer.status == 503
+                assert float(answer.headers["Retry-After"]) > 0.0
+
     async def test_a_stopping_gateway_serves_open_connections(
         self, tmp_path: Path
     ) -> None:
