--- a/src/trefoilpaddle/standins/platform/gateway_process.py
+++ b/src/trefoilpaddle/standins/platform/gateway_process.py
@@ -185,7 +185,7 @@
 
 @contextlib.asynccontextmanager
 async def gateways(
-    site: Site, folder: Path, *domains: str
+    site: Site, folder: Path, *domains: str, grace_s: float = GRACE_S
 ) -> AsyncIterator[list[GatewayProcess]]:
     """Start one gateway for each of `domains` and yield them once all are ready."""
     processes: list[GatewayProcess] = []
@@ -197,6 +197,7 @@
                 folder=folder,
                 store=site.store_address,
                 seeds=[each.peers_address for each in processes],
+                grace_s=grace_s,
             )
         )
     async with aiohttp.ClientSession() as client:
--- a/tests/platform_adapter/test_stream_versions.py
+++ b/tests/platform_adapter/test_stream_versions.py
@@ -22,7 +22,12 @@
     gateways,
     headers,
 )
-from trefoilpaddle.standins.platform.site import CALL_S, Site, configuration
+from trefoilpaddle.standins.platform.site import (
+    CALL_S,
+    GRACE_S,
+    Site,
+    configuration,
+)
 from trefoilpaddle.standins.platform.store import TABLE_KEY
 from trefoilpaddle.standins.web import serving
 
@@ -168,11 +173,14 @@
     def random_gateway(self) -> GatewayProcess:
         return self._rng.choice(self.all_gateways)
 
+    async def is_ready(self, gateway: GatewayProcess) -> bool:
+        return await gateway.is_ready(self._client)
+
     async def ready_gateway(self) -> GatewayProcess:
         """Return a random gateway that reports that it accepts requests."""
         while True:
             for gateway in self._rng.sample(self.all_gateways, len(self.all_gateways)):
-                if await gateway.is_ready(self._client):
+                if await self.is_ready(gateway):
                     return gateway
             await asyncio.sleep(0.05)
 
@@ -219,6 +227,7 @@
     event_s: float = EVENT_S,
     domains: str = "ab",
     timeout_s: float = 5.0,
+    grace_s: float = GRACE_S,
 ) -> AsyncIterator[VersionHarness]:
     async with contextlib.AsyncExitStack() as stack:
         site = Site(stack=stack)
@@ -239,9 +248,9 @@
         await site.add_worker("encode0", "encode", work_s=CALL_S)
         await site.add_worker("retrieve0", "retrieve", work_s=CALL_S)
         async with (
-            gateways(site, folder, *(domains * n_gateways)[:n_gateways]) as (
-                all_gateways
-            ),
+            gateways(
+                site, folder, *(domains * n_gateways)[:n_gateways], grace_s=grace_s
+            ) as all_gateways,
             aiohttp.ClientSession() as client,
         ):
             for gateway in all_gateways:
