Store streams at six gateways also in a fleet of one failure domain

Each failure domain offers two gateways that store streams, the oldest ones. With one failure domain these two stored the streams of all, and were the only ones asked; the pair that is killed together lost both the streams that it served and their only replicas.

At least six gateways now store streams, divided among the failure domains, and six are asked, as before with three failure domains or more. The new test, in which the two oldest of six gateways are lost, failed with one failure domain and passes with one, two and three. The play of gateway processes with kills was not run.

--- a/src/trefoilpaddle/coordination/chain/origin_placement.py
+++ b/src/trefoilpaddle/coordination/chain/origin_placement.py
@@ -4,6 +4,7 @@
 that all gateways with the same members make the same choice.
 """
 
+import math
 from collections.abc import Callable, Mapping, Sequence
 from dataclasses import dataclass, field
 from typing import Final
@@ -16,11 +17,18 @@
 """Gateways that store the origin of a stream besides the one that began it."""
 
 N_DOMAINS_QUERIED: Final = 3
-N_QUERIED_PER_DOMAIN: Final = 2
+N_QUERIED: Final = 6
 """Gateways that are queried: more than replicas, as members change meanwhile."""
 
 MIN_POOL_PER_DOMAIN: Final = 2
 MAX_POOL_PER_DOMAIN: Final = 4
+MIN_POOL: Final = 6
+"""Gateways of all failure domains together that store streams, if there are as many.
+
+With fewer, the loss of two gateways of a single failure domain would lose the streams
+of all.
+"""
+
 GATEWAYS_PER_POOL_MEMBER: Final = 20
 """How many gateways of a failure domain share the streams of all.
 
@@ -124,8 +132,9 @@
         return targets
 
     def _queried(self, key: bytes, pools: Pools) -> list[MemberRecord]:
+        n_domains = max(1, min(N_DOMAINS_QUERIED, len(pools.ids)))
         return self._highest_ranked(
-            key, pools, n_domains=N_DOMAINS_QUERIED, n_each=N_QUERIED_PER_DOMAIN
+            key, pools, n_domains=n_domains, n_each=math.ceil(N_QUERIED / n_domains)
         )
 
     def _highest_ranked(
@@ -150,9 +159,10 @@
         by_domain.setdefault(member.failure_domain, []).append(member)
     ids: list[list[str]] = []
     by_id: dict[str, MemberRecord] = {}
+    min_size = max(MIN_POOL_PER_DOMAIN, math.ceil(MIN_POOL / max(1, len(by_domain))))
     for in_domain in by_domain.values():
         n = len(in_domain) // GATEWAYS_PER_POOL_MEMBER
-        size = min(MAX_POOL_PER_DOMAIN, max(MIN_POOL_PER_DOMAIN, n))
+        size = max(min_size, min(MAX_POOL_PER_DOMAIN, n))
         pool = in_domain[:size]
         ids.append([member.process_id for member in pool])
         by_id |= {member.process_id: member for member in pool}
--- a/tests/chain/test_stream_origins.py
+++ b/tests/chain/test_stream_origins.py
@@ -83,6 +83,23 @@
 
         run_virtual(monkeypatch, scenario())
 
+    @pytest.mark.parametrize("n_domains", [1, 2, 3])
+    def test_it_is_found_once_the_two_oldest_gateways_are_lost(
+        self, n_domains: int, monkeypatch: pytest.MonkeyPatch
+    ) -> None:
+        # Guards against two gateways that store the streams of a small fleet alone.
+        async def scenario() -> None:
+            fleet = Fleet(6, n_domains=n_domains)
+            streams = [fleet.begin(fleet.gateways[n % 2], n) for n in range(20)]
+            await asyncio.sleep(TOLD_S)
+            await asyncio.gather(fleet.restart(0), fleet.restart(1))
+            for begun in streams:
+                assert await fleet.take_up(begun) == KnownOrigin(
+                    software_version=begun.software_version
+                )
+
+        run_virtual(monkeypatch, scenario())
+
     def test_an_attempt_that_nobody_knows_is_not_guessed_at(
         self, monkeypatch: pytest.MonkeyPatch
     ) -> None:
