Log what connections do that a planned stop closes, and what it waits for

Cause: a connection that was closed at the end of a stop left no line unless its request had been read whole and its task was cancelled, and between process_stopped and the exit a process wrote nothing, however long it took.

Change: the listener logs one line that counts its open connections by what each was doing: its body is read, it waits for its stages or a worker, for the worker's answer, its answer is written, other requests wait behind it, its last answer is unsent (with the bytes), or its caller leaves it open.

--- a/src/trefoilpaddle/coordination/chain/planned_stop.py
+++ b/src/trefoilpaddle/coordination/chain/planned_stop.py
@@ -4,9 +4,11 @@
 import contextlib
 import math
 import time
-from collections.abc import AsyncIterator, Callable
+from collections.abc import AsyncIterator, Callable, Iterator
 from typing import Final
 
+from absl import logging
+
 from ...protocol.reasons import Reason
 from ...state.chain.delivery import Delivery
 from ...state.chain.routes import Route
@@ -37,6 +39,10 @@
 """Seconds before the kill that are left to close connections and to exit."""
 
 
+SLOW_STEP_S: Final = 0.3
+"""Seconds after which a step at the end of a stop is logged; most take milliseconds."""
+
+
 def _never() -> bool:
     return False
 
@@ -131,6 +137,31 @@
         """Return the seconds for which answers may still be written."""
         return max(0.0, self.left_s() - CLOSE_RESERVE_S)
 
+    @contextlib.contextmanager
+    def step(self, waits_for: str) -> Iterator[None]:
+        """Log what the process waits for if the body of the context takes long.
+
+        Parameters
+        ----------
+        waits_for : str
+            What the body waits for, as a text for the log.
+        """
+
+        def log() -> None:
+            logging.warning(
+                "the stop waits for %s, %.2f s before the kill",
+                waits_for,
+                self.left_s(),
+            )
+            # The process may be killed before lines are written by themselves.
+            logging.flush()
+
+        timer = asyncio.get_running_loop().call_later(SLOW_STEP_S, log)
+        try:
+            yield
+        finally:
+            timer.cancel()
+
     def accepts(self, route: Route) -> bool:
         """Return True if a request of `route` can still be answered completely."""
         if time.monotonic() >= self.send_until_s:
--- a/src/trefoilpaddle/coordination/chain/request_path.py
+++ b/src/trefoilpaddle/coordination/chain/request_path.py
@@ -107,6 +107,7 @@
         "_budgets",
         "_calls",
         "_choice",
+        "_deliveries",
         "_engine_times",
         "_failure_domain",
         "_finishing",
@@ -142,6 +143,7 @@
         self._workers = workers
         self._router = router
         self._engine_times = EngineTimes()
+        self._deliveries: dict[int, Delivery] = {}
         self._finishing: set[asyncio.Task[Outcome]] = set()
         self._choice = choice
         self._calls = calls
@@ -166,14 +168,22 @@
         log = RequestLog(
             journal=self._journal, request=request, table=table, route=route
         )
+        self._deliveries[id(request)] = delivery
         try:
             outcome = await self._serve(request, table, route, delivery, sink)
         except asyncio.CancelledError:
             log.record_undelivered(delivery, self._stop)
             raise
+        finally:
+            del self._deliveries[id(request)]
         log.record_outcome(outcome)
         return outcome
 
+    def waiting_for(self, request: CallerRequest) -> str:
+        """Return what an open request waits for, as a text for the log."""
+        delivery = self._deliveries.get(id(request))
+        return "nothing any more" if delivery is None else delivery.waiting_for()
+
     async def _serve(
         self,
         request: CallerRequest,
--- a/src/trefoilpaddle/transport/http_listener.py
+++ b/src/trefoilpaddle/transport/http_listener.py
@@ -5,6 +5,7 @@
 import socket
 import ssl
 import time
+from collections import Counter
 from collections.abc import AsyncIterator, Callable, Mapping
 from http import HTTPStatus
 from typing import Final
@@ -33,6 +34,9 @@
 CLOSE_POLL_S: Final = 0.005
 """Period in seconds of the check for connections that have become idle at the close."""
 
+MAX_NAMED: Final = 8
+"""Most different states of connections that one log line names."""
+
 SHUTDOWN_S: Final = 0.1
 """Longest time in seconds for each step of interrupting the last handlers."""
 
@@ -61,6 +65,10 @@
     return True
 
 
+def _handled(request: web.BaseRequest) -> str:
+    return "handled"
+
+
 class HttpListener:
     """Accepts connections for an HTTP server until it is closed.
 
@@ -83,6 +91,9 @@
     admits : callable, optional
         Returns False if a new connection should be closed before anything is read from
         it, so that its caller can try another process at once.
+    describe : callable, optional
+        Returns what a request that is open at the end of the close was doing, as a
+        short text for the log; one of a few.
 
     Attributes
     ----------
@@ -92,6 +103,7 @@
 
     __slots__ = (
         "_admits",
+        "_describe",
         "_http",
         "_lingering",
         "_max_connections",
@@ -110,8 +122,10 @@
         max_connections: int | None = None,
         tls: ssl.SSLContext | None = None,
         admits: Callable[[], bool] = _always,
+        describe: Callable[[web.BaseRequest], str] = _handled,
     ) -> None:
         self._admits = admits
+        self._describe = describe
         self._http = http
         self.refusal = refusal
         self._max_connections = max_connections
@@ -153,6 +167,8 @@
             await asyncio.sleep(CLOSE_POLL_S)
             n_refused += self._refuse_idle()
         await self._lingering.wait_closed(until_s - time.monotonic())
+        self._log_open()
+        self._lingering.close_all()
         if n_refused:
             logging.info(
                 "port %d is closed; %d connections without a request were refused, and"
@@ -162,6 +178,25 @@
                 self._lingering.n_discarded,
             )
 
+    def _log_open(self) -> None:
+        """Log what the connections that are about to be closed were doing."""
+        doing = Counter(
+            each.doing(self._describe)
+            for each in self._http.connections
+            if isinstance(each, _HttpConnection)
+        )
+        for n_bytes in self._lingering.unsent_bytes():
+            doing["last answer unsent" if n_bytes else "left open by its caller"] += 1
+        if doing:
+            logging.warning(
+                "port %d closes %d open connections: %s; %d bytes unsent after last"
+                " answers",
+                self._port,
+                doing.total(),
+                ", ".join(f"{n} {text}" for text, n in doing.most_common(MAX_NAMED)),
+                sum(self._lingering.unsent_bytes()),
+            )
+
     async def interrupt(self) -> None:
         """Interrupt the requests that are still open."""
         await self._http.shutdown(SHUTDOWN_S)
@@ -300,6 +335,14 @@
         """True while every request that was read on the connection is answered."""
         return self._waiter is not None and not self._waiter.done()
 
+    def doing(self, describe: Callable[[web.BaseRequest], str]) -> str:
+        """Return what the connection is doing, as a short text for the log."""
+        request = self._current_request
+        text = "between two requests" if request is None else describe(request)
+        if request is None or not self._messages:
+            return text
+        return f"{text} with more requests behind it"
+
     def finish(self, answer: bytes = b"") -> None:
         """End the connection with `answer`; nothing more that it carries is served."""
         transport = self.transport
--- a/src/trefoilpaddle/transport/lingering.py
+++ b/src/trefoilpaddle/transport/lingering.py
@@ -75,11 +75,18 @@
         if not self._open:
             self._all_closed.set()
 
+    def unsent_bytes(self) -> list[int]:
+        """Return the number of bytes that are not sent yet, for each connection."""
+        return [connection.unsent_bytes for connection in self._open]
+
     async def wait_closed(self, timeout_s: float) -> None:
-        """Wait until all connections have ended; close the rest at the timeout."""
+        """Wait until all connections have ended, for at most `timeout_s` seconds."""
         with contextlib.suppress(TimeoutError):
             async with asyncio.timeout(timeout_s):
                 await self._all_closed.wait()
+
+    def close_all(self) -> None:
+        """Close the connections that have not ended."""
         for connection in list(self._open):
             connection.close()
 
@@ -107,6 +114,10 @@
         self._close_by_s = loop.time() + MAX_LINGER_S
         self._timer = loop.call_later(LINGER_S, self._check)
 
+    @property
+    def unsent_bytes(self) -> int:
+        return self._transport.get_write_buffer_size()
+
     def data_received(self, data: bytes) -> None:
         self.has_discarded = True
         self._is_silent = False
@@ -118,7 +129,7 @@
     def _check(self) -> None:
         """Close the connection unless data is still on its way in either direction."""
         loop = asyncio.get_running_loop()
-        is_done = self._is_silent and not self._transport.get_write_buffer_size()
+        is_done = self._is_silent and not self.unsent_bytes
         if is_done or loop.time() >= self._close_by_s:
             self.close()
             return
--- a/tests/platform_adapter/test_callers.py
+++ b/tests/platform_adapter/test_callers.py
@@ -396,6 +396,30 @@
         writer.close()
 
 
+class TestLog:
+    async def test_a_request_that_is_interrupted_says_what_it_waited_for(
+        self, caplog: pytest.LogCaptureFixture
+    ) -> None:
+        # Guards against connections that are closed without a word about what was open.
+        stop = PlannedStop(grace_s=0.6)
+        served = Served(hangs=True)
+        server = CallerServer(
+            serve=served,
+            limits=CallerLimits,
+            stop=stop,
+            admits=lambda: True,
+            waiting_for=lambda request: f"worker of {request.request_id}",
+        )
+        port = free_port()
+        async with server.listening(f"127.0.0.1:{port}"):
+            _, writer = await asyncio.open_connection("127.0.0.1", port)
+            writer.write(GET + b"\r\n")
+            await until(lambda: served.requests)
+            stop.order()
+        assert "1 waiting for worker of a" in caplog.text
+        writer.close()
+
+
 class TestAdmission:
     # Guards against a lagging process that reads a request before it closes the
     # connection, so that the caller cannot know that it has not run.
--- a/tests/test_http_listener.py
+++ b/tests/test_http_listener.py
@@ -149,6 +149,51 @@
                         assert (answer.status, await answer.text()) == (200, "served")
 
 
+class TestLog:
+    # Guards against connections that are closed without a word about what was open.
+    async def test_what_was_open_is_logged(
+        self, caplog: pytest.LogCaptureFixture, monkeypatch: pytest.MonkeyPatch
+    ) -> None:
+        monkeypatch.setitem(globals(), "CLOSE_S", 0.2)
+        async with Listening().open() as listening:
+            listening.work_s = 10.0
+            _, alone = await listening.connect()
+            _, pipelined = await listening.connect()
+            alone.write(GET)
+            pipelined.write(GET + GET)
+            await until(lambda: listening.n_served == 2)
+        assert "closes 2 open connections" in caplog.text
+        assert "1 handled," in caplog.text
+        assert "1 handled with more requests behind it" in caplog.text
+        alone.close()
+        pipelined.close()
+
+    async def test_an_answer_that_its_caller_does_not_read_is_logged(
+        self, caplog: pytest.LogCaptureFixture, monkeypatch: pytest.MonkeyPatch
+    ) -> None:
+        monkeypatch.setitem(globals(), "CLOSE_S", 0.2)
+        async with Listening().open() as listening:
+            reader, writer = await listening.connect()
+            writer.write(GET)
+            await reader.readuntil(b"served")
+            (connection,) = listening.http.connections
+            assert connection.transport is not None
+            connection.transport.set_write_buffer_limits(high=1 << 30)
+            connection.transport.write(bytes(1 << 24))
+        assert "1 last answer unsent" in caplog.text
+        writer.close()
+
+    async def test_a_close_that_interrupts_nothing_is_not_logged(
+        self, caplog: pytest.LogCaptureFixture
+    ) -> None:
+        async with Listening().open() as listening:
+            reader, writer = await listening.connect()
+            writer.write(GET)
+            await reader.readuntil(b"served")
+            writer.close()
+        assert "open connections" not in caplog.text
+
+
 class TestNewConnections:
     async def test_a_new_connection_is_refused_and_not_reset(self) -> None:
         # Guards against connections that are made while the listener closes.
