Log answers that their callers do not read at the end of a stop

Cause: a connection whose answer lies in the process because its caller does not read was counted as between two requests.

Change: it is counted as an unsent answer.

--- a/src/trefoilpaddle/transport/http_listener.py
+++ b/src/trefoilpaddle/transport/http_listener.py
@@ -338,8 +338,11 @@
     def doing(self, describe: Callable[[web.BaseRequest], str]) -> str:
         """Return what the connection is doing, as a short text for the log."""
         request = self._current_request
-        text = "between two requests" if request is None else describe(request)
-        if request is None or not self._messages:
+        if request is None:
+            is_unsent = self.transport and self.transport.get_write_buffer_size()
+            return "answer unsent" if is_unsent else "between two requests"
+        text = describe(request)
+        if not self._messages:
             return text
         return f"{text} with more requests behind it"
 
--- a/tests/test_http_listener.py
+++ b/tests/test_http_listener.py
@@ -37,12 +37,13 @@
         )
         self.port = 0
         self.work_s = 0.0
+        self.text = "served"
         self.n_served = 0
 
     async def _serve(self, request: web.BaseRequest) -> web.Response:
         self.n_served += 1
         await asyncio.sleep(self.work_s)
-        return web.Response(text="served")
+        return web.Response(text=self.text)
 
     async def close(self) -> None:
         await self.listener.close(until_s=time.monotonic() + CLOSE_S)
@@ -183,6 +184,18 @@
         assert "1 last answer unsent" in caplog.text
         writer.close()
 
+    async def test_an_answer_that_holds_its_connection_up_is_logged(
+        self, caplog: pytest.LogCaptureFixture, monkeypatch: pytest.MonkeyPatch
+    ) -> None:
+        monkeypatch.setitem(globals(), "CLOSE_S", 0.2)
+        async with Listening().open() as listening:
+            listening.text = "x" * (1 << 24)
+            _, writer = await listening.connect()
+            writer.write(GET)
+            await until(lambda: listening.n_served)
+        assert "1 answer unsent" in caplog.text
+        writer.close()
+
     async def test_a_close_that_interrupts_nothing_is_not_logged(
         self, caplog: pytest.LogCaptureFixture
     ) -> None:
