Bound the close of HTTP sessions by the time that is left of a planned stop

Cause: aiohttp closes a session by closing each connection that has a call, and waits until the peer has taken all bytes that lie in this process. Callers are answered 0.9 s before the kill; a request that must not run twice is kept at its worker then, so a worker that takes a large body slowly held the close up: the process logged process_stopped in time and outlived its grace period.

Change: PlannedStop.step bounds each of the last steps of a stop by the time that is left, and logs what is given up.

--- a/src/trefoilpaddle/coordination/chain/planned_stop.py
+++ b/src/trefoilpaddle/coordination/chain/planned_stop.py
@@ -4,7 +4,7 @@
 import contextlib
 import math
 import time
-from collections.abc import AsyncIterator, Callable, Iterator
+from collections.abc import AsyncIterator, Callable
 from typing import Final
 
 from absl import logging
@@ -39,6 +39,12 @@
 """Seconds before the kill that are left to close connections and to exit."""
 
 
+EXIT_RESERVE_S: Final = 0.15
+"""Seconds before the kill that are left to exit after the last step of a stop.
+
+The interpreter takes up to a tenth of a second.
+"""
+
 SLOW_STEP_S: Final = 0.3
 """Seconds after which a step at the end of a stop is logged; most take milliseconds."""
 
@@ -137,14 +143,21 @@
         """Return the seconds for which answers may still be written."""
         return max(0.0, self.left_s() - CLOSE_RESERVE_S)
 
-    @contextlib.contextmanager
-    def step(self, waits_for: str) -> Iterator[None]:
-        """Log what the process waits for if the body of the context takes long.
+    @contextlib.asynccontextmanager
+    async def step(
+        self, waits_for: str, *, longest_s: float = math.inf
+    ) -> AsyncIterator[None]:
+        """Bound one of the last steps of a stop by the time that is left.
+
+        At the bound the body of the context is cancelled and the stop goes on. What
+        the process waits for is logged then, and once the step takes long.
 
         Parameters
         ----------
         waits_for : str
             What the body waits for, as a text for the log.
+        longest_s : float, optional
+            Longest time in seconds for this step. By default, all that is left.
         """
 
         def log() -> None:
@@ -157,8 +170,19 @@
             logging.flush()
 
         timer = asyncio.get_running_loop().call_later(SLOW_STEP_S, log)
+        left_s = max(0.0, self.left_s() - EXIT_RESERVE_S)
+        bound = asyncio.timeout(min(longest_s, left_s))
         try:
-            yield
+            async with bound:
+                yield
+        except TimeoutError:
+            if not bound.expired():
+                raise
+            logging.warning(
+                "the stop no longer waits for %s, %.2f s before the kill",
+                waits_for,
+                self.left_s(),
+            )
         finally:
             timer.cancel()
 
--- a/tests/platform_adapter/test_gateway_process.py
+++ b/tests/platform_adapter/test_gateway_process.py
@@ -29,10 +29,14 @@
 from trefoilpaddle.standins.platform.store import TABLE_KEY
 
 from ..waiting import CAP_S, until
+from .raw_engines import raw_engine, take_slowly
 
 SHORTLY_S = 0.05
 """Time in seconds after a bound by which it is reached for certain."""
 
+LARGE_BYTES = 1 << 24
+"""Size of a body that does not fit into the buffers of a connection."""
+
 LOG_DELAY_S = 0.2
 """Time after which decisions are in the log; lines are written within 50 ms."""
 
@@ -377,6 +381,38 @@
             async with asyncio.timeout(GRACE_S):
                 assert await gateway.wait_exit() == 0
 
+    async def test_a_worker_that_takes_a_request_slowly_does_not_delay_the_stop(
+        self, tmp_path: Path
+    ) -> None:
+        # A worker is still taking a large request that must not run twice when its
+        # caller is told that the outcome is unknown. The process waited until the
+        # worker had taken the rest of it, and was killed at the end of its grace time.
+        limits = {"max_body_bytes": 2 * LARGE_BYTES}
+        async with (
+            small_site() as site,
+            raw_engine(take_slowly) as address,
+            gateways(site, tmp_path, "a") as (gateway,),
+            aiohttp.ClientSession() as client,
+        ):
+            for worker_id in ("stock1", "stock2"):
+                site.list_worker(worker_id, "stock", address=address)
+            site.store.put(TABLE_KEY, configuration(2, limits=limits))
+            await until(lambda: "config_revision=2" in gateway.log())
+            await asyncio.sleep(1.0)
+
+            async def hold() -> int:
+                url, sent = f"{gateway.url}/hold/1", headers("h1")
+                body = bytes(LARGE_BYTES)
+                async with client.post(url, headers=sent, data=body) as answer:
+                    return answer.status
+
+            holding = asyncio.create_task(hold())
+            await until(lambda: "request_id=h1" in gateway.log())
+            gateway.signal(signal.SIGTERM)
+            async with asyncio.timeout(GRACE_S):
+                assert await gateway.wait_exit() == 0
+            assert await holding == 502
+
     async def test_sighup_does_not_end_the_process(self, tmp_path: Path) -> None:
         async with (
             small_site() as site,
