End background tasks at a planned stop before their sessions are closed

Cause: a request that must not run twice is kept at its worker by a task of its own after its caller was answered. At the end of a stop the sessions were closed under such tasks. The closed connection was taken for a broken one, a check of whether the worker had exited began on the closed session, and "checking whether worker ... has exited failed" was logged with a traceback. The same tasks were what the close of the sessions waited for.

Tasks that do not end are named in the log. A cancelled run is a run that was left, which is no evidence against its worker.

Ruled out: ending only the checks and the kept requests, as other tasks, such as the freeing of results, use the same sessions.

--- a/src/trefoilpaddle/coordination/chain/planned_stop.py
+++ b/src/trefoilpaddle/coordination/chain/planned_stop.py
@@ -4,8 +4,9 @@
 import contextlib
 import math
 import time
-from collections.abc import AsyncIterator, Callable
-from typing import Final
+from collections import Counter
+from collections.abc import AsyncIterator, Callable, Iterable
+from typing import Any, Final
 
 from absl import logging
 
@@ -45,6 +46,12 @@
 The interpreter takes up to a tenth of a second.
 """
 
+END_TASKS_S: Final = 0.1
+"""Longest time in seconds for background tasks to end once they are cancelled."""
+
+MAX_NAMED: Final = 8
+"""Most background tasks that one log line names."""
+
 SLOW_STEP_S: Final = 0.3
 """Seconds after which a step at the end of a stop is logged; most take milliseconds."""
 
@@ -57,6 +64,15 @@
     return 0.0
 
 
+def _described(tasks: Iterable[asyncio.Task[Any]]) -> str:
+    """Return which background tasks are open, as a text for the log."""
+    names = Counter(
+        getattr(task.get_coro(), "__qualname__", task.get_name()) for task in tasks
+    )
+    named = ", ".join(f"{n} {name}" for name, n in names.most_common(MAX_NAMED))
+    return f"background tasks: {named}"
+
+
 class PlannedStop:
     """The order to stop, and the time that is left after it.
 
@@ -186,6 +202,24 @@
         finally:
             timer.cancel()
 
+    @contextlib.asynccontextmanager
+    async def ending_tasks(self) -> AsyncIterator[None]:
+        """End the tasks that were begun in the context when it exits.
+
+        What they use is closed next. A task that still ran would take that for a
+        fault, of a worker for instance.
+        """
+        earlier = asyncio.all_tasks()
+        try:
+            yield
+        finally:
+            tasks = asyncio.all_tasks() - earlier
+            for task in tasks:
+                task.cancel()
+            if tasks:
+                async with self.step(_described(tasks), longest_s=END_TASKS_S):
+                    await asyncio.wait(tasks)
+
     def accepts(self, route: Route) -> bool:
         """Return True if a request of `route` can still be answered completely."""
         if time.monotonic() >= self.send_until_s:
--- a/tests/platform_adapter/test_gateway_process.py
+++ b/tests/platform_adapter/test_gateway_process.py
@@ -413,6 +413,34 @@
                 assert await gateway.wait_exit() == 0
             assert await holding == 502
 
+    async def test_a_silent_worker_is_not_checked_at_the_end_of_a_stop(
+        self, tmp_path: Path
+    ) -> None:
+        # A worker has a request that must not run twice and does not answer. At the
+        # end of the stop its connection was closed like a broken one: whether it had
+        # exited was checked on a closed session, and the check failed with a traceback.
+        async with (
+            small_site() as site,
+            gateways(site, tmp_path, "a") as (gateway,),
+            aiohttp.ClientSession() as client,
+        ):
+            for worker_id in ("stock1", "stock2"):
+                site.workers[worker_id].marker = b"silent"
+            await until(lambda: "stock2" in gateway.log())
+
+            async def hold() -> int:
+                url, sent = f"{gateway.url}/hold/1", headers("h1")
+                async with client.post(url, headers=sent, data=b"silent") as answer:
+                    return answer.status
+
+            holding = asyncio.create_task(hold())
+            await until(lambda: "request_id=h1" in gateway.log())
+            gateway.signal(signal.SIGTERM)
+            assert await gateway.wait_exit() == 0
+            assert await holding == 502
+            assert "level=error" not in gateway.log()
+            assert "target_ended" not in gateway.log()
+
     async def test_sighup_does_not_end_the_process(self, tmp_path: Path) -> None:
         async with (
             small_site() as site,
