--- a/src/trefoilpaddle/coordination/chain/planned_stop.py
+++ b/src/trefoilpaddle/coordination/chain/planned_stop.py
@@ -4,8 +4,11 @@
 import contextlib
 import math
 import time
-from collections.abc import AsyncIterator, Callable
-from typing import Final
+from collections import Counter
+from collections.abc import AsyncIterator, Callable, Iterable
+from typing import Any, Final
+
+from absl import logging
 
 from ...protocol.reasons import Reason
 from ...state.chain.delivery import Delivery
@@ -37,6 +40,22 @@
 """Seconds before the kill that are left to close connections and to exit."""
 
 
+EXIT_RESERVE_S: Final = 0.15
+"""Seconds before the kill that are left to exit after the last step of a stop.
+
+The interpreter takes up to a tenth of a second.
+"""
+
+END_TASKS_S: Final = 0.1
+"""Longest time in seconds for background tasks to end once they are cancelled."""
+
+MAX_NAMED: Final = 8
+"""Most background tasks that one log line names."""
+
+SLOW_STEP_S: Final = 0.3
+"""Seconds after which a step at the end of a stop is logged; most take milliseconds."""
+
+
 def _never() -> bool:
     return False
 
@@ -45,6 +64,15 @@
     return 0.0
 
 
+def _described(tasks: Iterable[asyncio.Task[Any]]) -> str:
+    """Return which background tasks are open, as a text for the log."""
+    names = Counter(
+        getattr(task.get_coro(), "__qualname__", task.get_name()) for task in tasks
+    )
+    named = ", ".join(f"{n} {name}" for name, n in names.most_common(MAX_NAMED))
+    return f"background tasks: {named}"
+
+
 class PlannedStop:
     """The order to stop, and the time that is left after it.
 
@@ -131,6 +159,67 @@
         """Return the seconds for which answers may still be written."""
         return max(0.0, self.left_s() - CLOSE_RESERVE_S)
 
+    @contextlib.asynccontextmanager
+    async def step(
+        self, waits_for: str, *, longest_s: float = math.inf
+    ) -> AsyncIterator[None]:
+        """Bound one of the last steps of a stop by the time that is left.
+
+        At the bound the body of the context is cancelled and the stop goes on. What
+        the process waits for is logged then, and once the step takes long.
+
+        Parameters
+        ----------
+        waits_for : str
+            What the body waits for, as a text for the log.
+        longest_s : float, optional
+            Longest time in seconds for this step. By default, all that is left.
+        """
+
+        def log() -> None:
+            logging.warning(
+                "the stop waits for %s, %.2f s before the kill",
+                waits_for,
+                self.left_s(),
+            )
+            # The process may be killed before lines are written by themselves.
+            logging.flush()
+
+        timer = asyncio.get_running_loop().call_later(SLOW_STEP_S, log)
+        left_s = max(0.0, self.left_s() - EXIT_RESERVE_S)
+        bound = asyncio.timeout(min(longest_s, left_s))
+        try:
+            async with bound:
+                yield
+        except TimeoutError:
+            if not bound.expired():
+                raise
+            logging.warning(
+                "the stop no longer waits for %s, %.2f s before the kill",
+                waits_for,
+                self.left_s(),
+            )
+        finally:
+            timer.cancel()
+
+    @contextlib.asynccontextmanager
+    async def ending_tasks(self) -> AsyncIterator[None]:
+        """End the tasks that were begun in the context when it exits.
+
+        What they use is closed next. A task that still ran would take that for a
+        fault, of a worker for instance.
+        """
+        earlier = asyncio.all_tasks()
+        try:
+            yield
+        finally:
+            tasks = asyncio.all_tasks() - earlier
+            for task in tasks:
+                task.cancel()
+            if tasks:
+                async with self.step(_described(tasks), longest_s=END_TASKS_S):
+                    await asyncio.wait(tasks)
+
     def accepts(self, route: Route) -> bool:
         """Return True if a request of `route` can still be answered completely."""
         if time.monotonic() >= self.send_until_s:
