Count gateways that stop and still accept as those that serve elsewhere

A gateway that refused while all were stopping told callers to return once the first one was back, although others accept for 2.8 s after their own order. A retry at once reaches one of them, so Retry-After is 0 until the last of these spans has ended.

--- a/src/trefoilpaddle/coordination/chain/fleet.py
+++ b/src/trefoilpaddle/coordination/chain/fleet.py
@@ -12,6 +12,7 @@
 from ..members.membership import Membership
 from ..members.peer_monitor import PeerMonitor
 from ..own_process import OwnProcess
+from .planned_stop import ACCEPT_STREAMS_S
 
 DISCOVERY_PERIOD_S: Final = 0.1
 """Seconds between tries to contact the seeds while no other gateway is known.
@@ -120,37 +121,40 @@
         """Return the live gateways, this one included."""
         return self.membership.live()
 
-    def stopping(self, *, grace_s: float) -> Sequence[MemberRecord]:
-        """Return the gateways that announced a planned stop and may still run.
+    def stopping(self, *, within_s: float) -> Sequence[MemberRecord]:
+        """Return the gateways that announced a planned stop lately.
 
         Parameters
         ----------
-        grace_s : float
-            Seconds from the order to stop to the kill.
+        within_s : float
+            Seconds since the announcement in which they count; as long as they may
+            run, for example.
         """
         now_s = time.monotonic()
         return [
             record
             for record in self.membership.table.records.values()
             if record.state is MemberState.LEAVING
-            and now_s - self._known_s(record) < grace_s
+            and now_s - self._known_s(record) < within_s
         ]
 
     def serves_elsewhere_in_s(self, *, grace_s: float) -> float:
-        """Return the seconds until another gateway probably serves; 0 if one is live.
+        """Return the seconds until another gateway probably serves; 0 if one does.
 
-        While all are stopping, that is the time until the one that was ordered first
-        has exited and started again.
+        One that has been ordered to stop serves for some seconds more. After that it
+        is the time until the one that was ordered first has started again.
 
         Parameters
         ----------
         grace_s : float
             Seconds from the order to stop to the kill.
         """
-        if any(member is not self.membership.own for member in self.live()):
+        own = self.membership.own
+        accepting = (*self.live(), *self.stopping(within_s=ACCEPT_STREAMS_S))
+        if any(member is not own for member in accepting):
             return 0.0
         now_s = time.monotonic()
-        stopping = self.stopping(grace_s=grace_s)
+        stopping = self.stopping(within_s=grace_s)
         first_ordered_s = min(map(self._known_s, stopping), default=now_s)
         return max(MIN_RETURN_S, first_ordered_s + grace_s + RESTART_S - now_s)
 
--- a/tests/chain/test_fleet_settled.py
+++ b/tests/chain/test_fleet_settled.py
@@ -15,6 +15,7 @@
     SETTLE_S,
     Fleet,
 )
+from trefoilpaddle.coordination.chain.planned_stop import ACCEPT_STREAMS_S
 from trefoilpaddle.state.members import MemberState
 
 from .fakes import process
@@ -141,8 +142,10 @@
             other = replace(member("other", 1), state=MemberState.LEAVING)
             fleet.membership.apply_records([member("other", 1)])
             fleet.membership.apply_records([other])
-            await asyncio.sleep(3.0)
             fleet.membership.announce_leaving()
+            await asyncio.sleep(ACCEPT_STREAMS_S / 2)
+            assert fleet.serves_elsewhere_in_s(grace_s=GRACE_S) == 0.0
+            await asyncio.sleep(3.0 - ACCEPT_STREAMS_S / 2)
             assert fleet.serves_elsewhere_in_s(grace_s=GRACE_S) == pytest.approx(
                 GRACE_S + RESTART_S - 3.0
             )
