Ask what crashes workers before a gateway that starts sends requests

A gateway that had just started sent a request that all gateways blocked for crashing workers. Crashes are sent on links that other gateways open to it, some tenths of a second after it is ready; until then its registry is empty, and in a rolling restart of all gateways each of them is in that state once.

A starting gateway now holds requests until a gateway that has run for longer, or has been ordered to stop, has answered all that it knows (`CatchUp`), for at most 1.0 s. An answer of one that has just started itself does not count until it was told. If all that are known have just started, the wait ends. At the first start of the whole system there is none. Peers of an earlier build do not answer; the wait then ends at its bound.

Ruled out: holding back the readiness, as callers on open connections send anyway, and waiting for the first message on a link, as a peer that knows no crash sends none.

--- a/idl/chain.thrift
+++ b/idl/chain.thrift
@@ -211,6 +211,15 @@
   3: list<SuspectRun> runs = []
 }
 
+// A gateway that has just started asks for what gateways know from one another alone.
+struct CatchUpPull {
+}
+
+struct CatchUpState {
+  1: bool is_complete = false    // false if the answering gateway has just started itself
+  2: CrashNews crashes
+}
+
 struct NamedLimit {
   1: string worker_id = ""
   2: i64 born_ms = 0             // start of the worker
--- a/src/trefoilpaddle/coordination/chain/crash_relay.py
+++ b/src/trefoilpaddle/coordination/chain/crash_relay.py
@@ -68,7 +68,7 @@
             subject="crashes",
             links=links,
             take_updates=self._take_updates,
-            all_known=self._all_known,
+            all_known=self._known_or_none,
         )
         self.on_crash: Callable[[str, Crash], None] = _ignore_crash
         self.on_clear: Callable[[str], None] = _ignore
@@ -103,11 +103,13 @@
         self._crashed, self._cleared, self._runs = {}, {}, {}
         return updates
 
-    def _all_known(self) -> CrashNews | None:
-        if not len(self._registry):
-            return None
+    def all_known(self) -> CrashNews:
+        """Return all crashes on record."""
         return CrashNews(crashed=self._to_wire(self._registry.fingerprints()))
 
+    def _known_or_none(self) -> CrashNews | None:
+        return self.all_known() if len(self._registry) else None
+
     def _to_wire(self, fingerprints: Iterable[str]) -> list[CrashedWorkers]:
         now_s = time.monotonic()
         return [
@@ -127,8 +129,11 @@
         ]
 
     def _on_message(self, connection: Connection, message: Message) -> None:
-        if not isinstance(message, CrashNews):
-            return
+        if isinstance(message, CrashNews):
+            self.receive(message)
+
+    def receive(self, message: CrashNews) -> None:
+        """Record what a peer knows, and announce what was not known here."""
         now_s = time.monotonic()
         for crashed in message.crashed:
             if not is_fingerprint(crashed.fingerprint):
--- a/src/trefoilpaddle/coordination/chain/fleet.py
+++ b/src/trefoilpaddle/coordination/chain/fleet.py
@@ -116,18 +116,21 @@
     def stopping(self, *, grace_s: float) -> Sequence[MemberRecord]:
         """Return the gateways that announced a planned stop and may still run.
 
+        The one that announced it last comes last.
+
         Parameters
         ----------
         grace_s : float
             Seconds from the order to stop to the kill.
         """
         now_s = time.monotonic()
-        return [
+        stopping = [
             record
             for record in self.membership.table.records.values()
             if record.state is MemberState.LEAVING
             and now_s - self._known_s(record) < grace_s
         ]
+        return sorted(stopping, key=self._known_s)
 
     def serves_elsewhere_in_s(self, *, grace_s: float) -> float:
         """Return the seconds until another gateway probably serves; 0 if one is live.
--- a/src/trefoilpaddle/coordination/chain/request_path.py
+++ b/src/trefoilpaddle/coordination/chain/request_path.py
@@ -21,6 +21,7 @@
 from .answer_deadline import AnswerDueError
 from .attempts import Attempts
 from .caller_sink import CallerSink
+from .catch_up import CatchUp
 from .chain_inputs import ChainInputs
 from .chain_router import ChainRouter
 from .crash_guard import CrashGuard
@@ -92,6 +93,8 @@
         Decides which requests are still accepted.
     guard : CrashGuard
         Watches runs at workers.
+    catch_up : CatchUp
+        Brings what other gateways know after the start.
     send_limits : SendLimits
         Limits what is sent to workers that bear few requests.
     origins : StreamOrigins
@@ -106,6 +109,7 @@
     __slots__ = (
         "_budgets",
         "_calls",
+        "_catch_up",
         "_choice",
         "_engine_times",
         "_failure_domain",
@@ -132,12 +136,14 @@
         journal: Journal,
         stop: PlannedStop,
         guard: CrashGuard,
+        catch_up: CatchUp,
         send_limits: SendLimits,
         origins: StreamOrigins,
     ) -> None:
         self._origins = origins
         self._send_limits = send_limits
         self._guard = guard
+        self._catch_up = catch_up
         self._failure_domain = failure_domain
         self._workers = workers
         self._router = router
@@ -232,6 +238,11 @@
             return delivery.failure_outcome(due.reason, retry_after_s=retry_after_s)
 
     async def _run(self, job: Job, delivery: Delivery, sink: CallerSink) -> Outcome:
+        if not self._catch_up.is_over:
+            await self._catch_up.wait()
+            refusal = self._guard.refusal_of_any(job.fingerprints(), job.parts)
+            if refusal is not None:
+                return refusal
         match await self._find_origin(job):
             case Refused() as refused:
                 return refused
--- a/src/trefoilpaddle/protocol/frames.py
+++ b/src/trefoilpaddle/protocol/frames.py
@@ -84,6 +84,8 @@
     103: chain.StreamsBegun,
     104: chain.FindOrigin,
     105: chain.OriginFound,
+    106: chain.CatchUpPull,
+    107: chain.CatchUpState,
 }
 NEWEST_KIND: Final = max(KINDS)
 """Newest kind of frame that this build reads; hellos state it."""
--- a/src/trefoilpaddle/protocol/gen/chain/ttypes.py
+++ b/src/trefoilpaddle/protocol/gen/chain/ttypes.py
@@ -3079,6 +3079,137 @@
         return not (self == other)
 
 
+class CatchUpPull(object):
+
+    __slots__ = (
+    )
+
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('CatchUpPull')
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class CatchUpState(object):
+    """
+    Attributes:
+     - is_complete
+     - crashes
+
+    """
+
+    __slots__ = (
+        'is_complete',
+        'crashes',
+    )
+
+
+    def __init__(self, is_complete=False, crashes=None,):
+        self.is_complete = is_complete
+        self.crashes = crashes
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.BOOL:
+                    self.is_complete = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.STRUCT:
+                    self.crashes = CrashNews()
+                    self.crashes.read(iprot)
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('CatchUpState')
+        if self.is_complete is not None:
+            oprot.writeFieldBegin('is_complete', TType.BOOL, 1)
+            oprot.writeBool(self.is_complete)
+            oprot.writeFieldEnd()
+        if self.crashes is not None:
+            oprot.writeFieldBegin('crashes', TType.STRUCT, 2)
+            self.crashes.write(oprot)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
 class NamedLimit(object):
     """
     Attributes:
@@ -3855,6 +3986,15 @@
     (3, TType.LIST, 'runs', (TType.STRUCT, [SuspectRun, None], False), [
     ], ),  # 3
 )
+all_structs.append(CatchUpPull)
+CatchUpPull.thrift_spec = (
+)
+all_structs.append(CatchUpState)
+CatchUpState.thrift_spec = (
+    None,  # 0
+    (1, TType.BOOL, 'is_complete', None, False, ),  # 1
+    (2, TType.STRUCT, 'crashes', [CrashNews, None], None, ),  # 2
+)
 all_structs.append(NamedLimit)
 NamedLimit.thrift_spec = (
     None,  # 0
--- a/src/trefoilpaddle/protocol/gen/chain/ttypes.pyi
+++ b/src/trefoilpaddle/protocol/gen/chain/ttypes.pyi
@@ -168,6 +168,12 @@
     cleared: list[str]
     runs: list[SuspectRun]
     def __init__(self, *, crashed: list[CrashedWorkers] = ..., cleared: list[str] = ..., runs: list[SuspectRun] = ...) -> None: ...
+class CatchUpPull:
+    def __init__(self, ) -> None: ...
+class CatchUpState:
+    is_complete: bool
+    crashes: CrashNews | None
+    def __init__(self, *, is_complete: bool = ..., crashes: CrashNews | None = ...) -> None: ...
 class NamedLimit:
     worker_id: str
     born_ms: int
--- a/src/trefoilpaddle/standins/platform/gateway_process.py
+++ b/src/trefoilpaddle/standins/platform/gateway_process.py
@@ -46,7 +46,6 @@
 
     __slots__ = (
         "_grace_s",
-        "_seeds",
         "_store",
         "domain",
         "folder",
@@ -54,6 +53,7 @@
         "logs",
         "ports",
         "run",
+        "seeds",
     )
 
     def __init__(
@@ -70,7 +70,7 @@
         self.domain = domain
         self.folder = folder
         self._store = store
-        self._seeds = seeds
+        self.seeds = seeds
         self._grace_s = grace_s
         self.ports = [free_port() for _ in range(N_PORTS)]
         self.logs: list[Path] = []
@@ -99,7 +99,7 @@
             domain=self.domain,
             ports=self.ports,
             store=self._store,
-            seeds=self._seeds,
+            seeds=self.seeds,
             grace_s=self._grace_s,
         )
         path.write_bytes(orjson.dumps(fields))
--- a/tests/chain/fakes.py
+++ b/tests/chain/fakes.py
@@ -8,6 +8,7 @@
 
 from result import Err, Ok, Result
 
+from trefoilpaddle.coordination.chain.catch_up import CatchUp
 from trefoilpaddle.coordination.chain.cell_dispatch import CellDispatch
 from trefoilpaddle.coordination.chain.chain_scheduler import ChainScheduler
 from trefoilpaddle.coordination.chain.crash_guard import CrashGuard
@@ -47,6 +48,19 @@
 OK_HEAD = AnswerHead(status=200, headers=())
 
 
+def catch_up(own: Process, guard: CrashGuard) -> CatchUp:
+    """Return one of a gateway that no other one can tell anything."""
+    return CatchUp(
+        process=own,
+        crashes=guard._relay,
+        live=list,
+        stopping=list,
+        wait_known=no_wait,
+        is_settled=lambda: True,
+        is_alone=True,
+    )
+
+
 async def no_wait() -> None:
     """Return at once."""
 
--- a/tests/chain/test_request_path.py
+++ b/tests/chain/test_request_path.py
@@ -49,6 +49,7 @@
     FakeCalls,
     FakeSink,
     budgets,
+    catch_up,
     crash_guard,
     journal,
     no_wait,
@@ -112,6 +113,7 @@
             journal=self.notes,
             stop=self.stop,
             guard=self.guard,
+            catch_up=catch_up(own, self.guard),
             send_limits=send_limits(workers),
             origins=StreamOrigins(
                 process=own,
--- a/tests/platform_adapter/test_crashing_requests.py
+++ b/tests/platform_adapter/test_crashing_requests.py
@@ -2,7 +2,9 @@
 
 import asyncio
 import itertools
+import signal
 from pathlib import Path
+from typing import Final
 
 import aiohttp
 import pytest
@@ -12,6 +14,18 @@
 from ..waiting import CAP_S, POLL_S, until
 from .crash_harness import MARKER, CrashHarness, crash_harness
 
+ORDERS_GAP_S: Final = 1.2
+"""Time in seconds between the orders to stop of two gateways.
+
+The first gateways serve again before the last ones have exited.
+"""
+
+RESTART_S: Final = 0.3
+"""Time in seconds from the exit of a gateway until its next start."""
+
+NOT_SERVED: Final = frozenset({0, 404, 503})
+"""Answers of a gateway that does not listen yet, or does not know the routes yet."""
+
 RUN_S = 8.0
 MAX_LATE_STARTS = 3
 
@@ -34,6 +48,20 @@
     await until(lambda: all(map(is_blocked, harness.all_gateways)))
 
 
+async def restart_and_send(harness: CrashHarness, gateway: GatewayProcess) -> int:
+    """Stop and start a gateway; return its first answer to the crashing request."""
+    gateway.signal(signal.SIGTERM)
+    assert await gateway.wait_exit() == 0
+    await asyncio.sleep(RESTART_S)
+    gateway.start()
+    async with asyncio.timeout(CAP_S):
+        while True:
+            status = await harness.send("/hold/1", MARKER, gateway=gateway)
+            if status not in NOT_SERVED:
+                return status
+            await asyncio.sleep(POLL_S)
+
+
 class TestCrashingRequest:
     @pytest.mark.parametrize("route", ["price", "hold", "draft"])
     async def test_a_request_is_not_sent_again_after_three_crashes(
@@ -91,6 +119,24 @@
                 assert await harness.send("/hold/1", MARKER, gateway=gateway) == 400
             assert sum(len(server.crashed_s) for server in harness.servers) == 3
 
+    async def test_gateways_that_were_stopped_in_turn_know_it_at_once(
+        self, tmp_path: Path
+    ) -> None:
+        # Guards against a gateway that has just started and sends what others block.
+        async with crash_harness(tmp_path) as harness:
+            await block(harness)
+            addresses = [each.peers_address for each in harness.all_gateways[:3]]
+            for gateway in harness.all_gateways:
+                gateway.seeds = addresses
+            async with asyncio.TaskGroup() as group:
+                sends = []
+                for gateway in harness.all_gateways:
+                    sends.append(group.create_task(restart_and_send(harness, gateway)))
+                    await asyncio.sleep(ORDERS_GAP_S)
+            statuses = [send.result() for send in sends]
+            n_crashed = sum(len(server.crashed_s) for server in harness.servers)
+        assert (statuses, n_crashed) == ([400] * len(statuses), 3)
+
     async def test_an_operator_clears_a_blocked_request(self, tmp_path: Path) -> None:
         async with (
             crash_harness(tmp_path) as harness,
