Dial gateways that stopped earlier at short intervals during a stop

In a rolling restart of all gateways the first one is back shortly before the last one exits. It knows nobody if the processes at the addresses that it contacts first have all exited, and the last one, which still links to it, waited up to a second between two tries. So the last copy of the origins of streams and of the crash registry was lost although the processes overlapped.

Where the processes do not overlap at all, nothing that is only in memory is left.

--- a/src/trefoilpaddle/coordination/chain/fleet.py
+++ b/src/trefoilpaddle/coordination/chain/fleet.py
@@ -35,6 +35,9 @@
 KNOWN_POLL_S: Final = 0.02
 """Period in seconds of the check whether another gateway is known after the start."""
 
+RETURN_POLL_S: Final = 0.1
+"""Seconds between tries of a stopping gateway to reach those that stopped before it."""
+
 RESTART_S: Final = 1.0
 """Seconds from the exit of a gateway until its next start serves."""
 
@@ -65,9 +68,10 @@
         The membership that the view is taken from.
     """
 
-    __slots__ = ("_began_s", "_max_members", "_watch", "membership")
+    __slots__ = ("_began_s", "_max_members", "_process", "_watch", "membership")
 
     def __init__(self, *, process: OwnProcess, seeds: tuple[str, ...]) -> None:
+        self._process = process
         self.membership = Membership(process=process, seeds=seeds)
         self._watch = PeerMonitor(
             process=process, membership=self.membership, is_wanted=_never
@@ -176,6 +180,7 @@
                     self.membership.compare_periodically(),
                     self.membership.announce_planned_stop(),
                     self._discover(),
+                    self._dial_returning(),
                 )
             ]
             try:
@@ -196,6 +201,20 @@
             await asyncio.gather(*map(self._contact, unknown_seeds))
             await asyncio.sleep(DISCOVERY_PERIOD_S)
 
+    async def _dial_returning(self) -> None:
+        """Dial gateways without a back-off while this one stops.
+
+        Those that stopped before it start again meanwhile, and may know nobody: the
+        processes at the addresses that they contact may all have exited. This one tells
+        them what it knows before it exits.
+        """
+        await self._process.stopping.wait()
+        while True:
+            for link in self.membership.child_links():
+                if link.connection is None:
+                    link.dial_now()
+            await asyncio.sleep(RETURN_POLL_S)
+
     async def _contact(self, address: str) -> None:
         with contextlib.suppress(TimeoutError):
             async with asyncio.timeout(DISCOVERY_TIMEOUT_S):
--- a/tests/chain/test_fleet_settled.py
+++ b/tests/chain/test_fleet_settled.py
@@ -3,6 +3,7 @@
 import asyncio
 import time
 from dataclasses import replace
+from types import SimpleNamespace
 
 import pytest
 
@@ -10,11 +11,14 @@
     KNOWN_POLL_S,
     MIN_RETURN_S,
     RESTART_S,
+    RETURN_POLL_S,
     SETTLE_AT_MOST_S,
     SETTLE_S,
     Fleet,
 )
+from trefoilpaddle.protocol.frames import Message
 from trefoilpaddle.state.members import MemberState
+from trefoilpaddle.transport.connection import Address
 
 from .fakes import process
 from .test_chain_router import member
@@ -149,3 +153,50 @@
             assert fleet.serves_elsewhere_in_s(grace_s=GRACE_S) >= MIN_RETURN_S
 
         run_virtual(monkeypatch, scenario())
+
+
+class ClosedLink:
+    """A link to a gateway that has exited."""
+
+    connection = None
+
+    def __init__(self, address: Address) -> None:
+        self.address = address
+        self.n_dials = 0
+
+    def dial_now(self) -> None:
+        self.n_dials += 1
+
+    def is_responsive(self) -> bool:
+        return False
+
+    def send(self, message: Message) -> bool:
+        return False
+
+
+class TestReturning:
+    def test_a_stopping_gateway_soon_reaches_those_that_start_again(
+        self, monkeypatch: pytest.MonkeyPatch
+    ) -> None:
+        # Guards against a gateway that knows nobody while the last one that could tell
+        # it anything waits up to a second for its next try, and exits.
+        async def scenario() -> None:
+            own = process("own")
+            links: dict[Address, ClosedLink] = {}
+
+            def link(address: Address) -> ClosedLink:
+                return links.setdefault(address, ClosedLink(address))
+
+            own.peers = SimpleNamespace(link=link, links=links)  # type: ignore[assignment]
+            fleet = Fleet(process=own, seeds=())
+            stopped = replace(member("other", 1), state=MemberState.LEAVING)
+            fleet.membership.apply_records([stopped])
+            async with fleet.running():
+                await asyncio.sleep(1.0)
+                (closed,) = links.values()
+                assert not closed.n_dials
+                own.stopping.set()
+                await asyncio.sleep(1.0)
+                assert closed.n_dials >= 1.0 / RETURN_POLL_S - 1
+
+        run_virtual(monkeypatch, scenario())
