Take over which versions have served when a gateway starts

Where no gateway knows the origin of a stream, its version is inferred if one version alone has served for twice the route's timeout. A gateway that starts could not tell for so long, although those that were stopping could have told it; after a rolling restart of all gateways no gateway could, and streams of unknown origin were refused for 40 s on a route with a timeout of 20 s, also where all workers had one version.

Answers to a gateway that catches up now also state for how long the workers are known, and which versions serve or have served.

--- a/idl/chain.thrift
+++ b/idl/chain.thrift
@@ -211,6 +211,18 @@
   3: list<SuspectRun> runs = []
 }
 
+struct ServedVersion {
+  1: string service_name = ""
+  2: string software_version = ""
+  3: i64 ended_ms = 0            // since it served last; 0 if it still does
+}
+
+// Which versions the workers run, or ran during the time for which they are known.
+struct ServedNews {
+  1: i64 known_ms = 0
+  2: list<ServedVersion> versions = []
+}
+
 // A gateway that has just started asks for what gateways know from one another alone.
 struct CatchUpPull {
 }
@@ -218,6 +230,7 @@
 struct CatchUpState {
   1: bool is_complete = false    // false if the answering gateway has just started itself
   2: CrashNews crashes
+  3: ServedNews served           // unset if it does not know the workers yet
 }
 
 struct NamedLimit {
--- a/src/trefoilpaddle/coordination/chain/catch_up.py
+++ b/src/trefoilpaddle/coordination/chain/catch_up.py
@@ -12,8 +12,15 @@
 from absl import logging
 from result import Ok
 
-from ...protocol.gen.chain.ttypes import CatchUpPull, CatchUpState
+from ...protocol.const import MS_PER_S
+from ...protocol.gen.chain.ttypes import (
+    CatchUpPull,
+    CatchUpState,
+    ServedNews,
+    ServedVersion,
+)
 from ...protocol.gen.stage.ttypes import Hello
+from ...state.chain.served_versions import ServedHistory, ServedVersions
 from ...state.members import MemberRecord
 from ...transport.connection import Address
 from ..own_process import OwnProcess
@@ -46,6 +53,8 @@
         Holds connections to peers and answers their queries.
     crashes : CrashRelay
         Receives crashes, and provides those that are known here.
+    served : ServedVersions
+        Receives which versions have served, and provides what is known here.
     live : callable
         Returns the live gateways, this one included.
     stopping : callable
@@ -67,6 +76,7 @@
         "_over",
         "_own_id",
         "_process",
+        "_served",
         "_stopping",
         "_wait_known",
     )
@@ -76,6 +86,7 @@
         *,
         process: OwnProcess,
         crashes: CrashRelay,
+        served: ServedVersions,
         live: Members,
         stopping: Members,
         wait_known: Callable[[], Awaitable[None]],
@@ -84,6 +95,7 @@
     ) -> None:
         self._process = process
         self._crashes = crashes
+        self._served = served
         self._live = live
         self._stopping = stopping
         self._wait_known = wait_known
@@ -149,6 +161,8 @@
                 n_answers += 1
                 if found.crashes is not None:
                     self._crashes.receive(found.crashes)
+                if found.served is not None:
+                    self._served.inherit(_served_from_wire(found.served))
                 if found.is_complete:
                     self._is_told = True
                     return True
@@ -178,6 +192,32 @@
 
     async def respond(self, request: CatchUpPull, peer: Hello) -> CatchUpState:
         """Return what is known here."""
+        history = self._served.history()
         return CatchUpState(
-            is_complete=self._knows_all(), crashes=self._crashes.all_known()
+            is_complete=self._knows_all(),
+            crashes=self._crashes.all_known(),
+            served=None if history is None else _served_to_wire(history),
         )
+
+
+def _served_to_wire(history: ServedHistory) -> ServedNews:
+    return ServedNews(
+        known_ms=int(history.known_s * MS_PER_S),
+        versions=[
+            ServedVersion(
+                service_name=service,
+                software_version=version,
+                ended_ms=int(ago_s * MS_PER_S),
+            )
+            for service, ended_s in history.ended_s.items()
+            for version, ago_s in ended_s.items()
+        ],
+    )
+
+
+def _served_from_wire(news: ServedNews) -> ServedHistory:
+    ended_s: dict[str, dict[str, float]] = {}
+    for each in news.versions:
+        in_service = ended_s.setdefault(each.service_name, {})
+        in_service[each.software_version] = max(0, each.ended_ms) / MS_PER_S
+    return ServedHistory(known_s=max(0, news.known_ms) / MS_PER_S, ended_s=ended_s)
--- a/src/trefoilpaddle/coordination/chain/stream_origins.py
+++ b/src/trefoilpaddle/coordination/chain/stream_origins.py
@@ -100,15 +100,22 @@
         Waits until another gateway is known, for a bounded time after the start.
     is_first_start : bool
         True if no stream can have begun before this process.
+
+    Attributes
+    ----------
+    served : ServedVersions
+        Which versions have served lately.
+    versions : StreamVersions
+        The versions that began streams.
     """
 
     __slots__ = (
         "_pending",
         "_placement",
         "_process",
-        "_served",
         "_tasks",
         "_wait_known",
+        "served",
         "versions",
     )
 
@@ -124,7 +131,7 @@
         self._process = process
         self._placement = placement
         self._wait_known = wait_known
-        self._served = ServedVersions(workers=workers, is_first_start=is_first_start)
+        self.served = ServedVersions(workers=workers, is_first_start=is_first_start)
         self._pending: dict[Address, dict[bytes, StreamVersion]] = {}
         self._tasks: set[asyncio.Task[None]] = set()
         self.versions = StreamVersions()
@@ -187,7 +194,7 @@
             asyncio.create_task(self._query(address, request))
             for address in _addresses(self._placement.lookup_targets(key))
         ]
-        sole_versions = {self._served.sole_version(service, life_s)}
+        sole_versions = {self.served.sole_version(service, life_s)}
         n_silent = 0
         try:
             for answer in asyncio.as_completed(queries):
@@ -221,7 +228,7 @@
         return OriginFound(
             is_known=known is not None,
             software_version=known or "",
-            sole_version=self._served.sole_version(request.service_name, life_s),
+            sole_version=self.served.sole_version(request.service_name, life_s),
         )
 
     async def _query(self, address: Address, request: FindOrigin) -> OriginFound | None:
--- a/src/trefoilpaddle/protocol/gen/chain/ttypes.py
+++ b/src/trefoilpaddle/protocol/gen/chain/ttypes.py
@@ -3079,6 +3079,191 @@
         return not (self == other)
 
 
+class ServedVersion(object):
+    """
+    Attributes:
+     - service_name
+     - software_version
+     - ended_ms
+
+    """
+
+    __slots__ = (
+        'service_name',
+        'software_version',
+        'ended_ms',
+    )
+
+
+    def __init__(self, service_name="", software_version="", ended_ms=0,):
+        self.service_name = service_name
+        self.software_version = software_version
+        self.ended_ms = ended_ms
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.service_name = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.STRING:
+                    self.software_version = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.I64:
+                    self.ended_ms = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('ServedVersion')
+        if self.service_name is not None:
+            oprot.writeFieldBegin('service_name', TType.STRING, 1)
+            oprot.writeString(self.service_name.encode('utf-8') if sys.version_info[0] == 2 else self.service_name)
+            oprot.writeFieldEnd()
+        if self.software_version is not None:
+            oprot.writeFieldBegin('software_version', TType.STRING, 2)
+            oprot.writeString(self.software_version.encode('utf-8') if sys.version_info[0] == 2 else self.software_version)
+            oprot.writeFieldEnd()
+        if self.ended_ms is not None:
+            oprot.writeFieldBegin('ended_ms', TType.I64, 3)
+            oprot.writeI64(self.ended_ms)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class ServedNews(object):
+    """
+    Attributes:
+     - known_ms
+     - versions
+
+    """
+
+    __slots__ = (
+        'known_ms',
+        'versions',
+    )
+
+
+    def __init__(self, known_ms=0, versions=[
+    ],):
+        self.known_ms = known_ms
+        if versions is self.thrift_spec[2][4]:
+            versions = [
+            ]
+        self.versions = versions
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.I64:
+                    self.known_ms = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.LIST:
+                    self.versions = []
+                    (_etype171, _size168) = iprot.readListBegin()
+                    for _i172 in range(_size168):
+                        _elem173 = ServedVersion()
+                        _elem173.read(iprot)
+                        self.versions.append(_elem173)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('ServedNews')
+        if self.known_ms is not None:
+            oprot.writeFieldBegin('known_ms', TType.I64, 1)
+            oprot.writeI64(self.known_ms)
+            oprot.writeFieldEnd()
+        if self.versions is not None:
+            oprot.writeFieldBegin('versions', TType.LIST, 2)
+            oprot.writeListBegin(TType.STRUCT, len(self.versions))
+            for iter174 in self.versions:
+                iter174.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
 class CatchUpPull(object):
 
     __slots__ = (
@@ -3134,18 +3319,21 @@
     Attributes:
      - is_complete
      - crashes
+     - served
 
     """
 
     __slots__ = (
         'is_complete',
         'crashes',
+        'served',
     )
 
 
-    def __init__(self, is_complete=False, crashes=None,):
+    def __init__(self, is_complete=False, crashes=None, served=None,):
         self.is_complete = is_complete
         self.crashes = crashes
+        self.served = served
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -3167,6 +3355,12 @@
                     self.crashes.read(iprot)
                 else:
                     iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.STRUCT:
+                    self.served = ServedNews()
+                    self.served.read(iprot)
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -3185,6 +3379,10 @@
             oprot.writeFieldBegin('crashes', TType.STRUCT, 2)
             self.crashes.write(oprot)
             oprot.writeFieldEnd()
+        if self.served is not None:
+            oprot.writeFieldBegin('served', TType.STRUCT, 3)
+            self.served.write(oprot)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -3345,11 +3543,11 @@
             if fid == 1:
                 if ftype == TType.LIST:
                     self.limits = []
-                    (_etype171, _size168) = iprot.readListBegin()
-                    for _i172 in range(_size168):
-                        _elem173 = NamedLimit()
-                        _elem173.read(iprot)
-                        self.limits.append(_elem173)
+                    (_etype178, _size175) = iprot.readListBegin()
+                    for _i179 in range(_size175):
+                        _elem180 = NamedLimit()
+                        _elem180.read(iprot)
+                        self.limits.append(_elem180)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -3366,8 +3564,8 @@
         if self.limits is not None:
             oprot.writeFieldBegin('limits', TType.LIST, 1)
             oprot.writeListBegin(TType.STRUCT, len(self.limits))
-            for iter174 in self.limits:
-                iter174.write(oprot)
+            for iter181 in self.limits:
+                iter181.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -3518,11 +3716,11 @@
             if fid == 1:
                 if ftype == TType.LIST:
                     self.origins = []
-                    (_etype178, _size175) = iprot.readListBegin()
-                    for _i179 in range(_size175):
-                        _elem180 = StreamOrigin()
-                        _elem180.read(iprot)
-                        self.origins.append(_elem180)
+                    (_etype185, _size182) = iprot.readListBegin()
+                    for _i186 in range(_size182):
+                        _elem187 = StreamOrigin()
+                        _elem187.read(iprot)
+                        self.origins.append(_elem187)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -3539,8 +3737,8 @@
         if self.origins is not None:
             oprot.writeFieldBegin('origins', TType.LIST, 1)
             oprot.writeListBegin(TType.STRUCT, len(self.origins))
-            for iter181 in self.origins:
-                iter181.write(oprot)
+            for iter188 in self.origins:
+                iter188.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -3986,6 +4184,20 @@
     (3, TType.LIST, 'runs', (TType.STRUCT, [SuspectRun, None], False), [
     ], ),  # 3
 )
+all_structs.append(ServedVersion)
+ServedVersion.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'service_name', 'UTF8', "", ),  # 1
+    (2, TType.STRING, 'software_version', 'UTF8', "", ),  # 2
+    (3, TType.I64, 'ended_ms', None, 0, ),  # 3
+)
+all_structs.append(ServedNews)
+ServedNews.thrift_spec = (
+    None,  # 0
+    (1, TType.I64, 'known_ms', None, 0, ),  # 1
+    (2, TType.LIST, 'versions', (TType.STRUCT, [ServedVersion, None], False), [
+    ], ),  # 2
+)
 all_structs.append(CatchUpPull)
 CatchUpPull.thrift_spec = (
 )
@@ -3994,6 +4206,7 @@
     None,  # 0
     (1, TType.BOOL, 'is_complete', None, False, ),  # 1
     (2, TType.STRUCT, 'crashes', [CrashNews, None], None, ),  # 2
+    (3, TType.STRUCT, 'served', [ServedNews, None], None, ),  # 3
 )
 all_structs.append(NamedLimit)
 NamedLimit.thrift_spec = (
--- a/src/trefoilpaddle/protocol/gen/chain/ttypes.pyi
+++ b/src/trefoilpaddle/protocol/gen/chain/ttypes.pyi
@@ -168,12 +168,22 @@
     cleared: list[str]
     runs: list[SuspectRun]
     def __init__(self, *, crashed: list[CrashedWorkers] = ..., cleared: list[str] = ..., runs: list[SuspectRun] = ...) -> None: ...
+class ServedVersion:
+    service_name: str
+    software_version: str
+    ended_ms: int
+    def __init__(self, *, service_name: str = ..., software_version: str = ..., ended_ms: int = ...) -> None: ...
+class ServedNews:
+    known_ms: int
+    versions: list[ServedVersion]
+    def __init__(self, *, known_ms: int = ..., versions: list[ServedVersion] = ...) -> None: ...
 class CatchUpPull:
     def __init__(self, ) -> None: ...
 class CatchUpState:
     is_complete: bool
     crashes: CrashNews | None
-    def __init__(self, *, is_complete: bool = ..., crashes: CrashNews | None = ...) -> None: ...
+    served: ServedNews | None
+    def __init__(self, *, is_complete: bool = ..., crashes: CrashNews | None = ..., served: ServedNews | None = ...) -> None: ...
 class NamedLimit:
     worker_id: str
     born_ms: int
--- a/tests/chain/fakes.py
+++ b/tests/chain/fakes.py
@@ -34,6 +34,7 @@
     Split,
     table_by_host,
 )
+from trefoilpaddle.state.chain.served_versions import ServedVersions
 from trefoilpaddle.state.chain.stated_limits import StatedLimits
 from trefoilpaddle.state.chain.target_answers import (
     AnswerHead,
@@ -53,6 +54,7 @@
     return CatchUp(
         process=own,
         crashes=guard._relay,
+        served=ServedVersions(workers=WorkerTable()),
         live=list,
         stopping=list,
         wait_known=no_wait,
--- a/tests/chain/test_catch_up.py
+++ b/tests/chain/test_catch_up.py
@@ -20,10 +20,11 @@
 from trefoilpaddle.protocol.gen.stage.ttypes import Hello
 from trefoilpaddle.state.chain.crash_registry import Crash, CrashRegistry, CrashStatus
 from trefoilpaddle.state.chain.fingerprint import part_fingerprint
+from trefoilpaddle.state.chain.served_versions import MAX_GAP_S, ServedVersions
 from trefoilpaddle.transport.connection import Address
 
 from .crash_fleet import LENGTH_BYTES, Gateway
-from .fakes import FakeCalls, no_wait
+from .fakes import FakeCalls, no_wait, worker
 from .test_chain_router import member
 from .virtual_time import run_virtual
 
@@ -31,6 +32,8 @@
 BAD_PART: Final = part_fingerprint("bad")
 N_CRASHES: Final = 4
 ONE_WAY_S: Final = 0.01
+SERVICE: Final = "model"
+LIFE_S: Final = 30.0
 
 
 class Start:
@@ -45,11 +48,13 @@
         self.stopping: list[Start] = []
         self.is_gone = False
         self.is_settled = True
+        self.served = ServedVersions(workers=self.gateway.workers)
         own: Any = self.gateway.process
         own.peers = SimpleNamespace(link=self._link)
         self.catch_up = CatchUp(
             process=own,
             crashes=self.gateway.relay,
+            served=self.served,
             live=lambda: [each.record for each in (self, *self.live)],
             stopping=lambda: [each.record for each in self.stopping],
             wait_known=no_wait,
@@ -159,6 +164,73 @@
         run_virtual(monkeypatch, scenario())
 
 
+class TestServedVersions:
+    def list(self, start: Start, *versions: str) -> None:
+        """List one worker of each version."""
+        for version in versions:
+            start.gateway.workers.put(
+                worker(f"of-{version}", SERVICE, software_version=version)
+            )
+
+    def test_all_that_were_stopped_in_turn_know_the_only_version(
+        self, monkeypatch: pytest.MonkeyPatch
+    ) -> None:
+        # Guards against streams that are refused for twice the timeout of their route.
+        async def scenario() -> None:
+            old = Start(0, is_alone=True)
+            self.list(old, "v1")
+            await asyncio.sleep(LIFE_S)
+            for number in range(1, 4):
+                new = Start(number)
+                new.stopping.append(old)
+                self.list(new, "v1")
+                await new.caught_up_s()
+                assert new.served.sole_version(SERVICE, LIFE_S) == "v1"
+                old = new
+
+        run_virtual(monkeypatch, scenario())
+
+    def test_they_know_a_version_that_served_before_the_first_of_them(
+        self, monkeypatch: pytest.MonkeyPatch
+    ) -> None:
+        # Guards against a stream that goes on at a version that did not begin it.
+        async def scenario() -> None:
+            old = Start(0, is_alone=True)
+            self.list(old, "v1", "v2")
+            await asyncio.sleep(LIFE_S)
+            old.gateway.workers.remove("of-v1")
+            for number in range(1, 4):
+                new = Start(number)
+                new.stopping.append(old)
+                self.list(new, "v2")
+                await new.caught_up_s()
+                assert new.served.sole_version(SERVICE, LIFE_S) is None
+                old = new
+            await asyncio.sleep(LIFE_S)
+            assert old.served.sole_version(SERVICE, LIFE_S) == "v2"
+
+        run_virtual(monkeypatch, scenario())
+
+    @pytest.mark.parametrize("is_late", [False, True])
+    def test_a_list_that_comes_later_may_lack_a_version(
+        self, is_late: bool, monkeypatch: pytest.MonkeyPatch
+    ) -> None:
+        # Guards against a version that served while this gateway knew no workers.
+        async def scenario() -> None:
+            old = Start(0, is_alone=True)
+            self.list(old, "v1")
+            await asyncio.sleep(LIFE_S)
+            new = Start(1)
+            new.live.append(old)
+            await new.caught_up_s()
+            await asyncio.sleep(MAX_GAP_S if is_late else MAX_GAP_S / 2)
+            self.list(new, "v1")
+            expected = None if is_late else "v1"
+            assert new.served.sole_version(SERVICE, LIFE_S) == expected
+
+        run_virtual(monkeypatch, scenario())
+
+
 class TestBound:
     def test_requests_do_not_wait_at_the_first_start(
         self, monkeypatch: pytest.MonkeyPatch
