--- a/src/trefoilpaddle/coordination/chain/fleet.py
+++ b/src/trefoilpaddle/coordination/chain/fleet.py
@@ -43,6 +43,9 @@
 KNOWN_POLL_S: Final = 0.02
 """Period in seconds of the check whether another gateway is known after the start."""
 
+RETURN_POLL_S: Final = 0.1
+"""Seconds between tries of a stopping gateway to reach those that stopped before it."""
+
 RESTART_S: Final = 1.0
 """Seconds from the exit of a gateway until its next start serves."""
 
@@ -73,9 +76,10 @@
         The membership that the view is taken from.
     """
 
-    __slots__ = ("_began_s", "_max_members", "_watch", "membership")
+    __slots__ = ("_began_s", "_max_members", "_process", "_watch", "membership")
 
     def __init__(self, *, process: OwnProcess, seeds: tuple[str, ...]) -> None:
+        self._process = process
         self.membership = Membership(process=process, seeds=seeds)
         self._watch = PeerMonitor(
             process=process, membership=self.membership, is_wanted=_never
@@ -124,6 +128,8 @@
     def stopping(self, *, within_s: float) -> Sequence[MemberRecord]:
         """Return the gateways that announced a planned stop lately.
 
+        The one that announced it last comes last.
+
         Parameters
         ----------
         within_s : float
@@ -131,12 +137,13 @@
             run, for example.
         """
         now_s = time.monotonic()
-        return [
+        stopping = [
             record
             for record in self.membership.table.records.values()
             if record.state is MemberState.LEAVING
             and now_s - self._known_s(record) < within_s
         ]
+        return sorted(stopping, key=self._known_s)
 
     def serves_elsewhere_in_s(self, *, grace_s: float) -> float:
         """Return the seconds until another gateway probably serves; 0 if one does.
@@ -184,6 +191,7 @@
                     self.membership.compare_periodically(),
                     self.membership.announce_planned_stop(),
                     self._discover(),
+                    self._dial_returning(),
                 )
             ]
             try:
@@ -204,6 +212,20 @@
             await asyncio.gather(*map(self._contact, unknown_seeds))
             await asyncio.sleep(DISCOVERY_PERIOD_S)
 
+    async def _dial_returning(self) -> None:
+        """Dial gateways without a back-off while this one stops.
+
+        Those that stopped before it start again meanwhile, and may know nobody: the
+        processes at the addresses that they contact may all have exited. This one tells
+        them what it knows before it exits.
+        """
+        await self._process.stopping.wait()
+        while True:
+            for link in self.membership.child_links():
+                if link.connection is None:
+                    link.dial_now()
+            await asyncio.sleep(RETURN_POLL_S)
+
     async def _contact(self, address: str) -> None:
         with contextlib.suppress(TimeoutError):
             async with asyncio.timeout(DISCOVERY_TIMEOUT_S):
