Do not infer the only version of a stream if a queried gateway knows several

A gateway inferred the version of a stream of unknown origin if it and those that answered named one version between them. An answer without one was left out, although it means either that the gateway has not known the workers for long enough, or that it knows several versions. So a gateway that had heard of one version alone guessed it while all others knew two, and the stream could go on at a version that had not begun it.

Answers now state whether several versions have served; one that does rules the inference out. Peers of an earlier build state nothing, as before.

--- a/idl/chain.thrift
+++ b/idl/chain.thrift
@@ -268,4 +268,5 @@
   1: bool is_known = false
   2: string software_version = ""
   3: optional string sole_version  // the only one that has served during the stream's life
+  4: bool has_several = false      // whether more than one has, as far as is known
 }
--- a/src/trefoilpaddle/coordination/chain/stream_origins.py
+++ b/src/trefoilpaddle/coordination/chain/stream_origins.py
@@ -195,6 +195,7 @@
             for address in _addresses(self._placement.lookup_targets(key))
         ]
         sole_versions = {self.served.sole_version(service, life_s)}
+        has_several = self.served.has_several(service, life_s)
         n_silent = 0
         try:
             for answer in asyncio.as_completed(queries):
@@ -205,13 +206,14 @@
                     return KnownOrigin(software_version=found.software_version)
                 else:
                     sole_versions.add(found.sole_version)
+                    has_several = has_several or found.has_several
         finally:
             for task in queries:
                 task.cancel()
         # A gateway that did not answer may know another version, of which this one
         # has not heard.
         versions = [version for version in sole_versions if version is not None]
-        if not n_silent and len(versions) == 1:
+        if not n_silent and not has_several and len(versions) == 1:
             return KnownOrigin(software_version=versions[0])
         n_live = len(self._placement.pools().members)
         return UnknownOrigin(
@@ -229,6 +231,7 @@
             is_known=known is not None,
             software_version=known or "",
             sole_version=self.served.sole_version(request.service_name, life_s),
+            has_several=self.served.has_several(request.service_name, life_s),
         )
 
     async def _query(self, address: Address, request: FindOrigin) -> OriginFound | None:
--- a/src/trefoilpaddle/protocol/gen/chain/ttypes.py
+++ b/src/trefoilpaddle/protocol/gen/chain/ttypes.py
@@ -3864,6 +3864,7 @@
      - is_known
      - software_version
      - sole_version
+     - has_several
 
     """
 
@@ -3871,13 +3872,15 @@
         'is_known',
         'software_version',
         'sole_version',
+        'has_several',
     )
 
 
-    def __init__(self, is_known=False, software_version="", sole_version=None,):
+    def __init__(self, is_known=False, software_version="", sole_version=None, has_several=False,):
         self.is_known = is_known
         self.software_version = software_version
         self.sole_version = sole_version
+        self.has_several = has_several
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -3903,6 +3906,11 @@
                     self.sole_version = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
                 else:
                     iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.BOOL:
+                    self.has_several = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -3925,6 +3933,10 @@
             oprot.writeFieldBegin('sole_version', TType.STRING, 3)
             oprot.writeString(self.sole_version.encode('utf-8') if sys.version_info[0] == 2 else self.sole_version)
             oprot.writeFieldEnd()
+        if self.has_several is not None:
+            oprot.writeFieldBegin('has_several', TType.BOOL, 4)
+            oprot.writeBool(self.has_several)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -4248,6 +4260,7 @@
     (1, TType.BOOL, 'is_known', None, False, ),  # 1
     (2, TType.STRING, 'software_version', 'UTF8', "", ),  # 2
     (3, TType.STRING, 'sole_version', 'UTF8', None, ),  # 3
+    (4, TType.BOOL, 'has_several', None, False, ),  # 4
 )
 fix_spec(all_structs)
 del all_structs
--- a/src/trefoilpaddle/protocol/gen/chain/ttypes.pyi
+++ b/src/trefoilpaddle/protocol/gen/chain/ttypes.pyi
@@ -210,4 +210,5 @@
     is_known: bool
     software_version: str
     sole_version: str | None
-    def __init__(self, *, is_known: bool = ..., software_version: str = ..., sole_version: str | None = ...) -> None: ...
+    has_several: bool
+    def __init__(self, *, is_known: bool = ..., software_version: str = ..., sole_version: str | None = ..., has_several: bool = ...) -> None: ...
--- a/src/trefoilpaddle/state/chain/served_versions.py
+++ b/src/trefoilpaddle/state/chain/served_versions.py
@@ -73,13 +73,21 @@
             return None
         if not self._is_first_start and now_s - self._known_since_s < life_s:
             return None
+        versions = self._versions(service, life_s)
+        return versions.pop() if len(versions) == 1 else None
+
+    def has_several(self, service: str, life_s: float) -> bool:
+        """Return True if more than one version is known to have served."""
+        return len(self._versions(service, life_s)) > 1
+
+    def _versions(self, service: str, life_s: float) -> set[str]:
+        now_s = time.monotonic()
         versions = {w.software_version for w in self._workers.listed(service)}
-        versions |= {
+        return versions | {
             version
             for version, left_s in self._left_s.get(service, {}).items()
             if now_s - left_s < life_s
         }
-        return versions.pop() if len(versions) == 1 else None
 
     def history(self) -> ServedHistory | None:
         """Return what is known here; None before the workers are known."""
--- a/tests/chain/test_stream_origins_gaps.py
+++ b/tests/chain/test_stream_origins_gaps.py
@@ -152,10 +152,10 @@
             left = replace(member("left", 1), state=MemberState.LEAVING)
             old.membership.apply_records([left])
             await asyncio.sleep(REMOVED_S)
-            assert not old.stopping(grace_s=GRACE_S)
+            assert not old.stopping(within_s=GRACE_S)
             new = KnownFleet(process=process("new"), seeds=())
             new.membership.apply_records(old.membership.table.records.values())
-            assert not new.stopping(grace_s=GRACE_S)
+            assert not new.stopping(within_s=GRACE_S)
 
         run_virtual(monkeypatch, scenario())
 
