Let gateways that stop not decide whether a version can be inferred

With a single version, streams that named no attempt were refused with `origin_unknown` for the rest of a gateway's grace period once it had exited: it was queried, did not answer, and a gateway that does not answer may know another version. That came with the query of gateways that stop.

The version is now inferred as soon as all live gateways have answered; those that stop have heard of no version that the live ones have not. They are asked beside them for the stream itself, and the three that were ordered last are always among them, as they have what the others sent on: ranked by age alone, those that had been replaced were asked.

The refusal's detail says whether an attempt was named.

--- a/src/trefoilpaddle/coordination/chain/origin_placement.py
+++ b/src/trefoilpaddle/coordination/chain/origin_placement.py
@@ -20,6 +20,9 @@
 N_QUERIED: Final = 6
 """Gateways that are queried: more than replicas, as members change meanwhile."""
 
+N_LAST_STOPPING: Final = 3
+"""Gateways that are queried as they were ordered to stop last."""
+
 MIN_POOL_PER_DOMAIN: Final = 2
 MAX_POOL_PER_DOMAIN: Final = 4
 MIN_POOL: Final = 6
@@ -119,17 +122,25 @@
     def lookup_targets(self, key: bytes) -> list[MemberRecord]:
         """Return the gateways that may know a stream which began elsewhere.
 
-        One that has been ordered to stop still knows what it stored, and others may
-        not have it yet.
+        These are live; `stopping_targets` may know it as well.
+        """
+        return self._queried(key, self.pools())
+
+    def stopping_targets(self, key: bytes) -> list[MemberRecord]:
+        """Return the gateways that may know a stream and have been ordered to stop.
+
+        They still know what they stored, and live ones may not have it yet. Those that
+        were ordered last have what the others sent on.
         """
-        live = self.pools()
-        targets = self._queried(key, live)
-        stopping = self._stopping()
-        if stopping:
-            chosen = {target.process_id for target in targets}
-            before = self._queried(key, pools_of((*live.members, *stopping)))
-            targets += [each for each in before if each.process_id not in chosen]
-        return targets
+        stopping = [
+            each for each in self._stopping() if each.process_id != self._own_id
+        ]
+        if not stopping:
+            return []
+        ranked = self._queried(key, pools_of((*self._live(), *stopping)))
+        ids = {each.process_id for each in stopping}
+        targets = [each for each in ranked if each.process_id in ids]
+        return targets + [e for e in stopping[-N_LAST_STOPPING:] if e not in targets]
 
     def _queried(self, key: bytes, pools: Pools) -> list[MemberRecord]:
         n_domains = max(1, min(N_DOMAINS_QUERIED, len(pools.ids)))
--- a/src/trefoilpaddle/coordination/chain/stream_origins.py
+++ b/src/trefoilpaddle/coordination/chain/stream_origins.py
@@ -10,7 +10,7 @@
 import asyncio
 import contextlib
 import time
-from collections.abc import Awaitable, Callable, Iterable, Mapping
+from collections.abc import Awaitable, Callable, Iterable, Mapping, Sequence
 from dataclasses import dataclass, field
 from typing import Final
 
@@ -190,50 +190,75 @@
         request = FindOrigin(
             key=key, service_name=service, life_ms=int(life_s * MS_PER_S)
         )
-        queries = [
-            asyncio.create_task(self._query(address, request))
-            for address in _addresses(self._placement.lookup_targets(key))
-        ]
-        sole_versions = {self.served.sole_version(service, life_s)}
-        has_several = self.served.has_several(service, life_s)
-        n_silent = 0
+        live = self._begin_queries(self._placement.lookup_targets(key), request)
+        stopping = self._begin_queries(self._placement.stopping_targets(key), request)
+        pending = {*live, *stopping}
         try:
-            for answer in asyncio.as_completed(queries):
-                found = await answer
-                if found is None:
-                    n_silent += 1
-                elif found.is_known:
-                    return KnownOrigin(software_version=found.software_version)
-                else:
-                    sole_versions.add(found.sole_version)
-                    has_several = has_several or found.has_several
+            while True:
+                if pending.isdisjoint(live):
+                    sole = self._sole_version(request, [task.result() for task in live])
+                    if sole is not None:
+                        return KnownOrigin(software_version=sole)
+                if not pending:
+                    break
+                done, pending = await asyncio.wait(
+                    pending, return_when=asyncio.FIRST_COMPLETED
+                )
+                for found in (task.result() for task in done):
+                    if found is not None and found.is_known:
+                        return KnownOrigin(software_version=found.software_version)
         finally:
-            for task in queries:
+            for task in pending:
                 task.cancel()
-        # A gateway that did not answer may know another version, of which this one
-        # has not heard.
-        versions = [version for version in sole_versions if version is not None]
-        if not n_silent and not has_several and len(versions) == 1:
-            return KnownOrigin(software_version=versions[0])
-        n_live = len(self._placement.pools().members)
+        n_silent = sum(task.result() is None for task in live)
         return UnknownOrigin(
             is_final=not n_silent,
             detail=(
-                f"queried {len(queries)} gateways, {n_silent} silent, {n_live} live"
+                f"{len(live)} live gateways queried, {n_silent} silent;"
+                f" {len(stopping)} that stop; attempt "
+                + ("named" if attempt_id else "not named")
             ),
         )
 
-    async def respond(self, request: FindOrigin, peer: Hello) -> OriginFound:
-        """Return the version that began a stream, if it is known here."""
+    def _begin_queries(
+        self, targets: Sequence[MemberRecord], request: FindOrigin
+    ) -> list["asyncio.Task[OriginFound | None]"]:
+        return [
+            asyncio.create_task(self._query(address, request))
+            for address in _addresses(targets)
+        ]
+
+    def _sole_version(
+        self, request: FindOrigin, answers: Sequence[OriginFound | None]
+    ) -> str | None:
+        """Return the version of an unknown stream if only one has served, or None.
+
+        A live gateway that did not answer may know another version, of which this one
+        has not heard. Those that stop know of no version that the live ones do not.
+        """
+        known = [each for each in answers if each is not None]
+        own = self._served_here(request)
+        if len(known) < len(answers) or any(e.has_several for e in (own, *known)):
+            return None
+        versions = {each.sole_version for each in (own, *known)} - {None}
+        return versions.pop() if len(versions) == 1 else None
+
+    def _served_here(self, request: FindOrigin) -> OriginFound:
+        """Return which versions have served, as far as is known here."""
         life_s = max(0, request.life_ms) / MS_PER_S
-        known = self.versions.get(request.key)
         return OriginFound(
-            is_known=known is not None,
-            software_version=known or "",
             sole_version=self.served.sole_version(request.service_name, life_s),
             has_several=self.served.has_several(request.service_name, life_s),
         )
 
+    async def respond(self, request: FindOrigin, peer: Hello) -> OriginFound:
+        """Return the version that began a stream, if it is known here."""
+        found = self._served_here(request)
+        known = self.versions.get(request.key)
+        found.is_known = known is not None
+        found.software_version = known or ""
+        return found
+
     async def _query(self, address: Address, request: FindOrigin) -> OriginFound | None:
         link = self._process.peers.link(address)
         match await link.ask(request, timeout_s=FIND_TIMEOUT_S):
--- a/tests/chain/test_stream_origins_gaps.py
+++ b/tests/chain/test_stream_origins_gaps.py
@@ -140,7 +140,7 @@
         here = OriginPlacement(
             own_id="new", live=lambda: started, stopping=lambda: stopping
         )
-        queried = {each.process_id for each in here.lookup_targets(key)}
+        queried = {each.process_id for each in here.stopping_targets(key)}
         assert queried & {"g011", *(each.process_id for each in stored)}
 
     def test_one_that_left_long_ago_is_not_queried_by_a_gateway_that_starts(
