Store streams at gateways that stop while none is live

A stream that began while all gateways were stopping, which they accept for 2.8 s after their order, had no replica: they are drawn from live gateways. It was known to the gateway that began it alone, although others that were ordered later run longer.

--- a/src/trefoilpaddle/coordination/chain/origin_placement.py
+++ b/src/trefoilpaddle/coordination/chain/origin_placement.py
@@ -99,8 +99,16 @@
         self._pools = Pools()
 
     def pools(self) -> Pools:
-        """Return the pools of the live gateways."""
+        """Return the pools of the live gateways.
+
+        While no other one is live, they are those that were ordered to stop last, which
+        run on longest.
+        """
         live = self._live()
+        if all(member.process_id == self._own_id for member in live):
+            stopping = list(self._stopping())
+            if stopping:
+                return pools_of(stopping[-MIN_POOL:])
         if live is not self._pools.members:
             self._pools = pools_of(live)
         return self._pools
