Keep origins for a replica until its link opens

What a link did not take within one second was dropped, and was sent again only once the gateways that store streams changed. The back-off of a link alone reaches 1.5 s, so a gateway that had just started could miss what the others stored. It is now kept as long as the gateway at that address stores streams.

--- a/src/trefoilpaddle/coordination/chain/stream_origins.py
+++ b/src/trefoilpaddle/coordination/chain/stream_origins.py
@@ -38,7 +38,7 @@
 """Time for which streams that begin are collected before they are replicated."""
 
 CONNECT_TIMEOUT_S: Final = 1.0
-"""Longest wait for a link to a replica."""
+"""Time in seconds after which it is checked whether a replica is still one."""
 
 LOG_INTERVAL_S: Final = 1.0
 """Shortest time between two lines about replicas that cannot be reached."""
@@ -305,7 +305,7 @@
         """Send a replica the streams that have been collected for it."""
         await asyncio.sleep(BATCH_WINDOW_S)
         link = self._process.peers.link(address)
-        if link.connection is None:
+        while link.connection is None and self._is_storing(address):
             with contextlib.suppress(TimeoutError):
                 async with asyncio.timeout(CONNECT_TIMEOUT_S):
                     await link.opened.wait()
@@ -322,6 +322,10 @@
                 )
                 return
 
+    def _is_storing(self, address: Address) -> bool:
+        """Return True if the gateway at an address stores streams."""
+        return address in _addresses(self._placement.pools().by_id.values())
+
     def _on_message(self, connection: Connection, message: Message) -> None:
         if isinstance(message, StreamsBegun):
             for origin in message.origins:
