Count the own order to stop, and no stop that was only heard of, until one serves again

The time that a stopping gateway states until one serves again left its own order out: the own record had no time of change, so the start of the process stood for it. A lone gateway stated 9.0 s throughout instead of what was left. A record of a gateway that had left long before counted as an order at the moment at which it was heard of.

The own order now has its time, and of the others only those count that were live before, as seen from here.

--- a/src/trefoilpaddle/coordination/chain/fleet.py
+++ b/src/trefoilpaddle/coordination/chain/fleet.py
@@ -157,11 +157,21 @@
             Seconds from the order to stop to the kill.
         """
         own = self.membership.own
-        accepting = (*self.live(), *self.stopping(within_s=ACCEPT_STREAMS_S))
-        if any(member is not own for member in accepting):
-            return 0.0
+        # A stop that was only heard of may have begun long before.
+        known = {own.process_id, *self.membership.seen_live}
+        stopping = [
+            member
+            for member in self.stopping(within_s=grace_s)
+            if member.process_id in known
+        ]
         now_s = time.monotonic()
-        stopping = self.stopping(within_s=grace_s)
+        accepting = [
+            member
+            for member in stopping
+            if now_s - self._known_s(member) < ACCEPT_STREAMS_S
+        ]
+        if any(member is not own for member in (*self.live(), *accepting)):
+            return 0.0
         first_ordered_s = min(map(self._known_s, stopping), default=now_s)
         return max(MIN_RETURN_S, first_ordered_s + grace_s + RESTART_S - now_s)
 
--- a/src/trefoilpaddle/coordination/members/membership.py
+++ b/src/trefoilpaddle/coordination/members/membership.py
@@ -81,6 +81,8 @@
         The record of this process.
     last_change_s : dict of str to float
         Monotonic time of the last change of each process's record.
+    seen_live : set of str
+        Ids of the processes that were live at some time, as seen from this one.
     """
 
     __slots__ = (
@@ -97,6 +99,7 @@
         "children",
         "last_change_s",
         "own",
+        "seen_live",
         "table",
     )
 
@@ -114,6 +117,7 @@
         self.table = MemberTable()
         self.children: list[MemberRecord] = []
         self.last_change_s: dict[str, float] = {}
+        self.seen_live: set[str] = set()
         self.own = self._first_record()
         self._set_own(self.own)
         process.server.add_handler(Gossip, self.answer)
@@ -141,6 +145,8 @@
             if record.process_id == self.own.process_id:
                 self._refute_outdated(record)
             elif self.table.merge([record]):
+                if record.state is MemberState.LIVE:
+                    self.seen_live.add(record.process_id)
                 self._record_change(record)
 
     def report_state(self, process_id: str, state: MemberState) -> None:
@@ -153,9 +159,11 @@
         """Remove the record of a process."""
         self.table.forget(process_id)
         self.last_change_s.pop(process_id, None)
+        self.seen_live.discard(process_id)
 
     def announce_leaving(self) -> None:
         """Announce to the fleet that this process is leaving."""
+        self.last_change_s[self.own.process_id] = time.monotonic()
         self._set_own(
             replace(self.own, state=MemberState.LEAVING, beat=self.own.beat + 1)
         )
--- a/tests/chain/test_stream_origins_gaps.py
+++ b/tests/chain/test_stream_origins_gaps.py
@@ -313,8 +313,9 @@
             fleet.membership.apply_records(
                 [replace(member("other", 1), state=MemberState.LEAVING)]
             )
+            await asyncio.sleep(ACCEPT_S + 0.1)
             assert fleet.serves_elsewhere_in_s(grace_s=GRACE_S) == pytest.approx(
-                GRACE_S + RESTART_S - 3.0
+                GRACE_S + RESTART_S - 3.0 - ACCEPT_S - 0.1
             )
 
         run_virtual(monkeypatch, scenario())
