Bound the wait for TLS handshakes when a listener closes

Cause: the close of a listener waited for all connections that were being opened. A caller that connects to a listener with TLS and sends nothing kept it for the event loop's handshake timeout, 60 s, without regard to the time that is left. Plain listeners, as those of the platform, open connections at once.

Change: handshakes have 1 s or what is left, then their connections are closed and counted in the log.

--- a/src/trefoilpaddle/transport/http_listener.py
+++ b/src/trefoilpaddle/transport/http_listener.py
@@ -31,6 +31,12 @@
 A handshake takes a round trip.
 """
 
+TLS_HANDSHAKE_S: Final = 1.0
+"""Longest time in seconds for TLS handshakes that are open when the listener closes.
+
+A handshake takes two round trips, and a lost packet is sent again within 0.4 s.
+"""
+
 CLOSE_POLL_S: Final = 0.005
 """Period in seconds of the check for connections that have become idle at the close."""
 
@@ -264,7 +270,22 @@
         self._accept_waiting(listening)
         listening.close()
         if self._opening:
-            await asyncio.wait(self._opening)
+            left_s = until_s - time.monotonic()
+            await asyncio.wait(
+                self._opening, timeout=max(0.0, min(TLS_HANDSHAKE_S, left_s))
+            )
+            self._end_handshakes()
+
+    def _end_handshakes(self) -> None:
+        """Close the connections whose callers do not complete the TLS handshake."""
+        for opening in self._opening:
+            opening.cancel()
+        if self._opening:
+            logging.info(
+                "port %d: %d TLS handshakes were not completed",
+                self._port,
+                len(self._opening),
+            )
 
     def _accept_waiting(self, listening: socket.socket) -> None:
         try:
--- a/tests/test_http_listener.py
+++ b/tests/test_http_listener.py
@@ -3,6 +3,7 @@
 import asyncio
 import contextlib
 import socket
+import ssl
 import time
 from collections.abc import AsyncIterator
 from http import HTTPStatus
@@ -25,7 +26,11 @@
     """A listener of which each request is answered with ``served``."""
 
     def __init__(
-        self, *, max_connections: int | None = None, keepalive_timeout: float = 60.0
+        self,
+        *,
+        max_connections: int | None = None,
+        keepalive_timeout: float = 60.0,
+        tls: ssl.SSLContext | None = None,
     ) -> None:
         self.http = web.Server(
             self._serve,
@@ -33,7 +38,7 @@
             keepalive_timeout=keepalive_timeout,
         )
         self.listener = HttpListener(
-            http=self.http, refusal=REFUSAL, max_connections=max_connections
+            http=self.http, refusal=REFUSAL, max_connections=max_connections, tls=tls
         )
         self.port = 0
         self.work_s = 0.0
@@ -208,6 +213,15 @@
 
 
 class TestNewConnections:
+    async def test_a_caller_without_a_handshake_does_not_delay_the_close(self) -> None:
+        # Guards against a close that waits a minute for a handshake that never comes.
+        tls = ssl.SSLContext(ssl.PROTOCOL_TLS_SERVER)
+        async with asyncio.timeout(2 * CLOSE_S):
+            async with Listening(tls=tls).open() as listening:
+                caller = connect_unaccepted(listening.port)
+            assert await read_all(caller) == b""
+        caller.close()
+
     async def test_a_new_connection_is_refused_and_not_reset(self) -> None:
         # Guards against connections that are made while the listener closes.
         listening = Listening()
