Ask which limits workers have named before a gateway that starts sends requests

A gateway that had just started knew no limit until a link of another one opened, and sent a worker in need any number of requests until the worker named its limit again. What a peer told of a worker that was not listed yet was dropped, also on a link that opened; it was told again after 5 s at the earliest.

Answers to a gateway that catches up now also hold the limits in force. A limit of a worker that is not listed yet is kept for when it is, for 1,024 workers at most, and dropped if another start of the worker is listed.

--- a/idl/chain.thrift
+++ b/idl/chain.thrift
@@ -231,6 +231,7 @@
   1: bool is_complete = false    // false if the answering gateway has just started itself
   2: CrashNews crashes
   3: ServedNews served           // unset if it does not know the workers yet
+  4: LimitNews limits
 }
 
 struct NamedLimit {
--- a/src/trefoilpaddle/coordination/chain/catch_up.py
+++ b/src/trefoilpaddle/coordination/chain/catch_up.py
@@ -25,6 +25,7 @@
 from ...transport.connection import Address
 from ..own_process import OwnProcess
 from .crash_relay import CrashRelay
+from .limit_relay import LimitRelay
 
 CATCH_UP_AT_MOST_S: Final = 1.0
 """Seconds after the start for which requests wait for what others know."""
@@ -53,6 +54,8 @@
         Holds connections to peers and answers their queries.
     crashes : CrashRelay
         Receives crashes, and provides those that are known here.
+    limits : LimitRelay
+        Receives limits of workers, and provides those that are known here.
     served : ServedVersions
         Receives which versions have served, and provides what is known here.
     live : callable
@@ -72,6 +75,7 @@
         "_crashes",
         "_is_settled",
         "_is_told",
+        "_limits",
         "_live",
         "_over",
         "_own_id",
@@ -86,6 +90,7 @@
         *,
         process: OwnProcess,
         crashes: CrashRelay,
+        limits: LimitRelay,
         served: ServedVersions,
         live: Members,
         stopping: Members,
@@ -95,6 +100,7 @@
     ) -> None:
         self._process = process
         self._crashes = crashes
+        self._limits = limits
         self._served = served
         self._live = live
         self._stopping = stopping
@@ -161,6 +167,8 @@
                 n_answers += 1
                 if found.crashes is not None:
                     self._crashes.receive(found.crashes)
+                if found.limits is not None:
+                    self._limits.receive(found.limits)
                 if found.served is not None:
                     self._served.inherit(_served_from_wire(found.served))
                 if found.is_complete:
@@ -196,6 +204,7 @@
         return CatchUpState(
             is_complete=self._knows_all(),
             crashes=self._crashes.all_known(),
+            limits=self._limits.all_known(),
             served=None if history is None else _served_to_wire(history),
         )
 
--- a/src/trefoilpaddle/coordination/chain/limit_relay.py
+++ b/src/trefoilpaddle/coordination/chain/limit_relay.py
@@ -45,7 +45,7 @@
             subject="limits",
             links=links,
             take_updates=self._take_updates,
-            all_known=self._all_known,
+            all_known=self._known_or_none,
         )
         needs.on_news = self._announce
         process.message_listeners.append(self._on_message)
@@ -63,13 +63,20 @@
         self._changed = {}
         return updates
 
-    def _all_known(self) -> LimitNews | None:
-        known = self._needs.limits.in_force(time.monotonic())
-        return _to_wire(known) if known else None
+    def all_known(self) -> LimitNews:
+        """Return all limits in force."""
+        return _to_wire(self._needs.limits.in_force(time.monotonic()))
+
+    def _known_or_none(self) -> LimitNews | None:
+        known = self.all_known()
+        return known if known.limits else None
 
     def _on_message(self, connection: Connection, message: Message) -> None:
-        if not isinstance(message, LimitNews):
-            return
+        if isinstance(message, LimitNews):
+            self.receive(message)
+
+    def receive(self, message: LimitNews) -> None:
+        """Record the limits that a peer knows."""
         now_s = time.monotonic()
         for limit in message.limits:
             self._needs.learn_from_peer(
--- a/src/trefoilpaddle/coordination/chain/worker_needs.py
+++ b/src/trefoilpaddle/coordination/chain/worker_needs.py
@@ -1,7 +1,9 @@
 """Records what workers state about themselves in their answers."""
 
 import time
+from collections import OrderedDict
 from collections.abc import Callable, Mapping
+from dataclasses import dataclass
 from typing import Final
 
 from ...state.chain.stated_limits import StatedLimit, StatedLimits
@@ -16,6 +18,29 @@
 """
 
 
+MAX_UNLISTED: Final = 1024
+"""Workers that are not listed whose limits are kept, in case they are listed later."""
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class UnlistedLimit:
+    """What a peer told of a worker that is not listed here yet.
+
+    Parameters
+    ----------
+    born_ms : int
+        Unix time of its start in milliseconds.
+    rate_per_s : float
+        Requests per second that it takes from all gateways; 0 for any number.
+    heard_s : float
+        Monotonic time of the answer that stated it.
+    """
+
+    born_ms: int
+    rate_per_s: float
+    heard_s: float
+
+
 class WorkerNeeds:
     """What the listed workers have stated about themselves.
 
@@ -34,13 +59,15 @@
         Called with limits of which other gateways should know.
     """
 
-    __slots__ = ("_journal", "_workers", "limits", "on_news")
+    __slots__ = ("_journal", "_unlisted", "_workers", "limits", "on_news")
 
     def __init__(self, *, workers: WorkerTable, journal: Journal) -> None:
         self._workers = workers
         self._journal = journal
         self.limits = StatedLimits()
         self.on_news: Callable[[StatedLimit], None] = _ignore
+        self._unlisted: OrderedDict[str, UnlistedLimit] = OrderedDict()
+        workers.new_listeners.append(self._on_new)
 
     def learn(self, worker: Worker, statement: WorkerStatement) -> None:
         """Record what an answer of a worker states.
@@ -78,13 +105,40 @@
             Monotonic time of the answer.
         """
         worker = self._workers.get(worker_id)
-        if worker is None or worker.born_ms != born_ms:
+        if worker is None:
+            self._keep_unlisted(worker_id, born_ms, rate_per_s, heard_s)
+            return
+        if worker.born_ms != born_ms:
             return
         if rate_per_s > 0.0:
             self._name_limit(worker, rate_per_s, heard_s, "named to another gateway")
         else:
             self._end_limit(worker, heard_s, "not named to another gateway any more")
 
+    def _keep_unlisted(
+        self, worker_id: str, born_ms: int, rate_per_s: float, heard_s: float
+    ) -> None:
+        """Keep a limit for when its worker is listed: peers may know it earlier."""
+        known = self._unlisted.get(worker_id)
+        if known is not None and known.heard_s >= heard_s:
+            return
+        self._unlisted[worker_id] = UnlistedLimit(
+            born_ms=born_ms, rate_per_s=rate_per_s, heard_s=heard_s
+        )
+        self._unlisted.move_to_end(worker_id)
+        while len(self._unlisted) > MAX_UNLISTED:
+            self._unlisted.popitem(last=False)
+
+    def _on_new(self, worker: Worker) -> None:
+        known = self._unlisted.pop(worker.worker_id, None)
+        if known is not None:
+            self.learn_from_peer(
+                worker.worker_id,
+                known.born_ms,
+                rate_per_s=known.rate_per_s,
+                heard_s=known.heard_s,
+            )
+
     def _name_limit(
         self, worker: Worker, rate_per_s: float, heard_s: float, detail: str
     ) -> None:
--- a/src/trefoilpaddle/protocol/gen/chain/ttypes.py
+++ b/src/trefoilpaddle/protocol/gen/chain/ttypes.py
@@ -3320,6 +3320,7 @@
      - is_complete
      - crashes
      - served
+     - limits
 
     """
 
@@ -3327,13 +3328,15 @@
         'is_complete',
         'crashes',
         'served',
+        'limits',
     )
 
 
-    def __init__(self, is_complete=False, crashes=None, served=None,):
+    def __init__(self, is_complete=False, crashes=None, served=None, limits=None,):
         self.is_complete = is_complete
         self.crashes = crashes
         self.served = served
+        self.limits = limits
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -3361,6 +3364,12 @@
                     self.served.read(iprot)
                 else:
                     iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.STRUCT:
+                    self.limits = LimitNews()
+                    self.limits.read(iprot)
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -3383,6 +3392,10 @@
             oprot.writeFieldBegin('served', TType.STRUCT, 3)
             self.served.write(oprot)
             oprot.writeFieldEnd()
+        if self.limits is not None:
+            oprot.writeFieldBegin('limits', TType.STRUCT, 4)
+            self.limits.write(oprot)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -4207,6 +4220,7 @@
     (1, TType.BOOL, 'is_complete', None, False, ),  # 1
     (2, TType.STRUCT, 'crashes', [CrashNews, None], None, ),  # 2
     (3, TType.STRUCT, 'served', [ServedNews, None], None, ),  # 3
+    (4, TType.STRUCT, 'limits', [LimitNews, None], None, ),  # 4
 )
 all_structs.append(NamedLimit)
 NamedLimit.thrift_spec = (
--- a/src/trefoilpaddle/protocol/gen/chain/ttypes.pyi
+++ b/src/trefoilpaddle/protocol/gen/chain/ttypes.pyi
@@ -183,7 +183,8 @@
     is_complete: bool
     crashes: CrashNews | None
     served: ServedNews | None
-    def __init__(self, *, is_complete: bool = ..., crashes: CrashNews | None = ..., served: ServedNews | None = ...) -> None: ...
+    limits: LimitNews | None
+    def __init__(self, *, is_complete: bool = ..., crashes: CrashNews | None = ..., served: ServedNews | None = ..., limits: LimitNews | None = ...) -> None: ...
 class NamedLimit:
     worker_id: str
     born_ms: int
--- a/tests/chain/fakes.py
+++ b/tests/chain/fakes.py
@@ -13,6 +13,7 @@
 from trefoilpaddle.coordination.chain.chain_scheduler import ChainScheduler
 from trefoilpaddle.coordination.chain.crash_guard import CrashGuard
 from trefoilpaddle.coordination.chain.crash_relay import CrashRelay
+from trefoilpaddle.coordination.chain.limit_relay import LimitRelay
 from trefoilpaddle.coordination.chain.send_limits import SendLimits
 from trefoilpaddle.coordination.chain.target_calls import (
     OpenAnswer,
@@ -20,6 +21,7 @@
     TargetCall,
     TargetCalls,
 )
+from trefoilpaddle.coordination.chain.worker_needs import WorkerNeeds
 from trefoilpaddle.roles.process import Identity, Process
 from trefoilpaddle.state.chain.crash_registry import CrashRegistry
 from trefoilpaddle.state.chain.piece_work import PieceOutcome, PieceResult, PieceWork
@@ -54,6 +56,11 @@
     return CatchUp(
         process=own,
         crashes=guard._relay,
+        limits=LimitRelay(
+            process=own,
+            links=list,
+            needs=WorkerNeeds(workers=WorkerTable(), journal=journal()),
+        ),
         served=ServedVersions(workers=WorkerTable()),
         live=list,
         stopping=list,
--- a/tests/chain/test_catch_up.py
+++ b/tests/chain/test_catch_up.py
@@ -15,16 +15,19 @@
     SYNCED_AFTER_S,
     CatchUp,
 )
+from trefoilpaddle.coordination.chain.limit_relay import LimitRelay
+from trefoilpaddle.coordination.chain.worker_needs import WorkerNeeds
 from trefoilpaddle.protocol.frames import Message, decode, encode
 from trefoilpaddle.protocol.gen.chain.ttypes import CatchUpPull
 from trefoilpaddle.protocol.gen.stage.ttypes import Hello
 from trefoilpaddle.state.chain.crash_registry import Crash, CrashRegistry, CrashStatus
 from trefoilpaddle.state.chain.fingerprint import part_fingerprint
 from trefoilpaddle.state.chain.served_versions import MAX_GAP_S, ServedVersions
+from trefoilpaddle.state.chain.worker_statements import WorkerStatement
 from trefoilpaddle.transport.connection import Address
 
 from .crash_fleet import LENGTH_BYTES, Gateway
-from .fakes import FakeCalls, no_wait, worker
+from .fakes import FakeCalls, journal, no_wait, worker
 from .test_chain_router import member
 from .virtual_time import run_virtual
 
@@ -49,11 +52,13 @@
         self.is_gone = False
         self.is_settled = True
         self.served = ServedVersions(workers=self.gateway.workers)
+        self.needs = WorkerNeeds(workers=self.gateway.workers, journal=journal())
         own: Any = self.gateway.process
         own.peers = SimpleNamespace(link=self._link)
         self.catch_up = CatchUp(
             process=own,
             crashes=self.gateway.relay,
+            limits=LimitRelay(process=own, links=list, needs=self.needs),
             served=self.served,
             live=lambda: [each.record for each in (self, *self.live)],
             stopping=lambda: [each.record for each in self.stopping],
@@ -231,6 +236,46 @@
         run_virtual(monkeypatch, scenario())
 
 
+class TestLimits:
+    @pytest.mark.parametrize("is_listed_later", [False, True])
+    def test_all_that_were_stopped_in_turn_keep_a_limit(
+        self, is_listed_later: bool, monkeypatch: pytest.MonkeyPatch
+    ) -> None:
+        # Guards against workers in need that get any number of requests from gateways
+        # that have just started.
+        async def scenario() -> None:
+            old, limited = Start(0, is_alone=True), worker("w", SERVICE, born_ms=1)
+            old.gateway.workers.put(limited)
+            old.needs.learn(limited, WorkerStatement(limit_per_s=2.0))
+            for number in range(1, 4):
+                new = Start(number)
+                new.stopping.append(old)
+                if not is_listed_later:
+                    new.gateway.workers.put(limited)
+                await new.caught_up_s()
+                new.gateway.workers.put(limited)
+                assert new.needs.limits.rate_per_s(limited, time.monotonic()) == 2.0
+                old = new
+
+        run_virtual(monkeypatch, scenario())
+
+    def test_one_of_an_earlier_start_is_dropped(
+        self, monkeypatch: pytest.MonkeyPatch
+    ) -> None:
+        async def scenario() -> None:
+            old, new = Start(0, is_alone=True), Start(1)
+            limited = worker("w", SERVICE, born_ms=1)
+            old.gateway.workers.put(limited)
+            old.needs.learn(limited, WorkerStatement(limit_per_s=2.0))
+            new.stopping.append(old)
+            await new.caught_up_s()
+            later = worker("w", SERVICE, born_ms=2)
+            new.gateway.workers.put(later)
+            assert new.needs.limits.rate_per_s(later, time.monotonic()) is None
+
+        run_virtual(monkeypatch, scenario())
+
+
 class TestBound:
     def test_requests_do_not_wait_at_the_first_start(
         self, monkeypatch: pytest.MonkeyPatch
