Play parts that crash workers at any size of the rig

The rig had four gateways, eight workers of a service and answers of 0.3 s; users see faults with eight gateways and 14 engines that are back after some seconds.

test_crashing_parts and test_known_red pass.

--- a/src/trefoilpaddle/standins/platform/crashing.py
+++ b/src/trefoilpaddle/standins/platform/crashing.py
@@ -14,7 +14,7 @@
 """Usual time from the start of a marked request to the crash of the worker."""
 
 RESTART_DELAY_S: Final = 1.5
-"""Time from the crash of a worker to its restart at the same address."""
+"""Usual time from the crash of a worker to its restart at the same address."""
 
 MAX_READ_BYTES: Final = 65536
 """Bytes that are read for an exited worker before its connection is closed."""
@@ -36,6 +36,8 @@
         each once a request has been read; False if its address refuses them.
     crash_delay_s : float
         Time from the start of a marked request to the crash of the worker.
+    restart_delay_s : float
+        Time from the crash of the worker to its restart.
 
     Attributes
     ----------
@@ -50,6 +52,7 @@
         "_is_up",
         "_on_start",
         "_port",
+        "_restart_delay_s",
         "_runner",
         "_site",
         "_tasks",
@@ -65,9 +68,11 @@
         on_start: Callable[[], None],
         accepts_when_down: bool = False,
         crash_delay_s: float = CRASH_DELAY_S,
+        restart_delay_s: float = RESTART_DELAY_S,
     ) -> None:
         self.worker = worker
         self._crash_delay_s = crash_delay_s
+        self._restart_delay_s = restart_delay_s
         self._accepts_when_down = accepts_when_down
         self._ip = ip
         self._on_start = on_start
@@ -120,9 +125,9 @@
             async with await asyncio.start_server(
                 _read_and_close, self._ip, self._port, reuse_address=True
             ):
-                await asyncio.sleep(RESTART_DELAY_S)
+                await asyncio.sleep(self._restart_delay_s)
         else:
-            await asyncio.sleep(RESTART_DELAY_S)
+            await asyncio.sleep(self._restart_delay_s)
         self.worker.restart()
         await self._listen()
         self._on_start()
--- a/src/trefoilpaddle/standins/platform/site.py
+++ b/src/trefoilpaddle/standins/platform/site.py
@@ -5,7 +5,7 @@
 from typing import Any, Final
 
 from ..web import serving
-from .crashing import CRASH_DELAY_S, CrashingServer
+from .crashing import CRASH_DELAY_S, RESTART_DELAY_S, CrashingServer
 from .store import TABLE_KEY, PlatformStore
 from .worker import PlatformWorker
 
@@ -178,6 +178,7 @@
         marked_parts: frozenset[str] = frozenset(),
         accepts_when_down: bool = False,
         crash_delay_s: float = CRASH_DELAY_S,
+        restart_delay_s: float = RESTART_DELAY_S,
         **fields: Any,
     ) -> CrashingServer:
         """Start and list a worker that marked requests crash.
@@ -194,6 +195,7 @@
             on_start=lambda: self.list_worker(worker_id, service),
             accepts_when_down=accepts_when_down,
             crash_delay_s=crash_delay_s,
+            restart_delay_s=restart_delay_s,
         )
         await self._stack.enter_async_context(server.serving())
         self.list_worker(worker_id, service)
--- a/tests/platform_adapter/parts_harness.py
+++ b/tests/platform_adapter/parts_harness.py
@@ -10,11 +10,11 @@
 from dataclasses import dataclass, field
 from functools import partial
 from pathlib import Path
-from typing import Any, Final
+from typing import Final
 
 import aiohttp
 
-from trefoilpaddle.standins.platform.crashing import CrashingServer
+from trefoilpaddle.standins.platform.crashing import RESTART_DELAY_S, CrashingServer
 from trefoilpaddle.standins.platform.gateway_process import (
     GatewayProcess,
     event_numbers,
@@ -33,11 +33,11 @@
 MIDDLE_PARTS: Final = tuple(f"e{number}" for number in range(8))
 N_WORKERS: Final = 8
 
-FIELDS_OF: Final[Mapping[str, Mapping[str, Any]]] = {
-    "writer": {"work_s": 0.3},
-    "model": {"n_events": N_EVENTS, "work_s": 0.06},
-}
-"""Fields of the workers of each service."""
+N_EVENTS_OF: Final[Mapping[str, int]] = {"writer": 0, "model": N_EVENTS}
+"""Events in each stream of a service's workers; 0 for complete answers."""
+
+SOUND_S: Final = 0.3
+"""Usual time that a sound request takes."""
 
 KNOWN_S: Final = 3.0
 """Time after the fifth crash within which all gateways must know the part."""
@@ -225,12 +225,31 @@
 
 @contextlib.asynccontextmanager
 async def parts_harness(
-    folder: Path, *, n_gateways: int = 4, crash_delay_s: float = 0.05
+    folder: Path,
+    *,
+    n_gateways: int = 4,
+    n_workers: int = N_WORKERS,
+    crash_delay_s: float = 0.05,
+    restart_delay_s: float = RESTART_DELAY_S,
+    sound_s: float = SOUND_S,
 ) -> AsyncIterator[PartsHarness]:
     """Start the gateways and the workers.
 
-    Requests with a bad part crash their workers `crash_delay_s` after these begin to
-    write.
+    Parameters
+    ----------
+    folder : Path
+        Folder for the settings and logs of the gateways.
+    n_gateways : int
+        Number of gateways, half of them in each failure domain.
+    n_workers : int
+        Number of workers of each service.
+    crash_delay_s : float
+        Time from the first byte of an answer to a request with a bad part to the crash
+        of its worker.
+    restart_delay_s : float
+        Time from the crash of a worker to its restart.
+    sound_s : float
+        Time that a sound request takes.
     """
     async with contextlib.AsyncExitStack() as stack:
         site = Site(stack=stack)
@@ -259,12 +278,14 @@
                 service,
                 marked_parts=frozenset(BAD_PARTS),
                 crash_delay_s=crash_delay_s,
-                **fields,
+                restart_delay_s=restart_delay_s,
+                n_events=n_events,
+                work_s=sound_s / max(1, n_events),
             )
-            for number in range(N_WORKERS)
-            for service, fields in FIELDS_OF.items()
+            for number in range(n_workers)
+            for service, n_events in N_EVENTS_OF.items()
         ]
-        domains = ("a", "a", "b", "b")[:n_gateways]
+        domains = "a" * (n_gateways - n_gateways // 2) + "b" * (n_gateways // 2)
         async with (
             gateways(site, folder, *domains) as all_gateways,
             aiohttp.ClientSession() as client,
