--- a/tests/chain/part_plays.py
+++ b/tests/chain/part_plays.py
@@ -157,11 +157,15 @@
     "thin": Load(sound_per_s=1.0, bad_gap_s=1.0),
     "thin and long": Load(sound_per_s=1.0, run_s=4.0),
     "one first part": Load(first_parts=FIRST[:1]),
+    "long": Load(run_s=6.0),
+    "long-first": Load(run_s=6.0, is_first=True),
+    "long-popular": Load(run_s=6.0, first_parts=FIRST[:1]),
     "cuts": Load(exit_kind=Exit.CUTS),
     "silent": Load(exit_kind=Exit.SILENT, bad_gap_s=1.0),
     "alone": Load(n_bad=0, bad_gap_s=0.8),
     "alone and thin": Load(n_bad=0, bad_gap_s=0.8, sound_per_s=1.0, run_s=2.0),
     "alone and often": Load(n_bad=0, first_parts=FIRST[:1]),
+    "alone and long": Load(n_bad=0, bad_gap_s=0.7, run_s=10.0),
 }
 """The loads that are played, by name."""
 
--- a/tests/chain/test_part_plays.py
+++ b/tests/chain/test_part_plays.py
@@ -46,6 +46,14 @@
         assert not seen.n_blocked
 
 
+class TestLongAnswers:
+    # Guards against requests that are refused for crashes of another cause, as the
+    # workers rarely live long enough to end an answer.
+    @pytest.mark.parametrize("seed", [4, 5])
+    def test_crashes_of_other_causes_block_nothing(self, seed: int) -> None:
+        assert not play_seed(seed, LOADS["alone and long"]).n_blocked
+
+
 class TestVerdict:
     # Guards against a sound part that is blocked while the report that the bad one ran
     # at the last worker, too, is on its way.
