Keep recording the workers that a part crashes beyond its eighth level

Cause: a crash whose level was above MAX_LEVEL was not recorded. A part that each worker crashes under reaches that level after eight crashes; from then on its record stood still, while popular parts, whose runs had begun earlier and so had lower levels, went on to collect crashes. Such a part then had run at all workers of the bad part's record and excused it for good, and the bad part, without the later workers in its record, no longer excused the sound parts and requests that ran there: these were answered 400. Once nothing was sent, nothing was answered and nothing cleared.

Change: further crashes are recorded with the highest level. The number of successive crashes is as before; the workers of a record are limited by MAX_STARTS, as they were.

Ruled out: late reports between gateways.

--- a/src/trefoilpaddle/state/chain/crash_registry.py
+++ b/src/trefoilpaddle/state/chain/crash_registry.py
@@ -8,7 +8,7 @@
 import time
 from collections import Counter, OrderedDict
 from collections.abc import Iterator, Set
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 from enum import Enum, unique
 from typing import Final
 
@@ -56,7 +56,8 @@
 """The same limit for parts of prompts, which belong to no account."""
 
 MAX_LEVEL: Final = 8
-"""Crashes of one request that are counted; further crashes have no effect."""
+"""Highest level of a crash. Further crashes have it, too: that a subject ran at their
+workers, or did not, still tells it from others."""
 
 MAX_STARTS: Final = 32
 """Worker processes of one record; an outage may end more that ran a subject."""
@@ -195,7 +196,7 @@
         while len(self._exits_s) > MAX_EXITS:
             self._exits_s.popitem(last=False)
         is_old = now_s - crash.ended_s > RETENTION_S
-        if is_old or crash.level > MAX_LEVEL or self.is_cleared(fingerprint, crash):
+        if is_old or self.is_cleared(fingerprint, crash):
             return False
         record = self._records.get(fingerprint)
         if record is None:
@@ -203,7 +204,7 @@
                 return False
             record = self._records[fingerprint] = CrashRecord()
             self._n_by_account[account_part(fingerprint)] += 1
-        if not record.add(crash):
+        if not record.add(replace(crash, level=min(crash.level, MAX_LEVEL))):
             return False
         record.reported_s = now_s
         return True
