Count the grace period of a gateway from the signal, not from the loop's turn

Cause: the time of the order was read when the event loop called the order. A loop that lagged at the signal moved every bound of the stop by its lag, while the time until the kill was already passing.

No late exit of a process was traced to it.

--- a/src/trefoilpaddle/coordination/chain/planned_stop.py
+++ b/src/trefoilpaddle/coordination/chain/planned_stop.py
@@ -123,11 +123,17 @@
         """True once the stop was ordered."""
         return self._ordered.is_set()
 
-    def order(self) -> None:
-        """Order the stop; further orders have no effect."""
+    def order(self, ordered_s: float | None = None) -> None:
+        """Order the stop; further orders have no effect.
+
+        Parameters
+        ----------
+        ordered_s : float, optional
+            Monotonic time of the order. By default, now.
+        """
         if self._ordered.is_set():
             return
-        self._ordered_s = time.monotonic()
+        self._ordered_s = time.monotonic() if ordered_s is None else ordered_s
         self._ordered.set()
         self.refresh()
 
