--- a/tests/platform_adapter/test_worker_client.py
+++ b/tests/platform_adapter/test_worker_client.py
@@ -447,6 +447,13 @@
         async with calling(answer) as (client, at, _):
             assert await client.is_listening(at) is True
 
+    async def test_nothing_is_known_once_the_gateway_has_stopped(self) -> None:
+        # Guards against an error in the log for runs that the end of a stop broke off.
+        answer = b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n"
+        async with calling(answer) as (client, at, _):
+            await client._session.close()
+            assert await client.is_listening(at) is None
+
     async def test_a_worker_that_keeps_connections_listens(self) -> None:
         assert await self.is_listening(n_cut=0) is True
 
