--- a/tests/chain/test_stream_origins_gaps.py
+++ b/tests/chain/test_stream_origins_gaps.py
@@ -1,4 +1,4 @@
-"""Where origins of streams are still lost, guessed at, or looked for in vain."""
+"""Origins of streams at gateways that start, stop, or know less than others."""
 
 import asyncio
 from dataclasses import replace
