Check in the soak that resumed streams go on at planned stops

The soak played planned stops, two software versions and callers that resume, but had no check that resumed streams go on.

Runs of planned stops now have two engines of each version, and 12 callers that leave a stream after its first event and resume it up to 6 s later. Of 12 tries or more, while two workers of the stream's version serve and nothing but planned stops disturbs, the share that goes on is at least half of the share of new streams with the same deadline that begin. A stream that its caller left is neither an interrupted one nor one without an outcome.

--- a/tests/soak/__main__.py
+++ b/tests/soak/__main__.py
@@ -11,6 +11,7 @@
 import fire
 
 from .soak_checks import violations
+from .soak_resume_checks import stream_tries
 from .soak_run import run_soak
 
 LENGTH_S = 20.0
@@ -29,6 +30,11 @@
     print(
         f"seed {seed}: {len(callers.requests)} requests, {len(record.intervals)} faults"
     )
+    tries = stream_tries(record, callers)
+    print(
+        f"  {tries.n_gone_on} of {tries.n_resumed} resumed streams went on,"
+        f" {tries.n_begun} of {tries.n_new} new ones began"
+    )
     start_s = min(request.sent_s for request in callers.requests)
     if lines:
         for interval in sorted(record.intervals, key=lambda interval: interval.began_s):
--- a/tests/soak/soak_callers.py
+++ b/tests/soak/soak_callers.py
@@ -54,6 +54,8 @@
         Id of the request whose stream it takes up; empty for none.
     after_event : int
         Number of the last event of that stream.
+    is_left : bool
+        True if the caller closed the connection in the middle of a stream.
     """
 
     request_id: str
@@ -71,6 +73,7 @@
     error: str = ""
     resumes: str = ""
     after_event: int = 0
+    is_left: bool = False
 
 
 @dataclass(slots=True, kw_only=True)
@@ -149,8 +152,12 @@
         resumes: str = "",
         after_event: int = 0,
         prompt_part: str = "",
+        leaves_after: int = 0,
     ) -> ObservedRequest:
-        """Send one request and record its outcome."""
+        """Send one request and record its outcome.
+
+        With `leaves_after` the connection is closed after so many events.
+        """
         kind = kind or self.rng.choice(KINDS)
         request = ObservedRequest(
             request_id=f"q{next(self._request_numbers)}",
@@ -187,7 +194,12 @@
                     request.seal = answer.headers.get("Trefoilpaddle-Server-Seal", "")
                     async for part in answer.content.iter_any():
                         request.body += part
-                    request.is_complete = True
+                        n_events = len(versions_of(request) and events_of(request))
+                        if leaves_after and n_events >= leaves_after:
+                            request.is_left = True
+                            answer.close()
+                            break
+                    request.is_complete = not request.is_left
         except (aiohttp.ClientError, TimeoutError, OSError) as error:
             request.error = type(error).__name__
         request.ended_s = time.monotonic()
--- a/tests/soak/soak_checks.py
+++ b/tests/soak/soak_checks.py
@@ -32,6 +32,7 @@
 from .soak_needs import broken_needs
 from .soak_parts import late_bad
 from .soak_record import GRACE_S, VERSIONS, ActionInterval, Record
+from .soak_resume_checks import resumed_streams
 from .soak_stop_checks import interrupted_at_stops
 
 NOT_RUN = frozenset({408, 421, 429, 503})
@@ -78,6 +79,7 @@
         _blocked,
         _outcomes,
         interrupted_at_stops,
+        resumed_streams,
         _key_validity,
         _leaving,
         _key_regressions,
@@ -180,7 +182,8 @@
     """Check that each request that reached a worker is answered in time."""
     passed_on = {r for worker in record.workers for r in worker.ran}
     for request in callers.requests:
-        if not request.ended_s or request.is_complete or _is_excused(record, request):
+        is_ended = request.is_complete or request.is_left
+        if not request.ended_s or is_ended or _is_excused(record, request):
             continue
         if events_of(request) and _is_model_disturbed(record, request):
             continue
--- a/tests/soak/soak_record.py
+++ b/tests/soak/soak_record.py
@@ -60,6 +60,7 @@
     stalls: list[Stall] = field(default_factory=list)
     orders: list[StopOrder] = field(default_factory=list)
     revoked_s: dict[str, float] = field(default_factory=dict)
+    listed_s: dict[str, float] = field(default_factory=dict)
     left_s: dict[str, float] = field(default_factory=dict)
     left_by_word_s: dict[str, float] = field(default_factory=dict)
     part_crashed_s: list[float] = field(default_factory=list)
--- a/tests/soak/soak_run.py
+++ b/tests/soak/soak_run.py
@@ -47,6 +47,7 @@
 from .soak_parts import SERVICE, PartCrashes, send_bad
 from .soak_record import GRACE_S, VERSIONS, ActionInterval, Record, StopOrder
 from .soak_restores import StoreRestores
+from .soak_resuming import ResumingCallers
 from .soak_stalls import record_stalls
 from .soak_stops import stop_schedule
 
@@ -125,6 +126,7 @@
         worker.address = str(relay.address)
         self.site.workers[worker_id] = worker
         self.record.workers.append(worker)
+        self.record.listed_s[worker_id] = time.monotonic()
         if service == SERVICE:
             self.crashes.watch(worker)
         self.relays[worker_id] = relay
@@ -467,10 +469,16 @@
         long_deadline_tasks: list[asyncio.Task[None]] = []
         if is_stops:
             steps = stop_schedule(seed, length_s=length_s, n_gateways=len(gateways))
+            # Two workers of each version, as streams go on at their own version.
+            for _ in VERSIONS:
+                await site.add_worker(SERVICE)
             site.load()
             long_deadline_tasks = LongDeadlineCallers(
                 callers=callers, rng=random.Random(seed)
             ).start()
+            long_deadline_tasks += ResumingCallers(
+                callers=callers, rng=random.Random(seed)
+            ).start()
         else:
             steps = schedule(
                 seed,
--- a/tests/soak/soak_stop_checks.py
+++ b/tests/soak/soak_stop_checks.py
@@ -63,7 +63,9 @@
     test process runs. After a stall, a close that they detect may be as old as the
     stall, so the stalled time is subtracted.
     """
-    if request.is_complete or not request.ended_s or not request.fully_sent_s:
+    if request.is_complete or request.is_left:
+        return False
+    if not request.ended_s or not request.fully_sent_s:
         return False
     stalled_s = sum(
         max(
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -79,6 +79,18 @@
         why="two stops at once do so, the third before the two gateways are ready",
         is_stops=True,
     ),
+    Case(
+        seed=540004,
+        length_s=13.0,
+        why="whether a worker has exited is checked after the end of a second stop",
+        is_stops=True,
+    ),
+    Case(
+        seed=540005,
+        length_s=8.0,
+        why="whether a worker has exited is checked after the end of a stop",
+        is_stops=True,
+    ),
     Case(
         seed=107,
         length_s=15.0,
--- a/tests/soak/test_stop_checks.py
+++ b/tests/soak/test_stop_checks.py
@@ -100,6 +100,12 @@
         begun.status = 0
         assert len(found(begun)) == 1
 
+    def test_nor_is_one_that_its_caller_left(self) -> None:
+        left = interrupted(status=200, ended_s=ORDERED_S + 2.0)
+        assert len(found(left)) == 1
+        left.is_left = True
+        assert found(left) == []
+
     def test_a_plain_answer_never_is(self) -> None:
         assert len(found(interrupted(kind="hold", status=200))) == 1
 
