Order the other gateway first in the test of a refusal's Retry-After

It ordered two gateways at the same moment and asked one of them 0.05 s after it stopped accepting streams. It hears of the other's order up to 0.1 s late, so the other still counted as accepting, and 0 was right as far as it knew. The test was written before gateways that accept counted as serving.

The other gateway is now ordered 0.5 s earlier. What is asserted is the same, and it is asserted at a moment at which neither accepts.

--- a/tests/platform_adapter/test_gateway_process.py
+++ b/tests/platform_adapter/test_gateway_process.py
@@ -37,6 +37,9 @@
 LARGE_BYTES = 1 << 24
 """Size of a body that does not fit into the buffers of a connection."""
 
+ORDERS_GAP_S = 0.5
+"""Time between two orders to stop; longer than until other gateways know of one."""
+
 LOG_DELAY_S = 0.2
 """Time after which decisions are in the log; lines are written within 50 ms."""
 
@@ -312,8 +315,10 @@
         ):
             await until(lambda: "peer=g1" in one.log() and "peer=g0" in other.log())
 
-            one.signal(signal.SIGTERM)
+            # The other one does not accept any more, either, when this one refuses.
             other.signal(signal.SIGTERM)
+            await asyncio.sleep(ORDERS_GAP_S)
+            one.signal(signal.SIGTERM)
             await asyncio.sleep(ACCEPT_STREAMS_S + SHORTLY_S)
             sent = headers("d1") | DRAFT
             async with client.post(f"{one.url}/draft/1", headers=sent) as answer:
