Wait a short time for stopping gateways once all live ones have answered

A stream that no gateway knows was refused only after 0.3 s, since a gateway that has announced its stop and exited is queried as well and does not answer. Once all live gateways have answered, the wait for those that stop ends after a further 0.1 s; while no live one has answered, the whole timeout remains. Not waiting at all was ruled out: a stopping gateway may be the only one that still knows the stream.

test_an_unknown_stream_does_not_wait_for_a_gateway_that_has_exited took 0.3 s instead of less than 0.15 s before and passes now; the other tests of stream origins pass.

--- a/src/trefoilpaddle/coordination/chain/stream_origins.py
+++ b/src/trefoilpaddle/coordination/chain/stream_origins.py
@@ -46,6 +46,13 @@
 FIND_TIMEOUT_S: Final = 0.3
 """Longest wait for a queried gateway; many times a message's latency."""
 
+STOPPING_WAIT_S: Final = 0.1
+"""Longest further wait for gateways that stop, once all live ones have answered.
+
+One that has exited is not told from one that is still stopping. Streams that no gateway
+knows waited for it for the whole timeout.
+"""
+
 MAX_PER_MESSAGE: Final = 500
 """Origins in one message, about 25 kB."""
 
@@ -201,9 +208,14 @@
                         return KnownOrigin(software_version=sole)
                 if not pending:
                     break
+                have_live_answered = bool(live) and pending.isdisjoint(live)
                 done, pending = await asyncio.wait(
-                    pending, return_when=asyncio.FIRST_COMPLETED
+                    pending,
+                    return_when=asyncio.FIRST_COMPLETED,
+                    timeout=STOPPING_WAIT_S if have_live_answered else None,
                 )
+                if not done:
+                    break
                 for found in (task.result() for task in done):
                     if found is not None and found.is_known:
                         return KnownOrigin(software_version=found.software_version)
