State in member records when a process announced its stop

A gateway that starts counted each stop from when it heard of it. Records of removed hosts are kept for 120 s, so it queried hosts that had been gone for a minute as if they still ran, at each stream taken up during its first 8 s. Records now carry the age of the stop; builds that do not state it are treated as before, by the time at which the news came. Forgetting records earlier was ruled out: an old record could then list a removed member as live again.

--- a/idl/membership.thrift
+++ b/idl/membership.thrift
@@ -17,6 +17,7 @@
   11: i64 hosts_revision = 0
   12: string region = ""
   13: i32 millicores = 0           // processor that it may use; 0 if untold
+  14: optional i64 leaving_ms     // since it announced its stop; unset by earlier builds
 }
 
 struct DomainDigest {
--- a/src/trefoilpaddle/coordination/chain/fleet.py
+++ b/src/trefoilpaddle/coordination/chain/fleet.py
@@ -141,9 +141,15 @@
             record
             for record in self.membership.table.records.values()
             if record.state is MemberState.LEAVING
-            and now_s - self._known_s(record) < within_s
+            and now_s - self._stopping_since_s(record) < within_s
         ]
-        return sorted(stopping, key=self._known_s)
+        return sorted(stopping, key=self._stopping_since_s)
+
+    def _stopping_since_s(self, member: MemberRecord) -> float:
+        """Return when a gateway announced its stop, which others may have heard of."""
+        if member.leaving_since_s is None:
+            return self._known_s(member)
+        return member.leaving_since_s
 
     def serves_elsewhere_in_s(self, *, grace_s: float) -> float:
         """Return the seconds until another gateway probably serves; 0 if one does.
--- a/src/trefoilpaddle/coordination/members/member_wire.py
+++ b/src/trefoilpaddle/coordination/members/member_wire.py
@@ -1,9 +1,11 @@
 """Conversion of member records to and from messages between processes."""
 
 import re
+import time
 from collections.abc import Iterable, Iterator
 from typing import Final
 
+from ...protocol.const import MS_PER_S
 from ...protocol.gen.membership.ttypes import DomainDigest, Member
 from ...state.members import MemberRecord, MemberState, MemberTable
 
@@ -27,6 +29,7 @@
         state=int(record.state),
         beat=record.beat,
         millicores=record.millicores,
+        leaving_ms=_leaving_ms(record),
     )
 
 
@@ -47,9 +50,24 @@
             state=MemberState(member.state),
             beat=member.beat,
             millicores=member.millicores,
+            leaving_since_s=_leaving_since_s(member),
         )
 
 
+def _leaving_ms(record: MemberRecord) -> int | None:
+    """Return the age of a stop that was announced, in milliseconds."""
+    if record.leaving_since_s is None:
+        return None
+    return int((time.monotonic() - record.leaving_since_s) * MS_PER_S)
+
+
+def _leaving_since_s(member: Member) -> float | None:
+    """Return the monotonic time at which a member announced its stop, if stated."""
+    if member.leaving_ms is None:
+        return None
+    return time.monotonic() - max(0, member.leaving_ms) / MS_PER_S
+
+
 def _is_well_formed(member: Member) -> bool:
     return bool(
         member.state in STATES
--- a/src/trefoilpaddle/coordination/members/membership.py
+++ b/src/trefoilpaddle/coordination/members/membership.py
@@ -144,7 +144,7 @@
         for record in records:
             if record.process_id == self.own.process_id:
                 self._refute_outdated(record)
-            elif self.table.merge([record]):
+            elif self.table.merge([_with_stop_time(record)]):
                 if record.state is MemberState.LIVE:
                     self.seen_live.add(record.process_id)
                 self._record_change(record)
@@ -163,9 +163,15 @@
 
     def announce_leaving(self) -> None:
         """Announce to the fleet that this process is leaving."""
-        self.last_change_s[self.own.process_id] = time.monotonic()
+        now_s = time.monotonic()
+        self.last_change_s[self.own.process_id] = now_s
         self._set_own(
-            replace(self.own, state=MemberState.LEAVING, beat=self.own.beat + 1)
+            replace(
+                self.own,
+                state=MemberState.LEAVING,
+                beat=self.own.beat + 1,
+                leaving_since_s=now_s,
+            )
         )
 
     def live(self) -> Sequence[MemberRecord]:
@@ -430,3 +436,13 @@
     def _on_peer_message(self, connection: Connection, message: Message) -> None:
         if isinstance(message, Gossip):
             self.apply_records(from_wire(message.members))
+
+
+def _with_stop_time(record: MemberRecord) -> MemberRecord:
+    """Return a record that states when its process announced its stop.
+
+    An earlier build does not state it; the stop is then as old as its news.
+    """
+    if record.state is not MemberState.LEAVING or record.leaving_since_s is not None:
+        return record
+    return replace(record, leaving_since_s=time.monotonic())
--- a/src/trefoilpaddle/protocol/gen/membership/ttypes.py
+++ b/src/trefoilpaddle/protocol/gen/membership/ttypes.py
@@ -53,6 +53,7 @@
      - hosts_revision
      - region
      - millicores
+     - leaving_ms
 
     """
 
@@ -70,10 +71,11 @@
         'hosts_revision',
         'region',
         'millicores',
+        'leaving_ms',
     )
 
 
-    def __init__(self, process_id="", incarnation=0, address="", role="", failure_domain="", service_name="", target="", state=    0, beat=0, config_revision=0, hosts_revision=0, region="", millicores=0,):
+    def __init__(self, process_id="", incarnation=0, address="", role="", failure_domain="", service_name="", target="", state=    0, beat=0, config_revision=0, hosts_revision=0, region="", millicores=0, leaving_ms=None,):
         self.process_id = process_id
         self.incarnation = incarnation
         self.address = address
@@ -87,6 +89,7 @@
         self.hosts_revision = hosts_revision
         self.region = region
         self.millicores = millicores
+        self.leaving_ms = leaving_ms
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -162,6 +165,11 @@
                     self.millicores = iprot.readI32()
                 else:
                     iprot.skip(ftype)
+            elif fid == 14:
+                if ftype == TType.I64:
+                    self.leaving_ms = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -224,6 +232,10 @@
             oprot.writeFieldBegin('millicores', TType.I32, 13)
             oprot.writeI32(self.millicores)
             oprot.writeFieldEnd()
+        if self.leaving_ms is not None:
+            oprot.writeFieldBegin('leaving_ms', TType.I64, 14)
+            oprot.writeI64(self.leaving_ms)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -591,6 +603,7 @@
     (11, TType.I64, 'hosts_revision', None, 0, ),  # 11
     (12, TType.STRING, 'region', 'UTF8', "", ),  # 12
     (13, TType.I32, 'millicores', None, 0, ),  # 13
+    (14, TType.I64, 'leaving_ms', None, None, ),  # 14
 )
 all_structs.append(DomainDigest)
 DomainDigest.thrift_spec = (
--- a/src/trefoilpaddle/protocol/gen/membership/ttypes.pyi
+++ b/src/trefoilpaddle/protocol/gen/membership/ttypes.pyi
@@ -19,7 +19,8 @@
     hosts_revision: int
     region: str
     millicores: int
-    def __init__(self, *, process_id: str = ..., incarnation: int = ..., address: str = ..., role: str = ..., failure_domain: str = ..., service_name: str = ..., target: str = ..., state: int = ..., beat: int = ..., config_revision: int = ..., hosts_revision: int = ..., region: str = ..., millicores: int = ...) -> None: ...
+    leaving_ms: int | None
+    def __init__(self, *, process_id: str = ..., incarnation: int = ..., address: str = ..., role: str = ..., failure_domain: str = ..., service_name: str = ..., target: str = ..., state: int = ..., beat: int = ..., config_revision: int = ..., hosts_revision: int = ..., region: str = ..., millicores: int = ..., leaving_ms: int | None = ...) -> None: ...
 class DomainDigest:
     failure_domain: str
     digest: int
--- a/src/trefoilpaddle/state/members.py
+++ b/src/trefoilpaddle/state/members.py
@@ -1,7 +1,7 @@
 """Latest membership record of each process, and digests over the records."""
 
 from collections.abc import Iterable, Iterator
-from dataclasses import dataclass, replace
+from dataclasses import dataclass, field, replace
 from enum import IntEnum, unique
 
 from ..protocol.checksum import checksum
@@ -38,6 +38,9 @@
         Counter that only the process itself raises, to supersede reports about it.
     millicores : int
         CPU that the process may use, in thousandths of a core; 0 if not reported.
+    leaving_since_s : float or None
+        Monotonic time at which the process announced that it leaves; None if it did
+        not, or if that time is unknown.
     """
 
     process_id: str
@@ -51,6 +54,7 @@
     state: MemberState
     beat: int
     millicores: int = 0
+    leaving_since_s: float | None = field(default=None, compare=False)
 
     def supersedes(self, other: "MemberRecord") -> bool:
         """Return True if this record takes precedence over `other`."""
