--- a/idl/chain.thrift
+++ b/idl/chain.thrift
@@ -33,6 +33,8 @@
   11: string near = ""           // failure domain of the gateway that asks
   12: list<MadePiece> made = []  // what the scheduler before has made of it
   13: string fingerprint = ""    // the same for all attempts of the request
+  14: i64 account = 0             // checksum of the client account's name; 0 if not stated
+  15: i32 weight_milli = 1000     // of the account
 }
 
 struct ChainAnswer {
@@ -97,6 +99,7 @@
   6: i64 born_ms = 0             // Unix time of its start; later starts replace it
   7: i64 cold_ms = 0             // it stays cold for so long; 0 if it does not report to be
   8: string software_version = ""  // unset by earlier builds
+  9: i32 n_slots = 0             // requests that it runs at once; 0 if not stated
 }
 
 // Asks a peer for what it knows of the store.
@@ -271,3 +274,63 @@
   3: optional string sole_version  // the only one that has served during the stream's life
   4: bool has_several = false      // whether more than one has, as far as is known
 }
+
+// What one client account asks of a service at one gateway.
+struct AccountDemand {
+  1: i64 account = 0             // checksum of its name
+  2: i32 weight_milli = 1000
+  3: i32 offered_milli = 0       // slots that all its requests would use
+  4: i32 n_running = 0
+  5: i32 n_waiting = 0
+}
+
+// A gateway tells the home of a service what is asked of the service there.
+struct SlotReport {
+  1: string service_name = ""
+  2: list<AccountDemand> accounts = []
+  3: i32 n_slots = 0             // of the usable workers, as published
+  4: i32 n_workers = 0
+  5: i32 base_ms = 0             // a request holds a slot for so long without contention
+  6: i32 n_answered = 0          // since the last report
+  7: i32 n_sheds = 0             // turned away by workers since the last report
+  8: bool may_grow = false       // workers may have more slots than are published
+  9: bool is_leaving = false     // the gateway stops and needs nothing any more
+  10: list<WorkerUse> workers = []
+}
+
+// Requests of one gateway, or of all, at a worker.
+struct WorkerUse {
+  1: string worker_id = ""
+  2: i64 born_ms = 0             // start of the worker
+  3: i32 n_running = 0
+}
+
+struct AccountShare {
+  1: i64 account = 0
+  2: i32 share_milli = 0         // slots at the gateway that asks
+}
+
+// What the gateway may use of the service.
+struct SlotGrant {
+  1: string service_name = ""
+  2: bool is_known = false       // false if the home does not know the other gateways yet
+  3: bool is_contended = false
+  4: i32 total_milli = 0
+  5: i32 level_milli = 0         // slots per weight that an account may use at all gateways
+  6: i32 n_gateways = 1
+  7: list<AccountShare> shares = []
+  8: list<WorkerUse> workers = []  // requests of all gateways
+}
+
+// A worker that turns requests away or fails all of them gets none for a while.
+struct LeftOutWorker {
+  1: string worker_id = ""
+  2: i64 born_ms = 0             // start of the worker
+  3: i32 for_ms = 0
+}
+
+// Without an answer: which services are short of slots, and which workers are left out.
+struct ServiceNews {
+  1: list<string> contended = []
+  2: list<LeftOutWorker> left_out = []
+}
--- a/src/trefoilpaddle/coordination/published/store_wire.py
+++ b/src/trefoilpaddle/coordination/published/store_wire.py
@@ -105,6 +105,7 @@
         born_ms=worker.born_ms,
         cold_ms=_cold_ms(worker),
         software_version=worker.software_version,
+        n_slots=worker.n_slots,
     )
 
 
@@ -126,4 +127,5 @@
             time.monotonic() + worker.cold_ms / MS_PER_S if worker.cold_ms else 0.0
         ),
         software_version=worker.software_version,
+        n_slots=max(0, worker.n_slots),
     )
--- a/src/trefoilpaddle/protocol/frames.py
+++ b/src/trefoilpaddle/protocol/frames.py
@@ -86,6 +86,9 @@
     105: chain.OriginFound,
     106: chain.CatchUpPull,
     107: chain.CatchUpState,
+    108: chain.SlotReport,
+    109: chain.SlotGrant,
+    110: chain.ServiceNews,
 }
 NEWEST_KIND: Final = max(KINDS)
 """Newest kind of frame that this build reads; hellos state it."""
--- a/src/trefoilpaddle/protocol/gen/chain/ttypes.py
+++ b/src/trefoilpaddle/protocol/gen/chain/ttypes.py
@@ -264,6 +264,8 @@
      - near
      - made
      - fingerprint
+     - account
+     - weight_milli
 
     """
 
@@ -281,13 +283,15 @@
         'near',
         'made',
         'fingerprint',
+        'account',
+        'weight_milli',
     )
 
 
     def __init__(self, cell="", request_id="", route="", stages=[
     ], piece_key="", due_in_ms=0, deadline_in_ms=0, must_be_on_time=True, priority=0, failure_domains=[
     ], near="", made=[
-    ], fingerprint="",):
+    ], fingerprint="", account=0, weight_milli=1000,):
         self.cell = cell
         self.request_id = request_id
         self.route = route
@@ -310,6 +314,8 @@
             ]
         self.made = made
         self.fingerprint = fingerprint
+        self.account = account
+        self.weight_milli = weight_milli
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -402,6 +408,16 @@
                     self.fingerprint = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
                 else:
                     iprot.skip(ftype)
+            elif fid == 14:
+                if ftype == TType.I64:
+                    self.account = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 15:
+                if ftype == TType.I32:
+                    self.weight_milli = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -473,6 +489,14 @@
             oprot.writeFieldBegin('fingerprint', TType.STRING, 13)
             oprot.writeString(self.fingerprint.encode('utf-8') if sys.version_info[0] == 2 else self.fingerprint)
             oprot.writeFieldEnd()
+        if self.account is not None:
+            oprot.writeFieldBegin('account', TType.I64, 14)
+            oprot.writeI64(self.account)
+            oprot.writeFieldEnd()
+        if self.weight_milli is not None:
+            oprot.writeFieldBegin('weight_milli', TType.I32, 15)
+            oprot.writeI32(self.weight_milli)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -1312,6 +1336,7 @@
      - born_ms
      - cold_ms
      - software_version
+     - n_slots
 
     """
 
@@ -1324,10 +1349,11 @@
         'born_ms',
         'cold_ms',
         'software_version',
+        'n_slots',
     )
 
 
-    def __init__(self, worker_id="", service_name="", address="", failure_domain="", is_leaving=False, born_ms=0, cold_ms=0, software_version="",):
+    def __init__(self, worker_id="", service_name="", address="", failure_domain="", is_leaving=False, born_ms=0, cold_ms=0, software_version="", n_slots=0,):
         self.worker_id = worker_id
         self.service_name = service_name
         self.address = address
@@ -1336,6 +1362,7 @@
         self.born_ms = born_ms
         self.cold_ms = cold_ms
         self.software_version = software_version
+        self.n_slots = n_slots
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -1386,6 +1413,11 @@
                     self.software_version = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
                 else:
                     iprot.skip(ftype)
+            elif fid == 9:
+                if ftype == TType.I32:
+                    self.n_slots = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -1428,6 +1460,10 @@
             oprot.writeFieldBegin('software_version', TType.STRING, 8)
             oprot.writeString(self.software_version.encode('utf-8') if sys.version_info[0] == 2 else self.software_version)
             oprot.writeFieldEnd()
+        if self.n_slots is not None:
+            oprot.writeFieldBegin('n_slots', TType.I32, 9)
+            oprot.writeI32(self.n_slots)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -3973,247 +4009,1115 @@
 
     def __ne__(self, other):
         return not (self == other)
-all_structs.append(ChainStage)
-ChainStage.thrift_spec = (
-    None,  # 0
-    (1, TType.STRING, 'service_name', 'UTF8', "", ),  # 1
-    (2, TType.LIST, 'after', (TType.I32, None, False), [
-    ], ),  # 2
-    (3, TType.DOUBLE, 'result_bytes', None, float(0), ),  # 3
-    (4, TType.I32, 'n_pieces', None, 0, ),  # 4
-)
-all_structs.append(MadePiece)
-MadePiece.thrift_spec = (
-    None,  # 0
-    (1, TType.I32, 'stage', None, 0, ),  # 1
-    (2, TType.I32, 'piece', None, 0, ),  # 2
-    (3, TType.STRING, 'handle', 'UTF8', "", ),  # 3
-    (4, TType.STRING, 'worker_id', 'UTF8', "", ),  # 4
-    (5, TType.I64, 'born_ms', None, 0, ),  # 5
-)
-all_structs.append(RunChain)
-RunChain.thrift_spec = (
-    None,  # 0
-    (1, TType.STRING, 'cell', 'UTF8', "", ),  # 1
-    (2, TType.STRING, 'request_id', 'UTF8', "", ),  # 2
-    (3, TType.STRING, 'route', 'UTF8', "", ),  # 3
-    (4, TType.LIST, 'stages', (TType.STRUCT, [ChainStage, None], False), [
-    ], ),  # 4
-    (5, TType.STRING, 'piece_key', 'UTF8', "", ),  # 5
-    (6, TType.I64, 'due_in_ms', None, 0, ),  # 6
-    (7, TType.I64, 'deadline_in_ms', None, 0, ),  # 7
-    (8, TType.BOOL, 'must_be_on_time', None, True, ),  # 8
-    (9, TType.I32, 'priority', None, 0, ),  # 9
-    (10, TType.LIST, 'failure_domains', (TType.STRING, 'UTF8', False), [
-    ], ),  # 10
-    (11, TType.STRING, 'near', 'UTF8', "", ),  # 11
-    (12, TType.LIST, 'made', (TType.STRUCT, [MadePiece, None], False), [
-    ], ),  # 12
-    (13, TType.STRING, 'fingerprint', 'UTF8', "", ),  # 13
-)
-all_structs.append(ChainAnswer)
-ChainAnswer.thrift_spec = (
-    None,  # 0
-    (1, TType.BOOL, 'is_made', None, False, ),  # 1
-    (2, TType.LIST, 'handles', (TType.STRING, 'UTF8', False), [
-    ], ),  # 2
-    (3, TType.I32, 'reason', None, 0, ),  # 3
-    (4, TType.BOOL, 'is_begun', None, False, ),  # 4
-    (5, TType.DOUBLE, 'finish_s', None, float(0), ),  # 5
-    (6, TType.DOUBLE, 'retry_after_s', None, float(0), ),  # 6
-    (7, TType.STRING, 'failure_domain', 'UTF8', "", ),  # 7
-    (8, TType.STRING, 'moved_to', 'UTF8', "", ),  # 8
-    (9, TType.LIST, 'made', (TType.STRUCT, [MadePiece, None], False), [
-    ], ),  # 9
-)
-all_structs.append(FreeChain)
-FreeChain.thrift_spec = (
-    None,  # 0
-    (1, TType.STRING, 'cell', 'UTF8', "", ),  # 1
-    (2, TType.STRING, 'request_id', 'UTF8', "", ),  # 2
-)
-all_structs.append(HeldResult)
-HeldResult.thrift_spec = (
-    None,  # 0
-    (1, TType.STRING, 'handle', 'UTF8', "", ),  # 1
-    (2, TType.DOUBLE, 'n_bytes', None, float(0), ),  # 2
-    (3, TType.I64, 'left_ms', None, 0, ),  # 3
-)
-all_structs.append(WorkerHandover)
-WorkerHandover.thrift_spec = (
-    None,  # 0
-    (1, TType.STRING, 'worker_id', 'UTF8', "", ),  # 1
-    (2, TType.I64, 'born_ms', None, 0, ),  # 2
-    (3, TType.I64, 'busy_ms', None, 0, ),  # 3
-    (4, TType.DOUBLE, 'ratio', None, float(1), ),  # 4
-    (5, TType.DOUBLE, 'busy_per_s', None, float(0), ),  # 5
-    (6, TType.LIST, 'held', (TType.STRUCT, [HeldResult, None], False), [
-    ], ),  # 6
-)
-all_structs.append(TakeCell)
-TakeCell.thrift_spec = (
-    None,  # 0
-    (1, TType.STRING, 'cell', 'UTF8', "", ),  # 1
-    (2, TType.LIST, 'failure_domains', (TType.STRING, 'UTF8', False), [
-    ], ),  # 2
-    (3, TType.LIST, 'workers', (TType.STRUCT, [WorkerHandover, None], False), [
-    ], ),  # 3
-)
-all_structs.append(CellTaken)
-CellTaken.thrift_spec = (
-    None,  # 0
-    (1, TType.BOOL, 'is_taken', None, False, ),  # 1
-)
-all_structs.append(ResultsFreed)
-ResultsFreed.thrift_spec = (
-    None,  # 0
-    (1, TType.STRING, 'cell', 'UTF8', "", ),  # 1
-    (2, TType.STRING, 'worker_id', 'UTF8', "", ),  # 2
-    (3, TType.I64, 'born_ms', None, 0, ),  # 3
-    (4, TType.LIST, 'handles', (TType.STRING, 'UTF8', False), [
-    ], ),  # 4
-)
-all_structs.append(ListedWorker)
-ListedWorker.thrift_spec = (
-    None,  # 0
-    (1, TType.STRING, 'worker_id', 'UTF8', "", ),  # 1
-    (2, TType.STRING, 'service_name', 'UTF8', "", ),  # 2
-    (3, TType.STRING, 'address', 'UTF8', "", ),  # 3
-    (4, TType.STRING, 'failure_domain', 'UTF8', "", ),  # 4
-    (5, TType.BOOL, 'is_leaving', None, False, ),  # 5
-    (6, TType.I64, 'born_ms', None, 0, ),  # 6
-    (7, TType.I64, 'cold_ms', None, 0, ),  # 7
-    (8, TType.STRING, 'software_version', 'UTF8', "", ),  # 8
-)
-all_structs.append(StorePull)
-StorePull.thrift_spec = (
-    None,  # 0
-    (1, TType.I64, 'revision', None, 0, ),  # 1
-    (2, TType.I64, 'version', None, 0, ),  # 2
-    (3, TType.I64, 'digest', None, 0, ),  # 3
-    (4, TType.I64, 'era', None, 0, ),  # 4
-    (5, TType.I64, 'domain_digest', None, None, ),  # 5
-    (6, TType.BOOL, 'takes_parts', None, None, ),  # 6
-    (7, TType.I64, 'version_digest', None, None, ),  # 7
-)
-all_structs.append(TablePull)
-TablePull.thrift_spec = (
-    None,  # 0
-    (1, TType.I64, 'version', None, 0, ),  # 1
-    (2, TType.I32, 'from_byte', None, 0, ),  # 2
-)
-all_structs.append(TablePart)
-TablePart.thrift_spec = (
-    None,  # 0
-    (1, TType.I64, 'version', None, 0, ),  # 1
-    (2, TType.I32, 'from_byte', None, 0, ),  # 2
-    (3, TType.I32, 'n_bytes', None, 0, ),  # 3
-    (4, TType.I64, 'checksum', None, 0, ),  # 4
-    (5, TType.STRING, 'data', 'BINARY', b"", ),  # 5
-)
-all_structs.append(StoreState)
-StoreState.thrift_spec = (
-    None,  # 0
-    (1, TType.I64, 'revision', None, 0, ),  # 1
-    (2, TType.I64, 'version', None, 0, ),  # 2
-    (3, TType.STRING, 'data', 'BINARY', b"", ),  # 3
-    (4, TType.LIST, 'workers', (TType.STRUCT, [ListedWorker, None], False), [
-    ], ),  # 4
-    (5, TType.BOOL, 'is_away', None, False, ),  # 5
-    (6, TType.LIST, 'lapsed', (TType.STRING, 'UTF8', False), [
-    ], ),  # 6
-    (7, TType.I32, 'back_ms', None, -1, ),  # 7
-    (8, TType.I64, 'digest', None, 0, ),  # 8
-    (9, TType.I64, 'era', None, 0, ),  # 9
-    (10, TType.LIST, 'doubted', (TType.STRUCT, [ListedWorker, None], False), [
-    ], ),  # 10
-    (11, TType.I32, 'answered_ms', None, -1, ),  # 11
-    (12, TType.I64, 'domain_digest', None, None, ),  # 12
-    (13, TType.LIST, 'evacuated', (TType.STRING, 'UTF8', False), None, ),  # 13
-    (14, TType.I64, 'version_digest', None, None, ),  # 14
-)
-all_structs.append(TablePiece)
-TablePiece.thrift_spec = (
-    None,  # 0
-    (1, TType.I32, 'from_byte', None, 0, ),  # 1
-    (2, TType.I32, 'n_bytes', None, 0, ),  # 2
-    (3, TType.STRING, 'added', 'BINARY', b"", ),  # 3
-)
-all_structs.append(TableChange)
-TableChange.thrift_spec = (
-    None,  # 0
-    (1, TType.I64, 'base_version', None, 0, ),  # 1
-    (2, TType.I64, 'checksum', None, 0, ),  # 2
-    (3, TType.LIST, 'pieces', (TType.STRUCT, [TablePiece, None], False), [
-    ], ),  # 3
-)
-all_structs.append(EarlierList)
-EarlierList.thrift_spec = (
-    None,  # 0
-    (1, TType.I64, 'era', None, 0, ),  # 1
-    (2, TType.I64, 'digest', None, 0, ),  # 2
-    (3, TType.I64, 'domain_digest', None, None, ),  # 3
-    (4, TType.I64, 'version_digest', None, None, ),  # 4
-)
-all_structs.append(StoreNews)
-StoreNews.thrift_spec = (
-    None,  # 0
-    (1, TType.I64, 'base_revision', None, 0, ),  # 1
-    (2, TType.I64, 'revision', None, 0, ),  # 2
-    (3, TType.I64, 'version', None, 0, ),  # 3
-    (4, TType.LIST, 'workers', (TType.STRUCT, [ListedWorker, None], False), [
-    ], ),  # 4
-    (5, TType.LIST, 'removed', (TType.STRING, 'UTF8', False), [
-    ], ),  # 5
-    (6, TType.I64, 'digest', None, 0, ),  # 6
-    (7, TType.I32, 'back_ms', None, -1, ),  # 7
-    (8, TType.LIST, 'withdrawn', (TType.STRING, 'UTF8', False), None, ),  # 8
-    (9, TType.STRUCT, 'table', [TableChange, None], None, ),  # 9
-    (10, TType.I64, 'era', None, 0, ),  # 10
-    (11, TType.STRUCT, 'base', [EarlierList, None], None, ),  # 11
-    (12, TType.LIST, 'doubted', (TType.STRUCT, [ListedWorker, None], False), None, ),  # 12
-    (13, TType.I64, 'domain_digest', None, None, ),  # 13
-    (14, TType.LIST, 'evacuated', (TType.STRING, 'UTF8', False), None, ),  # 14
-    (15, TType.I64, 'version_digest', None, None, ),  # 15
-)
-all_structs.append(WorkerCrash)
-WorkerCrash.thrift_spec = (
-    None,  # 0
-    (1, TType.STRING, 'worker_id', 'UTF8', "", ),  # 1
-    (2, TType.I64, 'born_ms', None, 0, ),  # 2
-    (3, TType.I64, 'ended_ms', None, 0, ),  # 3
-    (4, TType.I32, 'level', None, 1, ),  # 4
-)
-all_structs.append(CrashedWorkers)
-CrashedWorkers.thrift_spec = (
-    None,  # 0
-    (1, TType.STRING, 'fingerprint', 'UTF8', "", ),  # 1
-    (2, TType.LIST, 'crashes', (TType.STRUCT, [WorkerCrash, None], False), [
-    ], ),  # 2
-)
-all_structs.append(SuspectRun)
-SuspectRun.thrift_spec = (
-    None,  # 0
-    (1, TType.STRING, 'fingerprint', 'UTF8', "", ),  # 1
-    (2, TType.STRING, 'worker_id', 'UTF8', "", ),  # 2
-    (3, TType.I64, 'for_ms', None, 0, ),  # 3
-    (4, TType.I64, 'run_id', None, 0, ),  # 4
-)
-all_structs.append(CrashNews)
-CrashNews.thrift_spec = (
-    None,  # 0
-    (1, TType.LIST, 'crashed', (TType.STRUCT, [CrashedWorkers, None], False), [
-    ], ),  # 1
-    (2, TType.LIST, 'cleared', (TType.STRING, 'UTF8', False), [
-    ], ),  # 2
-    (3, TType.LIST, 'runs', (TType.STRUCT, [SuspectRun, None], False), [
-    ], ),  # 3
-)
-all_structs.append(ServedVersion)
-ServedVersion.thrift_spec = (
-    None,  # 0
-    (1, TType.STRING, 'service_name', 'UTF8', "", ),  # 1
-    (2, TType.STRING, 'software_version', 'UTF8', "", ),  # 2
+
+
+class AccountDemand(object):
+    """
+    Attributes:
+     - account
+     - weight_milli
+     - offered_milli
+     - n_running
+     - n_waiting
+
+    """
+
+    __slots__ = (
+        'account',
+        'weight_milli',
+        'offered_milli',
+        'n_running',
+        'n_waiting',
+    )
+
+
+    def __init__(self, account=0, weight_milli=1000, offered_milli=0, n_running=0, n_waiting=0,):
+        self.account = account
+        self.weight_milli = weight_milli
+        self.offered_milli = offered_milli
+        self.n_running = n_running
+        self.n_waiting = n_waiting
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.I64:
+                    self.account = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.I32:
+                    self.weight_milli = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.I32:
+                    self.offered_milli = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.I32:
+                    self.n_running = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 5:
+                if ftype == TType.I32:
+                    self.n_waiting = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('AccountDemand')
+        if self.account is not None:
+            oprot.writeFieldBegin('account', TType.I64, 1)
+            oprot.writeI64(self.account)
+            oprot.writeFieldEnd()
+        if self.weight_milli is not None:
+            oprot.writeFieldBegin('weight_milli', TType.I32, 2)
+            oprot.writeI32(self.weight_milli)
+            oprot.writeFieldEnd()
+        if self.offered_milli is not None:
+            oprot.writeFieldBegin('offered_milli', TType.I32, 3)
+            oprot.writeI32(self.offered_milli)
+            oprot.writeFieldEnd()
+        if self.n_running is not None:
+            oprot.writeFieldBegin('n_running', TType.I32, 4)
+            oprot.writeI32(self.n_running)
+            oprot.writeFieldEnd()
+        if self.n_waiting is not None:
+            oprot.writeFieldBegin('n_waiting', TType.I32, 5)
+            oprot.writeI32(self.n_waiting)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class SlotReport(object):
+    """
+    Attributes:
+     - service_name
+     - accounts
+     - n_slots
+     - n_workers
+     - base_ms
+     - n_answered
+     - n_sheds
+     - may_grow
+     - is_leaving
+     - workers
+
+    """
+
+    __slots__ = (
+        'service_name',
+        'accounts',
+        'n_slots',
+        'n_workers',
+        'base_ms',
+        'n_answered',
+        'n_sheds',
+        'may_grow',
+        'is_leaving',
+        'workers',
+    )
+
+
+    def __init__(self, service_name="", accounts=[
+    ], n_slots=0, n_workers=0, base_ms=0, n_answered=0, n_sheds=0, may_grow=False, is_leaving=False, workers=[
+    ],):
+        self.service_name = service_name
+        if accounts is self.thrift_spec[2][4]:
+            accounts = [
+            ]
+        self.accounts = accounts
+        self.n_slots = n_slots
+        self.n_workers = n_workers
+        self.base_ms = base_ms
+        self.n_answered = n_answered
+        self.n_sheds = n_sheds
+        self.may_grow = may_grow
+        self.is_leaving = is_leaving
+        if workers is self.thrift_spec[10][4]:
+            workers = [
+            ]
+        self.workers = workers
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.service_name = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.LIST:
+                    self.accounts = []
+                    (_etype192, _size189) = iprot.readListBegin()
+                    for _i193 in range(_size189):
+                        _elem194 = AccountDemand()
+                        _elem194.read(iprot)
+                        self.accounts.append(_elem194)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.I32:
+                    self.n_slots = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.I32:
+                    self.n_workers = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 5:
+                if ftype == TType.I32:
+                    self.base_ms = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 6:
+                if ftype == TType.I32:
+                    self.n_answered = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 7:
+                if ftype == TType.I32:
+                    self.n_sheds = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 8:
+                if ftype == TType.BOOL:
+                    self.may_grow = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 9:
+                if ftype == TType.BOOL:
+                    self.is_leaving = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 10:
+                if ftype == TType.LIST:
+                    self.workers = []
+                    (_etype198, _size195) = iprot.readListBegin()
+                    for _i199 in range(_size195):
+                        _elem200 = WorkerUse()
+                        _elem200.read(iprot)
+                        self.workers.append(_elem200)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('SlotReport')
+        if self.service_name is not None:
+            oprot.writeFieldBegin('service_name', TType.STRING, 1)
+            oprot.writeString(self.service_name.encode('utf-8') if sys.version_info[0] == 2 else self.service_name)
+            oprot.writeFieldEnd()
+        if self.accounts is not None:
+            oprot.writeFieldBegin('accounts', TType.LIST, 2)
+            oprot.writeListBegin(TType.STRUCT, len(self.accounts))
+            for iter201 in self.accounts:
+                iter201.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.n_slots is not None:
+            oprot.writeFieldBegin('n_slots', TType.I32, 3)
+            oprot.writeI32(self.n_slots)
+            oprot.writeFieldEnd()
+        if self.n_workers is not None:
+            oprot.writeFieldBegin('n_workers', TType.I32, 4)
+            oprot.writeI32(self.n_workers)
+            oprot.writeFieldEnd()
+        if self.base_ms is not None:
+            oprot.writeFieldBegin('base_ms', TType.I32, 5)
+            oprot.writeI32(self.base_ms)
+            oprot.writeFieldEnd()
+        if self.n_answered is not None:
+            oprot.writeFieldBegin('n_answered', TType.I32, 6)
+            oprot.writeI32(self.n_answered)
+            oprot.writeFieldEnd()
+        if self.n_sheds is not None:
+            oprot.writeFieldBegin('n_sheds', TType.I32, 7)
+            oprot.writeI32(self.n_sheds)
+            oprot.writeFieldEnd()
+        if self.may_grow is not None:
+            oprot.writeFieldBegin('may_grow', TType.BOOL, 8)
+            oprot.writeBool(self.may_grow)
+            oprot.writeFieldEnd()
+        if self.is_leaving is not None:
+            oprot.writeFieldBegin('is_leaving', TType.BOOL, 9)
+            oprot.writeBool(self.is_leaving)
+            oprot.writeFieldEnd()
+        if self.workers is not None:
+            oprot.writeFieldBegin('workers', TType.LIST, 10)
+            oprot.writeListBegin(TType.STRUCT, len(self.workers))
+            for iter202 in self.workers:
+                iter202.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class WorkerUse(object):
+    """
+    Attributes:
+     - worker_id
+     - born_ms
+     - n_running
+
+    """
+
+    __slots__ = (
+        'worker_id',
+        'born_ms',
+        'n_running',
+    )
+
+
+    def __init__(self, worker_id="", born_ms=0, n_running=0,):
+        self.worker_id = worker_id
+        self.born_ms = born_ms
+        self.n_running = n_running
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.worker_id = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.I64:
+                    self.born_ms = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.I32:
+                    self.n_running = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('WorkerUse')
+        if self.worker_id is not None:
+            oprot.writeFieldBegin('worker_id', TType.STRING, 1)
+            oprot.writeString(self.worker_id.encode('utf-8') if sys.version_info[0] == 2 else self.worker_id)
+            oprot.writeFieldEnd()
+        if self.born_ms is not None:
+            oprot.writeFieldBegin('born_ms', TType.I64, 2)
+            oprot.writeI64(self.born_ms)
+            oprot.writeFieldEnd()
+        if self.n_running is not None:
+            oprot.writeFieldBegin('n_running', TType.I32, 3)
+            oprot.writeI32(self.n_running)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class AccountShare(object):
+    """
+    Attributes:
+     - account
+     - share_milli
+
+    """
+
+    __slots__ = (
+        'account',
+        'share_milli',
+    )
+
+
+    def __init__(self, account=0, share_milli=0,):
+        self.account = account
+        self.share_milli = share_milli
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.I64:
+                    self.account = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.I32:
+                    self.share_milli = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('AccountShare')
+        if self.account is not None:
+            oprot.writeFieldBegin('account', TType.I64, 1)
+            oprot.writeI64(self.account)
+            oprot.writeFieldEnd()
+        if self.share_milli is not None:
+            oprot.writeFieldBegin('share_milli', TType.I32, 2)
+            oprot.writeI32(self.share_milli)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class SlotGrant(object):
+    """
+    Attributes:
+     - service_name
+     - is_known
+     - is_contended
+     - total_milli
+     - level_milli
+     - n_gateways
+     - shares
+     - workers
+
+    """
+
+    __slots__ = (
+        'service_name',
+        'is_known',
+        'is_contended',
+        'total_milli',
+        'level_milli',
+        'n_gateways',
+        'shares',
+        'workers',
+    )
+
+
+    def __init__(self, service_name="", is_known=False, is_contended=False, total_milli=0, level_milli=0, n_gateways=1, shares=[
+    ], workers=[
+    ],):
+        self.service_name = service_name
+        self.is_known = is_known
+        self.is_contended = is_contended
+        self.total_milli = total_milli
+        self.level_milli = level_milli
+        self.n_gateways = n_gateways
+        if shares is self.thrift_spec[7][4]:
+            shares = [
+            ]
+        self.shares = shares
+        if workers is self.thrift_spec[8][4]:
+            workers = [
+            ]
+        self.workers = workers
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.service_name = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.BOOL:
+                    self.is_known = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.BOOL:
+                    self.is_contended = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.I32:
+                    self.total_milli = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 5:
+                if ftype == TType.I32:
+                    self.level_milli = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 6:
+                if ftype == TType.I32:
+                    self.n_gateways = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 7:
+                if ftype == TType.LIST:
+                    self.shares = []
+                    (_etype206, _size203) = iprot.readListBegin()
+                    for _i207 in range(_size203):
+                        _elem208 = AccountShare()
+                        _elem208.read(iprot)
+                        self.shares.append(_elem208)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 8:
+                if ftype == TType.LIST:
+                    self.workers = []
+                    (_etype212, _size209) = iprot.readListBegin()
+                    for _i213 in range(_size209):
+                        _elem214 = WorkerUse()
+                        _elem214.read(iprot)
+                        self.workers.append(_elem214)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('SlotGrant')
+        if self.service_name is not None:
+            oprot.writeFieldBegin('service_name', TType.STRING, 1)
+            oprot.writeString(self.service_name.encode('utf-8') if sys.version_info[0] == 2 else self.service_name)
+            oprot.writeFieldEnd()
+        if self.is_known is not None:
+            oprot.writeFieldBegin('is_known', TType.BOOL, 2)
+            oprot.writeBool(self.is_known)
+            oprot.writeFieldEnd()
+        if self.is_contended is not None:
+            oprot.writeFieldBegin('is_contended', TType.BOOL, 3)
+            oprot.writeBool(self.is_contended)
+            oprot.writeFieldEnd()
+        if self.total_milli is not None:
+            oprot.writeFieldBegin('total_milli', TType.I32, 4)
+            oprot.writeI32(self.total_milli)
+            oprot.writeFieldEnd()
+        if self.level_milli is not None:
+            oprot.writeFieldBegin('level_milli', TType.I32, 5)
+            oprot.writeI32(self.level_milli)
+            oprot.writeFieldEnd()
+        if self.n_gateways is not None:
+            oprot.writeFieldBegin('n_gateways', TType.I32, 6)
+            oprot.writeI32(self.n_gateways)
+            oprot.writeFieldEnd()
+        if self.shares is not None:
+            oprot.writeFieldBegin('shares', TType.LIST, 7)
+            oprot.writeListBegin(TType.STRUCT, len(self.shares))
+            for iter215 in self.shares:
+                iter215.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.workers is not None:
+            oprot.writeFieldBegin('workers', TType.LIST, 8)
+            oprot.writeListBegin(TType.STRUCT, len(self.workers))
+            for iter216 in self.workers:
+                iter216.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class LeftOutWorker(object):
+    """
+    Attributes:
+     - worker_id
+     - born_ms
+     - for_ms
+
+    """
+
+    __slots__ = (
+        'worker_id',
+        'born_ms',
+        'for_ms',
+    )
+
+
+    def __init__(self, worker_id="", born_ms=0, for_ms=0,):
+        self.worker_id = worker_id
+        self.born_ms = born_ms
+        self.for_ms = for_ms
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.worker_id = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.I64:
+                    self.born_ms = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.I32:
+                    self.for_ms = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('LeftOutWorker')
+        if self.worker_id is not None:
+            oprot.writeFieldBegin('worker_id', TType.STRING, 1)
+            oprot.writeString(self.worker_id.encode('utf-8') if sys.version_info[0] == 2 else self.worker_id)
+            oprot.writeFieldEnd()
+        if self.born_ms is not None:
+            oprot.writeFieldBegin('born_ms', TType.I64, 2)
+            oprot.writeI64(self.born_ms)
+            oprot.writeFieldEnd()
+        if self.for_ms is not None:
+            oprot.writeFieldBegin('for_ms', TType.I32, 3)
+            oprot.writeI32(self.for_ms)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class ServiceNews(object):
+    """
+    Attributes:
+     - contended
+     - left_out
+
+    """
+
+    __slots__ = (
+        'contended',
+        'left_out',
+    )
+
+
+    def __init__(self, contended=[
+    ], left_out=[
+    ],):
+        if contended is self.thrift_spec[1][4]:
+            contended = [
+            ]
+        self.contended = contended
+        if left_out is self.thrift_spec[2][4]:
+            left_out = [
+            ]
+        self.left_out = left_out
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.LIST:
+                    self.contended = []
+                    (_etype220, _size217) = iprot.readListBegin()
+                    for _i221 in range(_size217):
+                        _elem222 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.contended.append(_elem222)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.LIST:
+                    self.left_out = []
+                    (_etype226, _size223) = iprot.readListBegin()
+                    for _i227 in range(_size223):
+                        _elem228 = LeftOutWorker()
+                        _elem228.read(iprot)
+                        self.left_out.append(_elem228)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('ServiceNews')
+        if self.contended is not None:
+            oprot.writeFieldBegin('contended', TType.LIST, 1)
+            oprot.writeListBegin(TType.STRING, len(self.contended))
+            for iter229 in self.contended:
+                oprot.writeString(iter229.encode('utf-8') if sys.version_info[0] == 2 else iter229)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.left_out is not None:
+            oprot.writeFieldBegin('left_out', TType.LIST, 2)
+            oprot.writeListBegin(TType.STRUCT, len(self.left_out))
+            for iter230 in self.left_out:
+                iter230.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+all_structs.append(ChainStage)
+ChainStage.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'service_name', 'UTF8', "", ),  # 1
+    (2, TType.LIST, 'after', (TType.I32, None, False), [
+    ], ),  # 2
+    (3, TType.DOUBLE, 'result_bytes', None, float(0), ),  # 3
+    (4, TType.I32, 'n_pieces', None, 0, ),  # 4
+)
+all_structs.append(MadePiece)
+MadePiece.thrift_spec = (
+    None,  # 0
+    (1, TType.I32, 'stage', None, 0, ),  # 1
+    (2, TType.I32, 'piece', None, 0, ),  # 2
+    (3, TType.STRING, 'handle', 'UTF8', "", ),  # 3
+    (4, TType.STRING, 'worker_id', 'UTF8', "", ),  # 4
+    (5, TType.I64, 'born_ms', None, 0, ),  # 5
+)
+all_structs.append(RunChain)
+RunChain.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'cell', 'UTF8', "", ),  # 1
+    (2, TType.STRING, 'request_id', 'UTF8', "", ),  # 2
+    (3, TType.STRING, 'route', 'UTF8', "", ),  # 3
+    (4, TType.LIST, 'stages', (TType.STRUCT, [ChainStage, None], False), [
+    ], ),  # 4
+    (5, TType.STRING, 'piece_key', 'UTF8', "", ),  # 5
+    (6, TType.I64, 'due_in_ms', None, 0, ),  # 6
+    (7, TType.I64, 'deadline_in_ms', None, 0, ),  # 7
+    (8, TType.BOOL, 'must_be_on_time', None, True, ),  # 8
+    (9, TType.I32, 'priority', None, 0, ),  # 9
+    (10, TType.LIST, 'failure_domains', (TType.STRING, 'UTF8', False), [
+    ], ),  # 10
+    (11, TType.STRING, 'near', 'UTF8', "", ),  # 11
+    (12, TType.LIST, 'made', (TType.STRUCT, [MadePiece, None], False), [
+    ], ),  # 12
+    (13, TType.STRING, 'fingerprint', 'UTF8', "", ),  # 13
+    (14, TType.I64, 'account', None, 0, ),  # 14
+    (15, TType.I32, 'weight_milli', None, 1000, ),  # 15
+)
+all_structs.append(ChainAnswer)
+ChainAnswer.thrift_spec = (
+    None,  # 0
+    (1, TType.BOOL, 'is_made', None, False, ),  # 1
+    (2, TType.LIST, 'handles', (TType.STRING, 'UTF8', False), [
+    ], ),  # 2
+    (3, TType.I32, 'reason', None, 0, ),  # 3
+    (4, TType.BOOL, 'is_begun', None, False, ),  # 4
+    (5, TType.DOUBLE, 'finish_s', None, float(0), ),  # 5
+    (6, TType.DOUBLE, 'retry_after_s', None, float(0), ),  # 6
+    (7, TType.STRING, 'failure_domain', 'UTF8', "", ),  # 7
+    (8, TType.STRING, 'moved_to', 'UTF8', "", ),  # 8
+    (9, TType.LIST, 'made', (TType.STRUCT, [MadePiece, None], False), [
+    ], ),  # 9
+)
+all_structs.append(FreeChain)
+FreeChain.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'cell', 'UTF8', "", ),  # 1
+    (2, TType.STRING, 'request_id', 'UTF8', "", ),  # 2
+)
+all_structs.append(HeldResult)
+HeldResult.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'handle', 'UTF8', "", ),  # 1
+    (2, TType.DOUBLE, 'n_bytes', None, float(0), ),  # 2
+    (3, TType.I64, 'left_ms', None, 0, ),  # 3
+)
+all_structs.append(WorkerHandover)
+WorkerHandover.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'worker_id', 'UTF8', "", ),  # 1
+    (2, TType.I64, 'born_ms', None, 0, ),  # 2
+    (3, TType.I64, 'busy_ms', None, 0, ),  # 3
+    (4, TType.DOUBLE, 'ratio', None, float(1), ),  # 4
+    (5, TType.DOUBLE, 'busy_per_s', None, float(0), ),  # 5
+    (6, TType.LIST, 'held', (TType.STRUCT, [HeldResult, None], False), [
+    ], ),  # 6
+)
+all_structs.append(TakeCell)
+TakeCell.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'cell', 'UTF8', "", ),  # 1
+    (2, TType.LIST, 'failure_domains', (TType.STRING, 'UTF8', False), [
+    ], ),  # 2
+    (3, TType.LIST, 'workers', (TType.STRUCT, [WorkerHandover, None], False), [
+    ], ),  # 3
+)
+all_structs.append(CellTaken)
+CellTaken.thrift_spec = (
+    None,  # 0
+    (1, TType.BOOL, 'is_taken', None, False, ),  # 1
+)
+all_structs.append(ResultsFreed)
+ResultsFreed.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'cell', 'UTF8', "", ),  # 1
+    (2, TType.STRING, 'worker_id', 'UTF8', "", ),  # 2
+    (3, TType.I64, 'born_ms', None, 0, ),  # 3
+    (4, TType.LIST, 'handles', (TType.STRING, 'UTF8', False), [
+    ], ),  # 4
+)
+all_structs.append(ListedWorker)
+ListedWorker.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'worker_id', 'UTF8', "", ),  # 1
+    (2, TType.STRING, 'service_name', 'UTF8', "", ),  # 2
+    (3, TType.STRING, 'address', 'UTF8', "", ),  # 3
+    (4, TType.STRING, 'failure_domain', 'UTF8', "", ),  # 4
+    (5, TType.BOOL, 'is_leaving', None, False, ),  # 5
+    (6, TType.I64, 'born_ms', None, 0, ),  # 6
+    (7, TType.I64, 'cold_ms', None, 0, ),  # 7
+    (8, TType.STRING, 'software_version', 'UTF8', "", ),  # 8
+    (9, TType.I32, 'n_slots', None, 0, ),  # 9
+)
+all_structs.append(StorePull)
+StorePull.thrift_spec = (
+    None,  # 0
+    (1, TType.I64, 'revision', None, 0, ),  # 1
+    (2, TType.I64, 'version', None, 0, ),  # 2
+    (3, TType.I64, 'digest', None, 0, ),  # 3
+    (4, TType.I64, 'era', None, 0, ),  # 4
+    (5, TType.I64, 'domain_digest', None, None, ),  # 5
+    (6, TType.BOOL, 'takes_parts', None, None, ),  # 6
+    (7, TType.I64, 'version_digest', None, None, ),  # 7
+)
+all_structs.append(TablePull)
+TablePull.thrift_spec = (
+    None,  # 0
+    (1, TType.I64, 'version', None, 0, ),  # 1
+    (2, TType.I32, 'from_byte', None, 0, ),  # 2
+)
+all_structs.append(TablePart)
+TablePart.thrift_spec = (
+    None,  # 0
+    (1, TType.I64, 'version', None, 0, ),  # 1
+    (2, TType.I32, 'from_byte', None, 0, ),  # 2
+    (3, TType.I32, 'n_bytes', None, 0, ),  # 3
+    (4, TType.I64, 'checksum', None, 0, ),  # 4
+    (5, TType.STRING, 'data', 'BINARY', b"", ),  # 5
+)
+all_structs.append(StoreState)
+StoreState.thrift_spec = (
+    None,  # 0
+    (1, TType.I64, 'revision', None, 0, ),  # 1
+    (2, TType.I64, 'version', None, 0, ),  # 2
+    (3, TType.STRING, 'data', 'BINARY', b"", ),  # 3
+    (4, TType.LIST, 'workers', (TType.STRUCT, [ListedWorker, None], False), [
+    ], ),  # 4
+    (5, TType.BOOL, 'is_away', None, False, ),  # 5
+    (6, TType.LIST, 'lapsed', (TType.STRING, 'UTF8', False), [
+    ], ),  # 6
+    (7, TType.I32, 'back_ms', None, -1, ),  # 7
+    (8, TType.I64, 'digest', None, 0, ),  # 8
+    (9, TType.I64, 'era', None, 0, ),  # 9
+    (10, TType.LIST, 'doubted', (TType.STRUCT, [ListedWorker, None], False), [
+    ], ),  # 10
+    (11, TType.I32, 'answered_ms', None, -1, ),  # 11
+    (12, TType.I64, 'domain_digest', None, None, ),  # 12
+    (13, TType.LIST, 'evacuated', (TType.STRING, 'UTF8', False), None, ),  # 13
+    (14, TType.I64, 'version_digest', None, None, ),  # 14
+)
+all_structs.append(TablePiece)
+TablePiece.thrift_spec = (
+    None,  # 0
+    (1, TType.I32, 'from_byte', None, 0, ),  # 1
+    (2, TType.I32, 'n_bytes', None, 0, ),  # 2
+    (3, TType.STRING, 'added', 'BINARY', b"", ),  # 3
+)
+all_structs.append(TableChange)
+TableChange.thrift_spec = (
+    None,  # 0
+    (1, TType.I64, 'base_version', None, 0, ),  # 1
+    (2, TType.I64, 'checksum', None, 0, ),  # 2
+    (3, TType.LIST, 'pieces', (TType.STRUCT, [TablePiece, None], False), [
+    ], ),  # 3
+)
+all_structs.append(EarlierList)
+EarlierList.thrift_spec = (
+    None,  # 0
+    (1, TType.I64, 'era', None, 0, ),  # 1
+    (2, TType.I64, 'digest', None, 0, ),  # 2
+    (3, TType.I64, 'domain_digest', None, None, ),  # 3
+    (4, TType.I64, 'version_digest', None, None, ),  # 4
+)
+all_structs.append(StoreNews)
+StoreNews.thrift_spec = (
+    None,  # 0
+    (1, TType.I64, 'base_revision', None, 0, ),  # 1
+    (2, TType.I64, 'revision', None, 0, ),  # 2
+    (3, TType.I64, 'version', None, 0, ),  # 3
+    (4, TType.LIST, 'workers', (TType.STRUCT, [ListedWorker, None], False), [
+    ], ),  # 4
+    (5, TType.LIST, 'removed', (TType.STRING, 'UTF8', False), [
+    ], ),  # 5
+    (6, TType.I64, 'digest', None, 0, ),  # 6
+    (7, TType.I32, 'back_ms', None, -1, ),  # 7
+    (8, TType.LIST, 'withdrawn', (TType.STRING, 'UTF8', False), None, ),  # 8
+    (9, TType.STRUCT, 'table', [TableChange, None], None, ),  # 9
+    (10, TType.I64, 'era', None, 0, ),  # 10
+    (11, TType.STRUCT, 'base', [EarlierList, None], None, ),  # 11
+    (12, TType.LIST, 'doubted', (TType.STRUCT, [ListedWorker, None], False), None, ),  # 12
+    (13, TType.I64, 'domain_digest', None, None, ),  # 13
+    (14, TType.LIST, 'evacuated', (TType.STRING, 'UTF8', False), None, ),  # 14
+    (15, TType.I64, 'version_digest', None, None, ),  # 15
+)
+all_structs.append(WorkerCrash)
+WorkerCrash.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'worker_id', 'UTF8', "", ),  # 1
+    (2, TType.I64, 'born_ms', None, 0, ),  # 2
+    (3, TType.I64, 'ended_ms', None, 0, ),  # 3
+    (4, TType.I32, 'level', None, 1, ),  # 4
+)
+all_structs.append(CrashedWorkers)
+CrashedWorkers.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'fingerprint', 'UTF8', "", ),  # 1
+    (2, TType.LIST, 'crashes', (TType.STRUCT, [WorkerCrash, None], False), [
+    ], ),  # 2
+)
+all_structs.append(SuspectRun)
+SuspectRun.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'fingerprint', 'UTF8', "", ),  # 1
+    (2, TType.STRING, 'worker_id', 'UTF8', "", ),  # 2
+    (3, TType.I64, 'for_ms', None, 0, ),  # 3
+    (4, TType.I64, 'run_id', None, 0, ),  # 4
+)
+all_structs.append(CrashNews)
+CrashNews.thrift_spec = (
+    None,  # 0
+    (1, TType.LIST, 'crashed', (TType.STRUCT, [CrashedWorkers, None], False), [
+    ], ),  # 1
+    (2, TType.LIST, 'cleared', (TType.STRING, 'UTF8', False), [
+    ], ),  # 2
+    (3, TType.LIST, 'runs', (TType.STRUCT, [SuspectRun, None], False), [
+    ], ),  # 3
+)
+all_structs.append(ServedVersion)
+ServedVersion.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'service_name', 'UTF8', "", ),  # 1
+    (2, TType.STRING, 'software_version', 'UTF8', "", ),  # 2
     (3, TType.I64, 'ended_ms', None, 0, ),  # 3
 )
 all_structs.append(ServedNews)
@@ -4276,5 +5180,72 @@
     (3, TType.STRING, 'sole_version', 'UTF8', None, ),  # 3
     (4, TType.BOOL, 'has_several', None, False, ),  # 4
 )
+all_structs.append(AccountDemand)
+AccountDemand.thrift_spec = (
+    None,  # 0
+    (1, TType.I64, 'account', None, 0, ),  # 1
+    (2, TType.I32, 'weight_milli', None, 1000, ),  # 2
+    (3, TType.I32, 'offered_milli', None, 0, ),  # 3
+    (4, TType.I32, 'n_running', None, 0, ),  # 4
+    (5, TType.I32, 'n_waiting', None, 0, ),  # 5
+)
+all_structs.append(SlotReport)
+SlotReport.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'service_name', 'UTF8', "", ),  # 1
+    (2, TType.LIST, 'accounts', (TType.STRUCT, [AccountDemand, None], False), [
+    ], ),  # 2
+    (3, TType.I32, 'n_slots', None, 0, ),  # 3
+    (4, TType.I32, 'n_workers', None, 0, ),  # 4
+    (5, TType.I32, 'base_ms', None, 0, ),  # 5
+    (6, TType.I32, 'n_answered', None, 0, ),  # 6
+    (7, TType.I32, 'n_sheds', None, 0, ),  # 7
+    (8, TType.BOOL, 'may_grow', None, False, ),  # 8
+    (9, TType.BOOL, 'is_leaving', None, False, ),  # 9
+    (10, TType.LIST, 'workers', (TType.STRUCT, [WorkerUse, None], False), [
+    ], ),  # 10
+)
+all_structs.append(WorkerUse)
+WorkerUse.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'worker_id', 'UTF8', "", ),  # 1
+    (2, TType.I64, 'born_ms', None, 0, ),  # 2
+    (3, TType.I32, 'n_running', None, 0, ),  # 3
+)
+all_structs.append(AccountShare)
+AccountShare.thrift_spec = (
+    None,  # 0
+    (1, TType.I64, 'account', None, 0, ),  # 1
+    (2, TType.I32, 'share_milli', None, 0, ),  # 2
+)
+all_structs.append(SlotGrant)
+SlotGrant.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'service_name', 'UTF8', "", ),  # 1
+    (2, TType.BOOL, 'is_known', None, False, ),  # 2
+    (3, TType.BOOL, 'is_contended', None, False, ),  # 3
+    (4, TType.I32, 'total_milli', None, 0, ),  # 4
+    (5, TType.I32, 'level_milli', None, 0, ),  # 5
+    (6, TType.I32, 'n_gateways', None, 1, ),  # 6
+    (7, TType.LIST, 'shares', (TType.STRUCT, [AccountShare, None], False), [
+    ], ),  # 7
+    (8, TType.LIST, 'workers', (TType.STRUCT, [WorkerUse, None], False), [
+    ], ),  # 8
+)
+all_structs.append(LeftOutWorker)
+LeftOutWorker.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'worker_id', 'UTF8', "", ),  # 1
+    (2, TType.I64, 'born_ms', None, 0, ),  # 2
+    (3, TType.I32, 'for_ms', None, 0, ),  # 3
+)
+all_structs.append(ServiceNews)
+ServiceNews.thrift_spec = (
+    None,  # 0
+    (1, TType.LIST, 'contended', (TType.STRING, 'UTF8', False), [
+    ], ),  # 1
+    (2, TType.LIST, 'left_out', (TType.STRUCT, [LeftOutWorker, None], False), [
+    ], ),  # 2
+)
 fix_spec(all_structs)
 del all_structs
--- a/src/trefoilpaddle/protocol/gen/chain/ttypes.pyi
+++ b/src/trefoilpaddle/protocol/gen/chain/ttypes.pyi
@@ -25,7 +25,9 @@
     near: str
     made: list[MadePiece]
     fingerprint: str
-    def __init__(self, *, cell: str = ..., request_id: str = ..., route: str = ..., stages: list[ChainStage] = ..., piece_key: str = ..., due_in_ms: int = ..., deadline_in_ms: int = ..., must_be_on_time: bool = ..., priority: int = ..., failure_domains: list[str] = ..., near: str = ..., made: list[MadePiece] = ..., fingerprint: str = ...) -> None: ...
+    account: int
+    weight_milli: int
+    def __init__(self, *, cell: str = ..., request_id: str = ..., route: str = ..., stages: list[ChainStage] = ..., piece_key: str = ..., due_in_ms: int = ..., deadline_in_ms: int = ..., must_be_on_time: bool = ..., priority: int = ..., failure_domains: list[str] = ..., near: str = ..., made: list[MadePiece] = ..., fingerprint: str = ..., account: int = ..., weight_milli: int = ...) -> None: ...
 class ChainAnswer:
     is_made: bool
     handles: list[str]
@@ -77,7 +79,8 @@
     born_ms: int
     cold_ms: int
     software_version: str
-    def __init__(self, *, worker_id: str = ..., service_name: str = ..., address: str = ..., failure_domain: str = ..., is_leaving: bool = ..., born_ms: int = ..., cold_ms: int = ..., software_version: str = ...) -> None: ...
+    n_slots: int
+    def __init__(self, *, worker_id: str = ..., service_name: str = ..., address: str = ..., failure_domain: str = ..., is_leaving: bool = ..., born_ms: int = ..., cold_ms: int = ..., software_version: str = ..., n_slots: int = ...) -> None: ...
 class StorePull:
     revision: int
     version: int
@@ -213,3 +216,50 @@
     sole_version: str | None
     has_several: bool
     def __init__(self, *, is_known: bool = ..., software_version: str = ..., sole_version: str | None = ..., has_several: bool = ...) -> None: ...
+class AccountDemand:
+    account: int
+    weight_milli: int
+    offered_milli: int
+    n_running: int
+    n_waiting: int
+    def __init__(self, *, account: int = ..., weight_milli: int = ..., offered_milli: int = ..., n_running: int = ..., n_waiting: int = ...) -> None: ...
+class SlotReport:
+    service_name: str
+    accounts: list[AccountDemand]
+    n_slots: int
+    n_workers: int
+    base_ms: int
+    n_answered: int
+    n_sheds: int
+    may_grow: bool
+    is_leaving: bool
+    workers: list[WorkerUse]
+    def __init__(self, *, service_name: str = ..., accounts: list[AccountDemand] = ..., n_slots: int = ..., n_workers: int = ..., base_ms: int = ..., n_answered: int = ..., n_sheds: int = ..., may_grow: bool = ..., is_leaving: bool = ..., workers: list[WorkerUse] = ...) -> None: ...
+class WorkerUse:
+    worker_id: str
+    born_ms: int
+    n_running: int
+    def __init__(self, *, worker_id: str = ..., born_ms: int = ..., n_running: int = ...) -> None: ...
+class AccountShare:
+    account: int
+    share_milli: int
+    def __init__(self, *, account: int = ..., share_milli: int = ...) -> None: ...
+class SlotGrant:
+    service_name: str
+    is_known: bool
+    is_contended: bool
+    total_milli: int
+    level_milli: int
+    n_gateways: int
+    shares: list[AccountShare]
+    workers: list[WorkerUse]
+    def __init__(self, *, service_name: str = ..., is_known: bool = ..., is_contended: bool = ..., total_milli: int = ..., level_milli: int = ..., n_gateways: int = ..., shares: list[AccountShare] = ..., workers: list[WorkerUse] = ...) -> None: ...
+class LeftOutWorker:
+    worker_id: str
+    born_ms: int
+    for_ms: int
+    def __init__(self, *, worker_id: str = ..., born_ms: int = ..., for_ms: int = ...) -> None: ...
+class ServiceNews:
+    contended: list[str]
+    left_out: list[LeftOutWorker]
+    def __init__(self, *, contended: list[str] = ..., left_out: list[LeftOutWorker] = ...) -> None: ...
--- a/src/trefoilpaddle/state/chain/workers.py
+++ b/src/trefoilpaddle/state/chain/workers.py
@@ -60,6 +60,8 @@
         entry states it anew, so it does not distinguish workers.
     software_version : str
         Version of its software. What two versions write does not fit together.
+    n_slots : int
+        Requests that it runs at the same time, as published; 0 if unknown.
     """
 
     worker_id: str
@@ -70,6 +72,7 @@
     born_ms: int = 0
     cold_until_s: float = field(default=0.0, compare=False)
     software_version: str = ""
+    n_slots: int = 0
 
     def is_same_start(self, other: "Worker | None") -> bool:
         """Return True if `other` is the same start of the same worker."""
@@ -178,13 +181,13 @@
         Entries of an earlier start, from a lagging peer or a late read, are ignored.
         """
         known = self._by_id.get(worker.worker_id)
-        if (
-            known is not None
-            and not worker.software_version
-            and (worker.is_same_start(known))
-        ):
-            # A gateway of an earlier build has passed the entry on without it.
-            worker = replace(worker, software_version=known.software_version)
+        if known is not None and worker.is_same_start(known):
+            # A gateway of an earlier build has passed the entry on without these.
+            worker = replace(
+                worker,
+                software_version=worker.software_version or known.software_version,
+                n_slots=worker.n_slots or known.n_slots,
+            )
         if known == worker:
             return self._learn_cold(known, worker)
         if worker.born_ms < self._newest_born_ms(worker.worker_id):
--- a/tests/chain/__main__.py
+++ b/tests/chain/__main__.py
@@ -6,7 +6,8 @@
 change for gateways that read the store and for those that are notified of it, ``crash``
 the cost of a worker crash, and ``origins`` how many streams go on after gateways were
 killed, by the number of replicas that know them. ``rolling`` prints the same for
-gateways that are stopped in turn.
+gateways that are stopped in turn, and ``shares`` how accounts are served beside a burst
+of one of them.
 """
 
 import logging
@@ -38,6 +39,7 @@
 from .origins_fleet import print_plays as print_origin_plays
 from .origins_fleet import print_rolling_stops
 from .part_plays import print_parts
+from .shares_model import print_plays as print_share_plays
 from .virtual_time import run_virtual
 
 LOADS: Final = {"busy": BUSY_DAY, "tight": TIGHT_DAY, "uneven": UNEVEN_DAY}
@@ -167,5 +169,6 @@
             "limits": print_limit_plays,
             "origins": print_origin_plays,
             "rolling": print_rolling_stops,
+            "shares": print_share_plays,
         }
     )
--- a/tests/platform_adapter/test_entries.py
+++ b/tests/platform_adapter/test_entries.py
@@ -72,8 +72,15 @@
             software_version="v1",
             is_leaving=True,
             born_ms=7,
+            n_slots=GOOD["slots"],
         )
 
+    @pytest.mark.parametrize("slots", [-3, 0, 0.5, 1e30])
+    def test_slots_that_are_not_credible_are_unknown(self, slots: float) -> None:
+        # Guards against a worker that is never used, or used without any limit.
+        (found,) = read(item("w", GOOD | {"slots": slots})).workers
+        assert found.n_slots == 0
+
     def test_unknown_fields_are_ignored(self) -> None:
         # Later versions of the platform write more fields.
         assert read(item("w", GOOD | {"colour": [1]})).workers
