Let requests wait at gateways for slots that accounts share

The ledger and the admission line are connected to the request path. A request holds a slot of its service while workers run it (service_lease, slot_leases). Without contention a gateway sends freely up to a bound; above it, it reports the demand of its accounts to the home of the service, one of the strongest gateways, and uses what the home grants. Homes announce contention over the members' links, so that gateways with little traffic report as well.

--- a/src/trefoilpaddle/coordination/chain/attempts.py
+++ b/src/trefoilpaddle/coordination/chain/attempts.py
@@ -17,6 +17,7 @@
 from .crash_guard import CrashGuard
 from .job import Job
 from .send_limits import SendLimits
+from .service_lease import HeldSlot, HoldSlot, unlimited_slot
 from .target_calls import TargetCalls
 from .worker_choice import Need, WorkerChoice
 from .worker_exchange import Inputs, WorkerExchange, WorkerFailed
@@ -66,6 +67,8 @@
         Limits what is sent to workers that bear few requests.
     on_begin : callable
         Called with the worker that sends the first event of a stream.
+    hold_slot : callable
+        Returns the context in which the request holds a slot of its service.
     """
 
     __slots__ = (
@@ -75,11 +78,14 @@
         "_exchange",
         "_guard",
         "_has_caller_left",
+        "_held",
+        "_hold_slot",
         "_inputs",
         "_job",
         "_journal",
         "_n_not_run",
         "_need",
+        "_on_begin",
         "_send_limits",
         "_tried",
         "_workers",
@@ -100,7 +106,11 @@
         guard: CrashGuard,
         send_limits: SendLimits,
         on_begin: Callable[[Worker], None] = _ignore,
+        hold_slot: HoldSlot = unlimited_slot,
     ) -> None:
+        self._hold_slot = hold_slot
+        self._held = HeldSlot()
+        self._on_begin = on_begin
         self._send_limits = send_limits
         self._job = job
         self._delivery = delivery
@@ -117,7 +127,7 @@
             calls=calls,
             delivery=delivery,
             guard=guard,
-            on_begin=on_begin,
+            on_begin=self._begin,
         )
         self._guard = guard
         self._budget = budget
@@ -131,7 +141,21 @@
         self._has_caller_left = True
 
     async def run(self, sink: CallerSink) -> Outcome:
-        """Send the request to workers in turn and return its outcome."""
+        """Send the request to workers in turn and return its outcome.
+
+        A request whose account has used its share waits for a slot first.
+        """
+        async with self._hold_slot(self._job) as held:
+            match held:
+                case Refused(reason=reason, retry_after_s=retry_s, detail=detail):
+                    return self._delivery.failure_outcome(
+                        reason, retry_after_s=retry_s, detail=detail
+                    )
+                case HeldSlot():
+                    self._held = held
+                    return await self._send_in_turn(sink)
+
+    async def _send_in_turn(self, sink: CallerSink) -> Outcome:
         while True:
             refusal = self._refusal()
             if refusal is not None:
@@ -167,6 +191,7 @@
             self._record_resumption(worker)
             match await self._exchange.send(worker, handles, sink):
                 case Answered() as answered:
+                    self._held.has_run = True
                     return answered
                 case WorkerFailed() as failed:
                     if not self._may_retry(Reason.TARGET_FAILED, worker):
@@ -178,6 +203,11 @@
                     if not self._may_retry(REASON_OF[fault], worker):
                         return self._outcome_of(REASON_OF[fault])
 
+    def _begin(self, worker: Worker) -> None:
+        """Record which worker sends the first event of the stream."""
+        self._held.mark_begun()
+        self._on_begin(worker)
+
     def _refusal(self) -> Refused | None:
         """Return why the request must not be sent to a worker now, or None."""
         return self._guard.refusal(self._job.fingerprint, self._job.parts)
@@ -214,6 +244,8 @@
         self._tried.add(worker.worker_id)
         if fault is CallFault.INPUTS_GONE:
             self._inputs.mark_lost()
+        if fault is CallFault.FULL and time.monotonic() < self._job.deadline_s:
+            self._held.n_sheds += 1
         if fault.has_not_run:
             self._n_not_run += 1
         else:
--- a/src/trefoilpaddle/coordination/chain/request_path.py
+++ b/src/trefoilpaddle/coordination/chain/request_path.py
@@ -30,6 +30,7 @@
 from .request_log import RequestLog
 from .running_chain import running_chain
 from .send_limits import SendLimits
+from .service_lease import HoldSlot, unlimited_slot
 from .stream_origins import KnownOrigin, StreamOrigins, UnknownOrigin
 from .target_calls import TargetCalls
 from .worker_choice import Need, WorkerChoice
@@ -99,6 +100,8 @@
         Limits what is sent to workers that bear few requests.
     origins : StreamOrigins
         Knows which software versions began streams.
+    hold_slot : callable
+        Returns the context in which a request holds a slot of its service.
 
     Attributes
     ----------
@@ -116,6 +119,7 @@
         "_failure_domain",
         "_finishing",
         "_guard",
+        "_hold_slot",
         "_journal",
         "_origins",
         "_router",
@@ -140,7 +144,9 @@
         catch_up: CatchUp,
         send_limits: SendLimits,
         origins: StreamOrigins,
+        hold_slot: HoldSlot = unlimited_slot,
     ) -> None:
+        self._hold_slot = hold_slot
         self._origins = origins
         self._send_limits = send_limits
         self._guard = guard
@@ -359,6 +365,7 @@
                         guard=self._guard,
                         send_limits=self._send_limits,
                         on_begin=functools.partial(self._record_origin, job),
+                        hold_slot=self._hold_slot,
                     )
                     if job.must_finish:
                         return await self._finish(attempts, sink)
--- a/src/trefoilpaddle/coordination/chain/worker_choice.py
+++ b/src/trefoilpaddle/coordination/chain/worker_choice.py
@@ -8,6 +8,7 @@
 from ...state.chain.prompt_record import PromptRecord
 from ...state.chain.requests import Prompt
 from ...state.chain.routes import EngineService, Service
+from ...state.chain.worker_uses import WorkerStart
 from ...state.chain.workers import Worker, WorkerTable
 from ...state.rendezvous import highest
 
@@ -88,13 +89,14 @@
         The listed workers.
     """
 
-    __slots__ = ("_counts", "_failure_domain", "_record", "_workers")
+    __slots__ = ("_counts", "_failure_domain", "_record", "_uses_by_all", "_workers")
 
     def __init__(self, *, failure_domain: str, workers: WorkerTable) -> None:
         self._failure_domain = failure_domain
         self._workers = workers
         self._counts: dict[str, OpenCounts] = {}
         self._record = PromptRecord()
+        self._uses_by_all: dict[str, Mapping[WorkerStart, int]] = {}
         workers.leave_listeners.append(self._on_leave)
 
     def choose(
@@ -143,6 +145,18 @@
         counts = self._counts.get(worker_id)
         return 0 if counts is None else counts.n_open
 
+    def uses(self, service: str) -> dict[WorkerStart, int]:
+        """Return the open requests of this gateway at the workers of a service."""
+        return {
+            (worker.worker_id, worker.born_ms): n_open
+            for worker in self._workers.listed(service)
+            if (n_open := self.n_open(worker.worker_id))
+        }
+
+    def learn_uses(self, service: str, uses: Mapping[WorkerStart, int]) -> None:
+        """Learn the open requests of all gateways at the workers of a service."""
+        self._uses_by_all[service] = uses
+
     def unread_tokens(self, worker_id: str, prompt: Prompt) -> int:
         """Return the number of tokens of a prompt that an engine has yet to read."""
         return prompt.n_tokens - self._record.held_tokens(worker_id, prompt)
--- a/src/trefoilpaddle/standins/platform/site.py
+++ b/src/trefoilpaddle/standins/platform/site.py
@@ -68,7 +68,7 @@
     return known | fields
 
 
-def pieces(name: str) -> dict[str, Any]:
+def pieces(name: str, **fields: Any) -> dict[str, Any]:
     """Return a service of stage workers as operators write it."""
     load = {
         "slots": 1,
@@ -80,7 +80,7 @@
         "handle_s": 4.0,
         "link_mbps": 1000,
     }
-    return {"name": name, "pieces": load}
+    return {"name": name, "pieces": load | fields}
 
 
 def settings(
@@ -220,6 +220,7 @@
                 state=state,
                 born=self.workers[worker_id].born_ms,
                 version=self.workers[worker_id].software_version,
+                slots=self.workers[worker_id].n_slots or 1,
             ),
         )
 
--- a/src/trefoilpaddle/standins/platform/worker.py
+++ b/src/trefoilpaddle/standins/platform/worker.py
@@ -12,6 +12,7 @@
 from ..faults import Faults
 from ..record import Record
 from ..web import abort_connection, faulty_application, json_answer
+from .slots import Slots
 
 SEAL: Final = "Trefoilpaddle-Server-Seal"
 ATTEMPT: Final = "Trefoilpaddle-Attempt-Id"
@@ -50,6 +51,10 @@
         Time for a request, an event, or a call of pieces.
     software_version : str
         Version of its software, as listed in the store.
+    n_slots : int
+        Requests that it runs at the same time; 0 for any number.
+    n_queued : int
+        Requests that may wait for a slot; others are turned away without being run.
 
     Attributes
     ----------
@@ -69,6 +74,12 @@
         first event of a stream.
     stated : dict of str to str
         Headers in which the worker states its needs, in all of its answers.
+    slots : Slots
+        The slots in which requests run.
+    n_done : int
+        Requests that were answered completely.
+    fails : bool
+        True answers each request with 500 at once.
     turns_away : bool
         True answers each request and call with 503, without running it.
     turned_away_s : list of float
@@ -104,6 +115,7 @@
         "breaks_after",
         "breaks_inside_event",
         "ends_with_connection",
+        "fails",
         "faults",
         "freed",
         "headers",
@@ -114,13 +126,16 @@
         "marker",
         "n_busy",
         "n_calls",
+        "n_done",
         "n_events",
+        "n_slots",
         "on_marked",
         "pieces",
         "ran",
         "ran_s",
         "record",
         "rests_s",
+        "slots",
         "software_version",
         "stated",
         "turned_away",
@@ -137,7 +152,13 @@
         n_events: int = 0,
         work_s: float = 0.005,
         software_version: str = "v1",
+        n_slots: int = 0,
+        n_queued: int = 0,
     ) -> None:
+        self.n_slots = n_slots
+        self.slots = Slots(n_slots=n_slots, n_queued=n_queued)
+        self.n_done = 0
+        self.fails = False
         self.worker_id = worker_id
         self.n_events = n_events
         self.work_s = work_s
@@ -235,13 +256,23 @@
             return json_answer({}, status=421)
         request_id = request.headers[ATTEMPT]
         body = await request.read()
-        if self.turns_away:
+        if self.turns_away or self.slots.is_full:
             return self._turn_away(request)
+        async with self.slots.one():
+            answer = await self._run_in_slot(request, request_id, body)
+            self.n_done += answer.status < 300
+            return answer
+
+    async def _run_in_slot(
+        self, request: web.Request, request_id: str, body: bytes
+    ) -> web.StreamResponse:
         self.ran.append(request_id)
         self.ran_s.append(time.monotonic())
         self.headers.append(dict(request.headers))
         await self._crash_if_marked(body)
         headers = {ATTEMPT: request_id, SEAL: f"{self.worker_id}.{request_id}"}
+        if self.fails:
+            return web.Response(status=500, headers=headers)
         is_marked = self._has_marked_part(request)
         if not self.n_events:
             await asyncio.sleep(self.work_s)
--- a/src/trefoilpaddle/state/chain/admission_line.py
+++ b/src/trefoilpaddle/state/chain/admission_line.py
@@ -26,12 +26,22 @@
 HELD_SMOOTHING: Final = 0.1
 """Weight of the newest request in the mean time for which slots are held."""
 
+BASE_RISE: Final = 0.005
+"""The same for the time without contention, where a request takes longer.
+
+Before contention is known, requests wait at the workers already. A base that followed
+them would make busy workers look as if they had slots to spare.
+"""
+
 DEFAULT_HELD_S: Final = 0.05
 """Seconds for which a slot is taken to be held until a request has ended."""
 
 MIN_RATE_PER_S: Final = 1e-3
 """Arrivals per second below which an idle account is forgotten."""
 
+MAX_IDLE_ACCOUNTS: Final = 4096
+"""Accounts that are remembered before those that are idle are forgotten."""
+
 MAX_WAITING: Final = 2000
 """Requests that wait at one gateway for one service.
 
@@ -173,6 +183,7 @@
         "_begins_after_s",
         "_credit",
         "_held_s",
+        "_waiting",
         "base_s",
         "free_limit",
         "n_answered",
@@ -183,6 +194,7 @@
 
     def __init__(self, *, now_s: float) -> None:
         self._accounts: dict[int, AccountLine] = {}
+        self._waiting: dict[int, AccountLine] = {}
         self._credit = Credit(now_s=now_s)
         self._held_s = 0.0
         self._begins_after_s = 0.0
@@ -198,9 +210,16 @@
         """Mean time in seconds that a slot is held; 0 until a request has ended."""
         return self._held_s
 
+    @property
+    def begins_after_s(self) -> float:
+        """Mean time in seconds from getting a slot to the begin of the answer."""
+        return self._begins_after_s or DEFAULT_HELD_S
+
     def use(self, share: SlotShare, now_s: float) -> None:
         """Use another share from now on."""
-        self._advance_all(now_s)
+        for account, line in self._accounts.items():
+            self._advance(account, line, now_s)
+        self._advance_total(now_s)
         self.share = share
 
     def arrive(self, ticket: Ticket, now_s: float) -> Verdict:
@@ -219,6 +238,7 @@
                 wait_s=wait_s,
             )
         insort(line.waiting, ticket, key=Ticket.order)
+        self._waiting[ticket.account] = line
         self.n_waiting += 1
         return Waits()
 
@@ -228,29 +248,25 @@
             line = self._next_line(now_s)
             if line is None:
                 return
-            ticket = line.waiting.pop(0)
-            self.n_waiting -= 1
+            ticket = line.waiting[0]
+            self._remove(ticket, line)
             self._start(ticket, line, now_s)
             yield ticket
 
     def refuse_late(self, now_s: float) -> Iterator[Ticket]:
         """Remove and yield the waiting requests that cannot be in time any more."""
-        if not self.n_waiting:
-            return
-        for line in self._accounts.values():
+        for line in list(self._waiting.values()):
             late = [t for t in line.waiting if self._is_too_late(t, 0.0, now_s)]
             for ticket in late:
-                line.waiting.remove(ticket)
+                self._remove(ticket, line)
                 line.n_refused += 1
-                self.n_waiting -= 1
                 yield ticket
 
     def withdraw(self, ticket: Ticket) -> None:
         """Remove a waiting request whose caller has left."""
-        line = self._accounts[ticket.account]
-        if ticket in line.waiting:
-            line.waiting.remove(ticket)
-            self.n_waiting -= 1
+        line = self._waiting.get(ticket.account)
+        if line is not None and ticket in line.waiting:
+            self._remove(ticket, line)
 
     def begin_answer(self, ticket: Ticket, now_s: float) -> None:
         """Record that the answer of a request begins, with its first event if any."""
@@ -273,9 +289,11 @@
             True if a worker has answered it. The time for which a failed one has held
             its slot says nothing about the work.
         """
-        self._advance_all(now_s)
+        line = self._accounts[ticket.account]
+        self._advance(ticket.account, line, now_s)
+        self._advance_total(now_s)
         self.n_running -= 1
-        self._accounts[ticket.account].n_running -= 1
+        line.n_running -= 1
         if not has_run:
             return
         self.n_answered += 1
@@ -283,7 +301,8 @@
         held_s = now_s - ticket.began_s
         self._held_s = _smoothed(self._held_s, held_s)
         if ticket.is_free_start and not self.share.is_contended:
-            self.base_s = _smoothed(self.base_s, held_s)
+            weight = HELD_SMOOTHING if held_s < self.base_s else BASE_RISE
+            self.base_s = _smoothed(self.base_s, held_s, weight)
 
     def loads(self, now_s: float) -> dict[int, AccountLoad]:
         """Return the load of each account; those that are idle are forgotten."""
@@ -309,13 +328,16 @@
     def _line(self, ticket: Ticket, now_s: float) -> AccountLine:
         line = self._accounts.get(ticket.account)
         if line is None:
+            if len(self._accounts) >= MAX_IDLE_ACCOUNTS:
+                self.loads(now_s)
             line = AccountLine(weight=ticket.weight, credit=Credit(now_s=now_s))
             self._accounts[ticket.account] = line
         line.weight = ticket.weight
         return line
 
     def _start(self, ticket: Ticket, line: AccountLine, now_s: float) -> None:
-        self._advance_all(now_s)
+        self._advance(ticket.account, line, now_s)
+        self._advance_total(now_s)
         ticket.is_started = True
         ticket.began_s = now_s
         ticket.is_free_start = not self.share.is_contended
@@ -329,25 +351,18 @@
 
     def _is_within_share(self, account: int, line: AccountLine, now_s: float) -> bool:
         n_slots = self.share.of(account, line.weight)
-        self._advance(line, n_slots, now_s)
+        self._advance(account, line, now_s)
         return line.credit.seconds > 0.0 and line.n_running < math.ceil(n_slots) + 1
 
     def _has_spare(self, now_s: float) -> bool:
         """Return True if accounts leave slots of this gateway that others may use."""
         n_slots = self.share.n_slots
-        self._credit.advance(
-            now_s,
-            n_slots=n_slots,
-            n_running=self.n_running,
-            held_s=self._known_held_s(),
-        )
+        self._advance_total(now_s)
         return self._credit.seconds > 0.0 and self.n_running < math.ceil(n_slots)
 
     def _next_line(self, now_s: float) -> AccountLine | None:
         """Return the account whose first waiting request starts next, if any may."""
-        waiting = {
-            account: line for account, line in self._accounts.items() if line.waiting
-        }
+        waiting = self._waiting
         if not self.share.is_contended:
             if self.n_running >= self.free_limit:
                 return None
@@ -373,31 +388,33 @@
         return n_ahead * self._known_held_s() / max(MIN_RATE_PER_S, n_slots)
 
     def _is_too_late(self, ticket: Ticket, wait_s: float, now_s: float) -> bool:
-        begins_after_s = self._begins_after_s or DEFAULT_HELD_S
-        return now_s + wait_s + begins_after_s > ticket.due_s
+        return now_s + wait_s + self.begins_after_s > ticket.due_s
 
     def _known_held_s(self) -> float:
         return self._held_s or DEFAULT_HELD_S
 
-    def _advance(self, line: AccountLine, n_slots: float, now_s: float) -> None:
+    def _remove(self, ticket: Ticket, line: AccountLine) -> None:
+        line.waiting.remove(ticket)
+        self.n_waiting -= 1
+        if not line.waiting:
+            del self._waiting[ticket.account]
+
+    def _advance(self, account: int, line: AccountLine, now_s: float) -> None:
         line.credit.advance(
             now_s,
-            n_slots=n_slots,
+            n_slots=self.share.of(account, line.weight),
             n_running=line.n_running,
             held_s=self._known_held_s(),
         )
 
-    def _advance_all(self, now_s: float) -> None:
-        """Bring the credits up to date before running requests or shares change."""
+    def _advance_total(self, now_s: float) -> None:
         self._credit.advance(
             now_s,
             n_slots=self.share.n_slots,
             n_running=self.n_running,
             held_s=self._known_held_s(),
         )
-        for account, line in self._accounts.items():
-            self._advance(line, self.share.of(account, line.weight), now_s)
 
 
-def _smoothed(mean: float, value: float) -> float:
-    return mean + HELD_SMOOTHING * (value - mean) if mean else value
+def _smoothed(mean: float, value: float, weight: float = HELD_SMOOTHING) -> float:
+    return mean + weight * (value - mean) if mean else value
--- a/src/trefoilpaddle/state/chain/slot_ledger.py
+++ b/src/trefoilpaddle/state/chain/slot_ledger.py
@@ -127,7 +127,7 @@
     Parameters
     ----------
     is_contended : bool
-        False if nothing is limited.
+        False if accounts are not limited.
     n_slots : float
         Slots of the gateway, of all accounts together.
     level : float
@@ -265,7 +265,7 @@
         if known is None or self._first_s is None:
             return None
         if not self.is_contended(now_s):
-            return FREE
+            return self._free(known.load, now_s)
         if now_s - self._first_s < WARM_UP_S:
             return None
         division = self.division(now_s)
@@ -287,6 +287,17 @@
             by_account=by_account,
         )
 
+    def _free(self, load: ServiceLoad, now_s: float) -> SlotShare:
+        """Return what a gateway may use without contention.
+
+        Its demand and an equal part of what is spare: if every gateway might use all
+        that is spare, a burst would fill the workers' queues before the next report.
+        """
+        division = self.division(now_s)
+        demand = sum(each.demand for each in load.accounts.values())
+        spare = max(0.0, division.capacity - division.total)
+        return SlotShare(is_contended=False, n_slots=demand + spare / len(self._known))
+
     def division(self, now_s: float) -> Division:
         """Return the capacity divided by the reports that are valid."""
         if self._division is None or now_s - self._divided_s >= RECOMPUTE_S:
--- a/src/trefoilpaddle/state/events.py
+++ b/src/trefoilpaddle/state/events.py
@@ -89,6 +89,12 @@
     """A target has stated in an answer that it leaves."""
     TARGET_RESTS = 169
     """A target has turned a request away and asked this process for rest."""
+    TARGET_LEFT_OUT = 170
+    """A target gets no work for a while, as it turns requests away or fails them."""
+    CAPACITY_SHORT = 171
+    """A service is short of slots; each account gets its share from now on."""
+    CAPACITY_ENOUGH = 172
+    """A service has slots for all requests again."""
     # Configuration
     CONFIG_IN_FORCE = 200
     """A newer catalogue is active in this process."""
