Tell schedulers of cells the account of a chain

A scheduler admits chains without knowing whose they are, so it cannot hold an account to its share. Chains now carry the key and the weight of their account, 0 where shares are off or a gateway of an earlier build sends them.

--- a/src/trefoilpaddle/coordination/chain/chain_wire.py
+++ b/src/trefoilpaddle/coordination/chain/chain_wire.py
@@ -17,6 +17,7 @@
 )
 from ...state.chain.piece_work import PieceResult
 from ...state.chain.routes import StagePlan
+from .slot_wire import weight_from_wire, weight_to_wire
 
 
 def work_to_wire(work: ChainWork, cell: Cell) -> wire.RunChain:
@@ -43,6 +44,8 @@
         priority=work.priority,
         near=work.preferred_domain,
         fingerprint=work.fingerprint,
+        account=work.account,
+        weight_milli=weight_to_wire(work.account_weight),
         made=_made_to_wire(work.completed_pieces),
     )
 
@@ -69,6 +72,8 @@
         priority=request.priority,
         preferred_domain=request.near,
         fingerprint=request.fingerprint,
+        account=request.account,
+        account_weight=weight_from_wire(request.weight_milli),
         completed_pieces=_made_from_wire(request.made),
     )
 
--- a/src/trefoilpaddle/coordination/chain/request_path.py
+++ b/src/trefoilpaddle/coordination/chain/request_path.py
@@ -9,6 +9,7 @@
 from absl import logging
 
 from ...protocol.reasons import Reason
+from ...state.chain.account_shares import account_key, account_weight
 from ...state.chain.chain_work import ChainCompleted, ChainFailed, ChainMoved, ChainWork
 from ...state.chain.delivery import Delivery
 from ...state.chain.engine_times import EngineTimes
@@ -102,6 +103,8 @@
         Knows which software versions began streams.
     hold_slot : callable
         Returns the context in which a request holds a slot of its service.
+    has_shares : bool
+        True if schedulers should know the accounts of chains.
 
     Attributes
     ----------
@@ -119,6 +122,7 @@
         "_failure_domain",
         "_finishing",
         "_guard",
+        "_has_shares",
         "_hold_slot",
         "_journal",
         "_origins",
@@ -145,8 +149,10 @@
         send_limits: SendLimits,
         origins: StreamOrigins,
         hold_slot: HoldSlot = unlimited_slot,
+        has_shares: bool = False,
     ) -> None:
         self._hold_slot = hold_slot
+        self._has_shares = has_shares
         self._origins = origins
         self._send_limits = send_limits
         self._guard = guard
@@ -327,6 +333,8 @@
             preferred_domain=self._preferred_domain(job),
             priority=job.priority,
             fingerprint=job.fingerprint,
+            account=account_key(job.account.name) if self._has_shares else 0,
+            account_weight=account_weight(job.account.priority),
         )
         async with running_chain(self._router, work) as chain:
             match await chain.run():
--- a/src/trefoilpaddle/coordination/chain/slot_wire.py
+++ b/src/trefoilpaddle/coordination/chain/slot_wire.py
@@ -44,7 +44,7 @@
         accounts=[
             AccountDemand(
                 account=account,
-                weight_milli=int(one.weight * MILLI),
+                weight_milli=weight_to_wire(one.weight),
                 offered_milli=int(min(MAX_SLOTS, one.n_offered) * MILLI),
                 n_running=one.n_running,
                 n_waiting=one.n_waiting,
@@ -82,7 +82,7 @@
     return ServiceLoad(
         accounts={
             each.account: AccountLoad(
-                weight=min(MAX_WEIGHT, max(MIN_WEIGHT, each.weight_milli / MILLI)),
+                weight=weight_from_wire(each.weight_milli),
                 n_offered=_bounded(each.offered_milli / MILLI),
                 n_running=int(_bounded(each.n_running)),
                 n_waiting=int(_bounded(each.n_waiting)),
@@ -162,6 +162,16 @@
     }
 
 
+def weight_to_wire(weight: float) -> int:
+    """Return the weight of an account in thousandths."""
+    return int(weight * MILLI)
+
+
+def weight_from_wire(weight_milli: int) -> float:
+    """Return the weight of an account; one that is absurd is bounded."""
+    return min(MAX_WEIGHT, max(MIN_WEIGHT, weight_milli / MILLI))
+
+
 def _bounded(value: float) -> float:
     return min(MAX_SLOTS, max(0.0, value))
 
--- a/src/trefoilpaddle/state/chain/chain_work.py
+++ b/src/trefoilpaddle/state/chain/chain_work.py
@@ -50,6 +50,10 @@
         0 is the most urgent.
     fingerprint : str
         The same for all attempts of the request.
+    account : int
+        Key of the caller's account; 0 if a gateway of an earlier build states none.
+    account_weight : float
+        Weight of the account.
     must_be_on_time : bool
         Refuse the chain if it cannot be done by `due_s`.
     completed_pieces : tuple of StagePiece
@@ -66,6 +70,8 @@
     preferred_domain: str = ""
     priority: int = 0
     fingerprint: str = ""
+    account: int = 0
+    account_weight: float = 1.0
     must_be_on_time: bool = True
     completed_pieces: tuple[StagePiece, ...] = ()
 
