--- a/src/trefoilpaddle/coordination/chain/service_lease.py
+++ b/src/trefoilpaddle/coordination/chain/service_lease.py
@@ -58,6 +58,10 @@
 """Period of the check whether waiting requests can still be in time."""
 
 
+MIN_LOGGED_WAIT_S: Final = 0.01
+"""Shortest wait that is logged; shorter ones are the answer time of the home."""
+
+
 @dataclass(frozen=True, slots=True, kw_only=True)
 class PublishedSlots:
     """The slots of the usable workers of a service."""
@@ -211,7 +215,9 @@
                     )
                     yield self._refused(job, ticket, verdict, time.monotonic())
                     return
-                self._record_wait(job, time.monotonic() - now_s)
+                waited_s = time.monotonic() - now_s
+                if waited_s >= MIN_LOGGED_WAIT_S:
+                    self._record_wait(job, waited_s)
         if now_s < self._contended_until_s:
             self._keep_reporting()
         held = HeldSlot(on_begin=lambda: self._begin_answer(ticket))
