Leave answers before contention out of the first report

The first report of a gateway counted all answers since its start, so a home measured many times the slots in use and granted up to 16 times the capacity for two seconds. The count now begins with the reports. The new test saw 59 answers reported for 12 requests before, and passes now; it is the first of tests/chain/test_slot_leases.py.

--- a/src/trefoilpaddle/coordination/chain/service_lease.py
+++ b/src/trefoilpaddle/coordination/chain/service_lease.py
@@ -368,6 +368,8 @@
     async def _report_while_needed(self) -> None:
         """Report and use what is granted, until the service has slots for all."""
         began_s = time.monotonic()
+        # Answers of the time before say nothing about the present throughput.
+        self._n_told = self.line.n_answered
         while True:
             try:
                 period_s = await self._report(began_s)
--- /dev/null
+++ b/tests/chain/test_slot_leases.py
@@ -0,0 +1,172 @@
+"""Leases of a service's slots: what a gateway does when its home fails or is late.
+
+The load is one service with two workers of four slots, in virtual time.
+"""
+
+import asyncio
+import time
+from collections.abc import Awaitable, Callable
+from dataclasses import dataclass, field
+from typing import Any
+
+import pytest
+
+from trefoilpaddle.coordination.chain.job import Job
+from trefoilpaddle.coordination.chain.service_lease import (
+    GRANT_WAIT_S,
+    HeldSlot,
+    PublishedSlots,
+    ServiceLease,
+)
+from trefoilpaddle.protocol.gen.chain.ttypes import SlotGrant, SlotReport
+from trefoilpaddle.state.chain.requests import Refused
+from trefoilpaddle.state.chain.routes import Account, Route
+
+from .fakes import journal, request, route
+from .virtual_time import run_virtual
+
+ONE_WAY_S = 0.002
+WORK_S = 0.2
+N_SLOTS = 8
+
+Answer = Callable[[SlotReport], SlotGrant | None]
+
+
+def contended(n_slots: float, *, n_gateways: int = 2) -> SlotGrant:
+    """Return a grant of a service that is short of slots."""
+    return SlotGrant(
+        is_known=True,
+        is_contended=True,
+        total_milli=int(n_slots * 1000),
+        level_milli=int(n_slots * 1000),
+        n_gateways=n_gateways,
+    )
+
+
+def plentiful(n_slots: float) -> SlotGrant:
+    """Return a grant of a service that has slots to spare."""
+    return SlotGrant(is_known=True, total_milli=int(n_slots * 1000))
+
+
+def silent(report: SlotReport) -> None:
+    """Answer nothing."""
+
+
+@dataclass
+class Home:
+    """Answers the reports of a lease; None as an answer takes the whole wait."""
+
+    answer: Answer
+    home_id: str = "home"
+    reports: list[SlotReport] = field(default_factory=list)
+    reported_s: list[float] = field(default_factory=list)
+
+    async def ask(self, report: SlotReport) -> tuple[str, SlotGrant] | None:
+        self.reports.append(report)
+        self.reported_s.append(time.monotonic())
+        grant = self.answer(report)
+        if grant is None:
+            await asyncio.sleep(GRANT_WAIT_S)
+            return None
+        await asyncio.sleep(ONE_WAY_S)
+        return self.home_id, grant
+
+
+@dataclass
+class Gateway:
+    """A lease, its home and the requests that it has served."""
+
+    home: Home
+    n_gateways: int = 2
+    published: PublishedSlots | None = field(
+        default_factory=lambda: PublishedSlots(n_slots=N_SLOTS, n_workers=2)
+    )
+    n_at_workers: int = 0
+    most_at_workers: int = 0
+    waited_s: list[float] = field(default_factory=list)
+    refused: list[Refused] = field(default_factory=list)
+
+    def __post_init__(self) -> None:
+        self.lease = ServiceLease(
+            service="plain",
+            may_grow=True,
+            published=lambda: self.published,
+            n_gateways=lambda: self.n_gateways,
+            ask_home=self.home.ask,
+            uses=dict,
+            on_uses=lambda uses: None,
+            journal=journal(),
+        )
+
+    async def serve(
+        self, account: str = "a", *, work_s: float = WORK_S, **fields: Any
+    ) -> None:
+        """Hold a slot for a request as long as a worker runs it."""
+        arrived_s = time.monotonic()
+        async with self.lease.slot(job(account, **fields)) as held:
+            match held:
+                case Refused():
+                    self.refused.append(held)
+                case HeldSlot():
+                    self.waited_s.append(time.monotonic() - arrived_s)
+                    self.n_at_workers += 1
+                    self.most_at_workers = max(self.most_at_workers, self.n_at_workers)
+                    try:
+                        await asyncio.sleep(work_s)
+                        held.has_run = True
+                    finally:
+                        self.n_at_workers -= 1
+
+    def send(
+        self, n: int, account: str = "a", **fields: Any
+    ) -> list[asyncio.Task[None]]:
+        """Start a number of requests at once."""
+        return [asyncio.create_task(self.serve(account, **fields)) for _ in range(n)]
+
+
+def job(account: str = "a", *, deadline_s: float = 2.0, **fields: Any) -> Job:
+    of_route: Route = route(**({"target_latency_s": 1.0} | fields))
+    sent = request()
+    return Job(
+        request=sent,
+        route=of_route,
+        account=Account(name=account),
+        service="plain",
+        services={},
+        deadline_s=sent.received_s + deadline_s,
+        fingerprint="",
+    )
+
+
+@pytest.fixture
+def virtually(
+    monkeypatch: pytest.MonkeyPatch,
+) -> Callable[[Callable[[], Awaitable[None]]], None]:
+    """Return a function that plays a coroutine in virtual time."""
+
+    def play(work: Callable[[], Awaitable[None]]) -> None:
+        async def run() -> None:
+            await work()
+
+        run_virtual(monkeypatch, run())
+
+    return play
+
+
+Play = Callable[[Callable[[], Awaitable[None]]], None]
+
+
+class TestFirstReport:
+    def test_answers_before_it_are_not_counted_as_throughput(
+        self, virtually: Play
+    ) -> None:
+        # Guards against a home that takes the answers of hours without contention for
+        # those of a moment, and grants many times the capacity.
+        async def play() -> None:
+            gateway = Gateway(home=Home(lambda report: contended(4)))
+            for _ in range(50):
+                await gateway.serve()
+            await asyncio.gather(*gateway.send(12))
+            assert sum(report.n_answered for report in gateway.home.reports) <= 12
+
+        virtually(play)
