Bound an account's part at a gateway by its whole demand

The home keeps a division of the slots for 20 ms. A report that came within that time was compared with the demand of the former one, so an account whose demand had risen from 0.1 to 40 slots was granted 2,360 slots at one gateway where the level was 11.8. The part of a gateway is now at most all of the account's share. The new test failed before; the model's tests of shares under load pass.

--- a/src/trefoilpaddle/state/chain/slot_ledger.py
+++ b/src/trefoilpaddle/state/chain/slot_ledger.py
@@ -274,7 +274,9 @@
         for account, load in known.load.accounts.items():
             demand = division.demand[account]
             allowed = min(division.level * demand.weight, division.capacity)
-            part = load.demand / demand.n_slots if demand.n_slots else 0.0
+            # The division may be older than this report, which then has the larger sum.
+            total = max(demand.n_slots, load.demand)
+            part = load.demand / total if total else 0.0
             by_account[account] = allowed * part
             n_slots += min(allowed, demand.n_slots) * part
         spare = max(0.0, division.capacity - division.total)
