Let requests wait for a slot no longer than their callers wait

A request was in time until the target latency of its route, also where its deadline or the time that a caller of a stream waits for the first event ends before. It waited past its deadline, and its caller had left. The due time is now the earlier of both.

--- a/src/trefoilpaddle/coordination/chain/service_lease.py
+++ b/src/trefoilpaddle/coordination/chain/service_lease.py
@@ -252,7 +252,9 @@
             self._timer.cancel()
 
     def _ticket(self, job: Job, now_s: float) -> Ticket:
-        due_s = job.request.received_s + job.route.target_latency_s
+        due_s = min(
+            job.request.received_s + job.route.target_latency_s, job.begins_by_s
+        )
         if now_s + self.line.begins_after_s > due_s:
             # It is late in any case, and is served if there is room before its end.
             due_s = job.begins_by_s
--- a/tests/chain/test_slot_leases.py
+++ b/tests/chain/test_slot_leases.py
@@ -14,6 +14,7 @@
 from trefoilpaddle.coordination.chain.job import Job
 from trefoilpaddle.coordination.chain.service_lease import (
     GRANT_WAIT_S,
+    LATE_CHECK_S,
     HeldSlot,
     PublishedSlots,
     ServiceLease,
@@ -170,3 +171,22 @@
             assert sum(report.n_answered for report in gateway.home.reports) <= 12
 
         virtually(play)
+
+
+class TestDueTime:
+    def test_a_caller_that_waits_less_than_the_target_is_refused_in_time(
+        self, virtually: Play
+    ) -> None:
+        # Guards against requests that wait for a slot until their callers have left,
+        # as the target latency of their route is longer than their deadline.
+        async def play() -> None:
+            gateway = Gateway(home=Home(lambda report: contended(0.01)))
+            busy = gateway.send(5, work_s=5.0)
+            await asyncio.sleep(WORK_S)
+            began_s = time.monotonic()
+            await gateway.serve(deadline_s=1.0, target_latency_s=10.0)
+            assert len(gateway.refused) == 1
+            assert time.monotonic() - began_s <= 1.0 + LATE_CHECK_S
+            await asyncio.gather(*busy)
+
+        virtually(play)
