Measure the times of requests by route and by account

A service had one mean time until its answers begin and one for which a slot is held. Where its routes take very different times, short requests that had to wait were refused as late (0.1 s of work, taken for 5 s, due in 1 s), and an account of short requests was reported with the duration of the long ones: 2.4 slots where it uses 0.4. The time until an answer begins is now kept by route, the holding time by account.

--- a/src/trefoilpaddle/coordination/chain/service_lease.py
+++ b/src/trefoilpaddle/coordination/chain/service_lease.py
@@ -255,7 +255,7 @@
         due_s = min(
             job.request.received_s + job.route.target_latency_s, job.begins_by_s
         )
-        if now_s + self.line.begins_after_s > due_s:
+        if now_s + self.line.begins_after_s(job.route.name) > due_s:
             # It is late in any case, and is served if there is room before its end.
             due_s = job.begins_by_s
         return Ticket(
@@ -263,6 +263,7 @@
             weight=account_weight(job.account.priority),
             priority=job.route.priority,
             due_s=due_s,
+            route=job.route.name,
         )
 
     def _begin_answer(self, ticket: Ticket) -> None:
--- a/src/trefoilpaddle/state/chain/admission_line.py
+++ b/src/trefoilpaddle/state/chain/admission_line.py
@@ -42,6 +42,9 @@
 MAX_IDLE_ACCOUNTS: Final = 4096
 """Accounts that are remembered before those that are idle are forgotten."""
 
+MAX_ROUTES: Final = 1024
+"""Routes whose times are remembered; more than any configuration has."""
+
 MAX_WAITING: Final = 2000
 """Requests that wait at one gateway for one service.
 
@@ -63,6 +66,8 @@
         0 is the most urgent.
     due_s : float
         Monotonic time by which its answer is in time.
+    route : str
+        Name of its route.
     is_started : bool
         True once it holds a slot.
     began_s : float
@@ -77,6 +82,7 @@
     weight: float
     priority: int
     due_s: float
+    route: str = ""
     is_started: bool = False
     began_s: float = 0.0
     is_free_start: bool = False
@@ -150,6 +156,7 @@
     n_recent: float = 0.0
     counted_s: float = 0.0
     n_refused: int = 0
+    held_s: float = 0.0
 
     def count(self, now_s: float, *, n_arrived: int = 0) -> float:
         """Count arrivals; return their rate per second."""
@@ -197,7 +204,7 @@
         self._waiting: dict[int, AccountLine] = {}
         self._credit = Credit(now_s=now_s)
         self._held_s = 0.0
-        self._begins_after_s = 0.0
+        self._begins_after_s: dict[str, float] = {}
         self.base_s = 0.0
         self.free_limit = math.inf
         self.n_answered = 0
@@ -210,10 +217,12 @@
         """Mean time in seconds that a slot is held; 0 until a request has ended."""
         return self._held_s
 
-    @property
-    def begins_after_s(self) -> float:
-        """Mean time in seconds from getting a slot to the begin of the answer."""
-        return self._begins_after_s or DEFAULT_HELD_S
+    def begins_after_s(self, route: str) -> float:
+        """Return the mean seconds from getting a slot to the begin of the answer.
+
+        Routes of one service may take very different times.
+        """
+        return self._begins_after_s.get(route, DEFAULT_HELD_S)
 
     def use(self, share: SlotShare, now_s: float) -> None:
         """Use another share from now on."""
@@ -272,8 +281,11 @@
         """Record that the answer of a request begins, with its first event if any."""
         if not ticket.is_begun:
             ticket.is_begun = True
-            self._begins_after_s = _smoothed(
-                self._begins_after_s, now_s - ticket.began_s
+            known = self._begins_after_s
+            if len(known) >= MAX_ROUTES and ticket.route not in known:
+                known.clear()
+            known[ticket.route] = _smoothed(
+                known.get(ticket.route, 0.0), now_s - ticket.began_s
             )
 
     def end(self, ticket: Ticket, now_s: float, *, has_run: bool) -> None:
@@ -300,6 +312,7 @@
         self.begin_answer(ticket, now_s)
         held_s = now_s - ticket.began_s
         self._held_s = _smoothed(self._held_s, held_s)
+        line.held_s = _smoothed(line.held_s, held_s)
         if ticket.is_free_start and not self.share.is_contended:
             weight = HELD_SMOOTHING if held_s < self.base_s else BASE_RISE
             self.base_s = _smoothed(self.base_s, held_s, weight)
@@ -315,7 +328,7 @@
                 continue
             loads[account] = AccountLoad(
                 weight=line.weight,
-                n_offered=rate_per_s * self._known_held_s(),
+                n_offered=rate_per_s * self._held_s_of(line),
                 n_running=line.n_running,
                 n_waiting=len(line.waiting),
             )
@@ -385,14 +398,18 @@
         else:
             n_slots = self.free_limit
         n_ahead = sum(t.order() <= ticket.order() for t in line.waiting)
-        return n_ahead * self._known_held_s() / max(MIN_RATE_PER_S, n_slots)
+        return n_ahead * self._held_s_of(line) / max(MIN_RATE_PER_S, n_slots)
 
     def _is_too_late(self, ticket: Ticket, wait_s: float, now_s: float) -> bool:
-        return now_s + wait_s + self.begins_after_s > ticket.due_s
+        return now_s + wait_s + self.begins_after_s(ticket.route) > ticket.due_s
 
     def _known_held_s(self) -> float:
         return self._held_s or DEFAULT_HELD_S
 
+    def _held_s_of(self, line: AccountLine) -> float:
+        """Return the mean seconds for which an account's requests hold a slot."""
+        return line.held_s or self._known_held_s()
+
     def _remove(self, ticket: Ticket, line: AccountLine) -> None:
         line.waiting.remove(ticket)
         self.n_waiting -= 1
@@ -404,7 +421,7 @@
             now_s,
             n_slots=self.share.of(account, line.weight),
             n_running=line.n_running,
-            held_s=self._known_held_s(),
+            held_s=self._held_s_of(line),
         )
 
     def _advance_total(self, now_s: float) -> None:
