Check waiting requests again after a lease was closed

close() cancelled the timer of the check and kept its handle, so no further check was scheduled. A request that a stopping gateway accepted after it had given its share back was refused 1.5 s after its arrival, at the next report, with a deadline of 1 s. The new test failed before and passes now.

--- a/src/trefoilpaddle/coordination/chain/service_lease.py
+++ b/src/trefoilpaddle/coordination/chain/service_lease.py
@@ -250,6 +250,7 @@
             self._task.cancel()
         if self._timer is not None:
             self._timer.cancel()
+            self._timer = None
 
     def _ticket(self, job: Job, now_s: float) -> Ticket:
         due_s = min(
--- a/tests/chain/test_slot_leases.py
+++ b/tests/chain/test_slot_leases.py
@@ -190,3 +190,28 @@
             await asyncio.gather(*busy)
 
         virtually(play)
+
+
+class TestStop:
+    def test_requests_that_come_after_the_share_was_given_back_do_not_wait_for_ever(
+        self, virtually: Play
+    ) -> None:
+        # Guards against a closed lease that checks its waiting requests no more,
+        # although a stopping gateway accepts streams for some seconds.
+        async def play() -> None:
+            home = Home(lambda report: contended(0.01))
+            gateway = Gateway(home=home, n_gateways=400)
+            first = gateway.send(8)
+            await asyncio.sleep(WORK_S / 2)
+            for task in first:
+                task.cancel()
+            await asyncio.gather(*first, return_exceptions=True)
+            await gateway.lease.leave()
+            assert home.reports[-1].is_leaving
+            busy = gateway.send(2, work_s=5.0)
+            began_s = time.monotonic()
+            await gateway.serve(deadline_s=1.0)
+            assert time.monotonic() - began_s <= 1.0 + LATE_CHECK_S
+            await asyncio.gather(*busy)
+
+        virtually(play)
