End the limits and the reports of a gateway whose home stays silent

Even shares counted as contention whatever the demand, so once a home had been silent a gateway held its accounts to even shares and reported for ever: 25 more reports in 10 s without a request.

--- a/src/trefoilpaddle/coordination/chain/service_lease.py
+++ b/src/trefoilpaddle/coordination/chain/service_lease.py
@@ -21,7 +21,13 @@
 from ...state.chain.admission_line import AdmissionLine, Ticket, TooLate, Waits
 from ...state.chain.requests import Refused
 from ...state.chain.retry_times import OverloadClock
-from ...state.chain.slot_ledger import FREE, ServiceLoad, SlotShare, capacity_of
+from ...state.chain.slot_ledger import (
+    CONTENTION_SHARE,
+    FREE,
+    ServiceLoad,
+    SlotShare,
+    capacity_of,
+)
 from ...state.chain.worker_uses import WorkerStart
 from ...state.journal import Decision, Event, Figure, Journal
 from .job import Job
@@ -410,7 +416,12 @@
         ends_s = self._granted_s + max(GRANT_VALID_S, GRANT_VALID_PERIODS * period_s)
         if now_s >= max(ends_s, began_s + GRANT_WAIT_S):
             self.home_id = ""
-            self._use(self._even_share(published))
+            share = self._even_share(published)
+            if share.is_contended:
+                self._contended_until_s = max(
+                    self._contended_until_s, now_s + CONTENTION_S
+                )
+            self._use(share)
         return UNKNOWN_RETRY_S if answer is not None else period_s
 
     def _new_report(self, published: PublishedSlots) -> SlotReport:
@@ -430,12 +441,19 @@
         )
 
     def _even_share(self, published: PublishedSlots) -> SlotShare:
-        """Return an even part of the capacity, for when no home grants any."""
+        """Return an even part of the capacity, for when no home grants any.
+
+        Accounts are limited only while they demand about that much here: a limit
+        without a shortage would never end without a home.
+        """
         n_slots = published.capacity / max(1, self._n_gateways())
         demands = [
             AccountDemand(account=account, weight=load.weight, n_slots=load.demand)
             for account, load in self.line.loads(time.monotonic()).items()
         ]
+        total = sum(demand.n_slots for demand in demands)
+        if total <= CONTENTION_SHARE * n_slots:
+            return SlotShare(is_contended=False, n_slots=n_slots)
         level = min(n_slots, max_min_level(demands, n_slots))
         return SlotShare(is_contended=True, n_slots=n_slots, level=level)
 
--- a/tests/chain/test_slot_leases.py
+++ b/tests/chain/test_slot_leases.py
@@ -215,3 +215,34 @@
             await asyncio.gather(*busy)
 
         virtually(play)
+
+
+class TestHomeSilent:
+    def test_accounts_get_even_shares(self, virtually: Play) -> None:
+        # Guards against requests that wait for a grant until they are late.
+        async def play() -> None:
+            gateway = Gateway(home=Home(silent))
+            await asyncio.gather(
+                *gateway.send(30, deadline_s=9.0, target_latency_s=9.0)
+            )
+            assert gateway.refused == []
+            assert max(gateway.waited_s[:6]) < 2 * GRANT_WAIT_S
+            assert gateway.most_at_workers <= 7
+
+        virtually(play)
+
+    def test_reports_end_with_the_demand(self, virtually: Play) -> None:
+        # Guards against a lease that reports for ever, and limits its accounts, once
+        # its home has been silent.
+        async def play() -> None:
+            gateway = Gateway(home=Home(silent))
+            await asyncio.gather(
+                *gateway.send(12, deadline_s=9.0, target_latency_s=9.0)
+            )
+            await asyncio.sleep(10.0)
+            n_reports = len(gateway.home.reports)
+            await asyncio.sleep(10.0)
+            assert len(gateway.home.reports) == n_reports
+            assert not gateway.lease.line.share.is_contended
+
+        virtually(play)
