Leave gateways of earlier builds out of the choice of a home

Rendezvous hashing could choose a gateway whose build reads no reports. It never granted anything, and all gateways held accounts to even shares while it ran. A gateway whose build is found to read none is left out until it restarts, and the next one is asked at once. Both new tests had no grant after 0.6 s before, and have the next home now.

--- a/src/trefoilpaddle/coordination/chain/slot_leases.py
+++ b/src/trefoilpaddle/coordination/chain/slot_leases.py
@@ -15,6 +15,7 @@
 
 from result import Ok
 
+from ...protocol.frames import is_read_by
 from ...protocol.gen.chain.ttypes import SlotGrant, SlotReport
 from ...state.chain.requests import Refused
 from ...state.chain.routes import EngineService, PieceService, RouteTable, Service
@@ -85,6 +86,7 @@
         "_on_uses",
         "_process",
         "_services",
+        "_unable",
         "_uses",
         "_workers",
     )
@@ -115,6 +117,7 @@
         self._known_slots: dict[str, KnownSlots] = {}
         self._homes: dict[str, MemberRecord] = {}
         self._live_known: Sequence[MemberRecord] = ()
+        self._unable: frozenset[int] = frozenset()
 
     def activate(self, table: RouteTable) -> None:
         """Use the services and the accounts of a route table."""
@@ -205,17 +208,22 @@
         return known.slots
 
     def _home_of(self, service: str) -> MemberRecord | None:
-        """Return the home of a service, one of the strongest live gateways."""
+        """Return the home of a service, one of the strongest live gateways.
+
+        Gateways of earlier builds are left out once they are known to read no reports.
+        """
         live = self._live()
         if live is not self._live_known:
             self._live_known = live
             self._homes = {}
+            self._unable &= {each.incarnation for each in live}
         home = self._homes.get(service)
-        if home is None and live:
-            strongest = min(duty_rank(each).negative_bit_length for each in live)
+        able = [each for each in live if each.incarnation not in self._unable]
+        if home is None and able:
+            strongest = min(duty_rank(each).negative_bit_length for each in able)
             by_id = {
                 each.process_id: each
-                for each in live
+                for each in able
                 if duty_rank(each).negative_bit_length == strongest
             }
             home = by_id[highest(service, by_id, n=1)[0]]
@@ -226,18 +234,22 @@
         self, service: str, report: SlotReport
     ) -> tuple[str, SlotGrant] | None:
         """Return the home's id and its grant; None without an answer in time."""
-        home = self._home_of(service)
-        if home is None:
-            return None
-        own_id = self._process.identity.process_id
-        if home.process_id == own_id:
-            return own_id, self._home.divide(report, own_id)
-        match Address.parse(home.address):
-            case Ok(address):
-                link = self._process.peers.link(address)
-                match await link.ask(report, timeout_s=GRANT_WAIT_S):
-                    case Ok(SlotGrant() as grant):
-                        return home.process_id, grant
+        while (home := self._home_of(service)) is not None:
+            own_id = self._process.identity.process_id
+            if home.process_id == own_id:
+                return own_id, self._home.divide(report, own_id)
+            match Address.parse(home.address):
+                case Ok(address):
+                    link = self._process.peers.link(address)
+                case _:
+                    return None
+            match await link.ask(report, timeout_s=GRANT_WAIT_S):
+                case Ok(SlotGrant() as grant):
+                    return home.process_id, grant
+            if link.peer is None or is_read_by(link.peer, report):
+                return None
+            self._unable |= {home.incarnation}
+            self._homes = {}
         return None
 
 
--- a/tests/chain/test_slot_leases.py
+++ b/tests/chain/test_slot_leases.py
@@ -6,10 +6,11 @@
 import asyncio
 import time
 from collections.abc import Awaitable, Callable
-from dataclasses import dataclass, field
-from typing import Any
+from dataclasses import dataclass, field, replace
+from typing import Any, cast
 
 import pytest
+from result import Err, Ok, Result
 
 from trefoilpaddle.coordination.chain.job import Job
 from trefoilpaddle.coordination.chain.service_lease import (
@@ -19,11 +20,22 @@
     PublishedSlots,
     ServiceLease,
 )
+from trefoilpaddle.coordination.chain.slot_home import SlotHome
+from trefoilpaddle.coordination.chain.slot_leases import SlotLeases
+from trefoilpaddle.protocol.errors import PeerError
+from trefoilpaddle.protocol.frames import NEWEST_KIND, is_read_by
 from trefoilpaddle.protocol.gen.chain.ttypes import SlotGrant, SlotReport
+from trefoilpaddle.protocol.gen.stage.ttypes import Hello
 from trefoilpaddle.state.chain.requests import Refused
 from trefoilpaddle.state.chain.routes import Account, Route
-
-from .fakes import journal, request, route
+from trefoilpaddle.state.chain.slot_ledger import WARM_UP_S
+from trefoilpaddle.state.chain.workers import WorkerTable
+from trefoilpaddle.state.members import MemberRecord, MemberState
+from trefoilpaddle.state.rendezvous import highest
+from trefoilpaddle.transport.connection import Address
+from trefoilpaddle.transport.link import Link
+
+from .fakes import journal, process, request, route, table, worker
 from .virtual_time import run_virtual
 
 ONE_WAY_S = 0.002
@@ -246,3 +258,119 @@
             assert not gateway.lease.line.share.is_contended
 
         virtually(play)
+
+
+@dataclass
+class Peer:
+    """A link to another gateway that keeps a ledger, unless its build has none."""
+
+    newest_kind: int = NEWEST_KIND
+    is_silent: bool = False
+    n_asked: int = 0
+
+    @property
+    def peer(self) -> Hello:
+        return Hello(newest_kind=self.newest_kind)
+
+    async def ask(
+        self, message: SlotReport, *, timeout_s: float
+    ) -> Result[SlotGrant, PeerError]:
+        self.n_asked += 1
+        if not is_read_by(self.peer, message):
+            return Err(PeerError(step="send", peer="", detail="", is_sent=True))
+        if self.is_silent:
+            await asyncio.sleep(timeout_s)
+            return Err(PeerError(step="wait", peer="", detail="", is_sent=True))
+        return Ok(contended(3))
+
+
+class OwnGateway:
+    """A gateway with real leases among peers, which are played."""
+
+    def __init__(self, *peers: Peer, own_millicores: int = 1000) -> None:
+        self.peers = peers
+        self.members = [member("own", millicores=own_millicores)]
+        self.members += [member(f"p{n}") for n in range(len(peers))]
+        self.live = tuple(self.members)
+        own = process("own")
+        for number, peer in enumerate(peers):
+            address = Address(ip="127.0.0.1", port=number + 1)
+            own.peers.links[address] = cast(Link, peer)
+        workers = WorkerTable()
+        for number in range(2):
+            workers.put(worker(f"w{number}", n_slots=4))
+        self.home = SlotHome(
+            process=own, n_gateways=lambda: len(self.live), journal=journal()
+        )
+        self.leases = SlotLeases(
+            process=own,
+            live=lambda: self.live,
+            workers=workers,
+            home=self.home,
+            uses=lambda service: {},
+            on_uses=lambda service, uses: None,
+            journal=journal(),
+        )
+        self.leases.activate(replace(table(), has_accounts=True))
+
+    async def serve(self, account: str = "a", *, work_s: float = WORK_S) -> None:
+        """Serve a request."""
+        async with self.leases.slot(job(account)) as held:
+            if isinstance(held, HeldSlot):
+                await asyncio.sleep(work_s)
+                held.has_run = True
+
+    async def overload(self) -> None:
+        """Send more requests than may run without a grant."""
+        await asyncio.gather(*(self.serve(work_s=1.0) for _ in range(12)))
+
+    @property
+    def home_id(self) -> str:
+        """Id of the gateway that has granted the present share."""
+        ((_, lease),) = self.leases.leases()
+        return lease.home_id
+
+
+def member(name: str, *, millicores: int = 4000) -> MemberRecord:
+    number = int(name[1:]) + 1 if name[1:].isdecimal() else 0
+    return MemberRecord(
+        process_id=name,
+        incarnation=100 + number,
+        address=f"127.0.0.1:{number}",
+        role="gateway",
+        failure_domain="here",
+        region="",
+        service="",
+        target="",
+        state=MemberState.LIVE,
+        beat=1,
+        millicores=millicores,
+    )
+
+
+class TestHomeOfEarlierBuild:
+    def test_another_gateway_is_the_home(self, virtually: Play) -> None:
+        # Guards against even shares for as long as a gateway of an earlier build runs.
+        async def play() -> None:
+            gateway = OwnGateway(Peer(newest_kind=100))
+            serving = asyncio.create_task(gateway.overload())
+            await asyncio.sleep(GRANT_WAIT_S + WARM_UP_S)
+            assert gateway.home_id == "own"
+            await serving
+            assert gateway.peers[0].n_asked == 1
+
+        virtually(play)
+
+    def test_the_next_of_the_strongest_is_asked(self, virtually: Play) -> None:
+        # Guards against gateways that each take themselves for the home.
+        async def play() -> None:
+            old, new = Peer(newest_kind=100), Peer()
+            by_rank = highest("plain", ["p0", "p1"], n=2)
+            peers = (old, new) if by_rank[0] == "p0" else (new, old)
+            gateway = OwnGateway(*peers)
+            serving = asyncio.create_task(gateway.overload())
+            await asyncio.sleep(GRANT_WAIT_S + WARM_UP_S)
+            assert gateway.home_id == by_rank[1]
+            await serving
+
+        virtually(play)
