End a grant by the clock also when no report has returned

A gateway that was paused for 2 s used its last grant, or an answer of before the pause, until its next report returned, while the home had given its slots to others. The age of a grant now counts from its report, and requests check it.

--- a/src/trefoilpaddle/coordination/chain/service_lease.py
+++ b/src/trefoilpaddle/coordination/chain/service_lease.py
@@ -211,6 +211,7 @@
         """
         now_s = time.monotonic()
         ticket = self._ticket(job, now_s)
+        self._end_grant(now_s)
         if not self.line.share.is_contended:
             self._set_free_limit()
         match self.line.arrive(ticket, now_s):
@@ -361,6 +362,7 @@
     def _start_waiting(self) -> None:
         """Start the requests that may have a slot now, and refuse those too late."""
         now_s = time.monotonic()
+        self._end_grant(now_s)
         if now_s - self._late_check_s >= LATE_CHECK_S:
             self._late_check_s = now_s
             for ticket in self.line.refuse_late(now_s):
@@ -420,6 +422,7 @@
             return report_period_s(self._n_gateways())
         self._wake.clear()
         report = self._new_report(published)
+        asked_s = time.monotonic()
         answer = await self._ask_home(report)
         self.has_reported = True
         now_s = time.monotonic()
@@ -431,11 +434,11 @@
         period_s = report_period_s(self._n_gateways())
         if share is not None:
             self.home_id = home_id
-            self._granted_s = now_s
+            # This process may have been paused since the home answered.
+            self._granted_s = asked_s
             self._use(share)
             return period_s
-        ends_s = self._granted_s + max(GRANT_VALID_S, GRANT_VALID_PERIODS * period_s)
-        if now_s >= max(ends_s, began_s + GRANT_WAIT_S):
+        if now_s >= max(self._grant_ends_s(), began_s + GRANT_WAIT_S):
             self.home_id = ""
             share = self._even_share(published)
             if share.is_contended:
@@ -445,6 +448,24 @@
             self._use(share)
         return UNKNOWN_RETRY_S if answer is not None else period_s
 
+    def _grant_ends_s(self) -> float:
+        """Return the monotonic time at which the last grant ends."""
+        period_s = report_period_s(self._n_gateways())
+        return self._granted_s + max(GRANT_VALID_S, GRANT_VALID_PERIODS * period_s)
+
+    def _end_grant(self, now_s: float) -> None:
+        """Use an even share if the grant has ended, as after a pause of the process.
+
+        The home may have granted its slots to other gateways meanwhile.
+        """
+        if not self.home_id or not self.line.share.is_contended:
+            return
+        published = self._published()
+        if now_s >= self._grant_ends_s() and published is not None:
+            self.home_id = ""
+            self.line.use(self._even_share(published), now_s)
+            self._set_free_limit()
+
     def _new_report(self, published: PublishedSlots) -> SlotReport:
         n_answered = self.line.n_answered - self._n_told
         n_sheds, self._n_sheds = self._n_sheds, 0
--- a/tests/chain/test_slot_leases.py
+++ b/tests/chain/test_slot_leases.py
@@ -37,7 +37,7 @@
 from trefoilpaddle.transport.link import Link
 
 from .fakes import journal, process, request, route, table, worker
-from .virtual_time import run_virtual
+from .virtual_time import VirtualLoop, run_virtual
 
 ONE_WAY_S = 0.002
 WORK_S = 0.2
@@ -405,3 +405,48 @@
             assert len(home.reports) <= 1.0 / (EARLY_PERIODS * report_period_s(400)) + 1
 
         virtually(play)
+
+
+class TestGrantThatEnds:
+    def test_a_gateway_that_was_paused_uses_its_even_share_until_it_is_answered(
+        self, virtually: Play
+    ) -> None:
+        # Guards against a gateway that wakes and uses slots that the home has granted
+        # to others meanwhile.
+        async def play() -> None:
+            home = Home(lambda report: contended(30, n_gateways=1))
+            gateway = Gateway(home=home, n_gateways=4)
+            await asyncio.gather(*gateway.send(9, work_s=0.1))
+            assert gateway.most_at_workers == 9
+            pause(2.0)
+            home.answer = silent
+            gateway.most_at_workers = 0
+            tasks = gateway.send(20, deadline_s=9.0, target_latency_s=9.0)
+            await asyncio.sleep(GRANT_WAIT_S / 2)
+            assert 1 <= gateway.most_at_workers <= 12 / 4 + 1
+            await asyncio.gather(*tasks)
+
+        virtually(play)
+
+    def test_it_is_used_until_then_though_the_home_is_lost(
+        self, virtually: Play
+    ) -> None:
+        # Guards against even shares at each message that is lost.
+        async def play() -> None:
+            home = Home(lambda report: contended(30, n_gateways=1))
+            gateway = Gateway(home=home, n_gateways=4)
+            await asyncio.gather(*gateway.send(9, work_s=0.1))
+            home.answer = silent
+            await asyncio.sleep(GRANT_WAIT_S)
+            await asyncio.gather(*gateway.send(9, work_s=0.1))
+            assert gateway.lease.home_id == "home"
+            assert max(gateway.waited_s[9:]) == 0.0
+
+        virtually(play)
+
+
+def pause(for_s: float) -> None:
+    """Let virtual time pass without running anything."""
+    loop = asyncio.get_running_loop()
+    assert isinstance(loop, VirtualLoop)
+    loop.pass_time(for_s)
--- a/tests/chain/virtual_time.py
+++ b/tests/chain/virtual_time.py
@@ -19,6 +19,10 @@
     def time(self) -> float:
         return self._now_s
 
+    def pass_time(self, for_s: float) -> None:
+        """Set the clock forward, as after a pause of the process."""
+        self._now_s += for_s
+
     def _run_once(self) -> None:
         if not self._ready and self._scheduled:  # type: ignore[attr-defined]
             next_s = self._scheduled[0].when()  # type: ignore[attr-defined]
