Start waiting requests if a report cannot be made

An exception while reporting was logged, and the requests that waited for the grant stayed until they were late. They start without a limit now, and the error is logged at most once a second. The new test had refusals before and has none now.

--- a/src/trefoilpaddle/coordination/chain/service_lease.py
+++ b/src/trefoilpaddle/coordination/chain/service_lease.py
@@ -31,7 +31,7 @@
 from ...state.chain.worker_uses import WorkerStart
 from ...state.journal import Decision, Event, Figure, Journal
 from .job import Job
-from .slot_home import report_period_s
+from .slot_home import MAX_REPORT_PERIOD_S, report_period_s
 from .slot_wire import load_to_wire, share_from_wire, uses_from_wire
 
 FREE_RATIO: Final = 1.25
@@ -399,8 +399,15 @@
                 period_s = await self._report(began_s)
             except Exception:
                 # An exception would leave requests waiting without any grant.
-                logging.exception("reporting the load of %s failed", self._service)
-                period_s = report_period_s(self._n_gateways())
+                logging.log_every_n_seconds(
+                    logging.ERROR,
+                    "reporting the load of %s failed",
+                    1,
+                    self._service,
+                    exc_info=True,
+                )
+                period_s = MAX_REPORT_PERIOD_S
+                self._start_without_limit()
             if self._may_end(time.monotonic()):
                 self.home_id = ""
                 return
@@ -505,6 +512,12 @@
             self._set_free_limit()
         self._start_waiting()
 
+    def _start_without_limit(self) -> None:
+        """Start all waiting requests."""
+        self.line.use(FREE, time.monotonic())
+        self.line.free_limit = math.inf
+        self._start_waiting()
+
     def _may_end(self, now_s: float) -> bool:
         return (
             not self.line.share.is_contended
--- a/tests/chain/test_slot_leases.py
+++ b/tests/chain/test_slot_leases.py
@@ -450,3 +450,18 @@
     loop = asyncio.get_running_loop()
     assert isinstance(loop, VirtualLoop)
     loop.pass_time(for_s)
+
+
+class TestReportThatFails:
+    def test_requests_start_without_a_grant(self, virtually: Play) -> None:
+        # Guards against requests that wait until they are late, as no grant can come.
+        async def play() -> None:
+            def fail(report: SlotReport) -> None:
+                raise OverflowError("int out of range")
+
+            gateway = Gateway(home=Home(fail))
+            await asyncio.gather(*gateway.send(12, work_s=1.5))
+            assert gateway.refused == []
+            assert len(gateway.waited_s) == 12
+
+        virtually(play)
