Bound the figures of reports and grants also where they are written

A sum of slots above 2^31 made a report that cannot be encoded, and a grant could state any number of gateways, which divides the level of accounts that it does not name. Figures are now bounded by the sender, and the number of gateways by 10,000. Two cases of the new tests/chain/test_slot_wire.py failed before.

--- a/src/trefoilpaddle/coordination/chain/slot_wire.py
+++ b/src/trefoilpaddle/coordination/chain/slot_wire.py
@@ -28,6 +28,9 @@
 MAX_SLOTS: Final = 1e6
 """Largest credible number of slots, requests and answers."""
 
+MAX_GATEWAYS: Final = 10_000
+"""Largest credible number of gateways that report."""
+
 MIN_WEIGHT: Final = 1e-3
 MAX_WEIGHT: Final = 1e3
 
@@ -45,17 +48,17 @@
             AccountDemand(
                 account=account,
                 weight_milli=weight_to_wire(one.weight),
-                offered_milli=int(min(MAX_SLOTS, one.n_offered) * MILLI),
-                n_running=one.n_running,
-                n_waiting=one.n_waiting,
+                offered_milli=_milli(one.n_offered),
+                n_running=int(_bounded(one.n_running)),
+                n_waiting=int(_bounded(one.n_waiting)),
             )
             for account, one in bounded_accounts(load.accounts).items()
         ],
-        n_slots=int(load.n_slots),
-        n_workers=load.n_workers,
-        base_ms=int(load.base_s * MS_PER_S),
-        n_answered=load.n_answered,
-        n_sheds=load.n_sheds,
+        n_slots=int(_bounded(load.n_slots)),
+        n_workers=int(_bounded(load.n_workers)),
+        base_ms=int(min(MAX_HELD_S, load.base_s) * MS_PER_S),
+        n_answered=int(_bounded(load.n_answered)),
+        n_sheds=int(_bounded(load.n_sheds)),
         may_grow=may_grow,
         workers=uses_to_wire(uses),
     )
@@ -138,7 +141,7 @@
         is_contended=True,
         n_slots=_bounded(grant.total_milli / MILLI),
         level=_bounded(grant.level_milli / MILLI),
-        n_gateways=max(1, grant.n_gateways),
+        n_gateways=min(MAX_GATEWAYS, max(1, grant.n_gateways)),
         by_account={
             each.account: _bounded(each.share_milli / MILLI)
             for each in grant.shares[:MAX_ACCOUNTS]
@@ -164,7 +167,7 @@
 
 def weight_to_wire(weight: float) -> int:
     """Return the weight of an account in thousandths."""
-    return int(weight * MILLI)
+    return int(min(MAX_WEIGHT, weight) * MILLI)
 
 
 def weight_from_wire(weight_milli: int) -> float:
