Round the weight of an account in reports instead of cutting it off

The least urgent accounts have a weight of 0.00195, which was sent as 0.001, half of their share. Three of ten steps of priority were more than 5 % off; none is now.

--- a/src/trefoilpaddle/coordination/chain/slot_wire.py
+++ b/src/trefoilpaddle/coordination/chain/slot_wire.py
@@ -167,7 +167,7 @@
 
 def weight_to_wire(weight: float) -> int:
     """Return the weight of an account in thousandths."""
-    return int(min(MAX_WEIGHT, weight) * MILLI)
+    return round(min(MAX_WEIGHT, weight) * MILLI)
 
 
 def weight_from_wire(weight_milli: int) -> float:
--- a/tests/chain/test_slot_wire.py
+++ b/tests/chain/test_slot_wire.py
@@ -25,6 +25,7 @@
     SlotReport,
     WorkerUse,
 )
+from trefoilpaddle.state.chain.account_shares import MAX_WEIGHT_STEPS, account_weight
 from trefoilpaddle.state.chain.slot_ledger import (
     WARM_UP_S,
     AccountLoad,
@@ -75,6 +76,14 @@
         assert load_from_wire(report) == one
         assert uses_from_wire(report) == {("w", 5): 2}
 
+    @pytest.mark.parametrize("steps", range(MAX_WEIGHT_STEPS + 1))
+    def test_each_step_of_priority_keeps_its_weight(self, steps: int) -> None:
+        # Guards against the least urgent accounts that get half of their share, as
+        # their weight is cut to whole thousandths.
+        weight = account_weight(steps)
+        read = load_from_wire(report_of(load(AccountLoad(weight=weight, n_offered=1))))
+        assert read.accounts[0].weight == pytest.approx(weight, rel=0.05)
+
     def test_figures_that_do_not_fit_are_bounded_by_the_sender(self) -> None:
         # Guards against a report that cannot be encoded, so that no grant ever comes.
         huge = AccountLoad(weight=1e9, n_offered=1e12, n_running=2**40, n_waiting=2**40)
