Follow a service that becomes an engine, or one of stages

Leases and homes kept the kind that a service had at its first request. An engine that had been a plain service was measured as one: 40 answers made 8 slots 128. The kind is now that of the active table, and of the newest report at a home. Two of the new tests failed before; those of a removed service, of accounts that are no longer published and of slots that are no longer known passed already.

--- a/src/trefoilpaddle/coordination/chain/service_lease.py
+++ b/src/trefoilpaddle/coordination/chain/service_lease.py
@@ -121,8 +121,8 @@
     ----------
     service : str
         Name of the service.
-    may_grow : bool
-        True if its workers may have more slots than are published.
+    may_grow : callable
+        Returns True if its workers may have more slots than are published.
     published : callable
         Returns the published slots; None if they are not known.
     n_gateways : callable
@@ -173,7 +173,7 @@
         self,
         *,
         service: str,
-        may_grow: bool,
+        may_grow: Callable[[], bool],
         published: Callable[[], PublishedSlots | None],
         n_gateways: Callable[[], int],
         ask_home: Callable[[SlotReport], Awaitable[tuple[str, SlotGrant] | None]],
@@ -486,7 +486,7 @@
             n_sheds=n_sheds,
         )
         return load_to_wire(
-            self._service, load, may_grow=self._may_grow, uses=self._uses()
+            self._service, load, may_grow=self._may_grow(), uses=self._uses()
         )
 
     def _even_share(self, published: PublishedSlots) -> SlotShare:
--- a/src/trefoilpaddle/coordination/chain/slot_home.py
+++ b/src/trefoilpaddle/coordination/chain/slot_home.py
@@ -43,8 +43,8 @@
 
     __slots__ = ("is_contended", "ledger", "uses")
 
-    def __init__(self, *, may_grow: bool) -> None:
-        self.ledger = SlotLedger(may_grow=may_grow)
+    def __init__(self) -> None:
+        self.ledger = SlotLedger(may_grow=False)
         self.uses = WorkerUses()
         self.is_contended = False
 
@@ -80,10 +80,11 @@
         """Record a report and return what its gateway may use."""
         now_s = time.monotonic()
         name = report.service_name
-        service = self._service(name, may_grow=report.may_grow)
+        service = self._service(name)
         if service is None:
             return SlotGrant(service_name=name)
         ledger = service.ledger
+        ledger.may_grow = report.may_grow
         ledger.valid_s = max(
             REPORT_VALID_S, PERIODS_VALID * report_period_s(self._n_gateways())
         )
@@ -116,7 +117,7 @@
             if not service.ledger.is_empty:
                 yield name, division
 
-    def _service(self, name: str, *, may_grow: bool) -> HomeService | None:
+    def _service(self, name: str) -> HomeService | None:
         service = self._services.get(name)
         if service is not None:
             return service
@@ -124,7 +125,7 @@
             self._drop_unused()
         if len(self._services) >= MAX_SERVICES:
             return None
-        service = self._services[name] = HomeService(may_grow=may_grow)
+        service = self._services[name] = HomeService()
         return service
 
     def _drop_unused(self) -> None:
--- a/src/trefoilpaddle/coordination/chain/slot_leases.py
+++ b/src/trefoilpaddle/coordination/chain/slot_leases.py
@@ -170,15 +170,15 @@
         if not self._is_on or not self._has_accounts:
             return None
         name = job.service
-        lease = self._leases.get(name)
-        if lease is not None:
-            return lease
         service = self._services.get(name)
         if service is None or isinstance(service, PieceService):
             return None
+        lease = self._leases.get(name)
+        if lease is not None:
+            return lease
         lease = ServiceLease(
             service=name,
-            may_grow=not isinstance(service, EngineService),
+            may_grow=lambda: not isinstance(self._services.get(name), EngineService),
             published=lambda: self._published(name),
             n_gateways=lambda: len(self._live()),
             ask_home=lambda report: self._ask_home(name, report),
@@ -192,7 +192,7 @@
     def _published(self, name: str) -> PublishedSlots | None:
         """Return the slots of the usable workers of a service; None if unknown."""
         service = self._services.get(name)
-        if service is None:
+        if service is None or isinstance(service, PieceService):
             return None
         workers = self._workers.usable(name)
         known = self._known_slots.get(name)
--- a/src/trefoilpaddle/state/chain/slot_ledger.py
+++ b/src/trefoilpaddle/state/chain/slot_ledger.py
@@ -210,15 +210,15 @@
         "_division",
         "_first_s",
         "_known",
-        "_may_grow",
         "_measured",
         "_shed_factor",
         "_shed_s",
+        "may_grow",
         "valid_s",
     )
 
     def __init__(self, *, may_grow: bool) -> None:
-        self._may_grow = may_grow
+        self.may_grow = may_grow
         self._known: dict[str, KnownLoad] = {}
         self._answers: deque[tuple[float, int]] = deque()
         self._measured: deque[tuple[float, float]] = deque()
@@ -360,7 +360,11 @@
         while self._measured and self._measured[0][0] <= now_s - THROUGHPUT_KEPT_S:
             self._measured.popleft()
         base = [k.load.base_s for k in self._known.values() if k.load.base_s > 0.0]
-        if not self._may_grow or not base:
+        if not self.may_grow and self._measured:
+            # The service was one of another kind before.
+            self._measured.clear()
+            self._division = None
+        if not self.may_grow or not base:
             return
         per_s = sum(n for _, n in self._answers) / THROUGHPUT_WINDOW_S
         self._measured.append((now_s, per_s * statistics.median(base)))
--- a/tests/chain/test_slot_leases.py
+++ b/tests/chain/test_slot_leases.py
@@ -28,8 +28,8 @@
 from trefoilpaddle.protocol.gen.chain.ttypes import SlotGrant, SlotReport
 from trefoilpaddle.protocol.gen.stage.ttypes import Hello
 from trefoilpaddle.state.chain.requests import Refused
-from trefoilpaddle.state.chain.routes import Account, Route
-from trefoilpaddle.state.chain.slot_ledger import WARM_UP_S
+from trefoilpaddle.state.chain.routes import Account, EngineService, Route
+from trefoilpaddle.state.chain.slot_ledger import WARM_UP_S, capacity_of
 from trefoilpaddle.state.chain.workers import WorkerTable
 from trefoilpaddle.state.members import MemberRecord, MemberState
 from trefoilpaddle.state.rendezvous import highest
@@ -103,7 +103,7 @@
     def __post_init__(self) -> None:
         self.lease = ServiceLease(
             service="plain",
-            may_grow=True,
+            may_grow=lambda: True,
             published=lambda: self.published,
             n_gateways=lambda: self.n_gateways,
             ask_home=self.home.ask,
@@ -268,6 +268,7 @@
     newest_kind: int = NEWEST_KIND
     is_silent: bool = False
     n_asked: int = 0
+    last: SlotReport | None = None
 
     @property
     def peer(self) -> Hello:
@@ -277,6 +278,7 @@
         self, message: SlotReport, *, timeout_s: float
     ) -> Result[SlotGrant, PeerError]:
         self.n_asked += 1
+        self.last = message
         if not is_read_by(self.peer, message):
             return Err(PeerError(step="send", peer="", detail="", is_sent=True))
         if self.is_silent:
@@ -465,3 +467,97 @@
             assert len(gateway.waited_s) == 12
 
         virtually(play)
+
+
+class TestServiceThatChanges:
+    def test_slots_of_an_engine_that_was_a_plain_service_are_not_measured(
+        self, virtually: Play
+    ) -> None:
+        # Guards against an engine that is taken to have more slots the longer its
+        # requests take, as the service was a plain one before.
+        async def play() -> None:
+            peer = Peer()
+            gateway = OwnGateway(peer)
+            await gateway.overload()
+            assert peer.last is not None and peer.last.may_grow
+            engine = EngineService(name="plain", n_slots=4, cache_tokens=1)
+            services = {"plain": engine}
+            changed = replace(table(), has_accounts=True, services=services)
+            gateway.leases.activate(changed)
+            await asyncio.sleep(0.2)
+            assert not peer.last.may_grow
+
+        virtually(play)
+
+    def test_a_home_measures_no_slots_once_they_are_those_of_an_engine(
+        self, virtually: Play
+    ) -> None:
+        # Guards against a home that keeps the kind of the first report of a service.
+        async def play() -> None:
+            home = OwnGateway().home
+            for may_grow in (True, False):
+                report = SlotReport(
+                    service_name="plain",
+                    n_slots=8,
+                    n_workers=2,
+                    base_ms=1000,
+                    n_answered=40,
+                    may_grow=may_grow,
+                )
+                home.divide(report, "p0")
+                ((_, division),) = home.divisions()
+                assert (division.capacity > capacity_of(8, 2)) == may_grow
+                await asyncio.sleep(0.1)
+
+        virtually(play)
+
+    def test_a_service_that_was_removed_is_no_longer_limited(
+        self, virtually: Play
+    ) -> None:
+        # Guards against requests that wait for slots that nobody grants any more, and
+        # against a lease that goes on reporting.
+        async def play() -> None:
+            gateway = OwnGateway()
+            serving = asyncio.create_task(gateway.overload())
+            await asyncio.sleep(0.5)
+            gateway.leases.activate(replace(table(), has_accounts=True, services={}))
+            await gateway.serve()
+            await serving
+            await asyncio.sleep(5.0)
+            gateway.leases.activate(replace(table(), has_accounts=True, services={}))
+            assert list(gateway.leases.leases()) == []
+            assert len(asyncio.all_tasks()) == 1
+
+        virtually(play)
+
+    def test_nothing_waits_once_accounts_are_no_longer_published(
+        self, virtually: Play
+    ) -> None:
+        # Guards against limits in a deployment without client accounts.
+        async def play() -> None:
+            gateway = OwnGateway()
+            serving = asyncio.create_task(gateway.overload())
+            await asyncio.sleep(0.5)
+            gateway.leases.activate(table())
+            began_s = time.monotonic()
+            await gateway.serve()
+            assert time.monotonic() - began_s == pytest.approx(WORK_S)
+            await serving
+
+        virtually(play)
+
+
+class TestWorkersThatChange:
+    def test_requests_start_when_the_slots_are_no_longer_known(
+        self, virtually: Play
+    ) -> None:
+        # Guards against requests that wait although nothing may be limited.
+        async def play() -> None:
+            gateway = Gateway(home=Home(lambda report: contended(0.01)))
+            tasks = gateway.send(12, work_s=0.9)
+            await asyncio.sleep(0.05)
+            gateway.published = None
+            await asyncio.gather(*tasks)
+            assert gateway.refused == []
+
+        virtually(play)
