Keep announcements of contention from going round among gateways

With more than 64 contended services a gateway forgot what it had passed on, and passed all of it on again when it came back, without end. Names beyond 64 in 2 ms were dropped, the last of the alphabet each time, and a home passed its own news on again. What was passed on lately is now kept, for at most 1,024 services; the rest waits for the next message.

--- a/src/trefoilpaddle/coordination/chain/service_news.py
+++ b/src/trefoilpaddle/coordination/chain/service_news.py
@@ -28,6 +28,9 @@
 MAX_SERVICES: Final = 64
 """Services in one announcement."""
 
+MAX_KNOWN: Final = 1024
+"""Services that were announced lately; more than any configuration has."""
+
 
 class ContentionNews:
     """Announces contended services over the links between members.
@@ -85,6 +88,7 @@
             for name in contended:
                 if now_s - self._sent_s.get(name, -REPEAT_S) >= REPEAT_S:
                     self._sent_s[name] = now_s
+                    self._heard_s[name] = now_s
                     self._pass_on([name])
             self._sent_s = {name: self._sent_s[name] for name in contended}
 
@@ -95,7 +99,9 @@
 
     def _take_updates(self) -> ServiceNews:
         contended = sorted(self._pending)[:MAX_SERVICES]
-        self._pending.clear()
+        self._pending.difference_update(contended)
+        if self._pending:
+            self._flood.trigger()
         return ServiceNews(contended=contended)
 
     def _known_or_none(self) -> ServiceNews | None:
@@ -111,9 +117,14 @@
             for name in message.contended[:MAX_SERVICES]
             if now_s - self._heard_s.get(name, -FORWARD_S) >= FORWARD_S
         ]
-        if len(self._heard_s) > MAX_SERVICES:
-            self._heard_s.clear()
-        for name in new:
-            self._heard_s[name] = now_s
+        if len(self._heard_s) + len(new) > MAX_KNOWN:
+            # What was passed on lately stays: it would go round among the gateways.
+            self._heard_s = {
+                name: heard_s
+                for name, heard_s in self._heard_s.items()
+                if now_s - heard_s < FORWARD_S
+            }
+            new = new[: MAX_KNOWN - len(self._heard_s)]
+        self._heard_s.update(dict.fromkeys(new, now_s))
         if new:
             self._pass_on(new)
