Give up the place of a waiting request whose caller has left

A request that must not run twice is finished by its own task when its caller leaves. While it waited for a slot, that task kept its place before other requests until its due time. It is now cancelled until it has a slot. The new test failed before; 37 tests of the request path and of attempts pass.

--- a/src/trefoilpaddle/coordination/chain/attempts.py
+++ b/src/trefoilpaddle/coordination/chain/attempts.py
@@ -81,6 +81,7 @@
         "_held",
         "_hold_slot",
         "_inputs",
+        "_is_waiting",
         "_job",
         "_journal",
         "_n_not_run",
@@ -135,6 +136,12 @@
         self._tried: set[str] = set()
         self._n_not_run = 0
         self._has_caller_left = False
+        self._is_waiting = True
+
+    @property
+    def is_waiting(self) -> bool:
+        """True until the request has a slot of its service, or is refused."""
+        return self._is_waiting
 
     def stop_retrying(self) -> None:
         """Send the request to no other worker, as its caller has left."""
@@ -146,6 +153,7 @@
         A request whose account has used its share waits for a slot first.
         """
         async with self._hold_slot(self._job) as held:
+            self._is_waiting = False
             match held:
                 case Refused(reason=reason, retry_after_s=retry_s, detail=detail):
                     return self._delivery.failure_outcome(
--- a/src/trefoilpaddle/coordination/chain/request_path.py
+++ b/src/trefoilpaddle/coordination/chain/request_path.py
@@ -397,6 +397,9 @@
             return await asyncio.shield(running)
         except asyncio.CancelledError:
             attempts.stop_retrying()
+            if attempts.is_waiting:
+                # It is at no worker, and would hold its place before other requests.
+                running.cancel()
             raise
 
     def _on_finished(self, running: "asyncio.Task[Outcome]") -> None:
--- a/tests/chain/test_request_path.py
+++ b/tests/chain/test_request_path.py
@@ -11,6 +11,7 @@
 
 from trefoilpaddle.coordination.chain.cell_schedulers import CellSchedulers
 from trefoilpaddle.coordination.chain.chain_router import ChainRouter
+from trefoilpaddle.coordination.chain.job import Job
 from trefoilpaddle.coordination.chain.origin_placement import OriginPlacement
 from trefoilpaddle.coordination.chain.planned_stop import PlannedStop
 from trefoilpaddle.coordination.chain.request_path import RequestPath
@@ -18,6 +19,11 @@
     SchedulerEndpoint,
     SchedulerLinks,
 )
+from trefoilpaddle.coordination.chain.service_lease import (
+    HeldSlot,
+    HoldSlot,
+    unlimited_slot,
+)
 from trefoilpaddle.coordination.chain.stream_origins import StreamOrigins
 from trefoilpaddle.coordination.chain.target_calls import OpenAnswer, TargetCall
 from trefoilpaddle.coordination.chain.worker_choice import WorkerChoice
@@ -81,7 +87,9 @@
 class Rig:
     """A request path over two plain workers."""
 
-    def __init__(self, calls: FakeCalls, *routes: Route) -> None:
+    def __init__(
+        self, calls: FakeCalls, *routes: Route, hold_slot: HoldSlot = unlimited_slot
+    ) -> None:
         self.notes = journal()
         self.stop = PlannedStop(grace_s=8.0)
         self.workers = workers = WorkerTable()
@@ -121,6 +129,7 @@
                 workers=workers,
                 wait_known=no_wait,
             ),
+            hold_slot=hold_slot,
         )
         if routes:
             self.path.activate(table(*routes))
@@ -233,6 +242,31 @@
         await until(lambda: calls.n_finished == 1)
         assert Event.CALLER_LEFT in rig.events()
 
+    async def test_what_waits_for_a_slot_gives_its_place_up(self) -> None:
+        # Guards against requests that nobody waits for any more and that wait for a
+        # slot before those of other callers, as they must be finished once begun.
+        n_waiting = 0
+
+        @asynccontextmanager
+        async def hold_slot(job: Job) -> AsyncIterator[HeldSlot | Refused]:
+            nonlocal n_waiting
+            n_waiting += 1
+            try:
+                await asyncio.Event().wait()
+            finally:
+                n_waiting -= 1
+            yield HeldSlot()
+
+        calls = SlowCalls()
+        rig = Rig(calls, route(), hold_slot=hold_slot)
+        serving = asyncio.create_task(rig.serve())
+        await until(lambda: n_waiting == 1)
+        serving.cancel()
+        await asyncio.gather(serving, return_exceptions=True)
+        await asyncio.sleep(0.01)
+        assert n_waiting == 0
+        assert calls.sent == []
+
     async def test_what_may_be_repeated_is_broken_off(self) -> None:
         calls = SlowCalls()
         rig = Rig(calls, route(repeat=RepeatPolicy.IDEMPOTENT))
