--- a/src/trefoilpaddle/coordination/chain/service_lease.py
+++ b/src/trefoilpaddle/coordination/chain/service_lease.py
@@ -21,11 +21,17 @@
 from ...state.chain.admission_line import AdmissionLine, Ticket, TooLate, Waits
 from ...state.chain.requests import Refused
 from ...state.chain.retry_times import OverloadClock
-from ...state.chain.slot_ledger import FREE, ServiceLoad, SlotShare, capacity_of
+from ...state.chain.slot_ledger import (
+    CONTENTION_SHARE,
+    FREE,
+    ServiceLoad,
+    SlotShare,
+    capacity_of,
+)
 from ...state.chain.worker_uses import WorkerStart
 from ...state.journal import Decision, Event, Figure, Journal
 from .job import Job
-from .slot_home import report_period_s
+from .slot_home import MAX_REPORT_PERIOD_S, report_period_s
 from .slot_wire import load_to_wire, share_from_wire, uses_from_wire
 
 FREE_RATIO: Final = 1.25
@@ -44,6 +50,12 @@
 UNKNOWN_RETRY_S: Final = 0.05
 """Time until a home is asked again that does not know the other gateways yet."""
 
+EARLY_PERIODS: Final = 0.2
+"""Report periods after which demand that rises is reported early.
+
+It bounds the cost of a home at five times that of the regular reports.
+"""
+
 GRANT_VALID_S: Final = 1.0
 GRANT_VALID_PERIODS: Final = 3
 """A grant ends after so many seconds, and after at least so many report periods."""
@@ -113,8 +125,8 @@
     ----------
     service : str
         Name of the service.
-    may_grow : bool
-        True if its workers may have more slots than are published.
+    may_grow : callable
+        Returns True if its workers may have more slots than are published.
     published : callable
         Returns the published slots; None if they are not known.
     n_gateways : callable
@@ -155,6 +167,7 @@
         "_task",
         "_timer",
         "_uses",
+        "_wake",
         "has_reported",
         "home_id",
         "line",
@@ -164,7 +177,7 @@
         self,
         *,
         service: str,
-        may_grow: bool,
+        may_grow: Callable[[], bool],
         published: Callable[[], PublishedSlots | None],
         n_gateways: Callable[[], int],
         ask_home: Callable[[SlotReport], Awaitable[tuple[str, SlotGrant] | None]],
@@ -189,6 +202,7 @@
         self._late_check_s = 0.0
         self._n_sheds = 0
         self._n_told = 0
+        self._wake = asyncio.Event()
         self.has_reported = False
         self.home_id = ""
         self.line = AdmissionLine(now_s=time.monotonic())
@@ -201,6 +215,7 @@
         """
         now_s = time.monotonic()
         ticket = self._ticket(job, now_s)
+        self._end_grant(now_s)
         if not self.line.share.is_contended:
             self._set_free_limit()
         match self.line.arrive(ticket, now_s):
@@ -256,10 +271,13 @@
             self._task.cancel()
         if self._timer is not None:
             self._timer.cancel()
+            self._timer = None
 
     def _ticket(self, job: Job, now_s: float) -> Ticket:
-        due_s = job.request.received_s + job.route.target_latency_s
-        if now_s + self.line.begins_after_s > due_s:
+        due_s = min(
+            job.request.received_s + job.route.target_latency_s, job.begins_by_s
+        )
+        if now_s + self.line.begins_after_s(job.route.name) > due_s:
             # It is late in any case, and is served if there is room before its end.
             due_s = job.begins_by_s
         return Ticket(
@@ -267,6 +285,7 @@
             weight=account_weight(job.account.priority),
             priority=job.route.priority,
             due_s=due_s,
+            route=job.route.name,
         )
 
     def _begin_answer(self, ticket: Ticket) -> None:
@@ -277,6 +296,10 @@
         started: asyncio.Future[bool] = asyncio.get_running_loop().create_future()
         self._started[ticket] = started
         self._keep_reporting()
+        if not self.line.share.is_contended:
+            # The home may grant what is spare; in a large fleet, the next report is
+            # due in more than a second.
+            self._wake.set()
         self._schedule_start_check()
         try:
             return await started
@@ -345,6 +368,7 @@
     def _start_waiting(self) -> None:
         """Start the requests that may have a slot now, and refuse those too late."""
         now_s = time.monotonic()
+        self._end_grant(now_s)
         if now_s - self._late_check_s >= LATE_CHECK_S:
             self._late_check_s = now_s
             for ticket in self.line.refuse_late(now_s):
@@ -374,17 +398,34 @@
     async def _report_while_needed(self) -> None:
         """Report and use what is granted, until the service has slots for all."""
         began_s = time.monotonic()
+        # Answers of the time before say nothing about the present throughput.
+        self._n_told = self.line.n_answered
         while True:
             try:
                 period_s = await self._report(began_s)
             except Exception:
                 # An exception would leave requests waiting without any grant.
-                logging.exception("reporting the load of %s failed", self._service)
-                period_s = report_period_s(self._n_gateways())
+                logging.log_every_n_seconds(
+                    logging.ERROR,
+                    "reporting the load of %s failed",
+                    1,
+                    self._service,
+                    exc_info=True,
+                )
+                period_s = MAX_REPORT_PERIOD_S
+                self._start_without_limit()
             if self._may_end(time.monotonic()):
                 self.home_id = ""
                 return
-            await asyncio.sleep(period_s)
+            await self._sleep(period_s)
+
+    async def _sleep(self, period_s: float) -> None:
+        """Wait until the next report is due, or demand rises without contention."""
+        shortest_s = min(period_s, max(UNKNOWN_RETRY_S, EARLY_PERIODS * period_s))
+        await asyncio.sleep(shortest_s)
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(period_s - shortest_s):
+                await self._wake.wait()
 
     async def _report(self, began_s: float) -> float:
         """Report once; return the seconds until the next report."""
@@ -392,7 +433,9 @@
         if published is None:
             self._use(FREE)
             return report_period_s(self._n_gateways())
+        self._wake.clear()
         report = self._new_report(published)
+        asked_s = time.monotonic()
         answer = await self._ask_home(report)
         self.has_reported = True
         now_s = time.monotonic()
@@ -404,15 +447,38 @@
         period_s = report_period_s(self._n_gateways())
         if share is not None:
             self.home_id = home_id
-            self._granted_s = now_s
+            # This process may have been paused since the home answered.
+            self._granted_s = asked_s
             self._use(share)
             return period_s
-        ends_s = self._granted_s + max(GRANT_VALID_S, GRANT_VALID_PERIODS * period_s)
-        if now_s >= max(ends_s, began_s + GRANT_WAIT_S):
+        if now_s >= max(self._grant_ends_s(), began_s + GRANT_WAIT_S):
             self.home_id = ""
-            self._use(self._even_share(published))
+            share = self._even_share(published)
+            if share.is_contended:
+                self._contended_until_s = max(
+                    self._contended_until_s, now_s + CONTENTION_S
+                )
+            self._use(share)
         return UNKNOWN_RETRY_S if answer is not None else period_s
 
+    def _grant_ends_s(self) -> float:
+        """Return the monotonic time at which the last grant ends."""
+        period_s = report_period_s(self._n_gateways())
+        return self._granted_s + max(GRANT_VALID_S, GRANT_VALID_PERIODS * period_s)
+
+    def _end_grant(self, now_s: float) -> None:
+        """Use an even share if the grant has ended, as after a pause of the process.
+
+        The home may have granted its slots to other gateways meanwhile.
+        """
+        if not self.home_id or not self.line.share.is_contended:
+            return
+        published = self._published()
+        if now_s >= self._grant_ends_s() and published is not None:
+            self.home_id = ""
+            self.line.use(self._even_share(published), now_s)
+            self._set_free_limit()
+
     def _new_report(self, published: PublishedSlots) -> SlotReport:
         n_answered = self.line.n_answered - self._n_told
         n_sheds, self._n_sheds = self._n_sheds, 0
@@ -426,16 +492,23 @@
             n_sheds=n_sheds,
         )
         return load_to_wire(
-            self._service, load, may_grow=self._may_grow, uses=self._uses()
+            self._service, load, may_grow=self._may_grow(), uses=self._uses()
         )
 
     def _even_share(self, published: PublishedSlots) -> SlotShare:
-        """Return an even part of the capacity, for when no home grants any."""
+        """Return an even part of the capacity, for when no home grants any.
+
+        Accounts are limited only while they demand about that much here: a limit
+        without a shortage would never end without a home.
+        """
         n_slots = published.capacity / max(1, self._n_gateways())
         demands = [
             AccountDemand(account=account, weight=load.weight, n_slots=load.demand)
             for account, load in self.line.loads(time.monotonic()).items()
         ]
+        total = sum(demand.n_slots for demand in demands)
+        if total <= CONTENTION_SHARE * n_slots:
+            return SlotShare(is_contended=False, n_slots=n_slots)
         level = min(n_slots, max_min_level(demands, n_slots))
         return SlotShare(is_contended=True, n_slots=n_slots, level=level)
 
@@ -445,6 +518,12 @@
             self._set_free_limit()
         self._start_waiting()
 
+    def _start_without_limit(self) -> None:
+        """Start all waiting requests."""
+        self.line.use(FREE, time.monotonic())
+        self.line.free_limit = math.inf
+        self._start_waiting()
+
     def _may_end(self, now_s: float) -> bool:
         return (
             not self.line.share.is_contended
