Read the load that workers state

Workers state how many requests run and wait, their slots and how long work takes on their machine, and no gateway read it. Nothing decides by it yet.

--- a/src/trefoilpaddle/coordination/chain/worker_needs.py
+++ b/src/trefoilpaddle/coordination/chain/worker_needs.py
@@ -7,7 +7,7 @@
 from typing import Final
 
 from ...state.chain.stated_limits import StatedLimit, StatedLimits
-from ...state.chain.worker_statements import WorkerStatement
+from ...state.chain.worker_statements import StatedLoad, WorkerStatement
 from ...state.chain.workers import Worker, WorkerTable
 from ...state.journal import Decision, Event, Figure, Journal
 
@@ -57,15 +57,18 @@
         The limits that workers have named.
     on_news : callable
         Called with limits of which other gateways should know.
+    on_load : callable
+        Called with each listed worker that states its load, and the load.
     """
 
-    __slots__ = ("_journal", "_unlisted", "_workers", "limits", "on_news")
+    __slots__ = ("_journal", "_unlisted", "_workers", "limits", "on_load", "on_news")
 
     def __init__(self, *, workers: WorkerTable, journal: Journal) -> None:
         self._workers = workers
         self._journal = journal
         self.limits = StatedLimits()
         self.on_news: Callable[[StatedLimit], None] = _ignore
+        self.on_load: Callable[[Worker, StatedLoad], None] = _ignore_load
         self._unlisted: OrderedDict[str, UnlistedLimit] = OrderedDict()
         workers.new_listeners.append(self._on_new)
 
@@ -82,6 +85,8 @@
         if statement.rest_s and self._workers.rest(worker, statement.rest_s):
             figures = {"rest_s": statement.rest_s}
             self._record(Event.TARGET_RESTS, worker, "asked for in an answer", figures)
+        if statement.load is not None:
+            self.on_load(worker, statement.load)
         now_s = time.monotonic()
         if statement.limit_per_s is not None:
             self._name_limit(worker, statement.limit_per_s, now_s, "named in an answer")
@@ -181,3 +186,7 @@
 
 def _ignore(limit: StatedLimit) -> None:
     pass
+
+
+def _ignore_load(worker: Worker, load: StatedLoad) -> None:
+    pass
--- a/src/trefoilpaddle/standins/platform/worker.py
+++ b/src/trefoilpaddle/standins/platform/worker.py
@@ -19,6 +19,7 @@
 EXPECTED: Final = "Trefoilpaddle-Expected-Instance"
 PROMPT_PARTS: Final = "Trefoilpaddle-Prompt-Prefix"
 NOT_RUN: Final = "Trefoilpaddle-Not-Executed"
+LOAD: Final = "Trefoilpaddle-Server-Load"
 INPUTS: Final = "Trefoilpaddle-Inputs"
 
 FREE_MB: Final = 10.0
@@ -72,6 +73,10 @@
     interrupts_answers : bool
         True aborts the connection of each request after running it, or at the
         first event of a stream.
+    states_load : bool
+        True states its load in all of its answers.
+    load_percent : int
+        How long work takes on its machine, as it states it; 100 as usual.
     stated : dict of str to str
         Headers in which the worker states its needs, in all of its answers.
     slots : Slots
@@ -121,6 +126,7 @@
         "headers",
         "held",
         "interrupts_answers",
+        "load_percent",
         "marked_parts",
         "marked_s",
         "marker",
@@ -138,6 +144,7 @@
         "slots",
         "software_version",
         "stated",
+        "states_load",
         "turned_away",
         "turned_away_s",
         "turns_away",
@@ -159,6 +166,8 @@
         self.slots = Slots(n_slots=n_slots, n_queued=n_queued)
         self.n_done = 0
         self.fails = False
+        self.states_load = False
+        self.load_percent = 100
         self.worker_id = worker_id
         self.n_events = n_events
         self.work_s = work_s
@@ -209,6 +218,10 @@
         self, request: web.Request, answer: web.StreamResponse
     ) -> None:
         answer.headers.update(self.stated)
+        if self.states_load:
+            at = self.slots
+            load = (at.n_running, at.n_waiting, self.n_slots, self.load_percent)
+            answer.headers[LOAD] = ",".join(map(str, load))
 
     def _is_for_another_worker(self, request: web.Request) -> bool:
         expected = request.headers.get(EXPECTED)
--- a/tests/platform_adapter/test_worker_statements.py
+++ b/tests/platform_adapter/test_worker_statements.py
@@ -6,11 +6,16 @@
 import pytest
 from adapter.worker_statements import (
     MAX_LIMIT_PER_S,
+    MAX_LOAD,
     MAX_REST_S,
+    MAX_SLOWNESS,
     MIN_LIMIT_PER_S,
+    MIN_SLOWNESS,
     decode_statement,
 )
 
+from trefoilpaddle.state.chain.worker_statements import StatedLoad
+
 from ..waiting import until
 from .needs_harness import needs_harness
 
@@ -80,6 +85,57 @@
         assert not decode_statement(status, headers, answers_request=False).rest_s
 
 
+class TestLoad:
+    # Guards against a load that is not read, or that an absent field hides.
+    @pytest.mark.parametrize(
+        ("text", "load"),
+        [
+            (
+                "3,2,4,150",
+                StatedLoad(n_running=3, n_waiting=2, n_slots=4, slowness=1.5),
+            ),
+            (" 3 , 2, 4 ", StatedLoad(n_running=3, n_waiting=2, n_slots=4)),
+            ("3,2", StatedLoad(n_running=3, n_waiting=2)),
+            ("3,2,x,50", StatedLoad(n_running=3, n_waiting=2, slowness=0.5)),
+            ("3,2,4,-1", StatedLoad(n_running=3, n_waiting=2, n_slots=4)),
+            ("3,2,4,100,7", StatedLoad(n_running=3, n_waiting=2, n_slots=4)),
+        ],
+    )
+    @pytest.mark.parametrize("name", ["Server-Load", "Trefoilpaddle-Server-Load"])
+    def test_it_is_read(self, name: str, text: str, load: StatedLoad) -> None:
+        statement = decode_statement(200, {name: text}, answers_request=True)
+        assert statement.load == load
+
+    # Guards against a worker that excludes itself, or attracts all requests, for good.
+    @pytest.mark.parametrize(
+        ("text", "load"),
+        [
+            (
+                "1e300,1e300,1e300,1e300",
+                StatedLoad(
+                    n_running=MAX_LOAD,
+                    n_waiting=MAX_LOAD,
+                    n_slots=MAX_LOAD,
+                    slowness=MAX_SLOWNESS,
+                ),
+            ),
+            ("0,0,0,1", StatedLoad(n_running=0, n_waiting=0, slowness=MIN_SLOWNESS)),
+            ("0,0,0,0", StatedLoad(n_running=0, n_waiting=0)),
+        ],
+    )
+    def test_figures_are_bounded(self, text: str, load: StatedLoad) -> None:
+        headers = {"Trefoilpaddle-Server-Load": text}
+        assert decode_statement(200, headers, answers_request=True).load == load
+
+    # Guards against an error after another value.
+    @pytest.mark.parametrize(
+        "text", ["", "3", "x,2,4", "-3,2,4", "nan,2", "inf,2", "3;2;4", ",,,"]
+    )
+    def test_a_value_that_is_no_load_is_ignored(self, text: str) -> None:
+        headers = {"Trefoilpaddle-Server-Load": text}
+        assert decode_statement(200, headers, answers_request=True).load is None
+
+
 class TestGateway:
     # Guards against a limit that operators cannot see.
     @pytest.mark.parametrize("route", ["price", "draft"])
