Choose workers by their expected end, and leave out those that shed or fail

A gateway counted only its own requests, took the first worker of the list among equal ones, and sent most to a worker that answered at once as it shed or failed. It now learns the requests of all gateways from grants, the times of each worker and the load that a worker states, and draws among workers whose ends are as near. Workers that shed or fail alone are left out for a growing time, which gateways announce to one another.

--- a/src/trefoilpaddle/coordination/chain/attempts.py
+++ b/src/trefoilpaddle/coordination/chain/attempts.py
@@ -192,8 +192,13 @@
             match await self._exchange.send(worker, handles, sink):
                 case Answered() as answered:
                     self._held.has_run = True
+                    self._choice.record_answer(worker)
                     return answered
                 case WorkerFailed() as failed:
+                    if failed.head.is_worker_failure:
+                        self._choice.record_failure(worker)
+                    else:
+                        self._choice.record_answer(worker)
                     if not self._may_retry(Reason.TARGET_FAILED, worker):
                         return await self._pass_failure_on(failed, sink)
                 case CallFault() as fault:
@@ -244,6 +249,8 @@
         self._tried.add(worker.worker_id)
         if fault is CallFault.INPUTS_GONE:
             self._inputs.mark_lost()
+        if fault is CallFault.FULL:
+            self._choice.record_shed(worker)
         if fault is CallFault.FULL and time.monotonic() < self._job.deadline_s:
             self._held.n_sheds += 1
         if fault.has_not_run:
--- a/src/trefoilpaddle/coordination/chain/worker_exchange.py
+++ b/src/trefoilpaddle/coordination/chain/worker_exchange.py
@@ -198,6 +198,7 @@
                 self._workers.clear_suspicion(worker)
                 if not answer.head.is_success:
                     return WorkerFailed(head=answer.head, body=body)
+                at_worker.mark_done()
                 self._delivery.begin_answer()
                 await sink.whole(answer.head, body)
                 return Answered()
@@ -234,6 +235,7 @@
             return CallFault.BROKEN
         if not self._delivery.is_begun:
             return CallFault.BROKEN
+        at_worker.mark_done()
         await sink.end()
         return Answered()
 
--- a/tests/chain/test_attempts.py
+++ b/tests/chain/test_attempts.py
@@ -1,5 +1,6 @@
 """When a request may be sent to another worker, and the outcome for its caller."""
 
+import random
 import time
 from collections.abc import Sequence
 
@@ -16,6 +17,7 @@
 from trefoilpaddle.state.chain.requests import Answered, Failed, Refused
 from trefoilpaddle.state.chain.routes import Account, RepeatPolicy, Route
 from trefoilpaddle.state.chain.target_answers import AnswerHead, CallFault
+from trefoilpaddle.state.chain.worker_loads import N_FAILED, LeftOut, WorkerLoads
 from trefoilpaddle.state.chain.workers import WorkerTable
 
 from .fakes import (
@@ -67,10 +69,13 @@
     inputs: FakeInputs | None = None,
     n_crashes: int = 0,
     isolated: Sequence[str] = (),
+    workers: WorkerTable | None = None,
+    choice: WorkerChoice | None = None,
 ) -> Attempts:
-    workers = WorkerTable()
-    for number in range(n_workers):
-        workers.put(worker(f"w{number}"))
+    if workers is None:
+        workers = WorkerTable()
+        for number in range(n_workers):
+            workers.put(worker(f"w{number}"))
     guard = crash_guard(calls, workers)
     now_s = time.monotonic()
     for number in range(n_crashes):
@@ -98,7 +103,7 @@
         inputs=inputs or FakeInputs(),
         need=Need(),
         workers=workers,
-        choice=WorkerChoice(failure_domain="here", workers=workers),
+        choice=choice or WorkerChoice(failure_domain="here", workers=workers),
         calls=calls,
         budget=budgets(slack=slack, ratio=0.0).for_service("plain"),
         journal=journal(),
@@ -333,3 +338,36 @@
         outcome = await attempts(calls, IDEMPOTENT, n_crashes=1).run(FakeSink())
         assert isinstance(outcome, Answered)
         assert [worker_id for worker_id, _ in calls.sent] == ["w2"]
+
+
+class TestWhatWorkersDo:
+    @pytest.mark.parametrize(
+        ("script", "n_left_out"),
+        [
+            (CallFault.FULL, 1),
+            (FakeAnswer(head=FAILED_HEAD), 1),
+            (FakeAnswer(head=AnswerHead(status=404, headers=())), 0),
+            (FakeAnswer(), 0),
+        ],
+    )
+    async def test_sheds_and_failures_leave_a_worker_out(
+        self, script: CallFault | FakeAnswer, n_left_out: int
+    ) -> None:
+        # Guards against a worker that sheds or fails at once and gets most requests.
+        workers = WorkerTable()
+        for number in range(2):
+            workers.put(worker(f"w{number}"))
+        loads = WorkerLoads(rng=random.Random(1))
+        choice = WorkerChoice(failure_domain="here", workers=workers, loads=loads)
+        told: list[LeftOut] = []
+        choice.on_left_out = told.append
+        bad, good = workers.all()
+        choice.record_answer(good)
+        workers.mark_suspect(good, for_s=100.0)
+        for _ in range(N_FAILED):
+            calls = FakeCalls(scripts=[script])
+            of_route = route(max_attempts=1)
+            await attempts(calls, of_route, workers=workers, choice=choice).run(
+                FakeSink()
+            )
+        assert [each.worker for each in told] == [bad] * n_left_out
--- a/tests/chain/test_worker_choice.py
+++ b/tests/chain/test_worker_choice.py
@@ -1,10 +1,14 @@
 """Choice of workers: sessions go to engines that read them, others go by load."""
 
+import random
 from collections import Counter
+from contextlib import ExitStack
 
 from trefoilpaddle.coordination.chain.worker_choice import Need, WorkerChoice
 from trefoilpaddle.state.chain.requests import Prompt, PromptPart
 from trefoilpaddle.state.chain.routes import EngineService, PlainService
+from trefoilpaddle.state.chain.worker_loads import LeftOut, WorkerLoads
+from trefoilpaddle.state.chain.worker_statements import StatedLoad
 from trefoilpaddle.state.chain.workers import Worker, WorkerTable
 
 from .fakes import worker
@@ -110,3 +114,118 @@
     def test_an_excluded_worker_is_not_chosen(self) -> None:
         got = choice("a").choose(PLAIN, Need(), without=frozenset({"pa"}))
         assert got is not None and got.worker_id in {"pb", "pc"}
+
+
+def by_loads(
+    service: str = "plain", n_workers: int = 4, *, born_ms: int = 0
+) -> tuple[WorkerChoice, WorkerTable]:
+    workers = WorkerTable()
+    for number in range(n_workers):
+        workers.put(worker(f"w{number}", service, born_ms=born_ms))
+    loads = WorkerLoads(rng=random.Random(1))
+    return WorkerChoice(failure_domain="here", workers=workers, loads=loads), workers
+
+
+class TestLoads:
+    def test_idle_workers_are_drawn_at_random(self) -> None:
+        # Guards against gateways that all send to the first of the list.
+        at, _ = by_loads()
+        counts: Counter[str] = Counter()
+        for _ in range(400):
+            got = at.choose(PLAIN, Need(), without=NONE_EXCLUDED)
+            assert got is not None
+            counts[got.worker_id] += 1
+        assert max(counts.values()) < 0.35 * 400
+
+    def test_requests_of_other_gateways_count(self) -> None:
+        # Guards against a choice by the requests of one gateway of many.
+        at, _ = by_loads(n_workers=2)
+        at.learn_uses("plain", {("w0", 0): 5, ("w1", 0): 1})
+        got = at.choose(PLAIN, Need(), without=NONE_EXCLUDED)
+        assert got is not None and got.worker_id == "w1"
+
+    def test_a_stated_load_counts(self) -> None:
+        # Guards against a worker that is taken for idle though it states the contrary.
+        at, workers = by_loads(n_workers=2)
+        at.learn_load(workers.all()[0], StatedLoad(n_running=1, n_waiting=4))
+        got = at.choose(PLAIN, Need(), without=NONE_EXCLUDED)
+        assert got is not None and got.worker_id == "w1"
+
+    def test_a_short_prompt_part_does_not_fill_one_engine(self) -> None:
+        # All prompts share 90 tokens. Two of six engines had read them and got all
+        # requests, while the others were idle.
+        at, _ = by_loads("engine", 6)
+        engine = EngineService(name="engine", n_slots=4, cache_tokens=100_000)
+        parts = (
+            PromptPart(part_id="a1", n_tokens=60),
+            PromptPart(part_id="b2", n_tokens=30),
+            PromptPart(part_id="own", n_tokens=10),
+        )
+        need = Need(prompt=Prompt(parts=parts, n_tokens=100, n_output_tokens=20))
+        counts: Counter[str] = Counter()
+        with ExitStack() as opened:
+            for _ in range(24):
+                got = at.choose(engine, need, without=NONE_EXCLUDED)
+                assert got is not None
+                counts[got.worker_id] += 1
+                opened.enter_context(at.open(got, need)).mark_read()
+        assert set(counts.values()) == {4}
+
+    def test_a_long_prompt_stays_at_its_engine(self) -> None:
+        # Guards against prompts that are read again where an engine has slots left.
+        at, _ = by_loads("engine", 6)
+        need = Need(prompt=prompt("s1"))
+        first = chosen(at, need)
+        with at.open(first, need) as one, at.open(first, need) as other:
+            one.mark_read()
+            other.mark_read()
+            assert chosen(at, need) == first
+
+    def test_a_worker_that_sheds_is_left_out_and_told(self) -> None:
+        # Guards against a worker that each gateway has to detect itself.
+        at, workers = by_loads(n_workers=2)
+        told: list[LeftOut] = []
+        at.on_left_out = told.append
+        at.record_shed(workers.all()[0])
+        got = at.choose(PLAIN, Need(), without=NONE_EXCLUDED)
+        assert got is not None and got.worker_id == "w1"
+        assert [each.worker.worker_id for each in told] == ["w0"]
+
+    def test_what_a_peer_leaves_out_must_be_listed(self) -> None:
+        # Guards against a later start that gets nothing since an earlier one failed.
+        at, _ = by_loads(born_ms=5)
+        assert not at.hear_left_out("w0", 4, 1.0)
+        assert not at.hear_left_out("other", 5, 1.0)
+        assert at.hear_left_out("w0", 5, 1.0)
+        assert at.n_left_out == 1
+
+    def test_a_removed_worker_is_forgotten(self) -> None:
+        # Guards against a later start that is judged by an earlier one.
+        at, workers = by_loads(n_workers=2)
+        at.record_shed(workers.all()[0])
+        workers.remove("w0")
+        workers.put(worker("w0", born_ms=1))
+        assert at.n_left_out == 0
+
+    def test_a_restarted_worker_is_forgotten(self) -> None:
+        # Guards against answers of an earlier start that count for the later one.
+        at, workers = by_loads(n_workers=2)
+        former = workers.all()[0]
+        workers.put(worker("w0", born_ms=1))
+        at.record_shed(former)
+        assert at.n_left_out == 0
+
+
+class TestWithoutLoads:
+    def test_the_first_of_the_list_is_taken_among_equal_ones(self) -> None:
+        # Guards against a switch that does not restore the choice of before.
+        workers = WorkerTable()
+        for number in range(4):
+            workers.put(worker(f"w{number}"))
+        at = WorkerChoice(failure_domain="here", workers=workers)
+        at.learn_uses("plain", {("w0", 0): 5})
+        at.learn_load(workers.all()[0], StatedLoad(n_running=9, n_waiting=9))
+        at.record_shed(workers.all()[0])
+        for _ in range(20):
+            got = at.choose(PLAIN, Need(), without=NONE_EXCLUDED)
+            assert got is not None and got.worker_id == "w0"
