--- a/tests/chain/__main__.py
+++ b/tests/chain/__main__.py
@@ -7,7 +7,7 @@
 the cost of a worker crash, and ``origins`` how many streams go on after gateways were
 killed, by the number of replicas that know them. ``rolling`` prints the same for
 gateways that are stopped in turn, and ``shares`` how accounts are served beside a burst
-of one of them.
+of one of them. ``balance`` compares two ways of choosing workers.
 """
 
 import logging
@@ -30,6 +30,7 @@
 from trefoilpaddle.state.chain.tolerable_waits import TolerableWaits
 
 from ..published.store_costs import print_costs
+from .balance_model import print_plays as print_balance_plays
 from .cell_loads import BUSY_DAY, TIGHT_DAY, UNEVEN_DAY, Load
 from .cell_model import Model, Outcome
 from .cold_fleet import print_plays as print_cold_plays
@@ -170,5 +171,6 @@
             "origins": print_origin_plays,
             "rolling": print_rolling_stops,
             "shares": print_share_plays,
+            "balance": print_balance_plays,
         }
     )
