--- a/src/trefoilpaddle/coordination/chain/attempts.py
+++ b/src/trefoilpaddle/coordination/chain/attempts.py
@@ -200,8 +200,13 @@
             match await self._exchange.send(worker, handles, sink):
                 case Answered() as answered:
                     self._held.has_run = True
+                    self._choice.record_answer(worker)
                     return answered
                 case WorkerFailed() as failed:
+                    if failed.head.is_worker_failure:
+                        self._choice.record_failure(worker)
+                    else:
+                        self._choice.record_answer(worker)
                     if not self._may_retry(Reason.TARGET_FAILED, worker):
                         return await self._pass_failure_on(failed, sink)
                 case CallFault() as fault:
@@ -232,7 +237,7 @@
         if self._guard.is_suspect(self._job.fingerprint, self._job.parts):
             # A suspect goes to the worker with the fewest open requests, even if
             # another one has its prompt in the cache.
-            need = replace(need, prompt=None)
+            need = replace(need, prompt=None, is_suspect=True)
         isolating = self._guard.isolating_workers()
         if isolating:
             worker = self._choice.choose(service, need, without=tried | isolating)
@@ -252,6 +257,8 @@
         self._tried.add(worker.worker_id)
         if fault is CallFault.INPUTS_GONE:
             self._inputs.mark_lost()
+        if fault is CallFault.FULL:
+            self._choice.record_shed(worker)
         if fault is CallFault.FULL and time.monotonic() < self._job.deadline_s:
             self._held.n_sheds += 1
         if fault.has_not_run:
--- a/tests/chain/test_service_news.py
+++ b/tests/chain/test_service_news.py
@@ -4,6 +4,7 @@
 from collections.abc import Awaitable, Callable, Iterable
 from contextlib import suppress
 from dataclasses import dataclass, field
+from types import SimpleNamespace
 from typing import cast
 
 import pytest
@@ -16,6 +17,7 @@
 )
 from trefoilpaddle.coordination.chain.slot_home import SlotHome
 from trefoilpaddle.coordination.chain.slot_leases import SlotLeases
+from trefoilpaddle.coordination.chain.worker_choice import WorkerChoice
 from trefoilpaddle.protocol.gen.chain.ttypes import ServiceNews
 from trefoilpaddle.transport.connection import Connection
 from trefoilpaddle.transport.link import Link
@@ -61,6 +63,7 @@
             links=lambda: [cast(Link, self.link)],
             home=cast(SlotHome, self.known),
             leases=cast(SlotLeases, self.known),
+            choice=cast(WorkerChoice, SimpleNamespace()),
         )
         self._listener = own.message_listeners[-1]
 
