--- a/tests/chain/test_slot_leases.py
+++ b/tests/chain/test_slot_leases.py
@@ -13,6 +13,7 @@
 from result import Err, Ok, Result
 
 from trefoilpaddle.coordination.chain.job import Job
+from trefoilpaddle.coordination.chain.planned_stop import PlannedStop
 from trefoilpaddle.coordination.chain.service_lease import (
     EARLY_PERIODS,
     GRANT_WAIT_S,
@@ -561,3 +562,241 @@
             assert gateway.refused == []
 
         virtually(play)
+
+
+class TestHomeLost:
+    def test_the_next_one_is_asked(self, virtually: Play) -> None:
+        # Guards against reports to a gateway that is no longer there.
+        async def play() -> None:
+            gateway = OwnGateway(Peer(), Peer())
+            lost, following = highest("plain", ["p0", "p1"], n=2)
+            serving = asyncio.create_task(gateway.overload())
+            await asyncio.sleep(0.2)
+            assert gateway.home_id == lost
+            gateway.peers[int(lost[1:])].is_silent = True
+            gateway.live = tuple(m for m in gateway.members if m.process_id != lost)
+            await asyncio.sleep(2 * GRANT_WAIT_S)
+            assert gateway.home_id == following
+            await serving
+
+        virtually(play)
+
+    def test_the_weakest_gateway_becomes_the_home_of_last_resort(
+        self, virtually: Play
+    ) -> None:
+        # Guards against a gateway that is alone and waits for a home.
+        async def play() -> None:
+            gateway = OwnGateway(Peer())
+            gateway.live = tuple(gateway.members[:1])
+            serving = asyncio.create_task(gateway.overload())
+            await asyncio.sleep(2 * WARM_UP_S)
+            assert gateway.home_id == "own"
+            await serving
+
+        virtually(play)
+
+
+class TestLateAnswer:
+    def test_one_of_before_a_pause_is_not_used(self, virtually: Play) -> None:
+        # Guards against slots that were granted to others since the answer was given.
+        async def play() -> None:
+            home = Home(lambda report: contended(30, n_gateways=1))
+            gateway = Gateway(home=home, n_gateways=4)
+            tasks = gateway.send(12, work_s=9.0, deadline_s=20.0, target_latency_s=20.0)
+            await asyncio.sleep(ONE_WAY_S / 2)
+            assert len(home.reports) == 1
+            pause(2.0)
+            home.answer = silent
+            await asyncio.sleep(GRANT_WAIT_S)
+            assert gateway.lease.home_id == ""
+            assert gateway.lease.line.share.n_slots == pytest.approx(12 / 4)
+            for task in tasks:
+                task.cancel()
+            await asyncio.gather(*tasks, return_exceptions=True)
+
+        virtually(play)
+
+
+class TestGivingBack:
+    def test_a_stopping_gateway_without_requests_gives_its_share_back(
+        self, virtually: Play
+    ) -> None:
+        # Guards against slots that stay idle until the report of a gateway that has
+        # stopped ends.
+        async def play() -> None:
+            gateway = OwnGateway(Peer())
+            stop = PlannedStop(grace_s=8.0)
+            giving = asyncio.create_task(gateway.leases.give_back(stop))
+            await gateway.overload()
+            stop.order()
+            await asyncio.sleep(0.5)
+            (peer,) = gateway.peers
+            assert peer.last is not None and peer.last.is_leaving
+            n_asked = peer.n_asked
+            await asyncio.sleep(5.0)
+            assert peer.n_asked == n_asked
+            giving.cancel()
+
+        virtually(play)
+
+    def test_it_is_kept_while_requests_run(self, virtually: Play) -> None:
+        # Guards against requests of a stopping gateway that nobody counts.
+        async def play() -> None:
+            gateway = OwnGateway(Peer())
+            stop = PlannedStop(grace_s=8.0)
+            giving = asyncio.create_task(gateway.leases.give_back(stop))
+            serving = asyncio.create_task(gateway.overload())
+            await asyncio.sleep(0.2)
+            stop.order()
+            await asyncio.sleep(0.3)
+            (peer,) = gateway.peers
+            assert peer.last is not None and not peer.last.is_leaving
+            await serving
+            await asyncio.sleep(0.3)
+            assert peer.last.is_leaving
+            giving.cancel()
+
+        virtually(play)
+
+    def test_nothing_runs_on_after_the_close(self, virtually: Play) -> None:
+        # Guards against a process that is kept alive by tasks of its leases.
+        async def play() -> None:
+            gateway = OwnGateway(Peer())
+            serving = asyncio.create_task(gateway.overload())
+            await asyncio.sleep(0.2)
+            serving.cancel()
+            await asyncio.gather(serving, return_exceptions=True)
+            gateway.leases.close()
+            await asyncio.sleep(0.0)
+            await asyncio.sleep(0.0)
+            assert len(asyncio.all_tasks()) == 1
+
+        virtually(play)
+
+
+class TestCallersThatLeave:
+    def test_one_that_waits_leaves_no_trace(self, virtually: Play) -> None:
+        # Guards against places of callers that have left, which count as demand.
+        async def play() -> None:
+            gateway = Gateway(home=Home(lambda report: contended(0.01)))
+            tasks = gateway.send(12, work_s=0.5)
+            await asyncio.sleep(0.1)
+            assert gateway.lease.line.n_waiting
+            for task in tasks:
+                task.cancel()
+            await asyncio.gather(*tasks, return_exceptions=True)
+            assert gateway.lease.is_idle
+
+        virtually(play)
+
+    def test_one_that_leaves_just_as_it_starts_frees_its_slot(
+        self, virtually: Play
+    ) -> None:
+        # Guards against a slot that is assigned to a caller that has just left, and
+        # is never freed.
+        async def play() -> None:
+            gateway = Gateway(home=Home(silent))
+            first = gateway.send(5, work_s=0.1)
+            (waiting,) = gateway.send(1)
+            await asyncio.sleep(0.05)
+            lease = gateway.lease
+            assert lease.line.n_waiting == 1
+            lease.line.free_limit = 6.0
+            lease._start_waiting()
+            assert lease.line.n_running == 6
+            waiting.cancel()
+            await asyncio.gather(waiting, return_exceptions=True)
+            assert lease.line.n_running == 5
+            await asyncio.gather(*first)
+            assert lease.is_idle
+
+        virtually(play)
+
+    def test_one_that_leaves_just_before_it_would_start_frees_its_slot(
+        self, virtually: Play
+    ) -> None:
+        # The same, with the events the other way round.
+        async def play() -> None:
+            gateway = Gateway(home=Home(silent))
+            first = gateway.send(5, work_s=0.1)
+            (waiting,) = gateway.send(1)
+            await asyncio.sleep(0.05)
+            lease = gateway.lease
+            waiting.cancel()
+            lease.line.free_limit = 6.0
+            lease._start_waiting()
+            await asyncio.gather(waiting, return_exceptions=True)
+            assert lease.line.n_running == 5
+            await asyncio.gather(*first)
+            assert lease.is_idle
+
+        virtually(play)
+
+    def test_a_worker_that_fails_frees_the_slot(self, virtually: Play) -> None:
+        # Guards against slots that are lost with exceptions.
+        async def play() -> None:
+            gateway = Gateway(home=Home(silent))
+            with pytest.raises(ConnectionError):
+                async with gateway.lease.slot(job()):
+                    raise ConnectionError
+            assert gateway.lease.is_idle
+
+        virtually(play)
+
+
+class TestWorkersThatShed:
+    def test_they_are_reported_at_once(self, virtually: Play) -> None:
+        # Guards against a home that hears of overrun workers with the next contention.
+        async def play() -> None:
+            gateway = Gateway(home=Home(lambda report: plentiful(8)))
+            async with gateway.lease.slot(job()) as held:
+                assert isinstance(held, HeldSlot)
+                held.n_sheds = 2
+            await asyncio.sleep(0.01)
+            assert [report.n_sheds for report in gateway.home.reports] == [2]
+
+        virtually(play)
+
+
+class TestLightLoad:
+    def test_it_costs_no_message(self, virtually: Play) -> None:
+        # Guards against messages without contention, and against a deployment that
+        # serves its requests later than without shares.
+        async def play() -> None:
+            gateway = Gateway(home=Home(silent))
+            for _ in range(20):
+                await asyncio.gather(*gateway.send(2))
+            assert gateway.home.reports == []
+            assert set(gateway.waited_s) == {0.0}
+
+        virtually(play)
+
+    def test_what_is_announced_is_reported_while_there_are_requests(
+        self, virtually: Play
+    ) -> None:
+        # Guards against gateways with little traffic whose part is granted to others.
+        async def play() -> None:
+            home = Home(lambda report: contended(2))
+            gateway = Gateway(home=home)
+            gateway.lease.hear_contention()
+            await asyncio.sleep(0.5)
+            assert home.reports == []
+            await gateway.serve()
+            assert len(home.reports) > 1
+            home.answer = lambda report: plentiful(8)
+            await asyncio.sleep(4.0)
+            n_reports = len(home.reports)
+            await asyncio.sleep(4.0)
+            assert len(home.reports) == n_reports
+
+        virtually(play)
+
+    def test_unknown_slots_limit_nothing(self, virtually: Play) -> None:
+        # Guards against limits where the slots of workers are not published.
+        async def play() -> None:
+            gateway = Gateway(home=Home(silent), published=None)
+            await asyncio.gather(*gateway.send(100))
+            assert gateway.most_at_workers == 100
+            assert gateway.home.reports == []
+
+        virtually(play)
