Play bursts of one account with real gateways

Six plays: six gateways, two, all of the burst at one, twice as many accounts, a gateway killed and one started, one paused for 2 s.

--- a/tests/platform_adapter/shares_harness.py
+++ b/tests/platform_adapter/shares_harness.py
@@ -49,6 +49,9 @@
 DEADLINE_S: Final = 3.0
 STAGE_CALL_S: Final = 0.2
 N_EVENTS: Final = 5
+BALANCER_S: Final = 1.0
+"""Time for which a killed gateway still gets connections of callers."""
+
 MAX_RETRY_S: Final = DEADLINE_S / 3
 
 
@@ -349,6 +352,22 @@
     gateway.signal(signal.SIGCONT)
 
 
+async def kill_and_start(harness: SharesHarness) -> None:
+    """Kill a gateway, and start one in its place that knows nothing.
+
+    Callers' connections go to it until the balancer has noticed, and again once it is
+    ready.
+    """
+    gateway = harness.all_gateways[-1]
+    gateway.kill()
+    await asyncio.sleep(BALANCER_S)
+    harness.all_gateways.remove(gateway)
+    gateway.start()
+    async with aiohttp.ClientSession() as client:
+        await gateway.wait_ready(client)
+    harness.all_gateways.append(gateway)
+
+
 @contextlib.asynccontextmanager
 async def shares_harness(
     folder: Path, *, kind: str = "plain", n_gateways: int = 6, n_accounts: int = 8
@@ -384,7 +403,7 @@
                 yield SharesHarness(
                     kind=chosen,
                     site=site,
-                    all_gateways=all_gateways,
+                    all_gateways=list(all_gateways),
                     n_accounts=n_accounts,
                     client=client,
                 )
@@ -397,6 +416,7 @@
     n_accounts: int = 8,
     is_at_one: bool = False,
     paused_s: float = 0.0,
+    is_killed: bool = False,
 ) -> None:
     """Play once and print how the accounts were served."""
     logging.getLogger("asyncio").setLevel(logging.ERROR)
@@ -406,8 +426,11 @@
             async with shares_harness(
                 Path(folder), kind=kind, n_gateways=n_gateways, n_accounts=n_accounts
             ) as harness:
-                last = harness.all_gateways[-1]
-                in_burst = partial(pause, last, paused_s) if paused_s else None
+                in_burst: Callable[[], Awaitable[None]] | None = None
+                if paused_s:
+                    in_burst = partial(pause, harness.all_gateways[-1], paused_s)
+                elif is_killed:
+                    in_burst = partial(kill_and_start, harness)
                 observed = await harness.run(
                     is_at_one=is_at_one,
                     share=SHARE * 8 / n_accounts,
