Let accounts compete in the soak tests

One account sends 2.5 times what the workers of a service with four slots can do, in bursts, while another sends 0.15 of it, and gateways stop, pause and are killed. 0.95 of the latter's requests must be served, except at gateways that were disturbed, and a refusal must be true.

--- a/tests/soak/soak_long_deadlines.py
+++ b/tests/soak/soak_long_deadlines.py
@@ -13,6 +13,7 @@
 )
 
 from .soak_callers import Callers, one_connection
+from .soak_shares import with_counter
 
 LONG_DEADLINE_S: Final = 20.0
 """Deadline and timeout of the route; three times the grace period of a stop."""
@@ -56,7 +57,7 @@
         timeout_ms=long_deadline_ms,
         target_latency_ms=long_deadline_ms - 1000,
     )
-    return fields | {"routes": [*fields["routes"], long_route]}
+    return with_counter(fields | {"routes": [*fields["routes"], long_route]})
 
 
 @dataclass(slots=True, kw_only=True)
--- a/tests/soak/soak_run.py
+++ b/tests/soak/soak_run.py
@@ -48,6 +48,8 @@
 from .soak_record import GRACE_S, VERSIONS, ActionInterval, Record, StopOrder
 from .soak_restores import StoreRestores
 from .soak_resuming import ResumingCallers
+from .soak_shares import SERVICE as COUNTER
+from .soak_shares import CompetingCallers, broken_shares, counter_workers
 from .soak_stalls import record_stalls
 from .soak_stops import stop_schedule
 
@@ -91,6 +93,7 @@
         self.relays: dict[str, Relay] = {}
         self.store_relays: list[Relay] = []
         self.record = Record(workers=[])
+        self.counter_workers: list[PlatformWorker] = []
         self.crashes = PartCrashes(record=self.record, restart=self.crash_by_part)
 
     @property
@@ -135,6 +138,17 @@
         self.write_listing(worker_id, service)
         return worker_id
 
+    async def add_counter(self) -> None:
+        """Start and list the workers for which accounts compete."""
+        for worker in counter_workers():
+            url = await self._stack.enter_async_context(serving(worker.application()))
+            worker.address = url.removeprefix("http://")
+            value = entry(
+                COUNTER, worker.address, born=worker.born_ms, slots=worker.n_slots
+            )
+            self.restores.write(f"servers/{worker.worker_id}", value)
+            self.counter_workers.append(worker)
+
     def load(self) -> None:
         """Make calls so long that requests queue for their stages for seconds."""
         for service, work_s in LOADED_WORK_S.items():
@@ -409,6 +423,7 @@
     with_restores: bool = True,
     with_needs: bool = True,
     with_parts: bool = True,
+    with_shares: bool = True,
     is_stops: bool = False,
 ) -> tuple[Record, Callers]:
     """Run a seed; return the record of the run and the callers with their requests.
@@ -419,6 +434,8 @@
         Workers also state limits, rest and leaving in their answers.
     with_parts : bool
         Requests with a part in their prompts that crashes workers are sent, too.
+    with_shares : bool
+        An account sends bursts to a service with few slots, beside another one.
     is_stops : bool
         Planned stops only, under load and with callers that have long deadlines in
         addition; otherwise all faults.
@@ -466,6 +483,10 @@
         if with_parts and not is_stops:
             bad = send_bad(callers, random.Random(seed))
             background.append(asyncio.create_task(bad))
+        competing = CompetingCallers(callers=callers, rng=random.Random(seed))
+        if with_shares and not is_stops:
+            await site.add_counter()
+            background.append(asyncio.create_task(competing.run()))
         long_deadline_tasks: list[asyncio.Task[None]] = []
         if is_stops:
             steps = stop_schedule(seed, length_s=length_s, n_gateways=len(gateways))
@@ -504,6 +525,9 @@
             for result in results
             if isinstance(result, Exception)
         ]
+        site.record.problems += broken_shares(
+            site.record, site.counter_workers, competing.requests
+        )
         site.record.problems += _logged_errors(gateways)
         return site.record, callers
 
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -31,6 +31,7 @@
     with_restores: bool = False
     with_needs: bool = False
     with_parts: bool = False
+    with_shares: bool = False
     is_stops: bool = False
 
 
@@ -41,6 +42,12 @@
         why="a part of a prompt crashes workers beside all other faults",
         with_parts=True,
     ),
+    Case(
+        seed=29,
+        length_s=8.0,
+        why="an account bursts beside another one while gateways stop and are killed",
+        with_shares=True,
+    ),
     Case(
         seed=5,
         length_s=8.0,
@@ -124,6 +131,7 @@
             with_restores=case.with_restores,
             with_needs=case.with_needs,
             with_parts=case.with_parts,
+            with_shares=case.with_shares,
             is_stops=case.is_stops,
         )
         assert violations(record, callers) == []
