Take one worker that sheds for that worker's fault, not for a shortage

Each shed lowered the capacity of the whole service, to 0.3 of itself while they went on, so one worker of six that turned all away made a load of 0.4 a contention, and accounts were limited beside idle workers. Sheds are now reported if two workers shed within a second, or the only one.

--- a/src/trefoilpaddle/coordination/chain/attempts.py
+++ b/src/trefoilpaddle/coordination/chain/attempts.py
@@ -253,7 +253,7 @@
         if fault is CallFault.INPUTS_GONE:
             self._inputs.mark_lost()
         if fault is CallFault.FULL and time.monotonic() < self._job.deadline_s:
-            self._held.n_sheds += 1
+            self._held.shed_by.append(worker.worker_id)
         if fault.has_not_run:
             self._n_not_run += 1
         else:
--- a/src/trefoilpaddle/coordination/chain/service_lease.py
+++ b/src/trefoilpaddle/coordination/chain/service_lease.py
@@ -4,8 +4,8 @@
 import contextlib
 import math
 import time
-from collections.abc import AsyncIterator, Awaitable, Callable, Mapping
-from dataclasses import dataclass
+from collections.abc import AsyncIterator, Awaitable, Callable, Mapping, Sequence
+from dataclasses import dataclass, field
 from typing import Final
 
 from absl import logging
@@ -63,6 +63,9 @@
 CONTENTION_S: Final = 2.0
 """Seconds for which a gateway reports after it has heard of contention."""
 
+SHED_WINDOW_S: Final = 1.0
+"""Seconds within which workers that shed count together."""
+
 START_CHECK_S: Final = 0.01
 """Period of the check whether credit lets a waiting request start."""
 
@@ -91,12 +94,12 @@
     ----------
     has_run : bool
         True once a worker has answered the request.
-    n_sheds : int
-        Workers that have turned the request away.
+    shed_by : list of str
+        Ids of the workers that have turned the request away.
     """
 
     has_run: bool = False
-    n_sheds: int = 0
+    shed_by: list[str] = field(default_factory=list)
     on_begin: Callable[[], None] = lambda: None
 
     def mark_begun(self) -> None:
@@ -159,6 +162,7 @@
         "_overload",
         "_published",
         "_service",
+        "_shed_s",
         "_started",
         "_task",
         "_timer",
@@ -197,6 +201,7 @@
         self._granted_s = -math.inf
         self._late_check_s = 0.0
         self._n_sheds = 0
+        self._shed_s: dict[str, float] = {}
         self._n_told = 0
         self._wake = asyncio.Event()
         self.has_reported = False
@@ -234,9 +239,8 @@
             yield held
         finally:
             self.line.end(ticket, time.monotonic(), has_run=held.has_run)
-            if held.n_sheds:
-                self._n_sheds += held.n_sheds
-                self._keep_reporting()
+            if held.shed_by:
+                self._record_sheds(held.shed_by)
             self._start_waiting()
 
     def hear_contention(self) -> None:
@@ -328,6 +332,24 @@
             ),
         )
 
+    def _record_sheds(self, worker_ids: Sequence[str]) -> None:
+        """Report sheds if more than one worker sheds, or the only one.
+
+        A single worker may be at fault. The home would shrink the capacity for it, and
+        find contention while the others idle.
+        """
+        now_s = time.monotonic()
+        self._shed_s |= dict.fromkeys(worker_ids, now_s)
+        self._shed_s = {
+            worker_id: shed_s
+            for worker_id, shed_s in self._shed_s.items()
+            if now_s - shed_s < SHED_WINDOW_S
+        }
+        published = self._published()
+        if published is None or len(self._shed_s) >= min(2, published.n_workers):
+            self._n_sheds += len(worker_ids)
+            self._keep_reporting()
+
     def _record_wait(self, job: Job, waited_s: float) -> None:
         self._journal.record(
             Decision(
--- a/tests/chain/test_slot_leases.py
+++ b/tests/chain/test_slot_leases.py
@@ -18,6 +18,7 @@
     EARLY_PERIODS,
     GRANT_WAIT_S,
     LATE_CHECK_S,
+    SHED_WINDOW_S,
     HeldSlot,
     PublishedSlots,
     ServiceLease,
@@ -745,15 +746,42 @@
 
 
 class TestWorkersThatShed:
+    async def shed(self, gateway: Gateway, *worker_ids: str) -> list[int]:
+        """Let workers turn a request away; return the sheds that were reported."""
+        async with gateway.lease.slot(job()) as held:
+            assert isinstance(held, HeldSlot)
+            held.shed_by += worker_ids
+        await asyncio.sleep(0.01)
+        return [report.n_sheds for report in gateway.home.reports]
+
     def test_they_are_reported_at_once(self, virtually: Play) -> None:
         # Guards against a home that hears of overrun workers with the next contention.
         async def play() -> None:
             gateway = Gateway(home=Home(lambda report: plentiful(8)))
-            async with gateway.lease.slot(job()) as held:
-                assert isinstance(held, HeldSlot)
-                held.n_sheds = 2
-            await asyncio.sleep(0.01)
-            assert [report.n_sheds for report in gateway.home.reports] == [2]
+            assert await self.shed(gateway, "w0", "w1") == [2]
+
+        virtually(play)
+
+    def test_a_single_one_is_not_taken_for_a_service_that_is_overrun(
+        self, virtually: Play
+    ) -> None:
+        # Guards against one worker that turns all away, for which the capacity of all
+        # shrinks to a third.
+        async def play() -> None:
+            gateway = Gateway(home=Home(lambda report: plentiful(8)))
+            for _ in range(20):
+                assert await self.shed(gateway, "w0") == []
+            await asyncio.sleep(SHED_WINDOW_S)
+            assert await self.shed(gateway, "w1") == []
+
+        virtually(play)
+
+    def test_the_only_one_is_reported(self, virtually: Play) -> None:
+        # Guards against an overrun worker that nothing relieves, as it is alone.
+        async def play() -> None:
+            slots = PublishedSlots(n_slots=4, n_workers=1)
+            gateway = Gateway(home=Home(lambda report: plentiful(8)), published=slots)
+            assert await self.shed(gateway, "w0") == [1]
 
         virtually(play)
 
