--- a/tests/chain/test_attempts.py
+++ b/tests/chain/test_attempts.py
@@ -1,19 +1,25 @@
 """When a request may be sent to another worker, and the outcome for its caller."""
 
 import time
-from collections.abc import Sequence
+from collections.abc import AsyncIterator, Sequence
+from contextlib import asynccontextmanager
 
 import pytest
 
 from trefoilpaddle.coordination.chain import attempt_timeouts
 from trefoilpaddle.coordination.chain.attempts import Attempts
 from trefoilpaddle.coordination.chain.job import Job
+from trefoilpaddle.coordination.chain.service_lease import (
+    HeldSlot,
+    HoldSlot,
+    unlimited_slot,
+)
 from trefoilpaddle.coordination.chain.worker_choice import Need, WorkerChoice
 from trefoilpaddle.protocol.reasons import Reason
 from trefoilpaddle.state.chain.crash_registry import Crash
 from trefoilpaddle.state.chain.delivery import Delivery
 from trefoilpaddle.state.chain.isolated_runs import IsolatedRun
-from trefoilpaddle.state.chain.requests import Answered, Failed, Refused
+from trefoilpaddle.state.chain.requests import Answered, Failed, Outcome, Refused
 from trefoilpaddle.state.chain.routes import Account, RepeatPolicy, Route
 from trefoilpaddle.state.chain.target_answers import AnswerHead, CallFault
 from trefoilpaddle.state.chain.workers import WorkerTable
@@ -67,6 +73,7 @@
     inputs: FakeInputs | None = None,
     n_crashes: int = 0,
     isolated: Sequence[str] = (),
+    hold_slot: HoldSlot = unlimited_slot,
 ) -> Attempts:
     workers = WorkerTable()
     for number in range(n_workers):
@@ -105,6 +112,7 @@
         delivery=Delivery(),
         guard=guard,
         send_limits=send_limits(workers),
+        hold_slot=hold_slot,
     )
 
 
@@ -333,3 +341,56 @@
         outcome = await attempts(calls, IDEMPOTENT, n_crashes=1).run(FakeSink())
         assert isinstance(outcome, Answered)
         assert [worker_id for worker_id, _ in calls.sent] == ["w2"]
+
+
+class TestSlots:
+    async def held_by(
+        self, calls: FakeCalls, of_route: Route
+    ) -> tuple[HeldSlot, Outcome]:
+        """Run a request and return the slot that it held, and its outcome."""
+        held = HeldSlot()
+        is_open = False
+
+        @asynccontextmanager
+        async def hold_slot(job: Job) -> AsyncIterator[HeldSlot | Refused]:
+            nonlocal is_open
+            is_open = True
+            try:
+                yield held
+            finally:
+                is_open = False
+
+        outcome = await attempts(calls, of_route, hold_slot=hold_slot).run(FakeSink())
+        assert not is_open
+        return held, outcome
+
+    async def test_workers_that_shed_are_told_apart(self) -> None:
+        # Guards against one worker that sheds and counts as an overrun service.
+        calls = FakeCalls(scripts=[CallFault.FULL, CallFault.FULL, FakeAnswer()])
+        held, _ = await self.held_by(calls, ONCE)
+        assert held.shed_by == [worker_id for worker_id, _ in calls.sent[:2]]
+        assert held.has_run
+
+    @pytest.mark.parametrize("fault", [CallFault.BROKEN, CallFault.UNREACHABLE])
+    async def test_other_faults_are_no_sheds_and_no_answers(
+        self, fault: CallFault
+    ) -> None:
+        # Guards against a capacity that shrinks, or durations that are learnt, by
+        # workers that are lost.
+        held, outcome = await self.held_by(FakeCalls(scripts=[fault] * 4), ONCE)
+        assert not isinstance(outcome, Answered)
+        assert held.shed_by == []
+        assert not held.has_run
+
+    async def test_one_without_a_slot_is_sent_to_no_worker(self) -> None:
+        # Guards against a refusal that says that the request has not run, and is false.
+        refused = Refused(reason=Reason.SHARE_EXCEEDED, retry_after_s=0.3, detail="d")
+
+        @asynccontextmanager
+        async def hold_slot(job: Job) -> AsyncIterator[HeldSlot | Refused]:
+            yield refused
+
+        calls = FakeCalls(scripts=[FakeAnswer()])
+        outcome = await attempts(calls, ONCE, hold_slot=hold_slot).run(FakeSink())
+        assert outcome == refused
+        assert calls.sent == []
