--- a/src/trefoilpaddle/coordination/chain/attempts.py
+++ b/src/trefoilpaddle/coordination/chain/attempts.py
@@ -260,7 +260,7 @@
         if fault is CallFault.FULL:
             self._choice.record_shed(worker)
         if fault is CallFault.FULL and time.monotonic() < self._job.deadline_s:
-            self._held.n_sheds += 1
+            self._held.shed_by.append(worker.worker_id)
         if fault.has_not_run:
             self._n_not_run += 1
         else:
