Let cut streams go on from their copies

Cause: a stream of a route that may not be resumed ends with its engine. Broken answers of workers that may still run are told apart by StreamCutError. The stand-in worker sends, keeps and continues copies. FakeAnswer of the tests gets the field is_cut.

--- a/src/trefoilpaddle/coordination/chain/attempts.py
+++ b/src/trefoilpaddle/coordination/chain/attempts.py
@@ -18,6 +18,7 @@
 from .job import Job
 from .send_limits import SendLimits
 from .service_lease import HeldSlot, HoldSlot, unlimited_slot
+from .stream_backup import StreamBackup
 from .target_calls import TargetCalls
 from .worker_choice import Need, WorkerChoice
 from .worker_exchange import Inputs, WorkerExchange, WorkerFailed
@@ -69,9 +70,12 @@
         Called with the worker that sends the first event of a stream.
     hold_slot : callable
         Returns the context in which the request holds a slot of its service.
+    backup : StreamBackup or None
+        The copy of the stream at a second worker; None if it gets none.
     """
 
     __slots__ = (
+        "_backup",
         "_budget",
         "_choice",
         "_delivery",
@@ -107,7 +111,9 @@
         send_limits: SendLimits,
         on_begin: Callable[[Worker], None] = _ignore,
         hold_slot: HoldSlot = unlimited_slot,
+        backup: StreamBackup | None = None,
     ) -> None:
+        self._backup = backup
         self._hold_slot = hold_slot
         self._held = HeldSlot()
         self._on_begin = on_begin
@@ -153,7 +159,10 @@
                     )
                 case HeldSlot():
                     self._held = held
-                    return await self._send_in_turn(sink)
+                    try:
+                        return await self._send_in_turn(sink)
+                    finally:
+                        self._end_copy(has_run=True)
 
     async def _send_in_turn(self, sink: CallerSink) -> Outcome:
         while True:
@@ -189,7 +198,8 @@
                 continue
             self._record(Event.ROUTED, worker)
             self._record_resumption(worker)
-            match await self._exchange.send(worker, handles, sink):
+            backup = self._begin_copy(worker)
+            match await self._exchange.send(worker, handles, sink, backup=backup):
                 case Answered() as answered:
                     self._held.has_run = True
                     return answered
@@ -200,9 +210,77 @@
                     self._record_fault(fault, worker)
                     if self._job.may_repeat:
                         await self._guard.wait_for_exit_check(worker)
+                    outcome = await self._go_on(worker, sink)
+                    if outcome is not None:
+                        return outcome
+                    self._end_copy(has_run=not fault.has_not_run)
                     if not self._may_retry(REASON_OF[fault], worker):
                         return self._outcome_of(REASON_OF[fault])
 
+    def _begin_copy(self, worker: Worker) -> Worker | None:
+        """Return the worker that gets a copy of the run at `worker`, or None."""
+        self._end_copy(has_run=True)
+        prompt = self._need.prompt
+        if self._backup is None or prompt is None:
+            return None
+        return self._backup.begin(
+            worker,
+            n_unread=self._choice.unread_tokens(worker.worker_id, prompt),
+            is_suspect=self._guard.is_suspect(self._job.fingerprint, self._job.parts),
+            without=self._guard.isolating_workers(),
+        )
+
+    def _end_copy(self, *, has_run: bool) -> None:
+        if self._backup is not None:
+            self._backup.end(has_run=has_run)
+
+    async def _go_on(self, worker: Worker, sink: CallerSink) -> Outcome | None:
+        """Let the run of a stream that was cut go on at the worker with its copy.
+
+        The connection to the first worker was closed by its side and is closed here as
+        well, so that the run does not go on at two workers.
+
+        Returns
+        -------
+        Outcome or None
+            The final outcome, or None if nothing was sent.
+        """
+        backup = self._backup
+        if backup is None or not self._exchange.is_cut or backup.target() is None:
+            return None
+        await self._guard.wait_for_exit_check(worker)
+        handles = await self._inputs.get()
+        at = backup.target()
+        if handles is None or at is None:
+            return None
+        may_run = await self._guard.may_run_at(
+            at, (self._job.fingerprint,), self._job.parts
+        )
+        if (
+            not may_run
+            or self._has_caller_left
+            or self._refusal() is not None
+            or self._guard.is_suspect(self._job.fingerprint, self._job.parts)
+            or backup.target() is None
+            or not self._send_limits.take(at)
+            or not self._budget.spend(time.monotonic())
+        ):
+            return None
+        backup.use()
+        self._record_move(worker, at)
+        match await self._exchange.send(at, handles, sink, goes_on=True):
+            case Answered() as answered:
+                self._held.has_run = True
+                return answered
+            case WorkerFailed():
+                return Failed(reason=Reason.TARGET_FAILED, is_begun=True)
+            case CallFault.FULL:
+                # Most probably there is no copy, which says nothing about the load.
+                pass
+            case CallFault() as fault:
+                self._record_fault(fault, at)
+        return self._outcome_of(Reason.CONNECTION_LOST)
+
     def _begin(self, worker: Worker) -> None:
         """Record which worker sends the first event of the stream."""
         self._held.mark_begun()
@@ -331,6 +409,26 @@
             )
         )
 
+    def _record_move(self, worker: Worker, at: Worker) -> None:
+        """Record that the run of a stream goes on from its copy."""
+        job = self._job
+        self._journal.record(
+            Decision(
+                event=Event.STREAM_MOVED,
+                request_id=job.request.request_id,
+                entry=job.route.name,
+                owner=job.account.name,
+                stage=job.service,
+                peer=at.worker_id,
+                detail=f"began at {worker.worker_id}",
+                figures=(
+                    Figure(name="n_events", value=self._exchange.last_event or 0),
+                    Figure(name="n_tried", value=self._exchange.n_sent),
+                    Figure(name="budget_s", value=job.deadline_s - time.monotonic()),
+                ),
+            )
+        )
+
     def _record(
         self, event: Event, worker: Worker, reason: Reason = Reason.NONE
     ) -> None:
--- a/src/trefoilpaddle/coordination/chain/request_path.py
+++ b/src/trefoilpaddle/coordination/chain/request_path.py
@@ -17,6 +17,7 @@
 from ...state.chain.repeat_budget import RepeatBudgets
 from ...state.chain.requests import CallerRequest, Outcome, Refused
 from ...state.chain.routes import Account, Route, RouteTable
+from ...state.chain.stream_copies import StreamCopies
 from ...state.chain.workers import Worker, WorkerTable
 from ...state.journal import Journal
 from .answer_deadline import AnswerDueError
@@ -32,6 +33,7 @@
 from .running_chain import running_chain
 from .send_limits import SendLimits
 from .service_lease import HoldSlot, unlimited_slot
+from .stream_backup import StreamBackup
 from .stream_origins import KnownOrigin, StreamOrigins, UnknownOrigin
 from .target_calls import TargetCalls
 from .worker_choice import Need, WorkerChoice
@@ -105,6 +107,8 @@
         Returns the context in which a request holds a slot of its service.
     has_shares : bool
         True if schedulers should know the accounts of chains.
+    copies : StreamCopies or None
+        Decides which streams get copies at second workers; None if none does.
 
     Attributes
     ----------
@@ -117,6 +121,7 @@
         "_calls",
         "_catch_up",
         "_choice",
+        "_copies",
         "_deliveries",
         "_engine_times",
         "_failure_domain",
@@ -150,7 +155,9 @@
         origins: StreamOrigins,
         hold_slot: HoldSlot = unlimited_slot,
         has_shares: bool = False,
+        copies: StreamCopies | None = None,
     ) -> None:
+        self._copies = copies
         self._hold_slot = hold_slot
         self._has_shares = has_shares
         self._origins = origins
@@ -374,11 +381,19 @@
                         send_limits=self._send_limits,
                         on_begin=functools.partial(self._record_origin, job),
                         hold_slot=self._hold_slot,
+                        backup=self._backup_of(job),
                     )
                     if job.must_finish:
                         return await self._finish(attempts, sink)
                     return await attempts.run(sink)
 
+    def _backup_of(self, job: Job) -> StreamBackup | None:
+        if self._copies is None:
+            return None
+        return StreamBackup(
+            job=job, workers=self._workers, copies=self._copies, stop=self._stop
+        )
+
     @staticmethod
     def _complete_by_s(job: Job, engine_s: float) -> float:
         """Return the latest useful monotonic time of completion of the stages."""
--- a/src/trefoilpaddle/coordination/chain/target_calls.py
+++ b/src/trefoilpaddle/coordination/chain/target_calls.py
@@ -36,6 +36,10 @@
         Number of the last event that the caller has received; None without any.
     urgency : int or None
         Rank at a model worker from 0, the most urgent, to 9; None for other requests.
+    backup : Worker or None
+        Worker that gets a copy of the run as it grows; None for no copy.
+    copy_of : str
+        Id of the run whose copy the worker has and goes on with; empty for a new run.
     """
 
     request: CallerRequest
@@ -44,12 +48,21 @@
     inputs: tuple[str, ...] = ()
     after_event: int | None = None
     urgency: int | None = None
+    backup: Worker | None = None
+    copy_of: str = ""
 
 
 class StreamBrokenError(Exception):
     """A stream ended before its last event, or an event is missing or repeated."""
 
 
+class StreamCutError(StreamBrokenError):
+    """The worker's side closed the connection before the end of a stream.
+
+    Other broken streams may still be running at their workers.
+    """
+
+
 class OpenAnswer(Protocol):
     """An answer whose head has arrived."""
 
--- a/src/trefoilpaddle/coordination/chain/worker_exchange.py
+++ b/src/trefoilpaddle/coordination/chain/worker_exchange.py
@@ -16,7 +16,13 @@
 from .caller_sink import CallerSink
 from .crash_guard import CrashGuard
 from .job import Job
-from .target_calls import OpenAnswer, StreamBrokenError, TargetCall, TargetCalls
+from .target_calls import (
+    OpenAnswer,
+    StreamBrokenError,
+    StreamCutError,
+    TargetCall,
+    TargetCalls,
+)
 from .worker_choice import Need, OpenRequest, WorkerChoice
 
 MAX_URGENCY: Final = 9
@@ -81,6 +87,9 @@
         The worker that sent the first event of the stream; None before.
     n_sent : int
         Number of workers that may have read a part of the request.
+    is_cut : bool
+        True if the worker's side closed the connection of the last exchange after an
+        event of the stream was passed on.
     """
 
     __slots__ = (
@@ -95,6 +104,7 @@
         "_on_begin",
         "_workers",
         "begun_at",
+        "is_cut",
         "n_sent",
     )
 
@@ -122,13 +132,40 @@
         self._delivery = delivery
         self._last_event = job.request.after_event
         self.begun_at: Worker | None = None
+        self.is_cut = False
         self.n_sent = 0
 
+    @property
+    def last_event(self) -> int | None:
+        """Number of the last event that was passed on; None before any."""
+        return self._last_event
+
     async def send(
-        self, worker: Worker, handles: tuple[str, ...], sink: CallerSink
+        self,
+        worker: Worker,
+        handles: tuple[str, ...],
+        sink: CallerSink,
+        *,
+        backup: Worker | None = None,
+        goes_on: bool = False,
     ) -> SendOutcome:
-        """Send the request to one worker; return the outcome."""
+        """Send the request to one worker; return the outcome.
+
+        Parameters
+        ----------
+        worker : Worker
+            The worker.
+        handles : tuple of str
+            Handles of the results that the request takes as inputs.
+        sink : CallerSink
+            Receives the answer.
+        backup : Worker or None
+            Worker that gets a copy of the run; None for no copy.
+        goes_on : bool
+            True if the worker has a copy of the run and goes on with it.
+        """
         job = self._job
+        self.is_cut = False
         call = TargetCall(
             request=job.request,
             account=job.account.name,
@@ -136,6 +173,8 @@
             inputs=handles,
             after_event=self._last_event,
             urgency=min(MAX_URGENCY, job.priority) if job.route.is_stream else None,
+            backup=backup,
+            copy_of=job.request.request_id if goes_on else "",
         )
         with self._guard.running(worker, job.fingerprint, job.parts) as run:
             sent = await self._exchange(worker, call, sink)
@@ -153,6 +192,8 @@
     ) -> SendOutcome:
         job = self._job
         n_before = self.n_sent
+        # No other worker is left for a run that goes on from its copy.
+        n_tried = job.route.max_attempts if call.copy_of else n_before
         with (
             self._choice.open(worker, self._need) as at_worker,
             self._delivery.at_worker(),
@@ -160,7 +201,7 @@
             try:
                 async with (
                     asyncio.timeout(
-                        response_timeout_s(job, n_sent=n_before)
+                        response_timeout_s(job, n_sent=n_tried)
                     ) as pause_limit,
                     self._calls.exchange(worker, call) as opened,
                 ):
@@ -230,6 +271,9 @@
                 pause_limit.reschedule(
                     loop.time() + event_timeout_s(self._job, n_sent=self.n_sent)
                 )
+        except StreamCutError:
+            self.is_cut = self._delivery.is_begun
+            return CallFault.BROKEN
         except StreamBrokenError:
             return CallFault.BROKEN
         if not self._delivery.is_begun:
--- a/src/trefoilpaddle/standins/platform/worker.py
+++ b/src/trefoilpaddle/standins/platform/worker.py
@@ -12,6 +12,7 @@
 from ..faults import Faults
 from ..record import Record
 from ..web import abort_connection, faulty_application, json_answer
+from .run_copies import RunCopies, sending
 from .slots import Slots
 
 SEAL: Final = "Trefoilpaddle-Server-Seal"
@@ -20,6 +21,8 @@
 PROMPT_PARTS: Final = "Trefoilpaddle-Prompt-Prefix"
 NOT_RUN: Final = "Trefoilpaddle-Not-Executed"
 INPUTS: Final = "Trefoilpaddle-Inputs"
+BACKUP: Final = "Trefoilpaddle-Cache-Backup"
+COPY_FROM: Final = "Kv-From"
 
 FREE_MB: Final = 10.0
 """Free memory of a worker that holds no results, as published by the site."""
@@ -69,6 +72,13 @@
     breaks_inside_event : bool
         True writes a part of the next event before a stream is broken off, and closes
         the connection in order.
+    hangs_after : int
+        Number of events after which a stream that began here never sends another one,
+        with its connection open; 0 never.
+    copies : RunCopies
+        Copies of the runs of other workers.
+    running : set of str
+        Ids of the requests that run now.
     interrupts_answers : bool
         True aborts the connection of each request after running it, or at the
         first event of a stream.
@@ -114,10 +124,12 @@
         "born_ms",
         "breaks_after",
         "breaks_inside_event",
+        "copies",
         "ends_with_connection",
         "fails",
         "faults",
         "freed",
+        "hangs_after",
         "headers",
         "held",
         "interrupts_answers",
@@ -135,6 +147,7 @@
         "ran_s",
         "record",
         "rests_s",
+        "running",
         "slots",
         "software_version",
         "stated",
@@ -164,6 +177,9 @@
         self.work_s = work_s
         self.software_version = software_version
         self.breaks_after = 0
+        self.hangs_after = 0
+        self.copies = RunCopies()
+        self.running: set[str] = set()
         self.address = ""
         self.born_ms = int(time.time() * 1000)
         self.held: set[str] = set()
@@ -191,9 +207,10 @@
         self._handle_numbers = itertools.count()
 
     def restart(self) -> None:
-        """Simulate a restart under the same id; all held results are lost."""
+        """Simulate a restart under the same id; held results and copies are lost."""
         self.born_ms = max(self.born_ms + 1, int(time.time() * 1000))
         self.held.clear()
+        self.copies.held.clear()
 
     def application(self) -> web.Application:
         """Return the HTTP application of the worker."""
@@ -202,6 +219,7 @@
         app.router.add_post("/trefoilpaddle/stage-run", self._run_pieces)
         app.router.add_post("/trefoilpaddle/stage-free", self._free)
         app.router.add_get("/trefoilpaddle/report", self._report)
+        self.copies.add_routes(app)
         app.router.add_route("*", "/{path:.*}", self._run)
         return app
 
@@ -256,13 +274,39 @@
             return json_answer({}, status=421)
         request_id = request.headers[ATTEMPT]
         body = await request.read()
-        if self.turns_away or self.slots.is_full:
+        if self.turns_away or self.slots.is_full or self._lacks_copy(request):
             return self._turn_away(request)
         async with self.slots.one():
-            answer = await self._run_in_slot(request, request_id, body)
+            self.running.add(request_id)
+            try:
+                answer = await self._run_in_slot(request, request_id, body)
+            finally:
+                self.running.discard(request_id)
             self.n_done += answer.status < 300
             return answer
 
+    def _lacks_copy(self, request: web.Request) -> bool:
+        """Return True if a request is to go on from a copy that is not here."""
+        copy_from = request.headers.get(COPY_FROM)
+        if copy_from is None:
+            return False
+        address, _, run_id = copy_from.partition("/")
+        return (
+            address != self.address
+            or run_id != request.headers[ATTEMPT]
+            or self.copies.get(run_id, self.software_version) is None
+        )
+
+    async def _read_missing(self, request: web.Request, request_id: str) -> None:
+        """Read what a copy lacks of a run that goes on here."""
+        if COPY_FROM not in request.headers:
+            return
+        copied = self.copies.held.pop(request_id, None)
+        last = int(request.headers.get("Last-Event-Id", "0"))
+        n_missing = max(0, last - (0 if copied is None else copied.n_events))
+        self.copies.n_read[request_id] = n_missing
+        await asyncio.sleep(n_missing * self.work_s)
+
     async def _run_in_slot(
         self, request: web.Request, request_id: str, body: bytes
     ) -> web.StreamResponse:
@@ -291,19 +335,26 @@
             await self._begin_marked(request, headers, b"id: ")
         answer = self._new_answer(headers)
         await answer.prepare(request)
-        first = int(request.headers.get("Last-Event-Id", "0")) + 1
-        for event_id in range(first, self.n_events + 1):
-            await asyncio.sleep(self.work_s)
-            is_broken = first == 1 and 0 < self.breaks_after < event_id
-            if is_broken and self.breaks_inside_event:
-                await answer.write(f"id: {event_id}\nda".encode())
-                return answer
-            if self.interrupts_answers or is_broken:
-                abort_connection(request)
-                return answer
-            data = f"{request_id} {self.software_version}"
-            await answer.write(f"id: {event_id}\ndata: {data}\n\n".encode())
-        await answer.write_eof()
+        await self._read_missing(request, request_id)
+        backup = request.headers.get(BACKUP, "")
+        async with sending(backup, request_id, self.software_version) as copy:
+            first = int(request.headers.get("Last-Event-Id", "0")) + 1
+            for event_id in range(first, self.n_events + 1):
+                await asyncio.sleep(self.work_s)
+                if first == 1 and 0 < self.hangs_after < event_id:
+                    await asyncio.Event().wait()
+                is_broken = first == 1 and 0 < self.breaks_after < event_id
+                if is_broken and self.breaks_inside_event:
+                    await answer.write(f"id: {event_id}\nda".encode())
+                    return answer
+                if self.interrupts_answers or is_broken:
+                    abort_connection(request)
+                    return answer
+                data = f"{request_id} {self.software_version}"
+                await answer.write(f"id: {event_id}\ndata: {data}\n\n".encode())
+                await copy.send(event_id)
+            await answer.write_eof()
+            await copy.drop()
         return answer
 
     async def _run_pieces(self, request: web.Request) -> web.Response:
--- a/src/trefoilpaddle/state/events.py
+++ b/src/trefoilpaddle/state/events.py
@@ -51,6 +51,8 @@
     """A frame of an attempt that is not open in this process was dropped."""
     STREAM_RESUMED = 128
     """A stream goes on at another target; states both software versions."""
+    STREAM_MOVED = 129
+    """The run of a stream goes on from its copy at another target; names the first."""
     # Attempts at a sidecar
     QUEUED = 140
     """A stage call waits for a free slot, or a late chain waits for spare capacity."""
--- a/src/trefoilpaddle/state/timeline_text.py
+++ b/src/trefoilpaddle/state/timeline_text.py
@@ -24,6 +24,7 @@
     Event.ATTEMPT_BARRED: "had {peer} promise never to start the attempt",
     Event.FRAME_DROPPED: "dropped an answer that belongs to no open attempt",
     Event.STREAM_RESUMED: "goes on with the stream at {peer}",
+    Event.STREAM_MOVED: "goes on with the run from its copy at {peer}",
     Event.QUEUED: "queued stage {stage} for target {peer}",
     Event.STARTED: "started stage {stage} at target {peer}",
     Event.FINISHED: "finished stage {stage} at target {peer}",
@@ -64,6 +65,7 @@
     "n_ahead": "{:.0f} ahead",
     "n_running": "{:.0f} running",
     "n_bytes": "{:.0f} bytes",
+    "n_events": "{:.0f} events passed on",
 }
 HIDDEN_AT_0: Final = frozenset(
     {
--- a/tests/chain/fakes.py
+++ b/tests/chain/fakes.py
@@ -18,6 +18,7 @@
 from trefoilpaddle.coordination.chain.target_calls import (
     OpenAnswer,
     StreamBrokenError,
+    StreamCutError,
     TargetCall,
     TargetCalls,
 )
@@ -150,6 +151,7 @@
     n_events: int = 0
     first: int = 1
     breaks: bool = False
+    is_cut: bool = False
     hangs_s: float = 0.0
     fault: CallFault | None = None
 
@@ -162,7 +164,7 @@
             yield StreamEvent(number=number, data=f"id: {number}\n\n".encode())
         await asyncio.sleep(self.hangs_s)
         if self.breaks:
-            raise StreamBrokenError("interrupted")
+            raise (StreamCutError if self.is_cut else StreamBrokenError)("interrupted")
 
 
 Script = FakeAnswer | CallFault
--- a/tests/chain/test_stream_copies.py
+++ b/tests/chain/test_stream_copies.py
@@ -76,11 +76,11 @@
             others=lambda: others,
         )
 
-    def n_accepted(self, n_streams: int, **fields: int) -> int:
+    def n_accepted(self, n_streams: int, *, priority: int = 0) -> int:
         """Return how many of these streams get a copy that ends at once."""
         n_accepted = 0
         for number in range(n_streams):
-            copy = self.begin(request_id=f"a{number}", **fields)
+            copy = self.begin(request_id=f"a{number}", priority=priority)
             if copy is not None:
                 n_accepted += 1
                 self.copies.end(copy, has_run=True)
