--- a/tests/platform_adapter/test_decoding.py
+++ b/tests/platform_adapter/test_decoding.py
@@ -5,10 +5,12 @@
 from pathlib import Path
 
 import orjson
+import pytest
 from adapter import names
 from adapter.configuration import decode_table
-from adapter.node_settings import decode, load
+from adapter.node_settings import STREAM_COPIES_VARIABLE, decode, load
 from adapter.store import decode_published
+from result import Err
 
 from trefoilpaddle.standins.platform.site import configuration, settings
 from trefoilpaddle.state.chain.routes import (
@@ -138,3 +140,35 @@
             )
         )
         assert kept == [(b"X-Two", b"2")]
+
+
+class TestSwitches:
+    @pytest.mark.parametrize(("value", "expected"), [(None, False), ("on", True)])
+    def test_copies_of_streams_are_off_unless_set(
+        self,
+        tmp_path: Path,
+        monkeypatch: pytest.MonkeyPatch,
+        value: str | None,
+        expected: bool,
+    ) -> None:
+        # Guards against a deployment that is served otherwise than before.
+        monkeypatch.delenv(STREAM_COPIES_VARIABLE, raising=False)
+        if value is not None:
+            monkeypatch.setenv(STREAM_COPIES_VARIABLE, value)
+        loaded = load(written_settings(tmp_path))
+        assert loaded.unwrap().has_stream_copies is expected
+
+    def test_another_value_is_refused(
+        self, tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+    ) -> None:
+        monkeypatch.setenv(STREAM_COPIES_VARIABLE, "yes")
+        assert isinstance(load(written_settings(tmp_path)), Err)
+
+
+def written_settings(folder: Path) -> Path:
+    path = folder / "settings.json"
+    fields = settings(
+        host="g0", domain="a", ports=[1, 2, 3, 4], store="127.0.0.1:5", seeds=[]
+    )
+    path.write_bytes(orjson.dumps(fields))
+    return path
--- a/tests/platform_adapter/test_worker_client.py
+++ b/tests/platform_adapter/test_worker_client.py
@@ -20,6 +20,7 @@
 from trefoilpaddle.coordination.chain.target_calls import (
     OpenAnswer,
     StreamBrokenError,
+    StreamCutError,
     TargetCall,
 )
 from trefoilpaddle.state.chain.piece_work import PieceFault, PieceResult, PieceWork
@@ -233,6 +234,35 @@
             decode_event(b"data: x\n\n")
 
 
+class TestCutStreams:
+    """Guards against a run that goes on elsewhere while its worker still runs it."""
+
+    @pytest.mark.parametrize("resets", [False, True])
+    @pytest.mark.parametrize(
+        "data",
+        [CHUNKED + chunk(b"id: 1\n\n"), UNFRAMED + b"id: 1\n\nid: 2"],
+        ids=["chunked", "unframed"],
+    )
+    async def test_a_closed_connection_is_told_apart(
+        self, data: bytes, resets: bool
+    ) -> None:
+        with pytest.raises(StreamCutError):
+            await events_of(data, resets=resets)
+
+    @pytest.mark.parametrize(
+        "data",
+        [
+            chunk(b"id: 1\n\nid: 2") + b"0\r\n\r\n",
+            chunk(b"id: 1\n\ndata: x\n\n"),
+        ],
+        ids=["ends inside an event", "no number"],
+    )
+    async def test_a_faulty_stream_is_not_cut(self, data: bytes) -> None:
+        with pytest.raises(StreamBrokenError) as raised:
+            await events_of(CHUNKED + data)
+        assert not isinstance(raised.value, StreamCutError)
+
+
 @pytest.mark.parametrize(
     "begun", [UNFRAMED, UNANNOUNCED, OLD_VERSION], ids=["closes", "plain", "1.0"]
 )
@@ -273,6 +303,18 @@
         assert sent["Trefoilpaddle-Tenant"] == "acme"
         assert 4000 < int(sent["Trefoilpaddle-Deadline-Milliseconds"]) <= 5000
 
+    async def test_headers_name_the_copy(self) -> None:
+        backup = listed_worker("w2")
+        sent = dict(
+            request_headers(listed_worker("w1"), replace(call(), backup=backup))
+        )
+        assert sent["Trefoilpaddle-Cache-Backup"] == "w2:1"
+        assert "Kv-From" not in sent
+        goes_on = replace(call(), copy_of="a1", after_event=7)
+        sent = dict(request_headers(listed_worker("w2"), goes_on))
+        assert (sent["Kv-From"], sent["Last-Event-Id"]) == ("w2:1/a1", "7")
+        assert "Trefoilpaddle-Cache-Backup" not in sent
+
     async def test_the_request_target_is_sent_unchanged(self) -> None:
         odd = "/a%2Fb/../c?x=%20&&"
         sent = TargetCall(
