--- a/src/trefoilpaddle/coordination/chain/attempts.py
+++ b/src/trefoilpaddle/coordination/chain/attempts.py
@@ -266,7 +266,6 @@
             or not self._budget.spend(time.monotonic())
         ):
             return None
-        backup.use()
         self._record_move(worker, at)
         match await self._exchange.send(at, handles, sink, goes_on=True):
             case Answered() as answered:
--- a/src/trefoilpaddle/coordination/chain/stream_backup.py
+++ b/src/trefoilpaddle/coordination/chain/stream_backup.py
@@ -29,7 +29,7 @@
         The present copy.
     """
 
-    __slots__ = ("_copies", "_first", "_is_used", "_job", "_stop", "_workers", "copy")
+    __slots__ = ("_copies", "_first", "_job", "_stop", "_workers", "copy")
 
     def __init__(
         self,
@@ -44,7 +44,6 @@
         self._copies = copies
         self._stop = stop
         self._first: Worker | None = None
-        self._is_used = False
         self.copy: StreamCopy | None = None
 
     def begin(
@@ -105,7 +104,7 @@
         The copy is lost if its worker has restarted. What two software versions write
         does not fit together.
         """
-        if self.copy is None or self._first is None or self._is_used:
+        if self.copy is None or self._first is None:
             return None
         at = self.copy.worker
         listed = self._workers.get(at.worker_id)
@@ -119,10 +118,6 @@
             return None
         return listed
 
-    def use(self) -> None:
-        """Record that the run goes on from the copy; this is done only once."""
-        self._is_used = True
-
     def end(self, *, has_run: bool) -> None:
         """Stop counting the copy; further calls do nothing."""
         if self.copy is not None:
--- a/tests/chain/test_stream_moves.py
+++ b/tests/chain/test_stream_moves.py
@@ -12,6 +12,7 @@
 from trefoilpaddle.coordination.chain.stream_backup import StreamBackup
 from trefoilpaddle.coordination.chain.worker_choice import Need, WorkerChoice
 from trefoilpaddle.protocol.reasons import Reason
+from trefoilpaddle.state.chain.crash_registry import Crash
 from trefoilpaddle.state.chain.delivery import Delivery
 from trefoilpaddle.state.chain.requests import Answered, Failed, Prompt, PromptPart
 from trefoilpaddle.state.chain.routes import Account, EngineService, Route
@@ -32,7 +33,7 @@
     send_limits,
     worker,
 )
-from .test_attempts import FakeInputs
+from .test_attempts import FINGERPRINT, FakeInputs
 
 SERVICE = EngineService(name="model", n_slots=8, cache_tokens=100_000)
 STREAM = route(is_stream=True, max_attempts=1)
@@ -58,6 +59,7 @@
         has_copies: bool = True,
         prompt: Prompt = PROMPT,
         timeout_s: float = 2.0,
+        n_crashes: int = 0,
     ) -> None:
         self.calls = FakeCalls(scripts=list(scripts))
         self.sink = FakeSink()
@@ -68,6 +70,14 @@
         for number in range(n_workers):
             self.workers.put(self.engine(f"w{number}"))
         self.guard = crash_guard(self.calls, self.workers)
+        for number in range(n_crashes):
+            crash = Crash(
+                worker_id=f"x{number}",
+                born_ms=1,
+                level=1 + number,
+                ended_s=time.monotonic() - 9.5 + number,
+            )
+            self.guard.receive_crash(FINGERPRINT, crash)
         choice = WorkerChoice(failure_domain="here", workers=self.workers)
         self.copies = StreamCopies(n_gateways=lambda: 1, n_open=choice.n_open)
         self.stop = PlannedStop(grace_s=8.0)
@@ -79,7 +89,7 @@
             service="model",
             services={"model": SERVICE},
             deadline_s=time.monotonic() + timeout_s,
-            fingerprint="f" * 32,
+            fingerprint=FINGERPRINT,
         )
         self.attempts = Attempts(
             job=job,
@@ -257,6 +267,20 @@
         assert await rig.fails()
         assert len(rig.ids) == 1
 
+    async def test_of_a_request_that_is_suspected_of_crashing_workers(self) -> None:
+        # Guards against a request that takes the worker of its copy with it.
+        rig = Rig(CUT, REST, n_crashes=2, n_workers=3)
+        assert await rig.fails()
+        assert rig.calls.sent[0][1].backup is None
+
+    async def test_once_the_crash_makes_the_request_suspect(self) -> None:
+        # Guards against a hand-over before the check of the first worker is complete.
+        rig = Rig(CUT, REST, n_crashes=1, n_workers=3)
+        rig.sink = CrashingSink(rig)
+        assert await rig.fails()
+        assert rig.calls.sent[0][1].backup is not None
+        assert len(rig.ids) == 1
+
     async def test_if_the_caller_has_left_meanwhile(self) -> None:
         # Guards against a run for nobody: the caller leaves while the inputs are
         # computed again.
@@ -281,6 +305,18 @@
         assert not rig.copies._n_copies
 
 
+class CrashingSink(FakeSink):
+    """Lets the first worker refuse connections from the first event on."""
+
+    def __init__(self, rig: Rig) -> None:
+        super().__init__()
+        self._rig = rig
+
+    async def begin(self, head: AnswerHead) -> None:
+        await super().begin(head)
+        self._rig.calls.refusing.add(self._rig.ids[0])
+
+
 class ChangingSink(FakeSink):
     """Changes the entry of the copy's worker at the first event."""
 
