Test that a run is never at two engines at once

Cause: the platform forbids a go-on while the first worker still works on the run, and no test watched for it. Change: the process tests watch at how many engines the stream runs; a unit test counts open exchanges.

--- a/tests/chain/test_stream_moves.py
+++ b/tests/chain/test_stream_moves.py
@@ -2,14 +2,18 @@
 
 import asyncio
 import time
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
 from dataclasses import replace
 
 import pytest
+from result import Result
 
 from trefoilpaddle.coordination.chain.attempts import Attempts
 from trefoilpaddle.coordination.chain.job import Job
 from trefoilpaddle.coordination.chain.planned_stop import PlannedStop
 from trefoilpaddle.coordination.chain.stream_backup import StreamBackup
+from trefoilpaddle.coordination.chain.target_calls import OpenAnswer, TargetCall
 from trefoilpaddle.coordination.chain.worker_choice import Need, WorkerChoice
 from trefoilpaddle.protocol.reasons import Reason
 from trefoilpaddle.state.chain.crash_registry import Crash
@@ -146,6 +150,31 @@
         assert went_on.backup is None
         assert rig.n_moves() == 1
 
+    async def test_the_first_connection_is_closed_before(self) -> None:
+        # Guards against a run that goes on while its first worker may still write.
+        rig = Rig(CUT, REST)
+        calls = rig.calls
+        exchange = calls.exchange
+        n_open = 0
+        most_open = 0
+
+        @asynccontextmanager
+        async def counted(
+            worker: Worker, call: TargetCall
+        ) -> AsyncIterator[Result[OpenAnswer, CallFault]]:
+            nonlocal n_open, most_open
+            n_open += 1
+            most_open = max(most_open, n_open)
+            try:
+                async with exchange(worker, call) as opened:
+                    yield opened
+            finally:
+                n_open -= 1
+
+        calls.exchange = counted  # type: ignore[method-assign]
+        assert isinstance(await rig.attempts.run(rig.sink), Answered)
+        assert (len(rig.ids), most_open) == (2, 1)
+
     async def test_a_stream_that_lacks_only_its_end_is_completed(self) -> None:
         rig = Rig(CUT, FakeAnswer(n_events=0))
         assert isinstance(await rig.attempts.run(rig.sink), Answered)
--- a/tests/platform_adapter/test_stream_moves.py
+++ b/tests/platform_adapter/test_stream_moves.py
@@ -29,6 +29,7 @@
 N_BEFORE: Final = 4
 """Events that the caller has when the first engine crashes."""
 
+POLL_S: Final = 0.002
 TIMEOUT_S: Final = 5.0
 SILENT_TIMEOUT_S: Final = 2.0
 """Timeout of the route of a stream whose engine falls silent."""
@@ -76,6 +77,14 @@
         self.servers = servers
         self._client = client
         self.n_seen = 0
+        self.max_running = 0
+
+    async def watch_runs(self) -> None:
+        """Record at how many engines the stream runs at the same time."""
+        while True:
+            n_running = sum("t1" in w.running for w in self.site.workers.values())
+            self.max_running = max(self.max_running, n_running)
+            await asyncio.sleep(POLL_S)
 
     async def read(self) -> Read:
         body = b""
@@ -162,7 +171,12 @@
         ):
             # A gateway without others waits for a second for what they might know.
             await until(lambda: "no other gateway has told" in gateway.log())
-            yield Rig(site=site, gateway=gateway, servers=servers, client=client)
+            rig = Rig(site=site, gateway=gateway, servers=servers, client=client)
+            watching = asyncio.create_task(rig.watch_runs())
+            yield rig
+            watching.cancel()
+            # One run must not go on at two engines.
+            assert rig.max_running == 1
 
 
 @pytest.fixture(autouse=True)
