--- a/src/trefoilpaddle/state/chain/slot_ledger.py
+++ b/src/trefoilpaddle/state/chain/slot_ledger.py
@@ -25,6 +25,13 @@
 Without it, shares would end and begin again with every gap in a burst.
 """
 
+CLUMP_PARTS: Final = 2.0
+"""Even parts of its share that an account below it may use at any gateway.
+
+What it sends at a gateway is measured late, and varies more the less that is. All its
+requests together stay below its share.
+"""
+
 WARM_UP_S: Final = 0.3
 """Seconds after its first report for which a ledger grants nothing.
 
@@ -304,16 +311,19 @@
         division = self.division(now_s)
         by_account: dict[int, float] = {}
         n_slots = 0.0
+        n_known = len(self._known)
         for account, load in known.load.accounts.items():
             demand = division.demand[account]
             allowed = min(division.level * demand.weight, division.capacity)
             # The division may be older than this report, which then has the larger sum.
             total = max(demand.n_slots, load.demand)
             part = load.demand / total if total else 0.0
-            by_account[account] = allowed * part
             n_slots += min(allowed, demand.n_slots) * part
+            if demand.n_slots <= allowed:
+                # Its requests come in clumps, at one gateway or another.
+                part = max(part, min(1.0, CLUMP_PARTS / n_known))
+            by_account[account] = allowed * part
         spare = max(0.0, division.capacity - division.total)
-        n_known = len(self._known)
         return SlotShare(
             is_contended=True,
             n_slots=n_slots + spare / n_known,
