--- a/tests/platform_adapter/test_stream_moves.py
+++ b/tests/platform_adapter/test_stream_moves.py
@@ -176,7 +176,7 @@
             yield rig
             watching.cancel()
             # One run must not go on at two engines.
-            assert rig.max_running == 1
+            assert rig.max_running <= 1
 
 
 @pytest.fixture(autouse=True)
@@ -200,6 +200,7 @@
             numbers=WHOLE, is_complete=True, seal=f"{rig.first.worker_id}.t1"
         )
         assert rig.n_runs() == 2
+        assert rig.max_running == 1
         assert rig.n_moves() == 1
         assert "trefoilpaddle_stream_copies 1.0" in metrics
         assert "trefoilpaddle_copied_tokens 300.0" in metrics
