Model the stages of a cell that several accounts share

Cause: the model of a cell sends all requests for no account, so it cannot show whether one account's burst delays others.

Change: loads of the model name accounts and bursts of one account; without accounts, the same requests are drawn as before. `python -m tests.chain cells` prints how accounts are served on even, uneven and bursting loads, with and without shares.

--- a/tests/chain/__main__.py
+++ b/tests/chain/__main__.py
@@ -6,8 +6,8 @@
 change for gateways that read the store and for those that are notified of it, ``crash``
 the cost of a worker crash, and ``origins`` how many streams go on after gateways were
 killed, by the number of replicas that know them. ``rolling`` prints the same for
-gateways that are stopped in turn, and ``shares`` how accounts are served beside a burst
-of one of them.
+gateways that are stopped in turn, ``shares`` how accounts are served beside a burst of
+one of them, and ``cells`` the same for the stages of a cell.
 """
 
 import logging
@@ -30,6 +30,7 @@
 from trefoilpaddle.state.chain.tolerable_waits import TolerableWaits
 
 from ..published.store_costs import print_costs
+from .cell_accounts import print_accounts
 from .cell_loads import BUSY_DAY, TIGHT_DAY, UNEVEN_DAY, Load
 from .cell_model import Model, Outcome
 from .cold_fleet import print_plays as print_cold_plays
@@ -170,5 +171,6 @@
             "origins": print_origin_plays,
             "rolling": print_rolling_stops,
             "shares": print_share_plays,
+            "cells": print_accounts,
         }
     )
--- a/tests/chain/cell_loads.py
+++ b/tests/chain/cell_loads.py
@@ -42,12 +42,19 @@
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class Burst:
-    """A temporary increase of one kind of request, or of all if `kind` is empty."""
+    """A temporary increase of one kind of request, or of all if `kind` is empty.
+
+    Parameters
+    ----------
+    account : int
+        Account whose requests increase; 0 for all.
+    """
 
     kind: str
     at_s: float
     duration_s: float
     factor: float
+    account: int = 0
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -58,6 +65,11 @@
     ----------
     size_spread : float
         Largest relative difference between the actual and published size of results.
+    account_parts : tuple of float
+        Parts of all requests that the accounts send, from account 1 on; without any,
+        requests state no account.
+    has_shares : bool
+        False if the scheduler is not told the accounts.
     """
 
     kinds: tuple[Kind, ...]
@@ -66,6 +78,8 @@
     bursts: tuple[Burst, ...] = ()
     length_s: float = 30.0
     size_spread: float = 0.0
+    account_parts: tuple[float, ...] = ()
+    has_shares: bool = True
 
 
 def plan(service: str, result_bytes: float, *after: int) -> StagePlan:
--- a/tests/chain/cell_model.py
+++ b/tests/chain/cell_model.py
@@ -7,11 +7,12 @@
 """
 
 import asyncio
+import math
 import random
 import time
 from collections import Counter
 from collections.abc import Callable, Sequence
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 
 from result import Err, Ok, Result
 
@@ -40,6 +41,22 @@
 """Factor on the engine's mean time for the time to reserve, as in gateways."""
 
 
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Asked:
+    """A request of an account that has ended.
+
+    Parameters
+    ----------
+    at_s : float
+        Time after the start at which it was first sent.
+    """
+
+    account: int
+    kind: str
+    at_s: float
+    is_in_time: bool
+
+
 @dataclass(slots=True, kw_only=True)
 class Outcome:
     """Outcome of all requests of a simulation.
@@ -58,6 +75,10 @@
         Bytes of inputs that were read from another failure domain.
     n_calls, n_made, busy_s
         Calls, their pieces and their total time, by service.
+    asked : list of Asked
+        All requests that have ended, with their accounts.
+    made_s : dict of str to list of float
+        Times at which pieces were made after the start, by service.
     """
 
     arrived: Counter[str] = field(default_factory=Counter)
@@ -72,6 +93,8 @@
     n_calls: Counter[str] = field(default_factory=Counter)
     n_made: Counter[str] = field(default_factory=Counter)
     busy_s: dict[str, float] = field(default_factory=dict)
+    asked: "list[Asked]" = field(default_factory=list)
+    made_s: dict[str, list[float]] = field(default_factory=dict)
 
     def n_begun_after(self, kind: str, after_s: float) -> int:
         """Return how many answers of a kind began later than `after_s`."""
@@ -131,6 +154,7 @@
         self._until_s: dict[str, float] = {}
         self._domains: dict[str, str] = {}
         self._n_calls: Counter[str] = Counter()
+        self._began_s = time.monotonic()
 
     async def run_pieces(
         self,
@@ -169,6 +193,9 @@
         self._n_calls[at.worker_id] -= 1
         self._outcome.n_calls[at.service] += 1
         self._outcome.n_made[at.service] += len(works)
+        n_results = sum(isinstance(end, PieceResult) for end in ends)
+        made_s = self._outcome.made_s.setdefault(at.service, [])
+        made_s += [time.monotonic() - self._began_s] * n_results
         busy_s = self._outcome.busy_s
         busy_s[at.service] = busy_s.get(at.service, 0.0) + took_s
         await asyncio.sleep(0.001)
@@ -250,6 +277,7 @@
     def __init__(self, load: Load, *, seed: int, n_schedulers: int = 1) -> None:
         self._load = load
         self._rng = random.Random(seed)
+        self._began_s = time.monotonic()
         # The jitter of retry times is drawn from the global generator.
         random.seed(seed)
         self.outcome = Outcome()
@@ -270,7 +298,11 @@
         """Let callers arrive for the length of the load; return the outcome."""
         async with asyncio.TaskGroup() as group:
             for kind in self._load.kinds:
-                group.create_task(self._generate(kind, group))
+                if not self._load.account_parts:
+                    group.create_task(self._generate(kind, group))
+                for account, part in enumerate(self._load.account_parts, start=1):
+                    own = replace(kind, per_s=part * kind.per_s)
+                    group.create_task(self._generate(own, group, account=account))
         return self.outcome
 
     async def run_chain(self, work: ChainWork) -> Chain:
@@ -279,7 +311,9 @@
         end = await scheduler.run(work)
         return Chain(end=end, free=lambda: scheduler.free(work.request_id))
 
-    async def _generate(self, kind: Kind, group: asyncio.TaskGroup) -> None:
+    async def _generate(
+        self, kind: Kind, group: asyncio.TaskGroup, *, account: int = 0
+    ) -> None:
         began_s = time.monotonic()
         number = 0
         while (at_s := time.monotonic() - began_s) < self._load.length_s:
@@ -287,20 +321,51 @@
                 burst.factor - 1.0
                 for burst in self._load.bursts
                 if burst.kind in ("", kind.name)
+                and burst.account in (0, account)
                 and burst.at_s <= at_s < burst.at_s + burst.duration_s
             )
+            pause_until_s = self._next_burst_s(at_s, account)
             n_together = self._rng.randint(1, 2 * CLUMP - 1)
             pause_s = self._rng.expovariate(kind.per_s * factor / CLUMP)
+            if at_s + pause_s > pause_until_s:
+                # Drawn at the lower rate; a pause has no memory, so it is drawn again.
+                await asyncio.sleep(pause_until_s - at_s)
+                continue
             await asyncio.sleep(pause_s)
             for _ in range(n_together):
                 number += 1
-                group.create_task(self._call(kind, f"{kind.name}{number}"))
+                name = f"{kind.name}{number}"
+                if account:
+                    name = f"{account}-{name}"
+                group.create_task(self._call(kind, name, account))
+
+    def _next_burst_s(self, at_s: float, account: int) -> float:
+        """Return when the next burst of an account begins; infinite for none."""
+        begins_s = (
+            burst.at_s
+            for burst in self._load.bursts
+            if account and burst.account == account and burst.at_s > at_s
+        )
+        return min(begins_s, default=math.inf)
+
+    async def _call(self, kind: Kind, request_id: str, account: int) -> None:
+        began_s = time.monotonic()
+        is_in_time = await self._ask(kind, request_id, account)
+        self.outcome.asked.append(
+            Asked(
+                account=account,
+                kind=kind.name,
+                at_s=began_s - self._began_s,
+                is_in_time=is_in_time,
+            )
+        )
 
-    async def _call(self, kind: Kind, request_id: str) -> None:
+    async def _ask(self, kind: Kind, request_id: str, account: int) -> bool:
+        """Send a request, also a second time; return True if it was in time."""
         arrived_s = retried_s = time.monotonic()
         leaves_s = arrived_s + min(kind.event_timeout_s, kind.deadline_s)
         self.outcome.arrived[kind.name] += 1
-        work = self._work(kind, request_id, arrived_s)
+        work = self._work(kind, request_id, account, arrived_s)
         chain = await self.run_chain(work)
         end = chain.end
         if isinstance(end, ChainFailed) and not end.is_begun:
@@ -310,7 +375,7 @@
             leaves_s = min(
                 retried_s + kind.event_timeout_s, arrived_s + kind.deadline_s
             )
-            again = self._work(kind, request_id, retried_s, first_s=arrived_s)
+            again = self._work(kind, request_id, account, retried_s, first_s=arrived_s)
             chain = await self.run_chain(again)
             end = chain.end
             if isinstance(end, ChainFailed):
@@ -320,21 +385,23 @@
                 self.outcome.held_s[kind.name] = held_s
         if isinstance(end, ChainFailed):
             self.outcome.refused[kind.name] += 1
-            return
+            return False
         await asyncio.sleep(kind.engine_s * self._rng.uniform(0.4, 1.6))
         chain.free()
         waited_s = time.monotonic() - retried_s
         self.outcome.waited_s.setdefault(kind.name, []).append(waited_s)
         if time.monotonic() > leaves_s:
             self.outcome.left[kind.name] += 1
-            return
+            return False
         is_in_time = time.monotonic() - arrived_s <= kind.objective_s
         (self.outcome.in_time if is_in_time else self.outcome.late)[kind.name] += 1
+        return is_in_time
 
     def _work(
         self,
         kind: Kind,
         request_id: str,
+        account: int,
         arrived_s: float,
         first_s: float | None = None,
     ) -> ChainWork:
@@ -357,6 +424,7 @@
             ),
             preferred_domain=self._rng.choice("abcd"),
             priority=kind.priority,
+            account=account if self._load.has_shares else 0,
         )
 
     def _n_pieces(self, mean: float) -> int:
