--- a/tests/chain/__main__.py
+++ b/tests/chain/__main__.py
@@ -7,8 +7,8 @@
 the cost of a worker crash, and ``origins`` how many streams go on after gateways were
 killed, by the number of replicas that know them. ``rolling`` prints the same for
 gateways that are stopped in turn, ``shares`` how accounts are served beside a burst of
-one of them, ``slot_costs`` what reports and grants of slots cost at a home, and
-``balance`` how two ways of choosing workers compare.
+one of them, ``cells`` the same for the stages of a cell, ``slot_costs`` what reports
+and grants of slots cost at a home, and ``balance`` how ways of choosing workers compare.
 """
 
 import logging
@@ -32,6 +32,7 @@
 
 from ..published.store_costs import print_costs
 from .balance_model import print_plays as print_balance_plays
+from .cell_accounts import print_accounts
 from .cell_loads import BUSY_DAY, TIGHT_DAY, UNEVEN_DAY, Load
 from .cell_model import Model, Outcome
 from .cold_fleet import print_plays as print_cold_plays
@@ -175,5 +176,6 @@
             "shares": print_share_plays,
             "slot_costs": print_slot_costs,
             "balance": print_balance_plays,
+            "cells": print_accounts,
         }
     )
