--- a/tests/chain/__main__.py
+++ b/tests/chain/__main__.py
@@ -8,7 +8,8 @@
 killed, by the number of replicas that know them. ``rolling`` prints the same for
 gateways that are stopped in turn, ``shares`` how accounts are served beside a burst of
 one of them, ``cells`` the same for the stages of a cell, ``slot_costs`` what reports
-and grants of slots cost at a home, and ``balance`` how ways of choosing workers compare.
+and grants of slots cost at a home, and ``balance`` how two ways of choosing workers
+compare.
 """
 
 import logging
