--- a/tests/chain/test_account_shares_in_cells.py
+++ b/tests/chain/test_account_shares_in_cells.py
@@ -5,11 +5,15 @@
 other 12. The model runs the real scheduler in virtual time.
 """
 
+import asyncio
 import statistics
 from dataclasses import replace
 
 import pytest
 
+from trefoilpaddle.protocol.reasons import Reason
+from trefoilpaddle.state.chain.chain_work import ChainFailed
+
 from .cell_accounts import (
     EVEN,
     LOADS,
@@ -20,6 +24,8 @@
 )
 from .cell_loads import BUSY_DAY, Load
 from .cell_model import Outcome
+from .fakes import FakeCalls
+from .test_chain_scheduler import Rig, work
 
 SEEDS = (1, 2, 3, 4)
 MIN_IN_TIME = 0.95
@@ -53,6 +59,21 @@
         assert statistics.mean(done) >= MIN_DONE
 
 
+class TestRefusals:
+    async def test_it_names_what_decided(self) -> None:
+        # Guards against refusals of an account beyond its share that read as lateness.
+        rig = Rig(FakeCalls(), batch=2)
+        await rig.scheduler.run(replace(work("other"), account=2))
+        late = [
+            replace(work(f"c{number}", due_in_s=0.3, deadline_in_s=0.9), account=1)
+            for number in range(200)
+        ]
+        ends = await asyncio.gather(*map(rig.scheduler.run, late))
+        refused = [end for end in ends if isinstance(end, ChainFailed)]
+        assert refused[-1].reason is Reason.SHARE_EXCEEDED
+        assert refused[-1].retry_after_s > 0.0
+
+
 class TestNothingChanges:
     def test_for_a_single_account(self) -> None:
         # Guards against other decisions where only one account sends.
