Compare engines by what their service takes, so that prompts stay where they are

The time to the first event has a part that does not depend on the prompt, so an engine that had been used counted up to four times as slow as one that had not. An engine's time is now compared with the usual one of its service for that length of prompt.

--- a/src/trefoilpaddle/state/chain/worker_loads.py
+++ b/src/trefoilpaddle/state/chain/worker_loads.py
@@ -66,8 +66,9 @@
 BATCH_COST: Final = 0.05
 """Part by which a full batch of an engine prolongs a request.
 
-Each step takes longer the more requests it has. The cost also outweighs a shared prompt
-part of some tens of tokens, which is read in a few milliseconds.
+Each step takes longer the more requests it has. The cost grows with the square of the
+batch: it outweighs a shared prompt part of some tens of tokens once a batch is nearly
+full, and does not make an engine with many free slots read a prompt again.
 """
 
 SHED_S: Final = 0.1
@@ -179,16 +180,19 @@
         Time that a request takes while it does not wait.
     held : LearntTime
         Time for which a request holds a slot of an engine.
-    token : LearntTime
-        Time in which an engine reads one token.
+    latency : LearntTime
+        Time to the first event of a stream beyond the usual reading time of its prompt.
+    slowness : LearntTime
+        Time to the first event as a ratio to what the service usually takes.
     """
 
-    __slots__ = ("held", "token", "work")
+    __slots__ = ("held", "latency", "slowness", "work")
 
     def __init__(self) -> None:
         self.work = LearntTime()
         self.held = LearntTime()
-        self.token = LearntTime()
+        self.latency = LearntTime()
+        self.slowness = LearntTime()
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -341,7 +345,8 @@
         n_slots = self.n_slots(worker, listed, now_s)
         n_beyond = max(0.0, n_there - n_slots)
         held_s = self.held_s(worker, now_s)
-        return (n_beyond + BATCH_COST * min(n_there, n_slots)) / n_slots * held_s
+        fullness = min(n_there, n_slots) / n_slots
+        return (n_beyond / n_slots + BATCH_COST * fullness**2) * held_s
 
     def held_s(self, worker: Worker, now_s: float) -> float:
         """Return the time for which a request holds a slot of an engine."""
@@ -358,8 +363,8 @@
         usual_s = 1.0 / READ_TOKENS_PER_S
         if known is None:
             return usual_s
-        learnt_s = known.times.token.at(now_s, usual_s)
-        return _bounded(learnt_s, usual_s) * self._slowness(known, now_s)
+        ratio = known.times.slowness.at(now_s, 1.0)
+        return ratio * usual_s * self._slowness(known, now_s)
 
     def learn_work(
         self, worker: Worker, took_s: float, n_there: float, now_s: float
@@ -381,12 +386,21 @@
     def learn_reading(
         self, worker: Worker, took_s: float, n_tokens: int, now_s: float
     ) -> None:
-        """Learn the time from sending a prompt to the first event."""
+        """Learn the time from sending a prompt to the first event.
+
+        Most of it does not depend on the prompt. A worker is compared with what the
+        service takes for a prompt of that length, as an engine that has been used
+        would seem slower than one that has not, and prompts would be read again there.
+        """
         if n_tokens < MIN_READ_TOKENS:
             return
         known = self._load(worker)
-        token_s = took_s / n_tokens / self._slowness(known, now_s)
-        known.times.token.learn(_bounded(token_s, 1.0 / READ_TOKENS_PER_S), now_s)
+        took_s /= self._slowness(known, now_s)
+        reading_s = n_tokens / READ_TOKENS_PER_S
+        latency = self._service(worker.service).latency
+        latency.learn(max(0.0, took_s - reading_s), now_s)
+        usual_s = reading_s + (latency.mean_s or 0.0)
+        known.times.slowness.learn(_bounded(took_s / usual_s, 1.0), now_s)
 
     def begin(self, worker: Worker) -> bool:
         """Return True if a request that begins is to show whether a worker is usable.
