Test the order of pieces and the refusals of accounts beyond their shares

Cause: the order of pieces and the reason of a refusal were covered by figures of the model only.

Change: a test of the queue's order and its count of pieces within shares, and a test in virtual time that a chain of an account beyond its share is refused with SHARE_EXCEEDED and a Retry-After.

--- a/tests/chain/test_account_shares_in_cells.py
+++ b/tests/chain/test_account_shares_in_cells.py
@@ -5,11 +5,15 @@
 other 12. The model runs the real scheduler in virtual time.
 """
 
+import asyncio
 import statistics
 from dataclasses import replace
 
 import pytest
 
+from trefoilpaddle.protocol.reasons import Reason
+from trefoilpaddle.state.chain.chain_work import ChainFailed, ChainOutcome
+
 from .cell_accounts import (
     EVEN,
     LOADS,
@@ -20,6 +24,9 @@
 )
 from .cell_loads import BUSY_DAY, Load
 from .cell_model import Outcome
+from .fakes import FakeCalls
+from .test_chain_scheduler import Rig, work
+from .virtual_time import run_virtual
 
 SEEDS = (1, 2, 3, 4)
 MIN_IN_TIME = 0.95
@@ -53,6 +60,33 @@
         assert statistics.mean(done) >= MIN_DONE
 
 
+class TestRefusals:
+    def test_it_names_what_decided(self, monkeypatch: pytest.MonkeyPatch) -> None:
+        # Guards against refusals of an account beyond its share that read as lateness.
+        async def burst() -> list[ChainOutcome]:
+            rig = Rig(FakeCalls(), batch=2)
+            await rig.scheduler.run(replace(work("other"), account=2))
+            ends: list[ChainOutcome] = []
+            for wave in range(2):
+                late = [
+                    replace(
+                        work(f"{wave}-{number}", due_in_s=0.3, deadline_in_s=0.9),
+                        account=1,
+                    )
+                    for number in range(200)
+                ]
+                ends += await asyncio.gather(*map(rig.scheduler.run, late))
+            return ends
+
+        refused = [
+            end
+            for end in run_virtual(monkeypatch, burst())
+            if isinstance(end, ChainFailed) and not end.is_begun
+        ]
+        assert refused[-1].reason is Reason.SHARE_EXCEEDED
+        assert refused[-1].retry_after_s > 0.0
+
+
 class TestNothingChanges:
     def test_for_a_single_account(self) -> None:
         # Guards against other decisions where only one account sends.
--- a/tests/chain/test_piece_queue.py
+++ b/tests/chain/test_piece_queue.py
@@ -70,6 +70,20 @@
         assert names(queue.take_batch(offer(max_pieces=2))) == ["a", "b"]
         assert names(queue.take_batch(offer(max_pieces=2))) == ["missed"]
 
+    async def test_pieces_beyond_a_share_go_after_others_that_can_be_in_time(
+        self,
+    ) -> None:
+        # Guards against a call full of one account's burst, and against pieces that
+        # are late in any case before those of the burst that are not.
+        queue = queue_of(
+            piece("burst", due_s=NOW_S + 1, is_beyond_share=True),
+            piece("missed", due_s=NOW_S - 1),
+            piece("within", due_s=NOW_S + 2),
+        )
+        assert queue.n_on_time(NOW_S, is_beyond_share=False) == 1
+        assert queue.n_on_time(NOW_S) == 2
+        assert names(queue.take_batch(offer())) == ["within", "burst", "missed"]
+
     async def test_a_piece_that_misses_its_deadline_fails_at_once(self) -> None:
         unservable = piece("x", due_s=NOW_S, deadline_s=NOW_S + 0.1)
         queue = queue_of(unservable)
