--- a/src/trefoilpaddle/coordination/chain/service_lease.py
+++ b/src/trefoilpaddle/coordination/chain/service_lease.py
@@ -100,6 +100,8 @@
         True once a worker has answered the request.
     shed_by : list of str
         Ids of the workers that have turned the request away.
+    on_begin : callable
+        Called when the answer begins.
     """
 
     has_run: bool = False
