Show that workers that leave are used for too long, in virtual time

Callers' requests reach a worker later than it may get any, in two ways that fail on the present code (12 gateways, 0.6 s between reads):

- A gateway whose updates from readers are under way for seconds takes each for fresh on arrival, and never reads the store itself: a worker that has announced its leaving is used for 3.3 s with 3.0 s of delay.
- A reader that was cut off for 4 s, with the store fine all the while, records a recovery of the store as it is back and tells all gateways.
They keep a worker that is removed then for 2.5 to 3.0 s.

--- a/tests/published/store_network.py
+++ b/tests/published/store_network.py
@@ -227,7 +227,10 @@
         """Deliver a message after the latency."""
         self._count(self._one, message)
         loop = asyncio.get_running_loop()
-        loop.call_later(ONE_WAY_S, self._other.receive, message)
+        if self._is_cut():
+            return True
+        under_way_s = ONE_WAY_S + self._other.update_delay_s
+        loop.call_later(under_way_s, self._other.receive, message)
         return True
 
     async def ask(
@@ -235,7 +238,7 @@
     ) -> Result[StoreState | TablePart, str]:
         """Return the other gateway's response."""
         self._count(self._one, message)
-        if self._other.is_stopped:
+        if self._other.is_stopped or self._is_cut():
             await asyncio.sleep(timeout_s)
             return Err("silent")
         await asyncio.sleep(ONE_WAY_S)
@@ -250,6 +253,9 @@
         await asyncio.sleep(ONE_WAY_S)
         return Ok(reply)
 
+    def _is_cut(self) -> bool:
+        return self._one.is_cut or self._other.is_cut
+
     def _count(self, sender: "Gateway", message: Message) -> None:
         sender.sent_bytes += len(encode(message))
 
@@ -263,9 +269,11 @@
         self.name = name
         self.network = network
         self.is_disconnected = False
+        self.is_cut = False
         self.n_disconnects = 0
         self.is_stopped = False
         self.read_s = READ_S
+        self.update_delay_s = 0.0
         self.sent_bytes = 0
         self.version = 0
         self.timeout_s = FIRST_TIMEOUT_S
@@ -301,7 +309,7 @@
 
     async def _read(self, answer: Answer) -> Answer:
         self.network.n_reads[self.name] += 1
-        if self.is_disconnected or self.n_disconnects:
+        if self.is_disconnected or self.is_cut or self.n_disconnects:
             await asyncio.sleep(self.timeout_s)
             self.timeout_s = min(MAX_TIMEOUT_S, 2 * self.timeout_s)
             return Err(StoreFault.SILENT)
