Keep removed workers only after an outage of the store itself

Callers' requests reached a worker for up to 3.3 s after its entry was removed, at all gateways, although each heard of that within 0.6 s.

Cause: removed workers stay in use for 2.5 s after a recovery of the store, as living ones write their entries again. A reader that was cut off alone cannot tell its own outage from one of the store; as its first read succeeded it recorded a recovery, and its updates made all others record it too. Nobody asked whether the store had answered others.

A gateway now keeps the times at which the store is known to have answered anybody (AnswerTimes), and ignores a recovery that a peer reports if there is an answer from the 1.2 s before it. The cut-off gateway itself still keeps them, as its whole failure domain may have been cut off with its workers. store_outage_over says when workers are kept, or why not; nothing showed that before, so it comes with the fix.

test_expired_entries_have_a_grace_period_after_an_outage let an update claim an outage milliseconds after another one; it now lets the store be silent first, with the same assertions. Its counterpart without an outage is new.

--- a/src/trefoilpaddle/coordination/published/store_feed.py
+++ b/src/trefoilpaddle/coordination/published/store_feed.py
@@ -13,12 +13,13 @@
 from ...protocol.gen.chain.ttypes import StoreNews, StoreState
 from ...state.chain.workers import WorkerTable
 from ...state.journal import Event, Journal
+from .answer_times import UNAVAILABLE_AFTER_S
 from .call_while_waiting import call_while_waiting
 from .published_store import PublishedStore, PublishedTable, StoreChanges, StoreFault
 from .store_position import StorePosition
 from .store_readers import StoreReaders, UpdateGap
 from .store_relay import StoreRelay
-from .store_view import ListReason, StoreView
+from .store_view import ListReason, RecoverySource, StoreView
 from .worker_listing import Scope
 
 POLL_S: Final = 0.6
@@ -38,13 +39,6 @@
 Many times the usual few milliseconds, and half of the time between two reads.
 """
 
-UNAVAILABLE_AFTER_S: Final = 1.2
-"""Time a read has to hang for the store to count as having been unavailable.
-
-Applies if a read that was begun later succeeds. In less time no entry of a living
-worker expires: the store was slow, or one response was lost.
-"""
-
 EXPIRY_CHECK_S: Final = 0.2
 """Time between checks for workers whose grace period is over."""
 
@@ -81,7 +75,6 @@
 
     __slots__ = (
         "_began_s",
-        "_known_available_s",
         "_query_peers",
         "_read_s",
         "_readers",
@@ -118,7 +111,6 @@
         )
         self._requested_s = 0.0
         self._began_s = 0.0
-        self._known_available_s = 0.0
         self._read_s = time.monotonic()
         self.is_unavailable = False
 
@@ -294,7 +286,7 @@
             self.view.apply_state(state)
             if state.answered_ms >= 0:
                 answered_s = time.monotonic() - state.answered_ms / MS_PER_S
-                self._known_available_s = max(self._known_available_s, answered_s)
+                self.view.answers.record(answered_s)
         data = await self._relay.transfer.fetch_newer(self.view.store_journal.version)
         if data is not None:
             self.view.table.apply_data(data)
@@ -304,7 +296,8 @@
         missing = self.view.apply_update(update)
         if missing is None:
             self._record_available()
-            self._read_s = self._known_available_s = time.monotonic()
+            self._read_s = time.monotonic()
+            self.view.answers.record(self._read_s)
         return missing
 
     def _leaves_list_to_others(self) -> bool:
@@ -325,9 +318,10 @@
         this gateway's first failed read. Then only this gateway was disconnected, and
         no entry has expired because of it.
         """
-        self._relay.answered_s = time.monotonic()
-        if was_unavailable and self._known_available_s <= self._requested_s:
-            self.view.listing.record_recovery(time.monotonic())
+        now_s = self._relay.answered_s = time.monotonic()
+        if was_unavailable and self.view.answers.last_s <= self._requested_s:
+            self.view.record_recovery(now_s, RecoverySource.OWN_READ)
+        self.view.answers.record(now_s)
         self._record_available()
 
     def _record_available(self) -> None:
--- a/src/trefoilpaddle/coordination/published/store_journal.py
+++ b/src/trefoilpaddle/coordination/published/store_journal.py
@@ -108,6 +108,21 @@
             figures=(*self._at_position(), *_cold_figures(known)),
         )
 
+    def record_outage_end(self, *, source: str, kept_s: float) -> None:
+        """Record that the store is said to answer again after an outage.
+
+        Parameters
+        ----------
+        source : str
+            How that is known.
+        kept_s : float
+            Seconds for which removed workers stay in use; 0 if the store answered
+            others all along.
+        """
+        kept = Figure(name="kept_s", value=kept_s)
+        figures = (*self._at_position(), kept)
+        self._record(Event.STORE_OUTAGE_OVER, detail=source, figures=figures)
+
     def record_recovery(
         self,
         earlier: StorePosition,
--- a/src/trefoilpaddle/coordination/published/store_view.py
+++ b/src/trefoilpaddle/coordination/published/store_view.py
@@ -12,6 +12,7 @@
 from ...state.chain.workers import WorkerTable
 from ...state.journal import Journal
 from .active_table import ActiveTable
+from .answer_times import AnswerTimes
 from .evacuations import Evacuations
 from .published_store import PublishedTable, StoreChanges
 from .store_journal import StoreJournal
@@ -55,6 +56,15 @@
     EVACUATIONS_UNKNOWN = "a peer does not know which failure domains get no work"
 
 
+@unique
+class RecoverySource(Enum):
+    """How a gateway knows that the store answers again after an outage."""
+
+    OWN_READ = "read here"
+    PEER = "another gateway says so"
+    ERA = "restored from a copy"
+
+
 class StoreView:
     """The known position of the store, with its route table and workers.
 
@@ -73,6 +83,8 @@
 
     Attributes
     ----------
+    answers : AnswerTimes
+        When the store is known to have answered a gateway.
     evacuations : Evacuations
         The failure domains that get no work.
     listing : WorkerListing
@@ -90,7 +102,9 @@
     __slots__ = (
         "_earlier",
         "_n_differing",
+        "_recovery_logged_s",
         "_relay",
+        "answers",
         "era_entered_s",
         "evacuations",
         "list_reason",
@@ -111,6 +125,8 @@
         self._relay = relay
         self._earlier = StorePosition()
         self._n_differing = 0
+        self._recovery_logged_s = -RECOVERY_GRACE_S
+        self.answers = AnswerTimes()
         self.store_journal = StoreJournal(journal=journal)
         self.table = ActiveTable(
             on_table=on_table,
@@ -163,7 +179,7 @@
             self.list_reason = ListReason.RECOVERY
         if self.list_reason is ListReason.RECOVERY:
             self.era_entered_s = time.monotonic()
-            self.listing.record_recovery(self.era_entered_s)
+            self.record_recovery(self.era_entered_s, RecoverySource.ERA)
         self.store_journal.position = StorePosition(era=era)
         self._relay.position = self.store_journal.position
 
@@ -227,7 +243,7 @@
         if position <= self.position:
             return
         if state.workers:
-            self._record_recovery(state.back_ms)
+            self._hear_recovery(state.back_ms)
             self._apply(changes_from_state(state), self.list_scope)
             self.listing.add_unconfirmed(unconfirmed_from(state), time.monotonic())
         elif self._lists_the_same(state) and position >= self._relay.position:
@@ -246,7 +262,7 @@
         """
         # Also for updates that cannot be used: the gateway then reads the store itself
         # and finds entries that expired because the store was unavailable.
-        self._record_recovery(update.back_ms)
+        self._hear_recovery(update.back_ms)
         # A table does not depend on what is known of workers.
         has_table = self.table.apply_update(update)
         position = position_of(update)
@@ -339,7 +355,32 @@
             )
         return changed
 
-    def _record_recovery(self, back_ms: int) -> None:
+    def record_recovery(self, recovered_s: float, source: RecoverySource) -> None:
+        """Record that the store answers again, unless it answered others all along.
+
+        Removed workers stay in use for some time after a recovery. An outage of one
+        gateway is not one of the store, although that gateway cannot tell.
+
+        Parameters
+        ----------
+        recovered_s : float
+            Monotonic time of the first answer.
+        source : RecoverySource
+            How that is known.
+        """
+        is_outage = source is not RecoverySource.PEER or self.answers.is_end_of_outage(
+            recovered_s
+        )
+        if is_outage:
+            self.listing.record_recovery(recovered_s)
+        if recovered_s - self._recovery_logged_s >= RECOVERY_GRACE_S:
+            self._recovery_logged_s = recovered_s
+            self.store_journal.record_outage_end(
+                source=source.value, kept_s=RECOVERY_GRACE_S if is_outage else 0.0
+            )
+
+    def _hear_recovery(self, back_ms: int) -> None:
         """Record the time since the store's recovery that another gateway reports."""
         if back_ms > NO_RECENT_RECOVERY_MS:
-            self.listing.record_recovery(time.monotonic() - back_ms / MS_PER_S)
+            recovered_s = time.monotonic() - back_ms / MS_PER_S
+            self.record_recovery(recovered_s, RecoverySource.PEER)
--- a/src/trefoilpaddle/state/events.py
+++ b/src/trefoilpaddle/state/events.py
@@ -122,6 +122,8 @@
     """Operators have ordered that a failure domain gets no work; names it."""
     DOMAIN_RETURNED = 211
     """The order to evacuate a failure domain has ended; it gets work again."""
+    STORE_OUTAGE_OVER = 212
+    """The store answers again; states for how long removed workers stay in use."""
     # Membership
     MEMBER_JOINED = 220
     """A process became live for the first time, or again."""
--- a/tests/published/test_store_readers.py
+++ b/tests/published/test_store_readers.py
@@ -9,7 +9,12 @@
 from thrift.protocol.TCompactProtocol import TCompactProtocolAccelerated
 from thrift.transport.TTransport import TMemoryBuffer
 
-from trefoilpaddle.coordination.published import store_feed, store_readers, store_view
+from trefoilpaddle.coordination.published import (
+    answer_times,
+    store_feed,
+    store_readers,
+    store_view,
+)
 from trefoilpaddle.coordination.published.published_store import (
     PublishedTable,
     StoreChanges,
@@ -402,13 +407,21 @@
         # expired. If the workers were removed at once, they would be missing until they
         # write again.
         monkeypatch.setattr(store_view, "RECOVERY_GRACE_S", 0.05)
+        monkeypatch.setattr(answer_times, "UNAVAILABLE_AFTER_S", 0.02)
         harness = await follower()
+        await asyncio.sleep(0.03)
         harness.receive(update(harness, 1, 2, removed=["w1"], back_ms=0))
         assert "w1" in harness.workers.ids()
         await asyncio.sleep(0.06)
         harness.feed.view.listing.remove_expired(time.monotonic())
         assert "w1" not in harness.workers.ids()
 
+    async def test_entries_have_no_grace_period_without_an_outage(self) -> None:
+        # Guards against an outage of the reader that is taken for one of the store.
+        harness = await follower()
+        harness.receive(update(harness, 1, 2, removed=["w1"], back_ms=0))
+        assert harness.workers.ids() == ["w2"]
+
     async def test_no_update_is_applied_before_the_first_list(self) -> None:
         harness = Harness("d", GROUP)
         harness.receive(update(harness, 0, 4, workers=[listed("w3")]))
