Measure for how long updates of readers were under way

Callers' requests reached a worker that had announced its leaving 3.3 s later, at a gateway on whose connection to the readers updates were 3.0 s late.

Cause: the age of an update was counted from its arrival. Updates that are late arrive as often as others, so the gateway never read the store itself and always lagged by their delay. The same class: an update of a paused reader that is older than what is known here counted as recent.

A reader now states when it sends an update, on a clock that runs on while its host is suspended. The receiver compares that with the quickest update of the same start of the reader, as the clocks of two hosts differ by an unknown time; what it took longer is the age of the news. Updates older than what is known count no more. Earlier builds state nothing and are treated as before.

Weighed: asking readers for an echo bounds the age without a quickest update, for another message from each gateway per update. Left: a delay that the first update of a reader already has is not seen.

--- a/idl/chain.thrift
+++ b/idl/chain.thrift
@@ -186,6 +186,8 @@
   13: optional i64 domain_digest // with failure domains; unset by earlier builds
   14: optional list<string> evacuated  // all failure domains that get no work; unset by earlier builds
   15: optional i64 version_digest  // with software versions; unset by earlier builds
+  16: optional i64 reader_incarnation  // of the process that sends it; unset by earlier builds
+  17: optional i64 sent_ms       // on the clock of its host; unset by earlier builds
 }
 
 struct WorkerCrash {
--- a/src/trefoilpaddle/coordination/published/store_readers.py
+++ b/src/trefoilpaddle/coordination/published/store_readers.py
@@ -21,6 +21,7 @@
 from ...transport.connection import Address, Connection
 from ..members.duty_rank import duty_rank
 from ..own_process import OwnProcess
+from .update_delays import UpdateDelays
 
 N_READERS: Final = 2
 """Readers per group. With one, all gateways would read whenever it restarts."""
@@ -58,10 +59,11 @@
     LIST = "it needs the whole list"
     CHANGES = "news lead on from later"
     TABLE = "news name a newer table"
-    STALE = "news are of an earlier era"
+    STALE = "news are older than what is known"
 
 
 NO_RECENT_UPDATE: Final = "it was not told"
+LATE_UPDATES: Final = "news were long under way"
 """Why a gateway that is not a reader reads, unless an update lacked something."""
 
 
@@ -82,6 +84,8 @@
     """
 
     __slots__ = (
+        "_delay_s",
+        "_delays",
         "_is_behind",
         "_live",
         "_missing",
@@ -96,6 +100,8 @@
     ) -> None:
         self._process = process
         self._live = live
+        self._delays = UpdateDelays()
+        self._delay_s = 0.0
         self._updated_s = -UPDATE_TIMEOUT_S
         self._is_behind = asyncio.Event()
         self._missing: UpdateGap | None = None
@@ -157,9 +163,10 @@
         """
         if not self.is_reader() and update.base is None:
             return
-        own_id = self._process.identity.process_id
+        own = self._process.identity
+        self._delays.stamp(update, incarnation=own.incarnation)
         for member in self._group():
-            if member.process_id == own_id:
+            if member.process_id == own.process_id:
                 continue
             match Address.parse(member.address):
                 case Ok(address):
@@ -170,11 +177,13 @@
     def _on_message(self, connection: Connection, message: Message) -> None:
         if not isinstance(message, StoreNews) or self.on_update is None:
             return
+        self._delay_s = self._delays.delay_s(message)
         match self.on_update(message):
             case None:
-                self._updated_s = time.monotonic()
+                told_s = time.monotonic() - self._delay_s
+                self._updated_s = max(self._updated_s, told_s)
             case UpdateGap.STALE:
-                # Late, or from a reader that will soon learn of the later era: it
+                # Late, or from a reader that does not know yet what is known here: it
                 # counts neither as an update nor as a reason to read.
                 return
             case missing:
@@ -195,13 +204,17 @@
         return [m for m in in_region if m.failure_domain == own.failure_domain]
 
     def _record_extra_read(self, update_age_s: float) -> None:
+        if self._missing is not None:
+            reason = self._missing.value
+        elif self._delay_s >= UPDATE_TIMEOUT_S:
+            reason = LATE_UPDATES
+        else:
+            reason = NO_RECENT_UPDATE
         self._process.journal.record(
             Decision(
                 event=Event.STORE_READ_BESIDE,
                 peer=self._process.identity.process_id,
-                detail=NO_RECENT_UPDATE
-                if self._missing is None
-                else self._missing.value,
+                detail=reason,
                 figures=(Figure(name="told_age_s", value=update_age_s),),
             )
         )
--- a/src/trefoilpaddle/coordination/published/store_view.py
+++ b/src/trefoilpaddle/coordination/published/store_view.py
@@ -286,6 +286,10 @@
         if position >= self.position:
             self.listing.add_unconfirmed(unconfirmed_from(update), time.monotonic())
         self.listing.list_still_present(time.monotonic())
+        if position < self.position:
+            # It may have been under way for long, or its reader was paused.
+            self._n_differing = 0
+            return UpdateGap.STALE
         return self._gap_after(update)
 
     def _gap_before(self, update: StoreNews) -> UpdateGap | None:
@@ -316,8 +320,7 @@
 
     def _gap_after(self, update: StoreNews) -> UpdateGap | None:
         """Return LIST if the lists have differed for several updates in a row."""
-        is_older = position_of(update) < self.position
-        if is_older or self.listing.digest.matches(digest_of(update)):
+        if self.listing.digest.matches(digest_of(update)):
             self._n_differing = 0
             return None
         self._n_differing += 1
--- a/src/trefoilpaddle/protocol/gen/chain/ttypes.py
+++ b/src/trefoilpaddle/protocol/gen/chain/ttypes.py
@@ -2414,6 +2414,8 @@
      - domain_digest
      - evacuated
      - version_digest
+     - reader_incarnation
+     - sent_ms
 
     """
 
@@ -2433,12 +2435,14 @@
         'domain_digest',
         'evacuated',
         'version_digest',
+        'reader_incarnation',
+        'sent_ms',
     )
 
 
     def __init__(self, base_revision=0, revision=0, version=0, workers=[
     ], removed=[
-    ], digest=0, back_ms=-1, withdrawn=None, table=None, era=0, base=None, doubted=None, domain_digest=None, evacuated=None, version_digest=None,):
+    ], digest=0, back_ms=-1, withdrawn=None, table=None, era=0, base=None, doubted=None, domain_digest=None, evacuated=None, version_digest=None, reader_incarnation=None, sent_ms=None,):
         self.base_revision = base_revision
         self.revision = revision
         self.version = version
@@ -2460,6 +2464,8 @@
         self.domain_digest = domain_digest
         self.evacuated = evacuated
         self.version_digest = version_digest
+        self.reader_incarnation = reader_incarnation
+        self.sent_ms = sent_ms
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -2574,6 +2580,16 @@
                     self.version_digest = iprot.readI64()
                 else:
                     iprot.skip(ftype)
+            elif fid == 16:
+                if ftype == TType.I64:
+                    self.reader_incarnation = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 17:
+                if ftype == TType.I64:
+                    self.sent_ms = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -2659,6 +2675,14 @@
             oprot.writeFieldBegin('version_digest', TType.I64, 15)
             oprot.writeI64(self.version_digest)
             oprot.writeFieldEnd()
+        if self.reader_incarnation is not None:
+            oprot.writeFieldBegin('reader_incarnation', TType.I64, 16)
+            oprot.writeI64(self.reader_incarnation)
+            oprot.writeFieldEnd()
+        if self.sent_ms is not None:
+            oprot.writeFieldBegin('sent_ms', TType.I64, 17)
+            oprot.writeI64(self.sent_ms)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -5079,6 +5103,8 @@
     (13, TType.I64, 'domain_digest', None, None, ),  # 13
     (14, TType.LIST, 'evacuated', (TType.STRING, 'UTF8', False), None, ),  # 14
     (15, TType.I64, 'version_digest', None, None, ),  # 15
+    (16, TType.I64, 'reader_incarnation', None, None, ),  # 16
+    (17, TType.I64, 'sent_ms', None, None, ),  # 17
 )
 all_structs.append(WorkerCrash)
 WorkerCrash.thrift_spec = (
--- a/src/trefoilpaddle/protocol/gen/chain/ttypes.pyi
+++ b/src/trefoilpaddle/protocol/gen/chain/ttypes.pyi
@@ -149,7 +149,9 @@
     domain_digest: int | None
     evacuated: list[str] | None
     version_digest: int | None
-    def __init__(self, *, base_revision: int = ..., revision: int = ..., version: int = ..., workers: list[ListedWorker] = ..., removed: list[str] = ..., digest: int = ..., back_ms: int = ..., withdrawn: list[str] | None = ..., table: TableChange | None = ..., era: int = ..., base: EarlierList | None = ..., doubted: list[ListedWorker] | None = ..., domain_digest: int | None = ..., evacuated: list[str] | None = ..., version_digest: int | None = ...) -> None: ...
+    reader_incarnation: int | None
+    sent_ms: int | None
+    def __init__(self, *, base_revision: int = ..., revision: int = ..., version: int = ..., workers: list[ListedWorker] = ..., removed: list[str] = ..., digest: int = ..., back_ms: int = ..., withdrawn: list[str] | None = ..., table: TableChange | None = ..., era: int = ..., base: EarlierList | None = ..., doubted: list[ListedWorker] | None = ..., domain_digest: int | None = ..., evacuated: list[str] | None = ..., version_digest: int | None = ..., reader_incarnation: int | None = ..., sent_ms: int | None = ...) -> None: ...
 class WorkerCrash:
     worker_id: str
     born_ms: int
--- a/tests/chain/virtual_time.py
+++ b/tests/chain/virtual_time.py
@@ -31,9 +31,10 @@
 
 
 def run_virtual(patch: pytest.MonkeyPatch, work: Coroutine[Any, Any, T]) -> T:
-    """Run `work` in virtual time, which `time.monotonic` returns as well."""
+    """Run `work` in virtual time, which the clocks that do not jump return as well."""
     loop = VirtualLoop()
     patch.setattr("time.monotonic", loop.time)
+    patch.setattr("time.clock_gettime", lambda _: loop.time())
     try:
         return loop.run_until_complete(_run_to_completion(work))
     finally:
--- a/tests/published/test_late_updates.py
+++ b/tests/published/test_late_updates.py
@@ -7,6 +7,9 @@
 
 import pytest
 
+from trefoilpaddle.coordination.published.update_delays import UpdateDelays
+from trefoilpaddle.protocol.gen.chain.ttypes import StoreNews
+
 from ..chain.fakes import worker
 from ..chain.virtual_time import run_virtual
 from .store_network import STEP_S, Gateway, Network
@@ -73,6 +76,48 @@
         run_virtual(monkeypatch, scenario())
 
 
+class TestUpdateDelays:
+    @staticmethod
+    def sent(delays: UpdateDelays) -> StoreNews:
+        update = StoreNews()
+        delays.stamp(update, incarnation=1)
+        return update
+
+    def test_a_delay_is_that_beyond_the_quickest_update(
+        self, monkeypatch: pytest.MonkeyPatch
+    ) -> None:
+        # Guards against clocks of two hosts that are taken for the same.
+        async def scenario() -> None:
+            delays = UpdateDelays()
+            delays_s = []
+            for under_way_s in (0.3, 0.2, 2.2, 0.2):
+                update = self.sent(delays)
+                update.sent_ms = 7_000_000 + (update.sent_ms or 0)
+                await asyncio.sleep(under_way_s)
+                delays_s.append(delays.delay_s(update))
+            assert delays_s == pytest.approx([0.0, 0.0, 2.0, 0.0], abs=0.002)
+
+        run_virtual(monkeypatch, scenario())
+
+    def test_another_start_of_a_reader_is_measured_by_itself(
+        self, monkeypatch: pytest.MonkeyPatch
+    ) -> None:
+        # Guards against a reader whose host has rebooted and whose news all look late.
+        async def scenario() -> None:
+            delays = UpdateDelays()
+            delays.delay_s(self.sent(delays))
+            restarted = self.sent(delays)
+            restarted.reader_incarnation = 2
+            await asyncio.sleep(5.0)
+            assert delays.delay_s(restarted) == 0.0
+
+        run_virtual(monkeypatch, scenario())
+
+    def test_updates_of_earlier_builds_have_no_delay(self) -> None:
+        # Guards against a rolling release in which all gateways read the store.
+        assert UpdateDelays().delay_s(StoreNews()) == 0.0
+
+
 class TestReaderOutage:
     @pytest.mark.parametrize("removed_after_s", [0.0, 0.5, 0.7, 1.0, 2.0])
     @pytest.mark.parametrize("reader", [0, 1])
--- a/tests/published/test_store_readers.py
+++ b/tests/published/test_store_readers.py
@@ -263,6 +263,17 @@
         assert harness.readers.must_read()
         assert harness.feed.position.revision == 1
 
+    async def test_an_update_that_is_older_than_what_is_known_is_not_recent(
+        self, monkeypatch: pytest.MonkeyPatch
+    ) -> None:
+        # Guards against old news of a paused reader that count as recent.
+        monkeypatch.setattr(store_readers, "UPDATE_TIMEOUT_S", 0.05)
+        harness = await follower()
+        harness.receive(update(harness, 1, 4))
+        await asyncio.sleep(0.06)
+        harness.receive(update(harness, 1, 2))
+        assert harness.readers.must_read()
+
     async def test_an_announced_newer_table_is_read_at_once(self) -> None:
         harness = await follower(changes(2, table=published(6)))
         harness.receive(update(harness, 1, 2, version=6))
