Bound what a gateway keeps of a worker's answer

A worker that sent the body of an answer without end filled the memory of the gateway, which has 200 MB on small hosts: whole answers, events of streams and answers to calls of stages were collected until they ended.

Evidence: test_endless_answers.py::TestBodies.

--- a/tests/platform_adapter/test_endless_answers.py
+++ b/tests/platform_adapter/test_endless_answers.py
@@ -8,19 +8,33 @@
 
 import pytest
 from adapter.sessions import HEAD_TRANSFER_S
+from adapter.worker_answers import (
+    MAX_ANSWER_BYTES,
+    MAX_EVENT_BYTES,
+    MAX_MESSAGE_BYTES,
+)
 from adapter.worker_client import CHECK_TIMEOUT_S
 from result import Err, Ok
 
+from trefoilpaddle.coordination.chain.target_calls import StreamBrokenError
+from trefoilpaddle.state.chain.piece_work import PieceWork
 from trefoilpaddle.state.chain.target_answers import CallFault
 from trefoilpaddle.state.chain.workers import Worker
 
 from .raw_engines import raw_engine
-from .test_worker_client import call, worker_client
+from .test_worker_client import CHUNKED, UNFRAMED, call, worker_client
 
 TRICKLE_S = 0.02
 """Time between two bytes of a slow worker; shorter than any time-out of a read."""
 
 SLACK_S = 0.5
+PART_BYTES = 64 * 1024
+
+CHUNK = f"{PART_BYTES:x}\r\n".encode() + b"x" * PART_BYTES + b"\r\n"
+MESSAGE = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+
+SOCKET_BYTES = 16 * 1024 * 1024
+"""Most that the kernel and the library hold of a connection that is not read."""
 
 
 @dataclass(slots=True, kw_only=True)
@@ -89,3 +103,48 @@
                 assert await client.is_listening(at) is True
             async with asyncio.timeout(SLACK_S):
                 assert await client.report(at, timeout_s=0.3) is None
+
+
+class TestBodies:
+    # Guards against an answer that fills the memory of the gateway.
+    @pytest.mark.parametrize(("begun", "more"), [(CHUNKED, CHUNK), (UNFRAMED, CHUNK)])
+    async def test_an_answer_without_end_is_given_up(
+        self, begun: bytes, more: bytes
+    ) -> None:
+        endless = EndlessWorker(begun=begun, more=more)
+        fault, _ = await fault_of(endless)
+        assert fault is CallFault.BROKEN
+        assert endless.n_sent[0] <= MAX_ANSWER_BYTES + SOCKET_BYTES
+
+    # Guards against a stream whose event is kept in memory until its end.
+    async def test_an_event_without_end_is_given_up(self) -> None:
+        endless = EndlessWorker(begun=CHUNKED, more=CHUNK)
+        async with (
+            serving(endless) as at,
+            worker_client() as client,
+            client.exchange(at, call()) as opened,
+        ):
+            with pytest.raises(StreamBrokenError):
+                async for _ in opened.unwrap().events():
+                    pass
+        assert endless.n_sent[0] <= MAX_EVENT_BYTES + SOCKET_BYTES
+
+    # Guards against the same in answers of stage workers to calls, frees and reports.
+    async def test_messages_without_end_are_given_up(self) -> None:
+        endless = EndlessWorker(begun=MESSAGE, more=CHUNK)
+        async with serving(endless) as at, worker_client() as client:
+            work = PieceWork(
+                request_id="a1",
+                route="r",
+                stage=0,
+                piece=0,
+                due_s=0.0,
+                deadline_s=time.monotonic() + 5.0,
+            )
+            ran = await client.run_pieces(
+                at, [work], timeout_s=5.0, on_sent=lambda: None
+            )
+            assert ran == Err(CallFault.BROKEN)
+            assert not await client.free_results(at, ["h"])
+            assert await client.report(at, timeout_s=5.0) is None
+        assert max(endless.n_sent) <= MAX_MESSAGE_BYTES + SOCKET_BYTES
