--- a/tests/platform_adapter/test_worker_client.py
+++ b/tests/platform_adapter/test_worker_client.py
@@ -499,6 +499,15 @@
     async def test_a_worker_that_keeps_connections_listens(self) -> None:
         assert await self.is_listening(n_cut=0) is True
 
+    # Guards against workers that count as exited, and requests that count as having
+    # crashed them, as what they send is no answer.
+    @pytest.mark.parametrize("sent", [b"no answer\r\n\r\n", b"HTTP/1.1 2x\r\n\r\n"])
+    async def test_bytes_that_are_no_answer_come_from_a_process(
+        self, sent: bytes
+    ) -> None:
+        async with calling(sent) as (client, at, _):
+            assert await client.is_listening(at) is True
+
 
 def test_a_session_is_created_in_an_event_loop() -> None:
     async def open_session() -> bool:
