Let the capacity grow under demand that is high from the first request

Causes, each of which alone keeps the capacity down: - The time of a request without contention was learnt only from requests that began and ended without any. Where demand is high at once there is none, and without it nothing was measured. Requests that began without contention count now; if it is known as they end, they can lower the time and not raise it, as they may have waited at a worker. - Once the capacity had grown, contention ended, reports with it, and the home forgot the measure. A gateway that runs more than it may send unasked goes on reporting. - Without contention a gateway was held to the published capacity, whatever the home had granted.

An operator sees published and measured slots and which bound the capacity on GET /shares, and the first two in capacity_short.

Weighed: a measure that the home keeps for longer would keep a service overloaded for as long once its workers get slower.

Ledger and line have tests without network. Not built: the load header as a second source of slots.

--- a/src/trefoilpaddle/coordination/chain/service_lease.py
+++ b/src/trefoilpaddle/coordination/chain/service_lease.py
@@ -381,11 +381,20 @@
             self.line.free_limit = self.line.capacity = math.inf
             return
         self.line.capacity = published.capacity
-        even = FREE_RATIO * published.capacity / (self._n_gateways() + 1)
+        self.line.free_limit = self._unasked_limit(published)
         if self._is_reporting():
-            # What the home has found to be spare at the last report.
-            even = max(even, min(self.line.share.n_slots, published.capacity))
-        self.line.free_limit = max(MIN_FREE, math.ceil(even))
+            # What the home has found to be spare at the last report, also of capacity
+            # that it has measured beyond the published one.
+            granted = self.line.share.n_slots
+            if math.isinf(granted):
+                granted = published.capacity
+            self.line.capacity = max(published.capacity, granted)
+            self.line.free_limit = max(self.line.free_limit, math.ceil(granted))
+
+    def _unasked_limit(self, published: PublishedSlots) -> int:
+        """Return how many requests may run here without a grant."""
+        even = FREE_RATIO * published.capacity / (self._n_gateways() + 1)
+        return max(MIN_FREE, math.ceil(even))
 
     def _is_reporting(self) -> bool:
         return self._task is not None and not self._task.done() and bool(self.home_id)
@@ -550,8 +559,18 @@
         self._start_waiting()
 
     def _may_end(self, now_s: float) -> bool:
+        """Return True if no report is needed.
+
+        The home forgets how much the workers do if nobody reports what is more than
+        they publish, and would find contention again.
+        """
+        published = self._published()
         return (
             not self.line.share.is_contended
             and not self.line.n_waiting
             and now_s >= self._contended_until_s
+            and (
+                published is None
+                or self.line.n_running <= self._unasked_limit(published)
+            )
         )
--- a/src/trefoilpaddle/coordination/chain/slot_home.py
+++ b/src/trefoilpaddle/coordination/chain/slot_home.py
@@ -163,6 +163,8 @@
         figures: Sequence[tuple[str, float]] = (
             ("demand", division.total),
             ("capacity", division.capacity),
+            ("n_published", division.n_published),
+            ("n_measured", division.n_measured),
             ("n_accounts", len(division.demand)),
             ("n_beyond_share", division.beyond_share()),
         )
--- a/src/trefoilpaddle/state/chain/admission_line.py
+++ b/src/trefoilpaddle/state/chain/admission_line.py
@@ -317,9 +317,19 @@
         held_s = now_s - ticket.began_s
         self._held_s = _smoothed(self._held_s, held_s)
         line.held_s = _smoothed(line.held_s, held_s)
-        if ticket.is_free_start and not self.share.is_contended:
-            weight = HELD_SMOOTHING if held_s < self.base_s else BASE_RISE
-            self.base_s = _smoothed(self.base_s, held_s, weight)
+        if ticket.is_free_start:
+            self._learn_base(held_s)
+
+    def _learn_base(self, held_s: float) -> None:
+        """Learn the time without contention from a request that began without any.
+
+        Where demand is high from the first request on, none ends before contention is
+        known. What other requests add to its time then must not raise the base.
+        """
+        if held_s < self.base_s or not self.base_s:
+            self.base_s = _smoothed(self.base_s, held_s)
+        elif not self.share.is_contended:
+            self.base_s = _smoothed(self.base_s, held_s, BASE_RISE)
 
     def loads(self, now_s: float) -> dict[int, AccountLoad]:
         """Return the load of each account; those that are idle are forgotten."""
--- a/src/trefoilpaddle/state/chain/slot_ledger.py
+++ b/src/trefoilpaddle/state/chain/slot_ledger.py
@@ -7,7 +7,7 @@
 import math
 import statistics
 from collections import deque
-from collections.abc import Mapping, Sequence
+from collections.abc import Mapping
 from dataclasses import dataclass, field
 from typing import Final
 
@@ -197,17 +197,36 @@
         Slots per weight that an account may use; infinite if all demand fits.
     demand : mapping of int to AccountDemand
         Demand of all gateways by key of the account.
+    n_published : float
+        Slots of the workers, as published.
+    n_measured : float
+        Slots in use, as measured; 0 if unknown.
+    shed_factor : float
+        Part of the capacity that is left while workers shed; 1 if none does.
     """
 
     capacity: float
     level: float
     demand: Mapping[int, AccountDemand]
+    n_published: float = math.inf
+    n_measured: float = 0.0
+    shed_factor: float = 1.0
 
     @property
     def total(self) -> float:
         """Slots that all accounts demand."""
         return sum(each.n_slots for each in self.demand.values())
 
+    @property
+    def bound_by(self) -> str:
+        """What the capacity follows from."""
+        if self.shed_factor < 1.0:
+            return "sheds"
+        if self.n_measured <= self.n_published:
+            return "published"
+        at_most = MAX_SLOTS_RATIO * self.n_published
+        return "measured" if self.n_measured < at_most else "ratio"
+
     def beyond_share(self) -> int:
         """Return the number of accounts that demand more than their share."""
         return sum(
@@ -392,9 +411,20 @@
         }
         base = [load.base_s for load in loads if load.base_s > 0.0]
         self._base_s = statistics.median(base) if base else 0.0
-        capacity = self._capacity(loads)
-        level = max_min_level(list(demand.values()), capacity)
-        return Division(capacity=capacity, level=level, demand=demand)
+        # Gateways hear of workers at different times; the newest list is one of them.
+        n_published = max((load.n_slots for load in loads), default=math.inf)
+        n_workers = max((load.n_workers for load in loads), default=0)
+        n_measured = max((n for _, n in self._measured), default=0.0)
+        n_in_use = min(max(n_published, n_measured), MAX_SLOTS_RATIO * n_published)
+        capacity = self._shed_factor * capacity_of(n_in_use, n_workers)
+        return Division(
+            capacity=capacity,
+            level=max_min_level(list(demand.values()), capacity),
+            demand=demand,
+            n_published=n_published,
+            n_measured=n_measured,
+            shed_factor=self._shed_factor,
+        )
 
     def _expire(self, now_s: float) -> None:
         expired = [
@@ -408,15 +438,6 @@
             # A home that was paused knows as little as one that has just begun.
             self._first_s = None
 
-    def _capacity(self, loads: Sequence[ServiceLoad]) -> float:
-        """Return how many requests may be at the workers."""
-        # Gateways hear of workers at different times; the newest list is one of them.
-        n_slots = max((load.n_slots for load in loads), default=math.inf)
-        n_workers = max((load.n_workers for load in loads), default=0)
-        measured = max((n for _, n in self._measured), default=0.0)
-        n_in_use = min(max(n_slots, measured), MAX_SLOTS_RATIO * n_slots)
-        return self._shed_factor * capacity_of(n_in_use, n_workers)
-
     def _measure(self, load: ServiceLoad, now_s: float) -> None:
         """Measure how many slots are in use, by what all workers answer.
 
--- a/tests/chain/test_admission_line.py
+++ b/tests/chain/test_admission_line.py
@@ -251,6 +251,22 @@
             serve(line, 100.0 + 2 * number, held_s=1.0)
         assert line.base_s < 1.5 * HELD_S
 
+    def test_the_base_is_known_where_demand_is_high_from_the_first_request_on(
+        self,
+    ) -> None:
+        # Guards against a capacity that never grows, as no request ends before its
+        # service is contended.
+        line = AdmissionLine(now_s=0.0)
+        first = ticket()
+        line.arrive(first, 0.0)
+        late = ticket()
+        line.arrive(late, 0.0)
+        line.use(contended(2.0), 0.05)
+        line.end(first, HELD_S, has_run=True)
+        assert line.base_s == HELD_S
+        line.end(late, 10 * HELD_S, has_run=True)
+        assert line.base_s == HELD_S
+
     def test_idle_accounts_are_forgotten(self) -> None:
         # Guards against memory that grows with each account ever seen.
         line = AdmissionLine(now_s=0.0)
--- a/tests/chain/test_slot_ledger.py
+++ b/tests/chain/test_slot_ledger.py
@@ -246,6 +246,30 @@
             ledger.record("g0", load(a=40.0), now_s)
         assert ledger.division(now_s).capacity == CAPACITY
 
+    @pytest.mark.parametrize(
+        ("n_real", "bound_by"), [(8, "published"), (60, "measured")]
+    )
+    def test_the_capacity_grows_if_workers_answer_as_fast_as_before(
+        self, n_real: int, bound_by: str
+    ) -> None:
+        # Guards against workers that idle, as they publish fewer slots than they have,
+        # and against growth at workers that have no more.
+        base_s, period_s = 0.2, 0.125
+        ledger = SlotLedger(may_grow=True)
+        now_s, n_running = 0.0, 0.0
+        for _ in range(round(3.0 / period_s)):
+            n_done = round(min(n_running, n_real) * period_s / base_s)
+            report = replace(load(a=50.0), base_s=base_s, n_answered=n_done)
+            ledger.record("g0", report, now_s)
+            division = ledger.division(now_s)
+            n_running = min(50.0, division.capacity)
+            now_s += period_s
+        assert division.bound_by == bound_by
+        if n_real == N_SLOTS:
+            assert division.capacity == CAPACITY
+        else:
+            assert division.capacity >= 50.0
+
     def test_measured_slots_are_bounded(self) -> None:
         # Guards against a gateway that reports answers that no worker has given.
         ledger = SlotLedger(may_grow=True)
--- a/tests/platform_adapter/shares_harness.py
+++ b/tests/platform_adapter/shares_harness.py
@@ -272,6 +272,13 @@
     def _n_done(self) -> int:
         return sum(worker.n_done for worker in self.site.workers.values())
 
+    async def send_steadily(self, *, per_s: float, for_s: float) -> Observed:
+        """Send requests of the first account at a steady rate."""
+        observed = Observed(kind=self._kind, n_accounts=1)
+        async with asyncio.TaskGroup() as group:
+            group.create_task(self._send(group, observed, 0, per_s, for_s))
+        return observed
+
     async def _send(
         self,
         group: asyncio.TaskGroup,
@@ -370,7 +377,12 @@
 
 @contextlib.asynccontextmanager
 async def shares_harness(
-    folder: Path, *, kind: str = "plain", n_gateways: int = 6, n_accounts: int = 8
+    folder: Path,
+    *,
+    kind: str = "plain",
+    n_gateways: int = 6,
+    n_accounts: int = 8,
+    n_slots: int = N_SLOTS,
 ) -> AsyncIterator[SharesHarness]:
     """Start the workers and the gateways, in two failure domains."""
     chosen = KINDS[kind]
@@ -386,7 +398,7 @@
                 f"{service}{number}",
                 service,
                 domain=domains[number % 2],
-                n_slots=N_SLOTS,
+                n_slots=n_slots,
                 **chosen.worker,
             )
         if kind == "staged":
