Count slots beyond the published ones less after workers have shed

The time without contention is learnt too long by a gateway that starts beside full workers, so that waiting looks like slots in use.

Sheds disprove such slots: each correction now halves what counts of them, and a tenth counts again each second.

--- a/src/trefoilpaddle/state/chain/slot_ledger.py
+++ b/src/trefoilpaddle/state/chain/slot_ledger.py
@@ -66,6 +66,16 @@
 THROUGHPUT_KEPT_S: Final = 2.0
 """Seconds for which the highest throughput counts."""
 
+GROWTH_STEP: Final = 2.0
+"""Factor by which one correction lowers what counts of slots beyond the published ones.
+
+Workers that shed do not have the slots that were measured: their answers took longer
+than without contention, as they do where a gateway starts beside full workers.
+"""
+
+GROWTH_RECOVERY_PER_S: Final = 0.1
+"""Part of these slots that counts again each second after workers have shed."""
+
 MAX_SLOTS_RATIO: Final = 16.0
 """Largest ratio of the slots in use, as measured, to the published ones."""
 
@@ -270,6 +280,8 @@
         "_divided_s",
         "_division",
         "_first_s",
+        "_growth_factor",
+        "_growth_s",
         "_known",
         "_measured",
         "_shed_factor",
@@ -288,6 +300,8 @@
         self._measured: deque[tuple[float, float]] = deque()
         self._shed_factor = 1.0
         self._shed_s = -math.inf
+        self._growth_factor = 1.0
+        self._growth_s = -math.inf
         self._first_s: float | None = None
         self._contended_until_s = -math.inf
         self._division: Division | None = None
@@ -415,7 +429,10 @@
         n_published = max((load.n_slots for load in loads), default=math.inf)
         n_workers = max((load.n_workers for load in loads), default=0)
         n_measured = max((n for _, n in self._measured), default=0.0)
-        n_in_use = min(max(n_published, n_measured), MAX_SLOTS_RATIO * n_published)
+        n_at_most = min(max(n_published, n_measured), MAX_SLOTS_RATIO * n_published)
+        n_in_use = n_published
+        if n_at_most > n_published:
+            n_in_use += self._growth_factor * (n_at_most - n_published)
         capacity = self._shed_factor * capacity_of(n_in_use, n_workers)
         return Division(
             capacity=capacity,
@@ -466,10 +483,15 @@
         Gateways of a cut-off group send as well, and workers may take less than they
         state.
         """
+        if not n_sheds and self._growth_factor < 1.0:
+            recovered = GROWTH_RECOVERY_PER_S * (now_s - self._growth_s)
+            self._growth_factor = min(1.0, self._growth_factor + recovered)
+            self._growth_s = now_s
         if now_s - self._shed_s < SHED_PERIOD_S:
             return
         if n_sheds:
-            self._shed_s = now_s
+            self._shed_s = self._growth_s = now_s
+            self._growth_factor /= GROWTH_STEP
             self._shed_factor = max(MIN_SHED_FACTOR, self._shed_factor / SHED_STEP)
         elif self._shed_factor < 1.0:
             self._shed_s = now_s
--- a/tests/chain/test_slot_ledger.py
+++ b/tests/chain/test_slot_ledger.py
@@ -270,6 +270,19 @@
         else:
             assert division.capacity >= 50.0
 
+    def test_measured_slots_count_less_once_workers_shed(self) -> None:
+        # Guards against workers without the measured slots that stay overfilled.
+        ledger = SlotLedger(may_grow=True)
+        busy = replace(load(a=40.0), base_s=1.0, n_answered=40)
+        ledger.record("g0", busy, 0.0)
+        grown = ledger.division(0.0).capacity
+        now_s = 0.0
+        for n_sheds in (9, 9, 9, 9, 9, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0):
+            now_s += SHED_PERIOD_S
+            ledger.record("g0", replace(busy, n_answered=0, n_sheds=n_sheds), now_s)
+        assert CAPACITY < ledger.division(now_s).capacity < 0.3 * grown
+        assert ledger.division(now_s).shed_factor == 1.0
+
     def test_measured_slots_are_bounded(self) -> None:
         # Guards against a gateway that reports answers that no worker has given.
         ledger = SlotLedger(may_grow=True)
