Accept a reported recovery although a peer had an answer just before it

A gateway dropped workers at once after an outage of the store that it had heard of from a peer a moment before the first reader reported the recovery: the peer's answer, the first one after the outage, counted as one that denies it. The workers were missing until they wrote again.

An outage is now a silence of 1.2 s that ends within 1.2 s before the reported recovery.

Evidence: test_the_first_answers_after_an_outage_do_not_deny_it, on the rule before it is false at 10.53 s; tests/published pass.

--- a/src/trefoilpaddle/coordination/published/answer_times.py
+++ b/src/trefoilpaddle/coordination/published/answer_times.py
@@ -1,6 +1,7 @@
 """When the store is known to have answered a gateway, here or elsewhere."""
 
 from collections import deque
+from itertools import pairwise
 from typing import Final
 
 UNAVAILABLE_AFTER_S: Final = 1.2
@@ -36,7 +37,10 @@
         self._answered_s.append(answered_s)
 
     def is_end_of_outage(self, recovered_s: float) -> bool:
-        """Return True if no answer is known from just before a time.
+        """Return True if the store answered nobody until shortly before a time.
+
+        Gateways get the first answers after an outage one after the other, so an answer
+        from just before counts only if there was none for long before it.
 
         Parameters
         ----------
@@ -44,4 +48,9 @@
             Monotonic time at which a gateway got an answer again.
         """
         earliest_s = recovered_s - UNAVAILABLE_AFTER_S
-        return not any(earliest_s < each < recovered_s for each in self._answered_s)
+        before = sorted(each for each in self._answered_s if each < recovered_s)
+        ends_s = [*before, recovered_s]
+        return not before or any(
+            end_s - begin_s >= UNAVAILABLE_AFTER_S and end_s > earliest_s
+            for begin_s, end_s in pairwise(ends_s)
+        )
--- a/tests/published/test_late_updates.py
+++ b/tests/published/test_late_updates.py
@@ -7,6 +7,7 @@
 
 import pytest
 
+from trefoilpaddle.coordination.published.answer_times import AnswerTimes
 from trefoilpaddle.coordination.published.update_delays import UpdateDelays
 from trefoilpaddle.protocol.gen.chain.ttypes import StoreNews
 
@@ -118,6 +119,25 @@
         assert UpdateDelays().delay_s(StoreNews()) == 0.0
 
 
+class TestAnswerTimes:
+    def test_the_first_answers_after_an_outage_do_not_deny_it(self) -> None:
+        # Guards against living workers that are dropped after an outage, as a peer had an
+        # answer just before the gateway that reports the recovery.
+        answers = AnswerTimes()
+        for answered_s in (6.4, 6.7, 7.0, 10.50, 10.52, 11.1, 11.7):
+            answers.record(answered_s)
+        assert answers.is_end_of_outage(10.53)
+        assert not answers.is_end_of_outage(12.0)
+
+    def test_answers_all_along_deny_an_outage(self) -> None:
+        # Guards against workers that are kept for the outage of one gateway.
+        answers = AnswerTimes()
+        assert answers.is_end_of_outage(1.0)
+        for number in range(40):
+            answers.record(1.0 + 0.3 * number)
+        assert not answers.is_end_of_outage(12.8)
+
+
 class TestReaderOutage:
     @pytest.mark.parametrize("removed_after_s", [0.0, 0.5, 0.7, 1.0, 2.0])
     @pytest.mark.parametrize("reader", [0, 1])
