--- a/tests/published/test_late_updates.py
+++ b/tests/published/test_late_updates.py
@@ -121,8 +121,8 @@
 
 class TestAnswerTimes:
     def test_the_first_answers_after_an_outage_do_not_deny_it(self) -> None:
-        # Guards against living workers that are dropped after an outage, as a peer had an
-        # answer just before the gateway that reports the recovery.
+        # Guards against living workers that are dropped after an outage, as a peer had
+        # an answer just before the gateway that reports the recovery.
         answers = AnswerTimes()
         for answered_s in (6.4, 6.7, 7.0, 10.50, 10.52, 11.1, 11.7):
             answers.record(answered_s)
