Review: a request that is answered 503 at a planned stop runs all the same

Cause: a request that must finish is passed on after the check whether its worker serves, without a look at whether its caller has been answered meanwhile.

--- a/review/1/case.py
+++ b/review/1/case.py
@@ -79,6 +79,11 @@
 MODEL = {"slots": 96, "events": 70, "first_s": 0.3, "gap_s": 0.2}
 
 
+def name_of(body: bytes) -> str:
+    """Return what a request is about."""
+    return body[: len(body) // 20].decode()
+
+
 class Connection:
     """A connection that a client keeps open to one gateway."""
 
@@ -165,8 +170,9 @@
         bodies = [
             f"reserve {self.n_crashes}.{n}".encode() * 20 for n in range(N_AT_ONCE)
         ]
-        for connection, body in zip(connections, bodies, strict=True):
-            connection.send(self.new_id(), body)
+        ids = [self.new_id() for _ in bodies]
+        for connection, request_id, body in zip(connections, ids, bodies, strict=True):
+            connection.send(request_id, body)
         await asyncio.sleep(CRASH_AFTER_S)
         if HAS_TROUBLE:
             worker.kill()
@@ -174,6 +180,8 @@
             self.tasks.append(asyncio.create_task(self.replace(worker)))
         statuses = await asyncio.to_thread(lambda: [c.status() for c in connections])
         self.note(f"{N_AT_ONCE} requests at {gateway.name}: {Counter(statuses)}")
+        for request_id, body, status in zip(ids, bodies, statuses, strict=True):
+            self.note(f"request {request_id} ({name_of(body)}): {status}")
         for connection in connections:
             connection.socket.close()
         return [
@@ -207,8 +215,9 @@
         await asyncio.sleep(left_s)
         ids = await asyncio.to_thread(self.send_again, kept, failed, ordered_s)
         again = await asyncio.to_thread(lambda: [c.status() for c in kept[: len(ids)]])
-        for request_id, status in zip(ids, again, strict=True):
+        for request_id, body, status in zip(ids, failed, again, strict=True):
             self.again[request_id] = status
+            self.note(f"request {request_id} ({name_of(body)}, again): {status}")
         self.note(f"those that came again at {gateway.name}: {Counter(again)}")
         await asyncio.to_thread(gateway.process.wait)
         self.note(f"{gateway.name} has ended with {gateway.process.returncode}")
