--- a/review/1/case.py
+++ b/review/1/case.py
@@ -1,4 +1,4 @@
-"""Planned stops, and requests that are sent again while their gateway stops."""
+"""Planned stops, and requests about things that were in flight at a crash."""
 
 import asyncio
 import itertools
@@ -27,7 +27,7 @@
 N_GATEWAYS = 4
 N_WORKERS = 4
 N_AT_ONCE = 24
-"""Requests that are sent at once before each stop, each with a body of its own."""
+"""Requests that are sent at once before each crash, each about another thing."""
 CRASH_AFTER_S = 0.09
 DOWN_S = 3.0
 SECOND_CRASH_S = 2.5
@@ -163,7 +163,7 @@
         self.note(f"chat {request_id} at {gateway.name}: {answer.status}")
 
     async def crash(self, gateway: Gateway) -> list[bytes]:
-        """Send requests, crash one of their workers; return those without an answer."""
+        """Send requests, crash a worker; return the bodies that it took along."""
         self.n_crashes += 1
         connections = [Connection(gateway) for _ in range(N_AT_ONCE)]
         worker = self.deployment.workers[self.n_crashes % N_WORKERS]
@@ -199,7 +199,7 @@
         self.deployment.workers[index] = another
 
     async def stop(self, gateway: Gateway, other: Gateway) -> None:
-        """Stop a gateway; send requests again that had no answer at two crashes."""
+        """Stop a gateway; ask for the things again whose requests two crashes ended."""
         kept = [Connection(gateway) for _ in range(2 * N_AT_ONCE)]
         self.tasks.append(asyncio.create_task(self.stream(gateway)))
         await asyncio.sleep(1.0)
@@ -210,15 +210,17 @@
         self.note(f"{gateway.name} gets SIGTERM")
         await asyncio.sleep(SECOND_CRASH_S)
         failed += await self.crash(other)
-        self.note(f"{len(failed)} requests come again")
+        self.note(f"{len(failed)} other clients ask for the same things")
         left_s = ordered_s + LAST_SENT_S - 0.1 - time.monotonic()
         await asyncio.sleep(left_s)
         ids = await asyncio.to_thread(self.send_again, kept, failed, ordered_s)
         again = await asyncio.to_thread(lambda: [c.status() for c in kept[: len(ids)]])
         for request_id, body, status in zip(ids, failed, again, strict=True):
             self.again[request_id] = status
-            self.note(f"request {request_id} ({name_of(body)}, again): {status}")
-        self.note(f"those that came again at {gateway.name}: {Counter(again)}")
+            self.note(
+                f"request {request_id} ({name_of(body)}, another client): {status}"
+            )
+        self.note(f"those of the others at {gateway.name}: {Counter(again)}")
         await asyncio.to_thread(gateway.process.wait)
         self.note(f"{gateway.name} has ended with {gateway.process.returncode}")
         gateway.start(is_first=False)
@@ -229,7 +231,7 @@
     def send_again(
         self, connections: list[Connection], bodies: list[bytes], ordered_s: float
     ) -> list[str]:
-        """Send the requests spread over a short time; return their ids."""
+        """Send the requests of other clients over a short time; return their ids."""
         ids = []
         begin_s = ordered_s + LAST_SENT_S - SPREAD_S
         step_s = SPREAD_S / max(1, len(bodies))
@@ -265,7 +267,7 @@
     summary = [
         f"REFUSED: {len(untrue)} requests that are not idempotent were answered 503 and"
         f" ran; allowed is none: {' '.join(untrue)}",
-        f"those that came again, by status: {dict(Counter(play.again.values()))}",
+        f"requests of other clients, by status: {dict(Counter(play.again.values()))}",
         "broken" if untrue else "held",
     ]
     lines = [*play.lines, "", "what workers ran:", *map(json.dumps, runs), ""]
