Log what a request waited for when its answer was due

Cause: a request that is refused at a planned stop or at its deadline is logged with the reason alone.

Change: Delivery names the step that a request waits for, or has waited for last, and the refusal states it. A request that is cancelled at a worker is no longer described as waiting for another attempt.

--- a/src/trefoilpaddle/coordination/chain/attempts.py
+++ b/src/trefoilpaddle/coordination/chain/attempts.py
@@ -6,7 +6,7 @@
 from typing import Final
 
 from ...protocol.reasons import Reason
-from ...state.chain.delivery import Delivery
+from ...state.chain.delivery import Delivery, Step
 from ...state.chain.repeat_budget import RepeatBudget
 from ...state.chain.requests import Answered, Failed, Outcome, Refused
 from ...state.chain.retry_times import spread_retry_s
@@ -158,6 +158,7 @@
 
         A request whose account has used its share waits for a slot first.
         """
+        self._delivery.step = Step.SLOT
         async with self._hold_slot(self._job) as held:
             self._is_waiting = False
             match held:
@@ -184,6 +185,7 @@
             worker = self._choose()
             if worker is None:
                 return self._outcome_without_worker()
+            self._delivery.step = Step.INPUTS
             handles = await self._inputs.get()
             if handles is None:
                 return self._outcome_of(Reason.RESULT_GONE)
@@ -191,6 +193,7 @@
                 # The caller left, or was answered that the request has not run, while
                 # the inputs were computed.
                 return self._outcome_of(Reason.CANCELLED)
+            self._delivery.step = Step.EXIT_CHECK
             if not await self._guard.may_run_at(
                 worker, (self._job.fingerprint,), self._job.parts
             ):
--- a/src/trefoilpaddle/coordination/chain/request_path.py
+++ b/src/trefoilpaddle/coordination/chain/request_path.py
@@ -11,7 +11,7 @@
 from ...protocol.reasons import Reason
 from ...state.chain.account_shares import account_key, account_weight
 from ...state.chain.chain_work import ChainCompleted, ChainFailed, ChainMoved, ChainWork
-from ...state.chain.delivery import Delivery
+from ...state.chain.delivery import Delivery, Step
 from ...state.chain.engine_times import EngineTimes
 from ...state.chain.fingerprint import fingerprint_of, shared_parts
 from ...state.chain.repeat_budget import RepeatBudgets
@@ -264,7 +264,11 @@
             retry_after_s = DEFAULT_RETRY_S
             if due.reason is Reason.STOPPING:
                 retry_after_s = self._stop.serves_elsewhere_in_s()
-            return delivery.failure_outcome(due.reason, retry_after_s=retry_after_s)
+            return delivery.failure_outcome(
+                due.reason,
+                retry_after_s=retry_after_s,
+                detail=f"waited for {delivery.waiting_for()}",
+            )
 
     async def _run(self, job: Job, delivery: Delivery, sink: CallerSink) -> Outcome:
         if not self._catch_up.is_over:
@@ -343,6 +347,7 @@
             account=account_key(job.account.name) if self._has_shares else 0,
             account_weight=account_weight(job.account.priority),
         )
+        delivery.step = Step.STAGES
         async with running_chain(self._router, work) as chain:
             match await chain.run():
                 case ChainMoved():
--- a/src/trefoilpaddle/state/chain/delivery.py
+++ b/src/trefoilpaddle/state/chain/delivery.py
@@ -1,6 +1,7 @@
 """Delivery state of a request, which decides what its outcome may state."""
 
 import contextlib
+import enum
 from collections.abc import Callable, Iterator
 
 from ...protocol.reasons import Reason
@@ -11,6 +12,19 @@
     pass
 
 
+@enum.unique
+class Step(enum.Enum):
+    """What a request waits for; the values are texts for the log."""
+
+    PEERS = "what other gateways know"
+    STAGES = "its stages"
+    SLOT = "a slot of its service"
+    INPUTS = "its inputs"
+    EXIT_CHECK = "the check whether its worker has exited"
+    WORKER = "a worker's answer"
+    NEXT_ATTEMPT = "another attempt"
+
+
 class Delivery:
     """Delivery state of one request on its way to a worker and back.
 
@@ -24,15 +38,18 @@
         has ended.
     is_begun : bool
         True if a part of the answer may have been sent to the caller.
+    step : Step
+        What the request waits for, or has waited for last.
     """
 
-    __slots__ = ("_is_at_worker", "is_begun", "may_have_run", "on_change")
+    __slots__ = ("_is_at_worker", "is_begun", "may_have_run", "on_change", "step")
 
     def __init__(self) -> None:
         self.on_change: Callable[[], None] = _no_op
         self._is_at_worker = False
         self.may_have_run = False
         self.is_begun = False
+        self.step = Step.PEERS
 
     def begin_answer(self) -> None:
         """Mark the answer as begun; called before its first byte is written."""
@@ -46,9 +63,11 @@
         If that wait is interrupted, it is unknown whether the request has run.
         """
         self._is_at_worker = True
+        self.step = Step.WORKER
         self.on_change()
         try:
             yield
+            self.step = Step.NEXT_ATTEMPT
         except BaseException:
             self.may_have_run = True
             raise
@@ -63,13 +82,7 @@
 
     def waiting_for(self) -> str:
         """Return what the request waits for, as a text for the log."""
-        if self.is_begun:
-            return "the rest of its answer"
-        if self._is_at_worker:
-            return "a worker's answer"
-        if self.may_have_run:
-            return "another attempt"
-        return "its stages or a worker"
+        return "the rest of its answer" if self.is_begun else self.step.value
 
     def failure_outcome(
         self, reason: Reason, *, retry_after_s: float, detail: str = ""
--- a/tests/chain/test_request_path.py
+++ b/tests/chain/test_request_path.py
@@ -4,7 +4,7 @@
 import time
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
-from dataclasses import replace
+from dataclasses import dataclass, field, replace
 
 import pytest
 from result import Ok, Result
@@ -14,7 +14,7 @@
 from trefoilpaddle.coordination.chain.job import Job
 from trefoilpaddle.coordination.chain.origin_placement import OriginPlacement
 from trefoilpaddle.coordination.chain.planned_stop import PlannedStop
-from trefoilpaddle.coordination.chain.request_path import RequestPath
+from trefoilpaddle.coordination.chain.request_path import NO_ACCOUNT, RequestPath
 from trefoilpaddle.coordination.chain.scheduler_links import (
     SchedulerEndpoint,
     SchedulerLinks,
@@ -30,7 +30,7 @@
 from trefoilpaddle.protocol.reasons import Reason
 from trefoilpaddle.state.chain.chain_work import ChainFailed, ChainWork
 from trefoilpaddle.state.chain.crash_registry import Crash
-from trefoilpaddle.state.chain.fingerprint import part_fingerprint
+from trefoilpaddle.state.chain.fingerprint import fingerprint_of, part_fingerprint
 from trefoilpaddle.state.chain.requests import (
     Answered,
     Outcome,
@@ -68,6 +68,8 @@
     worker,
 )
 
+GRACE_S = 8.0
+
 
 class SlowCalls(FakeCalls):
     """Counts the answers that were waited for until complete."""
@@ -84,6 +86,18 @@
         yield Ok(FakeAnswer())
 
 
+@dataclass
+class HeldChecks(FakeCalls):
+    """Tells whether a worker has exited only once the test allows it."""
+
+    may_tell: asyncio.Event = field(default_factory=asyncio.Event)
+
+    async def is_listening(self, worker: Worker) -> bool | None:
+        self.n_checks += 1
+        await self.may_tell.wait()
+        return True
+
+
 class Rig:
     """A request path over two plain workers."""
 
@@ -91,7 +105,7 @@
         self, calls: FakeCalls, *routes: Route, hold_slot: HoldSlot = unlimited_slot
     ) -> None:
         self.notes = journal()
-        self.stop = PlannedStop(grace_s=8.0)
+        self.stop = PlannedStop(grace_s=GRACE_S)
         self.workers = workers = WorkerTable()
         for number in range(2):
             workers.put(worker(f"w{number}"))
@@ -137,6 +151,15 @@
     async def serve(self, **fields: object) -> Outcome:
         return await self.path.serve(request(**fields), FakeSink())
 
+    def record_crash(self) -> None:
+        """Record that a worker has crashed under the request that `serve` sends."""
+        crash = Crash(worker_id="x", born_ms=1, level=1, ended_s=time.monotonic())
+        self.guard.receive_crash(fingerprint_of(request(), NO_ACCOUNT.name), crash)
+
+    def stop_sending(self) -> None:
+        """Order a stop whose time to send requests to workers is over."""
+        self.stop.order(time.monotonic() - GRACE_S)
+
     def events(self) -> list[Event]:
         return [record.decision.event for record in self.notes.recent()]
 
@@ -287,3 +310,18 @@
         serving.cancel()
         await asyncio.gather(serving, return_exceptions=True)
         assert rig.events()[-1] is Event.REQUEST_CUT
+
+
+class TestWhatIsRefused:
+    async def test_the_log_names_what_it_waited_for(self) -> None:
+        # Guards against a refusal whose log tells nothing of the wait that it ended.
+        calls = HeldChecks()
+        rig = Rig(calls, route())
+        rig.record_crash()
+        serving = asyncio.create_task(rig.serve())
+        await until(lambda: calls.n_checks)
+        rig.stop_sending()
+        assert isinstance(await serving, Refused)
+        refused = list(rig.notes.recent())[-1].decision
+        assert refused.event is Event.REQUEST_REFUSED
+        assert refused.detail == "waited for the check whether its worker has exited"
