Give a request that was answered as not run to no worker

Cause: two parties decide about one request. The answer falls due at a stop, at its deadline or as its caller leaves, and says "not run" if no worker has it. A request that may run once is sent by a task of its own, which goes on; a flag told it, and the flag was not read after the wait that checks whether a worker has exited. The same was mended once for the wait for inputs, by a check after that wait.

Ruled out: sent before the refusal (routed would come first), and the wait for a slot.

Change: the state of the request decides, in one step without a wait. Delivery is either claimed for a worker or closed, by an outcome or as the caller leaves; after the close a claim fails and nothing is sent, whatever wait comes before it. A request that no worker has is cancelled in any wait, no longer only while it waits for a slot.

The same cause elsewhere: the deadline and a caller that leaves take the same way and are mended by it.

--- a/src/trefoilpaddle/coordination/chain/attempts.py
+++ b/src/trefoilpaddle/coordination/chain/attempts.py
@@ -21,7 +21,7 @@
 from .stream_backup import StreamBackup
 from .target_calls import TargetCalls
 from .worker_choice import Need, WorkerChoice
-from .worker_exchange import Inputs, WorkerExchange, WorkerFailed
+from .worker_exchange import Inputs, NotSent, WorkerExchange, WorkerFailed
 
 MAX_NOT_RUN: Final = 4
 """Maximum number of attempts that fail without the request having been run."""
@@ -81,11 +81,9 @@
         "_delivery",
         "_exchange",
         "_guard",
-        "_has_caller_left",
         "_held",
         "_hold_slot",
         "_inputs",
-        "_is_waiting",
         "_job",
         "_journal",
         "_n_not_run",
@@ -141,17 +139,10 @@
         self._journal = journal
         self._tried: set[str] = set()
         self._n_not_run = 0
-        self._has_caller_left = False
-        self._is_waiting = True
-
-    @property
-    def is_waiting(self) -> bool:
-        """True until the request has a slot of its service, or is refused."""
-        return self._is_waiting
 
     def stop_retrying(self) -> None:
         """Send the request to no other worker, as its caller has left."""
-        self._has_caller_left = True
+        self._delivery.close()
 
     async def run(self, sink: CallerSink) -> Outcome:
         """Send the request to workers in turn and return its outcome.
@@ -160,7 +151,6 @@
         """
         self._delivery.step = Step.SLOT
         async with self._hold_slot(self._job) as held:
-            self._is_waiting = False
             match held:
                 case Refused(reason=reason, retry_after_s=retry_s, detail=detail):
                     return self._delivery.failure_outcome(
@@ -189,14 +179,15 @@
             handles = await self._inputs.get()
             if handles is None:
                 return self._outcome_of(Reason.RESULT_GONE)
-            if self._has_caller_left:
-                # The caller left, or was answered that the request has not run, while
-                # the inputs were computed.
-                return self._outcome_of(Reason.CANCELLED)
             self._delivery.step = Step.EXIT_CHECK
-            if not await self._guard.may_run_at(
+            may_run = await self._guard.may_run_at(
                 worker, (self._job.fingerprint,), self._job.parts
-            ):
+            )
+            if self._delivery.is_closed:
+                # The caller left, or was answered that the request has not run, during
+                # one of the waits above.
+                return self._outcome_of(Reason.CANCELLED)
+            if not may_run:
                 reason = REASON_OF[CallFault.UNREACHABLE]
                 self._record_fault(CallFault.UNREACHABLE, worker)
                 if not self._may_retry(reason, worker):
@@ -222,6 +213,8 @@
                         self._choice.record_answer(worker)
                     if not self._may_retry(Reason.TARGET_FAILED, worker):
                         return await self._pass_failure_on(failed, sink)
+                case NotSent():
+                    return self._outcome_of(Reason.CANCELLED)
                 case CallFault() as fault:
                     self._record_fault(fault, worker)
                     if self._job.may_repeat:
@@ -274,7 +267,7 @@
         )
         if (
             not may_run
-            or self._has_caller_left
+            or self._delivery.is_closed
             or self._refusal() is not None
             or self._guard.is_suspect(self._job.fingerprint, self._job.parts)
             or backup.target() is None
@@ -289,6 +282,8 @@
                 return answered
             case WorkerFailed():
                 return Failed(reason=Reason.TARGET_FAILED, is_begun=True)
+            case NotSent():
+                pass
             case CallFault.FULL:
                 # Most probably there is no copy, which says nothing about the load.
                 pass
@@ -357,7 +352,7 @@
         self._tried.add(worker.worker_id)
         if reason is Reason.TARGET_FAILED:
             self._delivery.may_have_run = True
-        if self._has_caller_left:
+        if self._delivery.is_closed:
             return False
         if self._delivery.may_have_run and not job.may_repeat:
             return False
--- a/src/trefoilpaddle/coordination/chain/request_path.py
+++ b/src/trefoilpaddle/coordination/chain/request_path.py
@@ -200,6 +200,7 @@
             log.record_undelivered(delivery, self._stop)
             raise
         finally:
+            delivery.close()
             del self._deliveries[id(request)]
         log.record_outcome(outcome)
         return outcome
@@ -389,7 +390,7 @@
                         backup=self._backup_of(job),
                     )
                     if job.must_finish:
-                        return await self._finish(attempts, sink)
+                        return await self._finish(attempts, delivery, sink)
                     return await attempts.run(sink)
 
     def _backup_of(self, job: Job) -> StreamBackup | None:
@@ -404,7 +405,9 @@
         """Return the latest useful monotonic time of completion of the stages."""
         return min(job.deadline_s, job.begins_by_s - engine_s)
 
-    async def _finish(self, attempts: Attempts, sink: CallerSink) -> Outcome:
+    async def _finish(
+        self, attempts: Attempts, delivery: Delivery, sink: CallerSink
+    ) -> Outcome:
         """Let a worker finish a request that must not run twice if its caller leaves.
 
         Cancelled, the request would be left in an unknown state, and the worker's time
@@ -417,7 +420,7 @@
             return await asyncio.shield(running)
         except asyncio.CancelledError:
             attempts.stop_retrying()
-            if attempts.is_waiting:
+            if not delivery.is_in_progress:
                 # It is at no worker, and would hold its place before other requests.
                 running.cancel()
             raise
--- a/src/trefoilpaddle/coordination/chain/worker_exchange.py
+++ b/src/trefoilpaddle/coordination/chain/worker_exchange.py
@@ -58,7 +58,12 @@
         """Regard the inputs as lost, as a worker did not find one of them."""
 
 
-SendOutcome = Answered | WorkerFailed | CallFault
+@dataclass(frozen=True, slots=True, kw_only=True)
+class NotSent:
+    """The request was closed before it could be sent."""
+
+
+SendOutcome = Answered | WorkerFailed | CallFault | NotSent
 
 
 class WorkerExchange:
@@ -164,6 +169,22 @@
         goes_on : bool
             True if the worker has a copy of the run and goes on with it.
         """
+        with self._delivery.at_worker() as is_claimed:
+            if not is_claimed:
+                return NotSent()
+            return await self._send(
+                worker, handles, sink, backup=backup, goes_on=goes_on
+            )
+
+    async def _send(
+        self,
+        worker: Worker,
+        handles: tuple[str, ...],
+        sink: CallerSink,
+        *,
+        backup: Worker | None,
+        goes_on: bool,
+    ) -> SendOutcome:
         job = self._job
         self.is_cut = False
         call = TargetCall(
@@ -194,10 +215,7 @@
         n_before = self.n_sent
         # No other worker is left for a run that goes on from its copy.
         n_tried = job.route.max_attempts if call.copy_of else n_before
-        with (
-            self._choice.open(worker, self._need) as at_worker,
-            self._delivery.at_worker(),
-        ):
+        with self._choice.open(worker, self._need) as at_worker:
             try:
                 async with (
                     asyncio.timeout(
--- a/src/trefoilpaddle/state/chain/delivery.py
+++ b/src/trefoilpaddle/state/chain/delivery.py
@@ -28,6 +28,10 @@
 class Delivery:
     """Delivery state of one request on its way to a worker and back.
 
+    A request is either claimed for a worker or closed, by a refusal or as its caller
+    has left. Each is a single step without a wait, and after the close every claim
+    fails: "not run" stays true, whatever a task of the request still waits for.
+
     Attributes
     ----------
     on_change : callable
@@ -42,31 +46,56 @@
         What the request waits for, or has waited for last.
     """
 
-    __slots__ = ("_is_at_worker", "is_begun", "may_have_run", "on_change", "step")
+    __slots__ = (
+        "_is_at_worker",
+        "_is_closed",
+        "is_begun",
+        "may_have_run",
+        "on_change",
+        "step",
+    )
 
     def __init__(self) -> None:
         self.on_change: Callable[[], None] = _no_op
         self._is_at_worker = False
+        self._is_closed = False
         self.may_have_run = False
         self.is_begun = False
         self.step = Step.PEERS
 
+    @property
+    def is_closed(self) -> bool:
+        """True if no further worker may get the request."""
+        return self._is_closed
+
+    def close(self) -> None:
+        """Give the request to no further worker; one that has it may finish it."""
+        self._is_closed = True
+
     def begin_answer(self) -> None:
         """Mark the answer as begun; called before its first byte is written."""
         self.is_begun = True
         self.on_change()
 
     @contextlib.contextmanager
-    def at_worker(self) -> Iterator[None]:
-        """Mark the request as sent to a worker while the context is open.
+    def at_worker(self) -> Iterator[bool]:
+        """Claim the request for a worker while the context is open.
+
+        If the body is interrupted, it is unknown whether the request has run.
 
-        If that wait is interrupted, it is unknown whether the request has run.
+        Yields
+        ------
+        bool
+            False if the request is closed; it must not be sent then.
         """
+        if self._is_closed:
+            yield False
+            return
         self._is_at_worker = True
         self.step = Step.WORKER
         self.on_change()
         try:
-            yield
+            yield True
             self.step = Step.NEXT_ATTEMPT
         except BaseException:
             self.may_have_run = True
@@ -90,8 +119,9 @@
         """Return the outcome of a request that no worker has answered.
 
         It is `Refused`, which states that the request has not run, only if no worker
-        can have begun to run it.
+        can have begun to run it. The request is closed in either case.
         """
+        self.close()
         if self.is_in_progress or self.may_have_run:
             return Failed(reason=reason, is_begun=self.is_begun, detail=detail)
         return Refused(reason=reason, retry_after_s=retry_after_s, detail=detail)
--- a/tests/chain/test_attempts.py
+++ b/tests/chain/test_attempts.py
@@ -24,7 +24,7 @@
 from trefoilpaddle.state.chain.routes import Account, RepeatPolicy, Route
 from trefoilpaddle.state.chain.target_answers import AnswerHead, CallFault
 from trefoilpaddle.state.chain.worker_loads import N_FAILED, LeftOut, WorkerLoads
-from trefoilpaddle.state.chain.workers import WorkerTable
+from trefoilpaddle.state.chain.workers import Worker, WorkerTable
 
 from .fakes import (
     FakeAnswer,
@@ -143,6 +143,24 @@
         assert isinstance(await running.run(FakeSink()), Refused)
         assert calls.sent == []
 
+    @pytest.mark.parametrize("has_exited", [False, True])
+    async def test_a_request_refused_during_an_exit_check_is_not_sent(
+        self, has_exited: bool
+    ) -> None:
+        # Guards against a request that runs after its refusal, at the worker that was
+        # checked or at the next one.
+        class SlowCalls(FakeCalls):
+            async def is_listening(self, worker: Worker) -> bool | None:
+                running.stop_retrying()
+                self.refusing |= {worker.worker_id} if has_exited else set()
+                return await super().is_listening(worker)
+
+        calls = SlowCalls(scripts=[FakeAnswer()])
+        running = attempts(calls, ONCE, n_crashes=1)
+        assert isinstance(await running.run(FakeSink()), Refused)
+        assert calls.sent == []
+        assert calls.n_checks == 1
+
 
 class TestAtMostOnce:
     @pytest.mark.parametrize("fault", [CallFault.BROKEN, CallFault.SILENT])
--- a/tests/chain/test_request_path.py
+++ b/tests/chain/test_request_path.py
@@ -1,8 +1,9 @@
 """The path of a request from its route to its answer, and callers that leave."""
 
 import asyncio
+import itertools
 import time
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Callable
 from contextlib import asynccontextmanager
 from dataclasses import dataclass, field, replace
 
@@ -28,8 +29,9 @@
 from trefoilpaddle.coordination.chain.target_calls import OpenAnswer, TargetCall
 from trefoilpaddle.coordination.chain.worker_choice import WorkerChoice
 from trefoilpaddle.protocol.reasons import Reason
-from trefoilpaddle.state.chain.chain_work import ChainFailed, ChainWork
+from trefoilpaddle.state.chain.chain_work import ChainCompleted, ChainFailed, ChainWork
 from trefoilpaddle.state.chain.crash_registry import Crash
+from trefoilpaddle.state.chain.delivery import Step
 from trefoilpaddle.state.chain.fingerprint import fingerprint_of, part_fingerprint
 from trefoilpaddle.state.chain.requests import (
     Answered,
@@ -70,6 +72,8 @@
 
 GRACE_S = 8.0
 
+Serving = asyncio.Task[Outcome]
+
 
 class SlowCalls(FakeCalls):
     """Counts the answers that were waited for until complete."""
@@ -156,6 +160,10 @@
         crash = Crash(worker_id="x", born_ms=1, level=1, ended_s=time.monotonic())
         self.guard.receive_crash(fingerprint_of(request(), NO_ACCOUNT.name), crash)
 
+    async def finished(self) -> None:
+        """Wait until no request is finished without its caller any more."""
+        await until(lambda: not self.path._finishing)
+
     def stop_sending(self) -> None:
         """Order a stop whose time to send requests to workers is over."""
         self.stop.order(time.monotonic() - GRACE_S)
@@ -312,6 +320,148 @@
         assert rig.events()[-1] is Event.REQUEST_CUT
 
 
+class TestAnsweredAsNotRun:
+    # Guards against a request that runs once its caller was told that it has not, or
+    # has left, as its wait before a worker went on.
+
+    @pytest.fixture
+    def calls(self) -> HeldChecks:
+        return HeldChecks(scripts=[FakeAnswer()])
+
+    @pytest.fixture
+    async def rig(self, calls: HeldChecks) -> Rig:
+        rig = Rig(calls, route())
+        rig.record_crash()
+        return rig
+
+    async def assert_not_sent(self, rig: Rig, calls: HeldChecks) -> None:
+        calls.may_tell.set()
+        await rig.finished()
+        assert calls.sent == []
+
+    async def test_a_check_of_its_worker_outlasts_the_time_to_send(
+        self, rig: Rig, calls: HeldChecks
+    ) -> None:
+        serving = asyncio.create_task(rig.serve())
+        await until(lambda: calls.n_checks)
+        rig.stop_sending()
+        outcome = await serving
+        assert isinstance(outcome, Refused) and outcome.reason is Reason.STOPPING
+        await self.assert_not_sent(rig, calls)
+
+    async def test_a_check_of_its_worker_outlasts_its_deadline(
+        self, rig: Rig, calls: HeldChecks
+    ) -> None:
+        outcome = await rig.serve(deadline_s=time.monotonic() + 0.05)
+        assert isinstance(outcome, Refused)
+        assert outcome.reason is Reason.DEADLINE_PASSED
+        await self.assert_not_sent(rig, calls)
+
+    async def test_a_check_of_its_worker_outlasts_its_caller(
+        self, rig: Rig, calls: HeldChecks
+    ) -> None:
+        serving = asyncio.create_task(rig.serve())
+        await until(lambda: calls.n_checks)
+        serving.cancel()
+        await asyncio.gather(serving, return_exceptions=True)
+        await self.assert_not_sent(rig, calls)
+
+    async def test_a_check_of_its_worker_ends_with_its_caller(
+        self, rig: Rig, calls: HeldChecks
+    ) -> None:
+        # Guards against a slot that is held for a request that nobody waits for.
+        serving = asyncio.create_task(rig.serve())
+        await until(lambda: calls.n_checks)
+        serving.cancel()
+        await asyncio.gather(serving, return_exceptions=True)
+        await rig.finished()
+        assert not calls.may_tell.is_set()
+
+
+def leave(rig: Rig, serving: Serving) -> None:
+    """Let the caller of a request leave."""
+    serving.cancel()
+
+
+async def some_turns() -> None:
+    """Wait for a few turns of the event loop."""
+    for _ in range(3):
+        await asyncio.sleep(0)
+
+
+class SlowChecks(FakeCalls):
+    """Checks whether workers have exited in a few turns of the event loop."""
+
+    async def is_listening(self, worker: Worker) -> bool | None:
+        await some_turns()
+        return True
+
+
+class TestEveryWait:
+    # Guards against a wait before a worker after which a request is sent, although its
+    # answer fell due, or its caller left, within that wait.
+
+    BEFORE_A_WORKER = frozenset(Step) - {Step.PEERS, Step.WORKER, Step.NEXT_ATTEMPT}
+
+    @pytest.fixture(autouse=True)
+    def slow_stages(self, monkeypatch: pytest.MonkeyPatch) -> None:
+        async def run(
+            _: ChainRouter, work: ChainWork, place: SchedulerEndpoint
+        ) -> ChainCompleted:
+            await some_turns()
+            return ChainCompleted(handles=("made",))
+
+        monkeypatch.setattr(ChainRouter, "run", run)
+
+    def slow_rig(self, calls: FakeCalls) -> Rig:
+        @asynccontextmanager
+        async def hold_slot(job: Job) -> AsyncIterator[HeldSlot | Refused]:
+            await some_turns()
+            yield HeldSlot()
+
+        stages = (StagePlan(service="s", after=(), result_bytes=1.0),)
+        rig = Rig(calls, route(stages=stages, max_attempts=2), hold_slot=hold_slot)
+        rig.workers.put(worker("s1", "s"))
+        rig.record_crash()
+        return rig
+
+    async def steps_at_the_end(self, end: Callable[[Rig, Serving], None]) -> set[str]:
+        """End the wait in each turn of the loop in turn; return what was waited for.
+
+        The first worker does not find its inputs, so that these are computed again.
+        """
+        steps: set[str] = set()
+        for n_turns in itertools.count():
+            run = FakeAnswer()
+            calls = SlowChecks(scripts=[CallFault.INPUTS_GONE, run])
+            rig = self.slow_rig(calls)
+            deliveries = rig.path._deliveries
+            serving = asyncio.create_task(rig.serve())
+            for _ in range(n_turns):
+                await asyncio.sleep(0)
+            if serving.done():
+                assert run not in calls.scripts
+                return steps
+            waits_for = [each.waiting_for() for each in deliveries.values()]
+            end(rig, serving)
+            (outcome,) = await asyncio.gather(serving, return_exceptions=True)
+            is_sent = run not in calls.scripts
+            assert not (is_sent and isinstance(outcome, Refused))
+            await rig.finished()
+            is_sent_later = run not in calls.scripts and not is_sent
+            assert not is_sent_later, f"after a wait for {waits_for}"
+            steps.update(waits_for)
+        raise AssertionError("the request was never sent")
+
+    async def test_the_time_to_send_is_over(self) -> None:
+        steps = await self.steps_at_the_end(lambda rig, _: rig.stop_sending())
+        assert steps >= {step.value for step in self.BEFORE_A_WORKER}
+
+    async def test_the_caller_leaves(self) -> None:
+        steps = await self.steps_at_the_end(leave)
+        assert steps >= {step.value for step in self.BEFORE_A_WORKER}
+
+
 class TestWhatIsRefused:
     async def test_the_log_names_what_it_waited_for(self) -> None:
         # Guards against a refusal whose log tells nothing of the wait that it ended.
