Send no pieces whose requests have ended during the check of their worker

Callers saw nothing; workers ran pieces of requests that were refused, or whose callers had left, up to 0.7 s before, and the results were thrown away.

Before a call of pieces under which a worker has crashed, the worker is asked whether it runs. A chain that ends meanwhile cancels its pieces, and nobody looked at that after the answer.

Change: a call of which no piece is waited for any more is not sent. It counts as no fault of the worker, which was left out for a moment before if it did not answer.

Ruled out: pieces in the queue, which are dropped as they are taken, and calls that share pieces of several requests: under suspicion, requests run in calls of their own.

Measured: a test that ends the request within the check fails on the code before, both where the worker runs (the pieces are sent) and where it does not (it is suspected); tests/chain/test_worker_caller.py and test_service_dispatch.py pass.

--- a/src/trefoilpaddle/coordination/chain/worker_caller.py
+++ b/src/trefoilpaddle/coordination/chain/worker_caller.py
@@ -9,7 +9,7 @@
 from typing import Any, Final
 
 from absl import logging
-from result import Err, Ok
+from result import Err, Ok, Result
 
 from ...protocol.reasons import Reason
 from ...state.chain.known_worker import KnownWorker
@@ -297,12 +297,16 @@
 
         kept_bytes = self.known.memory.own_bytes(began_s)
         self.known.memory.begin_call(n_bytes)
+        answer: Result[list[PieceOutcome], CallFault] | None = None
         try:
             try:
                 with call.running:
                     fingerprints = call.watched.fingerprints()
                     may_run = await self._guard.may_run_at(self.worker, fingerprints)
-                    if may_run and self._workers.may_receive(self.worker):
+                    if not any(work.is_pending for work in batch):
+                        # Their requests have ended during the check.
+                        call.watched.take_unsent()
+                    elif may_run and self._workers.may_receive(self.worker):
                         answer = await self._calls.run_pieces(
                             self.worker,
                             batch,
@@ -319,6 +323,8 @@
                 for timer in fetching:
                     timer.cancel()
             match answer:
+                case None:
+                    pass
                 case Ok(ends):
                     self._complete(
                         batch,
--- a/tests/chain/test_worker_caller.py
+++ b/tests/chain/test_worker_caller.py
@@ -10,6 +10,7 @@
 from trefoilpaddle.coordination.chain import worker_caller
 from trefoilpaddle.coordination.chain.worker_caller import WorkerCaller
 from trefoilpaddle.state.chain.cell_handover import HeldResult, WorkerHandover
+from trefoilpaddle.state.chain.crash_registry import Crash
 from trefoilpaddle.state.chain.piece_times import RATIO_HALF_LIFE_S, PieceTimes
 from trefoilpaddle.state.chain.piece_work import PieceFault, PieceOutcome, PieceWork
 from trefoilpaddle.state.chain.result_memory import PROBE_INTERVAL_S, ResultMemory
@@ -46,6 +47,7 @@
     ) -> None:
         self.workers = WorkerTable()
         self.workers.put(AT)
+        self.guard = crash_guard(calls, self.workers)
         self.returned: list[PieceWork] = []
         self.freed: list[str] = []
         self.caller = WorkerCaller(
@@ -57,7 +59,7 @@
             on_free=lambda: None,
             on_freed=lambda _, handles: self.freed.extend(handles),
             on_return=self.returned.extend,
-            guard=crash_guard(calls, self.workers),
+            guard=self.guard,
             send_limits=send_limits(self.workers),
         )
         if is_known:
@@ -284,6 +286,29 @@
         assert result_of(AT, work).handle not in calls.freed
 
 
+class TestUnsentCall:
+    @pytest.mark.parametrize("has_exited", [False, True])
+    async def test_pieces_that_nobody_waits_for_are_not_sent(
+        self, has_exited: bool
+    ) -> None:
+        # Guards against pieces that run once their request was refused, and against a
+        # worker that is left out for a call that was never sent to it.
+        class SlowChecks(FakeCalls):
+            async def is_listening(self, worker: Worker) -> bool | None:
+                work.outcome.cancel()
+                return not has_exited
+
+        calls = SlowChecks()
+        rig = Rig(calls)
+        work = due("a", fingerprint="f" * 32)
+        crash = Crash(worker_id="x", born_ms=1, level=1, ended_s=time.monotonic())
+        rig.guard.receive_crash(work.fingerprint, crash)
+        await rig.call(work)
+        await until(lambda: rig.caller.is_free(time.monotonic()))
+        assert calls.batches == []
+        assert not rig.workers.is_suspect("s1")
+
+
 class TestFetched:
     async def test_the_request_is_notified_when_inputs_are_fetched(
         self, monkeypatch: pytest.MonkeyPatch
