--- a/tests/chain/test_request_path.py
+++ b/tests/chain/test_request_path.py
@@ -334,6 +334,12 @@
         rig.record_crash()
         return rig
 
+    async def begin(self, rig: Rig, calls: HeldChecks) -> Serving:
+        """Begin to serve a request and wait for the check of its worker."""
+        serving = asyncio.create_task(rig.serve())
+        await until(lambda: calls.n_checks)
+        return serving
+
     async def assert_not_sent(self, rig: Rig, calls: HeldChecks) -> None:
         calls.may_tell.set()
         await rig.finished()
@@ -342,8 +348,7 @@
     async def test_a_check_of_its_worker_outlasts_the_time_to_send(
         self, rig: Rig, calls: HeldChecks
     ) -> None:
-        serving = asyncio.create_task(rig.serve())
-        await until(lambda: calls.n_checks)
+        serving = await self.begin(rig, calls)
         rig.stop_sending()
         outcome = await serving
         assert isinstance(outcome, Refused) and outcome.reason is Reason.STOPPING
@@ -360,8 +365,7 @@
     async def test_a_check_of_its_worker_outlasts_its_caller(
         self, rig: Rig, calls: HeldChecks
     ) -> None:
-        serving = asyncio.create_task(rig.serve())
-        await until(lambda: calls.n_checks)
+        serving = await self.begin(rig, calls)
         serving.cancel()
         await asyncio.gather(serving, return_exceptions=True)
         await self.assert_not_sent(rig, calls)
@@ -370,8 +374,7 @@
         self, rig: Rig, calls: HeldChecks
     ) -> None:
         # Guards against a slot that is held for a request that nobody waits for.
-        serving = asyncio.create_task(rig.serve())
-        await until(lambda: calls.n_checks)
+        serving = await self.begin(rig, calls)
         serving.cancel()
         await asyncio.gather(serving, return_exceptions=True)
         await rig.finished()
