Free a request and its body as it ends, without the cyclic collector

Cause: three reference cycles through a request kept its body until the cyclic collector ran, which counts objects and not bytes: the state of its delivery and the deadline of its answer; its attempts and their exchange with workers, by the function that is called as a stream begins; and the text that says what is done for it. So the resident memory grew with the requests that were over.

--- a/src/trefoilpaddle/coordination/chain/answer_deadline.py
+++ b/src/trefoilpaddle/coordination/chain/answer_deadline.py
@@ -6,7 +6,7 @@
 from collections.abc import AsyncIterator, Callable
 
 from ...protocol.reasons import Reason
-from ...state.chain.delivery import Delivery
+from ...state.chain.delivery import Delivery, ignore_change
 
 
 class AnswerDueError(Exception):
@@ -42,7 +42,7 @@
         reason.
     """
 
-    __slots__ = ("_answer_by_s", "_is_open", "_timeout")
+    __slots__ = ("_answer_by_s", "_delivery", "_is_open", "_timeout")
 
     def __init__(
         self, *, delivery: Delivery, answer_by_s: Callable[[], tuple[float, Reason]]
@@ -50,7 +50,7 @@
         self._answer_by_s = answer_by_s
         self._timeout = asyncio.timeout(None)
         self._is_open = False
-        delivery.on_change = self.refresh
+        self._delivery = delivery
 
     def refresh(self) -> None:
         """Reschedule the time limit after a change of what it depends on.
@@ -75,6 +75,7 @@
         AnswerDueError
             If the answer was due before the body completed.
         """
+        self._delivery.on_change = self.refresh
         try:
             async with self._timeout:
                 self._is_open = True
@@ -87,3 +88,6 @@
             if not self._timeout.expired():
                 raise
             raise AnswerDueError(self._answer_by_s()[1]) from error
+        finally:
+            # The request and its body would stay until the cyclic collector runs.
+            self._delivery.on_change = ignore_change
--- a/src/trefoilpaddle/coordination/chain/attempts.py
+++ b/src/trefoilpaddle/coordination/chain/attempts.py
@@ -88,7 +88,6 @@
         "_journal",
         "_n_not_run",
         "_need",
-        "_on_begin",
         "_send_limits",
         "_tried",
         "_workers",
@@ -114,8 +113,6 @@
     ) -> None:
         self._backup = backup
         self._hold_slot = hold_slot
-        self._held = HeldSlot()
-        self._on_begin = on_begin
         self._send_limits = send_limits
         self._job = job
         self._delivery = delivery
@@ -132,8 +129,9 @@
             calls=calls,
             delivery=delivery,
             guard=guard,
-            on_begin=self._begin,
+            on_begin=on_begin,
         )
+        self._held = self._exchange.held
         self._guard = guard
         self._budget = budget
         self._journal = journal
@@ -157,7 +155,7 @@
                         reason, retry_after_s=retry_s, detail=detail
                     )
                 case HeldSlot():
-                    self._held = held
+                    self._held = self._exchange.held = held
                     try:
                         return await self._send_in_turn(sink)
                     finally:
@@ -291,11 +289,6 @@
                 self._record_fault(fault, at)
         return self._outcome_of(Reason.CONNECTION_LOST)
 
-    def _begin(self, worker: Worker) -> None:
-        """Record which worker sends the first event of the stream."""
-        self._held.mark_begun()
-        self._on_begin(worker)
-
     def _refusal(self) -> Refused | None:
         """Return why the request must not be sent to a worker now, or None."""
         return self._guard.refusal(self._job.fingerprint, self._job.parts)
--- a/src/trefoilpaddle/coordination/chain/worker_exchange.py
+++ b/src/trefoilpaddle/coordination/chain/worker_exchange.py
@@ -16,6 +16,7 @@
 from .caller_sink import CallerSink
 from .crash_guard import CrashGuard
 from .job import Job
+from .service_lease import HeldSlot
 from .target_calls import (
     OpenAnswer,
     StreamBrokenError,
@@ -88,6 +89,8 @@
 
     Attributes
     ----------
+    held : HeldSlot
+        The slot of its service that the request holds.
     begun_at : Worker or None
         The worker that sent the first event of the stream; None before.
     n_sent : int
@@ -109,6 +112,7 @@
         "_on_begin",
         "_workers",
         "begun_at",
+        "held",
         "is_cut",
         "n_sent",
     )
@@ -136,6 +140,7 @@
         self._calls = calls
         self._delivery = delivery
         self._last_event = job.request.after_event
+        self.held = HeldSlot()
         self.begun_at: Worker | None = None
         self.is_cut = False
         self.n_sent = 0
@@ -283,6 +288,7 @@
                 if not self._delivery.is_begun:
                     self._delivery.begin_answer()
                     self.begun_at = worker
+                    self.held.mark_begun()
                     self._on_begin(worker)
                     await sink.begin(answer.head)
                 self._last_event = event.number
--- a/src/trefoilpaddle/state/chain/delivery.py
+++ b/src/trefoilpaddle/state/chain/delivery.py
@@ -8,8 +8,8 @@
 from .requests import Failed, Refused
 
 
-def _no_op() -> None:
-    pass
+def ignore_change() -> None:
+    """Do nothing about a change of a delivery state."""
 
 
 @enum.unique
@@ -56,7 +56,7 @@
     )
 
     def __init__(self) -> None:
-        self.on_change: Callable[[], None] = _no_op
+        self.on_change: Callable[[], None] = ignore_change
         self._is_at_worker = False
         self._is_closed = False
         self.may_have_run = False
--- a/tests/platform_adapter/test_callers.py
+++ b/tests/platform_adapter/test_callers.py
@@ -2,8 +2,10 @@
 
 import asyncio
 import contextlib
+import gc
 import socket
 import time
+from collections.abc import Iterator
 
 import pytest
 from adapter.caller_answers import AnswerWriter
@@ -35,6 +37,7 @@
     PAUSE_S,
     Served,
     ask,
+    exchange,
     serving,
     status,
 )
@@ -420,6 +423,55 @@
         writer.close()
 
 
+class TestFreedRequests:
+    # Guards against bodies that fill the memory of an idle gateway, as they stay until
+    # the cyclic collector runs.
+
+    @pytest.fixture
+    def n_before(self) -> Iterator[int]:
+        """Keep the collector off; yield the requests that are alive before a test."""
+        gc.collect()
+        gc.disable()
+        try:
+            yield self.n_alive()
+        finally:
+            gc.enable()
+
+    def n_alive(self) -> int:
+        """Return the number of requests that have not been freed."""
+        return sum(type(each) is CallerRequest for each in gc.get_objects())
+
+    @pytest.mark.parametrize(
+        "outcome",
+        [
+            Answered(),
+            Refused(reason=Reason.STOPPING),
+            Failed(reason=Reason.CONNECTION_LOST, is_begun=True),
+        ],
+    )
+    async def test_a_request_is_freed_with_its_answer(
+        self, n_before: int, outcome: Outcome
+    ) -> None:
+        served = Served(outcome=outcome)
+        async with serving(served) as port:
+            await exchange(port, GET + b"\r\n", is_answered=False)
+            served.requests.clear()
+            assert self.n_alive() == n_before
+
+    async def test_a_request_is_freed_when_its_caller_leaves(
+        self, n_before: int
+    ) -> None:
+        served = Served(hangs=True)
+        async with serving(served) as port:
+            _, writer = await asyncio.open_connection("127.0.0.1", port)
+            writer.write(GET + b"\r\n")
+            await until(lambda: served.requests)
+            writer.close()
+            await served.left.wait()
+            served.requests.clear()
+            await until(lambda: self.n_alive() == n_before)
+
+
 class TestAdmission:
     # Guards against a lagging process that reads a request before it closes the
     # connection, so that the caller cannot know that it has not run.
