--- a/tests/platform_adapter/test_callers.py
+++ b/tests/platform_adapter/test_callers.py
@@ -3,6 +3,7 @@
 import asyncio
 import contextlib
 import gc
+import gzip
 import socket
 import time
 from collections.abc import Iterator
@@ -124,6 +125,21 @@
         await ask(served, GET + body)
         assert served.requests[0].body == b"abcde"
 
+    @pytest.mark.parametrize("coding", [b"gzip", b"deflate", b"br", b"zstd"])
+    async def test_a_body_with_a_coding_is_forwarded_as_sent(
+        self, coding: bytes
+    ) -> None:
+        # Guards against a body that a worker gets decoded with the header unchanged,
+        # and against one that is refused as its coding is unknown or damaged here.
+        served = Served()
+        body = gzip.compress(b"hello") if coding == b"gzip" else b"\x1f\x8b damaged"
+        fields = b"Content-Encoding: %b\r\nContent-Length: %d\r\n\r\n"
+        sent = GET + fields % (coding, len(body)) + body
+        assert status(await ask(served, sent)) == 200
+        (request,) = served.requests
+        assert request.body == body
+        assert (b"Content-Encoding", coding) in request.headers
+
     async def test_the_digest_of_a_body_does_not_depend_on_its_framing(self) -> None:
         # A request that crashes workers is recognised by the hash of its body.
         served = Served()
