--- a/tests/platform_adapter/caller_harness.py
+++ b/tests/platform_adapter/caller_harness.py
@@ -27,6 +27,7 @@
 
     requests: list[CallerRequest] = field(default_factory=list)
     outcome: Outcome = field(default_factory=Answered)
+    head: AnswerHead = HEAD
     n_events: int = 0
     left: asyncio.Event = field(default_factory=asyncio.Event)
     hangs: bool = False
@@ -45,13 +46,13 @@
                 raise
         for number in range(1, self.n_events + 1):
             if number == 1:
-                await sink.begin(HEAD)
+                await sink.begin(self.head)
             await sink.event(StreamEvent(number=number, data=b"id: %d\n\n" % number))
         if isinstance(self.outcome, Answered):
             if self.n_events:
                 await sink.end()
             else:
-                await sink.whole(HEAD, b"whole")
+                await sink.whole(self.head, b"whole")
         return self.outcome
 
 
--- a/tests/platform_adapter/test_callers.py
+++ b/tests/platform_adapter/test_callers.py
@@ -29,6 +29,7 @@
     Refused,
 )
 from trefoilpaddle.state.chain.routes import CallerLimits
+from trefoilpaddle.state.chain.target_answers import AnswerHead
 from trefoilpaddle.transport.http_listener import CLOSE_POLL_S
 
 from ..waiting import until
@@ -213,6 +214,15 @@
         assert status(answer) == 400
         assert b"Retry-After" not in answer
 
+    @pytest.mark.parametrize("n_events", [0, 1])
+    async def test_headers_that_are_not_ascii_keep_their_bytes(
+        self, n_events: int
+    ) -> None:
+        # Guards against a header of a worker that its caller gets encoded twice.
+        head = AnswerHead(status=200, headers=((b"X-Name", "modèle".encode()),))
+        served = Served(head=head, n_events=n_events)
+        assert "X-Name: modèle\r\n".encode() in await ask(served, GET + b"\r\n")
+
     async def test_a_stream_ends_as_complete(self) -> None:
         answer = await ask(Served(n_events=2), GET + b"\r\n")
         assert answer.endswith(b"0\r\n\r\n")
--- a/tests/platform_adapter/test_worker_client.py
+++ b/tests/platform_adapter/test_worker_client.py
@@ -303,6 +303,14 @@
         assert sent["Trefoilpaddle-Tenant"] == "acme"
         assert 4000 < int(sent["Trefoilpaddle-Deadline-Milliseconds"]) <= 5000
 
+    async def test_headers_that_are_not_ascii_keep_their_bytes(self) -> None:
+        # Guards against the name of a model that its worker gets encoded twice.
+        field = (b"Trefoilpaddle-Model", "modèle".encode())
+        named = replace(call(), request=replace(call().request, headers=(field,)))
+        ((name, value), *_) = request_headers(listed_worker("w1"), named)
+        # The HTTP library writes header fields in UTF-8.
+        assert (name.encode(), value.encode()) == field
+
     async def test_headers_name_the_copy(self) -> None:
         backup = listed_worker("w2")
         sent = dict(
