Keep the word claim for request keys

Cause: the state of a delivery used the word for a request that is given to a worker; the glossary has it for a gateway's right to run the request of a key.

--- a/src/trefoilpaddle/coordination/chain/worker_exchange.py
+++ b/src/trefoilpaddle/coordination/chain/worker_exchange.py
@@ -174,8 +174,8 @@
         goes_on : bool
             True if the worker has a copy of the run and goes on with it.
         """
-        with self._delivery.at_worker() as is_claimed:
-            if not is_claimed:
+        with self._delivery.at_worker() as may_send:
+            if not may_send:
                 return NotSent()
             return await self._send(
                 worker, handles, sink, backup=backup, goes_on=goes_on
--- a/src/trefoilpaddle/state/chain/delivery.py
+++ b/src/trefoilpaddle/state/chain/delivery.py
@@ -28,9 +28,9 @@
 class Delivery:
     """Delivery state of one request on its way to a worker and back.
 
-    A request is either claimed for a worker or closed, by a refusal or as its caller
-    has left. Each is a single step without a wait, and after the close every claim
-    fails: "not run" stays true, whatever a task of the request still waits for.
+    A request is given to a worker or closed, by a refusal or as its caller has left.
+    Each is a single step without a wait, and a closed request is given to no further
+    worker: "not run" stays true, whatever a task of the request still waits for.
 
     Attributes
     ----------
@@ -79,7 +79,7 @@
 
     @contextlib.contextmanager
     def at_worker(self) -> Iterator[bool]:
-        """Claim the request for a worker while the context is open.
+        """Give the request to a worker while the context is open.
 
         If the body is interrupted, it is unknown whether the request has run.
 
--- a/tests/chain/test_answer_bound.py
+++ b/tests/chain/test_answer_bound.py
@@ -79,22 +79,22 @@
 MAY_HAVE_RUN = Failed(reason=Reason.STOPPING)
 
 
-class TestClaims:
-    # Guards against a refusal that says "not run" beside a claim that still succeeds.
+class TestClosedRequests:
+    # Guards against a refusal that says "not run" of a request that is still sent.
 
     def test_a_request_that_is_refused_is_given_to_no_worker(self) -> None:
         delivery = Delivery()
         outcome = delivery.failure_outcome(Reason.STOPPING, retry_after_s=0.0)
         assert outcome == NOT_RUN
-        with delivery.at_worker() as is_claimed:
-            assert not is_claimed
+        with delivery.at_worker() as may_send:
+            assert not may_send
             assert not delivery.is_in_progress
         assert not delivery.may_have_run
 
     def test_a_request_that_a_worker_has_is_not_refused(self) -> None:
         delivery = Delivery()
-        with delivery.at_worker() as is_claimed:
-            assert is_claimed
+        with delivery.at_worker() as may_send:
+            assert may_send
             outcome = delivery.failure_outcome(Reason.STOPPING, retry_after_s=0.0)
             assert outcome == MAY_HAVE_RUN
 
@@ -102,8 +102,8 @@
         delivery = Delivery()
         with delivery.at_worker():
             delivery.close()
-        with delivery.at_worker() as is_claimed:
-            assert not is_claimed
+        with delivery.at_worker() as may_send:
+            assert not may_send
 
 
 class TestPlannedStop:
