Let a model in virtual time not depend on how long its host has run

Cause: StreamOrigins took time.monotonic as the default of a parameter, so plays in virtual time, which replace that function later, compared their own clock, which begins at 1000 s, with the host's. On a host that has run for less than the play's time all lists count as outdated and nothing is inferred.

Change: without such a function the list is always current, as meant.

--- a/src/trefoilpaddle/coordination/chain/stream_origins.py
+++ b/src/trefoilpaddle/coordination/chain/stream_origins.py
@@ -138,7 +138,8 @@
         Extends `served` by the store's history; waits for it for as many seconds as it
         is called with.
     answered_s : callable
-        Returns the monotonic time at which the store last answered any known gateway.
+        Returns the monotonic time at which the store last answered any known gateway;
+        None if the list is always current.
 
     Attributes
     ----------
@@ -168,7 +169,7 @@
         workers: WorkerTable,
         wait_known: Callable[[], Awaitable[None]],
         read_history: Callable[[float], Awaitable[None]] | None = None,
-        answered_s: Callable[[], float] = time.monotonic,
+        answered_s: Callable[[], float] | None = None,
     ) -> None:
         self._answered_s = answered_s
         self._process = process
@@ -328,13 +329,18 @@
             and not self.served.is_known_for(service, life_s)
         ):
             await self._read_history(HISTORY_WAIT_S)
-        is_current = time.monotonic() - self._answered_s() < CURRENT_S
+        is_current = self._is_current()
         inferred = self.served.inferred_version(service, key, life_s)
         return OriginFound(
             sole_version=inferred if is_current else None,
             has_several=self.served.is_ambiguous(service, key, life_s),
         )
 
+    def _is_current(self) -> bool:
+        if self._answered_s is None:
+            return True
+        return time.monotonic() - self._answered_s() < CURRENT_S
+
     async def _query(
         self, address: Address, request: FindOrigin, timeout_s: float
     ) -> OriginFound | None:
