State how old the list of workers is by which streams begin and go on

Cause: with streams joined by a gateway out of step, logs could not tell a stream that began by an old list from one whose version was inferred alone or stored wrongly.

Measured: no decision depends on it yet; tests/chain/test_total_loss.py and tests/platform_adapter/test_stream_versions.py pass.

--- a/idl/chain.thrift
+++ b/idl/chain.thrift
@@ -145,6 +145,7 @@
   12: optional i64 domain_digest // with failure domains; unset by earlier builds
   13: optional list<string> evacuated  // all failure domains that get no work; unset by earlier builds
   14: optional i64 version_digest  // with software versions; unset by earlier builds
+  15: optional i64 view_age_ms   // since the store last had what this side lists; unset if never, and by earlier builds
 }
 
 // Bytes of a table: some of the one before, then some that are new.
@@ -189,6 +190,7 @@
   15: optional i64 version_digest  // with software versions; unset by earlier builds
   16: optional i64 reader_incarnation  // of the process that sends it; unset by earlier builds
   17: optional i64 sent_ms       // on the clock of its host; unset by earlier builds
+  18: optional i64 view_age_ms   // since the store last had what the sender lists; unset by earlier builds
 }
 
 struct WorkerCrash {
--- a/src/trefoilpaddle/coordination/chain/attempts.py
+++ b/src/trefoilpaddle/coordination/chain/attempts.py
@@ -1,5 +1,6 @@
 """Sends one request to workers until one answers or no attempt is left."""
 
+import math
 import time
 from collections.abc import Callable
 from dataclasses import replace
@@ -20,6 +21,7 @@
 from .service_lease import HeldSlot, HoldSlot, unlimited_slot
 from .stream_backup import StreamBackup
 from .target_calls import TargetCalls
+from .view_lease import ViewLease
 from .worker_choice import Need, WorkerChoice
 from .worker_exchange import Inputs, NotSent, WorkerExchange, WorkerFailed
 
@@ -72,6 +74,8 @@
         Returns the context in which the request holds a slot of its service.
     backup : StreamBackup or None
         The copy of the stream at a second worker; None if it gets none.
+    lease : ViewLease or None
+        By which a stream begins that may be resumed; None for all other requests.
     assigned_version : callable
         Returns the only version at which the request may begin now; None if it may
         begin at any.
@@ -92,6 +96,7 @@
         "_inputs",
         "_job",
         "_journal",
+        "_lease",
         "_n_not_run",
         "_need",
         "_origin_source",
@@ -118,9 +123,11 @@
         hold_slot: HoldSlot = unlimited_slot,
         backup: StreamBackup | None = None,
         assigned_version: Callable[[], str | None] = lambda: None,
+        lease: ViewLease | None = None,
         origin_source: str = "",
     ) -> None:
         self._assigned_version = assigned_version
+        self._lease = lease
         self._backup = backup
         self._origin_source = origin_source
         self._hold_slot = hold_slot
@@ -455,6 +462,13 @@
         self, event: Event, worker: Worker, reason: Reason = Reason.NONE
     ) -> None:
         job = self._job
+        figures = [
+            Figure(name="n_tried", value=self._exchange.n_sent),
+            Figure(name="n_running", value=self._choice.n_open(worker.worker_id)),
+            Figure(name="budget_s", value=job.deadline_s - time.monotonic()),
+        ]
+        if self._lease is not None and math.isfinite(self._lease.age_s):
+            figures.append(Figure(name="list_age_s", value=self._lease.age_s))
         self._journal.record(
             Decision(
                 event=event,
@@ -465,12 +479,6 @@
                 peer=worker.worker_id,
                 detail=job.fingerprint,
                 reason=reason,
-                figures=(
-                    Figure(name="n_tried", value=self._exchange.n_sent),
-                    Figure(
-                        name="n_running", value=self._choice.n_open(worker.worker_id)
-                    ),
-                    Figure(name="budget_s", value=job.deadline_s - time.monotonic()),
-                ),
+                figures=tuple(figures),
             )
         )
--- a/src/trefoilpaddle/coordination/chain/request_path.py
+++ b/src/trefoilpaddle/coordination/chain/request_path.py
@@ -45,6 +45,7 @@
 from .stream_backup import StreamBackup
 from .stream_origins import KnownOrigin, StreamOrigins, UnknownOrigin
 from .target_calls import TargetCalls
+from .view_lease import ViewLease
 from .worker_choice import Need, WorkerChoice
 
 NO_ACCOUNT: Final = Account(name="")
@@ -453,7 +454,8 @@
                         send_limits=self._send_limits,
                         on_begin=functools.partial(self._record_origin, job),
                         assigned_version=self._assigned_version_of(job),
-                        origin_source="" if origin is None else origin.source,
+                        lease=self._lease_of(job),
+                        origin_source="" if origin is None else origin.describe(),
                         hold_slot=self._hold_slot,
                         backup=self._backup_of(job),
                     )
@@ -461,6 +463,12 @@
                         return await self._finish(attempts, delivery, sink)
                     return await attempts.run(sink)
 
+    def _lease_of(self, job: Job) -> ViewLease | None:
+        """Return by what a stream begins that may be resumed; None for others."""
+        if job.request.after_event is not None or not job.route.is_resumable:
+            return None
+        return self._origins.lease
+
     def _assigned_version_of(self, job: Job) -> Callable[[], str | None]:
         """Return a function that tells at which version a request must begin.
 
--- a/src/trefoilpaddle/coordination/chain/stream_origins.py
+++ b/src/trefoilpaddle/coordination/chain/stream_origins.py
@@ -34,6 +34,7 @@
 from ...transport.connection import Address, Connection
 from ..own_process import OwnProcess
 from .origin_placement import OriginPlacement, Pools
+from .view_lease import ViewLease
 
 BATCH_WINDOW_S: Final = 0.005
 """Time for which streams that begin are collected before they are replicated."""
@@ -96,10 +97,17 @@
         The version.
     source : str
         Where it is known from, for the log.
+    detail : str
+        How well it is known, for the log.
     """
 
     software_version: str
     source: str = field(default="", compare=False)
+    detail: str = field(default="", compare=False)
+
+    def describe(self) -> str:
+        """Return where the version is known from, and how well."""
+        return f"{self.source}, {self.detail}" if self.detail else self.source
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -140,6 +148,8 @@
     answered_s : callable
         Returns the monotonic time at which the store last answered any known gateway;
         None if the list is always current.
+    lease : ViewLease or None
+        How far the list of workers can be relied on.
 
     Attributes
     ----------
@@ -157,6 +167,7 @@
         "_read_history",
         "_tasks",
         "_wait_known",
+        "lease",
         "served",
         "versions",
     )
@@ -170,7 +181,9 @@
         wait_known: Callable[[], Awaitable[None]],
         read_history: Callable[[float], Awaitable[None]] | None = None,
         answered_s: Callable[[], float] | None = None,
+        lease: ViewLease | None = None,
     ) -> None:
+        self.lease = lease
         self._answered_s = answered_s
         self._process = process
         self._placement = placement
@@ -257,7 +270,12 @@
                     answers = [task.result() for task in live]
                     sole = _sole_version(answers) if may_infer else None
                     if sole is not None:
-                        return KnownOrigin(software_version=sole, source="inferred")
+                        return KnownOrigin(
+                            software_version=sole,
+                            source="inferred",
+                            detail=f"{len(others)} live gateways queried"
+                            + self._describe_lease(),
+                        )
                 if not pending:
                     break
                 have_live_answered = bool(others) and pending.isdisjoint(live)
@@ -286,9 +304,13 @@
                 + ("named" if attempt_id else "not named")
                 + f"; {self._describe_served(service, life_s)}"
                 + ("" if may_infer else "; the route has changed")
+                + self._describe_lease()
             ),
         )
 
+    def _describe_lease(self) -> str:
+        return "" if self.lease is None else f"; {self.lease.describe()}"
+
     def _describe_served(self, service: str, life_s: float) -> str:
         """Return which versions are known here, and for how long, for the log."""
         known = self.served.versions(service, life_s)
--- a/src/trefoilpaddle/coordination/published/store_feed.py
+++ b/src/trefoilpaddle/coordination/published/store_feed.py
@@ -20,6 +20,9 @@
 from .store_readers import StoreReaders, UpdateGap
 from .store_relay import StoreRelay
 from .store_view import ListReason, RecoverySource, StoreView
+from .store_wire import is_credible, position_of
+from .update_delays import elapsed_s
+from .view_age import ViewAge
 from .worker_listing import Scope
 
 POLL_S: Final = 0.6
@@ -119,6 +122,11 @@
         """Position up to which changes are known; revision 0 if a list is needed."""
         return self.view.position
 
+    @property
+    def age(self) -> ViewAge:
+        """How old this gateway's list of workers may be."""
+        return self._relay.age
+
     @property
     def is_known(self) -> bool:
         """True once a route table is active."""
@@ -219,6 +227,7 @@
             True if an earlier read is still outstanding.
         """
         requested = self.position
+        sent_s = elapsed_s()
         reason = self.view.list_reason
         if not (self.is_unavailable or is_again):
             self._requested_s = time.monotonic()
@@ -228,7 +237,7 @@
                 self._record_response(
                     was_unavailable=self.is_unavailable or hung_s >= UNAVAILABLE_AFTER_S
                 )
-                return await self._apply_response(changes, requested, reason)
+                return await self._apply_response(changes, requested, reason, sent_s)
             case Err(StoreFault.HISTORY_LOST):
                 if self.position == requested:
                     self.view.request_list(ListReason.CHANGES_LOST)
@@ -250,9 +259,16 @@
         return await self._store.snapshot()
 
     async def _apply_response(
-        self, changes: StoreChanges, requested: StorePosition, reason: ListReason
+        self,
+        changes: StoreChanges,
+        requested: StorePosition,
+        reason: ListReason,
+        sent_s: float,
     ) -> bool:
-        """Apply a response of the store; return True if it is usable."""
+        """Apply a response of the store; return True if it is usable.
+
+        `sent_s` is when the read was sent, on the clock of `elapsed_s`.
+        """
         era = changes.position.era
         self.view.enter_era(era)
         if era < self.position.era:
@@ -277,13 +293,17 @@
         scope = Scope.CHANGES if is_changes else self.view.list_scope
         update = self.view.apply_read(changes, scope)
         self._read_s = time.monotonic()
+        self.age.confirm(ago_s=elapsed_s() - sent_s)
+        update.view_age_ms = round(self.age.age_s * MS_PER_S)
         self._readers.notify(update)
         return True
 
     async def read_peers(self) -> None:
         """Query peers and apply what they know and this gateway does not."""
+        sent_s = elapsed_s()
         for state in await self._query_peers():
             self.view.apply_state(state)
+            self._confirm_by_peer(state, sent_s=sent_s)
             if state.answered_ms >= 0:
                 answered_s = time.monotonic() - state.answered_ms / MS_PER_S
                 self.view.answers.record(answered_s)
@@ -291,10 +311,21 @@
         if data is not None:
             self.view.table.apply_data(data)
 
+    def _confirm_by_peer(self, state: StoreState, *, sent_s: float) -> None:
+        """Take over how old a peer's list is, if this gateway's is no older."""
+        age_ms = state.view_age_ms
+        if age_ms is None or age_ms < 0 or not is_credible(state):
+            return
+        position = position_of(state)
+        if position.is_known and position <= self.position:
+            self.age.confirm(ago_s=elapsed_s() - sent_s + age_ms / MS_PER_S)
+
     def apply_update(self, update: StoreNews) -> UpdateGap | None:
         """Apply a reader's update; return what is still missing, or None."""
         missing = self.view.apply_update(update)
         if missing is None:
+            age_ms = max(0, update.view_age_ms or 0)
+            self.age.confirm(ago_s=self._readers.delay_s + age_ms / MS_PER_S)
             self._record_available()
             self._read_s = time.monotonic()
             self.view.answers.record(self._read_s)
--- a/src/trefoilpaddle/coordination/published/store_readers.py
+++ b/src/trefoilpaddle/coordination/published/store_readers.py
@@ -109,6 +109,11 @@
         self.on_update: Callable[[StoreNews], UpdateGap | None] | None = None
         process.message_listeners.append(self._on_message)
 
+    @property
+    def delay_s(self) -> float:
+        """How much longer than its reader's quickest the latest update took."""
+        return self._delay_s
+
     def must_read(self) -> bool:
         """Return True if this gateway has to read the store now."""
         is_reader = self.is_reader()
--- a/src/trefoilpaddle/coordination/published/store_relay.py
+++ b/src/trefoilpaddle/coordination/published/store_relay.py
@@ -6,6 +6,7 @@
 """
 
 import asyncio
+import math
 import random
 import time
 from collections.abc import Sequence
@@ -26,6 +27,7 @@
 from .store_position import StorePosition
 from .store_wire import digest_of, is_credible, listed_to_wire, position_of
 from .table_transfer import TableTransfer
+from .view_age import ViewAge
 from .worker_listing import WorkerListing
 
 QUERY_TIMEOUT_S: Final = 0.3
@@ -50,6 +52,8 @@
 
     Attributes
     ----------
+    age : ViewAge
+        How old this gateway's list may be.
     answered_s : float or None
         Monotonic time of the store's last response to this gateway.
     evacuations : Evacuations or None
@@ -71,6 +75,7 @@
     __slots__ = (
         "_process",
         "_workers",
+        "age",
         "answered_s",
         "evacuations",
         "is_unavailable",
@@ -84,6 +89,7 @@
     def __init__(self, *, process: OwnProcess, workers: WorkerTable) -> None:
         self._process = process
         self._workers = workers
+        self.age = ViewAge()
         self.answered_s: float | None = None
         self.evacuations: Evacuations | None = None
         self.listing: WorkerListing | None = None
@@ -109,6 +115,8 @@
         if self.answered_s is not None:
             age_s = time.monotonic() - self.answered_s
             state.answered_ms = min(int(age_s * MS_PER_S), MAX_ANSWERED_MS)
+        if self.age.is_known:
+            state.view_age_ms = math.ceil(self.age.age_s * MS_PER_S)
         published = self.published
         if published is not None:
             state.version = published.table.version
--- a/src/trefoilpaddle/protocol/gen/chain/ttypes.py
+++ b/src/trefoilpaddle/protocol/gen/chain/ttypes.py
@@ -1854,6 +1854,7 @@
      - domain_digest
      - evacuated
      - version_digest
+     - view_age_ms
 
     """
 
@@ -1872,13 +1873,14 @@
         'domain_digest',
         'evacuated',
         'version_digest',
+        'view_age_ms',
     )
 
 
     def __init__(self, revision=0, version=0, data=b"", workers=[
     ], is_away=False, lapsed=[
     ], back_ms=-1, digest=0, era=0, doubted=[
-    ], answered_ms=-1, domain_digest=None, evacuated=None, version_digest=None,):
+    ], answered_ms=-1, domain_digest=None, evacuated=None, version_digest=None, view_age_ms=None,):
         self.revision = revision
         self.version = version
         self.data = data
@@ -1902,6 +1904,7 @@
         self.domain_digest = domain_digest
         self.evacuated = evacuated
         self.version_digest = version_digest
+        self.view_age_ms = view_age_ms
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -2004,6 +2007,11 @@
                     self.version_digest = iprot.readI64()
                 else:
                     iprot.skip(ftype)
+            elif fid == 15:
+                if ftype == TType.I64:
+                    self.view_age_ms = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -2082,6 +2090,10 @@
             oprot.writeFieldBegin('version_digest', TType.I64, 14)
             oprot.writeI64(self.version_digest)
             oprot.writeFieldEnd()
+        if self.view_age_ms is not None:
+            oprot.writeFieldBegin('view_age_ms', TType.I64, 15)
+            oprot.writeI64(self.view_age_ms)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -2428,6 +2440,7 @@
      - version_digest
      - reader_incarnation
      - sent_ms
+     - view_age_ms
 
     """
 
@@ -2449,12 +2462,13 @@
         'version_digest',
         'reader_incarnation',
         'sent_ms',
+        'view_age_ms',
     )
 
 
     def __init__(self, base_revision=0, revision=0, version=0, workers=[
     ], removed=[
-    ], digest=0, back_ms=-1, withdrawn=None, table=None, era=0, base=None, doubted=None, domain_digest=None, evacuated=None, version_digest=None, reader_incarnation=None, sent_ms=None,):
+    ], digest=0, back_ms=-1, withdrawn=None, table=None, era=0, base=None, doubted=None, domain_digest=None, evacuated=None, version_digest=None, reader_incarnation=None, sent_ms=None, view_age_ms=None,):
         self.base_revision = base_revision
         self.revision = revision
         self.version = version
@@ -2478,6 +2492,7 @@
         self.version_digest = version_digest
         self.reader_incarnation = reader_incarnation
         self.sent_ms = sent_ms
+        self.view_age_ms = view_age_ms
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -2602,6 +2617,11 @@
                     self.sent_ms = iprot.readI64()
                 else:
                     iprot.skip(ftype)
+            elif fid == 18:
+                if ftype == TType.I64:
+                    self.view_age_ms = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -2695,6 +2715,10 @@
             oprot.writeFieldBegin('sent_ms', TType.I64, 17)
             oprot.writeI64(self.sent_ms)
             oprot.writeFieldEnd()
+        if self.view_age_ms is not None:
+            oprot.writeFieldBegin('view_age_ms', TType.I64, 18)
+            oprot.writeI64(self.view_age_ms)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -5294,6 +5318,7 @@
     (12, TType.I64, 'domain_digest', None, None, ),  # 12
     (13, TType.LIST, 'evacuated', (TType.STRING, 'UTF8', False), None, ),  # 13
     (14, TType.I64, 'version_digest', None, None, ),  # 14
+    (15, TType.I64, 'view_age_ms', None, None, ),  # 15
 )
 all_structs.append(TablePiece)
 TablePiece.thrift_spec = (
@@ -5340,6 +5365,7 @@
     (15, TType.I64, 'version_digest', None, None, ),  # 15
     (16, TType.I64, 'reader_incarnation', None, None, ),  # 16
     (17, TType.I64, 'sent_ms', None, None, ),  # 17
+    (18, TType.I64, 'view_age_ms', None, None, ),  # 18
 )
 all_structs.append(WorkerCrash)
 WorkerCrash.thrift_spec = (
