--- a/src/trefoilpaddle/standins/platform/gateway_process.py
+++ b/src/trefoilpaddle/standins/platform/gateway_process.py
@@ -6,7 +6,7 @@
 import signal
 import subprocess
 import sys
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Awaitable, Callable
 from pathlib import Path
 from typing import Final
 
@@ -45,18 +45,27 @@
         Addresses of the peers that it contacts first.
     grace_s : float
         Time from the stop signal to the kill.
+
+    Attributes
+    ----------
+    program : str
+        What the interpreter runs, below the root of the repository.
+    variables : dict of str to str
+        Further environment variables of the process.
     """
 
     __slots__ = (
         "_grace_s",
-        "_store",
         "domain",
         "folder",
         "host",
         "logs",
         "ports",
+        "program",
         "run",
         "seeds",
+        "store",
+        "variables",
     )
 
     def __init__(
@@ -72,7 +81,9 @@
         self.host = host
         self.domain = domain
         self.folder = folder
-        self._store = store
+        self.store = store
+        self.program = "platform"
+        self.variables: dict[str, str] = {}
         self.seeds = seeds
         self._grace_s = grace_s
         self.ports = [free_port() for _ in range(N_PORTS)]
@@ -101,7 +112,7 @@
             host=self.host,
             domain=self.domain,
             ports=self.ports,
-            store=self._store,
+            store=self.store,
             seeds=self.seeds,
             grace_s=self._grace_s,
         )
@@ -113,9 +124,9 @@
         }
         with self.logs[-1].open("wb") as log:
             self.run = subprocess.Popen(
-                [sys.executable, "platform"],
+                [sys.executable, self.program],
                 cwd=ROOT,
-                env=os.environ | variables,
+                env=os.environ | variables | self.variables,
                 stdout=log,
                 stderr=subprocess.STDOUT,
             )
@@ -188,9 +199,16 @@
 
 @contextlib.asynccontextmanager
 async def gateways(
-    site: Site, folder: Path, *domains: str, grace_s: float = GRACE_S
+    site: Site,
+    folder: Path,
+    *domains: str,
+    grace_s: float = GRACE_S,
+    prepare: Callable[[list[GatewayProcess]], Awaitable[None]] | None = None,
 ) -> AsyncIterator[list[GatewayProcess]]:
-    """Start one gateway for each of `domains` and yield them once all are ready."""
+    """Start one gateway for each of `domains` and yield them once all are ready.
+
+    `prepare` is called before the first one starts.
+    """
     processes: list[GatewayProcess] = []
     seeds: list[str] = []
     for index, domain in enumerate(domains):
@@ -205,6 +223,8 @@
             )
         )
     seeds += [each.peers_address for each in processes[:MAX_SEEDS]]
+    if prepare is not None:
+        await prepare(processes)
     async with aiohttp.ClientSession() as client:
         try:
             for gateway in processes:
--- a/tests/platform_adapter/test_stream_versions.py
+++ b/tests/platform_adapter/test_stream_versions.py
@@ -6,7 +6,7 @@
 import random
 import signal
 from collections import Counter
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Awaitable, Callable
 from dataclasses import dataclass
 from functools import partial
 from pathlib import Path
@@ -241,8 +241,12 @@
     grace_s: float = GRACE_S,
     n_versions: int = 2,
     are_crashing: bool = False,
+    prepare: Callable[[list[GatewayProcess]], Awaitable[None]] | None = None,
 ) -> AsyncIterator[VersionHarness]:
-    """Serve gateways beside engines, which can be crashed if `are_crashing`."""
+    """Serve gateways beside engines, which can be crashed if `are_crashing`.
+
+    `prepare` is called before the gateways start.
+    """
     servers: list[CrashingServer] = []
     async with contextlib.AsyncExitStack() as stack:
         site = Site(stack=stack)
@@ -276,7 +280,11 @@
         await site.add_worker("retrieve0", "retrieve", work_s=CALL_S)
         async with (
             gateways(
-                site, folder, *(domains * n_gateways)[:n_gateways], grace_s=grace_s
+                site,
+                folder,
+                *(domains * n_gateways)[:n_gateways],
+                grace_s=grace_s,
+                prepare=prepare,
             ) as all_gateways,
             aiohttp.ClientSession() as client,
         ):
