Begin streams only by a list that the store or half of the gateways confirm

Callers saw streams that hold events of two versions: begun through a gateway that was cut off from the store and all others while a version joined, resumed at another one.

Cause: a decision by a view whose age nobody bounds, on which others rely as if it were bounded. Gateways infer a version by all splits of a stream's life and of two seconds more; a gateway that hears nobody began streams by its old list without end. Its origins reach no replica.

Change: a lease on the list. A stream that may be resumed begins only by a list that was the store's within two seconds, or, while the store confirms none, if at least half of the gateways polled have nothing newer; it is refused at once otherwise, with a short Retry-After. It is checked again right before the send. Only a gateway in touch with more than half infers, by a list as recent as others rely on; on the smaller side of a partition splits stay in force. test_inferred_versions sets the age of the list where it set the time of the store's last answer.

--- a/src/trefoilpaddle/coordination/chain/attempts.py
+++ b/src/trefoilpaddle/coordination/chain/attempts.py
@@ -212,6 +212,8 @@
             is_refused = self._refusal() is not None
             if is_refused or not self._workers.may_receive(worker):
                 continue
+            if not self._is_assigned(worker):
+                continue
             if not self._send_limits.take(worker):
                 continue
             self._record(Event.ROUTED, worker)
@@ -309,7 +311,18 @@
 
     def _refusal(self) -> Refused | None:
         """Return why the request must not be sent to a worker now, or None."""
-        return self._guard.refusal(self._job.fingerprint, self._job.parts)
+        refusal = self._guard.refusal(self._job.fingerprint, self._job.parts)
+        if refusal is None and self._lease is not None and not self._has_begun():
+            return self._lease.refusal()
+        return refusal
+
+    def _has_begun(self) -> bool:
+        return self._exchange.begun_at is not None
+
+    def _is_assigned(self, worker: Worker) -> bool:
+        """Return True unless a stream must by now begin at another version."""
+        version = self._software_version() or self._assigned_version()
+        return version is None or version == worker.software_version
 
     def _choose(self) -> Worker | None:
         """Return the next worker, or None if there is none.
--- a/src/trefoilpaddle/coordination/chain/request_path.py
+++ b/src/trefoilpaddle/coordination/chain/request_path.py
@@ -306,6 +306,10 @@
             case Refused() as refused:
                 return refused
             case origin:
+                lease = self._lease_of(job)
+                refusal = None if lease is None else lease.refusal()
+                if refusal is not None:
+                    return refusal
                 job = self._at_service_of(job, origin)
                 return await self._run_at(job, origin, delivery, sink)
 
--- a/src/trefoilpaddle/coordination/chain/stream_origins.py
+++ b/src/trefoilpaddle/coordination/chain/stream_origins.py
@@ -61,12 +61,6 @@
 knows waited for it for the whole timeout.
 """
 
-CURRENT_S: Final = 5.0
-"""Time since the store last answered any known gateway for which a list is current.
-
-A gateway that is cut off from the store keeps its list, and lacks later versions.
-"""
-
 MAX_PER_MESSAGE: Final = 500
 """Origins in one message, about 25 kB."""
 
@@ -76,6 +70,9 @@
 MAX_LIFE_MS: Final = 86_400_000
 """Longest life of a stream that is taken over from a peer, in milliseconds."""
 
+DETECTION_S: Final = 10.0
+"""Longest time in seconds until a gateway knows which others are out of reach."""
+
 CHECK_PERIOD_S: Final = 0.1
 """Period in seconds of the check for a change of the gateways that store streams."""
 
@@ -145,11 +142,8 @@
     read_history : callable
         Extends `served` by the store's history; waits for it for as many seconds as it
         is called with.
-    answered_s : callable
-        Returns the monotonic time at which the store last answered any known gateway;
-        None if the list is always current.
     lease : ViewLease or None
-        How far the list of workers can be relied on.
+        How far the list of workers can be relied on; None if it is always current.
 
     Attributes
     ----------
@@ -160,7 +154,7 @@
     """
 
     __slots__ = (
-        "_answered_s",
+        "_cut_off_since_s",
         "_pending",
         "_placement",
         "_process",
@@ -180,14 +174,13 @@
         workers: WorkerTable,
         wait_known: Callable[[], Awaitable[None]],
         read_history: Callable[[float], Awaitable[None]] | None = None,
-        answered_s: Callable[[], float] | None = None,
         lease: ViewLease | None = None,
     ) -> None:
         self.lease = lease
-        self._answered_s = answered_s
         self._process = process
         self._placement = placement
         self._wait_known = wait_known
+        self._cut_off_since_s: float | None = None
         self._read_history = read_history
         self.served = ServedVersions(workers=workers)
         self._pending: dict[Address, dict[bytes, StreamVersion]] = {}
@@ -201,6 +194,7 @@
         distributed = self._placement.pools()
         while True:
             await asyncio.sleep(CHECK_PERIOD_S)
+            self._keep_splits()
             pools = self._placement.pools()
             if pools is distributed:
                 continue
@@ -208,6 +202,19 @@
                 await self._distribute(distributed, pools)
             distributed = pools
 
+    def _keep_splits(self) -> None:
+        """Keep the splits that gateways out of reach may still begin streams by.
+
+        At least half of all gateways may have gone on without the store.
+        """
+        if self.lease is None or not self.lease.is_minority():
+            self._cut_off_since_s = None
+            return
+        now_s = time.monotonic()
+        if self._cut_off_since_s is None:
+            self._cut_off_since_s = now_s - DETECTION_S
+        self.served.keep(since_s=self._cut_off_since_s)
+
     def record(self, attempt_id: str, software_version: str, *, life_s: float) -> None:
         """Store which version began a stream, here and at the replicas.
 
@@ -351,18 +358,13 @@
             and not self.served.is_known_for(service, life_s)
         ):
             await self._read_history(HISTORY_WAIT_S)
-        is_current = self._is_current()
         inferred = self.served.inferred_version(service, key, life_s)
+        may_infer = self.lease is None or self.lease.may_infer()
         return OriginFound(
-            sole_version=inferred if is_current else None,
+            sole_version=inferred if may_infer else None,
             has_several=self.served.is_ambiguous(service, key, life_s),
         )
 
-    def _is_current(self) -> bool:
-        if self._answered_s is None:
-            return True
-        return time.monotonic() - self._answered_s() < CURRENT_S
-
     async def _query(
         self, address: Address, request: FindOrigin, timeout_s: float
     ) -> OriginFound | None:
--- a/src/trefoilpaddle/coordination/published/store_feed.py
+++ b/src/trefoilpaddle/coordination/published/store_feed.py
@@ -302,8 +302,7 @@
         """Query peers and apply what they know and this gateway does not."""
         sent_s = elapsed_s()
         for state in await self._query_peers():
-            self.view.apply_state(state)
-            self._confirm_by_peer(state, sent_s=sent_s)
+            self.apply_peer(state, sent_s)
             if state.answered_ms >= 0:
                 answered_s = time.monotonic() - state.answered_ms / MS_PER_S
                 self.view.answers.record(answered_s)
@@ -311,14 +310,24 @@
         if data is not None:
             self.view.table.apply_data(data)
 
-    def _confirm_by_peer(self, state: StoreState, *, sent_s: float) -> None:
-        """Take over how old a peer's list is, if this gateway's is no older."""
-        age_ms = state.view_age_ms
-        if age_ms is None or age_ms < 0 or not is_credible(state):
-            return
+    def apply_peer(self, state: StoreState, sent_s: float) -> bool:
+        """Apply what a peer knows; return True if it has nothing newer afterwards.
+
+        Parameters
+        ----------
+        state : StoreState
+            What the peer knows.
+        sent_s : float
+            When it was queried, on the clock of `elapsed_s`.
+        """
+        self.view.apply_state(state)
         position = position_of(state)
-        if position.is_known and position <= self.position:
-            self.age.confirm(ago_s=elapsed_s() - sent_s + age_ms / MS_PER_S)
+        if not is_credible(state) or not position.is_known or position > self.position:
+            return False
+        if state.view_age_ms is not None and state.view_age_ms >= 0:
+            age_s = state.view_age_ms / MS_PER_S
+            self.age.confirm(ago_s=elapsed_s() - sent_s + age_s)
+        return True
 
     def apply_update(self, update: StoreNews) -> UpdateGap | None:
         """Apply a reader's update; return what is still missing, or None."""
--- a/src/trefoilpaddle/coordination/published/store_relay.py
+++ b/src/trefoilpaddle/coordination/published/store_relay.py
@@ -150,7 +150,7 @@
         others = [member for member in members if member.process_id != own_id]
         queried = random.sample(others, min(N_PEERS_QUERIED, len(others)))
         # Concurrently: a peer that does not respond must not delay the other.
-        responses = await asyncio.gather(*(self._query(member) for member in queried))
+        responses = await asyncio.gather(*(self.query(member) for member in queried))
         return [response for response in responses if response is not None]
 
     def build_request(self) -> StorePull:
@@ -173,7 +173,8 @@
             takes_parts=True,
         )
 
-    async def _query(self, member: MemberRecord) -> StoreState | None:
+    async def query(self, member: MemberRecord) -> StoreState | None:
+        """Return what a gateway knows of the store; None if it does not respond."""
         match Address.parse(member.address):
             case Ok(address):
                 link = self._process.peers.link(address)
--- a/src/trefoilpaddle/coordination/published/view_age.py
+++ b/src/trefoilpaddle/coordination/published/view_age.py
@@ -13,9 +13,10 @@
     host was suspended counts.
     """
 
-    __slots__ = ("_confirmed_s",)
+    __slots__ = ("_agreed_s", "_confirmed_s")
 
     def __init__(self) -> None:
+        self._agreed_s = -math.inf
         self._confirmed_s = -math.inf
 
     def confirm(self, *, ago_s: float) -> None:
@@ -31,3 +32,12 @@
     def age_s(self) -> float:
         """Seconds since the list was known to be the store's; infinite before that."""
         return elapsed_s() - self._confirmed_s
+
+    def agree(self, *, ago_s: float) -> None:
+        """Record that enough gateways had nothing newer `ago_s` seconds ago."""
+        self._agreed_s = max(self._agreed_s, elapsed_s() - ago_s)
+
+    @property
+    def agreed_age_s(self) -> float:
+        """Seconds since enough gateways had nothing newer; infinite before that."""
+        return elapsed_s() - self._agreed_s
--- a/src/trefoilpaddle/protocol/reasons.py
+++ b/src/trefoilpaddle/protocol/reasons.py
@@ -48,6 +48,7 @@
     RESTING_TARGETS = 38
     VERSION_GONE = 39
     ORIGIN_UNKNOWN = 40
+    LIST_OUTDATED = 41
 
 
 def reason_from_wire(number: int) -> Reason:
--- a/src/trefoilpaddle/state/chain/served_versions.py
+++ b/src/trefoilpaddle/state/chain/served_versions.py
@@ -199,6 +199,15 @@
         if self._known_since_s is not None:
             self._known_since_s = min(self._known_since_s, self._peer_since_s)
 
+    def keep(self, *, since_s: float) -> None:
+        """Count splits that ended after a monotonic time as in force until now."""
+        self._refresh()
+        now_s = time.monotonic()
+        for service, past in list(self._past.items()):
+            for each in past:
+                if each.ended_s >= since_s:
+                    self._remember(service, each.split, ended_s=now_s)
+
     def extend(
         self, splits: Mapping[str, Iterable[VersionSplit]], *, since_s: float
     ) -> bool:
--- a/src/trefoilpaddle/state/reason_words.py
+++ b/src/trefoilpaddle/state/reason_words.py
@@ -44,6 +44,7 @@
     Reason.RESTING_TARGETS: "the targets have turned requests away and rest for now",
     Reason.VERSION_GONE: "no target of the version that began the stream is left",
     Reason.ORIGIN_UNKNOWN: "no gateway knows which version began the stream",
+    Reason.LIST_OUTDATED: "the gateway's list of targets may be out of date",
     Reason.INTERNAL: "of a fault in trefoilpaddle itself; see the log",
 }
 
--- a/tests/chain/test_inferred_versions.py
+++ b/tests/chain/test_inferred_versions.py
@@ -9,10 +9,12 @@
 
 from trefoilpaddle.coordination.chain.catch_up import _served_from_wire, _served_to_wire
 from trefoilpaddle.coordination.chain.stream_origins import KnownOrigin, UnknownOrigin
+from trefoilpaddle.coordination.chain.view_lease import ViewLease
 from trefoilpaddle.coordination.members.peer_monitor import DEAD_AFTER_S
 from trefoilpaddle.coordination.published.published_store import StoreChanges
 from trefoilpaddle.coordination.published.store_journal import StoreJournal
 from trefoilpaddle.coordination.published.store_position import StorePosition
+from trefoilpaddle.coordination.published.view_age import ViewAge
 from trefoilpaddle.coordination.published.worker_listing import Scope, WorkerListing
 from trefoilpaddle.protocol.gen.chain.ttypes import ServedNews
 from trefoilpaddle.protocol.reasons import Reason
@@ -142,8 +144,9 @@
             await asyncio.sleep(2 * LIFE_S)
             cut = fleet.gateways[0]
             cut.half = 1
-            cut_s = time.monotonic()
-            cut.origins._answered_s = lambda: cut_s
+            age = ViewAge()
+            age.confirm(ago_s=0.0)
+            cut.origins.lease = ViewLease(age=age, members=lambda: fleet.members)
             for gateway in fleet.gateways[1:]:
                 gateway.workers.remove("w0")
                 gateway.workers.put(worker("w1", SERVICE, software_version="v2"))
@@ -153,7 +156,7 @@
             for attempt_id in ("unknown", ""):
                 found = await cut.origins.find(attempt_id, SERVICE, life_s=LIFE_S)
                 assert found == UnknownOrigin(is_final=not are_others_listed)
-            cut.origins._answered_s = time.monotonic
+            age.confirm(ago_s=0.0)
             found = await cut.origins.find("unknown", SERVICE, life_s=LIFE_S)
             assert isinstance(found, UnknownOrigin) == are_others_listed
 
