Let streams that wait at a gateway which stood still begin after its first read

Change: a stream waits for at most half a second for an old list to be confirmed, unless too few gateways have responded lately; then it is refused at once as before. test_view_lease.py has both cases; the first failed.

--- a/src/trefoilpaddle/coordination/chain/request_path.py
+++ b/src/trefoilpaddle/coordination/chain/request_path.py
@@ -307,9 +307,11 @@
                 return refused
             case origin:
                 lease = self._lease_of(job)
-                refusal = None if lease is None else lease.refusal()
-                if refusal is not None:
-                    return refusal
+                if lease is not None:
+                    await lease.wait_confirmed()
+                    refusal = lease.refusal()
+                    if refusal is not None:
+                        return refusal
                 job = self._at_service_of(job, origin)
                 return await self._run_at(job, origin, delivery, sink)
 
--- a/src/trefoilpaddle/coordination/chain/view_lease.py
+++ b/src/trefoilpaddle/coordination/chain/view_lease.py
@@ -1,5 +1,7 @@
 """How far this gateway's list of workers can be relied on."""
 
+import asyncio
+import time
 from collections.abc import Callable, Collection
 from typing import Final
 
@@ -16,6 +18,11 @@
 """
 
 
+CONFIRM_WAIT_S: Final = 0.5
+"""Longest wait in seconds for a list to be confirmed; a read takes some 10 ms."""
+
+CONFIRM_POLL_S: Final = 0.01
+
 LIST_OUTDATED_RETRY_S: Final = 0.1
 """Retry-After in seconds if the list is too old: another gateway probably serves."""
 
@@ -57,6 +64,20 @@
         n_live, n_known = self._count()
         return self._age.agreed_age_s <= VIEW_LAG_S and 2 * n_live >= n_known
 
+    async def wait_confirmed(self) -> None:
+        """Wait for an old list to be confirmed, for a bounded time.
+
+        A process that has stood still finds its list old, and reads the store at once.
+        One that has found no confirmation lately need not wait.
+        """
+        ends_s = time.monotonic() + CONFIRM_WAIT_S
+        while (  # noqa: ASYNC110 - no event signals it
+            not self.may_begin()
+            and self._age.missed_age_s > VIEW_LAG_S
+            and time.monotonic() < ends_s
+        ):
+            await asyncio.sleep(CONFIRM_POLL_S)
+
     def refusal(self) -> Refused | None:
         """Return the refusal of a stream that must not begin here, or None."""
         if self.may_begin():
--- a/src/trefoilpaddle/coordination/published/view_age.py
+++ b/src/trefoilpaddle/coordination/published/view_age.py
@@ -13,9 +13,10 @@
     host was suspended counts.
     """
 
-    __slots__ = ("_agreed_s", "_confirmed_s")
+    __slots__ = ("_agreed_s", "_confirmed_s", "_missed_s")
 
     def __init__(self) -> None:
+        self._missed_s = -math.inf
         self._agreed_s = -math.inf
         self._confirmed_s = -math.inf
 
@@ -41,3 +42,12 @@
     def agreed_age_s(self) -> float:
         """Seconds since enough gateways had nothing newer; infinite before that."""
         return elapsed_s() - self._agreed_s
+
+    def miss(self) -> None:
+        """Record that too few gateways responded to confirm the list."""
+        self._missed_s = elapsed_s()
+
+    @property
+    def missed_age_s(self) -> float:
+        """Seconds since too few gateways responded; infinite before that."""
+        return elapsed_s() - self._missed_s
--- a/src/trefoilpaddle/coordination/published/view_poll.py
+++ b/src/trefoilpaddle/coordination/published/view_poll.py
@@ -87,3 +87,5 @@
         )
         if 2 * n_agreeing >= len(polled) + 1:
             self._age.agree(ago_s=elapsed_s() - sent_s)
+        else:
+            self._age.miss()
--- a/tests/chain/test_view_lease.py
+++ b/tests/chain/test_view_lease.py
@@ -104,6 +104,32 @@
 
         run_virtual(monkeypatch, scenario())
 
+    def test_a_gateway_that_stood_still_waits_for_its_first_read(
+        self, monkeypatch: pytest.MonkeyPatch
+    ) -> None:
+        # Guards against refusals of all that callers sent to a gateway while it stood
+        # still, although its list is confirmed a moment later.
+        async def scenario() -> None:
+            age = ViewAge()
+            asyncio.get_running_loop().call_later(0.1, lambda: age.confirm(ago_s=0.0))
+            assert isinstance(await self._begin(age, MemberState.LIVE), Answered)
+
+        run_virtual(monkeypatch, scenario())
+
+    def test_a_gateway_that_is_cut_off_refuses_at_once(
+        self, monkeypatch: pytest.MonkeyPatch
+    ) -> None:
+        # Guards against a wait for a confirmation that is known not to come.
+        async def scenario() -> None:
+            age, others = ViewAge(), [MemberState.SUSPECT] * 3
+            await Poll(age, members(*others), 0).run()
+            loop = asyncio.get_running_loop()
+            began_s = loop.time()
+            assert isinstance(await self._begin(age, *others), Refused)
+            assert loop.time() == began_s
+
+        run_virtual(monkeypatch, scenario())
+
     @pytest.mark.parametrize(
         ("n_live", "n_lost", "may_begin"),
         [(0, 0, True), (1, 2, True), (1, 3, False), (0, 1, True), (0, 3, False)],
