Leave answers five sixths of any grace period in a planned stop

Callers saw streams cut at 3.6 to 4.1 s after an order to stop with a grace of 5 s, some of them begun within a second of it, and at 2.1 s with one of 3 s.

Cause: the reserves before the kill are fixed times, made for 8 s.

Change: each is at most a share of the grace, and streams are accepted for at most 0.35 of it; with 8 s nothing changes.

Evidence: test_nothing_is_cut_before_the_last_sixth_of_the_grace failed with 2, 3 and 5 s before.

--- a/src/trefoilpaddle/coordination/chain/fleet.py
+++ b/src/trefoilpaddle/coordination/chain/fleet.py
@@ -12,7 +12,7 @@
 from ..members.membership import Membership
 from ..members.peer_monitor import PeerMonitor
 from ..own_process import OwnProcess
-from .planned_stop import ACCEPT_STREAMS_S
+from .planned_stop import accept_streams_s
 
 DISCOVERY_PERIOD_S: Final = 0.1
 """Seconds between tries to contact the seeds while no other gateway is known.
@@ -174,7 +174,7 @@
         accepting = [
             member
             for member in stopping
-            if now_s - self._known_s(member) < ACCEPT_STREAMS_S
+            if now_s - self._known_s(member) < accept_streams_s(grace_s)
         ]
         if any(member is not own for member in (*self.live(), *accepting)):
             return 0.0
--- a/src/trefoilpaddle/coordination/chain/planned_stop.py
+++ b/src/trefoilpaddle/coordination/chain/planned_stop.py
@@ -16,36 +16,43 @@
 from .answer_deadline import AnswerDeadline
 
 ACCEPT_STREAMS_S: Final = 2.8
-"""Seconds after the order to stop for which streams are accepted.
+ACCEPT_STREAMS_SHARE: Final = 0.35
+"""Longest time after the order for which streams are accepted.
 
 The load balancer sends new connections for two more seconds. A stream that is
 accepted later would often not end before the process is killed.
 """
 
 ANSWER_RESERVE_S: Final = 2.0
-"""Seconds before the kill that are left for answers of requests sent last.
+ANSWER_RESERVE_SHARE: Final = 0.4
+"""Time before the kill that is left for answers of requests sent last.
 
 Longer than the time in which most plain requests are answered. A stream that began
 later would mostly be interrupted.
 """
 
 WRITE_RESERVE_S: Final = 0.9
-"""Seconds before the kill that are left to write the last answers and to close.
+WRITE_RESERVE_SHARE: Final = 0.15
+"""Time before the kill that is left to write the last answers and to close.
 
 An answer takes a hundredth of it; the rest is for a weak host on which many
-requests end at the same time.
+requests end at the same time. Less than a sixth of the grace: what workers answer
+before that is written.
 """
 
 CLOSE_RESERVE_S: Final = 0.3
-"""Seconds before the kill that are left to close connections and to exit."""
-
+CLOSE_RESERVE_SHARE: Final = 0.06
+"""Time before the kill that is left to close connections and to exit."""
 
 EXIT_RESERVE_S: Final = 0.15
-"""Seconds before the kill that are left to exit after the last step of a stop.
+EXIT_RESERVE_SHARE: Final = 0.05
+"""Time before the kill that is left to exit after the last step of a stop.
 
 The interpreter takes up to a tenth of a second.
 """
 
+# The shares are those of the grace; the smaller of the two values counts.
+
 END_TASKS_S: Final = 0.1
 """Longest time in seconds for background tasks to end once they are cancelled."""
 
@@ -56,6 +63,11 @@
 """Seconds after which a step at the end of a stop is logged; most take milliseconds."""
 
 
+def accept_streams_s(grace_s: float) -> float:
+    """Return the seconds after the order to stop for which streams are accepted."""
+    return min(ACCEPT_STREAMS_S, ACCEPT_STREAMS_SHARE * grace_s)
+
+
 def _never() -> bool:
     return False
 
@@ -97,16 +109,24 @@
     """
 
     __slots__ = (
+        "_answer_reserve_s",
+        "_close_reserve_s",
         "_deadlines",
+        "_exit_reserve_s",
         "_grace_s",
         "_ordered",
         "_ordered_s",
+        "_write_reserve_s",
         "is_closing",
         "serves_elsewhere_in_s",
     )
 
     def __init__(self, *, grace_s: float) -> None:
         self._grace_s = grace_s
+        self._answer_reserve_s = min(ANSWER_RESERVE_S, ANSWER_RESERVE_SHARE * grace_s)
+        self._write_reserve_s = min(WRITE_RESERVE_S, WRITE_RESERVE_SHARE * grace_s)
+        self._close_reserve_s = min(CLOSE_RESERVE_S, CLOSE_RESERVE_SHARE * grace_s)
+        self._exit_reserve_s = min(EXIT_RESERVE_S, EXIT_RESERVE_SHARE * grace_s)
         self._ordered = asyncio.Event()
         self._ordered_s = math.inf
         self._deadlines: set[AnswerDeadline] = set()
@@ -150,12 +170,12 @@
     @property
     def send_until_s(self) -> float:
         """Monotonic time until which requests are sent to workers."""
-        return self._ordered_s + self._grace_s - ANSWER_RESERVE_S
+        return self._ordered_s + self._grace_s - self._answer_reserve_s
 
     @property
     def answer_until_s(self) -> float:
         """Monotonic time at which every request gets its final answer."""
-        return self._ordered_s + self._grace_s - WRITE_RESERVE_S
+        return self._ordered_s + self._grace_s - self._write_reserve_s
 
     def left_s(self) -> float:
         """Return the seconds until the kill; the grace period before the order."""
@@ -163,7 +183,7 @@
 
     def closes_in_s(self) -> float:
         """Return the seconds for which answers may still be written."""
-        return max(0.0, self.left_s() - CLOSE_RESERVE_S)
+        return max(0.0, self.left_s() - self._close_reserve_s)
 
     @contextlib.asynccontextmanager
     async def step(
@@ -192,7 +212,7 @@
             logging.flush()
 
         timer = asyncio.get_running_loop().call_later(SLOW_STEP_S, log)
-        left_s = max(0.0, self.left_s() - EXIT_RESERVE_S)
+        left_s = max(0.0, self.left_s() - self._exit_reserve_s)
         bound = asyncio.timeout(min(longest_s, left_s))
         try:
             async with bound:
@@ -230,7 +250,7 @@
         """Return True if a request of `route` can still be answered completely."""
         if time.monotonic() >= self.send_until_s:
             return False
-        return not route.is_stream or self.since_s < ACCEPT_STREAMS_S
+        return not route.is_stream or self.since_s < accept_streams_s(self._grace_s)
 
     @contextlib.asynccontextmanager
     async def answer_deadline(
--- a/tests/chain/test_planned_stop.py
+++ b/tests/chain/test_planned_stop.py
@@ -10,6 +10,9 @@
 PLAIN = route()
 STREAM = route(is_stream=True)
 
+WRITE_S = 0.2
+"""Time in seconds that the last answers need at least."""
+
 
 class Clock:
     def __init__(self) -> None:
@@ -38,3 +41,17 @@
         assert not stop.accepts(PLAIN)
         stop.order()
         assert stop.left_s() == pytest.approx(1.5)
+
+    @pytest.mark.parametrize("grace_s", [2.0, 3.0, 5.0, 8.0, 12.0, 30.0])
+    def test_nothing_is_cut_before_the_last_sixth_of_the_grace(
+        self, grace_s: float, monkeypatch: pytest.MonkeyPatch
+    ) -> None:
+        # Guards against fixed reserves that leave answers too little of a short grace.
+        clock = Clock()
+        monkeypatch.setattr(planned_stop, "time", clock)
+        stop = PlannedStop(grace_s=grace_s)
+        stop.order()
+        last_sixth_s = clock.now_s + grace_s * 5 / 6
+        assert last_sixth_s <= stop.answer_until_s
+        assert stop.send_until_s < stop.answer_until_s
+        assert stop.answer_until_s <= clock.now_s + grace_s - WRITE_S
