Refuse a request that may run once and would be interrupted by a planned stop

Callers of requests that may not be repeated got 502 at the end of a stop: the request had been passed on late, had run for a while, and was interrupted; they cannot tell whether it has run.

Cause: until two seconds before the kill every plain request is accepted, however long its route's answers take.

Change: a gateway knows the durations of the last 64 answers of each route; during a stop a request that may not be repeated is refused at once if it would not be answered in the time in which 95 of 100 were. Others, which their callers or another gateway repeat, are accepted as before.

Evidence: test_one_that_may_run_once_is_not_begun_if_it_would_be_interrupted fails without it; effects on whole stops were not measured yet.

--- a/src/trefoilpaddle/coordination/chain/planned_stop.py
+++ b/src/trefoilpaddle/coordination/chain/planned_stop.py
@@ -12,7 +12,7 @@
 
 from ...protocol.reasons import Reason
 from ...state.chain.delivery import Delivery
-from ...state.chain.routes import Route
+from ...state.chain.routes import RepeatPolicy, Route
 from .answer_deadline import AnswerDeadline
 
 ACCEPT_STREAMS_S: Final = 2.8
@@ -246,9 +246,22 @@
                 async with self.step(_described(tasks), longest_s=END_TASKS_S):
                     await asyncio.wait(tasks)
 
-    def accepts(self, route: Route) -> bool:
-        """Return True if a request of `route` can still be answered completely."""
-        if time.monotonic() >= self.send_until_s:
+    def accepts(self, route: Route, *, likely_s: float = 0.0) -> bool:
+        """Return True if a request of `route` can still be answered completely.
+
+        Parameters
+        ----------
+        route : Route
+            The route.
+        likely_s : float
+            Seconds in which most of its answers end. If it is interrupted, the caller
+            of a request that may not be repeated does not know whether it has run.
+        """
+        now_s = time.monotonic()
+        if now_s >= self.send_until_s:
+            return False
+        may_repeat = route.repeat is RepeatPolicy.IDEMPOTENT or route.is_resumable
+        if not may_repeat and now_s + likely_s >= self.answer_until_s:
             return False
         return not route.is_stream or self.since_s < accept_streams_s(self._grace_s)
 
--- a/src/trefoilpaddle/coordination/chain/request_path.py
+++ b/src/trefoilpaddle/coordination/chain/request_path.py
@@ -13,6 +13,7 @@
 
 from ...protocol.reasons import Reason
 from ...state.chain.account_shares import account_key, account_weight
+from ...state.chain.answer_durations import AnswerDurations
 from ...state.chain.caller_waits import CallerWaits
 from ...state.chain.chain_work import ChainCompleted, ChainFailed, ChainMoved, ChainWork
 from ...state.chain.delivery import Delivery, Step
@@ -20,7 +21,7 @@
 from ...state.chain.fingerprint import fingerprint_of, shared_parts
 from ...state.chain.former_lives import FormerLives
 from ...state.chain.repeat_budget import RepeatBudgets
-from ...state.chain.requests import CallerRequest, Outcome, Refused
+from ...state.chain.requests import Answered, CallerRequest, Outcome, Refused
 from ...state.chain.route_changes import RouteChanges
 from ...state.chain.routes import Account, Route, RouteTable
 from ...state.chain.served_versions import VIEW_LAG_S
@@ -130,6 +131,7 @@
     """
 
     __slots__ = (
+        "_answer_durations",
         "_budgets",
         "_caller_waits",
         "_calls",
@@ -183,6 +185,7 @@
         self._failure_domain = failure_domain
         self._workers = workers
         self._router = router
+        self._answer_durations = AnswerDurations()
         self._engine_times = EngineTimes()
         self._caller_waits = CallerWaits()
         self._former_lives = FormerLives()
@@ -225,6 +228,9 @@
             delivery.close()
             del self._deliveries[id(request)]
         log.record_outcome(outcome)
+        if route is not None and isinstance(outcome, Answered):
+            took_s = time.monotonic() - request.received_s
+            self._answer_durations.learn(route.name, took_s)
         return outcome
 
     def waiting_for(self, request: CallerRequest) -> str:
@@ -246,7 +252,10 @@
             )
         if route is None:
             return Refused(reason=Reason.NO_ENTRY)
-        if not self._stop.accepts(route):
+        likely_s = 0.0
+        if self._stop.is_ordered:
+            likely_s = self._answer_durations.likely_s(route.name)
+        if not self._stop.accepts(route, likely_s=likely_s):
             return Refused(
                 reason=Reason.STOPPING,
                 retry_after_s=self._stop.serves_elsewhere_in_s(),
--- a/tests/chain/test_planned_stop.py
+++ b/tests/chain/test_planned_stop.py
@@ -1,11 +1,16 @@
 """Which requests are accepted after the order to stop."""
 
+import time
+
 import pytest
 
 from trefoilpaddle.coordination.chain import planned_stop
 from trefoilpaddle.coordination.chain.planned_stop import PlannedStop
+from trefoilpaddle.state.chain.requests import Answered, Refused
+from trefoilpaddle.state.chain.routes import RepeatPolicy
 
-from .fakes import route
+from .fakes import FakeAnswer, FakeCalls, route
+from .test_request_path import GRACE_S, Rig
 
 PLAIN = route()
 STREAM = route(is_stream=True)
@@ -55,3 +60,36 @@
         assert last_sixth_s <= stop.answer_until_s
         assert stop.send_until_s < stop.answer_until_s
         assert stop.answer_until_s <= clock.now_s + grace_s - WRITE_S
+
+
+class TestLateRequests:
+    @pytest.mark.parametrize(
+        ("policy", "is_resumable", "is_refused"),
+        [
+            (RepeatPolicy.NON_IDEMPOTENT, False, True),
+            (RepeatPolicy.NON_IDEMPOTENT, True, False),
+            (RepeatPolicy.IDEMPOTENT, False, False),
+        ],
+    )
+    async def test_one_that_may_run_once_is_not_begun_if_it_would_be_interrupted(
+        self, policy: RepeatPolicy, is_resumable: bool, is_refused: bool
+    ) -> None:
+        # Guards against a 502 at the end of a stop to a caller that cannot repeat its
+        # request, where a 503 at once lets it go elsewhere.
+        calls = FakeCalls([FakeAnswer()])
+        rig = Rig(calls, route(repeat=policy, is_resumable=is_resumable))
+        for _ in range(20):
+            rig.path._answer_durations.learn(route().name, 4.0)
+        rig.stop.order(time.monotonic() - GRACE_S / 2)
+        outcome = await rig.serve()
+        assert isinstance(outcome, Refused) is is_refused
+        assert bool(calls.sent) is not is_refused
+
+    async def test_one_that_is_usually_short_is_served(self) -> None:
+        # Guards against a single long answer that has all others refused.
+        rig = Rig(FakeCalls([FakeAnswer()] * 31), route())
+        for _ in range(30):
+            assert isinstance(await rig.serve(), Answered)
+        rig.path._answer_durations.learn(route().name, 60.0)
+        rig.stop.order(time.monotonic() - GRACE_S / 2)
+        assert isinstance(await rig.serve(), Answered)
