--- a/src/trefoilpaddle/coordination/chain/view_lease.py
+++ b/src/trefoilpaddle/coordination/chain/view_lease.py
@@ -64,6 +64,10 @@
         n_live, n_known = self._count()
         return self._age.agreed_age_s <= VIEW_LAG_S and 2 * n_live >= n_known
 
+    def is_lost(self) -> bool:
+        """Return True if streams must not begin, and too few gateways responded."""
+        return not self.may_begin() and self._age.missed_age_s <= VIEW_LAG_S
+
     async def wait_confirmed(self) -> None:
         """Wait for an old list to be confirmed, for a bounded time.
 
@@ -72,9 +76,7 @@
         """
         ends_s = time.monotonic() + CONFIRM_WAIT_S
         while (  # noqa: ASYNC110 - no event signals it
-            not self.may_begin()
-            and self._age.missed_age_s > VIEW_LAG_S
-            and time.monotonic() < ends_s
+            not (self.may_begin() or self.is_lost()) and time.monotonic() < ends_s
         ):
             await asyncio.sleep(CONFIRM_POLL_S)
 
--- a/tests/platform_adapter/cut_off_plays.py
+++ b/tests/platform_adapter/cut_off_plays.py
@@ -236,22 +236,11 @@
         self.counts[f"{what} {where} that go on"] += goes_on
 
 
-async def play(
-    *,
-    kind: Kind = Kind.BOTH,
-    n_gateways: int = 6,
-    n_cut_off: int = 1,
-    before_s: float = 21.0,
-    cut_s: float = 26.0,
-    after_s: float = 3.0,
-    timeout_s: float = 10.0,
-    rate_per_s: float = 15.0,
-    is_killed: bool = False,
-    are_replaced: bool = False,
-    seed: int = 1,
-    folder: str = "",
-) -> Counter[str]:
-    """Play one cut and return what became of the streams."""
+@contextlib.asynccontextmanager
+async def cut_harness(
+    *, n_gateways: int = 6, timeout_s: float = 10.0, folder: str = ""
+) -> AsyncIterator[tuple[VersionHarness, CutNetwork]]:
+    """Serve gateways whose ways can be cut, beside four engines of one version."""
     network = CutNetwork()
     async with contextlib.AsyncExitStack() as stack:
 
@@ -279,6 +268,28 @@
                 prepare=prepare,
             )
         )
+        yield harness, network
+
+
+async def play(
+    *,
+    kind: Kind = Kind.BOTH,
+    n_gateways: int = 6,
+    n_cut_off: int = 1,
+    before_s: float = 21.0,
+    cut_s: float = 26.0,
+    after_s: float = 3.0,
+    timeout_s: float = 10.0,
+    rate_per_s: float = 15.0,
+    is_killed: bool = False,
+    are_replaced: bool = False,
+    seed: int = 1,
+    folder: str = "",
+) -> Counter[str]:
+    """Play one cut and return what became of the streams."""
+    async with cut_harness(
+        n_gateways=n_gateways, timeout_s=timeout_s, folder=folder
+    ) as (harness, network):
         cut_off_play = CutOffPlay(
             harness=harness,
             network=network,
--- a/tests/platform_adapter/test_stream_versions.py
+++ b/tests/platform_adapter/test_stream_versions.py
@@ -55,6 +55,7 @@
 """Time between the orders to stop of two gateways."""
 
 POLL_S: Final = 0.05
+READY_TIMEOUT_S: Final = 10.0
 RESTART_S: Final = 0.3
 """Time from the exit of a gateway until its next start."""
 
@@ -179,6 +180,18 @@
     async def is_ready(self, gateway: GatewayProcess) -> bool:
         return await gateway.is_ready(self._client)
 
+    async def until_ready(self, gateway: GatewayProcess, *, is_ready: bool) -> None:
+        """Wait until a gateway reports that it accepts requests, or that it does not.
+
+        Raises
+        ------
+        TimeoutError
+            If it does not for ``READY_TIMEOUT_S``.
+        """
+        async with asyncio.timeout(READY_TIMEOUT_S):
+            while await self.is_ready(gateway) is not is_ready:  # noqa: ASYNC110
+                await asyncio.sleep(POLL_S)
+
     async def restarted_gateway(self) -> GatewayProcess:
         """Return a random gateway that has started again and accepts requests."""
         while True:
