--- a/tests/platform_adapter/test_endless_answers.py
+++ b/tests/platform_adapter/test_endless_answers.py
@@ -105,6 +105,69 @@
                 assert await client.report(at, timeout_s=0.3) is None
 
 
+TINY_HEADERS = b"".join(b"a%d: b\r\n" % number for number in range(5000))
+INTERIM = b"HTTP/1.1 100 Continue\r\n\r\n"
+
+
+class TestFraming:
+    # Guards against answers that bring nothing, without end, and keep the gateway from
+    # all other requests.
+    @pytest.mark.parametrize(
+        ("begun", "more"),
+        [
+            (b"", INTERIM * 1000),
+            (b"", b"HTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\n" * 1000),
+            (b"", b"\r\n" * 1000),
+            (b"HTTP/1.1 200 OK\r\n", TINY_HEADERS),
+            (CHUNKED + b"1;", b"x" * PART_BYTES),
+            (CHUNKED, b"0" * PART_BYTES),
+            (CHUNKED + b"1\r\nx\r\n0\r\n", TINY_HEADERS),
+        ],
+        ids=[
+            "interim-heads",
+            "early-hints",
+            "blank-lines",
+            "headers",
+            "chunk-extension",
+            "chunk-size",
+            "trailers",
+        ],
+    )
+    async def test_framing_without_end_is_given_up(
+        self, begun: bytes, more: bytes
+    ) -> None:
+        endless = EndlessWorker(begun=begun, more=more)
+        async with asyncio.timeout(HEAD_TRANSFER_S + SLACK_S):
+            fault, _ = await fault_of(endless)
+        assert fault is CallFault.BROKEN
+
+    # Guards against a slow series of interim heads that lasts until the deadline.
+    async def test_interim_heads_are_counted(self) -> None:
+        endless = EndlessWorker(begun=b"", more=INTERIM, pause_s=TRICKLE_S)
+        async with asyncio.timeout(HEAD_TRANSFER_S + SLACK_S):
+            fault, _ = await fault_of(endless)
+        assert fault is CallFault.BROKEN
+
+    # Guards against an answer that is given up as its worker first says that it works.
+    async def test_an_answer_after_an_interim_head_is_passed_on(self) -> None:
+        async def handle(
+            reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+        ) -> None:
+            await reader.readuntil(b"\r\n\r\n")
+            writer.write(INTERIM)
+            await asyncio.sleep(HEAD_TRANSFER_S + SLACK_S)
+            writer.write(CHUNKED + b"4\r\nbody\r\n0\r\n\r\n")
+            await writer.drain()
+            await reader.read()
+
+        async with raw_engine(handle) as address, worker_client() as client:
+            at = Worker(
+                worker_id="w1", service="plain", address=address, failure_domain="here"
+            )
+            async with client.exchange(at, call()) as opened:
+                assert await opened.unwrap().read() == Ok(b"body")
+
+
 class TestBodies:
     # Guards against an answer that fills the memory of the gateway.
     @pytest.mark.parametrize(("begun", "more"), [(CHUNKED, CHUNK), (UNFRAMED, CHUNK)])
