--- a/src/trefoilpaddle/coordination/chain/planned_stop.py
+++ b/src/trefoilpaddle/coordination/chain/planned_stop.py
@@ -15,6 +15,8 @@
 from ...state.chain.routes import RepeatPolicy, Route
 from .answer_deadline import AnswerDeadline
 
+# Times are bounded by shares of the grace, so that a short one is not all reserve.
+
 ACCEPT_STREAMS_S: Final = 2.8
 ACCEPT_STREAMS_SHARE: Final = 0.35
 """Longest time after the order for which streams are accepted.
@@ -51,8 +53,6 @@
 The interpreter takes up to a tenth of a second.
 """
 
-# The shares are those of the grace; the smaller of the two values counts.
-
 END_TASKS_S: Final = 0.1
 """Longest time in seconds for background tasks to end once they are cancelled."""
 
