Poll all gateways in turn for a newer list, not five of them

Callers saw 27 streams of two versions in a play of twelve gateways of which five were cut off together for 26 s (30 streams a second): the five began streams by their old list.

Cause: of five gateways drawn at random of twelve, often two were on the same side, which with the polling one is half of the six; and the members that nobody on that side watches stayed live in its table.

Change: all known gateways are polled within two seconds, a share of them every 0.3 s, and those count that have responded within two seconds. Where a gateway is suspected, the poll also tells who is on the smaller side of a partition.

--- a/src/trefoilpaddle/coordination/chain/view_lease.py
+++ b/src/trefoilpaddle/coordination/chain/view_lease.py
@@ -10,6 +10,7 @@
 from ...state.chain.served_versions import VIEW_LAG_S
 from ...state.members import MemberRecord, MemberState
 from ..published.view_age import ViewAge
+from ..published.view_poll import ViewPoll
 
 CURRENT_S: Final = 5.0
 """Age up to which a list shows all versions while all known gateways are in touch.
@@ -42,15 +43,22 @@
         How old the list may be.
     members : callable
         Returns the records of all known gateways, this one included.
+    poll : ViewPoll or None
+        Asks gateways for a newer list; None if nobody does.
     """
 
-    __slots__ = ("_age", "_members")
+    __slots__ = ("_age", "_members", "_poll")
 
     def __init__(
-        self, *, age: ViewAge, members: Callable[[], Collection[MemberRecord]]
+        self,
+        *,
+        age: ViewAge,
+        members: Callable[[], Collection[MemberRecord]],
+        poll: ViewPoll | None = None,
     ) -> None:
         self._age = age
         self._members = members
+        self._poll = poll
 
     @property
     def age_s(self) -> float:
@@ -61,12 +69,16 @@
         """Return True if streams that may be resumed may begin by the list."""
         if self._age.age_s <= VIEW_LAG_S:
             return True
-        n_live, n_known = self._count()
-        return self._age.agreed_age_s <= VIEW_LAG_S and 2 * n_live >= n_known
+        return (
+            self._poll is not None
+            and 2 * self._poll.n_agreeing() >= self._poll.n_known()
+        )
 
     def is_lost(self) -> bool:
         """Return True if streams must not begin, and too few gateways responded."""
-        return not self.may_begin() and self._age.missed_age_s <= VIEW_LAG_S
+        if self._poll is None or not self._poll.is_complete():
+            return False
+        return not self.may_begin()
 
     async def wait_confirmed(self) -> None:
         """Wait for an old list to be confirmed, for a bounded time.
@@ -99,6 +111,9 @@
     def is_minority(self) -> bool:
         """Return True if as many gateways may be out of reach as are in touch."""
         n_live, n_known = self._count()
+        if self._poll is not None and self._poll.is_complete():
+            # The members that nobody on this side watches count as live for long.
+            n_live = min(n_live, self._poll.n_agreeing())
         return n_known > 0 and 2 * n_live <= n_known
 
     def describe(self) -> str:
--- a/src/trefoilpaddle/coordination/published/view_poll.py
+++ b/src/trefoilpaddle/coordination/published/view_poll.py
@@ -1,7 +1,7 @@
 """Asks other gateways for a newer list of workers while the store confirms none."""
 
 import asyncio
-import random
+import math
 from collections.abc import Awaitable, Callable, Sequence
 from typing import Final
 
@@ -16,18 +16,25 @@
 """Age of the list after which others are polled; readers confirm it every 0.6 s."""
 
 POLL_PERIOD_S: Final = 0.3
-"""Seconds from one poll to the next; several fit into the lease of a list."""
+"""Seconds from one poll to the next."""
 
-N_POLLED: Final = 5
-"""Gateways that are polled at a time, drawn at random from all that are known."""
+N_ROUNDS: Final = 5
+"""Polls in which all gateways are polled once; they fit into `RECENT_S`."""
+
+MIN_POLLED: Final = 5
+"""Gateways that are polled at a time, or all if there are fewer."""
+
+RECENT_S: Final = 2.0
+"""Time in seconds for which a response, or its absence, counts."""
 
 
 class ViewPoll:
-    """Polls gateways, also those that are believed lost, for a newer list.
+    """Polls all known gateways in turn, also those believed lost, for a newer list.
 
     While the store is away for all, nobody confirms a list, and no list changes. That
-    is told from a partition that hides newer lists by how many gateways respond: at
-    least half of those polled, this one included, must have nothing newer.
+    is told from a partition that hides newer lists by how many gateways respond and
+    have nothing newer. A sample would not do: five gateways of twelve on one side of a
+    partition often draw one another.
 
     Parameters
     ----------
@@ -44,7 +51,18 @@
         returns True if it has nothing newer than what is known here afterwards.
     """
 
-    __slots__ = ("_age", "_apply", "_members", "_own_id", "_query")
+    __slots__ = (
+        "_age",
+        "_agreed_s",
+        "_apply",
+        "_began_s",
+        "_members",
+        "_next",
+        "_own_id",
+        "_polled_s",
+        "_query",
+        "_tasks",
+    )
 
     def __init__(
         self,
@@ -60,32 +78,73 @@
         self._members = members
         self._query = query
         self._apply = apply
+        self._agreed_s: dict[str, float] = {}
+        self._next = 0
+        self._polled_s = -math.inf
+        self._began_s = -math.inf
+        self._tasks: set[asyncio.Task[None]] = set()
 
     async def run(self) -> None:
-        """Poll whenever the list has not been confirmed lately, until cancelled."""
+        """Poll while the list is old or a gateway is suspected, until cancelled."""
         while True:
-            if self._age.age_s > POLL_AFTER_S:
-                try:
-                    await self.poll()
-                except Exception:
-                    logging.exception("polling other gateways failed")
+            if self._is_needed():
+                await self.poll()
             await asyncio.sleep(POLL_PERIOD_S)
 
     async def poll(self) -> None:
-        """Poll some gateways once, and record whether enough have nothing newer."""
-        others = [
-            member
-            for member in self._members()
-            if member.process_id != self._own_id
-            and member.state is not MemberState.LEAVING
-        ]
-        polled = random.sample(others, min(N_POLLED, len(others)))
-        sent_s = elapsed_s()
-        states = await asyncio.gather(*map(self._query, polled))
-        n_agreeing = 1 + sum(
-            self._apply(state, sent_s) for state in states if state is not None
+        """Begin to poll the next gateways; what they answer counts once it is there."""
+        now_s = elapsed_s()
+        if now_s - self._polled_s > RECENT_S:
+            self._began_s = now_s
+        self._polled_s = now_s
+        others = self._others()
+        size = max(MIN_POLLED, math.ceil(len(others) / N_ROUNDS))
+        for place in range(self._next, self._next + min(size, len(others))):
+            task = asyncio.create_task(self._ask(others[place % len(others)], now_s))
+            self._tasks.add(task)
+            task.add_done_callback(self._tasks.discard)
+        self._next = (self._next + size) % max(1, len(others))
+        await asyncio.sleep(0)
+
+    def n_agreeing(self) -> int:
+        """Return how many gateways, this one included, have nothing newer lately."""
+        since_s = elapsed_s() - RECENT_S
+        ids = {member.process_id for member in self._others()}
+        return 1 + sum(
+            at_s >= since_s for each, at_s in self._agreed_s.items() if each in ids
+        )
+
+    def n_known(self) -> int:
+        """Return how many gateways may run, this one included."""
+        return 1 + len(self._others())
+
+    def is_complete(self) -> bool:
+        """Return True if all have been polled lately, and could have responded."""
+        now_s = elapsed_s()
+        is_recent = now_s - self._polled_s <= RECENT_S
+        return is_recent and now_s - self._began_s >= RECENT_S
+
+    def _is_needed(self) -> bool:
+        return self._age.age_s > POLL_AFTER_S or any(
+            member.state is MemberState.SUSPECT for member in self._members()
         )
-        if 2 * n_agreeing >= len(polled) + 1:
-            self._age.agree(ago_s=elapsed_s() - sent_s)
-        else:
-            self._age.miss()
+
+    def _others(self) -> list[MemberRecord]:
+        """Return all other gateways that may run, in the order of their ids."""
+        return sorted(
+            (
+                member
+                for member in self._members()
+                if member.process_id != self._own_id
+                and member.state is not MemberState.LEAVING
+            ),
+            key=lambda member: member.process_id,
+        )
+
+    async def _ask(self, member: MemberRecord, sent_s: float) -> None:
+        try:
+            state = await self._query(member)
+            if state is not None and self._apply(state, sent_s):
+                self._agreed_s[member.process_id] = sent_s
+        except Exception:
+            logging.exception("polling %s failed", member.process_id)
--- a/tests/chain/test_view_lease.py
+++ b/tests/chain/test_view_lease.py
@@ -1,6 +1,8 @@
 """Gateways begin and infer streams only by lists that others can rely on."""
 
 import asyncio
+import contextlib
+from collections import Counter
 from collections.abc import Sequence
 from dataclasses import replace
 from typing import Any, Final
@@ -10,7 +12,7 @@
 from trefoilpaddle.coordination.chain.stream_origins import UnknownOrigin
 from trefoilpaddle.coordination.chain.view_lease import CURRENT_S, ViewLease
 from trefoilpaddle.coordination.published.view_age import ViewAge
-from trefoilpaddle.coordination.published.view_poll import ViewPoll
+from trefoilpaddle.coordination.published.view_poll import RECENT_S, ViewPoll
 from trefoilpaddle.protocol.gen.chain.ttypes import StoreState
 from trefoilpaddle.protocol.reasons import Reason
 from trefoilpaddle.state.chain.requests import Answered, Outcome, Refused
@@ -37,17 +39,19 @@
     return records
 
 
-def lease(age: ViewAge, *states: MemberState) -> ViewLease:
-    return ViewLease(age=age, members=lambda: members(*states))
+def lease(
+    age: ViewAge, *states: MemberState, poll: ViewPoll | None = None
+) -> ViewLease:
+    return ViewLease(age=age, members=lambda: members(*states), poll=poll)
 
 
 class Poll:
-    """One poll of other gateways, of which some respond with nothing newer."""
+    """Polls of other gateways, of which the first ones respond with nothing newer."""
 
     def __init__(self, age: ViewAge, known: Sequence[MemberRecord], n: int) -> None:
-        self.polled: list[str] = []
-        self._n_responding = n
-        self._poll = ViewPoll(
+        self.polled: Counter[str] = Counter()
+        self._responding = [member.process_id for member in known][1 : n + 1]
+        self.poll = ViewPoll(
             own_id="g0",
             age=age,
             members=lambda: known,
@@ -56,23 +60,30 @@
         )
 
     async def _query(self, polled: MemberRecord) -> StoreState | None:
-        self.polled.append(polled.process_id)
-        if len(self.polled) > self._n_responding:
+        self.polled[polled.process_id] += 1
+        if polled.process_id not in self._responding:
             return None
         return StoreState(revision=1)
 
-    async def run(self) -> None:
-        await self._poll.poll()
+    async def run(self, for_s: float = RECENT_S) -> None:
+        """Poll for some seconds."""
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(for_s):
+                await self.poll.run()
 
 
 class TestBegin:
     async def _begin(
-        self, age: ViewAge, *states: MemberState, **fields: Any
+        self,
+        age: ViewAge,
+        *states: MemberState,
+        poll: ViewPoll | None = None,
+        **fields: Any,
     ) -> Outcome:
         known = {"is_stream": True, "is_resumable": True}
         known["repeat"] = RepeatPolicy.NON_IDEMPOTENT  # type: ignore[assignment]
         rig = Rig(FakeCalls([FakeAnswer(n_events=3)]), route(**(known | fields)))
-        rig.path._origins.lease = lease(age, *states)
+        rig.path._origins.lease = lease(age, *states, poll=poll)
         return await rig.serve()
 
     def test_no_stream_begins_by_a_list_that_nobody_has_confirmed(
@@ -122,10 +133,11 @@
         # Guards against a wait for a confirmation that is known not to come.
         async def scenario() -> None:
             age, others = ViewAge(), [MemberState.SUSPECT] * 3
-            await Poll(age, members(*others), 0).run()
+            polls = Poll(age, members(*others), 0)
+            await polls.run()
             loop = asyncio.get_running_loop()
             began_s = loop.time()
-            assert isinstance(await self._begin(age, *others), Refused)
+            assert isinstance(await self._begin(age, *others, poll=polls.poll), Refused)
             assert loop.time() == began_s
 
         run_virtual(monkeypatch, scenario())
@@ -147,11 +159,13 @@
             age = ViewAge()
             states = [MemberState.LIVE] * n_live + [MemberState.SUSPECT] * n_lost
             known = members(*states)
+            polls = Poll(age, known, n_live)
+            here = lease(age, *states, poll=polls.poll)
+            await polls.run()
+            assert here.may_begin() is may_begin
             await asyncio.sleep(OUT_OF_DATE_S)
-            await Poll(age, known, n_live).run()
-            assert lease(age, *states).may_begin() is may_begin
-            await asyncio.sleep(OUT_OF_DATE_S)
-            assert not lease(age, *states).may_begin()
+            # One of two is half by itself; responses count for a while.
+            assert here.may_begin() is (len(states) < 2)
 
         run_virtual(monkeypatch, scenario())
 
@@ -174,18 +188,58 @@
 
 class TestPoll:
     @pytest.mark.parametrize("state", [MemberState.SUSPECT, MemberState.DEAD])
-    async def test_gateways_believed_lost_count(self, state: MemberState) -> None:
+    def test_gateways_believed_lost_count(
+        self, state: MemberState, monkeypatch: pytest.MonkeyPatch
+    ) -> None:
         # Guards against a gateway on the small side of a partition that polls only it.
-        age = ViewAge()
-        poll = Poll(age, members(MemberState.LIVE, *[state] * 3), 0)
-        await poll.run()
-        assert len(poll.polled) == 4
-        assert age.agreed_age_s > VIEW_LAG_S
-
-    async def test_gateways_that_leave_do_not_count(self) -> None:
-        age = ViewAge()
-        await Poll(age, members(*[MemberState.LEAVING] * 3), 0).run()
-        assert age.agreed_age_s < VIEW_LAG_S
+        async def scenario() -> None:
+            polls = Poll(ViewAge(), members(MemberState.LIVE, *[state] * 3), 1)
+            await polls.run()
+            assert len(polls.polled) == 4
+            assert polls.poll.n_agreeing() == 2
+            assert polls.poll.n_known() == 5
+
+        run_virtual(monkeypatch, scenario())
+
+    def test_gateways_that_leave_do_not_count(
+        self, monkeypatch: pytest.MonkeyPatch
+    ) -> None:
+        async def scenario() -> None:
+            polls = Poll(ViewAge(), members(*[MemberState.LEAVING] * 3), 0)
+            await polls.run()
+            assert polls.poll.n_known() == 1
+
+        run_virtual(monkeypatch, scenario())
+
+    @pytest.mark.parametrize("n_others", [3, 11, 60, 399])
+    def test_all_are_polled_while_a_response_counts(
+        self, n_others: int, monkeypatch: pytest.MonkeyPatch
+    ) -> None:
+        # Guards against a few gateways of many that draw one another as a sample, and
+        # take themselves for half of all.
+        async def scenario() -> None:
+            n_near = n_others // 2 - 1
+            known = members(*[MemberState.LIVE] * n_others)
+            polls = Poll(ViewAge(), known, n_near)
+            await polls.run(2 * RECENT_S)
+            assert len(polls.polled) == n_others
+            assert polls.poll.n_agreeing() == n_near + 1
+            here = ViewLease(age=ViewAge(), members=lambda: known, poll=polls.poll)
+            assert not here.may_begin()
+            assert here.is_lost()
+            assert here.is_minority()
+
+        run_virtual(monkeypatch, scenario())
+
+    def test_nobody_is_polled_in_calm(self, monkeypatch: pytest.MonkeyPatch) -> None:
+        async def scenario() -> None:
+            age = ViewAge()
+            age.confirm(ago_s=0.0)
+            polls = Poll(age, members(MemberState.LIVE), 1)
+            await polls.run(0.9)
+            assert not polls.polled
+
+        run_virtual(monkeypatch, scenario())
 
 
 class TestInference:
