Leave a planned stop 0.3 s to close and to exit also with short graces

Cause: the time to close callers' connections became 0.06 of the grace, 0.18 s with 3 s. Closing them and leaving the interpreter took 0.05 to 0.2 s of it.

Change: a tenth of the grace, so 0.3 s with 3 s and more, as before. It is less than the reserve to write answers, so nothing is cut sooner.

--- a/src/trefoilpaddle/coordination/chain/planned_stop.py
+++ b/src/trefoilpaddle/coordination/chain/planned_stop.py
@@ -41,7 +41,7 @@
 """
 
 CLOSE_RESERVE_S: Final = 0.3
-CLOSE_RESERVE_SHARE: Final = 0.06
+CLOSE_RESERVE_SHARE: Final = 0.1
 """Time before the kill that is left to close connections and to exit."""
 
 EXIT_RESERVE_S: Final = 0.15
--- a/tests/chain/test_planned_stop.py
+++ b/tests/chain/test_planned_stop.py
@@ -18,6 +18,9 @@
 WRITE_S = 0.2
 """Time in seconds that the last answers need at least."""
 
+CLOSE_AND_EXIT_S = 0.3
+"""Time in seconds to close callers' connections and to exit on a busy machine."""
+
 
 class Clock:
     def __init__(self) -> None:
@@ -61,6 +64,19 @@
         assert stop.send_until_s < stop.answer_until_s
         assert stop.answer_until_s <= clock.now_s + grace_s - WRITE_S
 
+    @pytest.mark.parametrize("grace_s", [3.0, 5.0, 8.0, 30.0])
+    def test_connections_are_closed_in_time_to_exit(
+        self, grace_s: float, monkeypatch: pytest.MonkeyPatch
+    ) -> None:
+        # Guards against a process that is killed while it closes its connections.
+        clock = Clock()
+        monkeypatch.setattr(planned_stop, "time", clock)
+        stop = PlannedStop(grace_s=grace_s)
+        stop.order()
+        clock.now_s += grace_s - CLOSE_AND_EXIT_S
+        assert stop.closes_in_s() == pytest.approx(0.0)
+        assert clock.now_s > stop.answer_until_s
+
 
 class TestLateRequests:
     @pytest.mark.parametrize(
