Break connections whose framing has no end

Cause: the parser takes these without a bound. The limits on headers and bodies do not count them.

Change: a connection is broken once more than 256 KB in a row have completed no head and added nothing to a body. Callers that stay within max_header_bytes cannot reach this.

Evidence: the three cases of tests/platform_adapter/test_endless_callers.py failed before (the caller could send for all of its 2 s) and pass now, as do test_http_listener.py, test_callers.py and test_listeners.py. Not covered: a body of one byte a chunk, each with a long extension.

--- a/src/trefoilpaddle/transport/http_listener.py
+++ b/src/trefoilpaddle/transport/http_listener.py
@@ -11,7 +11,7 @@
 from typing import Final
 
 from absl import logging
-from aiohttp import web
+from aiohttp import StreamReader, web
 
 from .lingering import LingeringConnections
 from .syn_filter import drop_new_connections
@@ -47,6 +47,10 @@
 """Longest time in seconds for each step of interrupting the last handlers."""
 
 
+MAX_OVERHEAD_BYTES: Final = 256 * 1024
+"""Bytes in a row that neither complete the head of a request nor are of its body."""
+
+
 def raw_answer(status: HTTPStatus, headers: Mapping[str, str], body: bytes) -> bytes:
     """Return the bytes of an answer after which the connection closes."""
     fields = {
@@ -345,11 +349,39 @@
 class _HttpConnection(web.RequestHandler):
     """One connection, which ends in an order that loses neither request nor answer."""
 
-    __slots__ = ("_lingering",)
+    __slots__ = ("_body", "_lingering", "_n_overhead", "_progress")
 
     def __init__(self, *, http: web.Server, lingering: LingeringConnections) -> None:
         super().__init__(http, loop=asyncio.get_running_loop(), **http._kwargs)
         self._lingering = lingering
+        self._n_overhead = 0
+        self._body: StreamReader | None = None
+        self._progress = (0, 0)
+
+    def data_received(self, data: bytes) -> None:
+        """Parse what has arrived; break a connection whose request does not get on.
+
+        The parser takes blank lines, and the framing of chunks, without end.
+        """
+        super().data_received(data)
+        if self._messages:
+            self._body = self._messages[-1][1]
+        n_body = 0 if self._body is None else self._body.total_bytes
+        progress = (self._request_count, n_body)
+        is_same = progress == self._progress
+        self._n_overhead = self._n_overhead + len(data) if is_same else 0
+        self._progress = progress
+        if self._n_overhead > MAX_OVERHEAD_BYTES and self.transport is not None:
+            logging.info(
+                "a connection is broken after %d bytes that are of no request",
+                self._n_overhead,
+            )
+            self.transport.abort()
+
+    def connection_lost(self, exc: BaseException | None) -> None:
+        """Release the body, which refers to the connection."""
+        self._body = None
+        super().connection_lost(exc)
 
     @property
     def is_idle(self) -> bool:
--- /dev/null
+++ b/tests/platform_adapter/test_endless_callers.py
@@ -0,0 +1,62 @@
+"""Callers that send bytes without end, until the gateway takes no more."""
+
+import asyncio
+import contextlib
+import time
+
+import pytest
+
+from .caller_harness import GET, Served, serving
+
+FLOOD_S = 2.0
+"""Time in seconds for which a caller sends if nobody stops it."""
+
+PART_BYTES = 64 * 1024
+
+SOCKET_BYTES = 16 * 1024 * 1024
+"""Most that the kernel and the library hold of a connection that is not read."""
+
+FRAMING_BYTES = 1024 * 1024
+"""Most that may be read of a request in a row that is not its body."""
+
+CHUNKED = GET + b"Transfer-Encoding: chunked\r\n\r\n"
+
+
+async def flood(port: int, begun: bytes, more: bytes) -> tuple[int, bytes]:
+    """Send `begun` and then `more` again and again; return what was taken and read."""
+    reader, writer = await asyncio.open_connection("127.0.0.1", port)
+    n_taken = 0
+    got = asyncio.create_task(reader.read(65536))
+    with contextlib.suppress(TimeoutError, OSError):
+        async with asyncio.timeout(FLOOD_S):
+            writer.write(begun)
+            while True:
+                writer.write(more)
+                await writer.drain()
+                n_taken += len(more)
+                await asyncio.sleep(0)
+    writer.transport.abort()
+    with contextlib.suppress(OSError):
+        return n_taken, await got
+    return n_taken, b""
+
+
+class TestFraming:
+    # Guards against requests that never arrive and keep the gateway from all others.
+    @pytest.mark.parametrize(
+        ("begun", "more"),
+        [
+            (b"", b"\r\n" * 1000),
+            (CHUNKED, b"0" * PART_BYTES),
+            (CHUNKED + b"1;", b"x" * PART_BYTES),
+        ],
+        ids=["blank-lines", "chunk-size", "chunk-extension"],
+    )
+    async def test_framing_without_end_is_given_up(
+        self, begun: bytes, more: bytes
+    ) -> None:
+        async with serving(Served()) as port:
+            began_s = time.monotonic()
+            n_taken, _ = await flood(port, begun, more)
+        assert time.monotonic() - began_s < FLOOD_S
+        assert n_taken <= FRAMING_BYTES + SOCKET_BYTES
