Bound the bytes that are discarded after a last answer

Callers saw: a caller that had its last answer (400) and went on sending was read for up to 10 s as fast as it sent, while others waited for the processor.

Cause: what arrives after the last answer is discarded so that a reset does not lose the answer. That was bounded in time but not in bytes; the last read before the close had no bound at all.

Change: reading pauses after 16 MB, and the connection is closed once the usual second without data has passed, so the caller can still read its answer. The last read stops after as many bytes.

The bound of the last read has no test of its own: no endless one was seen.

--- a/src/trefoilpaddle/transport/lingering.py
+++ b/src/trefoilpaddle/transport/lingering.py
@@ -19,6 +19,9 @@
 MAX_LINGERING: Final = 1024
 """Most connections that are kept at a time; further ones are closed at once."""
 
+MAX_LINGER_BYTES: Final = 16 * 1024 * 1024
+"""Most bytes to discard of what a caller continues to send."""
+
 READ_BYTES: Final = 65536
 
 
@@ -98,6 +101,7 @@
         "_close_by_s",
         "_connections",
         "_is_silent",
+        "_n_discarded",
         "_timer",
         "_transport",
         "has_discarded",
@@ -110,6 +114,7 @@
         self._connections = connections
         self.has_discarded = False
         self._is_silent = True
+        self._n_discarded = 0
         loop = asyncio.get_running_loop()
         self._close_by_s = loop.time() + MAX_LINGER_S
         self._timer = loop.call_later(LINGER_S, self._check)
@@ -121,6 +126,10 @@
     def data_received(self, data: bytes) -> None:
         self.has_discarded = True
         self._is_silent = False
+        self._n_discarded += len(data)
+        if self._n_discarded > MAX_LINGER_BYTES and self._transport.is_reading():
+            # The caller can still read its answer until the close.
+            self._transport.pause_reading()
 
     def connection_lost(self, exc: Exception | None) -> None:
         self._timer.cancel()
@@ -148,9 +157,10 @@
     connected = transport.get_extra_info("socket")
     if connected is None or transport.get_extra_info("sslcontext") is not None:
         return
+    n_left = MAX_LINGER_BYTES
     try:
-        while os.read(connected.fileno(), READ_BYTES):
-            pass
+        while n_left > 0 and (data := os.read(connected.fileno(), READ_BYTES)):
+            n_left -= len(data)
     except OSError as error:
         # Nothing more to read, or the caller has reset the connection.
         logging.debug("read all of a connection before its close: %s", error)
--- a/tests/platform_adapter/test_endless_callers.py
+++ b/tests/platform_adapter/test_endless_callers.py
@@ -6,6 +6,8 @@
 
 import pytest
 
+from trefoilpaddle.transport.lingering import MAX_LINGER_BYTES
+
 from .caller_harness import GET, Served, serving
 
 FLOOD_S = 2.0
@@ -60,3 +62,22 @@
             n_taken, _ = await flood(port, begun, more)
         assert time.monotonic() - began_s < FLOOD_S
         assert n_taken <= FRAMING_BYTES + SOCKET_BYTES
+
+
+class TestAfterAnAnswer:
+    # Guards against callers that have their answer and keep the gateway busy.
+    @pytest.mark.parametrize(
+        ("begun", "more", "status"),
+        [
+            (GET, b"a: b\r\n" * 10000, b"400"),
+            (GET + b"Connection: close\r\n\r\n", b"x" * PART_BYTES, b"400"),
+        ],
+        ids=["headers", "after-the-end"],
+    )
+    async def test_little_more_is_read(
+        self, begun: bytes, more: bytes, status: bytes
+    ) -> None:
+        async with serving(Served()) as port:
+            n_taken, got = await flood(port, begun, more)
+        assert got.split(b" ", 2)[1] == status
+        assert n_taken <= MAX_LINGER_BYTES + SOCKET_BYTES
