--- a/tests/platform_adapter/test_endless_callers.py
+++ b/tests/platform_adapter/test_endless_callers.py
@@ -22,6 +22,7 @@
 """Most that may be read of a request in a row that is not its body."""
 
 CHUNKED = GET + b"Transfer-Encoding: chunked\r\n\r\n"
+CHUNK = f"{PART_BYTES:x}\r\n".encode() + b"x" * PART_BYTES + b"\r\n"
 
 
 async def flood(port: int, begun: bytes, more: bytes) -> tuple[int, bytes]:
@@ -69,10 +70,11 @@
     @pytest.mark.parametrize(
         ("begun", "more", "status"),
         [
+            (CHUNKED, CHUNK, b"413"),
             (GET, b"a: b\r\n" * 10000, b"400"),
             (GET + b"Connection: close\r\n\r\n", b"x" * PART_BYTES, b"400"),
         ],
-        ids=["headers", "after-the-end"],
+        ids=["body", "headers", "after-the-end"],
     )
     async def test_little_more_is_read(
         self, begun: bytes, more: bytes, status: bytes
