--- a/tests/platform_adapter/test_endless_answers.py
+++ b/tests/platform_adapter/test_endless_answers.py
@@ -5,20 +5,23 @@
 import time
 from collections.abc import AsyncIterator
 from dataclasses import dataclass, field
+from typing import ClassVar, cast
 
+import aiohttp
 import pytest
 from adapter.sessions import HEAD_TRANSFER_S
 from adapter.worker_answers import (
     MAX_ANSWER_BYTES,
     MAX_EVENT_BYTES,
     MAX_MESSAGE_BYTES,
+    WorkerAnswer,
 )
 from adapter.worker_client import CHECK_TIMEOUT_S
 from result import Err, Ok
 
 from trefoilpaddle.coordination.chain.target_calls import StreamBrokenError
 from trefoilpaddle.state.chain.piece_work import PieceWork
-from trefoilpaddle.state.chain.target_answers import CallFault
+from trefoilpaddle.state.chain.target_answers import AnswerHead, CallFault
 from trefoilpaddle.state.chain.workers import Worker
 
 from .raw_engines import raw_engine
@@ -211,3 +214,36 @@
             assert not await client.free_results(at, ["h"])
             assert await client.report(at, timeout_s=5.0) is None
         assert max(endless.n_sent) <= MAX_MESSAGE_BYTES + SOCKET_BYTES
+
+
+LONG_S = 1.0
+"""Processor time in seconds for an event that is given up; far above what it takes."""
+
+
+class SmallParts:
+    """The body of an answer: one event without an end, whose last part is in bytes."""
+
+    headers: ClassVar[dict[str, str]] = {}
+    connection = None
+
+    @property
+    def content(self) -> "SmallParts":
+        return self
+
+    async def iter_any(self) -> AsyncIterator[bytes]:
+        n_small = 5_000
+        yield b"x" * (MAX_EVENT_BYTES - n_small + 1)
+        for _ in range(n_small):
+            yield b"x"
+
+
+class TestEvents:
+    # Guards against a stream of one worker that takes the processor from all others.
+    async def test_an_event_of_many_small_parts_takes_little_time(self) -> None:
+        opened = cast("aiohttp.ClientResponse", SmallParts())
+        answer = WorkerAnswer(answer=opened, head=AnswerHead(status=200, headers=()))
+        began_s = time.process_time()
+        with pytest.raises(StreamBrokenError):
+            async for _ in answer.events():
+                pass
+        assert time.process_time() - began_s < LONG_S
