--- a/tests/platform_adapter/test_store_client.py
+++ b/tests/platform_adapter/test_store_client.py
@@ -142,6 +142,34 @@
         assert len(requested) == 2 * MAX_LIST_ATTEMPTS
 
 
+class TestEndlessLists:
+    # Guards against pages that fill the memory of the gateway.
+    async def test_a_list_of_many_large_pages_is_given_up(
+        self, monkeypatch: pytest.MonkeyPatch
+    ) -> None:
+        n_pages, value = 10, "x" * 1000
+        monkeypatch.setattr(store_module, "MAX_ANSWER_BYTES", n_pages * len(value))
+        n_read = 0
+
+        async def answer(request: web.Request) -> web.Response:
+            nonlocal n_read
+            n_read += 1
+            entries = [{"key": f"servers/w{n_read}", "value": value, "revision": 1}]
+            page = {"items": entries, "has_more": True, "store_revision": 4}
+            return web.json_response(page)
+
+        app = web.Application()
+        app.router.add_get(names.STORE_RANGE_PATH, answer)
+        async with serving(app) as url, aiohttp.ClientSession() as session:
+            client = StoreClient(
+                address=url.removeprefix("http://"),
+                failure_domains=frozenset("a"),
+                session=session,
+            )
+            assert await client.snapshot() == Err(StoreFault.REFUSED)
+        assert n_read <= n_pages
+
+
 def _client_without_session() -> StoreClient:
     return StoreClient(
         address="s:1",
