Give up heads of requests that take longer than the limit

Cause: the limit was decoded but never used.

Change: a request whose head is not complete header_timeout_ms after its first byte is answered 408, which is true as nothing has run, and its connection ends. After a stall of the process what has arrived is read first. Blank lines between requests start no time.

Evidence: test_a_head_that_comes_byte_by_byte_is_given_up failed before (no answer in 4 s) and passes now; a head that takes 0.6 of the limit is served before and after. test_http_listener.py, test_callers.py and test_listeners.py pass. Not bounded yet: a body that comes slowly or stops, a head begun behind another request, a connection that sends nothing.

--- a/src/trefoilpaddle/transport/http_listener.py
+++ b/src/trefoilpaddle/transport/http_listener.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import math
 import socket
 import ssl
 import time
@@ -75,6 +76,10 @@
     return True
 
 
+def _unbounded() -> float:
+    return math.inf
+
+
 def _handled(request: web.BaseRequest) -> str:
     return "handled"
 
@@ -104,6 +109,9 @@
     describe : callable, optional
         Returns what a request that is open at the end of the close was doing, as a
         short text for the log; one of a few.
+    head_timeout_s : callable, optional
+        Returns the longest time in seconds from the first byte of a request to the end
+        of its head; a slower one is answered with 408. By default, any time.
 
     Attributes
     ----------
@@ -114,6 +122,7 @@
     __slots__ = (
         "_admits",
         "_describe",
+        "_head_timeout_s",
         "_http",
         "_lingering",
         "_max_connections",
@@ -133,7 +142,9 @@
         tls: ssl.SSLContext | None = None,
         admits: Callable[[], bool] = _always,
         describe: Callable[[web.BaseRequest], str] = _handled,
+        head_timeout_s: Callable[[], float] = _unbounded,
     ) -> None:
+        self._head_timeout_s = head_timeout_s
         self._admits = admits
         self._describe = describe
         self._http = http
@@ -256,7 +267,11 @@
     def _new_protocol(self) -> asyncio.Protocol:
         max_connections = self._max_connections
         if max_connections is None or len(self._http.connections) < max_connections:
-            return _HttpConnection(http=self._http, lingering=self._lingering)
+            return _HttpConnection(
+                http=self._http,
+                lingering=self._lingering,
+                head_timeout_s=self._head_timeout_s,
+            )
         return _RejectedConnection(lingering=self._lingering)
 
     async def _stop_accepting(self, until_s: float) -> None:
@@ -349,10 +364,25 @@
 class _HttpConnection(web.RequestHandler):
     """One connection, which ends in an order that loses neither request nor answer."""
 
-    __slots__ = ("_body", "_lingering", "_n_overhead", "_progress")
+    __slots__ = (
+        "_body",
+        "_head_timeout_s",
+        "_head_timer",
+        "_lingering",
+        "_n_overhead",
+        "_progress",
+    )
 
-    def __init__(self, *, http: web.Server, lingering: LingeringConnections) -> None:
+    def __init__(
+        self,
+        *,
+        http: web.Server,
+        lingering: LingeringConnections,
+        head_timeout_s: Callable[[], float],
+    ) -> None:
         super().__init__(http, loop=asyncio.get_running_loop(), **http._kwargs)
+        self._head_timeout_s = head_timeout_s
+        self._head_timer: asyncio.TimerHandle | None = None
         self._lingering = lingering
         self._n_overhead = 0
         self._body: StreamReader | None = None
@@ -364,6 +394,7 @@
         The parser takes blank lines, and the framing of chunks, without end.
         """
         super().data_received(data)
+        self._watch_head(data)
         if self._messages:
             self._body = self._messages[-1][1]
         n_body = 0 if self._body is None else self._body.total_bytes
@@ -381,8 +412,28 @@
     def connection_lost(self, exc: BaseException | None) -> None:
         """Release the body, which refers to the connection."""
         self._body = None
+        self._stop_head_timer()
         super().connection_lost(exc)
 
+    def _watch_head(self, data: bytes) -> None:
+        if not self.is_idle:
+            self._stop_head_timer()
+        elif self._head_timer is None and data.strip():
+            timeout_s = self._head_timeout_s()
+            if timeout_s < math.inf:
+                loop = asyncio.get_running_loop()
+                self._head_timer = loop.call_later(timeout_s, self._end_head)
+
+    def _end_head(self) -> None:
+        """Give up the head; after a stall, its rest is read first."""
+        loop = asyncio.get_running_loop()
+        self._head_timer = loop.call_later(CLOSE_POLL_S, self.finish, IDLE_ANSWER)
+
+    def _stop_head_timer(self) -> None:
+        if self._head_timer is not None:
+            self._head_timer.cancel()
+            self._head_timer = None
+
     @property
     def is_idle(self) -> bool:
         """True while every request that was read on the connection is answered."""
--- a/tests/platform_adapter/test_endless_callers.py
+++ b/tests/platform_adapter/test_endless_callers.py
@@ -6,6 +6,7 @@
 
 import pytest
 
+from trefoilpaddle.state.chain.routes import CallerLimits
 from trefoilpaddle.transport.lingering import MAX_LINGER_BYTES
 
 from .caller_harness import GET, Served, serving
@@ -13,6 +14,7 @@
 FLOOD_S = 2.0
 """Time in seconds for which a caller sends if nobody stops it."""
 
+TRICKLE_S = 0.02
 PART_BYTES = 64 * 1024
 
 SOCKET_BYTES = 16 * 1024 * 1024
@@ -83,3 +85,29 @@
             n_taken, got = await flood(port, begun, more)
         assert got.split(b" ", 2)[1] == status
         assert n_taken <= MAX_LINGER_BYTES + SOCKET_BYTES
+
+
+class TestSlowHeads:
+    # Guards against callers that hold connections with heads that never end.
+    async def test_a_head_that_comes_byte_by_byte_is_given_up(self) -> None:
+        async with serving(Served()) as port:
+            reader, writer = await asyncio.open_connection("127.0.0.1", port)
+            writer.write(GET + b"X: ")
+            answer = asyncio.create_task(reader.read(65536))
+            until_s = time.monotonic() + CallerLimits().header_timeout_s + 1.0
+            while not answer.done() and time.monotonic() < until_s:
+                writer.write(b"x")
+                await asyncio.sleep(TRICKLE_S)
+            writer.transport.abort()
+            assert (await answer).startswith(b"HTTP/1.1 408 ")
+
+    # Guards against callers within the limit that are given up.
+    async def test_a_slow_head_within_the_limit_is_served(self) -> None:
+        async with serving(Served()) as port:
+            reader, writer = await asyncio.open_connection("127.0.0.1", port)
+            for _ in range(2):
+                writer.write(GET)
+                await asyncio.sleep(0.6 * CallerLimits().header_timeout_s)
+                writer.write(b"\r\n")
+                assert (await reader.readuntil(b"whole")).startswith(b"HTTP/1.1 200 ")
+            writer.close()
