--- a/tests/chain/test_lease_review.py
+++ b/tests/chain/test_lease_review.py
@@ -99,7 +99,7 @@
             left = replace(known(LEAVING)[1], leaving_since_s=0.0)
             records = [
                 *known(),
-                *(replace(others[0], process_id=f"l{n}") for n in "ab"),
+                *(replace(left, process_id=n) for n in ("a", "b")),
             ]
             await asyncio.sleep(LONG_S)
             age = ViewAge()
