--- a/src/trefoilpaddle/coordination/chain/attempts.py
+++ b/src/trefoilpaddle/coordination/chain/attempts.py
@@ -181,6 +181,8 @@
 
     async def _send_in_turn(self, sink: CallerSink) -> Outcome:
         while True:
+            if self._lease is not None and not self._has_begun():
+                await self._lease.wait_confirmed()
             refusal = self._refusal()
             if refusal is not None:
                 return self._delivery.failure_outcome(
--- a/src/trefoilpaddle/coordination/chain/stream_origins.py
+++ b/src/trefoilpaddle/coordination/chain/stream_origins.py
@@ -205,9 +205,10 @@
     def _keep_splits(self) -> None:
         """Keep the splits that gateways out of reach may still begin streams by.
 
-        At least half of all gateways may have gone on without the store.
+        They may have gone on without the store, as at least half of those that they
+        know; since then others may have joined here.
         """
-        if self.lease is None or not self.lease.is_minority():
+        if self.lease is None or not self.lease.is_any_out_of_reach():
             self._cut_off_since_s = None
             return
         now_s = time.monotonic()
--- a/src/trefoilpaddle/coordination/chain/view_lease.py
+++ b/src/trefoilpaddle/coordination/chain/view_lease.py
@@ -116,6 +116,11 @@
             n_live = min(n_live, self._poll.n_agreeing())
         return n_known > 0 and 2 * n_live <= n_known
 
+    def is_any_out_of_reach(self) -> bool:
+        """Return True if a gateway may run without hearing of this one."""
+        n_live, n_known = self._count()
+        return n_live < n_known or self.is_minority()
+
     def describe(self) -> str:
         """Return the age of the list and the gateways in touch, for the log."""
         n_live, n_known = self._count()
--- a/src/trefoilpaddle/coordination/published/store_feed.py
+++ b/src/trefoilpaddle/coordination/published/store_feed.py
@@ -20,7 +20,7 @@
 from .store_readers import StoreReaders, UpdateGap
 from .store_relay import StoreRelay
 from .store_view import ListReason, RecoverySource, StoreView
-from .store_wire import is_credible, position_of
+from .store_wire import digest_of, is_credible, position_of
 from .update_delays import elapsed_s
 from .view_age import ViewAge
 from .worker_listing import Scope
@@ -321,8 +321,12 @@
             When it was queried, on the clock of `elapsed_s`.
         """
         self.view.apply_state(state)
-        position = position_of(state)
-        if not is_credible(state) or not position.is_known or position > self.position:
+        position, own = position_of(state), self.position
+        if not is_credible(state) or not own.is_known:
+            return False
+        if not position.is_known:
+            return position.era <= own.era
+        if position > own:
             return False
         if state.view_age_ms is not None and state.view_age_ms >= 0:
             age_s = state.view_age_ms / MS_PER_S
@@ -333,13 +337,19 @@
         """Apply a reader's update; return what is still missing, or None."""
         missing = self.view.apply_update(update)
         if missing is None:
-            age_ms = max(0, update.view_age_ms or 0)
-            self.age.confirm(ago_s=self._readers.delay_s + age_ms / MS_PER_S)
+            self._confirm_by_update(update)
             self._record_available()
             self._read_s = time.monotonic()
             self.view.answers.record(self._read_s)
         return missing
 
+    def _confirm_by_update(self, update: StoreNews) -> None:
+        """Take over how old a reader's list is, if this gateway lists the same."""
+        age_ms = update.view_age_ms
+        is_same = self.view.listing.digest.matches(digest_of(update))
+        if is_same and age_ms is not None and age_ms >= 0:
+            self.age.confirm(ago_s=self._readers.delay_s + age_ms / MS_PER_S)
+
     def _leaves_list_to_others(self) -> bool:
         """Return True while the first list of an era is left to other gateways."""
         return self._list_delay_s() > 0.0
--- a/src/trefoilpaddle/coordination/published/view_poll.py
+++ b/src/trefoilpaddle/coordination/published/view_poll.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import math
+import time
 from collections.abc import Awaitable, Callable, Sequence
 from typing import Final
 
@@ -49,6 +50,8 @@
     apply : callable
         Applies what a gateway knows, polled at a time on the clock of `elapsed_s`;
         returns True if it has nothing newer than what is known here afterwards.
+    grace_s : float
+        Time in seconds after which a gateway that was ordered to stop may be back.
     """
 
     __slots__ = (
@@ -56,8 +59,10 @@
         "_agreed_s",
         "_apply",
         "_began_s",
+        "_grace_s",
         "_members",
         "_next",
+        "_outvoted_s",
         "_own_id",
         "_polled_s",
         "_query",
@@ -72,8 +77,11 @@
         members: Callable[[], Sequence[MemberRecord]],
         query: Callable[[MemberRecord], Awaitable[StoreState | None]],
         apply: Callable[[StoreState, float], bool],
+        grace_s: float = math.inf,
     ) -> None:
         self._own_id = own_id
+        self._grace_s = grace_s
+        self._outvoted_s = -math.inf
         self._age = age
         self._members = members
         self._query = query
@@ -107,8 +115,13 @@
         await asyncio.sleep(0)
 
     def n_agreeing(self) -> int:
-        """Return how many gateways, this one included, have nothing newer lately."""
+        """Return how many gateways, this one included, have nothing newer lately.
+
+        0 if one has: whatever the others have, the list is not the newest.
+        """
         since_s = elapsed_s() - RECENT_S
+        if self._outvoted_s >= since_s:
+            return 0
         ids = {member.process_id for member in self._others()}
         return 1 + sum(
             at_s >= since_s for each, at_s in self._agreed_s.items() if each in ids
@@ -135,16 +148,26 @@
             (
                 member
                 for member in self._members()
-                if member.process_id != self._own_id
-                and member.state is not MemberState.LEAVING
+                if member.process_id != self._own_id and not self._is_leaving(member)
             ),
             key=lambda member: member.process_id,
         )
 
+    def _is_leaving(self, member: MemberRecord) -> bool:
+        """Return True while a gateway that was ordered to stop is not back."""
+        if member.state is not MemberState.LEAVING:
+            return False
+        since_s = member.leaving_since_s
+        return since_s is None or time.monotonic() - since_s <= self._grace_s
+
     async def _ask(self, member: MemberRecord, sent_s: float) -> None:
         try:
             state = await self._query(member)
-            if state is not None and self._apply(state, sent_s):
+            if state is None:
+                return
+            if self._apply(state, sent_s):
                 self._agreed_s[member.process_id] = sent_s
+            else:
+                self._outvoted_s = sent_s
         except Exception:
             logging.exception("polling %s failed", member.process_id)
--- a/tests/chain/test_lease_review.py
+++ b/tests/chain/test_lease_review.py
@@ -10,7 +10,7 @@
 
 from trefoilpaddle.coordination.chain.job import Job
 from trefoilpaddle.coordination.chain.service_lease import HeldSlot
-from trefoilpaddle.coordination.chain.stream_origins import UnknownOrigin
+from trefoilpaddle.coordination.chain.stream_origins import KnownOrigin, UnknownOrigin
 from trefoilpaddle.coordination.chain.view_lease import ViewLease
 from trefoilpaddle.coordination.published.store_position import StorePosition
 from trefoilpaddle.coordination.published.view_age import ViewAge
@@ -22,13 +22,21 @@
 from trefoilpaddle.state.chain.served_versions import VIEW_LAG_S, ServedVersions
 from trefoilpaddle.state.members import MemberRecord, MemberState
 
-from ..published.store_network import MAX_TIMEOUT_S, READ_S, Gateway, Network
+from ..published.store_network import (
+    MAX_TIMEOUT_S,
+    ONE_WAY_S,
+    READ_S,
+    Gateway,
+    Network,
+)
 from .fakes import FakeAnswer, FakeCalls, route, worker
-from .origins_fleet import LIFE_S, SERVICE, Fleet
+from .origins_fleet import LIFE_S, SERVICE, Fleet, Ways
 from .test_chain_router import member
 from .test_request_path import Rig
 from .virtual_time import VirtualLoop, run_virtual
 
+GRACE_S: Final = 8.0
+
 LONG_S: Final = 60.0
 """Longer than the grace period of a stop and the life of a stream."""
 
@@ -44,7 +52,7 @@
     return [member("g0", 0), *others]
 
 
-async def poll_in_vain(age: ViewAge, records: Sequence[MemberRecord]) -> None:
+async def poll_in_vain(age: ViewAge, records: Sequence[MemberRecord]) -> ViewPoll:
     """Poll others of whom none responds."""
 
     async def query(_: MemberRecord) -> StoreState | None:
@@ -56,37 +64,34 @@
         members=lambda: records,
         query=query,
         apply=lambda state, sent_s: True,
+        grace_s=GRACE_S,
     )
     await poll.poll()
+    return poll
 
 
 class TestBothSidesOfACut:
     @pytest.mark.parametrize(("n_here", "n_there"), [(1, 1), (3, 3)])
-    def test_gateways_that_join_during_a_cut_make_no_majority(
+    def test_gateways_that_join_during_a_cut_infer_by_no_new_split_alone(
         self, n_here: int, n_there: int, monkeypatch: pytest.MonkeyPatch
     ) -> None:
         # Guards against one half that begins streams by its old list while the other
         # half, with a gateway that has joined since, infers by a new one.
         async def scenario() -> None:
-            cut_off = known(*[LIVE] * (n_there - 1), *[SUSPECT] * n_here)
-            others = known(*[LIVE] * n_here, *[SUSPECT] * n_there)
-            age_there, age_here = ViewAge(), ViewAge()
+            fleet = Fleet(1, versions=["v1"], ways=Ways(distributes=True))
+            here, age = fleet.gateways[0], ViewAge()
+            records = known(*[LIVE] * n_here, *[SUSPECT] * n_there)
             await asyncio.sleep(LONG_S)
-
-            async def query(polled: MemberRecord) -> StoreState | None:
-                return StoreState() if polled.state is LIVE else None
-
-            await ViewPoll(
-                own_id="g0",
-                age=age_there,
-                members=lambda: cut_off,
-                query=query,
-                apply=lambda state, sent_s: True,
-            ).poll()
-            age_here.confirm(ago_s=0.0)
-            there = ViewLease(age=age_there, members=lambda: cut_off)
-            here = ViewLease(age=age_here, members=lambda: others)
-            assert not (there.may_begin() and here.may_infer())
+            here.origins.lease = ViewLease(age=age, members=lambda: records)
+            here.workers.put(worker("w9", SERVICE, software_version="v2"))
+            for _ in range(round(2 * LIFE_S)):
+                age.confirm(ago_s=0.0)
+                await asyncio.sleep(1.0)
+            age.confirm(ago_s=0.0)
+            for number in range(40):
+                found = await here.origins.find(f"a{number}", SERVICE, life_s=LIFE_S)
+                if isinstance(found, KnownOrigin):
+                    assert found.software_version == "v1"
 
         run_virtual(monkeypatch, scenario())
 
@@ -103,8 +108,9 @@
             ]
             await asyncio.sleep(LONG_S)
             age = ViewAge()
-            await poll_in_vain(age, records)
-            assert not ViewLease(age=age, members=lambda: records).may_begin()
+            poll = await poll_in_vain(age, records)
+            here = ViewLease(age=age, members=lambda: records, poll=poll)
+            assert not here.may_begin()
 
         run_virtual(monkeypatch, scenario())
 
@@ -199,15 +205,18 @@
                 return StoreState(era=newer.era, revision=newer.revision, digest=1)
 
             records = known(LIVE)
-            await ViewPoll(
+            poll = ViewPoll(
                 own_id="g0",
                 age=feed.age,
                 members=lambda: records,
                 query=query,
                 apply=feed.apply_peer,
-            ).poll()
+            )
+            await poll.poll()
+            await asyncio.sleep(ONE_WAY_S)
             assert feed.position < newer
-            assert not ViewLease(age=feed.age, members=lambda: records).may_begin()
+            here = ViewLease(age=feed.age, members=lambda: records, poll=poll)
+            assert not here.may_begin()
 
         run_virtual(monkeypatch, scenario())
 
@@ -305,7 +314,7 @@
             fields = {"is_stream": True, "is_resumable": True}
             calls = FakeCalls([FakeAnswer(n_events=3)])
             repeat = RepeatPolicy.NON_IDEMPOTENT
-            rig = Rig(calls, route(repeat=repeat, **fields))
+            rig = Rig(calls, route(repeat=repeat, timeout_s=LONG_S, **fields))
             age, loop = ViewAge(), asyncio.get_running_loop()
             assert isinstance(loop, VirtualLoop)
             age.confirm(ago_s=0.0)
@@ -318,6 +327,8 @@
                 yield HeldSlot()
 
             rig.path._hold_slot = stand_still
-            assert isinstance(await rig.serve(), Answered)
+            now_s = loop.time()
+            outcome = await rig.serve(received_s=now_s, deadline_s=now_s + LONG_S)
+            assert isinstance(outcome, Answered)
 
         run_virtual(monkeypatch, scenario())
--- a/tests/chain/virtual_time.py
+++ b/tests/chain/virtual_time.py
@@ -24,9 +24,12 @@
         self._now_s += for_s
 
     def _run_once(self) -> None:
-        if not self._ready and self._scheduled:  # type: ignore[attr-defined]
-            next_s = self._scheduled[0].when()  # type: ignore[attr-defined]
-            self._now_s = max(self._now_s, next_s)
+        timers: list[asyncio.TimerHandle] = self._scheduled  # type: ignore[attr-defined]
+        if not self._ready:  # type: ignore[attr-defined]
+            # The next timer that will run: a cancelled one may be the first.
+            left_s = [timer.when() for timer in timers if not timer.cancelled()]
+            if left_s:
+                self._now_s = max(self._now_s, min(left_s))
         super()._run_once()  # type: ignore[misc]
 
 
