Keep splits in one pass while a gateway is out of reach

Cause: splits are kept ten times a second for as long as a gateway that was lost is remembered, and each one was removed and sorted in again.

Change: one pass over the splits of a service.

--- a/src/trefoilpaddle/state/chain/served_versions.py
+++ b/src/trefoilpaddle/state/chain/served_versions.py
@@ -9,7 +9,7 @@
 import math
 import time
 from collections.abc import Iterable, Mapping
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 from typing import Final
 
 from .stream_versions import stream_key
@@ -203,10 +203,11 @@
         """Count splits that ended after a monotonic time as in force until now."""
         self._refresh()
         now_s = time.monotonic()
-        for service, past in list(self._past.items()):
-            for each in past:
-                if each.ended_s >= since_s:
-                    self._remember(service, each.split, ended_s=now_s)
+        for service, past in self._past.items():
+            self._past[service] = [
+                replace(each, ended_s=now_s) if each.ended_s >= since_s else each
+                for each in past
+            ]
 
     def extend(
         self, splits: Mapping[str, Iterable[VersionSplit]], *, since_s: float
