--- a/tests/chain/virtual_time.py
+++ b/tests/chain/virtual_time.py
@@ -1,6 +1,7 @@
 """An event loop whose clock jumps to the next timer instead of waiting for it."""
 
 import asyncio
+import heapq
 from collections.abc import Coroutine
 from typing import Any, TypeVar
 
@@ -25,11 +26,12 @@
 
     def _run_once(self) -> None:
         timers: list[asyncio.TimerHandle] = self._scheduled  # type: ignore[attr-defined]
-        if not self._ready:  # type: ignore[attr-defined]
-            # The next timer that will run: a cancelled one may be the first.
-            left_s = [timer.when() for timer in timers if not timer.cancelled()]
-            if left_s:
-                self._now_s = max(self._now_s, min(left_s))
+        # The next timer that will run counts; cancelled ones would be waited for.
+        while timers and timers[0].cancelled():
+            heapq.heappop(timers)._scheduled = False  # type: ignore[attr-defined]
+            self._timer_cancelled_count -= 1  # type: ignore[attr-defined]
+        if not self._ready and timers:  # type: ignore[attr-defined]
+            self._now_s = max(self._now_s, timers[0].when())
         super()._run_once()  # type: ignore[misc]
 
 
