Record versions that a peer names and that are not here

Cause: nothing in a log told a gateway that lacks a named version, and goes on reading the store, from one whose reads are given up or whose transfer begins anew.

No change of logic.

--- a/src/trefoilpaddle/coordination/published/active_table.py
+++ b/src/trefoilpaddle/coordination/published/active_table.py
@@ -1,5 +1,6 @@
 """The active route table of a gateway, and how newer versions replace it."""
 
+import time
 from collections.abc import Callable
 from enum import Enum, unique
 
@@ -19,6 +20,14 @@
     READER = "difference sent by a reader"
 
 
+@unique
+class NamedBy(Enum):
+    """The message in which a peer names a newer table."""
+
+    UPDATE = "an update of a reader"
+    STATE = "a peer's answer"
+
+
 class ActiveTable:
     """Activates each newer table: read from the store, or received from a peer.
 
@@ -38,8 +47,10 @@
 
     __slots__ = (
         "_decode",
+        "_missing_since_s",
         "_named_version",
         "_on_table",
+        "_recorded_version",
         "_relay",
         "_store_journal",
         "_unreadable_version",
@@ -59,6 +70,8 @@
         self._store_journal = store_journal
         self._unreadable_version = 0
         self._named_version = 0
+        self._recorded_version = 0
+        self._missing_since_s: float | None = None
 
     @property
     def is_behind(self) -> bool:
@@ -70,6 +83,29 @@
             self._store_journal.version, self._unreadable_version
         )
 
+    @property
+    def missing_s(self) -> float:
+        """Seconds since a peer named a newer table that is still missing; else 0."""
+        if self._missing_since_s is None:
+            return 0.0
+        return time.monotonic() - self._missing_since_s
+
+    def record_named(self, version: int, named_by: NamedBy) -> None:
+        """Record that a peer names a version, once if it is missing here."""
+        known = max(self._store_journal.version, self._unreadable_version)
+        if version <= max(known, self._recorded_version):
+            return
+        self._recorded_version = version
+        self._store_journal.record_named_table(version, source=named_by.value)
+        if self._missing_since_s is None:
+            self._missing_since_s = time.monotonic()
+
+    def _note_found(self) -> None:
+        """Note that a table is here, or cannot be read."""
+        known = max(self._store_journal.version, self._unreadable_version)
+        if self._recorded_version <= known:
+            self._missing_since_s = None
+
     def apply_if_newer(
         self,
         published: PublishedTable | None,
@@ -82,6 +118,7 @@
             return False
         self._store_journal.version = published.table.version
         self._relay.published = published
+        self._note_found()
         self._store_journal.record_active_table(
             source=source.value, n_bytes=len(published.data)
         )
@@ -95,6 +132,7 @@
     def apply_update(self, update: StoreNews) -> bool:
         """Activate the table of an update; return False if it is still missing."""
         self._named_version = max(self._named_version, update.version)
+        self.record_named(update.version, NamedBy.UPDATE)
         if update.version <= max(self._store_journal.version, self._unreadable_version):
             return True
         base = self._relay.published
@@ -110,6 +148,7 @@
         # requested after each update that names this version, the store would be read
         # three times a second.
         self._unreadable_version = update.version
+        self._note_found()
         return True
 
     def change_since(self, base: PublishedTable | None) -> TableChange | None:
--- a/src/trefoilpaddle/coordination/published/store_journal.py
+++ b/src/trefoilpaddle/coordination/published/store_journal.py
@@ -51,6 +51,21 @@
         size = Figure(name="table_bytes", value=n_bytes)
         self._record(Event.CONFIG_IN_FORCE, detail=source, figures=(size,))
 
+    def record_named_table(self, version: int, *, source: str) -> None:
+        """Record that a peer names a newer route table than the active one.
+
+        Parameters
+        ----------
+        version : int
+            The version that the peer names.
+        source : str
+            In which message the peer names it.
+        """
+        named = Figure(name="named_version", value=version)
+        self._record(
+            Event.CONFIG_NAMED, detail=source, figures=(*self._at_position(), named)
+        )
+
     def record_list_request(self, reason: str) -> None:
         """Record that the complete list is requested from the store."""
         self._record(Event.STORE_LISTED, detail=reason)
--- a/src/trefoilpaddle/coordination/published/store_view.py
+++ b/src/trefoilpaddle/coordination/published/store_view.py
@@ -13,7 +13,7 @@
 from ...state.chain.list_digest import ListDigest
 from ...state.chain.workers import WorkerTable
 from ...state.journal import Journal
-from .active_table import ActiveTable
+from .active_table import ActiveTable, NamedBy
 from .answer_times import AnswerTimes
 from .evacuations import Evacuations
 from .published_store import PublishedTable, StoreChanges
@@ -245,6 +245,11 @@
             return
         if state.data:
             self.table.apply_data(state.data)
+        self._apply_list(state)
+        self.table.record_named(state.version, NamedBy.STATE)
+
+    def _apply_list(self, state: StoreState) -> None:
+        """Apply the workers and evacuations that a peer knows, if they are newer."""
         position = position_of(state)
         self.enter_era(position.era)
         if state.evacuated is not None and position.is_known:
--- a/src/trefoilpaddle/coordination/published/table_transfer.py
+++ b/src/trefoilpaddle/coordination/published/table_transfer.py
@@ -27,6 +27,9 @@
 PART_TIMEOUT_S: Final = 1.0
 """Longest wait for a part; it may share its link with callers' streams."""
 
+LOG_PERIOD_S: Final = 1
+"""Least seconds between log lines on parts that are not used."""
+
 MAX_TABLE_BYTES: Final = MAX_FRAME_BYTES
 """Largest table that is accepted, compressed or not."""
 
@@ -162,6 +165,7 @@
             while (holder := self._newest_holder(version)) is not None:
                 part = await self._request_part(holder)
                 if part is None or not self._add(part, holder, newer_than=version):
+                    self._log_given_up(holder, is_lost=part is None)
                     self._give_up(holder, is_lost=part is None)
                 elif len(self._incoming.data) == self._incoming.n_bytes:
                     incoming, self._incoming = self._incoming, Incoming()
@@ -206,6 +210,18 @@
         self._incoming.senders.add(sender)
         return True
 
+    def _log_given_up(self, holder: Address, *, is_lost: bool) -> None:
+        logging.log_every_n_seconds(
+            logging.WARNING,
+            "a part of table %d from %s %s; %d of %d bytes are here",
+            LOG_PERIOD_S,
+            self._holders[holder],
+            holder,
+            "did not arrive in time" if is_lost else "is of no use",
+            len(self._incoming.data),
+            self._incoming.n_bytes,
+        )
+
     def _give_up(self, holder: Address, *, is_lost: bool) -> None:
         """Ask a peer no more, or ask it for the table from the beginning.
 
--- a/src/trefoilpaddle/state/events.py
+++ b/src/trefoilpaddle/state/events.py
@@ -124,6 +124,8 @@
     """The order to evacuate a failure domain has ended; it gets work again."""
     STORE_OUTAGE_OVER = 212
     """The store answers again; states for how long removed workers stay in use."""
+    CONFIG_NAMED = 213
+    """A peer names a newer catalogue than the active one; states what is known here."""
     # Membership
     MEMBER_JOINED = 220
     """A process became live for the first time, or again."""
