Test that a table is not passed over for a peer's position

Change: a gateway whose reads take longer than the wait before peers are queried, to which updates come late and whose parts of a table are lost, must have a change within three seconds, whenever it is published. In virtual time, listed as red.

--- a/tests/published/store_network.py
+++ b/tests/published/store_network.py
@@ -238,7 +238,8 @@
     ) -> Result[StoreState | TablePart, str]:
         """Return the other gateway's response."""
         self._count(self._one, message)
-        if self._other.is_stopped or self._is_cut():
+        is_lost = isinstance(message, TablePull) and self._one.loses_parts
+        if self._other.is_stopped or self._is_cut() or is_lost:
             await asyncio.sleep(timeout_s)
             return Err("silent")
         await asyncio.sleep(ONE_WAY_S)
@@ -270,6 +271,7 @@
         self.network = network
         self.is_disconnected = False
         self.is_cut = False
+        self.loses_parts = False
         self.n_disconnects = 0
         self.is_stopped = False
         self.read_s = READ_S
