Keep the position of the table apart from that of the workers

Callers saw requests handled by a version that had been replaced more than three seconds before, also four to seven seconds, at gateways on weak links.

Cause: a gateway asks the store for what came after its position. A peer that is queried while a read is under way states its position and the version of its table, and sends the table in parts, by other messages. The position was taken over with the peer's list, or because the lists are the same, whether or not the table had arrived. If the transfer failed, no read of the store brought the table any more, and readers with such a position passed it on.

Change: the table has a position of its own, up to which the store has nothing newer that can be read. A peer's claim moves it once the named version is here. Reads begin at the earlier of the two, so that the worker list of a peer still counts at once. StoreState and StoreNews state the position of the table, so that no gateway takes over more than the sender knows. A version that a peer's answer names counts as named.

Ruled out: holding back the position of the workers as well, as a gateway that the store refuses would send to leaving workers until the table has arrived; reading only the table's key, as that needs another path for a lost history and an era.

--- a/idl/chain.thrift
+++ b/idl/chain.thrift
@@ -146,6 +146,7 @@
   13: optional list<string> evacuated  // all failure domains that get no work; unset by earlier builds
   14: optional i64 version_digest  // with software versions; unset by earlier builds
   15: optional i64 view_age_ms   // since the store last had what this side lists; unset if never, and by earlier builds
+  16: optional i64 table_revision  // up to here nothing newer than the version was published; unset by earlier builds
 }
 
 // Bytes of a table: some of the one before, then some that are new.
@@ -191,6 +192,7 @@
   16: optional i64 reader_incarnation  // of the process that sends it; unset by earlier builds
   17: optional i64 sent_ms       // on the clock of its host; unset by earlier builds
   18: optional i64 view_age_ms   // since the store last had what the sender lists; unset by earlier builds
+  19: optional i64 table_revision  // up to here nothing newer than the version was published; unset by earlier builds
 }
 
 struct WorkerCrash {
--- a/src/trefoilpaddle/coordination/published/active_table.py
+++ b/src/trefoilpaddle/coordination/published/active_table.py
@@ -2,11 +2,13 @@
 
 import time
 from collections.abc import Callable
+from dataclasses import dataclass
 from enum import Enum, unique
 
 from ...protocol.gen.chain.ttypes import StoreNews, TableChange
-from .published_store import PublishedTable
+from .published_store import PublishedTable, StoreChanges
 from .store_journal import StoreJournal
+from .store_position import StorePosition
 from .store_relay import StoreRelay
 from .table_change import change_between, changed_data
 
@@ -28,10 +30,28 @@
     STATE = "a peer's answer"
 
 
+@dataclass(frozen=True, slots=True, kw_only=True)
+class NewestVersion:
+    """The newest version that the store has up to a position.
+
+    Parameters
+    ----------
+    version : int
+        The version.
+    position : StorePosition
+        The position.
+    """
+
+    version: int
+    position: StorePosition
+
+
 class ActiveTable:
     """Activates each newer table: read from the store, or received from a peer.
 
-    A peer sends a table in full, or as the difference from the previous one.
+    A peer sends a table in full, or as the difference from the previous one. It names
+    a version before, so the position up to which a table is known is not the one up
+    to which the workers are.
 
     Parameters
     ----------
@@ -47,6 +67,7 @@
 
     __slots__ = (
         "_decode",
+        "_expected",
         "_missing_since_s",
         "_named_version",
         "_on_table",
@@ -72,6 +93,24 @@
         self._named_version = 0
         self._recorded_version = 0
         self._missing_since_s: float | None = None
+        self._expected: NewestVersion | None = None
+
+    @property
+    def position(self) -> StorePosition:
+        """Position up to which the store has no newer table that can be read."""
+        return self._relay.table_position
+
+    def enter_era(self, era: int) -> None:
+        """Switch to a later era of the store, of which no table is known yet."""
+        self._expected = None
+        self._relay.table_position = StorePosition(era=era)
+
+    def _advance(self, position: StorePosition) -> None:
+        self._relay.table_position = max(self.position, position)
+
+    def _has(self, version: int) -> bool:
+        """Return True if a version is active, or replaced, or cannot be read."""
+        return version <= max(self._store_journal.version, self._unreadable_version)
 
     @property
     def is_behind(self) -> bool:
@@ -79,9 +118,7 @@
 
         A store that was restored from a backup may not have that table.
         """
-        return self._named_version > max(
-            self._store_journal.version, self._unreadable_version
-        )
+        return not self._has(self._named_version)
 
     @property
     def missing_s(self) -> float:
@@ -90,10 +127,34 @@
             return 0.0
         return time.monotonic() - self._missing_since_s
 
-    def record_named(self, version: int, named_by: NamedBy) -> None:
-        """Record that a peer names a version, once if it is missing here."""
-        known = max(self._store_journal.version, self._unreadable_version)
-        if version <= max(known, self._recorded_version):
+    def apply_read(self, changes: StoreChanges) -> None:
+        """Activate the table of a read, and record up to where none is newer.
+
+        Parameters
+        ----------
+        changes : StoreChanges
+            All that the store has, or what has changed since `position` or earlier.
+        """
+        self.apply_if_newer(changes.table)
+        self._advance(changes.position)
+
+    def learn_newest(self, newest: NewestVersion, named_by: NamedBy) -> None:
+        """Take over from a peer which version is the newest up to a position.
+
+        The position counts once that version is here: the store is asked for what came
+        after it, and a transfer of the table may fail.
+        """
+        self._named_version = max(self._named_version, newest.version)
+        if self._has(newest.version):
+            self._advance(newest.position)
+            return
+        self._record_missing(newest.version, named_by)
+        if self._expected is None or newest.position > self._expected.position:
+            self._expected = newest
+
+    def _record_missing(self, version: int, named_by: NamedBy) -> None:
+        """Record once that a peer names a version that is not here."""
+        if version <= self._recorded_version:
             return
         self._recorded_version = version
         self._store_journal.record_named_table(version, source=named_by.value)
@@ -102,9 +163,12 @@
 
     def _note_found(self) -> None:
         """Note that a table is here, or cannot be read."""
-        known = max(self._store_journal.version, self._unreadable_version)
-        if self._recorded_version <= known:
+        if self._has(self._recorded_version):
             self._missing_since_s = None
+        expected = self._expected
+        if expected is not None and self._has(expected.version):
+            self._expected = None
+            self._advance(expected.position)
 
     def apply_if_newer(
         self,
@@ -131,9 +195,7 @@
 
     def apply_update(self, update: StoreNews) -> bool:
         """Activate the table of an update; return False if it is still missing."""
-        self._named_version = max(self._named_version, update.version)
-        self.record_named(update.version, NamedBy.UPDATE)
-        if update.version <= max(self._store_journal.version, self._unreadable_version):
+        if self._has(update.version):
             return True
         base = self._relay.published
         if update.table is None or base is None:
--- a/src/trefoilpaddle/coordination/published/store_feed.py
+++ b/src/trefoilpaddle/coordination/published/store_feed.py
@@ -135,7 +135,8 @@
     async def run(self) -> None:
         """Read the store until cancelled."""
         while True:
-            if not self.position.is_known or self._readers.must_read():
+            is_needed = self._readers.must_read() or self.view.lacks_table
+            if is_needed or not self.position.is_known:
                 began_s = self._began_s = time.monotonic()
                 is_read = await self._read_or_catch_up()
                 self._readers.record_read(is_answered=is_read)
@@ -165,7 +166,7 @@
     def _is_served_by_others(self) -> bool:
         """Return True if nothing is missing here and other gateways read the store."""
         is_complete = self.is_known and self.position.is_known
-        is_behind = self.view.table.is_behind
+        is_behind = self.view.table.is_behind or self.view.lacks_table
         return is_complete and not is_behind and not self._readers.is_reader()
 
     async def _pause(self, for_s: float) -> None:
@@ -226,12 +227,13 @@
         is_again : bool
             True if an earlier read is still outstanding.
         """
-        requested = self.position
+        requested = self.view.read_position
         sent_s = elapsed_s()
-        reason = self.view.list_reason
+        is_for_table = self.position.is_known and not requested.is_known
+        reason = ListReason.TABLE_MISSING if is_for_table else self.view.list_reason
         if not (self.is_unavailable or is_again):
             self._requested_s = time.monotonic()
-        match await self._read_after(requested):
+        match await self._read_after(requested, reason):
             case Ok(changes):
                 hung_s = time.monotonic() - self._began_s if is_again else 0.0
                 self._record_response(
@@ -239,7 +241,7 @@
                 )
                 return await self._apply_response(changes, requested, reason, sent_s)
             case Err(StoreFault.HISTORY_LOST):
-                if self.position == requested:
+                if self.view.read_position == requested:
                     self.view.request_list(ListReason.CHANGES_LOST)
                 if self.position.is_known or self._leaves_list_to_others():
                     # Other gateways have sent the changes since, or a later era.
@@ -250,12 +252,12 @@
                 return False
 
     async def _read_after(
-        self, after: StorePosition
+        self, after: StorePosition, reason: ListReason
     ) -> Result[StoreChanges, StoreFault]:
         """Read what has changed since a position, or the list if none is known."""
         if after.is_known:
             return await self._store.changes(after)
-        self.view.store_journal.record_list_request(self.view.list_reason.value)
+        self.view.store_journal.record_list_request(reason.value)
         return await self._store.snapshot()
 
     async def _apply_response(
@@ -285,10 +287,11 @@
             if self.position.is_known or self._leaves_list_to_others():
                 return self.position.is_known
             return await self.read_once()
-        if not is_changes and reason is ListReason.RECOVERY and self.position.is_known:
+        is_told = reason in (ListReason.RECOVERY, ListReason.TABLE_MISSING)
+        if not is_changes and is_told and self.position.is_known:
             # Other gateways have sent the difference; sending a list would send all
             # of it to every gateway.
-            self.view.table.apply_if_newer(changes.table)
+            self.view.table.apply_read(changes)
             return True
         scope = Scope.CHANGES if is_changes else self.view.list_scope
         update = self.view.apply_read(changes, scope)
--- a/src/trefoilpaddle/coordination/published/store_relay.py
+++ b/src/trefoilpaddle/coordination/published/store_relay.py
@@ -66,6 +66,8 @@
         The newest table known to this gateway.
     position : StorePosition
         Position up to which this gateway knows the store's changes.
+    table_position : StorePosition
+        Position up to which the store has no newer table than `published`.
     is_unavailable : bool
         True while this gateway cannot read the store itself.
     transfer : TableTransfer
@@ -83,6 +85,7 @@
         "needs_list",
         "position",
         "published",
+        "table_position",
         "transfer",
     )
 
@@ -96,6 +99,7 @@
         self.needs_list = False
         self.published: PublishedTable | None = None
         self.position = StorePosition()
+        self.table_position = StorePosition()
         self.is_unavailable = False
         self.transfer = TableTransfer(process=process, published=lambda: self.published)
         process.server.add_handler(StorePull, self.respond)
@@ -106,6 +110,7 @@
             era=self.position.era,
             revision=self.position.revision,
             is_away=self.is_unavailable,
+            table_revision=self.table_position.revision,
         )
         digest = self._digest() if self.position.is_known else ListDigest()
         state.digest, state.domain_digest = digest.entries, digest.domains
--- a/src/trefoilpaddle/coordination/published/store_view.py
+++ b/src/trefoilpaddle/coordination/published/store_view.py
@@ -13,7 +13,7 @@
 from ...state.chain.list_digest import ListDigest
 from ...state.chain.workers import WorkerTable
 from ...state.journal import Journal
-from .active_table import ActiveTable, NamedBy
+from .active_table import ActiveTable, NamedBy, NewestVersion
 from .answer_times import AnswerTimes
 from .evacuations import Evacuations
 from .published_store import PublishedTable, StoreChanges
@@ -30,6 +30,7 @@
     list_from_update,
     listed_to_wire,
     position_of,
+    table_position_of,
     unconfirmed_from,
 )
 from .worker_listing import NO_RECENT_RECOVERY_MS, Scope, WorkerListing
@@ -59,6 +60,7 @@
     CHANGES_LOST = "the store lost its history"
     DIGEST_MISMATCH = "lists differ"
     RECOVERY = "the store came back from a copy"
+    TABLE_MISSING = "no peer sends the newest table"
     EVACUATIONS_UNKNOWN = "a peer does not know which failure domains get no work"
 
 
@@ -158,6 +160,16 @@
         """Position up to which changes are known; revision 0 if a list is needed."""
         return self.store_journal.position
 
+    @property
+    def lacks_table(self) -> bool:
+        """True if a newer table may have been published before the position."""
+        return self.table.position < self.position
+
+    @property
+    def read_position(self) -> StorePosition:
+        """Position after which changes are read; revision 0 to read the list."""
+        return min(self.position, self.table.position)
+
     @property
     def needs_era_list(self) -> bool:
         """True if an earlier era is known, but no list of the current one."""
@@ -188,6 +200,7 @@
             self.record_recovery(self.era_entered_s, RecoverySource.ERA)
         self.store_journal.position = StorePosition(era=era)
         self._relay.position = self.store_journal.position
+        self.table.enter_era(era)
 
     def apply_read(self, changes: StoreChanges, scope: Scope) -> StoreNews:
         """Apply the result of a read; return the update to send to other gateways."""
@@ -199,12 +212,12 @@
             # Updates or peers have advanced the view since the read began. Applying
             # an older result would remove workers that are listed again and list
             # workers that were removed. All its worker changes are part of the current
-            # view. Its table may not be, as the update with it may have been lost;
-            # an older table is never activated.
+            # view. Its table may not be, as the update with it may have been lost.
             changes = StoreChanges(position=changes.position, table=changes.table)
             scope = Scope.CHANGES
         update = StoreNews(base_revision=self._relay.position.revision)
         base_table = self._relay.published
+        self.table.apply_read(changes)
         if scope is Scope.FIRST_LIST:
             digest = ListDigest() if self._relay.needs_list else self.listing.digest
             update.base = EarlierList(
@@ -226,6 +239,7 @@
     def _fill_update(self, update: StoreNews, changed: StoreChanges) -> None:
         update.era, update.revision = self.position.era, self.position.revision
         update.version = self.store_journal.version
+        update.table_revision = self.table.position.revision
         update.workers = [listed_to_wire(worker) for worker in changed.workers]
         update.removed = list(changed.removed)
         withdrawn = [entry.worker_id for entry in changed.unreadable]
@@ -246,7 +260,13 @@
         if state.data:
             self.table.apply_data(state.data)
         self._apply_list(state)
-        self.table.record_named(state.version, NamedBy.STATE)
+        self._learn_newest(state, NamedBy.STATE)
+
+    def _learn_newest(self, message: StoreNews | StoreState, named_by: NamedBy) -> None:
+        newest = NewestVersion(
+            version=message.version, position=table_position_of(message)
+        )
+        self.table.learn_newest(newest, named_by)
 
     def _apply_list(self, state: StoreState) -> None:
         """Apply the workers and evacuations that a peer knows, if they are newer."""
@@ -284,6 +304,7 @@
         has_table = self.table.apply_update(update)
         position = position_of(update)
         self.enter_era(position.era)
+        self._learn_newest(update, NamedBy.UPDATE)
         if position.era < self.position.era:
             return UpdateGap.STALE
         if update.evacuated is not None:
@@ -360,7 +381,6 @@
 
     def _apply(self, changes: StoreChanges, scope: Scope) -> StoreChanges:
         """Apply changes; return the worker changes that other gateways may not know."""
-        self.table.apply_if_newer(changes.table)
         is_recovery = self.needs_era_list
         changed = self.listing.apply(changes, scope=scope, now_s=time.monotonic())
         self.store_journal.position = max(self.position, changes.position)
--- a/src/trefoilpaddle/coordination/published/store_wire.py
+++ b/src/trefoilpaddle/coordination/published/store_wire.py
@@ -48,6 +48,7 @@
     return (
         0 <= message.era <= MAX_ERA
         and 0 <= message.revision <= MAX_REVISION
+        and 0 <= (message.table_revision or 0) <= MAX_REVISION
         and 0 <= message.version <= MAX_VERSION
     )
 
@@ -57,6 +58,13 @@
     return StorePosition(era=message.era, revision=message.revision)
 
 
+def table_position_of(message: StoreNews | StoreState) -> StorePosition:
+    """Return up to where a peer knows that its version is the newest."""
+    if message.table_revision is None:
+        return position_of(message)
+    return StorePosition(era=message.era, revision=message.table_revision)
+
+
 def digest_of(message: StoreNews | StorePull | StoreState | EarlierList) -> ListDigest:
     """Return the digest of a peer's list."""
     return ListDigest(
--- a/src/trefoilpaddle/protocol/gen/chain/ttypes.py
+++ b/src/trefoilpaddle/protocol/gen/chain/ttypes.py
@@ -1855,6 +1855,7 @@
      - evacuated
      - version_digest
      - view_age_ms
+     - table_revision
 
     """
 
@@ -1874,13 +1875,14 @@
         'evacuated',
         'version_digest',
         'view_age_ms',
+        'table_revision',
     )
 
 
     def __init__(self, revision=0, version=0, data=b"", workers=[
     ], is_away=False, lapsed=[
     ], back_ms=-1, digest=0, era=0, doubted=[
-    ], answered_ms=-1, domain_digest=None, evacuated=None, version_digest=None, view_age_ms=None,):
+    ], answered_ms=-1, domain_digest=None, evacuated=None, version_digest=None, view_age_ms=None, table_revision=None,):
         self.revision = revision
         self.version = version
         self.data = data
@@ -1905,6 +1907,7 @@
         self.evacuated = evacuated
         self.version_digest = version_digest
         self.view_age_ms = view_age_ms
+        self.table_revision = table_revision
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -2012,6 +2015,11 @@
                     self.view_age_ms = iprot.readI64()
                 else:
                     iprot.skip(ftype)
+            elif fid == 16:
+                if ftype == TType.I64:
+                    self.table_revision = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -2094,6 +2102,10 @@
             oprot.writeFieldBegin('view_age_ms', TType.I64, 15)
             oprot.writeI64(self.view_age_ms)
             oprot.writeFieldEnd()
+        if self.table_revision is not None:
+            oprot.writeFieldBegin('table_revision', TType.I64, 16)
+            oprot.writeI64(self.table_revision)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -2441,6 +2453,7 @@
      - reader_incarnation
      - sent_ms
      - view_age_ms
+     - table_revision
 
     """
 
@@ -2463,12 +2476,13 @@
         'reader_incarnation',
         'sent_ms',
         'view_age_ms',
+        'table_revision',
     )
 
 
     def __init__(self, base_revision=0, revision=0, version=0, workers=[
     ], removed=[
-    ], digest=0, back_ms=-1, withdrawn=None, table=None, era=0, base=None, doubted=None, domain_digest=None, evacuated=None, version_digest=None, reader_incarnation=None, sent_ms=None, view_age_ms=None,):
+    ], digest=0, back_ms=-1, withdrawn=None, table=None, era=0, base=None, doubted=None, domain_digest=None, evacuated=None, version_digest=None, reader_incarnation=None, sent_ms=None, view_age_ms=None, table_revision=None,):
         self.base_revision = base_revision
         self.revision = revision
         self.version = version
@@ -2493,6 +2507,7 @@
         self.reader_incarnation = reader_incarnation
         self.sent_ms = sent_ms
         self.view_age_ms = view_age_ms
+        self.table_revision = table_revision
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -2622,6 +2637,11 @@
                     self.view_age_ms = iprot.readI64()
                 else:
                     iprot.skip(ftype)
+            elif fid == 19:
+                if ftype == TType.I64:
+                    self.table_revision = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -2719,6 +2739,10 @@
             oprot.writeFieldBegin('view_age_ms', TType.I64, 18)
             oprot.writeI64(self.view_age_ms)
             oprot.writeFieldEnd()
+        if self.table_revision is not None:
+            oprot.writeFieldBegin('table_revision', TType.I64, 19)
+            oprot.writeI64(self.table_revision)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -5319,6 +5343,7 @@
     (13, TType.LIST, 'evacuated', (TType.STRING, 'UTF8', False), None, ),  # 13
     (14, TType.I64, 'version_digest', None, None, ),  # 14
     (15, TType.I64, 'view_age_ms', None, None, ),  # 15
+    (16, TType.I64, 'table_revision', None, None, ),  # 16
 )
 all_structs.append(TablePiece)
 TablePiece.thrift_spec = (
@@ -5366,6 +5391,7 @@
     (16, TType.I64, 'reader_incarnation', None, None, ),  # 16
     (17, TType.I64, 'sent_ms', None, None, ),  # 17
     (18, TType.I64, 'view_age_ms', None, None, ),  # 18
+    (19, TType.I64, 'table_revision', None, None, ),  # 19
 )
 all_structs.append(WorkerCrash)
 WorkerCrash.thrift_spec = (
