Transfer tables beside the reads of the store

Cause: the transfer of a table from peers ran inside a read of the store. A part that is lost takes a second, at each of three peers in turn, during which the gateway read nothing; and each read of the store that ended cancelled the part that was under way.

Change: one transfer at a time runs beside the reads, begins as soon as a peer names a newer version, also in a poll, and is waited for no longer than a query.

--- a/src/trefoilpaddle/coordination/published/store_feed.py
+++ b/src/trefoilpaddle/coordination/published/store_feed.py
@@ -78,6 +78,7 @@
 
     __slots__ = (
         "_began_s",
+        "_fetching",
         "_query_peers",
         "_read_s",
         "_readers",
@@ -114,6 +115,7 @@
         )
         self._requested_s = 0.0
         self._began_s = 0.0
+        self._fetching: asyncio.Task[None] | None = None
         self._read_s = time.monotonic()
         self.is_unavailable = False
 
@@ -134,6 +136,13 @@
 
     async def run(self) -> None:
         """Read the store until cancelled."""
+        try:
+            await self._run()
+        finally:
+            if self._fetching is not None:
+                self._fetching.cancel()
+
+    async def _run(self) -> None:
         while True:
             is_needed = self._readers.must_read() or self.view.lacks_table
             if is_needed or not self.position.is_known:
@@ -309,9 +318,27 @@
             if state.answered_ms >= 0:
                 answered_s = time.monotonic() - state.answered_ms / MS_PER_S
                 self.view.answers.record(answered_s)
-        data = await self._relay.transfer.fetch_newer(self.view.store_journal.version)
-        if data is not None:
-            self.view.table.apply_data(data)
+        # A transfer that hangs must not keep this gateway from reading the store, and
+        # one that makes progress must not end with the read that it runs beside.
+        self._fetch_table()
+        if self._fetching is not None:
+            await asyncio.wait({self._fetching}, timeout=PEER_FALLBACK_S)
+
+    def _fetch_table(self) -> None:
+        """Begin the transfer of a newer table, if a peer has one."""
+        is_under_way = self._fetching is not None and not self._fetching.done()
+        version = self.view.store_journal.version
+        if not is_under_way and self._relay.transfer.has_newer(version):
+            self._fetching = asyncio.create_task(self._receive_table())
+
+    async def _receive_table(self) -> None:
+        version = self.view.store_journal.version
+        try:
+            data = await self._relay.transfer.fetch_newer(version)
+            if data is not None:
+                self.view.table.apply_data(data)
+        except Exception:
+            logging.exception("the table of a peer could not be applied")
 
     def apply_peer(self, state: StoreState, sent_s: float) -> bool:
         """Apply what a peer knows; return True if it has nothing newer afterwards.
@@ -324,6 +351,7 @@
             When it was queried, on the clock of `elapsed_s`.
         """
         self.view.apply_state(state)
+        self._fetch_table()
         position, own = position_of(state), self.position
         if not is_credible(state) or not own.is_known:
             return False
--- a/src/trefoilpaddle/coordination/published/table_transfer.py
+++ b/src/trefoilpaddle/coordination/published/table_transfer.py
@@ -150,6 +150,10 @@
         """Note that a peer has a table and sends it in parts."""
         self._holders[address] = version
 
+    def has_newer(self, version: int) -> bool:
+        """Return True if a peer has a table that is newer than `version`."""
+        return any(held > version for held in self._holders.values())
+
     async def fetch_newer(self, version: int) -> bytes | None:
         """Return a table that is newer than `version`; None if no peer sends one.
 
