Compare the published slots of workers as well

Two lists count as the same by digests of ids, services, addresses, states, starts, failure domains and software versions, but not of published slots. A gateway that took over a peer's position with an equal digest never learned of slots that a worker had changed before that position, and used more or fewer of them without end. Nobody has reported it.

Change: a further digest, which builds without it ignore.

--- a/idl/chain.thrift
+++ b/idl/chain.thrift
@@ -112,6 +112,7 @@
   5: optional i64 domain_digest  // with failure domains; unset by earlier builds
   6: optional bool takes_parts   // the answer needs no table; unset by earlier builds
   7: optional i64 version_digest  // with software versions; unset by earlier builds
+  8: optional i64 slot_digest    // with published slots; unset by earlier builds
 }
 
 // Asks a peer for a part of its newest table.
@@ -147,6 +148,7 @@
   14: optional i64 version_digest  // with software versions; unset by earlier builds
   15: optional i64 view_age_ms   // since the store last had what this side lists; unset if never, and by earlier builds
   16: optional i64 table_revision  // up to here nothing newer than the version was published; unset by earlier builds
+  17: optional i64 slot_digest   // with published slots; unset by earlier builds
 }
 
 // Bytes of a table: some of the one before, then some that are new.
@@ -169,6 +171,7 @@
   2: i64 digest = 0              // over all workers listed; 0 if that list was not relied on
   3: optional i64 domain_digest  // with failure domains; unset by earlier builds
   4: optional i64 version_digest  // with software versions; unset by earlier builds
+  5: optional i64 slot_digest    // with published slots; unset by earlier builds
 }
 
 // Without an answer: what a gateway that reads the store for others has just
@@ -193,6 +196,7 @@
   17: optional i64 sent_ms       // on the clock of its host; unset by earlier builds
   18: optional i64 view_age_ms   // since the store last had what the sender lists; unset by earlier builds
   19: optional i64 table_revision  // up to here nothing newer than the version was published; unset by earlier builds
+  20: optional i64 slot_digest   // with published slots; unset by earlier builds
 }
 
 struct WorkerCrash {
--- a/src/trefoilpaddle/coordination/published/store_relay.py
+++ b/src/trefoilpaddle/coordination/published/store_relay.py
@@ -115,6 +115,7 @@
         digest = self._digest() if self.position.is_known else ListDigest()
         state.digest, state.domain_digest = digest.entries, digest.domains
         state.version_digest = digest.versions
+        state.slot_digest = digest.slots
         if self.evacuations is not None:
             state.evacuated = sorted(self.evacuations.domains)
         if self.answered_s is not None:
@@ -175,6 +176,7 @@
             digest=digest.entries,
             domain_digest=digest.domains,
             version_digest=digest.versions,
+            slot_digest=digest.slots,
             takes_parts=True,
         )
 
--- a/src/trefoilpaddle/coordination/published/store_view.py
+++ b/src/trefoilpaddle/coordination/published/store_view.py
@@ -225,6 +225,7 @@
                 digest=digest.entries,
                 domain_digest=digest.domains,
                 version_digest=digest.versions,
+                slot_digest=digest.slots,
             )
             listed = self.listing.listed()
             self._apply(changes, scope)
@@ -249,6 +250,7 @@
         digest = self.listing.digest
         update.digest, update.domain_digest = digest.entries, digest.domains
         update.version_digest = digest.versions
+        update.slot_digest = digest.slots
         update.evacuated = sorted(self.evacuations.domains)
         update.back_ms = self.listing.recovery_age_ms(time.monotonic())
 
--- a/src/trefoilpaddle/coordination/published/store_wire.py
+++ b/src/trefoilpaddle/coordination/published/store_wire.py
@@ -71,6 +71,7 @@
         entries=message.digest,
         domains=message.domain_digest,
         versions=message.version_digest,
+        slots=message.slot_digest,
     )
 
 
--- a/src/trefoilpaddle/protocol/gen/chain/ttypes.py
+++ b/src/trefoilpaddle/protocol/gen/chain/ttypes.py
@@ -1511,6 +1511,7 @@
      - domain_digest
      - takes_parts
      - version_digest
+     - slot_digest
 
     """
 
@@ -1522,10 +1523,11 @@
         'domain_digest',
         'takes_parts',
         'version_digest',
+        'slot_digest',
     )
 
 
-    def __init__(self, revision=0, version=0, digest=0, era=0, domain_digest=None, takes_parts=None, version_digest=None,):
+    def __init__(self, revision=0, version=0, digest=0, era=0, domain_digest=None, takes_parts=None, version_digest=None, slot_digest=None,):
         self.revision = revision
         self.version = version
         self.digest = digest
@@ -1533,6 +1535,7 @@
         self.domain_digest = domain_digest
         self.takes_parts = takes_parts
         self.version_digest = version_digest
+        self.slot_digest = slot_digest
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -1578,6 +1581,11 @@
                     self.version_digest = iprot.readI64()
                 else:
                     iprot.skip(ftype)
+            elif fid == 8:
+                if ftype == TType.I64:
+                    self.slot_digest = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -1616,6 +1624,10 @@
             oprot.writeFieldBegin('version_digest', TType.I64, 7)
             oprot.writeI64(self.version_digest)
             oprot.writeFieldEnd()
+        if self.slot_digest is not None:
+            oprot.writeFieldBegin('slot_digest', TType.I64, 8)
+            oprot.writeI64(self.slot_digest)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -1856,6 +1868,7 @@
      - version_digest
      - view_age_ms
      - table_revision
+     - slot_digest
 
     """
 
@@ -1876,13 +1889,14 @@
         'version_digest',
         'view_age_ms',
         'table_revision',
+        'slot_digest',
     )
 
 
     def __init__(self, revision=0, version=0, data=b"", workers=[
     ], is_away=False, lapsed=[
     ], back_ms=-1, digest=0, era=0, doubted=[
-    ], answered_ms=-1, domain_digest=None, evacuated=None, version_digest=None, view_age_ms=None, table_revision=None,):
+    ], answered_ms=-1, domain_digest=None, evacuated=None, version_digest=None, view_age_ms=None, table_revision=None, slot_digest=None,):
         self.revision = revision
         self.version = version
         self.data = data
@@ -1908,6 +1922,7 @@
         self.version_digest = version_digest
         self.view_age_ms = view_age_ms
         self.table_revision = table_revision
+        self.slot_digest = slot_digest
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -2020,6 +2035,11 @@
                     self.table_revision = iprot.readI64()
                 else:
                     iprot.skip(ftype)
+            elif fid == 17:
+                if ftype == TType.I64:
+                    self.slot_digest = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -2106,6 +2126,10 @@
             oprot.writeFieldBegin('table_revision', TType.I64, 16)
             oprot.writeI64(self.table_revision)
             oprot.writeFieldEnd()
+        if self.slot_digest is not None:
+            oprot.writeFieldBegin('slot_digest', TType.I64, 17)
+            oprot.writeI64(self.slot_digest)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -2335,6 +2359,7 @@
      - digest
      - domain_digest
      - version_digest
+     - slot_digest
 
     """
 
@@ -2343,14 +2368,16 @@
         'digest',
         'domain_digest',
         'version_digest',
+        'slot_digest',
     )
 
 
-    def __init__(self, era=0, digest=0, domain_digest=None, version_digest=None,):
+    def __init__(self, era=0, digest=0, domain_digest=None, version_digest=None, slot_digest=None,):
         self.era = era
         self.digest = digest
         self.domain_digest = domain_digest
         self.version_digest = version_digest
+        self.slot_digest = slot_digest
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -2381,6 +2408,11 @@
                     self.version_digest = iprot.readI64()
                 else:
                     iprot.skip(ftype)
+            elif fid == 5:
+                if ftype == TType.I64:
+                    self.slot_digest = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -2407,6 +2439,10 @@
             oprot.writeFieldBegin('version_digest', TType.I64, 4)
             oprot.writeI64(self.version_digest)
             oprot.writeFieldEnd()
+        if self.slot_digest is not None:
+            oprot.writeFieldBegin('slot_digest', TType.I64, 5)
+            oprot.writeI64(self.slot_digest)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -2454,6 +2490,7 @@
      - sent_ms
      - view_age_ms
      - table_revision
+     - slot_digest
 
     """
 
@@ -2477,12 +2514,13 @@
         'sent_ms',
         'view_age_ms',
         'table_revision',
+        'slot_digest',
     )
 
 
     def __init__(self, base_revision=0, revision=0, version=0, workers=[
     ], removed=[
-    ], digest=0, back_ms=-1, withdrawn=None, table=None, era=0, base=None, doubted=None, domain_digest=None, evacuated=None, version_digest=None, reader_incarnation=None, sent_ms=None, view_age_ms=None, table_revision=None,):
+    ], digest=0, back_ms=-1, withdrawn=None, table=None, era=0, base=None, doubted=None, domain_digest=None, evacuated=None, version_digest=None, reader_incarnation=None, sent_ms=None, view_age_ms=None, table_revision=None, slot_digest=None,):
         self.base_revision = base_revision
         self.revision = revision
         self.version = version
@@ -2508,6 +2546,7 @@
         self.sent_ms = sent_ms
         self.view_age_ms = view_age_ms
         self.table_revision = table_revision
+        self.slot_digest = slot_digest
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -2642,6 +2681,11 @@
                     self.table_revision = iprot.readI64()
                 else:
                     iprot.skip(ftype)
+            elif fid == 20:
+                if ftype == TType.I64:
+                    self.slot_digest = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -2743,6 +2787,10 @@
             oprot.writeFieldBegin('table_revision', TType.I64, 19)
             oprot.writeI64(self.table_revision)
             oprot.writeFieldEnd()
+        if self.slot_digest is not None:
+            oprot.writeFieldBegin('slot_digest', TType.I64, 20)
+            oprot.writeI64(self.slot_digest)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -5306,6 +5354,7 @@
     (5, TType.I64, 'domain_digest', None, None, ),  # 5
     (6, TType.BOOL, 'takes_parts', None, None, ),  # 6
     (7, TType.I64, 'version_digest', None, None, ),  # 7
+    (8, TType.I64, 'slot_digest', None, None, ),  # 8
 )
 all_structs.append(TablePull)
 TablePull.thrift_spec = (
@@ -5344,6 +5393,7 @@
     (14, TType.I64, 'version_digest', None, None, ),  # 14
     (15, TType.I64, 'view_age_ms', None, None, ),  # 15
     (16, TType.I64, 'table_revision', None, None, ),  # 16
+    (17, TType.I64, 'slot_digest', None, None, ),  # 17
 )
 all_structs.append(TablePiece)
 TablePiece.thrift_spec = (
@@ -5367,6 +5417,7 @@
     (2, TType.I64, 'digest', None, 0, ),  # 2
     (3, TType.I64, 'domain_digest', None, None, ),  # 3
     (4, TType.I64, 'version_digest', None, None, ),  # 4
+    (5, TType.I64, 'slot_digest', None, None, ),  # 5
 )
 all_structs.append(StoreNews)
 StoreNews.thrift_spec = (
@@ -5392,6 +5443,7 @@
     (17, TType.I64, 'sent_ms', None, None, ),  # 17
     (18, TType.I64, 'view_age_ms', None, None, ),  # 18
     (19, TType.I64, 'table_revision', None, None, ),  # 19
+    (20, TType.I64, 'slot_digest', None, None, ),  # 20
 )
 all_structs.append(WorkerCrash)
 WorkerCrash.thrift_spec = (
--- a/src/trefoilpaddle/protocol/gen/chain/ttypes.pyi
+++ b/src/trefoilpaddle/protocol/gen/chain/ttypes.pyi
@@ -90,7 +90,8 @@
     domain_digest: int | None
     takes_parts: bool | None
     version_digest: int | None
-    def __init__(self, *, revision: int = ..., version: int = ..., digest: int = ..., era: int = ..., domain_digest: int | None = ..., takes_parts: bool | None = ..., version_digest: int | None = ...) -> None: ...
+    slot_digest: int | None
+    def __init__(self, *, revision: int = ..., version: int = ..., digest: int = ..., era: int = ..., domain_digest: int | None = ..., takes_parts: bool | None = ..., version_digest: int | None = ..., slot_digest: int | None = ...) -> None: ...
 class TablePull:
     version: int
     from_byte: int
@@ -119,7 +120,8 @@
     version_digest: int | None
     view_age_ms: int | None
     table_revision: int | None
-    def __init__(self, *, revision: int = ..., version: int = ..., data: bytes = ..., workers: list[ListedWorker] = ..., is_away: bool = ..., lapsed: list[str] = ..., back_ms: int = ..., digest: int = ..., era: int = ..., doubted: list[ListedWorker] = ..., answered_ms: int = ..., domain_digest: int | None = ..., evacuated: list[str] | None = ..., version_digest: int | None = ..., view_age_ms: int | None = ..., table_revision: int | None = ...) -> None: ...
+    slot_digest: int | None
+    def __init__(self, *, revision: int = ..., version: int = ..., data: bytes = ..., workers: list[ListedWorker] = ..., is_away: bool = ..., lapsed: list[str] = ..., back_ms: int = ..., digest: int = ..., era: int = ..., doubted: list[ListedWorker] = ..., answered_ms: int = ..., domain_digest: int | None = ..., evacuated: list[str] | None = ..., version_digest: int | None = ..., view_age_ms: int | None = ..., table_revision: int | None = ..., slot_digest: int | None = ...) -> None: ...
 class TablePiece:
     from_byte: int
     n_bytes: int
@@ -135,7 +137,8 @@
     digest: int
     domain_digest: int | None
     version_digest: int | None
-    def __init__(self, *, era: int = ..., digest: int = ..., domain_digest: int | None = ..., version_digest: int | None = ...) -> None: ...
+    slot_digest: int | None
+    def __init__(self, *, era: int = ..., digest: int = ..., domain_digest: int | None = ..., version_digest: int | None = ..., slot_digest: int | None = ...) -> None: ...
 class StoreNews:
     base_revision: int
     revision: int
@@ -156,7 +159,8 @@
     sent_ms: int | None
     view_age_ms: int | None
     table_revision: int | None
-    def __init__(self, *, base_revision: int = ..., revision: int = ..., version: int = ..., workers: list[ListedWorker] = ..., removed: list[str] = ..., digest: int = ..., back_ms: int = ..., withdrawn: list[str] | None = ..., table: TableChange | None = ..., era: int = ..., base: EarlierList | None = ..., doubted: list[ListedWorker] | None = ..., domain_digest: int | None = ..., evacuated: list[str] | None = ..., version_digest: int | None = ..., reader_incarnation: int | None = ..., sent_ms: int | None = ..., view_age_ms: int | None = ..., table_revision: int | None = ...) -> None: ...
+    slot_digest: int | None
+    def __init__(self, *, base_revision: int = ..., revision: int = ..., version: int = ..., workers: list[ListedWorker] = ..., removed: list[str] = ..., digest: int = ..., back_ms: int = ..., withdrawn: list[str] | None = ..., table: TableChange | None = ..., era: int = ..., base: EarlierList | None = ..., doubted: list[ListedWorker] | None = ..., domain_digest: int | None = ..., evacuated: list[str] | None = ..., version_digest: int | None = ..., reader_incarnation: int | None = ..., sent_ms: int | None = ..., view_age_ms: int | None = ..., table_revision: int | None = ..., slot_digest: int | None = ...) -> None: ...
 class WorkerCrash:
     worker_id: str
     born_ms: int
--- a/src/trefoilpaddle/state/chain/list_digest.py
+++ b/src/trefoilpaddle/state/chain/list_digest.py
@@ -16,11 +16,14 @@
         build, which does not compare them.
     versions : int or None
         Over the workers with their software versions; None as for `domains`.
+    slots : int or None
+        Over the workers with their published slots; None as for `domains`.
     """
 
     entries: int = 0
     domains: int | None = 0
     versions: int | None = 0
+    slots: int | None = 0
 
     def __xor__(self, other: "ListDigest") -> "ListDigest":
         """Return the digest after a worker was added or removed."""
@@ -28,6 +31,7 @@
             entries=self.entries ^ other.entries,
             domains=(self.domains or 0) ^ (other.domains or 0),
             versions=(self.versions or 0) ^ (other.versions or 0),
+            slots=(self.slots or 0) ^ (other.slots or 0),
         )
 
     @property
@@ -41,6 +45,7 @@
             self.entries == other.entries
             and _agree(self.domains, other.domains)
             and _agree(self.versions, other.versions)
+            and _agree(self.slots, other.slots)
         )
 
 
--- a/src/trefoilpaddle/state/chain/workers.py
+++ b/src/trefoilpaddle/state/chain/workers.py
@@ -99,6 +99,7 @@
             entries=checksum(entry.encode()),
             domains=checksum(f"{entry}\0{self.failure_domain}".encode()),
             versions=checksum(f"{entry}\0{self.software_version}".encode()),
+            slots=checksum(f"{entry}\0{self.n_slots}".encode()),
         )
 
 
