Apply values in pages only if all announced ones have arrived

A page that announces more values, followed by one without any, or more pages than are read, counted as complete: the revision then passed values that had not been applied, and later reads asked only for what came after it. Nobody has reported it.

Change: such a read fails, with the reason in config_source_lost or the log; the revision stays.

--- a/src/trefoilpaddle/coordination/configuration/config_peers.py
+++ b/src/trefoilpaddle/coordination/configuration/config_peers.py
@@ -136,10 +136,14 @@
                     items += from_wire(delta.items)
                 case Err(_):
                     return None
-            if not delta.more or not delta.items:
+            if not delta.more:
                 self._apply(items, delta, link)
                 return delta
+            if not delta.items:
+                break
             request.after_revision = delta.items[-1].revision
+        # The revision of a page stands for all pages up to the last one.
+        logging.warning("the values of %s have no end", link.address)
         return None
 
     async def pull_periodically(self) -> None:
--- a/src/trefoilpaddle/coordination/configuration/config_readers.py
+++ b/src/trefoilpaddle/coordination/configuration/config_readers.py
@@ -146,9 +146,13 @@
         before the last page has been received.
         """
         items = [_item(value) for value in page.values]
-        for _ in range(MAX_PAGES):
-            if not page.has_more or not page.values:
-                break
+        n_pages = 1
+        while page.has_more:
+            if not page.values or n_pages == MAX_PAGES:
+                # The revision of a page stands for all pages up to the last one.
+                self._record_unavailable(_endless(n_pages))
+                return False
+            n_pages += 1
             match await self._client.values(after=page.values[-1].revision):
                 case Ok(page):
                     items += (_item(value) for value in page.values)
@@ -205,6 +209,15 @@
         )
 
 
+def _endless(n_pages: int) -> PeerError:
+    return PeerError(
+        step="answer",
+        peer="platform",
+        detail=f"announces more values after {n_pages} pages, but sends none",
+        is_sent=True,
+    )
+
+
 def _item(value: PublishedValue) -> PublishedItem:
     version = Version(revision=value.revision, value=value.value)
     return PublishedItem(key=value.key, version=version)
