Apply the workers of an update whose table is missing

Callers may be sent to a worker that has left while their gateway waits for a large table: each update in that time was put aside, about two seconds on weak links, and a list that nobody confirmed for two seconds may begin no streams.

Cause: the position stood for workers and table alike, so neither could be taken over without the other.

Change: an update's workers are applied, and confirm the list, before the missing table makes this gateway read from the table's position.

--- a/src/trefoilpaddle/coordination/published/store_feed.py
+++ b/src/trefoilpaddle/coordination/published/store_feed.py
@@ -366,8 +366,9 @@
     def apply_update(self, update: StoreNews) -> UpdateGap | None:
         """Apply a reader's update; return what is still missing, or None."""
         missing = self.view.apply_update(update)
-        if missing is None:
+        if missing in (None, UpdateGap.TABLE):
             self._confirm_by_update(update)
+        if missing is None:
             self._record_available()
             self._read_s = time.monotonic()
             self.view.answers.record(self._read_s)
--- a/src/trefoilpaddle/coordination/published/store_view.py
+++ b/src/trefoilpaddle/coordination/published/store_view.py
@@ -317,15 +317,15 @@
         missing = self._gap_before(update)
         if missing is not None:
             return missing
-        # If the position of the update were taken as known, this gateway would request
-        # from the store only what came after it, and would never receive the table.
-        if not has_table:
-            return UpdateGap.TABLE
         if position > self.position:
             self._apply_continuing(update)
         if position >= self.position:
             self.listing.add_unconfirmed(unconfirmed_from(update), time.monotonic())
         self.listing.list_still_present(time.monotonic())
+        # Workers do not depend on the table either: one that leaves gets nothing more
+        # while a large table is still under way.
+        if not has_table:
+            return UpdateGap.TABLE
         if position < self.position:
             # It may have been under way for long, or its reader was paused.
             self._n_differing = 0
--- a/tests/published/test_missing_tables.py
+++ b/tests/published/test_missing_tables.py
@@ -7,6 +7,7 @@
 from result import Err
 
 from trefoilpaddle.coordination.published.published_store import StoreFault
+from trefoilpaddle.coordination.published.store_readers import UpdateGap
 from trefoilpaddle.protocol.gen.chain.ttypes import StorePull, StoreState
 from trefoilpaddle.protocol.gen.stage.ttypes import Hello
 from trefoilpaddle.state.journal import Event
@@ -14,6 +15,7 @@
 from ..chain.virtual_time import run_virtual
 from .store_network import Network
 from .test_store_feed import Harness, changes, published
+from .test_store_readers import follower, listed, update
 
 CONFIGURATION_S: Final = 3.0
 """Time within which a change must be active everywhere."""
@@ -129,3 +131,20 @@
         await harness.read()
         assert harness.store.requested == [0, 1, 0]
         assert harness.tables == [5, 6]
+
+
+class TestUpdates:
+    async def test_workers_change_while_a_table_is_missing(self) -> None:
+        # Guards against requests to a worker that leaves while a large table is under
+        # way, and against a table that is passed over for the change of the worker.
+        harness = await follower(changes(9, "w1", "w2", table=published(6)))
+        gap = harness.feed.apply_update(
+            update(harness, 1, 8, version=6, workers=[listed("w1", is_leaving=True)])
+        )
+        assert gap is UpdateGap.TABLE
+        leaving = harness.workers.get("w1")
+        assert leaving is not None
+        assert leaving.is_leaving
+        await harness.feed.read_once()
+        assert harness.store.requested[-1] == 1
+        assert harness.tables == [5, 6]
