Note a missing table in one place

Cause: two marks stood for the same thing, the newest version named and the newest one recorded; extra reads were recorded while nothing was known yet.

Change: one mark; the wording of the positions.

--- a/src/trefoilpaddle/coordination/published/active_table.py
+++ b/src/trefoilpaddle/coordination/published/active_table.py
@@ -49,9 +49,9 @@
 class ActiveTable:
     """Activates each newer table: read from the store, or received from a peer.
 
-    A peer sends a table in full, or as the difference from the previous one. It names
-    a version before, so the position up to which a table is known is not the one up
-    to which the workers are.
+    A peer sends a table in full, or as the difference from the previous one. It may
+    name a version long before the table has arrived, so the table has a position of its
+    own: up to there, the store has none that is newer.
 
     Parameters
     ----------
@@ -71,7 +71,6 @@
         "_missing_since_s",
         "_named_version",
         "_on_table",
-        "_recorded_version",
         "_relay",
         "_store_journal",
         "_unreadable_version",
@@ -91,7 +90,6 @@
         self._store_journal = store_journal
         self._unreadable_version = 0
         self._named_version = 0
-        self._recorded_version = 0
         self._missing_since_s: float | None = None
         self._expected: NewestVersion | None = None
 
@@ -114,7 +112,7 @@
 
     @property
     def is_behind(self) -> bool:
-        """True if a reader has announced a newer table than the active one.
+        """True if a peer has named a newer table than the active one.
 
         A store that was restored from a backup may not have that table.
         """
@@ -144,26 +142,23 @@
         The position counts once that version is here: the store is asked for what came
         after it, and a transfer of the table may fail.
         """
+        is_first = newest.version > self._named_version
         self._named_version = max(self._named_version, newest.version)
         if self._has(newest.version):
             self._advance(newest.position)
             return
-        self._record_missing(newest.version, named_by)
-        if self._expected is None or newest.position > self._expected.position:
-            self._expected = newest
-
-    def _record_missing(self, version: int, named_by: NamedBy) -> None:
-        """Record once that a peer names a version that is not here."""
-        if version <= self._recorded_version:
-            return
-        self._recorded_version = version
-        self._store_journal.record_named_table(version, source=named_by.value)
+        if is_first:
+            self._store_journal.record_named_table(
+                newest.version, source=named_by.value
+            )
         if self._missing_since_s is None:
             self._missing_since_s = time.monotonic()
+        if self._expected is None or newest.position > self._expected.position:
+            self._expected = newest
 
     def _note_found(self) -> None:
         """Note that a table is here, or cannot be read."""
-        if self._has(self._recorded_version):
+        if not self.is_behind:
             self._missing_since_s = None
         expected = self._expected
         if expected is not None and self._has(expected.version):
--- a/src/trefoilpaddle/coordination/published/store_feed.py
+++ b/src/trefoilpaddle/coordination/published/store_feed.py
@@ -152,8 +152,7 @@
 
     async def _run(self) -> None:
         while True:
-            is_needed = self._readers.must_read() or self.view.lacks_table
-            if is_needed or not self.position.is_known:
+            if self._lacks_anything() or self._readers.must_read():
                 began_s = self._began_s = time.monotonic()
                 is_read = await self._read_or_catch_up()
                 self._readers.record_read(is_answered=is_read)
@@ -167,6 +166,10 @@
                 self.view.listing.remove_expired(time.monotonic())
                 await self._readers.wait()
 
+    def _lacks_anything(self) -> bool:
+        """Return True if the store has to be read, whoever else reads it."""
+        return not self.position.is_known or self.view.lacks_table
+
     async def _read_or_catch_up(self) -> bool:
         """Read the store, unless peers send what is missing before it answers.
 
@@ -184,8 +187,8 @@
 
     def _is_served_by_others(self) -> bool:
         """Return True if nothing is missing here and other gateways read the store."""
-        is_complete = self.is_known and self.position.is_known
-        is_behind = self.view.table.is_behind or self.view.lacks_table
+        is_complete = self.is_known and not self._lacks_anything()
+        is_behind = self.view.table.is_behind
         return is_complete and not is_behind and not self._readers.is_reader()
 
     async def _pause(self, for_s: float) -> None:
@@ -254,7 +257,8 @@
                     return self.position.is_known
                 return await self.read_once()
             case Err(fault):
-                # Of the read that was sent first it is known for how long it hung.
+                # For how long the store has been silent is told by the read that was
+                # sent first.
                 if not (is_again and fault is StoreFault.SILENT):
                     self._record_unavailable(fault)
                 return False
--- a/src/trefoilpaddle/coordination/published/store_view.py
+++ b/src/trefoilpaddle/coordination/published/store_view.py
@@ -60,7 +60,7 @@
     CHANGES_LOST = "the store lost its history"
     DIGEST_MISMATCH = "lists differ"
     RECOVERY = "the store came back from a copy"
-    TABLE_MISSING = "no peer sends the newest table"
+    TABLE_MISSING = "it is not known which table is the newest"
     EVACUATIONS_UNKNOWN = "a peer does not know which failure domains get no work"
 
 
