Log how each attempt of a failed request ended, and answers that cannot be written

The record of streams that were cut around a planned stop cannot tell whether a worker was silent or closed its connection, when the last event was passed on, or why the stages were not run again: request_failed names the last obstacle only. A request whose answer could not be written ended with no line at all, as only the cancellation of its handler was recorded.

request_failed now states in its detail how each attempt ended, how long after the last event, and why the stages were not run again. caller_left states what the request waited for, and is also written when the answer cannot be.

Both tests fail on the code before, for what they check.

--- a/src/trefoilpaddle/coordination/chain/attempts.py
+++ b/src/trefoilpaddle/coordination/chain/attempts.py
@@ -357,6 +357,7 @@
     def _record_fault(self, fault: CallFault, worker: Worker) -> None:
         """Record what a fault implies about the worker and the request."""
         self._tried.add(worker.worker_id)
+        self._delivery.record_obstacle(f"{fault.value} at {worker.worker_id}")
         if fault is CallFault.INPUTS_GONE:
             self._inputs.mark_lost()
         if fault is CallFault.FULL:
--- a/src/trefoilpaddle/coordination/chain/chain_inputs.py
+++ b/src/trefoilpaddle/coordination/chain/chain_inputs.py
@@ -3,7 +3,8 @@
 import time
 from collections.abc import Callable
 
-from ...state.chain.chain_work import ChainCompleted
+from ...state.chain.chain_work import ChainCompleted, ChainFailed
+from ...state.chain.delivery import Delivery
 from .running_chain import RunningChain
 
 
@@ -23,9 +24,18 @@
         The results of the first run.
     on_first_read : callable
         Called with the seconds until the first worker had read them.
+    delivery : Delivery
+        Records why they could not be computed again.
     """
 
-    __slots__ = ("_began_s", "_chain", "_made", "_n_runs", "_on_first_read")
+    __slots__ = (
+        "_began_s",
+        "_chain",
+        "_delivery",
+        "_made",
+        "_n_runs",
+        "_on_first_read",
+    )
 
     MAX_RUNS = 2
     """Maximum runs of one request's chain; each run has the full cost."""
@@ -36,8 +46,10 @@
         chain: RunningChain,
         made: ChainCompleted,
         on_first_read: Callable[[float], None],
+        delivery: Delivery,
     ) -> None:
         self._chain = chain
+        self._delivery = delivery
         self._made: ChainCompleted | None = made
         self._n_runs = 1
         self._began_s = time.monotonic()
@@ -47,10 +59,15 @@
         """Return the handles of all inputs, or None if they cannot be recomputed."""
         if self._made is None:
             if self._n_runs >= self.MAX_RUNS:
+                self._delivery.record_obstacle("stages have run twice")
                 return None
             self._n_runs += 1
             outcome = await self._chain.run()
-            self._made = outcome if isinstance(outcome, ChainCompleted) else None
+            if isinstance(outcome, ChainCompleted):
+                self._made = outcome
+            elif isinstance(outcome, ChainFailed):
+                reason = outcome.reason.name.lower()
+                self._delivery.record_obstacle(f"stages not run again: {reason}")
         return None if self._made is None else self._made.handles
 
     def mark_read(self) -> None:
--- a/src/trefoilpaddle/coordination/chain/request_log.py
+++ b/src/trefoilpaddle/coordination/chain/request_log.py
@@ -40,8 +40,8 @@
         self._table = table
         self._route = route
 
-    def record_outcome(self, outcome: Outcome) -> None:
-        """Record the outcome of the request."""
+    def record_outcome(self, outcome: Outcome, delivery: Delivery) -> None:
+        """Record the outcome of the request, and the obstacles of one that failed."""
         match outcome:
             case Answered():
                 self._record(Event.REQUEST_ANSWERED)
@@ -57,7 +57,9 @@
                 self._record(
                     Event.REQUEST_FAILED,
                     reason=outcome.reason,
-                    detail=outcome.detail,
+                    detail="; ".join(
+                        filter(None, (outcome.detail, *delivery.obstacles))
+                    ),
                 )
 
     def record_undelivered(self, delivery: Delivery, stop: PlannedStop) -> None:
@@ -66,7 +68,9 @@
         Either the caller has left, or this process is closing its connections.
         """
         if not stop.is_closing:
-            self._record(Event.CALLER_LEFT)
+            self._record(
+                Event.CALLER_LEFT, detail=f"waited for {delivery.waiting_for()}"
+            )
             return
         left = Figure(name="budget_s", value=stop.left_s())
         self._record(
--- a/src/trefoilpaddle/coordination/chain/request_path.py
+++ b/src/trefoilpaddle/coordination/chain/request_path.py
@@ -221,13 +221,14 @@
         self._deliveries[id(request)] = delivery
         try:
             outcome = await self._serve(request, table, route, delivery, sink)
-        except asyncio.CancelledError:
+        except (asyncio.CancelledError, ConnectionError):
+            # The caller's connection has ended, or its answer could not be written.
             log.record_undelivered(delivery, self._stop)
             raise
         finally:
             delivery.close()
             del self._deliveries[id(request)]
-        log.record_outcome(outcome)
+        log.record_outcome(outcome, delivery)
         if route is not None and isinstance(outcome, Answered):
             took_s = time.monotonic() - request.received_s
             self._answer_durations.learn(route.name, took_s)
@@ -447,6 +448,7 @@
                         on_first_read=functools.partial(
                             self._engine_times.learn, job.route.name
                         ),
+                        delivery=delivery,
                     )
                     attempts = Attempts(
                         job=job,
--- a/src/trefoilpaddle/coordination/chain/worker_exchange.py
+++ b/src/trefoilpaddle/coordination/chain/worker_exchange.py
@@ -292,6 +292,7 @@
                     self._on_begin(worker)
                     await sink.begin(answer.head)
                 self._last_event = event.number
+                self._delivery.record_part()
                 await sink.event(event)
                 pause_limit.reschedule(
                     loop.time() + event_timeout_s(self._job, n_sent=self.n_sent)
--- a/src/trefoilpaddle/state/chain/delivery.py
+++ b/src/trefoilpaddle/state/chain/delivery.py
@@ -2,6 +2,7 @@
 
 import contextlib
 import enum
+import time
 from collections.abc import Callable, Iterator
 
 from ...protocol.reasons import Reason
@@ -44,13 +45,19 @@
         True if a part of the answer may have been sent to the caller.
     step : Step
         What the request waits for, or has waited for last.
+    obstacles : list of str
+        What kept attempts from ending in an answer, in order, as texts for the log.
+    last_part_s : float or None
+        Monotonic time of the last part of the answer; None before the first.
     """
 
     __slots__ = (
         "_is_at_worker",
         "_is_closed",
         "is_begun",
+        "last_part_s",
         "may_have_run",
+        "obstacles",
         "on_change",
         "step",
     )
@@ -61,6 +68,8 @@
         self._is_closed = False
         self.may_have_run = False
         self.is_begun = False
+        self.last_part_s: float | None = None
+        self.obstacles: list[str] = []
         self.step = Step.PEERS
 
     @property
@@ -77,6 +86,16 @@
         self.is_begun = True
         self.on_change()
 
+    def record_part(self) -> None:
+        """Record that a part of the answer is passed on to the caller."""
+        self.last_part_s = time.monotonic()
+
+    def record_obstacle(self, text: str) -> None:
+        """Record what kept an attempt from ending in an answer."""
+        if self.last_part_s is not None:
+            text = f"{text}, {time.monotonic() - self.last_part_s:.2f} s after an event"
+        self.obstacles.append(text)
+
     @contextlib.contextmanager
     def at_worker(self) -> Iterator[bool]:
         """Give the request to a worker while the context is open.
--- a/tests/chain/test_request_path.py
+++ b/tests/chain/test_request_path.py
@@ -35,6 +35,7 @@
 from trefoilpaddle.state.chain.fingerprint import fingerprint_of, part_fingerprint
 from trefoilpaddle.state.chain.requests import (
     Answered,
+    Failed,
     Outcome,
     Prompt,
     PromptPart,
@@ -47,7 +48,7 @@
     RouteTable,
     StagePlan,
 )
-from trefoilpaddle.state.chain.target_answers import CallFault
+from trefoilpaddle.state.chain.target_answers import AnswerHead, CallFault
 from trefoilpaddle.state.chain.workers import Worker, WorkerTable
 from trefoilpaddle.state.journal import Event
 
@@ -306,6 +307,37 @@
         assert calls.n_finished == 0
 
 
+class BrokenSink(FakeSink):
+    """A caller whose connection breaks before its answer is written."""
+
+    async def whole(self, head: AnswerHead, body: bytes) -> None:
+        raise ConnectionResetError("cannot write to a closing transport")
+
+
+class TestUnwrittenAnswers:
+    # Guards against requests that end without a line in the log.
+    async def test_an_answer_that_cannot_be_written_is_in_the_log(self) -> None:
+        rig = Rig(FakeCalls(scripts=[FakeAnswer()]), route())
+        with pytest.raises(ConnectionResetError):
+            await rig.path.serve(request(), BrokenSink())
+        assert rig.events()[-1] is Event.CALLER_LEFT
+
+
+class TestFailures:
+    # Guards against failures of which the log does not tell how each attempt ended.
+    async def test_the_log_tells_how_each_attempt_ended(self) -> None:
+        calls = FakeCalls(
+            scripts=[FakeAnswer(n_events=2, breaks=True), CallFault.BROKEN]
+        )
+        stream = route(is_stream=True, is_resumable=True, max_attempts=2)
+        rig = Rig(calls, stream)
+        assert isinstance(await rig.serve(), Failed)
+        *_, last = rig.notes.recent()
+        ended = [f"broken at {worker_id}, " for worker_id, _ in calls.sent]
+        assert last.decision.event is Event.REQUEST_FAILED
+        assert [each in last.decision.detail for each in ended] == [True, True]
+
+
 class TestWhatIsCutOff:
     async def test_the_log_tells_it_from_a_caller_that_left(self) -> None:
         # A gateway that stops closed the connections of requests without an answer. Its
