--- a/src/trefoilpaddle/standins/platform/worker.py
+++ b/src/trefoilpaddle/standins/platform/worker.py
@@ -32,6 +32,10 @@
 """Size of a result, as published by the site for its first stage."""
 
 
+FOR_EVER_S: Final = 1e6
+"""Longer than any stand-in runs."""
+
+
 def _do_nothing() -> None:
     pass
 
@@ -74,8 +78,10 @@
         True writes a part of the next event before a stream is broken off, and closes
         the connection in order.
     hangs_after : int
-        Number of events after which a stream that began here never sends another one,
-        with its connection open; 0 never.
+        Number of events after which a stream that began here pauses, with its
+        connection open; 0 never.
+    hangs_s : float
+        Length of that pause in seconds.
     copies : RunCopies
         Copies of the runs of other workers.
     running : set of str
@@ -135,6 +141,7 @@
         "faults",
         "freed",
         "hangs_after",
+        "hangs_s",
         "headers",
         "held",
         "interrupts_answers",
@@ -187,6 +194,7 @@
         self.software_version = software_version
         self.breaks_after = 0
         self.hangs_after = 0
+        self.hangs_s = FOR_EVER_S
         self.copies = RunCopies()
         self.running: set[str] = set()
         self.address = ""
@@ -354,8 +362,8 @@
             first = int(request.headers.get("Last-Event-Id", "0")) + 1
             for event_id in range(first, self.n_events + 1):
                 await asyncio.sleep(self.work_s)
-                if first == 1 and 0 < self.hangs_after < event_id:
-                    await asyncio.Event().wait()
+                if first == 1 and event_id - 1 == self.hangs_after > 0:
+                    await asyncio.sleep(self.hangs_s)
                 is_broken = first == 1 and 0 < self.breaks_after < event_id
                 if is_broken and self.breaks_inside_event:
                     await answer.write(f"id: {event_id}\nda".encode())
--- a/tests/chain/fakes.py
+++ b/tests/chain/fakes.py
@@ -153,16 +153,20 @@
     breaks: bool = False
     is_cut: bool = False
     hangs_s: float = 0.0
+    n_later: int = 0
     fault: CallFault | None = None
 
     async def read(self) -> Result[bytes, CallFault]:
+        await asyncio.sleep(self.hangs_s)
         return Ok(self.body) if self.fault is None else Err(self.fault)
 
     async def events(self) -> AsyncIterator[StreamEvent]:
-        for number in range(self.first, self.first + self.n_events):
-            await asyncio.sleep(0)
+        for index in range(self.n_events + self.n_later):
+            await asyncio.sleep(self.hangs_s if index == self.n_events else 0.0)
+            number = self.first + index
             yield StreamEvent(number=number, data=f"id: {number}\n\n".encode())
-        await asyncio.sleep(self.hangs_s)
+        if not self.n_later:
+            await asyncio.sleep(self.hangs_s)
         if self.breaks:
             raise (StreamCutError if self.is_cut else StreamBrokenError)("interrupted")
 
--- a/tests/chain/test_attempts.py
+++ b/tests/chain/test_attempts.py
@@ -1,9 +1,11 @@
 """When a request may be sent to another worker, and the outcome for its caller."""
 
+import asyncio
 import random
 import time
 from collections.abc import AsyncIterator, Sequence
 from contextlib import asynccontextmanager
+from typing import Any
 
 import pytest
 
@@ -41,12 +43,16 @@
 
 FINGERPRINT = "f" * 32
 
+FOR_EVER_S = 60.0
+"""Longer than any request of these tests has."""
+
 
 class FakeInputs:
     """Results that can be computed again `n_left` times."""
 
-    def __init__(self, *, n_left: int = 1) -> None:
+    def __init__(self, *, n_left: int = 1, takes_s: float = 0.0) -> None:
         self.n_left = n_left
+        self.takes_s = takes_s
         self.version = 1
         self.is_there = True
 
@@ -55,6 +61,7 @@
             if not self.n_left:
                 return None
             self.n_left -= 1
+            await asyncio.sleep(self.takes_s)
             self.version += 1
             self.is_there = True
         return (f"made-{self.version}",)
@@ -78,6 +85,7 @@
     workers: WorkerTable | None = None,
     choice: WorkerChoice | None = None,
     hold_slot: HoldSlot = unlimited_slot,
+    left_s: float = 2.0,
 ) -> Attempts:
     if workers is None:
         workers = WorkerTable()
@@ -102,7 +110,7 @@
         account=Account(name="acme"),
         service="plain",
         services={},
-        deadline_s=request().deadline_s,
+        deadline_s=request().received_s + left_s,
         fingerprint=FINGERPRINT,
     )
     return Attempts(
@@ -325,6 +333,63 @@
         assert sink.seen == ["begin", "1", "2", "end"]
 
 
+class TestSilentWorkers:
+    # Guards against answers that are ended for a silent worker which goes on later,
+    # though the request cannot go on elsewhere.
+    @pytest.mark.parametrize(
+        "rest",
+        [
+            {"inputs": FakeInputs(n_left=0)},
+            {"slack": 0.0},
+            {"n_workers": 1},
+            {"inputs": FakeInputs(takes_s=FOR_EVER_S)},
+        ],
+        ids=["inputs-gone", "no-budget", "no-other-worker", "slow-inputs"],
+    )
+    async def test_a_stream_that_cannot_go_on_elsewhere_is_waited_for(
+        self, rest: dict[str, Any], monkeypatch: pytest.MonkeyPatch
+    ) -> None:
+        monkeypatch.setattr(attempt_timeouts, "EVENT_TIMEOUT_S", 0.05)
+        calls = FakeCalls(scripts=[FakeAnswer(n_events=2, hangs_s=0.3, n_later=1)])
+        sink = FakeSink()
+        assert isinstance(await attempts(calls, STREAM, **rest).run(sink), Answered)
+        assert sink.seen == ["begin", "1", "2", "3", "end"]
+        assert len(calls.sent) == 1
+
+    async def test_an_answer_without_another_try_is_waited_for(self) -> None:
+        # Guards against the same for answers that are read whole.
+        quick = route(
+            repeat=RepeatPolicy.IDEMPOTENT, max_attempts=2, target_latency_s=0.02
+        )
+        calls = FakeCalls(scripts=[FakeAnswer(hangs_s=0.3)])
+        sink = FakeSink()
+        await attempts(calls, quick, slack=0.0).run(sink)
+        assert sink.seen == ["200 body"]
+
+    async def test_a_worker_that_stays_silent_is_given_up_once_another_is_ready(
+        self, monkeypatch: pytest.MonkeyPatch
+    ) -> None:
+        monkeypatch.setattr(attempt_timeouts, "EVENT_TIMEOUT_S", 0.05)
+        calls = FakeCalls(
+            scripts=[
+                FakeAnswer(n_events=2, hangs_s=FOR_EVER_S),
+                FakeAnswer(n_events=1, first=3),
+            ]
+        )
+        sink = FakeSink()
+        running = attempts(calls, STREAM, inputs=FakeInputs(takes_s=0.1))
+        assert isinstance(await running.run(sink), Answered)
+        assert sink.seen == ["begin", "1", "2", "3", "end"]
+
+    async def test_a_silent_request_is_not_sent_again_at_its_deadline(self) -> None:
+        # Guards against a repeat that is spent on a request whose time is over.
+        calls = FakeCalls(scripts=[FakeAnswer(hangs_s=FOR_EVER_S), FakeAnswer()])
+        late = route(repeat=RepeatPolicy.IDEMPOTENT, max_attempts=2)
+        outcome = await attempts(calls, late, left_s=0.1).run(FakeSink())
+        assert outcome == Failed(reason=Reason.TARGET_TIMEOUT)
+        assert len(calls.sent) == 1
+
+
 class TestCrashingRequests:
     async def test_a_request_is_not_retried_after_its_third_crash(self) -> None:
         # By its route it would be retried at once, before the crash is reported.
