Give a silent worker up only once its request can go on elsewhere

What callers saw: streams that ended without their last event around a planned stop, with seconds left of their time, while their worker had only paused.

Cause: a stream that may be resumed was abandoned after 1.5 s without an event, and an idempotent request after 2.5 times its target; only then did the gateway find out whether it could go on elsewhere. If the stages could not be run again, the repeat budget was exhausted or no other worker was there, it ended. Around planned work a worker's silence is no reason to end an answer.

Change: the exchange with the silent worker stays open while the next attempt is prepared: another worker, the inputs, and a repeat of the budget. It is given up when all are there; what the worker sends meanwhile ends the preparation. A request whose deadline passes is no longer sent once more. A silent worker is suspect as soon as it is silent, as before, so that others avoid it.

Ruled out as the cut itself: the close of the port, which in the record had no open request.

--- a/src/trefoilpaddle/coordination/chain/attempts.py
+++ b/src/trefoilpaddle/coordination/chain/attempts.py
@@ -1,5 +1,6 @@
 """Sends one request to workers until one answers or no attempt is left."""
 
+import functools
 import math
 import time
 from collections.abc import Callable
@@ -49,6 +50,11 @@
     pass
 
 
+async def _nowhere_else() -> bool:
+    """Prepare nothing: the request can go on at no other worker."""
+    return False
+
+
 class Attempts:
     """The attempts of one request.
 
@@ -81,6 +87,8 @@
         begin at any.
     origin_source : str
         Where the version that began the stream is known from, for the log.
+    send_until_s : callable
+        Returns the monotonic time until which the request may be sent to workers.
     """
 
     __slots__ = (
@@ -94,6 +102,7 @@
         "_held",
         "_hold_slot",
         "_inputs",
+        "_is_next_ready",
         "_job",
         "_journal",
         "_lease",
@@ -101,6 +110,7 @@
         "_need",
         "_origin_source",
         "_send_limits",
+        "_send_until_s",
         "_tried",
         "_workers",
     )
@@ -125,7 +135,9 @@
         assigned_version: Callable[[], str | None] = lambda: None,
         lease: ViewLease | None = None,
         origin_source: str = "",
+        send_until_s: Callable[[], float] = lambda: math.inf,
     ) -> None:
+        self._send_until_s = send_until_s
         self._assigned_version = assigned_version
         self._lease = lease
         self._backup = backup
@@ -155,6 +167,7 @@
         self._journal = journal
         self._tried: set[str] = set()
         self._n_not_run = 0
+        self._is_next_ready = False
 
     def stop_retrying(self) -> None:
         """Send the request to no other worker, as its caller has left."""
@@ -221,7 +234,14 @@
             self._record(Event.ROUTED, worker)
             self._record_resumption(worker)
             backup = self._begin_copy(worker)
-            match await self._exchange.send(worker, handles, sink, backup=backup):
+            n_sent = self._exchange.n_sent + 1
+            match await self._exchange.send(
+                worker,
+                handles,
+                sink,
+                backup=backup,
+                prepare_next=functools.partial(self._prepare_next, worker, n_sent),
+            ):
                 case Answered() as answered:
                     self._held.has_run = True
                     self._choice.record_answer(worker)
@@ -296,7 +316,9 @@
         ):
             return None
         self._record_move(worker, at)
-        match await self._exchange.send(at, handles, sink, goes_on=True):
+        match await self._exchange.send(
+            at, handles, sink, goes_on=True, prepare_next=_nowhere_else
+        ):
             case Answered() as answered:
                 self._held.has_run = True
                 return answered
@@ -326,13 +348,48 @@
         version = self._software_version() or self._assigned_version()
         return version is None or version == worker.software_version
 
-    def _choose(self) -> Worker | None:
+    async def _prepare_next(self, silent: Worker, n_sent: int) -> bool:
+        """Return True once the request can go on at another worker.
+
+        Its inputs are computed again if need be, and a repeat is spent.
+
+        Parameters
+        ----------
+        silent : Worker
+            The worker that has the request now.
+        n_sent : int
+            Number of workers that the request was sent to, including this one.
+        """
+        self._workers.mark_suspect(silent)
+        if not self._can_go_on(silent, n_sent):
+            return False
+        handles = await self._inputs.get()
+        if handles is None:
+            return False
+        self._is_next_ready = self._can_go_on(silent, n_sent) and self._budget.spend(
+            time.monotonic()
+        )
+        if not self._is_next_ready and self._has_begun():
+            # The worker has read its inputs; these would occupy scarce memory.
+            self._inputs.mark_lost()
+        return self._is_next_ready
+
+    def _can_go_on(self, silent: Worker, n_sent: int) -> bool:
+        """Return True if the request may be sent to another worker than `silent`."""
+        return (
+            self._may_send_again(n_sent, may_have_run=True)
+            and time.monotonic() < self._send_until_s()
+            and self._refusal() is None
+            and self._choose(without=frozenset({silent.worker_id})) is not None
+        )
+
+    def _choose(self, *, without: frozenset[str] = frozenset()) -> Worker | None:
         """Return the next worker, or None if there is none.
 
         A worker at which a suspect request runs is used only if there is no other.
         """
         service = self._job.worker_service()
-        tried = self._send_limits.exhausted(service.name) | self._tried
+        tried = self._send_limits.exhausted(service.name) | self._tried | without
         # What two software versions write does not fit together.
         version = self._software_version() or self._assigned_version()
         need = replace(self._need, software_version=version)
@@ -378,27 +435,47 @@
 
         Spends a repeat of the budget if the request was sent before.
         """
-        job = self._job
         self._tried.add(worker.worker_id)
         if reason is Reason.TARGET_FAILED:
             self._delivery.may_have_run = True
-        if self._delivery.is_closed:
-            return False
-        if self._delivery.may_have_run and not job.may_repeat:
-            return False
-        if self._delivery.is_begun and not job.route.is_resumable:
-            return False
         n_sent = self._exchange.n_sent
-        if n_sent >= job.route.max_attempts or self._n_not_run >= MAX_NOT_RUN:
-            return False
-        now_s = time.monotonic()
-        if now_s >= job.deadline_s:
-            return False
-        if n_sent and not self._budget.spend(now_s):
+        if not self._may_send_again(
+            n_sent, may_have_run=self._delivery.may_have_run
+        ) or not self._spend_repeat(reason, n_sent):
             return False
         self._record(Event.RETRIED, worker, reason)
         return True
 
+    def _spend_repeat(self, reason: Reason, n_sent: int) -> bool:
+        """Spend a repeat if the request was sent before; return False without one.
+
+        For a request at a silent worker it was spent when the next attempt was ready.
+        """
+        if reason is Reason.TARGET_TIMEOUT:
+            is_ready, self._is_next_ready = self._is_next_ready, False
+            return is_ready
+        return not n_sent or self._budget.spend(time.monotonic())
+
+    def _may_send_again(self, n_sent: int, *, may_have_run: bool) -> bool:
+        """Return True if the request may be sent to a further worker.
+
+        Parameters
+        ----------
+        n_sent : int
+            Number of workers that the request was sent to.
+        may_have_run : bool
+            True if one of them may have run it.
+        """
+        job = self._job
+        return not (
+            self._delivery.is_closed
+            or (may_have_run and not job.may_repeat)
+            or (self._delivery.is_begun and not job.route.is_resumable)
+            or n_sent >= job.route.max_attempts
+            or self._n_not_run >= MAX_NOT_RUN
+            or time.monotonic() >= job.deadline_s
+        )
+
     def _outcome_of(self, reason: Reason) -> Outcome:
         """Return the outcome of a request that no worker has answered."""
         rested_in_s = self._workers.rested_in_s(self._job.service)
--- a/src/trefoilpaddle/coordination/chain/chain_inputs.py
+++ b/src/trefoilpaddle/coordination/chain/chain_inputs.py
@@ -1,5 +1,6 @@
 """The stage results that a request takes as inputs, over all of its attempts."""
 
+import asyncio
 import time
 from collections.abc import Callable
 
@@ -62,7 +63,11 @@
                 self._delivery.record_obstacle("stages have run twice")
                 return None
             self._n_runs += 1
-            outcome = await self._chain.run()
+            try:
+                outcome = await self._chain.run()
+            except asyncio.CancelledError:
+                self._chain.free()
+                raise
             if isinstance(outcome, ChainCompleted):
                 self._made = outcome
             elif isinstance(outcome, ChainFailed):
--- a/src/trefoilpaddle/coordination/chain/request_path.py
+++ b/src/trefoilpaddle/coordination/chain/request_path.py
@@ -475,6 +475,7 @@
                         origin_source="" if origin is None else origin.describe(),
                         hold_slot=self._hold_slot,
                         backup=self._backup_of(job),
+                        send_until_s=lambda: self._stop.send_until_s,
                     )
                     if job.must_finish:
                         return await self._finish(attempts, delivery, sink)
--- a/src/trefoilpaddle/coordination/chain/worker_exchange.py
+++ b/src/trefoilpaddle/coordination/chain/worker_exchange.py
@@ -1,6 +1,7 @@
 """Sends a request to one worker and passes its answer on to the caller."""
 
 import asyncio
+import time
 from collections.abc import AsyncIterator, Callable
 from dataclasses import dataclass
 from typing import Final, Protocol
@@ -17,6 +18,7 @@
 from .crash_guard import CrashGuard
 from .job import Job
 from .service_lease import HeldSlot
+from .silence_watch import Prepare, SilenceWatch, watching_silence
 from .target_calls import (
     OpenAnswer,
     StreamBrokenError,
@@ -158,9 +160,13 @@
         *,
         backup: Worker | None = None,
         goes_on: bool = False,
+        prepare_next: Prepare,
     ) -> SendOutcome:
         """Send the request to one worker; return the outcome.
 
+        It is `CallFault.SILENT` only at the deadline, or once another attempt is
+        ready.
+
         Parameters
         ----------
         worker : Worker
@@ -173,12 +179,19 @@
             Worker that gets a copy of the run; None for no copy.
         goes_on : bool
             True if the worker has a copy of the run and goes on with it.
+        prepare_next : callable
+            Prepares another attempt while the worker is silent.
         """
         with self._delivery.at_worker() as may_send:
             if not may_send:
                 return NotSent()
             return await self._send(
-                worker, handles, sink, backup=backup, goes_on=goes_on
+                worker,
+                handles,
+                sink,
+                backup=backup,
+                goes_on=goes_on,
+                prepare_next=prepare_next,
             )
 
     async def _send(
@@ -189,6 +202,7 @@
         *,
         backup: Worker | None,
         goes_on: bool,
+        prepare_next: Prepare,
     ) -> SendOutcome:
         job = self._job
         self.is_cut = False
@@ -203,7 +217,7 @@
             copy_of=job.request.request_id if goes_on else "",
         )
         with self._guard.running(worker, job.fingerprint, job.parts) as run:
-            sent = await self._exchange(worker, call, sink)
+            sent = await self._exchange(worker, call, sink, prepare_next)
             match sent:
                 case CallFault():
                     run.end = outcome_of_fault(sent)
@@ -214,18 +228,26 @@
             return sent
 
     async def _exchange(
-        self, worker: Worker, call: TargetCall, sink: CallerSink
+        self,
+        worker: Worker,
+        call: TargetCall,
+        sink: CallerSink,
+        prepare_next: Prepare,
     ) -> SendOutcome:
         job = self._job
+        left_s = max(0.0, job.deadline_s - time.monotonic())
         n_before = self.n_sent
         # No other worker is left for a run that goes on from its copy.
         n_tried = job.route.max_attempts if call.copy_of else n_before
         with self._choice.open(worker, self._need) as at_worker:
             try:
                 async with (
-                    asyncio.timeout(
-                        response_timeout_s(job, n_sent=n_tried)
-                    ) as pause_limit,
+                    asyncio.timeout(left_s) as limit,
+                    watching_silence(
+                        limit,
+                        silent_s=response_timeout_s(job, n_sent=n_tried),
+                        prepare=prepare_next,
+                    ) as watch,
                     self._calls.exchange(worker, call) as opened,
                 ):
                     match opened:
@@ -236,7 +258,7 @@
                         case Ok(answer):
                             self.n_sent += 1
                             return await self._pass_on(
-                                worker, at_worker, answer, sink, pause_limit
+                                worker, at_worker, answer, sink, watch
                             )
             except TimeoutError:
                 # A worker that stopped within its answer was counted already.
@@ -249,12 +271,10 @@
         at_worker: OpenRequest,
         answer: OpenAnswer,
         sink: CallerSink,
-        pause_limit: asyncio.Timeout,
+        watch: SilenceWatch,
     ) -> SendOutcome:
         if answer.head.is_success and self._job.route.is_stream:
-            return await self._pass_stream_on(
-                worker, at_worker, answer, sink, pause_limit
-            )
+            return await self._pass_stream_on(worker, at_worker, answer, sink, watch)
         match await answer.read():
             case Err(fault):
                 return fault
@@ -273,10 +293,9 @@
         at_worker: OpenRequest,
         answer: OpenAnswer,
         sink: CallerSink,
-        pause_limit: asyncio.Timeout,
+        watch: SilenceWatch,
     ) -> SendOutcome:
         """Pass events on as they arrive; each one restarts the event timeout."""
-        loop = asyncio.get_running_loop()
         try:
             is_first = True
             async for event in in_order(answer.events(), self._last_event):
@@ -294,9 +313,8 @@
                 self._last_event = event.number
                 self._delivery.record_part()
                 await sink.event(event)
-                pause_limit.reschedule(
-                    loop.time() + event_timeout_s(self._job, n_sent=self.n_sent)
-                )
+                if watch.restart(event_timeout_s(self._job, n_sent=self.n_sent)):
+                    self._workers.clear_suspicion(worker)
         except StreamCutError:
             self.is_cut = self._delivery.is_begun
             return CallFault.BROKEN
