Bound the stages of a stream that goes on by its next event, not by its first

What callers saw: a stream that had run for longer than its caller would have waited for the first event ended without its last one when its worker was lost or silent, with seconds left of its time.

Cause: the chain that computes a stream's inputs again kept the deadline of the first run, the time by which the first event had to come. For an older stream it had passed, so that the scheduler refused the chain as 'too late'.

Change: the inputs of a stream that has begun are to be there while its caller waits for the next event, counted from the last one.

Evidence: TestLongStreams, with a gateway process, fails on the code before with 'Response payload is not completed' and passes now.

--- a/src/trefoilpaddle/coordination/chain/chain_inputs.py
+++ b/src/trefoilpaddle/coordination/chain/chain_inputs.py
@@ -27,11 +27,14 @@
         Called with the seconds until the first worker had read them.
     delivery : Delivery
         Records why they could not be computed again.
+    complete_by_s : callable
+        Returns the latest useful monotonic time to have computed them again.
     """
 
     __slots__ = (
         "_began_s",
         "_chain",
+        "_complete_by_s",
         "_delivery",
         "_made",
         "_n_runs",
@@ -48,7 +51,9 @@
         made: ChainCompleted,
         on_first_read: Callable[[float], None],
         delivery: Delivery,
+        complete_by_s: Callable[[], float],
     ) -> None:
+        self._complete_by_s = complete_by_s
         self._chain = chain
         self._delivery = delivery
         self._made: ChainCompleted | None = made
@@ -64,7 +69,7 @@
                 return None
             self._n_runs += 1
             try:
-                outcome = await self._chain.run()
+                outcome = await self._chain.run(deadline_s=self._complete_by_s())
             except asyncio.CancelledError:
                 self._chain.free()
                 raise
--- a/src/trefoilpaddle/coordination/chain/request_path.py
+++ b/src/trefoilpaddle/coordination/chain/request_path.py
@@ -421,7 +421,7 @@
             # A chain is refused now if its stages would complete too late for the
             # request to be sent to a worker, or for its first event to arrive while
             # the caller still waits.
-            deadline_s=min(self._complete_by_s(job, engine_s), self._stop.send_until_s),
+            deadline_s=self._complete_by_s(job, engine_s, delivery),
             preferred_domain=self._preferred_domain(job),
             priority=job.priority,
             fingerprint=job.fingerprint,
@@ -449,6 +449,9 @@
                             self._engine_times.learn, job.route.name
                         ),
                         delivery=delivery,
+                        complete_by_s=lambda: self._complete_by_s(
+                            job, engine_s, delivery
+                        ),
                     )
                     attempts = Attempts(
                         job=job,
@@ -508,10 +511,15 @@
             job=job, workers=self._workers, copies=self._copies, stop=self._stop
         )
 
-    @staticmethod
-    def _complete_by_s(job: Job, engine_s: float) -> float:
-        """Return the latest useful monotonic time of completion of the stages."""
-        return min(job.deadline_s, job.begins_by_s - engine_s)
+    def _complete_by_s(self, job: Job, engine_s: float, delivery: Delivery) -> float:
+        """Return the latest useful monotonic time of completion of the stages.
+
+        The caller of a stream waits for its first event, and after that for the next.
+        """
+        waits_until_s = job.begins_by_s
+        if delivery.last_part_s is not None:
+            waits_until_s = delivery.last_part_s + job.route.event_timeout_s
+        return min(job.deadline_s, waits_until_s - engine_s, self._stop.send_until_s)
 
     async def _finish(
         self, attempts: Attempts, delivery: Delivery, sink: CallerSink
--- a/src/trefoilpaddle/coordination/chain/running_chain.py
+++ b/src/trefoilpaddle/coordination/chain/running_chain.py
@@ -57,13 +57,20 @@
         self._has_run = False
         self._endpoint: SchedulerEndpoint | None = None
 
-    async def run(self) -> ChainOutcome:
+    async def run(self, *, deadline_s: float | None = None) -> ChainOutcome:
         """Run the chain at a scheduler that admits it; return its last outcome.
 
         A chain that is run once more is admitted even if it will be late: the work
         done for it so far would be lost.
+
+        Parameters
+        ----------
+        deadline_s : float, optional
+            Latest useful monotonic time of completion; by default, the chain's own.
         """
         work = self._work
+        if deadline_s is not None:
+            work = replace(work, deadline_s=deadline_s)
         if self._has_run:
             self.free()
             if not self._router.may_repeat(_services(work)):
