--- a/src/trefoilpaddle/standins/platform/gateway_process.py
+++ b/src/trefoilpaddle/standins/platform/gateway_process.py
@@ -8,7 +8,7 @@
 import sys
 from collections.abc import AsyncIterator, Awaitable, Callable
 from pathlib import Path
-from typing import Final
+from typing import Any, Final
 
 import aiohttp
 import orjson
@@ -52,6 +52,8 @@
         What the interpreter runs, below the root of the repository.
     variables : dict of str to str
         Further environment variables of the process.
+    limits : dict
+        Limits of its machine, as the platform writes them.
     """
 
     __slots__ = (
@@ -59,6 +61,7 @@
         "domain",
         "folder",
         "host",
+        "limits",
         "logs",
         "ports",
         "program",
@@ -84,6 +87,7 @@
         self.store = store
         self.program = "platform"
         self.variables: dict[str, str] = {}
+        self.limits: dict[str, Any] = {}
         self.seeds = seeds
         self._grace_s = grace_s
         self.ports = [free_port() for _ in range(N_PORTS)]
@@ -115,6 +119,7 @@
             store=self.store,
             seeds=self.seeds,
             grace_s=self._grace_s,
+            limits=self.limits,
         )
         path.write_bytes(orjson.dumps(fields))
         self.logs.append(self.folder / f"{self.host}-{len(self.logs)}.log")
--- a/src/trefoilpaddle/standins/platform/site.py
+++ b/src/trefoilpaddle/standins/platform/site.py
@@ -91,6 +91,7 @@
     store: str,
     seeds: list[str],
     grace_s: float = GRACE_S,
+    limits: dict[str, Any] | None = None,
 ) -> dict[str, Any]:
     """Return the settings file of one gateway.
 
@@ -100,6 +101,8 @@
         Ports for callers, readiness, peers and metrics.
     grace_s : float
         Time from the stop signal to the kill.
+    limits : dict, optional
+        Limits of its machine, as the platform writes them.
     """
     callers, ready, peers, metrics = ports
     return {
@@ -113,6 +116,7 @@
             "control": f"{IP}:{peers}",
         },
         "internal_port_range": [metrics, metrics + 3],
+        "limits": limits or {},
         "seeds": seeds,
         "bounds": {
             "grace_s": grace_s,
