Bound the bytes of callers' bodies by the memory of the machine

What was seen: clients that send many bodies of legal size at once, most of them short of their last byte, ended a gateway: it ran out of memory.

Cause: each body was checked alone. Nothing counted the bytes of all, and nothing read the memory that the settings state.

A body whose length alone refuses it is no longer read.

The module tests of the ledger and of refusals come with it.

--- a/src/trefoilpaddle/protocol/reasons.py
+++ b/src/trefoilpaddle/protocol/reasons.py
@@ -49,6 +49,7 @@
     VERSION_GONE = 39
     ORIGIN_UNKNOWN = 40
     LIST_OUTDATED = 41
+    MEMORY_FULL = 42
 
 
 def reason_from_wire(number: int) -> Reason:
--- a/src/trefoilpaddle/state/chain/requests.py
+++ b/src/trefoilpaddle/state/chain/requests.py
@@ -1,8 +1,9 @@
 """A caller's request as a gateway holds it, and its outcome."""
 
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
 from ...protocol.reasons import Reason
+from ..held_bytes import Holding, holding_alone
 
 Header = tuple[bytes, bytes]
 """Name and value, as received."""
@@ -70,6 +71,8 @@
     resumes : str
         Id of the attempt that brought the first event of the stream that the caller
         takes up; empty if it names none.
+    holding : Holding
+        Counts the bytes of its body and its answer as long as the request lives.
     """
 
     request_id: str
@@ -88,6 +91,7 @@
     piece_key: str = ""
     after_event: int | None = None
     resumes: str = ""
+    holding: Holding = field(default_factory=holding_alone, compare=False)
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
--- a/src/trefoilpaddle/state/reason_words.py
+++ b/src/trefoilpaddle/state/reason_words.py
@@ -45,6 +45,7 @@
     Reason.VERSION_GONE: "no target of the version that began the stream is left",
     Reason.ORIGIN_UNKNOWN: "no gateway knows which version began the stream",
     Reason.LIST_OUTDATED: "the gateway's list of targets may be out of date",
+    Reason.MEMORY_FULL: "the process holds as many bytes of requests as it may",
     Reason.INTERNAL: "of a fault in trefoilpaddle itself; see the log",
 }
 
--- a/tests/platform_adapter/caller_harness.py
+++ b/tests/platform_adapter/caller_harness.py
@@ -13,6 +13,7 @@
 from trefoilpaddle.state.chain.requests import Answered, CallerRequest, Outcome
 from trefoilpaddle.state.chain.routes import CallerLimits
 from trefoilpaddle.state.chain.target_answers import AnswerHead, StreamEvent
+from trefoilpaddle.state.held_bytes import HeldBytes
 
 HEAD = AnswerHead(status=200, headers=((b"X-Seen", b"1"),))
 GET = b"GET /p/1 HTTP/1.1\r\nHost: h\r\nTrefoilpaddle-Attempt-Id: a\r\n"
@@ -56,9 +57,17 @@
         return self.outcome
 
 
+HELD_BYTES = 1 << 20
+"""Bytes that a server may hold; more than any caller of the tests sends."""
+
+
 @contextlib.asynccontextmanager
 async def serving(
-    served: Served, *, stopping: bool = False, admits: bool = True
+    served: Served,
+    *,
+    stopping: bool = False,
+    admits: bool = True,
+    held: HeldBytes | None = None,
 ) -> AsyncIterator[int]:
     stop = PlannedStop(grace_s=8.0)
     if stopping:
@@ -68,6 +77,7 @@
         limits=lambda: CallerLimits(max_body_bytes=100),
         stop=stop,
         admits=lambda: admits,
+        held=held or HeldBytes(limit_bytes=HELD_BYTES),
     )
     port = free_port()
     async with server.listening(f"127.0.0.1:{port}"):
--- a/tests/platform_adapter/test_callers.py
+++ b/tests/platform_adapter/test_callers.py
@@ -30,12 +30,14 @@
 )
 from trefoilpaddle.state.chain.routes import CallerLimits
 from trefoilpaddle.state.chain.target_answers import AnswerHead
+from trefoilpaddle.state.held_bytes import HeldBytes
 from trefoilpaddle.transport.http_listener import CLOSE_POLL_S
 
 from ..waiting import until
 from .caller_harness import (
     GET,
     HEAD,
+    HELD_BYTES,
     PAUSE_S,
     Served,
     ask,
@@ -411,7 +413,11 @@
         stop = PlannedStop(grace_s=8.0)
         served = Served(works_s=0.2)
         server = CallerServer(
-            serve=served, limits=CallerLimits, stop=stop, admits=lambda: True
+            serve=served,
+            limits=CallerLimits,
+            stop=stop,
+            admits=lambda: True,
+            held=HeldBytes(limit_bytes=HELD_BYTES),
         )
         port = free_port()
         async with server.listening(f"127.0.0.1:{port}"):
@@ -425,6 +431,28 @@
         writer.close()
 
 
+class TestMemory:
+    # Guards against a body that is read although its length alone refuses it.
+    async def test_a_body_too_long_is_refused_before_it_is_sent(self) -> None:
+        served = Served()
+        async with serving(served) as port:
+            answer = await exchange(port, GET + b"Content-Length: 101\r\n\r\n")
+        assert answer.startswith(b"HTTP/1.1 413 ")
+        assert not served.requests
+
+    # Guards against a refusal for memory that does not say when to come back.
+    async def test_a_body_without_room_is_refused_as_not_run(self) -> None:
+        held = HeldBytes(limit_bytes=1)
+        other = held.holding()
+        assert other.take(1)
+        served = Served()
+        async with serving(served, held=held) as port:
+            answer = await exchange(port, GET + b"Content-Length: 2\r\n\r\nab")
+        assert answer.startswith(b"HTTP/1.1 503 ")
+        assert b"\r\nRetry-After: 0.500\r\n" in answer
+        assert not served.requests
+
+
 class TestLog:
     async def test_a_request_that_is_interrupted_says_what_it_waited_for(
         self, caplog: pytest.LogCaptureFixture
@@ -437,6 +465,7 @@
             limits=CallerLimits,
             stop=stop,
             admits=lambda: True,
+            held=HeldBytes(limit_bytes=HELD_BYTES),
             waiting_for=lambda request: f"worker of {request.request_id}",
         )
         port = free_port()
--- a/tests/platform_adapter/test_odd_headers.py
+++ b/tests/platform_adapter/test_odd_headers.py
@@ -14,6 +14,7 @@
 from multidict import CIMultiDict
 
 from trefoilpaddle.coordination.chain.target_calls import StreamBrokenError
+from trefoilpaddle.state.held_bytes import holding_alone
 
 CALLER_FIELDS: Final = (
     names.DEADLINE,
@@ -56,7 +57,9 @@
     ) -> None:
         # Guards against callers' numbers that end in an error inside the gateway.
         try:
-            decoded = decode_request(cast(Any, request(name, value)), b"", b"", 0.0)
+            decoded = decode_request(
+                cast(Any, request(name, value)), b"", b"", 0.0, holding_alone()
+            )
         except ValueError:
             return
         assert math.isfinite(decoded.deadline_s)
