Let a preparation that was not needed cost no run of the stages

Found by a review: a worker pauses, the stages of its stream run again, and the worker goes on; the cancelled run counted as one of the two that a request has, so that the stream was cut when the worker broke later. The stages also ran again when no repeat was left for the request, and inputs that a second worker still waited for could be freed.

Only complete runs count now, the budget is looked at first, and inputs that are there stay there.

--- a/src/trefoilpaddle/coordination/chain/attempts.py
+++ b/src/trefoilpaddle/coordination/chain/attempts.py
@@ -364,14 +364,11 @@
         if not self._can_go_on(silent, n_sent):
             return False
         handles = await self._inputs.get()
-        if handles is None:
-            return False
-        self._is_next_ready = self._can_go_on(silent, n_sent) and self._budget.spend(
-            time.monotonic()
+        self._is_next_ready = (
+            handles is not None
+            and self._can_go_on(silent, n_sent)
+            and self._budget.spend(time.monotonic())
         )
-        if not self._is_next_ready and self._has_begun():
-            # The worker has read its inputs; these would occupy scarce memory.
-            self._inputs.mark_lost()
         return self._is_next_ready
 
     def _can_go_on(self, silent: Worker, n_sent: int) -> bool:
@@ -379,6 +376,7 @@
         return (
             self._may_send_again(n_sent, may_have_run=True)
             and time.monotonic() < self._send_until_s()
+            and self._budget.has_left(time.monotonic())
             and self._refusal() is None
             and self._choose(without=frozenset({silent.worker_id})) is not None
         )
--- a/src/trefoilpaddle/coordination/chain/chain_inputs.py
+++ b/src/trefoilpaddle/coordination/chain/chain_inputs.py
@@ -42,7 +42,7 @@
     )
 
     MAX_RUNS = 2
-    """Maximum runs of one request's chain; each run has the full cost."""
+    """Maximum complete runs of one request's chain; each has the full cost."""
 
     def __init__(
         self,
@@ -67,7 +67,6 @@
             if self._n_runs >= self.MAX_RUNS:
                 self._delivery.record_obstacle("stages have run twice")
                 return None
-            self._n_runs += 1
             try:
                 outcome = await self._chain.run(deadline_s=self._complete_by_s())
             except asyncio.CancelledError:
@@ -75,6 +74,7 @@
                 raise
             if isinstance(outcome, ChainCompleted):
                 self._made = outcome
+                self._n_runs += 1
             elif isinstance(outcome, ChainFailed):
                 reason = outcome.reason.name.lower()
                 self._delivery.record_obstacle(f"stages not run again: {reason}")
--- a/src/trefoilpaddle/state/chain/repeat_budget.py
+++ b/src/trefoilpaddle/state/chain/repeat_budget.py
@@ -62,14 +62,18 @@
 
     def spend(self, now_s: float) -> bool:
         """Use one repeat of the budget; return False if none is left."""
+        if not self.has_left(now_s):
+            return False
+        self._repeats_s.append(now_s)
+        return True
+
+    def has_left(self, now_s: float) -> bool:
+        """Return True if a repeat is left."""
         self._forget(self._requests_s, now_s)
         self._forget(self._repeats_s, now_s)
         share = self._slack / max(1, self._n_gateways())
         allowed = SAFETY_FACTOR * (self._ratio * len(self._requests_s) + share)
-        if len(self._repeats_s) + 1 > allowed:
-            return False
-        self._repeats_s.append(now_s)
-        return True
+        return len(self._repeats_s) + 1 <= allowed
 
     def _forget(self, times_s: deque[float], now_s: float) -> None:
         while times_s and now_s - times_s[0] > self._window_s:
--- a/tests/chain/test_attempts.py
+++ b/tests/chain/test_attempts.py
@@ -5,13 +5,15 @@
 import time
 from collections.abc import AsyncIterator, Sequence
 from contextlib import asynccontextmanager
-from typing import Any
+from typing import Any, cast
 
 import pytest
 
 from trefoilpaddle.coordination.chain import attempt_timeouts
 from trefoilpaddle.coordination.chain.attempts import Attempts
+from trefoilpaddle.coordination.chain.chain_inputs import ChainInputs
 from trefoilpaddle.coordination.chain.job import Job
+from trefoilpaddle.coordination.chain.running_chain import RunningChain
 from trefoilpaddle.coordination.chain.service_lease import (
     HeldSlot,
     HoldSlot,
@@ -19,6 +21,7 @@
 )
 from trefoilpaddle.coordination.chain.worker_choice import Need, WorkerChoice
 from trefoilpaddle.protocol.reasons import Reason
+from trefoilpaddle.state.chain.chain_work import ChainCompleted
 from trefoilpaddle.state.chain.crash_registry import Crash
 from trefoilpaddle.state.chain.delivery import Delivery
 from trefoilpaddle.state.chain.isolated_runs import IsolatedRun
@@ -73,6 +76,21 @@
         self.is_there = False
 
 
+class ScriptedChain:
+    """A chain whose further runs take the given times."""
+
+    def __init__(self, *takes_s: float) -> None:
+        self.takes_s = list(takes_s)
+        self.n_freed = 0
+
+    async def run(self, *, deadline_s: float) -> ChainCompleted:
+        await asyncio.sleep(self.takes_s.pop(0))
+        return ChainCompleted(handles=("made-2",))
+
+    def free(self) -> None:
+        self.n_freed += 1
+
+
 def attempts(
     calls: FakeCalls,
     of_route: Route,
@@ -366,6 +384,41 @@
         await attempts(calls, quick, slack=0.0).run(sink)
         assert sink.seen == ["200 body"]
 
+    # Guards against a stream that pauses once and cannot be resumed after that.
+    async def test_a_preparation_that_was_not_needed_costs_no_run(
+        self, monkeypatch: pytest.MonkeyPatch
+    ) -> None:
+        monkeypatch.setattr(attempt_timeouts, "EVENT_TIMEOUT_S", 0.05)
+        runs = ScriptedChain(FOR_EVER_S, 0.0)
+        inputs = ChainInputs(
+            chain=cast(RunningChain, runs),
+            made=ChainCompleted(handles=("made-1",)),
+            on_first_read=lambda _: None,
+            delivery=Delivery(),
+            complete_by_s=time.monotonic,
+        )
+        calls = FakeCalls(
+            scripts=[
+                FakeAnswer(n_events=2, hangs_s=0.2, n_later=1, breaks=True),
+                FakeAnswer(n_events=1, first=4),
+            ]
+        )
+        sink = FakeSink()
+        running = attempts(calls, STREAM, inputs=cast(FakeInputs, inputs))
+        assert isinstance(await running.run(sink), Answered)
+        assert sink.seen == ["begin", "1", "2", "3", "4", "end"]
+        assert runs.n_freed
+
+    # Guards against stages that run again though no repeat is left for the request.
+    async def test_nothing_is_prepared_without_a_repeat(
+        self, monkeypatch: pytest.MonkeyPatch
+    ) -> None:
+        monkeypatch.setattr(attempt_timeouts, "EVENT_TIMEOUT_S", 0.05)
+        inputs = FakeInputs()
+        calls = FakeCalls(scripts=[FakeAnswer(n_events=2, hangs_s=0.2)])
+        await attempts(calls, STREAM, slack=0.0, inputs=inputs).run(FakeSink())
+        assert inputs.version == 1
+
     async def test_a_worker_that_stays_silent_is_given_up_once_another_is_ready(
         self, monkeypatch: pytest.MonkeyPatch
     ) -> None:
