End the watch for silence with the answer, and while its caller takes an event

Found by a review: a caller that took long to take an event, or the end of its answer, counted as a silent worker, and its request ran at a second one. An answer that was complete in the turn of the event loop in which another attempt was ready was given up: the caller got the end of its stream twice, or a whole answer counted as failed.

The watch runs only while the worker is waited for, and ends with its answer.

The three new cases fail on the code before.

--- a/src/trefoilpaddle/coordination/chain/silence_watch.py
+++ b/src/trefoilpaddle/coordination/chain/silence_watch.py
@@ -28,17 +28,24 @@
         Prepares another attempt; cancelled as soon as the worker sends something.
     """
 
-    __slots__ = ("_limit", "_prepare", "_preparing", "_silent_s", "_timer")
+    __slots__ = ("_ended", "_limit", "_prepare", "_preparing", "_silent_s", "_timer")
 
     def __init__(self, *, limit: asyncio.Timeout, prepare: Prepare) -> None:
         self._limit = limit
         self._prepare = prepare
         self._preparing: asyncio.Task[None] | None = None
+        self._ended: list[asyncio.Task[None]] = []
         self._silent_s = NEVER_S
         self._timer: asyncio.TimerHandle | None = None
 
-    def restart(self, silent_s: float) -> bool:
-        """Watch for the next `silent_s` seconds, as the worker has sent something.
+    def restart(self, silent_s: float) -> None:
+        """Watch for the next `silent_s` seconds, as the worker should send something."""
+        self.stop()
+        self._silent_s = silent_s
+        self._look_later()
+
+    def stop(self) -> bool:
+        """Stop watching, as the worker has sent something.
 
         Returns
         -------
@@ -46,25 +53,31 @@
             True if another attempt was being prepared.
         """
         was_silent = self._preparing is not None
-        self._stop()
-        self._silent_s = silent_s
-        self._look_later()
-        return was_silent
-
-    async def close(self) -> None:
-        """End a preparation that is under way."""
-        preparing = self._preparing
-        self._stop()
-        if preparing is not None:
-            await asyncio.gather(preparing, return_exceptions=True)
-
-    def _stop(self) -> None:
         if self._timer is not None:
             self._timer.cancel()
             self._timer = None
         if self._preparing is not None:
             self._preparing.cancel()
+            under_way = [each for each in self._ended if not each.done()]
+            self._ended = [*under_way, self._preparing]
             self._preparing = None
+        return was_silent
+
+    def complete(self) -> None:
+        """Stop watching for good, as the worker's answer is complete.
+
+        Neither the deadline nor an attempt that was ready in the same moment ends the
+        exchange any more.
+        """
+        self.stop()
+        if not self._limit.expired():
+            self._limit.reschedule(None)
+
+    async def close(self) -> None:
+        """Wait until no preparation is under way any more."""
+        self.stop()
+        if any(not each.done() for each in self._ended):
+            await asyncio.gather(*self._ended, return_exceptions=True)
 
     def _look_later(self) -> None:
         if self._silent_s < NEVER_S:
@@ -81,7 +94,7 @@
             # The worker may still answer.
             logging.exception("preparing another attempt failed")
             is_ready = False
-        if is_ready:
+        if is_ready and not self._limit.expired():
             self._limit.reschedule(asyncio.get_running_loop().time())
         else:
             self._look_later()
--- a/src/trefoilpaddle/coordination/chain/worker_exchange.py
+++ b/src/trefoilpaddle/coordination/chain/worker_exchange.py
@@ -279,6 +279,7 @@
             case Err(fault):
                 return fault
             case Ok(body):
+                watch.complete()
                 self._workers.clear_suspicion(worker)
                 if not answer.head.is_success:
                     return WorkerFailed(head=answer.head, body=body)
@@ -310,11 +311,12 @@
                     self.held.mark_begun()
                     self._on_begin(worker)
                     await sink.begin(answer.head)
+                if watch.stop():
+                    self._workers.clear_suspicion(worker)
                 self._last_event = event.number
                 self._delivery.record_part()
                 await sink.event(event)
-                if watch.restart(event_timeout_s(self._job, n_sent=self.n_sent)):
-                    self._workers.clear_suspicion(worker)
+                watch.restart(event_timeout_s(self._job, n_sent=self.n_sent))
         except StreamCutError:
             self.is_cut = self._delivery.is_begun
             return CallFault.BROKEN
@@ -323,6 +325,7 @@
         if not self._delivery.is_begun:
             return CallFault.BROKEN
         at_worker.mark_done()
+        watch.complete()
         await sink.end()
         return Answered()
 
--- a/tests/chain/test_attempts.py
+++ b/tests/chain/test_attempts.py
@@ -8,6 +8,7 @@
 from typing import Any, cast
 
 import pytest
+from result import Ok, Result
 
 from trefoilpaddle.coordination.chain import attempt_timeouts
 from trefoilpaddle.coordination.chain.attempts import Attempts
@@ -27,7 +28,11 @@
 from trefoilpaddle.state.chain.isolated_runs import IsolatedRun
 from trefoilpaddle.state.chain.requests import Answered, Failed, Outcome, Refused
 from trefoilpaddle.state.chain.routes import Account, RepeatPolicy, Route
-from trefoilpaddle.state.chain.target_answers import AnswerHead, CallFault
+from trefoilpaddle.state.chain.target_answers import (
+    AnswerHead,
+    CallFault,
+    StreamEvent,
+)
 from trefoilpaddle.state.chain.worker_loads import N_FAILED, LeftOut, WorkerLoads
 from trefoilpaddle.state.chain.workers import Worker, WorkerTable
 
@@ -419,6 +424,64 @@
         await attempts(calls, STREAM, slack=0.0, inputs=inputs).run(FakeSink())
         assert inputs.version == 1
 
+    # Guards against a caller that is slow to take the end of its answer, and a request
+    # that runs at a second worker for it.
+    async def test_a_slow_caller_is_no_silent_worker(
+        self, monkeypatch: pytest.MonkeyPatch
+    ) -> None:
+        monkeypatch.setattr(attempt_timeouts, "EVENT_TIMEOUT_S", 0.05)
+
+        class SlowSink(FakeSink):
+            async def event(self, event: StreamEvent) -> None:
+                await asyncio.sleep(0.1)
+                await super().event(event)
+
+            async def end(self) -> None:
+                await asyncio.sleep(0.1)
+                await super().end()
+
+        calls = FakeCalls(scripts=[FakeAnswer(n_events=2), FakeAnswer()])
+        sink = SlowSink()
+        assert isinstance(await attempts(calls, STREAM).run(sink), Answered)
+        assert sink.seen == ["begin", "1", "2", "end"]
+        assert len(calls.sent) == 1
+
+    # Guards against an answer that is complete and is given up all the same, as another
+    # attempt is ready in the same turn of the event loop.
+    @pytest.mark.parametrize("is_stream", [True, False])
+    async def test_a_complete_answer_is_not_given_up(
+        self, is_stream: bool, monkeypatch: pytest.MonkeyPatch
+    ) -> None:
+        monkeypatch.setattr(attempt_timeouts, "EVENT_TIMEOUT_S", 0.05)
+        ready = asyncio.Event()
+
+        class ReadyInputs(FakeInputs):
+            async def get(self) -> tuple[str, ...] | None:
+                if calls.sent:
+                    await asyncio.sleep(0.01)
+                    ready.set()
+                return ("made",)
+
+        class LateAnswer(FakeAnswer):
+            async def read(self) -> Result[bytes, CallFault]:
+                await ready.wait()
+                return Ok(self.body)
+
+            async def events(self) -> AsyncIterator[StreamEvent]:
+                async for event in super().events():
+                    yield event
+                await ready.wait()
+
+        calls = FakeCalls(scripts=[LateAnswer(n_events=1), FakeAnswer()])
+        whole = route(
+            repeat=RepeatPolicy.IDEMPOTENT, max_attempts=2, target_latency_s=0.02
+        )
+        sink = FakeSink()
+        running = attempts(calls, STREAM if is_stream else whole, inputs=ReadyInputs())
+        assert isinstance(await running.run(sink), Answered)
+        assert sink.seen == (["begin", "1", "end"] if is_stream else ["200 body"])
+        assert len(calls.sent) == 1
+
     async def test_a_worker_that_stays_silent_is_given_up_once_another_is_ready(
         self, monkeypatch: pytest.MonkeyPatch
     ) -> None:
