--- a/src/trefoilpaddle/coordination/chain/silence_watch.py
+++ b/src/trefoilpaddle/coordination/chain/silence_watch.py
@@ -39,7 +39,7 @@
         self._timer: asyncio.TimerHandle | None = None
 
     def restart(self, silent_s: float) -> None:
-        """Watch for the next `silent_s` seconds, as the worker should send something."""
+        """Watch for `silent_s` seconds, as the worker is expected to send something."""
         self.stop()
         self._silent_s = silent_s
         self._look_later()
