Bound the bytes of answers that callers do not read

What was seen: clients whose answers are left unread ended a gateway for want of memory. A whole answer was handed to the connection at once and kept there until its caller had taken it; nothing counted the bytes of all.

Change: the bytes of an answer count with those of its request.

--- a/src/trefoilpaddle/standins/platform/worker.py
+++ b/src/trefoilpaddle/standins/platform/worker.py
@@ -84,6 +84,8 @@
         Length of that pause in seconds.
     copies : RunCopies
         Copies of the runs of other workers.
+    answer_bytes : int
+        Size of complete answers; 0 answers with the id of the request.
     running : set of str
         Ids of the requests that run now.
     interrupts_answers : bool
@@ -132,6 +134,7 @@
     __slots__ = (
         "_handle_numbers",
         "address",
+        "answer_bytes",
         "born_ms",
         "breaks_after",
         "breaks_inside_event",
@@ -185,6 +188,7 @@
         self.n_slots = n_slots
         self.slots = Slots(n_slots=n_slots, n_queued=n_queued)
         self.n_done = 0
+        self.answer_bytes = 0
         self.fails = False
         self.states_load = False
         self.load_percent = 100
@@ -350,7 +354,8 @@
                 await answer.prepare(request)
                 await answer.write(request_id.encode())
                 return answer
-            return web.Response(body=request_id.encode(), headers=headers)
+            whole = bytes(self.answer_bytes) or request_id.encode()
+            return web.Response(body=whole, headers=headers)
         headers["Content-Type"] = "text/event-stream"
         if is_marked:
             await self._begin_marked(request, headers, b"id: ")
--- a/tests/platform_adapter/test_endless_answers.py
+++ b/tests/platform_adapter/test_endless_answers.py
@@ -23,6 +23,7 @@
 from trefoilpaddle.state.chain.piece_work import PieceWork
 from trefoilpaddle.state.chain.target_answers import AnswerHead, CallFault
 from trefoilpaddle.state.chain.workers import Worker
+from trefoilpaddle.state.held_bytes import holding_alone
 
 from .raw_engines import raw_engine
 from .test_worker_client import CHUNKED, UNFRAMED, call, worker_client
@@ -241,7 +242,11 @@
     # Guards against a stream of one worker that takes the processor from all others.
     async def test_an_event_of_many_small_parts_takes_little_time(self) -> None:
         opened = cast("aiohttp.ClientResponse", SmallParts())
-        answer = WorkerAnswer(answer=opened, head=AnswerHead(status=200, headers=()))
+        answer = WorkerAnswer(
+            answer=opened,
+            head=AnswerHead(status=200, headers=()),
+            holding=holding_alone(),
+        )
         began_s = time.process_time()
         with pytest.raises(StreamBrokenError):
             async for _ in answer.events():
--- a/tests/platform_adapter/test_misbehaving_callers.py
+++ b/tests/platform_adapter/test_misbehaving_callers.py
@@ -37,8 +37,14 @@
 N_REQUESTS: Final = 15000
 """Connections on which requests are sent ahead, and requests on each."""
 
+BUFFER_BYTES: Final = 4096
+"""Receive buffer of callers that do not read, so that the kernel holds little."""
+
 ORDINARY_BYTES: Final = 20_000
 SLOW_WORK_S: Final = 5.0
+SETTLE_S: Final = 2.0
+"""Time for the gateway to read what workers answer."""
+
 RETRY_S: Final = 0.2
 
 Send = Callable[[int], Sequence[bytes]]
@@ -75,13 +81,20 @@
     return [_head(number, "Content-Length: 0", path="price")] * N_REQUESTS
 
 
+def _asks(number: int) -> Sequence[bytes]:
+    return (_head(number, "Content-Length: 0", path="price"),)
+
+
 def _nothing(number: int) -> Sequence[bytes]:
     return ()
 
 
 @contextlib.asynccontextmanager
 async def crowd(
-    gateway: GatewayProcess, sends: Sequence[Sequence[bytes]]
+    gateway: GatewayProcess,
+    sends: Sequence[Sequence[bytes]],
+    *,
+    has_small_buffers: bool,
 ) -> AsyncIterator[None]:
     """Keep the connections of callers open that send and never read.
 
@@ -93,6 +106,8 @@
     async def send(parts: Sequence[bytes]) -> None:
         connected = socket.socket()
         connected.setblocking(False)
+        if has_small_buffers:
+            connected.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, BUFFER_BYTES)
         opened.append(connected)
         with contextlib.suppress(OSError):
             await loop.sock_connect(connected, (IP, gateway.ports[0]))
@@ -147,6 +162,14 @@
         site.workers[worker_id].work_s = SLOW_WORK_S
 
 
+def _answer_at_length(site: Site) -> None:
+    """Let the workers send a large answer to each of the crowd at the same time."""
+    for worker_id in ("stock1", "stock2"):
+        site.workers[worker_id].answer_bytes = LARGE_BYTES
+        site.workers[worker_id].n_slots = N_LARGE
+        site.list_worker(worker_id, "stock")
+
+
 class TestMisbehavingCallers:
     # Guards against callers that end a gateway, or keep it from all others, by what
     # they leave open.
@@ -158,8 +181,9 @@
             (_in_parts, N_LARGE),
             (_ahead, N_AHEAD),
             (_nothing, N_IDLE),
+            (_asks, N_LARGE),
         ],
-        ids=["whole", "cut-short", "in-parts", "sent-ahead", "idle"],
+        ids=["whole", "cut-short", "in-parts", "sent-ahead", "idle", "unread"],
     )
     async def test_a_crowd_leaves_the_gateway_within_its_machine(
         self, sends: Send, n_callers: int, tmp_path: Path
@@ -176,7 +200,14 @@
             await until(lambda: "stock1" in gateway.log())
             if sends is _whole:
                 _slow(site)
-            async with crowd(gateway, [sends(number) for number in range(n_callers)]):
+            if sends is _asks:
+                _answer_at_length(site)
+            async with crowd(
+                gateway,
+                [sends(number) for number in range(n_callers)],
+                has_small_buffers=sends is _asks,
+            ):
+                await asyncio.sleep(SETTLE_S)
                 for worker in site.workers.values():
                     worker.work_s = 0.0
                 async with asyncio.timeout(CAP_S):
