Close the longest idle connections when no more may open

What was seen: 400 connections that send nothing, at a gateway of 300 descriptors, kept every other caller out: no connection could be accepted any more, and an ordinary request was not answered in 20 s.

Cause: nothing bounded the connections of callers on the platform's path, and where a bound was given, the newest connection was refused, so that silent ones kept their places for good.

When no more may open, the tenth of the idle connections that nothing has arrived on for longest is closed; a new one is refused only if none is idle. Connections that wait for their callers after a last answer count as well.

--- a/src/trefoilpaddle/transport/http_listener.py
+++ b/src/trefoilpaddle/transport/http_listener.py
@@ -38,6 +38,11 @@
 A handshake takes two round trips, and a lost packet is sent again within 0.4 s.
 """
 
+CLOSED_SHARE: Final = 0.1
+"""Share of the idle connections that are closed at a time when no more may open."""
+
+FULL_LOG_PERIOD_S: Final = 1.0
+
 CLOSE_POLL_S: Final = 0.005
 """Period in seconds of the check for connections that have become idle at the close."""
 
@@ -100,7 +105,8 @@
     refusal : bytes
         Complete HTTP answer for callers whose requests cross the close.
     max_connections : int, optional
-        Most open connections; more are answered with 503. By default, any number.
+        Most open connections. For a further one, those that have been idle longest are
+        closed; if none is idle, it is answered with 503. By default, any number.
     tls : ssl.SSLContext, optional
         Server-side context; None for plain HTTP.
     admits : callable, optional
@@ -265,14 +271,45 @@
             logging.warning("a connection could not be opened: %s", error)
 
     def _new_protocol(self) -> asyncio.Protocol:
-        max_connections = self._max_connections
-        if max_connections is None or len(self._http.connections) < max_connections:
-            return _HttpConnection(
-                http=self._http,
-                lingering=self._lingering,
-                head_timeout_s=self._head_timeout_s,
-            )
-        return _RejectedConnection(lingering=self._lingering)
+        if not self._has_room():
+            self._close_longest_idle()
+            if not self._has_room():
+                return _RejectedConnection(lingering=self._lingering)
+        return _HttpConnection(
+            http=self._http,
+            lingering=self._lingering,
+            head_timeout_s=self._head_timeout_s,
+        )
+
+    def _has_room(self) -> bool:
+        most = self._max_connections
+        return most is None or self._n_open() < most
+
+    def _n_open(self) -> int:
+        return len(self._http.connections) + len(self._lingering)
+
+    def _close_longest_idle(self) -> None:
+        """Close some of the connections without a request, to make room for others.
+
+        A request that crosses the close was not read, and reads the refusal.
+        """
+        idle = [
+            each
+            for each in self._http.connections
+            if isinstance(each, _HttpConnection) and each.is_idle
+        ]
+        idle.sort(key=lambda each: each.received_s)
+        n_closed = max(1, round(CLOSED_SHARE * len(idle)))
+        for connection in idle[:n_closed]:
+            connection.finish(TOO_MANY_CONNECTIONS)
+        self._lingering.close_sent()
+        logging.log_every_n_seconds(
+            logging.INFO,
+            "port %d has %d connections, as many as it may; idle ones are closed",
+            FULL_LOG_PERIOD_S,
+            self._port,
+            self._n_open(),
+        )
 
     async def _stop_accepting(self, until_s: float) -> None:
         """Close the listener once all connections that callers made are accepted."""
@@ -362,7 +399,13 @@
 
 
 class _HttpConnection(web.RequestHandler):
-    """One connection, which ends in an order that loses neither request nor answer."""
+    """One connection, which ends in an order that loses neither request nor answer.
+
+    Attributes
+    ----------
+    received_s : float
+        Monotonic time at which something arrived last; of the opening before that.
+    """
 
     __slots__ = (
         "_body",
@@ -371,6 +414,7 @@
         "_lingering",
         "_n_overhead",
         "_progress",
+        "received_s",
     )
 
     def __init__(
@@ -384,6 +428,7 @@
         self._head_timeout_s = head_timeout_s
         self._head_timer: asyncio.TimerHandle | None = None
         self._lingering = lingering
+        self.received_s = time.monotonic()
         self._n_overhead = 0
         self._body: StreamReader | None = None
         self._progress = (0, 0)
@@ -394,6 +439,7 @@
         The parser takes blank lines, and the framing of chunks, without end.
         """
         super().data_received(data)
+        self.received_s = time.monotonic()
         self._watch_head(data)
         if self._messages:
             self._body = self._messages[-1][1]
--- a/src/trefoilpaddle/transport/lingering.py
+++ b/src/trefoilpaddle/transport/lingering.py
@@ -88,6 +88,12 @@
             async with asyncio.timeout(timeout_s):
                 await self._all_closed.wait()
 
+    def close_sent(self) -> None:
+        """Close the connections whose last answer has left this process."""
+        for connection in list(self._open):
+            if not connection.unsent_bytes:
+                connection.close()
+
     def close_all(self) -> None:
         """Close the connections that have not ended."""
         for connection in list(self._open):
