--- a/src/trefoilpaddle/state/settings.py
+++ b/src/trefoilpaddle/state/settings.py
@@ -117,7 +117,7 @@
     max_header_bytes : int
         Longest header, and longest request line.
     max_connections : int
-        Largest number of connected callers; a further one is told to retry later.
+        Largest number of connected callers; for a further one, idle ones are closed.
     max_json_depth : int
         Deepest nesting of a JSON body.
     max_deadline_s : float
