--- a/tests/chain/test_attempts.py
+++ b/tests/chain/test_attempts.py
@@ -482,6 +482,17 @@
         assert sink.seen == (["begin", "1", "end"] if is_stream else ["200 body"])
         assert len(calls.sent) == 1
 
+    # Guards against a worker that is given up for another one that turns the request
+    # away, while it would go on.
+    async def test_a_stream_outlives_the_refusal_of_its_next_worker(
+        self, monkeypatch: pytest.MonkeyPatch
+    ) -> None:
+        monkeypatch.setattr(attempt_timeouts, "EVENT_TIMEOUT_S", 0.05)
+        paused = FakeAnswer(n_events=2, hangs_s=0.2, n_later=1)
+        calls = FakeCalls(scripts=[paused, CallFault.FULL])
+        running = attempts(calls, STREAM, n_workers=2)
+        assert isinstance(await running.run(FakeSink()), Answered)
+
     async def test_a_worker_that_stays_silent_is_given_up_once_another_is_ready(
         self, monkeypatch: pytest.MonkeyPatch
     ) -> None:
--- a/tests/platform_adapter/test_silent_workers.py
+++ b/tests/platform_adapter/test_silent_workers.py
@@ -7,6 +7,7 @@
 
 import aiohttp
 import pytest
+from adapter.sessions import single_use_session
 
 from trefoilpaddle.standins.platform.gateway_process import (
     DRAFT,
@@ -26,6 +27,7 @@
 from trefoilpaddle.standins.platform.store import TABLE_KEY
 
 from ..waiting import until
+from .raw_engines import raw_engine
 
 WHOLE: Final = list(range(1, N_EVENTS + 1))
 
@@ -35,6 +37,9 @@
 PAUSE_S: Final = 2.2
 """Pause of a worker; longer than a gateway waits before it looks for another one."""
 
+BODY_BYTES: Final = 1 << 23
+"""Body that does not fit into the buffers of a connection."""
+
 OLD_EVENT_S: Final = 1.1
 N_OLD: Final = 4
 """Events of a stream whose caller would have left before without the first one."""
@@ -108,3 +113,18 @@
                 site.workers[worker_id].breaks_after = N_OLD
             body = await read_stream(client, gateway, deadline_ms=LONG_MS)
             assert event_numbers(body) == WHOLE
+
+
+class TestUnreadBodies:
+    # Guards against requests that end as their worker does not read for a while.
+    async def test_a_body_outlasts_a_pause_of_its_worker(self) -> None:
+        async def pause(
+            reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+        ) -> None:
+            await asyncio.sleep(PAUSE_S)
+            await reader.readexactly(BODY_BYTES)
+            writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
+
+        async with raw_engine(pause) as address, single_use_session() as session:
+            answer = await session.post(f"http://{address}/", data=bytes(BODY_BYTES))
+            assert answer.status == 200
