Give answers room of their own, and see slow readers read

Found by a review: bodies and answers shared one limit, so that with bodies up to it all answers waited for each other until their deadlines (10 of 10 after 4 s), and a small answer to a large request waited behind small requests. A caller that read steadily was cut, as the kernel takes the parts of an answer seconds apart.

Answers have a share of their own; only those over 64 kB wait, holding nothing, and one alone always has room. Holdings without bytes are not dropped.

Bodies now have 0.68 of the memory less 80 MB.

--- a/src/trefoilpaddle/state/chain/requests.py
+++ b/src/trefoilpaddle/state/chain/requests.py
@@ -71,8 +71,8 @@
     resumes : str
         Id of the attempt that brought the first event of the stream that the caller
         takes up; empty if it names none.
-    holding : Holding
-        Counts the bytes of its body and its answer as long as the request lives.
+    body_holding, answer_holding : Holding
+        Count the bytes of its body and of its answer as long as the request lives.
     """
 
     request_id: str
@@ -91,7 +91,8 @@
     piece_key: str = ""
     after_event: int | None = None
     resumes: str = ""
-    holding: Holding = field(default_factory=holding_alone, compare=False)
+    body_holding: Holding = field(default_factory=holding_alone, compare=False)
+    answer_holding: Holding = field(default_factory=holding_alone, compare=False)
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
--- a/src/trefoilpaddle/state/held_bytes.py
+++ b/src/trefoilpaddle/state/held_bytes.py
@@ -8,40 +8,58 @@
 SMALL_BYTES: Final = 64 * 1024
 """Requests up to this size may use all of the limit."""
 
-LARGE_SHARE: Final = 0.8
+LARGE_SHARE: Final = 0.95
 """Share of the limit that larger ones may use, so that small ones still pass."""
 
-STALLED_S: Final = 1.0
-"""Seconds without progress after which a holding may be dropped for others.
+SENDER_STALLED_S: Final = 1.0
+"""Seconds without a byte of a body after which it may be dropped for others.
 
-A caller that sends or reads gets on within a round trip, or after a lost packet.
+A caller that sends gets on within a round trip, or after a lost packet.
 """
 
+READER_STALLED_S: Final = 5.0
+"""The same for an answer; the kernel takes its parts in bursts for slow readers."""
+
 DEFAULT_MEMORY_BYTES: Final = 256 * 1024 * 1024
 """Memory of a process whose machine states none."""
 
-RESERVED_BYTES: Final = 112 * 1024 * 1024
+RESERVED_BYTES: Final = 80 * 1024 * 1024
 """Memory for the process itself and for buffers of its connections."""
 
-HELD_SHARE: Final = 0.6
-"""Share of the rest for what is held; a body is copied once as it is complete."""
+BODIES_SHARE: Final = 0.68
+ANSWERS_SHARE: Final = 0.17
+"""Shares of the rest; a body is copied once as it is complete.
+
+Answers have a share of their own: what workers have done must not wait for bodies that
+wait for workers.
+"""
 
 MIN_HELD_BYTES: Final = 16 * 1024 * 1024
 
 
-def held_limit_bytes(memory_bytes: int) -> int:
-    """Return how many bytes a process with `memory_bytes` may hold; 0 for unknown."""
+def held_limit_bytes(memory_bytes: int, share: float) -> int:
+    """Return how many bytes of one kind a process may hold.
+
+    Parameters
+    ----------
+    memory_bytes : int
+        Memory that the process may use; 0 if that is not stated.
+    share : float
+        Share of the kind.
+    """
     spare = (memory_bytes or DEFAULT_MEMORY_BYTES) - RESERVED_BYTES
-    return max(MIN_HELD_BYTES, int(HELD_SHARE * spare))
+    return max(MIN_HELD_BYTES, int(share * spare))
 
 
 class HeldBytes:
-    """Counts the bytes that all requests of a process hold.
+    """Counts the bytes of one kind that all requests of a process hold.
 
     Parameters
     ----------
     limit_bytes : int
         Most bytes that may be held.
+    stalled_s : float
+        Seconds without progress after which a holding may be dropped for others.
 
     Attributes
     ----------
@@ -53,9 +71,19 @@
         How many holdings were dropped for others.
     """
 
-    __slots__ = ("_droppable", "limit_bytes", "n_bytes", "n_dropped", "n_refused")
-
-    def __init__(self, *, limit_bytes: int) -> None:
+    __slots__ = (
+        "_droppable",
+        "_stalled_s",
+        "limit_bytes",
+        "n_bytes",
+        "n_dropped",
+        "n_refused",
+    )
+
+    def __init__(
+        self, *, limit_bytes: int, stalled_s: float = SENDER_STALLED_S
+    ) -> None:
+        self._stalled_s = stalled_s
         self.limit_bytes = limit_bytes
         self.n_bytes = 0
         self.n_refused = 0
@@ -71,8 +99,9 @@
 
         Their bytes are free once the handlers of their requests have ended.
         """
-        stalled_s = time.monotonic() - STALLED_S
-        for holding in sorted(self._droppable, key=lambda each: each.moved_s):
+        stalled_s = time.monotonic() - self._stalled_s
+        holdings = [each for each in self._droppable if each.n_bytes]
+        for holding in sorted(holdings, key=lambda each: each.moved_s):
             if n_bytes <= 0 or holding.moved_s > stalled_s:
                 return
             n_bytes -= holding.n_bytes
@@ -90,6 +119,7 @@
         drop : callable
             Ends the wait; called once at most.
         """
+        holding.record_progress()
         self._droppable[holding] = drop
         try:
             yield
@@ -103,7 +133,7 @@
 
 
 class Holding:
-    """The bytes of one request: its body and its answer.
+    """The bytes of one request's body or answer.
 
     They count as long as this object lives. A request refers to it, so bytes count
     until nothing refers to the request.
@@ -152,9 +182,18 @@
         if held.n_bytes + n_bytes > limit and not is_alone:
             held.drop_stalled(n_bytes)
             return False
-        self.n_bytes += n_bytes
-        held.n_bytes += n_bytes
+        self.add(n_bytes)
         return True
 
-    def __del__(self) -> None:
+    def add(self, n_bytes: int) -> None:
+        """Count `n_bytes` more, whether there is room or not."""
+        self.n_bytes += n_bytes
+        self._held.n_bytes += n_bytes
+
+    def release(self) -> None:
+        """Count nothing any more."""
         self._held.n_bytes -= self.n_bytes
+        self.n_bytes = 0
+
+    def __del__(self) -> None:
+        self.release()
--- a/tests/platform_adapter/caller_harness.py
+++ b/tests/platform_adapter/caller_harness.py
@@ -68,6 +68,7 @@
     stopping: bool = False,
     admits: bool = True,
     held: HeldBytes | None = None,
+    held_answers: HeldBytes | None = None,
 ) -> AsyncIterator[int]:
     stop = PlannedStop(grace_s=8.0)
     if stopping:
@@ -78,6 +79,7 @@
         stop=stop,
         admits=lambda: admits,
         held=held or HeldBytes(limit_bytes=HELD_BYTES),
+        held_answers=held_answers or HeldBytes(limit_bytes=HELD_BYTES),
     )
     port = free_port()
     async with server.listening(f"127.0.0.1:{port}"):
--- a/tests/platform_adapter/test_callers.py
+++ b/tests/platform_adapter/test_callers.py
@@ -418,6 +418,7 @@
             stop=stop,
             admits=lambda: True,
             held=HeldBytes(limit_bytes=HELD_BYTES),
+            held_answers=HeldBytes(limit_bytes=HELD_BYTES),
         )
         port = free_port()
         async with server.listening(f"127.0.0.1:{port}"):
@@ -466,6 +467,7 @@
             stop=stop,
             admits=lambda: True,
             held=HeldBytes(limit_bytes=HELD_BYTES),
+            held_answers=HeldBytes(limit_bytes=HELD_BYTES),
             waiting_for=lambda request: f"worker of {request.request_id}",
         )
         port = free_port()
