Close only connections that have long been idle, and let them linger

Found by a review: a connection that had just been opened counted as the longest idle one and was closed for the next, and one that was closed for others was broken at once, so that a request with a body that crossed the close could not read its refusal.

From nine tenths of the bound on, connections that have been without a request for a second are closed, the longest idle ones first, and linger like all others; those that linger have a bound of their own, the same again. Each turn of the look costs one scan in 0.05 s, not one a connection.

--- a/src/trefoilpaddle/transport/http_listener.py
+++ b/src/trefoilpaddle/transport/http_listener.py
@@ -38,8 +38,17 @@
 A handshake takes two round trips, and a lost packet is sent again within 0.4 s.
 """
 
+CROWDED_SHARE: Final = 0.9
+"""Share of the most connections from which on idle ones are closed."""
+
 CLOSED_SHARE: Final = 0.1
-"""Share of the idle connections that are closed at a time when no more may open."""
+"""Share of the idle connections that are closed at a time."""
+
+IDLE_CLOSE_S: Final = 1.0
+"""Seconds for which a connection must have been idle to be closed for others."""
+
+LOOK_IDLE_S: Final = 0.05
+"""Shortest time in seconds between two looks for idle connections."""
 
 FULL_LOG_PERIOD_S: Final = 1.0
 
@@ -105,8 +114,8 @@
     refusal : bytes
         Complete HTTP answer for callers whose requests cross the close.
     max_connections : int, optional
-        Most open connections. For a further one, those that have been idle longest are
-        closed; if none is idle, it is answered with 503. By default, any number.
+        Most open connections; more are answered with 503. Shortly before, those that
+        have been idle longest are closed. By default, any number.
     tls : ssl.SSLContext, optional
         Server-side context; None for plain HTTP.
     admits : callable, optional
@@ -131,6 +140,7 @@
         "_head_timeout_s",
         "_http",
         "_lingering",
+        "_look_idle_s",
         "_max_connections",
         "_opening",
         "_port",
@@ -157,7 +167,8 @@
         self.refusal = refusal
         self._max_connections = max_connections
         self._tls = tls
-        self._lingering = LingeringConnections()
+        self._lingering = LingeringConnections(most=max_connections)
+        self._look_idle_s = 0.0
         self._port = 0
         self._socket: socket.socket | None = None
         self._opening: set[asyncio.Task[None]] = set()
@@ -271,9 +282,11 @@
             logging.warning("a connection could not be opened: %s", error)
 
     def _new_protocol(self) -> asyncio.Protocol:
-        if not self._has_room():
-            self._close_longest_idle()
-            if not self._has_room():
+        most = self._max_connections
+        if most is not None:
+            if len(self._http._connections) >= CROWDED_SHARE * most:
+                self._close_longest_idle()
+            if len(self._http._connections) >= most:
                 return _RejectedConnection(lingering=self._lingering)
         return _HttpConnection(
             http=self._http,
@@ -281,35 +294,36 @@
             head_timeout_s=self._head_timeout_s,
         )
 
-    def _has_room(self) -> bool:
-        most = self._max_connections
-        return most is None or self._n_open() < most
-
-    def _n_open(self) -> int:
-        return len(self._http.connections) + len(self._lingering)
-
     def _close_longest_idle(self) -> None:
-        """Close some of the connections without a request, to make room for others.
+        """Close some of the connections that have long been without a request.
 
-        A request that crosses the close was not read, and reads the refusal.
+        A request that crosses the close was not read, and reads the refusal. It does
+        nothing if it was called just before.
         """
+        now_s = time.monotonic()
+        if now_s < self._look_idle_s:
+            return
+        self._look_idle_s = now_s + LOOK_IDLE_S
         idle = [
             each
             for each in self._http.connections
-            if isinstance(each, _HttpConnection) and each.is_idle
+            if isinstance(each, _HttpConnection)
+            and each.is_idle
+            and now_s - each.used_s >= IDLE_CLOSE_S
         ]
-        idle.sort(key=lambda each: each.received_s)
-        n_closed = max(1, round(CLOSED_SHARE * len(idle)))
-        for connection in idle[:n_closed]:
+        idle.sort(key=lambda each: each.used_s)
+        for connection in idle[: max(1, round(CLOSED_SHARE * len(idle)))]:
             connection.finish(TOO_MANY_CONNECTIONS)
-        self._lingering.close_sent()
-        logging.log_every_n_seconds(
-            logging.INFO,
-            "port %d has %d connections, as many as it may; idle ones are closed",
-            FULL_LOG_PERIOD_S,
-            self._port,
-            self._n_open(),
-        )
+        if idle:
+            logging.log_every_n_seconds(
+                logging.INFO,
+                "port %d has %d connections, of %d at most; those that have been idle"
+                " longest are closed",
+                FULL_LOG_PERIOD_S,
+                self._port,
+                len(self._http._connections),
+                self._max_connections,
+            )
 
     async def _stop_accepting(self, until_s: float) -> None:
         """Close the listener once all connections that callers made are accepted."""
@@ -403,8 +417,9 @@
 
     Attributes
     ----------
-    received_s : float
-        Monotonic time at which something arrived last; of the opening before that.
+    used_s : float
+        Monotonic time at which something arrived last, or an answer was complete; at
+        first that of the opening.
     """
 
     __slots__ = (
@@ -414,7 +429,7 @@
         "_lingering",
         "_n_overhead",
         "_progress",
-        "received_s",
+        "used_s",
     )
 
     def __init__(
@@ -428,7 +443,7 @@
         self._head_timeout_s = head_timeout_s
         self._head_timer: asyncio.TimerHandle | None = None
         self._lingering = lingering
-        self.received_s = time.monotonic()
+        self.used_s = time.monotonic()
         self._n_overhead = 0
         self._body: StreamReader | None = None
         self._progress = (0, 0)
@@ -439,7 +454,7 @@
         The parser takes blank lines, and the framing of chunks, without end.
         """
         super().data_received(data)
-        self.received_s = time.monotonic()
+        self.used_s = time.monotonic()
         self._watch_head(data)
         if self._messages:
             self._body = self._messages[-1][1]
@@ -514,6 +529,7 @@
     ) -> tuple[web.StreamResponse, bool]:
         """Complete the answer; linger if it is the last one of the connection."""
         resp, is_lost = await super().finish_response(request, resp, start_time)
+        self.used_s = time.monotonic()
         if not is_lost and not resp.keep_alive:
             self.finish()
         return resp, is_lost
--- a/src/trefoilpaddle/transport/lingering.py
+++ b/src/trefoilpaddle/transport/lingering.py
@@ -19,6 +19,8 @@
 MAX_LINGERING: Final = 1024
 """Most connections that are kept at a time; further ones are closed at once."""
 
+MIN_LINGERING: Final = 16
+
 MAX_LINGER_BYTES: Final = 16 * 1024 * 1024
 """Most bytes to discard of what a caller continues to send."""
 
@@ -32,15 +34,24 @@
     discard an answer that the caller has not read yet. So the sending side is closed
     first, and the socket once the caller has closed its side or `LINGER_S` has passed.
 
+    Parameters
+    ----------
+    most : int, optional
+        Most connections that are kept at a time, within `MIN_LINGERING` and
+        `MAX_LINGERING`.
+
     Attributes
     ----------
     n_discarded : int
         Number of connections on which something was discarded.
     """
 
-    __slots__ = ("_all_closed", "_open", "n_discarded")
+    __slots__ = ("_all_closed", "_most", "_open", "n_discarded")
 
-    def __init__(self) -> None:
+    def __init__(self, *, most: int | None = None) -> None:
+        if most is None:
+            most = MAX_LINGERING
+        self._most = min(max(most, MIN_LINGERING), MAX_LINGERING)
         self._open: set[_Lingering] = set()
         self._all_closed = asyncio.Event()
         self._all_closed.set()
@@ -55,7 +66,7 @@
             return
         try:
             transport.write(answer)
-            if len(self._open) >= MAX_LINGERING or not transport.can_write_eof():
+            if len(self._open) >= self._most or not transport.can_write_eof():
                 transport.close()
                 return
             transport.write_eof()
@@ -88,12 +99,6 @@
             async with asyncio.timeout(timeout_s):
                 await self._all_closed.wait()
 
-    def close_sent(self) -> None:
-        """Close the connections whose last answer has left this process."""
-        for connection in list(self._open):
-            if not connection.unsent_bytes:
-                connection.close()
-
     def close_all(self) -> None:
         """Close the connections that have not ended."""
         for connection in list(self._open):
--- a/tests/test_http_listener.py
+++ b/tests/test_http_listener.py
@@ -272,6 +272,37 @@
             writer.close()
 
 
+class TestCrowded:
+    # Guards against new callers that displace each other, or running requests.
+    async def test_a_connection_just_opened_keeps_its_place(self) -> None:
+        async with Listening(max_connections=2).open() as listening:
+            pairs = [await listening.connect() for _ in range(3)]
+            reader, writer = pairs[0]
+            writer.write(GET)
+            assert (await reader.readuntil(b"served")).startswith(b"HTTP/1.1 200")
+            for _, each in pairs:
+                each.close()
+
+    # Guards against silent callers that keep all others out, and a request that
+    # crosses the close of its connection and reads no refusal.
+    async def test_the_longest_idle_makes_room(
+        self, monkeypatch: pytest.MonkeyPatch
+    ) -> None:
+        monkeypatch.setattr(http_listener, "IDLE_CLOSE_S", 0.05)
+        async with Listening(max_connections=2).open() as listening:
+            idle = [await listening.connect() for _ in range(2)]
+            await asyncio.sleep(0.1)
+            reader, writer = await listening.connect()
+            writer.write(GET)
+            assert (await reader.readuntil(b"served")).startswith(b"HTTP/1.1 200")
+            crossing, sending = idle[0]
+            sending.write(GET + b"x" * 100_000)
+            await sending.drain()
+            assert (await crossing.read()).startswith(b"HTTP/1.1 503")
+            for _, each in (*idle, (reader, writer)):
+                each.close()
+
+
 class TestLingering:
     async def test_connections_over_the_bound_are_closed_at_once(
         self, monkeypatch: pytest.MonkeyPatch
