Count the connections that were just closed for a new one as closed

The library keeps a connection in its list until its handler has ended, a turn of the event loop later, so that the new connection for which an idle one was closed was refused all the same. test_the_longest_idle_makes_room fails on the commit before, which therefore is red.

--- a/src/trefoilpaddle/transport/http_listener.py
+++ b/src/trefoilpaddle/transport/http_listener.py
@@ -284,9 +284,10 @@
     def _new_protocol(self) -> asyncio.Protocol:
         most = self._max_connections
         if most is not None:
-            if len(self._http._connections) >= CROWDED_SHARE * most:
-                self._close_longest_idle()
-            if len(self._http._connections) >= most:
+            n_open = len(self._http._connections)
+            if n_open >= CROWDED_SHARE * most:
+                n_open -= self._close_longest_idle()
+            if n_open >= most:
                 return _RejectedConnection(lingering=self._lingering)
         return _HttpConnection(
             http=self._http,
@@ -294,15 +295,21 @@
             head_timeout_s=self._head_timeout_s,
         )
 
-    def _close_longest_idle(self) -> None:
+    def _close_longest_idle(self) -> int:
         """Close some of the connections that have long been without a request.
 
         A request that crosses the close was not read, and reads the refusal. It does
-        nothing if it was called just before.
+        nothing if it was called just before. The server counts the connections until
+        their handlers have ended.
+
+        Returns
+        -------
+        int
+            Number of connections that were closed.
         """
         now_s = time.monotonic()
         if now_s < self._look_idle_s:
-            return
+            return 0
         self._look_idle_s = now_s + LOOK_IDLE_S
         idle = [
             each
@@ -312,7 +319,8 @@
             and now_s - each.used_s >= IDLE_CLOSE_S
         ]
         idle.sort(key=lambda each: each.used_s)
-        for connection in idle[: max(1, round(CLOSED_SHARE * len(idle)))]:
+        closed = idle[: max(1, round(CLOSED_SHARE * len(idle)))]
+        for connection in closed:
             connection.finish(TOO_MANY_CONNECTIONS)
         if idle:
             logging.log_every_n_seconds(
@@ -324,6 +332,7 @@
                 len(self._http._connections),
                 self._max_connections,
             )
+        return len(closed)
 
     async def _stop_accepting(self, until_s: float) -> None:
         """Close the listener once all connections that callers made are accepted."""
