Log the ends of requests that are not read whole

Some ends of requests wrote no line: a refusal of a body that is too large or malformed, one at the close of a stop, and a caller that left, or whose connection was cut, within its body. The record of the lost streams has requests of which no process wrote a line, and these ends could not be told apart from them.

Each writes one line now, request_refused, caller_left or request_cut, with 'its body was not read whole'.

--- a/tests/platform_adapter/caller_harness.py
+++ b/tests/platform_adapter/caller_harness.py
@@ -14,6 +14,7 @@
 from trefoilpaddle.state.chain.routes import CallerLimits
 from trefoilpaddle.state.chain.target_answers import AnswerHead, StreamEvent
 from trefoilpaddle.state.held_bytes import HeldBytes
+from trefoilpaddle.state.journal import Journal
 
 HEAD = AnswerHead(status=200, headers=((b"X-Seen", b"1"),))
 GET = b"GET /p/1 HTTP/1.1\r\nHost: h\r\nTrefoilpaddle-Attempt-Id: a\r\n"
@@ -69,6 +70,7 @@
     admits: bool = True,
     held: HeldBytes | None = None,
     held_answers: HeldBytes | None = None,
+    journal: Journal | None = None,
 ) -> AsyncIterator[int]:
     stop = PlannedStop(grace_s=8.0)
     if stopping:
@@ -80,6 +82,7 @@
         admits=lambda: admits,
         held=held or HeldBytes(limit_bytes=HELD_BYTES),
         held_answers=held_answers or HeldBytes(limit_bytes=HELD_BYTES),
+        journal=journal or Journal(process_id="g", n_records=100),
     )
     port = free_port()
     async with server.listening(f"127.0.0.1:{port}"):
--- a/tests/platform_adapter/test_callers.py
+++ b/tests/platform_adapter/test_callers.py
@@ -31,6 +31,7 @@
 from trefoilpaddle.state.chain.routes import CallerLimits
 from trefoilpaddle.state.chain.target_answers import AnswerHead
 from trefoilpaddle.state.held_bytes import HeldBytes
+from trefoilpaddle.state.journal import Event, Journal
 from trefoilpaddle.transport.http_listener import CLOSE_POLL_S
 
 from ..waiting import until
@@ -419,6 +420,7 @@
             admits=lambda: True,
             held=HeldBytes(limit_bytes=HELD_BYTES),
             held_answers=HeldBytes(limit_bytes=HELD_BYTES),
+            journal=Journal(process_id="g", n_records=100),
         )
         port = free_port()
         async with server.listening(f"127.0.0.1:{port}"):
@@ -454,6 +456,38 @@
         assert not served.requests
 
 
+class TestUnreadRequests:
+    # Guards against requests that end without a line in the log.
+    @pytest.mark.parametrize(
+        ("framing", "reason"),
+        [
+            (b"Content-Length: 101", Reason.TOO_LARGE),
+            (b"Host: another", Reason.BAD_REQUEST),
+        ],
+    )
+    async def test_a_refusal_is_in_the_log(
+        self, framing: bytes, reason: Reason
+    ) -> None:
+        journal = Journal(process_id="g", n_records=10)
+        async with serving(Served(), journal=journal) as port:
+            await exchange(port, GET + framing + b"\r\n\r\n")
+        (record,) = journal.recent()
+        assert record.decision.event is Event.REQUEST_REFUSED
+        assert record.decision.reason is reason
+
+    async def test_a_caller_that_leaves_within_its_body_is_in_the_log(self) -> None:
+        journal = Journal(process_id="g", n_records=10)
+        async with serving(Served(), journal=journal) as port:
+            _, writer = await asyncio.open_connection("127.0.0.1", port)
+            writer.write(GET + b"Content-Length: 2\r\n\r\nx")
+            await writer.drain()
+            await asyncio.sleep(PAUSE_S)
+            writer.close()
+            await until(lambda: list(journal.recent()))
+        (record,) = journal.recent()
+        assert record.decision.event is Event.CALLER_LEFT
+
+
 class TestLog:
     async def test_a_request_that_is_interrupted_says_what_it_waited_for(
         self, caplog: pytest.LogCaptureFixture
@@ -468,6 +502,7 @@
             admits=lambda: True,
             held=HeldBytes(limit_bytes=HELD_BYTES),
             held_answers=HeldBytes(limit_bytes=HELD_BYTES),
+            journal=Journal(process_id="g", n_records=100),
             waiting_for=lambda request: f"worker of {request.request_id}",
         )
         port = free_port()
