--- a/tests/platform_adapter/test_callers.py
+++ b/tests/platform_adapter/test_callers.py
@@ -462,7 +462,7 @@
         ("framing", "reason"),
         [
             (b"Content-Length: 101", Reason.TOO_LARGE),
-            (b"Host: another", Reason.BAD_REQUEST),
+            (b"Trefoilpaddle-Deadline-Milliseconds: soon", Reason.BAD_REQUEST),
         ],
     )
     async def test_a_refusal_is_in_the_log(
