Tell a deadline that passes at a worker from the worker's silence in the log

The detail of request_failed said 'silent at' a worker that had sent an event 0.05 s before the deadline of its stream. Silence and the deadline are what the hypotheses of the lost streams have to be told apart by. Each text is stated once, as a stream that waits for long repeated the same one every 1.5 s.

The new test fails on the code before.

--- a/src/trefoilpaddle/coordination/chain/attempts.py
+++ b/src/trefoilpaddle/coordination/chain/attempts.py
@@ -412,7 +412,9 @@
     def _record_fault(self, fault: CallFault, worker: Worker) -> None:
         """Record what a fault implies about the worker and the request."""
         self._tried.add(worker.worker_id)
-        self._delivery.record_obstacle(f"{fault.value} at {worker.worker_id}")
+        is_over = fault is CallFault.SILENT and not self._is_next_ready
+        ended = "deadline passed" if is_over else fault.value
+        self._delivery.record_obstacle(f"{ended} at {worker.worker_id}")
         if fault is CallFault.INPUTS_GONE:
             self._inputs.mark_lost()
         if fault is CallFault.FULL:
--- a/src/trefoilpaddle/state/chain/delivery.py
+++ b/src/trefoilpaddle/state/chain/delivery.py
@@ -91,7 +91,9 @@
         self.last_part_s = time.monotonic()
 
     def record_obstacle(self, text: str) -> None:
-        """Record what kept an attempt from ending in an answer."""
+        """Record what kept an attempt from ending in an answer; once for each text."""
+        if any(each.startswith(text) for each in self.obstacles):
+            return
         if self.last_part_s is not None:
             text = f"{text}, {time.monotonic() - self.last_part_s:.2f} s after an event"
         self.obstacles.append(text)
--- a/tests/chain/test_request_path.py
+++ b/tests/chain/test_request_path.py
@@ -337,6 +337,14 @@
         assert last.decision.event is Event.REQUEST_FAILED
         assert [each in last.decision.detail for each in ended] == [True, True]
 
+    # Guards against a deadline that reads like a silent worker in the log.
+    async def test_the_log_tells_a_deadline_from_silence(self) -> None:
+        calls = FakeCalls(scripts=[FakeAnswer(hangs_s=60.0)])
+        rig = Rig(calls, route(timeout_s=0.05))
+        assert isinstance(await rig.serve(), Failed)
+        *_, last = rig.notes.recent()
+        assert last.decision.detail.startswith("deadline passed at w")
+
 
 class TestWhatIsCutOff:
     async def test_the_log_tells_it_from_a_caller_that_left(self) -> None:
