Do not count the wait for room for an answer as the worker's silence

A gateway without room lets a worker wait with its answer. The watch for silence went on meanwhile, so that after 2.5 times the target another worker got an idempotent request, and the one that had answered was suspect: load because of load. Found by reading, in a review.

The wait is a step of its own, in which the watch stands still. The new test plays it with a scripted answer; its interface is new, so it has no run on the code before.

--- a/src/trefoilpaddle/coordination/chain/target_calls.py
+++ b/src/trefoilpaddle/coordination/chain/target_calls.py
@@ -70,6 +70,9 @@
     def head(self) -> AnswerHead:
         """Status and headers."""
 
+    async def wait_for_room(self) -> None:
+        """Wait until this process may hold the answer; the worker waits meanwhile."""
+
     async def read(self) -> Result[bytes, CallFault]:
         """Return the complete body, or how reading it failed."""
 
--- a/src/trefoilpaddle/coordination/chain/worker_exchange.py
+++ b/src/trefoilpaddle/coordination/chain/worker_exchange.py
@@ -275,6 +275,10 @@
     ) -> SendOutcome:
         if answer.head.is_success and self._job.route.is_stream:
             return await self._pass_stream_on(worker, at_worker, answer, sink, watch)
+        # The wait for room is this process's own, and no silence of the worker.
+        watch.stop()
+        await answer.wait_for_room()
+        watch.restart(response_timeout_s(self._job, n_sent=self.n_sent - 1))
         match await answer.read():
             case Err(fault):
                 return fault
--- a/tests/chain/fakes.py
+++ b/tests/chain/fakes.py
@@ -154,8 +154,12 @@
     is_cut: bool = False
     hangs_s: float = 0.0
     n_later: int = 0
+    room_s: float = 0.0
     fault: CallFault | None = None
 
+    async def wait_for_room(self) -> None:
+        await asyncio.sleep(self.room_s)
+
     async def read(self) -> Result[bytes, CallFault]:
         await asyncio.sleep(self.hangs_s)
         return Ok(self.body) if self.fault is None else Err(self.fault)
--- a/tests/chain/test_attempts.py
+++ b/tests/chain/test_attempts.py
@@ -424,6 +424,18 @@
         await attempts(calls, STREAM, slack=0.0, inputs=inputs).run(FakeSink())
         assert inputs.version == 1
 
+    # Guards against a worker that counts as silent, and a request that runs again, as
+    # this process has no room for the answer yet.
+    async def test_a_wait_for_room_is_no_silence(self) -> None:
+        whole = route(
+            repeat=RepeatPolicy.IDEMPOTENT, max_attempts=2, target_latency_s=0.02
+        )
+        calls = FakeCalls(scripts=[FakeAnswer(room_s=0.2), FakeAnswer()])
+        sink = FakeSink()
+        await attempts(calls, whole).run(sink)
+        assert sink.seen == ["200 body"]
+        assert len(calls.sent) == 1
+
     # Guards against a caller that is slow to take the end of its answer, and a request
     # that runs at a second worker for it.
     async def test_a_slow_caller_is_no_silent_worker(
--- a/tests/platform_adapter/test_held_answers.py
+++ b/tests/platform_adapter/test_held_answers.py
@@ -75,7 +75,9 @@
         stated = Opened(n_bytes=LARGE_BYTES, content_length=LARGE_BYTES)
 
         async def read(opened: Opened) -> None:
-            assert (await answer_of(opened, held).read()).is_ok()
+            answer = answer_of(opened, held)
+            await answer.wait_for_room()
+            assert (await answer.read()).is_ok()
 
         async with asyncio.timeout(10.0), asyncio.TaskGroup() as group:
             for _ in range(N_ANSWERS):
@@ -98,7 +100,9 @@
         other = held.holding()
         other.add(2 * LARGE_BYTES)
         async with asyncio.timeout(1.0):
-            assert (await answer_of(opened, held).read()).is_ok()
+            answer = answer_of(opened, held)
+            await answer.wait_for_room()
+            assert (await answer.read()).is_ok()
         assert held.n_bytes <= 2 * LARGE_BYTES + opened.n_bytes
 
 
