Break connections on which requests are sent ahead without end

Cause: that requests sent ahead are bounded hung on the installed version of the HTTP library, whose queue holds 32 of them; the range of versions that is allowed goes on to later ones.

Change: a connection with more than 1024 requests that are read and not answered is broken, whatever the library does. With its own bound it is never reached.

The new test takes the library's bound away: it fails on the code before, where the connection stays open, and passes now.

--- a/src/trefoilpaddle/transport/http_listener.py
+++ b/src/trefoilpaddle/transport/http_listener.py
@@ -62,6 +62,12 @@
 """Longest time in seconds for each step of interrupting the last handlers."""
 
 
+MAX_AHEAD: Final = 1024
+"""Most requests that are read on a connection before the first of them is answered.
+
+The library stops reading long before; this holds whatever its version does.
+"""
+
 MAX_OVERHEAD_BYTES: Final = 256 * 1024
 """Bytes in a row that neither complete the head of a request nor are of its body."""
 
@@ -472,12 +478,20 @@
         is_same = progress == self._progress
         self._n_overhead = self._n_overhead + len(data) if is_same else 0
         self._progress = progress
-        if self._n_overhead > MAX_OVERHEAD_BYTES and self.transport is not None:
+        if self.transport is None:
+            return
+        if self._n_overhead > MAX_OVERHEAD_BYTES:
             logging.info(
                 "a connection is broken after %d bytes that are of no request",
                 self._n_overhead,
             )
             self.transport.abort()
+        elif len(self._messages) > MAX_AHEAD:
+            logging.info(
+                "a connection is broken on which %d requests were sent ahead",
+                len(self._messages),
+            )
+            self.transport.abort()
 
     def connection_lost(self, exc: BaseException | None) -> None:
         """Release the body, which refers to the connection."""
--- a/tests/test_http_listener.py
+++ b/tests/test_http_listener.py
@@ -10,7 +10,7 @@
 
 import aiohttp
 import pytest
-from aiohttp import web
+from aiohttp import web, web_protocol
 
 from tests.waiting import until
 from trefoilpaddle.transport import http_listener, lingering
@@ -303,6 +303,26 @@
                 each.close()
 
 
+class TestSentAhead:
+    # Guards against requests that are sent ahead without end, and a version of the
+    # library that reads all of them.
+    async def test_requests_without_end_are_given_up(
+        self, monkeypatch: pytest.MonkeyPatch
+    ) -> None:
+        monkeypatch.setattr(web_protocol, "MAX_MSG_QUEUE_SIZE", 1 << 30)
+        async with Listening().open() as listening:
+            listening.work_s = CLOSE_S
+            _, writer = await listening.connect()
+            with contextlib.suppress(ConnectionError):
+                for _ in range(20):
+                    writer.write(GET * 1000)
+                    await writer.drain()
+                    await asyncio.sleep(0.01)
+            await until(lambda: not listening.http.connections, cap_s=5.0)
+            assert listening.n_served <= 1
+            writer.close()
+
+
 class TestLingering:
     async def test_connections_over_the_bound_are_closed_at_once(
         self, monkeypatch: pytest.MonkeyPatch
