Assume the machine's memory where settings state none

A gateway whose settings name no memory took 256 MB for it, so that it refused large bodies beyond 119 MB of them on machines of any size: a bound that ordinary callers meet. It takes what the kernel says now.

--- a/src/trefoilpaddle/state/held_bytes.py
+++ b/src/trefoilpaddle/state/held_bytes.py
@@ -1,6 +1,7 @@
 """Bounds the bytes of requests and answers that a process holds at one time."""
 
 import contextlib
+import os
 import time
 from collections.abc import Callable, Iterator
 from typing import Final
@@ -20,9 +21,6 @@
 READER_STALLED_S: Final = 5.0
 """The same for an answer; the kernel takes its parts in bursts for slow readers."""
 
-DEFAULT_MEMORY_BYTES: Final = 256 * 1024 * 1024
-"""Memory of a process whose machine states none."""
-
 RESERVED_BYTES: Final = 80 * 1024 * 1024
 """Memory for the process itself and for buffers of its connections."""
 
@@ -43,11 +41,13 @@
     Parameters
     ----------
     memory_bytes : int
-        Memory that the process may use; 0 if that is not stated.
+        Memory that the process may use; 0 for all of the machine's.
     share : float
         Share of the kind.
     """
-    spare = (memory_bytes or DEFAULT_MEMORY_BYTES) - RESERVED_BYTES
+    if not memory_bytes:
+        memory_bytes = os.sysconf("SC_PAGE_SIZE") * os.sysconf("SC_PHYS_PAGES")
+    spare = memory_bytes - RESERVED_BYTES
     return max(MIN_HELD_BYTES, int(share * spare))
 
 
