Test that a crowd does not hold up a planned stop

Sixty bodies short of their last byte, requests sent ahead, and 400 silent connections at a gateway that is told to stop: it exits with 0 within its grace of 4.5 s, and no step of the stop is given up.

--- a/tests/platform_adapter/test_misbehaving_callers.py
+++ b/tests/platform_adapter/test_misbehaving_callers.py
@@ -3,6 +3,7 @@
 import asyncio
 import contextlib
 import resource
+import signal
 import socket
 from collections.abc import AsyncIterator, Callable, Sequence
 from pathlib import Path
@@ -216,3 +217,29 @@
             await wait_served(client, gateway)
             assert gateway.run.poll() is None
             assert _peak_mb(gateway) <= MEMORY_MB
+
+
+class TestPlannedStop:
+    # Guards against a stop that waits for a crowd until the process is killed.
+    @pytest.mark.parametrize(
+        ("sends", "n_callers"),
+        [(_cut_short, N_LARGE), (_ahead, N_AHEAD), (_nothing, N_IDLE)],
+        ids=["cut-short", "sent-ahead", "idle"],
+    )
+    async def test_a_crowd_does_not_hold_it_up(
+        self, sends: Send, n_callers: int, tmp_path: Path
+    ) -> None:
+        async with (
+            small_site() as site,
+            gateways(site, tmp_path, "a", prepare=_set_limits) as (gateway,),
+        ):
+            await until(lambda: "stock1" in gateway.log())
+            async with crowd(
+                gateway,
+                [sends(number) for number in range(n_callers)],
+                has_small_buffers=False,
+            ):
+                gateway.signal(signal.SIGTERM)
+                assert await gateway.wait_exit() == 0
+            assert "name=process_stopped" in gateway.log()
+            assert "no longer waits" not in gateway.log()
