--- a/tests/platform_adapter/test_misbehaving_callers.py
+++ b/tests/platform_adapter/test_misbehaving_callers.py
@@ -32,6 +32,10 @@
 LARGE_BYTES: Final = 4 * 1024 * 1024
 """Bodies of a crowd, each as large as is allowed."""
 
+N_MANY: Final = 600
+MANY_LIMITS: Final = {"memory_mb": 300, "file_descriptors": 4100}
+"""A large crowd, and the machine of a gateway that it meets."""
+
 PART_BYTES: Final = 64 * 1024
 N_IDLE: Final = 400
 N_AHEAD: Final = 4
@@ -219,6 +223,33 @@
             assert _peak_mb(gateway) <= MEMORY_MB
 
 
+class TestManyCallers:
+    # Guards against a crowd of which each caller holds little that is not counted.
+    @pytest.mark.parametrize("sends", [_cut_short, _in_parts, _whole])
+    async def test_a_large_crowd_leaves_the_gateway_within_its_machine(
+        self, sends: Send, tmp_path: Path
+    ) -> None:
+        async def set_limits(processes: list[GatewayProcess]) -> None:
+            for each in processes:
+                each.limits = dict(MANY_LIMITS)
+
+        async with (
+            small_site() as site,
+            gateways(site, tmp_path, "a", prepare=set_limits) as (gateway,),
+            aiohttp.ClientSession() as client,
+        ):
+            await until(lambda: "stock1" in gateway.log())
+            async with crowd(
+                gateway,
+                [sends(number) for number in range(N_MANY)],
+                has_small_buffers=False,
+            ):
+                async with asyncio.timeout(CAP_S):
+                    await wait_served(client, gateway)
+            assert gateway.run is not None and gateway.run.poll() is None
+            assert _peak_mb(gateway) <= MANY_LIMITS["memory_mb"]
+
+
 class TestPlannedStop:
     # Guards against a stop that waits for a crowd until the process is killed.
     @pytest.mark.parametrize(
