Bound what each connection brings before its request is looked at

What was seen: 600 bodies of 4 MB in chunks took 396 MB at a gateway of 300 MB.

Cause: a read brings up to 256 kB, and the event loop reads all connections before the first of their requests is looked at. Of a large crowd that is 150 MB that nobody counts.

Change: the receive buffer of a connection is 64 kB. The shares for bodies and answers are 0.6 and 0.15 of the memory less 80 MB instead of 0.68 and 0.17, as buffers grow in steps and the allocator keeps what is freed.

--- a/src/trefoilpaddle/state/held_bytes.py
+++ b/src/trefoilpaddle/state/held_bytes.py
@@ -24,9 +24,9 @@
 RESERVED_BYTES: Final = 80 * 1024 * 1024
 """Memory for the process itself and for buffers of its connections."""
 
-BODIES_SHARE: Final = 0.68
-ANSWERS_SHARE: Final = 0.17
-"""Shares of the rest; a body is copied once as it is complete.
+BODIES_SHARE: Final = 0.6
+ANSWERS_SHARE: Final = 0.15
+"""Shares of the rest; buffers grow in steps, and the allocator keeps what is freed.
 
 Answers have a share of their own: what workers have done must not wait for bodies that
 wait for workers.
--- a/src/trefoilpaddle/transport/http_listener.py
+++ b/src/trefoilpaddle/transport/http_listener.py
@@ -20,6 +20,9 @@
 BACKLOG: Final = 1024
 """Connections that may wait to be accepted while the process is stalled."""
 
+RECEIVE_BYTES: Final = 64 * 1024
+"""Receive buffer of a connection; what it brings before its request is looked at."""
+
 MAX_ACCEPTED: Final = 128
 """Connections that are accepted in one turn of the event loop."""
 
@@ -275,6 +278,7 @@
 
     def _open_connection(self, connected: socket.socket) -> None:
         connected.setblocking(False)
+        connected.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BYTES)
         opening = asyncio.create_task(self._connect(connected))
         self._opening.add(opening)
         opening.add_done_callback(self._opening.discard)
