Let a stream that has begun wait for its silent sidecar

What callers see: on the product's own path, a stream is cut with peer_silent when its sidecar is silent for 2 s, with all of its deadline left. The same class as streams that were cut for a silent worker: an answer of which a part was forwarded can go on at no other target, and was given up all the same.

Such a stream waits until its deadline now, like work that runs at most once.

The new test fails on the code before with 'peer_silent' after the first token, and passes now; the tests of retries and calls pass.

--- a/src/trefoilpaddle/coordination/requests/stage_call.py
+++ b/src/trefoilpaddle/coordination/requests/stage_call.py
@@ -276,9 +276,10 @@
         """Abandon the attempt at an unresponsive sidecar if it may be retried.
 
         A paused or partitioned sidecar may have started the work and may still
-        answer. Work that must run at most once cannot go elsewhere and waits.
+        answer. Work that must run at most once cannot go elsewhere and waits, and so
+        does an answer of which a part was forwarded.
         """
-        if not self.work.stage.idempotent:
+        if not self.work.stage.idempotent or self._answer.has_forwarded:
             return None
         self.view.link.send(Cancel(attempt_id=attempt.attempt_id))
         error = call_errors.unknown(
--- a/tests/test_gateway_failures.py
+++ b/tests/test_gateway_failures.py
@@ -7,6 +7,7 @@
 from tests.fake_sidecar import Call, echo
 from tests.gateway_harness import (
     catalogue,
+    engine_stage,
     error_of,
     gateway_harness,
     has_load_report,
@@ -86,6 +87,33 @@
             assert error["outcome"] == "unknown"
             assert not other.calls
 
+    # Guards against a stream that is cut for a sidecar which only paused, though no
+    # other target can go on with it.
+    async def test_a_stream_that_has_begun_waits_for_it(
+        self, monkeypatch: pytest.MonkeyPatch
+    ) -> None:
+        may_end = asyncio.Event()
+
+        async def pause(call: Call) -> None:
+            call.started()
+            call.chunk(0, b"one ")
+            await may_end.wait()
+            call.chunk(1, b"two")
+            call.end(b"one ", b"two")
+
+        paused = sidecar(pause, service="gen")
+        async with (
+            gateway_harness(paused, published=catalogue(engine_stage())) as b,
+            b.post(data="draft", Accept="text/event-stream") as answer,
+        ):
+            begun = await answer.content.readuntil(b"one ")
+            views = b.gateway._views
+            await until(lambda: all(each.was_responsive for each in views))
+            monkeypatch.setattr(Link, "is_responsive", lambda self: False)
+            await until(lambda: not any(each.was_responsive for each in views))
+            may_end.set()
+            assert b"two" in begun + await answer.read()
+
 
 class TestLeaving:
     async def test_a_leaving_sidecar_gets_no_new_calls(self) -> None:
