--- a/src/trefoilpaddle/roles/error_body.py
+++ b/src/trefoilpaddle/roles/error_body.py
@@ -11,7 +11,7 @@
 from ..protocol.errors import Failed, NotRun, StageError, Unknown, outcome_name
 from ..protocol.reasons import Reason
 from ..state.governing import Governing
-from ..transport.http_listener import raw_answer
+from ..transport.http_connection import raw_answer
 
 JSON_TYPE: Final = "application/json"
 
--- a/src/trefoilpaddle/roles/operators.py
+++ b/src/trefoilpaddle/roles/operators.py
@@ -34,7 +34,8 @@
 from ..state.tally import Tally
 from ..state.timeline import Step, encode_steps, steps_of
 from ..transport.connection import Address
-from ..transport.http_listener import raw_answer, serving_http
+from ..transport.http_connection import raw_answer
+from ..transport.http_listener import serving_http
 from .process import Process
 
 MAX_REQUEST_BYTES: Final = 4096
--- a/tests/platform_adapter/test_callers.py
+++ b/tests/platform_adapter/test_callers.py
@@ -32,7 +32,7 @@
 from trefoilpaddle.state.chain.target_answers import AnswerHead
 from trefoilpaddle.state.held_bytes import HeldBytes
 from trefoilpaddle.state.journal import Event, Journal
-from trefoilpaddle.transport.http_listener import CLOSE_POLL_S
+from trefoilpaddle.transport.http_connection import CLOSE_POLL_S
 
 from ..waiting import until
 from .caller_harness import (
--- a/tests/test_http_listener.py
+++ b/tests/test_http_listener.py
@@ -14,7 +14,8 @@
 
 from tests.waiting import until
 from trefoilpaddle.transport import http_listener, lingering
-from trefoilpaddle.transport.http_listener import HttpListener, raw_answer
+from trefoilpaddle.transport.http_connection import raw_answer
+from trefoilpaddle.transport.http_listener import HttpListener
 
 IP = "127.0.0.1"
 GET = b"GET / HTTP/1.1\r\nHost: h\r\n\r\n"
