--- a/src/trefoilpaddle/coordination/chain/attempts.py
+++ b/src/trefoilpaddle/coordination/chain/attempts.py
@@ -14,7 +14,8 @@
 from ...state.chain.retry_times import spread_retry_s
 from ...state.chain.target_answers import CallFault
 from ...state.chain.workers import EVACUATED_RETRY_S, Worker, WorkerTable
-from ...state.journal import Decision, Event, Figure, Journal
+from ...state.journal import Event, Journal
+from .attempt_log import AttemptLog
 from .caller_sink import CallerSink
 from .crash_guard import CrashGuard
 from .job import Job
@@ -104,8 +105,8 @@
         "_inputs",
         "_is_next_ready",
         "_job",
-        "_journal",
         "_lease",
+        "_log",
         "_n_not_run",
         "_need",
         "_origin_source",
@@ -164,7 +165,7 @@
         self._held = self._exchange.held
         self._guard = guard
         self._budget = budget
-        self._journal = journal
+        self._log = AttemptLog(journal=journal, job=job, exchange=self._exchange)
         self._tried: set[str] = set()
         self._n_not_run = 0
         self._is_next_ready = False
@@ -232,7 +233,11 @@
             if not self._send_limits.take(worker):
                 continue
             self._record(Event.ROUTED, worker)
-            self._record_resumption(worker)
+            begun = self._software_version()
+            if begun is not None:
+                self._log.record_resumption(
+                    worker, begun=begun, source=self._origin_source
+                )
             backup = self._begin_copy(worker)
             n_sent = self._exchange.n_sent + 1
             match await self._exchange.send(
@@ -315,7 +320,7 @@
             or not self._budget.spend(time.monotonic())
         ):
             return None
-        self._record_move(worker, at)
+        self._log.record_move(worker, at)
         match await self._exchange.send(
             at, handles, sink, goes_on=True, prepare_next=_nowhere_else
         ):
@@ -510,68 +515,13 @@
         await sink.whole(failed.head, failed.body)
         return Answered()
 
-    def _record_resumption(self, worker: Worker) -> None:
-        """Record that a stream that has begun goes on at a worker."""
-        begun = self._software_version()
-        if begun is None:
-            return
-        request = self._job.request
-        self._journal.record(
-            Decision(
-                event=Event.STREAM_RESUMED,
-                request_id=request.request_id,
-                entry=self._job.route.name,
-                owner=self._job.account.name,
-                stage=self._job.service,
-                peer=worker.worker_id,
-                detail=(
-                    f"began at {begun}, goes on at {worker.software_version};"
-                    f" version {self._origin_source or 'seen here'}"
-                ),
-            )
-        )
-
-    def _record_move(self, worker: Worker, at: Worker) -> None:
-        """Record that the run of a stream goes on from its copy."""
-        job = self._job
-        self._journal.record(
-            Decision(
-                event=Event.STREAM_MOVED,
-                request_id=job.request.request_id,
-                entry=job.route.name,
-                owner=job.account.name,
-                stage=job.service,
-                peer=at.worker_id,
-                detail=f"began at {worker.worker_id}",
-                figures=(
-                    Figure(name="n_events", value=self._exchange.last_event or 0),
-                    Figure(name="n_tried", value=self._exchange.n_sent),
-                    Figure(name="budget_s", value=job.deadline_s - time.monotonic()),
-                ),
-            )
-        )
-
     def _record(
         self, event: Event, worker: Worker, reason: Reason = Reason.NONE
     ) -> None:
-        job = self._job
-        figures = [
-            Figure(name="n_tried", value=self._exchange.n_sent),
-            Figure(name="n_running", value=self._choice.n_open(worker.worker_id)),
-            Figure(name="budget_s", value=job.deadline_s - time.monotonic()),
-        ]
-        if self._lease is not None and math.isfinite(self._lease.age_s):
-            figures.append(Figure(name="list_age_s", value=self._lease.age_s))
-        self._journal.record(
-            Decision(
-                event=event,
-                request_id=job.request.request_id,
-                entry=job.route.name,
-                owner=job.account.name,
-                stage=job.service,
-                peer=worker.worker_id,
-                detail=job.fingerprint,
-                reason=reason,
-                figures=tuple(figures),
-            )
+        self._log.record_attempt(
+            event,
+            worker,
+            n_running=self._choice.n_open(worker.worker_id),
+            list_age_s=math.inf if self._lease is None else self._lease.age_s,
+            reason=reason,
         )
