Write the log lines of a batch whatever one of them holds

What was seen, in a review: a caller whose request id holds bytes that are no text makes the formatter raise an error, and all lines of that flush are lost, those of other callers' requests too. It is another way in which a request ends without a line; nothing says that the record of the lost streams has it.

Cause: undecodable bytes of a header are surrogates in Python's text, which JSON encoding refuses.

They are replaced in lines. Both new cases fail on the code before.

--- a/src/trefoilpaddle/state/journal.py
+++ b/src/trefoilpaddle/state/journal.py
@@ -97,7 +97,8 @@
         for field in TEXT_FIELDS:
             value = getattr(self, field)
             if value:
-                fields[field] = value
+                is_text = isinstance(value, str)
+                fields[field] = valid_text(value) if is_text else value
         if self.reason:
             fields["reason"] = self.reason.name.lower()
         fields.update((figure.name, figure.value) for figure in self.figures)
@@ -297,4 +298,11 @@
 
 def _word(text: str) -> str:
     """Return `text` as one word of a log line, quoted unless it is plain."""
-    return text if PLAIN.fullmatch(text) else orjson.dumps(text).decode()
+    if PLAIN.fullmatch(text):
+        return text
+    return orjson.dumps(valid_text(text)).decode()
+
+
+def valid_text(text: str) -> str:
+    """Return `text` as it can be written; headers may hold bytes that are no text."""
+    return text.encode(errors="replace").decode()
--- a/src/trefoilpaddle/state/logs.py
+++ b/src/trefoilpaddle/state/logs.py
@@ -7,7 +7,7 @@
 import orjson
 from absl import flags, logging
 
-from .journal import Batch, Record
+from .journal import Batch, Record, valid_text
 from .log_format import LogFormat
 from .log_stream import LogStream
 
@@ -72,7 +72,7 @@
         text = record.getMessage()
         if record.exc_info:
             text += "\n" + self.formatException(record.exc_info)
-        return text
+        return valid_text(text)
 
     def _head(self, wall_s: float, level: str) -> str:
         return f"time={self._time(wall_s)} level={level} process={self._process_id}"
--- a/tests/test_journal.py
+++ b/tests/test_journal.py
@@ -1,6 +1,7 @@
 """Journal: records by request, bounds in number and age, one line per decision."""
 
 import logging as python_logging
+from dataclasses import replace
 
 import orjson
 import pytest
@@ -132,3 +133,16 @@
     @pytest.mark.parametrize("format", list(LogFormat))
     def test_other_message_is_one_line(self, format: LogFormat) -> None:
         assert "\n" not in line_of("a\nb", format=format)
+
+    # Guards against a caller's header of bytes that are no text, for which the lines of
+    # other requests are lost.
+    @pytest.mark.parametrize("format", list(LogFormat))
+    def test_text_that_cannot_be_written_is_replaced(self, format: LogFormat) -> None:
+        odd = replace(ROUTED, request_id="\udcff\udcfe")
+        records = [
+            Record(decision=decision, monotonic_s=9.0, wall_s=1.5)
+            for decision in (ROUTED, odd, ROUTED)
+        ]
+        lines = line_of(Batch(records=tuple(records)), format=format).splitlines()
+        assert [ROUTED.request_id in line for line in lines] == [True, False, True]
+        assert line_of("\udcff", format=format)
