Record an obstacle at a worker whose id begins a longer one

What operators saw: request_failed names how each attempt ended, once for each text, but left out "silent at w1" if it had "silent at w10" already.

Cause: a text was taken for recorded if a recorded one began with it, as those of streams go on with the time since the last event.

It is recorded if no text is equal to it, or goes on after a comma. The new test fails on the code before, with ['silent at w10'], and passes now.

--- a/src/trefoilpaddle/state/chain/delivery.py
+++ b/src/trefoilpaddle/state/chain/delivery.py
@@ -92,7 +92,7 @@
 
     def record_obstacle(self, text: str) -> None:
         """Record what kept an attempt from ending in an answer; once for each text."""
-        if any(each.startswith(text) for each in self.obstacles):
+        if any(each == text or each.startswith(f"{text}, ") for each in self.obstacles):
             return
         if self.last_part_s is not None:
             text = f"{text}, {time.monotonic() - self.last_part_s:.2f} s after an event"
--- a/tests/chain/test_request_path.py
+++ b/tests/chain/test_request_path.py
@@ -31,7 +31,7 @@
 from trefoilpaddle.protocol.reasons import Reason
 from trefoilpaddle.state.chain.chain_work import ChainCompleted, ChainFailed, ChainWork
 from trefoilpaddle.state.chain.crash_registry import Crash
-from trefoilpaddle.state.chain.delivery import Step
+from trefoilpaddle.state.chain.delivery import Delivery, Step
 from trefoilpaddle.state.chain.fingerprint import fingerprint_of, part_fingerprint
 from trefoilpaddle.state.chain.requests import (
     Answered,
@@ -337,6 +337,13 @@
         assert last.decision.event is Event.REQUEST_FAILED
         assert [each in last.decision.detail for each in ended] == [True, True]
 
+    # Guards against an attempt that is not told for one at a worker of a longer name.
+    def test_each_worker_is_told(self) -> None:
+        delivery = Delivery()
+        for worker_id in ("w10", "w1", "w1"):
+            delivery.record_obstacle(f"silent at {worker_id}")
+        assert delivery.obstacles == ["silent at w10", "silent at w1"]
+
     # Guards against a deadline that reads like a silent worker in the log.
     async def test_the_log_tells_a_deadline_from_silence(self) -> None:
         calls = FakeCalls(scripts=[FakeAnswer(hangs_s=60.0)])
