Do not say that a request was not read whole that was

What operators saw: a request without a body whose headers are malformed was logged as refused with "its body was not read whole", like one whose body is too long. The two cases have different causes.

The detail stands only if bytes of the body are missing. The case of a malformed header fails on the code before; the one of a body that is too long passes on both.

--- a/tests/platform_adapter/test_callers.py
+++ b/tests/platform_adapter/test_callers.py
@@ -459,14 +459,14 @@
 class TestUnreadRequests:
     # Guards against requests that end without a line in the log.
     @pytest.mark.parametrize(
-        ("framing", "reason"),
+        ("framing", "reason", "detail"),
         [
-            (b"Content-Length: 101", Reason.TOO_LARGE),
-            (b"Trefoilpaddle-Deadline-Milliseconds: soon", Reason.BAD_REQUEST),
+            (b"Content-Length: 101", Reason.TOO_LARGE, "its body was not read whole"),
+            (b"Trefoilpaddle-Deadline-Milliseconds: soon", Reason.BAD_REQUEST, ""),
         ],
     )
     async def test_a_refusal_is_in_the_log(
-        self, framing: bytes, reason: Reason
+        self, framing: bytes, reason: Reason, detail: str
     ) -> None:
         journal = Journal(process_id="g", n_records=10)
         async with serving(Served(), journal=journal) as port:
@@ -474,6 +474,7 @@
         (record,) = journal.recent()
         assert record.decision.event is Event.REQUEST_REFUSED
         assert record.decision.reason is reason
+        assert record.decision.detail == detail
 
     async def test_a_caller_that_leaves_within_its_body_is_in_the_log(self) -> None:
         journal = Journal(process_id="g", n_records=10)
