Spend repeats of a chain's services only if each has one left

What was seen, by reading: a chain that may not be run again, as one of its services has no repeat left, used up repeats of its other services. Their own requests were then refused a repeat that nobody had.

Cause: the budgets were spent one after another until the first that is exhausted. All are asked first now.

The new test fails on the code before: eight services with one repeat each have none after the refusal for a ninth.

--- a/src/trefoilpaddle/coordination/chain/chain_router.py
+++ b/src/trefoilpaddle/coordination/chain/chain_router.py
@@ -175,11 +175,14 @@
         return self.endpoints(services, preferred_domain)
 
     def may_repeat(self, services: set[str]) -> bool:
-        """Spend a repeat of each service; return False if a budget is exhausted."""
+        """Spend a repeat of each service, or of none; return False if one has none."""
         now_s = time.monotonic()
-        return all(
-            self._budgets.for_service(service).spend(now_s) for service in services
-        )
+        budgets = [self._budgets.for_service(service) for service in services]
+        if not all(budget.has_left(now_s) for budget in budgets):
+            return False
+        for budget in budgets:
+            budget.spend(now_s)
+        return True
 
     def record_refusal(self, endpoint: SchedulerEndpoint, finish_s: float) -> None:
         """Record that a cell has refused a chain.
--- a/tests/chain/test_chain_router.py
+++ b/tests/chain/test_chain_router.py
@@ -20,6 +20,7 @@
     ChainOutcome,
 )
 from trefoilpaddle.state.chain.piece_work import PieceFault, PieceOutcome, PieceWork
+from trefoilpaddle.state.chain.repeat_budget import RepeatBudgets
 from trefoilpaddle.state.chain.routes import RouteTable
 from trefoilpaddle.state.chain.workers import Worker, WorkerTable
 from trefoilpaddle.state.members import MemberRecord, MemberState
@@ -101,6 +102,7 @@
     is_connected: bool = True,
     workers: WorkerTable | None = None,
     region_of: Mapping[str, str] | None = None,
+    repeats: RepeatBudgets | None = None,
 ) -> ChainRouter:
     if workers is None:
         workers = WorkerTable()
@@ -118,7 +120,7 @@
         ),
         workers=workers,
         region_of=region_of or {},
-        budgets=budgets(),
+        budgets=repeats or budgets(),
     )
 
 
@@ -176,6 +178,16 @@
         assert end == ChainFailed(reason=Reason.RESULT_GONE, is_begun=True)
 
 
+class TestRepeats:
+    # Guards against repeats of one service that are spent on a chain which is not run
+    # again, as another service has none left.
+    def test_a_refused_repeat_costs_nothing(self) -> None:
+        at = router("b", [member("b", 1)], repeats=budgets(slack=1.25, ratio=0.0))
+        assert at.may_repeat({"exhausted"})
+        assert not at.may_repeat({*"stuvwxyz", "exhausted"})
+        assert at.may_repeat({*"stuvwxyz"})
+
+
 class TestLinks:
     def test_former_starts_are_forgotten(self) -> None:
         # Gateways are replaced all the time, and each start has a new incarnation.
