Give a silent scheduler up only once its chains can be run elsewhere

What callers see: while a service has no repeat left, requests whose chain is at a scheduler that pauses for 1.6 s fail, though the scheduler goes on a moment later.

Cause: the chain was freed at its scheduler as soon as that was silent, and the repeat budget was asked afterwards.

Change: the repeat is spent first; without one the chain waits for its scheduler until that answers, a repeat is left again or the connection is closed, which a silent peer's is after a few seconds. A chain that is run for the second time does not give a silent scheduler up, as there is no third run.

test_its_chains_wait_for_it_without_a_repeat fails on the code before with PEER_SILENT. That a closed connection still ends the wait, and that a silent scheduler is given up with a repeat, passes before and after.

--- a/src/trefoilpaddle/coordination/chain/chain_router.py
+++ b/src/trefoilpaddle/coordination/chain/chain_router.py
@@ -107,8 +107,25 @@
         """Treat the services to which `table` assigns pieces as stage services."""
         self._cells.activate(table)
 
-    async def run(self, work: ChainWork, endpoint: SchedulerEndpoint) -> ChainOutcome:
-        """Run a chain at one scheduler."""
+    async def run(
+        self,
+        work: ChainWork,
+        endpoint: SchedulerEndpoint,
+        *,
+        may_give_up: Callable[[], bool],
+    ) -> ChainOutcome:
+        """Run a chain at one scheduler.
+
+        Parameters
+        ----------
+        work : ChainWork
+            The chain.
+        endpoint : SchedulerEndpoint
+            The scheduler.
+        may_give_up : callable
+            Returns True if the chain may be run elsewhere; called repeatedly while the
+            scheduler is silent.
+        """
         if endpoint.link is None:
             return await self._schedulers.run(endpoint.cell, work)
         request = work_to_wire(work, endpoint.cell)
@@ -117,7 +134,7 @@
             endpoint.link.ask(request, timeout_s=max(RESPONSE_SLACK_S, timeout_s))
         )
         try:
-            if not await _await_response(pending, endpoint.link):
+            if not await _await_response(pending, endpoint.link, may_give_up):
                 return ChainFailed(reason=Reason.PEER_SILENT, is_begun=True)
         finally:
             pending.cancel()
@@ -248,14 +265,17 @@
         await self._schedulers.hand_over(cell, successor, endpoint.link)
 
 
-async def _await_response(pending: "asyncio.Task[Any]", link: Link) -> bool:
-    """Return True once a request is answered; False if its peer is unresponsive.
+async def _await_response(
+    pending: "asyncio.Task[Any]", link: Link, may_give_up: Callable[[], bool]
+) -> bool:
+    """Return True once a request is answered; False if its peer is given up.
 
     A scheduler that is paused, or whose host is disconnected, neither answers nor
-    closes its connections. Its chains would wait for it until their deadlines.
+    closes its connections. Its chains would wait for it until their deadlines. It may
+    go on, so it is given up only if they can be run elsewhere or its connection closed.
     """
     while not pending.done():
-        if not is_live(link):
+        if link.connection is None or (not is_live(link) and may_give_up()):
             return False
         await asyncio.wait({pending}, timeout=LIVENESS_CHECK_PERIOD_S)
     return True
--- a/src/trefoilpaddle/coordination/chain/running_chain.py
+++ b/src/trefoilpaddle/coordination/chain/running_chain.py
@@ -1,6 +1,6 @@
 """Runs one request's chain at the schedulers of its cell."""
 
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Callable
 from contextlib import asynccontextmanager
 from dataclasses import replace
 from typing import Final
@@ -49,12 +49,13 @@
         The chain.
     """
 
-    __slots__ = ("_endpoint", "_has_run", "_router", "_work")
+    __slots__ = ("_endpoint", "_has_run", "_is_repeat_spent", "_router", "_work")
 
     def __init__(self, *, router: ChainRouter, work: ChainWork) -> None:
         self._router = router
         self._work = work
         self._has_run = False
+        self._is_repeat_spent = False
         self._endpoint: SchedulerEndpoint | None = None
 
     async def run(self, *, deadline_s: float | None = None) -> ChainOutcome:
@@ -77,18 +78,27 @@
                 return ChainFailed(reason=Reason.RETRY_BUDGET, is_begun=False)
             work = replace(work, must_be_on_time=False)
         self._has_run = True
-        outcome = await self._try_endpoints(work)
+        outcome = await self._try_endpoints(work, may_give_up=self._spend_repeat)
         if isinstance(outcome, ChainFailed) and outcome.reason in RERUN_REASONS:
             # The results that were lost with the scheduler, or with the worker that
             # held them, can be computed again.
             self.free()
-            if self._router.may_repeat(_services(work)):
+            if self._spend_repeat():
+                self._is_repeat_spent = False
                 outcome = await self._try_endpoints(
-                    replace(work, must_be_on_time=False)
+                    replace(work, must_be_on_time=False), may_give_up=_never
                 )
         return outcome
 
-    async def _try_endpoints(self, work: ChainWork) -> ChainOutcome:
+    def _spend_repeat(self) -> bool:
+        """Return True if the chain may be run once more; spends one repeat for it."""
+        if not self._is_repeat_spent:
+            self._is_repeat_spent = self._router.may_repeat(_services(self._work))
+        return self._is_repeat_spent
+
+    async def _try_endpoints(
+        self, work: ChainWork, *, may_give_up: Callable[[], bool]
+    ) -> ChainOutcome:
         """Run the chain at the first scheduler that admits it; return its outcome."""
         services = _services(work)
         if not services:
@@ -97,7 +107,7 @@
         for endpoint in await self._router.connected_endpoints(
             services, work.preferred_domain
         ):
-            outcome = await self._run_and_follow(work, endpoint)
+            outcome = await self._run_and_follow(work, endpoint, may_give_up)
             if not isinstance(outcome, ChainFailed) or outcome.is_begun:
                 return outcome
             if self._endpoint is not None:
@@ -106,12 +116,15 @@
         return outcome
 
     async def _run_and_follow(
-        self, work: ChainWork, endpoint: SchedulerEndpoint
+        self,
+        work: ChainWork,
+        endpoint: SchedulerEndpoint,
+        may_give_up: Callable[[], bool],
     ) -> ChainOutcome:
         """Run the chain at a scheduler and at its successors; return the outcome."""
         for _ in range(MAX_MOVES):
             self._endpoint = endpoint
-            outcome = await self._router.run(work, endpoint)
+            outcome = await self._router.run(work, endpoint, may_give_up=may_give_up)
             if not isinstance(outcome, ChainMoved):
                 return outcome
             # A chain that was admitted is not subject to admission again.
@@ -137,6 +150,10 @@
             self._router.free(endpoint, self._work.request_id)
 
 
+def _never() -> bool:
+    return False
+
+
 def _services(work: ChainWork) -> set[str]:
     """Return the services that have at least one piece to run."""
     return {
--- a/tests/chain/test_chain_router.py
+++ b/tests/chain/test_chain_router.py
@@ -5,10 +5,12 @@
 from collections.abc import Mapping, Sequence
 
 import pytest
+from result import Ok
 
 from trefoilpaddle.coordination.chain import chain_router, scheduler_links
 from trefoilpaddle.coordination.chain.cell_schedulers import CellSchedulers
 from trefoilpaddle.coordination.chain.chain_router import ChainRouter
+from trefoilpaddle.coordination.chain.chain_wire import outcome_to_wire
 from trefoilpaddle.coordination.chain.running_chain import running_chain
 from trefoilpaddle.coordination.chain.scheduler_links import SchedulerLinks
 from trefoilpaddle.protocol.ids import time_ordered_incarnation
@@ -205,12 +207,31 @@
         assert len(links._dialled_s) == 1
 
 
+class AnsweringLink(FakeLink):
+    """A link to a gateway that is silent and answers each request after `after_s`."""
+
+    def __init__(self, *, after_s: float) -> None:
+        super().__init__(is_connected=True)
+        self.after_s = after_s
+
+    async def ask(self, question: object, *, timeout_s: float) -> object:
+        self.n_asked += 1
+        await asyncio.sleep(self.after_s)
+        return Ok(outcome_to_wire(COMPLETED))
+
+
+COMPLETED = ChainCompleted(handles=("made",))
+
+
 class TestPausedScheduler:
-    async def test_its_chains_are_run_again_elsewhere(
-        self, monkeypatch: pytest.MonkeyPatch
-    ) -> None:
-        # The scheduler's host freezes. Its connections stay open without any data; the
-        # chains that it had admitted waited until their deadlines.
+    async def run(
+        self,
+        link: FakeLink,
+        monkeypatch: pytest.MonkeyPatch,
+        *,
+        slack: float = 100.0,
+    ) -> ChainOutcome:
+        """Run a chain whose scheduler is at the other end of `link`."""
         monkeypatch.setattr(scheduler_links, "SCHEDULER_TIMEOUT_S", 0.3)
         monkeypatch.setattr(chain_router, "LIVENESS_CHECK_PERIOD_S", 0.05)
         calls = FakeCalls()
@@ -220,6 +241,7 @@
         routes = table(services=[piece_service("s"), piece_service("t")])
         own = process("b")
         peers = FakePeers(is_connected=True)
+        peers.only = link
         at = ChainRouter(
             links=SchedulerLinks(
                 own_id="b",
@@ -231,13 +253,39 @@
             ),
             workers=workers,
             region_of={},
-            budgets=budgets(),
+            budgets=budgets(slack=slack),
         )
         async with asyncio.timeout(2.0), running_chain(at, work()) as chain:
-            end = await chain.run()
-        assert peers.only.n_asked == 1
+            return await chain.run()
+
+    async def test_its_chains_are_run_again_elsewhere(
+        self, monkeypatch: pytest.MonkeyPatch
+    ) -> None:
+        # The scheduler's host freezes. Its connections stay open without any data; the
+        # chains that it had admitted waited until their deadlines.
+        silent = FakeLink(is_connected=True)
+        end = await self.run(silent, monkeypatch)
+        assert silent.n_asked == 1
         assert isinstance(end, ChainCompleted)
 
+    # Guards against chains that are given up at a scheduler which goes on later, though
+    # no repeat is left to run them elsewhere.
+    async def test_its_chains_wait_for_it_without_a_repeat(
+        self, monkeypatch: pytest.MonkeyPatch
+    ) -> None:
+        paused = AnsweringLink(after_s=0.6)
+        assert await self.run(paused, monkeypatch, slack=0.0) == COMPLETED
+        assert paused.n_asked == 1
+
+    # Guards against chains that wait for a scheduler whose connection has closed.
+    async def test_its_chains_do_not_wait_once_it_has_gone(
+        self, monkeypatch: pytest.MonkeyPatch
+    ) -> None:
+        gone = FakeLink(is_connected=True)
+        asyncio.get_running_loop().call_later(0.5, setattr, gone, "connection", None)
+        end = await self.run(gone, monkeypatch, slack=0.0)
+        assert end == ChainFailed(reason=Reason.PEER_SILENT, is_begun=True)
+
 
 class TestScheduler:
     def test_the_oldest_gateway_schedules_the_cell(self) -> None:
