--- a/tests/platform_adapter/test_silent_workers.py
+++ b/tests/platform_adapter/test_silent_workers.py
@@ -37,8 +37,9 @@
 PAUSE_S: Final = 2.2
 """Pause of a worker; longer than a gateway waits before it looks for another one."""
 
+BUFFERED_BYTES: Final = 1 << 18
 BODY_BYTES: Final = 1 << 23
-"""Body that does not fit into the buffers of a connection."""
+"""Bodies that fit into the buffers of this end of a connection, and that do not."""
 
 OLD_EVENT_S: Final = 1.1
 N_OLD: Final = 4
@@ -117,14 +118,15 @@
 
 class TestUnreadBodies:
     # Guards against requests that end as their worker does not read for a while.
-    async def test_a_body_outlasts_a_pause_of_its_worker(self) -> None:
+    @pytest.mark.parametrize("n_bytes", [BUFFERED_BYTES, BODY_BYTES])
+    async def test_a_body_outlasts_a_pause_of_its_worker(self, n_bytes: int) -> None:
         async def pause(
             reader: asyncio.StreamReader, writer: asyncio.StreamWriter
         ) -> None:
             await asyncio.sleep(PAUSE_S)
-            await reader.readexactly(BODY_BYTES)
+            await reader.readexactly(n_bytes)
             writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
 
         async with raw_engine(pause) as address, single_use_session() as session:
-            answer = await session.post(f"http://{address}/", data=bytes(BODY_BYTES))
+            answer = await session.post(f"http://{address}/", data=bytes(n_bytes))
             assert answer.status == 200
