Test that a table crosses a weak link once, and list the failing cases

A reader alone, behind a link that carries the table in 3 s, receives 8.2 to 8.3 times the table when a version is published, beside a store of 0.05, 0.3, 0.9 and 2.25 s a call: up to six reads from the same position are outstanding, and each brings the whole table. The bound is 1.5 times, by the aim that the table comes once and half of it is left for what workers write meanwhile.

--- a/tests/platform_adapter/test_large_tables.py
+++ b/tests/platform_adapter/test_large_tables.py
@@ -5,6 +5,8 @@
 
 import pytest
 
+from trefoilpaddle.coordination.published.store_feed import POLL_S
+
 from ..chain.virtual_time import run_virtual
 from . import weak_link_network
 from .weak_link_network import Hosts, Network
@@ -27,6 +29,13 @@
 CROWDED_LINK_BYTES_PER_S: Final = 187_500
 """What callers' streams leave of a link of 10 Mbit/s."""
 
+ALONE_LINK_BYTES_PER_S: Final = 154_000
+ALONE_S: Final = 3.0
+"""A link, and the seconds in which it carries a table that has it to itself."""
+
+MAX_COPIES: Final = 1.5
+"""Bytes that a reader may receive for a new table, as a multiple of its size."""
+
 SMALL_AFTER_S: Final = (1.2, 2.4)
 """Seconds from a growth of the configuration to a small change."""
 
@@ -113,3 +122,33 @@
                 await asyncio.sleep(SETTLED_S)
 
         run_virtual(monkeypatch, scenario())
+
+
+class TestWeakReaders:
+    # Guards against a reader whose further reads bring the table again and again while
+    # its weak link still carries the first answer.
+    @pytest.mark.parametrize("delay_s", [0.05, 0.3, 0.9, 2.25])
+    def test_a_table_crosses_a_weak_link_once(
+        self, delay_s: float, monkeypatch: pytest.MonkeyPatch
+    ) -> None:
+        async def scenario() -> None:
+            network = Network(Hosts(n_strong=0, n_weak=1), n_routes=N_ROUTES + N_MORE)
+            (reader,) = network.gateways
+            network.start()
+            assert not await network.incomplete_gateways(within_s=RECOVERY_S)
+            network.store_delay_s = delay_s
+            network.start_task(network.write_heartbeats())
+            await asyncio.sleep(SETTLED_S)
+            n_before = reader.down.n_bytes
+            version = network.publish(N_ROUTES + N_MORE)
+            active_s = await network.activation_s(version)
+            await asyncio.sleep(SETTLED_S)
+            n_table = network.n_table_bytes()
+            assert n_table > ALONE_S * ALONE_LINK_BYTES_PER_S
+            assert reader.down.n_bytes - n_before <= MAX_COPIES * n_table
+            assert active_s <= POLL_S + delay_s + MAX_COPIES * ALONE_S
+
+        monkeypatch.setattr(
+            weak_link_network, "WEAK_LINK_BYTES_PER_S", ALONE_LINK_BYTES_PER_S
+        )
+        run_virtual(monkeypatch, scenario())
--- a/tests/platform_adapter/weak_link_network.py
+++ b/tests/platform_adapter/weak_link_network.py
@@ -308,6 +308,10 @@
         self.store.put(TABLE_KEY, configuration(self.version, routes=routes))
         return self.version
 
+    def n_table_bytes(self) -> int:
+        """Return how many bytes of an answer of the store the configuration takes."""
+        return len(self.store._items[TABLE_KEY]["value"])
+
     def start(self) -> None:
         """Start all gateways at once; they know nothing."""
         for gateway in self.gateways:
