Give a silent sidecar up only once its call can go on elsewhere

What callers see, on the product's own path: an idempotent call fails with peer_silent when its sidecar is silent for 2 s, though no other target has a place, or no retry is left, and the sidecar goes on a moment later.

Cause: the attempt was cancelled at the first notice that its link is unresponsive; whether another attempt may be made was asked afterwards.

Change: the attempt asks whether there is another target, time, an attempt and a retry of the budget, which is spent then; without them it goes on waiting. It is asked again at each check while the link is unresponsive, and a notice that is read after the link has recovered counts no more. A slot that is only reserved is given up as before.

The two cases of test_a_call_that_cannot_go_elsewhere_waits_for_it, alone and without credit, fail on the code before (504) and pass now, in three runs each; the tests of retries, calls, stops, kills and schedules of paths pass.

--- a/src/trefoilpaddle/coordination/requests/calls.py
+++ b/src/trefoilpaddle/coordination/requests/calls.py
@@ -32,6 +32,8 @@
         Account of what the request has used.
     sink : Sink, optional
         Takes the answer as it arrives.
+    may_give_up : callable
+        As for `StageCall`.
     """
 
     attempts: OpenAttempts
@@ -39,6 +41,7 @@
     router: Router
     spent: RequestUsage
     sink: Sink | None
+    may_give_up: Callable[[], bool]
 
 
 class TrackedAttempt:
@@ -75,6 +78,7 @@
             attempts=context.attempts,
             journal=context.journal,
             sink=context.sink,
+            may_give_up=context.may_give_up,
             may_commit=may_commit,
         )
 
--- a/src/trefoilpaddle/coordination/requests/open_attempts.py
+++ b/src/trefoilpaddle/coordination/requests/open_attempts.py
@@ -113,6 +113,11 @@
         is_leaving = load is not None and load.leaving
         return is_leaving and not self.started_s and not self.is_recalled
 
+    @property
+    def has_unread(self) -> bool:
+        """True if updates were posted that have not been read."""
+        return not self._updates.empty()
+
     async def next_update(self) -> AttemptUpdate:
         """Return the next update; wait for it if there is none."""
         return await self._updates.get()
@@ -225,12 +230,16 @@
                 attempt.post(Notice.RECALLED)
 
     def notify_unresponsive(self) -> None:
-        """Notify the attempts of each target that has just become unresponsive."""
+        """Notify the attempts of each target that is unresponsive.
+
+        Each is notified once it has read all earlier updates, and again at later calls,
+        as one that cannot go on elsewhere now may be able to later.
+        """
         for view in self._views:
-            is_responsive = view.link.is_responsive()
-            if view.was_responsive and not is_responsive:
-                self._notify(view, Notice.LINK_UNRESPONSIVE)
-            view.was_responsive = is_responsive
+            view.was_responsive = view.link.is_responsive()
+        for attempt in self._by_id.values():
+            if not (attempt.view.was_responsive or attempt.has_unread):
+                attempt.post(Notice.LINK_UNRESPONSIVE)
 
     def _notify(self, view: TargetView, notice: Notice) -> None:
         for attempt in self._by_id.values():
--- a/src/trefoilpaddle/coordination/requests/retries.py
+++ b/src/trefoilpaddle/coordination/requests/retries.py
@@ -1,5 +1,6 @@
 """Runs one stage: chooses targets and retries what may be retried."""
 
+import functools
 import time
 from dataclasses import dataclass, field
 from typing import Final
@@ -66,6 +67,12 @@
     targets: set[str] = field(default_factory=set)
     n_attempts: int = 0
     last: StageFault | None = None
+    is_retry_spent: bool = False
+
+    def take_retry(self) -> bool:
+        """Return True if the next attempt was paid for while the last one went on."""
+        is_spent, self.is_retry_spent = self.is_retry_spent, False
+        return is_spent
 
     def record_attempt(self, view: TargetView) -> None:
         self.targets.add(view.process_id)
@@ -127,14 +134,15 @@
         """Return the complete answer of the stage, or its error."""
         budget = self._budgets.of(work.stage.service, share=work.service.retry_share)
         budget.earn()
+        tried = _Tried()
         context = CallContext(
             attempts=self._attempts,
             journal=self._journal,
             router=self._router,
             spent=spent,
             sink=sink,
+            may_give_up=functools.partial(self._may_give_up, work, budget, tried),
         )
-        tried = _Tried()
         while True:
             chosen = self._router.choose(work, tried=tried.targets)
             if chosen is None:
@@ -149,7 +157,8 @@
                     tried.record_fault(fault, chosen.view)
             if not self._may_retry(work, fault, n_tried=tried.n_attempts):
                 return Err(fault.error)
-            if not _is_budget_free(fault) and not budget.spend():
+            is_paid = tried.take_retry() or _is_budget_free(fault)
+            if not is_paid and not budget.spend():
                 return Err(fault.error)
             self._journal.record(stage_decision(Event.RETRIED, work, error=fault.error))
 
@@ -203,11 +212,22 @@
         self._record_route(Event.HEDGED, work, chosen, n_tried=tried.n_attempts)
         return TrackedAttempt(work=work, view=chosen.view, context=context)
 
+    def _may_give_up(self, work: StageWork, budget: RetryBudget, tried: _Tried) -> bool:
+        """Return True if work at an unresponsive sidecar can go on at another target.
+
+        Spends the retry for it.
+        """
+        is_possible = _has_attempt_left(work, n_tried=tried.n_attempts) and any(
+            view.process_id not in tried.targets
+            for view in self._router.candidates(work.stage.service)
+        )
+        if is_possible and not tried.is_retry_spent:
+            tried.is_retry_spent = budget.spend()
+        return is_possible and tried.is_retry_spent
+
     def _may_retry(self, work: StageWork, fault: StageFault, *, n_tried: int) -> bool:
         """Return True if another attempt cannot run work twice nor be too late."""
-        if n_tried >= MAX_ATTEMPTS or fault.is_partly_forwarded:
-            return False
-        if time.monotonic() + work.expected_s >= work.deadline_s:
+        if fault.is_partly_forwarded or not _has_attempt_left(work, n_tried=n_tried):
             return False
         if isinstance(fault.error, NotRun):
             return fault.error.reason in RETRYABLE_REFUSALS
@@ -278,3 +298,9 @@
     """
     error = fault.error
     return isinstance(error, NotRun) and error.reason in BUDGET_FREE_REFUSALS
+
+
+def _has_attempt_left(work: StageWork, *, n_tried: int) -> bool:
+    """Return True if another attempt is allowed and can be on time."""
+    is_in_time = time.monotonic() + work.expected_s < work.deadline_s
+    return n_tried < MAX_ATTEMPTS and is_in_time
--- a/src/trefoilpaddle/coordination/requests/stage_call.py
+++ b/src/trefoilpaddle/coordination/requests/stage_call.py
@@ -54,6 +54,9 @@
         Records the decisions.
     sink : Sink, optional
         Takes the answer as it arrives; the complete answer is buffered as well.
+    may_give_up : callable
+        Returns True if the work can go on at another target; called repeatedly while
+        the sidecar is unresponsive.
     may_commit : callable, optional
         For late binding: called when the sidecar has a free slot; False releases
         the slot. Without it the work is committed when it is sent.
@@ -68,6 +71,7 @@
         "_is_committed",
         "_journal",
         "_may_commit",
+        "_may_give_up",
         "is_sent",
         "view",
         "work",
@@ -80,12 +84,14 @@
         view: TargetView,
         attempts: OpenAttempts,
         journal: Journal,
+        may_give_up: Callable[[], bool],
         sink: Sink | None = None,
         may_commit: OnReady | None = None,
     ) -> None:
         self.work = work
         self.view = view
         self.is_sent = False
+        self._may_give_up = may_give_up
         self._attempts = attempts
         self._journal = journal
         self._may_commit = may_commit
@@ -273,14 +279,19 @@
     def _on_unresponsive(
         self, attempt: OpenAttempt
     ) -> Result[StageAnswer, StageFault] | None:
-        """Abandon the attempt at an unresponsive sidecar if it may be retried.
+        """Abandon the attempt at an unresponsive sidecar if it can go on elsewhere.
 
         A paused or partitioned sidecar may have started the work and may still
         answer. Work that must run at most once cannot go elsewhere and waits, and so
-        does an answer of which a part was forwarded.
+        does an answer of which a part was forwarded. A slot that is only reserved is
+        abandoned in any case.
         """
+        if self.view.link.is_responsive():
+            return None
         if not self.work.stage.idempotent or self._answer.has_forwarded:
             return None
+        if self.may_have_started and not self._may_give_up():
+            return None
         self.view.link.send(Cancel(attempt_id=attempt.attempt_id))
         error = call_errors.unknown(
             Reason.PEER_SILENT,
--- a/tests/test_gateway_failures.py
+++ b/tests/test_gateway_failures.py
@@ -17,7 +17,7 @@
 from tests.waiting import until
 from trefoilpaddle.protocol.gen.stage.ttypes import BarState, Outcome, Started
 from trefoilpaddle.protocol.reasons import Reason
-from trefoilpaddle.state.budget import INITIAL_CREDIT
+from trefoilpaddle.state.budget import INITIAL_CREDIT, RetryBudget
 from trefoilpaddle.state.journal import Event
 from trefoilpaddle.state.settings import PolicySettings
 from trefoilpaddle.transport.link import Link
@@ -114,6 +114,42 @@
             may_end.set()
             assert b"two" in begun + await answer.read()
 
+    # Guards against calls that are cancelled at a sidecar which only paused, though
+    # they can be sent to no other.
+    @pytest.mark.parametrize("has_other", [False, True], ids=["alone", "no-credit"])
+    async def test_a_call_that_cannot_go_elsewhere_waits_for_it(
+        self, has_other: bool, monkeypatch: pytest.MonkeyPatch
+    ) -> None:
+        may_end = asyncio.Event()
+
+        async def pause(call: Call) -> None:
+            call.started()
+            await may_end.wait()
+            await echo(call)
+
+        paused, other = sidecar(pause), sidecar(name="t2")
+        other.queued_work_s, other.n_queued = 100.0, 9
+        published = catalogue(plain_stage())
+        sidecars = (paused, other) if has_other else (paused,)
+        async with gateway_harness(
+            *sidecars, published=published, policy=NO_HEDGE
+        ) as b:
+            monkeypatch.setattr(RetryBudget, "spend", lambda self: False)
+            request = asyncio.create_task(b.post(json={}).__aenter__())
+            await until(lambda: bool(paused.runs))
+            views = b.gateway._views
+            await until(lambda: all(each.was_responsive for each in views))
+            port = paused.port
+            monkeypatch.setattr(
+                Link, "is_responsive", lambda self: self.address.port != port
+            )
+            await until(lambda: not all(each.was_responsive for each in views))
+            await asyncio.sleep(0)
+            may_end.set()
+            answer = await request
+            assert answer.status == 200
+            assert not other.calls
+
 
 class TestLeaving:
     async def test_a_leaving_sidecar_gets_no_new_calls(self) -> None:
