Let only reads of changes give way to one another

Change: a large response counts only if it is one to a read of changes, which brings what the others would. Lists share the link as before.

The new test fails on the code before: a worker that is removed while such a list takes 3 s is still used 1.5 s later.

--- a/src/trefoilpaddle/coordination/published/published_store.py
+++ b/src/trefoilpaddle/coordination/published/published_store.py
@@ -97,7 +97,7 @@
 
     @property
     def is_receiving(self) -> bool:
-        """True while a large response is arriving."""
+        """True while a large response with changes is arriving."""
 
     async def snapshot(self) -> Result[StoreChanges, StoreFault]:
         """Return the complete content of the store."""
@@ -105,7 +105,7 @@
     async def changes(self, after: StorePosition) -> Result[StoreChanges, StoreFault]:
         """Return what has changed since a position, without waiting.
 
-        The read gives way to a large response that is arriving.
+        The read gives way to a large response with changes that is arriving.
 
         If the store is in another era than `after`, the result contains what changed
         in the store's era since the same revision, or nothing if the store has no such
--- a/tests/platform_adapter/test_large_tables.py
+++ b/tests/platform_adapter/test_large_tables.py
@@ -12,7 +12,7 @@
 
 from ..chain.virtual_time import run_virtual
 from . import weak_link_network
-from .weak_link_network import Hosts, Network, Pipe, transfer
+from .weak_link_network import STEP_S, Hosts, Network, Pipe, transfer
 
 Parts = AsyncIterator[tuple[int, int]]
 
@@ -194,3 +194,26 @@
             assert hung
 
         run_virtual(monkeypatch, scenario())
+
+    # Guards against changes that wait for a large list which does not bring them.
+    def test_a_list_that_is_read_for_the_history_holds_up_no_change(
+        self, monkeypatch: pytest.MonkeyPatch
+    ) -> None:
+        async def scenario() -> None:
+            network = Network(Hosts(n_strong=0, n_weak=1), n_routes=N_ROUTES + N_MORE)
+            (reader,) = network.gateways
+            network.start()
+            assert not await network.incomplete_gateways(within_s=RECOVERY_S)
+            listing = asyncio.create_task(reader.client.listed_entries())
+            await asyncio.sleep(ALONE_S / 2)
+            network.store.remove("servers/w00")
+            ends_s = asyncio.get_running_loop().time() + ALONE_S / 2
+            while "w00" in reader.workers.ids():
+                assert asyncio.get_running_loop().time() < ends_s
+                await asyncio.sleep(STEP_S)
+            assert not listing.done()
+
+        monkeypatch.setattr(
+            weak_link_network, "WEAK_LINK_BYTES_PER_S", ALONE_LINK_BYTES_PER_S
+        )
+        run_virtual(monkeypatch, scenario())
--- a/tests/platform_adapter/weak_link_network.py
+++ b/tests/platform_adapter/weak_link_network.py
@@ -219,14 +219,15 @@
         self.process = own
         self.workers = WorkerTable()
         self.relay = StoreRelay(process=own, workers=self.workers)
-        self.feed = StoreFeed(
-            store=StoreClient(
-                address="store:1",
-                failure_domains=frozenset("a"),
-                session=cast(
-                    aiohttp.ClientSession, Session(network.store, self.down, network)
-                ),
+        self.client = StoreClient(
+            address="store:1",
+            failure_domains=frozenset("a"),
+            session=cast(
+                aiohttp.ClientSession, Session(network.store, self.down, network)
             ),
+        )
+        self.feed = StoreFeed(
+            store=self.client,
             workers=self.workers,
             on_table=self._activate,
             journal=journal(),
