--- a/tests/chain/test_request_path.py
+++ b/tests/chain/test_request_path.py
@@ -182,7 +182,7 @@
         works: list[ChainWork] = []
 
         async def refuse(
-            _: ChainRouter, work: ChainWork, place: SchedulerEndpoint
+            _: ChainRouter, work: ChainWork, place: SchedulerEndpoint, **__: object
         ) -> ChainFailed:
             works.append(work)
             return ChainFailed(reason=Reason.PREDICTED_LATE, is_begun=False)
@@ -205,7 +205,7 @@
         self, monkeypatch: pytest.MonkeyPatch
     ) -> None:
         async def wait(
-            _: ChainRouter, work: ChainWork, place: SchedulerEndpoint
+            _: ChainRouter, work: ChainWork, place: SchedulerEndpoint, **__: object
         ) -> ChainFailed:
             await asyncio.sleep(20.0)
             raise AssertionError("the wait was not interrupted")
@@ -456,7 +456,7 @@
     @pytest.fixture(autouse=True)
     def slow_stages(self, monkeypatch: pytest.MonkeyPatch) -> None:
         async def run(
-            _: ChainRouter, work: ChainWork, place: SchedulerEndpoint
+            _: ChainRouter, work: ChainWork, place: SchedulerEndpoint, **__: object
         ) -> ChainCompleted:
             await some_turns()
             return ChainCompleted(handles=("made",))
