Decide in the product which response of the store gives way

The adapter's client of the store had a decision of its own, with two thresholds: which response gets a weak link to itself. It knows nothing of the platform, so it has a module in the product, coordination/published/large_responses.py.

--- a/tests/platform_adapter/test_large_tables.py
+++ b/tests/platform_adapter/test_large_tables.py
@@ -5,8 +5,8 @@
 from typing import Final
 
 import pytest
-from adapter.store import LARGE_ANSWER_BYTES
 
+from trefoilpaddle.coordination.published.large_responses import LARGE_BYTES
 from trefoilpaddle.coordination.published.store_feed import POLL_S
 
 from ..chain.virtual_time import run_virtual
@@ -203,7 +203,7 @@
         async def hang_once(n_bytes: int, *pipes: Pipe) -> Parts:
             async for part in transfer(n_bytes, *pipes):
                 yield part
-                if not hung and part[1] >= 2 * LARGE_ANSWER_BYTES:
+                if not hung and part[1] >= 2 * LARGE_BYTES:
                     hung.append(n_bytes)
                     await asyncio.Event().wait()
 
