--- a/tests/platform_adapter/test_send_watch.py
+++ b/tests/test_send_watch.py
@@ -5,7 +5,8 @@
 from collections.abc import Callable, Iterator
 
 import pytest
-from adapter.send_watch import (
+
+from trefoilpaddle.transport.send_watch import (
     MAX_UNANSWERED_PROBES,
     UNACKNOWLEDGED_TIMEOUT_MS,
     SendState,
@@ -13,7 +14,7 @@
     read_send_state,
 )
 
-from ..waiting import until
+from .waiting import until
 
 FULL = SendState(n_pending_bytes=1000, n_in_flight=0, n_unanswered_probes=1)
 IN_FLIGHT = SendState(n_pending_bytes=1000, n_in_flight=1, n_unanswered_probes=0)
@@ -105,7 +106,7 @@
         pair: tuple[socket.socket, socket.socket],
         monkeypatch: pytest.MonkeyPatch,
     ) -> None:
-        monkeypatch.setattr("adapter.send_watch.CHECK_PERIOD_S", 0.01)
+        monkeypatch.setattr("trefoilpaddle.transport.send_watch.CHECK_PERIOD_S", 0.01)
         n_read = 0
         original: Callable[[socket.socket], SendState] = read_send_state
 
@@ -114,7 +115,7 @@
             n_read += 1
             return original(connection)
 
-        monkeypatch.setattr("adapter.send_watch.read_send_state", count)
+        monkeypatch.setattr("trefoilpaddle.transport.send_watch.read_send_state", count)
         _fill(pair[0])
         watch = SendWatch(connection=pair[0], abort=_unexpected)
         await until(lambda: n_read > 1)
