Log that a worker does not read, and that it is out of reach

What operators lacked: the time-out of a connection is suspended without a word while its worker's window is full, and a connection that is broken for want of answers to probes read like one that the worker closed. One line a connection says each.

--- a/src/trefoilpaddle/transport/send_watch.py
+++ b/src/trefoilpaddle/transport/send_watch.py
@@ -85,15 +85,28 @@
 
     Parameters
     ----------
+    peer : str
+        Address of the peer, for the log.
     connection : socket.socket
         The connection, with `UNACKNOWLEDGED_TIMEOUT_MS` set.
     abort : callable
         Breaks the connection, as its peer is out of reach.
     """
 
-    __slots__ = ("_abort", "_connection", "_is_suspended", "_timer")
+    __slots__ = (
+        "_abort",
+        "_connection",
+        "_is_recorded",
+        "_is_suspended",
+        "_peer",
+        "_timer",
+    )
 
-    def __init__(self, *, connection: socket.socket, abort: Callable[[], None]) -> None:
+    def __init__(
+        self, *, peer: str, connection: socket.socket, abort: Callable[[], None]
+    ) -> None:
+        self._peer = peer
+        self._is_recorded = False
         self._connection = connection
         self._abort = abort
         self._is_suspended = False
@@ -109,9 +122,11 @@
     def check(self, state: SendState) -> None:
         """Suspend or restore the time-out; abort if the peer is out of reach."""
         if state.is_window_full and state.n_unanswered_probes > MAX_UNANSWERED_PROBES:
+            logging.info("%s is out of reach; closing the connection", self._peer)
             self._abort()
             return
         if state.is_window_full is not self._is_suspended:
+            self._record_change(state)
             self._is_suspended = state.is_window_full
             timeout_ms = (
                 NO_TIMEOUT_MS if self._is_suspended else UNACKNOWLEDGED_TIMEOUT_MS
@@ -122,6 +137,16 @@
         if state.n_pending_bytes:
             self._check_later()
 
+    def _record_change(self, state: SendState) -> None:
+        """Write a line when the peer first does not read; a slow one stops often."""
+        if not self._is_recorded:
+            self._is_recorded = True
+            logging.info(
+                "%s does not read; %d bytes wait for it",
+                self._peer,
+                state.n_pending_bytes,
+            )
+
     def _check_later(self) -> None:
         loop = asyncio.get_running_loop()
         self._timer = loop.call_later(CHECK_PERIOD_S, self._look)
--- a/tests/test_send_watch.py
+++ b/tests/test_send_watch.py
@@ -1,6 +1,7 @@
 """When the time-out for unacknowledged bytes of a connection is suspended."""
 
 import asyncio
+import logging
 import socket
 from collections.abc import Callable, Iterator
 
@@ -74,7 +75,7 @@
     async def test_the_time_out_holds_again_after_a_full_window(
         self, later: SendState, pair: tuple[socket.socket, socket.socket]
     ) -> None:
-        watch = SendWatch(connection=pair[0], abort=_unexpected)
+        watch = SendWatch(peer="worker", connection=pair[0], abort=_unexpected)
         watch.check(FULL)
         assert _timeout_ms(pair[0]) == 0
         watch.check(later)
@@ -84,17 +85,33 @@
     async def test_bytes_in_flight_do_not_suspend_it(
         self, pair: tuple[socket.socket, socket.socket]
     ) -> None:
-        watch = SendWatch(connection=pair[0], abort=_unexpected)
+        watch = SendWatch(peer="worker", connection=pair[0], abort=_unexpected)
         watch.check(IN_FLIGHT)
         assert _timeout_ms(pair[0]) == UNACKNOWLEDGED_TIMEOUT_MS
         watch.stop()
 
+    # Guards against a log that is full of a peer which reads slowly.
+    async def test_a_peer_that_does_not_read_has_one_line(
+        self,
+        pair: tuple[socket.socket, socket.socket],
+        caplog: pytest.LogCaptureFixture,
+    ) -> None:
+        caplog.set_level(logging.INFO)
+        watch = SendWatch(peer="worker", connection=pair[0], abort=_unexpected)
+        for state in (FULL, IN_FLIGHT, FULL, SENT):
+            watch.check(state)
+        watch.stop()
+        lines = [each.message for each in caplog.records]
+        assert lines == ["worker does not read; 1000 bytes wait for it"]
+
     # Guards against a link that is cut while its peer's window is full.
     async def test_a_peer_that_answers_no_probe_is_out_of_reach(
         self, pair: tuple[socket.socket, socket.socket]
     ) -> None:
         aborted: list[bool] = []
-        watch = SendWatch(connection=pair[0], abort=lambda: aborted.append(True))
+        watch = SendWatch(
+            peer="worker", connection=pair[0], abort=lambda: aborted.append(True)
+        )
         watch.check(FULL)
         watch.check(OUT_OF_REACH)
         watch.stop()
@@ -117,7 +134,7 @@
 
         monkeypatch.setattr("trefoilpaddle.transport.send_watch.read_send_state", count)
         _fill(pair[0])
-        watch = SendWatch(connection=pair[0], abort=_unexpected)
+        watch = SendWatch(peer="worker", connection=pair[0], abort=_unexpected)
         await until(lambda: n_read > 1)
         watch.stop()
         n_before = n_read
