Test each reason for which a call waits for its silent sidecar by itself

The case of a call alone at its sidecar also took all credit away, so that it passed for either reason. It has credit now. A new test guards the other end: a call without credit at a silent sidecar goes elsewhere as soon as there is credit again, which needs the notice to be repeated.

--- a/tests/test_gateway_failures.py
+++ b/tests/test_gateway_failures.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from tests.fake_sidecar import Call, echo
+from tests.fake_sidecar import Call, FakeSidecar, Script, echo
 from tests.gateway_harness import (
     catalogue,
     engine_stage,
@@ -15,8 +15,10 @@
 )
 from tests.sidecar_scripts import never_answer, refuse, sidecar
 from tests.waiting import until
+from trefoilpaddle.coordination.requests.target_view import TargetViews
 from trefoilpaddle.protocol.gen.stage.ttypes import BarState, Outcome, Started
 from trefoilpaddle.protocol.reasons import Reason
+from trefoilpaddle.roles.gateway import TICK_S
 from trefoilpaddle.state.budget import INITIAL_CREDIT, RetryBudget
 from trefoilpaddle.state.journal import Event
 from trefoilpaddle.state.settings import PolicySettings
@@ -121,35 +123,70 @@
         self, has_other: bool, monkeypatch: pytest.MonkeyPatch
     ) -> None:
         may_end = asyncio.Event()
-
-        async def pause(call: Call) -> None:
-            call.started()
-            await may_end.wait()
-            await echo(call)
-
-        paused, other = sidecar(pause), sidecar(name="t2")
-        other.queued_work_s, other.n_queued = 100.0, 9
-        published = catalogue(plain_stage())
+        paused, other = sidecar(pausing(may_end)), busy_sidecar()
         sidecars = (paused, other) if has_other else (paused,)
         async with gateway_harness(
-            *sidecars, published=published, policy=NO_HEDGE
+            *sidecars, published=catalogue(plain_stage()), policy=NO_HEDGE
         ) as b:
-            monkeypatch.setattr(RetryBudget, "spend", lambda self: False)
+            if has_other:
+                monkeypatch.setattr(RetryBudget, "spend", lambda self: False)
             request = asyncio.create_task(b.post(json={}).__aenter__())
             await until(lambda: bool(paused.runs))
-            views = b.gateway._views
-            await until(lambda: all(each.was_responsive for each in views))
-            port = paused.port
-            monkeypatch.setattr(
-                Link, "is_responsive", lambda self: self.address.port != port
-            )
-            await until(lambda: not all(each.was_responsive for each in views))
-            await asyncio.sleep(0)
+            await silence(b.gateway._views, paused.port, monkeypatch)
+            await asyncio.sleep(TICK_S)
             may_end.set()
             answer = await request
             assert answer.status == 200
             assert not other.calls
 
+    # Guards against calls that wait for a silent sidecar until their deadline, though
+    # they can go on elsewhere by now.
+    async def test_a_call_goes_elsewhere_once_a_retry_is_left(
+        self, monkeypatch: pytest.MonkeyPatch
+    ) -> None:
+        credit = [False]
+        paused, other = sidecar(never_answer), busy_sidecar()
+        async with gateway_harness(
+            paused, other, published=catalogue(plain_stage()), policy=NO_HEDGE
+        ) as b:
+            monkeypatch.setattr(RetryBudget, "spend", lambda self: credit[0])
+            request = asyncio.create_task(b.post(json={}).__aenter__())
+            await until(lambda: bool(paused.runs))
+            await silence(b.gateway._views, paused.port, monkeypatch)
+            await asyncio.sleep(TICK_S)
+            assert not request.done() and not other.calls
+            credit[0] = True
+            answer = await request
+            assert answer.status == 200
+            assert len(other.calls) == 1
+
+
+def pausing(may_end: asyncio.Event) -> Script:
+    """Return the script of a sidecar that answers once `may_end` is set."""
+
+    async def pause(call: Call) -> None:
+        call.started()
+        await may_end.wait()
+        await echo(call)
+
+    return pause
+
+
+def busy_sidecar() -> FakeSidecar:
+    """Return a sidecar that is chosen only if the other one may not be."""
+    other = sidecar(name="t2")
+    other.queued_work_s, other.n_queued = 100.0, 9
+    return other
+
+
+async def silence(
+    views: TargetViews, port: int, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Let the sidecar at `port` seem silent, and wait until the gateway knows."""
+    await until(lambda: all(each.was_responsive for each in views))
+    monkeypatch.setattr(Link, "is_responsive", lambda self: self.address.port != port)
+    await until(lambda: not all(each.was_responsive for each in views))
+
 
 class TestLeaving:
     async def test_a_leaving_sidecar_gets_no_new_calls(self) -> None:
