--- a/review/standins2/deployment.py
+++ b/review/standins2/deployment.py
@@ -8,6 +8,7 @@
 import contextlib
 import itertools
 import json
+import logging
 import os
 import shutil
 import signal
@@ -15,7 +16,7 @@
 import sys
 import tempfile
 import time
-from collections.abc import AsyncIterator, Awaitable, Callable
+from collections.abc import AsyncIterator, Awaitable, Callable, Coroutine
 from pathlib import Path
 from typing import Any, Final
 
@@ -98,6 +99,11 @@
         """Address at which it listens, ``ip:port``."""
         return f"{IP}:{self.port}"
 
+    @property
+    def is_running(self) -> bool:
+        """True while a process of the worker runs."""
+        return self._runner is not None
+
     async def start(self) -> None:
         """Start a process of the worker."""
         app = web.Application(client_max_size=64 * 1024 * 1024)
@@ -291,6 +297,7 @@
         self._folder = folder
         self._bounds = bounds
         self._numbers = itertools.count()
+        self._tasks: set[asyncio.Task[None]] = set()
 
     def configure(
         self, version: int, routes: list[dict[str, Any]], **fields: Any
@@ -406,6 +413,18 @@
         self.record.add(f"{request_id} answered {status} {seal or 'without a seal'}")
         return request_id, status
 
+    def background(self, work: Coroutine[Any, Any, None]) -> None:
+        """Run something until it is done, or the deployment ends."""
+        task = asyncio.create_task(work)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+    async def end_background(self) -> None:
+        """Cancel what still runs."""
+        for task in self._tasks:
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+
     async def load(
         self, per_s: float, make: Callable[[int], Awaitable[object]]
     ) -> None:
@@ -438,6 +457,7 @@
     try:
         yield made
     finally:
+        await made.end_background()
         await made.client.close()
         for gateway in made.gateways:
             gateway.kill()
@@ -464,6 +484,8 @@
     longest_s : float
         Longest time of the play in seconds.
     """
+    # A worker that crashes leaves handlers behind whose connections are gone.
+    logging.disable(logging.CRITICAL)
     record = Record()
     code = NOT_RUN
 
