--- a/review/standins2/deployment.py
+++ b/review/standins2/deployment.py
@@ -31,6 +31,9 @@
 HOST: Final = "api.example"
 KEY: Final = "key-of-a-tenant"
 READY_S: Final = 30.0
+MAX_HEADER_BYTES: Final = 128 * 1024
+"""Longest header field that a worker takes."""
+
 
 HELD: Final = 0
 BROKEN: Final = 1
@@ -109,7 +112,12 @@
         app = web.Application(client_max_size=64 * 1024 * 1024)
         app.router.add_get("/health", self._health)
         app.router.add_route("*", "/{path:.*}", self._run)
-        self._runner = web.AppRunner(app, shutdown_timeout=0.01)
+        self._runner = web.AppRunner(
+            app,
+            shutdown_timeout=0.01,
+            max_field_size=MAX_HEADER_BYTES,
+            max_line_size=MAX_HEADER_BYTES,
+        )
         await self._runner.setup()
         await web.TCPSite(self._runner, IP, self.port).start()
         self.born_ms = int(time.time() * 1000) + self.clock_ms
