--- a/review/standins2/deployment.py
+++ b/review/standins2/deployment.py
@@ -498,6 +498,11 @@
     code = NOT_RUN
 
     async def bounded() -> str:
+        playing = asyncio.current_task()
+        if playing is not None:
+            # Without a handler, a stopped script would leave its gateways behind.
+            loop = asyncio.get_running_loop()
+            loop.add_signal_handler(signal.SIGTERM, playing.cancel)
         async with asyncio.timeout(longest_s):
             return await play(record)
 
@@ -506,7 +511,7 @@
         record.add(f"BROKEN: {broken}" if broken else "the rule held")
         print(f"broken: {broken}" if broken else "held")
         code = BROKEN if broken else HELD
-    except Exception as error:
+    except (Exception, asyncio.CancelledError) as error:
         record.add(f"could not run: {error!r}")
         print(f"could not run: {error!r}")
     record.write(folder / "record.txt")
