Log the worker and status of answers, and the limits of a configuration

Cause: request_answered named neither the worker that gave the answer nor its status, so a failure of a worker that was passed on, or a status that HTTP does not have, read like a success. config_in_force did not state the limits on what callers may send, so a limit that was decoded wrongly could not be told from one that was not used.

Change: request_answered has the worker as its peer and the status as a figure; config_in_force has the limits on headers, bodies and times. No decision depends on them.

--- a/src/trefoilpaddle/coordination/chain/attempts.py
+++ b/src/trefoilpaddle/coordination/chain/attempts.py
@@ -257,7 +257,7 @@
                     else:
                         self._choice.record_answer(worker)
                     if not self._may_retry(Reason.TARGET_FAILED, worker):
-                        return await self._pass_failure_on(failed, sink)
+                        return await self._pass_failure_on(worker, failed, sink)
                 case NotSent():
                     return self._outcome_of(Reason.CANCELLED)
                 case CallFault() as fault:
@@ -507,13 +507,15 @@
             return self._delivery.failure_outcome(reason, retry_after_s=retry_after_s)
         return self._outcome_of(Reason.NO_TARGET)
 
-    async def _pass_failure_on(self, failed: WorkerFailed, sink: CallerSink) -> Outcome:
+    async def _pass_failure_on(
+        self, worker: Worker, failed: WorkerFailed, sink: CallerSink
+    ) -> Outcome:
         """Pass a worker's failure on unchanged, unless an answer has begun."""
         if self._delivery.is_begun:
             return Failed(reason=Reason.TARGET_FAILED, is_begun=True)
         self._delivery.begin_answer()
         await sink.whole(failed.head, failed.body)
-        return Answered()
+        return Answered(worker_id=worker.worker_id, status=failed.head.status)
 
     def _record(
         self, event: Event, worker: Worker, reason: Reason = Reason.NONE
--- a/src/trefoilpaddle/coordination/chain/request_log.py
+++ b/src/trefoilpaddle/coordination/chain/request_log.py
@@ -44,7 +44,11 @@
         """Record the outcome of the request, and the obstacles of one that failed."""
         match outcome:
             case Answered():
-                self._record(Event.REQUEST_ANSWERED)
+                self._record(
+                    Event.REQUEST_ANSWERED,
+                    peer=outcome.worker_id,
+                    figures=(Figure(name="status", value=outcome.status),),
+                )
             case Refused():
                 retry_after = Figure(name="retry_after_s", value=outcome.retry_after_s)
                 self._record(
@@ -84,6 +88,7 @@
         self,
         event: Event,
         *,
+        peer: str = "",
         reason: Reason = Reason.NONE,
         detail: str = "",
         figures: tuple[Figure, ...] = (),
@@ -95,6 +100,7 @@
                 request_id=self._request.request_id,
                 entry="" if self._route is None else self._route.name,
                 config_revision=self._table.version,
+                peer=peer,
                 reason=reason,
                 detail=detail,
                 figures=(Figure(name="took_s", value=took_s), *figures),
--- a/src/trefoilpaddle/coordination/chain/worker_exchange.py
+++ b/src/trefoilpaddle/coordination/chain/worker_exchange.py
@@ -290,7 +290,7 @@
                 at_worker.mark_done()
                 self._delivery.begin_answer()
                 await sink.whole(answer.head, body)
-                return Answered()
+                return Answered(worker_id=worker.worker_id, status=answer.head.status)
 
     async def _pass_stream_on(
         self,
@@ -331,7 +331,7 @@
         at_worker.mark_done()
         watch.complete()
         await sink.end()
-        return Answered()
+        return Answered(worker_id=worker.worker_id, status=answer.head.status)
 
 
 async def in_order(
--- a/src/trefoilpaddle/coordination/published/active_table.py
+++ b/src/trefoilpaddle/coordination/published/active_table.py
@@ -179,7 +179,9 @@
         self._relay.published = published
         self._note_found()
         self._store_journal.record_active_table(
-            source=source.value, n_bytes=len(published.data)
+            source=source.value,
+            n_bytes=len(published.data),
+            limits=published.table.limits,
         )
         self._on_table(published)
         return True
--- a/src/trefoilpaddle/coordination/published/store_journal.py
+++ b/src/trefoilpaddle/coordination/published/store_journal.py
@@ -5,6 +5,7 @@
 from typing import Final
 
 from ...protocol.reasons import Reason
+from ...state.chain.routes import CallerLimits
 from ...state.chain.workers import Worker
 from ...state.journal import Decision, Event, Figure, Journal
 from .published_store import UnreadableEntry
@@ -38,7 +39,9 @@
         self.version = 0
         self.position = StorePosition()
 
-    def record_active_table(self, *, source: str, n_bytes: int) -> None:
+    def record_active_table(
+        self, *, source: str, n_bytes: int, limits: CallerLimits
+    ) -> None:
         """Record that another route table is active.
 
         Parameters
@@ -47,9 +50,17 @@
             Where the table came from.
         n_bytes : int
             Size of the published table.
+        limits : CallerLimits
+            Its limits on what callers may send.
         """
-        size = Figure(name="table_bytes", value=n_bytes)
-        self._record(Event.CONFIG_IN_FORCE, detail=source, figures=(size,))
+        figures = (
+            Figure(name="table_bytes", value=n_bytes),
+            Figure(name="max_header_bytes", value=limits.max_header_bytes),
+            Figure(name="max_body_bytes", value=limits.max_body_bytes),
+            Figure(name="header_timeout_s", value=limits.header_timeout_s),
+            Figure(name="idle_timeout_s", value=limits.idle_timeout_s),
+        )
+        self._record(Event.CONFIG_IN_FORCE, detail=source, figures=figures)
 
     def record_named_table(self, version: int, *, source: str) -> None:
         """Record that a peer names a newer route table than the active one.
--- a/src/trefoilpaddle/state/chain/requests.py
+++ b/src/trefoilpaddle/state/chain/requests.py
@@ -97,7 +97,18 @@
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class Answered:
-    """The caller has received the complete answer of a worker."""
+    """The caller has received the complete answer of a worker.
+
+    Parameters
+    ----------
+    worker_id : str
+        The worker; empty if it is not known.
+    status : int
+        Status of its answer; 0 if it is not known.
+    """
+
+    worker_id: str = field(default="", compare=False)
+    status: int = field(default=0, compare=False)
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
--- a/tests/chain/test_request_path.py
+++ b/tests/chain/test_request_path.py
@@ -50,7 +50,7 @@
 )
 from trefoilpaddle.state.chain.target_answers import AnswerHead, CallFault
 from trefoilpaddle.state.chain.workers import Worker, WorkerTable
-from trefoilpaddle.state.journal import Event
+from trefoilpaddle.state.journal import Event, Figure
 
 from ..waiting import until
 from .fakes import (
@@ -198,6 +198,22 @@
         assert [work.deadline_s <= now_s + 7.0 for work in works] == [True]
 
 
+class TestAnswersInTheLog:
+    @pytest.mark.parametrize("status", [200, 404, 500])
+    async def test_an_answer_names_its_worker_and_status(self, status: int) -> None:
+        # Guards against a failure of a worker whose line reads like that of a success.
+        head = AnswerHead(status=status, headers=())
+        rig = Rig(FakeCalls([FakeAnswer(head=head)]), route())
+        await rig.serve()
+        (line,) = [
+            record.decision
+            for record in rig.notes.recent()
+            if record.decision.event is Event.REQUEST_ANSWERED
+        ]
+        assert line.peer in {"w0", "w1"}
+        assert Figure(name="status", value=status) in line.figures
+
+
 class TestBlockedPart:
     # Guards against a request that is held back in its stages although it will be sent
     # to no worker, as a part of its prompt was blocked meanwhile.
