Reject responses whose status HTTP does not define

Cause: the HTTP library's parser takes any three digits for a status, and the check of a worker's head did not look at it but to find out whether the request had not run. A worker that wrote 000 was passed on with its signature as "HTTP/1.1 0 ".

The worker counts as one that fails.

--- a/src/trefoilpaddle/transport/platform_http.py
+++ b/src/trefoilpaddle/transport/platform_http.py
@@ -11,6 +11,7 @@
 from result import Err, Ok, Result
 
 from ..protocol.errors import PeerError
+from .checked_response import CheckedResponse
 
 READ_TIMEOUT_S: Final = 5.0
 MAX_ANSWER_BYTES: Final = 8 * 1024 * 1024
@@ -185,7 +186,7 @@
     *, config_url: str, hosts_url: str
 ) -> AsyncIterator[PlatformClient]:
     """Yield a client whose connections are closed on exit from the context."""
-    async with aiohttp.ClientSession() as session:
+    async with aiohttp.ClientSession(response_class=CheckedResponse) as session:
         yield PlatformClient(
             config_url=config_url, hosts_url=hosts_url, session=session
         )
--- a/src/trefoilpaddle/transport/target_http.py
+++ b/src/trefoilpaddle/transport/target_http.py
@@ -14,6 +14,8 @@
 )
 from aiohttp.abc import AbstractStreamWriter
 
+from .checked_response import CheckedResponse
+
 CONNECT_TIMEOUT_S: Final = 1.0
 READ_BUFFER_BYTES: Final = 64 * 1024
 
@@ -98,6 +100,7 @@
         """Keep the session open while the context is open."""
         self._session = ClientSession(
             connector=TCPConnector(limit=0, keepalive_timeout=30.0),
+            response_class=CheckedResponse,
             cookie_jar=DummyCookieJar(),
             timeout=ClientTimeout(total=None, sock_connect=CONNECT_TIMEOUT_S),
             read_bufsize=READ_BUFFER_BYTES,
--- a/tests/platform_adapter/test_worker_client.py
+++ b/tests/platform_adapter/test_worker_client.py
@@ -7,6 +7,7 @@
 import time
 from collections.abc import AsyncIterator, Callable
 from dataclasses import replace
+from typing import ClassVar
 
 import aiohttp
 import pytest
@@ -176,6 +177,63 @@
         assert await body_of(data) == Err(CallFault.BROKEN)
 
 
+class TestStatuses:
+    # Guards against callers that get the status of an answer that HTTP does not have.
+    INVALID: ClassVar = pytest.mark.parametrize(
+        "status", [b"000 OK", b"001 OK", b"099 OK", b"101 OK", b"600 OK", b"999 OK"]
+    )
+
+    @INVALID
+    @pytest.mark.parametrize("more", [b"", b"Trefoilpaddle-Not-Executed: 1\r\n"])
+    async def test_an_answer_with_an_invalid_status_is_broken(
+        self, status: bytes, more: bytes
+    ) -> None:
+        answer = head(status=status, more=b"Content-Length: 4\r\n" + more) + b"body"
+        assert await body_of(answer) == Err(CallFault.BROKEN)
+
+    @INVALID
+    async def test_a_stage_answer_with_an_invalid_status_is_broken(
+        self, status: bytes
+    ) -> None:
+        answer = head(status=status, more=b"Trefoilpaddle-Not-Executed: 1\r\n")
+        async with calling(answer) as (client, at, _):
+            work = PieceWork(
+                request_id="a1",
+                route="r",
+                stage=0,
+                piece=0,
+                due_s=0.0,
+                deadline_s=time.monotonic() + 1,
+            )
+            ran = await client.run_pieces(
+                at, [work], timeout_s=1.0, on_sent=lambda: None
+            )
+        assert ran == Err(CallFault.BROKEN)
+
+    @INVALID
+    async def test_a_report_with_an_invalid_status_states_nothing(
+        self, status: bytes
+    ) -> None:
+        stated: list[WorkerStatement] = []
+        answer = head(status=status, more=b"Server-Leaving: 1\r\n")
+        async with calling(
+            answer, on_statement=lambda _, each: stated.append(each)
+        ) as (
+            client,
+            at,
+            _,
+        ):
+            assert await client.report(at, timeout_s=1.0) is None
+        assert not stated
+
+    @pytest.mark.parametrize("status", [b"200 OK", b"299 OK", b"404 No", b"599 No"])
+    async def test_an_answer_with_a_final_status_is_forwarded(
+        self, status: bytes
+    ) -> None:
+        answer = head(status=status, more=b"Content-Length: 4\r\n") + b"body"
+        assert await body_of(answer) == Ok(b"body")
+
+
 class TestNotRun:
     @pytest.mark.parametrize(
         ("status", "fault"),
