Answer 502 where a worker's status would promise that nothing ran

Cause: a worker's complete answer that is no success was passed on whatever its status. A worker's own 503, 429 or 408 after it ran a request that may run once reads as the promise that it did not run, so the caller sends it again.

Change: for a request that may run once such an answer ends as the gateway's own failure, 502 without the worker's signature, and the log names the worker and its status. Requests that may be repeated get the worker's answer as before.

--- a/src/trefoilpaddle/coordination/chain/attempts.py
+++ b/src/trefoilpaddle/coordination/chain/attempts.py
@@ -510,12 +510,20 @@
     async def _pass_failure_on(
         self, worker: Worker, failed: WorkerFailed, sink: CallerSink
     ) -> Outcome:
-        """Pass a worker's failure on unchanged, unless an answer has begun."""
+        """Pass a worker's failure on unchanged, unless it would mislead the caller.
+
+        A request that may run once has run at the worker. Passed on, a status that
+        promises the opposite would make the caller send the request again.
+        """
         if self._delivery.is_begun:
             return Failed(reason=Reason.TARGET_FAILED, is_begun=True)
+        status = failed.head.status
+        if failed.head.promises_not_run and not self._job.may_repeat:
+            detail = f"{worker.worker_id} ran the request and answered {status}"
+            return Failed(reason=Reason.TARGET_FAILED, detail=detail)
         self._delivery.begin_answer()
         await sink.whole(failed.head, failed.body)
-        return Answered(worker_id=worker.worker_id, status=failed.head.status)
+        return Answered(worker_id=worker.worker_id, status=status)
 
     def _record(
         self, event: Event, worker: Worker, reason: Reason = Reason.NONE
--- a/src/trefoilpaddle/state/chain/target_answers.py
+++ b/src/trefoilpaddle/state/chain/target_answers.py
@@ -41,6 +41,10 @@
 NOT_RUN = NO_CONNECTION | {CallFault.FULL, CallFault.MOVED, CallFault.INPUTS_GONE}
 
 
+PROMISES_NOT_RUN = frozenset({408, 421, 429, 503})
+"""Statuses by which a caller is told that a request has not run and never will."""
+
+
 @dataclass(frozen=True, slots=True, kw_only=True)
 class AnswerHead:
     """Status and headers of a worker's answer, as they are forwarded."""
@@ -58,6 +62,11 @@
         """True for status codes from 500: it may have failed before the work began."""
         return self.status >= 500
 
+    @property
+    def promises_not_run(self) -> bool:
+        """True for a status that a caller takes to mean that nothing has run."""
+        return self.status in PROMISES_NOT_RUN
+
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class StreamEvent:
--- a/tests/chain/test_attempts.py
+++ b/tests/chain/test_attempts.py
@@ -5,7 +5,7 @@
 import time
 from collections.abc import AsyncIterator, Sequence
 from contextlib import asynccontextmanager
-from typing import Any, cast
+from typing import Any, ClassVar, cast
 
 import pytest
 from result import Ok, Result
@@ -236,6 +236,56 @@
         assert sink.seen == ["500 no"]
 
 
+class TestPromises:
+    # Guards against a worker's own status that says "not run" of a request that ran.
+    PROMISES: ClassVar = pytest.mark.parametrize("status", [408, 421, 429, 503])
+
+    @PROMISES
+    @pytest.mark.parametrize("of_route", [ONCE, STREAM_ONCE])
+    async def test_one_is_not_passed_on_for_a_request_that_runs_once(
+        self, status: int, of_route: Route
+    ) -> None:
+        head = AnswerHead(status=status, headers=())
+        calls = FakeCalls(scripts=[FakeAnswer(head=head, body=b"busy")])
+        sink = FakeSink()
+        match await attempts(calls, of_route).run(sink):
+            case Failed(reason=Reason.TARGET_FAILED, is_begun=False, detail=detail):
+                worker_id, _ = calls.sent[0]
+                assert detail == f"{worker_id} ran the request and answered {status}"
+            case outcome:
+                pytest.fail(f"{outcome}")
+        assert not sink.seen
+        assert len(calls.sent) == 1
+
+    @PROMISES
+    @pytest.mark.parametrize("of_route", [IDEMPOTENT, STREAM])
+    async def test_one_is_passed_on_if_the_request_may_be_repeated(
+        self, status: int, of_route: Route
+    ) -> None:
+        head = AnswerHead(status=status, headers=())
+        calls = FakeCalls(scripts=[FakeAnswer(head=head, body=b"busy")] * 2)
+        sink = FakeSink()
+        outcome = await attempts(calls, of_route).run(sink)
+        assert outcome == Answered()
+        assert sink.seen == [f"{status} busy"]
+
+    @pytest.mark.parametrize("status", [400, 409, 422, 500, 502, 504])
+    async def test_another_status_is_passed_on(self, status: int) -> None:
+        head = AnswerHead(status=status, headers=())
+        sink = FakeSink()
+        calls = FakeCalls(scripts=[FakeAnswer(head=head, body=b"no")])
+        await attempts(calls, ONCE).run(sink)
+        assert sink.seen == [f"{status} no"]
+
+    @PROMISES
+    async def test_a_refusal_after_one_promises_nothing(self, status: int) -> None:
+        # The worker that answered may have run it; the next one did not.
+        head = AnswerHead(status=status, headers=())
+        calls = FakeCalls(scripts=[FakeAnswer(head=head), CallFault.FULL])
+        outcome = await attempts(calls, IDEMPOTENT).run(FakeSink())
+        assert isinstance(outcome, Failed)
+
+
 class TestRepeats:
     async def test_an_idempotent_request_is_retried_after_a_failure(self) -> None:
         calls = FakeCalls(scripts=[FakeAnswer(head=FAILED_HEAD), FakeAnswer()])
