Bound the headers of requests by the active configuration

Cause: the HTTP library takes its bounds on heads once, when the server is made, and each connection copies them. They were the defaults of the code, and the library's own of 128 fields; the max_header_bytes of a configuration was decoded and used nowhere.

A head without an end is given up once it is longer than any head within the limit can be as sent, after the requests before it are answered.

--- a/src/trefoilpaddle/protocol/reasons.py
+++ b/src/trefoilpaddle/protocol/reasons.py
@@ -50,6 +50,7 @@
     ORIGIN_UNKNOWN = 40
     LIST_OUTDATED = 41
     MEMORY_FULL = 42
+    HEADERS_TOO_LARGE = 43
 
 
 def reason_from_wire(number: int) -> Reason:
--- a/src/trefoilpaddle/state/reason_words.py
+++ b/src/trefoilpaddle/state/reason_words.py
@@ -46,6 +46,7 @@
     Reason.ORIGIN_UNKNOWN: "no gateway knows which version began the stream",
     Reason.LIST_OUTDATED: "the gateway's list of targets may be out of date",
     Reason.MEMORY_FULL: "the process holds as many bytes of requests as it may",
+    Reason.HEADERS_TOO_LARGE: "its headers are longer than allowed",
     Reason.INTERNAL: "of a fault in trefoilpaddle itself; see the log",
 }
 
--- a/src/trefoilpaddle/transport/http_connection.py
+++ b/src/trefoilpaddle/transport/http_connection.py
@@ -4,6 +4,7 @@
 import math
 import time
 from collections.abc import Callable, Mapping
+from dataclasses import dataclass
 from http import HTTPStatus
 from typing import Final
 
@@ -22,7 +23,7 @@
 """
 
 MAX_OVERHEAD_BYTES: Final = 256 * 1024
-"""Bytes in a row that neither complete the head of a request nor are of its body."""
+"""Bytes in a row of a request that are neither of its head nor of its body."""
 
 
 def raw_answer(status: HTTPStatus, headers: Mapping[str, str], body: bytes) -> bytes:
@@ -40,11 +41,33 @@
 IDLE_ANSWER: Final = raw_answer(HTTPStatus.REQUEST_TIMEOUT, {"Retry-After": "0"}, b"")
 """Answer to a request that crosses the close of a connection that was idle too long."""
 
+HEAD_TOO_LONG: Final = raw_answer(
+    HTTPStatus.REQUEST_HEADER_FIELDS_TOO_LARGE, {}, b"headers_too_large"
+)
+"""Answer to a head that is given up before its end."""
+
 TOO_MANY_CONNECTIONS: Final = raw_answer(
     HTTPStatus.SERVICE_UNAVAILABLE, {"Retry-After": "1"}, b""
 )
 
 
+@dataclass(frozen=True, slots=True, kw_only=True)
+class ConnectionLimits:
+    """Limits on what is sent on a connection, as they are in force now.
+
+    Parameters
+    ----------
+    max_head_bytes : int, optional
+        Most bytes of an incomplete head, as sent; a longer one is answered with 431.
+    head_timeout_s : float, optional
+        Longest time in seconds from the first byte of a request to the end of its
+        head; a slower one is answered with 408. By default, any time.
+    """
+
+    max_head_bytes: int = MAX_OVERHEAD_BYTES
+    head_timeout_s: float = math.inf
+
+
 class HttpConnection(web.RequestHandler):
     """One connection, which ends in an order that loses neither request nor answer.
 
@@ -57,8 +80,10 @@
 
     __slots__ = (
         "_body",
-        "_head_timeout_s",
         "_head_timer",
+        "_is_blank",
+        "_is_given_up",
+        "_limits",
         "_lingering",
         "_n_overhead",
         "_progress",
@@ -70,22 +95,26 @@
         *,
         http: web.Server,
         lingering: LingeringConnections,
-        head_timeout_s: Callable[[], float],
+        limits: Callable[[], ConnectionLimits],
     ) -> None:
         super().__init__(http, loop=asyncio.get_running_loop(), **http._kwargs)
-        self._head_timeout_s = head_timeout_s
+        self._limits = limits
+        self._is_given_up = False
         self._head_timer: asyncio.TimerHandle | None = None
         self._lingering = lingering
         self.used_s = time.monotonic()
         self._n_overhead = 0
+        self._is_blank = True
         self._body: StreamReader | None = None
         self._progress = (0, 0)
 
     def data_received(self, data: bytes) -> None:
         """Parse what has arrived; break a connection whose request does not get on.
 
-        The parser takes blank lines, and the framing of chunks, without end.
+        The parser takes heads, blank lines and the framing of chunks without end.
         """
+        if self._is_given_up:
+            return
         super().data_received(data)
         self.used_s = time.monotonic()
         self._watch_head(data)
@@ -95,19 +124,23 @@
         progress = (self._request_count, n_body)
         is_same = progress == self._progress
         self._n_overhead = self._n_overhead + len(data) if is_same else 0
+        self._is_blank = not is_same or (self._is_blank and not data.strip())
         self._progress = progress
         if self.transport is None:
             return
-        if self._n_overhead > MAX_OVERHEAD_BYTES:
+        is_in_body = self._body is not None and not self._body.is_eof()
+        if len(self._messages) > MAX_AHEAD:
             logging.info(
-                "a connection is broken after %d bytes that are of no request",
-                self._n_overhead,
+                "a connection is broken on which %d requests were sent ahead",
+                len(self._messages),
             )
             self.transport.abort()
-        elif len(self._messages) > MAX_AHEAD:
+        elif not is_in_body and not self._is_blank:
+            self._bound_head()
+        elif self._n_overhead > MAX_OVERHEAD_BYTES:
             logging.info(
-                "a connection is broken on which %d requests were sent ahead",
-                len(self._messages),
+                "a connection is broken after %d bytes that are of no request",
+                self._n_overhead,
             )
             self.transport.abort()
 
@@ -117,11 +150,25 @@
         self._stop_head_timer()
         super().connection_lost(exc)
 
+    def _bound_head(self) -> None:
+        """Give up a head that is too long, once the requests before it are answered."""
+        max_bytes = self._limits().max_head_bytes
+        if self._n_overhead <= max_bytes:
+            return
+        logging.info(
+            "a head is given up after %d bytes, of %d at most",
+            self._n_overhead,
+            max_bytes,
+        )
+        self._is_given_up = True
+        if self.is_idle:
+            self.finish(HEAD_TOO_LONG)
+
     def _watch_head(self, data: bytes) -> None:
         if not self.is_idle:
             self._stop_head_timer()
         elif self._head_timer is None and data.strip():
-            timeout_s = self._head_timeout_s()
+            timeout_s = self._limits().head_timeout_s
             if timeout_s < math.inf:
                 loop = asyncio.get_running_loop()
                 self._head_timer = loop.call_later(timeout_s, self._end_head)
@@ -173,6 +220,8 @@
         self.used_s = time.monotonic()
         if not is_lost and not resp.keep_alive:
             self.finish()
+        elif not is_lost and self._is_given_up and not self._messages:
+            self.finish(HEAD_TOO_LONG)
         return resp, is_lost
 
     def _process_keepalive(self) -> None:
--- a/src/trefoilpaddle/transport/http_listener.py
+++ b/src/trefoilpaddle/transport/http_listener.py
@@ -2,7 +2,6 @@
 
 import asyncio
 import contextlib
-import math
 import socket
 import ssl
 import time
@@ -16,6 +15,7 @@
 from .http_connection import (
     CLOSE_POLL_S,
     TOO_MANY_CONNECTIONS,
+    ConnectionLimits,
     HttpConnection,
     RejectedConnection,
 )
@@ -74,10 +74,6 @@
     return True
 
 
-def _unbounded() -> float:
-    return math.inf
-
-
 def _handled(request: web.BaseRequest) -> str:
     return "handled"
 
@@ -108,9 +104,8 @@
     describe : callable, optional
         Returns what a request that is open at the end of the close was doing, as a
         short text for the log; one of a few.
-    head_timeout_s : callable, optional
-        Returns the longest time in seconds from the first byte of a request to the end
-        of its head; a slower one is answered with 408. By default, any time.
+    limits : callable, optional
+        Returns the limits on what is sent on a connection; they may change meanwhile.
 
     Attributes
     ----------
@@ -121,8 +116,8 @@
     __slots__ = (
         "_admits",
         "_describe",
-        "_head_timeout_s",
         "_http",
+        "_limits",
         "_lingering",
         "_look_idle_s",
         "_max_connections",
@@ -142,9 +137,9 @@
         tls: ssl.SSLContext | None = None,
         admits: Callable[[], bool] = _always,
         describe: Callable[[web.BaseRequest], str] = _handled,
-        head_timeout_s: Callable[[], float] = _unbounded,
+        limits: Callable[[], ConnectionLimits] = ConnectionLimits,
     ) -> None:
-        self._head_timeout_s = head_timeout_s
+        self._limits = limits
         self._admits = admits
         self._describe = describe
         self._http = http
@@ -277,7 +272,7 @@
         return HttpConnection(
             http=self._http,
             lingering=self._lingering,
-            head_timeout_s=self._head_timeout_s,
+            limits=self._limits,
         )
 
     def _close_longest_idle(self) -> int:
