Close idle connections by the active configuration

An idle connection was closed after 60 s, even if operators allow callers a longer time.

Change: a connection is closed once it was idle for the active limit, or for the one that was active when it became idle if that was longer.

--- a/src/trefoilpaddle/transport/http_connection.py
+++ b/src/trefoilpaddle/transport/http_connection.py
@@ -62,10 +62,14 @@
     head_timeout_s : float, optional
         Longest time in seconds from the first byte of a request to the end of its
         head; a slower one is answered with 408. By default, any time.
+    idle_timeout_s : float, optional
+        Time in seconds after which a connection without a request may be closed, unless
+        the limit was longer when it became idle; not before the server's own time-out.
     """
 
     max_head_bytes: int = MAX_OVERHEAD_BYTES
     head_timeout_s: float = math.inf
+    idle_timeout_s: float = 0.0
 
 
 class HttpConnection(web.RequestHandler):
@@ -81,6 +85,7 @@
     __slots__ = (
         "_body",
         "_head_timer",
+        "_idle_timeout_s",
         "_is_blank",
         "_is_given_up",
         "_limits",
@@ -99,6 +104,7 @@
     ) -> None:
         super().__init__(http, loop=asyncio.get_running_loop(), **http._kwargs)
         self._limits = limits
+        self._idle_timeout_s = limits().idle_timeout_s
         self._is_given_up = False
         self._head_timer: asyncio.TimerHandle | None = None
         self._lingering = lingering
@@ -218,6 +224,7 @@
         """Complete the answer; linger if it is the last one of the connection."""
         resp, is_lost = await super().finish_response(request, resp, start_time)
         self.used_s = time.monotonic()
+        self._idle_timeout_s = self._limits().idle_timeout_s
         if not is_lost and not resp.keep_alive:
             self.finish()
         elif not is_lost and self._is_given_up and not self._messages:
@@ -225,8 +232,15 @@
         return resp, is_lost
 
     def _process_keepalive(self) -> None:
-        """Close the connection if it was idle for too long."""
-        is_due = asyncio.get_running_loop().time() >= self._next_keepalive_close_time
+        """Close the connection if it was idle for too long.
+
+        A caller may still rely on a limit that was longer when it got its last answer.
+        """
+        idle_timeout_s = max(self._idle_timeout_s, self._limits().idle_timeout_s)
+        self._next_keepalive_close_time = max(
+            self._next_keepalive_close_time, self.used_s + idle_timeout_s
+        )
+        is_due = time.monotonic() >= self._next_keepalive_close_time
         if is_due and self.is_idle and not self._force_close:
             self._keepalive_handle = None
             self.finish(IDLE_ANSWER)
--- a/tests/platform_adapter/test_endless_callers.py
+++ b/tests/platform_adapter/test_endless_callers.py
@@ -87,6 +87,19 @@
         assert n_taken <= MAX_LINGER_BYTES + SOCKET_BYTES
 
 
+class TestIdleConnections:
+    # Guards against a limit of the configuration that is used nowhere.
+    async def test_one_is_closed_after_the_active_limit(self) -> None:
+        limits = CallerLimits(idle_timeout_s=1.5)
+        async with serving(Served(), limits=lambda: limits) as port:
+            reader, writer = await asyncio.open_connection("127.0.0.1", port)
+            opened_s = time.monotonic()
+            async with asyncio.timeout(10.0):
+                assert (await reader.read()).startswith(b"HTTP/1.1 408 ")
+            assert time.monotonic() - opened_s > limits.idle_timeout_s
+            writer.close()
+
+
 class TestSlowHeads:
     # Guards against callers that hold connections with heads that never end.
     async def test_a_head_that_comes_byte_by_byte_is_given_up(self) -> None:
--- a/tests/test_http_listener.py
+++ b/tests/test_http_listener.py
@@ -5,7 +5,7 @@
 import socket
 import ssl
 import time
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Callable
 from http import HTTPStatus
 
 import aiohttp
@@ -14,7 +14,7 @@
 
 from tests.waiting import until
 from trefoilpaddle.transport import http_listener, lingering
-from trefoilpaddle.transport.http_connection import raw_answer
+from trefoilpaddle.transport.http_connection import ConnectionLimits, raw_answer
 from trefoilpaddle.transport.http_listener import HttpListener
 
 IP = "127.0.0.1"
@@ -32,6 +32,7 @@
         max_connections: int | None = None,
         keepalive_timeout: float = 60.0,
         tls: ssl.SSLContext | None = None,
+        limits: Callable[[], ConnectionLimits] = ConnectionLimits,
     ) -> None:
         self.http = web.Server(
             self._serve,
@@ -39,7 +40,11 @@
             keepalive_timeout=keepalive_timeout,
         )
         self.listener = HttpListener(
-            http=self.http, refusal=REFUSAL, max_connections=max_connections, tls=tls
+            http=self.http,
+            refusal=REFUSAL,
+            max_connections=max_connections,
+            tls=tls,
+            limits=limits,
         )
         self.port = 0
         self.work_s = 0.0
@@ -273,6 +278,45 @@
             writer.close()
 
 
+class TestIdleTimeout:
+    # Guards against a limit on idle connections that is published in vain.
+    @pytest.mark.parametrize(
+        ("at_first_s", "later_s"),
+        [(0.5, 0.5), (0.1, 0.5), (0.5, 0.1)],
+        ids=["unchanged", "longer", "shorter"],
+    )
+    async def test_a_connection_stays_open_for_the_longer_limit(
+        self, at_first_s: float, later_s: float
+    ) -> None:
+        idle_timeout_s = at_first_s
+
+        def limits() -> ConnectionLimits:
+            return ConnectionLimits(idle_timeout_s=idle_timeout_s)
+
+        async with Listening(keepalive_timeout=0.05, limits=limits).open() as listening:
+            reader, writer = await listening.connect()
+            writer.write(GET)
+            await reader.readuntil(b"served")
+            idle_s = time.monotonic()
+            idle_timeout_s = later_s
+            assert (await reader.read()).startswith(b"HTTP/1.1 408")
+            assert time.monotonic() - idle_s > 0.45
+            writer.close()
+
+    async def test_a_request_of_its_last_moment_is_served(self) -> None:
+        # Guards against a limit that counts from the opening of a connection.
+        limits = ConnectionLimits(idle_timeout_s=0.5)
+        async with Listening(
+            keepalive_timeout=0.05, limits=lambda: limits
+        ).open() as listening:
+            reader, writer = await listening.connect()
+            for _ in range(3):
+                await asyncio.sleep(0.4)
+                writer.write(GET)
+                assert b"200" in await reader.readuntil(b"served")
+            writer.close()
+
+
 class TestCrowded:
     # Guards against new callers that displace each other, or running requests.
     async def test_a_connection_just_opened_keeps_its_place(self) -> None:
