Let a head under way go on under a longer limit

Cause: the header_timeout_ms of the configuration was taken when the first byte of a head arrived. If operators published a longer one meanwhile, the head was still given up at the old one.

Change: when the time is over, the limit that is active by then decides.

--- a/src/trefoilpaddle/transport/http_connection.py
+++ b/src/trefoilpaddle/transport/http_connection.py
@@ -177,12 +177,22 @@
             timeout_s = self._limits().head_timeout_s
             if timeout_s < math.inf:
                 loop = asyncio.get_running_loop()
-                self._head_timer = loop.call_later(timeout_s, self._end_head)
+                self._head_timer = loop.call_later(
+                    timeout_s, self._end_head, time.monotonic()
+                )
 
-    def _end_head(self) -> None:
-        """Give up the head; after a stall, its rest is read first."""
+    def _end_head(self, began_s: float) -> None:
+        """Give up the head; after a stall, its rest is read first.
+
+        It goes on if a longer limit has come into force since its first byte.
+        """
         loop = asyncio.get_running_loop()
-        self._head_timer = loop.call_later(CLOSE_POLL_S, self.finish, IDLE_ANSWER)
+        left_s = began_s + self._limits().head_timeout_s - time.monotonic()
+        self._head_timer = (
+            loop.call_later(left_s, self._end_head, began_s)
+            if left_s > 0.0
+            else loop.call_later(CLOSE_POLL_S, self.finish, IDLE_ANSWER)
+        )
 
     def _stop_head_timer(self) -> None:
         if self._head_timer is not None:
--- a/tests/platform_adapter/test_endless_callers.py
+++ b/tests/platform_adapter/test_endless_callers.py
@@ -3,6 +3,7 @@
 import asyncio
 import contextlib
 import time
+from dataclasses import replace
 
 import pytest
 
@@ -114,6 +115,23 @@
             writer.transport.abort()
             assert (await answer).startswith(b"HTTP/1.1 408 ")
 
+    # Guards against a longer limit that does not reach a head under way.
+    async def test_a_head_goes_on_under_a_longer_limit(self) -> None:
+        limits = CallerLimits(header_timeout_s=0.3)
+        async with serving(Served(), limits=lambda: limits) as port:
+            reader, writer = await asyncio.open_connection("127.0.0.1", port)
+            writer.write(GET)
+            await asyncio.sleep(0.1)
+            limits = replace(limits, header_timeout_s=0.9)
+            await asyncio.sleep(0.5)
+            writer.write(b"\r\n")
+            assert (await reader.readuntil(b"whole")).startswith(b"HTTP/1.1 200 ")
+            writer.write(GET)
+            began_s = time.monotonic()
+            assert (await reader.read()).startswith(b"HTTP/1.1 408 ")
+            assert time.monotonic() - began_s >= 0.9
+            writer.close()
+
     # Guards against callers within the limit that are given up.
     async def test_a_slow_head_within_the_limit_is_served(self) -> None:
         async with serving(Served()) as port:
