--- a/tests/platform_adapter/test_worker_client.py
+++ b/tests/platform_adapter/test_worker_client.py
@@ -234,6 +234,23 @@
         assert await body_of(answer) == Ok(b"body")
 
 
+class TestLargeHeads:
+    # Guards against 502 for requests that ran, as their answers have large heads.
+    @pytest.mark.parametrize(
+        ("n_fields", "n_bytes"), [(1, 9_000), (1, 200_000), (150, 20), (1000, 200)]
+    )
+    async def test_they_are_forwarded_whole(self, n_fields: int, n_bytes: int) -> None:
+        value = b"v" * n_bytes
+        more = b"".join(b"X-%d: %b\r\n" % (n, value) for n in range(n_fields))
+        answer = head(more=b"Content-Length: 4\r\n" + more) + b"body"
+        async with (
+            calling(answer) as (client, at, _),
+            client.exchange(at, call()) as opened,
+        ):
+            forwarded = opened.unwrap().head.headers
+        assert sum(each == value for _, each in forwarded) == n_fields
+
+
 class TestNotRun:
     @pytest.mark.parametrize(
         ("status", "fault"),
