Refuse no request for good before a configuration is known

Cause: a gateway that knows no configuration yet kept to the default limits of the code. A body or headers over these got 413 or 431, which no caller repeats, though the configuration to come may allow them.

--- a/tests/platform_adapter/caller_harness.py
+++ b/tests/platform_adapter/caller_harness.py
@@ -71,7 +71,9 @@
     held: HeldBytes | None = None,
     held_answers: HeldBytes | None = None,
     journal: Journal | None = None,
-    limits: Callable[[], CallerLimits] = lambda: CallerLimits(max_body_bytes=100),
+    limits: Callable[[], CallerLimits | None] = lambda: CallerLimits(
+        max_body_bytes=100
+    ),
 ) -> AsyncIterator[int]:
     stop = PlannedStop(grace_s=8.0)
     if stopping:
--- a/tests/platform_adapter/test_header_limits.py
+++ b/tests/platform_adapter/test_header_limits.py
@@ -6,6 +6,7 @@
 import pytest
 
 from trefoilpaddle.protocol.reasons import Reason
+from trefoilpaddle.state.chain.requests import Refused
 from trefoilpaddle.state.chain.routes import CallerLimits
 from trefoilpaddle.state.journal import Event, Journal
 
@@ -97,6 +98,26 @@
             writer.close()
 
 
+class TestUnknownConfiguration:
+    # Guards against a gateway without a configuration that refuses for good what the
+    # configuration allows.
+    @pytest.mark.parametrize(
+        "head",
+        [
+            fields(1, 40 * KB),
+            fields(1, 1100 * KB),
+            b"Content-Length: 9000000\r\n",
+        ],
+        ids=["header", "longer-header", "body"],
+    )
+    async def test_a_large_request_may_come_again(self, head: bytes) -> None:
+        served = Served(outcome=Refused(reason=Reason.NO_CONFIGURATION))
+        async with serving(served, limits=lambda: None) as port:
+            answer = await exchange(port, GET + head + b"\r\n")
+        assert status(answer) == 503
+        assert b"\r\nRetry-After: " in answer
+
+
 class TestEndlessHeads:
     # Guards against an answer that is lost behind a head which is given up.
     async def test_the_requests_before_one_are_answered_first(self) -> None:
