--- a/tests/platform_adapter/test_callers.py
+++ b/tests/platform_adapter/test_callers.py
@@ -276,6 +276,17 @@
         assert status(await ask(Faulty(), GET + b"\r\n")) == 502
 
 
+class TestUnwritableAnswers:
+    # Guards against a connection that is closed without an answer for one odd field.
+    @pytest.mark.parametrize("n_events", [0, 2])
+    async def test_one_becomes_a_failure(self, n_events: int) -> None:
+        head = AnswerHead(status=200, headers=((b"X-Odd", b"a\x01b"),))
+        served = Served(head=head, n_events=n_events)
+        answer = await ask(served, GET + b"\r\n")
+        assert status(answer) == 502
+        assert b"Seal" not in answer
+
+
 class TestClosing:
     async def test_a_request_read_during_the_close_is_answered(self) -> None:
         # All requests of a stopping gateway are answered and it closes. At that moment
