Reject answers with a control byte in a header

Cause: the HTTP library's parser takes control bytes in the values of headers, which its own writer refuses. So the answer could not be passed on, and a request that may be repeated was not sent to another worker.

Change: such an answer is rejected where it is read, like one whose status HTTP does not define.

Result: three of the five new tests failed before (a zero byte was rejected already, a tab and bytes beyond ASCII are allowed) and pass now.

--- a/src/trefoilpaddle/transport/checked_response.py
+++ b/src/trefoilpaddle/transport/checked_response.py
@@ -1,5 +1,6 @@
-"""Rejects responses whose status HTTP does not define as a final one."""
+"""Rejects responses whose heads HTTP does not allow and the library parses."""
 
+import re
 from typing import TYPE_CHECKING, Final, Self
 
 import aiohttp
@@ -11,14 +12,17 @@
 FINAL_STATUSES: Final = range(200, 600)
 """Statuses with which HTTP ends an exchange; no protocol here switches to another."""
 
+CONTROL_BYTE: Final = re.compile(rb"[\x00-\x08\x0a-\x1f\x7f]")
+
 LOG_PERIOD_S: Final = 1.0
 
 
 class CheckedResponse(aiohttp.ClientResponse):
-    """A response whose status HTTP defines as a final one.
+    """A response whose status is a final one, and whose headers can be passed on.
 
-    The library's parser accepts any number of three digits. What is passed on or taken
-    as a statement must be an answer, whatever else its head says.
+    The library's parser accepts any number of three digits, and control bytes in
+    values. What is passed on or taken as a statement must be an answer, whatever else
+    its head says.
     """
 
     async def start(self, connection: "Connection") -> Self:
@@ -27,23 +31,33 @@
         Raises
         ------
         aiohttp.ClientResponseError
-            If its status is not a final one.
+            If its status is not a final one, or a header has a control byte.
         """
         await super().start(connection)
+        problem = self._problem()
+        if not problem:
+            return self
+        logging.log_every_n_seconds(
+            logging.WARNING,
+            "a response of %s:%s is rejected: %s",
+            LOG_PERIOD_S,
+            self.url.host,
+            self.url.port,
+            problem,
+        )
+        raise aiohttp.ClientResponseError(
+            self.request_info,
+            self.history,
+            status=self.status,
+            message=problem,
+            headers=self.headers,
+        )
+
+    def _problem(self) -> str:
+        """Return why the head is none of a response, or an empty text."""
         if self.status not in FINAL_STATUSES:
-            logging.log_every_n_seconds(
-                logging.WARNING,
-                "a response of %s:%s with the status %03d is rejected",
-                LOG_PERIOD_S,
-                self.url.host,
-                self.url.port,
-                self.status,
-            )
-            raise aiohttp.ClientResponseError(
-                self.request_info,
-                self.history,
-                status=self.status,
-                message="not a final status",
-                headers=self.headers,
-            )
-        return self
+            return f"its status is {self.status:03d}"
+        for name, value in self.raw_headers:
+            if CONTROL_BYTE.search(value):
+                return f"its header {name!r} has a control byte"
+        return ""
--- a/tests/platform_adapter/test_worker_client.py
+++ b/tests/platform_adapter/test_worker_client.py
@@ -234,6 +234,18 @@
         assert await body_of(answer) == Ok(b"body")
 
 
+class TestControlBytes:
+    # Guards against a field that cannot be written to the caller.
+    @pytest.mark.parametrize("byte", [b"\x00", b"\x01", b"\x1f", b"\x7f"])
+    async def test_an_answer_with_one_is_broken(self, byte: bytes) -> None:
+        more = b"Content-Length: 4\r\nX-Odd: a%bb\r\n" % byte
+        assert await body_of(head(more=more) + b"body") == Err(CallFault.BROKEN)
+
+    async def test_a_tab_and_bytes_beyond_ascii_are_forwarded(self) -> None:
+        more = b"Content-Length: 4\r\nX-Odd: a\tb\xc3\xa4\xff\r\n"
+        assert await body_of(head(more=more) + b"body") == Ok(b"body")
+
+
 class TestLargeHeads:
     # Guards against 502 for requests that ran, as their answers have large heads.
     @pytest.mark.parametrize(
