Believe no "not run" of an answer to another request

Cause: the statuses and the header that say "not run" were read before the id of an answer was compared. So the answer to another request made this one count as not run: it was sent to a second worker, or refused with a promise that may be false.

One that names no id may still say "not run".

--- a/tests/platform_adapter/test_worker_client.py
+++ b/tests/platform_adapter/test_worker_client.py
@@ -279,6 +279,20 @@
         more = b"Trefoilpaddle-Not-Executed: 1\r\nContent-Length: 0\r\n"
         assert await body_of(head(status=status, more=more)) == Err(fault)
 
+    # Guards against a second run, as the answer to another request says "not run".
+    @pytest.mark.parametrize("status", [b"503 Full", b"409 Gone", b"421 Other"])
+    async def test_another_request_that_has_not_run_states_nothing(
+        self, status: bytes
+    ) -> None:
+        more = b"Trefoilpaddle-Not-Executed: 1\r\nContent-Length: 0\r\n"
+        answer = head(status=status, seen=b"a2", more=more)
+        assert await body_of(answer) == Err(CallFault.BROKEN)
+
+    async def test_an_answer_without_an_id_may_say_not_run(self) -> None:
+        bare = b"HTTP/1.1 503 X\r\nContent-Length: 0\r\n"
+        answer = bare + b"Trefoilpaddle-Not-Executed: 1\r\n\r\n"
+        assert await body_of(answer) == Err(CallFault.FULL)
+
     async def test_an_unmarked_503_may_have_run(self) -> None:
         bare = b"HTTP/1.1 503 X\r\nContent-Length: 0\r\n\r\n"
         assert await body_of(bare) == Err(CallFault.BROKEN)
