Use a changed grace of the settings without a restart

Cause: after SIGHUP the settings file was read again, compared and dropped. The grace was copied to the plan of the stop and to two other places at the start. With a grace that became shorter, requests were sent to workers until shortly before the kill, and cut.

Change: there is one grace, in the plan of the stop. SIGHUP changes it, and the order to stop reads the file again, which may change without a signal. During a stop only a shorter one is taken. settings_reloaded states it.

Ruled out: a reserve for answers that is too short; requests were sent 4.7 s after the order, and nothing is after 3 s with a grace of 5 s.

--- a/src/trefoilpaddle/coordination/chain/planned_stop.py
+++ b/src/trefoilpaddle/coordination/chain/planned_stop.py
@@ -122,17 +122,36 @@
     )
 
     def __init__(self, *, grace_s: float) -> None:
-        self._grace_s = grace_s
-        self._answer_reserve_s = min(ANSWER_RESERVE_S, ANSWER_RESERVE_SHARE * grace_s)
-        self._write_reserve_s = min(WRITE_RESERVE_S, WRITE_RESERVE_SHARE * grace_s)
-        self._close_reserve_s = min(CLOSE_RESERVE_S, CLOSE_RESERVE_SHARE * grace_s)
-        self._exit_reserve_s = min(EXIT_RESERVE_S, EXIT_RESERVE_SHARE * grace_s)
+        self._set_grace(grace_s)
         self._ordered = asyncio.Event()
         self._ordered_s = math.inf
         self._deadlines: set[AnswerDeadline] = set()
         self.is_closing = False
         self.serves_elsewhere_in_s: Callable[[], float] = _at_once
 
+    def _set_grace(self, grace_s: float) -> None:
+        self._grace_s = grace_s
+        self._answer_reserve_s = min(ANSWER_RESERVE_S, ANSWER_RESERVE_SHARE * grace_s)
+        self._write_reserve_s = min(WRITE_RESERVE_S, WRITE_RESERVE_SHARE * grace_s)
+        self._close_reserve_s = min(CLOSE_RESERVE_S, CLOSE_RESERVE_SHARE * grace_s)
+        self._exit_reserve_s = min(EXIT_RESERVE_S, EXIT_RESERVE_SHARE * grace_s)
+
+    @property
+    def grace_s(self) -> float:
+        """Seconds from the order to the kill."""
+        return self._grace_s
+
+    def change_grace(self, grace_s: float) -> None:
+        """Change the grace; once the stop is ordered, only to a shorter one.
+
+        Whether the kill comes later for a stop under way is not known.
+        """
+        if self.is_ordered:
+            grace_s = min(grace_s, self._grace_s)
+        if grace_s != self._grace_s:
+            self._set_grace(grace_s)
+            self.refresh()
+
     @property
     def event(self) -> asyncio.Event:
         """Event that is set by the order to stop."""
--- a/src/trefoilpaddle/coordination/published/view_poll.py
+++ b/src/trefoilpaddle/coordination/published/view_poll.py
@@ -29,6 +29,10 @@
 """Time in seconds for which a response, or its absence, counts."""
 
 
+def _unbounded() -> float:
+    return math.inf
+
+
 class ViewPoll:
     """Polls all known gateways in turn, also those believed lost, for a newer list.
 
@@ -50,8 +54,9 @@
     apply : callable
         Applies what a gateway knows, polled at a time on the clock of `elapsed_s`;
         returns True if it has nothing newer than what is known here afterwards.
-    grace_s : float
-        Time in seconds after which a gateway that was ordered to stop may be back.
+    grace_s : callable
+        Returns the time in seconds after which a gateway that was ordered to stop may
+        be back.
     """
 
     __slots__ = (
@@ -77,7 +82,7 @@
         members: Callable[[], Sequence[MemberRecord]],
         query: Callable[[MemberRecord], Awaitable[StoreState | None]],
         apply: Callable[[StoreState, float], bool],
-        grace_s: float = math.inf,
+        grace_s: Callable[[], float] = _unbounded,
     ) -> None:
         self._own_id = own_id
         self._grace_s = grace_s
@@ -158,7 +163,7 @@
         if member.state is not MemberState.LEAVING:
             return False
         since_s = member.leaving_since_s
-        return since_s is None or time.monotonic() - since_s <= self._grace_s
+        return since_s is None or time.monotonic() - since_s <= self._grace_s()
 
     async def _ask(self, member: MemberRecord, sent_s: float) -> None:
         try:
--- a/src/trefoilpaddle/standins/platform/gateway_process.py
+++ b/src/trefoilpaddle/standins/platform/gateway_process.py
@@ -109,8 +109,8 @@
         """Base URL for operators."""
         return f"http://{IP}:{self.ports[3]}"
 
-    def start(self) -> None:
-        """Start the process with a new log file."""
+    def write_settings(self) -> Path:
+        """Write the settings file and return its path."""
         path = self.folder / f"{self.host}.json"
         fields = settings(
             host=self.host,
@@ -122,6 +122,11 @@
             limits=self.limits,
         )
         path.write_bytes(orjson.dumps(fields))
+        return path
+
+    def start(self) -> None:
+        """Start the process with a new log file."""
+        path = self.write_settings()
         self.logs.append(self.folder / f"{self.host}-{len(self.logs)}.log")
         variables = {
             "TREFOILPADDLE_NODE_FILE": str(path),
--- a/tests/chain/test_lease_review.py
+++ b/tests/chain/test_lease_review.py
@@ -64,7 +64,7 @@
         members=lambda: records,
         query=query,
         apply=lambda state, sent_s: True,
-        grace_s=GRACE_S,
+        grace_s=lambda: GRACE_S,
     )
     await poll.poll()
     return poll
--- a/tests/chain/test_planned_stop.py
+++ b/tests/chain/test_planned_stop.py
@@ -64,6 +64,30 @@
         assert stop.send_until_s < stop.answer_until_s
         assert stop.answer_until_s <= clock.now_s + grace_s - WRITE_S
 
+    # Guards against requests that are cut, as the kill comes after a newer grace.
+    @pytest.mark.parametrize(
+        ("before_s", "after_s", "expected_s"),
+        [(5.0, 8.0, 5.0), (8.0, 5.0, 5.0)],
+        ids=["longer", "shorter"],
+    )
+    def test_a_stop_under_way_takes_only_a_shorter_grace(
+        self,
+        before_s: float,
+        after_s: float,
+        expected_s: float,
+        monkeypatch: pytest.MonkeyPatch,
+    ) -> None:
+        clock = Clock()
+        monkeypatch.setattr(planned_stop, "time", clock)
+        stop = PlannedStop(grace_s=before_s)
+        stop.order()
+        stop.change_grace(after_s)
+        expected = PlannedStop(grace_s=expected_s)
+        expected.order()
+        assert stop.send_until_s == expected.send_until_s
+        assert stop.answer_until_s == expected.answer_until_s
+        assert stop.closes_in_s() == expected.closes_in_s()
+
     @pytest.mark.parametrize("grace_s", [3.0, 5.0, 8.0, 30.0])
     def test_connections_are_closed_in_time_to_exit(
         self, grace_s: float, monkeypatch: pytest.MonkeyPatch
--- a/tests/platform_adapter/test_gateway_process.py
+++ b/tests/platform_adapter/test_gateway_process.py
@@ -488,6 +488,39 @@
                 await asyncio.sleep(0.0005)
             assert ending.result() == 0
 
+    @pytest.mark.parametrize("is_signalled", [True, False])
+    async def test_a_grace_that_became_shorter_is_kept(
+        self, is_signalled: bool, tmp_path: Path
+    ) -> None:
+        # Guards against requests that are cut by a kill sooner than planned.
+        grace_s = 2.0
+        async with (
+            small_site() as site,
+            gateways(site, tmp_path, "a") as (gateway,),
+            aiohttp.ClientSession() as client,
+        ):
+            for worker_id in ("stock1", "stock2"):
+                site.workers[worker_id].marker = b"silent"
+            await until(lambda: "stock2" in gateway.log())
+            assert gateway._grace_s > grace_s
+            gateway._grace_s = grace_s
+            gateway.write_settings()
+            if is_signalled:
+                gateway.signal(signal.SIGHUP)
+                await until(lambda: "settings_reloaded" in gateway.log())
+
+            async def hold() -> int:
+                url, sent = f"{gateway.url}/hold/1", headers("h1")
+                async with client.post(url, headers=sent, data=b"silent") as answer:
+                    return answer.status
+
+            holding = asyncio.create_task(hold())
+            await until(lambda: "request_id=h1" in gateway.log())
+            gateway.signal(signal.SIGTERM)
+            async with asyncio.timeout(grace_s):
+                assert await gateway.wait_exit() == 0
+            assert await holding == 502
+
     async def test_a_short_grace_time_is_kept(self, tmp_path: Path) -> None:
         # A deployment kills 2 s after the order to stop. A gateway accepted new
         # connections for 3 s regardless of that time, and was killed with all of them
