--- a/src/trefoilpaddle/transport/checked_response.py
+++ b/src/trefoilpaddle/transport/checked_response.py
@@ -54,7 +54,7 @@
         )
 
     def _problem(self) -> str:
-        """Return why the head is none of a response, or an empty text."""
+        """Return why HTTP does not allow the head; an empty text if it does."""
         if self.status not in FINAL_STATUSES:
             return f"its status is {self.status:03d}"
         for name, value in self.raw_headers:
--- a/src/trefoilpaddle/transport/http_connection.py
+++ b/src/trefoilpaddle/transport/http_connection.py
@@ -63,8 +63,9 @@
         Longest time in seconds from the first byte of a request to the end of its
         head; a slower one is answered with 408. By default, any time.
     idle_timeout_s : float, optional
-        Time in seconds after which a connection without a request may be closed, unless
-        the limit was longer when it became idle; not before the server's own time-out.
+        Time in seconds after which a connection without a request is closed; the limit
+        of the moment at which it became idle holds if it was longer, and in any case
+        the server's own time-out. By default, only the latter.
     """
 
     max_head_bytes: int = MAX_OVERHEAD_BYTES
