Ignore a peer's list that is older than the last known one

Cause: a gateway that needs the complete list has no position, so any list of a peer counted as newer. The request states the last known revision, and peers answer only with later lists; but an answer that was under way while the view advanced, and then needed the list, was applied: workers that are gone were listed again until the next read.

Change: lists of peers are compared with the last known position too, as lists that say "the same" were before.

--- a/src/trefoilpaddle/coordination/published/store_view.py
+++ b/src/trefoilpaddle/coordination/published/store_view.py
@@ -276,13 +276,14 @@
         self.enter_era(position.era)
         if state.evacuated is not None and position.is_known:
             self.evacuations.apply_all(state.evacuated, position)
-        if position <= self.position:
+        # An answer may have been under way while this view advanced.
+        if position <= self.position or position < self._relay.position:
             return
         if state.workers:
             self._hear_recovery(state.back_ms)
             self._apply(changes_from_state(state), self.list_scope)
             self.listing.add_unconfirmed(unconfirmed_from(state), time.monotonic())
-        elif self._lists_the_same(state) and position >= self._relay.position:
+        elif self._lists_the_same(state):
             # The list is the same, so the changes up to the peer's position are known.
             self._apply(StoreChanges(position=position), Scope.CHANGES)
         if state.evacuated is None and self.position == position:
