Take the order of workers' starts from the store, not from their clocks

Cause: the table of workers dropped entries with a smaller born than the largest one seen under the id, as if a lagging peer or a late read had passed them on.

Evidence: the gateways' logs have no line for the second start and none for its leaving; without the jump, and nothing else changed, they have both.

Change: another born is another start. Entries reach the table in the order of the store, as reads, updates and answers of peers are compared by position. An entry without a start time replaces none that has one.

--- a/src/trefoilpaddle/state/chain/workers.py
+++ b/src/trefoilpaddle/state/chain/workers.py
@@ -136,7 +136,7 @@
     leave_listeners : list of callable
         Called with each worker that may receive no more work.
     restart_listeners : list of callable
-        Called with the former start of a worker that is listed with a later one: its
+        Called with the former start of a worker that is listed with another one: its
         results and calls are lost. The leave listeners are called after these.
     new_listeners : list of callable
         Called with each worker that was not listed before.
@@ -183,7 +183,9 @@
     def put(self, worker: Worker) -> bool:
         """Add or update a listed worker; return True if this changed the table.
 
-        Entries of an earlier start, from a lagging peer or a late read, are ignored.
+        The caller passes entries in the order of the store. The time of a start does
+        not order them, as the clock of a worker's host may have been set back. An entry
+        of a known start that states no time is ignored.
         """
         known = self._by_id.get(worker.worker_id)
         if known is not None and worker.is_same_start(known):
@@ -195,9 +197,9 @@
             )
         if known == worker:
             return self._learn_cold(known, worker)
-        if worker.born_ms < self._newest_born_ms(worker.worker_id):
+        if known is not None and known.born_ms and not worker.born_ms:
             return False
-        if known is not None and worker.born_ms > known.born_ms:
+        if known is not None and not worker.is_same_start(known):
             for listener in self.restart_listeners:
                 listener(known)
             self.remove(worker.worker_id)
@@ -487,13 +489,6 @@
         for listener in self.change_listeners:
             listener()
 
-    def _newest_born_ms(self, worker_id: str) -> int:
-        """Return the latest start time that was listed under an id."""
-        known = self._by_id.get(worker_id)
-        if known is not None:
-            return known.born_ms
-        return self._removed_born_ms.get(worker_id, 0)
-
     def _notify_leaving(self, worker: Worker) -> None:
         for listener in self.leave_listeners:
             listener(worker)
