Stop watching a connection that was closed as it opened

Cause: uvloop closes the socket of a connection whose attempt is cancelled just as it opens, and does not call connection_lost. The timer of SendWatch went on, and asking for the state of a closed socket raises a ValueError, not the OSError that its docstring promises.

Evidence: cancelling the attempt in connection_made leaves this very error under uvloop, and none under asyncio, which does call connection_lost.

Change: read_send_state raises an OSError for a closed connection, which the watch takes for its end. Nothing else outlives the socket: the timer for a head begins with its first byte.

--- a/src/trefoilpaddle/transport/send_watch.py
+++ b/src/trefoilpaddle/transport/send_watch.py
@@ -1,6 +1,7 @@
 """Tells a peer that does not read for a while from one that is out of reach."""
 
 import asyncio
+import errno
 import fcntl
 import socket
 import struct
@@ -67,7 +68,10 @@
     OSError
         If the connection is closed, or the kernel does not tell.
     """
-    pending = fcntl.ioctl(connection.fileno(), termios.TIOCOUTQ, bytes(4))
+    descriptor = connection.fileno()
+    if descriptor < 0:
+        raise OSError(errno.EBADF, "the connection is closed")
+    pending = fcntl.ioctl(descriptor, termios.TIOCOUTQ, bytes(4))
     info = connection.getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, INFO_BYTES)
     return SendState(
         n_pending_bytes=struct.unpack("=i", pending)[0],
@@ -156,5 +160,6 @@
         try:
             self.check(read_send_state(self._connection))
         except OSError as error:
-            # The connection is closed, or keeps its time-out.
+            # The connection keeps its time-out, or is closed: the event loop reports
+            # no loss of one whose attempt is cancelled as it opens.
             logging.debug("what a connection has to send is not known: %s", error)
--- a/tests/platform_adapter/test_sessions.py
+++ b/tests/platform_adapter/test_sessions.py
@@ -3,20 +3,24 @@
 import asyncio
 import socket
 import time
+from collections.abc import Callable, Coroutine
 from typing import cast
 
 import aiohttp
 import pytest
+import uvloop
 from adapter import sessions
 from adapter.sessions import (
     CLOSE_S,
     CONNECT_TIMEOUT_S,
+    BoundedAnswerHandler,
     closing,
     connect_after_stall,
     single_use_session,
 )
 
 from trefoilpaddle.coordination.chain.planned_stop import PlannedStop
+from trefoilpaddle.transport.send_watch import CHECK_PERIOD_S
 
 from ..waiting import until
 from .raw_engines import raw_engine, take_slowly
@@ -125,6 +129,44 @@
     writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
 
 
+class TestCancelledConnections:
+    # Guards against errors in the log, as connections that are cancelled while they
+    # open are closed and their watches are not told.
+    @pytest.mark.parametrize(
+        "run", [asyncio.run, uvloop.run], ids=["asyncio", "uvloop"]
+    )
+    def test_no_error_is_left(
+        self,
+        run: Callable[[Coroutine[None, None, None]], None],
+        monkeypatch: pytest.MonkeyPatch,
+    ) -> None:
+        errors: list[dict[str, object]] = []
+
+        async def scenario() -> None:
+            loop = asyncio.get_running_loop()
+            loop.set_exception_handler(lambda _, context: errors.append(context))
+
+            class CancelledConnection(BoundedAnswerHandler):
+                def connection_made(self, transport: asyncio.BaseTransport) -> None:
+                    super().connection_made(transport)
+                    calling.cancel()
+
+            monkeypatch.setattr(sessions, "BoundedAnswerHandler", CancelledConnection)
+            async with (
+                raw_engine(take_slowly) as address,
+                single_use_session() as session,
+            ):
+                calling = asyncio.create_task(
+                    session.request("GET", f"http://{address}")
+                )
+                with pytest.raises(asyncio.CancelledError):
+                    await calling
+                await asyncio.sleep(CHECK_PERIOD_S + SLACK_S)
+
+        run(scenario())
+        assert errors == []
+
+
 def _has_unsent(session: aiohttp.ClientSession) -> bool:
     connector = session.connector
     assert connector is not None
--- a/tests/test_send_watch.py
+++ b/tests/test_send_watch.py
@@ -67,6 +67,13 @@
         assert reading.recv(100) == b"request"
         await until(lambda: not read_send_state(sending).n_pending_bytes)
 
+    async def test_a_closed_connection_raises_an_os_error(
+        self, pair: tuple[socket.socket, socket.socket]
+    ) -> None:
+        pair[0].close()
+        with pytest.raises(OSError, match="closed"):
+            read_send_state(pair[0])
+
 
 class TestSendWatch:
     # Guards against links that are cut and not detected any more, once the window of
