--- a/src/trefoilpaddle/coordination/chain/worker_exits.py
+++ b/src/trefoilpaddle/coordination/chain/worker_exits.py
@@ -123,6 +123,7 @@
             return
         is_replaced = self._workers.is_replaced(worker)
         if not (is_replaced or worker.is_same_start(listed)):
+            # An earlier start is listed here, as the entry of this one is under way.
             return
         if self._began_after_break(run):
             return
