Share the held request of two tests of stops

Cause: the same six lines stood in two tests of test_gateway_process.py. Change: one function; what the tests check is as before.

--- a/tests/platform_adapter/test_gateway_process.py
+++ b/tests/platform_adapter/test_gateway_process.py
@@ -231,6 +231,13 @@
             assert UpdateGap.TABLE.value not in logs
 
 
+async def hold(client: aiohttp.ClientSession, gateway: GatewayProcess) -> int:
+    """Send a request at which workers stay silent; return the status of its answer."""
+    url, sent = f"{gateway.url}/hold/1", headers("h1")
+    async with client.post(url, headers=sent, data=b"silent") as answer:
+        return answer.status
+
+
 class TestStopping:
     async def test_a_planned_stop_interrupts_no_stream(self, tmp_path: Path) -> None:
         # A gateway is ordered to stop while a stream runs. The caller gets the complete
@@ -433,12 +440,7 @@
                 site.workers[worker_id].marker = b"silent"
             await until(lambda: "stock2" in gateway.log())
 
-            async def hold() -> int:
-                url, sent = f"{gateway.url}/hold/1", headers("h1")
-                async with client.post(url, headers=sent, data=b"silent") as answer:
-                    return answer.status
-
-            holding = asyncio.create_task(hold())
+            holding = asyncio.create_task(hold(client, gateway))
             await until(lambda: "request_id=h1" in gateway.log())
             gateway.signal(signal.SIGTERM)
             assert await gateway.wait_exit() == 0
@@ -509,12 +511,7 @@
                 gateway.signal(signal.SIGHUP)
                 await until(lambda: "settings_reloaded" in gateway.log())
 
-            async def hold() -> int:
-                url, sent = f"{gateway.url}/hold/1", headers("h1")
-                async with client.post(url, headers=sent, data=b"silent") as answer:
-                    return answer.status
-
-            holding = asyncio.create_task(hold())
+            holding = asyncio.create_task(hold(client, gateway))
             await until(lambda: "request_id=h1" in gateway.log())
             gateway.signal(signal.SIGTERM)
             async with asyncio.timeout(grace_s):
