Contact seeds that are not on record until they are known

Cause: the search for others ended with the first one found. Change: addresses that no member's record has are contacted one at a time, after 0.1 s for each live gateway and 2 s at most. Four cases of test_fleet_starts.py failed without the second loop and pass with it.

--- a/src/trefoilpaddle/coordination/chain/fleet.py
+++ b/src/trefoilpaddle/coordination/chain/fleet.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import random
 import time
 from collections.abc import AsyncIterator, Collection, Sequence
 from typing import Final
@@ -21,6 +22,12 @@
 in which two of them do not know one another, both schedule the same cell.
 """
 
+MAX_DISCOVERY_PERIOD_S: Final = 2.0
+"""Longest mean time in seconds between tries once another gateway is known.
+
+It grows with the gateways that are known, as all of them contact the same seeds.
+"""
+
 DISCOVERY_TIMEOUT_S: Final = 0.3
 """Timeout in seconds of one try; many times a message's latency in a region."""
 
@@ -217,16 +224,24 @@
                     task.cancel()
 
     async def _discover(self) -> None:
-        """Contact the seeds until another gateway is known.
+        """Contact the seeds until another gateway is known, then those not on record.
 
         All gateways may start at the same time, and a seed may be one that listens a
-        little later.
+        little later. It may have no seeds that run: until one of the others contacts
+        it, both sides take all duties, and neither knows the streams of the other.
         """
         while len(self.membership.live()) < 2:
             # Concurrently, so that an unresponsive seed does not delay the others.
             unknown_seeds = self.membership.unknown_addresses()
             await asyncio.gather(*map(self._contact, unknown_seeds))
             await asyncio.sleep(DISCOVERY_PERIOD_S)
+        while not self._process.stopping.is_set():
+            period_s = DISCOVERY_PERIOD_S * max(2, len(self.membership.live()))
+            period_s = min(period_s, MAX_DISCOVERY_PERIOD_S)
+            await asyncio.sleep(period_s * random.uniform(0.75, 1.25))
+            unrecorded = self.membership.unrecorded_addresses()
+            if unrecorded:
+                await self._contact(random.choice(unrecorded))
 
     async def _dial_returning(self) -> None:
         """Dial gateways without a back-off while this one stops.
--- a/src/trefoilpaddle/coordination/members/membership.py
+++ b/src/trefoilpaddle/coordination/members/membership.py
@@ -194,7 +194,17 @@
         They lead to the other side of a network partition that has ended, and
         are contacted first by a process that knows no other member.
         """
-        known = {record.address for record in self.live()} | {self.own.address}
+        return self._addresses_except(self.live())
+
+    def unrecorded_addresses(self) -> list[str]:
+        """Return addresses of listed hosts and seeds that no member's record has.
+
+        Dead members do not count. Links reach those that are suspected or leaving.
+        """
+        return self._addresses_except(self.table.present())
+
+    def _addresses_except(self, members: Iterable[MemberRecord]) -> list[str]:
+        known = {member.address for member in members} | {self.own.address}
         listed = self._process.published.peer_addresses()
         return sorted({*self._seeds, *listed} - known)
 
