Measure two computations by the time of their thread

Cause: the check is that a computation of the gateway is short, but the clock also counted the time in which other processes of the machine ran instead. The computation takes 0.042 to 0.065 s on a quiet machine, by either clock; the bound is 0.1 s. Change: this test and its neighbour measure the time of their thread. The bound stays, and a computation that takes longer fails as before, on a busy machine as on a quiet one.

--- a/tests/chain/test_review_findings.py
+++ b/tests/chain/test_review_findings.py
@@ -375,9 +375,9 @@
             for number in range(500):
                 store.put(f"w{number}", "v1")
         history = store.history(after)
-        began_s = time.perf_counter()
+        began_s = time.thread_time()
         kept_splits(history, NO_DOMAINS)
-        assert time.perf_counter() - began_s < 0.1
+        assert time.thread_time() - began_s < 0.1
 
     def test_few_gateways_read_it_while_all_start(self) -> None:
         # Guards against a fleet that starts at once: each gateway that knows one other
@@ -439,11 +439,11 @@
                 ServedSplit(service_name=SERVICE, counts=counts, n_unknown=3_000_000)
             ],
         )
-        began_s = time.perf_counter()
+        began_s = time.thread_time()
         for split, _ in _served_from_wire(news).ended_s.get(SERVICE, ()):
             split.version_of(KEYS[0])
         split_of(["v1"], n_unknown=3_000_000).version_of(KEYS[0])
-        assert time.perf_counter() - began_s < 0.1
+        assert time.thread_time() - began_s < 0.1
 
     def test_an_odd_revision_of_the_store_takes_no_memory(self) -> None:
         # Guards against a list of all numbers up to the one that a store states.
