Read a later revision if the store drops the oldest one meanwhile

Cause: the oldest kept revision is searched first and the changes since it are read after that. By then the store has dropped it, again at each attempt. Change: a slightly later revision is read, and the result is used once the store has dropped that one too. It is then as old as the time for which the store keeps changes, so nothing is inferred from a shorter history.

--- a/src/trefoilpaddle/coordination/published/history_reader.py
+++ b/src/trefoilpaddle/coordination/published/history_reader.py
@@ -33,6 +33,9 @@
 STEP_FACTOR: Final = 8
 """By how many revisions, and by which factor, the search goes back."""
 
+DROPPED_POLL_S: Final = 0.05
+"""Period in seconds of the check whether the store has dropped a revision."""
+
 MAX_ENTRIES: Final = 50_000
 """Longest history that is read, in writes; some 15 MB."""
 
@@ -177,12 +180,45 @@
                 return Err(fault)
             case Ok(after):
                 pass
-        match await self._source.entry_changes(after):
+        match await self._changes(after, revision):
             case Err(fault):
                 return Err(fault)
-            case Ok(changes):
+            case Ok((changes, after)):
                 return Ok(StoreHistory(listed=listed, changes=changes, after=after))
 
+    async def _changes(
+        self, oldest: int, newest: int
+    ) -> Result[tuple[list[EntryWrite], int], StoreFault]:
+        """Return all changes since the oldest kept revision, or a little later one.
+
+        A store with many writes a second may have dropped that revision meanwhile. A
+        later one reaches back as far once it is dropped as well.
+        """
+        after, step = oldest, FIRST_STEP
+        changes = await self._source.entry_changes(after)
+        while changes == Err(StoreFault.HISTORY_LOST) and after < newest:
+            after = min(newest, after + step)
+            step *= STEP_FACTOR
+            changes = await self._source.entry_changes(after)
+        if after > oldest and changes.is_ok():
+            match await self._until_dropped(after):
+                case Err(fault):
+                    return Err(fault)
+                case Ok(_):
+                    pass
+        return changes.map(lambda found: (found, after))
+
+    async def _until_dropped(self, revision: int) -> Result[None, StoreFault]:
+        """Wait until the store does not know all changes after a revision any more."""
+        while True:
+            match await self._source.is_kept(revision):
+                case Err(fault):
+                    return Err(fault)
+                case Ok(False):
+                    return Ok(None)
+                case Ok(_):
+                    await asyncio.sleep(DROPPED_POLL_S)
+
     async def _oldest_kept(self, revision: int) -> Result[int, StoreFault]:
         """Return the oldest revision since which the store knows all changes."""
         kept, lost, step = revision, -1, FIRST_STEP
--- a/tests/published/test_history_reader.py
+++ b/tests/published/test_history_reader.py
@@ -163,6 +163,36 @@
 
         run_virtual(monkeypatch, scenario())
 
+    def test_a_later_revision_counts_only_once_it_is_dropped(
+        self, monkeypatch: pytest.MonkeyPatch
+    ) -> None:
+        # Guards against streams joined from two versions, one of which left between
+        # the oldest kept revision and the one that could be read.
+        async def scenario() -> None:
+            store = store_of("v1", "v1", "v2", n_others=500)
+            store.remove("w2")
+            for _ in range(500):
+                store.put_other()
+            source = Source(store, kept_after=500)
+            entry_changes = source.entry_changes
+
+            async def drop_and_read(
+                revision: int,
+            ) -> Result[list[EntryWrite], StoreFault]:
+                if source.kept_after == 500:
+                    source.kept_after = 501
+                return await entry_changes(revision)
+
+            monkeypatch.setattr(source, "entry_changes", drop_and_read)
+            rig = Rig(source)
+            assert await rig.sole_version() is None
+            assert rig.served.known_s < KEPT_S
+            source.kept_after = 600
+            assert await rig.sole_version() == "v1"
+            assert rig.served.known_s >= KEPT_S
+
+        run_virtual(monkeypatch, scenario())
+
     def test_a_history_that_was_dropped_is_not_taken_for_a_quiet_one(
         self, monkeypatch: pytest.MonkeyPatch
     ) -> None:
