Refuse connections of the last moment of a stop instead of resetting them

Seen: while some request is open until its time is over, 1 to 17 requests of the last 15 ms had no answer, in 10 of 12 plays of one stop; the gateway logged RuntimeError for each. Cause: the close gives TLS handshakes the time that is left, none by then, and cancelled the opening of connections on ports without TLS as well. Their requests were handled on closed sockets. Change: without TLS the opening is waited for, an iteration of the event loop; what has arrived by then is refused in three polls of 5 ms, also if no time is left. Both cases of the new test failed before; tests of the listener, of late requests and of planned stops pass.

--- a/src/trefoilpaddle/transport/http_listener.py
+++ b/src/trefoilpaddle/transport/http_listener.py
@@ -49,6 +49,9 @@
 A handshake takes two round trips, and a lost packet is sent again within 0.4 s.
 """
 
+MIN_CLOSE_POLLS: Final = 3
+"""Polls in which what connections have brought is read before they are interrupted."""
+
 CROWDED_SHARE: Final = 0.9
 """Share of the most connections from which on idle ones are closed."""
 
@@ -176,12 +179,17 @@
         Parameters
         ----------
         until_s : float
-            Monotonic time in seconds until which to wait for open requests.
+            Monotonic time in seconds until which to wait for open requests. What was
+            sent just before is read and refused even if it has passed.
         """
         await self._stop_accepting(until_s)
         n_refused = self._refuse_idle()
-        while self._http.connections and time.monotonic() < until_s:
+        n_polls = 0
+        while self._http.connections and (
+            n_polls < MIN_CLOSE_POLLS or time.monotonic() < until_s
+        ):
             await asyncio.sleep(CLOSE_POLL_S)
+            n_polls += 1
             n_refused += self._refuse_idle()
         await self._lingering.wait_closed(until_s - time.monotonic())
         self._log_open()
@@ -328,7 +336,10 @@
         # and the close: what is accepted after it would be reset.
         self._accept_waiting(listening)
         listening.close()
-        if self._opening:
+        if self._opening and self._tls is None:
+            # Without a handshake they open in the next iterations, however late it is.
+            await asyncio.wait(self._opening)
+        elif self._opening:
             left_s = until_s - time.monotonic()
             await asyncio.wait(
                 self._opening, timeout=max(0.0, min(TLS_HANDSHAKE_S, left_s))
--- a/tests/test_http_listener.py
+++ b/tests/test_http_listener.py
@@ -108,6 +108,30 @@
             assert answer.startswith((b"HTTP/1.1 200", b"HTTP/1.1 503"))
             caller.close()
 
+    async def test_it_gets_one_if_no_time_is_left(self) -> None:
+        # Guards against the reset of new connections as long as a request is open.
+        listening = Listening()
+        async with listening.open():
+            listening.work_s = CLOSE_S
+            _, writer = await listening.connect()
+            writer.write(GET)
+            await until(lambda: listening.n_served)
+            listening.work_s = 0.0
+            callers = [connect_unaccepted(listening.port) for _ in range(20)]
+            for number, caller in enumerate(callers):
+                caller.sendall(GET if number % 2 else b"")
+            await listening.listener.close(until_s=time.monotonic())
+            for number, caller in enumerate(callers):
+                if not number % 2:
+                    with contextlib.suppress(OSError):
+                        caller.sendall(GET)
+            await listening.listener.interrupt()
+        for caller in callers:
+            answer = await read_all(caller)
+            assert answer.startswith((b"HTTP/1.1 200", b"HTTP/1.1 503"))
+            caller.close()
+        writer.close()
+
     async def test_a_request_that_crosses_the_close_reads_the_refusal(self) -> None:
         # Guards against the reset of an idle connection with a request under way.
         async with Listening().open() as listening:
